A small change of a large plan is small: splices in the chain, the ledger and to criers

Cause: a change carried the whole merged plan through the chain and into the ledger, which kept every body; frames carried them all; ids were looked up one by one; a PATCH fetched the base from the tail; each crier fetched the whole plan anew. Each of 200 plans and changes reads back byte for byte from a restored frame, with its hash checked.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -54,7 +54,10 @@
         /// The newest state, without plans.
         Latest,
         /// The plan in force behind its epoch (eight bytes), for a change to be merged into.
-        Base,
+        Base {
+            /// Known to whoever replies at least up to this epoch.
+            at_least: Epoch,
+        },
         /// What was accepted as this epoch.
         Epoch {
             /// It.
@@ -92,6 +95,17 @@
             epoch: Epoch,
             /// From this byte.
             offset: u64,
+            /// The epoch of the plan that the asker holds.
+            have: Epoch,
+        },
+        /// What makes a plan of the one before, for one that holds that.
+        PlanSplice {
+            /// The epoch it was accepted as.
+            epoch: Epoch,
+            /// The epoch of the plan before.
+            base: Epoch,
+            /// It.
+            splice: Splice,
         },
         /// A piece of a plan as it is in force.
         PlanPiece {
@@ -144,6 +158,8 @@
 
 /// Bytes of a plan that one letter carries.
 const PIECE: usize = 256 << 10;
+/// A splice that is longer goes by pieces of the whole plan.
+pub const SPLICE_MOST: usize = PIECE;
 
 impl Letter {
     /// The piece of a plan from this byte on; `None` beyond its end.
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -570,13 +570,14 @@
     fn on_letter(&mut self, from: Address, letter: Letter) {
         match letter {
             Letter::PollReply { round, reply } => self.on_poll_reply(from, round, reply),
-            Letter::PlanAsk { epoch, offset } => {
+            Letter::PlanAsk { epoch, offset, .. } => {
                 let piece = Letter::plan_piece(epoch, &self.plan_bytes, offset).filter(|_| epoch == self.plan_epoch);
                 piece.into_iter().for_each(|letter| self.send(from, letter));
             }
             Letter::PlanPiece { epoch, offset, length, bytes } => {
                 self.on_plan_piece(from, epoch, offset, length, &bytes);
             }
+            Letter::PlanSplice { epoch, base, splice } => self.on_plan_splice(from, epoch, base, &splice),
             Letter::Trade { sketch, epoch, plan_epoch, withdrawn, members, round, echo, .. } => {
                 self.had.insert(from, round);
                 // Counted from when our own letter left that this one answers, so that a letter long
@@ -642,7 +643,7 @@
             _ => {
                 let epoch = news.plan_epoch;
                 self.fetching = Some(Fetching { news, from, bytes: vec![], asked: self.now, is_whole: false });
-                self.send(from, Letter::PlanAsk { epoch, offset: 0 });
+                self.send(from, Letter::PlanAsk { epoch, offset: 0, have: self.plan_epoch });
             }
         }
     }
@@ -661,8 +662,27 @@
         fetching.asked = self.now;
         let have = fetching.bytes.len() as u64;
         if have < length {
-            return self.send(from, Letter::PlanAsk { epoch, offset: have });
+            return self.send(from, Letter::PlanAsk { epoch, offset: have, have: self.plan_epoch });
         }
+        self.on_whole_plan();
+    }
+
+    /// A plan came as what differs from the one held.
+    fn on_plan_splice(&mut self, from: Address, epoch: Epoch, base: Epoch, splice: &Splice) {
+        let Some(fetching) = &mut self.fetching else { return };
+        let is_awaited = !fetching.is_whole && fetching.from == from && fetching.news.plan_epoch == epoch;
+        if !is_awaited || !fetching.bytes.is_empty() || base != self.plan_epoch {
+            return;
+        }
+        if let Some(bytes) = splice.apply(&self.plan_bytes) {
+            fetching.bytes = bytes;
+            self.on_whole_plan();
+        }
+    }
+
+    /// All of a plan is here; another thread reads it.
+    fn on_whole_plan(&mut self) {
+        let Some(fetching) = &mut self.fetching else { return };
         let (plan_epoch, bytes) = (fetching.news.plan_epoch, Arc::new(std::mem::take(&mut fetching.bytes)));
         fetching.is_whole = true;
         self.outputs.push(NodeOutput::Read { plan_epoch, bytes });
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -19,8 +19,8 @@
             bytes: Vec<u8>,
             /// The epoch of the plan that it was merged into.
             base: Epoch,
-            /// The whole plan that came of it.
-            whole: Vec<u8>,
+            /// What makes of that plan the one that came of it.
+            splice: Splice,
             /// The zones that this names.
             halls: Vec<HallName>,
         },
@@ -62,13 +62,54 @@
         pub motion: Motion,
     }
 
+    /// What is kept of an accepted motion. A plan's bytes are not: they come back from the plan in force
+    /// by what undoes the plans after it.
+    #[derive(Eq)]
+    pub enum KeptMotion {
+        /// A whole plan.
+        Plan {
+            /// How long.
+            length: u64,
+            /// Of its bytes.
+            hash: [u8; 32],
+        },
+        /// A change.
+        Change {
+            /// As sent.
+            bytes: Vec<u8>,
+        },
+        /// A zone gets no new work.
+        Withdraw {
+            /// The zone.
+            hall: HallName,
+        },
+        /// A zone gets work again.
+        Restore {
+            /// The zone.
+            hall: HallName,
+        },
+    }
+
     /// A motion of an operator that was accepted.
     #[derive(Eq)]
     pub struct Entry {
         /// As this epoch.
         pub epoch: Epoch,
-        /// As it was proposed.
-        pub proposal: Proposal,
+        /// The operator's id for it.
+        pub id: String,
+        /// What it built on.
+        pub builds_on: Option<Epoch>,
+        /// What.
+        pub motion: KeptMotion,
+    }
+
+    /// What leads from a plan back to the one before.
+    #[derive(Eq)]
+    pub struct Undo {
+        /// From the plan of this epoch.
+        pub epoch: Epoch,
+        /// By this.
+        pub splice: Splice,
     }
 
     /// All that was accepted, and what is in force.
@@ -77,7 +118,9 @@
     /// [`Motion::change`]): a plan of tens of megabytes must not hold a control thread up.
     ///
     /// Invariants: `epoch` grows by one with each accepted motion. `plan` is what `plan_epoch` made
-    /// of it, whole. `entries` are in order of epochs and never lose one; ids are unique in them.
+    /// of it, whole. `entries` are in order of epochs and never lose one; ids are unique in them, and
+    /// `ids` names each. `undos` has one for each plan and change, in order: what is held is the plan in
+    /// force and what differs from it.
     #[derive(Default)]
     pub struct Ledger {
         /// The newest epoch.
@@ -98,9 +141,26 @@
         pub key: Option<TokenKey>,
         /// What operators had accepted.
         pub entries: Vec<Entry>,
+        /// Their epochs by their ids.
+        pub ids: BTreeMap<String, Epoch>,
+        /// From the plan in force back to the first.
+        pub undos: Vec<Undo>,
+        /// What made the plan in force of the one before, and that one's epoch.
+        pub newest: Option<(Epoch, Splice)>,
     }
 }
 
+/// An accepted motion as its operator sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AsSent {
+    /// A plan or a change, byte for byte.
+    Body(Vec<u8>),
+    /// A zone gets no new work.
+    Withdraw(HallName),
+    /// A zone gets work again.
+    Restore(HallName),
+}
+
 /// What the ledger says to a proposal.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct Verdict {
@@ -133,7 +193,29 @@
 impl Ledger {
     /// The accepted motion of an operator with this id.
     pub fn entry_by_id(&self, id: &str) -> Option<&Entry> {
-        self.entries.iter().rev().find(|entry| entry.proposal.id == id)
+        self.entry(*self.ids.get(id)?)
+    }
+    /// What was accepted as this epoch, as it was sent.
+    pub fn as_sent(&self, epoch: Epoch) -> Option<AsSent> {
+        Some(match &self.entry(epoch)?.motion {
+            KeptMotion::Plan { hash, .. } => {
+                let later = self.undos.iter().rev().take_while(|undo| undo.epoch > epoch);
+                let bytes = unwind(&self.plan, later.map(|undo| &undo.splice))?;
+                (blake3::hash(&bytes) == *hash).then_some(AsSent::Body(bytes))?
+            }
+            KeptMotion::Change { bytes } => AsSent::Body(bytes.clone()),
+            KeptMotion::Withdraw { hall } => AsSent::Withdraw(hall.clone()),
+            KeptMotion::Restore { hall } => AsSent::Restore(hall.clone()),
+        })
+    }
+    /// Takes a new plan up and keeps what leads back.
+    fn set_plan(&mut self, plan: Vec<u8>, splice: Splice, halls: &[HallName]) {
+        let undo = splice.reverse(&self.plan).expect("it was made for the plan in force");
+        self.undos.push(Undo { epoch: self.epoch, splice: undo });
+        self.newest = Some((self.plan_epoch, splice));
+        self.plan = plan;
+        self.plan_halls = halls.to_vec();
+        self.plan_epoch = self.epoch;
     }
     /// What was accepted as this epoch.
     pub fn entry(&self, epoch: Epoch) -> Option<&Entry> {
@@ -160,7 +242,7 @@
     /// What a proposal would come to.
     fn judge(&self, proposal: &Proposal) -> Result<(), Verdict> {
         if let Some(entry) = self.entry_by_id(&proposal.id) {
-            return Err(if entry.proposal.is_repeated_by(proposal) {
+            return Err(if entry.is_repeated_by(proposal) {
                 let why = "it was accepted before; it is not applied twice";
                 self.verdict(ResultCode::Accepted, entry.epoch, why, vec![])
             } else {
@@ -180,13 +262,17 @@
         };
         match &proposal.motion {
             Motion::Plan { .. } => builds_on(true),
-            Motion::Change { base, .. } => {
+            Motion::Change { base, splice, .. } => {
                 builds_on(true)?;
                 if *base != self.plan_epoch {
                     let why =
                         format!("it was merged into epoch {base}, the plan in force is of epoch {}", self.plan_epoch);
                     return Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]));
                 }
+                if !splice.fits(&self.plan) {
+                    let why = "the change is not one of the plan in force";
+                    return Err(self.verdict(ResultCode::BadLetter, self.epoch, why, vec![]));
+                }
                 Ok(())
             }
             Motion::Withdraw { hall } | Motion::Restore { hall } => {
@@ -238,10 +324,13 @@
         }
         self.epoch = self.epoch.next();
         match &proposal.motion {
-            Motion::Plan { bytes: whole, halls } | Motion::Change { whole, halls, .. } => {
-                self.plan.clone_from(whole);
-                self.plan_halls.clone_from(halls);
-                self.plan_epoch = self.epoch;
+            Motion::Plan { bytes, halls } => {
+                let splice = Splice::between(&self.plan, bytes);
+                self.set_plan(bytes.clone(), splice, halls);
+            }
+            Motion::Change { splice, halls, .. } => {
+                let plan = splice.apply(&self.plan).expect("it was judged to fit");
+                self.set_plan(plan, splice.clone(), halls);
             }
             Motion::Withdraw { hall } => {
                 if !self.withdrawn.contains(hall) {
@@ -265,8 +354,10 @@
             Motion::Key { key } => self.key = Some(*key),
         }
         let verdict = self.verdict(ResultCode::Accepted, self.epoch, "", vec![]);
-        if !matches!(proposal.motion, Motion::Join { .. } | Motion::Retire { .. } | Motion::Key { .. }) {
-            self.entries.push(Entry { epoch: self.epoch, proposal });
+        if let Some(motion) = KeptMotion::of(proposal.motion) {
+            let (epoch, id, builds_on) = (self.epoch, proposal.id, proposal.builds_on);
+            self.ids.insert(id.clone(), epoch);
+            self.entries.push(Entry { epoch, id, builds_on, motion });
         }
         verdict.to_bytes()
     }
@@ -292,19 +383,35 @@
     pub fn change(bytes: Vec<u8>, base: Epoch, plan: &[u8]) -> Result<Motion, Vec<Fault>> {
         let whole = merge_change(plan, &bytes)?;
         let halls = parse_plan(&whole)?.halls();
-        Ok(Motion::Change { bytes, base, whole, halls })
+        let splice = Splice::between(plan, &whole);
+        Ok(Motion::Change { bytes, base, splice, halls })
     }
 }
 
-impl Proposal {
-    /// Whether the other says the same. A change merged anew may come to another whole.
+impl KeptMotion {
+    /// What is kept of an operator's motion; `None` of one that is not an operator's.
+    fn of(motion: Motion) -> Option<KeptMotion> {
+        Some(match motion {
+            Motion::Plan { bytes, .. } => {
+                KeptMotion::Plan { length: bytes.len() as u64, hash: *blake3::hash(&bytes).as_bytes() }
+            }
+            Motion::Change { bytes, .. } => KeptMotion::Change { bytes },
+            Motion::Withdraw { hall } => KeptMotion::Withdraw { hall },
+            Motion::Restore { hall } => KeptMotion::Restore { hall },
+            Motion::Join { .. } | Motion::Retire { .. } | Motion::Key { .. } => return None,
+        })
+    }
+}
+
+impl Entry {
+    /// Whether a proposal says the same. A change merged anew may come to another whole.
     fn is_repeated_by(&self, other: &Proposal) -> bool {
-        let is_same_motion = match (&self.motion, &other.motion) {
-            (Motion::Change { bytes, .. }, Motion::Change { bytes: again, .. }) => bytes == again,
-            (one, another) => one == another,
-        };
+        let is_same_motion = KeptMotion::of(other.motion.clone()).is_some_and(|motion| motion == self.motion);
         is_same_motion && self.id == other.id && self.builds_on == other.builds_on
     }
+}
+
+impl Proposal {
     /// As the body of a change in the chain.
     pub fn to_bytes(&self) -> Vec<u8> {
         rkyv::to_bytes::<rkyv::rancor::Error>(self).expect("a proposal can be archived").to_vec()
@@ -347,6 +454,38 @@
         assert_eq!(take(&mut ledger, &plan("a", 1, 6))["code"], 308);
     }
 
+    #[test]
+    fn each_plan_and_change_reads_back_as_sent_and_small_changes_of_a_large_plan_stay_small() {
+        let mut ledger = Ledger::default();
+        let note = "n".repeat(200_000);
+        let sent = |n: usize| format!(r#"{{ "note":"{note}", "services":{{"drafts":{{"slots":{n}}}}} }}"#).into_bytes();
+        let mut bodies = vec![];
+        for n in 1..=200usize {
+            let builds_on = Some(ledger.epoch);
+            let body = if n % 40 == 1 {
+                sent(n)
+            } else {
+                format!(r#"{{"services":{{"drafts":{{"slots":{n}}}}}}}"#).into_bytes()
+            };
+            let motion = if n % 40 == 1 {
+                Motion::plan(body.clone()).expect("a good plan")
+            } else {
+                Motion::change(body.clone(), ledger.plan_epoch, &ledger.plan).expect("a good change")
+            };
+            let proposal = Proposal { id: format!("n-{n}"), builds_on, motion };
+            // Only after a whole plan, whose spaces a merge takes out, is the difference large.
+            let is_small = proposal.to_bytes().len() < 1000;
+            assert!(is_small || n % 40 < 3, "change {n} is {} bytes", proposal.to_bytes().len());
+            assert_eq!(take(&mut ledger, &proposal)["code"], 300);
+            bodies.push(body);
+        }
+        let ledger = Ledger::restore(&ledger.frame()).expect("a ledger");
+        for (place, body) in bodies.into_iter().enumerate() {
+            assert_eq!(ledger.as_sent(Epoch(place as u64 + 1)), Some(AsSent::Body(body)), "epoch {}", place + 1);
+        }
+        assert!(ledger.frame().len() < 20 * note.len(), "the frame has {} bytes", ledger.frame().len());
+    }
+
     #[test]
     fn the_first_key_stays() {
         let mut ledger = Ledger::default();
--- a/crates/parlance/src/lib.rs
+++ b/crates/parlance/src/lib.rs
@@ -10,6 +10,7 @@
 mod names;
 mod random;
 mod result_code;
+mod splice;
 mod token_key;
 
 /// What each file imports.
@@ -22,6 +23,7 @@
     pub use crate::names::{HallName, OrderId, RunId, ServerName, ServiceName};
     pub use crate::random::random_bytes;
     pub use crate::result_code::ResultCode;
+    pub use crate::splice::{Splice, unwind};
     pub use crate::token_key::TokenKey;
 }
 
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -273,7 +273,8 @@
         Reply::json(code.http_status(), &value)
     };
     let change = |bytes: Vec<u8>| -> Result<Motion, Reply> {
-        let (status, body) = ask_core(OperatorAsk::Read(Reading::Base))?;
+        let at_least = Epoch(order.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
+        let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
             Some((base, plan)) if status == 200 => {
                 let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -250,7 +250,7 @@
         match letter {
             Letter::Note { note } => self.drive(Input::Note { from, note }),
             Letter::Poll { poll } => self.on_poll(from, poll),
-            Letter::PlanAsk { epoch, offset } => self.on_plan_ask(from, epoch, offset),
+            Letter::PlanAsk { epoch, offset, have } => self.on_plan_ask(from, epoch, offset, have),
             Letter::Ask { number, reading } => {
                 if self.may_reply() {
                     let (status, body) = self.read(&reading);
@@ -262,7 +262,7 @@
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
                 }
             }
-            Letter::PollReply { .. } | Letter::PlanPiece { .. } | Letter::Trade { .. } => {}
+            Letter::PollReply { .. } | Letter::PlanPiece { .. } | Letter::PlanSplice { .. } | Letter::Trade { .. } => {}
         }
     }
 
@@ -395,8 +395,15 @@
         self.drive(Input::Propose { number: self.next_inner, body: proposal.to_bytes() });
     }
 
-    fn on_plan_ask(&mut self, from: Address, epoch: Epoch, offset: u64) {
+    fn on_plan_ask(&mut self, from: Address, epoch: Epoch, offset: u64, have: Epoch) {
         let ledger = self.fellow.charge();
+        if let Some((base, splice)) = &ledger.newest
+            && (epoch, have, offset) == (ledger.plan_epoch, *base, 0)
+            && splice.inserted.len() <= SPLICE_MOST
+        {
+            let (base, splice) = (*base, splice.clone());
+            return self.send(from, Letter::PlanSplice { epoch, base, splice });
+        }
         let piece = Letter::plan_piece(epoch, &ledger.plan, offset).filter(|_| ledger.plan_epoch == epoch);
         piece.into_iter().for_each(|letter| self.send(from, letter));
     }
@@ -423,7 +430,11 @@
             OperatorAsk::Read(reading) => {
                 waiting.next_try = Some(retry_at);
                 let reading = reading.clone();
-                if self.may_reply() {
+                // A change's base may be read here: the head judges whether it's the newest.
+                let state = self.fellow.state();
+                let is_known_here = state.is_sound && state.view.seats(&state.me);
+                let is_base = matches!(reading, Reading::Base { at_least } if self.fellow.charge().epoch >= at_least);
+                if self.may_reply() || (is_base && is_known_here) {
                     self.waiting.remove(&number);
                     let (status, body) = self.read(&reading);
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
@@ -479,16 +490,18 @@
                     .map(|(address, hall)| serde_json::json!({"address": address, "hall": hall})).collect::<Vec<_>>(),
             })),
             Reading::Epoch { epoch: Epoch(0) } if ledger.plan_epoch > Epoch(0) => (200, ledger.plan.clone()),
-            Reading::Base => {
+            Reading::Base { .. } => {
                 let mut body = ledger.plan_epoch.0.to_be_bytes().to_vec();
                 body.extend_from_slice(&ledger.plan);
                 (200, body)
             }
-            Reading::Epoch { epoch } => match ledger.entry(*epoch).map(|entry| &entry.proposal.motion) {
-                Some(Motion::Plan { bytes, .. } | Motion::Change { bytes, .. }) => (200, bytes.clone()),
-                Some(Motion::Withdraw { hall }) => good(serde_json::json!({"withdraw": hall})),
-                Some(Motion::Restore { hall }) => good(serde_json::json!({"restore": hall})),
-                _ => missing(ResultCode::UnknownEpoch, format!("no operator's motion was accepted as epoch {epoch}")),
+            Reading::Epoch { epoch } => match ledger.as_sent(*epoch) {
+                Some(AsSent::Body(bytes)) => (200, bytes),
+                Some(AsSent::Withdraw(hall)) => good(serde_json::json!({"withdraw": hall})),
+                Some(AsSent::Restore(hall)) => good(serde_json::json!({"restore": hall})),
+                None => {
+                    missing(ResultCode::UnknownEpoch, format!("no operator's motion was accepted as epoch {epoch}"))
+                }
             },
             Reading::Fate { id } => match ledger.entry_by_id(id) {
                 Some(entry) => good(serde_json::json!({
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -2,7 +2,7 @@
 use circular::prelude::Letter;
 use college::prelude::{Fellow, Kept, Record, Voter};
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
-use layout::prelude::{Ledger, Motion, Proposal};
+use layout::prelude::{AsSent, Ledger, Motion, Proposal};
 use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
 use registrar::prelude::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk};
 use std::cmp::Reverse;
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -46,6 +46,8 @@
     /// Per service: orders that servers were asked to take, and asks beyond the first of each.
     pub repeats: BTreeMap<ServiceName, (u64, u64)>,
     proposed: BTreeMap<String, (u64, Motion)>,
+    /// What each plan or change would put in force.
+    plans: BTreeMap<String, serde_json::Value>,
     fates: BTreeMap<String, (u64, u64, u64)>,
     node_epochs: BTreeMap<Address, Epoch>,
     decided: BTreeMap<u64, View>,
@@ -101,7 +103,14 @@
             Some(_) => self.violate(now, format!("two views of epoch {}, one at {at}", view.epoch)),
         }
     }
-    pub(super) fn proposed(&mut self, now: u64, id: &str, motion: &Motion) {
+    pub(super) fn proposed(&mut self, now: u64, id: &str, motion: &Motion, base: &[u8]) {
+        let whole = match motion {
+            Motion::Plan { bytes, .. } => Some(bytes.clone()),
+            Motion::Change { splice, .. } => splice.apply(base),
+            _ => None,
+        };
+        let plan = whole.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        self.plans.extend(plan.map(|plan| (id.to_owned(), plan)));
         self.proposed.insert(id.to_owned(), (now, motion.clone()));
     }
     pub(super) fn operator_told(&mut self, now: u64, asked: u64, id: &str, code: u64, epoch: u64) {
@@ -175,25 +184,20 @@
     /// Whether some plan that may be in force now says this of the service: the newest one that was
     /// told as accepted long enough ago, or any that came or may have come after it.
     fn may_be_said(&self, now: u64, service: &ServiceName, says: impl Fn(&serde_json::Value) -> bool) -> bool {
-        let allows = |bytes: &[u8]| {
-            let value: serde_json::Value = serde_json::from_slice(bytes).unwrap_or_default();
-            says(&value["services"][service.as_str()])
-        };
         let mut settled = 0;
         for (id, (told, code, epoch)) in &self.fates {
-            let is_plan = matches!(self.proposed.get(id), Some((_, Motion::Plan { .. })));
-            if is_plan && *code == 300 && told + IN_FORCE < now {
+            if self.plans.contains_key(id) && *code == 300 && told + IN_FORCE < now {
                 settled = settled.max(*epoch);
             }
         }
-        self.proposed.iter().any(|(id, (at, motion))| {
-            let Motion::Plan { bytes, .. } = motion else { return false };
+        self.plans.iter().any(|(id, plan)| {
+            let Some((at, _)) = self.proposed.get(id) else { return false };
             let may_count = match self.fates.get(id) {
                 Some((_, 300, epoch)) => *epoch >= settled,
                 Some((_, 304, _)) | None => true,
                 Some(_) => false,
             };
-            *at <= now && may_count && allows(bytes)
+            *at <= now && may_count && says(&plan["services"][service.as_str()])
         })
     }
 
@@ -246,12 +250,16 @@
         };
         for (id, (_, code, epoch)) in self.fates.clone() {
             let entry = ledger.entry_by_id(&id);
-            let proposed = self.proposed.get(&id).map(|(_, motion)| motion.clone());
+            let proposed = self.proposed.get(&id).map(|(_, motion)| match motion.clone() {
+                Motion::Plan { bytes, .. } | Motion::Change { bytes, .. } => Some(AsSent::Body(bytes)),
+                Motion::Withdraw { hall } => Some(AsSent::Withdraw(hall)),
+                Motion::Restore { hall } => Some(AsSent::Restore(hall)),
+                _ => None,
+            });
             match code {
                 300 => {
-                    let reads_back = entry.is_some_and(|entry| {
-                        entry.epoch.0 == epoch && Some(&entry.proposal.motion) == proposed.as_ref()
-                    });
+                    let reads_back = entry
+                        .is_some_and(|entry| entry.epoch.0 == epoch && proposed == Some(ledger.as_sent(entry.epoch)));
                     if !reads_back {
                         self.violate(now, format!("{id}, accepted as epoch {epoch}, does not read back as sent"));
                     }
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -9,6 +9,8 @@
     pub asked: BTreeMap<u64, Asked>,
     next: u64,
     pub epoch: u64,
+    /// The plan that the last change was merged into.
+    base: Vec<u8>,
     /// A zone that may be withdrawn; it stays here until its restoring was accepted.
     pub withdrawn: Option<HallName>,
     pub storm_until: u64,
@@ -42,6 +44,7 @@
                     self.propose_plan(builds_on, !allows_extra);
                 }
             }
+            7 | 8 => self.propose_change(),
             3 | 4 => {
                 let motion = match self.operators.withdrawn.clone() {
                     Some(hall) => Motion::Restore { hall },
@@ -77,6 +80,25 @@
         self.ask(Some(builds_on), Some(motion));
     }
 
+    /// A change, merged where a registrar has the plan that the operator looked at, as its door does.
+    fn propose_change(&mut self) {
+        let builds_on = self.operators.epoch;
+        let ledgers = self.registrars.iter().filter_map(|m| m.office.as_ref()).map(|office| office.fellow().charge());
+        let Some((base, plan)) =
+            ledgers.filter(|l| l.epoch.0 >= builds_on).map(|l| (l.plan_epoch, l.plan.clone())).next()
+        else {
+            return;
+        };
+        let number = self.draw() % 1_000_000;
+        let is_kept = self.chance(50);
+        let change = serde_json::json!({"services": {"extra": {"resumable": true, "idempotent": is_kept}}, "n": null,
+            "note": format!("changed {number}")});
+        if let Ok(motion) = Motion::change(change.to_string().into_bytes(), base, &plan) {
+            self.operators.base = plan;
+            self.ask(Some(builds_on), Some(motion));
+        }
+    }
+
     /// Asks some registrar that is up: to change something, or else what is newest.
     pub(super) fn ask(&mut self, builds_on: Option<u64>, motion: Option<Motion>) {
         let up: Vec<usize> =
@@ -93,7 +115,7 @@
         let id = format!("op-{number}");
         let ask = match &motion {
             Some(motion) => {
-                self.witness.proposed(self.now, &id, motion);
+                self.witness.proposed(self.now, &id, motion, &self.operators.base);
                 let builds_on = builds_on.map(Epoch);
                 OperatorAsk::Propose(Proposal { id: id.clone(), builds_on, motion: motion.clone() })
             }
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -113,7 +113,7 @@
     // Each caller has its stream's head once its first piece was seen.
     let first_tokens = |fleet: &Fleet| {
         let events = fleet.criers[0].get("/v1/events?after=0").expect("events").1;
-        String::from_utf8_lossy(&events).matches("\"first_token\"").count()
+        String::from_utf8_lossy(&events).matches("\"event\":\"first_token\"").count()
     };
     Fleet::await_that(PATIENCE, "the streams run", || first_tokens(&fleet) == 6).expect("they run");
     fleet.criers[0].kill();
