A ballot that half of the voters accepted and nobody finished no longer stops the core for good

Cause: two of four voters had accepted a view with another tail whose proposer then gave up. They refuse the tail its permit while that ballot is open; two of four are no majority; and nobody bids, since the view is what everyone wishes it to be. With three voters one such ballot leaves two. Ruled out: time (it stood so for 20 s), the disk (nothing unsynced), the members. Now whoever has an open ballot bids: the round finishes it or outdoes it. Before: the trace of four fellows ends with nobody replying after 10 s.

--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -102,7 +102,11 @@
             return;
         }
         let wish = self.wish();
-        let is_change = self.has_released || wish.chain != self.view.chain || wish.voters != self.view.voters;
+        // A ballot that was accepted here and came to no end keeps the tail from its permit: a new one
+        // finishes it or outdoes it.
+        let has_open_ballot = self.accepted.as_ref().is_some_and(|ballot| ballot.view.epoch == self.view.epoch.next());
+        let is_change =
+            self.has_released || has_open_ballot || wish.chain != self.view.chain || wish.voters != self.view.voters;
         if !is_change || !self.view.may_be_followed_by(&wish) {
             self.wanted_since = None;
             return;
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -162,3 +162,45 @@
     }
     assert_eq!((behind.charge(), behind.state().last), (&Tally(41), Seq(41)));
 }
+
+#[test]
+fn a_ballot_that_half_of_the_voters_accepted_and_nobody_finished_does_not_stop_the_core() {
+    // Two of four back a view with another tail; its proposer is gone, and all four see each other again.
+    let all = View { voters: (1..=4).map(voter).collect(), ..view(1, &[(1, true), (2, true), (3, true), (4, true)]) };
+    let without_the_tail = View { voters: all.voters.clone(), ..view(2, &[(1, true), (2, true), (3, true)]) };
+    let ballot = Ballot { round: Round { count: 7, proposer: 9 }, view: without_the_tail };
+    let founders: Vec<Address> = (1..=4).map(Address::loopback).collect();
+    let mut fellows: Vec<Fellow<Tally>> = (1..=4)
+        .map(|n| {
+            let mut records = vec![Record::View { view: all.clone() }];
+            if n <= 2 {
+                records.push(Record::Accepted { ballot: ballot.clone() });
+            }
+            let start = Moment(10_000);
+            Fellow::new(voter(n), founders.clone(), Timing::default(), Kept { records }, Tally(0), start).unwrap()
+        })
+        .collect();
+    let mut notes: VecDeque<(Address, Address, Note)> = VecDeque::new();
+    for at in (10_000..20_000).step_by(25).map(Moment) {
+        let mut inputs: Vec<(usize, Input)> = (0..4).map(|place| (place, Input::ClockEvent)).collect();
+        while let Some((place, input)) = inputs.pop() {
+            let from = founders[place];
+            for output in fellows[place].step(at, input) {
+                match output {
+                    Output::Send { to, note } => notes.push_back((from, to, note)),
+                    Output::Write { id, .. } => inputs.push((place, Input::Written { id })),
+                    _ => {}
+                }
+            }
+            if inputs.is_empty()
+                && let Some((from, to, note)) = notes.pop_front()
+            {
+                inputs.push((usize::from(to.0.port()) - 1, Input::Note { from, note }));
+            }
+        }
+        if fellows.iter().any(|fellow| fellow.may_reply(at)) && fellows[0].view().chain.len() == 4 {
+            return;
+        }
+    }
+    panic!("nobody may reply: {:?}", fellows.iter().map(Fellow::state).collect::<Vec<_>>());
+}
