Members lost for good are forgotten by name, never while anyone hears them

Cause: a change needs more than half of the members with permits, and members are retired only by such a change; with most of them gone nothing could ever change again, and docs named a founding anew that has no command. Ruled out: retiring them without a majority by time alone (a cut-off half of the fleet goes on by what it knows, so only someone who knows that they are dead may say so). Real processes, five of nine criers killed: every change core-not-ready; after 'registrar desk forget' accepted again; naming a living one is still-heard and changes nothing, an unknown one is unknown-member. The argument, with the dead left out of every set, is in docs/isolation.md.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -19,6 +19,8 @@
         pub round: u64,
         /// The newest epoch that it has whole.
         pub epoch: Epoch,
+        /// Other members that it has heard within the last second.
+        pub hears: Vec<Address>,
     }
 
     /// What the core answers to a poll.
@@ -63,6 +65,13 @@
             /// It.
             epoch: Epoch,
         },
+        /// Whether these members, said to be lost, are heard by the core or by any member.
+        Heard {
+            /// The operator's id for forgetting them.
+            id: String,
+            /// Who.
+            members: Vec<Address>,
+        },
         /// What became of a change.
         Fate {
             /// The operator's id for it.
--- a/crates/college/src/standing.rs
+++ b/crates/college/src/standing.rs
@@ -81,6 +81,11 @@
         slot.heard = slot.heard.max(heard);
         slot.epoch = slot.epoch.max(epoch);
     }
+    /// Other members that trade with this one now.
+    pub fn heard(&self, now: Moment) -> Vec<Address> {
+        let is_heard = |peer: &Peer| now < peer.heard + self.trade_span;
+        self.peers.iter().filter(|(_, peer)| is_heard(peer)).map(|(address, _)| *address).collect()
+    }
     /// What is known.
     pub fn epoch(&self) -> Epoch {
         self.epoch
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -563,7 +563,8 @@
         self.poll_round += 1;
         self.polled = Some(self.now);
         let member = Member { address: self.own, hall: self.hall.clone() };
-        let poll = Poll { member, round: self.poll_round, epoch: self.standing.epoch() };
+        let poll =
+            Poll { member, round: self.poll_round, epoch: self.standing.epoch(), hears: self.standing.heard(self.now) };
         self.send(to, Letter::Poll { poll });
     }
 
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -44,6 +44,12 @@
             /// Who.
             members: Vec<Address>,
         },
+        /// Members that an operator knows to be lost for good, however many they are. They count for no
+        /// majority any more, that of the change itself included.
+        Forget {
+            /// Who.
+            members: Vec<Address>,
+        },
         /// What tokens are checked with. Not an operator's motion; the first one stays.
         Key {
             /// Drawn at random.
@@ -88,6 +94,11 @@
             /// The zone.
             hall: HallName,
         },
+        /// Members that are lost.
+        Forget {
+            /// Who.
+            members: Vec<Address>,
+        },
     }
 
     /// A motion of an operator that was accepted.
@@ -159,6 +170,8 @@
     Withdraw(HallName),
     /// A zone gets work again.
     Restore(HallName),
+    /// Members that are lost.
+    Forget(Vec<Address>),
 }
 
 /// What the ledger says to a proposal.
@@ -206,6 +219,7 @@
             KeptMotion::Change { bytes } => AsSent::Body(bytes.clone()),
             KeptMotion::Withdraw { hall } => AsSent::Withdraw(hall.clone()),
             KeptMotion::Restore { hall } => AsSent::Restore(hall.clone()),
+            KeptMotion::Forget { members } => AsSent::Forget(members.clone()),
         })
     }
     /// Takes a new plan up and keeps what leads back.
@@ -284,6 +298,16 @@
                 }
                 Ok(())
             }
+            Motion::Forget { members } => {
+                let is_member = |member: &Address| self.roster.members.contains(member);
+                match members.iter().find(|member| !is_member(member)) {
+                    Some(unknown) => {
+                        let why = format!("{unknown} is not a member; `latest` shows who is");
+                        Err(self.verdict(ResultCode::UnknownMember, self.epoch, why, vec![]))
+                    }
+                    None => Ok(()),
+                }
+            }
             Motion::Key { .. } if self.key.is_some() => {
                 Err(self.verdict(ResultCode::Conflict, self.epoch, "there is a key already", vec![]))
             }
@@ -301,8 +325,11 @@
 
 impl Charge for Ledger {
     fn needs_members(&self, body: &[u8]) -> bool {
-        // Those that join could never do so if it took members to let them in, nor act without a key.
-        !matches!(read(body), Some(Proposal { motion: Motion::Join { .. } | Motion::Key { .. }, .. }))
+        // Those that join could never do so if it took members to let them in, nor act without a key; and
+        // those that are lost are forgotten just because too many are.
+        let is_free =
+            |motion: &Motion| matches!(motion, Motion::Join { .. } | Motion::Key { .. } | Motion::Forget { .. });
+        !read(body).is_some_and(|proposal| is_free(&proposal.motion))
     }
 
     fn preview(&self, body: &[u8]) -> Preview {
@@ -351,6 +378,13 @@
                 halls.retain(|(address, _)| !members.contains(address));
                 self.set_members(halls);
             }
+            Motion::Forget { members } => {
+                let mut halls = self.member_halls.clone();
+                halls.retain(|(address, _)| !members.contains(address));
+                self.set_members(halls);
+                // The dead can't act, so that majorities are those of the living (docs/isolation.md).
+                self.roster.elder.clone_from(&self.roster.members);
+            }
             Motion::Key { key } => self.key = Some(*key),
         }
         let verdict = self.verdict(ResultCode::Accepted, self.epoch, "", vec![]);
@@ -398,6 +432,7 @@
             Motion::Change { bytes, .. } => KeptMotion::Change { bytes },
             Motion::Withdraw { hall } => KeptMotion::Withdraw { hall },
             Motion::Restore { hall } => KeptMotion::Restore { hall },
+            Motion::Forget { members } => KeptMotion::Forget { members },
             Motion::Join { .. } | Motion::Retire { .. } | Motion::Key { .. } => return None,
         })
     }
@@ -486,6 +521,25 @@
         assert!(ledger.frame().len() < 20 * note.len(), "the frame has {} bytes", ledger.frame().len());
     }
 
+    #[test]
+    fn the_lost_are_forgotten_by_name_and_count_no_more() {
+        let mut ledger = Ledger::default();
+        let members: Vec<_> = (1..=5).map(|n| (Address::loopback(n), HallName::from("north"))).collect();
+        take(&mut ledger, &Proposal { id: String::new(), builds_on: None, motion: Motion::Join { members } });
+        let forget = |id: &str, ports: &[u16]| Proposal {
+            id: id.into(),
+            builds_on: None,
+            motion: Motion::Forget { members: ports.iter().map(|port| Address::loopback(*port)).collect() },
+        };
+        let unknown = take(&mut ledger, &forget("f", &[3, 9]));
+        assert_eq!((&unknown["code"], ledger.epoch), (&309.into(), Epoch(1)));
+        assert!(unknown["why"].as_str().is_some_and(|why| why.contains("127.0.0.1:9 ")), "{unknown}");
+        assert!(!ledger.needs_members(&forget("g", &[3, 4, 5]).to_bytes()));
+        assert_eq!(take(&mut ledger, &forget("g", &[3, 4, 5]))["code"], 300);
+        assert_eq!((&ledger.roster.elder, ledger.roster.members.len()), (&ledger.roster.members, 2));
+        assert_eq!(take(&mut ledger, &forget("g", &[3, 4, 5]))["epoch"], 2, "a repeat is told the first one's epoch");
+    }
+
     #[test]
     fn the_first_key_stays() {
         let mut ledger = Ledger::default();
--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -72,6 +72,8 @@
     UnknownHall = 306, 404, 0, "unknown-hall", "No accepted plan or node names this zone.";
     UnknownChange = 307, 404, 0, "unknown-change", "No change of this id was accepted.";
     IdReused = 308, 409, 0, "id-reused", "This id was used for a different change; nothing changed.";
+    UnknownMember = 309, 404, 0, "unknown-member", "No member has this address; nothing changed.";
+    StillHeard = 310, 409, 0, "still-heard", "One that is said to be lost is still heard; nothing changed.";
     BadLetter = 400, 400, 0, "bad-letter", "An inner letter was torn, too long or failed its check.";
     WrongProtocol = 401, 400, 0, "wrong-protocol", "The peer speaks another version of the inner protocol.";
     BadSettings = 402, 500, 0, "bad-settings", "The settings can't be used; exit code 2.";
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -331,6 +331,20 @@
             Ok(motion) => propose(motion, true),
             Err(reply) => reply,
         },
+        ("POST", ["v1", "members", "forget"]) => {
+            #[derive(serde::Deserialize)]
+            #[serde(deny_unknown_fields)]
+            struct Lost {
+                members: Vec<Address>,
+            }
+            match serde_json::from_slice::<Lost>(&order.body) {
+                Ok(Lost { members }) if !members.is_empty() => propose(Motion::Forget { members }, false),
+                Ok(_) => Reply::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
+                Err(fault) => {
+                    Reply::result(ResultCode::BadPlan, format!("{fault}; wanted is {{\"members\": [\"IP:PORT\"]}}"))
+                }
+            }
+        }
         ("POST", ["v1", "halls", hall, "withdraw"]) => propose(Motion::Withdraw { hall: (*hall).into() }, false),
         ("POST", ["v1", "halls", hall, "restore"]) => propose(Motion::Restore { hall: (*hall).into() }, false),
         _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path)),
--- a/crates/registrar/src/desk_line.rs
+++ b/crates/registrar/src/desk_line.rs
@@ -69,6 +69,17 @@
         #[arg(long)]
         id: String,
     },
+    /// Forget members (inner addresses) that are lost for good, so that the rest takes changes again. Only
+    /// name what will never come back as it was: one that is cut off and still acts is not known to have
+    /// stopped. Refused while any of them is heard.
+    Forget {
+        /// Their inner addresses, as `latest` shows them.
+        #[arg(required = true)]
+        members: Vec<Address>,
+        /// Your id for it.
+        #[arg(long)]
+        id: String,
+    },
     /// Show what this registrar believes: view, chain, permits.
     Believes,
 }
@@ -91,6 +102,10 @@
             DeskTask::Fate { id } => ("GET", format!("/v1/fates/{id}"), None),
             DeskTask::Withdraw { hall, id } => ("POST", format!("/v1/halls/{hall}/withdraw?id={id}"), Some(Ok(vec![]))),
             DeskTask::Restore { hall, id } => ("POST", format!("/v1/halls/{hall}/restore?id={id}"), Some(Ok(vec![]))),
+            DeskTask::Forget { members, id } => {
+                let body = serde_json::json!({"members": members}).to_string().into_bytes();
+                ("POST", format!("/v1/members/forget?id={id}"), Some(Ok(body)))
+            }
             DeskTask::Believes => ("GET", "/v1/believes".into(), None),
         };
         let body = match body.transpose() {
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -117,6 +117,10 @@
     now: Moment,
     permits: PermitTable,
     seen: BTreeMap<Address, Moment>,
+    /// When any member last said that it hears this one.
+    told_of: BTreeMap<Address, Moment>,
+    /// Since when it has replied for the core without a break.
+    replies_since: Option<Moment>,
     held: BTreeMap<Address, HeldPoll>,
     joining: BTreeMap<Address, HallName>,
     join_due: Moment,
@@ -145,8 +149,14 @@
     next_try: Option<Moment>,
     patience_due: Moment,
     due: Moment,
+    /// Whether nobody hears those whom it would forget.
+    is_cleared: bool,
 }
 
+/// Who was not heard for this long, by the core or by any member that polls, may be lost. Longer than a
+/// permit, than a trade counts, and than a view takes to change.
+const FORGET_AFTER: Span = Span(5000);
+
 /// Numbers from here on are the office's own proposals.
 const INNER: u64 = 1 << 62;
 
@@ -162,6 +172,8 @@
             now,
             permits: PermitTable::default(),
             seen: BTreeMap::new(),
+            told_of: BTreeMap::new(),
+            replies_since: None,
             held: BTreeMap::new(),
             joining: BTreeMap::new(),
             join_due: now,
@@ -257,6 +269,7 @@
                     self.send(from, Letter::Told { number, status, body });
                 }
             }
+            Letter::Told { number, status, body } if self.is_to_be_cleared(number) => self.clear(number, status, body),
             Letter::Told { number, status, body } => {
                 if self.waiting.remove(&number).is_some() {
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
@@ -275,6 +288,7 @@
             return self.send(from, Letter::PollReply { round: poll.round, reply });
         }
         self.seen.insert(from, self.now);
+        self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
         let is_member = self.fellow.charge().roster.members.contains(&from);
         if is_member {
             let known = poll.epoch.min(self.fellow.charge().epoch);
@@ -338,6 +352,7 @@
     fn on_clock_event(&mut self) {
         let has_majority = self.may_reply() && self.permits.has_majority(&self.fellow.charge().roster, self.now);
         self.fellow.set_has_members(has_majority);
+        self.replies_since = if self.may_reply() { self.replies_since.or(Some(self.now)) } else { None };
         if self.may_reply() {
             if self.fellow.charge().key.is_none() && self.now >= self.key_due {
                 self.key_due = self.now + Span(400);
@@ -412,7 +427,7 @@
         let is_read = matches!(ask, OperatorAsk::Read(_));
         let due = self.now + if is_read { self.timing.patience } else { self.timing.fate_due };
         let patience_due = self.now + self.timing.patience;
-        self.waiting.insert(number, Waiting { ask, next_try: Some(self.now), patience_due, due });
+        self.waiting.insert(number, Waiting { ask, next_try: Some(self.now), patience_due, due, is_cleared: false });
         self.try_again(number);
     }
 
@@ -442,6 +457,16 @@
                     self.send(tail.address, Letter::Ask { number, reading });
                 }
             }
+            OperatorAsk::Propose(Proposal { id, motion: Motion::Forget { members }, .. }) if !waiting.is_cleared => {
+                waiting.next_try = Some(retry_at);
+                let reading = Reading::Heard { id: id.clone(), members: members.clone() };
+                if self.may_reply() {
+                    let (status, body) = self.read(&reading);
+                    self.clear(number, status, body);
+                } else if let Some(tail) = self.fellow.view().tail() {
+                    self.send(tail.address, Letter::Ask { number, reading });
+                }
+            }
             OperatorAsk::Propose(proposal) => {
                 waiting.next_try = None;
                 let body = proposal.to_bytes();
@@ -450,6 +475,29 @@
         }
     }
 
+    fn is_to_be_cleared(&self, number: u64) -> bool {
+        let is_forget =
+            |ask: &OperatorAsk| matches!(ask, OperatorAsk::Propose(Proposal { motion: Motion::Forget { .. }, .. }));
+        self.waiting.get(&number).is_some_and(|waiting| !waiting.is_cleared && is_forget(&waiting.ask))
+    }
+
+    /// The tail's word on whether those to be forgotten are heard: if nobody hears them, it's proposed; a
+    /// tail that does not know yet is asked again; any other word is the operator's answer.
+    fn clear(&mut self, number: u64, status: u16, body: Vec<u8>) {
+        let Some(waiting) = self.waiting.get_mut(&number) else { return };
+        match status {
+            200 => {
+                waiting.is_cleared = true;
+                self.try_again(number);
+            }
+            503 if self.now < waiting.patience_due => {}
+            _ => {
+                self.waiting.remove(&number);
+                self.outputs.push(OfficeOutput::Reply { number, status, body });
+            }
+        }
+    }
+
     fn give_up(&mut self, number: u64, code: ResultCode) {
         self.waiting.remove(&number);
         let body = serde_json::json!({"code": code.number(), "result": code.word(), "why": code.meaning()});
@@ -498,11 +546,27 @@
             Reading::Epoch { epoch } => match ledger.as_sent(*epoch) {
                 Some(AsSent::Body(bytes)) => (200, bytes),
                 Some(AsSent::Withdraw(hall)) => good(serde_json::json!({"withdraw": hall})),
+                Some(AsSent::Forget(members)) => good(serde_json::json!({"forget": members})),
                 Some(AsSent::Restore(hall)) => good(serde_json::json!({"restore": hall})),
                 None => {
                     missing(ResultCode::UnknownEpoch, format!("no operator's motion was accepted as epoch {epoch}"))
                 }
             },
+            Reading::Heard { id, .. } if ledger.entry_by_id(id).is_some() => good(serde_json::json!({"heard": []})),
+            Reading::Heard { members, .. } => {
+                let is_recent = |at: Option<&Moment>| at.is_some_and(|at| self.now.since(*at) < FORGET_AFTER);
+                let is_heard =
+                    |member: &&Address| is_recent(self.seen.get(*member)) || is_recent(self.told_of.get(*member));
+                let heard: Vec<String> = members.iter().filter(is_heard).map(Address::to_string).collect();
+                if !heard.is_empty() {
+                    return missing(ResultCode::StillHeard, format!("still heard: {}", heard.join(", ")));
+                }
+                if self.replies_since.is_none_or(|since| self.now.since(since) < FORGET_AFTER) {
+                    let why = "the core has not listened for long enough to tell who is lost";
+                    return missing(ResultCode::CoreNotReady, why.to_owned());
+                }
+                good(serde_json::json!({"heard": heard}))
+            }
             Reading::Fate { id } => match ledger.entry_by_id(id) {
                 Some(entry) => good(serde_json::json!({
                     "code": ResultCode::Accepted.number(), "result": ResultCode::Accepted.word(),
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -117,6 +117,8 @@
     frozen_until: u64,
     late: Vec<Happening>,
     is_cut_off: bool,
+    /// Lost for good, as far as its operator knows.
+    is_lost: bool,
     may_act_until: Moment,
     old: Option<(u64, Node)>,
 }
@@ -176,6 +178,7 @@
     ReplaceServer { server: usize },
     Check,
     Probe,
+    Forget { place: usize },
 }
 
 impl World {
@@ -266,6 +269,7 @@
                 frozen_until: 0,
                 late: vec![],
                 is_cut_off: false,
+                is_lost: false,
                 may_act_until: Moment(0),
                 old: None,
             });
@@ -330,6 +334,7 @@
             Happening::ReplaceServer { server } => self.replace_server(server),
             Happening::Check => self.on_check(),
             Happening::Probe => self.on_probe(),
+            Happening::Forget { place } => self.on_forget(place),
         }
     }
 }
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -254,6 +254,7 @@
                 Motion::Plan { bytes, .. } | Motion::Change { bytes, .. } => Some(AsSent::Body(bytes)),
                 Motion::Withdraw { hall } => Some(AsSent::Withdraw(hall)),
                 Motion::Restore { hall } => Some(AsSent::Restore(hall)),
+                Motion::Forget { members } => Some(AsSent::Forget(members)),
                 _ => None,
             });
             match code {
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -67,6 +67,8 @@
     KillRegistrar,
     /// All registrars are.
     KillCore,
+    /// More than half of the criers are lost for good; their operator has them forgotten.
+    LoseMembers,
     /// Some criers are.
     KillCriers,
     /// Everything of ours is.
@@ -121,9 +123,10 @@
     Brownout,
 }
 
-const KINDS: [FaultKind; 28] = [
+const KINDS: [FaultKind; 29] = [
     FaultKind::KillRegistrar,
     FaultKind::KillCore,
+    FaultKind::LoseMembers,
     FaultKind::KillCriers,
     FaultKind::KillAll,
     FaultKind::FreezeRegistrar,
@@ -243,6 +246,14 @@
                     }
                 }
             }
+            FaultKind::LoseMembers => {
+                let count = self.criers.len();
+                for machine in (0..count / 2 + 1).map(|step| (crier + step) % count) {
+                    self.kill_crier(machine);
+                    self.criers[machine].is_lost = true;
+                }
+                (0..8).for_each(|step| self.put(3000 + step * 2500, Happening::Forget { place: step as usize }));
+            }
             FaultKind::FreezeRegistrar => self.registrars[registrar].frozen_until = self.now + span,
             FaultKind::FreezeCrier => self.criers[crier].frozen_until = self.now + span,
             FaultKind::SplitCore => {
@@ -420,6 +431,7 @@
         for machine in 0..self.criers.len() {
             let m = &mut self.criers[machine];
             m.is_cut_off = false;
+            m.is_lost = false;
             m.frozen_until = m.frozen_until.min(now);
             self.wake(false, machine);
             self.put(1500, Happening::StartCrier { machine });
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -61,7 +61,7 @@
             desk_rules.repeat_percent = 300;
         }
         let m = &mut self.criers[machine];
-        if m.node.is_some() {
+        if m.node.is_some() || m.is_lost {
             return;
         }
         m.life += 1;
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -80,6 +80,20 @@
         self.ask(Some(builds_on), Some(motion));
     }
 
+    /// Has the lost forgotten; the second time one that lives is named besides, and must not be.
+    pub(super) fn on_forget(&mut self, step: usize) {
+        let mut members: Vec<Address> = self.criers.iter().filter(|m| m.is_lost).map(|m| m.address).collect();
+        if members.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let is_well = |m: &&CrierMachine| m.node.is_some() && now >= m.frozen_until && !m.is_cut_off;
+        if step == 1 && self.cut.is_empty() && self.loss == 0 {
+            members.extend(self.criers.iter().find(is_well).map(|m| m.address));
+        }
+        self.ask(None, Some(Motion::Forget { members }));
+    }
+
     /// A change, merged where a registrar has the plan that the operator looked at, as its door does.
     fn propose_change(&mut self) {
         let builds_on = self.operators.epoch;
@@ -136,6 +150,14 @@
                 let is_accepted = code == u64::from(ResultCode::Accepted.number());
                 self.witness.operator_told(self.now, asked.at, &asked.id, code, epoch);
                 if is_accepted {
+                    if let Motion::Forget { members } = &motion {
+                        let is_wrong = |m: &&CrierMachine| members.contains(&m.address) && !m.is_lost;
+                        if let Some(living) = self.criers.iter().find(is_wrong).map(|m| m.address)
+                            && asked.at + 200 > self.now
+                        {
+                            self.witness.violate(self.now, format!("{living} lives and was forgotten"));
+                        }
+                    }
                     if let Motion::Restore { hall } = &motion
                         && self.operators.withdrawn.as_ref() == Some(hall)
                     {
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -279,6 +279,42 @@
     fleet.put_plan("after", epoch, &plan_of(deployment, true)).expect("accepted");
 }
 
+#[test]
+fn when_most_members_are_gone_for_good_an_operator_forgets_them_by_name_and_changes_are_taken_again() {
+    let deployment = Deployment::Pahana;
+    let (_crew, mut fleet, _machine) = serving(deployment);
+    let plan = plan_of(deployment, true);
+    let latest = |fleet: &Fleet| -> serde_json::Value {
+        serde_json::from_slice(&fleet.registrars[0].get("/v1/latest").expect("the core tells").1).expect("JSON")
+    };
+    let forget = |fleet: &Fleet, id: &str, members: &[Address]| -> serde_json::Value {
+        let body = serde_json::json!({"members": members}).to_string().into_bytes();
+        let path = format!("/v1/members/forget?id={id}");
+        serde_json::from_slice(&fleet.registrars[1].ask("POST", &path, body).expect("a reply").1).expect("JSON")
+    };
+    fleet.criers.iter_mut().skip(4).for_each(|crier| crier.kill());
+    let lost: Vec<Address> = fleet.criers[4..].iter().map(|crier| crier.inner).collect();
+    let epoch = latest(&fleet)["epoch"].as_u64().expect("an epoch");
+    // Once the permits of the lost have run out, nothing is accepted, and so it stays.
+    let is_refused = || fleet.put_plan("too-few", epoch, &plan).is_err_and(|why| why.contains("303"));
+    Fleet::await_that(PATIENCE, "the core misses its members", is_refused).expect("no majority, no change");
+    // One that lives is named, too: nothing changes, and the answer says who is heard.
+    let living = fleet.criers[0].inner;
+    let verdict = forget(&fleet, "wrong", &[lost[0], living]);
+    let why = verdict["why"].as_str().unwrap_or_default();
+    assert!(verdict["code"] == 310 && why.contains(&living.to_string()), "{verdict}");
+    assert_eq!(forget(&fleet, "unknown", &[Address::loopback(1)])["code"], 309);
+    let is_forgotten = || forget(&fleet, "gone", &lost)["code"] == 300;
+    Fleet::await_that(PATIENCE, "the lost are forgotten", is_forgotten).expect("nobody hears them");
+    assert_eq!(forget(&fleet, "gone", &lost)["code"], 300, "a repeat is told the same");
+    let now = latest(&fleet);
+    assert_eq!(now["members"].as_array().map(Vec::len), Some(4), "{now}");
+    fleet.put_plan("after", now["epoch"].as_u64().expect("an epoch"), &plan).expect("changes are taken again");
+    // One of them after all: it joins again as any newcomer.
+    fleet.criers[8].start().expect("it starts");
+    Fleet::await_that(PATIENCE, "it's a member again", || fleet.criers[8].is_ready()).expect("it joins");
+}
+
 #[test]
 fn a_brownout_makes_few_repeats_and_dark_servers_are_left_alone() {
     let deployment = Deployment::Pahana;
