The simulator plays streams through the criers' own reader, cuts and reading on included

Cause: the simulator only looked how far a run was; splices, skips, false ends and reading on were seen by real processes alone, over few trials, and no mutant covered their rows. The reader of a server's lines is a state machine of its own (PieceReader) that the carrier and the simulator share. Servers can leave pieces out, double them, mix runs up or end early; callers judge each piece and, when cut, read on at another crier through the node's own word on the token.

--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -1,6 +1,5 @@
 //! Carries one order from its caller to a server and the answer back.
 
-use crate::node::resume_id;
 use crate::prelude::*;
 use std::io::{BufRead, BufReader, Read};
 use std::sync::Arc;
@@ -406,35 +405,24 @@
 /// Reads the server's stream, piece by piece in order, until its explicit end.
 fn read(shared: &Shared, reading: &Reading, response: Heard, outbox: &flume::Sender<Carried>, has_gone: &AtomicBool) {
     let order = &reading.order;
-    let mut next = reading.from;
+    let mut reader = PieceReader::new(reading.run.clone(), reading.from);
     let mut is_first = reading.is_first_read;
     let mut lines = BufReader::new(response);
     let outcome = loop {
         let mut line = Vec::new();
         let length = (&mut lines).take(LINE).read_until(b'\n', &mut line);
-        let is_whole = line.ends_with(b"\n");
-        let piece = match length {
-            Ok(_) if is_whole => serde_json::from_slice::<RunPiece>(&line).map_err(|fault| fault.to_string()),
-            Ok(_) => Err("the stream ended without its final record".to_owned()),
-            Err(fault) => Err(fault.to_string()),
+        let passed = match length {
+            Ok(_) => reader.take(&line),
+            Err(fault) => Passed::Cut(ResultCode::Broken, fault.to_string()),
         };
-        let carried = match piece {
-            Ok(RunPiece::Piece { run, n, text }) if run == reading.run && n == next => {
-                next += 1;
-                let value = serde_json::json!({"n": n, "text": text});
-                Carried::Line(format!("{value}\n"))
-            }
-            Ok(RunPiece::End { run, end: true, pieces }) if run == reading.run && pieces == next => {
-                let value = serde_json::json!({"end": true, "pieces": pieces, "result": ResultCode::Complete.word()});
-                Carried::End(format!("{value}\n"))
-            }
-            Ok(_) => {
-                tracing::warn!("carrier: {} run {} gave piece out of order.", ResultCode::StreamFault, reading.run);
-                Carried::Cut
-            }
-            Err(why) => {
-                if !has_gone.load(Ordering::SeqCst) {
-                    tracing::info!("carrier: {} run {}: {why}.", ResultCode::Broken, reading.run);
+        let carried = match passed {
+            Passed::Piece(line) => Carried::Line(line),
+            Passed::End(line) => Carried::End(line),
+            Passed::Cut(code, why) => {
+                if code == ResultCode::StreamFault {
+                    tracing::warn!("carrier: {code} run {}: {why}.", reading.run);
+                } else if !has_gone.load(Ordering::SeqCst) {
+                    tracing::info!("carrier: {code} run {}: {why}.", reading.run);
                 }
                 Carried::Cut
             }
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -7,6 +7,7 @@
 mod errand;
 mod journal;
 mod node;
+mod piece_reader;
 mod poller;
 mod replay;
 mod settings;
@@ -20,7 +21,8 @@
     pub use crate::daemon::run;
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
     pub use crate::journal::Journal;
-    pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, Placing};
+    pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, Placing, resume_id};
+    pub use crate::piece_reader::{Passed, PieceReader};
     pub use crate::replay::replay;
     pub use crate::settings::Settings;
     pub use crate::token::{Token, run_id};
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -762,7 +762,7 @@
 const ENDED_IDS: usize = 8192;
 
 /// What a stream that is read on is called among the orders in hand. No caller's id has a slash.
-pub(crate) fn resume_id(number: u64) -> OrderId {
+pub fn resume_id(number: u64) -> OrderId {
     OrderId(format!("resume/{number}"))
 }
 
--- /dev/null
+++ b/crates/crier/src/piece_reader.rs
@@ -0,0 +1,88 @@
+use crate::prelude::*;
+
+/// What a line of a server's stream comes to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Passed {
+    /// A line for the caller.
+    Piece(String),
+    /// The caller's final record.
+    End(String),
+    /// The stream is cut here: nothing of this line is given.
+    Cut(ResultCode, String),
+}
+
+/// Reads one run's stream, line by line.
+///
+/// Invariant: what is given to the caller is pieces of this run alone, from the first that was asked for
+/// on, each once and in order; the final record only after all that it counts.
+#[derive(Debug, Clone)]
+pub struct PieceReader {
+    run: RunId,
+    next: u64,
+}
+
+impl PieceReader {
+    /// For this run, from this piece on.
+    pub fn new(run: RunId, from: u64) -> Self {
+        PieceReader { run, next: from }
+    }
+    /// Takes a line; one without its end is torn.
+    pub fn take(&mut self, line: &[u8]) -> Passed {
+        if !line.ends_with(b"\n") {
+            return Passed::Cut(ResultCode::Broken, "the stream ended without its final record".into());
+        }
+        match serde_json::from_slice::<RunPiece>(line) {
+            Ok(RunPiece::Piece { run, n, text }) if run == self.run && n == self.next => {
+                self.next += 1;
+                Passed::Piece(format!("{}\n", serde_json::json!({"n": n, "text": text})))
+            }
+            Ok(RunPiece::End { run, end: true, pieces }) if run == self.run && pieces == self.next => {
+                let word = ResultCode::Complete.word();
+                Passed::End(format!("{}\n", serde_json::json!({"end": true, "pieces": pieces, "result": word})))
+            }
+            Ok(_) => Passed::Cut(ResultCode::StreamFault, "the server's pieces were out of order".into()),
+            Err(fault) => Passed::Cut(ResultCode::StreamFault, fault.to_string()),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use yare::parameterized;
+
+    #[parameterized(
+        whole = { 0, &["p0", "p1", "e2"], "gge" },
+        read_on = { 3, &["p3", "e4"], "ge" },
+        skips = { 0, &["p0", "p2"], "gc" },
+        repeats = { 0, &["p0", "p0"], "gc" },
+        of_another_run = { 0, &["p0", "o1"], "gc" },
+        ends_early = { 0, &["p0", "e2"], "gc" },
+        ends_late = { 0, &["p0", "e0"], "gc" },
+        from_the_start_again = { 3, &["p0"], "c" },
+        torn = { 0, &["p0", "t1"], "gc" },
+        no_piece_at_all = { 0, &["x"], "c" },
+    )]
+    fn traces(from: u64, lines: &[&str], passed: &str) {
+        let mut reader = PieceReader::new("r".into(), from);
+        let mut found = String::new();
+        for line in lines {
+            let n: u64 = line[1..].parse().unwrap_or(0);
+            let piece = |run: &str| RunPiece::Piece { run: run.into(), n, text: "t".into() };
+            let json = |piece: RunPiece| serde_json::to_string(&piece).expect("JSON");
+            let text = match &line[..1] {
+                "p" => json(piece("r")) + "\n",
+                "o" => json(piece("other")) + "\n",
+                "t" => json(piece("r")),
+                "e" => json(RunPiece::End { run: "r".into(), end: true, pieces: n }) + "\n",
+                _ => "{}\n".into(),
+            };
+            found.push(match reader.take(text.as_bytes()) {
+                Passed::Piece(_) => 'g',
+                Passed::End(_) => 'e',
+                Passed::Cut(..) => 'c',
+            });
+        }
+        assert_eq!(found, passed);
+    }
+}
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod machines;
 mod operators;
+mod streams;
 mod traffic;
 
 pub use checks::Witness;
@@ -36,6 +37,10 @@
     RepeatAnything,
     /// Fresh servers have no ramp.
     SkipRamp,
+    /// Pieces go to the caller whatever they are.
+    LaxPieces,
+    /// A stream that is read on begins anew.
+    ResumeFromStart,
     /// Repeats cost nothing.
     FreeRepeats,
     /// Whether an order may leave is not asked again once the connection is made.
@@ -133,6 +138,7 @@
     is_up: bool,
     is_dark: bool,
     accepts_late: bool,
+    is_garbled: bool,
     is_listed: bool,
     leaving_since: Option<u64>,
 }
@@ -152,6 +158,11 @@
     had_first: bool,
     /// Under which it was placed.
     epoch: Epoch,
+    /// Pieces that its caller asked for.
+    pieces: u64,
+    /// Whether its run is to be kept when nobody reads it.
+    keep: bool,
+    stream: Option<streams::SimStream>,
 }
 
 /// What is to happen.
@@ -169,6 +180,7 @@
     RunReaches { order: OrderId, server: usize, run: RunId },
     RunOutcome { order: OrderId, failure: Option<crier::prelude::Failure> },
     Watch { order: OrderId },
+    Resume { order: OrderId },
     Operate,
     Strike { place: usize },
     Heal { place: usize },
@@ -288,6 +300,7 @@
                     is_up: true,
                     is_dark: false,
                     accepts_late: false,
+                    is_garbled: false,
                     is_listed: true,
                     leaving_since: None,
                 });
@@ -325,6 +338,7 @@
             Happening::RunReaches { order, server, run } => self.on_run_reaches(order, server, run),
             Happening::RunOutcome { order, failure } => self.on_run_outcome(order, failure),
             Happening::Watch { order } => self.on_watch(order),
+            Happening::Resume { order } => self.on_resume(order),
             Happening::Operate => self.on_operate(),
             Happening::Strike { place } => self.strike(place),
             Happening::Heal { place } => self.heal(place),
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -19,6 +19,8 @@
     pub first_ms: BTreeMap<ServiceName, Vec<u64>>,
     /// Copies ordered.
     pub copies: u64,
+    /// Streams read on.
+    pub resumed: u64,
     /// For each accepted epoch under whose predecessor something was still placed: how long after, in ms.
     pub in_force_ms: BTreeMap<u64, u64>,
     /// For each order that ran in a zone after its withdrawal was accepted: how long after, in ms.
@@ -288,7 +290,7 @@
         let at = |part: usize| times.get((times.len() * part / 100).min(times.len().max(1) - 1)).copied().unwrap_or(0);
         write!(
             f,
-            "orders {} {:?}, motions {:?} (p50 {} p99 {} ms), views {}, copies {}, back after {:?} ms, trace {:016x}",
+            "orders {} {:?}, motions {:?} (p50 {} p99 {} ms), views {}, copies {}, resumed {}, back after {:?} ms, trace {:016x}",
             self.arrivals,
             self.words,
             self.motions,
@@ -296,6 +298,7 @@
             at(99),
             self.views,
             self.copies,
+            self.resumed,
             self.back_ms,
             self.trace
         )
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -111,6 +111,8 @@
     CrashServer,
     /// A server takes orders and says nothing.
     DarkServer,
+    /// Servers leave pieces out, double them, mix runs up, end early.
+    GarbleServers,
     /// Servers make connections late.
     LateAccept,
     /// Servers are replaced one after another.
@@ -123,7 +125,7 @@
     Brownout,
 }
 
-const KINDS: [FaultKind; 29] = [
+const KINDS: [FaultKind; 30] = [
     FaultKind::KillRegistrar,
     FaultKind::KillCore,
     FaultKind::LoseMembers,
@@ -149,6 +151,7 @@
     FaultKind::CrashServer,
     FaultKind::DarkServer,
     FaultKind::LateAccept,
+    FaultKind::GarbleServers,
     FaultKind::ReplaceServers,
     FaultKind::LeaveServer,
     FaultKind::PlanStorm,
@@ -305,6 +308,7 @@
             }
             FaultKind::DarkServer => self.servers[model].is_dark = true,
             FaultKind::LateAccept => self.servers.iter_mut().for_each(|server| server.accepts_late = true),
+            FaultKind::GarbleServers => self.servers.iter_mut().for_each(|server| server.is_garbled = true),
             FaultKind::ReplaceServers => {
                 for step in 0..4u64 {
                     let server = ((model as u64 + step) % self.rules.deployment.shape().models as u64) as usize;
@@ -391,6 +395,7 @@
                 self.servers[model].is_dark = false;
             }
             FaultKind::LateAccept => self.servers.iter_mut().for_each(|server| server.accepts_late = false),
+            FaultKind::GarbleServers => self.servers.iter_mut().for_each(|server| server.is_garbled = false),
             FaultKind::LeaveServer => {
                 // It's gone, and later another comes in its place.
                 self.servers[model].is_up = false;
@@ -439,6 +444,7 @@
         for server in 0..self.servers.len() {
             self.servers[server].is_dark = false;
             self.servers[server].accepts_late = false;
+            self.servers[server].is_garbled = false;
             self.servers[server].schedule.strike = Strike::default();
             if !self.servers[server].is_up {
                 self.put(500, Happening::StartServer { server });
--- /dev/null
+++ b/crates/rehearsal/src/world/streams.rs
@@ -0,0 +1,244 @@
+//! Streams: what servers give, through the crier's own reader, to callers who judge every piece, and who
+//! read on elsewhere when a stream is cut.
+
+use super::*;
+use crier::prelude::{ChartInput, Passed, PieceReader, resume_id};
+
+/// A stream as it stands, on its caller's side and on its crier's.
+pub(super) struct SimStream {
+    token: Option<String>,
+    run: RunId,
+    /// The next piece that the caller wants.
+    next: u64,
+    reader: PieceReader,
+    /// Pieces that the crier has read from the server.
+    read: u64,
+    resumes: u32,
+    /// The number under which it's read on, if it is.
+    resumed_as: Option<u64>,
+}
+
+impl SimStream {
+    pub(super) fn new(token: Option<String>, run: RunId) -> Self {
+        let reader = PieceReader::new(run.clone(), 0);
+        SimStream { token, run, next: 0, reader, read: 0, resumes: 0, resumed_as: None }
+    }
+}
+
+/// How often a caller tries to read on.
+const RESUMES: u32 = 12;
+
+impl World {
+    /// Reads what the server has by now, as the stream would show it.
+    pub(super) fn on_watch(&mut self, id: OrderId) {
+        let Some(order) = self.orders.get(&id) else { return };
+        let crier = &self.criers[order.crier];
+        if crier.life != order.life {
+            return;
+        }
+        if self.now < crier.frozen_until {
+            let wake = crier.frozen_until - self.now;
+            return self.put(wake, Happening::Watch { order: id });
+        }
+        let (Some((server, run)), Some(stream)) = (order.run.clone(), &order.stream) else { return };
+        let s = &self.servers[server];
+        let progress = s.schedule.progress(&run, Moment(self.now));
+        let is_lost = !s.is_up || s.is_dark || s.incarnation != order.server_life;
+        let (Some(Progress::Pieces(there, _) | Progress::All(there)), false) = (progress, is_lost) else {
+            return self.cut(&id);
+        };
+        let mut lines: Vec<RunPiece> = (stream.read..there)
+            .map(|n| RunPiece::Piece { run: run.clone(), n, text: s.schedule.text(&run, n) })
+            .collect();
+        if progress == Some(Progress::All(there)) {
+            lines.push(RunPiece::End { run: run.clone(), end: true, pieces: there });
+        }
+        if s.is_garbled && !lines.is_empty() {
+            self.garble(&mut lines, server);
+        }
+        for line in lines {
+            if !self.give(&id, &line) {
+                return;
+            }
+        }
+        if let Some(Progress::Pieces(_, next)) = progress {
+            let wait = Moment(self.now).until(next).0.clamp(5, 200);
+            self.put(wait, Happening::Watch { order: id });
+        }
+    }
+
+    /// What a server gone wrong makes of its lines: one is left out, doubled, of another run, or the end
+    /// comes early.
+    fn garble(&mut self, lines: &mut Vec<RunPiece>, server: usize) {
+        let place = self.below(lines.len() as u64) as usize;
+        let others = self.orders.values().filter_map(|order| order.run.as_ref());
+        let other = others.filter(|(at, _)| *at == server).map(|(_, run)| run.clone()).next();
+        match (self.below(12), other) {
+            (0, _) => drop(lines.remove(place)),
+            (1, _) => lines.insert(place, lines[place].clone()),
+            (2, Some(other)) => {
+                if let RunPiece::Piece { run, n, text } = &mut lines[place] {
+                    *text = self.servers[server].schedule.text(&other, *n);
+                    *run = other;
+                }
+            }
+            (3, _) => {
+                if let RunPiece::Piece { run, n, .. } = &lines[place] {
+                    lines[place] = RunPiece::End { run: run.clone(), end: true, pieces: *n + 1 };
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Passes a line on to the caller; says whether the stream goes on.
+    fn give(&mut self, id: &OrderId, line: &RunPiece) -> bool {
+        let is_lax = self.rules.mutant == Some(Mutant::LaxPieces);
+        let now = self.now;
+        let Some(order) = self.orders.get_mut(id) else { return false };
+        let print = print_of(&order.prompt);
+        let Some(stream) = &mut order.stream else { return false };
+        let text = serde_json::to_string(line).expect("a piece is JSON") + "\n";
+        stream.read += 1;
+        let passed = match stream.reader.take(text.as_bytes()) {
+            // The mutant passes on whatever comes.
+            Passed::Cut(..) if is_lax => match line {
+                RunPiece::End { .. } => Passed::End(text),
+                RunPiece::Piece { .. } => Passed::Piece(text),
+            },
+            passed => passed,
+        };
+        let (Passed::Piece(given) | Passed::End(given)) = &passed else {
+            self.cut(id);
+            return false;
+        };
+        let value: serde_json::Value = serde_json::from_str(given).unwrap_or_default();
+        let is_end = matches!(passed, Passed::End(_));
+        let fault = if is_end {
+            // It's whole if the caller has as many as it asked for, whatever the record says.
+            (value["pieces"] != stream.next || stream.next != order.pieces).then_some("an end before the end")
+        } else {
+            let wanted = format!("{}|{}|{print:x}", stream.run, stream.next);
+            let is_next = value["n"] == stream.next && value["text"] == wanted.as_str();
+            (!is_next).then_some("a piece skipped, repeated, spliced or of another caller")
+        };
+        let at = stream.next;
+        stream.next += 1;
+        if let Some(fault) = fault {
+            self.witness.violate(now, format!("{id}: {fault} where piece {at} was due: {given}"));
+        }
+        if !is_end {
+            self.first_piece(id);
+            return true;
+        }
+        self.first_piece(id);
+        match self.orders.get(id).and_then(|order| order.stream.as_ref()?.resumed_as) {
+            Some(number) => {
+                self.leave(id, number);
+                self.close(id, "complete");
+            }
+            None => {
+                self.ended(id, Outcome::Complete);
+                self.carried(id, ChartInput::Finish);
+            }
+        }
+        false
+    }
+
+    fn first_piece(&mut self, id: &OrderId) {
+        let Some(order) = self.orders.get_mut(id) else { return };
+        if !std::mem::replace(&mut order.had_first, true) {
+            self.first_token(id);
+        }
+        let Some(order) = self.orders.get(id) else { return };
+        if order.stream.as_ref().is_some_and(|stream| stream.resumed_as.is_none()) {
+            self.carried(id, ChartInput::Give);
+        }
+    }
+
+    /// A crier has read a resumed stream to its end or its cut.
+    fn leave(&mut self, id: &OrderId, number: u64) {
+        let Some(order) = self.orders.get(id) else { return };
+        let (machine, life) = (order.crier, order.life);
+        if self.criers[machine].life == life {
+            self.step_node(machine, NodeInput::Close { order: resume_id(number), number, may_have_run: false });
+        }
+    }
+
+    /// A stream breaks off at its crier.
+    fn cut(&mut self, id: &OrderId) {
+        match self.orders.get(id).and_then(|order| order.stream.as_ref()?.resumed_as) {
+            Some(number) => {
+                self.leave(id, number);
+                self.read_on(id, "broken");
+            }
+            None => {
+                self.ended(id, Outcome::Failed);
+                self.carried(id, ChartInput::Break);
+            }
+        }
+    }
+
+    /// The caller's stream was cut: it reads on elsewhere, if it can, or else has this for its last word.
+    /// Says whether it reads on.
+    pub(super) fn read_on(&mut self, id: &OrderId, word: &'static str) -> bool {
+        let end = self.rules.span.0 + self.rules.calm.0;
+        let may_go_on = self.now + 400 < end;
+        let Some(order) = self.orders.get_mut(id) else { return false };
+        let can = order.stream.as_mut().is_some_and(|stream| {
+            stream.resumes += 1;
+            stream.resumed_as = Some(0);
+            may_go_on && stream.token.is_some() && stream.resumes <= RESUMES
+        });
+        if can {
+            order.run = None;
+            self.put(300, Happening::Resume { order: id.clone() });
+            return true;
+        }
+        self.orders.remove(id);
+        self.witness.told(id, word);
+        false
+    }
+
+    pub(super) fn on_resume(&mut self, id: OrderId) {
+        let machine = self.below(self.criers.len() as u64) as usize;
+        let number = 1_000_000_000 + self.draw() % 1_000_000_000;
+        let Some(token) = self.orders.get(&id).and_then(|order| order.stream.as_ref()?.token.clone()) else { return };
+        let crier = &self.criers[machine];
+        let life = crier.life;
+        if crier.node.is_none() || self.now < crier.frozen_until || crier.is_cut_off {
+            self.read_on(&id, "broken");
+            return;
+        }
+        let outcome =
+            self.step_node(machine, NodeInput::Resume { number, token }).into_iter().find_map(|output| match output {
+                NodeOutput::Resume { outcome, .. } => Some(outcome),
+                _ => None,
+            });
+        let is_again = self.rules.mutant == Some(Mutant::ResumeFromStart);
+        let Some(Ok(token)) = outcome else {
+            self.read_on(&id, "broken");
+            return;
+        };
+        let Some(order) = self.orders.get_mut(&id) else { return };
+        (order.crier, order.life) = (machine, life);
+        let server =
+            self.servers.iter().position(|server| server.name == token.server && server.is_up && !server.is_dark);
+        let has_run = |place: usize| self.servers[place].schedule.progress(&token.run, Moment(self.now)).is_some();
+        let Some(server) = server.filter(|place| has_run(*place)) else {
+            // Out of reach, or gone: the caller can't tell more than that it's not there now.
+            self.leave(&id, number);
+            self.read_on(&id, "broken");
+            return;
+        };
+        order.server_life = self.servers[server].incarnation;
+        order.run = Some((server, token.run.clone()));
+        if let Some(stream) = &mut order.stream {
+            let from = if is_again { 0 } else { stream.next };
+            stream.reader = PieceReader::new(token.run, from);
+            (stream.read, stream.resumed_as) = (from, Some(number));
+        }
+        self.witness.resumed += 1;
+        self.put(5, Happening::Watch { order: id });
+    }
+}
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -60,6 +60,8 @@
     ask_once = { Mutant::AskOnce, &[FaultKind::FreezeCrier, FaultKind::LateAccept], 10, 60, None },
     stale_news = { Mutant::StaleNews, &[FaultKind::PlanStorm], 4, 25, None },
     free_repeats = { Mutant::FreeRepeats, &[FaultKind::Brownout], 4, 80, None },
+    lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
+    resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillCriers], 6, 25, None },
     skip_ramp = { Mutant::SkipRamp, &[FaultKind::ReplaceServers, FaultKind::CrashServer], 8, 150, None },
 )]
 fn each_mutant_is_caught(mutant: Mutant, kinds: &[FaultKind], faults: u64, orders_a_second: u64, suspect: Option<u64>) {
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -48,6 +48,9 @@
             server_life: 0,
             had_first: false,
             epoch: Epoch(0),
+            pieces: if service == "drafts" { 20 } else { 6 },
+            stream: None,
+            keep: false,
         };
         self.orders.insert(id.clone(), order);
         self.on_errand(&id, first);
@@ -69,7 +72,11 @@
         match output {
             ErrandOutput::AskDesk { round, tried, may_have_run } => self.ask_desk(id, round, tried, may_have_run),
             ErrandOutput::AskServer(placing) => self.ask_server(id, placing),
-            ErrandOutput::Carry(_) => {}
+            ErrandOutput::Carry(placing) => {
+                if let Some(order) = self.orders.get_mut(id).filter(|order| order.service.as_str() != "pages") {
+                    order.stream = Some(streams::SimStream::new(placing.token, placing.run));
+                }
+            }
             ErrandOutput::Tell(denial) => {
                 self.close(id, if denial.code.is_refusal() { "refused" } else { "unknown" });
             }
@@ -77,7 +84,7 @@
     }
 
     /// What the answer that a server gives does to the order's chart.
-    fn carried(&mut self, id: &OrderId, input: ChartInput) {
+    pub(super) fn carried(&mut self, id: &OrderId, input: ChartInput) {
         let Some(order) = self.orders.get_mut(id) else { return };
         match order.errand.carried(input) {
             ChartOutput::Tell(ResultCode::Complete) => self.close(id, "complete"),
@@ -87,25 +94,36 @@
         }
     }
 
-    fn close(&mut self, id: &OrderId, word: &'static str) {
-        self.witness.told(id, word);
-        if word == "complete" {
-            self.witness.completions.push(self.now);
-        }
-        if let Some(order) = self.orders.remove(id)
+    pub(super) fn close(&mut self, id: &OrderId, word: &'static str) {
+        if let Some(order) = self.orders.get(id)
             && self.criers[order.crier].life == order.life
         {
             let may_have_run = order.errand.chart().may_have_run();
             let close = NodeInput::Close { order: id.clone(), number: order.number, may_have_run };
             self.step_node(order.crier, close);
         }
+        if word == "broken" {
+            self.read_on(id, word);
+            return;
+        }
+        self.orders.remove(id);
+        self.witness.told(id, word);
+        if word == "complete" {
+            self.witness.completions.push(self.now);
+        }
     }
 
     /// The crier is gone: nobody tells the caller anything.
     pub(super) fn abandon(&mut self, id: &OrderId) {
-        let Some(order) = self.orders.remove(id) else { return };
-        self.witness.told(id, "unknown");
-        if let Some((server, run)) = order.run {
+        let run = self.orders.get(id).and_then(|order| order.run.clone());
+        let is_kept = self.orders.get(id).is_some_and(|order| order.stream.is_some()) && self.read_on(id, "unknown");
+        if is_kept {
+            return;
+        }
+        if self.orders.remove(id).is_some() {
+            self.witness.told(id, "unknown");
+        }
+        if let Some((server, run)) = run {
             self.servers[server].schedule.abandon(&run, Moment(self.now));
         }
     }
@@ -135,6 +153,7 @@
     fn ask_server(&mut self, id: &OrderId, placing: Placing) {
         let Some(order) = self.orders.get_mut(id) else { return };
         let Some(server) = self.servers.iter().position(|server| server.name == placing.server) else { return };
+        order.keep = placing.token.is_some();
         order.asked = Some(placing.server);
         let machine = order.crier;
         if !self.may_act(machine) {
@@ -173,7 +192,7 @@
         self.errand(id, ErrandInput::LosePermit);
     }
 
-    fn ended(&mut self, id: &OrderId, outcome: Outcome) {
+    pub(super) fn ended(&mut self, id: &OrderId, outcome: Outcome) {
         let Some(order) = self.orders.get(id) else { return };
         let (machine, life) = (order.crier, order.life);
         if self.criers[machine].life == life {
@@ -197,8 +216,7 @@
             self.put(2000, Happening::RunOutcome { order: id, failure: Some(Failure::Unknown) });
             return;
         }
-        let keep = service.as_str() == "drafts";
-        let pieces = if keep { 20 } else { 6 };
+        let (keep, pieces) = (order.keep, order.pieces as u32);
         let run_order = RunOrder { run: run.clone(), service: service.clone(), prompt, max_pieces: pieces, keep };
         let is_taken = service.as_str() == "pages" || s.schedule.take(&run_order, Moment(self.now));
         if !is_taken {
@@ -240,40 +258,7 @@
         }
     }
 
-    /// Looks how far a run is, as the stream would show it.
-    pub(super) fn on_watch(&mut self, id: OrderId) {
-        let Some(order) = self.orders.get(&id) else { return };
-        let Some((server, run)) = order.run.clone() else { return };
-        let s = &self.servers[server];
-        let progress = s.schedule.progress(&run, Moment(self.now));
-        let is_lost = !s.is_up || s.is_dark || s.incarnation != order.server_life;
-        match progress {
-            Some(Progress::Pieces(there, next)) if !is_lost => {
-                if there > 0 && !order.had_first {
-                    if let Some(order) = self.orders.get_mut(&id) {
-                        order.had_first = true;
-                    }
-                    self.first_token(&id);
-                    self.carried(&id, ChartInput::Give);
-                }
-                let wait = Moment(self.now).until(next).0.clamp(5, 200);
-                self.put(wait, Happening::Watch { order: id });
-            }
-            Some(Progress::All(_)) if !is_lost => {
-                if !order.had_first {
-                    self.first_token(&id);
-                }
-                self.ended(&id, Outcome::Complete);
-                self.carried(&id, ChartInput::Finish);
-            }
-            _ => {
-                self.ended(&id, Outcome::Failed);
-                self.carried(&id, ChartInput::Break);
-            }
-        }
-    }
-
-    fn first_token(&mut self, id: &OrderId) {
+    pub(super) fn first_token(&mut self, id: &OrderId) {
         let Some(order) = self.orders.get(id) else { return };
         let (machine, life) = (order.crier, order.life);
         self.witness.first_ms.entry(order.service.clone()).or_default().push(self.now - order.came);
