Slow servers found by overdue first pieces; frozen zones, crowds, slow servers simulated

Cause: a server that answers slowly was avoided only through its growing burden; crowds, frozen zones and slow servers were brought about by nothing. Found by a node's own eyes: a first piece overdue by 1 s and four times what its kin are late, twice in a row, is a fault as certain as no connection; the server is left alone, then ramps from two. Where all are slow, nobody is taken for it. Ruled out: late pieces once they came (three in a row): no difference at all, they come too late.

--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -64,6 +64,10 @@
 struct InHand {
     service: ServiceName,
     is_repeat: bool,
+    /// When the first piece was expected.
+    expected: Span,
+    /// Whether its lag was taken into account.
+    is_noted: bool,
     server: ServerName,
     incarnation: Option<u64>,
     hashes: Vec<PrefixHash>,
@@ -236,8 +240,16 @@
             return;
         }
         hand.first = Some(now);
-        let Some(server) = self.servers.get_mut(&hand.server) else { return };
-        server.well();
+        let lag = now.since(hand.placed).0.saturating_sub(hand.expected.0);
+        let (name, was_noted) = (hand.server.clone(), std::mem::replace(&mut hand.is_noted, true));
+        if !was_noted {
+            self.note_lag(&name, lag, now);
+        }
+        let Some(hand) = self.orders.get_mut(&order) else { return };
+        let Some(server) = self.servers.get_mut(&name) else { return };
+        if server.late == 0 && !server.is_suspect(now) {
+            server.well();
+        }
         if server.incarnation != hand.incarnation {
             return;
         }
@@ -258,6 +270,34 @@
         server.residency.hold(&hand.hashes, now);
     }
 
+    /// A first piece came, or is still missing, so much later than expected.
+    fn note_lag(&mut self, name: &ServerName, lag: u64, now: Moment) {
+        let usual = usual_lag(&self.servers, name).unwrap_or(u64::MAX / 8);
+        let Some(server) = self.servers.get_mut(name) else { return };
+        if server.note_lag(lag, usual) {
+            server.late = 0;
+            if let Some(span) = server.fault(now, true) {
+                self.decisions.push(Decision::Suspected { server: name.clone(), span });
+            }
+        }
+    }
+
+    /// Pieces that are far overdue tell as much as those that came late, and sooner.
+    pub(super) fn note_overdue(&mut self, now: Moment) {
+        let is_overdue = |hand: &InHand| {
+            let slack = Span(usual_lag(&self.servers, &hand.server).unwrap_or(u64::MAX / 8).saturating_mul(4) + 1000);
+            hand.first.is_none() && !hand.is_noted && now.since(hand.placed) > Span(hand.expected.0 + slack.0)
+        };
+        let overdue: Vec<OrderId> =
+            self.orders.iter().filter(|(_, hand)| is_overdue(hand)).map(|(order, _)| order.clone()).collect();
+        for order in overdue {
+            let Some(hand) = self.orders.get_mut(&order) else { continue };
+            hand.is_noted = true;
+            let (name, lag) = (hand.server.clone(), now.since(hand.placed).0.saturating_sub(hand.expected.0));
+            self.note_lag(&name, lag, now);
+        }
+    }
+
     fn on_ended(&mut self, order: &OrderId, outcome: Outcome, now: Moment) {
         let Some(hand) = self.orders.remove(order) else { return };
         let Some(server) = self.servers.get_mut(&hand.server) else { return };
@@ -377,6 +417,18 @@
     }
 }
 
+/// The middle of the lags of a server's kin; `None` where too few are known and well to tell.
+fn usual_lag(servers: &BTreeMap<ServerName, ServerState>, name: &ServerName) -> Option<u64> {
+    let own = servers.get(name)?;
+    let is_kin = |(other, server): &(&ServerName, &ServerState)| {
+        *other != name && server.is_listed && server.pool == own.pool && server.faults == 0
+    };
+    let mut lags: Vec<u64> = servers.iter().filter(is_kin).map(|(_, server)| server.lag).collect();
+    let all = servers.values().filter(|server| server.is_listed && server.pool == own.pool).count();
+    lags.sort_unstable();
+    (lags.len() * 2 >= all).then(|| lags[lags.len() / 2])
+}
+
 /// A node's part of the allowance of repeats that a service has a minute, fleet-wide.
 fn repeat_part(rules: &DeskRules, service: &ServiceName, own: &Address, members: &[Address]) -> u32 {
     share(rules.repeats_a_minute, placing::key_of(service.as_str()), own, members)
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -73,6 +73,8 @@
             let hand = InHand {
                 service: service.clone(),
                 is_repeat: round > 0,
+                expected: chosen.expected,
+                is_noted: false,
                 server: chosen.server.clone(),
                 incarnation: server.incarnation,
                 hashes,
--- a/crates/primer/src/desk/warming.rs
+++ b/crates/primer/src/desk/warming.rs
@@ -24,6 +24,7 @@
     }
 
     pub(super) fn on_tick(&mut self, now: Moment) {
+        self.note_overdue(now);
         self.assume_copies(now);
         self.order_copies(now);
         self.cool(now);
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -30,6 +30,10 @@
     pub own: u32,
     /// Failures one after another.
     pub faults: u32,
+    /// How much later than expected its first pieces came lately, in ms, smoothed.
+    pub lag: u64,
+    /// First pieces that came far too late, one after another.
+    pub late: u32,
     /// No work until then.
     pub suspect_until: Option<Moment>,
     /// What it holds.
@@ -56,6 +60,8 @@
             reported: None,
             own: 0,
             faults: 0,
+            lag: 0,
+            late: 0,
             suspect_until: None,
             residency: Residency::default(),
             block_micros: rules.block_micros,
@@ -91,12 +97,24 @@
         self.ramp_from = now + span;
         Some(span)
     }
+    /// A first piece came this much later than expected, while its kin are `usual` late. Says whether it's
+    /// far too slow: a server that answers, but slowly, is as bad as one that doesn't.
+    pub fn note_lag(&mut self, lag: u64, usual: u64) -> bool {
+        self.lag = (self.lag * 3 + lag) / 4;
+        self.late = if lag > LAG_SLACK + usual * 4 { self.late + 1 } else { 0 };
+        self.late >= LATE_MOST
+    }
     /// An order went well there.
     pub fn well(&mut self) {
         self.faults = 0;
     }
 }
 
+/// A first piece may come this much later than expected, in ms, besides what is usual.
+const LAG_SLACK: u64 = 400;
+/// So many late ones in a row are no chance.
+const LATE_MOST: u32 = 2;
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -106,6 +124,15 @@
         ServerState::new(&entry, Moment(0), &DeskRules::default())
     }
 
+    #[test]
+    fn one_that_is_slow_while_its_kin_are_not_is_found_and_common_slowness_is_not() {
+        let mut server = state();
+        let found: Vec<bool> = [900, 900, 20, 900, 900, 900].map(|lag| server.note_lag(lag, 10)).to_vec();
+        assert_eq!(found, [false, true, false, false, true, true]);
+        let mut server = state();
+        assert!(!(0..20).any(|_| server.note_lag(900, 300)), "all are as slow: that's load");
+    }
+
     #[test]
     fn a_fresh_server_ramps_and_a_faulty_one_starts_over() {
         let rules = DeskRules::default();
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -187,6 +187,12 @@
                     note("an order complete again, after all was healed", &mut witness.back_ms.1.into_iter());
                     let over = |(orders, repeats): &(u64, u64)| repeats.saturating_sub(orders / 5);
                     note("repeats of a service beyond a fifth (a count)", &mut witness.repeats.values().map(over));
+                    for (service, what) in
+                        [("drafts", "first piece of drafts"), ("questions", "first piece of questions")]
+                    {
+                        let found = witness.first_ms.get(&ServiceName::from(service));
+                        note(what, &mut found.into_iter().flatten().copied());
+                    }
                     drop(all);
                     if !witness.violations.is_empty() {
                         let mut text = format!("seed {seed}:\n");
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -76,6 +76,8 @@
     /// Faults that wait for the next acknowledgement.
     armed: Vec<usize>,
     replaced: u16,
+    /// Five times the traffic until then.
+    crowd_until: u64,
 }
 
 struct RegistrarMachine {
@@ -215,6 +217,7 @@
             faults: vec![],
             armed: vec![],
             replaced: 0,
+            crowd_until: 0,
             rules,
         };
         world.people();
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -111,6 +111,12 @@
     CrashServer,
     /// A server takes orders and says nothing.
     DarkServer,
+    /// A server answers, but slowly.
+    SlowServer,
+    /// All machines of ours in a zone freeze and wake.
+    FreezeHall,
+    /// Traffic jumps to five times as much and back, most of it with one prefix.
+    Crowd,
     /// Servers leave pieces out, double them, mix runs up, end early.
     GarbleServers,
     /// Servers make connections late.
@@ -125,7 +131,7 @@
     Brownout,
 }
 
-const KINDS: [FaultKind; 30] = [
+const KINDS: [FaultKind; 33] = [
     FaultKind::KillRegistrar,
     FaultKind::KillCore,
     FaultKind::LoseMembers,
@@ -152,6 +158,9 @@
     FaultKind::DarkServer,
     FaultKind::LateAccept,
     FaultKind::GarbleServers,
+    FaultKind::SlowServer,
+    FaultKind::FreezeHall,
+    FaultKind::Crowd,
     FaultKind::ReplaceServers,
     FaultKind::LeaveServer,
     FaultKind::PlanStorm,
@@ -274,6 +283,15 @@
                 self.cut_between(place, &[members[crier]], &all, false);
                 self.criers[crier].is_cut_off = pick.is_multiple_of(2);
             }
+            FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 20 + (pick % 40) as u32,
+            FaultKind::Crowd => self.crowd_until = self.now + span,
+            FaultKind::FreezeHall => {
+                let halls = self.rules.deployment.shape().halls;
+                let hall = HallName::from(halls[(pick % halls.len() as u64) as usize]);
+                let until = self.now + span;
+                self.registrars.iter_mut().filter(|m| m.hall == hall).for_each(|m| m.frozen_until = until);
+                self.criers.iter_mut().filter(|m| m.hall == hall).for_each(|m| m.frozen_until = until);
+            }
             FaultKind::LoseHall => {
                 let halls = self.rules.deployment.shape().halls;
                 let hall = HallName::from(halls[(pick % halls.len() as u64) as usize]);
@@ -379,7 +397,9 @@
         self.faults[place].cut.clear();
         self.cut = self.faults.iter().flat_map(|fault| fault.cut.iter().copied()).collect();
         match kind {
-            FaultKind::FreezeRegistrar => {
+            FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 0,
+            FaultKind::FreezeRegistrar | FaultKind::FreezeHall => {
+                self.wake_criers();
                 let all = 0..self.registrars.len();
                 all.for_each(|machine| {
                     if self.now >= self.registrars[machine].frozen_until {
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -9,13 +9,15 @@
     pub(super) fn on_arrival(&mut self) {
         let end = self.rules.span.0 + self.rules.calm.0;
         if self.now + 1500 < end {
-            let gap = 5 + self.below(2 * 1000 / self.rules.orders_a_second.max(1));
+            let rate = self.rules.orders_a_second.max(1) * if self.now < self.crowd_until { 5 } else { 1 };
+            let gap = 1 + self.below(2 * 1000 / rate);
             self.put(gap, Happening::Arrival);
         }
         let number = self.witness.arrivals;
         self.witness.arrivals += 1;
         let pick = self.below(100);
         let (service, prefix, shared, own) = match pick {
+            0..60 if self.now < self.crowd_until => ("drafts", 900, 6144, 1500),
             0..25 if self.chance(self.rules.hot_share) => ("drafts", 1000 + self.now / 8000, 6144, 1500),
             0..25 => ("drafts", self.below(12), 6144, 1500),
             25..80 => ("questions", self.below(30), 512, 200),
