A first roster of one or two members no longer holds the core up; a warned crier lingers

Cause (found by a red run of the frozen-machines test: a withdrawal not accepted for 30 s): majorities are wanted of the roster and of its elder, and the elder stays until the roster changes again. If criers joined in two batches, the first of one or two, and one of those was frozen, half of the elder had no permit and nothing was accepted while the other eight of nine were well. Ruled out: the views (decided within 2 s), the disk, the members' own majority. A closing fault ends one run in three.

--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -16,8 +16,6 @@
     Believes(flume::Sender<serde_json::Value>),
 }
 
-/// How long streams may take to finish after a stop was asked for.
-const DRAIN: Span = Span::seconds(60);
 /// Lines kept of decisions and of events.
 const DECISIONS: usize = 10_000;
 const EVENTS: usize = 4_000;
@@ -90,18 +88,24 @@
         signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
     }
     tracing::info!("crier: listens at {listen}, inner {inner}, hall {}.", settings.hall);
-    let mut control = Control { node, post, door, kv, waiting: HashMap::new(), resuming: HashMap::new() };
+    let mut control =
+        Control { node, post, door, kv, waiting: HashMap::new(), resuming: HashMap::new(), is_leaving: false };
     let mut next_tick = Clock::now();
-    let mut drain_due = None;
+    let (mut linger_due, mut drain_due) = (now, None);
     loop {
         let now = Clock::now();
         if now >= next_tick {
             next_tick = now + Span(50);
             control.take(Event::Input(NodeInput::ClockEvent));
-            if stop.load(Ordering::Relaxed) && drain_due.is_none() {
+            if stop.load(Ordering::Relaxed) && !control.is_leaving {
+                tracing::info!("crier: not ready any more; takes what is still sent to it for a moment.");
+                control.is_leaving = true;
+                linger_due = now + Span(settings.linger_ms);
+            }
+            if control.is_leaving && now >= linger_due && drain_due.is_none() {
                 tracing::info!("crier: takes no new work; finishes what is in hand.");
                 control.take(Event::Input(NodeInput::Drain));
-                drain_due = Some(now + DRAIN);
+                drain_due = Some(now + Span(settings.drain_ms));
             }
             if control.node.is_drained() {
                 // Whoever has connected by now still gets a reply, and every reply its last byte.
@@ -137,6 +141,8 @@
     kv: flume::Sender<KvTask>,
     waiting: HashMap<u64, flume::Sender<Result<Placing, Denial>>>,
     resuming: HashMap<u64, flume::Sender<Result<Token, Denial>>>,
+    /// Whether it was told to stop: callers are to be sent elsewhere.
+    is_leaving: bool,
 }
 
 impl Control {
@@ -201,7 +207,7 @@
         let tallies = &self.door.shared.tallies;
         let until = self.node.may_act_until(now);
         self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
-        self.door.is_ready.store(self.node.is_ready(now), Ordering::SeqCst);
+        self.door.is_ready.store(self.node.is_ready(now) && !self.is_leaving, Ordering::SeqCst);
         tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
     }
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -28,6 +28,13 @@
     /// A stream without a piece for this long is broken, in ms.
     #[setting(default = 10_000, validate = within(1, 1_000_000))]
     pub stall_ms: u64,
+    /// Told to stop, it's not ready at once, but takes what is still sent to it for this long, in ms: whoever
+    /// hands callers out sees readiness late.
+    #[setting(default = 1500, validate = within(0, 60_000))]
+    pub linger_ms: u64,
+    /// Then streams may take this long to finish, in ms.
+    #[setting(default = 60_000, validate = within(1, 3_600_000))]
+    pub drain_ms: u64,
     /// Whether sketches of other criers count.
     #[setting(default = true)]
     pub merge: bool,
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -50,6 +50,12 @@
             /// Who.
             members: Vec<Address>,
         },
+        /// More than half of the elder know the roster of this epoch: majorities need them no more. Not an
+        /// operator's motion.
+        Settle {
+            /// When the roster became what it is.
+            since: Epoch,
+        },
         /// What tokens are checked with. Not an operator's motion; the first one stays.
         Key {
             /// Drawn at random.
@@ -308,10 +314,13 @@
                     None => Ok(()),
                 }
             }
+            Motion::Settle { since } if *since != self.roster.since => {
+                Err(self.verdict(ResultCode::Conflict, self.epoch, "the roster has changed since", vec![]))
+            }
             Motion::Key { .. } if self.key.is_some() => {
                 Err(self.verdict(ResultCode::Conflict, self.epoch, "there is a key already", vec![]))
             }
-            Motion::Join { .. } | Motion::Retire { .. } | Motion::Key { .. } => Ok(()),
+            Motion::Join { .. } | Motion::Retire { .. } | Motion::Settle { .. } | Motion::Key { .. } => Ok(()),
         }
     }
 
@@ -385,6 +394,7 @@
                 // The dead can't act, so that majorities are those of the living (docs/isolation.md).
                 self.roster.elder.clone_from(&self.roster.members);
             }
+            Motion::Settle { .. } => self.roster.elder.clone_from(&self.roster.members),
             Motion::Key { key } => self.key = Some(*key),
         }
         let verdict = self.verdict(ResultCode::Accepted, self.epoch, "", vec![]);
@@ -433,7 +443,7 @@
             Motion::Withdraw { hall } => KeptMotion::Withdraw { hall },
             Motion::Restore { hall } => KeptMotion::Restore { hall },
             Motion::Forget { members } => KeptMotion::Forget { members },
-            Motion::Join { .. } | Motion::Retire { .. } | Motion::Key { .. } => return None,
+            Motion::Join { .. } | Motion::Retire { .. } | Motion::Settle { .. } | Motion::Key { .. } => return None,
         })
     }
 }
@@ -540,6 +550,20 @@
         assert_eq!(take(&mut ledger, &forget("g", &[3, 4, 5]))["epoch"], 2, "a repeat is told the first one's epoch");
     }
 
+    #[test]
+    fn the_elder_count_no_more_once_the_roster_is_settled_and_only_for_that_roster() {
+        let mut ledger = Ledger::default();
+        let inner = |motion: Motion| Proposal { id: String::new(), builds_on: None, motion };
+        for n in [1, 2] {
+            let members = vec![(Address::loopback(n), HallName::from("north"))];
+            take(&mut ledger, &inner(Motion::Join { members }));
+        }
+        assert_eq!((ledger.roster.elder.len(), ledger.roster.since), (1, Epoch(2)));
+        assert_eq!(take(&mut ledger, &inner(Motion::Settle { since: Epoch(1) }))["code"], 302);
+        assert_eq!(take(&mut ledger, &inner(Motion::Settle { since: Epoch(2) }))["code"], 300);
+        assert_eq!(ledger.roster.elder, ledger.roster.members);
+    }
+
     #[test]
     fn the_first_key_stays() {
         let mut ledger = Ledger::default();
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -124,6 +124,7 @@
     held: BTreeMap<Address, HeldPoll>,
     joining: BTreeMap<Address, HallName>,
     join_due: Moment,
+    settle_due: Moment,
     retire_due: Moment,
     settled: VecDeque<Settled>,
     waiting: BTreeMap<u64, Waiting>,
@@ -177,6 +178,7 @@
             held: BTreeMap::new(),
             joining: BTreeMap::new(),
             join_due: now,
+            settle_due: now,
             retire_due: now + timing.retire_after,
             settled: VecDeque::new(),
             waiting: BTreeMap::new(),
@@ -360,6 +362,7 @@
             }
             self.admit();
             if has_majority {
+                self.settle();
                 self.retire();
             }
         }
@@ -389,6 +392,17 @@
         self.propose_inner(Motion::Join { members });
     }
 
+    /// Once more than half of the elder know the roster, they are needed for no majority any more.
+    fn settle(&mut self) {
+        let roster = &self.fellow.charge().roster;
+        if roster.elder == roster.members || self.now < self.settle_due || !self.permits.is_roster_settled(roster) {
+            return;
+        }
+        let since = roster.since;
+        self.settle_due = self.now + Span(400);
+        self.propose_inner(Motion::Settle { since });
+    }
+
     /// Takes members out that have held no permit for long.
     fn retire(&mut self) {
         if self.now < self.retire_due || !self.permits.is_roster_settled(&self.fellow.charge().roster) {
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -190,6 +190,9 @@
             let at = 4000 + self.below(self.rules.span.0.saturating_sub(8000));
             let span = (500 + self.below(5500)).min(self.rules.span.0 - at);
             let pick = self.draw();
+            // Some days end with a closing fault, right before all is healed.
+            let is_closing = place + 1 == self.rules.faults as usize && pick.is_multiple_of(3);
+            let (at, span) = if is_closing { (self.rules.span.0 - 200, 150) } else { (at, span) };
             self.faults.push(Fault { kind, at, span, pick, cut: vec![] });
             self.put(at, Happening::Strike { place });
             self.put(at + span, Happening::Heal { place });
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -64,6 +64,11 @@
         for place in 0..fleet.criers.len() {
             let crier = &mut fleet.criers[place];
             crier.ask_to_stop();
+            if place == 0 {
+                // Not ready at once, but callers that are still sent here are served.
+                Fleet::await_that(PATIENCE, "a warned crier is not ready", || !crier.is_ready()).expect("it says so");
+                assert_eq!(ask(&order("late", "questions", 2), &[crier.listen], 0).fate, Fate::Complete);
+            }
             assert_eq!(crier.wait(PATIENCE), Some(0), "{} ends well", crier.name);
             crier.start().expect("it starts again");
             let crier = &fleet.criers[place];
