An order turned away for its id does not end the running one at the desk; small leftovers

Found by rereading the change. Ruled out: the chart and the id's memory (both held). Red: with a stream running and a second order of its id turned away, the crier counted 0 orders of its own instead of 1; green after: 1. Also, without a change in behaviour: the unused length of a kept plan is gone, lags are looked up only for orders that wait, a fellow's state is only made for a change's base, one call in place of the same one in two branches.

--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -49,25 +49,23 @@
     fn may_act(&self) -> bool {
         Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
     }
+    /// Asks the control thread; `None` is its silence.
     fn ask_control<T>(
         &self,
         input: NodeInput,
         wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Denial>>) -> crate::daemon::Event,
-    ) -> Result<T, Denial> {
+    ) -> Option<Result<T, Denial>> {
         let (reply, inbox) = flume::bounded(1);
         let _ = self.control.send(wrap(input, reply));
-        inbox.recv_timeout(Duration::from_secs(2)).unwrap_or_else(|_| {
-            let why = "the control thread gave no answer".into();
-            Err(Denial { code: ResultCode::Busy, why, retry_after: Span(1000) })
-        })
+        inbox.recv_timeout(Duration::from_secs(2)).ok()
     }
     fn ask_desk(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
-        let outcome = self.ask_control(input, crate::daemon::Event::Place);
-        if outcome.is_err() {
-            // Should it be placed after all, it has ended by then: it is never sent.
+        self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
+            // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
+            // another order of this id may be in hand.
             self.tell_ended(&place.order, Outcome::Refused);
-        }
-        outcome
+            Err(silence())
+        })
     }
     /// A number for an order, that no other has in this life.
     fn next_number(&self) -> u64 {
@@ -87,6 +85,12 @@
     }
 }
 
+/// The control thread gave no answer in time.
+fn silence() -> Denial {
+    let why = "the control thread gave no answer".into();
+    Denial { code: ResultCode::Busy, why, retry_after: Span(1000) }
+}
+
 /// What asking servers came to.
 enum Asked<T> {
     Opened(Placing, T),
@@ -233,7 +237,7 @@
         return shared.refusal(ResultCode::Busy, "this node is at its bound of orders".into(), Span(1000));
     };
     let input = NodeInput::Resume { number, token: order.token.clone() };
-    let token = match shared.ask_control(input, crate::daemon::Event::Resume) {
+    let token = match shared.ask_control(input, crate::daemon::Event::Resume).unwrap_or_else(|| Err(silence())) {
         Ok(token) => token,
         Err(denial) => return shared.refusal(denial.code, denial.why, denial.retry_after),
     };
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -80,8 +80,6 @@
     pub enum KeptMotion {
         /// A whole plan.
         Plan {
-            /// How long.
-            length: u64,
             /// Of its bytes.
             hash: [u8; 32],
         },
@@ -217,7 +215,7 @@
     /// What was accepted as this epoch, as it was sent.
     pub fn as_sent(&self, epoch: Epoch) -> Option<AsSent> {
         Some(match &self.entry(epoch)?.motion {
-            KeptMotion::Plan { hash, .. } => {
+            KeptMotion::Plan { hash } => {
                 let later = self.undos.iter().rev().take_while(|undo| undo.epoch > epoch);
                 let bytes = unwind(&self.plan, later.map(|undo| &undo.splice))?;
                 (blake3::hash(&bytes) == *hash).then_some(AsSent::Body(bytes))?
@@ -436,9 +434,7 @@
     /// What is kept of an operator's motion; `None` of one that is not an operator's.
     fn of(motion: Motion) -> Option<KeptMotion> {
         Some(match motion {
-            Motion::Plan { bytes, .. } => {
-                KeptMotion::Plan { length: bytes.len() as u64, hash: *blake3::hash(&bytes).as_bytes() }
-            }
+            Motion::Plan { bytes, .. } => KeptMotion::Plan { hash: *blake3::hash(&bytes).as_bytes() },
             Motion::Change { bytes, .. } => KeptMotion::Change { bytes },
             Motion::Withdraw { hall } => KeptMotion::Withdraw { hall },
             Motion::Restore { hall } => KeptMotion::Restore { hall },
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -285,8 +285,11 @@
     /// Pieces that are far overdue tell as much as those that came late, and sooner.
     pub(super) fn note_overdue(&mut self, now: Moment) {
         let is_overdue = |hand: &InHand| {
+            if hand.first.is_some() || hand.is_noted {
+                return false;
+            }
             let slack = Span(usual_lag(&self.servers, &hand.server).unwrap_or(u64::MAX / 8).saturating_mul(4) + 1000);
-            hand.first.is_none() && !hand.is_noted && now.since(hand.placed) > Span(hand.expected.0 + slack.0)
+            now.since(hand.placed) > Span(hand.expected.0 + slack.0)
         };
         let overdue: Vec<OrderId> =
             self.orders.iter().filter(|(_, hand)| is_overdue(hand)).map(|(order, _)| order.clone()).collect();
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -460,10 +460,12 @@
                 waiting.next_try = Some(retry_at);
                 let reading = reading.clone();
                 // A change's base may be read here: the head judges whether it's the newest.
-                let state = self.fellow.state();
-                let is_known_here = state.is_sound && state.view.seats(&state.me);
                 let is_base = matches!(reading, Reading::Base { at_least } if self.fellow.charge().epoch >= at_least);
-                if self.may_reply() || (is_base && is_known_here) {
+                let is_known_here = || {
+                    let state = self.fellow.state();
+                    state.is_sound && state.view.seats(&state.me)
+                };
+                if self.may_reply() || (is_base && is_known_here()) {
                     self.waiting.remove(&number);
                     let (status, body) = self.read(&reading);
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
--- a/crates/rehearsal/src/world/streams.rs
+++ b/crates/rehearsal/src/world/streams.rs
@@ -127,11 +127,10 @@
         if let Some(fault) = fault {
             self.witness.violate(now, format!("{id}: {fault} where piece {at} was due: {given}"));
         }
+        self.first_piece(id);
         if !is_end {
-            self.first_piece(id);
             return true;
         }
-        self.first_piece(id);
         match self.orders.get(id).and_then(|order| order.stream.as_ref()?.resumed_as) {
             Some(number) => {
                 self.leave(id, number);
