--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -11,7 +11,7 @@
         pub hall: HallName,
     }
 
-    /// A member asks the core for a permit and for news.
+    /// A member asks the core for a lease and for news.
     pub struct Poll {
         /// Who asks.
         pub member: Member,
@@ -32,8 +32,8 @@
             /// All voters.
             voters: Vec<Address>,
         },
-        /// A permit, reckoned from when the poll was sent, and the news.
-        Permit {
+        /// A lease, reckoned from when the poll was sent, and the news.
+        Lease {
             /// For this long.
             span: Span,
             /// The newest epoch.
--- a/crates/circular/src/seal.rs
+++ b/crates/circular/src/seal.rs
@@ -16,7 +16,7 @@
     /// The line ended or failed.
     #[error("the line failed: {0}")]
     Io(#[from] io::Error),
-    /// Not one of our frames, torn, too long, or its check failed.
+    /// Not one of our snapshots, torn, too long, or its check failed.
     #[error("{0}")]
     Bad(String),
     /// Another version.
@@ -34,7 +34,7 @@
     }
 }
 
-/// Frames a letter: magic, protocol, the sender's port and IP number, length, check, body.
+/// Snapshots a letter: magic, protocol, the sender's port and IP number, length, check, body.
 pub fn seal(from: Address, letter: &Letter) -> Result<Vec<u8>, SealFault> {
     let body = rkyv::to_bytes::<rkyv::rancor::Error>(letter).map_err(|fault| SealFault::Bad(fault.to_string()))?;
     if body.len() > BOUND {
@@ -62,18 +62,18 @@
     reader.read_exact(&mut head)?;
     let word = |from: usize| u32::from_be_bytes([head[from], head[from + 1], head[from + 2], head[from + 3]]);
     if head[..4] != MAGIC {
-        return Err(SealFault::Bad("a frame has no magic".into()));
+        return Err(SealFault::Bad("a snapshot has no magic".into()));
     }
     let protocol = u16::from_be_bytes([head[4], head[5]]);
     if protocol != PROTOCOL {
         return Err(SealFault::Protocol(protocol));
     }
     if word(24) != crc32fast::hash(&head[..24]) {
-        return Err(SealFault::Bad("a frame's head fails its check".into()));
+        return Err(SealFault::Bad("a snapshot's head fails its check".into()));
     }
     let length = (u64::from(word(12)) << 32 | u64::from(word(16))) as usize;
     if length > BOUND {
-        return Err(SealFault::Bad(format!("a frame of {length} bytes is over the bound")));
+        return Err(SealFault::Bad(format!("a snapshot of {length} bytes is over the bound")));
     }
     let mut body = rkyv::util::AlignedVec::<16>::new();
     let mut chunk = [0u8; 64 << 10];
@@ -83,10 +83,10 @@
         body.extend_from_slice(&chunk[..room]);
     }
     if crc32fast::hash(&body) != word(20) {
-        return Err(SealFault::Bad("a frame's body fails its check".into()));
+        return Err(SealFault::Bad("a snapshot's body fails its check".into()));
     }
     let letter = rkyv::from_bytes::<Letter, rkyv::rancor::Error>(&body)
-        .map_err(|fault| SealFault::Bad(format!("a frame holds no letter: {fault}")))?;
+        .map_err(|fault| SealFault::Bad(format!("a snapshot holds no letter: {fault}")))?;
     let port = u16::from_be_bytes([head[6], head[7]]);
     let ip = [head[8], head[9], head[10], head[11]];
     Ok((Address((ip, port).into()), letter))
--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -32,11 +32,11 @@
         }
         format!("word {}, duty held by {}", self.word, self.holder).into_bytes()
     }
-    fn frame(&self) -> Vec<u8> {
+    fn snapshot(&self) -> Vec<u8> {
         format!("{}\n{}", self.word, self.holder).into_bytes()
     }
-    fn restore(frame: &[u8]) -> Option<Self> {
-        let text = std::str::from_utf8(frame).ok()?;
+    fn restore(snapshot: &[u8]) -> Option<Self> {
+        let text = std::str::from_utf8(snapshot).ok()?;
         let (word, holder) = text.split_once('\n')?;
         Some(Register { word: word.into(), holder: holder.into() })
     }
--- a/crates/college/src/charge.rs
+++ b/crates/college/src/charge.rs
@@ -10,20 +10,20 @@
 /// What a chain replicates: a state that changes only by applying bodies in order.
 ///
 /// Invariant: `apply` depends on nothing but the state and the body, so all who applied the same
-/// bodies hold the same state, and `restore(frame())` is that state again.
+/// bodies hold the same state, and `restore(snapshot())` is that state again.
 pub trait Charge {
     /// Looks at a body against the newest state, at the head.
     fn preview(&self, body: &[u8]) -> Preview;
-    /// Whether a body may only enter while more than half of the members hold permits.
+    /// Whether a body may only enter while more than half of the members hold leases.
     fn needs_members(&self, _body: &[u8]) -> bool {
         false
     }
     /// Takes a body in; gives the answer for whoever proposed it.
     fn apply(&mut self, body: &[u8]) -> Vec<u8>;
     /// The whole state as bytes.
-    fn frame(&self) -> Vec<u8>;
+    fn snapshot(&self) -> Vec<u8>;
     /// A state from such bytes; `None` if they aren't one.
-    fn restore(frame: &[u8]) -> Option<Self>
+    fn restore(snapshot: &[u8]) -> Option<Self>
     where
         Self: Sized;
 }
--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -13,22 +13,22 @@
     /// Unheard for this long, a fellow is taken for gone.
     pub suspect: Span,
     /// How long a voter keeps its word to the tail.
-    pub permit: Span,
+    pub lease: Span,
     /// How long the tail itself counts on it, from when it asked: less, for clocks that run apart.
-    pub permit_counted: Span,
+    pub lease_counted: Span,
     /// A ballot's notes are sent again after this.
     pub retry: Span,
     /// A voter unheard for this long may be replaced by a follower with another disk.
     pub replace_after: Span,
     /// Changes sent at once to one that is behind, in bytes.
     pub feed_bytes: usize,
-    /// A piece of a frame, in bytes.
+    /// A piece of a snapshot, in bytes.
     pub piece_bytes: usize,
     /// A disk that leaves a write unsynced for this long is taken for one that takes none.
     pub stall: Span,
     /// Changes that the head lets in beyond those replied to; more are turned away unchanged.
     pub ahead: u64,
-    /// The log is folded into a frame when it's longer than this, in bytes, and than the frame.
+    /// The log is folded into a snapshot when it's longer than this, in bytes, and than the snapshot.
     pub fold_bytes: usize,
 }
 
@@ -37,8 +37,8 @@
         Timing {
             beat: Span(100),
             suspect: Span(800),
-            permit: Span(1000),
-            permit_counted: Span(800),
+            lease: Span(1000),
+            lease_counted: Span(800),
             retry: Span(250),
             replace_after: Span(4000),
             feed_bytes: 1 << 20,
@@ -129,9 +129,9 @@
 /// Why what a disk gave back can't be used. Nothing of it is served.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum KeptFault {
-    /// The frame is not one of the charge's.
-    #[error("the frame up to change {0} can't be read")]
-    Frame(Seq),
+    /// The snapshot is not one of the charge's.
+    #[error("the snapshot up to change {0} can't be read")]
+    Snapshot(Seq),
     /// Changes are missing before this one.
     #[error("changes are missing before change {0}")]
     Gap(Seq),
@@ -190,13 +190,13 @@
     deferred: VecDeque<(u64, Deferred)>,
     life: u64,
     log_bytes: usize,
-    frame_bytes: usize,
+    snapshot_bytes: usize,
     // Others.
     heard: BTreeMap<Address, Heard>,
     has_members: bool,
     last_event: Moment,
     next_beat: Moment,
-    // Permit of the tail.
+    // Lease of the tail.
     granted_until: Moment,
     silent_until: Moment,
     has_released: bool,
@@ -204,7 +204,7 @@
     ask_round: u64,
     asked_at: Moment,
     grants: BTreeSet<DiskId>,
-    permit_due: Moment,
+    lease_due: Moment,
     // Ballots.
     bid: Option<Bid>,
     top_count: u64,
@@ -217,7 +217,7 @@
     successor_moved: (Seq, Moment),
     // Repair.
     followers: BTreeMap<Voter, Follower>,
-    frame: Option<(Seq, ViewEpoch, Vec<u8>)>,
+    snapshot: Option<(Seq, ViewEpoch, Vec<u8>)>,
     fetching: Option<Fetching>,
     // This step.
     outputs: Vec<Output>,
@@ -301,19 +301,19 @@
             deferred: VecDeque::new(),
             life: 0,
             log_bytes: 0,
-            frame_bytes: 0,
+            snapshot_bytes: 0,
             heard: BTreeMap::new(),
             has_members: false,
             last_event: now,
             next_beat: now,
             granted_until: Moment(0),
-            silent_until: if is_fresh { now } else { now + timing.permit },
+            silent_until: if is_fresh { now } else { now + timing.lease },
             has_released: false,
             paused_until: now,
             ask_round: 0,
             asked_at: Moment(0),
             grants: BTreeSet::new(),
-            permit_due: Moment(0),
+            lease_due: Moment(0),
             bid: None,
             top_count: 0,
             wanted_since: None,
@@ -322,7 +322,7 @@
             passed: (Seq(0), Moment(0)),
             successor_moved: (Seq(0), now),
             followers: BTreeMap::new(),
-            frame: None,
+            snapshot: None,
             fetching: None,
             outputs: vec![],
             to_self: VecDeque::new(),
@@ -354,7 +354,7 @@
                     return Err(KeptFault::Gap(change.seq));
                 }
                 if newest.is_none() && change.seq <= self.base.0 {
-                    // The log reaches back behind the frame; what came before it has no stamp here.
+                    // The log reaches back behind the snapshot; what came before it has no stamp here.
                     self.base = (Seq(change.seq.0 - 1), ViewEpoch(u64::MAX));
                 }
                 if change.seq > self.last.0 {
@@ -364,11 +364,11 @@
                 self.log_bytes += change.body.len();
                 self.log.push_back(change);
             }
-            Record::Frame { last, stamp, body } => {
-                self.charge = C::restore(&body).ok_or(KeptFault::Frame(last))?;
+            Record::Snapshot { last, stamp, body } => {
+                self.charge = C::restore(&body).ok_or(KeptFault::Snapshot(last))?;
                 self.log.clear();
                 self.log_bytes = 0;
-                self.frame_bytes = body.len();
+                self.snapshot_bytes = body.len();
                 self.base = (last, stamp);
                 self.last = (last, stamp);
             }
@@ -413,9 +413,9 @@
     }
     /// Whether it may answer for the core at this moment: to be asked right before each answer.
     pub fn may_reply(&self, now: Moment) -> bool {
-        self.is_sound && self.is_tail() && self.is_level && now < self.permit_due
+        self.is_sound && self.is_tail() && self.is_level && now < self.lease_due
     }
-    /// The tail's word on whether more than half of the members hold permits.
+    /// The tail's word on whether more than half of the members hold leases.
     pub fn set_has_members(&mut self, has_members: bool) {
         self.has_members = has_members;
     }
@@ -492,7 +492,7 @@
 
     fn on_disk_fault(&mut self) {
         self.is_sound = false;
-        self.permit_due = Moment(0);
+        self.lease_due = Moment(0);
         self.deferred.clear();
         self.unsynced.clear();
         self.bid = None;
@@ -513,7 +513,7 @@
             self.next_beat = self.now + self.timing.beat;
             self.beat();
             if self.is_sound {
-                self.ask_permit();
+                self.ask_lease();
                 self.follow();
                 self.pass_again();
             }
@@ -573,16 +573,16 @@
             Note::Accepted { instance, round, disk } => self.on_accepted(instance, round, disk),
             Note::Outdone { instance, promised } => self.on_outdone(instance, promised),
             Note::Decided { view } => self.adopt(view),
-            Note::PermitAsk { view, round } => self.on_permit_ask(from, view, round),
-            Note::PermitGrant { view, round, disk } => self.on_permit_grant(view, round, disk),
+            Note::LeaseAsk { view, round } => self.on_lease_ask(from, view, round),
+            Note::LeaseGrant { view, round, disk } => self.on_lease_grant(view, round, disk),
             Note::Pass { view, change } => self.on_pass(from, view, change),
             Note::Level { view, last } => self.on_level(from, view, last),
             Note::Follow { disk, last, stamp } => self.on_follow(from, disk, last, stamp),
             Note::Feed { changes } => self.on_feed(from, changes),
-            Note::FrameOffer { last, stamp, length } => self.on_frame_offer(from, last, stamp, length),
-            Note::FrameAsk { last, offset } => self.on_frame_ask(from, last, offset),
-            Note::FramePiece { last, stamp, offset, length, bytes } => {
-                self.on_frame_piece(from, last, stamp, offset, length, bytes);
+            Note::SnapshotOffer { last, stamp, length } => self.on_snapshot_offer(from, last, stamp, length),
+            Note::SnapshotAsk { last, offset } => self.on_snapshot_ask(from, last, offset),
+            Note::SnapshotPiece { last, stamp, offset, length, bytes } => {
+                self.on_snapshot_piece(from, last, stamp, offset, length, bytes);
             }
             Note::Propose { ticket, body } => self.on_propose(ticket, body),
             Note::Reply { number, is_replied, body } => {
--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -1,4 +1,4 @@
-//! Views: the founding, ballots, and the tail's permit.
+//! Views: the founding, ballots, and the tail's lease.
 
 use super::*;
 
@@ -102,7 +102,7 @@
             return;
         }
         let wish = self.wish();
-        // A ballot that was accepted here and came to no end keeps the tail from its permit: a new one
+        // A ballot that was accepted here and came to no end keeps the tail from its lease: a new one
         // finishes it or outdoes it.
         let has_open_ballot = self.accepted.as_ref().is_some_and(|ballot| ballot.view.epoch == self.view.epoch.next());
         let is_change =
@@ -126,7 +126,7 @@
             ballot: None,
             accepts: BTreeSet::new(),
             sent: Moment(0),
-            due: self.now + self.timing.permit + self.timing.permit + Span(self.timing.retry.0 * 4),
+            due: self.now + self.timing.lease + self.timing.lease + Span(self.timing.retry.0 * 4),
         });
         self.push_bid();
     }
@@ -160,10 +160,10 @@
         };
         let releases = bid.ballot.as_ref().is_some_and(|ballot| ballot.view.tail() != Some(self.me));
         if releases && self.view.tail() == Some(self.me) {
-            // By proposing another tail this one gives its permit up, for good in this view: voters
+            // By proposing another tail this one gives its lease up, for good in this view: voters
             // take such a ballot from it whenever it reaches them. Its own promise, on its disk by
             // now, tells it so after a restart.
-            self.permit_due = Moment(0);
+            self.lease_due = Moment(0);
             self.has_released = true;
         }
         for voter in electors {
@@ -231,7 +231,7 @@
             let is_released = self.view.tail().is_some_and(|tail| tail.address == from);
             if !is_tail_kept && !is_released && self.now < self.granted_until.max(self.silent_until) {
                 // The word given to the tail is waited out; no new one is given meanwhile.
-                self.paused_until = self.now + self.timing.permit + self.timing.permit;
+                self.paused_until = self.now + self.timing.lease + self.timing.lease;
                 return;
             }
         }
@@ -310,7 +310,7 @@
             None => false,
         };
         if view.tail() != old_tail || !was_tail {
-            self.permit_due = Moment(0);
+            self.lease_due = Moment(0);
         }
         self.grants.clear();
         self.ask_round += 1;
@@ -327,31 +327,31 @@
             self.replied = self.synced.0;
         }
         if !self.is_tail() {
-            self.frame = None;
+            self.snapshot = None;
         }
         self.next_beat = self.now;
         self.outputs.push(Output::ViewChanged(view));
     }
 
     /// The tail asks the voters for their word, well before the last one runs out.
-    pub(super) fn ask_permit(&mut self) {
+    pub(super) fn ask_lease(&mut self) {
         if !self.is_tail()
             || self.has_released
             || self.is_stalled()
-            || self.now < self.asked_at + Span(self.timing.permit_counted.0 / 4)
+            || self.now < self.asked_at + Span(self.timing.lease_counted.0 / 4)
         {
             return;
         }
         self.ask_round += 1;
         self.asked_at = self.now;
         self.grants.clear();
-        let note = Note::PermitAsk { view: self.view.epoch, round: self.ask_round };
+        let note = Note::LeaseAsk { view: self.view.epoch, round: self.ask_round };
         for voter in self.view.voters.clone() {
             self.send(voter.address, note.clone());
         }
     }
 
-    pub(super) fn on_permit_ask(&mut self, from: Address, view: ViewEpoch, round: u64) {
+    pub(super) fn on_lease_ask(&mut self, from: Address, view: ViewEpoch, round: u64) {
         let is_from_tail = self.view.tail().is_some_and(|tail| tail.address == from);
         let tail = self.view.tail();
         let backs_other = self.accepted.as_ref().is_some_and(|b| b.view.epoch == view.next() && b.view.tail() != tail);
@@ -359,19 +359,19 @@
         if !may_grant || backs_other || self.now < self.paused_until {
             return;
         }
-        self.granted_until = self.now + self.timing.permit;
-        let note = Note::PermitGrant { view, round, disk: self.me.disk };
+        self.granted_until = self.now + self.timing.lease;
+        let note = Note::LeaseGrant { view, round, disk: self.me.disk };
         self.send(from, note);
     }
 
-    pub(super) fn on_permit_grant(&mut self, view: ViewEpoch, round: u64, disk: DiskId) {
+    pub(super) fn on_lease_grant(&mut self, view: ViewEpoch, round: u64, disk: DiskId) {
         let is_voter = self.view.voters.iter().any(|v| v.disk == disk);
         if view != self.view.epoch || round != self.ask_round || !is_voter || !self.is_tail() {
             return;
         }
         self.grants.insert(disk);
         if self.grants.len() >= self.view.majority() {
-            self.permit_due = self.permit_due.max(self.asked_at + self.timing.permit_counted);
+            self.lease_due = self.lease_due.max(self.asked_at + self.timing.lease_counted);
         }
     }
 }
--- a/crates/college/src/fellow/repair.rs
+++ b/crates/college/src/fellow/repair.rs
@@ -1,4 +1,4 @@
-//! Repair: one that is behind takes a frame, then follows changes; the log is folded into frames.
+//! Repair: one that is behind takes a snapshot, then follows changes; the log is folded into snapshots.
 
 use super::*;
 
@@ -42,12 +42,12 @@
             }
             return;
         }
-        let is_stale = self.frame.as_ref().is_none_or(|(at, ..)| at.next() < first_kept);
+        let is_stale = self.snapshot.as_ref().is_none_or(|(at, ..)| at.next() < first_kept);
         if is_stale {
-            self.frame = Some((self.synced.0, self.synced.1, self.charge.frame()));
+            self.snapshot = Some((self.synced.0, self.synced.1, self.charge.snapshot()));
         }
-        if let Some((last, stamp, bytes)) = &self.frame {
-            let note = Note::FrameOffer { last: *last, stamp: *stamp, length: bytes.len() as u64 };
+        if let Some((last, stamp, bytes)) = &self.snapshot {
+            let note = Note::SnapshotOffer { last: *last, stamp: *stamp, length: bytes.len() as u64 };
             self.send(from, note);
         }
     }
@@ -67,22 +67,22 @@
         }
     }
 
-    pub(super) fn on_frame_offer(&mut self, from: Address, last: Seq, stamp: ViewEpoch, length: u64) {
+    pub(super) fn on_snapshot_offer(&mut self, from: Address, last: Seq, stamp: ViewEpoch, length: u64) {
         if self.view.seats(&self.me) || !self.is_from_tail(from) || self.fetching.is_some() {
             return;
         }
         self.fetching = Some(Fetching { last, stamp, bytes: vec![], length, asked: self.now });
-        self.send(from, Note::FrameAsk { last, offset: 0 });
+        self.send(from, Note::SnapshotAsk { last, offset: 0 });
     }
 
-    pub(super) fn on_frame_ask(&mut self, from: Address, last: Seq, offset: u64) {
-        let Some((at, stamp, bytes)) = &self.frame else { return };
+    pub(super) fn on_snapshot_ask(&mut self, from: Address, last: Seq, offset: u64) {
+        let Some((at, stamp, bytes)) = &self.snapshot else { return };
         if *at != last || offset > bytes.len() as u64 {
             return;
         }
         let start = offset as usize;
         let end = bytes.len().min(start + self.timing.piece_bytes);
-        let note = Note::FramePiece {
+        let note = Note::SnapshotPiece {
             last,
             stamp: *stamp,
             offset,
@@ -92,7 +92,7 @@
         self.send(from, note);
     }
 
-    pub(super) fn on_frame_piece(
+    pub(super) fn on_snapshot_piece(
         &mut self,
         from: Address,
         last: Seq,
@@ -113,7 +113,7 @@
         fetching.asked = self.now;
         let have = fetching.bytes.len() as u64;
         if have < length && !bytes.is_empty() {
-            return self.send(from, Note::FrameAsk { last, offset: have });
+            return self.send(from, Note::SnapshotAsk { last, offset: have });
         }
         let Some(fetching) = self.fetching.take() else { return };
         if have != length {
@@ -134,23 +134,23 @@
     }
 
     /// Writes all that is to be kept, in place of all that was written before.
-    fn write_whole(&mut self, frame: Vec<u8>) {
+    fn write_whole(&mut self, snapshot: Vec<u8>) {
         self.log_bytes = self.log.iter().map(|change| change.body.len()).sum();
-        self.frame_bytes = frame.len();
+        self.snapshot_bytes = snapshot.len();
         let mut records = vec![Record::View { view: self.view.clone() }];
         records.push(Record::Promised { instance: self.promised.0, round: self.promised.1 });
         if let Some(ballot) = self.accepted.clone() {
             records.push(Record::Accepted { ballot });
             records.push(Record::Promised { instance: self.promised.0, round: self.promised.1 });
         }
-        records.push(Record::Frame { last: self.synced.0, stamp: self.synced.1, body: frame });
+        records.push(Record::Snapshot { last: self.synced.0, stamp: self.synced.1, body: snapshot });
         records.extend(self.log.iter().map(|change| Record::Change { change: change.clone() }));
         self.write_all(records, true, None);
     }
 
-    /// Folds the log into a frame when it has grown long. What a successor may still need is kept.
+    /// Folds the log into a snapshot when it has grown long. What a successor may still need is kept.
     pub(super) fn fold(&mut self) {
-        let is_long = self.log_bytes > self.timing.fold_bytes.max(self.frame_bytes * 2) || self.log.len() > 20_000;
+        let is_long = self.log_bytes > self.timing.fold_bytes.max(self.snapshot_bytes * 2) || self.log.len() > 20_000;
         if !is_long || self.last != self.synced || self.fetching.is_some() {
             return;
         }
@@ -170,8 +170,8 @@
         if let Some(newest) = self.log.drain(..first).next_back() {
             self.base = (newest.seq, newest.stamp);
         }
-        let frame = self.charge.frame();
-        self.write_whole(frame);
-        self.frame = None;
+        let snapshot = self.charge.snapshot();
+        self.write_whole(snapshot);
+        self.snapshot = None;
     }
 }
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -12,11 +12,11 @@
         self.0 += 1;
         self.0.to_be_bytes().to_vec()
     }
-    fn frame(&self) -> Vec<u8> {
+    fn snapshot(&self) -> Vec<u8> {
         self.0.to_be_bytes().to_vec()
     }
-    fn restore(frame: &[u8]) -> Option<Self> {
-        frame.try_into().ok().map(|bytes| Tally(u64::from_be_bytes(bytes)))
+    fn restore(snapshot: &[u8]) -> Option<Self> {
+        snapshot.try_into().ok().map(|bytes| Tally(u64::from_be_bytes(bytes)))
     }
 }
 
@@ -65,14 +65,14 @@
         .step(Moment(at), Input::ClockEvent)
         .into_iter()
         .filter_map(|output| match output {
-            Output::Send { note: note @ Note::PermitAsk { .. }, .. } => Some(note),
+            Output::Send { note: note @ Note::LeaseAsk { .. }, .. } => Some(note),
             _ => None,
         })
         .collect();
     for ask in asks {
-        let Note::PermitAsk { view, round } = ask else { continue };
+        let Note::LeaseAsk { view, round } = ask else { continue };
         for n in 1..=3 {
-            tell(fellow, at, n, Note::PermitGrant { view, round, disk: DiskId(u128::from(n)) });
+            tell(fellow, at, n, Note::LeaseGrant { view, round, disk: DiskId(u128::from(n)) });
         }
     }
     fellow.may_reply(Moment(at))
@@ -107,9 +107,9 @@
     assert!(!accepts(&mut voter, 10_500, 2, &without_tail), "it may have given its word before it restarted");
     assert!(accepts(&mut voter, 10_500, 2, &with_tail), "the tail stays: nothing to wait for");
     let mut voter = fellow(1, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
-    tell(&mut voter, 12_000, 3, Note::PermitAsk { view: ViewEpoch(1), round: 1 });
+    tell(&mut voter, 12_000, 3, Note::LeaseAsk { view: ViewEpoch(1), round: 1 });
     assert!(!accepts(&mut voter, 12_900, 2, &without_tail), "its word of 12000 holds until 13000");
-    let sent = tell(&mut voter, 12_950, 3, Note::PermitAsk { view: ViewEpoch(1), round: 2 });
+    let sent = tell(&mut voter, 12_950, 3, Note::LeaseAsk { view: ViewEpoch(1), round: 2 });
     assert_eq!(sent, vec![], "while a view waits, no new word is given");
     assert!(accepts(&mut voter, 13_000, 2, &without_tail));
 }
@@ -131,18 +131,18 @@
 #[test]
 fn a_disk_that_gives_back_gaps_or_bent_frames_is_not_served() {
     let gap = vec![Record::Change { change: change(1, 1) }, Record::Change { change: change(3, 1) }];
-    let bent = vec![Record::Frame { last: Seq(5), stamp: ViewEpoch(1), body: vec![1, 2] }];
-    for (records, fault) in [(gap, KeptFault::Gap(Seq(3))), (bent, KeptFault::Frame(Seq(5)))] {
+    let bent = vec![Record::Snapshot { last: Seq(5), stamp: ViewEpoch(1), body: vec![1, 2] }];
+    for (records, fault) in [(gap, KeptFault::Gap(Seq(3))), (bent, KeptFault::Snapshot(Seq(5)))] {
         let made = Fellow::new(voter(1), vec![], Timing::default(), Kept { records }, Tally(0), Moment(0));
         assert_eq!(made.err(), Some(fault));
     }
 }
 
 #[test]
-fn one_far_behind_takes_the_frame_by_pieces_and_then_changes() {
+fn one_far_behind_takes_the_snapshot_by_pieces_and_then_changes() {
     let chain = [(1, true), (2, true)];
     let mut records = vec![Record::View { view: view(1, &chain) }];
-    records.push(Record::Frame { last: Seq(40), stamp: ViewEpoch(1), body: 40u64.to_be_bytes().to_vec() });
+    records.push(Record::Snapshot { last: Seq(40), stamp: ViewEpoch(1), body: 40u64.to_be_bytes().to_vec() });
     records.push(Record::Change { change: change(41, 1) });
     let mut tail = fellow(2, records);
     let mut behind = fellow(3, vec![Record::View { view: view(1, &chain) }, Record::Change { change: change(1, 1) }]);
--- a/crates/college/src/permits.rs
+++ b/crates/college/src/leases.rs
@@ -17,49 +17,49 @@
     }
 }
 
-/// Permits that the tail has given. Kept in memory: a new tail learns them from the next polls.
+/// Leases that the tail has given. Kept in memory: a new tail learns them from the next polls.
 ///
-/// Invariant: a permit runs from when its holder asked, so the holder's own reckoning never ends
+/// Invariant: a lease runs from when its holder asked, so the holder's own reckoning never ends
 /// later than the one here.
 #[derive(Debug, Default)]
-pub struct PermitTable {
-    permits: BTreeMap<Address, Permit>,
+pub struct LeaseTable {
+    leases: BTreeMap<Address, Lease>,
 }
 
 #[derive(Debug, Clone)]
-struct Permit {
+struct Lease {
     due: Moment,
     known: Epoch,
 }
 
-impl PermitTable {
-    /// A member asked, knowing this epoch; its permit runs until `due`.
+impl LeaseTable {
+    /// A member asked, knowing this epoch; its lease runs until `due`.
     pub fn renew(&mut self, member: Address, known: Epoch, due: Moment) {
-        self.permits.insert(member, Permit { due, known });
+        self.leases.insert(member, Lease { due, known });
     }
     /// Forgets all, when this fellow stops being the tail.
     pub fn clear(&mut self) {
-        self.permits.clear();
+        self.leases.clear();
     }
-    /// Whether more than half of the roster, and of its elder, hold permits.
+    /// Whether more than half of the roster, and of its elder, hold leases.
     pub fn has_majority(&self, roster: &Roster, now: Moment) -> bool {
-        let is_live = |member: &Address| self.permits.get(member).is_some_and(|p| p.due > now);
+        let is_live = |member: &Address| self.leases.get(member).is_some_and(|p| p.due > now);
         is_most(&roster.members, is_live) && is_most(&roster.elder, is_live)
     }
     /// Whether more than half of the roster, and of its elder, are known to know `epoch`.
     pub fn is_known_to_most(&self, roster: &Roster, epoch: Epoch) -> bool {
-        let is_told = |member: &Address| self.permits.get(member).is_some_and(|p| p.known >= epoch);
+        let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= epoch);
         is_most(&roster.members, is_told) && is_most(&roster.elder, is_told)
     }
     /// Whether more than half of those before the last change of the roster know the roster now.
     pub fn is_roster_settled(&self, roster: &Roster) -> bool {
-        let is_told = |member: &Address| self.permits.get(member).is_some_and(|p| p.known >= roster.since);
+        let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= roster.since);
         is_most(&roster.elder, is_told)
     }
-    /// Who holds a permit now, and what they know.
+    /// Who holds a lease now, and what they know.
     pub fn live(&self, now: Moment) -> Vec<(Address, Epoch)> {
-        let permits = self.permits.iter().filter(|(_, p)| p.due > now);
-        permits.map(|(member, p)| (*member, p.known)).collect()
+        let leases = self.leases.iter().filter(|(_, p)| p.due > now);
+        leases.map(|(member, p)| (*member, p.known)).collect()
     }
 }
 
@@ -78,7 +78,7 @@
 
     #[test]
     fn both_rosters_need_more_than_half() {
-        let mut table = PermitTable::default();
+        let mut table = LeaseTable::default();
         let roster = Roster { members: members(&[1, 2, 3, 4]), elder: members(&[1, 2]), since: Epoch(5) };
         let now = Moment(100);
         for port in [2, 3, 4] {
@@ -89,6 +89,6 @@
         assert!(table.has_majority(&roster, now));
         assert!(!table.is_known_to_most(&roster, Epoch(5)), "the elder 1 knows only epoch 4");
         assert!(!table.is_roster_settled(&roster));
-        assert!(!table.has_majority(&roster, Moment(200)), "permits have run out");
+        assert!(!table.has_majority(&roster, Moment(200)), "leases have run out");
     }
 }
--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -12,8 +12,8 @@
 //! impl Charge for Count {
 //!     fn preview(&self, _: &[u8]) -> Preview { Preview::Enter }
 //!     fn apply(&mut self, _: &[u8]) -> Vec<u8> { self.0 += 1; vec![] }
-//!     fn frame(&self) -> Vec<u8> { self.0.to_be_bytes().to_vec() }
-//!     fn restore(frame: &[u8]) -> Option<Self> { Some(Count(u64::from_be_bytes(frame.try_into().ok()?))) }
+//!     fn snapshot(&self) -> Vec<u8> { self.0.to_be_bytes().to_vec() }
+//!     fn restore(snapshot: &[u8]) -> Option<Self> { Some(Count(u64::from_be_bytes(snapshot.try_into().ok()?))) }
 //! }
 //!
 //! let me = Voter { address: Address::loopback(7001), disk: DiskId(1) };
@@ -33,17 +33,17 @@
 //!
 //! - [`Fellow`](prelude::Fellow): one machine of the chain. It replicates what a
 //!   [`Charge`](prelude::Charge) keeps, answers from the tail, votes on views, and repairs those
-//!   that are behind with a frame and then changes.
-//! - [`PermitTable`](prelude::PermitTable): who is a member, by permits renewed at the tail.
-//! - [`Standing`](prelude::Standing): whether a member may act, with its permit or, the core being
+//!   that are behind with a snapshot and then changes.
+//! - [`LeaseTable`](prelude::LeaseTable): who is a member, by leases renewed at the tail.
+//! - [`Standing`](prelude::Standing): whether a member may act, with its lease or, the core being
 //!   out of reach, with half of the members that it last saw.
 
 #![warn(missing_docs)]
 
 mod charge;
 mod fellow;
+mod leases;
 mod notes;
-mod permits;
 mod standing;
 mod view;
 
@@ -51,8 +51,8 @@
 pub mod prelude {
     pub use crate::charge::{Charge, Preview};
     pub use crate::fellow::{Fellow, FellowState, Input, Kept, KeptFault, Output, Timing};
+    pub use crate::leases::{LeaseTable, Roster};
     pub use crate::notes::{Ballot, Change, Note, Record, Round, Ticket};
-    pub use crate::permits::{PermitTable, Roster};
     pub use crate::standing::{Standing, StandingReason};
     pub use crate::view::{Seat, View, Voter};
     pub use parlance::prelude::*;
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -63,7 +63,7 @@
             is_level: bool,
             /// Whether my disk takes writes.
             is_sound: bool,
-            /// Whether the tail sees more than half of the members with permits (the tail's word).
+            /// Whether the tail sees more than half of the members with leases (the tail's word).
             has_members: bool,
         },
         /// First half of a ballot.
@@ -111,14 +111,14 @@
             view: View,
         },
         /// The tail asks to answer for a while.
-        PermitAsk {
+        LeaseAsk {
             /// In this view.
             view: ViewEpoch,
             /// Tells asks apart.
             round: u64,
         },
         /// It may.
-        PermitGrant {
+        LeaseGrant {
             /// In this view.
             view: ViewEpoch,
             /// As asked.
@@ -154,9 +154,9 @@
             /// In order, from the one after `last`.
             changes: Vec<Change>,
         },
-        /// A follower needs the frame; it's this long.
-        FrameOffer {
-            /// The last change in the frame.
+        /// A follower needs the snapshot; it's this long.
+        SnapshotOffer {
+            /// The last change in the snapshot.
             last: Seq,
             /// Its stamp.
             stamp: ViewEpoch,
@@ -164,21 +164,21 @@
             length: u64,
         },
         /// Asks for a piece of it.
-        FrameAsk {
-            /// Of the frame up to this change.
+        SnapshotAsk {
+            /// Of the snapshot up to this change.
             last: Seq,
             /// From this byte.
             offset: u64,
         },
         /// A piece of it.
-        FramePiece {
-            /// Of the frame up to this change.
+        SnapshotPiece {
+            /// Of the snapshot up to this change.
             last: Seq,
             /// Its stamp.
             stamp: ViewEpoch,
             /// From this byte.
             offset: u64,
-            /// Of the whole frame.
+            /// Of the whole snapshot.
             length: u64,
             /// The bytes.
             bytes: Vec<u8>,
@@ -201,7 +201,7 @@
         },
     }
 
-    /// What goes to disk, in order. A frame is kept as a file of its own.
+    /// What goes to disk, in order. A snapshot is kept as a file of its own.
     #[derive(Eq)]
     pub enum Record {
         /// I promised this.
@@ -226,8 +226,8 @@
             /// The change.
             change: Change,
         },
-        /// From here on the frame counts; all changes before this record are void.
-        Frame {
+        /// From here on the snapshot counts; all changes before this record are void.
+        Snapshot {
             /// The last change in it.
             last: Seq,
             /// Its stamp.
--- a/crates/college/src/standing.rs
+++ b/crates/college/src/standing.rs
@@ -3,13 +3,13 @@
 
 /// Whether a member may take new work, and why.
 ///
-/// Invariants: `epoch` never falls. Without a permit in this life nothing was ever heard, so a
-/// restarted member may not act on what it knew before. A permit is reckoned from when it was asked
+/// Invariants: `epoch` never falls. Without a lease in this life nothing was ever heard, so a
+/// restarted member may not act on what it knew before. A lease is reckoned from when it was asked
 /// for.
 #[derive(Debug, Clone)]
 pub struct Standing {
     own: Address,
-    permit_due: Option<Moment>,
+    lease_due: Option<Moment>,
     epoch: Epoch,
     members: Vec<Address>,
     peers: BTreeMap<Address, Peer>,
@@ -25,11 +25,11 @@
 /// Why a member may act or not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StandingReason {
-    /// It holds a permit.
-    Permitted,
+    /// It holds a lease.
+    Leased,
     /// The core is out of reach, but half of the members trade with it and none knows more.
     Together,
-    /// It never held a permit in this life.
+    /// It never held a lease in this life.
     Unheard,
     /// Fewer than half of the members trade with it.
     Alone,
@@ -40,12 +40,12 @@
 impl StandingReason {
     /// Whether it may take new work.
     pub fn may_act(self) -> bool {
-        matches!(self, StandingReason::Permitted | StandingReason::Together)
+        matches!(self, StandingReason::Leased | StandingReason::Together)
     }
     /// As a word for logs and answers.
     pub fn word(self) -> &'static str {
         match self {
-            StandingReason::Permitted => "permitted",
+            StandingReason::Leased => "leased",
             StandingReason::Together => "together",
             StandingReason::Unheard => "unheard",
             StandingReason::Alone => "alone",
@@ -57,14 +57,14 @@
 impl Standing {
     /// At the start of a life. Peers count as trading for `trade_span` after they were heard.
     pub fn new(own: Address, trade_span: Span) -> Self {
-        Standing { own, permit_due: None, epoch: Epoch(0), members: vec![], peers: BTreeMap::new(), trade_span }
+        Standing { own, lease_due: None, epoch: Epoch(0), members: vec![], peers: BTreeMap::new(), trade_span }
     }
-    /// The core gave a permit and this news. Older news than ours changes nothing.
-    pub fn permit(&mut self, due: Moment, epoch: Epoch, members: Vec<Address>) {
+    /// The core gave a lease and this news. Older news than ours changes nothing.
+    pub fn lease(&mut self, due: Moment, epoch: Epoch, members: Vec<Address>) {
         if epoch < self.epoch {
             return;
         }
-        self.permit_due = Some(self.permit_due.map_or(due, |old| old.max(due)));
+        self.lease_due = Some(self.lease_due.map_or(due, |old| old.max(due)));
         self.learn(epoch, members);
     }
     /// News came by way of a peer.
@@ -94,21 +94,21 @@
     pub fn members(&self) -> &[Address] {
         &self.members
     }
-    /// Until when the permit runs, if there ever was one.
-    pub fn permit_due(&self) -> Option<Moment> {
-        self.permit_due
+    /// Until when the lease runs, if there ever was one.
+    pub fn lease_due(&self) -> Option<Moment> {
+        self.lease_due
     }
-    /// Whether a permit is live.
-    pub fn is_permitted(&self, now: Moment) -> bool {
-        self.permit_due.is_some_and(|due| now < due)
+    /// Whether a lease is live.
+    pub fn is_leaseted(&self, now: Moment) -> bool {
+        self.lease_due.is_some_and(|due| now < due)
     }
     /// Whether new work may be taken now. To be asked right before each act that can't be undone.
     pub fn reason(&self, now: Moment) -> StandingReason {
-        if self.permit_due.is_none() {
+        if self.lease_due.is_none() {
             return StandingReason::Unheard;
         }
-        if self.is_permitted(now) {
-            return StandingReason::Permitted;
+        if self.is_leaseted(now) {
+            return StandingReason::Leased;
         }
         if self.peers.iter().any(|(peer, p)| self.members.contains(peer) && p.epoch > self.epoch) {
             return StandingReason::Behind;
@@ -128,7 +128,7 @@
     /// Until when it may act if nothing more is heard; `None` if it may not now.
     pub fn may_act_until(&self, now: Moment) -> Option<Moment> {
         match self.reason(now) {
-            StandingReason::Permitted => self.permit_due,
+            StandingReason::Leased => self.lease_due,
             StandingReason::Together => {
                 let mut dues: Vec<Moment> = self
                     .members
@@ -154,14 +154,14 @@
     fn standing() -> Standing {
         let members = (1..=4).map(Address::loopback).collect();
         let mut standing = Standing::new(Address::loopback(1), Span(1000));
-        standing.permit(Moment(1500), Epoch(3), members);
+        standing.lease(Moment(1500), Epoch(3), members);
         standing
     }
 
     #[test]
-    fn one_cut_off_stops_when_its_permit_runs_out() {
+    fn one_cut_off_stops_when_its_lease_runs_out() {
         let standing = standing();
-        assert_eq!(standing.reason(Moment(1499)), StandingReason::Permitted);
+        assert_eq!(standing.reason(Moment(1499)), StandingReason::Leased);
         assert_eq!(standing.reason(Moment(1500)), StandingReason::Alone);
     }
 
@@ -177,11 +177,11 @@
     }
 
     #[test]
-    fn a_restarted_member_is_unheard_and_old_news_is_no_permit() {
+    fn a_restarted_member_is_unheard_and_old_news_is_no_lease() {
         let fresh = Standing::new(Address::loopback(1), Span(1000));
         assert_eq!(fresh.reason(Moment(0)), StandingReason::Unheard);
         let mut standing = standing();
-        standing.permit(Moment(9000), Epoch(2), vec![]);
-        assert_eq!((standing.epoch(), standing.is_permitted(Moment(1500))), (Epoch(3), false));
+        standing.lease(Moment(9000), Epoch(2), vec![]);
+        assert_eq!((standing.epoch(), standing.is_leaseted(Moment(1500))), (Epoch(3), false));
     }
 }
--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -152,7 +152,7 @@
                 }
                 Err(NotTaken::Withheld) => {
                     shared.tell_ended(&order, Outcome::Refused);
-                    errand.step(ErrandInput::LosePermit)
+                    errand.step(ErrandInput::LoseLease)
                 }
                 Err(NotTaken::Failed(failure, why)) => {
                     shared.tell_ended(&order, failure.outcome());
--- a/crates/crier/src/chart.rs
+++ b/crates/crier/src/chart.rs
@@ -56,7 +56,7 @@
     /// The desk chose none.
     Deny(ResultCode),
     /// This node may not act at this moment.
-    LosePermit,
+    LoseLease,
     /// The server took it.
     Open,
     /// Asking it failed.
@@ -142,7 +142,7 @@
                 ChartOutput::AskServer
             }
             (Received | Admitted, ChartInput::Deny(code)) => self.finally(code),
-            (Placed, ChartInput::LosePermit) => self.finally(ResultCode::NotReady),
+            (Placed, ChartInput::LoseLease) => self.finally(ResultCode::NotReady),
             (Placed, ChartInput::Open) => {
                 self.state = Opened;
                 self.may_have_run = true;
@@ -198,7 +198,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use ChartInput::{Admit, Break, Deny, Fail, Finish, Give, LosePermit, Open};
+    use ChartInput::{Admit, Break, Deny, Fail, Finish, Give, LoseLease, Open};
     use yare::parameterized;
 
     const ONCE: ChartInput = ChartInput::Place { may_repeat: false };
@@ -208,7 +208,7 @@
         plain = { &[Admit, ONCE, Open, Give, Give, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
         not_allowed = { &[Admit, Deny(ResultCode::UnknownService)], OrderState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
         an_id_that_may_be_running_is_no_refusal = { &[Admit, Deny(ResultCode::OrderIdTaken)], OrderState::Broken, ChartOutput::Tell(ResultCode::OrderIdTaken) },
-        cut_off_at_the_last_moment = { &[Admit, ONCE, LosePermit], OrderState::Refused, ChartOutput::Tell(ResultCode::NotReady) },
+        cut_off_at_the_last_moment = { &[Admit, ONCE, LoseLease], OrderState::Refused, ChartOutput::Tell(ResultCode::NotReady) },
         unsent_goes_elsewhere = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Open, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
         unsent_and_no_other = { &[Admit, ONCE, Fail(Failure::Unsent), Deny(ResultCode::NoServer)], OrderState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
         silence_is_unknown = { &[Admit, ONCE, Fail(Failure::Unknown)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
@@ -237,7 +237,7 @@
             Give,
             Finish,
             Break,
-            LosePermit,
+            LoseLease,
             Deny(ResultCode::NoServer),
             Fail(Failure::Unsent),
             Fail(Failure::Refused),
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -212,7 +212,7 @@
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
     }
 
-    /// A large plan takes long to read; permits must not wait for it.
+    /// A large plan takes long to read; leases must not wait for it.
     fn read_plan(&self, plan_epoch: Epoch, bytes: Arc<Vec<u8>>) {
         let control = self.door.shared.control.clone();
         let read = move || {
@@ -278,7 +278,7 @@
             "epoch": self.node.epoch(),
             "plan_epoch": self.node.plan_epoch(),
             "standing": standing.reason(now).word(),
-            "permit_ms_left": standing.permit_due().map(|due| now.until(due)),
+            "lease_ms_left": standing.lease_due().map(|due| now.until(due)),
             "members": standing.members(),
             "withdrawn": self.node.withdrawn(),
             "open_orders": self.node.open_count(),
--- a/crates/crier/src/errand.rs
+++ b/crates/crier/src/errand.rs
@@ -6,7 +6,7 @@
     /// The desk's word on where it goes.
     Desk(Result<Placing, Denial>),
     /// The node may not act at this moment.
-    LosePermit,
+    LoseLease,
     /// The asked server took it.
     Open,
     /// Asking the server failed in this way, for this reason.
@@ -80,9 +80,9 @@
                 self.retry_after = denial.retry_after;
                 self.chart.step(ChartInput::Deny(denial.code))
             }
-            ErrandInput::LosePermit => {
-                self.why = "this node's permit ran out before the order was sent".into();
-                self.chart.step(ChartInput::LosePermit)
+            ErrandInput::LoseLease => {
+                self.why = "this node's lease ran out before the order was sent".into();
+                self.chart.step(ChartInput::LoseLease)
             }
             ErrandInput::Open => self.chart.step(ChartInput::Open),
             ErrandInput::Fail(failure, why) => {
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -239,7 +239,7 @@
     plan_epoch: Epoch,
     withdrawn: Vec<HallName>,
     members: Vec<Address>,
-    permit_due: Option<Moment>,
+    lease_due: Option<Moment>,
 }
 
 impl Node {
@@ -445,7 +445,14 @@
         }
         let before = self.outputs.len();
         let token_service = service.clone();
-        self.tell_desk(Event::Prompt { order: order.clone(), service, hashes, round, tried });
+        self.tell_desk(Event::Prompt {
+            order: order.clone(),
+            service,
+            hashes,
+            round,
+            tried,
+            demand: Demand::default(),
+        });
         let decided = self.outputs[before..].iter().find_map(|output| match output {
             NodeOutput::Decision(_, Decision::Placed { order: placed, server, .. }) if *placed == order => {
                 Some(Ok(server.clone()))
@@ -474,7 +481,7 @@
     }
 
     /// Which run a token is good for, if it is one of this fleet's and names a server that is known
-    /// here. Reading on is no new work: it needs no permit, and a withdrawn zone's runs end well.
+    /// here. Reading on is no new work: it needs no lease, and a withdrawn zone's runs end well.
     fn resume(&mut self, number: u64, token: &str) -> Result<Token, Denial> {
         let deny = |code: ResultCode, why: String| Err(Denial { code, why, retry_after: Span(0) });
         if self.is_draining {
@@ -588,8 +595,8 @@
                 {
                     self.standing.trade(from, epoch, *sent);
                 }
-                if epoch > self.standing.epoch() && self.standing.permit_due().is_some() {
-                    self.on_news(from, News { epoch, plan_epoch, withdrawn, members, permit_due: None });
+                if epoch > self.standing.epoch() && self.standing.lease_due().is_some() {
+                    self.on_news(from, News { epoch, plan_epoch, withdrawn, members, lease_due: None });
                 }
                 self.tell_desk(Event::Trade { from, sketch });
             }
@@ -609,13 +616,13 @@
                 self.target += 1;
                 self.next_poll = self.now + Span(60);
             }
-            PollReply::Permit { span, epoch, plan_epoch, withdrawn, members, voters, key } => {
+            PollReply::Lease { span, epoch, plan_epoch, withdrawn, members, voters, key } => {
                 self.key = self.key.or(key);
                 self.tail = Some(from);
                 self.voters = voters;
                 self.next_poll = self.now;
-                let permit_due = Some(sent + span);
-                self.on_news(from, News { epoch, plan_epoch, withdrawn, members, permit_due });
+                let lease_due = Some(sent + span);
+                self.on_news(from, News { epoch, plan_epoch, withdrawn, members, lease_due });
             }
         }
     }
@@ -636,8 +643,8 @@
         match &mut self.fetching {
             Some(fetching) if fetching.news.plan_epoch == news.plan_epoch => {
                 if news.epoch >= fetching.news.epoch {
-                    let permit_due = news.permit_due.max(fetching.news.permit_due);
-                    fetching.news = News { permit_due, ..news };
+                    let lease_due = news.lease_due.max(fetching.news.lease_due);
+                    fetching.news = News { lease_due, ..news };
                 }
             }
             Some(fetching) if fetching.news.plan_epoch > news.plan_epoch => {}
@@ -712,8 +719,8 @@
         let is_newer = news.epoch > self.standing.epoch();
         let has_other_members = news.members != self.standing.members();
         let members = news.members.clone();
-        match news.permit_due {
-            Some(due) => self.standing.permit(due, news.epoch, news.members),
+        match news.lease_due {
+            Some(due) => self.standing.lease(due, news.epoch, news.members),
             None => self.standing.learn(news.epoch, news.members),
         }
         if is_newer {
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -23,9 +23,9 @@
         self.step(NodeInput::Letter { from: Address::loopback(from), letter })
     }
     /// The core replies to the poll that is under way.
-    fn permit(&mut self, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
+    fn lease(&mut self, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
         self.step(NodeInput::ClockEvent);
-        let reply = PollReply::Permit {
+        let reply = PollReply::Lease {
             span: Span(1500),
             epoch: Epoch(epoch),
             plan_epoch: Epoch(plan_epoch),
@@ -53,6 +53,7 @@
             hall: "east".into(),
             pool: "model".into(),
             is_leaving: false,
+            ..RollEntry::default()
         };
         let servers = (0..9).map(|n| entry(&format!("s{n}"))).collect();
         self.step(NodeInput::Event(Event::Roll { servers }));
@@ -87,7 +88,7 @@
     }
     fn serving() -> Self {
         let mut played = Played::new();
-        played.permit(3, 2);
+        played.lease(3, 2);
         played.plan(2);
         played.roll();
         played
@@ -95,10 +96,10 @@
 }
 
 #[test]
-fn an_order_is_placed_only_with_a_permit_a_plan_that_allows_it_and_a_roll() {
+fn an_order_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_roll() {
     let mut played = Played::new();
-    assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no permit");
-    played.permit(3, 2);
+    assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no lease");
+    played.lease(3, 2);
     assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "the plan is still to come");
     played.plan(2);
     assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no roll");
@@ -106,14 +107,14 @@
     assert_eq!(played.place(1, "a", "other").err(), Some(ResultCode::UnknownService));
     assert!(played.place(1, "a", "drafts").is_ok());
     played.at += 1500;
-    assert_eq!(played.place(2, "b", "drafts").err(), Some(ResultCode::NotReady), "the permit has run out");
+    assert_eq!(played.place(2, "b", "drafts").err(), Some(ResultCode::NotReady), "the lease has run out");
 }
 
 #[test]
 fn what_may_have_run_is_placed_again_only_where_the_plan_in_force_says_so() {
     let plan = br#"{"services":{"once":{},"kept":{"resumable":true},"free":{"resumable":true,"idempotent":true}}}"#;
     let mut played = Played::new();
-    played.permit(3, 2);
+    played.lease(3, 2);
     let (length, bytes) = (plan.len() as u64, plan.to_vec());
     for output in played.tell(1, Letter::PlanPiece { epoch: Epoch(2), offset: 0, length, bytes }) {
         if let NodeOutput::Read { plan_epoch, bytes } = output {
@@ -150,7 +151,7 @@
 }
 
 #[test]
-fn older_news_changes_nothing_and_newer_news_of_a_peer_stops_one_without_a_permit() {
+fn older_news_changes_nothing_and_newer_news_of_a_peer_stops_one_without_a_lease() {
     let mut played = Played::serving();
     let members = played.node.standing().members().to_vec();
     let trade = |epoch: u64, plan_epoch: u64, echo: u64| Letter::Trade {
@@ -166,11 +167,11 @@
     played.tell(8, trade(2, 2, 0));
     assert_eq!((played.node.epoch(), played.node.withdrawn().len()), (Epoch(3), 0));
     // A core that lags behind what is known here: its plan is not even asked for.
-    let asks = played.permit(2, 1);
+    let asks = played.lease(2, 1);
     assert!(!asks.iter().any(|o| matches!(o, NodeOutput::Send { letter: Letter::PlanAsk { .. }, .. })), "{asks:?}");
     played.plan(1);
     assert_eq!((played.node.epoch(), played.node.plan_epoch()), (Epoch(3), Epoch(2)));
-    // The permit runs out; two of three trade, and all know the same.
+    // The lease runs out; two of three trade, and all know the same.
     for _ in 0..40 {
         played.at += 50;
         played.step(NodeInput::ClockEvent);
--- a/crates/folio/src/book.rs
+++ b/crates/folio/src/book.rs
@@ -24,7 +24,7 @@
 /// A data folder that is open for writing.
 ///
 /// Invariants: a record that [`Folio::write`] returned for is synced. Records count from the last
-/// frame on: each carries the frame's generation, and others are passed over. Entries are numbered
+/// snapshot on: each carries the snapshot's generation, and others are passed over. Entries are numbered
 /// without gaps within a generation, and one begins only after the one before is synced. The disk id
 /// is in the folder before any record is.
 pub struct Folio {
@@ -41,12 +41,12 @@
     pub folio: Folio,
     /// Which disk this is.
     pub disk: DiskId,
-    /// All records since the last frame, that one's own first.
+    /// All records since the last snapshot, that one's own first.
     pub records: Vec<Vec<u8>>,
 }
 
 const ID: &str = "disk-id";
-const FRAME: &str = "frame";
+const SNAPSHOT: &str = "snapshot";
 const LOG: &str = "log";
 
 /// What stands before each record in the log.
@@ -113,21 +113,21 @@
         let log = folder.join(LOG);
         let has_log = fs::read_dir(&log).is_ok_and(|mut files| files.next().is_some());
         let id = read_leaf(folder, ID)?;
-        let frame = read_leaf(folder, FRAME)?;
-        let (disk, generation, mut records) = match (id, frame, has_log) {
-            (Some(id), Some(frame), true) => {
+        let snapshot = read_leaf(folder, SNAPSHOT)?;
+        let (disk, generation, mut records) = match (id, snapshot, has_log) {
+            (Some(id), Some(snapshot), true) => {
                 let id: [u8; 16] = id.try_into().map_err(|_| FolioFault::Damaged("the disk id is not one".into()))?;
-                let (generation, records) = unfold(&frame)?;
+                let (generation, records) = unfold(&snapshot)?;
                 (DiskId(u128::from_be_bytes(id)), generation, records)
             }
             _ => {
                 // Whatever is left over belongs to a disk that is no more.
                 let _ = fs::remove_file(folder.join(ID));
-                let _ = fs::remove_file(folder.join(FRAME));
+                let _ = fs::remove_file(folder.join(SNAPSHOT));
                 if log.exists() {
                     fs::remove_dir_all(&log)?;
                 }
-                put_leaf(folder, FRAME, &[&1u64.to_be_bytes(), &0u64.to_be_bytes()])?;
+                put_leaf(folder, SNAPSHOT, &[&1u64.to_be_bytes(), &0u64.to_be_bytes()])?;
                 put_leaf(folder, ID, &[&new_id.0.to_be_bytes()])?;
                 (new_id, 1, vec![])
             }
@@ -172,7 +172,7 @@
             parts.push(head);
             parts.push(record);
         }
-        put_leaf(&self.folder, FRAME, &parts)?;
+        put_leaf(&self.folder, SNAPSHOT, &parts)?;
         self.generation = generation;
         self.entry = 0;
         self.guarded(WriteAheadLog::checkpoint_active)?;
@@ -200,10 +200,10 @@
     }
 }
 
-fn unfold(frame: &[u8]) -> Result<(u64, Vec<Vec<u8>>), FolioFault> {
-    let torn = || FolioFault::Damaged("the frame ends early".into());
+fn unfold(snapshot: &[u8]) -> Result<(u64, Vec<Vec<u8>>), FolioFault> {
+    let torn = || FolioFault::Damaged("the snapshot ends early".into());
     let number = |place: usize| {
-        let bytes = frame.get(place..place + 8).ok_or_else(torn)?;
+        let bytes = snapshot.get(place..place + 8).ok_or_else(torn)?;
         Ok::<u64, FolioFault>(u64::from_be_bytes(bytes.try_into().map_err(|_| torn())?))
     };
     let (generation, count) = (number(0)?, number(8)?);
@@ -212,7 +212,7 @@
         let length = number(place)? as usize;
         place += 8;
         let end = place.checked_add(length).ok_or_else(torn)?;
-        records.push(frame.get(place..end).ok_or_else(torn)?.to_vec());
+        records.push(snapshot.get(place..end).ok_or_else(torn)?.to_vec());
         place = end;
     }
     Ok((generation, records))
@@ -258,7 +258,7 @@
         Ok(())
     }
 
-    /// Only called for segments that a frame has replaced: the log is never cut by its length.
+    /// Only called for segments that a snapshot has replaced: the log is never cut by its length.
     fn checkpoint_to(&mut self, _: EntryId, _: &mut SegmentReader, _: &WriteAheadLog) -> io::Result<()> {
         Ok(())
     }
@@ -353,7 +353,7 @@
 
     #[test]
     fn a_wiped_folder_is_another_disk_even_if_wiped_in_part_or_in_use() {
-        for gone in [ID, FRAME, LOG] {
+        for gone in [ID, SNAPSHOT, LOG] {
             let folder = tempfile::tempdir().unwrap();
             let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
             opened.folio.write(&records(&["a"])).unwrap();
--- a/crates/folio/src/lib.rs
+++ b/crates/folio/src/lib.rs
@@ -1,4 +1,4 @@
-//! A data folder: records that are synced before they are acknowledged, and a frame that replaces
+//! A data folder: records that are synced before they are acknowledged, and a snapshot that replaces
 //! all before it at once.
 
 mod book;
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -404,13 +404,13 @@
         verdict.to_bytes()
     }
 
-    fn frame(&self) -> Vec<u8> {
+    fn snapshot(&self) -> Vec<u8> {
         rkyv::to_bytes::<rkyv::rancor::Error>(self).expect("a ledger can be archived").to_vec()
     }
 
-    fn restore(frame: &[u8]) -> Option<Self> {
-        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(frame.len());
-        aligned.extend_from_slice(frame);
+    fn restore(snapshot: &[u8]) -> Option<Self> {
+        let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(snapshot.len());
+        aligned.extend_from_slice(snapshot);
         rkyv::from_bytes::<Ledger, rkyv::rancor::Error>(&aligned).ok()
     }
 }
@@ -520,11 +520,11 @@
             assert_eq!(take(&mut ledger, &proposal)["code"], 300);
             bodies.push(body);
         }
-        let ledger = Ledger::restore(&ledger.frame()).expect("a ledger");
+        let ledger = Ledger::restore(&ledger.snapshot()).expect("a ledger");
         for (place, body) in bodies.into_iter().enumerate() {
             assert_eq!(ledger.as_sent(Epoch(place as u64 + 1)), Some(AsSent::Body(body)), "epoch {}", place + 1);
         }
-        assert!(ledger.frame().len() < 20 * note.len(), "the frame has {} bytes", ledger.frame().len());
+        assert!(ledger.snapshot().len() < 20 * note.len(), "the snapshot has {} bytes", ledger.snapshot().len());
     }
 
     #[test]
@@ -589,14 +589,14 @@
     }
 
     #[test]
-    fn a_frame_gives_the_same_ledger_back() {
+    fn a_snapshot_gives_the_same_ledger_back() {
         let mut ledger = Ledger::default();
         take(&mut ledger, &plan("a", 0, 4));
         let members = vec![(Address::loopback(3), HallName::from("north"))];
         let join = Proposal { id: String::new(), builds_on: None, motion: Motion::Join { members } };
         take(&mut ledger, &join);
-        let frame = ledger.frame();
-        assert_eq!(Ledger::restore(&frame), Some(ledger));
-        assert_eq!(Ledger::restore(&frame[..frame.len() / 2]), None);
+        let snapshot = ledger.snapshot();
+        assert_eq!(Ledger::restore(&snapshot), Some(ledger));
+        assert_eq!(Ledger::restore(&snapshot[..snapshot.len() / 2]), None);
     }
 }
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -8,7 +8,10 @@
 /// What each file imports.
 pub mod prelude {
     pub use crate::ledger::{AsSent, Entry, Ledger, Motion, Proposal, Verdict};
-    pub use crate::plan::{BtbPlan, Fault, Plan, ServiceKind, ServicePlan, merge_change, parse_plan};
+    pub use crate::plan::{
+        BoundsPlan, BtbPlan, Fault, Plan, RouteKind, RoutePlan, ServiceKind, ServicePlan, SharePlan, merge_change,
+        parse_plan,
+    };
     pub use crate::settings::{SettingsFault, a_name, addresses, an_address, parse_addresses, read_settings, within};
     pub use parlance::prelude::*;
 }
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -76,6 +76,97 @@
     /// BTB.
     #[setting(nested)]
     pub btb: BtbPlan,
+    /// Connections that one server accepts from the whole fleet; 0: no bound.
+    #[setting(default = 0, validate = within(0, 1_000_000))]
+    pub connections: u64,
+    /// Requests a second that a cold server bears from the whole fleet; 0: no bound.
+    #[setting(default = 0, validate = within(0, 1_000_000))]
+    pub cold_per_s: u64,
+    /// How long a server is cold after its start, in ms, unless the platform tells.
+    #[setting(default = 0, validate = within(0, 3_600_000))]
+    pub cold_ms: u64,
+    /// Tokens that one server's memory holds; 0: not told.
+    #[setting(default = 0, validate = within(0, 1_000_000_000))]
+    pub memory_tokens: u64,
+    /// Where a server tells that it's well; empty: it doesn't.
+    pub health_path: String,
+}
+
+/// What may be done with a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ConfigEnum, Default, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RouteKind {
+    /// They may run more than once.
+    Idempotent,
+    /// They run at most once.
+    #[default]
+    Mutating,
+    /// Their answers come piece by piece; unless resumable, they run at most once.
+    Stream,
+}
+
+/// One service that a route leads to, with its share.
+#[derive(Debug, Clone, Config)]
+pub struct SharePlan {
+    /// The service.
+    #[setting(required, validate = a_name)]
+    pub service: String,
+    /// Its weight among the others.
+    #[setting(default = 1, validate = within(0, 1_000_000))]
+    pub weight: u64,
+}
+
+/// Where requests of a host and path go.
+#[derive(Debug, Clone, Config)]
+pub struct RoutePlan {
+    /// Of its own among the plan's.
+    #[setting(required, validate = a_name)]
+    pub name: String,
+    /// The host, without a port.
+    #[setting(required)]
+    pub host: String,
+    /// Begins and ends with a slash.
+    #[setting(required)]
+    pub path_prefix: String,
+    /// `idempotent`, `mutating` or `stream`.
+    pub kind: RouteKind,
+    /// Whether a stream may be taken up where it stopped.
+    pub resumable: bool,
+    /// Servers that one request may be sent to at most.
+    #[setting(default = 1, validate = within(1, 16))]
+    pub max_tries: u64,
+    /// Held at most this long, in ms.
+    #[setting(default = 15_000, validate = within(1, 3_600_000))]
+    pub deadline_ms: u64,
+    /// The answer, or a stream's first piece, is wanted within this, in ms.
+    #[setting(default = 2000, validate = within(1, 3_600_000))]
+    pub target_ms: u64,
+    /// The longest pause between pieces at which a stream is still in time, in ms; 0: not told.
+    #[setting(default = 0, validate = within(0, 3_600_000))]
+    pub gap_target_ms: u64,
+    /// 0 goes first.
+    #[setting(default = 5, validate = within(0, 9))]
+    pub priority: u64,
+    /// Where to; weights of 0 get nothing.
+    #[setting(nested)]
+    pub split: Vec<SharePlan>,
+}
+
+/// Bounds on what callers send.
+#[derive(Debug, Clone, Config)]
+pub struct BoundsPlan {
+    /// Bytes of a head.
+    #[setting(default = 16_384, validate = within(1, 1_000_000))]
+    pub max_header_bytes: u64,
+    /// Bytes of a body.
+    #[setting(default = 4_194_304, validate = within(1, 1_000_000_000))]
+    pub max_body_bytes: u64,
+    /// For a head to come, in ms.
+    #[setting(default = 10_000, validate = within(1, 3_600_000))]
+    pub header_read_ms: u64,
+    /// A connection without a request is closed after this, in ms.
+    #[setting(default = 15_000, validate = within(1, 3_600_000))]
+    pub idle_timeout_ms: u64,
 }
 
 /// A whole plan.
@@ -86,6 +177,15 @@
     /// By name.
     #[setting(nested, required, validate = service_names)]
     pub services: BTreeMap<String, ServicePlan>,
+    /// Requests by host and path; where callers name services themselves, none are needed.
+    #[setting(nested)]
+    pub routes: Vec<RoutePlan>,
+    /// The operators' own number of this plan; 0: they count by epochs alone.
+    #[setting(default = 0)]
+    pub revision: u64,
+    /// Bounds on what callers send.
+    #[setting(nested)]
+    pub bounds: BoundsPlan,
     /// Anything for the operators themselves.
     pub note: String,
 }
@@ -226,6 +326,9 @@
                 copies: plan.btb.m as u32,
                 most_copies: plan.btb.m_most as u32,
             },
+            cold_per_second: plan.cold_per_s as u32,
+            cold_span: Span(plan.cold_ms),
+            memory_tokens: plan.memory_tokens,
         };
         let services = self.services.iter().map(|(name, plan)| (name.as_str().into(), of_service(plan))).collect();
         Rules { epoch, services, withdrawn }
--- a/crates/parlance/src/token_key.rs
+++ b/crates/parlance/src/token_key.rs
@@ -1,6 +1,6 @@
 use std::fmt;
 
-/// What the fleet's tokens are checked with: drawn once, kept by the core, given with each permit.
+/// What the fleet's tokens are checked with: drawn once, kept by the core, given with each lease.
 ///
 /// Invariant: never shown, neither in logs nor in answers.
 #[derive(Clone, Copy, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -112,8 +112,8 @@
                 self.on_burden(&server, incarnation, up, running + waiting, slots, weights, now);
             }
             Event::Unreachable { server } => self.on_unreachable(&server, now),
-            Event::Prompt { order, service, hashes, round, tried } => {
-                self.on_prompt(order, service, hashes, round, &tried, now);
+            Event::Prompt { order, service, hashes, round, tried, demand } => {
+                self.on_prompt(order, service, hashes, round, &tried, &demand, now);
             }
             Event::FirstToken { order } => self.on_first_token(order, now),
             Event::Ended { order, outcome } => self.on_ended(&order, outcome, now),
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -10,6 +10,7 @@
 }
 
 impl Desk {
+    #[allow(clippy::too_many_arguments)]
     pub(super) fn on_prompt(
         &mut self,
         order: OrderId,
@@ -17,6 +18,7 @@
         hashes: Vec<PrefixHash>,
         round: u32,
         tried: &[ServerName],
+        _demand: &Demand,
         now: Moment,
     ) {
         let Some(rules) = self.rules.services.get(&service).cloned() else {
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/desk/tests.rs
@@ -10,13 +10,23 @@
         first_token: Span(2000),
         slots: 8,
         btb: BtbRules { blocks: 4, ..BtbRules::default() },
+        cold_per_second: 0,
+        cold_span: Span(0),
+        memory_tokens: 0,
     };
     Rules { epoch: Epoch(1), services: [("drafts".into(), service)].into(), withdrawn: vec![] }
 }
 
 fn prompt(order: u64, prefix: u64) -> Event {
     let hashes = (0..6).map(|n| PrefixHash(if n < 4 { prefix * 100 + n } else { order * 1000 + n })).collect();
-    Event::Prompt { order: OrderId(format!("o{order}")), service: "drafts".into(), hashes, round: 0, tried: vec![] }
+    Event::Prompt {
+        order: OrderId(format!("o{order}")),
+        service: "drafts".into(),
+        hashes,
+        round: 0,
+        tried: vec![],
+        demand: Demand::default(),
+    }
 }
 
 fn burden(server: &str, up: u64) -> Event {
@@ -47,6 +57,7 @@
             hall: hall.into(),
             pool: "model".into(),
             is_leaving: false,
+            ..RollEntry::default()
         };
         let servers = vec![entry("a", "north"), entry("b", "north"), entry("c", "south"), entry("d", "south")];
         played.take(0, Event::Roll { servers });
@@ -138,7 +149,7 @@
 #[parameterized(
     leaving = { |p: &mut Played| {
         let servers = p.desk.servers.iter().map(|(name, s)| RollEntry {
-            server: name.clone(), hall: s.hall.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d",
+            server: name.clone(), hall: s.hall.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d", ..RollEntry::default()
         }).collect();
         p.take(900, Event::Roll { servers });
     } },
@@ -148,7 +159,7 @@
         rules.withdrawn = vec!["north".into()];
         p.take(900, Event::Rules { rules });
         let servers = p.desk.servers.iter().filter(|(name, _)| name.as_str() != "c").map(|(name, s)| RollEntry {
-            server: name.clone(), hall: s.hall.clone(), pool: s.pool.clone(), is_leaving: false,
+            server: name.clone(), hall: s.hall.clone(), pool: s.pool.clone(), is_leaving: false, ..RollEntry::default()
         }).collect();
         p.take(900, Event::Roll { servers });
     } },
@@ -175,7 +186,13 @@
     let mut played = Played::new();
     let members = (1..=4).map(Address::loopback).collect();
     played.take(0, Event::Members { members });
-    let entry = RollEntry { server: "new".into(), hall: "north".into(), pool: "model".into(), is_leaving: false };
+    let entry = RollEntry {
+        server: "new".into(),
+        hall: "north".into(),
+        pool: "model".into(),
+        is_leaving: false,
+        ..RollEntry::default()
+    };
     played.take(1000, Event::Roll { servers: vec![entry] });
     let placed = (0..20).filter(|n| played.place(1100, 50 + n, 90 + n).is_some()).count();
     assert!(placed <= 1, "one of four members put {placed} on a server whose cap is two");
@@ -190,7 +207,14 @@
         played.place(at, order, order);
         played.take(at + 1, Event::Ended { order: OrderId(format!("o{order}")), outcome: Outcome::Refused });
         if let Event::Prompt { order, service, hashes, .. } = prompt(order, order) {
-            let again = Event::Prompt { order: order.clone(), service, hashes, round: 1, tried: vec![] };
+            let again = Event::Prompt {
+                order: order.clone(),
+                service,
+                hashes,
+                round: 1,
+                tried: vec![],
+                demand: Demand::default(),
+            };
             let decisions = played.take(at + 2, again);
             repeats += decisions.iter().filter(|d| matches!(d, Decision::Placed { .. })).count();
             played.take(at + 3, Event::Ended { order, outcome: Outcome::Complete });
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -1,10 +1,19 @@
 use crate::prelude::*;
 
 /// One server in the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RollEntry {
-    /// The server, by its address.
+    /// The server, by its address, or by the name of its life where the list has one.
     pub server: ServerName,
+    /// Where it's reached, if its name isn't its address.
+    #[serde(default)]
+    pub address: Option<String>,
+    /// Requests that it runs at once, if the list tells.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// How much longer it is cold, if the list tells.
+    #[serde(default)]
+    pub cold_left: Option<Span>,
     /// Its zone.
     pub hall: HallName,
     /// Its pool, such as `model` or `app`.
@@ -14,6 +23,29 @@
     pub is_leaving: bool,
 }
 
+/// What a request asks of a server, as far as its caller tells. All zero: nothing is told.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Tokens that each hash of the prompt adds to the one before; empty: `DeskRules::block_tokens` each.
+    #[serde(default)]
+    pub hash_tokens: Vec<u32>,
+    /// Tokens of the whole prompt.
+    #[serde(default)]
+    pub prompt_tokens: u32,
+    /// The most tokens that come out.
+    #[serde(default)]
+    pub output_tokens: u32,
+    /// Its rank among others: 0 goes first.
+    #[serde(default)]
+    pub rank: u8,
+    /// In place of the service's: the first piece is wanted within this. Zero: the service's.
+    #[serde(default)]
+    pub target: Span,
+    /// The caller waits this long in all. Zero: not told.
+    #[serde(default)]
+    pub deadline: Span,
+}
+
 /// How an order at a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -83,6 +115,9 @@
         round: u32,
         /// Servers that are not to be asked again.
         tried: Vec<ServerName>,
+        /// What it asks of a server, where the caller tells.
+        #[serde(default)]
+        demand: Demand,
     },
     /// The first piece came.
     FirstToken {
--- a/crates/primer/src/lib.rs
+++ b/crates/primer/src/lib.rs
@@ -23,7 +23,7 @@
     pub use crate::allowance::Allowance;
     pub use crate::blocks::block_hashes;
     pub use crate::desk::Desk;
-    pub use crate::event::{Candidate, Dated, Decision, Event, Outcome, PlaceReason, RollEntry};
+    pub use crate::event::{Candidate, Dated, Decision, Demand, Event, Outcome, PlaceReason, RollEntry};
     pub use crate::residency::Residency;
     pub use crate::rules::{BtbRules, DeskRules, Rules, ServiceRules};
     pub use crate::server_state::ServerState;
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -39,6 +39,15 @@
     pub slots: u32,
     /// BTB.
     pub btb: BtbRules,
+    /// Requests a second that a cold server bears, over the whole fleet; zero: there is no such bound.
+    #[serde(default)]
+    pub cold_per_second: u32,
+    /// How long a server is cold after its start, unless the list tells.
+    #[serde(default)]
+    pub cold_span: Span,
+    /// Tokens that a server's memory holds; zero: not told.
+    #[serde(default)]
+    pub memory_tokens: u64,
 }
 
 /// The layout in force, as far as placement goes.
@@ -83,6 +92,8 @@
     pub repeat_percent: u32,
     /// Repeats that a service may have besides, a minute, over the whole fleet.
     pub repeats_a_minute: u32,
+    /// Tokens of a block: what Y counts in, where callers tell tokens.
+    pub block_tokens: u32,
 }
 
 impl Default for DeskRules {
@@ -102,6 +113,7 @@
             hold: Span(400),
             repeat_percent: 20,
             repeats_a_minute: 10,
+            block_tokens: 16,
         }
     }
 }
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -120,7 +120,13 @@
     use super::*;
 
     fn state() -> ServerState {
-        let entry = RollEntry { server: "s".into(), hall: "h".into(), pool: "model".into(), is_leaving: false };
+        let entry = RollEntry {
+            server: "s".into(),
+            hall: "h".into(),
+            pool: "model".into(),
+            is_leaving: false,
+            ..RollEntry::default()
+        };
         ServerState::new(&entry, Moment(0), &DeskRules::default())
     }
 
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -229,7 +229,7 @@
             "plan_epoch": ledger.plan_epoch,
             "withdrawn": ledger.withdrawn,
             "members": ledger.roster.members,
-            "permits": office.members(now).iter().map(|(a, e)| (a.to_string(), e.0)).collect::<std::collections::BTreeMap<_, _>>(),
+            "leases": office.members(now).iter().map(|(a, e)| (a.to_string(), e.0)).collect::<std::collections::BTreeMap<_, _>>(),
         })
     }
 }
--- a/crates/registrar/src/desk_line.rs
+++ b/crates/registrar/src/desk_line.rs
@@ -80,7 +80,7 @@
         #[arg(long)]
         id: String,
     },
-    /// Show what this registrar believes: view, chain, permits.
+    /// Show what this registrar believes: view, chain, leases.
     Believes,
 }
 
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -6,15 +6,15 @@
 pub struct OfficeTiming {
     /// The fellow's.
     pub fellow: Timing,
-    /// A member's permit.
-    pub permit: Span,
+    /// A member's lease.
+    pub lease: Span,
     /// A poll is held this long when there is no news.
     pub hold: Span,
     /// A proposal that the core can't take is tried again for this long.
     pub patience: Span,
     /// Without an answer by then, a proposal's fate is unknown.
     pub fate_due: Span,
-    /// A member without a permit for this long is a member no more.
+    /// A member without a lease for this long is a member no more.
     pub retire_after: Span,
 }
 
@@ -22,7 +22,7 @@
     fn default() -> Self {
         OfficeTiming {
             fellow: Timing::default(),
-            permit: Span(1500),
+            lease: Span(1500),
             hold: Span(300),
             patience: Span(4000),
             fate_due: Span(8000),
@@ -103,7 +103,7 @@
     ViewChanged(View),
 }
 
-/// A registrar's control state: the fellow with the ledger, the members' permits, and who waits for
+/// A registrar's control state: the fellow with the ledger, the members' leases, and who waits for
 /// what.
 ///
 /// Invariants: news and answers leave only while the fellow may answer. "Accepted" is said only once
@@ -115,7 +115,7 @@
     key: TokenKey,
     key_due: Moment,
     now: Moment,
-    permits: PermitTable,
+    leases: LeaseTable,
     seen: BTreeMap<Address, Moment>,
     /// When any member last said that it hears this one.
     told_of: BTreeMap<Address, Moment>,
@@ -155,7 +155,7 @@
 }
 
 /// Who was not heard for this long, by the core or by any member that polls, may be lost. Longer than a
-/// permit, than a trade counts, and than a view takes to change.
+/// lease, than a trade counts, and than a view takes to change.
 const FORGET_AFTER: Span = Span(5000);
 
 /// Numbers from here on are the office's own proposals.
@@ -171,7 +171,7 @@
             key,
             key_due: now,
             now,
-            permits: PermitTable::default(),
+            leases: LeaseTable::default(),
             seen: BTreeMap::new(),
             told_of: BTreeMap::new(),
             replies_since: None,
@@ -192,9 +192,9 @@
     pub fn fellow(&self) -> &Fellow<Ledger> {
         &self.fellow
     }
-    /// Who holds permits and what they know, if this is the tail.
+    /// Who holds leases and what they know, if this is the tail.
     pub fn members(&self, now: Moment) -> Vec<(Address, Epoch)> {
-        self.permits.live(now)
+        self.leases.live(now)
     }
     /// How many polls were taken.
     pub fn poll_count(&self) -> u64 {
@@ -237,7 +237,7 @@
                     self.settled.push_back(Settled { epoch, ticket, body, due });
                 }
                 Output::ViewChanged(view) => {
-                    self.permits.clear();
+                    self.leases.clear();
                     self.retire_due = self.now + self.timing.retire_after;
                     self.outputs.push(OfficeOutput::ViewChanged(view));
                 }
@@ -247,7 +247,7 @@
 
     fn send_note(&mut self, to: Address, note: Note) {
         let is_bulk = match &note {
-            Note::FramePiece { .. } | Note::Feed { .. } => true,
+            Note::SnapshotPiece { .. } | Note::Feed { .. } => true,
             Note::Pass { change, .. } => change.body.len() > 64 << 10,
             Note::Propose { body, .. } => body.len() > 64 << 10,
             _ => false,
@@ -294,7 +294,7 @@
         let is_member = self.fellow.charge().roster.members.contains(&from);
         if is_member {
             let known = poll.epoch.min(self.fellow.charge().epoch);
-            self.permits.renew(from, known, self.now + self.timing.permit);
+            self.leases.renew(from, known, self.now + self.timing.lease);
         } else {
             self.joining.insert(from, poll.member.hall.clone());
         }
@@ -319,8 +319,8 @@
             let Some(held) = self.held.remove(&member) else { continue };
             let reply = if self.may_reply() {
                 let ledger = self.fellow.charge();
-                PollReply::Permit {
-                    span: self.timing.permit,
+                PollReply::Lease {
+                    span: self.timing.lease,
                     epoch: ledger.epoch,
                     plan_epoch: ledger.plan_epoch,
                     withdrawn: ledger.withdrawn.clone(),
@@ -335,7 +335,7 @@
             self.send(member, Letter::PollReply { round: held.poll.round, reply });
         }
         while let Some(settled) = self.settled.front() {
-            let is_known = self.permits.is_known_to_most(&self.fellow.charge().roster, settled.epoch);
+            let is_known = self.leases.is_known_to_most(&self.fellow.charge().roster, settled.epoch);
             if !is_known && self.now < settled.due {
                 break;
             }
@@ -352,7 +352,7 @@
     }
 
     fn on_clock_event(&mut self) {
-        let has_majority = self.may_reply() && self.permits.has_majority(&self.fellow.charge().roster, self.now);
+        let has_majority = self.may_reply() && self.leases.has_majority(&self.fellow.charge().roster, self.now);
         self.fellow.set_has_members(has_majority);
         self.replies_since = if self.may_reply() { self.replies_since.or(Some(self.now)) } else { None };
         if self.may_reply() {
@@ -384,7 +384,7 @@
         let roster = &self.fellow.charge().roster;
         let members = &roster.members;
         self.joining.retain(|address, _| !members.contains(address));
-        if self.joining.is_empty() || self.now < self.join_due || !self.permits.is_roster_settled(roster) {
+        if self.joining.is_empty() || self.now < self.join_due || !self.leases.is_roster_settled(roster) {
             return;
         }
         self.join_due = self.now + Span(400);
@@ -395,7 +395,7 @@
     /// Once more than half of the elder know the roster, they are needed for no majority any more.
     fn settle(&mut self) {
         let roster = &self.fellow.charge().roster;
-        if roster.elder == roster.members || self.now < self.settle_due || !self.permits.is_roster_settled(roster) {
+        if roster.elder == roster.members || self.now < self.settle_due || !self.leases.is_roster_settled(roster) {
             return;
         }
         let since = roster.since;
@@ -403,9 +403,9 @@
         self.propose_inner(Motion::Settle { since });
     }
 
-    /// Takes members out that have held no permit for long.
+    /// Takes members out that have held no lease for long.
     fn retire(&mut self) {
-        if self.now < self.retire_due || !self.permits.is_roster_settled(&self.fellow.charge().roster) {
+        if self.now < self.retire_due || !self.leases.is_roster_settled(&self.fellow.charge().roster) {
             return;
         }
         self.retire_due = self.now + Span::seconds(1);
--- a/crates/rehearsal/src/crew.rs
+++ b/crates/rehearsal/src/crew.rs
@@ -67,7 +67,13 @@
                     let age = Span::seconds(600);
                     let server = StandIn::start(Address::loopback(0), rules.clone(), first + place as u64, age)?;
                     let (hall, pool) = (hall(place), pool.to_owned());
-                    roll.push(RollEntry { server: server.name(), hall, pool, is_leaving: false });
+                    roll.push(RollEntry {
+                        server: server.name(),
+                        hall,
+                        pool,
+                        is_leaving: false,
+                        ..RollEntry::default()
+                    });
                     Ok(server)
                 })
                 .collect::<std::io::Result<Vec<StandIn>>>()
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -29,8 +29,8 @@
     ReuseWipedVote,
     /// A restarted node begins with what it believed long ago.
     SlideEpoch,
-    /// A node that lost its permit goes on by itself.
-    IgnorePermit,
+    /// A node that lost its lease goes on by itself.
+    IgnoreLease,
     /// A server that is leaving is not taken for it.
     IgnoreLeaving,
     /// A lost order is given to another server though it may have run.
@@ -45,7 +45,7 @@
     FreeRepeats,
     /// Whether an order may leave is not asked again once the connection is made.
     AskOnce,
-    /// Every third node renews its permit with each poll and takes news from one in fifty.
+    /// Every third node renews its lease with each poll and takes news from one in fifty.
     StaleNews,
 }
 
@@ -323,6 +323,7 @@
             hall: server.hall.clone(),
             pool: server.pool.clone(),
             is_leaving: server.leaving_since.is_some(),
+            ..RollEntry::default()
         };
         let list = self.servers.iter().filter(|server| server.is_listed).map(entry).collect();
         self.platform.push_back((self.now, list));
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -10,10 +10,10 @@
         let mut timing = OfficeTiming::default();
         timing.fellow.suspect = self.rules.suspect.unwrap_or(timing.fellow.suspect);
         if self.rules.mutant == Some(Mutant::SkipFencing) {
-            timing.fellow.permit = Span(0);
+            timing.fellow.lease = Span(0);
         }
-        if self.rules.mutant == Some(Mutant::IgnorePermit) {
-            timing.permit = Span::seconds(60);
+        if self.rules.mutant == Some(Mutant::IgnoreLease) {
+            timing.lease = Span::seconds(60);
         }
         let key = TokenKey([self.draw() as u8; 32]);
         let m = &mut self.registrars[machine];
@@ -131,14 +131,14 @@
         }
     }
 
-    /// For the mutant: the permit of a poll's reply without its news.
+    /// For the mutant: the lease of a poll's reply without its news.
     fn make_stale(&mut self, to: Address, letter: &mut Letter) {
         if self.rules.mutant != Some(Mutant::StaleNews) || !to.0.port().is_multiple_of(3) || self.chance(2) {
             return;
         }
         let Some(node) = self.criers.iter().find(|m| m.address == to).and_then(|m| m.node.as_ref()) else { return };
         match letter {
-            Letter::PollReply { reply: PollReply::Permit { epoch, plan_epoch, withdrawn, .. }, .. } => {
+            Letter::PollReply { reply: PollReply::Lease { epoch, plan_epoch, withdrawn, .. }, .. } => {
                 (*epoch, *plan_epoch, *withdrawn) = (node.epoch(), node.plan_epoch(), node.withdrawn().to_vec());
             }
             Letter::Trade { epoch, .. } => *epoch = (*epoch).min(node.epoch()),
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -54,7 +54,7 @@
     skip_fencing = { Mutant::SkipFencing, &[FaultKind::SplitCore, FaultKind::CutOneWay], 14, 10, Some(250) },
     reuse_wiped_vote = { Mutant::ReuseWipedVote, &[FaultKind::WipeAfterAck, FaultKind::WipeDisk], 6, 10, None },
     slide_epoch = { Mutant::SlideEpoch, &[FaultKind::KillAll, FaultKind::KillCriers, FaultKind::CutCore], 6, 25, None },
-    ignore_permit = { Mutant::IgnorePermit, &[FaultKind::CutCrier], 10, 25, None },
+    ignore_lease = { Mutant::IgnoreLease, &[FaultKind::CutCrier], 10, 25, None },
     ignore_leaving = { Mutant::IgnoreLeaving, &[FaultKind::LeaveServer], 6, 25, None },
     repeat_anything = { Mutant::RepeatAnything, &[FaultKind::DarkServer, FaultKind::CrashServer], 8, 25, None },
     ask_once = { Mutant::AskOnce, &[FaultKind::FreezeCrier, FaultKind::LateAccept], 10, 60, None },
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -191,7 +191,7 @@
 
     fn withhold(&mut self, id: &OrderId) {
         self.ended(id, Outcome::Refused);
-        self.errand(id, ErrandInput::LosePermit);
+        self.errand(id, ErrandInput::LoseLease);
     }
 
     pub(super) fn ended(&mut self, id: &OrderId, outcome: Outcome) {
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -138,7 +138,7 @@
     let mut number = 0;
     fleet.registrars.iter_mut().for_each(|registrar| registrar.kill());
     let is_together = |fleet: &Fleet| fleet.criers.iter().all(|c| c.believes()["standing"] == "together");
-    Fleet::await_that(PATIENCE, "permits run out", || is_together(&fleet)).expect("criers go on together");
+    Fleet::await_that(PATIENCE, "leases run out", || is_together(&fleet)).expect("criers go on together");
     assert!((0..9).all(|_| serves(&fleet, &mut number)), "the fleet serves without its core");
     assert!(fleet.put_plan("late", 0, "{}").is_err(), "a plan is accepted by nobody");
     // All but one are gone: it's alone, whatever it believed before.
@@ -240,7 +240,7 @@
         let asked = fleet.registrars.iter().find_map(|r| r.get("/v1/latest").ok().filter(|(status, _)| *status == 200));
         serde_json::from_slice(&asked.expect("the core tells").1).expect("JSON")
     };
-    // Twenty megabytes, and meanwhile permits go on and a zone is withdrawn in time.
+    // Twenty megabytes, and meanwhile leases go on and a zone is withdrawn in time.
     let large = {
         let mut plan: serde_json::Value = serde_json::from_str(&plan_of(deployment, true)).expect("JSON");
         plan["note"] = "n".repeat(20 << 20).into();
@@ -258,7 +258,7 @@
     let accepted = accepted.expect("the large plan is accepted")["epoch"].as_u64().expect("an epoch");
     let has_all = |crier: &Daemon| {
         let believed = crier.believes();
-        believed["standing"] == "permitted" && believed["plan_epoch"].as_u64() >= Some(accepted)
+        believed["standing"] == "leased" && believed["plan_epoch"].as_u64() >= Some(accepted)
     };
     let have_all = || fleet.criers.iter().all(has_all);
     Fleet::await_that(PATIENCE, "all criers hold the large plan", have_all).expect("it reaches all");
@@ -300,7 +300,7 @@
     fleet.criers.iter_mut().skip(4).for_each(|crier| crier.kill());
     let lost: Vec<Address> = fleet.criers[4..].iter().map(|crier| crier.inner).collect();
     let epoch = latest(&fleet)["epoch"].as_u64().expect("an epoch");
-    // Once the permits of the lost have run out, nothing is accepted, and so it stays.
+    // Once the leases of the lost have run out, nothing is accepted, and so it stays.
     let is_refused = || fleet.put_plan("too-few", epoch, &plan).is_err_and(|why| why.contains("303"));
     Fleet::await_that(PATIENCE, "the core misses its members", is_refused).expect("no majority, no change");
     // One that lives is named, too: nothing changes, and the answer says who is heard.
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -1,4 +1,4 @@
-//! The doors of a process: HTTP towards callers, servers and operators; frames between our own.
+//! The doors of a process: HTTP towards callers, servers and operators; snapshots between our own.
 //!
 //! `rouille` and `astra` hold small pieces back (tests/library_traps.rs shows it), so answers go
 //! through `hyper`, their kin, on one blocking thread a connection.
--- a/crates/wicket/src/post.rs
+++ b/crates/wicket/src/post.rs
@@ -7,12 +7,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// Which of a peer's two connections a letter takes: pieces of frames never delay the rest.
+/// Which of a peer's two connections a letter takes: pieces of snapshots never delay the rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum PostClass {
-    /// Permits, views, news, sketches, changes.
+    /// Leases, views, news, sketches, changes.
     Swift,
-    /// Pieces of frames and of large changes.
+    /// Pieces of snapshots and of large changes.
     Bulk,
 }
 
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/wicket/tests/library_traps.rs
@@ -219,7 +219,7 @@
             Reply::whole(200, "text/plain", "ran")
         });
     });
-    // The permit runs out while the connection is made: a late accept, or a machine that slept.
+    // The lease runs out while the connection is made: a late accept, or a machine that slept.
     let asked = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
     let ask_once = |may_leave_times: usize| {
         asked.store(0, std::sync::atomic::Ordering::SeqCst);
