--- /dev/null
+++ b/crates/crier/src/call.rs
@@ -0,0 +1,96 @@
+use crate::prelude::*;
+use bytes::Bytes;
+
+/// A caller's request as the product knows it, whatever it was spoken in.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The caller's id for it; no other request has the same.
+    pub id: OrderId,
+    /// How it's asked.
+    pub method: http::Method,
+    /// The host, as the caller named it.
+    pub host: String,
+    /// Path and query, exactly as sent.
+    pub target: String,
+    /// What is passed on with it.
+    pub headers: http::HeaderMap,
+    /// The body, whole.
+    pub body: Bytes,
+    /// How long the caller waits from now on.
+    pub left: Span,
+    /// A stream is to go on behind this piece.
+    pub after: Option<u64>,
+    /// Hashes of the prompt's parts, each with all before it.
+    pub hashes: Vec<PrefixHash>,
+    /// What it asks of a server.
+    pub demand: Demand,
+}
+
+impl Call {
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+}
+
+/// One sending of a call to a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending<'a> {
+    /// To this one; another one at its address must not run it.
+    pub server: &'a ServerName,
+    /// What is left of the caller's patience.
+    pub left: Span,
+    /// A stream is to go on behind this piece.
+    pub after: Option<u64>,
+    /// The rank of its route: 0 goes first.
+    pub rank: u8,
+}
+
+/// What a server's head says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Judgement {
+    /// It's the answer to this call; its body is to be passed on.
+    Taken,
+    /// It's the answer to this call, and the server failed while it ran it, or may have run it.
+    Failed,
+    /// The server surely did not run it.
+    NotRun,
+    /// Another server has the address; nothing ran.
+    Elsewhere,
+    /// It's no answer to this call, or none that can be relied on.
+    Foreign,
+}
+
+/// Requests that a server has, as it says itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Running.
+    pub running: u32,
+    /// Waiting.
+    pub waiting: u32,
+    /// At once at most.
+    pub slots: u32,
+}
+
+/// How callers, servers and the list of servers are spoken to. It translates: it decides nothing and
+/// keeps nothing.
+pub trait CallDialect: Send + Sync + 'static {
+    /// A caller's request.
+    fn read(&self, order: Order) -> Result<Call, Denial>;
+    /// Tells a caller that its request goes nowhere.
+    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply;
+    /// The request to a server.
+    fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes>;
+    /// What a server's head says to it.
+    fn judge(&self, call: &Call, head: &http::response::Parts) -> Judgement;
+    /// The load that a head tells, if it does.
+    fn load(&self, head: &http::response::Parts) -> Option<ServerLoad>;
+    /// What of a server's head goes on to the caller.
+    fn passed(&self, head: &http::response::Parts) -> http::HeaderMap;
+    /// Whether it's the question whether this node is ready.
+    fn is_probe(&self, order: &Order) -> bool;
+    /// The request for a page of the list of servers; `None` is the first.
+    fn list_request(&self, page: Option<&str>) -> http::Request<Bytes>;
+    /// A page of the list, and the name of the next.
+    fn read_list(&self, body: &[u8]) -> Result<(Vec<RollEntry>, Option<String>), String>;
+}
--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -1,110 +1,24 @@
 //! Carries one order from its caller to a server and the answer back.
 
 use crate::prelude::*;
+use crate::shared::{Place, Shared, silence};
+use crate::trip::{Gone, NotTaken, Trip, Wanted};
 use std::io::{BufRead, BufReader, Read};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// What carriers share.
-pub(crate) struct Shared {
-    pub control: flume::Sender<crate::daemon::Event>,
-    pub may_act_until: AtomicU64,
-    pub tallies: Tallies,
-    pub number: AtomicU64,
-    pub bound: u64,
-    pub block_bytes: usize,
-    pub stall: Span,
-}
-
-/// A place among the orders in hand; given back when dropped, together with the order's id.
-struct Place {
-    shared: Arc<Shared>,
-    order: OrderId,
-    number: u64,
-    /// Whether a server may have run it: a second order of its id is then told so.
-    may_have_run: bool,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.shared.tallies.in_hand.fetch_sub(1, Ordering::Relaxed);
-        let (order, number, may_have_run) = (self.order.clone(), self.number, self.may_have_run);
-        self.shared.tell(NodeInput::Close { order, number, may_have_run });
-    }
-}
-
 const CONNECT: Span = Span(400);
 /// A server that has a run begins to give it within this.
 const RESUME_HEAD: Span = Span(2000);
 const LINE: u64 = 1 << 20;
 
-impl Shared {
-    fn tell(&self, input: NodeInput) {
-        let _ = self.control.send(crate::daemon::Event::Input(input));
-    }
-    fn tell_ended(&self, order: &OrderId, outcome: Outcome) {
-        self.tell(NodeInput::Event(Event::Ended { order: order.clone(), outcome }));
-    }
-    fn may_act(&self) -> bool {
-        Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
-    }
-    /// Asks the control thread; `None` is its silence.
-    fn ask_control<T>(
-        &self,
-        input: NodeInput,
-        wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Denial>>) -> crate::daemon::Event,
-    ) -> Option<Result<T, Denial>> {
-        let (reply, inbox) = flume::bounded(1);
-        let _ = self.control.send(wrap(input, reply));
-        inbox.recv_timeout(Duration::from_secs(2)).ok()
-    }
-    fn ask_desk(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
-        self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
-            // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
-            // another order of this id may be in hand.
-            self.tell_ended(&place.order, Outcome::Refused);
-            Err(silence())
-        })
-    }
-    /// A number for an order, that no other has in this life.
-    fn next_number(&self) -> u64 {
-        self.number.fetch_add(1, Ordering::Relaxed)
-    }
-    /// Takes a place among the orders in hand, if there is one.
-    fn take_place(self: &Arc<Self>, order: OrderId, number: u64) -> Option<Place> {
-        if self.tallies.in_hand.fetch_add(1, Ordering::Relaxed) >= self.bound {
-            self.tallies.in_hand.fetch_sub(1, Ordering::Relaxed);
-            return None;
-        }
-        Some(Place { shared: self.clone(), order, number, may_have_run: false })
-    }
-    fn refusal(&self, code: ResultCode, why: String, retry_after: Span) -> Reply {
-        Tallies::more(if code.is_refusal() { &self.tallies.refused } else { &self.tallies.unknown });
-        Reply::result_after(code, why, retry_after)
-    }
-}
-
-/// The control thread gave no answer in time.
-fn silence() -> Denial {
-    let why = "the control thread gave no answer".into();
-    Denial { code: ResultCode::Busy, why, retry_after: Span(1000) }
-}
-
 /// What asking servers came to.
 enum Asked<T> {
     Opened(Placing, T),
     Told(Reply),
 }
 
-/// Why a server has not taken an order.
-enum NotTaken {
-    /// This node may not act any more: nothing that could run was sent.
-    Withheld,
-    /// Asking it failed in this way.
-    Failed(Failure, String),
-}
-
 /// What became of asking one server: what it gave, or how that failed and why.
 fn opened(placing: &Placing, outcome: Result<Heard, AskError>) -> Result<Heard, NotTaken> {
     let why = |reason: String| format!("server {}: {reason}", placing.server);
@@ -122,55 +36,12 @@
 }
 
 /// Finds a server that takes the order, going on to others as far as the errand allows.
-fn ask_servers<T>(
-    shared: &Arc<Shared>,
-    place: &mut Place,
-    service: &ServiceName,
-    kind: ServiceKind,
-    hashes: &[PrefixHash],
-    ask: impl Fn(&Placing) -> Result<T, NotTaken>,
-) -> Asked<T> {
-    let order = place.order.clone();
-    let (mut errand, mut output) = Errand::begin();
-    let mut taken = None;
-    loop {
-        output = match output {
-            ErrandOutput::AskDesk { round, tried, may_have_run } => {
-                let (number, order, service) = (place.number, order.clone(), service.clone());
-                let (hashes, run) = (hashes.to_vec(), run_id(random_bytes()));
-                let input = NodeInput::Place { number, order, service, kind, hashes, round, tried, may_have_run, run };
-                let outcome = shared.ask_desk(place, input);
-                if round > 0 && outcome.is_ok() {
-                    Tallies::more(&shared.tallies.repeats);
-                }
-                errand.step(ErrandInput::Desk(outcome))
-            }
-            ErrandOutput::AskServer(placing) => match ask(&placing) {
-                Ok(heard) => {
-                    taken = Some(heard);
-                    errand.step(ErrandInput::Open)
-                }
-                Err(NotTaken::Withheld) => {
-                    shared.tell_ended(&order, Outcome::Refused);
-                    errand.step(ErrandInput::LoseLease)
-                }
-                Err(NotTaken::Failed(failure, why)) => {
-                    shared.tell_ended(&order, failure.outcome());
-                    errand.step(ErrandInput::Fail(failure, why))
-                }
-            },
-            ErrandOutput::Carry(placing) => match taken {
-                Some(heard) => {
-                    place.may_have_run = kind == ServiceKind::Stream;
-                    return Asked::Opened(placing, heard);
-                }
-                None => errand.step(ErrandInput::Fail(Failure::Unknown, "nothing was heard".into())),
-            },
-            ErrandOutput::Tell(denial) => {
-                place.may_have_run = kind == ServiceKind::Stream && errand.chart().may_have_run();
-                return Asked::Told(shared.refusal(denial.code, denial.why, denial.retry_after));
-            }
-        }
+fn ask_servers<T>(trip: &mut Trip, first: ErrandOutput, ask: impl Fn(&Placing) -> Result<T, NotTaken>) -> Asked<T> {
+    match trip.go(first, |placing, _| ask(placing)) {
+        Gone::Opened(placing, heard) => Asked::Opened(placing, heard),
+        Gone::Told(denial) => Asked::Told(trip.shared.refusal(denial.code, denial.why, denial.retry_after)),
+        // Only a stream that was carried is ever cut.
+        Gone::Cut(why) => Asked::Told(trip.shared.refusal(ResultCode::Unknown, why, Span(0))),
     }
 }
 
@@ -192,10 +63,12 @@
         let why = "id and service are 1 to 64 letters, digits or any of -_.:, max_pieces is at least 1";
         return shared.refusal(ResultCode::BadOrder, why.into(), Span(0));
     }
-    let Some(mut place) = shared.take_place(order.id.clone(), shared.next_number()) else {
+    let Some(place) = shared.take_place(order.id.clone(), shared.next_number()) else {
         return shared.refusal(ResultCode::Busy, "this node is at its bound of orders".into(), Span(1000));
     };
     let hashes = block_hashes(order.prompt.as_bytes(), shared.block_bytes, 256);
+    let wanted = Wanted::of_service(order.service.clone(), ServiceKind::Stream, hashes);
+    let (mut trip, first) = Trip::new(place, wanted, None);
     let (stall, prompt) = (shared.stall, order.prompt);
     let ask = |placing: &Placing| {
         let run = RunOrder {
@@ -211,7 +84,7 @@
         let asked = Ask::post(body).connect(CONNECT).read(patience).only_if(move || may_act.may_act());
         opened(placing, asked.send(&format!("http://{}/runs", placing.server)))
     };
-    match ask_servers(shared, &mut place, &order.service, ServiceKind::Stream, &hashes, ask) {
+    match ask_servers(&mut trip, first, ask) {
         Asked::Told(answer) => answer,
         Asked::Opened(placing, response) => {
             let mut head = serde_json::json!({"order": order.id, "run": placing.run});
@@ -221,7 +94,7 @@
             }
             let (server, run) = (placing.server, placing.run);
             let reading = Reading { order: order.id, server, run, from: 0, is_resumable, is_first_read: true };
-            stream(shared, place, reading, head, response)
+            stream(shared, trip.place, reading, head, response)
         }
     }
 }
@@ -286,9 +159,10 @@
     }
     // No caller's id has a slash.
     let order = order.unwrap_or_else(|| OrderId(format!("page/{number}")));
-    let Some(mut place) = shared.take_place(order.clone(), number) else {
+    let Some(place) = shared.take_place(order.clone(), number) else {
         return shared.refusal(ResultCode::Busy, "this node is at its bound of orders".into(), Span(1000));
     };
+    let (mut trip, first) = Trip::new(place, Wanted::of_service(service, ServiceKind::Fetch, vec![]), None);
     let ask = |placing: &Placing| {
         let patience = Span(shared.stall.0.min(placing.first_token.0 * 2 + 1000));
         let may_act = shared.clone();
@@ -296,7 +170,7 @@
         let response = opened(placing, asked.send(&format!("http://{}/pages/{path}", placing.server)))?;
         read_page(response, 8 << 20).map_err(|fault| NotTaken::Failed(Failure::Unknown, fault.to_string()))
     };
-    match ask_servers(shared, &mut place, &service, ServiceKind::Fetch, &[], ask) {
+    match ask_servers(&mut trip, first, ask) {
         Asked::Told(answer) => answer,
         Asked::Opened(_, (content_type, body)) => {
             shared.tell_ended(&order, Outcome::Complete);
@@ -339,17 +213,17 @@
 impl PieceSource for Stream {
     fn pull(&mut self, patience: Duration) -> Pull {
         if let Some(head) = self.head.take() {
-            return Pull::Piece(head.into_bytes());
+            return Pull::Piece(head.into_bytes().into());
         }
         if self.is_over {
             return Pull::End;
         }
         match self.inbox.recv_timeout(patience) {
-            Ok(Carried::Line(line)) => Pull::Piece(line.into_bytes()),
+            Ok(Carried::Line(line)) => Pull::Piece(line.into_bytes().into()),
             Ok(Carried::End(line)) => {
                 self.is_over = true;
                 Tallies::more(&self.shared.tallies.complete);
-                Pull::Piece(line.into_bytes())
+                Pull::Piece(line.into_bytes().into())
             }
             Ok(Carried::Cut) | Err(flume::RecvTimeoutError::Disconnected) => {
                 self.is_cut = true;
--- a/crates/crier/src/chart.rs
+++ b/crates/crier/src/chart.rs
@@ -67,6 +67,8 @@
     Finish,
     /// The stream broke, or the caller went away.
     Break,
+    /// The stream broke, and what follows its last piece may be had elsewhere, if it may be run again.
+    Tear,
 }
 
 /// What an order's chart wants done.
@@ -90,27 +92,48 @@
 ///
 /// Invariants: `may_have_run` never turns false again. "Refused" is only told while it's false. A
 /// further server is asked only while it's false, or if every plan under which the order was placed
-/// lets it repeat and no piece has gone out. After a final state nothing happens.
+/// lets it repeat, and, once a piece has gone out, only for what follows the last one ([`ChartInput::Tear`]).
+/// No more than `most` servers get it. After a final state nothing happens.
 #[derive(Debug, Clone)]
 pub struct Chart {
     state: OrderState,
     may_repeat: bool,
     may_have_run: bool,
     rounds: u32,
+    most: u32,
+    unsent: u32,
     last_failure: Option<Failure>,
 }
 
-/// Servers that one order may be given to, at most.
+/// Servers that one order may be given to, at most, unless its route says otherwise.
 const ROUNDS: u32 = 3;
+/// Servers that could not be reached, after which no other is tried.
+const UNSENT_MOST: u32 = 3;
 
 impl Default for Chart {
     /// For an order that was read.
     fn default() -> Self {
-        Chart { state: OrderState::Received, may_repeat: true, may_have_run: false, rounds: 0, last_failure: None }
+        Chart::bounded(ROUNDS)
     }
 }
 
 impl Chart {
+    /// For an order that at most this many servers may get.
+    pub fn bounded(most: u32) -> Self {
+        Chart {
+            state: OrderState::Received,
+            may_repeat: true,
+            may_have_run: false,
+            rounds: 0,
+            most,
+            unsent: 0,
+            last_failure: None,
+        }
+    }
+    /// Whether a failure of the server in hand could still be made up for elsewhere.
+    pub fn may_go_on(&self) -> bool {
+        self.may_repeat && self.rounds + 1 < self.most
+    }
     /// Whether a server may have run it.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -149,11 +172,16 @@
                 ChartOutput::Carry
             }
             (Placed, ChartInput::Fail(failure)) => {
-                self.rounds += 1;
+                // A server that no byte reached has not been given it.
+                if failure == Failure::Unsent {
+                    self.unsent += 1;
+                } else {
+                    self.rounds += 1;
+                }
                 self.last_failure = Some(failure);
                 self.may_have_run |= failure == Failure::Unknown;
                 let may_repeat = self.may_repeat || !self.may_have_run;
-                if may_repeat && self.rounds < ROUNDS {
+                if may_repeat && self.rounds < self.most && self.unsent < UNSENT_MOST {
                     self.state = Admitted;
                     ChartOutput::AskDesk
                 } else {
@@ -168,7 +196,13 @@
                 self.state = Ended;
                 ChartOutput::Tell(ResultCode::Complete)
             }
-            (Opened | Streaming, ChartInput::Break) => {
+            (Opened | Streaming, ChartInput::Tear) if self.may_go_on() => {
+                self.rounds += 1;
+                self.last_failure = Some(Failure::Unknown);
+                self.state = Admitted;
+                ChartOutput::AskDesk
+            }
+            (Opened | Streaming, ChartInput::Break | ChartInput::Tear) => {
                 self.state = Broken;
                 ChartOutput::Cut
             }
@@ -198,7 +232,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use ChartInput::{Admit, Break, Deny, Fail, Finish, Give, LoseLease, Open};
+    use ChartInput::{Admit, Break, Deny, Fail, Finish, Give, LoseLease, Open, Tear};
     use yare::parameterized;
 
     const ONCE: ChartInput = ChartInput::Place { may_repeat: false };
@@ -219,6 +253,11 @@
         silence_then_refusal_is_unknown_still = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Fail(Failure::Refused), AGAIN, Fail(Failure::Refused)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
         refused_by_three = { &[Admit, ONCE, Fail(Failure::Refused), ONCE, Fail(Failure::Refused), ONCE, Fail(Failure::Refused)], OrderState::Refused, ChartOutput::Tell(ResultCode::ServerRefused) },
         broken_is_not_run_again = { &[Admit, AGAIN, Open, Give, Break, AGAIN, Open], OrderState::Broken, ChartOutput::Rest },
+        a_torn_stream_goes_on_elsewhere = { &[Admit, AGAIN, Open, Give, Tear, AGAIN, Open, Give, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
+        a_torn_stream_that_may_not_run_again_is_cut = { &[Admit, ONCE, Open, Give, Tear], OrderState::Broken, ChartOutput::Cut },
+        a_torn_stream_goes_on_only_as_often_as_it_may = { &[Admit, AGAIN, Open, Tear, AGAIN, Open, Tear, AGAIN, Open, Tear], OrderState::Broken, ChartOutput::Cut },
+        a_torn_stream_that_no_other_takes_is_unknown = { &[Admit, AGAIN, Open, Tear, Deny(ResultCode::NoServer)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        the_unreachable_are_not_tried_for_ever = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Fail(Failure::Unsent), ONCE, Fail(Failure::Unsent)], OrderState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
         nothing_after_the_end = { &[Admit, AGAIN, Open, Finish, Give], OrderState::Ended, ChartOutput::Rest },
     )]
     fn traces(inputs: &[ChartInput], state: OrderState, last: ChartOutput) {
@@ -237,6 +276,7 @@
             Give,
             Finish,
             Break,
+            Tear,
             LoseLease,
             Deny(ResultCode::NoServer),
             Fail(Failure::Unsent),
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -1,11 +1,13 @@
-use crate::carrier::{Shared, fetch, resume, take_order};
+use crate::carrier::{fetch, resume, take_order};
+use crate::ingress::Ingress;
 use crate::poller;
 use crate::prelude::*;
 use crate::replay::ReplayHead;
+use crate::shared::Shared;
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
 /// What reaches the control thread.
@@ -22,9 +24,29 @@
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
+/// In what a crier is spoken to, besides its own interface.
+pub struct Dialects {
+    /// How plans are written.
+    pub plans: Arc<dyn PlanDialect>,
+    /// How callers, servers and the list of servers speak; `None`: in the product's own interface alone.
+    pub calls: Option<Arc<dyn CallDialect>>,
+    /// Reads the seeds anew when the process is told that its settings have changed.
+    pub seeds: Option<ReadSeeds>,
+}
+
+/// Gives the seeds as the settings have them now, if they can be read.
+pub type ReadSeeds = Box<dyn Fn() -> Option<Vec<Address>> + Send>;
+
+impl Default for Dialects {
+    /// The product's own.
+    fn default() -> Self {
+        Dialects { plans: Arc::new(OwnPlans), calls: None, seeds: None }
+    }
+}
+
 /// Runs a crier until it's told to stop and has finished its streams; gives the exit code.
-pub fn run(settings: &Settings) -> u8 {
-    match start(settings) {
+pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
+    match start(settings, dialects) {
         Ok(code) => code,
         Err(why) => {
             eprintln!("crier: {} {why}", ResultCode::BadSettings);
@@ -33,7 +55,7 @@
     }
 }
 
-fn start(settings: &Settings) -> Result<u8, String> {
+fn start(settings: &Settings, dialects: Dialects) -> Result<u8, String> {
     let listen: Address = settings.listen.parse()?;
     let inner: Address = settings.inner.parse()?;
     let seeds = parse_addresses(&settings.seeds);
@@ -42,7 +64,7 @@
     }
     let listener = TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let connections = settings.orders as usize + 112;
-    let bounds = GateBounds { connections, body_bytes: 4 << 20, read_span: Span::seconds(10) };
+    let bounds = GateBounds { connections, body_bytes: 4 << 20, read_span: Span::seconds(10), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let (sender, events) = flume::bounded::<Event>(QUEUE);
     let take_letter = sender.clone();
@@ -64,10 +86,20 @@
         bound: settings.orders,
         block_bytes: settings.block_bytes as usize,
         stall: Span(settings.stall_ms),
+        plan: RwLock::default(),
+        is_ready: AtomicBool::new(false),
+        members: AtomicUsize::new(1),
     });
     let desk_sender = sender.clone();
     let tell_desk = move |event| drop(desk_sender.send(Event::Input(NodeInput::Event(event))));
-    poller::start(settings.platform.clone(), tell_desk).map_err(|fault| fault.to_string())?;
+    let has_calls = dialects.calls.is_some();
+    let ingress = match dialects.calls {
+        Some(dialect) => Some(Ingress::open(settings, shared.clone(), dialect, tell_desk)?),
+        None => {
+            poller::start(settings.platform.clone(), tell_desk).map_err(|fault| fault.to_string())?;
+            None
+        }
+    };
     let kv = start_kv(&sender).map_err(|fault| fault.to_string())?;
 
     let door = Arc::new(Door {
@@ -87,9 +119,19 @@
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
     }
+    let has_changed = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed.clone()).map_err(|fault| fault.to_string())?;
     tracing::info!("crier: listens at {listen}, inner {inner}, hall {}.", settings.hall);
-    let mut control =
-        Control { node, post, door, kv, waiting: HashMap::new(), resuming: HashMap::new(), is_leaving: false };
+    let mut control = Control {
+        node,
+        post,
+        door,
+        kv,
+        plans: dialects.plans,
+        waiting: HashMap::new(),
+        resuming: HashMap::new(),
+        is_leaving: false,
+    };
     let mut next_tick = Clock::now();
     let (mut linger_due, mut drain_due) = (now, None);
     loop {
@@ -100,8 +142,13 @@
             if stop.load(Ordering::Relaxed) && !control.is_leaving {
                 tracing::info!("crier: not ready any more; takes what is still sent to it for a moment.");
                 control.is_leaving = true;
+                ingress.iter().for_each(Ingress::leave);
                 linger_due = now + Span(settings.linger_ms);
             }
+            if has_changed.swap(false, Ordering::Relaxed) {
+                let seeds = dialects.seeds.as_ref().and_then(|read| read());
+                seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
+            }
             if control.is_leaving && now >= linger_due && drain_due.is_none() {
                 tracing::info!("crier: takes no new work; finishes what is in hand.");
                 control.take(Event::Input(NodeInput::Drain));
@@ -111,8 +158,13 @@
                 // Whoever has connected by now still gets a reply, and every reply its last byte.
                 closer.close();
                 let _ = gate_thread.join();
-                let due = Clock::now() + Span::seconds(2);
-                while open_count.load(Ordering::SeqCst) > 0 && Clock::now() < due {
+                ingress.iter().for_each(Ingress::close);
+                let due = Clock::now() + Span::seconds(if has_calls { 1 } else { 2 });
+                let is_open = || {
+                    open_count.load(Ordering::SeqCst) > 0
+                        || ingress.as_ref().is_some_and(|ingress| ingress.open_count() > 0)
+                };
+                while is_open() && Clock::now() < due {
                     control.take_all(&events);
                 }
                 tracing::info!("crier: stopped.");
@@ -139,6 +191,7 @@
     post: Post,
     door: Arc<Door>,
     kv: flume::Sender<KvTask>,
+    plans: Arc<dyn PlanDialect>,
     waiting: HashMap<u64, flume::Sender<Result<Placing, Denial>>>,
     resuming: HashMap<u64, flume::Sender<Result<Token, Denial>>>,
     /// Whether it was told to stop: callers are to be sent elsewhere.
@@ -158,7 +211,7 @@
         let input = match event {
             Event::Input(input) => input,
             Event::Place(input, reply) => {
-                if let NodeInput::Place { number, .. } = &input {
+                if let NodeInput::Place(PlaceAsk { number, .. }) = &input {
                     self.waiting.insert(*number, reply);
                 }
                 input
@@ -207,16 +260,20 @@
         let tallies = &self.door.shared.tallies;
         let until = self.node.may_act_until(now);
         self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
-        self.door.is_ready.store(self.node.is_ready(now) && !self.is_leaving, Ordering::SeqCst);
+        let is_ready = self.node.is_ready(now) && !self.is_leaving;
+        self.door.is_ready.store(is_ready, Ordering::SeqCst);
+        self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
+        self.door.shared.members.store(self.node.standing().members().len(), Ordering::Relaxed);
+        self.door.shared.take_plan(self.node.plan());
         tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
     }
 
     /// A large plan takes long to read; leases must not wait for it.
     fn read_plan(&self, plan_epoch: Epoch, bytes: Arc<Vec<u8>>) {
-        let control = self.door.shared.control.clone();
+        let (control, plans) = (self.door.shared.control.clone(), self.plans.clone());
         let read = move || {
-            let input = NodeInput::Plan { plan_epoch, plan: parse_plan(&bytes).map(Arc::new), bytes };
+            let input = NodeInput::Plan { plan_epoch, plan: plans.parse(&bytes).map(Arc::new), bytes };
             let _ = control.send(Event::Input(input));
         };
         if let Err(fault) = std::thread::Builder::new().name("plan".into()).spawn(read) {
@@ -423,7 +480,7 @@
 impl PieceSource for JournalSource {
     fn pull(&mut self, patience: Duration) -> Pull {
         if let Some(head) = self.head.take() {
-            return Pull::Piece(head.into_bytes());
+            return Pull::Piece(head.into_bytes().into());
         }
         let journal = match self.kind {
             JournalKind::Decisions => &self.door.decisions,
@@ -433,7 +490,7 @@
         let (lines, cursor) = journal.after(self.cursor, 256, patience);
         self.cursor = cursor;
         if !lines.is_empty() {
-            return Pull::Piece((lines.join("\n") + "\n").into_bytes());
+            return Pull::Piece((lines.join("\n") + "\n").into_bytes().into());
         }
         if self.does_follow { Pull::Nothing } else { Pull::End }
     }
--- a/crates/crier/src/errand.rs
+++ b/crates/crier/src/errand.rs
@@ -11,6 +11,8 @@
     Open,
     /// Asking the server failed in this way, for this reason.
     Fail(Failure, String),
+    /// The stream that it gave broke, for this reason; what follows may be had elsewhere.
+    Tear(String),
 }
 
 /// What an errand wants done.
@@ -31,6 +33,8 @@
     Carry(Placing),
     /// Tell the caller this, at once, as the final answer.
     Tell(Denial),
+    /// Cut the caller's connection: it must not take the answer for whole.
+    Cut(String),
 }
 
 /// An order's way to the server that takes it, going on to others as far as its chart allows. The
@@ -49,7 +53,13 @@
 impl Errand {
     /// For an order that was read; says what is to be done first.
     pub fn begin() -> (Errand, ErrandOutput) {
-        let mut chart = Chart::default();
+        Self::begin_with(Chart::default())
+    }
+    /// For one that at most this many servers may get.
+    pub fn begin_bounded(most: u32) -> (Errand, ErrandOutput) {
+        Self::begin_with(Chart::bounded(most))
+    }
+    fn begin_with(mut chart: Chart) -> (Errand, ErrandOutput) {
         chart.step(ChartInput::Admit);
         let errand = Errand { chart, placed: None, tried: vec![], why: String::new(), retry_after: Span(0) };
         let first = errand.ask_desk();
@@ -90,12 +100,18 @@
                 self.tried.extend(self.placed.as_ref().map(|placing| placing.server.clone()));
                 self.chart.step(ChartInput::Fail(failure))
             }
+            ErrandInput::Tear(why) => {
+                self.why = why;
+                self.tried.extend(self.placed.as_ref().map(|placing| placing.server.clone()));
+                self.chart.step(ChartInput::Tear)
+            }
         };
         match (output, &self.placed) {
             (ChartOutput::AskDesk, _) => self.ask_desk(),
             (ChartOutput::AskServer, Some(placing)) => ErrandOutput::AskServer(placing.clone()),
             (ChartOutput::Carry, Some(placing)) => ErrandOutput::Carry(placing.clone()),
             (ChartOutput::Tell(code), _) => self.tell(code),
+            (ChartOutput::Cut, _) => ErrandOutput::Cut(self.why.clone()),
             // Nothing else comes of these inputs; were it so, nobody could say what ran.
             _ => self.tell(ResultCode::Unknown),
         }
--- /dev/null
+++ b/crates/crier/src/forward.rs
@@ -0,0 +1,443 @@
+//! Forwards a call by its route: to a server that the desk chooses, and the answer back. A stream that may
+//! be taken up goes on at another server inside the same answer.
+
+use crate::prelude::*;
+use crate::shared::Shared;
+use crate::trip::{Gone, NotTaken, Trip, Wanted};
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What forwarding threads share.
+pub(crate) struct Forwarder {
+    pub shared: Arc<Shared>,
+    pub dialect: Arc<dyn CallDialect>,
+    pub lines: Lines,
+}
+
+/// A connection to a server comes up within this, or it's tried elsewhere.
+const CONNECT: Span = Span(250);
+/// A whole answer is no longer than this.
+const ANSWER_MOST: usize = 8 << 20;
+/// A server that is this late with a first piece may be given up for another one.
+const OVERDUE: Span = Span(300);
+
+/// By these an answer says that the request was not run. A server that may have run it can't say so through us.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Why an answer to a call can't be had from a server.
+struct Failed {
+    failure: Failure,
+    why: String,
+    /// The server's own answer, to be passed on if no other server is asked.
+    answer: Option<(u16, http::HeaderMap, Bytes)>,
+}
+
+/// The beginning of a server's answer.
+struct Opening {
+    line: Line,
+    /// Events that came with it.
+    splitter: EventSplitter,
+    first: Option<StreamEvent>,
+    body: Bytes,
+    has_ended: bool,
+}
+
+impl Forwarder {
+    /// Answers a caller's request.
+    pub fn reply(self: &Arc<Self>, order: Order) -> Reply {
+        let arrived = Clock::now();
+        let caller = order.caller.clone();
+        Tallies::more(&self.shared.tallies.received);
+        let call = match self.dialect.read(order) {
+            Ok(call) => call,
+            Err(denial) => return self.refuse(None, &denial),
+        };
+        let deny = |code: ResultCode, why: &str, after: u64| {
+            let denial = Denial { code, why: why.to_owned(), retry_after: Span(after) };
+            self.refuse(Some(&call.id), &denial)
+        };
+        let Some(routes) = self.shared.routes().filter(|_| self.shared.may_act()) else {
+            return deny(ResultCode::NotReady, "this node may not act", 300);
+        };
+        let Some(route) = routes.route(&call.host, call.path()) else {
+            return deny(ResultCode::UnknownService, "no accepted plan has a route for this", 0);
+        };
+        let key = u64::from_be_bytes(
+            blake3::hash(call.id.as_str().as_bytes()).as_bytes()[..8].try_into().unwrap_or_default(),
+        );
+        let Some(service) = route.service_for(key).map(ServiceName::from) else {
+            return deny(ResultCode::UnknownService, "the route leads nowhere", 0);
+        };
+        let Some(place) = self.shared.take_place(call.id.clone(), self.shared.next_number()) else {
+            return deny(ResultCode::Busy, "this node is at its bound of requests", 200);
+        };
+        let left = Span(call.left.0.min(route.deadline_ms));
+        let demand =
+            Demand { rank: route.priority as u8, target: Span(route.target_ms), deadline: left, ..call.demand.clone() };
+        let does_stream = route.kind == RouteKind::Stream;
+        let kind = if does_stream { ServiceKind::Stream } else { ServiceKind::Fetch };
+        let hashes = call.hashes.clone();
+        let wanted = Wanted { service, kind, route: Some(route.name.clone()), hashes, demand };
+        let (trip, first) = Trip::new(place, wanted, Some(route.max_tries as u32));
+        let way = Way {
+            forwarder: self.clone(),
+            does_stream,
+            target: Span(route.target_ms),
+            gap: Span(route.gap_target_ms),
+            rank: route.priority as u8,
+            caller,
+            due: arrived + left,
+            last: call.after,
+            call,
+            trip,
+            answer: None,
+        };
+        way.reply(first)
+    }
+
+    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
+        let tallies = &self.shared.tallies;
+        Tallies::more(if denial.code.is_refusal() { &tallies.refused } else { &tallies.unknown });
+        self.dialect.refuse(id, denial)
+    }
+}
+
+/// One call on its way.
+struct Way {
+    forwarder: Arc<Forwarder>,
+    call: Call,
+    trip: Trip,
+    does_stream: bool,
+    target: Span,
+    gap: Span,
+    rank: u8,
+    caller: Caller,
+    due: Moment,
+    /// The last piece that the caller has.
+    last: Option<u64>,
+    /// A server's own answer that stands for a failure.
+    answer: Option<(u16, http::HeaderMap, Bytes)>,
+}
+
+impl Way {
+    fn reply(mut self, first: ErrandOutput) -> Reply {
+        let (placing, opening) = match self.go(first) {
+            Gone::Opened(placing, opening) => (placing, opening),
+            Gone::Told(denial) => {
+                // A failure that a server owned up to is the server's to tell.
+                let is_refusal = denial.code.is_refusal();
+                return match self.answer.take().filter(|(status, ..)| !is_refusal && !PROMISES.contains(status)) {
+                    Some((status, headers, body)) => Reply::passed(status, headers, body),
+                    None => self.forwarder.refuse(Some(&self.call.id), &denial),
+                };
+            }
+            Gone::Cut(why) => {
+                let denial = Denial { code: ResultCode::Unknown, why, retry_after: Span(0) };
+                return self.forwarder.refuse(Some(&self.call.id), &denial);
+            }
+        };
+        let head = opening.line.head();
+        let status = head.status.as_u16();
+        let headers = self.forwarder.dialect.passed(head);
+        if self.does_stream {
+            let source = CarriedStream {
+                way: self,
+                placing,
+                opening: Some(opening),
+                ready: VecDeque::new(),
+                has_first: false,
+                is_over: false,
+                last_bytes: Clock::now(),
+            };
+            Reply::passed_stream(status, headers, Box::new(source))
+        } else {
+            let body = opening.body.clone();
+            opening.line.keep();
+            self.ended(Outcome::Complete);
+            Tallies::more(&self.forwarder.shared.tallies.complete);
+            Reply::passed(status, headers, body)
+        }
+    }
+
+    fn ended(&self, outcome: Outcome) {
+        self.forwarder.shared.tell_ended(&self.call.id, outcome);
+    }
+
+    fn go(&mut self, first: ErrandOutput) -> Gone<Opening> {
+        let Way { forwarder, call, trip, does_stream, target, rank, caller, due, last, answer, .. } = self;
+        let asking = Asking {
+            forwarder,
+            call,
+            does_stream: *does_stream,
+            target: *target,
+            rank: *rank,
+            caller,
+            due: *due,
+            last: *last,
+        };
+        trip.go(first, |placing, chart| {
+            asking.ask(placing, chart).map_err(|not_taken| match not_taken {
+                Ok(failed) => {
+                    *answer = failed.answer;
+                    NotTaken::Failed(failed.failure, failed.why)
+                }
+                Err(other) => other,
+            })
+        })
+    }
+}
+
+/// What asking a server for a call needs.
+struct Asking<'a> {
+    forwarder: &'a Arc<Forwarder>,
+    call: &'a Call,
+    does_stream: bool,
+    target: Span,
+    rank: u8,
+    caller: &'a Caller,
+    due: Moment,
+    last: Option<u64>,
+}
+
+impl Asking<'_> {
+    /// Asks one server, up to the first piece of its answer, or the whole of it.
+    fn ask(&self, placing: &Placing, chart: &Chart) -> Result<Opening, Result<Failed, NotTaken>> {
+        let fail = |failure: Failure, why: String| {
+            Ok(Failed { failure, why: format!("server {}: {why}", placing.server), answer: None })
+        };
+        let now = Clock::now();
+        let left = now.until(self.due);
+        if left.0 == 0 {
+            return Err(fail(Failure::Unsent, "the deadline has passed".into()));
+        }
+        let Ok(address) = placing.address.parse::<SocketAddr>() else {
+            return Err(fail(Failure::Unsent, format!("`{}` is no address", placing.address)));
+        };
+        let sending = Sending { server: &placing.server, left, after: self.last, rank: self.rank };
+        let request = self.forwarder.dialect.request(self.call, &sending);
+        // Where another server may take it up, a silent one is not waited for until the deadline.
+        let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
+        let opened_by = if chart.may_go_on() { self.due.min(now + patience) } else { self.due };
+        let shared = &self.forwarder.shared;
+        let may_leave = || shared.may_act();
+        let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, caller: Some(self.caller) };
+        let mut line = self.forwarder.lines.ask(address, request, &waits).map_err(|fault| not_taken(fault, placing))?;
+        self.note_load(placing, line.head());
+        match self.forwarder.dialect.judge(self.call, line.head()) {
+            Judgement::Taken => {}
+            Judgement::NotRun => {
+                self.drain(&mut line).map(|_| line.keep()).unwrap_or_default();
+                return Err(fail(Failure::Refused, "it did not run it".into()));
+            }
+            Judgement::Elsewhere => {
+                self.forwarder.lines.drop_idle(address);
+                return Err(Err(NotTaken::Elsewhere(format!("server {} has left its address", placing.server))));
+            }
+            Judgement::Failed => {
+                let (status, headers) = (line.head().status.as_u16(), self.forwarder.dialect.passed(line.head()));
+                let mut failed = fail(Failure::Unknown, format!("it answered {status}"));
+                if let (Some(body), Ok(failed)) = (self.drain(&mut line), &mut failed) {
+                    line.keep();
+                    failed.answer = Some((status, headers, body));
+                }
+                return Err(failed);
+            }
+            Judgement::Foreign => return Err(fail(Failure::Unknown, "that was no answer to this".into())),
+        }
+        if !self.does_stream {
+            let body =
+                line.read_all(self.due, ANSWER_MOST, Some(self.caller)).map_err(|fault| not_taken(fault, placing))?;
+            return Ok(Opening { line, splitter: EventSplitter::default(), first: None, body, has_ended: true });
+        }
+        let mut splitter = EventSplitter::default();
+        loop {
+            let patience = Clock::now().until(opened_by);
+            if patience.0 == 0 {
+                return Err(fail(Failure::Unknown, "no piece came in time".into()));
+            }
+            match line.pull(patience.duration(), Some(self.caller)) {
+                LinePull::Data(bytes) => splitter.push(&bytes),
+                LinePull::Nothing => {}
+                LinePull::End => {
+                    return Ok(Opening { line, splitter, first: None, body: Bytes::new(), has_ended: true });
+                }
+                LinePull::Torn(why) => return Err(fail(Failure::Unknown, why)),
+                LinePull::CallerGone => return Err(Err(NotTaken::CallerGone)),
+            }
+            if let Some(event) = splitter.next_event() {
+                return Ok(Opening { line, splitter, first: Some(event), body: Bytes::new(), has_ended: false });
+            }
+        }
+    }
+
+    fn drain(&self, line: &mut Line) -> Option<Bytes> {
+        line.read_all(self.due.min(Clock::now() + Span(500)), 64 << 10, Some(self.caller)).ok()
+    }
+
+    fn note_load(&self, placing: &Placing, head: &http::response::Parts) {
+        if let Some(load) = self.forwarder.dialect.load(head) {
+            self.forwarder.shared.tell(NodeInput::Event(Event::Burden {
+                server: placing.server.clone(),
+                incarnation: 0,
+                up: Span(0),
+                running: load.running,
+                waiting: load.waiting,
+                slots: load.slots,
+                weights: String::new(),
+            }));
+        }
+    }
+}
+
+fn not_taken(fault: LineError, placing: &Placing) -> Result<Failed, NotTaken> {
+    let fail = |failure: Failure, why: String| {
+        Ok(Failed { failure, why: format!("server {}: {why}", placing.server), answer: None })
+    };
+    match fault {
+        LineError::Unsent(why) => fail(Failure::Unsent, why),
+        LineError::Full => fail(Failure::Unsent, "all connections to it are taken".into()),
+        LineError::Withheld => Err(NotTaken::Withheld),
+        LineError::CallerGone => Err(NotTaken::CallerGone),
+        LineError::Late(why) | LineError::Unknown(why) => fail(Failure::Unknown, why),
+    }
+}
+
+/// The caller's side of a stream that is carried.
+///
+/// Invariant: only whole events are given, each behind the last one; once it broke and no other server
+/// takes it up, it's cut.
+struct CarriedStream {
+    way: Way,
+    placing: Placing,
+    opening: Option<Opening>,
+    ready: VecDeque<Bytes>,
+    has_first: bool,
+    is_over: bool,
+    last_bytes: Moment,
+}
+
+impl CarriedStream {
+    /// Lines up an event for the caller, unless it has it already.
+    fn take(&mut self, event: StreamEvent) {
+        let is_old = event.id.is_some_and(|id| self.way.last.is_some_and(|last| id <= last));
+        if is_old {
+            return;
+        }
+        self.way.last = event.id.or(self.way.last);
+        if !std::mem::replace(&mut self.has_first, true) {
+            self.way.forwarder.shared.tell(NodeInput::Event(Event::FirstToken { order: self.way.call.id.clone() }));
+        }
+        self.way.trip.errand.carried(ChartInput::Give);
+        self.ready.push_back(event.bytes);
+    }
+
+    /// The server broke off, or fell silent: what follows is taken up elsewhere, if it may be.
+    fn tear(&mut self, why: String) -> Pull {
+        self.opening = None;
+        self.way.ended(Outcome::Failed);
+        let output = self.way.trip.errand.step(ErrandInput::Tear(why));
+        let gone = match output {
+            ErrandOutput::Cut(why) => Gone::Cut(why),
+            other => self.way.go(other),
+        };
+        match gone {
+            Gone::Opened(placing, opening) => {
+                Tallies::more(&self.way.forwarder.shared.tallies.resumed);
+                self.placing = placing;
+                self.opening = Some(opening);
+                self.has_first = false;
+                self.last_bytes = Clock::now();
+                Pull::Nothing
+            }
+            Gone::Told(denial) => self.cut(&denial.why),
+            Gone::Cut(why) => self.cut(&why),
+        }
+    }
+
+    fn cut(&mut self, why: &str) -> Pull {
+        tracing::debug!("forward: {} {}: {why}.", ResultCode::Broken, self.way.call.id);
+        self.is_over = true;
+        Tallies::more(&self.way.forwarder.shared.tallies.broken);
+        Pull::Cut
+    }
+}
+
+impl PieceSource for CarriedStream {
+    /// The caller is watched together with the server.
+    fn patience(&self) -> Duration {
+        Duration::from_secs(5)
+    }
+
+    fn pull(&mut self, patience: Duration) -> Pull {
+        if let Some(bytes) = self.ready.pop_front() {
+            return Pull::Piece(bytes);
+        }
+        if self.is_over {
+            return Pull::End;
+        }
+        let Some(opening) = &mut self.opening else { return self.cut("nothing to read on") };
+        if let Some(event) = opening.first.take().or_else(|| opening.splitter.next_event()) {
+            self.take(event);
+            return self.ready.pop_front().map_or(Pull::Nothing, |bytes| Pull::Piece(bytes));
+        }
+        if opening.has_ended {
+            let rest = opening.splitter.rest();
+            if let Some(opening) = self.opening.take() {
+                opening.line.keep();
+            }
+            self.is_over = true;
+            self.way.trip.errand.carried(ChartInput::Finish);
+            self.way.ended(Outcome::Complete);
+            Tallies::more(&self.way.forwarder.shared.tallies.complete);
+            return if rest.is_empty() { Pull::End } else { Pull::Piece(rest) };
+        }
+        let now = Clock::now();
+        if now >= self.way.due {
+            self.way.ended(Outcome::Cancelled);
+            return self.cut("the deadline has passed");
+        }
+        // A server that fell silent in mid-stream is left where another may take the stream up.
+        let silence = Span(self.way.gap.0.max(400) * 4);
+        if now.since(self.last_bytes) > silence && self.way.trip.errand.chart().may_go_on() {
+            return self.tear("it fell silent in mid-stream".into());
+        }
+        let Some(opening) = &mut self.opening else { return Pull::Nothing };
+        let patience = patience.min(now.until(self.way.due).duration());
+        match opening.line.pull(patience, Some(&self.way.caller)) {
+            LinePull::Data(bytes) => {
+                opening.splitter.push(&bytes);
+                self.last_bytes = Clock::now();
+                match opening.splitter.next_event() {
+                    Some(event) => {
+                        self.take(event);
+                        self.ready.pop_front().map_or(Pull::Nothing, |bytes| Pull::Piece(bytes))
+                    }
+                    None => Pull::Nothing,
+                }
+            }
+            LinePull::Nothing => Pull::Nothing,
+            LinePull::End => {
+                opening.has_ended = true;
+                Pull::Nothing
+            }
+            LinePull::Torn(why) => self.tear(why),
+            LinePull::CallerGone => {
+                self.way.ended(Outcome::Cancelled);
+                self.cut("the caller has gone")
+            }
+        }
+    }
+}
+
+impl Drop for CarriedStream {
+    fn drop(&mut self) {
+        if !self.is_over {
+            // The caller has gone; closing the line frees its server.
+            self.way.ended(Outcome::Cancelled);
+            Tallies::more(&self.way.forwarder.shared.tallies.gone);
+        }
+    }
+}
--- /dev/null
+++ b/crates/crier/src/ingress.rs
@@ -0,0 +1,75 @@
+//! The door for callers of another dialect than the product's own.
+
+use crate::forward::Forwarder;
+use crate::prelude::*;
+use crate::server_list;
+use crate::shared::Shared;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Open doors: one for callers, one for the question whether this node is ready.
+pub(crate) struct Ingress {
+    closers: Vec<GateCloser>,
+    open_count: Arc<AtomicUsize>,
+}
+
+/// Connections of one node to one server, idle ones among them.
+const LINES_MOST: usize = 64;
+
+impl Ingress {
+    /// Opens the doors and begins to read the list of servers.
+    pub fn open(
+        settings: &Settings,
+        shared: Arc<Shared>,
+        dialect: Arc<dyn CallDialect>,
+        tell: impl Fn(Event) + Send + 'static,
+    ) -> Result<Ingress, String> {
+        let listen: Address = settings.ingress.parse()?;
+        let probed: Address = settings.readiness.parse()?;
+        let list: Address = settings.platform.parse()?;
+        let bounds = GateBounds {
+            connections: settings.orders as usize * 2 + 64,
+            body_bytes: 8 << 20,
+            read_span: Span::seconds(10),
+            keep_alive: true,
+            idle_span: Span::seconds(30),
+            header_bytes: 64 << 10,
+            ..GateBounds::default()
+        };
+        let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("ingress = {listen}: {fault}"))?;
+        let bounds = GateBounds { connections: 32, body_bytes: 1 << 10, ..bounds };
+        let probe_gate = Gate::open(probed.0, bounds).map_err(|fault| format!("readiness = {probed}: {fault}"))?;
+        let lines = Lines::new(LinesBounds {
+            per_address: LINES_MOST,
+            idle_per_address: LINES_MOST / 2,
+            idle_span: Span::seconds(20),
+        });
+        server_list::start(list, settings.list_rate, shared.clone(), dialect.clone(), tell)
+            .map_err(|fault| fault.to_string())?;
+        let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: dialect.clone(), lines });
+        let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
+        let serve = move || gate.serve(move |order| forwarder.reply(order));
+        std::thread::Builder::new().name("ingress".into()).spawn(serve).map_err(|fault| fault.to_string())?;
+        let tell_ready = move |order: Order| match (dialect.is_probe(&order), shared.is_ready.load(Ordering::SeqCst)) {
+            (true, true) => Reply::whole(200, "text/plain", "ready\n"),
+            (true, false) => Reply::whole(503, "text/plain", "not ready\n"),
+            (false, _) => Reply::result(ResultCode::NotFound, "only readiness is told here"),
+        };
+        let serve = move || probe_gate.serve(tell_ready);
+        std::thread::Builder::new().name("readiness".into()).spawn(serve).map_err(|fault| fault.to_string())?;
+        tracing::info!("ingress: listens at {listen}, readiness {probed}.");
+        Ok(Ingress { closers, open_count })
+    }
+    /// Callers are to go elsewhere: each answer says so.
+    pub fn leave(&self) {
+        self.closers[0].leave();
+    }
+    /// No more connections are taken.
+    pub fn close(&self) {
+        self.closers.iter().for_each(GateCloser::close);
+    }
+    /// How many connections of callers are open.
+    pub fn open_count(&self) -> usize {
+        self.open_count.load(Ordering::SeqCst)
+    }
+}
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -1,27 +1,36 @@
 //! The data plane: a crier takes callers' orders, places them, and carries the streams.
 
 mod book;
+mod call;
 mod carrier;
 mod chart;
 mod daemon;
 mod errand;
+mod event_splitter;
+mod forward;
+mod ingress;
 mod journal;
 mod node;
 mod piece_reader;
 mod poller;
 mod replay;
+mod server_list;
 mod settings;
+mod shared;
 mod token;
+mod trip;
 mod wire;
 
 /// What each file imports.
 pub mod prelude {
     pub use crate::book::Tallies;
+    pub use crate::call::{Call, CallDialect, Judgement, Sending, ServerLoad};
     pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, OrderState};
-    pub use crate::daemon::run;
+    pub use crate::daemon::{Dialects, ReadSeeds, run};
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
+    pub use crate::event_splitter::{EventSplitter, StreamEvent};
     pub use crate::journal::Journal;
-    pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, Placing, resume_id};
+    pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, Placing, resume_id};
     pub use crate::piece_reader::{Passed, PieceReader};
     pub use crate::replay::replay;
     pub use crate::settings::Settings;
--- a/crates/crier/src/main.rs
+++ b/crates/crier/src/main.rs
@@ -82,7 +82,7 @@
             listen.into_iter().for_each(|address| read.listen = address.to_string());
             inner.into_iter().for_each(|address| read.inner = address.to_string());
             hall.into_iter().for_each(|name| read.hall = name);
-            return ExitCode::from(run(&read));
+            return ExitCode::from(run(&read, Dialects::default()));
         }
         Task::Decisions(tail) => copy_out(&tail, "decisions"),
         Task::Events(tail) => copy_out(&tail, "events"),
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -23,6 +23,33 @@
     }
 }
 
+/// An order that wants a server.
+#[derive(Debug, Clone)]
+pub struct PlaceAsk {
+    /// The number, the same for all rounds of an order and no other's.
+    pub number: u64,
+    /// The order.
+    pub order: OrderId,
+    /// Its service.
+    pub service: ServiceName,
+    /// How it is spoken, where no route says so.
+    pub kind: ServiceKind,
+    /// The route that it came by, if it came by one.
+    pub route: Option<String>,
+    /// The prompt's hashes.
+    pub hashes: Vec<PrefixHash>,
+    /// What it asks of a server.
+    pub demand: Demand,
+    /// Zero the first time.
+    pub round: u32,
+    /// Servers not to be asked again.
+    pub tried: Vec<ServerName>,
+    /// Whether one of them may have run it.
+    pub may_have_run: bool,
+    /// What the run is to be called: new for each, and not to be guessed.
+    pub run: RunId,
+}
+
 /// What a node is told.
 #[derive(Debug, Clone)]
 pub enum NodeInput {
@@ -35,27 +62,10 @@
     },
     /// Something for the desk, seen here.
     Event(Event),
-    /// An order wants a server; the answer comes as [`NodeOutput::Place`] with this number.
-    Place {
-        /// The number, the same for all rounds of an order and no other's.
-        number: u64,
-        /// The order.
-        order: OrderId,
-        /// Its service.
-        service: ServiceName,
-        /// How it is spoken.
-        kind: ServiceKind,
-        /// The prompt's hashes.
-        hashes: Vec<PrefixHash>,
-        /// Zero the first time.
-        round: u32,
-        /// Servers not to be asked again.
-        tried: Vec<ServerName>,
-        /// Whether one of them may have run it.
-        may_have_run: bool,
-        /// What the run is to be called: new for each, and not to be guessed.
-        run: RunId,
-    },
+    /// An order wants a server; the answer comes as [`NodeOutput::Place`] with its number.
+    Place(PlaceAsk),
+    /// Whom to ask first, anew.
+    Seeds(Vec<Address>),
     /// A caller wants a stream read on; the answer comes as [`NodeOutput::Resume`] with this number.
     Resume {
         /// The number, no other order's.
@@ -92,6 +102,10 @@
 pub struct Placing {
     /// The server.
     pub server: ServerName,
+    /// Where it's reached.
+    pub address: String,
+    /// When its first piece is expected.
+    pub expected: Span,
     /// The run's id.
     pub run: RunId,
     /// With which a broken stream may be read on, if it may.
@@ -209,6 +223,8 @@
     next_tick: Moment,
     last_event: Moment,
     has_roll: bool,
+    /// Where the listed servers are reached whose names are not their addresses.
+    addresses: BTreeMap<ServerName, String>,
     roll_awaited_until: Option<Moment>,
     is_draining: bool,
     /// What tokens are sealed and opened with.
@@ -279,6 +295,7 @@
             next_tick: now,
             last_event: now,
             has_roll: false,
+            addresses: BTreeMap::new(),
             roll_awaited_until: None,
             is_draining: false,
             key: None,
@@ -296,14 +313,20 @@
         match input {
             NodeInput::Letter { from, letter } => self.on_letter(from, letter),
             NodeInput::Event(event) => {
-                if matches!(event, Event::Roll { .. }) {
+                if let Event::Roll { servers } = &event {
                     self.has_roll = true;
+                    self.addresses = servers
+                        .iter()
+                        .filter_map(|entry| Some((entry.server.clone(), entry.address.clone()?)))
+                        .collect();
                     self.roll_awaited_until = None;
                 }
                 self.tell_desk(event);
             }
-            NodeInput::Place { number, order, service, kind, hashes, round, tried, may_have_run, run } => {
-                let outcome = self.place(number, order, service, kind, hashes, round, tried, may_have_run, run);
+            NodeInput::Seeds(seeds) => self.seeds = seeds,
+            NodeInput::Place(ask) => {
+                let number = ask.number;
+                let outcome = self.place(ask);
                 self.outputs.push(NodeOutput::Place { number, outcome });
             }
             NodeInput::Resume { number, token } => {
@@ -402,19 +425,8 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn place(
-        &mut self,
-        number: u64,
-        order: OrderId,
-        service: ServiceName,
-        kind: ServiceKind,
-        hashes: Vec<PrefixHash>,
-        round: u32,
-        tried: Vec<ServerName>,
-        may_have_run: bool,
-        run: RunId,
-    ) -> Result<Placing, Denial> {
+    fn place(&mut self, ask: PlaceAsk) -> Result<Placing, Denial> {
+        let PlaceAsk { number, order, service, kind, route, hashes, demand, round, tried, may_have_run, run } = ask;
         let deny = |code: ResultCode, why: &str, retry_after: u64| {
             Err(Denial { code, why: why.to_owned(), retry_after: Span(retry_after) })
         };
@@ -429,10 +441,19 @@
         let (Some(plan), Some(key)) = (self.plan.clone(), self.key) else {
             return deny(ResultCode::NotReady, "no layout yet", 1000);
         };
-        let Some(of_service) = plan.services.get(service.as_str()).filter(|found| found.kind == kind) else {
+        let is_kind = |found: &&ServicePlan| route.is_some() || found.kind == kind;
+        let Some(of_service) = plan.services.get(service.as_str()).filter(is_kind) else {
             return deny(ResultCode::UnknownService, "no accepted plan allows this service in this way", 0);
         };
-        if may_have_run && !of_service.may_repeat() {
+        let may_repeat = match route.as_deref() {
+            None => of_service.may_repeat(),
+            Some(name) => match plan.allowed_route(name, service.as_str()) {
+                Some(found) => found.may_repeat(),
+                // The plan has changed since it was read here: its caller may come back under the new one.
+                None => return deny(ResultCode::NotReady, "the plan in force has this route no more", 50),
+            },
+        };
+        if may_have_run && !may_repeat {
             return deny(ResultCode::NoServer, "the plan in force lets no order that may have run repeat", 0);
         }
         let holder = *self.open.entry(order.clone()).or_insert(number);
@@ -445,17 +466,11 @@
         }
         let before = self.outputs.len();
         let token_service = service.clone();
-        self.tell_desk(Event::Prompt {
-            order: order.clone(),
-            service,
-            hashes,
-            round,
-            tried,
-            demand: Demand::default(),
-        });
+        self.tell_desk(Event::Prompt { order: order.clone(), service, hashes, round, tried, demand });
         let decided = self.outputs[before..].iter().find_map(|output| match output {
-            NodeOutput::Decision(_, Decision::Placed { order: placed, server, .. }) if *placed == order => {
-                Some(Ok(server.clone()))
+            NodeOutput::Decision(_, Decision::Placed { order: placed, server, candidates, .. }) if *placed == order => {
+                let expected = candidates.iter().find(|candidate| candidate.server == *server);
+                Some(Ok((server.clone(), expected.map_or(Span(0), |candidate| candidate.expected))))
             }
             NodeOutput::Decision(_, Decision::Refused { order: refused, code, why, retry_after, .. })
                 if *refused == order =>
@@ -466,18 +481,13 @@
             }
             _ => None,
         });
-        let server = decided.unwrap_or_else(deny_no_decision)?;
+        let (server, expected) = decided.unwrap_or_else(deny_no_decision)?;
+        let address = self.addresses.get(&server).cloned().unwrap_or_else(|| server.0.clone());
         let token = of_service.resumable.then(|| {
             let (server, run) = (server.clone(), run.clone());
             Token { order, service: token_service, server, run }.seal(&key)
         });
-        Ok(Placing {
-            server,
-            run,
-            token,
-            may_repeat: of_service.may_repeat(),
-            first_token: Span(of_service.first_token_ms),
-        })
+        Ok(Placing { server, address, run, token, may_repeat, expected, first_token: Span(of_service.first_token_ms) })
     }
 
     /// Which run a token is good for, if it is one of this fleet's and names a server that is known
@@ -773,7 +783,7 @@
     OrderId(format!("resume/{number}"))
 }
 
-fn deny_no_decision() -> Result<ServerName, Denial> {
+fn deny_no_decision() -> Result<(ServerName, Span), Denial> {
     let why = "the desk decided nothing".to_owned();
     Err(Denial { code: ResultCode::NoServer, why, retry_after: Span(1000) })
 }
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -69,17 +69,19 @@
         round: u32,
         may_have_run: bool,
     ) -> Result<Placing, ResultCode> {
-        let place = NodeInput::Place {
+        let place = NodeInput::Place(PlaceAsk {
             number,
             order: id.into(),
             service: service.into(),
             kind: ServiceKind::Stream,
+            route: None,
             hashes: vec![],
+            demand: Demand::default(),
             round,
             tried: vec![],
             may_have_run,
             run: run_id([number as u8; 16]),
-        };
+        });
         let outcome = self.step(place).into_iter().find_map(|output| match output {
             NodeOutput::Place { outcome, .. } => Some(outcome),
             _ => None,
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -10,6 +10,12 @@
     /// Where our own processes reach it: IP number and port.
     #[setting(default = "127.0.0.1:7101", validate = an_address)]
     pub inner: String,
+    /// Where callers of another dialect reach it; used only where there is one.
+    #[setting(default = "127.0.0.1:7102", validate = an_address)]
+    pub ingress: String,
+    /// Where it's asked in that dialect whether it's ready; may be the same.
+    #[setting(default = "127.0.0.1:7103", validate = an_address)]
+    pub readiness: String,
     /// Its zone.
     #[setting(default = "here", validate = a_name)]
     pub hall: String,
@@ -19,6 +25,9 @@
     /// Where the platform's list of servers is: IP number and port.
     #[setting(default = "127.0.0.1:7200", validate = an_address)]
     pub platform: String,
+    /// Calls a second that the platform's list bears from the whole fleet.
+    #[setting(default = 50, validate = within(1, 1_000_000))]
+    pub list_rate: u64,
     /// Orders in hand at most; more are refused at once.
     #[setting(default = 400, validate = within(1, 1_000_000))]
     pub orders: u64,
--- /dev/null
+++ b/crates/crier/src/shared.rs
@@ -0,0 +1,103 @@
+use crate::prelude::*;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+/// What carriers share.
+pub(crate) struct Shared {
+    pub control: flume::Sender<crate::daemon::Event>,
+    pub may_act_until: AtomicU64,
+    pub tallies: Tallies,
+    pub number: AtomicU64,
+    pub bound: u64,
+    pub block_bytes: usize,
+    pub stall: Span,
+    /// The plan in force, and what finds its routes.
+    pub plan: RwLock<Option<(Arc<Plan>, Arc<RouteTable>)>>,
+    /// Whether callers should be sent here.
+    pub is_ready: AtomicBool,
+    /// Members of the fleet.
+    pub members: AtomicUsize,
+}
+
+/// A place among the orders in hand; given back when dropped, together with the order's id.
+pub(crate) struct Place {
+    pub shared: Arc<Shared>,
+    pub order: OrderId,
+    pub number: u64,
+    /// Whether a server may have run it: a second order of its id is then told so.
+    pub may_have_run: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.shared.tallies.in_hand.fetch_sub(1, Ordering::Relaxed);
+        let (order, number, may_have_run) = (self.order.clone(), self.number, self.may_have_run);
+        self.shared.tell(NodeInput::Close { order, number, may_have_run });
+    }
+}
+
+impl Shared {
+    pub fn tell(&self, input: NodeInput) {
+        let _ = self.control.send(crate::daemon::Event::Input(input));
+    }
+    pub fn tell_ended(&self, order: &OrderId, outcome: Outcome) {
+        self.tell(NodeInput::Event(Event::Ended { order: order.clone(), outcome }));
+    }
+    pub fn may_act(&self) -> bool {
+        Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
+    }
+    /// Asks the control thread; `None` is its silence.
+    pub fn ask_control<T>(
+        &self,
+        input: NodeInput,
+        wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Denial>>) -> crate::daemon::Event,
+    ) -> Option<Result<T, Denial>> {
+        let (reply, inbox) = flume::bounded(1);
+        let _ = self.control.send(wrap(input, reply));
+        inbox.recv_timeout(Duration::from_secs(2)).ok()
+    }
+    pub fn ask_desk(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
+        self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
+            // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
+            // another order of this id may be in hand.
+            self.tell_ended(&place.order, Outcome::Refused);
+            Err(silence())
+        })
+    }
+    /// Takes up the plan that the control thread holds now.
+    pub fn take_plan(&self, plan: Option<&Arc<Plan>>) {
+        let Some(plan) = plan else { return };
+        let is_same = |held: &(Arc<Plan>, Arc<RouteTable>)| Arc::ptr_eq(&held.0, plan);
+        if !self.plan.read().expect("no thread panics with it").as_ref().is_some_and(is_same) {
+            let held = (plan.clone(), Arc::new(plan.route_table()));
+            *self.plan.write().expect("no thread panics with it") = Some(held);
+        }
+    }
+    /// The routes in force here.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.plan.read().expect("no thread panics with it").as_ref().map(|held| held.1.clone())
+    }
+    /// A number for an order, that no other has in this life.
+    pub fn next_number(&self) -> u64 {
+        self.number.fetch_add(1, Ordering::Relaxed)
+    }
+    /// Takes a place among the orders in hand, if there is one.
+    pub fn take_place(self: &Arc<Self>, order: OrderId, number: u64) -> Option<Place> {
+        if self.tallies.in_hand.fetch_add(1, Ordering::Relaxed) >= self.bound {
+            self.tallies.in_hand.fetch_sub(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(Place { shared: self.clone(), order, number, may_have_run: false })
+    }
+    pub fn refusal(&self, code: ResultCode, why: String, retry_after: Span) -> Reply {
+        Tallies::more(if code.is_refusal() { &self.tallies.refused } else { &self.tallies.unknown });
+        Reply::result_after(code, why, retry_after)
+    }
+}
+
+/// The control thread gave no answer in time.
+pub(crate) fn silence() -> Denial {
+    let why = "the control thread gave no answer".into();
+    Denial { code: ResultCode::Busy, why, retry_after: Span(1000) }
+}
--- /dev/null
+++ b/crates/crier/src/trip.rs
@@ -0,0 +1,129 @@
+use crate::prelude::*;
+use crate::shared::{Place, Shared};
+use std::sync::Arc;
+
+/// Why a server has not taken an order.
+pub(crate) enum NotTaken {
+    /// This node may not act any more: nothing that could run was sent.
+    Withheld,
+    /// Asking it failed in this way.
+    Failed(Failure, String),
+    /// Another server has its address; nothing ran there.
+    Elsewhere(String),
+    /// The caller has gone.
+    CallerGone,
+}
+
+/// What an order wants of the desk, whatever it's spoken in.
+pub(crate) struct Wanted {
+    pub service: ServiceName,
+    pub kind: ServiceKind,
+    pub route: Option<String>,
+    pub hashes: Vec<PrefixHash>,
+    pub demand: Demand,
+}
+
+impl Wanted {
+    /// One whose caller names the service and tells nothing more.
+    pub fn of_service(service: ServiceName, kind: ServiceKind, hashes: Vec<PrefixHash>) -> Self {
+        Wanted { service, kind, route: None, hashes, demand: Demand::default() }
+    }
+}
+
+/// What a trip came to.
+pub(crate) enum Gone<T> {
+    /// A server has taken it, and this was heard.
+    Opened(Placing, T),
+    /// The final answer.
+    Told(Denial),
+    /// The caller's connection is to be cut.
+    Cut(String),
+}
+
+/// An order on its way: its errand, done with real servers.
+pub(crate) struct Trip {
+    pub shared: Arc<Shared>,
+    pub place: Place,
+    pub errand: Errand,
+    wanted: Wanted,
+}
+
+impl Trip {
+    /// For an order that has its place; at most so many servers may get it.
+    pub fn new(place: Place, wanted: Wanted, most: Option<u32>) -> (Trip, ErrandOutput) {
+        let (errand, first) = most.map_or_else(Errand::begin, Errand::begin_bounded);
+        (Trip { shared: place.shared.clone(), place, errand, wanted }, first)
+    }
+
+    /// Finds a server that takes the order, going on to others as far as the errand allows.
+    pub fn go<T>(
+        &mut self,
+        first: ErrandOutput,
+        mut ask: impl FnMut(&Placing, &Chart) -> Result<T, NotTaken>,
+    ) -> Gone<T> {
+        let order = self.place.order.clone();
+        let does_stream = self.wanted.kind == ServiceKind::Stream;
+        let (mut output, mut taken) = (first, None);
+        loop {
+            output = match output {
+                ErrandOutput::AskDesk { round, tried, may_have_run } => {
+                    let input = NodeInput::Place(PlaceAsk {
+                        number: self.place.number,
+                        order: order.clone(),
+                        service: self.wanted.service.clone(),
+                        kind: self.wanted.kind,
+                        route: self.wanted.route.clone(),
+                        hashes: self.wanted.hashes.clone(),
+                        demand: self.wanted.demand.clone(),
+                        round,
+                        tried,
+                        may_have_run,
+                        run: run_id(random_bytes()),
+                    });
+                    let outcome = self.shared.ask_desk(&self.place, input);
+                    if round > 0 && outcome.is_ok() {
+                        Tallies::more(&self.shared.tallies.repeats);
+                    }
+                    self.errand.step(ErrandInput::Desk(outcome))
+                }
+                ErrandOutput::AskServer(placing) => match ask(&placing, self.errand.chart()) {
+                    Ok(heard) => {
+                        taken = Some(heard);
+                        self.errand.step(ErrandInput::Open)
+                    }
+                    Err(NotTaken::Withheld) => {
+                        self.shared.tell_ended(&order, Outcome::Refused);
+                        self.errand.step(ErrandInput::LoseLease)
+                    }
+                    Err(NotTaken::Failed(failure, why)) => {
+                        self.shared.tell_ended(&order, failure.outcome());
+                        self.errand.step(ErrandInput::Fail(failure, why))
+                    }
+                    Err(NotTaken::Elsewhere(why)) => {
+                        self.shared.tell_ended(&order, Outcome::Refused);
+                        let server = placing.server.clone();
+                        self.shared.tell(NodeInput::Event(Event::Unreachable { server }));
+                        self.errand.step(ErrandInput::Fail(Failure::Refused, why))
+                    }
+                    Err(NotTaken::CallerGone) => {
+                        self.shared.tell_ended(&order, Outcome::Cancelled);
+                        self.place.may_have_run = does_stream;
+                        return Gone::Cut("the caller has gone".into());
+                    }
+                },
+                ErrandOutput::Carry(placing) => match taken.take() {
+                    Some(heard) => {
+                        self.place.may_have_run = does_stream;
+                        return Gone::Opened(placing, heard);
+                    }
+                    None => self.errand.step(ErrandInput::Fail(Failure::Unknown, "nothing was heard".into())),
+                },
+                ErrandOutput::Tell(denial) => {
+                    self.place.may_have_run = does_stream && self.errand.chart().may_have_run();
+                    return Gone::Told(denial);
+                }
+                ErrandOutput::Cut(why) => return Gone::Cut(why),
+            }
+        }
+    }
+}
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -230,7 +230,10 @@
         loader.load().map(|loaded| loaded.config)
     };
     let fault = match load(text) {
-        Ok(plan) => return Ok(plan),
+        Ok(plan) => {
+            let faults = plan.faults();
+            return if faults.is_empty() { Ok(plan) } else { Err(faults) };
+        }
         Err(fault) => fault,
     };
     // Reading stops at the first field that is of the wrong kind; without it, the next one shows.
@@ -301,7 +304,19 @@
     }
 }
 
+impl RoutePlan {
+    /// Whether a request that may have run may be given to a second server: an idempotent one, or a stream
+    /// that may be taken up where it stopped.
+    pub fn may_repeat(&self) -> bool {
+        self.kind == RouteKind::Idempotent || (self.kind == RouteKind::Stream && self.resumable)
+    }
+}
+
 impl Plan {
+    /// The route of this name, if it leads to the service.
+    pub fn allowed_route(&self, name: &str, service: &str) -> Option<&RoutePlan> {
+        self.routes.iter().find(|route| route.name == name).filter(|route| route.leads_to(service))
+    }
     /// The zones that it names.
     pub fn halls(&self) -> Vec<HallName> {
         let mut halls: Vec<HallName> =
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -79,6 +79,8 @@
                     order.stream = Some(streams::SimStream::new(placing.token, placing.run));
                 }
             }
+            // No errand of the simulator's is told of a torn stream.
+            ErrandOutput::Cut(_) => {}
             ErrandOutput::Tell(denial) => {
                 self.close(id, if denial.code.is_refusal() { "refused" } else { "unknown" });
             }
@@ -138,7 +140,20 @@
         let kind = if is_fetch { ServiceKind::Fetch } else { ServiceKind::Stream };
         let run = run_id((u128::from(self.draw()) << 64 | u128::from(self.draw())).to_be_bytes());
         let order = id.clone();
-        let place = NodeInput::Place { number, order, service, kind, hashes, round, tried, may_have_run, run };
+        let (route, demand) = (None, Demand::default());
+        let place = NodeInput::Place(PlaceAsk {
+            number,
+            order,
+            service,
+            kind,
+            route,
+            hashes,
+            demand,
+            round,
+            tried,
+            may_have_run,
+            run,
+        });
         let outcome = self.step_node(machine, place).into_iter().find_map(|output| match output {
             NodeOutput::Place { outcome, .. } => Some(outcome),
             _ => None,
