--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -339,17 +339,17 @@
 impl PieceSource for Stream {
     fn pull(&mut self, patience: Duration) -> Pull {
         if let Some(head) = self.head.take() {
-            return Pull::Piece(head.into_bytes());
+            return Pull::Piece(head.into_bytes().into());
         }
         if self.is_over {
             return Pull::End;
         }
         match self.inbox.recv_timeout(patience) {
-            Ok(Carried::Line(line)) => Pull::Piece(line.into_bytes()),
+            Ok(Carried::Line(line)) => Pull::Piece(line.into_bytes().into()),
             Ok(Carried::End(line)) => {
                 self.is_over = true;
                 Tallies::more(&self.shared.tallies.complete);
-                Pull::Piece(line.into_bytes())
+                Pull::Piece(line.into_bytes().into())
             }
             Ok(Carried::Cut) | Err(flume::RecvTimeoutError::Disconnected) => {
                 self.is_cut = true;
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -42,7 +42,7 @@
     }
     let listener = TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let connections = settings.orders as usize + 112;
-    let bounds = GateBounds { connections, body_bytes: 4 << 20, read_span: Span::seconds(10) };
+    let bounds = GateBounds { connections, body_bytes: 4 << 20, read_span: Span::seconds(10), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let (sender, events) = flume::bounded::<Event>(QUEUE);
     let take_letter = sender.clone();
@@ -423,7 +423,7 @@
 impl PieceSource for JournalSource {
     fn pull(&mut self, patience: Duration) -> Pull {
         if let Some(head) = self.head.take() {
-            return Pull::Piece(head.into_bytes());
+            return Pull::Piece(head.into_bytes().into());
         }
         let journal = match self.kind {
             JournalKind::Decisions => &self.door.decisions,
@@ -433,7 +433,7 @@
         let (lines, cursor) = journal.after(self.cursor, 256, patience);
         self.cursor = cursor;
         if !lines.is_empty() {
-            return Pull::Piece((lines.join("\n") + "\n").into_bytes());
+            return Pull::Piece((lines.join("\n") + "\n").into_bytes().into());
         }
         if self.does_follow { Pull::Nothing } else { Pull::End }
     }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -38,7 +38,8 @@
     let founders = parse_addresses(&settings.founders);
     let seeds = parse_addresses(&settings.seeds);
     let listener = TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
-    let bounds = GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20) };
+    let bounds =
+        GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let (sender, events) = flume::bounded::<Event>(QUEUE);
 
@@ -323,11 +324,11 @@
             _ => Reply::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
         },
         ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
-        ("PUT", ["v1", "plan"]) => match Motion::plan(order.body.clone()) {
+        ("PUT", ["v1", "plan"]) => match Motion::plan(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
             Err(faults) => faulty(faults),
         },
-        ("PATCH", ["v1", "plan"]) => match change(order.body.clone()) {
+        ("PATCH", ["v1", "plan"]) => match change(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
             Err(reply) => reply,
         },
--- a/crates/rehearsal/src/stand_in.rs
+++ b/crates/rehearsal/src/stand_in.rs
@@ -264,7 +264,7 @@
                 lines.push('\n');
                 self.next += 1;
             }
-            return Pull::Piece(lines.into_bytes());
+            return Pull::Piece(lines.into_bytes().into());
         }
         drop(schedule);
         match progress {
@@ -272,7 +272,7 @@
                 self.is_over = true;
                 let end = RunPiece::End { run: self.run.clone(), end: true, pieces };
                 let line = serde_json::to_string(&end).expect("an end is JSON") + "\n";
-                Pull::Piece(line.into_bytes())
+                Pull::Piece(line.into_bytes().into())
             }
             Progress::Broke(_) => Pull::Cut,
             Progress::Pieces(_, next) => {
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -4,15 +4,18 @@
 //! through `hyper`, their kin, on one blocking thread a connection.
 
 mod ask;
-mod duct;
 mod gate;
+mod lines;
 mod post;
 mod reply;
+mod wire;
 
 /// What each file imports.
 pub mod prelude {
     pub use crate::ask::{Ask, AskError, AskExt, Heard, ask_delete, ask_get, ask_post, ask_with, read_all, read_page};
     pub use crate::gate::{Gate, GateBounds, GateCloser, Order};
+    pub use crate::lines::{Line, LineError, LinePull, Lines, LinesBounds, Waits};
     pub use crate::post::{Post, PostClass};
     pub use crate::reply::{PieceSource, Pull, Reply};
+    pub use crate::wire::Caller;
 }
--- /dev/null
+++ b/crates/wicket/src/lines.rs
@@ -0,0 +1,453 @@
+use crate::wire::{Alarm, Caller, Duct, Peeked, Wire, Woken, await_wire};
+use bytes::{Bytes, BytesMut};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use parlance::prelude::*;
+use std::collections::{HashMap, VecDeque};
+use std::future::Future;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::{Pin, pin};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+/// Kept-alive connections to servers, shared by all threads.
+///
+/// Invariant: a connection serves one request at a time, and the next one only if the answer before
+/// ended whole, nothing has come since, and its time is not over.
+#[derive(Clone)]
+pub struct Lines {
+    pool: Arc<Mutex<Pool>>,
+}
+
+/// What the connections to servers are held to.
+#[derive(Debug, Clone, Copy)]
+pub struct LinesBounds {
+    /// Open at once to one address, those in use included; 0 for no bound.
+    pub per_address: usize,
+    /// Kept for reuse to one address.
+    pub idle_per_address: usize,
+    /// How long one is kept if its server tells nothing.
+    pub idle_span: Span,
+}
+
+struct Pool {
+    bounds: LinesBounds,
+    addresses: HashMap<SocketAddr, Held>,
+}
+
+/// What is held to one address.
+#[derive(Default)]
+struct Held {
+    most: Option<usize>,
+    open_count: usize,
+    /// Oldest first.
+    idle: VecDeque<Idle>,
+}
+
+struct Idle {
+    link: Box<Link>,
+    due: Moment,
+}
+
+/// What a request waits for.
+pub struct Waits<'a> {
+    /// For the connection, within the head's due.
+    pub connect: Span,
+    /// By when the head must have come.
+    pub head_due: Moment,
+    /// Asked before connecting, and again right before the first byte leaves.
+    pub may_leave: &'a dyn Fn() -> bool,
+    /// Watched while the head is awaited.
+    pub caller: Option<&'a Caller>,
+}
+
+/// Why a request got no head, or its body didn't end whole.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum LineError {
+    /// No byte of the request left.
+    #[error("not sent: {0}")]
+    Unsent(String),
+    /// It may not leave any more; no byte of it did.
+    #[error("withheld at the last moment")]
+    Withheld,
+    /// As many connections to the address are open as may be.
+    #[error("no connection is free")]
+    Full,
+    /// It was sent, and its due passed; it may have run.
+    #[error("late: {0}")]
+    Late(String),
+    /// The caller went away; it may have run.
+    #[error("the caller has gone")]
+    CallerGone,
+    /// Some of it was sent; it may have run.
+    #[error("unknown: {0}")]
+    Unknown(String),
+}
+
+/// What a wait for the next bytes of a body gave.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LinePull {
+    /// The next bytes.
+    Data(Bytes),
+    /// None within the patience.
+    Nothing,
+    /// The body has ended whole.
+    End,
+    /// It broke off.
+    Torn(String),
+    /// The caller went away.
+    CallerGone,
+}
+
+/// One answer on its connection: the head, and the body to be read on. Dropped, it closes the connection.
+pub struct Line {
+    head: http::response::Parts,
+    body: Incoming,
+    link: Box<Link>,
+    is_reused: bool,
+    is_ended: bool,
+}
+
+/// A connection as hyper's client holds it.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Connection<Duct, Full<Bytes>>,
+    /// Whether hyper is done with the connection, and why if it failed.
+    ended: Option<Result<(), String>>,
+    wire: Arc<Wire>,
+    alarm: Arc<Alarm>,
+    waker: Waker,
+    _seat: Seat,
+}
+
+/// Gives the place of a connection back when it closes.
+struct Seat {
+    pool: Arc<Mutex<Pool>>,
+    address: SocketAddr,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let mut pool = lock(&self.pool);
+        if let Some(held) = pool.addresses.get_mut(&self.address) {
+            held.open_count -= 1;
+            if held.open_count == 0 && held.most.is_none() {
+                pool.addresses.remove(&self.address);
+            }
+        }
+    }
+}
+
+fn lock(pool: &Mutex<Pool>) -> MutexGuard<'_, Pool> {
+    pool.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Lines {
+    /// With no connection yet.
+    pub fn new(bounds: LinesBounds) -> Self {
+        Lines { pool: Arc::new(Mutex::new(Pool { bounds, addresses: HashMap::new() })) }
+    }
+    /// Sets a bound of its own for an address; 0 for none.
+    pub fn set_per_address(&self, address: SocketAddr, most: usize) {
+        lock(&self.pool).addresses.entry(address).or_default().most = Some(most);
+    }
+    /// How many connections wait for reuse.
+    pub fn idle_count(&self, address: SocketAddr) -> usize {
+        lock(&self.pool).addresses.get(&address).map_or(0, |held| held.idle.len())
+    }
+    /// How many connections are open, in use or not.
+    pub fn open_count(&self, address: SocketAddr) -> usize {
+        lock(&self.pool).addresses.get(&address).map_or(0, |held| held.open_count)
+    }
+    /// Closes the idle connections to an address, and forgets its own bound, e.g. as its server is gone.
+    pub fn drop_idle(&self, address: SocketAddr) {
+        let idle = {
+            let mut pool = lock(&self.pool);
+            let Some(held) = pool.addresses.get_mut(&address) else { return };
+            held.most = None;
+            let idle = std::mem::take(&mut held.idle);
+            if held.open_count == 0 {
+                pool.addresses.remove(&address);
+            }
+            idle
+        };
+        drop(idle);
+    }
+    /// Closes the idle connections whose time is over or whose server has closed them: one look each. To
+    /// be called now and then, since nothing else touches an address that is no longer asked.
+    pub fn drop_stale(&self) {
+        let now = Clock::now();
+        let mut stale = Vec::new();
+        for held in lock(&self.pool).addresses.values_mut() {
+            for one in std::mem::take(&mut held.idle) {
+                if one.due > now && one.link.wire.peek() == Peeked::Nothing {
+                    held.idle.push_back(one);
+                } else {
+                    stale.push(one);
+                }
+            }
+        }
+    }
+    /// Sends a request; gives the head as soon as it comes.
+    ///
+    /// The target and the headers leave as they are, but for the body's length, which is told anew; a
+    /// `Host` is to be among them.
+    pub fn ask(&self, to: SocketAddr, request: http::Request<Bytes>, waits: &Waits<'_>) -> Result<Line, LineError> {
+        let mut request = request;
+        request.headers_mut().remove(http::header::CONTENT_LENGTH);
+        request.headers_mut().remove(http::header::TRANSFER_ENCODING);
+        if !(waits.may_leave)() {
+            return Err(LineError::Withheld);
+        }
+        loop {
+            let idle = self.take_idle(to);
+            let is_reused = idle.is_some();
+            let link = match idle {
+                Some(idle) => idle,
+                None => Idle { link: Box::new(self.connect(to, waits)?), due: Moment(0) },
+            };
+            if !(waits.may_leave)() {
+                if is_reused {
+                    self.put_idle(to, link);
+                }
+                return Err(LineError::Withheld);
+            }
+            match link.link.send(request.clone(), waits, is_reused) {
+                // It was closed between the look at it and the first byte: another one is taken.
+                Err(LineError::Unsent(_)) if is_reused && Clock::now() < waits.head_due => {}
+                outcome => return outcome,
+            }
+        }
+    }
+    /// The newest idle connection that is clean at this moment.
+    fn take_idle(&self, to: SocketAddr) -> Option<Idle> {
+        loop {
+            let newest = lock(&self.pool).addresses.get_mut(&to)?.idle.pop_back()?;
+            if Clock::now() < newest.due && newest.link.wire.peek() == Peeked::Nothing {
+                return Some(newest);
+            }
+        }
+    }
+    fn put_idle(&self, to: SocketAddr, idle: Idle) {
+        let mut surplus = None;
+        let mut pool = lock(&self.pool);
+        let most = pool.bounds.idle_per_address;
+        // It is open itself, so its address is held.
+        if let Some(held) = pool.addresses.get_mut(&to) {
+            held.idle.push_back(idle);
+            if held.idle.len() > most {
+                surplus = held.idle.pop_front();
+            }
+        }
+        drop(pool);
+        drop(surplus);
+    }
+    fn connect(&self, to: SocketAddr, waits: &Waits<'_>) -> Result<Link, LineError> {
+        let seat = {
+            let mut pool = lock(&self.pool);
+            let general = pool.bounds.per_address;
+            let held = pool.addresses.entry(to).or_default();
+            let most = held.most.unwrap_or(general);
+            if most > 0 && held.open_count >= most {
+                return Err(LineError::Full);
+            }
+            held.open_count += 1;
+            Seat { pool: self.pool.clone(), address: to }
+        };
+        let patience = waits.connect.min(Clock::now().until(waits.head_due));
+        if patience.0 == 0 {
+            return Err(LineError::Unsent("no time to connect".into()));
+        }
+        let unsent = |fault: &dyn std::fmt::Display| LineError::Unsent(fault.to_string());
+        let stream = TcpStream::connect_timeout(&to, patience.duration()).map_err(|fault| unsent(&fault))?;
+        let wire = Arc::new(Wire::new(stream));
+        // Nothing is to be read before something was sent.
+        wire.may_read.store(false, Ordering::Relaxed);
+        let alarm = Arc::new(Alarm::default());
+        let waker = Waker::from(alarm.clone());
+        let duct = Duct { wire: wire.clone(), write_patience: None };
+        let handshake = pin!(Builder::new().handshake(duct));
+        match handshake.poll(&mut Context::from_waker(&waker)) {
+            Poll::Ready(Ok((sender, connection))) => {
+                Ok(Link { sender, connection, ended: None, wire, alarm, waker, _seat: seat })
+            }
+            Poll::Ready(Err(fault)) => Err(unsent(&fault)),
+            Poll::Pending => Err(LineError::Unsent("no handshake".into())),
+        }
+    }
+}
+
+impl Link {
+    /// Lets hyper do what it can without waiting.
+    fn drive(&mut self) {
+        if self.ended.is_none() {
+            let mut context = Context::from_waker(&self.waker);
+            if let Poll::Ready(outcome) = Pin::new(&mut self.connection).poll(&mut context) {
+                self.ended = Some(outcome.map_err(|fault| detail(&fault)));
+            }
+        }
+    }
+    /// Polls the connection and then what hangs on it, until that is ready or the wait for it ends.
+    fn wait<T>(
+        &mut self,
+        due: Moment,
+        caller: Option<&Caller>,
+        mut poll_it: impl FnMut(&mut Context<'_>) -> Poll<T>,
+    ) -> Result<T, Woken> {
+        let waker = self.waker.clone();
+        let mut context = Context::from_waker(&waker);
+        loop {
+            self.drive();
+            if let Poll::Ready(outcome) = poll_it(&mut context) {
+                return Ok(outcome);
+            }
+            if self.alarm.take() {
+                continue;
+            }
+            if self.ended.is_some() {
+                // hyper has dropped its end, so whatever hangs on it is ready; not expected.
+                return Err(Woken::Bell);
+            }
+            match await_wire(&self.wire, caller, None, due) {
+                Woken::Ready => {}
+                ended => return Err(ended),
+            }
+        }
+    }
+    fn send(
+        mut self: Box<Self>,
+        request: http::Request<Bytes>,
+        waits: &Waits<'_>,
+        is_reused: bool,
+    ) -> Result<Line, LineError> {
+        let sent_before = self.wire.sent_count.load(Ordering::Relaxed);
+        let mut answer = pin!(self.sender.send_request(request.map(Full::new)));
+        let outcome = self.wait(waits.head_due, waits.caller, |context| answer.as_mut().poll(context));
+        let has_left = self.wire.sent_count.load(Ordering::Relaxed) > sent_before;
+        let (what, why): (fn(String) -> LineError, String) = match outcome {
+            Ok(Ok(response)) => {
+                let (head, body) = response.into_parts();
+                return Ok(Line { head, body, link: self, is_reused, is_ended: false });
+            }
+            Ok(Err(fault)) => (LineError::Unknown, detail(&fault)),
+            Err(Woken::Late) => (LineError::Late, "no head by its due".into()),
+            Err(Woken::CallerGone) if has_left => return Err(LineError::CallerGone),
+            Err(Woken::CallerGone) => (LineError::Unknown, "the caller has gone".into()),
+            Err(_) => (LineError::Unknown, "the connection ended".into()),
+        };
+        Err(if has_left { what(why) } else { LineError::Unsent(why) })
+    }
+}
+
+/// A fault with what lies under it.
+fn detail(fault: &hyper::Error) -> String {
+    match std::error::Error::source(fault) {
+        Some(source) => format!("{fault}: {source}"),
+        None => fault.to_string(),
+    }
+}
+
+impl Line {
+    /// Status and headers.
+    pub fn head(&self) -> &http::response::Parts {
+        &self.head
+    }
+    /// Whether its connection had served a request before.
+    pub fn was_reused(&self) -> bool {
+        self.is_reused
+    }
+    /// Waits for the next bytes of the body at most this long; also watches the caller.
+    pub fn pull(&mut self, patience: Duration, caller: Option<&Caller>) -> LinePull {
+        let span = Span(u64::try_from(patience.as_millis()).unwrap_or(u64::MAX / 2));
+        self.pull_until(Clock::now() + span, caller)
+    }
+    fn pull_until(&mut self, due: Moment, caller: Option<&Caller>) -> LinePull {
+        if self.is_ended {
+            return LinePull::End;
+        }
+        let body = &mut self.body;
+        loop {
+            let outcome = self.link.wait(due, caller, |context| Pin::new(&mut *body).poll_frame(context));
+            match outcome {
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) if data.is_empty() => {}
+                    Ok(data) => return LinePull::Data(data),
+                    // Trailers; nothing of ours has any.
+                    Err(_) => {}
+                },
+                Ok(None) => {
+                    self.is_ended = true;
+                    return LinePull::End;
+                }
+                Ok(Some(Err(fault))) => return LinePull::Torn(detail(&fault)),
+                Err(Woken::Late) => return LinePull::Nothing,
+                Err(Woken::CallerGone) => return LinePull::CallerGone,
+                Err(_) => return LinePull::Torn("the connection ended".into()),
+            }
+        }
+    }
+    /// Reads the rest of the body up to a bound. A body that breaks off is `Unknown`, as is one over the
+    /// bound; one that has not ended by the due is `Late`.
+    pub fn read_all(&mut self, due: Moment, bound: usize, caller: Option<&Caller>) -> Result<Bytes, LineError> {
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        loop {
+            match self.pull_until(due, caller) {
+                LinePull::Data(data) if first.len() + rest.len() + data.len() > bound => {
+                    return Err(LineError::Unknown(format!("the body is over {bound} bytes")));
+                }
+                LinePull::Data(data) if first.is_empty() => first = data,
+                LinePull::Data(data) => rest.extend_from_slice(&data),
+                LinePull::Nothing => return Err(LineError::Late("the body has not ended by its due".into())),
+                LinePull::End if rest.is_empty() => return Ok(first),
+                LinePull::End => {
+                    let mut whole = BytesMut::with_capacity(first.len() + rest.len());
+                    whole.extend_from_slice(&first);
+                    whole.extend_from_slice(&rest);
+                    return Ok(whole.freeze());
+                }
+                LinePull::Torn(why) => return Err(LineError::Unknown(why)),
+                LinePull::CallerGone => return Err(LineError::CallerGone),
+            }
+        }
+    }
+    /// Gives the connection back for reuse. It's closed instead unless the body has ended whole, both
+    /// sides keep the connection and nothing more has come on it.
+    pub fn keep(self) {
+        let Line { head, mut body, mut link, is_ended, .. } = self;
+        // A body without bytes, or whose last ones were pulled, may have ended without being asked.
+        let is_whole = is_ended || {
+            link.drive();
+            let mut context = Context::from_waker(Waker::noop());
+            matches!(Pin::new(&mut body).poll_frame(&mut context), Poll::Ready(None))
+        };
+        link.drive();
+        while link.alarm.take() {
+            link.drive();
+        }
+        if !is_whole || link.ended.is_some() || !link.sender.is_ready() {
+            return;
+        }
+        let lines = Lines { pool: link._seat.pool.clone() };
+        let span = kept_span(&head.headers).unwrap_or_else(|| lock(&lines.pool).bounds.idle_span);
+        if span.0 > 0 {
+            let address = link._seat.address;
+            lines.put_idle(address, Idle { link, due: Clock::now() + span });
+        }
+    }
+}
+
+/// How long a server keeps the connection by its own `Keep-Alive: timeout=N`, less a margin for the way.
+fn kept_span(headers: &http::HeaderMap) -> Option<Span> {
+    let words = headers.get_all("keep-alive").iter().filter_map(|value| value.to_str().ok());
+    let mut words = words.flat_map(|text| text.split(',')).filter_map(|word| word.split_once('='));
+    let (_, seconds) = words.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    match seconds.trim().trim_matches('"').parse::<u32>().ok()? {
+        0 => Some(Span(0)),
+        1 => Some(Span(500)),
+        seconds => Some(Span::seconds(u64::from(seconds) - 1)),
+    }
+}
--- a/crates/wicket/src/reply.rs
+++ b/crates/wicket/src/reply.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::body::{Body, Frame};
 use parlance::prelude::*;
 use std::io;
@@ -9,7 +10,7 @@
 /// What a stream gives when asked for its next piece.
 pub enum Pull {
     /// Bytes to send now.
-    Piece(Vec<u8>),
+    Piece(Bytes),
     /// Nothing yet; the gate looks whether the caller is still there, then asks again.
     Nothing,
     /// All has been given.
@@ -22,13 +23,18 @@
 pub trait PieceSource: Send {
     /// Waits for the next piece at most this long.
     fn pull(&mut self, patience: Duration) -> Pull;
+    /// How long a pull may wait. One that watches the caller by itself may wait longer: else the gate
+    /// looks after it between two pulls.
+    fn patience(&self) -> Duration {
+        Duration::from_millis(100)
+    }
 }
 
 /// An answer towards HTTP.
 pub struct Reply {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(&'static str, String)>,
-    pub(crate) body: ReplyBody,
+    status: u16,
+    headers: HeaderMap,
+    body: ReplyBody,
 }
 
 pub(crate) enum ReplyBody {
@@ -39,11 +45,18 @@
 impl Reply {
     /// A whole body of this type.
     pub fn whole(status: u16, content_type: &str, body: impl Into<Vec<u8>>) -> Self {
-        Reply {
-            status,
-            headers: vec![("content-type", content_type.to_owned())],
-            body: ReplyBody::Whole(Some(Bytes::from(body.into()))),
-        }
+        let reply = Self::passed(status, HeaderMap::new(), body.into());
+        reply.with_header(CONTENT_TYPE.as_str(), content_type)
+    }
+    /// A server's answer, passed on whole with these headers. Those that concern a connection only are
+    /// not taken out here; the length is the body's own.
+    pub fn passed(status: u16, headers: HeaderMap, body: impl Into<Bytes>) -> Self {
+        Reply { status, headers, body: ReplyBody::Whole(Some(body.into())) }
+    }
+    /// A server's answer, passed on as its pieces come. With a `content-length` among the headers that
+    /// many bytes are to come, else it goes in chunks.
+    pub fn passed_stream(status: u16, headers: HeaderMap, source: Box<dyn PieceSource>) -> Self {
+        Reply { status, headers, body: ReplyBody::Streamed { source, has_given: false } }
     }
     /// A JSON value.
     pub fn json(status: u16, value: &impl serde::Serialize) -> Self {
@@ -75,16 +88,24 @@
     }
     /// Pieces as they come.
     pub fn streamed(content_type: &str, source: Box<dyn PieceSource>) -> Self {
-        Reply {
-            status: 200,
-            headers: vec![("content-type", content_type.to_owned())],
-            body: ReplyBody::Streamed { source, has_given: false },
+        Self::passed_stream(200, HeaderMap::new(), source).with_header(CONTENT_TYPE.as_str(), content_type)
+    }
+    /// The same with one more header. One that HTTP doesn't allow is left out.
+    #[must_use]
+    pub fn with_header(mut self, name: impl AsRef<str>, value: impl AsRef<str>) -> Self {
+        let name = HeaderName::from_bytes(name.as_ref().as_bytes());
+        match (name, HeaderValue::from_str(value.as_ref())) {
+            (Ok(name), Ok(value)) => drop(self.headers.append(name, value)),
+            _ => tracing::warn!("reply: a header that HTTP doesn't allow was left out."),
         }
+        self
     }
-    /// The same with one more header.
+    /// Says when to come back, in seconds with their fraction, such as `0.25`.
     #[must_use]
-    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
-        self.headers.push((name, value.into()));
+    pub fn retry_after(mut self, span: Span) -> Self {
+        let text = format!("{}.{:03}", span.0 / 1000, span.0 % 1000);
+        let text = text.trim_end_matches('0').trim_end_matches('.');
+        self.headers.insert(RETRY_AFTER, HeaderValue::from_str(text).expect("digits and a dot"));
         self
     }
     /// Its HTTP status.
@@ -93,7 +114,21 @@
     }
     /// A header that it has.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| *known == name).map(|(_, value)| value.as_str())
+        self.headers.get(name)?.to_str().ok()
+    }
+    /// As hyper takes it. The length is hyper's to tell, but where there is no body that has one.
+    pub(crate) fn into_hyper(mut self, is_head: bool) -> hyper::Response<ReplyBody> {
+        self.headers.remove(TRANSFER_ENCODING);
+        if matches!(self.body, ReplyBody::Whole(_)) && !is_head {
+            self.headers.remove(CONTENT_LENGTH);
+        }
+        let mut response = hyper::Response::new(self.body);
+        *response.status_mut() = hyper::StatusCode::from_u16(self.status).unwrap_or_else(|_| {
+            tracing::warn!("reply: {} is no status.", self.status);
+            hyper::StatusCode::INTERNAL_SERVER_ERROR
+        });
+        *response.headers_mut() = self.headers;
+        response
     }
 }
 
@@ -111,10 +146,10 @@
                     context.waker().wake_by_ref();
                     return Poll::Pending;
                 }
-                match source.pull(Duration::from_millis(100)) {
+                match source.pull(source.patience()) {
                     Pull::Piece(bytes) => {
                         *has_given = true;
-                        Poll::Ready(Some(Ok(Frame::data(Bytes::from(bytes)))))
+                        Poll::Ready(Some(Ok(Frame::data(bytes))))
                     }
                     Pull::Nothing => {
                         context.waker().wake_by_ref();
--- /dev/null
+++ b/crates/wicket/src/wire.rs
@@ -0,0 +1,284 @@
+use hyper::rt::ReadBufCursor;
+use parlance::prelude::*;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, SendFlags, recv, send, sockopt};
+use std::fs::File;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll, Wake};
+use std::time::Duration;
+
+/// A TCP connection and what is known of it between two polls, so that no system call asks again.
+pub(crate) struct Wire {
+    pub stream: TcpStream,
+    /// Whether a read may find something: nothing has told that there is nothing.
+    pub may_read: AtomicBool,
+    /// Whether a write waits for room.
+    pub wants_room: AtomicBool,
+    /// Whether reads are to fail from now on: what was awaited has not come in time.
+    pub is_late: AtomicBool,
+    /// Bytes read from it so far.
+    pub read_count: AtomicU64,
+    /// Bytes written to it so far.
+    pub sent_count: AtomicU64,
+}
+
+/// What a peek at a connection shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Peeked {
+    Nothing,
+    Bytes,
+    Gone,
+}
+
+/// Unacknowledged bytes for this long mean that the other side is dead or cut off.
+const USER_TIMEOUT_MS: u32 = 10_000;
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        let _ = sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS);
+        Wire {
+            stream,
+            may_read: AtomicBool::new(true),
+            wants_room: AtomicBool::new(false),
+            is_late: AtomicBool::new(false),
+            read_count: AtomicU64::new(0),
+            sent_count: AtomicU64::new(0),
+        }
+    }
+    /// Looks without waiting and without taking bytes.
+    pub fn peek(&self) -> Peeked {
+        loop {
+            match recv(&self.stream, &mut [0u8; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+                Ok((_, 0)) => return Peeked::Gone,
+                Ok(_) => return Peeked::Bytes,
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return Peeked::Nothing,
+                Err(_) => return Peeked::Gone,
+            }
+        }
+    }
+    /// Whether the other side has closed or reset it, also behind bytes that nobody has read.
+    pub fn is_gone(&self) -> bool {
+        match self.peek() {
+            Peeked::Gone => true,
+            Peeked::Nothing => false,
+            Peeked::Bytes => {
+                let mut seen = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+                poll(&mut seen, Some(&Timespec { tv_sec: 0, tv_nsec: 0 })).is_ok_and(|count| count > 0)
+            }
+        }
+    }
+}
+
+/// The caller's connection, as one that serves it may look at it.
+///
+/// Invariant: it never keeps the connection open; once its gate has closed it, the caller is gone.
+#[derive(Clone)]
+pub struct Caller(Weak<Wire>);
+
+impl Caller {
+    pub(crate) fn new(wire: &Arc<Wire>) -> Self {
+        Caller(Arc::downgrade(wire))
+    }
+    pub(crate) fn wire(&self) -> Option<Arc<Wire>> {
+        self.0.upgrade()
+    }
+    /// Whether it has closed or reset the connection. Doesn't wait, and takes no bytes from it.
+    pub fn is_gone(&self) -> bool {
+        self.0.upgrade().is_none_or(|wire| wire.is_gone())
+    }
+}
+
+/// What ended a wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Woken {
+    /// The wire can be read or written on.
+    Ready,
+    /// Its time is over.
+    Late,
+    /// The caller watched beside it has gone.
+    CallerGone,
+    /// The bell has rung.
+    Bell,
+}
+
+/// Waits in one poll(2) until the wire has something (bytes, or the room that a write wants), the caller
+/// has gone, the bell's other end was closed, or the due has passed.
+pub(crate) fn await_wire(wire: &Wire, caller: Option<&Caller>, bell: Option<&File>, due: Moment) -> Woken {
+    let caller = match caller {
+        Some(caller) => match caller.wire() {
+            Some(wire) => Some(wire),
+            None => return Woken::CallerGone,
+        },
+        None => None,
+    };
+    let mut caller_flags = PollFlags::IN | PollFlags::RDHUP;
+    loop {
+        let mut wanted = PollFlags::IN;
+        if wire.wants_room.load(Ordering::Relaxed) {
+            wanted |= PollFlags::OUT;
+        }
+        // The wire, then the caller, then the bell; a missing one is stood in for by the wire itself.
+        let (mut watched, mut count) = ([const { None }; 2], 1);
+        if let Some(caller) = &caller {
+            watched[0] = Some(PollFd::new(&caller.stream, caller_flags));
+            count += 1;
+        }
+        if let Some(bell) = bell {
+            watched[1] = Some(PollFd::new(bell, PollFlags::empty()));
+            count += 1;
+        }
+        let own = || PollFd::new(&wire.stream, wanted);
+        let [first, second] = watched;
+        let has_caller = first.is_some();
+        let mut seen = match (first, second) {
+            (Some(caller), Some(bell)) => [own(), caller, bell],
+            (Some(other), None) | (None, Some(other)) => [own(), other, own()],
+            (None, None) => [own(), own(), own()],
+        };
+        let left = Clock::now().until(due);
+        let Ok(timeout) = Timespec::try_from(left.duration()) else { return Woken::Late };
+        match poll(&mut seen[..count], Some(&timeout)) {
+            Ok(0) if Clock::now().until(due).0 == 0 => return Woken::Late,
+            Ok(0) | Err(Errno::INTR) => continue,
+            Ok(_) => {}
+            Err(fault) => {
+                // Not expected; the read or write that follows tells more.
+                tracing::debug!("wire: poll failed: {fault}.");
+                wire.may_read.store(true, Ordering::Relaxed);
+                return Woken::Late;
+            }
+        }
+        let own_events = seen[0].revents();
+        if !own_events.is_empty() {
+            let has_room = own_events.intersects(PollFlags::OUT | PollFlags::ERR | PollFlags::HUP);
+            if has_room {
+                wire.wants_room.store(false, Ordering::Relaxed);
+            }
+            if own_events != PollFlags::OUT {
+                wire.may_read.store(true, Ordering::Relaxed);
+            }
+            return Woken::Ready;
+        }
+        if has_caller && !seen[1].revents().is_empty() {
+            if seen[1].revents() != PollFlags::IN || caller.as_ref().is_some_and(|wire| wire.is_gone()) {
+                return Woken::CallerGone;
+            }
+            // It has sent its next request already; only its end is watched from now on.
+            caller_flags = PollFlags::RDHUP;
+            continue;
+        }
+        return Woken::Bell;
+    }
+}
+
+/// A wire as hyper wants it. Reads never wait: whoever drives it waits in between.
+pub(crate) struct Duct {
+    pub wire: Arc<Wire>,
+    /// How long a write waits for room by itself; without it, whoever drives it waits.
+    pub write_patience: Option<Duration>,
+}
+
+impl Duct {
+    /// A caller that stops reading is cut after this long.
+    pub const WRITE_PATIENCE: Duration = Duration::from_secs(10);
+}
+
+impl hyper::rt::Read for Duct {
+    fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
+        let wire = &self.get_mut().wire;
+        if wire.is_late.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        if !wire.may_read.load(Ordering::Relaxed) {
+            return Poll::Pending;
+        }
+        let mut buffer = [MaybeUninit::<u8>::uninit(); 16 * 1024];
+        let room = cursor.remaining().min(buffer.len());
+        loop {
+            match recv(&wire.stream, &mut buffer[..room], RecvFlags::DONTWAIT) {
+                Ok(((bytes, _), _)) => {
+                    // An end stays readable; fewer bytes than there was room for were all.
+                    if !bytes.is_empty() && bytes.len() < room {
+                        wire.may_read.store(false, Ordering::Relaxed);
+                    }
+                    wire.read_count.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+                    cursor.put_slice(bytes);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => {
+                    wire.may_read.store(false, Ordering::Relaxed);
+                    return Poll::Pending;
+                }
+                Err(fault) => return Poll::Ready(Err(fault.into())),
+            }
+        }
+    }
+}
+
+impl hyper::rt::Write for Duct {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let duct = self.get_mut();
+        let wire = &duct.wire;
+        if wire.wants_room.load(Ordering::Relaxed) {
+            return Poll::Pending;
+        }
+        loop {
+            match send(&wire.stream, bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
+                Ok(count) => {
+                    wire.sent_count.fetch_add(count as u64, Ordering::Relaxed);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => match duct.write_patience {
+                    None => {
+                        wire.wants_room.store(true, Ordering::Relaxed);
+                        return Poll::Pending;
+                    }
+                    Some(patience) => {
+                        let mut room = [PollFd::new(&wire.stream, PollFlags::OUT)];
+                        let timeout = Timespec::try_from(patience).ok();
+                        if poll(&mut room, timeout.as_ref()) == Ok(0) {
+                            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                        }
+                    }
+                },
+                Err(fault) => return Poll::Ready(Err(fault.into())),
+            }
+        }
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.get_mut().wire.stream.shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// Notes that a future wants to be polled again at once, without waiting for its wire.
+#[derive(Default)]
+pub(crate) struct Alarm(AtomicBool);
+
+impl Alarm {
+    /// Whether it went off since last asked.
+    pub fn take(&self) -> bool {
+        self.0.swap(false, Ordering::Relaxed)
+    }
+}
+
+impl Wake for Alarm {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+    fn wake_by_ref(self: &Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/wicket/tests/library_traps.rs
@@ -16,7 +16,7 @@
     fn pull(&mut self, patience: Duration) -> Pull {
         match self.0.recv_timeout(patience) {
             Ok(Some("cut")) => Pull::Cut,
-            Ok(Some(piece)) => Pull::Piece(piece.as_bytes().to_vec()),
+            Ok(Some(piece)) => Pull::Piece(piece.as_bytes().to_vec().into()),
             Ok(None) => Pull::End,
             Err(mpsc::RecvTimeoutError::Timeout) => Pull::Nothing,
             Err(mpsc::RecvTimeoutError::Disconnected) => Pull::Cut,
@@ -175,7 +175,7 @@
 
 #[test]
 fn slow_torn_and_oversize_orders_free_their_thread() {
-    let bounds = GateBounds { connections: 8, body_bytes: 100, read_span: Span(300) };
+    let bounds = GateBounds { connections: 8, body_bytes: 100, read_span: Span(300), ..GateBounds::default() };
     let gate = Gate::open(Address::loopback(0).0, bounds).unwrap();
     let (address, open_count) = (gate.address(), gate.open_count());
     std::thread::spawn(move || gate.serve(|order| Reply::whole(200, "text/plain", order.body)));
