--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -8,6 +8,8 @@
 /// The spans that a fellow goes by. All fellows of a core use the same.
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
+    /// Disks that a change is on before it is replied: changes enter only while the chain has as many.
+    pub copies: usize,
     /// Between beats.
     pub beat: Span,
     /// Unheard for this long, a fellow is taken for gone.
@@ -35,6 +37,7 @@
 impl Default for Timing {
     fn default() -> Self {
         Timing {
+            copies: 2,
             beat: Span(100),
             suspect: Span(800),
             lease: Span(1000),
--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/fellow/chain.rs
@@ -21,7 +21,7 @@
             None => false,
         };
         let has_room = self.last.0.0 < self.replied.0 + self.timing.ahead;
-        let may_enter = self.is_head() && self.is_level && self.view.chain.len() >= 2 && has_room;
+        let may_enter = self.is_head() && self.is_level && self.view.chain.len() >= self.timing.copies && has_room;
         if !may_enter || (self.charge.needs_members(&body) && !tail_says) {
             return self.turn_away(ticket, false, vec![]);
         }
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -3,6 +3,16 @@
 use std::collections::BTreeMap;
 
 messages! {
+    /// A plan's number where operators count by their own, and the number of the plan that it builds on;
+    /// `own` is 0 where they count by epochs.
+    #[derive(Default, Copy, Eq)]
+    pub struct Revisions {
+        /// Of the plan.
+        pub own: u64,
+        /// Of the one that it builds on.
+        pub base: u64,
+    }
+
     /// What is to change.
     #[derive(Eq)]
     pub enum Motion {
@@ -12,6 +22,8 @@
             bytes: Vec<u8>,
             /// The zones that it names.
             halls: Vec<HallName>,
+            /// By the operators' own count.
+            revisions: Revisions,
         },
         /// A change to the plan in force.
         Change {
@@ -23,6 +35,8 @@
             splice: Splice,
             /// The zones that this names.
             halls: Vec<HallName>,
+            /// By the operators' own count.
+            revisions: Revisions,
         },
         /// A zone gets no new work.
         Withdraw {
@@ -68,7 +82,7 @@
     pub struct Proposal {
         /// Chosen by the proposer; a repeat has the same one.
         pub id: String,
-        /// The epoch that the proposer looked at. Plans and changes must name it.
+        /// The epoch that the proposer looked at. Plans and changes without a revision must name it.
         pub builds_on: Option<Epoch>,
         /// What.
         pub motion: Motion,
@@ -144,6 +158,8 @@
         pub plan_epoch: Epoch,
         /// The plan in force; empty before the first.
         pub plan: Vec<u8>,
+        /// The newest number of the operators' own; 0 before the first.
+        pub revision: u64,
         /// The zones that it names.
         pub plan_halls: Vec<HallName>,
         /// Withdrawn zones.
@@ -227,13 +243,14 @@
         })
     }
     /// Takes a new plan up and keeps what leads back.
-    fn set_plan(&mut self, plan: Vec<u8>, splice: Splice, halls: &[HallName]) {
+    fn set_plan(&mut self, plan: Vec<u8>, splice: Splice, halls: &[HallName], revisions: Revisions) {
         let undo = splice.reverse(&self.plan).expect("it was made for the plan in force");
         self.undos.push(Undo { epoch: self.epoch, splice: undo });
         self.newest = Some((self.plan_epoch, splice));
         self.plan = plan;
         self.plan_halls = halls.to_vec();
         self.plan_epoch = self.epoch;
+        self.revision = self.revision.max(revisions.own);
     }
     /// What was accepted as this epoch.
     pub fn entry(&self, epoch: Epoch) -> Option<&Entry> {
@@ -278,10 +295,26 @@
             }
             _ => Ok(()),
         };
+        let follows = |revisions: &Revisions| {
+            if revisions.own == 0 {
+                return builds_on(true);
+            }
+            builds_on(false)?;
+            let (own, base, newest) = (revisions.own, revisions.base, self.revision);
+            if base != newest {
+                let why = format!("it builds on revision {base}, the plan in force is revision {newest}");
+                return Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]));
+            }
+            if own <= newest {
+                let why = format!("revision {own} is not above {newest}");
+                return Err(self.verdict(ResultCode::BadPlan, self.epoch, why, vec![]));
+            }
+            Ok(())
+        };
         match &proposal.motion {
-            Motion::Plan { .. } => builds_on(true),
-            Motion::Change { base, splice, .. } => {
-                builds_on(true)?;
+            Motion::Plan { revisions, .. } => follows(revisions),
+            Motion::Change { base, splice, revisions, .. } => {
+                follows(revisions)?;
                 if *base != self.plan_epoch {
                     let why =
                         format!("it was merged into epoch {base}, the plan in force is of epoch {}", self.plan_epoch);
@@ -358,13 +391,13 @@
         }
         self.epoch = self.epoch.next();
         match &proposal.motion {
-            Motion::Plan { bytes, halls } => {
+            Motion::Plan { bytes, halls, revisions } => {
                 let splice = Splice::between(&self.plan, bytes);
-                self.set_plan(bytes.clone(), splice, halls);
+                self.set_plan(bytes.clone(), splice, halls, *revisions);
             }
-            Motion::Change { splice, halls, .. } => {
+            Motion::Change { splice, halls, revisions, .. } => {
                 let plan = splice.apply(&self.plan).expect("it was judged to fit");
-                self.set_plan(plan, splice.clone(), halls);
+                self.set_plan(plan, splice.clone(), halls, *revisions);
             }
             Motion::Withdraw { hall } => {
                 if !self.withdrawn.contains(hall) {
@@ -415,18 +448,62 @@
     }
 }
 
+impl Revisions {
+    fn of(plan: &Plan, base: Option<u64>) -> Result<Revisions, Vec<Fault>> {
+        match base {
+            Some(_) if plan.revision == 0 => {
+                Err(vec![Fault { path: "revision".into(), why: "it is missing or 0".into() }])
+            }
+            Some(base) => Ok(Revisions { own: plan.revision, base }),
+            None => Ok(Revisions::default()),
+        }
+    }
+}
+
 impl Motion {
-    /// A whole plan, if it has no faults.
+    /// A whole plan in the product's own words, if it has no faults.
     pub fn plan(bytes: Vec<u8>) -> Result<Motion, Vec<Fault>> {
-        let halls = parse_plan(&bytes)?.halls();
-        Ok(Motion::Plan { bytes, halls })
+        Self::plan_in(&OwnPlans, bytes, None)
     }
-    /// A change to the plan that was accepted as `base`, if what comes of it has no faults.
+    /// A change in the product's own words, to the plan that was accepted as `base`, if what comes of it
+    /// has no faults.
     pub fn change(bytes: Vec<u8>, base: Epoch, plan: &[u8]) -> Result<Motion, Vec<Fault>> {
-        let whole = merge_change(plan, &bytes)?;
-        let halls = parse_plan(&whole)?.halls();
+        Self::change_in(&OwnPlans, bytes, base, plan, None)
+    }
+    /// A whole plan in this dialect, if it has no faults. Where operators count by their own revisions,
+    /// it names the one that it builds on.
+    pub fn plan_in(
+        dialect: &dyn PlanDialect,
+        bytes: Vec<u8>,
+        base_revision: Option<u64>,
+    ) -> Result<Motion, Vec<Fault>> {
+        let plan = dialect.parse(&bytes)?;
+        let revisions = Revisions::of(&plan, base_revision)?;
+        Ok(Motion::Plan { bytes, halls: plan.halls(), revisions })
+    }
+    /// A change in this dialect to the plan that was accepted as `base`, if what comes of it has no faults.
+    pub fn change_in(
+        dialect: &dyn PlanDialect,
+        bytes: Vec<u8>,
+        base: Epoch,
+        plan: &[u8],
+        base_revision: Option<u64>,
+    ) -> Result<Motion, Vec<Fault>> {
+        let whole = dialect.merge(plan, &bytes)?;
+        let merged = dialect.parse(&whole)?;
+        let revisions = Revisions::of(&merged, base_revision)?;
         let splice = Splice::between(plan, &whole);
-        Ok(Motion::Change { bytes, base, splice, halls })
+        Ok(Motion::Change { bytes, base, splice, halls: merged.halls(), revisions })
+    }
+    /// The same; these zones may be withdrawn besides those that it names.
+    #[must_use]
+    pub fn with_halls(mut self, more: &[HallName]) -> Motion {
+        if let Motion::Plan { halls, .. } | Motion::Change { halls, .. } = &mut self {
+            halls.extend_from_slice(more);
+            halls.sort();
+            halls.dedup();
+        }
+        self
     }
 }
 
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -1,17 +1,21 @@
 //! The operators' configuration: how plans are read and checked, and the ledger of all that was
 //! accepted, which the chain of registrars replicates.
 
+mod dialect;
 mod ledger;
 mod plan;
+mod routing;
 mod settings;
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::ledger::{AsSent, Entry, Ledger, Motion, Proposal, Verdict};
+    pub use crate::dialect::{OwnPlans, PlanDialect};
+    pub use crate::ledger::{AsSent, Entry, Ledger, Motion, Proposal, Revisions, Verdict};
     pub use crate::plan::{
         BoundsPlan, BtbPlan, Fault, Plan, RouteKind, RoutePlan, ServiceKind, ServicePlan, SharePlan, merge_change,
         parse_plan,
     };
+    pub use crate::routing::RouteTable;
     pub use crate::settings::{SettingsFault, a_name, addresses, an_address, parse_addresses, read_settings, within};
     pub use parlance::prelude::*;
 }
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -230,7 +230,10 @@
         loader.load().map(|loaded| loaded.config)
     };
     let fault = match load(text) {
-        Ok(plan) => return Ok(plan),
+        Ok(plan) => {
+            let faults = plan.faults();
+            return if faults.is_empty() { Ok(plan) } else { Err(faults) };
+        }
         Err(fault) => fault,
     };
     // Reading stops at the first field that is of the wrong kind; without it, the next one shows.
--- /dev/null
+++ b/crates/registrar/src/core_line.rs
@@ -0,0 +1,54 @@
+use crate::prelude::*;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Bounds the operators' orders that wait in this process.
+const OPERATORS: usize = 64;
+
+/// Who waits for the control thread's word on what, by number.
+#[derive(Clone, Default)]
+pub(crate) struct Replies(Arc<Mutex<HashMap<u64, flume::Sender<(u16, Vec<u8>)>>>>);
+
+impl Replies {
+    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<u64, flume::Sender<(u16, Vec<u8>)>>> {
+        self.0.lock().expect("no thread panics with it")
+    }
+    /// Hands a reply to whoever waits for it.
+    pub(crate) fn give(&self, number: u64, status: u16, body: Vec<u8>) {
+        let waiting = self.waiting().remove(&number);
+        if let Some(waiting) = waiting {
+            let _ = waiting.send((status, body));
+        }
+    }
+}
+
+/// From a connection's thread to the control thread and back.
+pub struct CoreLine {
+    replies: Replies,
+    counter: AtomicU64,
+    tell: Box<dyn Fn(u64, OperatorAsk) + Send + Sync>,
+}
+
+impl CoreLine {
+    pub(crate) fn new(replies: Replies, tell: impl Fn(u64, OperatorAsk) + Send + Sync + 'static) -> Self {
+        CoreLine { replies, counter: AtomicU64::new(1), tell: Box::new(tell) }
+    }
+    /// Asks, and waits for status and body.
+    pub fn ask(&self, ask: OperatorAsk) -> Result<(u16, Vec<u8>), Reply> {
+        let number = self.counter.fetch_add(1, Ordering::Relaxed);
+        let (reply, inbox) = flume::bounded(1);
+        {
+            let mut waiting = self.replies.waiting();
+            if waiting.len() >= OPERATORS {
+                return Err(Reply::result(ResultCode::CoreNotReady, "too many operators' orders are waiting"));
+            }
+            waiting.insert(number, reply);
+        }
+        (self.tell)(number, ask);
+        let outcome = inbox.recv_timeout(Duration::from_secs(12));
+        self.replies.waiting().remove(&number);
+        outcome.map_err(|_| Reply::result(ResultCode::FateUnknown, "this registrar's control thread gave no reply"))
+    }
+}
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -1,29 +1,43 @@
+use crate::core_line::Replies;
 use crate::prelude::*;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 /// What reaches the control thread.
 enum Event {
     Input(OfficeInput),
     Shelf(u64, ShelfEvent),
     Believes(flume::Sender<serde_json::Value>),
-    Stop,
 }
 
-type Replies = Arc<std::sync::Mutex<std::collections::HashMap<u64, flume::Sender<(u16, Vec<u8>)>>>>;
-
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
-/// Bounds the operators' orders that wait in this process.
-const OPERATORS: usize = 64;
+/// Between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How operators speak to a registrar.
+#[derive(Clone)]
+pub struct Dialects {
+    /// What plans look like.
+    pub plans: Arc<dyn PlanDialect>,
+    /// What operators' calls look like; `None`: as the product's own interface has them.
+    pub desk: Option<Arc<dyn DeskDialect>>,
+}
+
+impl Default for Dialects {
+    fn default() -> Self {
+        Dialects { plans: Arc::new(OwnPlans), desk: None }
+    }
+}
 
 /// Runs a registrar until it's told to stop; gives the exit code.
-pub fn run(settings: &Settings) -> u8 {
-    match start(settings) {
+pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
+    let outcome = if settings.folder.is_empty() { send_on(settings) } else { start(settings, dialects) };
+    match outcome {
         Ok(()) => 0,
         Err(why) => {
             eprintln!("registrar: {} {why}", ResultCode::BadSettings);
@@ -32,7 +46,46 @@
     }
 }
 
-fn start(settings: &Settings) -> Result<(), String> {
+/// Without a disk: operators are sent on to those that have one.
+fn send_on(settings: &Settings) -> Result<(), String> {
+    let listen: Address = settings.listen.parse()?;
+    let desks: Vec<Address> = parse_addresses(&settings.desks).into_iter().filter(|desk| *desk != listen).collect();
+    let bounds = GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20) };
+    let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
+    let stop = stop_flag()?;
+    let turn = Arc::new(AtomicUsize::new(0));
+    let gate_thread = move || gate.serve(move |order| elsewhere(&order, &desks, &turn));
+    std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
+    tracing::info!("registrar: listens at {listen}, has no disk and sends operators on.");
+    while !stop.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    Ok(())
+}
+
+/// Sends an operator to the next of the others.
+fn elsewhere(order: &Order, desks: &[Address], turn: &AtomicUsize) -> Reply {
+    let place = turn.fetch_add(1, Ordering::Relaxed) % desks.len().max(1);
+    match desks.get(place) {
+        Some(desk) => {
+            let query = if order.query.is_empty() { String::new() } else { format!("?{}", order.query) };
+            let location = format!("http://{desk}{}{query}", order.path);
+            Reply::whole(307, "text/plain", "ask there\n").with_header("location", location)
+        }
+        None => Reply::result(ResultCode::CoreNotReady, "this registrar has no disk and knows no other"),
+    }
+}
+
+/// What a signal to stop sets.
+fn stop_flag() -> Result<Arc<AtomicBool>, String> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
+    }
+    Ok(stop)
+}
+
+fn start(settings: &Settings, dialects: Dialects) -> Result<(), String> {
     let listen: Address = settings.listen.parse()?;
     let inner: Address = settings.inner.parse()?;
     let founders = parse_addresses(&settings.founders);
@@ -53,41 +106,55 @@
     })
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
 
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
-    }
-    let replies: Replies = Arc::default();
+    let stop = stop_flag()?;
+    let replies = Replies::default();
     let is_ready = Arc::new(AtomicBool::new(false));
     let tallies = Arc::new(Tallies::default());
-    let (gate_sender, gate_replies, gate_ready, gate_tallies) =
-        (sender.clone(), replies.clone(), is_ready.clone(), tallies.clone());
+    let gate_sender = sender.clone();
+    let halls = settings.halls.iter().map(|name| name.as_str().into()).collect();
+    let tell = move |number, ask| {
+        let _ = gate_sender.send(Event::Input(OfficeInput::Operator { number, ask }));
+    };
+    let core = CoreLine::new(replies.clone(), tell);
+    let believes_sender = sender.clone();
+    let door =
+        Door { core, dialects, halls, sender: believes_sender, is_ready: is_ready.clone(), tallies: tallies.clone() };
+    let door = Arc::new(door);
     let gate_thread = move || {
-        let counter = Arc::new(AtomicU64::new(1));
         gate.serve(move |order| {
-            gate_tallies.orders.fetch_add(1, Ordering::Relaxed);
-            reply(&order, &gate_sender, &gate_replies, &counter, &gate_ready, &gate_tallies)
+            door.tallies.orders.fetch_add(1, Ordering::Relaxed);
+            door.reply(&order)
         });
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
-    let ticker = move || {
-        loop {
-            std::thread::sleep(Duration::from_millis(25));
-            let event = if stop.load(Ordering::Relaxed) { Event::Stop } else { Event::Input(OfficeInput::ClockEvent) };
-            if sender.send(event).is_err() {
-                return;
-            }
-        }
-    };
-    std::thread::Builder::new().name("ticker".into()).spawn(ticker).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
-    let mut control =
-        Control { inner, founders, seeds, shelf, post, replies, is_ready, tallies, office: None, life: 0, fault: None };
-    while let Ok(event) = events.recv() {
-        if matches!(event, Event::Stop) {
-            break;
+    let mut timing = OfficeTiming::default();
+    timing.fellow.copies = settings.copies as usize;
+    let mut control = Control {
+        inner,
+        founders,
+        seeds,
+        timing,
+        shelf,
+        post,
+        replies,
+        is_ready,
+        tallies,
+        office: None,
+        life: 0,
+        fault: None,
+    };
+    let mut next_tick = Instant::now() + TICK;
+    while !stop.load(Ordering::Relaxed) {
+        match events.recv_deadline(next_tick) {
+            Ok(event) => control.take(event),
+            Err(flume::RecvTimeoutError::Timeout) => {}
+            Err(flume::RecvTimeoutError::Disconnected) => break,
+        }
+        if Instant::now() >= next_tick {
+            next_tick = Instant::now() + TICK;
+            control.take(Event::Input(OfficeInput::ClockEvent));
         }
-        control.take(event);
     }
     tracing::info!("registrar: stopped.");
     Ok(())
@@ -109,6 +176,7 @@
     inner: Address,
     founders: Vec<Address>,
     seeds: Vec<Address>,
+    timing: OfficeTiming,
     shelf: Shelf,
     post: Post,
     replies: Replies,
@@ -138,7 +206,7 @@
                     self.step(now, OfficeInput::DiskFault);
                 }
             }
-            Event::Shelf(..) | Event::Stop => {}
+            Event::Shelf(..) => {}
             Event::Believes(reply) => {
                 let _ = reply.send(self.believes(now));
             }
@@ -155,7 +223,7 @@
         let me = Voter { address: self.inner, disk };
         // A machine added later knows nobody but its seeds; they learn of it by its beats.
         let known = if self.founders.is_empty() { self.seeds.clone() } else { self.founders.clone() };
-        let timing = OfficeTiming::default();
+        let timing = self.timing;
         match Fellow::new(me, known, timing.fellow, kept, Ledger::default(), now) {
             Ok(fellow) => {
                 tracing::info!("registrar: disk {disk} holds epoch {}.", fellow.charge().epoch);
@@ -185,10 +253,7 @@
                     self.shelf.write(id, records, is_whole);
                 }
                 OfficeOutput::Reply { number, status, body } => {
-                    let waiting = self.replies.lock().expect("no thread panics with it").remove(&number);
-                    if let Some(waiting) = waiting {
-                        let _ = waiting.send((status, body));
-                    }
+                    self.replies.give(number, status, body);
                 }
                 OfficeOutput::ViewChanged(view) => {
                     let chain: Vec<String> = view.chain.iter().map(|s| s.voter.address.to_string()).collect();
@@ -234,29 +299,44 @@
     }
 }
 
-fn reply(
+/// What the connections' threads share.
+struct Door {
+    core: CoreLine,
+    dialects: Dialects,
+    halls: Vec<HallName>,
+    sender: flume::Sender<Event>,
+    is_ready: Arc<AtomicBool>,
+    tallies: Arc<Tallies>,
+}
+
+impl Door {
+    fn reply(&self, order: &Order) -> Reply {
+        let Some(desk) = &self.dialects.desk else { return self.own_reply(order) };
+        let is_ready = self.is_ready.load(Ordering::Relaxed);
+        match desk.read(order) {
+            Ok(Some(call)) => desk.write(self.core.carry(call, self.dialects.plans.as_ref(), &self.halls, is_ready)),
+            Ok(None) if order.method == "GET" => self.own_reply(order),
+            Ok(None) => {
+                Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path))
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    /// The product's own interface.
+    fn own_reply(&self, order: &Order) -> Reply {
+        own_reply(order, &self.core, &self.sender, &self.is_ready, &self.tallies)
+    }
+}
+
+fn own_reply(
     order: &Order,
+    core: &CoreLine,
     sender: &flume::Sender<Event>,
-    replies: &Replies,
-    counter: &AtomicU64,
     is_ready: &AtomicBool,
     tallies: &Tallies,
 ) -> Reply {
-    let ask_core = |ask: OperatorAsk| -> Result<(u16, Vec<u8>), Reply> {
-        let number = counter.fetch_add(1, Ordering::Relaxed);
-        let (reply, inbox) = flume::bounded(1);
-        {
-            let mut waiting = replies.lock().expect("no thread panics with it");
-            if waiting.len() >= OPERATORS {
-                return Err(Reply::result(ResultCode::CoreNotReady, "too many operators' orders are waiting"));
-            }
-            waiting.insert(number, reply);
-        }
-        let _ = sender.send(Event::Input(OfficeInput::Operator { number, ask }));
-        let outcome = inbox.recv_timeout(Duration::from_secs(12));
-        replies.lock().expect("no thread panics with it").remove(&number);
-        outcome.map_err(|_| Reply::result(ResultCode::FateUnknown, "this registrar's control thread gave no reply"))
-    };
+    let ask_core = |ask: OperatorAsk| core.ask(ask);
     let told = |status: u16, body: Vec<u8>| {
         let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
         let reply = Reply::whole(status, "application/json", body);
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -1,7 +1,9 @@
 //! The control plane: a registrar keeps the ledger on its disk, as one of a chain, and tells the
 //! criers what is in force.
 
+mod core_line;
 mod daemon;
+mod desk;
 mod desk_line;
 mod office;
 mod settings;
@@ -9,7 +11,9 @@
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::daemon::run;
+    pub use crate::core_line::CoreLine;
+    pub use crate::daemon::{Dialects, run};
+    pub use crate::desk::{DeskAnswer, DeskCall, DeskDialect};
     pub use crate::office::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk};
     pub use crate::settings::Settings;
     pub use crate::shelf::{Shelf, ShelfEvent};
--- a/crates/registrar/src/main.rs
+++ b/crates/registrar/src/main.rs
@@ -57,7 +57,7 @@
             inner.into_iter().for_each(|address| read.inner = address.to_string());
             hall.into_iter().for_each(|name| read.hall = name);
             folder.into_iter().for_each(|path| read.folder = path);
-            ExitCode::from(run(&read))
+            ExitCode::from(run(&read, Dialects::default()))
         }
     }
 }
--- a/crates/registrar/src/settings.rs
+++ b/crates/registrar/src/settings.rs
@@ -13,7 +13,8 @@
     /// Its zone.
     #[setting(default = "here", validate = a_name)]
     pub hall: String,
-    /// The data folder, on the machine's disk.
+    /// The data folder, on the machine's disk. Empty: this machine has none; it keeps nothing, votes on
+    /// nothing and sends operators on to `desks`.
     #[setting(default = "registrar-data")]
     pub folder: String,
     /// Inner addresses of all registrars that found the core together, the same list at each. Left
@@ -23,4 +24,12 @@
     /// Inner addresses of up to three processes to ask first.
     #[setting(validate = addresses)]
     pub seeds: Vec<String>,
+    /// Where operators reach other registrars.
+    #[setting(validate = addresses)]
+    pub desks: Vec<String>,
+    /// Zones that may be withdrawn besides those that members and plans name.
+    pub halls: Vec<String>,
+    /// Disks that a change is on before it counts as accepted: one more than may be lost at once.
+    #[setting(default = 2, validate = within(1, 9))]
+    pub copies: u64,
 }
