--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -50,7 +50,8 @@
 fn send_on(settings: &Settings) -> Result<(), String> {
     let listen: Address = settings.listen.parse()?;
     let desks: Vec<Address> = parse_addresses(&settings.desks).into_iter().filter(|desk| *desk != listen).collect();
-    let bounds = GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20) };
+    let bounds =
+        GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let stop = stop_flag()?;
     let turn = Arc::new(AtomicUsize::new(0));
