--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -1,7 +1,11 @@
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use told::{Load, Told};
 
 mod placing;
+mod timing;
+mod told;
 mod warming;
 
 /// Where orders are placed. Takes dated events, gives decisions; the same events give the same
@@ -16,13 +20,30 @@
     incarnation: u64,
     desk_rules: DeskRules,
     rules: Rules,
+    /// The services of the rules, shared with what is being decided.
+    services: BTreeMap<ServiceName, Arc<ServiceRules>>,
+    /// The zone of this node, if it was told.
+    hall: Option<HallName>,
+    /// When this life took its first event.
+    begun: Option<Moment>,
+    /// When the members last changed: for a second, others may still share out among those before.
+    shared_from: Moment,
     members: Vec<Address>,
     servers: BTreeMap<ServerName, ServerState>,
     window: Window,
     peers: BTreeMap<Address, Peer>,
+    /// The sum of the peers' sketches that count.
+    told: Told,
+    /// When the next of them counts no more.
+    told_until: Option<Moment>,
+    /// Whether every other member's sketch counts.
+    knows_all: bool,
+    /// How many peers' sketches count.
+    counted_peers: u32,
     active: BTreeMap<PrefixHash, Active>,
     orders: BTreeMap<OrderId, InHand>,
     repeats: BTreeMap<ServiceName, Allowance>,
+    repeat_windows: BTreeMap<ServiceName, RepeatWindow>,
     sketch_number: u64,
     decisions: Vec<Decision>,
 }
@@ -31,10 +52,8 @@
 struct Peer {
     heard: Moment,
     sketch: Sketch,
-    hot: BTreeMap<PrefixHash, u32>,
-    /// With whether a first token has shown it.
-    holdings: BTreeMap<(PrefixHash, ServerName, u64), bool>,
-    in_flight: BTreeMap<ServerName, u32>,
+    /// Whether it is in the sum.
+    is_counted: bool,
 }
 
 /// A prefix in a burst.
@@ -75,6 +94,25 @@
     was_idle: bool,
     matched: u32,
     first: Option<Moment>,
+    /// What its caller told of it.
+    weight: Weight,
+}
+
+/// What an order costs a server, in tokens. All zero: its caller told nothing.
+#[derive(Debug, Clone, Copy, Default)]
+struct Weight {
+    /// Whether the caller told what it asks.
+    is_told: bool,
+    /// Of its prompt, those that the server reads.
+    uncached: u64,
+    /// Those that were to be read there before.
+    ahead: u64,
+    /// All of its prompt, held or not.
+    prompt: u64,
+    /// What it takes of the memory.
+    memory: u64,
+    /// How long it was expected to wait for a slot, in ms.
+    queue: u64,
 }
 
 impl Desk {
@@ -85,35 +123,56 @@
             incarnation,
             desk_rules,
             rules: Rules::default(),
+            services: BTreeMap::new(),
+            hall: None,
+            begun: None,
+            shared_from: Moment(0),
             members: vec![own],
             servers: BTreeMap::new(),
             window: Window::default(),
             peers: BTreeMap::new(),
+            told: Told::default(),
+            told_until: None,
+            knows_all: true,
+            counted_peers: 0,
             active: BTreeMap::new(),
             orders: BTreeMap::new(),
             repeats: BTreeMap::new(),
+            repeat_windows: BTreeMap::new(),
             sketch_number: 0,
             decisions: vec![],
         }
     }
 
+    /// Tells in which zone this node is: servers there are preferred by `DeskRules::zone_bias`.
+    pub fn set_hall(&mut self, hall: HallName) {
+        self.hall = Some(hall);
+    }
+
     /// Takes an event in; gives the decisions that follow.
     pub fn take(&mut self, dated: Dated) -> Vec<Decision> {
         let now = dated.at;
+        let begun = *self.begun.get_or_insert(now);
+        self.expire_peers(now);
         match dated.event {
             Event::Rules { rules } => {
                 if rules.epoch >= self.rules.epoch {
+                    self.services = rules
+                        .services
+                        .iter()
+                        .map(|(name, service)| (name.clone(), Arc::new(service.clone())))
+                        .collect();
                     self.rules = rules;
                 }
             }
-            Event::Members { members } => self.members = members,
+            Event::Members { members } => self.on_members(members, now),
             Event::Roll { servers } => self.on_roll(servers, now),
             Event::Burden { server, incarnation, up, running, waiting, slots, weights } => {
                 self.on_burden(&server, incarnation, up, running + waiting, slots, weights, now);
             }
             Event::Unreachable { server } => self.on_unreachable(&server, now),
             Event::Prompt { order, service, hashes, round, tried, demand } => {
-                self.on_prompt(order, service, hashes, round, &tried, &demand, now);
+                self.on_prompt(order, service, hashes, round, &tried, &demand, begun, now);
             }
             Event::FirstToken { order } => self.on_first_token(order, now),
             Event::Ended { order, outcome } => self.on_ended(&order, outcome, now),
@@ -145,14 +204,22 @@
             }
         }
         holdings.truncate(512);
-        let busy = self.servers.iter().filter(|(_, server)| server.own > 0);
+        let busy = self.servers.iter().filter(|(_, server)| server.own > 0 || server.read > 0);
         let leaving = self.servers.iter().filter(|(_, server)| server.is_listed && server.is_leaving);
         Sketch {
             incarnation: self.incarnation,
             number: self.sketch_number,
             hot,
             holdings,
-            in_flight: busy.map(|(name, server)| InFlight { server: name.clone(), count: server.own }).collect(),
+            in_flight: busy
+                .map(|(name, server)| InFlight {
+                    server: name.clone(),
+                    count: server.own,
+                    unread: server.unread,
+                    tokens: server.tokens,
+                    read: server.read,
+                })
+                .collect(),
             leaving: leaving.map(|(name, _)| name.clone()).collect(),
         }
     }
@@ -185,14 +252,10 @@
         }
         for entry in entries {
             match self.servers.get_mut(&entry.server) {
-                Some(server) => {
-                    server.is_listed = true;
-                    server.is_leaving = entry.is_leaving;
-                    server.hall = entry.hall;
-                    server.pool = entry.pool;
-                }
+                Some(server) => server.note_entry(entry, now),
                 None => {
-                    let state = ServerState::new(&entry, now, &self.desk_rules);
+                    let mut state = ServerState::new(&entry, now, &self.desk_rules);
+                    state.place = rank(state.key, &self.own, &self.members) as u32;
                     self.servers.insert(entry.server, state);
                 }
             }
@@ -201,6 +264,17 @@
         self.servers.retain(|_, server| server.is_listed || server.own > 0);
     }
 
+    fn on_members(&mut self, members: Vec<Address>, now: Moment) {
+        if members.iter().collect::<BTreeSet<_>>() != self.members.iter().collect::<BTreeSet<_>>() {
+            self.shared_from = now;
+        }
+        self.members = members;
+        for server in self.servers.values_mut() {
+            server.place = rank(server.key, &self.own, &self.members) as u32;
+        }
+        self.count_known();
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn on_burden(
         &mut self,
@@ -220,6 +294,10 @@
             server.knows_kv = true;
             server.block_micros = self.desk_rules.block_micros;
         }
+        if is_new_life {
+            server.listed_from = now;
+            server.cold_until = None;
+        }
         let suspect_ramp = server.suspect_until;
         if server.incarnation != Some(incarnation) {
             server.ramp_from = now - up;
@@ -240,6 +318,10 @@
             return;
         }
         hand.first = Some(now);
+        let weight = hand.weight;
+        if let Some(server) = self.servers.get_mut(&hand.server) {
+            server.unread = server.unread.saturating_sub(weight.uncached);
+        }
         let lag = now.since(hand.placed).0.saturating_sub(hand.expected.0);
         let (name, was_noted) = (hand.server.clone(), std::mem::replace(&mut hand.is_noted, true));
         if !was_noted {
@@ -256,6 +338,16 @@
         let took = now.since(hand.placed).0.saturating_sub(base.0) * 1000;
         let blocks = hand.hashes.len() as u64;
         let uncached = blocks - u64::from(hand.matched);
+        if weight.is_told {
+            server.learn_reading(took, weight.ahead + weight.uncached, &self.desk_rules);
+            let whole = weight.prompt * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1));
+            let kept = weight.prompt - weight.uncached;
+            if weight.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
+                self.decisions.push(Decision::Disproved { order, server: hand.server.clone() });
+            }
+            server.residency.hold(&hand.hashes, now);
+            return;
+        }
         if hand.was_idle && uncached >= 16 {
             let sample = (took / uncached).clamp(50, 100_000);
             server.block_micros = (server.block_micros * 3 + sample) / 4;
@@ -273,8 +365,9 @@
     /// A first piece came, or is still missing, so much later than expected.
     fn note_lag(&mut self, name: &ServerName, lag: u64, now: Moment) {
         let usual = usual_lag(&self.servers, name).unwrap_or(u64::MAX / 8);
+        let may_lose = self.may_lose(name, now);
         let Some(server) = self.servers.get_mut(name) else { return };
-        if server.note_lag(lag, usual) {
+        if server.note_lag(lag, usual) && may_lose {
             server.late = 0;
             if let Some(span) = server.fault(now, true) {
                 self.decisions.push(Decision::Suspected { server: name.clone(), span });
@@ -282,13 +375,26 @@
         }
     }
 
+    /// Whether it may be kept from work on mere doubt: no more than half of a pool ever is.
+    fn may_lose(&self, name: &ServerName, now: Moment) -> bool {
+        let Some(own) = self.servers.get(name) else { return false };
+        let is_kin = |server: &&ServerState| server.is_listed && !server.is_leaving && server.pool == own.pool;
+        let (all, lost) = self
+            .servers
+            .values()
+            .filter(is_kin)
+            .fold((0, 0), |(all, lost), server| (all + 1, lost + usize::from(server.is_suspect(now))));
+        (lost + 1) * 2 <= all
+    }
+
     /// Pieces that are far overdue tell as much as those that came late, and sooner.
     pub(super) fn note_overdue(&mut self, now: Moment) {
         let is_overdue = |hand: &InHand| {
             if hand.first.is_some() || hand.is_noted {
                 return false;
             }
-            let slack = Span(usual_lag(&self.servers, &hand.server).unwrap_or(u64::MAX / 8).saturating_mul(4) + 1000);
+            let usual = usual_lag(&self.servers, &hand.server).unwrap_or(u64::MAX / 8);
+            let slack = Span(usual.saturating_mul(4) + self.desk_rules.overdue_slack.0);
             now.since(hand.placed) > Span(hand.expected.0 + slack.0)
         };
         let overdue: Vec<OrderId> =
@@ -305,14 +411,21 @@
         let Some(hand) = self.orders.remove(order) else { return };
         let Some(server) = self.servers.get_mut(&hand.server) else { return };
         server.own = server.own.saturating_sub(1);
+        server.tokens = server.tokens.saturating_sub(hand.weight.memory);
+        if hand.first.is_none() {
+            server.unread = server.unread.saturating_sub(hand.weight.uncached);
+        }
         if outcome != Outcome::Complete && hand.first.is_none() {
             server.residency.unsend(&hand.hashes);
         }
         match outcome {
             Outcome::Complete => {
                 server.well();
-                let since = hand.first.unwrap_or(hand.placed);
-                let held = now.since(since).0.clamp(5, 60_000);
+                // Without a prompt, a server works from the start to its first piece.
+                let is_plain = hand.weight.is_told && hand.hashes.is_empty();
+                let since = hand.first.filter(|_| !is_plain).unwrap_or(hand.placed);
+                let held = now.since(since).0.saturating_sub(hand.weight.queue * u64::from(is_plain));
+                let held = held.clamp(5, 60_000);
                 server.hold = Span((server.hold.0 * 7 + held) / 8);
             }
             Outcome::Cancelled | Outcome::Refused => {}
@@ -321,6 +434,9 @@
                 if is_certain {
                     server.residency.clear();
                     // No server was asked: it's neither traffic there nor a repeat.
+                    if let Some(window) = self.repeat_windows.get_mut(&hand.service) {
+                        window.unplace(hand.is_repeat);
+                    }
                     let part = repeat_part(&self.desk_rules, &hand.service, &self.own, &self.members);
                     if let Some(allowance) = self.repeats.get_mut(&hand.service) {
                         if hand.is_repeat {
@@ -330,6 +446,10 @@
                         }
                     }
                 }
+                if !is_certain && !self.may_lose(&hand.server, now) {
+                    return;
+                }
+                let Some(server) = self.servers.get_mut(&hand.server) else { return };
                 if let Some(span) = server.fault(now, is_certain) {
                     self.decisions.push(Decision::Suspected { server: hand.server, span });
                 }
@@ -363,18 +483,46 @@
                 server.is_leaving = true;
             }
         }
-        let peer = Peer {
-            heard: now,
-            hot: sketch.hot.iter().map(|hot| (hot.prefix, hot.count)).collect(),
-            holdings: sketch
-                .holdings
-                .iter()
-                .map(|h| ((h.prefix, h.server.clone(), h.incarnation), h.is_shown))
-                .collect(),
-            in_flight: sketch.in_flight.iter().map(|f| (f.server.clone(), f.count)).collect(),
-            sketch,
-        };
-        self.peers.insert(from, peer);
+        let former = self.peers.remove(&from);
+        for told in &sketch.in_flight {
+            // What the sender's orders made a server read since its last sketch drives older parts out there.
+            let Some(server) = self.servers.get_mut(&told.server) else { continue };
+            let Some(former) = former.as_ref().filter(|peer| peer.sketch.incarnation == sketch.incarnation) else {
+                continue;
+            };
+            let before = former.sketch.in_flight.iter().find(|before| before.server == told.server);
+            server.residency.note_read(told.read.saturating_sub(before.map_or(0, |before| before.read)));
+        }
+        if let Some(former) = former.filter(|peer| peer.is_counted) {
+            self.told.remove(&former.sketch);
+        }
+        self.told.add(&sketch);
+        self.peers.insert(from, Peer { heard: now, sketch, is_counted: true });
+        self.count_known();
+    }
+
+    /// Sketches that have grown old count no more.
+    fn expire_peers(&mut self, now: Moment) {
+        if self.told_until.is_none_or(|due| now < due) {
+            return;
+        }
+        let life = self.desk_rules.sketch_life;
+        for peer in self.peers.values_mut().filter(|peer| peer.is_counted && now.since(peer.heard) >= life) {
+            self.told.remove(&peer.sketch);
+            peer.is_counted = false;
+        }
+        self.count_known();
+    }
+
+    /// What follows from which sketches count.
+    fn count_known(&mut self) {
+        let life = self.desk_rules.sketch_life;
+        let counted = self.peers.values().filter(|peer| peer.is_counted);
+        self.counted_peers = counted.clone().count() as u32;
+        self.told_until = counted.map(|peer| peer.heard + life).min();
+        let peers = &self.peers;
+        let is_known = |member: &Address| peers.get(member).is_some_and(|peer| peer.is_counted);
+        self.knows_all = self.members.iter().all(|member| *member == self.own || is_known(member));
     }
 
     fn live_peers(&self, now: Moment) -> impl Iterator<Item = (&Address, &Peer)> {
@@ -384,16 +532,19 @@
 
     /// Arrivals of a prefix within the window, over all nodes.
     fn count(&self, prefix: PrefixHash, now: Moment, span: Span) -> u32 {
-        let theirs: u32 = self.live_peers(now).filter_map(|(_, peer)| peer.hot.get(&prefix)).sum();
+        let theirs = self.told.count(prefix).unwrap_or(0);
         self.window.count(prefix, now, span) + theirs
     }
 
     /// Orders believed in hand at a server, over all nodes.
     fn burden(&self, name: &ServerName, server: &ServerState, now: Moment) -> u32 {
-        let theirs: u32 = self.live_peers(now).filter_map(|(_, peer)| peer.in_flight.get(name)).sum();
-        let known = server.own + theirs;
+        self.burden_with(server, self.told.load(name), now)
+    }
+
+    fn burden_with(&self, server: &ServerState, theirs: Load, now: Moment) -> u32 {
+        let known = server.own + theirs.count;
         match server.reported {
-            Some((reported, at)) if now.since(at) < Span(2000) => known.max(reported),
+            Some((reported, at)) if now.since(at) < self.desk_rules.report_life => known.max(reported),
             _ => known,
         }
     }
@@ -406,13 +557,12 @@
 
     /// Whether it's believed to hold a prefix.
     fn is_warm(&self, prefix: PrefixHash, name: &ServerName, server: &ServerState, now: Moment) -> bool {
-        server.residency.holds(prefix, now) || self.told(prefix, name, server, now) == Some(true)
+        server.residency.holds(prefix, now) || self.is_told(prefix, name, server) == Some(true)
     }
 
     /// Whether a peer says that it holds a prefix (`true`), or that it was sent there.
-    fn told(&self, prefix: PrefixHash, name: &ServerName, server: &ServerState, now: Moment) -> Option<bool> {
-        let key = (prefix, name.clone(), server.incarnation.unwrap_or(0));
-        self.live_peers(now).filter_map(|(_, peer)| peer.holdings.get(&key).copied()).max()
+    fn is_told(&self, prefix: PrefixHash, name: &ServerName, server: &ServerState) -> Option<bool> {
+        self.told.holding(prefix, name, server.incarnation.unwrap_or(0))
     }
 
     fn is_withdrawn(&self, hall: &HallName) -> bool {
@@ -434,7 +584,7 @@
 
 /// A node's part of the allowance of repeats that a service has a minute, fleet-wide.
 fn repeat_part(rules: &DeskRules, service: &ServiceName, own: &Address, members: &[Address]) -> u32 {
-    share(rules.repeats_a_minute, placing::key_of(service.as_str()), own, members)
+    share(rules.repeats_a_minute, key_of(service.as_str()), own, members)
 }
 
 #[cfg(test)]
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -2,6 +2,49 @@
 
 use super::*;
 
+/// An order that wants a server.
+pub(super) struct Ask<'a> {
+    pub(super) order: &'a OrderId,
+    pub(super) rules: &'a ServiceRules,
+    pub(super) hashes: &'a [PrefixHash],
+    /// The place of the counted prefix's last hash.
+    pub(super) counted: Option<usize>,
+    pub(super) tried: &'a [ServerName],
+    pub(super) demand: &'a Demand,
+    pub(super) is_active: bool,
+    pub(super) now: Moment,
+}
+
+impl Ask<'_> {
+    /// The counted prefix.
+    pub(super) fn prefix(&self) -> Option<PrefixHash> {
+        self.counted.map(|place| self.hashes[place])
+    }
+}
+
+/// Where it goes.
+pub(super) struct Choice {
+    pub(super) chosen: Candidate,
+    pub(super) reason: PlaceReason,
+    pub(super) was_idle: bool,
+    pub(super) weight: Weight,
+    pub(super) candidates: Vec<Candidate>,
+}
+
+/// Why it goes nowhere, and when to come back.
+pub(super) struct No {
+    pub(super) code: ResultCode,
+    pub(super) why: String,
+    pub(super) wait: Span,
+}
+
+/// Nobody is told to come back sooner.
+pub(super) const WAIT_LEAST: Span = Span(50);
+
+pub(super) fn late_words(expected: Span, due: Span) -> String {
+    format!("the first piece is expected after {} ms, {} ms are allowed", expected.0, due.0)
+}
+
 /// A candidate with what the choice needs besides.
 struct Weighed {
     candidate: Candidate,
@@ -18,59 +61,48 @@
         hashes: Vec<PrefixHash>,
         round: u32,
         tried: &[ServerName],
-        _demand: &Demand,
+        demand: &Demand,
+        begun: Moment,
         now: Moment,
     ) {
-        let Some(rules) = self.rules.services.get(&service).cloned() else {
+        let Some(rules) = self.services.get(&service).cloned() else {
             let why = "no accepted plan allows this service".to_owned();
             return self.refuse(order, service, ResultCode::UnknownService, why, Span(0), round);
         };
-        let part = repeat_part(&self.desk_rules, &service, &self.own, &self.members);
-        let allowance = self.repeats.entry(service.clone()).or_insert_with(|| Allowance::new(now));
-        allowance.drip(part, now);
-        if round > 0 && !allowance.has_one() {
+        if let Err(wait) = self.may_repeat(&service, round, begun, now) {
             let why = "the service's repeats are used up".to_owned();
-            return self.refuse(order, service, ResultCode::NoServer, why, Span(1000), round);
+            return self.refuse(order, service, ResultCode::NoServer, why, wait, round);
         }
-        let counted = self.counted_prefix(&rules, &hashes);
-        if let (Some(prefix), 0) = (counted, round) {
+        let counted = self.counted_place(&rules, &hashes, demand);
+        let prefix = counted.map(|place| hashes[place]);
+        if let (Some(prefix), 0) = (prefix, round) {
             self.window.arrive(prefix, now, rules.btb.window);
         }
-        let count = counted.map_or(0, |prefix| self.count(prefix, now, rules.btb.window));
-        if let Some(prefix) = counted {
+        let count = prefix.map_or(0, |prefix| self.count(prefix, now, rules.btb.window));
+        if let Some(prefix) = prefix {
             self.note_burst(prefix, &rules, &service, &hashes, count, now);
         }
-        let is_active = counted.is_some_and(|prefix| self.active.contains_key(&prefix));
-        let (weighed, full_until) = self.weigh(&order, &rules, &hashes, counted, tried, now);
-        let Some((place, reason)) = choose(&weighed, is_active, rules.first_token, &self.desk_rules) else {
-            let (code, why) = if full_until.0 > 0 {
-                (ResultCode::Crowded, "every server that may serve it is at its cap")
-            } else {
-                (ResultCode::NoServer, "no server that may serve it is known and well")
-            };
-            return self.refuse(order, service, code, why.to_owned(), full_until.max_with(Span(1000)), round);
+        let is_active = prefix.is_some_and(|prefix| self.active.contains_key(&prefix));
+        let ask = Ask { order: &order, rules: &rules, hashes: &hashes, counted, tried, demand, is_active, now };
+        let choice = if demand.is_told() { self.choose_by_time(&ask, begun) } else { self.choose_by_burden(&ask) };
+        let Choice { chosen, reason, was_idle, weight, candidates } = match choice {
+            Ok(choice) => choice,
+            Err(No { code, why, wait }) => return self.refuse(order, service, code, why, wait, round),
         };
-        let chosen = &weighed[place].candidate;
-        if self.desk_rules.does_admit && chosen.expected > rules.first_token {
-            let late = Span(chosen.expected.0 - rules.first_token.0);
-            let why = format!(
-                "the first piece is expected after {} ms, the plan allows {} ms",
-                chosen.expected.0, rules.first_token.0
-            );
-            return self.refuse(order, service, ResultCode::Crowded, why, late.max_with(Span(1000)), round);
-        }
         // Only what goes to a server counts, as a repeat or as traffic.
-        if let Some(allowance) = self.repeats.get_mut(&service) {
-            if round > 0 {
-                allowance.spend();
-            } else {
-                allowance.earn(self.desk_rules.repeat_percent, part);
-            }
-        }
-        let chosen = chosen.clone();
-        let was_idle = chosen.burden < weighed[place].slots;
+        self.note_placed(&service, round, now);
         if let Some(server) = self.servers.get_mut(&chosen.server) {
             server.own += 1;
+            server.unread += weight.uncached;
+            server.tokens += weight.memory;
+            if rules.memory_tokens > 0 {
+                server.read += weight.uncached;
+                server.residency.set_memory(rules.memory_tokens);
+                server.residency.note_read(weight.uncached);
+            }
+            if rules.cold_per_second > 0 {
+                server.note_sent(now);
+            }
             server.residency.send(&hashes, now);
             let hand = InHand {
                 service: service.clone(),
@@ -84,14 +116,71 @@
                 was_idle,
                 matched: chosen.matched,
                 first: None,
+                weight,
             };
             self.orders.insert(order.clone(), hand);
         }
-        let candidates = weighed.into_iter().map(|w| w.candidate).collect();
         let (server, epoch) = (chosen.server, self.rules.epoch);
         self.decisions.push(Decision::Placed { order, service, server, reason, round, count, candidates, epoch });
     }
 
+    /// Whether an order of this round may be placed; else when about.
+    fn may_repeat(&mut self, service: &ServiceName, round: u32, begun: Moment, now: Moment) -> Result<(), Span> {
+        let desk_rules = &self.desk_rules;
+        if desk_rules.repeat_window.0 > 0 {
+            if round == 0 {
+                return Ok(());
+            }
+            let part = share(desk_rules.repeats_in_window, key_of(service.as_str()), &self.own, &self.members);
+            let window = self.repeat_windows.entry(service.clone()).or_insert_with(|| RepeatWindow::new(begun));
+            let wait = window.check(desk_rules.repeat_percent, part, now, desk_rules.repeat_window);
+            return wait.map_err(|wait| wait.max_with(WAIT_LEAST));
+        }
+        let part = repeat_part(desk_rules, service, &self.own, &self.members);
+        let allowance = self.repeats.entry(service.clone()).or_insert_with(|| Allowance::new(now));
+        allowance.drip(part, now);
+        if round > 0 && !allowance.has_one() { Err(Span(1000)) } else { Ok(()) }
+    }
+
+    fn note_placed(&mut self, service: &ServiceName, round: u32, now: Moment) {
+        let (span, begun) = (self.desk_rules.repeat_window, self.begun.unwrap_or(now));
+        if span.0 > 0 {
+            let window = self.repeat_windows.entry(service.clone()).or_insert_with(|| RepeatWindow::new(begun));
+            return window.place(round > 0, now, span);
+        }
+        let part = repeat_part(&self.desk_rules, service, &self.own, &self.members);
+        if let Some(allowance) = self.repeats.get_mut(service) {
+            if round > 0 {
+                allowance.spend();
+            } else {
+                allowance.earn(self.desk_rules.repeat_percent, part);
+            }
+        }
+    }
+
+    /// The choice where callers tell nothing of their orders: by orders in hand, and by blocks held.
+    fn choose_by_burden(&self, ask: &Ask) -> Result<Choice, No> {
+        let (weighed, full_until) = self.weigh(ask);
+        let due = ask.rules.first_token;
+        let Some((place, reason)) = choose(&weighed, ask.is_active, due, &self.desk_rules) else {
+            let (code, why) = if full_until.0 > 0 {
+                (ResultCode::Crowded, "every server that may serve it is at its cap")
+            } else {
+                (ResultCode::NoServer, "no server that may serve it is known and well")
+            };
+            return Err(No { code, why: why.to_owned(), wait: full_until.max_with(Span(1000)) });
+        };
+        let chosen = weighed[place].candidate.clone();
+        if self.desk_rules.does_admit && chosen.expected > due {
+            let why = late_words(chosen.expected, due);
+            let wait = Span(chosen.expected.0 - due.0).max_with(Span(1000));
+            return Err(No { code: ResultCode::Crowded, why, wait });
+        }
+        let was_idle = chosen.burden < weighed[place].slots;
+        let candidates = weighed.into_iter().map(|w| w.candidate).collect();
+        Ok(Choice { chosen, reason, was_idle, weight: Weight::default(), candidates })
+    }
+
     fn refuse(
         &mut self,
         order: OrderId,
@@ -105,10 +194,25 @@
         self.decisions.push(Decision::Refused { order, service, code, why, retry_after, round, epoch });
     }
 
-    /// The Y-block prefix of a prompt, if it's that long and BTB is on.
-    pub(super) fn counted_prefix(&self, rules: &ServiceRules, hashes: &[PrefixHash]) -> Option<PrefixHash> {
-        let place = (rules.btb.blocks as usize).checked_sub(1)?;
-        hashes.get(place).copied().filter(|_| rules.btb.is_on)
+    /// Where in a prompt the prefix ends that is counted: at the first part by which Y blocks are full, if it's
+    /// that long and BTB is on. What a caller alone brings, the last part of a told prompt, is never counted.
+    pub(super) fn counted_place(&self, rules: &ServiceRules, hashes: &[PrefixHash], demand: &Demand) -> Option<usize> {
+        if !rules.btb.is_on {
+            return None;
+        }
+        if demand.hash_tokens.is_empty() {
+            let place = (rules.btb.blocks as usize).checked_sub(1)?;
+            return (place < hashes.len()).then_some(place);
+        }
+        let needed = u64::from(rules.btb.blocks.max(1)) * u64::from(self.desk_rules.block_tokens);
+        let mut so_far = 0;
+        let mut parts = demand.hash_tokens.iter().take(hashes.len());
+        let place = parts.position(|tokens| {
+            so_far += u64::from(*tokens);
+            so_far >= needed
+        })?;
+        let is_own = place + 1 == hashes.len() && so_far >= u64::from(demand.prompt_tokens);
+        (!is_own).then_some(place)
     }
 
     /// Whether the rules and the server's state let it take work of this service at all.
@@ -123,30 +227,23 @@
     }
 
     /// All servers that may take the order now, and, if some are only full, until when about.
-    fn weigh(
-        &self,
-        order: &OrderId,
-        rules: &ServiceRules,
-        hashes: &[PrefixHash],
-        counted: Option<PrefixHash>,
-        tried: &[ServerName],
-        now: Moment,
-    ) -> (Vec<Weighed>, Span) {
+    fn weigh(&self, ask: &Ask) -> (Vec<Weighed>, Span) {
+        let Ask { order, rules, hashes, tried, now, .. } = *ask;
+        let counted = ask.prefix();
         let mut weighed = vec![];
         let mut full_until = Span(0);
-        let knows_all = self.members.iter().all(|m| *m == self.own || self.live_peers(now).any(|(p, _)| p == m));
         let order_key = key_of(order.as_str());
         for (name, server) in &self.servers {
             if !self.may_serve(rules, name, server, now) || tried.contains(name) {
                 continue;
             }
-            let key = key_of(name.as_str());
+            let key = server.key;
             let cap = server.cap(rules.slots, now, &self.desk_rules);
-            let part = share(cap, key, &self.own, &self.members);
+            let part = share_at(cap, server.place, self.members.len() as u32);
             let burden = self.burden(name, server, now);
             // Beyond the own part, room that others leave may be used, if all others are heard and
             // the server is past its ramp.
-            let may_borrow = knows_all && !server.is_fresh(now, &self.desk_rules) && burden < cap;
+            let may_borrow = self.knows_all && !server.is_fresh(now, &self.desk_rules) && burden < cap;
             if server.own >= part && !may_borrow {
                 let wait = if server.is_fresh(now, &self.desk_rules) { Span(500) } else { server.hold };
                 full_until = if full_until.0 == 0 { wait } else { Span(full_until.0.min(wait.0)) };
@@ -154,7 +251,7 @@
             }
             let is_warm = counted.is_some_and(|prefix| self.is_warm(prefix, name, server, now));
             let held = server.residency.matched(hashes, now);
-            let is_expected = counted.is_some_and(|prefix| self.told(prefix, name, server, now).is_some());
+            let is_expected = counted.is_some_and(|prefix| self.is_told(prefix, name, server).is_some());
             let matched = if is_warm || is_expected { held.max(rules.btb.blocks) } else { held };
             let slots = server.slots.unwrap_or(rules.slots).max(1);
             let queue = u64::from((burden + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
@@ -167,7 +264,7 @@
     }
 }
 
-trait SpanExt {
+pub(super) trait SpanExt {
     fn max_with(self, other: Span) -> Span;
 }
 
@@ -177,11 +274,6 @@
     }
 }
 
-/// A number for a name, the same everywhere.
-pub(super) fn key_of(name: &str) -> u64 {
-    name.bytes().fold(7, |sum, byte| mix(sum ^ u64::from(byte)))
-}
-
 /// Which of the weighed servers, and why.
 fn choose(weighed: &[Weighed], is_active: bool, due: Span, rules: &DeskRules) -> Option<(usize, PlaceReason)> {
     let least = |may: &dyn Fn(&Weighed) -> bool| {
--- /dev/null
+++ b/crates/primer/src/desk/told.rs
@@ -0,0 +1,106 @@
+//! What peers told, summed up once for each trade.
+
+use super::*;
+
+/// The sum of all sketches that count.
+///
+/// Invariant: each counted sketch was added once, and is taken off as it was added.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Told {
+    hot: BTreeMap<PrefixHash, u32>,
+    holdings: BTreeMap<PrefixHash, Vec<ToldHolding>>,
+    loads: BTreeMap<ServerName, Load>,
+}
+
+/// How many peers say that a server in one life holds a prefix, or was sent it.
+#[derive(Debug, Clone)]
+struct ToldHolding {
+    server: ServerName,
+    incarnation: u64,
+    shown: u32,
+    sent: u32,
+}
+
+/// What peers have in hand at a server.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Load {
+    pub(super) count: u32,
+    pub(super) unread: u64,
+    pub(super) tokens: u64,
+}
+
+impl Told {
+    /// Counts a sketch.
+    pub(super) fn add(&mut self, sketch: &Sketch) {
+        for hot in &sketch.hot {
+            *self.hot.entry(hot.prefix).or_default() += hot.count;
+        }
+        for holding in &sketch.holdings {
+            let those = self.holdings.entry(holding.prefix).or_default();
+            let is_it = |t: &&mut ToldHolding| t.server == holding.server && t.incarnation == holding.incarnation;
+            let place = match those.iter_mut().find(is_it) {
+                Some(place) => place,
+                None => {
+                    let (server, incarnation) = (holding.server.clone(), holding.incarnation);
+                    those.push(ToldHolding { server, incarnation, shown: 0, sent: 0 });
+                    let last = those.len() - 1;
+                    &mut those[last]
+                }
+            };
+            *(if holding.is_shown { &mut place.shown } else { &mut place.sent }) += 1;
+        }
+        for told in &sketch.in_flight {
+            let load = self.loads.entry(told.server.clone()).or_default();
+            load.count += told.count;
+            load.unread += told.unread;
+            load.tokens += told.tokens;
+        }
+    }
+    /// Counts a sketch no more.
+    pub(super) fn remove(&mut self, sketch: &Sketch) {
+        for hot in &sketch.hot {
+            if let Some(count) = self.hot.get_mut(&hot.prefix) {
+                *count = count.saturating_sub(hot.count);
+                if *count == 0 {
+                    self.hot.remove(&hot.prefix);
+                }
+            }
+        }
+        for holding in &sketch.holdings {
+            let Some(those) = self.holdings.get_mut(&holding.prefix) else { continue };
+            for told in those.iter_mut() {
+                if told.server == holding.server && told.incarnation == holding.incarnation {
+                    let count = if holding.is_shown { &mut told.shown } else { &mut told.sent };
+                    *count = count.saturating_sub(1);
+                }
+            }
+            those.retain(|told| told.shown + told.sent > 0);
+            if those.is_empty() {
+                self.holdings.remove(&holding.prefix);
+            }
+        }
+        for told in &sketch.in_flight {
+            let Some(load) = self.loads.get_mut(&told.server) else { continue };
+            load.count = load.count.saturating_sub(told.count);
+            load.unread = load.unread.saturating_sub(told.unread);
+            load.tokens = load.tokens.saturating_sub(told.tokens);
+            if load.count == 0 && load.unread == 0 && load.tokens == 0 {
+                self.loads.remove(&told.server);
+            }
+        }
+    }
+    /// Arrivals of a prefix at peers; `None` if none has seen it.
+    pub(super) fn count(&self, prefix: PrefixHash) -> Option<u32> {
+        self.hot.get(&prefix).copied()
+    }
+    /// What peers have at a server.
+    pub(super) fn load(&self, server: &ServerName) -> Load {
+        self.loads.get(server).copied().unwrap_or_default()
+    }
+    /// Whether a peer says that a server holds a prefix (`true`), or that it was sent there.
+    pub(super) fn holding(&self, prefix: PrefixHash, server: &ServerName, incarnation: u64) -> Option<bool> {
+        let those = self.holdings.get(&prefix)?;
+        let told = those.iter().find(|told| told.server == *server && told.incarnation == incarnation)?;
+        Some(told.shown > 0)
+    }
+}
--- a/crates/primer/src/desk/warming.rs
+++ b/crates/primer/src/desk/warming.rs
@@ -1,6 +1,5 @@
 //! Bursts: which prefixes are active, who copies them where, when they cool.
 
-use super::placing::key_of;
 use super::*;
 
 impl Desk {
@@ -17,7 +16,8 @@
         if let Some(active) = self.active.get_mut(&prefix) {
             active.last = now;
         } else if count >= rules.btb.arrivals {
-            let counted = hashes[..rules.btb.blocks as usize].to_vec();
+            let counted = hashes.iter().position(|hash| *hash == prefix).map_or(0, |place| place + 1);
+            let counted = hashes[..counted].to_vec();
             let active = Active { last: now, hashes: counted, service: service.clone(), copies: BTreeMap::new() };
             self.active.insert(prefix, active);
         }
@@ -26,7 +26,10 @@
     pub(super) fn on_tick(&mut self, now: Moment) {
         self.note_overdue(now);
         self.assume_copies(now);
-        self.order_copies(now);
+        if self.desk_rules.does_order_copies {
+            self.order_copies(now);
+        }
+        self.note_overdue_most(now);
         self.cool(now);
         let life = Span(self.desk_rules.sketch_life.0 * 4);
         self.peers.retain(|_, peer| now.since(peer.heard) < life);
@@ -139,15 +142,23 @@
         }
     }
 
+    /// What is overdue at a server now is to be expected of what goes there next.
+    fn note_overdue_most(&mut self, now: Moment) {
+        for server in self.servers.values_mut() {
+            server.overdue = 0;
+        }
+        for hand in self.orders.values().filter(|hand| hand.first.is_none() && hand.weight.is_told) {
+            let overdue = now.since(hand.placed).0.saturating_sub(hand.expected.0);
+            if let Some(server) = self.servers.get_mut(&hand.server) {
+                server.overdue = server.overdue.max(overdue);
+            }
+        }
+    }
+
     fn cool(&mut self, now: Moment) {
         let span = self.desk_rules.cool_after;
-        let life = self.desk_rules.sketch_life;
-        let peers = &self.peers;
-        let is_hot_elsewhere = |prefix: &PrefixHash| {
-            peers.values().any(|peer| now.since(peer.heard) < life && peer.hot.contains_key(prefix))
-        };
         for (prefix, active) in &mut self.active {
-            if is_hot_elsewhere(prefix) {
+            if self.told.count(*prefix).is_some() {
                 active.last = now;
             }
         }
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -46,6 +46,13 @@
     pub deadline: Span,
 }
 
+impl Demand {
+    /// Whether the caller told anything of its request; then it's placed by expected time.
+    pub fn is_told(&self) -> bool {
+        self.deadline.0 > 0 || !self.hash_tokens.is_empty()
+    }
+}
+
 /// How an order at a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -177,6 +184,8 @@
     LeastLoaded,
     /// The first choice was expected too late; this one is expected soonest.
     Soonest,
+    /// The prefix is active and held by too few: this order's own reading warms one more.
+    Warming,
 }
 
 /// A server that was weighed.
--- a/crates/primer/src/residency.rs
+++ b/crates/primer/src/residency.rs
@@ -1,13 +1,47 @@
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
 
-/// What one server is believed to hold, block by block. What was sent there is expected to be held
+/// What one server is believed to hold, part by part. What was sent there is expected to be held
 /// soon; a first token makes it known. Forgotten when first-token times, a failure or a restart speak
-/// against it.
+/// against it, or when the server has since read so many other tokens that its memory must have made
+/// room (it drops what was not used for longest).
+///
+/// Invariant: a part counts as matched only if every part before it does.
 #[derive(Debug, Clone, Default)]
 pub struct Residency {
-    blocks: BTreeMap<PrefixHash, Moment>,
-    sent: BTreeMap<PrefixHash, Moment>,
+    parts: Parts,
+    sent: Parts,
+    /// Tokens that the server has read so far, as far as known.
+    read: u64,
+    /// Tokens that its memory holds; zero: not told.
+    memory: u64,
+}
+
+type Parts = HashMap<PrefixHash, Used, BuildHasherDefault<AsIs>>;
+
+/// When a part was last used there.
+#[derive(Debug, Clone, Copy)]
+struct Used {
+    at: Moment,
+    /// What the server had read by then.
+    read: u64,
+}
+
+/// Prefix hashes are spread well already. A hasher without a seed: the same events, the same order.
+#[derive(Debug, Clone, Copy, Default)]
+struct AsIs(u64);
+
+impl Hasher for AsIs {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = bytes.iter().fold(self.0, |sum, byte| mix(sum ^ u64::from(*byte)));
+    }
+    fn write_u64(&mut self, number: u64) {
+        self.0 = mix(number);
+    }
 }
 
 const BOUND: usize = 16_384;
@@ -16,12 +50,21 @@
 const SENT_LIFE: Span = Span::seconds(10);
 
 impl Residency {
+    /// How many tokens the server's memory holds; zero: not told.
+    pub fn set_memory(&mut self, tokens: u64) {
+        self.memory = tokens;
+    }
+    /// The server has read so many tokens more, whoever sent them.
+    pub fn note_read(&mut self, tokens: u64) {
+        self.read += tokens;
+    }
     /// A prompt is on its way there.
     pub fn send(&mut self, hashes: &[PrefixHash], now: Moment) {
         if self.sent.len() > BOUND {
-            self.sent.retain(|_, at| now.since(*at) < SENT_LIFE);
+            self.sent.retain(|_, used| now.since(used.at) < SENT_LIFE);
         }
-        self.sent.extend(hashes.iter().map(|hash| (*hash, now)));
+        let used = Used { at: now, read: self.read };
+        self.sent.extend(hashes.iter().map(|hash| (*hash, used)));
     }
     /// It came to nothing.
     pub fn unsend(&mut self, hashes: &[PrefixHash]) {
@@ -32,41 +75,45 @@
     /// The server has worked through this prompt, or was given a copy.
     pub fn hold(&mut self, hashes: &[PrefixHash], now: Moment) {
         for hash in hashes {
-            self.blocks.insert(*hash, now);
+            self.parts.insert(*hash, Used { at: now, read: self.read });
             self.sent.remove(hash);
         }
-        if self.blocks.len() > BOUND {
-            let mut moments: Vec<Moment> = self.blocks.values().copied().collect();
+        if self.parts.len() > BOUND {
+            let mut moments: Vec<Moment> = self.parts.values().map(|used| used.at).collect();
             moments.sort_unstable();
             let oldest_kept = moments[BOUND / 4];
-            self.blocks.retain(|_, at| *at > oldest_kept);
+            self.parts.retain(|_, used| used.at > oldest_kept);
         }
     }
     /// It does not hold these after all.
     pub fn drop_all(&mut self, hashes: &[PrefixHash]) {
         for hash in hashes {
-            self.blocks.remove(hash);
+            self.parts.remove(hash);
             self.sent.remove(hash);
         }
     }
     /// Whether it's believed to hold this very prefix.
     pub fn holds(&self, prefix: PrefixHash, now: Moment) -> bool {
-        self.blocks.get(&prefix).is_some_and(|at| now.since(*at) < LIFE)
+        self.parts.get(&prefix).is_some_and(|used| now.since(used.at) < LIFE && self.has_room_for(used))
     }
     /// Whether it's believed to hold it, or to do so soon.
     pub fn expects(&self, prefix: PrefixHash, now: Moment) -> bool {
-        self.holds(prefix, now) || self.sent.get(&prefix).is_some_and(|at| now.since(*at) < SENT_LIFE)
+        self.holds(prefix, now) || self.sent.get(&prefix).is_some_and(|used| now.since(used.at) < SENT_LIFE)
     }
-    /// How many leading blocks it's believed to hold, or to hold soon.
+    /// How many leading parts it's believed to hold, or to hold soon.
     pub fn matched(&self, hashes: &[PrefixHash], now: Moment) -> u32 {
-        let found = hashes.iter().rposition(|hash| self.expects(*hash, now));
-        found.map_or(0, |place| place as u32 + 1)
+        hashes.iter().take_while(|hash| self.expects(**hash, now)).count() as u32
     }
     /// Forgets all.
     pub fn clear(&mut self) {
-        self.blocks.clear();
+        self.parts.clear();
         self.sent.clear();
     }
+
+    /// Whether what was read since then leaves it in memory.
+    fn has_room_for(&self, used: &Used) -> bool {
+        self.memory == 0 || self.read - used.read < self.memory
+    }
 }
 
 #[cfg(test)]
@@ -87,4 +134,17 @@
         residency.unsend(&hashes);
         assert_eq!(residency.matched(&hashes, Moment(3)), 1);
     }
+
+    #[test]
+    fn what_was_not_used_for_longest_makes_room_and_a_part_counts_only_after_all_before_it() {
+        let hashes: Vec<PrefixHash> = (1..=3).map(PrefixHash).collect();
+        let mut residency = Residency::default();
+        residency.set_memory(1000);
+        residency.hold(&hashes, Moment(0));
+        residency.note_read(600);
+        residency.hold(&hashes[1..], Moment(1));
+        residency.note_read(500);
+        assert!(!residency.holds(hashes[0], Moment(2)) && residency.holds(hashes[2], Moment(2)));
+        assert_eq!(residency.matched(&hashes, Moment(2)), 0);
+    }
 }
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -94,6 +94,34 @@
     pub repeats_a_minute: u32,
     /// Tokens of a block: what Y counts in, where callers tell tokens.
     pub block_tokens: u32,
+    /// Whether servers take orders to copy KV. If not, the next real requests of an active prefix are what
+    /// warms further servers.
+    pub does_order_copies: bool,
+    /// Repeats are bounded in each sliding window of this length; zero: by the minute.
+    pub repeat_window: Span,
+    /// Repeats that a service may have in such a window besides the percentage, over the whole fleet.
+    pub repeats_in_window: u32,
+    /// What a server in another zone than the node's own is held to cost, as time.
+    pub zone_bias: Span,
+    /// What a full server is held to cost beyond an empty one, as time.
+    pub load_bias: Span,
+    /// What reading a token costs the others that wait there, in percent of the time that it takes.
+    pub reading_percent: u32,
+    /// Servers whose costs differ by no more than this are equal: the one that holds more, or the one that
+    /// the prefix's own order of servers prefers, is taken.
+    pub stick: Span,
+    /// A step of a server that runs one request, in microseconds.
+    pub step_micros: u64,
+    /// What each further running request adds to a step, in microseconds.
+    pub step_micros_each: u64,
+    /// What may wait at a server beyond its slots, in percent of them.
+    pub queue_percent: u32,
+    /// The fleet is taken to have at least so many members where cold servers are shared out.
+    pub members_least: u32,
+    /// A server's own report of its orders counts for this long.
+    pub report_life: Span,
+    /// A first piece is overdue this long after it was expected, besides what is usual.
+    pub overdue_slack: Span,
 }
 
 impl Default for DeskRules {
@@ -114,6 +142,19 @@
             repeat_percent: 20,
             repeats_a_minute: 10,
             block_tokens: 16,
+            does_order_copies: true,
+            repeat_window: Span(0),
+            repeats_in_window: 0,
+            zone_bias: Span(0),
+            load_bias: Span(60),
+            reading_percent: 100,
+            stick: Span(20),
+            step_micros: 3400,
+            step_micros_each: 97,
+            queue_percent: 50,
+            members_least: 1,
+            report_life: Span(2000),
+            overdue_slack: Span(1000),
         }
     }
 }
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -1,4 +1,5 @@
 use crate::prelude::*;
+use std::collections::VecDeque;
 
 /// One server, as this node sees it.
 ///
@@ -42,6 +43,24 @@
     pub block_micros: u64,
     /// How long an order holds a slot.
     pub hold: Span,
+    /// A number for its name, the same everywhere.
+    pub key: u64,
+    /// This node's place in the server's own order of the members.
+    pub place: u32,
+    /// When it was first listed, or a new life of it was first heard of, in this node's life.
+    pub listed_from: Moment,
+    /// Until when the list says that it is cold; `None` where the list has never told.
+    pub cold_until: Option<Moment>,
+    /// What this node sent it lately while it was cold.
+    pub cold_sent: VecDeque<Moment>,
+    /// Prompt tokens of this node's orders that it has still to read.
+    pub unread: u64,
+    /// Tokens that this node's orders take of its memory.
+    pub tokens: u64,
+    /// Tokens that this node's orders made it read in this node's life.
+    pub read: u64,
+    /// How long this node's most overdue first piece there is overdue, in ms.
+    pub overdue: u64,
 }
 
 impl ServerState {
@@ -56,7 +75,7 @@
             weights: None,
             knows_kv: true,
             ramp_from: now,
-            slots: None,
+            slots: entry.slots,
             reported: None,
             own: 0,
             faults: 0,
@@ -66,8 +85,58 @@
             residency: Residency::default(),
             block_micros: rules.block_micros,
             hold: rules.hold,
+            key: key_of(entry.server.as_str()),
+            place: 0,
+            listed_from: now,
+            cold_until: entry.cold_left.map(|left| now + left),
+            cold_sent: VecDeque::new(),
+            unread: 0,
+            tokens: 0,
+            read: 0,
+            overdue: 0,
         }
     }
+    /// Takes over what the list says of it.
+    pub fn note_entry(&mut self, entry: RollEntry, now: Moment) {
+        self.is_listed = true;
+        self.is_leaving = entry.is_leaving;
+        self.hall = entry.hall;
+        self.pool = entry.pool;
+        self.slots = entry.slots.or(self.slots);
+        if let Some(left) = entry.cold_left {
+            self.cold_until = Some(now + left);
+        }
+    }
+    /// Whether it is cold. Where the list has not told, it is for as long as the plan says, from when this
+    /// node first heard of it.
+    pub fn is_cold(&self, span: Span, now: Moment) -> bool {
+        match self.cold_until {
+            Some(due) => now < due,
+            None => now.since(self.listed_from) < span,
+        }
+    }
+    /// Whether this node may send it one more while it is cold; else when.
+    ///
+    /// Invariant: no more than `part` go there in any second, nor in the first second of the node's life.
+    pub fn check_cold(&self, part: u32, begun: Moment, now: Moment) -> Result<(), Span> {
+        if part == 0 {
+            return Err(COLD_WINDOW);
+        }
+        let free_from = begun + COLD_WINDOW;
+        if now < free_from {
+            return Err(now.until(free_from));
+        }
+        let lately = self.cold_sent.iter().filter(|at| now.since(**at) < COLD_WINDOW);
+        let Some(oldest) = lately.rev().nth(part as usize - 1) else { return Ok(()) };
+        Err(now.until(*oldest + COLD_WINDOW))
+    }
+    /// It was sent one. Also noted of warm ones: they may turn cold at any moment.
+    pub fn note_sent(&mut self, now: Moment) {
+        while self.cold_sent.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
+            self.cold_sent.pop_front();
+        }
+        self.cold_sent.push_back(now);
+    }
     /// What the whole fleet may have in hand there now.
     pub fn cap(&self, full: u32, now: Moment, rules: &DeskRules) -> u32 {
         let age = now.since(self.ramp_from);
@@ -97,6 +166,15 @@
         self.ramp_from = now + span;
         Some(span)
     }
+    /// A first piece came after it had read so many tokens, in so many microseconds besides the base time.
+    pub fn learn_reading(&mut self, took: u64, tokens: u64, rules: &DeskRules) {
+        if tokens < LEARN_LEAST {
+            return;
+        }
+        let sample = took * u64::from(rules.block_tokens) / tokens;
+        let bound = (rules.block_micros / 4, rules.block_micros * 8);
+        self.block_micros = (self.block_micros * 7 + sample.clamp(bound.0, bound.1)) / 8;
+    }
     /// A first piece came this much later than expected, while its kin are `usual` late. Says whether it's
     /// far too slow: a server that answers, but slowly, is as bad as one that doesn't.
     pub fn note_lag(&mut self, lag: u64, usual: u64) -> bool {
@@ -110,6 +188,10 @@
     }
 }
 
+/// From a prompt with less to read, the reading speed can't be told.
+const LEARN_LEAST: u64 = 2048;
+/// What a cold server bears is told by the second.
+const COLD_WINDOW: Span = Span::seconds(1);
 /// A first piece may come this much later than expected, in ms, besides what is usual.
 const LAG_SLACK: u64 = 400;
 /// So many late ones in a row are no chance.
--- a/crates/primer/src/share.rs
+++ b/crates/primer/src/share.rs
@@ -8,6 +8,11 @@
     x ^ (x >> 31)
 }
 
+/// A number for a name, the same everywhere.
+pub fn key_of(name: &str) -> u64 {
+    name.bytes().fold(7, |sum, byte| mix(sum ^ u64::from(byte)))
+}
+
 fn weigh(key: u64, member: &Address) -> (u64, Address) {
     let port = u64::from(member.0.port());
     let ip = match member.0.ip() {
@@ -26,9 +31,13 @@
 
 /// This member's part of a cap. The parts of all members together are the cap exactly.
 pub fn share(cap: u32, key: u64, own: &Address, members: &[Address]) -> u32 {
-    let count = members.len().max(1) as u32;
-    let extra = u32::from((rank(key, own, members) as u32) < cap % count);
-    cap / count + extra
+    share_at(cap, rank(key, own, members) as u32, members.len() as u32)
+}
+
+/// The part of a cap that falls to a place in the order of so many members.
+pub fn share_at(cap: u32, place: u32, count: u32) -> u32 {
+    let count = count.max(1);
+    cap / count + u32::from(place < cap % count)
 }
 
 #[cfg(test)]
--- a/crates/primer/src/sketch.rs
+++ b/crates/primer/src/sketch.rs
@@ -49,6 +49,15 @@
         pub server: ServerName,
         /// Orders of the sender alone.
         pub count: u32,
+        /// Prompt tokens of them that the server has still to read.
+        #[serde(default)]
+        pub unread: u64,
+        /// Tokens that they take of its memory.
+        #[serde(default)]
+        pub tokens: u64,
+        /// Tokens that the sender's orders made it read in the sender's life.
+        #[serde(default)]
+        pub read: u64,
     }
 
     /// What one node tells the others.
