--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -73,7 +73,7 @@
     })
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let incarnation = new_life();
-    let desk_rules = DeskRules { does_merge: settings.merge, does_admit: settings.admit, ..DeskRules::default() };
+    let desk_rules = settings.desk_rules();
     let head = ReplayHead { own: inner, incarnation, desk_rules: desk_rules.clone() };
     let now = Clock::now();
     let hall = HallName::from(settings.hall.as_str());
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -269,13 +269,15 @@
         desk_rules: DeskRules,
         now: Moment,
     ) -> Self {
+        let mut desk = Desk::new(own, incarnation, desk_rules);
+        desk.set_hall(hall.clone());
         Node {
             own,
             hall,
             timing,
             now,
             standing: Standing::new(own, timing.trade_life),
-            desk: Desk::new(own, incarnation, desk_rules),
+            desk,
             plan: None,
             plan_bytes: Arc::default(),
             plan_epoch: Epoch(0),
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -1,4 +1,5 @@
 use layout::prelude::*;
+use primer::prelude::DeskRules;
 use schematic::Config;
 
 /// A crier's settings file.
@@ -50,4 +51,39 @@
     /// Whether orders are refused by their expected first-token time.
     #[setting(default = true)]
     pub admit: bool,
+    /// Whether servers take orders to copy KV; if not, real requests warm them.
+    #[setting(default = true)]
+    pub copy_orders: bool,
+    /// Repeats that a service's traffic earns, in percent of it.
+    #[setting(default = 20, validate = within(0, 1000))]
+    pub repeat_percent: u64,
+    /// Repeats are bounded in each window of this length, in ms; 0: by the minute.
+    #[setting(default = 0, validate = within(0, 600_000))]
+    pub repeat_window_ms: u64,
+    /// Repeats that a service may have in such a window besides, over the whole fleet.
+    #[setting(default = 0, validate = within(0, 1_000_000))]
+    pub repeats_in_window: u64,
+    /// What a server in another zone is held to cost, as time, in ms.
+    #[setting(default = 0, validate = within(0, 60_000))]
+    pub zone_bias_ms: u64,
+    /// How long a server takes to read 16 tokens of a prompt, in microseconds, until it has been seen.
+    #[setting(default = 2500, validate = within(1, 1_000_000))]
+    pub block_micros: u64,
+}
+
+impl Settings {
+    /// What of them the desk goes by.
+    pub fn desk_rules(&self) -> DeskRules {
+        DeskRules {
+            does_merge: self.merge,
+            does_admit: self.admit,
+            does_order_copies: self.copy_orders,
+            repeat_percent: self.repeat_percent as u32,
+            repeat_window: Span(self.repeat_window_ms),
+            repeats_in_window: self.repeats_in_window as u32,
+            zone_bias: Span(self.zone_bias_ms),
+            block_micros: self.block_micros,
+            ..DeskRules::default()
+        }
+    }
 }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -83,6 +83,10 @@
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
     }
+    // That settings have changed must not end the process. Whom it asks first it has found by then, and
+    // the rest of its settings is fixed for its life.
+    let has_changed = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed).map_err(|fault| fault.to_string())?;
     Ok(stop)
 }
 
