--- /dev/null
+++ b/crates/primer/examples/placing_speed.rs
@@ -0,0 +1,75 @@
+//! How long one choice takes with 90 servers and 90 peers: `cargo run --release --example placing_speed`.
+
+use primer::prelude::*;
+
+fn main() {
+    let rules = ServiceRules {
+        pool: "model".into(),
+        halls: vec![],
+        servers: vec![],
+        first_token: Span(800),
+        slots: 128,
+        btb: BtbRules::default(),
+        cold_per_second: 20,
+        cold_span: Span(3000),
+        memory_tokens: 650_000,
+    };
+    let mut desk = Desk::new(
+        Address::loopback(1),
+        1,
+        DeskRules { block_micros: 143, does_order_copies: false, ..DeskRules::default() },
+    );
+    let mut take = |at: u64, event| desk.take(Dated { at: Moment(1_000_000 + at), event });
+    let rules = Rules { epoch: Epoch(1), services: [("drafts".into(), rules)].into(), withdrawn: vec![] };
+    take(0, Event::Rules { rules });
+    let entry = |n: u64| RollEntry {
+        server: format!("i-{n:08x}").as_str().into(),
+        slots: Some(128),
+        cold_left: Some(Span(0)),
+        hall: "north".into(),
+        pool: "model".into(),
+        ..RollEntry::default()
+    };
+    take(0, Event::Roll { servers: (0..90).map(entry).collect() });
+    take(0, Event::Members { members: (1..=90).map(Address::loopback).collect() });
+    let in_flight = |n: u64| InFlight { server: entry(n).server, count: 1, unread: 500, tokens: 12_000, read: 9 };
+    let sketch = Sketch {
+        incarnation: 1,
+        number: 1,
+        hot: (0..60).map(|n| Hot { prefix: PrefixHash(mix(n)), count: 1 }).collect(),
+        holdings: (0..180)
+            .map(|n| Holding {
+                prefix: PrefixHash(mix(n % 60)),
+                server: entry(n % 90).server,
+                incarnation: 0,
+                is_shown: n % 2 == 0,
+            })
+            .collect(),
+        in_flight: (0..90).map(in_flight).collect(),
+        leaving: vec![],
+    };
+    let trades = std::time::Instant::now();
+    for peer in 2..=90 {
+        take(0, Event::Trade { from: Address::loopback(peer), sketch: sketch.clone() });
+    }
+    let trades = trades.elapsed();
+    let prompt = |n: u64| Event::Prompt {
+        order: OrderId(format!("order-{n:016x}")),
+        service: "drafts".into(),
+        hashes: vec![PrefixHash(mix(1000 + n % 3)), PrefixHash(mix(n % 60)), PrefixHash(mix(9_000_000 + n))],
+        round: 0,
+        tried: vec![],
+        demand: Demand {
+            hash_tokens: vec![512, 4870, 6610],
+            prompt_tokens: 11_992,
+            output_tokens: 400,
+            deadline: Span(15_000),
+            ..Demand::default()
+        },
+    };
+    let (count, begun) = (5000, std::time::Instant::now());
+    for n in 0..count {
+        take(n / 5, prompt(n));
+    }
+    println!("a trade {:?}, a choice {:?}", trades / 89, begun.elapsed() / count as u32);
+}
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -1,11 +1,11 @@
 use crate::prelude::*;
+use peer_totals::PeerTotals;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use told::{Load, Told};
 
+mod peer_totals;
 mod placing;
 mod timing;
-mod told;
 mod warming;
 
 /// Where orders are placed. Takes dated events, gives decisions; the same events give the same
@@ -23,7 +23,7 @@
     /// The services of the rules, shared with what is being decided.
     services: BTreeMap<ServiceName, Arc<ServiceRules>>,
     /// The zone of this node, if it was told.
-    hall: Option<HallName>,
+    zone: Option<HallName>,
     /// When this life took its first event.
     begun: Option<Moment>,
     /// When the members last changed: for a second, others may still share out among those before.
@@ -33,7 +33,7 @@
     window: Window,
     peers: BTreeMap<Address, Peer>,
     /// The sum of the peers' sketches that count.
-    told: Told,
+    told: PeerTotals,
     /// When the next of them counts no more.
     told_until: Option<Moment>,
     /// Whether every other member's sketch counts.
@@ -54,6 +54,8 @@
     sketch: Sketch,
     /// Whether it is in the sum.
     is_counted: bool,
+    /// The latest it told of what its orders made each server read in its life.
+    read: BTreeMap<ServerName, u64>,
 }
 
 /// A prefix in a burst.
@@ -95,12 +97,12 @@
     matched: u32,
     first: Option<Moment>,
     /// What its caller told of it.
-    weight: Weight,
+    footprint: Footprint,
 }
 
 /// What an order costs a server, in tokens. All zero: its caller told nothing.
 #[derive(Debug, Clone, Copy, Default)]
-struct Weight {
+struct Footprint {
     /// Whether the caller told what it asks.
     is_told: bool,
     /// Of its prompt, those that the server reads.
@@ -124,14 +126,14 @@
             desk_rules,
             rules: Rules::default(),
             services: BTreeMap::new(),
-            hall: None,
+            zone: None,
             begun: None,
             shared_from: Moment(0),
             members: vec![own],
             servers: BTreeMap::new(),
             window: Window::default(),
             peers: BTreeMap::new(),
-            told: Told::default(),
+            told: PeerTotals::default(),
             told_until: None,
             knows_all: true,
             counted_peers: 0,
@@ -145,8 +147,8 @@
     }
 
     /// Tells in which zone this node is: servers there are preferred by `DeskRules::zone_bias`.
-    pub fn set_hall(&mut self, hall: HallName) {
-        self.hall = Some(hall);
+    pub fn set_zone(&mut self, hall: HallName) {
+        self.zone = Some(hall);
     }
 
     /// Takes an event in; gives the decisions that follow.
@@ -204,9 +206,9 @@
             }
         }
         holdings.truncate(512);
-        let busy = self.servers.iter().filter(|(_, server)| server.own > 0 || server.read > 0);
+        let busy = self.servers.iter().filter(|(_, server)| server.own > 0 || server.read > server.read_told);
         let leaving = self.servers.iter().filter(|(_, server)| server.is_listed && server.is_leaving);
-        Sketch {
+        let sketch = Sketch {
             incarnation: self.incarnation,
             number: self.sketch_number,
             hot,
@@ -221,7 +223,11 @@
                 })
                 .collect(),
             leaving: leaving.map(|(name, _)| name.clone()).collect(),
+        };
+        for server in self.servers.values_mut() {
+            server.read_told = server.read;
         }
+        sketch
     }
 
     /// The layout that it goes by.
@@ -255,7 +261,8 @@
                 Some(server) => server.note_entry(entry, now),
                 None => {
                     let mut state = ServerState::new(&entry, now, &self.desk_rules);
-                    state.place = rank(state.key, &self.own, &self.members) as u32;
+                    state.theirs = self.told.load(&entry.server);
+                    state.rank = rank(state.key, &self.own, &self.members) as u32;
                     self.servers.insert(entry.server, state);
                 }
             }
@@ -270,7 +277,7 @@
         }
         self.members = members;
         for server in self.servers.values_mut() {
-            server.place = rank(server.key, &self.own, &self.members) as u32;
+            server.rank = rank(server.key, &self.own, &self.members) as u32;
         }
         self.count_known();
     }
@@ -318,9 +325,9 @@
             return;
         }
         hand.first = Some(now);
-        let weight = hand.weight;
+        let footprint = hand.footprint;
         if let Some(server) = self.servers.get_mut(&hand.server) {
-            server.unread = server.unread.saturating_sub(weight.uncached);
+            server.unread = server.unread.saturating_sub(footprint.uncached);
         }
         let lag = now.since(hand.placed).0.saturating_sub(hand.expected.0);
         let (name, was_noted) = (hand.server.clone(), std::mem::replace(&mut hand.is_noted, true));
@@ -338,11 +345,11 @@
         let took = now.since(hand.placed).0.saturating_sub(base.0) * 1000;
         let blocks = hand.hashes.len() as u64;
         let uncached = blocks - u64::from(hand.matched);
-        if weight.is_told {
-            server.learn_reading(took, weight.ahead + weight.uncached, &self.desk_rules);
-            let whole = weight.prompt * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1));
-            let kept = weight.prompt - weight.uncached;
-            if weight.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
+        if footprint.is_told {
+            server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.desk_rules);
+            let whole = footprint.prompt * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1));
+            let kept = footprint.prompt - footprint.uncached;
+            if footprint.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
                 self.decisions.push(Decision::Disproved { order, server: hand.server.clone() });
             }
             server.residency.hold(&hand.hashes, now);
@@ -411,9 +418,9 @@
         let Some(hand) = self.orders.remove(order) else { return };
         let Some(server) = self.servers.get_mut(&hand.server) else { return };
         server.own = server.own.saturating_sub(1);
-        server.tokens = server.tokens.saturating_sub(hand.weight.memory);
+        server.tokens = server.tokens.saturating_sub(hand.footprint.memory);
         if hand.first.is_none() {
-            server.unread = server.unread.saturating_sub(hand.weight.uncached);
+            server.unread = server.unread.saturating_sub(hand.footprint.uncached);
         }
         if outcome != Outcome::Complete && hand.first.is_none() {
             server.residency.unsend(&hand.hashes);
@@ -422,9 +429,9 @@
             Outcome::Complete => {
                 server.well();
                 // Without a prompt, a server works from the start to its first piece.
-                let is_plain = hand.weight.is_told && hand.hashes.is_empty();
+                let is_plain = hand.footprint.is_told && hand.hashes.is_empty();
                 let since = hand.first.filter(|_| !is_plain).unwrap_or(hand.placed);
-                let held = now.since(since).0.saturating_sub(hand.weight.queue * u64::from(is_plain));
+                let held = now.since(since).0.saturating_sub(hand.footprint.queue * u64::from(is_plain));
                 let held = held.clamp(5, 60_000);
                 server.hold = Span((server.hold.0 * 7 + held) / 8);
             }
@@ -483,21 +490,25 @@
                 server.is_leaving = true;
             }
         }
-        let former = self.peers.remove(&from);
+        let mut former = self.peers.remove(&from);
+        let is_same_life = former.as_ref().is_some_and(|peer| peer.sketch.incarnation == sketch.incarnation);
+        let known = former.as_mut().filter(|_| is_same_life).map(|peer| std::mem::take(&mut peer.read));
+        let mut read = known.unwrap_or_default();
         for told in &sketch.in_flight {
-            // What the sender's orders made a server read since its last sketch drives older parts out there.
-            let Some(server) = self.servers.get_mut(&told.server) else { continue };
-            let Some(former) = former.as_ref().filter(|peer| peer.sketch.incarnation == sketch.incarnation) else {
-                continue;
-            };
-            let before = former.sketch.in_flight.iter().find(|before| before.server == told.server);
-            server.residency.note_read(told.read.saturating_sub(before.map_or(0, |before| before.read)));
+            let before = read.insert(told.server.clone(), told.read).unwrap_or(0);
+            // What the sender's orders made a server read meanwhile drives older parts out there.
+            if let Some(server) = self.servers.get_mut(&told.server).filter(|_| is_same_life) {
+                server.residency.note_read(told.read.saturating_sub(before));
+            }
         }
+        read.retain(|name, _| self.servers.contains_key(name));
         if let Some(former) = former.filter(|peer| peer.is_counted) {
             self.told.remove(&former.sketch);
+            sum_loads(&mut self.servers, &self.told, &former.sketch);
         }
         self.told.add(&sketch);
-        self.peers.insert(from, Peer { heard: now, sketch, is_counted: true });
+        sum_loads(&mut self.servers, &self.told, &sketch);
+        self.peers.insert(from, Peer { heard: now, sketch, is_counted: true, read });
         self.count_known();
     }
 
@@ -509,6 +520,7 @@
         let life = self.desk_rules.sketch_life;
         for peer in self.peers.values_mut().filter(|peer| peer.is_counted && now.since(peer.heard) >= life) {
             self.told.remove(&peer.sketch);
+            sum_loads(&mut self.servers, &self.told, &peer.sketch);
             peer.is_counted = false;
         }
         self.count_known();
@@ -537,12 +549,8 @@
     }
 
     /// Orders believed in hand at a server, over all nodes.
-    fn burden(&self, name: &ServerName, server: &ServerState, now: Moment) -> u32 {
-        self.burden_with(server, self.told.load(name), now)
-    }
-
-    fn burden_with(&self, server: &ServerState, theirs: Load, now: Moment) -> u32 {
-        let known = server.own + theirs.count;
+    fn burden(&self, server: &ServerState, now: Moment) -> u32 {
+        let known = server.own + server.theirs.count;
         match server.reported {
             Some((reported, at)) if now.since(at) < self.desk_rules.report_life => known.max(reported),
             _ => known,
@@ -562,7 +570,8 @@
 
     /// Whether a peer says that it holds a prefix (`true`), or that it was sent there.
     fn is_told(&self, prefix: PrefixHash, name: &ServerName, server: &ServerState) -> Option<bool> {
-        self.told.holding(prefix, name, server.incarnation.unwrap_or(0))
+        let told = self.told.holdings(prefix).iter().find(|told| told.is_of(name, server.incarnation.unwrap_or(0)))?;
+        Some(told.is_shown())
     }
 
     fn is_withdrawn(&self, hall: &HallName) -> bool {
@@ -570,6 +579,15 @@
     }
 }
 
+/// Brings up to date what peers have at the servers that a sketch names.
+fn sum_loads(servers: &mut BTreeMap<ServerName, ServerState>, told: &PeerTotals, sketch: &Sketch) {
+    for load in &sketch.in_flight {
+        if let Some(server) = servers.get_mut(&load.server) {
+            server.theirs = told.load(&load.server);
+        }
+    }
+}
+
 /// The middle of the lags of a server's kin; `None` where too few are known and well to tell.
 fn usual_lag(servers: &BTreeMap<ServerName, ServerState>, name: &ServerName) -> Option<u64> {
     let own = servers.get(name)?;
--- a/crates/primer/src/desk/told.rs
+++ b/crates/primer/src/desk/peer_totals.rs
@@ -6,7 +6,7 @@
 ///
 /// Invariant: each counted sketch was added once, and is taken off as it was added.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Told {
+pub(super) struct PeerTotals {
     hot: BTreeMap<PrefixHash, u32>,
     holdings: BTreeMap<PrefixHash, Vec<ToldHolding>>,
     loads: BTreeMap<ServerName, Load>,
@@ -14,22 +14,24 @@
 
 /// How many peers say that a server in one life holds a prefix, or was sent it.
 #[derive(Debug, Clone)]
-struct ToldHolding {
+pub(super) struct ToldHolding {
     server: ServerName,
     incarnation: u64,
     shown: u32,
     sent: u32,
 }
 
-/// What peers have in hand at a server.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Load {
-    pub(super) count: u32,
-    pub(super) unread: u64,
-    pub(super) tokens: u64,
+impl ToldHolding {
+    pub(super) fn is_of(&self, server: &ServerName, incarnation: u64) -> bool {
+        self.incarnation == incarnation && self.server == *server
+    }
+    /// Whether a first token has shown it to one of them.
+    pub(super) fn is_shown(&self) -> bool {
+        self.shown > 0
+    }
 }
 
-impl Told {
+impl PeerTotals {
     /// Counts a sketch.
     pub(super) fn add(&mut self, sketch: &Sketch) {
         for hot in &sketch.hot {
@@ -97,10 +99,8 @@
     pub(super) fn load(&self, server: &ServerName) -> Load {
         self.loads.get(server).copied().unwrap_or_default()
     }
-    /// Whether a peer says that a server holds a prefix (`true`), or that it was sent there.
-    pub(super) fn holding(&self, prefix: PrefixHash, server: &ServerName, incarnation: u64) -> Option<bool> {
-        let those = self.holdings.get(&prefix)?;
-        let told = those.iter().find(|told| told.server == *server && told.incarnation == incarnation)?;
-        Some(told.shown > 0)
+    /// What peers say of who holds a prefix.
+    pub(super) fn holdings(&self, prefix: PrefixHash) -> &[ToldHolding] {
+        self.holdings.get(&prefix).map_or(&[], Vec::as_slice)
     }
 }
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -27,12 +27,12 @@
     pub(super) chosen: Candidate,
     pub(super) reason: PlaceReason,
     pub(super) was_idle: bool,
-    pub(super) weight: Weight,
+    pub(super) footprint: Footprint,
     pub(super) candidates: Vec<Candidate>,
 }
 
 /// Why it goes nowhere, and when to come back.
-pub(super) struct No {
+pub(super) struct Refusal {
     pub(super) code: ResultCode,
     pub(super) why: String,
     pub(super) wait: Span,
@@ -85,20 +85,20 @@
         let is_active = prefix.is_some_and(|prefix| self.active.contains_key(&prefix));
         let ask = Ask { order: &order, rules: &rules, hashes: &hashes, counted, tried, demand, is_active, now };
         let choice = if demand.is_told() { self.choose_by_time(&ask, begun) } else { self.choose_by_burden(&ask) };
-        let Choice { chosen, reason, was_idle, weight, candidates } = match choice {
+        let Choice { chosen, reason, was_idle, footprint, candidates } = match choice {
             Ok(choice) => choice,
-            Err(No { code, why, wait }) => return self.refuse(order, service, code, why, wait, round),
+            Err(Refusal { code, why, wait }) => return self.refuse(order, service, code, why, wait, round),
         };
         // Only what goes to a server counts, as a repeat or as traffic.
         self.note_placed(&service, round, now);
         if let Some(server) = self.servers.get_mut(&chosen.server) {
             server.own += 1;
-            server.unread += weight.uncached;
-            server.tokens += weight.memory;
+            server.unread += footprint.uncached;
+            server.tokens += footprint.memory;
             if rules.memory_tokens > 0 {
-                server.read += weight.uncached;
+                server.read += footprint.uncached;
                 server.residency.set_memory(rules.memory_tokens);
-                server.residency.note_read(weight.uncached);
+                server.residency.note_read(footprint.uncached);
             }
             if rules.cold_per_second > 0 {
                 server.note_sent(now);
@@ -116,7 +116,7 @@
                 was_idle,
                 matched: chosen.matched,
                 first: None,
-                weight,
+                footprint,
             };
             self.orders.insert(order.clone(), hand);
         }
@@ -159,7 +159,7 @@
     }
 
     /// The choice where callers tell nothing of their orders: by orders in hand, and by blocks held.
-    fn choose_by_burden(&self, ask: &Ask) -> Result<Choice, No> {
+    fn choose_by_burden(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (weighed, full_until) = self.weigh(ask);
         let due = ask.rules.first_token;
         let Some((place, reason)) = choose(&weighed, ask.is_active, due, &self.desk_rules) else {
@@ -168,17 +168,17 @@
             } else {
                 (ResultCode::NoServer, "no server that may serve it is known and well")
             };
-            return Err(No { code, why: why.to_owned(), wait: full_until.max_with(Span(1000)) });
+            return Err(Refusal { code, why: why.to_owned(), wait: full_until.max_with(Span(1000)) });
         };
         let chosen = weighed[place].candidate.clone();
         if self.desk_rules.does_admit && chosen.expected > due {
             let why = late_words(chosen.expected, due);
             let wait = Span(chosen.expected.0 - due.0).max_with(Span(1000));
-            return Err(No { code: ResultCode::Crowded, why, wait });
+            return Err(Refusal { code: ResultCode::Crowded, why, wait });
         }
         let was_idle = chosen.burden < weighed[place].slots;
         let candidates = weighed.into_iter().map(|w| w.candidate).collect();
-        Ok(Choice { chosen, reason, was_idle, weight: Weight::default(), candidates })
+        Ok(Choice { chosen, reason, was_idle, footprint: Footprint::default(), candidates })
     }
 
     fn refuse(
@@ -239,8 +239,8 @@
             }
             let key = server.key;
             let cap = server.cap(rules.slots, now, &self.desk_rules);
-            let part = share_at(cap, server.place, self.members.len() as u32);
-            let burden = self.burden(name, server, now);
+            let part = share_at(cap, server.rank, self.members.len() as u32);
+            let burden = self.burden(server, now);
             // Beyond the own part, room that others leave may be used, if all others are heard and
             // the server is past its ramp.
             let may_borrow = self.knows_all && !server.is_fresh(now, &self.desk_rules) && burden < cap;
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -1,7 +1,8 @@
 //! Choosing a server where callers tell what they ask: by the expected time to the first piece, and by what
 //! the order costs those that wait beside it.
 
-use super::placing::{Ask, Choice, No, SpanExt, WAIT_LEAST, late_words};
+use super::peer_totals::ToldHolding;
+use super::placing::{Ask, Choice, Refusal, SpanExt, WAIT_LEAST, late_words};
 use super::*;
 
 /// How many of the weighed servers a decision shows.
@@ -12,22 +13,22 @@
 const LATE_PERCENT: u64 = 60;
 
 /// A server that may take the order.
-struct Rated<'a> {
+struct Scored<'a> {
     name: &'a ServerName,
     slots: u32,
     burden: u32,
     matched: u32,
-    weight: Weight,
+    footprint: Footprint,
     expected: u64,
     /// Expected time and what else it costs, in ms.
     cost: u64,
     /// Its place in the prefix's own order: higher first.
-    favor: u64,
+    affinity: u64,
     /// `Some(true)`: believed to hold the counted prefix; `Some(false)`: it was sent there.
     holding: Option<bool>,
 }
 
-impl Rated<'_> {
+impl Scored<'_> {
     fn is_warm(&self) -> bool {
         self.holding == Some(true)
     }
@@ -42,67 +43,96 @@
     }
 }
 
-/// Why servers that may serve an order can't take it now.
+/// What else was seen of the servers that may serve an order.
 #[derive(Default)]
-struct Passed {
-    /// When the first of them can, about.
+struct Survey {
+    /// When the first of those that can't take it now can, about.
     wait: Option<Span>,
+    /// How many hold the counted prefix, or are reading it.
+    holders: u32,
+    /// Of them, how many are reading it.
+    under_way: u32,
+    /// Whether one of them has room.
+    is_any_free: bool,
 }
 
-impl Passed {
+impl Survey {
     fn note(&mut self, wait: Span) {
         self.wait = Some(self.wait.map_or(wait, |least| least.min(wait)));
     }
+    fn note_holding(&mut self, holding: Option<bool>, is_free: bool) {
+        let Some(is_shown) = holding else { return };
+        self.holders += 1;
+        self.under_way += u32::from(!is_shown);
+        self.is_any_free |= is_free;
+    }
+    /// Whether fewer servers than are due hold an active prefix or are reading it.
+    fn wants_more(&self, btb: &BtbRules) -> bool {
+        let more = u32::from(!self.is_any_free && self.under_way == 0);
+        self.holders < btb.copies.max(self.holders + more).min(btb.most_copies.max(btb.copies))
+    }
 }
 
 impl Desk {
-    pub(super) fn choose_by_time(&self, ask: &Ask, begun: Moment) -> Result<Choice, No> {
-        let (rated, passed) = self.rate(ask, begun);
-        let Some(best) = best_of(&rated, self.desk_rules.stick, |_| true) else {
-            return Err(match passed.wait {
+    pub(super) fn choose_by_time(&self, ask: &Ask, begun: Moment) -> Result<Choice, Refusal> {
+        let (mut scored, survey) = self.score(ask, begun, false);
+        if scored.is_empty() {
+            // Rather one more at a server that has yet to show that it works again than a refusal.
+            scored = self.score(ask, begun, true).0;
+        }
+        // Prompts stay with what holds them; plain fetches have nothing to stay for.
+        let hysteresis = if ask.hashes.is_empty() { Span(0) } else { self.desk_rules.hysteresis };
+        let Some(best) = best_of(&scored, hysteresis, |_| true) else {
+            return Err(match survey.wait {
                 Some(wait) => {
                     let why = "every server that may serve it is at its cap".to_owned();
-                    No { code: ResultCode::Crowded, why, wait: wait.max_with(WAIT_LEAST) }
+                    Refusal { code: ResultCode::Crowded, why, wait: wait.max_with(WAIT_LEAST) }
                 }
                 None => {
                     let why = "no server that may serve it is known and well".to_owned();
-                    No { code: ResultCode::NoServer, why, wait: Span(1000) }
+                    Refusal { code: ResultCode::NoServer, why, wait: self.well_again(ask).max_with(WAIT_LEAST) }
                 }
             });
         };
         let due = if ask.demand.target.0 > 0 { ask.demand.target } else { ask.rules.first_token };
-        let (mut chosen, mut reason) = self.choose_among(ask, &rated, best, due);
+        let (mut chosen, mut reason) = self.choose_among(ask, &scored, best, &survey, due);
         // A late answer is worth something still; one after the deadline is worth nothing.
         let latest = due.max_with(Span(ask.demand.deadline.0 * LATE_PERCENT / 100));
         if chosen.expected > due.0 {
-            let soonest = rated.iter().min_by_key(|r| (r.expected, r.cost, r.favor));
+            let soonest = scored.iter().min_by_key(|r| (r.expected, r.cost, r.affinity));
             if let Some(soonest) = soonest.filter(|soonest| soonest.expected < chosen.expected) {
                 (chosen, reason) = (soonest, PlaceReason::Soonest);
             }
         }
-        let has_room = rated.iter().any(|r| r.burden * 100 < r.slots * HALF_EMPTY);
+        let has_room = scored.iter().any(|r| r.burden * 100 < r.slots * HALF_EMPTY);
         if self.desk_rules.does_admit && chosen.expected > latest.0 && !has_room {
             let wait = Span(chosen.expected - latest.0).max_with(WAIT_LEAST);
-            return Err(No { code: ResultCode::Crowded, why: late_words(Span(chosen.expected), latest), wait });
+            return Err(Refusal { code: ResultCode::Crowded, why: late_words(Span(chosen.expected), latest), wait });
+        }
+        let mut others: Vec<&Scored> = scored.iter().collect();
+        let by_cost = |r: &&Scored| (r.cost, u64::MAX - r.affinity);
+        if others.len() > SHOWN {
+            others.select_nth_unstable_by_key(SHOWN, by_cost);
+            others.truncate(SHOWN);
         }
-        let mut others: Vec<&Rated> = rated.iter().collect();
-        others.sort_unstable_by_key(|r| (r.cost, u64::MAX - r.favor));
+        others.sort_unstable_by_key(by_cost);
         Ok(Choice {
             chosen: chosen.candidate(),
             reason,
             was_idle: chosen.burden < chosen.slots,
-            weight: chosen.weight,
-            candidates: others.into_iter().take(SHOWN).map(Rated::candidate).collect(),
+            footprint: chosen.footprint,
+            candidates: others.into_iter().map(Scored::candidate).collect(),
         })
     }
 
     fn choose_among<'a, 'b>(
         &self,
         ask: &Ask,
-        rated: &'b [Rated<'a>],
-        best: &'b Rated<'a>,
+        scored: &'b [Scored<'a>],
+        best: &'b Scored<'a>,
+        survey: &Survey,
         due: Span,
-    ) -> (&'b Rated<'a>, PlaceReason) {
+    ) -> (&'b Scored<'a>, PlaceReason) {
         let by_cache = || {
             let reason = if best.matched > 0 { PlaceReason::CacheMatch } else { PlaceReason::LeastLoaded };
             (best, reason)
@@ -110,18 +140,15 @@
         if !ask.is_active {
             return by_cache();
         }
-        let least = |may: &dyn Fn(&Rated) -> bool| {
-            let those = rated.iter().filter(|r| may(r));
-            those.min_by_key(|r| (r.expected, r.burden, u64::MAX - r.favor))
+        let least = |may: &dyn Fn(&Scored) -> bool| {
+            let those = scored.iter().filter(|r| may(r));
+            those.min_by_key(|r| (r.expected, r.burden, u64::MAX - r.affinity))
         };
         let warm = least(&|r| r.is_warm());
-        let wanted = match ask.prefix() {
-            Some(prefix) if !self.desk_rules.does_order_copies => self.wants_more(ask, prefix),
-            _ => false,
-        };
+        let wanted = !self.desk_rules.does_order_copies && survey.wants_more(&ask.rules.btb);
         // Its own reading warms the next target; a target reads the prefix once, and the rest go where it is held.
         if wanted
-            && let Some(target) = best_of(rated, self.desk_rules.stick, |r| r.holding.is_none())
+            && let Some(target) = best_of(scored, self.desk_rules.hysteresis, |r| r.holding.is_none())
             && (target.expected <= due.0 || warm.is_none_or(|warm| warm.expected > due.0))
         {
             return (target, PlaceReason::Warming);
@@ -132,57 +159,55 @@
         }
     }
 
-    /// Whether fewer servers than are due hold an active prefix or are reading it.
-    fn wants_more(&self, ask: &Ask, prefix: PrefixHash) -> bool {
-        let btb = &ask.rules.btb;
-        let (mut holders, mut is_any_free, mut under_way) = (0, false, 0);
-        for (name, server) in &self.servers {
-            if !self.may_serve(ask.rules, name, server, ask.now) {
-                continue;
-            }
-            let Some(is_shown) = self.holding(prefix, name, server, ask.now) else { continue };
-            holders += 1;
-            under_way += u32::from(!is_shown);
-            let load = self.told.load(name);
-            let slots = server.slots.unwrap_or(ask.rules.slots);
-            is_any_free |= self.burden_with(server, load, ask.now) < slots && server.overdue == 0;
-        }
-        let more = u32::from(!is_any_free && under_way == 0);
-        let goal = btb.copies.max(holders + more).min(btb.most_copies.max(btb.copies));
-        holders < goal
-    }
-
     /// `Some(true)`: it's believed to hold a prefix; `Some(false)`: it was sent there.
-    fn holding(&self, prefix: PrefixHash, name: &ServerName, server: &ServerState, now: Moment) -> Option<bool> {
-        let told = self.is_told(prefix, name, server);
-        if told == Some(true) || server.residency.holds(prefix, now) {
+    fn holding(
+        told: &[ToldHolding],
+        prefix: PrefixHash,
+        name: &ServerName,
+        server: &ServerState,
+        now: Moment,
+    ) -> Option<bool> {
+        let told = told.iter().find(|told| told.is_of(name, server.incarnation.unwrap_or(0)));
+        if told.is_some_and(ToldHolding::is_shown) || server.residency.holds(prefix, now) {
             return Some(true);
         }
         if told.is_some() || server.residency.expects(prefix, now) { Some(false) } else { None }
     }
 
+    /// When the first server that is kept from work for its faults may have some again.
+    fn well_again(&self, ask: &Ask) -> Span {
+        let is_kin = |server: &&ServerState| server.is_listed && !server.is_leaving && server.pool == ask.rules.pool;
+        let waits = self.servers.values().filter(is_kin).filter_map(|server| server.suspect_until);
+        waits.map(|due| ask.now.until(due)).filter(|wait| wait.0 > 0).min().unwrap_or(Span(1000))
+    }
+
     /// All servers that can take the order now, and what is with those that can't.
-    fn rate<'a>(&'a self, ask: &Ask, begun: Moment) -> (Vec<Rated<'a>>, Passed) {
+    fn score<'a>(&'a self, ask: &Ask, begun: Moment, does_trust: bool) -> (Vec<Scored<'a>>, Survey) {
         let Ask { rules, hashes, tried, demand, now, .. } = *ask;
-        let mut rated = Vec::with_capacity(self.servers.len());
-        let mut passed = Passed::default();
+        let mut scored = Vec::with_capacity(self.servers.len());
+        let mut survey = Survey::default();
         let prefix = ask.prefix();
+        let told = prefix.map_or(&[][..], |prefix| self.told.holdings(prefix));
         let prompt = self.prompt_tokens(hashes, demand);
         // Prompts that begin alike prefer the same servers; others are spread.
         let shared = hashes.len().saturating_sub(2);
-        let favor_key = hashes.get(shared).map_or_else(|| key_of(ask.order.as_str()), |hash| hash.0);
+        let affinity_key = hashes.get(shared).map_or_else(|| key_of(ask.order.as_str()), |hash| hash.0);
         for (name, server) in &self.servers {
-            if !self.may_serve(rules, name, server, now) || tried.contains(name) {
+            if !self.may_serve(rules, name, server, now) {
                 continue;
             }
-            let theirs = self.told.load(name);
-            let burden = self.burden_with(server, theirs, now);
+            let theirs = server.theirs;
+            let burden = self.burden(server, now);
             let slots = server.slots.unwrap_or(rules.slots).max(1);
-            if let Err(wait) = self.may_add(rules, server, slots, burden, begun, now) {
-                passed.note(wait);
+            let holding = prefix.and_then(|prefix| Desk::holding(told, prefix, name, server, now));
+            survey.note_holding(holding, burden < slots && server.overdue == 0);
+            if tried.contains(name) {
+                continue;
+            }
+            if let Err(wait) = self.may_add(rules, server, slots, burden, begun, does_trust, now) {
+                survey.note(wait);
                 continue;
             }
-            let holding = prefix.and_then(|prefix| self.holding(prefix, name, server, now));
             let matched = server.residency.matched(hashes, now);
             let matched = match (holding, ask.counted) {
                 (Some(_), Some(place)) => matched.max(place as u32 + 1),
@@ -191,7 +216,7 @@
             let kept = self.tokens_of(&hashes[..matched as usize], demand).min(prompt);
             let memory = if rules.memory_tokens > 0 { prompt + u64::from(demand.output_tokens) } else { 0 };
             let queue = u64::from((burden + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
-            let weight = Weight {
+            let footprint = Footprint {
                 is_told: true,
                 uncached: prompt - kept,
                 ahead: server.unread + theirs.unread,
@@ -199,20 +224,21 @@
                 memory,
                 queue,
             };
-            let expected = self.expect(rules, server, &weight, burden, server.tokens + theirs.tokens);
-            let reading = self.reading(server, weight.uncached);
-            let mut cost = expected + reading * u64::from(self.desk_rules.reading_percent) / 100;
+            let expected = self.expect(rules, server, &footprint, burden, server.tokens + theirs.tokens);
+            let reading = self.prefill(server, footprint.uncached);
+            let mut cost = expected + reading * u64::from(self.desk_rules.prefill_percent) / 100;
             cost += u64::from(burden) * self.desk_rules.load_bias.0 / u64::from(slots);
-            if self.hall.as_ref().is_some_and(|hall| *hall != server.hall) {
+            if self.zone.as_ref().is_some_and(|hall| *hall != server.hall) {
                 cost += self.desk_rules.zone_bias.0;
             }
-            let favor = mix(server.key ^ favor_key);
-            rated.push(Rated { name, slots, burden, matched, weight, expected, cost, favor, holding });
+            let affinity = mix(server.key ^ affinity_key);
+            scored.push(Scored { name, slots, burden, matched, footprint, expected, cost, affinity, holding });
         }
-        (rated, passed)
+        (scored, survey)
     }
 
     /// Whether a server can take one more from this node now; else when, about.
+    #[allow(clippy::too_many_arguments)]
     fn may_add(
         &self,
         rules: &ServiceRules,
@@ -220,21 +246,22 @@
         slots: u32,
         burden: u32,
         begun: Moment,
+        does_trust: bool,
         now: Moment,
     ) -> Result<(), Span> {
         if rules.cold_per_second > 0 && server.is_cold(rules.cold_span, now) {
             let known = self.members.len().max(self.desk_rules.members_least as usize);
-            let part = share_at(rules.cold_per_second, server.place, known.max(self.counted_peers as usize + 1) as u32);
+            let part = share_at(rules.cold_per_second, server.rank, known.max(self.counted_peers as usize + 1) as u32);
             server.check_cold(part, begun.max(self.shared_from), now)?;
         }
         let place_wait = Span(server.hold.0 / u64::from(slots));
         // One that was kept from work shows first that it works again.
-        if server.suspect_until.is_some() && server.faults > 0 && server.own > 0 {
+        if !does_trust && server.suspect_until.is_some() && server.faults > 0 && server.own > 0 {
             return Err(place_wait);
         }
         let cap = slots + slots * self.desk_rules.queue_percent / 100;
         let members = self.members.len() as u32;
-        let is_own_part = server.own < share_at(cap, server.place, members);
+        let is_own_part = server.own < share_at(cap, server.rank, members);
         // Beyond the own part, room that others leave is used; for those not heard, half of theirs stays free.
         let unheard = if self.knows_all { 0 } else { members.saturating_sub(1 + self.counted_peers) };
         let kept_free = unheard * (cap / members.max(1)) / 2;
@@ -242,20 +269,27 @@
     }
 
     /// Expected time to the first piece, in ms.
-    fn expect(&self, rules: &ServiceRules, server: &ServerState, weight: &Weight, burden: u32, tokens: u64) -> u64 {
-        if weight.prompt == 0 {
-            return server.hold.0 + weight.queue + server.overdue;
+    fn expect(
+        &self,
+        rules: &ServiceRules,
+        server: &ServerState,
+        footprint: &Footprint,
+        burden: u32,
+        tokens: u64,
+    ) -> u64 {
+        if footprint.prompt == 0 {
+            return server.hold.0 + footprint.queue + server.overdue;
         }
         let step = (self.desk_rules.step_micros + u64::from(burden) * self.desk_rules.step_micros_each) / 1000;
         // What doesn't fit beside those that run waits until as much of them has ended.
-        let over = (tokens + weight.memory).saturating_sub(rules.memory_tokens);
+        let over = (tokens + footprint.memory).saturating_sub(rules.memory_tokens);
         let room = if rules.memory_tokens == 0 || tokens == 0 { 0 } else { server.hold.0 * over / tokens };
-        let reading = self.reading(server, weight.ahead + weight.uncached);
-        self.desk_rules.base_first_token.0 + reading + step + weight.queue.max(room) + server.overdue
+        let reading = self.prefill(server, footprint.ahead + footprint.uncached);
+        self.desk_rules.base_first_token.0 + reading + step + footprint.queue.max(room) + server.overdue
     }
 
     /// How long a server reads so many tokens, in ms.
-    fn reading(&self, server: &ServerState, tokens: u64) -> u64 {
+    fn prefill(&self, server: &ServerState, tokens: u64) -> u64 {
         tokens * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1)) / 1000
     }
 
@@ -273,8 +307,12 @@
 }
 
 /// The cheapest; of those that cost about the same, the one that holds most, then the prefix's own favorite.
-fn best_of<'a, 'b>(rated: &'b [Rated<'a>], stick: Span, may: impl Fn(&Rated) -> bool) -> Option<&'b Rated<'a>> {
-    let least = rated.iter().filter(|r| may(r)).map(|r| r.cost).min()?;
-    let near = rated.iter().filter(|r| may(r) && r.cost <= least + stick.0);
-    near.max_by_key(|r| (r.matched, r.favor))
+fn best_of<'a, 'b>(
+    scored: &'b [Scored<'a>],
+    hysteresis: Span,
+    may: impl Fn(&Scored) -> bool,
+) -> Option<&'b Scored<'a>> {
+    let least = scored.iter().filter(|r| may(r)).map(|r| r.cost).min()?;
+    let near = scored.iter().filter(|r| may(r) && r.cost <= least + hysteresis.0);
+    near.max_by_key(|r| (r.matched, r.affinity))
 }
--- a/crates/primer/src/lib.rs
+++ b/crates/primer/src/lib.rs
@@ -28,7 +28,7 @@
     pub use crate::repeat_window::RepeatWindow;
     pub use crate::residency::Residency;
     pub use crate::rules::{BtbRules, DeskRules, Rules, ServiceRules};
-    pub use crate::server_state::ServerState;
+    pub use crate::server_state::{Load, ServerState};
     pub use crate::share::{key_of, mix, rank, share, share_at};
     pub use crate::sketch::{Holding, Hot, InFlight, PrefixHash, Sketch};
     pub use crate::window::Window;
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -63,6 +63,7 @@
 
 /// What the plan does not set: how the desk itself works.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct DeskRules {
     /// Whether sketches of others count.
     pub does_merge: bool,
@@ -106,10 +107,10 @@
     /// What a full server is held to cost beyond an empty one, as time.
     pub load_bias: Span,
     /// What reading a token costs the others that wait there, in percent of the time that it takes.
-    pub reading_percent: u32,
+    pub prefill_percent: u32,
     /// Servers whose costs differ by no more than this are equal: the one that holds more, or the one that
     /// the prefix's own order of servers prefers, is taken.
-    pub stick: Span,
+    pub hysteresis: Span,
     /// A step of a server that runs one request, in microseconds.
     pub step_micros: u64,
     /// What each further running request adds to a step, in microseconds.
@@ -120,6 +121,8 @@
     pub members_least: u32,
     /// A server's own report of its orders counts for this long.
     pub report_life: Span,
+    /// A first piece that came may have come this much later than expected, besides what is usual.
+    pub lag_slack: Span,
     /// A first piece is overdue this long after it was expected, besides what is usual.
     pub overdue_slack: Span,
 }
@@ -147,13 +150,14 @@
             repeats_in_window: 0,
             zone_bias: Span(0),
             load_bias: Span(60),
-            reading_percent: 100,
-            stick: Span(20),
+            prefill_percent: 100,
+            hysteresis: Span(20),
             step_micros: 3400,
             step_micros_each: 97,
             queue_percent: 50,
             members_least: 1,
             report_life: Span(2000),
+            lag_slack: Span(400),
             overdue_slack: Span(1000),
         }
     }
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -1,6 +1,17 @@
 use crate::prelude::*;
 use std::collections::VecDeque;
 
+/// What others have in hand at a server.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Load {
+    /// Orders.
+    pub count: u32,
+    /// Prompt tokens of them that it has still to read.
+    pub unread: u64,
+    /// Tokens that they take of its memory.
+    pub tokens: u64,
+}
+
 /// One server, as this node sees it.
 ///
 /// Invariants: `own` counts this node's orders there that have not ended. Residency belongs to one
@@ -29,10 +40,14 @@
     pub reported: Option<(u32, Moment)>,
     /// This node's orders there.
     pub own: u32,
+    /// The orders of those peers there whose sketches count.
+    pub theirs: Load,
     /// Failures one after another.
     pub faults: u32,
     /// How much later than expected its first pieces came lately, in ms, smoothed.
     pub lag: u64,
+    /// A first piece may come this much later than expected, besides what is usual.
+    pub lag_slack: Span,
     /// First pieces that came far too late, one after another.
     pub late: u32,
     /// No work until then.
@@ -46,7 +61,7 @@
     /// A number for its name, the same everywhere.
     pub key: u64,
     /// This node's place in the server's own order of the members.
-    pub place: u32,
+    pub rank: u32,
     /// When it was first listed, or a new life of it was first heard of, in this node's life.
     pub listed_from: Moment,
     /// Until when the list says that it is cold; `None` where the list has never told.
@@ -59,6 +74,8 @@
     pub tokens: u64,
     /// Tokens that this node's orders made it read in this node's life.
     pub read: u64,
+    /// What of them the last sketch told.
+    pub read_told: u64,
     /// How long this node's most overdue first piece there is overdue, in ms.
     pub overdue: u64,
 }
@@ -78,21 +95,24 @@
             slots: entry.slots,
             reported: None,
             own: 0,
+            theirs: Load::default(),
             faults: 0,
             lag: 0,
+            lag_slack: rules.lag_slack,
             late: 0,
             suspect_until: None,
             residency: Residency::default(),
             block_micros: rules.block_micros,
             hold: rules.hold,
             key: key_of(entry.server.as_str()),
-            place: 0,
+            rank: 0,
             listed_from: now,
             cold_until: entry.cold_left.map(|left| now + left),
             cold_sent: VecDeque::new(),
             unread: 0,
             tokens: 0,
             read: 0,
+            read_told: 0,
             overdue: 0,
         }
     }
@@ -167,7 +187,7 @@
         Some(span)
     }
     /// A first piece came after it had read so many tokens, in so many microseconds besides the base time.
-    pub fn learn_reading(&mut self, took: u64, tokens: u64, rules: &DeskRules) {
+    pub fn learn_prefill(&mut self, took: u64, tokens: u64, rules: &DeskRules) {
         if tokens < LEARN_LEAST {
             return;
         }
@@ -179,7 +199,7 @@
     /// far too slow: a server that answers, but slowly, is as bad as one that doesn't.
     pub fn note_lag(&mut self, lag: u64, usual: u64) -> bool {
         self.lag = (self.lag * 3 + lag) / 4;
-        self.late = if lag > LAG_SLACK + usual * 4 { self.late + 1 } else { 0 };
+        self.late = if lag > self.lag_slack.0 + usual * 4 { self.late + 1 } else { 0 };
         self.late >= LATE_MOST
     }
     /// An order went well there.
@@ -192,8 +212,6 @@
 const LEARN_LEAST: u64 = 2048;
 /// What a cold server bears is told by the second.
 const COLD_WINDOW: Span = Span::seconds(1);
-/// A first piece may come this much later than expected, in ms, besides what is usual.
-const LAG_SLACK: u64 = 400;
 /// So many late ones in a row are no chance.
 const LATE_MOST: u32 = 2;
 
--- /dev/null
+++ b/crates/primer/tests/fleet.rs
@@ -0,0 +1,330 @@
+//! A small fleet of desks that share engines: pure, seeded, in steps of a millisecond.
+
+use primer::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const START: u64 = 1_000_000;
+const READ_PER_MS: f64 = 112.0;
+
+/// An engine that reads prompts one after the other and keeps every part it read.
+struct Engine {
+    name: ServerName,
+    speed: f64,
+    cold_until: u64,
+    does_refuse: bool,
+    kept: BTreeSet<PrefixHash>,
+    read_until: f64,
+    arrivals: Vec<u64>,
+    /// How often each part was read.
+    reads: BTreeMap<PrefixHash, u32>,
+}
+
+enum Due {
+    First(OrderId, usize),
+    End(OrderId, usize, Outcome),
+}
+
+struct Fleet {
+    now: u64,
+    seed: u64,
+    desks: Vec<Desk>,
+    lives: Vec<u64>,
+    engines: Vec<Engine>,
+    due: BTreeMap<(u64, u64), Due>,
+    service: ServiceRules,
+    desk_rules: DeskRules,
+    next: u64,
+    /// When, where, why, for which prefix.
+    placed: Vec<(u64, ServerName, PlaceReason, u64)>,
+    asked: Vec<u64>,
+    repeated: Vec<u64>,
+    refused: u32,
+    firsts: Vec<u64>,
+    sent: BTreeMap<OrderId, (u64, u64)>,
+}
+
+impl Fleet {
+    fn new(desks: usize, engines: usize, service: ServiceRules, desk_rules: DeskRules) -> Self {
+        let engine = |n: usize| Engine {
+            name: ServerName::from(format!("e{n}").as_str()),
+            speed: [1.0, 1.0, 1.3][n % 3],
+            cold_until: 0,
+            does_refuse: false,
+            kept: BTreeSet::new(),
+            read_until: 0.0,
+            arrivals: vec![],
+            reads: BTreeMap::new(),
+        };
+        let mut fleet = Fleet {
+            now: START,
+            seed: 11,
+            desks: vec![],
+            lives: vec![0; desks],
+            engines: (0..engines).map(engine).collect(),
+            due: BTreeMap::new(),
+            service,
+            desk_rules,
+            next: 0,
+            placed: vec![],
+            asked: vec![],
+            repeated: vec![],
+            refused: 0,
+            firsts: vec![],
+            sent: BTreeMap::new(),
+        };
+        fleet.desks = (0..desks).map(|place| Desk::new(own(place), 0, fleet.desk_rules.clone())).collect();
+        (0..desks).for_each(|place| fleet.restart(place));
+        fleet
+    }
+    fn random(&mut self, below: u64) -> u64 {
+        self.seed = mix(self.seed);
+        self.seed % below
+    }
+    fn roll(&self) -> Vec<RollEntry> {
+        let entry = |engine: &Engine| RollEntry {
+            server: engine.name.clone(),
+            slots: Some(128),
+            cold_left: Some(Span(engine.cold_until.saturating_sub(self.now))),
+            hall: "north".into(),
+            pool: "model".into(),
+            ..RollEntry::default()
+        };
+        self.engines.iter().map(entry).collect()
+    }
+    fn tell(&mut self, place: usize, event: Event) -> Vec<Decision> {
+        self.desks[place].take(Dated { at: Moment(self.now), event })
+    }
+    /// A node is killed and starts anew; what it had in hand is lost.
+    fn restart(&mut self, place: usize) {
+        self.lives[place] += 1;
+        self.desks[place] = Desk::new(own(place), self.lives[place], self.desk_rules.clone());
+        let services = [("drafts".into(), self.service.clone())].into();
+        self.tell(place, Event::Rules { rules: Rules { epoch: Epoch(1), services, withdrawn: vec![] } });
+        let (members, servers) = ((0..self.desks.len()).map(own).collect(), self.roll());
+        self.tell(place, Event::Members { members });
+        self.tell(place, Event::Roll { servers });
+    }
+    /// A millisecond goes by.
+    fn step(&mut self) {
+        self.now += 1;
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            match entry.remove() {
+                Due::First(order, place) => {
+                    if let Some((at, _)) = self.sent.get(&order) {
+                        self.firsts.push(self.now - at);
+                    }
+                    self.tell(place, Event::FirstToken { order });
+                }
+                Due::End(order, place, outcome) => {
+                    self.tell(place, Event::Ended { order: order.clone(), outcome });
+                    if outcome == Outcome::Refused {
+                        self.ask(place, self.sent[&order].1, 1);
+                    }
+                }
+            }
+        }
+        if self.now % 100 == 0 {
+            let servers = self.roll();
+            for place in 0..self.desks.len() {
+                self.tell(place, Event::Tick);
+                self.tell(place, Event::Roll { servers: servers.clone() });
+            }
+        }
+        if self.now % 250 == 0 {
+            let at = Moment(self.now);
+            let sketches: Vec<Sketch> = self.desks.iter_mut().map(|desk| desk.sketch(at)).collect();
+            for (from, sketch) in sketches.into_iter().enumerate() {
+                for place in 0..self.desks.len() {
+                    self.tell(place, Event::Trade { from: own(from), sketch: sketch.clone() });
+                }
+            }
+        }
+    }
+    /// A prompt of 5382 shared tokens and its own comes to a node.
+    fn ask(&mut self, place: usize, prefix: u64, round: u32) {
+        self.next += 1;
+        let order = OrderId(format!("o{}", self.next));
+        let parts = [(PrefixHash(1), 512u32), (PrefixHash(prefix), 4870), (PrefixHash(mix(self.next)), 3000)];
+        let demand = Demand {
+            hash_tokens: parts.map(|(_, tokens)| tokens).to_vec(),
+            prompt_tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
+            output_tokens: 400,
+            deadline: Span(15_000),
+            ..Demand::default()
+        };
+        let hashes = parts.map(|(hash, _)| hash).to_vec();
+        let event =
+            Event::Prompt { order: order.clone(), service: "drafts".into(), hashes, round, tried: vec![], demand };
+        if round == 0 {
+            self.asked.push(self.now);
+        }
+        for decision in self.tell(place, event) {
+            match decision {
+                Decision::Placed { server, reason, .. } => {
+                    if round > 0 {
+                        self.repeated.push(self.now);
+                    }
+                    self.placed.push((self.now, server.clone(), reason, prefix));
+                    self.sent.insert(order.clone(), (self.now, prefix));
+                    self.run(&server, order.clone(), place, &parts);
+                }
+                Decision::Refused { .. } => self.refused += 1,
+                _ => {}
+            }
+        }
+    }
+    fn run(&mut self, server: &ServerName, order: OrderId, place: usize, parts: &[(PrefixHash, u32)]) {
+        let (now, next) = (self.now, self.next);
+        let engine = self.engines.iter_mut().find(|engine| engine.name == *server).expect("listed");
+        engine.arrivals.push(now);
+        if engine.does_refuse {
+            self.due.insert((now + 2, next * 2), Due::End(order, place, Outcome::Refused));
+            return;
+        }
+        let mut uncached = 0;
+        for (hash, tokens) in parts {
+            if engine.kept.insert(*hash) {
+                uncached += tokens;
+                *engine.reads.entry(*hash).or_default() += 1;
+            }
+        }
+        engine.read_until = engine.read_until.max(now as f64) + f64::from(uncached) / READ_PER_MS * engine.speed;
+        let first = engine.read_until as u64 + 35;
+        self.due.insert((first, next * 2), Due::First(order.clone(), place));
+        self.due.insert((first + 1200, next * 2 + 1), Due::End(order, place, Outcome::Complete));
+    }
+    fn most_within(moments: &[u64], span: u64) -> usize {
+        let within = |end: &u64| moments.iter().filter(|at| *at <= end && end - **at < span).count();
+        moments.iter().map(within).max().unwrap_or(0)
+    }
+}
+
+fn own(place: usize) -> Address {
+    Address::loopback(place as u16 + 1)
+}
+
+fn service() -> ServiceRules {
+    ServiceRules {
+        pool: "model".into(),
+        halls: vec![],
+        servers: vec![],
+        first_token: Span(800),
+        slots: 128,
+        btb: BtbRules::default(),
+        cold_per_second: 20,
+        cold_span: Span(3000),
+        memory_tokens: 650_000,
+    }
+}
+
+fn desk_rules() -> DeskRules {
+    DeskRules {
+        block_micros: 143,
+        does_order_copies: false,
+        repeat_window: Span::seconds(10),
+        repeats_in_window: 62,
+        ..DeskRules::default()
+    }
+}
+
+#[test]
+fn a_burst_on_one_prefix_is_spread_over_warm_servers_and_read_only_there() {
+    let mut fleet = Fleet::new(10, 9, service(), desk_rules());
+    for at in 0..8000 {
+        fleet.step();
+        // From the fourth second on, one prefix comes fifty times a second, at whatever node.
+        if at >= 4000 && at % 20 == 0 {
+            let place = fleet.random(10) as usize;
+            fleet.ask(place, 777, 0);
+        }
+        if at >= 1500 && at % 50 == 0 {
+            let (place, prefix) = (fleet.random(10) as usize, 100 + fleet.random(60));
+            fleet.ask(place, prefix, 0);
+        }
+    }
+    let late = START + 6000;
+    let hot = |p: &&(u64, ServerName, PlaceReason, u64)| p.3 == 777 && p.0 >= late;
+    let used: BTreeSet<&ServerName> = fleet.placed.iter().filter(hot).map(|p| &p.1).collect();
+    assert!((3..=6).contains(&used.len()), "the burst went to {used:?}");
+    let reads: u32 = fleet.engines.iter().filter_map(|engine| engine.reads.get(&PrefixHash(777))).sum();
+    assert!(reads <= 6, "the hot prefix was read {reads} times");
+    assert_eq!(fleet.refused, 0);
+    fleet.firsts.sort_unstable();
+    let late = fleet.firsts[fleet.firsts.len() * 98 / 100];
+    assert!(late < 800, "98 % come within {late} ms");
+}
+
+#[test]
+fn the_fleet_never_sends_a_cold_server_more_than_it_bears_whatever_restarts() {
+    let mut fleet = Fleet::new(11, 6, service(), desk_rules());
+    let mut arrivals_while_cold: BTreeMap<ServerName, Vec<u64>> = BTreeMap::new();
+    for at in 0..12_000u64 {
+        fleet.step();
+        if at % 2000 == 1900 {
+            let place = fleet.random(6) as usize;
+            fleet.engines[place].cold_until = fleet.now + 3000;
+        }
+        if at % 300 == 250 {
+            let place = fleet.random(11) as usize;
+            fleet.restart(place);
+        }
+        if at >= 1500 && at % 8 == 0 {
+            let (place, prefix) = (fleet.random(11) as usize, 100 + fleet.random(20));
+            let before = fleet.placed.len();
+            fleet.ask(place, prefix, 0);
+            for (now, server, ..) in fleet.placed[before..].to_vec() {
+                let engine = fleet.engines.iter().find(|engine| engine.name == server).expect("listed");
+                // What the list had not yet told nobody could know: it comes every 100 ms here.
+                if engine.cold_until > now && engine.cold_until - now < 2900 {
+                    arrivals_while_cold.entry(server).or_default().push(now);
+                }
+            }
+        }
+    }
+    let most = arrivals_while_cold.values().map(|moments| Fleet::most_within(moments, 1000)).max();
+    assert!(most.is_some_and(|most| (1..=20).contains(&most)), "{most:?} in a second");
+    assert_eq!(fleet.refused, 0, "others take what a cold server can't");
+}
+
+#[test]
+fn the_fleet_keeps_its_repeats_within_each_window_whatever_restarts() {
+    let mut fleet = Fleet::new(11, 6, service(), desk_rules());
+    for at in 0..32_000u64 {
+        fleet.step();
+        if at % 4000 == 0 {
+            let is_bad = at % 8000 == 4000;
+            fleet.engines.iter_mut().for_each(|engine| engine.does_refuse = is_bad);
+        }
+        if at % 1500 == 700 {
+            let place = fleet.random(11) as usize;
+            fleet.restart(place);
+        }
+        if at >= 1000 && at % 10 == 0 {
+            // Half of all come to one node.
+            let place = fleet.random(20).min(10) as usize;
+            fleet.ask(place, 100 + at % 7, 0);
+        }
+    }
+    assert!(fleet.repeated.len() > 200, "{} repeats", fleet.repeated.len());
+    for end in (0..42_000).map(|at| START + at).step_by(50) {
+        let within = |moments: &[u64]| moments.iter().filter(|at| **at <= end && end - **at < 10_000).count();
+        let (repeats, asked) = (within(&fleet.repeated), within(&fleet.asked));
+        assert!(repeats as f64 <= asked as f64 * 0.2 + 62.0, "{repeats} repeats of {asked} up to {}", end - START);
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_choices() {
+    let play = || {
+        let mut fleet = Fleet::new(4, 4, service(), desk_rules());
+        for at in 0..3000u64 {
+            fleet.step();
+            if at % 15 == 0 {
+                let (place, prefix) = (fleet.random(4) as usize, 100 + fleet.random(5));
+                fleet.ask(place, prefix, 0);
+            }
+        }
+        fleet.placed
+    };
+    assert_eq!(play(), play());
+}
--- /dev/null
+++ b/crates/primer/tests/repeat_window.rs
@@ -0,0 +1,26 @@
+//! One node's repeats in each sliding window.
+
+use primer::prelude::*;
+
+#[test]
+fn no_window_has_more_than_its_bound_and_a_new_life_begins_without_the_extra() {
+    let window = Span::seconds(10);
+    let mut node = RepeatWindow::new(Moment(0));
+    let mut made = vec![];
+    for at in (0..60_000).step_by(50) {
+        let now = Moment(at);
+        if at % 200 == 0 {
+            node.place(false, now, window);
+        }
+        if node.check(20, 6, now, window).is_ok() {
+            node.place(true, now, window);
+            made.push(at);
+        }
+    }
+    for end in (0..70_000).step_by(50) {
+        let within = made.iter().filter(|at| **at <= end && end - **at < 10_000).count();
+        let bound = if end < 10_000 { 8 } else { 12 };
+        assert!(within <= bound, "{within} repeats within the window up to {end}");
+    }
+    assert!(made.len() >= 50, "{} repeats in a minute", made.len());
+}
