--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -270,7 +270,7 @@
         now: Moment,
     ) -> Self {
         let mut desk = Desk::new(own, incarnation, desk_rules);
-        desk.set_hall(hall.clone());
+        desk.set_zone(hall.clone());
         Node {
             own,
             hall,
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -234,9 +234,24 @@
             let affinity = mix(server.key ^ affinity_key);
             scored.push(Scored { name, slots, burden, matched, footprint, expected, cost, affinity, holding });
         }
+        self.look_at_first_choice(&mut scored, hashes, demand, shared);
         (scored, survey)
     }
 
+    /// Shared parts that nobody is known to hold are looked for at the server that comes first in the prefix's
+    /// own order: the other nodes send them there, too. If they aren't there, they have to be read wherever the
+    /// order goes, so that it costs nothing to have looked.
+    fn look_at_first_choice(&self, scored: &mut [Scored], hashes: &[PrefixHash], demand: &Demand, shared: usize) {
+        if hashes.len() < 2 || scored.iter().any(|s| s.matched as usize > shared) {
+            return;
+        }
+        let Some(first) = scored.iter_mut().max_by_key(|s| s.affinity) else { return };
+        let kept = first.footprint.prompt - first.footprint.uncached;
+        let saved = self.tokens_of(&hashes[..=shared], demand).saturating_sub(kept);
+        let reading = self.servers.get(first.name).map_or(0, |server| self.prefill(server, saved));
+        first.cost = first.cost.saturating_sub(reading + reading * u64::from(self.desk_rules.prefill_percent) / 100);
+    }
+
     /// Whether a server can take one more from this node now; else when, about.
     #[allow(clippy::too_many_arguments)]
     fn may_add(
