--- a/crates/wicket/src/reply.rs
+++ b/crates/wicket/src/reply.rs
@@ -33,7 +33,8 @@
 /// An answer towards HTTP.
 pub struct Reply {
     status: u16,
-    headers: HeaderMap,
+    /// Boxed, so that a reply stays small where it is the fault of a result.
+    headers: Box<HeaderMap>,
     body: ReplyBody,
 }
 
@@ -51,12 +52,12 @@
     /// A server's answer, passed on whole with these headers. Those that concern a connection only are
     /// not taken out here; the length is the body's own.
     pub fn passed(status: u16, headers: HeaderMap, body: impl Into<Bytes>) -> Self {
-        Reply { status, headers, body: ReplyBody::Whole(Some(body.into())) }
+        Reply { status, headers: Box::new(headers), body: ReplyBody::Whole(Some(body.into())) }
     }
     /// A server's answer, passed on as its pieces come. With a `content-length` among the headers that
     /// many bytes are to come, else it goes in chunks.
     pub fn passed_stream(status: u16, headers: HeaderMap, source: Box<dyn PieceSource>) -> Self {
-        Reply { status, headers, body: ReplyBody::Streamed { source, has_given: false } }
+        Reply { status, headers: Box::new(headers), body: ReplyBody::Streamed { source, has_given: false } }
     }
     /// A JSON value.
     pub fn json(status: u16, value: &impl serde::Serialize) -> Self {
@@ -127,7 +128,7 @@
             tracing::warn!("reply: {} is no status.", self.status);
             hyper::StatusCode::INTERNAL_SERVER_ERROR
         });
-        *response.headers_mut() = self.headers;
+        *response.headers_mut() = *self.headers;
         response
     }
 }
