--- a/crates/college/src/leases.rs
+++ b/crates/college/src/leases.rs
@@ -51,6 +51,15 @@
         let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= epoch);
         is_most(&roster.members, is_told) && is_most(&roster.elder, is_told)
     }
+    /// Whether each of the roster or its elder that holds a lease is known to know `epoch`.
+    pub fn is_known_to_holders(&self, roster: &Roster, epoch: Epoch, now: Moment) -> bool {
+        let is_told = |member: &Address| self.leases.get(member).is_none_or(|p| p.due <= now || p.known >= epoch);
+        roster.members.iter().chain(&roster.elder).all(is_told)
+    }
+    /// Whether each of the roster is known to know `epoch`.
+    pub fn is_known_to_all(&self, roster: &Roster, epoch: Epoch) -> bool {
+        roster.members.iter().all(|member| self.leases.get(member).is_some_and(|p| p.known >= epoch))
+    }
     /// Whether more than half of those before the last change of the roster know the roster now.
     pub fn is_roster_settled(&self, roster: &Roster) -> bool {
         let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= roster.since);
@@ -76,6 +85,19 @@
         ports.iter().map(|p| Address::loopback(*p)).collect()
     }
 
+    #[test]
+    fn holders_are_those_whose_leases_run() {
+        let mut table = LeaseTable::default();
+        let roster = Roster { members: members(&[1, 2, 3]), elder: members(&[1, 4]), since: Epoch(5) };
+        table.renew(Address::loopback(1), Epoch(6), Moment(300));
+        table.renew(Address::loopback(2), Epoch(5), Moment(200));
+        assert!(!table.is_known_to_holders(&roster, Epoch(6), Moment(100)), "2 holds a lease and knows only 5");
+        assert!(table.is_known_to_holders(&roster, Epoch(6), Moment(200)), "2's lease has run out");
+        assert!(!table.is_known_to_all(&roster, Epoch(5)), "3 was never heard");
+        table.renew(Address::loopback(4), Epoch(2), Moment(400));
+        assert!(!table.is_known_to_holders(&roster, Epoch(6), Moment(200)), "the elder 4 holds one");
+    }
+
     #[test]
     fn both_rosters_need_more_than_half() {
         let mut table = LeaseTable::default();
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -130,6 +130,7 @@
     tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
     let mut timing = OfficeTiming::default();
     timing.fellow.copies = settings.copies as usize;
+    timing.quorum = settings.quorum;
     let mut control = Control {
         inner,
         founders,
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -1,4 +1,5 @@
 use crate::prelude::*;
+use schematic::ConfigEnum;
 use std::collections::{BTreeMap, VecDeque};
 
 /// The spans that an office goes by besides the fellow's own.
@@ -16,6 +17,8 @@
     pub fate_due: Span,
     /// A member without a lease for this long is a member no more.
     pub retire_after: Span,
+    /// Who must know a change.
+    pub quorum: Quorum,
 }
 
 impl Default for OfficeTiming {
@@ -27,10 +30,24 @@
             patience: Span(4000),
             fate_due: Span(8000),
             retire_after: Span::seconds(60),
+            quorum: Quorum::Majority,
         }
     }
 }
 
+/// Who must know a change before it is told as accepted (docs/isolation.md).
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ConfigEnum, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Quorum {
+    /// More than half of the members; and changes are taken only while as many hold leases. Whoever is
+    /// cut off from the core stops, however many they are.
+    #[default]
+    Majority,
+    /// Whoever holds a lease, however few these are. A group without leases that is at least half of the
+    /// members goes on as it was, until it meets the core again.
+    Holders,
+}
+
 /// What an operator wants.
 #[derive(Debug, Clone)]
 pub enum OperatorAsk {
@@ -107,7 +124,7 @@
 /// what.
 ///
 /// Invariants: news and answers leave only while the fellow may answer. "Accepted" is said only once
-/// more than half of the members are known to have the news.
+/// as many members as the quorum asks for are known to have the news.
 pub struct Office {
     fellow: Fellow<Ledger>,
     timing: OfficeTiming,
@@ -116,6 +133,8 @@
     key_due: Moment,
     now: Moment,
     leases: LeaseTable,
+    /// Since when it keeps them: older ones are not in the table.
+    leases_since: Moment,
     seen: BTreeMap<Address, Moment>,
     /// When any member last said that it hears this one.
     told_of: BTreeMap<Address, Moment>,
@@ -172,6 +191,7 @@
             key_due: now,
             now,
             leases: LeaseTable::default(),
+            leases_since: now,
             seen: BTreeMap::new(),
             told_of: BTreeMap::new(),
             replies_since: None,
@@ -238,6 +258,7 @@
                 }
                 Output::ViewChanged(view) => {
                     self.leases.clear();
+                    self.leases_since = self.now;
                     self.retire_due = self.now + self.timing.retire_after;
                     self.outputs.push(OfficeOutput::ViewChanged(view));
                 }
@@ -335,7 +356,7 @@
             self.send(member, Letter::PollReply { round: held.poll.round, reply });
         }
         while let Some(settled) = self.settled.front() {
-            let is_known = self.leases.is_known_to_most(&self.fellow.charge().roster, settled.epoch);
+            let is_known = self.is_known(settled.epoch);
             if !is_known && self.now < settled.due {
                 break;
             }
@@ -351,8 +372,37 @@
         }
     }
 
+    /// Whether as many know this epoch as must.
+    fn is_known(&self, epoch: Epoch) -> bool {
+        let roster = &self.fellow.charge().roster;
+        match self.timing.quorum {
+            Quorum::Majority => self.leases.is_known_to_most(roster, epoch),
+            // A new tail doesn't know what leases the last one gave: they must have run out.
+            Quorum::Holders => {
+                let is_old_gone = self.now.since(self.leases_since) >= self.timing.lease;
+                self.leases.is_known_to_all(roster, epoch)
+                    || (is_old_gone && self.leases.is_known_to_holders(roster, epoch, self.now))
+            }
+        }
+    }
+
+    /// Whether enough of those before the last change of the roster know the roster now.
+    fn is_roster_settled(&self) -> bool {
+        let roster = &self.fellow.charge().roster;
+        match self.timing.quorum {
+            Quorum::Majority => self.leases.is_roster_settled(roster),
+            Quorum::Holders => self.is_known(roster.since),
+        }
+    }
+
+    fn has_quorum(&self) -> bool {
+        let roster = &self.fellow.charge().roster;
+        let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(roster, self.now);
+        self.may_reply() && has_members
+    }
+
     fn on_clock_event(&mut self) {
-        let has_majority = self.may_reply() && self.leases.has_majority(&self.fellow.charge().roster, self.now);
+        let has_majority = self.has_quorum();
         self.fellow.set_has_members(has_majority);
         self.replies_since = if self.may_reply() { self.replies_since.or(Some(self.now)) } else { None };
         if self.may_reply() {
@@ -384,7 +434,7 @@
         let roster = &self.fellow.charge().roster;
         let members = &roster.members;
         self.joining.retain(|address, _| !members.contains(address));
-        if self.joining.is_empty() || self.now < self.join_due || !self.leases.is_roster_settled(roster) {
+        if self.joining.is_empty() || self.now < self.join_due || !self.is_roster_settled() {
             return;
         }
         self.join_due = self.now + Span(400);
@@ -395,7 +445,7 @@
     /// Once more than half of the elder know the roster, they are needed for no majority any more.
     fn settle(&mut self) {
         let roster = &self.fellow.charge().roster;
-        if roster.elder == roster.members || self.now < self.settle_due || !self.leases.is_roster_settled(roster) {
+        if roster.elder == roster.members || self.now < self.settle_due || !self.is_roster_settled() {
             return;
         }
         let since = roster.since;
@@ -405,7 +455,7 @@
 
     /// Takes members out that have held no lease for long.
     fn retire(&mut self) {
-        if self.now < self.retire_due || !self.leases.is_roster_settled(&self.fellow.charge().roster) {
+        if self.now < self.retire_due || !self.is_roster_settled() {
             return;
         }
         self.retire_due = self.now + Span::seconds(1);
--- a/crates/registrar/src/settings.rs
+++ b/crates/registrar/src/settings.rs
@@ -1,4 +1,4 @@
-use layout::prelude::*;
+use crate::prelude::*;
 use schematic::Config;
 
 /// A registrar's settings file.
@@ -32,4 +32,7 @@
     /// Disks that a change is on before it counts as accepted: one more than may be lost at once.
     #[setting(default = 2, validate = within(1, 9))]
     pub copies: u64,
+    /// Who must know a change before it is told as accepted: `majority` of the members, or `holders` of
+    /// leases.
+    pub quorum: Quorum,
 }
