--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -83,6 +83,8 @@
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
     }
+    // New settings: those of a registrar last as long as its process.
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::default()).map_err(|fault| fault.to_string())?;
     Ok(stop)
 }
 
