--- a/crates/registrar/src/desk.rs
+++ b/crates/registrar/src/desk.rs
@@ -54,7 +54,7 @@
 /// How operators' calls and their answers look.
 pub trait DeskDialect: Send + Sync {
     /// Reads a call; `None` if it is none of the dialect's, an answer at once if it can't be read.
-    fn read(&self, order: &Order) -> Result<Option<DeskCall>, Reply>;
+    fn read(&self, order: &Order) -> Result<Option<DeskCall>, Box<Reply>>;
     /// Writes its answer.
     fn write(&self, answer: DeskAnswer) -> Reply;
 }
