--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -136,6 +136,7 @@
     tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
     let mut timing = OfficeTiming::default();
     timing.fellow.copies = settings.copies as usize;
+    timing.quorum = settings.quorum;
     let mut control = Control {
         inner,
         founders,
@@ -325,7 +326,7 @@
             Ok(None) => {
                 Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path))
             }
-            Err(reply) => reply,
+            Err(reply) => *reply,
         }
     }
 
@@ -350,7 +351,7 @@
     };
     let ask = |what: OperatorAsk| match ask_core(what) {
         Ok((status, body)) => told(status, body),
-        Err(reply) => reply,
+        Err(reply) => *reply,
     };
     // Plans are read here, on the connection's own thread, and never on the control thread.
     let faulty = |faults: Vec<Fault>| {
@@ -358,15 +359,15 @@
         let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": "nothing changed", "faults": faults});
         Reply::json(code.http_status(), &value)
     };
-    let change = |bytes: Vec<u8>| -> Result<Motion, Reply> {
+    let change = |bytes: Vec<u8>| -> Result<Motion, Box<Reply>> {
         let at_least = Epoch(order.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
         let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
             Some((base, plan)) if status == 200 => {
                 let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
-                Motion::change(bytes, base, plan).map_err(faulty)
+                Motion::change(bytes, base, plan).map_err(|faults| Box::new(faulty(faults)))
             }
-            _ => Err(told(status, body)),
+            _ => Err(Box::new(told(status, body))),
         }
     };
     let propose = |motion: Motion, needs_base: bool| {
@@ -415,7 +416,7 @@
         },
         ("PATCH", ["v1", "plan"]) => match change(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
-            Err(reply) => reply,
+            Err(reply) => *reply,
         },
         ("POST", ["v1", "members", "forget"]) => {
             #[derive(serde::Deserialize)]
