--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -1,5 +1,5 @@
 use college::prelude::*;
-use primer::prelude::Sketch;
+use primer::prelude::DigestChange;
 
 messages! {
     /// A node of the data plane, as others see it.
@@ -19,10 +19,38 @@
         pub round: u64,
         /// The newest epoch that it has whole.
         pub epoch: Epoch,
-        /// Other members that it has heard within the last second.
+        /// The view whose voters it knows.
+        pub view: ViewEpoch,
+        /// Whether it has the token key.
+        pub has_key: bool,
+        /// Other nodes that it has heard lately.
         pub hears: Vec<Address>,
     }
 
+    /// What is in force, but for the plan itself.
+    #[derive(Eq)]
+    pub struct News {
+        /// The newest epoch.
+        pub epoch: Epoch,
+        /// The epoch of the plan in force, to be asked for if not held.
+        pub plan_epoch: Epoch,
+        /// Zones that are withdrawn.
+        pub withdrawn: Vec<HallName>,
+        /// The members.
+        pub members: Vec<Member>,
+    }
+
+    /// Which way a digest goes.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub enum DigestLeg {
+        /// From a node to its zone's collector: what the node saw.
+        Report,
+        /// From a zone's collector to another's: the zone's sum.
+        Zone,
+        /// From a zone's collector to a node: the sum of the fleet.
+        Fleet,
+    }
+
     /// What the core answers to a poll.
     pub enum PollReply {
         /// Ask that one; these are the core's machines.
@@ -32,21 +60,19 @@
             /// All voters.
             voters: Vec<Address>,
         },
-        /// A lease, reckoned from when the poll was sent, and the news.
+        /// A lease, reckoned from when the poll was sent. What the asker has is not said again.
         Lease {
             /// For this long.
             span: Span,
             /// The newest epoch.
             epoch: Epoch,
-            /// The epoch of the plan in force, to be asked for if not held.
-            plan_epoch: Epoch,
-            /// Zones that are withdrawn.
-            withdrawn: Vec<HallName>,
-            /// The members.
-            members: Vec<Address>,
-            /// The core's machines.
+            /// The news, if the asker's is older.
+            news: Option<News>,
+            /// The view.
+            view: ViewEpoch,
+            /// The core's machines, if the asker knows another view's.
             voters: Vec<Address>,
-            /// What tokens are checked with, once it was drawn.
+            /// What tokens are checked with, once it was drawn, if the asker lacks it.
             key: Option<TokenKey>,
         },
     }
@@ -84,19 +110,19 @@
         /// Between fellows of the core.
         Note {
             /// It.
-            note: Note,
+            note: Box<Note>,
         },
         /// From a member to the core.
         Poll {
             /// It.
-            poll: Poll,
+            poll: Box<Poll>,
         },
         /// From the core to a member.
         PollReply {
             /// Of the poll.
             round: u64,
             /// It.
-            reply: PollReply,
+            reply: Box<PollReply>,
         },
         /// Asks for a plan, by pieces, from the core or from a peer.
         PlanAsk {
@@ -127,31 +153,53 @@
             /// The bytes.
             bytes: Vec<u8>,
         },
-        /// Between members: a sketch, and the sender's news.
-        Trade {
-            /// The sender's zone.
-            hall: HallName,
-            /// The sketch.
-            sketch: Sketch,
-            /// The newest epoch that the sender has whole. Zero from one that may not act.
-            epoch: Epoch,
-            /// The epoch of its plan.
-            plan_epoch: Epoch,
-            /// Zones that it knows as withdrawn.
-            withdrawn: Vec<HallName>,
-            /// The members that it knows.
-            members: Vec<Address>,
+        /// News, unasked from the core, or asked for from a peer.
+        News {
+            /// It.
+            news: Box<News>,
+        },
+        /// Asks a peer for its news.
+        NewsAsk,
+        /// From a member whose lease is about to lapse, or has: who is there, and what is known?
+        TradeAsk {
             /// Tells trades of one life apart.
             round: u64,
-            /// For the one addressed: the newest round of its own that the sender has had.
+            /// The newest epoch that the asker has whole.
+            epoch: Epoch,
+        },
+        /// The answer of whoever gets it.
+        TradeReply {
+            /// The round that it answers.
             echo: u64,
+            /// The newest epoch that the sender has whole. Zero from one that never held a lease.
+            epoch: Epoch,
+        },
+        /// A digest, as what changed since the letter before on the same leg.
+        Digest {
+            /// The leg.
+            leg: DigestLeg,
+            /// The sender's life.
+            life: u64,
+            /// Grows by one with each letter of a leg.
+            number: u64,
+            /// Whether the change is from nothing, not from the letter before.
+            is_whole: bool,
+            /// What changed.
+            change: Box<DigestChange>,
+        },
+        /// The answer to a digest.
+        DigestAck {
+            /// The leg.
+            leg: DigestLeg,
+            /// The newest number that was had; zero: none that can be gone on from, it must come whole.
+            number: u64,
         },
         /// Between registrars: something to be read at the tail.
         Ask {
             /// The asker's number.
             number: u64,
             /// What.
-            reading: Reading,
+            reading: Box<Reading>,
         },
         /// The tail's answer: a status and a body for HTTP.
         Told {
@@ -171,6 +219,10 @@
 pub const SPLICE_MOST: usize = PIECE;
 
 impl Letter {
+    /// Whether it's small, goes to many at once, and is asked for again when lost.
+    pub fn is_datagram(&self) -> bool {
+        matches!(self, Letter::TradeAsk { .. } | Letter::TradeReply { .. })
+    }
     /// The piece of a plan from this byte on; `None` beyond its end.
     pub fn plan_piece(epoch: Epoch, plan: &[u8], offset: u64) -> Option<Letter> {
         let rest = plan.get(usize::try_from(offset).ok()?..)?;
--- a/crates/circular/src/lib.rs
+++ b/crates/circular/src/lib.rs
@@ -5,6 +5,6 @@
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::letter::{Letter, Member, Poll, PollReply, Reading, SPLICE_MOST};
+    pub use crate::letter::{DigestLeg, Letter, Member, News, Poll, PollReply, Reading, SPLICE_MOST};
     pub use crate::seal::{PROTOCOL, SealFault, open, seal};
 }
--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -431,6 +431,16 @@
             Output::Send { to: ticket.origin, note }
         })
     }
+    /// When its next beat is due.
+    pub fn next_beat(&self) -> Moment {
+        self.next_beat
+    }
+    /// Whether it bids for a view, repairs, or waits for its disk or its successor, so that clock events
+    /// are wanted more often than its beats.
+    pub fn is_busy(&self) -> bool {
+        let is_waiting = self.bid.is_some() || self.wanted_since.is_some() || self.fetching.is_some();
+        is_waiting || !self.unsynced.is_empty() || self.replied < self.last.0
+    }
     /// What it believes.
     pub fn state(&self) -> FellowState {
         FellowState {
--- a/crates/college/src/standing.rs
+++ b/crates/college/src/standing.rs
@@ -81,11 +81,6 @@
         slot.heard = slot.heard.max(heard);
         slot.epoch = slot.epoch.max(epoch);
     }
-    /// Other members that trade with this one now.
-    pub fn heard(&self, now: Moment) -> Vec<Address> {
-        let is_heard = |peer: &Peer| now < peer.heard + self.trade_span;
-        self.peers.iter().filter(|(_, peer)| is_heard(peer)).map(|(address, _)| *address).collect()
-    }
     /// What is known.
     pub fn epoch(&self) -> Epoch {
         self.epoch
@@ -99,7 +94,7 @@
         self.lease_due
     }
     /// Whether a lease is live.
-    pub fn is_leaseted(&self, now: Moment) -> bool {
+    pub fn is_leased(&self, now: Moment) -> bool {
         self.lease_due.is_some_and(|due| now < due)
     }
     /// Whether new work may be taken now. To be asked right before each act that can't be undone.
@@ -107,7 +102,7 @@
         if self.lease_due.is_none() {
             return StandingReason::Unheard;
         }
-        if self.is_leaseted(now) {
+        if self.is_leased(now) {
             return StandingReason::Leased;
         }
         if self.peers.iter().any(|(peer, p)| self.members.contains(peer) && p.epoch > self.epoch) {
@@ -182,6 +177,6 @@
         assert_eq!(fresh.reason(Moment(0)), StandingReason::Unheard);
         let mut standing = standing();
         standing.lease(Moment(9000), Epoch(2), vec![]);
-        assert_eq!((standing.epoch(), standing.is_leaseted(Moment(1500))), (Epoch(3), false));
+        assert_eq!((standing.epoch(), standing.is_leased(Moment(1500))), (Epoch(3), false));
     }
 }
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -19,6 +19,8 @@
 /// Lines kept of decisions and of events.
 const DECISIONS: usize = 10_000;
 const EVENTS: usize = 4_000;
+/// Between clock events, at most.
+const LONGEST_TICK: Span = Span(250);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
@@ -95,7 +97,6 @@
     loop {
         let now = Clock::now();
         if now >= next_tick {
-            next_tick = now + Span(50);
             control.take(Event::Input(NodeInput::ClockEvent));
             if stop.load(Ordering::Relaxed) && !control.is_leaving {
                 tracing::info!("crier: not ready any more; takes what is still sent to it for a moment.");
@@ -123,6 +124,8 @@
                 return Ok(1);
             }
         }
+        // Asked again after each event, since it may have brought something that is due sooner.
+        next_tick = control.node.next_due().max(now + Span(1)).min(now + LONGEST_TICK);
         if let Ok(event) = events.recv_timeout(now.until(next_tick).duration()) {
             control.take(event);
         }
@@ -177,7 +180,11 @@
         for output in self.node.step(now, input) {
             match output {
                 NodeOutput::Send { to, is_bulk, letter } => {
-                    let class = if is_bulk { PostClass::Bulk } else { PostClass::Swift };
+                    let class = match (is_bulk, letter.is_datagram()) {
+                        (true, _) => PostClass::Bulk,
+                        (_, true) => PostClass::Datagram,
+                        _ => PostClass::Swift,
+                    };
                     self.post.send(to, class, letter);
                 }
                 NodeOutput::Place { number, outcome } => {
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -4,6 +4,7 @@
 mod carrier;
 mod chart;
 mod daemon;
+mod dissemination;
 mod errand;
 mod journal;
 mod node;
@@ -19,6 +20,7 @@
     pub use crate::book::Tallies;
     pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, OrderState};
     pub use crate::daemon::run;
+    pub use crate::dissemination::{DigestTiming, Dissemination};
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
     pub use crate::journal::Journal;
     pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, Placing, resume_id};
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -5,8 +5,14 @@
 /// The spans that a node goes by.
 #[derive(Debug, Clone, Copy)]
 pub struct NodeTiming {
-    /// Between trades of sketches.
+    /// Between polls.
+    pub poll: Span,
+    /// With less than this left of the lease, members are asked to trade.
+    pub trade_from: Span,
+    /// Between trades.
     pub trade: Span,
+    /// Between trades of one that is alone, at most.
+    pub trade_alone: Span,
     /// A peer counts as trading for this long.
     pub trade_life: Span,
     /// Between the desk's ticks.
@@ -15,11 +21,23 @@
     pub poll_due: Span,
     /// Without a clock event for this long, the machine slept.
     pub slept: Span,
+    /// Of digests.
+    pub digest: DigestTiming,
 }
 
 impl Default for NodeTiming {
     fn default() -> Self {
-        NodeTiming { trade: Span(200), trade_life: Span(1000), tick: Span(200), poll_due: Span(700), slept: Span(1000) }
+        NodeTiming {
+            poll: Span(1000),
+            trade_from: Span(600),
+            trade: Span(400),
+            trade_alone: Span(1600),
+            trade_life: Span(1000),
+            tick: Span(250),
+            poll_due: Span(400),
+            slept: Span(1000),
+            digest: DigestTiming::default(),
+        }
     }
 }
 
@@ -194,8 +212,11 @@
     plan_bytes: Arc<Vec<u8>>,
     plan_epoch: Epoch,
     withdrawn: Vec<HallName>,
+    members: Vec<Member>,
     seeds: Vec<Address>,
     voters: Vec<Address>,
+    /// Whose voters they are.
+    view: ViewEpoch,
     target: usize,
     tail: Option<Address>,
     poll_round: u64,
@@ -204,8 +225,12 @@
     fetching: Option<Fetching>,
     trade_round: u64,
     trades: VecDeque<(u64, Moment)>,
-    had: BTreeMap<Address, u64>,
     next_trade: Moment,
+    trade_pause: Span,
+    /// When others were last heard.
+    heard: BTreeMap<Address, Moment>,
+    news_asked: Moment,
+    dissemination: Dissemination,
     next_tick: Moment,
     last_event: Moment,
     has_roll: bool,
@@ -226,6 +251,7 @@
 #[derive(Clone)]
 struct Fetching {
     news: News,
+    lease_due: Option<Moment>,
     from: Address,
     bytes: Vec<u8>,
     asked: Moment,
@@ -233,15 +259,6 @@
     is_whole: bool,
 }
 
-#[derive(Clone)]
-struct News {
-    epoch: Epoch,
-    plan_epoch: Epoch,
-    withdrawn: Vec<HallName>,
-    members: Vec<Address>,
-    lease_due: Option<Moment>,
-}
-
 impl Node {
     /// A node at the start of its life.
     pub fn new(
@@ -255,7 +272,7 @@
     ) -> Self {
         Node {
             own,
-            hall,
+            hall: hall.clone(),
             timing,
             now,
             standing: Standing::new(own, timing.trade_life),
@@ -264,8 +281,10 @@
             plan_bytes: Arc::default(),
             plan_epoch: Epoch(0),
             withdrawn: vec![],
+            members: vec![],
             seeds,
             voters: vec![],
+            view: ViewEpoch(0),
             target: own.0.port() as usize,
             tail: None,
             poll_round: 0,
@@ -274,8 +293,11 @@
             fetching: None,
             trade_round: 0,
             trades: VecDeque::new(),
-            had: BTreeMap::new(),
             next_trade: now,
+            trade_pause: timing.trade,
+            heard: BTreeMap::new(),
+            news_asked: Moment(0),
+            dissemination: Dissemination::new(own, hall, incarnation, timing.digest, now),
             next_tick: now,
             last_event: now,
             has_roll: false,
@@ -521,13 +543,13 @@
         }
         self.last_event = self.now;
         self.poll();
-        if self.now >= self.next_trade {
-            self.next_trade = self.now + self.timing.trade;
-            self.trade();
-        }
+        self.trade();
         if self.now >= self.next_tick {
             self.next_tick = self.now + self.timing.tick;
             self.tell_desk(Event::Tick);
+            let sketch = self.desk.sketch(self.now);
+            let letters = self.dissemination.on_clock(self.now, Digest::of(&sketch));
+            self.send_digests(letters);
         }
         let reason = self.standing.reason(self.now);
         if reason != self.last_reason {
@@ -537,6 +559,29 @@
         }
     }
 
+    /// When the next clock event is due at the latest.
+    pub fn next_due(&self) -> Moment {
+        let poll = self.polled.map_or(self.next_poll, |sent| sent + self.timing.poll_due);
+        let trade = match self.standing.lease_due() {
+            Some(due) => (due - self.timing.trade_from).max(self.next_trade),
+            None => self.next_tick,
+        };
+        poll.min(trade).min(self.next_tick)
+    }
+
+    fn send_digests(&mut self, letters: Vec<(Address, Letter)>) {
+        letters.into_iter().for_each(|(to, letter)| self.send(to, letter));
+        let Some((life, number, sum)) = self.dissemination.take_news() else { return };
+        let servers = self.desk.servers().iter().map(|(name, server)| (name, server.incarnation.unwrap_or(0)));
+        let sketch = sum.sketch(life, number, servers);
+        self.tell_desk(Event::Trade { from: FLEET, sketch });
+    }
+
+    /// The digests that it takes part in.
+    pub fn dissemination(&self) -> &Dissemination {
+        &self.dissemination
+    }
+
     /// Those whom news may be asked of: the tail first, then voters, then seeds.
     fn sources(&self) -> Vec<Address> {
         let mut sources = self.voters.clone();
@@ -552,9 +597,10 @@
             self.polled = None;
             self.tail = None;
             self.target += 1;
+            self.next_poll = self.now;
         }
         if let Some(fetching) = &self.fetching
-            && self.now >= fetching.asked + self.timing.poll_due
+            && self.now >= fetching.asked + FETCH_DUE
             && !fetching.is_whole
         {
             self.fetching = None;
@@ -567,17 +613,22 @@
             return;
         }
         let to = self.tail.unwrap_or(sources[self.target % sources.len()]);
+        self.next_poll = self.now + self.timing.poll;
         self.poll_round += 1;
         self.polled = Some(self.now);
-        let member = Member { address: self.own, hall: self.hall.clone() };
+        let (now, member) = (self.now, Member { address: self.own, hall: self.hall.clone() });
+        self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
+        let has_key = self.key.is_some();
+        let hears = self.heard.keys().copied().filter(|one| self.standing.members().contains(one)).collect();
         let poll =
-            Poll { member, round: self.poll_round, epoch: self.standing.epoch(), hears: self.standing.heard(self.now) };
-        self.send(to, Letter::Poll { poll });
+            Poll { member, round: self.poll_round, epoch: self.standing.epoch(), view: self.view, has_key, hears };
+        self.send(to, Letter::Poll { poll: Box::new(poll) });
     }
 
     fn on_letter(&mut self, from: Address, letter: Letter) {
+        self.heard.insert(from, self.now);
         match letter {
-            Letter::PollReply { round, reply } => self.on_poll_reply(from, round, reply),
+            Letter::PollReply { round, reply } => self.on_poll_reply(from, round, *reply),
             Letter::PlanAsk { epoch, offset, .. } => {
                 let piece = Letter::plan_piece(epoch, &self.plan_bytes, offset).filter(|_| epoch == self.plan_epoch);
                 piece.into_iter().for_each(|letter| self.send(from, letter));
@@ -586,8 +637,22 @@
                 self.on_plan_piece(from, epoch, offset, length, &bytes);
             }
             Letter::PlanSplice { epoch, base, splice } => self.on_plan_splice(from, epoch, base, &splice),
-            Letter::Trade { sketch, epoch, plan_epoch, withdrawn, members, round, echo, .. } => {
-                self.had.insert(from, round);
+            Letter::News { news } => {
+                if self.standing.lease_due().is_some() {
+                    self.on_news(from, *news, None);
+                }
+            }
+            Letter::NewsAsk => {
+                if let Some(news) = self.news() {
+                    self.send(from, Letter::News { news: Box::new(news) });
+                }
+            }
+            Letter::TradeAsk { round, epoch } => {
+                let known = if self.standing.lease_due().is_some() { self.standing.epoch() } else { Epoch(0) };
+                self.send(from, Letter::TradeReply { echo: round, epoch: known });
+                self.ask_news(from, epoch);
+            }
+            Letter::TradeReply { echo, epoch } => {
                 // Counted from when our own letter left that this one answers, so that a letter long
                 // under way proves nothing about now.
                 if let Some((_, sent)) = self.trades.iter().find(|(own_round, _)| *own_round == echo)
@@ -595,10 +660,15 @@
                 {
                     self.standing.trade(from, epoch, *sent);
                 }
-                if epoch > self.standing.epoch() && self.standing.lease_due().is_some() {
-                    self.on_news(from, News { epoch, plan_epoch, withdrawn, members, lease_due: None });
-                }
-                self.tell_desk(Event::Trade { from, sketch });
+                self.ask_news(from, epoch);
+            }
+            Letter::Digest { leg, life, number, is_whole, change } => {
+                let letters = self.dissemination.on_digest(self.now, from, leg, life, number, is_whole, &change);
+                self.send_digests(letters);
+            }
+            Letter::DigestAck { leg, number } => {
+                let letters = self.dissemination.on_ack(self.now, from, leg, number);
+                self.send_digests(letters);
             }
             Letter::Note { .. } | Letter::Poll { .. } | Letter::Ask { .. } | Letter::Told { .. } => {}
         }
@@ -616,41 +686,66 @@
                 self.target += 1;
                 self.next_poll = self.now + Span(60);
             }
-            PollReply::Lease { span, epoch, plan_epoch, withdrawn, members, voters, key } => {
+            PollReply::Lease { span, epoch, news, view, voters, key } => {
                 self.key = self.key.or(key);
                 self.tail = Some(from);
-                self.voters = voters;
-                self.next_poll = self.now;
+                if !voters.is_empty() {
+                    (self.view, self.voters) = (view, voters);
+                }
                 let lease_due = Some(sent + span);
-                self.on_news(from, News { epoch, plan_epoch, withdrawn, members, lease_due });
+                match news {
+                    Some(news) => self.on_news(from, news, lease_due),
+                    // Nothing is newer there than what is here, whole.
+                    None if epoch == self.standing.epoch() && epoch > Epoch(0) => {
+                        self.standing.lease(sent + span, epoch, self.standing.members().to_vec());
+                    }
+                    None => {}
+                }
             }
         }
     }
 
-    fn on_news(&mut self, from: Address, news: News) {
+    /// What is known here, whole.
+    fn news(&self) -> Option<News> {
+        self.standing.lease_due()?;
+        let (epoch, plan_epoch) = (self.standing.epoch(), self.plan_epoch);
+        Some(News { epoch, plan_epoch, withdrawn: self.withdrawn.clone(), members: self.members.clone() })
+    }
+
+    /// Asks a peer that knows more, once in a while.
+    fn ask_news(&mut self, from: Address, epoch: Epoch) {
+        let is_newer = epoch > self.standing.epoch() && self.standing.lease_due().is_some();
+        if is_newer && self.now.since(self.news_asked) >= Span(100) {
+            self.news_asked = self.now;
+            self.send(from, Letter::NewsAsk);
+        }
+    }
+
+    fn on_news(&mut self, from: Address, news: News, lease_due: Option<Moment>) {
         if news.epoch < self.standing.epoch() {
             return;
         }
         if news.plan_epoch == self.plan_epoch {
-            return self.take_up(news);
+            return self.take_up(news, lease_due);
         }
         // Withdrawals don't wait for a large plan.
         if news.epoch > self.standing.epoch() {
             self.withdrawn = news.withdrawn.clone();
             self.push_rules();
         }
-        self.next_poll = self.now + Span(100);
+        self.next_poll = self.now + Span(400);
         match &mut self.fetching {
             Some(fetching) if fetching.news.plan_epoch == news.plan_epoch => {
                 if news.epoch >= fetching.news.epoch {
-                    let lease_due = news.lease_due.max(fetching.news.lease_due);
-                    fetching.news = News { lease_due, ..news };
+                    fetching.lease_due = lease_due.max(fetching.lease_due);
+                    fetching.news = news;
                 }
             }
             Some(fetching) if fetching.news.plan_epoch > news.plan_epoch => {}
             _ => {
                 let epoch = news.plan_epoch;
-                self.fetching = Some(Fetching { news, from, bytes: vec![], asked: self.now, is_whole: false });
+                self.fetching =
+                    Some(Fetching { news, lease_due, from, bytes: vec![], asked: self.now, is_whole: false });
                 self.send(from, Letter::PlanAsk { epoch, offset: 0, have: self.plan_epoch });
             }
         }
@@ -704,7 +799,7 @@
                 self.plan_bytes = bytes;
                 self.plan_epoch = plan_epoch;
                 self.next_poll = self.now;
-                self.take_up(fetching.news);
+                self.take_up(fetching.news, fetching.lease_due);
             }
             Err(faults) => {
                 let code = ResultCode::BadLetter;
@@ -715,21 +810,26 @@
     }
 
     /// News is whole here: it's in force.
-    fn take_up(&mut self, news: News) {
+    fn take_up(&mut self, news: News, lease_due: Option<Moment>) {
         let is_newer = news.epoch > self.standing.epoch();
-        let has_other_members = news.members != self.standing.members();
-        let members = news.members.clone();
-        match news.lease_due {
-            Some(due) => self.standing.lease(due, news.epoch, news.members),
-            None => self.standing.learn(news.epoch, news.members),
+        let has_other_members = news.members != self.members;
+        let members: Vec<Address> = news.members.iter().map(|member| member.address).collect();
+        match lease_due {
+            Some(due) => self.standing.lease(due, news.epoch, members.clone()),
+            None => self.standing.learn(news.epoch, members.clone()),
         }
         if is_newer {
             self.withdrawn = news.withdrawn;
             self.push_rules();
             let line = format!("node: epoch {} is in force, plan {}", news.epoch, self.plan_epoch);
             self.outputs.push(NodeOutput::Log(line));
+            // The core is to know that it's in force here.
+            self.next_poll = self.now;
+            self.poll();
         }
         if has_other_members {
+            self.dissemination.set_members(&news.members);
+            self.members = news.members;
             self.tell_desk(Event::Members { members });
         }
     }
@@ -741,30 +841,38 @@
         }
     }
 
+    /// While its lease is about to lapse, or has, the node asks all members whether they are there.
     fn trade(&mut self) {
+        let Some(due) = self.standing.lease_due() else { return };
+        if self.now + self.timing.trade_from < due {
+            self.trade_pause = self.timing.trade;
+            return;
+        }
+        if self.now < self.next_trade {
+            return;
+        }
+        let is_alone = self.standing.reason(self.now) == StandingReason::Alone;
+        self.trade_pause = match is_alone {
+            true => Span((self.trade_pause.0 * 2).min(self.timing.trade_alone.0)),
+            false => self.timing.trade,
+        };
+        self.next_trade = self.now + self.trade_pause;
         self.trade_round += 1;
         self.trades.push_back((self.trade_round, self.now));
-        if self.trades.len() > 64 {
+        if self.trades.len() > 16 {
             self.trades.pop_front();
         }
-        let sketch = self.desk.sketch(self.now);
         let peers: Vec<Address> = self.standing.members().iter().copied().filter(|m| *m != self.own).collect();
-        for peer in peers {
-            let letter = Letter::Trade {
-                hall: self.hall.clone(),
-                sketch: sketch.clone(),
-                epoch: self.standing.epoch(),
-                plan_epoch: self.plan_epoch,
-                withdrawn: self.withdrawn.clone(),
-                members: self.standing.members().to_vec(),
-                round: self.trade_round,
-                echo: self.had.get(&peer).copied().unwrap_or(0),
-            };
-            self.send(peer, letter);
-        }
+        let (round, epoch) = (self.trade_round, self.standing.epoch());
+        peers.into_iter().for_each(|peer| self.send(peer, Letter::TradeAsk { round, epoch }));
     }
 }
 
+/// A piece of a plan that has not come by then is given up.
+const FETCH_DUE: Span = Span(700);
+/// Others that were heard within this time are told of to the core.
+const HEARD_FOR: Span = Span(2000);
+
 /// Ids of ended orders that are remembered.
 const ENDED_IDS: usize = 8192;
 
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -22,20 +22,20 @@
     fn tell(&mut self, from: u16, letter: Letter) -> Vec<NodeOutput> {
         self.step(NodeInput::Letter { from: Address::loopback(from), letter })
     }
-    /// The core replies to the poll that is under way.
+    /// The core replies to the poll that is under way, or to the next.
     fn lease(&mut self, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
+        self.at = self.at.max(self.node.next_poll.0);
         self.step(NodeInput::ClockEvent);
         let reply = PollReply::Lease {
-            span: Span(1500),
+            span: Span(2000),
             epoch: Epoch(epoch),
-            plan_epoch: Epoch(plan_epoch),
-            withdrawn: vec![],
-            members: vec![Address::loopback(9), Address::loopback(8), Address::loopback(7)],
+            news: (epoch > self.node.epoch().0).then(|| news(epoch, plan_epoch, vec![])),
+            view: ViewEpoch(1),
             voters: vec![Address::loopback(1)],
             key: Some(KEY),
         };
         let round = self.node.poll_round;
-        self.tell(1, Letter::PollReply { round, reply })
+        self.tell(1, Letter::PollReply { round, reply: Box::new(reply) })
     }
     fn plan(&mut self, epoch: u64) {
         let length = PLAN.len() as u64;
@@ -95,6 +95,12 @@
     }
 }
 
+fn news(epoch: u64, plan_epoch: u64, withdrawn: Vec<HallName>) -> News {
+    let member = |port| Member { address: Address::loopback(port), hall: "east".into() };
+    let members = [9, 8, 7].map(member).to_vec();
+    News { epoch: Epoch(epoch), plan_epoch: Epoch(plan_epoch), withdrawn, members }
+}
+
 #[test]
 fn an_order_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_roll() {
     let mut played = Played::new();
@@ -106,7 +112,7 @@
     played.roll();
     assert_eq!(played.place(1, "a", "other").err(), Some(ResultCode::UnknownService));
     assert!(played.place(1, "a", "drafts").is_ok());
-    played.at += 1500;
+    played.at += 2000;
     assert_eq!(played.place(2, "b", "drafts").err(), Some(ResultCode::NotReady), "the lease has run out");
 }
 
@@ -153,18 +159,13 @@
 #[test]
 fn older_news_changes_nothing_and_newer_news_of_a_peer_stops_one_without_a_lease() {
     let mut played = Played::serving();
-    let members = played.node.standing().members().to_vec();
-    let trade = |epoch: u64, plan_epoch: u64, echo: u64| Letter::Trade {
-        hall: "east".into(),
-        sketch: Sketch { number: epoch, ..Sketch::default() },
-        epoch: Epoch(epoch),
-        plan_epoch: Epoch(plan_epoch),
-        withdrawn: vec!["east".into()],
-        members: members.clone(),
-        round: 1,
-        echo,
+    let told =
+        |epoch: u64, plan_epoch: u64| Letter::News { news: Box::new(news(epoch, plan_epoch, vec!["east".into()])) };
+    let reply = |epoch: u64, echo: u64| Letter::TradeReply { echo, epoch: Epoch(epoch) };
+    let asks_news = |outputs: Vec<NodeOutput>| {
+        outputs.iter().any(|output| matches!(output, NodeOutput::Send { letter: Letter::NewsAsk, .. }))
     };
-    played.tell(8, trade(2, 2, 0));
+    played.tell(8, told(2, 2));
     assert_eq!((played.node.epoch(), played.node.withdrawn().len()), (Epoch(3), 0));
     // A core that lags behind what is known here: its plan is not even asked for.
     let asks = played.lease(2, 1);
@@ -172,25 +173,106 @@
     played.plan(1);
     assert_eq!((played.node.epoch(), played.node.plan_epoch()), (Epoch(3), Epoch(2)));
     // The lease runs out; two of three trade, and all know the same.
-    for _ in 0..40 {
+    for _ in 0..60 {
         played.at += 50;
         played.step(NodeInput::ClockEvent);
         let echo = played.node.trade_round;
-        played.tell(8, trade(3, 2, echo));
+        assert!(!asks_news(played.tell(8, reply(3, echo))));
         played.roll();
     }
     assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Together);
     assert!(played.place(5, "together", "drafts").is_ok());
-    // The other knows of a withdrawal: it's taken up at once, since the plan is the same.
+    // The other knows of a withdrawal: it's asked for, and taken up at once, since the plan is the same.
     let echo = played.node.trade_round;
-    played.tell(8, trade(4, 2, echo));
+    assert!(asks_news(played.tell(8, reply(4, echo))));
+    assert_eq!(played.place(6, "behind", "drafts").err(), Some(ResultCode::NotReady), "until the news is here");
+    played.tell(8, told(4, 2));
     assert_eq!((played.node.epoch(), played.node.withdrawn()), (Epoch(4), &["east".into()][..]));
     assert_eq!(played.place(6, "withdrawn", "drafts").err(), Some(ResultCode::NoServer));
     // And then of a plan that has to be fetched: until it's here, nothing new is taken.
-    played.tell(8, trade(5, 5, echo));
+    played.tell(8, reply(5, echo));
+    played.tell(8, told(5, 5));
     assert_eq!(played.place(7, "behind", "drafts").err(), Some(ResultCode::NotReady));
 }
 
+/// Letters that leave within this span, without an answer to any, clock events as they are due.
+fn sent_within(played: &mut Played, span: u64) -> Vec<(u64, Address, Letter)> {
+    let until = played.at + span;
+    let mut sent = vec![];
+    loop {
+        played.at = played.node.next_due().0.max(played.at + 1);
+        if played.at >= until {
+            played.at = until;
+            return sent;
+        }
+        let at = played.at;
+        sent.extend(played.step(NodeInput::ClockEvent).into_iter().filter_map(|output| match output {
+            NodeOutput::Send { to, letter, .. } => Some((at, to, letter)),
+            _ => None,
+        }));
+    }
+}
+
+#[test]
+fn an_idle_node_with_a_lease_only_polls_once_a_second_and_wakes_four_times() {
+    let mut played = Played::serving();
+    let is_poll = |letter: &Letter| matches!(letter, Letter::Poll { .. });
+    for _ in 0..10 {
+        played.lease(3, 2);
+        let sent = sent_within(&mut played, 390);
+        assert!(sent.iter().all(|(_, _, letter)| is_poll(letter)), "{sent:?}");
+    }
+    let began = played.at;
+    let mut wakes = 0;
+    while played.at < began + 300 {
+        played.at = played.node.next_due().0.max(played.at + 1);
+        played.step(NodeInput::ClockEvent);
+        wakes += 1;
+    }
+    assert!(wakes <= 3, "{wakes} wake-ups in 300 ms");
+}
+
+#[test]
+fn a_node_cut_off_asks_all_members_from_shortly_before_its_lease_lapses_and_ever_less_often() {
+    let mut played = Played::serving();
+    played.lease(3, 2);
+    let (began, due) = (played.at, played.node.standing().lease_due().expect("a lease").0);
+    let sent = sent_within(&mut played, 20_000);
+    let asks: Vec<u64> = sent
+        .iter()
+        .filter(|(_, to, letter)| matches!(letter, Letter::TradeAsk { .. }) && *to == Address::loopback(8))
+        .map(|(at, ..)| *at)
+        .collect();
+    assert!(asks[0] + 600 >= due && asks[0] + 300 <= due, "first at {} ms", asks[0] - began);
+    assert!((8..=18).contains(&asks.len()), "{} asks in 20 s", asks.len());
+    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Alone);
+    assert_eq!(played.place(1, "alone", "drafts").err(), Some(ResultCode::NotReady));
+    let sealed = sent.iter().filter(|(.., letter)| matches!(letter, Letter::TradeAsk { .. }));
+    for (_, _, letter) in sealed {
+        let bytes = seal(Address::loopback(9), letter).expect("sealed").len();
+        assert!(bytes < 100, "{bytes} bytes");
+    }
+}
+
+#[test]
+fn a_poll_and_its_answer_are_small_when_nothing_is_new() {
+    let mut played = Played::serving();
+    let asked = sent_within(&mut played, 1500);
+    let poll = asked.iter().find(|(_, _, letter)| matches!(letter, Letter::Poll { .. })).expect("a poll");
+    let reply = PollReply::Lease {
+        span: Span(2000),
+        epoch: Epoch(3),
+        news: None,
+        view: ViewEpoch(1),
+        voters: vec![],
+        key: None,
+    };
+    for letter in [&poll.2, &Letter::PollReply { round: 1, reply: Box::new(reply) }] {
+        let bytes = seal(Address::loopback(9), letter).expect("sealed").len();
+        assert!(bytes < 220, "{bytes} bytes of {letter:?}");
+    }
+}
+
 #[test]
 fn an_id_that_may_have_run_is_not_taken_again_and_the_memory_of_ids_is_bounded() {
     let mut played = Played::serving();
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 mod placing;
 mod warming;
@@ -7,8 +7,9 @@
 /// Where orders are placed. Takes dated events, gives decisions; the same events give the same
 /// decisions.
 ///
-/// Invariants: whatever peers told is kept apart from what was seen here, by peer, and replaced
-/// whole by the peer's next sketch. Only servers that the newest roll lists, that are not leaving,
+/// Invariants: whatever others told is kept apart from what was seen here, by who told it, and replaced
+/// whole by the next sketch from there; a sum of all others comes under [`FLEET`] and lacks what was seen
+/// here. Only servers that the newest roll lists, that are not leaving,
 /// suspected or in a withdrawn zone, and that the service's rules allow, are ever chosen.
 #[derive(Debug, Clone)]
 pub struct Desk {
@@ -77,6 +78,9 @@
     first: Option<Moment>,
 }
 
+/// Servers times prefixes that one sketch looks up.
+const HOLDING_LOOKUPS: usize = 16_384;
+
 impl Desk {
     /// A desk at the start of a node's life.
     pub fn new(own: Address, incarnation: u64, desk_rules: DeskRules) -> Self {
@@ -132,7 +136,10 @@
         let span = self.widest_window();
         let hot = self.window.hottest(now, span, 64);
         let mut holdings = vec![];
-        for found in hot.iter().map(|h| h.prefix).chain(self.active.keys().copied()) {
+        // Hottest first, and so many that looking them up at every server costs little.
+        let most = (HOLDING_LOOKUPS / self.servers.len().max(1)).max(8);
+        let active = self.active.keys().copied().filter(|prefix| !hot.iter().any(|hot| hot.prefix == *prefix));
+        for found in hot.iter().map(|hot| hot.prefix).chain(active).take(most) {
             for (name, server) in &self.servers {
                 if server.residency.expects(found, now) {
                     holdings.push(Holding {
@@ -154,6 +161,7 @@
             holdings,
             in_flight: busy.map(|(name, server)| InFlight { server: name.clone(), count: server.own }).collect(),
             leaving: leaving.map(|(name, _)| name.clone()).collect(),
+            missing: None,
         }
     }
 
@@ -382,6 +390,18 @@
         self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < life)
     }
 
+    /// Members whose sights are known here: one's own, those that told theirs, those in a sum.
+    fn heard(&self, now: Moment) -> BTreeSet<Address> {
+        let mut heard = BTreeSet::from([self.own]);
+        for (from, peer) in self.live_peers(now) {
+            match &peer.sketch.missing {
+                Some(missing) => heard.extend(self.members.iter().filter(|member| !missing.contains(member))),
+                None => drop(heard.insert(*from)),
+            }
+        }
+        heard
+    }
+
     /// Arrivals of a prefix within the window, over all nodes.
     fn count(&self, prefix: PrefixHash, now: Moment, span: Span) -> u32 {
         let theirs: u32 = self.live_peers(now).filter_map(|(_, peer)| peer.hot.get(&prefix)).sum();
@@ -434,7 +454,7 @@
 
 /// A node's part of the allowance of repeats that a service has a minute, fleet-wide.
 fn repeat_part(rules: &DeskRules, service: &ServiceName, own: &Address, members: &[Address]) -> u32 {
-    share(rules.repeats_a_minute, placing::key_of(service.as_str()), own, members)
+    share(rules.repeats_a_minute, key_of(service.as_str()), own, members)
 }
 
 #[cfg(test)]
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -134,7 +134,8 @@
     ) -> (Vec<Weighed>, Span) {
         let mut weighed = vec![];
         let mut full_until = Span(0);
-        let knows_all = self.members.iter().all(|m| *m == self.own || self.live_peers(now).any(|(p, _)| p == m));
+        let heard = self.heard(now);
+        let knows_all = self.members.iter().all(|member| heard.contains(member));
         let order_key = key_of(order.as_str());
         for (name, server) in &self.servers {
             if !self.may_serve(rules, name, server, now) || tried.contains(name) {
@@ -177,11 +178,6 @@
     }
 }
 
-/// A number for a name, the same everywhere.
-pub(super) fn key_of(name: &str) -> u64 {
-    name.bytes().fold(7, |sum, byte| mix(sum ^ u64::from(byte)))
-}
-
 /// Which of the weighed servers, and why.
 fn choose(weighed: &[Weighed], is_active: bool, due: Span, rules: &DeskRules) -> Option<(usize, PlaceReason)> {
     let least = |may: &dyn Fn(&Weighed) -> bool| {
--- a/crates/primer/src/desk/warming.rs
+++ b/crates/primer/src/desk/warming.rs
@@ -1,6 +1,5 @@
 //! Bursts: which prefixes are active, who copies them where, when they cool.
 
-use super::placing::key_of;
 use super::*;
 
 impl Desk {
@@ -52,8 +51,7 @@
     /// first in the prefix's own order of the members that are heard. Should two nodes for a moment
     /// both think so, the servers take the same copy once.
     fn order_copies(&mut self, now: Moment) {
-        let mut heard: Vec<Address> = self.live_peers(now).map(|(peer, _)| *peer).collect();
-        heard.push(self.own);
+        let heard: Vec<Address> = self.heard(now).into_iter().collect();
         let prefixes: Vec<PrefixHash> = self.active.keys().copied().collect();
         for prefix in prefixes {
             if rank(prefix.0, &self.own, &heard) != 0 {
--- /dev/null
+++ b/crates/primer/src/digest.rs
@@ -0,0 +1,251 @@
+use crate::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a digest counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DigestKey {
+    /// Arrivals of a prefix within the window.
+    Hot(PrefixHash),
+    /// Orders in hand at a server, by [`server_key`] of its name.
+    Load(u32),
+    /// Nodes that believe a server to hold a prefix, by [`life_key`].
+    Held(PrefixHash, u32),
+    /// Nodes that know a server to be leaving, by [`server_key`].
+    Leaving(u32),
+}
+
+/// A sketch, or the sum of many, in the compact form that nodes send to each other.
+///
+/// Invariants: no count is zero. All counts add up, so a sum less one of its parts is the sum of the
+/// rest.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Digest {
+    counts: BTreeMap<DigestKey, u16>,
+    /// Members whose sights should be in it and are not.
+    pub missing: BTreeSet<Address>,
+}
+
+messages! {
+    /// What makes a digest of the one before: the new counts of what changed, zero for what is gone.
+    #[derive(Eq, Default)]
+    pub struct DigestChange {
+        /// Prefixes.
+        pub hot: Vec<u64>,
+        /// Their arrivals.
+        pub hot_counts: Vec<u16>,
+        /// Servers.
+        pub loads: Vec<u32>,
+        /// Their orders in hand.
+        pub load_counts: Vec<u16>,
+        /// Prefixes that are held.
+        pub held: Vec<u64>,
+        /// By these lives of servers.
+        pub held_by: Vec<u32>,
+        /// As so many nodes believe.
+        pub held_counts: Vec<u16>,
+        /// Servers that are leaving.
+        pub leaving: Vec<u32>,
+        /// As so many nodes know.
+        pub leaving_counts: Vec<u16>,
+        /// Members that are not in it: always all of them.
+        pub missing: Vec<Address>,
+    }
+}
+
+/// Hot prefixes of one node, and of a sum.
+const HOT: [usize; 2] = [64, 192];
+/// Beliefs about holders of one node, and of a sum.
+const HELD: [usize; 2] = [96, 256];
+/// Servers of any digest.
+const LOADS: usize = 2048;
+const LEAVING: usize = 256;
+
+/// A server's name as a number. Two that meet, one pair in some millions, are counted together.
+pub fn server_key(server: &ServerName) -> u32 {
+    (key_of(server.as_str()) >> 32) as u32
+}
+
+/// A server's life as a number, with whether a first token has shown what is believed.
+pub fn life_key(server: &ServerName, incarnation: u64, is_shown: bool) -> u32 {
+    (mix(key_of(server.as_str()) ^ incarnation) >> 32) as u32 & !1 | u32::from(is_shown)
+}
+
+impl Digest {
+    /// One node's sketch.
+    pub fn of(sketch: &Sketch) -> Digest {
+        let mut digest = Digest::default();
+        let cut = |count: u32| count.min(u32::from(u16::MAX)) as u16;
+        sketch.hot.iter().for_each(|hot| digest.more(DigestKey::Hot(hot.prefix), cut(hot.count)));
+        for busy in &sketch.in_flight {
+            digest.more(DigestKey::Load(server_key(&busy.server)), cut(busy.count));
+        }
+        for held in sketch.holdings.iter().take(HELD[0]) {
+            digest.more(DigestKey::Held(held.prefix, life_key(&held.server, held.incarnation, held.is_shown)), 1);
+        }
+        sketch.leaving.iter().for_each(|server| digest.more(DigestKey::Leaving(server_key(server)), 1));
+        digest.bound(HOT[0], HELD[0]);
+        digest
+    }
+
+    /// What it says of the servers that are known here, each with its life. `number` must grow.
+    pub fn sketch<'a>(
+        &self,
+        incarnation: u64,
+        number: u64,
+        servers: impl Iterator<Item = (&'a ServerName, u64)>,
+    ) -> Sketch {
+        let servers: Vec<(&ServerName, u64)> = servers.collect();
+        let names: BTreeMap<u32, &ServerName> = servers.iter().map(|(name, _)| (server_key(name), *name)).collect();
+        let lives: BTreeMap<u32, (&ServerName, u64)> =
+            servers.iter().map(|(name, life)| (life_key(name, *life, false), (*name, *life))).collect();
+        let missing = Some(self.missing.iter().copied().collect());
+        let mut sketch = Sketch { incarnation, number, missing, ..Sketch::default() };
+        for (key, count) in &self.counts {
+            match key {
+                DigestKey::Hot(prefix) => sketch.hot.push(Hot { prefix: *prefix, count: u32::from(*count) }),
+                DigestKey::Load(server) => sketch.in_flight.extend(
+                    names.get(server).map(|name| InFlight { server: (*name).clone(), count: u32::from(*count) }),
+                ),
+                DigestKey::Held(prefix, life) => {
+                    sketch.holdings.extend(lives.get(&(life & !1)).map(|(name, incarnation)| Holding {
+                        prefix: *prefix,
+                        server: (*name).clone(),
+                        incarnation: *incarnation,
+                        is_shown: life & 1 == 1,
+                    }))
+                }
+                DigestKey::Leaving(server) => sketch.leaving.extend(names.get(server).map(|name| (*name).clone())),
+            }
+        }
+        // Of both, that it's shown counts: it must come last.
+        sketch.holdings.sort_by_key(|held| held.is_shown);
+        sketch
+    }
+
+    /// Whether it counts nothing.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+    /// How many counts it has.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+    /// A count.
+    pub fn count(&self, key: DigestKey) -> u16 {
+        self.counts.get(&key).copied().unwrap_or(0)
+    }
+    /// Counts more of something.
+    pub fn more(&mut self, key: DigestKey, count: u16) {
+        if count > 0 {
+            let slot = self.counts.entry(key).or_default();
+            *slot = slot.saturating_add(count);
+        }
+    }
+    /// Adds another's counts.
+    pub fn add(&mut self, other: &Digest) {
+        other.counts.iter().for_each(|(key, count)| self.more(*key, *count));
+    }
+    /// Takes away what is a part of it.
+    pub fn subtract(&mut self, part: &Digest) {
+        for (key, count) in &part.counts {
+            if let Some(slot) = self.counts.get_mut(key) {
+                *slot = slot.saturating_sub(*count);
+            }
+        }
+        self.counts.retain(|_, count| *count > 0);
+    }
+    /// Keeps the highest counts of a sum, so that its size is bounded whatever the fleet's is.
+    pub fn bound_sum(&mut self) {
+        self.bound(HOT[1], HELD[1]);
+    }
+
+    fn bound(&mut self, hot: usize, held: usize) {
+        let kinds: [(usize, fn(&DigestKey) -> bool); 4] = [
+            (hot, |key| matches!(key, DigestKey::Hot(_))),
+            (held, |key| matches!(key, DigestKey::Held(..))),
+            (LOADS, |key| matches!(key, DigestKey::Load(_))),
+            (LEAVING, |key| matches!(key, DigestKey::Leaving(_))),
+        ];
+        for (most, is_kind) in kinds {
+            let mut those: Vec<(u16, DigestKey)> =
+                self.counts.iter().filter(|(key, _)| is_kind(key)).map(|(key, count)| (*count, *key)).collect();
+            if those.len() > most {
+                those.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
+                for (_, key) in &those[most..] {
+                    self.counts.remove(key);
+                }
+            }
+        }
+    }
+
+    /// What must be told to one who holds `held`. Large counts are told again only once they are off by
+    /// more than an eighth. `None`: nothing.
+    pub fn change_from(&self, held: &Digest) -> Option<DigestChange> {
+        let mut change = DigestChange::default();
+        let mut is_any = self.missing != held.missing;
+        let gone = held.counts.keys().filter(|key| !self.counts.contains_key(key)).map(|key| (*key, 0));
+        let new = self.counts.iter().map(|(key, count)| (*key, *count));
+        for (key, count) in gone.chain(new) {
+            let old = held.count(key);
+            let is_close = old > 0 && count > 0 && u32::from(old.abs_diff(count)) * 8 <= u32::from(old);
+            if old == count || is_close {
+                continue;
+            }
+            is_any = true;
+            change.put(key, count);
+        }
+        change.missing = self.missing.iter().copied().collect();
+        is_any.then_some(change)
+    }
+
+    /// Takes a change up.
+    pub fn apply(&mut self, change: &DigestChange) {
+        for (key, count) in change.entries() {
+            self.counts.remove(&key);
+            self.more(key, count);
+        }
+        self.missing = change.missing.iter().copied().collect();
+    }
+}
+
+impl DigestChange {
+    fn put(&mut self, key: DigestKey, count: u16) {
+        match key {
+            DigestKey::Hot(prefix) => {
+                self.hot.push(prefix.0);
+                self.hot_counts.push(count);
+            }
+            DigestKey::Load(server) => {
+                self.loads.push(server);
+                self.load_counts.push(count);
+            }
+            DigestKey::Held(prefix, life) => {
+                self.held.push(prefix.0);
+                self.held_by.push(life);
+                self.held_counts.push(count);
+            }
+            DigestKey::Leaving(server) => {
+                self.leaving.push(server);
+                self.leaving_counts.push(count);
+            }
+        }
+    }
+
+    fn entries(&self) -> impl Iterator<Item = (DigestKey, u16)> + '_ {
+        let hot = self.hot.iter().zip(&self.hot_counts).map(|(prefix, n)| (DigestKey::Hot(PrefixHash(*prefix)), *n));
+        let loads = self.loads.iter().zip(&self.load_counts).map(|(server, n)| (DigestKey::Load(*server), *n));
+        let held = self.held.iter().zip(&self.held_by).zip(&self.held_counts);
+        let held = held.map(|((prefix, life), n)| (DigestKey::Held(PrefixHash(*prefix), *life), *n));
+        let leaving = self.leaving.iter().zip(&self.leaving_counts).map(|(s, n)| (DigestKey::Leaving(*s), *n));
+        hot.chain(loads).chain(held).chain(leaving)
+    }
+
+    /// About how many bytes it takes in a letter.
+    pub fn bytes(&self) -> u64 {
+        let (hot, loads, held) = (self.hot.len() * 10, self.loads.len() * 6, self.held.len() * 14);
+        (hot + loads + held + self.leaving.len() * 6 + self.missing.len() * 8) as u64
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -131,9 +131,9 @@
         /// How.
         outcome: Outcome,
     },
-    /// A peer's sketch.
+    /// A peer's sketch, or the sum of all other nodes.
     Trade {
-        /// The peer.
+        /// The peer, or [`FLEET`].
         from: Address,
         /// Its sketch.
         sketch: Sketch,
--- a/crates/primer/src/lib.rs
+++ b/crates/primer/src/lib.rs
@@ -10,6 +10,7 @@
 mod allowance;
 mod blocks;
 mod desk;
+mod digest;
 mod event;
 mod residency;
 mod rules;
@@ -23,12 +24,13 @@
     pub use crate::allowance::Allowance;
     pub use crate::blocks::block_hashes;
     pub use crate::desk::Desk;
+    pub use crate::digest::{Digest, DigestChange, DigestKey, life_key, server_key};
     pub use crate::event::{Candidate, Dated, Decision, Demand, Event, Outcome, PlaceReason, RollEntry};
     pub use crate::residency::Residency;
     pub use crate::rules::{BtbRules, DeskRules, Rules, ServiceRules};
     pub use crate::server_state::ServerState;
-    pub use crate::share::{mix, rank, share};
-    pub use crate::sketch::{Holding, Hot, InFlight, PrefixHash, Sketch};
+    pub use crate::share::{key_of, mix, rank, share};
+    pub use crate::sketch::{FLEET, Holding, Hot, InFlight, PrefixHash, Sketch};
     pub use crate::window::Window;
     pub use parlance::prelude::*;
     pub use serde::{Deserialize, Serialize};
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -103,7 +103,7 @@
             does_admit: true,
             ramp: Span::seconds(8),
             ramp_start: 2,
-            sketch_life: Span(1500),
+            sketch_life: Span(3000),
             copy_span: Span(400),
             cool_after: Span::seconds(15),
             copies_per_server: 8,
--- a/crates/primer/src/share.rs
+++ b/crates/primer/src/share.rs
@@ -8,6 +8,11 @@
     x ^ (x >> 31)
 }
 
+/// A number for a name, the same everywhere.
+pub fn key_of(name: &str) -> u64 {
+    name.bytes().fold(7, |sum, byte| mix(sum ^ u64::from(byte)))
+}
+
 fn weigh(key: u64, member: &Address) -> (u64, Address) {
     let port = u64::from(member.0.port());
     let ip = match member.0.ip() {
--- a/crates/primer/src/sketch.rs
+++ b/crates/primer/src/sketch.rs
@@ -19,6 +19,9 @@
 #[serde(transparent)]
 pub struct PrefixHash(pub u64);
 
+/// The origin under which a desk is told the sum of all other nodes; no node has this address.
+pub const FLEET: Address = Address(std::net::SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0));
+
 messages! {
     /// How often one node saw a prefix within the window.
     #[derive(Copy, Eq, Serialize, Deserialize)]
@@ -51,10 +54,10 @@
         pub count: u32,
     }
 
-    /// What one node tells the others.
+    /// What one node tells the others, or a sum of what all others tell.
     ///
-    /// Invariant: it holds only what the sender saw itself, never what it was told, so whatever way
-    /// it comes, however often, nothing is counted twice.
+    /// Invariant: a node's own holds only what it saw itself, never what it was told, so sums count
+    /// nothing twice.
     #[derive(Eq, Default, Serialize, Deserialize)]
     pub struct Sketch {
         /// The sender's life.
@@ -69,5 +72,8 @@
         pub in_flight: Vec<InFlight>,
         /// Servers that the sender knows to be leaving.
         pub leaving: Vec<ServerName>,
+        /// In a sum over all other nodes: the members whose sights are not in it.
+        #[serde(default)]
+        pub missing: Option<Vec<Address>>,
     }
 }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -10,11 +10,13 @@
     Input(OfficeInput),
     Shelf(u64, ShelfEvent),
     Believes(flume::Sender<serde_json::Value>),
-    Stop,
 }
 
 type Replies = Arc<std::sync::Mutex<std::collections::HashMap<u64, flume::Sender<(u16, Vec<u8>)>>>>;
 
+/// Between clock events, at least and at most.
+const SHORTEST_TICK: Span = Span(20);
+const LONGEST_TICK: Span = Span(100);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
@@ -70,24 +72,26 @@
         });
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
-    let ticker = move || {
-        loop {
-            std::thread::sleep(Duration::from_millis(25));
-            let event = if stop.load(Ordering::Relaxed) { Event::Stop } else { Event::Input(OfficeInput::ClockEvent) };
-            if sender.send(event).is_err() {
-                return;
-            }
-        }
-    };
-    std::thread::Builder::new().name("ticker".into()).spawn(ticker).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
     let mut control =
         Control { inner, founders, seeds, shelf, post, replies, is_ready, tallies, office: None, life: 0, fault: None };
-    while let Ok(event) = events.recv() {
-        if matches!(event, Event::Stop) {
-            break;
+    let mut next_tick = Clock::now();
+    while !stop.load(Ordering::Relaxed) {
+        let now = Clock::now();
+        if now >= next_tick {
+            control.take(Event::Input(OfficeInput::ClockEvent));
+            next_tick = control.office.as_ref().map_or(now, Office::next_due).max(now + SHORTEST_TICK);
+            next_tick = next_tick.min(now + LONGEST_TICK);
+        }
+        match events.recv_timeout(now.until(next_tick).duration()) {
+            Ok(event) => control.take(event),
+            Err(flume::RecvTimeoutError::Timeout) => {}
+            Err(flume::RecvTimeoutError::Disconnected) => break,
+        }
+        // What came may have made something due sooner.
+        if let Some(office) = &control.office {
+            next_tick = next_tick.min(office.next_due().max(now + SHORTEST_TICK));
         }
-        control.take(event);
     }
     tracing::info!("registrar: stopped.");
     Ok(())
@@ -138,7 +142,7 @@
                     self.step(now, OfficeInput::DiskFault);
                 }
             }
-            Event::Shelf(..) | Event::Stop => {}
+            Event::Shelf(..) => {}
             Event::Believes(reply) => {
                 let _ = reply.send(self.believes(now));
             }
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -8,8 +8,8 @@
     pub fellow: Timing,
     /// A member's lease.
     pub lease: Span,
-    /// A poll is held this long when there is no news.
-    pub hold: Span,
+    /// Between changes of the roster by which newcomers are let in.
+    pub join: Span,
     /// A proposal that the core can't take is tried again for this long.
     pub patience: Span,
     /// Without an answer by then, a proposal's fate is unknown.
@@ -22,8 +22,8 @@
     fn default() -> Self {
         OfficeTiming {
             fellow: Timing::default(),
-            lease: Span(1500),
-            hold: Span(300),
+            lease: Span(2000),
+            join: Span(1000),
             patience: Span(4000),
             fate_due: Span(8000),
             retire_after: Span::seconds(60),
@@ -121,8 +121,10 @@
     told_of: BTreeMap<Address, Moment>,
     /// Since when it has replied for the core without a break.
     replies_since: Option<Moment>,
-    held: BTreeMap<Address, HeldPoll>,
-    joining: BTreeMap<Address, HallName>,
+    /// Members that polled lately: they are told news at once.
+    subscribers: BTreeMap<Address, Subscriber>,
+    /// Polls of those that are not members yet.
+    joining: BTreeMap<Address, Poll>,
     join_due: Moment,
     settle_due: Moment,
     retire_due: Moment,
@@ -133,8 +135,9 @@
     poll_count: u64,
 }
 
-struct HeldPoll {
-    poll: Poll,
+struct Subscriber {
+    /// The newest epoch that it has or was told of.
+    told: Epoch,
     due: Moment,
 }
 
@@ -175,7 +178,7 @@
             seen: BTreeMap::new(),
             told_of: BTreeMap::new(),
             replies_since: None,
-            held: BTreeMap::new(),
+            subscribers: BTreeMap::new(),
             joining: BTreeMap::new(),
             join_due: now,
             settle_due: now,
@@ -196,6 +199,11 @@
     pub fn members(&self, now: Moment) -> Vec<(Address, Epoch)> {
         self.leases.live(now)
     }
+    /// When the next clock event is due at the latest.
+    pub fn next_due(&self) -> Moment {
+        let is_pending = !self.waiting.is_empty() || !self.settled.is_empty() || !self.joining.is_empty();
+        if is_pending || self.fellow.is_busy() { self.now + Span(25) } else { self.fellow.next_beat() }
+    }
     /// How many polls were taken.
     pub fn poll_count(&self) -> u64 {
         self.poll_count
@@ -252,7 +260,7 @@
             Note::Propose { body, .. } => body.len() > 64 << 10,
             _ => false,
         };
-        self.outputs.push(OfficeOutput::Send { to, is_bulk, letter: Letter::Note { note } });
+        self.outputs.push(OfficeOutput::Send { to, is_bulk, letter: Letter::Note { note: Box::new(note) } });
     }
 
     fn send(&mut self, to: Address, letter: Letter) {
@@ -262,8 +270,8 @@
 
     fn on_letter(&mut self, from: Address, letter: Letter) {
         match letter {
-            Letter::Note { note } => self.drive(Input::Note { from, note }),
-            Letter::Poll { poll } => self.on_poll(from, poll),
+            Letter::Note { note } => self.drive(Input::Note { from, note: *note }),
+            Letter::Poll { poll } => self.on_poll(from, *poll),
             Letter::PlanAsk { epoch, offset, have } => self.on_plan_ask(from, epoch, offset, have),
             Letter::Ask { number, reading } => {
                 if self.may_reply() {
@@ -277,7 +285,15 @@
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
                 }
             }
-            Letter::PollReply { .. } | Letter::PlanPiece { .. } | Letter::PlanSplice { .. } | Letter::Trade { .. } => {}
+            Letter::PollReply { .. }
+            | Letter::PlanPiece { .. }
+            | Letter::PlanSplice { .. }
+            | Letter::News { .. }
+            | Letter::NewsAsk
+            | Letter::TradeAsk { .. }
+            | Letter::TradeReply { .. }
+            | Letter::Digest { .. }
+            | Letter::DigestAck { .. } => {}
         }
     }
 
@@ -287,52 +303,65 @@
             let voters = self.voters();
             let tail = self.fellow.view().tail().map(|tail| tail.address);
             let reply = PollReply::Elsewhere { tail, voters };
-            return self.send(from, Letter::PollReply { round: poll.round, reply });
+            return self.send(from, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
         }
         self.seen.insert(from, self.now);
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
         let is_member = self.fellow.charge().roster.members.contains(&from);
         if is_member {
             let known = poll.epoch.min(self.fellow.charge().epoch);
-            self.leases.renew(from, known, self.now + self.timing.lease);
+            let due = self.now + self.timing.lease;
+            self.leases.renew(from, known, due);
+            let told = poll.epoch.max(self.fellow.charge().epoch);
+            self.subscribers.insert(from, Subscriber { told, due });
+            self.give_lease(from, &poll);
         } else {
-            self.joining.insert(from, poll.member.hall.clone());
+            self.joining.insert(from, poll);
+        }
+    }
+
+    /// Answers a member's poll with a lease, and with what it lacks.
+    fn give_lease(&mut self, to: Address, poll: &Poll) {
+        let ledger = self.fellow.charge();
+        let view = self.fellow.view().epoch;
+        let reply = PollReply::Lease {
+            span: self.timing.lease,
+            epoch: ledger.epoch,
+            news: (poll.epoch < ledger.epoch).then(|| self.news()),
+            view,
+            voters: if poll.view == view { vec![] } else { self.voters() },
+            key: ledger.key.filter(|_| !poll.has_key),
+        };
+        self.send(to, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
+    }
+
+    fn news(&self) -> News {
+        let ledger = self.fellow.charge();
+        let member = |(address, hall): &(Address, HallName)| Member { address: *address, hall: hall.clone() };
+        News {
+            epoch: ledger.epoch,
+            plan_epoch: ledger.plan_epoch,
+            withdrawn: ledger.withdrawn.clone(),
+            members: ledger.member_halls.iter().map(member).collect(),
         }
-        let due = self.now + self.timing.hold;
-        self.held.insert(from, HeldPoll { poll, due });
     }
 
     fn voters(&self) -> Vec<Address> {
         self.fellow.view().voters.iter().map(|voter| voter.address).collect()
     }
 
-    /// Answers held polls for which there is news, or whose time has come, and settled changes that
-    /// most members know.
+    /// Tells news to members that polled lately, and answers settled changes that most members know.
     fn release(&mut self) {
-        let ledger = self.fellow.charge();
-        let (epoch, now) = (ledger.epoch, self.now);
-        let is_due = |held: &HeldPoll| held.poll.epoch < epoch || now >= held.due;
-        let is_joined = |member: &Address| ledger.roster.members.contains(member);
-        let due: Vec<Address> =
-            self.held.iter().filter(|(member, held)| is_due(held) && is_joined(member)).map(|(m, _)| *m).collect();
-        for member in due {
-            let Some(held) = self.held.remove(&member) else { continue };
-            let reply = if self.may_reply() {
-                let ledger = self.fellow.charge();
-                PollReply::Lease {
-                    span: self.timing.lease,
-                    epoch: ledger.epoch,
-                    plan_epoch: ledger.plan_epoch,
-                    withdrawn: ledger.withdrawn.clone(),
-                    members: ledger.roster.members.clone(),
-                    voters: self.voters(),
-                    key: ledger.key,
-                }
-            } else {
-                let tail = self.fellow.view().tail().map(|tail| tail.address);
-                PollReply::Elsewhere { tail, voters: self.voters() }
-            };
-            self.send(member, Letter::PollReply { round: held.poll.round, reply });
+        let (epoch, now) = (self.fellow.charge().epoch, self.now);
+        let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.due;
+        if self.subscribers.values().any(is_behind) && self.may_reply() {
+            let news = self.news();
+            let behind: Vec<Address> =
+                self.subscribers.iter().filter(|(_, subscriber)| is_behind(subscriber)).map(|(m, _)| *m).collect();
+            for member in behind {
+                self.subscribers.entry(member).and_modify(|subscriber| subscriber.told = epoch);
+                self.send(member, Letter::News { news: Box::new(news.clone()) });
+            }
         }
         while let Some(settled) = self.settled.front() {
             let is_known = self.leases.is_known_to_most(&self.fellow.charge().roster, settled.epoch);
@@ -367,7 +396,7 @@
             }
         }
         let now = self.now;
-        self.held.retain(|_, held| now < held.due + Span(2000));
+        self.subscribers.retain(|_, subscriber| now < subscriber.due);
         let due: Vec<u64> = self
             .waiting
             .iter()
@@ -383,12 +412,18 @@
     fn admit(&mut self) {
         let roster = &self.fellow.charge().roster;
         let members = &roster.members;
-        self.joining.retain(|address, _| !members.contains(address));
+        let joined: Vec<Address> = self.joining.keys().filter(|one| members.contains(one)).copied().collect();
+        for address in joined {
+            if let Some(poll) = self.joining.remove(&address) {
+                self.give_lease(address, &poll);
+            }
+        }
+        let roster = &self.fellow.charge().roster;
         if self.joining.is_empty() || self.now < self.join_due || !self.leases.is_roster_settled(roster) {
             return;
         }
-        self.join_due = self.now + Span(400);
-        let members = std::mem::take(&mut self.joining).into_iter().collect();
+        self.join_due = self.now + self.timing.join;
+        let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.hall.clone())).collect();
         self.propose_inner(Motion::Join { members });
     }
 
@@ -470,7 +505,7 @@
                     let (status, body) = self.read(&reading);
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
                 } else if let Some(tail) = self.fellow.view().tail() {
-                    self.send(tail.address, Letter::Ask { number, reading });
+                    self.send(tail.address, Letter::Ask { number, reading: Box::new(reading) });
                 }
             }
             OperatorAsk::Propose(Proposal { id, motion: Motion::Forget { members }, .. }) if !waiting.is_cleared => {
@@ -480,7 +515,7 @@
                     let (status, body) = self.read(&reading);
                     self.clear(number, status, body);
                 } else if let Some(tail) = self.fellow.view().tail() {
-                    self.send(tail.address, Letter::Ask { number, reading });
+                    self.send(tail.address, Letter::Ask { number, reading: Box::new(reading) });
                 }
             }
             OperatorAsk::Propose(proposal) => {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -117,6 +117,8 @@
 
 struct CrierMachine {
     address: Address,
+    /// When its next clock event comes.
+    next_tick: u64,
     hall: HallName,
     offset: u64,
     node: Option<Node>,
@@ -277,6 +279,7 @@
             let offset = 1_000_000 + self.below(1_000_000_000);
             self.criers.push(CrierMachine {
                 address: Address::loopback(2001 + place as u16),
+                next_tick: 0,
                 hall: hall(place),
                 offset,
                 node: None,
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -65,6 +65,7 @@
             return;
         }
         m.life += 1;
+        m.next_tick = 0;
         m.may_act_until = Moment(0);
         let now = Moment(self.now + m.offset);
         let old = m.old.take().filter(|_| self.rules.mutant == Some(Mutant::SlideEpoch));
@@ -138,10 +139,19 @@
         }
         let Some(node) = self.criers.iter().find(|m| m.address == to).and_then(|m| m.node.as_ref()) else { return };
         match letter {
-            Letter::PollReply { reply: PollReply::Lease { epoch, plan_epoch, withdrawn, .. }, .. } => {
-                (*epoch, *plan_epoch, *withdrawn) = (node.epoch(), node.plan_epoch(), node.withdrawn().to_vec());
+            Letter::PollReply { reply, .. } => {
+                let PollReply::Lease { epoch, news, .. } = &mut **reply else { return };
+                *epoch = node.epoch();
+                if let Some(news) = news {
+                    (news.epoch, news.plan_epoch, news.withdrawn) =
+                        (node.epoch(), node.plan_epoch(), node.withdrawn().to_vec());
+                }
+            }
+            Letter::News { news } => {
+                (news.epoch, news.plan_epoch, news.withdrawn) =
+                    (node.epoch(), node.plan_epoch(), node.withdrawn().to_vec());
             }
-            Letter::Trade { epoch, .. } => *epoch = (*epoch).min(node.epoch()),
+            Letter::TradeAsk { epoch, .. } | Letter::TradeReply { epoch, .. } => *epoch = (*epoch).min(node.epoch()),
             _ => {}
         }
     }
@@ -152,7 +162,10 @@
         }
         if self.is_awake(true, machine, &Happening::Tick { machine, life }) {
             self.step_office(machine, OfficeInput::ClockEvent);
-            self.put(25, Happening::Tick { machine, life });
+            let m = &self.registrars[machine];
+            let local = Moment(self.now + m.offset);
+            let pause = m.office.as_ref().map_or(25, |office| local.until(office.next_due()).0.clamp(1, 100));
+            self.put(pause, Happening::Tick { machine, life });
         }
     }
 
@@ -232,13 +245,27 @@
         if self.criers[machine].life != life {
             return;
         }
-        if self.is_awake(false, machine, &Happening::NodeTick { machine, life }) {
+        if self.now >= self.criers[machine].next_tick
+            && self.is_awake(false, machine, &Happening::NodeTick { machine, life })
+        {
+            self.criers[machine].next_tick = u64::MAX;
             self.step_node(machine, NodeInput::ClockEvent);
             let (now, m) = (self.now, &mut self.criers[machine]);
             if self.rules.mutant == Some(Mutant::SlideEpoch) && m.old.as_ref().is_none_or(|(at, _)| now - at > 9000) {
                 m.old = m.node.clone().map(|node| (now, node));
             }
-            self.put(50, Happening::NodeTick { machine, life });
+        }
+    }
+
+    /// Clock events come when something is due, as in a crier's own loop.
+    fn set_tick(&mut self, machine: usize) {
+        let m = &mut self.criers[machine];
+        let Some(node) = &m.node else { return };
+        let due = self.now + Moment(self.now + m.offset).until(node.next_due()).0.clamp(1, 250);
+        if due < m.next_tick {
+            m.next_tick = due;
+            let life = m.life;
+            self.put(due - self.now, Happening::NodeTick { machine, life });
         }
     }
 
@@ -294,6 +321,7 @@
         let Some(node) = &mut m.node else { return vec![] };
         let outputs = node.step(now, input);
         m.may_act_until = node.may_act_until(now);
+        self.set_tick(machine);
         let mut places = vec![];
         for output in outputs {
             match output {
--- a/crates/wicket/src/post.rs
+++ b/crates/wicket/src/post.rs
@@ -2,7 +2,7 @@
 use parlance::prelude::*;
 use std::collections::HashMap;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -14,19 +14,30 @@
     Swift,
     /// Pieces of snapshots and of large changes.
     Bulk,
+    /// Small ones that go to many at once and are asked again when lost: no connection is made.
+    Datagram,
 }
 
 /// Carries letters between our processes: one connection out to each peer and class, letters in
 /// order on each, dropped when the peer can't be reached. Whoever needs an answer asks again.
+///
+/// Invariant: a connection and its thread last only while there is something to say.
 pub struct Post {
     own: Address,
+    datagrams: UdpSocket,
     outboxes: HashMap<(Address, PostClass), flume::Sender<Letter>>,
 }
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
 const INBOUND_BOUND: usize = 512;
-const IDLE_PATIENCE: Duration = Duration::from_secs(60);
+/// A line on which nothing was said for this long is closed by whoever opened it,
+const LINE_IDLE: Duration = Duration::from_secs(10);
+/// and by the other side if that one is gone.
+const IDLE_PATIENCE: Duration = Duration::from_secs(20);
+/// Letters are read into the heap; little is on a line's stack besides one chunk of 64 KiB.
+const LINE_STACK: usize = 256 << 10;
+const DATAGRAM_BOUND: usize = 1200;
 
 impl Post {
     /// Listens for letters and hands each to `inbox`.
@@ -35,6 +46,20 @@
         inbox: impl Fn(Address, Letter) + Send + Sync + Clone + 'static,
     ) -> io::Result<Post> {
         let own = Address(listener.local_addr()?);
+        // Datagrams come to the same port; they leave from another, without ever waiting.
+        let inbound = UdpSocket::bind(own.0)?;
+        let datagrams = UdpSocket::bind((own.0.ip(), 0))?;
+        datagrams.set_nonblocking(true)?;
+        let take_datagram = inbox.clone();
+        std::thread::Builder::new().name("post-datagrams".into()).stack_size(LINE_STACK).spawn(move || {
+            let mut buffer = [0u8; DATAGRAM_BOUND];
+            loop {
+                let Ok((length, _)) = inbound.recv_from(&mut buffer) else { continue };
+                if let Ok((from, letter)) = open(&mut &buffer[..length]) {
+                    take_datagram(from, letter);
+                }
+            }
+        })?;
         let open_count = Arc::new(AtomicUsize::new(0));
         std::thread::Builder::new().name("post".into()).spawn(move || {
             loop {
@@ -47,7 +72,8 @@
                     continue;
                 }
                 let (inbox, count) = (inbox.clone(), open_count.clone());
-                let spawned = std::thread::Builder::new().name("post-in".into()).spawn(move || {
+                let line = std::thread::Builder::new().name("post-in".into()).stack_size(LINE_STACK);
+                let spawned = line.spawn(move || {
                     receive(stream, inbox);
                     count.fetch_sub(1, Ordering::Relaxed);
                 });
@@ -56,7 +82,7 @@
                 }
             }
         })?;
-        Ok(Post { own, outboxes: HashMap::new() })
+        Ok(Post { own, datagrams, outboxes: HashMap::new() })
     }
 
     /// This process's own inner address.
@@ -66,25 +92,39 @@
 
     /// Sends a letter if it can be sent; never waits. It's sealed on the line's own thread.
     pub fn send(&mut self, to: Address, class: PostClass, letter: Letter) {
-        let own = self.own;
-        let outbox = self.outboxes.entry((to, class)).or_insert_with(|| {
-            let bound = if class == PostClass::Swift { 256 } else { 16 };
-            let (sender, receiver) = flume::bounded(bound);
-            let spawned =
-                std::thread::Builder::new().name("post-out".into()).spawn(move || deliver(own, to, &receiver));
-            if let Err(fault) = spawned {
-                tracing::warn!("post: no thread for {to}: {fault}.");
+        if class == PostClass::Datagram {
+            // Lost, like on a bad wire, if it can't leave now.
+            if let Ok(bytes) = seal(self.own, &letter) {
+                let _ = self.datagrams.send_to(&bytes, to.0);
             }
-            sender
-        });
-        // A full outbox means that the peer is slow or gone; the letter is lost, as on a bad wire.
-        let _ = outbox.try_send(letter);
+            return;
+        }
+        let unsent = match self.outboxes.get(&(to, class)) {
+            Some(outbox) => match outbox.try_send(letter) {
+                // Its line was idle and is closed.
+                Err(flume::TrySendError::Disconnected(letter)) => letter,
+                // A full outbox means that the peer is slow or gone; the letter is lost, as on a bad wire.
+                Ok(()) | Err(flume::TrySendError::Full(_)) => return,
+            },
+            None => letter,
+        };
+        self.outboxes.retain(|_, outbox| !outbox.is_disconnected());
+        let (sender, receiver) = flume::bounded(if class == PostClass::Swift { 256 } else { 16 });
+        let line = std::thread::Builder::new().name("post-out".into()).stack_size(LINE_STACK);
+        let own = self.own;
+        if let Err(fault) = line.spawn(move || deliver(own, to, &receiver)) {
+            tracing::warn!("post: no thread for {to}: {fault}.");
+            return;
+        }
+        let _ = sender.try_send(unsent);
+        self.outboxes.insert((to, class), sender);
     }
 }
 
 fn deliver(own: Address, to: Address, outbox: &flume::Receiver<Letter>) {
     let mut line: Option<TcpStream> = None;
-    while let Ok(letter) = outbox.recv() {
+    // A letter that comes just as the line is given up is lost, as on a bad wire.
+    while let Ok(letter) = outbox.recv_timeout(LINE_IDLE) {
         let bytes = match seal(own, &letter) {
             Ok(bytes) => bytes,
             Err(fault) => {
