--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -5,6 +5,7 @@
 mod carrier;
 mod chart;
 mod daemon;
+mod dissemination;
 mod errand;
 mod event_splitter;
 mod forward;
@@ -27,6 +28,7 @@
     pub use crate::call::{Call, CallDialect, Judgement, Sending, ServerLoad};
     pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, OrderState};
     pub use crate::daemon::{Dialects, ReadSeeds, run};
+    pub use crate::dissemination::{DigestTiming, Dissemination};
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
     pub use crate::event_splitter::{EventSplitter, StreamEvent};
     pub use crate::journal::Journal;
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -11,8 +11,9 @@
 /// Where orders are placed. Takes dated events, gives decisions; the same events give the same
 /// decisions.
 ///
-/// Invariants: whatever peers told is kept apart from what was seen here, by peer, and replaced
-/// whole by the peer's next sketch. Only servers that the newest roll lists, that are not leaving,
+/// Invariants: whatever others told is kept apart from what was seen here, by who told it, and replaced
+/// whole by the next sketch from there; a sum of all others comes under [`FLEET`] and lacks what was seen
+/// here. Only servers that the newest roll lists, that are not leaving,
 /// suspected or in a withdrawn zone, and that the service's rules allow, are ever chosen.
 #[derive(Debug, Clone)]
 pub struct Desk {
@@ -117,6 +118,9 @@
     queue: u64,
 }
 
+/// Servers times prefixes that one sketch looks up.
+const HOLDING_LOOKUPS: usize = 16_384;
+
 impl Desk {
     /// A desk at the start of a node's life.
     pub fn new(own: Address, incarnation: u64, desk_rules: DeskRules) -> Self {
@@ -193,7 +197,10 @@
         let span = self.widest_window();
         let hot = self.window.hottest(now, span, 64);
         let mut holdings = vec![];
-        for found in hot.iter().map(|h| h.prefix).chain(self.active.keys().copied()) {
+        // Hottest first, and so many that looking them up at every server costs little.
+        let most = (HOLDING_LOOKUPS / self.servers.len().max(1)).max(8);
+        let active = self.active.keys().copied().filter(|prefix| !hot.iter().any(|hot| hot.prefix == *prefix));
+        for found in hot.iter().map(|hot| hot.prefix).chain(active).take(most) {
             for (name, server) in &self.servers {
                 if server.residency.expects(found, now) {
                     holdings.push(Holding {
@@ -223,6 +230,7 @@
                 })
                 .collect(),
             leaving: leaving.map(|(name, _)| name.clone()).collect(),
+            missing: None,
         };
         for server in self.servers.values_mut() {
             server.read_told = server.read;
@@ -530,16 +538,22 @@
     fn count_known(&mut self) {
         let life = self.desk_rules.sketch_life;
         let counted = self.peers.values().filter(|peer| peer.is_counted);
-        self.counted_peers = counted.clone().count() as u32;
         self.told_until = counted.map(|peer| peer.heard + life).min();
-        let peers = &self.peers;
-        let is_known = |member: &Address| peers.get(member).is_some_and(|peer| peer.is_counted);
-        self.knows_all = self.members.iter().all(|member| *member == self.own || is_known(member));
+        let heard = self.heard();
+        self.counted_peers = heard.len() as u32 - 1;
+        self.knows_all = self.members.iter().all(|member| heard.contains(member));
     }
 
-    fn live_peers(&self, now: Moment) -> impl Iterator<Item = (&Address, &Peer)> {
-        let life = self.desk_rules.sketch_life;
-        self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < life)
+    /// Members whose sights are known here: one's own, those that told theirs, those in a sum.
+    fn heard(&self) -> BTreeSet<Address> {
+        let mut heard = BTreeSet::from([self.own]);
+        for (from, peer) in self.peers.iter().filter(|(_, peer)| peer.is_counted) {
+            match &peer.sketch.missing {
+                Some(missing) => heard.extend(self.members.iter().filter(|member| !missing.contains(member))),
+                None => drop(heard.insert(*from)),
+            }
+        }
+        heard
     }
 
     /// Arrivals of a prefix within the window, over all nodes.
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What reaches the control thread.
 enum Event {
@@ -13,12 +13,12 @@
     Believes(flume::Sender<serde_json::Value>),
 }
 
+/// Between clock events, at least and at most.
+const SHORTEST_TICK: Span = Span(20);
+const LONGEST_TICK: Span = Span(100);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
-/// Between two looks at the clock.
-const TICK: Duration = Duration::from_millis(50);
-
 /// How operators speak to a registrar.
 #[derive(Clone)]
 pub struct Dialects {
@@ -151,16 +151,22 @@
         life: 0,
         fault: None,
     };
-    let mut next_tick = Instant::now() + TICK;
+    let mut next_tick = Clock::now();
     while !stop.load(Ordering::Relaxed) {
-        match events.recv_deadline(next_tick) {
+        let now = Clock::now();
+        if now >= next_tick {
+            control.take(Event::Input(OfficeInput::ClockEvent));
+            next_tick = control.office.as_ref().map_or(now, Office::next_due).max(now + SHORTEST_TICK);
+            next_tick = next_tick.min(now + LONGEST_TICK);
+        }
+        match events.recv_timeout(now.until(next_tick).duration()) {
             Ok(event) => control.take(event),
             Err(flume::RecvTimeoutError::Timeout) => {}
             Err(flume::RecvTimeoutError::Disconnected) => break,
         }
-        if Instant::now() >= next_tick {
-            next_tick = Instant::now() + TICK;
-            control.take(Event::Input(OfficeInput::ClockEvent));
+        // What came may have made something due sooner.
+        if let Some(office) = &control.office {
+            next_tick = next_tick.min(office.next_due().max(now + SHORTEST_TICK));
         }
     }
     tracing::info!("registrar: stopped.");
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -2,8 +2,9 @@
 
 use super::*;
 use crier::prelude::{
-    ChartInput, ChartOutput, Denial, Errand, ErrandInput, ErrandOutput, Failure, KvTask, Placing, run_id,
+    ChartInput, ChartOutput, Denial, Errand, ErrandInput, ErrandOutput, Failure, KvTask, PlaceAsk, Placing, run_id,
 };
+use primer::prelude::Demand;
 
 impl World {
     pub(super) fn on_arrival(&mut self) {
