--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -346,7 +346,9 @@
         let blocks = hand.hashes.len() as u64;
         let uncached = blocks - u64::from(hand.matched);
         if footprint.is_told {
-            server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.desk_rules);
+            if hand.was_idle {
+                server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.desk_rules);
+            }
             let whole = footprint.prompt * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1));
             let kept = footprint.prompt - footprint.uncached;
             if footprint.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -192,7 +192,7 @@
             return;
         }
         let sample = took * u64::from(rules.block_tokens) / tokens;
-        let bound = (rules.block_micros / 4, rules.block_micros * 8);
+        let bound = ((rules.block_micros / 32).max(1), rules.block_micros * 8);
         self.block_micros = (self.block_micros * 7 + sample.clamp(bound.0, bound.1)) / 8;
     }
     /// A first piece came this much later than expected, while its kin are `usual` late. Says whether it's
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -123,14 +123,14 @@
                 }
             }
         }
-        if self.now % 100 == 0 {
+        if self.now.is_multiple_of(100) {
             let servers = self.roll();
             for place in 0..self.desks.len() {
                 self.tell(place, Event::Tick);
                 self.tell(place, Event::Roll { servers: servers.clone() });
             }
         }
-        if self.now % 250 == 0 {
+        if self.now.is_multiple_of(250) {
             let at = Moment(self.now);
             let sketches: Vec<Sketch> = self.desks.iter_mut().map(|desk| desk.sketch(at)).collect();
             for (from, sketch) in sketches.into_iter().enumerate() {
@@ -272,7 +272,7 @@
             let (place, prefix) = (fleet.random(11) as usize, 100 + fleet.random(20));
             let before = fleet.placed.len();
             fleet.ask(place, prefix, 0);
-            for (now, server, ..) in fleet.placed[before..].to_vec() {
+            for (now, server, ..) in fleet.placed[before..].iter().cloned() {
                 let engine = fleet.engines.iter().find(|engine| engine.name == server).expect("listed");
                 // What the list had not yet told nobody could know: it comes every 100 ms here.
                 if engine.cold_until > now && engine.cold_until - now < 2900 {
