--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -26,8 +26,9 @@
     zone: Option<HallName>,
     /// When this life took its first event.
     begun: Option<Moment>,
-    /// When the members last changed: for a second, others may still share out among those before.
-    shared_from: Moment,
+    /// When the members last changed: for a second, others may still share out among those before. `None`
+    /// until they are told.
+    shared_from: Option<Moment>,
     members: Vec<Address>,
     servers: BTreeMap<ServerName, ServerState>,
     window: Window,
@@ -128,7 +129,7 @@
             services: BTreeMap::new(),
             zone: None,
             begun: None,
-            shared_from: Moment(0),
+            shared_from: None,
             members: vec![own],
             servers: BTreeMap::new(),
             window: Window::default(),
@@ -273,8 +274,9 @@
 
     fn on_members(&mut self, members: Vec<Address>, now: Moment) {
         if members.iter().collect::<BTreeSet<_>>() != self.members.iter().collect::<BTreeSet<_>>() {
-            self.shared_from = now;
+            self.shared_from = Some(now);
         }
+        self.shared_from.get_or_insert(now);
         self.members = members;
         for server in self.servers.values_mut() {
             server.rank = rank(server.key, &self.own, &self.members) as u32;
@@ -514,6 +516,11 @@
         self.count_known();
     }
 
+    /// How many nodes there are at least, as far as known here.
+    fn fleet_size(&self) -> u32 {
+        (self.members.len() as u32).max(self.desk_rules.members_least).max(self.counted_peers + 1)
+    }
+
     /// Sketches that have grown old count no more.
     fn expire_peers(&mut self, now: Moment) {
         if self.told_until.is_none_or(|due| now < due) {
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -131,7 +131,8 @@
             if round == 0 {
                 return Ok(());
             }
-            let part = share(desk_rules.repeats_in_window, key_of(service.as_str()), &self.own, &self.members);
+            let own_rank = rank(key_of(service.as_str()), &self.own, &self.members) as u32;
+            let part = share_at(desk_rules.repeats_in_window, own_rank, self.fleet_size());
             let window = self.repeat_windows.entry(service.clone()).or_insert_with(|| RepeatWindow::new(begun));
             let wait = window.check(desk_rules.repeat_percent, part, now, desk_rules.repeat_window);
             return wait.map_err(|wait| wait.max_with(WAIT_LEAST));
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -250,9 +250,9 @@
         now: Moment,
     ) -> Result<(), Span> {
         if rules.cold_per_second > 0 && server.is_cold(rules.cold_span, now) {
-            let known = self.members.len().max(self.desk_rules.members_least as usize);
-            let part = share_at(rules.cold_per_second, server.rank, known.max(self.counted_peers as usize + 1) as u32);
-            server.check_cold(part, begun.max(self.shared_from), now)?;
+            let shared_from = self.shared_from.ok_or(Span(1000))?;
+            let part = share_at(rules.cold_per_second, server.rank, self.fleet_size());
+            server.check_cold(part, begun.max(shared_from), now)?;
         }
         let place_wait = Span(server.hold.0 / u64::from(slots));
         // One that was kept from work shows first that it works again.
--- a/crates/primer/src/repeat_window.rs
+++ b/crates/primer/src/repeat_window.rs
@@ -4,11 +4,14 @@
 /// One node's repeats of one service, bounded in each sliding window.
 ///
 /// Invariant: in no window does this life make more repeats than four fifths of (`percent` of the orders
-/// that it placed for the first time in that window, and its part of the fleet's extra). A life has no part
-/// of the extra until a window has passed: what a former life spent is then out of sight.
+/// that it placed for the first time in that window, and its part of the fleet's extra). A part that grows,
+/// also from nothing at the start of a life, counts only after a window: until then, what a former life or
+/// a member that is gone spent of it is still in sight.
 #[derive(Debug, Clone)]
 pub struct RepeatWindow {
-    begun: Moment,
+    part: u32,
+    /// Since when the part is to grow.
+    grows_from: Option<Moment>,
     /// With whether it was a repeat.
     arrivals: VecDeque<(Moment, bool)>,
     repeats: u32,
@@ -17,7 +20,7 @@
 impl RepeatWindow {
     /// At the start of a life.
     pub fn new(now: Moment) -> Self {
-        RepeatWindow { begun: now, arrivals: VecDeque::new(), repeats: 0 }
+        RepeatWindow { part: 0, grows_from: Some(now), arrivals: VecDeque::new(), repeats: 0 }
     }
     /// An order went to a server.
     pub fn place(&mut self, is_repeat: bool, now: Moment, window: Span) {
@@ -36,7 +39,7 @@
     pub fn check(&mut self, percent: u32, part: u32, now: Moment, window: Span) -> Result<(), Span> {
         self.expire(now, window);
         let firsts = self.arrivals.len() as u64 - u64::from(self.repeats);
-        let extra = if now.since(self.begun) >= window { u64::from(part) } else { 0 };
+        let extra = u64::from(self.settle_part(part, now, window));
         // In hundredths of a repeat.
         let most = (firsts * u64::from(percent) + extra * 100) * 4 / 5;
         if (u64::from(self.repeats) + 1) * 100 <= most {
@@ -46,6 +49,14 @@
         Err(oldest.map_or(window, |(at, _)| now.until(*at + window)))
     }
 
+    /// The part that counts now where the fleet's members make it this.
+    fn settle_part(&mut self, part: u32, now: Moment, window: Span) -> u32 {
+        if part <= self.part || now.since(*self.grows_from.get_or_insert(now)) >= window {
+            (self.part, self.grows_from) = (part, None);
+        }
+        self.part
+    }
+
     fn expire(&mut self, now: Moment, window: Span) {
         while let Some((at, is_repeat)) = self.arrivals.front().copied()
             && now.since(at) >= window
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -278,3 +278,13 @@
     let is_it = |d: &Decision| matches!(d, Decision::Suspected { server, .. } if *server == server_of(&decision));
     assert!(decisions.iter().any(is_it));
 }
+
+#[test]
+fn before_the_members_are_told_a_cold_server_gets_nothing() {
+    let rules = ServiceRules { cold_per_second: 20, cold_span: Span(3000), ..service() };
+    let servers = vec![RollEntry { cold_left: Some(Span(60_000)), ..entry("new", "north") }];
+    let mut played = Played::with(rules, desk_rules(), servers);
+    assert!((0..50).all(|n| matches!(played.ask(n * 100, &[], 0).1, Decision::Refused { .. })));
+    played.take(5000, Event::Members { members: vec![Address::loopback(1)] });
+    assert!(matches!(played.ask(6000, &[], 0).1, Decision::Placed { .. }));
+}
