--- a/crates/primer/src/repeat_window.rs
+++ b/crates/primer/src/repeat_window.rs
@@ -3,10 +3,10 @@
 
 /// One node's repeats of one service, bounded in each sliding window.
 ///
-/// Invariant: in no window does this life make more repeats than four fifths of (`percent` of the orders
-/// that it placed for the first time in that window, and its part of the fleet's extra). A part that grows,
-/// also from nothing at the start of a life, counts only after a window: until then, what a former life or
-/// a member that is gone spent of it is still in sight.
+/// Invariant: whenever a repeat is made, the window that ends with it holds no more repeats of this life than
+/// four fifths of (`percent` of the orders that it placed for the first time in that window, and its part of
+/// the fleet's extra). A part that grows, also from nothing at the start of a life, counts only after a window:
+/// until then, what a former life or a member that is gone spent of it is still in sight.
 #[derive(Debug, Clone)]
 pub struct RepeatWindow {
     part: u32,
