--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -27,8 +27,9 @@
     zone: Option<HallName>,
     /// When this life took its first event.
     begun: Option<Moment>,
-    /// When the members last changed: for a second, others may still share out among those before.
-    shared_from: Moment,
+    /// When the members last changed: for a second, others may still share out among those before. `None`
+    /// until they are told.
+    shared_from: Option<Moment>,
     members: Vec<Address>,
     servers: BTreeMap<ServerName, ServerState>,
     window: Window,
@@ -132,7 +133,7 @@
             services: BTreeMap::new(),
             zone: None,
             begun: None,
-            shared_from: Moment(0),
+            shared_from: None,
             members: vec![own],
             servers: BTreeMap::new(),
             window: Window::default(),
@@ -281,8 +282,9 @@
 
     fn on_members(&mut self, members: Vec<Address>, now: Moment) {
         if members.iter().collect::<BTreeSet<_>>() != self.members.iter().collect::<BTreeSet<_>>() {
-            self.shared_from = now;
+            self.shared_from = Some(now);
         }
+        self.shared_from.get_or_insert(now);
         self.members = members;
         for server in self.servers.values_mut() {
             server.rank = rank(server.key, &self.own, &self.members) as u32;
@@ -354,7 +356,9 @@
         let blocks = hand.hashes.len() as u64;
         let uncached = blocks - u64::from(hand.matched);
         if footprint.is_told {
-            server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.desk_rules);
+            if hand.was_idle {
+                server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.desk_rules);
+            }
             let whole = footprint.prompt * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1));
             let kept = footprint.prompt - footprint.uncached;
             if footprint.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
@@ -520,6 +524,11 @@
         self.count_known();
     }
 
+    /// How many nodes there are at least, as far as known here.
+    fn fleet_size(&self) -> u32 {
+        (self.members.len() as u32).max(self.desk_rules.members_least).max(self.counted_peers + 1)
+    }
+
     /// Sketches that have grown old count no more.
     fn expire_peers(&mut self, now: Moment) {
         if self.told_until.is_none_or(|due| now < due) {
