--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -69,6 +69,15 @@
     /// How long a server takes to read 16 tokens of a prompt, in microseconds, until it has been seen.
     #[setting(default = 2500, validate = within(1, 1_000_000))]
     pub block_micros: u64,
+    /// The fleet is taken to have at least so many members where cold servers are shared out.
+    #[setting(default = 1, validate = within(1, 1_000_000))]
+    pub members_least: u64,
+    /// A server's own report of its requests counts for this long, in ms.
+    #[setting(default = 2000, validate = within(1, 60_000))]
+    pub report_life_ms: u64,
+    /// A first piece may come this much later than expected before it speaks against its server, in ms.
+    #[setting(default = 400, validate = within(1, 60_000))]
+    pub lag_slack_ms: u64,
 }
 
 impl Settings {
@@ -83,6 +92,9 @@
             repeats_in_window: self.repeats_in_window as u32,
             zone_bias: Span(self.zone_bias_ms),
             block_micros: self.block_micros,
+            members_least: self.members_least as u32,
+            report_life: Span(self.report_life_ms),
+            lag_slack: Span(self.lag_slack_ms),
             ..DeskRules::default()
         }
     }
