--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -3,7 +3,7 @@
 use college::prelude::{Fellow, Kept, Record, Voter};
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use layout::prelude::{AsSent, Ledger, Motion, Proposal};
-use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
+use primer::prelude::{Decision, Demand, DeskRules, Event as DeskEvent, Outcome};
 use registrar::prelude::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crier::prelude::{
-    ChartInput, ChartOutput, Denial, Errand, ErrandInput, ErrandOutput, Failure, KvTask, Placing, run_id,
+    ChartInput, ChartOutput, Denial, Errand, ErrandInput, ErrandOutput, Failure, KvTask, PlaceAsk, Placing, run_id,
 };
 
 impl World {
