--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -54,6 +54,10 @@
     /// Whether servers take orders to copy KV; if not, real requests warm them.
     #[setting(default = true)]
     pub copy_orders: bool,
+    /// Real requests warm further servers only once the holders' first pieces are expected later than this, in
+    /// ms.
+    #[setting(default = 0, validate = within(0, 60_000))]
+    pub warm_from_ms: u64,
     /// Repeats that a service's traffic earns, in percent of it.
     #[setting(default = 20, validate = within(0, 1000))]
     pub repeat_percent: u64,
@@ -87,6 +91,7 @@
             does_merge: self.merge,
             does_admit: self.admit,
             does_order_copies: self.copy_orders,
+            warm_from: Span(self.warm_from_ms),
             repeat_percent: self.repeat_percent as u32,
             repeat_window: Span(self.repeat_window_ms),
             repeats_in_window: self.repeats_in_window as u32,
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -18,6 +18,8 @@
     slots: u32,
     burden: u32,
     matched: u32,
+    /// Leading parts that it holds if it's the one that the other nodes send them to, too.
+    likely: u32,
     footprint: Footprint,
     expected: u64,
     /// Expected time and what else it costs, in ms.
@@ -147,13 +149,16 @@
         let warm = least(&|r| r.is_warm());
         let wanted = !self.desk_rules.does_order_copies && survey.wants_more(&ask.rules.btb);
         // Its own reading warms the next target; a target reads the prefix once, and the rest go where it is held.
+        let holder = warm.or_else(|| least(&|r| r.holding.is_some()));
+        let is_needed = holder.is_none_or(|holder| holder.expected > self.desk_rules.warm_from.0);
         if wanted
+            && is_needed
             && let Some(target) = best_of(scored, self.desk_rules.hysteresis, |r| r.holding.is_none())
             && (target.expected <= due.0 || warm.is_none_or(|warm| warm.expected > due.0))
         {
             return (target, PlaceReason::Warming);
         }
-        match warm.or_else(|| least(&|r| r.holding.is_some())) {
+        match holder {
             Some(warm) => (warm, PlaceReason::Warm),
             None => by_cache(),
         }
@@ -232,7 +237,8 @@
                 cost += self.desk_rules.zone_bias.0;
             }
             let affinity = mix(server.key ^ affinity_key);
-            scored.push(Scored { name, slots, burden, matched, footprint, expected, cost, affinity, holding });
+            let likely = matched;
+            scored.push(Scored { name, slots, burden, matched, likely, footprint, expected, cost, affinity, holding });
         }
         self.look_at_first_choice(&mut scored, hashes, demand, shared);
         (scored, survey)
@@ -249,6 +255,7 @@
         let kept = first.footprint.prompt - first.footprint.uncached;
         let saved = self.tokens_of(&hashes[..=shared], demand).saturating_sub(kept);
         let reading = self.servers.get(first.name).map_or(0, |server| self.prefill(server, saved));
+        first.likely = shared as u32 + 1;
         first.cost = first.cost.saturating_sub(reading + reading * u64::from(self.desk_rules.prefill_percent) / 100);
     }
 
@@ -329,5 +336,5 @@
 ) -> Option<&'b Scored<'a>> {
     let least = scored.iter().filter(|r| may(r)).map(|r| r.cost).min()?;
     let near = scored.iter().filter(|r| may(r) && r.cost <= least + hysteresis.0);
-    near.max_by_key(|r| (r.matched, r.affinity))
+    near.max_by_key(|r| (r.likely, r.affinity))
 }
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -98,6 +98,9 @@
     /// Whether servers take orders to copy KV. If not, the next real requests of an active prefix are what
     /// warms further servers.
     pub does_order_copies: bool,
+    /// Where real requests warm further servers, they do so only once the holders' first pieces are expected
+    /// later than this: until then a copy, which has to be read anew, gains nothing.
+    pub warm_from: Span,
     /// Repeats are bounded in each sliding window of this length; zero: by the minute.
     pub repeat_window: Span,
     /// Repeats that a service may have in such a window besides the percentage, over the whole fleet.
@@ -146,6 +149,7 @@
             repeats_a_minute: 10,
             block_tokens: 16,
             does_order_copies: true,
+            warm_from: Span(0),
             repeat_window: Span(0),
             repeats_in_window: 0,
             zone_bias: Span(0),
