--- a/crates/crier/src/call.rs
+++ b/crates/crier/src/call.rs
@@ -42,8 +42,8 @@
     pub left: Span,
     /// A stream is to go on behind this piece.
     pub after: Option<u64>,
-    /// The rank of its route: 0 goes first.
-    pub rank: u8,
+    /// Its class among those that wait there: 0 goes first, 9 last.
+    pub urgency: u8,
 }
 
 /// What a server's head says.
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -77,6 +77,7 @@
         let left = Span(call.left.0.min(route.deadline_ms));
         let demand =
             Demand { rank: route.priority as u8, target: Span(route.target_ms), deadline: left, ..call.demand.clone() };
+        let urgency = demand.urgency();
         let does_stream = route.kind == RouteKind::Stream;
         let kind = if does_stream { ServiceKind::Stream } else { ServiceKind::Fetch };
         let hashes = call.hashes.clone();
@@ -87,7 +88,7 @@
             does_stream,
             target: Span(route.target_ms),
             gap: Span(route.gap_target_ms),
-            rank: route.priority as u8,
+            urgency,
             caller,
             due: arrived + left,
             last: call.after,
@@ -113,7 +114,7 @@
     does_stream: bool,
     target: Span,
     gap: Span,
-    rank: u8,
+    urgency: u8,
     caller: Caller,
     due: Moment,
     /// The last piece that the caller has.
@@ -167,13 +168,13 @@
     }
 
     fn go(&mut self, first: ErrandOutput) -> Gone<Opening> {
-        let Way { forwarder, call, trip, does_stream, target, rank, caller, due, last, answer, .. } = self;
+        let Way { forwarder, call, trip, does_stream, target, urgency, caller, due, last, answer, .. } = self;
         let asking = Asking {
             forwarder,
             call,
             does_stream: *does_stream,
             target: *target,
-            rank: *rank,
+            urgency: *urgency,
             caller,
             due: *due,
             last: *last,
@@ -196,7 +197,7 @@
     call: &'a Call,
     does_stream: bool,
     target: Span,
-    rank: u8,
+    urgency: u8,
     caller: &'a Caller,
     due: Moment,
     last: Option<u64>,
@@ -216,7 +217,7 @@
         let Ok(address) = placing.address.parse::<SocketAddr>() else {
             return Err(fail(Failure::Unsent, format!("`{}` is no address", placing.address)));
         };
-        let sending = Sending { server: &placing.server, left, after: self.last, rank: self.rank };
+        let sending = Sending { server: &placing.server, left, after: self.last, urgency: self.urgency };
         let request = self.forwarder.dialect.request(self.call, &sending);
         // Where another server may take it up, a silent one is not waited for until the deadline.
         let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -34,6 +34,7 @@
     take(0, Event::Members { members: (1..=90).map(Address::loopback).collect() });
     let in_flight = |n: u64| InFlight { server: entry(n).server, count: 1, unread: 500, tokens: 12_000, read: 9 };
     let sketch = Sketch {
+        missing: None,
         incarnation: 1,
         number: 1,
         hot: (0..60).map(|n| Hot { prefix: PrefixHash(mix(n)), count: 1 }).collect(),
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -51,6 +51,14 @@
     pub fn is_told(&self) -> bool {
         self.deadline.0 > 0 || !self.hash_tokens.is_empty()
     }
+    /// Its class among those that wait to be read at one server: 0 goes first, 9 last. The shorter a prompt is
+    /// against its target, the sooner: a short one holds a long one up for little, while behind a long one many
+    /// short ones are late. Each class is twice the one before. Ranks of routes decide who is turned away where
+    /// there is no room, not who is read first.
+    pub fn urgency(&self) -> u8 {
+        let share = u64::from(self.prompt_tokens) / self.target.0.max(1);
+        (u64::BITS - share.leading_zeros()).min(9) as u8
+    }
 }
 
 /// How an order at a server ended.
