An answer is taken only for what it answers: by number, kind and sender, over all lives

Cause: what a registrar asks and proposes went out under its operator's own number. Such numbers also began anew with each process, and neither a Told nor a Reply of the chain was matched with anything but its number: a late one for an earlier life answered another operator's call. And all tries of a proposal had one number, so "turned away", said twice of one try, could end the next. Now an office numbers what goes out from a random place on, a question and each try of a proposal under a number of its own. A Told is taken only for the question that waits under it, from the one asked last; a Reply only for the newest try. What is written and sent keeps its form, the protocol too. Ruled out: the chain and the ledger (the change was accepted and read back; only the word was wrong); matching a Reply with its sender: the head of any view or any later tail may send it rightly, so that a check would lose good answers. Told from any but the asked one is dropped, and asked again.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -148,14 +148,14 @@
         },
         /// Between registrars: something to be read at the tail.
         Ask {
-            /// The asker's number.
+            /// The asker's number, which no other question or proposal of its has in all its lives.
             number: u64,
             /// What.
             reading: Reading,
         },
         /// The tail's answer: a status and a body for HTTP.
         Told {
-            /// The asker's number.
+            /// Of the question.
             number: u64,
             /// HTTP status.
             status: u16,
--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -49,6 +49,7 @@
     disks: Vec<Vec<Record>>,
     letters: VecDeque<(Address, Address, Note)>,
     replies: Vec<String>,
+    proposals: u64,
 }
 
 fn voter(place: usize) -> Voter {
@@ -63,6 +64,7 @@
             disks: vec![vec![]; 3],
             letters: VecDeque::new(),
             replies: vec![],
+            proposals: 0,
         };
         hall.fellows = (0..3).map(|place| Some(hall.open(place))).collect();
         hall
@@ -120,7 +122,8 @@
     /// Proposes something at one machine and gives the reply.
     fn propose(&mut self, place: usize, what: &str) -> String {
         self.replies.clear();
-        self.step(place, Input::Propose { number: 1, body: what.as_bytes().to_vec() });
+        self.proposals += 1;
+        self.step(place, Input::Propose { number: self.proposals, body: what.as_bytes().to_vec() });
         self.pass(Span(200));
         let reply = self.replies.pop().unwrap_or_else(|| "no reply".into());
         println!("{what:>12} -> {reply}");
--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -62,7 +62,8 @@
     },
     /// Someone here proposes a body; the answer comes as [`Output::Reply`] with this number.
     Propose {
-        /// The number.
+        /// The number. No other proposal of this machine may have it, nor one of an earlier life: replies
+        /// may come late.
         number: u64,
         /// The body.
         body: Vec<u8>,
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -24,7 +24,7 @@
     pub struct Ticket {
         /// Where the answer goes.
         pub origin: Address,
-        /// The origin's own number for it.
+        /// The origin's own number for it, which no other has in all its lives.
         pub number: u64,
     }
 
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -162,7 +162,8 @@
                 self.life = life;
                 self.shelf.begin(life);
                 self.fault = None;
-                self.office = Some(Office::new(fellow, timing, TokenKey(random_bytes()), now));
+                let (key, incarnation) = (TokenKey(random_bytes()), u64::from_ne_bytes(random_bytes()));
+                self.office = Some(Office::new(fellow, timing, key, incarnation, now));
             }
             Err(fault) => {
                 tracing::error!("registrar: {} {fault}; the folder must be emptied by hand.", ResultCode::DiskFault);
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -128,6 +128,8 @@
     retire_due: Moment,
     settled: VecDeque<Settled>,
     waiting: BTreeMap<u64, Waiting>,
+    /// The last number under which something went out for an operator.
+    last_asked: u64,
     next_inner: u64,
     outputs: Vec<OfficeOutput>,
     poll_count: u64,
@@ -152,6 +154,11 @@
     due: Moment,
     /// Whether nobody hears those whom it would forget.
     is_cleared: bool,
+    /// The number under which its question, or its newest proposal, goes out; no other has it, in this
+    /// life or an earlier one.
+    asked: u64,
+    /// Who was asked, while it's a question that waits. Nobody else answers it.
+    asked_of: Option<Address>,
 }
 
 /// Who was not heard for this long, by the core or by any member that polls, may be lost. Longer than a
@@ -163,8 +170,10 @@
 
 impl Office {
     /// An office around a fellow at the start of its life. `key` is drawn at random; a fleet that has
-    /// none takes the first that is proposed.
-    pub fn new(fellow: Fellow<Ledger>, timing: OfficeTiming, key: TokenKey, now: Moment) -> Self {
+    /// none takes the first that is proposed. `incarnation` is drawn at random too: what this life asks
+    /// is numbered from there on, so that no late answer to an earlier life is taken for one to this.
+    pub fn new(fellow: Fellow<Ledger>, timing: OfficeTiming, key: TokenKey, incarnation: u64, now: Moment) -> Self {
+        let first = incarnation % (INNER / 2);
         Office {
             fellow,
             timing,
@@ -182,7 +191,8 @@
             retire_due: now + timing.retire_after,
             settled: VecDeque::new(),
             waiting: BTreeMap::new(),
-            next_inner: INNER,
+            last_asked: first,
+            next_inner: INNER + first,
             outputs: vec![],
             poll_count: 0,
         }
@@ -271,12 +281,7 @@
                     self.send(from, Letter::Told { number, status, body });
                 }
             }
-            Letter::Told { number, status, body } if self.is_to_be_cleared(number) => self.clear(number, status, body),
-            Letter::Told { number, status, body } => {
-                if self.waiting.remove(&number).is_some() {
-                    self.outputs.push(OfficeOutput::Reply { number, status, body });
-                }
-            }
+            Letter::Told { number, status, body } => self.on_told(from, number, status, body),
             Letter::PollReply { .. } | Letter::PlanPiece { .. } | Letter::PlanSplice { .. } | Letter::Trade { .. } => {}
         }
     }
@@ -441,7 +446,10 @@
         let is_read = matches!(ask, OperatorAsk::Read(_));
         let due = self.now + if is_read { self.timing.patience } else { self.timing.fate_due };
         let patience_due = self.now + self.timing.patience;
-        self.waiting.insert(number, Waiting { ask, next_try: Some(self.now), patience_due, due, is_cleared: false });
+        self.last_asked += 1;
+        let (next_try, asked) = (Some(self.now), self.last_asked);
+        let waiting = Waiting { ask, next_try, patience_due, due, is_cleared: false, asked, asked_of: None };
+        self.waiting.insert(number, waiting);
         self.try_again(number);
     }
 
@@ -469,8 +477,8 @@
                     self.waiting.remove(&number);
                     let (status, body) = self.read(&reading);
                     self.outputs.push(OfficeOutput::Reply { number, status, body });
-                } else if let Some(tail) = self.fellow.view().tail() {
-                    self.send(tail.address, Letter::Ask { number, reading });
+                } else {
+                    self.ask_tail(number, reading);
                 }
             }
             OperatorAsk::Propose(Proposal { id, motion: Motion::Forget { members }, .. }) if !waiting.is_cleared => {
@@ -479,22 +487,39 @@
                 if self.may_reply() {
                     let (status, body) = self.read(&reading);
                     self.clear(number, status, body);
-                } else if let Some(tail) = self.fellow.view().tail() {
-                    self.send(tail.address, Letter::Ask { number, reading });
+                } else {
+                    self.ask_tail(number, reading);
                 }
             }
             OperatorAsk::Propose(proposal) => {
+                // Each try has a number of its own: a late word on one says nothing of the next.
+                self.last_asked += 1;
+                (waiting.asked, waiting.asked_of) = (self.last_asked, None);
                 waiting.next_try = None;
-                let body = proposal.to_bytes();
+                let (number, body) = (waiting.asked, proposal.to_bytes());
                 self.drive(Input::Propose { number, body });
             }
         }
     }
 
-    fn is_to_be_cleared(&self, number: u64) -> bool {
-        let is_forget =
-            |ask: &OperatorAsk| matches!(ask, OperatorAsk::Propose(Proposal { motion: Motion::Forget { .. }, .. }));
-        self.waiting.get(&number).is_some_and(|waiting| !waiting.is_cleared && is_forget(&waiting.ask))
+    fn ask_tail(&mut self, number: u64, reading: Reading) {
+        let Some(tail) = self.fellow.view().tail() else { return };
+        let Some(waiting) = self.waiting.get_mut(&number) else { return };
+        waiting.asked_of = Some(tail.address);
+        let number = waiting.asked;
+        self.send(tail.address, Letter::Ask { number, reading });
+    }
+
+    /// The tail's answer. It's taken only for the question that waits under this number, and only from
+    /// the one that was asked last.
+    fn on_told(&mut self, from: Address, asked: u64, status: u16, body: Vec<u8>) {
+        let is_its = |waiting: &Waiting| waiting.asked == asked && waiting.asked_of == Some(from);
+        let Some((&number, waiting)) = self.waiting.iter().find(|(_, waiting)| is_its(waiting)) else { return };
+        if matches!(waiting.ask, OperatorAsk::Propose(_)) {
+            return self.clear(number, status, body);
+        }
+        self.waiting.remove(&number);
+        self.outputs.push(OfficeOutput::Reply { number, status, body });
     }
 
     /// The tail's word on whether those to be forgotten are heard: if nobody hears them, it's proposed; a
@@ -521,9 +546,10 @@
         self.outputs.push(OfficeOutput::Reply { number, status: code.http_status(), body });
     }
 
-    /// The core's answer to a proposal made here.
-    fn on_reply(&mut self, number: u64, is_replied: bool, body: Vec<u8>) {
-        let Some(waiting) = self.waiting.get_mut(&number) else { return };
+    /// The core's answer to a proposal made here, taken only for the newest try of an operator's.
+    fn on_reply(&mut self, asked: u64, is_replied: bool, body: Vec<u8>) {
+        let is_its = |waiting: &Waiting| waiting.asked == asked && waiting.asked_of.is_none();
+        let Some((&number, waiting)) = self.waiting.iter_mut().find(|(_, waiting)| is_its(waiting)) else { return };
         if is_replied {
             self.waiting.remove(&number);
             let status = status_of(&body);
@@ -600,3 +626,6 @@
     let found = ResultCode::ALL.iter().find(|known| Some(u64::from(known.number())) == code);
     found.map_or(500, |code| code.http_status())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/registrar/src/office/tests.rs
@@ -0,0 +1,115 @@
+use super::*;
+
+/// Registrar 2 in a chain of 1, 2, 3: it proposes to 1 and asks 3.
+struct Played {
+    office: Office,
+    at: u64,
+}
+
+/// What left the office, of what a trace is about.
+#[derive(Debug, PartialEq)]
+enum Left {
+    Ask(u16, u64),
+    Propose(u16, u64),
+    Reply(u64, u16),
+}
+
+impl Played {
+    fn new(incarnation: u64) -> Self {
+        let voter = |n: u16| Voter { address: Address::loopback(n), disk: DiskId(u128::from(n)) };
+        let chain = (1..=3).map(|n| Seat { voter: voter(n), is_level: true }).collect();
+        let view = View { epoch: ViewEpoch(1), chain, voters: (1..=3).map(voter).collect() };
+        let kept = Kept { records: vec![Record::View { view }] };
+        let founders = (1..=3).map(Address::loopback).collect();
+        let (timing, at) = (OfficeTiming::default(), 10_000);
+        let fellow = Fellow::new(voter(2), founders, timing.fellow, kept, Ledger::default(), Moment(at)).unwrap();
+        Played { office: Office::new(fellow, timing, TokenKey([3; 32]), incarnation, Moment(at)), at }
+    }
+    fn step(&mut self, after: u64, input: OfficeInput) -> Vec<Left> {
+        self.at += after;
+        let left = |output| match output {
+            OfficeOutput::Send { to, letter: Letter::Ask { number, .. }, .. } => Some(Left::Ask(to.0.port(), number)),
+            OfficeOutput::Send { to, letter: Letter::Note { note: Note::Propose { ticket, .. } }, .. } => {
+                Some(Left::Propose(to.0.port(), ticket.number))
+            }
+            OfficeOutput::Reply { number, status, .. } => Some(Left::Reply(number, status)),
+            _ => None,
+        };
+        self.office.step(Moment(self.at), input).into_iter().filter_map(left).collect()
+    }
+    fn tick(&mut self, after: u64) -> Vec<Left> {
+        self.step(after, OfficeInput::ClockEvent)
+    }
+    fn read(&mut self, number: u64) -> Vec<Left> {
+        self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Read(Reading::Latest) })
+    }
+    fn propose(&mut self, number: u64, motion: Motion) -> Vec<Left> {
+        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, motion };
+        self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
+    }
+    fn told(&mut self, from: u16, number: u64) -> Vec<Left> {
+        let letter = Letter::Told { number, status: 200, body: br#"{"heard":[]}"#.to_vec() };
+        self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
+    }
+    fn reply(&mut self, from: u16, number: u64, is_replied: bool) -> Vec<Left> {
+        let body = serde_json::json!({"code": ResultCode::Accepted.number(), "epoch": 1});
+        let body = if is_replied { body.to_string().into_bytes() } else { vec![] };
+        let letter = Letter::Note { note: Note::Reply { number, is_replied, body } };
+        self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
+    }
+}
+
+fn forget() -> Motion {
+    Motion::Forget { members: vec![Address::loopback(9)] }
+}
+
+fn withdraw() -> Motion {
+    Motion::Withdraw { hall: "east".into() }
+}
+
+/// Of seed 88000550 on `valodu`: the tail was asked twice, and its second answer was given to the operator
+/// as the fate of his change.
+#[test]
+fn a_second_answer_to_whether_the_lost_are_heard_is_no_answer_to_forgetting_them() {
+    let mut played = Played::new(1000);
+    assert_eq!(played.propose(30, forget()), [Left::Ask(3, 1001)]);
+    assert_eq!(played.tick(250), [Left::Ask(3, 1001)], "no answer so far");
+    assert_eq!(played.told(1, 1001), [], "from one that was not asked");
+    assert_eq!(played.told(3, 1001), [Left::Propose(1, 1002)]);
+    assert_eq!(played.told(3, 1001), [], "to a question that is settled");
+    assert_eq!(played.told(3, 1002), [], "a reading is no answer to a proposal");
+    assert_eq!(played.reply(3, 1001, true), [], "nor is a reply one to a question");
+    assert_eq!(played.reply(3, 1002, true), [Left::Reply(30, 200)]);
+    assert_eq!(played.reply(3, 1002, true), []);
+}
+
+/// Operators' numbers begin anew with each process; what comes late for an earlier one is not for this.
+#[test]
+fn an_answer_to_an_earlier_life_is_not_taken() {
+    let mut earlier = Played::new(1000);
+    assert_eq!(earlier.read(1), [Left::Ask(3, 1001)]);
+    assert_eq!(earlier.propose(2, withdraw()), [Left::Propose(1, 1003)]);
+
+    let mut played = Played::new(5000);
+    assert_eq!(played.read(1), [Left::Ask(3, 5001)]);
+    assert_eq!(played.propose(2, withdraw()), [Left::Propose(1, 5003)]);
+    for late in [1, 2, 1001, 1003] {
+        assert_eq!(played.told(3, late), []);
+        assert_eq!(played.reply(3, late, true), []);
+        assert_eq!(played.reply(1, late, false), []);
+    }
+    assert_eq!(played.told(3, 5001), [Left::Reply(1, 200)]);
+    assert_eq!(played.reply(3, 5003, true), [Left::Reply(2, 200)]);
+}
+
+/// A proposal that was turned away is sent again; what is said twice of the first try ends no later one.
+#[test]
+fn a_late_word_on_one_try_of_a_proposal_is_none_on_the_next() {
+    let mut played = Played::new(0);
+    assert_eq!(played.propose(7, withdraw()), [Left::Propose(1, 2)]);
+    assert_eq!(played.reply(1, 2, false), []);
+    assert_eq!(played.tick(250), [Left::Propose(1, 3)]);
+    played.tick(3800);
+    assert_eq!(played.reply(1, 2, false), [], "patience is over, but of the newest try nothing is known");
+    assert_eq!(played.reply(3, 3, true), [Left::Reply(7, 200)]);
+}
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -47,6 +47,11 @@
     AskOnce,
     /// Every third node renews its lease with each poll and takes news from one in fifty.
     StaleNews,
+    /// Registrars' questions are answered twice, and the second answer is taken for the core's to the change
+    /// behind the question.
+    AnswerTwice,
+    /// A registrar's questions and proposals are numbered alike in each life.
+    ReuseNumbers,
 }
 
 /// Many nodes in one process, on virtual time, network and disks. The same seed gives the same run.
@@ -78,6 +83,8 @@
     replaced: u16,
     /// Five times the traffic until then.
     crowd_until: u64,
+    /// For the mutant: questions of registrars, the operator's number behind each, and whether it was answered.
+    questions: BTreeMap<u64, (u64, bool)>,
 }
 
 struct RegistrarMachine {
@@ -218,6 +225,7 @@
             armed: vec![],
             replaced: 0,
             crowd_until: 0,
+            questions: BTreeMap::new(),
             rules,
         };
         world.people();
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -1,7 +1,7 @@
 //! Registrars and criers: started, fed, frozen, killed.
 
 use super::*;
-use circular::prelude::PollReply;
+use circular::prelude::{PollReply, Reading};
 
 impl World {
     pub(super) fn start_registrar(&mut self, machine: usize) {
@@ -16,6 +16,8 @@
             timing.lease = Span::seconds(60);
         }
         let key = TokenKey([self.draw() as u8; 32]);
+        let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.registrars[machine].life);
+        let incarnation = if self.rules.mutant == Some(Mutant::ReuseNumbers) { 0 } else { life };
         let m = &mut self.registrars[machine];
         if m.office.is_some() || m.is_gone {
             return;
@@ -27,7 +29,7 @@
         let known = if founders.contains(&m.address) { founders } else { founders[..3].to_vec() };
         let kept = Kept { records: m.disk.durable.clone() };
         match Fellow::new(me, known, timing.fellow, kept, Ledger::default(), now) {
-            Ok(fellow) => m.office = Some(Office::new(fellow, timing, key, now)),
+            Ok(fellow) => m.office = Some(Office::new(fellow, timing, key, incarnation, now)),
             Err(fault) => self.witness.violate(self.now, format!("a disk gave back what can't be used: {fault}")),
         }
         let life = self.registrars[machine].life;
@@ -122,6 +124,7 @@
         let happening = Happening::Letter { to, from, letter: letter.clone() };
         if let Some(machine) = self.registrars.iter().position(|m| m.address == to) {
             if self.is_awake(true, machine, &happening) {
+                self.answer_twice(&letter);
                 self.step_office(machine, OfficeInput::Letter { from, letter });
             }
         } else if let Some(machine) = self.criers.iter().position(|m| m.address == to)
@@ -146,6 +149,16 @@
         }
     }
 
+    /// For the mutant: the second of two good answers goes to the operator.
+    fn answer_twice(&mut self, letter: &Letter) {
+        let Letter::Told { number, status: 200, body } = letter else { return };
+        let Some((operator, is_answered)) = self.questions.get_mut(number) else { return };
+        if std::mem::replace(is_answered, true) {
+            let operator = *operator;
+            self.on_operator_reply(operator, 200, body);
+        }
+    }
+
     pub(super) fn on_tick(&mut self, machine: usize, life: u64) {
         if self.registrars[machine].life != life {
             return;
@@ -317,6 +330,12 @@
 
     /// Sends a letter over the network as it is now.
     fn post(&mut self, from: Address, to: Address, letter: Letter) {
+        if self.rules.mutant == Some(Mutant::AnswerTwice)
+            && let Letter::Ask { number, reading: Reading::Heard { id, .. } } = &letter
+            && let Some(operator) = id.strip_prefix("op-").and_then(|operator| operator.parse().ok())
+        {
+            self.questions.entry(*number).or_insert((operator, false));
+        }
         if self.cut.contains(&(from, to)) || self.chance(self.loss) {
             return;
         }
@@ -325,6 +344,9 @@
             let again = delay + self.below(300);
             self.put(again, Happening::Letter { to, from, letter: letter.clone() });
         }
+        if self.rules.mutant == Some(Mutant::AnswerTwice) && matches!(letter, Letter::Told { .. }) {
+            self.put(delay + 10, Happening::Letter { to, from, letter: letter.clone() });
+        }
         self.put(delay, Happening::Letter { to, from, letter });
     }
 }
