--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -202,6 +202,7 @@
     silent_until: Moment,
     has_released: bool,
     paused_until: Moment,
+    /// Counted from when this life began, so that no grant to an earlier one is taken for its own.
     ask_round: u64,
     asked_at: Moment,
     grants: BTreeSet<DiskId>,
@@ -311,7 +312,7 @@
             silent_until: if is_fresh { now } else { now + timing.lease },
             has_released: false,
             paused_until: now,
-            ask_round: 0,
+            ask_round: now.0,
             asked_at: Moment(0),
             grants: BTreeSet::new(),
             lease_due: Moment(0),
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -204,3 +204,30 @@
     }
     panic!("nobody may reply: {:?}", fellows.iter().map(Fellow::state).collect::<Vec<_>>());
 }
+
+/// A tail counts its lease from when it asked: a grant to an earlier life of its own is older than that.
+#[test]
+fn a_grant_to_an_earlier_life_of_the_tail_is_not_counted() {
+    let records = vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }];
+    let asked = |tail: &mut Fellow<Tally>, at: u64| {
+        let round = |output| match output {
+            Output::Send { note: Note::LeaseAsk { round, .. }, .. } => Some(round),
+            _ => None,
+        };
+        tail.step(Moment(at), Input::ClockEvent).into_iter().find_map(round).expect("it asks")
+    };
+    let mut tail = fellow(3, records.clone());
+    let earlier = asked(&mut tail, 10_500);
+    let founders = (1..=3).map(Address::loopback).collect();
+    let mut tail =
+        Fellow::new(voter(3), founders, Timing::default(), Kept { records }, Tally(0), Moment(13_000)).unwrap();
+    let round = asked(&mut tail, 13_500);
+    let grant_all = |tail: &mut Fellow<Tally>, round: u64| {
+        for n in 1..=3 {
+            tell(tail, 13_510, n, Note::LeaseGrant { view: ViewEpoch(1), round, disk: DiskId(u128::from(n)) });
+        }
+        tail.may_reply(Moment(13_510))
+    };
+    assert!(!grant_all(&mut tail, earlier));
+    assert!(grant_all(&mut tail, round));
+}
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -11,9 +11,12 @@
 
 impl Played {
     fn new() -> Self {
+        Played::of_life(7)
+    }
+    fn of_life(incarnation: u64) -> Self {
         let seeds = vec![Address::loopback(1)];
         let (timing, desk) = (NodeTiming::default(), DeskRules::default());
-        let node = Node::new(Address::loopback(9), "east".into(), seeds, 7, timing, desk, Moment(1_000_000));
+        let node = Node::new(Address::loopback(9), "east".into(), seeds, incarnation, timing, desk, Moment(1_000_000));
         Played { node, at: 1_000_000 }
     }
     fn step(&mut self, input: NodeInput) -> Vec<NodeOutput> {
@@ -25,6 +28,9 @@
     /// The core replies to the poll that is under way.
     fn lease(&mut self, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
         self.step(NodeInput::ClockEvent);
+        self.lease_of(self.node.poll_round, epoch, plan_epoch)
+    }
+    fn lease_of(&mut self, round: u64, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
         let reply = PollReply::Lease {
             span: Span(1500),
             epoch: Epoch(epoch),
@@ -34,7 +40,6 @@
             voters: vec![Address::loopback(1)],
             key: Some(KEY),
         };
-        let round = self.node.poll_round;
         self.tell(1, Letter::PollReply { round, reply })
     }
     fn plan(&mut self, epoch: u64) {
@@ -95,6 +100,44 @@
     }
 }
 
+/// A lease is reckoned from when this life asked, a trade from when it sent: what answers an earlier life
+/// is older than that.
+#[test]
+fn what_answers_an_earlier_life_is_neither_a_lease_nor_a_trade() {
+    let mut earlier = Played::of_life(1 << 40);
+    let mut played = Played::of_life(2 << 40);
+    earlier.lease(3, 2);
+    played.step(NodeInput::ClockEvent);
+    played.lease_of(earlier.node.poll_round, 3, 2);
+    played.plan(2);
+    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Unheard);
+    played.lease(3, 2);
+    played.plan(2);
+    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Leased);
+    let members = played.node.standing().members().to_vec();
+    for (echoes_earlier, reason) in [(true, StandingReason::Alone), (false, StandingReason::Together)] {
+        for _ in 0..40 {
+            played.at += 50;
+            earlier.at += 50;
+            played.step(NodeInput::ClockEvent);
+            earlier.step(NodeInput::ClockEvent);
+            let echo = if echoes_earlier { earlier.node.trade_round } else { played.node.trade_round };
+            let trade = Letter::Trade {
+                hall: "east".into(),
+                sketch: Sketch::default(),
+                epoch: Epoch(3),
+                plan_epoch: Epoch(2),
+                withdrawn: vec![],
+                members: members.clone(),
+                round: 1,
+                echo,
+            };
+            played.tell(8, trade);
+        }
+        assert_eq!(played.node.standing().reason(Moment(played.at)), reason);
+    }
+}
+
 #[test]
 fn an_order_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_roll() {
     let mut played = Played::new();
