--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -65,7 +65,8 @@
     },
     /// Someone here proposes a body; the answer comes as [`Output::Reply`] with this number.
     Propose {
-        /// The number.
+        /// The number. No other proposal of this machine may have it, nor one of an earlier life: replies
+        /// may come late.
         number: u64,
         /// The body.
         body: Vec<u8>,
@@ -204,6 +205,7 @@
     silent_until: Moment,
     has_released: bool,
     paused_until: Moment,
+    /// Counted from when this life began, so that no grant to an earlier one is taken for its own.
     ask_round: u64,
     asked_at: Moment,
     grants: BTreeSet<DiskId>,
@@ -313,7 +315,7 @@
             silent_until: if is_fresh { now } else { now + timing.lease },
             has_released: false,
             paused_until: now,
-            ask_round: 0,
+            ask_round: now.0,
             asked_at: Moment(0),
             grants: BTreeSet::new(),
             lease_due: Moment(0),
