--- a/crates/college/src/standing.rs
+++ b/crates/college/src/standing.rs
@@ -105,78 +105,45 @@
         if self.is_leased(now) {
             return StandingReason::Leased;
         }
-        if self.peers.iter().any(|(peer, p)| self.members.contains(peer) && p.epoch > self.epoch) {
+        if self.is_behind() {
             return StandingReason::Behind;
         }
-        let is_trading = |member: &&Address| {
-            **member == self.own
-                || self.peers.get(*member).is_some_and(|p| now < p.heard + self.trade_span && p.epoch == self.epoch)
-        };
-        let count = self.members.iter().filter(is_trading).count();
-        if count > 0 && count * 2 >= self.members.len() && self.members.contains(&self.own) {
-            StandingReason::Together
-        } else {
-            StandingReason::Alone
+        match self.together_until() {
+            Some(due) if now < due => StandingReason::Together,
+            _ => StandingReason::Alone,
         }
     }
 
-    /// Until when it may act if nothing more is heard; `None` if it may not now.
+    /// Until when it may act if nothing more is heard; `None` if it may not now. Trades that were made
+    /// before a lease lapses count from then on at once.
     pub fn may_act_until(&self, now: Moment) -> Option<Moment> {
         match self.reason(now) {
-            StandingReason::Leased => self.lease_due,
-            StandingReason::Together => {
-                let mut dues: Vec<Moment> = self
-                    .members
-                    .iter()
-                    .filter_map(|member| match self.peers.get(member) {
-                        _ if *member == self.own => Some(Moment(u64::MAX)),
-                        Some(peer) if peer.epoch == self.epoch => Some(peer.heard + self.trade_span),
-                        _ => None,
-                    })
-                    .collect();
-                dues.sort_by(|a, b| b.cmp(a));
-                dues.get(self.members.len().div_ceil(2).saturating_sub(1)).copied()
-            }
+            StandingReason::Leased if self.is_behind() => self.lease_due,
+            StandingReason::Leased => self.lease_due.max(self.together_until()),
+            StandingReason::Together => self.together_until(),
             _ => None,
         }
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
 
-    fn standing() -> Standing {
-        let members = (1..=4).map(Address::loopback).collect();
-        let mut standing = Standing::new(Address::loopback(1), Span(1000));
-        standing.lease(Moment(1500), Epoch(3), members);
-        standing
+    fn is_behind(&self) -> bool {
+        self.peers.iter().any(|(peer, p)| p.epoch > self.epoch && self.members.contains(peer))
     }
 
-    #[test]
-    fn one_cut_off_stops_when_its_lease_runs_out() {
-        let standing = standing();
-        assert_eq!(standing.reason(Moment(1499)), StandingReason::Leased);
-        assert_eq!(standing.reason(Moment(1500)), StandingReason::Alone);
-    }
-
-    #[test]
-    fn half_of_the_members_go_on_without_the_core_until_one_knows_more() {
-        let mut standing = standing();
-        standing.trade(Address::loopback(2), Epoch(3), Moment(1400));
-        assert_eq!(standing.reason(Moment(1600)), StandingReason::Together);
-        assert_eq!(standing.may_act_until(Moment(1600)), Some(Moment(2400)));
-        assert_eq!(standing.reason(Moment(2400)), StandingReason::Alone, "the trade is old");
-        standing.trade(Address::loopback(3), Epoch(4), Moment(2400));
-        assert_eq!(standing.reason(Moment(2500)), StandingReason::Behind);
-    }
-
-    #[test]
-    fn a_restarted_member_is_unheard_and_old_news_is_no_lease() {
-        let fresh = Standing::new(Address::loopback(1), Span(1000));
-        assert_eq!(fresh.reason(Moment(0)), StandingReason::Unheard);
-        let mut standing = standing();
-        standing.lease(Moment(9000), Epoch(2), vec![]);
-        assert_eq!((standing.epoch(), standing.is_leased(Moment(1500))), (Epoch(3), false));
+    /// Until when half of the members, itself among them, trade with it and know the same.
+    fn together_until(&self) -> Option<Moment> {
+        if !self.members.contains(&self.own) {
+            return None;
+        }
+        let due_of = |member: &Address| match self.peers.get(member) {
+            _ if *member == self.own => Some(Moment(u64::MAX)),
+            Some(peer) if peer.epoch == self.epoch => Some(peer.heard + self.trade_span),
+            _ => None,
+        };
+        let mut dues: Vec<Moment> = self.members.iter().filter_map(due_of).collect();
+        dues.sort_unstable_by(|a, b| b.cmp(a));
+        dues.get(self.members.len().div_ceil(2) - 1).copied()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -177,7 +177,15 @@
                 return;
             }
         };
-        for output in self.node.step(now, input) {
+        let outputs = self.node.step(now, input);
+        // Before anyone is told that an order is placed: they ask whether it may leave.
+        let tallies = &self.door.shared.tallies;
+        let until = self.node.may_act_until(now);
+        self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
+        self.door.is_ready.store(self.node.is_ready(now) && !self.is_leaving, Ordering::SeqCst);
+        tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
+        tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
+        for output in outputs {
             match output {
                 NodeOutput::Send { to, is_bulk, letter } => {
                     let class = match (is_bulk, letter.is_datagram()) {
@@ -211,12 +219,6 @@
                 NodeOutput::Log(line) => tracing::info!("{line}."),
             }
         }
-        let tallies = &self.door.shared.tallies;
-        let until = self.node.may_act_until(now);
-        self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
-        self.door.is_ready.store(self.node.is_ready(now) && !self.is_leaving, Ordering::SeqCst);
-        tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
-        tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
     }
 
     /// A large plan takes long to read; leases must not wait for it.
--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -182,6 +182,7 @@
     }
 
     /// A digest came.
+    #[allow(clippy::too_many_arguments)]
     pub fn on_digest(
         &mut self,
         now: Moment,
--- a/crates/primer/src/digest.rs
+++ b/crates/primer/src/digest.rs
@@ -160,7 +160,8 @@
     }
 
     fn bound(&mut self, hot: usize, held: usize) {
-        let kinds: [(usize, fn(&DigestKey) -> bool); 4] = [
+        type IsKind = fn(&DigestKey) -> bool;
+        let kinds: [(usize, IsKind); 4] = [
             (hot, |key| matches!(key, DigestKey::Hot(_))),
             (held, |key| matches!(key, DigestKey::Held(..))),
             (LOADS, |key| matches!(key, DigestKey::Load(_))),
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -52,7 +52,11 @@
 fn serves(fleet: &Fleet, number: &mut u32) -> bool {
     *number += 1;
     let petition = order(&format!("probe-{number}"), "questions", 2);
-    ask(&petition, &fleet.callers_addresses(), *number as usize).fate == Fate::Complete
+    let asked = ask(&petition, &fleet.callers_addresses(), *number as usize);
+    if asked.fate != Fate::Complete {
+        eprintln!("{}: {:?} {}", petition.id, asked.fate, asked.why);
+    }
+    asked.fate == Fate::Complete
 }
 
 #[test]
--- a/crates/wicket/src/post.rs
+++ b/crates/wicket/src/post.rs
@@ -46,10 +46,10 @@
         inbox: impl Fn(Address, Letter) + Send + Sync + Clone + 'static,
     ) -> io::Result<Post> {
         let own = Address(listener.local_addr()?);
-        // Datagrams come to the same port; they leave from another, without ever waiting.
+        // Datagrams come to the same port, and leave from it without waiting.
         let inbound = UdpSocket::bind(own.0)?;
-        let datagrams = UdpSocket::bind((own.0.ip(), 0))?;
-        datagrams.set_nonblocking(true)?;
+        let datagrams = inbound.try_clone()?;
+        datagrams.set_write_timeout(Some(Duration::from_millis(1)))?;
         let take_datagram = inbox.clone();
         std::thread::Builder::new().name("post-datagrams".into()).stack_size(LINE_STACK).spawn(move || {
             let mut buffer = [0u8; DATAGRAM_BOUND];
