--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -18,9 +18,6 @@
     Believes(flume::Sender<serde_json::Value>),
 }
 
-/// Lines kept of decisions and of events.
-const DECISIONS: usize = 10_000;
-const EVENTS: usize = 4_000;
 /// Between clock events, at most.
 const LONGEST_TICK: Span = Span(250);
 /// What may wait for the control thread; whoever brings more waits.
@@ -107,8 +104,8 @@
     let door = Arc::new(Door {
         shared: shared.clone(),
         is_ready: AtomicBool::new(false),
-        decisions: Journal::new(DECISIONS),
-        events: Journal::new(EVENTS),
+        decisions: Journal::new(settings.journal_lines as usize),
+        events: Journal::new(settings.journal_lines as usize),
         head: serde_json::to_string(&head).expect("a head is JSON"),
     });
     let (closer, open_count) = (gate.closer(), gate.open_count());
@@ -230,7 +227,19 @@
                 return;
             }
         };
-        for output in self.node.step(now, input) {
+        let outputs = self.node.step(now, input);
+        // Before anyone is told that an order is placed: they ask whether it may leave.
+        let tallies = &self.door.shared.tallies;
+        let until = self.node.may_act_until(now);
+        self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
+        let is_ready = self.node.is_ready(now) && !self.is_leaving;
+        self.door.is_ready.store(is_ready, Ordering::SeqCst);
+        self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
+        self.door.shared.members.store(self.node.standing().members().len(), Ordering::Relaxed);
+        self.door.shared.take_plan(self.node.plan());
+        tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
+        tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
+        for output in outputs {
             match output {
                 NodeOutput::Send { to, is_bulk, letter } => {
                     let class = match (is_bulk, letter.is_datagram()) {
@@ -264,16 +273,6 @@
                 NodeOutput::Log(line) => tracing::info!("{line}."),
             }
         }
-        let tallies = &self.door.shared.tallies;
-        let until = self.node.may_act_until(now);
-        self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
-        let is_ready = self.node.is_ready(now) && !self.is_leaving;
-        self.door.is_ready.store(is_ready, Ordering::SeqCst);
-        self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
-        self.door.shared.members.store(self.node.standing().members().len(), Ordering::Relaxed);
-        self.door.shared.take_plan(self.node.plan());
-        tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
-        tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
     }
 
     /// A large plan takes long to read; leases must not wait for it.
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -45,6 +45,9 @@
     /// Then streams may take this long to finish, in ms.
     #[setting(default = 60_000, validate = within(1, 3_600_000))]
     pub drain_ms: u64,
+    /// Decisions, and events, that are kept to be read back.
+    #[setting(default = 8000, validate = within(1, 1_000_000))]
+    pub journal_lines: u64,
     /// Whether sketches of other criers count.
     #[setting(default = true)]
     pub merge: bool,
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -28,10 +28,11 @@
     fn step(&mut self, after: u64, input: OfficeInput) -> Vec<Left> {
         self.at += after;
         let left = |output| match output {
+            OfficeOutput::Send { to, letter: Letter::Note { note }, .. } => match *note {
+                Note::Propose { ticket, .. } => Some(Left::Propose(to.0.port(), ticket.number)),
+                _ => None,
+            },
             OfficeOutput::Send { to, letter: Letter::Ask { number, .. }, .. } => Some(Left::Ask(to.0.port(), number)),
-            OfficeOutput::Send { to, letter: Letter::Note { note: Note::Propose { ticket, .. } }, .. } => {
-                Some(Left::Propose(to.0.port(), ticket.number))
-            }
             OfficeOutput::Reply { number, status, .. } => Some(Left::Reply(number, status)),
             _ => None,
         };
@@ -54,7 +55,7 @@
     fn reply(&mut self, from: u16, number: u64, is_replied: bool) -> Vec<Left> {
         let body = serde_json::json!({"code": ResultCode::Accepted.number(), "epoch": 1});
         let body = if is_replied { body.to_string().into_bytes() } else { vec![] };
-        let letter = Letter::Note { note: Note::Reply { number, is_replied, body } };
+        let letter = Letter::Note { note: Box::new(Note::Reply { number, is_replied, body }) };
         self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
     }
 }
