--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -76,6 +76,12 @@
     /// How long a server takes to read 16 tokens of a prompt, in microseconds, until it has been seen.
     #[setting(default = 2500, validate = within(1, 1_000_000))]
     pub block_micros: u64,
+    /// What reading a token that another server holds is held to cost, in percent of the time that it takes.
+    #[setting(default = 100, validate = within(0, 100_000))]
+    pub prefill_percent: u64,
+    /// Servers whose costs differ by no more than this are equal, in ms.
+    #[setting(default = 20, validate = within(0, 60_000))]
+    pub hysteresis_ms: u64,
     /// The fleet is taken to have at least so many members where cold servers are shared out.
     #[setting(default = 1, validate = within(1, 1_000_000))]
     pub members_least: u64,
@@ -100,6 +106,8 @@
             repeats_in_window: self.repeats_in_window as u32,
             zone_bias: Span(self.zone_bias_ms),
             block_micros: self.block_micros,
+            prefill_percent: self.prefill_percent as u32,
+            hysteresis: Span(self.hysteresis_ms),
             members_least: self.members_least as u32,
             report_life: Span(self.report_life_ms),
             lag_slack: Span(self.lag_slack_ms),
