Callers at a starting node wait unread; a leaving node lingers while callers come

Cause: after a closing fault every node refused 33 to 52 requests within the tenth of a second that it needs for its first lease, and a node told to stop refused 43 although the platform still sent callers there (under half of a zone was ready).

--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -43,6 +43,9 @@
     }
 }
 
+/// Told to stop, a node lingers at least this long, since callers are handed out by what was true before.
+const QUIET_FROM: Span = Span(2500);
+
 /// Runs a crier until it's told to stop and has finished its streams; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
     match start(settings, dialects) {
@@ -88,6 +91,7 @@
         plan: RwLock::default(),
         is_ready: AtomicBool::new(false),
         members: AtomicUsize::new(1),
+        arrived: AtomicU64::new(0),
     });
     let desk_sender = sender.clone();
     let tell_desk = move |event| drop(desk_sender.send(Event::Input(NodeInput::Event(event))));
@@ -132,7 +136,7 @@
         is_leaving: false,
     };
     let mut next_tick = Clock::now();
-    let (mut linger_due, mut drain_due) = (now, None);
+    let (mut linger_due, mut quiet_from, mut drain_due) = (now, now, None);
     loop {
         let now = Clock::now();
         if now >= next_tick {
@@ -142,12 +146,14 @@
                 control.is_leaving = true;
                 ingress.iter().for_each(Ingress::leave);
                 linger_due = now + Span(settings.linger_ms);
+                quiet_from = now + QUIET_FROM;
             }
             if has_changed.swap(false, Ordering::Relaxed) {
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
                 seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
             }
-            if control.is_leaving && now >= linger_due && drain_due.is_none() {
+            let has_none_left = ingress.is_some() && now >= quiet_from && shared.is_quiet(now);
+            if control.is_leaving && (now >= linger_due || has_none_left) && drain_due.is_none() {
                 tracing::info!("crier: takes no new work; finishes what is in hand.");
                 control.take(Event::Input(NodeInput::Drain));
                 drain_due = Some(now + Span(settings.drain_ms));
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -49,6 +49,7 @@
     /// Answers a caller's request.
     pub fn reply(self: &Arc<Self>, order: Order) -> Reply {
         let arrived = Clock::now();
+        self.shared.arrived.store(arrived.0, std::sync::atomic::Ordering::Relaxed);
         let caller = order.caller.clone();
         Tallies::more(&self.shared.tallies.received);
         let call = match self.dialect.read(order) {
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -16,6 +16,18 @@
 /// Connections of one node to one server, idle ones among them.
 const LINES_MOST: usize = 64;
 
+/// Callers who come while a node starts wait unread for this long at most: an unread request can go to another
+/// node without any doubt, and most nodes are ready within a tenth of a second.
+const START_PATIENCE: Span = Span(700);
+const START_LOOK: Span = Span(5);
+
+fn await_ready(shared: &Shared) {
+    let due = Clock::now() + START_PATIENCE;
+    while !shared.is_ready.load(Ordering::SeqCst) && Clock::now() < due {
+        std::thread::sleep(START_LOOK.duration());
+    }
+}
+
 impl Ingress {
     /// Opens the doors and begins to read the list of servers.
     pub fn open(
@@ -46,9 +58,13 @@
         });
         server_list::start(list, settings.list_rate, shared.clone(), dialect.clone(), tell)
             .map_err(|fault| fault.to_string())?;
+        let shared_by_gate = shared.clone();
         let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: dialect.clone(), lines });
         let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
-        let serve = move || gate.serve(move |order| forwarder.reply(order));
+        let serve = move || {
+            await_ready(&shared_by_gate);
+            gate.serve(move |order| forwarder.reply(order));
+        };
         std::thread::Builder::new().name("ingress".into()).spawn(serve).map_err(|fault| fault.to_string())?;
         let tell_ready = move |order: Order| match (dialect.is_probe(&order), shared.is_ready.load(Ordering::SeqCst)) {
             (true, true) => Reply::whole(200, "text/plain", "ready\n"),
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -18,6 +18,8 @@
     pub is_ready: AtomicBool,
     /// Members of the fleet.
     pub members: AtomicUsize,
+    /// When the last request came, as a moment.
+    pub arrived: AtomicU64,
 }
 
 /// A place among the orders in hand; given back when dropped, together with the order's id.
@@ -74,6 +76,10 @@
             *self.plan.write().expect("no thread panics with it") = Some(held);
         }
     }
+    /// Whether no request has come for a while.
+    pub fn is_quiet(&self, now: Moment) -> bool {
+        now.since(Moment(self.arrived.load(Ordering::Relaxed))) >= Span(1200)
+    }
     /// The routes in force here.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         self.plan.read().expect("no thread panics with it").as_ref().map(|held| held.1.clone())
