Only each zone's collector reads the list of servers and tells its members what changed

A pure state machine (ServerList) holds the list under a version, driven by the control thread; the reading thread only asks the platform. Members that hear no collector read within the fleet's rate; entries that only count down are no change; no older reading replaces a newer one, and after a sleep only what was read since counts. The inner protocol is 4.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -1,5 +1,5 @@
 use college::prelude::*;
-use primer::prelude::DigestChange;
+use primer::prelude::{DigestChange, RollEntry};
 
 messages! {
     /// A node of the data plane, as others see it.
@@ -51,6 +51,54 @@
         Fleet,
     }
 
+    /// Names a list of servers: whoever holds the same version holds the same entries.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub struct ListVersion {
+        /// The life of the node that first read it.
+        pub life: u64,
+        /// Grows by one with each list that this life found changed.
+        pub number: u64,
+    }
+
+    /// What a zone's collector holds of the platform's list of servers.
+    #[derive(Copy, Eq)]
+    pub struct ListState {
+        /// Which list.
+        pub version: ListVersion,
+        /// A hash of its entries, without how long they are cold.
+        pub check: u64,
+        /// How long all of them together are still cold.
+        pub cold: Span,
+        /// How long ago the reading began that it is from, or was last confirmed by.
+        pub age: Span,
+    }
+
+    /// What makes a list of servers of the one before.
+    #[derive(Eq)]
+    pub struct ListChange {
+        /// The list that comes of it.
+        pub state: ListState,
+        /// The one before.
+        pub base: ListVersion,
+        /// Entries that are new or have changed.
+        pub set: Vec<RollEntry>,
+        /// Servers that are listed no more.
+        pub gone: Vec<ServerName>,
+    }
+
+    /// A piece of a list of servers.
+    #[derive(Eq)]
+    pub struct ListPiece {
+        /// The list.
+        pub state: ListState,
+        /// From this entry on.
+        pub offset: u32,
+        /// Entries of the whole.
+        pub length: u32,
+        /// They.
+        pub entries: Vec<RollEntry>,
+    }
+
     /// What the core answers to a poll.
     pub enum PollReply {
         /// Ask that one; these are the core's machines.
@@ -194,6 +242,28 @@
             /// The newest number that was had; zero: none that can be gone on from, it must come whole.
             number: u64,
         },
+        /// From a zone's collector to its members: the list of servers is still this one.
+        ListFresh {
+            /// What it is.
+            state: ListState,
+        },
+        /// From a zone's collector to its members: the list of servers has changed.
+        ListChange {
+            /// How.
+            change: Box<ListChange>,
+        },
+        /// Asks a zone's collector for its whole list of servers, piece by piece.
+        ListAsk {
+            /// The version that the asker has begun to take.
+            version: ListVersion,
+            /// From this entry on.
+            offset: u32,
+        },
+        /// The answer.
+        ListPiece {
+            /// It; from the beginning if the version is another by now.
+            piece: Box<ListPiece>,
+        },
         /// Between registrars: something to be read at the tail.
         Ask {
             /// The asker's number, which no other question or proposal of its has in all its lives.
@@ -221,7 +291,7 @@
 impl Letter {
     /// Whether it's small, goes to many at once, and is asked for again when lost.
     pub fn is_datagram(&self) -> bool {
-        matches!(self, Letter::TradeAsk { .. } | Letter::TradeReply { .. })
+        matches!(self, Letter::TradeAsk { .. } | Letter::TradeReply { .. } | Letter::ListFresh { .. })
     }
     /// The piece of a plan from this byte on; `None` beyond its end.
     pub fn plan_piece(epoch: Epoch, plan: &[u8], offset: u64) -> Option<Letter> {
--- a/crates/circular/src/lib.rs
+++ b/crates/circular/src/lib.rs
@@ -5,6 +5,9 @@
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::letter::{DigestLeg, Letter, Member, News, Poll, PollReply, Reading, SPLICE_MOST};
+    pub use crate::letter::{
+        DigestLeg, Letter, ListChange, ListPiece, ListState, ListVersion, Member, News, Poll, PollReply, Reading,
+        SPLICE_MOST,
+    };
     pub use crate::seal::{PROTOCOL, SealFault, open, seal};
 }
--- a/crates/circular/src/seal.rs
+++ b/crates/circular/src/seal.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read};
 
 /// The version of the inner protocol that this build speaks.
-pub const PROTOCOL: u16 = 3;
+pub const PROTOCOL: u16 = 4;
 
 const MAGIC: [u8; 4] = *b"cbfl";
 const HEAD: usize = 28;
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -1,12 +1,13 @@
 use crate::carrier::{fetch, resume, take_order};
 use crate::ingress::Ingress;
+use crate::list_reader;
 use crate::poller;
 use crate::prelude::*;
 use crate::replay::ReplayHead;
 use crate::shared::Shared;
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
@@ -76,7 +77,7 @@
     let head = ReplayHead { own: inner, incarnation, desk_rules: desk_rules.clone() };
     let now = Clock::now();
     let hall = HallName::from(settings.hall.as_str());
-    let node = Node::new(inner, hall, seeds, incarnation, NodeTiming::default(), desk_rules, now);
+    let mut node = Node::new(inner, hall, seeds, incarnation, NodeTiming::default(), desk_rules, now);
     let shared = Arc::new(Shared {
         control: sender.clone(),
         may_act_until: AtomicU64::new(0),
@@ -87,16 +88,22 @@
         stall: Span(settings.stall_ms),
         plan: RwLock::default(),
         is_ready: AtomicBool::new(false),
-        members: AtomicUsize::new(1),
     });
-    let desk_sender = sender.clone();
-    let tell_desk = move |event| drop(desk_sender.send(Event::Input(NodeInput::Event(event))));
     let has_calls = dialects.calls.is_some();
-    let ingress = match dialects.calls {
-        Some(dialect) => Some(Ingress::open(settings, shared.clone(), dialect, tell_desk)?),
+    let (ingress, list) = match dialects.calls {
+        Some(dialect) => {
+            let ingress = Ingress::open(settings, shared.clone(), dialect.clone())?;
+            node = node.reading_list(settings.list_timing());
+            let (platform, control) = (settings.platform.parse()?, sender.clone());
+            let tell = move |reading| drop(control.send(Event::Input(NodeInput::List(reading))));
+            let list = list_reader::start(platform, dialect, tell).map_err(|fault| fault.to_string())?;
+            (Some(ingress), Some(list))
+        }
         None => {
+            let control = sender.clone();
+            let tell_desk = move |event| drop(control.send(Event::Input(NodeInput::Event(event))));
             poller::start(settings.platform.clone(), tell_desk).map_err(|fault| fault.to_string())?;
-            None
+            (None, None)
         }
     };
     let kv = start_kv(&sender).map_err(|fault| fault.to_string())?;
@@ -126,6 +133,7 @@
         post,
         door,
         kv,
+        list,
         plans: dialects.plans,
         waiting: HashMap::new(),
         resuming: HashMap::new(),
@@ -191,6 +199,8 @@
     post: Post,
     door: Arc<Door>,
     kv: flume::Sender<KvTask>,
+    /// Has the platform's list read.
+    list: Option<flume::Sender<()>>,
     plans: Arc<dyn PlanDialect>,
     waiting: HashMap<u64, flume::Sender<Result<Placing, Denial>>>,
     resuming: HashMap<u64, flume::Sender<Result<Token, Denial>>>,
@@ -235,7 +245,6 @@
         let is_ready = self.node.is_ready(now) && !self.is_leaving;
         self.door.is_ready.store(is_ready, Ordering::SeqCst);
         self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
-        self.door.shared.members.store(self.node.standing().members().len(), Ordering::Relaxed);
         self.door.shared.take_plan(self.node.plan());
         tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
@@ -266,6 +275,12 @@
                         tracing::warn!("kv: too many orders wait; one is dropped.");
                     }
                 }
+                NodeOutput::ReadList => {
+                    // Full: it is being read.
+                    if let Some(list) = &self.list {
+                        let _ = list.try_send(());
+                    }
+                }
                 NodeOutput::Event(dated) => {
                     self.door.events.add(|_| serde_json::to_string(&dated).expect("an event is JSON"));
                 }
--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -160,6 +160,16 @@
         members.iter().find(is_trusted).or(members.first()).copied()
     }
 
+    /// The members of a zone.
+    pub fn zone(&self, hall: &HallName) -> Option<&BTreeSet<Address>> {
+        self.zones.get(hall)
+    }
+
+    /// A node does not do what collectors do: another is to be one for a while.
+    pub fn suspect(&mut self, member: Address) {
+        self.suspects.insert(member, self.now + self.timing.suspicion);
+    }
+
     /// How many nodes report here.
     pub fn reporters(&self) -> usize {
         self.incoming.keys().filter(|(leg, _)| *leg == DigestLeg::Report).count()
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use crate::forward::Forwarder;
 use crate::prelude::*;
-use crate::server_list;
 use crate::shared::Shared;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,16 +16,10 @@
 const LINES_MOST: usize = 64;
 
 impl Ingress {
-    /// Opens the doors and begins to read the list of servers.
-    pub fn open(
-        settings: &Settings,
-        shared: Arc<Shared>,
-        dialect: Arc<dyn CallDialect>,
-        tell: impl Fn(Event) + Send + 'static,
-    ) -> Result<Ingress, String> {
+    /// Opens the doors.
+    pub fn open(settings: &Settings, shared: Arc<Shared>, dialect: Arc<dyn CallDialect>) -> Result<Ingress, String> {
         let listen: Address = settings.ingress.parse()?;
         let probed: Address = settings.readiness.parse()?;
-        let list: Address = settings.platform.parse()?;
         let bounds = GateBounds {
             connections: settings.orders as usize * 2 + 64,
             body_bytes: 8 << 20,
@@ -44,8 +37,6 @@
             idle_per_address: LINES_MOST / 2,
             idle_span: Span::seconds(20),
         });
-        server_list::start(list, settings.list_rate, shared.clone(), dialect.clone(), tell)
-            .map_err(|fault| fault.to_string())?;
         let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: dialect.clone(), lines });
         let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
         let serve = move || gate.serve(move |order| forwarder.reply(order));
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod ingress;
 mod journal;
+mod list_reader;
 mod node;
 mod piece_reader;
 mod poller;
@@ -35,6 +36,7 @@
     pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, Placing, resume_id};
     pub use crate::piece_reader::{Passed, PieceReader};
     pub use crate::replay::replay;
+    pub use crate::server_list::{ListOutput, ListPeers, ListReading, ListTiming, ServerList};
     pub use crate::settings::Settings;
     pub use crate::token::{Token, run_id};
     pub use crate::wire::{CallerOrder, ResumeOrder, RollReport, RunOrder, RunPiece, ServerReport};
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -109,6 +109,8 @@
         /// As bytes.
         bytes: Arc<Vec<u8>>,
     },
+    /// The platform's list was read, as asked for by [`NodeOutput::ReadList`].
+    List(ListReading),
     /// Time has passed.
     ClockEvent,
     /// The process is to stop: no new work.
@@ -199,6 +201,8 @@
         /// It.
         bytes: Arc<Vec<u8>>,
     },
+    /// Read the platform's list of servers, on another thread, and say [`NodeInput::List`].
+    ReadList,
     /// Order servers to copy or drop KV.
     Kv(KvTask),
     /// For the journal of events.
@@ -218,6 +222,7 @@
 pub struct Node {
     own: Address,
     hall: HallName,
+    incarnation: u64,
     timing: NodeTiming,
     now: Moment,
     standing: Standing,
@@ -248,6 +253,8 @@
     next_tick: Moment,
     last_event: Moment,
     has_roll: bool,
+    /// How the platform's list is known, unless it comes as [`Event::Roll`].
+    server_list: Option<ServerList>,
     /// Where the listed servers are reached whose names are not their addresses.
     addresses: BTreeMap<ServerName, String>,
     roll_awaited_until: Option<Moment>,
@@ -291,6 +298,7 @@
         Node {
             own,
             hall: hall.clone(),
+            incarnation,
             timing,
             now,
             standing: Standing::new(own, timing.trade_life),
@@ -319,6 +327,7 @@
             next_tick: now,
             last_event: now,
             has_roll: false,
+            server_list: None,
             addresses: BTreeMap::new(),
             roll_awaited_until: None,
             is_draining: false,
@@ -331,22 +340,23 @@
         }
     }
 
+    /// This node reads the platform's list, or is told it by its zone's collector.
+    pub fn reading_list(self, timing: ListTiming) -> Self {
+        let server_list = Some(ServerList::new(self.own, self.incarnation, timing, self.now));
+        Node { server_list, ..self }
+    }
+
     /// Takes an input in; gives what is to be done.
     pub fn step(&mut self, now: Moment, input: NodeInput) -> Vec<NodeOutput> {
         self.now = self.now.max(now);
         match input {
             NodeInput::Letter { from, letter } => self.on_letter(from, letter),
-            NodeInput::Event(event) => {
-                if let Event::Roll { servers } = &event {
-                    self.has_roll = true;
-                    self.addresses = servers
-                        .iter()
-                        .filter_map(|entry| Some((entry.server.clone(), entry.address.clone()?)))
-                        .collect();
-                    self.roll_awaited_until = None;
-                }
-                self.tell_desk(event);
+            NodeInput::Event(Event::Roll { servers }) => {
+                self.roll_awaited_until = None;
+                self.take_roll(servers);
             }
+            NodeInput::Event(event) => self.tell_desk(event),
+            NodeInput::List(reading) => self.step_list(|list, now, _| list.on_reading(now, reading)),
             NodeInput::Seeds(seeds) => self.seeds = seeds,
             NodeInput::Place(ask) => {
                 let number = ask.number;
@@ -426,6 +436,37 @@
         self.outputs.push(NodeOutput::Send { to, is_bulk, letter });
     }
 
+    fn take_roll(&mut self, servers: Vec<RollEntry>) {
+        self.has_roll = true;
+        self.addresses =
+            servers.iter().filter_map(|entry| Some((entry.server.clone(), entry.address.clone()?))).collect();
+        self.tell_desk(Event::Roll { servers });
+    }
+
+    fn step_list(&mut self, step: impl FnOnce(&mut ServerList, Moment, ListPeers) -> Vec<ListOutput>) {
+        let Some(list) = &mut self.server_list else { return };
+        let zone = self.dissemination.zone(&self.hall);
+        let collector = self.dissemination.collector(&self.hall);
+        let peers = ListPeers { zone, collector, fleet: self.members.len() };
+        let outputs = step(list, self.now, peers);
+        if list.is_known() {
+            self.roll_awaited_until = None;
+        }
+        for output in outputs {
+            match output {
+                ListOutput::Read => self.outputs.push(NodeOutput::ReadList),
+                ListOutput::Send { to, letter } => self.send(to, letter),
+                ListOutput::Servers(servers) => self.take_roll(servers),
+                ListOutput::Unheard(collector) => {
+                    // One that is there and can't read the list collects digests all the same.
+                    if self.heard.get(&collector).is_none_or(|at| self.now.since(*at) >= HEARD_FOR) {
+                        self.dissemination.suspect(collector);
+                    }
+                }
+            }
+        }
+    }
+
     fn tell_desk(&mut self, event: Event) {
         let dated = Dated { at: self.now, event };
         self.outputs.push(NodeOutput::Event(dated.clone()));
@@ -554,6 +595,7 @@
             self.outputs.push(NodeOutput::Log("node: the machine slept; the roll is read anew".into()));
         }
         self.last_event = self.now;
+        self.step_list(ServerList::on_clock);
         self.poll();
         self.trade();
         if self.now >= self.next_tick {
@@ -578,7 +620,8 @@
             Some(due) => (due - self.timing.trade_from).max(self.next_trade),
             None => self.next_tick,
         };
-        poll.min(trade).min(self.next_tick)
+        let list = self.server_list.as_ref().map_or(self.next_tick, ServerList::next_due);
+        poll.min(trade).min(list).min(self.next_tick)
     }
 
     fn send_digests(&mut self, letters: Vec<(Address, Letter)>) {
@@ -682,6 +725,10 @@
                 let letters = self.dissemination.on_ack(self.now, from, leg, number);
                 self.send_digests(letters);
             }
+            Letter::ListFresh { .. }
+            | Letter::ListChange { .. }
+            | Letter::ListAsk { .. }
+            | Letter::ListPiece { .. } => self.step_list(|list, now, _| list.on_letter(now, from, &letter)),
             Letter::Note { .. } | Letter::Poll { .. } | Letter::Ask { .. } | Letter::Told { .. } => {}
         }
     }
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -1,3 +1,4 @@
+use crate::prelude::{ListTiming, Span};
 use layout::prelude::*;
 use primer::prelude::DeskRules;
 use schematic::Config;
@@ -29,6 +30,12 @@
     /// Calls a second that the platform's list bears from the whole fleet.
     #[setting(default = 50, validate = within(1, 1_000_000))]
     pub list_rate: u64,
+    /// Between readings of the platform's list by one node, in ms.
+    #[setting(default = 1000, validate = within(100, 60_000))]
+    pub list_ms: u64,
+    /// A node that has not heard for this long what its zone's collector reads there reads it itself, in ms.
+    #[setting(default = 2000, validate = within(100, 60_000))]
+    pub list_silence_ms: u64,
     /// Orders in hand at most; more are refused at once.
     #[setting(default = 400, validate = within(1, 1_000_000))]
     pub orders: u64,
@@ -88,6 +95,15 @@
 }
 
 impl Settings {
+    /// What of them the list of servers is read by.
+    pub fn list_timing(&self) -> ListTiming {
+        ListTiming {
+            period: Span(self.list_ms),
+            silence: Span(self.list_silence_ms),
+            rate: self.list_rate,
+            ..ListTiming::default()
+        }
+    }
     /// What of them the desk goes by.
     pub fn desk_rules(&self) -> DeskRules {
         DeskRules {
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
@@ -16,8 +16,6 @@
     pub plan: RwLock<Option<(Arc<Plan>, Arc<RouteTable>)>>,
     /// Whether callers should be sent here.
     pub is_ready: AtomicBool,
-    /// Members of the fleet.
-    pub members: AtomicUsize,
 }
 
 /// A place among the orders in hand; given back when dropped, together with the order's id.
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -276,7 +276,11 @@
                 }
             }
         }
-        // One that is gone from the list and has nothing in hand is forgotten, and comes back fresh.
+        self.forget_unlisted();
+    }
+
+    /// One that is gone from the list and has nothing in hand is forgotten, and comes back fresh.
+    fn forget_unlisted(&mut self) {
         self.servers.retain(|_, server| server.is_listed || server.own > 0);
     }
 
--- a/crates/primer/src/desk/warming.rs
+++ b/crates/primer/src/desk/warming.rs
@@ -33,6 +33,7 @@
         self.cool(now);
         let life = Span(self.desk_rules.sketch_life.0 * 4);
         self.peers.retain(|_, peer| now.since(peer.heard) < life);
+        self.forget_unlisted();
     }
 
     /// Nobody tells that an import is done: after a while it's assumed, and first-token times may
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -1,26 +1,28 @@
 use crate::prelude::*;
 
-/// One server in the platform's list.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RollEntry {
-    /// The server, by its address, or by the name of its life where the list has one.
-    pub server: ServerName,
-    /// Where it's reached, if its name isn't its address.
-    #[serde(default)]
-    pub address: Option<String>,
-    /// Requests that it runs at once, if the list tells.
-    #[serde(default)]
-    pub slots: Option<u32>,
-    /// How much longer it is cold, if the list tells.
-    #[serde(default)]
-    pub cold_left: Option<Span>,
-    /// Its zone.
-    pub hall: HallName,
-    /// Its pool, such as `model` or `app`.
-    pub pool: String,
-    /// Whether it's leaving.
-    #[serde(default)]
-    pub is_leaving: bool,
+messages! {
+    /// One server in the platform's list.
+    #[derive(Default, Eq, Serialize, Deserialize)]
+    pub struct RollEntry {
+        /// The server, by its address, or by the name of its life where the list has one.
+        pub server: ServerName,
+        /// Where it's reached, if its name isn't its address.
+        #[serde(default)]
+        pub address: Option<String>,
+        /// Requests that it runs at once, if the list tells.
+        #[serde(default)]
+        pub slots: Option<u32>,
+        /// How much longer it is cold, if the list tells.
+        #[serde(default)]
+        pub cold_left: Option<Span>,
+        /// Its zone.
+        pub hall: HallName,
+        /// Its pool, such as `model` or `app`.
+        pub pool: String,
+        /// Whether it's leaving.
+        #[serde(default)]
+        pub is_leaving: bool,
+    }
 }
 
 /// What a request asks of a server, as far as its caller tells. All zero: nothing is told.
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -319,7 +319,11 @@
             | Letter::TradeAsk { .. }
             | Letter::TradeReply { .. }
             | Letter::Digest { .. }
-            | Letter::DigestAck { .. } => {}
+            | Letter::DigestAck { .. }
+            | Letter::ListFresh { .. }
+            | Letter::ListChange { .. }
+            | Letter::ListAsk { .. }
+            | Letter::ListPiece { .. } => {}
         }
     }
 
