--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -350,7 +350,8 @@
                 }
                 NodeOutput::Kv(task) => self.on_kv(machine, task),
                 NodeOutput::Place { .. } | NodeOutput::Resume { .. } => places.push(output),
-                NodeOutput::Event(_) | NodeOutput::Log(_) => {}
+                // These nodes are given the list.
+                NodeOutput::ReadList | NodeOutput::Event(_) | NodeOutput::Log(_) => {}
             }
         }
         places
