--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -356,3 +356,30 @@
     played.step(NodeInput::Close { order: resume_id(1), number: 1, may_have_run: false });
     assert!(played.node.is_drained());
 }
+
+/// After a sleep the list may be another: nothing is placed until it was read anew.
+#[test]
+fn a_node_that_reads_the_list_places_nothing_after_a_sleep_until_it_has_read_it_anew() {
+    let reading = |asked: u64| {
+        let entry =
+            RollEntry { server: "s0".into(), hall: "east".into(), pool: "model".into(), ..RollEntry::default() };
+        NodeInput::List(ListReading { asked: Moment(asked), calls: 1, servers: Some(vec![entry]) })
+    };
+    let reads = |outputs: Vec<NodeOutput>| outputs.contains(&NodeOutput::ReadList);
+    let mut played = Played::new();
+    played.node = played.node.reading_list(ListTiming::default());
+    assert!(reads(played.step(NodeInput::ClockEvent)));
+    played.lease(3, 2);
+    played.plan(2);
+    assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no list");
+    played.step(reading(played.at));
+    assert!(played.place(1, "a", "drafts").is_ok());
+    let asked = played.at;
+    played.at += 5000;
+    assert!(reads(played.step(NodeInput::ClockEvent)));
+    played.lease(3, 2);
+    played.step(reading(asked));
+    assert_eq!(played.place(2, "b", "drafts").err(), Some(ResultCode::NotReady), "read before the sleep");
+    played.step(reading(played.at));
+    assert!(played.place(2, "b", "drafts").is_ok());
+}
--- a/crates/crier/src/server_list/tests.rs
+++ b/crates/crier/src/server_list/tests.rs
@@ -391,3 +391,25 @@
     zone.run(2000);
     assert_eq!(zone.calls_in(10_000), 10);
 }
+
+/// However long a piece was under way: it tells what was known before it was asked for.
+#[test]
+fn a_piece_that_comes_late_takes_nobody_back() {
+    let mut zone = Zone::new(3);
+    zone.run(5000);
+    let mut member = zone.nodes[&node(3)].clone();
+    let mut other = zone.nodes[&node(1)].state();
+    other.version.number += 1;
+    other.check += 1;
+    (other.age, zone.now) = (Span(0), zone.now + 300);
+    let asks = member.on_letter(Moment(zone.now), node(1), &Letter::ListFresh { state: other });
+    assert!(matches!(asks[..], [ListOutput::Send { letter: Letter::ListAsk { .. }, .. }]), "{asks:?}");
+    // Meanwhile it reads the list itself.
+    let asked = Moment(zone.now + 400);
+    member.on_reading(asked, ListReading { asked, calls: 1, servers: Some(zone.listed()) });
+    let entries = BTreeMap::new();
+    let state = ListState { check: check_of(&entries), cold: Span(0), ..other };
+    let late = Letter::ListPiece { piece: Box::new(ListPiece { state, offset: 0, length: 0, entries: vec![] }) };
+    assert_eq!(member.on_letter(Moment(zone.now + 500), node(1), &late), vec![]);
+    assert_eq!((member.servers().len(), member.read_at()), (40, Some(asked)));
+}
