--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -36,8 +36,10 @@
         pub plan_epoch: Epoch,
         /// Zones that are withdrawn.
         pub withdrawn: Vec<HallName>,
-        /// The members.
-        pub members: Vec<Member>,
+        /// The members; left out for one that knows them, as all do who have an epoch from `members_since` on.
+        pub members: Option<Vec<Member>>,
+        /// The epoch at which the members last changed.
+        pub members_since: Epoch,
     }
 
     /// Which way a digest goes.
--- a/crates/circular/src/seal.rs
+++ b/crates/circular/src/seal.rs
@@ -7,6 +7,8 @@
 
 const MAGIC: [u8; 4] = *b"cbfl";
 const HEAD: usize = 28;
+/// Memory grows by so much at a time as bytes come.
+const CHUNK: usize = 64 << 10;
 /// The longest letter.
 const BOUND: usize = 80 << 20;
 
@@ -76,11 +78,10 @@
         return Err(SealFault::Bad(format!("a snapshot of {length} bytes is over the bound")));
     }
     let mut body = rkyv::util::AlignedVec::<16>::new();
-    let mut chunk = [0u8; 64 << 10];
     while body.len() < length {
-        let room = chunk.len().min(length - body.len());
-        reader.read_exact(&mut chunk[..room])?;
-        body.extend_from_slice(&chunk[..room]);
+        let have = body.len();
+        body.resize(have + CHUNK.min(length - have), 0);
+        reader.read_exact(&mut body[have..])?;
     }
     if crc32fast::hash(&body) != word(20) {
         return Err(SealFault::Bad("a snapshot's body fails its check".into()));
--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -5,7 +5,7 @@
 /// The spans that digests go by.
 #[derive(Debug, Clone, Copy)]
 pub struct DigestTiming {
-    /// Between two letters on a leg, at least.
+    /// Between two letters on a leg, at least; what changes after a quiet while leaves at once.
     pub pause: Span,
     /// And so many bytes a millisecond at most.
     pub bytes_a_ms: u64,
@@ -22,7 +22,7 @@
 impl Default for DigestTiming {
     fn default() -> Self {
         DigestTiming {
-            pause: Span(250),
+            pause: Span(500),
             bytes_a_ms: 4,
             refresh: Span(1000),
             life: Span(3000),
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -709,7 +709,8 @@
     fn news(&self) -> Option<News> {
         self.standing.lease_due()?;
         let (epoch, plan_epoch) = (self.standing.epoch(), self.plan_epoch);
-        Some(News { epoch, plan_epoch, withdrawn: self.withdrawn.clone(), members: self.members.clone() })
+        let (withdrawn, members) = (self.withdrawn.clone(), Some(self.members.clone()));
+        Some(News { epoch, plan_epoch, withdrawn, members, members_since: epoch })
     }
 
     /// Asks a peer that knows more, once in a while.
@@ -721,10 +722,22 @@
         }
     }
 
-    fn on_news(&mut self, from: Address, news: News, lease_due: Option<Moment>) {
+    fn on_news(&mut self, from: Address, mut news: News, lease_due: Option<Moment>) {
         if news.epoch < self.standing.epoch() {
             return;
         }
+        if news.members.is_none() {
+            let under_way = self.fetching.as_ref().filter(|fetching| fetching.news.epoch >= news.members_since);
+            news.members = match under_way {
+                Some(fetching) => fetching.news.members.clone(),
+                None if self.standing.epoch() >= news.members_since => Some(self.members.clone()),
+                // Earlier news was lost on the way.
+                None => {
+                    self.next_poll = self.now;
+                    return self.poll();
+                }
+            };
+        }
         if news.plan_epoch == self.plan_epoch {
             return self.take_up(news, lease_due);
         }
@@ -812,8 +825,10 @@
     /// News is whole here: it's in force.
     fn take_up(&mut self, news: News, lease_due: Option<Moment>) {
         let is_newer = news.epoch > self.standing.epoch();
-        let has_other_members = news.members != self.members;
-        let members: Vec<Address> = news.members.iter().map(|member| member.address).collect();
+        // Filled in when it came.
+        let roster = news.members.unwrap_or_default();
+        let has_other_members = roster != self.members;
+        let members: Vec<Address> = roster.iter().map(|member| member.address).collect();
         match lease_due {
             Some(due) => self.standing.lease(due, news.epoch, members.clone()),
             None => self.standing.learn(news.epoch, members.clone()),
@@ -828,8 +843,8 @@
             self.poll();
         }
         if has_other_members {
-            self.dissemination.set_members(&news.members);
-            self.members = news.members;
+            self.dissemination.set_members(&roster);
+            self.members = roster;
             self.tell_desk(Event::Members { members });
         }
     }
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -97,8 +97,23 @@
 
 fn news(epoch: u64, plan_epoch: u64, withdrawn: Vec<HallName>) -> News {
     let member = |port| Member { address: Address::loopback(port), hall: "east".into() };
-    let members = [9, 8, 7].map(member).to_vec();
-    News { epoch: Epoch(epoch), plan_epoch: Epoch(plan_epoch), withdrawn, members }
+    let members = Some([9, 8, 7].map(member).to_vec());
+    let members_since = Epoch(1);
+    News { epoch: Epoch(epoch), plan_epoch: Epoch(plan_epoch), withdrawn, members, members_since }
+}
+
+#[test]
+fn news_without_members_counts_only_where_the_members_are_known() {
+    let mut played = Played::serving();
+    let brief = |epoch: u64, since: u64| {
+        let (members, members_since) = (None, Epoch(since));
+        Letter::News { news: Box::new(News { members, members_since, ..news(epoch, 2, vec!["east".into()]) }) }
+    };
+    played.tell(1, brief(4, 3));
+    assert_eq!((played.node.epoch(), played.node.standing().members().len()), (Epoch(4), 3));
+    played.tell(1, brief(6, 5));
+    assert_eq!(played.node.epoch(), Epoch(4), "the roster of epoch 5 never came");
+    assert!(played.node.polled.is_some(), "the core is asked for it");
 }
 
 #[test]
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -327,7 +327,7 @@
         let reply = PollReply::Lease {
             span: self.timing.lease,
             epoch: ledger.epoch,
-            news: (poll.epoch < ledger.epoch).then(|| self.news()),
+            news: (poll.epoch < ledger.epoch).then(|| self.news(poll.epoch)),
             view,
             voters: if poll.view == view { vec![] } else { self.voters() },
             key: ledger.key.filter(|_| !poll.has_key),
@@ -335,14 +335,17 @@
         self.send(to, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
     }
 
-    fn news(&self) -> News {
+    /// For one that has this epoch.
+    fn news(&self, has: Epoch) -> News {
         let ledger = self.fellow.charge();
+        let members_since = ledger.roster.since;
         let member = |(address, hall): &(Address, HallName)| Member { address: *address, hall: hall.clone() };
         News {
             epoch: ledger.epoch,
             plan_epoch: ledger.plan_epoch,
             withdrawn: ledger.withdrawn.clone(),
-            members: ledger.member_halls.iter().map(member).collect(),
+            members: (has < members_since).then(|| ledger.member_halls.iter().map(member).collect()),
+            members_since,
         }
     }
 
@@ -355,10 +358,16 @@
         let (epoch, now) = (self.fellow.charge().epoch, self.now);
         let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.due;
         if self.subscribers.values().any(is_behind) && self.may_reply() {
-            let news = self.news();
-            let behind: Vec<Address> =
-                self.subscribers.iter().filter(|(_, subscriber)| is_behind(subscriber)).map(|(m, _)| *m).collect();
-            for member in behind {
+            let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
+            let since = whole.members_since;
+            let behind: Vec<(Address, bool)> = self
+                .subscribers
+                .iter()
+                .filter(|(_, subscriber)| is_behind(subscriber))
+                .map(|(member, subscriber)| (*member, subscriber.told < since))
+                .collect();
+            for (member, wants_roster) in behind {
+                let news = if wants_roster { &whole } else { &brief };
                 self.subscribers.entry(member).and_modify(|subscriber| subscriber.told = epoch);
                 self.send(member, Letter::News { news: Box::new(news.clone()) });
             }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -100,6 +100,10 @@
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
+    /// Its process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
     /// Kills it at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- /dev/null
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -0,0 +1,312 @@
+//! A process with many hollow nodes: one thread owns them all.
+
+use super::{HollowRules, HostOrder, HostWord};
+use crate::prelude::*;
+use circular::prelude::Letter;
+use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind, run_id};
+use primer::prelude::{DeskRules, Event, Outcome, mix};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::{BufRead, Write};
+use std::net::TcpListener;
+
+enum Input {
+    Letter(usize, Address, Letter),
+    Order(HostOrder),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival(usize),
+    First(usize, OrderId),
+    End(usize, OrderId, u64),
+}
+
+struct HollowNode {
+    address: Address,
+    node: Option<Node>,
+    post: Post,
+    epoch: Epoch,
+}
+
+struct Host {
+    rules: HollowRules,
+    seeds: Vec<Address>,
+    nodes: Vec<HollowNode>,
+    inputs: flume::Sender<Input>,
+    dues: BinaryHeap<Reverse<(Moment, Due)>>,
+    random: u64,
+    number: u64,
+    replaced: u32,
+    is_loaded: bool,
+    placed: u64,
+    refused: u64,
+}
+
+/// Takes orders from standard input until it ends.
+pub fn serve() -> Result<(), String> {
+    let (inputs, events) = flume::bounded::<Input>(65_536);
+    let read_orders = inputs.clone();
+    std::thread::Builder::new()
+        .name("orders".into())
+        .spawn(move || {
+            for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+                match serde_json::from_str(&line) {
+                    Ok(order) => drop(read_orders.send(Input::Order(order))),
+                    Err(fault) => eprintln!("hollow-host: {fault}"),
+                }
+            }
+            // Whoever drives this process is gone.
+            std::process::exit(0);
+        })
+        .map_err(|fault| fault.to_string())?;
+    let Ok(Input::Order(HostOrder::Begin { rules, nodes, seeds })) = events.recv() else {
+        return Err("the first order must tell the nodes".into());
+    };
+    let random = mix(rules.seed ^ u64::from(std::process::id()));
+    let mut host = Host {
+        rules,
+        seeds,
+        nodes: vec![],
+        inputs,
+        dues: BinaryHeap::new(),
+        random,
+        number: 0,
+        replaced: 0,
+        is_loaded: false,
+        placed: 0,
+        refused: 0,
+    };
+    for (address, hall) in nodes {
+        host.add(address, hall)?;
+    }
+    loop {
+        let now = Clock::now();
+        let due = host.on_time(now);
+        if let Ok(input) = events.recv_timeout(Clock::now().until(due).duration()) {
+            host.take(input)?;
+        }
+    }
+}
+
+/// Which zone an address is in, see [`super::node_address`]; registrars are in none of the nodes'.
+fn zone_octet(address: &Address) -> Option<u8> {
+    match address.0.ip() {
+        std::net::IpAddr::V4(ip) => Some(ip.octets()[1]),
+        std::net::IpAddr::V6(_) => None,
+    }
+}
+
+fn say(word: &HostWord) {
+    let line = serde_json::to_string(word).expect("a word is JSON");
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+    let _ = out.flush();
+}
+
+impl Host {
+    fn draw(&mut self) -> u64 {
+        self.random = mix(self.random);
+        self.random
+    }
+
+    fn add(&mut self, address: Address, hall: HallName) -> Result<(), String> {
+        let listener = TcpListener::bind(address.0).map_err(|fault| format!("{address}: {fault}"))?;
+        let (place, inputs) = (self.nodes.len(), self.inputs.clone());
+        let take = move |from, letter| drop(inputs.send(Input::Letter(place, from, letter)));
+        let post = Post::open(listener, take).map_err(|fault| format!("{address}: {fault}"))?;
+        let (seeds, life, now) = (self.seeds.clone(), self.draw() >> 12, Clock::now());
+        let node = Node::new(address, hall, seeds, life, NodeTiming::default(), DeskRules::default(), now);
+        self.nodes.push(HollowNode { address, node: Some(node), post, epoch: Epoch(0) });
+        self.tell_roll(place);
+        if self.is_loaded {
+            self.dues.push(Reverse((now, Due::Arrival(place))));
+        }
+        Ok(())
+    }
+
+    /// The platform's list, and a first report of each server.
+    fn tell_roll(&mut self, place: usize) {
+        let name = |n: u32| ServerName(format!("10.1.{}.{}:8000", n / 250, n % 250));
+        // Those that were replaced have names of their own.
+        let named = |n: u32| if n < self.replaced { name(n + 50_000) } else { name(n) };
+        let zones = self.rules.zones;
+        let servers: Vec<RollEntry> = (0..self.rules.servers)
+            .map(|n| RollEntry {
+                server: named(n),
+                hall: HallName(format!("zone-{}", n % zones)),
+                pool: "model".into(),
+                ..RollEntry::default()
+            })
+            .collect();
+        let names: Vec<ServerName> = servers.iter().map(|entry| entry.server.clone()).collect();
+        self.step(place, NodeInput::Event(Event::Roll { servers }));
+        for server in names {
+            let report = Event::Burden {
+                server,
+                incarnation: 1,
+                up: Span::seconds(600),
+                running: 0,
+                waiting: 0,
+                slots: 64,
+                weights: "w".into(),
+            };
+            self.step(place, NodeInput::Event(report));
+        }
+    }
+
+    fn take(&mut self, input: Input) -> Result<(), String> {
+        match input {
+            Input::Letter(place, from, letter) => self.step(place, NodeInput::Letter { from, letter }),
+            Input::Order(HostOrder::Begin { .. }) => {}
+            Input::Order(HostOrder::Load) => {
+                self.is_loaded = true;
+                let now = Clock::now();
+                for place in 0..self.nodes.len() {
+                    let at = now + Span(self.draw() % 1000);
+                    self.dues.push(Reverse((at, Due::Arrival(place))));
+                }
+            }
+            Input::Order(HostOrder::Kill(address)) => {
+                self.nodes.iter_mut().filter(|one| one.address == address).for_each(|one| one.node = None);
+            }
+            Input::Order(HostOrder::Add(address, hall)) => self.add(address, hall)?,
+            Input::Order(HostOrder::Roll(replaced)) => {
+                self.replaced = replaced;
+                (0..self.nodes.len()).for_each(|place| self.tell_roll(place));
+            }
+            Input::Order(HostOrder::Tell) => self.tell_sent(),
+        }
+        Ok(())
+    }
+
+    fn tell_sent(&mut self) {
+        let mut rows = vec![];
+        for one in &self.nodes {
+            let (mut letters, mut bytes, mut far) = (0, 0, 0);
+            for (to, tally) in one.post.tallies() {
+                let sent = tally.bytes.load(std::sync::atomic::Ordering::Relaxed);
+                letters += tally.letters.load(std::sync::atomic::Ordering::Relaxed);
+                bytes += sent;
+                if zone_octet(to) != zone_octet(&one.address) {
+                    far += sent;
+                }
+            }
+            rows.push((one.address, letters, bytes, far));
+        }
+        say(&HostWord::Sent(rows, self.placed, self.refused));
+    }
+
+    /// Does all that is due; gives when something is again.
+    fn on_time(&mut self, now: Moment) -> Moment {
+        for place in 0..self.nodes.len() {
+            let is_due = |node: &Node| now >= node.next_due();
+            if self.nodes[place].node.as_ref().is_some_and(is_due) {
+                self.step(place, NodeInput::ClockEvent);
+            }
+        }
+        while self.dues.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            if let Some(Reverse((_, due))) = self.dues.pop() {
+                self.on_due(due, now);
+            }
+        }
+        let nodes = self.nodes.iter().filter_map(|one| one.node.as_ref()).map(Node::next_due);
+        let dues = self.dues.peek().map(|Reverse((at, _))| *at);
+        let due = nodes.chain(dues).min().unwrap_or(now + Span(250));
+        due.max(now + Span(1)).min(now + Span(250))
+    }
+
+    fn on_due(&mut self, due: Due, now: Moment) {
+        match due {
+            Due::Arrival(place) => {
+                if self.nodes[place].node.is_none() {
+                    return;
+                }
+                let pause = 1000.0 / self.rules.requests.max(0.001);
+                let next = now + Span((pause * 2.0 * (self.draw() % 1000) as f64 / 1000.0) as u64);
+                self.dues.push(Reverse((next, Due::Arrival(place))));
+                if self.rules.requests > 0.0 {
+                    self.arrive(place, now);
+                }
+            }
+            Due::First(place, order) => {
+                self.step(place, NodeInput::Event(Event::FirstToken { order }));
+            }
+            Due::End(place, order, number) => {
+                let ended = Event::Ended { order: order.clone(), outcome: Outcome::Complete };
+                self.step(place, NodeInput::Event(ended));
+                self.step(place, NodeInput::Close { order, number, may_have_run: true });
+            }
+        }
+    }
+
+    fn arrive(&mut self, place: usize, now: Moment) {
+        // A tenth of the draws goes to a hundred prefixes, the rest to all.
+        let draw = self.draw();
+        let most = if draw.is_multiple_of(10) { self.rules.prefixes.min(100) } else { self.rules.prefixes };
+        let prefix = self.draw() % most.max(1);
+        let hashes = (0..66).map(|n| PrefixHash(mix(prefix << 8 | n))).collect();
+        self.number += 1;
+        let number = self.number;
+        let order = OrderId(format!("{}-{number}", self.nodes[place].address));
+        let run = run_id([0; 16]);
+        let service = ServiceName(format!("model-{}", draw % 13));
+        let ask = NodeInput::Place {
+            number,
+            order: order.clone(),
+            service,
+            kind: ServiceKind::Stream,
+            hashes,
+            round: 0,
+            tried: vec![],
+            may_have_run: false,
+            run,
+        };
+        let is_placed = self.step_for(place, ask);
+        if !is_placed {
+            self.refused += 1;
+            return;
+        }
+        self.placed += 1;
+        self.dues.push(Reverse((now + Span(200), Due::First(place, order.clone()))));
+        let held = Span(2000 + self.draw() % 8000);
+        self.dues.push(Reverse((now + held, Due::End(place, order, number))));
+    }
+
+    fn step(&mut self, place: usize, input: NodeInput) {
+        self.step_for(place, input);
+    }
+
+    /// Steps a node and does what it wants; whether an order was placed.
+    fn step_for(&mut self, place: usize, input: NodeInput) -> bool {
+        let one = &mut self.nodes[place];
+        let Some(node) = &mut one.node else { return false };
+        let mut is_placed = false;
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in node.step(Clock::now(), input) {
+                match output {
+                    NodeOutput::Send { to, is_bulk, letter } => {
+                        let class = match (is_bulk, letter.is_datagram()) {
+                            (true, _) => PostClass::Bulk,
+                            (_, true) => PostClass::Datagram,
+                            _ => PostClass::Swift,
+                        };
+                        one.post.send(to, class, letter);
+                    }
+                    NodeOutput::Place { outcome, .. } => is_placed = outcome.is_ok(),
+                    NodeOutput::Read { plan_epoch, bytes } => {
+                        let plan = parse_plan(&bytes).map(std::sync::Arc::new);
+                        inputs.push(NodeInput::Plan { plan_epoch, plan, bytes });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        if node.epoch() != one.epoch {
+            one.epoch = node.epoch();
+            say(&HostWord::Epoch(one.address, one.epoch.0, Clock::now().0));
+        }
+        is_placed
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -4,6 +4,7 @@
 mod compare;
 mod crew;
 mod fleet;
+mod hollow;
 mod measure;
 mod platform;
 mod schedule;
@@ -15,6 +16,7 @@
     pub use crate::compare::{CompareRules, Question, compare};
     pub use crate::crew::{Crew, Deployment, Shape};
     pub use crate::fleet::{Daemon, Fleet, FleetOptions, free_ports, join_logs, plan_of};
+    pub use crate::hollow::{HollowReport, HollowRules, hollow, host::serve as serve_hollow, plot};
     pub use crate::measure::{MeasureRules, Sweep, measure};
     pub use crate::platform::Platform;
     pub use crate::schedule::{Progress, Schedule, ScheduleRules, Strike};
@@ -26,5 +28,6 @@
         Asked, Campaign, CampaignRules, Fate, Mix, MixKind, Petition, Report, ask, mix, print_of,
     };
     pub use primer::prelude::{PrefixHash, RollEntry, block_hashes};
+    pub use serde::{Deserialize, Serialize};
     pub use wicket::prelude::*;
 }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -88,6 +88,28 @@
         #[arg(long, default_value_t = 90)]
         hot_share: u64,
     },
+    /// Run the control plane alone: real registrars, and many nodes' control state and inner protocol
+    /// over loopback. A size that can't fit the machine is refused before anything starts.
+    Hollow {
+        #[command(flatten)]
+        rules: HollowRules,
+        /// Where settings, logs and data go; a temporary folder by default.
+        #[arg(long)]
+        folder: Option<PathBuf>,
+        /// Add the report as a line of JSON to this file.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
+    /// Fit lines through hollow runs of several sizes and draw them.
+    HollowPlot {
+        /// Lines of JSON, as written by `hollow --json`.
+        runs: PathBuf,
+        /// The picture, SVG.
+        picture: PathBuf,
+    },
+    /// A process of a hollow fleet; takes orders from standard input.
+    #[command(hide = true)]
+    HollowHost,
     /// Play fleets on virtual time, network and disks, with faults drawn from seeds, and judge what
     /// callers, servers and operators see. Exit codes: 0 nothing that must never be was seen, 1
     /// something was.
@@ -135,6 +157,9 @@
             let rules = MeasureRules { sweep, deployment, seeds, orders, block_micros, hot_share };
             measure(&rules).map(|()| true)
         }
+        Task::Hollow { rules, folder, json } => run_hollow(&rules, folder, json),
+        Task::HollowPlot { runs, picture } => draw_hollow(&runs, &picture),
+        Task::HollowHost => serve_hollow().map(|()| true),
         Task::Simulate { deployment, seed, seeds, faults, kinds, orders, criers, suspect_ms, mutant } => {
             let rules = WorldRules {
                 faults,
@@ -157,6 +182,26 @@
     }
 }
 
+fn run_hollow(rules: &HollowRules, folder: Option<PathBuf>, json: Option<PathBuf>) -> Result<bool, String> {
+    let report = hollow(rules, folder)?;
+    print!("{report}");
+    let line = serde_json::to_string(&report).map_err(|fault| fault.to_string())?;
+    if let Some(path) = json {
+        let file = std::fs::File::options().create(true).append(true).open(path);
+        file.and_then(|mut file| writeln!(file, "{line}")).map_err(|fault| fault.to_string())?;
+    } else {
+        println!("{line}");
+    }
+    Ok(report.failed_changes == 0 && report.unseen_changes == 0)
+}
+
+fn draw_hollow(runs: &std::path::Path, picture: &std::path::Path) -> Result<bool, String> {
+    let text = std::fs::read_to_string(runs).map_err(|fault| fault.to_string())?;
+    let runs: Result<Vec<HollowReport>, _> = text.lines().map(serde_json::from_str).collect();
+    print!("{}", plot(&runs.map_err(|fault| fault.to_string())?, picture)?);
+    Ok(true)
+}
+
 /// Plays these seeds, some at a time; says whether all went well.
 fn simulate(rules: &WorldRules, seeds: u64) -> bool {
     let next = std::sync::atomic::AtomicU64::new(rules.seed);
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod prelude {
     pub use crate::ask::{Ask, AskError, AskExt, Heard, ask_delete, ask_get, ask_post, ask_with, read_all, read_page};
     pub use crate::gate::{Gate, GateBounds, GateCloser, Order};
-    pub use crate::post::{Post, PostClass};
+    pub use crate::post::{Post, PostClass, PostTally};
     pub use crate::reply::{PieceSource, Pull, Reply};
 }
--- a/crates/wicket/src/post.rs
+++ b/crates/wicket/src/post.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Which of a peer's two connections a letter takes: pieces of snapshots never delay the rest.
@@ -26,6 +26,23 @@
     own: Address,
     datagrams: UdpSocket,
     outboxes: HashMap<(Address, PostClass), flume::Sender<Letter>>,
+    tallies: HashMap<Address, Arc<PostTally>>,
+}
+
+/// What was sent to one peer.
+#[derive(Debug, Default)]
+pub struct PostTally {
+    /// Letters.
+    pub letters: AtomicU64,
+    /// Bytes of them, sealed.
+    pub bytes: AtomicU64,
+}
+
+impl PostTally {
+    fn more(&self, bytes: usize) {
+        self.letters.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
 }
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
@@ -35,7 +52,7 @@
 const LINE_IDLE: Duration = Duration::from_secs(10);
 /// and by the other side if that one is gone.
 const IDLE_PATIENCE: Duration = Duration::from_secs(20);
-/// Letters are read into the heap; little is on a line's stack besides one chunk of 64 KiB.
+/// Letters are read into the heap; little is on a line's stack.
 const LINE_STACK: usize = 256 << 10;
 const DATAGRAM_BOUND: usize = 1200;
 
@@ -82,7 +99,7 @@
                 }
             }
         })?;
-        Ok(Post { own, datagrams, outboxes: HashMap::new() })
+        Ok(Post { own, datagrams, outboxes: HashMap::new(), tallies: HashMap::new() })
     }
 
     /// This process's own inner address.
@@ -90,12 +107,19 @@
         self.own
     }
 
+    /// What was sent, by peer.
+    pub fn tallies(&self) -> impl Iterator<Item = (&Address, &PostTally)> {
+        self.tallies.iter().map(|(to, tally)| (to, tally.as_ref()))
+    }
+
     /// Sends a letter if it can be sent; never waits. It's sealed on the line's own thread.
     pub fn send(&mut self, to: Address, class: PostClass, letter: Letter) {
         if class == PostClass::Datagram {
             // Lost, like on a bad wire, if it can't leave now.
-            if let Ok(bytes) = seal(self.own, &letter) {
-                let _ = self.datagrams.send_to(&bytes, to.0);
+            if let Ok(bytes) = seal(self.own, &letter)
+                && self.datagrams.send_to(&bytes, to.0).is_ok()
+            {
+                self.tallies.entry(to).or_default().more(bytes.len());
             }
             return;
         }
@@ -111,8 +135,8 @@
         self.outboxes.retain(|_, outbox| !outbox.is_disconnected());
         let (sender, receiver) = flume::bounded(if class == PostClass::Swift { 256 } else { 16 });
         let line = std::thread::Builder::new().name("post-out".into()).stack_size(LINE_STACK);
-        let own = self.own;
-        if let Err(fault) = line.spawn(move || deliver(own, to, &receiver)) {
+        let (own, tally) = (self.own, self.tallies.entry(to).or_default().clone());
+        if let Err(fault) = line.spawn(move || deliver(own, to, &receiver, &tally)) {
             tracing::warn!("post: no thread for {to}: {fault}.");
             return;
         }
@@ -121,7 +145,7 @@
     }
 }
 
-fn deliver(own: Address, to: Address, outbox: &flume::Receiver<Letter>) {
+fn deliver(own: Address, to: Address, outbox: &flume::Receiver<Letter>, tally: &PostTally) {
     let mut line: Option<TcpStream> = None;
     // A letter that comes just as the line is given up is lost, as on a bad wire.
     while let Ok(letter) = outbox.recv_timeout(LINE_IDLE) {
@@ -150,6 +174,7 @@
             };
             if io::Write::write_all(&mut &stream, &bytes).is_ok() {
                 line = Some(stream);
+                tally.more(bytes.len());
                 break;
             }
         }
