--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -63,6 +63,8 @@
 const PROCESSES: u32 = 300;
 /// Threads that a node keeps, lines included.
 const NODE_THREADS: u64 = 10;
+/// Threads that a machine is taken to bear, whoever's they are: a shared one has refused more.
+const THREADS: u64 = 8000;
 
 impl HollowRules {
     fn node_bytes(&self) -> u64 {
@@ -89,8 +91,8 @@
             let per = self.nodes.div_ceil(PROCESSES - self.zones - self.registrars - 1);
             return Some(format!("{} processes: --per-process {per} would fit", self.processes()));
         }
-        if u64::from(self.nodes) * NODE_THREADS > free_threads / 2 {
-            return Some(format!("too many threads: --nodes {} would fit", free_threads / 2 / NODE_THREADS));
+        if u64::from(self.nodes) * NODE_THREADS > free_threads {
+            return Some(format!("too many threads: --nodes {} would fit", free_threads / NODE_THREADS));
         }
         None
     }
@@ -272,9 +274,11 @@
 pub fn hollow(rules: &HollowRules, folder: Option<PathBuf>) -> Result<HollowReport, String> {
     use procfs::Current;
     let memory = procfs::Meminfo::current().map_err(|fault| fault.to_string())?;
-    let threads = procfs::sys::kernel::threads_max().map_err(|fault| fault.to_string())?;
+    let most = u64::from(procfs::sys::kernel::threads_max().map_err(|fault| fault.to_string())?);
+    let running = procfs::LoadAverage::current().map_or(0, |load| u64::from(load.max));
+    let threads = THREADS.min(most).saturating_sub(running);
     let free = memory.mem_available.unwrap_or(memory.mem_free);
-    if let Some(why) = rules.misfit(free, u64::from(threads)) {
+    if let Some(why) = rules.misfit(free, threads) {
         return Err(format!("nothing was started: {why}"));
     }
     let began = Clock::now();
