What was placed under an older epoch is placed anew before its first byte leaves

A placing now carries its epoch; once a newer one is held, the desk is asked once more, and no failure is told. The same in carrier, forwarder and simulator.

--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -80,8 +80,8 @@
         };
         let body = serde_json::to_vec(&run).expect("a run order is JSON");
         let patience = Span(stall.0.min(placing.first_token.0 * 2 + 1000));
-        let may_act = shared.clone();
-        let asked = Ask::post(body).connect(CONNECT).read(patience).only_if(move || may_act.may_act());
+        let (sharing, epoch) = (shared.clone(), placing.epoch);
+        let asked = Ask::post(body).connect(CONNECT).read(patience).only_if(move || sharing.may_leave(epoch));
         opened(placing, asked.send(&format!("http://{}/runs", placing.server)))
     };
     match ask_servers(&mut trip, first, ask) {
@@ -165,8 +165,8 @@
     let (mut trip, first) = Trip::new(place, Wanted::of_service(service, ServiceKind::Fetch, vec![]), None);
     let ask = |placing: &Placing| {
         let patience = Span(shared.stall.0.min(placing.first_token.0 * 2 + 1000));
-        let may_act = shared.clone();
-        let asked = Ask::get().connect(CONNECT).read(patience).only_if(move || may_act.may_act());
+        let (sharing, epoch) = (shared.clone(), placing.epoch);
+        let asked = Ask::get().connect(CONNECT).read(patience).only_if(move || sharing.may_leave(epoch));
         let response = opened(placing, asked.send(&format!("http://{}/pages/{path}", placing.server)))?;
         read_page(response, 8 << 20).map_err(|fault| NotTaken::Failed(Failure::Unknown, fault.to_string()))
     };
--- a/crates/crier/src/chart.rs
+++ b/crates/crier/src/chart.rs
@@ -57,6 +57,8 @@
     Deny(ResultCode),
     /// This node may not act at this moment.
     LoseLease,
+    /// A newer epoch is in force than the one under which the server was chosen; no byte has left.
+    Supersede,
     /// The server took it.
     Open,
     /// Asking it failed.
@@ -166,6 +168,11 @@
             }
             (Received | Admitted, ChartInput::Deny(code)) => self.finally(code),
             (Placed, ChartInput::LoseLease) => self.finally(ResultCode::NotReady),
+            // Nothing was sent, so nothing failed: no round is used up.
+            (Placed, ChartInput::Supersede) => {
+                self.state = Admitted;
+                ChartOutput::AskDesk
+            }
             (Placed, ChartInput::Open) => {
                 self.state = Opened;
                 self.may_have_run = true;
@@ -232,7 +239,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use ChartInput::{Admit, Break, Deny, Fail, Finish, Give, LoseLease, Open, Tear};
+    use ChartInput::{Admit, Break, Deny, Fail, Finish, Give, LoseLease, Open, Supersede, Tear};
     use yare::parameterized;
 
     const ONCE: ChartInput = ChartInput::Place { may_repeat: false };
@@ -243,6 +250,10 @@
         not_allowed = { &[Admit, Deny(ResultCode::UnknownService)], OrderState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
         an_id_that_may_be_running_is_no_refusal = { &[Admit, Deny(ResultCode::OrderIdTaken)], OrderState::Broken, ChartOutput::Tell(ResultCode::OrderIdTaken) },
         cut_off_at_the_last_moment = { &[Admit, ONCE, LoseLease], OrderState::Refused, ChartOutput::Tell(ResultCode::NotReady) },
+        placed_anew_under_a_newer_epoch = { &[Admit, ONCE, Supersede, ONCE, Open, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
+        a_newer_epoch_allows_it_no_more = { &[Admit, ONCE, Supersede, Deny(ResultCode::UnknownService)], OrderState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
+        silence_and_a_newer_epoch_without_a_server = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Supersede, Deny(ResultCode::NoServer)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        silence_and_a_newer_epoch_without_repeats = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Supersede, ONCE], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
         unsent_goes_elsewhere = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Open, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
         unsent_and_no_other = { &[Admit, ONCE, Fail(Failure::Unsent), Deny(ResultCode::NoServer)], OrderState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
         silence_is_unknown = { &[Admit, ONCE, Fail(Failure::Unknown)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
@@ -278,6 +289,7 @@
             Break,
             Tear,
             LoseLease,
+            Supersede,
             Deny(ResultCode::NoServer),
             Fail(Failure::Unsent),
             Fail(Failure::Refused),
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -83,6 +83,7 @@
     let shared = Arc::new(Shared {
         control: sender.clone(),
         may_act_until: AtomicU64::new(0),
+        epoch: AtomicU64::new(0),
         tallies: Tallies::default(),
         number: AtomicU64::new(1),
         bound: settings.orders,
@@ -237,6 +238,8 @@
         // Before anyone is told that an order is placed: they ask whether it may leave.
         let tallies = &self.door.shared.tallies;
         let until = self.node.may_act_until(now);
+        // First the epoch: whoever sees the longer lease is to see what it was given for.
+        self.door.shared.epoch.store(self.node.epoch().0, Ordering::SeqCst);
         self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
         let is_ready = self.node.is_ready(now) && !self.is_leaving;
         self.door.is_ready.store(is_ready, Ordering::SeqCst);
--- a/crates/crier/src/errand.rs
+++ b/crates/crier/src/errand.rs
@@ -7,6 +7,8 @@
     Desk(Result<Placing, Denial>),
     /// The node may not act at this moment.
     LoseLease,
+    /// A newer epoch is in force than the one under which it was placed; no byte has left.
+    Supersede,
     /// The asked server took it.
     Open,
     /// Asking the server failed in this way, for this reason.
@@ -94,6 +96,7 @@
                 self.why = "this node's lease ran out before the order was sent".into();
                 self.chart.step(ChartInput::LoseLease)
             }
+            ErrandInput::Supersede => self.chart.step(ChartInput::Supersede),
             ErrandInput::Open => self.chart.step(ChartInput::Open),
             ErrandInput::Fail(failure, why) => {
                 self.why = why;
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -224,7 +224,7 @@
         let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
         let opened_by = if chart.may_go_on() { self.due.min(now + patience) } else { self.due };
         let shared = &self.forwarder.shared;
-        let may_leave = || shared.may_act();
+        let may_leave = || shared.may_leave(placing.epoch);
         let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, caller: Some(self.caller) };
         let mut line = self.forwarder.lines.ask(address, request, &waits).map_err(|fault| not_taken(fault, placing))?;
         self.note_load(placing, line.head());
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -132,6 +132,8 @@
     pub may_repeat: bool,
     /// Within which the first piece is due.
     pub first_token: Span,
+    /// The epoch under which it was placed.
+    pub epoch: Epoch,
 }
 
 /// Why an order goes nowhere.
@@ -511,7 +513,8 @@
             let (server, run) = (server.clone(), run.clone());
             Token { order, service: token_service, server, run }.seal(&key)
         });
-        Ok(Placing { server, address, run, token, may_repeat, expected, first_token: Span(of_service.first_token_ms) })
+        let (epoch, first_token) = (self.standing.epoch(), Span(of_service.first_token_ms));
+        Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch })
     }
 
     /// Which run a token is good for, if it is one of this fleet's and names a server that is known
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Shared {
     pub control: flume::Sender<crate::daemon::Event>,
     pub may_act_until: AtomicU64,
+    /// The newest epoch that this node holds.
+    pub epoch: AtomicU64,
     pub tallies: Tallies,
     pub number: AtomicU64,
     pub bound: u64,
@@ -49,6 +51,14 @@
     pub fn may_act(&self) -> bool {
         Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
     }
+    /// Whether what was placed under this epoch may leave now: a newer one may allow it no more.
+    pub fn may_leave(&self, epoch: Epoch) -> bool {
+        self.may_act() && !self.is_superseded(epoch)
+    }
+    /// Whether this node holds a newer epoch.
+    pub fn is_superseded(&self, epoch: Epoch) -> bool {
+        Epoch(self.epoch.load(Ordering::SeqCst)) > epoch
+    }
     /// Asks the control thread; `None` is its silence.
     pub fn ask_control<T>(
         &self,
--- a/crates/crier/src/trip.rs
+++ b/crates/crier/src/trip.rs
@@ -4,7 +4,7 @@
 
 /// Why a server has not taken an order.
 pub(crate) enum NotTaken {
-    /// This node may not act any more: nothing that could run was sent.
+    /// This node may not act any more, or not as it was placed: nothing that could run was sent.
     Withheld,
     /// Asking it failed in this way.
     Failed(Failure, String),
@@ -93,7 +93,8 @@
                     }
                     Err(NotTaken::Withheld) => {
                         self.shared.tell_ended(&order, Outcome::Refused);
-                        self.errand.step(ErrandInput::LoseLease)
+                        let is_superseded = self.shared.may_act() && self.shared.is_superseded(placing.epoch);
+                        self.errand.step(if is_superseded { ErrandInput::Supersede } else { ErrandInput::LoseLease })
                     }
                     Err(NotTaken::Failed(failure, why)) => {
                         self.shared.tell_ended(&order, failure.outcome());
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -41,6 +41,7 @@
 #[parameterized(
     a_heal_between_ask_and_reply = { 910_001_121 },
     another = { 910_002_984 },
+    a_connection_made_under_a_newer_epoch = { 910_002_884 },
 )]
 fn what_a_seed_has_shown_does_not_happen_again(seed: u64) {
     play(WorldRules { faults: 14, ..WorldRules::new(Deployment::Valodu, seed) });
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -161,10 +161,6 @@
         });
         let why = "the node gave no answer".to_owned();
         let silence = Denial { code: ResultCode::Busy, why, retry_after: Span(1000) };
-        let epoch = self.criers[machine].node.as_ref().map_or(Epoch(0), Node::epoch);
-        if let Some(order) = self.orders.get_mut(id) {
-            order.epoch = epoch;
-        }
         self.errand(id, ErrandInput::Desk(outcome.unwrap_or(Err(silence))));
     }
 
@@ -172,6 +168,7 @@
         let Some(order) = self.orders.get_mut(id) else { return };
         let Some(server) = self.servers.iter().position(|server| server.name == placing.server) else { return };
         order.keep = placing.token.is_some();
+        order.epoch = placing.epoch;
         order.asked = Some(placing.server);
         let machine = order.crier;
         if !self.may_act(machine) {
@@ -182,7 +179,7 @@
         self.put(connecting, Happening::Connected { order: id.clone(), server, run: placing.run });
     }
 
-    /// The connection is made: whether the order may still leave is asked once more.
+    /// The connection is made: whether the order may still leave, as it was placed, is asked once more.
     pub(super) fn on_connected(&mut self, id: OrderId, server: usize, run: RunId) {
         let Some(order) = self.orders.get(&id) else { return };
         let machine = order.crier;
@@ -190,10 +187,16 @@
             let wake = self.criers[machine].frozen_until - self.now;
             return self.put(wake, Happening::Connected { order: id, server, run });
         }
-        if self.rules.mutant != Some(Mutant::AskOnce) && !self.may_act(machine) {
-            return self.withhold(&id);
-        }
         let (address, epoch) = (self.criers[machine].address, order.epoch);
+        if self.rules.mutant != Some(Mutant::AskOnce) {
+            if !self.may_act(machine) {
+                return self.withhold(&id);
+            }
+            if self.criers[machine].node.as_ref().is_some_and(|node| node.epoch() > epoch) {
+                self.ended(&id, Outcome::Refused);
+                return self.errand(&id, ErrandInput::Supersede);
+            }
+        }
         self.witness.sent(self.now, address, epoch);
         self.put(1, Happening::RunReaches { order: id, server, run });
     }
