Tests of the forwarder and the ingress over real sockets; a silent stream is left when it's due

The forwarder's tests have a dialect of their own, a scripted control thread and stand-in servers; four mutants in forward.rs show that the tests see what must never happen (docs/promises.md).

Found and mended: a resumable stream whose server fell silent was left only once a wait of 5 s had ended, not after four times its gap's target (1.6 s at least), while its caller goes away after 2 s or more. How long callers wait unread at a starting node is now a setting, so that tests need not hurry.

--- a/crates/crier/src/event_splitter.rs
+++ b/crates/crier/src/event_splitter.rs
@@ -68,8 +68,8 @@
 
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let last = ids.last()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let last = ids.next_back()?;
     std::str::from_utf8(last).ok()?.trim().parse().ok()
 }
 
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -15,6 +15,21 @@
     pub shared: Arc<Shared>,
     pub dialect: Arc<dyn CallDialect>,
     pub lines: Lines,
+    #[cfg(test)]
+    pub mutant: Option<Mutant>,
+}
+
+/// A deliberate fault, by which the tests show that they see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mutant {
+    /// What may have run goes to another server all the same.
+    RepeatAnything,
+    /// An answer to another call, or without the mark, is taken for one to this.
+    PassForeign,
+    /// A stream that broke ends as if it were whole.
+    EndTorn,
+    /// A torn stream is taken up at its first event.
+    ResumeFromStart,
 }
 
 /// A connection to a server comes up within this, or it's tried elsewhere.
@@ -27,12 +42,15 @@
 /// By these an answer says that the request was not run. A server that may have run it can't say so through us.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
+/// A server's own answer: status, headers, body.
+type ServersAnswer = (u16, http::HeaderMap, Bytes);
+
 /// Why an answer to a call can't be had from a server.
 struct Failed {
     failure: Failure,
     why: String,
     /// The server's own answer, to be passed on if no other server is asked.
-    answer: Option<(u16, http::HeaderMap, Bytes)>,
+    answer: Option<Box<ServersAnswer>>,
 }
 
 /// The beginning of a server's answer.
@@ -100,6 +118,15 @@
         way.reply(first)
     }
 
+    #[cfg(test)]
+    fn is_mutant(&self, mutant: Mutant) -> bool {
+        self.mutant == Some(mutant)
+    }
+    #[cfg(not(test))]
+    const fn is_mutant(&self, _: Mutant) -> bool {
+        false
+    }
+
     fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
         let tallies = &self.shared.tallies;
         Tallies::more(if denial.code.is_refusal() { &tallies.refused } else { &tallies.unknown });
@@ -121,7 +148,7 @@
     /// The last piece that the caller has.
     last: Option<u64>,
     /// A server's own answer that stands for a failure.
-    answer: Option<(u16, http::HeaderMap, Bytes)>,
+    answer: Option<Box<ServersAnswer>>,
 }
 
 impl Way {
@@ -131,8 +158,11 @@
             Gone::Told(denial) => {
                 // A failure that a server owned up to is the server's to tell.
                 let is_refusal = denial.code.is_refusal();
-                return match self.answer.take().filter(|(status, ..)| !is_refusal && !PROMISES.contains(status)) {
-                    Some((status, headers, body)) => Reply::passed(status, headers, body),
+                return match self.answer.take().filter(|answer| !is_refusal && !PROMISES.contains(&answer.0)) {
+                    Some(answer) => {
+                        let (status, headers, body) = *answer;
+                        Reply::passed(status, headers, body)
+                    }
                     None => self.forwarder.refuse(Some(&self.call.id), &denial),
                 };
             }
@@ -178,13 +208,14 @@
             urgency: *urgency,
             caller,
             due: *due,
-            last: *last,
+            last: if forwarder.is_mutant(Mutant::ResumeFromStart) { call.after } else { *last },
         };
         trip.go(first, |placing, chart| {
             asking.ask(placing, chart).map_err(|not_taken| match not_taken {
                 Ok(failed) => {
                     *answer = failed.answer;
-                    NotTaken::Failed(failed.failure, failed.why)
+                    let is_repeated = forwarder.is_mutant(Mutant::RepeatAnything);
+                    NotTaken::Failed(if is_repeated { Failure::Refused } else { failed.failure }, failed.why)
                 }
                 Err(other) => other,
             })
@@ -243,10 +274,11 @@
                 let mut failed = fail(Failure::Unknown, format!("it answered {status}"));
                 if let (Some(body), Ok(failed)) = (self.drain(&mut line), &mut failed) {
                     line.keep();
-                    failed.answer = Some((status, headers, body));
+                    failed.answer = Some(Box::new((status, headers, body)));
                 }
                 return Err(failed);
             }
+            Judgement::Foreign if self.forwarder.is_mutant(Mutant::PassForeign) => {}
             Judgement::Foreign => return Err(fail(Failure::Unknown, "that was no answer to this".into())),
         }
         if !self.does_stream {
@@ -325,7 +357,7 @@
     /// Lines up an event for the caller, unless it has it already.
     fn take(&mut self, event: StreamEvent) {
         let is_old = event.id.is_some_and(|id| self.way.last.is_some_and(|last| id <= last));
-        if is_old {
+        if is_old && !self.way.forwarder.is_mutant(Mutant::ResumeFromStart) {
             return;
         }
         self.way.last = event.id.or(self.way.last);
@@ -363,7 +395,7 @@
         tracing::debug!("forward: {} {}: {why}.", ResultCode::Broken, self.way.call.id);
         self.is_over = true;
         Tallies::more(&self.way.forwarder.shared.tallies.broken);
-        Pull::Cut
+        if self.way.forwarder.is_mutant(Mutant::EndTorn) { Pull::End } else { Pull::Cut }
     }
 }
 
@@ -383,7 +415,7 @@
         let Some(opening) = &mut self.opening else { return self.cut("nothing to read on") };
         if let Some(event) = opening.first.take().or_else(|| opening.splitter.next_event()) {
             self.take(event);
-            return self.ready.pop_front().map_or(Pull::Nothing, |bytes| Pull::Piece(bytes));
+            return self.ready.pop_front().map_or(Pull::Nothing, Pull::Piece);
         }
         if opening.has_ended {
             let rest = opening.splitter.rest();
@@ -402,12 +434,14 @@
             return self.cut("the deadline has passed");
         }
         // A server that fell silent in mid-stream is left where another may take the stream up.
-        let silence = Span(self.way.gap.0.max(400) * 4);
-        if now.since(self.last_bytes) > silence && self.way.trip.errand.chart().may_go_on() {
+        let silent_from = self.last_bytes + Span(self.way.gap.0.max(400) * 4);
+        let may_go_on = self.way.trip.errand.chart().may_go_on();
+        if now >= silent_from && may_go_on {
             return self.tear("it fell silent in mid-stream".into());
         }
         let Some(opening) = &mut self.opening else { return Pull::Nothing };
-        let patience = patience.min(now.until(self.way.due).duration());
+        let due = if may_go_on { silent_from.min(self.way.due) } else { self.way.due };
+        let patience = patience.min(now.until(due).duration());
         match opening.line.pull(patience, Some(&self.way.caller)) {
             LinePull::Data(bytes) => {
                 opening.splitter.push(&bytes);
@@ -415,7 +449,7 @@
                 match opening.splitter.next_event() {
                     Some(event) => {
                         self.take(event);
-                        self.ready.pop_front().map_or(Pull::Nothing, |bytes| Pull::Piece(bytes))
+                        self.ready.pop_front().map_or(Pull::Nothing, Pull::Piece)
                     }
                     None => Pull::Nothing,
                 }
@@ -443,3 +477,6 @@
         }
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- /dev/null
+++ b/crates/crier/src/forward/tests.rs
@@ -0,0 +1,823 @@
+//! A forwarder between real callers and stand-in servers over TCP, with a scripted control thread.
+
+use super::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::RwLock;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use yare::parameterized;
+
+/// Nothing is judged by it: it ends a test that would hang.
+const GUARD: Duration = Duration::from_secs(30);
+
+// ---- A dialect of the tests' own.
+
+pub(crate) struct Plain;
+
+impl CallDialect for Plain {
+    fn read(&self, order: Order) -> Result<Call, Denial> {
+        let deny = |why: &str| Denial { code: ResultCode::BadOrder, why: why.into(), retry_after: Span(0) };
+        let number = |name: &str| order.header(name).and_then(|value| value.parse().ok());
+        let id = OrderId::from(order.header("x-call").ok_or_else(|| deny("no id"))?);
+        let host = order.header("host").unwrap_or_default().to_owned();
+        let (left, after) = (Span(number("x-wait").unwrap_or(20_000)), number("x-after"));
+        let (method, target, mut headers, body) = order.into_parts();
+        for name in ["x-wait", "x-after", "connection", "content-length"] {
+            headers.remove(name);
+        }
+        let demand = Demand::default();
+        Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand })
+    }
+    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
+        let reply = Reply::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word())
+            .with_header("x-call", id.map_or("", OrderId::as_str));
+        if denial.code.comes_back().is_some() { reply.retry_after(denial.retry_after.max(Span(50))) } else { reply }
+    }
+    fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes> {
+        let mut request = http::Request::new(call.body.clone());
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.target.parse().expect("a target");
+        *request.headers_mut() = call.headers.clone();
+        request.headers_mut().insert("x-left", sending.left.0.into());
+        request.headers_mut().insert("x-server", sending.server.as_str().parse().expect("a name"));
+        if let Some(after) = sending.after {
+            request.headers_mut().insert("x-after", after.into());
+        }
+        request
+    }
+    fn judge(&self, call: &Call, head: &http::response::Parts) -> Judgement {
+        let id = head.headers.get("x-call").map(|id| id.as_bytes() == call.id.as_str().as_bytes());
+        match (head.status.as_u16(), id) {
+            (_, Some(false)) => Judgement::Foreign,
+            (421, _) => Judgement::Elsewhere,
+            _ if head.headers.contains_key("x-unrun") => Judgement::NotRun,
+            (200..=299, Some(true)) if head.headers.contains_key("x-mark") => Judgement::Taken,
+            (300.., Some(true)) => Judgement::Failed,
+            _ => Judgement::Foreign,
+        }
+    }
+    fn load(&self, head: &http::response::Parts) -> Option<ServerLoad> {
+        let running = head.headers.get("x-load")?.to_str().ok()?.parse().ok()?;
+        Some(ServerLoad { running, waiting: 0, slots: 8 })
+    }
+    fn passed(&self, head: &http::response::Parts) -> http::HeaderMap {
+        let mut headers = head.headers.clone();
+        for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
+            headers.remove(name);
+        }
+        headers
+    }
+    fn is_probe(&self, order: &Order) -> bool {
+        order.path == "/probe"
+    }
+    fn list_request(&self, _: Option<&str>) -> http::Request<Bytes> {
+        http::Request::new(Bytes::new())
+    }
+    fn read_list(&self, _: &[u8]) -> Result<(Vec<RollEntry>, Option<String>), String> {
+        Err("there is none".into())
+    }
+}
+
+// ---- Stand-in servers.
+
+/// What a stand-in does with one request.
+enum Do {
+    Say(String),
+    /// Goes on when the test says so.
+    Await(flume::Receiver<()>),
+    /// Waits until the other side has closed, and tells.
+    AwaitEnd(flume::Sender<()>),
+    Close,
+}
+use Do::{Await, AwaitEnd, Close, Say};
+
+struct Server {
+    name: &'static str,
+    address: SocketAddr,
+    /// Heads and bodies of the requests that came.
+    heard: flume::Receiver<String>,
+}
+
+impl Server {
+    /// One that does this with its requests, one after the other, and closes on any more.
+    fn start(name: &'static str, mut script: Vec<Vec<Do>>) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (hear, heard) = flume::unbounded();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                while let Some(request) = read_request(&stream) {
+                    let _ = hear.send(request);
+                    if script.is_empty() || !perform(&stream, script.remove(0)) {
+                        break;
+                    }
+                }
+            }
+        });
+        Server { name, address, heard }
+    }
+    /// One that is not there.
+    fn absent(name: &'static str) -> Server {
+        let address = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+        Server { name, address, heard: flume::unbounded().1 }
+    }
+    fn placing(&self, may_repeat: bool) -> Placing {
+        Placing {
+            server: self.name.into(),
+            address: self.address.to_string(),
+            expected: Span(20_000),
+            run: run_id([7; 16]),
+            token: None,
+            may_repeat,
+            first_token: Span(2000),
+            epoch: Epoch(1),
+        }
+    }
+    fn count(&self) -> usize {
+        self.heard.len()
+    }
+    fn request(&self) -> String {
+        self.heard.recv_timeout(GUARD).expect("a request came")
+    }
+}
+
+fn read_request(stream: &TcpStream) -> Option<String> {
+    let mut reader = BufReader::new(stream);
+    let mut head = String::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        head.push_str(&line);
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let length = header(&head, "content-length").map_or(0, |length| length.parse().expect("a length"));
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(head + &String::from_utf8(body).expect("text"))
+}
+
+/// Whether the connection stays.
+fn perform(mut stream: &TcpStream, script: Vec<Do>) -> bool {
+    for step in script {
+        match step {
+            Say(text) => {
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return false;
+                }
+            }
+            Await(signal) => drop(signal.recv_timeout(GUARD)),
+            AwaitEnd(tell) => {
+                let _ = stream.read(&mut [0; 1]);
+                let _ = tell.send(());
+                return false;
+            }
+            Close => return false,
+        }
+    }
+    true
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let lines = head.lines().take_while(|line| !line.is_empty());
+    let mut fields = lines.filter_map(|line| line.split_once(": "));
+    fields.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+}
+
+const OURS: &str = "x-call: c1\r\nx-mark: m\r\n";
+
+fn answer(status: u16, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} Word\r\n{headers}content-length: {}\r\n\r\n{body}", body.len())
+}
+fn whole(body: &str) -> Do {
+    Say(answer(200, OURS, body))
+}
+fn stream_head(mark: &str) -> Do {
+    Say(format!("HTTP/1.1 200 OK\r\nx-call: c1\r\nx-mark: {mark}\r\ntransfer-encoding: chunked\r\n\r\n"))
+}
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+fn chunk(text: &str) -> Do {
+    Say(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+fn events(ids: std::ops::RangeInclusive<u64>) -> Do {
+    chunk(&ids.map(event).collect::<String>())
+}
+fn all_of(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(event).collect()
+}
+fn end() -> Do {
+    Say("0\r\n\r\n".into())
+}
+
+// ---- The scripted control thread.
+
+/// What the control thread was told.
+#[derive(Debug, Clone, PartialEq)]
+enum Told {
+    Asked { round: u32, tried: Vec<ServerName>, may_have_run: bool, deadline: Span },
+    First,
+    Ended(Outcome),
+    Burden(u32),
+    Unreachable(ServerName),
+    Closed { may_have_run: bool },
+}
+
+/// One answer of the desk; it may change what is shared before.
+type Word = Box<dyn FnOnce(&Shared) -> Result<Placing, Denial> + Send>;
+
+fn goes_to(server: &Server, may_repeat: bool) -> Word {
+    let placing = server.placing(may_repeat);
+    Box::new(move |_| Ok(placing))
+}
+fn denied(code: ResultCode, retry_after: u64) -> Word {
+    Box::new(move |_| Err(Denial { code, why: "scripted".into(), retry_after: Span(retry_after) }))
+}
+
+fn control(
+    shared: &Arc<Shared>,
+    events: flume::Receiver<crate::daemon::Event>,
+    words: Vec<Word>,
+) -> flume::Receiver<Told> {
+    let (tell, told) = flume::unbounded();
+    let (shared, mut words) = (shared.clone(), words.into_iter());
+    std::thread::spawn(move || {
+        for event in events {
+            let one = match event {
+                crate::daemon::Event::Place(NodeInput::Place(ask), reply) => {
+                    let PlaceAsk { round, tried, may_have_run, demand, .. } = ask;
+                    let _ = tell.send(Told::Asked { round, tried, may_have_run, deadline: demand.deadline });
+                    let word = words.next().unwrap_or_else(|| denied(ResultCode::NoServer, 700));
+                    let _ = reply.send(word(&shared));
+                    continue;
+                }
+                crate::daemon::Event::Input(NodeInput::Event(Event::FirstToken { .. })) => Told::First,
+                crate::daemon::Event::Input(NodeInput::Event(Event::Ended { outcome, .. })) => Told::Ended(outcome),
+                crate::daemon::Event::Input(NodeInput::Event(Event::Burden { running, .. })) => Told::Burden(running),
+                crate::daemon::Event::Input(NodeInput::Event(Event::Unreachable { server })) => {
+                    Told::Unreachable(server)
+                }
+                crate::daemon::Event::Input(NodeInput::Close { may_have_run, .. }) => Told::Closed { may_have_run },
+                _ => continue,
+            };
+            let _ = tell.send(one);
+        }
+    });
+    told
+}
+
+// ---- The node, and its callers.
+
+/// What the threads of a node that may act share, without a plan, and what they tell its control thread.
+pub(crate) fn shared() -> (Arc<Shared>, flume::Receiver<crate::daemon::Event>) {
+    let (sender, inbox) = flume::unbounded();
+    let shared = Shared {
+        control: sender,
+        may_act_until: AtomicU64::new(u64::MAX),
+        epoch: AtomicU64::new(1),
+        tallies: Tallies::default(),
+        number: AtomicU64::new(1),
+        bound: 10,
+        block_bytes: 64,
+        stall: Span(10_000),
+        plan: RwLock::default(),
+        is_ready: AtomicBool::new(true),
+        members: AtomicUsize::new(1),
+        arrived: AtomicU64::new(0),
+    };
+    (Arc::new(shared), inbox)
+}
+
+/// What stands in for a node, with one route `/p/` of this kind at host `h`.
+struct Stage {
+    address: SocketAddr,
+    told: flume::Receiver<Told>,
+}
+
+struct Route {
+    kind: &'static str,
+    max_tries: u64,
+    deadline_ms: u64,
+}
+
+const IDEMPOTENT: Route = Route { kind: "idempotent", max_tries: 2, deadline_ms: 20_000 };
+const MUTATING: Route = Route { kind: "mutating", max_tries: 3, deadline_ms: 20_000 };
+const STREAM: Route = Route { kind: "stream", max_tries: 2, deadline_ms: 20_000 };
+
+impl Stage {
+    fn set(route: &Route, words: Vec<Word>) -> Stage {
+        Self::set_mutant(route, words, None)
+    }
+    fn set_mutant(route: &Route, words: Vec<Word>, mutant: Option<Mutant>) -> Stage {
+        let (shared, inbox) = shared();
+        let plan = serde_json::json!({"services": {"s": {"kind": "stream"}}, "routes": [{
+            "name": "r", "host": "h", "path_prefix": "/p/", "kind": route.kind, "max_tries": route.max_tries,
+            "deadline_ms": route.deadline_ms, "split": [{"service": "s", "weight": 1}],
+        }]});
+        let plan = parse_plan(plan.to_string().as_bytes()).expect("a good plan");
+        shared.take_plan(Some(&Arc::new(plan)));
+        let told = control(&shared, inbox, words);
+        let lines = Lines::new(LinesBounds { per_address: 8, idle_per_address: 4, idle_span: Span::seconds(20) });
+        let forwarder = Arc::new(Forwarder { shared, dialect: Arc::new(Plain), lines, mutant });
+        let gate = Gate::open("127.0.0.1:0".parse().expect("an address"), GateBounds::default()).expect("a gate");
+        let address = gate.address().0;
+        std::thread::spawn(move || gate.serve(move |order| forwarder.reply(order)));
+        Stage { address, told }
+    }
+    fn send(&self, headers: &str) -> Caller {
+        let mut stream = TcpStream::connect(self.address).expect("connected");
+        stream.set_read_timeout(Some(GUARD)).expect("set");
+        let request =
+            format!("POST /p/x?q=a%20b HTTP/1.1\r\nhost: h\r\nx-call: c1\r\n{headers}content-length: 4\r\n\r\nbody");
+        stream.write_all(request.as_bytes()).expect("written");
+        Caller { stream, raw: String::new() }
+    }
+    fn ask(&self, headers: &str) -> Answer {
+        self.send(headers).answer()
+    }
+    /// All that the control thread was told, up to the end of the order.
+    fn told(&self) -> Vec<Told> {
+        let mut all = vec![];
+        while !matches!(all.last(), Some(Told::Closed { .. })) {
+            all.push(self.told.recv_timeout(GUARD).expect("the order ends"));
+        }
+        all
+    }
+    fn outcomes(&self) -> Vec<Outcome> {
+        let ended = |told: Told| if let Told::Ended(outcome) = told { Some(outcome) } else { None };
+        self.told().into_iter().filter_map(ended).collect()
+    }
+}
+
+struct Caller {
+    stream: TcpStream,
+    raw: String,
+}
+
+impl Caller {
+    /// Reads on until this has come.
+    fn await_text(&mut self, text: &str) {
+        while !self.raw.contains(text) {
+            let mut bytes = [0; 4096];
+            let count = self.stream.read(&mut bytes).expect("readable");
+            assert!(count > 0, "it ended without `{text}`: {}", self.raw);
+            self.raw.push_str(std::str::from_utf8(&bytes[..count]).expect("text"));
+        }
+    }
+    fn answer(mut self) -> Answer {
+        let mut bytes = vec![];
+        // A reset ends it as well as a close.
+        let _ = self.stream.read_to_end(&mut bytes);
+        self.raw.push_str(&String::from_utf8(bytes).expect("text"));
+        let (head, body) = self.raw.split_once("\r\n\r\n").expect("a head");
+        let head = format!("{head}\r\n\r\n");
+        let status = head[9..12].parse().expect("a status");
+        match header(&head, "transfer-encoding") {
+            Some(_) => Answer { status, is_whole: body.ends_with("0\r\n\r\n"), body: unchunked(body), head },
+            None => {
+                let length = header(&head, "content-length").map(|length| length.parse().expect("a length"));
+                Answer { status, is_whole: length == Some(body.len()), body: body.into(), head }
+            }
+        }
+    }
+}
+
+fn unchunked(mut body: &str) -> String {
+    let mut text = String::new();
+    while let Some((size, rest)) = body.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a size");
+        text.push_str(&rest[..size.min(rest.len())]);
+        body = rest.get(size + 2..).unwrap_or_default();
+    }
+    text
+}
+
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    head: String,
+    body: String,
+    is_whole: bool,
+}
+
+impl Answer {
+    fn has(&self, name: &str) -> bool {
+        header(&self.head, name).is_some()
+    }
+    /// One that a caller takes for the server's whole answer.
+    fn is_success(&self) -> bool {
+        (200..300).contains(&self.status) && self.has("x-mark") && self.is_whole
+    }
+    /// A promise that nothing ran.
+    fn is_promise(&self) -> bool {
+        PROMISES.contains(&self.status)
+    }
+}
+
+// ---- Whole answers.
+
+#[test]
+fn a_whole_answer_passes_unchanged_with_its_headers_and_without_those_of_the_connection() {
+    let said =
+        format!("{OURS}x-own: 1\r\nx-own: 2\r\nx-load: 3\r\nkeep-alive: timeout=5\r\nconnection: keep-alive\r\n");
+    let server = Server::start("a", vec![vec![Say(answer(203, &said, "the\r\n\r\nbytes"))]]);
+    let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
+    let answer = stage.ask("x-mine: 5\r\nx-wait: 9000\r\n");
+    assert_eq!((answer.status, answer.body.as_str(), answer.is_whole), (203, "the\r\n\r\nbytes", true));
+    assert_eq!(answer.head.matches("x-own: ").count(), 2);
+    assert!(answer.has("x-mark") && !answer.has("keep-alive"), "{}", answer.head);
+    let request = server.request();
+    assert!(request.starts_with("POST /p/x?q=a%20b HTTP/1.1\r\n") && request.ends_with("\r\n\r\nbody"), "{request}");
+    assert_eq!([header(&request, "x-mine"), header(&request, "x-server")], [Some("5"), Some("a")]);
+    let told = stage.told();
+    assert!(told.contains(&Told::Burden(3)) && told.contains(&Told::Ended(Outcome::Complete)), "{told:?}");
+}
+
+/// Whether this was taken for no answer: the call may have run, and nobody knows.
+fn is_no_answer(said: String, mutant: Option<Mutant>) -> bool {
+    let server = Server::start("a", vec![vec![Say(said), Close]]);
+    let stage = Stage::set_mutant(&MUTATING, vec![goes_to(&server, false)], mutant);
+    let answer = stage.ask("");
+    let outcomes = stage.outcomes();
+    answer.status == 502 && outcomes == [Outcome::Failed]
+}
+
+#[parameterized(
+    a_foreign_id = { answer(200, "x-call: c2\r\nx-mark: m\r\n", "other") },
+    a_foreign_refusal = { answer(503, "x-call: c2\r\nx-unrun: 1\r\n", "other") },
+    no_id = { answer(200, "x-mark: m\r\n", "whose") },
+    no_mark = { answer(200, "x-call: c1\r\n", "no mark") },
+    torn = { format!("HTTP/1.1 200 OK\r\n{OURS}content-length: 50\r\n\r\nonly this") },
+    torn_in_chunks = { format!("HTTP/1.1 200 OK\r\n{OURS}transfer-encoding: chunked\r\n\r\n4\r\nonly\r\n") },
+    not_http = { "what is this?\r\n\r\n".to_owned() },
+    nothing = { String::new() },
+)]
+fn what_is_not_the_whole_answer_to_this_call_never_passes(said: String) {
+    assert!(is_no_answer(said, None));
+}
+
+#[test]
+fn bytes_after_a_whole_answer_belong_to_nothing() {
+    let surplus = answer(200, "x-call: c1\r\nx-mark: late\r\n", "surplus");
+    let server = Server::start("a", vec![vec![Say(answer(200, OURS, "mine") + &surplus)], vec![whole("second")]]);
+    let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true), goes_to(&server, true)]);
+    let first = stage.ask("");
+    assert_eq!((first.body.as_str(), first.is_whole), ("mine", true));
+    stage.told();
+    let second = stage.ask("");
+    assert_eq!((second.body.as_str(), header(&second.head, "x-mark")), ("second", Some("m")));
+}
+
+// ---- Other servers.
+
+fn unrun() -> Do {
+    Say(answer(503, "x-call: c1\r\nx-unrun: 1\r\n", "full"))
+}
+
+#[parameterized(
+    once = { 1 },
+    twice = { 2 },
+    three_times = { 3 },
+)]
+fn what_surely_did_not_run_goes_elsewhere_as_often_as_the_route_allows_and_is_then_refused(max_tries: u64) {
+    let servers: Vec<Server> = ["a", "b", "c", "d"].map(|name| Server::start(name, vec![vec![unrun()]])).into();
+    let route = Route { max_tries, ..MUTATING };
+    let stage = Stage::set(&route, servers.iter().map(|server| goes_to(server, false)).collect());
+    let answer = stage.ask("");
+    assert_eq!((answer.status, answer.body.as_str()), (503, "server-refused"));
+    assert!(answer.has("retry-after"), "{}", answer.head);
+    let asked: usize = servers.iter().map(Server::count).sum();
+    assert_eq!(asked as u64, max_tries);
+    let told = stage.told();
+    let tried = |round: u32| servers[..round as usize].iter().map(|server| server.name.into()).collect();
+    for round in 0..max_tries as u32 {
+        let asked = Told::Asked { round, tried: tried(round), may_have_run: false, deadline: Span(20_000) };
+        assert!(told.contains(&asked), "{told:?} lacks {asked:?}");
+    }
+    assert_eq!(told.last(), Some(&Told::Closed { may_have_run: false }));
+}
+
+#[test]
+fn what_surely_did_not_run_is_answered_by_another_server() {
+    let (full, well) = (Server::start("a", vec![vec![unrun()]]), Server::start("b", vec![vec![whole("well")]]));
+    let stage = Stage::set(&MUTATING, vec![goes_to(&full, false), goes_to(&well, false)]);
+    let answer = stage.ask("");
+    assert!(answer.is_success() && answer.body == "well", "{answer:?}");
+    assert_eq!(stage.outcomes(), [Outcome::Refused, Outcome::Complete]);
+}
+
+#[test]
+fn when_the_desk_finds_no_other_server_its_time_to_come_back_is_told() {
+    let full = Server::start("a", vec![vec![unrun()]]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&full, false), denied(ResultCode::NoServer, 1250)]);
+    let answer = stage.ask("");
+    assert_eq!((answer.status, header(&answer.head, "retry-after")), (503, Some("1.25")));
+}
+
+#[test]
+fn a_server_that_is_not_there_costs_no_try() {
+    let (absent, well) = (Server::absent("a"), Server::start("b", vec![vec![whole("well")]]));
+    let route = Route { max_tries: 1, ..MUTATING };
+    let stage = Stage::set(&route, vec![goes_to(&absent, false), goes_to(&well, false)]);
+    assert!(stage.ask("").is_success());
+    assert_eq!(stage.outcomes(), [Outcome::Unsent, Outcome::Complete]);
+}
+
+/// Whether a call that may have run, and may not repeat, went to one server alone and was not told as refused.
+fn runs_once(first: Vec<Do>, mutant: Option<Mutant>) -> bool {
+    let (ill, well) = (Server::start("a", vec![first]), Server::start("b", vec![vec![whole("again")]]));
+    let stage = Stage::set_mutant(&MUTATING, vec![goes_to(&ill, false), goes_to(&well, false)], mutant);
+    let answer = stage.ask("x-wait: 1000\r\n");
+    let closed = stage.told().pop();
+    well.count() == 0 && !answer.is_promise() && answer.status >= 500 && matches!(closed, Some(Told::Closed { .. }))
+}
+
+fn failed(status: u16) -> Vec<Do> {
+    vec![Say(answer(status, "x-call: c1\r\n", "hm"))]
+}
+
+#[parameterized(
+    closed = { vec![Close] },
+    silent = { vec![AwaitEnd(flume::unbounded().0)] },
+    own_500 = { failed(500) },
+    own_504 = { failed(504) },
+    says_408 = { failed(408) },
+    says_429 = { failed(429) },
+    says_503 = { failed(503) },
+    torn = { vec![Say(format!("HTTP/1.1 200 OK\r\n{OURS}content-length: 50\r\n\r\nonly this")), Close] },
+)]
+fn what_may_have_run_and_may_not_repeat_is_neither_sent_again_nor_told_as_refused(first: Vec<Do>) {
+    assert!(runs_once(first, None));
+}
+
+#[parameterized(own_500 = { 500 }, own_504 = { 504 })]
+fn a_failure_that_promises_nothing_is_the_servers_to_tell(status: u16) {
+    let ill = Server::start("a", vec![failed(status)]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&ill, false)]);
+    let answer = stage.ask("");
+    assert_eq!((answer.status, answer.body.as_str()), (status, "hm"));
+}
+
+#[test]
+fn what_may_repeat_goes_to_another_server_but_is_never_told_as_refused_after() {
+    let (ill, full) = (Server::start("a", vec![vec![Close]]), Server::start("b", vec![vec![unrun()]]));
+    let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&ill, true), goes_to(&full, true)]);
+    let answer = stage.ask("");
+    assert_eq!((answer.status, ill.count(), full.count()), (502, 1, 1));
+    let told = stage.told();
+    let second = Told::Asked { round: 1, tried: vec!["a".into()], may_have_run: true, deadline: Span(20_000) };
+    assert!(told.contains(&second), "{told:?}");
+}
+
+#[test]
+fn where_another_server_has_the_address_the_call_goes_elsewhere_and_the_desk_hears_of_it() {
+    let gone = Server::start("a", vec![vec![Say(answer(421, "x-call: c1\r\n", "not me"))]]);
+    let well = Server::start("b", vec![vec![whole("well")]]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&gone, false), goes_to(&well, false)]);
+    assert!(stage.ask("").is_success());
+    let told = stage.told();
+    assert!(told.contains(&Told::Unreachable("a".into())) && told.contains(&Told::Ended(Outcome::Refused)), "{told:?}");
+}
+
+#[test]
+fn one_try_never_asks_a_second_server_even_where_it_might_repeat() {
+    let (ill, well) = (Server::start("a", vec![vec![Close]]), Server::start("b", vec![vec![whole("again")]]));
+    let route = Route { max_tries: 1, ..IDEMPOTENT };
+    let stage = Stage::set(&route, vec![goes_to(&ill, true), goes_to(&well, true)]);
+    assert_eq!((stage.ask("").status, well.count()), (502, 0));
+}
+
+// ---- Deadlines, standing, plans.
+
+#[parameterized(
+    the_callers = { 8000, 15_000, 8000 },
+    the_routes = { 15_000, 8000, 8000 },
+)]
+fn the_deadline_is_the_least_and_what_is_left_is_handed_on(caller: u64, deadline_ms: u64, least: u64) {
+    let (full, well) = (Server::start("a", vec![vec![unrun()]]), Server::start("b", vec![vec![whole("well")]]));
+    let route = Route { deadline_ms, ..MUTATING };
+    let stage = Stage::set(&route, vec![goes_to(&full, false), goes_to(&well, false)]);
+    assert!(stage.ask(&format!("x-wait: {caller}\r\n")).is_success());
+    let left = |server: &Server| header(&server.request(), "x-left").expect("told").parse::<u64>().expect("ms");
+    let (first, second) = (left(&full), left(&well));
+    assert!(second <= first && first <= least && second > 0, "{first} {second}");
+    let is_told = |told: &Told| matches!(told, Told::Asked { deadline, .. } if *deadline == Span(least));
+    assert_eq!(stage.told().iter().filter(|told| is_told(told)).count(), 2);
+}
+
+#[test]
+fn a_call_without_time_is_sent_nowhere() {
+    let server = Server::start("a", vec![vec![whole("late")]]);
+    let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
+    let answer = stage.ask("x-wait: 0\r\n");
+    assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
+}
+
+#[test]
+fn a_node_that_loses_its_standing_right_before_the_send_sends_nothing_and_refuses() {
+    let server = Server::start("a", vec![vec![whole("late")]]);
+    let placing = server.placing(true);
+    let lose: Word = Box::new(move |shared| {
+        shared.may_act_until.store(0, Ordering::SeqCst);
+        Ok(placing)
+    });
+    let stage = Stage::set(&IDEMPOTENT, vec![lose]);
+    let answer = stage.ask("");
+    assert_eq!((answer.status, answer.body.as_str(), server.count()), (503, "not-ready", 0));
+    assert_eq!(stage.told().last(), Some(&Told::Closed { may_have_run: false }));
+    assert_eq!((stage.ask("").status, server.count()), (503, 0), "nor does it act later");
+}
+
+#[test]
+fn what_was_placed_under_an_older_epoch_is_placed_anew_before_a_byte_leaves() {
+    let (old, new) = (Server::start("a", vec![vec![whole("old")]]), Server::start("b", vec![vec![whole("new")]]));
+    let placing = old.placing(false);
+    let outdate: Word = Box::new(move |shared| {
+        shared.epoch.store(2, Ordering::SeqCst);
+        Ok(placing)
+    });
+    let placing = Placing { epoch: Epoch(2), ..new.placing(false) };
+    let route = Route { max_tries: 1, ..MUTATING };
+    let stage = Stage::set(&route, vec![outdate, Box::new(move |_| Ok(placing))]);
+    let answer = stage.ask("");
+    assert_eq!((answer.body.as_str(), old.count()), ("new", 0));
+    let told = stage.told();
+    let anew = Told::Asked { round: 0, tried: vec![], may_have_run: false, deadline: Span(20_000) };
+    assert_eq!(told.iter().filter(|told| **told == anew).count(), 2, "no failure is told: {told:?}");
+}
+
+#[test]
+fn a_plan_change_between_attempts_that_removes_the_route_stops_further_ones() {
+    let (full, well) = (Server::start("a", vec![vec![unrun()]]), Server::start("b", vec![vec![whole("well")]]));
+    // The node's own answer where the plan has the route no more.
+    let words = vec![goes_to(&full, false), denied(ResultCode::NotReady, 50), goes_to(&well, false)];
+    let stage = Stage::set(&MUTATING, words);
+    let answer = stage.ask("");
+    assert!(answer.is_promise() && answer.has("retry-after") && well.count() == 0, "{answer:?}");
+}
+
+#[parameterized(
+    another_path = { "/q/x", "h" },
+    another_host = { "/p/x", "i" },
+    prefix_without_slash = { "/px", "h" },
+)]
+fn a_call_without_a_route_is_404_and_asks_nobody(path: &str, host: &str) {
+    let stage = Stage::set(&MUTATING, vec![]);
+    let mut stream = TcpStream::connect(stage.address).expect("connected");
+    let request = format!("POST {path} HTTP/1.1\r\nhost: {host}\r\nx-call: c1\r\n\r\n");
+    stream.write_all(request.as_bytes()).expect("written");
+    let answer = Caller { stream, raw: String::new() }.answer();
+    assert_eq!((answer.status, header(&answer.head, "x-call")), (404, Some("c1")));
+    assert!(stage.told.is_empty());
+}
+
+// ---- Streams.
+
+#[test]
+fn events_pass_whole_and_at_once() {
+    let (go, wait) = flume::bounded(0);
+    let (go_on, wait_on) = flume::bounded(0);
+    let second = event(2);
+    let (begun, rest) = second.split_at(9);
+    let script = vec![
+        stream_head("m"),
+        events(1..=1),
+        chunk(begun),
+        Await(wait),
+        chunk(rest),
+        Await(wait_on),
+        events(3..=4),
+        end(),
+    ];
+    let server = Server::start("a", vec![script]);
+    let stage = Stage::set(&STREAM, vec![goes_to(&server, true)]);
+    let mut caller = stage.send("");
+    // The server goes on only once the caller has what came before.
+    caller.await_text("piece 1\n\n");
+    assert!(!caller.raw.contains(begun), "a part of an event was passed: {}", caller.raw);
+    go.send_timeout((), GUARD).expect("the server waits");
+    caller.await_text("piece 2\n\n");
+    go_on.send_timeout((), GUARD).expect("the server waits");
+    let answer = caller.answer();
+    assert!(answer.is_success(), "{answer:?}");
+    assert_eq!(answer.body, all_of(1..=4));
+    let told = stage.told();
+    assert_eq!(told.iter().filter(|told| **told == Told::First).count(), 1);
+    assert!(told.contains(&Told::Ended(Outcome::Complete)), "{told:?}");
+}
+
+fn tear() -> Vec<Do> {
+    vec![stream_head("first"), events(5..=6), chunk("id: 7\nda"), Close]
+}
+
+/// Whether a torn stream that may be resumed goes on exactly, under its first head.
+fn resumes_exactly(mutant: Option<Mutant>) -> bool {
+    // As a server that starts anew at what it's told.
+    let (torn, next) =
+        (Server::start("a", vec![tear()]), Server::start("b", vec![vec![stream_head("second"), events(5..=8), end()]]));
+    let stage = Stage::set_mutant(&STREAM, vec![goes_to(&torn, true), goes_to(&next, true)], mutant);
+    let answer = stage.ask("x-after: 4\r\n");
+    let asked = [torn.request(), next.request()].map(|request| header(&request, "x-after").map(str::to_owned));
+    answer.is_success()
+        && header(&answer.head, "x-mark") == Some("first")
+        && answer.body == all_of(5..=8)
+        && asked == [Some("4".to_owned()), Some("6".to_owned())]
+        && stage.outcomes() == [Outcome::Failed, Outcome::Complete]
+}
+
+#[test]
+fn a_torn_stream_that_may_be_resumed_goes_on_behind_its_last_whole_event_under_the_first_head() {
+    assert!(resumes_exactly(None));
+}
+
+/// Whether a torn stream that no server takes up never looks complete, and goes nowhere else.
+fn is_cut_visibly(torn: Vec<Do>, mutant: Option<Mutant>) -> bool {
+    let (torn, next) = (Server::start("a", vec![torn]), Server::start("b", vec![vec![whole("again")]]));
+    let stage = Stage::set_mutant(&STREAM, vec![goes_to(&torn, false), goes_to(&next, false)], mutant);
+    let answer = stage.ask("");
+    !answer.is_whole && answer.body == all_of(5..=6) && next.count() == 0
+}
+
+#[parameterized(
+    in_an_event = { tear() },
+    between_events = { vec![stream_head("m"), events(5..=6), Close] },
+    no_http = { vec![stream_head("m"), events(5..=6), Say("garbage\r\n".into()), Close] },
+)]
+fn a_torn_stream_that_may_not_be_resumed_never_looks_complete(torn: Vec<Do>) {
+    assert!(is_cut_visibly(torn, None));
+}
+
+#[test]
+fn a_torn_stream_that_no_other_server_takes_never_looks_complete() {
+    let torn = Server::start("a", vec![tear()]);
+    let stage = Stage::set(&STREAM, vec![goes_to(&torn, true), denied(ResultCode::NoServer, 500)]);
+    let answer = stage.ask("");
+    assert!(!answer.is_whole && answer.body == all_of(5..=6), "{answer:?}");
+}
+
+#[test]
+fn a_resumable_stream_that_falls_silent_is_taken_up_elsewhere() {
+    let (ended, is_ended) = flume::unbounded();
+    let silent = Server::start("a", vec![vec![stream_head("m"), events(1..=2), AwaitEnd(ended)]]);
+    let next = Server::start("b", vec![vec![stream_head("n"), events(3..=4), end()]]);
+    let stage = Stage::set(&STREAM, vec![goes_to(&silent, true), goes_to(&next, true)]);
+    // Its caller doesn't wait for longer than it takes to notice, and for the other server.
+    let answer = stage.ask("x-wait: 4500\r\n");
+    assert!(answer.is_success() && answer.body == all_of(1..=4), "{answer:?}");
+    is_ended.recv_timeout(GUARD).expect("the silent server is left");
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_is_awaited_until_its_deadline() {
+    let (ended, _is_ended) = flume::unbounded();
+    let silent = Server::start("a", vec![vec![stream_head("m"), events(1..=2), AwaitEnd(ended)]]);
+    let next = Server::start("b", vec![vec![stream_head("n"), events(3..=4), end()]]);
+    let stage = Stage::set(&STREAM, vec![goes_to(&silent, false), goes_to(&next, false)]);
+    // Longer than a silence that is given up where another may go on.
+    let answer = stage.ask("x-wait: 2500\r\n");
+    assert!(!answer.is_whole && answer.body == all_of(1..=2) && next.count() == 0, "{answer:?}");
+    // The deadline ended it, not a fault of the server's.
+    assert_eq!(stage.outcomes(), [Outcome::Cancelled]);
+}
+
+#[test]
+fn the_callers_going_away_in_mid_stream_closes_the_servers_connection() {
+    let (ended, is_ended) = flume::unbounded();
+    let server = Server::start("a", vec![vec![stream_head("m"), events(1..=1), AwaitEnd(ended)]]);
+    let stage = Stage::set(&STREAM, vec![goes_to(&server, false)]);
+    let mut caller = stage.send("");
+    caller.await_text("piece 1");
+    drop(caller);
+    is_ended.recv_timeout(GUARD).expect("the server's connection is closed");
+    assert_eq!(stage.outcomes(), [Outcome::Cancelled]);
+}
+
+#[test]
+fn the_callers_going_away_before_the_head_closes_the_servers_connection() {
+    let (ended, is_ended) = flume::unbounded();
+    let server = Server::start("a", vec![vec![AwaitEnd(ended)]]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
+    let caller = stage.send("");
+    server.request();
+    drop(caller);
+    is_ended.recv_timeout(GUARD).expect("the server's connection is closed");
+    assert_eq!(stage.outcomes(), [Outcome::Cancelled]);
+}
+
+// ---- Mutants.
+
+#[parameterized(
+    repeat_anything = { Mutant::RepeatAnything, |mutant| runs_once(vec![Close], mutant) },
+    pass_foreign = { Mutant::PassForeign, |mutant| is_no_answer(answer(200, "x-call: c2\r\nx-mark: m\r\n", "other"), mutant) },
+    pass_unmarked = { Mutant::PassForeign, |mutant| is_no_answer(answer(200, "x-call: c1\r\n", "no mark"), mutant) },
+    end_torn = { Mutant::EndTorn, |mutant| is_cut_visibly(tear(), mutant) },
+    resume_from_start = { Mutant::ResumeFromStart, resumes_exactly },
+)]
+fn each_mutant_is_caught(mutant: Mutant, holds: fn(Option<Mutant>) -> bool) {
+    assert!(holds(None), "without the mutant");
+    assert!(!holds(Some(mutant)), "{mutant:?} was not caught");
+}
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -11,18 +11,18 @@
 pub(crate) struct Ingress {
     closers: Vec<GateCloser>,
     open_count: Arc<AtomicUsize>,
+    /// Where callers reach it, and where its readiness is told.
+    #[cfg(test)]
+    pub addresses: (Address, Address),
 }
 
 /// Connections of one node to one server, idle ones among them.
 const LINES_MOST: usize = 64;
 
-/// Callers who come while a node starts wait unread for this long at most: an unread request can go to another
-/// node without any doubt, and most nodes are ready within a tenth of a second.
-const START_PATIENCE: Span = Span(700);
 const START_LOOK: Span = Span(5);
 
-fn await_ready(shared: &Shared) {
-    let due = Clock::now() + START_PATIENCE;
+fn await_ready(shared: &Shared, patience: Span) {
+    let due = Clock::now() + patience;
     while !shared.is_ready.load(Ordering::SeqCst) && Clock::now() < due {
         std::thread::sleep(START_LOOK.duration());
     }
@@ -58,11 +58,18 @@
         });
         server_list::start(list, settings.list_rate, shared.clone(), dialect.clone(), tell)
             .map_err(|fault| fault.to_string())?;
-        let shared_by_gate = shared.clone();
-        let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: dialect.clone(), lines });
+        let (shared_by_gate, patience) = (shared.clone(), Span(settings.start_wait_ms));
+        let forwarder = Arc::new(Forwarder {
+            shared: shared.clone(),
+            dialect: dialect.clone(),
+            lines,
+            #[cfg(test)]
+            mutant: None,
+        });
+        let addresses = (gate.address(), probe_gate.address());
         let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
         let serve = move || {
-            await_ready(&shared_by_gate);
+            await_ready(&shared_by_gate, patience);
             gate.serve(move |order| forwarder.reply(order));
         };
         std::thread::Builder::new().name("ingress".into()).spawn(serve).map_err(|fault| fault.to_string())?;
@@ -73,8 +80,13 @@
         };
         let serve = move || probe_gate.serve(tell_ready);
         std::thread::Builder::new().name("readiness".into()).spawn(serve).map_err(|fault| fault.to_string())?;
-        tracing::info!("ingress: listens at {listen}, readiness {probed}.");
-        Ok(Ingress { closers, open_count })
+        tracing::info!("ingress: listens at {}, readiness {}.", addresses.0, addresses.1);
+        Ok(Ingress {
+            closers,
+            open_count,
+            #[cfg(test)]
+            addresses,
+        })
     }
     /// Callers are to go elsewhere: each answer says so.
     pub fn leave(&self) {
@@ -89,3 +101,6 @@
         self.open_count.load(Ordering::SeqCst)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/crier/src/ingress/tests.rs
@@ -0,0 +1,121 @@
+use super::*;
+use crate::forward::tests::{Plain, shared};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+
+/// Nothing is judged by it: it ends a test that would hang.
+const GUARD: Duration = Duration::from_secs(30);
+
+/// A node's doors. It may not act and is not ready, and holds its callers this long.
+fn open(start_wait_ms: u64) -> (Ingress, Arc<Shared>) {
+    let (shared, _) = shared();
+    shared.is_ready.store(false, SeqCst);
+    shared.may_act_until.store(0, SeqCst);
+    let settings = read_settings::<Settings>(None).expect("defaults");
+    let here = || "127.0.0.1:0".to_owned();
+    // Nobody serves the list of servers.
+    let settings = Settings { ingress: here(), readiness: here(), start_wait_ms, ..settings };
+    let ingress = Ingress::open(&settings, shared.clone(), Arc::new(Plain), |_| {}).expect("open");
+    (ingress, shared)
+}
+
+fn connect(to: Address) -> TcpStream {
+    let stream = TcpStream::connect(to.0).expect("connected");
+    stream.set_read_timeout(Some(GUARD)).expect("set");
+    stream
+}
+
+fn send(mut stream: &TcpStream, path: &str) {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: h\r\nx-call: c1\r\n\r\n");
+    stream.write_all(request.as_bytes()).expect("written");
+}
+
+/// One answer: its head, and as much of its body as its length tells.
+fn answer(mut stream: &TcpStream) -> String {
+    let mut text = String::new();
+    loop {
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+            if body.len() >= length.map_or(0, |length| length.parse().expect("a length")) {
+                return text;
+            }
+        }
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).expect("readable"), 1, "it ended early: {text}");
+        text.push(byte[0].into());
+    }
+}
+
+fn probe(ingress: &Ingress, path: &str) -> String {
+    let stream = connect(ingress.addresses.1);
+    send(&stream, path);
+    answer(&stream)
+}
+
+#[test]
+fn callers_at_a_starting_node_wait_unread_until_it_is_ready() {
+    let (ingress, shared) = open(60_000);
+    let early = connect(ingress.addresses.0);
+    send(&early, "/p/x");
+    // Were it read now, it would be told that this node may not act.
+    assert!(probe(&ingress, "/probe").starts_with("HTTP/1.1 503"));
+    assert_eq!(shared.tallies.received.load(SeqCst), 0);
+    let plan = parse_plan(br#"{"services": {}}"#).expect("a plan");
+    shared.take_plan(Some(&Arc::new(plan)));
+    shared.may_act_until.store(u64::MAX, SeqCst);
+    shared.is_ready.store(true, SeqCst);
+    let told = answer(&early);
+    assert!(told.starts_with("HTTP/1.1 404") && told.ends_with("unknown-service"), "{told}");
+}
+
+#[test]
+fn callers_at_a_node_that_does_not_get_ready_are_refused_after_their_wait() {
+    let (ingress, _shared) = open(0);
+    let early = connect(ingress.addresses.0);
+    send(&early, "/p/x");
+    let told = answer(&early);
+    assert!(told.starts_with("HTTP/1.1 503") && told.contains("retry-after: "), "{told}");
+}
+
+#[test]
+fn readiness_is_told_at_its_own_address_as_it_changes() {
+    let (ingress, shared) = open(60_000);
+    let told = |path: &str| probe(&ingress, path)[9..12].to_owned();
+    assert_eq!([told("/probe"), told("/other")], ["503", "404"]);
+    shared.is_ready.store(true, SeqCst);
+    assert_eq!([told("/probe"), told("/other")], ["200", "404"]);
+    shared.is_ready.store(false, SeqCst);
+    assert_eq!(told("/probe"), "503");
+}
+
+#[test]
+fn a_leaving_node_still_answers_and_each_answer_ends_its_connection() {
+    let (ingress, _shared) = open(0);
+    let kept = connect(ingress.addresses.0);
+    send(&kept, "/p/x");
+    let before = answer(&kept);
+    assert!(!before.contains("connection: close"), "{before}");
+    ingress.leave();
+    // One that is kept may have a request on the wire; others still come.
+    send(&kept, "/p/x");
+    let new = connect(ingress.addresses.0);
+    send(&new, "/p/x");
+    for mut caller in [kept, new] {
+        let after = answer(&caller);
+        assert!(after.contains("connection: close"), "{after}");
+        assert_eq!(caller.read(&mut [0]).expect("closed in order"), 0);
+    }
+}
+
+#[test]
+fn a_node_is_quiet_only_once_no_caller_has_come_for_a_while() {
+    let (ingress, shared) = open(0);
+    let caller = connect(ingress.addresses.0);
+    send(&caller, "/p/x");
+    answer(&caller);
+    let arrived = Moment(shared.arrived.load(SeqCst));
+    assert!(arrived > Moment(0));
+    assert!(!shared.is_quiet(arrived + Span(1000)) && shared.is_quiet(arrived + Span(1500)));
+}
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -38,6 +38,10 @@
     /// A stream without a piece for this long is broken, in ms.
     #[setting(default = 10_000, validate = within(1, 1_000_000))]
     pub stall_ms: u64,
+    /// Callers who come while it starts wait unread for this long at most, in ms: an unread request can go to
+    /// another node without any doubt, and most nodes are ready within a tenth of a second.
+    #[setting(default = 700, validate = within(0, 60_000))]
+    pub start_wait_ms: u64,
     /// Told to stop, it's not ready at once, but takes what is still sent to it for this long, in ms: whoever
     /// hands callers out sees readiness late.
     #[setting(default = 1500, validate = within(0, 60_000))]
