--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -10,6 +10,8 @@
 pub struct Timing {
     /// Disks that a change is on before it is replied: changes enter only while the chain has as many.
     pub copies: usize,
+    /// Voters wanted: a follower's vote is added while there are fewer. Never taken away again.
+    pub voters: usize,
     /// Between beats.
     pub beat: Span,
     /// Unheard for this long, a fellow is taken for gone.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Timing {
             copies: 2,
+            voters: 3,
             beat: Span(100),
             suspect: Span(800),
             lease: Span(1000),
--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -71,6 +71,7 @@
                 if !voters.contains(voter) {
                     match self.replaceable(&voters, voter) {
                         Some(place) => voters[place] = *voter,
+                        None if voters.len() < self.timing.voters => voters.push(*voter),
                         None => continue,
                     }
                 }
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -231,3 +231,161 @@
     assert!(!grant_all(&mut tail, earlier));
     assert!(grant_all(&mut tail, round));
 }
+
+/// Fellows on a network of one beat's steps that loses nothing; who is `None` is down.
+struct Core {
+    at: u64,
+    founders: Vec<Address>,
+    timing: Timing,
+    fellows: Vec<Option<Fellow<Tally>>>,
+    disks: Vec<DiskId>,
+    records: Vec<Vec<Record>>,
+}
+
+impl Core {
+    fn new(founders: u16, voters: usize, all: u16) -> Core {
+        let mut core = Core {
+            at: 10_000,
+            founders: (1..=founders).map(Address::loopback).collect(),
+            timing: Timing { copies: 3, voters, ..Timing::default() },
+            fellows: vec![],
+            disks: (1..=all).map(|n| DiskId(u128::from(n))).collect(),
+            records: vec![vec![]; usize::from(all)],
+        };
+        core.fellows.resize_with(usize::from(all), || None);
+        (1..=all).for_each(|n| core.start(n));
+        core
+    }
+    fn start(&mut self, n: u16) {
+        let place = usize::from(n) - 1;
+        let me = Voter { address: Address::loopback(n), disk: self.disks[place] };
+        let kept = Kept { records: self.records[place].clone() };
+        let fellow = Fellow::new(me, self.founders.clone(), self.timing, kept, Tally(0), Moment(self.at));
+        self.fellows[place] = Some(fellow.unwrap());
+    }
+    fn stop(&mut self, n: u16) {
+        self.fellows[usize::from(n) - 1] = None;
+    }
+    fn wipe(&mut self, n: u16) {
+        self.stop(n);
+        let place = usize::from(n) - 1;
+        self.disks[place] = DiskId(self.disks[place].0 + 100);
+        self.records[place].clear();
+    }
+    /// Plays for so long; gives the last reply to a proposal made here at the start, if any came.
+    fn play(&mut self, span: u64, proposer: Option<(u16, u64)>) -> Option<bool> {
+        let mut inputs: VecDeque<(usize, Input)> = VecDeque::new();
+        if let Some((n, number)) = proposer {
+            inputs.push_back((usize::from(n) - 1, Input::Propose { number, body: vec![1] }));
+        }
+        let mut told = None;
+        let due = self.at + span;
+        while self.at < due {
+            self.at += 25;
+            let at = Moment(self.at);
+            inputs.extend((0..self.fellows.len()).map(|place| (place, Input::ClockEvent)));
+            while let Some((place, input)) = inputs.pop_front() {
+                let Some(fellow) = &mut self.fellows[place] else { continue };
+                let mut outputs = fellow.step(at, input);
+                outputs.reverse();
+                while let Some(output) = outputs.pop() {
+                    match output {
+                        Output::Send { to, note } => {
+                            let from = Address::loopback(place as u16 + 1);
+                            inputs.push_back((usize::from(to.0.port()) - 1, Input::Note { from, note }));
+                        }
+                        Output::Write { id, records, is_whole } => {
+                            if is_whole {
+                                self.records[place].clear();
+                            }
+                            self.records[place].extend(records);
+                            inputs.push_back((place, Input::Written { id }));
+                        }
+                        Output::Settled { ticket, body } => outputs.extend(fellow.reply(at, ticket, body)),
+                        Output::Reply { is_replied, .. } => told = Some(is_replied),
+                        Output::ViewChanged(_) => {}
+                    }
+                }
+            }
+        }
+        told
+    }
+    /// Where a fellow may reply: who votes and who sits in the chain there, and how many changes it holds.
+    fn core(&self) -> Option<(Vec<u16>, Vec<u16>, u64)> {
+        let may_reply = |fellow: &&Fellow<Tally>| fellow.may_reply(Moment(self.at));
+        let tail = self.fellows.iter().flatten().find(may_reply)?;
+        let sorted = |voters: &mut dyn Iterator<Item = Address>| {
+            let mut ports: Vec<u16> = voters.map(|address| address.0.port()).collect();
+            ports.sort();
+            ports
+        };
+        let voters = sorted(&mut tail.view().voters.iter().map(|v| v.address));
+        let chain = sorted(&mut tail.view().chain.iter().map(|s| s.voter.address));
+        Some((voters, chain, tail.charge().0))
+    }
+}
+
+#[test]
+fn three_founders_grow_to_as_many_voters_as_are_wanted_and_no_further() {
+    let mut core = Core::new(3, 5, 6);
+    core.play(4000, None);
+    let (voters, chain, _) = core.core().expect("it replies");
+    assert_eq!((voters.len(), &voters), (5, &chain), "{voters:?}");
+    assert_eq!(voters[..3], [1, 2, 3]);
+    assert_eq!(core.play(1000, Some((6, 1))), Some(true), "whoever is no voter proposes all the same");
+    let mut core = Core::new(3, 3, 5);
+    core.play(4000, None);
+    assert_eq!(core.core().map(|(voters, ..)| voters), Some(vec![1, 2, 3]));
+}
+
+/// What three voters can't bear: of the three disks that hold a change, two come back empty.
+#[test]
+fn two_of_five_disks_wiped_at_once_lose_nothing_and_the_core_goes_on() {
+    for pair in [(1, 2), (2, 3), (1, 3), (4, 5), (1, 5)] {
+        let mut core = Core::new(3, 5, 5);
+        core.play(4000, None);
+        assert_eq!(core.play(1000, Some((1, 1))), Some(true));
+        core.wipe(pair.0);
+        core.wipe(pair.1);
+        core.play(600, None);
+        core.start(pair.0);
+        core.start(pair.1);
+        core.play(8000, None);
+        let (voters, chain, held) = core.core().expect("it replies");
+        assert_eq!((voters.len(), chain.len(), held), (5, 5, 1), "{pair:?}: {voters:?} {chain:?}");
+        assert_eq!(core.play(1000, Some((2, 2))), Some(true), "{pair:?}");
+    }
+}
+
+#[test]
+fn two_of_five_gone_for_good_are_replaced_by_two_with_other_addresses() {
+    let mut core = Core::new(3, 5, 7);
+    core.stop(6);
+    core.stop(7);
+    core.play(4000, None);
+    core.stop(1);
+    core.stop(4);
+    core.play(3000, None);
+    assert_eq!(core.core().map(|(voters, chain, _)| (voters.len(), chain)), Some((5, vec![2, 3, 5])));
+    assert_eq!(core.play(1000, Some((2, 1))), Some(true));
+    core.start(6);
+    core.start(7);
+    core.play(8000, None);
+    assert_eq!(core.core().map(|(voters, ..)| voters), Some(vec![2, 3, 5, 6, 7]));
+}
+
+/// Power lost by all, with two disks, while the newest voters held the newest change.
+#[test]
+fn a_core_that_has_grown_comes_back_from_a_loss_of_power_by_all() {
+    let mut core = Core::new(3, 5, 6);
+    core.play(4000, None);
+    assert_eq!(core.play(1000, Some((1, 1))), Some(true));
+    (1..=6).for_each(|n| core.stop(n));
+    core.wipe(2);
+    core.wipe(4);
+    core.play(600, None);
+    (1..=6).for_each(|n| core.start(n));
+    core.play(8000, None);
+    let (voters, chain, held) = core.core().expect("it replies");
+    assert_eq!((voters.len(), chain.len(), held), (5, 5, 1), "{voters:?} {chain:?}");
+}
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -136,6 +136,7 @@
     tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
     let mut timing = OfficeTiming::default();
     timing.fellow.copies = settings.copies as usize;
+    timing.fellow.voters = settings.voters as usize;
     timing.quorum = settings.quorum;
     let mut control = Control {
         inner,
--- a/crates/registrar/src/settings.rs
+++ b/crates/registrar/src/settings.rs
@@ -32,6 +32,10 @@
     /// Disks that a change is on before it counts as accepted: one more than may be lost at once.
     #[setting(default = 2, validate = within(1, 9))]
     pub copies: u64,
+    /// Voters wanted: registrars added to a core of fewer become voters until there are as many. Of 2N + 1,
+    /// N may be lost at once, with their disks.
+    #[setting(default = 3, validate = within(1, 19))]
+    pub voters: u64,
     /// Who must know a change before it is told as accepted: `majority` of the members, or `holders` of
     /// leases.
     pub quorum: Quorum,
