--- a/crates/primer/src/desk/peer_totals.rs
+++ b/crates/primer/src/desk/peer_totals.rs
@@ -56,6 +56,7 @@
             load.count += told.count;
             load.unread += told.unread;
             load.tokens += told.tokens;
+            load.failures += told.failures;
         }
     }
     /// Counts a sketch no more.
@@ -86,7 +87,8 @@
             load.count = load.count.saturating_sub(told.count);
             load.unread = load.unread.saturating_sub(told.unread);
             load.tokens = load.tokens.saturating_sub(told.tokens);
-            if load.count == 0 && load.unread == 0 && load.tokens == 0 {
+            load.failures = load.failures.saturating_sub(told.failures);
+            if load.count == 0 && load.unread == 0 && load.tokens == 0 && load.failures == 0 {
                 self.loads.remove(&told.server);
             }
         }
