--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -61,7 +61,7 @@
         self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
             // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
             // another order of this id may be in hand.
-            self.tell_ended(&place.order, Outcome::Cancelled);
+            self.tell_ended(&place.order, Outcome::Refused);
             Err(silence())
         })
     }
--- a/crates/crier/src/trip.rs
+++ b/crates/crier/src/trip.rs
@@ -92,7 +92,7 @@
                         self.errand.step(ErrandInput::Open)
                     }
                     Err(NotTaken::Withheld) => {
-                        self.shared.tell_ended(&order, Outcome::Cancelled);
+                        self.shared.tell_ended(&order, Outcome::Refused);
                         self.errand.step(ErrandInput::LoseLease)
                     }
                     Err(NotTaken::Failed(failure, why)) => {
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -32,8 +32,7 @@
     };
     take(0, Event::Roll { servers: (0..90).map(entry).collect() });
     take(0, Event::Members { members: (1..=90).map(Address::loopback).collect() });
-    let in_flight =
-        |n: u64| InFlight { server: entry(n).server, count: 1, unread: 500, tokens: 12_000, read: 9, failures: 0 };
+    let in_flight = |n: u64| InFlight { server: entry(n).server, count: 1, unread: 500, tokens: 12_000, read: 9 };
     let sketch = Sketch {
         missing: None,
         incarnation: 1,
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -91,8 +91,6 @@
     expected: Span,
     /// Whether its lag was taken into account.
     is_noted: bool,
-    /// Whether it was counted among what failed.
-    has_failed: bool,
     server: ServerName,
     incarnation: Option<u64>,
     hashes: Vec<PrefixHash>,
@@ -121,10 +119,6 @@
     queue: u64,
 }
 
-/// So many requests must have failed at a server lately, over all nodes, before it is held to be ill,
-const FAILING_LEAST: u32 = 3;
-/// and so many times more than at the middle one of its kin.
-const FAILING_TIMES: u32 = 4;
 /// Servers times prefixes that one sketch looks up.
 const HOLDING_LOOKUPS: usize = 16_384;
 
@@ -220,10 +214,7 @@
             }
         }
         holdings.truncate(512);
-        self.servers.values_mut().for_each(|server| server.expire_failures(now));
-        let has_news =
-            |server: &ServerState| server.own > 0 || server.read > server.read_told || !server.failed.is_empty();
-        let busy = self.servers.iter().filter(|(_, server)| has_news(server));
+        let busy = self.servers.iter().filter(|(_, server)| server.own > 0 || server.read > server.read_told);
         let leaving = self.servers.iter().filter(|(_, server)| server.is_listed && server.is_leaving);
         let sketch = Sketch {
             incarnation: self.incarnation,
@@ -237,7 +228,6 @@
                     unread: server.unread,
                     tokens: server.tokens,
                     read: server.read,
-                    failures: server.failed.len() as u32,
                 })
                 .collect(),
             leaving: leaving.map(|(name, _)| name.clone()).collect(),
@@ -431,65 +421,13 @@
         for order in overdue {
             let Some(hand) = self.orders.get_mut(&order) else { continue };
             hand.is_noted = true;
-            hand.has_failed = true;
             let (name, lag) = (hand.server.clone(), now.since(hand.placed).0.saturating_sub(hand.expected.0));
             self.note_lag(&name, lag, now);
-            self.note_failure(&name, now);
-        }
-    }
-
-    /// A request failed at a server that should have served it.
-    fn note_failure(&mut self, name: &ServerName, now: Moment) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.note_failure(now);
-            self.eject_failing(now);
-        }
-    }
-
-    /// A server that answers its probes and fails requests is seen by what fails there, at all nodes: one node
-    /// alone sends each of many servers too little to tell. Those at which far more fails than at the middle one
-    /// of their kin get no work for a while.
-    fn eject_failing(&mut self, now: Moment) {
-        let is_failing = |server: &ServerState| server.is_listed && server.failures() >= FAILING_LEAST;
-        if !self.servers.values().any(|server| is_failing(server) && !server.is_suspect(now)) {
-            return;
-        }
-        let mut failures: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
-        for server in self.servers.values().filter(|server| server.is_listed) {
-            failures.entry(&server.pool).or_default().push(server.failures());
-        }
-        let is_worse = |server: &ServerState, all: &mut Vec<u32>| {
-            let middle = (all.len() - 1) / 2;
-            server.failures() > *all.select_nth_unstable(middle).1 * FAILING_TIMES
-        };
-        let mut worse: Vec<(u32, ServerName)> = vec![];
-        for (name, server) in self.servers.iter().filter(|(_, server)| is_failing(server) && !server.is_suspect(now)) {
-            if failures.get_mut(server.pool.as_str()).is_some_and(|all| is_worse(server, all)) {
-                worse.push((server.failures(), name.clone()));
-            }
-        }
-        worse.sort_unstable_by(|a, b| b.cmp(a));
-        for (_, name) in worse {
-            if !self.may_lose(&name, now) {
-                continue;
-            }
-            let Some(server) = self.servers.get_mut(&name) else { continue };
-            let span = server.eject(now);
-            self.decisions.push(Decision::Suspected { server: name, span });
         }
     }
 
     fn on_ended(&mut self, order: &OrderId, outcome: Outcome, now: Moment) {
         let Some(hand) = self.orders.remove(order) else { return };
-        // One that turned it away although it had room fails, too.
-        let is_failure = match outcome {
-            Outcome::Unsent | Outcome::Failed => !hand.has_failed,
-            Outcome::Refused => hand.was_idle,
-            Outcome::Complete | Outcome::Cancelled => false,
-        };
-        if is_failure {
-            self.note_failure(&hand.server, now);
-        }
         let Some(server) = self.servers.get_mut(&hand.server) else { return };
         server.own = server.own.saturating_sub(1);
         server.tokens = server.tokens.saturating_sub(hand.footprint.memory);
@@ -584,7 +522,6 @@
         sum_loads(&mut self.servers, &self.told, &sketch);
         self.peers.insert(from, Peer { heard: now, sketch, is_counted: true, read });
         self.count_known();
-        self.eject_failing(now);
     }
 
     /// How many nodes there are at least, as far as known here.
--- a/crates/primer/src/desk/peer_totals.rs
+++ b/crates/primer/src/desk/peer_totals.rs
@@ -56,7 +56,6 @@
             load.count += told.count;
             load.unread += told.unread;
             load.tokens += told.tokens;
-            load.failures += told.failures;
         }
     }
     /// Counts a sketch no more.
@@ -87,8 +86,7 @@
             load.count = load.count.saturating_sub(told.count);
             load.unread = load.unread.saturating_sub(told.unread);
             load.tokens = load.tokens.saturating_sub(told.tokens);
-            load.failures = load.failures.saturating_sub(told.failures);
-            if load.count == 0 && load.unread == 0 && load.tokens == 0 && load.failures == 0 {
+            if load.count == 0 && load.unread == 0 && load.tokens == 0 {
                 self.loads.remove(&told.server);
             }
         }
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -109,7 +109,6 @@
                 is_repeat: round > 0,
                 expected: chosen.expected,
                 is_noted: false,
-                has_failed: false,
                 server: chosen.server.clone(),
                 incarnation: server.incarnation,
                 hashes,
--- a/crates/primer/src/digest.rs
+++ b/crates/primer/src/digest.rs
@@ -16,8 +16,6 @@
     Held(PrefixHash, u32),
     /// Nodes that know a server to be leaving, by [`server_key`].
     Leaving(u32),
-    /// Requests that failed at a server lately, by [`server_key`].
-    Failures(u32),
 }
 
 /// A sketch, or the sum of many, in the compact form that nodes send to each other.
@@ -61,10 +59,6 @@
         pub leaving: Vec<u32>,
         /// As so many nodes know.
         pub leaving_counts: Vec<u16>,
-        /// Servers at which requests failed lately.
-        pub failures: Vec<u32>,
-        /// So many.
-        pub failure_counts: Vec<u16>,
         /// Members that are not in it: always all of them.
         pub missing: Vec<Address>,
     }
@@ -105,7 +99,6 @@
             digest.more(DigestKey::Load(server), cut(busy.count));
             digest.more(DigestKey::Unread(server), units(busy.unread, UNREAD_UNIT));
             digest.more(DigestKey::Memory(server), units(busy.tokens, MEMORY_UNIT));
-            digest.more(DigestKey::Failures(server), cut(busy.failures));
         }
         for held in sketch.holdings.iter().take(HELD[0]) {
             digest.more(DigestKey::Held(held.prefix, life_key(&held.server, held.incarnation, held.is_shown)), 1);
@@ -128,25 +121,18 @@
             servers.iter().map(|(name, life)| (life_key(name, *life, false), (*name, *life))).collect();
         let missing = Some(self.missing.iter().copied().collect());
         let mut sketch = Sketch { incarnation, number, missing, ..Sketch::default() };
-        let in_flight = |server: &u32, name: &ServerName| InFlight {
-            server: name.clone(),
-            count: u32::from(self.count(DigestKey::Load(*server))),
-            unread: u64::from(self.count(DigestKey::Unread(*server))) * UNREAD_UNIT,
-            tokens: u64::from(self.count(DigestKey::Memory(*server))) * MEMORY_UNIT,
-            read: 0,
-            failures: u32::from(self.count(DigestKey::Failures(*server))),
-        };
         for (key, count) in &self.counts {
             match key {
                 DigestKey::Hot(prefix) => sketch.hot.push(Hot { prefix: *prefix, count: u32::from(*count) }),
-                DigestKey::Load(server) => {
-                    sketch.in_flight.extend(names.get(server).map(|name| in_flight(server, name)));
-                }
-                DigestKey::Failures(server) if self.count(DigestKey::Load(*server)) == 0 => {
-                    sketch.in_flight.extend(names.get(server).map(|name| in_flight(server, name)));
-                }
+                DigestKey::Load(server) => sketch.in_flight.extend(names.get(server).map(|name| InFlight {
+                    server: (*name).clone(),
+                    count: u32::from(*count),
+                    unread: u64::from(self.count(DigestKey::Unread(*server))) * UNREAD_UNIT,
+                    tokens: u64::from(self.count(DigestKey::Memory(*server))) * MEMORY_UNIT,
+                    read: 0,
+                })),
                 // Told with the server's load.
-                DigestKey::Unread(_) | DigestKey::Memory(_) | DigestKey::Failures(_) => {}
+                DigestKey::Unread(_) | DigestKey::Memory(_) => {}
                 DigestKey::Held(prefix, life) => {
                     sketch.holdings.extend(lives.get(&(life & !1)).map(|(name, incarnation)| Holding {
                         prefix: *prefix,
@@ -202,14 +188,13 @@
 
     fn bound(&mut self, hot: usize, held: usize) {
         type IsKind = fn(&DigestKey) -> bool;
-        let kinds: [(usize, IsKind); 7] = [
+        let kinds: [(usize, IsKind); 6] = [
             (hot, |key| matches!(key, DigestKey::Hot(_))),
             (held, |key| matches!(key, DigestKey::Held(..))),
             (LOADS, |key| matches!(key, DigestKey::Load(_))),
             (LOADS, |key| matches!(key, DigestKey::Unread(_))),
             (LOADS, |key| matches!(key, DigestKey::Memory(_))),
             (LEAVING, |key| matches!(key, DigestKey::Leaving(_))),
-            (LEAVING, |key| matches!(key, DigestKey::Failures(_))),
         ];
         for (most, is_kind) in kinds {
             let mut those: Vec<(u16, DigestKey)> =
@@ -281,10 +266,6 @@
                 self.leaving.push(server);
                 self.leaving_counts.push(count);
             }
-            DigestKey::Failures(server) => {
-                self.failures.push(server);
-                self.failure_counts.push(count);
-            }
         }
     }
 
@@ -296,15 +277,14 @@
         let leaving = self.leaving.iter().zip(&self.leaving_counts).map(|(s, n)| (DigestKey::Leaving(*s), *n));
         let unread = self.unread.iter().zip(&self.unread_counts).map(|(s, n)| (DigestKey::Unread(*s), *n));
         let memory = self.memory.iter().zip(&self.memory_counts).map(|(s, n)| (DigestKey::Memory(*s), *n));
-        let failures = self.failures.iter().zip(&self.failure_counts).map(|(s, n)| (DigestKey::Failures(*s), *n));
-        hot.chain(loads).chain(unread).chain(memory).chain(held).chain(leaving).chain(failures)
+        hot.chain(loads).chain(unread).chain(memory).chain(held).chain(leaving)
     }
 
     /// About how many bytes it takes in a letter.
     pub fn bytes(&self) -> u64 {
         let (hot, loads, held) = (self.hot.len() * 10, self.loads.len() * 6, self.held.len() * 14);
         let tokens = (self.unread.len() + self.memory.len()) * 6;
-        (hot + loads + tokens + held + (self.leaving.len() + self.failures.len()) * 6 + self.missing.len() * 8) as u64
+        (hot + loads + tokens + held + self.leaving.len() * 6 + self.missing.len() * 8) as u64
     }
 }
 
--- a/crates/primer/src/digest/tests.rs
+++ b/crates/primer/src/digest/tests.rs
@@ -4,7 +4,7 @@
     Sketch {
         hot: vec![Hot { prefix: PrefixHash(7), count }],
         holdings: vec![Holding { prefix: PrefixHash(7), server: "a".into(), incarnation: 3, is_shown: true }],
-        in_flight: vec![InFlight { server: "a".into(), count, unread: 0, tokens: 0, read: 0, failures: 0 }],
+        in_flight: vec![InFlight { server: "a".into(), count, unread: 0, tokens: 0, read: 0 }],
         leaving: vec!["b".into()],
         ..Sketch::default()
     }
@@ -46,14 +46,7 @@
             .map(|n| Holding { prefix: PrefixHash(n), server: "a".into(), incarnation: 1, is_shown: false })
             .collect(),
         in_flight: (0..10_000)
-            .map(|n| InFlight {
-                server: ServerName(format!("s{n}")),
-                count: 1,
-                unread: 0,
-                tokens: 0,
-                read: 0,
-                failures: 0,
-            })
+            .map(|n| InFlight { server: ServerName(format!("s{n}")), count: 1, unread: 0, tokens: 0, read: 0 })
             .collect(),
         ..Sketch::default()
     };
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -67,7 +67,7 @@
 pub enum Outcome {
     /// The whole answer came.
     Complete,
-    /// Called off here: the caller went away, or this node may not act. No word on the server.
+    /// The caller went away.
     Cancelled,
     /// The server refused it unrun.
     Refused,
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -10,8 +10,6 @@
     pub unread: u64,
     /// Tokens that they take of its memory.
     pub tokens: u64,
-    /// Requests of others that failed there lately.
-    pub failures: u32,
 }
 
 /// One server, as this node sees it.
@@ -80,10 +78,6 @@
     pub read_told: u64,
     /// How long this node's most overdue first piece there is overdue, in ms.
     pub overdue: u64,
-    /// When this node's requests failed there, within [`FAILURE_WINDOW`].
-    pub failed: VecDeque<Moment>,
-    /// How often in a row it was ejected for what failed there.
-    pub ejections: u32,
 }
 
 impl ServerState {
@@ -120,8 +114,6 @@
             read: 0,
             read_told: 0,
             overdue: 0,
-            failed: VecDeque::new(),
-            ejections: 0,
         }
     }
     /// Takes over what the list says of it.
@@ -210,32 +202,6 @@
         self.late = if lag > self.lag_slack.0 + usual * 4 { self.late + 1 } else { 0 };
         self.late >= LATE_MOST
     }
-    /// A request failed there that should not have.
-    pub fn note_failure(&mut self, now: Moment) {
-        self.expire_failures(now);
-        self.failed.push_back(now);
-    }
-    /// Forgets failures that are no longer lately.
-    pub fn expire_failures(&mut self, now: Moment) {
-        while self.failed.front().is_some_and(|at| now.since(*at) >= FAILURE_WINDOW) {
-            self.failed.pop_front();
-        }
-    }
-    /// How many requests failed there lately, over all nodes.
-    pub fn failures(&self) -> u32 {
-        self.failed.len() as u32 + self.theirs.failures
-    }
-    /// More fails there than at its kin: it gets no work for a while, longer each time if it goes on so. Gives
-    /// how long. When it's over, what failed before counts no more, here or at others.
-    pub fn eject(&mut self, now: Moment) -> Span {
-        let is_in_a_row = self.suspect_until.is_some_and(|due| now.since(due) < EJECTION_LEAST);
-        self.ejections = if is_in_a_row { self.ejections + 1 } else { 0 };
-        let span = Span(EJECTION_LEAST.0 << self.ejections.min(1));
-        self.faults = self.faults.max(1);
-        self.suspect_until = Some(now + span);
-        self.ramp_from = now + span;
-        span
-    }
     /// An order went well there.
     pub fn well(&mut self) {
         self.faults = 0;
@@ -246,10 +212,6 @@
 const LEARN_LEAST: u64 = 2048;
 /// What a cold server bears is told by the second.
 const COLD_WINDOW: Span = Span::seconds(1);
-/// Failures of the last so long are told and counted.
-pub const FAILURE_WINDOW: Span = Span(2500);
-/// Longer than the window and the way of a digest, so that no failure counts twice.
-const EJECTION_LEAST: Span = Span(4000);
 /// So many late ones in a row are no chance.
 const LATE_MOST: u32 = 2;
 
--- a/crates/primer/src/sketch.rs
+++ b/crates/primer/src/sketch.rs
@@ -61,9 +61,6 @@
         /// Tokens that the sender's orders made it read in the sender's life.
         #[serde(default)]
         pub read: u64,
-        /// Requests of the sender that failed there lately.
-        #[serde(default)]
-        pub failures: u32,
     }
 
     /// What one node tells the others, or a sum of what all others tell.
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -117,8 +117,7 @@
     assert_eq!(server_of(&decision), holder, "it holds 5382 tokens");
     played.end(10_500, second, Outcome::Complete);
     // Others' prompts: that server has a million tokens to read before.
-    let in_flight =
-        vec![InFlight { server: holder.clone(), count: 80, unread: 1_000_000, tokens: 0, read: 0, failures: 0 }];
+    let in_flight = vec![InFlight { server: holder.clone(), count: 80, unread: 1_000_000, tokens: 0, read: 0 }];
     let sketch = Sketch { incarnation: 1, number: 1, in_flight, ..Sketch::default() };
     played.take(20_000, Event::Trade { from: Address::loopback(2), sketch });
     let (_, decision) = played.draft(20_000, 7);
@@ -129,7 +128,7 @@
 fn a_server_whose_memory_is_full_is_expected_late() {
     let servers = vec![entry("a", "north"), entry("b", "north")];
     let mut played = Played::with(service(), desk_rules(), servers);
-    let in_flight = vec![InFlight { server: "a".into(), count: 40, unread: 0, tokens: 649_000, read: 0, failures: 0 }];
+    let in_flight = vec![InFlight { server: "a".into(), count: 40, unread: 0, tokens: 649_000, read: 0 }];
     let sketch = Sketch { incarnation: 1, number: 1, in_flight, ..Sketch::default() };
     played.take(0, Event::Trade { from: Address::loopback(2), sketch });
     let Decision::Placed { candidates, server, .. } = played.draft(1, 7).1 else { panic!("placed") };
@@ -187,7 +186,7 @@
     let mut played = Played::with(service(), desk_rules(), servers);
     let tell = |played: &mut Played, number, unread| {
         let in_flight = ["a", "b"]
-            .map(|server| InFlight { server: server.into(), count: 100, unread, tokens: 0, read: 0, failures: 0 })
+            .map(|server| InFlight { server: server.into(), count: 100, unread, tokens: 0, read: 0 })
             .to_vec();
         let sketch = Sketch { incarnation: 1, number, in_flight, ..Sketch::default() };
         played.take(number, Event::Trade { from: Address::loopback(2), sketch });
