--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -22,7 +22,7 @@
 impl Default for DigestTiming {
     fn default() -> Self {
         DigestTiming {
-            pause: Span(500),
+            pause: Span(250),
             bytes_a_ms: 4,
             refresh: Span(1000),
             life: Span(3000),
