--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -21,18 +21,8 @@
 const CONNECT: Span = Span(250);
 /// A whole answer is no longer than this.
 const ANSWER_MOST: usize = 8 << 20;
-/// A server that is this late with an answer may be given up for another one.
+/// A server that is this late with a first piece may be given up for another one.
 const OVERDUE: Span = Span(300);
-/// Callers wait this long for a stream's first piece, or four times the target, or eight times the pause between
-/// pieces, whichever is the longest.
-const SILENCE_LEAST: Span = Span(2000);
-
-/// How long a stream's first piece is awaited at least where another server may take the request up: seven
-/// tenths of what its caller waits.
-fn stream_patience(target: Span, gap: Span) -> Span {
-    let silence = Span(target.0 * 4).max(Span(gap.0 * 8)).max(SILENCE_LEAST);
-    Span(silence.0 * 7 / 10)
-}
 
 /// By these an answer says that the request was not run. A server that may have run it can't say so through us.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -178,13 +168,12 @@
     }
 
     fn go(&mut self, first: ErrandOutput) -> Gone<Opening> {
-        let Way { forwarder, call, trip, does_stream, target, gap, urgency, caller, due, last, answer, .. } = self;
+        let Way { forwarder, call, trip, does_stream, target, urgency, caller, due, last, answer, .. } = self;
         let asking = Asking {
             forwarder,
             call,
             does_stream: *does_stream,
             target: *target,
-            gap: *gap,
             urgency: *urgency,
             caller,
             due: *due,
@@ -208,7 +197,6 @@
     call: &'a Call,
     does_stream: bool,
     target: Span,
-    gap: Span,
     urgency: u8,
     caller: &'a Caller,
     due: Moment,
@@ -232,9 +220,7 @@
         let sending = Sending { server: &placing.server, left, after: self.last, urgency: self.urgency };
         let request = self.forwarder.dialect.request(self.call, &sending);
         // Where another server may take it up, a silent one is not waited for until the deadline.
-        // Nor is one given up that only has much to do: elsewhere it would wait, and be read, from the start.
-        let least = if self.does_stream { stream_patience(self.target, self.gap) } else { OVERDUE };
-        let patience = Span(placing.expected.0 * 2 + self.target.0).max(least);
+        let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
         let opened_by = if chart.may_go_on() { self.due.min(now + patience) } else { self.due };
         let shared = &self.forwarder.shared;
         let may_leave = || shared.may_act();
@@ -456,6 +442,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
