--- a/crates/circular/src/seal.rs
+++ b/crates/circular/src/seal.rs
@@ -3,10 +3,12 @@
 use std::io::{self, Read};
 
 /// The version of the inner protocol that this build speaks.
-pub const PROTOCOL: u16 = 3;
+pub const PROTOCOL: u16 = 4;
 
 const MAGIC: [u8; 4] = *b"cbfl";
 const HEAD: usize = 28;
+/// Memory grows by so much at a time as bytes come.
+const CHUNK: usize = 64 << 10;
 /// The longest letter.
 const BOUND: usize = 80 << 20;
 
@@ -76,11 +78,10 @@
         return Err(SealFault::Bad(format!("a snapshot of {length} bytes is over the bound")));
     }
     let mut body = rkyv::util::AlignedVec::<16>::new();
-    let mut chunk = [0u8; 64 << 10];
     while body.len() < length {
-        let room = chunk.len().min(length - body.len());
-        reader.read_exact(&mut chunk[..room])?;
-        body.extend_from_slice(&chunk[..room]);
+        let have = body.len();
+        body.resize(have + CHUNK.min(length - have), 0);
+        reader.read_exact(&mut body[have..])?;
     }
     if crc32fast::hash(&body) != word(20) {
         return Err(SealFault::Bad("a snapshot's body fails its check".into()));
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -1,12 +1,13 @@
 use crate::carrier::{fetch, resume, take_order};
 use crate::ingress::Ingress;
+use crate::list_reader;
 use crate::poller;
 use crate::prelude::*;
 use crate::replay::ReplayHead;
 use crate::shared::Shared;
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
@@ -43,6 +44,9 @@
     }
 }
 
+/// Told to stop, a node lingers at least this long, since callers are handed out by what was true before.
+const QUIET_FROM: Span = Span(2500);
+
 /// Runs a crier until it's told to stop and has finished its streams; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
     match start(settings, dialects) {
@@ -76,10 +80,11 @@
     let head = ReplayHead { own: inner, incarnation, desk_rules: desk_rules.clone() };
     let now = Clock::now();
     let hall = HallName::from(settings.hall.as_str());
-    let node = Node::new(inner, hall, seeds, incarnation, NodeTiming::default(), desk_rules, now);
+    let mut node = Node::new(inner, hall, seeds, incarnation, NodeTiming::default(), desk_rules, now);
     let shared = Arc::new(Shared {
         control: sender.clone(),
         may_act_until: AtomicU64::new(0),
+        epoch: AtomicU64::new(0),
         tallies: Tallies::default(),
         number: AtomicU64::new(1),
         bound: settings.orders,
@@ -87,16 +92,23 @@
         stall: Span(settings.stall_ms),
         plan: RwLock::default(),
         is_ready: AtomicBool::new(false),
-        members: AtomicUsize::new(1),
+        arrived: AtomicU64::new(0),
     });
-    let desk_sender = sender.clone();
-    let tell_desk = move |event| drop(desk_sender.send(Event::Input(NodeInput::Event(event))));
     let has_calls = dialects.calls.is_some();
-    let ingress = match dialects.calls {
-        Some(dialect) => Some(Ingress::open(settings, shared.clone(), dialect, tell_desk)?),
+    let (ingress, list) = match dialects.calls {
+        Some(dialect) => {
+            let ingress = Ingress::open(settings, shared.clone(), dialect.clone())?;
+            node = node.reading_list(settings.list_timing());
+            let (platform, control) = (settings.platform.parse()?, sender.clone());
+            let tell = move |reading| drop(control.send(Event::Input(NodeInput::List(reading))));
+            let list = list_reader::start(platform, dialect, tell).map_err(|fault| fault.to_string())?;
+            (Some(ingress), Some(list))
+        }
         None => {
+            let control = sender.clone();
+            let tell_desk = move |event| drop(control.send(Event::Input(NodeInput::Event(event))));
             poller::start(settings.platform.clone(), tell_desk).map_err(|fault| fault.to_string())?;
-            None
+            (None, None)
         }
     };
     let kv = start_kv(&sender).map_err(|fault| fault.to_string())?;
@@ -126,13 +138,14 @@
         post,
         door,
         kv,
+        list,
         plans: dialects.plans,
         waiting: HashMap::new(),
         resuming: HashMap::new(),
         is_leaving: false,
     };
     let mut next_tick = Clock::now();
-    let (mut linger_due, mut drain_due) = (now, None);
+    let (mut linger_due, mut quiet_from, mut drain_due) = (now, now, None);
     loop {
         let now = Clock::now();
         if now >= next_tick {
@@ -142,12 +155,14 @@
                 control.is_leaving = true;
                 ingress.iter().for_each(Ingress::leave);
                 linger_due = now + Span(settings.linger_ms);
+                quiet_from = now + QUIET_FROM;
             }
             if has_changed.swap(false, Ordering::Relaxed) {
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
                 seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
             }
-            if control.is_leaving && now >= linger_due && drain_due.is_none() {
+            let has_none_left = ingress.is_some() && now >= quiet_from && shared.is_quiet(now);
+            if control.is_leaving && (now >= linger_due || has_none_left) && drain_due.is_none() {
                 tracing::info!("crier: takes no new work; finishes what is in hand.");
                 control.take(Event::Input(NodeInput::Drain));
                 drain_due = Some(now + Span(settings.drain_ms));
@@ -191,6 +206,8 @@
     post: Post,
     door: Arc<Door>,
     kv: flume::Sender<KvTask>,
+    /// Has the platform's list read.
+    list: Option<flume::Sender<()>>,
     plans: Arc<dyn PlanDialect>,
     waiting: HashMap<u64, flume::Sender<Result<Placing, Denial>>>,
     resuming: HashMap<u64, flume::Sender<Result<Token, Denial>>>,
@@ -231,11 +248,12 @@
         // Before anyone is told that an order is placed: they ask whether it may leave.
         let tallies = &self.door.shared.tallies;
         let until = self.node.may_act_until(now);
+        // First the epoch: whoever sees the longer lease is to see what it was given for.
+        self.door.shared.epoch.store(self.node.epoch().0, Ordering::SeqCst);
         self.door.shared.may_act_until.store(until.0, Ordering::SeqCst);
         let is_ready = self.node.is_ready(now) && !self.is_leaving;
         self.door.is_ready.store(is_ready, Ordering::SeqCst);
         self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
-        self.door.shared.members.store(self.node.standing().members().len(), Ordering::Relaxed);
         self.door.shared.take_plan(self.node.plan());
         tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
@@ -266,6 +284,12 @@
                         tracing::warn!("kv: too many orders wait; one is dropped.");
                     }
                 }
+                NodeOutput::ReadList => {
+                    // Full: it is being read.
+                    if let Some(list) = &self.list {
+                        let _ = list.try_send(());
+                    }
+                }
                 NodeOutput::Event(dated) => {
                     self.door.events.add(|_| serde_json::to_string(&dated).expect("an event is JSON"));
                 }
--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -5,7 +5,7 @@
 /// The spans that digests go by.
 #[derive(Debug, Clone, Copy)]
 pub struct DigestTiming {
-    /// Between two letters on a leg, at least.
+    /// Between two letters on a leg, at least; what changes after a quiet while leaves at once.
     pub pause: Span,
     /// And so many bytes a millisecond at most.
     pub bytes_a_ms: u64,
@@ -22,7 +22,7 @@
 impl Default for DigestTiming {
     fn default() -> Self {
         DigestTiming {
-            pause: Span(250),
+            pause: Span(500),
             bytes_a_ms: 4,
             refresh: Span(1000),
             life: Span(3000),
@@ -160,6 +160,16 @@
         members.iter().find(is_trusted).or(members.first()).copied()
     }
 
+    /// The members of a zone.
+    pub fn zone(&self, hall: &HallName) -> Option<&BTreeSet<Address>> {
+        self.zones.get(hall)
+    }
+
+    /// A node does not do what collectors do: another is to be one for a while.
+    pub fn suspect(&mut self, member: Address) {
+        self.suspects.insert(member, self.now + self.timing.suspicion);
+    }
+
     /// How many nodes report here.
     pub fn reporters(&self) -> usize {
         self.incoming.keys().filter(|(leg, _)| *leg == DigestLeg::Report).count()
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -2,7 +2,6 @@
 
 use crate::forward::Forwarder;
 use crate::prelude::*;
-use crate::server_list;
 use crate::shared::Shared;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,22 +10,28 @@
 pub(crate) struct Ingress {
     closers: Vec<GateCloser>,
     open_count: Arc<AtomicUsize>,
+    /// Where callers reach it, and where its readiness is told.
+    #[cfg(test)]
+    pub addresses: (Address, Address),
 }
 
 /// Connections of one node to one server, idle ones among them.
 const LINES_MOST: usize = 64;
 
+const START_LOOK: Span = Span(5);
+
+fn await_ready(shared: &Shared, patience: Span) {
+    let due = Clock::now() + patience;
+    while !shared.is_ready.load(Ordering::SeqCst) && Clock::now() < due {
+        std::thread::sleep(START_LOOK.duration());
+    }
+}
+
 impl Ingress {
-    /// Opens the doors and begins to read the list of servers.
-    pub fn open(
-        settings: &Settings,
-        shared: Arc<Shared>,
-        dialect: Arc<dyn CallDialect>,
-        tell: impl Fn(Event) + Send + 'static,
-    ) -> Result<Ingress, String> {
+    /// Opens the doors.
+    pub fn open(settings: &Settings, shared: Arc<Shared>, dialect: Arc<dyn CallDialect>) -> Result<Ingress, String> {
         let listen: Address = settings.ingress.parse()?;
         let probed: Address = settings.readiness.parse()?;
-        let list: Address = settings.platform.parse()?;
         let bounds = GateBounds {
             connections: settings.orders as usize * 2 + 64,
             body_bytes: 8 << 20,
@@ -44,11 +49,20 @@
             idle_per_address: LINES_MOST / 2,
             idle_span: Span::seconds(20),
         });
-        server_list::start(list, settings.list_rate, shared.clone(), dialect.clone(), tell)
-            .map_err(|fault| fault.to_string())?;
-        let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: dialect.clone(), lines });
+        let (shared_by_gate, patience) = (shared.clone(), Span(settings.start_wait_ms));
+        let forwarder = Arc::new(Forwarder {
+            shared: shared.clone(),
+            dialect: dialect.clone(),
+            lines,
+            #[cfg(test)]
+            mutant: None,
+        });
+        let addresses = (gate.address(), probe_gate.address());
         let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
-        let serve = move || gate.serve(move |order| forwarder.reply(order));
+        let serve = move || {
+            await_ready(&shared_by_gate, patience);
+            gate.serve(move |order| forwarder.reply(order));
+        };
         std::thread::Builder::new().name("ingress".into()).spawn(serve).map_err(|fault| fault.to_string())?;
         let tell_ready = move |order: Order| match (dialect.is_probe(&order), shared.is_ready.load(Ordering::SeqCst)) {
             (true, true) => Reply::whole(200, "text/plain", "ready\n"),
@@ -57,8 +71,13 @@
         };
         let serve = move || probe_gate.serve(tell_ready);
         std::thread::Builder::new().name("readiness".into()).spawn(serve).map_err(|fault| fault.to_string())?;
-        tracing::info!("ingress: listens at {listen}, readiness {probed}.");
-        Ok(Ingress { closers, open_count })
+        tracing::info!("ingress: listens at {}, readiness {}.", addresses.0, addresses.1);
+        Ok(Ingress {
+            closers,
+            open_count,
+            #[cfg(test)]
+            addresses,
+        })
     }
     /// Callers are to go elsewhere: each answer says so.
     pub fn leave(&self) {
@@ -73,3 +92,6 @@
         self.open_count.load(Ordering::SeqCst)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -1,3 +1,4 @@
+use crate::prelude::{ListTiming, Span};
 use layout::prelude::*;
 use primer::prelude::DeskRules;
 use schematic::Config;
@@ -29,6 +30,12 @@
     /// Calls a second that the platform's list bears from the whole fleet.
     #[setting(default = 50, validate = within(1, 1_000_000))]
     pub list_rate: u64,
+    /// Between readings of the platform's list by one node, in ms.
+    #[setting(default = 1000, validate = within(100, 60_000))]
+    pub list_ms: u64,
+    /// A node that has not heard for this long what its zone's collector reads there reads it itself, in ms.
+    #[setting(default = 2000, validate = within(100, 60_000))]
+    pub list_silence_ms: u64,
     /// Orders in hand at most; more are refused at once.
     #[setting(default = 400, validate = within(1, 1_000_000))]
     pub orders: u64,
@@ -38,6 +45,10 @@
     /// A stream without a piece for this long is broken, in ms.
     #[setting(default = 10_000, validate = within(1, 1_000_000))]
     pub stall_ms: u64,
+    /// Callers who come while it starts wait unread for this long at most, in ms: an unread request can go to
+    /// another node without any doubt, and most nodes are ready within a tenth of a second.
+    #[setting(default = 700, validate = within(0, 60_000))]
+    pub start_wait_ms: u64,
     /// Told to stop, it's not ready at once, but takes what is still sent to it for this long, in ms: whoever
     /// hands callers out sees readiness late.
     #[setting(default = 1500, validate = within(0, 60_000))]
@@ -76,6 +87,12 @@
     /// How long a server takes to read 16 tokens of a prompt, in microseconds, until it has been seen.
     #[setting(default = 2500, validate = within(1, 1_000_000))]
     pub block_micros: u64,
+    /// What reading a token that another server holds is held to cost, in percent of the time that it takes.
+    #[setting(default = 100, validate = within(0, 100_000))]
+    pub prefill_percent: u64,
+    /// Servers whose costs differ by no more than this are equal, in ms.
+    #[setting(default = 20, validate = within(0, 60_000))]
+    pub hysteresis_ms: u64,
     /// The fleet is taken to have at least so many members where cold servers are shared out.
     #[setting(default = 1, validate = within(1, 1_000_000))]
     pub members_least: u64,
@@ -88,6 +105,15 @@
 }
 
 impl Settings {
+    /// What of them the list of servers is read by.
+    pub fn list_timing(&self) -> ListTiming {
+        ListTiming {
+            period: Span(self.list_ms),
+            silence: Span(self.list_silence_ms),
+            rate: self.list_rate,
+            ..ListTiming::default()
+        }
+    }
     /// What of them the desk goes by.
     pub fn desk_rules(&self) -> DeskRules {
         DeskRules {
@@ -100,6 +126,8 @@
             repeats_in_window: self.repeats_in_window as u32,
             zone_bias: Span(self.zone_bias_ms),
             block_micros: self.block_micros,
+            prefill_percent: self.prefill_percent as u32,
+            hysteresis: Span(self.hysteresis_ms),
             members_least: self.members_least as u32,
             report_life: Span(self.report_life_ms),
             lag_slack: Span(self.lag_slack_ms),
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
@@ -7,6 +7,8 @@
 pub(crate) struct Shared {
     pub control: flume::Sender<crate::daemon::Event>,
     pub may_act_until: AtomicU64,
+    /// The newest epoch that this node holds.
+    pub epoch: AtomicU64,
     pub tallies: Tallies,
     pub number: AtomicU64,
     pub bound: u64,
@@ -16,8 +18,8 @@
     pub plan: RwLock<Option<(Arc<Plan>, Arc<RouteTable>)>>,
     /// Whether callers should be sent here.
     pub is_ready: AtomicBool,
-    /// Members of the fleet.
-    pub members: AtomicUsize,
+    /// When the last request came, as a moment.
+    pub arrived: AtomicU64,
 }
 
 /// A place among the orders in hand; given back when dropped, together with the order's id.
@@ -47,6 +49,14 @@
     pub fn may_act(&self) -> bool {
         Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
     }
+    /// Whether what was placed under this epoch may leave now: a newer one may allow it no more.
+    pub fn may_leave(&self, epoch: Epoch) -> bool {
+        self.may_act() && !self.is_superseded(epoch)
+    }
+    /// Whether this node holds a newer epoch.
+    pub fn is_superseded(&self, epoch: Epoch) -> bool {
+        Epoch(self.epoch.load(Ordering::SeqCst)) > epoch
+    }
     /// Asks the control thread; `None` is its silence.
     pub fn ask_control<T>(
         &self,
@@ -74,6 +84,10 @@
             *self.plan.write().expect("no thread panics with it") = Some(held);
         }
     }
+    /// Whether no request has come for a while.
+    pub fn is_quiet(&self, now: Moment) -> bool {
+        now.since(Moment(self.arrived.load(Ordering::Relaxed))) >= Span(1200)
+    }
     /// The routes in force here.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         self.plan.read().expect("no thread panics with it").as_ref().map(|held| held.1.clone())
