The simulator plays acceptance by holders; who knows more stops a group

Cause: `quorum = "holders"`, which the platform runs by, was played by no simulator run. Its checkers judged by the time since "accepted" alone, which that mode doesn't promise to a group without leases.

Leases and meetings are judged by the letters that reach a crier, not by what it believes. Ruled out: the checker alone.

--- a/crates/college/src/standing/tests.rs
+++ b/crates/college/src/standing/tests.rs
@@ -34,3 +34,29 @@
     standing.lease(Moment(9000), Epoch(2), vec![]);
     assert_eq!((standing.epoch(), standing.is_leased(Moment(1500))), (Epoch(3), false));
 }
+
+/// Without a lease, whoever knows more stops it: one that asks, one that became a member since, the core.
+#[test]
+fn whoever_knows_more_stops_a_group_without_leases() {
+    let members: Vec<Address> = (1..=3).map(Address::loopback).collect();
+    let together = || {
+        let mut standing = Standing::new(Address::loopback(1), Span(1000));
+        standing.lease(Moment(3000), Epoch(5), members.clone());
+        standing.trade(Address::loopback(2), Epoch(5), Moment(2900));
+        assert_eq!(standing.reason(Moment(3100)), StandingReason::Together);
+        standing
+    };
+    for newcomer in [3, 9] {
+        let mut standing = together();
+        standing.hear(Address::loopback(newcomer), Epoch(6));
+        assert_eq!(standing.reason(Moment(3100)), StandingReason::Behind);
+        standing.learn(Epoch(6), members.clone());
+        assert_ne!(standing.reason(Moment(3100)), StandingReason::Behind);
+    }
+    let mut standing = together();
+    standing.tell(Epoch(6), Moment(3500));
+    assert_eq!(standing.reason(Moment(3100)), StandingReason::Behind);
+    assert_eq!(standing.reason(Moment(3500)), StandingReason::Together, "the core is not heard again");
+    standing.tell(Epoch(5), Moment(9000));
+    assert_eq!(standing.reason(Moment(3500)), StandingReason::Together, "it told of nothing newer");
+}
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -662,6 +662,7 @@
             Letter::TradeAsk { round, epoch } => {
                 let known = if self.standing.lease_due().is_some() { self.standing.epoch() } else { Epoch(0) };
                 self.send(from, Letter::TradeReply { echo: round, epoch: known });
+                self.standing.hear(from, epoch);
                 self.ask_news(from, epoch);
             }
             Letter::TradeReply { echo, epoch } => {
@@ -672,6 +673,7 @@
                 {
                     self.standing.trade(from, epoch, *sent);
                 }
+                self.standing.hear(from, epoch);
                 self.ask_news(from, epoch);
             }
             Letter::Digest { leg, life, number, is_whole, change } => {
@@ -705,6 +707,7 @@
                     (self.view, self.voters) = (view, voters);
                 }
                 let lease_due = Some(sent + span);
+                self.standing.tell(epoch, self.now + TOLD_FOR);
                 match news {
                     Some(news) => self.on_news(from, news, lease_due),
                     // Nothing is newer there than what is here, whole.
@@ -737,6 +740,7 @@
         if news.epoch < self.standing.epoch() {
             return;
         }
+        self.standing.tell(news.epoch, self.now + TOLD_FOR);
         if news.plan_epoch == self.plan_epoch {
             return self.take_up(news, lease_due);
         }
@@ -882,6 +886,9 @@
 
 /// A piece of a plan that has not come by then is given up.
 const FETCH_DUE: Span = Span(700);
+/// News that was told of, and whose plan has not come, is waited for this long after it was last told of. A
+/// core in reach tells again within it: each poll asks another of its machines.
+const TOLD_FOR: Span = Span(3000);
 /// Others that were heard within this time are told of to the core.
 const HEARD_FOR: Span = Span(2000);
 
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -36,7 +36,9 @@
 }
 
 /// Who must know a change before it is told as accepted (docs/isolation.md).
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ConfigEnum, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, ConfigEnum, clap::ValueEnum, serde::Serialize, serde::Deserialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Quorum {
     /// More than half of the members; and changes are taken only while as many hold leases. Whoever is
@@ -335,19 +337,18 @@
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
         let is_member = self.fellow.charge().roster.members.contains(&from);
         if is_member {
-            let known = poll.epoch.min(self.fellow.charge().epoch);
-            let due = self.now + self.timing.lease;
-            self.leases.renew(from, known, due);
-            let told = poll.epoch.max(self.fellow.charge().epoch);
-            self.subscribers.insert(from, Subscriber { told, due });
             self.give_lease(from, &poll);
         } else {
             self.joining.insert(from, poll);
         }
     }
 
-    /// Answers a member's poll with a lease, and with what it lacks.
+    /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
     fn give_lease(&mut self, to: Address, poll: &Poll) {
+        let newest = self.fellow.charge().epoch;
+        let due = self.now + self.timing.lease;
+        self.leases.renew(to, poll.epoch.min(newest), due);
+        self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), due });
         let ledger = self.fellow.charge();
         let view = self.fellow.view().epoch;
         let reply = PollReply::Lease {
@@ -415,7 +416,7 @@
             Quorum::Holders => {
                 let is_old_gone = self.now.since(self.leases_since) >= self.timing.lease;
                 self.leases.is_known_to_all(roster, epoch)
-                    || (is_old_gone && self.leases.is_known_to_holders(roster, epoch, self.now))
+                    || (is_old_gone && self.leases.is_known_to_holders(epoch, self.now))
             }
         }
     }
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -114,3 +114,73 @@
     assert_eq!(played.reply(1, 2, false), [], "patience is over, but of the newest try nothing is known");
     assert_eq!(played.reply(3, 3, true), [Left::Reply(7, 200)]);
 }
+
+/// One registrar alone, its disk at once synced, that goes by this quorum.
+struct Alone {
+    office: Office,
+    at: u64,
+}
+
+impl Alone {
+    fn new(quorum: Quorum) -> Self {
+        let voter = Voter { address: Address::loopback(1), disk: DiskId(1) };
+        let view = View { epoch: ViewEpoch(1), chain: vec![Seat { voter, is_level: true }], voters: vec![voter] };
+        let mut timing = OfficeTiming { quorum, ..OfficeTiming::default() };
+        timing.fellow.copies = 1;
+        let kept = Kept { records: vec![Record::View { view }] };
+        let fellow = Fellow::new(voter, vec![], timing.fellow, kept, Ledger::default(), Moment(10_000)).unwrap();
+        Alone { office: Office::new(fellow, timing, TokenKey([3; 32]), 0, Moment(10_000)), at: 10_000 }
+    }
+    /// Takes an input, syncs what it writes; gives the codes that operators are told.
+    fn step(&mut self, after: u64, input: OfficeInput) -> Vec<(u64, u64)> {
+        self.at += after;
+        let (mut inputs, mut told) = (VecDeque::from([input]), vec![]);
+        while let Some(input) = inputs.pop_front() {
+            for output in self.office.step(Moment(self.at), input) {
+                match output {
+                    OfficeOutput::Write { id, .. } => inputs.push_back(OfficeInput::Written { id }),
+                    OfficeOutput::Reply { number, body, .. } => {
+                        let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
+                        told.push((number, body["code"].as_u64().unwrap()));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        told
+    }
+    fn ticks(&mut self, span: u64) -> Vec<(u64, u64)> {
+        (0..span / 50).flat_map(|_| self.step(50, OfficeInput::ClockEvent)).collect()
+    }
+    fn poll(&mut self, from: u16, epoch: u64) -> Vec<(u64, u64)> {
+        let member = Member { address: Address::loopback(from), hall: "east".into() };
+        let poll = Poll { member, round: 1, epoch: Epoch(epoch), view: ViewEpoch(1), has_key: true, hears: vec![] };
+        let letter = Letter::Poll { poll: Box::new(poll) };
+        self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
+    }
+    fn withdraw(&mut self, number: u64) -> Vec<(u64, u64)> {
+        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, motion: withdraw() };
+        self.step(5, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
+    }
+    fn epoch(&self) -> u64 {
+        self.office.fellow().charge().epoch.0
+    }
+}
+
+/// A newcomer's first lease comes right after the change that let it in, before it polls again.
+#[test]
+fn holders_are_waited_for_from_their_first_lease_on() {
+    let mut played = Alone::new(Quorum::Holders);
+    played.ticks(3000);
+    played.poll(9, 0);
+    played.ticks(100);
+    let is_held = |played: &Alone| !played.office.members(Moment(played.at)).is_empty();
+    assert!(is_held(&played), "it was let in and given a lease");
+    assert_eq!(played.withdraw(1), []);
+    assert_eq!(played.ticks(300), [], "the one that holds a lease has not said that it knows");
+    let epoch = played.epoch();
+    assert_eq!(played.poll(9, epoch), [(1, 300)]);
+    assert_eq!(played.withdraw(2), []);
+    assert_eq!(played.ticks(1500), []);
+    assert_eq!(played.ticks(700), [(2, 300)], "its lease has run out");
+}
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -4,7 +4,7 @@
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use layout::prelude::{AsSent, Ledger, Motion, Proposal};
 use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
-use registrar::prelude::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk};
+use registrar::prelude::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -13,6 +13,7 @@
 mod machines;
 mod operators;
 mod streams;
+mod touch;
 mod traffic;
 
 pub use checks::Witness;
@@ -52,6 +53,8 @@
     AnswerTwice,
     /// A registrar's questions and proposals are numbered alike in each life.
     ReuseNumbers,
+    /// Tails forget at once whom they gave leases, and accept without waiting for them.
+    ForgetHolders,
 }
 
 /// Many nodes in one process, on virtual time, network and disks. The same seed gives the same run.
@@ -137,6 +140,7 @@
     is_lost: bool,
     may_act_until: Moment,
     old: Option<(u64, Node)>,
+    touch: touch::Touch,
 }
 
 struct ServerMachine {
@@ -169,6 +173,8 @@
     had_first: bool,
     /// Under which it was placed.
     epoch: Epoch,
+    /// Whether it left a group without leases that had met nobody who knows more than that epoch.
+    is_apart: bool,
     /// Pieces that its caller asked for.
     pieces: u64,
     /// Whether its run is to be kept when nobody reads it.
@@ -298,6 +304,7 @@
                 is_lost: false,
                 may_act_until: Moment(0),
                 old: None,
+                touch: touch::Touch::default(),
             });
             self.put(10 + place as u64 * 3, Happening::StartCrier { machine: place });
         }
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -33,6 +33,8 @@
     pub hot_share: u64,
     /// How soon registrars take each other for gone, if not as usual.
     pub suspect: Option<Span>,
+    /// Who must know a change before it is told as accepted.
+    pub quorum: Quorum,
     /// A fault in the system itself.
     pub mutant: Option<Mutant>,
 }
@@ -55,6 +57,7 @@
             servers: ScheduleRules::default(),
             hot_share: 50,
             suspect: None,
+            quorum: Quorum::Majority,
             mutant: None,
         }
     }
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -9,12 +9,16 @@
         let founders: Vec<Address> = (0..shape.registrars).map(|n| Address::loopback(1001 + n as u16)).collect();
         let mut timing = OfficeTiming::default();
         timing.fellow.suspect = self.rules.suspect.unwrap_or(timing.fellow.suspect);
+        timing.quorum = self.rules.quorum;
         if self.rules.mutant == Some(Mutant::SkipFencing) {
             timing.fellow.lease = Span(0);
         }
         if self.rules.mutant == Some(Mutant::IgnoreLease) {
             timing.lease = Span::seconds(60);
         }
+        if self.rules.mutant == Some(Mutant::ForgetHolders) {
+            timing.lease = Span(0);
+        }
         let key = TokenKey([self.draw() as u8; 32]);
         let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.registrars[machine].life);
         let incarnation = if self.rules.mutant == Some(Mutant::ReuseNumbers) { 0 } else { life };
@@ -69,6 +73,7 @@
         m.life += 1;
         m.next_tick = 0;
         m.may_act_until = Moment(0);
+        m.touch = touch::Touch::default();
         let now = Moment(self.now + m.offset);
         let old = m.old.take().filter(|_| self.rules.mutant == Some(Mutant::SlideEpoch));
         let fresh = || Node::new(m.address, m.hall.clone(), seeds, incarnation, NodeTiming::default(), desk_rules, now);
@@ -121,7 +126,6 @@
     }
 
     pub(super) fn on_letter(&mut self, to: Address, from: Address, mut letter: Letter) {
-        self.make_stale(to, &mut letter);
         let happening = Happening::Letter { to, from, letter: letter.clone() };
         if let Some(machine) = self.registrars.iter().position(|m| m.address == to) {
             if self.is_awake(true, machine, &happening) {
@@ -131,10 +135,23 @@
         } else if let Some(machine) = self.criers.iter().position(|m| m.address == to)
             && self.is_awake(false, machine, &happening)
         {
+            self.restore_span(&mut letter);
+            self.criers[machine].touch.got(self.now, &letter);
+            self.make_stale(to, &mut letter);
             self.step_node(machine, NodeInput::Letter { from, letter });
         }
     }
 
+    /// For the mutant: the lease that its tail counts as over at once runs as usual where it was given.
+    fn restore_span(&self, letter: &mut Letter) {
+        if self.rules.mutant == Some(Mutant::ForgetHolders)
+            && let Letter::PollReply { reply, .. } = letter
+            && let PollReply::Lease { span, .. } = reply.as_mut()
+        {
+            *span = OfficeTiming::default().lease;
+        }
+    }
+
     /// For the mutant: the lease of a poll's reply without its news.
     fn make_stale(&mut self, to: Address, letter: &mut Letter) {
         if self.rules.mutant != Some(Mutant::StaleNews) || !to.0.port().is_multiple_of(3) || self.chance(2) {
@@ -365,6 +382,8 @@
         {
             self.questions.entry(*number).or_insert((operator, false));
         }
+        let now = self.now;
+        self.criers.iter_mut().filter(|m| m.address == from).for_each(|m| m.touch.sent(now, &letter));
         if self.cut.contains(&(from, to)) || self.chance(self.loss) {
             return;
         }
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -8,7 +8,7 @@
         if rules.deployment == Deployment::Pahana { "pahana" } else { "valodu" },
         rules.seed,
         rules.faults
-    );
+    ) + if rules.quorum == Quorum::Holders { " --quorum holders" } else { "" };
     let witness = World::new(rules).run();
     assert!(witness.violations.is_empty(), "{command}\n{:#?}\n{:#?}", witness.violations, witness.faults);
     witness
@@ -37,6 +37,17 @@
     play(WorldRules::new(deployment, seed));
 }
 
+/// Accepted once every holder of a lease knows it: the mode of the users' platform.
+#[parameterized(
+    pahana_1 = { Deployment::Pahana, 1 },
+    pahana_2 = { Deployment::Pahana, 2 },
+    valodu_1 = { Deployment::Valodu, 1 },
+    valodu_2 = { Deployment::Valodu, 2 },
+)]
+fn nor_where_holders_of_leases_are_the_quorum(deployment: Deployment, seed: u64) {
+    play(WorldRules { faults: 10, quorum: Quorum::Holders, ..WorldRules::new(deployment, seed) });
+}
+
 #[test]
 fn a_seed_gives_the_same_run() {
     let run = || {
@@ -64,15 +75,18 @@
     free_repeats = { Mutant::FreeRepeats, &[FaultKind::Brownout], 4, 80, None },
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
     resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillCriers], 6, 25, None },
+    forget_holders = { Mutant::ForgetHolders, &[FaultKind::BadNetwork, FaultKind::CutOneWay], 6, 25, None },
     skip_ramp = { Mutant::SkipRamp, &[FaultKind::ReplaceServers, FaultKind::CrashServer], 8, 150, None },
 )]
 fn each_mutant_is_caught(mutant: Mutant, kinds: &[FaultKind], faults: u64, orders_a_second: u64, suspect: Option<u64>) {
+    let quorum = if mutant == Mutant::ForgetHolders { Quorum::Holders } else { Quorum::Majority };
     let rules = |seed, mutant| WorldRules {
         faults,
         kinds: kinds.to_vec(),
         orders_a_second,
         suspect: suspect.map(Span),
         mutant,
+        quorum,
         ..WorldRules::new(Deployment::Pahana, seed)
     };
     for seed in 1..40 {
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -51,6 +51,7 @@
             server_life: 0,
             had_first: false,
             epoch: Epoch(0),
+            is_apart: false,
             pieces: if service == "drafts" { 20 } else { 6 },
             stream: None,
             keep: false,
@@ -193,8 +194,9 @@
         if self.rules.mutant != Some(Mutant::AskOnce) && !self.may_act(machine) {
             return self.withhold(&id);
         }
-        let (address, epoch) = (self.criers[machine].address, order.epoch);
-        self.witness.sent(self.now, address, epoch);
+        let (m, epoch) = (&self.criers[machine], order.epoch);
+        let is_apart = self.witness.sent(self.now, m.address, epoch, &m.touch, self.rules.quorum);
+        self.orders.entry(id.clone()).and_modify(|order| order.is_apart = is_apart);
         self.put(1, Happening::RunReaches { order: id, server, run });
     }
 
@@ -222,6 +224,7 @@
         let Some(order) = self.orders.get(&id) else { return };
         let crier = &self.criers[order.crier];
         let (prompt, service, is_cut_off) = (order.prompt.clone(), order.service.clone(), crier.is_cut_off);
+        let apart_from = order.is_apart.then_some(order.epoch);
         let s = &mut self.servers[server];
         if !s.is_up || is_cut_off || order.asked.as_ref() != Some(&s.name) {
             self.put(2, Happening::RunOutcome { order: id, failure: Some(Failure::Unsent) });
@@ -230,7 +233,7 @@
         self.witness.asked(&id, &service);
         if s.is_dark {
             // It takes the order, may or may not run it, and says nothing.
-            self.witness.run(self.now, &id, &service, s, 0);
+            self.witness.run(self.now, &id, &service, s, 0, apart_from);
             self.put(2000, Happening::RunOutcome { order: id, failure: Some(Failure::Unknown) });
             return;
         }
@@ -243,7 +246,7 @@
         }
         let (running, waiting) = s.schedule.burden(Moment(self.now));
         let life = s.incarnation;
-        self.witness.run(self.now, &id, &service, &self.servers[server], running + waiting);
+        self.witness.run(self.now, &id, &service, &self.servers[server], running + waiting, apart_from);
         if let Some(order) = self.orders.get_mut(&id) {
             order.run = Some((server, run));
             order.server_life = life;
