A disk that refuses or is slow at the start is tried until it can be used

Cause: `Shelf::open` opened the folder once, before the thread started; any fault ended the process with exit 2, and a slow disk held the start up without bound.

The thread opens the folder itself. Trouble of the disk (I/O error, full, over quota, read-only, busy, timed out) is told as any later fault: one log line for each distinct reason (`Control` already keeps that), then a try each 500 ms. A folder that can't exist, or is damaged, is still exit 2. Whether it can be used is waited for 2 s; a disk slower than that holds nothing else up, so a folder that turns out unusable only after 2 s is not told and the process doesn't end.

Before: exit 2 on a full disk. After: two refusals and then `Ready`, in a trace for each of two reasons.

--- a/crates/registrar/src/shelf.rs
+++ b/crates/registrar/src/shelf.rs
@@ -1,5 +1,6 @@
 use crate::prelude::*;
 use std::path::Path;
+use std::time::Duration;
 
 /// What the disk's own thread tells the control thread.
 #[derive(Debug)]
@@ -41,17 +42,38 @@
 }
 
 impl Shelf {
-    /// Opens the folder and starts the thread. A folder that can't be used at first is a fault at
-    /// once; one that fails later is tried again until it can.
+    /// Starts the thread, which opens the folder. One that can't exist, or is damaged, is a fault at once. One
+    /// that the disk refuses now, or is slow with, is tried until it can be used, as one that fails later is.
     pub fn open(folder: &Path, tell: impl Fn(u64, ShelfEvent) + Send + 'static) -> Result<Shelf, FolioFault> {
-        let first = open_folder(folder)?;
-        let (sheets, inbox) = flume::unbounded();
         let folder = folder.to_owned();
-        std::thread::Builder::new()
-            .name("shelf".into())
-            .spawn(move || keep(&folder, first, &inbox, &tell))
-            .map_err(FolioFault::Io)?;
-        Ok(Shelf { sheets, life: 1 })
+        Shelf::open_by(move || open_folder(&folder), PAUSE, tell)
+    }
+
+    fn open_by(
+        open: impl Fn() -> Result<Opened, FolioFault> + Send + 'static,
+        pause: Duration,
+        tell: impl Fn(u64, ShelfEvent) + Send + 'static,
+    ) -> Result<Shelf, FolioFault> {
+        let (sheets, inbox) = flume::unbounded();
+        let (say_first, first) = flume::bounded(1);
+        let work = move || {
+            let opened = open();
+            match opened {
+                Err(fault) if !may_pass(&fault) => {
+                    let _ = say_first.send(Err(fault));
+                }
+                opened => {
+                    let _ = say_first.send(Ok(()));
+                    keep(&open, opened, pause, &inbox, &tell);
+                }
+            }
+        };
+        std::thread::Builder::new().name("shelf".into()).spawn(work).map_err(FolioFault::Io)?;
+        match first.recv_timeout(FIRST_DUE) {
+            Ok(Err(fault)) => Err(fault),
+            // A slow disk holds nothing up: what comes of it is told when it's known.
+            Ok(Ok(())) | Err(_) => Ok(Shelf { sheets, life: 1 }),
+        }
     }
 
     /// Hands a write over.
@@ -64,6 +86,27 @@
     }
 }
 
+/// Between tries to open a folder.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Whether a folder can be used at all is waited for this long.
+const FIRST_DUE: Duration = Duration::from_secs(2);
+
+/// Whether it's the disk's trouble, which may pass, and not the folder's.
+fn may_pass(fault: &FolioFault) -> bool {
+    use std::io::ErrorKind::*;
+    /// Linux's number of an I/O error, which has no kind of its own.
+    const EIO: i32 = 5;
+    match fault {
+        FolioFault::Io(fault) => {
+            let kinds =
+                [StorageFull, QuotaExceeded, ReadOnlyFilesystem, ResourceBusy, TimedOut, Interrupted, WouldBlock];
+            fault.raw_os_error() == Some(EIO) || kinds.contains(&fault.kind())
+        }
+        FolioFault::Gone => true,
+        FolioFault::Damaged(_) => false,
+    }
+}
+
 fn open_folder(folder: &Path) -> Result<Opened, FolioFault> {
     Folio::open(folder, DiskId(u128::from_be_bytes(random_bytes())))
 }
@@ -99,17 +142,23 @@
     if gathered.is_empty() { Ok(()) } else { folio.write(&gathered) }
 }
 
-fn keep(folder: &Path, first: Opened, inbox: &flume::Receiver<Sheet>, tell: &impl Fn(u64, ShelfEvent)) {
+fn keep(
+    open: &impl Fn() -> Result<Opened, FolioFault>,
+    first: Result<Opened, FolioFault>,
+    pause: Duration,
+    inbox: &flume::Receiver<Sheet>,
+    tell: &impl Fn(u64, ShelfEvent),
+) {
     let mut life = 1;
-    let mut opened = Ok(first);
+    let mut opened = first;
     loop {
         let ready = opened.and_then(|o| read_records(&o.records).map(|kept| (o.folio, o.disk, kept)));
         let (mut folio, disk, kept) = match ready {
             Ok(ready) => ready,
             Err(fault) => {
                 tell(life, ShelfEvent::Fault { why: fault.to_string() });
-                std::thread::sleep(std::time::Duration::from_millis(500));
-                opened = open_folder(folder);
+                std::thread::sleep(pause);
+                opened = open();
                 continue;
             }
         };
@@ -129,8 +178,11 @@
         };
         tell(life, ShelfEvent::Fault { why: fault.to_string() });
         drop(folio);
-        std::thread::sleep(std::time::Duration::from_millis(500));
+        std::thread::sleep(pause);
         life += 1;
-        opened = open_folder(folder);
+        opened = open();
     }
 }
+
+#[cfg(test)]
+mod tests;
