A change is answered only by a chain that still is as long as `copies`

Cause: the head let a change in by the length of the chain then; if the chain shrank before it was synced, the new tail answered it from too few disks. And `GET /v1/fates/ID` called accepted what was only in the tail's ledger. On the platform, `copies` took a zone for one disk: of a core of six in three zones, with a zone and a machine in the budget, both copies could stand in one zone.

The tail settles only where the chain has its copies; a fate is told only there, and where holders are the quorum once they know it.

Registrars are told that they are founders at their first start alone.

Ruled out: copies by zones in the chain. One more disk than a zone holds is enough and needs no zones there.

--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/fellow/chain.rs
@@ -21,7 +21,7 @@
             None => false,
         };
         let has_room = self.last.0.0 < self.replied.0 + self.timing.ahead;
-        let may_enter = self.is_head() && self.is_level && self.view.chain.len() >= self.timing.copies && has_room;
+        let may_enter = self.is_head() && self.is_level && self.has_copies() && has_room;
         if !may_enter || (self.charge.needs_members(&body) && !tail_says) {
             return self.turn_away(ticket, false, vec![]);
         }
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether the chain is long enough that what passed down it is on as many disks as a change must be.
+    pub fn has_copies(&self) -> bool {
+        self.view.chain.len() >= self.timing.copies
+    }
+
     fn turn_away(&mut self, ticket: Ticket, is_replied: bool, body: Vec<u8>) {
         let note = Note::Reply { number: ticket.number, is_replied, body };
         self.send(ticket.origin, note);
@@ -63,7 +68,10 @@
             }
             None if self.is_tail() && self.is_level => {
                 self.replied = self.synced.0;
-                self.outputs.push(Output::Settled { ticket, body: answer });
+                // A chain that has shrunk since it took the change has it on too few disks to say so.
+                if self.has_copies() {
+                    self.outputs.push(Output::Settled { ticket, body: answer });
+                }
                 self.next_beat = self.now;
             }
             None => {}
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -421,6 +421,12 @@
         }
     }
 
+    /// Whether what is in the ledger as this epoch may be called accepted, whoever asks and when. Where most
+    /// members must know it, its answer alone waits for them: they may be gone since.
+    fn is_firm(&self, epoch: Epoch) -> bool {
+        self.fellow.has_copies() && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
+    }
+
     /// Whether enough of those before the last change of the roster know the roster now.
     fn is_roster_settled(&self) -> bool {
         let roster = &self.fellow.charge().roster;
@@ -694,6 +700,10 @@
                 }
                 good(serde_json::json!({"heard": heard}))
             }
+            Reading::Fate { id } if ledger.entry_by_id(id).is_some_and(|entry| !self.is_firm(entry.epoch)) => {
+                let why = "it is in the chain, and not yet accepted: too few disks hold it, or nodes know it";
+                missing(ResultCode::CoreNotReady, why.to_owned())
+            }
             Reading::Fate { id } => match ledger.entry_by_id(id) {
                 Some(entry) => good(serde_json::json!({
                     "code": ResultCode::Accepted.number(), "result": ResultCode::Accepted.word(),
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -116,6 +116,12 @@
         /// Registrars take each other for gone after this many ms.
         #[arg(long)]
         suspect_ms: Option<u64>,
+        /// So many registrars, in place of the deployment's.
+        #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
+        registrars: Option<u16>,
+        /// Disks that a change is on before it is told as accepted.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=9))]
+        copies: u16,
         /// Who must know a change before it is told as accepted.
         #[arg(long, default_value = "majority")]
         quorum: registrar::prelude::Quorum,
@@ -138,13 +144,28 @@
             let rules = MeasureRules { sweep, deployment, seeds, orders, block_micros, hot_share };
             measure(&rules).map(|()| true)
         }
-        Task::Simulate { deployment, seed, seeds, faults, kinds, orders, criers, suspect_ms, quorum, mutant } => {
+        Task::Simulate {
+            deployment,
+            seed,
+            seeds,
+            faults,
+            kinds,
+            orders,
+            criers,
+            suspect_ms,
+            registrars,
+            copies,
+            quorum,
+            mutant,
+        } => {
             let rules = WorldRules {
                 faults,
                 kinds,
                 mutant,
                 criers: criers.map(usize::from),
                 suspect: suspect_ms.map(Span),
+                registrars: registrars.map(usize::from),
+                copies: usize::from(copies),
                 quorum,
                 orders_a_second: orders,
                 ..WorldRules::new(deployment, seed)
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -282,7 +282,7 @@
         let hall = |place: usize| HallName::from(shape.halls[place % shape.halls.len()]);
         // Where syncs are skipped, disks are slow, so that something is left to be lost.
         let delay = if self.rules.mutant == Some(Mutant::SkipSync) { 400 } else { 3 };
-        for place in 0..shape.registrars {
+        for place in 0..self.registrar_count() {
             let id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
             let offset = 1_000_000 + self.below(1_000_000_000);
             let address = Address::loopback(1001 + place as u16);
@@ -334,6 +334,10 @@
         self.plan_faults();
     }
 
+    fn registrar_count(&self) -> usize {
+        self.rules.registrars.unwrap_or(self.rules.deployment.shape().registrars)
+    }
+
     /// The platform's list as it is now; nodes see it late.
     fn publish(&mut self) {
         let entry = |server: &ServerMachine| RollEntry {
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -361,7 +361,7 @@
         let ledger = tail.and_then(|place| self.registrars[place].office.as_ref()).map(|o| o.fellow().charge());
         self.witness.conclude(now, ledger);
         if let Some(view) = self.witness.decided.values().next_back() {
-            let (seated, wanted) = (view.chain.len(), self.rules.deployment.shape().registrars);
+            let (seated, wanted) = (view.chain.len(), self.registrar_count());
             if seated < wanted {
                 self.witness.violate(now, format!("the chain has {seated} of {wanted} members at the end"));
             }
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -33,6 +33,10 @@
     pub hot_share: u64,
     /// How soon registrars take each other for gone, if not as usual.
     pub suspect: Option<Span>,
+    /// How many registrars, if not as the deployment has.
+    pub registrars: Option<usize>,
+    /// Disks that a change is on before it is told as accepted: one more than may be lost at once.
+    pub copies: usize,
     /// Who must know a change before it is told as accepted.
     pub quorum: Quorum,
     /// A fault in the system itself.
@@ -57,6 +61,8 @@
             servers: ScheduleRules::default(),
             hot_share: 50,
             suspect: None,
+            registrars: None,
+            copies: 2,
             quorum: Quorum::Majority,
             mutant: None,
         }
@@ -108,6 +114,11 @@
     PowerLossAfterAck,
     /// A disk is wiped right after a change was acknowledged.
     WipeAfterAck,
+    /// As many disks as may be lost at once are, or a zone's, right after a change was acknowledged, while all
+    /// other registrars lose power. Struck only where it's named.
+    LoseBudgetAfterAck,
+    /// The same, at any time.
+    LoseBudget,
     /// A registrar's machine is lost for good; an empty one comes at a new address.
     ReplaceCore,
     /// A server crashes and comes back.
@@ -221,6 +232,7 @@
         for place in std::mem::take(&mut self.armed) {
             self.faults[place].kind = match self.faults[place].kind {
                 FaultKind::PowerLossAfterAck => FaultKind::PowerLossAll,
+                FaultKind::LoseBudgetAfterAck => FaultKind::LoseBudget,
                 _ => FaultKind::WipeDisk,
             };
             self.strike(place);
@@ -320,7 +332,10 @@
                     }
                 }
             }
-            FaultKind::PowerLossAfterAck | FaultKind::WipeAfterAck => self.armed.push(place),
+            FaultKind::PowerLossAfterAck | FaultKind::WipeAfterAck | FaultKind::LoseBudgetAfterAck => {
+                self.armed.push(place);
+            }
+            FaultKind::LoseBudget => self.lose_budget(pick, back),
             FaultKind::BadNetwork => self.loss = 10 + pick % 20,
             FaultKind::SlowDisk => self.registrars[registrar].disk.delay = 150 + pick % 400,
             FaultKind::StallDisk => self.registrars[registrar].disk.stalled_until = self.now + span,
@@ -392,6 +407,35 @@
         self.put(back, Happening::StartRegistrar { machine });
     }
 
+    /// Wipes as many disks as may be lost at once and cuts all power, while each machine votes with its disk:
+    /// only then do most voters remain.
+    fn lose_budget(&mut self, pick: u64, back: u64) {
+        let offices = self.registrars.iter().filter_map(|m| m.office.as_ref());
+        let newest = offices.map(|office| office.fellow().view()).max_by_key(|view| view.epoch);
+        let is_voter =
+            |m: &&RegistrarMachine| newest.is_some_and(|v| v.has_voter(&Voter { address: m.address, disk: m.disk.id }));
+        let all: Vec<usize> = (0..self.registrars.len()).filter(|place| !self.registrars[*place].is_gone).collect();
+        if !all.iter().all(|place| is_voter(&&self.registrars[*place])) {
+            return;
+        }
+        let halls = self.rules.deployment.shape().halls;
+        let hall = HallName::from(halls[(pick / 2 % halls.len() as u64) as usize]);
+        let is_struck = |place: &usize| pick.is_multiple_of(2) || self.registrars[*place].hall == hall;
+        let from = (pick / 5) as usize % all.len();
+        let in_turn = (0..all.len()).map(|step| all[(from + step) % all.len()]);
+        let victims: Vec<usize> = in_turn.filter(is_struck).take(self.rules.copies - 1).collect();
+        for machine in all {
+            self.kill_registrar(machine, true);
+            if victims.contains(&machine) {
+                let new_id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
+                let disk = &mut self.registrars[machine].disk;
+                disk.durable.clear();
+                disk.id = new_id;
+            }
+            self.put(back + machine as u64 * 30, Happening::StartRegistrar { machine });
+        }
+    }
+
     pub(super) fn heal(&mut self, place: usize) {
         if place >= self.faults.len() {
             return self.heal_all();
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -5,11 +5,11 @@
 
 impl World {
     pub(super) fn start_registrar(&mut self, machine: usize) {
-        let shape = self.rules.deployment.shape();
-        let founders: Vec<Address> = (0..shape.registrars).map(|n| Address::loopback(1001 + n as u16)).collect();
+        let founders: Vec<Address> = (0..self.registrar_count()).map(|n| Address::loopback(1001 + n as u16)).collect();
         let mut timing = OfficeTiming::default();
         timing.fellow.suspect = self.rules.suspect.unwrap_or(timing.fellow.suspect);
         timing.quorum = self.rules.quorum;
+        timing.fellow.copies = self.rules.copies;
         if self.rules.mutant == Some(Mutant::SkipFencing) {
             timing.fellow.lease = Span(0);
         }
@@ -30,7 +30,10 @@
         m.disk.pending.clear();
         let now = Moment(self.now + m.offset);
         let me = Voter { address: m.address, disk: m.disk.id };
-        let known = if founders.contains(&m.address) { founders } else { founders[..3].to_vec() };
+        // Told that it is a founder at its first start alone, as on the users' platform.
+        let is_first = m.life == 1 && founders.contains(&m.address);
+        let others = || founders.iter().filter(|founder| **founder != m.address).copied().collect();
+        let known = if is_first { founders.clone() } else { others() };
         let kept = Kept { records: m.disk.durable.clone() };
         match Fellow::new(me, known, timing.fellow, kept, Ledger::default(), now) {
             Ok(fellow) => m.office = Some(Office::new(fellow, timing, key, incarnation, now)),
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -37,6 +37,25 @@
     play(WorldRules::new(deployment, seed));
 }
 
+/// As many disks as may be lost at once, or a zone's, are wiped right after an acknowledgement, while all others
+/// lose power. The platform's core: three in three zones, or six.
+#[parameterized(
+    three_1 = { 3, 2, 1 },
+    three_2 = { 3, 2, 2 },
+    six_1 = { 6, 3, 1 },
+    six_2 = { 6, 3, 2 },
+)]
+fn what_was_accepted_outlives_the_disks_that_may_be_lost(registrars: usize, copies: usize, seed: u64) {
+    use FaultKind::{KillRegistrar, LoseBudgetAfterAck, StallDisk};
+    play(WorldRules {
+        registrars: Some(registrars),
+        copies,
+        kinds: vec![LoseBudgetAfterAck, LoseBudgetAfterAck, KillRegistrar, StallDisk],
+        quorum: Quorum::Holders,
+        ..WorldRules::new(Deployment::Valodu, seed)
+    });
+}
+
 /// Accepted once every holder of a lease knows it: the mode of the users' platform.
 #[parameterized(
     pahana_1 = { Deployment::Pahana, 1 },
