Any majority of founders founds, whoever drives

Cause: only the lowest address could propose the first view, and only with all founders heard and fresh.

The first view is decided by a ballot among the founders' addresses: promises and acceptances of more than half, the newest accepted ballot goes on, any founder drives in turn. One that did not promise has its place kept under no disk, follows, and takes the place with the disk it then has. A founder writes down that it is one; after a restart its disk says so. One that comes back empty and isn't told takes no part, and no other founder can tell it: nobody knows what its lost disk had accepted (docs/isolation.md).

Ruled out: letting those heard be all voters. A view's voters are replaced, never added to, so a core of three would have stayed one of two.

Before: no view without the lowest address. After, by traces: a core of three founds without any one of them, which then takes its seat with an empty disk; two of three that come back empty found nothing; two whose disks say that they are founders found though they are told nothing.

--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -250,6 +250,8 @@
 struct Bid {
     round: Round,
     wish: View,
+    /// At the founding: which disk each founder promised with.
+    founders: BTreeMap<Address, DiskId>,
     promises: BTreeMap<DiskId, Option<Ballot>>,
     ballot: Option<Ballot>,
     accepts: BTreeSet<DiskId>,
@@ -274,7 +276,8 @@
 
 impl<C: Charge> Fellow<C> {
     /// A fellow at the start of its life, from what its disk holds; `empty` is the charge's first
-    /// state. Only where nothing was kept may it take part in a founding, as one of `founders`.
+    /// state. It takes part in a founding if it's told now that it is one of `founders` and its disk is empty,
+    /// or if its disk says that it was told so when it was.
     pub fn new(
         me: Voter,
         founders: Vec<Address>,
@@ -335,6 +338,11 @@
         for record in kept.records {
             fellow.recall(record)?;
         }
+        if fellow.view.epoch == ViewEpoch(0) && fellow.promised.0 == ViewEpoch(1) {
+            fellow.founders.push(me.address);
+        }
+        fellow.founders.sort();
+        fellow.founders.dedup();
         fellow.top_count = fellow.promised.1.count;
         fellow.has_released = fellow.promised.0 == fellow.view.epoch.next() && fellow.promised.1.proposer == me.disk.0;
         fellow.synced = fellow.last;
@@ -583,9 +591,9 @@
                 self.on_chain_beat(from, disk, view, last, replied, is_level);
             }
             Note::Prepare { instance, round } => self.on_prepare(from, instance, round),
-            Note::Promise { instance, round, disk, accepted } => self.on_promise(instance, round, disk, accepted),
+            Note::Promise { instance, round, disk, accepted } => self.on_promise(from, instance, round, disk, accepted),
             Note::Accept { ballot } => self.on_accept(from, ballot),
-            Note::Accepted { instance, round, disk } => self.on_accepted(instance, round, disk),
+            Note::Accepted { instance, round, disk } => self.on_accepted(from, instance, round, disk),
             Note::Outdone { instance, promised } => self.on_outdone(instance, promised),
             Note::Decided { view } => self.adopt(view),
             Note::LeaseAsk { view, round } => self.on_lease_ask(from, view, round),
--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -3,48 +3,80 @@
 use super::*;
 
 impl<C: Charge> Fellow<C> {
-    /// The first founder proposes the first view once all founders were heard and all are fresh.
+    /// Whether it votes on the first view: it was told that it is a founder when its disk was empty, and that
+    /// disk is still the same.
+    fn is_founder(&self) -> bool {
+        let is_untouched = self.is_fresh || self.promised.0 == ViewEpoch(1);
+        let is_named = self.founders.contains(&self.me.address);
+        self.view.epoch == ViewEpoch(0) && is_named && is_untouched && self.last.0 == Seq(0)
+    }
+
+    /// A founder bids for the first view once it has heard all others, the first one by address at once; or
+    /// most of them, after a while and in turn.
     pub(super) fn found(&mut self) {
-        let is_first = self.founders.iter().min() == Some(&self.me.address);
-        if self.view.epoch != ViewEpoch(0) || !is_first || !(self.is_fresh || self.accepted.is_some()) {
+        if !self.is_founder() {
             return;
         }
-        if self.bid.as_ref().is_some_and(|bid| self.now < bid.due) {
-            return;
+        if self.promised.0 == ViewEpoch(0) {
+            // After a restart, this tells that it is a founder, whatever it's told then.
+            self.promised = (ViewEpoch(1), Round::default());
+            self.write(Record::Promised { instance: ViewEpoch(1), round: Round::default() }, None);
         }
-        let mut voters = vec![];
-        let mut founders = self.founders.clone();
-        founders.sort();
-        founders.dedup();
-        for address in founders {
-            let disk = if address == self.me.address {
-                self.me.disk
-            } else {
-                match self.heard.get(&address) {
-                    Some(h) if h.view == ViewEpoch(0) && self.now.since(h.at) < self.timing.suspect => h.disk,
-                    _ => return,
-                }
-            };
-            voters.push(Voter { address, disk });
-        }
-        let chain = voters.iter().map(|voter| Seat { voter: *voter, is_level: true }).collect();
-        let view = View { epoch: ViewEpoch(1), chain, voters };
-        let round = Round { count: 1, proposer: self.me.disk.0 };
-        let ballot = match &self.accepted {
-            Some(ballot) => ballot.clone(),
-            None => Ballot { round, view: view.clone() },
+        if self.bid.is_some() {
+            return self.close_founding();
+        }
+        let is_heard = |address: &Address| {
+            let lately = |h: &Heard| h.view == ViewEpoch(0) && self.now.since(h.at) < self.timing.suspect;
+            *address == self.me.address || self.heard.get(address).is_some_and(lately)
         };
+        let heard = self.founders.iter().filter(|address| is_heard(address)).count();
+        let turn = self.founders.iter().take_while(|address| **address != self.me.address).count() as u64;
+        let is_turn = self.now >= self.not_before + Span(self.timing.retry.0 * 2 * turn);
+        let are_all_here = turn == 0 && heard == self.founders.len() && self.top_count == 0;
+        if !are_all_here && (!is_turn || heard < self.founders_majority()) {
+            return;
+        }
+        self.top_count += 1;
         self.bid = Some(Bid {
-            round: ballot.round,
-            wish: view,
+            round: Round { count: self.top_count, proposer: self.me.disk.0 },
+            wish: View::none(),
+            founders: BTreeMap::new(),
             promises: BTreeMap::new(),
-            ballot: Some(ballot),
+            ballot: None,
             accepts: BTreeSet::new(),
             sent: Moment(0),
             due: self.now + Span(self.timing.retry.0 * 8),
         });
     }
 
+    fn founders_majority(&self) -> usize {
+        self.founders.len() / 2 + 1
+    }
+
+    /// Once most founders promised, and the others had a while for it, they found: each with the disk that it
+    /// promised with. One that didn't promise has its place kept, for whatever disk comes at its address.
+    fn close_founding(&mut self) {
+        let majority = self.founders_majority();
+        let Some(bid) = &mut self.bid else { return };
+        let is_over = self.now + Span(self.timing.retry.0 * 7) >= bid.due;
+        let have = bid.founders.len();
+        if bid.ballot.is_some() || have < majority || (have < self.founders.len() && !is_over) {
+            return;
+        }
+        let voter = |address: &Address| {
+            let disk = bid.founders.get(address).copied().unwrap_or(DiskId(0));
+            Voter { address: *address, disk }
+        };
+        let voters: Vec<Voter> = self.founders.iter().map(voter).collect();
+        let here = voters.iter().filter(|voter| voter.disk != DiskId(0));
+        let chain = here.map(|voter| Seat { voter: *voter, is_level: true }).collect();
+        let newest = bid.promises.values().flatten().max_by_key(|ballot| ballot.round);
+        let view = newest.map_or(View { epoch: ViewEpoch(1), chain, voters }, |ballot| ballot.view.clone());
+        bid.ballot = Some(Ballot { round: bid.round, view });
+        bid.sent = Moment(0);
+        self.push_bid();
+    }
+
     /// What the view should be, as far as this fellow sees.
     fn wish(&self) -> View {
         let mut chain: Vec<Seat> = vec![];
@@ -122,6 +154,7 @@
         self.bid = Some(Bid {
             round,
             wish,
+            founders: BTreeMap::new(),
             promises: BTreeMap::new(),
             ballot: None,
             accepts: BTreeSet::new(),
@@ -154,9 +187,9 @@
             Some(ballot) => Note::Accept { ballot: ballot.clone() },
             None => Note::Prepare { instance: self.view.epoch.next(), round: bid.round },
         };
-        let electors = match &bid.ballot {
-            Some(ballot) if self.view.epoch == ViewEpoch(0) => ballot.view.voters.clone(),
-            _ => self.view.voters.clone(),
+        let electors = match self.view.epoch {
+            ViewEpoch(0) => self.founders.clone(),
+            _ => self.view.voters.iter().map(|voter| voter.address).collect(),
         };
         let releases = bid.ballot.as_ref().is_some_and(|ballot| ballot.view.tail() != Some(self.me));
         if releases && self.view.tail() == Some(self.me) {
@@ -166,8 +199,8 @@
             self.lease_due = Moment(0);
             self.has_released = true;
         }
-        for voter in electors {
-            self.send(voter.address, note.clone());
+        for address in electors {
+            self.send(address, note.clone());
         }
     }
 
@@ -179,7 +212,7 @@
 
     pub(super) fn on_prepare(&mut self, from: Address, instance: ViewEpoch, round: Round) {
         self.top_count = self.top_count.max(round.count);
-        if instance != self.view.epoch.next() || !self.view.has_voter(&self.me) {
+        if instance != self.view.epoch.next() || !(self.view.has_voter(&self.me) || self.is_founder()) {
             return;
         }
         if self.promised.0 == instance && round < self.promised.1 {
@@ -192,14 +225,27 @@
         self.write(Record::Promised { instance, round }, Some(Deferred::Send(from, note)));
     }
 
-    pub(super) fn on_promise(&mut self, instance: ViewEpoch, round: Round, disk: DiskId, accepted: Option<Ballot>) {
-        let is_elector = self.view.voters.iter().any(|v| v.disk == disk);
+    pub(super) fn on_promise(
+        &mut self,
+        from: Address,
+        instance: ViewEpoch,
+        round: Round,
+        disk: DiskId,
+        accepted: Option<Ballot>,
+    ) {
+        let is_founding = self.view.epoch == ViewEpoch(0);
+        let is_elector =
+            if is_founding { self.founders.contains(&from) } else { self.view.voters.iter().any(|v| v.disk == disk) };
         let majority = self.view.majority();
         let Some(bid) = &mut self.bid else { return };
         if instance != self.view.epoch.next() || bid.round != round || bid.ballot.is_some() || !is_elector {
             return;
         }
         bid.promises.insert(disk, accepted);
+        if is_founding {
+            bid.founders.insert(from, disk);
+            return self.close_founding();
+        }
         if bid.promises.len() >= majority && bid.promises.contains_key(&self.me.disk) {
             let newest = bid.promises.values().flatten().max_by_key(|ballot| ballot.round);
             let view = newest.map_or_else(|| bid.wish.clone(), |ballot| ballot.view.clone());
@@ -241,28 +287,22 @@
         self.write(Record::Accepted { ballot }, Some(Deferred::Send(from, note)));
     }
 
-    /// Whether this fellow takes part in the founding of this view: it is itself in it, all
-    /// founders are, and it has taken part in no other.
+    /// Whether this fellow may accept this first view: all founders have a place in it.
     fn may_found(&self, view: &View) -> bool {
-        let mut founders = self.founders.clone();
-        founders.sort();
-        founders.dedup();
-        let are_founders = view.voters.iter().map(|v| v.address).eq(founders);
-        let is_same = self.accepted.as_ref().is_none_or(|ballot| ballot.view == *view);
-        let is_untouched = self.is_fresh || self.accepted.is_some();
-        are_founders && is_same && is_untouched && view.has_voter(&self.me) && self.last.0 == Seq(0)
+        self.is_founder() && view.voters.iter().map(|v| v.address).eq(self.founders.iter().copied())
     }
 
-    pub(super) fn on_accepted(&mut self, instance: ViewEpoch, round: Round, disk: DiskId) {
+    pub(super) fn on_accepted(&mut self, from: Address, instance: ViewEpoch, round: Round, disk: DiskId) {
         let is_founding = self.view.epoch == ViewEpoch(0);
-        let majority = self.view.majority();
+        let (is_elector, needed) = match is_founding {
+            true => (self.founders.contains(&from), self.founders_majority()),
+            false => (self.view.voters.iter().any(|v| v.disk == disk), self.view.majority()),
+        };
         let Some(bid) = &mut self.bid else { return };
         let Some(ballot) = &bid.ballot else { return };
-        let electors = if is_founding { &ballot.view.voters } else { &self.view.voters };
-        if instance != self.view.epoch.next() || ballot.round != round || !electors.iter().any(|v| v.disk == disk) {
+        if instance != self.view.epoch.next() || ballot.round != round || !is_elector {
             return;
         }
-        let needed = if is_founding { electors.len() } else { majority };
         bid.accepts.insert(disk);
         if bid.accepts.len() >= needed {
             let view = ballot.view.clone();
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -231,3 +231,108 @@
     assert!(!grant_all(&mut tail, earlier));
     assert!(grant_all(&mut tail, round));
 }
+
+/// Fellows that write at once and lose no letter but those to and from the `down`.
+struct Played {
+    fellows: BTreeMap<u16, Fellow<Tally>>,
+    at: u64,
+}
+
+impl Played {
+    fn new(founders: &[u16]) -> Self {
+        let mut played = Played { fellows: BTreeMap::new(), at: 10_000 };
+        founders.iter().for_each(|n| played.start(*n, u128::from(*n), founders, vec![]));
+        played
+    }
+    fn start(&mut self, n: u16, disk: u128, known: &[u16], records: Vec<Record>) {
+        let me = Voter { address: Address::loopback(n), disk: DiskId(disk) };
+        let known = known.iter().map(|n| Address::loopback(*n)).collect();
+        let now = Moment(self.at);
+        let fellow = Fellow::new(me, known, Timing::default(), Kept { records }, Tally(0), now).unwrap();
+        self.fellows.insert(n, fellow);
+    }
+    /// Plays this long; gives the records that each wrote.
+    fn run(&mut self, span: u64) -> BTreeMap<u16, Vec<Record>> {
+        let mut written: BTreeMap<u16, Vec<Record>> = BTreeMap::new();
+        for _ in 0..span / 25 {
+            self.at += 25;
+            let mut inputs: VecDeque<(u16, Input)> = self.fellows.keys().map(|n| (*n, Input::ClockEvent)).collect();
+            while let Some((n, input)) = inputs.pop_front() {
+                let Some(fellow) = self.fellows.get_mut(&n) else { continue };
+                for output in fellow.step(Moment(self.at), input) {
+                    match output {
+                        Output::Send { to, note } => {
+                            inputs.push_back((to.0.port(), Input::Note { from: Address::loopback(n), note }));
+                        }
+                        Output::Write { id, records, .. } => {
+                            written.entry(n).or_default().extend(records);
+                            inputs.push_back((n, Input::Written { id }));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        written
+    }
+    fn chain(&self) -> Vec<(u16, u128)> {
+        let newest = self.fellows.values().map(Fellow::view).max_by_key(|view| view.epoch).unwrap();
+        newest.chain.iter().map(|seat| (seat.voter.address.0.port(), seat.voter.disk.0)).collect()
+    }
+}
+
+#[test]
+fn any_majority_of_founders_founds_and_one_that_comes_back_empty_takes_its_place_later() {
+    for lost in 1..=3 {
+        let mut played = Played::new(&[1, 2, 3]);
+        played.fellows.remove(&lost);
+        played.run(1000);
+        // Back with an empty disk, and not told that it is a founder.
+        let others: Vec<u16> = (1..=3).filter(|n| *n != lost).collect();
+        played.start(lost, 77, &others, vec![]);
+        played.run(6000);
+        let mut chain = played.chain();
+        chain.sort_unstable();
+        let wanted = (1..=3u16).map(|n| (n, if n == lost { 77 } else { u128::from(n) })).collect::<Vec<_>>();
+        assert_eq!(chain, wanted, "without {lost}");
+    }
+}
+
+#[test]
+fn those_that_come_back_empty_and_are_not_told_found_nothing_with_fewer_than_most() {
+    let mut played = Played::new(&[1, 2, 3]);
+    played.start(1, 71, &[2, 3], vec![]);
+    played.start(2, 72, &[1, 3], vec![]);
+    played.run(8000);
+    assert_eq!(played.chain(), []);
+}
+
+#[test]
+fn a_founder_whose_disk_says_so_founds_whatever_it_is_told_later() {
+    let mut played = Played::new(&[1, 2, 3]);
+    played.fellows.remove(&3);
+    let written = played.run(25);
+    assert_eq!(played.chain(), []);
+    played.fellows.clear();
+    played.start(1, 1, &[2, 3], written[&1].clone());
+    played.start(2, 2, &[1, 3], written[&2].clone());
+    played.run(3000);
+    assert_eq!(played.chain(), [(1, 1), (2, 2)]);
+}
+
+#[test]
+fn what_a_shrunk_chain_has_on_too_few_disks_is_not_settled() {
+    let mut head = fellow(1, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
+    let ticket = Ticket { origin: Address::loopback(1), number: 1 };
+    let propose = Note::Propose { ticket, body: vec![1] };
+    let outputs = head.step(Moment(10_100), Input::Note { from: Address::loopback(1), note: propose.clone() });
+    let id = outputs.iter().find_map(|output| match output {
+        Output::Write { id, .. } => Some(*id),
+        _ => None,
+    });
+    tell(&mut head, 10_150, 2, Note::Decided { view: view(2, &[(1, true)]) });
+    let outputs = head.step(Moment(10_200), Input::Written { id: id.expect("a write") });
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Settled { .. })), "{outputs:?}");
+    let outputs = head.step(Moment(10_300), Input::Note { from: Address::loopback(1), note: propose });
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Write { .. })), "{outputs:?}");
+}
--- a/crates/registrar/src/settings.rs
+++ b/crates/registrar/src/settings.rs
@@ -18,7 +18,7 @@
     #[setting(default = "registrar-data")]
     pub folder: String,
     /// Inner addresses of all registrars that found the core together, the same list at each. Left
-    /// empty by a machine that is added later.
+    /// empty by a machine that is added later, and by one whose disk was emptied.
     #[setting(validate = addresses)]
     pub founders: Vec<String>,
     /// Inner addresses of up to three processes to ask first.
