--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -63,7 +63,7 @@
     StreamFault = 203, 502, 0, "stream-fault", "The server's pieces were out of order; the stream was cut.";
     OrderIdTaken = 204, 409, 0, "order-id-taken", "An order of this id is in hand here, or was given to a server lately; that one may have run.";
     OutOfReach = 205, 503, 1, "out-of-reach", "The run's server can't be reached now; nothing of the run is lost by asking again.";
-    Accepted = 300, 200, 0, "accepted", "The change is on at least two disks and known to most nodes.";
+    Accepted = 300, 200, 0, "accepted", "The change is on as many disks as the settings say, and known to as many nodes.";
     BadPlan = 301, 422, 0, "bad-plan", "The plan has faults, listed by path; nothing changed.";
     Conflict = 302, 409, 0, "conflict", "It builds on an epoch that is not the latest; it never takes effect.";
     CoreNotReady = 303, 503, 1, "core-not-ready", "The core can't take changes now; nothing changed.";
