--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -389,3 +389,5 @@
     let (voters, chain, held) = core.core().expect("it replies");
     assert_eq!((voters.len(), chain.len(), held), (5, 5, 1), "{voters:?} {chain:?}");
 }
+
+mod founding;
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -36,7 +36,9 @@
 }
 
 /// Who must know a change before it is told as accepted (docs/isolation.md).
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ConfigEnum, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, ConfigEnum, clap::ValueEnum, serde::Serialize, serde::Deserialize,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Quorum {
     /// More than half of the members; and changes are taken only while as many hold leases. Whoever is
@@ -339,19 +341,18 @@
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
         let is_member = self.fellow.charge().roster.members.contains(&from);
         if is_member {
-            let known = poll.epoch.min(self.fellow.charge().epoch);
-            let due = self.now + self.timing.lease;
-            self.leases.renew(from, known, due);
-            let told = poll.epoch.max(self.fellow.charge().epoch);
-            self.subscribers.insert(from, Subscriber { told, due });
             self.give_lease(from, &poll);
         } else {
             self.joining.insert(from, poll);
         }
     }
 
-    /// Answers a member's poll with a lease, and with what it lacks.
+    /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
     fn give_lease(&mut self, to: Address, poll: &Poll) {
+        let newest = self.fellow.charge().epoch;
+        let due = self.now + self.timing.lease;
+        self.leases.renew(to, poll.epoch.min(newest), due);
+        self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), due });
         let ledger = self.fellow.charge();
         let view = self.fellow.view().epoch;
         let reply = PollReply::Lease {
@@ -428,11 +429,17 @@
             Quorum::Holders => {
                 let is_old_gone = self.now.since(self.leases_since) >= self.timing.lease;
                 self.leases.is_known_to_all(roster, epoch)
-                    || (is_old_gone && self.leases.is_known_to_holders(roster, epoch, self.now))
+                    || (is_old_gone && self.leases.is_known_to_holders(epoch, self.now))
             }
         }
     }
 
+    /// Whether what is in the ledger as this epoch may be called accepted, whoever asks and when. Where most
+    /// members must know it, its answer alone waits for them: they may be gone since.
+    fn is_firm(&self, epoch: Epoch) -> bool {
+        self.fellow.has_copies() && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
+    }
+
     /// Whether enough of those before the last change of the roster know the roster now.
     fn is_roster_settled(&self) -> bool {
         let roster = &self.fellow.charge().roster;
@@ -706,6 +713,10 @@
                 }
                 good(serde_json::json!({"heard": heard}))
             }
+            Reading::Fate { id } if ledger.entry_by_id(id).is_some_and(|entry| !self.is_firm(entry.epoch)) => {
+                let why = "it is in the chain, and not yet accepted: too few disks hold it, or nodes know it";
+                missing(ResultCode::CoreNotReady, why.to_owned())
+            }
             Reading::Fate { id } => match ledger.entry_by_id(id) {
                 Some(entry) => good(serde_json::json!({
                     "code": ResultCode::Accepted.number(), "result": ResultCode::Accepted.word(),
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -138,6 +138,15 @@
         /// Registrars take each other for gone after this many ms.
         #[arg(long)]
         suspect_ms: Option<u64>,
+        /// So many registrars, in place of the deployment's.
+        #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
+        registrars: Option<u16>,
+        /// Disks that a change is on before it is told as accepted.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=9))]
+        copies: u16,
+        /// Who must know a change before it is told as accepted.
+        #[arg(long, default_value = "majority")]
+        quorum: registrar::prelude::Quorum,
         /// With a deliberate fault in the system itself.
         #[arg(long)]
         mutant: Option<Mutant>,
@@ -160,13 +169,29 @@
         Task::Hollow { rules, folder, json } => run_hollow(&rules, folder, json),
         Task::HollowPlot { runs, picture } => draw_hollow(&runs, &picture),
         Task::HollowHost => serve_hollow().map(|()| true),
-        Task::Simulate { deployment, seed, seeds, faults, kinds, orders, criers, suspect_ms, mutant } => {
+        Task::Simulate {
+            deployment,
+            seed,
+            seeds,
+            faults,
+            kinds,
+            orders,
+            criers,
+            suspect_ms,
+            registrars,
+            copies,
+            quorum,
+            mutant,
+        } => {
             let rules = WorldRules {
                 faults,
                 kinds,
                 mutant,
                 criers: criers.map(usize::from),
                 suspect: suspect_ms.map(Span),
+                registrars: registrars.map(usize::from),
+                copies: usize::from(copies),
+                quorum,
                 orders_a_second: orders,
                 ..WorldRules::new(deployment, seed)
             };
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -51,6 +51,7 @@
             server_life: 0,
             had_first: false,
             epoch: Epoch(0),
+            is_apart: false,
             pieces: if service == "drafts" { 20 } else { 6 },
             stream: None,
             keep: false,
@@ -187,7 +188,7 @@
             let wake = self.criers[machine].frozen_until - self.now;
             return self.put(wake, Happening::Connected { order: id, server, run });
         }
-        let (address, epoch) = (self.criers[machine].address, order.epoch);
+        let epoch = order.epoch;
         if self.rules.mutant != Some(Mutant::AskOnce) {
             if !self.may_act(machine) {
                 return self.withhold(&id);
@@ -197,7 +198,9 @@
                 return self.errand(&id, ErrandInput::Supersede);
             }
         }
-        self.witness.sent(self.now, address, epoch);
+        let m = &self.criers[machine];
+        let is_apart = self.witness.sent(self.now, m.address, epoch, &m.touch, self.rules.quorum);
+        self.orders.entry(id.clone()).and_modify(|order| order.is_apart = is_apart);
         self.put(1, Happening::RunReaches { order: id, server, run });
     }
 
@@ -225,6 +228,7 @@
         let Some(order) = self.orders.get(&id) else { return };
         let crier = &self.criers[order.crier];
         let (prompt, service, is_cut_off) = (order.prompt.clone(), order.service.clone(), crier.is_cut_off);
+        let apart_from = order.is_apart.then_some(order.epoch);
         let s = &mut self.servers[server];
         if !s.is_up || is_cut_off || order.asked.as_ref() != Some(&s.name) {
             self.put(2, Happening::RunOutcome { order: id, failure: Some(Failure::Unsent) });
@@ -233,7 +237,7 @@
         self.witness.asked(&id, &service);
         if s.is_dark {
             // It takes the order, may or may not run it, and says nothing.
-            self.witness.run(self.now, &id, &service, s, 0);
+            self.witness.run(self.now, &id, &service, s, 0, apart_from);
             self.put(2000, Happening::RunOutcome { order: id, failure: Some(Failure::Unknown) });
             return;
         }
@@ -246,7 +250,7 @@
         }
         let (running, waiting) = s.schedule.burden(Moment(self.now));
         let life = s.incarnation;
-        self.witness.run(self.now, &id, &service, &self.servers[server], running + waiting);
+        self.witness.run(self.now, &id, &service, &self.servers[server], running + waiting, apart_from);
         if let Some(order) = self.orders.get_mut(&id) {
             order.run = Some((server, run));
             order.server_life = life;
