--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -117,7 +117,7 @@
     ask_once = { Mutant::AskOnce, &[FaultKind::FreezeCrier, FaultKind::LateAccept], 10, 60, None },
     stale_news = { Mutant::StaleNews, &[FaultKind::PlanStorm], 4, 25, None },
     answer_twice = { Mutant::AnswerTwice, &[FaultKind::LoseMembers], 4, 10, None },
-    reuse_numbers = { Mutant::ReuseNumbers, &[FaultKind::KillRegistrar, FaultKind::KillCore, FaultKind::CutCrier, FaultKind::BadNetwork, FaultKind::PlanStorm], 20, 10, None },
+    reuse_numbers = { Mutant::ReuseNumbers, &[FaultKind::KillRegistrar, FaultKind::KillCore, FaultKind::BadNetwork, FaultKind::PlanStorm], 40, 10, None },
     free_repeats = { Mutant::FreeRepeats, &[FaultKind::Brownout], 4, 80, None },
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
     resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillCriers], 6, 25, None },
