--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -6,7 +6,7 @@
 /// A crier's settings file.
 #[derive(Debug, Clone, Config)]
 pub struct Settings {
-    /// Where callers and probes reach it: IP number and port.
+    /// Where its own interface is, for callers and probes, and for operators' looks: IP number and port.
     #[setting(default = "127.0.0.1:7100", validate = an_address)]
     pub listen: String,
     /// Where our own processes reach it: IP number and port.
