--- a/crates/primer/src/digest.rs
+++ b/crates/primer/src/digest.rs
@@ -8,9 +8,9 @@
     Hot(PrefixHash),
     /// Orders in hand at a server, by [`server_key`] of its name.
     Load(u32),
-    /// Prompt tokens of them that are still to be read, in units of [`UNREAD_UNIT`].
+    /// Prompt tokens of them that are still to be read, in units of 128.
     Unread(u32),
-    /// Tokens that they take of its memory, in units of [`MEMORY_UNIT`].
+    /// Tokens that they take of its memory, in units of 1,024.
     Memory(u32),
     /// Nodes that believe a server to hold a prefix, by [`life_key`].
     Held(PrefixHash, u32),
