A connection between nodes gives a dead path up after 1.5 s (bulk: 4 s)

Change: Post connects with TCP_USER_TIMEOUT, so that a write fails once bytes have been unacknowledged for that long, and the letter goes out on a fresh connection, which takes 300 ms at most to be given up in turn.

--- a/crates/wicket/src/post.rs
+++ b/crates/wicket/src/post.rs
@@ -1,5 +1,6 @@
 use circular::prelude::*;
 use parlance::prelude::*;
+use rustix::net::sockopt;
 use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, TcpStream, UdpSocket};
@@ -47,6 +48,12 @@
 
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
 const WRITE_PATIENCE: Duration = Duration::from_secs(2);
+/// A connection whose bytes stay unacknowledged for this long is given up, and a new one made for the next letter.
+/// Without a bound, one that was cut off for 17 s stands still for up to 17 s more after the cut has healed: each
+/// pause before bytes are sent again is twice the one before.
+const SWIFT_DEAD_AFTER: Duration = Duration::from_millis(1500);
+/// The same where large pieces queue on a slow link.
+const BULK_DEAD_AFTER: Duration = Duration::from_secs(4);
 const INBOUND_BOUND: usize = 512;
 /// A line on which nothing was said for this long is closed by whoever opened it,
 const LINE_IDLE: Duration = Duration::from_secs(10);
@@ -136,7 +143,7 @@
         let (sender, receiver) = flume::bounded(if class == PostClass::Swift { 256 } else { 16 });
         let line = std::thread::Builder::new().name("post-out".into()).stack_size(LINE_STACK);
         let (own, tally) = (self.own, self.tallies.entry(to).or_default().clone());
-        if let Err(fault) = line.spawn(move || deliver(own, to, &receiver, &tally)) {
+        if let Err(fault) = line.spawn(move || deliver(own, to, class, &receiver, &tally)) {
             tracing::warn!("post: no thread for {to}: {fault}.");
             return;
         }
@@ -145,7 +152,17 @@
     }
 }
 
-fn deliver(own: Address, to: Address, outbox: &flume::Receiver<Letter>, tally: &PostTally) {
+/// Connects to a peer; the connection notices by itself when its path is dead.
+fn connect(to: Address, class: PostClass) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&to.0, CONNECT_PATIENCE)?;
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(WRITE_PATIENCE))?;
+    let dead_after = if class == PostClass::Bulk { BULK_DEAD_AFTER } else { SWIFT_DEAD_AFTER };
+    sockopt::set_tcp_user_timeout(&stream, dead_after.as_millis() as u32)?;
+    Ok(stream)
+}
+
+fn deliver(own: Address, to: Address, class: PostClass, outbox: &flume::Receiver<Letter>, tally: &PostTally) {
     let mut line: Option<TcpStream> = None;
     // A letter that comes just as the line is given up is lost, as on a bad wire.
     while let Ok(letter) = outbox.recv_timeout(LINE_IDLE) {
@@ -159,12 +176,8 @@
         for _ in 0..2 {
             let stream = match line.take() {
                 Some(stream) => stream,
-                None => match TcpStream::connect_timeout(&to.0, CONNECT_PATIENCE) {
-                    Ok(stream) => {
-                        let _ = stream.set_nodelay(true);
-                        let _ = stream.set_write_timeout(Some(WRITE_PATIENCE));
-                        stream
-                    }
+                None => match connect(to, class) {
+                    Ok(stream) => stream,
                     Err(_) => {
                         // What has gathered is old by now.
                         outbox.drain().for_each(drop);
@@ -195,3 +208,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
