A control node that is cut off says so at once; the diskless send operators to those that serve

Change: a replica knows whether it heard a majority of the voters within 0.8 s (hears_majority). One that did not answers 503 at once to readings and proposals, before anything was asked or proposed, so the answer is final; a reading that the tail leaves unanswered ends with 503 after 0.7 s; /ready is 200 only with a seat and such a majority; and a node without a disk asks the others for it (150 ms each) before it sends an operator on. Redirecting has a file of its own.

Tests: one_that_is_cut_off_says_so_at_once, a_reading_that_the_tail_leaves_unanswered_is_given_up_before_its_operator_turns_away, operators_are_sent_where_they_are_served, one_that_hears_no_majority_does_not_serve.

--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -218,6 +218,8 @@
     top_count: u64,
     wanted_since: Option<Moment>,
     not_before: Moment,
+    /// When this life began or its machine last woke: nobody can have been heard before.
+    listens_since: Moment,
     // Chain. `early`: passed to this one before what comes in front of it.
     early: BTreeMap<Seq, Change>,
     /// The last change passed on, and when it's taken for lost.
@@ -329,6 +331,7 @@
             top_count: 0,
             wanted_since: None,
             not_before: now + timing.suspect,
+            listens_since: now,
             early: BTreeMap::new(),
             passed: (Seq(0), Moment(0)),
             successor_moved: (Seq(0), now),
@@ -431,6 +434,21 @@
     pub fn may_reply(&self, now: Moment) -> bool {
         self.is_sound && self.is_tail() && self.is_level && now < self.lease_due
     }
+    /// Whether this replica heard a majority of the view's voters lately, itself included. One that did not is cut
+    /// off or alone, and can neither read nor propose; one that has just started had no time to hear anybody.
+    pub fn hears_majority(&self, now: Moment) -> bool {
+        let is_heard = |voter: &Voter| {
+            let heard = self.heard.get(&voter.address);
+            *voter == self.me || heard.is_some_and(|heard| now.since(heard.at) < self.timing.suspect)
+        };
+        let count = self.view.voters.iter().filter(|voter| is_heard(voter)).count();
+        now < self.listens_since + self.timing.suspect || count >= self.view.majority()
+    }
+    /// Whether it has a seat in the chain, a disk that takes writes, and hears a majority: operators are well served
+    /// here, even where the answer comes from the tail.
+    pub fn is_serving(&self, now: Moment) -> bool {
+        self.is_sound && self.view.seats(&self.me) && self.hears_majority(now)
+    }
     /// The tail's word on whether more than half of the members hold leases.
     pub fn set_has_members(&mut self, has_members: bool) {
         self.has_members = has_members;
@@ -533,6 +551,7 @@
             self.unsynced.iter_mut().for_each(|(_, at)| *at = now);
             self.successor_moved.1 = now;
             self.not_before = now + self.timing.suspect;
+            self.listens_since = now;
         }
         self.last_event = self.now;
         if self.now >= self.next_beat {
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -391,3 +391,28 @@
 }
 
 mod founding;
+
+/// Who hears only itself can neither read nor propose, and says so to whoever asks it.
+#[test]
+fn one_that_hears_no_majority_does_not_serve() {
+    let records = vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }];
+    let mut alone = fellow(1, records);
+    assert!(alone.is_serving(Moment(10_700)), "it has just begun");
+    assert!(!alone.is_serving(Moment(10_800)));
+    let beat = |n: u16| Note::Beat {
+        disk: voter(n).disk,
+        view: ViewEpoch(1),
+        last: Seq(0),
+        stamp: ViewEpoch(0),
+        replied: Seq(0),
+        is_level: true,
+        is_sound: true,
+        has_members: true,
+    };
+    tell(&mut alone, 11_000, 3, beat(3));
+    assert!(alone.is_serving(Moment(11_700)), "it and another are two of three");
+    assert!(!alone.is_serving(Moment(11_800)));
+    alone.step(Moment(20_000), Input::ClockEvent);
+    assert!(alone.hears_majority(Moment(20_700)), "it slept, and nobody could be heard meanwhile");
+    assert!(!alone.hears_majority(Moment(20_800)));
+}
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -1,9 +1,10 @@
 use crate::core_line::Replies;
 use crate::prelude::*;
+use crate::redirect::Redirector;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 /// What reaches the control thread.
@@ -54,8 +55,8 @@
         GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let stop = stop_flag()?;
-    let turn = Arc::new(AtomicUsize::new(0));
-    let gate_thread = move || gate.serve(move |order| elsewhere(&order, &desks, &turn));
+    let redirector = Arc::new(Redirector::new(desks));
+    let gate_thread = move || gate.serve(move |order| redirector.reply(&order));
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, has no disk and sends operators on.");
     while !stop.load(Ordering::Relaxed) {
@@ -64,19 +65,6 @@
     Ok(())
 }
 
-/// Sends an operator to the next of the others.
-fn elsewhere(order: &Order, desks: &[Address], turn: &AtomicUsize) -> Reply {
-    let place = turn.fetch_add(1, Ordering::Relaxed) % desks.len().max(1);
-    match desks.get(place) {
-        Some(desk) => {
-            let query = if order.query.is_empty() { String::new() } else { format!("?{}", order.query) };
-            let location = format!("http://{desk}{}{query}", order.path);
-            Reply::whole(307, "text/plain", "ask there\n").with_header("location", location)
-        }
-        None => Reply::result(ResultCode::CoreNotReady, "this registrar has no disk and knows no other"),
-    }
-}
-
 /// What a signal to stop sets.
 fn stop_flag() -> Result<Arc<AtomicBool>, String> {
     let stop = Arc::new(AtomicBool::new(false));
@@ -225,10 +213,9 @@
                 let _ = reply.send(self.believes(now));
             }
         }
-        let may_reply = |office: &Office| office.fellow().state();
-        if let Some(state) = self.office.as_ref().map(may_reply) {
-            let is_seated = state.is_sound && state.view.seats(&state.me);
-            self.is_ready.store(is_seated, Ordering::Relaxed);
+        if let Some(office) = &self.office {
+            let is_ready = office.fellow().is_serving(now);
+            self.is_ready.store(is_ready, Ordering::Relaxed);
         }
     }
 
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -6,6 +6,7 @@
 mod desk;
 mod desk_line;
 mod office;
+mod redirect;
 mod settings;
 mod shelf;
 
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -13,6 +13,9 @@
     pub join: Span,
     /// A proposal that the core can't take is tried again for this long.
     pub patience: Span,
+    /// A reading that the tail doesn't answer is given up after this, before its operator turns elsewhere (after a
+    /// second of silence on the users' platform).
+    pub read_patience: Span,
     /// Without an answer by then, a proposal's fate is unknown.
     pub fate_due: Span,
     /// A member without a lease for this long is a member no more.
@@ -28,6 +31,7 @@
             lease: Span(2000),
             join: Span(1000),
             patience: Span(4000),
+            read_patience: Span(700),
             fate_due: Span(8000),
             retire_after: Span::seconds(60),
             quorum: Quorum::Majority,
@@ -548,12 +552,16 @@
 
     fn on_operator(&mut self, number: u64, ask: OperatorAsk) {
         let is_read = matches!(ask, OperatorAsk::Read(_));
-        let due = self.now + if is_read { self.timing.patience } else { self.timing.fate_due };
+        let due = self.now + if is_read { self.timing.read_patience } else { self.timing.fate_due };
         let patience_due = self.now + self.timing.patience;
         self.last_asked += 1;
         let (next_try, asked) = (Some(self.now), self.last_asked);
         let waiting = Waiting { ask, next_try, patience_due, due, is_cleared: false, asked, asked_of: None };
         self.waiting.insert(number, waiting);
+        if !self.fellow.hears_majority(self.now) {
+            // Nothing was asked or proposed yet, so this is final, and its operator loses no time here.
+            return self.give_up(number, ResultCode::CoreNotReady);
+        }
         self.try_again(number);
     }
 
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -115,6 +115,30 @@
     assert_eq!(played.reply(3, 3, true), [Left::Reply(7, 200)]);
 }
 
+/// The day `pahana-cut-off-then-read-back`: a registrar that had been cut off held readings for 4 s that their
+/// operator gave up after one.
+#[test]
+fn one_that_is_cut_off_says_so_at_once() {
+    let mut played = Played::new(0);
+    assert_eq!(played.read(1), [Left::Ask(3, 1)], "it has just begun and had no time to hear anyone");
+    let left: Vec<Left> = (0..16).flat_map(|_| played.tick(50)).collect();
+    assert_eq!(left.last(), Some(&Left::Reply(1, 503)));
+    assert_eq!(played.read(2), [Left::Reply(2, 503)]);
+    assert_eq!(played.propose(3, withdraw()), [Left::Reply(3, 503)], "and nothing is proposed");
+    assert_eq!(played.tick(50), []);
+}
+
+#[test]
+fn a_reading_that_the_tail_leaves_unanswered_is_given_up_before_its_operator_turns_away() {
+    let mut played = Played::new(0);
+    assert_eq!(played.read(1), [Left::Ask(3, 1)]);
+    let mut left = vec![];
+    for _ in 0..19 {
+        left.extend(played.tick(50));
+    }
+    assert_eq!(left, [Left::Ask(3, 1), Left::Ask(3, 1), Left::Reply(1, 503)], "within a second");
+}
+
 /// One registrar alone, its disk at once synced, that goes by this quorum.
 struct Alone {
     office: Office,
--- /dev/null
+++ b/crates/registrar/src/redirect.rs
@@ -0,0 +1,71 @@
+//! A control node without a disk sends operators on to one that serves the core.
+
+use crate::prelude::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// How long another node may take to say whether it serves.
+const PROBE_PATIENCE: Span = Span(150);
+
+/// What another node says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    /// It has a seat and hears a majority of the core.
+    Serves,
+    /// It answers, but doesn't serve at this moment.
+    Waits,
+    /// It gave no answer.
+    Silent,
+}
+
+/// Picks the node that an operator is sent on to.
+///
+/// Invariant: nobody is sent to a node that is silent, or that is cut off from the core, while another serves.
+pub(crate) struct Redirector {
+    others: Vec<Address>,
+    next: AtomicUsize,
+}
+
+impl Redirector {
+    /// Among these, by turns.
+    pub(crate) fn new(others: Vec<Address>) -> Self {
+        Redirector { others, next: AtomicUsize::new(0) }
+    }
+
+    /// The next one that serves; if none does, the first that answers at all.
+    pub(crate) fn pick(&self, probe: impl Fn(Address) -> Readiness) -> Option<Address> {
+        let count = self.others.len();
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut waiting = None;
+        for place in 0..count {
+            let other = self.others[(first + place) % count];
+            match probe(other) {
+                Readiness::Serves => return Some(other),
+                Readiness::Waits => waiting = waiting.or(Some(other)),
+                Readiness::Silent => {}
+            }
+        }
+        waiting
+    }
+
+    /// Sends an operator on.
+    pub(crate) fn reply(&self, order: &Order) -> Reply {
+        let Some(other) = self.pick(probe) else {
+            return Reply::result(ResultCode::CoreNotReady, "this node has no disk, and no other answers it");
+        };
+        let query = if order.query.is_empty() { String::new() } else { format!("?{}", order.query) };
+        let location = format!("http://{other}{}{query}", order.path);
+        Reply::whole(307, "text/plain", "ask there\n").with_header("location", location)
+    }
+}
+
+/// Asks another node whether it serves.
+fn probe(other: Address) -> Readiness {
+    match ask_get(&format!("http://{other}/ready"), PROBE_PATIENCE, PROBE_PATIENCE) {
+        Ok(answer) if answer.status() == 200 => Readiness::Serves,
+        Ok(_) => Readiness::Waits,
+        Err(_) => Readiness::Silent,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/registrar/src/redirect/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+use yare::parameterized;
+
+fn nodes(ports: &[u16]) -> Vec<Address> {
+    ports.iter().copied().map(Address::loopback).collect()
+}
+
+/// The day `pahana-cut-off-then-read-back`: two of an operator's three readings were sent on to the one node
+/// that was cut off from the core.
+#[parameterized(
+    all_serve_by_turns = { [Readiness::Serves, Readiness::Serves, Readiness::Serves], [Some(1), Some(2), Some(3)] },
+    one_is_cut_off = { [Readiness::Serves, Readiness::Waits, Readiness::Serves], [Some(1), Some(3), Some(3)] },
+    one_is_dark = { [Readiness::Silent, Readiness::Serves, Readiness::Silent], [Some(2), Some(2), Some(2)] },
+    none_serves_yet = { [Readiness::Silent, Readiness::Waits, Readiness::Waits], [Some(2), Some(2), Some(3)] },
+    none_answers = { [Readiness::Silent, Readiness::Silent, Readiness::Silent], [None, None, None] },
+)]
+fn operators_are_sent_where_they_are_served(says: [Readiness; 3], picks: [Option<u16>; 3]) {
+    let redirector = Redirector::new(nodes(&[1, 2, 3]));
+    for wanted in picks {
+        let picked = redirector.pick(|other| says[usize::from(other.0.port()) - 1]);
+        assert_eq!(picked, wanted.map(Address::loopback));
+    }
+}
+
+#[test]
+fn a_node_that_knows_no_other_sends_nobody_on() {
+    assert_eq!(Redirector::new(vec![]).pick(|_| Readiness::Serves), None);
+}
