--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -1,6 +1,6 @@
 use crate::core_line::Replies;
 use crate::prelude::*;
-use crate::redirect::Redirector;
+use crate::redirect::{ReadAddresses, Redirector};
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
@@ -27,17 +27,21 @@
     pub plans: Arc<dyn PlanDialect>,
     /// What operators' calls look like; `None`: as the product's own interface has them.
     pub desk: Option<Arc<dyn DeskDialect>>,
+    /// Where operators reach other registrars, read anew for each operator that is sent on; `None`: as the settings
+    /// had it at the start.
+    pub others: Option<ReadAddresses>,
 }
 
 impl Default for Dialects {
     fn default() -> Self {
-        Dialects { plans: Arc::new(OwnPlans), desk: None }
+        Dialects { plans: Arc::new(OwnPlans), desk: None, others: None }
     }
 }
 
 /// Runs a registrar until it's told to stop; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
-    let outcome = if settings.folder.is_empty() { send_on(settings) } else { start(settings, dialects) };
+    let outcome =
+        if settings.folder.is_empty() { send_on(settings, dialects.others) } else { start(settings, dialects) };
     match outcome {
         Ok(()) => 0,
         Err(why) => {
@@ -48,14 +52,16 @@
 }
 
 /// Without a disk: operators are sent on to those that have one.
-fn send_on(settings: &Settings) -> Result<(), String> {
+fn send_on(settings: &Settings, others: Option<ReadAddresses>) -> Result<(), String> {
     let listen: Address = settings.listen.parse()?;
-    let desks: Vec<Address> = parse_addresses(&settings.desks).into_iter().filter(|desk| *desk != listen).collect();
+    let named = parse_addresses(&settings.desks);
+    let read = others.unwrap_or_else(|| Arc::new(move || named.clone()));
+    let read_others = move || read().into_iter().filter(|other| *other != listen).collect();
     let bounds =
         GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let stop = stop_flag()?;
-    let redirector = Arc::new(Redirector::new(desks));
+    let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
     let gate_thread = move || gate.serve(move |order| redirector.reply(&order));
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, has no disk and sends operators on.");
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -16,6 +16,7 @@
     pub use crate::daemon::{Dialects, run};
     pub use crate::desk::{DeskAnswer, DeskCall, DeskDialect};
     pub use crate::office::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
+    pub use crate::redirect::ReadAddresses;
     pub use crate::settings::Settings;
     pub use crate::shelf::{Shelf, ShelfEvent};
     pub use circular::prelude::*;
--- a/crates/registrar/src/redirect.rs
+++ b/crates/registrar/src/redirect.rs
@@ -1,6 +1,7 @@
 //! A control node without a disk sends operators on to one that serves the core.
 
 use crate::prelude::*;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// How long another node may take to say whether it serves.
@@ -17,27 +18,31 @@
     Silent,
 }
 
+/// Gives the addresses where operators reach the other nodes, as the settings have them now.
+pub type ReadAddresses = Arc<dyn Fn() -> Vec<Address> + Send + Sync>;
+
 /// Picks the node that an operator is sent on to.
 ///
 /// Invariant: nobody is sent to a node that is silent, or that is cut off from the core, while another serves.
 pub(crate) struct Redirector {
-    others: Vec<Address>,
+    read_others: ReadAddresses,
     next: AtomicUsize,
 }
 
 impl Redirector {
-    /// Among these, by turns.
-    pub(crate) fn new(others: Vec<Address>) -> Self {
-        Redirector { others, next: AtomicUsize::new(0) }
+    /// Among those that are read for each operator, by turns: the nodes of the first settings may all have been
+    /// replaced since.
+    pub(crate) fn new(read_others: ReadAddresses) -> Self {
+        Redirector { read_others, next: AtomicUsize::new(0) }
     }
 
     /// The next one that serves; if none does, the first that answers at all.
     pub(crate) fn pick(&self, probe: impl Fn(Address) -> Readiness) -> Option<Address> {
-        let count = self.others.len();
+        let others = (self.read_others)();
         let first = self.next.fetch_add(1, Ordering::Relaxed);
         let mut waiting = None;
-        for place in 0..count {
-            let other = self.others[(first + place) % count];
+        for place in 0..others.len() {
+            let other = others[(first + place) % others.len()];
             match probe(other) {
                 Readiness::Serves => return Some(other),
                 Readiness::Waits => waiting = waiting.or(Some(other)),
--- a/crates/registrar/src/redirect/tests.rs
+++ b/crates/registrar/src/redirect/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use std::sync::atomic::AtomicBool;
 use yare::parameterized;
 
 fn nodes(ports: &[u16]) -> Vec<Address> {
@@ -15,7 +16,7 @@
     none_answers = { [Readiness::Silent, Readiness::Silent, Readiness::Silent], [None, None, None] },
 )]
 fn operators_are_sent_where_they_are_served(says: [Readiness; 3], picks: [Option<u16>; 3]) {
-    let redirector = Redirector::new(nodes(&[1, 2, 3]));
+    let redirector = Redirector::new(Arc::new(|| nodes(&[1, 2, 3])));
     for wanted in picks {
         let picked = redirector.pick(|other| says[usize::from(other.0.port()) - 1]);
         assert_eq!(picked, wanted.map(Address::loopback));
@@ -24,5 +25,17 @@
 
 #[test]
 fn a_node_that_knows_no_other_sends_nobody_on() {
-    assert_eq!(Redirector::new(vec![]).pick(|_| Readiness::Serves), None);
+    assert_eq!(Redirector::new(Arc::new(Vec::new)).pick(|_| Readiness::Serves), None);
+}
+
+/// All three that the settings named at the start may have been replaced by machines at other addresses.
+#[test]
+fn settings_that_change_are_heeded_at_once() {
+    let replaced = Arc::new(AtomicBool::new(false));
+    let is_replaced = replaced.clone();
+    let redirector =
+        Redirector::new(Arc::new(move || nodes(if is_replaced.load(Ordering::Relaxed) { &[4] } else { &[1, 2, 3] })));
+    assert_eq!(redirector.pick(|_| Readiness::Serves), Some(Address::loopback(1)));
+    replaced.store(true, Ordering::Relaxed);
+    assert_eq!(redirector.pick(|_| Readiness::Serves), Some(Address::loopback(4)));
 }
