A node takes the core's members only from a view that is not older than its own

Cause: a control node that was cut off or away answers polls with the voters of the view that it knows, and a data-plane node took them whatever the view. If the machines of that old view are gone by then (replaced one after the other), the node asks dead addresses and its seeds, and never finds the core again.

Change: the answer bears its view; an older one than the node's own is left aside, its tail too.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -105,6 +105,8 @@
     pub enum PollReply {
         /// Ask that one; these are the core's machines.
         Elsewhere {
+            /// The view that this is of: one that was away may know but an old one.
+            view: ViewEpoch,
             /// The tail, if known.
             tail: Option<Address>,
             /// All voters.
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -742,11 +742,12 @@
         let Some(sent) = self.polled.filter(|_| round == self.poll_round) else { return };
         self.polled = None;
         match reply {
-            PollReply::Elsewhere { tail, voters } => {
-                if !voters.is_empty() {
-                    self.voters = voters;
+            PollReply::Elsewhere { view, tail, voters } => {
+                // One that was away may name machines that are all gone: what is known here is newer.
+                if view >= self.view && !voters.is_empty() {
+                    (self.view, self.voters) = (view, voters);
+                    self.tail = tail.filter(|tail| *tail != from);
                 }
-                self.tail = tail.filter(|tail| *tail != from);
                 self.target += 1;
                 self.next_poll = self.now + Span(60);
             }
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -398,3 +398,24 @@
     played.step(reading(played.at));
     assert!(played.place(2, "b", "drafts").is_ok());
 }
+
+/// A control node that was away for long knows an old view alone, whose machines may all be gone by now.
+#[test]
+fn an_old_view_is_not_taken_for_a_newer_one() {
+    let mut played = Played::serving();
+    let ports = |node: &Node| node.voters.iter().map(|voter| voter.0.port()).collect::<Vec<_>>();
+    let polled = |played: &mut Played, view: u64, voters: [u16; 2]| {
+        played.at = played.at.max(played.node.next_poll.0);
+        played.step(NodeInput::ClockEvent);
+        let voters = voters.map(Address::loopback).to_vec();
+        let reply = PollReply::Elsewhere { view: ViewEpoch(view), tail: voters.first().copied(), voters };
+        played.tell(5, Letter::PollReply { round: played.node.poll_round, reply: Box::new(reply) });
+    };
+    polled(&mut played, 4, [21, 22]);
+    assert_eq!(ports(&played.node), [21, 22]);
+    polled(&mut played, 3, [11, 12]);
+    assert_eq!(ports(&played.node), [21, 22], "an older view");
+    polled(&mut played, 5, [31, 32]);
+    assert_eq!(ports(&played.node), [31, 32]);
+    assert_eq!(played.node.tail, Some(Address::loopback(31)));
+}
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -338,7 +338,7 @@
         if !self.may_reply() {
             let voters = self.voters();
             let tail = self.fellow.view().tail().map(|tail| tail.address);
-            let reply = PollReply::Elsewhere { tail, voters };
+            let reply = PollReply::Elsewhere { view: self.fellow.view().epoch, tail, voters };
             return self.send(from, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
         }
         self.seen.insert(from, self.now);
