A refusal without an id proves nothing where another answer may stand

Cause: a Not-Executed answer and a 421 without an id were taken as 'did not run' wherever they stood. On a connection that had served another request a surplus answer without an id can stand in the place of the next one; what ran was then sent to a second server, or told to the client as refused.

Change: the dialect says whose answer it is and what it claims; the product's own Judgement::of decides. Without an id only the first answer on a connection, to a request that had been written whole before, is believed: the server was asked nothing else there.

--- a/crates/crier/src/call.rs
+++ b/crates/crier/src/call.rs
@@ -46,21 +46,6 @@
     pub urgency: u8,
 }
 
-/// What a server's head says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Judgement {
-    /// It's the answer to this call; its body is to be passed on.
-    Taken,
-    /// It's the answer to this call, and the server failed while it ran it, or may have run it.
-    Failed,
-    /// The server surely did not run it.
-    NotRun,
-    /// Another server has the address; nothing ran.
-    Elsewhere,
-    /// It's no answer to this call, or none that can be relied on.
-    Foreign,
-}
-
 /// Requests that a server has, as it says itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -81,8 +66,10 @@
     fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply;
     /// The request to a server.
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes>;
-    /// What a server's head says to it.
-    fn judge(&self, call: &Call, head: &http::response::Parts) -> Judgement;
+    /// Whose answer a server's head says that it is.
+    fn identity(&self, call: &Call, head: &http::response::Parts) -> AnswerIdentity;
+    /// What a server's head claims, whoever the answer belongs to.
+    fn claim(&self, head: &http::response::Parts) -> AnswerClaim;
     /// The load that a head tells, if it does.
     fn load(&self, head: &http::response::Parts) -> Option<ServerLoad>;
     /// What of a server's head goes on to the caller.
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -26,6 +26,8 @@
     RepeatAnything,
     /// An answer to another call, or without the mark, is taken for one to this.
     PassForeign,
+    /// A refusal without an id is believed wherever it stands.
+    BelieveUnnamed,
     /// A stream that broke ends as if it were whole.
     EndTorn,
     /// A torn stream is taken up at its first event.
@@ -259,7 +261,7 @@
         let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, caller: Some(self.caller) };
         let mut line = self.forwarder.lines.ask(address, request, &waits).map_err(|fault| not_taken(fault, placing))?;
         self.note_load(placing, line.head());
-        match self.forwarder.dialect.judge(self.call, line.head()) {
+        match self.judge(&line) {
             Judgement::Taken => {}
             Judgement::NotRun => {
                 self.drain(&mut line).map(|_| line.keep()).unwrap_or_default();
@@ -307,6 +309,17 @@
         }
     }
 
+    fn judge(&self, line: &Line) -> Judgement {
+        let (dialect, head) = (&self.forwarder.dialect, line.head());
+        let is_sole = line.is_sole_answer() || self.forwarder.is_mutant(Mutant::BelieveUnnamed);
+        let place = if is_sole { AnswerPlace::Sole } else { AnswerPlace::Doubtful };
+        let (identity, claim) = (dialect.identity(self.call, head), dialect.claim(head));
+        if identity == AnswerIdentity::Missing {
+            tracing::info!("forward: {} without an id says {claim:?}, {place:?}.", head.status);
+        }
+        Judgement::of(identity, claim, place)
+    }
+
     fn drain(&self, line: &mut Line) -> Option<Bytes> {
         line.read_all(self.due.min(Clock::now() + Span(500)), 64 << 10, Some(self.caller)).ok()
     }
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -45,15 +45,22 @@
         }
         request
     }
-    fn judge(&self, call: &Call, head: &http::response::Parts) -> Judgement {
-        let id = head.headers.get("x-call").map(|id| id.as_bytes() == call.id.as_str().as_bytes());
-        match (head.status.as_u16(), id) {
-            (_, Some(false)) => Judgement::Foreign,
-            (421, _) => Judgement::Elsewhere,
-            _ if head.headers.contains_key("x-unrun") => Judgement::NotRun,
-            (200..=299, Some(true)) if head.headers.contains_key("x-mark") => Judgement::Taken,
-            (300.., Some(true)) => Judgement::Failed,
-            _ => Judgement::Foreign,
+    fn identity(&self, call: &Call, head: &http::response::Parts) -> AnswerIdentity {
+        let mut ids = head.headers.get_all("x-call").iter();
+        match (ids.next(), ids.next()) {
+            (None, _) => AnswerIdentity::Missing,
+            (Some(id), None) if id.as_bytes() == call.id.as_str().as_bytes() => AnswerIdentity::Own,
+            _ => AnswerIdentity::Other,
+        }
+    }
+    fn claim(&self, head: &http::response::Parts) -> AnswerClaim {
+        match head.status.as_u16() {
+            ..200 => AnswerClaim::Nothing,
+            421 => AnswerClaim::Elsewhere,
+            _ if head.headers.contains_key("x-unrun") => AnswerClaim::NotRun,
+            200..300 if head.headers.contains_key("x-mark") => AnswerClaim::Success,
+            200..300 => AnswerClaim::Nothing,
+            _ => AnswerClaim::Failure,
         }
     }
     fn load(&self, head: &http::response::Parts) -> Option<ServerLoad> {
@@ -449,6 +456,10 @@
     a_foreign_id = { answer(200, "x-call: c2\r\nx-mark: m\r\n", "other") },
     a_foreign_refusal = { answer(503, "x-call: c2\r\nx-unrun: 1\r\n", "other") },
     no_id = { answer(200, "x-mark: m\r\n", "whose") },
+    two_ids = { answer(200, "x-call: c1\r\nx-call: c2\r\nx-mark: m\r\n", "whose") },
+    its_id_twice = { answer(200, "x-call: c1\r\nx-call: c1\r\nx-mark: m\r\n", "whose") },
+    refusal_with_two_ids = { answer(503, "x-call: c1\r\nx-call: c2\r\nx-unrun: 1\r\n", "whose") },
+    another_protocol = { format!("HTTP/1.1 101 Switching\r\n{OURS}upgrade: x\r\nconnection: upgrade\r\n\r\n") },
     no_mark = { answer(200, "x-call: c1\r\n", "no mark") },
     torn = { format!("HTTP/1.1 200 OK\r\n{OURS}content-length: 50\r\n\r\nonly this") },
     torn_in_chunks = { format!("HTTP/1.1 200 OK\r\n{OURS}transfer-encoding: chunked\r\n\r\n4\r\nonly\r\n") },
@@ -526,6 +537,48 @@
     assert_eq!(stage.outcomes(), [Outcome::Unsent, Outcome::Complete]);
 }
 
+/// A refusal that names no call.
+fn unnamed(status: u16) -> Do {
+    Say(answer(status, "x-unrun: 1\r\n", "whose?"))
+}
+
+/// Whether a call that the server ran, but in whose place a refusal without an id stood on a connection
+/// that had served another one, stays with that server and is not told as refused.
+fn doubts_unnamed(status: u16, mutant: Option<Mutant>) -> bool {
+    let first = Server::start("a", vec![vec![whole("first")], vec![unnamed(status)]]);
+    let other = Server::start("b", vec![vec![whole("again")]]);
+    let words = vec![goes_to(&first, false), goes_to(&first, false), goes_to(&other, false)];
+    let stage = Stage::set_mutant(&MUTATING, words, mutant);
+    assert!(stage.ask("").is_success());
+    stage.told();
+    let answer = stage.ask("");
+    answer.status == 502 && other.count() == 0 && first.count() == 2 && stage.outcomes() == [Outcome::Failed]
+}
+
+#[parameterized(not_run = { 503 }, too_many = { 429 }, elsewhere = { 421 }, no_id_read = { 400 })]
+fn a_refusal_without_an_id_proves_nothing_where_another_answer_may_stand(status: u16) {
+    assert!(doubts_unnamed(status, None));
+}
+
+#[parameterized(not_run = { 503 }, elsewhere = { 421 })]
+fn a_refusal_without_an_id_is_believed_as_the_first_answer_on_its_connection(status: u16) {
+    let (full, well) = (Server::start("a", vec![vec![unnamed(status)]]), Server::start("b", vec![vec![whole("well")]]));
+    let stage = Stage::set(&MUTATING, vec![goes_to(&full, false), goes_to(&well, false)]);
+    assert!(stage.ask("").is_success());
+    assert_eq!(stage.outcomes(), [Outcome::Refused, Outcome::Complete]);
+}
+
+#[test]
+fn what_may_repeat_is_tried_again_after_a_refusal_without_an_id_but_never_told_as_refused() {
+    let first = Server::start("a", vec![vec![whole("first")], vec![unnamed(503)]]);
+    let full = Server::start("b", vec![vec![unrun()]]);
+    let words = vec![goes_to(&first, true), goes_to(&first, true), goes_to(&full, true)];
+    let stage = Stage::set(&IDEMPOTENT, words);
+    assert!(stage.ask("").is_success());
+    stage.told();
+    assert_eq!((stage.ask("").status, full.count()), (502, 1));
+}
+
 /// Whether a call that may have run, and may not repeat, went to one server alone and was not told as refused.
 fn runs_once(first: Vec<Do>, mutant: Option<Mutant>) -> bool {
     let (ill, well) = (Server::start("a", vec![first]), Server::start("b", vec![vec![whole("again")]]));
@@ -814,6 +867,8 @@
     pass_foreign = { Mutant::PassForeign, |mutant| is_no_answer(answer(200, "x-call: c2\r\nx-mark: m\r\n", "other"), mutant) },
     pass_unmarked = { Mutant::PassForeign, |mutant| is_no_answer(answer(200, "x-call: c1\r\n", "no mark"), mutant) },
     end_torn = { Mutant::EndTorn, |mutant| is_cut_visibly(tear(), mutant) },
+    believe_unnamed_not_run = { Mutant::BelieveUnnamed, |mutant| doubts_unnamed(503, mutant) },
+    believe_unnamed_elsewhere = { Mutant::BelieveUnnamed, |mutant| doubts_unnamed(421, mutant) },
     resume_from_start = { Mutant::ResumeFromStart, resumes_exactly },
 )]
 fn each_mutant_is_caught(mutant: Mutant, holds: fn(Option<Mutant>) -> bool) {
--- /dev/null
+++ b/crates/crier/src/judgement.rs
@@ -0,0 +1,76 @@
+//! What a server's answer proves about the call in whose place it came.
+
+/// Whose answer a head says that it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerIdentity {
+    /// It names this call, once.
+    Own,
+    /// It names no call.
+    Missing,
+    /// It names another call, or more than one.
+    Other,
+}
+
+/// What a head claims, whoever the answer belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerClaim {
+    /// The server ran the call and this is its whole answer.
+    Success,
+    /// The server ran it, or may have run it, and failed.
+    Failure,
+    /// The server did not run it.
+    NotRun,
+    /// Another server has the address and did not run it.
+    Elsewhere,
+    /// Nothing that can be relied on.
+    Nothing,
+}
+
+/// Where an answer stands on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerPlace {
+    /// It's the first answer on the connection, and came after the whole request had been written: the
+    /// server has been asked nothing else there, so nothing else can be answered.
+    Sole,
+    /// Another request was answered there before, or the request was not yet whole: an answer that
+    /// belongs to something else may stand here.
+    Doubtful,
+}
+
+/// What an answer says about the call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Judgement {
+    /// It's the answer to this call; its body is to be passed on.
+    Taken,
+    /// It's the answer to this call, and the server failed while it ran it, or may have run it.
+    Failed,
+    /// The server surely did not run it.
+    NotRun,
+    /// Another server has the address; nothing ran.
+    Elsewhere,
+    /// It's no answer to this call, or none that can be relied on.
+    Foreign,
+}
+
+impl Judgement {
+    /// Judges an answer.
+    ///
+    /// Invariant: that a call did not run is believed only of an answer that names the call, or of one
+    /// that names none in a place where no other answer can stand. Success and failure are believed
+    /// only of an answer that names the call.
+    pub fn of(identity: AnswerIdentity, claim: AnswerClaim, place: AnswerPlace) -> Judgement {
+        match (identity, claim, place) {
+            (AnswerIdentity::Other, _, _) => Judgement::Foreign,
+            (AnswerIdentity::Own, AnswerClaim::Success, _) => Judgement::Taken,
+            (AnswerIdentity::Own, AnswerClaim::Failure, _) => Judgement::Failed,
+            (AnswerIdentity::Own, AnswerClaim::NotRun, _) => Judgement::NotRun,
+            (AnswerIdentity::Own, AnswerClaim::Elsewhere, _) => Judgement::Elsewhere,
+            (AnswerIdentity::Missing, AnswerClaim::NotRun, AnswerPlace::Sole) => Judgement::NotRun,
+            (AnswerIdentity::Missing, AnswerClaim::Elsewhere, AnswerPlace::Sole) => Judgement::Elsewhere,
+            (AnswerIdentity::Missing, _, _) | (_, AnswerClaim::Nothing, _) => Judgement::Foreign,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod ingress;
 mod journal;
+mod judgement;
 mod list_reader;
 mod node;
 mod piece_reader;
@@ -26,13 +27,14 @@
 /// What each file imports.
 pub mod prelude {
     pub use crate::book::Tallies;
-    pub use crate::call::{Call, CallDialect, Judgement, Sending, ServerLoad};
+    pub use crate::call::{Call, CallDialect, Sending, ServerLoad};
     pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, OrderState};
     pub use crate::daemon::{Dialects, ReadSeeds, run};
     pub use crate::dissemination::{DigestTiming, Dissemination};
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
     pub use crate::event_splitter::{EventSplitter, StreamEvent};
     pub use crate::journal::Journal;
+    pub use crate::judgement::{AnswerClaim, AnswerIdentity, AnswerPlace, Judgement};
     pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, Placing, resume_id};
     pub use crate::piece_reader::{Passed, PieceReader};
     pub use crate::replay::replay;
--- a/crates/wicket/src/lines.rs
+++ b/crates/wicket/src/lines.rs
@@ -108,6 +108,8 @@
     body: Incoming,
     link: Box<Link>,
     is_reused: bool,
+    /// Whether the head came while a part of the request waited to be written.
+    is_early: bool,
     is_ended: bool,
     is_torn: bool,
 }
@@ -331,7 +333,8 @@
         let (what, why): (fn(String) -> LineError, String) = match outcome {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                return Ok(Line { head, body, link: self, is_reused, is_ended: false, is_torn: false });
+                let is_early = self.wire.wants_room.load(Ordering::Relaxed);
+                return Ok(Line { head, body, link: self, is_reused, is_early, is_ended: false, is_torn: false });
             }
             Ok(Err(fault)) => (LineError::Unknown, detail(&fault)),
             Err(Woken::Late) => (LineError::Late, "no head by its due".into()),
@@ -360,6 +363,11 @@
     pub fn was_reused(&self) -> bool {
         self.is_reused
     }
+    /// Whether no other request was ever written on its connection, and this one whole before the head
+    /// came: then no answer to anything else can stand here.
+    pub fn is_sole_answer(&self) -> bool {
+        !self.is_reused && !self.is_early
+    }
     /// Waits for the next bytes of the body at most this long; also watches the caller.
     pub fn pull(&mut self, patience: Duration, caller: Option<&Caller>) -> LinePull {
         let span = Span(u64::try_from(patience.as_millis()).unwrap_or(u64::MAX / 2));
