Connections to servers: checked at the first byte, kept only if proved clean

Found by the new tests: a connection whose server answered before the request was written whole went back to the pool with the rest of that request still waiting to be written (hyper counts a request as written once it holds all of it). A body whose end only a close tells passed as whole, though a server that dies closes as well. A server that spoke before it was asked was taken for answering.

Change: the look for bytes or an end is made on new connections too, right before the first byte, together with the question whether the request may still leave; by the clock as it's read right before the write both are at most 5 ms old, else both are made again. A connection goes back only if its request was written whole and its answer ended by a length or a last chunk, not by both.

Tests: rows for interim and early answers, half-closes, resets after one byte, lengths that lie or stand twice; five mutants of the pool and one that forgets the epoch, each seen by a test.

--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -28,6 +28,8 @@
     PassForeign,
     /// A refusal without an id is believed wherever it stands.
     BelieveUnnamed,
+    /// Whether a newer epoch is in force is not asked right before the send.
+    ForgetEpoch,
     /// A stream that broke ends as if it were whole.
     EndTorn,
     /// A torn stream is taken up at its first event.
@@ -257,7 +259,8 @@
         let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
         let opened_by = if chart.may_go_on() { self.due.min(now + patience) } else { self.due };
         let shared = &self.forwarder.shared;
-        let may_leave = || shared.may_leave(placing.epoch);
+        let forgets_epoch = self.forwarder.is_mutant(Mutant::ForgetEpoch);
+        let may_leave = || if forgets_epoch { shared.may_act() } else { shared.may_leave(placing.epoch) };
         let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, caller: Some(self.caller) };
         let mut line = self.forwarder.lines.ask(address, request, &waits).map_err(|fault| not_taken(fault, placing))?;
         self.note_load(placing, line.head());
@@ -315,7 +318,7 @@
         let place = if is_sole { AnswerPlace::Sole } else { AnswerPlace::Doubtful };
         let (identity, claim) = (dialect.identity(self.call, head), dialect.claim(head));
         if identity == AnswerIdentity::Missing {
-            tracing::info!("forward: {} without an id says {claim:?}, {place:?}.", head.status);
+            tracing::debug!("forward: {} without an id says {claim:?}, {place:?}.", head.status);
         }
         Judgement::of(identity, claim, place)
     }
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -684,8 +684,8 @@
     assert_eq!((stage.ask("").status, server.count()), (503, 0), "nor does it act later");
 }
 
-#[test]
-fn what_was_placed_under_an_older_epoch_is_placed_anew_before_a_byte_leaves() {
+/// Whether what was placed under an older epoch is placed anew before a byte leaves.
+fn places_anew(mutant: Option<Mutant>) -> bool {
     let (old, new) = (Server::start("a", vec![vec![whole("old")]]), Server::start("b", vec![vec![whole("new")]]));
     let placing = old.placing(false);
     let outdate: Word = Box::new(move |shared| {
@@ -694,12 +694,17 @@
     });
     let placing = Placing { epoch: Epoch(2), ..new.placing(false) };
     let route = Route { max_tries: 1, ..MUTATING };
-    let stage = Stage::set(&route, vec![outdate, Box::new(move |_| Ok(placing))]);
+    let stage = Stage::set_mutant(&route, vec![outdate, Box::new(move |_| Ok(placing))], mutant);
     let answer = stage.ask("");
-    assert_eq!((answer.body.as_str(), old.count()), ("new", 0));
     let told = stage.told();
     let anew = Told::Asked { round: 0, tried: vec![], may_have_run: false, deadline: Span(20_000) };
-    assert_eq!(told.iter().filter(|told| **told == anew).count(), 2, "no failure is told: {told:?}");
+    let is_no_failure = told.iter().filter(|told| **told == anew).count() == 2;
+    answer.body == "new" && old.count() == 0 && is_no_failure
+}
+
+#[test]
+fn what_was_placed_under_an_older_epoch_is_placed_anew_before_a_byte_leaves() {
+    assert!(places_anew(None));
 }
 
 #[test]
@@ -869,6 +874,8 @@
     end_torn = { Mutant::EndTorn, |mutant| is_cut_visibly(tear(), mutant) },
     believe_unnamed_not_run = { Mutant::BelieveUnnamed, |mutant| doubts_unnamed(503, mutant) },
     believe_unnamed_elsewhere = { Mutant::BelieveUnnamed, |mutant| doubts_unnamed(421, mutant) },
+    forget_epoch = { Mutant::ForgetEpoch, places_anew },
+    repeat_after_a_silent_close = { Mutant::RepeatAnything, |mutant| runs_once(vec![Say("HTTP/1.1 2".into()), Close], mutant) },
     resume_from_start = { Mutant::ResumeFromStart, resumes_exactly },
 )]
 fn each_mutant_is_caught(mutant: Mutant, holds: fn(Option<Mutant>) -> bool) {
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod prelude {
     pub use crate::ask::{Ask, AskError, AskExt, Heard, ask_delete, ask_get, ask_post, ask_with, read_all, read_page};
     pub use crate::gate::{Gate, GateBounds, GateCloser, Order};
-    pub use crate::lines::{Line, LineError, LinePull, Lines, LinesBounds, Waits};
+    pub use crate::lines::{CHECK_LIFE, Line, LineError, LinePull, Lines, LinesBounds, Waits};
     pub use crate::post::{Post, PostClass, PostTally};
     pub use crate::reply::{PieceSource, Pull, Reply};
     pub use crate::wire::Caller;
--- a/crates/wicket/src/lines.rs
+++ b/crates/wicket/src/lines.rs
@@ -15,8 +15,9 @@
 
 /// Kept-alive connections to servers, shared by all threads.
 ///
-/// Invariant: a connection serves one request at a time, and the next one only if the answer before
-/// ended whole, nothing has come since, and its time is not over.
+/// Invariant: a connection serves one request at a time, and the next one only if the request before
+/// was written whole, its answer ended whole by a length or a last chunk, nothing has come since, and
+/// its time is not over. Once a byte of a request was written, no fault is told as `Unsent`.
 #[derive(Clone)]
 pub struct Lines {
     pool: Arc<Mutex<Pool>>,
@@ -36,6 +37,23 @@
 struct Pool {
     bounds: LinesBounds,
     addresses: HashMap<SocketAddr, Held>,
+    #[cfg(test)]
+    mutant: Option<Mutant>,
+}
+
+/// A deliberate fault, by which the tests show that they see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mutant {
+    /// A connection is given back while a part of its request waits to be written.
+    KeepUnwritten,
+    /// A body whose end only a close tells is taken as whole.
+    TrustClose,
+    /// Nobody looks at a connection before it's used again.
+    SkipLook,
+    /// A check is good however old it has grown.
+    TrustOldCheck,
+    /// Each failure of a used connection counts as though nothing had left.
+    ForgetSent,
 }
 
 /// What is held to one address.
@@ -52,13 +70,28 @@
     due: Moment,
 }
 
+/// What allows a request to leave is checked no longer than this before its first byte is written, by the
+/// clock as it's read right before that write.
+pub const CHECK_LIFE: Span = Span(5);
+
+/// What the check right before the first byte found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Departure {
+    /// The request may leave.
+    Clear,
+    /// It may not leave any more.
+    Withheld,
+    /// Bytes or an end came on the connection before anything was asked there.
+    Unclean,
+}
+
 /// What a request waits for.
 pub struct Waits<'a> {
     /// For the connection, within the head's due.
     pub connect: Span,
     /// By when the head must have come.
     pub head_due: Moment,
-    /// Asked before connecting, and again right before the first byte leaves.
+    /// Asked before connecting, and again at most [`CHECK_LIFE`] before the first byte leaves.
     pub may_leave: &'a dyn Fn() -> bool,
     /// Watched while the head is awaited.
     pub caller: Option<&'a Caller>,
@@ -110,6 +143,8 @@
     is_reused: bool,
     /// Whether the head came while a part of the request waited to be written.
     is_early: bool,
+    /// Whether the head tells, in one way alone, where the body ends.
+    is_delimited: bool,
     is_ended: bool,
     is_torn: bool,
 }
@@ -123,6 +158,8 @@
     wire: Arc<Wire>,
     alarm: Arc<Alarm>,
     waker: Waker,
+    /// Why a request that was given to hyper doesn't leave.
+    held_back: Option<Departure>,
     _seat: Seat,
 }
 
@@ -148,10 +185,25 @@
     pool.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+#[cfg(test)]
+fn is_mutant(pool: &Mutex<Pool>, mutant: Mutant) -> bool {
+    lock(pool).mutant == Some(mutant)
+}
+#[cfg(not(test))]
+const fn is_mutant(_: &Mutex<Pool>, _: Mutant) -> bool {
+    false
+}
+
 impl Lines {
     /// With no connection yet.
     pub fn new(bounds: LinesBounds) -> Self {
-        Lines { pool: Arc::new(Mutex::new(Pool { bounds, addresses: HashMap::new() })) }
+        let pool = Pool {
+            bounds,
+            addresses: HashMap::new(),
+            #[cfg(test)]
+            mutant: None,
+        };
+        Lines { pool: Arc::new(Mutex::new(pool)) }
     }
     /// Sets a bound of its own for an address; 0 for none.
     pub fn set_per_address(&self, address: SocketAddr, most: usize) {
@@ -208,28 +260,33 @@
         loop {
             let idle = self.take_idle(to);
             let is_reused = idle.is_some();
-            let link = match idle {
+            let idle = match idle {
                 Some(idle) => idle,
                 None => Idle { link: Box::new(self.connect(to, waits)?), due: Moment(0) },
             };
-            if !(waits.may_leave)() {
-                if is_reused {
-                    self.put_idle(to, link);
+            match idle.link.check_departure(waits) {
+                Departure::Clear => {}
+                Departure::Unclean if is_reused => continue,
+                Departure::Unclean => return Err(LineError::Unsent("the server spoke or closed unasked".into())),
+                Departure::Withheld => {
+                    if is_reused {
+                        self.put_idle(to, idle);
+                    }
+                    return Err(LineError::Withheld);
                 }
-                return Err(LineError::Withheld);
             }
-            match link.link.send(request.clone(), waits, is_reused) {
+            match idle.link.send(request.clone(), waits, is_reused) {
                 // It was closed between the look at it and the first byte: another one is taken.
                 Err(LineError::Unsent(_)) if is_reused && Clock::now() < waits.head_due => {}
                 outcome => return outcome,
             }
         }
     }
-    /// The newest idle connection that is clean at this moment.
+    /// The newest idle connection whose time is not over.
     fn take_idle(&self, to: SocketAddr) -> Option<Idle> {
         loop {
             let newest = lock(&self.pool).addresses.get_mut(&to)?.idle.pop_back()?;
-            if Clock::now() < newest.due && newest.link.wire.peek() == Peeked::Nothing {
+            if Clock::now() < newest.due {
                 return Some(newest);
             }
         }
@@ -275,7 +332,7 @@
         let handshake = pin!(Builder::new().handshake(duct));
         match handshake.poll(&mut Context::from_waker(&waker)) {
             Poll::Ready(Ok((sender, connection))) => {
-                Ok(Link { sender, connection, ended: None, wire, alarm, waker, _seat: seat })
+                Ok(Link { sender, connection, ended: None, wire, alarm, waker, held_back: None, _seat: seat })
             }
             Poll::Ready(Err(fault)) => Err(unsent(&fault)),
             Poll::Pending => Err(LineError::Unsent("no handshake".into())),
@@ -284,6 +341,20 @@
 }
 
 impl Link {
+    /// Looks whether a request may leave, and whether the connection is clean, right before the first byte.
+    fn check_departure(&self, waits: &Waits<'_>) -> Departure {
+        let checked = Clock::now();
+        if !(waits.may_leave)() {
+            return Departure::Withheld;
+        }
+        if self.wire.peek() != Peeked::Nothing && !is_mutant(&self._seat.pool, Mutant::SkipLook) {
+            return Departure::Unclean;
+        }
+        let write_by = (checked + CHECK_LIFE).0;
+        let write_by = if is_mutant(&self._seat.pool, Mutant::TrustOldCheck) { Wire::UNBOUND } else { write_by };
+        self.wire.write_by.store(write_by, Ordering::Relaxed);
+        Departure::Clear
+    }
     /// Lets hyper do what it can without waiting.
     fn drive(&mut self) {
         if self.ended.is_none() {
@@ -293,17 +364,29 @@
             }
         }
     }
-    /// Polls the connection and then what hangs on it, until that is ready or the wait for it ends.
+    /// Polls the connection and then what hangs on it, until that is ready or the wait for it ends. A first
+    /// byte whose check has grown old is checked anew.
     fn wait<T>(
         &mut self,
         due: Moment,
         caller: Option<&Caller>,
+        departure: Option<&Waits<'_>>,
         mut poll_it: impl FnMut(&mut Context<'_>) -> Poll<T>,
     ) -> Result<T, Woken> {
         let waker = self.waker.clone();
         let mut context = Context::from_waker(&waker);
         loop {
             self.drive();
+            if let Some(waits) = departure.filter(|_| self.wire.is_check_old.swap(false, Ordering::Relaxed)) {
+                match self.check_departure(waits) {
+                    Departure::Clear if Clock::now() < due => continue,
+                    Departure::Clear => return Err(Woken::Late),
+                    refused => {
+                        self.held_back = Some(refused);
+                        return Err(Woken::Bell);
+                    }
+                }
+            }
             if let Poll::Ready(outcome) = poll_it(&mut context) {
                 return Ok(outcome);
             }
@@ -327,17 +410,22 @@
         is_reused: bool,
     ) -> Result<Line, LineError> {
         let sent_before = self.wire.sent_count.load(Ordering::Relaxed);
+        let is_head = request.method() == http::Method::HEAD;
         let mut answer = pin!(self.sender.send_request(request.map(Full::new)));
-        let outcome = self.wait(waits.head_due, waits.caller, |context| answer.as_mut().poll(context));
-        let has_left = self.wire.sent_count.load(Ordering::Relaxed) > sent_before;
+        let outcome = self.wait(waits.head_due, waits.caller, Some(waits), |context| answer.as_mut().poll(context));
+        let has_left = self.wire.sent_count.load(Ordering::Relaxed) > sent_before
+            && !(is_reused && is_mutant(&self._seat.pool, Mutant::ForgetSent));
         let (what, why): (fn(String) -> LineError, String) = match outcome {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
                 let is_early = self.wire.wants_room.load(Ordering::Relaxed);
-                return Ok(Line { head, body, link: self, is_reused, is_early, is_ended: false, is_torn: false });
+                let is_delimited = is_head || tells_end(&head);
+                let (is_ended, is_torn) = (false, false);
+                return Ok(Line { head, body, link: self, is_reused, is_early, is_delimited, is_ended, is_torn });
             }
             Ok(Err(fault)) => (LineError::Unknown, detail(&fault)),
             Err(Woken::Late) => (LineError::Late, "no head by its due".into()),
+            Err(_) if self.held_back == Some(Departure::Withheld) && !has_left => return Err(LineError::Withheld),
             Err(Woken::CallerGone) if has_left => return Err(LineError::CallerGone),
             Err(Woken::CallerGone) => (LineError::Unknown, "the caller has gone".into()),
             Err(_) => (LineError::Unknown, "the connection ended".into()),
@@ -382,7 +470,7 @@
         }
         let body = &mut self.body;
         loop {
-            let outcome = self.link.wait(due, caller, |context| Pin::new(&mut *body).poll_frame(context));
+            let outcome = self.link.wait(due, caller, None, |context| Pin::new(&mut *body).poll_frame(context));
             match outcome {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
@@ -390,6 +478,10 @@
                     // Trailers; nothing of ours has any.
                     Err(_) => {}
                 },
+                Ok(None) if !self.is_delimited && !is_mutant(&self.link._seat.pool, Mutant::TrustClose) => {
+                    self.is_torn = true;
+                    return LinePull::Torn("an end that only a close tells is no sure end".into());
+                }
                 Ok(None) => {
                     self.is_ended = true;
                     return LinePull::End;
@@ -432,8 +524,8 @@
     /// Gives the connection back for reuse. It's closed instead unless the body has ended whole, both
     /// sides keep the connection and nothing more has come on it.
     pub fn keep(self) {
-        let Line { head, mut body, mut link, is_ended, is_torn, .. } = self;
-        if is_torn {
+        let Line { head, mut body, mut link, is_ended, is_torn, is_delimited, .. } = self;
+        if is_torn || !is_delimited {
             return;
         }
         // A body without bytes, or whose last ones were pulled, may have ended without being asked.
@@ -446,7 +538,10 @@
         while link.alarm.take() {
             link.drive();
         }
-        if !is_whole || link.ended.is_some() || !link.sender.is_ready() {
+        // hyper counts a request as written once it holds all of it; some may still wait for room.
+        let is_request_whole =
+            !link.wire.wants_room.load(Ordering::Relaxed) || is_mutant(&link._seat.pool, Mutant::KeepUnwritten);
+        if !is_whole || !is_request_whole || link.ended.is_some() || !link.sender.is_ready() {
             return;
         }
         let lines = Lines { pool: link._seat.pool.clone() };
@@ -458,6 +553,19 @@
     }
 }
 
+/// Whether a head tells where its body ends: by a length or by chunks, not by both, and not by a close.
+fn tells_end(head: &http::response::Parts) -> bool {
+    if matches!(head.status.as_u16(), 204 | 304) {
+        return true;
+    }
+    let has_length = head.headers.contains_key(http::header::CONTENT_LENGTH);
+    let mut codings = head.headers.get_all(http::header::TRANSFER_ENCODING).iter();
+    match codings.next_back().map(|last| last.as_bytes().to_ascii_lowercase()) {
+        Some(last) => last.ends_with(b"chunked") && !has_length,
+        None => has_length,
+    }
+}
+
 /// How long a server keeps the connection by its own `Keep-Alive: timeout=N`, less a margin for the way.
 fn kept_span(headers: &http::HeaderMap) -> Option<Span> {
     let words = headers.get_all("keep-alive").iter().filter_map(|value| value.to_str().ok());
@@ -469,3 +577,6 @@
         seconds => Some(Span::seconds(u64::from(seconds) - 1)),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/wicket/src/wire.rs
+++ b/crates/wicket/src/wire.rs
@@ -26,6 +26,11 @@
     pub read_count: AtomicU64,
     /// Bytes written to it so far.
     pub sent_count: AtomicU64,
+    /// The next write is made up to this moment only, since what allows it was checked a while before; the
+    /// write lifts it. [`Wire::UNBOUND`] is no bound.
+    pub write_by: AtomicU64,
+    /// Whether a write was held back since that moment has passed.
+    pub is_check_old: AtomicBool,
 }
 
 /// What a peek at a connection shows.
@@ -40,6 +45,9 @@
 const USER_TIMEOUT_MS: u32 = 10_000;
 
 impl Wire {
+    /// No bound on the moment of the next write.
+    pub const UNBOUND: u64 = u64::MAX;
+
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
         let _ = sockopt::set_tcp_user_timeout(&stream, USER_TIMEOUT_MS);
@@ -50,7 +58,18 @@
             is_late: AtomicBool::new(false),
             read_count: AtomicU64::new(0),
             sent_count: AtomicU64::new(0),
+            write_by: AtomicU64::new(Self::UNBOUND),
+            is_check_old: AtomicBool::new(false),
+        }
+    }
+    /// Whether a write may be made now; notes it if what allows it has grown old.
+    fn may_write(&self) -> bool {
+        let by = self.write_by.load(Ordering::Relaxed);
+        let is_old = by != Self::UNBOUND && Clock::now() > Moment(by);
+        if is_old {
+            self.is_check_old.store(true, Ordering::Relaxed);
         }
+        !is_old
     }
     /// Looks without waiting and without taking bytes.
     pub fn peek(&self) -> Peeked {
@@ -228,13 +247,14 @@
     fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let duct = self.get_mut();
         let wire = &duct.wire;
-        if wire.wants_room.load(Ordering::Relaxed) {
+        if wire.wants_room.load(Ordering::Relaxed) || !wire.may_write() {
             return Poll::Pending;
         }
         loop {
             match send(&wire.stream, bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
                 Ok(count) => {
                     wire.sent_count.fetch_add(count as u64, Ordering::Relaxed);
+                    wire.write_by.store(Wire::UNBOUND, Ordering::Relaxed);
                     return Poll::Ready(Ok(count));
                 }
                 Err(Errno::INTR) => {}
--- a/crates/wicket/tests/lines.rs
+++ b/crates/wicket/tests/lines.rs
@@ -221,6 +221,182 @@
     assert!(ask_and_keep(&lines, to));
 }
 
+/// Waits until the clock has gone on by this much.
+fn pass(span: Span) {
+    let due = Clock::now() + span;
+    while Clock::now() <= due {
+        std::thread::yield_now();
+    }
+}
+
+/// Asks where the check right before the first byte grows old at once, and the check anew says this; tells
+/// the outcome and the bytes that came.
+fn ask_after_stall(may_still_leave: bool) -> (Result<Bytes, LineError>, usize) {
+    let (sender, heard) = mpsc::channel();
+    let to = server(move |_, mut served| {
+        let mut all = served.hear().unwrap_or_default().into_bytes();
+        let _ = served.0.write_all(OK.as_bytes());
+        let _ = served.0.read_to_end(&mut all);
+        sender.send(all.len()).unwrap();
+    });
+    let asked = Cell::new(0);
+    // Before connecting, before the first byte, and anew; the process stands still in between.
+    let may_leave = || {
+        asked.set(asked.get() + 1);
+        if asked.get() == 2 {
+            pass(CHECK_LIFE);
+        }
+        asked.get() < 3 || may_still_leave
+    };
+    let lines = Lines::new(BOUNDS);
+    let outcome = lines.ask(to, request(), &Waits { may_leave: &may_leave, ..waits() });
+    let outcome = outcome.and_then(|mut line| read_all(&mut line));
+    assert!(asked.get() >= 3, "no check anew");
+    (outcome, heard.recv().unwrap())
+}
+
+#[test]
+fn a_check_that_has_grown_old_before_the_first_byte_is_made_again() {
+    // As when the process stands still between the check and the write.
+    assert_eq!(ask_after_stall(false), (Err(LineError::Withheld), 0));
+    let (outcome, bytes) = ask_after_stall(true);
+    assert_eq!(outcome, Ok("ok".into()));
+    assert!(bytes > 0);
+}
+
+#[test]
+fn a_server_that_speaks_or_closes_before_it_is_asked_gets_nothing() {
+    for said in ["HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", ""] {
+        let (ready, is_ready) = mpsc::channel();
+        let (sender, heard) = mpsc::channel();
+        let to = server(move |_, mut served| {
+            served.say(said);
+            if said.is_empty() {
+                served.0.shutdown(std::net::Shutdown::Write).unwrap();
+            }
+            ready.send(()).unwrap();
+            let mut all = Vec::new();
+            let _ = served.0.read_to_end(&mut all);
+            sender.send(all.len()).unwrap();
+        });
+        let asked = Cell::new(0);
+        let may_leave = || {
+            asked.set(asked.get() + 1);
+            if asked.get() == 2 {
+                is_ready.recv().unwrap();
+            }
+            true
+        };
+        let outcome = Lines::new(BOUNDS).ask(to, request(), &Waits { may_leave: &may_leave, ..waits() });
+        assert!(matches!(outcome, Err(LineError::Unsent(_))), "{said:?}: {:?}", outcome.err());
+        assert_eq!(heard.recv().unwrap(), 0, "{said:?}: bytes left");
+    }
+}
+
+#[test]
+fn an_end_that_is_told_by_a_close_or_in_two_ways_is_no_whole_end() {
+    for said in [
+        "HTTP/1.1 200 OK\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nok",
+        "HTTP/1.0 200 OK\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2, 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: -2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: +2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999999\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10000000000000002\r\nok\r\n0\r\n\r\n",
+    ] {
+        let to = server(move |_, mut served| {
+            served.hear();
+            served.say(said);
+        });
+        let lines = Lines::new(BOUNDS);
+        match ask(&lines, to) {
+            Ok(mut line) => {
+                let outcome = read_all(&mut line);
+                assert!(matches!(outcome, Err(LineError::Unknown(_))), "{said:?}: {outcome:?}");
+                line.keep();
+            }
+            Err(fault) => assert!(matches!(fault, LineError::Unknown(_)), "{said:?}: {fault:?}"),
+        }
+        assert_eq!(lines.open_count(to), 0, "{said:?}");
+    }
+}
+
+#[test]
+fn interim_answers_are_passed_over_and_the_connection_stays() {
+    let to = answering(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    );
+    let lines = Lines::new(BOUNDS);
+    let mut line = ask(&lines, to).unwrap();
+    assert_eq!((line.head().status.as_u16(), read_all(&mut line).unwrap()), (200, "ok".into()));
+    line.keep();
+    assert!(ask_and_keep(&lines, to));
+}
+
+#[test]
+fn an_answer_before_the_request_was_whole_stands_in_doubt_and_its_connection_is_closed() {
+    let (done, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let to = server(move |_, mut served| {
+        let _ = served.0.read(&mut [0; 16]);
+        served.say(OK);
+        let _ = wait.lock().unwrap().recv();
+    });
+    let lines = Lines::new(BOUNDS);
+    // More than the buffers between the two hold.
+    let large = http::Request::post("/a").header("host", "a").body(Bytes::from(vec![b'x'; 64 << 20])).unwrap();
+    let mut line = lines.ask(to, large, &waits()).unwrap();
+    assert!(!line.was_reused() && !line.is_sole_answer());
+    assert_eq!(read_all(&mut line).unwrap(), "ok");
+    line.keep();
+    assert_eq!((lines.idle_count(to), lines.open_count(to)), (0, 0));
+    drop(done);
+    let (lines, to) = (Lines::new(BOUNDS), answering(OK));
+    let mut line = ask(&lines, to).unwrap();
+    assert!(line.is_sole_answer(), "the first one");
+    read_all(&mut line).unwrap();
+    line.keep();
+    assert!(!ask(&lines, to).unwrap().is_sole_answer(), "the second one");
+}
+
+#[test]
+fn a_server_that_closes_its_side_before_the_answer_may_have_run_it() {
+    let to = server(|_, mut served| {
+        served.hear();
+        served.0.shutdown(std::net::Shutdown::Write).unwrap();
+        served.hear();
+    });
+    let outcome = ask(&Lines::new(BOUNDS), to);
+    assert!(matches!(outcome, Err(LineError::Unknown(_))), "{:?}", outcome.err());
+}
+
+#[test]
+fn a_reset_after_one_byte_of_the_request_may_have_run_it() {
+    // It goes before it has read all: closing then resets.
+    for is_reused in [false, true] {
+        let to = server(move |_, mut served| {
+            if is_reused {
+                served.hear();
+                served.say(OK);
+            }
+            let _ = served.0.read(&mut [0; 1]);
+        });
+        let lines = Lines::new(BOUNDS);
+        if is_reused {
+            ask_and_keep(&lines, to);
+        }
+        let outcome = ask(&lines, to);
+        assert!(matches!(outcome, Err(LineError::Unknown(_))), "reused {is_reused}: {:?}", outcome.err());
+        assert_eq!(lines.open_count(to), 0);
+    }
+}
+
 /// A caller of a gate, and the connection that it called on.
 fn caller() -> (Caller, TcpStream, mpsc::Sender<()>) {
     let gate = Gate::open(Address::loopback(0).0, GateBounds { keep_alive: true, ..GateBounds::default() }).unwrap();
