rehearsal answers: the forwarder against servers that do whatever a server may do

Clients send one call after the other over kept connections; servers play the 38 rows of the state chart, drawn from the seed (surplus and late answers, resets, ends that lie, doubled ids and lengths, refusals with and without an id, silence). Judged: whose each answer is, that its body is the whole one of one run, that nothing runs twice that may run once, that nothing refused ran, that nothing is sent under an epoch no longer in force, and that a whole answer reaches its client.

The forwarder is the daemon's own; DetachedForwarder lets the holder choose the servers.

--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -1,6 +1,8 @@
 //! Forwards a call by its route: to a server that the desk chooses, and the answer back. A stream that may
 //! be taken up goes on at another server inside the same answer.
 
+pub(crate) mod detached;
+
 use crate::prelude::*;
 use crate::shared::Shared;
 use crate::trip::{Gone, NotTaken, Trip, Wanted};
--- /dev/null
+++ b/crates/crier/src/forward/detached.rs
@@ -0,0 +1,70 @@
+//! A forwarder without a node: whoever holds it chooses the servers. Its connections, its judgements and its
+//! state charts are those of the daemon.
+
+use super::Forwarder;
+use crate::daemon::Event as ControlEvent;
+use crate::prelude::*;
+use crate::shared::Shared;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Requests that it takes at once.
+const BOUND: u64 = 64;
+
+/// The answer to the question where a request goes.
+pub struct Placed {
+    /// To there, or nowhere.
+    pub outcome: Result<Placing, Denial>,
+    /// The epoch that has come into force by the time the request would be sent.
+    pub in_force: Epoch,
+}
+
+/// Chooses the servers.
+pub type Placer = Box<dyn FnMut(&PlaceAsk) -> Placed + Send>;
+
+/// A forwarder without a node.
+#[derive(Clone)]
+pub struct DetachedForwarder {
+    forwarder: Arc<Forwarder>,
+}
+
+impl DetachedForwarder {
+    /// One that acts by this plan. Its placing thread ends with the last clone.
+    pub fn start(
+        dialect: Arc<dyn CallDialect>,
+        plan: &Arc<Plan>,
+        bounds: LinesBounds,
+        mut placer: Placer,
+    ) -> std::io::Result<Self> {
+        let (control, inbox) = flume::unbounded();
+        let shared = Arc::new(Shared::detached(control, BOUND));
+        shared.take_plan(Some(plan));
+        let placing_shared = Arc::downgrade(&shared);
+        std::thread::Builder::new().name("placing".into()).spawn(move || {
+            for event in inbox {
+                let ControlEvent::Place(NodeInput::Place(ask), outcome) = event else { continue };
+                let placed = placer(&ask);
+                if let Some(shared) = placing_shared.upgrade() {
+                    shared.epoch.fetch_max(placed.in_force.0, Ordering::SeqCst);
+                }
+                let _ = outcome.send(placed.outcome);
+            }
+        })?;
+        let forwarder = Forwarder {
+            shared,
+            dialect,
+            lines: Lines::new(bounds),
+            #[cfg(test)]
+            mutant: None,
+        };
+        Ok(DetachedForwarder { forwarder: Arc::new(forwarder) })
+    }
+    /// Answers a client's request.
+    pub fn reply(&self, request: Order) -> Reply {
+        self.forwarder.reply(request)
+    }
+    /// Closes the connections that wait for reuse and whose time is over.
+    pub fn drop_stale(&self) {
+        self.forwarder.lines.drop_stale();
+    }
+}
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -3,8 +3,7 @@
 use super::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::RwLock;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use yare::parameterized;
 
 /// Nothing is judged by it: it ends a test that would hang.
@@ -282,19 +281,7 @@
 /// What the threads of a node that may act share, without a plan, and what they tell its control thread.
 pub(crate) fn shared() -> (Arc<Shared>, flume::Receiver<crate::daemon::Event>) {
     let (sender, inbox) = flume::unbounded();
-    let shared = Shared {
-        control: sender,
-        may_act_until: AtomicU64::new(u64::MAX),
-        epoch: AtomicU64::new(1),
-        tallies: Tallies::default(),
-        number: AtomicU64::new(1),
-        bound: 10,
-        block_bytes: 64,
-        stall: Span(10_000),
-        plan: RwLock::default(),
-        is_ready: AtomicBool::new(true),
-        arrived: AtomicU64::new(0),
-    };
+    let shared = Shared::detached(sender, 10);
     (Arc::new(shared), inbox)
 }
 
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -33,6 +33,7 @@
     pub use crate::dissemination::{DigestTiming, Dissemination};
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
     pub use crate::event_splitter::{EventSplitter, StreamEvent};
+    pub use crate::forward::detached::{DetachedForwarder, Placed, Placer};
     pub use crate::journal::Journal;
     pub use crate::judgement::{AnswerClaim, AnswerIdentity, AnswerPlace, Judgement};
     pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, Placing, resume_id};
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -40,6 +40,22 @@
 }
 
 impl Shared {
+    /// Of a node that may act without end, and takes this many requests at once.
+    pub fn detached(control: flume::Sender<crate::daemon::Event>, bound: u64) -> Self {
+        Shared {
+            control,
+            may_act_until: AtomicU64::new(u64::MAX),
+            epoch: AtomicU64::new(1),
+            tallies: Tallies::default(),
+            number: AtomicU64::new(1),
+            bound,
+            block_bytes: 64,
+            stall: Span(10_000),
+            plan: RwLock::default(),
+            is_ready: AtomicBool::new(true),
+            arrived: AtomicU64::new(0),
+        }
+    }
     pub fn tell(&self, input: NodeInput) {
         let _ = self.control.send(crate::daemon::Event::Input(input));
     }
--- /dev/null
+++ b/crates/rehearsal/src/answers/dialect.rs
@@ -0,0 +1,95 @@
+//! How the stand-ins of `answers` speak.
+
+use crate::prelude::*;
+use bytes::Bytes;
+use crier::prelude::{AnswerClaim, AnswerIdentity, Call, CallDialect, Denial, Sending, ServerLoad};
+
+/// The header that names a call.
+pub const ID: &str = "x-call";
+/// The header that only servers set, on the answers that they ran a call for.
+pub const MARK: &str = "x-mark";
+/// The header that says that a call did not run.
+pub const NOT_RUN: &str = "x-not-run";
+/// The header that tells how long the client waits.
+pub const WAIT: &str = "x-wait";
+/// The header that names the server that is meant.
+pub const SERVER: &str = "x-server";
+/// The header behind whose piece a stream goes on.
+pub const AFTER: &str = "x-after";
+
+/// The dialect.
+pub struct Dialect {
+    /// The deliberate fault of believing refusals without an id.
+    pub believes_unnamed: bool,
+}
+
+impl CallDialect for Dialect {
+    fn read(&self, request: Order) -> Result<Call, Denial> {
+        let deny = || Denial { code: ResultCode::BadOrder, why: "no id".into(), retry_after: Span(0) };
+        let number = |name: &str| request.header(name).and_then(|value| value.parse().ok());
+        let id = OrderId::from(request.header(ID).ok_or_else(deny)?);
+        let host = request.header("host").unwrap_or_default().to_owned();
+        let (left, after) = (Span(number(WAIT).unwrap_or(20_000)), number(AFTER));
+        let (method, target, mut headers, body) = request.into_parts();
+        for name in [WAIT, AFTER, "connection", "content-length"] {
+            headers.remove(name);
+        }
+        Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand: Default::default() })
+    }
+    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
+        let reply = Reply::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word());
+        reply.with_header(ID, id.map_or("", OrderId::as_str))
+    }
+    fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes> {
+        let mut request = http::Request::new(call.body.clone());
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.target.parse().unwrap_or_default();
+        *request.headers_mut() = call.headers.clone();
+        if let Ok(server) = sending.server.as_str().parse() {
+            request.headers_mut().insert(SERVER, server);
+        }
+        if let Some(after) = sending.after {
+            request.headers_mut().insert(AFTER, after.into());
+        }
+        request
+    }
+    fn identity(&self, call: &Call, head: &http::response::Parts) -> AnswerIdentity {
+        let is_refusal = matches!(self.claim(head), AnswerClaim::NotRun | AnswerClaim::Elsewhere);
+        let mut ids = head.headers.get_all(ID).iter();
+        match (ids.next(), ids.next()) {
+            (None, _) if self.believes_unnamed && is_refusal => AnswerIdentity::Own,
+            (None, _) => AnswerIdentity::Missing,
+            (Some(id), None) if id.as_bytes() == call.id.as_str().as_bytes() => AnswerIdentity::Own,
+            _ => AnswerIdentity::Other,
+        }
+    }
+    fn claim(&self, head: &http::response::Parts) -> AnswerClaim {
+        match head.status.as_u16() {
+            ..200 => AnswerClaim::Nothing,
+            421 => AnswerClaim::Elsewhere,
+            _ if head.headers.contains_key(NOT_RUN) => AnswerClaim::NotRun,
+            200..300 if head.headers.contains_key(MARK) => AnswerClaim::Success,
+            200..300 => AnswerClaim::Nothing,
+            _ => AnswerClaim::Failure,
+        }
+    }
+    fn load(&self, _: &http::response::Parts) -> Option<ServerLoad> {
+        None
+    }
+    fn passed(&self, head: &http::response::Parts) -> http::HeaderMap {
+        let mut headers = head.headers.clone();
+        for name in ["connection", "keep-alive", "transfer-encoding", "content-length"] {
+            headers.remove(name);
+        }
+        headers
+    }
+    fn is_probe(&self, _: &Order) -> bool {
+        false
+    }
+    fn list_request(&self, _: Option<&str>) -> http::Request<Bytes> {
+        http::Request::new(Bytes::new())
+    }
+    fn read_list(&self, _: &[u8]) -> Result<(Vec<RollEntry>, Option<String>), String> {
+        Err("there is none".into())
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/answers/server.rs
@@ -0,0 +1,255 @@
+//! A stand-in server that treats each request as the seed draws.
+
+use super::dialect::{AFTER, ID, MARK, NOT_RUN, SERVER};
+use super::ledger::{CallKind, Ledger, body_of};
+use super::message::{Message, read_body, read_head};
+use super::play::Play;
+use crate::prelude::mix;
+use rustix::net::sockopt::set_socket_linger;
+use std::io::{self, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// A server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    is_stopped: Arc<AtomicBool>,
+}
+
+/// What a connection's thread knows.
+struct Serving {
+    name: String,
+    seed: u64,
+    ledger: Arc<Mutex<Ledger>>,
+}
+
+/// What a server says on one request.
+struct Said<'a> {
+    id: &'a str,
+    body: &'a str,
+    mark: &'a str,
+}
+
+impl Server {
+    /// Starts one at a free port.
+    pub fn start(name: String, seed: u64, ledger: &Arc<Mutex<Ledger>>) -> io::Result<Server> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let server = Server { name: name.clone(), address: listener.local_addr()?, is_stopped: Arc::default() };
+        let (serving, is_stopped) =
+            (Arc::new(Serving { name, seed, ledger: ledger.clone() }), server.is_stopped.clone());
+        std::thread::Builder::new().name("server".into()).spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if is_stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let serving = serving.clone();
+                // A connection that can't be served is closed.
+                let _ = std::thread::Builder::new().name("connection".into()).spawn(move || serving.serve(stream));
+            }
+        })?;
+        Ok(server)
+    }
+    /// Stops listening.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        drop(TcpStream::connect(self.address));
+    }
+}
+
+/// How a request on a connection ended.
+enum After {
+    /// The connection stays.
+    Stay,
+    /// It stays, and this stands in the place of the next answer.
+    StayWith(String),
+    /// It closes.
+    Close,
+    /// It closes by a reset.
+    Reset,
+}
+
+impl Serving {
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        // Ends the thread of a connection that nobody uses.
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(60)));
+        let Ok(reading) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(reading);
+        let mut displaced = None;
+        while let Ok(Some(request)) = read_head(&mut reader) {
+            match self.answer(&mut stream, &mut reader, request, displaced.take()) {
+                Ok(After::Stay) => {}
+                Ok(After::StayWith(next)) => displaced = Some(next),
+                Ok(After::Close) | Err(_) => return,
+                Ok(After::Reset) => {
+                    let _ = set_socket_linger(&stream, Some(Duration::ZERO));
+                    return;
+                }
+            }
+        }
+    }
+
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        reader: &mut BufReader<TcpStream>,
+        mut request: Message,
+        displaced: Option<String>,
+    ) -> io::Result<After> {
+        let id = request.header(ID).unwrap_or_default().to_owned();
+        let arrivals = self.ledger().arrived(&id, &self.name);
+        let play = play_of(self.seed, &self.name, &id, arrivals);
+        if play == Play::ResetUnread {
+            self.ledger().treated(&id, &self.name, play, false);
+            return Ok(After::Reset);
+        }
+        if play == Play::RefusedEarly {
+            self.ledger().treated(&id, &self.name, play, false);
+            stream.write_all(refusal(503, Some(&id)).as_bytes())?;
+            // Closed with its body unread, it would be reset and the answer lost.
+            read_body(reader, &mut request);
+            return Ok(After::Close);
+        }
+        read_body(reader, &mut request);
+        if !request.is_whole {
+            return Ok(After::Close);
+        }
+        self.check_request(&id, &request);
+        let Some(kind) = self.ledger().call(&id).map(|record| record.kind) else { return Ok(After::Close) };
+        let mark = self.ledger().treated(&id, &self.name, play, displaced.is_some()).unwrap_or_default();
+        let after = request.header(AFTER).and_then(|after| after.parse().ok()).unwrap_or(0);
+        let body = body_of(kind, &id, after);
+        if let Some(displaced) = displaced {
+            stream.write_all(displaced.as_bytes())?;
+        }
+        perform(stream, reader, play, &Said { id: &id, body: &body, mark: &mark })
+    }
+
+    /// Each request is as its client sent it, and meant for this server.
+    fn check_request(&self, id: &str, request: &Message) {
+        let is_ours = request.header(SERVER) == Some(&self.name);
+        let is_whole = request.body == format!("body of {id}").as_bytes();
+        let is_at_path = CallKind::ALL.iter().any(|kind| request.target() == format!("{}{id}?q=a%20b", kind.prefix()));
+        if !is_ours || !is_whole || !is_at_path {
+            self.ledger().violate(format!("{id} came to {} changed: {request:?}", self.name));
+        }
+    }
+
+    fn ledger(&self) -> std::sync::MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Of so many calls one is refused by every server.
+const REFUSED_BY_ALL: u64 = 32;
+
+/// What this server does with a call that came so often to any before.
+pub fn play_of(seed: u64, server: &str, id: &str, arrivals: u64) -> Play {
+    let hash = |number: u64, text: &str| text.bytes().fold(number, |number, byte| mix(number ^ u64::from(byte)));
+    let of_call = hash(seed, id);
+    let drawn = hash(of_call, server).wrapping_add(arrivals);
+    if of_call.is_multiple_of(REFUSED_BY_ALL) { Play::draw_refusal(drawn) } else { Play::draw(drawn) }
+}
+
+fn refusal(status: u16, id: Option<&str>) -> String {
+    let id = id.map(|id| format!("{ID}: {id}\r\n")).unwrap_or_default();
+    format!("HTTP/1.1 {status} No\r\n{id}{NOT_RUN}: 1\r\ncontent-length: 2\r\n\r\nno")
+}
+
+impl Said<'_> {
+    fn marked(&self) -> String {
+        format!("{ID}: {}\r\n{MARK}: {}\r\n", self.id, self.mark)
+    }
+    fn with(&self, headers: &str) -> String {
+        format!("HTTP/1.1 200 OK\r\n{headers}content-length: {}\r\n\r\n{}", self.body.len(), self.body)
+    }
+    fn whole(&self) -> String {
+        self.with(&self.marked())
+    }
+    fn chunked_head(&self) -> String {
+        format!("HTTP/1.1 200 OK\r\n{}transfer-encoding: chunked\r\n\r\n", self.marked())
+    }
+    fn half(&self) -> &str {
+        &self.body[..self.body.len() / 2]
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn perform(
+    stream: &mut TcpStream,
+    reader: &mut BufReader<TcpStream>,
+    play: Play,
+    said: &Said<'_>,
+) -> io::Result<After> {
+    let foreign = format!("{ID}: other\r\n{MARK}: other\r\n");
+    let (text, after) = match play {
+        Play::Whole => (said.whole(), After::Stay),
+        Play::WholeInChunks => (said.chunked_head() + &chunk(said.body) + "0\r\n\r\n", After::Stay),
+        Play::Interim => {
+            let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: a\r\n\r\n".to_owned();
+            (interim + &said.whole(), After::Stay)
+        }
+        Play::CloseSaid => (said.with(&(said.marked() + "connection: close\r\n")), After::Close),
+        Play::CloseUnsaid => (said.whole(), After::Close),
+        Play::SurplusOwn => (said.whole() + &said.whole(), After::Stay),
+        Play::SurplusRefusal => (said.whole() + &refusal(503, None), After::Stay),
+        Play::SurplusForeign => (said.whole() + &said.with(&foreign), After::Stay),
+        Play::SurplusGarbage => (said.whole() + "and more\r\n\r\n", After::Stay),
+        Play::LateRefusal => (said.whole(), After::StayWith(refusal(503, None))),
+        Play::LateElsewhere => (said.whole(), After::StayWith(refusal(421, None))),
+        Play::LateOwn => (said.whole(), After::StayWith(said.whole())),
+        Play::Failed => (format!("HTTP/1.1 500 Ill\r\n{ID}: {}\r\ncontent-length: 3\r\n\r\nill", said.id), After::Stay),
+        Play::ResetRun | Play::ResetUnread => (String::new(), After::Reset),
+        Play::CloseRun => (String::new(), After::Close),
+        Play::HalfClose => {
+            stream.shutdown(Shutdown::Write)?;
+            return await_end(reader);
+        }
+        Play::TornHead => (format!("HTTP/1.1 200 OK\r\n{ID}: {}", said.id), After::Close),
+        Play::TornBody => {
+            let length = said.body.len();
+            let head = format!("HTTP/1.1 200 OK\r\n{}content-length: {length}\r\n\r\n", said.marked());
+            (head + said.half(), After::Close)
+        }
+        Play::TornChunks => (said.chunked_head() + &chunk(said.half()), After::Close),
+        Play::BadChunk => (said.chunked_head() + &chunk(said.half()) + "no size\r\n", After::Close),
+        Play::TwoLengths => (said.with(&(said.marked() + "content-length: 1\r\n")), After::Close),
+        Play::LengthAndChunks => {
+            let head = format!("{}transfer-encoding: chunked\r\ncontent-length: 3\r\n", said.marked());
+            (format!("HTTP/1.1 200 OK\r\n{head}\r\n{}0\r\n\r\n", chunk(said.body)), After::Stay)
+        }
+        Play::EndByClose => (format!("HTTP/1.1 200 OK\r\n{}\r\n{}", said.marked(), said.half()), After::Close),
+        Play::OldHttp => (format!("HTTP/1.0 200 OK\r\n{}\r\n{}", said.marked(), said.half()), After::Close),
+        Play::Garbage => ("certainly not\r\n\r\n".to_owned(), After::Close),
+        Play::ForeignId => (said.with(&foreign), After::Stay),
+        Play::MissingId => (said.with(&format!("{MARK}: {}\r\n", said.mark)), After::Stay),
+        Play::TwoIds => (said.with(&format!("{}{ID}: other\r\n", said.marked())), After::Stay),
+        Play::MissingMark => (said.with(&format!("{ID}: {}\r\n", said.id)), After::Stay),
+        Play::SwitchProtocol => {
+            let head = format!("{}connection: upgrade\r\nupgrade: other\r\n", said.marked());
+            (format!("HTTP/1.1 101 Other\r\n{head}\r\n"), After::Close)
+        }
+        Play::Silence => return await_end(reader),
+        Play::Refused | Play::RefusedEarly => (refusal(503, Some(said.id)), After::Stay),
+        Play::RefusedUnnamed => (refusal(503, None), After::Stay),
+        Play::Elsewhere => (refusal(421, Some(said.id)), After::Stay),
+        Play::ElsewhereUnnamed => (refusal(421, None), After::Stay),
+        Play::TornStream => (said.chunked_head() + &chunk(said.half()), After::Close),
+    };
+    stream.write_all(text.as_bytes())?;
+    Ok(after)
+}
+
+fn await_end(reader: &mut BufReader<TcpStream>) -> io::Result<After> {
+    let _ = reader.read(&mut [0; 1]);
+    Ok(After::Close)
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,6 +1,7 @@
 //! The project's own proof: stand-ins for servers and the platform, a fleet on one machine, and the
 //! measurements. Only this package starts processes.
 
+mod answers;
 mod compare;
 mod crew;
 mod fleet;
@@ -13,6 +14,7 @@
 
 /// What each file imports.
 pub mod prelude {
+    pub use crate::answers::{AnswersMutant, AnswersReport, AnswersRules, Fate as AnswersFate, play_answers};
     pub use crate::compare::{CompareRules, Question, compare};
     pub use crate::crew::{Crew, Deployment, Shape};
     pub use crate::fleet::{Daemon, Fleet, FleetOptions, free_ports, join_logs, plan_of};
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -110,6 +110,26 @@
     /// A process of a hollow fleet; takes orders from standard input.
     #[command(hide = true)]
     HollowHost,
+    /// Play answers in doubt: the real forwarder over loopback, between clients that check whose each answer
+    /// is and servers that do at random whatever a server may do. Exit codes: 0 nothing that must never
+    /// be was seen, 1 something was.
+    Answers {
+        /// What each server does with each call follows from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many calls.
+        #[arg(long, default_value_t = 100_000)]
+        calls: u64,
+        /// Forwarders side by side, each with its own servers and client.
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=64))]
+        lanes: u64,
+        /// Only this lane, as it was with this seed, these calls and lanes.
+        #[arg(long)]
+        only_lane: Option<u64>,
+        /// With a deliberate fault.
+        #[arg(long)]
+        mutant: Option<AnswersMutant>,
+    },
     /// Play fleets on virtual time, network and disks, with faults drawn from seeds, and judge what
     /// callers, servers and operators see. Exit codes: 0 nothing that must never be was seen, 1
     /// something was.
@@ -168,6 +188,13 @@
         }
         Task::Hollow { rules, folder, json } => run_hollow(&rules, folder, json),
         Task::HollowPlot { runs, picture } => draw_hollow(&runs, &picture),
+        Task::Answers { seed, calls, lanes, only_lane, mutant } => {
+            play_answers(AnswersRules { seed, calls, lanes, only_lane, mutant }).map(|report| {
+                println!("seed {seed}, {calls} calls, {lanes} lanes");
+                print!("{report}");
+                report.violations.is_empty()
+            })
+        }
         Task::HollowHost => serve_hollow().map(|()| true),
         Task::Simulate {
             deployment,
