--- a/crates/wicket/src/lines.rs
+++ b/crates/wicket/src/lines.rs
@@ -553,16 +553,18 @@
     }
 }
 
-/// Whether a head tells where its body ends: by a length or by chunks, not by both, and not by a close.
+/// Whether a head tells where its body ends: by a length or by chunks, not by both, not by a further coding
+/// and not by a close.
 fn tells_end(head: &http::response::Parts) -> bool {
     if matches!(head.status.as_u16(), 204 | 304) {
         return true;
     }
     let has_length = head.headers.contains_key(http::header::CONTENT_LENGTH);
     let mut codings = head.headers.get_all(http::header::TRANSFER_ENCODING).iter();
-    match codings.next_back().map(|last| last.as_bytes().to_ascii_lowercase()) {
-        Some(last) => last.ends_with(b"chunked") && !has_length,
-        None => has_length,
+    match (codings.next(), codings.next()) {
+        (None, _) => has_length,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !has_length,
+        (Some(_), Some(_)) => false,
     }
 }
 
--- a/crates/wicket/tests/lines.rs
+++ b/crates/wicket/tests/lines.rs
@@ -300,6 +300,8 @@
         "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nok",
         "HTTP/1.0 200 OK\r\n\r\nok",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: xchunked\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
