--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -622,6 +622,23 @@
     assert!(told.contains(&Told::Unreachable("a".into())) && told.contains(&Told::Ended(Outcome::Refused)), "{told:?}");
 }
 
+#[test]
+fn a_kept_connection_whose_address_went_to_another_server_runs_nothing_for_the_new_one() {
+    let not_it = Say(answer(421, "x-call: c1\r\n", "not me"));
+    let old = Server::start("a", vec![vec![whole("first")], vec![not_it]]);
+    let well = Server::start("b", vec![vec![whole("well")]]);
+    // The list gives the address to another server; the connection to the old one still rests.
+    let placing = Placing { server: "c".into(), ..old.placing(false) };
+    let words = vec![goes_to(&old, false), Box::new(move |_: &Shared| Ok(placing)) as Word, goes_to(&well, false)];
+    let stage = Stage::set(&MUTATING, words);
+    assert_eq!(stage.ask("").body, "first");
+    stage.told();
+    assert_eq!(stage.ask("").body, "well");
+    let asked = [old.request(), old.request()].map(|request| header(&request, "x-server").map(str::to_owned));
+    assert_eq!(asked, [Some("a".to_owned()), Some("c".to_owned())], "each request names the server that is meant");
+    assert!(stage.told().contains(&Told::Unreachable("c".into())));
+}
+
 #[test]
 fn one_try_never_asks_a_second_server_even_where_it_might_repeat() {
     let (ill, well) = (Server::start("a", vec![vec![Close]]), Server::start("b", vec![vec![whole("again")]]));
