The gate follows each request to its end before the HTTP library reads it

Cause: the library takes bare line feeds and settles by itself which of two lengths counts; a proxy or server that reads them otherwise sees another request inside. Limits were fixed when the gate opened, a late head was closed without a word, and bytes beyond an answer's length were dropped while the connection went on.

Change: framing.rs reads heads and chunks strictly and lets one request through at a time; what could be read in two ways, is too large or too late is answered 400, 413, 431 or 408 and closed in order, before anything is handed on. Limits can be set while the gate serves and bind open connections. An answer with more bytes than it told is cut; a status below 200 and a server's Keep-Alive don't pass. The connection's loop is split into functions of a screen.

Two assertions of gate_keep_alive.rs took an empty answer for a late request; they now demand 408.

--- a/crates/wicket/src/gate.rs
+++ b/crates/wicket/src/gate.rs
@@ -1,22 +1,22 @@
+//! The HTTP door of a process: what it takes, and a thread for each connection.
+
+mod connection;
+mod intake;
+mod state;
+
+pub use self::state::GateLimits;
+
+use self::connection::serve_connection;
+use self::state::GateState;
+use crate::framing::RequestLimits;
 use crate::reply::Reply;
-use crate::wire::{Alarm, Caller, Duct, Wire, Woken, await_wire};
+use crate::wire::Caller;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::service::service_fn;
 use parlance::prelude::*;
-use std::cell::Cell;
-use std::convert::Infallible;
-use std::fs::File;
-use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
-use std::pin::pin;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
-use std::task::{Context, Poll, Waker};
 
 /// One order over HTTP, read whole.
 pub struct Order {
@@ -72,14 +72,15 @@
     }
 }
 
-/// What a gate takes at most.
+/// What a gate takes at most. Those of [`GateLimits`] may be changed while it serves.
 #[derive(Debug, Clone, Copy)]
 pub struct GateBounds {
     /// Connections at once; each has a thread. More are closed unread.
     pub connections: usize,
     /// Bytes of a body.
     pub body_bytes: usize,
-    /// For head and body together; with `keep_alive` from the first byte of each request.
+    /// For a head, from its first byte (without `keep_alive` from the connection's beginning), and once
+    /// more for the body behind it.
     pub read_span: Span,
     /// Whether a connection takes one request after the other.
     pub keep_alive: bool,
@@ -105,12 +106,23 @@
     }
 }
 
+impl GateBounds {
+    /// The limits that hold until others are set.
+    pub fn limits(&self) -> GateLimits {
+        GateLimits {
+            request: RequestLimits { header_bytes: self.header_bytes, body_bytes: self.body_bytes },
+            head_span: self.read_span,
+            idle_span: self.idle_span,
+        }
+    }
+}
+
 /// A listening HTTP door.
 pub struct Gate {
     listener: TcpListener,
     bounds: GateBounds,
     is_closed: Arc<AtomicBool>,
-    leaving: Arc<Leaving>,
+    state: Arc<GateState>,
     open_count: Arc<AtomicUsize>,
 }
 
@@ -119,7 +131,7 @@
     pub fn open(address: SocketAddr, bounds: GateBounds) -> io::Result<Self> {
         Ok(Gate {
             listener: TcpListener::bind(address)?,
-            leaving: Arc::new(Leaving::new()?),
+            state: Arc::new(GateState::new(bounds.limits())?),
             bounds,
             is_closed: Arc::default(),
             open_count: Arc::default(),
@@ -131,7 +143,11 @@
     }
     /// What closes it again.
     pub fn closer(&self) -> GateCloser {
-        GateCloser { is_closed: self.is_closed.clone(), leaving: self.leaving.clone(), address: self.address() }
+        GateCloser { is_closed: self.is_closed.clone(), state: self.state.clone(), address: self.address() }
+    }
+    /// What changes its limits.
+    pub fn limiter(&self) -> GateLimiter {
+        GateLimiter(self.state.clone())
     }
     /// How many connections are open.
     pub fn open_count(&self) -> Arc<AtomicUsize> {
@@ -160,12 +176,12 @@
                 self.open_count.fetch_sub(1, Ordering::Relaxed);
                 continue;
             }
-            let (bounds, handler, leaving) = (self.bounds, handler.clone(), self.leaving.clone());
+            let (bounds, handler, state) = (self.bounds, handler.clone(), self.state.clone());
             let seat = Seat(self.open_count.clone());
             let builder = std::thread::Builder::new().name("gate".into()).stack_size(bounds.stack_bytes);
             let spawned = builder.spawn(move || {
                 let _seat = seat;
-                serve_connection(stream, bounds, &leaving, handler);
+                serve_connection(stream, bounds, &state, handler);
             });
             if let Err(fault) = spawned {
                 tracing::warn!("gate: no thread for a connection: {fault}.");
@@ -178,7 +194,7 @@
 #[derive(Debug, Clone)]
 pub struct GateCloser {
     is_closed: Arc<AtomicBool>,
-    leaving: Arc<Leaving>,
+    state: Arc<GateState>,
     address: Address,
 }
 
@@ -186,7 +202,7 @@
     /// From now on every answer says `Connection: close`, and kept connections without a request are
     /// closed shortly after: what was on the wire is still taken. New connections are served too.
     pub fn leave(&self) {
-        self.leaving.start();
+        self.state.leave();
     }
     /// Stops listening.
     pub fn close(&self) {
@@ -196,28 +212,19 @@
     }
 }
 
-/// Whether a gate leaves, and what wakes its idle connections then: the bell's other end is closed.
-#[derive(Debug)]
-struct Leaving {
-    bell: File,
-    rope: Mutex<Option<OwnedFd>>,
-    since: OnceLock<Moment>,
-}
+/// Changes a gate's limits while it serves.
+#[derive(Debug, Clone)]
+pub struct GateLimiter(Arc<GateState>);
 
-impl Leaving {
-    fn new() -> io::Result<Self> {
-        let (bell, rope) = rustix::pipe::pipe_with(rustix::pipe::PipeFlags::CLOEXEC)?;
-        Ok(Leaving { bell: File::from(bell), rope: Mutex::new(Some(rope)), since: OnceLock::new() })
+impl GateLimiter {
+    /// From now on these hold, for the connections that are open too: for the request that is being read
+    /// on one, and, counted from now, for the time that it may stay without one.
+    pub fn set(&self, limits: GateLimits) {
+        self.0.set_limits(limits);
     }
-    fn start(&self) {
-        self.since.get_or_init(Clock::now);
-        drop(self.rope.lock().unwrap_or_else(PoisonError::into_inner).take());
-    }
-    fn since(&self) -> Option<Moment> {
-        self.since.get().copied()
-    }
-    fn is_leaving(&self) -> bool {
-        self.since().is_some()
+    /// Those in force.
+    pub fn limits(&self) -> GateLimits {
+        self.0.rules().limits
     }
 }
 
@@ -230,112 +237,5 @@
     }
 }
 
-/// Where a connection is between two waits.
-enum Stage {
-    /// Nothing of the next request has come: until then it may be closed quietly.
-    Idle { since: u64, due: Moment },
-    /// A request is being read.
-    Reading { due: Moment },
-}
-
-/// After leaving, requests that were on the wire have this long to come in.
-const LEAVE_LINGER: Span = Span(500);
-
-fn serve_connection<H: Fn(Order) -> Reply + Clone>(
-    stream: TcpStream,
-    bounds: GateBounds,
-    leaving: &Leaving,
-    handler: H,
-) {
-    let wire = Arc::new(Wire::new(stream));
-    // What has been read by the handler and not been replied yet; what is to be reset at a cut.
-    let is_replying = Rc::new(Cell::new(false));
-    let is_close_delimited = Rc::new(Cell::new(false));
-    let service = service_fn(|request: hyper::Request<Incoming>| {
-        let (handler, is_replying, caller) = (handler.clone(), is_replying.clone(), Caller::new(&wire));
-        is_close_delimited.set(request.version() < hyper::Version::HTTP_11);
-        async move {
-            let (head, body) = request.into_parts();
-            let is_head = head.method == http::Method::HEAD;
-            let answer = match Limited::new(body, bounds.body_bytes).collect().await {
-                Ok(body) => {
-                    is_replying.set(true);
-                    handler(Order::new(head, body.to_bytes(), caller))
-                }
-                Err(fault) if fault.is::<LengthLimitError>() => {
-                    Reply::result(ResultCode::TooLarge, format!("the bound is {} bytes", bounds.body_bytes))
-                }
-                Err(_) => Reply::result(ResultCode::SlowBody, "the body was torn or late"),
-            };
-            is_replying.set(true);
-            let mut response = answer.into_hyper(is_head);
-            if leaving.is_leaving() {
-                response.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let duct = Duct { wire: wire.clone(), write_patience: Some(Duct::WRITE_PATIENCE) };
-    let mut connection = pin!(
-        hyper::server::conn::http1::Builder::new()
-            .keep_alive(bounds.keep_alive)
-            .auto_date_header(false)
-            .max_header_size(bounds.header_bytes)
-            .serve_connection(duct, service)
-    );
-    let alarm = Arc::new(Alarm::default());
-    let waker = Waker::from(alarm.clone());
-    let mut context = Context::from_waker(&waker);
-    let idle = || Stage::Idle { since: wire.read_count.load(Ordering::Relaxed), due: Clock::now() + bounds.idle_span };
-    let mut stage = if bounds.keep_alive { idle() } else { Stage::Reading { due: Clock::now() + bounds.read_span } };
-    let mut sent_before = 0;
-    loop {
-        match connection.as_mut().poll(&mut context) {
-            Poll::Ready(Ok(())) => return,
-            Poll::Ready(Err(fault)) => {
-                tracing::debug!("gate: a connection ended early: {fault}.");
-                // Where only the close tells the end of a body, it must not look like one.
-                if is_replying.get() && is_close_delimited.get() {
-                    let _ = rustix::net::sockopt::set_socket_linger(&wire.stream, Some(std::time::Duration::ZERO));
-                }
-                return;
-            }
-            Poll::Pending if alarm.take() => {
-                // A round that sent nothing: the source has nothing yet, so its caller is looked after.
-                let sent = wire.sent_count.load(Ordering::Relaxed);
-                if is_replying.get() && std::mem::replace(&mut sent_before, sent) == sent && wire.is_gone() {
-                    return;
-                }
-                continue;
-            }
-            Poll::Pending => {}
-        }
-        // Handlers and sources wait by themselves, so nothing pending means that the reply has been given.
-        if is_replying.replace(false) {
-            stage = idle();
-        }
-        if let Stage::Idle { since, .. } = stage
-            && wire.read_count.load(Ordering::Relaxed) > since
-        {
-            stage = Stage::Reading { due: Clock::now() + bounds.read_span };
-        }
-        match stage {
-            Stage::Reading { due } => {
-                if await_wire(&wire, None, None, due) == Woken::Late {
-                    wire.is_late.store(true, Ordering::Relaxed);
-                }
-            }
-            Stage::Idle { since, due } => {
-                let (bell, due) = match leaving.since() {
-                    Some(left) => (None, due.min(left + LEAVE_LINGER)),
-                    None => (Some(&leaving.bell), due),
-                };
-                match await_wire(&wire, None, bell, due) {
-                    Woken::Ready => {}
-                    Woken::Bell => stage = Stage::Idle { since, due },
-                    Woken::Late | Woken::CallerGone => return,
-                }
-            }
-        }
-    }
-}
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/wicket/src/gate/connection.rs
@@ -0,0 +1,260 @@
+//! One connection of a gate, from its first byte to its end.
+
+use super::intake::{Exchange, Intake};
+use super::state::{GateRules, GateState};
+use super::{GateBounds, Order};
+use crate::framing::{RequestFault, RequestProgress};
+use crate::reply::{Reply, ReplyBody};
+use crate::wire::{Alarm, Caller, Duct, Wire, Woken, await_wire};
+use http::HeaderValue;
+use http::header::CONNECTION;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use parlance::prelude::*;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+/// After leaving, requests that were on the wire have this long to come in.
+const LEAVE_LINGER: Span = Span(500);
+/// The library's own bound on a head; limits beyond it act as this.
+const HEAD_MOST: usize = 384 << 10;
+/// A refusal is written within this.
+const REFUSAL_WRITE: Duration = Duration::from_secs(1);
+/// So long, and so many bytes, what a refused client still sends is read and dropped: a close with unread
+/// bytes resets the connection, and takes the refusal away from whoever hasn't read it yet.
+const REFUSAL_LINGER: Span = Span::seconds(1);
+const REFUSAL_DRAIN: usize = 16 << 20;
+
+/// Since when the connection has been waiting for what it waits for now.
+struct Wait {
+    progress: RequestProgress,
+    since: Moment,
+}
+
+/// What a wait came to.
+enum Waited {
+    /// There is something to do.
+    Go,
+    /// The connection has been without a request for too long.
+    Idle,
+    /// The rest of a request didn't come in time.
+    Late,
+}
+
+/// Serves a connection until either side ends it.
+pub(super) fn serve_connection<H: Fn(Order) -> Reply + Clone>(
+    stream: TcpStream,
+    bounds: GateBounds,
+    state: &GateState,
+    handler: H,
+) {
+    let wire = Arc::new(Wire::new(stream));
+    let exchange = Rc::new(Exchange::new(state.rules().limits.request));
+    let service = service_fn(|request: hyper::Request<Incoming>| {
+        answer(request, handler.clone(), Caller::new(&wire), exchange.clone(), state)
+    });
+    let duct = Duct { wire: wire.clone(), write_patience: Some(Duct::WRITE_PATIENCE) };
+    let mut connection = pin!(
+        hyper::server::conn::http1::Builder::new()
+            .keep_alive(bounds.keep_alive)
+            .auto_date_header(false)
+            .max_header_size(HEAD_MOST)
+            .serve_connection(Intake { duct, exchange: exchange.clone() }, service)
+    );
+    let alarm = Arc::new(Alarm::default());
+    let waker = Waker::from(alarm.clone());
+    let mut context = Context::from_waker(&waker);
+    let mut wait = Wait { progress: exchange.progress(), since: Clock::now() };
+    let mut sent_before = 0;
+    loop {
+        let rules = heed(state, &exchange);
+        match connection.as_mut().poll(&mut context) {
+            Poll::Ready(outcome) => return end(&wire, &exchange, outcome),
+            Poll::Pending if alarm.take() => {
+                // A round that sent nothing: the source has nothing yet, so its caller is looked after.
+                let sent = wire.sent_count.load(Ordering::Relaxed);
+                let is_still = std::mem::replace(&mut sent_before, sent) == sent;
+                if exchange.is_replying.get() && is_still && wire.is_gone() {
+                    return;
+                }
+                continue;
+            }
+            Poll::Pending => {}
+        }
+        // Handlers and sources wait by themselves, so nothing pending means that the reply has been given.
+        if exchange.is_replying.replace(false) {
+            if exchange.progress() != RequestProgress::Whole {
+                // It was answered before it was read whole: what follows belongs to nothing.
+                return close_in_order(&wire);
+            }
+            exchange.next_request();
+            wait = Wait { progress: exchange.progress(), since: Clock::now() };
+            if exchange.framer.borrow().has_ready() {
+                continue;
+            }
+        }
+        let progress = exchange.progress();
+        match progress {
+            RequestProgress::Refused(fault) => {
+                #[cfg(test)]
+                if state.is_mutant(super::state::GateMutant::KeepDoubtful) {
+                    exchange.framer.borrow_mut().forget_fault(&exchange.limits.get());
+                    continue;
+                }
+                return refuse(&wire, fault);
+            }
+            // hyper has had all of it and has handed nothing on: it reads another end.
+            RequestProgress::Whole => return close_in_order(&wire),
+            _ => {}
+        }
+        if progress != wait.progress {
+            wait = Wait { progress, since: Clock::now() };
+        }
+        match wait_on(&wire, &bounds, &rules, &wait) {
+            Waited::Go => {}
+            Waited::Idle => return,
+            Waited::Late => return refuse_late(&wire, progress),
+        }
+    }
+}
+
+/// Takes up the limits in force.
+fn heed(state: &GateState, exchange: &Exchange) -> GateRules {
+    #[cfg_attr(not(test), expect(unused_mut, reason = "only mutants change it"))]
+    let mut rules = state.rules();
+    #[cfg(test)]
+    {
+        use super::state::GateMutant;
+        if state.is_mutant(GateMutant::IgnoreLimits) {
+            rules.limits.request.header_bytes = HEAD_MOST;
+            rules.limits.request.body_bytes = usize::MAX;
+            rules.limits.head_span = Span::seconds(3600);
+            rules.limits.idle_span = Span::seconds(3600);
+        }
+        if state.is_mutant(GateMutant::IgnoreChanges) {
+            rules.limits.request = exchange.limits.get();
+        }
+    }
+    exchange.limits.set(rules.limits.request);
+    rules
+}
+
+/// Reads a request whole and has it answered.
+async fn answer<H: Fn(Order) -> Reply>(
+    request: hyper::Request<Incoming>,
+    handler: H,
+    caller: Caller,
+    exchange: Rc<Exchange>,
+    state: &GateState,
+) -> Result<hyper::Response<ReplyBody>, Infallible> {
+    exchange.is_close_delimited.set(request.version() < hyper::Version::HTTP_11);
+    let (head, body) = request.into_parts();
+    let is_head = head.method == http::Method::HEAD;
+    let is_second = exchange.is_taken.replace(true);
+    let body = body.collect().await;
+    let is_whole = exchange.progress() == RequestProgress::Whole && !is_second;
+    let reply = match body {
+        Ok(body) if is_whole => {
+            exchange.is_replying.set(true);
+            handler(Order::new(head, body.to_bytes(), caller))
+        }
+        // The library and the framer disagree on where the request ends.
+        Ok(_) => Reply::result(ResultCode::BadOrder, "its end is in doubt"),
+        Err(_) => Reply::result(ResultCode::SlowBody, "the body was torn"),
+    };
+    exchange.is_replying.set(true);
+    let mut response = reply.into_hyper(is_head);
+    if state.is_leaving() || !is_whole {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+/// Until when what is awaited may come, and whether that is a request's first byte.
+fn wait_due(bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> (Moment, bool) {
+    match wait.progress {
+        RequestProgress::Nothing if bounds.keep_alive => {
+            // A limit binds a connection that rested when it came into force from then on.
+            let resting = wait.since.max(rules.limits_since) + rules.limits.idle_span;
+            (rules.left.map_or(resting, |left| resting.min(left + LEAVE_LINGER)), true)
+        }
+        RequestProgress::Nothing => (wait.since + rules.limits.head_span, true),
+        RequestProgress::Head => (wait.since + rules.limits.head_span, false),
+        _ => (wait.since + bounds.read_span, false),
+    }
+}
+
+/// Waits until there is something to do, as long as may be.
+fn wait_on(wire: &Wire, bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> Waited {
+    let (due, is_idle) = wait_due(bounds, rules, wait);
+    match await_wire(wire, None, Some(&rules.bell), due) {
+        Woken::Ready | Woken::Bell => Waited::Go,
+        Woken::Late | Woken::CallerGone if is_idle => Waited::Idle,
+        Woken::Late | Woken::CallerGone => Waited::Late,
+    }
+}
+
+/// hyper is done with the connection.
+fn end(wire: &Wire, exchange: &Exchange, outcome: Result<(), hyper::Error>) {
+    let Err(fault) = outcome else { return };
+    tracing::debug!("gate: a connection ended early: {fault}.");
+    // Where only the close tells the end of a body, it must not look like one.
+    if exchange.is_replying.get() && exchange.is_close_delimited.get() {
+        let _ = rustix::net::sockopt::set_socket_linger(&wire.stream, Some(Duration::ZERO));
+    }
+}
+
+/// Tells a client that its request can't be taken. Nothing of an answer is on the wire: the request was
+/// not handed on, and the answer before it had ended.
+fn refuse(wire: &Wire, fault: RequestFault) {
+    let reply = match fault {
+        RequestFault::Malformed(why) => Reply::result(ResultCode::BadOrder, why),
+        RequestFault::LargeHead => Reply::result(ResultCode::TooLarge, "the head is over the bound").with_status(431),
+        RequestFault::LargeBody => Reply::result(ResultCode::TooLarge, "the body is over the bound"),
+    };
+    tell_and_close(wire, reply);
+}
+
+/// Tells a client that the rest of its request didn't come in time.
+fn refuse_late(wire: &Wire, progress: RequestProgress) {
+    let what = if progress == RequestProgress::Head { "the head" } else { "the body" };
+    tell_and_close(wire, Reply::result(ResultCode::SlowBody, format!("{what} did not come in time")));
+}
+
+fn tell_and_close(wire: &Wire, reply: Reply) {
+    let _ = wire.stream.set_write_timeout(Some(REFUSAL_WRITE));
+    if (&wire.stream).write_all(&reply.into_last_bytes()).is_ok() {
+        close_in_order(wire);
+    }
+}
+
+/// Ends the connection such that the client can read all that was written.
+fn close_in_order(wire: &Wire) {
+    let due = Clock::now() + REFUSAL_LINGER;
+    if wire.stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let (mut buffer, mut drained) = (vec![0; 4 << 10], 0);
+    while drained < REFUSAL_DRAIN {
+        let left = Clock::now().until(due);
+        if left.0 == 0 || wire.stream.set_read_timeout(Some(left.duration())).is_err() {
+            return;
+        }
+        match (&wire.stream).read(&mut buffer) {
+            Ok(0) | Err(_) => return,
+            Ok(count) => drained += count,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -4,6 +4,7 @@
 //! through `hyper`, their kin, on one blocking thread a connection.
 
 mod ask;
+mod framing;
 mod gate;
 mod lines;
 mod post;
@@ -13,7 +14,8 @@
 /// What each file imports.
 pub mod prelude {
     pub use crate::ask::{Ask, AskError, AskExt, Heard, ask_delete, ask_get, ask_post, ask_with, read_all, read_page};
-    pub use crate::gate::{Gate, GateBounds, GateCloser, Order};
+    pub use crate::framing::RequestLimits;
+    pub use crate::gate::{Gate, GateBounds, GateCloser, GateLimiter, GateLimits, Order};
     pub use crate::lines::{Line, LineError, LinePull, Lines, LinesBounds, Waits};
     pub use crate::post::{Post, PostClass, PostTally};
     pub use crate::reply::{PieceSource, Pull, Reply};
--- a/crates/wicket/src/reply.rs
+++ b/crates/wicket/src/reply.rs
@@ -1,5 +1,8 @@
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+    UPGRADE,
+};
 use hyper::body::{Body, Frame};
 use parlance::prelude::*;
 use std::io;
@@ -40,7 +43,12 @@
 
 pub(crate) enum ReplyBody {
     Whole(Option<Bytes>),
-    Streamed { source: Box<dyn PieceSource>, has_given: bool },
+    Streamed {
+        source: Box<dyn PieceSource>,
+        has_given: bool,
+        /// Bytes still to come of the length that was told.
+        left: Option<u64>,
+    },
 }
 
 impl Reply {
@@ -57,7 +65,7 @@
     /// A server's answer, passed on as its pieces come. With a `content-length` among the headers that
     /// many bytes are to come, else it goes in chunks.
     pub fn passed_stream(status: u16, headers: HeaderMap, source: Box<dyn PieceSource>) -> Self {
-        Reply { status, headers: Box::new(headers), body: ReplyBody::Streamed { source, has_given: false } }
+        Reply { status, headers: Box::new(headers), body: ReplyBody::Streamed { source, has_given: false, left: None } }
     }
     /// A JSON value.
     pub fn json(status: u16, value: &impl serde::Serialize) -> Self {
@@ -101,6 +109,12 @@
         }
         self
     }
+    /// With another status.
+    #[must_use]
+    pub fn with_status(mut self, status: u16) -> Self {
+        self.status = status;
+        self
+    }
     /// Says when to come back, in seconds with their fraction, such as `0.25`.
     #[must_use]
     pub fn retry_after(mut self, span: Span) -> Self {
@@ -117,20 +131,49 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
-    /// As hyper takes it. The length is hyper's to tell, but where there is no body that has one.
+    /// As hyper takes it. The length is hyper's to tell, but where there is no body that has one; whether
+    /// the connection is kept, and how long, is the gate's.
     pub(crate) fn into_hyper(mut self, is_head: bool) -> hyper::Response<ReplyBody> {
-        self.headers.remove(TRANSFER_ENCODING);
-        if matches!(self.body, ReplyBody::Whole(_)) && !is_head {
-            self.headers.remove(CONTENT_LENGTH);
+        for name in [TRANSFER_ENCODING, CONNECTION, UPGRADE, HeaderName::from_static("keep-alive")] {
+            self.headers.remove(name);
+        }
+        let told = self.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
+        match &mut self.body {
+            ReplyBody::Whole(_) if !is_head => drop(self.headers.remove(CONTENT_LENGTH)),
+            ReplyBody::Whole(_) => {}
+            ReplyBody::Streamed { left, .. } => *left = told,
         }
         let mut response = hyper::Response::new(self.body);
-        *response.status_mut() = hyper::StatusCode::from_u16(self.status).unwrap_or_else(|_| {
-            tracing::warn!("reply: {} is no status.", self.status);
-            hyper::StatusCode::INTERNAL_SERVER_ERROR
-        });
+        *response.status_mut() = final_status(self.status);
         *response.headers_mut() = *self.headers;
         response
     }
+    /// The bytes of a whole reply that is the last one on its connection, for where hyper can't give it.
+    pub(crate) fn into_last_bytes(self) -> Vec<u8> {
+        let status = final_status(self.status);
+        let body = match self.body {
+            ReplyBody::Whole(body) => body.unwrap_or_default(),
+            ReplyBody::Streamed { .. } => Bytes::new(),
+        };
+        let mut bytes = format!("HTTP/1.1 {status}\r\n").into_bytes();
+        for (name, value) in self.headers.iter().filter(|(name, _)| **name != CONTENT_LENGTH) {
+            for part in [name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"] {
+                bytes.extend_from_slice(part);
+            }
+        }
+        bytes.extend_from_slice(format!("connection: close\r\ncontent-length: {}\r\n\r\n", body.len()).as_bytes());
+        bytes.extend_from_slice(&body);
+        bytes
+    }
+}
+
+/// A status that ends an exchange: one below 200 announces another answer, which won't come.
+fn final_status(status: u16) -> hyper::StatusCode {
+    let known = hyper::StatusCode::from_u16(status).ok().filter(|known| !known.is_informational());
+    known.unwrap_or_else(|| {
+        tracing::warn!("reply: {status} is no status of an answer.");
+        hyper::StatusCode::BAD_GATEWAY
+    })
 }
 
 impl Body for ReplyBody {
@@ -142,13 +185,20 @@
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
             ReplyBody::Whole(body) => Poll::Ready(body.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b)))),
-            ReplyBody::Streamed { source, has_given } => {
+            ReplyBody::Streamed { source, has_given, left } => {
                 if std::mem::take(has_given) {
                     context.waker().wake_by_ref();
                     return Poll::Pending;
                 }
                 match source.pull(source.patience()) {
                     Pull::Piece(bytes) => {
+                        if let Some(left) = left {
+                            // More than was told is no part of this answer, and of no other.
+                            let Some(rest) = left.checked_sub(bytes.len() as u64) else {
+                                return Poll::Ready(Some(Err(io::Error::other("more bytes than were told"))));
+                            };
+                            *left = rest;
+                        }
                         *has_given = true;
                         Poll::Ready(Some(Ok(Frame::data(bytes))))
                     }
--- a/crates/wicket/src/wire.rs
+++ b/crates/wicket/src/wire.rs
@@ -20,10 +20,6 @@
     pub may_read: AtomicBool,
     /// Whether a write waits for room.
     pub wants_room: AtomicBool,
-    /// Whether reads are to fail from now on: what was awaited has not come in time.
-    pub is_late: AtomicBool,
-    /// Bytes read from it so far.
-    pub read_count: AtomicU64,
     /// Bytes written to it so far.
     pub sent_count: AtomicU64,
 }
@@ -47,8 +43,6 @@
             stream,
             may_read: AtomicBool::new(true),
             wants_room: AtomicBool::new(false),
-            is_late: AtomicBool::new(false),
-            read_count: AtomicU64::new(0),
             sent_count: AtomicU64::new(0),
         }
     }
@@ -194,9 +188,6 @@
 impl hyper::rt::Read for Duct {
     fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
         let wire = &self.get_mut().wire;
-        if wire.is_late.load(Ordering::Relaxed) {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-        }
         if !wire.may_read.load(Ordering::Relaxed) {
             return Poll::Pending;
         }
@@ -209,7 +200,6 @@
                     if !bytes.is_empty() && bytes.len() < room {
                         wire.may_read.store(false, Ordering::Relaxed);
                     }
-                    wire.read_count.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                     cursor.put_slice(bytes);
                     return Poll::Ready(Ok(()));
                 }
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -113,11 +113,11 @@
         assert_eq!(client.answer().1, body);
         let mut slow = Client::connect(address);
         slow.say("POST / HT");
-        assert!(slow.rest().is_empty() || slow.rest().starts_with("HTTP/1.1 4"));
+        assert!(slow.rest().starts_with("HTTP/1.1 408 "), "its head is late");
     }
     client.say("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf");
     let rest = client.rest();
-    assert!(rest.is_empty() || rest.starts_with("HTTP/1.1 408"), "{rest}");
+    assert!(rest.starts_with("HTTP/1.1 408 ") && rest.contains("connection: close"), "{rest}");
 }
 
 #[test]
@@ -230,6 +230,77 @@
     assert!(outcome.is_err_and(|fault| fault.kind() == std::io::ErrorKind::ConnectionReset));
 }
 
+#[test]
+fn more_bytes_than_an_answer_told_are_no_part_of_it_and_end_its_connection() {
+    let (address, _closer, fed) =
+        fed_gate(HeaderMap::from_iter([("content-length".parse().unwrap(), HeaderValue::from_static("4"))]));
+    let mut client = Client::connect(address);
+    client.say("GET / HTTP/1.1\r\nhost: a\r\n\r\nGET /next HTTP/1.1\r\nhost: a\r\n\r\n");
+    let feed = fed.recv_timeout(PATIENCE).unwrap();
+    feed.send(piece("one")).unwrap();
+    feed.send(piece("HTTP/1.1 200 OK\r\n\r\n")).unwrap();
+    client.head();
+    assert_eq!(client.rest(), "one");
+    assert!(fed.try_recv().is_err(), "the next request was handed on");
+}
+
+#[test]
+fn nothing_is_handed_on_behind_an_answer_that_was_cut() {
+    let (address, _closer, fed) = fed_gate(HeaderMap::new());
+    let mut client = Client::connect(address);
+    client.say("GET / HTTP/1.1\r\nhost: a\r\n\r\nGET /next HTTP/1.1\r\nhost: a\r\n\r\n");
+    let feed = fed.recv_timeout(PATIENCE).unwrap();
+    feed.send(piece("one")).unwrap();
+    feed.send(Pull::Cut).unwrap();
+    client.head();
+    assert_eq!(client.rest(), "3\r\none\r\n");
+    assert!(fed.try_recv().is_err(), "the next request was handed on");
+}
+
+#[test]
+fn what_a_server_says_of_its_own_connection_is_not_passed_on() {
+    let (address, _closer) = gate(bounds(), |_| {
+        let reply = Reply::passed(103, HeaderMap::new(), "x");
+        let headers = [("keep-alive", "timeout=60"), ("connection", "close"), ("upgrade", "h2c"), ("x", "1")];
+        headers.into_iter().fold(reply, |reply, (name, value)| reply.with_header(name, value))
+    });
+    let mut client = Client::connect(address);
+    for _ in 0..2 {
+        client.say("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        let (head, _) = client.answer();
+        // What announces another answer is none.
+        assert!(head.starts_with("http/1.1 502 ") && head.contains("x: 1\r\n"), "{head}");
+        assert!(!["keep-alive", "connection", "upgrade"].iter().any(|name| head.contains(name)), "{head}");
+    }
+}
+
+#[test]
+fn an_answer_is_never_written_to_a_later_connection_of_the_same_number() {
+    let (waiting, releases) = mpsc::channel();
+    let (address, _closer) = gate(bounds(), move |order| {
+        if order.path == "/wait" {
+            let (release, released) = mpsc::channel::<()>();
+            waiting.send((order.caller.clone(), release)).unwrap();
+            let _ = released.recv_timeout(PATIENCE);
+        }
+        Reply::passed(200, HeaderMap::new(), order.path)
+    });
+    for _ in 0..20 {
+        let mut gone = Client::connect(address);
+        gone.say("GET /wait HTTP/1.1\r\nhost: a\r\n\r\n");
+        let (caller, release) = releases.recv_timeout(PATIENCE).unwrap();
+        drop(gone);
+        drop(release);
+        let mut next = Client::connect(address);
+        next.say("GET /next HTTP/1.1\r\nhost: a\r\n\r\n");
+        assert_eq!(next.answer().1, "/next");
+        // It is that connection which is watched, not whatever has its number now.
+        assert!(caller.is_gone());
+        next.0.get_mut().shutdown(std::net::Shutdown::Write).unwrap();
+        assert_eq!(next.rest(), "");
+    }
+}
+
 #[test]
 fn a_caller_that_has_gone_is_seen_also_behind_pipelined_bytes() {
     for said in ["", "GET /next HTTP/1.1\r\n"] {
