A plan's limits hold at the ingress, and its connections are shared by nodes

Cause: a plan's bounds and a service's connections were kept and acted on by nothing: the ingress had bounds of its own, and each node held up to 64 connections to a server that accepts so many from all of them together.

Change: with the plan that a node takes up, its limits are set at the gate, open connections included. A node holds itself to the service's connections divided by the members it knows and one in eight more, at least 1; connections at rest count. What is over a share that has become smaller is closed, at rest at once and in use when free (one line more in the pool's put_idle).

Tests: limits at the ingress on open connections; shares against a real server, their sum, two mutants.

--- /dev/null
+++ b/crates/crier/src/call_limits/tests.rs
@@ -0,0 +1,155 @@
+use super::*;
+use bytes::Bytes;
+use yare::parameterized;
+
+/// Nothing is judged by it: it ends a test that would hang.
+const GUARD: Span = Span::seconds(30);
+
+#[parameterized(
+    small_site = { 650, 12 },
+    grown_site = { 690, 88 },
+    few_connections = { 130, 88 },
+    one_node = { 40, 1 },
+    no_node_known = { 40, 0 },
+    as_many_nodes_as_connections = { 12, 10 },
+)]
+fn shares_never_add_up_to_more_than_a_server_accepts(accepted: usize, members: usize) {
+    let share = connection_share(accepted, members);
+    let joining = members.max(1).div_ceil(JOINING_PART);
+    assert!(share >= 1 && share * (members + joining) <= accepted, "{share} each of {members} and {joining}");
+}
+
+#[test]
+fn a_share_is_one_at_least_and_no_more_than_a_node_holds() {
+    assert_eq!([connection_share(5, 88), connection_share(1, 1)], [1, 1]);
+    assert_eq!([connection_share(100_000, 2), connection_share(0, 88)], [MOST_TO_ONE_SERVER; 2]);
+    assert_eq!([connection_share(690, 88), connection_share(590, 88), connection_share(650, 12)], [6, 5, 46]);
+}
+
+/// A server that keeps its connections, and answers once released.
+struct Server {
+    address: SocketAddr,
+    at_work: flume::Receiver<flume::Sender<()>>,
+}
+
+impl Server {
+    fn start() -> Server {
+        let bounds = GateBounds { keep_alive: true, ..GateBounds::default() };
+        let gate = Gate::open("127.0.0.1:0".parse().expect("an address"), bounds).expect("a port");
+        let address = gate.address().0;
+        let (work, at_work) = flume::unbounded();
+        std::thread::spawn(move || {
+            gate.serve(move |_| {
+                let (release, released) = flume::bounded::<()>(1);
+                let _ = work.send(release);
+                let _ = released.recv_timeout(GUARD.duration());
+                Reply::passed(200, http::HeaderMap::new(), "")
+            })
+        });
+        Server { address, at_work }
+    }
+}
+
+fn ask(lines: &Lines, address: SocketAddr) -> Result<Line, LineError> {
+    let request = http::Request::builder().uri("/").header("host", "a").body(Bytes::new()).expect("a request");
+    let waits = Waits { connect: GUARD, head_due: Clock::now() + GUARD, may_leave: &|| true, caller: None };
+    lines.ask(address, request, &waits)
+}
+
+fn plan(accepted: usize) -> Plan {
+    let plan = serde_json::json!({"services": {"s": {"connections": accepted}}});
+    parse_plan(plan.to_string().as_bytes()).expect("a good plan")
+}
+
+fn limits(mutant: Option<LimitsMutant>) -> (CallLimits, Lines) {
+    let gate = Gate::open("127.0.0.1:0".parse().expect("an address"), GateBounds::default()).expect("a port");
+    let lines = Lines::new(LinesBounds { per_address: 64, idle_per_address: 32, idle_span: GUARD });
+    (CallLimits { mutant, ..CallLimits::new(gate.limiter(), lines.clone()) }, lines)
+}
+
+/// Asks so often at the same time; the requests are answered once all that could be sent have come.
+fn ask_at_once(lines: &Lines, server: &Server, count: usize) -> Vec<Result<Line, LineError>> {
+    let asking: Vec<_> = (0..count)
+        .map(|_| {
+            let (lines, address) = (lines.clone(), server.address);
+            std::thread::spawn(move || ask(&lines, address))
+        })
+        .collect();
+    let full = |asking: &[std::thread::JoinHandle<_>]| asking.iter().filter(|one| one.is_finished()).count();
+    let mut at_work = vec![];
+    while at_work.len() + full(&asking) < count {
+        at_work.extend(server.at_work.recv_timeout(std::time::Duration::from_millis(5)));
+    }
+    at_work.clear();
+    asking.into_iter().map(|one| one.join().expect("no panic")).collect()
+}
+
+fn opens_its_share_alone(mutant: Option<LimitsMutant>) -> bool {
+    let (limits, lines) = limits(mutant);
+    let server = Server::start();
+    limits.take_members(4);
+    limits.take_plan(&plan(15));
+    limits.hold(server.address, &"s".into());
+    // 15 over 4 members and one that may be joining.
+    let outcomes = ask_at_once(&lines, &server, 8);
+    let is_full = |outcome: &&Result<Line, LineError>| matches!(outcome, Err(LineError::Full));
+    outcomes.iter().filter(is_full).count() == 5 && lines.open_count(server.address) == 3
+}
+
+fn closes_what_rests_beyond_its_share(mutant: Option<LimitsMutant>) -> bool {
+    let (limits, lines) = limits(mutant);
+    let server = Server::start();
+    limits.take_plan(&plan(15));
+    limits.hold(server.address, &"s".into());
+    let opened: Vec<Line> = ask_at_once(&lines, &server, 6).into_iter().flatten().collect();
+    opened.into_iter().for_each(Line::keep);
+    assert_eq!((lines.open_count(server.address), lines.idle_count(server.address)), (6, 6));
+    limits.take_members(4);
+    lines.open_count(server.address) <= 3
+}
+
+#[test]
+fn a_node_opens_no_more_connections_than_its_share_and_those_at_rest_count() {
+    assert!(opens_its_share_alone(None) && closes_what_rests_beyond_its_share(None));
+}
+
+#[test]
+fn each_mutant_is_caught() {
+    assert!(!opens_its_share_alone(Some(LimitsMutant::TakeAll)));
+    assert!(!closes_what_rests_beyond_its_share(Some(LimitsMutant::ForgetIdle)));
+}
+
+#[test]
+fn what_is_in_use_beyond_a_smaller_share_is_closed_once_it_is_free() {
+    let (limits, lines) = limits(None);
+    let server = Server::start();
+    limits.take_plan(&plan(15));
+    limits.hold(server.address, &"s".into());
+    let opened: Vec<Line> = ask_at_once(&lines, &server, 6).into_iter().flatten().collect();
+    limits.take_plan(&plan(4));
+    assert_eq!(lines.open_count(server.address), 6, "in use");
+    opened.into_iter().for_each(Line::keep);
+    assert_eq!((lines.open_count(server.address), lines.idle_count(server.address)), (2, 2));
+}
+
+#[test]
+fn an_address_that_serves_another_service_has_the_share_of_that() {
+    let (limits, lines) = limits(None);
+    let server = Server::start();
+    let both = serde_json::json!({"services": {"s": {"connections": 2}, "t": {"connections": 8}}});
+    limits.take_plan(&parse_plan(both.to_string().as_bytes()).expect("a good plan"));
+    limits.hold(server.address, &"s".into());
+    assert_eq!(ask_at_once(&lines, &server, 6).into_iter().flatten().count(), 1);
+    limits.hold(server.address, &"t".into());
+    assert_eq!(ask_at_once(&lines, &server, 6).into_iter().flatten().count(), 4);
+}
+
+#[test]
+fn addresses_without_a_connection_are_forgotten() {
+    let (limits, _lines) = limits(None);
+    for port in 1..100 {
+        limits.hold(Address::loopback(port).0, &"s".into());
+    }
+    limits.take_members(3);
+    assert_eq!(limits.held().services.len(), 0);
+}
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -1,3 +1,4 @@
+use crate::call_limits::SharedLimits;
 use crate::carrier::{fetch, resume, take_order};
 use crate::ingress::Ingress;
 use crate::list_reader;
@@ -93,6 +94,7 @@
         plan: RwLock::default(),
         is_ready: AtomicBool::new(false),
         arrived: AtomicU64::new(0),
+        limits: SharedLimits::new(),
     });
     let has_calls = dialects.calls.is_some();
     let (ingress, list) = match dialects.calls {
@@ -254,6 +256,8 @@
         let is_ready = self.node.is_ready(now) && !self.is_leaving;
         self.door.is_ready.store(is_ready, Ordering::SeqCst);
         self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
+        // First the members: a plan is put into force for as many as there are.
+        self.door.shared.take_members(self.node.member_count());
         self.door.shared.take_plan(self.node.plan());
         tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -287,6 +287,7 @@
         plan: RwLock::default(),
         is_ready: AtomicBool::new(true),
         arrived: AtomicU64::new(0),
+        limits: crate::call_limits::SharedLimits::new(),
     };
     (Arc::new(shared), inbox)
 }
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -1,5 +1,6 @@
 //! The door for callers of another dialect than the product's own.
 
+use crate::call_limits::{CallLimits, MOST_TO_ONE_SERVER};
 use crate::forward::Forwarder;
 use crate::prelude::*;
 use crate::shared::Shared;
@@ -15,9 +16,6 @@
     pub addresses: (Address, Address),
 }
 
-/// Connections of one node to one server, idle ones among them.
-const LINES_MOST: usize = 64;
-
 const START_LOOK: Span = Span(5);
 
 fn await_ready(shared: &Shared, patience: Span) {
@@ -45,10 +43,14 @@
         let bounds = GateBounds { connections: 32, body_bytes: 1 << 10, ..bounds };
         let probe_gate = Gate::open(probed.0, bounds).map_err(|fault| format!("readiness = {probed}: {fault}"))?;
         let lines = Lines::new(LinesBounds {
-            per_address: LINES_MOST,
-            idle_per_address: LINES_MOST / 2,
+            per_address: MOST_TO_ONE_SERVER,
+            idle_per_address: MOST_TO_ONE_SERVER / 2,
             idle_span: Span::seconds(20),
         });
+        let limits = CallLimits::new(gate.limiter(), lines.clone());
+        if shared.limits.set(Arc::new(limits)).is_err() {
+            return Err("a node has one gate of callers".into());
+        }
         let (shared_by_gate, patience) = (shared.clone(), Span(settings.start_wait_ms));
         let forwarder = Arc::new(Forwarder {
             shared: shared.clone(),
--- a/crates/crier/src/ingress/tests.rs
+++ b/crates/crier/src/ingress/tests.rs
@@ -119,3 +119,34 @@
     assert!(arrived > Moment(0));
     assert!(!shared.is_quiet(arrived + Span(1000)) && shared.is_quiet(arrived + Span(1500)));
 }
+
+/// Posts a body on a kept connection; gives the status.
+fn post(mut stream: &TcpStream, body_bytes: usize) -> String {
+    let head = format!("POST /p/x HTTP/1.1\r\nhost: h\r\nx-call: c1\r\ncontent-length: {body_bytes}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("written");
+    stream.write_all(&vec![b'x'; body_bytes]).expect("written");
+    answer(stream)[9..12].to_owned()
+}
+
+#[test]
+fn a_plans_limits_bind_callers_from_when_it_is_in_force_also_on_open_connections() {
+    let (ingress, shared) = open(0);
+    let take = |bounds: &str| {
+        let plan = format!(r#"{{"services": {{}}, "bounds": {bounds}}}"#);
+        shared.take_plan(Some(&Arc::new(parse_plan(plan.as_bytes()).expect("a plan"))));
+    };
+    let mut kept: Vec<TcpStream> = (0..4).map(|_| connect(ingress.addresses.0)).collect();
+    assert!(kept.iter().all(|caller| post(caller, 3000) == "503"), "nothing is in force");
+    take(r#"{"max_body_bytes": 2000, "max_header_bytes": 500, "idle_timeout_ms": 3600000}"#);
+    assert_eq!(post(&kept[0], 2000), "503");
+    assert_eq!(post(&kept[0], 2001), "413");
+    send(&kept[1], &format!("/{}", "x".repeat(500)));
+    assert!(answer(&kept[1]).starts_with("HTTP/1.1 431 "));
+    take(r#"{"header_read_ms": 100, "idle_timeout_ms": 3600000}"#);
+    kept[2].write_all(b"GET / HT").expect("written");
+    assert!(answer(&kept[2]).starts_with("HTTP/1.1 408 "));
+    take(r#"{"idle_timeout_ms": 100}"#);
+    assert_eq!(kept[3].read(&mut [0]).expect("closed in order"), 0);
+    // Its readiness is told as ever.
+    assert!(probe(&ingress, &format!("/{}", "x".repeat(500))).starts_with("HTTP/1.1 404 "));
+}
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod book;
 mod call;
+mod call_limits;
 mod carrier;
 mod chart;
 mod daemon;
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -420,6 +420,10 @@
     pub fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
     }
+    /// How many nodes share the servers, as far as known here.
+    pub fn member_count(&self) -> usize {
+        self.members.len()
+    }
     /// Its standing.
     pub fn standing(&self) -> &Standing {
         &self.standing
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -1,3 +1,4 @@
+use crate::call_limits::SharedLimits;
 use crate::prelude::*;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
@@ -20,6 +21,8 @@
     pub is_ready: AtomicBool,
     /// When the last request came, as a moment.
     pub arrived: AtomicU64,
+    /// What puts a plan's limits on connections into force; none without a gate of callers.
+    pub limits: SharedLimits,
 }
 
 /// A place among the orders in hand; given back when dropped, together with the order's id.
@@ -68,12 +71,23 @@
         inbox.recv_timeout(Duration::from_secs(2)).ok()
     }
     pub fn ask_desk(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
-        self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
+        let service = match &input {
+            NodeInput::Place(ask) => Some(ask.service.clone()),
+            _ => None,
+        };
+        let outcome = self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
             // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
             // another order of this id may be in hand.
             self.tell_ended(&place.order, Outcome::Refused);
             Err(silence())
-        })
+        });
+        // Before a connection to that server is opened.
+        if let (Some(limits), Some(service), Ok(placing)) = (self.limits.get(), service, &outcome)
+            && let Ok(address) = placing.address.parse()
+        {
+            limits.hold(address, &service);
+        }
+        outcome
     }
     /// Takes up the plan that the control thread holds now.
     pub fn take_plan(&self, plan: Option<&Arc<Plan>>) {
@@ -82,8 +96,13 @@
         if !self.plan.read().expect("no thread panics with it").as_ref().is_some_and(is_same) {
             let held = (plan.clone(), Arc::new(plan.route_table()));
             *self.plan.write().expect("no thread panics with it") = Some(held);
+            self.limits.get().into_iter().for_each(|limits| limits.take_plan(plan));
         }
     }
+    /// So many nodes share the servers.
+    pub fn take_members(&self, count: usize) {
+        self.limits.get().into_iter().for_each(|limits| limits.take_members(count));
+    }
     /// Whether no request has come for a while.
     pub fn is_quiet(&self, now: Moment) -> bool {
         now.since(Moment(self.arrived.load(Ordering::Relaxed))) >= Span(1200)
--- a/crates/wicket/src/lines.rs
+++ b/crates/wicket/src/lines.rs
@@ -239,7 +239,8 @@
         // It is open itself, so its address is held.
         if let Some(held) = pool.addresses.get_mut(&to) {
             held.idle.push_back(idle);
-            if held.idle.len() > most {
+            // One over the bound, which has become smaller, is not kept either.
+            if held.idle.len() > most || held.most.is_some_and(|most| most > 0 && held.open_count > most) {
                 surplus = held.idle.pop_front();
             }
         }
