The last answer on a connection isn't lost to bytes sent behind its request

Cause: closing with unread bytes resets the connection, and the reset takes what the client hasn't read of the answer with it.

Change: such a connection is closed in order: the writing side first, the rest read and dropped for up to a second. The new test fails without it (reset).

--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/wicket/src/gate/connection.rs
@@ -5,7 +5,7 @@
 use super::{GateBounds, Order};
 use crate::framing::{RequestFault, RequestProgress};
 use crate::reply::{Reply, ReplyBody};
-use crate::wire::{Alarm, Caller, Duct, Wire, Woken, await_wire};
+use crate::wire::{Alarm, Caller, Duct, Peeked, Wire, Woken, await_wire};
 use http::HeaderValue;
 use http::header::CONNECTION;
 use http_body_util::BodyExt;
@@ -205,7 +205,13 @@
 
 /// hyper is done with the connection.
 fn end(wire: &Wire, exchange: &Exchange, outcome: Result<(), hyper::Error>) {
-    let Err(fault) = outcome else { return };
+    let Err(fault) = outcome else {
+        // Bytes behind the last request are nothing's, but a close with them unread would reset the connection.
+        if wire.peek() == Peeked::Bytes {
+            close_in_order(wire);
+        }
+        return;
+    };
     tracing::debug!("gate: a connection ended early: {fault}.");
     // Where only the close tells the end of a body, it must not look like one.
     if exchange.is_replying.get() && exchange.is_close_delimited.get() {
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -301,6 +301,35 @@
     }
 }
 
+#[test]
+fn a_last_answer_comes_whole_whatever_was_sent_behind_its_request() {
+    let (address, _closer) = gate(bounds(), |_| Reply::passed(200, HeaderMap::new(), "x".repeat(1 << 20)));
+    let mut client = Client::connect(address);
+    let mut writer = client.0.get_ref().try_clone().unwrap();
+    client.say("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    let behind = std::thread::spawn(move || {
+        let _ = writer.write_all("GET /behind HTTP/1.1\r\nhost: a\r\n\r\n".repeat(20_000).as_bytes());
+        let _ = writer.shutdown(std::net::Shutdown::Write);
+    });
+    assert_eq!(client.answer().1.len(), 1 << 20);
+    let mut rest = vec![];
+    assert_eq!(client.0.read_to_end(&mut rest).unwrap(), 0, "it ends in order");
+    behind.join().unwrap();
+}
+
+#[test]
+fn a_client_that_asks_first_whether_to_go_on_is_told_to() {
+    let (address, _closer) = gate(bounds(), echo);
+    let mut client = Client::connect(address);
+    let head = "POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n";
+    for _ in 0..2 {
+        client.say(head);
+        assert!(client.head().starts_with("http/1.1 100 "));
+        client.say("abc");
+        assert_eq!(client.answer().1, "abc");
+    }
+}
+
 #[test]
 fn a_caller_that_has_gone_is_seen_also_behind_pipelined_bytes() {
     for said in ["", "GET /next HTTP/1.1\r\n"] {
