--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -46,7 +46,7 @@
     Complete = 0, 200, 0, "complete", "The whole answer was given.";
     BadOrder = 100, 400, 0, "bad-order", "The order can't be read; nothing ran.";
     UnknownService = 101, 404, 0, "unknown-service", "No accepted plan allows this service; nothing ran.";
-    TooLarge = 102, 413, 0, "too-large", "The body is over the bound; nothing ran.";
+    TooLarge = 102, 413, 0, "too-large", "The body, or with status 431 the head, is over the bound; nothing ran.";
     Crowded = 103, 429, 1, "crowded", "The first piece would come later than the plan allows; nothing ran. Come back after Retry-After.";
     NoServer = 104, 503, 1, "no-server", "No server that the plan allows can take it now; nothing ran.";
     NotReady = 105, 503, 1, "not-ready", "This node has no live lease or layout; nothing ran.";
@@ -54,7 +54,7 @@
     Busy = 107, 503, 1, "busy", "This node is at its bound of orders; nothing ran.";
     ServerRefused = 108, 503, 1, "server-refused", "The servers asked refused it without running it.";
     Unsent = 109, 503, 1, "unsent", "No byte of it reached a server.";
-    SlowBody = 110, 408, 1, "slow-body", "The body did not arrive in time; nothing ran.";
+    SlowBody = 110, 408, 1, "slow-body", "The request did not arrive whole in time; nothing ran.";
     BadToken = 111, 400, 0, "bad-token", "The resume token can't be read; nothing ran.";
     NotFound = 113, 404, 0, "not-found", "There is nothing at this path.";
     Unknown = 200, 502, 0, "unknown", "It may have run: the server was asked and gave no answer.";
