--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/wicket/src/gate/connection.rs
@@ -75,8 +75,11 @@
     let mut context = Context::from_waker(&waker);
     let mut wait = Wait { progress: exchange.progress(), since: Clock::now() };
     let mut sent_before = 0;
+    let mut rules = heed(state, &exchange);
     loop {
-        let rules = heed(state, &exchange);
+        if state.has_changed(&rules) {
+            rules = heed(state, &exchange);
+        }
         match connection.as_mut().poll(&mut context) {
             Poll::Ready(outcome) => return end(&wire, &exchange, outcome),
             Poll::Pending if alarm.take() => {
--- a/crates/wicket/src/gate/state.rs
+++ b/crates/wicket/src/gate/state.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io;
 use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Limits of a gate that may change while it serves.
@@ -33,6 +34,8 @@
 /// What holds for a gate's connections at one moment.
 #[derive(Debug, Clone)]
 pub(crate) struct GateRules {
+    /// How often they have changed.
+    pub generation: u64,
     pub limits: GateLimits,
     /// Since when those are in force.
     pub limits_since: Moment,
@@ -46,6 +49,8 @@
 #[derive(Debug)]
 pub(crate) struct GateState {
     held: Mutex<Held>,
+    /// That of the rules held, to be looked at without their lock.
+    generation: AtomicU64,
     #[cfg(test)]
     pub mutant: Option<GateMutant>,
 }
@@ -59,9 +64,10 @@
 impl GateState {
     pub fn new(limits: GateLimits) -> io::Result<Self> {
         let (bell, rope) = new_bell()?;
-        let rules = GateRules { limits, limits_since: Clock::now(), left: None, bell };
+        let rules = GateRules { generation: 0, limits, limits_since: Clock::now(), left: None, bell };
         Ok(GateState {
             held: Mutex::new(Held { rules, rope: Some(rope) }),
+            generation: AtomicU64::new(0),
             #[cfg(test)]
             mutant: None,
         })
@@ -75,6 +81,11 @@
         self.held().rules.clone()
     }
 
+    /// Whether these are no longer those in force.
+    pub fn has_changed(&self, rules: &GateRules) -> bool {
+        self.generation.load(Ordering::SeqCst) != rules.generation
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.held().rules.left.is_some()
     }
@@ -82,7 +93,7 @@
     pub fn leave(&self) {
         let mut held = self.held();
         held.rules.left.get_or_insert_with(Clock::now);
-        held.ring();
+        self.tell_change(&mut held);
     }
 
     pub fn set_limits(&self, limits: GateLimits) {
@@ -90,10 +101,16 @@
         if held.rules.limits != limits {
             held.rules.limits = limits;
             held.rules.limits_since = Clock::now();
-            held.ring();
+            self.tell_change(&mut held);
         }
     }
 
+    fn tell_change(&self, held: &mut Held) {
+        held.rules.generation += 1;
+        self.generation.store(held.rules.generation, Ordering::SeqCst);
+        held.ring();
+    }
+
     #[cfg(test)]
     pub fn is_mutant(&self, mutant: GateMutant) -> bool {
         self.mutant == Some(mutant)
