--- a/crates/crier/src/forward/detached.rs
+++ b/crates/crier/src/forward/detached.rs
@@ -63,8 +63,4 @@
     pub fn reply(&self, request: Order) -> Reply {
         self.forwarder.reply(request)
     }
-    /// Closes the connections that wait for reuse and whose time is over.
-    pub fn drop_stale(&self) {
-        self.forwarder.lines.drop_stale();
-    }
 }
