Only the tail, under its lease, tells operators that a change can't be taken

Cause: the head turned proposals away as final answers out of its own state. That holds changes which are on its disk alone and may vanish with it, or is the state of a view that is past. An operator was told 409 for a number that nobody was ever confirmed on, and the change that stood in its way was lost with the head's disk.

Change: a head that would not take a proposal sends it to the tail of its view (Note::Judge, with the last change of the state it looked at). The tail judges it once more, against a state that is on every disk of the chain, and its word goes out like an acknowledgement: only by the tail of the view in force, under its lease. A tail that is not as far, of another view, or that finds the proposal good, has it proposed again. Nothing of a refusal enters the log.

--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -96,7 +96,7 @@
                 let text = String::from_utf8_lossy(&body).into_owned();
                 self.replies.push(if is_replied { text } else { "the core could not take it".into() });
             }
-            Output::Settled { ticket, body } => {
+            Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
                 let reply = self.fellows[place].as_mut().and_then(|fellow| fellow.reply(self.now, ticket, body));
                 reply.into_iter().for_each(|output| self.act(place, output));
             }
--- a/crates/college/src/charge.rs
+++ b/crates/college/src/charge.rs
@@ -3,7 +3,8 @@
 pub enum Preview {
     /// It may enter.
     Enter,
-    /// It must not; the answer for whoever proposed it. Nothing is kept of it.
+    /// It must not; the answer for whoever proposed it, true only of the state that was looked at. Nothing is
+    /// kept of it.
     TurnAway(Vec<u8>),
 }
 
@@ -12,7 +13,8 @@
 /// Invariant: `apply` depends on nothing but the state and the body, so all who applied the same
 /// bodies hold the same state, and `restore(snapshot())` is that state again.
 pub trait Charge {
-    /// Looks at a body against the newest state, at the head.
+    /// Looks at a body against the newest state: at the head, before it enters; and at the tail, before whoever
+    /// proposed it is told that it can't.
     fn preview(&self, body: &[u8]) -> Preview;
     /// Whether a body may only enter while more than half of the members hold leases.
     fn needs_members(&self, _body: &[u8]) -> bool {
--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -122,6 +122,14 @@
         /// The charge's answer.
         body: Vec<u8>,
     },
+    /// At the tail: this proposal can't be taken, by a state that is on every member's disk. Answered as
+    /// [`Output::Settled`] is.
+    Judged {
+        /// Who waits.
+        ticket: Ticket,
+        /// The charge's answer.
+        body: Vec<u8>,
+    },
     /// The chain or the voters changed.
     ViewChanged(View),
 }
@@ -630,6 +638,7 @@
                 self.on_snapshot_piece(from, last, stamp, offset, length, bytes);
             }
             Note::Propose { ticket, body } => self.on_propose(ticket, body),
+            Note::Judge { view, ticket, last, body } => self.on_judge(from, view, ticket, last, body),
             Note::Reply { number, is_replied, body } => {
                 self.outputs.push(Output::Reply { number, is_replied, body });
             }
--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/fellow/chain.rs
@@ -26,7 +26,7 @@
             return self.turn_away(ticket, false, vec![]);
         }
         match self.charge.preview(&body) {
-            Preview::TurnAway(answer) => self.turn_away(ticket, true, answer),
+            Preview::TurnAway(_) => self.ask_for_judgement(ticket, body),
             Preview::Enter => {
                 let change = Change { seq: self.last.0.next(), stamp: self.view.epoch, ticket, body };
                 self.append(change);
@@ -34,6 +34,28 @@
         }
     }
 
+    /// Has the tail say that a proposal can't be taken: the head's own state may never be accepted.
+    fn ask_for_judgement(&mut self, ticket: Ticket, body: Vec<u8>) {
+        let Some(tail) = self.view.tail() else { return self.turn_away(ticket, false, vec![]) };
+        let note = Note::Judge { view: self.view.epoch, ticket, last: self.synced.0, body };
+        self.send(tail.address, note);
+    }
+
+    /// Judges a proposal that the head would not take. The answer is given like that to a change: by the tail
+    /// of the view in force, under its lease, once its state is accepted. A tail that is not as far as the head
+    /// was, or finds that it can be taken, has it proposed again.
+    pub(super) fn on_judge(&mut self, from: Address, view: ViewEpoch, ticket: Ticket, last: Seq, body: Vec<u8>) {
+        let is_heads = view == self.view.epoch && self.view.head().is_some_and(|head| head.address == from);
+        let may_judge = is_heads && self.is_tail() && self.is_level && self.has_copies() && self.synced.0 >= last;
+        if !may_judge {
+            return self.turn_away(ticket, false, vec![]);
+        }
+        match self.charge.preview(&body) {
+            Preview::TurnAway(answer) => self.outputs.push(Output::Judged { ticket, body: answer }),
+            Preview::Enter => self.turn_away(ticket, false, vec![]),
+        }
+    }
+
     /// Whether the chain is long enough that what passed down it is on as many disks as a change must be.
     pub fn has_copies(&self) -> bool {
         self.view.chain.len() >= self.timing.copies
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -301,7 +301,9 @@
                             self.records[place].extend(records);
                             inputs.push_back((place, Input::Written { id }));
                         }
-                        Output::Settled { ticket, body } => outputs.extend(fellow.reply(at, ticket, body)),
+                        Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
+                            outputs.extend(fellow.reply(at, ticket, body))
+                        }
                         Output::Reply { is_replied, .. } => told = Some(is_replied),
                         Output::ViewChanged(_) => {}
                     }
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -199,6 +199,18 @@
             /// The charge's answer; empty when the core could not take it.
             body: Vec<u8>,
         },
+        /// From the head to the tail: by my state, this proposal can't be taken. Mine may be on one disk only,
+        /// or of a view that is past, so say so yourself, or that it isn't so.
+        Judge {
+            /// In this view.
+            view: ViewEpoch,
+            /// Who waits.
+            ticket: Ticket,
+            /// The last change of the state that it was judged against.
+            last: Seq,
+            /// The proposal.
+            body: Vec<u8>,
+        },
     }
 
     /// What goes to disk, in order. A snapshot is kept as a file of its own.
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -275,7 +275,10 @@
                     self.outputs.push(OfficeOutput::Write { id, records, is_whole });
                 }
                 Output::Reply { number, is_replied, body } => self.on_reply(number, is_replied, body),
-                Output::Settled { ticket, body } => {
+                Output::Judged { ticket, body } if self.is_firm(self.fellow.charge().epoch) => {
+                    self.answer(ticket, body);
+                }
+                Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
                     let epoch = self.fellow.charge().epoch;
                     let due = self.now + self.timing.fate_due;
                     self.settled.push_back(Settled { epoch, ticket, body, due });
@@ -294,7 +297,7 @@
         let is_bulk = match &note {
             Note::SnapshotPiece { .. } | Note::Feed { .. } => true,
             Note::Pass { change, .. } => change.body.len() > 64 << 10,
-            Note::Propose { body, .. } => body.len() > 64 << 10,
+            Note::Propose { body, .. } | Note::Judge { body, .. } => body.len() > 64 << 10,
             _ => false,
         };
         self.outputs.push(OfficeOutput::Send { to, is_bulk, letter: Letter::Note { note: Box::new(note) } });
@@ -416,11 +419,16 @@
             if !is_known && settled.ticket.number < INNER {
                 continue;
             }
-            match self.fellow.reply(self.now, settled.ticket, settled.body) {
-                Some(Output::Send { to, note }) => self.send_note(to, note),
-                Some(Output::Reply { number, is_replied, body }) => self.on_reply(number, is_replied, body),
-                _ => {}
-            }
+            self.answer(settled.ticket, settled.body);
+        }
+    }
+
+    /// Gives an answer for the core, if this is still the tail and may.
+    fn answer(&mut self, ticket: Ticket, body: Vec<u8>) {
+        match self.fellow.reply(self.now, ticket, body) {
+            Some(Output::Send { to, note }) => self.send_note(to, note),
+            Some(Output::Reply { number, is_replied, body }) => self.on_reply(number, is_replied, body),
+            _ => {}
         }
     }
 
--- /dev/null
+++ b/crates/registrar/tests/control/mod.rs
@@ -0,0 +1,285 @@
+//! Three control machines on virtual time: lines that can be held or cut, disks that lose what is not
+//! synced, machines that are killed or wiped.
+
+#![allow(dead_code)] // Each test file uses its part.
+
+use parlance::prelude::*;
+use registrar::prelude::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Between two clock events.
+const TICK: u64 = 25;
+/// More steps than this without rest are taken for a loop.
+const STEPS_AT_MOST: usize = 200_000;
+
+/// How a line carries letters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Carriage {
+    /// At once, in order.
+    Open,
+    /// Kept in order until it is opened again, as TCP does over a short loss.
+    Held,
+    /// Lost.
+    Cut,
+}
+
+/// A deliberate fault in the system, put in from outside, to show that a test sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// Evacuations enter whatever was acknowledged since they came.
+    BlindEvacuations,
+    /// The head refuses out of its own state.
+    HeadRefuses,
+    /// A document with faults is refused whatever its fate is.
+    AnyFateRefuses,
+}
+
+struct Machine {
+    disk: DiskId,
+    durable: Vec<Record>,
+    unsynced: VecDeque<(u64, Vec<Record>, bool)>,
+    office: Option<Office>,
+    lives: u64,
+}
+
+/// The control machines and what is between them.
+pub struct Core {
+    /// Virtual milliseconds.
+    pub now: u64,
+    /// Answers that operators' questions got, by their numbers.
+    pub answers: BTreeMap<u64, (u16, Vec<u8>)>,
+    machines: Vec<Machine>,
+    lines: BTreeMap<(usize, usize), (Carriage, VecDeque<Letter>)>,
+    /// Of a hundred answers of the tail to other machines' questions, so many are lost.
+    pub lost_answers: u64,
+    mutant: Option<Mutant>,
+    random: u64,
+}
+
+fn address(machine: usize) -> Address {
+    Address::loopback(machine as u16 + 1)
+}
+
+fn mix(seed: u64) -> u64 {
+    let seed = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let seed = (seed ^ (seed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    seed ^ (seed >> 31)
+}
+
+impl Core {
+    /// Three machines that form a chain from the first to the last and serve already.
+    pub fn new(seed: u64, mutant: Option<Mutant>) -> Core {
+        let voter = |n: usize| Voter { address: address(n), disk: DiskId(n as u128 + 1) };
+        let chain = (0..3).map(|n| Seat { voter: voter(n), is_level: true }).collect();
+        let view = View { epoch: ViewEpoch(1), chain, voters: (0..3).map(voter).collect() };
+        let machine = |n: usize| Machine {
+            disk: voter(n).disk,
+            durable: vec![Record::View { view: view.clone() }],
+            unsynced: VecDeque::new(),
+            office: None,
+            lives: 0,
+        };
+        let mut core = Core {
+            now: 10_000,
+            answers: BTreeMap::new(),
+            machines: (0..3).map(machine).collect(),
+            lines: BTreeMap::new(),
+            lost_answers: 0,
+            mutant,
+            random: mix(seed.wrapping_add(1)),
+        };
+        (0..3).for_each(|n| core.start(n));
+        core.run(3000);
+        assert!(core.tail().is_some(), "a core without faults serves after three seconds");
+        core
+    }
+
+    /// A number below the bound.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.random) % bound.max(1)
+    }
+    /// So many times in a hundred.
+    pub fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+
+    /// Whether it runs.
+    pub fn is_up(&self, machine: usize) -> bool {
+        self.machines[machine].office.is_some()
+    }
+    /// The machine that may answer for the core now.
+    pub fn tail(&self) -> Option<usize> {
+        let may_reply = |office: &Office| office.fellow().may_reply(Moment(self.now));
+        (0..3).find(|n| self.machines[*n].office.as_ref().is_some_and(may_reply))
+    }
+    /// The first of the chain, as the tail knows it.
+    pub fn head(&self) -> Option<usize> {
+        let office = self.machines[self.tail()?].office.as_ref()?;
+        office.fellow().view().head().map(|head| usize::from(head.address.0.port()) - 1)
+    }
+    /// What a machine's disk came to.
+    pub fn ledger(&self, machine: usize) -> Option<&Ledger> {
+        self.machines[machine].office.as_ref().map(|office| office.fellow().charge())
+    }
+    /// What was accepted, as the tail has it.
+    pub fn accepted(&self) -> Option<&Ledger> {
+        self.ledger(self.tail()?)
+    }
+
+    /// Starts a machine from what its disk holds.
+    pub fn start(&mut self, machine: usize) {
+        let now = Moment(self.now);
+        let timing = OfficeTiming::default();
+        let founders = (0..3).map(address).collect();
+        let m = &mut self.machines[machine];
+        if m.office.is_some() {
+            return;
+        }
+        m.lives += 1;
+        let incarnation = mix((machine as u64) << 32 | m.lives) | 1;
+        let me = Voter { address: address(machine), disk: m.disk };
+        let kept = Kept { records: m.durable.clone() };
+        let fellow = Fellow::new(me, founders, timing.fellow, kept, Ledger::default(), now).expect("a sound disk");
+        m.office = Some(Office::new(fellow, timing, TokenKey([machine as u8; 32]), incarnation, now));
+    }
+    /// Ends it; what was not synced is lost, and so is what is on its way to it.
+    pub fn kill(&mut self, machine: usize) {
+        let m = &mut self.machines[machine];
+        m.office = None;
+        m.unsynced.clear();
+        self.lines.iter_mut().filter(|((_, to), _)| *to == machine).for_each(|(_, (_, letters))| letters.clear());
+    }
+    /// Ends it and gives it an empty disk.
+    pub fn wipe(&mut self, machine: usize) {
+        self.kill(machine);
+        let m = &mut self.machines[machine];
+        m.disk = DiskId(m.disk.0 + 1000);
+        m.durable.clear();
+    }
+    /// Sets how the line from one to another carries.
+    pub fn set_line(&mut self, from: usize, to: usize, carriage: Carriage) {
+        let line = self.lines.entry((from, to)).or_insert((Carriage::Open, VecDeque::new()));
+        line.0 = carriage;
+        if carriage == Carriage::Cut {
+            line.1.clear();
+        }
+    }
+    /// The same for all lines from and to a machine.
+    pub fn set_lines_of(&mut self, machine: usize, carriage: Carriage) {
+        for other in (0..3).filter(|other| *other != machine) {
+            self.set_line(machine, other, carriage);
+            self.set_line(other, machine, carriage);
+        }
+    }
+
+    /// Tells a machine something; what follows from it happens in [`Core::advance`] and [`Core::run`].
+    pub fn tell(&mut self, machine: usize, input: OfficeInput) {
+        let now = Moment(self.now);
+        let Some(office) = &mut self.machines[machine].office else { return };
+        for output in office.step(now, input) {
+            match output {
+                OfficeOutput::Send { to, letter, .. } => self.send(machine, usize::from(to.0.port()) - 1, letter),
+                OfficeOutput::Write { id, records, is_whole } => {
+                    self.machines[machine].unsynced.push_back((id, records, is_whole));
+                }
+                OfficeOutput::Reply { number, status, body } => {
+                    self.answers.insert(number, (status, body));
+                }
+                OfficeOutput::ViewChanged(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, letter: Letter) {
+        if matches!(letter, Letter::Told { .. }) && self.chance(self.lost_answers) {
+            return;
+        }
+        let (to, letter) = self.tamper(from, to, letter);
+        let (carriage, letters) = self.lines.entry((from, to)).or_insert((Carriage::Open, VecDeque::new()));
+        if *carriage != Carriage::Cut {
+            letters.push_back(letter);
+        }
+    }
+
+    /// What a mutant makes of a letter.
+    fn tamper(&self, from: usize, to: usize, letter: Letter) -> (usize, Letter) {
+        match letter {
+            // The newest epoch, in answer to a zone's change: it looks younger than anything.
+            Letter::Told { number, status: 200, body }
+                if self.mutant == Some(Mutant::BlindEvacuations) && body.len() == 8 =>
+            {
+                (to, Letter::Told { number, status: 200, body: u64::MAX.to_be_bytes().to_vec() })
+            }
+            Letter::Note { note } if self.mutant == Some(Mutant::HeadRefuses) => match *note {
+                Note::Judge { ticket, body, .. } => {
+                    let judged = self.ledger(from).map(|ledger| ledger.preview(&body));
+                    let Some(Preview::TurnAway(body)) = judged else { unreachable!("the head would not take it") };
+                    let note = Note::Reply { number: ticket.number, is_replied: true, body };
+                    (usize::from(ticket.origin.0.port()) - 1, Letter::Note { note: Box::new(note) })
+                }
+                note => (to, Letter::Note { note: Box::new(note) }),
+            },
+            letter => (to, letter),
+        }
+    }
+
+    /// Does one thing that can happen now, drawn at random: a letter arrives or a disk syncs.
+    pub fn advance(&mut self) -> bool {
+        let is_moving = |line: &(Carriage, VecDeque<Letter>)| line.0 == Carriage::Open && !line.1.is_empty();
+        let lines = self.lines.iter().filter(|(_, line)| is_moving(line)).map(|(ends, _)| *ends);
+        let lines: Vec<(usize, usize)> = lines.collect();
+        let disks: Vec<usize> = (0..3).filter(|n| !self.machines[*n].unsynced.is_empty()).collect();
+        let choices = lines.len() + disks.len();
+        if choices == 0 {
+            return false;
+        }
+        let choice = self.below(choices as u64) as usize;
+        match lines.get(choice) {
+            Some((from, to)) => {
+                let letter = self.lines.get_mut(&(*from, *to)).and_then(|line| line.1.pop_front());
+                let letter = letter.expect("it was not empty");
+                self.tell(*to, OfficeInput::Letter { from: address(*from), letter });
+            }
+            None => self.sync(disks[choice - lines.len()]),
+        }
+        true
+    }
+
+    fn sync(&mut self, machine: usize) {
+        let m = &mut self.machines[machine];
+        let Some((id, records, is_whole)) = m.unsynced.pop_front() else { return };
+        if is_whole {
+            m.durable.clear();
+        }
+        m.durable.extend(records);
+        self.tell(machine, OfficeInput::Written { id });
+    }
+
+    /// Lets so much time pass; all that can happen meanwhile does.
+    pub fn run(&mut self, span: u64) {
+        let until = self.now + span;
+        while self.now < until {
+            self.tick();
+            for step in 0.. {
+                assert!(step < STEPS_AT_MOST, "the machines never come to rest");
+                if !self.advance() {
+                    break;
+                }
+            }
+        }
+    }
+    /// One clock event at each.
+    pub fn tick(&mut self) {
+        self.now += TICK;
+        (0..3).for_each(|machine| self.tell(machine, OfficeInput::ClockEvent));
+    }
+    /// Runs until there is an answer, for so long at most.
+    pub fn await_answer(&mut self, number: u64, span: u64) -> Option<(u16, Vec<u8>)> {
+        let until = self.now + span;
+        while !self.answers.contains_key(&number) && self.now < until {
+            self.run(TICK);
+        }
+        self.answers.remove(&number)
+    }
+}
--- /dev/null
+++ b/crates/registrar/tests/delayed_and_refused.rs
@@ -0,0 +1,48 @@
+//! What an operator was told stays true: delayed requests, and refusals that are final.
+
+mod control;
+
+use control::{Carriage, Core};
+use layout::prelude::{Motion, OwnPlans, Proposal};
+use registrar::prelude::*;
+
+const HEAD: usize = 0;
+const MIDDLE: usize = 1;
+const TAIL: usize = 2;
+
+fn proposal(id: &str, motion: Motion) -> OperatorAsk {
+    OperatorAsk::Propose(Proposal { id: id.into(), builds_on: None, motion })
+}
+
+fn plan(id: &str, base: u64, revision: u64) -> OperatorAsk {
+    let bytes = format!(r#"{{"revision":{revision},"services":{{"a":{{"slots":4}}}}}}"#).into_bytes();
+    let motion = Motion::plan_in(&OwnPlans, bytes, Some(base)).expect("a good plan");
+    proposal(id, motion.with_halls(&["east".into()]))
+}
+
+fn ask(core: &mut Core, machine: usize, number: u64, ask: OperatorAsk) {
+    core.tell(machine, OfficeInput::Operator { number, ask });
+}
+
+fn status(core: &mut Core, machine: usize, number: u64, what: OperatorAsk) -> Option<u16> {
+    ask(core, machine, number, what);
+    core.await_answer(number, 4000).map(|(status, _)| status)
+}
+
+/// What one disk holds may vanish with it: nothing is refused on the strength of it.
+#[test]
+fn nothing_is_refused_for_what_was_never_accepted() {
+    let mut core = Core::new(1, None);
+    assert_eq!(status(&mut core, HEAD, 1, plan("p", 0, 5)), Some(200));
+    core.set_line(HEAD, MIDDLE, Carriage::Held);
+    ask(&mut core, HEAD, 2, plan("on-one-disk", 5, 7));
+    core.run(100);
+    assert_eq!(core.ledger(HEAD).map(|ledger| ledger.revision), Some(7));
+    ask(&mut core, TAIL, 3, plan("other", 5, 9));
+    core.run(300);
+    assert_eq!(core.answers.get(&3).map(|answer| answer.0), None, "revision 7 is on one disk only");
+    core.wipe(HEAD);
+    let told = core.await_answer(3, 10_000).map(|(status, _)| status);
+    assert!(told != Some(409), "revision 7 is gone, and nothing else was ever taken");
+    assert_eq!(status(&mut core, TAIL, 4, plan("other", 5, 9)), Some(200));
+}
