A call that was overtaken, or that its operator gave up, does not enter the chain

Cause: an evacuation has a fresh id at each call, and a registrar went on proposing it for 4 s and waited up to 12 s whether or not its operator was still there. One that was sent to a registrar just cut off, then to another, and then taken back, entered when the cut healed: the zone was evacuated though that was taken back; and the reverse opened an evacuated zone.

Change: before a zone's change is proposed, the tail says under its lease what the newest epoch is; the proposal carries it. The ledger keeps the epoch of each zone's newest change, and refuses one that saw less than that and would undo it: 311 overtaken, 503, so that an operator who still wants it sends it again. One that the zone's state agrees with is accepted, so a repeat after a lost answer is confirmed. The tail's word must come within 700 ms of the call; a later one may be younger than what the operator did since. An attempt ends when its connection closes or its operator's patience is over (the platform's: just under its second of silence, more for large bodies): the office then drops it and proposes nothing more for it.

Existing tests: proposals in tests carry the new field; three traces of the office that stood for any proposal use a plan, since a zone's change now asks first. They assert what they did; the new first question has a trace of its own.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -155,6 +155,8 @@
             /// The operator's id for it.
             id: String,
         },
+        /// The newest accepted epoch (eight bytes).
+        Newest,
     }
 
     /// All letters.
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -84,6 +84,9 @@
         pub id: String,
         /// The epoch that the proposer looked at. Plans and changes without a revision must name it.
         pub builds_on: Option<Epoch>,
+        /// The newest accepted epoch when the request came in, as the tail told it then. An evacuation that
+        /// was overtaken since is not applied. 0: nothing was read.
+        pub seen: Epoch,
         /// What.
         pub motion: Motion,
     }
@@ -164,6 +167,9 @@
         pub plan_halls: Vec<HallName>,
         /// Withdrawn zones.
         pub withdrawn: Vec<HallName>,
+        /// The epoch of each zone's newest withdrawal or restoring, whether or not it changed anything: what
+        /// an older request that comes late is judged against (docs/control-safety.md).
+        pub zone_changes: Vec<(HallName, Epoch)>,
         /// The members.
         pub roster: Roster,
         /// The zones of the members.
@@ -333,7 +339,7 @@
                     let why = format!("no member or plan names zone `{hall}`; known: {}", known.join(", "));
                     return Err(self.verdict(ResultCode::UnknownHall, self.epoch, why, vec![]));
                 }
-                Ok(())
+                self.judge_order_of_arrival(proposal, hall)
             }
             Motion::Forget { members } => {
                 let is_member = |member: &Address| self.roster.members.contains(member);
@@ -355,6 +361,25 @@
         }
     }
 
+    /// Refuses an evacuation, or its end, that would undo a newer one of the same zone. One that the zone's
+    /// state agrees with undoes nothing.
+    fn judge_order_of_arrival(&self, proposal: &Proposal, zone: &HallName) -> Result<(), Verdict> {
+        let is_wanted = matches!(proposal.motion, Motion::Withdraw { .. });
+        let is_so = self.withdrawn.contains(zone) == is_wanted;
+        match self.zone_changes.iter().find(|(changed, _)| changed == zone) {
+            Some((_, newest)) if proposal.seen < *newest && !is_so => {
+                let why = format!("zone `{zone}` was changed as epoch {newest}, after this request came in");
+                Err(self.verdict(ResultCode::Overtaken, self.epoch, why, vec![]))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn note_zone_change(&mut self, zone: &HallName) {
+        self.zone_changes.retain(|(changed, _)| changed != zone);
+        self.zone_changes.push((zone.clone(), self.epoch));
+    }
+
     fn set_members(&mut self, halls: Vec<(Address, HallName)>) {
         self.member_halls = halls;
         self.roster.elder = std::mem::take(&mut self.roster.members);
@@ -400,12 +425,16 @@
                 self.set_plan(plan, splice.clone(), halls, *revisions);
             }
             Motion::Withdraw { hall } => {
+                self.note_zone_change(hall);
                 if !self.withdrawn.contains(hall) {
                     self.withdrawn.push(hall.clone());
                     self.withdrawn.sort();
                 }
             }
-            Motion::Restore { hall } => self.withdrawn.retain(|withdrawn| withdrawn != hall),
+            Motion::Restore { hall } => {
+                self.note_zone_change(hall);
+                self.withdrawn.retain(|withdrawn| withdrawn != hall);
+            }
             Motion::Join { members } => {
                 let mut halls = self.member_halls.clone();
                 halls.retain(|(address, _)| members.iter().all(|(joining, _)| joining != address));
@@ -461,6 +490,10 @@
 }
 
 impl Motion {
+    /// Whether it evacuates a zone or ends that.
+    pub fn is_of_a_zone(&self) -> bool {
+        matches!(self, Motion::Withdraw { .. } | Motion::Restore { .. })
+    }
     /// A whole plan in the product's own words, if it has no faults.
     pub fn plan(bytes: Vec<u8>) -> Result<Motion, Vec<Fault>> {
         Self::plan_in(&OwnPlans, bytes, None)
@@ -548,7 +581,12 @@
 
     fn plan(id: &str, builds_on: u64, slots: u32) -> Proposal {
         let bytes = format!(r#"{{"services":{{"drafts":{{"slots":{slots},"halls":["north"]}}}}}}"#).into_bytes();
-        Proposal { id: id.into(), builds_on: Some(Epoch(builds_on)), motion: Motion::plan(bytes).expect("a good plan") }
+        Proposal {
+            id: id.into(),
+            builds_on: Some(Epoch(builds_on)),
+            seen: Epoch(0),
+            motion: Motion::plan(bytes).expect("a good plan"),
+        }
     }
     fn take(ledger: &mut Ledger, proposal: &Proposal) -> serde_json::Value {
         serde_json::from_slice(&ledger.apply(&proposal.to_bytes())).unwrap()
@@ -590,7 +628,7 @@
             } else {
                 Motion::change(body.clone(), ledger.plan_epoch, &ledger.plan).expect("a good change")
             };
-            let proposal = Proposal { id: format!("n-{n}"), builds_on, motion };
+            let proposal = Proposal { id: format!("n-{n}"), builds_on, seen: Epoch(0), motion };
             // Only after a whole plan, whose spaces a merge takes out, is the difference large.
             let is_small = proposal.to_bytes().len() < 1000;
             assert!(is_small || n % 40 < 3, "change {n} is {} bytes", proposal.to_bytes().len());
@@ -608,10 +646,14 @@
     fn the_lost_are_forgotten_by_name_and_count_no_more() {
         let mut ledger = Ledger::default();
         let members: Vec<_> = (1..=5).map(|n| (Address::loopback(n), HallName::from("north"))).collect();
-        take(&mut ledger, &Proposal { id: String::new(), builds_on: None, motion: Motion::Join { members } });
+        take(
+            &mut ledger,
+            &Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion: Motion::Join { members } },
+        );
         let forget = |id: &str, ports: &[u16]| Proposal {
             id: id.into(),
             builds_on: None,
+            seen: Epoch(0),
             motion: Motion::Forget { members: ports.iter().map(|port| Address::loopback(*port)).collect() },
         };
         let unknown = take(&mut ledger, &forget("f", &[3, 9]));
@@ -626,7 +668,7 @@
     #[test]
     fn the_elder_count_no_more_once_the_roster_is_settled_and_only_for_that_roster() {
         let mut ledger = Ledger::default();
-        let inner = |motion: Motion| Proposal { id: String::new(), builds_on: None, motion };
+        let inner = |motion: Motion| Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion };
         for n in [1, 2] {
             let members = vec![(Address::loopback(n), HallName::from("north"))];
             take(&mut ledger, &inner(Motion::Join { members }));
@@ -643,6 +685,7 @@
         let key = |byte: u8| Proposal {
             id: String::new(),
             builds_on: None,
+            seen: Epoch(0),
             motion: Motion::Key { key: TokenKey([byte; 32]) },
         };
         assert_eq!(take(&mut ledger, &key(1))["code"], 300);
@@ -657,6 +700,7 @@
         let withdraw = |id: &str, hall: &str| Proposal {
             id: id.into(),
             builds_on: None,
+            seen: Epoch(0),
             motion: Motion::Withdraw { hall: hall.into() },
         };
         assert_eq!(take(&mut ledger, &withdraw("w", "north"))["epoch"], 2);
@@ -670,7 +714,7 @@
         let mut ledger = Ledger::default();
         take(&mut ledger, &plan("a", 0, 4));
         let members = vec![(Address::loopback(3), HallName::from("north"))];
-        let join = Proposal { id: String::new(), builds_on: None, motion: Motion::Join { members } };
+        let join = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion: Motion::Join { members } };
         take(&mut ledger, &join);
         let snapshot = ledger.snapshot();
         assert_eq!(Ledger::restore(&snapshot), Some(ledger));
--- a/crates/layout/tests/revisions.rs
+++ b/crates/layout/tests/revisions.rs
@@ -6,11 +6,11 @@
 }
 fn plan(id: &str, base: u64, revision: u64, slots: u64) -> Proposal {
     let motion = Motion::plan_in(&OwnPlans, plan_bytes(revision, slots), Some(base)).expect("a good plan");
-    Proposal { id: id.into(), builds_on: None, motion }
+    Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion }
 }
 fn change(ledger: &Ledger, id: &str, base: u64, revision: u64, slots: u64) -> Proposal {
     let motion = Motion::change_in(&OwnPlans, plan_bytes(revision, slots), ledger.plan_epoch, &ledger.plan, Some(base));
-    Proposal { id: id.into(), builds_on: None, motion: motion.expect("a good change") }
+    Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion: motion.expect("a good change") }
 }
 fn take(ledger: &mut Ledger, proposal: &Proposal) -> u64 {
     let verdict = ledger.apply(&proposal.to_bytes());
@@ -69,6 +69,7 @@
     let withdraw = |hall: &str| Proposal {
         id: format!("w-{hall}"),
         builds_on: None,
+        seen: Epoch(0),
         motion: Motion::Withdraw { hall: hall.into() },
     };
     assert_eq!((take(&mut ledger, &withdraw("north")), take(&mut ledger, &withdraw("south"))), (ACCEPTED, 306));
--- a/crates/registrar/src/core_line.rs
+++ b/crates/registrar/src/core_line.rs
@@ -2,11 +2,32 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 /// Bounds the operators' orders that wait in this process.
 const OPERATORS: usize = 64;
 
+/// An operator of the product's own interface waits at least this long.
+pub(crate) const OPERATOR_PATIENCE: Span = Span::seconds(12);
+/// How often it's looked whether an operator that waits is still there.
+const LOOK_EVERY: Span = Span(100);
+
+/// One call of an operator: until when it is worth an answer, and to whom.
+pub struct Attempt {
+    due: Moment,
+    caller: Option<Caller>,
+}
+
+impl Attempt {
+    /// One that has just come in on this connection, if it's on one, and lasts so long.
+    pub fn new(patience: Span, caller: Option<Caller>) -> Self {
+        Attempt { due: Clock::now() + patience, caller }
+    }
+    /// Whether nobody waits for its answer any more.
+    fn is_over(&self) -> bool {
+        Clock::now() >= self.due || self.caller.as_ref().is_some_and(Caller::is_gone)
+    }
+}
+
 /// Status and body of the control thread's word.
 pub type Told = (u16, Vec<u8>);
 
@@ -33,15 +54,18 @@
 pub struct CoreLine {
     replies: Replies,
     counter: AtomicU64,
-    tell: Box<dyn Fn(u64, OperatorAsk) + Send + Sync>,
+    tell: Box<dyn Fn(OfficeInput) + Send + Sync>,
 }
 
 impl CoreLine {
-    pub(crate) fn new(replies: Replies, tell: impl Fn(u64, OperatorAsk) + Send + Sync + 'static) -> Self {
+    pub(crate) fn new(replies: Replies, tell: impl Fn(OfficeInput) + Send + Sync + 'static) -> Self {
         CoreLine { replies, counter: AtomicU64::new(1), tell: Box::new(tell) }
     }
-    /// Asks, and waits for status and body.
-    pub fn ask(&self, ask: OperatorAsk) -> Result<Told, Box<Reply>> {
+    /// Asks, and waits for status and body while the attempt lasts. What it leaves unfinished is given up.
+    pub fn ask(&self, ask: OperatorAsk, attempt: &Attempt) -> Result<Told, Box<Reply>> {
+        if attempt.is_over() {
+            return Err(Box::new(Reply::result(ResultCode::CoreNotReady, "nobody waits for it any more")));
+        }
         let number = self.counter.fetch_add(1, Ordering::Relaxed);
         let (reply, inbox) = flume::bounded(1);
         {
@@ -52,10 +76,23 @@
             }
             waiting.insert(number, reply);
         }
-        (self.tell)(number, ask);
-        let outcome = inbox.recv_timeout(Duration::from_secs(12));
+        (self.tell)(OfficeInput::Operator { number, ask });
+        let told = Self::wait(&inbox, attempt);
         self.replies.waiting().remove(&number);
-        let silence = "this registrar's control thread gave no reply";
-        outcome.map_err(|_| Box::new(Reply::result(ResultCode::FateUnknown, silence)))
+        told.ok_or_else(|| {
+            (self.tell)(OfficeInput::Abandoned { number });
+            Box::new(Reply::result(ResultCode::FateUnknown, "no answer in time"))
+        })
+    }
+
+    fn wait(inbox: &flume::Receiver<Told>, attempt: &Attempt) -> Option<Told> {
+        loop {
+            let span = Clock::now().until(attempt.due).min(LOOK_EVERY);
+            match inbox.recv_timeout(span.duration()) {
+                Ok(told) => return Some(told),
+                Err(flume::RecvTimeoutError::Timeout) if !attempt.is_over() => {}
+                Err(_) => return None,
+            }
+        }
     }
 }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -1,4 +1,4 @@
-use crate::core_line::Replies;
+use crate::core_line::{OPERATOR_PATIENCE, Replies};
 use crate::prelude::*;
 use crate::redirect::{ReadAddresses, Redirector};
 use std::net::TcpListener;
@@ -112,8 +112,8 @@
     let tallies = Arc::new(Tallies::default());
     let gate_sender = sender.clone();
     let halls = settings.halls.iter().map(|name| name.as_str().into()).collect();
-    let tell = move |number, ask| {
-        let _ = gate_sender.send(Event::Input(OfficeInput::Operator { number, ask }));
+    let tell = move |input| {
+        let _ = gate_sender.send(Event::Input(input));
     };
     let core = CoreLine::new(replies.clone(), tell);
     let believes_sender = sender.clone();
@@ -320,9 +320,13 @@
 impl Door {
     fn reply(&self, order: &Order) -> Reply {
         let Some(desk) = &self.dialects.desk else { return self.own_reply(order) };
+        let attempt = Attempt::new(desk.patience(order.body.len()), Some(order.caller.clone()));
         let is_ready = self.is_ready.load(Ordering::Relaxed);
         match desk.read(order) {
-            Ok(Some(call)) => desk.write(self.core.carry(call, self.dialects.plans.as_ref(), &self.halls, is_ready)),
+            Ok(Some(call)) => {
+                let plans = self.dialects.plans.as_ref();
+                desk.write(self.core.carry(call, plans, &self.halls, is_ready, &attempt))
+            }
             Ok(None) if order.method == "GET" => self.own_reply(order),
             Ok(None) => {
                 Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path))
@@ -344,7 +348,8 @@
     is_ready: &AtomicBool,
     tallies: &Tallies,
 ) -> Reply {
-    let ask_core = |ask: OperatorAsk| core.ask(ask);
+    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(order.caller.clone()));
+    let ask_core = |ask: OperatorAsk| core.ask(ask, &attempt);
     let told = |status: u16, body: Vec<u8>| {
         let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
         let reply = Reply::whole(status, "application/json", body);
@@ -385,7 +390,7 @@
             }
             None => None,
         };
-        ask(OperatorAsk::Propose(Proposal { id, builds_on, motion }))
+        ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), motion }))
     };
     match (order.method.as_str(), order.parts().as_slice()) {
         ("GET", ["ready"]) => {
--- a/crates/registrar/src/desk.rs
+++ b/crates/registrar/src/desk.rs
@@ -1,3 +1,4 @@
+use crate::core_line::OPERATOR_PATIENCE;
 use crate::prelude::*;
 
 /// What an operator's call asks for, in whatever dialect.
@@ -57,6 +58,10 @@
     fn read(&self, order: &Order) -> Result<Option<DeskCall>, Box<Reply>>;
     /// Writes its answer.
     fn write(&self, answer: DeskAnswer) -> Reply;
+    /// How long whoever sent a call of so many bytes waits for its answer. Nothing is begun for it after that.
+    fn patience(&self, _body_bytes: usize) -> Span {
+        OPERATOR_PATIENCE
+    }
 }
 
 fn refused(code: ResultCode, why: impl Into<String>, faults: Vec<Fault>) -> DeskAnswer {
@@ -82,37 +87,51 @@
 }
 
 impl CoreLine {
-    fn answer(&self, ask: OperatorAsk) -> DeskAnswer {
-        match self.ask(ask) {
+    fn answer(&self, ask: OperatorAsk, attempt: &Attempt) -> DeskAnswer {
+        match self.ask(ask, attempt) {
             Ok((status, body)) => answer_of(status, &body),
             Err(_) => refused(ResultCode::CoreNotReady, "no answer in time", vec![]),
         }
     }
 
-    fn propose(&self, id: String, motion: Motion) -> DeskAnswer {
-        self.answer(OperatorAsk::Propose(Proposal { id, builds_on: None, motion }))
+    fn propose(&self, id: String, motion: Motion, attempt: &Attempt) -> DeskAnswer {
+        self.answer(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), motion }), attempt)
     }
 
     /// Proposes what a document came to. One with faults now may have been accepted when it was first
     /// sent.
-    fn propose_plan(&self, id: String, motion: Result<Motion, Vec<Fault>>, halls: &[HallName]) -> DeskAnswer {
+    fn propose_plan(
+        &self,
+        id: String,
+        motion: Result<Motion, Vec<Fault>>,
+        halls: &[HallName],
+        attempt: &Attempt,
+    ) -> DeskAnswer {
         let faults = match motion {
-            Ok(motion) => return self.propose(id, motion.with_halls(halls)),
+            Ok(motion) => return self.propose(id, motion.with_halls(halls), attempt),
             Err(faults) => faults,
         };
-        match self.ask(OperatorAsk::Read(Reading::Fate { id })) {
+        match self.ask(OperatorAsk::Read(Reading::Fate { id }), attempt) {
             Ok((200, _)) => DeskAnswer::Done,
             _ => refused(ResultCode::BadPlan, "nothing changed", faults),
         }
     }
 
-    /// Carries a call out. `halls` may be withdrawn besides those that members and plans name.
-    pub fn carry(&self, call: DeskCall, plans: &dyn PlanDialect, halls: &[HallName], is_ready: bool) -> DeskAnswer {
+    /// Carries a call out for as long as its attempt lasts. `halls` may be withdrawn besides those that members
+    /// and plans name.
+    pub fn carry(
+        &self,
+        call: DeskCall,
+        plans: &dyn PlanDialect,
+        halls: &[HallName],
+        is_ready: bool,
+        attempt: &Attempt,
+    ) -> DeskAnswer {
         match call {
             DeskCall::Plan { bytes, base } => {
                 let id = id_of("plan", &bytes, base);
                 match Motion::plan_in(plans, bytes, Some(base)) {
-                    Ok(motion) => self.propose(id, motion.with_halls(halls)),
+                    Ok(motion) => self.propose(id, motion.with_halls(halls), attempt),
                     Err(faults) => refused(ResultCode::BadPlan, "nothing changed", faults),
                 }
             }
@@ -120,23 +139,24 @@
                 let id = id_of("change", &bytes, base);
                 // Merged into the tail's plan: an older one would be a conflict that isn't one.
                 let reading = Reading::Base { at_least: Epoch(u64::MAX) };
-                match self.ask(OperatorAsk::Read(reading)) {
+                match self.ask(OperatorAsk::Read(reading), attempt) {
                     Ok((200, body)) if body.len() >= 8 => {
                         let (epoch, plan) = body.split_at(8);
                         let epoch = Epoch(u64::from_be_bytes(epoch.try_into().unwrap_or_default()));
-                        self.propose_plan(id, Motion::change_in(plans, bytes, epoch, plan, Some(base)), halls)
+                        let motion = Motion::change_in(plans, bytes, epoch, plan, Some(base));
+                        self.propose_plan(id, motion, halls, attempt)
                     }
                     Ok((status, body)) => answer_of(status, &body),
                     Err(_) => refused(ResultCode::CoreNotReady, "no answer in time", vec![]),
                 }
             }
-            DeskCall::ReadPlan => match self.ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) })) {
+            DeskCall::ReadPlan => match self.ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }), attempt) {
                 Ok((200, body)) => DeskAnswer::Plan(body),
                 Ok((status, body)) => answer_of(status, &body),
                 Err(_) => refused(ResultCode::CoreNotReady, "no answer in time", vec![]),
             },
-            DeskCall::Withdraw { hall } => self.propose(chance_id(), Motion::Withdraw { hall }),
-            DeskCall::Restore { hall } => self.propose(chance_id(), Motion::Restore { hall }),
+            DeskCall::Withdraw { hall } => self.propose(chance_id(), Motion::Withdraw { hall }, attempt),
+            DeskCall::Restore { hall } => self.propose(chance_id(), Motion::Restore { hall }, attempt),
             DeskCall::Readiness if is_ready => DeskAnswer::Done,
             DeskCall::Readiness => refused(ResultCode::CoreNotReady, "not in the chain", vec![]),
         }
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -12,7 +12,7 @@
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::core_line::CoreLine;
+    pub use crate::core_line::{Attempt, CoreLine, Told};
     pub use crate::daemon::{Dialects, run};
     pub use crate::desk::{DeskAnswer, DeskCall, DeskDialect};
     pub use crate::office::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -80,6 +80,11 @@
         /// What.
         ask: OperatorAsk,
     },
+    /// Whoever asked under this number has gone, or waits no longer: nothing more is done for it.
+    Abandoned {
+        /// The number.
+        number: u64,
+    },
     /// Time has passed.
     ClockEvent,
     /// Writes are synced.
@@ -180,7 +185,10 @@
     next_try: Option<Moment>,
     patience_due: Moment,
     due: Moment,
-    /// Whether nobody hears those whom it would forget.
+    /// By then the tail must have said what is to be known before it's proposed.
+    clear_due: Moment,
+    /// Whether that is known: that nobody hears those whom it would forget, or what was the newest epoch when
+    /// a zone's change came in.
     is_cleared: bool,
     /// The number under which its question, or its newest proposal, goes out; no other has it, in this
     /// life or an earlier one.
@@ -193,6 +201,11 @@
 /// lease, than a trade counts, and than a view takes to change.
 const FORGET_AFTER: Span = Span(5000);
 
+/// What the newest epoch was when a zone's change came in must be known within this, or it is not proposed: an
+/// answer from later may be younger than what its operator did since. Under the second after which an operator
+/// turns to another registrar.
+const SEEN_WITHIN: Span = Span(700);
+
 /// Numbers from here on are the office's own proposals.
 const INNER: u64 = 1 << 62;
 
@@ -251,6 +264,9 @@
         match input {
             OfficeInput::Letter { from, letter } => self.on_letter(from, letter),
             OfficeInput::Operator { number, ask } => self.on_operator(number, ask),
+            OfficeInput::Abandoned { number } => {
+                self.waiting.remove(&number);
+            }
             OfficeInput::ClockEvent => {
                 self.drive(Input::ClockEvent);
                 self.on_clock_event();
@@ -541,7 +557,7 @@
 
     fn propose_inner(&mut self, motion: Motion) {
         self.next_inner += 1;
-        let proposal = Proposal { id: String::new(), builds_on: None, motion };
+        let proposal = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion };
         self.drive(Input::Propose { number: self.next_inner, body: proposal.to_bytes() });
     }
 
@@ -564,7 +580,12 @@
         let patience_due = self.now + self.timing.patience;
         self.last_asked += 1;
         let (next_try, asked) = (Some(self.now), self.last_asked);
-        let waiting = Waiting { ask, next_try, patience_due, due, is_cleared: false, asked, asked_of: None };
+        let clear_due = match &ask {
+            OperatorAsk::Propose(proposal) if proposal.motion.is_of_a_zone() => self.now + SEEN_WITHIN,
+            _ => due,
+        };
+        let is_cleared = false;
+        let waiting = Waiting { ask, next_try, patience_due, due, clear_due, is_cleared, asked, asked_of: None };
         self.waiting.insert(number, waiting);
         if !self.fellow.hears_majority(self.now) {
             // Nothing was asked or proposed yet, so this is final, and its operator loses no time here.
@@ -583,6 +604,10 @@
             };
             return self.give_up(number, code);
         }
+        if !waiting.is_cleared && self.now >= waiting.clear_due {
+            // Nothing was proposed; and what the tail tells from now on is newer than the request.
+            return self.give_up(number, ResultCode::CoreNotReady);
+        }
         match &waiting.ask {
             OperatorAsk::Read(reading) => {
                 waiting.next_try = Some(retry_at);
@@ -601,9 +626,11 @@
                     self.ask_tail(number, reading);
                 }
             }
-            OperatorAsk::Propose(Proposal { id, motion: Motion::Forget { members }, .. }) if !waiting.is_cleared => {
+            OperatorAsk::Propose(proposal)
+                if !waiting.is_cleared
+                    && let Some(reading) = read_before(proposal) =>
+            {
                 waiting.next_try = Some(retry_at);
-                let reading = Reading::Heard { id: id.clone(), members: members.clone() };
                 if self.may_reply() {
                     let (status, body) = self.read(&reading);
                     self.clear(number, status, body);
@@ -642,12 +669,25 @@
         self.outputs.push(OfficeOutput::Reply { number, status, body });
     }
 
-    /// The tail's word on whether those to be forgotten are heard: if nobody hears them, it's proposed; a
-    /// tail that does not know yet is asked again; any other word is the operator's answer.
+    /// The tail's word on what is to be known before it's proposed: which epoch is the newest, or whether those
+    /// to be forgotten are heard. If nobody hears them, it's proposed; a tail that does not know yet is asked
+    /// again; any other word is the operator's answer.
     fn clear(&mut self, number: u64, status: u16, body: Vec<u8>) {
         let Some(waiting) = self.waiting.get_mut(&number) else { return };
+        if waiting.is_cleared {
+            return;
+        }
+        if self.now >= waiting.clear_due {
+            return self.give_up(number, ResultCode::CoreNotReady);
+        }
         match status {
             200 => {
+                if let OperatorAsk::Propose(proposal) = &mut waiting.ask
+                    && proposal.motion.is_of_a_zone()
+                {
+                    let Ok(newest) = body.try_into() else { return };
+                    proposal.seen = Epoch(u64::from_be_bytes(newest));
+                }
                 waiting.is_cleared = true;
                 self.try_again(number);
             }
@@ -699,6 +739,7 @@
                 "members": ledger.member_halls.iter()
                     .map(|(address, hall)| serde_json::json!({"address": address, "hall": hall})).collect::<Vec<_>>(),
             })),
+            Reading::Newest => (200, ledger.epoch.0.to_be_bytes().to_vec()),
             Reading::Epoch { epoch: Epoch(0) } if ledger.plan_epoch > Epoch(0) => (200, ledger.plan.clone()),
             Reading::Base { .. } => {
                 let mut body = ledger.plan_epoch.0.to_be_bytes().to_vec();
@@ -744,6 +785,14 @@
     }
 }
 
+/// What the tail must be asked before this is proposed.
+fn read_before(proposal: &Proposal) -> Option<Reading> {
+    match &proposal.motion {
+        Motion::Forget { members } => Some(Reading::Heard { id: proposal.id.clone(), members: members.clone() }),
+        motion => motion.is_of_a_zone().then_some(Reading::Newest),
+    }
+}
+
 /// The HTTP status that goes with a verdict's code.
 fn status_of(body: &[u8]) -> u16 {
     let code = serde_json::from_slice::<serde_json::Value>(body).ok().and_then(|value| value["code"].as_u64());
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -45,7 +45,7 @@
         self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Read(Reading::Latest) })
     }
     fn propose(&mut self, number: u64, motion: Motion) -> Vec<Left> {
-        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, motion };
+        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), motion };
         self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn told(&mut self, from: u16, number: u64) -> Vec<Left> {
@@ -64,6 +64,11 @@
     Motion::Forget { members: vec![Address::loopback(9)] }
 }
 
+/// Proposed without a question to the tail.
+fn plan() -> Motion {
+    Motion::plan(br#"{"services":{"a":{}}}"#.to_vec()).expect("a good plan")
+}
+
 fn withdraw() -> Motion {
     Motion::Withdraw { hall: "east".into() }
 }
@@ -84,16 +89,40 @@
     assert_eq!(played.reply(3, 1002, true), []);
 }
 
+/// Before a zone's change is proposed, the tail says how far it is; an answer that is late may be younger than
+/// what its operator has done elsewhere since.
+#[test]
+fn a_zone_s_change_goes_out_only_with_what_the_tail_said_soon_after_it_came() {
+    let newest = |number: u64| {
+        let letter = Letter::Told { number, status: 200, body: 9u64.to_be_bytes().to_vec() };
+        OfficeInput::Letter { from: Address::loopback(3), letter }
+    };
+    let mut played = Played::new(1000);
+    assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
+    assert_eq!(played.step(600, newest(1001)), [Left::Propose(1, 1002)]);
+    assert_eq!(played.step(0, newest(1001)), [], "it is under way");
+
+    let mut played = Played::new(1000);
+    assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
+    assert_eq!(played.step(700, newest(1001)), [Left::Reply(30, 503)]);
+
+    let mut played = Played::new(1000);
+    assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
+    assert_eq!(played.step(10, OfficeInput::Abandoned { number: 30 }), []);
+    assert_eq!(played.step(10, newest(1001)), [], "nobody waits for it any more");
+    assert_eq!(played.tick(250), []);
+}
+
 /// Operators' numbers begin anew with each process; what comes late for an earlier one is not for this.
 #[test]
 fn an_answer_to_an_earlier_life_is_not_taken() {
     let mut earlier = Played::new(1000);
     assert_eq!(earlier.read(1), [Left::Ask(3, 1001)]);
-    assert_eq!(earlier.propose(2, withdraw()), [Left::Propose(1, 1003)]);
+    assert_eq!(earlier.propose(2, plan()), [Left::Propose(1, 1003)]);
 
     let mut played = Played::new(5000);
     assert_eq!(played.read(1), [Left::Ask(3, 5001)]);
-    assert_eq!(played.propose(2, withdraw()), [Left::Propose(1, 5003)]);
+    assert_eq!(played.propose(2, plan()), [Left::Propose(1, 5003)]);
     for late in [1, 2, 1001, 1003] {
         assert_eq!(played.told(3, late), []);
         assert_eq!(played.reply(3, late, true), []);
@@ -107,7 +136,7 @@
 #[test]
 fn a_late_word_on_one_try_of_a_proposal_is_none_on_the_next() {
     let mut played = Played::new(0);
-    assert_eq!(played.propose(7, withdraw()), [Left::Propose(1, 2)]);
+    assert_eq!(played.propose(7, plan()), [Left::Propose(1, 2)]);
     assert_eq!(played.reply(1, 2, false), []);
     assert_eq!(played.tick(250), [Left::Propose(1, 3)]);
     played.tick(3800);
@@ -183,7 +212,7 @@
         self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
     }
     fn withdraw(&mut self, number: u64) -> Vec<(u64, u64)> {
-        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, motion: withdraw() };
+        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), motion: withdraw() };
         self.step(5, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn epoch(&self) -> u64 {
--- a/crates/registrar/tests/delayed_and_refused.rs
+++ b/crates/registrar/tests/delayed_and_refused.rs
@@ -11,7 +11,7 @@
 const TAIL: usize = 2;
 
 fn proposal(id: &str, motion: Motion) -> OperatorAsk {
-    OperatorAsk::Propose(Proposal { id: id.into(), builds_on: None, motion })
+    OperatorAsk::Propose(Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion })
 }
 
 fn plan(id: &str, base: u64, revision: u64) -> OperatorAsk {
@@ -20,6 +20,14 @@
     proposal(id, motion.with_halls(&["east".into()]))
 }
 
+fn withdraw(id: &str) -> OperatorAsk {
+    proposal(id, Motion::Withdraw { hall: "east".into() })
+}
+
+fn restore(id: &str) -> OperatorAsk {
+    proposal(id, Motion::Restore { hall: "east".into() })
+}
+
 fn ask(core: &mut Core, machine: usize, number: u64, ask: OperatorAsk) {
     core.tell(machine, OfficeInput::Operator { number, ask });
 }
@@ -29,6 +37,33 @@
     core.await_answer(number, 4000).map(|(status, _)| status)
 }
 
+/// A machine is just cut off as it takes a call; the operator turns elsewhere and then changes its mind.
+fn after_a_delayed_call(first: fn(&str) -> OperatorAsk, second: fn(&str) -> OperatorAsk) -> Core {
+    let mut core = Core::new(1, None);
+    assert_eq!(status(&mut core, HEAD, 1, plan("p", 0, 5)), Some(200));
+    assert_eq!(status(&mut core, HEAD, 2, second("before")), Some(200));
+    core.set_lines_of(MIDDLE, Carriage::Held);
+    ask(&mut core, MIDDLE, 3, first("delayed"));
+    core.run(1000);
+    assert_eq!(status(&mut core, TAIL, 4, first("again")), Some(200));
+    assert_eq!(status(&mut core, TAIL, 5, second("back")), Some(200));
+    core.set_lines_of(MIDDLE, Carriage::Open);
+    core.run(12_000);
+    core
+}
+
+#[test]
+fn a_delayed_evacuation_is_not_carried_out_after_it_was_taken_back() {
+    let core = after_a_delayed_call(withdraw, restore);
+    assert!(core.accepted().expect("a tail").withdrawn.is_empty(), "the first call came in after the last");
+}
+
+#[test]
+fn a_delayed_withdrawal_of_an_evacuation_does_not_open_the_zone_again() {
+    let core = after_a_delayed_call(restore, withdraw);
+    assert_eq!(core.accepted().expect("a tail").withdrawn.len(), 1, "the first call came in after the last");
+}
+
 /// What one disk holds may vanish with it: nothing is refused on the strength of it.
 #[test]
 fn nothing_is_refused_for_what_was_never_accepted() {
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -137,7 +137,7 @@
             Some(motion) => {
                 self.witness.proposed(self.now, &id, motion, &self.operators.base);
                 let builds_on = builds_on.map(Epoch);
-                OperatorAsk::Propose(Proposal { id: id.clone(), builds_on, motion: motion.clone() })
+                OperatorAsk::Propose(Proposal { id: id.clone(), builds_on, seen: Epoch(0), motion: motion.clone() })
             }
             None => OperatorAsk::Read(Reading::Latest),
         };
