A change that may have been taken is not refused for good

Cause: a change that no longer merges was answered 400 on any word about its fate but 200: also on 503 (in the chain, not yet accepted) and on silence. A number ahead of all that was accepted was a conflict, and so was a change that had been merged into a plan older than the tail's, though its operator built on the right number.

Change: a call's way is a state machine, DeskTask, whose only final refusals are the tail's word on a proposal, and a fault in a document of which the tail says that it was not taken, on a number that is not ahead of the tail's. What is ahead, or was merged into an older plan, gets 503. The same holds for whole plans with faults and in the product's own interface.

--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -292,7 +292,8 @@
             });
         }
         let builds_on = |is_needed: bool| match proposal.builds_on {
-            Some(epoch) if epoch < self.plan_epoch || epoch > self.epoch => {
+            Some(epoch) if epoch > self.epoch => Err(self.not_yet(&format!("epoch {epoch}"))),
+            Some(epoch) if epoch < self.plan_epoch => {
                 let why = format!("it builds on epoch {epoch}, the plan in force is of epoch {}", self.plan_epoch);
                 Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]))
             }
@@ -307,7 +308,10 @@
             }
             builds_on(false)?;
             let (own, base, newest) = (revisions.own, revisions.base, self.revision);
-            if base != newest {
+            if base > newest {
+                return Err(self.not_yet(&format!("revision {base}")));
+            }
+            if base < newest {
                 let why = format!("it builds on revision {base}, the plan in force is revision {newest}");
                 return Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]));
             }
@@ -322,9 +326,10 @@
             Motion::Change { base, splice, revisions, .. } => {
                 follows(revisions)?;
                 if *base != self.plan_epoch {
+                    // Merged anew, the same change may well be taken: no conflict of its operator's.
                     let why =
                         format!("it was merged into epoch {base}, the plan in force is of epoch {}", self.plan_epoch);
-                    return Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]));
+                    return Err(self.verdict(ResultCode::CoreNotReady, self.epoch, why, vec![]));
                 }
                 if !splice.fits(&self.plan) {
                     let why = "the change is not one of the plan in force";
@@ -375,6 +380,12 @@
         }
     }
 
+    /// About what is ahead of all that was accepted: it may be accepted yet, so this is no final word.
+    fn not_yet(&self, what: &str) -> Verdict {
+        let why = format!("it builds on {what}, which is not accepted so far");
+        self.verdict(ResultCode::CoreNotReady, self.epoch, why, vec![])
+    }
+
     fn note_zone_change(&mut self, zone: &HallName) {
         self.zone_changes.retain(|(changed, _)| changed != zone);
         self.zone_changes.push((zone.clone(), self.epoch));
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -365,13 +365,22 @@
         let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": "nothing changed", "faults": faults});
         Reply::json(code.http_status(), &value)
     };
+    // A document that has faults now may have been taken when it was first sent.
+    let refuse = |faults: Vec<Fault>| {
+        let id = order.query_word("id").unwrap_or_default().to_owned();
+        match ask_core(OperatorAsk::Read(Reading::Fate { id })) {
+            Ok((status, _)) if status == ResultCode::UnknownChange.http_status() => faulty(faults),
+            Ok((status, body)) => told(status, body),
+            Err(reply) => *reply,
+        }
+    };
     let change = |bytes: Vec<u8>| -> Result<Motion, Box<Reply>> {
         let at_least = Epoch(order.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
         let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
             Some((base, plan)) if status == 200 => {
                 let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
-                Motion::change(bytes, base, plan).map_err(|faults| Box::new(faulty(faults)))
+                Motion::change(bytes, base, plan).map_err(|faults| Box::new(refuse(faults)))
             }
             _ => Err(Box::new(told(status, body))),
         }
@@ -418,7 +427,7 @@
         ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
         ("PUT", ["v1", "plan"]) => match Motion::plan(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
-            Err(faults) => faulty(faults),
+            Err(faults) => refuse(faults),
         },
         ("PATCH", ["v1", "plan"]) => match change(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
--- a/crates/registrar/src/desk.rs
+++ b/crates/registrar/src/desk.rs
@@ -86,79 +86,141 @@
     format!("{kind}-{base}-{}", &hasher.finalize().to_hex()[..32])
 }
 
-impl CoreLine {
-    fn answer(&self, ask: OperatorAsk, attempt: &Attempt) -> DeskAnswer {
-        match self.ask(ask, attempt) {
-            Ok((status, body)) => answer_of(status, &body),
-            Err(_) => refused(ResultCode::CoreNotReady, "no answer in time", vec![]),
-        }
+/// What a call's task does next.
+#[derive(Debug, Clone)]
+pub enum DeskStep {
+    /// Ask the core; its answer goes to [`DeskTask::on_told`].
+    Ask(OperatorAsk),
+    /// It is over.
+    Answer(DeskAnswer),
+}
+
+/// What the core's next answer to a call's task is about.
+#[derive(Debug, Clone)]
+enum Stage {
+    /// The plan that a change is to be merged into.
+    Merging { id: String, bytes: Vec<u8>, base: u64 },
+    /// Whether a document that has faults now was taken before.
+    Fate { faults: Vec<Fault> },
+    /// What became of a proposal.
+    Proposed,
+    /// The newest plan.
+    Reading,
+    /// Nothing; it is over.
+    Over,
+}
+
+/// A call on its way, as a state machine: what it asks of the core, step by step, until it is answered.
+///
+/// Invariant: it is refused for good only by the tail's own word: on a proposal, or that a document which has
+/// faults was not taken and builds on nothing that is yet to come.
+pub struct DeskTask<'a> {
+    plans: &'a dyn PlanDialect,
+    zones: &'a [HallName],
+    stage: Stage,
+}
+
+impl<'a> DeskTask<'a> {
+    /// A call's task and its first step. `zones` may be evacuated besides those that members and plans name.
+    pub fn begin(
+        call: DeskCall,
+        plans: &'a dyn PlanDialect,
+        zones: &'a [HallName],
+        is_ready: bool,
+    ) -> (DeskTask<'a>, DeskStep) {
+        let mut task = DeskTask { plans, zones, stage: Stage::Over };
+        let step = match call {
+            DeskCall::Plan { bytes, base } => {
+                let id = id_of("plan", &bytes, base);
+                let motion = Motion::plan_in(plans, bytes, Some(base));
+                task.propose_document(id, motion)
+            }
+            DeskCall::Change { bytes, base } => {
+                task.stage = Stage::Merging { id: id_of("change", &bytes, base), bytes, base };
+                // Merged into the tail's plan: an older one would be a conflict that isn't one.
+                DeskStep::Ask(OperatorAsk::Read(Reading::Base { at_least: Epoch(u64::MAX) }))
+            }
+            DeskCall::ReadPlan => {
+                task.stage = Stage::Reading;
+                DeskStep::Ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }))
+            }
+            DeskCall::Withdraw { hall } => task.propose(chance_id(), Motion::Withdraw { hall }),
+            DeskCall::Restore { hall } => task.propose(chance_id(), Motion::Restore { hall }),
+            DeskCall::Readiness if is_ready => DeskStep::Answer(DeskAnswer::Done),
+            DeskCall::Readiness => DeskStep::Answer(refused(ResultCode::CoreNotReady, "not in the chain", vec![])),
+        };
+        (task, step)
     }
 
-    fn propose(&self, id: String, motion: Motion, attempt: &Attempt) -> DeskAnswer {
-        self.answer(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), motion }), attempt)
+    /// The core's status and body in answer to what was asked; `None` if none came in time.
+    pub fn on_told(&mut self, told: Option<Told>) -> DeskStep {
+        let stage = std::mem::replace(&mut self.stage, Stage::Over);
+        let Some((status, body)) = told else {
+            let code =
+                if matches!(stage, Stage::Proposed) { ResultCode::FateUnknown } else { ResultCode::CoreNotReady };
+            return DeskStep::Answer(refused(code, "no answer in time", vec![]));
+        };
+        match stage {
+            Stage::Merging { id, bytes, base } if status == 200 => self.merge(id, bytes, base, &body),
+            Stage::Fate { faults } if status == ResultCode::UnknownChange.http_status() => {
+                DeskStep::Answer(refused(ResultCode::BadPlan, "nothing changed", faults))
+            }
+            Stage::Reading if status == 200 => DeskStep::Answer(DeskAnswer::Plan(body)),
+            Stage::Merging { .. } | Stage::Fate { .. } | Stage::Proposed | Stage::Reading | Stage::Over => {
+                DeskStep::Answer(answer_of(status, &body))
+            }
+        }
     }
 
-    /// Proposes what a document came to. One with faults now may have been accepted when it was first
-    /// sent.
-    fn propose_plan(
-        &self,
-        id: String,
-        motion: Result<Motion, Vec<Fault>>,
-        halls: &[HallName],
-        attempt: &Attempt,
-    ) -> DeskAnswer {
-        let faults = match motion {
-            Ok(motion) => return self.propose(id, motion.with_halls(halls), attempt),
-            Err(faults) => faults,
+    /// Merges a change into the tail's plan, which comes behind its epoch.
+    fn merge(&mut self, id: String, bytes: Vec<u8>, base: u64, told: &[u8]) -> DeskStep {
+        let Some((epoch, plan)) = told.split_first_chunk::<8>() else {
+            return DeskStep::Answer(refused(ResultCode::CoreNotReady, "no plan to merge into", vec![]));
         };
-        match self.ask(OperatorAsk::Read(Reading::Fate { id }), attempt) {
-            Ok((200, _)) => DeskAnswer::Done,
-            _ => refused(ResultCode::BadPlan, "nothing changed", faults),
+        let motion = Motion::change_in(self.plans, bytes, Epoch(u64::from_be_bytes(*epoch)), plan, Some(base));
+        let newest = self.plans.parse(plan).map_or(0, |plan| plan.revision);
+        if motion.is_err() && base > newest {
+            // It may have none with the plan that it was made for.
+            let why = format!("it builds on revision {base}, which is not accepted so far");
+            return DeskStep::Answer(refused(ResultCode::CoreNotReady, why, vec![]));
         }
+        self.propose_document(id, motion)
     }
 
-    /// Carries a call out for as long as its attempt lasts. `halls` may be withdrawn besides those that members
+    fn propose(&mut self, id: String, motion: Motion) -> DeskStep {
+        self.stage = Stage::Proposed;
+        DeskStep::Ask(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), motion }))
+    }
+
+    /// Proposes what a document came to. One with faults now may have been taken when it was first sent.
+    fn propose_document(&mut self, id: String, motion: Result<Motion, Vec<Fault>>) -> DeskStep {
+        match motion {
+            Ok(motion) => self.propose(id, motion.with_halls(self.zones)),
+            Err(faults) => {
+                self.stage = Stage::Fate { faults };
+                DeskStep::Ask(OperatorAsk::Read(Reading::Fate { id }))
+            }
+        }
+    }
+}
+
+impl CoreLine {
+    /// Carries a call out for as long as its attempt lasts. `zones` may be evacuated besides those that members
     /// and plans name.
     pub fn carry(
         &self,
         call: DeskCall,
         plans: &dyn PlanDialect,
-        halls: &[HallName],
+        zones: &[HallName],
         is_ready: bool,
         attempt: &Attempt,
     ) -> DeskAnswer {
-        match call {
-            DeskCall::Plan { bytes, base } => {
-                let id = id_of("plan", &bytes, base);
-                match Motion::plan_in(plans, bytes, Some(base)) {
-                    Ok(motion) => self.propose(id, motion.with_halls(halls), attempt),
-                    Err(faults) => refused(ResultCode::BadPlan, "nothing changed", faults),
-                }
+        let (mut task, mut step) = DeskTask::begin(call, plans, zones, is_ready);
+        loop {
+            match step {
+                DeskStep::Answer(answer) => return answer,
+                DeskStep::Ask(ask) => step = task.on_told(self.ask(ask, attempt).ok()),
             }
-            DeskCall::Change { bytes, base } => {
-                let id = id_of("change", &bytes, base);
-                // Merged into the tail's plan: an older one would be a conflict that isn't one.
-                let reading = Reading::Base { at_least: Epoch(u64::MAX) };
-                match self.ask(OperatorAsk::Read(reading), attempt) {
-                    Ok((200, body)) if body.len() >= 8 => {
-                        let (epoch, plan) = body.split_at(8);
-                        let epoch = Epoch(u64::from_be_bytes(epoch.try_into().unwrap_or_default()));
-                        let motion = Motion::change_in(plans, bytes, epoch, plan, Some(base));
-                        self.propose_plan(id, motion, halls, attempt)
-                    }
-                    Ok((status, body)) => answer_of(status, &body),
-                    Err(_) => refused(ResultCode::CoreNotReady, "no answer in time", vec![]),
-                }
-            }
-            DeskCall::ReadPlan => match self.ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }), attempt) {
-                Ok((200, body)) => DeskAnswer::Plan(body),
-                Ok((status, body)) => answer_of(status, &body),
-                Err(_) => refused(ResultCode::CoreNotReady, "no answer in time", vec![]),
-            },
-            DeskCall::Withdraw { hall } => self.propose(chance_id(), Motion::Withdraw { hall }, attempt),
-            DeskCall::Restore { hall } => self.propose(chance_id(), Motion::Restore { hall }, attempt),
-            DeskCall::Readiness if is_ready => DeskAnswer::Done,
-            DeskCall::Readiness => refused(ResultCode::CoreNotReady, "not in the chain", vec![]),
         }
     }
 }
@@ -167,3 +229,6 @@
 fn chance_id() -> String {
     format!("c-{:032x}", u128::from_be_bytes(random_bytes()))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod prelude {
     pub use crate::core_line::{Attempt, CoreLine, Told};
     pub use crate::daemon::{Dialects, run};
-    pub use crate::desk::{DeskAnswer, DeskCall, DeskDialect};
+    pub use crate::desk::{DeskAnswer, DeskCall, DeskDialect, DeskStep, DeskTask};
     pub use crate::office::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
     pub use crate::redirect::ReadAddresses;
     pub use crate::settings::Settings;
