--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -1,4 +1,4 @@
-use crate::core_line::Replies;
+use crate::core_line::{OPERATOR_PATIENCE, Replies};
 use crate::prelude::*;
 use crate::redirect::{ReadAddresses, Redirector};
 use std::net::TcpListener;
@@ -112,8 +112,8 @@
     let tallies = Arc::new(Tallies::default());
     let gate_sender = sender.clone();
     let halls = settings.halls.iter().map(|name| name.as_str().into()).collect();
-    let tell = move |number, ask| {
-        let _ = gate_sender.send(Event::Input(OfficeInput::Operator { number, ask }));
+    let tell = move |input| {
+        let _ = gate_sender.send(Event::Input(input));
     };
     let core = CoreLine::new(replies.clone(), tell);
     let believes_sender = sender.clone();
@@ -320,9 +320,13 @@
 impl Door {
     fn reply(&self, order: &Order) -> Reply {
         let Some(desk) = &self.dialects.desk else { return self.own_reply(order) };
+        let attempt = Attempt::new(desk.patience(order.body.len()), Some(order.caller.clone()));
         let is_ready = self.is_ready.load(Ordering::Relaxed);
         match desk.read(order) {
-            Ok(Some(call)) => desk.write(self.core.carry(call, self.dialects.plans.as_ref(), &self.halls, is_ready)),
+            Ok(Some(call)) => {
+                let plans = self.dialects.plans.as_ref();
+                desk.write(self.core.carry(call, plans, &self.halls, is_ready, &attempt))
+            }
             Ok(None) if order.method == "GET" => self.own_reply(order),
             Ok(None) => {
                 Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path))
@@ -344,7 +348,8 @@
     is_ready: &AtomicBool,
     tallies: &Tallies,
 ) -> Reply {
-    let ask_core = |ask: OperatorAsk| core.ask(ask);
+    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(order.caller.clone()));
+    let ask_core = |ask: OperatorAsk| core.ask(ask, &attempt);
     let told = |status: u16, body: Vec<u8>| {
         let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
         let reply = Reply::whole(status, "application/json", body);
@@ -360,13 +365,22 @@
         let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": "nothing changed", "faults": faults});
         Reply::json(code.http_status(), &value)
     };
+    // A document that has faults now may have been taken when it was first sent.
+    let refuse = |faults: Vec<Fault>| {
+        let id = order.query_word("id").unwrap_or_default().to_owned();
+        match ask_core(OperatorAsk::Read(Reading::Fate { id })) {
+            Ok((status, _)) if status == ResultCode::UnknownChange.http_status() => faulty(faults),
+            Ok((status, body)) => told(status, body),
+            Err(reply) => *reply,
+        }
+    };
     let change = |bytes: Vec<u8>| -> Result<Motion, Box<Reply>> {
         let at_least = Epoch(order.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
         let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
             Some((base, plan)) if status == 200 => {
                 let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
-                Motion::change(bytes, base, plan).map_err(|faults| Box::new(faulty(faults)))
+                Motion::change(bytes, base, plan).map_err(|faults| Box::new(refuse(faults)))
             }
             _ => Err(Box::new(told(status, body))),
         }
@@ -385,7 +399,7 @@
             }
             None => None,
         };
-        ask(OperatorAsk::Propose(Proposal { id, builds_on, motion }))
+        ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), motion }))
     };
     match (order.method.as_str(), order.parts().as_slice()) {
         ("GET", ["ready"]) => {
@@ -413,7 +427,7 @@
         ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
         ("PUT", ["v1", "plan"]) => match Motion::plan(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
-            Err(faults) => faulty(faults),
+            Err(faults) => refuse(faults),
         },
         ("PATCH", ["v1", "plan"]) => match change(order.body.to_vec()) {
             Ok(motion) => propose(motion, true),
