A check of histories on one register: is there an order that explains them?

The simulator judged operators' answers one by one: an answer that is wrong only beside others (a refusal of what was free, a read between two states, a change that takes effect after what took it back) was not seen.

--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -10,6 +10,8 @@
 
 mod checks;
 mod faults;
+#[cfg(test)]
+mod linearizability;
 mod machines;
 mod operators;
 mod streams;
