--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -268,6 +268,9 @@
                         let mut text = format!("seed {seed}:\n");
                         witness.violations.iter().take(8).for_each(|what| text += &format!("  VIOLATION {what}\n"));
                         witness.faults.iter().for_each(|fault| text += &format!("  {fault}\n"));
+                        if seeds == 1 {
+                            witness.calls.iter().for_each(|call| text += &format!("  {call}\n"));
+                        }
                         bad.lock().expect("no thread panics with it").push(text);
                     }
                 }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -9,8 +9,9 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 mod checks;
+mod door;
 mod faults;
-#[cfg(test)]
+mod history;
 mod linearizability;
 mod machines;
 mod operators;
@@ -55,6 +56,10 @@
     AnswerTwice,
     /// A registrar's questions and proposals are numbered alike in each life.
     ReuseNumbers,
+    /// Registrars answer operators' reads from what they hold themselves.
+    StaleReads,
+    /// The same change gets another id each time that it's sent.
+    NewIds,
     /// Tails forget at once whom they gave leases, and accept without waiting for them.
     ForgetHolders,
 }
@@ -80,6 +85,9 @@
     platform: std::collections::VecDeque<(u64, Vec<RollEntry>)>,
     orders: BTreeMap<OrderId, SimOrder>,
     operators: operators::Operators,
+    history: history::History,
+    /// Patches that are at a registrar's door, by their calls.
+    door: BTreeMap<u64, door::PatchStep>,
     witness: Witness,
     trace: u64,
     faults: Vec<Fault>,
@@ -188,28 +196,91 @@
 #[derive(Debug, Clone)]
 #[allow(clippy::large_enum_variant)] // Most happenings are letters.
 enum Happening {
-    Letter { to: Address, from: Address, letter: Letter },
-    Tick { machine: usize, life: u64 },
-    Synced { machine: usize, life: u64, id: u64 },
-    Reopen { machine: usize, life: u64 },
-    NodeTick { machine: usize, life: u64 },
-    Polls { machine: usize, life: u64 },
+    Letter {
+        to: Address,
+        from: Address,
+        letter: Letter,
+    },
+    Tick {
+        machine: usize,
+        life: u64,
+    },
+    Synced {
+        machine: usize,
+        life: u64,
+        id: u64,
+    },
+    Reopen {
+        machine: usize,
+        life: u64,
+    },
+    NodeTick {
+        machine: usize,
+        life: u64,
+    },
+    Polls {
+        machine: usize,
+        life: u64,
+    },
     Arrival,
-    Connected { order: OrderId, server: usize, run: RunId },
-    RunReaches { order: OrderId, server: usize, run: RunId },
-    RunOutcome { order: OrderId, failure: Option<crier::prelude::Failure> },
-    Watch { order: OrderId },
-    Resume { order: OrderId },
+    Connected {
+        order: OrderId,
+        server: usize,
+        run: RunId,
+    },
+    RunReaches {
+        order: OrderId,
+        server: usize,
+        run: RunId,
+    },
+    RunOutcome {
+        order: OrderId,
+        failure: Option<crier::prelude::Failure>,
+    },
+    Watch {
+        order: OrderId,
+    },
+    Resume {
+        order: OrderId,
+    },
     Operate,
-    Strike { place: usize },
-    Heal { place: usize },
-    StartRegistrar { machine: usize },
-    StartCrier { machine: usize },
-    StartServer { server: usize },
-    ReplaceServer { server: usize },
+    /// An operator's call reaches a registrar.
+    CallReaches {
+        machine: usize,
+        life: u64,
+        call: u64,
+    },
+    /// An operator has heard nothing of a call.
+    Silence {
+        call: u64,
+    },
+    /// An operator sends the same again.
+    SendAgain {
+        task: u64,
+    },
+    Strike {
+        place: usize,
+    },
+    Heal {
+        place: usize,
+    },
+    StartRegistrar {
+        machine: usize,
+    },
+    StartCrier {
+        machine: usize,
+    },
+    StartServer {
+        server: usize,
+    },
+    ReplaceServer {
+        server: usize,
+    },
     Check,
     Probe,
-    Forget { place: usize },
+    Forget {
+        place: usize,
+    },
 }
 
 impl World {
@@ -229,6 +300,8 @@
             platform: std::collections::VecDeque::new(),
             orders: BTreeMap::new(),
             operators: operators::Operators::default(),
+            history: history::History::default(),
+            door: BTreeMap::new(),
             witness: Witness::default(),
             trace: 0,
             faults: vec![],
@@ -368,6 +441,9 @@
             Happening::Watch { order } => self.on_watch(order),
             Happening::Resume { order } => self.on_resume(order),
             Happening::Operate => self.on_operate(),
+            Happening::CallReaches { machine, life, call } => self.on_call_reaches(machine, life, call),
+            Happening::Silence { call } => self.on_silence(call),
+            Happening::SendAgain { task } => self.send_call(task),
             Happening::Strike { place } => self.strike(place),
             Happening::Heal { place } => self.heal(place),
             Happening::StartRegistrar { machine } => self.start_registrar(machine),
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -39,6 +39,8 @@
     pub trace: u64,
     /// The faults.
     pub faults: Vec<String>,
+    /// Operators' calls and what they were told.
+    pub calls: Vec<String>,
     pub(super) newest_told: u64,
     accepted: BTreeMap<u64, u64>,
     told: BTreeMap<OrderId, &'static str>,
@@ -51,11 +53,19 @@
     /// What each plan or change would put in force.
     plans: BTreeMap<String, serde_json::Value>,
     fates: BTreeMap<String, (u64, u64, u64)>,
+    /// By change: its calls, and those that were told that nothing changed.
+    call_counts: BTreeMap<String, CallCounts>,
     node_epochs: BTreeMap<Address, Epoch>,
     decided: BTreeMap<u64, View>,
     calm_from: u64,
 }
 
+#[derive(Debug, Default)]
+struct CallCounts {
+    sent: u32,
+    not_ready: u32,
+}
+
 /// In force within about 2 s: this and a little for the network and the clock's step.
 const IN_FORCE: u64 = 2200;
 /// Where holders of leases are the quorum, a node acts on a change by when it's told. What was placed before
@@ -126,17 +136,34 @@
         }
     }
     pub(super) fn proposed(&mut self, now: u64, id: &str, motion: &Motion, base: &[u8]) {
+        let read = |bytes: &[u8]| serde_json::from_slice::<serde_json::Value>(bytes).ok();
+        // A change that was merged into another plan than the one that it builds on never takes effect.
+        let is_of_its_base = |revisions: &layout::prelude::Revisions| {
+            let found = read(base).and_then(|plan| plan["revision"].as_u64()).unwrap_or(0);
+            revisions.own == 0 || found == revisions.base
+        };
         let whole = match motion {
             Motion::Plan { bytes, .. } => Some(bytes.clone()),
-            Motion::Change { splice, .. } => splice.apply(base),
+            Motion::Change { splice, revisions, .. } => splice.apply(base).filter(|_| is_of_its_base(revisions)),
             _ => None,
         };
-        let plan = whole.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        let plan = whole.and_then(|bytes| read(&bytes));
         self.plans.extend(plan.map(|plan| (id.to_owned(), plan)));
-        self.proposed.insert(id.to_owned(), (now, motion.clone()));
+        self.proposed.entry(id.to_owned()).or_insert((now, motion.clone()));
+        self.sends(id);
+    }
+    /// A call for this change ended at the door.
+    pub(super) fn not_proposed(&mut self, id: &str) {
+        self.sends(id);
+    }
+    /// A call for this change is under way: unless all that there were are known to have changed nothing, nobody
+    /// knows what became of it.
+    fn sends(&mut self, id: &str) {
+        self.call_counts.entry(id.to_owned()).or_default().sent += 1;
+        self.fates.retain(|known, (_, code, _)| known != id || *code != u64::from(ResultCode::CoreNotReady.number()));
     }
     pub(super) fn operator_told(&mut self, now: u64, asked: u64, id: &str, code: u64, epoch: u64) {
-        self.fates.insert(id.to_owned(), (now, code, epoch));
+        self.keep_fate(now, id, code, epoch);
         if code == u64::from(ResultCode::Accepted.number()) {
             self.motions[0] += 1;
             self.accept_ms.push(now - asked);
@@ -152,6 +179,28 @@
         }
     }
 
+    /// What is known of a change after one more answer: a clear one stays, whatever later answers say.
+    fn keep_fate(&mut self, now: u64, id: &str, code: u64, epoch: u64) {
+        let number = |code: ResultCode| u64::from(code.number());
+        let (accepted, not_ready, unknown) =
+            (number(ResultCode::Accepted), number(ResultCode::CoreNotReady), number(ResultCode::FateUnknown));
+        let is_clear = |code: u64| code != not_ready && code != unknown;
+        let calls = self.call_counts.entry(id.to_owned()).or_default();
+        calls.not_ready += u32::from(code == not_ready);
+        let code = if code == not_ready && calls.not_ready < calls.sent { unknown } else { code };
+        match self.fates.get(id).copied() {
+            Some((_, known, _)) if is_clear(known) && !is_clear(code) => {}
+            Some((_, known, at)) if is_clear(known) => {
+                if (known == accepted || code == accepted) && (known, at) != (code, epoch) {
+                    self.violate(now, format!("{id} was told {known} with epoch {at}, then {code} with epoch {epoch}"));
+                }
+            }
+            _ => {
+                self.fates.insert(id.to_owned(), (now, code, epoch));
+            }
+        }
+    }
+
     /// A server was asked to take an order, whatever it made of it.
     pub(super) fn asked(&mut self, order: &OrderId, service: &ServiceName) {
         self.asked_orders.entry(service.clone()).or_default().insert(order.clone());
@@ -358,6 +407,8 @@
             .registrars
             .iter()
             .position(|m| m.office.as_ref().is_some_and(|office| office.fellow().may_reply(Moment(now + m.offset))));
+        self.history.judge().into_iter().for_each(|what| self.witness.violate(now, what));
+        self.witness.calls = self.history.lines();
         let ledger = tail.and_then(|place| self.registrars[place].office.as_ref()).map(|o| o.fellow().charge());
         self.witness.conclude(now, ledger);
         if let Some(view) = self.witness.decided.values().next_back() {
--- /dev/null
+++ b/crates/rehearsal/src/world/door.rs
@@ -0,0 +1,125 @@
+//! What a registrar's door makes of an operator's call, step by step, as the daemon's does.
+
+use super::operators::{Asked, Basis, Wish};
+use super::*;
+use circular::prelude::Reading;
+use layout::prelude::{Fault as PlanFault, OwnPlans};
+
+/// Where a patch stands at the door.
+#[derive(Debug, Clone)]
+pub(super) enum PatchStep {
+    /// The plan that it changes is read.
+    ReadsBase(Vec<u8>, Basis),
+    /// It has faults; whether it was taken before they came is read.
+    ReadsFate,
+}
+
+impl World {
+    /// A call reaches a registrar, if that is still the process that it was sent to.
+    pub(super) fn on_call_reaches(&mut self, machine: usize, life: u64, call: u64) {
+        let happening = Happening::CallReaches { machine, life, call };
+        let m = &self.registrars[machine];
+        if m.life != life || m.office.is_none() {
+            // Refused or reset: the operator knows at once.
+            return self.on_silence(call);
+        }
+        if !self.is_awake(true, machine, &happening) {
+            return;
+        }
+        let Some((wish, asked)) = self.asked_of(call) else { return };
+        match wish {
+            Wish::ReadState => self.read(machine, call, asked, Reading::Latest),
+            Wish::ReadPlan => self.read(machine, call, asked, Reading::Epoch { epoch: Epoch(0) }),
+            Wish::Motion(motion) => self.propose(machine, call, asked, Ok(motion), None, &[]),
+            Wish::Plan { bytes, basis } => {
+                let motion = Motion::plan_in(&OwnPlans, bytes, base_revision(basis));
+                self.propose(machine, call, asked, motion, Some(basis), &[]);
+            }
+            Wish::Patch { bytes, basis } => {
+                self.door.insert(call, PatchStep::ReadsBase(bytes, basis));
+                let at_least = match basis {
+                    Basis::Epoch(epoch) => Epoch(epoch),
+                    Basis::Revision { .. } => Epoch(u64::MAX),
+                };
+                self.read(machine, call, asked, Reading::Base { at_least });
+            }
+        }
+    }
+
+    fn read(&mut self, machine: usize, call: u64, asked: Asked, reading: Reading) {
+        self.operators.asked.insert(call, asked);
+        if self.rules.mutant == Some(Mutant::StaleReads) && matches!(reading, Reading::Epoch { .. }) {
+            return self.read_here(machine, call);
+        }
+        self.step_office(machine, OfficeInput::Operator { number: call, ask: OperatorAsk::Read(reading) });
+    }
+
+    /// For the mutant: the plan as this registrar has it.
+    fn read_here(&mut self, machine: usize, call: u64) {
+        let office = self.registrars[machine].office.as_ref();
+        let plan = office.map(|office| office.fellow().charge().plan.clone()).unwrap_or_default();
+        self.on_operator_reply(call, if plan.is_empty() { 404 } else { 200 }, &plan);
+    }
+
+    fn propose(
+        &mut self,
+        machine: usize,
+        call: u64,
+        mut asked: Asked,
+        motion: Result<Motion, Vec<PlanFault>>,
+        basis: Option<Basis>,
+        base: &[u8],
+    ) {
+        let Ok(motion) = motion else {
+            self.door.insert(call, PatchStep::ReadsFate);
+            let id = asked.id.clone();
+            return self.read(machine, call, asked, Reading::Fate { id });
+        };
+        self.witness.proposed(self.now, &asked.id, &motion, base);
+        let builds_on = match basis {
+            Some(Basis::Epoch(epoch)) => Some(Epoch(epoch)),
+            _ => None,
+        };
+        let proposal = Proposal { id: asked.id.clone(), builds_on, motion: motion.clone() };
+        asked.motion = Some(motion);
+        self.operators.asked.insert(call, asked);
+        self.step_office(machine, OfficeInput::Operator { number: call, ask: OperatorAsk::Propose(proposal) });
+    }
+
+    /// An office answers: the door goes on with a patch, or hands the answer to the operator.
+    pub(super) fn on_office_reply(&mut self, machine: usize, number: u64, status: u16, body: &[u8]) {
+        match self.door.remove(&number) {
+            None => self.on_operator_reply(number, status, body),
+            Some(PatchStep::ReadsBase(bytes, basis)) if status == 200 && body.len() >= 8 => {
+                let Some(asked) = self.operators.asked.remove(&number) else { return };
+                let (epoch, plan) = body.split_at(8);
+                let epoch = Epoch(u64::from_be_bytes(epoch.try_into().unwrap_or_default()));
+                let motion = Motion::change_in(&OwnPlans, bytes, epoch, plan, base_revision(basis));
+                self.propose(machine, number, asked, motion, Some(basis), plan);
+            }
+            Some(PatchStep::ReadsBase(..)) => self.answer_patch(number, ResultCode::CoreNotReady),
+            Some(PatchStep::ReadsFate) if status == 200 => self.answer_patch_as(number, body),
+            Some(PatchStep::ReadsFate) => self.answer_patch(number, ResultCode::BadPlan),
+        }
+    }
+
+    fn answer_patch(&mut self, number: u64, code: ResultCode) {
+        self.answer_patch_as(number, serde_json::json!({"code": code.number()}).to_string().as_bytes());
+    }
+
+    /// The answer to a patch that wasn't proposed this time.
+    fn answer_patch_as(&mut self, number: u64, body: &[u8]) {
+        let Some(mut asked) = self.operators.asked.remove(&number) else { return };
+        self.witness.not_proposed(&asked.id);
+        asked.motion = Some(Motion::Settle { since: Epoch(0) });
+        self.operators.asked.insert(number, asked);
+        self.on_operator_reply(number, 200, body);
+    }
+}
+
+fn base_revision(basis: Basis) -> Option<u64> {
+    match basis {
+        Basis::Epoch(_) => None,
+        Basis::Revision { base, .. } => Some(base),
+    }
+}
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -21,6 +21,10 @@
     pub kinds: Vec<FaultKind>,
     /// Orders a second.
     pub orders_a_second: u64,
+    /// Operators do something each time after one to six times this.
+    pub operators_gap: Span,
+    /// Percent of answers to operators that are lost on their way.
+    pub answer_loss: u64,
     /// Percent of plans that are large.
     pub large_plans: u64,
     /// BTB in the operators' plans, as JSON.
@@ -55,6 +59,8 @@
             faults: 8,
             kinds: vec![],
             orders_a_second: 25,
+            operators_gap: Span(300),
+            answer_loss: 3,
             large_plans: 3,
             btb: serde_json::json!({}),
             desk: DeskRules::default(),
@@ -528,7 +534,7 @@
     pub(super) fn on_probe(&mut self) {
         let hall = HallName::from(self.rules.deployment.shape().halls[0]);
         if !self.witness.is_core_back() {
-            self.ask(None, Some(Motion::Restore { hall }));
+            self.ask(Motion::Restore { hall });
         }
     }
 }
--- a/crates/rehearsal/src/world/linearizability/tests.rs
+++ b/crates/rehearsal/src/world/linearizability/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::prelude::Deployment;
+use crate::world::{FaultKind, Mutant, World, WorldRules};
 use yare::parameterized;
 
 type PlanCall = Call<PlanRegister>;
@@ -102,3 +104,26 @@
     calls.push(read_plan(20_000, 20_001, 11));
     assert!(matches!(check_linearizable(&calls), Err(Mismatch::Unexplained(_))));
 }
+
+/// Deliberate faults of the control side that the check of the whole history sees, and not only the checks of
+/// single answers.
+#[parameterized(
+    skip_sync = { Mutant::SkipSync, &[FaultKind::PowerLossAfterAck], 6 },
+    reuse_wiped_vote = { Mutant::ReuseWipedVote, &[FaultKind::WipeAfterAck, FaultKind::WipeDisk], 6 },
+    stale_reads = { Mutant::StaleReads, &[FaultKind::SplitCore, FaultKind::PlanStorm], 6 },
+    new_ids = { Mutant::NewIds, &[FaultKind::KillRegistrar, FaultKind::BadNetwork], 6 },
+)]
+fn mutants_of_the_control_side_are_not_linearizable(mutant: Mutant, kinds: &[FaultKind], faults: u64) {
+    let is_caught = |seed: &u64| {
+        let rules = WorldRules {
+            faults,
+            kinds: kinds.to_vec(),
+            orders_a_second: 5,
+            mutant: Some(mutant),
+            ..WorldRules::new(Deployment::Pahana, *seed)
+        };
+        let seen = World::new(rules).run().violations;
+        seen.iter().any(|what| what.contains("is not linearizable"))
+    };
+    assert!((1..40).any(|seed| is_caught(&seed)), "{mutant:?} was never caught");
+}
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -100,7 +100,7 @@
     }
 
     /// Whether the machine can take it now; if it's frozen, it's kept for when it wakes.
-    fn is_awake(&mut self, is_registrar: bool, machine: usize, happening: &Happening) -> bool {
+    pub(super) fn is_awake(&mut self, is_registrar: bool, machine: usize, happening: &Happening) -> bool {
         let now = self.now;
         let (frozen_until, late) = if is_registrar {
             let m = &mut self.registrars[machine];
@@ -241,7 +241,7 @@
             match output {
                 OfficeOutput::Send { to, letter, .. } => self.post(address, to, letter),
                 OfficeOutput::Write { id, records, is_whole } => self.write(machine, life, id, records, is_whole),
-                OfficeOutput::Reply { number, status, body } => self.on_operator_reply(number, status, &body),
+                OfficeOutput::Reply { number, status, body } => self.on_office_reply(machine, number, status, &body),
                 OfficeOutput::ViewChanged(view) => self.witness.view(self.now, address, &view),
             }
         }
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -1,21 +1,31 @@
-//! Operators: plans, races, storms, withdrawals, reads.
+//! Operators: plans, patches, races, storms, withdrawals, reads; and calls that are sent again.
 
+use super::history::{CallAction, CallAnswer};
 use super::*;
-use circular::prelude::Reading;
 
-/// What operators asked and were told.
+/// What operators want, asked and were told.
 #[derive(Default)]
 pub(super) struct Operators {
+    /// Calls that a registrar holds, by their numbers.
     pub asked: BTreeMap<u64, Asked>,
-    next: u64,
+    /// Calls that their operator waits for, by their numbers.
+    pub calls: BTreeMap<u64, OperatorCall>,
+    tasks: BTreeMap<u64, Task>,
+    next_call: u64,
+    next_task: u64,
     pub epoch: u64,
-    /// The plan that the last change was merged into.
-    base: Vec<u8>,
+    /// The newest revision that an operator knows of.
+    revision: u64,
     /// A zone that may be withdrawn; it stays here until its restoring was accepted.
     pub withdrawn: Option<HallName>,
     pub storm_until: u64,
+    /// The registrar that acknowledged the last change.
+    pub last_actor: Option<usize>,
+    /// Percent of answers that are lost on their way.
+    pub answer_loss: u64,
 }
 
+/// A call as the registrar that holds it knows it.
 pub(super) struct Asked {
     pub at: u64,
     pub id: String,
@@ -25,46 +35,120 @@
     pub lost: Vec<Address>,
 }
 
+/// A call as its operator knows it.
+pub(super) struct OperatorCall {
+    pub task: u64,
+    pub machine: usize,
+    pub is_answer_lost: bool,
+}
+
+/// Something that an operator wants, sent again until there is a clear answer.
+pub(super) struct Task {
+    pub wish: Wish,
+    /// Of a plan or patch: the same each time that it's sent.
+    pub id: String,
+    /// Where it's to be sent; anywhere if nowhere.
+    pub machine: Option<usize>,
+    sends: u32,
+    /// How often it's sent at most.
+    most_sends: u32,
+    /// Its operator waits for the answer for as long as it takes.
+    is_patient: bool,
+}
+
+/// What an operator wants.
+#[derive(Debug, Clone)]
+pub(super) enum Wish {
+    /// A whole plan.
+    Plan { bytes: Vec<u8>, basis: Basis },
+    /// A change of the plan, merged at the registrar's door.
+    Patch { bytes: Vec<u8>, basis: Basis },
+    /// Anything else that changes something.
+    Motion(Motion),
+    /// The newest state without plans.
+    ReadState,
+    /// The plan in force.
+    ReadPlan,
+}
+
+/// What a plan builds on.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Basis {
+    /// An epoch that its operator looked at.
+    Epoch(u64),
+    /// A revision of the operators' own, and the plan's own.
+    Revision { base: u64, own: u64 },
+}
+
+/// Without an answer for this long, an operator sends the same to another registrar.
+const SILENCE: u64 = 1000;
+/// Before the first time that something is sent again; each pause is twice the one before,
+const FIRST_PAUSE: u64 = 100;
+/// up to this.
+const LONGEST_PAUSE: u64 = 1600;
+const MOST_SENDS: u32 = 8;
+/// Tasks that operators have under way at once.
+const MOST_TASKS: usize = 8;
+
 impl World {
+    /// In one run of four, operators count by epochs and wait for each answer; in the others they count by their
+    /// own revisions, and send what has no clear answer again.
+    pub(super) fn counts_by_epochs(&self) -> bool {
+        self.rules.seed.is_multiple_of(4)
+    }
+
     pub(super) fn on_operate(&mut self) {
         let end = self.rules.span.0 + self.rules.calm.0;
         let is_storm = self.now < self.operators.storm_until;
-        let gap = if is_storm { 15 + self.below(30) } else { 300 + self.below(1500) };
+        let usual = self.rules.operators_gap.0;
+        let gap = if is_storm { 15 + self.below(30) } else { usual + self.below(5 * usual) };
         if self.now + gap + 9000 < end || self.operators.epoch == 0 {
             self.put(gap, Happening::Operate);
         }
+        if self.operators.tasks.values().filter(|task| !task.is_patient).count() >= MOST_TASKS {
+            return;
+        }
         if self.operators.epoch == 0 {
-            return self.propose_plan(0, true);
+            return self.propose_plan(self.newest_basis(), true);
         }
         match self.below(10) {
             0..3 => {
-                let builds_on = self.operators.epoch;
+                let basis = self.newest_basis();
                 let allows_extra = self.chance(50);
-                self.propose_plan(builds_on, allows_extra);
+                self.propose_plan(basis, allows_extra);
                 if self.chance(50) {
-                    // Another operator looked at the same epoch.
-                    self.propose_plan(builds_on, !allows_extra);
+                    // Another operator looked at the same, and picked the same number.
+                    self.propose_plan(basis, !allows_extra);
                 }
             }
-            7 | 8 => self.propose_change(),
-            3 | 4 => {
-                let motion = match self.operators.withdrawn.clone() {
-                    Some(hall) => Motion::Restore { hall },
-                    None => {
-                        let halls = self.rules.deployment.shape().halls;
-                        let hall = HallName::from(halls[self.below(halls.len() as u64) as usize]);
-                        self.operators.withdrawn = Some(hall.clone());
-                        Motion::Withdraw { hall }
-                    }
-                };
-                self.ask(None, Some(motion));
-            }
-            _ => self.ask(None, None),
+            7 | 8 => self.propose_patch(),
+            3 | 4 => self.evacuate_or_restore(),
+            5 if !self.counts_by_epochs() => self.begin(Wish::ReadPlan, None),
+            _ => self.begin(Wish::ReadState, None),
         }
     }
 
-    fn propose_plan(&mut self, builds_on: u64, allows_extra: bool) {
-        let number = self.draw() % 1_000_000;
+    fn newest_basis(&self) -> Basis {
+        if self.counts_by_epochs() {
+            return Basis::Epoch(self.operators.epoch);
+        }
+        Basis::Revision { base: self.operators.revision, own: self.operators.revision + 1 }
+    }
+
+    fn evacuate_or_restore(&mut self) {
+        let motion = match self.operators.withdrawn.clone() {
+            Some(hall) => Motion::Restore { hall },
+            None => {
+                let halls = self.rules.deployment.shape().halls;
+                let hall = HallName::from(halls[self.below(halls.len() as u64) as usize]);
+                self.operators.withdrawn = Some(hall.clone());
+                Motion::Withdraw { hall }
+            }
+        };
+        self.begin(Wish::Motion(motion), None);
+    }
+
+    fn propose_plan(&mut self, basis: Basis, allows_extra: bool) {
         let btb = self.rules.btb.clone();
         let stream = |is_resumable: bool| serde_json::json!({"resumable": is_resumable, "slots": 16, "first_token_ms": 4000, "btb": btb});
         let mut services = serde_json::json!({
@@ -77,9 +161,28 @@
             services["extra"]["idempotent"] = self.chance(50).into();
         }
         let padding = if self.chance(self.rules.large_plans) { "x".repeat(600_000) } else { String::new() };
-        let plan = serde_json::json!({"services": services, "note": format!("{number}{padding}")});
-        let motion = Motion::plan(plan.to_string().into_bytes()).expect("the simulator's plans are good");
-        self.ask(Some(builds_on), Some(motion));
+        let mut plan = serde_json::json!({"services": services, "note": self.note_of_next(&padding)});
+        if let Basis::Revision { own, .. } = basis {
+            plan["revision"] = own.into();
+        }
+        self.begin(Wish::Plan { bytes: plan.to_string().into_bytes(), basis }, None);
+    }
+
+    /// A change, merged at the door into the plan there.
+    fn propose_patch(&mut self) {
+        let is_kept = self.chance(50);
+        let basis = self.newest_basis();
+        let mut change = serde_json::json!({"services": {"extra": {"resumable": true, "idempotent": is_kept}}, "n": null,
+            "note": self.note_of_next("changed")});
+        if let Basis::Revision { own, .. } = basis {
+            change["revision"] = own.into();
+        }
+        self.begin(Wish::Patch { bytes: change.to_string().into_bytes(), basis }, None);
+    }
+
+    /// Shows in a plan that is read which task made it.
+    fn note_of_next(&self, more: &str) -> String {
+        format!("{} {more}", self.operators.next_task + 1)
     }
 
     fn lost(&self) -> Vec<Address> {
@@ -97,94 +200,208 @@
         if step == 1 && self.cut.is_empty() && self.loss == 0 {
             members.extend(self.criers.iter().find(is_well).map(|m| m.address));
         }
-        self.ask(None, Some(Motion::Forget { members }));
+        self.ask(Motion::Forget { members });
     }
 
-    /// A change, merged where a registrar has the plan that the operator looked at, as its door does.
-    fn propose_change(&mut self) {
-        let builds_on = self.operators.epoch;
-        let ledgers = self.registrars.iter().filter_map(|m| m.office.as_ref()).map(|office| office.fellow().charge());
-        let Some((base, plan)) =
-            ledgers.filter(|l| l.epoch.0 >= builds_on).map(|l| (l.plan_epoch, l.plan.clone())).next()
-        else {
-            return;
+    /// Asks some registrar that is up to change something, once.
+    pub(super) fn ask(&mut self, motion: Motion) {
+        self.begin_task(Wish::Motion(motion), None, 1, true);
+    }
+
+    /// An operator wants something, and sends it to this machine first, or to any.
+    pub(super) fn begin(&mut self, wish: Wish, machine: Option<usize>) {
+        let is_read = matches!(wish, Wish::ReadState | Wish::ReadPlan);
+        let most_sends = if is_read || self.counts_by_epochs() { 1 } else { MOST_SENDS };
+        self.begin_task(wish, machine, most_sends, self.counts_by_epochs());
+    }
+
+    fn begin_task(&mut self, wish: Wish, machine: Option<usize>, most_sends: u32, is_patient: bool) {
+        self.operators.next_task += 1;
+        let task = self.operators.next_task;
+        let id = format!("op-t{task}");
+        self.operators.tasks.insert(task, Task { wish, id, machine, sends: 0, most_sends, is_patient });
+        self.send_call(task);
+    }
+
+    /// Sends what a task wants as one more call.
+    pub(super) fn send_call(&mut self, task: u64) {
+        let Some(machine) = self.pick_registrar(task) else {
+            return self.try_later(task);
         };
-        let number = self.draw() % 1_000_000;
-        let is_kept = self.chance(50);
-        let change = serde_json::json!({"services": {"extra": {"resumable": true, "idempotent": is_kept}}, "n": null,
-            "note": format!("changed {number}")});
-        if let Ok(motion) = Motion::change(change.to_string().into_bytes(), base, &plan) {
-            self.operators.base = plan;
-            self.ask(Some(builds_on), Some(motion));
+        self.operators.next_call += 1;
+        let call = self.operators.next_call;
+        let is_answer_lost = self.chance(self.operators.answer_loss);
+        let Some(found) = self.operators.tasks.get_mut(&task) else { return };
+        found.sends += 1;
+        let (action, is_patient) = (action_of(task, &found.wish), found.is_patient);
+        if let Some(action) = action {
+            self.history.sent(self.now, call, action);
+        }
+        self.operators.calls.insert(call, OperatorCall { task, machine, is_answer_lost });
+        let life = self.registrars[machine].life;
+        self.put(1, Happening::CallReaches { machine, life, call });
+        if !is_patient {
+            self.put(SILENCE, Happening::Silence { call });
         }
     }
 
-    /// Asks some registrar that is up: to change something, or else what is newest.
-    pub(super) fn ask(&mut self, builds_on: Option<u64>, motion: Option<Motion>) {
-        let up: Vec<usize> =
-            (0..self.registrars.len()).filter(|place| self.registrars[*place].office.is_some()).collect();
-        if up.is_empty() {
-            return;
+    /// Where a task's next call goes: to the machine that is wanted, and then to others.
+    fn pick_registrar(&mut self, task: u64) -> Option<usize> {
+        let found = self.operators.tasks.get_mut(&task)?;
+        if let Some(machine) = found.machine.take() {
+            return Some(machine);
+        }
+        let last = self.operators.calls.values().filter(|call| call.task == task).map(|call| call.machine).next_back();
+        let is_up = |place: &usize| self.registrars[*place].office.is_some();
+        let up: Vec<usize> = (0..self.registrars.len()).filter(is_up).collect();
+        let others: Vec<usize> = up.iter().copied().filter(|place| Some(*place) != last).collect();
+        let from = if others.is_empty() { up } else { others };
+        if from.is_empty() {
+            return None;
         }
-        let machine = up[self.below(up.len() as u64) as usize];
-        if self.now < self.registrars[machine].frozen_until {
+        Some(from[self.below(from.len() as u64) as usize])
+    }
+
+    /// After a pause that grows, if it may be sent again at all.
+    fn try_later(&mut self, task: u64) {
+        let Some(found) = self.operators.tasks.get_mut(&task) else { return };
+        if found.sends >= found.most_sends || found.most_sends == 1 {
+            self.operators.tasks.remove(&task);
             return;
         }
-        self.operators.next += 1;
-        let number = self.operators.next;
-        let id = format!("op-{number}");
-        let ask = match &motion {
-            Some(motion) => {
-                self.witness.proposed(self.now, &id, motion, &self.operators.base);
-                let builds_on = builds_on.map(Epoch);
-                OperatorAsk::Propose(Proposal { id: id.clone(), builds_on, motion: motion.clone() })
-            }
-            None => OperatorAsk::Read(Reading::Latest),
-        };
-        let newest_told = self.witness.newest_told;
-        let lost = self.lost();
-        self.operators.asked.insert(number, Asked { at: self.now, id, motion, newest_told, lost });
-        self.step_office(machine, OfficeInput::Operator { number, ask });
+        // Where nobody was up, nothing was sent; it counts all the same.
+        let pause = (FIRST_PAUSE << found.sends.min(10)).min(LONGEST_PAUSE);
+        let pause = pause + self.below(pause / 2);
+        self.put(pause, Happening::SendAgain { task });
+    }
+
+    /// An operator waits for this call no longer.
+    pub(super) fn on_silence(&mut self, call: u64) {
+        let Some(given_up) = self.operators.calls.remove(&call) else { return };
+        self.history.given_up(self.now, call);
+        self.try_later(given_up.task);
+    }
+
+    /// What a call is at the registrar that it reached.
+    pub(super) fn asked_of(&self, call: u64) -> Option<(Wish, Asked)> {
+        let task = self.operators.calls.get(&call)?.task;
+        let found = self.operators.tasks.get(&task)?;
+        // Withdrawals and their like get an id of their own with each call, as at the daemon's door.
+        let is_new = matches!(found.wish, Wish::Motion(_)) || self.rules.mutant == Some(Mutant::NewIds);
+        let id = if is_new { format!("op-{call}") } else { found.id.clone() };
+        let (newest_told, lost) = (self.witness.newest_told, self.lost());
+        Some((found.wish.clone(), Asked { at: self.now, id, motion: None, newest_told, lost }))
     }
 
+    /// A registrar answers a call.
     pub(super) fn on_operator_reply(&mut self, number: u64, status: u16, body: &[u8]) {
         let Some(asked) = self.operators.asked.remove(&number) else { return };
+        // Of calls that were given up, and answers that are lost, operators hear nothing.
+        let call = self.operators.calls.get(&number);
+        if call.is_some_and(|call| call.is_answer_lost) || (call.is_none() && number <= self.operators.next_call) {
+            return;
+        }
+        let call = self.operators.calls.remove(&number);
+        match asked.motion {
+            Some(_) => self.on_change_answered(number, call, asked, body),
+            None => self.on_read(number, call, &asked, status, body),
+        }
+    }
+
+    fn on_change_answered(&mut self, number: u64, call: Option<OperatorCall>, asked: Asked, body: &[u8]) {
         let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let epoch = value["epoch"].as_u64().unwrap_or(0);
-        match asked.motion {
-            Some(motion) => {
-                let code = value["code"].as_u64().unwrap_or(0);
-                let is_accepted = code == u64::from(ResultCode::Accepted.number());
-                self.witness.operator_told(self.now, asked.at, &asked.id, code, epoch);
-                if is_accepted {
-                    if let Motion::Forget { members } = &motion {
-                        // Who was lost when it was asked may have come back since.
-                        let is_wrong = |m: &&CrierMachine| {
-                            members.contains(&m.address) && !m.is_lost && !asked.lost.contains(&m.address)
-                        };
-                        if let Some(living) = self.criers.iter().find(is_wrong).map(|m| m.address)
-                            && asked.at + 200 > self.now
-                        {
-                            self.witness.violate(self.now, format!("{living} lives and was forgotten"));
-                        }
-                    }
-                    if let Motion::Restore { hall } = &motion
-                        && self.operators.withdrawn.as_ref() == Some(hall)
-                    {
-                        self.operators.withdrawn = None;
-                    }
-                    self.operators.epoch = self.operators.epoch.max(epoch);
-                    self.strike_after_ack();
-                }
+        let code = value["code"].as_u64().unwrap_or(0);
+        let is = |known: ResultCode| code == u64::from(known.number());
+        let is_accepted = is(ResultCode::Accepted);
+        let is_unclear = is(ResultCode::CoreNotReady) || is(ResultCode::FateUnknown);
+        self.witness.operator_told(self.now, asked.at, &asked.id, code, epoch);
+        match (is_accepted, is_unclear) {
+            (true, _) => self.history.answered(self.now, number, CallAnswer::Done),
+            (_, true) => self.history.given_up(self.now, number),
+            _ => self.history.answered(self.now, number, CallAnswer::Refused),
+        }
+        if is_accepted {
+            self.on_accepted(&asked, call.as_ref(), epoch);
+        }
+        let Some(call) = call else { return };
+        if is_unclear {
+            return self.try_later(call.task);
+        }
+        if let Some(task) = self.operators.tasks.remove(&call.task)
+            && let Wish::Plan { basis: Basis::Revision { base, own }, .. }
+            | Wish::Patch { basis: Basis::Revision { base, own }, .. } = task.wish
+        {
+            let known = if is_accepted { own } else { base };
+            self.operators.revision = self.operators.revision.max(known);
+            if !is_accepted {
+                // Another version is current: which?
+                self.begin(Wish::ReadPlan, None);
             }
-            None if status == 200 => {
-                self.operators.epoch = self.operators.epoch.max(epoch);
-                if epoch < asked.newest_told {
-                    let newest = asked.newest_told;
-                    self.witness.violate(self.now, format!("a read gave epoch {epoch} after {newest} was told"));
+        }
+    }
+
+    fn on_accepted(&mut self, asked: &Asked, call: Option<&OperatorCall>, epoch: u64) {
+        match &asked.motion {
+            Some(Motion::Forget { members }) => {
+                // Who was lost when it was asked may have come back since.
+                let is_wrong =
+                    |m: &&CrierMachine| members.contains(&m.address) && !m.is_lost && !asked.lost.contains(&m.address);
+                if let Some(living) = self.criers.iter().find(is_wrong).map(|m| m.address)
+                    && asked.at + 200 > self.now
+                {
+                    self.witness.violate(self.now, format!("{living} lives and was forgotten"));
                 }
             }
-            None => {}
+            Some(Motion::Restore { hall }) if self.operators.withdrawn.as_ref() == Some(hall) => {
+                self.operators.withdrawn = None;
+            }
+            _ => {}
         }
+        self.operators.epoch = self.operators.epoch.max(epoch);
+        self.operators.last_actor = call.map(|call| call.machine).or(self.operators.last_actor);
+        self.strike_after_ack();
+    }
+
+    fn on_read(&mut self, number: u64, call: Option<OperatorCall>, asked: &Asked, status: u16, body: &[u8]) {
+        let task = call.and_then(|call| self.operators.tasks.remove(&call.task));
+        let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+        if let Some(Task { wish: Wish::ReadPlan, .. }) = task {
+            // Before the first there is none.
+            let maker = value["note"].as_str().and_then(|note| note.split(' ').next()?.parse().ok());
+            let maker = if status == 404 { Some(0) } else { maker.filter(|_| status == 200) };
+            if let Some(maker) = maker {
+                self.history.answered(self.now, number, CallAnswer::Plan(maker));
+                self.operators.revision = self.operators.revision.max(value["revision"].as_u64().unwrap_or(0));
+            }
+            return;
+        }
+        if status != 200 {
+            return;
+        }
+        let epoch = value["epoch"].as_u64().unwrap_or(0);
+        let zones = serde_json::from_value(value["withdrawn"].clone()).unwrap_or_default();
+        self.history.answered(self.now, number, CallAnswer::Zones(zones));
+        self.operators.epoch = self.operators.epoch.max(epoch);
+        if epoch < asked.newest_told {
+            let newest = asked.newest_told;
+            self.witness.violate(self.now, format!("a read gave epoch {epoch} after {newest} was told"));
+        }
+    }
+}
+
+/// A call as the history has it; `None` of those that are judged elsewhere.
+fn action_of(task: u64, wish: &Wish) -> Option<CallAction> {
+    let set = |zone: &HallName, is_withdrawn| Some(CallAction::SetZone { zone: zone.clone(), is_withdrawn });
+    match wish {
+        Wish::Plan { basis, .. } | Wish::Patch { basis, .. } => match *basis {
+            Basis::Epoch(_) => None,
+            Basis::Revision { base, own } => Some(CallAction::Put { change: task, base, revision: own }),
+        },
+        Wish::Motion(Motion::Withdraw { hall }) => set(hall, true),
+        Wish::Motion(Motion::Restore { hall }) => set(hall, false),
+        Wish::Motion(_) => None,
+        Wish::ReadState => Some(CallAction::ReadZones),
+        Wish::ReadPlan => Some(CallAction::ReadPlan),
     }
 }
