--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -142,8 +142,11 @@
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
         registrars: Option<u16>,
         /// Disks that a change is on before it is told as accepted.
-        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=9))]
-        copies: u16,
+        #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
+        copies: Option<u16>,
+        /// Operators do something each time after one to six times this many ms; 25 makes hundreds of changes.
+        #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        operators_ms: u64,
         /// Who must know a change before it is told as accepted.
         #[arg(long, default_value = "majority")]
         quorum: registrar::prelude::Quorum,
@@ -180,9 +183,11 @@
             suspect_ms,
             registrars,
             copies,
+            operators_ms,
             quorum,
             mutant,
         } => {
+            let swept = WorldRules::swept(deployment, seed);
             let rules = WorldRules {
                 faults,
                 kinds,
@@ -190,12 +195,15 @@
                 criers: criers.map(usize::from),
                 suspect: suspect_ms.map(Span),
                 registrars: registrars.map(usize::from),
-                copies: usize::from(copies),
+                copies: copies.map_or(swept.copies, usize::from),
+                operators_gap: Span(operators_ms),
                 quorum,
                 orders_a_second: orders,
-                ..WorldRules::new(deployment, seed)
+                ..swept
             };
-            Ok(simulate(&rules, seeds))
+            // A size that is named holds for all seeds.
+            let is_swept = registrars.is_none() && copies.is_none();
+            Ok(simulate(&rules, seeds, is_swept))
         }
     };
     match outcome {
@@ -227,8 +235,8 @@
     Ok(true)
 }
 
-/// Plays these seeds, some at a time; says whether all went well.
-fn simulate(rules: &WorldRules, seeds: u64) -> bool {
+/// Plays these seeds, some at a time; says whether all went well. Where it's swept, seeds draw the core's size.
+fn simulate(rules: &WorldRules, seeds: u64, is_swept: bool) -> bool {
     let next = std::sync::atomic::AtomicU64::new(rules.seed);
     let bad = std::sync::Mutex::new(vec![]);
     let lags: std::sync::Mutex<std::collections::BTreeMap<&str, Vec<u64>>> = std::sync::Mutex::default();
@@ -241,7 +249,10 @@
                     if seed >= rules.seed + seeds {
                         return;
                     }
-                    let witness = World::new(WorldRules { seed, ..rules.clone() }).run();
+                    let swept = WorldRules::swept(rules.deployment, seed);
+                    let (registrars, copies) =
+                        if is_swept { (swept.registrars, swept.copies) } else { (rules.registrars, rules.copies) };
+                    let witness = World::new(WorldRules { seed, registrars, copies, ..rules.clone() }).run();
                     let _ = writeln!(std::io::stdout(), "seed {seed}: {witness}");
                     let mut all = lags.lock().expect("no thread panics with it");
                     let mut note =
@@ -254,6 +265,7 @@
                     note("run at a server, after it was marked as leaving", &mut witness.leaving_ms.iter().copied());
                     note("motion accepted, after it was sent", &mut witness.accept_ms.iter().copied());
                     note("a change accepted again, after all was healed", &mut witness.back_ms.0.into_iter());
+                    note("all registrars level again, after all was healed", &mut witness.level_ms.into_iter());
                     note("an order complete again, after all was healed", &mut witness.back_ms.1.into_iter());
                     let over = |(orders, repeats): &(u64, u64)| repeats.saturating_sub(orders / 5);
                     note("repeats of a service beyond a fifth (a count)", &mut witness.repeats.values().map(over));
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -8,61 +8,31 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
+mod aimed;
 mod checks;
+mod connections;
+mod disk_losses;
 mod door;
+mod fault_kinds;
 mod faults;
+mod happening;
 mod history;
 mod linearizability;
 mod machines;
+mod mutants;
 mod operators;
+mod rules;
 mod streams;
 mod touch;
 mod traffic;
 
 pub use checks::Witness;
-pub use faults::{Fault, FaultKind, WorldRules};
+pub use fault_kinds::FaultKind;
+pub use faults::Fault;
+pub use mutants::Mutant;
+pub use rules::WorldRules;
 
-/// A deliberate fault in the system itself, to show that the checkers see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum Mutant {
-    /// Writes are called synced before they are.
-    SkipSync,
-    /// Voters don't keep their word to a tail.
-    SkipFencing,
-    /// A wiped disk keeps its id, and so its vote and seat.
-    ReuseWipedVote,
-    /// A restarted node begins with what it believed long ago.
-    SlideEpoch,
-    /// A node that lost its lease goes on by itself.
-    IgnoreLease,
-    /// A server that is leaving is not taken for it.
-    IgnoreLeaving,
-    /// A lost order is given to another server though it may have run.
-    RepeatAnything,
-    /// Fresh servers have no ramp.
-    SkipRamp,
-    /// Pieces go to the caller whatever they are.
-    LaxPieces,
-    /// A stream that is read on begins anew.
-    ResumeFromStart,
-    /// Repeats cost nothing.
-    FreeRepeats,
-    /// Whether an order may leave is not asked again once the connection is made.
-    AskOnce,
-    /// Every third node renews its lease with each poll and takes news from one in fifty.
-    StaleNews,
-    /// Registrars' questions are answered twice, and the second answer is taken for the core's to the change
-    /// behind the question.
-    AnswerTwice,
-    /// A registrar's questions and proposals are numbered alike in each life.
-    ReuseNumbers,
-    /// Registrars answer operators' reads from what they hold themselves.
-    StaleReads,
-    /// The same change gets another id each time that it's sent.
-    NewIds,
-    /// Tails forget at once whom they gave leases, and accept without waiting for them.
-    ForgetHolders,
-}
+use happening::Happening;
 
 /// Many nodes in one process, on virtual time, network and disks. The same seed gives the same run.
 ///
@@ -80,6 +50,7 @@
     servers: Vec<ServerMachine>,
     /// Pairs of addresses whose letters don't arrive, one way.
     cut: BTreeSet<(Address, Address)>,
+    connections: connections::Connections,
     /// Percent of letters that are lost.
     loss: u64,
     platform: std::collections::VecDeque<(u64, Vec<RollEntry>)>,
@@ -93,6 +64,10 @@
     faults: Vec<Fault>,
     /// Faults that wait for the next acknowledgement.
     armed: Vec<usize>,
+    /// Faults that wait for the next change that is sent,
+    armed_for_send: Vec<usize>,
+    /// and for the next write of a registrar.
+    armed_for_write: Vec<usize>,
     replaced: u16,
     /// Five times the traffic until then.
     crowd_until: u64,
@@ -192,97 +167,6 @@
     stream: Option<streams::SimStream>,
 }
 
-/// What is to happen.
-#[derive(Debug, Clone)]
-#[allow(clippy::large_enum_variant)] // Most happenings are letters.
-enum Happening {
-    Letter {
-        to: Address,
-        from: Address,
-        letter: Letter,
-    },
-    Tick {
-        machine: usize,
-        life: u64,
-    },
-    Synced {
-        machine: usize,
-        life: u64,
-        id: u64,
-    },
-    Reopen {
-        machine: usize,
-        life: u64,
-    },
-    NodeTick {
-        machine: usize,
-        life: u64,
-    },
-    Polls {
-        machine: usize,
-        life: u64,
-    },
-    Arrival,
-    Connected {
-        order: OrderId,
-        server: usize,
-        run: RunId,
-    },
-    RunReaches {
-        order: OrderId,
-        server: usize,
-        run: RunId,
-    },
-    RunOutcome {
-        order: OrderId,
-        failure: Option<crier::prelude::Failure>,
-    },
-    Watch {
-        order: OrderId,
-    },
-    Resume {
-        order: OrderId,
-    },
-    Operate,
-    /// An operator's call reaches a registrar.
-    CallReaches {
-        machine: usize,
-        life: u64,
-        call: u64,
-    },
-    /// An operator has heard nothing of a call.
-    Silence {
-        call: u64,
-    },
-    /// An operator sends the same again.
-    SendAgain {
-        task: u64,
-    },
-    Strike {
-        place: usize,
-    },
-    Heal {
-        place: usize,
-    },
-    StartRegistrar {
-        machine: usize,
-    },
-    StartCrier {
-        machine: usize,
-    },
-    StartServer {
-        server: usize,
-    },
-    ReplaceServer {
-        server: usize,
-    },
-    Check,
-    Probe,
-    Forget {
-        place: usize,
-    },
-}
-
 impl World {
     /// A fleet at its true shape, with faults to come drawn from the seed.
     pub fn new(rules: WorldRules) -> World {
@@ -296,6 +180,7 @@
             criers: vec![],
             servers: vec![],
             cut: BTreeSet::new(),
+            connections: connections::Connections::default(),
             loss: 0,
             platform: std::collections::VecDeque::new(),
             orders: BTreeMap::new(),
@@ -306,6 +191,8 @@
             trace: 0,
             faults: vec![],
             armed: vec![],
+            armed_for_send: vec![],
+            armed_for_write: vec![],
             replaced: 0,
             crowd_until: 0,
             questions: BTreeMap::new(),
@@ -425,36 +312,6 @@
         let list = self.servers.iter().filter(|server| server.is_listed).map(entry).collect();
         self.platform.push_back((self.now, list));
     }
-
-    fn happen(&mut self, happening: Happening) {
-        match happening {
-            Happening::Letter { to, from, letter } => self.on_letter(to, from, letter),
-            Happening::Tick { machine, life } => self.on_tick(machine, life),
-            Happening::Synced { machine, life, id } => self.on_synced(machine, life, id),
-            Happening::Reopen { machine, life } => self.on_reopen(machine, life),
-            Happening::NodeTick { machine, life } => self.on_node_tick(machine, life),
-            Happening::Polls { machine, life } => self.on_polls(machine, life),
-            Happening::Arrival => self.on_arrival(),
-            Happening::Connected { order, server, run } => self.on_connected(order, server, run),
-            Happening::RunReaches { order, server, run } => self.on_run_reaches(order, server, run),
-            Happening::RunOutcome { order, failure } => self.on_run_outcome(order, failure),
-            Happening::Watch { order } => self.on_watch(order),
-            Happening::Resume { order } => self.on_resume(order),
-            Happening::Operate => self.on_operate(),
-            Happening::CallReaches { machine, life, call } => self.on_call_reaches(machine, life, call),
-            Happening::Silence { call } => self.on_silence(call),
-            Happening::SendAgain { task } => self.send_call(task),
-            Happening::Strike { place } => self.strike(place),
-            Happening::Heal { place } => self.heal(place),
-            Happening::StartRegistrar { machine } => self.start_registrar(machine),
-            Happening::StartCrier { machine } => self.start_crier(machine),
-            Happening::StartServer { server } => self.start_server(server),
-            Happening::ReplaceServer { server } => self.replace_server(server),
-            Happening::Check => self.on_check(),
-            Happening::Probe => self.on_probe(),
-            Happening::Forget { place } => self.on_forget(place),
-        }
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/rehearsal/src/world/aimed.rs
@@ -0,0 +1,141 @@
+//! Faults that are aimed: at the machine that acted last, at the moment after something, at a machine's return.
+
+use super::operators::Wish;
+use super::*;
+
+/// After a change was sent, a fault that is aimed at it comes this much later.
+const AFTER_SEND: std::ops::Range<u64> = 5..400;
+
+impl World {
+    pub(super) fn strike_aimed(&mut self, place: usize, registrar: usize) {
+        let Fault { kind, span, pick, .. } = self.faults[place].clone();
+        let leader = self.operators.last_actor.unwrap_or(registrar);
+        let back = 50 + pick % 2500;
+        match kind {
+            FaultKind::CutRegistrar => self.cut_off(place, registrar),
+            FaultKind::CutLeader => self.cut_off(place, leader),
+            FaultKind::ResetRegistrar => {
+                self.cut_off(place, registrar);
+                let pairs = self.faults[place].cut.clone();
+                self.reset_between(&pairs);
+            }
+            FaultKind::KillLeader => {
+                self.kill_registrar(leader, pick.is_multiple_of(2));
+                self.put(back, Happening::StartRegistrar { machine: leader });
+            }
+            FaultKind::FreezeLeader => self.registrars[leader].frozen_until = self.now + span,
+            FaultKind::KillAfterSend | FaultKind::PowerLossAfterSend => self.armed_for_send.push(place),
+            FaultKind::KillInWrite => self.armed_for_write.push(place),
+            FaultKind::MeetReturn => {
+                self.kill_registrar(registrar, false);
+                self.put(back, Happening::StartRegistrar { machine: registrar });
+                self.put(back + pick % 20, Happening::Meet { machine: registrar });
+            }
+            FaultKind::EvacuateCut => self.evacuate_cut(place, registrar),
+            FaultKind::ReplacePlanned => self.replace_by_plan(registrar, pick),
+            FaultKind::ReplaceCutSeeds => self.replace_with_cut_seeds(place, registrar, back),
+            _ => {}
+        }
+    }
+
+    /// Cuts a registrar's machine off from all others. Half of the time operators go on reaching it, with a change.
+    fn cut_off(&mut self, place: usize, machine: usize) {
+        let others: Vec<Address> =
+            self.registrars.iter().map(|m| m.address).chain(self.criers.iter().map(|m| m.address)).collect();
+        self.cut_between(place, &[self.registrars[machine].address], &others, false);
+        if self.faults[place].pick.is_multiple_of(2) {
+            self.propose_at(machine);
+        }
+    }
+
+    /// A change was sent to this machine.
+    pub(super) fn strike_after_send(&mut self, machine: usize) {
+        for place in std::mem::take(&mut self.armed_for_send) {
+            let after = AFTER_SEND.start + self.below(AFTER_SEND.end - AFTER_SEND.start);
+            self.put(after, Happening::StrikeArmed { place, machine });
+        }
+    }
+
+    /// A registrar's disk has begun to write.
+    pub(super) fn strike_in_write(&mut self, machine: usize) {
+        for place in std::mem::take(&mut self.armed_for_write) {
+            let after = self.below(4);
+            self.put(after, Happening::StrikeArmed { place, machine });
+        }
+    }
+
+    pub(super) fn strike_armed(&mut self, place: usize, machine: usize) {
+        let Fault { kind, pick, .. } = self.faults[place];
+        let back = 50 + pick % 2500;
+        let is_power = kind == FaultKind::PowerLossAfterSend;
+        let all = if kind == FaultKind::KillAfterSend { machine..machine + 1 } else { 0..self.registrars.len() };
+        for struck in all {
+            self.kill_registrar(struck, is_power);
+            self.put(back + mix(pick ^ struck as u64) % 300, Happening::StartRegistrar { machine: struck });
+        }
+    }
+
+    /// Operators reach a machine as it returns.
+    pub(super) fn on_meet(&mut self, machine: usize) {
+        self.propose_at(machine);
+        self.evacuate_or_restore_at(Some(machine));
+        self.begin(Wish::ReadPlan, Some(machine));
+    }
+
+    /// A zone is evacuated at a machine that is cut off, and again at another; later it's restored there.
+    fn evacuate_cut(&mut self, place: usize, machine: usize) {
+        self.cut_off(place, machine);
+        let halls = self.rules.deployment.shape().halls;
+        let zone = HallName::from(halls[(self.faults[place].pick / 3 % halls.len() as u64) as usize]);
+        self.begin(Wish::Motion(Motion::Withdraw { hall: zone.clone() }), Some(machine));
+        let other = (machine + 1) % self.registrars.len();
+        self.put(1600, Happening::TakeBack { zone, machine: other });
+    }
+
+    pub(super) fn on_take_back(&mut self, zone: HallName, machine: usize) {
+        self.begin(Wish::Motion(Motion::Restore { hall: zone }), Some(machine));
+    }
+
+    /// The new machine comes first; once it has had time to start, the old one is told to end.
+    fn replace_by_plan(&mut self, machine: usize, pick: u64) {
+        if !self.is_core_whole() {
+            return;
+        }
+        let hall = self.registrars[machine].hall.clone();
+        let newcomer = self.add_registrar(hall);
+        self.put(1, Happening::StartRegistrar { machine: newcomer });
+        self.put(2500 + pick % 2000, Happening::Retire { machine });
+    }
+
+    /// The old one ends, once the core is whole: its successor stands by and takes its seat.
+    pub(super) fn on_retire(&mut self, machine: usize) {
+        if self.registrars[machine].is_gone || self.now >= self.rules.span.0 {
+            return;
+        }
+        if !self.is_core_whole() || self.registrars[machine].office.is_none() {
+            return self.put(1000, Happening::Retire { machine });
+        }
+        // It ends by itself, once its disk is done.
+        let pending = std::mem::take(&mut self.registrars[machine].disk.pending);
+        pending
+            .into_iter()
+            .for_each(|(_, _, _, records, is_whole)| self.registrars[machine].disk.keep(records, is_whole));
+        self.kill_registrar(machine, false);
+        self.registrars[machine].is_gone = true;
+    }
+
+    fn replace_with_cut_seeds(&mut self, place: usize, machine: usize, back: u64) {
+        let before = self.registrars.len();
+        self.lose_disk(machine, FaultKind::ReplaceCore, back);
+        if self.registrars.len() == before {
+            return;
+        }
+        let newcomer = self.registrars[before].address;
+        let mut seeds = self.seeds_of(before).unwrap_or_default();
+        seeds.truncate(2);
+        self.cut_between(place, &[newcomer], &seeds, false);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rehearsal/src/world/aimed/tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+use yare::parameterized;
+
+/// Four faults of one kind, in a run that must show nothing.
+fn play(deployment: Deployment, kind: FaultKind, seed: u64) -> Witness {
+    let rules = WorldRules { faults: 4, kinds: vec![kind], orders_a_second: 5, ..WorldRules::swept(deployment, seed) };
+    let witness = World::new(rules).run();
+    assert!(witness.violations.is_empty(), "seed {seed}: {:#?}\n{:#?}", witness.violations, witness.faults);
+    witness
+}
+
+#[parameterized(
+    cut_registrar = { FaultKind::CutRegistrar },
+    reset_registrar = { FaultKind::ResetRegistrar },
+    kill_leader = { FaultKind::KillLeader },
+    freeze_leader = { FaultKind::FreezeLeader },
+    cut_leader = { FaultKind::CutLeader },
+    kill_after_send = { FaultKind::KillAfterSend },
+    power_loss_after_send = { FaultKind::PowerLossAfterSend },
+    kill_in_write = { FaultKind::KillInWrite },
+    meet_return = { FaultKind::MeetReturn },
+    replace_planned = { FaultKind::ReplacePlanned },
+    replace_cut_seeds = { FaultKind::ReplaceCutSeeds },
+)]
+fn a_fault_that_is_aimed_does_no_harm(kind: FaultKind) {
+    play(Deployment::Pahana, kind, 1);
+    // With a grown core.
+    play(Deployment::Valodu, kind, 5);
+}
+
+#[parameterized(
+    pahana = { Deployment::Pahana, 1 },
+    valodu = { Deployment::Valodu, 2 },
+)]
+fn an_evacuation_that_was_given_up_does_not_come_after_its_withdrawal(deployment: Deployment, seed: u64) {
+    play(deployment, FaultKind::EvacuateCut, seed);
+}
+
+/// The day `pahana-cut-off-then-read-back`: connections that wait for ever longer keep a registrar that was cut
+/// off from coming level again.
+#[test]
+fn connections_that_are_never_given_up_keep_a_registrar_from_being_level_again() {
+    let rules = |seed, mutant| WorldRules {
+        faults: 3,
+        kinds: vec![FaultKind::CutRegistrar],
+        orders_a_second: 5,
+        mutant,
+        ..WorldRules::new(Deployment::Valodu, seed)
+    };
+    let is_late = |witness: &Witness| witness.violations.iter().any(|what| what.contains("were level again"));
+    let caught = (1..40).find(|seed| is_late(&World::new(rules(*seed, Some(Mutant::PatientLines))).run()));
+    let seed = caught.expect("it is seen");
+    assert!(!is_late(&World::new(rules(seed, None)).run()), "without the mutant, seed {seed}");
+}
+
+/// Days of hundreds of changes, on the small cores and the grown ones.
+#[parameterized(
+    pahana = { Deployment::Pahana, 1 },
+    valodu = { Deployment::Valodu, 2 },
+    five_registrars = { Deployment::Pahana, 5 },
+    six_registrars = { Deployment::Valodu, 6 },
+)]
+fn hundreds_of_changes_are_taken_in_one_run(deployment: Deployment, seed: u64) {
+    let rules = WorldRules {
+        operators_gap: Span(50),
+        faults: 3,
+        orders_a_second: 5,
+        large_plans: 0,
+        ..WorldRules::swept(deployment, seed)
+    };
+    let witness = World::new(rules).run();
+    assert!(witness.violations.is_empty(), "{:#?}\n{:#?}", witness.violations, witness.faults);
+    assert!((100..500).contains(&witness.motions[0]), "{witness}");
+}
+
+/// Grown cores under whatever fails together.
+#[parameterized(
+    five_1 = { Deployment::Pahana, 5 },
+    five_2 = { Deployment::Valodu, 13 },
+    six_1 = { Deployment::Pahana, 6 },
+    six_2 = { Deployment::Valodu, 14 },
+)]
+fn nothing_on_the_list_happens_with_a_grown_core(deployment: Deployment, seed: u64) {
+    let witness = World::new(WorldRules::swept(deployment, seed)).run();
+    assert!(witness.violations.is_empty(), "seed {seed}: {:#?}\n{:#?}", witness.violations, witness.faults);
+}
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -35,6 +35,8 @@
     pub accept_ms: Vec<u64>,
     /// After the last fault was healed: until a motion was accepted, and until an order completed.
     pub back_ms: (Option<u64>, Option<u64>),
+    /// After the last fault was healed: until all registrars sat in the chain, level, in one view.
+    pub level_ms: Option<u64>,
     /// What all happenings mix to.
     pub trace: u64,
     /// The faults.
@@ -72,6 +74,8 @@
 /// takes this long to be connected and to leave.
 const HELD: u64 = 450;
 const WITHDRAWN: u64 = 5200;
+/// After all is healed, all registrars are level by then.
+const LEVEL_AGAIN: u64 = 8000;
 const LEAVING: u64 = 3200;
 /// Repeats beyond a fifth, a minute, over the whole fleet.
 const ALLOWANCE: u64 = 10;
@@ -304,6 +308,7 @@
     pub(super) fn calm(&mut self, now: u64) {
         self.calm_from = now;
         self.back_ms = (None, None);
+        self.level_ms = None;
     }
 
     pub(super) fn is_core_back(&self) -> bool {
@@ -389,6 +394,10 @@
     /// Now and then: whether any node believes what nobody else may.
     pub(super) fn on_check(&mut self) {
         self.put(40, Happening::Check);
+        let calm_for = self.now.saturating_sub(self.witness.calm_from);
+        if self.witness.calm_from > 0 && self.witness.level_ms.is_none() && self.is_core_level() {
+            self.witness.level_ms = Some(calm_for);
+        }
         let tails: Vec<Address> = self
             .registrars
             .iter()
@@ -401,8 +410,24 @@
         }
     }
 
+    /// Whether the chain has all its seats, each of them level and taken by a registrar that is up and knows of
+    /// them. One more that stands by, as during a planned replacement, has no seat.
+    fn is_core_level(&self) -> bool {
+        let Some(view) = self.witness.decided.values().next_back() else { return false };
+        let is_up = |seat: &college::prelude::Seat| {
+            let mut machines = self.registrars.iter().filter(|m| m.address == seat.voter.address && !m.is_gone);
+            let knows = |m: &RegistrarMachine| m.office.as_ref().is_some_and(|office| office.fellow().view() == view);
+            machines.any(|m| m.disk.id == seat.voter.disk && knows(m))
+        };
+        view.chain.len() >= self.registrar_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
+    }
+
     pub(super) fn last_checks(&mut self) {
         let now = self.now;
+        if self.witness.calm_from > 0 && self.witness.level_ms.is_none_or(|ms| ms > LEVEL_AGAIN) {
+            let level = self.witness.level_ms;
+            self.witness.violate(now, format!("all registrars were level again after {level:?} ms"));
+        }
         let tail = self
             .registrars
             .iter()
--- /dev/null
+++ b/crates/rehearsal/src/world/connections.rs
@@ -0,0 +1,184 @@
+//! Connections between our processes: what a cut does to the letters on them.
+//!
+//! A connection that has unacknowledged bytes when its path is cut sends them again after pauses that double, so
+//! that it may stand still for as long again once the cut has healed. It is given up when they stay
+//! unacknowledged for too long, and a new one, which works at once, is made for the next letter.
+
+use super::*;
+use circular::prelude::Reading;
+
+/// As in the daemons' own lines (`SWIFT_DEAD_AFTER`, `BULK_DEAD_AFTER`).
+const LINE_DEAD_AFTER: u64 = 1500;
+const BULK_LINE_DEAD_AFTER: u64 = 4000;
+/// For the mutant: as long as a kernel goes on by itself.
+const PATIENT_DEAD_AFTER: u64 = 900_000;
+/// The first pause before bytes are sent again.
+const FIRST_PAUSE: u64 = 200;
+/// Letters that wait on one connection at most.
+const MOST_QUEUED: usize = 256;
+
+/// Which connection: from where to where, and whether it's for large pieces.
+pub(super) type LineKey = (Address, Address, bool);
+
+/// All connections, by who has opened them.
+#[derive(Default)]
+pub(super) struct Connections {
+    lines: BTreeMap<LineKey, Line>,
+    next_stall: u64,
+}
+
+struct Line {
+    /// The process at the other end.
+    peer_life: u64,
+    stall: Option<Stall>,
+}
+
+/// Bytes are unacknowledged, and the path is cut or was.
+struct Stall {
+    number: u64,
+    since: u64,
+    pause: u64,
+    /// What the other side has not got yet.
+    queue: Vec<Letter>,
+}
+
+impl Connections {
+    /// A process ends, and with it what it opened.
+    pub fn close_from(&mut self, address: Address) {
+        self.lines.retain(|(from, _, _), _| *from != address);
+    }
+}
+
+impl World {
+    /// Sends a letter over the network as it is now.
+    pub(super) fn post(&mut self, from: Address, to: Address, is_bulk: bool, letter: Letter) {
+        self.note_question(&letter);
+        let now = self.now;
+        self.criers.iter_mut().filter(|m| m.address == from).for_each(|m| m.touch.sent(now, &letter));
+        if letter.is_datagram() {
+            if !self.cut.contains(&(from, to)) {
+                self.carry(from, to, letter);
+            }
+            return;
+        }
+        let key = (from, to, is_bulk);
+        self.close_dead(key);
+        let is_open = !self.cut.contains(&(from, to)) && !self.cut.contains(&(to, from));
+        let peer_life = self.life_of(to);
+        match self.connections.lines.get_mut(&key) {
+            Some(line) if line.peer_life != peer_life && is_open => {
+                // What it wrote to is gone: the answer to the first bytes is a reset.
+                self.connections.lines.remove(&key);
+            }
+            Some(Line { stall: Some(stall), .. }) if stall.queue.len() < MOST_QUEUED => stall.queue.push(letter),
+            // A full outbox loses what comes.
+            Some(Line { stall: Some(_), .. }) => {}
+            Some(_) if is_open => self.carry(from, to, letter),
+            Some(_) => self.stall(key, letter),
+            None if is_open => {
+                self.connections.lines.insert(key, Line { peer_life, stall: None });
+                self.carry(from, to, letter);
+            }
+            // No connection can be made.
+            None => {}
+        }
+    }
+
+    /// The first bytes that nobody acknowledges. Where only the way back is cut, they arrive.
+    fn stall(&mut self, key: LineKey, letter: Letter) {
+        let (from, to, _) = key;
+        let arrives = !self.cut.contains(&(from, to));
+        let queue = if arrives { vec![] } else { vec![letter.clone()] };
+        self.connections.next_stall += 1;
+        let number = self.connections.next_stall;
+        let stall = Stall { number, since: self.now, pause: FIRST_PAUSE, queue };
+        if let Some(line) = self.connections.lines.get_mut(&key) {
+            line.stall = Some(stall);
+        }
+        if arrives {
+            self.carry(from, to, letter);
+        }
+        self.put(FIRST_PAUSE, Happening::SendBytesAgain { key, stall: number });
+    }
+
+    /// A connection's pause is over.
+    pub(super) fn on_send_bytes_again(&mut self, key: LineKey, number: u64) {
+        self.close_dead(key);
+        let (from, to, _) = key;
+        let arrives = !self.cut.contains(&(from, to));
+        let is_open = arrives && !self.cut.contains(&(to, from));
+        let peer_life = self.life_of(to);
+        let Some(line) = self.connections.lines.get_mut(&key) else { return };
+        let is_reset = line.peer_life != peer_life;
+        let Some(stall) = line.stall.as_mut().filter(|stall| stall.number == number) else { return };
+        if is_open && is_reset {
+            self.connections.lines.remove(&key);
+            return;
+        }
+        stall.pause *= 2;
+        let pause = stall.pause;
+        let queue = if arrives { std::mem::take(&mut stall.queue) } else { vec![] };
+        if is_open {
+            line.stall = None;
+        } else {
+            self.put(pause, Happening::SendBytesAgain { key, stall: number });
+        }
+        queue.into_iter().for_each(|letter| self.carry(from, to, letter));
+    }
+
+    /// Gives a connection up whose bytes have been unacknowledged for too long.
+    fn close_dead(&mut self, key: LineKey) {
+        let dead_after = match (self.rules.mutant, key.2) {
+            (Some(Mutant::PatientLines), _) => PATIENT_DEAD_AFTER,
+            (_, true) => BULK_LINE_DEAD_AFTER,
+            (_, false) => LINE_DEAD_AFTER,
+        };
+        let now = self.now;
+        let is_dead = |line: &Line| line.stall.as_ref().is_some_and(|stall| now >= stall.since + dead_after);
+        if self.connections.lines.get(&key).is_some_and(is_dead) {
+            self.connections.lines.remove(&key);
+        }
+    }
+
+    /// Resets all connections between these pairs, both ways: what waited on them is lost.
+    pub(super) fn reset_between(&mut self, pairs: &[(Address, Address)]) {
+        let is_between = |from: Address, to: Address| pairs.contains(&(from, to)) || pairs.contains(&(to, from));
+        self.connections.lines.retain(|(from, to, _), _| !is_between(*from, *to));
+    }
+
+    fn life_of(&self, address: Address) -> u64 {
+        let registrar = self.registrars.iter().find(|m| m.address == address).map(|m| m.life);
+        let crier = || self.criers.iter().find(|m| m.address == address).map(|m| m.life);
+        registrar.or_else(crier).unwrap_or(0)
+    }
+
+    /// Takes a letter to its receiver, unless it's lost on the way.
+    fn carry(&mut self, from: Address, to: Address, letter: Letter) {
+        if self.chance(self.loss) {
+            return;
+        }
+        let delay = 1 + self.below(4) + if self.loss > 0 { self.below(60) } else { 0 };
+        if self.loss > 0 && self.chance(5) {
+            let again = delay + self.below(300);
+            self.put(again, Happening::Letter { to, from, letter: letter.clone() });
+        }
+        if self.rules.mutant == Some(Mutant::AnswerTwice) && matches!(letter, Letter::Told { .. }) {
+            self.put(delay + 10, Happening::Letter { to, from, letter: letter.clone() });
+        }
+        self.put(delay, Happening::Letter { to, from, letter });
+    }
+
+    /// For the mutant that answers twice: which operator is behind a registrar's question.
+    fn note_question(&mut self, letter: &Letter) {
+        if self.rules.mutant == Some(Mutant::AnswerTwice)
+            && let Letter::Ask { number, reading } = letter
+            && let Reading::Heard { id, .. } = reading.as_ref()
+            && let Some(operator) = id.strip_prefix("op-").and_then(|operator| operator.parse().ok())
+        {
+            self.questions.entry(*number).or_insert((operator, false));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -1,192 +1,8 @@
 //! What fails, drawn from the seed, alone or together.
 
+use super::fault_kinds::KINDS;
 use super::*;
 
-/// How a run goes.
-#[derive(Debug, Clone)]
-pub struct WorldRules {
-    /// Whose fleet.
-    pub deployment: Deployment,
-    /// Where everything is drawn from.
-    pub seed: u64,
-    /// Faults strike within this.
-    pub span: Span,
-    /// After it all is healed, and the run goes on for this long.
-    pub calm: Span,
-    /// How many criers, if not as the deployment has.
-    pub criers: Option<usize>,
-    /// How many faults.
-    pub faults: u64,
-    /// Of these kinds only; empty: all.
-    pub kinds: Vec<FaultKind>,
-    /// Orders a second.
-    pub orders_a_second: u64,
-    /// Operators do something each time after one to six times this.
-    pub operators_gap: Span,
-    /// Percent of answers to operators that are lost on their way.
-    pub answer_loss: u64,
-    /// Percent of plans that are large.
-    pub large_plans: u64,
-    /// BTB in the operators' plans, as JSON.
-    pub btb: serde_json::Value,
-    /// How the criers' desks work.
-    pub desk: DeskRules,
-    /// How the servers work.
-    pub servers: ScheduleRules,
-    /// Percent of drafts that belong to the burst at hand.
-    pub hot_share: u64,
-    /// How soon registrars take each other for gone, if not as usual.
-    pub suspect: Option<Span>,
-    /// How many registrars, if not as the deployment has.
-    pub registrars: Option<usize>,
-    /// Disks that a change is on before it is told as accepted: one more than may be lost at once.
-    pub copies: usize,
-    /// Who must know a change before it is told as accepted.
-    pub quorum: Quorum,
-    /// A fault in the system itself.
-    pub mutant: Option<Mutant>,
-}
-
-impl WorldRules {
-    /// The usual run.
-    pub fn new(deployment: Deployment, seed: u64) -> Self {
-        WorldRules {
-            deployment,
-            seed,
-            span: Span::seconds(30),
-            calm: Span::seconds(25),
-            criers: None,
-            faults: 8,
-            kinds: vec![],
-            orders_a_second: 25,
-            operators_gap: Span(300),
-            answer_loss: 3,
-            large_plans: 3,
-            btb: serde_json::json!({}),
-            desk: DeskRules::default(),
-            servers: ScheduleRules::default(),
-            hot_share: 50,
-            suspect: None,
-            registrars: None,
-            copies: 2,
-            quorum: Quorum::Majority,
-            mutant: None,
-        }
-    }
-}
-
-/// What can fail.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum FaultKind {
-    /// A registrar's process is killed.
-    KillRegistrar,
-    /// All registrars are.
-    KillCore,
-    /// More than half of the criers are lost for good; their operator has them forgotten.
-    LoseMembers,
-    /// Some criers are.
-    KillCriers,
-    /// Everything of ours is.
-    KillAll,
-    /// A registrar freezes and wakes.
-    FreezeRegistrar,
-    /// A crier freezes and wakes.
-    FreezeCrier,
-    /// The core is split in two.
-    SplitCore,
-    /// No letters between the core and the criers.
-    CutCore,
-    /// One way only.
-    CutOneWay,
-    /// A crier's machine is cut off from everything.
-    CutCrier,
-    /// A zone is lost, servers and all, and comes back.
-    LoseHall,
-    /// Letters are lost, late, doubled, out of order.
-    BadNetwork,
-    /// A disk is slow.
-    SlowDisk,
-    /// A disk stalls.
-    StallDisk,
-    /// A disk is full for a while.
-    FullDisk,
-    /// A disk is wiped, its machine restarted.
-    WipeDisk,
-    /// Power fails at a registrar: what was not synced is gone.
-    PowerLoss,
-    /// Power fails everywhere.
-    PowerLossAll,
-    /// Power fails everywhere right after a change was acknowledged.
-    PowerLossAfterAck,
-    /// A disk is wiped right after a change was acknowledged.
-    WipeAfterAck,
-    /// As many disks as may be lost at once are, or a zone's, right after a change was acknowledged, while all
-    /// other registrars lose power. Struck only where it's named.
-    LoseBudgetAfterAck,
-    /// The same, at any time.
-    LoseBudget,
-    /// A registrar's machine is lost for good; an empty one comes at a new address.
-    ReplaceCore,
-    /// A server crashes and comes back.
-    CrashServer,
-    /// A server takes orders and says nothing.
-    DarkServer,
-    /// A server answers, but slowly.
-    SlowServer,
-    /// All machines of ours in a zone freeze and wake.
-    FreezeHall,
-    /// Traffic jumps to five times as much and back, most of it with one prefix.
-    Crowd,
-    /// Servers leave pieces out, double them, mix runs up, end early.
-    GarbleServers,
-    /// Servers make connections late.
-    LateAccept,
-    /// Servers are replaced one after another.
-    ReplaceServers,
-    /// A server leaves: marked first, gone later.
-    LeaveServer,
-    /// Plans come in a storm.
-    PlanStorm,
-    /// Most servers refuse or fail.
-    Brownout,
-}
-
-const KINDS: [FaultKind; 33] = [
-    FaultKind::KillRegistrar,
-    FaultKind::KillCore,
-    FaultKind::LoseMembers,
-    FaultKind::KillCriers,
-    FaultKind::KillAll,
-    FaultKind::FreezeRegistrar,
-    FaultKind::FreezeCrier,
-    FaultKind::SplitCore,
-    FaultKind::CutCore,
-    FaultKind::CutOneWay,
-    FaultKind::CutCrier,
-    FaultKind::LoseHall,
-    FaultKind::BadNetwork,
-    FaultKind::SlowDisk,
-    FaultKind::StallDisk,
-    FaultKind::FullDisk,
-    FaultKind::WipeDisk,
-    FaultKind::PowerLoss,
-    FaultKind::PowerLossAll,
-    FaultKind::PowerLossAfterAck,
-    FaultKind::WipeAfterAck,
-    FaultKind::ReplaceCore,
-    FaultKind::CrashServer,
-    FaultKind::DarkServer,
-    FaultKind::LateAccept,
-    FaultKind::GarbleServers,
-    FaultKind::SlowServer,
-    FaultKind::FreezeHall,
-    FaultKind::Crowd,
-    FaultKind::ReplaceServers,
-    FaultKind::LeaveServer,
-    FaultKind::PlanStorm,
-    FaultKind::Brownout,
-];
-
 /// One fault: what, when, for how long, whom.
 #[derive(Debug, Clone)]
 pub struct Fault {
@@ -199,7 +15,7 @@
     pub span: u64,
     /// Draws its victims.
     pub pick: u64,
-    cut: Vec<(Address, Address)>,
+    pub(super) cut: Vec<(Address, Address)>,
 }
 
 impl World {
@@ -208,7 +24,8 @@
         for place in 0..self.rules.faults as usize {
             let kind = kinds[self.below(kinds.len() as u64) as usize];
             let at = 4000 + self.below(self.rules.span.0.saturating_sub(8000));
-            let span = (500 + self.below(5500)).min(self.rules.span.0 - at);
+            let longest = if kind == FaultKind::CutRegistrar { 16_500 } else { 5500 };
+            let span = (500 + self.below(longest)).min(self.rules.span.0 - at);
             let pick = self.draw();
             // Some days end with a closing fault, right before all is healed.
             let is_closing = place + 1 == self.rules.faults as usize && pick.is_multiple_of(3);
@@ -221,7 +38,7 @@
         self.put(self.rules.span.0, Happening::Heal { place });
     }
 
-    fn cut_between(&mut self, place: usize, ones: &[Address], others: &[Address], is_one_way: bool) {
+    pub(super) fn cut_between(&mut self, place: usize, ones: &[Address], others: &[Address], is_one_way: bool) {
         for one in ones {
             for other in others.iter().filter(|other| *other != one) {
                 self.faults[place].cut.push((*one, *other));
@@ -338,6 +155,18 @@
                     }
                 }
             }
+            FaultKind::CutRegistrar
+            | FaultKind::ResetRegistrar
+            | FaultKind::EvacuateCut
+            | FaultKind::KillLeader
+            | FaultKind::FreezeLeader
+            | FaultKind::CutLeader
+            | FaultKind::KillAfterSend
+            | FaultKind::PowerLossAfterSend
+            | FaultKind::KillInWrite
+            | FaultKind::MeetReturn
+            | FaultKind::ReplacePlanned
+            | FaultKind::ReplaceCutSeeds => self.strike_aimed(place, registrar),
             FaultKind::PowerLossAfterAck | FaultKind::WipeAfterAck | FaultKind::LoseBudgetAfterAck => {
                 self.armed.push(place);
             }
@@ -375,73 +204,6 @@
         }
     }
 
-    /// One disk at a time may be lost: only while all others hold everything.
-    fn lose_disk(&mut self, machine: usize, kind: FaultKind, back: u64) {
-        let now = self.now;
-        let views: Vec<&college::prelude::View> =
-            self.registrars.iter().filter_map(|m| m.office.as_ref()).map(|office| office.fellow().view()).collect();
-        let newest = views.iter().max_by_key(|view| view.epoch);
-        let is_whole = newest.is_some_and(|view| {
-            let all = self.registrars.iter().filter(|m| !m.is_gone);
-            all.clone().count() == view.chain.len()
-                && view.chain.iter().all(|seat| seat.is_level)
-                && all.clone().all(|m| m.office.is_some() && now >= m.frozen_until && now >= m.disk.full_until)
-                && all.clone().all(|m| view.seats(&Voter { address: m.address, disk: m.disk.id }))
-        });
-        if !is_whole {
-            return;
-        }
-        self.kill_registrar(machine, true);
-        let new_id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
-        let does_keep_id = self.rules.mutant == Some(Mutant::ReuseWipedVote);
-        if kind == FaultKind::ReplaceCore {
-            let number = self.registrars.len() as u16;
-            let hall = self.registrars[machine].hall.clone();
-            let offset = 1_000_000 + self.below(1_000_000_000);
-            self.registrars[machine].is_gone = true;
-            let address = Address::loopback(1501 + number);
-            self.registrars.push(RegistrarMachine::new(address, hall, offset, SimDisk::new(new_id, 3)));
-            let machine = self.registrars.len() - 1;
-            self.put(back, Happening::StartRegistrar { machine });
-            return;
-        }
-        let disk = &mut self.registrars[machine].disk;
-        disk.durable.clear();
-        if !does_keep_id {
-            disk.id = new_id;
-        }
-        self.put(back, Happening::StartRegistrar { machine });
-    }
-
-    /// Wipes as many disks as may be lost at once and cuts all power, while each machine votes with its disk:
-    /// only then do most voters remain.
-    fn lose_budget(&mut self, pick: u64, back: u64) {
-        let offices = self.registrars.iter().filter_map(|m| m.office.as_ref());
-        let newest = offices.map(|office| office.fellow().view()).max_by_key(|view| view.epoch);
-        let is_voter =
-            |m: &&RegistrarMachine| newest.is_some_and(|v| v.has_voter(&Voter { address: m.address, disk: m.disk.id }));
-        let all: Vec<usize> = (0..self.registrars.len()).filter(|place| !self.registrars[*place].is_gone).collect();
-        if !all.iter().all(|place| is_voter(&&self.registrars[*place])) {
-            return;
-        }
-        let halls = self.rules.deployment.shape().halls;
-        let hall = HallName::from(halls[(pick / 2 % halls.len() as u64) as usize]);
-        let is_struck = |place: &usize| pick.is_multiple_of(2) || self.registrars[*place].hall == hall;
-        let from = (pick / 5) as usize % all.len();
-        let in_turn = (0..all.len()).map(|step| all[(from + step) % all.len()]);
-        let victims: Vec<usize> = in_turn.filter(is_struck).take(self.rules.copies - 1).collect();
-        for machine in all {
-            self.kill_registrar(machine, true);
-            if victims.contains(&machine) {
-                let new_id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
-                let disk = &mut self.registrars[machine].disk;
-                disk.durable.clear();
-                disk.id = new_id;
-            }
-            self.put(back + machine as u64 * 30, Happening::StartRegistrar { machine });
-        }
-    }
-
     pub(super) fn heal(&mut self, place: usize) {
         if place >= self.faults.len() {
             return self.heal_all();
@@ -450,11 +212,13 @@
         let crier = (pick / 7 % self.criers.len() as u64) as usize;
         let model = (pick / 11 % self.rules.deployment.shape().models as u64) as usize;
         self.armed.retain(|armed| *armed != place);
+        self.armed_for_send.retain(|armed| *armed != place);
+        self.armed_for_write.retain(|armed| *armed != place);
         self.faults[place].cut.clear();
         self.cut = self.faults.iter().flat_map(|fault| fault.cut.iter().copied()).collect();
         match kind {
             FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 0,
-            FaultKind::FreezeRegistrar | FaultKind::FreezeHall => {
+            FaultKind::FreezeRegistrar | FaultKind::FreezeLeader | FaultKind::FreezeHall => {
                 self.wake_criers();
                 let all = 0..self.registrars.len();
                 all.for_each(|machine| {
--- /dev/null
+++ b/crates/rehearsal/src/world/happening.rs
@@ -0,0 +1,154 @@
+//! What is to happen, and who takes it.
+
+use super::*;
+
+/// What is to happen.
+#[derive(Debug, Clone)]
+#[allow(clippy::large_enum_variant)] // Most happenings are letters.
+pub(super) enum Happening {
+    Letter {
+        to: Address,
+        from: Address,
+        letter: Letter,
+    },
+    Tick {
+        machine: usize,
+        life: u64,
+    },
+    Synced {
+        machine: usize,
+        life: u64,
+        id: u64,
+    },
+    Reopen {
+        machine: usize,
+        life: u64,
+    },
+    NodeTick {
+        machine: usize,
+        life: u64,
+    },
+    Polls {
+        machine: usize,
+        life: u64,
+    },
+    Arrival,
+    Connected {
+        order: OrderId,
+        server: usize,
+        run: RunId,
+    },
+    RunReaches {
+        order: OrderId,
+        server: usize,
+        run: RunId,
+    },
+    RunOutcome {
+        order: OrderId,
+        failure: Option<crier::prelude::Failure>,
+    },
+    Watch {
+        order: OrderId,
+    },
+    Resume {
+        order: OrderId,
+    },
+    Operate,
+    /// A connection's bytes are sent again.
+    SendBytesAgain {
+        key: connections::LineKey,
+        stall: u64,
+    },
+    /// An operator's call reaches a registrar.
+    CallReaches {
+        machine: usize,
+        life: u64,
+        call: u64,
+    },
+    /// An operator has heard nothing of a call.
+    Silence {
+        call: u64,
+    },
+    /// An operator sends the same again.
+    SendAgain {
+        task: u64,
+    },
+    /// A fault that waited for something.
+    StrikeArmed {
+        place: usize,
+        machine: usize,
+    },
+    /// An old machine ends, after its successor came.
+    Retire {
+        machine: usize,
+    },
+    /// Operators reach a machine as it returns.
+    Meet {
+        machine: usize,
+    },
+    /// An operator restores a zone that it had evacuated.
+    TakeBack {
+        zone: HallName,
+        machine: usize,
+    },
+    Strike {
+        place: usize,
+    },
+    Heal {
+        place: usize,
+    },
+    StartRegistrar {
+        machine: usize,
+    },
+    StartCrier {
+        machine: usize,
+    },
+    StartServer {
+        server: usize,
+    },
+    ReplaceServer {
+        server: usize,
+    },
+    Check,
+    Probe,
+    Forget {
+        place: usize,
+    },
+}
+
+impl World {
+    pub(super) fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Letter { to, from, letter } => self.on_letter(to, from, letter),
+            Happening::Tick { machine, life } => self.on_tick(machine, life),
+            Happening::Synced { machine, life, id } => self.on_synced(machine, life, id),
+            Happening::Reopen { machine, life } => self.on_reopen(machine, life),
+            Happening::NodeTick { machine, life } => self.on_node_tick(machine, life),
+            Happening::Polls { machine, life } => self.on_polls(machine, life),
+            Happening::Arrival => self.on_arrival(),
+            Happening::Connected { order, server, run } => self.on_connected(order, server, run),
+            Happening::RunReaches { order, server, run } => self.on_run_reaches(order, server, run),
+            Happening::RunOutcome { order, failure } => self.on_run_outcome(order, failure),
+            Happening::Watch { order } => self.on_watch(order),
+            Happening::Resume { order } => self.on_resume(order),
+            Happening::SendBytesAgain { key, stall } => self.on_send_bytes_again(key, stall),
+            Happening::Operate => self.on_operate(),
+            Happening::CallReaches { machine, life, call } => self.on_call_reaches(machine, life, call),
+            Happening::Silence { call } => self.on_silence(call),
+            Happening::SendAgain { task } => self.send_call(task),
+            Happening::StrikeArmed { place, machine } => self.strike_armed(place, machine),
+            Happening::Retire { machine } => self.on_retire(machine),
+            Happening::Meet { machine } => self.on_meet(machine),
+            Happening::TakeBack { zone, machine } => self.on_take_back(zone, machine),
+            Happening::Strike { place } => self.strike(place),
+            Happening::Heal { place } => self.heal(place),
+            Happening::StartRegistrar { machine } => self.start_registrar(machine),
+            Happening::StartCrier { machine } => self.start_crier(machine),
+            Happening::StartServer { server } => self.start_server(server),
+            Happening::ReplaceServer { server } => self.replace_server(server),
+            Happening::Check => self.on_check(),
+            Happening::Probe => self.on_probe(),
+            Happening::Forget { place } => self.on_forget(place),
+        }
+    }
+}
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -1,7 +1,7 @@
 //! Registrars and criers: started, fed, frozen, killed.
 
 use super::*;
-use circular::prelude::{PollReply, Reading};
+use circular::prelude::PollReply;
 
 impl World {
     pub(super) fn start_registrar(&mut self, machine: usize) {
@@ -19,6 +19,7 @@
         if self.rules.mutant == Some(Mutant::ForgetHolders) {
             timing.lease = Span(0);
         }
+        let seeds = self.seeds_of(machine);
         let key = TokenKey([self.draw() as u8; 32]);
         let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.registrars[machine].life);
         let incarnation = if self.rules.mutant == Some(Mutant::ReuseNumbers) { 0 } else { life };
@@ -33,7 +34,11 @@
         // Told that it is a founder at its first start alone, as on the users' platform.
         let is_first = m.life == 1 && founders.contains(&m.address);
         let others = || founders.iter().filter(|founder| **founder != m.address).copied().collect();
-        let known = if is_first { founders.clone() } else { others() };
+        let known = match (is_first, seeds) {
+            (true, _) => founders.clone(),
+            (false, Some(seeds)) => seeds,
+            (false, None) => others(),
+        };
         let kept = Kept { records: m.disk.durable.clone() };
         match Fellow::new(me, known, timing.fellow, kept, Ledger::default(), now) {
             Ok(fellow) => m.office = Some(Office::new(fellow, timing, key, incarnation, now)),
@@ -43,19 +48,36 @@
         self.put(1, Happening::Tick { machine, life });
     }
 
+    /// Whom the settings of a machine that came later name: three of those that were there.
+    pub(super) fn seeds_of(&self, machine: usize) -> Option<Vec<Address>> {
+        let address = self.registrars[machine].address;
+        let is_founder = usize::from(address.0.port()) < 1001 + self.registrar_count();
+        let others = self.registrars.iter().filter(|m| !m.is_gone && m.address != address);
+        (!is_founder).then(|| others.map(|m| m.address).take(3).collect())
+    }
+
     /// Ends a registrar's process. Of what was not synced, some may be on the disk all the same.
     pub(super) fn kill_registrar(&mut self, machine: usize, is_power: bool) {
-        let keep = self.below(3) as usize;
+        let (keep, torn) = (self.below(3) as usize, self.draw() as usize);
+        let keeps_unsynced = self.rules.mutant != Some(Mutant::SkipSync) && self.chance(50);
         let m = &mut self.registrars[machine];
         m.office = None;
         m.life += 1;
         m.late.clear();
         m.frozen_until = 0;
+        self.connections.close_from(m.address);
         let pending = std::mem::take(&mut m.disk.pending);
-        if !is_power {
-            for (_, _, _, records, is_whole) in pending.into_iter().take(keep) {
-                m.disk.keep(records, is_whole);
-            }
+        if is_power && !keeps_unsynced {
+            return;
+        }
+        let mut pending = pending.into_iter();
+        for (_, _, _, records, is_whole) in pending.by_ref().take(keep) {
+            m.disk.keep(records, is_whole);
+        }
+        // The write at which it ended is torn: its first records are there. One in place of all is there or not.
+        if let Some((_, _, _, mut records, false)) = pending.next() {
+            records.truncate(torn % (records.len() + 1));
+            m.disk.keep(records, false);
         }
     }
 
@@ -92,6 +114,7 @@
         m.life += 1;
         m.late.clear();
         m.frozen_until = 0;
+        self.connections.close_from(m.address);
         let orphans: Vec<OrderId> =
             self.orders.iter().filter(|(_, order)| order.crier == machine).map(|(id, _)| id.clone()).collect();
         for id in orphans {
@@ -239,7 +262,7 @@
         let outputs = office.step(now, input);
         for output in outputs {
             match output {
-                OfficeOutput::Send { to, letter, .. } => self.post(address, to, letter),
+                OfficeOutput::Send { to, is_bulk, letter } => self.post(address, to, is_bulk, letter),
                 OfficeOutput::Write { id, records, is_whole } => self.write(machine, life, id, records, is_whole),
                 OfficeOutput::Reply { number, status, body } => self.on_office_reply(machine, number, status, &body),
                 OfficeOutput::ViewChanged(view) => self.witness.view(self.now, address, &view),
@@ -272,6 +295,7 @@
             self.step_office(machine, OfficeInput::Written { id });
         }
         self.put(due, Happening::Synced { machine, life, id });
+        self.strike_in_write(machine);
     }
 
     pub(super) fn on_node_tick(&mut self, machine: usize, life: u64) {
@@ -358,7 +382,7 @@
         let mut places = vec![];
         for output in outputs {
             match output {
-                NodeOutput::Send { to, letter, .. } => self.post(address, to, letter),
+                NodeOutput::Send { to, is_bulk, letter } => self.post(address, to, is_bulk, letter),
                 NodeOutput::Decision(_, decision) => {
                     if let Decision::Placed { epoch, .. } = &decision {
                         self.witness.placed(self.now, address, *epoch);
@@ -376,35 +400,10 @@
         }
         places
     }
-
-    /// Sends a letter over the network as it is now.
-    fn post(&mut self, from: Address, to: Address, letter: Letter) {
-        if self.rules.mutant == Some(Mutant::AnswerTwice)
-            && let Letter::Ask { number, reading } = &letter
-            && let Reading::Heard { id, .. } = reading.as_ref()
-            && let Some(operator) = id.strip_prefix("op-").and_then(|operator| operator.parse().ok())
-        {
-            self.questions.entry(*number).or_insert((operator, false));
-        }
-        let now = self.now;
-        self.criers.iter_mut().filter(|m| m.address == from).for_each(|m| m.touch.sent(now, &letter));
-        if self.cut.contains(&(from, to)) || self.chance(self.loss) {
-            return;
-        }
-        let delay = 1 + self.below(4) + if self.loss > 0 { self.below(60) } else { 0 };
-        if self.loss > 0 && self.chance(5) {
-            let again = delay + self.below(300);
-            self.put(again, Happening::Letter { to, from, letter: letter.clone() });
-        }
-        if self.rules.mutant == Some(Mutant::AnswerTwice) && matches!(letter, Letter::Told { .. }) {
-            self.put(delay + 10, Happening::Letter { to, from, letter: letter.clone() });
-        }
-        self.put(delay, Happening::Letter { to, from, letter });
-    }
 }
 
 impl SimDisk {
-    fn keep(&mut self, records: Vec<Record>, is_whole: bool) {
+    pub(super) fn keep(&mut self, records: Vec<Record>, is_whole: bool) {
         if is_whole {
             self.durable.clear();
         }
--- /dev/null
+++ b/crates/rehearsal/src/world/mutants.rs
@@ -0,0 +1,45 @@
+//! Deliberate faults, by which the checkers are tried.
+
+/// A deliberate fault in the system itself, to show that the checkers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Mutant {
+    /// Writes are called synced before they are.
+    SkipSync,
+    /// Voters don't keep their word to a tail.
+    SkipFencing,
+    /// A wiped disk keeps its id, and so its vote and seat.
+    ReuseWipedVote,
+    /// A restarted node begins with what it believed long ago.
+    SlideEpoch,
+    /// A node that lost its lease goes on by itself.
+    IgnoreLease,
+    /// A server that is leaving is not taken for it.
+    IgnoreLeaving,
+    /// A lost order is given to another server though it may have run.
+    RepeatAnything,
+    /// Fresh servers have no ramp.
+    SkipRamp,
+    /// Pieces go to the caller whatever they are.
+    LaxPieces,
+    /// A stream that is read on begins anew.
+    ResumeFromStart,
+    /// Repeats cost nothing.
+    FreeRepeats,
+    /// Whether an order may leave is not asked again once the connection is made.
+    AskOnce,
+    /// Every third node renews its lease with each poll and takes news from one in fifty.
+    StaleNews,
+    /// Registrars' questions are answered twice, and the second answer is taken for the core's to the change
+    /// behind the question.
+    AnswerTwice,
+    /// A registrar's questions and proposals are numbered alike in each life.
+    ReuseNumbers,
+    /// Registrars answer operators' reads from what they hold themselves.
+    StaleReads,
+    /// The same change gets another id each time that it's sent.
+    NewIds,
+    /// Connections are not given up while their bytes stay unacknowledged.
+    PatientLines,
+    /// Tails forget at once whom they gave leases, and accept without waiting for them.
+    ForgetHolders,
+}
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -109,20 +109,20 @@
             return;
         }
         if self.operators.epoch == 0 {
-            return self.propose_plan(self.newest_basis(), true);
+            return self.propose_plan(self.newest_basis(), true, None);
         }
         match self.below(10) {
             0..3 => {
                 let basis = self.newest_basis();
                 let allows_extra = self.chance(50);
-                self.propose_plan(basis, allows_extra);
+                self.propose_plan(basis, allows_extra, None);
                 if self.chance(50) {
                     // Another operator looked at the same, and picked the same number.
-                    self.propose_plan(basis, !allows_extra);
+                    self.propose_plan(basis, !allows_extra, None);
                 }
             }
             7 | 8 => self.propose_patch(),
-            3 | 4 => self.evacuate_or_restore(),
+            3 | 4 => self.evacuate_or_restore_at(None),
             5 if !self.counts_by_epochs() => self.begin(Wish::ReadPlan, None),
             _ => self.begin(Wish::ReadState, None),
         }
@@ -135,7 +135,8 @@
         Basis::Revision { base: self.operators.revision, own: self.operators.revision + 1 }
     }
 
-    fn evacuate_or_restore(&mut self) {
+    /// An operator evacuates a zone, or takes that back, by way of this machine or any.
+    pub(super) fn evacuate_or_restore_at(&mut self, machine: Option<usize>) {
         let motion = match self.operators.withdrawn.clone() {
             Some(hall) => Motion::Restore { hall },
             None => {
@@ -145,10 +146,15 @@
                 Motion::Withdraw { hall }
             }
         };
-        self.begin(Wish::Motion(motion), None);
+        self.begin(Wish::Motion(motion), machine);
     }
 
-    fn propose_plan(&mut self, basis: Basis, allows_extra: bool) {
+    /// An operator sends a plan to this machine.
+    pub(super) fn propose_at(&mut self, machine: usize) {
+        self.propose_plan(self.newest_basis(), true, Some(machine));
+    }
+
+    fn propose_plan(&mut self, basis: Basis, allows_extra: bool, machine: Option<usize>) {
         let btb = self.rules.btb.clone();
         let stream = |is_resumable: bool| serde_json::json!({"resumable": is_resumable, "slots": 16, "first_token_ms": 4000, "btb": btb});
         let mut services = serde_json::json!({
@@ -165,7 +171,7 @@
         if let Basis::Revision { own, .. } = basis {
             plan["revision"] = own.into();
         }
-        self.begin(Wish::Plan { bytes: plan.to_string().into_bytes(), basis }, None);
+        self.begin(Wish::Plan { bytes: plan.to_string().into_bytes(), basis }, machine);
     }
 
     /// A change, merged at the door into the plan there.
@@ -230,16 +236,23 @@
         };
         self.operators.next_call += 1;
         let call = self.operators.next_call;
+        let counts_by_epochs = self.counts_by_epochs();
         let is_answer_lost = self.chance(self.operators.answer_loss);
         let Some(found) = self.operators.tasks.get_mut(&task) else { return };
         found.sends += 1;
         let (action, is_patient) = (action_of(task, &found.wish), found.is_patient);
-        if let Some(action) = action {
+        let is_change = !matches!(found.wish, Wish::ReadState | Wish::ReadPlan);
+        // Where plans are counted by epochs, the register of plans isn't judged.
+        let is_judged = |action: &CallAction| !(counts_by_epochs && matches!(action, CallAction::ReadPlan));
+        if let Some(action) = action.filter(is_judged) {
             self.history.sent(self.now, call, action);
         }
         self.operators.calls.insert(call, OperatorCall { task, machine, is_answer_lost });
         let life = self.registrars[machine].life;
         self.put(1, Happening::CallReaches { machine, life, call });
+        if is_change {
+            self.strike_after_send(machine);
+        }
         if !is_patient {
             self.put(SILENCE, Happening::Silence { call });
         }
--- /dev/null
+++ b/crates/rehearsal/src/world/rules.rs
@@ -0,0 +1,85 @@
+//! How a run goes.
+
+use super::*;
+
+/// How a run goes.
+#[derive(Debug, Clone)]
+pub struct WorldRules {
+    /// Whose fleet.
+    pub deployment: Deployment,
+    /// Where everything is drawn from.
+    pub seed: u64,
+    /// Faults strike within this.
+    pub span: Span,
+    /// After it all is healed, and the run goes on for this long.
+    pub calm: Span,
+    /// How many criers, if not as the deployment has.
+    pub criers: Option<usize>,
+    /// How many faults.
+    pub faults: u64,
+    /// Of these kinds only; empty: all.
+    pub kinds: Vec<FaultKind>,
+    /// Orders a second.
+    pub orders_a_second: u64,
+    /// Operators do something each time after one to six times this.
+    pub operators_gap: Span,
+    /// Percent of answers to operators that are lost on their way.
+    pub answer_loss: u64,
+    /// Percent of plans that are large.
+    pub large_plans: u64,
+    /// BTB in the operators' plans, as JSON.
+    pub btb: serde_json::Value,
+    /// How the criers' desks work.
+    pub desk: DeskRules,
+    /// How the servers work.
+    pub servers: ScheduleRules,
+    /// Percent of drafts that belong to the burst at hand.
+    pub hot_share: u64,
+    /// How soon registrars take each other for gone, if not as usual.
+    pub suspect: Option<Span>,
+    /// How many registrars, if not as the deployment has.
+    pub registrars: Option<usize>,
+    /// Disks that a change is on before it is told as accepted: one more than may be lost at once.
+    pub copies: usize,
+    /// Who must know a change before it is told as accepted.
+    pub quorum: Quorum,
+    /// A fault in the system itself.
+    pub mutant: Option<Mutant>,
+}
+
+impl WorldRules {
+    /// One of a sweep: two seeds of eight have a grown core, of five or six with three copies.
+    pub fn swept(deployment: Deployment, seed: u64) -> Self {
+        let (registrars, copies) = match seed % 8 {
+            5 => (Some(5), 3),
+            6 => (Some(6), 3),
+            _ => (None, 2),
+        };
+        WorldRules { registrars, copies, ..WorldRules::new(deployment, seed) }
+    }
+    /// The usual run.
+    pub fn new(deployment: Deployment, seed: u64) -> Self {
+        WorldRules {
+            deployment,
+            seed,
+            span: Span::seconds(30),
+            calm: Span::seconds(25),
+            criers: None,
+            faults: 8,
+            kinds: vec![],
+            orders_a_second: 25,
+            operators_gap: Span(300),
+            answer_loss: 3,
+            large_plans: 3,
+            btb: serde_json::json!({}),
+            desk: DeskRules::default(),
+            servers: ScheduleRules::default(),
+            hot_share: 50,
+            suspect: None,
+            registrars: None,
+            copies: 2,
+            quorum: Quorum::Majority,
+            mutant: None,
+        }
+    }
+}
