--- a/crates/rehearsal/src/world/aimed/tests.rs
+++ b/crates/rehearsal/src/world/aimed/tests.rs
@@ -28,12 +28,16 @@
     play(Deployment::Valodu, kind, 5);
 }
 
+/// What these seeds have shown: an evacuation that its operator gave up took effect after it was taken back, and
+/// a change was refused for good on the strength of one that was not accepted.
 #[parameterized(
-    pahana = { Deployment::Pahana, 1 },
-    valodu = { Deployment::Valodu, 2 },
+    evacuated_after_it_was_taken_back = { Deployment::Valodu, FaultKind::EvacuateCut, 7 },
+    evacuated_again = { Deployment::Valodu, FaultKind::EvacuateCut, 49 },
+    refused_by_the_head_alone = { Deployment::Pahana, FaultKind::MeetReturn, 5 },
+    refused_by_a_head_that_returned = { Deployment::Valodu, FaultKind::MeetReturn, 27 },
 )]
-fn an_evacuation_that_was_given_up_does_not_come_after_its_withdrawal(deployment: Deployment, seed: u64) {
-    play(deployment, FaultKind::EvacuateCut, seed);
+fn what_a_seed_has_shown_does_not_happen_again(deployment: Deployment, kind: FaultKind, seed: u64) {
+    play(deployment, kind, seed);
 }
 
 /// The day `pahana-cut-off-then-read-back`: connections that wait for ever longer keep a registrar that was cut
