--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -35,10 +35,14 @@
     pub accept_ms: Vec<u64>,
     /// After the last fault was healed: until a motion was accepted, and until an order completed.
     pub back_ms: (Option<u64>, Option<u64>),
+    /// After the last fault was healed: until all registrars sat in the chain, level, in one view.
+    pub level_ms: Option<u64>,
     /// What all happenings mix to.
     pub trace: u64,
     /// The faults.
     pub faults: Vec<String>,
+    /// Operators' calls and what they were told.
+    pub calls: Vec<String>,
     pub(super) newest_told: u64,
     accepted: BTreeMap<u64, u64>,
     told: BTreeMap<OrderId, &'static str>,
@@ -51,17 +55,27 @@
     /// What each plan or change would put in force.
     plans: BTreeMap<String, serde_json::Value>,
     fates: BTreeMap<String, (u64, u64, u64)>,
+    /// By change: its calls, and those that were told that nothing changed.
+    call_counts: BTreeMap<String, CallCounts>,
     node_epochs: BTreeMap<Address, Epoch>,
     decided: BTreeMap<u64, View>,
     calm_from: u64,
 }
 
+#[derive(Debug, Default)]
+struct CallCounts {
+    sent: u32,
+    not_ready: u32,
+}
+
 /// In force within about 2 s: this and a little for the network and the clock's step.
 const IN_FORCE: u64 = 2200;
 /// Where holders of leases are the quorum, a node acts on a change by when it's told. What was placed before
 /// takes this long to be connected and to leave.
 const HELD: u64 = 450;
 const WITHDRAWN: u64 = 5200;
+/// After all is healed, all registrars are level by then.
+const LEVEL_AGAIN: u64 = 8000;
 const LEAVING: u64 = 3200;
 /// Repeats beyond a fifth, a minute, over the whole fleet.
 const ALLOWANCE: u64 = 10;
@@ -126,17 +140,34 @@
         }
     }
     pub(super) fn proposed(&mut self, now: u64, id: &str, motion: &Motion, base: &[u8]) {
+        let read = |bytes: &[u8]| serde_json::from_slice::<serde_json::Value>(bytes).ok();
+        // A change that was merged into another plan than the one that it builds on never takes effect.
+        let is_of_its_base = |revisions: &layout::prelude::Revisions| {
+            let found = read(base).and_then(|plan| plan["revision"].as_u64()).unwrap_or(0);
+            revisions.own == 0 || found == revisions.base
+        };
         let whole = match motion {
             Motion::Plan { bytes, .. } => Some(bytes.clone()),
-            Motion::Change { splice, .. } => splice.apply(base),
+            Motion::Change { splice, revisions, .. } => splice.apply(base).filter(|_| is_of_its_base(revisions)),
             _ => None,
         };
-        let plan = whole.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+        let plan = whole.and_then(|bytes| read(&bytes));
         self.plans.extend(plan.map(|plan| (id.to_owned(), plan)));
-        self.proposed.insert(id.to_owned(), (now, motion.clone()));
+        self.proposed.entry(id.to_owned()).or_insert((now, motion.clone()));
+        self.sends(id);
+    }
+    /// A call for this change ended at the door.
+    pub(super) fn not_proposed(&mut self, id: &str) {
+        self.sends(id);
+    }
+    /// A call for this change is under way: unless all that there were are known to have changed nothing, nobody
+    /// knows what became of it.
+    fn sends(&mut self, id: &str) {
+        self.call_counts.entry(id.to_owned()).or_default().sent += 1;
+        self.fates.retain(|known, (_, code, _)| known != id || *code != u64::from(ResultCode::CoreNotReady.number()));
     }
     pub(super) fn operator_told(&mut self, now: u64, asked: u64, id: &str, code: u64, epoch: u64) {
-        self.fates.insert(id.to_owned(), (now, code, epoch));
+        self.keep_fate(now, id, code, epoch);
         if code == u64::from(ResultCode::Accepted.number()) {
             self.motions[0] += 1;
             self.accept_ms.push(now - asked);
@@ -152,6 +183,28 @@
         }
     }
 
+    /// What is known of a change after one more answer: a clear one stays, whatever later answers say.
+    fn keep_fate(&mut self, now: u64, id: &str, code: u64, epoch: u64) {
+        let number = |code: ResultCode| u64::from(code.number());
+        let (accepted, not_ready, unknown) =
+            (number(ResultCode::Accepted), number(ResultCode::CoreNotReady), number(ResultCode::FateUnknown));
+        let is_clear = |code: u64| code != not_ready && code != unknown;
+        let calls = self.call_counts.entry(id.to_owned()).or_default();
+        calls.not_ready += u32::from(code == not_ready);
+        let code = if code == not_ready && calls.not_ready < calls.sent { unknown } else { code };
+        match self.fates.get(id).copied() {
+            Some((_, known, _)) if is_clear(known) && !is_clear(code) => {}
+            Some((_, known, at)) if is_clear(known) => {
+                if (known == accepted || code == accepted) && (known, at) != (code, epoch) {
+                    self.violate(now, format!("{id} was told {known} with epoch {at}, then {code} with epoch {epoch}"));
+                }
+            }
+            _ => {
+                self.fates.insert(id.to_owned(), (now, code, epoch));
+            }
+        }
+    }
+
     /// A server was asked to take an order, whatever it made of it.
     pub(super) fn asked(&mut self, order: &OrderId, service: &ServiceName) {
         self.asked_orders.entry(service.clone()).or_default().insert(order.clone());
@@ -255,6 +308,7 @@
     pub(super) fn calm(&mut self, now: u64) {
         self.calm_from = now;
         self.back_ms = (None, None);
+        self.level_ms = None;
     }
 
     pub(super) fn is_core_back(&self) -> bool {
@@ -340,6 +394,10 @@
     /// Now and then: whether any node believes what nobody else may.
     pub(super) fn on_check(&mut self) {
         self.put(40, Happening::Check);
+        let calm_for = self.now.saturating_sub(self.witness.calm_from);
+        if self.witness.calm_from > 0 && self.witness.level_ms.is_none() && self.is_core_level() {
+            self.witness.level_ms = Some(calm_for);
+        }
         let tails: Vec<Address> = self
             .registrars
             .iter()
@@ -352,12 +410,30 @@
         }
     }
 
+    /// Whether the chain has all its seats, each of them level and taken by a registrar that is up and knows of
+    /// them. One more that stands by, as during a planned replacement, has no seat.
+    fn is_core_level(&self) -> bool {
+        let Some(view) = self.witness.decided.values().next_back() else { return false };
+        let is_up = |seat: &college::prelude::Seat| {
+            let mut machines = self.registrars.iter().filter(|m| m.address == seat.voter.address && !m.is_gone);
+            let knows = |m: &RegistrarMachine| m.office.as_ref().is_some_and(|office| office.fellow().view() == view);
+            machines.any(|m| m.disk.id == seat.voter.disk && knows(m))
+        };
+        view.chain.len() >= self.registrar_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
+    }
+
     pub(super) fn last_checks(&mut self) {
         let now = self.now;
+        if self.witness.calm_from > 0 && self.witness.level_ms.is_none_or(|ms| ms > LEVEL_AGAIN) {
+            let level = self.witness.level_ms;
+            self.witness.violate(now, format!("all registrars were level again after {level:?} ms"));
+        }
         let tail = self
             .registrars
             .iter()
             .position(|m| m.office.as_ref().is_some_and(|office| office.fellow().may_reply(Moment(now + m.offset))));
+        self.history.judge().into_iter().for_each(|what| self.witness.violate(now, what));
+        self.witness.calls = self.history.lines();
         let ledger = tail.and_then(|place| self.registrars[place].office.as_ref()).map(|o| o.fellow().charge());
         self.witness.conclude(now, ledger);
         if let Some(view) = self.witness.decided.values().next_back() {
