--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -140,6 +140,21 @@
     assert!(client.head().starts_with("http/1.1 431"));
 }
 
+#[test]
+fn a_head_beyond_what_the_library_reads_is_turned_away_whatever_the_limit_is() {
+    let (address, _closer) = gate(GateBounds { header_bytes: 1 << 20, ..bounds() }, echo);
+    for (head, status) in [
+        (format!("x: {}\r\n", "x".repeat(300 << 10)), "200"),
+        (format!("x: {}\r\n", "x".repeat(500 << 10)), "431"),
+        ("x: 1\r\n".repeat(99), "200"),
+        ("x: 1\r\n".repeat(100), "431"),
+    ] {
+        let mut client = Client::connect(address);
+        client.say(&format!("GET / HTTP/1.1\r\nhost: a\r\n{head}\r\n"));
+        assert_eq!(&client.head()[9..12], status);
+    }
+}
+
 /// Gives what the test feeds it.
 struct Fed(mpsc::Receiver<Pull>);
 
