History has a bound: 4,096 changes and 4 MB, then an honest "too old to know"

Change: history.rs keeps the newest 4,096 changes by id and hash, and 4 MB of what they sent; the bound is part of the replicated state, so all forget alike. What may be a forgotten repeat gets 311, never 302 and never a second application; what was sent and is gone gets 312.

--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -88,68 +88,14 @@
         pub motion: Motion,
     }
 
-    /// What is kept of an accepted motion. A plan's bytes are not: they come back from the plan in force
-    /// by what undoes the plans after it.
-    #[derive(Eq)]
-    pub enum KeptMotion {
-        /// A whole plan.
-        Plan {
-            /// Of its bytes.
-            hash: [u8; 32],
-        },
-        /// A change.
-        Change {
-            /// As sent.
-            bytes: Vec<u8>,
-        },
-        /// A zone gets no new work.
-        Withdraw {
-            /// The zone.
-            hall: HallName,
-        },
-        /// A zone gets work again.
-        Restore {
-            /// The zone.
-            hall: HallName,
-        },
-        /// Members that are lost.
-        Forget {
-            /// Who.
-            members: Vec<Address>,
-        },
-    }
-
-    /// A motion of an operator that was accepted.
-    #[derive(Eq)]
-    pub struct Entry {
-        /// As this epoch.
-        pub epoch: Epoch,
-        /// The operator's id for it.
-        pub id: String,
-        /// What it built on.
-        pub builds_on: Option<Epoch>,
-        /// What.
-        pub motion: KeptMotion,
-    }
-
-    /// What leads from a plan back to the one before.
-    #[derive(Eq)]
-    pub struct Undo {
-        /// From the plan of this epoch.
-        pub epoch: Epoch,
-        /// By this.
-        pub splice: Splice,
-    }
-
     /// All that was accepted, and what is in force.
     ///
     /// Plans are read and checked where they come in, before they are proposed ([`Motion::plan`],
     /// [`Motion::change`]): a plan of tens of megabytes must not hold a control thread up.
     ///
     /// Invariants: `epoch` grows by one with each accepted motion. `plan` is what `plan_epoch` made
-    /// of it, whole. `entries` are in order of epochs and never lose one; ids are unique in them, and
-    /// `ids` names each. `undos` has one for each plan and change, in order: what is held is the plan in
-    /// force and what differs from it.
+    /// of it, whole. What was accepted before is in `history` for a bounded span; what is forgotten there
+    /// is never applied again ([`History`]).
     #[derive(Default)]
     pub struct Ledger {
         /// The newest epoch.
@@ -170,30 +116,13 @@
         pub member_halls: Vec<(Address, HallName)>,
         /// What tokens are checked with.
         pub key: Option<TokenKey>,
-        /// What operators had accepted.
-        pub entries: Vec<Entry>,
-        /// Their epochs by their ids.
-        pub ids: BTreeMap<String, Epoch>,
-        /// From the plan in force back to the first.
-        pub undos: Vec<Undo>,
+        /// What operators had accepted lately.
+        pub history: History,
         /// What made the plan in force of the one before, and that one's epoch.
         pub newest: Option<(Epoch, Splice)>,
     }
 }
 
-/// An accepted motion as its operator sent it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AsSent {
-    /// A plan or a change, byte for byte.
-    Body(Vec<u8>),
-    /// A zone gets no new work.
-    Withdraw(HallName),
-    /// A zone gets work again.
-    Restore(HallName),
-    /// Members that are lost.
-    Forget(Vec<Address>),
-}
-
 /// What the ledger says to a proposal.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct Verdict {
@@ -224,39 +153,24 @@
 }
 
 impl Ledger {
-    /// The accepted motion of an operator with this id.
+    /// The accepted motion of an operator with this id, if it's remembered.
     pub fn entry_by_id(&self, id: &str) -> Option<&Entry> {
-        self.entry(*self.ids.get(id)?)
+        self.history.entry_by_id(id)
     }
     /// What was accepted as this epoch, as it was sent.
-    pub fn as_sent(&self, epoch: Epoch) -> Option<AsSent> {
-        Some(match &self.entry(epoch)?.motion {
-            KeptMotion::Plan { hash } => {
-                let later = self.undos.iter().rev().take_while(|undo| undo.epoch > epoch);
-                let bytes = unwind(&self.plan, later.map(|undo| &undo.splice))?;
-                (blake3::hash(&bytes) == *hash).then_some(AsSent::Body(bytes))?
-            }
-            KeptMotion::Change { bytes } => AsSent::Body(bytes.clone()),
-            KeptMotion::Withdraw { hall } => AsSent::Withdraw(hall.clone()),
-            KeptMotion::Restore { hall } => AsSent::Restore(hall.clone()),
-            KeptMotion::Forget { members } => AsSent::Forget(members.clone()),
-        })
+    pub fn as_sent(&self, epoch: Epoch) -> Result<AsSent, NotKept> {
+        self.history.as_sent(epoch, &self.plan)
     }
     /// Takes a new plan up and keeps what leads back.
     fn set_plan(&mut self, plan: Vec<u8>, splice: Splice, halls: &[HallName], revisions: Revisions) {
         let undo = splice.reverse(&self.plan).expect("it was made for the plan in force");
-        self.undos.push(Undo { epoch: self.epoch, splice: undo });
+        self.history.remember_undo(self.epoch, undo);
         self.newest = Some((self.plan_epoch, splice));
         self.plan = plan;
         self.plan_halls = halls.to_vec();
         self.plan_epoch = self.epoch;
         self.revision = self.revision.max(revisions.own);
     }
-    /// What was accepted as this epoch.
-    pub fn entry(&self, epoch: Epoch) -> Option<&Entry> {
-        let place = self.entries.binary_search_by_key(&epoch, |entry| entry.epoch).ok()?;
-        self.entries.get(place)
-    }
     /// All zones that the members or the plan name.
     pub fn halls(&self) -> BTreeMap<HallName, usize> {
         let mut halls = BTreeMap::new();
@@ -285,6 +199,24 @@
                 self.verdict(ResultCode::IdReused, self.epoch, why, vec![])
             });
         }
+        // What may have been accepted and forgotten is neither applied nor called refused.
+        let may_be_forgotten = self.history.may_have_forgotten(proposal);
+        if may_be_forgotten && !proposal.motion.is_plan() {
+            return Err(self.too_old());
+        }
+        self.judge_new(proposal).map_err(|verdict| {
+            let is_conflict = verdict.code == ResultCode::Conflict.number();
+            if may_be_forgotten && is_conflict { self.too_old() } else { verdict }
+        })
+    }
+
+    fn too_old(&self) -> Verdict {
+        let why = format!("it builds on what came before epoch {}; nothing changed now", self.history.forgotten.epoch);
+        self.verdict(ResultCode::TooOldToKnow, self.epoch, why, vec![])
+    }
+
+    /// What a proposal would come to that has not been accepted before.
+    fn judge_new(&self, proposal: &Proposal) -> Result<(), Verdict> {
         let builds_on = |is_needed: bool| match proposal.builds_on {
             Some(epoch) if epoch < self.plan_epoch || epoch > self.epoch => {
                 let why = format!("it builds on epoch {epoch}, the plan in force is of epoch {}", self.plan_epoch);
@@ -429,11 +361,7 @@
             Motion::Key { key } => self.key = Some(*key),
         }
         let verdict = self.verdict(ResultCode::Accepted, self.epoch, "", vec![]);
-        if let Some(motion) = KeptMotion::of(proposal.motion) {
-            let (epoch, id, builds_on) = (self.epoch, proposal.id, proposal.builds_on);
-            self.ids.insert(id.clone(), epoch);
-            self.entries.push(Entry { epoch, id, builds_on, motion });
-        }
+        self.history.remember(self.epoch, proposal);
         verdict.to_bytes()
     }
 
@@ -444,7 +372,9 @@
     fn restore(snapshot: &[u8]) -> Option<Self> {
         let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(snapshot.len());
         aligned.extend_from_slice(snapshot);
-        rkyv::from_bytes::<Ledger, rkyv::rancor::Error>(&aligned).ok()
+        let mut ledger = rkyv::from_bytes::<Ledger, rkyv::rancor::Error>(&aligned).ok()?;
+        ledger.history = ledger.history.indexed(ledger.epoch)?;
+        Some(ledger)
     }
 }
 
@@ -461,6 +391,10 @@
 }
 
 impl Motion {
+    /// Whether it makes a new plan.
+    fn is_plan(&self) -> bool {
+        matches!(self, Motion::Plan { .. } | Motion::Change { .. })
+    }
     /// A whole plan in the product's own words, if it has no faults.
     pub fn plan(bytes: Vec<u8>) -> Result<Motion, Vec<Fault>> {
         Self::plan_in(&OwnPlans, bytes, None)
@@ -507,28 +441,6 @@
     }
 }
 
-impl KeptMotion {
-    /// What is kept of an operator's motion; `None` of one that is not an operator's.
-    fn of(motion: Motion) -> Option<KeptMotion> {
-        Some(match motion {
-            Motion::Plan { bytes, .. } => KeptMotion::Plan { hash: *blake3::hash(&bytes).as_bytes() },
-            Motion::Change { bytes, .. } => KeptMotion::Change { bytes },
-            Motion::Withdraw { hall } => KeptMotion::Withdraw { hall },
-            Motion::Restore { hall } => KeptMotion::Restore { hall },
-            Motion::Forget { members } => KeptMotion::Forget { members },
-            Motion::Join { .. } | Motion::Retire { .. } | Motion::Settle { .. } | Motion::Key { .. } => return None,
-        })
-    }
-}
-
-impl Entry {
-    /// Whether a proposal says the same. A change merged anew may come to another whole.
-    fn is_repeated_by(&self, other: &Proposal) -> bool {
-        let is_same_motion = KeptMotion::of(other.motion.clone()).is_some_and(|motion| motion == self.motion);
-        is_same_motion && self.id == other.id && self.builds_on == other.builds_on
-    }
-}
-
 impl Proposal {
     /// As the body of a change in the chain.
     pub fn to_bytes(&self) -> Vec<u8> {
@@ -559,7 +471,7 @@
         let mut ledger = Ledger::default();
         assert_eq!(take(&mut ledger, &plan("a", 0, 4))["code"], 300);
         assert_eq!(take(&mut ledger, &plan("b", 0, 5))["code"], 302);
-        assert_eq!((ledger.epoch, ledger.entries.len()), (Epoch(1), 1));
+        assert_eq!((ledger.epoch, ledger.history.entries.len()), (Epoch(1), 1));
         assert!(ledger.entry_by_id("b").is_none());
     }
 
@@ -599,7 +511,7 @@
         }
         let ledger = Ledger::restore(&ledger.snapshot()).expect("a ledger");
         for (place, body) in bodies.into_iter().enumerate() {
-            assert_eq!(ledger.as_sent(Epoch(place as u64 + 1)), Some(AsSent::Body(body)), "epoch {}", place + 1);
+            assert_eq!(ledger.as_sent(Epoch(place as u64 + 1)), Ok(AsSent::Body(body)), "epoch {}", place + 1);
         }
         assert!(ledger.snapshot().len() < 20 * note.len(), "the snapshot has {} bytes", ledger.snapshot().len());
     }
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -2,6 +2,7 @@
 //! accepted, which the chain of registrars replicates.
 
 mod dialect;
+mod history;
 mod ledger;
 mod plan;
 mod routing;
@@ -10,7 +11,11 @@
 /// What each file imports.
 pub mod prelude {
     pub use crate::dialect::{OwnPlans, PlanDialect};
-    pub use crate::ledger::{AsSent, Entry, Ledger, Motion, Proposal, Revisions, Verdict};
+    pub use crate::history::{
+        AsSent, Entry, Fate, Forgotten, History, KeptMotion, NotKept, REMEMBERED_BYTES, REMEMBERED_CHANGES, SentChange,
+        Undo,
+    };
+    pub use crate::ledger::{Ledger, Motion, Proposal, Revisions, Verdict};
     pub use crate::plan::{
         BoundsPlan, BtbPlan, Fault, Plan, RouteKind, RoutePlan, ServiceKind, ServicePlan, SharePlan, merge_change,
         parse_plan,
--- a/crates/layout/tests/revisions.rs
+++ b/crates/layout/tests/revisions.rs
@@ -28,17 +28,17 @@
     assert_eq!(take(&mut ledger, &first), ACCEPTED);
     assert_eq!(take(&mut ledger, &second), CONFLICT);
     assert_eq!(take(&mut ledger, &first), ACCEPTED);
-    assert_eq!((ledger.revision, ledger.entries.len()), (5, 1));
+    assert_eq!((ledger.revision, ledger.history.entries.len()), (5, 1));
     let third = change(&ledger, "c", 5, 9, 8);
     let fourth = change(&ledger, "d", 5, 11, 9);
     assert_eq!(take(&mut ledger, &third), ACCEPTED);
     assert_eq!(take(&mut ledger, &fourth), CONFLICT);
     assert_eq!((take(&mut ledger, &third), take(&mut ledger, &first)), (ACCEPTED, ACCEPTED));
-    assert_eq!((ledger.revision, ledger.entries.len()), (9, 2));
+    assert_eq!((ledger.revision, ledger.history.entries.len()), (9, 2));
     let restored = Ledger::restore(&ledger.snapshot()).expect("a ledger");
     assert_eq!(restored, ledger);
-    assert_eq!(restored.as_sent(Epoch(1)), Some(AsSent::Body(plan_bytes(5, 4))));
-    assert_eq!(restored.as_sent(Epoch(2)), Some(AsSent::Body(plan_bytes(9, 8))));
+    assert_eq!(restored.as_sent(Epoch(1)), Ok(AsSent::Body(plan_bytes(5, 4))));
+    assert_eq!(restored.as_sent(Epoch(2)), Ok(AsSent::Body(plan_bytes(9, 8))));
 }
 
 #[test]
--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -74,6 +74,8 @@
     IdReused = 308, 409, 0, "id-reused", "This id was used for a different change; nothing changed.";
     UnknownMember = 309, 404, 0, "unknown-member", "No member has this address; nothing changed.";
     StillHeard = 310, 409, 0, "still-heard", "One that is said to be lost is still heard; nothing changed.";
+    TooOldToKnow = 311, 410, 0, "too-old-to-know", "It is older than the changes that are remembered: nothing changed now, and whether it was accepted once is not known.";
+    NoLongerKept = 312, 410, 0, "no-longer-kept", "It was accepted so long ago, or is so large, that what was sent is no longer kept.";
     BadLetter = 400, 400, 0, "bad-letter", "An inner letter was torn, too long or failed its check.";
     WrongProtocol = 401, 400, 0, "wrong-protocol", "The peer speaks another version of the inner protocol.";
     BadSettings = 402, 500, 0, "bad-settings", "The settings can't be used; exit code 2.";
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -698,13 +698,16 @@
                 (200, body)
             }
             Reading::Epoch { epoch } => match ledger.as_sent(*epoch) {
-                Some(AsSent::Body(bytes)) => (200, bytes),
-                Some(AsSent::Withdraw(hall)) => good(serde_json::json!({"withdraw": hall})),
-                Some(AsSent::Forget(members)) => good(serde_json::json!({"forget": members})),
-                Some(AsSent::Restore(hall)) => good(serde_json::json!({"restore": hall})),
-                None => {
+                Ok(AsSent::Body(bytes)) => (200, bytes),
+                Ok(AsSent::Withdraw(hall)) => good(serde_json::json!({"withdraw": hall})),
+                Ok(AsSent::Forget(members)) => good(serde_json::json!({"forget": members})),
+                Ok(AsSent::Restore(hall)) => good(serde_json::json!({"restore": hall})),
+                Err(NotKept::Never) => {
                     missing(ResultCode::UnknownEpoch, format!("no operator's motion was accepted as epoch {epoch}"))
                 }
+                Err(NotKept::NoLonger) => {
+                    missing(ResultCode::NoLongerKept, format!("what was sent as epoch {epoch} is no longer kept"))
+                }
             },
             Reading::Heard { id, .. } if ledger.entry_by_id(id).is_some() => good(serde_json::json!({"heard": []})),
             Reading::Heard { members, .. } => {
@@ -725,12 +728,20 @@
                 let why = "it is in the chain, and not yet accepted: too few disks hold it, or nodes know it";
                 missing(ResultCode::CoreNotReady, why.to_owned())
             }
-            Reading::Fate { id } => match ledger.entry_by_id(id) {
-                Some(entry) => good(serde_json::json!({
+            Reading::Fate { id } => match ledger.history.fate(id) {
+                Fate::Accepted(epoch) => good(serde_json::json!({
                     "code": ResultCode::Accepted.number(), "result": ResultCode::Accepted.word(),
-                    "id": id, "epoch": entry.epoch,
+                    "id": id, "epoch": epoch,
                 })),
-                None => missing(ResultCode::UnknownChange, format!("no change with id `{id}` is accepted so far")),
+                Fate::NotAccepted => {
+                    missing(ResultCode::UnknownChange, format!("no change with id `{id}` is accepted so far"))
+                }
+                Fate::TooOldToKnow => {
+                    let oldest = ledger.history.forgotten.epoch.next();
+                    let why =
+                        format!("no change from epoch {oldest} on has the id `{id}`; older ones are not remembered");
+                    missing(ResultCode::TooOldToKnow, why)
+                }
             },
         }
     }
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -292,8 +292,9 @@
             });
             match code {
                 300 => {
-                    let reads_back = entry
-                        .is_some_and(|entry| entry.epoch.0 == epoch && proposed == Some(ledger.as_sent(entry.epoch)));
+                    let reads_back = entry.is_some_and(|entry| {
+                        entry.epoch.0 == epoch && proposed == Some(ledger.as_sent(entry.epoch).ok())
+                    });
                     if !reads_back {
                         self.violate(now, format!("{id}, accepted as epoch {epoch}, does not read back as sent"));
                     }
