--- a/crates/folio/src/book.rs
+++ b/crates/folio/src/book.rs
@@ -25,8 +25,9 @@
 ///
 /// Invariants: a record that [`Folio::write`] returned for is synced. Records count from the last
 /// snapshot on: each carries the snapshot's generation, and others are passed over. Entries are numbered
-/// without gaps within a generation, and one begins only after the one before is synced. The disk id
-/// is in the folder before any record is.
+/// without gaps within a generation, and one begins only after the one before is synced. Each generation has
+/// a log folder of its own, which is there, whole and synced, before the snapshot that names it: no file of a
+/// log is ever renamed or taken up again. The disk id is in the folder before any record is.
 pub struct Folio {
     folder: PathBuf,
     disk: DiskId,
@@ -47,7 +48,56 @@
 
 const ID: &str = "disk-id";
 const SNAPSHOT: &str = "snapshot";
-const LOG: &str = "log";
+
+/// Where builds before logs by generation had theirs.
+const EARLIER_LOG: &str = "log";
+
+/// The folder of a generation's log.
+fn log_name(generation: u64) -> String {
+    format!("log-{generation}")
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    fs::File::open(folder)?.sync_all()
+}
+
+/// Syncs all files in a folder, and their names.
+fn sync_files(folder: &Path) -> io::Result<()> {
+    for file in fs::read_dir(folder)? {
+        fs::File::open(file?.path())?.sync_all()?;
+    }
+    sync_folder(folder)
+}
+
+fn remove_if_there(folder: &Path) -> io::Result<()> {
+    match fs::remove_dir_all(folder) {
+        Err(fault) if fault.kind() != io::ErrorKind::NotFound => Err(fault),
+        _ => Ok(()),
+    }
+}
+
+/// Removes the logs of all generations but this one.
+fn remove_other_logs(folder: &Path, generation: u64) -> io::Result<()> {
+    for file in fs::read_dir(folder)? {
+        let file = file?;
+        let name = file.file_name();
+        let name = name.to_string_lossy();
+        if name.starts_with("log-") && name != log_name(generation) {
+            remove_if_there(&file.path())?;
+        }
+    }
+    Ok(())
+}
+
+/// Opens the log in this folder, and makes it if there is none. What it gives is synced, whoever wrote it.
+fn open_log(log: &Path, recovered: Recovered) -> io::Result<(WriteAheadLog, Recovered)> {
+    let shared = Arc::new(Mutex::new(recovered));
+    // The library's own way with long logs renames segments; a snapshot begins a new log instead.
+    let wal = Configuration::default_for(log).checkpoint_after_bytes(u64::MAX).open(Manager(shared.clone()))?;
+    sync_files(log)?;
+    let mut recovered = shared.lock().expect("recovery has ended");
+    Ok((wal, std::mem::take(&mut *recovered)))
+}
 
 /// What stands before each record in the log.
 const RECORD_HEAD: usize = 28;
@@ -110,32 +160,26 @@
     /// Opens a folder. One that is empty, or was wiped in part, becomes a new disk with this id.
     pub fn open(folder: &Path, new_id: DiskId) -> Result<Opened, FolioFault> {
         fs::create_dir_all(folder)?;
-        let log = folder.join(LOG);
-        let has_log = fs::read_dir(&log).is_ok_and(|mut files| files.next().is_some());
+        if has_files(&folder.join(EARLIER_LOG)) {
+            return Err(FolioFault::Damaged("an earlier build, whose log this one does not read, wrote it".into()));
+        }
         let id = read_leaf(folder, ID)?;
-        let snapshot = read_leaf(folder, SNAPSHOT)?;
-        let (disk, generation, mut records) = match (id, snapshot, has_log) {
-            (Some(id), Some(snapshot), true) => {
+        let snapshot = read_leaf(folder, SNAPSHOT)?.map(|snapshot| unfold(&snapshot)).transpose()?;
+        let (disk, generation, mut records) = match (id, snapshot) {
+            (Some(id), Some((generation, records))) if has_files(&folder.join(log_name(generation))) => {
                 let id: [u8; 16] = id.try_into().map_err(|_| FolioFault::Damaged("the disk id is not one".into()))?;
-                let (generation, records) = unfold(&snapshot)?;
                 (DiskId(u128::from_be_bytes(id)), generation, records)
             }
             _ => {
                 // Whatever is left over belongs to a disk that is no more.
-                let _ = fs::remove_file(folder.join(ID));
-                let _ = fs::remove_file(folder.join(SNAPSHOT));
-                if log.exists() {
-                    fs::remove_dir_all(&log)?;
-                }
-                put_leaf(folder, SNAPSHOT, &[&1u64.to_be_bytes(), &0u64.to_be_bytes()])?;
-                put_leaf(folder, ID, &[&new_id.0.to_be_bytes()])?;
-                (new_id, 1, vec![])
+                make_new(folder, new_id)?;
+                (new_id, FIRST, vec![])
             }
         };
-        let recovered = Arc::new(Mutex::new(Recovered { generation, entry: 0, records: vec![], damage: None }));
-        let wal = Configuration::default_for(&log).checkpoint_after_bytes(u64::MAX).open(Manager(recovered.clone()))?;
-        fs::File::open(folder)?.sync_all()?;
-        let mut recovered = recovered.lock().expect("recovery has ended");
+        remove_other_logs(folder, generation)?;
+        let log = folder.join(log_name(generation));
+        let (wal, mut recovered) = open_log(&log, Recovered { generation, ..Recovered::default() })?;
+        sync_folder(folder)?;
         if let Some(damage) = recovered.damage.take() {
             return Err(FolioFault::Damaged(damage));
         }
@@ -172,10 +216,15 @@
             parts.push(head);
             parts.push(record);
         }
+        // Until the new log is open, the old one takes no writes: a fault here is one of the disk.
+        let old = self.wal.take().ok_or(FolioFault::Gone)?;
+        let wal = begin_log(&self.folder, generation)?;
         put_leaf(&self.folder, SNAPSHOT, &parts)?;
+        drop(old);
+        remove_if_there(&self.folder.join(log_name(self.generation)))?;
         self.generation = generation;
         self.entry = 0;
-        self.guarded(WriteAheadLog::checkpoint_active)?;
+        self.wal = Some(wal);
         self.check_id()
     }
 
@@ -200,6 +249,36 @@
     }
 }
 
+/// The generation of a folder that no snapshot has replaced yet.
+const FIRST: u64 = 1;
+
+fn has_files(folder: &Path) -> bool {
+    fs::read_dir(folder).is_ok_and(|mut files| files.next().is_some())
+}
+
+/// Makes an empty log, synced with its name, in place of one that was begun and not taken into use.
+fn begin_log(folder: &Path, generation: u64) -> io::Result<WriteAheadLog> {
+    let log = folder.join(log_name(generation));
+    remove_if_there(&log)?;
+    let (wal, _) = open_log(&log, Recovered { generation, ..Recovered::default() })?;
+    sync_folder(folder)?;
+    Ok(wal)
+}
+
+/// Makes the folder one of a new disk. The id comes last: without it, all is made anew.
+fn make_new(folder: &Path, id: DiskId) -> io::Result<()> {
+    for name in [ID, SNAPSHOT] {
+        match fs::remove_file(folder.join(name)) {
+            Err(fault) if fault.kind() != io::ErrorKind::NotFound => return Err(fault),
+            _ => {}
+        }
+    }
+    sync_folder(folder)?;
+    drop(begin_log(folder, FIRST)?);
+    put_leaf(folder, SNAPSHOT, &[&FIRST.to_be_bytes(), &0u64.to_be_bytes()])?;
+    put_leaf(folder, ID, &[&id.0.to_be_bytes()])
+}
+
 fn unfold(snapshot: &[u8]) -> Result<(u64, Vec<Vec<u8>>), FolioFault> {
     let torn = || FolioFault::Damaged("the snapshot ends early".into());
     let number = |place: usize| {
@@ -218,7 +297,7 @@
     Ok((generation, records))
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Recovered {
     generation: u64,
     /// The last entry of this generation.
@@ -258,7 +337,7 @@
         Ok(())
     }
 
-    /// Only called for segments that a snapshot has replaced: the log is never cut by its length.
+    /// Only called for a segment that is followed by another: there is one, as the log is never cut.
     fn checkpoint_to(&mut self, _: EntryId, _: &mut SegmentReader, _: &WriteAheadLog) -> io::Result<()> {
         Ok(())
     }
@@ -306,7 +385,7 @@
         let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
         ["first", "second", "third"].iter().for_each(|word| opened.folio.write(&records(&[word])).unwrap());
         drop(opened);
-        let mut files = fs::read_dir(folder.path().join(LOG)).unwrap();
+        let mut files = fs::read_dir(folder.path().join(log_name(FIRST))).unwrap();
         let path = files.next().unwrap().unwrap().path();
         assert!(files.next().is_none());
         let whole = fs::read(&path).unwrap();
@@ -353,7 +432,7 @@
 
     #[test]
     fn a_wiped_folder_is_another_disk_even_if_wiped_in_part_or_in_use() {
-        for gone in [ID, SNAPSHOT, LOG] {
+        for gone in [ID, SNAPSHOT, &log_name(FIRST)] {
             let folder = tempfile::tempdir().unwrap();
             let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
             opened.folio.write(&records(&["a"])).unwrap();
