--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -227,7 +227,7 @@
     successor_moved: (Seq, Moment),
     // Repair.
     followers: BTreeMap<Voter, Follower>,
-    snapshot: Option<(Seq, ViewEpoch, Vec<u8>)>,
+    snapshot: Option<Offered>,
     fetching: Option<Fetching>,
     // This step.
     outputs: Vec<Output>,
@@ -264,10 +264,24 @@
     due: Moment,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Follower {
     last: Seq,
     heard: Moment,
+    /// The last change that was sent to it, and until when that is taken to be on its way.
+    fed: Seq,
+    fed_due: Moment,
+    patience: Span,
+}
+
+/// A snapshot that followers fetch by pieces. It stays as it is while changes go on.
+#[derive(Debug)]
+struct Offered {
+    last: Seq,
+    stamp: ViewEpoch,
+    bytes: Vec<u8>,
+    /// When it was last offered or a piece of it asked for.
+    asked: Moment,
 }
 
 #[derive(Debug)]
@@ -277,6 +291,10 @@
     bytes: Vec<u8>,
     length: u64,
     asked: Moment,
+    /// Whether it was asked for again since its last piece.
+    is_silent: bool,
+    /// Without a piece for this long, it's asked for again.
+    patience: Span,
 }
 
 impl<C: Charge> Fellow<C> {
--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/fellow/chain.rs
@@ -129,7 +129,7 @@
     }
 
     /// How long so many bytes may be under way and to the disk: a few beats, and 4 MB/s.
-    fn way(&self, bytes: usize) -> Span {
+    pub(super) fn way(&self, bytes: usize) -> Span {
         Span(self.timing.beat.0 * 3 + bytes as u64 / 4000)
     }
 
@@ -143,7 +143,7 @@
             return;
         }
         let (from, view) = (heard.last, self.view.epoch);
-        let missing = self.changes_after(from);
+        let missing = self.changes_after(from, self.timing.feed_bytes);
         if let Some(newest) = missing.last() {
             let bytes = missing.iter().map(|change| change.body.len()).sum();
             self.passed = (newest.seq, self.now + self.way(bytes));
@@ -154,8 +154,7 @@
     }
 
     /// Synced changes after this one, up to the bound, at least one.
-    pub(super) fn changes_after(&self, seq: Seq) -> Vec<Change> {
-        let mut room = self.timing.feed_bytes;
+    pub(super) fn changes_after(&self, seq: Seq, mut room: usize) -> Vec<Change> {
         let mut found: Vec<Change> = vec![];
         for change in self.log.iter().filter(|c| c.seq > seq && c.seq <= self.synced.0) {
             if !found.is_empty() && change.body.len() > room {
--- a/crates/college/src/fellow/repair.rs
+++ b/crates/college/src/fellow/repair.rs
@@ -2,6 +2,20 @@
 
 use super::*;
 
+/// A piece or a feed that brings no word is sent again after a while that doubles up to so many times
+/// [`Timing::suspect`]: a slow line isn't filled with copies.
+const MOST_PATIENCE: u64 = 8;
+
+/// While a snapshot is fetched, the log may grow to so many times what else has it folded, so that the one
+/// who fetches finds all changes since. Beyond that the snapshot is given up for a newer one.
+const FETCH_ROOM: usize = 4;
+
+/// A follower unheard for this long is fed anew.
+const FORGET_FEED: Span = Span(2000);
+
+/// A snapshot that was not asked for in so many times [`Timing::suspect`] is not being fetched.
+const FETCH_RESTS: u64 = 2 * MOST_PATIENCE;
+
 impl<C: Charge> Fellow<C> {
     /// One without a seat asks the tail for what it lacks.
     pub(super) fn follow(&mut self) {
@@ -9,11 +23,16 @@
         if self.view.seats(&self.me) {
             return;
         }
-        if let Some(fetching) = &self.fetching {
-            if self.now.since(fetching.asked) < Span(self.timing.suspect.0 * 2) {
+        if let Some(fetching) = &mut self.fetching {
+            if self.now.since(fetching.asked) < fetching.patience {
                 return;
             }
-            self.fetching = None;
+            // What is here already is kept: the piece that is missing is asked for again, each time later.
+            fetching.asked = self.now;
+            fetching.is_silent = true;
+            fetching.patience = Span((fetching.patience.0 * 2).min(self.timing.suspect.0 * MOST_PATIENCE));
+            let note = Note::SnapshotAsk { last: fetching.last, offset: fetching.bytes.len() as u64 };
+            self.send(tail.address, note);
         }
         let note = Note::Follow { disk: self.me.disk, last: self.last.0, stamp: self.last.1 };
         self.send(tail.address, note);
@@ -35,60 +54,97 @@
         let is_known = last <= self.synced.0 && self.stamp_at(last) == Some(stamp);
         let first_kept = self.log.front().map_or(self.synced.0.next(), |change| change.seq);
         if is_known && last.next() >= first_kept {
-            self.followers.insert(voter, Follower { last, heard: self.now });
-            let changes = self.changes_after(last);
-            if !changes.is_empty() {
-                self.send(from, Note::Feed { changes });
-            }
-            return;
+            return self.feed(voter, last);
         }
-        let is_stale = self.snapshot.as_ref().is_none_or(|(at, ..)| at.next() < first_kept);
+        let is_stale = self.snapshot.as_ref().is_none_or(|offered| offered.last.next() < first_kept);
         if is_stale {
-            self.snapshot = Some((self.synced.0, self.synced.1, self.charge.snapshot()));
+            let (last, stamp) = self.synced;
+            self.snapshot = Some(Offered { last, stamp, bytes: self.charge.snapshot(), asked: self.now });
         }
-        if let Some((last, stamp, bytes)) = &self.snapshot {
-            let note = Note::SnapshotOffer { last: *last, stamp: *stamp, length: bytes.len() as u64 };
-            self.send(from, note);
+        if let Some(offered) = &mut self.snapshot {
+            offered.asked = self.now;
+            let (last, stamp, length) = (offered.last, offered.stamp, offered.bytes.len() as u64);
+            self.send(from, Note::SnapshotOffer { last, stamp, length });
         }
     }
 
+    /// Sends a follower what comes after `last`, but nothing again that is still on its way.
+    fn feed(&mut self, voter: Voter, last: Seq) {
+        let before = self.followers.get(&voter).cloned();
+        let mut follower = Follower { last, heard: self.now, fed: last, fed_due: self.now, patience: Span(0) };
+        if let Some(before) = before.filter(|before| self.now.since(before.heard) < FORGET_FEED) {
+            let is_waited_for = last < before.fed;
+            if is_waited_for && self.now < before.fed_due {
+                self.followers.insert(voter, Follower { last, heard: self.now, ..before });
+                return;
+            }
+            let patience = before.patience.0;
+            follower.patience = Span(if is_waited_for { patience * 2 } else { patience * 3 / 4 });
+        }
+        let changes = self.changes_after(last, self.timing.piece_bytes);
+        if let Some(newest) = changes.last() {
+            let bytes = changes.iter().map(|change| change.body.len()).sum();
+            let most = Span(self.timing.suspect.0 * MOST_PATIENCE);
+            follower.patience = follower.patience.max(self.way(bytes)).min(most);
+            (follower.fed, follower.fed_due) = (newest.seq, self.now + follower.patience);
+            self.send(voter.address, Note::Feed { changes });
+        }
+        self.followers.insert(voter, follower);
+    }
+
+    /// Whether someone fetches the snapshot that is kept for it.
+    fn is_fetched(&self) -> bool {
+        let rests = Span(self.timing.suspect.0 * FETCH_RESTS);
+        self.snapshot.as_ref().is_some_and(|offered| self.now.since(offered.asked) < rests)
+    }
+
     fn is_from_tail(&self, from: Address) -> bool {
         self.view.tail().is_some_and(|tail| tail.address == from)
     }
 
     pub(super) fn on_feed(&mut self, from: Address, changes: Vec<Change>) {
-        if self.view.seats(&self.me) || !self.is_from_tail(from) || self.fetching.is_some() {
+        let is_fetching = self.fetching.as_ref().is_some_and(|fetching| !fetching.is_silent);
+        if self.view.seats(&self.me) || !self.is_from_tail(from) || is_fetching {
             return;
         }
+        self.fetching = None;
+        let before = self.last.0;
         for change in changes {
             if change.seq == self.last.0.next() {
                 self.append(change);
             }
         }
+        if self.last.0 > before {
+            // The next ones are asked for at once.
+            self.follow();
+        }
     }
 
     pub(super) fn on_snapshot_offer(&mut self, from: Address, last: Seq, stamp: ViewEpoch, length: u64) {
-        if self.view.seats(&self.me) || !self.is_from_tail(from) || self.fetching.is_some() {
+        if self.view.seats(&self.me) || !self.is_from_tail(from) {
+            return;
+        }
+        // One that is under way goes on, unless its giver has gone silent and offers another.
+        let is_same = |fetching: &Fetching| (fetching.last, fetching.stamp, fetching.length) == (last, stamp, length);
+        if self.fetching.as_ref().is_some_and(|fetching| !fetching.is_silent || is_same(fetching)) {
             return;
         }
-        self.fetching = Some(Fetching { last, stamp, bytes: vec![], length, asked: self.now });
+        let (asked, patience) = (self.now, self.timing.suspect);
+        self.fetching = Some(Fetching { last, stamp, bytes: vec![], length, asked, is_silent: false, patience });
         self.send(from, Note::SnapshotAsk { last, offset: 0 });
     }
 
     pub(super) fn on_snapshot_ask(&mut self, from: Address, last: Seq, offset: u64) {
-        let Some((at, stamp, bytes)) = &self.snapshot else { return };
-        if *at != last || offset > bytes.len() as u64 {
+        let Some(offered) = &mut self.snapshot else { return };
+        if offered.last != last || offset > offered.bytes.len() as u64 {
             return;
         }
+        offered.asked = self.now;
+        let (stamp, bytes) = (offered.stamp, &offered.bytes);
         let start = offset as usize;
         let end = bytes.len().min(start + self.timing.piece_bytes);
-        let note = Note::SnapshotPiece {
-            last,
-            stamp: *stamp,
-            offset,
-            length: bytes.len() as u64,
-            bytes: bytes[start..end].to_vec(),
-        };
+        let note =
+            Note::SnapshotPiece { last, stamp, offset, length: bytes.len() as u64, bytes: bytes[start..end].to_vec() };
         self.send(from, note);
     }
 
@@ -111,6 +167,8 @@
         }
         fetching.bytes.extend_from_slice(&bytes);
         fetching.asked = self.now;
+        fetching.is_silent = false;
+        fetching.patience = Span(fetching.patience.0 * 3 / 4).max(self.timing.suspect);
         let have = fetching.bytes.len() as u64;
         if have < length && !bytes.is_empty() {
             return self.send(from, Note::SnapshotAsk { last, offset: have });
@@ -150,7 +208,9 @@
 
     /// Folds the log into a snapshot when it has grown long. What a successor may still need is kept.
     pub(super) fn fold(&mut self) {
-        let is_long = self.log_bytes > self.timing.fold_bytes.max(self.snapshot_bytes * 2) || self.log.len() > 20_000;
+        let room = if self.is_fetched() { FETCH_ROOM } else { 1 };
+        let bound = self.timing.fold_bytes.max(self.snapshot_bytes * 2) * room;
+        let is_long = self.log_bytes > bound || self.log.len() > 20_000 * room;
         if !is_long || self.last != self.synced || self.fetching.is_some() {
             return;
         }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -264,7 +264,11 @@
                     self.replies.give(number, status, body);
                 }
                 OfficeOutput::ViewChanged(view) => {
-                    let chain: Vec<String> = view.chain.iter().map(|s| s.voter.address.to_string()).collect();
+                    let seat = |seat: &Seat| match seat.is_level {
+                        true => seat.voter.address.to_string(),
+                        false => format!("{} (not level yet)", seat.voter.address),
+                    };
+                    let chain: Vec<String> = view.chain.iter().map(seat).collect();
                     tracing::info!("college: view {}, chain {}.", view.epoch, chain.join(" > "));
                 }
             }
