A head lets in at most 100 changes a second for long: the span of repeats lasts 39.7 s

Cause: 4,096 remembered changes could be used up within a second or two by a core that takes them as fast as its disks sync, while an operator who lost an answer comes back within some ack_ms. Change: the head paces itself (burst 128, then 100 a second; by its own clock, nothing replicated depends on it) and turns more away as not taken, to be tried again. The simulator's mutant forget-too-early remembers two changes; a storm of plans catches it.

--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -3,6 +3,7 @@
 
 mod ballots;
 mod chain;
+mod pacing;
 mod repair;
 
 /// The spans that a fellow goes by. All fellows of a core use the same.
@@ -32,6 +33,12 @@
     pub stall: Span,
     /// Changes that the head lets in beyond those replied to; more are turned away unchanged.
     pub ahead: u64,
+    /// Changes that the head lets in a second, for long. With what the charge remembers (4,096) it bounds from
+    /// below the time in which a repeat is known as one: 3,968 / 100 = 39.7 s, 9.9 times `ack_ms` of the users'
+    /// small sites.
+    pub changes_per_second: u64,
+    /// Changes that the head lets in at once beyond that.
+    pub burst: u64,
     /// The log is folded into a snapshot when it's longer than this, in bytes, and than the snapshot.
     pub fold_bytes: usize,
 }
@@ -51,6 +58,8 @@
             piece_bytes: 256 << 10,
             stall: Span(1500),
             ahead: 64,
+            changes_per_second: 100,
+            burst: 128,
             fold_bytes: 4 << 20,
         }
     }
@@ -222,6 +231,7 @@
     listens_since: Moment,
     // Chain. `early`: passed to this one before what comes in front of it.
     early: BTreeMap<Seq, Change>,
+    pace: pacing::Pace,
     /// The last change passed on, and when it's taken for lost.
     passed: (Seq, Moment),
     successor_moved: (Seq, Moment),
@@ -351,6 +361,7 @@
             not_before: now + timing.suspect,
             listens_since: now,
             early: BTreeMap::new(),
+            pace: pacing::Pace::full(&timing, now),
             passed: (Seq(0), Moment(0)),
             successor_moved: (Seq(0), now),
             followers: BTreeMap::new(),
--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/fellow/chain.rs
@@ -27,6 +27,8 @@
         }
         match self.charge.preview(&body) {
             Preview::TurnAway(answer) => self.turn_away(ticket, true, answer),
+            // Not taken, so that it's tried again.
+            Preview::Enter if !self.pace.take(&self.timing, self.now) => self.turn_away(ticket, false, vec![]),
             Preview::Enter => {
                 let change = Change { seq: self.last.0.next(), stamp: self.view.epoch, ticket, body };
                 self.append(change);
--- /dev/null
+++ b/crates/college/src/fellow/pacing.rs
@@ -0,0 +1,36 @@
+//! How fast changes enter, so that the span in which a repeat is known as one can't be used up at once.
+
+use super::*;
+
+/// A bucket that holds at most [`Timing::burst`] changes and fills by [`Timing::changes_per_second`].
+///
+/// Invariant: from when a head begins, it lets in at most `burst` changes and `changes_per_second` for each
+/// second since. It's the head's own and counts by its clock; no state that is replicated depends on it.
+#[derive(Debug)]
+pub(super) struct Pace {
+    /// Thousandths of a change.
+    available: u64,
+    at: Moment,
+}
+
+/// Thousandths in a change.
+const CHANGE: u64 = 1000;
+
+impl Pace {
+    pub(super) fn full(timing: &Timing, now: Moment) -> Pace {
+        Pace { available: timing.burst * CHANGE, at: now }
+    }
+
+    /// Whether one more may enter now; it's counted if so.
+    pub(super) fn take(&mut self, timing: &Timing, now: Moment) -> bool {
+        // A second has as many milliseconds as a change has thousandths.
+        let filled = self.available + now.since(self.at).0 * timing.changes_per_second;
+        self.available = filled.min(timing.burst * CHANGE);
+        self.at = now;
+        let may_enter = self.available >= CHANGE;
+        if may_enter {
+            self.available -= CHANGE;
+        }
+        may_enter
+    }
+}
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -51,6 +51,11 @@
     offers: Vec<Seq>,
 }
 
+/// Thousands of changes are not to take minutes.
+fn unpaced() -> Timing {
+    Timing { changes_per_second: 100_000, burst: 100_000, ..Timing::default() }
+}
+
 fn voter(n: usize) -> Voter {
     Voter { address: Address::loopback(n as u16 + 1), disk: DiskId(n as u128 + 1) }
 }
@@ -75,7 +80,7 @@
 
 impl Core {
     fn new(bulk: u64, is_whole: bool, routes: u64) -> Core {
-        Core::with_timing(Timing::default(), bulk, is_whole, routes)
+        Core::with_timing(unpaced(), bulk, is_whole, routes)
     }
     fn with_timing(timing: Timing, bulk: u64, is_whole: bool, routes: u64) -> Core {
         let routes: Vec<String> = (0..routes)
@@ -336,7 +341,7 @@
 /// A piece takes 2.6 s on this line, longer than silence is borne elsewhere.
 #[test]
 fn a_snapshot_comes_over_a_line_of_100_kb_a_second_while_changes_go_on() {
-    let timing = Timing { fold_bytes: 100_000, ..Timing::default() };
+    let timing = Timing { fold_bytes: 100_000, ..unpaced() };
     let mut core = Core::with_timing(timing, 100, false, 1000);
     core.change(1);
     let away = 2;
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -55,6 +55,8 @@
     ReuseNumbers,
     /// Tails forget at once whom they gave leases, and accept without waiting for them.
     ForgetHolders,
+    /// Ledgers remember the last two changes alone.
+    ForgetTooEarly,
 }
 
 /// Many nodes in one process, on virtual time, network and disks. The same seed gives the same run.
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use circular::prelude::{PollReply, Reading};
+use layout::prelude::{History, REMEMBERED_CHANGES};
 
 impl World {
     pub(super) fn start_registrar(&mut self, machine: usize) {
@@ -22,6 +23,8 @@
         let key = TokenKey([self.draw() as u8; 32]);
         let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.registrars[machine].life);
         let incarnation = if self.rules.mutant == Some(Mutant::ReuseNumbers) { 0 } else { life };
+        let span = if self.rules.mutant == Some(Mutant::ForgetTooEarly) { 2 } else { REMEMBERED_CHANGES };
+        let empty = Ledger { history: History::of_span(span), ..Ledger::default() };
         let m = &mut self.registrars[machine];
         if m.office.is_some() || m.is_gone {
             return;
@@ -35,7 +38,7 @@
         let others = || founders.iter().filter(|founder| **founder != m.address).copied().collect();
         let known = if is_first { founders.clone() } else { others() };
         let kept = Kept { records: m.disk.durable.clone() };
-        match Fellow::new(me, known, timing.fellow, kept, Ledger::default(), now) {
+        match Fellow::new(me, known, timing.fellow, kept, empty, now) {
             Ok(fellow) => m.office = Some(Office::new(fellow, timing, key, incarnation, now)),
             Err(fault) => self.witness.violate(self.now, format!("a disk gave back what can't be used: {fault}")),
         }
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -122,6 +122,7 @@
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
     resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillCriers], 6, 25, None },
     forget_holders = { Mutant::ForgetHolders, &[FaultKind::BadNetwork, FaultKind::CutOneWay], 6, 25, None },
+    forget_too_early = { Mutant::ForgetTooEarly, &[FaultKind::PlanStorm], 4, 25, None },
     skip_ramp = { Mutant::SkipRamp, &[FaultKind::ReplaceServers, FaultKind::CrashServer], 8, 150, None },
 )]
 fn each_mutant_is_caught(mutant: Mutant, kinds: &[FaultKind], faults: u64, orders_a_second: u64, suspect: Option<u64>) {
