--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -373,6 +373,12 @@
         for record in kept.records {
             fellow.recall(record)?;
         }
+        if fellow.log.back().is_some_and(|newest| newest.seq < fellow.last.0) {
+            // A log older than the snapshot has nothing that follows on it.
+            fellow.log.clear();
+            fellow.log_bytes = 0;
+            fellow.base = fellow.last;
+        }
         if fellow.view.epoch == ViewEpoch(0) && fellow.promised.0 == ViewEpoch(1) {
             fellow.founders.push(me.address);
         }
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -392,6 +392,7 @@
 
 mod founding;
 mod pacing;
+mod restart;
 
 /// Who hears only itself can neither read nor propose, and says so to whoever asks it.
 #[test]
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -49,6 +49,9 @@
     plan: Box<dyn Fn(u64) -> Vec<u8>>,
     is_whole: bool,
     offers: Vec<Seq>,
+    /// The mutant `lead-before-level`: one that is behind says that it has all, and
+    /// takes all seats for level.
+    leads_early: bool,
 }
 
 /// Thousands of changes are not to take minutes.
@@ -105,6 +108,7 @@
             plan: Box::new(plan),
             is_whole,
             offers: vec![],
+            leads_early: false,
         };
         (0..3).for_each(|n| core.start(n));
         core.run(2000);
@@ -238,10 +242,19 @@
             }
         }
     }
-    /// Whoever answers for the core has all that was told.
+    fn newest_view(&self) -> Option<ViewEpoch> {
+        self.fellows.iter().flatten().map(|fellow| fellow.view().epoch).max()
+    }
+    /// Whoever answers for the core has all that was told; whoever is level in the newest view lacks no more
+    /// than what may be under way.
     fn assert_newest(&self, n: usize) {
         let may_reply = self.fellows[n].as_ref().is_some_and(|fellow| fellow.may_reply(Moment(self.at)));
         assert!(!may_reply || self.epoch(n) >= self.told, "{n} replies with old state at {}", self.at);
+        let seat = self.fellows[n].as_ref().and_then(|fellow| fellow.view().seat(&voter(n)));
+        let is_behind = self.epoch(n).0 + self.timing.ahead < self.told.0;
+        let is_newest_view = self.fellows[n].as_ref().map(|fellow| fellow.view().epoch) == self.newest_view();
+        let claims = seat.is_some_and(|seat| seat.is_level) && is_newest_view;
+        assert!(!claims || !is_behind, "{n} claims to be level and lacks changes at {}", self.at);
     }
     fn on_told(&mut self, body: &[u8]) {
         let verdict: serde_json::Value = serde_json::from_slice(body).expect("a verdict");
@@ -250,7 +263,18 @@
             self.told = Epoch(self.accepted);
         }
     }
-    fn send(&mut self, from: usize, to: usize, note: Note) {
+    fn claim_all(&self, note: &mut Note) {
+        let newest = self.tail().map(|tail| (tail.state().last, tail.view().epoch));
+        match (note, newest) {
+            (Note::Follow { last, stamp, .. }, Some(newest)) => (*last, *stamp) = newest,
+            (Note::Decided { view }, _) => view.chain.iter_mut().for_each(|seat| seat.is_level = true),
+            _ => {}
+        }
+    }
+    fn send(&mut self, from: usize, to: usize, mut note: Note) {
+        if self.leads_early {
+            self.claim_all(&mut note);
+        }
         if let Note::SnapshotOffer { last, .. } = &note {
             self.offers.push(*last);
         }
@@ -320,6 +344,19 @@
     assert_eq!(core.fellows[away].as_ref().map(|fellow| fellow.charge()), Some(tail));
 }
 
+#[test]
+#[should_panic(expected = "claims to be level and lacks changes")]
+fn one_that_leads_before_it_is_level_is_caught() {
+    let mut core = Core::new(400, false, 1000);
+    core.change(1);
+    core.stop(2);
+    core.run(3000);
+    core.change(4000);
+    core.leads_early = true;
+    core.start(2);
+    core.time_to_level(2, 30_000, |_| {});
+}
+
 /// A line that takes seconds for the snapshot, and a whole configuration of 290 KB each 250 ms, so that the log
 /// is folded meanwhile.
 #[parameterized(at_60 = { 60 }, at_64 = { 64 }, at_68 = { 68 }, at_72 = { 72 })]
