--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/fellow/chain.rs
@@ -27,6 +27,8 @@
         }
         match self.charge.preview(&body) {
             Preview::TurnAway(_) => self.ask_for_judgement(ticket, body),
+            // Not taken, so that it's tried again.
+            Preview::Enter if !self.pace.take(&self.timing, self.now) => self.turn_away(ticket, false, vec![]),
             Preview::Enter => {
                 let change = Change { seq: self.last.0.next(), stamp: self.view.epoch, ticket, body };
                 self.append(change);
@@ -151,7 +153,7 @@
     }
 
     /// How long so many bytes may be under way and to the disk: a few beats, and 4 MB/s.
-    fn way(&self, bytes: usize) -> Span {
+    pub(super) fn way(&self, bytes: usize) -> Span {
         Span(self.timing.beat.0 * 3 + bytes as u64 / 4000)
     }
 
@@ -165,7 +167,7 @@
             return;
         }
         let (from, view) = (heard.last, self.view.epoch);
-        let missing = self.changes_after(from);
+        let missing = self.changes_after(from, self.timing.feed_bytes);
         if let Some(newest) = missing.last() {
             let bytes = missing.iter().map(|change| change.body.len()).sum();
             self.passed = (newest.seq, self.now + self.way(bytes));
@@ -176,8 +178,7 @@
     }
 
     /// Synced changes after this one, up to the bound, at least one.
-    pub(super) fn changes_after(&self, seq: Seq) -> Vec<Change> {
-        let mut room = self.timing.feed_bytes;
+    pub(super) fn changes_after(&self, seq: Seq, mut room: usize) -> Vec<Change> {
         let mut found: Vec<Change> = vec![];
         for change in self.log.iter().filter(|c| c.seq > seq && c.seq <= self.synced.0) {
             if !found.is_empty() && change.body.len() > room {
--- a/crates/rehearsal/src/world/mutants.rs
+++ b/crates/rehearsal/src/world/mutants.rs
@@ -42,4 +42,6 @@
     PatientLines,
     /// Tails forget at once whom they gave leases, and accept without waiting for them.
     ForgetHolders,
+    /// Ledgers remember the last two changes alone.
+    ForgetTooEarly,
 }
