A member that is to stop hands over its seat and its vote first

On SIGTERM a registrar just ended. With a successor at another address already there, its vote stayed with a disk that never comes back until it had been unheard for four seconds: another machine lost in that time left no majority. And a tail that ended kept its lease from anybody else for up to 1.8 s.

A member that is told to stop says so with its beats. The tail gives its vote to a follower that holds everything; without one it proposes a view without its own seat and keeps its vote, since it may come back with its disk. A tail gives its lease up by that ballot. The last one that is agreed to hold everything stays until another does; no view is proposed in which only leaving members do. The process waits for four seconds at most, half of what is given between SIGTERM and the end.

--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -3,6 +3,8 @@
 
 mod ballots;
 mod chain;
+mod fingerprint;
+mod leaving;
 mod repair;
 
 /// The spans that a fellow goes by. All fellows of a core use the same.
@@ -84,6 +86,9 @@
     /// The disk refused a write. The fellow steps out; whoever runs it makes a new one of what the
     /// disk holds once the disk takes writes again.
     DiskFault,
+    /// This machine is to stop: it asks for a view without its seat, and for its vote to be taken over
+    /// where somebody is there for it. See [`Fellow::has_handed_over`].
+    Leave,
 }
 
 /// What a fellow wants done.
@@ -172,6 +177,7 @@
 /// - The tail answers only while a majority of its view's voters have given their word to accept
 ///   no view with another tail.
 /// - A voter that has just started keeps the word that it may have given before.
+#[derive(Clone)]
 pub struct Fellow<C> {
     me: Voter,
     founders: Vec<Address>,
@@ -229,12 +235,15 @@
     followers: BTreeMap<Voter, Follower>,
     snapshot: Option<(Seq, ViewEpoch, Vec<u8>)>,
     fetching: Option<Fetching>,
+    // Leaving. `leaving`: others that said so, and when.
+    leaving_since: Option<Moment>,
+    leaving: BTreeMap<Voter, Moment>,
     // This step.
     outputs: Vec<Output>,
     to_self: VecDeque<Note>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 enum Deferred {
     Send(Address, Note),
     Apply(u64, Change),
@@ -251,7 +260,7 @@
     has_members: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Bid {
     round: Round,
     wish: View,
@@ -264,13 +273,13 @@
     due: Moment,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Follower {
     last: Seq,
     heard: Moment,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Fetching {
     last: Seq,
     stamp: ViewEpoch,
@@ -338,6 +347,8 @@
             followers: BTreeMap::new(),
             snapshot: None,
             fetching: None,
+            leaving_since: None,
+            leaving: BTreeMap::new(),
             outputs: vec![],
             to_self: VecDeque::new(),
         };
@@ -411,6 +422,7 @@
             Input::ClockEvent => self.on_clock_event(),
             Input::Written { id } => self.on_written(id),
             Input::DiskFault => self.on_disk_fault(),
+            Input::Leave => self.on_leave(),
         }
         while let Some(note) = self.to_self.pop_front() {
             self.on_note(self.me.address, note);
@@ -585,6 +597,7 @@
         for address in self.others() {
             self.outputs.push(Output::Send { to: address, note: note.clone() });
         }
+        self.tell_leaving();
     }
 
     /// Everyone that a fellow knows of, without itself.
@@ -630,6 +643,7 @@
                 self.on_snapshot_piece(from, last, stamp, offset, length, bytes);
             }
             Note::Propose { ticket, body } => self.on_propose(ticket, body),
+            Note::Leaving { disk } => self.on_leaving(from, disk),
             Note::Reply { number, is_replied, body } => {
                 self.outputs.push(Output::Reply { number, is_replied, body });
             }
--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -97,11 +97,12 @@
             for (voter, follower) in &self.followers {
                 let is_near = follower.last.0 + 16 >= self.synced.0.0;
                 let is_heard = self.now.since(follower.heard) < self.timing.suspect;
-                if !is_near || !is_heard || !self.is_alive(voter) || self.view.seats(voter) {
+                let is_wanted = self.is_alive(voter) && !self.is_leaving(voter);
+                if !is_near || !is_heard || !is_wanted || self.view.seats(voter) {
                     continue;
                 }
                 if !voters.contains(voter) {
-                    match self.replaceable(&voters, voter) {
+                    match self.replaceable(&voters, &chain, voter) {
                         Some(place) => voters[place] = *voter,
                         None if voters.len() < self.timing.voters => voters.push(*voter),
                         None => continue,
@@ -111,12 +112,13 @@
             }
             chain.retain(|seat| voters.contains(&seat.voter));
         }
+        self.drop_own_seat(&mut chain);
         View { epoch: self.view.epoch.next(), chain, voters }
     }
 
-    /// Whose vote a follower with another disk may take over: that of its own address, or of a
-    /// voter long unheard.
-    fn replaceable(&self, voters: &[Voter], follower: &Voter) -> Option<usize> {
+    /// Whose vote a follower with another disk may take over: that of its own address, of a voter that is
+    /// about to stop, or of one long unheard.
+    fn replaceable(&self, voters: &[Voter], chain: &[Seat], follower: &Voter) -> Option<usize> {
         let is_gone = |voter: &Voter| {
             *voter != self.me
                 && self.now >= self.not_before + self.timing.replace_after
@@ -126,7 +128,8 @@
                     .is_none_or(|h| h.disk != voter.disk || self.now.since(h.at) >= self.timing.replace_after)
         };
         let same = voters.iter().position(|v| v.address == follower.address && v.disk != follower.disk);
-        same.or_else(|| voters.iter().position(|v| v.address != follower.address && is_gone(v)))
+        let leaving = || voters.iter().position(|v| self.is_leaving(v) && self.can_be_spared(v, chain));
+        same.or_else(leaving).or_else(|| voters.iter().position(|v| v.address != follower.address && is_gone(v)))
     }
 
     /// Starts a ballot where the view should change and it's this fellow's turn.
@@ -140,14 +143,14 @@
         let has_open_ballot = self.accepted.as_ref().is_some_and(|ballot| ballot.view.epoch == self.view.epoch.next());
         let is_change =
             self.has_released || has_open_ballot || wish.chain != self.view.chain || wish.voters != self.view.voters;
-        if !is_change || !self.view.may_be_followed_by(&wish) {
+        if !is_change || !self.view.may_be_followed_by(&wish) || !self.is_lasting(&wish) {
             self.wanted_since = None;
             return;
         }
         let since = *self.wanted_since.get_or_insert(self.now);
         let does_admit = wish.chain.iter().any(|seat| !self.view.seats(&seat.voter));
         let turn = self.turn();
-        if !does_admit && self.now < since + Span(self.timing.retry.0 * 2 * turn) {
+        if !does_admit && self.leaving_since.is_none() && self.now < since + Span(self.timing.retry.0 * 2 * turn) {
             return;
         }
         self.top_count += 1;
--- a/crates/college/src/fellow/repair.rs
+++ b/crates/college/src/fellow/repair.rs
@@ -6,7 +6,7 @@
     /// One without a seat asks the tail for what it lacks.
     pub(super) fn follow(&mut self) {
         let Some(tail) = self.view.tail() else { return };
-        if self.view.seats(&self.me) {
+        if self.view.seats(&self.me) || self.leaving_since.is_some() {
             return;
         }
         if let Some(fetching) = &self.fetching {
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -391,6 +391,7 @@
 }
 
 mod founding;
+mod leaving;
 
 /// Who hears only itself can neither read nor propose, and says so to whoever asks it.
 #[test]
--- /dev/null
+++ b/crates/college/src/fellow/tests/leaving.rs
@@ -0,0 +1,79 @@
+//! Members that leave, votes that move, leases over a change of voters.
+
+use super::*;
+
+impl Core {
+    fn leave(&mut self, n: u16) {
+        let fellow = self.fellows[usize::from(n) - 1].as_mut().expect("it runs");
+        fellow.step(Moment(self.at), Input::Leave);
+    }
+    fn has_handed_over(&self, n: u16) -> bool {
+        self.fellows[usize::from(n) - 1].as_ref().is_some_and(Fellow::has_handed_over)
+    }
+}
+
+fn core_of_three(all: u16) -> Core {
+    let mut core = Core::new(3, 3, all);
+    core.timing.copies = 2;
+    core.fellows.clear();
+    core.fellows.resize_with(usize::from(all), || None);
+    (1..=all).for_each(|n| core.start(n));
+    core.play(4000, None);
+    assert_eq!(core.play(1000, Some((1, 1))), Some(true));
+    core
+}
+
+#[test]
+fn a_leaving_member_gives_its_vote_to_one_that_holds_everything() {
+    for leaver in 1..=3 {
+        let mut core = core_of_three(4);
+        core.leave(leaver);
+        core.play(500, None);
+        assert!(core.has_handed_over(leaver), "{leaver}");
+        core.stop(leaver);
+        let (voters, chain, held) = core.core().expect("it replies at once");
+        let rest: Vec<u16> = (1..=4).filter(|n| *n != leaver).collect();
+        assert_eq!((&voters, &chain, held), (&rest, &rest, 1), "{leaver}");
+        assert_eq!(core.play(200, Some((4, 2))), Some(true), "{leaver}");
+    }
+}
+
+#[test]
+fn a_leaving_member_without_a_successor_gives_up_its_seat_and_keeps_its_vote() {
+    for leaver in 1..=3 {
+        let mut core = core_of_three(3);
+        core.leave(leaver);
+        core.play(500, None);
+        assert!(core.has_handed_over(leaver), "{leaver}");
+        core.stop(leaver);
+        let (voters, chain, _) = core.core().expect("it replies at once");
+        let rest: Vec<u16> = (1..=3).filter(|n| *n != leaver).collect();
+        assert_eq!((&voters, &chain), (&vec![1, 2, 3], &rest), "{leaver}");
+        assert_eq!(core.play(200, Some((rest[0], 2))), Some(true), "{leaver}");
+        core.start(leaver);
+        core.play(2000, None);
+        assert_eq!(core.core().map(|(_, chain, _)| chain), Some(vec![1, 2, 3]), "{leaver} is back");
+    }
+}
+
+/// The last one that is agreed to hold everything doesn't go while others can still be made level.
+#[test]
+fn the_last_level_member_stays_until_another_is_level() {
+    let mut core = core_of_three(4);
+    core.stop(1);
+    core.stop(4);
+    core.play(3000, None);
+    core.leave(2);
+    core.leave(3);
+    core.play(1000, None);
+    assert!(!core.has_handed_over(2) && !core.has_handed_over(3));
+    core.start(1);
+    core.start(4);
+    core.play(2000, None);
+    assert!(core.has_handed_over(2) && core.has_handed_over(3));
+    core.stop(2);
+    core.stop(3);
+    core.play(3000, None);
+    let (_, chain, held) = core.core().expect("it replies");
+    assert_eq!((chain, held), (vec![1, 4], 1));
+}
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -2,7 +2,7 @@
 
 messages! {
     /// Orders ballots of one instance: the greater one wins.
-    #[derive(Copy, Eq, PartialOrd, Ord, Default)]
+    #[derive(Copy, Eq, PartialOrd, Ord, Default, Hash)]
     pub struct Round {
         /// Grows with each try.
         pub count: u64,
@@ -11,7 +11,7 @@
     }
 
     /// A round together with the view that it would decide.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     pub struct Ballot {
         /// Its round.
         pub round: Round,
@@ -20,7 +20,7 @@
     }
 
     /// Whoever proposed a change: who waits for its answer, and under which number.
-    #[derive(Copy, Eq, PartialOrd, Ord)]
+    #[derive(Copy, Eq, PartialOrd, Ord, Hash)]
     pub struct Ticket {
         /// Where the answer goes.
         pub origin: Address,
@@ -32,7 +32,7 @@
     ///
     /// Invariant: `seq` with `stamp` names one body for ever: a head forwards a change only once it
     /// is on its own disk.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     pub struct Change {
         /// Its place.
         pub seq: Seq,
@@ -45,7 +45,7 @@
     }
 
     /// What fellows say to each other.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     pub enum Note {
         /// Said to all, often: that I live and how far I am.
         Beat {
@@ -199,10 +199,15 @@
             /// The charge's answer; empty when the core could not take it.
             body: Vec<u8>,
         },
+        /// I'm about to stop; said with each beat until then.
+        Leaving {
+            /// My disk.
+            disk: DiskId,
+        },
     }
 
     /// What goes to disk, in order. A snapshot is kept as a file of its own.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     pub enum Record {
         /// I promised this.
         Promised {
--- a/crates/college/src/view.rs
+++ b/crates/college/src/view.rs
@@ -2,7 +2,7 @@
 
 messages! {
     /// Who votes: an address together with one disk's contents.
-    #[derive(Copy, Eq, PartialOrd, Ord)]
+    #[derive(Copy, Eq, PartialOrd, Ord, Hash)]
     pub struct Voter {
         /// Where it listens.
         pub address: Address,
@@ -11,7 +11,7 @@
     }
 
     /// One place in the chain.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, Hash)]
     pub struct Seat {
         /// Who sits there.
         pub voter: Voter,
@@ -25,7 +25,7 @@
     /// Invariants: for each epoch at most one view is decided. Among members kept from the view
     /// before, the order is kept. At least one seat was level in the view before. Each voter that a
     /// view admits sits in its chain.
-    #[derive(Eq)]
+    #[derive(Eq, Hash)]
     pub struct View {
         /// Its number.
         pub epoch: ViewEpoch,
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -17,6 +17,8 @@
 /// Between clock events, at least and at most.
 const SHORTEST_TICK: Span = Span(20);
 const LONGEST_TICK: Span = Span(100);
+/// A registrar that is told to stop waits for so long at most until others have taken over what it holds.
+const LONGEST_HAND_OVER: Span = Span(4000);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
@@ -147,8 +149,12 @@
         fault: None,
     };
     let mut next_tick = Clock::now();
-    while !stop.load(Ordering::Relaxed) {
+    let mut leaving_since = None;
+    loop {
         let now = Clock::now();
+        if stop.load(Ordering::Relaxed) && control.may_stop(now, *leaving_since.get_or_insert(now)) {
+            break;
+        }
         if now >= next_tick {
             control.take(Event::Input(OfficeInput::ClockEvent));
             next_tick = control.office.as_ref().map_or(now, Office::next_due).max(now + SHORTEST_TICK);
@@ -196,6 +202,13 @@
 }
 
 impl Control {
+    /// Told to stop: asks the others to take over, and says when they have or when the time is up.
+    fn may_stop(&mut self, now: Moment, since: Moment) -> bool {
+        self.step(now, OfficeInput::Leave);
+        let has_handed_over = self.office.as_ref().is_none_or(|office| office.fellow().has_handed_over());
+        has_handed_over || now.since(since) >= LONGEST_HAND_OVER
+    }
+
     fn take(&mut self, event: Event) {
         let now = Clock::now();
         match event {
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -89,6 +89,8 @@
     },
     /// The disk refused a write.
     DiskFault,
+    /// This process is to stop.
+    Leave,
 }
 
 /// What an office wants done.
@@ -257,6 +259,7 @@
             }
             OfficeInput::Written { id } => self.drive(Input::Written { id }),
             OfficeInput::DiskFault => self.drive(Input::DiskFault),
+            OfficeInput::Leave => self.drive(Input::Leave),
         }
         self.release();
         std::mem::take(&mut self.outputs)
