A member that hears too few voters says so and is left out

A tail whose line was cut inward only went on beating, so that nobody took it for gone: the core stood still for as long as the cut lasted, and a leaving member couldn't hand over. Its beats now say that it isn't sound while it hears less than most of the voters, once it has had the time to.

--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -591,7 +591,7 @@
             stamp: self.synced.1,
             replied: self.replied,
             is_level: self.is_level,
-            is_sound: self.is_sound && !self.is_stalled(),
+            is_sound: self.is_sound && !self.is_stalled() && !self.is_deaf(),
             has_members: self.has_members,
         };
         for address in self.others() {
@@ -650,6 +650,12 @@
         }
     }
 
+    /// Whether it hears too few voters for anything to be agreed here. It says so with its beats: those
+    /// whom it reaches would wait for it for as long as its line is cut one way.
+    fn is_deaf(&self) -> bool {
+        !self.view.voters.is_empty() && !self.hears_majority(self.now)
+    }
+
     /// Whether this voter was heard lately, with the disk that it votes with, and takes writes.
     fn is_alive(&self, voter: &Voter) -> bool {
         if *voter == self.me {
--- a/crates/college/src/fellow/fingerprint.rs
+++ b/crates/college/src/fellow/fingerprint.rs
@@ -72,7 +72,7 @@
             (address, clock.signed(heard.at), heard.disk, heard.view, heard.last).hash(hasher);
             (heard.is_level, heard.is_sound, heard.has_members).hash(hasher);
         }
-        (clock.signed(self.last_event), clock.signed(self.next_beat)).hash(hasher);
+        (clock.signed(self.last_event), clock.signed(self.next_beat), clock.signed(self.listens_since)).hash(hasher);
     }
 
     fn fingerprint_lease(&self, clock: &RelativeClock, hasher: &mut impl Hasher) {
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/fellow/tests.rs
@@ -240,6 +240,8 @@
     fellows: Vec<Option<Fellow<Tally>>>,
     disks: Vec<DiskId>,
     records: Vec<Vec<Record>>,
+    /// Nothing comes in here.
+    deaf: Option<u16>,
 }
 
 impl Core {
@@ -251,6 +253,7 @@
             fellows: vec![],
             disks: (1..=all).map(|n| DiskId(u128::from(n))).collect(),
             records: vec![vec![]; usize::from(all)],
+            deaf: None,
         };
         core.fellows.resize_with(usize::from(all), || None);
         (1..=all).for_each(|n| core.start(n));
@@ -292,6 +295,9 @@
                     match output {
                         Output::Send { to, note } => {
                             let from = Address::loopback(place as u16 + 1);
+                            if self.deaf == Some(to.0.port()) {
+                                continue;
+                            }
                             inputs.push_back((usize::from(to.0.port()) - 1, Input::Note { from, note }));
                         }
                         Output::Write { id, records, is_whole } => {
--- a/crates/college/src/fellow/tests/leaving.rs
+++ b/crates/college/src/fellow/tests/leaving.rs
@@ -77,3 +77,15 @@
     let (_, chain, held) = core.core().expect("it replies");
     assert_eq!((chain, held), (vec![1, 4], 1));
 }
+
+/// A tail that hears nobody can't renew its lease; while its beats still come, nobody would miss it.
+#[test]
+fn one_that_hears_nobody_says_so_and_is_left_out() {
+    let mut core = core_of_three(3);
+    core.deaf = Some(3);
+    core.play(2500, None);
+    assert_eq!(core.core().map(|(_, chain, _)| chain), Some(vec![1, 2]));
+    core.deaf = None;
+    core.play(1500, None);
+    assert_eq!(core.core().map(|(_, chain, _)| chain), Some(vec![1, 2, 3]));
+}
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -61,7 +61,7 @@
             replied: Seq,
             /// Whether I hold all that was ever replied.
             is_level: bool,
-            /// Whether my disk takes writes.
+            /// Whether my disk takes writes, and I hear most of the voters.
             is_sound: bool,
             /// Whether the tail sees more than half of the members with leases (the tail's word).
             has_members: bool,
