A vote moves to a follower after two seconds of silence, not four

A machine counts as made up for four seconds after its successor's start. With four seconds of silence before its vote moved, that time was used up: two machines replaced one after the other left two of three votes with disks that never come back, for a moment. A vote is only moved by a decided view, so the span bounds work, not safety; one that comes back later takes its place as a follower.

--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -48,7 +48,7 @@
             lease: Span(1000),
             lease_counted: Span(800),
             retry: Span(250),
-            replace_after: Span(4000),
+            replace_after: Span(2000),
             feed_bytes: 1 << 20,
             piece_bytes: 256 << 10,
             stall: Span(1500),
--- a/crates/college/src/fellow/tests/leaving.rs
+++ b/crates/college/src/fellow/tests/leaving.rs
@@ -78,6 +78,14 @@
     assert_eq!((chain, held), (vec![1, 4], 1));
 }
 
+#[test]
+fn a_vote_moves_within_three_seconds_where_a_successor_is_there() {
+    let mut core = core_of_three(4);
+    core.stop(2);
+    core.play(3000, None);
+    assert_eq!(core.core().map(|(voters, ..)| voters), Some(vec![1, 3, 4]));
+}
+
 /// A tail that hears nobody can't renew its lease; while its beats still come, nobody would miss it.
 #[test]
 fn one_that_hears_nobody_says_so_and_is_left_out() {
