The tail's lease doesn't outlive a change of voters

A view that changed the voters and kept the tail kept its lease too. The view after it is up to the new voters, of whom most may never have given the tail their word: only the spans of suspicion kept another tail from answering beside it. The lease now ends with the voters that gave it, and the tail asks at once.

The new test fails without the change.

--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -340,6 +340,7 @@
         // without this fellow.
         let stays_level = was_seated && self.is_level && view.epoch == self.view.epoch.next();
         let old_tail = self.view.tail();
+        let are_voters_kept = self.view.voters == view.voters;
         self.take_view(view.clone());
         self.write(Record::View { view: view.clone() }, None);
         self.bid = None;
@@ -353,8 +354,10 @@
             Some(seat) => seat.is_level || stays_level,
             None => false,
         };
-        if view.tail() != old_tail || !was_tail {
+        if view.tail() != old_tail || !was_tail || !are_voters_kept {
+            // The next view is up to these voters, and most of them may not have given their word.
             self.lease_due = Moment(0);
+            self.asked_at = Moment(0);
         }
         self.grants.clear();
         self.ask_round += 1;
--- a/crates/college/src/fellow/tests/leaving.rs
+++ b/crates/college/src/fellow/tests/leaving.rs
@@ -2,6 +2,21 @@
 
 use super::*;
 
+/// The next view is decided by its own voters: most of them may never have given the tail their word.
+#[test]
+fn a_lease_given_by_other_voters_is_not_counted() {
+    let mut tail = fellow(3, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
+    assert!(grant_all(&mut tail, 11_000));
+    let mut next = view(2, &[(2, true), (3, true)]);
+    tell(&mut tail, 11_050, 2, Note::Decided { view: next.clone() });
+    assert!(tail.may_reply(Moment(11_060)), "the same voters");
+    next.epoch = ViewEpoch(3);
+    next.voters = vec![voter(4), voter(2), voter(3)];
+    tell(&mut tail, 11_070, 2, Note::Decided { view: next });
+    assert!(!tail.may_reply(Moment(11_080)), "of the voters 2, 3 and 4, only 3 is known to keep its word");
+    assert!(grant_all(&mut tail, 11_100));
+}
+
 impl Core {
     fn leave(&mut self, n: u16) {
         let fellow = self.fellows[usize::from(n) - 1].as_mut().expect("it runs");
