An exhaustive check of small cores, over the very state machine of the daemons

Change: rehearsal explore visits every state that a bounded number of deviations from a default schedule leads to (messages lost, late, doubled; crashes before and after each sync; pauses, cuts, wiped disks, replacements planned and not, commands), told apart by fingerprints of the replicas; or walks at random with many more, and shortens what it finds.

--- /dev/null
+++ b/crates/rehearsal/src/explorer/tests.rs
@@ -0,0 +1,73 @@
+//! A short run of the search and of the walks, and each deliberate fault found. The long ones:
+//! docs/control-safety.md.
+
+use super::deviation::{CutDirection, Deviation, Outage};
+use super::*;
+use yare::parameterized;
+
+fn rules(voters: usize, copies: usize, fault: Option<DeliberateFault>) -> ClusterRules {
+    ClusterRules { voters, copies, checks_refusals: false, fault }
+}
+
+fn limits(faults: usize, proposals: usize) -> Limits {
+    Limits { faults, proposals, threads: 2, most_states: u64::MAX }
+}
+
+#[parameterized(
+    two_commands_at_any_moments = { 3, 2, 0, 2, 1000 },
+    one_fault_of_three = { 3, 2, 1, 0, 3000 },
+    one_fault_of_five = { 5, 3, 1, 0, 5000 },
+)]
+fn no_state_within_reach_must_never_be(voters: usize, copies: usize, faults: usize, proposals: usize, least: u64) {
+    let found = explore(&rules(voters, copies, None), limits(faults, proposals));
+    assert_eq!(found.counterexample, None);
+    assert!(found.is_complete && found.states >= least, "{found:?}");
+}
+
+#[parameterized(
+    of_three = { 3, 2 },
+    of_five = { 5, 3 },
+)]
+fn walks_show_nothing_that_must_never_be(voters: usize, copies: usize) {
+    for seed in 1..=60 {
+        assert_eq!(walk(&rules(voters, copies, None), Walk { seed, deviations: 8 }), None, "seed {seed}");
+    }
+}
+
+#[parameterized(
+    skip_sync = { DeliberateFault::SkipSync },
+    reuse_wiped_vote = { DeliberateFault::ReuseWipedVote },
+    lead_before_level = { DeliberateFault::LeadBeforeLevel },
+    count_empty_member = { DeliberateFault::CountEmptyMember },
+)]
+fn the_search_finds_a_deliberate_fault(fault: DeliberateFault) {
+    let found = explore(&rules(3, 2, Some(fault)), limits(1, 1));
+    let example = found.counterexample.expect("it is found");
+    assert_eq!(replay(&rules(3, 2, None), &example.trace), None, "without the fault: {example:?}");
+}
+
+/// The three faults of the tail's lease, where one voter is away for a moment, the tail for long, and the
+/// third voter is restarted, at all moments within a second.
+#[parameterized(
+    skip_fencing = { DeliberateFault::SkipFencing },
+    accept_with_live_lease = { DeliberateFault::AcceptWithLiveLease },
+    grant_after_restart = { DeliberateFault::GrantAfterRestart },
+)]
+fn a_fault_of_the_lease_shows_where_three_troubles_meet(fault: DeliberateFault) {
+    let mut seen = None;
+    for (away, tail, restart) in moments() {
+        let trace = vec![
+            (away, vec![Deviation::Cut(0, CutDirection::Inward, Outage::Short)]),
+            (tail, vec![Deviation::Cut(2, CutDirection::Both, Outage::Long)]),
+            (restart, vec![Deviation::Crash(1, Outage::Brief)]),
+        ];
+        assert_eq!(replay(&rules(3, 2, None), &trace), None, "without the fault: {trace:?}");
+        seen = seen.or_else(|| replay(&rules(3, 2, Some(fault)), &trace));
+    }
+    assert!(seen.is_some_and(|what| what.contains("two replicas may answer at once")));
+}
+
+fn moments() -> impl Iterator<Item = (usize, usize, usize)> {
+    let pairs = (1..=2).flat_map(|away| (away + 1..=away + 6).map(move |tail| (away, tail)));
+    pairs.flat_map(|(away, tail)| (tail + 1..=tail + 4).map(move |restart| (away, tail, restart)))
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod compare;
 mod crew;
+mod explorer;
 mod fleet;
 mod hollow;
 mod measure;
@@ -15,6 +16,9 @@
 pub mod prelude {
     pub use crate::compare::{CompareRules, Question, compare};
     pub use crate::crew::{Crew, Deployment, Shape};
+    pub use crate::explorer::{
+        ClusterRules, Counterexample, DeliberateFault, Exploration, Limits, Walk, explore, replay, walk,
+    };
     pub use crate::fleet::{Daemon, Fleet, FleetOptions, free_ports, join_logs, plan_of};
     pub use crate::hollow::{HollowReport, HollowRules, hollow, host::serve as serve_hollow, plot};
     pub use crate::measure::{MeasureRules, Sweep, measure};
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -151,6 +151,40 @@
         #[arg(long)]
         mutant: Option<Mutant>,
     },
+    /// Visit every state of a small core that so many faults and commands lead to, or walk at random.
+    /// Exit codes: 0 nothing that must never be was seen, 1 something was.
+    Explore {
+        /// Founders and voters.
+        #[arg(long, default_value_t = 3)]
+        voters: usize,
+        /// Disks that a change is on before it's confirmed.
+        #[arg(long, default_value_t = 2)]
+        copies: usize,
+        /// Faults in each run.
+        #[arg(long, default_value_t = 1)]
+        faults: usize,
+        /// Commands in each run, besides the one that was confirmed before.
+        #[arg(long, default_value_t = 1)]
+        proposals: usize,
+        /// Threads.
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+        /// End after so many states.
+        #[arg(long, default_value_t = u64::MAX)]
+        most_states: u64,
+        /// Walk at random from these many seeds instead, with up to `faults` faults and commands.
+        #[arg(long, default_value_t = 0)]
+        walks: u64,
+        /// The first seed of the walks.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Also check that nothing is taken that was refused for good.
+        #[arg(long)]
+        refusals: bool,
+        /// With a deliberate fault in the system itself.
+        #[arg(long)]
+        mutant: Option<DeliberateFault>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -197,6 +231,13 @@
             };
             Ok(simulate(&rules, seeds))
         }
+        Task::Explore { voters, copies, faults, proposals, threads, most_states, walks, seed, refusals, mutant } => {
+            let rules = ClusterRules { voters, copies, checks_refusals: refusals, fault: mutant };
+            Ok(match walks {
+                0 => explore_all(&rules, Limits { faults, proposals, threads, most_states }),
+                _ => walk_all(&rules, seed..seed + walks, faults),
+            })
+        }
     };
     match outcome {
         Ok(is_well) => ExitCode::from(u8::from(!is_well)),
@@ -207,6 +248,35 @@
     }
 }
 
+fn explore_all(rules: &ClusterRules, limits: Limits) -> bool {
+    let found = explore(rules, limits);
+    let end = if found.is_complete { "all visited" } else { "unfinished" };
+    println!("{} states, {} ticks, {end}", found.states, found.ticks);
+    found.counterexample.iter().for_each(show_counterexample);
+    found.counterexample.is_none()
+}
+
+fn walk_all(rules: &ClusterRules, seeds: std::ops::Range<u64>, deviations: usize) -> bool {
+    let count = seeds.end - seeds.start;
+    let mut broken = 0;
+    for seed in seeds {
+        if let Some(found) = walk(rules, Walk { seed, deviations }) {
+            println!("seed {seed}:");
+            show_counterexample(&found);
+            broken += 1;
+        }
+    }
+    println!("{count} walks of up to {deviations} deviations, {broken} show what must never be");
+    broken == 0
+}
+
+fn show_counterexample(found: &Counterexample) {
+    println!("{}", found.violation);
+    for (tick, plan) in &found.trace {
+        println!("  tick {tick}: {plan:?}");
+    }
+}
+
 fn run_hollow(rules: &HollowRules, folder: Option<PathBuf>, json: Option<PathBuf>) -> Result<bool, String> {
     let report = hollow(rules, folder)?;
     print!("{report}");
