--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/fellow/ballots.rs
@@ -121,7 +121,7 @@
     fn replaceable(&self, voters: &[Voter], chain: &[Seat], follower: &Voter) -> Option<usize> {
         let is_gone = |voter: &Voter| {
             *voter != self.me
-                && self.now + self.timing.suspect >= self.listens_since + self.timing.replace_after
+                && self.now >= self.listens_since + self.timing.replace_after
                 && self
                     .heard
                     .get(&voter.address)
