--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/fellow.rs
@@ -3,6 +3,8 @@
 
 mod ballots;
 mod chain;
+mod fingerprint;
+mod leaving;
 mod pacing;
 mod repair;
 
@@ -53,7 +55,7 @@
             lease: Span(1000),
             lease_counted: Span(800),
             retry: Span(250),
-            replace_after: Span(4000),
+            replace_after: Span(2000),
             feed_bytes: 1 << 20,
             piece_bytes: 256 << 10,
             stall: Span(1500),
@@ -93,6 +95,9 @@
     /// The disk refused a write. The fellow steps out; whoever runs it makes a new one of what the
     /// disk holds once the disk takes writes again.
     DiskFault,
+    /// This machine is to stop: it asks for a view without its seat, and for its vote to be taken over
+    /// where somebody is there for it. See [`Fellow::has_handed_over`].
+    Leave,
 }
 
 /// What a fellow wants done.
@@ -189,6 +194,7 @@
 /// - The tail answers only while a majority of its view's voters have given their word to accept
 ///   no view with another tail.
 /// - A voter that has just started keeps the word that it may have given before.
+#[derive(Clone)]
 pub struct Fellow<C> {
     me: Voter,
     founders: Vec<Address>,
@@ -247,12 +253,15 @@
     followers: BTreeMap<Voter, Follower>,
     snapshot: Option<Offered>,
     fetching: Option<Fetching>,
+    // Leaving. `leaving`: others that said so, and when.
+    leaving_since: Option<Moment>,
+    leaving: BTreeMap<Voter, Moment>,
     // This step.
     outputs: Vec<Output>,
     to_self: VecDeque<Note>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, Hash)]
 enum Deferred {
     Send(Address, Note),
     Apply(u64, Change),
@@ -269,7 +278,7 @@
     has_members: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Bid {
     round: Round,
     wish: View,
@@ -293,7 +302,7 @@
 }
 
 /// A snapshot that followers fetch by pieces. It stays as it is while changes go on.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Offered {
     last: Seq,
     stamp: ViewEpoch,
@@ -302,7 +311,7 @@
     asked: Moment,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Fetching {
     last: Seq,
     stamp: ViewEpoch,
@@ -375,6 +384,8 @@
             followers: BTreeMap::new(),
             snapshot: None,
             fetching: None,
+            leaving_since: None,
+            leaving: BTreeMap::new(),
             outputs: vec![],
             to_self: VecDeque::new(),
         };
@@ -454,6 +465,7 @@
             Input::ClockEvent => self.on_clock_event(),
             Input::Written { id } => self.on_written(id),
             Input::DiskFault => self.on_disk_fault(),
+            Input::Leave => self.on_leave(),
         }
         while let Some(note) = self.to_self.pop_front() {
             self.on_note(self.me.address, note);
@@ -622,12 +634,13 @@
             stamp: self.synced.1,
             replied: self.replied,
             is_level: self.is_level,
-            is_sound: self.is_sound && !self.is_stalled(),
+            is_sound: self.is_sound && !self.is_stalled() && !self.is_deaf(),
             has_members: self.has_members,
         };
         for address in self.others() {
             self.outputs.push(Output::Send { to: address, note: note.clone() });
         }
+        self.tell_leaving();
     }
 
     /// Everyone that a fellow knows of, without itself.
@@ -674,12 +687,19 @@
             }
             Note::Propose { ticket, body } => self.on_propose(ticket, body),
             Note::Judge { view, ticket, last, body } => self.on_judge(from, view, ticket, last, body),
+            Note::Leaving { disk } => self.on_leaving(from, disk),
             Note::Reply { number, is_replied, body } => {
                 self.outputs.push(Output::Reply { number, is_replied, body });
             }
         }
     }
 
+    /// Whether it hears too few voters for anything to be agreed here. It says so with its beats: those
+    /// whom it reaches would wait for it for as long as its line is cut one way.
+    fn is_deaf(&self) -> bool {
+        !self.view.voters.is_empty() && !self.hears_majority(self.now)
+    }
+
     /// Whether this voter was heard lately, with the disk that it votes with, and takes writes.
     fn is_alive(&self, voter: &Voter) -> bool {
         if *voter == self.me {
--- a/crates/college/src/fellow/pacing.rs
+++ b/crates/college/src/fellow/pacing.rs
@@ -6,7 +6,7 @@
 ///
 /// Invariant: from when a head begins, it lets in at most `burst` changes and `changes_per_second` for each
 /// second since. It's the head's own and counts by its clock; no state that is replicated depends on it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Pace {
     /// Thousandths of a change.
     available: u64,
@@ -23,9 +23,7 @@
 
     /// Whether one more may enter now; it's counted if so.
     pub(super) fn take(&mut self, timing: &Timing, now: Moment) -> bool {
-        // A second has as many milliseconds as a change has thousandths.
-        let filled = self.available + now.since(self.at).0 * timing.changes_per_second;
-        self.available = filled.min(timing.burst * CHANGE);
+        self.available = self.level(timing, now);
         self.at = now;
         let may_enter = self.available >= CHANGE;
         if may_enter {
@@ -33,4 +31,11 @@
         }
         may_enter
     }
+
+    /// What it holds at this moment, in thousandths of a change.
+    pub(super) fn level(&self, timing: &Timing, now: Moment) -> u64 {
+        // A second has as many milliseconds as a change has thousandths.
+        let filled = self.available + now.since(self.at).0 * timing.changes_per_second;
+        filled.min(timing.burst * CHANGE)
+    }
 }
