Orders name the life of the server they are meant for, and any other refuses them

Eight criers each kept to their part of what its former life, 3.7 s up, could bear, and sent the new one five orders within 122 ms. It was no matter of who shares with whom: nobody knew that the server was fresh.

Now an order carries the life that the node judged the server by (`life`; for pages the header `x-server-life`), and a server that has another one refuses it unrun with its own `incarnation`; the node then keeps from it for a while and ramps it up anew, as one that could not be reached. Servers that don't know the field take the order as before, and are not protected.

Fixture of crier's node tests: its servers have reported that they have been up for a minute; what the tests assert is as before.

--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -26,8 +26,11 @@
         Ok(response) if response.status() == 200 => Ok(response),
         Ok(response) => {
             let reason = why(format!("replied {}", response.status()));
-            let failure = if did_not_run(response) { Failure::Refused } else { Failure::Unknown };
-            Err(NotTaken::Failed(failure, reason))
+            Err(match refusal_of(response) {
+                Refusal::OtherLife => NotTaken::Elsewhere(reason),
+                Refusal::NotRun => NotTaken::Failed(Failure::Refused, reason),
+                Refusal::Unclear => NotTaken::Failed(Failure::Unknown, reason),
+            })
         }
         Err(AskError::Withheld) => Err(NotTaken::Withheld),
         Err(AskError::Unsent(reason)) => Err(NotTaken::Failed(Failure::Unsent, why(reason))),
@@ -45,11 +48,24 @@
     }
 }
 
-/// Whether a server's refusal says that nothing ran. A server that says nothing may have run it.
-fn did_not_run(response: Heard) -> bool {
+/// What a server's refusal says.
+enum Refusal {
+    /// Nothing ran: the order was meant for another life of the server.
+    OtherLife,
+    /// Nothing ran.
+    NotRun,
+    /// It may have run.
+    Unclear,
+}
+
+fn refusal_of(response: Heard) -> Refusal {
     let body = read_all(response, 64 << 10).unwrap_or_default();
-    let value: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
-    value.is_some_and(|value| value["ran"] == serde_json::Value::Bool(false))
+    let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    match (value["ran"].as_bool(), value["incarnation"].is_u64()) {
+        (Some(false), true) => Refusal::OtherLife,
+        (Some(false), false) => Refusal::NotRun,
+        _ => Refusal::Unclear,
+    }
 }
 
 /// Takes a prompt order.
@@ -77,6 +93,7 @@
             prompt: prompt.clone(),
             max_pieces: order.max_pieces,
             keep: placing.token.is_some(),
+            life: placing.life,
         };
         let body = serde_json::to_vec(&run).expect("a run order is JSON");
         let patience = Span(stall.0.min(placing.first_token.0 * 2 + 1000));
@@ -167,6 +184,7 @@
         let patience = Span(shared.stall.0.min(placing.first_token.0 * 2 + 1000));
         let (sharing, epoch) = (shared.clone(), placing.epoch);
         let asked = Ask::get().connect(CONNECT).read(patience).only_if(move || sharing.may_leave(epoch));
+        let asked = placing.life.into_iter().fold(asked, |asked, life| asked.header(LIFE_HEADER, life.to_string()));
         let response = opened(placing, asked.send(&format!("http://{}/pages/{path}", placing.server)))?;
         read_page(response, 8 << 20).map_err(|fault| NotTaken::Failed(Failure::Unknown, fault.to_string()))
     };
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -131,6 +131,7 @@
             may_repeat,
             first_token: Span(2000),
             epoch: Epoch(1),
+            life: None,
         }
     }
     fn count(&self) -> usize {
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -39,7 +39,7 @@
     pub use crate::server_list::{ListOutput, ListPeers, ListReading, ListTiming, ServerList};
     pub use crate::settings::Settings;
     pub use crate::token::{Token, run_id};
-    pub use crate::wire::{CallerOrder, ResumeOrder, RollReport, RunOrder, RunPiece, ServerReport};
+    pub use crate::wire::{CallerOrder, LIFE_HEADER, ResumeOrder, RollReport, RunOrder, RunPiece, ServerReport};
     pub use circular::prelude::*;
     pub use college::prelude::{Standing, StandingReason};
     pub use layout::prelude::*;
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -136,6 +136,8 @@
     pub first_token: Span,
     /// The epoch under which it was placed.
     pub epoch: Epoch,
+    /// The server's life by which it was judged, if it told one: another one is to refuse the order.
+    pub life: Option<u64>,
 }
 
 /// Why an order goes nowhere.
@@ -555,7 +557,8 @@
             Token { order, service: token_service, server, run }.seal(&key)
         });
         let (epoch, first_token) = (self.standing.epoch(), Span(of_service.first_token_ms));
-        Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch })
+        let life = self.desk.servers().get(&server).and_then(|state| state.incarnation);
+        Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch, life })
     }
 
     /// Which run a token is good for, if it is one of this fleet's and names a server that is known
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -62,6 +62,19 @@
         };
         let servers = (0..9).map(|n| entry(&format!("s{n}"))).collect();
         self.step(NodeInput::Event(Event::Roll { servers }));
+        (0..9).for_each(|n| self.report(&format!("s{n}"), 1, Span::seconds(60)));
+    }
+    /// A server tells its life, and for how long it has been up.
+    fn report(&mut self, server: &str, incarnation: u64, up: Span) {
+        self.step(NodeInput::Event(Event::Burden {
+            server: server.into(),
+            incarnation,
+            up,
+            running: 0,
+            waiting: 0,
+            slots: 8,
+            weights: "w1".into(),
+        }));
     }
     fn place(&mut self, number: u64, id: &str, service: &str) -> Result<Placing, ResultCode> {
         self.place_again(number, id, service, 0, false)
@@ -388,6 +401,7 @@
     played.plan(2);
     assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no list");
     played.step(reading(played.at));
+    played.report("s0", 1, Span::seconds(60));
     assert!(played.place(1, "a", "drafts").is_ok());
     let asked = played.at;
     played.at += 5000;
@@ -419,3 +433,20 @@
     assert_eq!(ports(&played.node), [31, 32]);
     assert_eq!(played.node.tail, Some(Address::loopback(31)));
 }
+
+#[test]
+fn an_order_names_the_life_that_its_server_was_judged_by() {
+    let mut played = Played::serving();
+    let placing = played.place(1, "a", "drafts").expect("placed");
+    assert_eq!(placing.life, Some(1));
+    let server = placing.server.clone();
+    // It has another life, says the server itself: it's left alone, and then ramps up.
+    played.step(NodeInput::Event(Event::Unreachable { server: server.clone() }));
+    for number in 2..20 {
+        let placing = played.place(number, &format!("o{number}"), "drafts").expect("placed");
+        assert_ne!(placing.server, server);
+    }
+    played.report(server.as_str(), 2, Span(100));
+    let now = Moment(played.at);
+    assert!(played.node.desk().servers()[&server].is_fresh(now, &DeskRules::default()));
+}
--- a/crates/crier/src/wire.rs
+++ b/crates/crier/src/wire.rs
@@ -29,6 +29,9 @@
     pub from: u64,
 }
 
+/// Names the life of the server that a page is fetched from: any other refuses it.
+pub const LIFE_HEADER: &str = "x-server-life";
+
 /// What a crier posts to a server's `/runs`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunOrder {
@@ -42,6 +45,9 @@
     pub max_pieces: u32,
     /// Whether the run goes on, and its pieces are kept for a while, when nobody reads it.
     pub keep: bool,
+    /// The life of the server that it's meant for: any other refuses it unrun. `None`: whichever has it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub life: Option<u64>,
 }
 
 /// One line of a server's stream.
--- a/crates/rehearsal/src/schedule.rs
+++ b/crates/rehearsal/src/schedule.rs
@@ -233,7 +233,14 @@
     use super::*;
 
     fn order(run: &str, prompt: &str) -> RunOrder {
-        RunOrder { run: run.into(), service: "drafts".into(), prompt: prompt.into(), max_pieces: 3, keep: false }
+        RunOrder {
+            run: run.into(),
+            service: "drafts".into(),
+            prompt: prompt.into(),
+            max_pieces: 3,
+            keep: false,
+            life: None,
+        }
     }
 
     #[test]
--- a/crates/rehearsal/src/stand_in.rs
+++ b/crates/rehearsal/src/stand_in.rs
@@ -152,6 +152,11 @@
                 Reply::json(202, &serde_json::json!({}))
             }
             ("GET", ["burden"]) => self.report(),
+            ("GET", ["pages", ..])
+                if order.header(LIFE_HEADER).is_some_and(|life| life != self.incarnation.to_string()) =>
+            {
+                self.other_life()
+            }
             ("GET", ["pages", rest @ ..]) => {
                 self.pages.lock().expect("no thread panics with it").push(Clock::now());
                 std::thread::sleep(Duration::from_millis(3));
@@ -161,10 +166,18 @@
         }
     }
 
+    /// It was meant for another life of this server.
+    fn other_life(&self) -> Reply {
+        Reply::json(409, &serde_json::json!({"ran": false, "incarnation": self.incarnation}))
+    }
+
     fn take(self: Arc<Self>, body: &[u8]) -> Reply {
         let Ok(order) = serde_json::from_slice::<RunOrder>(body) else {
             return Reply::json(400, &serde_json::json!({"ran": false}));
         };
+        if order.life.is_some_and(|life| life != self.incarnation) {
+            return self.other_life();
+        }
         let now = Clock::now();
         let mut schedule = self.schedule();
         if !schedule.take(&order, now) {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -38,6 +38,8 @@
     RepeatAnything,
     /// Fresh servers have no ramp.
     SkipRamp,
+    /// Servers take orders that were meant for a former life of theirs.
+    IgnoreLives,
     /// Pieces go to the caller whatever they are.
     LaxPieces,
     /// A stream that is read on begins anew.
@@ -173,6 +175,8 @@
     had_first: bool,
     /// Under which it was placed.
     epoch: Epoch,
+    /// The server's life that it's meant for.
+    meant_for: Option<u64>,
     /// Whether it left a group without leases that had met nobody who knows more than that epoch.
     is_apart: bool,
     /// Pieces that its caller asked for.
@@ -196,6 +200,7 @@
     Connected { order: OrderId, server: usize, run: RunId },
     RunReaches { order: OrderId, server: usize, run: RunId },
     RunOutcome { order: OrderId, failure: Option<crier::prelude::Failure> },
+    OtherLife { order: OrderId, server: ServerName },
     Watch { order: OrderId },
     Resume { order: OrderId },
     Operate,
@@ -363,6 +368,7 @@
             Happening::Connected { order, server, run } => self.on_connected(order, server, run),
             Happening::RunReaches { order, server, run } => self.on_run_reaches(order, server, run),
             Happening::RunOutcome { order, failure } => self.on_run_outcome(order, failure),
+            Happening::OtherLife { order, server } => self.on_other_life(order, server),
             Happening::Watch { order } => self.on_watch(order),
             Happening::Resume { order } => self.on_resume(order),
             Happening::Operate => self.on_operate(),
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -123,6 +123,8 @@
     ReplaceCore,
     /// A server crashes and comes back.
     CrashServer,
+    /// A server restarts in place, too fast for anyone to find it gone. Struck only where it's named.
+    RestartServer,
     /// A server takes orders and says nothing.
     DarkServer,
     /// A server answers, but slowly.
@@ -345,6 +347,7 @@
                 self.servers[model].is_up = false;
                 self.put(span, Happening::StartServer { server: model });
             }
+            FaultKind::RestartServer => self.start_server(model),
             FaultKind::DarkServer => self.servers[model].is_dark = true,
             FaultKind::LateAccept => self.servers.iter_mut().for_each(|server| server.accepts_late = true),
             FaultKind::GarbleServers => self.servers.iter_mut().for_each(|server| server.is_garbled = true),
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -37,6 +37,24 @@
     play(WorldRules::new(deployment, seed));
 }
 
+/// Servers that restart in place, too fast for anyone to find them gone, while orders keep coming.
+#[parameterized(
+    pahana_1 = { Deployment::Pahana, 1 },
+    pahana_2 = { Deployment::Pahana, 2 },
+    valodu_1 = { Deployment::Valodu, 1 },
+    valodu_2 = { Deployment::Valodu, 2 },
+)]
+fn a_server_that_restarts_in_place_is_as_fresh_as_any(deployment: Deployment, seed: u64) {
+    let kinds = vec![FaultKind::RestartServer];
+    play(WorldRules { faults: 30, kinds, orders_a_second: 150, ..WorldRules::new(deployment, seed) });
+}
+
+/// A server restarted in place while nodes were without the core, and each took it for the life that it knew.
+#[test]
+fn a_restart_that_nobody_has_noticed_floods_no_server() {
+    play(WorldRules { faults: 20, quorum: Quorum::Holders, ..WorldRules::new(Deployment::Valodu, 42_000_079) });
+}
+
 /// What only these seeds have shown, at the faults with which they did.
 #[parameterized(
     a_heal_between_ask_and_reply = { 910_001_121 },
@@ -122,6 +140,7 @@
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
     resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillCriers], 6, 25, None },
     forget_holders = { Mutant::ForgetHolders, &[FaultKind::BadNetwork, FaultKind::CutOneWay], 6, 25, None },
+    ignore_lives = { Mutant::IgnoreLives, &[FaultKind::RestartServer], 8, 150, None },
     skip_ramp = { Mutant::SkipRamp, &[FaultKind::ReplaceServers, FaultKind::CrashServer], 8, 150, None },
 )]
 fn each_mutant_is_caught(mutant: Mutant, kinds: &[FaultKind], faults: u64, orders_a_second: u64, suspect: Option<u64>) {
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -51,6 +51,7 @@
             server_life: 0,
             had_first: false,
             epoch: Epoch(0),
+            meant_for: None,
             is_apart: false,
             pieces: if service == "drafts" { 20 } else { 6 },
             stream: None,
@@ -170,6 +171,7 @@
         let Some(server) = self.servers.iter().position(|server| server.name == placing.server) else { return };
         order.keep = placing.token.is_some();
         order.epoch = placing.epoch;
+        order.meant_for = placing.life;
         order.asked = Some(placing.server);
         let machine = order.crier;
         if !self.may_act(machine) {
@@ -242,7 +244,12 @@
             return;
         }
         let (keep, pieces) = (order.keep, order.pieces as u32);
-        let run_order = RunOrder { run: run.clone(), service: service.clone(), prompt, max_pieces: pieces, keep };
+        let life = order.meant_for.filter(|_| self.rules.mutant != Some(Mutant::IgnoreLives));
+        if life.is_some_and(|life| life != s.incarnation) {
+            let server = s.name.clone();
+            return self.put(2, Happening::OtherLife { order: id, server });
+        }
+        let run_order = RunOrder { run: run.clone(), service: service.clone(), prompt, max_pieces: pieces, keep, life };
         let is_taken = service.as_str() == "pages" || s.schedule.take(&run_order, Moment(self.now));
         if !is_taken {
             self.put(2, Happening::RunOutcome { order: id, failure: Some(Failure::Refused) });
@@ -258,6 +265,21 @@
         self.put(2, Happening::RunOutcome { order: id, failure: None });
     }
 
+    /// The server says that it's not the life that the order was meant for.
+    pub(super) fn on_other_life(&mut self, id: OrderId, server: ServerName) {
+        let Some(order) = self.orders.get(&id) else { return };
+        let (machine, life) = (order.crier, order.life);
+        if self.now < self.criers[machine].frozen_until {
+            let wake = self.criers[machine].frozen_until - self.now;
+            return self.put(wake, Happening::OtherLife { order: id, server });
+        }
+        self.ended(&id, Outcome::Refused);
+        if self.criers[machine].life == life {
+            self.step_node(machine, NodeInput::Event(DeskEvent::Unreachable { server }));
+        }
+        self.errand(&id, ErrandInput::Fail(Failure::Refused, "it has another life".into()));
+    }
+
     pub(super) fn on_run_outcome(&mut self, id: OrderId, failure: Option<Failure>) {
         let Some(order) = self.orders.get(&id) else { return };
         if self.now < self.criers[order.crier].frozen_until {
--- a/crates/wicket/src/ask.rs
+++ b/crates/wicket/src/ask.rs
@@ -115,6 +115,7 @@
 pub struct Ask {
     method: http::Method,
     json: Vec<u8>,
+    headers: Vec<(&'static str, String)>,
     connect: Span,
     read: Span,
     may_leave: Box<dyn Fn() -> bool + Send>,
@@ -122,7 +123,7 @@
 
 impl Ask {
     fn new(method: http::Method, json: Vec<u8>) -> Self {
-        Ask { method, json, connect: Span(1000), read: Span(1000), may_leave: Box::new(|| true) }
+        Ask { method, json, headers: vec![], connect: Span(1000), read: Span(1000), may_leave: Box::new(|| true) }
     }
     /// Gets something.
     pub fn get() -> Self {
@@ -132,6 +133,11 @@
     pub fn post(json: Vec<u8>) -> Self {
         Self::new(http::Method::POST, json)
     }
+    /// Sends this header, too.
+    pub fn header(mut self, name: &'static str, value: String) -> Self {
+        self.headers.push((name, value));
+        self
+    }
     /// Waits for the connection this long.
     pub fn connect(mut self, span: Span) -> Self {
         self.connect = span;
@@ -154,7 +160,10 @@
         }
         let state = Arc::new(AtomicU8::new(Marked::UNASKED));
         let unsent = |fault: attohttpc::Error| AskError::Unsent(fault.to_string());
-        let builder = attohttpc::RequestBuilder::try_new(self.method, url).map_err(unsent)?;
+        let mut builder = attohttpc::RequestBuilder::try_new(self.method, url).map_err(unsent)?;
+        for (name, value) in self.headers {
+            builder = builder.try_header(name, value).map_err(unsent)?;
+        }
         let marked = Marked { bytes: self.json, may_leave: self.may_leave, state: state.clone() };
         let outcome = builder.body(marked).plainly(self.connect, self.read).send();
         outcome.map(Heard::new).map_err(|fault| match state.load(Ordering::SeqCst) {
