A node's part of what fresh and cold servers bear is claimed under a lease

Cause, found by reading: each node took its part by the members that it knew, from a second after they last changed, with or without the core. A node that had been alone, or one of few, and was then cut off went on with its large part while the others, unknown to it, shared out the whole among themselves; and one that was away while the members changed and changed back saw no change at all.

Now a part is a claim (`primer/src/claim.rs`, where the invariant stands): it holds under a live lease alone, and only once a lease's span and 1.5 s have passed since the node learned of the roster, so that each claim under a former roster has lapsed. The desk is told of leases (`Event::Lease`) and of the epoch of the roster (`members_since`), which news from peers now passes on as the core said it. The ramp of the product's own mode goes by the same claim, and by what is in hand at the server from the whole fleet. One that is no member has no part.

`before_the_members_are_told_a_cold_server_gets_nothing` asked at exactly a second after the members were told; an order that another node placed just before may leave up to half a second later. It now shows that nothing goes for 1.5 s and that it goes then.

--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -236,6 +236,10 @@
     plan_epoch: Epoch,
     withdrawn: Vec<HallName>,
     members: Vec<Member>,
+    /// The epoch at which they became these.
+    members_since: Epoch,
+    /// How long leases run.
+    lease_span: Span,
     seeds: Vec<Address>,
     voters: Vec<Address>,
     /// Whose voters they are.
@@ -312,6 +316,8 @@
             plan_epoch: Epoch(0),
             withdrawn: vec![],
             members: vec![],
+            members_since: Epoch(0),
+            lease_span: Span(0),
             seeds,
             voters: vec![],
             view: ViewEpoch(0),
@@ -761,12 +767,14 @@
                     (self.view, self.voters) = (view, voters);
                 }
                 let lease_due = Some(sent + span);
+                self.lease_span = self.lease_span.max(span);
                 self.standing.tell(epoch, self.now + TOLD_FOR);
                 match news {
                     Some(news) => self.on_news(from, news, lease_due),
                     // Nothing is newer there than what is here, whole.
                     None if epoch == self.standing.epoch() && epoch > Epoch(0) => {
                         self.standing.lease(sent + span, epoch, self.standing.members().to_vec());
+                        self.tell_desk(Event::Lease { until: sent + span, span: self.lease_span });
                     }
                     None => {}
                 }
@@ -779,7 +787,7 @@
         self.standing.lease_due()?;
         let (epoch, plan_epoch) = (self.standing.epoch(), self.plan_epoch);
         let (withdrawn, members) = (self.withdrawn.clone(), Some(self.members.clone()));
-        Some(News { epoch, plan_epoch, withdrawn, members, members_since: epoch })
+        Some(News { epoch, plan_epoch, withdrawn, members, members_since: self.members_since })
     }
 
     /// Asks a peer that knows more, once in a while.
@@ -897,7 +905,8 @@
         let is_newer = news.epoch > self.standing.epoch();
         // Filled in when it came.
         let roster = news.members.unwrap_or_default();
-        let has_other_members = roster != self.members;
+        let since = news.members_since;
+        let has_other_members = roster != self.members || since > self.members_since;
         let members: Vec<Address> = roster.iter().map(|member| member.address).collect();
         match lease_due {
             Some(due) => self.standing.lease(due, news.epoch, members.clone()),
@@ -915,7 +924,11 @@
         if has_other_members {
             self.dissemination.set_members(&roster);
             self.members = roster;
-            self.tell_desk(Event::Members { members });
+            self.members_since = since;
+            self.tell_desk(Event::Members { members, since });
+        }
+        if let Some(until) = lease_due {
+            self.tell_desk(Event::Lease { until, span: self.lease_span });
         }
     }
 
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -434,6 +434,40 @@
     assert_eq!(played.node.tail, Some(Address::loopback(31)));
 }
 
+fn events(outputs: Vec<NodeOutput>) -> Vec<Event> {
+    let event_of = |output| match output {
+        NodeOutput::Event(dated) => Some(dated.event),
+        _ => None,
+    };
+    outputs.into_iter().filter_map(event_of).collect()
+}
+
+#[test]
+fn the_desk_is_told_of_each_lease_and_of_each_roster_even_if_its_members_are_the_same() {
+    let mut played = Played::serving();
+    let renewed = events(played.lease(3, 2));
+    let until = played.node.standing().lease_due().expect("it holds one");
+    assert_eq!(renewed, [Event::Lease { until, span: Span(2000) }]);
+    let of_roster = |epoch: u64, since: u64| {
+        let news = News { members_since: Epoch(since), ..news(epoch, 2, vec![]) };
+        Letter::News { news: Box::new(news) }
+    };
+    let since_of = |outputs: Vec<NodeOutput>| {
+        let since = events(outputs).into_iter().find_map(|event| match event {
+            Event::Members { since, .. } => Some(since),
+            _ => None,
+        });
+        since.map(|since| since.0)
+    };
+    assert_eq!(since_of(played.tell(1, of_roster(4, 1))), None, "the roster that it knows");
+    assert_eq!(since_of(played.tell(1, of_roster(6, 6))), Some(6), "they were others meanwhile");
+    let known = played.tell(8, Letter::NewsAsk);
+    let Some(NodeOutput::Send { letter: Letter::News { news }, .. }) = known.into_iter().next() else {
+        panic!("it tells what it knows");
+    };
+    assert_eq!(news.members_since, Epoch(6), "as old as the core said, not as new as the news");
+}
+
 #[test]
 fn an_order_names_the_life_that_its_server_was_judged_by() {
     let mut played = Played::serving();
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -31,7 +31,7 @@
         ..RollEntry::default()
     };
     take(0, Event::Roll { servers: (0..90).map(entry).collect() });
-    take(0, Event::Members { members: (1..=90).map(Address::loopback).collect() });
+    take(0, Event::Members { members: (1..=90).map(Address::loopback).collect(), since: Epoch(1) });
     let in_flight = |n: u64| InFlight { server: entry(n).server, count: 1, unread: 500, tokens: 12_000, read: 9 };
     let sketch = Sketch {
         missing: None,
--- /dev/null
+++ b/crates/primer/src/claim.rs
@@ -0,0 +1,60 @@
+use crate::prelude::*;
+
+/// This node's claim to its part of what fresh and cold servers bear.
+///
+/// Invariant: at any moment, over all nodes, the parts of those whose claims hold add up to no more than the
+/// whole, whatever each of them knows. It follows from three things. Nodes whose claims hold under one roster
+/// have different places in it, so that their parts are the whole. A claim holds only while a lease runs, which
+/// the core gives under its newest roster alone: once a roster is replaced, each claim under it is gone after a
+/// lease's span. And a claim under a new roster holds only after that span, and a little more, has passed since
+/// this node learned of it, so that none under a former roster is left. A life begins without any claim.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Claim {
+    /// When this node learned of the roster that it goes by. `None` until it's told of one.
+    roster_from: Option<Moment>,
+    since: Epoch,
+    /// The newest lease. Where there is no core, and no lease was ever told of, a claim doesn't lapse.
+    lease: Option<Lease>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    until: Moment,
+    span: Span,
+}
+
+impl Claim {
+    /// The members were told of, as they are since this epoch. Says whether the roster is another one than
+    /// before, also if its members are the same.
+    pub fn learn_roster(&mut self, since: Epoch, has_other_members: bool, now: Moment) -> bool {
+        let is_other = self.roster_from.is_none() || has_other_members || since > self.since;
+        if is_other {
+            self.roster_from = Some(now);
+        }
+        self.since = self.since.max(since);
+        is_other
+    }
+    /// The core gave a lease.
+    pub fn lease(&mut self, until: Moment, span: Span) {
+        let former = self.lease.unwrap_or(Lease { until, span });
+        self.lease = Some(Lease { until: former.until.max(until), span: former.span.max(span) });
+    }
+    /// Whether it holds; else when to look again.
+    pub fn check(&self, now: Moment) -> Result<(), Span> {
+        let Some(roster_from) = self.roster_from else { return Err(LOOK_AGAIN) };
+        let others_lapse = self.lease.map_or(Span(0), |lease| lease.span);
+        let holds_from = roster_from + others_lapse + SENT_BY_THEN;
+        if now < holds_from {
+            return Err(now.until(holds_from));
+        }
+        if self.lease.is_some_and(|lease| now >= lease.until) {
+            return Err(LOOK_AGAIN);
+        }
+        Ok(())
+    }
+}
+
+/// What was placed under a claim that has lapsed has left by then, and the second in which it counts is over.
+const SENT_BY_THEN: Span = Span(1500);
+/// A lease may come at any moment.
+const LOOK_AGAIN: Span = Span::seconds(1);
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -27,9 +27,8 @@
     zone: Option<HallName>,
     /// When this life took its first event.
     begun: Option<Moment>,
-    /// When the members last changed: for a second, others may still share out among those before. `None`
-    /// until they are told.
-    shared_from: Option<Moment>,
+    /// To what fresh and cold servers bear.
+    claim: Claim,
     members: Vec<Address>,
     servers: BTreeMap<ServerName, ServerState>,
     window: Window,
@@ -133,7 +132,7 @@
             services: BTreeMap::new(),
             zone: None,
             begun: None,
-            shared_from: None,
+            claim: Claim::default(),
             members: vec![own],
             servers: BTreeMap::new(),
             window: Window::default(),
@@ -172,7 +171,8 @@
                     self.rules = rules;
                 }
             }
-            Event::Members { members } => self.on_members(members, now),
+            Event::Members { members, since } => self.on_members(members, since, now),
+            Event::Lease { until, span } => self.claim.lease(until, span),
             Event::Roll { servers } => self.on_roll(servers, now),
             Event::Burden { server, incarnation, up, running, waiting, slots, weights } => {
                 self.on_burden(&server, incarnation, up, running + waiting, slots, weights, now);
@@ -284,11 +284,9 @@
         self.servers.retain(|_, server| server.is_listed || server.own > 0);
     }
 
-    fn on_members(&mut self, members: Vec<Address>, now: Moment) {
-        if members.iter().collect::<BTreeSet<_>>() != self.members.iter().collect::<BTreeSet<_>>() {
-            self.shared_from = Some(now);
-        }
-        self.shared_from.get_or_insert(now);
+    fn on_members(&mut self, members: Vec<Address>, since: Epoch, now: Moment) {
+        let has_others = members.iter().collect::<BTreeSet<_>>() != self.members.iter().collect::<BTreeSet<_>>();
+        self.claim.learn_roster(since, has_others, now);
         self.members = members;
         for server in self.servers.values_mut() {
             server.rank = rank(server.key, &self.own, &self.members) as u32;
@@ -528,6 +526,13 @@
         self.count_known();
     }
 
+    /// This node's part of what a fresh or cold server bears, if its claim to it holds; else when to look again.
+    fn claimed(&self, whole: u32, server: &ServerState, now: Moment) -> Result<u32, Span> {
+        self.claim.check(now)?;
+        let is_member = self.members.contains(&self.own);
+        Ok(if is_member { share_at(whole, server.rank, self.fleet_size()) } else { 0 })
+    }
+
     /// How many nodes there are at least, as far as known here.
     fn fleet_size(&self) -> u32 {
         (self.members.len() as u32).max(self.desk_rules.members_least).max(self.counted_peers + 1)
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -38,6 +38,8 @@
     pub(super) wait: Span,
 }
 
+/// A fresh server's cap has grown a little by then.
+const FRESH_WAIT: Span = Span(500);
 /// Nobody is told to come back sooner.
 pub(super) const WAIT_LEAST: Span = Span(50);
 
@@ -84,7 +86,7 @@
         }
         let is_active = prefix.is_some_and(|prefix| self.active.contains_key(&prefix));
         let ask = Ask { order: &order, rules: &rules, hashes: &hashes, counted, tried, demand, is_active, now };
-        let choice = if demand.is_told() { self.choose_by_time(&ask, begun) } else { self.choose_by_burden(&ask) };
+        let choice = if demand.is_told() { self.choose_by_time(&ask) } else { self.choose_by_burden(&ask) };
         let Choice { chosen, reason, was_idle, footprint, candidates } = match choice {
             Ok(choice) => choice,
             Err(Refusal { code, why, wait }) => return self.refuse(order, service, code, why, wait, round),
@@ -227,6 +229,20 @@
             && (rules.servers.is_empty() || rules.servers.contains(name))
     }
 
+    /// Whether a server that may have this much in hand from the whole fleet can take one more from this node now;
+    /// else when, about.
+    fn may_add_to(&self, server: &ServerState, cap: u32, burden: u32, now: Moment) -> Result<(), Span> {
+        if server.is_fresh(now, &self.desk_rules) {
+            let part = self.claimed(cap, server, now)?;
+            // What a former life of a node left there shows only in what others and the server itself tell.
+            return if server.own < part && burden < cap { Ok(()) } else { Err(FRESH_WAIT) };
+        }
+        let part = share_at(cap, server.rank, self.members.len() as u32);
+        // Beyond the own part, room that others leave may be used, if all others are heard.
+        let may_borrow = self.knows_all && burden < cap;
+        if server.own < part || may_borrow { Ok(()) } else { Err(server.hold) }
+    }
+
     /// All servers that may take the order now, and, if some are only full, until when about.
     fn weigh(&self, ask: &Ask) -> (Vec<Weighed>, Span) {
         let Ask { order, rules, hashes, tried, now, .. } = *ask;
@@ -240,13 +256,8 @@
             }
             let key = server.key;
             let cap = server.cap(rules.slots, now, &self.desk_rules);
-            let part = share_at(cap, server.rank, self.members.len() as u32);
             let burden = self.burden(server, now);
-            // Beyond the own part, room that others leave may be used, if all others are heard and
-            // the server is past its ramp.
-            let may_borrow = self.knows_all && !server.is_fresh(now, &self.desk_rules) && burden < cap;
-            if server.own >= part && !may_borrow {
-                let wait = if server.is_fresh(now, &self.desk_rules) { Span(500) } else { server.hold };
+            if let Err(wait) = self.may_add_to(server, cap, burden, now) {
                 full_until = if full_until.0 == 0 { wait } else { Span(full_until.0.min(wait.0)) };
                 continue;
             }
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/desk/tests.rs
@@ -185,7 +185,7 @@
 fn a_fresh_server_is_never_flooded() {
     let mut played = Played::new();
     let members = (1..=4).map(Address::loopback).collect();
-    played.take(0, Event::Members { members });
+    played.take(0, Event::Members { members, since: Epoch(1) });
     let entry = RollEntry {
         server: "new".into(),
         hall: "north".into(),
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -76,11 +76,11 @@
 }
 
 impl Desk {
-    pub(super) fn choose_by_time(&self, ask: &Ask, begun: Moment) -> Result<Choice, Refusal> {
-        let (mut scored, survey) = self.score(ask, begun, false);
+    pub(super) fn choose_by_time(&self, ask: &Ask) -> Result<Choice, Refusal> {
+        let (mut scored, survey) = self.score(ask, false);
         if scored.is_empty() {
             // Rather one more at a server that has yet to show that it works again than a refusal.
-            scored = self.score(ask, begun, true).0;
+            scored = self.score(ask, true).0;
         }
         // Prompts stay with what holds them; plain fetches have nothing to stay for.
         let hysteresis = if ask.hashes.is_empty() { Span(0) } else { self.desk_rules.hysteresis };
@@ -187,7 +187,7 @@
     }
 
     /// All servers that can take the order now, and what is with those that can't.
-    fn score<'a>(&'a self, ask: &Ask, begun: Moment, does_trust: bool) -> (Vec<Scored<'a>>, Survey) {
+    fn score<'a>(&'a self, ask: &Ask, does_trust: bool) -> (Vec<Scored<'a>>, Survey) {
         let Ask { rules, hashes, tried, demand, now, .. } = *ask;
         let mut scored = Vec::with_capacity(self.servers.len());
         let mut survey = Survey::default();
@@ -209,7 +209,7 @@
             if tried.contains(name) {
                 continue;
             }
-            if let Err(wait) = self.may_add(rules, server, slots, burden, begun, does_trust, now) {
+            if let Err(wait) = self.may_add(rules, server, slots, burden, does_trust, now) {
                 survey.note(wait);
                 continue;
             }
@@ -267,14 +267,12 @@
         server: &ServerState,
         slots: u32,
         burden: u32,
-        begun: Moment,
         does_trust: bool,
         now: Moment,
     ) -> Result<(), Span> {
         if rules.cold_per_second > 0 && server.is_cold(rules.cold_span, now) {
-            let shared_from = self.shared_from.ok_or(Span(1000))?;
-            let part = share_at(rules.cold_per_second, server.rank, self.fleet_size());
-            server.check_cold(part, begun.max(shared_from), now)?;
+            let part = self.claimed(rules.cold_per_second, server, now)?;
+            server.check_cold(part, now)?;
         }
         let place_wait = Span(server.hold.0 / u64::from(slots));
         // One that was kept from work shows first that it works again.
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -92,6 +92,16 @@
     Members {
         /// They.
         members: Vec<Address>,
+        /// The epoch at which they became these: it rises with each change, also one back to former members.
+        #[serde(default)]
+        since: Epoch,
+    },
+    /// The core gave this node a lease: the members that it was told of are those of now.
+    Lease {
+        /// Until when, on the node's clock.
+        until: Moment,
+        /// How long each lease runs at most, whoever holds it.
+        span: Span,
     },
     /// The platform's list, whole.
     Roll {
--- a/crates/primer/src/lib.rs
+++ b/crates/primer/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod allowance;
 mod blocks;
+mod claim;
 mod desk;
 mod digest;
 mod event;
@@ -24,6 +25,7 @@
 pub mod prelude {
     pub use crate::allowance::Allowance;
     pub use crate::blocks::block_hashes;
+    pub use crate::claim::Claim;
     pub use crate::desk::Desk;
     pub use crate::digest::{Digest, DigestChange, DigestKey, life_key, server_key};
     pub use crate::event::{Candidate, Dated, Decision, Demand, Event, Outcome, PlaceReason, RollEntry};
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -137,15 +137,11 @@
     }
     /// Whether this node may send it one more while it is cold; else when.
     ///
-    /// Invariant: no more than `part` go there in any second, nor in the first second of the node's life.
-    pub fn check_cold(&self, part: u32, begun: Moment, now: Moment) -> Result<(), Span> {
+    /// Invariant: no more than `part` go there in any second.
+    pub fn check_cold(&self, part: u32, now: Moment) -> Result<(), Span> {
         if part == 0 {
             return Err(COLD_WINDOW);
         }
-        let free_from = begun + COLD_WINDOW;
-        if now < free_from {
-            return Err(now.until(free_from));
-        }
         let lately = self.cold_sent.iter().filter(|at| now.since(**at) < COLD_WINDOW);
         let Some(oldest) = lately.rev().nth(part as usize - 1) else { return Ok(()) };
         Err(now.until(*oldest + COLD_WINDOW))
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -206,7 +206,7 @@
     let mut played = Played::with(app, desk_rules(), servers);
     // Eleven members, all heard, none of them busy: this one takes all of the traffic.
     let members: Vec<Address> = (1..=11).map(Address::loopback).collect();
-    played.take(0, Event::Members { members: members.clone() });
+    played.take(0, Event::Members { members: members.clone(), since: Epoch(1) });
     for from in members.into_iter().skip(1) {
         played.take(0, Event::Trade { from, sketch: Sketch { incarnation: 1, number: 1, ..Sketch::default() } });
     }
@@ -223,7 +223,7 @@
     let servers = vec![entry("warm", "north"), RollEntry { cold_left: None, ..entry("new", "north") }];
     let mut played = Played::with(rules, desk_rules(), servers);
     let members = (1..=4).map(Address::loopback).collect();
-    played.take(0, Event::Members { members });
+    played.take(0, Event::Members { members, since: Epoch(1) });
     let mut sent = vec![];
     for at in (0..2900).step_by(10) {
         let (order, decision) = played.ask(at, &[(at + 5, 10)], 0);
@@ -285,6 +285,8 @@
     let servers = vec![RollEntry { cold_left: Some(Span(60_000)), ..entry("new", "north") }];
     let mut played = Played::with(rules, desk_rules(), servers);
     assert!((0..50).all(|n| matches!(played.ask(n * 100, &[], 0).1, Decision::Refused { .. })));
-    played.take(5000, Event::Members { members: vec![Address::loopback(1)] });
-    assert!(matches!(played.ask(6000, &[], 0).1, Decision::Placed { .. }));
+    played.take(5000, Event::Members { members: vec![Address::loopback(1)], since: Epoch(1) });
+    // Nor for a second and a half after: what others placed before has left by then, and its second is over.
+    assert!((0..30).all(|n| matches!(played.ask(5000 + n * 50, &[], 0).1, Decision::Refused { .. })));
+    assert!(matches!(played.ask(6500, &[], 0).1, Decision::Placed { .. }));
 }
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -101,7 +101,7 @@
         let services = [("drafts".into(), self.service.clone())].into();
         self.tell(place, Event::Rules { rules: Rules { epoch: Epoch(1), services, withdrawn: vec![] } });
         let (members, servers) = ((0..self.desks.len()).map(own).collect(), self.roll());
-        self.tell(place, Event::Members { members });
+        self.tell(place, Event::Members { members, since: Epoch(1) });
         self.tell(place, Event::Roll { servers });
     }
     /// A millisecond goes by.
