--- a/crates/rehearsal/src/answers/lane.rs
+++ b/crates/rehearsal/src/answers/lane.rs
@@ -140,6 +140,7 @@
         may_repeat: repeats_anything || kind.is_some_and(CallKind::may_repeat),
         first_token: Span(2000),
         epoch: placed_under,
+        life: None,
     };
     if mix(drawn).is_multiple_of(OUTDATED) {
         *epoch = Epoch(epoch.0 + 1);
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -158,6 +158,8 @@
     had_first: bool,
     /// Under which it was placed.
     epoch: Epoch,
+    /// The server's life that it's meant for.
+    meant_for: Option<u64>,
     /// Whether it left a group without leases that had met nobody who knows more than that epoch.
     is_apart: bool,
     /// Pieces that its caller asked for.
--- a/crates/rehearsal/src/world/fault_kinds.rs
+++ b/crates/rehearsal/src/world/fault_kinds.rs
@@ -54,6 +54,8 @@
     ReplaceCore,
     /// A server crashes and comes back.
     CrashServer,
+    /// A server restarts in place, too fast for anyone to find it gone. Struck only where it's named.
+    RestartServer,
     /// A server takes orders and says nothing.
     DarkServer,
     /// A server answers, but slowly.
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -180,6 +180,7 @@
                 self.servers[model].is_up = false;
                 self.put(span, Happening::StartServer { server: model });
             }
+            FaultKind::RestartServer => self.start_server(model),
             FaultKind::DarkServer => self.servers[model].is_dark = true,
             FaultKind::LateAccept => self.servers.iter_mut().for_each(|server| server.accepts_late = true),
             FaultKind::GarbleServers => self.servers.iter_mut().for_each(|server| server.is_garbled = true),
--- a/crates/rehearsal/src/world/happening.rs
+++ b/crates/rehearsal/src/world/happening.rs
@@ -47,6 +47,10 @@
         order: OrderId,
         failure: Option<crier::prelude::Failure>,
     },
+    OtherLife {
+        order: OrderId,
+        server: ServerName,
+    },
     Watch {
         order: OrderId,
     },
@@ -135,6 +139,7 @@
             Happening::Connected { order, server, run } => self.on_connected(order, server, run),
             Happening::RunReaches { order, server, run } => self.on_run_reaches(order, server, run),
             Happening::RunOutcome { order, failure } => self.on_run_outcome(order, failure),
+            Happening::OtherLife { order, server } => self.on_other_life(order, server),
             Happening::Watch { order } => self.on_watch(order),
             Happening::Resume { order } => self.on_resume(order),
             Happening::SendBytesAgain { key, stall } => self.on_send_bytes_again(key, stall),
--- a/crates/rehearsal/src/world/mutants.rs
+++ b/crates/rehearsal/src/world/mutants.rs
@@ -19,6 +19,8 @@
     RepeatAnything,
     /// Fresh servers have no ramp.
     SkipRamp,
+    /// Servers take orders that were meant for a former life of theirs.
+    IgnoreLives,
     /// Pieces go to the caller whatever they are.
     LaxPieces,
     /// A stream that is read on begins anew.
