A hollow fleet's threads are bounded by what the kernel leaves, not by 8000 for all

Where more than that ran at the moment of the start, none were left ("--nodes 0 would fit"), though the kernel allows 257,592 threads and 32,768 ids.

ThreadBounds reads what really bounds it, each against the threads that it counts: threads-max, pid_max, the user's limit, and the limits of the control groups around the process. A run may take half of what the tightest leaves, and 8000 at most.

--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -4,12 +4,13 @@
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::time::Duration;
 
 pub mod host;
 mod pages;
+pub mod threads;
 
 pub use pages::plot;
 
@@ -63,7 +64,7 @@
 const PROCESSES: u32 = 300;
 /// Threads that a node keeps, lines included.
 const NODE_THREADS: u64 = 10;
-/// Threads that a machine is taken to bear, whoever's they are: a shared one has refused more.
+/// Threads that a run takes at most, however many are free: a shared machine has refused more.
 const THREADS: u64 = 8000;
 
 impl HollowRules {
@@ -274,9 +275,8 @@
 pub fn hollow(rules: &HollowRules, folder: Option<PathBuf>) -> Result<HollowReport, String> {
     use procfs::Current;
     let memory = procfs::Meminfo::current().map_err(|fault| fault.to_string())?;
-    let most = u64::from(procfs::sys::kernel::threads_max().map_err(|fault| fault.to_string())?);
-    let running = procfs::LoadAverage::current().map_or(0, |load| u64::from(load.max));
-    let threads = THREADS.min(most).saturating_sub(running);
+    let bounds = threads::ThreadBounds::read(Path::new("/proc"), Path::new("/sys/fs/cgroup"));
+    let threads = THREADS.min(bounds.map_err(|fault| fault.to_string())?.free() / 2);
     let free = memory.mem_available.unwrap_or(memory.mem_free);
     if let Some(why) = rules.misfit(free, threads) {
         return Err(format!("nothing was started: {why}"));
--- a/crates/rehearsal/src/hollow/tests.rs
+++ b/crates/rehearsal/src/hollow/tests.rs
@@ -21,3 +21,10 @@
     assert!(scattered.misfit(32 << 30, 200_000).is_some_and(|why| why.contains("--per-process")));
     assert!(rules(&["--nodes", "2"]).misfit(32 << 30, 200_000).is_some(), "fewer nodes than zones");
 }
+
+#[test]
+fn a_small_fleet_fits_where_thousands_of_threads_are_free() {
+    let small = rules(&["--nodes", "12"]);
+    assert_eq!(small.misfit(32 << 30, 120), None);
+    assert!(small.misfit(32 << 30, 119).is_some_and(|why| why.contains("--nodes 11 would fit")));
+}
