--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -161,7 +161,7 @@
 
     /// All letters.
     pub enum Letter {
-        /// Between fellows of the core.
+        /// Between replicas of the core.
         Note {
             /// It.
             note: Box<Note>,
--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -1,7 +1,7 @@
-//! A replicated register with a duty that is won: three fellows in one process, letters carried by a
+//! A replicated register with a duty that is won: three replicas in one process, letters carried by a
 //! queue, disks that are vectors. Run it with `cargo run -p college --example register`.
 //!
-//! An embedder does the same with its own network, disks and clock: feed [`Fellow::step`], do what it
+//! An embedder does the same with its own network, disks and clock: feed [`Replica::step`], do what it
 //! returns.
 
 use college::prelude::*;
@@ -45,7 +45,7 @@
 /// Three machines and what lies between them.
 struct Hall {
     now: Moment,
-    fellows: Vec<Option<Fellow<Register>>>,
+    replicas: Vec<Option<Replica<Register>>>,
     disks: Vec<Vec<Record>>,
     letters: VecDeque<(Address, Address, Note)>,
     replies: Vec<String>,
@@ -60,25 +60,25 @@
     fn new() -> Hall {
         let mut hall = Hall {
             now: Moment(1_000),
-            fellows: vec![],
+            replicas: vec![],
             disks: vec![vec![]; 3],
             letters: VecDeque::new(),
             replies: vec![],
             proposals: 0,
         };
-        hall.fellows = (0..3).map(|place| Some(hall.open(place))).collect();
+        hall.replicas = (0..3).map(|place| Some(hall.open(place))).collect();
         hall
     }
-    fn open(&self, place: usize) -> Fellow<Register> {
+    fn open(&self, place: usize) -> Replica<Register> {
         let founders = (0..3).map(|n| voter(n).address).collect();
         let kept = Kept { records: self.disks[place].clone() };
-        let made = Fellow::new(voter(place), founders, Timing::default(), kept, Register::default(), self.now);
+        let made = Replica::new(voter(place), founders, Timing::default(), kept, Register::default(), self.now);
         made.expect("what the disk holds can be used")
     }
-    /// Gives one fellow an input and does what it wants.
+    /// Gives one replica an input and does what it wants.
     fn step(&mut self, place: usize, input: Input) {
-        let Some(fellow) = &mut self.fellows[place] else { return };
-        for output in fellow.step(self.now, input) {
+        let Some(replica) = &mut self.replicas[place] else { return };
+        for output in replica.step(self.now, input) {
             self.act(place, output);
         }
     }
@@ -97,7 +97,7 @@
                 self.replies.push(if is_replied { text } else { "the core could not take it".into() });
             }
             Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                let reply = self.fellows[place].as_mut().and_then(|fellow| fellow.reply(self.now, ticket, body));
+                let reply = self.replicas[place].as_mut().and_then(|replica| replica.reply(self.now, ticket, body));
                 reply.into_iter().for_each(|output| self.act(place, output));
             }
             Output::ViewChanged(view) => {
@@ -138,16 +138,16 @@
     assert_eq!(hall.propose(1, "claim ada"), "word hello, duty held by ada");
     assert_eq!(hall.propose(2, "claim ben"), "word hello, duty held by ada", "it was won already");
     println!("the tail is lost");
-    let tail = (0..3).find(|place| hall.fellows[*place].as_ref().is_some_and(|f| f.may_reply(hall.now)));
+    let tail = (0..3).find(|place| hall.replicas[*place].as_ref().is_some_and(|f| f.may_reply(hall.now)));
     let tail = tail.expect("there is a tail");
-    hall.fellows[tail] = None;
+    hall.replicas[tail] = None;
     hall.pass(Span(4_000));
     let other = (tail + 1) % 3;
     assert_eq!(hall.propose(other, "vacate ada"), "word hello, duty held by ");
     assert_eq!(hall.propose(other, "claim ben"), "word hello, duty held by ben");
     println!("it comes back, and takes what it missed");
-    hall.fellows[tail] = Some(hall.open(tail));
+    hall.replicas[tail] = Some(hall.open(tail));
     hall.pass(Span(4_000));
-    assert_eq!(hall.fellows[tail].as_ref().map(|f| f.charge().holder.clone()), Some("ben".into()));
+    assert_eq!(hall.replicas[tail].as_ref().map(|f| f.charge().holder.clone()), Some("ben".into()));
     assert_eq!(hall.propose(tail, "set done"), "word done, duty held by ben");
 }
--- a/crates/college/src/leases.rs
+++ b/crates/college/src/leases.rs
@@ -37,7 +37,7 @@
     pub fn renew(&mut self, member: Address, known: Epoch, due: Moment) {
         self.leases.insert(member, Lease { due, known });
     }
-    /// Forgets all, when this fellow stops being the tail.
+    /// Forgets all, when this replica stops being the tail.
     pub fn clear(&mut self) {
         self.leases.clear();
     }
--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -19,19 +19,19 @@
 //! let me = Voter { address: Address::loopback(7001), disk: DiskId(1) };
 //! let founders = vec![me.address, Address::loopback(7002), Address::loopback(7003)];
 //! let kept = Kept::default(); // what your disk gave back
-//! let mut fellow = Fellow::new(me, founders, Timing::default(), kept, Count(0), Moment(0))?;
-//! for output in fellow.step(Moment(100), Input::ClockEvent) {
+//! let mut replica = Replica::new(me, founders, Timing::default(), kept, Count(0), Moment(0))?;
+//! for output in replica.step(Moment(100), Input::ClockEvent) {
 //!     match output {
 //!         Output::Send { to, note } => println!("to {to}: {note:?}"),
 //!         Output::Write { id, .. } => println!("sync this, then say Written {{ id: {id} }}"),
 //!         _ => {}
 //!     }
 //! }
-//! assert!(!fellow.may_reply(Moment(100)), "nobody replies before the founding");
+//! assert!(!replica.may_reply(Moment(100)), "nobody replies before the founding");
 //! # Ok::<(), KeptFault>(())
 //! ```
 //!
-//! - [`Fellow`](prelude::Fellow): one machine of the chain. It replicates what a
+//! - [`Replica`](prelude::Replica): one machine of the chain. It replicates what a
 //!   [`Charge`](prelude::Charge) keeps, answers from the tail, votes on views, and repairs those
 //!   that are behind with a snapshot and then changes.
 //! - [`LeaseTable`](prelude::LeaseTable): who is a member, by leases renewed at the tail.
@@ -41,18 +41,18 @@
 #![warn(missing_docs)]
 
 mod charge;
-mod fellow;
 mod leases;
 mod notes;
+mod replica;
 mod standing;
 mod view;
 
 /// What each file imports.
 pub mod prelude {
     pub use crate::charge::{Charge, Preview};
-    pub use crate::fellow::{Fellow, FellowState, Input, Kept, KeptFault, Output, Timing};
     pub use crate::leases::{LeaseTable, Roster};
     pub use crate::notes::{Ballot, Change, Note, Record, Round, Ticket};
+    pub use crate::replica::{Input, Kept, KeptFault, Output, Replica, ReplicaState, Timing};
     pub use crate::standing::{Standing, StandingReason};
     pub use crate::view::{Seat, View, Voter};
     pub use parlance::prelude::*;
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -44,7 +44,7 @@
         pub body: Vec<u8>,
     }
 
-    /// What fellows say to each other.
+    /// What replicas say to each other.
     #[derive(Eq, Hash)]
     pub enum Note {
         /// Said to all, often: that I live and how far I am.
--- a/crates/college/src/fellow.rs
+++ b/crates/college/src/replica.rs
@@ -8,7 +8,7 @@
 mod pacing;
 mod repair;
 
-/// The spans that a fellow goes by. All fellows of a core use the same.
+/// The spans that a replica goes by. All replicas of a core use the same.
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
     /// Disks that a change is on before it is replied: changes enter only while the chain has as many.
@@ -17,7 +17,7 @@
     pub voters: usize,
     /// Between beats.
     pub beat: Span,
-    /// Unheard for this long, a fellow is taken for gone.
+    /// Unheard for this long, a replica is taken for gone.
     pub suspect: Span,
     /// How long a voter keeps its word to the tail.
     pub lease: Span,
@@ -67,7 +67,7 @@
     }
 }
 
-/// What a fellow is told.
+/// What a replica is told.
 #[derive(Debug, Clone)]
 pub enum Input {
     /// A note came.
@@ -92,15 +92,15 @@
         /// Its id.
         id: u64,
     },
-    /// The disk refused a write. The fellow steps out; whoever runs it makes a new one of what the
+    /// The disk refused a write. The replica steps out; whoever runs it makes a new one of what the
     /// disk holds once the disk takes writes again.
     DiskFault,
     /// This machine is to stop: it asks for a view without its seat, and for its vote to be taken over
-    /// where somebody is there for it. See [`Fellow::has_handed_over`].
+    /// where somebody is there for it. See [`Replica::has_handed_over`].
     Leave,
 }
 
-/// What a fellow wants done.
+/// What a replica wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
     /// Send a note; it may be lost.
@@ -129,7 +129,7 @@
         body: Vec<u8>,
     },
     /// At the tail: this change is on every member's disk. Whoever runs the tail gives the answer
-    /// with [`Fellow::reply`], at once or when its own conditions hold.
+    /// with [`Replica::reply`], at once or when its own conditions hold.
     Settled {
         /// Who waits.
         ticket: Ticket,
@@ -166,9 +166,9 @@
     Gap(Seq),
 }
 
-/// What a fellow believes, for operators.
+/// What a replica believes, for operators.
 #[derive(Debug, Clone)]
-pub struct FellowState {
+pub struct ReplicaState {
     /// Itself.
     pub me: Voter,
     /// The view.
@@ -195,7 +195,7 @@
 ///   no view with another tail.
 /// - A voter that has just started keeps the word that it may have given before.
 #[derive(Clone)]
-pub struct Fellow<C> {
+pub struct Replica<C> {
     me: Voter,
     founders: Vec<Address>,
     timing: Timing,
@@ -324,8 +324,8 @@
     patience: Span,
 }
 
-impl<C: Charge> Fellow<C> {
-    /// A fellow at the start of its life, from what its disk holds; `empty` is the charge's first
+impl<C: Charge> Replica<C> {
+    /// A replica at the start of its life, from what its disk holds; `empty` is the charge's first
     /// state. It takes part in a founding if it's told now that it is one of `founders` and its disk is empty,
     /// or if its disk says that it was told so when it was.
     pub fn new(
@@ -337,7 +337,7 @@
         now: Moment,
     ) -> Result<Self, KeptFault> {
         let is_fresh = kept.records.is_empty();
-        let mut fellow = Fellow {
+        let mut replica = Replica {
             me,
             founders,
             timing,
@@ -390,27 +390,28 @@
             to_self: VecDeque::new(),
         };
         for record in kept.records {
-            fellow.recall(record)?;
+            replica.recall(record)?;
         }
-        if fellow.log.back().is_some_and(|newest| newest.seq < fellow.last.0) {
+        if replica.log.back().is_some_and(|newest| newest.seq < replica.last.0) {
             // A log older than the snapshot has nothing that follows on it.
-            fellow.log.clear();
-            fellow.log_bytes = 0;
-            fellow.base = fellow.last;
+            replica.log.clear();
+            replica.log_bytes = 0;
+            replica.base = replica.last;
         }
-        if fellow.view.epoch == ViewEpoch(0) && fellow.promised.0 == ViewEpoch(1) {
-            fellow.founders.push(me.address);
+        if replica.view.epoch == ViewEpoch(0) && replica.promised.0 == ViewEpoch(1) {
+            replica.founders.push(me.address);
         }
-        fellow.founders.sort();
-        fellow.founders.dedup();
-        fellow.top_count = fellow.promised.1.count;
-        fellow.has_released = fellow.promised.0 == fellow.view.epoch.next() && fellow.promised.1.proposer == me.disk.0;
-        fellow.synced = fellow.last;
-        fellow.is_level = fellow.view.seat(&me).is_some_and(|seat| seat.is_level);
-        if fellow.is_tail() && fellow.is_level {
-            fellow.replied = fellow.synced.0;
+        replica.founders.sort();
+        replica.founders.dedup();
+        replica.top_count = replica.promised.1.count;
+        replica.has_released =
+            replica.promised.0 == replica.view.epoch.next() && replica.promised.1.proposer == me.disk.0;
+        replica.synced = replica.last;
+        replica.is_level = replica.view.seat(&me).is_some_and(|seat| seat.is_level);
+        if replica.is_tail() && replica.is_level {
+            replica.replied = replica.synced.0;
         }
-        Ok(fellow)
+        Ok(replica)
     }
 
     fn recall(&mut self, record: Record) -> Result<(), KeptFault> {
@@ -473,7 +474,7 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// What is replicated. Only to be shown to others while [`Fellow::may_reply`].
+    /// What is replicated. Only to be shown to others while [`Replica::may_reply`].
     pub fn charge(&self) -> &C {
         &self.charge
     }
@@ -508,7 +509,7 @@
     pub fn set_has_members(&mut self, has_members: bool) {
         self.has_members = has_members;
     }
-    /// Gives the answer to a settled change, if this fellow may still answer.
+    /// Gives the answer to a settled change, if this replica may still answer.
     pub fn reply(&mut self, now: Moment, ticket: Ticket, body: Vec<u8>) -> Option<Output> {
         if !self.may_reply(now) {
             return None;
@@ -531,8 +532,8 @@
         is_waiting || !self.unsynced.is_empty() || self.replied < self.last.0
     }
     /// What it believes.
-    pub fn state(&self) -> FellowState {
-        FellowState {
+    pub fn state(&self) -> ReplicaState {
+        ReplicaState {
             me: self.me,
             view: self.view.clone(),
             last: self.synced.0,
@@ -643,7 +644,7 @@
         self.tell_leaving();
     }
 
-    /// Everyone that a fellow knows of, without itself.
+    /// Everyone that a replica knows of, without itself.
     fn others(&self) -> BTreeSet<Address> {
         let mut all: BTreeSet<Address> = self.founders.iter().copied().collect();
         all.extend(self.view.voters.iter().map(|v| v.address));
--- a/crates/college/src/fellow/ballots.rs
+++ b/crates/college/src/replica/ballots.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<C: Charge> Fellow<C> {
+impl<C: Charge> Replica<C> {
     /// Whether it votes on the first view: it was told that it is a founder when its disk was empty, and that
     /// disk is still the same.
     fn is_founder(&self) -> bool {
@@ -77,7 +77,7 @@
         self.push_bid();
     }
 
-    /// What the view should be, as far as this fellow sees.
+    /// What the view should be, as far as this replica sees.
     fn wish(&self) -> View {
         let mut chain: Vec<Seat> = vec![];
         for seat in &self.view.chain {
@@ -132,7 +132,7 @@
         same.or_else(leaving).or_else(|| voters.iter().position(|v| v.address != follower.address && is_gone(v)))
     }
 
-    /// Starts a ballot where the view should change and it's this fellow's turn.
+    /// Starts a ballot where the view should change and it's this replica's turn.
     pub(super) fn consider(&mut self) {
         if self.bid.is_some() || self.is_stalled() || !self.view.has_voter(&self.me) || self.now < self.not_before {
             return;
@@ -208,7 +208,7 @@
         }
     }
 
-    /// A pause before the next try that differs from fellow to fellow and try to try.
+    /// A pause before the next try that differs from replica to replica and try to try.
     fn pause(&self) -> Span {
         let mixed = (self.me.disk.0 as u64 ^ self.top_count).wrapping_mul(0x9E37_79B9_7F4A_7C15);
         Span(self.timing.retry.0 / 2 + (mixed >> 40) % (self.timing.retry.0 * 2))
@@ -291,7 +291,7 @@
         self.write(Record::Accepted { ballot }, Some(Deferred::Send(from, note)));
     }
 
-    /// Whether this fellow may accept this first view: all founders have a place in it.
+    /// Whether this replica may accept this first view: all founders have a place in it.
     fn may_found(&self, view: &View) -> bool {
         self.is_founder() && view.voters.iter().map(|v| v.address).eq(self.founders.iter().copied())
     }
@@ -337,7 +337,7 @@
         let was_seated = self.view.seats(&self.me);
         let was_tail = self.is_tail();
         // Level is carried over only from the view right before: one between may have gone on
-        // without this fellow.
+        // without this replica.
         let stays_level = was_seated && self.is_level && view.epoch == self.view.epoch.next();
         let old_tail = self.view.tail();
         let are_voters_kept = self.view.voters == view.voters;
--- a/crates/college/src/fellow/chain.rs
+++ b/crates/college/src/replica/chain.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<C: Charge> Fellow<C> {
+impl<C: Charge> Replica<C> {
     pub(super) fn on_propose_here(&mut self, number: u64, body: Vec<u8>) {
         let ticket = Ticket { origin: self.me.address, number };
         match self.view.head() {
--- a/crates/college/src/fellow/fingerprint.rs
+++ b/crates/college/src/replica/fingerprint.rs
@@ -7,7 +7,7 @@
 use super::*;
 use std::hash::{Hash, Hasher};
 
-impl<C: Charge> Fellow<C> {
+impl<C: Charge> Replica<C> {
     /// Feeds the digest of the state at this moment.
     pub fn fingerprint(&self, now: Moment, hasher: &mut impl Hasher) {
         let clock = RelativeClock { now, horizon: self.horizon() };
--- a/crates/college/src/fellow/repair.rs
+++ b/crates/college/src/replica/repair.rs
@@ -16,7 +16,7 @@
 /// A snapshot that was not asked for in so many times [`Timing::suspect`] is not being fetched.
 const FETCH_RESTS: u64 = 2 * MOST_PATIENCE;
 
-impl<C: Charge> Fellow<C> {
+impl<C: Charge> Replica<C> {
     /// One without a seat asks the tail for what it lacks.
     pub(super) fn follow(&mut self) {
         let Some(tail) = self.view.tail() else { return };
--- a/crates/college/src/fellow/tests.rs
+++ b/crates/college/src/replica/tests.rs
@@ -37,20 +37,20 @@
     Change { seq: Seq(seq), stamp: ViewEpoch(stamp), ticket, body: vec![1] }
 }
 
-fn fellow(n: u16, records: Vec<Record>) -> Fellow<Tally> {
+fn replica(n: u16, records: Vec<Record>) -> Replica<Tally> {
     let founders = (1..=3).map(Address::loopback).collect();
-    Fellow::new(voter(n), founders, Timing::default(), Kept { records }, Tally(0), Moment(10_000)).unwrap()
+    Replica::new(voter(n), founders, Timing::default(), Kept { records }, Tally(0), Moment(10_000)).unwrap()
 }
 
-/// Has the fellow take a note and all its writes synced; gives what it sends.
-fn tell(fellow: &mut Fellow<Tally>, at: u64, from: u16, note: Note) -> Vec<(u16, Note)> {
-    let mut outputs = fellow.step(Moment(at), Input::Note { from: Address::loopback(from), note });
+/// Has the replica take a note and all its writes synced; gives what it sends.
+fn tell(replica: &mut Replica<Tally>, at: u64, from: u16, note: Note) -> Vec<(u16, Note)> {
+    let mut outputs = replica.step(Moment(at), Input::Note { from: Address::loopback(from), note });
     let mut sent = vec![];
     while !outputs.is_empty() {
         let mut more = vec![];
         for output in outputs {
             match output {
-                Output::Write { id, .. } => more.extend(fellow.step(Moment(at), Input::Written { id })),
+                Output::Write { id, .. } => more.extend(replica.step(Moment(at), Input::Written { id })),
                 Output::Send { to, note } => sent.push((to.0.port(), note)),
                 _ => {}
             }
@@ -60,8 +60,8 @@
     sent
 }
 
-fn grant_all(fellow: &mut Fellow<Tally>, at: u64) -> bool {
-    let asks: Vec<Note> = fellow
+fn grant_all(replica: &mut Replica<Tally>, at: u64) -> bool {
+    let asks: Vec<Note> = replica
         .step(Moment(at), Input::ClockEvent)
         .into_iter()
         .filter_map(|output| match output {
@@ -72,17 +72,17 @@
     for ask in asks {
         let Note::LeaseAsk { view, round } = ask else { continue };
         for n in 1..=3 {
-            tell(fellow, at, n, Note::LeaseGrant { view, round, disk: DiskId(u128::from(n)) });
+            tell(replica, at, n, Note::LeaseGrant { view, round, disk: DiskId(u128::from(n)) });
         }
     }
-    fellow.may_reply(Moment(at))
+    replica.may_reply(Moment(at))
 }
 
 #[test]
 fn one_that_missed_a_view_without_it_is_not_level_though_it_was_before() {
     let mut records = vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }];
     records.push(Record::Change { change: change(1, 1) });
-    let mut tail = fellow(3, records);
+    let mut tail = replica(3, records);
     // View 2 went on without 3; view 3 admits it again at the end.
     tell(&mut tail, 10_100, 2, Note::Decided { view: view(3, &[(1, true), (2, true), (3, false)]) });
     assert!(!grant_all(&mut tail, 10_200), "it replies, and lacks what view 2 replied to");
@@ -96,17 +96,17 @@
 #[test]
 fn a_voter_keeps_its_word_to_the_tail_over_a_restart() {
     let records = vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }];
-    let mut voter = fellow(1, records);
+    let mut voter = replica(1, records);
     let round = Round { count: 9, proposer: 2 };
     let without_tail = Ballot { round, view: view(2, &[(1, true), (2, true)]) };
     let with_tail = Ballot { round, view: view(2, &[(1, true), (3, true)]) };
-    let accepts = |fellow: &mut Fellow<Tally>, at: u64, from: u16, ballot: &Ballot| {
-        let sent = tell(fellow, at, from, Note::Accept { ballot: ballot.clone() });
+    let accepts = |replica: &mut Replica<Tally>, at: u64, from: u16, ballot: &Ballot| {
+        let sent = tell(replica, at, from, Note::Accept { ballot: ballot.clone() });
         sent.iter().any(|(_, note)| matches!(note, Note::Accepted { .. }))
     };
     assert!(!accepts(&mut voter, 10_500, 2, &without_tail), "it may have given its word before it restarted");
     assert!(accepts(&mut voter, 10_500, 2, &with_tail), "the tail stays: nothing to wait for");
-    let mut voter = fellow(1, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
+    let mut voter = replica(1, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
     tell(&mut voter, 12_000, 3, Note::LeaseAsk { view: ViewEpoch(1), round: 1 });
     assert!(!accepts(&mut voter, 12_900, 2, &without_tail), "its word of 12000 holds until 13000");
     let sent = tell(&mut voter, 12_950, 3, Note::LeaseAsk { view: ViewEpoch(1), round: 2 });
@@ -117,7 +117,7 @@
 #[test]
 fn nothing_leaves_before_it_is_synced() {
     let chain = [(1, true), (2, true), (3, true)];
-    let mut middle = fellow(2, vec![Record::View { view: view(1, &chain) }]);
+    let mut middle = replica(2, vec![Record::View { view: view(1, &chain) }]);
     let pass = Note::Pass { view: ViewEpoch(1), change: change(1, 1) };
     let outputs = middle.step(Moment(10_100), Input::Note { from: Address::loopback(1), note: pass });
     let [Output::Write { id, .. }] = outputs.as_slice() else { panic!("{outputs:?}") };
@@ -133,7 +133,7 @@
     let gap = vec![Record::Change { change: change(1, 1) }, Record::Change { change: change(3, 1) }];
     let bent = vec![Record::Snapshot { last: Seq(5), stamp: ViewEpoch(1), body: vec![1, 2] }];
     for (records, fault) in [(gap, KeptFault::Gap(Seq(3))), (bent, KeptFault::Snapshot(Seq(5)))] {
-        let made = Fellow::new(voter(1), vec![], Timing::default(), Kept { records }, Tally(0), Moment(0));
+        let made = Replica::new(voter(1), vec![], Timing::default(), Kept { records }, Tally(0), Moment(0));
         assert_eq!(made.err(), Some(fault));
     }
 }
@@ -144,8 +144,8 @@
     let mut records = vec![Record::View { view: view(1, &chain) }];
     records.push(Record::Snapshot { last: Seq(40), stamp: ViewEpoch(1), body: 40u64.to_be_bytes().to_vec() });
     records.push(Record::Change { change: change(41, 1) });
-    let mut tail = fellow(2, records);
-    let mut behind = fellow(3, vec![Record::View { view: view(1, &chain) }, Record::Change { change: change(1, 1) }]);
+    let mut tail = replica(2, records);
+    let mut behind = replica(3, vec![Record::View { view: view(1, &chain) }, Record::Change { change: change(1, 1) }]);
     let (mut at, mut to_tail) = (10_000, vec![]);
     for _ in 0..40 {
         at += 100;
@@ -170,14 +170,14 @@
     let without_the_tail = View { voters: all.voters.clone(), ..view(2, &[(1, true), (2, true), (3, true)]) };
     let ballot = Ballot { round: Round { count: 7, proposer: 9 }, view: without_the_tail };
     let founders: Vec<Address> = (1..=4).map(Address::loopback).collect();
-    let mut fellows: Vec<Fellow<Tally>> = (1..=4)
+    let mut replicas: Vec<Replica<Tally>> = (1..=4)
         .map(|n| {
             let mut records = vec![Record::View { view: all.clone() }];
             if n <= 2 {
                 records.push(Record::Accepted { ballot: ballot.clone() });
             }
             let start = Moment(10_000);
-            Fellow::new(voter(n), founders.clone(), Timing::default(), Kept { records }, Tally(0), start).unwrap()
+            Replica::new(voter(n), founders.clone(), Timing::default(), Kept { records }, Tally(0), start).unwrap()
         })
         .collect();
     let mut notes: VecDeque<(Address, Address, Note)> = VecDeque::new();
@@ -185,7 +185,7 @@
         let mut inputs: Vec<(usize, Input)> = (0..4).map(|place| (place, Input::ClockEvent)).collect();
         while let Some((place, input)) = inputs.pop() {
             let from = founders[place];
-            for output in fellows[place].step(at, input) {
+            for output in replicas[place].step(at, input) {
                 match output {
                     Output::Send { to, note } => notes.push_back((from, to, note)),
                     Output::Write { id, .. } => inputs.push((place, Input::Written { id })),
@@ -198,31 +198,31 @@
                 inputs.push((usize::from(to.0.port()) - 1, Input::Note { from, note }));
             }
         }
-        if fellows.iter().any(|fellow| fellow.may_reply(at)) && fellows[0].view().chain.len() == 4 {
+        if replicas.iter().any(|replica| replica.may_reply(at)) && replicas[0].view().chain.len() == 4 {
             return;
         }
     }
-    panic!("nobody may reply: {:?}", fellows.iter().map(Fellow::state).collect::<Vec<_>>());
+    panic!("nobody may reply: {:?}", replicas.iter().map(Replica::state).collect::<Vec<_>>());
 }
 
 /// A tail counts its lease from when it asked: a grant to an earlier life of its own is older than that.
 #[test]
 fn a_grant_to_an_earlier_life_of_the_tail_is_not_counted() {
     let records = vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }];
-    let asked = |tail: &mut Fellow<Tally>, at: u64| {
+    let asked = |tail: &mut Replica<Tally>, at: u64| {
         let round = |output| match output {
             Output::Send { note: Note::LeaseAsk { round, .. }, .. } => Some(round),
             _ => None,
         };
         tail.step(Moment(at), Input::ClockEvent).into_iter().find_map(round).expect("it asks")
     };
-    let mut tail = fellow(3, records.clone());
+    let mut tail = replica(3, records.clone());
     let earlier = asked(&mut tail, 10_500);
     let founders = (1..=3).map(Address::loopback).collect();
     let mut tail =
-        Fellow::new(voter(3), founders, Timing::default(), Kept { records }, Tally(0), Moment(13_000)).unwrap();
+        Replica::new(voter(3), founders, Timing::default(), Kept { records }, Tally(0), Moment(13_000)).unwrap();
     let round = asked(&mut tail, 13_500);
-    let grant_all = |tail: &mut Fellow<Tally>, round: u64| {
+    let grant_all = |tail: &mut Replica<Tally>, round: u64| {
         for n in 1..=3 {
             tell(tail, 13_510, n, Note::LeaseGrant { view: ViewEpoch(1), round, disk: DiskId(u128::from(n)) });
         }
@@ -232,12 +232,12 @@
     assert!(grant_all(&mut tail, round));
 }
 
-/// Fellows on a network of one beat's steps that loses nothing; who is `None` is down.
+/// Replicas on a network of one beat's steps that loses nothing; who is `None` is down.
 struct Core {
     at: u64,
     founders: Vec<Address>,
     timing: Timing,
-    fellows: Vec<Option<Fellow<Tally>>>,
+    replicas: Vec<Option<Replica<Tally>>>,
     disks: Vec<DiskId>,
     records: Vec<Vec<Record>>,
     /// Nothing comes in here.
@@ -250,12 +250,12 @@
             at: 10_000,
             founders: (1..=founders).map(Address::loopback).collect(),
             timing: Timing { copies: 3, voters, ..Timing::default() },
-            fellows: vec![],
+            replicas: vec![],
             disks: (1..=all).map(|n| DiskId(u128::from(n))).collect(),
             records: vec![vec![]; usize::from(all)],
             deaf: None,
         };
-        core.fellows.resize_with(usize::from(all), || None);
+        core.replicas.resize_with(usize::from(all), || None);
         (1..=all).for_each(|n| core.start(n));
         core
     }
@@ -263,11 +263,11 @@
         let place = usize::from(n) - 1;
         let me = Voter { address: Address::loopback(n), disk: self.disks[place] };
         let kept = Kept { records: self.records[place].clone() };
-        let fellow = Fellow::new(me, self.founders.clone(), self.timing, kept, Tally(0), Moment(self.at));
-        self.fellows[place] = Some(fellow.unwrap());
+        let replica = Replica::new(me, self.founders.clone(), self.timing, kept, Tally(0), Moment(self.at));
+        self.replicas[place] = Some(replica.unwrap());
     }
     fn stop(&mut self, n: u16) {
-        self.fellows[usize::from(n) - 1] = None;
+        self.replicas[usize::from(n) - 1] = None;
     }
     fn wipe(&mut self, n: u16) {
         self.stop(n);
@@ -286,10 +286,10 @@
         while self.at < due {
             self.at += 25;
             let at = Moment(self.at);
-            inputs.extend((0..self.fellows.len()).map(|place| (place, Input::ClockEvent)));
+            inputs.extend((0..self.replicas.len()).map(|place| (place, Input::ClockEvent)));
             while let Some((place, input)) = inputs.pop_front() {
-                let Some(fellow) = &mut self.fellows[place] else { continue };
-                let mut outputs = fellow.step(at, input);
+                let Some(replica) = &mut self.replicas[place] else { continue };
+                let mut outputs = replica.step(at, input);
                 outputs.reverse();
                 while let Some(output) = outputs.pop() {
                     match output {
@@ -308,7 +308,7 @@
                             inputs.push_back((place, Input::Written { id }));
                         }
                         Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                            outputs.extend(fellow.reply(at, ticket, body))
+                            outputs.extend(replica.reply(at, ticket, body))
                         }
                         Output::Reply { is_replied, .. } => told = Some(is_replied),
                         Output::ViewChanged(_) => {}
@@ -318,10 +318,10 @@
         }
         told
     }
-    /// Where a fellow may reply: who votes and who sits in the chain there, and how many changes it holds.
+    /// Where a replica may reply: who votes and who sits in the chain there, and how many changes it holds.
     fn core(&self) -> Option<(Vec<u16>, Vec<u16>, u64)> {
-        let may_reply = |fellow: &&Fellow<Tally>| fellow.may_reply(Moment(self.at));
-        let tail = self.fellows.iter().flatten().find(may_reply)?;
+        let may_reply = |replica: &&Replica<Tally>| replica.may_reply(Moment(self.at));
+        let tail = self.replicas.iter().flatten().find(may_reply)?;
         let sorted = |voters: &mut dyn Iterator<Item = Address>| {
             let mut ports: Vec<u16> = voters.map(|address| address.0.port()).collect();
             ports.sort();
@@ -407,7 +407,7 @@
 #[test]
 fn one_that_hears_no_majority_does_not_serve() {
     let records = vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }];
-    let mut alone = fellow(1, records);
+    let mut alone = replica(1, records);
     assert!(alone.is_serving(Moment(10_700)), "it has just begun");
     assert!(!alone.is_serving(Moment(10_800)));
     let beat = |n: u16| Note::Beat {
--- a/crates/college/src/fellow/tests/founding.rs
+++ b/crates/college/src/replica/tests/founding.rs
@@ -1,14 +1,14 @@
 use super::*;
 
-/// Fellows that write at once and lose no letter but those to and from the `down`.
+/// Replicas that write at once and lose no letter but those to and from the `down`.
 struct Played {
-    fellows: BTreeMap<u16, Fellow<Tally>>,
+    replicas: BTreeMap<u16, Replica<Tally>>,
     at: u64,
 }
 
 impl Played {
     fn new(founders: &[u16]) -> Self {
-        let mut played = Played { fellows: BTreeMap::new(), at: 10_000 };
+        let mut played = Played { replicas: BTreeMap::new(), at: 10_000 };
         founders.iter().for_each(|n| played.start(*n, u128::from(*n), founders, vec![]));
         played
     }
@@ -16,18 +16,18 @@
         let me = Voter { address: Address::loopback(n), disk: DiskId(disk) };
         let known = known.iter().map(|n| Address::loopback(*n)).collect();
         let now = Moment(self.at);
-        let fellow = Fellow::new(me, known, Timing::default(), Kept { records }, Tally(0), now).unwrap();
-        self.fellows.insert(n, fellow);
+        let replica = Replica::new(me, known, Timing::default(), Kept { records }, Tally(0), now).unwrap();
+        self.replicas.insert(n, replica);
     }
     /// Plays this long; gives the records that each wrote.
     fn run(&mut self, span: u64) -> BTreeMap<u16, Vec<Record>> {
         let mut written: BTreeMap<u16, Vec<Record>> = BTreeMap::new();
         for _ in 0..span / 25 {
             self.at += 25;
-            let mut inputs: VecDeque<(u16, Input)> = self.fellows.keys().map(|n| (*n, Input::ClockEvent)).collect();
+            let mut inputs: VecDeque<(u16, Input)> = self.replicas.keys().map(|n| (*n, Input::ClockEvent)).collect();
             while let Some((n, input)) = inputs.pop_front() {
-                let Some(fellow) = self.fellows.get_mut(&n) else { continue };
-                for output in fellow.step(Moment(self.at), input) {
+                let Some(replica) = self.replicas.get_mut(&n) else { continue };
+                for output in replica.step(Moment(self.at), input) {
                     match output {
                         Output::Send { to, note } => {
                             inputs.push_back((to.0.port(), Input::Note { from: Address::loopback(n), note }));
@@ -44,7 +44,7 @@
         written
     }
     fn chain(&self) -> Vec<(u16, u128)> {
-        let newest = self.fellows.values().map(Fellow::view).max_by_key(|view| view.epoch).unwrap();
+        let newest = self.replicas.values().map(Replica::view).max_by_key(|view| view.epoch).unwrap();
         newest.chain.iter().map(|seat| (seat.voter.address.0.port(), seat.voter.disk.0)).collect()
     }
 }
@@ -53,7 +53,7 @@
 fn any_majority_of_founders_founds_and_one_that_comes_back_empty_takes_its_place_later() {
     for lost in 1..=3 {
         let mut played = Played::new(&[1, 2, 3]);
-        played.fellows.remove(&lost);
+        played.replicas.remove(&lost);
         played.run(1000);
         // Back with an empty disk, and not told that it is a founder.
         let others: Vec<u16> = (1..=3).filter(|n| *n != lost).collect();
@@ -78,10 +78,10 @@
 #[test]
 fn a_founder_whose_disk_says_so_founds_whatever_it_is_told_later() {
     let mut played = Played::new(&[1, 2, 3]);
-    played.fellows.remove(&3);
+    played.replicas.remove(&3);
     let written = played.run(25);
     assert_eq!(played.chain(), []);
-    played.fellows.clear();
+    played.replicas.clear();
     played.start(1, 1, &[2, 3], written[&1].clone());
     played.start(2, 2, &[1, 3], written[&2].clone());
     played.run(3000);
@@ -90,7 +90,7 @@
 
 #[test]
 fn what_a_shrunk_chain_has_on_too_few_disks_is_not_settled() {
-    let mut head = fellow(1, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
+    let mut head = replica(1, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
     let ticket = Ticket { origin: Address::loopback(1), number: 1 };
     let propose = Note::Propose { ticket, body: vec![1] };
     let outputs = head.step(Moment(10_100), Input::Note { from: Address::loopback(1), note: propose.clone() });
--- a/crates/college/src/fellow/tests/leaving.rs
+++ b/crates/college/src/replica/tests/leaving.rs
@@ -5,7 +5,7 @@
 /// The next view is decided by its own voters: most of them may never have given the tail their word.
 #[test]
 fn a_lease_given_by_other_voters_is_not_counted() {
-    let mut tail = fellow(3, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
+    let mut tail = replica(3, vec![Record::View { view: view(1, &[(1, true), (2, true), (3, true)]) }]);
     assert!(grant_all(&mut tail, 11_000));
     let mut next = view(2, &[(2, true), (3, true)]);
     tell(&mut tail, 11_050, 2, Note::Decided { view: next.clone() });
@@ -19,19 +19,19 @@
 
 impl Core {
     fn leave(&mut self, n: u16) {
-        let fellow = self.fellows[usize::from(n) - 1].as_mut().expect("it runs");
-        fellow.step(Moment(self.at), Input::Leave);
+        let replica = self.replicas[usize::from(n) - 1].as_mut().expect("it runs");
+        replica.step(Moment(self.at), Input::Leave);
     }
     fn has_handed_over(&self, n: u16) -> bool {
-        self.fellows[usize::from(n) - 1].as_ref().is_some_and(Fellow::has_handed_over)
+        self.replicas[usize::from(n) - 1].as_ref().is_some_and(Replica::has_handed_over)
     }
 }
 
 fn core_of_three(all: u16) -> Core {
     let mut core = Core::new(3, 3, all);
     core.timing.copies = 2;
-    core.fellows.clear();
-    core.fellows.resize_with(usize::from(all), || None);
+    core.replicas.clear();
+    core.replicas.resize_with(usize::from(all), || None);
     (1..=all).for_each(|n| core.start(n));
     core.play(4000, None);
     assert_eq!(core.play(1000, Some((1, 1))), Some(true));
--- a/crates/college/src/fellow/tests/restart.rs
+++ b/crates/college/src/replica/tests/restart.rs
@@ -21,8 +21,8 @@
 fn each_change_is_applied_once_whatever_is_older(at: u64, from: u64, to: u64) {
     let mut records = vec![Record::View { view: view(1, &[(1, true), (2, true)]) }, snapshot(at)];
     records.extend(changes(from, to));
-    let fellow = fellow(2, records);
-    assert_eq!((fellow.charge(), fellow.state().last), (&Tally(40), Seq(40)));
+    let replica = replica(2, records);
+    assert_eq!((replica.charge(), replica.state().last), (&Tally(40), Seq(40)));
 }
 
 /// A log that doesn't reach the snapshot lacks changes: nothing of it is served.
@@ -30,7 +30,7 @@
 fn a_log_that_lacks_changes_after_the_snapshot_is_a_fault(at: u64, from: u64, to: u64) {
     let mut records = if at == 0 { vec![] } else { vec![snapshot(at)] };
     records.extend(changes(from, to));
-    let made = Fellow::new(voter(1), vec![], Timing::default(), Kept { records }, Tally(0), Moment(0));
+    let made = Replica::new(voter(1), vec![], Timing::default(), Kept { records }, Tally(0), Moment(0));
     assert_eq!(made.err(), Some(KeptFault::Gap(Seq(from))));
 }
 
@@ -39,7 +39,7 @@
 fn a_log_that_ends_before_its_snapshot_does_not_take_the_state_back() {
     let mut records = vec![Record::View { view: view(1, &[(1, true), (2, true)]) }, snapshot(40)];
     records.extend(changes(11, 20));
-    let fellow = fellow(2, records);
-    assert_eq!((fellow.charge(), fellow.state().last), (&Tally(40), Seq(40)));
-    assert!(fellow.log.back().is_none_or(|newest| newest.seq == Seq(40)), "its log ends at {:?}", fellow.log.back());
+    let replica = replica(2, records);
+    assert_eq!((replica.charge(), replica.state().last), (&Tally(40), Seq(40)));
+    assert!(replica.log.back().is_none_or(|newest| newest.seq == Seq(40)), "its log ends at {:?}", replica.log.back());
 }
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -39,7 +39,7 @@
     at: u64,
     timing: Timing,
     bulk: u64,
-    fellows: Vec<Option<Fellow<Ledger>>>,
+    replicas: Vec<Option<Replica<Ledger>>>,
     disks: Vec<Disk>,
     lines: Vec<Line>,
     next_change: u64,
@@ -99,7 +99,7 @@
             at: 10_000,
             timing,
             bulk,
-            fellows: vec![None, None, None],
+            replicas: vec![None, None, None],
             disks: (0..3).map(|_| Disk::default()).collect(),
             lines: (0..18).map(|_| Line::default()).collect(),
             next_change: 0,
@@ -118,26 +118,26 @@
     fn start(&mut self, n: usize) {
         let kept = Kept { records: self.disks[n].records.clone() };
         let founders = (0..3).map(|n| voter(n).address).collect();
-        let made = Fellow::new(voter(n), founders, self.timing, kept, Ledger::default(), Moment(self.at));
-        self.fellows[n] = Some(made.expect("its disk is good"));
+        let made = Replica::new(voter(n), founders, self.timing, kept, Ledger::default(), Moment(self.at));
+        self.replicas[n] = Some(made.expect("its disk is good"));
     }
     /// Power is lost: what isn't synced is gone.
     fn stop(&mut self, n: usize) {
-        self.fellows[n] = None;
+        self.replicas[n] = None;
         self.disks[n].waiting.clear();
         self.disks[n].at_work.clear();
         self.lines.iter_mut().skip(n * 6).take(6).for_each(|line| line.notes.clear());
     }
-    fn tail(&self) -> Option<&Fellow<Ledger>> {
-        self.fellows.iter().flatten().find(|fellow| fellow.may_reply(Moment(self.at)))
+    fn tail(&self) -> Option<&Replica<Ledger>> {
+        self.replicas.iter().flatten().find(|replica| replica.may_reply(Moment(self.at)))
     }
     fn epoch(&self, n: usize) -> Epoch {
-        self.fellows[n].as_ref().map_or(Epoch(0), |fellow| fellow.charge().epoch)
+        self.replicas[n].as_ref().map_or(Epoch(0), |replica| replica.charge().epoch)
     }
     /// Whether it has a seat, by its own word and by that of the tail, and all that was told as accepted.
     fn is_level(&self, n: usize) -> bool {
-        let seat_of = |fellow: &Fellow<Ledger>| fellow.view().seat(&voter(n)).is_some_and(|seat| seat.is_level);
-        let says_so = self.fellows[n].as_ref().is_some_and(seat_of);
+        let seat_of = |replica: &Replica<Ledger>| replica.view().seat(&voter(n)).is_some_and(|seat| seat.is_level);
+        let says_so = self.replicas[n].as_ref().is_some_and(seat_of);
         says_so && self.tail().is_some_and(seat_of) && self.epoch(n) >= self.told
     }
     fn proposal(&self, n: u64) -> Proposal {
@@ -156,7 +156,7 @@
         Proposal { id, builds_on: None, seen: Epoch(0), motion }
     }
     fn propose(&mut self) {
-        let Some(at) = (0..3).find(|n| self.fellows[*n].as_ref().is_some_and(|f| f.view().head() == Some(f.me())))
+        let Some(at) = (0..3).find(|n| self.replicas[*n].as_ref().is_some_and(|f| f.view().head() == Some(f.me())))
         else {
             return;
         };
@@ -224,17 +224,17 @@
     }
     fn step(&mut self, n: usize, input: Input) {
         let now = Moment(self.at);
-        let Some(fellow) = &mut self.fellows[n] else { return };
+        let Some(replica) = &mut self.replicas[n] else { return };
         // As the office does: changes enter while enough members are in touch.
-        fellow.set_has_members(true);
-        let mut outputs: VecDeque<Output> = fellow.step(now, input).into();
+        replica.set_has_members(true);
+        let mut outputs: VecDeque<Output> = replica.step(now, input).into();
         while let Some(output) = outputs.pop_front() {
             match output {
                 Output::Send { to, note } => self.send(n, usize::from(to.0.port()) - 1, note),
                 Output::Write { id, records, is_whole } => self.write(n, id, records, is_whole),
                 Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                    let Some(fellow) = &mut self.fellows[n] else { return };
-                    outputs.extend(fellow.reply(now, ticket, body));
+                    let Some(replica) = &mut self.replicas[n] else { return };
+                    outputs.extend(replica.reply(now, ticket, body));
                     self.assert_newest(n);
                 }
                 Output::Reply { is_replied: true, body, .. } => self.on_told(&body),
@@ -243,16 +243,16 @@
         }
     }
     fn newest_view(&self) -> Option<ViewEpoch> {
-        self.fellows.iter().flatten().map(|fellow| fellow.view().epoch).max()
+        self.replicas.iter().flatten().map(|replica| replica.view().epoch).max()
     }
     /// Whoever answers for the core has all that was told; whoever is level in the newest view lacks no more
     /// than what may be under way.
     fn assert_newest(&self, n: usize) {
-        let may_reply = self.fellows[n].as_ref().is_some_and(|fellow| fellow.may_reply(Moment(self.at)));
+        let may_reply = self.replicas[n].as_ref().is_some_and(|replica| replica.may_reply(Moment(self.at)));
         assert!(!may_reply || self.epoch(n) >= self.told, "{n} replies with old state at {}", self.at);
-        let seat = self.fellows[n].as_ref().and_then(|fellow| fellow.view().seat(&voter(n)));
+        let seat = self.replicas[n].as_ref().and_then(|replica| replica.view().seat(&voter(n)));
         let is_behind = self.epoch(n).0 + self.timing.ahead < self.told.0;
-        let is_newest_view = self.fellows[n].as_ref().map(|fellow| fellow.view().epoch) == self.newest_view();
+        let is_newest_view = self.replicas[n].as_ref().map(|replica| replica.view().epoch) == self.newest_view();
         let claims = seat.is_some_and(|seat| seat.is_level) && is_newest_view;
         assert!(!claims || !is_behind, "{n} claims to be level and lacks changes at {}", self.at);
     }
@@ -280,7 +280,7 @@
         }
         let size = size_of(&note);
         let is_bulk = matches!(note, Note::SnapshotPiece { .. } | Note::Feed { .. }) || size > 64 << 10;
-        if self.fellows[to].is_none() {
+        if self.replicas[to].is_none() {
             return;
         }
         let at = self.at;
@@ -341,7 +341,7 @@
     let (snapshot, kept) = (tail.snapshot().len(), core.disks[away].records.len());
     println!("{count} changes, machine {away} away: level in {ms} ms, {bytes} bytes, state {snapshot}, {kept} records");
     assert!(ms <= 3000, "{ms} ms");
-    assert_eq!(core.fellows[away].as_ref().map(|fellow| fellow.charge()), Some(tail));
+    assert_eq!(core.replicas[away].as_ref().map(|replica| replica.charge()), Some(tail));
 }
 
 #[test]
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -131,8 +131,8 @@
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
     let mut timing = OfficeTiming::default();
-    timing.fellow.copies = settings.copies as usize;
-    timing.fellow.voters = settings.voters as usize;
+    timing.replica.copies = settings.copies as usize;
+    timing.replica.voters = settings.voters as usize;
     timing.quorum = settings.quorum;
     let mut control = Control {
         inner,
@@ -205,7 +205,7 @@
     /// Told to stop: asks the others to take over, and says when they have or when the time is up.
     fn may_stop(&mut self, now: Moment, since: Moment) -> bool {
         self.step(now, OfficeInput::Leave);
-        let has_handed_over = self.office.as_ref().is_none_or(|office| office.fellow().has_handed_over());
+        let has_handed_over = self.office.as_ref().is_none_or(|office| office.replica().has_handed_over());
         has_handed_over || now.since(since) >= LONGEST_HAND_OVER
     }
 
@@ -233,7 +233,7 @@
             }
         }
         if let Some(office) = &self.office {
-            let is_ready = office.fellow().is_serving(now);
+            let is_ready = office.replica().is_serving(now);
             self.is_ready.store(is_ready, Ordering::Relaxed);
         }
     }
@@ -244,14 +244,14 @@
         // A machine added later knows nobody but its seeds; they learn of it by its beats.
         let known = if self.founders.is_empty() { self.seeds.clone() } else { self.founders.clone() };
         let timing = self.timing;
-        match Fellow::new(me, known, timing.fellow, kept, Ledger::default(), now) {
-            Ok(fellow) => {
-                tracing::info!("registrar: disk {disk} holds epoch {}.", fellow.charge().epoch);
+        match Replica::new(me, known, timing.replica, kept, Ledger::default(), now) {
+            Ok(replica) => {
+                tracing::info!("registrar: disk {disk} holds epoch {}.", replica.charge().epoch);
                 self.life = life;
                 self.shelf.begin(life);
                 self.fault = None;
                 let (key, incarnation) = (TokenKey(random_bytes()), u64::from_ne_bytes(random_bytes()));
-                self.office = Some(Office::new(fellow, timing, key, incarnation, now));
+                self.office = Some(Office::new(replica, timing, key, incarnation, now));
             }
             Err(fault) => {
                 tracing::error!("registrar: {} {fault}; the folder must be emptied by hand.", ResultCode::DiskFault);
@@ -286,10 +286,10 @@
                 }
             }
         }
-        let ledger = office.fellow().charge();
+        let ledger = office.replica().charge();
         self.tallies.epoch.store(ledger.epoch.0, Ordering::Relaxed);
         self.tallies.members.store(ledger.roster.members.len() as u64, Ordering::Relaxed);
-        let view = office.fellow().view();
+        let view = office.replica().view();
         self.tallies.view.store(view.epoch.0, Ordering::Relaxed);
         self.tallies.chain.store(view.chain.len() as u64, Ordering::Relaxed);
         self.tallies.polls.store(office.poll_count(), Ordering::Relaxed);
@@ -299,8 +299,8 @@
         let Some(office) = &self.office else {
             return serde_json::json!({"inner": self.inner, "fault": self.fault});
         };
-        let state = office.fellow().state();
-        let ledger = office.fellow().charge();
+        let state = office.replica().state();
+        let ledger = office.replica().charge();
         serde_json::json!({
             "inner": self.inner,
             "disk": state.me.disk.to_string(),
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -2,11 +2,11 @@
 use schematic::ConfigEnum;
 use std::collections::{BTreeMap, VecDeque};
 
-/// The spans that an office goes by besides the fellow's own.
+/// The spans that an office goes by besides the replica's own.
 #[derive(Debug, Clone, Copy)]
 pub struct OfficeTiming {
-    /// The fellow's.
-    pub fellow: Timing,
+    /// The replica's.
+    pub replica: Timing,
     /// A member's lease.
     pub lease: Span,
     /// Between changes of the roster by which newcomers are let in.
@@ -27,7 +27,7 @@
 impl Default for OfficeTiming {
     fn default() -> Self {
         OfficeTiming {
-            fellow: Timing::default(),
+            replica: Timing::default(),
             lease: Span(2000),
             join: Span(1000),
             patience: Span(4000),
@@ -133,13 +133,13 @@
     ViewChanged(View),
 }
 
-/// A registrar's control state: the fellow with the ledger, the members' leases, and who waits for
+/// A registrar's control state: the replica with the ledger, the members' leases, and who waits for
 /// what.
 ///
-/// Invariants: news and answers leave only while the fellow may answer. "Accepted" is said only once
+/// Invariants: news and answers leave only while the replica may answer. "Accepted" is said only once
 /// as many members as the quorum asks for are known to have the news.
 pub struct Office {
-    fellow: Fellow<Ledger>,
+    replica: Replica<Ledger>,
     timing: OfficeTiming,
     /// Proposed as the fleet's, should there be none.
     key: TokenKey,
@@ -212,13 +212,13 @@
 const INNER: u64 = 1 << 62;
 
 impl Office {
-    /// An office around a fellow at the start of its life. `key` is drawn at random; a fleet that has
+    /// An office around a replica at the start of its life. `key` is drawn at random; a fleet that has
     /// none takes the first that is proposed. `incarnation` is drawn at random too: what this life asks
     /// is numbered from there on, so that no late answer to an earlier life is taken for one to this.
-    pub fn new(fellow: Fellow<Ledger>, timing: OfficeTiming, key: TokenKey, incarnation: u64, now: Moment) -> Self {
+    pub fn new(replica: Replica<Ledger>, timing: OfficeTiming, key: TokenKey, incarnation: u64, now: Moment) -> Self {
         let first = incarnation % (INNER / 2);
         Office {
-            fellow,
+            replica,
             timing,
             key,
             key_due: now,
@@ -242,9 +242,9 @@
         }
     }
 
-    /// The fellow in it.
-    pub fn fellow(&self) -> &Fellow<Ledger> {
-        &self.fellow
+    /// The replica in it.
+    pub fn replica(&self) -> &Replica<Ledger> {
+        &self.replica
     }
     /// Who holds leases and what they know, if this is the tail.
     pub fn members(&self, now: Moment) -> Vec<(Address, Epoch)> {
@@ -253,7 +253,7 @@
     /// When the next clock event is due at the latest.
     pub fn next_due(&self) -> Moment {
         let is_pending = !self.waiting.is_empty() || !self.settled.is_empty() || !self.joining.is_empty();
-        if is_pending || self.fellow.is_busy() { self.now + Span(25) } else { self.fellow.next_beat() }
+        if is_pending || self.replica.is_busy() { self.now + Span(25) } else { self.replica.next_beat() }
     }
     /// How many polls were taken.
     pub fn poll_count(&self) -> u64 {
@@ -282,23 +282,23 @@
     }
 
     fn may_reply(&self) -> bool {
-        self.fellow.may_reply(self.now)
+        self.replica.may_reply(self.now)
     }
 
-    /// Has the fellow take an input, and does what it wants.
+    /// Has the replica take an input, and does what it wants.
     fn drive(&mut self, input: Input) {
-        for output in self.fellow.step(self.now, input) {
+        for output in self.replica.step(self.now, input) {
             match output {
                 Output::Send { to, note } => self.send_note(to, note),
                 Output::Write { id, records, is_whole } => {
                     self.outputs.push(OfficeOutput::Write { id, records, is_whole });
                 }
                 Output::Reply { number, is_replied, body } => self.on_reply(number, is_replied, body),
-                Output::Judged { ticket, body } if self.is_firm(self.fellow.charge().epoch) => {
+                Output::Judged { ticket, body } if self.is_firm(self.replica.charge().epoch) => {
                     self.answer(ticket, body);
                 }
                 Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                    let epoch = self.fellow.charge().epoch;
+                    let epoch = self.replica.charge().epoch;
                     let due = self.now + self.timing.fate_due;
                     self.settled.push_back(Settled { epoch, ticket, body, due });
                 }
@@ -359,13 +359,13 @@
         self.poll_count += 1;
         if !self.may_reply() {
             let voters = self.voters();
-            let tail = self.fellow.view().tail().map(|tail| tail.address);
-            let reply = PollReply::Elsewhere { view: self.fellow.view().epoch, tail, voters };
+            let tail = self.replica.view().tail().map(|tail| tail.address);
+            let reply = PollReply::Elsewhere { view: self.replica.view().epoch, tail, voters };
             return self.send(from, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
         }
         self.seen.insert(from, self.now);
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
-        let is_member = self.fellow.charge().roster.members.contains(&from);
+        let is_member = self.replica.charge().roster.members.contains(&from);
         if is_member {
             self.give_lease(from, &poll);
         } else {
@@ -375,12 +375,12 @@
 
     /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
     fn give_lease(&mut self, to: Address, poll: &Poll) {
-        let newest = self.fellow.charge().epoch;
+        let newest = self.replica.charge().epoch;
         let due = self.now + self.timing.lease;
         self.leases.renew(to, poll.epoch.min(newest), due);
         self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), due });
-        let ledger = self.fellow.charge();
-        let view = self.fellow.view().epoch;
+        let ledger = self.replica.charge();
+        let view = self.replica.view().epoch;
         let reply = PollReply::Lease {
             span: self.timing.lease,
             epoch: ledger.epoch,
@@ -394,7 +394,7 @@
 
     /// For one that has this epoch.
     fn news(&self, has: Epoch) -> News {
-        let ledger = self.fellow.charge();
+        let ledger = self.replica.charge();
         let members_since = ledger.roster.since;
         let member = |(address, hall): &(Address, HallName)| Member { address: *address, hall: hall.clone() };
         News {
@@ -407,12 +407,12 @@
     }
 
     fn voters(&self) -> Vec<Address> {
-        self.fellow.view().voters.iter().map(|voter| voter.address).collect()
+        self.replica.view().voters.iter().map(|voter| voter.address).collect()
     }
 
     /// Tells news to members that polled lately, and answers settled changes that most members know.
     fn release(&mut self) {
-        let (epoch, now) = (self.fellow.charge().epoch, self.now);
+        let (epoch, now) = (self.replica.charge().epoch, self.now);
         let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.due;
         if self.subscribers.values().any(is_behind) && self.may_reply() {
             let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
@@ -444,7 +444,7 @@
 
     /// Gives an answer for the core, if this is still the tail and may.
     fn answer(&mut self, ticket: Ticket, body: Vec<u8>) {
-        match self.fellow.reply(self.now, ticket, body) {
+        match self.replica.reply(self.now, ticket, body) {
             Some(Output::Send { to, note }) => self.send_note(to, note),
             Some(Output::Reply { number, is_replied, body }) => self.on_reply(number, is_replied, body),
             _ => {}
@@ -453,7 +453,7 @@
 
     /// Whether as many know this epoch as must.
     fn is_known(&self, epoch: Epoch) -> bool {
-        let roster = &self.fellow.charge().roster;
+        let roster = &self.replica.charge().roster;
         match self.timing.quorum {
             Quorum::Majority => self.leases.is_known_to_most(roster, epoch),
             // A new tail doesn't know what leases the last one gave: they must have run out.
@@ -468,12 +468,12 @@
     /// Whether what is in the ledger as this epoch may be called accepted, whoever asks and when. Where most
     /// members must know it, its answer alone waits for them: they may be gone since.
     fn is_firm(&self, epoch: Epoch) -> bool {
-        self.fellow.has_copies() && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
+        self.replica.has_copies() && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
     }
 
     /// Whether enough of those before the last change of the roster know the roster now.
     fn is_roster_settled(&self) -> bool {
-        let roster = &self.fellow.charge().roster;
+        let roster = &self.replica.charge().roster;
         match self.timing.quorum {
             Quorum::Majority => self.leases.is_roster_settled(roster),
             Quorum::Holders => self.is_known(roster.since),
@@ -481,17 +481,17 @@
     }
 
     fn has_quorum(&self) -> bool {
-        let roster = &self.fellow.charge().roster;
+        let roster = &self.replica.charge().roster;
         let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(roster, self.now);
         self.may_reply() && has_members
     }
 
     fn on_clock_event(&mut self) {
         let has_majority = self.has_quorum();
-        self.fellow.set_has_members(has_majority);
+        self.replica.set_has_members(has_majority);
         self.replies_since = if self.may_reply() { self.replies_since.or(Some(self.now)) } else { None };
         if self.may_reply() {
-            if self.fellow.charge().key.is_none() && self.now >= self.key_due {
+            if self.replica.charge().key.is_none() && self.now >= self.key_due {
                 self.key_due = self.now + Span(400);
                 self.propose_inner(Motion::Key { key: self.key });
             }
@@ -516,7 +516,7 @@
 
     /// Lets those in that asked, a change of the roster at a time.
     fn admit(&mut self) {
-        let roster = &self.fellow.charge().roster;
+        let roster = &self.replica.charge().roster;
         let members = &roster.members;
         let joined: Vec<Address> = self.joining.keys().filter(|one| members.contains(one)).copied().collect();
         for address in joined {
@@ -534,7 +534,7 @@
 
     /// Once more than half of the elder know the roster, they are needed for no majority any more.
     fn settle(&mut self) {
-        let roster = &self.fellow.charge().roster;
+        let roster = &self.replica.charge().roster;
         if roster.elder == roster.members || self.now < self.settle_due || !self.is_roster_settled() {
             return;
         }
@@ -552,7 +552,7 @@
         let is_gone = |member: &&Address| {
             self.seen.get(*member).is_none_or(|seen| self.now.since(*seen) >= self.timing.retire_after)
         };
-        let gone: Vec<Address> = self.fellow.charge().roster.members.iter().filter(is_gone).copied().collect();
+        let gone: Vec<Address> = self.replica.charge().roster.members.iter().filter(is_gone).copied().collect();
         if !gone.is_empty() {
             self.propose_inner(Motion::Retire { members: gone });
         }
@@ -565,7 +565,7 @@
     }
 
     fn on_plan_ask(&mut self, from: Address, epoch: Epoch, offset: u64, have: Epoch) {
-        let ledger = self.fellow.charge();
+        let ledger = self.replica.charge();
         if let Some((base, splice)) = &ledger.newest
             && (epoch, have, offset) == (ledger.plan_epoch, *base, 0)
             && splice.inserted.len() <= SPLICE_MOST
@@ -590,7 +590,7 @@
         let is_cleared = false;
         let waiting = Waiting { ask, next_try, patience_due, due, clear_due, is_cleared, asked, asked_of: None };
         self.waiting.insert(number, waiting);
-        if !self.fellow.hears_majority(self.now) {
+        if !self.replica.hears_majority(self.now) {
             // Nothing was asked or proposed yet, so this is final, and its operator loses no time here.
             return self.give_up(number, ResultCode::CoreNotReady);
         }
@@ -599,7 +599,7 @@
 
     fn try_again(&mut self, number: u64) {
         let Some(waiting) = self.waiting.get_mut(&number) else { return };
-        let retry_at = self.now + self.timing.fellow.retry;
+        let retry_at = self.now + self.timing.replica.retry;
         if self.now >= waiting.due {
             let code = match waiting.ask {
                 OperatorAsk::Read(_) => ResultCode::CoreNotReady,
@@ -616,9 +616,9 @@
                 waiting.next_try = Some(retry_at);
                 let reading = reading.clone();
                 // A change's base may be read here: the head judges whether it's the newest.
-                let is_base = matches!(reading, Reading::Base { at_least } if self.fellow.charge().epoch >= at_least);
+                let is_base = matches!(reading, Reading::Base { at_least } if self.replica.charge().epoch >= at_least);
                 let is_known_here = || {
-                    let state = self.fellow.state();
+                    let state = self.replica.state();
                     state.is_sound && state.view.seats(&state.me)
                 };
                 if self.may_reply() || (is_base && is_known_here()) {
@@ -653,7 +653,7 @@
     }
 
     fn ask_tail(&mut self, number: u64, reading: Reading) {
-        let Some(tail) = self.fellow.view().tail() else { return };
+        let Some(tail) = self.replica.view().tail() else { return };
         let Some(waiting) = self.waiting.get_mut(&number) else { return };
         waiting.asked_of = Some(tail.address);
         let number = waiting.asked;
@@ -719,7 +719,7 @@
             self.outputs.push(OfficeOutput::Reply { number, status, body });
         } else if self.now < waiting.patience_due {
             // The core did not take it, so asking again can't do it twice.
-            waiting.next_try = Some(self.now + self.timing.fellow.retry);
+            waiting.next_try = Some(self.now + self.timing.replica.retry);
         } else {
             self.give_up(number, ResultCode::CoreNotReady);
         }
@@ -727,7 +727,7 @@
 
     /// What the ledger says, as status and body.
     fn read(&self, reading: &Reading) -> (u16, Vec<u8>) {
-        let ledger = self.fellow.charge();
+        let ledger = self.replica.charge();
         let missing = |code: ResultCode, why: String| {
             let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": why});
             (code.http_status(), serde_json::to_vec(&value).expect("a JSON value is JSON"))
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -22,8 +22,8 @@
         let kept = Kept { records: vec![Record::View { view }] };
         let founders = (1..=3).map(Address::loopback).collect();
         let (timing, at) = (OfficeTiming::default(), 10_000);
-        let fellow = Fellow::new(voter(2), founders, timing.fellow, kept, Ledger::default(), Moment(at)).unwrap();
-        Played { office: Office::new(fellow, timing, TokenKey([3; 32]), incarnation, Moment(at)), at }
+        let replica = Replica::new(voter(2), founders, timing.replica, kept, Ledger::default(), Moment(at)).unwrap();
+        Played { office: Office::new(replica, timing, TokenKey([3; 32]), incarnation, Moment(at)), at }
     }
     fn step(&mut self, after: u64, input: OfficeInput) -> Vec<Left> {
         self.at += after;
@@ -179,10 +179,10 @@
         let voter = Voter { address: Address::loopback(1), disk: DiskId(1) };
         let view = View { epoch: ViewEpoch(1), chain: vec![Seat { voter, is_level: true }], voters: vec![voter] };
         let mut timing = OfficeTiming { quorum, ..OfficeTiming::default() };
-        timing.fellow.copies = 1;
+        timing.replica.copies = 1;
         let kept = Kept { records: vec![Record::View { view }] };
-        let fellow = Fellow::new(voter, vec![], timing.fellow, kept, Ledger::default(), Moment(10_000)).unwrap();
-        Alone { office: Office::new(fellow, timing, TokenKey([3; 32]), 0, Moment(10_000)), at: 10_000 }
+        let replica = Replica::new(voter, vec![], timing.replica, kept, Ledger::default(), Moment(10_000)).unwrap();
+        Alone { office: Office::new(replica, timing, TokenKey([3; 32]), 0, Moment(10_000)), at: 10_000 }
     }
     /// Takes an input, syncs what it writes; gives the codes that operators are told.
     fn step(&mut self, after: u64, input: OfficeInput) -> Vec<(u64, u64)> {
@@ -216,7 +216,7 @@
         self.step(5, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn epoch(&self) -> u64 {
-        self.office.fellow().charge().epoch.0
+        self.office.replica().charge().epoch.0
     }
 }
 
--- a/crates/registrar/src/shelf.rs
+++ b/crates/registrar/src/shelf.rs
@@ -111,7 +111,7 @@
     Folio::open(folder, DiskId(u128::from_be_bytes(random_bytes())))
 }
 
-/// Turns a folder's records into the fellow's; damage is a fault, never passed over.
+/// Turns a folder's records into the replica's; damage is a fault, never passed over.
 fn read_records(raw: &[Vec<u8>]) -> Result<Kept, FolioFault> {
     let read = |bytes: &Vec<u8>| {
         let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
--- a/crates/registrar/src/shelf/tests.rs
+++ b/crates/registrar/src/shelf/tests.rs
@@ -61,7 +61,7 @@
             bent[record][place % length] = byte;
         }
         if let Ok(kept) = read_records(&bent) {
-            let _ = Fellow::new(me, vec![], Timing::default(), kept, Ledger::default(), Moment(1));
+            let _ = Replica::new(me, vec![], Timing::default(), kept, Ledger::default(), Moment(1));
         }
         Ok(())
     });
--- a/crates/registrar/tests/control/mod.rs
+++ b/crates/registrar/tests/control/mod.rs
@@ -110,17 +110,17 @@
     }
     /// The machine that may answer for the core now.
     pub fn tail(&self) -> Option<usize> {
-        let may_reply = |office: &Office| office.fellow().may_reply(Moment(self.now));
+        let may_reply = |office: &Office| office.replica().may_reply(Moment(self.now));
         (0..3).find(|n| self.machines[*n].office.as_ref().is_some_and(may_reply))
     }
     /// The first of the chain, as the tail knows it.
     pub fn head(&self) -> Option<usize> {
         let office = self.machines[self.tail()?].office.as_ref()?;
-        office.fellow().view().head().map(|head| usize::from(head.address.0.port()) - 1)
+        office.replica().view().head().map(|head| usize::from(head.address.0.port()) - 1)
     }
     /// What a machine's disk came to.
     pub fn ledger(&self, machine: usize) -> Option<&Ledger> {
-        self.machines[machine].office.as_ref().map(|office| office.fellow().charge())
+        self.machines[machine].office.as_ref().map(|office| office.replica().charge())
     }
     /// What was accepted, as the tail has it.
     pub fn accepted(&self) -> Option<&Ledger> {
@@ -140,8 +140,8 @@
         let incarnation = mix((machine as u64) << 32 | m.lives) | 1;
         let me = Voter { address: address(machine), disk: m.disk };
         let kept = Kept { records: m.durable.clone() };
-        let fellow = Fellow::new(me, founders, timing.fellow, kept, Ledger::default(), now).expect("a sound disk");
-        m.office = Some(Office::new(fellow, timing, TokenKey([machine as u8; 32]), incarnation, now));
+        let replica = Replica::new(me, founders, timing.replica, kept, Ledger::default(), now).expect("a sound disk");
+        m.office = Some(Office::new(replica, timing, TokenKey([machine as u8; 32]), incarnation, now));
     }
     /// Ends it; what was not synced is lost, and so is what is on its way to it.
     pub fn kill(&mut self, machine: usize) {
--- a/crates/rehearsal/src/explorer/cluster.rs
+++ b/crates/rehearsal/src/explorer/cluster.rs
@@ -70,7 +70,7 @@
     disk: DiskId,
     stored: StoredDisk,
     unsynced: VecDeque<PendingWrite>,
-    replica: Option<Fellow<Register>>,
+    replica: Option<Replica<Register>>,
     life: u64,
     starts_at: Option<u64>,
     stops_at: Option<u64>,
@@ -210,7 +210,7 @@
             born = Moment(self.now - timing.lease.0);
         }
         let kept = Kept { records: machine.stored.records() };
-        match Fellow::new(me, known, timing, kept, Register::default(), born) {
+        match Replica::new(me, known, timing, kept, Register::default(), born) {
             Ok(replica) => machine.replica = Some(replica),
             Err(fault) => self.history.violate(format!("a disk can't be used: {fault}")),
         }
@@ -365,7 +365,7 @@
             self.machines[place].is_asked_to_leave = true;
             return self.drive(place, Input::Leave);
         }
-        let has_handed_over = machine.replica.as_ref().is_some_and(Fellow::has_handed_over);
+        let has_handed_over = machine.replica.as_ref().is_some_and(Replica::has_handed_over);
         if !has_handed_over && self.now < at + HAND_OVER {
             return;
         }
@@ -695,7 +695,7 @@
         (at.saturating_sub(self.now), packet.from, packet.to).hash(&mut hasher);
         let newest = |address: Address| {
             let machine = self.machines.iter().find(|m| m.address == address);
-            machine.and_then(|m| m.replica.as_ref()).map(Fellow::lease_round)
+            machine.and_then(|m| m.replica.as_ref()).map(Replica::lease_round)
         };
         match &packet.note {
             Note::LeaseAsk { view, round } => (1u8, view, newest(packet.from) == Some(*round)).hash(&mut hasher),
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1,6 +1,6 @@
 use crate::prelude::*;
 use circular::prelude::Letter;
-use college::prelude::{Fellow, Kept, Record, Voter};
+use college::prelude::{Kept, Record, Replica, Voter};
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use layout::prelude::{AsSent, Ledger, Motion, Proposal};
 use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
--- a/crates/rehearsal/src/world/disk_losses.rs
+++ b/crates/rehearsal/src/world/disk_losses.rs
@@ -8,7 +8,7 @@
     pub(super) fn is_core_whole(&self) -> bool {
         let now = self.now;
         let offices = self.registrars.iter().filter_map(|m| m.office.as_ref());
-        let Some(view) = offices.map(|office| office.fellow().view()).max_by_key(|view| view.epoch) else {
+        let Some(view) = offices.map(|office| office.replica().view()).max_by_key(|view| view.epoch) else {
             return false;
         };
         let is_up = |seat: &college::prelude::Seat| {
@@ -59,7 +59,7 @@
     /// only then do most voters remain.
     pub(super) fn lose_budget(&mut self, pick: u64, back: u64) {
         let offices = self.registrars.iter().filter_map(|m| m.office.as_ref());
-        let newest = offices.map(|office| office.fellow().view()).max_by_key(|view| view.epoch);
+        let newest = offices.map(|office| office.replica().view()).max_by_key(|view| view.epoch);
         let is_voter =
             |m: &&RegistrarMachine| newest.is_some_and(|v| v.has_voter(&Voter { address: m.address, disk: m.disk.id }));
         let all: Vec<usize> = (0..self.registrars.len()).filter(|place| !self.registrars[*place].is_gone).collect();
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -8,11 +8,11 @@
     pub(super) fn start_registrar(&mut self, machine: usize) {
         let founders: Vec<Address> = (0..self.registrar_count()).map(|n| Address::loopback(1001 + n as u16)).collect();
         let mut timing = OfficeTiming::default();
-        timing.fellow.suspect = self.rules.suspect.unwrap_or(timing.fellow.suspect);
+        timing.replica.suspect = self.rules.suspect.unwrap_or(timing.replica.suspect);
         timing.quorum = self.rules.quorum;
-        timing.fellow.copies = self.rules.copies;
+        timing.replica.copies = self.rules.copies;
         if self.rules.mutant == Some(Mutant::SkipFencing) {
-            timing.fellow.lease = Span(0);
+            timing.replica.lease = Span(0);
         }
         if self.rules.mutant == Some(Mutant::IgnoreLease) {
             timing.lease = Span::seconds(60);
@@ -43,8 +43,8 @@
             (false, None) => others(),
         };
         let kept = Kept { records: m.disk.durable.clone() };
-        match Fellow::new(me, known, timing.fellow, kept, empty, now) {
-            Ok(fellow) => m.office = Some(Office::new(fellow, timing, key, incarnation, now)),
+        match Replica::new(me, known, timing.replica, kept, empty, now) {
+            Ok(replica) => m.office = Some(Office::new(replica, timing, key, incarnation, now)),
             Err(fault) => self.witness.violate(self.now, format!("a disk gave back what can't be used: {fault}")),
         }
         let life = self.registrars[machine].life;
