--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -15,7 +15,7 @@
 }
 
 /// `set WORD`, `claim NAME` (won by the first while the duty is vacant), `vacate NAME`.
-impl Charge for Register {
+impl StateMachine for Register {
     fn preview(&self, body: &[u8]) -> Preview {
         match String::from_utf8_lossy(body).split_once(' ') {
             Some(("set" | "claim" | "vacate", _)) => Preview::Enter,
@@ -148,6 +148,6 @@
     println!("it comes back, and takes what it missed");
     hall.replicas[tail] = Some(hall.open(tail));
     hall.pass(Span(4_000));
-    assert_eq!(hall.replicas[tail].as_ref().map(|f| f.charge().holder.clone()), Some("ben".into()));
+    assert_eq!(hall.replicas[tail].as_ref().map(|f| f.state_machine().holder.clone()), Some("ben".into()));
     assert_eq!(hall.propose(tail, "set done"), "word done, duty held by ben");
 }
--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -9,7 +9,7 @@
 //! use college::prelude::*;
 //!
 //! struct Count(u64);
-//! impl Charge for Count {
+//! impl StateMachine for Count {
 //!     fn preview(&self, _: &[u8]) -> Preview { Preview::Enter }
 //!     fn apply(&mut self, _: &[u8]) -> Vec<u8> { self.0 += 1; vec![] }
 //!     fn snapshot(&self) -> Vec<u8> { self.0.to_be_bytes().to_vec() }
@@ -32,7 +32,7 @@
 //! ```
 //!
 //! - [`Replica`](prelude::Replica): one machine of the chain. It replicates what a
-//!   [`Charge`](prelude::Charge) keeps, answers from the tail, votes on views, and repairs those
+//!   [`StateMachine`](prelude::StateMachine) keeps, answers from the tail, votes on views, and repairs those
 //!   that are behind with a snapshot and then changes.
 //! - [`LeaseTable`](prelude::LeaseTable): who is a member, by leases renewed at the tail.
 //! - [`Standing`](prelude::Standing): whether a member may act, with its lease or, the core being
@@ -40,20 +40,20 @@
 
 #![warn(missing_docs)]
 
-mod charge;
 mod leases;
 mod notes;
 mod replica;
 mod standing;
+mod state_machine;
 mod view;
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::charge::{Charge, Preview};
     pub use crate::leases::{LeaseTable, Roster};
     pub use crate::notes::{Ballot, Change, Note, Record, Round, Ticket};
     pub use crate::replica::{Input, Kept, KeptFault, Output, Replica, ReplicaState, Timing};
     pub use crate::standing::{Standing, StandingReason};
+    pub use crate::state_machine::{Preview, StateMachine};
     pub use crate::view::{Seat, View, Voter};
     pub use parlance::prelude::*;
 }
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -40,7 +40,7 @@
         pub stamp: ViewEpoch,
         /// Who waits for it.
         pub ticket: Ticket,
-        /// What it says, for the charge alone.
+        /// What it says, for the state machine alone.
         pub body: Vec<u8>,
     }
 
@@ -196,7 +196,7 @@
             number: u64,
             /// Whether it entered the chain and is on every member's disk.
             is_replied: bool,
-            /// The charge's answer; empty when the core could not take it.
+            /// The state machine's answer; empty when the core could not take it.
             body: Vec<u8>,
         },
         /// From the head to the tail: by my state, this proposal can't be taken. Mine may be on one disk only,
@@ -249,7 +249,7 @@
             last: Seq,
             /// Its stamp.
             stamp: ViewEpoch,
-            /// The charge's state.
+            /// The state machine's state.
             body: Vec<u8>,
         },
     }
--- a/crates/college/src/replica.rs
+++ b/crates/college/src/replica.rs
@@ -35,7 +35,7 @@
     pub stall: Span,
     /// Changes that the head lets in beyond those replied to; more are turned away unchanged.
     pub ahead: u64,
-    /// Changes that the head lets in a second, for long. With what the charge remembers (4,096) it bounds from
+    /// Changes that the head lets in a second, for long. With what the state machine remembers (4,096) it bounds from
     /// below the time in which a repeat is known as one: 3,968 / 100 = 39.7 s, 9.9 times `ack_ms` of the users'
     /// small sites.
     pub changes_per_second: u64,
@@ -125,7 +125,7 @@
         number: u64,
         /// Whether the core took it up.
         is_replied: bool,
-        /// The charge's answer.
+        /// The state machine's answer.
         body: Vec<u8>,
     },
     /// At the tail: this change is on every member's disk. Whoever runs the tail gives the answer
@@ -133,7 +133,7 @@
     Settled {
         /// Who waits.
         ticket: Ticket,
-        /// The charge's answer.
+        /// The state machine's answer.
         body: Vec<u8>,
     },
     /// At the tail: this proposal can't be taken, by a state that is on every member's disk. Answered as
@@ -141,7 +141,7 @@
     Judged {
         /// Who waits.
         ticket: Ticket,
-        /// The charge's answer.
+        /// The state machine's answer.
         body: Vec<u8>,
     },
     /// The chain or the voters changed.
@@ -158,7 +158,7 @@
 /// Why what a disk gave back can't be used. Nothing of it is served.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum KeptFault {
-    /// The snapshot is not one of the charge's.
+    /// The snapshot is not one of the state machine's.
     #[error("the snapshot up to change {0} can't be read")]
     Snapshot(Seq),
     /// Changes are missing before this one.
@@ -189,7 +189,7 @@
 ///
 /// Invariants:
 /// - Nothing is promised, accepted, passed on or replied before it is synced here.
-/// - `log` is gapless and ends at `last`; `charge` is the state after `synced`, which is at most
+/// - `log` is gapless and ends at `last`; `state_machine` is the state after `synced`, which is at most
 ///   `last`.
 /// - The tail answers only while a majority of its view's voters have given their word to accept
 ///   no view with another tail.
@@ -206,7 +206,7 @@
     accepted: Option<Ballot>,
     base: (Seq, ViewEpoch),
     log: VecDeque<Change>,
-    charge: C,
+    state_machine: C,
     // What follows from it.
     last: (Seq, ViewEpoch),
     synced: (Seq, ViewEpoch),
@@ -324,8 +324,8 @@
     patience: Span,
 }
 
-impl<C: Charge> Replica<C> {
-    /// A replica at the start of its life, from what its disk holds; `empty` is the charge's first
+impl<C: StateMachine> Replica<C> {
+    /// A replica at the start of its life, from what its disk holds; `empty` is the state machine's first
     /// state. It takes part in a founding if it's told now that it is one of `founders` and its disk is empty,
     /// or if its disk says that it was told so when it was.
     pub fn new(
@@ -347,7 +347,7 @@
             accepted: None,
             base: Default::default(),
             log: VecDeque::new(),
-            charge: empty,
+            state_machine: empty,
             last: Default::default(),
             synced: Default::default(),
             replied: Seq(0),
@@ -432,14 +432,14 @@
                     self.base = (Seq(change.seq.0 - 1), ViewEpoch(u64::MAX));
                 }
                 if change.seq > self.last.0 {
-                    self.charge.apply(&change.body);
+                    self.state_machine.apply(&change.body);
                     self.last = (change.seq, change.stamp);
                 }
                 self.log_bytes += change.body.len();
                 self.log.push_back(change);
             }
             Record::Snapshot { last, stamp, body } => {
-                self.charge = C::restore(&body).ok_or(KeptFault::Snapshot(last))?;
+                self.state_machine = C::restore(&body).ok_or(KeptFault::Snapshot(last))?;
                 self.log.clear();
                 self.log_bytes = 0;
                 self.snapshot_bytes = body.len();
@@ -475,8 +475,8 @@
     }
 
     /// What is replicated. Only to be shown to others while [`Replica::may_reply`].
-    pub fn charge(&self) -> &C {
-        &self.charge
+    pub fn state_machine(&self) -> &C {
+        &self.state_machine
     }
     /// The view that it knows.
     pub fn view(&self) -> &View {
--- a/crates/college/src/replica/ballots.rs
+++ b/crates/college/src/replica/ballots.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<C: Charge> Replica<C> {
+impl<C: StateMachine> Replica<C> {
     /// Whether it votes on the first view: it was told that it is a founder when its disk was empty, and that
     /// disk is still the same.
     fn is_founder(&self) -> bool {
--- a/crates/college/src/replica/chain.rs
+++ b/crates/college/src/replica/chain.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl<C: Charge> Replica<C> {
+impl<C: StateMachine> Replica<C> {
     pub(super) fn on_propose_here(&mut self, number: u64, body: Vec<u8>) {
         let ticket = Ticket { origin: self.me.address, number };
         match self.view.head() {
@@ -22,10 +22,10 @@
         };
         let has_room = self.last.0.0 < self.replied.0 + self.timing.ahead;
         let may_enter = self.is_head() && self.is_level && self.has_copies() && has_room;
-        if !may_enter || (self.charge.needs_members(&body) && !tail_says) {
+        if !may_enter || (self.state_machine.needs_members(&body) && !tail_says) {
             return self.turn_away(ticket, false, vec![]);
         }
-        match self.charge.preview(&body) {
+        match self.state_machine.preview(&body) {
             Preview::TurnAway(_) => self.ask_for_judgement(ticket, body),
             // Not taken, so that it's tried again.
             Preview::Enter if !self.pace.take(&self.timing, self.now) => self.turn_away(ticket, false, vec![]),
@@ -52,7 +52,7 @@
         if !may_judge {
             return self.turn_away(ticket, false, vec![]);
         }
-        match self.charge.preview(&body) {
+        match self.state_machine.preview(&body) {
             Preview::TurnAway(answer) => self.outputs.push(Output::Judged { ticket, body: answer }),
             Preview::Enter => self.turn_away(ticket, false, vec![]),
         }
@@ -79,7 +79,7 @@
     }
 
     pub(super) fn on_change_synced(&mut self, change: Change) {
-        let answer = self.charge.apply(&change.body);
+        let answer = self.state_machine.apply(&change.body);
         self.synced = (change.seq, change.stamp);
         let ticket = change.ticket;
         match self.view.successor(&self.me) {
--- a/crates/college/src/replica/fingerprint.rs
+++ b/crates/college/src/replica/fingerprint.rs
@@ -7,7 +7,7 @@
 use super::*;
 use std::hash::{Hash, Hasher};
 
-impl<C: Charge> Replica<C> {
+impl<C: StateMachine> Replica<C> {
     /// Feeds the digest of the state at this moment.
     pub fn fingerprint(&self, now: Moment, hasher: &mut impl Hasher) {
         let clock = RelativeClock { now, horizon: self.horizon() };
@@ -45,7 +45,7 @@
         self.accepted.hash(hasher);
         self.base.hash(hasher);
         self.log.hash(hasher);
-        self.charge.snapshot().hash(hasher);
+        self.state_machine.snapshot().hash(hasher);
     }
 
     fn fingerprint_position(&self, now: Moment, hasher: &mut impl Hasher) {
--- a/crates/college/src/replica/leaving.rs
+++ b/crates/college/src/replica/leaving.rs
@@ -10,7 +10,7 @@
 /// A leaving member with a follower about leaves the exchange of votes to the tail for so long.
 const EXCHANGE_SPAN: Span = Span(1000);
 
-impl<C: Charge> Replica<C> {
+impl<C: StateMachine> Replica<C> {
     pub(super) fn on_leave(&mut self) {
         if self.leaving_since.is_none() {
             self.leaving_since = Some(self.now);
--- a/crates/college/src/replica/repair.rs
+++ b/crates/college/src/replica/repair.rs
@@ -16,7 +16,7 @@
 /// A snapshot that was not asked for in so many times [`Timing::suspect`] is not being fetched.
 const FETCH_RESTS: u64 = 2 * MOST_PATIENCE;
 
-impl<C: Charge> Replica<C> {
+impl<C: StateMachine> Replica<C> {
     /// One without a seat asks the tail for what it lacks.
     pub(super) fn follow(&mut self) {
         let Some(tail) = self.view.tail() else { return };
@@ -59,7 +59,7 @@
         let is_stale = self.snapshot.as_ref().is_none_or(|offered| offered.last.next() < first_kept);
         if is_stale {
             let (last, stamp) = self.synced;
-            self.snapshot = Some(Offered { last, stamp, bytes: self.charge.snapshot(), asked: self.now });
+            self.snapshot = Some(Offered { last, stamp, bytes: self.state_machine.snapshot(), asked: self.now });
         }
         if let Some(offered) = &mut self.snapshot {
             offered.asked = self.now;
@@ -177,8 +177,8 @@
         if have != length {
             return;
         }
-        if let Some(charge) = C::restore(&fetching.bytes) {
-            self.charge = charge;
+        if let Some(state_machine) = C::restore(&fetching.bytes) {
+            self.state_machine = state_machine;
             self.life += 1;
             self.is_fresh = false;
             self.base = (last, stamp);
@@ -230,7 +230,7 @@
         if let Some(newest) = self.log.drain(..first).next_back() {
             self.base = (newest.seq, newest.stamp);
         }
-        let snapshot = self.charge.snapshot();
+        let snapshot = self.state_machine.snapshot();
         self.write_whole(snapshot);
         self.snapshot = None;
     }
--- a/crates/college/src/replica/tests.rs
+++ b/crates/college/src/replica/tests.rs
@@ -4,7 +4,7 @@
 #[derive(Debug, Clone, PartialEq)]
 struct Tally(u64);
 
-impl Charge for Tally {
+impl StateMachine for Tally {
     fn preview(&self, _: &[u8]) -> Preview {
         Preview::Enter
     }
@@ -160,7 +160,7 @@
             }
         }
     }
-    assert_eq!((behind.charge(), behind.state().last), (&Tally(41), Seq(41)));
+    assert_eq!((behind.state_machine(), behind.state().last), (&Tally(41), Seq(41)));
 }
 
 #[test]
@@ -329,7 +329,7 @@
         };
         let voters = sorted(&mut tail.view().voters.iter().map(|v| v.address));
         let chain = sorted(&mut tail.view().chain.iter().map(|s| s.voter.address));
-        Some((voters, chain, tail.charge().0))
+        Some((voters, chain, tail.state_machine().0))
     }
 }
 
--- a/crates/college/src/replica/tests/pacing.rs
+++ b/crates/college/src/replica/tests/pacing.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// What the charge remembers must not be used up within a few of the users' waits for an answer.
+/// What the state machine remembers must not be used up within a few of the users' waits for an answer.
 #[test]
 fn a_head_lets_in_no_more_changes_than_its_rate_however_many_are_proposed() {
     let mut core = Core::new(3, 3, 3);
--- a/crates/college/src/replica/tests/restart.rs
+++ b/crates/college/src/replica/tests/restart.rs
@@ -22,7 +22,7 @@
     let mut records = vec![Record::View { view: view(1, &[(1, true), (2, true)]) }, snapshot(at)];
     records.extend(changes(from, to));
     let replica = replica(2, records);
-    assert_eq!((replica.charge(), replica.state().last), (&Tally(40), Seq(40)));
+    assert_eq!((replica.state_machine(), replica.state().last), (&Tally(40), Seq(40)));
 }
 
 /// A log that doesn't reach the snapshot lacks changes: nothing of it is served.
@@ -40,6 +40,6 @@
     let mut records = vec![Record::View { view: view(1, &[(1, true), (2, true)]) }, snapshot(40)];
     records.extend(changes(11, 20));
     let replica = replica(2, records);
-    assert_eq!((replica.charge(), replica.state().last), (&Tally(40), Seq(40)));
+    assert_eq!((replica.state_machine(), replica.state().last), (&Tally(40), Seq(40)));
     assert!(replica.log.back().is_none_or(|newest| newest.seq == Seq(40)), "its log ends at {:?}", replica.log.back());
 }
--- a/crates/college/src/charge.rs
+++ b/crates/college/src/state_machine.rs
@@ -12,7 +12,7 @@
 ///
 /// Invariant: `apply` depends on nothing but the state and the body, so all who applied the same
 /// bodies hold the same state, and `restore(snapshot())` is that state again.
-pub trait Charge {
+pub trait StateMachine {
     /// Looks at a body against the newest state: at the head, before it enters; and at the tail, before whoever
     /// proposed it is told that it can't.
     fn preview(&self, body: &[u8]) -> Preview;
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use college::prelude::{Charge, Preview, Roster};
+use college::prelude::{Preview, Roster, StateMachine};
 use std::collections::BTreeMap;
 
 messages! {
@@ -331,7 +331,7 @@
     }
 }
 
-impl Charge for Ledger {
+impl StateMachine for Ledger {
     fn needs_members(&self, body: &[u8]) -> bool {
         // Those that join could never do so if it took members to let them in, nor act without a key; and
         // those that are lost are forgotten just because too many are.
--- a/crates/layout/tests/history.rs
+++ b/crates/layout/tests/history.rs
@@ -1,6 +1,6 @@
 //! The bounded history: what is remembered, what is forgotten, and that nothing is applied twice.
 
-use college::prelude::{Charge, Preview};
+use college::prelude::{Preview, StateMachine};
 use layout::prelude::*;
 use yare::parameterized;
 
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -132,7 +132,7 @@
         self.replicas.iter().flatten().find(|replica| replica.may_reply(Moment(self.at)))
     }
     fn epoch(&self, n: usize) -> Epoch {
-        self.replicas[n].as_ref().map_or(Epoch(0), |replica| replica.charge().epoch)
+        self.replicas[n].as_ref().map_or(Epoch(0), |replica| replica.state_machine().epoch)
     }
     /// Whether it has a seat, by its own word and by that of the tail, and all that was told as accepted.
     fn is_level(&self, n: usize) -> bool {
@@ -337,11 +337,11 @@
     core.change(count);
     core.start(away);
     let (ms, bytes) = core.time_to_level(away, 30_000, |_| {});
-    let tail = core.tail().expect("a tail").charge();
+    let tail = core.tail().expect("a tail").state_machine();
     let (snapshot, kept) = (tail.snapshot().len(), core.disks[away].records.len());
     println!("{count} changes, machine {away} away: level in {ms} ms, {bytes} bytes, state {snapshot}, {kept} records");
     assert!(ms <= 3000, "{ms} ms");
-    assert_eq!(core.replicas[away].as_ref().map(|replica| replica.charge()), Some(tail));
+    assert_eq!(core.replicas[away].as_ref().map(|replica| replica.state_machine()), Some(tail));
 }
 
 #[test]
--- a/crates/layout/tests/revisions.rs
+++ b/crates/layout/tests/revisions.rs
@@ -1,4 +1,4 @@
-use college::prelude::{Charge, Preview};
+use college::prelude::{Preview, StateMachine};
 use layout::prelude::*;
 
 fn plan_bytes(revision: u64, slots: u64) -> Vec<u8> {
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -246,7 +246,7 @@
         let timing = self.timing;
         match Replica::new(me, known, timing.replica, kept, Ledger::default(), now) {
             Ok(replica) => {
-                tracing::info!("registrar: disk {disk} holds epoch {}.", replica.charge().epoch);
+                tracing::info!("registrar: disk {disk} holds epoch {}.", replica.state_machine().epoch);
                 self.life = life;
                 self.shelf.begin(life);
                 self.fault = None;
@@ -286,7 +286,7 @@
                 }
             }
         }
-        let ledger = office.replica().charge();
+        let ledger = office.replica().state_machine();
         self.tallies.epoch.store(ledger.epoch.0, Ordering::Relaxed);
         self.tallies.members.store(ledger.roster.members.len() as u64, Ordering::Relaxed);
         let view = office.replica().view();
@@ -300,7 +300,7 @@
             return serde_json::json!({"inner": self.inner, "fault": self.fault});
         };
         let state = office.replica().state();
-        let ledger = office.replica().charge();
+        let ledger = office.replica().state_machine();
         serde_json::json!({
             "inner": self.inner,
             "disk": state.me.disk.to_string(),
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -294,11 +294,11 @@
                     self.outputs.push(OfficeOutput::Write { id, records, is_whole });
                 }
                 Output::Reply { number, is_replied, body } => self.on_reply(number, is_replied, body),
-                Output::Judged { ticket, body } if self.is_firm(self.replica.charge().epoch) => {
+                Output::Judged { ticket, body } if self.is_firm(self.replica.state_machine().epoch) => {
                     self.answer(ticket, body);
                 }
                 Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                    let epoch = self.replica.charge().epoch;
+                    let epoch = self.replica.state_machine().epoch;
                     let due = self.now + self.timing.fate_due;
                     self.settled.push_back(Settled { epoch, ticket, body, due });
                 }
@@ -365,7 +365,7 @@
         }
         self.seen.insert(from, self.now);
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
-        let is_member = self.replica.charge().roster.members.contains(&from);
+        let is_member = self.replica.state_machine().roster.members.contains(&from);
         if is_member {
             self.give_lease(from, &poll);
         } else {
@@ -375,11 +375,11 @@
 
     /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
     fn give_lease(&mut self, to: Address, poll: &Poll) {
-        let newest = self.replica.charge().epoch;
+        let newest = self.replica.state_machine().epoch;
         let due = self.now + self.timing.lease;
         self.leases.renew(to, poll.epoch.min(newest), due);
         self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), due });
-        let ledger = self.replica.charge();
+        let ledger = self.replica.state_machine();
         let view = self.replica.view().epoch;
         let reply = PollReply::Lease {
             span: self.timing.lease,
@@ -394,7 +394,7 @@
 
     /// For one that has this epoch.
     fn news(&self, has: Epoch) -> News {
-        let ledger = self.replica.charge();
+        let ledger = self.replica.state_machine();
         let members_since = ledger.roster.since;
         let member = |(address, hall): &(Address, HallName)| Member { address: *address, hall: hall.clone() };
         News {
@@ -412,7 +412,7 @@
 
     /// Tells news to members that polled lately, and answers settled changes that most members know.
     fn release(&mut self) {
-        let (epoch, now) = (self.replica.charge().epoch, self.now);
+        let (epoch, now) = (self.replica.state_machine().epoch, self.now);
         let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.due;
         if self.subscribers.values().any(is_behind) && self.may_reply() {
             let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
@@ -453,7 +453,7 @@
 
     /// Whether as many know this epoch as must.
     fn is_known(&self, epoch: Epoch) -> bool {
-        let roster = &self.replica.charge().roster;
+        let roster = &self.replica.state_machine().roster;
         match self.timing.quorum {
             Quorum::Majority => self.leases.is_known_to_most(roster, epoch),
             // A new tail doesn't know what leases the last one gave: they must have run out.
@@ -473,7 +473,7 @@
 
     /// Whether enough of those before the last change of the roster know the roster now.
     fn is_roster_settled(&self) -> bool {
-        let roster = &self.replica.charge().roster;
+        let roster = &self.replica.state_machine().roster;
         match self.timing.quorum {
             Quorum::Majority => self.leases.is_roster_settled(roster),
             Quorum::Holders => self.is_known(roster.since),
@@ -481,7 +481,7 @@
     }
 
     fn has_quorum(&self) -> bool {
-        let roster = &self.replica.charge().roster;
+        let roster = &self.replica.state_machine().roster;
         let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(roster, self.now);
         self.may_reply() && has_members
     }
@@ -491,7 +491,7 @@
         self.replica.set_has_members(has_majority);
         self.replies_since = if self.may_reply() { self.replies_since.or(Some(self.now)) } else { None };
         if self.may_reply() {
-            if self.replica.charge().key.is_none() && self.now >= self.key_due {
+            if self.replica.state_machine().key.is_none() && self.now >= self.key_due {
                 self.key_due = self.now + Span(400);
                 self.propose_inner(Motion::Key { key: self.key });
             }
@@ -516,7 +516,7 @@
 
     /// Lets those in that asked, a change of the roster at a time.
     fn admit(&mut self) {
-        let roster = &self.replica.charge().roster;
+        let roster = &self.replica.state_machine().roster;
         let members = &roster.members;
         let joined: Vec<Address> = self.joining.keys().filter(|one| members.contains(one)).copied().collect();
         for address in joined {
@@ -534,7 +534,7 @@
 
     /// Once more than half of the elder know the roster, they are needed for no majority any more.
     fn settle(&mut self) {
-        let roster = &self.replica.charge().roster;
+        let roster = &self.replica.state_machine().roster;
         if roster.elder == roster.members || self.now < self.settle_due || !self.is_roster_settled() {
             return;
         }
@@ -552,7 +552,7 @@
         let is_gone = |member: &&Address| {
             self.seen.get(*member).is_none_or(|seen| self.now.since(*seen) >= self.timing.retire_after)
         };
-        let gone: Vec<Address> = self.replica.charge().roster.members.iter().filter(is_gone).copied().collect();
+        let gone: Vec<Address> = self.replica.state_machine().roster.members.iter().filter(is_gone).copied().collect();
         if !gone.is_empty() {
             self.propose_inner(Motion::Retire { members: gone });
         }
@@ -565,7 +565,7 @@
     }
 
     fn on_plan_ask(&mut self, from: Address, epoch: Epoch, offset: u64, have: Epoch) {
-        let ledger = self.replica.charge();
+        let ledger = self.replica.state_machine();
         if let Some((base, splice)) = &ledger.newest
             && (epoch, have, offset) == (ledger.plan_epoch, *base, 0)
             && splice.inserted.len() <= SPLICE_MOST
@@ -616,7 +616,8 @@
                 waiting.next_try = Some(retry_at);
                 let reading = reading.clone();
                 // A change's base may be read here: the head judges whether it's the newest.
-                let is_base = matches!(reading, Reading::Base { at_least } if self.replica.charge().epoch >= at_least);
+                let is_base =
+                    matches!(reading, Reading::Base { at_least } if self.replica.state_machine().epoch >= at_least);
                 let is_known_here = || {
                     let state = self.replica.state();
                     state.is_sound && state.view.seats(&state.me)
@@ -727,7 +728,7 @@
 
     /// What the ledger says, as status and body.
     fn read(&self, reading: &Reading) -> (u16, Vec<u8>) {
-        let ledger = self.replica.charge();
+        let ledger = self.replica.state_machine();
         let missing = |code: ResultCode, why: String| {
             let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": why});
             (code.http_status(), serde_json::to_vec(&value).expect("a JSON value is JSON"))
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -216,7 +216,7 @@
         self.step(5, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn epoch(&self) -> u64 {
-        self.office.replica().charge().epoch.0
+        self.office.replica().state_machine().epoch.0
     }
 }
 
--- a/crates/registrar/tests/control/mod.rs
+++ b/crates/registrar/tests/control/mod.rs
@@ -120,7 +120,7 @@
     }
     /// What a machine's disk came to.
     pub fn ledger(&self, machine: usize) -> Option<&Ledger> {
-        self.machines[machine].office.as_ref().map(|office| office.replica().charge())
+        self.machines[machine].office.as_ref().map(|office| office.replica().state_machine())
     }
     /// What was accepted, as the tail has it.
     pub fn accepted(&self) -> Option<&Ledger> {
--- a/crates/rehearsal/src/explorer/cluster.rs
+++ b/crates/rehearsal/src/explorer/cluster.rs
@@ -614,7 +614,7 @@
         let checks_refusals = self.rules.checks_refusals;
         for machine in &self.machines {
             let Some(replica) = machine.replica.as_ref().filter(|replica| replica.may_reply(now)) else { continue };
-            self.history.on_readable(&replica.charge().taken, checks_refusals);
+            self.history.on_readable(&replica.state_machine().taken, checks_refusals);
         }
     }
 
--- a/crates/rehearsal/src/explorer/register.rs
+++ b/crates/rehearsal/src/explorer/register.rs
@@ -41,7 +41,7 @@
     }
 }
 
-impl Charge for Register {
+impl StateMachine for Register {
     fn preview(&self, body: &[u8]) -> Preview {
         match Command::decode(body) {
             Some(command) if self.taken.contains(&command.id) || self.fits(command) => Preview::Enter,
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -435,7 +435,7 @@
             .position(|m| m.office.as_ref().is_some_and(|office| office.replica().may_reply(Moment(now + m.offset))));
         self.history.judge().into_iter().for_each(|what| self.witness.violate(now, what));
         self.witness.calls = self.history.lines();
-        let ledger = tail.and_then(|place| self.registrars[place].office.as_ref()).map(|o| o.replica().charge());
+        let ledger = tail.and_then(|place| self.registrars[place].office.as_ref()).map(|o| o.replica().state_machine());
         self.witness.conclude(now, ledger);
         if let Some(view) = self.witness.decided.values().next_back() {
             let (seated, wanted) = (view.chain.len(), self.registrar_count());
--- a/crates/rehearsal/src/world/door.rs
+++ b/crates/rehearsal/src/world/door.rs
@@ -69,7 +69,7 @@
     /// For the mutant: the plan as this registrar has it.
     fn read_here(&mut self, machine: usize, call: u64) {
         let office = self.registrars[machine].office.as_ref();
-        let plan = office.map(|office| office.replica().charge().plan.clone()).unwrap_or_default();
+        let plan = office.map(|office| office.replica().state_machine().plan.clone()).unwrap_or_default();
         self.on_operator_reply(call, if plan.is_empty() { 404 } else { 200 }, &plan);
     }
 
