--- a/crates/layout/src/history.rs
+++ b/crates/layout/src/history.rs
@@ -15,7 +15,7 @@
     /// What is kept of an accepted change: enough to tell a repeat from another change under its id. The
     /// bytes of plans and changes are in [`History`], as long as there is room.
     #[derive(Eq)]
-    pub enum KeptMotion {
+    pub enum KeptCommand {
         /// A whole plan.
         Plan {
             /// Of its bytes.
@@ -43,7 +43,7 @@
         },
     }
 
-    /// A motion of an operator that was accepted.
+    /// A command of an operator that was accepted.
     #[derive(Eq)]
     pub struct Entry {
         /// As this epoch.
@@ -55,7 +55,7 @@
         /// By the operators' own count, the number that it built on, if it is a plan or a change.
         pub base_revision: Option<u64>,
         /// What.
-        pub motion: KeptMotion,
+        pub command: KeptCommand,
     }
 
     /// What leads from a plan back to the one before.
@@ -111,7 +111,7 @@
     }
 }
 
-/// An accepted motion as its operator sent it.
+/// An accepted command as its operator sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AsSent {
     /// A plan or a change, byte for byte.
@@ -146,16 +146,18 @@
     TooOldToKnow,
 }
 
-impl KeptMotion {
-    /// What is kept of an operator's motion; `None` of one that is not an operator's.
-    pub(crate) fn of(motion: &Motion) -> Option<KeptMotion> {
-        Some(match motion {
-            Motion::Plan { bytes, .. } => KeptMotion::Plan { hash: *blake3::hash(bytes).as_bytes() },
-            Motion::Change { bytes, .. } => KeptMotion::Change { hash: *blake3::hash(bytes).as_bytes() },
-            Motion::Withdraw { hall } => KeptMotion::Withdraw { hall: hall.clone() },
-            Motion::Restore { hall } => KeptMotion::Restore { hall: hall.clone() },
-            Motion::Forget { members } => KeptMotion::Forget { members: members.clone() },
-            Motion::Join { .. } | Motion::Retire { .. } | Motion::Settle { .. } | Motion::Key { .. } => return None,
+impl KeptCommand {
+    /// What is kept of an operator's command; `None` of one that is not an operator's.
+    pub(crate) fn of(command: &Command) -> Option<KeptCommand> {
+        Some(match command {
+            Command::Plan { bytes, .. } => KeptCommand::Plan { hash: *blake3::hash(bytes).as_bytes() },
+            Command::Change { bytes, .. } => KeptCommand::Change { hash: *blake3::hash(bytes).as_bytes() },
+            Command::Withdraw { hall } => KeptCommand::Withdraw { hall: hall.clone() },
+            Command::Restore { hall } => KeptCommand::Restore { hall: hall.clone() },
+            Command::Forget { members } => KeptCommand::Forget { members: members.clone() },
+            Command::Join { .. } | Command::Retire { .. } | Command::Settle { .. } | Command::Key { .. } => {
+                return None;
+            }
         })
     }
 }
@@ -163,15 +165,15 @@
 impl Entry {
     /// Whether a proposal says the same. A change merged anew may come to another whole.
     pub(crate) fn is_repeated_by(&self, other: &Proposal) -> bool {
-        let is_same_motion = KeptMotion::of(&other.motion).is_some_and(|motion| motion == self.motion);
-        is_same_motion && self.id == other.id && self.builds_on == other.builds_on
+        let is_same_command = KeptCommand::of(&other.command).is_some_and(|command| command == self.command);
+        is_same_command && self.id == other.id && self.builds_on == other.builds_on
     }
 }
 
-/// By the operators' own count, the number that a motion builds on.
-fn base_revision(motion: &Motion) -> Option<u64> {
-    match motion {
-        Motion::Plan { revisions, .. } | Motion::Change { revisions, .. } => {
+/// By the operators' own count, the number that a command builds on.
+fn base_revision(command: &Command) -> Option<u64> {
+    match command {
+        Command::Plan { revisions, .. } | Command::Change { revisions, .. } => {
             (revisions.own > 0).then_some(revisions.base)
         }
         _ => None,
@@ -227,7 +229,7 @@
         if self.forgotten.epoch == Epoch(0) {
             return false;
         }
-        match (base_revision(&proposal.motion), proposal.builds_on) {
+        match (base_revision(&proposal.command), proposal.builds_on) {
             (Some(base), _) => self.forgotten.base_revision.is_some_and(|forgotten| base <= forgotten),
             (None, Some(builds_on)) => builds_on < self.forgotten.epoch,
             (None, None) => false,
@@ -240,12 +242,12 @@
             let is_forgotten = epoch > Epoch(0) && epoch <= self.forgotten.epoch;
             return Err(if is_forgotten { NotKept::NoLonger } else { NotKept::Never });
         };
-        match &entry.motion {
-            KeptMotion::Plan { hash } => self.plan_as_sent(epoch, plan, hash),
-            KeptMotion::Change { .. } => self.change_as_sent(epoch),
-            KeptMotion::Withdraw { hall } => Ok(AsSent::Withdraw(hall.clone())),
-            KeptMotion::Restore { hall } => Ok(AsSent::Restore(hall.clone())),
-            KeptMotion::Forget { members } => Ok(AsSent::Forget(members.clone())),
+        match &entry.command {
+            KeptCommand::Plan { hash } => self.plan_as_sent(epoch, plan, hash),
+            KeptCommand::Change { .. } => self.change_as_sent(epoch),
+            KeptCommand::Withdraw { hall } => Ok(AsSent::Withdraw(hall.clone())),
+            KeptCommand::Restore { hall } => Ok(AsSent::Restore(hall.clone())),
+            KeptCommand::Forget { members } => Ok(AsSent::Forget(members.clone())),
         }
     }
 
@@ -269,13 +271,13 @@
 
     /// Takes an accepted proposal in, and forgets what is beyond the bounds.
     pub(crate) fn remember(&mut self, epoch: Epoch, proposal: Proposal) {
-        if let Some(motion) = KeptMotion::of(&proposal.motion) {
-            let base_revision = base_revision(&proposal.motion);
+        if let Some(command) = KeptCommand::of(&proposal.command) {
+            let base_revision = base_revision(&proposal.command);
             self.ids.insert(proposal.id.clone(), epoch);
             let (id, builds_on) = (proposal.id, proposal.builds_on);
-            self.entries.push_back(Entry { epoch, id, builds_on, base_revision, motion });
+            self.entries.push_back(Entry { epoch, id, builds_on, base_revision, command });
         }
-        if let Motion::Change { bytes, .. } = proposal.motion {
+        if let Command::Change { bytes, .. } = proposal.command {
             self.changes.push_back(SentChange { epoch, bytes });
         }
         self.forget_oldest_entries();
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -15,7 +15,7 @@
 
     /// What is to change.
     #[derive(Eq)]
-    pub enum Motion {
+    pub enum Command {
         /// A whole plan.
         Plan {
             /// As sent.
@@ -48,12 +48,12 @@
             /// The zone.
             hall: HallName,
         },
-        /// Nodes become members. Not an operator's motion.
+        /// Nodes become members. Not an operator's command.
         Join {
             /// Who, with their zones.
             members: Vec<(Address, HallName)>,
         },
-        /// Members that are long gone are no members any more. Not an operator's motion.
+        /// Members that are long gone are no members any more. Not an operator's command.
         Retire {
             /// Who.
             members: Vec<Address>,
@@ -65,19 +65,19 @@
             members: Vec<Address>,
         },
         /// More than half of the elder know the roster of this epoch: majorities need them no more. Not an
-        /// operator's motion.
+        /// operator's command.
         Settle {
             /// When the roster became what it is.
             since: Epoch,
         },
-        /// What tokens are checked with. Not an operator's motion; the first one stays.
+        /// What tokens are checked with. Not an operator's command; the first one stays.
         Key {
             /// Drawn at random.
             key: TokenKey,
         },
     }
 
-    /// A motion with its proposer's id for it and the epoch that it builds on.
+    /// A command with its proposer's id for it and the epoch that it builds on.
     #[derive(Eq)]
     pub struct Proposal {
         /// Chosen by the proposer; a repeat has the same one.
@@ -88,15 +88,15 @@
         /// was overtaken since is not applied. 0: nothing was read.
         pub seen: Epoch,
         /// What.
-        pub motion: Motion,
+        pub command: Command,
     }
 
     /// All that was accepted, and what is in force.
     ///
-    /// Plans are read and checked where they come in, before they are proposed ([`Motion::plan`],
-    /// [`Motion::change`]): a plan of tens of megabytes must not hold a control thread up.
+    /// Plans are read and checked where they come in, before they are proposed ([`Command::plan`],
+    /// [`Command::change`]): a plan of tens of megabytes must not hold a control thread up.
     ///
-    /// Invariants: `epoch` grows by one with each accepted motion. `plan` is what `plan_epoch` made
+    /// Invariants: `epoch` grows by one with each accepted command. `plan` is what `plan_epoch` made
     /// of it, whole. What was accepted before is in `history` for a bounded span; what is forgotten there
     /// is never applied again ([`History`]).
     #[derive(Default)]
@@ -131,12 +131,12 @@
 
 /// What the ledger says to a proposal.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
-pub struct Verdict {
+pub struct CommandOutcome {
     /// The numbered code.
     pub code: u16,
     /// Its word.
     pub result: &'static str,
-    /// The epoch that the motion became, if accepted; else the newest.
+    /// The epoch that the command became, if accepted; else the newest.
     pub epoch: Epoch,
     /// The epoch of the plan in force, which a plan must build on.
     pub plan_epoch: Epoch,
@@ -147,19 +147,19 @@
     pub faults: Vec<Fault>,
 }
 
-impl Verdict {
-    /// Whether the motion is in the ledger.
+impl CommandOutcome {
+    /// Whether the command is in the ledger.
     pub fn is_accepted(&self) -> bool {
         self.code == ResultCode::Accepted.number()
     }
     /// As the bytes that go back to the proposer.
     pub fn to_bytes(&self) -> Vec<u8> {
-        serde_json::to_vec(self).expect("a verdict is JSON")
+        serde_json::to_vec(self).expect("an outcome is JSON")
     }
 }
 
 impl Ledger {
-    /// The accepted motion of an operator with this id, if it's remembered.
+    /// The accepted command of an operator with this id, if it's remembered.
     pub fn entry_by_id(&self, id: &str) -> Option<&Entry> {
         self.history.entry_by_id(id)
     }
@@ -189,48 +189,48 @@
         halls
     }
 
-    fn verdict(&self, code: ResultCode, epoch: Epoch, why: impl Into<String>, faults: Vec<Fault>) -> Verdict {
+    fn outcome(&self, code: ResultCode, epoch: Epoch, why: impl Into<String>, faults: Vec<Fault>) -> CommandOutcome {
         let (result, plan_epoch) = (code.word(), self.plan_epoch);
-        Verdict { code: code.number(), result, epoch, plan_epoch, why: why.into(), faults }
+        CommandOutcome { code: code.number(), result, epoch, plan_epoch, why: why.into(), faults }
     }
 
     /// What a proposal would come to.
-    fn judge(&self, proposal: &Proposal) -> Result<(), Verdict> {
+    fn judge(&self, proposal: &Proposal) -> Result<(), CommandOutcome> {
         if let Some(entry) = self.entry_by_id(&proposal.id) {
             return Err(if entry.is_repeated_by(proposal) {
                 let why = "it was accepted before; it is not applied twice";
-                self.verdict(ResultCode::Accepted, entry.epoch, why, vec![])
+                self.outcome(ResultCode::Accepted, entry.epoch, why, vec![])
             } else {
                 let why = format!("epoch {} has this id", entry.epoch);
-                self.verdict(ResultCode::IdReused, self.epoch, why, vec![])
+                self.outcome(ResultCode::IdReused, self.epoch, why, vec![])
             });
         }
         // What may have been accepted and forgotten is neither applied nor called refused.
         let may_be_forgotten = self.history.may_have_forgotten(proposal);
-        if may_be_forgotten && !proposal.motion.is_plan() {
+        if may_be_forgotten && !proposal.command.is_plan() {
             return Err(self.too_old());
         }
-        self.judge_new(proposal).map_err(|verdict| {
-            let is_conflict = verdict.code == ResultCode::Conflict.number();
-            if may_be_forgotten && is_conflict { self.too_old() } else { verdict }
+        self.judge_new(proposal).map_err(|outcome| {
+            let is_conflict = outcome.code == ResultCode::Conflict.number();
+            if may_be_forgotten && is_conflict { self.too_old() } else { outcome }
         })
     }
 
-    fn too_old(&self) -> Verdict {
+    fn too_old(&self) -> CommandOutcome {
         let why = format!("it builds on what came before epoch {}; nothing changed now", self.history.forgotten.epoch);
-        self.verdict(ResultCode::TooOldToKnow, self.epoch, why, vec![])
+        self.outcome(ResultCode::TooOldToKnow, self.epoch, why, vec![])
     }
 
     /// What a proposal would come to that has not been accepted before.
-    fn judge_new(&self, proposal: &Proposal) -> Result<(), Verdict> {
+    fn judge_new(&self, proposal: &Proposal) -> Result<(), CommandOutcome> {
         let builds_on = |is_needed: bool| match proposal.builds_on {
             Some(epoch) if epoch > self.epoch => Err(self.not_yet(&format!("epoch {epoch}"))),
             Some(epoch) if epoch < self.plan_epoch => {
                 let why = format!("it builds on epoch {epoch}, the plan in force is of epoch {}", self.plan_epoch);
-                Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]))
+                Err(self.outcome(ResultCode::Conflict, self.epoch, why, vec![]))
             }
             None if is_needed => {
-                Err(self.verdict(ResultCode::BadPlan, self.epoch, "the epoch that it builds on is missing", vec![]))
+                Err(self.outcome(ResultCode::BadPlan, self.epoch, "the epoch that it builds on is missing", vec![]))
             }
             _ => Ok(()),
         };
@@ -245,77 +245,77 @@
             }
             if base < newest {
                 let why = format!("it builds on revision {base}, the plan in force is revision {newest}");
-                return Err(self.verdict(ResultCode::Conflict, self.epoch, why, vec![]));
+                return Err(self.outcome(ResultCode::Conflict, self.epoch, why, vec![]));
             }
             if own <= newest {
                 let why = format!("revision {own} is not above {newest}");
-                return Err(self.verdict(ResultCode::BadPlan, self.epoch, why, vec![]));
+                return Err(self.outcome(ResultCode::BadPlan, self.epoch, why, vec![]));
             }
             Ok(())
         };
-        match &proposal.motion {
-            Motion::Plan { revisions, .. } => follows(revisions),
-            Motion::Change { base, splice, revisions, .. } => {
+        match &proposal.command {
+            Command::Plan { revisions, .. } => follows(revisions),
+            Command::Change { base, splice, revisions, .. } => {
                 follows(revisions)?;
                 if *base != self.plan_epoch {
                     // Merged anew, the same change may well be taken: no conflict of its operator's.
                     let why =
                         format!("it was merged into epoch {base}, the plan in force is of epoch {}", self.plan_epoch);
-                    return Err(self.verdict(ResultCode::CoreNotReady, self.epoch, why, vec![]));
+                    return Err(self.outcome(ResultCode::CoreNotReady, self.epoch, why, vec![]));
                 }
                 if !splice.fits(&self.plan) {
                     let why = "the change is not one of the plan in force";
-                    return Err(self.verdict(ResultCode::BadLetter, self.epoch, why, vec![]));
+                    return Err(self.outcome(ResultCode::BadLetter, self.epoch, why, vec![]));
                 }
                 Ok(())
             }
-            Motion::Withdraw { hall } | Motion::Restore { hall } => {
+            Command::Withdraw { hall } | Command::Restore { hall } => {
                 builds_on(false)?;
                 if !self.halls().contains_key(hall) && !self.withdrawn.contains(hall) {
                     let known: Vec<String> = self.halls().into_keys().map(|hall| hall.0).collect();
                     let why = format!("no member or plan names zone `{hall}`; known: {}", known.join(", "));
-                    return Err(self.verdict(ResultCode::UnknownHall, self.epoch, why, vec![]));
+                    return Err(self.outcome(ResultCode::UnknownHall, self.epoch, why, vec![]));
                 }
                 self.judge_order_of_arrival(proposal, hall)
             }
-            Motion::Forget { members } => {
+            Command::Forget { members } => {
                 let is_member = |member: &Address| self.roster.members.contains(member);
                 match members.iter().find(|member| !is_member(member)) {
                     Some(unknown) => {
                         let why = format!("{unknown} is not a member; `latest` shows who is");
-                        Err(self.verdict(ResultCode::UnknownMember, self.epoch, why, vec![]))
+                        Err(self.outcome(ResultCode::UnknownMember, self.epoch, why, vec![]))
                     }
                     None => Ok(()),
                 }
             }
-            Motion::Settle { since } if *since != self.roster.since => {
-                Err(self.verdict(ResultCode::Conflict, self.epoch, "the roster has changed since", vec![]))
+            Command::Settle { since } if *since != self.roster.since => {
+                Err(self.outcome(ResultCode::Conflict, self.epoch, "the roster has changed since", vec![]))
             }
-            Motion::Key { .. } if self.key.is_some() => {
-                Err(self.verdict(ResultCode::Conflict, self.epoch, "there is a key already", vec![]))
+            Command::Key { .. } if self.key.is_some() => {
+                Err(self.outcome(ResultCode::Conflict, self.epoch, "there is a key already", vec![]))
             }
-            Motion::Join { .. } | Motion::Retire { .. } | Motion::Settle { .. } | Motion::Key { .. } => Ok(()),
+            Command::Join { .. } | Command::Retire { .. } | Command::Settle { .. } | Command::Key { .. } => Ok(()),
         }
     }
 
     /// Refuses an evacuation, or its end, that would undo a newer one of the same zone. One that the zone's
     /// state agrees with undoes nothing.
-    fn judge_order_of_arrival(&self, proposal: &Proposal, zone: &HallName) -> Result<(), Verdict> {
-        let is_wanted = matches!(proposal.motion, Motion::Withdraw { .. });
+    fn judge_order_of_arrival(&self, proposal: &Proposal, zone: &HallName) -> Result<(), CommandOutcome> {
+        let is_wanted = matches!(proposal.command, Command::Withdraw { .. });
         let is_so = self.withdrawn.contains(zone) == is_wanted;
         match self.zone_changes.iter().find(|(changed, _)| changed == zone) {
             Some((_, newest)) if proposal.seen < *newest && !is_so => {
                 let why = format!("zone `{zone}` was changed as epoch {newest}, after this request came in");
-                Err(self.verdict(ResultCode::Overtaken, self.epoch, why, vec![]))
+                Err(self.outcome(ResultCode::Overtaken, self.epoch, why, vec![]))
             }
             _ => Ok(()),
         }
     }
 
     /// About what is ahead of all that was accepted: it may be accepted yet, so this is no final word.
-    fn not_yet(&self, what: &str) -> Verdict {
+    fn not_yet(&self, what: &str) -> CommandOutcome {
         let why = format!("it builds on {what}, which is not accepted so far");
-        self.verdict(ResultCode::CoreNotReady, self.epoch, why, vec![])
+        self.outcome(ResultCode::CoreNotReady, self.epoch, why, vec![])
     }
 
     fn note_zone_change(&mut self, zone: &HallName) {
@@ -336,73 +336,73 @@
         // Those that join could never do so if it took members to let them in, nor act without a key; and
         // those that are lost are forgotten just because too many are.
         let is_free =
-            |motion: &Motion| matches!(motion, Motion::Join { .. } | Motion::Key { .. } | Motion::Forget { .. });
-        !read(body).is_some_and(|proposal| is_free(&proposal.motion))
+            |command: &Command| matches!(command, Command::Join { .. } | Command::Key { .. } | Command::Forget { .. });
+        !read(body).is_some_and(|proposal| is_free(&proposal.command))
     }
 
     fn preview(&self, body: &[u8]) -> Preview {
         let Some(proposal) = read(body) else {
-            let verdict = self.verdict(ResultCode::BadLetter, self.epoch, "not a proposal", vec![]);
-            return Preview::TurnAway(verdict.to_bytes());
+            let outcome = self.outcome(ResultCode::BadLetter, self.epoch, "not a proposal", vec![]);
+            return Preview::TurnAway(outcome.to_bytes());
         };
         match self.judge(&proposal) {
             // A repeat goes down the chain once more, so that its answer, too, is the tail's.
-            Err(verdict) if !verdict.is_accepted() => Preview::TurnAway(verdict.to_bytes()),
+            Err(outcome) if !outcome.is_accepted() => Preview::TurnAway(outcome.to_bytes()),
             _ => Preview::Enter,
         }
     }
 
     fn apply(&mut self, body: &[u8]) -> Vec<u8> {
         let Some(proposal) = read(body) else { return vec![] };
-        if let Err(verdict) = self.judge(&proposal) {
-            return verdict.to_bytes();
+        if let Err(outcome) = self.judge(&proposal) {
+            return outcome.to_bytes();
         }
         self.epoch = self.epoch.next();
-        match &proposal.motion {
-            Motion::Plan { bytes, halls, revisions } => {
+        match &proposal.command {
+            Command::Plan { bytes, halls, revisions } => {
                 let splice = Splice::between(&self.plan, bytes);
                 self.set_plan(bytes.clone(), splice, halls, *revisions);
             }
-            Motion::Change { splice, halls, revisions, .. } => {
+            Command::Change { splice, halls, revisions, .. } => {
                 let plan = splice.apply(&self.plan).expect("it was judged to fit");
                 self.set_plan(plan, splice.clone(), halls, *revisions);
             }
-            Motion::Withdraw { hall } => {
+            Command::Withdraw { hall } => {
                 self.note_zone_change(hall);
                 if !self.withdrawn.contains(hall) {
                     self.withdrawn.push(hall.clone());
                     self.withdrawn.sort();
                 }
             }
-            Motion::Restore { hall } => {
+            Command::Restore { hall } => {
                 self.note_zone_change(hall);
                 self.withdrawn.retain(|withdrawn| withdrawn != hall);
             }
-            Motion::Join { members } => {
+            Command::Join { members } => {
                 let mut halls = self.member_halls.clone();
                 halls.retain(|(address, _)| members.iter().all(|(joining, _)| joining != address));
                 halls.extend(members.iter().cloned());
                 halls.sort();
                 self.set_members(halls);
             }
-            Motion::Retire { members } => {
+            Command::Retire { members } => {
                 let mut halls = self.member_halls.clone();
                 halls.retain(|(address, _)| !members.contains(address));
                 self.set_members(halls);
             }
-            Motion::Forget { members } => {
+            Command::Forget { members } => {
                 let mut halls = self.member_halls.clone();
                 halls.retain(|(address, _)| !members.contains(address));
                 self.set_members(halls);
                 // The dead can't act, so that majorities are those of the living (docs/isolation.md).
                 self.roster.elder.clone_from(&self.roster.members);
             }
-            Motion::Settle { .. } => self.roster.elder.clone_from(&self.roster.members),
-            Motion::Key { key } => self.key = Some(*key),
+            Command::Settle { .. } => self.roster.elder.clone_from(&self.roster.members),
+            Command::Key { key } => self.key = Some(*key),
         }
-        let verdict = self.verdict(ResultCode::Accepted, self.epoch, "", vec![]);
+        let outcome = self.outcome(ResultCode::Accepted, self.epoch, "", vec![]);
         self.history.remember(self.epoch, proposal);
-        verdict.to_bytes()
+        outcome.to_bytes()
     }
 
     fn snapshot(&self) -> Vec<u8> {
@@ -430,22 +430,22 @@
     }
 }
 
-impl Motion {
+impl Command {
     /// Whether it evacuates a zone or ends that.
     pub fn is_of_a_zone(&self) -> bool {
-        matches!(self, Motion::Withdraw { .. } | Motion::Restore { .. })
+        matches!(self, Command::Withdraw { .. } | Command::Restore { .. })
     }
     /// Whether it makes a new plan.
     fn is_plan(&self) -> bool {
-        matches!(self, Motion::Plan { .. } | Motion::Change { .. })
+        matches!(self, Command::Plan { .. } | Command::Change { .. })
     }
     /// A whole plan in the product's own words, if it has no faults.
-    pub fn plan(bytes: Vec<u8>) -> Result<Motion, Vec<Fault>> {
+    pub fn plan(bytes: Vec<u8>) -> Result<Command, Vec<Fault>> {
         Self::plan_in(&OwnPlans, bytes, None)
     }
     /// A change in the product's own words, to the plan that was accepted as `base`, if what comes of it
     /// has no faults.
-    pub fn change(bytes: Vec<u8>, base: Epoch, plan: &[u8]) -> Result<Motion, Vec<Fault>> {
+    pub fn change(bytes: Vec<u8>, base: Epoch, plan: &[u8]) -> Result<Command, Vec<Fault>> {
         Self::change_in(&OwnPlans, bytes, base, plan, None)
     }
     /// A whole plan in this dialect, if it has no faults. Where operators count by their own revisions,
@@ -454,10 +454,10 @@
         dialect: &dyn PlanDialect,
         bytes: Vec<u8>,
         base_revision: Option<u64>,
-    ) -> Result<Motion, Vec<Fault>> {
+    ) -> Result<Command, Vec<Fault>> {
         let plan = dialect.parse(&bytes)?;
         let revisions = Revisions::of(&plan, base_revision)?;
-        Ok(Motion::Plan { bytes, halls: plan.halls(), revisions })
+        Ok(Command::Plan { bytes, halls: plan.halls(), revisions })
     }
     /// A change in this dialect to the plan that was accepted as `base`, if what comes of it has no faults.
     pub fn change_in(
@@ -466,17 +466,17 @@
         base: Epoch,
         plan: &[u8],
         base_revision: Option<u64>,
-    ) -> Result<Motion, Vec<Fault>> {
+    ) -> Result<Command, Vec<Fault>> {
         let whole = dialect.merge(plan, &bytes)?;
         let merged = dialect.parse(&whole)?;
         let revisions = Revisions::of(&merged, base_revision)?;
         let splice = Splice::between(plan, &whole);
-        Ok(Motion::Change { bytes, base, splice, halls: merged.halls(), revisions })
+        Ok(Command::Change { bytes, base, splice, halls: merged.halls(), revisions })
     }
     /// The same; these zones may be withdrawn besides those that it names.
     #[must_use]
-    pub fn with_halls(mut self, more: &[HallName]) -> Motion {
-        if let Motion::Plan { halls, .. } | Motion::Change { halls, .. } = &mut self {
+    pub fn with_halls(mut self, more: &[HallName]) -> Command {
+        if let Command::Plan { halls, .. } | Command::Change { halls, .. } = &mut self {
             halls.extend_from_slice(more);
             halls.sort();
             halls.dedup();
@@ -508,7 +508,7 @@
             id: id.into(),
             builds_on: Some(Epoch(builds_on)),
             seen: Epoch(0),
-            motion: Motion::plan(bytes).expect("a good plan"),
+            command: Command::plan(bytes).expect("a good plan"),
         }
     }
     fn take(ledger: &mut Ledger, proposal: &Proposal) -> serde_json::Value {
@@ -546,12 +546,12 @@
             } else {
                 format!(r#"{{"services":{{"drafts":{{"slots":{n}}}}}}}"#).into_bytes()
             };
-            let motion = if n % 40 == 1 {
-                Motion::plan(body.clone()).expect("a good plan")
+            let command = if n % 40 == 1 {
+                Command::plan(body.clone()).expect("a good plan")
             } else {
-                Motion::change(body.clone(), ledger.plan_epoch, &ledger.plan).expect("a good change")
+                Command::change(body.clone(), ledger.plan_epoch, &ledger.plan).expect("a good change")
             };
-            let proposal = Proposal { id: format!("n-{n}"), builds_on, seen: Epoch(0), motion };
+            let proposal = Proposal { id: format!("n-{n}"), builds_on, seen: Epoch(0), command };
             // Only after a whole plan, whose spaces a merge takes out, is the difference large.
             let is_small = proposal.to_bytes().len() < 1000;
             assert!(is_small || n % 40 < 3, "change {n} is {} bytes", proposal.to_bytes().len());
@@ -571,13 +571,13 @@
         let members: Vec<_> = (1..=5).map(|n| (Address::loopback(n), HallName::from("north"))).collect();
         take(
             &mut ledger,
-            &Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion: Motion::Join { members } },
+            &Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command: Command::Join { members } },
         );
         let forget = |id: &str, ports: &[u16]| Proposal {
             id: id.into(),
             builds_on: None,
             seen: Epoch(0),
-            motion: Motion::Forget { members: ports.iter().map(|port| Address::loopback(*port)).collect() },
+            command: Command::Forget { members: ports.iter().map(|port| Address::loopback(*port)).collect() },
         };
         let unknown = take(&mut ledger, &forget("f", &[3, 9]));
         assert_eq!((&unknown["code"], ledger.epoch), (&309.into(), Epoch(1)));
@@ -591,14 +591,14 @@
     #[test]
     fn the_elder_count_no_more_once_the_roster_is_settled_and_only_for_that_roster() {
         let mut ledger = Ledger::default();
-        let inner = |motion: Motion| Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion };
+        let inner = |command: Command| Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command };
         for n in [1, 2] {
             let members = vec![(Address::loopback(n), HallName::from("north"))];
-            take(&mut ledger, &inner(Motion::Join { members }));
+            take(&mut ledger, &inner(Command::Join { members }));
         }
         assert_eq!((ledger.roster.elder.len(), ledger.roster.since), (1, Epoch(2)));
-        assert_eq!(take(&mut ledger, &inner(Motion::Settle { since: Epoch(1) }))["code"], 302);
-        assert_eq!(take(&mut ledger, &inner(Motion::Settle { since: Epoch(2) }))["code"], 300);
+        assert_eq!(take(&mut ledger, &inner(Command::Settle { since: Epoch(1) }))["code"], 302);
+        assert_eq!(take(&mut ledger, &inner(Command::Settle { since: Epoch(2) }))["code"], 300);
         assert_eq!(ledger.roster.elder, ledger.roster.members);
     }
 
@@ -609,7 +609,7 @@
             id: String::new(),
             builds_on: None,
             seen: Epoch(0),
-            motion: Motion::Key { key: TokenKey([byte; 32]) },
+            command: Command::Key { key: TokenKey([byte; 32]) },
         };
         assert_eq!(take(&mut ledger, &key(1))["code"], 300);
         assert_eq!(take(&mut ledger, &key(2))["code"], 302);
@@ -624,7 +624,7 @@
             id: id.into(),
             builds_on: None,
             seen: Epoch(0),
-            motion: Motion::Withdraw { hall: hall.into() },
+            command: Command::Withdraw { hall: hall.into() },
         };
         assert_eq!(take(&mut ledger, &withdraw("w", "north"))["epoch"], 2);
         assert_eq!(take(&mut ledger, &withdraw("v", "nowhere"))["code"], 306);
@@ -637,7 +637,7 @@
         let mut ledger = Ledger::default();
         take(&mut ledger, &plan("a", 0, 4));
         let members = vec![(Address::loopback(3), HallName::from("north"))];
-        let join = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion: Motion::Join { members } };
+        let join = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command: Command::Join { members } };
         take(&mut ledger, &join);
         let snapshot = ledger.snapshot();
         assert_eq!(Ledger::restore(&snapshot), Some(ledger));
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -12,10 +12,10 @@
 pub mod prelude {
     pub use crate::dialect::{OwnPlans, PlanDialect};
     pub use crate::history::{
-        AsSent, Entry, Fate, Forgotten, History, KeptMotion, NotKept, REMEMBERED_BYTES, REMEMBERED_CHANGES, SentChange,
-        Undo,
+        AsSent, Entry, Fate, Forgotten, History, KeptCommand, NotKept, REMEMBERED_BYTES, REMEMBERED_CHANGES,
+        SentChange, Undo,
     };
-    pub use crate::ledger::{Ledger, Motion, Proposal, Revisions, Verdict};
+    pub use crate::ledger::{Command, CommandOutcome, Ledger, Proposal, Revisions};
     pub use crate::plan::{
         BoundsPlan, BtbPlan, Fault, Plan, RouteKind, RoutePlan, ServiceKind, ServicePlan, SharePlan, merge_change,
         parse_plan,
--- a/crates/layout/tests/fuzz.rs
+++ b/crates/layout/tests/fuzz.rs
@@ -12,17 +12,17 @@
 
 fn plan(n: u64) -> Proposal {
     let bytes = format!(r#"{{"revision":{},"services":{{"a":{{"slots":{}}}}}}}"#, n + 1, n % 50 + 1).into_bytes();
-    let motion = Motion::plan_in(&OwnPlans, bytes, Some(n)).expect("a good plan");
-    Proposal { id: format!("plan-{n}"), builds_on: None, seen: Epoch(0), motion }
+    let command = Command::plan_in(&OwnPlans, bytes, Some(n)).expect("a good plan");
+    Proposal { id: format!("plan-{n}"), builds_on: None, seen: Epoch(0), command }
 }
 
 fn ledger() -> Ledger {
     let mut ledger = Ledger { history: History::of_span(6), ..Ledger::default() };
     (0..10).for_each(|n| drop(ledger.apply(&plan(n).to_bytes())));
-    let withdraw = Motion::Withdraw { hall: "north".into() };
+    let withdraw = Command::Withdraw { hall: "north".into() };
     let members = vec![(Address::loopback(3), HallName::from("north"))];
-    for (id, motion) in [("", Motion::Join { members }), ("w", withdraw)] {
-        ledger.apply(&Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion }.to_bytes());
+    for (id, command) in [("", Command::Join { members }), ("w", withdraw)] {
+        ledger.apply(&Proposal { id: id.into(), builds_on: None, seen: Epoch(0), command }.to_bytes());
     }
     ledger
 }
--- a/crates/layout/tests/history.rs
+++ b/crates/layout/tests/history.rs
@@ -14,20 +14,20 @@
     Ledger { history: History::of_span(span), ..Ledger::default() }
 }
 fn take(ledger: &mut Ledger, proposal: &Proposal) -> u64 {
-    let verdict = ledger.apply(&proposal.to_bytes());
-    serde_json::from_slice::<serde_json::Value>(&verdict).expect("a verdict")["code"].as_u64().expect("a code")
+    let outcome = ledger.apply(&proposal.to_bytes());
+    serde_json::from_slice::<serde_json::Value>(&outcome).expect("an outcome")["code"].as_u64().expect("a code")
 }
 fn plan_bytes(revision: u64) -> Vec<u8> {
     format!(r#"{{"revision":{revision},"services":{{"a":{{"slots":{}}}}}}}"#, revision % 60 + 1).into_bytes()
 }
 fn counted_plan(base: u64) -> Proposal {
-    let motion = Motion::plan_in(&OwnPlans, plan_bytes(base + 1), Some(base)).expect("a good plan");
-    Proposal { id: format!("plan-{base}"), builds_on: None, seen: Epoch(0), motion }
+    let command = Command::plan_in(&OwnPlans, plan_bytes(base + 1), Some(base)).expect("a good plan");
+    Proposal { id: format!("plan-{base}"), builds_on: None, seen: Epoch(0), command }
 }
 fn counted_change(ledger: &Ledger, base: u64) -> Proposal {
     let (plan_epoch, plan) = (ledger.plan_epoch, &ledger.plan);
-    let motion = Motion::change_in(&OwnPlans, plan_bytes(base + 1), plan_epoch, plan, Some(base));
-    Proposal { id: format!("change-{base}"), builds_on: None, seen: Epoch(0), motion: motion.expect("a good change") }
+    let command = Command::change_in(&OwnPlans, plan_bytes(base + 1), plan_epoch, plan, Some(base));
+    Proposal { id: format!("change-{base}"), builds_on: None, seen: Epoch(0), command: command.expect("a good change") }
 }
 fn counted_change_after_a_plan(ledger: &mut Ledger) -> Proposal {
     take_counted(ledger, 1);
@@ -39,11 +39,11 @@
         id: id.into(),
         builds_on: Some(builds_on),
         seen: Epoch(0),
-        motion: Motion::plan(bytes).expect("a good plan"),
+        command: Command::plan(bytes).expect("a good plan"),
     }
 }
 fn withdraw(id: &str, builds_on: Option<Epoch>) -> Proposal {
-    Proposal { id: id.into(), builds_on, seen: Epoch(0), motion: Motion::Withdraw { hall: "north".into() } }
+    Proposal { id: id.into(), builds_on, seen: Epoch(0), command: Command::Withdraw { hall: "north".into() } }
 }
 /// So many accepted changes that build on each other by the operators' own count.
 fn take_counted(ledger: &mut Ledger, count: u64) {
@@ -109,8 +109,8 @@
     let first = withdraw("first", Some(Epoch(1)));
     assert_eq!(take(&mut ledger, &first), ACCEPTED);
     let restore = |n: usize, seen: Epoch| {
-        let motion = Motion::Restore { hall: "north".into() };
-        Proposal { id: format!("r-{n}"), builds_on: None, seen, motion }
+        let command = Command::Restore { hall: "north".into() };
+        Proposal { id: format!("r-{n}"), builds_on: None, seen, command }
     };
     for n in 0..SPAN {
         let newest = ledger.epoch;
@@ -129,8 +129,8 @@
     take_counted(&mut ledger, 20);
     // Bases 0 to 11 are forgotten, and each of them was built on.
     for base in 0..20 {
-        let other = Motion::plan_in(&OwnPlans, plan_bytes(99), Some(base)).expect("a good plan");
-        let other = Proposal { id: format!("other-{base}"), builds_on: None, seen: Epoch(0), motion: other };
+        let other = Command::plan_in(&OwnPlans, plan_bytes(99), Some(base)).expect("a good plan");
+        let other = Proposal { id: format!("other-{base}"), builds_on: None, seen: Epoch(0), command: other };
         let expected = if base < 12 { TOO_OLD } else { CONFLICT };
         assert_eq!(take(&mut ledger, &other), expected, "on base {base}");
     }
@@ -165,8 +165,8 @@
     let large = |n: u64| {
         let note: String = (0..300_000u64).map(|at| char::from(b'a' + ((at * (n + 7) / 3 + n) % 26) as u8)).collect();
         let bytes = format!(r#"{{"revision":{},"services":{{"a":{{}}}},"note":"{note}"}}"#, n + 1).into_bytes();
-        let motion = Motion::plan_in(&OwnPlans, bytes, Some(n)).expect("a good plan");
-        Proposal { id: format!("large-{n}"), builds_on: None, seen: Epoch(0), motion }
+        let command = Command::plan_in(&OwnPlans, bytes, Some(n)).expect("a good plan");
+        Proposal { id: format!("large-{n}"), builds_on: None, seen: Epoch(0), command }
     };
     for n in 0..40 {
         assert_eq!(take(&mut ledger, &large(n)), ACCEPTED);
@@ -202,17 +202,17 @@
         bytes.into_bytes()
     };
     let mut ledger = Ledger::default();
-    let base = Motion::plan_in(&OwnPlans, plan(0), Some(0)).expect("a good plan");
-    take(&mut ledger, &Proposal { id: "first".into(), builds_on: None, seen: Epoch(0), motion: base });
+    let base = Command::plan_in(&OwnPlans, plan(0), Some(0)).expect("a good plan");
+    take(&mut ledger, &Proposal { id: "first".into(), builds_on: None, seen: Epoch(0), command: base });
     let mut sizes = vec![];
     for n in 1..=10_000u64 {
         let change = format!(r#"{{"revision":{},"services":{{"a":{{"slots":{}}}}}}}"#, n + 1, n % 50 + 1).into_bytes();
         // A parse of 1,000 routes a change would take minutes: what it comes to is made by hand.
         let (base, splice) = (ledger.plan_epoch, Splice::between(&ledger.plan, &plan(n)));
         let revisions = Revisions { own: n + 1, base: n };
-        let motion = Motion::Change { bytes: change, base, splice, halls: vec![], revisions };
+        let command = Command::Change { bytes: change, base, splice, halls: vec![], revisions };
         let id = format!("change-{n}-0123456789abcdef0123456789abcdef");
-        assert_eq!(take(&mut ledger, &Proposal { id, builds_on: None, seen: Epoch(0), motion }), ACCEPTED);
+        assert_eq!(take(&mut ledger, &Proposal { id, builds_on: None, seen: Epoch(0), command }), ACCEPTED);
         if [10, 100, 1000, 5000, 10_000].contains(&n) {
             let (bytes, entries) = (ledger.snapshot().len(), ledger.history.entries.len());
             println!("{n} changes: snapshot {bytes} bytes, {entries} remembered, plan {} bytes", ledger.plan.len());
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -144,16 +144,16 @@
         let plan = (self.plan)(n);
         let id = format!("change-{n}-0123456789abcdef0123456789abcdef");
         let revisions = Revisions { own: n + 1, base: n };
-        let motion = if n == 0 || self.is_whole {
-            Motion::Plan { bytes: plan, halls: vec![], revisions }
+        let command = if n == 0 || self.is_whole {
+            Command::Plan { bytes: plan, halls: vec![], revisions }
         } else {
             // As the front of a registrar makes it, which has the plan before.
             let splice = Splice::between(&(self.plan)(n - 1), &plan);
             let base = Epoch(n);
             let bytes = format!(r#"{{"revision":{},"services":{{"a":{{"slots":{}}}}}}}"#, n + 1, n % 50 + 1).into();
-            Motion::Change { bytes, base, splice, halls: vec![], revisions }
+            Command::Change { bytes, base, splice, halls: vec![], revisions }
         };
-        Proposal { id, builds_on: None, seen: Epoch(0), motion }
+        Proposal { id, builds_on: None, seen: Epoch(0), command }
     }
     fn propose(&mut self) {
         let Some(at) = (0..3).find(|n| self.replicas[*n].as_ref().is_some_and(|f| f.view().head() == Some(f.me())))
@@ -257,9 +257,9 @@
         assert!(!claims || !is_behind, "{n} claims to be level and lacks changes at {}", self.at);
     }
     fn on_told(&mut self, body: &[u8]) {
-        let verdict: serde_json::Value = serde_json::from_slice(body).expect("a verdict");
-        if verdict["code"] == 300 {
-            self.accepted = self.accepted.max(verdict["epoch"].as_u64().expect("an epoch"));
+        let outcome: serde_json::Value = serde_json::from_slice(body).expect("an outcome");
+        if outcome["code"] == 300 {
+            self.accepted = self.accepted.max(outcome["epoch"].as_u64().expect("an epoch"));
             self.told = Epoch(self.accepted);
         }
     }
--- a/crates/layout/tests/revisions.rs
+++ b/crates/layout/tests/revisions.rs
@@ -5,16 +5,17 @@
     format!(r#"{{ "revision":{revision}, "services":{{"a":{{"slots":{slots}}}}} }}"#).into_bytes()
 }
 fn plan(id: &str, base: u64, revision: u64, slots: u64) -> Proposal {
-    let motion = Motion::plan_in(&OwnPlans, plan_bytes(revision, slots), Some(base)).expect("a good plan");
-    Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion }
+    let command = Command::plan_in(&OwnPlans, plan_bytes(revision, slots), Some(base)).expect("a good plan");
+    Proposal { id: id.into(), builds_on: None, seen: Epoch(0), command }
 }
 fn change(ledger: &Ledger, id: &str, base: u64, revision: u64, slots: u64) -> Proposal {
-    let motion = Motion::change_in(&OwnPlans, plan_bytes(revision, slots), ledger.plan_epoch, &ledger.plan, Some(base));
-    Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion: motion.expect("a good change") }
+    let command =
+        Command::change_in(&OwnPlans, plan_bytes(revision, slots), ledger.plan_epoch, &ledger.plan, Some(base));
+    Proposal { id: id.into(), builds_on: None, seen: Epoch(0), command: command.expect("a good change") }
 }
 fn take(ledger: &mut Ledger, proposal: &Proposal) -> u64 {
-    let verdict = ledger.apply(&proposal.to_bytes());
-    serde_json::from_slice::<serde_json::Value>(&verdict).expect("a verdict")["code"].as_u64().expect("a code")
+    let outcome = ledger.apply(&proposal.to_bytes());
+    serde_json::from_slice::<serde_json::Value>(&outcome).expect("an outcome")["code"].as_u64().expect("a code")
 }
 
 const ACCEPTED: u64 = 300;
@@ -56,7 +57,7 @@
 
 #[test]
 fn a_plan_without_a_revision_is_a_fault_where_operators_count_by_them() {
-    let faults = Motion::plan_in(&OwnPlans, br#"{"services":{"a":{}}}"#.to_vec(), Some(3)).expect_err("no revision");
+    let faults = Command::plan_in(&OwnPlans, br#"{"services":{"a":{}}}"#.to_vec(), Some(3)).expect_err("no revision");
     assert_eq!(faults[0].path, "revision");
 }
 
@@ -64,13 +65,13 @@
 fn zones_named_besides_the_plan_s_may_be_withdrawn() {
     let mut ledger = Ledger::default();
     let mut first = plan("a", 0, 5, 4);
-    first.motion = first.motion.with_halls(&["north".into()]);
+    first.command = first.command.with_halls(&["north".into()]);
     take(&mut ledger, &first);
     let withdraw = |hall: &str| Proposal {
         id: format!("w-{hall}"),
         builds_on: None,
         seen: Epoch(0),
-        motion: Motion::Withdraw { hall: hall.into() },
+        command: Command::Withdraw { hall: hall.into() },
     };
     assert_eq!((take(&mut ledger, &withdraw("north")), take(&mut ledger, &withdraw("south"))), (ACCEPTED, 306));
 }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -391,18 +391,18 @@
             Err(reply) => *reply,
         }
     };
-    let change = |bytes: Vec<u8>| -> Result<Motion, Box<Reply>> {
+    let change = |bytes: Vec<u8>| -> Result<Command, Box<Reply>> {
         let at_least = Epoch(order.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
         let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
             Some((base, plan)) if status == 200 => {
                 let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
-                Motion::change(bytes, base, plan).map_err(|faults| Box::new(refuse(faults)))
+                Command::change(bytes, base, plan).map_err(|faults| Box::new(refuse(faults)))
             }
             _ => Err(Box::new(told(status, body))),
         }
     };
-    let propose = |motion: Motion, needs_base: bool| {
+    let propose = |command: Command, needs_base: bool| {
         let id = order.query_word("id").unwrap_or_default().to_owned();
         if !ServiceName::from(id.as_str()).is_sound() {
             let why = "the query must have an id of 1 to 64 letters, digits or any of -_.:";
@@ -416,7 +416,7 @@
             }
             None => None,
         };
-        ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), motion }))
+        ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), command }))
     };
     match (order.method.as_str(), order.parts().as_slice()) {
         ("GET", ["ready"]) => {
@@ -442,12 +442,12 @@
             _ => Reply::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
         },
         ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
-        ("PUT", ["v1", "plan"]) => match Motion::plan(order.body.to_vec()) {
-            Ok(motion) => propose(motion, true),
+        ("PUT", ["v1", "plan"]) => match Command::plan(order.body.to_vec()) {
+            Ok(command) => propose(command, true),
             Err(faults) => refuse(faults),
         },
         ("PATCH", ["v1", "plan"]) => match change(order.body.to_vec()) {
-            Ok(motion) => propose(motion, true),
+            Ok(command) => propose(command, true),
             Err(reply) => *reply,
         },
         ("POST", ["v1", "members", "forget"]) => {
@@ -457,15 +457,15 @@
                 members: Vec<Address>,
             }
             match serde_json::from_slice::<Lost>(&order.body) {
-                Ok(Lost { members }) if !members.is_empty() => propose(Motion::Forget { members }, false),
+                Ok(Lost { members }) if !members.is_empty() => propose(Command::Forget { members }, false),
                 Ok(_) => Reply::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
                 Err(fault) => {
                     Reply::result(ResultCode::BadPlan, format!("{fault}; wanted is {{\"members\": [\"IP:PORT\"]}}"))
                 }
             }
         }
-        ("POST", ["v1", "halls", hall, "withdraw"]) => propose(Motion::Withdraw { hall: (*hall).into() }, false),
-        ("POST", ["v1", "halls", hall, "restore"]) => propose(Motion::Restore { hall: (*hall).into() }, false),
+        ("POST", ["v1", "halls", hall, "withdraw"]) => propose(Command::Withdraw { hall: (*hall).into() }, false),
+        ("POST", ["v1", "halls", hall, "restore"]) => propose(Command::Restore { hall: (*hall).into() }, false),
         _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path)),
     }
 }
--- a/crates/registrar/src/desk.rs
+++ b/crates/registrar/src/desk.rs
@@ -132,8 +132,8 @@
         let step = match call {
             DeskCall::Plan { bytes, base } => {
                 let id = id_of("plan", &bytes, base);
-                let motion = Motion::plan_in(plans, bytes, Some(base));
-                task.propose_document(id, motion)
+                let command = Command::plan_in(plans, bytes, Some(base));
+                task.propose_document(id, command)
             }
             DeskCall::Change { bytes, base } => {
                 task.stage = Stage::Merging { id: id_of("change", &bytes, base), bytes, base };
@@ -144,8 +144,8 @@
                 task.stage = Stage::Reading;
                 DeskStep::Ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }))
             }
-            DeskCall::Withdraw { hall } => task.propose(chance_id(), Motion::Withdraw { hall }),
-            DeskCall::Restore { hall } => task.propose(chance_id(), Motion::Restore { hall }),
+            DeskCall::Withdraw { hall } => task.propose(chance_id(), Command::Withdraw { hall }),
+            DeskCall::Restore { hall } => task.propose(chance_id(), Command::Restore { hall }),
             DeskCall::Readiness if is_ready => DeskStep::Answer(DeskAnswer::Done),
             DeskCall::Readiness => DeskStep::Answer(refused(ResultCode::CoreNotReady, "not in the chain", vec![])),
         };
@@ -177,25 +177,25 @@
         let Some((epoch, plan)) = told.split_first_chunk::<8>() else {
             return DeskStep::Answer(refused(ResultCode::CoreNotReady, "no plan to merge into", vec![]));
         };
-        let motion = Motion::change_in(self.plans, bytes, Epoch(u64::from_be_bytes(*epoch)), plan, Some(base));
+        let command = Command::change_in(self.plans, bytes, Epoch(u64::from_be_bytes(*epoch)), plan, Some(base));
         let newest = self.plans.parse(plan).map_or(0, |plan| plan.revision);
-        if motion.is_err() && base > newest {
+        if command.is_err() && base > newest {
             // It may have none with the plan that it was made for.
             let why = format!("it builds on revision {base}, which is not accepted so far");
             return DeskStep::Answer(refused(ResultCode::CoreNotReady, why, vec![]));
         }
-        self.propose_document(id, motion)
+        self.propose_document(id, command)
     }
 
-    fn propose(&mut self, id: String, motion: Motion) -> DeskStep {
+    fn propose(&mut self, id: String, command: Command) -> DeskStep {
         self.stage = Stage::Proposed;
-        DeskStep::Ask(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), motion }))
+        DeskStep::Ask(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), command }))
     }
 
     /// Proposes what a document came to. One with faults now may have been taken when it was first sent.
-    fn propose_document(&mut self, id: String, motion: Result<Motion, Vec<Fault>>) -> DeskStep {
-        match motion {
-            Ok(motion) => self.propose(id, motion.with_halls(self.zones)),
+    fn propose_document(&mut self, id: String, command: Result<Command, Vec<Fault>>) -> DeskStep {
+        match command {
+            Ok(command) => self.propose(id, command.with_halls(self.zones)),
             Err(faults) => {
                 self.stage = Stage::Fate { faults };
                 DeskStep::Ask(OperatorAsk::Read(Reading::Fate { id }))
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -493,7 +493,7 @@
         if self.may_reply() {
             if self.replica.state_machine().key.is_none() && self.now >= self.key_due {
                 self.key_due = self.now + Span(400);
-                self.propose_inner(Motion::Key { key: self.key });
+                self.propose_inner(Command::Key { key: self.key });
             }
             self.admit();
             if has_majority {
@@ -529,7 +529,7 @@
         }
         self.join_due = self.now + self.timing.join;
         let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.hall.clone())).collect();
-        self.propose_inner(Motion::Join { members });
+        self.propose_inner(Command::Join { members });
     }
 
     /// Once more than half of the elder know the roster, they are needed for no majority any more.
@@ -540,7 +540,7 @@
         }
         let since = roster.since;
         self.settle_due = self.now + Span(400);
-        self.propose_inner(Motion::Settle { since });
+        self.propose_inner(Command::Settle { since });
     }
 
     /// Takes members out that have held no lease for long.
@@ -554,13 +554,13 @@
         };
         let gone: Vec<Address> = self.replica.state_machine().roster.members.iter().filter(is_gone).copied().collect();
         if !gone.is_empty() {
-            self.propose_inner(Motion::Retire { members: gone });
+            self.propose_inner(Command::Retire { members: gone });
         }
     }
 
-    fn propose_inner(&mut self, motion: Motion) {
+    fn propose_inner(&mut self, command: Command) {
         self.next_inner += 1;
-        let proposal = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), motion };
+        let proposal = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command };
         self.drive(Input::Propose { number: self.next_inner, body: proposal.to_bytes() });
     }
 
@@ -584,7 +584,7 @@
         self.last_asked += 1;
         let (next_try, asked) = (Some(self.now), self.last_asked);
         let clear_due = match &ask {
-            OperatorAsk::Propose(proposal) if proposal.motion.is_of_a_zone() => self.now + SEEN_WITHIN,
+            OperatorAsk::Propose(proposal) if proposal.command.is_of_a_zone() => self.now + SEEN_WITHIN,
             _ => due,
         };
         let is_cleared = false;
@@ -687,7 +687,7 @@
         match status {
             200 => {
                 if let OperatorAsk::Propose(proposal) = &mut waiting.ask
-                    && proposal.motion.is_of_a_zone()
+                    && proposal.command.is_of_a_zone()
                 {
                     let Ok(newest) = body.try_into() else { return };
                     proposal.seen = Epoch(u64::from_be_bytes(newest));
@@ -756,7 +756,7 @@
                 Ok(AsSent::Forget(members)) => good(serde_json::json!({"forget": members})),
                 Ok(AsSent::Restore(hall)) => good(serde_json::json!({"restore": hall})),
                 Err(NotKept::Never) => {
-                    missing(ResultCode::UnknownEpoch, format!("no operator's motion was accepted as epoch {epoch}"))
+                    missing(ResultCode::UnknownEpoch, format!("no operator's command was accepted as epoch {epoch}"))
                 }
                 Err(NotKept::NoLonger) => {
                     missing(ResultCode::NoLongerKept, format!("what was sent as epoch {epoch} is no longer kept"))
@@ -802,13 +802,13 @@
 
 /// What the tail must be asked before this is proposed.
 fn read_before(proposal: &Proposal) -> Option<Reading> {
-    match &proposal.motion {
-        Motion::Forget { members } => Some(Reading::Heard { id: proposal.id.clone(), members: members.clone() }),
-        motion => motion.is_of_a_zone().then_some(Reading::Newest),
+    match &proposal.command {
+        Command::Forget { members } => Some(Reading::Heard { id: proposal.id.clone(), members: members.clone() }),
+        command => command.is_of_a_zone().then_some(Reading::Newest),
     }
 }
 
-/// The HTTP status that goes with a verdict's code.
+/// The HTTP status that goes with an outcome's code.
 fn status_of(body: &[u8]) -> u16 {
     let code = serde_json::from_slice::<serde_json::Value>(body).ok().and_then(|value| value["code"].as_u64());
     let found = ResultCode::ALL.iter().find(|known| Some(u64::from(known.number())) == code);
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -44,8 +44,8 @@
     fn read(&mut self, number: u64) -> Vec<Left> {
         self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Read(Reading::Latest) })
     }
-    fn propose(&mut self, number: u64, motion: Motion) -> Vec<Left> {
-        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), motion };
+    fn propose(&mut self, number: u64, command: Command) -> Vec<Left> {
+        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), command };
         self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn told(&mut self, from: u16, number: u64) -> Vec<Left> {
@@ -60,17 +60,17 @@
     }
 }
 
-fn forget() -> Motion {
-    Motion::Forget { members: vec![Address::loopback(9)] }
+fn forget() -> Command {
+    Command::Forget { members: vec![Address::loopback(9)] }
 }
 
 /// Proposed without a question to the tail.
-fn plan() -> Motion {
-    Motion::plan(br#"{"services":{"a":{}}}"#.to_vec()).expect("a good plan")
+fn plan() -> Command {
+    Command::plan(br#"{"services":{"a":{}}}"#.to_vec()).expect("a good plan")
 }
 
-fn withdraw() -> Motion {
-    Motion::Withdraw { hall: "east".into() }
+fn withdraw() -> Command {
+    Command::Withdraw { hall: "east".into() }
 }
 
 /// Of seed 88000550 on `valodu`: the tail was asked twice, and its second answer was given to the operator
@@ -212,7 +212,7 @@
         self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
     }
     fn withdraw(&mut self, number: u64) -> Vec<(u64, u64)> {
-        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), motion: withdraw() };
+        let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), command: withdraw() };
         self.step(5, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn epoch(&self) -> u64 {
--- a/crates/registrar/tests/delayed_and_refused.rs
+++ b/crates/registrar/tests/delayed_and_refused.rs
@@ -3,29 +3,29 @@
 mod control;
 
 use control::{Carriage, Core};
-use layout::prelude::{Motion, OwnPlans, Proposal};
+use layout::prelude::{Command, OwnPlans, Proposal};
 use registrar::prelude::*;
 
 const HEAD: usize = 0;
 const MIDDLE: usize = 1;
 const TAIL: usize = 2;
 
-fn proposal(id: &str, motion: Motion) -> OperatorAsk {
-    OperatorAsk::Propose(Proposal { id: id.into(), builds_on: None, seen: Epoch(0), motion })
+fn proposal(id: &str, command: Command) -> OperatorAsk {
+    OperatorAsk::Propose(Proposal { id: id.into(), builds_on: None, seen: Epoch(0), command })
 }
 
 fn plan(id: &str, base: u64, revision: u64) -> OperatorAsk {
     let bytes = format!(r#"{{"revision":{revision},"services":{{"a":{{"slots":4}}}}}}"#).into_bytes();
-    let motion = Motion::plan_in(&OwnPlans, bytes, Some(base)).expect("a good plan");
-    proposal(id, motion.with_halls(&["east".into()]))
+    let command = Command::plan_in(&OwnPlans, bytes, Some(base)).expect("a good plan");
+    proposal(id, command.with_halls(&["east".into()]))
 }
 
 fn withdraw(id: &str) -> OperatorAsk {
-    proposal(id, Motion::Withdraw { hall: "east".into() })
+    proposal(id, Command::Withdraw { hall: "east".into() })
 }
 
 fn restore(id: &str) -> OperatorAsk {
-    proposal(id, Motion::Restore { hall: "east".into() })
+    proposal(id, Command::Restore { hall: "east".into() })
 }
 
 fn ask(core: &mut Core, machine: usize, number: u64, ask: OperatorAsk) {
--- a/crates/rehearsal/src/answers/lane.rs
+++ b/crates/rehearsal/src/answers/lane.rs
@@ -161,8 +161,8 @@
         let answer = self.exchange(&id, kind, wait);
         let record = lock(&self.ledger).call(&id).cloned();
         let Some(record) = record else { return Fate::Broken };
-        let verdict = judge(&id, &record, answer.as_ref(), may_be_silent);
-        match verdict {
+        let outcome = judge(&id, &record, answer.as_ref(), may_be_silent);
+        match outcome {
             Ok(Fate::Refused(status)) => lock(&self.ledger).refused(&id, status),
             Ok(_) => {}
             Err(why) => {
@@ -171,7 +171,7 @@
                 return Fate::Broken;
             }
         }
-        verdict.unwrap_or(Fate::Broken)
+        outcome.unwrap_or(Fate::Broken)
     }
 
     /// Sends a call and reads its answer, on the connection of the call before if that stayed.
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -401,8 +401,8 @@
                 let base = latest(&fleet).map_or(0, |found| found.0);
                 let asked = Clock::now();
                 match fleet.put_plan(&format!("change-{n}"), base, &plan(n)) {
-                    Ok(verdict) => {
-                        let epoch = verdict["epoch"].as_u64().unwrap_or(0);
+                    Ok(outcome) => {
+                        let epoch = outcome["epoch"].as_u64().unwrap_or(0);
                         changes.push((epoch, asked, Clock::now().since(asked).0));
                     }
                     Err(why) => {
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -360,7 +360,7 @@
                     );
                     note("run in a zone, after its withdrawal was accepted", &mut witness.withdrawn_ms.iter().copied());
                     note("run at a server, after it was marked as leaving", &mut witness.leaving_ms.iter().copied());
-                    note("motion accepted, after it was sent", &mut witness.accept_ms.iter().copied());
+                    note("command accepted, after it was sent", &mut witness.accept_ms.iter().copied());
                     note("a change accepted again, after all was healed", &mut witness.back_ms.0.into_iter());
                     note("all registrars level again, after all was healed", &mut witness.level_ms.into_iter());
                     note("an order complete again, after all was healed", &mut witness.back_ms.1.into_iter());
@@ -414,12 +414,12 @@
         .map_err(|fault| format!("the daemons can't be started (build the whole workspace first): {fault}"))?;
     let core = fleet.await_core(Span::seconds(20))?;
     let plan = plan_of(deployment, !plain);
-    let verdict = fleet.put_plan("first", 0, &plan)?;
+    let outcome = fleet.put_plan("first", 0, &plan)?;
     let ready = fleet.await_criers(Span::seconds(20))?;
     if !json {
         println!(
             "core formed after {} ms, plan accepted as epoch {}, criers ready {} ms later",
-            core.0, verdict["epoch"], ready.0
+            core.0, outcome["epoch"], ready.0
         );
         println!("registrars: {}", fleet.registrars.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
         println!("criers:     {}", fleet.criers.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -2,7 +2,7 @@
 use circular::prelude::Letter;
 use college::prelude::{Kept, Record, Replica, Voter};
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
-use layout::prelude::{AsSent, Ledger, Motion, Proposal};
+use layout::prelude::{AsSent, Command, Ledger, Proposal};
 use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
 use registrar::prelude::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
 use std::cmp::Reverse;
--- a/crates/rehearsal/src/world/aimed.rs
+++ b/crates/rehearsal/src/world/aimed.rs
@@ -87,13 +87,13 @@
         self.cut_off(place, machine);
         let halls = self.rules.deployment.shape().halls;
         let zone = HallName::from(halls[(self.faults[place].pick / 3 % halls.len() as u64) as usize]);
-        self.begin(Wish::Motion(Motion::Withdraw { hall: zone.clone() }), Some(machine));
+        self.begin(Wish::Command(Command::Withdraw { hall: zone.clone() }), Some(machine));
         let other = (machine + 1) % self.registrars.len();
         self.put(1600, Happening::TakeBack { zone, machine: other });
     }
 
     pub(super) fn on_take_back(&mut self, zone: HallName, machine: usize) {
-        self.begin(Wish::Motion(Motion::Restore { hall: zone }), Some(machine));
+        self.begin(Wish::Command(Command::Restore { hall: zone }), Some(machine));
     }
 
     /// The new machine comes first; once it has had time to start, the old one is told to end.
--- a/crates/rehearsal/src/world/aimed/tests.rs
+++ b/crates/rehearsal/src/world/aimed/tests.rs
@@ -74,7 +74,7 @@
     };
     let witness = World::new(rules).run();
     assert!(witness.violations.is_empty(), "{:#?}\n{:#?}", witness.violations, witness.faults);
-    assert!((100..500).contains(&witness.motions[0]), "{witness}");
+    assert!((100..500).contains(&witness.commands[0]), "{witness}");
 }
 
 /// Grown cores under whatever fails together.
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -27,13 +27,13 @@
     pub withdrawn_ms: Vec<u64>,
     /// For each order that ran at a server that was leaving: how long after it was marked, in ms.
     pub leaving_ms: Vec<u64>,
-    /// Operators' motions accepted, refused, unknown.
-    pub motions: [u64; 3],
+    /// Operators' commands accepted, refused, unknown.
+    pub commands: [u64; 3],
     /// Views decided.
     pub views: u64,
-    /// How long each accepted motion took, in ms.
+    /// How long each accepted command took, in ms.
     pub accept_ms: Vec<u64>,
-    /// After the last fault was healed: until a motion was accepted, and until an order completed.
+    /// After the last fault was healed: until a command was accepted, and until an order completed.
     pub back_ms: (Option<u64>, Option<u64>),
     /// After the last fault was healed: until all registrars sat in the chain, level, in one view.
     pub level_ms: Option<u64>,
@@ -51,7 +51,7 @@
     asks: BTreeMap<ServiceName, u64>,
     /// Per service: orders that servers were asked to take, and asks beyond the first of each.
     pub repeats: BTreeMap<ServiceName, (u64, u64)>,
-    proposed: BTreeMap<String, (u64, Motion)>,
+    proposed: BTreeMap<String, (u64, Command)>,
     /// What each plan or change would put in force.
     plans: BTreeMap<String, serde_json::Value>,
     fates: BTreeMap<String, (u64, u64, u64)>,
@@ -139,21 +139,21 @@
             Some(_) => self.violate(now, format!("two views of epoch {}, one at {at}", view.epoch)),
         }
     }
-    pub(super) fn proposed(&mut self, now: u64, id: &str, motion: &Motion, base: &[u8]) {
+    pub(super) fn proposed(&mut self, now: u64, id: &str, command: &Command, base: &[u8]) {
         let read = |bytes: &[u8]| serde_json::from_slice::<serde_json::Value>(bytes).ok();
         // A change that was merged into another plan than the one that it builds on never takes effect.
         let is_of_its_base = |revisions: &layout::prelude::Revisions| {
             let found = read(base).and_then(|plan| plan["revision"].as_u64()).unwrap_or(0);
             revisions.own == 0 || found == revisions.base
         };
-        let whole = match motion {
-            Motion::Plan { bytes, .. } => Some(bytes.clone()),
-            Motion::Change { splice, revisions, .. } => splice.apply(base).filter(|_| is_of_its_base(revisions)),
+        let whole = match command {
+            Command::Plan { bytes, .. } => Some(bytes.clone()),
+            Command::Change { splice, revisions, .. } => splice.apply(base).filter(|_| is_of_its_base(revisions)),
             _ => None,
         };
         let plan = whole.and_then(|bytes| read(&bytes));
         self.plans.extend(plan.map(|plan| (id.to_owned(), plan)));
-        self.proposed.entry(id.to_owned()).or_insert((now, motion.clone()));
+        self.proposed.entry(id.to_owned()).or_insert((now, command.clone()));
         self.sends(id);
     }
     /// A call for this change ended at the door.
@@ -169,7 +169,7 @@
     pub(super) fn operator_told(&mut self, now: u64, asked: u64, id: &str, code: u64, epoch: u64) {
         self.keep_fate(now, id, code, epoch);
         if code == u64::from(ResultCode::Accepted.number()) {
-            self.motions[0] += 1;
+            self.commands[0] += 1;
             self.accept_ms.push(now - asked);
             self.newest_told = self.newest_told.max(epoch);
             self.accepted.entry(epoch).or_insert(now);
@@ -177,9 +177,9 @@
                 self.back_ms.0 = Some(now - self.calm_from);
             }
         } else if code == u64::from(ResultCode::FateUnknown.number()) {
-            self.motions[2] += 1;
+            self.commands[2] += 1;
         } else {
-            self.motions[1] += 1;
+            self.commands[1] += 1;
         }
     }
 
@@ -288,12 +288,12 @@
     /// When the withdrawal of a zone, no later than epoch `newest`, was told as accepted, if no restoring came
     /// after it, or may have.
     fn withdrawn_since(&self, now: u64, hall: &HallName, newest: u64) -> Option<u64> {
-        let motions = |is_wanted: &dyn Fn(&Motion) -> bool| {
-            let found = self.proposed.iter().filter(|(_, (_, motion))| is_wanted(motion));
+        let commands = |is_wanted: &dyn Fn(&Command) -> bool| {
+            let found = self.proposed.iter().filter(|(_, (_, command))| is_wanted(command));
             found.map(|(id, (at, _))| (*at, self.fates.get(id).copied())).collect::<Vec<_>>()
         };
-        let withdrawn = motions(&|m| matches!(m, Motion::Withdraw { hall: h } if h == hall));
-        let restored = motions(&|m| matches!(m, Motion::Restore { hall: h } if h == hall));
+        let withdrawn = commands(&|m| matches!(m, Command::Withdraw { hall: h } if h == hall));
+        let restored = commands(&|m| matches!(m, Command::Restore { hall: h } if h == hall));
         let accepted =
             withdrawn.iter().filter_map(|(_, fate)| fate.filter(|(_, code, epoch)| *code == 300 && *epoch <= newest));
         let (told, _, epoch) = accepted.max_by_key(|(_, _, epoch)| *epoch)?;
@@ -337,11 +337,11 @@
         };
         for (id, (_, code, epoch)) in self.fates.clone() {
             let entry = ledger.entry_by_id(&id);
-            let proposed = self.proposed.get(&id).map(|(_, motion)| match motion.clone() {
-                Motion::Plan { bytes, .. } | Motion::Change { bytes, .. } => Some(AsSent::Body(bytes)),
-                Motion::Withdraw { hall } => Some(AsSent::Withdraw(hall)),
-                Motion::Restore { hall } => Some(AsSent::Restore(hall)),
-                Motion::Forget { members } => Some(AsSent::Forget(members)),
+            let proposed = self.proposed.get(&id).map(|(_, command)| match command.clone() {
+                Command::Plan { bytes, .. } | Command::Change { bytes, .. } => Some(AsSent::Body(bytes)),
+                Command::Withdraw { hall } => Some(AsSent::Withdraw(hall)),
+                Command::Restore { hall } => Some(AsSent::Restore(hall)),
+                Command::Forget { members } => Some(AsSent::Forget(members)),
                 _ => None,
             });
             match code {
@@ -376,10 +376,10 @@
         let at = |part: usize| times.get((times.len() * part / 100).min(times.len().max(1) - 1)).copied().unwrap_or(0);
         write!(
             f,
-            "orders {} {:?}, motions {:?} (p50 {} p99 {} ms), views {}, copies {}, resumed {}, back after {:?} ms, trace {:016x}",
+            "orders {} {:?}, commands {:?} (p50 {} p99 {} ms), views {}, copies {}, resumed {}, back after {:?} ms, trace {:016x}",
             self.arrivals,
             self.words,
-            self.motions,
+            self.commands,
             at(50),
             at(99),
             self.views,
--- a/crates/rehearsal/src/world/door.rs
+++ b/crates/rehearsal/src/world/door.rs
@@ -30,10 +30,10 @@
         match wish {
             Wish::ReadState => self.read(machine, call, asked, Reading::Latest),
             Wish::ReadPlan => self.read(machine, call, asked, Reading::Epoch { epoch: Epoch(0) }),
-            Wish::Motion(motion) => self.propose(machine, call, asked, Ok(motion), None, &[]),
+            Wish::Command(command) => self.propose(machine, call, asked, Ok(command), None, &[]),
             Wish::Plan { bytes, basis } => {
-                let motion = Motion::plan_in(&OwnPlans, bytes, base_revision(basis));
-                self.propose(machine, call, asked, motion, Some(basis), &[]);
+                let command = Command::plan_in(&OwnPlans, bytes, base_revision(basis));
+                self.propose(machine, call, asked, command, Some(basis), &[]);
             }
             Wish::Patch { bytes, basis } => {
                 self.door.insert(call, PatchStep::ReadsBase(bytes, basis));
@@ -78,22 +78,22 @@
         machine: usize,
         call: u64,
         mut asked: Asked,
-        motion: Result<Motion, Vec<PlanFault>>,
+        command: Result<Command, Vec<PlanFault>>,
         basis: Option<Basis>,
         base: &[u8],
     ) {
-        let Ok(motion) = motion else {
+        let Ok(command) = command else {
             self.door.insert(call, PatchStep::ReadsFate);
             let id = asked.id.clone();
             return self.read(machine, call, asked, Reading::Fate { id });
         };
-        self.witness.proposed(self.now, &asked.id, &motion, base);
+        self.witness.proposed(self.now, &asked.id, &command, base);
         let builds_on = match basis {
             Some(Basis::Epoch(epoch)) => Some(Epoch(epoch)),
             _ => None,
         };
-        let proposal = Proposal { id: asked.id.clone(), builds_on, seen: Epoch(0), motion: motion.clone() };
-        asked.motion = Some(motion);
+        let proposal = Proposal { id: asked.id.clone(), builds_on, seen: Epoch(0), command: command.clone() };
+        asked.command = Some(command);
         self.operators.asked.insert(call, asked);
         self.step_office(machine, OfficeInput::Operator { number: call, ask: OperatorAsk::Propose(proposal) });
     }
@@ -106,8 +106,8 @@
                 let Some(asked) = self.operators.asked.remove(&number) else { return };
                 let (epoch, plan) = body.split_at(8);
                 let epoch = Epoch(u64::from_be_bytes(epoch.try_into().unwrap_or_default()));
-                let motion = Motion::change_in(&OwnPlans, bytes, epoch, plan, base_revision(basis));
-                self.propose(machine, number, asked, motion, Some(basis), plan);
+                let command = Command::change_in(&OwnPlans, bytes, epoch, plan, base_revision(basis));
+                self.propose(machine, number, asked, command, Some(basis), plan);
             }
             Some(PatchStep::ReadsBase(..)) => self.answer_patch(number, ResultCode::CoreNotReady),
             Some(PatchStep::ReadsFate) if status == 200 => self.answer_patch_as(number, body),
@@ -127,7 +127,7 @@
     fn answer_patch_as(&mut self, number: u64, body: &[u8]) {
         let Some(mut asked) = self.operators.asked.remove(&number) else { return };
         self.witness.not_proposed(&asked.id);
-        asked.motion = Some(Motion::Settle { since: Epoch(0) });
+        asked.command = Some(Command::Settle { since: Epoch(0) });
         self.operators.asked.insert(number, asked);
         self.on_operator_reply(number, 200, body);
     }
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -299,7 +299,7 @@
     pub(super) fn on_probe(&mut self) {
         let hall = HallName::from(self.rules.deployment.shape().halls[0]);
         if !self.witness.is_core_back() {
-            self.ask(Motion::Restore { hall });
+            self.ask(Command::Restore { hall });
         }
     }
 }
--- a/crates/rehearsal/src/world/history.rs
+++ b/crates/rehearsal/src/world/history.rs
@@ -86,8 +86,8 @@
     /// What is wrong with the history, register by register.
     pub fn judge(&self) -> Vec<String> {
         let mut faults = vec![];
-        let mut judge = |what: String, verdict: Result<(), linearizability::Mismatch>| {
-            faults.extend(verdict.err().map(|mismatch| format!("{what} is not linearizable: {mismatch:?}")));
+        let mut judge = |what: String, outcome: Result<(), linearizability::Mismatch>| {
+            faults.extend(outcome.err().map(|mismatch| format!("{what} is not linearizable: {mismatch:?}")));
         };
         judge("the plan".to_owned(), check_linearizable(&self.plan_calls()));
         for zone in self.zones() {
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -29,7 +29,7 @@
 pub(super) struct Asked {
     pub at: u64,
     pub id: String,
-    pub motion: Option<Motion>,
+    pub command: Option<Command>,
     pub newest_told: u64,
     /// Criers that were lost when it was asked.
     pub lost: Vec<Address>,
@@ -64,7 +64,7 @@
     /// A change of the plan, merged at the registrar's door.
     Patch { bytes: Vec<u8>, basis: Basis },
     /// Anything else that changes something.
-    Motion(Motion),
+    Command(Command),
     /// The newest state without plans.
     ReadState,
     /// The plan in force.
@@ -139,16 +139,16 @@
 
     /// An operator evacuates a zone, or takes that back, by way of this machine or any.
     pub(super) fn evacuate_or_restore_at(&mut self, machine: Option<usize>) {
-        let motion = match self.operators.withdrawn.clone() {
-            Some(hall) => Motion::Restore { hall },
+        let command = match self.operators.withdrawn.clone() {
+            Some(hall) => Command::Restore { hall },
             None => {
                 let halls = self.rules.deployment.shape().halls;
                 let hall = HallName::from(halls[self.below(halls.len() as u64) as usize]);
                 self.operators.withdrawn = Some(hall.clone());
-                Motion::Withdraw { hall }
+                Command::Withdraw { hall }
             }
         };
-        self.begin(Wish::Motion(motion), machine);
+        self.begin(Wish::Command(command), machine);
     }
 
     /// An operator sends a plan to this machine.
@@ -208,12 +208,12 @@
         if step == 1 && self.cut.is_empty() && self.loss == 0 {
             members.extend(self.criers.iter().find(is_well).map(|m| m.address));
         }
-        self.ask(Motion::Forget { members });
+        self.ask(Command::Forget { members });
     }
 
     /// Asks some registrar that is up to change something, once.
-    pub(super) fn ask(&mut self, motion: Motion) {
-        self.begin_task(Wish::Motion(motion), None, 1, true);
+    pub(super) fn ask(&mut self, command: Command) {
+        self.begin_task(Wish::Command(command), None, 1, true);
     }
 
     /// An operator wants something, and sends it to this machine first, or to any.
@@ -305,10 +305,10 @@
         let task = self.operators.calls.get(&call)?.task;
         let found = self.operators.tasks.get(&task)?;
         // Withdrawals and their like get an id of their own with each call, as at the daemon's door.
-        let is_new = matches!(found.wish, Wish::Motion(_)) || self.rules.mutant == Some(Mutant::NewIds);
+        let is_new = matches!(found.wish, Wish::Command(_)) || self.rules.mutant == Some(Mutant::NewIds);
         let id = if is_new { format!("op-{call}") } else { found.id.clone() };
         let (newest_told, lost) = (self.witness.newest_told, self.lost());
-        Some((found.wish.clone(), Asked { at: self.now, id, motion: None, newest_told, lost }))
+        Some((found.wish.clone(), Asked { at: self.now, id, command: None, newest_told, lost }))
     }
 
     /// A registrar answers a call.
@@ -320,7 +320,7 @@
             return;
         }
         let call = self.operators.calls.remove(&number);
-        match asked.motion {
+        match asked.command {
             Some(_) => self.on_change_answered(number, call, asked, body),
             None => self.on_read(number, call, &asked, status, body),
         }
@@ -360,8 +360,8 @@
     }
 
     fn on_accepted(&mut self, asked: &Asked, call: Option<&OperatorCall>, epoch: u64) {
-        match &asked.motion {
-            Some(Motion::Forget { members }) => {
+        match &asked.command {
+            Some(Command::Forget { members }) => {
                 // Who was lost when it was asked may have come back since.
                 let is_wrong =
                     |m: &&CrierMachine| members.contains(&m.address) && !m.is_lost && !asked.lost.contains(&m.address);
@@ -371,7 +371,7 @@
                     self.witness.violate(self.now, format!("{living} lives and was forgotten"));
                 }
             }
-            Some(Motion::Restore { hall }) if self.operators.withdrawn.as_ref() == Some(hall) => {
+            Some(Command::Restore { hall }) if self.operators.withdrawn.as_ref() == Some(hall) => {
                 self.operators.withdrawn = None;
             }
             _ => {}
@@ -416,9 +416,9 @@
             Basis::Epoch(_) => None,
             Basis::Revision { base, own } => Some(CallAction::Put { change: task, base, revision: own }),
         },
-        Wish::Motion(Motion::Withdraw { hall }) => set(hall, true),
-        Wish::Motion(Motion::Restore { hall }) => set(hall, false),
-        Wish::Motion(_) => None,
+        Wish::Command(Command::Withdraw { hall }) => set(hall, true),
+        Wish::Command(Command::Restore { hall }) => set(hall, false),
+        Wish::Command(_) => None,
         Wish::ReadState => Some(CallAction::ReadZones),
         Wish::ReadPlan => Some(CallAction::ReadPlan),
     }
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -20,7 +20,7 @@
     let witness = play(rules);
     let complete = witness.words.get("complete").copied().unwrap_or(0);
     assert!(complete * 10 > witness.arrivals * 8, "{witness}");
-    assert!(witness.motions[0] > 3 && witness.copies > 0, "{witness}");
+    assert!(witness.commands[0] > 3 && witness.copies > 0, "{witness}");
 }
 
 #[parameterized(
@@ -73,8 +73,8 @@
     let mut world = World::new(WorldRules::new(Deployment::Pahana, 1));
     let members = vec![world.criers[0].address];
     let lost = if was_lost { members.clone() } else { vec![] };
-    let motion = Some(Motion::Forget { members });
-    let asked = operators::Asked { at: world.now, id: "op-1".into(), motion, newest_told: 0, lost };
+    let command = Some(Command::Forget { members });
+    let asked = operators::Asked { at: world.now, id: "op-1".into(), command, newest_told: 0, lost };
     world.operators.asked.insert(1, asked);
     let code = ResultCode::Accepted.number();
     world.on_operator_reply(1, 200, serde_json::json!({"code": code, "epoch": 1}).to_string().as_bytes());
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -166,9 +166,9 @@
     let deployment = Deployment::Valodu;
     let (_crew, mut fleet, _machine) = serving(deployment);
     let odd = r#"{ "services" : {"hints":{"resumable":false, "slots": 16}} ,"note":"spaces   and ünïcode"}"#;
-    let verdict = fleet.put_plan("odd", 2, odd).or_else(|_| fleet.put_plan("odd", 9, odd));
+    let outcome = fleet.put_plan("odd", 2, odd).or_else(|_| fleet.put_plan("odd", 9, odd));
     let latest: serde_json::Value = serde_json::from_slice(&fleet.registrars[0].get("/v1/latest").unwrap().1).unwrap();
-    let verdict = verdict
+    let outcome = outcome
         .or_else(|_| fleet.put_plan("odd", latest["epoch"].as_u64().unwrap_or(0), odd))
         .expect("accepted")["epoch"]
         .clone();
@@ -198,7 +198,7 @@
     assert!(back.0 <= 12_000, "service was back after {} ms", back.0);
     fleet.await_core(PATIENCE).expect("the wiped one is admitted again");
     for registrar in &fleet.registrars {
-        let (status, body) = registrar.get(&format!("/v1/plans/{verdict}")).expect("it replies");
+        let (status, body) = registrar.get(&format!("/v1/plans/{outcome}")).expect("it replies");
         assert_eq!((status, String::from_utf8_lossy(&body).as_ref()), (200, odd), "at {}", registrar.name);
     }
 }
@@ -309,9 +309,9 @@
     Fleet::await_that(PATIENCE, "the core misses its members", is_refused).expect("no majority, no change");
     // One that lives is named, too: nothing changes, and the answer says who is heard.
     let living = fleet.criers[0].inner;
-    let verdict = forget(&fleet, "wrong", &[lost[0], living]);
-    let why = verdict["why"].as_str().unwrap_or_default();
-    assert!(verdict["code"] == 310 && why.contains(&living.to_string()), "{verdict}");
+    let outcome = forget(&fleet, "wrong", &[lost[0], living]);
+    let why = outcome["why"].as_str().unwrap_or_default();
+    assert!(outcome["code"] == 310 && why.contains(&living.to_string()), "{outcome}");
     assert_eq!(forget(&fleet, "unknown", &[Address::loopback(1)])["code"], 309);
     let is_forgotten = || forget(&fleet, "gone", &lost)["code"] == 300;
     Fleet::await_that(PATIENCE, "the lost are forgotten", is_forgotten).expect("nobody hears them");
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -41,9 +41,9 @@
     assert_eq!(json(other.get("/v1/fates/p1")).1["epoch"], epoch);
     assert_eq!(json(other.get("/v1/fates/p2")), (404, json(other.get("/v1/fates/p2")).1));
     let faulty = r#"{"services":{"a":{"slots":0,"btb":{"x":1}},"b":{"kind":"stream"}}}"#;
-    let (status, verdict) = put("p3", epoch, faulty);
+    let (status, outcome) = put("p3", epoch, faulty);
     let paths: Vec<&str> =
-        verdict["faults"].as_array().expect("faults").iter().filter_map(|f| f["path"].as_str()).collect();
+        outcome["faults"].as_array().expect("faults").iter().filter_map(|f| f["path"].as_str()).collect();
     assert_eq!((status, paths), (422, vec!["services.a.slots", "services.a.btb.x"]));
     let change = br#"{"note":"changed"}"#.to_vec();
     let changed = json(other.ask("PATCH", &format!("/v1/plan?id=c1&builds_on={epoch}"), change.clone())).1;
