--- a/crates/college/src/leases.rs
+++ b/crates/college/src/leases.rs
@@ -4,14 +4,14 @@
 messages! {
     /// The members of the fleet, as the chain keeps them.
     ///
-    /// Invariant: `elder` is the roster before the last change of it. A roster changes again only
-    /// once more than half of the elder's members know the present one.
+    /// Invariant: `previous` are the members before the last change of the membership. A membership changes again only
+    /// once more than half of the previous members know the present one.
     #[derive(Default)]
-    pub struct Roster {
+    pub struct Membership {
         /// The members now.
         pub members: Vec<Address>,
         /// The members before the last change.
-        pub elder: Vec<Address>,
+        pub previous: Vec<Address>,
         /// The epoch at which it last changed.
         pub since: Epoch,
     }
@@ -41,28 +41,28 @@
     pub fn clear(&mut self) {
         self.leases.clear();
     }
-    /// Whether more than half of the roster, and of its elder, hold leases.
-    pub fn has_majority(&self, roster: &Roster, now: Moment) -> bool {
+    /// Whether more than half of the members, and of the previous members, hold leases.
+    pub fn has_majority(&self, membership: &Membership, now: Moment) -> bool {
         let is_live = |member: &Address| self.leases.get(member).is_some_and(|p| p.due > now);
-        is_most(&roster.members, is_live) && is_most(&roster.elder, is_live)
+        is_most(&membership.members, is_live) && is_most(&membership.previous, is_live)
     }
-    /// Whether more than half of the roster, and of its elder, are known to know `epoch`.
-    pub fn is_known_to_most(&self, roster: &Roster, epoch: Epoch) -> bool {
+    /// Whether more than half of the members, and of the previous members, are known to know `epoch`.
+    pub fn is_known_to_most(&self, membership: &Membership, epoch: Epoch) -> bool {
         let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= epoch);
-        is_most(&roster.members, is_told) && is_most(&roster.elder, is_told)
+        is_most(&membership.members, is_told) && is_most(&membership.previous, is_told)
     }
     /// Whether each that holds a lease is known to know `epoch`; one that is no member any more still does.
     pub fn is_known_to_holders(&self, epoch: Epoch, now: Moment) -> bool {
         self.leases.values().all(|lease| lease.due <= now || lease.known >= epoch)
     }
-    /// Whether each of the roster is known to know `epoch`.
-    pub fn is_known_to_all(&self, roster: &Roster, epoch: Epoch) -> bool {
-        roster.members.iter().all(|member| self.leases.get(member).is_some_and(|p| p.known >= epoch))
+    /// Whether each of the members is known to know `epoch`.
+    pub fn is_known_to_all(&self, membership: &Membership, epoch: Epoch) -> bool {
+        membership.members.iter().all(|member| self.leases.get(member).is_some_and(|p| p.known >= epoch))
     }
-    /// Whether more than half of those before the last change of the roster know the roster now.
-    pub fn is_roster_settled(&self, roster: &Roster) -> bool {
-        let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= roster.since);
-        is_most(&roster.elder, is_told)
+    /// Whether more than half of those before the last change of the membership know the membership now.
+    pub fn is_membership_settled(&self, membership: &Membership) -> bool {
+        let is_told = |member: &Address| self.leases.get(member).is_some_and(|p| p.known >= membership.since);
+        is_most(&membership.previous, is_told)
     }
     /// Who holds a lease now, and what they know.
     pub fn live(&self, now: Moment) -> Vec<(Address, Epoch)> {
@@ -87,29 +87,29 @@
     #[test]
     fn holders_are_those_whose_leases_run() {
         let mut table = LeaseTable::default();
-        let roster = Roster { members: members(&[1, 2, 3]), elder: members(&[1, 4]), since: Epoch(5) };
+        let membership = Membership { members: members(&[1, 2, 3]), previous: members(&[1, 4]), since: Epoch(5) };
         table.renew(Address::loopback(1), Epoch(6), Moment(300));
         table.renew(Address::loopback(2), Epoch(5), Moment(200));
         assert!(!table.is_known_to_holders(Epoch(6), Moment(100)), "2 holds a lease and knows only 5");
         assert!(table.is_known_to_holders(Epoch(6), Moment(200)), "2's lease has run out");
-        assert!(!table.is_known_to_all(&roster, Epoch(5)), "3 was never heard");
+        assert!(!table.is_known_to_all(&membership, Epoch(5)), "3 was never heard");
         table.renew(Address::loopback(4), Epoch(2), Moment(400));
         assert!(!table.is_known_to_holders(Epoch(6), Moment(200)), "4, which is no member now, holds one");
     }
 
     #[test]
-    fn both_rosters_need_more_than_half() {
+    fn members_and_previous_members_each_need_more_than_half() {
         let mut table = LeaseTable::default();
-        let roster = Roster { members: members(&[1, 2, 3, 4]), elder: members(&[1, 2]), since: Epoch(5) };
+        let membership = Membership { members: members(&[1, 2, 3, 4]), previous: members(&[1, 2]), since: Epoch(5) };
         let now = Moment(100);
         for port in [2, 3, 4] {
             table.renew(Address::loopback(port), Epoch(5), Moment(200));
         }
-        assert!(!table.has_majority(&roster, now), "one of two elders is not more than half");
+        assert!(!table.has_majority(&membership, now), "one of two previous members is not more than half");
         table.renew(Address::loopback(1), Epoch(4), Moment(200));
-        assert!(table.has_majority(&roster, now));
-        assert!(!table.is_known_to_most(&roster, Epoch(5)), "the elder 1 knows only epoch 4");
-        assert!(!table.is_roster_settled(&roster));
-        assert!(!table.has_majority(&roster, Moment(200)), "leases have run out");
+        assert!(table.has_majority(&membership, now));
+        assert!(!table.is_known_to_most(&membership, Epoch(5)), "the previous member 1 knows only epoch 4");
+        assert!(!table.is_membership_settled(&membership));
+        assert!(!table.has_majority(&membership, Moment(200)), "leases have run out");
     }
 }
--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -49,7 +49,7 @@
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::leases::{LeaseTable, Roster};
+    pub use crate::leases::{LeaseTable, Membership};
     pub use crate::notes::{Ballot, Change, Note, Record, Round, Ticket};
     pub use crate::replica::{Input, Kept, KeptFault, Output, Replica, ReplicaState, Timing};
     pub use crate::standing::{Standing, StandingReason};
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -908,10 +908,10 @@
     fn take_up(&mut self, news: News, lease_due: Option<Moment>) {
         let is_newer = news.epoch > self.standing.epoch();
         // Filled in when it came.
-        let roster = news.members.unwrap_or_default();
+        let listed_members = news.members.unwrap_or_default();
         let since = news.members_since;
-        let has_other_members = roster != self.members || since > self.members_since;
-        let members: Vec<Address> = roster.iter().map(|member| member.address).collect();
+        let has_other_members = listed_members != self.members || since > self.members_since;
+        let members: Vec<Address> = listed_members.iter().map(|member| member.address).collect();
         match lease_due {
             Some(due) => self.standing.lease(due, news.epoch, members.clone()),
             None => self.standing.learn(news.epoch, members.clone()),
@@ -926,8 +926,8 @@
             self.poll();
         }
         if has_other_members {
-            self.dissemination.set_members(&roster);
-            self.members = roster;
+            self.dissemination.set_members(&listed_members);
+            self.members = listed_members;
             self.members_since = since;
             self.tell_desk(Event::Members { members, since });
         }
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -132,7 +132,7 @@
     played.tell(1, brief(4, 3));
     assert_eq!((played.node.epoch(), played.node.standing().members().len()), (Epoch(4), 3));
     played.tell(1, brief(6, 5));
-    assert_eq!(played.node.epoch(), Epoch(4), "the roster of epoch 5 never came");
+    assert_eq!(played.node.epoch(), Epoch(4), "the membership of epoch 5 never came");
     assert!(played.node.polled.is_some(), "the core is asked for it");
 }
 
@@ -443,12 +443,12 @@
 }
 
 #[test]
-fn the_desk_is_told_of_each_lease_and_of_each_roster_even_if_its_members_are_the_same() {
+fn the_desk_is_told_of_each_lease_and_of_each_membership_even_if_its_members_are_the_same() {
     let mut played = Played::serving();
     let renewed = events(played.lease(3, 2));
     let until = played.node.standing().lease_due().expect("it holds one");
     assert_eq!(renewed, [Event::Lease { until, span: Span(2000) }]);
-    let of_roster = |epoch: u64, since: u64| {
+    let of_membership = |epoch: u64, since: u64| {
         let news = News { members_since: Epoch(since), ..news(epoch, 2, vec![]) };
         Letter::News { news: Box::new(news) }
     };
@@ -459,8 +459,8 @@
         });
         since.map(|since| since.0)
     };
-    assert_eq!(since_of(played.tell(1, of_roster(4, 1))), None, "the roster that it knows");
-    assert_eq!(since_of(played.tell(1, of_roster(6, 6))), Some(6), "they were others meanwhile");
+    assert_eq!(since_of(played.tell(1, of_membership(4, 1))), None, "the membership that it knows");
+    assert_eq!(since_of(played.tell(1, of_membership(6, 6))), Some(6), "they were others meanwhile");
     let known = played.tell(8, Letter::NewsAsk);
     let Some(NodeOutput::Send { letter: Letter::News { news }, .. }) = known.into_iter().next() else {
         panic!("it tells what it knows");
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use college::prelude::{Preview, Roster, StateMachine};
+use college::prelude::{Membership, Preview, StateMachine};
 use std::collections::BTreeMap;
 
 messages! {
@@ -64,10 +64,10 @@
             /// Who.
             members: Vec<Address>,
         },
-        /// More than half of the elder know the roster of this epoch: majorities need them no more. Not an
+        /// More than half of the previous members know the membership of this epoch: majorities need them no more. Not an
         /// operator's command.
         Settle {
-            /// When the roster became what it is.
+            /// When the membership became what it is.
             since: Epoch,
         },
         /// What tokens are checked with. Not an operator's command; the first one stays.
@@ -117,7 +117,7 @@
         /// an older request that comes late is judged against (docs/control-safety.md).
         pub zone_changes: Vec<(HallName, Epoch)>,
         /// The members.
-        pub roster: Roster,
+        pub membership: Membership,
         /// The zones of the members.
         pub member_halls: Vec<(Address, HallName)>,
         /// What tokens are checked with.
@@ -279,7 +279,7 @@
                 self.judge_order_of_arrival(proposal, hall)
             }
             Command::Forget { members } => {
-                let is_member = |member: &Address| self.roster.members.contains(member);
+                let is_member = |member: &Address| self.membership.members.contains(member);
                 match members.iter().find(|member| !is_member(member)) {
                     Some(unknown) => {
                         let why = format!("{unknown} is not a member; `latest` shows who is");
@@ -288,8 +288,8 @@
                     None => Ok(()),
                 }
             }
-            Command::Settle { since } if *since != self.roster.since => {
-                Err(self.outcome(ResultCode::Conflict, self.epoch, "the roster has changed since", vec![]))
+            Command::Settle { since } if *since != self.membership.since => {
+                Err(self.outcome(ResultCode::Conflict, self.epoch, "the membership has changed since", vec![]))
             }
             Command::Key { .. } if self.key.is_some() => {
                 Err(self.outcome(ResultCode::Conflict, self.epoch, "there is a key already", vec![]))
@@ -325,9 +325,9 @@
 
     fn set_members(&mut self, halls: Vec<(Address, HallName)>) {
         self.member_halls = halls;
-        self.roster.elder = std::mem::take(&mut self.roster.members);
-        self.roster.members = self.member_halls.iter().map(|(address, _)| *address).collect();
-        self.roster.since = self.epoch;
+        self.membership.previous = std::mem::take(&mut self.membership.members);
+        self.membership.members = self.member_halls.iter().map(|(address, _)| *address).collect();
+        self.membership.since = self.epoch;
     }
 }
 
@@ -395,9 +395,9 @@
                 halls.retain(|(address, _)| !members.contains(address));
                 self.set_members(halls);
                 // The dead can't act, so that majorities are those of the living (docs/isolation.md).
-                self.roster.elder.clone_from(&self.roster.members);
+                self.membership.previous.clone_from(&self.membership.members);
             }
-            Command::Settle { .. } => self.roster.elder.clone_from(&self.roster.members),
+            Command::Settle { .. } => self.membership.previous.clone_from(&self.membership.members),
             Command::Key { key } => self.key = Some(*key),
         }
         let outcome = self.outcome(ResultCode::Accepted, self.epoch, "", vec![]);
@@ -584,22 +584,22 @@
         assert!(unknown["why"].as_str().is_some_and(|why| why.contains("127.0.0.1:9 ")), "{unknown}");
         assert!(!ledger.needs_members(&forget("g", &[3, 4, 5]).to_bytes()));
         assert_eq!(take(&mut ledger, &forget("g", &[3, 4, 5]))["code"], 300);
-        assert_eq!((&ledger.roster.elder, ledger.roster.members.len()), (&ledger.roster.members, 2));
+        assert_eq!((&ledger.membership.previous, ledger.membership.members.len()), (&ledger.membership.members, 2));
         assert_eq!(take(&mut ledger, &forget("g", &[3, 4, 5]))["epoch"], 2, "a repeat is told the first one's epoch");
     }
 
     #[test]
-    fn the_elder_count_no_more_once_the_roster_is_settled_and_only_for_that_roster() {
+    fn previous_members_count_no_more_once_the_membership_is_settled_and_only_for_that_membership() {
         let mut ledger = Ledger::default();
         let inner = |command: Command| Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command };
         for n in [1, 2] {
             let members = vec![(Address::loopback(n), HallName::from("north"))];
             take(&mut ledger, &inner(Command::Join { members }));
         }
-        assert_eq!((ledger.roster.elder.len(), ledger.roster.since), (1, Epoch(2)));
+        assert_eq!((ledger.membership.previous.len(), ledger.membership.since), (1, Epoch(2)));
         assert_eq!(take(&mut ledger, &inner(Command::Settle { since: Epoch(1) }))["code"], 302);
         assert_eq!(take(&mut ledger, &inner(Command::Settle { since: Epoch(2) }))["code"], 300);
-        assert_eq!(ledger.roster.elder, ledger.roster.members);
+        assert_eq!(ledger.membership.previous, ledger.membership.members);
     }
 
     #[test]
--- a/crates/primer/src/claim.rs
+++ b/crates/primer/src/claim.rs
@@ -3,15 +3,15 @@
 /// This node's claim to its part of what fresh and cold servers bear.
 ///
 /// Invariant: at any moment, over all nodes, the parts of those whose claims hold add up to no more than the
-/// whole, whatever each of them knows. It follows from three things. Nodes whose claims hold under one roster
+/// whole, whatever each of them knows. It follows from three things. Nodes whose claims hold under one membership
 /// have different places in it, so that their parts are the whole. A claim holds only while a lease runs, which
-/// the core gives under its newest roster alone: once a roster is replaced, each claim under it is gone after a
-/// lease's span. And a claim under a new roster holds only after that span, and a little more, has passed since
-/// this node learned of it, so that none under a former roster is left. A life begins without any claim.
+/// the core gives under its newest membership alone: once a membership is replaced, each claim under it is gone after a
+/// lease's span. And a claim under a new membership holds only after that span, and a little more, has passed since
+/// this node learned of it, so that none under a former membership is left. A life begins without any claim.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Claim {
-    /// When this node learned of the roster that it goes by. `None` until it's told of one.
-    roster_from: Option<Moment>,
+    /// When this node learned of the membership that it goes by. `None` until it's told of one.
+    membership_from: Option<Moment>,
     since: Epoch,
     /// The newest lease. Where there is no core, and no lease was ever told of, a claim doesn't lapse.
     lease: Option<Lease>,
@@ -24,12 +24,12 @@
 }
 
 impl Claim {
-    /// The members were told of, as they are since this epoch. Says whether the roster is another one than
+    /// The members were told of, as they are since this epoch. Says whether the membership is another one than
     /// before, also if its members are the same.
-    pub fn learn_roster(&mut self, since: Epoch, has_other_members: bool, now: Moment) -> bool {
-        let is_other = self.roster_from.is_none() || has_other_members || since > self.since;
+    pub fn learn_membership(&mut self, since: Epoch, has_other_members: bool, now: Moment) -> bool {
+        let is_other = self.membership_from.is_none() || has_other_members || since > self.since;
         if is_other {
-            self.roster_from = Some(now);
+            self.membership_from = Some(now);
         }
         self.since = self.since.max(since);
         is_other
@@ -41,9 +41,9 @@
     }
     /// Whether it holds; else when to look again.
     pub fn check(&self, now: Moment) -> Result<(), Span> {
-        let Some(roster_from) = self.roster_from else { return Err(LOOK_AGAIN) };
+        let Some(membership_from) = self.membership_from else { return Err(LOOK_AGAIN) };
         let others_lapse = self.lease.map_or(Span(0), |lease| lease.span);
-        let holds_from = roster_from + others_lapse + SENT_BY_THEN;
+        let holds_from = membership_from + others_lapse + SENT_BY_THEN;
         if now < holds_from {
             return Err(now.until(holds_from));
         }
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -286,7 +286,7 @@
 
     fn on_members(&mut self, members: Vec<Address>, since: Epoch, now: Moment) {
         let has_others = members.iter().collect::<BTreeSet<_>>() != self.members.iter().collect::<BTreeSet<_>>();
-        self.claim.learn_roster(since, has_others, now);
+        self.claim.learn_membership(since, has_others, now);
         self.members = members;
         for server in self.servers.values_mut() {
             server.rank = rank(server.key, &self.own, &self.members) as u32;
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/primer/tests/cold_shares.rs
@@ -1,4 +1,4 @@
-//! What a cold server gets from a whole fleet whose nodes know different rosters: some are cut off from the core,
+//! What a cold server gets from a whole fleet whose nodes know different memberships: some are cut off from the core,
 //! some have just started, some were retired and don't know. Pure, seeded, in steps of a millisecond.
 
 use primer::prelude::*;
@@ -20,9 +20,9 @@
     up_from: u64,
     cut_until: u64,
     next_poll: u64,
-    /// The roster's epoch that it knows.
+    /// The membership's epoch that it knows.
     knows: Epoch,
-    /// Answers under way: when they come, when they were asked for, the roster as it was at the core.
+    /// Answers under way: when they come, when they were asked for, the membership as it was at the core.
     answers: VecDeque<(u64, u64, Epoch, Vec<Address>)>,
 }
 
@@ -31,7 +31,7 @@
     now: u64,
     seed: u64,
     nodes: Vec<Node>,
-    roster: Vec<Address>,
+    membership: Vec<Address>,
     since: Epoch,
     next: u64,
     placed: Vec<u64>,
@@ -40,7 +40,7 @@
 impl Fleet {
     fn new(seed: u64) -> Self {
         let mut fleet =
-            Fleet { now: START, seed, nodes: vec![], roster: vec![], since: Epoch(0), next: 0, placed: vec![] };
+            Fleet { now: START, seed, nodes: vec![], membership: vec![], since: Epoch(0), next: 0, placed: vec![] };
         for place in 0..NODES {
             let node = Node {
                 desk: Desk::new(own(place), 0, DeskRules::default()),
@@ -97,12 +97,12 @@
         };
         self.tell(place, Event::Roll { servers: vec![entry] });
     }
-    /// The core's roster becomes this.
-    fn change_roster(&mut self, members: BTreeSet<Address>) {
-        self.roster = members.into_iter().collect();
+    /// The core's membership becomes this.
+    fn change_membership(&mut self, members: BTreeSet<Address>) {
+        self.membership = members.into_iter().collect();
         self.since = self.since.next();
     }
-    /// A millisecond goes by: polls, and answers with leases and rosters.
+    /// A millisecond goes by: polls, and answers with leases and memberships.
     fn step(&mut self) {
         self.now += 1;
         for place in 0..NODES {
@@ -112,7 +112,7 @@
             if self.now < self.nodes[place].up_from {
                 continue;
             }
-            while let Some((_, asked, since, roster)) =
+            while let Some((_, asked, since, membership)) =
                 self.nodes[place].answers.pop_front_if(|(due, ..)| *due <= self.now)
             {
                 if since < self.nodes[place].knows {
@@ -120,16 +120,16 @@
                 }
                 if since > self.nodes[place].knows {
                     self.nodes[place].knows = since;
-                    self.tell(place, Event::Members { members: roster, since });
+                    self.tell(place, Event::Members { members: membership, since });
                 }
                 self.tell(place, Event::Lease { until: Moment(asked + LEASE), span: Span(LEASE) });
             }
             if self.now >= self.nodes[place].next_poll {
                 self.nodes[place].next_poll = self.now + 1000;
-                let is_member = self.roster.contains(&own(place));
+                let is_member = self.membership.contains(&own(place));
                 if is_member && self.now >= self.nodes[place].cut_until {
                     let due = self.now + 1 + self.random(150);
-                    let answer = (due, self.now, self.since, self.roster.clone());
+                    let answer = (due, self.now, self.since, self.membership.clone());
                     self.nodes[place].answers.push_back(answer);
                 }
             }
@@ -180,7 +180,7 @@
 #[test]
 fn a_calm_fleet_sends_a_cold_server_just_what_it_bears() {
     let mut fleet = Fleet::new(1);
-    fleet.change_roster(all());
+    fleet.change_membership(all());
     fleet.press(12_000);
     assert_eq!(fleet.most_a_second(START), BEARS);
     let late = fleet.placed.iter().filter(|at| **at >= START + 6000).count();
@@ -190,12 +190,12 @@
 #[test]
 fn one_that_was_alone_and_lost_the_core_takes_nothing_on_what_it_knew() {
     let mut fleet = Fleet::new(2);
-    fleet.change_roster([own(0)].into());
+    fleet.change_membership([own(0)].into());
     fleet.press(6000);
     assert!(fleet.placed.len() > BEARS, "alone it may take all");
     // It's cut off; the others join without its hearing of it.
     fleet.nodes[0].cut_until = u64::MAX;
-    fleet.change_roster(all());
+    fleet.change_membership(all());
     let from = fleet.now;
     fleet.press(12_000);
     assert!(fleet.most_a_second(START) <= BEARS, "{} in a second", fleet.most_a_second(from));
@@ -206,13 +206,13 @@
 #[test]
 fn one_that_was_away_while_the_others_shared_its_part_waits_for_them() {
     let mut fleet = Fleet::new(3);
-    fleet.change_roster(all());
+    fleet.change_membership(all());
     fleet.press(6000);
     fleet.nodes[0].cut_until = u64::MAX;
-    fleet.change_roster([own(1)].into());
+    fleet.change_membership([own(1)].into());
     fleet.press(8000);
     // The same members as it knew: that they were others meanwhile, it has not seen.
-    fleet.change_roster(all());
+    fleet.change_membership(all());
     fleet.nodes[0].cut_until = fleet.now;
     fleet.press(8000);
     assert!(fleet.most_a_second(START) <= BEARS, "{} in a second", fleet.most_a_second(START));
@@ -235,9 +235,9 @@
         match fleet.random(4) {
             0 => {
                 let members = (0..NODES).map(own).filter(|_| fleet.random(3) > 0).collect();
-                fleet.change_roster(members);
+                fleet.change_membership(members);
             }
-            1 => fleet.change_roster(all()),
+            1 => fleet.change_membership(all()),
             2 => {
                 let (place, span) = (fleet.random(NODES as u64) as usize, fleet.random(8000));
                 fleet.nodes[place].cut_until = fleet.now + span;
@@ -252,7 +252,7 @@
     assert!(fleet.most_a_second(START) <= BEARS, "{} in a second", fleet.most_a_second(START));
     // And once all is calm, it's given nearly all that it bears.
     fleet.nodes.iter_mut().for_each(|node| node.cut_until = 0);
-    fleet.change_roster(all());
+    fleet.change_membership(all());
     fleet.press(6000);
     let from = fleet.now;
     fleet.press(5000);
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -288,7 +288,7 @@
         }
         let ledger = office.replica().state_machine();
         self.tallies.epoch.store(ledger.epoch.0, Ordering::Relaxed);
-        self.tallies.members.store(ledger.roster.members.len() as u64, Ordering::Relaxed);
+        self.tallies.members.store(ledger.membership.members.len() as u64, Ordering::Relaxed);
         let view = office.replica().view();
         self.tallies.view.store(view.epoch.0, Ordering::Relaxed);
         self.tallies.chain.store(view.chain.len() as u64, Ordering::Relaxed);
@@ -318,7 +318,7 @@
             "epoch": ledger.epoch,
             "plan_epoch": ledger.plan_epoch,
             "withdrawn": ledger.withdrawn,
-            "members": ledger.roster.members,
+            "members": ledger.membership.members,
             "leases": office.members(now).iter().map(|(a, e)| (a.to_string(), e.0)).collect::<std::collections::BTreeMap<_, _>>(),
         })
     }
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -9,7 +9,7 @@
     pub replica: Timing,
     /// A member's lease.
     pub lease: Span,
-    /// Between changes of the roster by which newcomers are let in.
+    /// Between changes of the membership by which newcomers are let in.
     pub join: Span,
     /// A proposal that the core can't take is tried again for this long.
     pub patience: Span,
@@ -365,7 +365,7 @@
         }
         self.seen.insert(from, self.now);
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
-        let is_member = self.replica.state_machine().roster.members.contains(&from);
+        let is_member = self.replica.state_machine().membership.members.contains(&from);
         if is_member {
             self.give_lease(from, &poll);
         } else {
@@ -395,7 +395,7 @@
     /// For one that has this epoch.
     fn news(&self, has: Epoch) -> News {
         let ledger = self.replica.state_machine();
-        let members_since = ledger.roster.since;
+        let members_since = ledger.membership.since;
         let member = |(address, hall): &(Address, HallName)| Member { address: *address, hall: hall.clone() };
         News {
             epoch: ledger.epoch,
@@ -423,8 +423,8 @@
                 .filter(|(_, subscriber)| is_behind(subscriber))
                 .map(|(member, subscriber)| (*member, subscriber.told < since))
                 .collect();
-            for (member, wants_roster) in behind {
-                let news = if wants_roster { &whole } else { &brief };
+            for (member, wants_membership) in behind {
+                let news = if wants_membership { &whole } else { &brief };
                 self.subscribers.entry(member).and_modify(|subscriber| subscriber.told = epoch);
                 self.send(member, Letter::News { news: Box::new(news.clone()) });
             }
@@ -453,13 +453,13 @@
 
     /// Whether as many know this epoch as must.
     fn is_known(&self, epoch: Epoch) -> bool {
-        let roster = &self.replica.state_machine().roster;
+        let membership = &self.replica.state_machine().membership;
         match self.timing.quorum {
-            Quorum::Majority => self.leases.is_known_to_most(roster, epoch),
+            Quorum::Majority => self.leases.is_known_to_most(membership, epoch),
             // A new tail doesn't know what leases the last one gave: they must have run out.
             Quorum::Holders => {
                 let is_old_gone = self.now.since(self.leases_since) >= self.timing.lease;
-                self.leases.is_known_to_all(roster, epoch)
+                self.leases.is_known_to_all(membership, epoch)
                     || (is_old_gone && self.leases.is_known_to_holders(epoch, self.now))
             }
         }
@@ -471,18 +471,18 @@
         self.replica.has_copies() && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
     }
 
-    /// Whether enough of those before the last change of the roster know the roster now.
-    fn is_roster_settled(&self) -> bool {
-        let roster = &self.replica.state_machine().roster;
+    /// Whether enough of those before the last change of the membership know the membership now.
+    fn is_membership_settled(&self) -> bool {
+        let membership = &self.replica.state_machine().membership;
         match self.timing.quorum {
-            Quorum::Majority => self.leases.is_roster_settled(roster),
-            Quorum::Holders => self.is_known(roster.since),
+            Quorum::Majority => self.leases.is_membership_settled(membership),
+            Quorum::Holders => self.is_known(membership.since),
         }
     }
 
     fn has_quorum(&self) -> bool {
-        let roster = &self.replica.state_machine().roster;
-        let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(roster, self.now);
+        let membership = &self.replica.state_machine().membership;
+        let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(membership, self.now);
         self.may_reply() && has_members
     }
 
@@ -514,17 +514,17 @@
         }
     }
 
-    /// Lets those in that asked, a change of the roster at a time.
+    /// Lets those in that asked, a change of the membership at a time.
     fn admit(&mut self) {
-        let roster = &self.replica.state_machine().roster;
-        let members = &roster.members;
+        let membership = &self.replica.state_machine().membership;
+        let members = &membership.members;
         let joined: Vec<Address> = self.joining.keys().filter(|one| members.contains(one)).copied().collect();
         for address in joined {
             if let Some(poll) = self.joining.remove(&address) {
                 self.give_lease(address, &poll);
             }
         }
-        if self.joining.is_empty() || self.now < self.join_due || !self.is_roster_settled() {
+        if self.joining.is_empty() || self.now < self.join_due || !self.is_membership_settled() {
             return;
         }
         self.join_due = self.now + self.timing.join;
@@ -532,27 +532,28 @@
         self.propose_inner(Command::Join { members });
     }
 
-    /// Once more than half of the elder know the roster, they are needed for no majority any more.
+    /// Once more than half of the previous members know the membership, they are needed for no majority any more.
     fn settle(&mut self) {
-        let roster = &self.replica.state_machine().roster;
-        if roster.elder == roster.members || self.now < self.settle_due || !self.is_roster_settled() {
+        let membership = &self.replica.state_machine().membership;
+        if membership.previous == membership.members || self.now < self.settle_due || !self.is_membership_settled() {
             return;
         }
-        let since = roster.since;
+        let since = membership.since;
         self.settle_due = self.now + Span(400);
         self.propose_inner(Command::Settle { since });
     }
 
     /// Takes members out that have held no lease for long.
     fn retire(&mut self) {
-        if self.now < self.retire_due || !self.is_roster_settled() {
+        if self.now < self.retire_due || !self.is_membership_settled() {
             return;
         }
         self.retire_due = self.now + Span::seconds(1);
         let is_gone = |member: &&Address| {
             self.seen.get(*member).is_none_or(|seen| self.now.since(*seen) >= self.timing.retire_after)
         };
-        let gone: Vec<Address> = self.replica.state_machine().roster.members.iter().filter(is_gone).copied().collect();
+        let gone: Vec<Address> =
+            self.replica.state_machine().membership.members.iter().filter(is_gone).copied().collect();
         if !gone.is_empty() {
             self.propose_inner(Command::Retire { members: gone });
         }
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -181,8 +181,9 @@
     pub failed_changes: u64,
     /// Changes that some living node never had.
     pub unseen_changes: u64,
-    /// Epochs besides those changes: the roster's.
-    pub roster_changes: u64,
+    /// Epochs besides those changes: the membership's.
+    #[serde(alias = "roster_changes")]
+    pub membership_changes: u64,
     /// Requests placed, and refused, a second.
     pub placed: f64,
     /// Refused a second.
@@ -487,7 +488,7 @@
         change_accepted: Spread::of(&changes.iter().map(|(_, _, took)| *took).collect::<Vec<_>>()),
         failed_changes: failed,
         unseen_changes: unseen,
-        roster_changes: (last_epoch - first_epoch).saturating_sub(changes.len() as u64),
+        membership_changes: (last_epoch - first_epoch).saturating_sub(changes.len() as u64),
         placed: (placed.0 - placed_before.0) as f64 / seconds,
         refused: (placed.1 - placed_before.1) as f64 / seconds,
         join_ms,
@@ -569,8 +570,8 @@
         }
         writeln!(
             f,
-            "changes failed {}, not seen by all {}; roster's epochs {}; placed {:.0}/s, refused {:.0}/s",
-            self.failed_changes, self.unseen_changes, self.roster_changes, self.placed, self.refused
+            "changes failed {}, not seen by all {}; membership's epochs {}; placed {:.0}/s, refused {:.0}/s",
+            self.failed_changes, self.unseen_changes, self.membership_changes, self.placed, self.refused
         )
     }
 }
