Rename: folio, book, leaf and shelf are now storage and its disk thread

The mark at the start of a checked file changed with its name, so a data folder of before is not read as sound. No other behaviour changes.

--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -1,6 +1,5 @@
 //! The data plane: a crier takes callers' orders, places them, and carries the streams.
 
-mod book;
 mod call;
 mod call_limits;
 mod carrier;
@@ -21,13 +20,13 @@
 mod server_list;
 mod settings;
 mod shared;
+mod tallies;
 mod token;
 mod trip;
 mod wire;
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::book::Tallies;
     pub use crate::call::{Call, CallDialect, Sending, ServerLoad};
     pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, OrderState};
     pub use crate::daemon::{Dialects, ReadSeeds, run};
@@ -42,6 +41,7 @@
     pub use crate::replay::replay;
     pub use crate::server_list::{ListOutput, ListPeers, ListReading, ListTiming, ServerList};
     pub use crate::settings::Settings;
+    pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
     pub use crate::wire::{CallerOrder, LIFE_HEADER, ResumeOrder, RollReport, RunOrder, RunPiece, ServerReport};
     pub use circular::prelude::*;
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -10,7 +10,7 @@
 /// What reaches the control thread.
 enum Event {
     Input(OfficeInput),
-    Shelf(u64, ShelfEvent),
+    Disk(u64, DiskEvent),
     Believes(flume::Sender<serde_json::Value>),
 }
 
@@ -98,8 +98,8 @@
     let (sender, events) = flume::bounded::<Event>(QUEUE);
 
     let tell_control = sender.clone();
-    let shelf = Shelf::open(Path::new(&settings.folder), move |life, event| {
-        let _ = tell_control.send(Event::Shelf(life, event));
+    let disk_thread = DiskThread::open(Path::new(&settings.folder), move |life, event| {
+        let _ = tell_control.send(Event::Disk(life, event));
     })
     .map_err(|fault| format!("folder = {}: {fault}", settings.folder))?;
     let take_letter = sender.clone();
@@ -139,7 +139,7 @@
         founders,
         seeds,
         timing,
-        shelf,
+        disk_thread,
         post,
         replies,
         is_ready,
@@ -191,7 +191,7 @@
     founders: Vec<Address>,
     seeds: Vec<Address>,
     timing: OfficeTiming,
-    shelf: Shelf,
+    disk_thread: DiskThread,
     post: Post,
     replies: Replies,
     is_ready: Arc<AtomicBool>,
@@ -213,13 +213,13 @@
         let now = Clock::now();
         match event {
             Event::Input(input) => self.step(now, input),
-            Event::Shelf(life, ShelfEvent::Ready { disk, kept }) => self.begin(life, disk, kept),
-            Event::Shelf(life, ShelfEvent::Written { id }) if life == self.life => {
+            Event::Disk(life, DiskEvent::Ready { disk, kept }) => self.begin(life, disk, kept),
+            Event::Disk(life, DiskEvent::Written { id }) if life == self.life => {
                 self.step(now, OfficeInput::Written { id });
             }
-            Event::Shelf(life, ShelfEvent::Fault { why }) => {
+            Event::Disk(life, DiskEvent::Fault { why }) => {
                 if self.fault.as_ref() != Some(&why) {
-                    tracing::error!("shelf: {} {why}; this registrar steps out.", ResultCode::DiskFault);
+                    tracing::error!("disk: {} {why}; this registrar steps out.", ResultCode::DiskFault);
                     self.fault = Some(why);
                 }
                 self.tallies.faults.fetch_add(1, Ordering::Relaxed);
@@ -227,7 +227,7 @@
                     self.step(now, OfficeInput::DiskFault);
                 }
             }
-            Event::Shelf(..) => {}
+            Event::Disk(..) => {}
             Event::Believes(reply) => {
                 let _ = reply.send(self.believes(now));
             }
@@ -248,7 +248,7 @@
             Ok(replica) => {
                 tracing::info!("registrar: disk {disk} holds epoch {}.", replica.state_machine().epoch);
                 self.life = life;
-                self.shelf.begin(life);
+                self.disk_thread.begin(life);
                 self.fault = None;
                 let (key, incarnation) = (TokenKey(random_bytes()), u64::from_ne_bytes(random_bytes()));
                 self.office = Some(Office::new(replica, timing, key, incarnation, now));
@@ -271,7 +271,7 @@
                 }
                 OfficeOutput::Write { id, records, is_whole } => {
                     self.tallies.writes.fetch_add(1, Ordering::Relaxed);
-                    self.shelf.write(id, records, is_whole);
+                    self.disk_thread.write(id, records, is_whole);
                 }
                 OfficeOutput::Reply { number, status, body } => {
                     self.replies.give(number, status, body);
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -5,24 +5,24 @@
 mod daemon;
 mod desk;
 mod desk_line;
+mod disk_thread;
 mod office;
 mod redirect;
 mod settings;
-mod shelf;
 
 /// What each file imports.
 pub mod prelude {
     pub use crate::core_line::{Attempt, CoreLine, Told};
     pub use crate::daemon::{Dialects, run};
     pub use crate::desk::{DeskAnswer, DeskCall, DeskDialect, DeskStep, DeskTask};
+    pub use crate::disk_thread::{DiskEvent, DiskThread};
     pub use crate::office::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
     pub use crate::redirect::ReadAddresses;
     pub use crate::settings::Settings;
-    pub use crate::shelf::{Shelf, ShelfEvent};
     pub use circular::prelude::*;
     pub use college::prelude::*;
-    pub use folio::prelude::*;
     pub use layout::prelude::*;
+    pub use storage::prelude::*;
     pub use wicket::prelude::*;
 }
 
--- a/crates/folio/src/leaf.rs
+++ b/crates/storage/src/checked_file.rs
@@ -2,10 +2,10 @@
 use std::io::{self, Write};
 use std::path::Path;
 
-const MAGIC: [u8; 8] = *b"cbflleaf";
+const MAGIC: [u8; 8] = *b"cbflfile";
 
 /// Writes a small file so that a crash leaves the old one or the new one, whole.
-pub fn put_leaf(folder: &Path, name: &str, parts: &[&[u8]]) -> io::Result<()> {
+pub fn write_file(folder: &Path, name: &str, parts: &[&[u8]]) -> io::Result<()> {
     let draft = folder.join(format!("{name}.draft"));
     let mut check = crc32fast::Hasher::new();
     parts.iter().for_each(|part| check.update(part));
@@ -21,7 +21,7 @@
 }
 
 /// Reads such a file; `None` if there is none, an error if it isn't whole.
-pub fn read_leaf(folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
+pub fn read_file(folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
     let bytes = match fs::read(folder.join(name)) {
         Ok(bytes) => bytes,
         Err(fault) if fault.kind() == io::ErrorKind::NotFound => return Ok(None),
@@ -43,19 +43,19 @@
     use super::*;
 
     #[test]
-    fn a_leaf_bent_or_torn_anywhere_is_noticed() {
+    fn a_file_bent_or_torn_anywhere_is_noticed() {
         let folder = tempfile::tempdir().unwrap();
-        assert_eq!(read_leaf(folder.path(), "leaf").unwrap(), None);
-        put_leaf(folder.path(), "leaf", &[b"some ", b"words"]).unwrap();
-        assert_eq!(read_leaf(folder.path(), "leaf").unwrap(), Some(b"some words".to_vec()));
-        let whole = fs::read(folder.path().join("leaf")).unwrap();
+        assert_eq!(read_file(folder.path(), "checked_file").unwrap(), None);
+        write_file(folder.path(), "checked_file", &[b"some ", b"words"]).unwrap();
+        assert_eq!(read_file(folder.path(), "checked_file").unwrap(), Some(b"some words".to_vec()));
+        let whole = fs::read(folder.path().join("checked_file")).unwrap();
         for place in 0..whole.len() {
             let mut bent = whole.clone();
             bent[place] ^= 1;
-            fs::write(folder.path().join("leaf"), &bent).unwrap();
-            assert!(read_leaf(folder.path(), "leaf").is_err(), "byte {place} bent unnoticed");
-            fs::write(folder.path().join("leaf"), &whole[..place]).unwrap();
-            assert!(read_leaf(folder.path(), "leaf").is_err(), "torn at {place} unnoticed");
+            fs::write(folder.path().join("checked_file"), &bent).unwrap();
+            assert!(read_file(folder.path(), "checked_file").is_err(), "byte {place} bent unnoticed");
+            fs::write(folder.path().join("checked_file"), &whole[..place]).unwrap();
+            assert!(read_file(folder.path(), "checked_file").is_err(), "torn at {place} unnoticed");
         }
     }
 }
--- a/crates/folio/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,12 +1,12 @@
 //! A data folder: records that are synced before they are acknowledged, and a snapshot that replaces
 //! all before it at once.
 
-mod book;
-mod leaf;
+mod checked_file;
+mod write_ahead_log;
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::book::{Folio, FolioFault, Opened};
-    pub use crate::leaf::{put_leaf, read_leaf};
+    pub use crate::checked_file::{read_file, write_file};
+    pub use crate::write_ahead_log::{Opened, Storage, StorageFault};
     pub use parlance::prelude::*;
 }
--- a/crates/folio/src/book.rs
+++ b/crates/storage/src/write_ahead_log.rs
@@ -1,4 +1,4 @@
-use crate::leaf::{put_leaf, read_leaf};
+use crate::checked_file::{read_file, write_file};
 use okaywal::{Configuration, Entry, EntryId, LogManager, SegmentReader, WriteAheadLog};
 use parlance::prelude::*;
 use std::fs;
@@ -9,7 +9,7 @@
 
 /// Why a folder can't be used. Nothing in it is served.
 #[derive(Debug, thiserror::Error)]
-pub enum FolioFault {
+pub enum StorageFault {
     /// The disk refused.
     #[error("the disk refused: {0}")]
     Io(#[from] io::Error),
@@ -23,12 +23,12 @@
 
 /// A data folder that is open for writing.
 ///
-/// Invariants: a record that [`Folio::write`] returned for is synced. Records count from the last
+/// Invariants: a record that [`Storage::write`] returned for is synced. Records count from the last
 /// snapshot on: each carries the snapshot's generation, and others are passed over. Entries are numbered
 /// without gaps within a generation, and one begins only after the one before is synced. Each generation has
 /// a log folder of its own, which is there, whole and synced, before the snapshot that names it: no file of a
 /// log is ever renamed or taken up again. The disk id is in the folder before any record is.
-pub struct Folio {
+pub struct Storage {
     folder: PathBuf,
     disk: DiskId,
     generation: u64,
@@ -39,7 +39,7 @@
 /// What opening a folder gave.
 pub struct Opened {
     /// To write to it.
-    pub folio: Folio,
+    pub storage: Storage,
     /// Which disk this is.
     pub disk: DiskId,
     /// All records since the last snapshot, that one's own first.
@@ -156,18 +156,18 @@
     Ok(false)
 }
 
-impl Folio {
+impl Storage {
     /// Opens a folder. One that is empty, or was wiped in part, becomes a new disk with this id.
-    pub fn open(folder: &Path, new_id: DiskId) -> Result<Opened, FolioFault> {
+    pub fn open(folder: &Path, new_id: DiskId) -> Result<Opened, StorageFault> {
         fs::create_dir_all(folder)?;
         if has_files(&folder.join(EARLIER_LOG)) {
-            return Err(FolioFault::Damaged("an earlier build, whose log this one does not read, wrote it".into()));
+            return Err(StorageFault::Damaged("an earlier build, whose log this one does not read, wrote it".into()));
         }
-        let id = read_leaf(folder, ID)?;
-        let snapshot = read_leaf(folder, SNAPSHOT)?.map(|snapshot| unfold(&snapshot)).transpose()?;
+        let id = read_file(folder, ID)?;
+        let snapshot = read_file(folder, SNAPSHOT)?.map(|snapshot| parse_snapshot(&snapshot)).transpose()?;
         let (disk, generation, mut records) = match (id, snapshot) {
             (Some(id), Some((generation, records))) if has_files(&folder.join(log_name(generation))) => {
-                let id: [u8; 16] = id.try_into().map_err(|_| FolioFault::Damaged("the disk id is not one".into()))?;
+                let id: [u8; 16] = id.try_into().map_err(|_| StorageFault::Damaged("the disk id is not one".into()))?;
                 (DiskId(u128::from_be_bytes(id)), generation, records)
             }
             _ => {
@@ -181,19 +181,19 @@
         let (wal, mut recovered) = open_log(&log, Recovered { generation, ..Recovered::default() })?;
         sync_folder(folder)?;
         if let Some(damage) = recovered.damage.take() {
-            return Err(FolioFault::Damaged(damage));
+            return Err(StorageFault::Damaged(damage));
         }
         records.append(&mut recovered.records);
         let entry = recovered.entry;
         if has_later_entry(&log, generation, entry)? {
-            return Err(FolioFault::Damaged(format!("entry {} can't be read, and later ones are there", entry + 1)));
+            return Err(StorageFault::Damaged(format!("entry {} can't be read, and later ones are there", entry + 1)));
         }
-        let folio = Folio { folder: folder.to_owned(), disk, generation, entry, wal: Some(wal) };
-        Ok(Opened { folio, disk, records })
+        let storage = Storage { folder: folder.to_owned(), disk, generation, entry, wal: Some(wal) };
+        Ok(Opened { storage, disk, records })
     }
 
     /// Appends records, all or none, and syncs.
-    pub fn write(&mut self, records: &[Vec<u8>]) -> Result<(), FolioFault> {
+    pub fn write(&mut self, records: &[Vec<u8>]) -> Result<(), StorageFault> {
         let head = RecordHead { generation: self.generation, entry: self.entry + 1 };
         self.guarded(|wal| {
             let mut entry = wal.begin_entry()?;
@@ -207,7 +207,7 @@
     }
 
     /// Puts these records in place of all before, at once, and syncs.
-    pub fn replace(&mut self, records: &[Vec<u8>]) -> Result<(), FolioFault> {
+    pub fn replace(&mut self, records: &[Vec<u8>]) -> Result<(), StorageFault> {
         let generation = self.generation + 1;
         let heads: Vec<[u8; 8]> = records.iter().map(|record| (record.len() as u64).to_be_bytes()).collect();
         let (generation_bytes, count) = (generation.to_be_bytes(), (records.len() as u64).to_be_bytes());
@@ -217,9 +217,9 @@
             parts.push(record);
         }
         // Until the new log is open, the old one takes no writes: a fault here is one of the disk.
-        let old = self.wal.take().ok_or(FolioFault::Gone)?;
+        let old = self.wal.take().ok_or(StorageFault::Gone)?;
         let wal = begin_log(&self.folder, generation)?;
-        put_leaf(&self.folder, SNAPSHOT, &parts)?;
+        write_file(&self.folder, SNAPSHOT, &parts)?;
         drop(old);
         remove_if_there(&self.folder.join(log_name(self.generation)))?;
         self.generation = generation;
@@ -230,8 +230,8 @@
 
     /// Runs a write. The log panics when even taking a failed write back fails; that too is a fault
     /// of the disk. After a fault the folder must be opened anew.
-    fn guarded(&mut self, write: impl FnOnce(&WriteAheadLog) -> io::Result<()>) -> Result<(), FolioFault> {
-        let Some(wal) = self.wal.as_ref() else { return Err(FolioFault::Gone) };
+    fn guarded(&mut self, write: impl FnOnce(&WriteAheadLog) -> io::Result<()>) -> Result<(), StorageFault> {
+        let Some(wal) = self.wal.as_ref() else { return Err(StorageFault::Gone) };
         let outcome = catch_unwind(AssertUnwindSafe(|| write(wal)));
         let outcome = outcome.unwrap_or_else(|_| Err(io::Error::other("the log could not take a failed write back")));
         if outcome.is_err() {
@@ -241,10 +241,10 @@
     }
 
     /// Whether the folder is still the one that was opened.
-    fn check_id(&self) -> Result<(), FolioFault> {
-        match read_leaf(&self.folder, ID) {
+    fn check_id(&self) -> Result<(), StorageFault> {
+        match read_file(&self.folder, ID) {
             Ok(Some(id)) if id == self.disk.0.to_be_bytes() => Ok(()),
-            _ => Err(FolioFault::Gone),
+            _ => Err(StorageFault::Gone),
         }
     }
 }
@@ -275,15 +275,15 @@
     }
     sync_folder(folder)?;
     drop(begin_log(folder, FIRST)?);
-    put_leaf(folder, SNAPSHOT, &[&FIRST.to_be_bytes(), &0u64.to_be_bytes()])?;
-    put_leaf(folder, ID, &[&id.0.to_be_bytes()])
+    write_file(folder, SNAPSHOT, &[&FIRST.to_be_bytes(), &0u64.to_be_bytes()])?;
+    write_file(folder, ID, &[&id.0.to_be_bytes()])
 }
 
-fn unfold(snapshot: &[u8]) -> Result<(u64, Vec<Vec<u8>>), FolioFault> {
-    let torn = || FolioFault::Damaged("the snapshot ends early".into());
+fn parse_snapshot(snapshot: &[u8]) -> Result<(u64, Vec<Vec<u8>>), StorageFault> {
+    let torn = || StorageFault::Damaged("the snapshot ends early".into());
     let number = |place: usize| {
         let bytes = snapshot.get(place..place + 8).ok_or_else(torn)?;
-        Ok::<u64, FolioFault>(u64::from_be_bytes(bytes.try_into().map_err(|_| torn())?))
+        Ok::<u64, StorageFault>(u64::from_be_bytes(bytes.try_into().map_err(|_| torn())?))
     };
     let (generation, count) = (number(0)?, number(8)?);
     let (mut place, mut records) = (16, vec![]);
@@ -352,38 +352,38 @@
     }
 
     #[test]
-    fn what_was_written_comes_back_after_frames_and_reopening() {
+    fn what_was_written_comes_back_after_snapshots_and_reopening() {
         let folder = tempfile::tempdir().unwrap();
-        let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
+        let mut opened = Storage::open(folder.path(), DiskId(7)).unwrap();
         assert_eq!((opened.disk, opened.records.len()), (DiskId(7), 0));
-        opened.folio.write(&records(&["a", "b"])).unwrap();
-        opened.folio.write(&records(&["c"])).unwrap();
+        opened.storage.write(&records(&["a", "b"])).unwrap();
+        opened.storage.write(&records(&["c"])).unwrap();
         drop(opened);
-        let mut opened = Folio::open(folder.path(), DiskId(8)).unwrap();
+        let mut opened = Storage::open(folder.path(), DiskId(8)).unwrap();
         assert_eq!((opened.disk, opened.records), (DiskId(7), records(&["a", "b", "c"])));
-        opened.folio.replace(&records(&["abc"])).unwrap();
-        opened.folio.write(&records(&["d"])).unwrap();
-        drop(opened.folio);
-        let opened = Folio::open(folder.path(), DiskId(9)).unwrap();
+        opened.storage.replace(&records(&["abc"])).unwrap();
+        opened.storage.write(&records(&["d"])).unwrap();
+        drop(opened.storage);
+        let opened = Storage::open(folder.path(), DiskId(9)).unwrap();
         assert_eq!((opened.disk, opened.records), (DiskId(7), records(&["abc", "d"])));
     }
 
     #[test]
-    fn large_records_survive_and_the_log_is_cut_by_frames_only() {
+    fn large_records_survive_and_the_log_is_cut_by_snapshots_only() {
         let folder = tempfile::tempdir().unwrap();
         let large: Vec<Vec<u8>> = (0..6u8).map(|n| vec![n; 700_000]).collect();
-        let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
-        large.iter().for_each(|record| opened.folio.write(std::slice::from_ref(record)).unwrap());
+        let mut opened = Storage::open(folder.path(), DiskId(7)).unwrap();
+        large.iter().for_each(|record| opened.storage.write(std::slice::from_ref(record)).unwrap());
         drop(opened);
-        let opened = Folio::open(folder.path(), DiskId(8)).unwrap();
+        let opened = Storage::open(folder.path(), DiskId(8)).unwrap();
         assert_eq!(opened.records, large);
     }
 
     /// A folder with three entries, and where its only log file is.
     fn three_entries() -> (tempfile::TempDir, PathBuf, Vec<u8>) {
         let folder = tempfile::tempdir().unwrap();
-        let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
-        ["first", "second", "third"].iter().for_each(|word| opened.folio.write(&records(&[word])).unwrap());
+        let mut opened = Storage::open(folder.path(), DiskId(7)).unwrap();
+        ["first", "second", "third"].iter().for_each(|word| opened.storage.write(&records(&[word])).unwrap());
         drop(opened);
         let mut files = fs::read_dir(folder.path().join(log_name(FIRST))).unwrap();
         let path = files.next().unwrap().unwrap().path();
@@ -402,7 +402,7 @@
             let mut bent = whole.clone();
             bent[place] ^= 0x40;
             fs::write(&path, &bent).unwrap();
-            if let Ok(opened) = Folio::open(folder.path(), DiskId(8)) {
+            if let Ok(opened) = Storage::open(folder.path(), DiskId(8)) {
                 let is_harmless = opened.records == good;
                 // From the end of the second entry on: as if power had failed while the third was written.
                 let is_torn_last = place + 40 >= third && opened.records == good[..2];
@@ -421,11 +421,11 @@
             let mut torn = whole.clone();
             torn[cut..].fill(0);
             fs::write(&path, &torn).unwrap();
-            let mut opened = Folio::open(folder.path(), DiskId(8)).unwrap();
+            let mut opened = Storage::open(folder.path(), DiskId(8)).unwrap();
             assert_eq!((opened.disk, opened.records), (DiskId(7), records(&["first", "second"])));
-            opened.folio.write(&records(&["another"])).unwrap();
-            drop(opened.folio);
-            let opened = Folio::open(folder.path(), DiskId(8)).unwrap();
+            opened.storage.write(&records(&["another"])).unwrap();
+            drop(opened.storage);
+            let opened = Storage::open(folder.path(), DiskId(8)).unwrap();
             assert_eq!(opened.records, records(&["first", "second", "another"]));
         }
     }
@@ -434,8 +434,8 @@
     fn a_wiped_folder_is_another_disk_even_if_wiped_in_part_or_in_use() {
         for gone in [ID, SNAPSHOT, &log_name(FIRST)] {
             let folder = tempfile::tempdir().unwrap();
-            let mut opened = Folio::open(folder.path(), DiskId(7)).unwrap();
-            opened.folio.write(&records(&["a"])).unwrap();
+            let mut opened = Storage::open(folder.path(), DiskId(7)).unwrap();
+            opened.storage.write(&records(&["a"])).unwrap();
             let path = folder.path().join(gone);
             if path.is_dir() {
                 fs::remove_dir_all(path).unwrap()
@@ -443,10 +443,10 @@
                 fs::remove_file(path).unwrap()
             }
             if gone == ID {
-                assert!(matches!(opened.folio.write(&records(&["b"])), Err(FolioFault::Gone)));
+                assert!(matches!(opened.storage.write(&records(&["b"])), Err(StorageFault::Gone)));
             }
             drop(opened);
-            let opened = Folio::open(folder.path(), DiskId(8)).unwrap();
+            let opened = Storage::open(folder.path(), DiskId(8)).unwrap();
             assert_eq!((opened.disk, opened.records.len()), (DiskId(8), 0), "without {gone}");
         }
     }
--- a/crates/folio/tests/fuzz.rs
+++ b/crates/storage/tests/fuzz.rs
@@ -3,11 +3,11 @@
 //! replaced, or bent twice, more of the last entries may be gone without a trace, as on a disk that forgets
 //! what it had synced; nothing that wasn't written is ever given.
 
-use folio::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::fs;
 use std::path::{Path, PathBuf};
+use storage::prelude::*;
 
 /// What is done to a file's bytes; places are parts of its length in use.
 #[derive(Debug, Clone)]
@@ -73,11 +73,11 @@
     let mut runner = TestRunner::new_with_rng(config, random);
     let folder = tempfile::tempdir().expect("a folder");
     let original = folder.path().join("original");
-    let mut opened = Folio::open(&original, DiskId(7)).expect("it opens");
+    let mut opened = Storage::open(&original, DiskId(7)).expect("it opens");
     let word = |text: &str| vec![text.as_bytes().to_vec()];
-    opened.folio.write(&word("before")).expect("written");
-    opened.folio.replace(&word("folded")).expect("replaced");
-    ["first", "second", "third"].iter().for_each(|text| opened.folio.write(&word(text)).expect("written"));
+    opened.storage.write(&word("before")).expect("written");
+    opened.storage.replace(&word("folded")).expect("replaced");
+    ["first", "second", "third"].iter().for_each(|text| opened.storage.write(&word(text)).expect("written"));
     drop(opened);
     let whole: Vec<Vec<u8>> = ["folded", "first", "second", "third"].map(|text| text.as_bytes().to_vec()).to_vec();
     let held: Vec<(PathBuf, Vec<u8>)> =
@@ -97,7 +97,7 @@
                 bend(&path, one);
             }
         }
-        if let Ok(opened) = Folio::open(&bent, DiskId(8)) {
+        if let Ok(opened) = Storage::open(&bent, DiskId(8)) {
             let is_whole = opened.disk == DiskId(7) && opened.records == whole;
             let is_mild = matches!(how[..], [Bend::Flip { .. } | Bend::Insert { .. }]);
             let is_earlier = !is_mild && opened.disk == DiskId(7) && whole.starts_with(&opened.records);
--- a/crates/folio/tests/power_loss.rs
+++ b/crates/storage/tests/power_loss.rs
@@ -4,13 +4,13 @@
 //! what was written without a sync is kept or lost too. Then each such folder is opened.
 #![allow(unsafe_code)] // Two functions of the C library are replaced.
 
-use folio::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::c_int;
 use std::fs;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, MutexGuard};
+use storage::prelude::*;
 
 type Inode = u64;
 type Names = BTreeMap<PathBuf, Inode>;
@@ -207,7 +207,7 @@
         fs::create_dir_all(root).expect("made");
         let (durable, _) = scan(root);
         *locked(&WATCH) = Some(Watch { root: root.to_owned(), durable, skipped, ..Watch::default() });
-        let opened = Some(Folio::open(root, DiskId(7)).expect("it opens"));
+        let opened = Some(Storage::open(root, DiskId(7)).expect("it opens"));
         Play { root: root.to_owned(), opened, records: vec![], expected: vec![vec![]], count: 0 }
     }
 
@@ -221,12 +221,12 @@
                 let new: Vec<Vec<u8>> = (first..=self.count).map(|n| format!("record-{n}").into_bytes()).collect();
                 self.records.extend(new.iter().cloned());
                 self.expected.push(self.records.clone());
-                opened.folio.write(&new)
+                opened.storage.write(&new)
             }
             Replace => {
                 self.records = vec![self.records.concat()];
                 self.expected.push(self.records.clone());
-                opened.folio.replace(&self.records)
+                opened.storage.replace(&self.records)
             }
             Reopen => {
                 self.expected.push(self.records.clone());
@@ -249,7 +249,7 @@
     /// As after a kill of the process: what was written is there, synced or not.
     fn reopen(&mut self) {
         self.opened = None;
-        let opened = Folio::open(&self.root, DiskId(99)).expect("it opens again");
+        let opened = Storage::open(&self.root, DiskId(99)).expect("it opens again");
         assert_eq!(opened.disk, DiskId(7));
         self.opened = Some(opened);
     }
@@ -305,7 +305,7 @@
 
 /// What is wrong with what a loss of power left, if anything.
 fn fault_of(at: &Path, moment: &Moment, expected: &Expected) -> Option<String> {
-    let opened = match Folio::open(at, DiskId(99)) {
+    let opened = match Storage::open(at, DiskId(99)) {
         Ok(opened) => opened,
         Err(fault) => return Some(format!("it does not open: {fault}")),
     };
@@ -423,6 +423,6 @@
     let segment = folder.path().join("log").join("wal-1");
     fs::create_dir(folder.path().join("log")).expect("made");
     fs::write(&segment, b"entries").expect("written");
-    assert!(matches!(Folio::open(folder.path(), DiskId(8)), Err(FolioFault::Damaged(_))));
+    assert!(matches!(Storage::open(folder.path(), DiskId(8)), Err(StorageFault::Damaged(_))));
     assert_eq!(fs::read(&segment).expect("it's there"), b"entries");
 }
