--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -8,7 +8,7 @@
         /// Its inner address.
         pub address: Address,
         /// Its zone.
-        pub hall: HallName,
+        pub zone: ZoneName,
     }
 
     /// A member asks the core for a lease and for news.
@@ -35,7 +35,7 @@
         /// The epoch of the plan in force, to be asked for if not held.
         pub plan_epoch: Epoch,
         /// Zones that are withdrawn.
-        pub withdrawn: Vec<HallName>,
+        pub withdrawn: Vec<ZoneName>,
         /// The members; left out for one that knows them, as all do who have an epoch from `members_since` on.
         pub members: Option<Vec<Member>>,
         /// The epoch at which the members last changed.
--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -43,7 +43,7 @@
 }
 
 /// Three machines and what lies between them.
-struct Hall {
+struct Zone {
     now: Moment,
     replicas: Vec<Option<Replica<Register>>>,
     disks: Vec<Vec<Record>>,
@@ -56,9 +56,9 @@
     Voter { address: Address::loopback(7001 + place as u16), disk: DiskId(place as u128 + 1) }
 }
 
-impl Hall {
-    fn new() -> Hall {
-        let mut hall = Hall {
+impl Zone {
+    fn new() -> Zone {
+        let mut zone = Zone {
             now: Moment(1_000),
             replicas: vec![],
             disks: vec![vec![]; 3],
@@ -66,8 +66,8 @@
             replies: vec![],
             proposals: 0,
         };
-        hall.replicas = (0..3).map(|place| Some(hall.open(place))).collect();
-        hall
+        zone.replicas = (0..3).map(|place| Some(zone.open(place))).collect();
+        zone
     }
     fn open(&self, place: usize) -> Replica<Register> {
         let founders = (0..3).map(|n| voter(n).address).collect();
@@ -132,22 +132,22 @@
 }
 
 fn main() {
-    let mut hall = Hall::new();
-    hall.pass(Span(2_000));
-    assert_eq!(hall.propose(0, "set hello"), "word hello, duty held by ");
-    assert_eq!(hall.propose(1, "claim ada"), "word hello, duty held by ada");
-    assert_eq!(hall.propose(2, "claim ben"), "word hello, duty held by ada", "it was won already");
+    let mut zone = Zone::new();
+    zone.pass(Span(2_000));
+    assert_eq!(zone.propose(0, "set hello"), "word hello, duty held by ");
+    assert_eq!(zone.propose(1, "claim ada"), "word hello, duty held by ada");
+    assert_eq!(zone.propose(2, "claim ben"), "word hello, duty held by ada", "it was won already");
     println!("the tail is lost");
-    let tail = (0..3).find(|place| hall.replicas[*place].as_ref().is_some_and(|f| f.may_reply(hall.now)));
+    let tail = (0..3).find(|place| zone.replicas[*place].as_ref().is_some_and(|f| f.may_reply(zone.now)));
     let tail = tail.expect("there is a tail");
-    hall.replicas[tail] = None;
-    hall.pass(Span(4_000));
+    zone.replicas[tail] = None;
+    zone.pass(Span(4_000));
     let other = (tail + 1) % 3;
-    assert_eq!(hall.propose(other, "vacate ada"), "word hello, duty held by ");
-    assert_eq!(hall.propose(other, "claim ben"), "word hello, duty held by ben");
+    assert_eq!(zone.propose(other, "vacate ada"), "word hello, duty held by ");
+    assert_eq!(zone.propose(other, "claim ben"), "word hello, duty held by ben");
     println!("it comes back, and takes what it missed");
-    hall.replicas[tail] = Some(hall.open(tail));
-    hall.pass(Span(4_000));
-    assert_eq!(hall.replicas[tail].as_ref().map(|f| f.state_machine().holder.clone()), Some("ben".into()));
-    assert_eq!(hall.propose(tail, "set done"), "word done, duty held by ben");
+    zone.replicas[tail] = Some(zone.open(tail));
+    zone.pass(Span(4_000));
+    assert_eq!(zone.replicas[tail].as_ref().map(|f| f.state_machine().holder.clone()), Some("ben".into()));
+    assert_eq!(zone.propose(tail, "set done"), "word done, duty held by ben");
 }
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -80,8 +80,8 @@
     let desk_rules = settings.desk_rules();
     let head = ReplayHead { own: inner, incarnation, desk_rules: desk_rules.clone() };
     let now = Clock::now();
-    let hall = HallName::from(settings.hall.as_str());
-    let mut node = Node::new(inner, hall, seeds, incarnation, NodeTiming::default(), desk_rules, now);
+    let zone = ZoneName::from(settings.zone.as_str());
+    let mut node = Node::new(inner, zone, seeds, incarnation, NodeTiming::default(), desk_rules, now);
     let shared = Arc::new(Shared {
         control: sender.clone(),
         may_act_until: AtomicU64::new(0),
@@ -134,7 +134,7 @@
     }
     let has_changed = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed.clone()).map_err(|fault| fault.to_string())?;
-    tracing::info!("crier: listens at {listen}, inner {inner}, hall {}.", settings.hall);
+    tracing::info!("crier: listens at {listen}, inner {inner}, zone {}.", settings.zone);
     let mut control = Control {
         node,
         post,
@@ -343,7 +343,7 @@
                     "unlisted"
                 } else if server.is_leaving {
                     "leaving"
-                } else if self.node.withdrawn().contains(&server.hall) {
+                } else if self.node.withdrawn().contains(&server.zone) {
                     "withdrawn"
                 } else if server.is_suspect(now) {
                     "suspected"
@@ -351,7 +351,7 @@
                     "serving"
                 };
                 let value = serde_json::json!({
-                    "state": state, "hall": server.hall, "pool": server.pool, "incarnation": server.incarnation,
+                    "state": state, "zone": server.zone, "pool": server.pool, "incarnation": server.incarnation,
                     "own_orders": server.own, "reported": server.reported.map(|(burden, _)| burden),
                     "block_micros": server.block_micros, "hold_ms": server.hold.0, "faults": server.faults,
                     "knows_kv": server.knows_kv, "weights": server.weights,
--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -44,13 +44,13 @@
 #[derive(Debug, Clone)]
 pub struct Dissemination {
     own: Address,
-    hall: HallName,
+    zone: ZoneName,
     life: u64,
     timing: DigestTiming,
     now: Moment,
     /// Members by zone, in order.
-    zones: BTreeMap<HallName, BTreeSet<Address>>,
-    halls: BTreeMap<Address, HallName>,
+    zones: BTreeMap<ZoneName, BTreeSet<Address>>,
+    zone_of: BTreeMap<Address, ZoneName>,
     suspects: BTreeMap<Address, Moment>,
     seen: Digest,
     outgoing: BTreeMap<(DigestLeg, Address), Outgoing>,
@@ -116,15 +116,15 @@
 
 impl Dissemination {
     /// At the start of a node's life.
-    pub fn new(own: Address, hall: HallName, life: u64, timing: DigestTiming, now: Moment) -> Self {
+    pub fn new(own: Address, zone: ZoneName, life: u64, timing: DigestTiming, now: Moment) -> Self {
         Dissemination {
             own,
-            hall,
+            zone,
             life,
             timing,
             now,
             zones: BTreeMap::new(),
-            halls: BTreeMap::new(),
+            zone_of: BTreeMap::new(),
             suspects: BTreeMap::new(),
             seen: Digest::default(),
             outgoing: BTreeMap::new(),
@@ -142,27 +142,27 @@
     /// The members changed.
     pub fn set_members(&mut self, members: &[Member]) {
         self.zones.clear();
-        self.halls = members.iter().map(|member| (member.address, member.hall.clone())).collect();
+        self.zone_of = members.iter().map(|member| (member.address, member.zone.clone())).collect();
         for member in members {
-            self.zones.entry(member.hall.clone()).or_default().insert(member.address);
+            self.zones.entry(member.zone.clone()).or_default().insert(member.address);
         }
-        let halls = &self.halls;
-        self.outgoing.retain(|(_, to), _| halls.contains_key(to));
-        self.incoming.retain(|(_, from), _| halls.contains_key(from));
-        self.asked.retain(|member, _| halls.contains_key(member));
-        self.suspects.retain(|member, _| halls.contains_key(member));
+        let zone_of = &self.zone_of;
+        self.outgoing.retain(|(_, to), _| zone_of.contains_key(to));
+        self.incoming.retain(|(_, from), _| zone_of.contains_key(from));
+        self.asked.retain(|member, _| zone_of.contains_key(member));
+        self.suspects.retain(|member, _| zone_of.contains_key(member));
     }
 
     /// The node that collects a zone's digests, as far as is known here.
-    pub fn collector(&self, hall: &HallName) -> Option<Address> {
-        let members = self.zones.get(hall)?;
+    pub fn collector(&self, zone: &ZoneName) -> Option<Address> {
+        let members = self.zones.get(zone)?;
         let is_trusted = |member: &&Address| self.suspects.get(*member).is_none_or(|until| self.now >= *until);
         members.iter().find(is_trusted).or(members.first()).copied()
     }
 
     /// The members of a zone.
-    pub fn zone(&self, hall: &HallName) -> Option<&BTreeSet<Address>> {
-        self.zones.get(hall)
+    pub fn members_of(&self, zone: &ZoneName) -> Option<&BTreeSet<Address>> {
+        self.zones.get(zone)
     }
 
     /// A node does not do what collectors do: another is to be one for a while.
@@ -179,11 +179,11 @@
     pub fn on_clock(&mut self, now: Moment, seen: Digest) -> Vec<(Address, Letter)> {
         self.now = self.now.max(now);
         self.seen = seen;
-        if self.halls.contains_key(&self.own) {
+        if self.zone_of.contains_key(&self.own) {
             self.give_up();
             self.expire();
             self.report();
-            let is_collector = self.collector(&self.hall) == Some(self.own) || self.collected.is_some();
+            let is_collector = self.collector(&self.zone) == Some(self.own) || self.collected.is_some();
             if is_collector && self.now >= self.next_collect {
                 self.collect();
             }
@@ -204,8 +204,8 @@
         change: &DigestChange,
     ) -> Vec<(Address, Letter)> {
         self.now = self.now.max(now);
-        let is_own_zone = self.halls.get(&from) == Some(&self.hall);
-        let is_known = self.halls.contains_key(&from) && self.halls.contains_key(&self.own);
+        let is_own_zone = self.zone_of.get(&from) == Some(&self.zone);
+        let is_known = self.zone_of.contains_key(&from) && self.zone_of.contains_key(&self.own);
         if !is_known || is_own_zone == (leg == DigestLeg::Zone) {
             return vec![];
         }
@@ -239,7 +239,7 @@
     /// An answer to a digest came, or a collector wants one.
     pub fn on_ack(&mut self, now: Moment, from: Address, leg: DigestLeg, number: u64) -> Vec<(Address, Letter)> {
         self.now = self.now.max(now);
-        let is_own_zone = self.halls.get(&from) == Some(&self.hall);
+        let is_own_zone = self.zone_of.get(&from) == Some(&self.zone);
         if let Some(outgoing) = self.outgoing.get_mut(&(leg, from)) {
             outgoing.is_whole_wanted |= number == 0;
             if number == 0 || number >= outgoing.number {
@@ -274,16 +274,16 @@
         let (now, life) = (self.now, self.timing.life);
         // One that is empty lasts: it says that its teller has nothing, until the teller says otherwise, or
         // another tells the same zone's sum.
-        let halls = &self.halls;
-        let mut tellers: BTreeMap<&HallName, Moment> = BTreeMap::new();
+        let zone_of = &self.zone_of;
+        let mut tellers: BTreeMap<&ZoneName, Moment> = BTreeMap::new();
         for ((_, from), incoming) in self.incoming.iter().filter(|((leg, _), _)| *leg == DigestLeg::Zone) {
-            let newest = tellers.entry(&halls[from]).or_default();
+            let newest = tellers.entry(&zone_of[from]).or_default();
             *newest = incoming.heard.max(*newest);
         }
         self.incoming.retain(|(leg, from), incoming| {
             let is_idle = match leg {
                 DigestLeg::Report => incoming.digest.is_empty(),
-                DigestLeg::Zone => incoming.digest.is_empty() && tellers[&halls[from]] <= incoming.heard,
+                DigestLeg::Zone => incoming.digest.is_empty() && tellers[&zone_of[from]] <= incoming.heard,
                 DigestLeg::Fleet => false,
             };
             is_idle || now.since(incoming.heard) < life
@@ -295,7 +295,7 @@
     }
 
     fn report(&mut self) {
-        let Some(collector) = self.collector(&self.hall).filter(|collector| *collector != self.own) else { return };
+        let Some(collector) = self.collector(&self.zone).filter(|collector| *collector != self.own) else { return };
         // One that was reported to before and is no more is not kept up.
         self.outgoing.retain(|(leg, to), _| *leg != DigestLeg::Report || *to == collector);
         let seen = self.seen.clone();
@@ -306,38 +306,38 @@
     fn collect(&mut self) {
         // The more there is to sum up, the less often.
         self.next_collect = self.now + Span(self.timing.pause.0 * (1 + self.reporters() as u64 / 32));
-        let is_collector = self.collector(&self.hall) == Some(self.own);
-        let mut zone = if is_collector { self.seen.clone() } else { Digest::default() };
+        let is_collector = self.collector(&self.zone) == Some(self.own);
+        let mut zone_sum = if is_collector { self.seen.clone() } else { Digest::default() };
         for ((leg, _), incoming) in &self.incoming {
             if *leg == DigestLeg::Report {
-                zone.add(&incoming.digest);
+                zone_sum.add(&incoming.digest);
             }
         }
-        let others: Vec<(HallName, Option<Address>)> = self
+        let others: Vec<(ZoneName, Option<Address>)> = self
             .zones
             .keys()
-            .filter(|hall| **hall != self.hall)
-            .map(|hall| (hall.clone(), self.collector(hall)))
+            .filter(|zone| **zone != self.zone)
+            .map(|zone| (zone.clone(), self.collector(zone)))
             .collect();
         let has_other = self.incoming.iter().any(|((leg, _), told)| *leg == DigestLeg::Zone && !told.digest.is_empty());
-        if zone.is_empty() && !has_other && self.collected.is_none() {
+        if zone_sum.is_empty() && !has_other && self.collected.is_none() {
             return;
         }
-        let members = self.zones.get(&self.hall).cloned().unwrap_or_default();
+        let members = self.zones.get(&self.zone).cloned().unwrap_or_default();
         let is_told = |member: &Address| self.incoming.contains_key(&(DigestLeg::Report, *member));
         let is_in = |member: &Address| is_told(member) || (is_collector && *member == self.own);
-        zone.missing = members.iter().copied().filter(|member| !is_in(member)).collect();
-        zone.bound_sum();
+        zone_sum.missing = members.iter().copied().filter(|member| !is_in(member)).collect();
+        zone_sum.bound_sum();
         if is_collector {
-            self.ask_missing(&zone.missing);
+            self.ask_missing(&zone_sum.missing);
         }
-        let mut fleet = zone.clone();
-        for hall in self.zones.keys().filter(|hall| **hall != self.hall) {
+        let mut fleet = zone_sum.clone();
+        for zone in self.zones.keys().filter(|zone| **zone != self.zone) {
             let told = self
                 .incoming
                 .iter()
-                .filter(|((leg, from), _)| *leg == DigestLeg::Zone && self.halls.get(from) == Some(hall));
-            let mut missing = self.zones[hall].clone();
+                .filter(|((leg, from), _)| *leg == DigestLeg::Zone && self.zone_of.get(from) == Some(zone));
+            let mut missing = self.zones[zone].clone();
             for (_, incoming) in told {
                 fleet.add(&incoming.digest);
                 missing.retain(|member| incoming.digest.missing.contains(member));
@@ -346,11 +346,11 @@
         }
         fleet.bound_sum();
         for (_, collector) in others {
-            collector.into_iter().for_each(|to| self.keep_up(DigestLeg::Zone, to, &zone, &mut vec![]));
+            collector.into_iter().for_each(|to| self.keep_up(DigestLeg::Zone, to, &zone_sum, &mut vec![]));
         }
         let mut told = vec![];
         for member in members {
-            if member != self.own && !zone.missing.contains(&member) {
+            if member != self.own && !zone_sum.missing.contains(&member) {
                 self.keep_up(DigestLeg::Fleet, member, &fleet, &mut told);
             }
         }
@@ -378,7 +378,7 @@
     /// The collector's sum less this node's part of it is that of all others.
     fn take_sum(&mut self, from: Address) {
         let Some(incoming) = self.incoming.get(&(DigestLeg::Fleet, from)) else { return };
-        if self.collector(&self.hall) != Some(from) {
+        if self.collector(&self.zone) != Some(from) {
             return;
         }
         let mut others = incoming.digest.clone();
--- a/crates/crier/src/dissemination/tests.rs
+++ b/crates/crier/src/dissemination/tests.rs
@@ -24,12 +24,12 @@
     fn new(zones: u16, each: u16) -> Self {
         let members: Vec<Member> = (1..=zones)
             .flat_map(|zone| (0..each).map(move |n| (zone, zone * 100 + n)))
-            .map(|(zone, port)| Member { address: node(port), hall: HallName(format!("zone-{zone}")) })
+            .map(|(zone, port)| Member { address: node(port), zone: ZoneName(format!("zone-{zone}")) })
             .collect();
         let fresh = |member: &Member| {
             let life = u64::from(member.address.0.port());
-            let hall = member.hall.clone();
-            let mut one = Dissemination::new(member.address, hall, life, DigestTiming::default(), Moment(1000));
+            let zone = member.zone.clone();
+            let mut one = Dissemination::new(member.address, zone, life, DigestTiming::default(), Moment(1000));
             one.set_members(&members);
             (member.address, one)
         };
@@ -167,7 +167,7 @@
     let mut back = Dissemination::new(node(200), "zone-2".into(), 9999, DigestTiming::default(), Moment(wire.now));
     let members: Vec<Member> = all
         .iter()
-        .map(|one| Member { address: *one, hall: HallName(format!("zone-{}", one.0.port() / 100)) })
+        .map(|one| Member { address: *one, zone: ZoneName(format!("zone-{}", one.0.port() / 100)) })
         .collect();
     back.set_members(&members);
     wire.nodes.insert(node(200), back);
--- a/crates/crier/src/main.rs
+++ b/crates/crier/src/main.rs
@@ -26,9 +26,9 @@
         /// In place of the settings' inner.
         #[arg(long)]
         inner: Option<Address>,
-        /// In place of the settings' hall.
+        /// In place of the settings' zone.
         #[arg(long)]
-        hall: Option<String>,
+        zone: Option<String>,
     },
     /// Read a crier's decisions as JSON lines.
     Decisions(Tail),
@@ -71,7 +71,7 @@
         .with_writer(std::io::stderr)
         .init();
     let outcome = match line.task {
-        Task::Serve { settings, listen, inner, hall } => {
+        Task::Serve { settings, listen, inner, zone } => {
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
                 Err(fault) => {
@@ -81,7 +81,7 @@
             };
             listen.into_iter().for_each(|address| read.listen = address.to_string());
             inner.into_iter().for_each(|address| read.inner = address.to_string());
-            hall.into_iter().for_each(|name| read.hall = name);
+            zone.into_iter().for_each(|name| read.zone = name);
             return ExitCode::from(run(&read, Dialects::default()));
         }
         Task::Decisions(tail) => copy_out(&tail, "decisions"),
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -225,7 +225,7 @@
 #[derive(Clone)]
 pub struct Node {
     own: Address,
-    hall: HallName,
+    zone: ZoneName,
     incarnation: u64,
     timing: NodeTiming,
     now: Moment,
@@ -234,7 +234,7 @@
     plan: Option<Arc<Plan>>,
     plan_bytes: Arc<Vec<u8>>,
     plan_epoch: Epoch,
-    withdrawn: Vec<HallName>,
+    withdrawn: Vec<ZoneName>,
     members: Vec<Member>,
     /// The epoch at which they became these.
     members_since: Epoch,
@@ -294,7 +294,7 @@
     /// A node at the start of its life.
     pub fn new(
         own: Address,
-        hall: HallName,
+        zone: ZoneName,
         seeds: Vec<Address>,
         incarnation: u64,
         timing: NodeTiming,
@@ -302,10 +302,10 @@
         now: Moment,
     ) -> Self {
         let mut desk = Desk::new(own, incarnation, desk_rules);
-        desk.set_zone(hall.clone());
+        desk.set_zone(zone.clone());
         Node {
             own,
-            hall: hall.clone(),
+            zone: zone.clone(),
             incarnation,
             timing,
             now,
@@ -333,7 +333,7 @@
             trade_pause: timing.trade,
             heard: BTreeMap::new(),
             news_asked: Moment(0),
-            dissemination: Dissemination::new(own, hall, incarnation, timing.digest, now),
+            dissemination: Dissemination::new(own, zone, incarnation, timing.digest, now),
             next_tick: now,
             last_event: now,
             has_roll: false,
@@ -437,7 +437,7 @@
         &self.standing
     }
     /// Withdrawn zones.
-    pub fn withdrawn(&self) -> &[HallName] {
+    pub fn withdrawn(&self) -> &[ZoneName] {
         &self.withdrawn
     }
     /// How many orders are open.
@@ -459,8 +459,8 @@
 
     fn step_list(&mut self, step: impl FnOnce(&mut ServerList, Moment, ListPeers) -> Vec<ListOutput>) {
         let Some(list) = &mut self.server_list else { return };
-        let zone = self.dissemination.zone(&self.hall);
-        let collector = self.dissemination.collector(&self.hall);
+        let zone = self.dissemination.members_of(&self.zone);
+        let collector = self.dissemination.collector(&self.zone);
         let peers = ListPeers { zone, collector, fleet: self.members.len() };
         let outputs = step(list, self.now, peers);
         if list.is_known() {
@@ -687,7 +687,7 @@
         self.next_poll = self.now + self.timing.poll;
         self.poll_round += 1;
         self.polled = Some(self.now);
-        let (now, member) = (self.now, Member { address: self.own, hall: self.hall.clone() });
+        let (now, member) = (self.now, Member { address: self.own, zone: self.zone.clone() });
         self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
         let has_key = self.key.is_some();
         let hears = self.heard.keys().copied().filter(|one| self.standing.members().contains(one)).collect();
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -55,7 +55,7 @@
     fn roll(&mut self) {
         let entry = |name: &str| RollEntry {
             server: name.into(),
-            hall: "east".into(),
+            zone: "east".into(),
             pool: "model".into(),
             is_leaving: false,
             ..RollEntry::default()
@@ -115,8 +115,8 @@
     }
 }
 
-fn news(epoch: u64, plan_epoch: u64, withdrawn: Vec<HallName>) -> News {
-    let member = |port| Member { address: Address::loopback(port), hall: "east".into() };
+fn news(epoch: u64, plan_epoch: u64, withdrawn: Vec<ZoneName>) -> News {
+    let member = |port| Member { address: Address::loopback(port), zone: "east".into() };
     let members = Some([9, 8, 7].map(member).to_vec());
     let members_since = Epoch(1);
     News { epoch: Epoch(epoch), plan_epoch: Epoch(plan_epoch), withdrawn, members, members_since }
@@ -390,7 +390,7 @@
 fn a_node_that_reads_the_list_places_nothing_after_a_sleep_until_it_has_read_it_anew() {
     let reading = |asked: u64| {
         let entry =
-            RollEntry { server: "s0".into(), hall: "east".into(), pool: "model".into(), ..RollEntry::default() };
+            RollEntry { server: "s0".into(), zone: "east".into(), pool: "model".into(), ..RollEntry::default() };
         NodeInput::List(ListReading { asked: Moment(asked), calls: 1, servers: Some(vec![entry]) })
     };
     let reads = |outputs: Vec<NodeOutput>| outputs.contains(&NodeOutput::ReadList);
--- a/crates/crier/src/server_list.rs
+++ b/crates/crier/src/server_list.rs
@@ -173,7 +173,7 @@
         add(entry.server.as_str().as_bytes());
         add(entry.address.as_deref().unwrap_or_default().as_bytes());
         add(&entry.slots.map_or(u64::MAX, u64::from).to_le_bytes());
-        add(entry.hall.as_str().as_bytes());
+        add(entry.zone.as_str().as_bytes());
         add(entry.pool.as_bytes());
         add(&[u8::from(entry.is_leaving), u8::from(cold_until.is_some())]);
     }
@@ -184,7 +184,7 @@
 
 fn bytes_of(entry: &RollEntry) -> usize {
     let address = entry.address.as_ref().map_or(0, String::len);
-    96 + entry.server.as_str().len() + entry.hall.as_str().len() + entry.pool.len() + address
+    96 + entry.server.as_str().len() + entry.zone.as_str().len() + entry.pool.len() + address
 }
 
 impl ServerList {
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -20,7 +20,7 @@
     pub readiness: String,
     /// Its zone.
     #[setting(default = "here", validate = a_name)]
-    pub hall: String,
+    pub zone: String,
     /// Inner addresses of up to three registrars to ask first.
     #[setting(validate = addresses)]
     pub seeds: Vec<String>,
--- a/crates/layout/src/history.rs
+++ b/crates/layout/src/history.rs
@@ -29,12 +29,12 @@
         /// A zone gets no new work.
         Withdraw {
             /// The zone.
-            hall: HallName,
+            zone: ZoneName,
         },
         /// A zone gets work again.
         Restore {
             /// The zone.
-            hall: HallName,
+            zone: ZoneName,
         },
         /// Members that are lost.
         Forget {
@@ -117,9 +117,9 @@
     /// A plan or a change, byte for byte.
     Body(Vec<u8>),
     /// A zone gets no new work.
-    Withdraw(HallName),
+    Withdraw(ZoneName),
     /// A zone gets work again.
-    Restore(HallName),
+    Restore(ZoneName),
     /// Members that are lost.
     Forget(Vec<Address>),
 }
@@ -152,8 +152,8 @@
         Some(match command {
             Command::Plan { bytes, .. } => KeptCommand::Plan { hash: *blake3::hash(bytes).as_bytes() },
             Command::Change { bytes, .. } => KeptCommand::Change { hash: *blake3::hash(bytes).as_bytes() },
-            Command::Withdraw { hall } => KeptCommand::Withdraw { hall: hall.clone() },
-            Command::Restore { hall } => KeptCommand::Restore { hall: hall.clone() },
+            Command::Withdraw { zone } => KeptCommand::Withdraw { zone: zone.clone() },
+            Command::Restore { zone } => KeptCommand::Restore { zone: zone.clone() },
             Command::Forget { members } => KeptCommand::Forget { members: members.clone() },
             Command::Join { .. } | Command::Retire { .. } | Command::Settle { .. } | Command::Key { .. } => {
                 return None;
@@ -245,8 +245,8 @@
         match &entry.command {
             KeptCommand::Plan { hash } => self.plan_as_sent(epoch, plan, hash),
             KeptCommand::Change { .. } => self.change_as_sent(epoch),
-            KeptCommand::Withdraw { hall } => Ok(AsSent::Withdraw(hall.clone())),
-            KeptCommand::Restore { hall } => Ok(AsSent::Restore(hall.clone())),
+            KeptCommand::Withdraw { zone } => Ok(AsSent::Withdraw(zone.clone())),
+            KeptCommand::Restore { zone } => Ok(AsSent::Restore(zone.clone())),
             KeptCommand::Forget { members } => Ok(AsSent::Forget(members.clone())),
         }
     }
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -21,7 +21,7 @@
             /// As sent.
             bytes: Vec<u8>,
             /// The zones that it names.
-            halls: Vec<HallName>,
+            zones: Vec<ZoneName>,
             /// By the operators' own count.
             revisions: Revisions,
         },
@@ -34,24 +34,24 @@
             /// What makes of that plan the one that came of it.
             splice: Splice,
             /// The zones that this names.
-            halls: Vec<HallName>,
+            zones: Vec<ZoneName>,
             /// By the operators' own count.
             revisions: Revisions,
         },
         /// A zone gets no new work.
         Withdraw {
             /// The zone.
-            hall: HallName,
+            zone: ZoneName,
         },
         /// A zone gets work again.
         Restore {
             /// The zone.
-            hall: HallName,
+            zone: ZoneName,
         },
         /// Nodes become members. Not an operator's command.
         Join {
             /// Who, with their zones.
-            members: Vec<(Address, HallName)>,
+            members: Vec<(Address, ZoneName)>,
         },
         /// Members that are long gone are no members any more. Not an operator's command.
         Retire {
@@ -110,16 +110,16 @@
         /// The newest number of the operators' own; 0 before the first.
         pub revision: u64,
         /// The zones that it names.
-        pub plan_halls: Vec<HallName>,
+        pub plan_zones: Vec<ZoneName>,
         /// Withdrawn zones.
-        pub withdrawn: Vec<HallName>,
+        pub withdrawn: Vec<ZoneName>,
         /// The epoch of each zone's newest withdrawal or restoring, whether or not it changed anything: what
         /// an older request that comes late is judged against (docs/control-safety.md).
-        pub zone_changes: Vec<(HallName, Epoch)>,
+        pub zone_changes: Vec<(ZoneName, Epoch)>,
         /// The members.
         pub membership: Membership,
         /// The zones of the members.
-        pub member_halls: Vec<(Address, HallName)>,
+        pub member_zones: Vec<(Address, ZoneName)>,
         /// What tokens are checked with.
         pub key: Option<TokenKey>,
         /// What operators had accepted lately.
@@ -168,25 +168,25 @@
         self.history.as_sent(epoch, &self.plan)
     }
     /// Takes a new plan up and keeps what leads back.
-    fn set_plan(&mut self, plan: Vec<u8>, splice: Splice, halls: &[HallName], revisions: Revisions) {
+    fn set_plan(&mut self, plan: Vec<u8>, splice: Splice, zones: &[ZoneName], revisions: Revisions) {
         let undo = splice.reverse(&self.plan).expect("it was made for the plan in force");
         self.history.remember_undo(self.epoch, undo);
         self.newest = Some((self.plan_epoch, splice));
         self.plan = plan;
-        self.plan_halls = halls.to_vec();
+        self.plan_zones = zones.to_vec();
         self.plan_epoch = self.epoch;
         self.revision = self.revision.max(revisions.own);
     }
     /// All zones that the members or the plan name.
-    pub fn halls(&self) -> BTreeMap<HallName, usize> {
-        let mut halls = BTreeMap::new();
-        for (_, hall) in &self.member_halls {
-            *halls.entry(hall.clone()).or_insert(0) += 1;
+    pub fn zones(&self) -> BTreeMap<ZoneName, usize> {
+        let mut zones = BTreeMap::new();
+        for (_, zone) in &self.member_zones {
+            *zones.entry(zone.clone()).or_insert(0) += 1;
         }
-        for hall in &self.plan_halls {
-            halls.entry(hall.clone()).or_insert(0);
+        for zone in &self.plan_zones {
+            zones.entry(zone.clone()).or_insert(0);
         }
-        halls
+        zones
     }
 
     fn outcome(&self, code: ResultCode, epoch: Epoch, why: impl Into<String>, faults: Vec<Fault>) -> CommandOutcome {
@@ -269,14 +269,14 @@
                 }
                 Ok(())
             }
-            Command::Withdraw { hall } | Command::Restore { hall } => {
+            Command::Withdraw { zone } | Command::Restore { zone } => {
                 builds_on(false)?;
-                if !self.halls().contains_key(hall) && !self.withdrawn.contains(hall) {
-                    let known: Vec<String> = self.halls().into_keys().map(|hall| hall.0).collect();
-                    let why = format!("no member or plan names zone `{hall}`; known: {}", known.join(", "));
-                    return Err(self.outcome(ResultCode::UnknownHall, self.epoch, why, vec![]));
+                if !self.zones().contains_key(zone) && !self.withdrawn.contains(zone) {
+                    let known: Vec<String> = self.zones().into_keys().map(|zone| zone.0).collect();
+                    let why = format!("no member or plan names zone `{zone}`; known: {}", known.join(", "));
+                    return Err(self.outcome(ResultCode::UnknownZone, self.epoch, why, vec![]));
                 }
-                self.judge_order_of_arrival(proposal, hall)
+                self.judge_order_of_arrival(proposal, zone)
             }
             Command::Forget { members } => {
                 let is_member = |member: &Address| self.membership.members.contains(member);
@@ -300,7 +300,7 @@
 
     /// Refuses an evacuation, or its end, that would undo a newer one of the same zone. One that the zone's
     /// state agrees with undoes nothing.
-    fn judge_order_of_arrival(&self, proposal: &Proposal, zone: &HallName) -> Result<(), CommandOutcome> {
+    fn judge_order_of_arrival(&self, proposal: &Proposal, zone: &ZoneName) -> Result<(), CommandOutcome> {
         let is_wanted = matches!(proposal.command, Command::Withdraw { .. });
         let is_so = self.withdrawn.contains(zone) == is_wanted;
         match self.zone_changes.iter().find(|(changed, _)| changed == zone) {
@@ -318,15 +318,15 @@
         self.outcome(ResultCode::CoreNotReady, self.epoch, why, vec![])
     }
 
-    fn note_zone_change(&mut self, zone: &HallName) {
+    fn note_zone_change(&mut self, zone: &ZoneName) {
         self.zone_changes.retain(|(changed, _)| changed != zone);
         self.zone_changes.push((zone.clone(), self.epoch));
     }
 
-    fn set_members(&mut self, halls: Vec<(Address, HallName)>) {
-        self.member_halls = halls;
+    fn set_members(&mut self, zones: Vec<(Address, ZoneName)>) {
+        self.member_zones = zones;
         self.membership.previous = std::mem::take(&mut self.membership.members);
-        self.membership.members = self.member_halls.iter().map(|(address, _)| *address).collect();
+        self.membership.members = self.member_zones.iter().map(|(address, _)| *address).collect();
         self.membership.since = self.epoch;
     }
 }
@@ -359,41 +359,41 @@
         }
         self.epoch = self.epoch.next();
         match &proposal.command {
-            Command::Plan { bytes, halls, revisions } => {
+            Command::Plan { bytes, zones, revisions } => {
                 let splice = Splice::between(&self.plan, bytes);
-                self.set_plan(bytes.clone(), splice, halls, *revisions);
+                self.set_plan(bytes.clone(), splice, zones, *revisions);
             }
-            Command::Change { splice, halls, revisions, .. } => {
+            Command::Change { splice, zones, revisions, .. } => {
                 let plan = splice.apply(&self.plan).expect("it was judged to fit");
-                self.set_plan(plan, splice.clone(), halls, *revisions);
+                self.set_plan(plan, splice.clone(), zones, *revisions);
             }
-            Command::Withdraw { hall } => {
-                self.note_zone_change(hall);
-                if !self.withdrawn.contains(hall) {
-                    self.withdrawn.push(hall.clone());
+            Command::Withdraw { zone } => {
+                self.note_zone_change(zone);
+                if !self.withdrawn.contains(zone) {
+                    self.withdrawn.push(zone.clone());
                     self.withdrawn.sort();
                 }
             }
-            Command::Restore { hall } => {
-                self.note_zone_change(hall);
-                self.withdrawn.retain(|withdrawn| withdrawn != hall);
+            Command::Restore { zone } => {
+                self.note_zone_change(zone);
+                self.withdrawn.retain(|withdrawn| withdrawn != zone);
             }
             Command::Join { members } => {
-                let mut halls = self.member_halls.clone();
-                halls.retain(|(address, _)| members.iter().all(|(joining, _)| joining != address));
-                halls.extend(members.iter().cloned());
-                halls.sort();
-                self.set_members(halls);
+                let mut zones = self.member_zones.clone();
+                zones.retain(|(address, _)| members.iter().all(|(joining, _)| joining != address));
+                zones.extend(members.iter().cloned());
+                zones.sort();
+                self.set_members(zones);
             }
             Command::Retire { members } => {
-                let mut halls = self.member_halls.clone();
-                halls.retain(|(address, _)| !members.contains(address));
-                self.set_members(halls);
+                let mut zones = self.member_zones.clone();
+                zones.retain(|(address, _)| !members.contains(address));
+                self.set_members(zones);
             }
             Command::Forget { members } => {
-                let mut halls = self.member_halls.clone();
-                halls.retain(|(address, _)| !members.contains(address));
-                self.set_members(halls);
+                let mut zones = self.member_zones.clone();
+                zones.retain(|(address, _)| !members.contains(address));
+                self.set_members(zones);
                 // The dead can't act, so that majorities are those of the living (docs/isolation.md).
                 self.membership.previous.clone_from(&self.membership.members);
             }
@@ -457,7 +457,7 @@
     ) -> Result<Command, Vec<Fault>> {
         let plan = dialect.parse(&bytes)?;
         let revisions = Revisions::of(&plan, base_revision)?;
-        Ok(Command::Plan { bytes, halls: plan.halls(), revisions })
+        Ok(Command::Plan { bytes, zones: plan.zones(), revisions })
     }
     /// A change in this dialect to the plan that was accepted as `base`, if what comes of it has no faults.
     pub fn change_in(
@@ -471,15 +471,15 @@
         let merged = dialect.parse(&whole)?;
         let revisions = Revisions::of(&merged, base_revision)?;
         let splice = Splice::between(plan, &whole);
-        Ok(Command::Change { bytes, base, splice, halls: merged.halls(), revisions })
+        Ok(Command::Change { bytes, base, splice, zones: merged.zones(), revisions })
     }
     /// The same; these zones may be withdrawn besides those that it names.
     #[must_use]
-    pub fn with_halls(mut self, more: &[HallName]) -> Command {
-        if let Command::Plan { halls, .. } | Command::Change { halls, .. } = &mut self {
-            halls.extend_from_slice(more);
-            halls.sort();
-            halls.dedup();
+    pub fn with_zones(mut self, more: &[ZoneName]) -> Command {
+        if let Command::Plan { zones, .. } | Command::Change { zones, .. } = &mut self {
+            zones.extend_from_slice(more);
+            zones.sort();
+            zones.dedup();
         }
         self
     }
@@ -503,7 +503,7 @@
     use super::*;
 
     fn plan(id: &str, builds_on: u64, slots: u32) -> Proposal {
-        let bytes = format!(r#"{{"services":{{"drafts":{{"slots":{slots},"halls":["north"]}}}}}}"#).into_bytes();
+        let bytes = format!(r#"{{"services":{{"drafts":{{"slots":{slots},"zones":["north"]}}}}}}"#).into_bytes();
         Proposal {
             id: id.into(),
             builds_on: Some(Epoch(builds_on)),
@@ -568,7 +568,7 @@
     #[test]
     fn the_lost_are_forgotten_by_name_and_count_no_more() {
         let mut ledger = Ledger::default();
-        let members: Vec<_> = (1..=5).map(|n| (Address::loopback(n), HallName::from("north"))).collect();
+        let members: Vec<_> = (1..=5).map(|n| (Address::loopback(n), ZoneName::from("north"))).collect();
         take(
             &mut ledger,
             &Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command: Command::Join { members } },
@@ -593,7 +593,7 @@
         let mut ledger = Ledger::default();
         let inner = |command: Command| Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command };
         for n in [1, 2] {
-            let members = vec![(Address::loopback(n), HallName::from("north"))];
+            let members = vec![(Address::loopback(n), ZoneName::from("north"))];
             take(&mut ledger, &inner(Command::Join { members }));
         }
         assert_eq!((ledger.membership.previous.len(), ledger.membership.since), (1, Epoch(2)));
@@ -620,23 +620,23 @@
     fn withdrawals_do_not_disturb_plans_and_unknown_zones_change_nothing() {
         let mut ledger = Ledger::default();
         take(&mut ledger, &plan("a", 0, 4));
-        let withdraw = |id: &str, hall: &str| Proposal {
+        let withdraw = |id: &str, zone: &str| Proposal {
             id: id.into(),
             builds_on: None,
             seen: Epoch(0),
-            command: Command::Withdraw { hall: hall.into() },
+            command: Command::Withdraw { zone: zone.into() },
         };
         assert_eq!(take(&mut ledger, &withdraw("w", "north"))["epoch"], 2);
         assert_eq!(take(&mut ledger, &withdraw("v", "nowhere"))["code"], 306);
         assert_eq!(take(&mut ledger, &plan("b", 1, 5))["epoch"], 3);
-        assert_eq!(ledger.withdrawn, vec![HallName::from("north")]);
+        assert_eq!(ledger.withdrawn, vec![ZoneName::from("north")]);
     }
 
     #[test]
     fn a_snapshot_gives_the_same_ledger_back() {
         let mut ledger = Ledger::default();
         take(&mut ledger, &plan("a", 0, 4));
-        let members = vec![(Address::loopback(3), HallName::from("north"))];
+        let members = vec![(Address::loopback(3), ZoneName::from("north"))];
         let join = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command: Command::Join { members } };
         take(&mut ledger, &join);
         let snapshot = ledger.snapshot();
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -57,7 +57,7 @@
     pub pool: String,
     /// Zones whose servers may; empty: all.
     #[setting(validate = plain_names)]
-    pub halls: Vec<String>,
+    pub zones: Vec<String>,
     /// Servers that may; empty: all of the pool.
     #[setting(validate = plain_names)]
     pub servers: Vec<String>,
@@ -318,18 +318,18 @@
         self.routes.iter().find(|route| route.name == name).filter(|route| route.leads_to(service))
     }
     /// The zones that it names.
-    pub fn halls(&self) -> Vec<HallName> {
-        let mut halls: Vec<HallName> =
-            self.services.values().flat_map(|service| &service.halls).map(|name| name.as_str().into()).collect();
-        halls.sort();
-        halls.dedup();
-        halls
+    pub fn zones(&self) -> Vec<ZoneName> {
+        let mut zones: Vec<ZoneName> =
+            self.services.values().flat_map(|service| &service.zones).map(|name| name.as_str().into()).collect();
+        zones.sort();
+        zones.dedup();
+        zones
     }
     /// What it says for placement, under this epoch and with these zones withdrawn.
-    pub fn rules(&self, epoch: Epoch, withdrawn: Vec<HallName>) -> Rules {
+    pub fn rules(&self, epoch: Epoch, withdrawn: Vec<ZoneName>) -> Rules {
         let of_service = |plan: &ServicePlan| ServiceRules {
             pool: plan.pool.clone(),
-            halls: plan.halls.iter().map(|name| name.as_str().into()).collect(),
+            zones: plan.zones.iter().map(|name| name.as_str().into()).collect(),
             servers: plan.servers.iter().map(|name| name.as_str().into()).collect(),
             first_token: Span(plan.first_token_ms),
             slots: plan.slots as u32,
@@ -370,8 +370,8 @@
         unknown_field = { r#"{"services":{"a":{"slotz":4}}}"#, &["services.a.slotz"] },
         wrong_type = { r#"{"services":{"a":{"slots":"many"}}}"#, &["services.a.slots"] },
         out_of_range_twice = { r#"{"services":{"a":{"slots":0,"btb":{"x":1}}}}"#, &["services.a.slots", "services.a.btb.x"] },
-        of_every_kind_at_once = { r#"{"services":{"a.b":{"slots":"many","colour":1},"c":{"halls":[3],"first_token_ms":0}}}"#,
-            &["services.a.b.slots", "services.a.b.colour", "services.c.halls[0]", "services.c.first_token_ms"] },
+        of_every_kind_at_once = { r#"{"services":{"a.b":{"slots":"many","colour":1},"c":{"zones":[3],"first_token_ms":0}}}"#,
+            &["services.a.b.slots", "services.a.b.colour", "services.c.zones[0]", "services.c.first_token_ms"] },
         a_stream_that_may_not_be_resumed_called_idempotent = { r#"{"services":{"a":{"idempotent":true},"b":{"idempotent":true,"resumable":true},"c":{"idempotent":true,"kind":"fetch"}}}"#, &["services.a.idempotent"] },
         bad_service_name = { r#"{"services":{"a/b":{}}}"#, &["services"] },
     )]
@@ -386,7 +386,7 @@
 
     #[test]
     fn a_bent_or_torn_plan_is_read_or_refused_and_never_panics() {
-        let plan = br#"{"services":{"drafts":{"slots":4,"btb":{"x":5},"halls":["east"]}},"note":"\u00e9"}"#;
+        let plan = br#"{"services":{"drafts":{"slots":4,"btb":{"x":5},"zones":["east"]}},"note":"\u00e9"}"#;
         let mut refused = 0;
         for place in 0..plan.len() {
             refused += u32::from(parse_plan(&plan[..place]).is_err());
--- a/crates/layout/src/settings.rs
+++ b/crates/layout/src/settings.rs
@@ -33,7 +33,7 @@
 
 /// A setting that is a plain name.
 pub fn a_name<D, C>(text: &str, _: &D, _: &C, _: bool) -> ValidateResult {
-    if HallName::from(text).is_sound() {
+    if ZoneName::from(text).is_sound() {
         Ok(())
     } else {
         Err(ValidateError::new(format!("`{text}` is not a name: 1 to 64 letters, digits or any of -_.: are allowed")))
--- a/crates/layout/tests/fuzz.rs
+++ b/crates/layout/tests/fuzz.rs
@@ -19,8 +19,8 @@
 fn ledger() -> Ledger {
     let mut ledger = Ledger { history: History::of_span(6), ..Ledger::default() };
     (0..10).for_each(|n| drop(ledger.apply(&plan(n).to_bytes())));
-    let withdraw = Command::Withdraw { hall: "north".into() };
-    let members = vec![(Address::loopback(3), HallName::from("north"))];
+    let withdraw = Command::Withdraw { zone: "north".into() };
+    let members = vec![(Address::loopback(3), ZoneName::from("north"))];
     for (id, command) in [("", Command::Join { members }), ("w", withdraw)] {
         ledger.apply(&Proposal { id: id.into(), builds_on: None, seen: Epoch(0), command }.to_bytes());
     }
--- a/crates/layout/tests/history.rs
+++ b/crates/layout/tests/history.rs
@@ -34,7 +34,7 @@
     counted_change(ledger, 1)
 }
 fn epoch_plan(id: &str, builds_on: Epoch) -> Proposal {
-    let bytes = format!(r#"{{"services":{{"a":{{"halls":["north"]}}}},"note":"{id}"}}"#).into_bytes();
+    let bytes = format!(r#"{{"services":{{"a":{{"zones":["north"]}}}},"note":"{id}"}}"#).into_bytes();
     Proposal {
         id: id.into(),
         builds_on: Some(builds_on),
@@ -43,7 +43,7 @@
     }
 }
 fn withdraw(id: &str, builds_on: Option<Epoch>) -> Proposal {
-    Proposal { id: id.into(), builds_on, seen: Epoch(0), command: Command::Withdraw { hall: "north".into() } }
+    Proposal { id: id.into(), builds_on, seen: Epoch(0), command: Command::Withdraw { zone: "north".into() } }
 }
 /// So many accepted changes that build on each other by the operators' own count.
 fn take_counted(ledger: &mut Ledger, count: u64) {
@@ -109,7 +109,7 @@
     let first = withdraw("first", Some(Epoch(1)));
     assert_eq!(take(&mut ledger, &first), ACCEPTED);
     let restore = |n: usize, seen: Epoch| {
-        let command = Command::Restore { hall: "north".into() };
+        let command = Command::Restore { zone: "north".into() };
         Proposal { id: format!("r-{n}"), builds_on: None, seen, command }
     };
     for n in 0..SPAN {
@@ -194,7 +194,7 @@
 #[test]
 fn a_snapshot_stops_growing_with_the_number_of_changes() {
     let routes: Vec<String> = (0..1000)
-        .map(|n| format!(r#""route-{n}":{{"slots":{},"halls":["north","south"],"first_token_ms":4000}}"#, n % 60 + 1))
+        .map(|n| format!(r#""route-{n}":{{"slots":{},"zones":["north","south"],"first_token_ms":4000}}"#, n % 60 + 1))
         .collect();
     let plan = |n: u64| {
         let slots = n % 50 + 1;
@@ -210,7 +210,7 @@
         // A parse of 1,000 routes a change would take minutes: what it comes to is made by hand.
         let (base, splice) = (ledger.plan_epoch, Splice::between(&ledger.plan, &plan(n)));
         let revisions = Revisions { own: n + 1, base: n };
-        let command = Command::Change { bytes: change, base, splice, halls: vec![], revisions };
+        let command = Command::Change { bytes: change, base, splice, zones: vec![], revisions };
         let id = format!("change-{n}-0123456789abcdef0123456789abcdef");
         assert_eq!(take(&mut ledger, &Proposal { id, builds_on: None, seen: Epoch(0), command }), ACCEPTED);
         if [10, 100, 1000, 5000, 10_000].contains(&n) {
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -88,7 +88,7 @@
     fn with_timing(timing: Timing, bulk: u64, is_whole: bool, routes: u64) -> Core {
         let routes: Vec<String> = (0..routes)
             .map(|n| {
-                format!(r#""route-{n}":{{"slots":{},"halls":["north","south"],"first_token_ms":4000}}"#, n % 60 + 1)
+                format!(r#""route-{n}":{{"slots":{},"zones":["north","south"],"first_token_ms":4000}}"#, n % 60 + 1)
             })
             .collect();
         let routes = routes.join(",");
@@ -145,13 +145,13 @@
         let id = format!("change-{n}-0123456789abcdef0123456789abcdef");
         let revisions = Revisions { own: n + 1, base: n };
         let command = if n == 0 || self.is_whole {
-            Command::Plan { bytes: plan, halls: vec![], revisions }
+            Command::Plan { bytes: plan, zones: vec![], revisions }
         } else {
             // As the front of a registrar makes it, which has the plan before.
             let splice = Splice::between(&(self.plan)(n - 1), &plan);
             let base = Epoch(n);
             let bytes = format!(r#"{{"revision":{},"services":{{"a":{{"slots":{}}}}}}}"#, n + 1, n % 50 + 1).into();
-            Command::Change { bytes, base, splice, halls: vec![], revisions }
+            Command::Change { bytes, base, splice, zones: vec![], revisions }
         };
         Proposal { id, builds_on: None, seen: Epoch(0), command }
     }
--- a/crates/layout/tests/revisions.rs
+++ b/crates/layout/tests/revisions.rs
@@ -65,13 +65,13 @@
 fn zones_named_besides_the_plan_s_may_be_withdrawn() {
     let mut ledger = Ledger::default();
     let mut first = plan("a", 0, 5, 4);
-    first.command = first.command.with_halls(&["north".into()]);
+    first.command = first.command.with_zones(&["north".into()]);
     take(&mut ledger, &first);
-    let withdraw = |hall: &str| Proposal {
-        id: format!("w-{hall}"),
+    let withdraw = |zone: &str| Proposal {
+        id: format!("w-{zone}"),
         builds_on: None,
         seen: Epoch(0),
-        command: Command::Withdraw { hall: hall.into() },
+        command: Command::Withdraw { zone: zone.into() },
     };
     assert_eq!((take(&mut ledger, &withdraw("north")), take(&mut ledger, &withdraw("south"))), (ACCEPTED, 306));
 }
--- a/crates/parlance/src/names.rs
+++ b/crates/parlance/src/names.rs
@@ -38,7 +38,7 @@
 
 names! {
     /// A zone.
-    HallName
+    ZoneName
     /// What a caller calls its order.
     OrderId
     /// What a server calls one run of an order.
--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -69,7 +69,7 @@
     CoreNotReady = 303, 503, 1, "core-not-ready", "The core can't take changes now; nothing changed.";
     FateUnknown = 304, 504, 1, "fate-unknown", "No answer in time; ask for its fate by its id.";
     UnknownEpoch = 305, 404, 0, "unknown-epoch", "No such epoch was accepted.";
-    UnknownHall = 306, 404, 0, "unknown-hall", "No accepted plan or node names this zone.";
+    UnknownZone = 306, 404, 0, "unknown-zone", "No accepted plan or node names this zone.";
     UnknownChange = 307, 404, 0, "unknown-change", "No change of this id was accepted.";
     IdReused = 308, 409, 0, "id-reused", "This id was used for a different change; nothing changed.";
     UnknownMember = 309, 404, 0, "unknown-member", "No member has this address; nothing changed.";
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -5,7 +5,7 @@
 fn main() {
     let rules = ServiceRules {
         pool: "model".into(),
-        halls: vec![],
+        zones: vec![],
         servers: vec![],
         first_token: Span(800),
         slots: 128,
@@ -26,7 +26,7 @@
         server: format!("i-{n:08x}").as_str().into(),
         slots: Some(128),
         cold_left: Some(Span(0)),
-        hall: "north".into(),
+        zone: "north".into(),
         pool: "model".into(),
         ..RollEntry::default()
     };
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -24,7 +24,7 @@
     /// The services of the rules, shared with what is being decided.
     services: BTreeMap<ServiceName, Arc<ServiceRules>>,
     /// The zone of this node, if it was told.
-    zone: Option<HallName>,
+    zone: Option<ZoneName>,
     /// When this life took its first event.
     begun: Option<Moment>,
     /// To what fresh and cold servers bear.
@@ -151,8 +151,8 @@
     }
 
     /// Tells in which zone this node is: servers there are preferred by `DeskRules::zone_bias`.
-    pub fn set_zone(&mut self, hall: HallName) {
-        self.zone = Some(hall);
+    pub fn set_zone(&mut self, zone: ZoneName) {
+        self.zone = Some(zone);
     }
 
     /// Takes an event in; gives the decisions that follow.
@@ -606,8 +606,8 @@
         Some(told.is_shown())
     }
 
-    fn is_withdrawn(&self, hall: &HallName) -> bool {
-        self.rules.withdrawn.contains(hall)
+    fn is_withdrawn(&self, zone: &ZoneName) -> bool {
+        self.rules.withdrawn.contains(zone)
     }
 }
 
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -224,8 +224,8 @@
             && !server.is_leaving
             && !server.is_suspect(now)
             && server.pool == rules.pool
-            && !self.is_withdrawn(&server.hall)
-            && (rules.halls.is_empty() || rules.halls.contains(&server.hall))
+            && !self.is_withdrawn(&server.zone)
+            && (rules.zones.is_empty() || rules.zones.contains(&server.zone))
             && (rules.servers.is_empty() || rules.servers.contains(name))
     }
 
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/desk/tests.rs
@@ -5,7 +5,7 @@
 fn rules() -> Rules {
     let service = ServiceRules {
         pool: "model".into(),
-        halls: vec![],
+        zones: vec![],
         servers: vec![],
         first_token: Span(2000),
         slots: 8,
@@ -52,9 +52,9 @@
     fn new() -> Self {
         let mut played = Played { desk: Desk::new(Address::loopback(1), 1, DeskRules::default()) };
         played.take(0, Event::Rules { rules: rules() });
-        let entry = |name: &str, hall: &str| RollEntry {
+        let entry = |name: &str, zone: &str| RollEntry {
             server: name.into(),
-            hall: hall.into(),
+            zone: zone.into(),
             pool: "model".into(),
             is_leaving: false,
             ..RollEntry::default()
@@ -149,7 +149,7 @@
 #[parameterized(
     leaving = { |p: &mut Played| {
         let servers = p.desk.servers.iter().map(|(name, s)| RollEntry {
-            server: name.clone(), hall: s.hall.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d", ..RollEntry::default()
+            server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d", ..RollEntry::default()
         }).collect();
         p.take(900, Event::Roll { servers });
     } },
@@ -159,7 +159,7 @@
         rules.withdrawn = vec!["north".into()];
         p.take(900, Event::Rules { rules });
         let servers = p.desk.servers.iter().filter(|(name, _)| name.as_str() != "c").map(|(name, s)| RollEntry {
-            server: name.clone(), hall: s.hall.clone(), pool: s.pool.clone(), is_leaving: false, ..RollEntry::default()
+            server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: false, ..RollEntry::default()
         }).collect();
         p.take(900, Event::Roll { servers });
     } },
@@ -188,7 +188,7 @@
     played.take(0, Event::Members { members, since: Epoch(1) });
     let entry = RollEntry {
         server: "new".into(),
-        hall: "north".into(),
+        zone: "north".into(),
         pool: "model".into(),
         is_leaving: false,
         ..RollEntry::default()
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -233,7 +233,7 @@
             let reading = self.prefill(server, footprint.uncached);
             let mut cost = expected + reading * u64::from(self.desk_rules.prefill_percent) / 100;
             cost += u64::from(burden) * self.desk_rules.load_bias.0 / u64::from(slots);
-            if self.zone.as_ref().is_some_and(|hall| *hall != server.hall) {
+            if self.zone.as_ref().is_some_and(|zone| *zone != server.zone) {
                 cost += self.desk_rules.zone_bias.0;
             }
             let affinity = mix(server.key ^ affinity_key);
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -16,7 +16,7 @@
         #[serde(default)]
         pub cold_left: Option<Span>,
         /// Its zone.
-        pub hall: HallName,
+        pub zone: ZoneName,
         /// Its pool, such as `model` or `app`.
         pub pool: String,
         /// Whether it's leaving.
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -30,7 +30,7 @@
     /// The pool of servers that serves it.
     pub pool: String,
     /// Zones whose servers may serve it; empty: all.
-    pub halls: Vec<HallName>,
+    pub zones: Vec<ZoneName>,
     /// The servers that may; empty: all of the pool.
     pub servers: Vec<ServerName>,
     /// The first piece must be expected within this.
@@ -58,7 +58,7 @@
     /// Allowed services.
     pub services: BTreeMap<ServiceName, ServiceRules>,
     /// Zones that get no new work.
-    pub withdrawn: Vec<HallName>,
+    pub withdrawn: Vec<ZoneName>,
 }
 
 /// What the plan does not set: how the desk itself works.
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone)]
 pub struct ServerState {
     /// Its zone.
-    pub hall: HallName,
+    pub zone: ZoneName,
     /// Its pool.
     pub pool: String,
     /// Whether the newest roll lists it.
@@ -84,7 +84,7 @@
     /// When first seen.
     pub fn new(entry: &RollEntry, now: Moment, rules: &DeskRules) -> Self {
         ServerState {
-            hall: entry.hall.clone(),
+            zone: entry.zone.clone(),
             pool: entry.pool.clone(),
             is_listed: true,
             is_leaving: entry.is_leaving,
@@ -120,7 +120,7 @@
     pub fn note_entry(&mut self, entry: RollEntry, now: Moment) {
         self.is_listed = true;
         self.is_leaving = entry.is_leaving;
-        self.hall = entry.hall;
+        self.zone = entry.zone;
         self.pool = entry.pool;
         self.slots = entry.slots.or(self.slots);
         if let Some(left) = entry.cold_left {
@@ -218,7 +218,7 @@
     fn state() -> ServerState {
         let entry = RollEntry {
             server: "s".into(),
-            hall: "h".into(),
+            zone: "h".into(),
             pool: "model".into(),
             is_leaving: false,
             ..RollEntry::default()
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -9,7 +9,7 @@
 fn service() -> ServiceRules {
     ServiceRules {
         pool: "model".into(),
-        halls: vec![],
+        zones: vec![],
         servers: vec![],
         first_token: Span(800),
         slots: 128,
@@ -24,10 +24,10 @@
     DeskRules { block_micros: 143, does_order_copies: false, ..DeskRules::default() }
 }
 
-fn entry(name: &str, hall: &str) -> RollEntry {
+fn entry(name: &str, zone: &str) -> RollEntry {
     RollEntry {
         server: name.into(),
-        hall: hall.into(),
+        zone: zone.into(),
         pool: "model".into(),
         slots: Some(128),
         cold_left: Some(Span(0)),
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/primer/tests/cold_shares.rs
@@ -76,7 +76,7 @@
     fn begin(&mut self, place: usize) {
         let service = ServiceRules {
             pool: "model".into(),
-            halls: vec![],
+            zones: vec![],
             servers: vec![],
             first_token: Span(800),
             slots: 128,
@@ -91,7 +91,7 @@
             server: "new".into(),
             slots: Some(128),
             cold_left: Some(Span(600_000)),
-            hall: "north".into(),
+            zone: "north".into(),
             pool: "model".into(),
             ..RollEntry::default()
         };
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -85,7 +85,7 @@
             server: engine.name.clone(),
             slots: Some(128),
             cold_left: Some(Span(engine.cold_until.saturating_sub(self.now))),
-            hall: "north".into(),
+            zone: "north".into(),
             pool: "model".into(),
             ..RollEntry::default()
         };
@@ -206,7 +206,7 @@
 fn service() -> ServiceRules {
     ServiceRules {
         pool: "model".into(),
-        halls: vec![],
+        zones: vec![],
         servers: vec![],
         first_token: Span(800),
         slots: 128,
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -113,14 +113,14 @@
     let is_ready = Arc::new(AtomicBool::new(false));
     let tallies = Arc::new(Tallies::default());
     let gate_sender = sender.clone();
-    let halls = settings.halls.iter().map(|name| name.as_str().into()).collect();
+    let zones = settings.zones.iter().map(|name| name.as_str().into()).collect();
     let tell = move |input| {
         let _ = gate_sender.send(Event::Input(input));
     };
     let core = CoreLine::new(replies.clone(), tell);
     let believes_sender = sender.clone();
     let door =
-        Door { core, dialects, halls, sender: believes_sender, is_ready: is_ready.clone(), tallies: tallies.clone() };
+        Door { core, dialects, zones, sender: believes_sender, is_ready: is_ready.clone(), tallies: tallies.clone() };
     let door = Arc::new(door);
     let gate_thread = move || {
         gate.serve(move |order| {
@@ -129,7 +129,7 @@
         });
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
-    tracing::info!("registrar: listens at {listen}, inner {inner}, hall {}.", settings.hall);
+    tracing::info!("registrar: listens at {listen}, inner {inner}, zone {}.", settings.zone);
     let mut timing = OfficeTiming::default();
     timing.replica.copies = settings.copies as usize;
     timing.replica.voters = settings.voters as usize;
@@ -328,7 +328,7 @@
 struct Door {
     core: CoreLine,
     dialects: Dialects,
-    halls: Vec<HallName>,
+    zones: Vec<ZoneName>,
     sender: flume::Sender<Event>,
     is_ready: Arc<AtomicBool>,
     tallies: Arc<Tallies>,
@@ -342,7 +342,7 @@
         match desk.read(order) {
             Ok(Some(call)) => {
                 let plans = self.dialects.plans.as_ref();
-                desk.write(self.core.carry(call, plans, &self.halls, is_ready, &attempt))
+                desk.write(self.core.carry(call, plans, &self.zones, is_ready, &attempt))
             }
             Ok(None) if order.method == "GET" => self.own_reply(order),
             Ok(None) => {
@@ -464,8 +464,8 @@
                 }
             }
         }
-        ("POST", ["v1", "halls", hall, "withdraw"]) => propose(Command::Withdraw { hall: (*hall).into() }, false),
-        ("POST", ["v1", "halls", hall, "restore"]) => propose(Command::Restore { hall: (*hall).into() }, false),
+        ("POST", ["v1", "zones", zone, "withdraw"]) => propose(Command::Withdraw { zone: (*zone).into() }, false),
+        ("POST", ["v1", "zones", zone, "restore"]) => propose(Command::Restore { zone: (*zone).into() }, false),
         _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path)),
     }
 }
--- a/crates/registrar/src/desk.rs
+++ b/crates/registrar/src/desk.rs
@@ -23,12 +23,12 @@
     /// Give a zone no new work.
     Withdraw {
         /// The zone.
-        hall: HallName,
+        zone: ZoneName,
     },
     /// Give a zone work again.
     Restore {
         /// The zone.
-        hall: HallName,
+        zone: ZoneName,
     },
     /// Whether this registrar serves the core.
     Readiness,
@@ -116,7 +116,7 @@
 /// faults was not taken and builds on nothing that is yet to come.
 pub struct DeskTask<'a> {
     plans: &'a dyn PlanDialect,
-    zones: &'a [HallName],
+    zones: &'a [ZoneName],
     stage: Stage,
 }
 
@@ -125,7 +125,7 @@
     pub fn begin(
         call: DeskCall,
         plans: &'a dyn PlanDialect,
-        zones: &'a [HallName],
+        zones: &'a [ZoneName],
         is_ready: bool,
     ) -> (DeskTask<'a>, DeskStep) {
         let mut task = DeskTask { plans, zones, stage: Stage::Over };
@@ -144,8 +144,8 @@
                 task.stage = Stage::Reading;
                 DeskStep::Ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }))
             }
-            DeskCall::Withdraw { hall } => task.propose(chance_id(), Command::Withdraw { hall }),
-            DeskCall::Restore { hall } => task.propose(chance_id(), Command::Restore { hall }),
+            DeskCall::Withdraw { zone } => task.propose(chance_id(), Command::Withdraw { zone }),
+            DeskCall::Restore { zone } => task.propose(chance_id(), Command::Restore { zone }),
             DeskCall::Readiness if is_ready => DeskStep::Answer(DeskAnswer::Done),
             DeskCall::Readiness => DeskStep::Answer(refused(ResultCode::CoreNotReady, "not in the chain", vec![])),
         };
@@ -195,7 +195,7 @@
     /// Proposes what a document came to. One with faults now may have been taken when it was first sent.
     fn propose_document(&mut self, id: String, command: Result<Command, Vec<Fault>>) -> DeskStep {
         match command {
-            Ok(command) => self.propose(id, command.with_halls(self.zones)),
+            Ok(command) => self.propose(id, command.with_zones(self.zones)),
             Err(faults) => {
                 self.stage = Stage::Fate { faults };
                 DeskStep::Ask(OperatorAsk::Read(Reading::Fate { id }))
@@ -211,7 +211,7 @@
         &self,
         call: DeskCall,
         plans: &dyn PlanDialect,
-        zones: &[HallName],
+        zones: &[ZoneName],
         is_ready: bool,
         attempt: &Attempt,
     ) -> DeskAnswer {
--- a/crates/registrar/src/desk/tests.rs
+++ b/crates/registrar/src/desk/tests.rs
@@ -65,7 +65,7 @@
     let heard = Arc::new(std::sync::Mutex::new(vec![]));
     let hears = heard.clone();
     let silent = CoreLine::new(crate::core_line::Replies::default(), move |input| hears.lock().unwrap().push(input));
-    let call = DeskCall::Withdraw { hall: "east".into() };
+    let call = DeskCall::Withdraw { zone: "east".into() };
     let answer = silent.carry(call.clone(), &OwnPlans, &[], true, &Attempt::new(Span(0), None));
     assert!(matches!(answer, DeskAnswer::Refused { code: ResultCode::FateUnknown, .. }), "{answer:?}");
     assert!(heard.lock().unwrap().is_empty(), "nobody waits for it, so nothing was begun");
--- a/crates/registrar/src/desk_line.rs
+++ b/crates/registrar/src/desk_line.rs
@@ -56,7 +56,7 @@
     /// Withdraw a zone: it gets no new work.
     Withdraw {
         /// The zone.
-        hall: String,
+        zone: String,
         /// Your id for it.
         #[arg(long)]
         id: String,
@@ -64,7 +64,7 @@
     /// Restore a zone.
     Restore {
         /// The zone.
-        hall: String,
+        zone: String,
         /// Your id for it.
         #[arg(long)]
         id: String,
@@ -100,8 +100,8 @@
             DeskTask::Show { epoch: Some(epoch) } => ("GET", format!("/v1/plans/{epoch}"), None),
             DeskTask::Latest => ("GET", "/v1/latest".into(), None),
             DeskTask::Fate { id } => ("GET", format!("/v1/fates/{id}"), None),
-            DeskTask::Withdraw { hall, id } => ("POST", format!("/v1/halls/{hall}/withdraw?id={id}"), Some(Ok(vec![]))),
-            DeskTask::Restore { hall, id } => ("POST", format!("/v1/halls/{hall}/restore?id={id}"), Some(Ok(vec![]))),
+            DeskTask::Withdraw { zone, id } => ("POST", format!("/v1/zones/{zone}/withdraw?id={id}"), Some(Ok(vec![]))),
+            DeskTask::Restore { zone, id } => ("POST", format!("/v1/zones/{zone}/restore?id={id}"), Some(Ok(vec![]))),
             DeskTask::Forget { members, id } => {
                 let body = serde_json::json!({"members": members}).to_string().into_bytes();
                 ("POST", format!("/v1/members/forget?id={id}"), Some(Ok(body)))
--- a/crates/registrar/src/main.rs
+++ b/crates/registrar/src/main.rs
@@ -24,9 +24,9 @@
         /// In place of the settings' inner.
         #[arg(long)]
         inner: Option<Address>,
-        /// In place of the settings' hall.
+        /// In place of the settings' zone.
         #[arg(long)]
-        hall: Option<String>,
+        zone: Option<String>,
         /// In place of the settings' folder.
         #[arg(long)]
         folder: Option<String>,
@@ -45,7 +45,7 @@
         .init();
     match line.task {
         Task::Desk(desk) => ExitCode::from(desk.run()),
-        Task::Serve { settings, listen, inner, hall, folder } => {
+        Task::Serve { settings, listen, inner, zone, folder } => {
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
                 Err(fault) => {
@@ -55,7 +55,7 @@
             };
             listen.into_iter().for_each(|address| read.listen = address.to_string());
             inner.into_iter().for_each(|address| read.inner = address.to_string());
-            hall.into_iter().for_each(|name| read.hall = name);
+            zone.into_iter().for_each(|name| read.zone = name);
             folder.into_iter().for_each(|path| read.folder = path);
             ExitCode::from(run(&read, Dialects::default()))
         }
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -396,12 +396,12 @@
     fn news(&self, has: Epoch) -> News {
         let ledger = self.replica.state_machine();
         let members_since = ledger.membership.since;
-        let member = |(address, hall): &(Address, HallName)| Member { address: *address, hall: hall.clone() };
+        let member = |(address, zone): &(Address, ZoneName)| Member { address: *address, zone: zone.clone() };
         News {
             epoch: ledger.epoch,
             plan_epoch: ledger.plan_epoch,
             withdrawn: ledger.withdrawn.clone(),
-            members: (has < members_since).then(|| ledger.member_halls.iter().map(member).collect()),
+            members: (has < members_since).then(|| ledger.member_zones.iter().map(member).collect()),
             members_since,
         }
     }
@@ -528,7 +528,7 @@
             return;
         }
         self.join_due = self.now + self.timing.join;
-        let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.hall.clone())).collect();
+        let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.zone.clone())).collect();
         self.propose_inner(Command::Join { members });
     }
 
@@ -740,9 +740,9 @@
                 "epoch": ledger.epoch,
                 "plan_epoch": ledger.plan_epoch,
                 "withdrawn": ledger.withdrawn,
-                "halls": ledger.halls(),
-                "members": ledger.member_halls.iter()
-                    .map(|(address, hall)| serde_json::json!({"address": address, "hall": hall})).collect::<Vec<_>>(),
+                "zones": ledger.zones(),
+                "members": ledger.member_zones.iter()
+                    .map(|(address, zone)| serde_json::json!({"address": address, "zone": zone})).collect::<Vec<_>>(),
             })),
             Reading::Newest => (200, ledger.epoch.0.to_be_bytes().to_vec()),
             Reading::Epoch { epoch: Epoch(0) } if ledger.plan_epoch > Epoch(0) => (200, ledger.plan.clone()),
@@ -753,9 +753,9 @@
             }
             Reading::Epoch { epoch } => match ledger.as_sent(*epoch) {
                 Ok(AsSent::Body(bytes)) => (200, bytes),
-                Ok(AsSent::Withdraw(hall)) => good(serde_json::json!({"withdraw": hall})),
+                Ok(AsSent::Withdraw(zone)) => good(serde_json::json!({"withdraw": zone})),
                 Ok(AsSent::Forget(members)) => good(serde_json::json!({"forget": members})),
-                Ok(AsSent::Restore(hall)) => good(serde_json::json!({"restore": hall})),
+                Ok(AsSent::Restore(zone)) => good(serde_json::json!({"restore": zone})),
                 Err(NotKept::Never) => {
                     missing(ResultCode::UnknownEpoch, format!("no operator's command was accepted as epoch {epoch}"))
                 }
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/office/tests.rs
@@ -70,7 +70,7 @@
 }
 
 fn withdraw() -> Command {
-    Command::Withdraw { hall: "east".into() }
+    Command::Withdraw { zone: "east".into() }
 }
 
 /// Of seed 88000550 on `valodu`: the tail was asked twice, and its second answer was given to the operator
@@ -206,7 +206,7 @@
         (0..span / 50).flat_map(|_| self.step(50, OfficeInput::ClockEvent)).collect()
     }
     fn poll(&mut self, from: u16, epoch: u64) -> Vec<(u64, u64)> {
-        let member = Member { address: Address::loopback(from), hall: "east".into() };
+        let member = Member { address: Address::loopback(from), zone: "east".into() };
         let poll = Poll { member, round: 1, epoch: Epoch(epoch), view: ViewEpoch(1), has_key: true, hears: vec![] };
         let letter = Letter::Poll { poll: Box::new(poll) };
         self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
--- a/crates/registrar/src/settings.rs
+++ b/crates/registrar/src/settings.rs
@@ -12,7 +12,7 @@
     pub inner: String,
     /// Its zone.
     #[setting(default = "here", validate = a_name)]
-    pub hall: String,
+    pub zone: String,
     /// The data folder, on the machine's disk. Empty: this machine has none; it keeps nothing, votes on
     /// nothing and sends operators on to `desks`.
     #[setting(default = "registrar-data")]
@@ -28,7 +28,7 @@
     #[setting(validate = addresses)]
     pub desks: Vec<String>,
     /// Zones that may be withdrawn besides those that members and plans name.
-    pub halls: Vec<String>,
+    pub zones: Vec<String>,
     /// Disks that a change is on before it counts as accepted: one more than may be lost at once.
     #[setting(default = 2, validate = within(1, 9))]
     pub copies: u64,
--- a/crates/registrar/tests/concurrent_operators.rs
+++ b/crates/registrar/tests/concurrent_operators.rs
@@ -46,8 +46,8 @@
     }
 }
 
-fn zones() -> &'static [HallName] {
-    static ZONES: std::sync::OnceLock<Vec<HallName>> = std::sync::OnceLock::new();
+fn zones() -> &'static [ZoneName] {
+    static ZONES: std::sync::OnceLock<Vec<ZoneName>> = std::sync::OnceLock::new();
     ZONES.get_or_init(|| vec!["east".into(), "west".into()])
 }
 
@@ -89,7 +89,7 @@
     /// Changes the configuration, on the newest number that anyone was told.
     Configures,
     /// Evacuates this zone and takes it back, in turn, alone.
-    Evacuates(HallName),
+    Evacuates(ZoneName),
 }
 
 struct Operator {
@@ -299,9 +299,9 @@
                 (call, Some(base))
             }
             Job::Evacuates(zone) if self.operators[place].is_next_evacuated => {
-                (DeskCall::Withdraw { hall: zone.clone() }, None)
+                (DeskCall::Withdraw { zone: zone.clone() }, None)
             }
-            Job::Evacuates(zone) => (DeskCall::Restore { hall: zone.clone() }, None),
+            Job::Evacuates(zone) => (DeskCall::Restore { zone: zone.clone() }, None),
         };
         let operator = &mut self.operators[place];
         operator.told = None;
--- a/crates/registrar/tests/delayed_and_refused.rs
+++ b/crates/registrar/tests/delayed_and_refused.rs
@@ -17,15 +17,15 @@
 fn plan(id: &str, base: u64, revision: u64) -> OperatorAsk {
     let bytes = format!(r#"{{"revision":{revision},"services":{{"a":{{"slots":4}}}}}}"#).into_bytes();
     let command = Command::plan_in(&OwnPlans, bytes, Some(base)).expect("a good plan");
-    proposal(id, command.with_halls(&["east".into()]))
+    proposal(id, command.with_zones(&["east".into()]))
 }
 
 fn withdraw(id: &str) -> OperatorAsk {
-    proposal(id, Command::Withdraw { hall: "east".into() })
+    proposal(id, Command::Withdraw { zone: "east".into() })
 }
 
 fn restore(id: &str) -> OperatorAsk {
-    proposal(id, Command::Restore { hall: "east".into() })
+    proposal(id, Command::Restore { zone: "east".into() })
 }
 
 fn ask(core: &mut Core, machine: usize, number: u64, ask: OperatorAsk) {
--- a/crates/rehearsal/src/crew.rs
+++ b/crates/rehearsal/src/crew.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Clone)]
 pub struct Shape {
     /// The zones.
-    pub halls: Vec<&'static str>,
+    pub zones: Vec<&'static str>,
     /// Machines with disks, each with a registrar.
     pub registrars: usize,
     /// The other machines, each with a crier.
@@ -30,10 +30,10 @@
     pub fn shape(self) -> Shape {
         match self {
             Deployment::Pahana => {
-                Shape { halls: vec!["east", "middle", "west"], registrars: 3, criers: 9, models: 9, apps: 3 }
+                Shape { zones: vec!["east", "middle", "west"], registrars: 3, criers: 9, models: 9, apps: 3 }
             }
             Deployment::Valodu => {
-                Shape { halls: vec!["hill", "river", "shore", "town"], registrars: 4, criers: 8, models: 9, apps: 4 }
+                Shape { zones: vec!["hill", "river", "shore", "town"], registrars: 4, criers: 8, models: 9, apps: 4 }
             }
         }
     }
@@ -59,17 +59,17 @@
 impl Crew {
     /// Starts all at free ports, zone by zone in turn, long warmed up.
     pub fn start(shape: &Shape, rules: &ScheduleRules) -> std::io::Result<Crew> {
-        let hall = |place: usize| HallName::from(shape.halls[place % shape.halls.len()]);
+        let zone = |place: usize| ZoneName::from(shape.zones[place % shape.zones.len()]);
         let mut roll = vec![];
         let mut start = |count: usize, pool: &str, first: u64| {
             (0..count)
                 .map(|place| {
                     let age = Span::seconds(600);
                     let server = StandIn::start(Address::loopback(0), rules.clone(), first + place as u64, age)?;
-                    let (hall, pool) = (hall(place), pool.to_owned());
+                    let (zone, pool) = (zone(place), pool.to_owned());
                     roll.push(RollEntry {
                         server: server.name(),
-                        hall,
+                        zone,
                         pool,
                         is_leaving: false,
                         ..RollEntry::default()
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -15,7 +15,7 @@
     /// Where its kind reaches it.
     pub inner: Address,
     /// Its zone.
-    pub hall: String,
+    pub zone: String,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -211,10 +211,10 @@
             let number = if is_registrar { place } else { place - shape.registrars };
             let kind = if is_registrar { "registrar" } else { "crier" };
             let name = format!("{kind}-{number}");
-            let hall = shape.halls[number % shape.halls.len()].to_owned();
+            let zone = shape.zones[number % shape.zones.len()].to_owned();
             let (listen, inner) = (address(place * 2), address(place * 2 + 1));
             let mut text =
-                format!("listen = \"{listen}\"\ninner = \"{inner}\"\nhall = \"{hall}\"\nseeds = [{seeds}]\n");
+                format!("listen = \"{listen}\"\ninner = \"{inner}\"\nzone = \"{zone}\"\nseeds = [{seeds}]\n");
             if is_registrar {
                 let data = folder.join(&name);
                 text += &format!("folder = \"{}\"\nfounders = [{}]\n", data.display(), quoted(&founders));
@@ -225,7 +225,7 @@
             std::fs::write(&settings, text)?;
             let log = folder.join(format!("{name}.log"));
             let program = options.programs.join(kind);
-            daemons.push(Daemon { name, listen, inner, hall, program, settings, log, child: None });
+            daemons.push(Daemon { name, listen, inner, zone, program, settings, log, child: None });
         }
         daemons.iter_mut().try_for_each(Daemon::start)?;
         let criers = daemons.split_off(shape.registrars);
@@ -238,10 +238,10 @@
         let (listen, inner) = (Address::loopback(ports[0]), Address::loopback(ports[1]));
         let name = format!("registrar-{}", self.registrars.len());
         let seeds: Vec<String> = self.registrars.iter().take(3).map(|r| format!("\"{}\"", r.inner)).collect();
-        let hall = self.registrars[0].hall.clone();
+        let zone = self.registrars[0].zone.clone();
         let data = self.folder.join(&name);
         let text = format!(
-            "listen = \"{listen}\"\ninner = \"{inner}\"\nhall = \"{hall}\"\nseeds = [{}]\nfolder = \"{}\"\n",
+            "listen = \"{listen}\"\ninner = \"{inner}\"\nzone = \"{zone}\"\nseeds = [{}]\nfolder = \"{}\"\n",
             seeds.join(", "),
             data.display()
         );
@@ -249,7 +249,7 @@
         std::fs::write(&settings, text)?;
         let log = self.folder.join(format!("{name}.log"));
         let program = self.registrars[0].program.clone();
-        let mut daemon = Daemon { name, listen, inner, hall, program, settings, log, child: None };
+        let mut daemon = Daemon { name, listen, inner, zone, program, settings, log, child: None };
         daemon.start()?;
         self.registrars.push(daemon);
         Ok(self.registrars.len() - 1)
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -203,7 +203,7 @@
         /// The rules.
         rules: HollowRules,
         /// Addresses and zones of its nodes.
-        nodes: Vec<(Address, HallName)>,
+        nodes: Vec<(Address, ZoneName)>,
         /// Registrars to ask first.
         seeds: Vec<Address>,
     },
@@ -212,7 +212,7 @@
     /// A node's process ends.
     Kill(Address),
     /// A new node.
-    Add(Address, HallName),
+    Add(Address, ZoneName),
     /// The platform's list in so many replacements.
     Roll(u32),
     /// Tell what was sent so far.
@@ -284,8 +284,8 @@
     }
     let began = Clock::now();
     let say = |what: String| eprintln!("{:>7} ms  {what}", Clock::now().since(began).0);
-    let halls: Vec<&'static str> = vec!["core-a", "core-b", "core-c", "core-d"];
-    let shape = Shape { halls, registrars: rules.registrars as usize, criers: 0, models: 0, apps: 0 };
+    let zones: Vec<&'static str> = vec!["core-a", "core-b", "core-c", "core-d"];
+    let shape = Shape { zones, registrars: rules.registrars as usize, criers: 0, models: 0, apps: 0 };
     let fleet = Fleet::start(&shape, Address::loopback(1), folder, &FleetOptions::default())
         .map_err(|fault| format!("the registrars can't be started (build the workspace first): {fault}"))?;
     let core = fleet.await_core(Span::seconds(30))?;
@@ -293,7 +293,7 @@
     fleet.put_plan("first", 0, &plan(0))?;
     let seeds: Vec<Address> = fleet.registrars.iter().take(3).map(|registrar| registrar.inner).collect();
 
-    let zone_of = |zone: u32| HallName(format!("zone-{zone}"));
+    let zone_of = |zone: u32| ZoneName(format!("zone-{zone}"));
     let mut collectors = vec![];
     let mut others = vec![];
     for n in 0..rules.nodes {
@@ -499,7 +499,7 @@
 fn start_host(
     rules: &HollowRules,
     role: Role,
-    group: &[(Address, HallName)],
+    group: &[(Address, ZoneName)],
     seeds: &[Address],
     words: &flume::Sender<HostWord>,
 ) -> Result<Host, String> {
--- a/crates/rehearsal/src/hollow/host.rs
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -77,8 +77,8 @@
         placed: 0,
         refused: 0,
     };
-    for (address, hall) in nodes {
-        host.add(address, hall)?;
+    for (address, zone) in nodes {
+        host.add(address, zone)?;
     }
     loop {
         let now = Clock::now();
@@ -110,13 +110,13 @@
         self.random
     }
 
-    fn add(&mut self, address: Address, hall: HallName) -> Result<(), String> {
+    fn add(&mut self, address: Address, zone: ZoneName) -> Result<(), String> {
         let listener = TcpListener::bind(address.0).map_err(|fault| format!("{address}: {fault}"))?;
         let (place, inputs) = (self.nodes.len(), self.inputs.clone());
         let take = move |from, letter| drop(inputs.send(Input::Letter(place, from, letter)));
         let post = Post::open(listener, take).map_err(|fault| format!("{address}: {fault}"))?;
         let (seeds, life, now) = (self.seeds.clone(), self.draw() >> 12, Clock::now());
-        let node = Node::new(address, hall, seeds, life, NodeTiming::default(), DeskRules::default(), now);
+        let node = Node::new(address, zone, seeds, life, NodeTiming::default(), DeskRules::default(), now);
         self.nodes.push(HollowNode { address, node: Some(node), post, epoch: Epoch(0) });
         self.tell_roll(place);
         if self.is_loaded {
@@ -134,7 +134,7 @@
         let servers: Vec<RollEntry> = (0..self.rules.servers)
             .map(|n| RollEntry {
                 server: named(n),
-                hall: HallName(format!("zone-{}", n % zones)),
+                zone: ZoneName(format!("zone-{}", n % zones)),
                 pool: "model".into(),
                 ..RollEntry::default()
             })
@@ -170,7 +170,7 @@
             Input::Order(HostOrder::Kill(address)) => {
                 self.nodes.iter_mut().filter(|one| one.address == address).for_each(|one| one.node = None);
             }
-            Input::Order(HostOrder::Add(address, hall)) => self.add(address, hall)?,
+            Input::Order(HostOrder::Add(address, zone)) => self.add(address, zone)?,
             Input::Order(HostOrder::Roll(replaced)) => {
                 self.replaced = replaced;
                 (0..self.nodes.len()).for_each(|place| self.tell_roll(place));
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -77,7 +77,7 @@
 
 struct RegistrarMachine {
     address: Address,
-    hall: HallName,
+    zone: ZoneName,
     offset: u64,
     office: Option<Office>,
     life: u64,
@@ -98,9 +98,9 @@
 }
 
 impl RegistrarMachine {
-    fn new(address: Address, hall: HallName, offset: u64, disk: SimDisk) -> Self {
+    fn new(address: Address, zone: ZoneName, offset: u64, disk: SimDisk) -> Self {
         let (office, life, frozen_until, late, is_gone) = (None, 0, 0, vec![], false);
-        RegistrarMachine { address, hall, offset, office, life, frozen_until, late, disk, is_gone }
+        RegistrarMachine { address, zone, offset, office, life, frozen_until, late, disk, is_gone }
     }
 }
 
@@ -114,7 +114,7 @@
     address: Address,
     /// When its next clock event comes.
     next_tick: u64,
-    hall: HallName,
+    zone: ZoneName,
     offset: u64,
     node: Option<Node>,
     life: u64,
@@ -130,7 +130,7 @@
 
 struct ServerMachine {
     name: ServerName,
-    hall: HallName,
+    zone: ZoneName,
     pool: String,
     schedule: Schedule,
     incarnation: u64,
@@ -243,14 +243,14 @@
 
     fn people(&mut self) {
         let shape = self.rules.deployment.shape();
-        let hall = |place: usize| HallName::from(shape.halls[place % shape.halls.len()]);
+        let zone = |place: usize| ZoneName::from(shape.zones[place % shape.zones.len()]);
         // Where syncs are skipped, disks are slow, so that something is left to be lost.
         let delay = if self.rules.mutant == Some(Mutant::SkipSync) { 400 } else { 3 };
         for place in 0..self.registrar_count() {
             let id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
             let offset = 1_000_000 + self.below(1_000_000_000);
             let address = Address::loopback(1001 + place as u16);
-            self.registrars.push(RegistrarMachine::new(address, hall(place), offset, SimDisk::new(id, delay)));
+            self.registrars.push(RegistrarMachine::new(address, zone(place), offset, SimDisk::new(id, delay)));
             self.put(place as u64 * 7, Happening::StartRegistrar { machine: place });
         }
         for place in 0..self.rules.criers.unwrap_or(shape.criers) {
@@ -258,7 +258,7 @@
             self.criers.push(CrierMachine {
                 address: Address::loopback(2001 + place as u16),
                 next_tick: 0,
-                hall: hall(place),
+                zone: zone(place),
                 offset,
                 node: None,
                 life: 0,
@@ -277,7 +277,7 @@
                 let port = if pool == "model" { 3001 } else { 4001 } + place as u16;
                 self.servers.push(ServerMachine {
                     name: ServerName(Address::loopback(port).to_string()),
-                    hall: hall(place),
+                    zone: zone(place),
                     pool: pool.into(),
                     schedule: Schedule::new(self.rules.servers.clone()),
                     incarnation: u64::from(port),
@@ -306,7 +306,7 @@
     fn publish(&mut self) {
         let entry = |server: &ServerMachine| RollEntry {
             server: server.name.clone(),
-            hall: server.hall.clone(),
+            zone: server.zone.clone(),
             pool: server.pool.clone(),
             is_leaving: server.leaving_since.is_some(),
             ..RollEntry::default()
--- a/crates/rehearsal/src/world/aimed.rs
+++ b/crates/rehearsal/src/world/aimed.rs
@@ -85,15 +85,15 @@
     /// A zone is evacuated at a machine that is cut off, and again at another; later it's restored there.
     fn evacuate_cut(&mut self, place: usize, machine: usize) {
         self.cut_off(place, machine);
-        let halls = self.rules.deployment.shape().halls;
-        let zone = HallName::from(halls[(self.faults[place].pick / 3 % halls.len() as u64) as usize]);
-        self.begin(Wish::Command(Command::Withdraw { hall: zone.clone() }), Some(machine));
+        let zones = self.rules.deployment.shape().zones;
+        let zone = ZoneName::from(zones[(self.faults[place].pick / 3 % zones.len() as u64) as usize]);
+        self.begin(Wish::Command(Command::Withdraw { zone: zone.clone() }), Some(machine));
         let other = (machine + 1) % self.registrars.len();
         self.put(1600, Happening::TakeBack { zone, machine: other });
     }
 
-    pub(super) fn on_take_back(&mut self, zone: HallName, machine: usize) {
-        self.begin(Wish::Command(Command::Restore { hall: zone }), Some(machine));
+    pub(super) fn on_take_back(&mut self, zone: ZoneName, machine: usize) {
+        self.begin(Wish::Command(Command::Restore { zone }), Some(machine));
     }
 
     /// The new machine comes first; once it has had time to start, the old one is told to end.
@@ -101,8 +101,8 @@
         if !self.is_core_whole() {
             return;
         }
-        let hall = self.registrars[machine].hall.clone();
-        let newcomer = self.add_registrar(hall);
+        let zone = self.registrars[machine].zone.clone();
+        let newcomer = self.add_registrar(zone);
         self.put(1, Happening::StartRegistrar { machine: newcomer });
         self.put(2500 + pick % 2000, Happening::Retire { machine });
     }
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -240,10 +240,10 @@
         if let Some(since) = server.leaving_since {
             self.leaving_ms.push(now - since);
         }
-        let told = self.withdrawn_since(now, &server.hall, newest);
+        let told = self.withdrawn_since(now, &server.zone, newest);
         self.withdrawn_ms.extend(told.map(|told| now - told));
         if told.is_some_and(|told| told + WITHDRAWN < now) {
-            self.violate(now, format!("{order} ran in withdrawn zone {}", server.hall));
+            self.violate(now, format!("{order} ran in withdrawn zone {}", server.zone));
         }
         if server.leaving_since.is_some_and(|since| now > since + LEAVING) {
             self.violate(now, format!("{order} ran at leaving server {}", server.name));
@@ -287,13 +287,13 @@
 
     /// When the withdrawal of a zone, no later than epoch `newest`, was told as accepted, if no restoring came
     /// after it, or may have.
-    fn withdrawn_since(&self, now: u64, hall: &HallName, newest: u64) -> Option<u64> {
+    fn withdrawn_since(&self, now: u64, zone: &ZoneName, newest: u64) -> Option<u64> {
         let commands = |is_wanted: &dyn Fn(&Command) -> bool| {
             let found = self.proposed.iter().filter(|(_, (_, command))| is_wanted(command));
             found.map(|(id, (at, _))| (*at, self.fates.get(id).copied())).collect::<Vec<_>>()
         };
-        let withdrawn = commands(&|m| matches!(m, Command::Withdraw { hall: h } if h == hall));
-        let restored = commands(&|m| matches!(m, Command::Restore { hall: h } if h == hall));
+        let withdrawn = commands(&|m| matches!(m, Command::Withdraw { zone: h } if h == zone));
+        let restored = commands(&|m| matches!(m, Command::Restore { zone: h } if h == zone));
         let accepted =
             withdrawn.iter().filter_map(|(_, fate)| fate.filter(|(_, code, epoch)| *code == 300 && *epoch <= newest));
         let (told, _, epoch) = accepted.max_by_key(|(_, _, epoch)| *epoch)?;
@@ -339,8 +339,8 @@
             let entry = ledger.entry_by_id(&id);
             let proposed = self.proposed.get(&id).map(|(_, command)| match command.clone() {
                 Command::Plan { bytes, .. } | Command::Change { bytes, .. } => Some(AsSent::Body(bytes)),
-                Command::Withdraw { hall } => Some(AsSent::Withdraw(hall)),
-                Command::Restore { hall } => Some(AsSent::Restore(hall)),
+                Command::Withdraw { zone } => Some(AsSent::Withdraw(zone)),
+                Command::Restore { zone } => Some(AsSent::Restore(zone)),
                 Command::Forget { members } => Some(AsSent::Forget(members)),
                 _ => None,
             });
--- a/crates/rehearsal/src/world/disk_losses.rs
+++ b/crates/rehearsal/src/world/disk_losses.rs
@@ -31,9 +31,9 @@
         let new_id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
         let does_keep_id = self.rules.mutant == Some(Mutant::ReuseWipedVote);
         if kind == FaultKind::ReplaceCore {
-            let hall = self.registrars[machine].hall.clone();
+            let zone = self.registrars[machine].zone.clone();
             self.registrars[machine].is_gone = true;
-            let machine = self.add_registrar(hall);
+            let machine = self.add_registrar(zone);
             self.put(back, Happening::StartRegistrar { machine });
             return;
         }
@@ -46,12 +46,12 @@
     }
 
     /// A registrar's machine with an empty disk, at an address of its own.
-    pub(super) fn add_registrar(&mut self, hall: HallName) -> usize {
+    pub(super) fn add_registrar(&mut self, zone: ZoneName) -> usize {
         let number = self.registrars.len() as u16;
         let id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
         let offset = 1_000_000 + self.below(1_000_000_000);
         let address = Address::loopback(1501 + number);
-        self.registrars.push(RegistrarMachine::new(address, hall, offset, SimDisk::new(id, 3)));
+        self.registrars.push(RegistrarMachine::new(address, zone, offset, SimDisk::new(id, 3)));
         self.registrars.len() - 1
     }
 
@@ -66,9 +66,9 @@
         if !all.iter().all(|place| is_voter(&&self.registrars[*place])) {
             return;
         }
-        let halls = self.rules.deployment.shape().halls;
-        let hall = HallName::from(halls[(pick / 2 % halls.len() as u64) as usize]);
-        let is_struck = |place: &usize| pick.is_multiple_of(2) || self.registrars[*place].hall == hall;
+        let zones = self.rules.deployment.shape().zones;
+        let zone = ZoneName::from(zones[(pick / 2 % zones.len() as u64) as usize]);
+        let is_struck = |place: &usize| pick.is_multiple_of(2) || self.registrars[*place].zone == zone;
         let from = (pick / 5) as usize % all.len();
         let in_turn = (0..all.len()).map(|step| all[(from + step) % all.len()]);
         let victims: Vec<usize> = in_turn.filter(is_struck).take(self.rules.copies - 1).collect();
--- a/crates/rehearsal/src/world/fault_kinds.rs
+++ b/crates/rehearsal/src/world/fault_kinds.rs
@@ -26,7 +26,7 @@
     /// A crier's machine is cut off from everything.
     CutCrier,
     /// A zone is lost, servers and all, and comes back.
-    LoseHall,
+    LoseZone,
     /// Letters are lost, late, doubled, out of order.
     BadNetwork,
     /// A disk is slow.
@@ -61,7 +61,7 @@
     /// A server answers, but slowly.
     SlowServer,
     /// All machines of ours in a zone freeze and wake.
-    FreezeHall,
+    FreezeZone,
     /// Traffic jumps to five times as much and back, most of it with one prefix.
     Crowd,
     /// Servers leave pieces out, double them, mix runs up, end early.
@@ -116,7 +116,7 @@
     FaultKind::CutCore,
     FaultKind::CutOneWay,
     FaultKind::CutCrier,
-    FaultKind::LoseHall,
+    FaultKind::LoseZone,
     FaultKind::BadNetwork,
     FaultKind::SlowDisk,
     FaultKind::StallDisk,
@@ -132,7 +132,7 @@
     FaultKind::LateAccept,
     FaultKind::GarbleServers,
     FaultKind::SlowServer,
-    FaultKind::FreezeHall,
+    FaultKind::FreezeZone,
     FaultKind::Crowd,
     FaultKind::ReplaceServers,
     FaultKind::LeaveServer,
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -126,30 +126,30 @@
             }
             FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 20 + (pick % 40) as u32,
             FaultKind::Crowd => self.crowd_until = self.now + span,
-            FaultKind::FreezeHall => {
-                let halls = self.rules.deployment.shape().halls;
-                let hall = HallName::from(halls[(pick % halls.len() as u64) as usize]);
+            FaultKind::FreezeZone => {
+                let zones = self.rules.deployment.shape().zones;
+                let zone = ZoneName::from(zones[(pick % zones.len() as u64) as usize]);
                 let until = self.now + span;
-                self.registrars.iter_mut().filter(|m| m.hall == hall).for_each(|m| m.frozen_until = until);
-                self.criers.iter_mut().filter(|m| m.hall == hall).for_each(|m| m.frozen_until = until);
+                self.registrars.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
+                self.criers.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
             }
-            FaultKind::LoseHall => {
-                let halls = self.rules.deployment.shape().halls;
-                let hall = HallName::from(halls[(pick % halls.len() as u64) as usize]);
+            FaultKind::LoseZone => {
+                let zones = self.rules.deployment.shape().zones;
+                let zone = ZoneName::from(zones[(pick % zones.len() as u64) as usize]);
                 for machine in 0..self.registrars.len() {
-                    if self.registrars[machine].hall == hall {
+                    if self.registrars[machine].zone == zone {
                         self.kill_registrar(machine, true);
                         self.put(span, Happening::StartRegistrar { machine });
                     }
                 }
                 for machine in 0..self.criers.len() {
-                    if self.criers[machine].hall == hall {
+                    if self.criers[machine].zone == zone {
                         self.kill_crier(machine);
                         self.put(span, Happening::StartCrier { machine });
                     }
                 }
                 for server in 0..self.servers.len() {
-                    if self.servers[server].hall == hall {
+                    if self.servers[server].zone == zone {
                         self.servers[server].is_up = false;
                         self.put(span, Happening::StartServer { server });
                     }
@@ -219,7 +219,7 @@
         self.cut = self.faults.iter().flat_map(|fault| fault.cut.iter().copied()).collect();
         match kind {
             FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 0,
-            FaultKind::FreezeRegistrar | FaultKind::FreezeLeader | FaultKind::FreezeHall => {
+            FaultKind::FreezeRegistrar | FaultKind::FreezeLeader | FaultKind::FreezeZone => {
                 self.wake_criers();
                 let all = 0..self.registrars.len();
                 all.for_each(|machine| {
@@ -297,9 +297,9 @@
 
     /// An operator tries whether changes are taken again.
     pub(super) fn on_probe(&mut self) {
-        let hall = HallName::from(self.rules.deployment.shape().halls[0]);
+        let zone = ZoneName::from(self.rules.deployment.shape().zones[0]);
         if !self.witness.is_core_back() {
-            self.ask(Command::Restore { hall });
+            self.ask(Command::Restore { zone });
         }
     }
 }
--- a/crates/rehearsal/src/world/happening.rs
+++ b/crates/rehearsal/src/world/happening.rs
@@ -98,7 +98,7 @@
     },
     /// An operator restores a zone that it had evacuated.
     TakeBack {
-        zone: HallName,
+        zone: ZoneName,
         machine: usize,
     },
     Strike {
--- a/crates/rehearsal/src/world/history.rs
+++ b/crates/rehearsal/src/world/history.rs
@@ -23,7 +23,7 @@
     /// Withdraw a zone, or restore it.
     SetZone {
         /// Which zone.
-        zone: HallName,
+        zone: ZoneName,
         /// Which of the two.
         is_withdrawn: bool,
     },
@@ -41,7 +41,7 @@
     /// This change made the plan in force.
     Plan(ChangeNumber),
     /// These zones are withdrawn.
-    Zones(Vec<HallName>),
+    Zones(Vec<ZoneName>),
 }
 
 struct RecordedCall {
@@ -96,7 +96,7 @@
         faults
     }
 
-    fn zones(&self) -> BTreeSet<HallName> {
+    fn zones(&self) -> BTreeSet<ZoneName> {
         let named = self.calls.values().filter_map(|call| match &call.action {
             CallAction::SetZone { zone, .. } => Some(zone.clone()),
             _ => None,
@@ -116,7 +116,7 @@
         calls.filter(|call| call.answer.is_some() || matches!(call.action, PlanAction::Put { .. })).collect()
     }
 
-    fn zone_calls(&self, zone: &HallName) -> Vec<Call<ZoneRegister>> {
+    fn zone_calls(&self, zone: &ZoneName) -> Vec<Call<ZoneRegister>> {
         let calls = self.calls.values().filter_map(|call| {
             let action = match &call.action {
                 CallAction::SetZone { zone: named, is_withdrawn } if named == zone => {
@@ -136,7 +136,7 @@
 
     /// From when on a call on a zone, of which nobody knows what became, may not take effect any more: the first
     /// acknowledged call of the contrary that was sent later. It comes after all that was given up before.
-    fn void_from(&self, unclear: &RecordedCall, zone: &HallName) -> Option<u64> {
+    fn void_from(&self, unclear: &RecordedCall, zone: &ZoneName) -> Option<u64> {
         let CallAction::SetZone { is_withdrawn: wanted, .. } = unclear.action else { return None };
         let contrary = self.calls.values().filter(|call| {
             matches!(&call.action, CallAction::SetZone { zone: named, is_withdrawn } if named == zone && *is_withdrawn != wanted)
@@ -163,7 +163,7 @@
     }
 }
 
-fn zone_answer(answer: &CallAnswer, zone: &HallName) -> Option<ZoneAnswer> {
+fn zone_answer(answer: &CallAnswer, zone: &ZoneName) -> Option<ZoneAnswer> {
     match answer {
         CallAnswer::Done => Some(ZoneAnswer::Done),
         CallAnswer::Zones(zones) => Some(ZoneAnswer::Found { is_withdrawn: zones.contains(zone) }),
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -104,7 +104,7 @@
         m.touch = touch::Touch::default();
         let now = Moment(self.now + m.offset);
         let old = m.old.take().filter(|_| self.rules.mutant == Some(Mutant::SlideEpoch));
-        let fresh = || Node::new(m.address, m.hall.clone(), seeds, incarnation, NodeTiming::default(), desk_rules, now);
+        let fresh = || Node::new(m.address, m.zone.clone(), seeds, incarnation, NodeTiming::default(), desk_rules, now);
         m.node = Some(old.map_or_else(fresh, |(_, node)| node));
         let life = m.life;
         self.put(1, Happening::NodeTick { machine, life });
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -17,7 +17,7 @@
     /// The newest revision that an operator knows of.
     revision: u64,
     /// A zone that may be withdrawn; it stays here until its restoring was accepted.
-    pub withdrawn: Option<HallName>,
+    pub withdrawn: Option<ZoneName>,
     pub storm_until: u64,
     /// The registrar that acknowledged the last change.
     pub last_actor: Option<usize>,
@@ -140,12 +140,12 @@
     /// An operator evacuates a zone, or takes that back, by way of this machine or any.
     pub(super) fn evacuate_or_restore_at(&mut self, machine: Option<usize>) {
         let command = match self.operators.withdrawn.clone() {
-            Some(hall) => Command::Restore { hall },
+            Some(zone) => Command::Restore { zone },
             None => {
-                let halls = self.rules.deployment.shape().halls;
-                let hall = HallName::from(halls[self.below(halls.len() as u64) as usize]);
-                self.operators.withdrawn = Some(hall.clone());
-                Command::Withdraw { hall }
+                let zones = self.rules.deployment.shape().zones;
+                let zone = ZoneName::from(zones[self.below(zones.len() as u64) as usize]);
+                self.operators.withdrawn = Some(zone.clone());
+                Command::Withdraw { zone }
             }
         };
         self.begin(Wish::Command(command), machine);
@@ -371,7 +371,7 @@
                     self.witness.violate(self.now, format!("{living} lives and was forgotten"));
                 }
             }
-            Some(Command::Restore { hall }) if self.operators.withdrawn.as_ref() == Some(hall) => {
+            Some(Command::Restore { zone }) if self.operators.withdrawn.as_ref() == Some(zone) => {
                 self.operators.withdrawn = None;
             }
             _ => {}
@@ -410,14 +410,14 @@
 
 /// A call as the history has it; `None` of those that are judged elsewhere.
 fn action_of(task: u64, wish: &Wish) -> Option<CallAction> {
-    let set = |zone: &HallName, is_withdrawn| Some(CallAction::SetZone { zone: zone.clone(), is_withdrawn });
+    let set = |zone: &ZoneName, is_withdrawn| Some(CallAction::SetZone { zone: zone.clone(), is_withdrawn });
     match wish {
         Wish::Plan { basis, .. } | Wish::Patch { basis, .. } => match *basis {
             Basis::Epoch(_) => None,
             Basis::Revision { base, own } => Some(CallAction::Put { change: task, base, revision: own }),
         },
-        Wish::Command(Command::Withdraw { hall }) => set(hall, true),
-        Wish::Command(Command::Restore { hall }) => set(hall, false),
+        Wish::Command(Command::Withdraw { zone }) => set(zone, true),
+        Wish::Command(Command::Restore { zone }) => set(zone, false),
         Wish::Command(_) => None,
         Wish::ReadState => Some(CallAction::ReadZones),
         Wish::ReadPlan => Some(CallAction::ReadPlan),
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -207,7 +207,7 @@
 fn frozen_machines_wake_into_a_fleet_that_went_on_and_do_no_harm() {
     let deployment = Deployment::Pahana;
     let (crew, mut fleet, _machine) = serving(deployment);
-    let hall = fleet.criers[2].hall.clone();
+    let zone = fleet.criers[2].zone.clone();
     under_load(deployment, &mut fleet, &crew, 30, |fleet| {
         // A crier and the tail sleep while the crier's zone is withdrawn.
         fleet.criers[0].freeze();
@@ -215,7 +215,7 @@
         let tail = fleet.registrars.iter().position(|d| is_tail(&d)).expect("there is a tail");
         fleet.registrars[tail].freeze();
         let others: Vec<usize> = (0..fleet.registrars.len()).filter(|place| *place != tail).collect();
-        let path = format!("/v1/halls/{hall}/withdraw?id=sleep");
+        let path = format!("/v1/zones/{zone}/withdraw?id=sleep");
         let withdrawn =
             || others.iter().any(|p| matches!(fleet.registrars[*p].ask("POST", &path, vec![]), Ok((200, _))));
         Fleet::await_that(PATIENCE, "the zone is withdrawn without the tail", withdrawn).expect("accepted");
@@ -227,7 +227,7 @@
         let due = told + Span::seconds(7);
         Fleet::await_that(Span::seconds(8), "seven seconds", || Clock::now() >= due).expect("time goes by");
         let late: Vec<Moment> = (0..crew.models.len())
-            .filter(|place| deployment.shape().halls[place % 3] == hall)
+            .filter(|place| deployment.shape().zones[place % 3] == zone)
             .flat_map(|place| crew.models[place].log())
             .map(|log| log.at)
             .filter(|at| *at > told + Span::seconds(5))
@@ -254,7 +254,7 @@
     let accepted = std::thread::scope(|scope| {
         let putting = scope.spawn(|| fleet.put_plan("large", epoch, &large));
         let began = Clock::now();
-        let (status, _) = fleet.registrars[1].ask("POST", "/v1/halls/river/withdraw?id=now", vec![]).expect("a reply");
+        let (status, _) = fleet.registrars[1].ask("POST", "/v1/zones/river/withdraw?id=now", vec![]).expect("a reply");
         assert_eq!(status, 200);
         assert!(Clock::now().since(began) < Span::seconds(5), "the withdrawal waited for the plan");
         putting.join().expect("it ends")
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -55,8 +55,8 @@
     for (method, path, code) in [
         ("GET", "/v1/plans/999", 305),
         ("GET", "/v1/plans/x", 305),
-        ("POST", "/v1/halls/nowhere/withdraw?id=w1", 306),
-        ("POST", "/v1/halls/east/withdraw", 301),
+        ("POST", "/v1/zones/nowhere/withdraw?id=w1", 306),
+        ("POST", "/v1/zones/east/withdraw", 301),
         ("PUT", "/v1/plan?id=p9", 301),
         ("PUT", "/v1/plan?id=p9&builds_on=x", 301),
         ("GET", "/v2", 113),
@@ -233,7 +233,7 @@
     for (name, text, words) in [
         ("crier", "listen = \"localhost:1\"", vec!["listen", "localhost:1", "IP number"]),
         ("crier", "orders = 0", vec!["orders", "0", "1 to 1000000"]),
-        ("crier", "hall = \"a b\"", vec!["hall", "a b", "letters"]),
+        ("crier", "zone = \"a b\"", vec!["zone", "a b", "letters"]),
         ("crier", "colour = \"red\"", vec!["colour"]),
         ("crier", "orders = \"many\"", vec!["orders"]),
         ("crier", "", vec!["seeds"]),
