--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -352,7 +352,7 @@
                 };
                 let value = serde_json::json!({
                     "state": state, "zone": server.zone, "pool": server.pool, "incarnation": server.incarnation,
-                    "own_orders": server.own, "reported": server.reported.map(|(burden, _)| burden),
+                    "own_orders": server.own, "reported": server.reported.map(|(load, _)| load),
                     "block_micros": server.block_micros, "hold_ms": server.hold.0, "faults": server.faults,
                     "knows_kv": server.knows_kv, "weights": server.weights,
                 });
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -331,7 +331,7 @@
 
     fn note_load(&self, placing: &Placing, head: &http::response::Parts) {
         if let Some(load) = self.forwarder.dialect.load(head) {
-            self.forwarder.shared.tell(NodeInput::Event(Event::Burden {
+            self.forwarder.shared.tell(NodeInput::Event(Event::Load {
                 server: placing.server.clone(),
                 incarnation: 0,
                 up: Span(0),
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -229,7 +229,7 @@
     Asked { round: u32, tried: Vec<ServerName>, may_have_run: bool, deadline: Span },
     First,
     Ended(Outcome),
-    Burden(u32),
+    Load(u32),
     Unreachable(ServerName),
     Closed { may_have_run: bool },
 }
@@ -264,7 +264,7 @@
                 }
                 crate::daemon::Event::Input(NodeInput::Event(Event::FirstToken { .. })) => Told::First,
                 crate::daemon::Event::Input(NodeInput::Event(Event::Ended { outcome, .. })) => Told::Ended(outcome),
-                crate::daemon::Event::Input(NodeInput::Event(Event::Burden { running, .. })) => Told::Burden(running),
+                crate::daemon::Event::Input(NodeInput::Event(Event::Load { running, .. })) => Told::Load(running),
                 crate::daemon::Event::Input(NodeInput::Event(Event::Unreachable { server })) => {
                     Told::Unreachable(server)
                 }
@@ -428,7 +428,7 @@
     assert!(request.starts_with("POST /p/x?q=a%20b HTTP/1.1\r\n") && request.ends_with("\r\n\r\nbody"), "{request}");
     assert_eq!([header(&request, "x-mine"), header(&request, "x-server")], [Some("5"), Some("a")]);
     let told = stage.told();
-    assert!(told.contains(&Told::Burden(3)) && told.contains(&Told::Ended(Outcome::Complete)), "{told:?}");
+    assert!(told.contains(&Told::Load(3)) && told.contains(&Told::Ended(Outcome::Complete)), "{told:?}");
 }
 
 /// Whether this was taken for no answer: the call may have run, and nobody knows.
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -66,7 +66,7 @@
     }
     /// A server tells its life, and for how long it has been up.
     fn report(&mut self, server: &str, incarnation: u64, up: Span) {
-        self.step(NodeInput::Event(Event::Burden {
+        self.step(NodeInput::Event(Event::Load {
             server: server.into(),
             incarnation,
             up,
--- a/crates/crier/src/poller.rs
+++ b/crates/crier/src/poller.rs
@@ -12,14 +12,14 @@
     let (work, jobs) = flume::bounded::<ServerName>(64);
     for _ in 0..4 {
         let (jobs, tell) = (jobs.clone(), tell.clone());
-        std::thread::Builder::new().name("burden".into()).spawn(move || {
+        std::thread::Builder::new().name("load".into()).spawn(move || {
             while let Ok(server) = jobs.recv() {
-                read_burden(&server).into_iter().for_each(&tell);
+                read_load(&server).into_iter().for_each(&tell);
             }
         })?;
     }
     let listed = names.clone();
-    std::thread::Builder::new().name("burdens".into()).spawn(move || {
+    std::thread::Builder::new().name("loads".into()).spawn(move || {
         loop {
             let now: Vec<ServerName> = listed.lock().expect("no thread panics with it").clone();
             // Until the first list is there, it's looked for often: a server without a report is taken
@@ -62,15 +62,15 @@
     serde_json::from_slice(&body).map_err(|fault| fault.to_string())
 }
 
-fn read_burden(server: &ServerName) -> Option<Event> {
-    let response = match ask_get(&format!("http://{server}/burden"), PATIENCE, PATIENCE) {
+fn read_load(server: &ServerName) -> Option<Event> {
+    let response = match ask_get(&format!("http://{server}/load"), PATIENCE, PATIENCE) {
         Ok(response) => response,
         Err(AskError::Unsent(_)) => return Some(Event::Unreachable { server: server.clone() }),
         Err(AskError::Unknown(_) | AskError::Withheld) => return None,
     };
     let body = read_all(response, 64 << 10).ok()?;
     let report: ServerReport = serde_json::from_slice(&body).ok()?;
-    Some(Event::Burden {
+    Some(Event::Load {
         server: server.clone(),
         incarnation: report.incarnation,
         up: Span(report.up_ms),
--- a/crates/crier/src/wire.rs
+++ b/crates/crier/src/wire.rs
@@ -74,7 +74,7 @@
     },
 }
 
-/// What a server says at `/burden`.
+/// What a server says at `/load`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServerReport {
     /// Its life.
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -174,8 +174,8 @@
             Event::Members { members, since } => self.on_members(members, since, now),
             Event::Lease { until, span } => self.claim.lease(until, span),
             Event::Roll { servers } => self.on_roll(servers, now),
-            Event::Burden { server, incarnation, up, running, waiting, slots, weights } => {
-                self.on_burden(&server, incarnation, up, running + waiting, slots, weights, now);
+            Event::Load { server, incarnation, up, running, waiting, slots, weights } => {
+                self.on_load(&server, incarnation, up, running + waiting, slots, weights, now);
             }
             Event::Unreachable { server } => self.on_unreachable(&server, now),
             Event::Prompt { order, service, hashes, round, tried, demand } => {
@@ -295,12 +295,12 @@
     }
 
     #[allow(clippy::too_many_arguments)]
-    fn on_burden(
+    fn on_load(
         &mut self,
         name: &ServerName,
         incarnation: u64,
         up: Span,
-        burden: u32,
+        load: u32,
         slots: u32,
         weights: String,
         now: Moment,
@@ -327,7 +327,7 @@
         server.incarnation = Some(incarnation);
         server.weights = Some(weights);
         server.slots = Some(slots.max(1));
-        server.reported = Some((burden, now));
+        server.reported = Some((load, now));
     }
 
     fn on_first_token(&mut self, order: OrderId, now: Moment) {
@@ -581,7 +581,7 @@
     }
 
     /// Orders believed in hand at a server, over all nodes.
-    fn burden(&self, server: &ServerState, now: Moment) -> u32 {
+    fn load(&self, server: &ServerState, now: Moment) -> u32 {
         let known = server.own + server.theirs.count;
         match server.reported {
             Some((reported, at)) if now.since(at) < self.desk_rules.report_life => known.max(reported),
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/desk/placing.rs
@@ -86,7 +86,7 @@
         }
         let is_active = prefix.is_some_and(|prefix| self.active.contains_key(&prefix));
         let ask = Ask { order: &order, rules: &rules, hashes: &hashes, counted, tried, demand, is_active, now };
-        let choice = if demand.is_told() { self.choose_by_time(&ask) } else { self.choose_by_burden(&ask) };
+        let choice = if demand.is_told() { self.choose_by_time(&ask) } else { self.choose_by_load(&ask) };
         let Choice { chosen, reason, was_idle, footprint, candidates } = match choice {
             Ok(choice) => choice,
             Err(Refusal { code, why, wait }) => return self.refuse(order, service, code, why, wait, round),
@@ -162,7 +162,7 @@
     }
 
     /// The choice where callers tell nothing of their orders: by orders in hand, and by blocks held.
-    fn choose_by_burden(&self, ask: &Ask) -> Result<Choice, Refusal> {
+    fn choose_by_load(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (weighed, full_until) = self.weigh(ask);
         let due = ask.rules.first_token;
         let Some((place, reason)) = choose(&weighed, ask.is_active, due, &self.desk_rules) else {
@@ -179,7 +179,7 @@
             let wait = Span(chosen.expected.0 - due.0).max_with(Span(1000));
             return Err(Refusal { code: ResultCode::Crowded, why, wait });
         }
-        let was_idle = chosen.burden < weighed[place].slots;
+        let was_idle = chosen.load < weighed[place].slots;
         let candidates = weighed.into_iter().map(|w| w.candidate).collect();
         Ok(Choice { chosen, reason, was_idle, footprint: Footprint::default(), candidates })
     }
@@ -231,15 +231,15 @@
 
     /// Whether a server that may have this much in hand from the whole fleet can take one more from this node now;
     /// else when, about.
-    fn may_add_to(&self, server: &ServerState, cap: u32, burden: u32, now: Moment) -> Result<(), Span> {
+    fn may_add_to(&self, server: &ServerState, cap: u32, load: u32, now: Moment) -> Result<(), Span> {
         if server.is_fresh(now, &self.desk_rules) {
             let part = self.claimed(cap, server, now)?;
             // What a former life of a node left there shows only in what others and the server itself tell.
-            return if server.own < part && burden < cap { Ok(()) } else { Err(FRESH_WAIT) };
+            return if server.own < part && load < cap { Ok(()) } else { Err(FRESH_WAIT) };
         }
         let part = share_at(cap, server.rank, self.members.len() as u32);
         // Beyond the own part, room that others leave may be used, if all others are heard.
-        let may_borrow = self.knows_all && burden < cap;
+        let may_borrow = self.knows_all && load < cap;
         if server.own < part || may_borrow { Ok(()) } else { Err(server.hold) }
     }
 
@@ -256,8 +256,8 @@
             }
             let key = server.key;
             let cap = server.cap(rules.slots, now, &self.desk_rules);
-            let burden = self.burden(server, now);
-            if let Err(wait) = self.may_add_to(server, cap, burden, now) {
+            let load = self.load(server, now);
+            if let Err(wait) = self.may_add_to(server, cap, load, now) {
                 full_until = if full_until.0 == 0 { wait } else { Span(full_until.0.min(wait.0)) };
                 continue;
             }
@@ -266,10 +266,10 @@
             let is_expected = counted.is_some_and(|prefix| self.is_told(prefix, name, server).is_some());
             let matched = if is_warm || is_expected { held.max(rules.btb.blocks) } else { held };
             let slots = server.slots.unwrap_or(rules.slots).max(1);
-            let queue = u64::from((burden + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
+            let queue = u64::from((load + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
             let prefill = (hashes.len() as u64).saturating_sub(u64::from(matched)) * server.block_micros / 1000;
             let expected = Span(self.desk_rules.base_first_token.0 + queue + prefill);
-            let candidate = Candidate { server: name.clone(), burden, matched, expected, is_warm };
+            let candidate = Candidate { server: name.clone(), load, matched, expected, is_warm };
             weighed.push(Weighed { candidate, slots, tie: mix(key ^ order_key) });
         }
         (weighed, full_until)
@@ -290,16 +290,16 @@
 fn choose(weighed: &[Weighed], is_active: bool, due: Span, rules: &DeskRules) -> Option<(usize, PlaceReason)> {
     let least = |may: &dyn Fn(&Weighed) -> bool| {
         let those = weighed.iter().enumerate().filter(|(_, w)| may(w));
-        those.min_by_key(|(_, w)| (w.candidate.burden, w.tie)).map(|(place, _)| place)
+        those.min_by_key(|(_, w)| (w.candidate.load, w.tie)).map(|(place, _)| place)
     };
     let first = if let Some(warm) = least(&|w| is_active && w.candidate.is_warm) {
         (warm, PlaceReason::Warm)
     } else {
         let idlest = least(&|_| true)?;
         let matching = weighed.iter().enumerate().filter(|(_, w)| w.candidate.matched > 0);
-        let best = matching.max_by_key(|(_, w)| (w.candidate.matched, u32::MAX - w.candidate.burden, w.tie));
+        let best = matching.max_by_key(|(_, w)| (w.candidate.matched, u32::MAX - w.candidate.load, w.tie));
         match best {
-            Some((place, w)) if w.candidate.burden <= weighed[idlest].candidate.burden + rules.imbalance => {
+            Some((place, w)) if w.candidate.load <= weighed[idlest].candidate.load + rules.imbalance => {
                 (place, PlaceReason::CacheMatch)
             }
             Some(_) => (idlest, PlaceReason::Imbalance),
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/desk/tests.rs
@@ -29,8 +29,8 @@
     }
 }
 
-fn burden(server: &str, up: u64) -> Event {
-    Event::Burden {
+fn load(server: &str, up: u64) -> Event {
+    Event::Load {
         server: server.into(),
         incarnation: 1,
         up: Span(up),
@@ -62,7 +62,7 @@
         let servers = vec![entry("a", "north"), entry("b", "north"), entry("c", "south"), entry("d", "south")];
         played.take(0, Event::Roll { servers });
         for name in ["a", "b", "c", "d"] {
-            played.take(0, burden(name, 60_000));
+            played.take(0, load(name, 60_000));
         }
         played
     }
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/desk/timing.rs
@@ -16,7 +16,7 @@
 struct Scored<'a> {
     name: &'a ServerName,
     slots: u32,
-    burden: u32,
+    load: u32,
     matched: u32,
     /// Leading parts that it holds if it's the one that the other nodes send them to, too.
     likely: u32,
@@ -37,7 +37,7 @@
     fn candidate(&self) -> Candidate {
         Candidate {
             server: self.name.clone(),
-            burden: self.burden,
+            load: self.load,
             matched: self.matched,
             expected: Span(self.expected),
             is_warm: self.is_warm(),
@@ -106,7 +106,7 @@
                 (chosen, reason) = (soonest, PlaceReason::Soonest);
             }
         }
-        let has_room = scored.iter().any(|r| r.burden * 100 < r.slots * HALF_EMPTY);
+        let has_room = scored.iter().any(|r| r.load * 100 < r.slots * HALF_EMPTY);
         if self.desk_rules.does_admit && chosen.expected > latest.0 && !has_room {
             let wait = Span(chosen.expected - latest.0).max_with(WAIT_LEAST);
             return Err(Refusal { code: ResultCode::Crowded, why: late_words(Span(chosen.expected), latest), wait });
@@ -121,7 +121,7 @@
         Ok(Choice {
             chosen: chosen.candidate(),
             reason,
-            was_idle: chosen.burden < chosen.slots,
+            was_idle: chosen.load < chosen.slots,
             footprint: chosen.footprint,
             candidates: others.into_iter().map(Scored::candidate).collect(),
         })
@@ -144,7 +144,7 @@
         }
         let least = |may: &dyn Fn(&Scored) -> bool| {
             let those = scored.iter().filter(|r| may(r));
-            those.min_by_key(|r| (r.expected, r.burden, u64::MAX - r.affinity))
+            those.min_by_key(|r| (r.expected, r.load, u64::MAX - r.affinity))
         };
         let warm = least(&|r| r.is_warm());
         let wanted = !self.desk_rules.does_order_copies && survey.wants_more(&ask.rules.btb);
@@ -202,14 +202,14 @@
                 continue;
             }
             let theirs = server.theirs;
-            let burden = self.burden(server, now);
+            let load = self.load(server, now);
             let slots = server.slots.unwrap_or(rules.slots).max(1);
             let holding = prefix.and_then(|prefix| Desk::holding(told, prefix, name, server, now));
-            survey.note_holding(holding, burden < slots && server.overdue == 0);
+            survey.note_holding(holding, load < slots && server.overdue == 0);
             if tried.contains(name) {
                 continue;
             }
-            if let Err(wait) = self.may_add(rules, server, slots, burden, does_trust, now) {
+            if let Err(wait) = self.may_add(rules, server, slots, load, does_trust, now) {
                 survey.note(wait);
                 continue;
             }
@@ -220,7 +220,7 @@
             };
             let kept = self.tokens_of(&hashes[..matched as usize], demand).min(prompt);
             let memory = if rules.memory_tokens > 0 { prompt + u64::from(demand.output_tokens) } else { 0 };
-            let queue = u64::from((burden + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
+            let queue = u64::from((load + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
             let footprint = Footprint {
                 is_told: true,
                 uncached: prompt - kept,
@@ -229,16 +229,16 @@
                 memory,
                 queue,
             };
-            let expected = self.expect(rules, server, &footprint, burden, server.tokens + theirs.tokens);
+            let expected = self.expect(rules, server, &footprint, load, server.tokens + theirs.tokens);
             let reading = self.prefill(server, footprint.uncached);
             let mut cost = expected + reading * u64::from(self.desk_rules.prefill_percent) / 100;
-            cost += u64::from(burden) * self.desk_rules.load_bias.0 / u64::from(slots);
+            cost += u64::from(load) * self.desk_rules.load_bias.0 / u64::from(slots);
             if self.zone.as_ref().is_some_and(|zone| *zone != server.zone) {
                 cost += self.desk_rules.zone_bias.0;
             }
             let affinity = mix(server.key ^ affinity_key);
             let likely = matched;
-            scored.push(Scored { name, slots, burden, matched, likely, footprint, expected, cost, affinity, holding });
+            scored.push(Scored { name, slots, load, matched, likely, footprint, expected, cost, affinity, holding });
         }
         self.look_at_first_choice(&mut scored, hashes, demand, shared);
         (scored, survey)
@@ -266,7 +266,7 @@
         rules: &ServiceRules,
         server: &ServerState,
         slots: u32,
-        burden: u32,
+        load: u32,
         does_trust: bool,
         now: Moment,
     ) -> Result<(), Span> {
@@ -285,22 +285,15 @@
         // Beyond the own part, room that others leave is used; for those not heard, half of theirs stays free.
         let unheard = if self.knows_all { 0 } else { members.saturating_sub(1 + self.counted_peers) };
         let kept_free = unheard * (cap / members.max(1)) / 2;
-        if burden + kept_free < cap || (is_own_part && burden < cap * 2) { Ok(()) } else { Err(place_wait) }
+        if load + kept_free < cap || (is_own_part && load < cap * 2) { Ok(()) } else { Err(place_wait) }
     }
 
     /// Expected time to the first piece, in ms.
-    fn expect(
-        &self,
-        rules: &ServiceRules,
-        server: &ServerState,
-        footprint: &Footprint,
-        burden: u32,
-        tokens: u64,
-    ) -> u64 {
+    fn expect(&self, rules: &ServiceRules, server: &ServerState, footprint: &Footprint, load: u32, tokens: u64) -> u64 {
         if footprint.prompt == 0 {
             return server.hold.0 + footprint.queue + server.overdue;
         }
-        let step = (self.desk_rules.step_micros + u64::from(burden) * self.desk_rules.step_micros_each) / 1000;
+        let step = (self.desk_rules.step_micros + u64::from(load) * self.desk_rules.step_micros_each) / 1000;
         // What doesn't fit beside those that run waits until as much of them has ended.
         let over = (tokens + footprint.memory).saturating_sub(rules.memory_tokens);
         let room = if rules.memory_tokens == 0 || tokens == 0 { 0 } else { server.hold.0 * over / tokens };
--- a/crates/primer/src/desk/warming.rs
+++ b/crates/primer/src/desk/warming.rs
@@ -69,7 +69,7 @@
             let holders: Vec<ServerName> = self.holders(prefix, now).into_iter().filter(is_usable).collect();
             let Some(holder) = holders
                 .iter()
-                .min_by_key(|name| (self.servers.get(*name).map_or(0, |s| self.burden(s, now)), (*name).clone()))
+                .min_by_key(|name| (self.servers.get(*name).map_or(0, |s| self.load(s, now)), (*name).clone()))
             else {
                 continue;
             };
@@ -82,7 +82,7 @@
             let is_full = |name: &ServerName| {
                 self.servers
                     .get(name)
-                    .is_some_and(|server| self.burden(server, now) >= server.slots.unwrap_or(rules.slots))
+                    .is_some_and(|server| self.load(server, now) >= server.slots.unwrap_or(rules.slots))
             };
             let more = usize::from(under_way == 0 && holders.iter().all(is_full));
             let most = rules.btb.most_copies.max(rules.btb.copies) as usize;
@@ -104,7 +104,7 @@
                         && server.weights == weights
                         && self.copies_under_way(name) < self.desk_rules.copies_per_server
                 })
-                .map(|(name, server)| (self.burden(server, now), mix(prefix.0 ^ key_of(name.as_str())), name.clone()))
+                .map(|(name, server)| (self.load(server, now), mix(prefix.0 ^ key_of(name.as_str())), name.clone()))
                 .collect();
             targets.sort();
             targets.truncate(wanted);
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -109,7 +109,7 @@
         servers: Vec<RollEntry>,
     },
     /// A server's late report.
-    Burden {
+    Load {
         /// The server.
         server: ServerName,
         /// Its life.
@@ -214,7 +214,7 @@
     /// The server.
     pub server: ServerName,
     /// Orders believed in hand there.
-    pub burden: u32,
+    pub load: u32,
     /// Leading blocks believed held.
     pub matched: u32,
     /// Expected time to the first piece.
--- a/crates/rehearsal/src/hollow/host.rs
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -142,7 +142,7 @@
         let names: Vec<ServerName> = servers.iter().map(|entry| entry.server.clone()).collect();
         self.step(place, NodeInput::Event(Event::Roll { servers }));
         for server in names {
-            let report = Event::Burden {
+            let report = Event::Load {
                 server,
                 incarnation: 1,
                 up: Span::seconds(600),
--- a/crates/rehearsal/src/schedule.rs
+++ b/crates/rehearsal/src/schedule.rs
@@ -196,7 +196,7 @@
         self.cache.remove(&prefix);
     }
     /// Orders that run and that wait.
-    pub fn burden(&self, now: Moment) -> (u32, u32) {
+    pub fn load(&self, now: Moment) -> (u32, u32) {
         let is_live = |run: &&Run| !run.is_cancelled;
         let end = |run: &Run| run.first + Span(run.piece.0 * run.pieces.saturating_sub(1));
         let running = self.runs.values().filter(is_live).filter(|run| run.start <= now && now < end(run)).count();
--- a/crates/rehearsal/src/stand_in.rs
+++ b/crates/rehearsal/src/stand_in.rs
@@ -151,7 +151,7 @@
                 prefix.into_iter().for_each(|prefix| self.schedule().drop_prefix(prefix));
                 Reply::json(202, &serde_json::json!({}))
             }
-            ("GET", ["burden"]) => self.report(),
+            ("GET", ["load"]) => self.report(),
             ("GET", ["pages", ..])
                 if order.header(LIFE_HEADER).is_some_and(|life| life != self.incarnation.to_string()) =>
             {
@@ -183,7 +183,7 @@
         if !schedule.take(&order, now) {
             return Reply::json(503, &serde_json::json!({"ran": false}));
         }
-        let (running, waiting) = schedule.burden(now);
+        let (running, waiting) = schedule.load(now);
         drop(schedule);
         let (print, service) = (print_of(&order.prompt), order.service.0.clone());
         let entry = RunLog { print, service, at: now, in_hand: running + waiting };
@@ -221,13 +221,13 @@
         }
     }
 
-    /// Its burden as it was up to half a second ago.
+    /// Its load as it was up to half a second ago.
     fn report(&self) -> Reply {
         let now = Clock::now();
         let mut report = self.report.lock().expect("no thread panics with it");
         if now.since(report.0) >= Span(500) {
             let schedule = self.schedule();
-            let (running, waiting) = schedule.burden(now);
+            let (running, waiting) = schedule.load(now);
             let report_now = ServerReport {
                 incarnation: self.incarnation,
                 up_ms: now.since(self.started).0,
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -362,8 +362,8 @@
         if server.is_dark {
             return None;
         }
-        let (running, waiting) = server.schedule.burden(now);
-        Some(DeskEvent::Burden {
+        let (running, waiting) = server.schedule.load(now);
+        Some(DeskEvent::Load {
             server: server.name.clone(),
             incarnation: server.incarnation,
             up: Span(self.now - server.started + if server.started == 0 { 600_000 } else { 0 }),
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -255,7 +255,7 @@
             self.put(2, Happening::RunOutcome { order: id, failure: Some(Failure::Refused) });
             return;
         }
-        let (running, waiting) = s.schedule.burden(Moment(self.now));
+        let (running, waiting) = s.schedule.load(Moment(self.now));
         let life = s.incarnation;
         self.witness.run(self.now, &id, &service, &self.servers[server], running + waiting, apart_from);
         if let Some(order) = self.orders.get_mut(&id) {
