Rename: trade is now peer check

A node without a lease checks its peers (`PeerCheckRequest`, `PeerCheckResponse`); what the scheduler is told of peers is a peer sketch. No behaviour changes.

--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -215,14 +215,14 @@
         /// Asks a peer for its news.
         NewsAsk,
         /// From a member whose lease is about to lapse, or has: who is there, and what is known?
-        TradeAsk {
-            /// Tells trades of one life apart.
+        PeerCheckRequest {
+            /// Tells the checks of one life apart.
             round: u64,
             /// The newest epoch that the asker has whole.
             epoch: Epoch,
         },
         /// The answer of whoever gets it.
-        TradeReply {
+        PeerCheckResponse {
             /// The round that it answers.
             echo: u64,
             /// The newest epoch that the sender has whole. Zero from one that never held a lease.
@@ -297,7 +297,7 @@
 impl Letter {
     /// Whether it's small, goes to many at once, and is asked for again when lost.
     pub fn is_datagram(&self) -> bool {
-        matches!(self, Letter::TradeAsk { .. } | Letter::TradeReply { .. } | Letter::ListFresh { .. })
+        matches!(self, Letter::PeerCheckRequest { .. } | Letter::PeerCheckResponse { .. } | Letter::ListFresh { .. })
     }
     /// The piece of a plan from this byte on; `None` beyond its end.
     pub fn plan_piece(epoch: Epoch, plan: &[u8], offset: u64) -> Option<Letter> {
--- a/crates/college/src/standing.rs
+++ b/crates/college/src/standing.rs
@@ -13,7 +13,7 @@
     epoch: Epoch,
     members: Vec<Address>,
     peers: BTreeMap<Address, Peer>,
-    trade_span: Span,
+    peer_check_span: Span,
     /// The newest epoch that the core told of, and until when it counts.
     told: (Epoch, Moment),
 }
@@ -29,11 +29,11 @@
 pub enum StandingReason {
     /// It holds a lease.
     Leased,
-    /// The core is out of reach, but half of the members trade with it and none knows more.
+    /// The core is out of reach, but half of the members answer its checks and none knows more.
     Together,
     /// It never held a lease in this life.
     Unheard,
-    /// Fewer than half of the members trade with it.
+    /// Fewer than half of the members answer its checks.
     Alone,
     /// Someone knows newer news, which has not come yet.
     Behind,
@@ -57,10 +57,10 @@
 }
 
 impl Standing {
-    /// At the start of a life. Peers count as trading for `trade_span` after they were heard.
-    pub fn new(own: Address, trade_span: Span) -> Self {
+    /// At the start of a life. Peers count as checked for `peer_check_span` after they were heard.
+    pub fn new(own: Address, peer_check_span: Span) -> Self {
         let (peers, told) = (BTreeMap::new(), (Epoch(0), Moment(0)));
-        Standing { own, lease_due: None, epoch: Epoch(0), members: vec![], peers, trade_span, told }
+        Standing { own, lease_due: None, epoch: Epoch(0), members: vec![], peers, peer_check_span, told }
     }
     /// The core gave a lease and this news. Older news than ours changes nothing.
     pub fn lease(&mut self, due: Moment, epoch: Epoch, members: Vec<Address>) {
@@ -84,14 +84,14 @@
             self.told = (self.told.0.max(epoch), self.told.1.max(due));
         }
     }
-    /// A peer said, unasked, that it knows this epoch: no trade, but it may know more.
+    /// A peer said, unasked, that it knows this epoch: no answer to a check, but it may know more.
     pub fn hear(&mut self, peer: Address, epoch: Epoch) {
         let slot = self.peers.entry(peer).or_insert(Peer { heard: Moment(0), epoch });
         slot.epoch = slot.epoch.max(epoch);
     }
-    /// A peer that may act itself, or might with us, traded with us, knowing this epoch. The due is
+    /// A peer that may act itself, or might with us, answered our check, knowing this epoch. The due is
     /// reckoned from `heard`: when our own letter that it answers was sent.
-    pub fn trade(&mut self, peer: Address, epoch: Epoch, heard: Moment) {
+    pub fn note_peer_check(&mut self, peer: Address, epoch: Epoch, heard: Moment) {
         let slot = self.peers.entry(peer).or_insert(Peer { heard, epoch });
         slot.heard = slot.heard.max(heard);
         slot.epoch = slot.epoch.max(epoch);
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Until when it may act if nothing more is heard; `None` if it may not now. Trades that were made
+    /// Until when it may act if nothing more is heard; `None` if it may not now. Checks that were answered
     /// before a lease lapses count from then on at once.
     pub fn may_act_until(&self, now: Moment) -> Option<Moment> {
         match self.reason(now) {
@@ -146,14 +146,14 @@
         self.peers.values().any(|peer| peer.epoch > self.epoch) || (told > self.epoch && now < due)
     }
 
-    /// Until when half of the members, itself among them, trade with it and know the same.
+    /// Until when half of the members, itself among them, answer its checks and know the same.
     fn together_until(&self) -> Option<Moment> {
         if !self.members.contains(&self.own) {
             return None;
         }
         let due_of = |member: &Address| match self.peers.get(member) {
             _ if *member == self.own => Some(Moment(u64::MAX)),
-            Some(peer) if peer.epoch == self.epoch => Some(peer.heard + self.trade_span),
+            Some(peer) if peer.epoch == self.epoch => Some(peer.heard + self.peer_check_span),
             _ => None,
         };
         let mut dues: Vec<Moment> = self.members.iter().filter_map(due_of).collect();
--- a/crates/college/src/standing/tests.rs
+++ b/crates/college/src/standing/tests.rs
@@ -17,12 +17,12 @@
 #[test]
 fn half_of_the_members_go_on_without_the_core_until_one_knows_more() {
     let mut standing = standing();
-    standing.trade(Address::loopback(2), Epoch(3), Moment(1400));
-    assert_eq!(standing.may_act_until(Moment(1450)), Some(Moment(2400)), "the trade outlasts the lease");
+    standing.note_peer_check(Address::loopback(2), Epoch(3), Moment(1400));
+    assert_eq!(standing.may_act_until(Moment(1450)), Some(Moment(2400)), "the peer check outlasts the lease");
     assert_eq!(standing.reason(Moment(1600)), StandingReason::Together);
     assert_eq!(standing.may_act_until(Moment(1600)), Some(Moment(2400)));
-    assert_eq!(standing.reason(Moment(2400)), StandingReason::Alone, "the trade is old");
-    standing.trade(Address::loopback(3), Epoch(4), Moment(2400));
+    assert_eq!(standing.reason(Moment(2400)), StandingReason::Alone, "the peer check is old");
+    standing.note_peer_check(Address::loopback(3), Epoch(4), Moment(2400));
     assert_eq!(standing.reason(Moment(2500)), StandingReason::Behind);
 }
 
@@ -42,7 +42,7 @@
     let together = || {
         let mut standing = Standing::new(Address::loopback(1), Span(1000));
         standing.lease(Moment(3000), Epoch(5), members.clone());
-        standing.trade(Address::loopback(2), Epoch(5), Moment(2900));
+        standing.note_peer_check(Address::loopback(2), Epoch(5), Moment(2900));
         assert_eq!(standing.reason(Moment(3100)), StandingReason::Together);
         standing
     };
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -7,14 +7,14 @@
 pub struct NodeTiming {
     /// Between polls.
     pub poll: Span,
-    /// With less than this left of the lease, members are asked to trade.
-    pub trade_from: Span,
-    /// Between trades.
-    pub trade: Span,
-    /// Between trades of one that is alone, at most.
-    pub trade_alone: Span,
-    /// A peer counts as trading for this long.
-    pub trade_life: Span,
+    /// With less than this left of the lease, members are checked.
+    pub peer_check_from: Span,
+    /// Between peer checks.
+    pub peer_check: Span,
+    /// Between peer checks of one that is alone, at most.
+    pub peer_check_alone: Span,
+    /// A peer counts as checked for this long.
+    pub peer_check_life: Span,
     /// Between the desk's ticks.
     pub tick: Span,
     /// A poll without an answer is given up after this.
@@ -29,10 +29,10 @@
     fn default() -> Self {
         NodeTiming {
             poll: Span(1000),
-            trade_from: Span(600),
-            trade: Span(400),
-            trade_alone: Span(1600),
-            trade_life: Span(1000),
+            peer_check_from: Span(600),
+            peer_check: Span(400),
+            peer_check_alone: Span(1600),
+            peer_check_life: Span(1000),
             tick: Span(250),
             poll_due: Span(400),
             slept: Span(1000),
@@ -250,10 +250,10 @@
     polled: Option<Moment>,
     next_poll: Moment,
     fetching: Option<Fetching>,
-    trade_round: u64,
-    trades: VecDeque<(u64, Moment)>,
-    next_trade: Moment,
-    trade_pause: Span,
+    peer_check_round: u64,
+    peer_checks: VecDeque<(u64, Moment)>,
+    next_peer_check: Moment,
+    peer_check_pause: Span,
     /// When others were last heard.
     heard: BTreeMap<Address, Moment>,
     news_asked: Moment,
@@ -309,7 +309,7 @@
             incarnation,
             timing,
             now,
-            standing: Standing::new(own, timing.trade_life),
+            standing: Standing::new(own, timing.peer_check_life),
             desk,
             plan: None,
             plan_bytes: Arc::default(),
@@ -327,10 +327,10 @@
             polled: None,
             next_poll: now,
             fetching: None,
-            trade_round: incarnation,
-            trades: VecDeque::new(),
-            next_trade: now,
-            trade_pause: timing.trade,
+            peer_check_round: incarnation,
+            peer_checks: VecDeque::new(),
+            next_peer_check: now,
+            peer_check_pause: timing.peer_check,
             heard: BTreeMap::new(),
             news_asked: Moment(0),
             dissemination: Dissemination::new(own, zone, incarnation, timing.digest, now),
@@ -613,7 +613,7 @@
         self.last_event = self.now;
         self.step_list(ServerList::on_clock);
         self.poll();
-        self.trade();
+        self.check_peers();
         if self.now >= self.next_tick {
             self.next_tick = self.now + self.timing.tick;
             self.tell_desk(Event::Tick);
@@ -632,12 +632,12 @@
     /// When the next clock event is due at the latest.
     pub fn next_due(&self) -> Moment {
         let poll = self.polled.map_or(self.next_poll, |sent| sent + self.timing.poll_due);
-        let trade = match self.standing.lease_due() {
-            Some(due) => (due - self.timing.trade_from).max(self.next_trade),
+        let peer_check = match self.standing.lease_due() {
+            Some(due) => (due - self.timing.peer_check_from).max(self.next_peer_check),
             None => self.next_tick,
         };
         let list = self.server_list.as_ref().map_or(self.next_tick, ServerList::next_due);
-        poll.min(trade).min(list).min(self.next_tick)
+        poll.min(peer_check).min(list).min(self.next_tick)
     }
 
     fn send_digests(&mut self, letters: Vec<(Address, Letter)>) {
@@ -645,7 +645,7 @@
         let Some((life, number, sum)) = self.dissemination.take_news() else { return };
         let servers = self.desk.servers().iter().map(|(name, server)| (name, server.incarnation.unwrap_or(0)));
         let sketch = sum.sketch(life, number, servers);
-        self.tell_desk(Event::Trade { from: FLEET, sketch });
+        self.tell_desk(Event::PeerSketch { from: FLEET, sketch });
     }
 
     /// The digests that it takes part in.
@@ -718,19 +718,19 @@
                     self.send(from, Letter::News { news: Box::new(news) });
                 }
             }
-            Letter::TradeAsk { round, epoch } => {
+            Letter::PeerCheckRequest { round, epoch } => {
                 let known = if self.standing.lease_due().is_some() { self.standing.epoch() } else { Epoch(0) };
-                self.send(from, Letter::TradeReply { echo: round, epoch: known });
+                self.send(from, Letter::PeerCheckResponse { echo: round, epoch: known });
                 self.standing.hear(from, epoch);
                 self.ask_news(from, epoch);
             }
-            Letter::TradeReply { echo, epoch } => {
+            Letter::PeerCheckResponse { echo, epoch } => {
                 // Counted from when our own letter left that this one answers, so that a letter long
                 // under way proves nothing about now.
-                if let Some((_, sent)) = self.trades.iter().find(|(own_round, _)| *own_round == echo)
+                if let Some((_, sent)) = self.peer_checks.iter().find(|(own_round, _)| *own_round == echo)
                     && epoch > Epoch(0)
                 {
-                    self.standing.trade(from, epoch, *sent);
+                    self.standing.note_peer_check(from, epoch, *sent);
                 }
                 self.standing.hear(from, epoch);
                 self.ask_news(from, epoch);
@@ -944,29 +944,29 @@
     }
 
     /// While its lease is about to lapse, or has, the node asks all members whether they are there.
-    fn trade(&mut self) {
+    fn check_peers(&mut self) {
         let Some(due) = self.standing.lease_due() else { return };
-        if self.now + self.timing.trade_from < due {
-            self.trade_pause = self.timing.trade;
+        if self.now + self.timing.peer_check_from < due {
+            self.peer_check_pause = self.timing.peer_check;
             return;
         }
-        if self.now < self.next_trade {
+        if self.now < self.next_peer_check {
             return;
         }
         let is_alone = self.standing.reason(self.now) == StandingReason::Alone;
-        self.trade_pause = match is_alone {
-            true => Span((self.trade_pause.0 * 2).min(self.timing.trade_alone.0)),
-            false => self.timing.trade,
+        self.peer_check_pause = match is_alone {
+            true => Span((self.peer_check_pause.0 * 2).min(self.timing.peer_check_alone.0)),
+            false => self.timing.peer_check,
         };
-        self.next_trade = self.now + self.trade_pause;
-        self.trade_round += 1;
-        self.trades.push_back((self.trade_round, self.now));
-        if self.trades.len() > 16 {
-            self.trades.pop_front();
+        self.next_peer_check = self.now + self.peer_check_pause;
+        self.peer_check_round += 1;
+        self.peer_checks.push_back((self.peer_check_round, self.now));
+        if self.peer_checks.len() > 16 {
+            self.peer_checks.pop_front();
         }
         let peers: Vec<Address> = self.standing.members().iter().copied().filter(|m| *m != self.own).collect();
-        let (round, epoch) = (self.trade_round, self.standing.epoch());
-        peers.into_iter().for_each(|peer| self.send(peer, Letter::TradeAsk { round, epoch }));
+        let (round, epoch) = (self.peer_check_round, self.standing.epoch());
+        peers.into_iter().for_each(|peer| self.send(peer, Letter::PeerCheckRequest { round, epoch }));
     }
 }
 
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -136,10 +136,10 @@
     assert!(played.node.polled.is_some(), "the core is asked for it");
 }
 
-/// A lease is reckoned from when this life asked, a trade from when it sent: what answers an earlier life
+/// A lease is reckoned from when this life asked, a peer check from when it sent: what answers an earlier life
 /// is older than that.
 #[test]
-fn what_answers_an_earlier_life_is_neither_a_lease_nor_a_trade() {
+fn what_answers_an_earlier_life_is_neither_a_lease_nor_a_peer_check() {
     let mut earlier = Played::of_life(1 << 40);
     let mut played = Played::of_life(2 << 40);
     earlier.lease(3, 2);
@@ -156,8 +156,8 @@
             earlier.at += 50;
             played.step(NodeInput::ClockEvent);
             earlier.step(NodeInput::ClockEvent);
-            let echo = if echoes_earlier { earlier.node.trade_round } else { played.node.trade_round };
-            played.tell(8, Letter::TradeReply { echo, epoch: Epoch(3) });
+            let echo = if echoes_earlier { earlier.node.peer_check_round } else { played.node.peer_check_round };
+            played.tell(8, Letter::PeerCheckResponse { echo, epoch: Epoch(3) });
         }
         assert_eq!(played.node.standing().reason(Moment(played.at)), reason);
     }
@@ -223,7 +223,7 @@
     let mut played = Played::serving();
     let told =
         |epoch: u64, plan_epoch: u64| Letter::News { news: Box::new(news(epoch, plan_epoch, vec!["east".into()])) };
-    let reply = |epoch: u64, echo: u64| Letter::TradeReply { echo, epoch: Epoch(epoch) };
+    let reply = |epoch: u64, echo: u64| Letter::PeerCheckResponse { echo, epoch: Epoch(epoch) };
     let asks_news = |outputs: Vec<NodeOutput>| {
         outputs.iter().any(|output| matches!(output, NodeOutput::Send { letter: Letter::NewsAsk, .. }))
     };
@@ -234,18 +234,18 @@
     assert!(!asks.iter().any(|o| matches!(o, NodeOutput::Send { letter: Letter::PlanAsk { .. }, .. })), "{asks:?}");
     played.plan(1);
     assert_eq!((played.node.epoch(), played.node.plan_epoch()), (Epoch(3), Epoch(2)));
-    // The lease runs out; two of three trade, and all know the same.
+    // The lease runs out; two of three answer checks, and all know the same.
     for _ in 0..60 {
         played.at += 50;
         played.step(NodeInput::ClockEvent);
-        let echo = played.node.trade_round;
+        let echo = played.node.peer_check_round;
         assert!(!asks_news(played.tell(8, reply(3, echo))));
         played.roll();
     }
     assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Together);
     assert!(played.place(5, "together", "drafts").is_ok());
     // The other knows of a withdrawal: it's asked for, and taken up at once, since the plan is the same.
-    let echo = played.node.trade_round;
+    let echo = played.node.peer_check_round;
     assert!(asks_news(played.tell(8, reply(4, echo))));
     assert_eq!(played.place(6, "behind", "drafts").err(), Some(ResultCode::NotReady), "until the news is here");
     played.tell(8, told(4, 2));
@@ -302,14 +302,14 @@
     let sent = sent_within(&mut played, 20_000);
     let asks: Vec<u64> = sent
         .iter()
-        .filter(|(_, to, letter)| matches!(letter, Letter::TradeAsk { .. }) && *to == Address::loopback(8))
+        .filter(|(_, to, letter)| matches!(letter, Letter::PeerCheckRequest { .. }) && *to == Address::loopback(8))
         .map(|(at, ..)| *at)
         .collect();
     assert!(asks[0] + 600 >= due && asks[0] + 300 <= due, "first at {} ms", asks[0] - began);
     assert!((8..=18).contains(&asks.len()), "{} asks in 20 s", asks.len());
     assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Alone);
     assert_eq!(played.place(1, "alone", "drafts").err(), Some(ResultCode::NotReady));
-    let sealed = sent.iter().filter(|(.., letter)| matches!(letter, Letter::TradeAsk { .. }));
+    let sealed = sent.iter().filter(|(.., letter)| matches!(letter, Letter::PeerCheckRequest { .. }));
     for (_, _, letter) in sealed {
         let bytes = seal(Address::loopback(9), letter).expect("sealed").len();
         assert!(bytes < 100, "{bytes} bytes");
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -49,11 +49,11 @@
         in_flight: (0..90).map(in_flight).collect(),
         leaving: vec![],
     };
-    let trades = std::time::Instant::now();
+    let sketches = std::time::Instant::now();
     for peer in 2..=90 {
-        take(0, Event::Trade { from: Address::loopback(peer), sketch: sketch.clone() });
+        take(0, Event::PeerSketch { from: Address::loopback(peer), sketch: sketch.clone() });
     }
-    let trades = trades.elapsed();
+    let sketches = sketches.elapsed();
     let prompt = |n: u64| Event::Prompt {
         order: OrderId(format!("order-{n:016x}")),
         service: "drafts".into(),
@@ -72,5 +72,5 @@
     for n in 0..count {
         take(n / 5, prompt(n));
     }
-    println!("a trade {:?}, a choice {:?}", trades / 89, begun.elapsed() / count as u32);
+    println!("a sketch {:?}, a choice {:?}", sketches / 89, begun.elapsed() / count as u32);
 }
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -183,7 +183,7 @@
             }
             Event::FirstToken { order } => self.on_first_token(order, now),
             Event::Ended { order, outcome } => self.on_ended(&order, outcome, now),
-            Event::Trade { from, sketch } => self.on_trade(from, sketch, now),
+            Event::PeerSketch { from, sketch } => self.on_peer_sketch(from, sketch, now),
             Event::CopyFate { prefix, server, is_taken, knows_kv } => {
                 self.on_copy_fate(prefix, &server, is_taken, knows_kv);
             }
@@ -487,7 +487,7 @@
         }
     }
 
-    fn on_trade(&mut self, from: Address, sketch: Sketch, now: Moment) {
+    fn on_peer_sketch(&mut self, from: Address, sketch: Sketch, now: Moment) {
         if from == self.own || !self.desk_rules.does_merge {
             return;
         }
--- a/crates/primer/src/desk/peer_totals.rs
+++ b/crates/primer/src/desk/peer_totals.rs
@@ -1,4 +1,4 @@
-//! What peers told, summed up once for each trade.
+//! What peers told, summed up once for each sketch.
 
 use super::*;
 
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/desk/tests.rs
@@ -132,16 +132,16 @@
     };
     for (number, incarnation) in [(1, 5), (2, 5), (2, 5), (1, 6)] {
         let (from, sketch) = (Address::loopback(2), sketch(number, incarnation));
-        played.take(200, Event::Trade { from, sketch });
+        played.take(200, Event::PeerSketch { from, sketch });
     }
     assert_eq!(played.desk.count(PrefixHash(703), Moment(START + 200), Span(5000)), 2);
     // It has cooled at the peer, and the sketch from before comes late.
     let (from, cooled) = (Address::loopback(2), Sketch { incarnation: 6, number: 2, ..Sketch::default() });
-    played.take(210, Event::Trade { from, sketch: cooled });
-    played.take(220, Event::Trade { from, sketch: sketch(1, 6) });
+    played.take(210, Event::PeerSketch { from, sketch: cooled });
+    played.take(220, Event::PeerSketch { from, sketch: sketch(1, 6) });
     assert_eq!(played.desk.count(PrefixHash(703), Moment(START + 220), Span(5000)), 1);
     for port in [3, 4] {
-        played.take(200, Event::Trade { from: Address::loopback(port), sketch: sketch(1, 1) });
+        played.take(200, Event::PeerSketch { from: Address::loopback(port), sketch: sketch(1, 1) });
     }
     assert_eq!(played.desk.count(PrefixHash(703), Moment(START + 220), Span(5000)), 3);
 }
@@ -165,7 +165,7 @@
     } },
     told_by_a_peer = { |p: &mut Played| {
         let sketch = Sketch { number: 1, leaving: vec!["a".into(), "b".into(), "c".into()], ..Sketch::default() };
-        p.take(900, Event::Trade { from: Address::loopback(2), sketch });
+        p.take(900, Event::PeerSketch { from: Address::loopback(2), sketch });
     } },
 )]
 fn warm_or_not_a_server_that_may_not_serve_gets_nothing(strike: fn(&mut Played)) {
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -159,7 +159,7 @@
         outcome: Outcome,
     },
     /// A peer's sketch, or the sum of all other nodes.
-    Trade {
+    PeerSketch {
         /// The peer, or [`FLEET`].
         from: Address,
         /// Its sketch.
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -119,7 +119,7 @@
     // Others' prompts: that server has a million tokens to read before.
     let in_flight = vec![InFlight { server: holder.clone(), count: 80, unread: 1_000_000, tokens: 0, read: 0 }];
     let sketch = Sketch { incarnation: 1, number: 1, in_flight, ..Sketch::default() };
-    played.take(20_000, Event::Trade { from: Address::loopback(2), sketch });
+    played.take(20_000, Event::PeerSketch { from: Address::loopback(2), sketch });
     let (_, decision) = played.draft(20_000, 7);
     assert_ne!(server_of(&decision), holder);
 }
@@ -130,7 +130,7 @@
     let mut played = Played::with(service(), desk_rules(), servers);
     let in_flight = vec![InFlight { server: "a".into(), count: 40, unread: 0, tokens: 649_000, read: 0 }];
     let sketch = Sketch { incarnation: 1, number: 1, in_flight, ..Sketch::default() };
-    played.take(0, Event::Trade { from: Address::loopback(2), sketch });
+    played.take(0, Event::PeerSketch { from: Address::loopback(2), sketch });
     let Decision::Placed { candidates, server, .. } = played.draft(1, 7).1 else { panic!("placed") };
     assert_eq!(server.as_str(), "b");
     let expected = |name: &str| candidates.iter().find(|c| c.server.as_str() == name).map_or(0, |c| c.expected.0);
@@ -189,7 +189,7 @@
             .map(|server| InFlight { server: server.into(), count: 100, unread, tokens: 0, read: 0 })
             .to_vec();
         let sketch = Sketch { incarnation: 1, number, in_flight, ..Sketch::default() };
-        played.take(number, Event::Trade { from: Address::loopback(2), sketch });
+        played.take(number, Event::PeerSketch { from: Address::loopback(2), sketch });
     };
     tell(&mut played, 1, 500_000);
     assert!(matches!(played.draft(1, 7).1, Decision::Placed { .. }), "after 4.5 s of 15 s: late, but worth it");
@@ -208,7 +208,7 @@
     let members: Vec<Address> = (1..=11).map(Address::loopback).collect();
     played.take(0, Event::Members { members: members.clone(), since: Epoch(1) });
     for from in members.into_iter().skip(1) {
-        played.take(0, Event::Trade { from, sketch: Sketch { incarnation: 1, number: 1, ..Sketch::default() } });
+        played.take(0, Event::PeerSketch { from, sketch: Sketch { incarnation: 1, number: 1, ..Sketch::default() } });
     }
     let decisions: Vec<Decision> = (0..40).map(|n| played.ask(n, &[], 0).1).collect();
     let placed = decisions.iter().filter(|d| matches!(d, Decision::Placed { .. })).count();
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -135,7 +135,7 @@
             let sketches: Vec<Sketch> = self.desks.iter_mut().map(|desk| desk.sketch(at)).collect();
             for (from, sketch) in sketches.into_iter().enumerate() {
                 for place in 0..self.desks.len() {
-                    self.tell(place, Event::Trade { from: own(from), sketch: sketch.clone() });
+                    self.tell(place, Event::PeerSketch { from: own(from), sketch: sketch.clone() });
                 }
             }
         }
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/office.rs
@@ -200,7 +200,7 @@
 }
 
 /// Who was not heard for this long, by the core or by any member that polls, may be lost. Longer than a
-/// lease, than a trade counts, and than a view takes to change.
+/// lease, than a peer check counts, and than a view takes to change.
 const FORGET_AFTER: Span = Span(5000);
 
 /// What the newest epoch was when a zone's change came in must be known within this, or it is not proposed: an
@@ -344,8 +344,8 @@
             | Letter::PlanSplice { .. }
             | Letter::News { .. }
             | Letter::NewsAsk
-            | Letter::TradeAsk { .. }
-            | Letter::TradeReply { .. }
+            | Letter::PeerCheckRequest { .. }
+            | Letter::PeerCheckResponse { .. }
             | Letter::Digest { .. }
             | Letter::DigestAck { .. }
             | Letter::ListFresh { .. }
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -200,7 +200,9 @@
                 (news.epoch, news.plan_epoch, news.withdrawn) =
                     (node.epoch(), node.plan_epoch(), node.withdrawn().to_vec());
             }
-            Letter::TradeAsk { epoch, .. } | Letter::TradeReply { epoch, .. } => *epoch = (*epoch).min(node.epoch()),
+            Letter::PeerCheckRequest { epoch, .. } | Letter::PeerCheckResponse { epoch, .. } => {
+                *epoch = (*epoch).min(node.epoch())
+            }
             _ => {}
         }
     }
--- a/crates/rehearsal/src/world/touch.rs
+++ b/crates/rehearsal/src/world/touch.rs
@@ -32,7 +32,7 @@
     pub fn got(&mut self, now: u64, letter: &Letter) {
         let epoch = match letter {
             Letter::News { news } => news.epoch,
-            Letter::TradeAsk { epoch, .. } | Letter::TradeReply { epoch, .. } => *epoch,
+            Letter::PeerCheckRequest { epoch, .. } | Letter::PeerCheckResponse { epoch, .. } => *epoch,
             Letter::PollReply { round, reply } => match reply.as_ref() {
                 PollReply::Lease { span, epoch, .. } => {
                     let asked = self.polls.get(round).copied();
