--- a/crates/college/src/standing.rs
+++ b/crates/college/src/lease_state.rs
@@ -7,7 +7,7 @@
 /// restarted member may not act on what it knew before. A lease is reckoned from when it was asked
 /// for.
 #[derive(Debug, Clone)]
-pub struct Standing {
+pub struct LeaseState {
     own: Address,
     lease_due: Option<Moment>,
     epoch: Epoch,
@@ -26,7 +26,7 @@
 
 /// Why a member may act or not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StandingReason {
+pub enum LeaseStatus {
     /// It holds a lease.
     Leased,
     /// The core is out of reach, but half of the members answer its checks and none knows more.
@@ -39,28 +39,28 @@
     Behind,
 }
 
-impl StandingReason {
+impl LeaseStatus {
     /// Whether it may take new work.
     pub fn may_act(self) -> bool {
-        matches!(self, StandingReason::Leased | StandingReason::Together)
+        matches!(self, LeaseStatus::Leased | LeaseStatus::Together)
     }
     /// As a word for logs and answers.
     pub fn word(self) -> &'static str {
         match self {
-            StandingReason::Leased => "leased",
-            StandingReason::Together => "together",
-            StandingReason::Unheard => "unheard",
-            StandingReason::Alone => "alone",
-            StandingReason::Behind => "behind",
+            LeaseStatus::Leased => "leased",
+            LeaseStatus::Together => "together",
+            LeaseStatus::Unheard => "unheard",
+            LeaseStatus::Alone => "alone",
+            LeaseStatus::Behind => "behind",
         }
     }
 }
 
-impl Standing {
+impl LeaseState {
     /// At the start of a life. Peers count as checked for `peer_check_span` after they were heard.
     pub fn new(own: Address, peer_check_span: Span) -> Self {
         let (peers, told) = (BTreeMap::new(), (Epoch(0), Moment(0)));
-        Standing { own, lease_due: None, epoch: Epoch(0), members: vec![], peers, peer_check_span, told }
+        LeaseState { own, lease_due: None, epoch: Epoch(0), members: vec![], peers, peer_check_span, told }
     }
     /// The core gave a lease and this news. Older news than ours changes nothing.
     pub fn lease(&mut self, due: Moment, epoch: Epoch, members: Vec<Address>) {
@@ -113,19 +113,19 @@
         self.lease_due.is_some_and(|due| now < due)
     }
     /// Whether new work may be taken now. To be asked right before each act that can't be undone.
-    pub fn reason(&self, now: Moment) -> StandingReason {
+    pub fn reason(&self, now: Moment) -> LeaseStatus {
         if self.lease_due.is_none() {
-            return StandingReason::Unheard;
+            return LeaseStatus::Unheard;
         }
         if self.is_leased(now) {
-            return StandingReason::Leased;
+            return LeaseStatus::Leased;
         }
         if self.is_behind(now) {
-            return StandingReason::Behind;
+            return LeaseStatus::Behind;
         }
         match self.together_until() {
-            Some(due) if now < due => StandingReason::Together,
-            _ => StandingReason::Alone,
+            Some(due) if now < due => LeaseStatus::Together,
+            _ => LeaseStatus::Alone,
         }
     }
 
@@ -133,9 +133,9 @@
     /// before a lease lapses count from then on at once.
     pub fn may_act_until(&self, now: Moment) -> Option<Moment> {
         match self.reason(now) {
-            StandingReason::Leased if self.is_behind(now) => self.lease_due,
-            StandingReason::Leased => self.lease_due.max(self.together_until()),
-            StandingReason::Together => self.together_until(),
+            LeaseStatus::Leased if self.is_behind(now) => self.lease_due,
+            LeaseStatus::Leased => self.lease_due.max(self.together_until()),
+            LeaseStatus::Together => self.together_until(),
             _ => None,
         }
     }
--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -35,24 +35,24 @@
 //!   [`StateMachine`](prelude::StateMachine) keeps, answers from the tail, votes on views, and repairs those
 //!   that are behind with a snapshot and then changes.
 //! - [`LeaseTable`](prelude::LeaseTable): who is a member, by leases renewed at the tail.
-//! - [`Standing`](prelude::Standing): whether a member may act, with its lease or, the core being
+//! - [`LeaseState`](prelude::LeaseState): whether a member may act, with its lease or, the core being
 //!   out of reach, with half of the members that it last saw.
 
 #![warn(missing_docs)]
 
+mod lease_state;
 mod leases;
 mod notes;
 mod replica;
-mod standing;
 mod state_machine;
 mod view;
 
 /// What each file imports.
 pub mod prelude {
+    pub use crate::lease_state::{LeaseState, LeaseStatus};
     pub use crate::leases::{LeaseTable, Membership};
     pub use crate::notes::{Ballot, Change, Note, Record, Round, Ticket};
     pub use crate::replica::{Input, Kept, KeptFault, Output, Replica, ReplicaState, Timing};
-    pub use crate::standing::{Standing, StandingReason};
     pub use crate::state_machine::{Preview, StateMachine};
     pub use crate::view::{Seat, View, Voter};
     pub use parlance::prelude::*;
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -333,7 +333,7 @@
     }
 
     fn believes(&self, now: Moment) -> serde_json::Value {
-        let standing = self.node.standing();
+        let lease_state = self.node.lease_state();
         let desk = self.node.desk();
         let servers: serde_json::Map<String, serde_json::Value> = desk
             .servers()
@@ -368,9 +368,9 @@
             "inner": self.post.own(),
             "epoch": self.node.epoch(),
             "plan_epoch": self.node.plan_epoch(),
-            "standing": standing.reason(now).word(),
-            "lease_ms_left": standing.lease_due().map(|due| now.until(due)),
-            "members": standing.members(),
+            "lease_state": lease_state.reason(now).word(),
+            "lease_ms_left": lease_state.lease_due().map(|due| now.until(due)),
+            "members": lease_state.members(),
             "withdrawn": self.node.withdrawn(),
             "open_orders": self.node.open_count(),
             "servers": servers,
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -648,7 +648,7 @@
     assert_eq!((stage.ask("").status, well.count()), (502, 0));
 }
 
-// ---- Deadlines, standing, plans.
+// ---- Deadlines, lease state, plans.
 
 #[parameterized(
     the_callers = { 8000, 15_000, 8000 },
@@ -675,7 +675,7 @@
 }
 
 #[test]
-fn a_node_that_loses_its_standing_right_before_the_send_sends_nothing_and_refuses() {
+fn a_node_that_loses_its_lease_right_before_the_send_sends_nothing_and_refuses() {
     let server = Server::start("a", vec![vec![whole("late")]]);
     let placing = server.placing(true);
     let lose: Word = Box::new(move |shared| {
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -45,7 +45,7 @@
     pub use crate::token::{Token, run_id};
     pub use crate::wire::{CallerOrder, LIFE_HEADER, ResumeOrder, RollReport, RunOrder, RunPiece, ServerReport};
     pub use circular::prelude::*;
-    pub use college::prelude::{Standing, StandingReason};
+    pub use college::prelude::{LeaseState, LeaseStatus};
     pub use layout::prelude::*;
     pub use primer::prelude::*;
     pub use wicket::prelude::*;
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -217,7 +217,7 @@
     Log(String),
 }
 
-/// A data-plane node's control state: its standing among the members, the layout, the desk.
+/// A data-plane node's control state: its lease state among the members, the layout, the desk.
 ///
 /// Invariants: the layout's epoch never falls, and it's only taken up whole. An order is placed only
 /// while the node may act, under a layout that it holds, and with a roll that was read in this life
@@ -229,7 +229,7 @@
     incarnation: u64,
     timing: NodeTiming,
     now: Moment,
-    standing: Standing,
+    lease_state: LeaseState,
     desk: Desk,
     plan: Option<Arc<Plan>>,
     plan_bytes: Arc<Vec<u8>>,
@@ -274,7 +274,7 @@
     /// The newest ids of orders that a server may have run, oldest first.
     ended: VecDeque<OrderId>,
     ended_ids: BTreeSet<OrderId>,
-    last_reason: StandingReason,
+    last_reason: LeaseStatus,
     outputs: Vec<NodeOutput>,
 }
 
@@ -309,7 +309,7 @@
             incarnation,
             timing,
             now,
-            standing: Standing::new(own, timing.peer_check_life),
+            lease_state: LeaseState::new(own, timing.peer_check_life),
             desk,
             plan: None,
             plan_bytes: Arc::default(),
@@ -345,7 +345,7 @@
             open: BTreeMap::new(),
             ended: VecDeque::new(),
             ended_ids: BTreeSet::new(),
-            last_reason: StandingReason::Unheard,
+            last_reason: LeaseStatus::Unheard,
             outputs: vec![],
         }
     }
@@ -398,7 +398,7 @@
             && self.key.is_some()
             && self.has_roll
             && self.roll_awaited_until.is_none_or(|due| now >= due);
-        match self.standing.may_act_until(now) {
+        match self.lease_state.may_act_until(now) {
             // Never beyond what the control thread could take back if it's alive.
             Some(due) if is_whole => due.min(now + self.timing.slept),
             _ => Moment(0),
@@ -418,7 +418,7 @@
     }
     /// The newest epoch held whole.
     pub fn epoch(&self) -> Epoch {
-        self.standing.epoch()
+        self.lease_state.epoch()
     }
     /// The epoch of the plan held.
     pub fn plan_epoch(&self) -> Epoch {
@@ -432,9 +432,9 @@
     pub fn member_count(&self) -> usize {
         self.members.len()
     }
-    /// Its standing.
-    pub fn standing(&self) -> &Standing {
-        &self.standing
+    /// Its lease state.
+    pub fn lease_state(&self) -> &LeaseState {
+        &self.lease_state
     }
     /// Withdrawn zones.
     pub fn withdrawn(&self) -> &[ZoneName] {
@@ -512,9 +512,9 @@
         if self.is_draining {
             return deny(ResultCode::Draining, "this node is stopping; another takes it", 0);
         }
-        let reason = self.standing.reason(self.now);
+        let reason = self.lease_state.reason(self.now);
         if !reason.may_act() || self.now >= self.may_act_until(self.now) {
-            let why = format!("this node's standing is `{}`", reason.word());
+            let why = format!("this node's lease state is `{}`", reason.word());
             return deny(ResultCode::NotReady, &why, 1000);
         }
         let (Some(plan), Some(key)) = (self.plan.clone(), self.key) else {
@@ -566,7 +566,7 @@
             let (server, run) = (server.clone(), run.clone());
             Token { order, service: token_service, server, run }.seal(&key)
         });
-        let (epoch, first_token) = (self.standing.epoch(), Span(of_service.first_token_ms));
+        let (epoch, first_token) = (self.lease_state.epoch(), Span(of_service.first_token_ms));
         let life = self.desk.servers().get(&server).and_then(|state| state.incarnation);
         Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch, life })
     }
@@ -621,9 +621,9 @@
             let letters = self.dissemination.on_clock(self.now, Digest::of(&sketch));
             self.send_digests(letters);
         }
-        let reason = self.standing.reason(self.now);
+        let reason = self.lease_state.reason(self.now);
         if reason != self.last_reason {
-            let line = format!("node: standing is {}, epoch {}", reason.word(), self.standing.epoch());
+            let line = format!("node: lease state is {}, epoch {}", reason.word(), self.lease_state.epoch());
             self.outputs.push(NodeOutput::Log(line));
             self.last_reason = reason;
         }
@@ -632,7 +632,7 @@
     /// When the next clock event is due at the latest.
     pub fn next_due(&self) -> Moment {
         let poll = self.polled.map_or(self.next_poll, |sent| sent + self.timing.poll_due);
-        let peer_check = match self.standing.lease_due() {
+        let peer_check = match self.lease_state.lease_due() {
             Some(due) => (due - self.timing.peer_check_from).max(self.next_peer_check),
             None => self.next_tick,
         };
@@ -690,9 +690,9 @@
         let (now, member) = (self.now, Member { address: self.own, zone: self.zone.clone() });
         self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
         let has_key = self.key.is_some();
-        let hears = self.heard.keys().copied().filter(|one| self.standing.members().contains(one)).collect();
+        let hears = self.heard.keys().copied().filter(|one| self.lease_state.members().contains(one)).collect();
         let poll =
-            Poll { member, round: self.poll_round, epoch: self.standing.epoch(), view: self.view, has_key, hears };
+            Poll { member, round: self.poll_round, epoch: self.lease_state.epoch(), view: self.view, has_key, hears };
         self.send(to, Letter::Poll { poll: Box::new(poll) });
     }
 
@@ -709,7 +709,7 @@
             }
             Letter::PlanSplice { epoch, base, splice } => self.on_plan_splice(from, epoch, base, &splice),
             Letter::News { news } => {
-                if self.standing.lease_due().is_some() {
+                if self.lease_state.lease_due().is_some() {
                     self.on_news(from, *news, None);
                 }
             }
@@ -719,9 +719,9 @@
                 }
             }
             Letter::PeerCheckRequest { round, epoch } => {
-                let known = if self.standing.lease_due().is_some() { self.standing.epoch() } else { Epoch(0) };
+                let known = if self.lease_state.lease_due().is_some() { self.lease_state.epoch() } else { Epoch(0) };
                 self.send(from, Letter::PeerCheckResponse { echo: round, epoch: known });
-                self.standing.hear(from, epoch);
+                self.lease_state.hear(from, epoch);
                 self.ask_news(from, epoch);
             }
             Letter::PeerCheckResponse { echo, epoch } => {
@@ -730,9 +730,9 @@
                 if let Some((_, sent)) = self.peer_checks.iter().find(|(own_round, _)| *own_round == echo)
                     && epoch > Epoch(0)
                 {
-                    self.standing.note_peer_check(from, epoch, *sent);
+                    self.lease_state.note_peer_check(from, epoch, *sent);
                 }
-                self.standing.hear(from, epoch);
+                self.lease_state.hear(from, epoch);
                 self.ask_news(from, epoch);
             }
             Letter::Digest { leg, life, number, is_whole, change } => {
@@ -772,12 +772,12 @@
                 }
                 let lease_due = Some(sent + span);
                 self.lease_span = self.lease_span.max(span);
-                self.standing.tell(epoch, self.now + TOLD_FOR);
+                self.lease_state.tell(epoch, self.now + TOLD_FOR);
                 match news {
                     Some(news) => self.on_news(from, news, lease_due),
                     // Nothing is newer there than what is here, whole.
-                    None if epoch == self.standing.epoch() && epoch > Epoch(0) => {
-                        self.standing.lease(sent + span, epoch, self.standing.members().to_vec());
+                    None if epoch == self.lease_state.epoch() && epoch > Epoch(0) => {
+                        self.lease_state.lease(sent + span, epoch, self.lease_state.members().to_vec());
                         self.tell_desk(Event::Lease { until: sent + span, span: self.lease_span });
                     }
                     None => {}
@@ -788,15 +788,15 @@
 
     /// What is known here, whole.
     fn news(&self) -> Option<News> {
-        self.standing.lease_due()?;
-        let (epoch, plan_epoch) = (self.standing.epoch(), self.plan_epoch);
+        self.lease_state.lease_due()?;
+        let (epoch, plan_epoch) = (self.lease_state.epoch(), self.plan_epoch);
         let (withdrawn, members) = (self.withdrawn.clone(), Some(self.members.clone()));
         Some(News { epoch, plan_epoch, withdrawn, members, members_since: self.members_since })
     }
 
     /// Asks a peer that knows more, once in a while.
     fn ask_news(&mut self, from: Address, epoch: Epoch) {
-        let is_newer = epoch > self.standing.epoch() && self.standing.lease_due().is_some();
+        let is_newer = epoch > self.lease_state.epoch() && self.lease_state.lease_due().is_some();
         if is_newer && self.now.since(self.news_asked) >= Span(100) {
             self.news_asked = self.now;
             self.send(from, Letter::NewsAsk);
@@ -804,15 +804,15 @@
     }
 
     fn on_news(&mut self, from: Address, mut news: News, lease_due: Option<Moment>) {
-        if news.epoch < self.standing.epoch() {
+        if news.epoch < self.lease_state.epoch() {
             return;
         }
-        self.standing.tell(news.epoch, self.now + TOLD_FOR);
+        self.lease_state.tell(news.epoch, self.now + TOLD_FOR);
         if news.members.is_none() {
             let under_way = self.fetching.as_ref().filter(|fetching| fetching.news.epoch >= news.members_since);
             news.members = match under_way {
                 Some(fetching) => fetching.news.members.clone(),
-                None if self.standing.epoch() >= news.members_since => Some(self.members.clone()),
+                None if self.lease_state.epoch() >= news.members_since => Some(self.members.clone()),
                 // Earlier news was lost on the way.
                 None => {
                     self.next_poll = self.now;
@@ -824,7 +824,7 @@
             return self.take_up(news, lease_due);
         }
         // Withdrawals don't wait for a large plan.
-        if news.epoch > self.standing.epoch() {
+        if news.epoch > self.lease_state.epoch() {
             self.withdrawn = news.withdrawn.clone();
             self.push_rules();
         }
@@ -906,15 +906,15 @@
 
     /// News is whole here: it's in force.
     fn take_up(&mut self, news: News, lease_due: Option<Moment>) {
-        let is_newer = news.epoch > self.standing.epoch();
+        let is_newer = news.epoch > self.lease_state.epoch();
         // Filled in when it came.
         let listed_members = news.members.unwrap_or_default();
         let since = news.members_since;
         let has_other_members = listed_members != self.members || since > self.members_since;
         let members: Vec<Address> = listed_members.iter().map(|member| member.address).collect();
         match lease_due {
-            Some(due) => self.standing.lease(due, news.epoch, members.clone()),
-            None => self.standing.learn(news.epoch, members.clone()),
+            Some(due) => self.lease_state.lease(due, news.epoch, members.clone()),
+            None => self.lease_state.learn(news.epoch, members.clone()),
         }
         if is_newer {
             self.withdrawn = news.withdrawn;
@@ -938,14 +938,14 @@
 
     fn push_rules(&mut self) {
         if let Some(plan) = self.plan.clone() {
-            let rules = plan.rules(self.standing.epoch(), self.withdrawn.clone());
+            let rules = plan.rules(self.lease_state.epoch(), self.withdrawn.clone());
             self.tell_desk(Event::Rules { rules });
         }
     }
 
     /// While its lease is about to lapse, or has, the node asks all members whether they are there.
     fn check_peers(&mut self) {
-        let Some(due) = self.standing.lease_due() else { return };
+        let Some(due) = self.lease_state.lease_due() else { return };
         if self.now + self.timing.peer_check_from < due {
             self.peer_check_pause = self.timing.peer_check;
             return;
@@ -953,7 +953,7 @@
         if self.now < self.next_peer_check {
             return;
         }
-        let is_alone = self.standing.reason(self.now) == StandingReason::Alone;
+        let is_alone = self.lease_state.reason(self.now) == LeaseStatus::Alone;
         self.peer_check_pause = match is_alone {
             true => Span((self.peer_check_pause.0 * 2).min(self.timing.peer_check_alone.0)),
             false => self.timing.peer_check,
@@ -964,8 +964,8 @@
         if self.peer_checks.len() > 16 {
             self.peer_checks.pop_front();
         }
-        let peers: Vec<Address> = self.standing.members().iter().copied().filter(|m| *m != self.own).collect();
-        let (round, epoch) = (self.peer_check_round, self.standing.epoch());
+        let peers: Vec<Address> = self.lease_state.members().iter().copied().filter(|m| *m != self.own).collect();
+        let (round, epoch) = (self.peer_check_round, self.lease_state.epoch());
         peers.into_iter().for_each(|peer| self.send(peer, Letter::PeerCheckRequest { round, epoch }));
     }
 }
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -130,7 +130,7 @@
         Letter::News { news: Box::new(News { members, members_since, ..news(epoch, 2, vec!["east".into()]) }) }
     };
     played.tell(1, brief(4, 3));
-    assert_eq!((played.node.epoch(), played.node.standing().members().len()), (Epoch(4), 3));
+    assert_eq!((played.node.epoch(), played.node.lease_state().members().len()), (Epoch(4), 3));
     played.tell(1, brief(6, 5));
     assert_eq!(played.node.epoch(), Epoch(4), "the membership of epoch 5 never came");
     assert!(played.node.polled.is_some(), "the core is asked for it");
@@ -146,11 +146,11 @@
     played.step(NodeInput::ClockEvent);
     played.lease_of(earlier.node.poll_round, 3, 2);
     played.plan(2);
-    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Unheard);
+    assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Unheard);
     played.lease(3, 2);
     played.plan(2);
-    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Leased);
-    for (echoes_earlier, reason) in [(true, StandingReason::Alone), (false, StandingReason::Together)] {
+    assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Leased);
+    for (echoes_earlier, reason) in [(true, LeaseStatus::Alone), (false, LeaseStatus::Together)] {
         for _ in 0..40 {
             played.at += 50;
             earlier.at += 50;
@@ -159,7 +159,7 @@
             let echo = if echoes_earlier { earlier.node.peer_check_round } else { played.node.peer_check_round };
             played.tell(8, Letter::PeerCheckResponse { echo, epoch: Epoch(3) });
         }
-        assert_eq!(played.node.standing().reason(Moment(played.at)), reason);
+        assert_eq!(played.node.lease_state().reason(Moment(played.at)), reason);
     }
 }
 
@@ -242,7 +242,7 @@
         assert!(!asks_news(played.tell(8, reply(3, echo))));
         played.roll();
     }
-    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Together);
+    assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Together);
     assert!(played.place(5, "together", "drafts").is_ok());
     // The other knows of a withdrawal: it's asked for, and taken up at once, since the plan is the same.
     let echo = played.node.peer_check_round;
@@ -298,7 +298,7 @@
 fn a_node_cut_off_asks_all_members_from_shortly_before_its_lease_lapses_and_ever_less_often() {
     let mut played = Played::serving();
     played.lease(3, 2);
-    let (began, due) = (played.at, played.node.standing().lease_due().expect("a lease").0);
+    let (began, due) = (played.at, played.node.lease_state().lease_due().expect("a lease").0);
     let sent = sent_within(&mut played, 20_000);
     let asks: Vec<u64> = sent
         .iter()
@@ -307,7 +307,7 @@
         .collect();
     assert!(asks[0] + 600 >= due && asks[0] + 300 <= due, "first at {} ms", asks[0] - began);
     assert!((8..=18).contains(&asks.len()), "{} asks in 20 s", asks.len());
-    assert_eq!(played.node.standing().reason(Moment(played.at)), StandingReason::Alone);
+    assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Alone);
     assert_eq!(played.place(1, "alone", "drafts").err(), Some(ResultCode::NotReady));
     let sealed = sent.iter().filter(|(.., letter)| matches!(letter, Letter::PeerCheckRequest { .. }));
     for (_, _, letter) in sealed {
@@ -446,7 +446,7 @@
 fn the_desk_is_told_of_each_lease_and_of_each_membership_even_if_its_members_are_the_same() {
     let mut played = Played::serving();
     let renewed = events(played.lease(3, 2));
-    let until = played.node.standing().lease_due().expect("it holds one");
+    let until = played.node.lease_state().lease_due().expect("it holds one");
     assert_eq!(renewed, [Event::Lease { until, span: Span(2000) }]);
     let of_membership = |epoch: u64, since: u64| {
         let news = News { members_since: Epoch(since), ..news(epoch, 2, vec![]) };
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -141,7 +141,7 @@
     let (_crew, mut fleet, _machine) = serving(deployment);
     let mut number = 0;
     fleet.registrars.iter_mut().for_each(|registrar| registrar.kill());
-    let is_together = |fleet: &Fleet| fleet.criers.iter().all(|c| c.believes()["standing"] == "together");
+    let is_together = |fleet: &Fleet| fleet.criers.iter().all(|c| c.believes()["lease_state"] == "together");
     Fleet::await_that(PATIENCE, "leases run out", || is_together(&fleet)).expect("criers go on together");
     assert!((0..9).all(|_| serves(&fleet, &mut number)), "the fleet serves without its core");
     assert!(fleet.put_plan("late", 0, "{}").is_err(), "a plan is accepted by nobody");
@@ -154,7 +154,7 @@
     // A restarted one knows nothing, core or not.
     fleet.criers[1].start().expect("it starts");
     Fleet::await_that(PATIENCE, "it listens", || fleet.criers[1].get("/ready").is_ok()).expect("it listens");
-    assert_eq!(fleet.criers[1].believes()["standing"], "unheard");
+    assert_eq!(fleet.criers[1].believes()["lease_state"], "unheard");
     // With the core back, all is well again.
     fleet.registrars.iter_mut().for_each(|registrar| registrar.start().expect("it starts"));
     fleet.criers.iter_mut().skip(2).for_each(|crier| crier.start().expect("it starts"));
@@ -262,7 +262,7 @@
     let accepted = accepted.expect("the large plan is accepted")["epoch"].as_u64().expect("an epoch");
     let has_all = |crier: &Daemon| {
         let believed = crier.believes();
-        believed["standing"] == "leased" && believed["plan_epoch"].as_u64() >= Some(accepted)
+        believed["lease_state"] == "leased" && believed["plan_epoch"].as_u64() >= Some(accepted)
     };
     let have_all = || fleet.criers.iter().all(has_all);
     Fleet::await_that(PATIENCE, "all criers hold the large plan", have_all).expect("it reaches all");
