--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -1,5 +1,5 @@
 use college::prelude::*;
-use primer::prelude::{DigestChange, RollEntry};
+use primer::prelude::{DigestChange, ServerEntry};
 
 messages! {
     /// A node of the data plane, as others see it.
@@ -83,7 +83,7 @@
         /// The one before.
         pub base: ListVersion,
         /// Entries that are new or have changed.
-        pub set: Vec<RollEntry>,
+        pub set: Vec<ServerEntry>,
         /// Servers that are listed no more.
         pub gone: Vec<ServerName>,
     }
@@ -98,7 +98,7 @@
         /// Entries of the whole.
         pub length: u32,
         /// They.
-        pub entries: Vec<RollEntry>,
+        pub entries: Vec<ServerEntry>,
     }
 
     /// What the core answers to a poll.
--- a/crates/crier/src/call.rs
+++ b/crates/crier/src/call.rs
@@ -79,5 +79,5 @@
     /// The request for a page of the list of servers; `None` is the first.
     fn list_request(&self, page: Option<&str>) -> http::Request<Bytes>;
     /// A page of the list, and the name of the next.
-    fn read_list(&self, body: &[u8]) -> Result<(Vec<RollEntry>, Option<String>), String>;
+    fn read_list(&self, body: &[u8]) -> Result<(Vec<ServerEntry>, Option<String>), String>;
 }
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -481,9 +481,11 @@
         for (place, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
             use primer::prelude::Event as E;
             match serde_json::from_str::<E>(line) {
-                Ok(E::Rules { .. } | E::Members { .. } | E::Roll { .. } | E::PeerSketch { .. }) => {
-                    let why =
-                        format!("line {}: rules, members, roll and peer sketches come from the fleet alone", place + 1);
+                Ok(E::Rules { .. } | E::Members { .. } | E::ServerList { .. } | E::PeerSketch { .. }) => {
+                    let why = format!(
+                        "line {}: rules, members, the server list and peer sketches come from the fleet alone",
+                        place + 1
+                    );
                     return Reply::result(ResultCode::BadOrder, why);
                 }
                 Ok(event) => events.push(event),
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -79,7 +79,7 @@
     fn list_request(&self, _: Option<&str>) -> http::Request<Bytes> {
         http::Request::new(Bytes::new())
     }
-    fn read_list(&self, _: &[u8]) -> Result<(Vec<RollEntry>, Option<String>), String> {
+    fn read_list(&self, _: &[u8]) -> Result<(Vec<ServerEntry>, Option<String>), String> {
         Err("there is none".into())
     }
 }
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -43,7 +43,7 @@
     pub use crate::settings::Settings;
     pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
-    pub use crate::wire::{CallerOrder, LIFE_HEADER, ResumeOrder, RollReport, RunOrder, RunPiece, ServerReport};
+    pub use crate::wire::{CallerOrder, LIFE_HEADER, ResumeOrder, RunOrder, RunPiece, ServerListReport, ServerReport};
     pub use circular::prelude::*;
     pub use college::prelude::{LeaseState, LeaseStatus};
     pub use layout::prelude::*;
--- a/crates/crier/src/list_reader.rs
+++ b/crates/crier/src/list_reader.rs
@@ -38,7 +38,7 @@
     list: Address,
     dialect: &dyn CallDialect,
     calls: &mut usize,
-    servers: &mut Vec<RollEntry>,
+    servers: &mut Vec<ServerEntry>,
 ) -> Result<(), String> {
     let mut page = None;
     while *calls < PAGES_MOST {
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -220,7 +220,7 @@
 /// A data-plane node's control state: its lease state among the members, the layout, the desk.
 ///
 /// Invariants: the layout's epoch never falls, and it's only taken up whole. An order is placed only
-/// while the node may act, under a layout that it holds, and with a roll that was read in this life
+/// while the node may act, under a layout that it holds, and with a server list that was read in this life
 /// and since the machine last slept. An id in hand, or of `ended`, is taken by no second order.
 #[derive(Clone)]
 pub struct Node {
@@ -260,12 +260,12 @@
     dissemination: Dissemination,
     next_tick: Moment,
     last_event: Moment,
-    has_roll: bool,
-    /// How the platform's list is known, unless it comes as [`Event::Roll`].
+    has_server_list: bool,
+    /// How the platform's list is known, unless it comes as [`Event::ServerList`].
     server_list: Option<ServerList>,
     /// Where the listed servers are reached whose names are not their addresses.
     addresses: BTreeMap<ServerName, String>,
-    roll_awaited_until: Option<Moment>,
+    list_awaited_until: Option<Moment>,
     is_draining: bool,
     /// What tokens are sealed and opened with.
     key: Option<TokenKey>,
@@ -336,10 +336,10 @@
             dissemination: Dissemination::new(own, zone, incarnation, timing.digest, now),
             next_tick: now,
             last_event: now,
-            has_roll: false,
+            has_server_list: false,
             server_list: None,
             addresses: BTreeMap::new(),
-            roll_awaited_until: None,
+            list_awaited_until: None,
             is_draining: false,
             key: None,
             open: BTreeMap::new(),
@@ -361,9 +361,9 @@
         self.now = self.now.max(now);
         match input {
             NodeInput::Letter { from, letter } => self.on_letter(from, letter),
-            NodeInput::Event(Event::Roll { servers }) => {
-                self.roll_awaited_until = None;
-                self.take_roll(servers);
+            NodeInput::Event(Event::ServerList { servers }) => {
+                self.list_awaited_until = None;
+                self.take_server_list(servers);
             }
             NodeInput::Event(event) => self.tell_desk(event),
             NodeInput::List(reading) => self.step_list(|list, now, _| list.on_reading(now, reading)),
@@ -396,8 +396,8 @@
     pub fn may_act_until(&self, now: Moment) -> Moment {
         let is_whole = self.plan.is_some()
             && self.key.is_some()
-            && self.has_roll
-            && self.roll_awaited_until.is_none_or(|due| now >= due);
+            && self.has_server_list
+            && self.list_awaited_until.is_none_or(|due| now >= due);
         match self.lease_state.may_act_until(now) {
             // Never beyond what the control thread could take back if it's alive.
             Some(due) if is_whole => due.min(now + self.timing.slept),
@@ -450,11 +450,11 @@
         self.outputs.push(NodeOutput::Send { to, is_bulk, letter });
     }
 
-    fn take_roll(&mut self, servers: Vec<RollEntry>) {
-        self.has_roll = true;
+    fn take_server_list(&mut self, servers: Vec<ServerEntry>) {
+        self.has_server_list = true;
         self.addresses =
             servers.iter().filter_map(|entry| Some((entry.server.clone(), entry.address.clone()?))).collect();
-        self.tell_desk(Event::Roll { servers });
+        self.tell_desk(Event::ServerList { servers });
     }
 
     fn step_list(&mut self, step: impl FnOnce(&mut ServerList, Moment, ListPeers) -> Vec<ListOutput>) {
@@ -464,13 +464,13 @@
         let peers = ListPeers { zone, collector, fleet: self.members.len() };
         let outputs = step(list, self.now, peers);
         if list.is_known() {
-            self.roll_awaited_until = None;
+            self.list_awaited_until = None;
         }
         for output in outputs {
             match output {
                 ListOutput::Read => self.outputs.push(NodeOutput::ReadList),
                 ListOutput::Send { to, letter } => self.send(to, letter),
-                ListOutput::Servers(servers) => self.take_roll(servers),
+                ListOutput::Servers(servers) => self.take_server_list(servers),
                 ListOutput::Unheard(collector) => {
                     // One that is there and can't read the list collects digests all the same.
                     if self.heard.get(&collector).is_none_or(|at| self.now.since(*at) >= HEARD_FOR) {
@@ -578,7 +578,7 @@
         if self.is_draining {
             return deny(ResultCode::Draining, "this node is stopping; another reads it on".into());
         }
-        let Some(key) = self.key.filter(|_| self.has_roll) else {
+        let Some(key) = self.key.filter(|_| self.has_server_list) else {
             let why = "this node has just started; nothing of the run is lost".into();
             return deny(ResultCode::NotReady, why);
         };
@@ -606,9 +606,9 @@
 
     fn on_clock_event(&mut self) {
         if self.now.since(self.last_event) >= self.timing.slept {
-            // What the roll said before may have changed while this machine slept.
-            self.roll_awaited_until = Some(self.now + Span(1500));
-            self.outputs.push(NodeOutput::Log("node: the machine slept; the roll is read anew".into()));
+            // What the server list said before may have changed while this machine slept.
+            self.list_awaited_until = Some(self.now + Span(1500));
+            self.outputs.push(NodeOutput::Log("node: the machine slept; the server list is read anew".into()));
         }
         self.last_event = self.now;
         self.step_list(ServerList::on_clock);
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -52,16 +52,16 @@
             }
         }
     }
-    fn roll(&mut self) {
-        let entry = |name: &str| RollEntry {
+    fn server_list(&mut self) {
+        let entry = |name: &str| ServerEntry {
             server: name.into(),
             zone: "east".into(),
             pool: "model".into(),
             is_leaving: false,
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
         let servers = (0..9).map(|n| entry(&format!("s{n}"))).collect();
-        self.step(NodeInput::Event(Event::Roll { servers }));
+        self.step(NodeInput::Event(Event::ServerList { servers }));
         (0..9).for_each(|n| self.report(&format!("s{n}"), 1, Span::seconds(60)));
     }
     /// A server tells its life, and for how long it has been up.
@@ -110,7 +110,7 @@
         let mut played = Played::new();
         played.lease(3, 2);
         played.plan(2);
-        played.roll();
+        played.server_list();
         played
     }
 }
@@ -164,14 +164,14 @@
 }
 
 #[test]
-fn an_order_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_roll() {
+fn an_order_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_server_list() {
     let mut played = Played::new();
     assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no lease");
     played.lease(3, 2);
     assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "the plan is still to come");
     played.plan(2);
-    assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no roll");
-    played.roll();
+    assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no server list");
+    played.server_list();
     assert_eq!(played.place(1, "a", "other").err(), Some(ResultCode::UnknownService));
     assert!(played.place(1, "a", "drafts").is_ok());
     played.at += 2000;
@@ -189,7 +189,7 @@
             played.step(NodeInput::Plan { plan_epoch, plan: parse_plan(&bytes).map(Arc::new), bytes });
         }
     }
-    played.roll();
+    played.server_list();
     for (number, service, is_again) in [(1, "once", false), (2, "kept", false), (3, "free", true)] {
         assert!(played.place(number, service, service).is_ok());
         // Some more, so that a repeat is within the service's fifth.
@@ -240,7 +240,7 @@
         played.step(NodeInput::ClockEvent);
         let echo = played.node.peer_check_round;
         assert!(!asks_news(played.tell(8, reply(3, echo))));
-        played.roll();
+        played.server_list();
     }
     assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Together);
     assert!(played.place(5, "together", "drafts").is_ok());
@@ -390,7 +390,7 @@
 fn a_node_that_reads_the_list_places_nothing_after_a_sleep_until_it_has_read_it_anew() {
     let reading = |asked: u64| {
         let entry =
-            RollEntry { server: "s0".into(), zone: "east".into(), pool: "model".into(), ..RollEntry::default() };
+            ServerEntry { server: "s0".into(), zone: "east".into(), pool: "model".into(), ..ServerEntry::default() };
         NodeInput::List(ListReading { asked: Moment(asked), calls: 1, servers: Some(vec![entry]) })
     };
     let reads = |outputs: Vec<NodeOutput>| outputs.contains(&NodeOutput::ReadList);
--- a/crates/crier/src/poller.rs
+++ b/crates/crier/src/poller.rs
@@ -32,20 +32,20 @@
             std::thread::sleep(Duration::from_millis(pause));
         }
     })?;
-    std::thread::Builder::new().name("roll".into()).spawn(move || {
+    std::thread::Builder::new().name("server-list".into()).spawn(move || {
         let url = format!("http://{platform}/servers");
         let mut was_well = true;
         loop {
-            match read_roll(&url) {
-                Ok(roll) => {
+            match read_server_list(&url) {
+                Ok(server_list) => {
                     *names.lock().expect("no thread panics with it") =
-                        roll.servers.iter().map(|entry| entry.server.clone()).collect();
-                    tell(Event::Roll { servers: roll.servers });
+                        server_list.servers.iter().map(|entry| entry.server.clone()).collect();
+                    tell(Event::ServerList { servers: server_list.servers });
                     was_well = true;
                 }
                 Err(why) => {
                     if was_well {
-                        tracing::warn!("roll: the platform's list can't be read: {why}.");
+                        tracing::warn!("server-list: the platform's list can't be read: {why}.");
                     }
                     was_well = false;
                 }
@@ -56,7 +56,7 @@
     Ok(())
 }
 
-fn read_roll(url: &str) -> Result<RollReport, String> {
+fn read_server_list(url: &str) -> Result<ServerListReport, String> {
     let response = ask_get(url, PATIENCE, PATIENCE).map_err(|fault| fault.to_string())?;
     let body = read_all(response, 4 << 20).map_err(|fault| fault.to_string())?;
     serde_json::from_slice(&body).map_err(|fault| fault.to_string())
--- a/crates/crier/src/server_list.rs
+++ b/crates/crier/src/server_list.rs
@@ -42,7 +42,7 @@
     /// Calls that it made.
     pub calls: usize,
     /// The whole list, if it could be read.
-    pub servers: Option<Vec<RollEntry>>,
+    pub servers: Option<Vec<ServerEntry>>,
 }
 
 /// What is to be done about the list of servers.
@@ -58,7 +58,7 @@
         letter: Letter,
     },
     /// The list has changed: this is the whole of it, as of now.
-    Servers(Vec<RollEntry>),
+    Servers(Vec<ServerEntry>),
     /// The list can be read, but this one, who should tell it, has not done so for long.
     Unheard(Address),
 }
@@ -124,7 +124,7 @@
 #[derive(Debug, Clone, PartialEq)]
 struct Entry {
     /// Without `cold_left`.
-    entry: RollEntry,
+    entry: ServerEntry,
     cold_until: Option<Moment>,
 }
 
@@ -145,12 +145,12 @@
 const PIECE: usize = 200 << 10;
 
 impl Entry {
-    fn new(mut entry: RollEntry, now: Moment) -> Entry {
+    fn new(mut entry: ServerEntry, now: Moment) -> Entry {
         let cold_until = entry.cold_left.take().map(|left| now + left);
         Entry { entry, cold_until }
     }
-    fn told(&self, now: Moment) -> RollEntry {
-        RollEntry { cold_left: self.cold_until.map(|due| now.until(due)), ..self.entry.clone() }
+    fn told(&self, now: Moment) -> ServerEntry {
+        ServerEntry { cold_left: self.cold_until.map(|due| now.until(due)), ..self.entry.clone() }
     }
     /// Whether the other is the same, but that time has passed.
     fn is_like(&self, other: &Entry, now: Moment, tolerance: Span) -> bool {
@@ -182,7 +182,7 @@
     u64::from_le_bytes(check)
 }
 
-fn bytes_of(entry: &RollEntry) -> usize {
+fn bytes_of(entry: &ServerEntry) -> usize {
     let address = entry.address.as_ref().map_or(0, String::len);
     96 + entry.server.as_str().len() + entry.zone.as_str().len() + entry.pool.len() + address
 }
@@ -376,7 +376,7 @@
         let left = self.entries.values().filter_map(|entry| entry.cold_until.map(|due| self.now.until(due).0));
         Span(left.sum())
     }
-    fn servers(&self) -> Vec<RollEntry> {
+    fn servers(&self) -> Vec<ServerEntry> {
         self.entries.values().map(|entry| entry.told(self.now)).collect()
     }
     fn send(&mut self, to: Address, letter: Letter) {
@@ -388,7 +388,7 @@
     }
 
     /// This node has read the whole list.
-    fn take_reading(&mut self, asked: Moment, servers: Vec<RollEntry>) {
+    fn take_reading(&mut self, asked: Moment, servers: Vec<ServerEntry>) {
         if self.read_at.is_some_and(|held| asked < held) {
             return;
         }
@@ -409,7 +409,7 @@
             return;
         }
         gone.iter().for_each(|name| drop(self.entries.remove(name)));
-        let told: Vec<RollEntry> = set.iter().map(|entry| entry.told(now)).collect();
+        let told: Vec<ServerEntry> = set.iter().map(|entry| entry.told(now)).collect();
         self.entries.extend(set.into_iter().map(|entry| (entry.entry.server.clone(), entry)));
         self.number += 1;
         let base = std::mem::replace(&mut self.version, ListVersion { life: self.life, number: self.number });
@@ -504,7 +504,7 @@
         // The list may have changed since the piece before: then from its beginning.
         let offset = if version == self.version { offset } else { 0 };
         let mut bytes = 0;
-        let fits = |entry: &RollEntry| {
+        let fits = |entry: &ServerEntry| {
             bytes += bytes_of(entry);
             bytes <= PIECE
         };
--- a/crates/crier/src/server_list/tests.rs
+++ b/crates/crier/src/server_list/tests.rs
@@ -21,7 +21,7 @@
     calls: Vec<(u64, Address)>,
     letters: Vec<(u64, Address, Address, Letter)>,
     readings: Vec<(u64, Address, ListReading)>,
-    lists: BTreeMap<Address, Vec<RollEntry>>,
+    lists: BTreeMap<Address, Vec<ServerEntry>>,
     changes: usize,
     /// Letters that were sent, by kind: fresh, change, ask, piece.
     sent: [usize; 4],
@@ -57,13 +57,13 @@
             sent: [0; 4],
         }
     }
-    fn listed(&self) -> Vec<RollEntry> {
-        let entry = |(name, (cold_until, is_leaving)): (&String, &(u64, bool))| RollEntry {
+    fn listed(&self) -> Vec<ServerEntry> {
+        let entry = |(name, (cold_until, is_leaving)): (&String, &(u64, bool))| ServerEntry {
             server: name.as_str().into(),
             address: Some(format!("10.0.0.1:{name}")),
             cold_left: Some(Span(cold_until.saturating_sub(self.now))),
             is_leaving: *is_leaving,
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
         self.platform.iter().map(entry).collect()
     }
@@ -142,11 +142,11 @@
         self.run(span);
         self.calls.len() - before
     }
-    fn knows(&self, at: Address, is_so: impl Fn(&RollEntry) -> bool) -> bool {
+    fn knows(&self, at: Address, is_so: impl Fn(&ServerEntry) -> bool) -> bool {
         self.lists.get(&at).is_some_and(|list| list.iter().any(is_so))
     }
     /// How many live nodes know of a server like this.
-    fn knowing(&self, is_so: impl Fn(&RollEntry) -> bool) -> usize {
+    fn knowing(&self, is_so: impl Fn(&ServerEntry) -> bool) -> usize {
         self.members.iter().filter(|one| !self.dead.contains(*one) && self.knows(**one, &is_so)).count()
     }
     /// Until the collector has just read the list.
@@ -283,7 +283,7 @@
     let stale = zone.nodes[&node(1)].clone();
     zone.platform.get_mut("s0007").expect("listed").1 = true;
     zone.run(2000);
-    let is_leaving = |entry: &RollEntry| entry.server.as_str() == "s0007" && entry.is_leaving;
+    let is_leaving = |entry: &ServerEntry| entry.server.as_str() == "s0007" && entry.is_leaving;
     let mut member = zone.nodes[&node(3)].clone();
     let (version, read_at) = (member.version(), member.read_at());
     let mut old = stale.clone();
@@ -322,7 +322,7 @@
     zone.platform.insert("s0007".into(), (zone.now + 60_000, false));
     zone.run_to_reading();
     zone.unreached.clear();
-    let is_cold = |entry: &RollEntry| entry.server.as_str() == "s0007" && entry.cold_left > Some(Span(50_000));
+    let is_cold = |entry: &ServerEntry| entry.server.as_str() == "s0007" && entry.cold_left > Some(Span(50_000));
     zone.run(10);
     assert_eq!(zone.knowing(is_cold), 4);
     zone.run(1050);
--- a/crates/crier/src/wire.rs
+++ b/crates/crier/src/wire.rs
@@ -93,7 +93,7 @@
 
 /// What the platform says at its list's address.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RollReport {
+pub struct ServerListReport {
     /// All servers.
-    pub servers: Vec<RollEntry>,
+    pub servers: Vec<ServerEntry>,
 }
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -22,15 +22,15 @@
     let mut take = |at: u64, event| desk.take(Dated { at: Moment(1_000_000 + at), event });
     let rules = Rules { epoch: Epoch(1), services: [("drafts".into(), rules)].into(), withdrawn: vec![] };
     take(0, Event::Rules { rules });
-    let entry = |n: u64| RollEntry {
+    let entry = |n: u64| ServerEntry {
         server: format!("i-{n:08x}").as_str().into(),
         slots: Some(128),
         cold_left: Some(Span(0)),
         zone: "north".into(),
         pool: "model".into(),
-        ..RollEntry::default()
+        ..ServerEntry::default()
     };
-    take(0, Event::Roll { servers: (0..90).map(entry).collect() });
+    take(0, Event::ServerList { servers: (0..90).map(entry).collect() });
     take(0, Event::Members { members: (1..=90).map(Address::loopback).collect(), since: Epoch(1) });
     let in_flight = |n: u64| InFlight { server: entry(n).server, count: 1, unread: 500, tokens: 12_000, read: 9 };
     let sketch = Sketch {
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/desk.rs
@@ -13,7 +13,7 @@
 ///
 /// Invariants: whatever others told is kept apart from what was seen here, by who told it, and replaced
 /// whole by the next sketch from there; a sum of all others comes under [`FLEET`] and lacks what was seen
-/// here. Only servers that the newest roll lists, that are not leaving,
+/// here. Only servers that the newest server list lists, that are not leaving,
 /// suspected or in a withdrawn zone, and that the service's rules allow, are ever chosen.
 #[derive(Debug, Clone)]
 pub struct Desk {
@@ -173,7 +173,7 @@
             }
             Event::Members { members, since } => self.on_members(members, since, now),
             Event::Lease { until, span } => self.claim.lease(until, span),
-            Event::Roll { servers } => self.on_roll(servers, now),
+            Event::ServerList { servers } => self.on_server_list(servers, now),
             Event::Load { server, incarnation, up, running, waiting, slots, weights } => {
                 self.on_load(&server, incarnation, up, running + waiting, slots, weights, now);
             }
@@ -261,7 +261,7 @@
         windows.max().unwrap_or(BtbRules::default().window)
     }
 
-    fn on_roll(&mut self, entries: Vec<RollEntry>, now: Moment) {
+    fn on_server_list(&mut self, entries: Vec<ServerEntry>, now: Moment) {
         for server in self.servers.values_mut() {
             server.is_listed = false;
         }
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/desk/tests.rs
@@ -52,15 +52,15 @@
     fn new() -> Self {
         let mut played = Played { desk: Desk::new(Address::loopback(1), 1, DeskRules::default()) };
         played.take(0, Event::Rules { rules: rules() });
-        let entry = |name: &str, zone: &str| RollEntry {
+        let entry = |name: &str, zone: &str| ServerEntry {
             server: name.into(),
             zone: zone.into(),
             pool: "model".into(),
             is_leaving: false,
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
         let servers = vec![entry("a", "north"), entry("b", "north"), entry("c", "south"), entry("d", "south")];
-        played.take(0, Event::Roll { servers });
+        played.take(0, Event::ServerList { servers });
         for name in ["a", "b", "c", "d"] {
             played.take(0, load(name, 60_000));
         }
@@ -148,20 +148,20 @@
 
 #[parameterized(
     leaving = { |p: &mut Played| {
-        let servers = p.desk.servers.iter().map(|(name, s)| RollEntry {
-            server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d", ..RollEntry::default()
+        let servers = p.desk.servers.iter().map(|(name, s)| ServerEntry {
+            server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d", ..ServerEntry::default()
         }).collect();
-        p.take(900, Event::Roll { servers });
+        p.take(900, Event::ServerList { servers });
     } },
     withdrawn_and_one_gone = { |p: &mut Played| {
         let mut rules = rules();
         rules.epoch = Epoch(2);
         rules.withdrawn = vec!["north".into()];
         p.take(900, Event::Rules { rules });
-        let servers = p.desk.servers.iter().filter(|(name, _)| name.as_str() != "c").map(|(name, s)| RollEntry {
-            server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: false, ..RollEntry::default()
+        let servers = p.desk.servers.iter().filter(|(name, _)| name.as_str() != "c").map(|(name, s)| ServerEntry {
+            server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: false, ..ServerEntry::default()
         }).collect();
-        p.take(900, Event::Roll { servers });
+        p.take(900, Event::ServerList { servers });
     } },
     told_by_a_peer = { |p: &mut Played| {
         let sketch = Sketch { number: 1, leaving: vec!["a".into(), "b".into(), "c".into()], ..Sketch::default() };
@@ -186,14 +186,14 @@
     let mut played = Played::new();
     let members = (1..=4).map(Address::loopback).collect();
     played.take(0, Event::Members { members, since: Epoch(1) });
-    let entry = RollEntry {
+    let entry = ServerEntry {
         server: "new".into(),
         zone: "north".into(),
         pool: "model".into(),
         is_leaving: false,
-        ..RollEntry::default()
+        ..ServerEntry::default()
     };
-    played.take(1000, Event::Roll { servers: vec![entry] });
+    played.take(1000, Event::ServerList { servers: vec![entry] });
     let placed = (0..20).filter(|n| played.place(1100, 50 + n, 90 + n).is_some()).count();
     assert!(placed <= 1, "one of four members put {placed} on a server whose cap is two");
 }
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -3,7 +3,7 @@
 messages! {
     /// One server in the platform's list.
     #[derive(Default, Eq, Serialize, Deserialize)]
-    pub struct RollEntry {
+    pub struct ServerEntry {
         /// The server, by its address, or by the name of its life where the list has one.
         pub server: ServerName,
         /// Where it's reached, if its name isn't its address.
@@ -104,9 +104,9 @@
         span: Span,
     },
     /// The platform's list, whole.
-    Roll {
+    ServerList {
         /// It.
-        servers: Vec<RollEntry>,
+        servers: Vec<ServerEntry>,
     },
     /// A server's late report.
     Load {
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -22,7 +22,7 @@
     pub zone: ZoneName,
     /// Its pool.
     pub pool: String,
-    /// Whether the newest roll lists it.
+    /// Whether the newest server list lists it.
     pub is_listed: bool,
     /// Whether it gets no new work.
     pub is_leaving: bool,
@@ -82,7 +82,7 @@
 
 impl ServerState {
     /// When first seen.
-    pub fn new(entry: &RollEntry, now: Moment, rules: &DeskRules) -> Self {
+    pub fn new(entry: &ServerEntry, now: Moment, rules: &DeskRules) -> Self {
         ServerState {
             zone: entry.zone.clone(),
             pool: entry.pool.clone(),
@@ -117,7 +117,7 @@
         }
     }
     /// Takes over what the list says of it.
-    pub fn note_entry(&mut self, entry: RollEntry, now: Moment) {
+    pub fn note_entry(&mut self, entry: ServerEntry, now: Moment) {
         self.is_listed = true;
         self.is_leaving = entry.is_leaving;
         self.zone = entry.zone;
@@ -216,12 +216,12 @@
     use super::*;
 
     fn state() -> ServerState {
-        let entry = RollEntry {
+        let entry = ServerEntry {
             server: "s".into(),
             zone: "h".into(),
             pool: "model".into(),
             is_leaving: false,
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
         ServerState::new(&entry, Moment(0), &DeskRules::default())
     }
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -24,14 +24,14 @@
     DeskRules { block_micros: 143, does_order_copies: false, ..DeskRules::default() }
 }
 
-fn entry(name: &str, zone: &str) -> RollEntry {
-    RollEntry {
+fn entry(name: &str, zone: &str) -> ServerEntry {
+    ServerEntry {
         server: name.into(),
         zone: zone.into(),
         pool: "model".into(),
         slots: Some(128),
         cold_left: Some(Span(0)),
-        ..RollEntry::default()
+        ..ServerEntry::default()
     }
 }
 
@@ -41,11 +41,11 @@
 }
 
 impl Played {
-    fn with(service: ServiceRules, desk_rules: DeskRules, servers: Vec<RollEntry>) -> Self {
+    fn with(service: ServiceRules, desk_rules: DeskRules, servers: Vec<ServerEntry>) -> Self {
         let mut played = Played { desk: Desk::new(Address::loopback(1), 1, desk_rules), next: 0 };
         let rules = Rules { epoch: Epoch(1), services: [("drafts".into(), service)].into(), withdrawn: vec![] };
         played.take(0, Event::Rules { rules });
-        played.take(0, Event::Roll { servers });
+        played.take(0, Event::ServerList { servers });
         played
     }
     fn new() -> Self {
@@ -202,7 +202,7 @@
 #[test]
 fn nobody_is_refused_while_servers_stand_half_empty_however_uneven_the_traffic() {
     let app = ServiceRules { slots: 6, first_token: Span(300), memory_tokens: 0, ..service() };
-    let servers = ["a", "b", "c"].map(|name| RollEntry { slots: Some(6), ..entry(name, "north") }).to_vec();
+    let servers = ["a", "b", "c"].map(|name| ServerEntry { slots: Some(6), ..entry(name, "north") }).to_vec();
     let mut played = Played::with(app, desk_rules(), servers);
     // Eleven members, all heard, none of them busy: this one takes all of the traffic.
     let members: Vec<Address> = (1..=11).map(Address::loopback).collect();
@@ -220,7 +220,7 @@
 #[test]
 fn a_cold_server_gets_its_rate_and_the_rest_go_elsewhere() {
     let rules = ServiceRules { cold_per_second: 20, cold_span: Span(3000), ..service() };
-    let servers = vec![entry("warm", "north"), RollEntry { cold_left: None, ..entry("new", "north") }];
+    let servers = vec![entry("warm", "north"), ServerEntry { cold_left: None, ..entry("new", "north") }];
     let mut played = Played::with(rules, desk_rules(), servers);
     let members = (1..=4).map(Address::loopback).collect();
     played.take(0, Event::Members { members, since: Epoch(1) });
@@ -240,7 +240,7 @@
     // Cold again at any moment.
     played.take(
         10_000,
-        Event::Roll { servers: vec![RollEntry { cold_left: Some(Span(2000)), ..entry("warm", "north") }] },
+        Event::ServerList { servers: vec![ServerEntry { cold_left: Some(Span(2000)), ..entry("warm", "north") }] },
     );
     let placed = (0..40).filter(|n| matches!(played.ask(10_000 + n, &[], 0).1, Decision::Placed { .. })).count();
     assert!(placed <= 5, "{placed}");
@@ -282,7 +282,7 @@
 #[test]
 fn before_the_members_are_told_a_cold_server_gets_nothing() {
     let rules = ServiceRules { cold_per_second: 20, cold_span: Span(3000), ..service() };
-    let servers = vec![RollEntry { cold_left: Some(Span(60_000)), ..entry("new", "north") }];
+    let servers = vec![ServerEntry { cold_left: Some(Span(60_000)), ..entry("new", "north") }];
     let mut played = Played::with(rules, desk_rules(), servers);
     assert!((0..50).all(|n| matches!(played.ask(n * 100, &[], 0).1, Decision::Refused { .. })));
     played.take(5000, Event::Members { members: vec![Address::loopback(1)], since: Epoch(1) });
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/primer/tests/cold_shares.rs
@@ -87,15 +87,15 @@
         };
         let services = [("drafts".into(), service)].into();
         self.tell(place, Event::Rules { rules: Rules { epoch: Epoch(1), services, withdrawn: vec![] } });
-        let entry = RollEntry {
+        let entry = ServerEntry {
             server: "new".into(),
             slots: Some(128),
             cold_left: Some(Span(600_000)),
             zone: "north".into(),
             pool: "model".into(),
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
-        self.tell(place, Event::Roll { servers: vec![entry] });
+        self.tell(place, Event::ServerList { servers: vec![entry] });
     }
     /// The core's membership becomes this.
     fn change_membership(&mut self, members: BTreeSet<Address>) {
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -80,14 +80,14 @@
         self.seed = mix(self.seed);
         self.seed % below
     }
-    fn roll(&self) -> Vec<RollEntry> {
-        let entry = |engine: &Engine| RollEntry {
+    fn server_list(&self) -> Vec<ServerEntry> {
+        let entry = |engine: &Engine| ServerEntry {
             server: engine.name.clone(),
             slots: Some(128),
             cold_left: Some(Span(engine.cold_until.saturating_sub(self.now))),
             zone: "north".into(),
             pool: "model".into(),
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
         self.engines.iter().map(entry).collect()
     }
@@ -100,9 +100,9 @@
         self.desks[place] = Desk::new(own(place), self.lives[place], self.desk_rules.clone());
         let services = [("drafts".into(), self.service.clone())].into();
         self.tell(place, Event::Rules { rules: Rules { epoch: Epoch(1), services, withdrawn: vec![] } });
-        let (members, servers) = ((0..self.desks.len()).map(own).collect(), self.roll());
+        let (members, servers) = ((0..self.desks.len()).map(own).collect(), self.server_list());
         self.tell(place, Event::Members { members, since: Epoch(1) });
-        self.tell(place, Event::Roll { servers });
+        self.tell(place, Event::ServerList { servers });
     }
     /// A millisecond goes by.
     fn step(&mut self) {
@@ -124,10 +124,10 @@
             }
         }
         if self.now.is_multiple_of(100) {
-            let servers = self.roll();
+            let servers = self.server_list();
             for place in 0..self.desks.len() {
                 self.tell(place, Event::Tick);
-                self.tell(place, Event::Roll { servers: servers.clone() });
+                self.tell(place, Event::ServerList { servers: servers.clone() });
             }
         }
         if self.now.is_multiple_of(250) {
--- a/crates/rehearsal/src/crew.rs
+++ b/crates/rehearsal/src/crew.rs
@@ -60,19 +60,19 @@
     /// Starts all at free ports, zone by zone in turn, long warmed up.
     pub fn start(shape: &Shape, rules: &ScheduleRules) -> std::io::Result<Crew> {
         let zone = |place: usize| ZoneName::from(shape.zones[place % shape.zones.len()]);
-        let mut roll = vec![];
+        let mut server_list = vec![];
         let mut start = |count: usize, pool: &str, first: u64| {
             (0..count)
                 .map(|place| {
                     let age = Span::seconds(600);
                     let server = StandIn::start(Address::loopback(0), rules.clone(), first + place as u64, age)?;
                     let (zone, pool) = (zone(place), pool.to_owned());
-                    roll.push(RollEntry {
+                    server_list.push(ServerEntry {
                         server: server.name(),
                         zone,
                         pool,
                         is_leaving: false,
-                        ..RollEntry::default()
+                        ..ServerEntry::default()
                     });
                     Ok(server)
                 })
@@ -80,7 +80,7 @@
         };
         let models = start(shape.models, "model", 1)?;
         let apps = start(shape.apps, "app", 101)?;
-        let platform = Platform::start(Address::loopback(0), Span(700), roll)?;
+        let platform = Platform::start(Address::loopback(0), Span(700), server_list)?;
         Ok(Crew { platform, models, apps })
     }
     /// For each service: how often servers were asked, whatever they made of it, and for how many orders.
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -214,7 +214,7 @@
     /// A new node.
     Add(Address, ZoneName),
     /// The platform's list in so many replacements.
-    Roll(u32),
+    ServerList(u32),
     /// Tell what was sent so far.
     Tell,
 }
@@ -422,7 +422,7 @@
                 dead.insert(victim);
                 say(format!("{victim} is killed, {fresh} comes"));
             }
-            _ => hosts.iter_mut().for_each(|host| host.tell(&HostOrder::Roll(n as u32))),
+            _ => hosts.iter_mut().for_each(|host| host.tell(&HostOrder::ServerList(n as u32))),
         }
     }
     while Clock::now() < from + span {
--- a/crates/rehearsal/src/hollow/host.rs
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -118,7 +118,7 @@
         let (seeds, life, now) = (self.seeds.clone(), self.draw() >> 12, Clock::now());
         let node = Node::new(address, zone, seeds, life, NodeTiming::default(), DeskRules::default(), now);
         self.nodes.push(HollowNode { address, node: Some(node), post, epoch: Epoch(0) });
-        self.tell_roll(place);
+        self.tell_server_list(place);
         if self.is_loaded {
             self.dues.push(Reverse((now, Due::Arrival(place))));
         }
@@ -126,21 +126,21 @@
     }
 
     /// The platform's list, and a first report of each server.
-    fn tell_roll(&mut self, place: usize) {
+    fn tell_server_list(&mut self, place: usize) {
         let name = |n: u32| ServerName(format!("10.1.{}.{}:8000", n / 250, n % 250));
         // Those that were replaced have names of their own.
         let named = |n: u32| if n < self.replaced { name(n + 50_000) } else { name(n) };
         let zones = self.rules.zones;
-        let servers: Vec<RollEntry> = (0..self.rules.servers)
-            .map(|n| RollEntry {
+        let servers: Vec<ServerEntry> = (0..self.rules.servers)
+            .map(|n| ServerEntry {
                 server: named(n),
                 zone: ZoneName(format!("zone-{}", n % zones)),
                 pool: "model".into(),
-                ..RollEntry::default()
+                ..ServerEntry::default()
             })
             .collect();
         let names: Vec<ServerName> = servers.iter().map(|entry| entry.server.clone()).collect();
-        self.step(place, NodeInput::Event(Event::Roll { servers }));
+        self.step(place, NodeInput::Event(Event::ServerList { servers }));
         for server in names {
             let report = Event::Load {
                 server,
@@ -171,9 +171,9 @@
                 self.nodes.iter_mut().filter(|one| one.address == address).for_each(|one| one.node = None);
             }
             Input::Order(HostOrder::Add(address, zone)) => self.add(address, zone)?,
-            Input::Order(HostOrder::Roll(replaced)) => {
+            Input::Order(HostOrder::ServerList(replaced)) => {
                 self.replaced = replaced;
-                (0..self.nodes.len()).for_each(|place| self.tell_roll(place));
+                (0..self.nodes.len()).for_each(|place| self.tell_server_list(place));
             }
             Input::Order(HostOrder::Tell) => self.tell_sent(),
         }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -28,12 +28,14 @@
     pub use crate::schedule::{Progress, Schedule, ScheduleRules, Strike};
     pub use crate::stand_in::{RunLog, StandIn};
     pub use crate::world::{FaultKind, Mutant, Witness, World, WorldRules};
-    pub use crier::prelude::{LIFE_HEADER, RollReport, RunOrder, RunPiece, ServerReport, ServicePlan, parse_plan};
+    pub use crier::prelude::{
+        LIFE_HEADER, RunOrder, RunPiece, ServerListReport, ServerReport, ServicePlan, parse_plan,
+    };
     pub use parlance::prelude::*;
     pub use petition::prelude::{
         Asked, Campaign, CampaignRules, Fate, Mix, MixKind, Petition, Report, ask, mix, print_of,
     };
-    pub use primer::prelude::{PrefixHash, RollEntry, block_hashes};
+    pub use primer::prelude::{PrefixHash, ServerEntry, block_hashes};
     pub use serde::{Deserialize, Serialize};
     pub use wicket::prelude::*;
 }
--- a/crates/rehearsal/src/platform.rs
+++ b/crates/rehearsal/src/platform.rs
@@ -13,12 +13,12 @@
 struct Inside {
     lag: Span,
     /// The list as it was from each moment on, oldest first; never empty.
-    lists: VecDeque<(Moment, Vec<RollEntry>)>,
+    lists: VecDeque<(Moment, Vec<ServerEntry>)>,
 }
 
 impl Platform {
     /// Starts one there with this lag.
-    pub fn start(address: Address, lag: Span, servers: Vec<RollEntry>) -> std::io::Result<Platform> {
+    pub fn start(address: Address, lag: Span, servers: Vec<ServerEntry>) -> std::io::Result<Platform> {
         let gate = Gate::open(address.0, GateBounds::default())?;
         let inside = Arc::new(Mutex::new(Inside { lag, lists: VecDeque::from([(Moment(0), servers)]) }));
         let (address, closer, shown) = (gate.address(), gate.closer(), inside.clone());
@@ -33,13 +33,13 @@
                     inside.lists.pop_front();
                 }
                 let servers = inside.lists.front().map(|(_, list)| list.clone()).unwrap_or_default();
-                Reply::json(200, &RollReport { servers })
+                Reply::json(200, &ServerListReport { servers })
             });
         })?;
         Ok(Platform { address, inside, closer })
     }
     /// Changes the list; it shows after the lag.
-    pub fn change(&self, change: impl FnOnce(&mut Vec<RollEntry>)) {
+    pub fn change(&self, change: impl FnOnce(&mut Vec<ServerEntry>)) {
         let mut inside = self.inside.lock().expect("no thread panics with it");
         let mut list = inside.lists.back().map(|(_, list)| list.clone()).unwrap_or_default();
         change(&mut list);
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -53,7 +53,7 @@
     connections: connections::Connections,
     /// Percent of letters that are lost.
     loss: u64,
-    platform: std::collections::VecDeque<(u64, Vec<RollEntry>)>,
+    platform: std::collections::VecDeque<(u64, Vec<ServerEntry>)>,
     orders: BTreeMap<OrderId, SimOrder>,
     operators: operators::Operators,
     history: history::History,
@@ -304,12 +304,12 @@
 
     /// The platform's list as it is now; nodes see it late.
     fn publish(&mut self) {
-        let entry = |server: &ServerMachine| RollEntry {
+        let entry = |server: &ServerMachine| ServerEntry {
             server: server.name.clone(),
             zone: server.zone.clone(),
             pool: server.pool.clone(),
             is_leaving: server.leaving_since.is_some(),
-            ..RollEntry::default()
+            ..ServerEntry::default()
         };
         let list = self.servers.iter().filter(|server| server.is_listed).map(entry).collect();
         self.platform.push_back((self.now, list));
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -349,7 +349,7 @@
         if self.rules.mutant == Some(Mutant::IgnoreLeaving) {
             servers.iter_mut().for_each(|entry| entry.is_leaving = false);
         }
-        self.step_node(machine, NodeInput::Event(DeskEvent::Roll { servers }));
+        self.step_node(machine, NodeInput::Event(DeskEvent::ServerList { servers }));
         let now = Moment(self.now);
         let reports: Vec<DeskEvent> = self.servers.iter().filter_map(|server| self.report_of(server, now)).collect();
         for report in reports {
