--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -225,7 +225,7 @@
     fn step(&mut self, n: usize, input: Input) {
         let now = Moment(self.at);
         let Some(replica) = &mut self.replicas[n] else { return };
-        // As the office does: changes enter while enough members are in touch.
+        // As the controller does: changes enter while enough members are in touch.
         replica.set_has_members(true);
         let mut outputs: VecDeque<Output> = replica.step(now, input).into();
         while let Some(output) = outputs.pop_front() {
--- a/crates/registrar/src/office.rs
+++ b/crates/registrar/src/controller.rs
@@ -2,9 +2,9 @@
 use schematic::ConfigEnum;
 use std::collections::{BTreeMap, VecDeque};
 
-/// The spans that an office goes by besides the replica's own.
+/// The spans that a controller goes by besides the replica's own.
 #[derive(Debug, Clone, Copy)]
-pub struct OfficeTiming {
+pub struct ControllerTiming {
     /// The replica's.
     pub replica: Timing,
     /// A member's lease.
@@ -24,9 +24,9 @@
     pub quorum: Quorum,
 }
 
-impl Default for OfficeTiming {
+impl Default for ControllerTiming {
     fn default() -> Self {
-        OfficeTiming {
+        ControllerTiming {
             replica: Timing::default(),
             lease: Span(2000),
             join: Span(1000),
@@ -63,9 +63,9 @@
     Propose(Proposal),
 }
 
-/// What an office is told.
+/// What a controller is told.
 #[derive(Debug, Clone)]
-pub enum OfficeInput {
+pub enum ControllerInput {
     /// A letter came.
     Letter {
         /// From there.
@@ -98,10 +98,10 @@
     Leave,
 }
 
-/// What an office wants done.
+/// What a controller wants done.
 #[allow(clippy::large_enum_variant)] // A letter is moved once, straight to its line.
 #[derive(Debug, Clone, PartialEq)]
-pub enum OfficeOutput {
+pub enum ControllerOutput {
     /// Send a letter.
     Send {
         /// To there.
@@ -138,9 +138,9 @@
 ///
 /// Invariants: news and answers leave only while the replica may answer. "Accepted" is said only once
 /// as many members as the quorum asks for are known to have the news.
-pub struct Office {
+pub struct Controller {
     replica: Replica<Ledger>,
-    timing: OfficeTiming,
+    timing: ControllerTiming,
     /// Proposed as the fleet's, should there be none.
     key: TokenKey,
     key_due: Moment,
@@ -165,7 +165,7 @@
     /// The last number under which something went out for an operator.
     last_asked: u64,
     next_inner: u64,
-    outputs: Vec<OfficeOutput>,
+    outputs: Vec<ControllerOutput>,
     poll_count: u64,
 }
 
@@ -208,16 +208,22 @@
 /// turns to another registrar.
 const SEEN_WITHIN: Span = Span(700);
 
-/// Numbers from here on are the office's own proposals.
+/// Numbers from here on are the controller's own proposals.
 const INNER: u64 = 1 << 62;
 
-impl Office {
-    /// An office around a replica at the start of its life. `key` is drawn at random; a fleet that has
+impl Controller {
+    /// A controller around a replica at the start of its life. `key` is drawn at random; a fleet that has
     /// none takes the first that is proposed. `incarnation` is drawn at random too: what this life asks
     /// is numbered from there on, so that no late answer to an earlier life is taken for one to this.
-    pub fn new(replica: Replica<Ledger>, timing: OfficeTiming, key: TokenKey, incarnation: u64, now: Moment) -> Self {
+    pub fn new(
+        replica: Replica<Ledger>,
+        timing: ControllerTiming,
+        key: TokenKey,
+        incarnation: u64,
+        now: Moment,
+    ) -> Self {
         let first = incarnation % (INNER / 2);
-        Office {
+        Controller {
             replica,
             timing,
             key,
@@ -261,21 +267,21 @@
     }
 
     /// Takes an input in; gives what is to be done.
-    pub fn step(&mut self, now: Moment, input: OfficeInput) -> Vec<OfficeOutput> {
+    pub fn step(&mut self, now: Moment, input: ControllerInput) -> Vec<ControllerOutput> {
         self.now = self.now.max(now);
         match input {
-            OfficeInput::Letter { from, letter } => self.on_letter(from, letter),
-            OfficeInput::Operator { number, ask } => self.on_operator(number, ask),
-            OfficeInput::Abandoned { number } => {
+            ControllerInput::Letter { from, letter } => self.on_letter(from, letter),
+            ControllerInput::Operator { number, ask } => self.on_operator(number, ask),
+            ControllerInput::Abandoned { number } => {
                 self.waiting.remove(&number);
             }
-            OfficeInput::ClockEvent => {
+            ControllerInput::ClockEvent => {
                 self.drive(Input::ClockEvent);
                 self.on_clock_event();
             }
-            OfficeInput::Written { id } => self.drive(Input::Written { id }),
-            OfficeInput::DiskFault => self.drive(Input::DiskFault),
-            OfficeInput::Leave => self.drive(Input::Leave),
+            ControllerInput::Written { id } => self.drive(Input::Written { id }),
+            ControllerInput::DiskFault => self.drive(Input::DiskFault),
+            ControllerInput::Leave => self.drive(Input::Leave),
         }
         self.release();
         std::mem::take(&mut self.outputs)
@@ -291,7 +297,7 @@
             match output {
                 Output::Send { to, note } => self.send_note(to, note),
                 Output::Write { id, records, is_whole } => {
-                    self.outputs.push(OfficeOutput::Write { id, records, is_whole });
+                    self.outputs.push(ControllerOutput::Write { id, records, is_whole });
                 }
                 Output::Reply { number, is_replied, body } => self.on_reply(number, is_replied, body),
                 Output::Judged { ticket, body } if self.is_firm(self.replica.state_machine().epoch) => {
@@ -306,7 +312,7 @@
                     self.leases.clear();
                     self.leases_since = self.now;
                     self.retire_due = self.now + self.timing.retire_after;
-                    self.outputs.push(OfficeOutput::ViewChanged(view));
+                    self.outputs.push(ControllerOutput::ViewChanged(view));
                 }
             }
         }
@@ -319,12 +325,12 @@
             Note::Propose { body, .. } | Note::Judge { body, .. } => body.len() > 64 << 10,
             _ => false,
         };
-        self.outputs.push(OfficeOutput::Send { to, is_bulk, letter: Letter::Note { note: Box::new(note) } });
+        self.outputs.push(ControllerOutput::Send { to, is_bulk, letter: Letter::Note { note: Box::new(note) } });
     }
 
     fn send(&mut self, to: Address, letter: Letter) {
         let is_bulk = matches!(letter, Letter::PlanPiece { .. } | Letter::Told { .. });
-        self.outputs.push(OfficeOutput::Send { to, is_bulk, letter });
+        self.outputs.push(ControllerOutput::Send { to, is_bulk, letter });
     }
 
     fn on_letter(&mut self, from: Address, letter: Letter) {
@@ -626,7 +632,7 @@
                 if self.may_reply() || (is_base && is_known_here()) {
                     self.waiting.remove(&number);
                     let (status, body) = self.read(&reading);
-                    self.outputs.push(OfficeOutput::Reply { number, status, body });
+                    self.outputs.push(ControllerOutput::Reply { number, status, body });
                 } else {
                     self.ask_tail(number, reading);
                 }
@@ -671,7 +677,7 @@
             return self.clear(number, status, body);
         }
         self.waiting.remove(&number);
-        self.outputs.push(OfficeOutput::Reply { number, status, body });
+        self.outputs.push(ControllerOutput::Reply { number, status, body });
     }
 
     /// The tail's word on what is to be known before it's proposed: which epoch is the newest, or whether those
@@ -699,7 +705,7 @@
             503 if self.now < waiting.patience_due => {}
             _ => {
                 self.waiting.remove(&number);
-                self.outputs.push(OfficeOutput::Reply { number, status, body });
+                self.outputs.push(ControllerOutput::Reply { number, status, body });
             }
         }
     }
@@ -708,7 +714,7 @@
         self.waiting.remove(&number);
         let body = serde_json::json!({"code": code.number(), "result": code.word(), "why": code.meaning()});
         let body = serde_json::to_vec(&body).expect("a JSON value is JSON");
-        self.outputs.push(OfficeOutput::Reply { number, status: code.http_status(), body });
+        self.outputs.push(ControllerOutput::Reply { number, status: code.http_status(), body });
     }
 
     /// The core's answer to a proposal made here, taken only for the newest try of an operator's.
@@ -718,7 +724,7 @@
         if is_replied {
             self.waiting.remove(&number);
             let status = status_of(&body);
-            self.outputs.push(OfficeOutput::Reply { number, status, body });
+            self.outputs.push(ControllerOutput::Reply { number, status, body });
         } else if self.now < waiting.patience_due {
             // The core did not take it, so asking again can't do it twice.
             waiting.next_try = Some(self.now + self.timing.replica.retry);
--- a/crates/registrar/src/office/tests.rs
+++ b/crates/registrar/src/controller/tests.rs
@@ -2,11 +2,11 @@
 
 /// Registrar 2 in a chain of 1, 2, 3: it proposes to 1 and asks 3.
 struct Played {
-    office: Office,
+    controller: Controller,
     at: u64,
 }
 
-/// What left the office, of what a trace is about.
+/// What left the controller, of what a trace is about.
 #[derive(Debug, PartialEq)]
 enum Left {
     Ask(u16, u64),
@@ -21,42 +21,44 @@
         let view = View { epoch: ViewEpoch(1), chain, voters: (1..=3).map(voter).collect() };
         let kept = Kept { records: vec![Record::View { view }] };
         let founders = (1..=3).map(Address::loopback).collect();
-        let (timing, at) = (OfficeTiming::default(), 10_000);
+        let (timing, at) = (ControllerTiming::default(), 10_000);
         let replica = Replica::new(voter(2), founders, timing.replica, kept, Ledger::default(), Moment(at)).unwrap();
-        Played { office: Office::new(replica, timing, TokenKey([3; 32]), incarnation, Moment(at)), at }
+        Played { controller: Controller::new(replica, timing, TokenKey([3; 32]), incarnation, Moment(at)), at }
     }
-    fn step(&mut self, after: u64, input: OfficeInput) -> Vec<Left> {
+    fn step(&mut self, after: u64, input: ControllerInput) -> Vec<Left> {
         self.at += after;
         let left = |output| match output {
-            OfficeOutput::Send { to, letter: Letter::Note { note }, .. } => match *note {
+            ControllerOutput::Send { to, letter: Letter::Note { note }, .. } => match *note {
                 Note::Propose { ticket, .. } => Some(Left::Propose(to.0.port(), ticket.number)),
                 _ => None,
             },
-            OfficeOutput::Send { to, letter: Letter::Ask { number, .. }, .. } => Some(Left::Ask(to.0.port(), number)),
-            OfficeOutput::Reply { number, status, .. } => Some(Left::Reply(number, status)),
+            ControllerOutput::Send { to, letter: Letter::Ask { number, .. }, .. } => {
+                Some(Left::Ask(to.0.port(), number))
+            }
+            ControllerOutput::Reply { number, status, .. } => Some(Left::Reply(number, status)),
             _ => None,
         };
-        self.office.step(Moment(self.at), input).into_iter().filter_map(left).collect()
+        self.controller.step(Moment(self.at), input).into_iter().filter_map(left).collect()
     }
     fn tick(&mut self, after: u64) -> Vec<Left> {
-        self.step(after, OfficeInput::ClockEvent)
+        self.step(after, ControllerInput::ClockEvent)
     }
     fn read(&mut self, number: u64) -> Vec<Left> {
-        self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Read(Reading::Latest) })
+        self.step(0, ControllerInput::Operator { number, ask: OperatorAsk::Read(Reading::Latest) })
     }
     fn propose(&mut self, number: u64, command: Command) -> Vec<Left> {
         let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), command };
-        self.step(0, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
+        self.step(0, ControllerInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn told(&mut self, from: u16, number: u64) -> Vec<Left> {
         let letter = Letter::Told { number, status: 200, body: br#"{"heard":[]}"#.to_vec() };
-        self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
+        self.step(5, ControllerInput::Letter { from: Address::loopback(from), letter })
     }
     fn reply(&mut self, from: u16, number: u64, is_replied: bool) -> Vec<Left> {
         let body = serde_json::json!({"code": ResultCode::Accepted.number(), "epoch": 1});
         let body = if is_replied { body.to_string().into_bytes() } else { vec![] };
         let letter = Letter::Note { note: Box::new(Note::Reply { number, is_replied, body }) };
-        self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
+        self.step(5, ControllerInput::Letter { from: Address::loopback(from), letter })
     }
 }
 
@@ -95,7 +97,7 @@
 fn a_zone_s_change_goes_out_only_with_what_the_tail_said_soon_after_it_came() {
     let newest = |number: u64| {
         let letter = Letter::Told { number, status: 200, body: 9u64.to_be_bytes().to_vec() };
-        OfficeInput::Letter { from: Address::loopback(3), letter }
+        ControllerInput::Letter { from: Address::loopback(3), letter }
     };
     let mut played = Played::new(1000);
     assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
@@ -108,7 +110,7 @@
 
     let mut played = Played::new(1000);
     assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
-    assert_eq!(played.step(10, OfficeInput::Abandoned { number: 30 }), []);
+    assert_eq!(played.step(10, ControllerInput::Abandoned { number: 30 }), []);
     assert_eq!(played.step(10, newest(1001)), [], "nobody waits for it any more");
     assert_eq!(played.tick(250), []);
 }
@@ -170,7 +172,7 @@
 
 /// One registrar alone, its disk at once synced, that goes by this quorum.
 struct Alone {
-    office: Office,
+    controller: Controller,
     at: u64,
 }
 
@@ -178,21 +180,21 @@
     fn new(quorum: Quorum) -> Self {
         let voter = Voter { address: Address::loopback(1), disk: DiskId(1) };
         let view = View { epoch: ViewEpoch(1), chain: vec![Seat { voter, is_level: true }], voters: vec![voter] };
-        let mut timing = OfficeTiming { quorum, ..OfficeTiming::default() };
+        let mut timing = ControllerTiming { quorum, ..ControllerTiming::default() };
         timing.replica.copies = 1;
         let kept = Kept { records: vec![Record::View { view }] };
         let replica = Replica::new(voter, vec![], timing.replica, kept, Ledger::default(), Moment(10_000)).unwrap();
-        Alone { office: Office::new(replica, timing, TokenKey([3; 32]), 0, Moment(10_000)), at: 10_000 }
+        Alone { controller: Controller::new(replica, timing, TokenKey([3; 32]), 0, Moment(10_000)), at: 10_000 }
     }
     /// Takes an input, syncs what it writes; gives the codes that operators are told.
-    fn step(&mut self, after: u64, input: OfficeInput) -> Vec<(u64, u64)> {
+    fn step(&mut self, after: u64, input: ControllerInput) -> Vec<(u64, u64)> {
         self.at += after;
         let (mut inputs, mut told) = (VecDeque::from([input]), vec![]);
         while let Some(input) = inputs.pop_front() {
-            for output in self.office.step(Moment(self.at), input) {
+            for output in self.controller.step(Moment(self.at), input) {
                 match output {
-                    OfficeOutput::Write { id, .. } => inputs.push_back(OfficeInput::Written { id }),
-                    OfficeOutput::Reply { number, body, .. } => {
+                    ControllerOutput::Write { id, .. } => inputs.push_back(ControllerInput::Written { id }),
+                    ControllerOutput::Reply { number, body, .. } => {
                         let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
                         told.push((number, body["code"].as_u64().unwrap()));
                     }
@@ -203,20 +205,20 @@
         told
     }
     fn ticks(&mut self, span: u64) -> Vec<(u64, u64)> {
-        (0..span / 50).flat_map(|_| self.step(50, OfficeInput::ClockEvent)).collect()
+        (0..span / 50).flat_map(|_| self.step(50, ControllerInput::ClockEvent)).collect()
     }
     fn poll(&mut self, from: u16, epoch: u64) -> Vec<(u64, u64)> {
         let member = Member { address: Address::loopback(from), zone: "east".into() };
         let poll = Poll { member, round: 1, epoch: Epoch(epoch), view: ViewEpoch(1), has_key: true, hears: vec![] };
         let letter = Letter::Poll { poll: Box::new(poll) };
-        self.step(5, OfficeInput::Letter { from: Address::loopback(from), letter })
+        self.step(5, ControllerInput::Letter { from: Address::loopback(from), letter })
     }
     fn withdraw(&mut self, number: u64) -> Vec<(u64, u64)> {
         let proposal = Proposal { id: format!("op-{number}"), builds_on: None, seen: Epoch(0), command: withdraw() };
-        self.step(5, OfficeInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
+        self.step(5, ControllerInput::Operator { number, ask: OperatorAsk::Propose(proposal) })
     }
     fn epoch(&self) -> u64 {
-        self.office.replica().state_machine().epoch.0
+        self.controller.replica().state_machine().epoch.0
     }
 }
 
@@ -227,7 +229,7 @@
     played.ticks(3000);
     played.poll(9, 0);
     played.ticks(100);
-    let is_held = |played: &Alone| !played.office.members(Moment(played.at)).is_empty();
+    let is_held = |played: &Alone| !played.controller.members(Moment(played.at)).is_empty();
     assert!(is_held(&played), "it was let in and given a lease");
     assert_eq!(played.withdraw(1), []);
     assert_eq!(played.ticks(300), [], "the one that holds a lease has not said that it knows");
--- a/crates/registrar/src/core_line.rs
+++ b/crates/registrar/src/core_line.rs
@@ -54,11 +54,11 @@
 pub struct CoreLine {
     replies: Replies,
     counter: AtomicU64,
-    tell: Box<dyn Fn(OfficeInput) + Send + Sync>,
+    tell: Box<dyn Fn(ControllerInput) + Send + Sync>,
 }
 
 impl CoreLine {
-    pub(crate) fn new(replies: Replies, tell: impl Fn(OfficeInput) + Send + Sync + 'static) -> Self {
+    pub(crate) fn new(replies: Replies, tell: impl Fn(ControllerInput) + Send + Sync + 'static) -> Self {
         CoreLine { replies, counter: AtomicU64::new(1), tell: Box::new(tell) }
     }
     /// Asks, and waits for status and body while the attempt lasts. What it leaves unfinished is given up.
@@ -76,11 +76,11 @@
             }
             waiting.insert(number, reply);
         }
-        (self.tell)(OfficeInput::Operator { number, ask });
+        (self.tell)(ControllerInput::Operator { number, ask });
         let told = Self::wait(&inbox, attempt);
         self.replies.waiting().remove(&number);
         told.ok_or_else(|| {
-            (self.tell)(OfficeInput::Abandoned { number });
+            (self.tell)(ControllerInput::Abandoned { number });
             Box::new(Reply::result(ResultCode::FateUnknown, "no answer in time"))
         })
     }
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -9,7 +9,7 @@
 
 /// What reaches the control thread.
 enum Event {
-    Input(OfficeInput),
+    Input(ControllerInput),
     Disk(u64, DiskEvent),
     Believes(flume::Sender<serde_json::Value>),
 }
@@ -104,7 +104,7 @@
     .map_err(|fault| format!("folder = {}: {fault}", settings.folder))?;
     let take_letter = sender.clone();
     let post = Post::open(listener, move |from, letter| {
-        let _ = take_letter.send(Event::Input(OfficeInput::Letter { from, letter }));
+        let _ = take_letter.send(Event::Input(ControllerInput::Letter { from, letter }));
     })
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
 
@@ -130,7 +130,7 @@
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, inner {inner}, zone {}.", settings.zone);
-    let mut timing = OfficeTiming::default();
+    let mut timing = ControllerTiming::default();
     timing.replica.copies = settings.copies as usize;
     timing.replica.voters = settings.voters as usize;
     timing.quorum = settings.quorum;
@@ -144,7 +144,7 @@
         replies,
         is_ready,
         tallies,
-        office: None,
+        controller: None,
         life: 0,
         fault: None,
     };
@@ -156,8 +156,8 @@
             break;
         }
         if now >= next_tick {
-            control.take(Event::Input(OfficeInput::ClockEvent));
-            next_tick = control.office.as_ref().map_or(now, Office::next_due).max(now + SHORTEST_TICK);
+            control.take(Event::Input(ControllerInput::ClockEvent));
+            next_tick = control.controller.as_ref().map_or(now, Controller::next_due).max(now + SHORTEST_TICK);
             next_tick = next_tick.min(now + LONGEST_TICK);
         }
         match events.recv_timeout(now.until(next_tick).duration()) {
@@ -166,8 +166,8 @@
             Err(flume::RecvTimeoutError::Disconnected) => break,
         }
         // What came may have made something due sooner.
-        if let Some(office) = &control.office {
-            next_tick = next_tick.min(office.next_due().max(now + SHORTEST_TICK));
+        if let Some(controller) = &control.controller {
+            next_tick = next_tick.min(controller.next_due().max(now + SHORTEST_TICK));
         }
     }
     tracing::info!("registrar: stopped.");
@@ -190,13 +190,13 @@
     inner: Address,
     founders: Vec<Address>,
     seeds: Vec<Address>,
-    timing: OfficeTiming,
+    timing: ControllerTiming,
     disk_thread: DiskThread,
     post: Post,
     replies: Replies,
     is_ready: Arc<AtomicBool>,
     tallies: Arc<Tallies>,
-    office: Option<Office>,
+    controller: Option<Controller>,
     life: u64,
     fault: Option<String>,
 }
@@ -204,8 +204,8 @@
 impl Control {
     /// Told to stop: asks the others to take over, and says when they have or when the time is up.
     fn may_stop(&mut self, now: Moment, since: Moment) -> bool {
-        self.step(now, OfficeInput::Leave);
-        let has_handed_over = self.office.as_ref().is_none_or(|office| office.replica().has_handed_over());
+        self.step(now, ControllerInput::Leave);
+        let has_handed_over = self.controller.as_ref().is_none_or(|controller| controller.replica().has_handed_over());
         has_handed_over || now.since(since) >= LONGEST_HAND_OVER
     }
 
@@ -215,7 +215,7 @@
             Event::Input(input) => self.step(now, input),
             Event::Disk(life, DiskEvent::Ready { disk, kept }) => self.begin(life, disk, kept),
             Event::Disk(life, DiskEvent::Written { id }) if life == self.life => {
-                self.step(now, OfficeInput::Written { id });
+                self.step(now, ControllerInput::Written { id });
             }
             Event::Disk(life, DiskEvent::Fault { why }) => {
                 if self.fault.as_ref() != Some(&why) {
@@ -224,7 +224,7 @@
                 }
                 self.tallies.faults.fetch_add(1, Ordering::Relaxed);
                 if life == self.life {
-                    self.step(now, OfficeInput::DiskFault);
+                    self.step(now, ControllerInput::DiskFault);
                 }
             }
             Event::Disk(..) => {}
@@ -232,8 +232,8 @@
                 let _ = reply.send(self.believes(now));
             }
         }
-        if let Some(office) = &self.office {
-            let is_ready = office.replica().is_serving(now);
+        if let Some(controller) = &self.controller {
+            let is_ready = controller.replica().is_serving(now);
             self.is_ready.store(is_ready, Ordering::Relaxed);
         }
     }
@@ -251,32 +251,32 @@
                 self.disk_thread.begin(life);
                 self.fault = None;
                 let (key, incarnation) = (TokenKey(random_bytes()), u64::from_ne_bytes(random_bytes()));
-                self.office = Some(Office::new(replica, timing, key, incarnation, now));
+                self.controller = Some(Controller::new(replica, timing, key, incarnation, now));
             }
             Err(fault) => {
                 tracing::error!("registrar: {} {fault}; the folder must be emptied by hand.", ResultCode::DiskFault);
                 self.fault = Some(fault.to_string());
-                self.office = None;
+                self.controller = None;
             }
         }
     }
 
-    fn step(&mut self, now: Moment, input: OfficeInput) {
-        let Some(office) = &mut self.office else { return };
-        for output in office.step(now, input) {
+    fn step(&mut self, now: Moment, input: ControllerInput) {
+        let Some(controller) = &mut self.controller else { return };
+        for output in controller.step(now, input) {
             match output {
-                OfficeOutput::Send { to, is_bulk, letter } => {
+                ControllerOutput::Send { to, is_bulk, letter } => {
                     let class = if is_bulk { PostClass::Bulk } else { PostClass::Swift };
                     self.post.send(to, class, letter);
                 }
-                OfficeOutput::Write { id, records, is_whole } => {
+                ControllerOutput::Write { id, records, is_whole } => {
                     self.tallies.writes.fetch_add(1, Ordering::Relaxed);
                     self.disk_thread.write(id, records, is_whole);
                 }
-                OfficeOutput::Reply { number, status, body } => {
+                ControllerOutput::Reply { number, status, body } => {
                     self.replies.give(number, status, body);
                 }
-                OfficeOutput::ViewChanged(view) => {
+                ControllerOutput::ViewChanged(view) => {
                     let seat = |seat: &Seat| match seat.is_level {
                         true => seat.voter.address.to_string(),
                         false => format!("{} (not level yet)", seat.voter.address),
@@ -286,21 +286,21 @@
                 }
             }
         }
-        let ledger = office.replica().state_machine();
+        let ledger = controller.replica().state_machine();
         self.tallies.epoch.store(ledger.epoch.0, Ordering::Relaxed);
         self.tallies.members.store(ledger.membership.members.len() as u64, Ordering::Relaxed);
-        let view = office.replica().view();
+        let view = controller.replica().view();
         self.tallies.view.store(view.epoch.0, Ordering::Relaxed);
         self.tallies.chain.store(view.chain.len() as u64, Ordering::Relaxed);
-        self.tallies.polls.store(office.poll_count(), Ordering::Relaxed);
+        self.tallies.polls.store(controller.poll_count(), Ordering::Relaxed);
     }
 
     fn believes(&self, now: Moment) -> serde_json::Value {
-        let Some(office) = &self.office else {
+        let Some(controller) = &self.controller else {
             return serde_json::json!({"inner": self.inner, "fault": self.fault});
         };
-        let state = office.replica().state();
-        let ledger = office.replica().state_machine();
+        let state = controller.replica().state();
+        let ledger = controller.replica().state_machine();
         serde_json::json!({
             "inner": self.inner,
             "disk": state.me.disk.to_string(),
@@ -319,7 +319,7 @@
             "plan_epoch": ledger.plan_epoch,
             "withdrawn": ledger.withdrawn,
             "members": ledger.membership.members,
-            "leases": office.members(now).iter().map(|(a, e)| (a.to_string(), e.0)).collect::<std::collections::BTreeMap<_, _>>(),
+            "leases": controller.members(now).iter().map(|(a, e)| (a.to_string(), e.0)).collect::<std::collections::BTreeMap<_, _>>(),
         })
     }
 }
--- a/crates/registrar/src/desk/tests.rs
+++ b/crates/registrar/src/desk/tests.rs
@@ -7,7 +7,7 @@
     let words = Arc::new(std::sync::Mutex::new(std::collections::VecDeque::from(words)));
     let giver = replies.clone();
     CoreLine::new(replies, move |input| {
-        let OfficeInput::Operator { number, .. } = input else { return };
+        let ControllerInput::Operator { number, .. } = input else { return };
         if let Some((status, body)) = words.lock().unwrap().pop_front() {
             giver.give(number, status, body);
         }
@@ -71,7 +71,8 @@
     assert!(heard.lock().unwrap().is_empty(), "nobody waits for it, so nothing was begun");
     silent.carry(call, &OwnPlans, &[], true, &Attempt::new(Span(20), None));
     let heard = heard.lock().unwrap();
-    let [OfficeInput::Operator { number, .. }, OfficeInput::Abandoned { number: given_up }] = heard.as_slice() else {
+    let [ControllerInput::Operator { number, .. }, ControllerInput::Abandoned { number: given_up }] = heard.as_slice()
+    else {
         panic!("{heard:?}")
     };
     assert_eq!(number, given_up);
--- a/crates/registrar/tests/concurrent_operators.rs
+++ b/crates/registrar/tests/concurrent_operators.rs
@@ -165,7 +165,7 @@
             DeskStep::Ask(ask) => {
                 door.is_about_fate = matches!(ask, OperatorAsk::Read(Reading::Fate { .. }));
                 let machine = door.machine;
-                self.core.tell(machine, OfficeInput::Operator { number, ask });
+                self.core.tell(machine, ControllerInput::Operator { number, ask });
             }
             DeskStep::Answer(answer) => {
                 let is_about_fate = door.is_about_fate;
@@ -324,7 +324,7 @@
         for number in over {
             let Some(door) = self.doors.get_mut(&number) else { continue };
             let (machine, step) = (door.machine, door.task.on_told(None));
-            self.core.tell(machine, OfficeInput::Abandoned { number });
+            self.core.tell(machine, ControllerInput::Abandoned { number });
             self.take_step(number, step);
             self.doors.remove(&number);
         }
--- a/crates/registrar/tests/control/mod.rs
+++ b/crates/registrar/tests/control/mod.rs
@@ -38,7 +38,7 @@
     disk: DiskId,
     durable: Vec<Record>,
     unsynced: VecDeque<(u64, Vec<Record>, bool)>,
-    office: Option<Office>,
+    controller: Option<Controller>,
     lives: u64,
 }
 
@@ -76,7 +76,7 @@
             disk: voter(n).disk,
             durable: vec![Record::View { view: view.clone() }],
             unsynced: VecDeque::new(),
-            office: None,
+            controller: None,
             lives: 0,
         };
         let mut core = Core {
@@ -106,21 +106,21 @@
 
     /// Whether it runs.
     pub fn is_up(&self, machine: usize) -> bool {
-        self.machines[machine].office.is_some()
+        self.machines[machine].controller.is_some()
     }
     /// The machine that may answer for the core now.
     pub fn tail(&self) -> Option<usize> {
-        let may_reply = |office: &Office| office.replica().may_reply(Moment(self.now));
-        (0..3).find(|n| self.machines[*n].office.as_ref().is_some_and(may_reply))
+        let may_reply = |controller: &Controller| controller.replica().may_reply(Moment(self.now));
+        (0..3).find(|n| self.machines[*n].controller.as_ref().is_some_and(may_reply))
     }
     /// The first of the chain, as the tail knows it.
     pub fn head(&self) -> Option<usize> {
-        let office = self.machines[self.tail()?].office.as_ref()?;
-        office.replica().view().head().map(|head| usize::from(head.address.0.port()) - 1)
+        let controller = self.machines[self.tail()?].controller.as_ref()?;
+        controller.replica().view().head().map(|head| usize::from(head.address.0.port()) - 1)
     }
     /// What a machine's disk came to.
     pub fn ledger(&self, machine: usize) -> Option<&Ledger> {
-        self.machines[machine].office.as_ref().map(|office| office.replica().state_machine())
+        self.machines[machine].controller.as_ref().map(|controller| controller.replica().state_machine())
     }
     /// What was accepted, as the tail has it.
     pub fn accepted(&self) -> Option<&Ledger> {
@@ -130,10 +130,10 @@
     /// Starts a machine from what its disk holds.
     pub fn start(&mut self, machine: usize) {
         let now = Moment(self.now);
-        let timing = OfficeTiming::default();
+        let timing = ControllerTiming::default();
         let founders = (0..3).map(address).collect();
         let m = &mut self.machines[machine];
-        if m.office.is_some() {
+        if m.controller.is_some() {
             return;
         }
         m.lives += 1;
@@ -141,12 +141,12 @@
         let me = Voter { address: address(machine), disk: m.disk };
         let kept = Kept { records: m.durable.clone() };
         let replica = Replica::new(me, founders, timing.replica, kept, Ledger::default(), now).expect("a sound disk");
-        m.office = Some(Office::new(replica, timing, TokenKey([machine as u8; 32]), incarnation, now));
+        m.controller = Some(Controller::new(replica, timing, TokenKey([machine as u8; 32]), incarnation, now));
     }
     /// Ends it; what was not synced is lost, and so is what is on its way to it.
     pub fn kill(&mut self, machine: usize) {
         let m = &mut self.machines[machine];
-        m.office = None;
+        m.controller = None;
         m.unsynced.clear();
         self.lines.iter_mut().filter(|((_, to), _)| *to == machine).for_each(|(_, (_, letters))| letters.clear());
     }
@@ -174,19 +174,19 @@
     }
 
     /// Tells a machine something; what follows from it happens in [`Core::advance`] and [`Core::run`].
-    pub fn tell(&mut self, machine: usize, input: OfficeInput) {
+    pub fn tell(&mut self, machine: usize, input: ControllerInput) {
         let now = Moment(self.now);
-        let Some(office) = &mut self.machines[machine].office else { return };
-        for output in office.step(now, input) {
+        let Some(controller) = &mut self.machines[machine].controller else { return };
+        for output in controller.step(now, input) {
             match output {
-                OfficeOutput::Send { to, letter, .. } => self.send(machine, usize::from(to.0.port()) - 1, letter),
-                OfficeOutput::Write { id, records, is_whole } => {
+                ControllerOutput::Send { to, letter, .. } => self.send(machine, usize::from(to.0.port()) - 1, letter),
+                ControllerOutput::Write { id, records, is_whole } => {
                     self.machines[machine].unsynced.push_back((id, records, is_whole));
                 }
-                OfficeOutput::Reply { number, status, body } => {
+                ControllerOutput::Reply { number, status, body } => {
                     self.answers.insert(number, (status, body));
                 }
-                OfficeOutput::ViewChanged(_) => {}
+                ControllerOutput::ViewChanged(_) => {}
             }
         }
     }
@@ -239,7 +239,7 @@
             Some((from, to)) => {
                 let letter = self.lines.get_mut(&(*from, *to)).and_then(|line| line.1.pop_front());
                 let letter = letter.expect("it was not empty");
-                self.tell(*to, OfficeInput::Letter { from: address(*from), letter });
+                self.tell(*to, ControllerInput::Letter { from: address(*from), letter });
             }
             None => self.sync(disks[choice - lines.len()]),
         }
@@ -253,7 +253,7 @@
             m.durable.clear();
         }
         m.durable.extend(records);
-        self.tell(machine, OfficeInput::Written { id });
+        self.tell(machine, ControllerInput::Written { id });
     }
 
     /// Lets so much time pass; all that can happen meanwhile does.
@@ -272,7 +272,7 @@
     /// One clock event at each.
     pub fn tick(&mut self) {
         self.now += TICK;
-        (0..3).for_each(|machine| self.tell(machine, OfficeInput::ClockEvent));
+        (0..3).for_each(|machine| self.tell(machine, ControllerInput::ClockEvent));
     }
     /// Runs until there is an answer, for so long at most.
     pub fn await_answer(&mut self, number: u64, span: u64) -> Option<(u16, Vec<u8>)> {
--- a/crates/registrar/tests/delayed_and_refused.rs
+++ b/crates/registrar/tests/delayed_and_refused.rs
@@ -29,7 +29,7 @@
 }
 
 fn ask(core: &mut Core, machine: usize, number: u64, ask: OperatorAsk) {
-    core.tell(machine, OfficeInput::Operator { number, ask });
+    core.tell(machine, ControllerInput::Operator { number, ask });
 }
 
 fn status(core: &mut Core, machine: usize, number: u64, what: OperatorAsk) -> Option<u16> {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -4,7 +4,7 @@
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use layout::prelude::{AsSent, Command, Ledger, Proposal};
 use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
-use registrar::prelude::{Office, OfficeInput, OfficeOutput, OfficeTiming, OperatorAsk, Quorum};
+use registrar::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -79,7 +79,7 @@
     address: Address,
     zone: ZoneName,
     offset: u64,
-    office: Option<Office>,
+    controller: Option<Controller>,
     life: u64,
     frozen_until: u64,
     late: Vec<Happening>,
@@ -99,8 +99,8 @@
 
 impl RegistrarMachine {
     fn new(address: Address, zone: ZoneName, offset: u64, disk: SimDisk) -> Self {
-        let (office, life, frozen_until, late, is_gone) = (None, 0, 0, vec![], false);
-        RegistrarMachine { address, zone, offset, office, life, frozen_until, late, disk, is_gone }
+        let (controller, life, frozen_until, late, is_gone) = (None, 0, 0, vec![], false);
+        RegistrarMachine { address, zone, offset, controller, life, frozen_until, late, disk, is_gone }
     }
 }
 
--- a/crates/rehearsal/src/world/aimed.rs
+++ b/crates/rehearsal/src/world/aimed.rs
@@ -112,7 +112,7 @@
         if self.registrars[machine].is_gone || self.now >= self.rules.span.0 {
             return;
         }
-        if !self.is_core_whole() || self.registrars[machine].office.is_none() {
+        if !self.is_core_whole() || self.registrars[machine].controller.is_none() {
             return self.put(1000, Happening::Retire { machine });
         }
         // It ends by itself, once its disk is done.
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -403,7 +403,7 @@
             .registrars
             .iter()
             .filter(|m| self.now >= m.frozen_until)
-            .filter(|m| m.office.as_ref().is_some_and(|o| o.replica().may_reply(Moment(self.now + m.offset))))
+            .filter(|m| m.controller.as_ref().is_some_and(|o| o.replica().may_reply(Moment(self.now + m.offset))))
             .map(|m| m.address)
             .collect();
         if tails.len() > 1 {
@@ -417,7 +417,9 @@
         let Some(view) = self.witness.decided.values().next_back() else { return false };
         let is_up = |seat: &college::prelude::Seat| {
             let mut machines = self.registrars.iter().filter(|m| m.address == seat.voter.address && !m.is_gone);
-            let knows = |m: &RegistrarMachine| m.office.as_ref().is_some_and(|office| office.replica().view() == view);
+            let knows = |m: &RegistrarMachine| {
+                m.controller.as_ref().is_some_and(|controller| controller.replica().view() == view)
+            };
             machines.any(|m| m.disk.id == seat.voter.disk && knows(m))
         };
         view.chain.len() >= self.registrar_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
@@ -429,13 +431,13 @@
             let level = self.witness.level_ms;
             self.witness.violate(now, format!("all registrars were level again after {level:?} ms"));
         }
-        let tail = self
-            .registrars
-            .iter()
-            .position(|m| m.office.as_ref().is_some_and(|office| office.replica().may_reply(Moment(now + m.offset))));
+        let tail = self.registrars.iter().position(|m| {
+            m.controller.as_ref().is_some_and(|controller| controller.replica().may_reply(Moment(now + m.offset)))
+        });
         self.history.judge().into_iter().for_each(|what| self.witness.violate(now, what));
         self.witness.calls = self.history.lines();
-        let ledger = tail.and_then(|place| self.registrars[place].office.as_ref()).map(|o| o.replica().state_machine());
+        let ledger =
+            tail.and_then(|place| self.registrars[place].controller.as_ref()).map(|o| o.replica().state_machine());
         self.witness.conclude(now, ledger);
         if let Some(view) = self.witness.decided.values().next_back() {
             let (seated, wanted) = (view.chain.len(), self.registrar_count());
--- a/crates/rehearsal/src/world/disk_losses.rs
+++ b/crates/rehearsal/src/world/disk_losses.rs
@@ -7,12 +7,12 @@
     /// one be lost.
     pub(super) fn is_core_whole(&self) -> bool {
         let now = self.now;
-        let offices = self.registrars.iter().filter_map(|m| m.office.as_ref());
-        let Some(view) = offices.map(|office| office.replica().view()).max_by_key(|view| view.epoch) else {
+        let controllers = self.registrars.iter().filter_map(|m| m.controller.as_ref());
+        let Some(view) = controllers.map(|controller| controller.replica().view()).max_by_key(|view| view.epoch) else {
             return false;
         };
         let is_up = |seat: &college::prelude::Seat| {
-            let mut machines = self.registrars.iter().filter(|m| !m.is_gone && m.office.is_some());
+            let mut machines = self.registrars.iter().filter(|m| !m.is_gone && m.controller.is_some());
             machines.any(|m| {
                 seat.voter == Voter { address: m.address, disk: m.disk.id }
                     && now >= m.frozen_until
@@ -58,8 +58,8 @@
     /// Wipes as many disks as may be lost at once and cuts all power, while each machine votes with its disk:
     /// only then do most voters remain.
     pub(super) fn lose_budget(&mut self, pick: u64, back: u64) {
-        let offices = self.registrars.iter().filter_map(|m| m.office.as_ref());
-        let newest = offices.map(|office| office.replica().view()).max_by_key(|view| view.epoch);
+        let controllers = self.registrars.iter().filter_map(|m| m.controller.as_ref());
+        let newest = controllers.map(|controller| controller.replica().view()).max_by_key(|view| view.epoch);
         let is_voter =
             |m: &&RegistrarMachine| newest.is_some_and(|v| v.has_voter(&Voter { address: m.address, disk: m.disk.id }));
         let all: Vec<usize> = (0..self.registrars.len()).filter(|place| !self.registrars[*place].is_gone).collect();
--- a/crates/rehearsal/src/world/door.rs
+++ b/crates/rehearsal/src/world/door.rs
@@ -19,7 +19,7 @@
     pub(super) fn on_call_reaches(&mut self, machine: usize, life: u64, call: u64) {
         let happening = Happening::CallReaches { machine, life, call };
         let m = &self.registrars[machine];
-        if m.life != life || m.office.is_none() {
+        if m.life != life || m.controller.is_none() {
             // Refused or reset: the operator knows at once.
             return self.on_silence(call);
         }
@@ -48,13 +48,13 @@
 
     /// A registrar sees that an operator's connection is closed.
     pub(super) fn on_hang_up(&mut self, machine: usize, life: u64, call: u64) {
-        let is_same = self.registrars[machine].life == life && self.registrars[machine].office.is_some();
+        let is_same = self.registrars[machine].life == life && self.registrars[machine].controller.is_some();
         if !is_same || !self.is_awake(true, machine, &Happening::HangUp { machine, life, call }) {
             return;
         }
         self.door.remove(&call);
         if self.operators.asked.remove(&call).is_some() {
-            self.step_office(machine, OfficeInput::Abandoned { number: call });
+            self.step_controller(machine, ControllerInput::Abandoned { number: call });
         }
     }
 
@@ -63,13 +63,13 @@
         if self.rules.mutant == Some(Mutant::StaleReads) && matches!(reading, Reading::Epoch { .. }) {
             return self.read_here(machine, call);
         }
-        self.step_office(machine, OfficeInput::Operator { number: call, ask: OperatorAsk::Read(reading) });
+        self.step_controller(machine, ControllerInput::Operator { number: call, ask: OperatorAsk::Read(reading) });
     }
 
     /// For the mutant: the plan as this registrar has it.
     fn read_here(&mut self, machine: usize, call: u64) {
-        let office = self.registrars[machine].office.as_ref();
-        let plan = office.map(|office| office.replica().state_machine().plan.clone()).unwrap_or_default();
+        let controller = self.registrars[machine].controller.as_ref();
+        let plan = controller.map(|controller| controller.replica().state_machine().plan.clone()).unwrap_or_default();
         self.on_operator_reply(call, if plan.is_empty() { 404 } else { 200 }, &plan);
     }
 
@@ -95,11 +95,11 @@
         let proposal = Proposal { id: asked.id.clone(), builds_on, seen: Epoch(0), command: command.clone() };
         asked.command = Some(command);
         self.operators.asked.insert(call, asked);
-        self.step_office(machine, OfficeInput::Operator { number: call, ask: OperatorAsk::Propose(proposal) });
+        self.step_controller(machine, ControllerInput::Operator { number: call, ask: OperatorAsk::Propose(proposal) });
     }
 
-    /// An office answers: the door goes on with a patch, or hands the answer to the operator.
-    pub(super) fn on_office_reply(&mut self, machine: usize, number: u64, status: u16, body: &[u8]) {
+    /// A controller answers: the door goes on with a patch, or hands the answer to the operator.
+    pub(super) fn on_controller_reply(&mut self, machine: usize, number: u64, status: u16, body: &[u8]) {
         match self.door.remove(&number) {
             None => self.on_operator_reply(number, status, body),
             Some(PatchStep::ReadsBase(bytes, basis)) if status == 200 && body.len() >= 8 => {
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -7,7 +7,7 @@
 impl World {
     pub(super) fn start_registrar(&mut self, machine: usize) {
         let founders: Vec<Address> = (0..self.registrar_count()).map(|n| Address::loopback(1001 + n as u16)).collect();
-        let mut timing = OfficeTiming::default();
+        let mut timing = ControllerTiming::default();
         timing.replica.suspect = self.rules.suspect.unwrap_or(timing.replica.suspect);
         timing.quorum = self.rules.quorum;
         timing.replica.copies = self.rules.copies;
@@ -27,7 +27,7 @@
         let span = if self.rules.mutant == Some(Mutant::ForgetTooEarly) { 2 } else { REMEMBERED_CHANGES };
         let empty = Ledger { history: History::of_span(span), ..Ledger::default() };
         let m = &mut self.registrars[machine];
-        if m.office.is_some() || m.is_gone {
+        if m.controller.is_some() || m.is_gone {
             return;
         }
         m.life += 1;
@@ -44,7 +44,7 @@
         };
         let kept = Kept { records: m.disk.durable.clone() };
         match Replica::new(me, known, timing.replica, kept, empty, now) {
-            Ok(replica) => m.office = Some(Office::new(replica, timing, key, incarnation, now)),
+            Ok(replica) => m.controller = Some(Controller::new(replica, timing, key, incarnation, now)),
             Err(fault) => self.witness.violate(self.now, format!("a disk gave back what can't be used: {fault}")),
         }
         let life = self.registrars[machine].life;
@@ -64,7 +64,7 @@
         let (keep, torn) = (self.below(3) as usize, self.draw() as usize);
         let keeps_unsynced = self.rules.mutant != Some(Mutant::SkipSync) && self.chance(50);
         let m = &mut self.registrars[machine];
-        m.office = None;
+        m.controller = None;
         m.life += 1;
         m.late.clear();
         m.frozen_until = 0;
@@ -159,7 +159,7 @@
         if let Some(machine) = self.registrars.iter().position(|m| m.address == to) {
             if self.is_awake(true, machine, &happening) {
                 self.answer_twice(&letter);
-                self.step_office(machine, OfficeInput::Letter { from, letter });
+                self.step_controller(machine, ControllerInput::Letter { from, letter });
             }
         } else if let Some(machine) = self.criers.iter().position(|m| m.address == to)
             && self.is_awake(false, machine, &happening)
@@ -177,7 +177,7 @@
             && let Letter::PollReply { reply, .. } = letter
             && let PollReply::Lease { span, .. } = reply.as_mut()
         {
-            *span = OfficeTiming::default().lease;
+            *span = ControllerTiming::default().lease;
         }
     }
 
@@ -222,10 +222,11 @@
             return;
         }
         if self.is_awake(true, machine, &Happening::Tick { machine, life }) {
-            self.step_office(machine, OfficeInput::ClockEvent);
+            self.step_controller(machine, ControllerInput::ClockEvent);
             let m = &self.registrars[machine];
             let local = Moment(self.now + m.offset);
-            let pause = m.office.as_ref().map_or(25, |office| local.until(office.next_due()).0.clamp(1, 100));
+            let pause =
+                m.controller.as_ref().map_or(25, |controller| local.until(controller.next_due()).0.clamp(1, 100));
             self.put(pause, Happening::Tick { machine, life });
         }
     }
@@ -241,36 +242,38 @@
             let (_, _, _, records, is_whole) = m.disk.pending.remove(0);
             m.disk.keep(records, is_whole);
         }
-        self.step_office(machine, OfficeInput::Written { id });
+        self.step_controller(machine, ControllerInput::Written { id });
     }
 
     /// A disk that was full takes writes again.
     pub(super) fn on_reopen(&mut self, machine: usize, life: u64) {
         let now = self.now;
         let m = &mut self.registrars[machine];
-        if m.life != life || m.office.is_none() {
+        if m.life != life || m.controller.is_none() {
             return;
         }
         if now < m.disk.full_until {
             self.put(500, Happening::Reopen { machine, life });
             return;
         }
-        m.office = None;
+        m.controller = None;
         self.start_registrar(machine);
     }
 
-    pub(super) fn step_office(&mut self, machine: usize, input: OfficeInput) {
+    pub(super) fn step_controller(&mut self, machine: usize, input: ControllerInput) {
         let m = &mut self.registrars[machine];
         let now = Moment(self.now + m.offset);
         let (address, life) = (m.address, m.life);
-        let Some(office) = &mut m.office else { return };
-        let outputs = office.step(now, input);
+        let Some(controller) = &mut m.controller else { return };
+        let outputs = controller.step(now, input);
         for output in outputs {
             match output {
-                OfficeOutput::Send { to, is_bulk, letter } => self.post(address, to, is_bulk, letter),
-                OfficeOutput::Write { id, records, is_whole } => self.write(machine, life, id, records, is_whole),
-                OfficeOutput::Reply { number, status, body } => self.on_office_reply(machine, number, status, &body),
-                OfficeOutput::ViewChanged(view) => self.witness.view(self.now, address, &view),
+                ControllerOutput::Send { to, is_bulk, letter } => self.post(address, to, is_bulk, letter),
+                ControllerOutput::Write { id, records, is_whole } => self.write(machine, life, id, records, is_whole),
+                ControllerOutput::Reply { number, status, body } => {
+                    self.on_controller_reply(machine, number, status, &body)
+                }
+                ControllerOutput::ViewChanged(view) => self.witness.view(self.now, address, &view),
             }
         }
     }
@@ -282,9 +285,9 @@
         if now < m.disk.full_until {
             // Said by the disk's own thread a moment later; here at once.
             m.disk.pending.clear();
-            if let Some(office) = &mut m.office {
+            if let Some(controller) = &mut m.controller {
                 let local = Moment(now + m.offset);
-                drop(office.step(local, OfficeInput::DiskFault));
+                drop(controller.step(local, ControllerInput::DiskFault));
             }
             self.put(500, Happening::Reopen { machine, life });
             return;
@@ -297,7 +300,7 @@
         m.disk.pending.push((now + due, life, id, records, is_whole));
         if self.rules.mutant == Some(Mutant::SkipSync) {
             // Called synced at once; what is pending is lost with the power all the same.
-            self.step_office(machine, OfficeInput::Written { id });
+            self.step_controller(machine, ControllerInput::Written { id });
         }
         self.put(due, Happening::Synced { machine, life, id });
         self.strike_in_write(machine);
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -267,7 +267,7 @@
             return Some(machine);
         }
         let last = self.operators.calls.values().filter(|call| call.task == task).map(|call| call.machine).next_back();
-        let is_up = |place: &usize| self.registrars[*place].office.is_some();
+        let is_up = |place: &usize| self.registrars[*place].controller.is_some();
         let up: Vec<usize> = (0..self.registrars.len()).filter(is_up).collect();
         let others: Vec<usize> = up.iter().copied().filter(|place| Some(*place) != last).collect();
         let from = if others.is_empty() { up } else { others };
