--- a/crates/crier/src/chart.rs
+++ b/crates/crier/src/chart.rs
@@ -33,7 +33,7 @@
 }
 
 impl Failure {
-    /// What the desk is told of it.
+    /// What the scheduler is told of it.
     pub fn outcome(self) -> Outcome {
         match self {
             Failure::Unsent => Outcome::Unsent,
@@ -48,12 +48,12 @@
 pub enum ChartInput {
     /// There is room here and the service is allowed.
     Admit,
-    /// The desk chose a server.
+    /// The scheduler chose a server.
     Place {
         /// Whether the plan in force lets an order that may have run go to a further server.
         may_repeat: bool,
     },
-    /// The desk chose none.
+    /// The scheduler chose none.
     Deny(ResultCode),
     /// This node may not act at this moment.
     LoseLease,
@@ -76,8 +76,8 @@
 /// What an order's chart wants done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChartOutput {
-    /// Ask the desk for a server.
-    AskDesk,
+    /// Ask the scheduler for a server.
+    AskScheduler,
     /// Ask the chosen server.
     AskServer,
     /// Pass pieces on.
@@ -156,7 +156,7 @@
         match (self.state, input) {
             (Received, ChartInput::Admit) => {
                 self.state = Admitted;
-                ChartOutput::AskDesk
+                ChartOutput::AskScheduler
             }
             (Admitted, ChartInput::Place { may_repeat }) => {
                 self.may_repeat &= may_repeat;
@@ -171,7 +171,7 @@
             // Nothing was sent, so nothing failed: no round is used up.
             (Placed, ChartInput::Supersede) => {
                 self.state = Admitted;
-                ChartOutput::AskDesk
+                ChartOutput::AskScheduler
             }
             (Placed, ChartInput::Open) => {
                 self.state = Opened;
@@ -190,7 +190,7 @@
                 let may_repeat = self.may_repeat || !self.may_have_run;
                 if may_repeat && self.rounds < self.most && self.unsent < UNSENT_MOST {
                     self.state = Admitted;
-                    ChartOutput::AskDesk
+                    ChartOutput::AskScheduler
                 } else {
                     self.finally(ResultCode::ServerRefused)
                 }
@@ -207,7 +207,7 @@
                 self.rounds += 1;
                 self.last_failure = Some(Failure::Unknown);
                 self.state = Admitted;
-                ChartOutput::AskDesk
+                ChartOutput::AskScheduler
             }
             (Opened | Streaming, ChartInput::Break | ChartInput::Tear) => {
                 self.state = Broken;
@@ -257,7 +257,7 @@
         unsent_goes_elsewhere = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Open, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
         unsent_and_no_other = { &[Admit, ONCE, Fail(Failure::Unsent), Deny(ResultCode::NoServer)], OrderState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
         silence_is_unknown = { &[Admit, ONCE, Fail(Failure::Unknown)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        silence_where_a_repeat_does_no_harm = { &[Admit, AGAIN, Fail(Failure::Unknown)], OrderState::Admitted, ChartOutput::AskDesk },
+        silence_where_a_repeat_does_no_harm = { &[Admit, AGAIN, Fail(Failure::Unknown)], OrderState::Admitted, ChartOutput::AskScheduler },
         silence_and_the_plan_changed_meanwhile = { &[Admit, AGAIN, Fail(Failure::Unknown), ONCE], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
         silence_under_the_stricter_of_two_plans = { &[Admit, ONCE, Fail(Failure::Unsent), AGAIN, Fail(Failure::Unknown)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
         silence_then_no_other_is_unknown_still = { &[Admit, AGAIN, Fail(Failure::Unknown), Deny(ResultCode::NoServer)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -77,11 +77,11 @@
     })
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let incarnation = new_life();
-    let desk_rules = settings.desk_rules();
-    let head = ReplayHead { own: inner, incarnation, desk_rules: desk_rules.clone() };
+    let scheduler_rules = settings.scheduler_rules();
+    let head = ReplayHead { own: inner, incarnation, scheduler_rules: scheduler_rules.clone() };
     let now = Clock::now();
     let zone = ZoneName::from(settings.zone.as_str());
-    let mut node = Node::new(inner, zone, seeds, incarnation, NodeTiming::default(), desk_rules, now);
+    let mut node = Node::new(inner, zone, seeds, incarnation, NodeTiming::default(), scheduler_rules, now);
     let shared = Arc::new(Shared {
         control: sender.clone(),
         may_act_until: AtomicU64::new(0),
@@ -108,8 +108,8 @@
         }
         None => {
             let control = sender.clone();
-            let tell_desk = move |event| drop(control.send(Event::Input(NodeInput::Event(event))));
-            poller::start(settings.platform.clone(), tell_desk).map_err(|fault| fault.to_string())?;
+            let tell_scheduler = move |event| drop(control.send(Event::Input(NodeInput::Event(event))));
+            poller::start(settings.platform.clone(), tell_scheduler).map_err(|fault| fault.to_string())?;
             (None, None)
         }
     };
@@ -334,8 +334,8 @@
 
     fn believes(&self, now: Moment) -> serde_json::Value {
         let lease_state = self.node.lease_state();
-        let desk = self.node.desk();
-        let servers: serde_json::Map<String, serde_json::Value> = desk
+        let scheduler = self.node.scheduler();
+        let servers: serde_json::Map<String, serde_json::Value> = scheduler
             .servers()
             .iter()
             .map(|(name, server)| {
@@ -359,7 +359,7 @@
                 (name.0.clone(), value)
             })
             .collect();
-        let active: Vec<serde_json::Value> = desk
+        let active: Vec<serde_json::Value> = scheduler
             .active(now)
             .into_iter()
             .map(|(prefix, holders)| serde_json::json!({"prefix": prefix, "holders": holders}))
--- a/crates/crier/src/dissemination.rs
+++ b/crates/crier/src/dissemination.rs
@@ -254,7 +254,7 @@
         std::mem::take(&mut self.letters)
     }
 
-    /// The sum of all other nodes, if it's new: the life and the number of it, for the desk.
+    /// The sum of all other nodes, if it's new: the life and the number of it, for the scheduler.
     pub fn take_news(&mut self) -> Option<(u64, u64, Digest)> {
         self.sum.take()
     }
--- a/crates/crier/src/errand.rs
+++ b/crates/crier/src/errand.rs
@@ -3,8 +3,8 @@
 /// What an errand is told.
 #[derive(Debug, Clone)]
 pub enum ErrandInput {
-    /// The desk's word on where it goes.
-    Desk(Result<Placing, Denial>),
+    /// The scheduler's word on where it goes.
+    Scheduler(Result<Placing, Denial>),
     /// The node may not act at this moment.
     LoseLease,
     /// A newer epoch is in force than the one under which it was placed; no byte has left.
@@ -20,8 +20,8 @@
 /// What an errand wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ErrandOutput {
-    /// Ask the desk for a server.
-    AskDesk {
+    /// Ask the scheduler for a server.
+    AskScheduler {
         /// Zero the first time.
         round: u32,
         /// Servers not to be asked again.
@@ -64,7 +64,7 @@
     fn begin_with(mut chart: Chart) -> (Errand, ErrandOutput) {
         chart.step(ChartInput::Admit);
         let errand = Errand { chart, placed: None, tried: vec![], why: String::new(), retry_after: Span(0) };
-        let first = errand.ask_desk();
+        let first = errand.ask_scheduler();
         (errand, first)
     }
     /// Its chart.
@@ -79,12 +79,12 @@
     /// Takes an input in; gives what is to be done.
     pub fn step(&mut self, input: ErrandInput) -> ErrandOutput {
         let output = match input {
-            ErrandInput::Desk(Ok(placing)) => {
+            ErrandInput::Scheduler(Ok(placing)) => {
                 let may_repeat = placing.may_repeat;
                 self.placed = Some(placing);
                 self.chart.step(ChartInput::Place { may_repeat })
             }
-            ErrandInput::Desk(Err(denial)) => {
+            ErrandInput::Scheduler(Err(denial)) => {
                 // The first word on why counts: that no further server was found says less.
                 if self.why.is_empty() {
                     self.why = denial.why;
@@ -110,7 +110,7 @@
             }
         };
         match (output, &self.placed) {
-            (ChartOutput::AskDesk, _) => self.ask_desk(),
+            (ChartOutput::AskScheduler, _) => self.ask_scheduler(),
             (ChartOutput::AskServer, Some(placing)) => ErrandOutput::AskServer(placing.clone()),
             (ChartOutput::Carry, Some(placing)) => ErrandOutput::Carry(placing.clone()),
             (ChartOutput::Tell(code), _) => self.tell(code),
@@ -120,9 +120,9 @@
         }
     }
 
-    fn ask_desk(&self) -> ErrandOutput {
+    fn ask_scheduler(&self) -> ErrandOutput {
         let (round, tried, may_have_run) = (self.chart.rounds(), self.tried.clone(), self.chart.may_have_run());
-        ErrandOutput::AskDesk { round, tried, may_have_run }
+        ErrandOutput::AskScheduler { round, tried, may_have_run }
     }
 
     fn tell(&self, code: ResultCode) -> ErrandOutput {
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -1,4 +1,4 @@
-//! Forwards a call by its route: to a server that the desk chooses, and the answer back. A stream that may
+//! Forwards a call by its route: to a server that the scheduler chooses, and the answer back. A stream that may
 //! be taken up goes on at another server inside the same answer.
 
 pub(crate) mod detached;
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -234,7 +234,7 @@
     Closed { may_have_run: bool },
 }
 
-/// One answer of the desk; it may change what is shared before.
+/// One answer of the scheduler; it may change what is shared before.
 type Word = Box<dyn FnOnce(&Shared) -> Result<Placing, Denial> + Send>;
 
 fn goes_to(server: &Server, may_repeat: bool) -> Word {
@@ -509,7 +509,7 @@
 }
 
 #[test]
-fn when_the_desk_finds_no_other_server_its_time_to_come_back_is_told() {
+fn when_the_scheduler_finds_no_other_server_its_time_to_come_back_is_told() {
     let full = Server::start("a", vec![vec![unrun()]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&full, false), denied(ResultCode::NoServer, 1250)]);
     let answer = stage.ask("");
@@ -614,7 +614,7 @@
 }
 
 #[test]
-fn where_another_server_has_the_address_the_call_goes_elsewhere_and_the_desk_hears_of_it() {
+fn where_another_server_has_the_address_the_call_goes_elsewhere_and_the_scheduler_hears_of_it() {
     let gone = Server::start("a", vec![vec![Say(answer(421, "x-call: c1\r\n", "not me"))]]);
     let well = Server::start("b", vec![vec![whole("well")]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&gone, false), goes_to(&well, false)]);
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -15,7 +15,7 @@
     pub peer_check_alone: Span,
     /// A peer counts as checked for this long.
     pub peer_check_life: Span,
-    /// Between the desk's ticks.
+    /// Between the scheduler's ticks.
     pub tick: Span,
     /// A poll without an answer is given up after this.
     pub poll_due: Span,
@@ -78,7 +78,7 @@
         /// It.
         letter: Letter,
     },
-    /// Something for the desk, seen here.
+    /// Something for the scheduler, seen here.
     Event(Event),
     /// An order wants a server; the answer comes as [`NodeOutput::Place`] with its number.
     Place(PlaceAsk),
@@ -217,7 +217,7 @@
     Log(String),
 }
 
-/// A data-plane node's control state: its lease state among the members, the layout, the desk.
+/// A data-plane node's control state: its lease state among the members, the layout, the scheduler.
 ///
 /// Invariants: the layout's epoch never falls, and it's only taken up whole. An order is placed only
 /// while the node may act, under a layout that it holds, and with a server list that was read in this life
@@ -230,7 +230,7 @@
     timing: NodeTiming,
     now: Moment,
     lease_state: LeaseState,
-    desk: Desk,
+    scheduler: Scheduler,
     plan: Option<Arc<Plan>>,
     plan_bytes: Arc<Vec<u8>>,
     plan_epoch: Epoch,
@@ -298,11 +298,11 @@
         seeds: Vec<Address>,
         incarnation: u64,
         timing: NodeTiming,
-        desk_rules: DeskRules,
+        scheduler_rules: SchedulerRules,
         now: Moment,
     ) -> Self {
-        let mut desk = Desk::new(own, incarnation, desk_rules);
-        desk.set_zone(zone.clone());
+        let mut scheduler = Scheduler::new(own, incarnation, scheduler_rules);
+        scheduler.set_zone(zone.clone());
         Node {
             own,
             zone: zone.clone(),
@@ -310,7 +310,7 @@
             timing,
             now,
             lease_state: LeaseState::new(own, timing.peer_check_life),
-            desk,
+            scheduler,
             plan: None,
             plan_bytes: Arc::default(),
             plan_epoch: Epoch(0),
@@ -365,7 +365,7 @@
                 self.list_awaited_until = None;
                 self.take_server_list(servers);
             }
-            NodeInput::Event(event) => self.tell_desk(event),
+            NodeInput::Event(event) => self.tell_scheduler(event),
             NodeInput::List(reading) => self.step_list(|list, now, _| list.on_reading(now, reading)),
             NodeInput::Seeds(seeds) => self.seeds = seeds,
             NodeInput::Place(ask) => {
@@ -412,9 +412,9 @@
     pub fn is_drained(&self) -> bool {
         self.is_draining && self.open.is_empty()
     }
-    /// The desk.
-    pub fn desk(&self) -> &Desk {
-        &self.desk
+    /// The scheduler.
+    pub fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
     }
     /// The newest epoch held whole.
     pub fn epoch(&self) -> Epoch {
@@ -454,7 +454,7 @@
         self.has_server_list = true;
         self.addresses =
             servers.iter().filter_map(|entry| Some((entry.server.clone(), entry.address.clone()?))).collect();
-        self.tell_desk(Event::ServerList { servers });
+        self.tell_scheduler(Event::ServerList { servers });
     }
 
     fn step_list(&mut self, step: impl FnOnce(&mut ServerList, Moment, ListPeers) -> Vec<ListOutput>) {
@@ -481,10 +481,10 @@
         }
     }
 
-    fn tell_desk(&mut self, event: Event) {
+    fn tell_scheduler(&mut self, event: Event) {
         let dated = Dated { at: self.now, event };
         self.outputs.push(NodeOutput::Event(dated.clone()));
-        for decision in self.desk.take(dated) {
+        for decision in self.scheduler.take(dated) {
             match &decision {
                 Decision::Warm { prefix, holder, targets, .. } => {
                     for target in targets {
@@ -545,7 +545,7 @@
         }
         let before = self.outputs.len();
         let token_service = service.clone();
-        self.tell_desk(Event::Prompt { order: order.clone(), service, hashes, round, tried, demand });
+        self.tell_scheduler(Event::Prompt { order: order.clone(), service, hashes, round, tried, demand });
         let decided = self.outputs[before..].iter().find_map(|output| match output {
             NodeOutput::Decision(_, Decision::Placed { order: placed, server, candidates, .. }) if *placed == order => {
                 let expected = candidates.iter().find(|candidate| candidate.server == *server);
@@ -567,7 +567,7 @@
             Token { order, service: token_service, server, run }.seal(&key)
         });
         let (epoch, first_token) = (self.lease_state.epoch(), Span(of_service.first_token_ms));
-        let life = self.desk.servers().get(&server).and_then(|state| state.incarnation);
+        let life = self.scheduler.servers().get(&server).and_then(|state| state.incarnation);
         Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch, life })
     }
 
@@ -585,7 +585,7 @@
         let Some(token) = Token::open(token, &key) else {
             return deny(ResultCode::BadToken, "the token is not one of this fleet's".into());
         };
-        if !self.desk.servers().contains_key(&token.server) {
+        if !self.scheduler.servers().contains_key(&token.server) {
             return deny(ResultCode::ResumeFailed, format!("server {} is no more listed", token.server));
         }
         self.open.insert(resume_id(number), number);
@@ -616,8 +616,8 @@
         self.check_peers();
         if self.now >= self.next_tick {
             self.next_tick = self.now + self.timing.tick;
-            self.tell_desk(Event::Tick);
-            let sketch = self.desk.sketch(self.now);
+            self.tell_scheduler(Event::Tick);
+            let sketch = self.scheduler.sketch(self.now);
             let letters = self.dissemination.on_clock(self.now, Digest::of(&sketch));
             self.send_digests(letters);
         }
@@ -643,9 +643,9 @@
     fn send_digests(&mut self, letters: Vec<(Address, Letter)>) {
         letters.into_iter().for_each(|(to, letter)| self.send(to, letter));
         let Some((life, number, sum)) = self.dissemination.take_news() else { return };
-        let servers = self.desk.servers().iter().map(|(name, server)| (name, server.incarnation.unwrap_or(0)));
+        let servers = self.scheduler.servers().iter().map(|(name, server)| (name, server.incarnation.unwrap_or(0)));
         let sketch = sum.sketch(life, number, servers);
-        self.tell_desk(Event::PeerSketch { from: FLEET, sketch });
+        self.tell_scheduler(Event::PeerSketch { from: FLEET, sketch });
     }
 
     /// The digests that it takes part in.
@@ -778,7 +778,7 @@
                     // Nothing is newer there than what is here, whole.
                     None if epoch == self.lease_state.epoch() && epoch > Epoch(0) => {
                         self.lease_state.lease(sent + span, epoch, self.lease_state.members().to_vec());
-                        self.tell_desk(Event::Lease { until: sent + span, span: self.lease_span });
+                        self.tell_scheduler(Event::Lease { until: sent + span, span: self.lease_span });
                     }
                     None => {}
                 }
@@ -929,17 +929,17 @@
             self.dissemination.set_members(&listed_members);
             self.members = listed_members;
             self.members_since = since;
-            self.tell_desk(Event::Members { members, since });
+            self.tell_scheduler(Event::Members { members, since });
         }
         if let Some(until) = lease_due {
-            self.tell_desk(Event::Lease { until, span: self.lease_span });
+            self.tell_scheduler(Event::Lease { until, span: self.lease_span });
         }
     }
 
     fn push_rules(&mut self) {
         if let Some(plan) = self.plan.clone() {
             let rules = plan.rules(self.lease_state.epoch(), self.withdrawn.clone());
-            self.tell_desk(Event::Rules { rules });
+            self.tell_scheduler(Event::Rules { rules });
         }
     }
 
@@ -987,7 +987,7 @@
 }
 
 fn deny_no_decision() -> Result<(ServerName, Span), Denial> {
-    let why = "the desk decided nothing".to_owned();
+    let why = "the scheduler decided nothing".to_owned();
     Err(Denial { code: ResultCode::NoServer, why, retry_after: Span(1000) })
 }
 
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -15,8 +15,9 @@
     }
     fn of_life(incarnation: u64) -> Self {
         let seeds = vec![Address::loopback(1)];
-        let (timing, desk) = (NodeTiming::default(), DeskRules::default());
-        let node = Node::new(Address::loopback(9), "east".into(), seeds, incarnation, timing, desk, Moment(1_000_000));
+        let (timing, scheduler) = (NodeTiming::default(), SchedulerRules::default());
+        let node =
+            Node::new(Address::loopback(9), "east".into(), seeds, incarnation, timing, scheduler, Moment(1_000_000));
         Played { node, at: 1_000_000 }
     }
     fn step(&mut self, input: NodeInput) -> Vec<NodeOutput> {
@@ -443,7 +444,7 @@
 }
 
 #[test]
-fn the_desk_is_told_of_each_lease_and_of_each_membership_even_if_its_members_are_the_same() {
+fn the_scheduler_is_told_of_each_lease_and_of_each_membership_even_if_its_members_are_the_same() {
     let mut played = Played::serving();
     let renewed = events(played.lease(3, 2));
     let until = played.node.lease_state().lease_due().expect("it holds one");
@@ -482,5 +483,5 @@
     }
     played.report(server.as_str(), 2, Span(100));
     let now = Moment(played.at);
-    assert!(played.node.desk().servers()[&server].is_fresh(now, &DeskRules::default()));
+    assert!(played.node.scheduler().servers()[&server].is_fresh(now, &SchedulerRules::default()));
 }
--- a/crates/crier/src/replay.rs
+++ b/crates/crier/src/replay.rs
@@ -1,10 +1,10 @@
 use crate::prelude::*;
 use std::io::{BufRead, Write};
 
-/// Feeds recorded events, JSON lines, to a desk and writes its decisions, JSON lines. The first line
-/// tells whose desk it was. Gives the number of a line that can't be read, if there is one.
+/// Feeds recorded events, JSON lines, to a scheduler and writes its decisions, JSON lines. The first line
+/// tells whose scheduler it was. Gives the number of a line that can't be read, if there is one.
 pub fn replay(events: impl BufRead, mut decisions: impl Write) -> Result<(), String> {
-    let mut desk: Option<Desk> = None;
+    let mut scheduler: Option<Scheduler> = None;
     for (place, line) in events.lines().enumerate() {
         let fault = |why: String| format!("line {}: {why}", place + 1);
         let line = line.map_err(|why| fault(why.to_string()))?;
@@ -12,14 +12,14 @@
             continue;
         }
         if let Ok(head) = serde_json::from_str::<ReplayHead>(&line) {
-            desk = Some(Desk::new(head.own, head.incarnation, head.desk_rules));
+            scheduler = Some(Scheduler::new(head.own, head.incarnation, head.scheduler_rules));
             continue;
         }
         let dated: Dated = serde_json::from_str(&line).map_err(|why| fault(why.to_string()))?;
-        let Some(desk) = &mut desk else {
-            return Err(fault("the head with own, incarnation and desk_rules is missing".into()));
+        let Some(scheduler) = &mut scheduler else {
+            return Err(fault("the head with own, incarnation and scheduler_rules is missing".into()));
         };
-        for decision in desk.take(dated) {
+        for decision in scheduler.take(dated) {
             let text = serde_json::to_string(&decision).expect("a decision is JSON");
             writeln!(decisions, "{text}").map_err(|why| why.to_string())?;
         }
@@ -34,6 +34,6 @@
     pub own: Address,
     /// Its life.
     pub incarnation: u64,
-    /// How its desk worked.
-    pub desk_rules: DeskRules,
+    /// How its scheduler worked.
+    pub scheduler_rules: SchedulerRules,
 }
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -1,6 +1,6 @@
 use crate::prelude::{ListTiming, Span};
 use layout::prelude::*;
-use primer::prelude::DeskRules;
+use primer::prelude::SchedulerRules;
 use schematic::Config;
 
 /// A crier's settings file.
@@ -114,9 +114,9 @@
             ..ListTiming::default()
         }
     }
-    /// What of them the desk goes by.
-    pub fn desk_rules(&self) -> DeskRules {
-        DeskRules {
+    /// What of them the scheduler goes by.
+    pub fn scheduler_rules(&self) -> SchedulerRules {
+        SchedulerRules {
             does_merge: self.merge,
             does_admit: self.admit,
             does_order_copies: self.copy_orders,
@@ -131,7 +131,7 @@
             members_least: self.members_least as u32,
             report_life: Span(self.report_life_ms),
             lag_slack: Span(self.lag_slack_ms),
-            ..DeskRules::default()
+            ..SchedulerRules::default()
         }
     }
 }
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -87,7 +87,7 @@
         let _ = self.control.send(wrap(input, reply));
         inbox.recv_timeout(Duration::from_secs(2)).ok()
     }
-    pub fn ask_desk(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
+    pub fn ask_scheduler(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
         let service = match &input {
             NodeInput::Place(ask) => Some(ask.service.clone()),
             _ => None,
--- a/crates/crier/src/trip.rs
+++ b/crates/crier/src/trip.rs
@@ -14,7 +14,7 @@
     CallerGone,
 }
 
-/// What an order wants of the desk, whatever it's spoken in.
+/// What an order wants of the scheduler, whatever it's spoken in.
 pub(crate) struct Wanted {
     pub service: ServiceName,
     pub kind: ServiceKind,
@@ -66,7 +66,7 @@
         let (mut output, mut taken) = (first, None);
         loop {
             output = match output {
-                ErrandOutput::AskDesk { round, tried, may_have_run } => {
+                ErrandOutput::AskScheduler { round, tried, may_have_run } => {
                     let input = NodeInput::Place(PlaceAsk {
                         number: self.place.number,
                         order: order.clone(),
@@ -80,11 +80,11 @@
                         may_have_run,
                         run: run_id(random_bytes()),
                     });
-                    let outcome = self.shared.ask_desk(&self.place, input);
+                    let outcome = self.shared.ask_scheduler(&self.place, input);
                     if round > 0 && outcome.is_ok() {
                         Tallies::more(&self.shared.tallies.repeats);
                     }
-                    self.errand.step(ErrandInput::Desk(outcome))
+                    self.errand.step(ErrandInput::Scheduler(outcome))
                 }
                 ErrandOutput::AskServer(placing) => match ask(&placing, self.errand.chart()) {
                     Ok(heard) => {
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -14,12 +14,12 @@
         cold_span: Span(3000),
         memory_tokens: 650_000,
     };
-    let mut desk = Desk::new(
+    let mut scheduler = Scheduler::new(
         Address::loopback(1),
         1,
-        DeskRules { block_micros: 143, does_order_copies: false, ..DeskRules::default() },
+        SchedulerRules { block_micros: 143, does_order_copies: false, ..SchedulerRules::default() },
     );
-    let mut take = |at: u64, event| desk.take(Dated { at: Moment(1_000_000 + at), event });
+    let mut take = |at: u64, event| scheduler.take(Dated { at: Moment(1_000_000 + at), event });
     let rules = Rules { epoch: Epoch(1), services: [("drafts".into(), rules)].into(), withdrawn: vec![] };
     take(0, Event::Rules { rules });
     let entry = |n: u64| ServerEntry {
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -28,7 +28,7 @@
 /// What a request asks of a server, as far as its caller tells. All zero: nothing is told.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
-    /// Tokens that each hash of the prompt adds to the one before; empty: `DeskRules::block_tokens` each.
+    /// Tokens that each hash of the prompt adds to the one before; empty: `SchedulerRules::block_tokens` each.
     #[serde(default)]
     pub hash_tokens: Vec<u32>,
     /// Tokens of the whole prompt.
@@ -79,7 +79,7 @@
     Failed,
 }
 
-/// What a desk is told. As JSON lines this is the stream that operators may push in.
+/// What a scheduler is told. As JSON lines this is the stream that operators may push in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event {
@@ -223,7 +223,7 @@
     pub is_warm: bool,
 }
 
-/// What a desk decides, with its reason, inputs and epoch.
+/// What a scheduler decides, with its reason, inputs and epoch.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
 pub enum Decision {
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -61,10 +61,10 @@
     pub withdrawn: Vec<ZoneName>,
 }
 
-/// What the plan does not set: how the desk itself works.
+/// What the plan does not set: how the scheduler itself works.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct DeskRules {
+pub struct SchedulerRules {
     /// Whether sketches of others count.
     pub does_merge: bool,
     /// Whether orders are refused by expected first-token time.
@@ -130,9 +130,9 @@
     pub overdue_slack: Span,
 }
 
-impl Default for DeskRules {
+impl Default for SchedulerRules {
     fn default() -> Self {
-        DeskRules {
+        SchedulerRules {
             does_merge: true,
             does_admit: true,
             ramp: Span::seconds(8),
--- a/crates/primer/src/desk.rs
+++ b/crates/primer/src/scheduler.rs
@@ -16,10 +16,10 @@
 /// here. Only servers that the newest server list lists, that are not leaving,
 /// suspected or in a withdrawn zone, and that the service's rules allow, are ever chosen.
 #[derive(Debug, Clone)]
-pub struct Desk {
+pub struct Scheduler {
     own: Address,
     incarnation: u64,
-    desk_rules: DeskRules,
+    scheduler_rules: SchedulerRules,
     rules: Rules,
     /// The services of the rules, shared with what is being decided.
     services: BTreeMap<ServiceName, Arc<ServiceRules>>,
@@ -121,13 +121,13 @@
 /// Servers times prefixes that one sketch looks up.
 const HOLDING_LOOKUPS: usize = 16_384;
 
-impl Desk {
-    /// A desk at the start of a node's life.
-    pub fn new(own: Address, incarnation: u64, desk_rules: DeskRules) -> Self {
-        Desk {
+impl Scheduler {
+    /// A scheduler at the start of a node's life.
+    pub fn new(own: Address, incarnation: u64, scheduler_rules: SchedulerRules) -> Self {
+        Scheduler {
             own,
             incarnation,
-            desk_rules,
+            scheduler_rules,
             rules: Rules::default(),
             services: BTreeMap::new(),
             zone: None,
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Tells in which zone this node is: servers there are preferred by `DeskRules::zone_bias`.
+    /// Tells in which zone this node is: servers there are preferred by `SchedulerRules::zone_bias`.
     pub fn set_zone(&mut self, zone: ZoneName) {
         self.zone = Some(zone);
     }
@@ -269,7 +269,7 @@
             match self.servers.get_mut(&entry.server) {
                 Some(server) => server.note_entry(entry, now),
                 None => {
-                    let mut state = ServerState::new(&entry, now, &self.desk_rules);
+                    let mut state = ServerState::new(&entry, now, &self.scheduler_rules);
                     state.theirs = self.told.load(&entry.server);
                     state.rank = rank(state.key, &self.own, &self.members) as u32;
                     self.servers.insert(entry.server, state);
@@ -311,7 +311,7 @@
         if is_new_life || has_other_weights {
             server.residency.clear();
             server.knows_kv = true;
-            server.block_micros = self.desk_rules.block_micros;
+            server.block_micros = self.scheduler_rules.block_micros;
         }
         if is_new_life {
             server.listed_from = now;
@@ -331,7 +331,7 @@
     }
 
     fn on_first_token(&mut self, order: OrderId, now: Moment) {
-        let base = self.desk_rules.base_first_token;
+        let base = self.scheduler_rules.base_first_token;
         let Some(hand) = self.orders.get_mut(&order) else { return };
         if hand.first.is_some() {
             return;
@@ -359,9 +359,9 @@
         let uncached = blocks - u64::from(hand.matched);
         if footprint.is_told {
             if hand.was_idle {
-                server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.desk_rules);
+                server.learn_prefill(took, footprint.ahead + footprint.uncached, &self.scheduler_rules);
             }
-            let whole = footprint.prompt * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1));
+            let whole = footprint.prompt * server.block_micros / u64::from(self.scheduler_rules.block_tokens.max(1));
             let kept = footprint.prompt - footprint.uncached;
             if footprint.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
                 self.decisions.push(Decision::Disproved { order, server: hand.server.clone() });
@@ -415,7 +415,7 @@
                 return false;
             }
             let usual = usual_lag(&self.servers, &hand.server).unwrap_or(u64::MAX / 8);
-            let slack = Span(usual.saturating_mul(4) + self.desk_rules.overdue_slack.0);
+            let slack = Span(usual.saturating_mul(4) + self.scheduler_rules.overdue_slack.0);
             now.since(hand.placed) > Span(hand.expected.0 + slack.0)
         };
         let overdue: Vec<OrderId> =
@@ -458,12 +458,12 @@
                     if let Some(window) = self.repeat_windows.get_mut(&hand.service) {
                         window.unplace(hand.is_repeat);
                     }
-                    let part = repeat_part(&self.desk_rules, &hand.service, &self.own, &self.members);
+                    let part = repeat_part(&self.scheduler_rules, &hand.service, &self.own, &self.members);
                     if let Some(allowance) = self.repeats.get_mut(&hand.service) {
                         if hand.is_repeat {
                             allowance.give_back(part);
                         } else {
-                            allowance.unearn(self.desk_rules.repeat_percent);
+                            allowance.unearn(self.scheduler_rules.repeat_percent);
                         }
                     }
                 }
@@ -488,7 +488,7 @@
     }
 
     fn on_peer_sketch(&mut self, from: Address, sketch: Sketch, now: Moment) {
-        if from == self.own || !self.desk_rules.does_merge {
+        if from == self.own || !self.scheduler_rules.does_merge {
             return;
         }
         let is_old = self
@@ -535,7 +535,7 @@
 
     /// How many nodes there are at least, as far as known here.
     fn fleet_size(&self) -> u32 {
-        (self.members.len() as u32).max(self.desk_rules.members_least).max(self.counted_peers + 1)
+        (self.members.len() as u32).max(self.scheduler_rules.members_least).max(self.counted_peers + 1)
     }
 
     /// Sketches that have grown old count no more.
@@ -543,7 +543,7 @@
         if self.told_until.is_none_or(|due| now < due) {
             return;
         }
-        let life = self.desk_rules.sketch_life;
+        let life = self.scheduler_rules.sketch_life;
         for peer in self.peers.values_mut().filter(|peer| peer.is_counted && now.since(peer.heard) >= life) {
             self.told.remove(&peer.sketch);
             sum_loads(&mut self.servers, &self.told, &peer.sketch);
@@ -554,7 +554,7 @@
 
     /// What follows from which sketches count.
     fn count_known(&mut self) {
-        let life = self.desk_rules.sketch_life;
+        let life = self.scheduler_rules.sketch_life;
         let counted = self.peers.values().filter(|peer| peer.is_counted);
         self.told_until = counted.map(|peer| peer.heard + life).min();
         let heard = self.heard();
@@ -584,7 +584,7 @@
     fn load(&self, server: &ServerState, now: Moment) -> u32 {
         let known = server.own + server.theirs.count;
         match server.reported {
-            Some((reported, at)) if now.since(at) < self.desk_rules.report_life => known.max(reported),
+            Some((reported, at)) if now.since(at) < self.scheduler_rules.report_life => known.max(reported),
             _ => known,
         }
     }
@@ -633,7 +633,7 @@
 }
 
 /// A node's part of the allowance of repeats that a service has a minute, fleet-wide.
-fn repeat_part(rules: &DeskRules, service: &ServiceName, own: &Address, members: &[Address]) -> u32 {
+fn repeat_part(rules: &SchedulerRules, service: &ServiceName, own: &Address, members: &[Address]) -> u32 {
     share(rules.repeats_a_minute, key_of(service.as_str()), own, members)
 }
 
--- a/crates/primer/src/desk/placing.rs
+++ b/crates/primer/src/scheduler/placing.rs
@@ -54,7 +54,7 @@
     tie: u64,
 }
 
-impl Desk {
+impl Scheduler {
     #[allow(clippy::too_many_arguments)]
     pub(super) fn on_prompt(
         &mut self,
@@ -128,35 +128,35 @@
 
     /// Whether an order of this round may be placed; else when about.
     fn may_repeat(&mut self, service: &ServiceName, round: u32, begun: Moment, now: Moment) -> Result<(), Span> {
-        let desk_rules = &self.desk_rules;
-        if desk_rules.repeat_window.0 > 0 {
+        let scheduler_rules = &self.scheduler_rules;
+        if scheduler_rules.repeat_window.0 > 0 {
             if round == 0 {
                 return Ok(());
             }
             let own_rank = rank(key_of(service.as_str()), &self.own, &self.members) as u32;
-            let part = share_at(desk_rules.repeats_in_window, own_rank, self.fleet_size());
+            let part = share_at(scheduler_rules.repeats_in_window, own_rank, self.fleet_size());
             let window = self.repeat_windows.entry(service.clone()).or_insert_with(|| RepeatWindow::new(begun));
-            let wait = window.check(desk_rules.repeat_percent, part, now, desk_rules.repeat_window);
+            let wait = window.check(scheduler_rules.repeat_percent, part, now, scheduler_rules.repeat_window);
             return wait.map_err(|wait| wait.max_with(WAIT_LEAST));
         }
-        let part = repeat_part(desk_rules, service, &self.own, &self.members);
+        let part = repeat_part(scheduler_rules, service, &self.own, &self.members);
         let allowance = self.repeats.entry(service.clone()).or_insert_with(|| Allowance::new(now));
         allowance.drip(part, now);
         if round > 0 && !allowance.has_one() { Err(Span(1000)) } else { Ok(()) }
     }
 
     fn note_placed(&mut self, service: &ServiceName, round: u32, now: Moment) {
-        let (span, begun) = (self.desk_rules.repeat_window, self.begun.unwrap_or(now));
+        let (span, begun) = (self.scheduler_rules.repeat_window, self.begun.unwrap_or(now));
         if span.0 > 0 {
             let window = self.repeat_windows.entry(service.clone()).or_insert_with(|| RepeatWindow::new(begun));
             return window.place(round > 0, now, span);
         }
-        let part = repeat_part(&self.desk_rules, service, &self.own, &self.members);
+        let part = repeat_part(&self.scheduler_rules, service, &self.own, &self.members);
         if let Some(allowance) = self.repeats.get_mut(service) {
             if round > 0 {
                 allowance.spend();
             } else {
-                allowance.earn(self.desk_rules.repeat_percent, part);
+                allowance.earn(self.scheduler_rules.repeat_percent, part);
             }
         }
     }
@@ -165,7 +165,7 @@
     fn choose_by_load(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (weighed, full_until) = self.weigh(ask);
         let due = ask.rules.first_token;
-        let Some((place, reason)) = choose(&weighed, ask.is_active, due, &self.desk_rules) else {
+        let Some((place, reason)) = choose(&weighed, ask.is_active, due, &self.scheduler_rules) else {
             let (code, why) = if full_until.0 > 0 {
                 (ResultCode::Crowded, "every server that may serve it is at its cap")
             } else {
@@ -174,7 +174,7 @@
             return Err(Refusal { code, why: why.to_owned(), wait: full_until.max_with(Span(1000)) });
         };
         let chosen = weighed[place].candidate.clone();
-        if self.desk_rules.does_admit && chosen.expected > due {
+        if self.scheduler_rules.does_admit && chosen.expected > due {
             let why = late_words(chosen.expected, due);
             let wait = Span(chosen.expected.0 - due.0).max_with(Span(1000));
             return Err(Refusal { code: ResultCode::Crowded, why, wait });
@@ -207,7 +207,7 @@
             let place = (rules.btb.blocks as usize).checked_sub(1)?;
             return (place < hashes.len()).then_some(place);
         }
-        let needed = u64::from(rules.btb.blocks.max(1)) * u64::from(self.desk_rules.block_tokens);
+        let needed = u64::from(rules.btb.blocks.max(1)) * u64::from(self.scheduler_rules.block_tokens);
         let mut so_far = 0;
         let mut parts = demand.hash_tokens.iter().take(hashes.len());
         let place = parts.position(|tokens| {
@@ -232,7 +232,7 @@
     /// Whether a server that may have this much in hand from the whole fleet can take one more from this node now;
     /// else when, about.
     fn may_add_to(&self, server: &ServerState, cap: u32, load: u32, now: Moment) -> Result<(), Span> {
-        if server.is_fresh(now, &self.desk_rules) {
+        if server.is_fresh(now, &self.scheduler_rules) {
             let part = self.claimed(cap, server, now)?;
             // What a former life of a node left there shows only in what others and the server itself tell.
             return if server.own < part && load < cap { Ok(()) } else { Err(FRESH_WAIT) };
@@ -255,7 +255,7 @@
                 continue;
             }
             let key = server.key;
-            let cap = server.cap(rules.slots, now, &self.desk_rules);
+            let cap = server.cap(rules.slots, now, &self.scheduler_rules);
             let load = self.load(server, now);
             if let Err(wait) = self.may_add_to(server, cap, load, now) {
                 full_until = if full_until.0 == 0 { wait } else { Span(full_until.0.min(wait.0)) };
@@ -268,7 +268,7 @@
             let slots = server.slots.unwrap_or(rules.slots).max(1);
             let queue = u64::from((load + 1).saturating_sub(slots)) * server.hold.0 / u64::from(slots);
             let prefill = (hashes.len() as u64).saturating_sub(u64::from(matched)) * server.block_micros / 1000;
-            let expected = Span(self.desk_rules.base_first_token.0 + queue + prefill);
+            let expected = Span(self.scheduler_rules.base_first_token.0 + queue + prefill);
             let candidate = Candidate { server: name.clone(), load, matched, expected, is_warm };
             weighed.push(Weighed { candidate, slots, tie: mix(key ^ order_key) });
         }
@@ -287,7 +287,7 @@
 }
 
 /// Which of the weighed servers, and why.
-fn choose(weighed: &[Weighed], is_active: bool, due: Span, rules: &DeskRules) -> Option<(usize, PlaceReason)> {
+fn choose(weighed: &[Weighed], is_active: bool, due: Span, rules: &SchedulerRules) -> Option<(usize, PlaceReason)> {
     let least = |may: &dyn Fn(&Weighed) -> bool| {
         let those = weighed.iter().enumerate().filter(|(_, w)| may(w));
         those.min_by_key(|(_, w)| (w.candidate.load, w.tie)).map(|(place, _)| place)
--- a/crates/primer/src/desk/tests.rs
+++ b/crates/primer/src/scheduler/tests.rs
@@ -45,12 +45,12 @@
 const START: u64 = 1_000_000;
 
 struct Played {
-    desk: Desk,
+    scheduler: Scheduler,
 }
 
 impl Played {
     fn new() -> Self {
-        let mut played = Played { desk: Desk::new(Address::loopback(1), 1, DeskRules::default()) };
+        let mut played = Played { scheduler: Scheduler::new(Address::loopback(1), 1, SchedulerRules::default()) };
         played.take(0, Event::Rules { rules: rules() });
         let entry = |name: &str, zone: &str| ServerEntry {
             server: name.into(),
@@ -67,7 +67,7 @@
         played
     }
     fn take(&mut self, at: u64, event: Event) -> Vec<Decision> {
-        self.desk.take(Dated { at: Moment(START + at), event })
+        self.scheduler.take(Dated { at: Moment(START + at), event })
     }
     fn place(&mut self, at: u64, order: u64, prefix: u64) -> Option<(ServerName, PlaceReason)> {
         self.take(at, prompt(order, prefix)).into_iter().find_map(|decision| match decision {
@@ -134,21 +134,21 @@
         let (from, sketch) = (Address::loopback(2), sketch(number, incarnation));
         played.take(200, Event::PeerSketch { from, sketch });
     }
-    assert_eq!(played.desk.count(PrefixHash(703), Moment(START + 200), Span(5000)), 2);
+    assert_eq!(played.scheduler.count(PrefixHash(703), Moment(START + 200), Span(5000)), 2);
     // It has cooled at the peer, and the sketch from before comes late.
     let (from, cooled) = (Address::loopback(2), Sketch { incarnation: 6, number: 2, ..Sketch::default() });
     played.take(210, Event::PeerSketch { from, sketch: cooled });
     played.take(220, Event::PeerSketch { from, sketch: sketch(1, 6) });
-    assert_eq!(played.desk.count(PrefixHash(703), Moment(START + 220), Span(5000)), 1);
+    assert_eq!(played.scheduler.count(PrefixHash(703), Moment(START + 220), Span(5000)), 1);
     for port in [3, 4] {
         played.take(200, Event::PeerSketch { from: Address::loopback(port), sketch: sketch(1, 1) });
     }
-    assert_eq!(played.desk.count(PrefixHash(703), Moment(START + 220), Span(5000)), 3);
+    assert_eq!(played.scheduler.count(PrefixHash(703), Moment(START + 220), Span(5000)), 3);
 }
 
 #[parameterized(
     leaving = { |p: &mut Played| {
-        let servers = p.desk.servers.iter().map(|(name, s)| ServerEntry {
+        let servers = p.scheduler.servers.iter().map(|(name, s)| ServerEntry {
             server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: name.as_str() != "d", ..ServerEntry::default()
         }).collect();
         p.take(900, Event::ServerList { servers });
@@ -158,7 +158,7 @@
         rules.epoch = Epoch(2);
         rules.withdrawn = vec!["north".into()];
         p.take(900, Event::Rules { rules });
-        let servers = p.desk.servers.iter().filter(|(name, _)| name.as_str() != "c").map(|(name, s)| ServerEntry {
+        let servers = p.scheduler.servers.iter().filter(|(name, _)| name.as_str() != "c").map(|(name, s)| ServerEntry {
             server: name.clone(), zone: s.zone.clone(), pool: s.pool.clone(), is_leaving: false, ..ServerEntry::default()
         }).collect();
         p.take(900, Event::ServerList { servers });
--- a/crates/primer/src/desk/timing.rs
+++ b/crates/primer/src/scheduler/timing.rs
@@ -75,7 +75,7 @@
     }
 }
 
-impl Desk {
+impl Scheduler {
     pub(super) fn choose_by_time(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (mut scored, survey) = self.score(ask, false);
         if scored.is_empty() {
@@ -83,7 +83,7 @@
             scored = self.score(ask, true).0;
         }
         // Prompts stay with what holds them; plain fetches have nothing to stay for.
-        let hysteresis = if ask.hashes.is_empty() { Span(0) } else { self.desk_rules.hysteresis };
+        let hysteresis = if ask.hashes.is_empty() { Span(0) } else { self.scheduler_rules.hysteresis };
         let Some(best) = best_of(&scored, hysteresis, |_| true) else {
             return Err(match survey.wait {
                 Some(wait) => {
@@ -107,7 +107,7 @@
             }
         }
         let has_room = scored.iter().any(|r| r.load * 100 < r.slots * HALF_EMPTY);
-        if self.desk_rules.does_admit && chosen.expected > latest.0 && !has_room {
+        if self.scheduler_rules.does_admit && chosen.expected > latest.0 && !has_room {
             let wait = Span(chosen.expected - latest.0).max_with(WAIT_LEAST);
             return Err(Refusal { code: ResultCode::Crowded, why: late_words(Span(chosen.expected), latest), wait });
         }
@@ -147,13 +147,13 @@
             those.min_by_key(|r| (r.expected, r.load, u64::MAX - r.affinity))
         };
         let warm = least(&|r| r.is_warm());
-        let wanted = !self.desk_rules.does_order_copies && survey.wants_more(&ask.rules.btb);
+        let wanted = !self.scheduler_rules.does_order_copies && survey.wants_more(&ask.rules.btb);
         // Its own reading warms the next target; a target reads the prefix once, and the rest go where it is held.
         let holder = warm.or_else(|| least(&|r| r.holding.is_some()));
-        let is_needed = holder.is_none_or(|holder| holder.expected > self.desk_rules.warm_from.0);
+        let is_needed = holder.is_none_or(|holder| holder.expected > self.scheduler_rules.warm_from.0);
         if wanted
             && is_needed
-            && let Some(target) = best_of(scored, self.desk_rules.hysteresis, |r| r.holding.is_none())
+            && let Some(target) = best_of(scored, self.scheduler_rules.hysteresis, |r| r.holding.is_none())
             && (target.expected <= due.0 || warm.is_none_or(|warm| warm.expected > due.0))
         {
             return (target, PlaceReason::Warming);
@@ -204,7 +204,7 @@
             let theirs = server.theirs;
             let load = self.load(server, now);
             let slots = server.slots.unwrap_or(rules.slots).max(1);
-            let holding = prefix.and_then(|prefix| Desk::holding(told, prefix, name, server, now));
+            let holding = prefix.and_then(|prefix| Scheduler::holding(told, prefix, name, server, now));
             survey.note_holding(holding, load < slots && server.overdue == 0);
             if tried.contains(name) {
                 continue;
@@ -231,10 +231,10 @@
             };
             let expected = self.expect(rules, server, &footprint, load, server.tokens + theirs.tokens);
             let reading = self.prefill(server, footprint.uncached);
-            let mut cost = expected + reading * u64::from(self.desk_rules.prefill_percent) / 100;
-            cost += u64::from(load) * self.desk_rules.load_bias.0 / u64::from(slots);
+            let mut cost = expected + reading * u64::from(self.scheduler_rules.prefill_percent) / 100;
+            cost += u64::from(load) * self.scheduler_rules.load_bias.0 / u64::from(slots);
             if self.zone.as_ref().is_some_and(|zone| *zone != server.zone) {
-                cost += self.desk_rules.zone_bias.0;
+                cost += self.scheduler_rules.zone_bias.0;
             }
             let affinity = mix(server.key ^ affinity_key);
             let likely = matched;
@@ -256,7 +256,8 @@
         let saved = self.tokens_of(&hashes[..=shared], demand).saturating_sub(kept);
         let reading = self.servers.get(first.name).map_or(0, |server| self.prefill(server, saved));
         first.likely = shared as u32 + 1;
-        first.cost = first.cost.saturating_sub(reading + reading * u64::from(self.desk_rules.prefill_percent) / 100);
+        first.cost =
+            first.cost.saturating_sub(reading + reading * u64::from(self.scheduler_rules.prefill_percent) / 100);
     }
 
     /// Whether a server can take one more from this node now; else when, about.
@@ -279,7 +280,7 @@
         if !does_trust && server.suspect_until.is_some() && server.faults > 0 && server.own > 0 {
             return Err(place_wait);
         }
-        let cap = slots + slots * self.desk_rules.queue_percent / 100;
+        let cap = slots + slots * self.scheduler_rules.queue_percent / 100;
         let members = self.members.len() as u32;
         let is_own_part = server.own < share_at(cap, server.rank, members);
         // Beyond the own part, room that others leave is used; for those not heard, half of theirs stays free.
@@ -293,17 +294,17 @@
         if footprint.prompt == 0 {
             return server.hold.0 + footprint.queue + server.overdue;
         }
-        let step = (self.desk_rules.step_micros + u64::from(load) * self.desk_rules.step_micros_each) / 1000;
+        let step = (self.scheduler_rules.step_micros + u64::from(load) * self.scheduler_rules.step_micros_each) / 1000;
         // What doesn't fit beside those that run waits until as much of them has ended.
         let over = (tokens + footprint.memory).saturating_sub(rules.memory_tokens);
         let room = if rules.memory_tokens == 0 || tokens == 0 { 0 } else { server.hold.0 * over / tokens };
         let reading = self.prefill(server, footprint.ahead + footprint.uncached);
-        self.desk_rules.base_first_token.0 + reading + step + footprint.queue.max(room) + server.overdue
+        self.scheduler_rules.base_first_token.0 + reading + step + footprint.queue.max(room) + server.overdue
     }
 
     /// How long a server reads so many tokens, in ms.
     fn prefill(&self, server: &ServerState, tokens: u64) -> u64 {
-        tokens * server.block_micros / u64::from(self.desk_rules.block_tokens.max(1)) / 1000
+        tokens * server.block_micros / u64::from(self.scheduler_rules.block_tokens.max(1)) / 1000
     }
 
     fn prompt_tokens(&self, hashes: &[PrefixHash], demand: &Demand) -> u64 {
@@ -313,7 +314,7 @@
     /// Tokens of the leading parts.
     fn tokens_of(&self, hashes: &[PrefixHash], demand: &Demand) -> u64 {
         if demand.hash_tokens.is_empty() {
-            return hashes.len() as u64 * u64::from(self.desk_rules.block_tokens);
+            return hashes.len() as u64 * u64::from(self.scheduler_rules.block_tokens);
         }
         demand.hash_tokens.iter().take(hashes.len()).map(|tokens| u64::from(*tokens)).sum()
     }
--- a/crates/primer/src/desk/warming.rs
+++ b/crates/primer/src/scheduler/warming.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl Desk {
+impl Scheduler {
     /// Makes a prefix active when its count fires, and orders copies that are due.
     pub(super) fn note_burst(
         &mut self,
@@ -26,12 +26,12 @@
     pub(super) fn on_tick(&mut self, now: Moment) {
         self.note_overdue(now);
         self.assume_copies(now);
-        if self.desk_rules.does_order_copies {
+        if self.scheduler_rules.does_order_copies {
             self.order_copies(now);
         }
         self.note_overdue_most(now);
         self.cool(now);
-        let life = Span(self.desk_rules.sketch_life.0 * 4);
+        let life = Span(self.scheduler_rules.sketch_life.0 * 4);
         self.peers.retain(|_, peer| now.since(peer.heard) < life);
         self.forget_unlisted();
     }
@@ -39,7 +39,7 @@
     /// Nobody tells that an import is done: after a while it's assumed, and first-token times may
     /// disprove it.
     fn assume_copies(&mut self, now: Moment) {
-        let span = self.desk_rules.copy_span;
+        let span = self.scheduler_rules.copy_span;
         for active in self.active.values_mut() {
             for (name, copy) in &mut active.copies {
                 if copy.state == CopyState::Ordered && now.since(copy.ordered) >= span {
@@ -99,10 +99,10 @@
                     self.may_serve(&rules, name, server, now)
                         && !holders.contains(name)
                         && !active.copies.get(*name).is_some_and(is_under_way)
-                        && !server.is_fresh(now, &self.desk_rules)
+                        && !server.is_fresh(now, &self.scheduler_rules)
                         && server.knows_kv
                         && server.weights == weights
-                        && self.copies_under_way(name) < self.desk_rules.copies_per_server
+                        && self.copies_under_way(name) < self.scheduler_rules.copies_per_server
                 })
                 .map(|(name, server)| (self.load(server, now), mix(prefix.0 ^ key_of(name.as_str())), name.clone()))
                 .collect();
@@ -154,7 +154,7 @@
     }
 
     fn cool(&mut self, now: Moment) {
-        let span = self.desk_rules.cool_after;
+        let span = self.scheduler_rules.cool_after;
         for (prefix, active) in &mut self.active {
             if self.told.count(*prefix).is_some() {
                 active.last = now;
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -82,7 +82,7 @@
 
 impl ServerState {
     /// When first seen.
-    pub fn new(entry: &ServerEntry, now: Moment, rules: &DeskRules) -> Self {
+    pub fn new(entry: &ServerEntry, now: Moment, rules: &SchedulerRules) -> Self {
         ServerState {
             zone: entry.zone.clone(),
             pool: entry.pool.clone(),
@@ -154,7 +154,7 @@
         self.cold_sent.push_back(now);
     }
     /// What the whole fleet may have in hand there now.
-    pub fn cap(&self, full: u32, now: Moment, rules: &DeskRules) -> u32 {
+    pub fn cap(&self, full: u32, now: Moment, rules: &SchedulerRules) -> u32 {
         let age = now.since(self.ramp_from);
         if age >= rules.ramp {
             return full;
@@ -163,7 +163,7 @@
         full.min(rules.ramp_start.max(grown as u32))
     }
     /// Whether it's still ramping up.
-    pub fn is_fresh(&self, now: Moment, rules: &DeskRules) -> bool {
+    pub fn is_fresh(&self, now: Moment, rules: &SchedulerRules) -> bool {
         now.since(self.ramp_from) < rules.ramp
     }
     /// Whether it's kept from work after faults.
@@ -183,7 +183,7 @@
         Some(span)
     }
     /// A first piece came after it had read so many tokens, in so many microseconds besides the base time.
-    pub fn learn_prefill(&mut self, took: u64, tokens: u64, rules: &DeskRules) {
+    pub fn learn_prefill(&mut self, took: u64, tokens: u64, rules: &SchedulerRules) {
         if tokens < LEARN_LEAST {
             return;
         }
@@ -223,7 +223,7 @@
             is_leaving: false,
             ..ServerEntry::default()
         };
-        ServerState::new(&entry, Moment(0), &DeskRules::default())
+        ServerState::new(&entry, Moment(0), &SchedulerRules::default())
     }
 
     #[test]
@@ -237,7 +237,7 @@
 
     #[test]
     fn a_fresh_server_ramps_and_a_faulty_one_starts_over() {
-        let rules = DeskRules::default();
+        let rules = SchedulerRules::default();
         let mut server = state();
         let caps: Vec<u32> = [0, 2000, 4000, 8000].map(|at| server.cap(8, Moment(at), &rules)).to_vec();
         assert_eq!(caps, [2, 2, 4, 8]);
--- a/crates/primer/src/sketch.rs
+++ b/crates/primer/src/sketch.rs
@@ -19,7 +19,7 @@
 #[serde(transparent)]
 pub struct PrefixHash(pub u64);
 
-/// The origin under which a desk is told the sum of all other nodes; no node has this address.
+/// The origin under which a scheduler is told the sum of all other nodes; no node has this address.
 pub const FLEET: Address = Address(std::net::SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0));
 
 messages! {
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -20,8 +20,8 @@
     }
 }
 
-fn desk_rules() -> DeskRules {
-    DeskRules { block_micros: 143, does_order_copies: false, ..DeskRules::default() }
+fn scheduler_rules() -> SchedulerRules {
+    SchedulerRules { block_micros: 143, does_order_copies: false, ..SchedulerRules::default() }
 }
 
 fn entry(name: &str, zone: &str) -> ServerEntry {
@@ -36,13 +36,13 @@
 }
 
 struct Played {
-    desk: Desk,
+    scheduler: Scheduler,
     next: u64,
 }
 
 impl Played {
-    fn with(service: ServiceRules, desk_rules: DeskRules, servers: Vec<ServerEntry>) -> Self {
-        let mut played = Played { desk: Desk::new(Address::loopback(1), 1, desk_rules), next: 0 };
+    fn with(service: ServiceRules, scheduler_rules: SchedulerRules, servers: Vec<ServerEntry>) -> Self {
+        let mut played = Played { scheduler: Scheduler::new(Address::loopback(1), 1, scheduler_rules), next: 0 };
         let rules = Rules { epoch: Epoch(1), services: [("drafts".into(), service)].into(), withdrawn: vec![] };
         played.take(0, Event::Rules { rules });
         played.take(0, Event::ServerList { servers });
@@ -50,10 +50,10 @@
     }
     fn new() -> Self {
         let servers = ["a", "b", "c", "d", "e", "f"].map(|name| entry(name, "north")).to_vec();
-        Played::with(service(), desk_rules(), servers)
+        Played::with(service(), scheduler_rules(), servers)
     }
     fn take(&mut self, at: u64, event: Event) -> Vec<Decision> {
-        self.desk.take(Dated { at: Moment(START + at), event })
+        self.scheduler.take(Dated { at: Moment(START + at), event })
     }
     /// A prompt of these parts and tokens; gives its order and the decision on it.
     fn ask(&mut self, at: u64, parts: &[(u64, u32)], round: u32) -> (OrderId, Decision) {
@@ -103,7 +103,7 @@
     for n in 0..6 {
         played.ask(n * 10, parts, 0);
     }
-    assert_eq!(!played.desk.active(Moment(START + 60)).is_empty(), is_counted);
+    assert_eq!(!played.scheduler.active(Moment(START + 60)).is_empty(), is_counted);
 }
 
 #[test]
@@ -127,7 +127,7 @@
 #[test]
 fn a_server_whose_memory_is_full_is_expected_late() {
     let servers = vec![entry("a", "north"), entry("b", "north")];
-    let mut played = Played::with(service(), desk_rules(), servers);
+    let mut played = Played::with(service(), scheduler_rules(), servers);
     let in_flight = vec![InFlight { server: "a".into(), count: 40, unread: 0, tokens: 649_000, read: 0 }];
     let sketch = Sketch { incarnation: 1, number: 1, in_flight, ..Sketch::default() };
     played.take(0, Event::PeerSketch { from: Address::loopback(2), sketch });
@@ -172,9 +172,9 @@
 #[test]
 fn the_own_zone_is_preferred_lightly() {
     let servers = vec![entry("a", "north"), entry("b", "south")];
-    let rules = DeskRules { zone_bias: Span(60), ..desk_rules() };
+    let rules = SchedulerRules { zone_bias: Span(60), ..scheduler_rules() };
     let mut played = Played::with(service(), rules, servers);
-    played.desk.set_zone("south".into());
+    played.scheduler.set_zone("south".into());
     let placed: Vec<ServerName> = (0..20).map(|n| server_of(&played.draft(n, 100 + n).1)).collect();
     assert_eq!(placed[0].as_str(), "b");
     assert!(placed.iter().any(|server| server.as_str() == "a"), "but not whatever it costs");
@@ -183,7 +183,7 @@
 #[test]
 fn late_is_better_than_never_and_the_hopeless_are_told_when_to_come_back() {
     let servers = vec![entry("a", "north"), entry("b", "north")];
-    let mut played = Played::with(service(), desk_rules(), servers);
+    let mut played = Played::with(service(), scheduler_rules(), servers);
     let tell = |played: &mut Played, number, unread| {
         let in_flight = ["a", "b"]
             .map(|server| InFlight { server: server.into(), count: 100, unread, tokens: 0, read: 0 })
@@ -203,7 +203,7 @@
 fn nobody_is_refused_while_servers_stand_half_empty_however_uneven_the_traffic() {
     let app = ServiceRules { slots: 6, first_token: Span(300), memory_tokens: 0, ..service() };
     let servers = ["a", "b", "c"].map(|name| ServerEntry { slots: Some(6), ..entry(name, "north") }).to_vec();
-    let mut played = Played::with(app, desk_rules(), servers);
+    let mut played = Played::with(app, scheduler_rules(), servers);
     // Eleven members, all heard, none of them busy: this one takes all of the traffic.
     let members: Vec<Address> = (1..=11).map(Address::loopback).collect();
     played.take(0, Event::Members { members: members.clone(), since: Epoch(1) });
@@ -221,7 +221,7 @@
 fn a_cold_server_gets_its_rate_and_the_rest_go_elsewhere() {
     let rules = ServiceRules { cold_per_second: 20, cold_span: Span(3000), ..service() };
     let servers = vec![entry("warm", "north"), ServerEntry { cold_left: None, ..entry("new", "north") }];
-    let mut played = Played::with(rules, desk_rules(), servers);
+    let mut played = Played::with(rules, scheduler_rules(), servers);
     let members = (1..=4).map(Address::loopback).collect();
     played.take(0, Event::Members { members, since: Epoch(1) });
     let mut sent = vec![];
@@ -249,7 +249,7 @@
 #[test]
 fn slow_servers_are_avoided_but_never_more_than_half() {
     let servers = ["a", "b", "c", "d"].map(|name| entry(name, "north")).to_vec();
-    let mut played = Played::with(service(), desk_rules(), servers);
+    let mut played = Played::with(service(), scheduler_rules(), servers);
     let mut suspected = std::collections::BTreeSet::new();
     for round in 0..10u64 {
         let at = round * 5000;
@@ -262,7 +262,7 @@
             }
         }
         let now = Moment(START + at + 4000);
-        let lost = played.desk.servers().values().filter(|server| server.is_suspect(now)).count();
+        let lost = played.scheduler.servers().values().filter(|server| server.is_suspect(now)).count();
         assert!(lost <= 2, "{lost} of 4 kept from work on mere doubt");
         for order in orders {
             played.end(at + 4500, order, Outcome::Cancelled);
@@ -283,7 +283,7 @@
 fn before_the_members_are_told_a_cold_server_gets_nothing() {
     let rules = ServiceRules { cold_per_second: 20, cold_span: Span(3000), ..service() };
     let servers = vec![ServerEntry { cold_left: Some(Span(60_000)), ..entry("new", "north") }];
-    let mut played = Played::with(rules, desk_rules(), servers);
+    let mut played = Played::with(rules, scheduler_rules(), servers);
     assert!((0..50).all(|n| matches!(played.ask(n * 100, &[], 0).1, Decision::Refused { .. })));
     played.take(5000, Event::Members { members: vec![Address::loopback(1)], since: Epoch(1) });
     // Nor for a second and a half after: what others placed before has left by then, and its second is over.
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/primer/tests/cold_shares.rs
@@ -14,7 +14,7 @@
 
 /// A node, and how it stands with the core.
 struct Node {
-    desk: Desk,
+    scheduler: Scheduler,
     lives: u64,
     /// Since when its process runs.
     up_from: u64,
@@ -43,7 +43,7 @@
             Fleet { now: START, seed, nodes: vec![], membership: vec![], since: Epoch(0), next: 0, placed: vec![] };
         for place in 0..NODES {
             let node = Node {
-                desk: Desk::new(own(place), 0, DeskRules::default()),
+                scheduler: Scheduler::new(own(place), 0, SchedulerRules::default()),
                 lives: 0,
                 up_from: START,
                 cut_until: START,
@@ -61,14 +61,14 @@
         self.seed % below
     }
     fn tell(&mut self, place: usize, event: Event) -> Vec<Decision> {
-        self.nodes[place].desk.take(Dated { at: Moment(self.now), event })
+        self.nodes[place].scheduler.take(Dated { at: Moment(self.now), event })
     }
     /// A node's process ends and another starts a little later, at the same address.
     fn restart(&mut self, place: usize) {
         let up_from = self.now + self.random(400);
         let node = &mut self.nodes[place];
         node.lives += 1;
-        node.desk = Desk::new(own(place), node.lives, DeskRules::default());
+        node.scheduler = Scheduler::new(own(place), node.lives, SchedulerRules::default());
         (node.up_from, node.next_poll, node.knows) = (up_from, up_from, Epoch(0));
         node.answers.clear();
     }
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! A small fleet of desks that share engines: pure, seeded, in steps of a millisecond.
+//! A small fleet of schedulers that share engines: pure, seeded, in steps of a millisecond.
 
 use primer::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,12 +27,12 @@
 struct Fleet {
     now: u64,
     seed: u64,
-    desks: Vec<Desk>,
+    schedulers: Vec<Scheduler>,
     lives: Vec<u64>,
     engines: Vec<Engine>,
     due: BTreeMap<(u64, u64), Due>,
     service: ServiceRules,
-    desk_rules: DeskRules,
+    scheduler_rules: SchedulerRules,
     next: u64,
     /// When, where, why, for which prefix.
     placed: Vec<(u64, ServerName, PlaceReason, u64)>,
@@ -44,7 +44,7 @@
 }
 
 impl Fleet {
-    fn new(desks: usize, engines: usize, service: ServiceRules, desk_rules: DeskRules) -> Self {
+    fn new(schedulers: usize, engines: usize, service: ServiceRules, scheduler_rules: SchedulerRules) -> Self {
         let engine = |n: usize| Engine {
             name: ServerName::from(format!("e{n}").as_str()),
             speed: [1.0, 1.0, 1.3][n % 3],
@@ -58,12 +58,12 @@
         let mut fleet = Fleet {
             now: START,
             seed: 11,
-            desks: vec![],
-            lives: vec![0; desks],
+            schedulers: vec![],
+            lives: vec![0; schedulers],
             engines: (0..engines).map(engine).collect(),
             due: BTreeMap::new(),
             service,
-            desk_rules,
+            scheduler_rules,
             next: 0,
             placed: vec![],
             asked: vec![],
@@ -72,8 +72,9 @@
             firsts: vec![],
             sent: BTreeMap::new(),
         };
-        fleet.desks = (0..desks).map(|place| Desk::new(own(place), 0, fleet.desk_rules.clone())).collect();
-        (0..desks).for_each(|place| fleet.restart(place));
+        fleet.schedulers =
+            (0..schedulers).map(|place| Scheduler::new(own(place), 0, fleet.scheduler_rules.clone())).collect();
+        (0..schedulers).for_each(|place| fleet.restart(place));
         fleet
     }
     fn random(&mut self, below: u64) -> u64 {
@@ -92,15 +93,15 @@
         self.engines.iter().map(entry).collect()
     }
     fn tell(&mut self, place: usize, event: Event) -> Vec<Decision> {
-        self.desks[place].take(Dated { at: Moment(self.now), event })
+        self.schedulers[place].take(Dated { at: Moment(self.now), event })
     }
     /// A node is killed and starts anew; what it had in hand is lost.
     fn restart(&mut self, place: usize) {
         self.lives[place] += 1;
-        self.desks[place] = Desk::new(own(place), self.lives[place], self.desk_rules.clone());
+        self.schedulers[place] = Scheduler::new(own(place), self.lives[place], self.scheduler_rules.clone());
         let services = [("drafts".into(), self.service.clone())].into();
         self.tell(place, Event::Rules { rules: Rules { epoch: Epoch(1), services, withdrawn: vec![] } });
-        let (members, servers) = ((0..self.desks.len()).map(own).collect(), self.server_list());
+        let (members, servers) = ((0..self.schedulers.len()).map(own).collect(), self.server_list());
         self.tell(place, Event::Members { members, since: Epoch(1) });
         self.tell(place, Event::ServerList { servers });
     }
@@ -125,16 +126,16 @@
         }
         if self.now.is_multiple_of(100) {
             let servers = self.server_list();
-            for place in 0..self.desks.len() {
+            for place in 0..self.schedulers.len() {
                 self.tell(place, Event::Tick);
                 self.tell(place, Event::ServerList { servers: servers.clone() });
             }
         }
         if self.now.is_multiple_of(250) {
             let at = Moment(self.now);
-            let sketches: Vec<Sketch> = self.desks.iter_mut().map(|desk| desk.sketch(at)).collect();
+            let sketches: Vec<Sketch> = self.schedulers.iter_mut().map(|scheduler| scheduler.sketch(at)).collect();
             for (from, sketch) in sketches.into_iter().enumerate() {
-                for place in 0..self.desks.len() {
+                for place in 0..self.schedulers.len() {
                     self.tell(place, Event::PeerSketch { from: own(from), sketch: sketch.clone() });
                 }
             }
@@ -217,19 +218,19 @@
     }
 }
 
-fn desk_rules() -> DeskRules {
-    DeskRules {
+fn scheduler_rules() -> SchedulerRules {
+    SchedulerRules {
         block_micros: 143,
         does_order_copies: false,
         repeat_window: Span::seconds(10),
         repeats_in_window: 62,
-        ..DeskRules::default()
+        ..SchedulerRules::default()
     }
 }
 
 #[test]
 fn a_burst_on_one_prefix_is_spread_over_warm_servers_and_read_only_there() {
-    let mut fleet = Fleet::new(10, 9, service(), desk_rules());
+    let mut fleet = Fleet::new(10, 9, service(), scheduler_rules());
     for at in 0..8000 {
         fleet.step();
         // From the fourth second on, one prefix comes fifty times a second, at whatever node.
@@ -256,7 +257,7 @@
 
 #[test]
 fn the_fleet_never_sends_a_cold_server_more_than_it_bears_whatever_restarts() {
-    let mut fleet = Fleet::new(11, 6, service(), desk_rules());
+    let mut fleet = Fleet::new(11, 6, service(), scheduler_rules());
     let mut arrivals_while_cold: BTreeMap<ServerName, Vec<u64>> = BTreeMap::new();
     for at in 0..12_000u64 {
         fleet.step();
@@ -288,7 +289,7 @@
 
 #[test]
 fn the_fleet_keeps_its_repeats_within_each_window_whatever_restarts() {
-    let mut fleet = Fleet::new(11, 6, service(), desk_rules());
+    let mut fleet = Fleet::new(11, 6, service(), scheduler_rules());
     for at in 0..32_000u64 {
         fleet.step();
         if at % 4000 == 0 {
@@ -316,7 +317,7 @@
 #[test]
 fn the_same_seed_gives_the_same_choices() {
     let play = || {
-        let mut fleet = Fleet::new(4, 4, service(), desk_rules());
+        let mut fleet = Fleet::new(4, 4, service(), scheduler_rules());
         for at in 0..3000u64 {
             fleet.step();
             if at % 15 == 0 {
--- a/crates/registrar/src/desk.rs
+++ b/crates/registrar/src/admin.rs
@@ -3,7 +3,7 @@
 
 /// What an operator's call asks for, in whatever dialect.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DeskCall {
+pub enum AdminCall {
     /// Take a whole plan.
     Plan {
         /// As sent.
@@ -36,7 +36,7 @@
 
 /// What became of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DeskAnswer {
+pub enum AdminAnswer {
     /// It is done, or so it is.
     Done,
     /// The newest plan, as it was taken.
@@ -53,25 +53,25 @@
 }
 
 /// How operators' calls and their answers look.
-pub trait DeskDialect: Send + Sync {
+pub trait AdminDialect: Send + Sync {
     /// Reads a call; `None` if it is none of the dialect's, an answer at once if it can't be read.
-    fn read(&self, order: &Order) -> Result<Option<DeskCall>, Box<Reply>>;
+    fn read(&self, order: &Order) -> Result<Option<AdminCall>, Box<Reply>>;
     /// Writes its answer.
-    fn write(&self, answer: DeskAnswer) -> Reply;
+    fn write(&self, answer: AdminAnswer) -> Reply;
     /// How long whoever sent a call of so many bytes waits for its answer. Nothing is begun for it after that.
     fn patience(&self, _body_bytes: usize) -> Span {
         OPERATOR_PATIENCE
     }
 }
 
-fn refused(code: ResultCode, why: impl Into<String>, faults: Vec<Fault>) -> DeskAnswer {
-    DeskAnswer::Refused { code, why: why.into(), faults }
+fn refused(code: ResultCode, why: impl Into<String>, faults: Vec<Fault>) -> AdminAnswer {
+    AdminAnswer::Refused { code, why: why.into(), faults }
 }
 
 /// The core's words as an answer.
-fn answer_of(status: u16, body: &[u8]) -> DeskAnswer {
+fn answer_of(status: u16, body: &[u8]) -> AdminAnswer {
     if status == 200 {
-        return DeskAnswer::Done;
+        return AdminAnswer::Done;
     }
     let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
     let is_code = |code: &&ResultCode| value["code"].as_u64() == Some(u64::from(code.number()));
@@ -88,11 +88,11 @@
 
 /// What a call's task does next.
 #[derive(Debug, Clone)]
-pub enum DeskStep {
-    /// Ask the core; its answer goes to [`DeskTask::on_told`].
+pub enum SchedulerStep {
+    /// Ask the core; its answer goes to [`AdminTask::on_told`].
     Ask(OperatorAsk),
     /// It is over.
-    Answer(DeskAnswer),
+    Answer(AdminAnswer),
 }
 
 /// What the core's next answer to a call's task is about.
@@ -114,91 +114,93 @@
 ///
 /// Invariant: it is refused for good only by the tail's own word: on a proposal, or that a document which has
 /// faults was not taken and builds on nothing that is yet to come.
-pub struct DeskTask<'a> {
+pub struct AdminTask<'a> {
     plans: &'a dyn PlanDialect,
     zones: &'a [ZoneName],
     stage: Stage,
 }
 
-impl<'a> DeskTask<'a> {
+impl<'a> AdminTask<'a> {
     /// A call's task and its first step. `zones` may be evacuated besides those that members and plans name.
     pub fn begin(
-        call: DeskCall,
+        call: AdminCall,
         plans: &'a dyn PlanDialect,
         zones: &'a [ZoneName],
         is_ready: bool,
-    ) -> (DeskTask<'a>, DeskStep) {
-        let mut task = DeskTask { plans, zones, stage: Stage::Over };
+    ) -> (AdminTask<'a>, SchedulerStep) {
+        let mut task = AdminTask { plans, zones, stage: Stage::Over };
         let step = match call {
-            DeskCall::Plan { bytes, base } => {
+            AdminCall::Plan { bytes, base } => {
                 let id = id_of("plan", &bytes, base);
                 let command = Command::plan_in(plans, bytes, Some(base));
                 task.propose_document(id, command)
             }
-            DeskCall::Change { bytes, base } => {
+            AdminCall::Change { bytes, base } => {
                 task.stage = Stage::Merging { id: id_of("change", &bytes, base), bytes, base };
                 // Merged into the tail's plan: an older one would be a conflict that isn't one.
-                DeskStep::Ask(OperatorAsk::Read(Reading::Base { at_least: Epoch(u64::MAX) }))
+                SchedulerStep::Ask(OperatorAsk::Read(Reading::Base { at_least: Epoch(u64::MAX) }))
             }
-            DeskCall::ReadPlan => {
+            AdminCall::ReadPlan => {
                 task.stage = Stage::Reading;
-                DeskStep::Ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }))
+                SchedulerStep::Ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) }))
+            }
+            AdminCall::Withdraw { zone } => task.propose(chance_id(), Command::Withdraw { zone }),
+            AdminCall::Restore { zone } => task.propose(chance_id(), Command::Restore { zone }),
+            AdminCall::Readiness if is_ready => SchedulerStep::Answer(AdminAnswer::Done),
+            AdminCall::Readiness => {
+                SchedulerStep::Answer(refused(ResultCode::CoreNotReady, "not in the chain", vec![]))
             }
-            DeskCall::Withdraw { zone } => task.propose(chance_id(), Command::Withdraw { zone }),
-            DeskCall::Restore { zone } => task.propose(chance_id(), Command::Restore { zone }),
-            DeskCall::Readiness if is_ready => DeskStep::Answer(DeskAnswer::Done),
-            DeskCall::Readiness => DeskStep::Answer(refused(ResultCode::CoreNotReady, "not in the chain", vec![])),
         };
         (task, step)
     }
 
     /// The core's status and body in answer to what was asked; `None` if none came in time.
-    pub fn on_told(&mut self, told: Option<Told>) -> DeskStep {
+    pub fn on_told(&mut self, told: Option<Told>) -> SchedulerStep {
         let stage = std::mem::replace(&mut self.stage, Stage::Over);
         let Some((status, body)) = told else {
             let code =
                 if matches!(stage, Stage::Proposed) { ResultCode::FateUnknown } else { ResultCode::CoreNotReady };
-            return DeskStep::Answer(refused(code, "no answer in time", vec![]));
+            return SchedulerStep::Answer(refused(code, "no answer in time", vec![]));
         };
         match stage {
             Stage::Merging { id, bytes, base } if status == 200 => self.merge(id, bytes, base, &body),
             Stage::Fate { faults } if status == ResultCode::UnknownChange.http_status() => {
-                DeskStep::Answer(refused(ResultCode::BadPlan, "nothing changed", faults))
+                SchedulerStep::Answer(refused(ResultCode::BadPlan, "nothing changed", faults))
             }
-            Stage::Reading if status == 200 => DeskStep::Answer(DeskAnswer::Plan(body)),
+            Stage::Reading if status == 200 => SchedulerStep::Answer(AdminAnswer::Plan(body)),
             Stage::Merging { .. } | Stage::Fate { .. } | Stage::Proposed | Stage::Reading | Stage::Over => {
-                DeskStep::Answer(answer_of(status, &body))
+                SchedulerStep::Answer(answer_of(status, &body))
             }
         }
     }
 
     /// Merges a change into the tail's plan, which comes behind its epoch.
-    fn merge(&mut self, id: String, bytes: Vec<u8>, base: u64, told: &[u8]) -> DeskStep {
+    fn merge(&mut self, id: String, bytes: Vec<u8>, base: u64, told: &[u8]) -> SchedulerStep {
         let Some((epoch, plan)) = told.split_first_chunk::<8>() else {
-            return DeskStep::Answer(refused(ResultCode::CoreNotReady, "no plan to merge into", vec![]));
+            return SchedulerStep::Answer(refused(ResultCode::CoreNotReady, "no plan to merge into", vec![]));
         };
         let command = Command::change_in(self.plans, bytes, Epoch(u64::from_be_bytes(*epoch)), plan, Some(base));
         let newest = self.plans.parse(plan).map_or(0, |plan| plan.revision);
         if command.is_err() && base > newest {
             // It may have none with the plan that it was made for.
             let why = format!("it builds on revision {base}, which is not accepted so far");
-            return DeskStep::Answer(refused(ResultCode::CoreNotReady, why, vec![]));
+            return SchedulerStep::Answer(refused(ResultCode::CoreNotReady, why, vec![]));
         }
         self.propose_document(id, command)
     }
 
-    fn propose(&mut self, id: String, command: Command) -> DeskStep {
+    fn propose(&mut self, id: String, command: Command) -> SchedulerStep {
         self.stage = Stage::Proposed;
-        DeskStep::Ask(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), command }))
+        SchedulerStep::Ask(OperatorAsk::Propose(Proposal { id, builds_on: None, seen: Epoch(0), command }))
     }
 
     /// Proposes what a document came to. One with faults now may have been taken when it was first sent.
-    fn propose_document(&mut self, id: String, command: Result<Command, Vec<Fault>>) -> DeskStep {
+    fn propose_document(&mut self, id: String, command: Result<Command, Vec<Fault>>) -> SchedulerStep {
         match command {
             Ok(command) => self.propose(id, command.with_zones(self.zones)),
             Err(faults) => {
                 self.stage = Stage::Fate { faults };
-                DeskStep::Ask(OperatorAsk::Read(Reading::Fate { id }))
+                SchedulerStep::Ask(OperatorAsk::Read(Reading::Fate { id }))
             }
         }
     }
@@ -209,17 +211,17 @@
     /// and plans name.
     pub fn carry(
         &self,
-        call: DeskCall,
+        call: AdminCall,
         plans: &dyn PlanDialect,
         zones: &[ZoneName],
         is_ready: bool,
         attempt: &Attempt,
-    ) -> DeskAnswer {
-        let (mut task, mut step) = DeskTask::begin(call, plans, zones, is_ready);
+    ) -> AdminAnswer {
+        let (mut task, mut step) = AdminTask::begin(call, plans, zones, is_ready);
         loop {
             match step {
-                DeskStep::Answer(answer) => return answer,
-                DeskStep::Ask(ask) => step = task.on_told(self.ask(ask, attempt).ok()),
+                SchedulerStep::Answer(answer) => return answer,
+                SchedulerStep::Ask(ask) => step = task.on_told(self.ask(ask, attempt).ok()),
             }
         }
     }
--- a/crates/registrar/src/desk/tests.rs
+++ b/crates/registrar/src/admin/tests.rs
@@ -26,14 +26,14 @@
 }
 
 /// It takes all services away, which is a fault.
-fn change() -> DeskCall {
-    DeskCall::Change { bytes: br#"{"revision":7,"services":null}"#.to_vec(), base: 5 }
+fn change() -> AdminCall {
+    AdminCall::Change { bytes: br#"{"revision":7,"services":null}"#.to_vec(), base: 5 }
 }
 
-fn code_of(core: &CoreLine, call: DeskCall) -> ResultCode {
+fn code_of(core: &CoreLine, call: AdminCall) -> ResultCode {
     match core.carry(call, &OwnPlans, &[], true, &Attempt::new(OPERATOR_PATIENCE, None)) {
-        DeskAnswer::Refused { code, .. } => code,
-        DeskAnswer::Done | DeskAnswer::Plan(_) => ResultCode::Accepted,
+        AdminAnswer::Refused { code, .. } => code,
+        AdminAnswer::Done | AdminAnswer::Plan(_) => ResultCode::Accepted,
     }
 }
 
@@ -53,7 +53,7 @@
 
 #[test]
 fn a_whole_plan_with_faults_is_refused_only_once_it_is_known_not_to_have_been_taken() {
-    let plan = || DeskCall::Plan { bytes: br#"{"revision":7,"services":3}"#.to_vec(), base: 5 };
+    let plan = || AdminCall::Plan { bytes: br#"{"revision":7,"services":3}"#.to_vec(), base: 5 };
     let told = |fate: ResultCode| code_of(&core(vec![said(fate)]), plan());
     assert_eq!(told(ResultCode::Accepted), ResultCode::Accepted);
     assert_eq!(told(ResultCode::CoreNotReady), ResultCode::CoreNotReady);
@@ -65,9 +65,9 @@
     let heard = Arc::new(std::sync::Mutex::new(vec![]));
     let hears = heard.clone();
     let silent = CoreLine::new(crate::core_line::Replies::default(), move |input| hears.lock().unwrap().push(input));
-    let call = DeskCall::Withdraw { zone: "east".into() };
+    let call = AdminCall::Withdraw { zone: "east".into() };
     let answer = silent.carry(call.clone(), &OwnPlans, &[], true, &Attempt::new(Span(0), None));
-    assert!(matches!(answer, DeskAnswer::Refused { code: ResultCode::FateUnknown, .. }), "{answer:?}");
+    assert!(matches!(answer, AdminAnswer::Refused { code: ResultCode::FateUnknown, .. }), "{answer:?}");
     assert!(heard.lock().unwrap().is_empty(), "nobody waits for it, so nothing was begun");
     silent.carry(call, &OwnPlans, &[], true, &Attempt::new(Span(20), None));
     let heard = heard.lock().unwrap();
--- a/crates/registrar/src/desk_line.rs
+++ b/crates/registrar/src/admin_command.rs
@@ -6,18 +6,18 @@
 
 /// The operators' command line: each task is one call to a registrar's HTTP interface.
 #[derive(Debug, clap::Args)]
-pub struct DeskLine {
+pub struct AdminCommand {
     /// A registrar's listening address; any one will do.
     #[arg(long, global = true, default_value = "127.0.0.1:7000")]
     pub at: Address,
     /// What to do.
     #[command(subcommand)]
-    pub task: DeskTask,
+    pub task: AdminTask,
 }
 
 /// What operators do.
 #[derive(Debug, Subcommand)]
-pub enum DeskTask {
+pub enum AdminTask {
     /// Put a whole plan in force.
     Put {
         /// The plan, JSON.
@@ -84,29 +84,31 @@
     Believes,
 }
 
-impl DeskLine {
+impl AdminCommand {
     /// Does it; gives the exit code: 0 done, 1 refused or not known, 3 no answer.
     pub fn run(&self) -> u8 {
         let base = format!("http://{}", self.at);
         let body_of = |file: &PathBuf| std::fs::read(file).map_err(|fault| format!("{}: {fault}", file.display()));
         let (method, path, body) = match &self.task {
-            DeskTask::Put { file, id, builds_on } => {
+            AdminTask::Put { file, id, builds_on } => {
                 ("PUT", format!("/v1/plan?id={id}&builds_on={builds_on}"), Some(body_of(file)))
             }
-            DeskTask::Change { file, id, builds_on } => {
+            AdminTask::Change { file, id, builds_on } => {
                 ("PATCH", format!("/v1/plan?id={id}&builds_on={builds_on}"), Some(body_of(file)))
             }
-            DeskTask::Show { epoch: None } => ("GET", "/v1/plan".into(), None),
-            DeskTask::Show { epoch: Some(epoch) } => ("GET", format!("/v1/plans/{epoch}"), None),
-            DeskTask::Latest => ("GET", "/v1/latest".into(), None),
-            DeskTask::Fate { id } => ("GET", format!("/v1/fates/{id}"), None),
-            DeskTask::Withdraw { zone, id } => ("POST", format!("/v1/zones/{zone}/withdraw?id={id}"), Some(Ok(vec![]))),
-            DeskTask::Restore { zone, id } => ("POST", format!("/v1/zones/{zone}/restore?id={id}"), Some(Ok(vec![]))),
-            DeskTask::Forget { members, id } => {
+            AdminTask::Show { epoch: None } => ("GET", "/v1/plan".into(), None),
+            AdminTask::Show { epoch: Some(epoch) } => ("GET", format!("/v1/plans/{epoch}"), None),
+            AdminTask::Latest => ("GET", "/v1/latest".into(), None),
+            AdminTask::Fate { id } => ("GET", format!("/v1/fates/{id}"), None),
+            AdminTask::Withdraw { zone, id } => {
+                ("POST", format!("/v1/zones/{zone}/withdraw?id={id}"), Some(Ok(vec![])))
+            }
+            AdminTask::Restore { zone, id } => ("POST", format!("/v1/zones/{zone}/restore?id={id}"), Some(Ok(vec![]))),
+            AdminTask::Forget { members, id } => {
                 let body = serde_json::json!({"members": members}).to_string().into_bytes();
                 ("POST", format!("/v1/members/forget?id={id}"), Some(Ok(body)))
             }
-            DeskTask::Believes => ("GET", "/v1/believes".into(), None),
+            AdminTask::Believes => ("GET", "/v1/believes".into(), None),
         };
         let body = match body.transpose() {
             Ok(body) => body.unwrap_or_default(),
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -28,7 +28,7 @@
     /// What plans look like.
     pub plans: Arc<dyn PlanDialect>,
     /// What operators' calls look like; `None`: as the product's own interface has them.
-    pub desk: Option<Arc<dyn DeskDialect>>,
+    pub admin: Option<Arc<dyn AdminDialect>>,
     /// Where operators reach other registrars, read anew for each operator that is sent on; `None`: as the settings
     /// had it at the start.
     pub others: Option<ReadAddresses>,
@@ -36,7 +36,7 @@
 
 impl Default for Dialects {
     fn default() -> Self {
-        Dialects { plans: Arc::new(OwnPlans), desk: None, others: None }
+        Dialects { plans: Arc::new(OwnPlans), admin: None, others: None }
     }
 }
 
@@ -56,7 +56,7 @@
 /// Without a disk: operators are sent on to those that have one.
 fn send_on(settings: &Settings, others: Option<ReadAddresses>) -> Result<(), String> {
     let listen: Address = settings.listen.parse()?;
-    let named = parse_addresses(&settings.desks);
+    let named = parse_addresses(&settings.admin_addresses);
     let read = others.unwrap_or_else(|| Arc::new(move || named.clone()));
     let read_others = move || read().into_iter().filter(|other| *other != listen).collect();
     let bounds =
@@ -336,13 +336,13 @@
 
 impl Door {
     fn reply(&self, order: &Order) -> Reply {
-        let Some(desk) = &self.dialects.desk else { return self.own_reply(order) };
-        let attempt = Attempt::new(desk.patience(order.body.len()), Some(order.caller.clone()));
+        let Some(admin) = &self.dialects.admin else { return self.own_reply(order) };
+        let attempt = Attempt::new(admin.patience(order.body.len()), Some(order.caller.clone()));
         let is_ready = self.is_ready.load(Ordering::Relaxed);
-        match desk.read(order) {
+        match admin.read(order) {
             Ok(Some(call)) => {
                 let plans = self.dialects.plans.as_ref();
-                desk.write(self.core.carry(call, plans, &self.zones, is_ready, &attempt))
+                admin.write(self.core.carry(call, plans, &self.zones, is_ready, &attempt))
             }
             Ok(None) if order.method == "GET" => self.own_reply(order),
             Ok(None) => {
--- a/crates/registrar/src/main.rs
+++ b/crates/registrar/src/main.rs
@@ -1,5 +1,5 @@
 use clap::{Parser, Subcommand};
-use registrar::{DeskLine, prelude::*};
+use registrar::{AdminCommand, prelude::*};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -32,8 +32,8 @@
         folder: Option<String>,
     },
     /// An operator's task. Exit codes: 0 done, 1 refused, 2 bad call, 3 no answer.
-    #[command(name = "desk")]
-    Desk(DeskLine),
+    #[command(name = "admin", alias = "desk")]
+    Admin(AdminCommand),
 }
 
 fn main() -> ExitCode {
@@ -44,7 +44,7 @@
         .with_writer(std::io::stderr)
         .init();
     match line.task {
-        Task::Desk(desk) => ExitCode::from(desk.run()),
+        Task::Admin(admin) => ExitCode::from(admin.run()),
         Task::Serve { settings, listen, inner, zone, folder } => {
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
--- a/crates/registrar/src/settings.rs
+++ b/crates/registrar/src/settings.rs
@@ -14,7 +14,7 @@
     #[setting(default = "here", validate = a_name)]
     pub zone: String,
     /// The data folder, on the machine's disk. Empty: this machine has none; it keeps nothing, votes on
-    /// nothing and sends operators on to `desks`.
+    /// nothing and sends operators on to `admin_addresses`.
     #[setting(default = "registrar-data")]
     pub folder: String,
     /// Inner addresses of all registrars that found the core together, the same list at each. Left
@@ -26,7 +26,7 @@
     pub seeds: Vec<String>,
     /// Where operators reach other registrars.
     #[setting(validate = addresses)]
-    pub desks: Vec<String>,
+    pub admin_addresses: Vec<String>,
     /// Zones that may be withdrawn besides those that members and plans name.
     pub zones: Vec<String>,
     /// Disks that a change is on before it counts as accepted: one more than may be lost at once.
--- a/crates/registrar/tests/concurrent_operators.rs
+++ b/crates/registrar/tests/concurrent_operators.rs
@@ -57,7 +57,7 @@
 
 /// One request at a machine, which may outlive its operator's patience.
 struct Door {
-    task: DeskTask<'static>,
+    task: AdminTask<'static>,
     machine: usize,
     operator: Option<usize>,
     until: u64,
@@ -74,7 +74,7 @@
 
 /// A call that an operator sends until it is clear.
 struct Running {
-    call: DeskCall,
+    call: AdminCall,
     base: Option<u64>,
     tries: u32,
     other_refusals: u32,
@@ -112,7 +112,7 @@
     newest: u64,
     /// The newest revision that a tail under its lease had.
     accepted: u64,
-    ended: Vec<(DeskCall, Option<u64>, Outcome)>,
+    ended: Vec<(AdminCall, Option<u64>, Outcome)>,
     violations: Vec<String>,
     /// Whether acknowledgements are lost, and operators give up, no more.
     is_over: bool,
@@ -141,7 +141,7 @@
             violations: vec![],
             is_over: true,
         };
-        let first = DeskCall::Plan { bytes: document(5, 0), base: 0 };
+        let first = AdminCall::Plan { bytes: document(5, 0), base: 0 };
         assert_eq!(play.send_until_clear(first), Outcome::Confirmed);
         play.newest = 5;
         play.is_over = false;
@@ -149,25 +149,25 @@
     }
 
     /// Sends a call to a machine; gives the request's number.
-    fn send(&mut self, machine: usize, call: DeskCall, operator: Option<usize>) -> u64 {
+    fn send(&mut self, machine: usize, call: AdminCall, operator: Option<usize>) -> u64 {
         self.next_number += 1;
         let number = self.next_number;
-        let (task, step) = DeskTask::begin(call, &OncePlans, zones(), true);
+        let (task, step) = AdminTask::begin(call, &OncePlans, zones(), true);
         let until = self.core.now + if self.core.chance(60) { PATIENCE } else { UNNOTICED };
         self.doors.insert(number, Door { task, machine, operator, until, is_about_fate: false });
         self.take_step(number, step);
         number
     }
 
-    fn take_step(&mut self, number: u64, step: DeskStep) {
+    fn take_step(&mut self, number: u64, step: SchedulerStep) {
         let Some(door) = self.doors.get_mut(&number) else { return };
         match step {
-            DeskStep::Ask(ask) => {
+            SchedulerStep::Ask(ask) => {
                 door.is_about_fate = matches!(ask, OperatorAsk::Read(Reading::Fate { .. }));
                 let machine = door.machine;
                 self.core.tell(machine, ControllerInput::Operator { number, ask });
             }
-            DeskStep::Answer(answer) => {
+            SchedulerStep::Answer(answer) => {
                 let is_about_fate = door.is_about_fate;
                 let operator = door.operator;
                 self.doors.remove(&number);
@@ -178,7 +178,7 @@
         }
     }
 
-    fn on_answer(&mut self, operator: usize, number: u64, answer: DeskAnswer, is_about_fate: bool) {
+    fn on_answer(&mut self, operator: usize, number: u64, answer: AdminAnswer, is_about_fate: bool) {
         let is_lost = !self.is_over && self.core.chance(35);
         let now = self.core.now;
         let Some(running) = &mut self.operators[operator].running else { return };
@@ -188,21 +188,21 @@
         running.waits = None;
         running.next_try = now + PAUSE;
         let outcome = match answer {
-            DeskAnswer::Done => Outcome::Confirmed,
-            DeskAnswer::Refused { code: ResultCode::Conflict | ResultCode::IdReused | ResultCode::BadPlan, .. } => {
+            AdminAnswer::Done => Outcome::Confirmed,
+            AdminAnswer::Refused {
+                code: ResultCode::Conflict | ResultCode::IdReused | ResultCode::BadPlan, ..
+            } => Outcome::Refused,
+            AdminAnswer::Refused { .. } if is_about_fate && self.mutant == Some(Mutant::AnyFateRefuses) => {
                 Outcome::Refused
             }
-            DeskAnswer::Refused { .. } if is_about_fate && self.mutant == Some(Mutant::AnyFateRefuses) => {
-                Outcome::Refused
-            }
-            DeskAnswer::Refused { code, .. } if (400..500).contains(&code.http_status()) => {
+            AdminAnswer::Refused { code, .. } if (400..500).contains(&code.http_status()) => {
                 running.other_refusals += 1;
                 if running.other_refusals < OTHER_REFUSALS {
                     return;
                 }
                 Outcome::Refused
             }
-            DeskAnswer::Refused { .. } | DeskAnswer::Plan(_) => return,
+            AdminAnswer::Refused { .. } | AdminAnswer::Plan(_) => return,
         };
         self.end(operator, outcome);
     }
@@ -214,11 +214,11 @@
         let operator = &mut self.operators[operator];
         operator.rests_until = now + rest;
         match (&running.call, outcome) {
-            (DeskCall::Withdraw { .. } | DeskCall::Restore { .. }, Outcome::Confirmed) => {
+            (AdminCall::Withdraw { .. } | AdminCall::Restore { .. }, Outcome::Confirmed) => {
                 operator.told = Some(operator.is_next_evacuated);
                 operator.is_next_evacuated = !operator.is_next_evacuated;
             }
-            (DeskCall::Withdraw { .. } | DeskCall::Restore { .. }, Outcome::Refused) => {
+            (AdminCall::Withdraw { .. } | AdminCall::Restore { .. }, Outcome::Refused) => {
                 self.violations.push(format!("{now}: an evacuation was refused for good"));
             }
             (_, Outcome::Refused) if running.base.is_some_and(|base| self.accepted <= base) => {
@@ -295,13 +295,13 @@
                 // All that build on one number pick the same next one.
                 let bytes = document(base + 2, note);
                 let is_whole = self.core.chance(50);
-                let call = if is_whole { DeskCall::Plan { bytes, base } } else { DeskCall::Change { bytes, base } };
+                let call = if is_whole { AdminCall::Plan { bytes, base } } else { AdminCall::Change { bytes, base } };
                 (call, Some(base))
             }
             Job::Evacuates(zone) if self.operators[place].is_next_evacuated => {
-                (DeskCall::Withdraw { zone: zone.clone() }, None)
+                (AdminCall::Withdraw { zone: zone.clone() }, None)
             }
-            Job::Evacuates(zone) => (DeskCall::Restore { zone: zone.clone() }, None),
+            Job::Evacuates(zone) => (AdminCall::Restore { zone: zone.clone() }, None),
         };
         let operator = &mut self.operators[place];
         operator.told = None;
@@ -420,7 +420,7 @@
     }
 
     /// Sends a call as it was, to any machine, until its answer is clear.
-    fn send_until_clear(&mut self, call: DeskCall) -> Outcome {
+    fn send_until_clear(&mut self, call: AdminCall) -> Outcome {
         let place = self.operators.len();
         let (base, next_try) = (base_of(&call), self.core.now);
         let running = Running { call, base, tries: 0, other_refusals: 0, waits: None, next_try };
@@ -454,7 +454,7 @@
         let ended = std::mem::take(&mut self.ended);
         let mut winners: BTreeMap<u64, BTreeSet<Vec<u8>>> = BTreeMap::new();
         for (call, base, outcome) in &ended {
-            let (Some(base), DeskCall::Plan { bytes, .. } | DeskCall::Change { bytes, .. }) = (base, call) else {
+            let (Some(base), AdminCall::Plan { bytes, .. } | AdminCall::Change { bytes, .. }) = (base, call) else {
                 continue;
             };
             let again = self.send_until_clear(call.clone());
@@ -472,13 +472,13 @@
     }
 }
 
-fn revision_of(call: &DeskCall) -> u64 {
+fn revision_of(call: &AdminCall) -> u64 {
     base_of(call).map_or(0, |base| if base == 0 { 5 } else { base + 2 })
 }
 
-fn base_of(call: &DeskCall) -> Option<u64> {
+fn base_of(call: &AdminCall) -> Option<u64> {
     match call {
-        DeskCall::Plan { base, .. } | DeskCall::Change { base, .. } => Some(*base),
+        AdminCall::Plan { base, .. } | AdminCall::Change { base, .. } => Some(*base),
         _ => None,
     }
 }
@@ -537,7 +537,7 @@
         for _ in 0..LATER_CHANGES {
             play.next_note += 1;
             let base = play.newest;
-            let call = DeskCall::Change { bytes: document(base + 2, play.next_note), base };
+            let call = AdminCall::Change { bytes: document(base + 2, play.next_note), base };
             // Unclear calls may still have been on top of the newest that was told.
             if play.send_until_clear(call) == Outcome::Confirmed {
                 play.newest = base + 2;
--- a/crates/rehearsal/src/hollow/host.rs
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -4,7 +4,7 @@
 use crate::prelude::*;
 use circular::prelude::Letter;
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, ServiceKind, run_id};
-use primer::prelude::{Demand, DeskRules, Event, Outcome, mix};
+use primer::prelude::{Demand, Event, Outcome, SchedulerRules, mix};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::{BufRead, Write};
@@ -116,7 +116,7 @@
         let take = move |from, letter| drop(inputs.send(Input::Letter(place, from, letter)));
         let post = Post::open(listener, take).map_err(|fault| format!("{address}: {fault}"))?;
         let (seeds, life, now) = (self.seeds.clone(), self.draw() >> 12, Clock::now());
-        let node = Node::new(address, zone, seeds, life, NodeTiming::default(), DeskRules::default(), now);
+        let node = Node::new(address, zone, seeds, life, NodeTiming::default(), SchedulerRules::default(), now);
         self.nodes.push(HollowNode { address, node: Some(node), post, epoch: Epoch(0) });
         self.tell_server_list(place);
         if self.is_loaded {
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use primer::prelude::DeskRules;
+use primer::prelude::SchedulerRules;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,11 +25,11 @@
     MMost,
 }
 
-type Side = (String, serde_json::Value, DeskRules);
+type Side = (String, serde_json::Value, SchedulerRules);
 
 impl Sweep {
     fn sides(self) -> Vec<Side> {
-        let usual = DeskRules::default;
+        let usual = SchedulerRules::default;
         let plan = |word: String, value: serde_json::Value| (word, value, usual());
         let swept = |name: &str, key: &str, values: &[u64]| {
             values.iter().map(|v| plan(format!("{name} {v}"), serde_json::json!({key: v}))).collect()
@@ -39,11 +39,11 @@
                 vec![plan("plain".into(), serde_json::json!({"on": false})), plan("btb".into(), serde_json::json!({}))]
             }
             Sweep::Merge => vec![
-                ("apart".into(), serde_json::json!({}), DeskRules { does_merge: false, ..usual() }),
+                ("apart".into(), serde_json::json!({}), SchedulerRules { does_merge: false, ..usual() }),
                 plan("merged".into(), serde_json::json!({})),
             ],
             Sweep::Admit => vec![
-                ("all taken".into(), serde_json::json!({}), DeskRules { does_admit: false, ..usual() }),
+                ("all taken".into(), serde_json::json!({}), SchedulerRules { does_admit: false, ..usual() }),
                 plan("admission".into(), serde_json::json!({})),
             ],
             Sweep::X => swept("X", "x", &[2, 3, 4, 6, 10]),
@@ -111,7 +111,7 @@
                     if seed >= rules.seeds {
                         return;
                     }
-                    let (_, btb, desk) = sides[side].clone();
+                    let (_, btb, scheduler) = sides[side].clone();
                     let servers = ScheduleRules { block_micros: rules.block_micros, ..ScheduleRules::default() };
                     let world = WorldRules {
                         faults: 0,
@@ -121,7 +121,7 @@
                         orders_a_second: rules.orders,
                         hot_share: rules.hot_share,
                         btb,
-                        desk,
+                        scheduler,
                         servers,
                         ..WorldRules::new(rules.deployment, seed + 1)
                     };
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -3,7 +3,7 @@
 use college::prelude::{Kept, Record, Replica, Voter};
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use layout::prelude::{AsSent, Command, Ledger, Proposal};
-use primer::prelude::{Decision, DeskRules, Event as DeskEvent, Outcome};
+use primer::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
 use registrar::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -87,12 +87,12 @@
     pub(super) fn start_crier(&mut self, machine: usize) {
         let incarnation = self.draw() >> 12;
         let seeds: Vec<Address> = (0..3).map(|n| Address::loopback(1001 + n)).collect();
-        let mut desk_rules = self.rules.desk.clone();
+        let mut scheduler_rules = self.rules.scheduler.clone();
         if self.rules.mutant == Some(Mutant::SkipRamp) {
-            desk_rules.ramp = Span(0);
+            scheduler_rules.ramp = Span(0);
         }
         if self.rules.mutant == Some(Mutant::FreeRepeats) {
-            desk_rules.repeat_percent = 300;
+            scheduler_rules.repeat_percent = 300;
         }
         let m = &mut self.criers[machine];
         if m.node.is_some() || m.is_lost {
@@ -104,7 +104,8 @@
         m.touch = touch::Touch::default();
         let now = Moment(self.now + m.offset);
         let old = m.old.take().filter(|_| self.rules.mutant == Some(Mutant::SlideEpoch));
-        let fresh = || Node::new(m.address, m.zone.clone(), seeds, incarnation, NodeTiming::default(), desk_rules, now);
+        let fresh =
+            || Node::new(m.address, m.zone.clone(), seeds, incarnation, NodeTiming::default(), scheduler_rules, now);
         m.node = Some(old.map_or_else(fresh, |(_, node)| node));
         let life = m.life;
         self.put(1, Happening::NodeTick { machine, life });
@@ -352,23 +353,24 @@
         if self.rules.mutant == Some(Mutant::IgnoreLeaving) {
             servers.iter_mut().for_each(|entry| entry.is_leaving = false);
         }
-        self.step_node(machine, NodeInput::Event(DeskEvent::ServerList { servers }));
+        self.step_node(machine, NodeInput::Event(SchedulerEvent::ServerList { servers }));
         let now = Moment(self.now);
-        let reports: Vec<DeskEvent> = self.servers.iter().filter_map(|server| self.report_of(server, now)).collect();
+        let reports: Vec<SchedulerEvent> =
+            self.servers.iter().filter_map(|server| self.report_of(server, now)).collect();
         for report in reports {
             self.step_node(machine, NodeInput::Event(report));
         }
     }
 
-    fn report_of(&self, server: &ServerMachine, now: Moment) -> Option<DeskEvent> {
+    fn report_of(&self, server: &ServerMachine, now: Moment) -> Option<SchedulerEvent> {
         if !server.is_up {
-            return server.is_listed.then(|| DeskEvent::Unreachable { server: server.name.clone() });
+            return server.is_listed.then(|| SchedulerEvent::Unreachable { server: server.name.clone() });
         }
         if server.is_dark {
             return None;
         }
         let (running, waiting) = server.schedule.load(now);
-        Some(DeskEvent::Load {
+        Some(SchedulerEvent::Load {
             server: server.name.clone(),
             incarnation: server.incarnation,
             up: Span(self.now - server.started + if server.started == 0 { 600_000 } else { 0 }),
--- a/crates/rehearsal/src/world/rules.rs
+++ b/crates/rehearsal/src/world/rules.rs
@@ -29,8 +29,8 @@
     pub large_plans: u64,
     /// BTB in the operators' plans, as JSON.
     pub btb: serde_json::Value,
-    /// How the criers' desks work.
-    pub desk: DeskRules,
+    /// How the criers' schedulers work.
+    pub scheduler: SchedulerRules,
     /// How the servers work.
     pub servers: ScheduleRules,
     /// Percent of drafts that belong to the burst at hand.
@@ -72,7 +72,7 @@
             answer_loss: 3,
             large_plans: 3,
             btb: serde_json::json!({}),
-            desk: DeskRules::default(),
+            scheduler: SchedulerRules::default(),
             servers: ScheduleRules::default(),
             hot_share: 50,
             suspect: None,
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -75,7 +75,9 @@
 
     fn on_errand(&mut self, id: &OrderId, output: ErrandOutput) {
         match output {
-            ErrandOutput::AskDesk { round, tried, may_have_run } => self.ask_desk(id, round, tried, may_have_run),
+            ErrandOutput::AskScheduler { round, tried, may_have_run } => {
+                self.ask_scheduler(id, round, tried, may_have_run)
+            }
             ErrandOutput::AskServer(placing) => self.ask_server(id, placing),
             ErrandOutput::Carry(placing) => {
                 if let Some(order) = self.orders.get_mut(id).filter(|order| order.service.as_str() != "pages") {
@@ -97,7 +99,7 @@
             ChartOutput::Tell(ResultCode::Complete) => self.close(id, "complete"),
             ChartOutput::Tell(_) => self.close(id, "unknown"),
             ChartOutput::Cut => self.close(id, "broken"),
-            ChartOutput::AskDesk | ChartOutput::AskServer | ChartOutput::Carry | ChartOutput::Rest => {}
+            ChartOutput::AskScheduler | ChartOutput::AskServer | ChartOutput::Carry | ChartOutput::Rest => {}
         }
     }
 
@@ -135,7 +137,7 @@
         }
     }
 
-    fn ask_desk(&mut self, id: &OrderId, round: u32, tried: Vec<ServerName>, may_have_run: bool) {
+    fn ask_scheduler(&mut self, id: &OrderId, round: u32, tried: Vec<ServerName>, may_have_run: bool) {
         let Some(order) = self.orders.get(id) else { return };
         let (machine, number) = (order.crier, order.number);
         let (service, is_fetch) = (order.service.clone(), order.service.as_str() == "pages");
@@ -163,7 +165,7 @@
         });
         let why = "the node gave no answer".to_owned();
         let silence = Denial { code: ResultCode::Busy, why, retry_after: Span(1000) };
-        self.errand(id, ErrandInput::Desk(outcome.unwrap_or(Err(silence))));
+        self.errand(id, ErrandInput::Scheduler(outcome.unwrap_or(Err(silence))));
     }
 
     fn ask_server(&mut self, id: &OrderId, placing: Placing) {
@@ -222,7 +224,7 @@
         let Some(order) = self.orders.get(id) else { return };
         let (machine, life) = (order.crier, order.life);
         if self.criers[machine].life == life {
-            self.step_node(machine, NodeInput::Event(DeskEvent::Ended { order: id.clone(), outcome }));
+            self.step_node(machine, NodeInput::Event(SchedulerEvent::Ended { order: id.clone(), outcome }));
         }
     }
 
@@ -275,7 +277,7 @@
         }
         self.ended(&id, Outcome::Refused);
         if self.criers[machine].life == life {
-            self.step_node(machine, NodeInput::Event(DeskEvent::Unreachable { server }));
+            self.step_node(machine, NodeInput::Event(SchedulerEvent::Unreachable { server }));
         }
         self.errand(&id, ErrandInput::Fail(Failure::Refused, "it has another life".into()));
     }
@@ -310,7 +312,7 @@
         let (machine, life) = (order.crier, order.life);
         self.witness.first_ms.entry(order.service.clone()).or_default().push(self.now - order.came);
         if self.criers[machine].life == life {
-            self.step_node(machine, NodeInput::Event(DeskEvent::FirstToken { order: id.clone() }));
+            self.step_node(machine, NodeInput::Event(SchedulerEvent::FirstToken { order: id.clone() }));
         }
     }
 
@@ -329,7 +331,7 @@
                 if let (true, Some(place)) = (is_taken, to) {
                     self.servers[place].schedule.import(prefix, now);
                 }
-                let event = DeskEvent::CopyFate { prefix, server: target, is_taken, knows_kv: true };
+                let event = SchedulerEvent::CopyFate { prefix, server: target, is_taken, knows_kv: true };
                 self.step_node(machine, NodeInput::Event(event));
             }
             KvTask::Drop { prefix, server } => {
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -64,16 +64,16 @@
         assert_eq!(json(registrar.ask(method, path, plan.clone().into_bytes())).1["code"], code, "{method} {path}");
     }
     // The command line does the same.
-    let desk = |words: &[&str]| {
-        let output = program("registrar").args(["desk", "--at", &registrar.listen.to_string()]).args(words).output();
+    let admin = |words: &[&str]| {
+        let output = program("registrar").args(["admin", "--at", &registrar.listen.to_string()]).args(words).output();
         let output = output.expect("it runs");
         (output.status.code(), serde_json::from_slice::<Value>(&output.stdout).unwrap_or_default())
     };
-    assert_eq!(desk(&["withdraw", "east", "--id", "w1"]).0, Some(0));
-    assert_eq!(desk(&["latest"]).1["withdrawn"], serde_json::json!(["east"]));
-    assert_eq!(desk(&["withdraw", "nowhere", "--id", "w2"]).0, Some(1));
-    assert_eq!(desk(&["restore", "east", "--id", "w3"]).0, Some(0));
-    assert_eq!(program("registrar").args(["desk", "--at", "127.0.0.1:1", "latest"]).status().unwrap().code(), Some(3));
+    assert_eq!(admin(&["withdraw", "east", "--id", "w1"]).0, Some(0));
+    assert_eq!(admin(&["latest"]).1["withdrawn"], serde_json::json!(["east"]));
+    assert_eq!(admin(&["withdraw", "nowhere", "--id", "w2"]).0, Some(1));
+    assert_eq!(admin(&["restore", "east", "--id", "w3"]).0, Some(0));
+    assert_eq!(program("registrar").args(["admin", "--at", "127.0.0.1:1", "latest"]).status().unwrap().code(), Some(3));
 
     // Callers.
     let crier = &fleet.criers[0];
@@ -187,7 +187,7 @@
     let order = serde_json::json!({"id": "one", "service": "reviews", "prompt": "one", "max_pieces": 6});
     let (status, _, lines) = say(criers[0], "/v1/orders", &order);
     assert_eq!((status, &lines[0]["code"], &lines[0]["ran"]), (409, &204.into(), &"unknown".into()));
-    // Nor does it end one that runs: the desk goes on counting it.
+    // Nor does it end one that runs: the scheduler goes on counting it.
     let busy = || fleet.criers[0].believes()["open_orders"].as_u64();
     let counted = || {
         let servers = fleet.criers[0].believes()["servers"].clone();
