--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 
 messages! {
-    /// Orders ballots of one instance: the greater one wins.
+    /// Requests ballots of one instance: the greater one wins.
     #[derive(Copy, Eq, PartialOrd, Ord, Default, Hash)]
     pub struct Round {
         /// Grows with each try.
--- a/crates/college/src/replica/ballots.rs
+++ b/crates/college/src/replica/ballots.rs
@@ -170,9 +170,9 @@
 
     /// How many living voters come before this one.
     fn turn(&self) -> u64 {
-        let mut order: Vec<Voter> = self.view.chain.iter().map(|s| s.voter).collect();
-        order.extend(self.view.voters.iter().filter(|v| !self.view.seats(v)));
-        order.iter().take_while(|v| **v != self.me).filter(|v| self.is_alive(v)).count() as u64
+        let mut request: Vec<Voter> = self.view.chain.iter().map(|s| s.voter).collect();
+        request.extend(self.view.voters.iter().filter(|v| !self.view.seats(v)));
+        request.iter().take_while(|v| **v != self.me).filter(|v| self.is_alive(v)).count() as u64
     }
 
     /// Sends a ballot's notes, again if need be, and gives it up at its due.
--- a/crates/crier/src/call.rs
+++ b/crates/crier/src/call.rs
@@ -5,7 +5,7 @@
 #[derive(Debug, Clone)]
 pub struct Call {
     /// The caller's id for it; no other request has the same.
-    pub id: OrderId,
+    pub id: RequestId,
     /// How it's asked.
     pub method: http::Method,
     /// The host, as the caller named it.
@@ -61,9 +61,9 @@
 /// keeps nothing.
 pub trait CallDialect: Send + Sync + 'static {
     /// A caller's request.
-    fn read(&self, order: Order) -> Result<Call, Denial>;
+    fn read(&self, request: Request) -> Result<Call, Denial>;
     /// Tells a caller that its request goes nowhere.
-    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply;
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply;
     /// The request to a server.
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes>;
     /// Whose answer a server's head says that it is.
@@ -75,7 +75,7 @@
     /// What of a server's head goes on to the caller.
     fn passed(&self, head: &http::response::Parts) -> http::HeaderMap;
     /// Whether it's the question whether this node is ready.
-    fn is_probe(&self, order: &Order) -> bool;
+    fn is_probe(&self, request: &Request) -> bool;
     /// The request for a page of the list of servers; `None` is the first.
     fn list_request(&self, page: Option<&str>) -> http::Request<Bytes>;
     /// A page of the list, and the name of the next.
--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -1,4 +1,4 @@
-//! Carries one order from its caller to a server and the answer back.
+//! Carries one request from its caller to a server and the answer back.
 
 use crate::prelude::*;
 use crate::shared::{Place, Shared, silence};
@@ -38,7 +38,7 @@
     }
 }
 
-/// Finds a server that takes the order, going on to others as far as the errand allows.
+/// Finds a server that takes the request, going on to others as far as the errand allows.
 fn ask_servers<T>(trip: &mut Trip, first: ErrandOutput, ask: impl Fn(&Placing) -> Result<T, NotTaken>) -> Asked<T> {
     match trip.go(first, |placing, _| ask(placing)) {
         Gone::Opened(placing, heard) => Asked::Opened(placing, heard),
@@ -50,7 +50,7 @@
 
 /// What a server's refusal says.
 enum Refusal {
-    /// Nothing ran: the order was meant for another life of the server.
+    /// Nothing ran: the request was meant for another life of the server.
     OtherLife,
     /// Nothing ran.
     NotRun,
@@ -68,34 +68,34 @@
     }
 }
 
-/// Takes a prompt order.
-pub(crate) fn take_order(shared: &Arc<Shared>, body: &[u8]) -> Reply {
+/// Takes a prompt request.
+pub(crate) fn take_request(shared: &Arc<Shared>, body: &[u8]) -> Reply {
     Tallies::more(&shared.tallies.received);
-    let order: CallerOrder = match serde_json::from_slice(body) {
-        Ok(order) => order,
-        Err(fault) => return shared.refusal(ResultCode::BadOrder, fault.to_string(), Span(0)),
+    let request: CallerRequest = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(fault) => return shared.refusal(ResultCode::BadRequest, fault.to_string(), Span(0)),
     };
-    if !order.id.is_sound() || !order.service.is_sound() || order.max_pieces == 0 {
+    if !request.id.is_sound() || !request.service.is_sound() || request.max_pieces == 0 {
         let why = "id and service are 1 to 64 letters, digits or any of -_.:, max_pieces is at least 1";
-        return shared.refusal(ResultCode::BadOrder, why.into(), Span(0));
+        return shared.refusal(ResultCode::BadRequest, why.into(), Span(0));
     }
-    let Some(place) = shared.take_place(order.id.clone(), shared.next_number()) else {
-        return shared.refusal(ResultCode::Busy, "this node is at its bound of orders".into(), Span(1000));
+    let Some(place) = shared.take_place(request.id.clone(), shared.next_number()) else {
+        return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
     };
-    let hashes = block_hashes(order.prompt.as_bytes(), shared.block_bytes, 256);
-    let wanted = Wanted::of_service(order.service.clone(), ServiceKind::Stream, hashes);
+    let hashes = block_hashes(request.prompt.as_bytes(), shared.block_bytes, 256);
+    let wanted = Wanted::of_service(request.service.clone(), ServiceKind::Stream, hashes);
     let (mut trip, first) = Trip::new(place, wanted, None);
-    let (stall, prompt) = (shared.stall, order.prompt);
+    let (stall, prompt) = (shared.stall, request.prompt);
     let ask = |placing: &Placing| {
-        let run = RunOrder {
+        let run = RunRequest {
             run: placing.run.clone(),
-            service: order.service.clone(),
+            service: request.service.clone(),
             prompt: prompt.clone(),
-            max_pieces: order.max_pieces,
+            max_pieces: request.max_pieces,
             keep: placing.token.is_some(),
             life: placing.life,
         };
-        let body = serde_json::to_vec(&run).expect("a run order is JSON");
+        let body = serde_json::to_vec(&run).expect("a run request is JSON");
         let patience = Span(stall.0.min(placing.first_token.0 * 2 + 1000));
         let (sharing, epoch) = (shared.clone(), placing.epoch);
         let asked = Ask::post(body).connect(CONNECT).read(patience).only_if(move || sharing.may_leave(epoch));
@@ -104,13 +104,13 @@
     match ask_servers(&mut trip, first, ask) {
         Asked::Told(answer) => answer,
         Asked::Opened(placing, response) => {
-            let mut head = serde_json::json!({"order": order.id, "run": placing.run});
+            let mut head = serde_json::json!({"request": request.id, "run": placing.run});
             let is_resumable = placing.token.is_some();
             if let Some(token) = placing.token {
                 head["token"] = token.into();
             }
             let (server, run) = (placing.server, placing.run);
-            let reading = Reading { order: order.id, server, run, from: 0, is_resumable, is_first_read: true };
+            let reading = Reading { request: request.id, server, run, from: 0, is_resumable, is_first_read: true };
             stream(shared, trip.place, reading, head, response)
         }
     }
@@ -118,20 +118,20 @@
 
 /// Reads a stream on from where the caller has it. It's read, never run again.
 pub(crate) fn resume(shared: &Arc<Shared>, body: &[u8]) -> Reply {
-    let order: ResumeOrder = match serde_json::from_slice(body) {
-        Ok(order) => order,
-        Err(fault) => return shared.refusal(ResultCode::BadOrder, fault.to_string(), Span(0)),
+    let request: ResumeRequest = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(fault) => return shared.refusal(ResultCode::BadRequest, fault.to_string(), Span(0)),
     };
     let number = shared.next_number();
     let Some(place) = shared.take_place(resume_id(number), number) else {
-        return shared.refusal(ResultCode::Busy, "this node is at its bound of orders".into(), Span(1000));
+        return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
     };
-    let input = NodeInput::Resume { number, token: order.token.clone() };
+    let input = NodeInput::Resume { number, token: request.token.clone() };
     let token = match shared.ask_control(input, crate::daemon::Event::Resume).unwrap_or_else(|| Err(silence())) {
         Ok(token) => token,
         Err(denial) => return shared.refusal(denial.code, denial.why, denial.retry_after),
     };
-    let url = format!("http://{}/runs/{}?from={}", token.server, token.run, order.from);
+    let url = format!("http://{}/runs/{}?from={}", token.server, token.run, request.from);
     let out_of_reach = |why: String| shared.refusal(ResultCode::OutOfReach, why, Span(0));
     // A server that has the run begins at once; only its pieces may be long in coming.
     let (heard, inbox) = flume::bounded(1);
@@ -146,11 +146,10 @@
     match asked {
         Ok(response) if response.status() == 200 => {
             Tallies::more(&shared.tallies.resumed);
-            let head =
-                serde_json::json!({"order": token.order, "run": token.run, "from": order.from, "token": order.token});
-            let Token { order: id, server, run, .. } = token;
-            let from = order.from;
-            let reading = Reading { order: id, server, run, from, is_resumable: true, is_first_read: false };
+            let head = serde_json::json!({"request": token.request, "run": token.run, "from": request.from, "token": request.token});
+            let Token { request: id, server, run, .. } = token;
+            let from = request.from;
+            let reading = Reading { request: id, server, run, from, is_resumable: true, is_first_read: false };
             stream(shared, place, reading, head, response)
         }
         Ok(response) if matches!(response.status(), 404 | 410) => {
@@ -166,18 +165,18 @@
 pub(crate) fn fetch(shared: &Arc<Shared>, service: &str, path: &str, id: Option<&str>) -> Reply {
     Tallies::more(&shared.tallies.received);
     let number = shared.next_number();
-    let order = id.map(OrderId::from);
+    let request = id.map(RequestId::from);
     let service = ServiceName::from(service);
     let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
-    let is_sound = order.as_ref().is_none_or(OrderId::is_sound) && service.is_sound();
+    let is_sound = request.as_ref().is_none_or(RequestId::is_sound) && service.is_sound();
     if !is_sound || path.len() > 1024 || !path.chars().all(is_plain) {
         let why = "id, service and path are made of letters, digits and -_.:, a path also of / and at most 1024 long";
-        return shared.refusal(ResultCode::BadOrder, why.into(), Span(0));
+        return shared.refusal(ResultCode::BadRequest, why.into(), Span(0));
     }
     // No caller's id has a slash.
-    let order = order.unwrap_or_else(|| OrderId(format!("page/{number}")));
-    let Some(place) = shared.take_place(order.clone(), number) else {
-        return shared.refusal(ResultCode::Busy, "this node is at its bound of orders".into(), Span(1000));
+    let request = request.unwrap_or_else(|| RequestId(format!("page/{number}")));
+    let Some(place) = shared.take_place(request.clone(), number) else {
+        return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
     };
     let (mut trip, first) = Trip::new(place, Wanted::of_service(service, ServiceKind::Fetch, vec![]), None);
     let ask = |placing: &Placing| {
@@ -191,7 +190,7 @@
     match ask_servers(&mut trip, first, ask) {
         Asked::Told(answer) => answer,
         Asked::Opened(_, (content_type, body)) => {
-            shared.tell_ended(&order, Outcome::Complete);
+            shared.tell_ended(&request, Outcome::Complete);
             Tallies::more(&shared.tallies.complete);
             Reply::whole(200, &content_type, body)
         }
@@ -200,7 +199,7 @@
 
 /// What is being read, and from where.
 struct Reading {
-    order: OrderId,
+    request: RequestId,
     server: ServerName,
     run: RunId,
     from: u64,
@@ -273,7 +272,7 @@
 /// Starts reading the server's stream and gives the caller's side of it.
 fn stream(shared: &Arc<Shared>, place: Place, reading: Reading, head: serde_json::Value, response: Heard) -> Reply {
     let (outbox, inbox) = flume::bounded(16);
-    let order = reading.order.clone();
+    let request = reading.request.clone();
     let has_gone = Arc::new(AtomicBool::new(false));
     let source = Stream {
         inbox,
@@ -293,14 +292,14 @@
         .spawn(move || read(&reader, &reading, response, &outbox, &has_gone));
     if let Err(fault) = spawned {
         tracing::warn!("carrier: no thread for a stream: {fault}.");
-        shared.tell_ended(&order, Outcome::Failed);
+        shared.tell_ended(&request, Outcome::Failed);
     }
     Reply::streamed("application/x-ndjson", Box::new(source))
 }
 
 /// Reads the server's stream, piece by piece in order, until its explicit end.
 fn read(shared: &Shared, reading: &Reading, response: Heard, outbox: &flume::Sender<Carried>, has_gone: &AtomicBool) {
-    let order = &reading.order;
+    let request = &reading.request;
     let mut reader = PieceReader::new(reading.run.clone(), reading.from);
     let mut is_first = reading.is_first_read;
     let mut lines = BufReader::new(response);
@@ -325,7 +324,7 @@
         };
         if is_first && matches!(carried, Carried::Line(_) | Carried::End(_)) {
             is_first = false;
-            shared.tell(NodeInput::Event(Event::FirstToken { order: order.clone() }));
+            shared.tell(NodeInput::Event(Event::FirstToken { request: request.clone() }));
         }
         let is_end = matches!(carried, Carried::End(_));
         let is_cut = matches!(carried, Carried::Cut);
@@ -341,6 +340,6 @@
         }
     };
     if reading.is_first_read {
-        shared.tell_ended(order, outcome);
+        shared.tell_ended(request, outcome);
     }
 }
--- a/crates/crier/src/chart.rs
+++ b/crates/crier/src/chart.rs
@@ -1,8 +1,8 @@
 use crate::prelude::*;
 
-/// Where an order stands.
+/// Where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderState {
+pub enum RequestState {
     /// Read and sound.
     Received,
     /// A service that is allowed, and room for it here.
@@ -43,14 +43,14 @@
     }
 }
 
-/// What an order's chart is told.
+/// What a request's chart is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChartInput {
     /// There is room here and the service is allowed.
     Admit,
     /// The scheduler chose a server.
     Place {
-        /// Whether the plan in force lets an order that may have run go to a further server.
+        /// Whether the plan in force lets a request that may have run go to a further server.
         may_repeat: bool,
     },
     /// The scheduler chose none.
@@ -73,7 +73,7 @@
     Tear,
 }
 
-/// What an order's chart wants done.
+/// What a request's chart wants done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChartOutput {
     /// Ask the scheduler for a server.
@@ -90,15 +90,15 @@
     Rest,
 }
 
-/// The way of one order, as a state chart.
+/// The way of one request, as a state chart.
 ///
 /// Invariants: `may_have_run` never turns false again. "Refused" is only told while it's false. A
-/// further server is asked only while it's false, or if every plan under which the order was placed
+/// further server is asked only while it's false, or if every plan under which the request was placed
 /// lets it repeat, and, once a piece has gone out, only for what follows the last one ([`ChartInput::Tear`]).
 /// No more than `most` servers get it. After a final state nothing happens.
 #[derive(Debug, Clone)]
 pub struct Chart {
-    state: OrderState,
+    state: RequestState,
     may_repeat: bool,
     may_have_run: bool,
     rounds: u32,
@@ -107,23 +107,23 @@
     last_failure: Option<Failure>,
 }
 
-/// Servers that one order may be given to, at most, unless its route says otherwise.
+/// Servers that one request may be given to, at most, unless its route says otherwise.
 const ROUNDS: u32 = 3;
 /// Servers that could not be reached, after which no other is tried.
 const UNSENT_MOST: u32 = 3;
 
 impl Default for Chart {
-    /// For an order that was read.
+    /// For a request that was read.
     fn default() -> Self {
         Chart::bounded(ROUNDS)
     }
 }
 
 impl Chart {
-    /// For an order that at most this many servers may get.
+    /// For a request that at most this many servers may get.
     pub fn bounded(most: u32) -> Self {
         Chart {
-            state: OrderState::Received,
+            state: RequestState::Received,
             may_repeat: true,
             may_have_run: false,
             rounds: 0,
@@ -141,7 +141,7 @@
         self.may_have_run
     }
     /// Where it stands.
-    pub fn state(&self) -> OrderState {
+    pub fn state(&self) -> RequestState {
         self.state
     }
     /// How many servers were asked.
@@ -152,7 +152,7 @@
     /// Takes an input in; gives what is to be done. Inputs that don't belong to the state change
     /// nothing.
     pub fn step(&mut self, input: ChartInput) -> ChartOutput {
-        use OrderState::{Admitted, Broken, Ended, Opened, Placed, Received, Refused, Streaming};
+        use RequestState::{Admitted, Broken, Ended, Opened, Placed, Received, Refused, Streaming};
         match (self.state, input) {
             (Received, ChartInput::Admit) => {
                 self.state = Admitted;
@@ -220,14 +220,14 @@
     /// The last word to the caller: the given refusal, or what a failure before it makes of it.
     fn finally(&mut self, code: ResultCode) -> ChartOutput {
         if self.may_have_run {
-            self.state = OrderState::Broken;
+            self.state = RequestState::Broken;
             return ChartOutput::Tell(ResultCode::Unknown);
         }
         if !code.is_refusal() {
-            self.state = OrderState::Broken;
+            self.state = RequestState::Broken;
             return ChartOutput::Tell(code);
         }
-        self.state = OrderState::Refused;
+        self.state = RequestState::Refused;
         ChartOutput::Tell(match self.last_failure {
             Some(Failure::Unsent) => ResultCode::Unsent,
             Some(Failure::Refused) => ResultCode::ServerRefused,
@@ -246,32 +246,32 @@
     const AGAIN: ChartInput = ChartInput::Place { may_repeat: true };
 
     #[parameterized(
-        plain = { &[Admit, ONCE, Open, Give, Give, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
-        not_allowed = { &[Admit, Deny(ResultCode::UnknownService)], OrderState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
-        an_id_that_may_be_running_is_no_refusal = { &[Admit, Deny(ResultCode::OrderIdTaken)], OrderState::Broken, ChartOutput::Tell(ResultCode::OrderIdTaken) },
-        cut_off_at_the_last_moment = { &[Admit, ONCE, LoseLease], OrderState::Refused, ChartOutput::Tell(ResultCode::NotReady) },
-        placed_anew_under_a_newer_epoch = { &[Admit, ONCE, Supersede, ONCE, Open, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
-        a_newer_epoch_allows_it_no_more = { &[Admit, ONCE, Supersede, Deny(ResultCode::UnknownService)], OrderState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
-        silence_and_a_newer_epoch_without_a_server = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Supersede, Deny(ResultCode::NoServer)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        silence_and_a_newer_epoch_without_repeats = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Supersede, ONCE], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        unsent_goes_elsewhere = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Open, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
-        unsent_and_no_other = { &[Admit, ONCE, Fail(Failure::Unsent), Deny(ResultCode::NoServer)], OrderState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
-        silence_is_unknown = { &[Admit, ONCE, Fail(Failure::Unknown)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        silence_where_a_repeat_does_no_harm = { &[Admit, AGAIN, Fail(Failure::Unknown)], OrderState::Admitted, ChartOutput::AskScheduler },
-        silence_and_the_plan_changed_meanwhile = { &[Admit, AGAIN, Fail(Failure::Unknown), ONCE], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        silence_under_the_stricter_of_two_plans = { &[Admit, ONCE, Fail(Failure::Unsent), AGAIN, Fail(Failure::Unknown)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        silence_then_no_other_is_unknown_still = { &[Admit, AGAIN, Fail(Failure::Unknown), Deny(ResultCode::NoServer)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        silence_then_refusal_is_unknown_still = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Fail(Failure::Refused), AGAIN, Fail(Failure::Refused)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        refused_by_three = { &[Admit, ONCE, Fail(Failure::Refused), ONCE, Fail(Failure::Refused), ONCE, Fail(Failure::Refused)], OrderState::Refused, ChartOutput::Tell(ResultCode::ServerRefused) },
-        broken_is_not_run_again = { &[Admit, AGAIN, Open, Give, Break, AGAIN, Open], OrderState::Broken, ChartOutput::Rest },
-        a_torn_stream_goes_on_elsewhere = { &[Admit, AGAIN, Open, Give, Tear, AGAIN, Open, Give, Finish], OrderState::Ended, ChartOutput::Tell(ResultCode::Complete) },
-        a_torn_stream_that_may_not_run_again_is_cut = { &[Admit, ONCE, Open, Give, Tear], OrderState::Broken, ChartOutput::Cut },
-        a_torn_stream_goes_on_only_as_often_as_it_may = { &[Admit, AGAIN, Open, Tear, AGAIN, Open, Tear, AGAIN, Open, Tear], OrderState::Broken, ChartOutput::Cut },
-        a_torn_stream_that_no_other_takes_is_unknown = { &[Admit, AGAIN, Open, Tear, Deny(ResultCode::NoServer)], OrderState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
-        the_unreachable_are_not_tried_for_ever = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Fail(Failure::Unsent), ONCE, Fail(Failure::Unsent)], OrderState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
-        nothing_after_the_end = { &[Admit, AGAIN, Open, Finish, Give], OrderState::Ended, ChartOutput::Rest },
+        plain = { &[Admit, ONCE, Open, Give, Give, Finish], RequestState::Ended, ChartOutput::Tell(ResultCode::Complete) },
+        not_allowed = { &[Admit, Deny(ResultCode::UnknownService)], RequestState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
+        an_id_that_may_be_running_is_no_refusal = { &[Admit, Deny(ResultCode::RequestIdTaken)], RequestState::Broken, ChartOutput::Tell(ResultCode::RequestIdTaken) },
+        cut_off_at_the_last_moment = { &[Admit, ONCE, LoseLease], RequestState::Refused, ChartOutput::Tell(ResultCode::NotReady) },
+        placed_anew_under_a_newer_epoch = { &[Admit, ONCE, Supersede, ONCE, Open, Finish], RequestState::Ended, ChartOutput::Tell(ResultCode::Complete) },
+        a_newer_epoch_allows_it_no_more = { &[Admit, ONCE, Supersede, Deny(ResultCode::UnknownService)], RequestState::Refused, ChartOutput::Tell(ResultCode::UnknownService) },
+        silence_and_a_newer_epoch_without_a_server = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Supersede, Deny(ResultCode::NoServer)], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        silence_and_a_newer_epoch_without_repeats = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Supersede, ONCE], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        unsent_goes_elsewhere = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Open, Finish], RequestState::Ended, ChartOutput::Tell(ResultCode::Complete) },
+        unsent_and_no_other = { &[Admit, ONCE, Fail(Failure::Unsent), Deny(ResultCode::NoServer)], RequestState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
+        silence_is_unknown = { &[Admit, ONCE, Fail(Failure::Unknown)], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        silence_where_a_repeat_does_no_harm = { &[Admit, AGAIN, Fail(Failure::Unknown)], RequestState::Admitted, ChartOutput::AskScheduler },
+        silence_and_the_plan_changed_meanwhile = { &[Admit, AGAIN, Fail(Failure::Unknown), ONCE], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        silence_under_the_stricter_of_two_plans = { &[Admit, ONCE, Fail(Failure::Unsent), AGAIN, Fail(Failure::Unknown)], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        silence_then_no_other_is_unknown_still = { &[Admit, AGAIN, Fail(Failure::Unknown), Deny(ResultCode::NoServer)], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        silence_then_refusal_is_unknown_still = { &[Admit, AGAIN, Fail(Failure::Unknown), AGAIN, Fail(Failure::Refused), AGAIN, Fail(Failure::Refused)], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        refused_by_three = { &[Admit, ONCE, Fail(Failure::Refused), ONCE, Fail(Failure::Refused), ONCE, Fail(Failure::Refused)], RequestState::Refused, ChartOutput::Tell(ResultCode::ServerRefused) },
+        broken_is_not_run_again = { &[Admit, AGAIN, Open, Give, Break, AGAIN, Open], RequestState::Broken, ChartOutput::Rest },
+        a_torn_stream_goes_on_elsewhere = { &[Admit, AGAIN, Open, Give, Tear, AGAIN, Open, Give, Finish], RequestState::Ended, ChartOutput::Tell(ResultCode::Complete) },
+        a_torn_stream_that_may_not_run_again_is_cut = { &[Admit, ONCE, Open, Give, Tear], RequestState::Broken, ChartOutput::Cut },
+        a_torn_stream_goes_on_only_as_often_as_it_may = { &[Admit, AGAIN, Open, Tear, AGAIN, Open, Tear, AGAIN, Open, Tear], RequestState::Broken, ChartOutput::Cut },
+        a_torn_stream_that_no_other_takes_is_unknown = { &[Admit, AGAIN, Open, Tear, Deny(ResultCode::NoServer)], RequestState::Broken, ChartOutput::Tell(ResultCode::Unknown) },
+        the_unreachable_are_not_tried_for_ever = { &[Admit, ONCE, Fail(Failure::Unsent), ONCE, Fail(Failure::Unsent), ONCE, Fail(Failure::Unsent)], RequestState::Refused, ChartOutput::Tell(ResultCode::Unsent) },
+        nothing_after_the_end = { &[Admit, AGAIN, Open, Finish, Give], RequestState::Ended, ChartOutput::Rest },
     )]
-    fn traces(inputs: &[ChartInput], state: OrderState, last: ChartOutput) {
+    fn traces(inputs: &[ChartInput], state: RequestState, last: ChartOutput) {
         let mut chart = Chart::default();
         let outputs: Vec<ChartOutput> = inputs.iter().map(|input| chart.step(*input)).collect();
         assert_eq!((chart.state(), outputs.last()), (state, Some(&last)));
@@ -305,11 +305,11 @@
                 let input = inputs[(state % inputs.len() as u64) as usize];
                 let before = chart.state();
                 let output = chart.step(input);
-                is_once |= before == OrderState::Admitted && input == ONCE;
-                let is_asked = before == OrderState::Placed;
+                is_once |= before == RequestState::Admitted && input == ONCE;
+                let is_asked = before == RequestState::Placed;
                 may_have_run |= is_asked && matches!(input, Open | Fail(Failure::Unknown));
                 let is_repeat = may_have_run && output == ChartOutput::AskServer;
-                assert!(!(is_repeat && is_once), "seed {number}: a once-only order was repeated");
+                assert!(!(is_repeat && is_once), "seed {number}: a once-only request was repeated");
                 if let ChartOutput::Tell(code) = output {
                     assert!(!(code.is_refusal() && may_have_run), "seed {number}: {code} after it may have run");
                 }
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -1,5 +1,5 @@
 use crate::call_limits::SharedLimits;
-use crate::carrier::{fetch, resume, take_order};
+use crate::carrier::{fetch, resume, take_request};
 use crate::ingress::Ingress;
 use crate::list_reader;
 use crate::poller;
@@ -67,7 +67,7 @@
         return Err("seeds is empty: the inner address of at least one registrar is needed".into());
     }
     let listener = TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
-    let connections = settings.orders as usize + 112;
+    let connections = settings.requests as usize + 112;
     let bounds = GateBounds { connections, body_bytes: 4 << 20, read_span: Span::seconds(10), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let (sender, events) = flume::bounded::<Event>(QUEUE);
@@ -88,7 +88,7 @@
         epoch: AtomicU64::new(0),
         tallies: Tallies::default(),
         number: AtomicU64::new(1),
-        bound: settings.orders,
+        bound: settings.requests,
         block_bytes: settings.block_bytes as usize,
         stall: Span(settings.stall_ms),
         plan: RwLock::default(),
@@ -124,7 +124,7 @@
     });
     let (closer, open_count) = (gate.closer(), gate.open_count());
     let gate_door = door.clone();
-    let gate_thread = move || gate.serve(move |order| gate_door.clone().reply(&order));
+    let gate_thread = move || gate.serve(move |request| gate_door.clone().reply(&request));
     let gate_thread = std::thread::Builder::new().name("gate".into()).spawn(gate_thread);
     let gate_thread = gate_thread.map_err(|fault| fault.to_string())?;
 
@@ -186,7 +186,7 @@
                 return Ok(0);
             }
             if drain_due.is_some_and(|due| now >= due) {
-                tracing::warn!("crier: stopped with {} orders in hand.", control.node.open_count());
+                tracing::warn!("crier: stopped with {} requests in hand.", control.node.open_count());
                 return Ok(1);
             }
         }
@@ -247,7 +247,7 @@
             }
         };
         let outputs = self.node.step(now, input);
-        // Before anyone is told that an order is placed: they ask whether it may leave.
+        // Before anyone is told that a request is placed: they ask whether it may leave.
         let tallies = &self.door.shared.tallies;
         let until = self.node.may_act_until(now);
         // First the epoch: whoever sees the longer lease is to see what it was given for.
@@ -285,7 +285,7 @@
                 NodeOutput::Kv(task) => {
                     Tallies::more(&self.door.shared.tallies.copies);
                     if self.kv.try_send(task).is_err() {
-                        tracing::warn!("kv: too many orders wait; one is dropped.");
+                        tracing::warn!("kv: too many requests wait; one is dropped.");
                     }
                 }
                 NodeOutput::ReadList => {
@@ -352,7 +352,7 @@
                 };
                 let value = serde_json::json!({
                     "state": state, "zone": server.zone, "pool": server.pool, "incarnation": server.incarnation,
-                    "own_orders": server.own, "reported": server.reported.map(|(load, _)| load),
+                    "own_requests": server.own, "reported": server.reported.map(|(load, _)| load),
                     "block_micros": server.block_micros, "hold_ms": server.hold.0, "faults": server.faults,
                     "knows_kv": server.knows_kv, "weights": server.weights,
                 });
@@ -372,7 +372,7 @@
             "lease_ms_left": lease_state.lease_due().map(|due| now.until(due)),
             "members": lease_state.members(),
             "withdrawn": self.node.withdrawn(),
-            "open_orders": self.node.open_count(),
+            "open_requests": self.node.open_count(),
             "servers": servers,
             "active": active,
         })
@@ -429,12 +429,12 @@
 }
 
 impl Door {
-    fn reply(self: Arc<Self>, order: &Order) -> Reply {
-        match (order.method.as_str(), order.parts().as_slice()) {
-            ("POST", ["v1", "orders"]) => take_order(&self.shared, &order.body),
-            ("POST", ["v1", "resume"]) => resume(&self.shared, &order.body),
+    fn reply(self: Arc<Self>, request: &Request) -> Reply {
+        match (request.method.as_str(), request.parts().as_slice()) {
+            ("POST", ["v1", "requests"]) => take_request(&self.shared, &request.body),
+            ("POST", ["v1", "resume"]) => resume(&self.shared, &request.body),
             ("GET", ["v1", "pages", service, rest @ ..]) => {
-                fetch(&self.shared, service, &rest.join("/"), order.header("x-order-id"))
+                fetch(&self.shared, service, &rest.join("/"), request.header("x-request-id"))
             }
             ("GET", ["ready"]) => {
                 if self.is_ready.load(Ordering::SeqCst) {
@@ -452,20 +452,20 @@
                     Err(_) => Reply::result(ResultCode::NotReady, "the control thread gave no answer"),
                 }
             }
-            ("GET", ["v1", "decisions"]) => self.tail(order, JournalKind::Decisions),
-            ("GET", ["v1", "events"]) => self.tail(order, JournalKind::Events),
-            ("POST", ["v1", "events"]) => self.push(&order.body),
-            _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path)),
+            ("GET", ["v1", "decisions"]) => self.tail(request, JournalKind::Decisions),
+            ("GET", ["v1", "events"]) => self.tail(request, JournalKind::Events),
+            ("POST", ["v1", "events"]) => self.push(&request.body),
+            _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path)),
         }
     }
 
-    fn tail(self: Arc<Self>, order: &Order, kind: JournalKind) -> Reply {
-        let cursor = match order.query_word("after").map(str::parse) {
+    fn tail(self: Arc<Self>, request: &Request, kind: JournalKind) -> Reply {
+        let cursor = match request.query_word("after").map(str::parse) {
             Some(Ok(cursor)) => cursor,
-            Some(Err(_)) => return Reply::result(ResultCode::BadOrder, "after is not a number"),
+            Some(Err(_)) => return Reply::result(ResultCode::BadRequest, "after is not a number"),
             None => 0,
         };
-        let does_follow = order.query_word("follow") == Some("true");
+        let does_follow = request.query_word("follow") == Some("true");
         let head = (cursor == 0 && kind == JournalKind::Events).then(|| format!("{}\n", self.head));
         let source = JournalSource { door: self, kind, cursor, does_follow, head };
         Reply::streamed("application/x-ndjson", Box::new(source))
@@ -475,7 +475,7 @@
     /// platform's list or the members are turned away; all lines are read before any is taken.
     fn push(&self, body: &[u8]) -> Reply {
         let Ok(text) = std::str::from_utf8(body) else {
-            return Reply::result(ResultCode::BadOrder, "the body is not UTF-8");
+            return Reply::result(ResultCode::BadRequest, "the body is not UTF-8");
         };
         let mut events = vec![];
         for (place, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
@@ -486,10 +486,10 @@
                         "line {}: rules, members, the server list and peer sketches come from the fleet alone",
                         place + 1
                     );
-                    return Reply::result(ResultCode::BadOrder, why);
+                    return Reply::result(ResultCode::BadRequest, why);
                 }
                 Ok(event) => events.push(event),
-                Err(fault) => return Reply::result(ResultCode::BadOrder, format!("line {}: {fault}", place + 1)),
+                Err(fault) => return Reply::result(ResultCode::BadRequest, format!("line {}: {fault}", place + 1)),
             }
         }
         let count = events.len();
--- a/crates/crier/src/errand.rs
+++ b/crates/crier/src/errand.rs
@@ -39,7 +39,7 @@
     Cut(String),
 }
 
-/// An order's way to the server that takes it, going on to others as far as its chart allows. The
+/// A request's way to the server that takes it, going on to others as far as its chart allows. The
 /// carrier does what it wants; the simulator does, too.
 ///
 /// Invariants: those of its [`Chart`]. Each server is asked at most once.
@@ -53,7 +53,7 @@
 }
 
 impl Errand {
-    /// For an order that was read; says what is to be done first.
+    /// For a request that was read; says what is to be done first.
     pub fn begin() -> (Errand, ErrandOutput) {
         Self::begin_with(Chart::default())
     }
@@ -93,7 +93,7 @@
                 self.chart.step(ChartInput::Deny(denial.code))
             }
             ErrandInput::LoseLease => {
-                self.why = "this node's lease ran out before the order was sent".into();
+                self.why = "this node's lease ran out before the request was sent".into();
                 self.chart.step(ChartInput::LoseLease)
             }
             ErrandInput::Supersede => self.chart.step(ChartInput::Supersede),
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -71,12 +71,12 @@
 
 impl Forwarder {
     /// Answers a caller's request.
-    pub fn reply(self: &Arc<Self>, order: Order) -> Reply {
+    pub fn reply(self: &Arc<Self>, request: Request) -> Reply {
         let arrived = Clock::now();
         self.shared.arrived.store(arrived.0, std::sync::atomic::Ordering::Relaxed);
-        let caller = order.caller.clone();
+        let caller = request.caller.clone();
         Tallies::more(&self.shared.tallies.received);
-        let call = match self.dialect.read(order) {
+        let call = match self.dialect.read(request) {
             Ok(call) => call,
             Err(denial) => return self.refuse(None, &denial),
         };
@@ -133,7 +133,7 @@
         false
     }
 
-    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply {
         let tallies = &self.shared.tallies;
         Tallies::more(if denial.code.is_refusal() { &tallies.refused } else { &tallies.unknown });
         self.dialect.refuse(id, denial)
@@ -380,7 +380,7 @@
         }
         self.way.last = event.id.or(self.way.last);
         if !std::mem::replace(&mut self.has_first, true) {
-            self.way.forwarder.shared.tell(NodeInput::Event(Event::FirstToken { order: self.way.call.id.clone() }));
+            self.way.forwarder.shared.tell(NodeInput::Event(Event::FirstToken { request: self.way.call.id.clone() }));
         }
         self.way.trip.errand.carried(ChartInput::Give);
         self.ready.push_back(event.bytes);
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -14,22 +14,22 @@
 pub(crate) struct Plain;
 
 impl CallDialect for Plain {
-    fn read(&self, order: Order) -> Result<Call, Denial> {
-        let deny = |why: &str| Denial { code: ResultCode::BadOrder, why: why.into(), retry_after: Span(0) };
-        let number = |name: &str| order.header(name).and_then(|value| value.parse().ok());
-        let id = OrderId::from(order.header("x-call").ok_or_else(|| deny("no id"))?);
-        let host = order.header("host").unwrap_or_default().to_owned();
+    fn read(&self, request: Request) -> Result<Call, Denial> {
+        let deny = |why: &str| Denial { code: ResultCode::BadRequest, why: why.into(), retry_after: Span(0) };
+        let number = |name: &str| request.header(name).and_then(|value| value.parse().ok());
+        let id = RequestId::from(request.header("x-call").ok_or_else(|| deny("no id"))?);
+        let host = request.header("host").unwrap_or_default().to_owned();
         let (left, after) = (Span(number("x-wait").unwrap_or(20_000)), number("x-after"));
-        let (method, target, mut headers, body) = order.into_parts();
+        let (method, target, mut headers, body) = request.into_parts();
         for name in ["x-wait", "x-after", "connection", "content-length"] {
             headers.remove(name);
         }
         let demand = Demand::default();
         Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand })
     }
-    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply {
         let reply = Reply::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word())
-            .with_header("x-call", id.map_or("", OrderId::as_str));
+            .with_header("x-call", id.map_or("", RequestId::as_str));
         if denial.code.comes_back().is_some() { reply.retry_after(denial.retry_after.max(Span(50))) } else { reply }
     }
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes> {
@@ -73,8 +73,8 @@
         }
         headers
     }
-    fn is_probe(&self, order: &Order) -> bool {
-        order.path == "/probe"
+    fn is_probe(&self, request: &Request) -> bool {
+        request.path == "/probe"
     }
     fn list_request(&self, _: Option<&str>) -> http::Request<Bytes> {
         http::Request::new(Bytes::new())
@@ -319,7 +319,7 @@
         let forwarder = Arc::new(Forwarder { shared, dialect: Arc::new(Plain), lines, mutant });
         let gate = Gate::open("127.0.0.1:0".parse().expect("an address"), GateBounds::default()).expect("a gate");
         let address = gate.address().0;
-        std::thread::spawn(move || gate.serve(move |order| forwarder.reply(order)));
+        std::thread::spawn(move || gate.serve(move |request| forwarder.reply(request)));
         Stage { address, told }
     }
     fn send(&self, headers: &str) -> Caller {
@@ -333,11 +333,11 @@
     fn ask(&self, headers: &str) -> Answer {
         self.send(headers).answer()
     }
-    /// All that the control thread was told, up to the end of the order.
+    /// All that the control thread was told, up to the end of the request.
     fn told(&self) -> Vec<Told> {
         let mut all = vec![];
         while !matches!(all.last(), Some(Told::Closed { .. })) {
-            all.push(self.told.recv_timeout(GUARD).expect("the order ends"));
+            all.push(self.told.recv_timeout(GUARD).expect("the request ends"));
         }
         all
     }
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -31,7 +31,7 @@
         let listen: Address = settings.ingress.parse()?;
         let probed: Address = settings.readiness.parse()?;
         let bounds = GateBounds {
-            connections: settings.orders as usize * 2 + 64,
+            connections: settings.requests as usize * 2 + 64,
             body_bytes: 8 << 20,
             read_span: Span::seconds(10),
             keep_alive: true,
@@ -63,14 +63,15 @@
         let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
         let serve = move || {
             await_ready(&shared_by_gate, patience);
-            gate.serve(move |order| forwarder.reply(order));
+            gate.serve(move |request| forwarder.reply(request));
         };
         std::thread::Builder::new().name("ingress".into()).spawn(serve).map_err(|fault| fault.to_string())?;
-        let tell_ready = move |order: Order| match (dialect.is_probe(&order), shared.is_ready.load(Ordering::SeqCst)) {
-            (true, true) => Reply::whole(200, "text/plain", "ready\n"),
-            (true, false) => Reply::whole(503, "text/plain", "not ready\n"),
-            (false, _) => Reply::result(ResultCode::NotFound, "only readiness is told here"),
-        };
+        let tell_ready =
+            move |request: Request| match (dialect.is_probe(&request), shared.is_ready.load(Ordering::SeqCst)) {
+                (true, true) => Reply::whole(200, "text/plain", "ready\n"),
+                (true, false) => Reply::whole(503, "text/plain", "not ready\n"),
+                (false, _) => Reply::result(ResultCode::NotFound, "only readiness is told here"),
+            };
         let serve = move || probe_gate.serve(tell_ready);
         std::thread::Builder::new().name("readiness".into()).spawn(serve).map_err(|fault| fault.to_string())?;
         tracing::info!("ingress: listens at {}, readiness {}.", addresses.0, addresses.1);
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -1,4 +1,4 @@
-//! The data plane: a crier takes callers' orders, places them, and carries the streams.
+//! The data plane: a crier takes callers' requests, places them, and carries the streams.
 
 mod call;
 mod call_limits;
@@ -28,7 +28,7 @@
 /// What each file imports.
 pub mod prelude {
     pub use crate::call::{Call, CallDialect, Sending, ServerLoad};
-    pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, OrderState};
+    pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, RequestState};
     pub use crate::daemon::{Dialects, ReadSeeds, run};
     pub use crate::dissemination::{DigestTiming, Dissemination};
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
@@ -43,7 +43,9 @@
     pub use crate::settings::Settings;
     pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
-    pub use crate::wire::{CallerOrder, LIFE_HEADER, ResumeOrder, RunOrder, RunPiece, ServerListReport, ServerReport};
+    pub use crate::wire::{
+        CallerRequest, LIFE_HEADER, ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport,
+    };
     pub use circular::prelude::*;
     pub use college::prelude::{LeaseState, LeaseStatus};
     pub use layout::prelude::*;
--- a/crates/crier/src/main.rs
+++ b/crates/crier/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// The data plane of cobaltfall: takes callers' orders and carries their streams.
+/// The data plane of cobaltfall: takes callers' requests and carries their streams.
 #[derive(Debug, Parser)]
 #[command(version, about)]
 struct Line {
@@ -14,7 +14,7 @@
 
 #[derive(Debug, Subcommand)]
 enum Task {
-    /// Run a crier. Exit codes: 0 stopped as told, 1 stopped with orders in hand, 2 the settings
+    /// Run a crier. Exit codes: 0 stopped as told, 1 stopped with requests in hand, 2 the settings
     /// can't be used.
     Serve {
         /// The settings file (TOML).
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -41,13 +41,13 @@
     }
 }
 
-/// An order that wants a server.
+/// A request that wants a server.
 #[derive(Debug, Clone)]
 pub struct PlaceAsk {
-    /// The number, the same for all rounds of an order and no other's.
+    /// The number, the same for all rounds of a request and no other's.
     pub number: u64,
-    /// The order.
-    pub order: OrderId,
+    /// The request.
+    pub request: RequestId,
     /// Its service.
     pub service: ServiceName,
     /// How it is spoken, where no route says so.
@@ -80,21 +80,21 @@
     },
     /// Something for the scheduler, seen here.
     Event(Event),
-    /// An order wants a server; the answer comes as [`NodeOutput::Place`] with its number.
+    /// A request wants a server; the answer comes as [`NodeOutput::Place`] with its number.
     Place(PlaceAsk),
     /// Whom to ask first, anew.
     Seeds(Vec<Address>),
     /// A caller wants a stream read on; the answer comes as [`NodeOutput::Resume`] with this number.
     Resume {
-        /// The number, no other order's.
+        /// The number, no other request's.
         number: u64,
         /// What the caller holds.
         token: String,
     },
     /// The caller has its last word.
     Close {
-        /// The order.
-        order: OrderId,
+        /// The request.
+        request: RequestId,
         /// Its number: another order of the same id, turned away, closes nothing.
         number: u64,
         /// Whether a server may have run it: its id is then remembered for a while.
@@ -117,7 +117,7 @@
     Drain,
 }
 
-/// Where an order goes.
+/// Where a request goes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placing {
     /// The server.
@@ -136,11 +136,11 @@
     pub first_token: Span,
     /// The epoch under which it was placed.
     pub epoch: Epoch,
-    /// The server's life by which it was judged, if it told one: another one is to refuse the order.
+    /// The server's life by which it was judged, if it told one: another one is to refuse the request.
     pub life: Option<u64>,
 }
 
-/// Why an order goes nowhere.
+/// Why a request goes nowhere.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Denial {
     /// The code.
@@ -219,9 +219,9 @@
 
 /// A data-plane node's control state: its lease state among the members, the layout, the scheduler.
 ///
-/// Invariants: the layout's epoch never falls, and it's only taken up whole. An order is placed only
+/// Invariants: the layout's epoch never falls, and it's only taken up whole. A request is placed only
 /// while the node may act, under a layout that it holds, and with a server list that was read in this life
-/// and since the machine last slept. An id in hand, or of `ended`, is taken by no second order.
+/// and since the machine last slept. An id in hand, or of `ended`, is taken by no second request.
 #[derive(Clone)]
 pub struct Node {
     own: Address,
@@ -269,11 +269,11 @@
     is_draining: bool,
     /// What tokens are sealed and opened with.
     key: Option<TokenKey>,
-    /// Orders in hand, with their numbers.
-    open: BTreeMap<OrderId, u64>,
-    /// The newest ids of orders that a server may have run, oldest first.
-    ended: VecDeque<OrderId>,
-    ended_ids: BTreeSet<OrderId>,
+    /// Requests in hand, with their numbers.
+    open: BTreeMap<RequestId, u64>,
+    /// The newest ids of requests that a server may have run, oldest first.
+    ended: VecDeque<RequestId>,
+    ended_ids: BTreeSet<RequestId>,
     last_reason: LeaseStatus,
     outputs: Vec<NodeOutput>,
 }
@@ -377,11 +377,11 @@
                 let outcome = self.resume(number, &token);
                 self.outputs.push(NodeOutput::Resume { number, outcome });
             }
-            NodeInput::Close { order, number, may_have_run } => {
-                if self.open.get(&order) == Some(&number) {
-                    self.open.remove(&order);
+            NodeInput::Close { request, number, may_have_run } => {
+                if self.open.get(&request) == Some(&number) {
+                    self.open.remove(&request);
                     if may_have_run {
-                        self.remember(order);
+                        self.remember(request);
                     }
                 }
             }
@@ -392,7 +392,7 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// Until when orders that are placed may be sent; asked again right before each is sent.
+    /// Until when requests that are placed may be sent; asked again right before each is sent.
     pub fn may_act_until(&self, now: Moment) -> Moment {
         let is_whole = self.plan.is_some()
             && self.key.is_some()
@@ -440,7 +440,7 @@
     pub fn withdrawn(&self) -> &[ZoneName] {
         &self.withdrawn
     }
-    /// How many orders are open.
+    /// How many requests are open.
     pub fn open_count(&self) -> usize {
         self.open.len()
     }
@@ -505,7 +505,7 @@
     }
 
     fn place(&mut self, ask: PlaceAsk) -> Result<Placing, Denial> {
-        let PlaceAsk { number, order, service, kind, route, hashes, demand, round, tried, may_have_run, run } = ask;
+        let PlaceAsk { number, request, service, kind, route, hashes, demand, round, tried, may_have_run, run } = ask;
         let deny = |code: ResultCode, why: &str, retry_after: u64| {
             Err(Denial { code, why: why.to_owned(), retry_after: Span(retry_after) })
         };
@@ -533,26 +533,28 @@
             },
         };
         if may_have_run && !may_repeat {
-            return deny(ResultCode::NoServer, "the plan in force lets no order that may have run repeat", 0);
+            return deny(ResultCode::NoServer, "the plan in force lets no request that may have run repeat", 0);
         }
-        let holder = *self.open.entry(order.clone()).or_insert(number);
+        let holder = *self.open.entry(request.clone()).or_insert(number);
         if holder != number {
-            return deny(ResultCode::OrderIdTaken, "an order of this id is in hand here", 0);
+            return deny(ResultCode::RequestIdTaken, "a request of this id is in hand here", 0);
         }
-        if round == 0 && self.ended_ids.contains(&order) {
-            let why = "an order of this id was given to a server here; that one may have run";
-            return deny(ResultCode::OrderIdTaken, why, 0);
+        if round == 0 && self.ended_ids.contains(&request) {
+            let why = "a request of this id was given to a server here; that one may have run";
+            return deny(ResultCode::RequestIdTaken, why, 0);
         }
         let before = self.outputs.len();
         let token_service = service.clone();
-        self.tell_scheduler(Event::Prompt { order: order.clone(), service, hashes, round, tried, demand });
+        self.tell_scheduler(Event::Prompt { request: request.clone(), service, hashes, round, tried, demand });
         let decided = self.outputs[before..].iter().find_map(|output| match output {
-            NodeOutput::Decision(_, Decision::Placed { order: placed, server, candidates, .. }) if *placed == order => {
+            NodeOutput::Decision(_, Decision::Placed { request: placed, server, candidates, .. })
+                if *placed == request =>
+            {
                 let expected = candidates.iter().find(|candidate| candidate.server == *server);
                 Some(Ok((server.clone(), expected.map_or(Span(0), |candidate| candidate.expected))))
             }
-            NodeOutput::Decision(_, Decision::Refused { order: refused, code, why, retry_after, .. })
-                if *refused == order =>
+            NodeOutput::Decision(_, Decision::Refused { request: refused, code, why, retry_after, .. })
+                if *refused == request =>
             {
                 let code = ResultCode::ALL.iter().find(|known| known.number() == *code);
                 let code = code.copied().unwrap_or(ResultCode::NoServer);
@@ -564,7 +566,7 @@
         let address = self.addresses.get(&server).cloned().unwrap_or_else(|| server.0.clone());
         let token = of_service.resumable.then(|| {
             let (server, run) = (server.clone(), run.clone());
-            Token { order, service: token_service, server, run }.seal(&key)
+            Token { request, service: token_service, server, run }.seal(&key)
         });
         let (epoch, first_token) = (self.lease_state.epoch(), Span(of_service.first_token_ms));
         let life = self.scheduler.servers().get(&server).and_then(|state| state.incarnation);
@@ -593,9 +595,9 @@
     }
 
     /// Remembers an id that may have run, and forgets the oldest beyond the bound.
-    fn remember(&mut self, order: OrderId) {
-        if self.ended_ids.insert(order.clone()) {
-            self.ended.push_back(order);
+    fn remember(&mut self, request: RequestId) {
+        if self.ended_ids.insert(request.clone()) {
+            self.ended.push_back(request);
         }
         if self.ended.len() > ENDED_IDS
             && let Some(oldest) = self.ended.pop_front()
@@ -978,12 +980,12 @@
 /// Others that were heard within this time are told of to the core.
 const HEARD_FOR: Span = Span(2000);
 
-/// Ids of ended orders that are remembered.
+/// Ids of ended requests that are remembered.
 const ENDED_IDS: usize = 8192;
 
-/// What a stream that is read on is called among the orders in hand. No caller's id has a slash.
-pub fn resume_id(number: u64) -> OrderId {
-    OrderId(format!("resume/{number}"))
+/// What a stream that is read on is called among the requests in hand. No caller's id has a slash.
+pub fn resume_id(number: u64) -> RequestId {
+    RequestId(format!("resume/{number}"))
 }
 
 fn deny_no_decision() -> Result<(ServerName, Span), Denial> {
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -90,7 +90,7 @@
     ) -> Result<Placing, ResultCode> {
         let place = NodeInput::Place(PlaceAsk {
             number,
-            order: id.into(),
+            request: id.into(),
             service: service.into(),
             kind: ServiceKind::Stream,
             route: None,
@@ -165,7 +165,7 @@
 }
 
 #[test]
-fn an_order_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_server_list() {
+fn a_request_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_server_list() {
     let mut played = Played::new();
     assert_eq!(played.place(1, "a", "drafts").err(), Some(ResultCode::NotReady), "no lease");
     played.lease(3, 2);
@@ -197,25 +197,25 @@
         for n in 0..6 {
             let id = format!("{service}-{n}");
             assert!(played.place(number * 10 + n, &id, service).is_ok());
-            let order = OrderId(id);
-            played.step(NodeInput::Event(Event::Ended { order, outcome: Outcome::Complete }));
+            let request = RequestId(id);
+            played.step(NodeInput::Event(Event::Ended { request, outcome: Outcome::Complete }));
         }
-        played.step(NodeInput::Event(Event::Ended { order: service.into(), outcome: Outcome::Failed }));
+        played.step(NodeInput::Event(Event::Ended { request: service.into(), outcome: Outcome::Failed }));
         let again = played.place_again(number, service, service, 1, true);
         assert_eq!(again.is_ok(), is_again, "{service}: {again:?}");
     }
 }
 
 #[test]
-fn a_second_order_of_an_id_is_turned_away_and_closes_nothing() {
+fn a_second_request_of_an_id_is_turned_away_and_closes_nothing() {
     let mut played = Played::serving();
     assert!(played.place(1, "same", "drafts").is_ok());
-    assert_eq!(played.place(2, "same", "drafts").err(), Some(ResultCode::OrderIdTaken));
-    played.step(NodeInput::Close { order: "same".into(), number: 2, may_have_run: true });
-    assert_eq!(played.place(3, "same", "drafts").err(), Some(ResultCode::OrderIdTaken), "the first is still in hand");
+    assert_eq!(played.place(2, "same", "drafts").err(), Some(ResultCode::RequestIdTaken));
+    played.step(NodeInput::Close { request: "same".into(), number: 2, may_have_run: true });
+    assert_eq!(played.place(3, "same", "drafts").err(), Some(ResultCode::RequestIdTaken), "the first is still in hand");
     played.step(NodeInput::Drain);
     assert!(!played.node.is_drained());
-    played.step(NodeInput::Close { order: "same".into(), number: 1, may_have_run: false });
+    played.step(NodeInput::Close { request: "same".into(), number: 1, may_have_run: false });
     assert!(played.node.is_drained());
 }
 
@@ -340,19 +340,19 @@
 fn an_id_that_may_have_run_is_not_taken_again_and_the_memory_of_ids_is_bounded() {
     let mut played = Played::serving();
     let close = |played: &mut Played, id: &str, may_have_run: bool| {
-        played.step(NodeInput::Event(Event::Ended { order: id.into(), outcome: Outcome::Complete }));
-        played.step(NodeInput::Close { order: id.into(), number: 1, may_have_run });
+        played.step(NodeInput::Event(Event::Ended { request: id.into(), outcome: Outcome::Complete }));
+        played.step(NodeInput::Close { request: id.into(), number: 1, may_have_run });
     };
     assert!(played.place(1, "ran", "drafts").is_ok());
     close(&mut played, "ran", true);
-    assert_eq!(played.place(2, "ran", "drafts").err(), Some(ResultCode::OrderIdTaken));
-    played.step(NodeInput::Close { order: "ran".into(), number: 2, may_have_run: false });
+    assert_eq!(played.place(2, "ran", "drafts").err(), Some(ResultCode::RequestIdTaken));
+    played.step(NodeInput::Close { request: "ran".into(), number: 2, may_have_run: false });
     assert!(played.place(1, "refused", "drafts").is_ok());
     close(&mut played, "refused", false);
     assert!(played.place(1, "refused", "drafts").is_ok(), "what never ran may come again");
     close(&mut played, "refused", false);
     for n in 0..ENDED_IDS {
-        let id = OrderId(format!("more-{n}"));
+        let id = RequestId(format!("more-{n}"));
         played.node.open.insert(id.clone(), 1);
         close(&mut played, id.as_str(), true);
     }
@@ -370,7 +370,7 @@
         });
         outcome.expect("a reply")
     };
-    let token = Token { order: "a".into(), service: "drafts".into(), server: "s1".into(), run: "r".into() };
+    let token = Token { request: "a".into(), service: "drafts".into(), server: "s1".into(), run: "r".into() };
     let sealed = token.seal(&KEY);
     let mut played = Played::new();
     assert_eq!(resume(&mut played, 1, &sealed).err(), Some(ResultCode::NotReady), "it has just started");
@@ -382,7 +382,7 @@
     played.step(NodeInput::Drain);
     assert_eq!(resume(&mut played, 2, &sealed).err(), Some(ResultCode::Draining));
     assert!(!played.node.is_drained(), "a stream that is read on is in hand, too");
-    played.step(NodeInput::Close { order: resume_id(1), number: 1, may_have_run: false });
+    played.step(NodeInput::Close { request: resume_id(1), number: 1, may_have_run: false });
     assert!(played.node.is_drained());
 }
 
@@ -470,7 +470,7 @@
 }
 
 #[test]
-fn an_order_names_the_life_that_its_server_was_judged_by() {
+fn a_request_names_the_life_that_its_server_was_judged_by() {
     let mut played = Played::serving();
     let placing = played.place(1, "a", "drafts").expect("placed");
     assert_eq!(placing.life, Some(1));
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -36,9 +36,9 @@
     /// A node that has not heard for this long what its zone's collector reads there reads it itself, in ms.
     #[setting(default = 2000, validate = within(100, 60_000))]
     pub list_silence_ms: u64,
-    /// Orders in hand at most; more are refused at once.
+    /// Requests in hand at most; more are refused at once.
     #[setting(default = 400, validate = within(1, 1_000_000))]
-    pub orders: u64,
+    pub requests: u64,
     /// Bytes of a prompt that make one block.
     #[setting(default = 64, validate = within(1, 1_000_000))]
     pub block_bytes: u64,
@@ -62,7 +62,7 @@
     /// Whether sketches of other criers count.
     #[setting(default = true)]
     pub merge: bool,
-    /// Whether orders are refused by their expected first-token time.
+    /// Whether requests are refused by their expected first-token time.
     #[setting(default = true)]
     pub admit: bool,
     /// Whether servers take orders to copy KV; if not, real requests warm them.
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -25,20 +25,20 @@
     pub limits: SharedLimits,
 }
 
-/// A place among the orders in hand; given back when dropped, together with the order's id.
+/// A place among the requests in hand; given back when dropped, together with the request's id.
 pub(crate) struct Place {
     pub shared: Arc<Shared>,
-    pub order: OrderId,
+    pub request: RequestId,
     pub number: u64,
-    /// Whether a server may have run it: a second order of its id is then told so.
+    /// Whether a server may have run it: a second request of its id is then told so.
     pub may_have_run: bool,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         self.shared.tallies.in_hand.fetch_sub(1, Ordering::Relaxed);
-        let (order, number, may_have_run) = (self.order.clone(), self.number, self.may_have_run);
-        self.shared.tell(NodeInput::Close { order, number, may_have_run });
+        let (request, number, may_have_run) = (self.request.clone(), self.number, self.may_have_run);
+        self.shared.tell(NodeInput::Close { request, number, may_have_run });
     }
 }
 
@@ -63,8 +63,8 @@
     pub fn tell(&self, input: NodeInput) {
         let _ = self.control.send(crate::daemon::Event::Input(input));
     }
-    pub fn tell_ended(&self, order: &OrderId, outcome: Outcome) {
-        self.tell(NodeInput::Event(Event::Ended { order: order.clone(), outcome }));
+    pub fn tell_ended(&self, request: &RequestId, outcome: Outcome) {
+        self.tell(NodeInput::Event(Event::Ended { request: request.clone(), outcome }));
     }
     pub fn may_act(&self) -> bool {
         Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
@@ -94,8 +94,8 @@
         };
         let outcome = self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
             // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
-            // another order of this id may be in hand.
-            self.tell_ended(&place.order, Outcome::Refused);
+            // another request of this id may be in hand.
+            self.tell_ended(&place.request, Outcome::Refused);
             Err(silence())
         });
         // Before a connection to that server is opened.
@@ -128,17 +128,17 @@
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
         self.plan.read().expect("no thread panics with it").as_ref().map(|held| held.1.clone())
     }
-    /// A number for an order, that no other has in this life.
+    /// A number for a request, that no other has in this life.
     pub fn next_number(&self) -> u64 {
         self.number.fetch_add(1, Ordering::Relaxed)
     }
-    /// Takes a place among the orders in hand, if there is one.
-    pub fn take_place(self: &Arc<Self>, order: OrderId, number: u64) -> Option<Place> {
+    /// Takes a place among the requests in hand, if there is one.
+    pub fn take_place(self: &Arc<Self>, request: RequestId, number: u64) -> Option<Place> {
         if self.tallies.in_hand.fetch_add(1, Ordering::Relaxed) >= self.bound {
             self.tallies.in_hand.fetch_sub(1, Ordering::Relaxed);
             return None;
         }
-        Some(Place { shared: self.clone(), order, number, may_have_run: false })
+        Some(Place { shared: self.clone(), request, number, may_have_run: false })
     }
     pub fn refusal(&self, code: ResultCode, why: String, retry_after: Span) -> Reply {
         Tallies::more(if code.is_refusal() { &self.tallies.refused } else { &self.tallies.unknown });
--- a/crates/crier/src/tallies.rs
+++ b/crates/crier/src/tallies.rs
@@ -23,7 +23,7 @@
 }
 
 tallies! {
-    /// Orders read.
+    /// Requests read.
     received: "counter",
     /// Streams and pages that ended whole.
     complete: "counter",
@@ -31,7 +31,7 @@
     refused: "counter",
     /// Streams that broke.
     broken: "counter",
-    /// Orders whose fate is unknown.
+    /// Requests whose fate is unknown.
     unknown: "counter",
     /// Repeats at further servers.
     repeats: "counter",
@@ -45,7 +45,7 @@
     placed_match: "counter",
     /// Prompts placed otherwise.
     placed_other: "counter",
-    /// Orders in hand.
+    /// Requests in hand.
     in_hand: "gauge",
     /// The newest epoch held whole.
     epoch: "gauge",
--- a/crates/crier/src/token.rs
+++ b/crates/crier/src/token.rs
@@ -6,8 +6,8 @@
 /// run id can't be guessed: 128 bits of the system's randomness.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Token {
-    /// The order.
-    pub order: OrderId,
+    /// The request.
+    pub request: RequestId,
     /// Its service.
     pub service: ServiceName,
     /// The server.
@@ -53,7 +53,7 @@
     const KEY: TokenKey = TokenKey([7; 32]);
 
     fn token(server: &str, run: &str) -> Token {
-        Token { order: "o-1".into(), service: "drafts".into(), server: server.into(), run: run.into() }
+        Token { request: "o-1".into(), service: "drafts".into(), server: server.into(), run: run.into() }
     }
 
     #[test]
--- a/crates/crier/src/trip.rs
+++ b/crates/crier/src/trip.rs
@@ -2,7 +2,7 @@
 use crate::shared::{Place, Shared};
 use std::sync::Arc;
 
-/// Why a server has not taken an order.
+/// Why a server has not taken a request.
 pub(crate) enum NotTaken {
     /// This node may not act any more, or not as it was placed: nothing that could run was sent.
     Withheld,
@@ -14,7 +14,7 @@
     CallerGone,
 }
 
-/// What an order wants of the scheduler, whatever it's spoken in.
+/// What a request wants of the scheduler, whatever it's spoken in.
 pub(crate) struct Wanted {
     pub service: ServiceName,
     pub kind: ServiceKind,
@@ -40,7 +40,7 @@
     Cut(String),
 }
 
-/// An order on its way: its errand, done with real servers.
+/// A request on its way: its errand, done with real servers.
 pub(crate) struct Trip {
     pub shared: Arc<Shared>,
     pub place: Place,
@@ -49,19 +49,19 @@
 }
 
 impl Trip {
-    /// For an order that has its place; at most so many servers may get it.
+    /// For a request that has its place; at most so many servers may get it.
     pub fn new(place: Place, wanted: Wanted, most: Option<u32>) -> (Trip, ErrandOutput) {
         let (errand, first) = most.map_or_else(Errand::begin, Errand::begin_bounded);
         (Trip { shared: place.shared.clone(), place, errand, wanted }, first)
     }
 
-    /// Finds a server that takes the order, going on to others as far as the errand allows.
+    /// Finds a server that takes the request, going on to others as far as the errand allows.
     pub fn go<T>(
         &mut self,
         first: ErrandOutput,
         mut ask: impl FnMut(&Placing, &Chart) -> Result<T, NotTaken>,
     ) -> Gone<T> {
-        let order = self.place.order.clone();
+        let request = self.place.request.clone();
         let does_stream = self.wanted.kind == ServiceKind::Stream;
         let (mut output, mut taken) = (first, None);
         loop {
@@ -69,7 +69,7 @@
                 ErrandOutput::AskScheduler { round, tried, may_have_run } => {
                     let input = NodeInput::Place(PlaceAsk {
                         number: self.place.number,
-                        order: order.clone(),
+                        request: request.clone(),
                         service: self.wanted.service.clone(),
                         kind: self.wanted.kind,
                         route: self.wanted.route.clone(),
@@ -92,22 +92,22 @@
                         self.errand.step(ErrandInput::Open)
                     }
                     Err(NotTaken::Withheld) => {
-                        self.shared.tell_ended(&order, Outcome::Refused);
+                        self.shared.tell_ended(&request, Outcome::Refused);
                         let is_superseded = self.shared.may_act() && self.shared.is_superseded(placing.epoch);
                         self.errand.step(if is_superseded { ErrandInput::Supersede } else { ErrandInput::LoseLease })
                     }
                     Err(NotTaken::Failed(failure, why)) => {
-                        self.shared.tell_ended(&order, failure.outcome());
+                        self.shared.tell_ended(&request, failure.outcome());
                         self.errand.step(ErrandInput::Fail(failure, why))
                     }
                     Err(NotTaken::Elsewhere(why)) => {
-                        self.shared.tell_ended(&order, Outcome::Refused);
+                        self.shared.tell_ended(&request, Outcome::Refused);
                         let server = placing.server.clone();
                         self.shared.tell(NodeInput::Event(Event::Unreachable { server }));
                         self.errand.step(ErrandInput::Fail(Failure::Refused, why))
                     }
                     Err(NotTaken::CallerGone) => {
-                        self.shared.tell_ended(&order, Outcome::Cancelled);
+                        self.shared.tell_ended(&request, Outcome::Cancelled);
                         self.place.may_have_run = does_stream;
                         return Gone::Cut("the caller has gone".into());
                     }
--- a/crates/crier/src/wire.rs
+++ b/crates/crier/src/wire.rs
@@ -1,11 +1,11 @@
 use crate::prelude::*;
 
-/// What a caller posts to `/v1/orders`.
+/// What a caller posts to `/v1/requests`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct CallerOrder {
+pub struct CallerRequest {
     /// The caller's own id for it.
-    pub id: OrderId,
+    pub id: RequestId,
     /// The service.
     pub service: ServiceName,
     /// The prompt.
@@ -22,7 +22,7 @@
 /// What a caller posts to `/v1/resume`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct ResumeOrder {
+pub struct ResumeRequest {
     /// The token that the stream began with.
     pub token: String,
     /// The number of the first piece that is wanted.
@@ -34,7 +34,7 @@
 
 /// What a crier posts to a server's `/runs`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RunOrder {
+pub struct RunRequest {
     /// The run's id, new for each.
     pub run: RunId,
     /// The service.
@@ -81,9 +81,9 @@
     pub incarnation: u64,
     /// How long it has been up.
     pub up_ms: u64,
-    /// Orders that hold slots.
+    /// Requests that hold slots.
     pub running: u32,
-    /// Orders that wait for one.
+    /// Requests that wait for one.
     pub waiting: u32,
     /// Slots.
     pub slots: u32,
--- a/crates/crier/tests/answers_fuzz.rs
+++ b/crates/crier/tests/answers_fuzz.rs
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn pieces_pass_only_in_their_order_and_of_their_own_run() {
+fn pieces_pass_only_in_their_request_and_of_their_own_run() {
     let lines = (0u64..6, any::<bool>(), 0usize..6, proptest::option::weighted(0.1, any::<proptest::sample::Index>()));
     let outcome = runner().run(&(0u64..3, proptest::collection::vec(lines, 0..12)), |(from, lines)| {
         let mut reader = PieceReader::new("ours".into(), from);
@@ -84,7 +84,7 @@
 
 #[test]
 fn a_token_of_another_key_server_or_run_never_opens_as_this_one() {
-    let token = Token { order: "o-1".into(), service: "s".into(), server: "10.0.0.1:80".into(), run: "r".into() };
+    let token = Token { request: "o-1".into(), service: "s".into(), server: "10.0.0.1:80".into(), run: "r".into() };
     let text = token.seal(&TokenKey([7; 32]));
     let bends = (any::<proptest::sample::Index>(), "[0-9a-f]", any::<u8>(), 0usize..3);
     let outcome = runner().run(&bends, |(place, digit, key, how)| {
--- a/crates/layout/src/ledger.rs
+++ b/crates/layout/src/ledger.rs
@@ -276,7 +276,7 @@
                     let why = format!("no member or plan names zone `{zone}`; known: {}", known.join(", "));
                     return Err(self.outcome(ResultCode::UnknownZone, self.epoch, why, vec![]));
                 }
-                self.judge_order_of_arrival(proposal, zone)
+                self.judge_request_of_arrival(proposal, zone)
             }
             Command::Forget { members } => {
                 let is_member = |member: &Address| self.membership.members.contains(member);
@@ -300,7 +300,7 @@
 
     /// Refuses an evacuation, or its end, that would undo a newer one of the same zone. One that the zone's
     /// state agrees with undoes nothing.
-    fn judge_order_of_arrival(&self, proposal: &Proposal, zone: &ZoneName) -> Result<(), CommandOutcome> {
+    fn judge_request_of_arrival(&self, proposal: &Proposal, zone: &ZoneName) -> Result<(), CommandOutcome> {
         let is_wanted = matches!(proposal.command, Command::Withdraw { .. });
         let is_so = self.withdrawn.contains(zone) == is_wanted;
         match self.zone_changes.iter().find(|(changed, _)| changed == zone) {
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -63,14 +63,14 @@
     pub servers: Vec<String>,
     /// Whether a broken stream may be read on from where it stopped.
     pub resumable: bool,
-    /// Whether an order may be given to a second server although the first may have run it. Never
+    /// Whether a request may be given to a second server although the first may have run it. Never
     /// for a stream that isn't resumable.
     #[setting(validate = only_where_a_repeat_does_no_harm)]
     pub idempotent: bool,
     /// The first piece must be expected within this, in ms.
     #[setting(default = 2000, validate = within(1, 600_000))]
     pub first_token_ms: u64,
-    /// Orders that one server may have in hand from the whole fleet.
+    /// Requests that one server may have in hand from the whole fleet.
     #[setting(default = 8, validate = within(1, 100_000))]
     pub slots: u64,
     /// BTB.
@@ -296,9 +296,9 @@
 }
 
 impl ServicePlan {
-    /// Whether an order that may have run may be given to a second server: a fetch, whose whole answer
+    /// Whether a request that may have run may be given to a second server: a fetch, whose whole answer
     /// is read before any of it is given, or a stream that may be read on, and only where the plan calls
-    /// it idempotent. Any other order is repeated only if it surely never ran.
+    /// it idempotent. Any other request is repeated only if it surely never ran.
     pub fn may_repeat(&self) -> bool {
         self.idempotent && (self.kind == ServiceKind::Fetch || self.resumable)
     }
--- a/crates/layout/tests/history.rs
+++ b/crates/layout/tests/history.rs
@@ -81,7 +81,7 @@
     assert_eq!(ledger.history.entries.len(), REMEMBERED_CHANGES);
 }
 
-/// An order that was accepted, and one of another kind that only follows it, so that it's forgotten.
+/// A request that was accepted, and one of another kind that only follows it, so that it's forgotten.
 #[parameterized(
     whole_by_revision = { |_| counted_plan(0), |_, n| counted_plan(n) },
     change_by_revision = { |ledger| counted_change_after_a_plan(ledger), |_, n| counted_plan(n + 1) },
--- a/crates/parlance/src/lib.rs
+++ b/crates/parlance/src/lib.rs
@@ -20,7 +20,7 @@
     pub use crate::epoch::{Epoch, Seq, ViewEpoch};
     pub use crate::messages;
     pub use crate::moment::{Clock, Moment, Span};
-    pub use crate::names::{OrderId, RunId, ServerName, ServiceName, ZoneName};
+    pub use crate::names::{RequestId, RunId, ServerName, ServiceName, ZoneName};
     pub use crate::random::random_bytes;
     pub use crate::result_code::ResultCode;
     pub use crate::splice::{Splice, unwind};
--- a/crates/parlance/src/names.rs
+++ b/crates/parlance/src/names.rs
@@ -39,9 +39,9 @@
 names! {
     /// A zone.
     ZoneName
-    /// What a caller calls its order.
-    OrderId
-    /// What a server calls one run of an order.
+    /// What a caller calls its request.
+    RequestId
+    /// What a server calls one run of a request.
     RunId
     /// A back end, by its address as the platform lists it.
     ServerName
--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -3,9 +3,9 @@
 
 macro_rules! result_codes {
     ($($name:ident = $number:literal, $http:literal, $back:literal, $word:literal, $what:literal;)*) => {
-        /// What became of an order, a plan or a message, as a number that never changes its meaning.
+        /// What became of a request, a plan or a message, as a number that never changes its meaning.
         ///
-        /// Invariant: 1xx means that the order never ran and never will; 2xx that it may have run;
+        /// Invariant: 1xx means that the request never ran and never will; 2xx that it may have run;
         /// 3xx concern operators; 4xx concern our own processes. A number that is no more
         /// used (112) comes back for nothing else.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -44,14 +44,14 @@
 
 result_codes! {
     Complete = 0, 200, 0, "complete", "The whole answer was given.";
-    BadOrder = 100, 400, 0, "bad-order", "The order can't be read; nothing ran.";
+    BadRequest = 100, 400, 0, "bad-request", "The request can't be read; nothing ran.";
     UnknownService = 101, 404, 0, "unknown-service", "No accepted plan allows this service; nothing ran.";
     TooLarge = 102, 413, 0, "too-large", "The body, or with status 431 the head, is over the bound; nothing ran.";
     Crowded = 103, 429, 1, "crowded", "The first piece would come later than the plan allows; nothing ran. Come back after Retry-After.";
     NoServer = 104, 503, 1, "no-server", "No server that the plan allows can take it now; nothing ran.";
     NotReady = 105, 503, 1, "not-ready", "This node has no live lease or layout; nothing ran.";
     Draining = 106, 503, 1, "draining", "This node is stopping; nothing ran. Ask another.";
-    Busy = 107, 503, 1, "busy", "This node is at its bound of orders; nothing ran.";
+    Busy = 107, 503, 1, "busy", "This node is at its bound of requests; nothing ran.";
     ServerRefused = 108, 503, 1, "server-refused", "The servers asked refused it without running it.";
     Unsent = 109, 503, 1, "unsent", "No byte of it reached a server.";
     SlowBody = 110, 408, 1, "slow-body", "The request did not arrive whole in time; nothing ran.";
@@ -61,7 +61,7 @@
     Broken = 201, 502, 0, "broken", "The stream ended before its final record.";
     ResumeFailed = 202, 410, 0, "resume-failed", "That run can't be read on from there; it is not run again.";
     StreamFault = 203, 502, 0, "stream-fault", "The server's pieces were out of order; the stream was cut.";
-    OrderIdTaken = 204, 409, 0, "order-id-taken", "An order of this id is in hand here, or was given to a server lately; that one may have run.";
+    RequestIdTaken = 204, 409, 0, "request-id-taken", "A request of this id is in hand here, or was given to a server lately; that one may have run.";
     OutOfReach = 205, 503, 1, "out-of-reach", "The run's server can't be reached now; nothing of the run is lost by asking again.";
     Accepted = 300, 200, 0, "accepted", "The change is on as many disks as the settings say, and known to as many nodes.";
     BadPlan = 301, 422, 0, "bad-plan", "The plan has faults, listed by path; nothing changed.";
@@ -84,7 +84,7 @@
 }
 
 impl ResultCode {
-    /// Whether it says that the order never ran and never will.
+    /// Whether it says that the request never ran and never will.
     pub fn is_refusal(self) -> bool {
         (100..200).contains(&self.number())
     }
--- a/crates/petition/src/asker.rs
+++ b/crates/petition/src/asker.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::time::Instant;
 
-/// What became of an order, as its caller saw it.
+/// What became of a request, as its caller saw it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fate {
     /// The whole answer came.
@@ -16,7 +16,7 @@
     Unknown(u64),
 }
 
-/// An order as it went.
+/// A request as it went.
 #[derive(Debug, Clone)]
 pub struct Asked {
     /// Its service.
@@ -66,7 +66,7 @@
     let body = serde_json::json!({
         "id": petition.id, "service": petition.service, "prompt": petition.prompt, "max_pieces": petition.pieces,
     });
-    let outcome = ask_post(&format!("http://{crier}/v1/orders"), body.to_string().into_bytes(), CONNECT, READ);
+    let outcome = ask_post(&format!("http://{crier}/v1/requests"), body.to_string().into_bytes(), CONNECT, READ);
     let Some(response) = opened(outcome, &mut asked) else { return asked };
     let mut reader = StreamReader { run: None, token: None, next: 0, print: asked.print };
     let mut is_whole = reader.read(response, &mut asked, began);
@@ -136,7 +136,7 @@
     }
 }
 
-/// Reads streams of one order, and sees whether they are one stream.
+/// Reads streams of one request, and sees whether they are one stream.
 struct StreamReader {
     run: Option<String>,
     token: Option<String>,
--- a/crates/petition/src/campaign.rs
+++ b/crates/petition/src/campaign.rs
@@ -12,11 +12,11 @@
     pub span: Span,
     /// Times today's rates.
     pub scale: f64,
-    /// Orders in hand at most; those beyond are counted as late.
+    /// Requests in hand at most; those beyond are counted as late.
     pub in_hand: usize,
 }
 
-/// A campaign of orders that arrive whether or not the ones before were replied.
+/// A campaign of requests that arrive whether or not the ones before were replied.
 pub struct Campaign {
     mix: Mix,
     rules: CampaignRules,
@@ -32,7 +32,7 @@
     pub fn stop(&self) -> Arc<AtomicBool> {
         self.stop.clone()
     }
-    /// Sends all, waits for the answers, gives the orders and how many could not be sent in time.
+    /// Sends all, waits for the answers, gives the requests and how many could not be sent in time.
     pub fn run(mut self) -> (Vec<Asked>, u64) {
         let criers = Arc::new(self.rules.criers.clone());
         let in_hand = Arc::new(AtomicUsize::new(0));
--- a/crates/petition/src/mix.rs
+++ b/crates/petition/src/mix.rs
@@ -14,7 +14,7 @@
 pub struct Shape {
     /// The service.
     pub service: &'static str,
-    /// Orders a second.
+    /// Requests a second.
     pub rate: f64,
     /// Whether it's a plain fetch.
     pub is_fetch: bool,
@@ -22,7 +22,7 @@
     pub prefix_bytes: usize,
     /// How many prefixes there are.
     pub prefixes: u64,
-    /// Bytes of an order's own.
+    /// Bytes of a request's own.
     pub own_bytes: usize,
     /// Pieces asked for.
     pub pieces: u32,
@@ -41,7 +41,7 @@
     pub burst_ms: u64,
 }
 
-/// One order to come.
+/// One request to come.
 #[derive(Debug, Clone)]
 pub struct Petition {
     /// Its id.
@@ -144,7 +144,7 @@
             (at, drafts, ids)
         };
         let (at, drafts, ids) = play(7);
-        assert!((95_000.0..105_000.0).contains(&at), "12500 orders at 125 a second took {at} ms");
+        assert!((95_000.0..105_000.0).contains(&at), "12500 requests at 125 a second took {at} ms");
         assert!((1850..2150).contains(&drafts));
         assert_eq!(play(7).2, ids);
     }
--- a/crates/petition/src/report.rs
+++ b/crates/petition/src/report.rs
@@ -7,13 +7,13 @@
 pub struct Report {
     /// By service.
     pub services: BTreeMap<String, ServiceReport>,
-    /// Orders that petition itself could not send in time.
+    /// Requests that petition itself could not send in time.
     pub late: u64,
     /// What must never be and was seen.
     pub violations: Vec<String>,
     /// Reasons of refusals, with how often.
     pub reasons: BTreeMap<String, u64>,
-    /// Servers' word: orders that ran there after the caller was told "refused", repeats and so on.
+    /// Servers' word: requests that ran there after the caller was told "refused", repeats and so on.
     /// Filled in by whoever can ask the servers.
     pub at_servers: BTreeMap<String, u64>,
 }
@@ -21,7 +21,7 @@
 /// One service's figures.
 #[derive(Debug, Clone, Default, serde::Serialize)]
 pub struct ServiceReport {
-    /// Orders sent.
+    /// Requests sent.
     pub sent: u64,
     /// Complete.
     pub complete: u64,
@@ -38,7 +38,7 @@
 }
 
 impl Report {
-    /// Of these orders.
+    /// Of these requests.
     pub fn of(asked: &[Asked], late: u64) -> Self {
         let mut report = Report { late, ..Report::default() };
         let mut times: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/primer/examples/placing_speed.rs
@@ -55,7 +55,7 @@
     }
     let sketches = sketches.elapsed();
     let prompt = |n: u64| Event::Prompt {
-        order: OrderId(format!("order-{n:016x}")),
+        request: RequestId(format!("request-{n:016x}")),
         service: "drafts".into(),
         hashes: vec![PrefixHash(mix(1000 + n % 3)), PrefixHash(mix(n % 60)), PrefixHash(mix(9_000_000 + n))],
         round: 0,
--- a/crates/primer/src/allowance.rs
+++ b/crates/primer/src/allowance.rs
@@ -2,7 +2,7 @@
 
 /// What one node may spend on repeats of one service.
 ///
-/// Invariant: over any time in a life, no more is spent than the orders placed in it earned, this node's
+/// Invariant: over any time in a life, no more is spent than the requests placed in it earned, this node's
 /// part of the fleet's allowance for that time, and what was saved up before, which is bounded. A new
 /// life has nothing, so that restarts bring nothing. Counted in thousandths of a repeat.
 #[derive(Debug, Clone, Copy)]
@@ -20,7 +20,7 @@
     pub fn new(now: Moment) -> Self {
         Allowance { saved: 0, dripped: now }
     }
-    /// An order was placed for the first time: it earns this many percent of a repeat.
+    /// A request was placed for the first time: it earns this many percent of a repeat.
     pub fn earn(&mut self, percent: u32, part: u32) {
         self.add(u64::from(percent) * ONE / 100, part);
     }
@@ -45,7 +45,7 @@
     pub fn give_back(&mut self, part: u32) {
         self.add(ONE, part);
     }
-    /// An order that earned reached no server.
+    /// A request that earned reached no server.
     pub fn unearn(&mut self, percent: u32) {
         self.saved = self.saved.saturating_sub(u64::from(percent) * ONE / 100);
     }
@@ -63,7 +63,7 @@
     fn a_fifth_and_the_allowance_a_minute_and_no_more() {
         let mut allowance = Allowance::new(Moment(0));
         let mut spent = 0;
-        // Ten minutes, an order each second, a repeat wanted each time.
+        // Ten minutes, a request each second, a repeat wanted each time.
         for second in 1..=600 {
             allowance.earn(20, 1);
             allowance.drip(1, Moment(second * 1000));
--- a/crates/primer/src/digest.rs
+++ b/crates/primer/src/digest.rs
@@ -6,7 +6,7 @@
 pub enum DigestKey {
     /// Arrivals of a prefix within the window.
     Hot(PrefixHash),
-    /// Orders in hand at a server, by [`server_key`] of its name.
+    /// Requests in hand at a server, by [`server_key`] of its name.
     Load(u32),
     /// Prompt tokens of them that are still to be read, in units of 128.
     Unread(u32),
@@ -39,7 +39,7 @@
         pub hot_counts: Vec<u16>,
         /// Servers.
         pub loads: Vec<u32>,
-        /// Their orders in hand.
+        /// Their requests in hand.
         pub load_counts: Vec<u16>,
         /// Servers with prompts still to be read.
         pub unread: Vec<u32>,
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// How an order at a server ended.
+/// How a request at a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
@@ -116,7 +116,7 @@
         incarnation: u64,
         /// How long it has been up, in ms.
         up: Span,
-        /// Orders running and waiting.
+        /// Requests running and waiting.
         running: u32,
         /// Of them, or besides, waiting.
         waiting: u32,
@@ -130,10 +130,10 @@
         /// The server.
         server: ServerName,
     },
-    /// An order wants a server.
+    /// A request wants a server.
     Prompt {
-        /// The order.
-        order: OrderId,
+        /// The request.
+        request: RequestId,
         /// Its service.
         service: ServiceName,
         /// Its cumulative block hashes; empty for a plain fetch.
@@ -148,13 +148,13 @@
     },
     /// The first piece came.
     FirstToken {
-        /// Of this order.
-        order: OrderId,
+        /// Of this request.
+        request: RequestId,
     },
-    /// An order has ended at its server.
+    /// A request has ended at its server.
     Ended {
-        /// The order.
-        order: OrderId,
+        /// The request.
+        request: RequestId,
         /// How.
         outcome: Outcome,
     },
@@ -204,7 +204,7 @@
     LeastLoaded,
     /// The first choice was expected too late; this one is expected soonest.
     Soonest,
-    /// The prefix is active and held by too few: this order's own reading warms one more.
+    /// The prefix is active and held by too few: this request's own reading warms one more.
     Warming,
 }
 
@@ -213,7 +213,7 @@
 pub struct Candidate {
     /// The server.
     pub server: ServerName,
-    /// Orders believed in hand there.
+    /// Requests believed in hand there.
     pub load: u32,
     /// Leading blocks believed held.
     pub matched: u32,
@@ -227,10 +227,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "decision", rename_all = "snake_case")]
 pub enum Decision {
-    /// An order goes to a server.
+    /// A request goes to a server.
     Placed {
-        /// The order.
-        order: OrderId,
+        /// The request.
+        request: RequestId,
         /// Its service.
         service: ServiceName,
         /// The server.
@@ -246,10 +246,10 @@
         /// Under this epoch.
         epoch: Epoch,
     },
-    /// An order goes nowhere.
+    /// A request goes nowhere.
     Refused {
-        /// The order.
-        order: OrderId,
+        /// The request.
+        request: RequestId,
         /// Its service.
         service: ServiceName,
         /// The numbered code.
@@ -285,8 +285,8 @@
     },
     /// A prefix was believed to be held, but its first token came as late as without.
     Disproved {
-        /// The order that showed it.
-        order: OrderId,
+        /// The request that showed it.
+        request: RequestId,
         /// The server.
         server: ServerName,
     },
--- a/crates/primer/src/lib.rs
+++ b/crates/primer/src/lib.rs
@@ -1,4 +1,4 @@
-//! Prompt placement: which prefixes turn hot, who holds their KV, where each order goes.
+//! Prompt placement: which prefixes turn hot, who holds their KV, where each request goes.
 //!
 //! The mechanism is BTB, Bite the Bullet (docs/provenance.md): a sliding-window count for each
 //! prefix hash; a burst makes the prefix active and orders copies of its KV; later prompts go to the
--- a/crates/primer/src/repeat_window.rs
+++ b/crates/primer/src/repeat_window.rs
@@ -4,7 +4,7 @@
 /// One node's repeats of one service, bounded in each sliding window.
 ///
 /// Invariant: whenever a repeat is made, the window that ends with it holds no more repeats of this life than
-/// four fifths of (`percent` of the orders that it placed for the first time in that window, and its part of
+/// four fifths of (`percent` of the requests that it placed for the first time in that window, and its part of
 /// the fleet's extra). A part that grows, also from nothing at the start of a life, counts only after a window:
 /// until then, what a former life or a member that is gone spent of it is still in sight.
 #[derive(Debug, Clone)]
@@ -22,7 +22,7 @@
     pub fn new(now: Moment) -> Self {
         RepeatWindow { part: 0, grows_from: Some(now), arrivals: VecDeque::new(), repeats: 0 }
     }
-    /// An order went to a server.
+    /// A request went to a server.
     pub fn place(&mut self, is_repeat: bool, now: Moment, window: Span) {
         self.expire(now, window);
         self.arrivals.push_back((now, is_repeat));
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -35,7 +35,7 @@
     pub servers: Vec<ServerName>,
     /// The first piece must be expected within this.
     pub first_token: Span,
-    /// Orders that one server may have in hand from the whole fleet.
+    /// Requests that one server may have in hand from the whole fleet.
     pub slots: u32,
     /// BTB.
     pub btb: BtbRules,
@@ -67,7 +67,7 @@
 pub struct SchedulerRules {
     /// Whether sketches of others count.
     pub does_merge: bool,
-    /// Whether orders are refused by expected first-token time.
+    /// Whether requests are refused by expected first-token time.
     pub does_admit: bool,
     /// A fresh server reaches its full cap after this.
     pub ramp: Span,
@@ -87,7 +87,7 @@
     pub base_first_token: Span,
     /// Prefill of a block, in microseconds, until it has been seen.
     pub block_micros: u64,
-    /// How long an order holds a slot, until it has been seen.
+    /// How long a request holds a slot, until it has been seen.
     pub hold: Span,
     /// Repeats that a service's traffic earns, in percent of it.
     pub repeat_percent: u32,
@@ -122,7 +122,7 @@
     pub queue_percent: u32,
     /// The fleet is taken to have at least so many members where cold servers are shared out.
     pub members_least: u32,
-    /// A server's own report of its orders counts for this long.
+    /// A server's own report of its requests counts for this long.
     pub report_life: Span,
     /// A first piece that came may have come this much later than expected, besides what is usual.
     pub lag_slack: Span,
--- a/crates/primer/src/scheduler.rs
+++ b/crates/primer/src/scheduler.rs
@@ -8,7 +8,7 @@
 mod timing;
 mod warming;
 
-/// Where orders are placed. Takes dated events, gives decisions; the same events give the same
+/// Where requests are placed. Takes dated events, gives decisions; the same events give the same
 /// decisions.
 ///
 /// Invariants: whatever others told is kept apart from what was seen here, by who told it, and replaced
@@ -42,7 +42,7 @@
     /// How many peers' sketches count.
     counted_peers: u32,
     active: BTreeMap<PrefixHash, Active>,
-    orders: BTreeMap<OrderId, InHand>,
+    requests: BTreeMap<RequestId, InHand>,
     repeats: BTreeMap<ServiceName, Allowance>,
     repeat_windows: BTreeMap<ServiceName, RepeatWindow>,
     sketch_number: u64,
@@ -55,7 +55,7 @@
     sketch: Sketch,
     /// Whether it is in the sum.
     is_counted: bool,
-    /// The latest it told of what its orders made each server read in its life.
+    /// The latest it told of what its requests made each server read in its life.
     read: BTreeMap<ServerName, u64>,
 }
 
@@ -101,7 +101,7 @@
     footprint: Footprint,
 }
 
-/// What an order costs a server, in tokens. All zero: its caller told nothing.
+/// What a request costs a server, in tokens. All zero: its caller told nothing.
 #[derive(Debug, Clone, Copy, Default)]
 struct Footprint {
     /// Whether the caller told what it asks.
@@ -142,7 +142,7 @@
             knows_all: true,
             counted_peers: 0,
             active: BTreeMap::new(),
-            orders: BTreeMap::new(),
+            requests: BTreeMap::new(),
             repeats: BTreeMap::new(),
             repeat_windows: BTreeMap::new(),
             sketch_number: 0,
@@ -178,11 +178,11 @@
                 self.on_load(&server, incarnation, up, running + waiting, slots, weights, now);
             }
             Event::Unreachable { server } => self.on_unreachable(&server, now),
-            Event::Prompt { order, service, hashes, round, tried, demand } => {
-                self.on_prompt(order, service, hashes, round, &tried, &demand, begun, now);
+            Event::Prompt { request, service, hashes, round, tried, demand } => {
+                self.on_prompt(request, service, hashes, round, &tried, &demand, begun, now);
             }
-            Event::FirstToken { order } => self.on_first_token(order, now),
-            Event::Ended { order, outcome } => self.on_ended(&order, outcome, now),
+            Event::FirstToken { request } => self.on_first_token(request, now),
+            Event::Ended { request, outcome } => self.on_ended(&request, outcome, now),
             Event::PeerSketch { from, sketch } => self.on_peer_sketch(from, sketch, now),
             Event::CopyFate { prefix, server, is_taken, knows_kv } => {
                 self.on_copy_fate(prefix, &server, is_taken, knows_kv);
@@ -251,9 +251,9 @@
     pub fn active(&self, now: Moment) -> Vec<(PrefixHash, Vec<ServerName>)> {
         self.active.keys().map(|prefix| (*prefix, self.holders(*prefix, now))).collect()
     }
-    /// How many orders are in hand.
+    /// How many requests are in hand.
     pub fn in_hand(&self) -> usize {
-        self.orders.len()
+        self.requests.len()
     }
 
     fn widest_window(&self) -> Span {
@@ -330,9 +330,9 @@
         server.reported = Some((load, now));
     }
 
-    fn on_first_token(&mut self, order: OrderId, now: Moment) {
+    fn on_first_token(&mut self, request: RequestId, now: Moment) {
         let base = self.scheduler_rules.base_first_token;
-        let Some(hand) = self.orders.get_mut(&order) else { return };
+        let Some(hand) = self.requests.get_mut(&request) else { return };
         if hand.first.is_some() {
             return;
         }
@@ -346,7 +346,7 @@
         if !was_noted {
             self.note_lag(&name, lag, now);
         }
-        let Some(hand) = self.orders.get_mut(&order) else { return };
+        let Some(hand) = self.requests.get_mut(&request) else { return };
         let Some(server) = self.servers.get_mut(&name) else { return };
         if server.late == 0 && !server.is_suspect(now) {
             server.well();
@@ -364,7 +364,7 @@
             let whole = footprint.prompt * server.block_micros / u64::from(self.scheduler_rules.block_tokens.max(1));
             let kept = footprint.prompt - footprint.uncached;
             if footprint.ahead == 0 && hand.was_idle && kept >= 1024 && took * 10 > whole * 9 {
-                self.decisions.push(Decision::Disproved { order, server: hand.server.clone() });
+                self.decisions.push(Decision::Disproved { request, server: hand.server.clone() });
             }
             server.residency.hold(&hand.hashes, now);
             return;
@@ -378,7 +378,7 @@
         if is_disproved {
             // It came as late as a cold one: the belief was wrong, up to this prompt itself.
             let server_name = hand.server.clone();
-            self.decisions.push(Decision::Disproved { order, server: server_name });
+            self.decisions.push(Decision::Disproved { request, server: server_name });
         }
         server.residency.hold(&hand.hashes, now);
     }
@@ -418,18 +418,18 @@
             let slack = Span(usual.saturating_mul(4) + self.scheduler_rules.overdue_slack.0);
             now.since(hand.placed) > Span(hand.expected.0 + slack.0)
         };
-        let overdue: Vec<OrderId> =
-            self.orders.iter().filter(|(_, hand)| is_overdue(hand)).map(|(order, _)| order.clone()).collect();
-        for order in overdue {
-            let Some(hand) = self.orders.get_mut(&order) else { continue };
+        let overdue: Vec<RequestId> =
+            self.requests.iter().filter(|(_, hand)| is_overdue(hand)).map(|(request, _)| request.clone()).collect();
+        for request in overdue {
+            let Some(hand) = self.requests.get_mut(&request) else { continue };
             hand.is_noted = true;
             let (name, lag) = (hand.server.clone(), now.since(hand.placed).0.saturating_sub(hand.expected.0));
             self.note_lag(&name, lag, now);
         }
     }
 
-    fn on_ended(&mut self, order: &OrderId, outcome: Outcome, now: Moment) {
-        let Some(hand) = self.orders.remove(order) else { return };
+    fn on_ended(&mut self, request: &RequestId, outcome: Outcome, now: Moment) {
+        let Some(hand) = self.requests.remove(request) else { return };
         let Some(server) = self.servers.get_mut(&hand.server) else { return };
         server.own = server.own.saturating_sub(1);
         server.tokens = server.tokens.saturating_sub(hand.footprint.memory);
@@ -510,7 +510,7 @@
         let mut read = known.unwrap_or_default();
         for told in &sketch.in_flight {
             let before = read.insert(told.server.clone(), told.read).unwrap_or(0);
-            // What the sender's orders made a server read meanwhile drives older parts out there.
+            // What the sender's requests made a server read meanwhile drives older parts out there.
             if let Some(server) = self.servers.get_mut(&told.server).filter(|_| is_same_life) {
                 server.residency.note_read(told.read.saturating_sub(before));
             }
@@ -580,7 +580,7 @@
         self.window.count(prefix, now, span) + theirs
     }
 
-    /// Orders believed in hand at a server, over all nodes.
+    /// Requests believed in hand at a server, over all nodes.
     fn load(&self, server: &ServerState, now: Moment) -> u32 {
         let known = server.own + server.theirs.count;
         match server.reported {
--- a/crates/primer/src/scheduler/placing.rs
+++ b/crates/primer/src/scheduler/placing.rs
@@ -1,10 +1,10 @@
-//! Choosing a server for an order.
+//! Choosing a server for a request.
 
 use super::*;
 
-/// An order that wants a server.
+/// A request that wants a server.
 pub(super) struct Ask<'a> {
-    pub(super) order: &'a OrderId,
+    pub(super) request: &'a RequestId,
     pub(super) rules: &'a ServiceRules,
     pub(super) hashes: &'a [PrefixHash],
     /// The place of the counted prefix's last hash.
@@ -58,7 +58,7 @@
     #[allow(clippy::too_many_arguments)]
     pub(super) fn on_prompt(
         &mut self,
-        order: OrderId,
+        request: RequestId,
         service: ServiceName,
         hashes: Vec<PrefixHash>,
         round: u32,
@@ -69,11 +69,11 @@
     ) {
         let Some(rules) = self.services.get(&service).cloned() else {
             let why = "no accepted plan allows this service".to_owned();
-            return self.refuse(order, service, ResultCode::UnknownService, why, Span(0), round);
+            return self.refuse(request, service, ResultCode::UnknownService, why, Span(0), round);
         };
         if let Err(wait) = self.may_repeat(&service, round, begun, now) {
             let why = "the service's repeats are used up".to_owned();
-            return self.refuse(order, service, ResultCode::NoServer, why, wait, round);
+            return self.refuse(request, service, ResultCode::NoServer, why, wait, round);
         }
         let counted = self.counted_place(&rules, &hashes, demand);
         let prefix = counted.map(|place| hashes[place]);
@@ -85,11 +85,11 @@
             self.note_burst(prefix, &rules, &service, &hashes, count, now);
         }
         let is_active = prefix.is_some_and(|prefix| self.active.contains_key(&prefix));
-        let ask = Ask { order: &order, rules: &rules, hashes: &hashes, counted, tried, demand, is_active, now };
+        let ask = Ask { request: &request, rules: &rules, hashes: &hashes, counted, tried, demand, is_active, now };
         let choice = if demand.is_told() { self.choose_by_time(&ask) } else { self.choose_by_load(&ask) };
         let Choice { chosen, reason, was_idle, footprint, candidates } = match choice {
             Ok(choice) => choice,
-            Err(Refusal { code, why, wait }) => return self.refuse(order, service, code, why, wait, round),
+            Err(Refusal { code, why, wait }) => return self.refuse(request, service, code, why, wait, round),
         };
         // Only what goes to a server counts, as a repeat or as traffic.
         self.note_placed(&service, round, now);
@@ -120,10 +120,10 @@
                 first: None,
                 footprint,
             };
-            self.orders.insert(order.clone(), hand);
+            self.requests.insert(request.clone(), hand);
         }
         let (server, epoch) = (chosen.server, self.rules.epoch);
-        self.decisions.push(Decision::Placed { order, service, server, reason, round, count, candidates, epoch });
+        self.decisions.push(Decision::Placed { request, service, server, reason, round, count, candidates, epoch });
     }
 
     /// Whether an order of this round may be placed; else when about.
@@ -161,7 +161,7 @@
         }
     }
 
-    /// The choice where callers tell nothing of their orders: by orders in hand, and by blocks held.
+    /// The choice where callers tell nothing of their requests: by requests in hand, and by blocks held.
     fn choose_by_load(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (weighed, full_until) = self.weigh(ask);
         let due = ask.rules.first_token;
@@ -186,7 +186,7 @@
 
     fn refuse(
         &mut self,
-        order: OrderId,
+        request: RequestId,
         service: ServiceName,
         code: ResultCode,
         why: String,
@@ -194,7 +194,7 @@
         round: u32,
     ) {
         let (code, epoch) = (code.number(), self.rules.epoch);
-        self.decisions.push(Decision::Refused { order, service, code, why, retry_after, round, epoch });
+        self.decisions.push(Decision::Refused { request, service, code, why, retry_after, round, epoch });
     }
 
     /// Where in a prompt the prefix ends that is counted: at the first part by which Y blocks are full, if it's
@@ -243,13 +243,13 @@
         if server.own < part || may_borrow { Ok(()) } else { Err(server.hold) }
     }
 
-    /// All servers that may take the order now, and, if some are only full, until when about.
+    /// All servers that may take the request now, and, if some are only full, until when about.
     fn weigh(&self, ask: &Ask) -> (Vec<Weighed>, Span) {
-        let Ask { order, rules, hashes, tried, now, .. } = *ask;
+        let Ask { request, rules, hashes, tried, now, .. } = *ask;
         let counted = ask.prefix();
         let mut weighed = vec![];
         let mut full_until = Span(0);
-        let order_key = key_of(order.as_str());
+        let request_key = key_of(request.as_str());
         for (name, server) in &self.servers {
             if !self.may_serve(rules, name, server, now) || tried.contains(name) {
                 continue;
@@ -270,7 +270,7 @@
             let prefill = (hashes.len() as u64).saturating_sub(u64::from(matched)) * server.block_micros / 1000;
             let expected = Span(self.scheduler_rules.base_first_token.0 + queue + prefill);
             let candidate = Candidate { server: name.clone(), load, matched, expected, is_warm };
-            weighed.push(Weighed { candidate, slots, tie: mix(key ^ order_key) });
+            weighed.push(Weighed { candidate, slots, tie: mix(key ^ request_key) });
         }
         (weighed, full_until)
     }
--- a/crates/primer/src/scheduler/tests.rs
+++ b/crates/primer/src/scheduler/tests.rs
@@ -17,10 +17,10 @@
     Rules { epoch: Epoch(1), services: [("drafts".into(), service)].into(), withdrawn: vec![] }
 }
 
-fn prompt(order: u64, prefix: u64) -> Event {
-    let hashes = (0..6).map(|n| PrefixHash(if n < 4 { prefix * 100 + n } else { order * 1000 + n })).collect();
+fn prompt(request: u64, prefix: u64) -> Event {
+    let hashes = (0..6).map(|n| PrefixHash(if n < 4 { prefix * 100 + n } else { request * 1000 + n })).collect();
     Event::Prompt {
-        order: OrderId(format!("o{order}")),
+        request: RequestId(format!("o{request}")),
         service: "drafts".into(),
         hashes,
         round: 0,
@@ -69,8 +69,8 @@
     fn take(&mut self, at: u64, event: Event) -> Vec<Decision> {
         self.scheduler.take(Dated { at: Moment(START + at), event })
     }
-    fn place(&mut self, at: u64, order: u64, prefix: u64) -> Option<(ServerName, PlaceReason)> {
-        self.take(at, prompt(order, prefix)).into_iter().find_map(|decision| match decision {
+    fn place(&mut self, at: u64, request: u64, prefix: u64) -> Option<(ServerName, PlaceReason)> {
+        self.take(at, prompt(request, prefix)).into_iter().find_map(|decision| match decision {
             Decision::Placed { server, reason, .. } => Some((server, reason)),
             _ => None,
         })
@@ -78,9 +78,9 @@
     /// Four prompts of one prefix, the first of them replied.
     fn burst(&mut self) -> ServerName {
         let (holder, _) = self.place(100, 1, 7).expect("placed");
-        self.take(150, Event::FirstToken { order: "o1".into() });
-        for order in 2..=4 {
-            self.place(100 + order * 20, order, 7);
+        self.take(150, Event::FirstToken { request: "o1".into() });
+        for request in 2..=4 {
+            self.place(100 + request * 20, request, 7);
         }
         holder
     }
@@ -97,8 +97,8 @@
     assert_eq!((exporter, targets.len()), (&holder, 2));
     played.take(800, Event::Tick);
     let mut used = BTreeSet::new();
-    for order in 10..20 {
-        let (server, reason) = played.place(900, order, 7).expect("placed");
+    for request in 10..20 {
+        let (server, reason) = played.place(900, request, 7).expect("placed");
         assert_eq!(reason, PlaceReason::Warm);
         used.insert(server);
     }
@@ -110,12 +110,12 @@
     let mut played = Played::new();
     let (holder, reason) = played.place(0, 1, 7).expect("placed");
     assert_eq!(reason, PlaceReason::LeastLoaded);
-    played.take(50, Event::FirstToken { order: "o1".into() });
-    for order in 2..6 {
-        let at = order * 4000;
-        assert_eq!(played.place(at, order, 7), Some((holder.clone(), PlaceReason::CacheMatch)));
+    played.take(50, Event::FirstToken { request: "o1".into() });
+    for request in 2..6 {
+        let at = request * 4000;
+        assert_eq!(played.place(at, request, 7), Some((holder.clone(), PlaceReason::CacheMatch)));
         assert_eq!(played.take(at, Event::Tick), vec![]);
-        played.take(at + 1, Event::Ended { order: OrderId(format!("o{order}")), outcome: Outcome::Complete });
+        played.take(at + 1, Event::Ended { request: RequestId(format!("o{request}")), outcome: Outcome::Complete });
     }
 }
 
@@ -123,7 +123,7 @@
 fn counts_of_peers_add_up_once_however_often_they_come() {
     let mut played = Played::new();
     played.place(100, 1, 7);
-    played.take(150, Event::FirstToken { order: "o1".into() });
+    played.take(150, Event::FirstToken { request: "o1".into() });
     let sketch = |number, incarnation| Sketch {
         incarnation,
         number,
@@ -174,8 +174,8 @@
     played.take(300, Event::Tick);
     played.take(800, Event::Tick);
     strike(&mut played);
-    for order in 20..30 {
-        if let Some((server, _)) = played.place(1000, order, 7) {
+    for request in 20..30 {
+        if let Some((server, _)) = played.place(1000, request, 7) {
             assert_eq!(server.as_str(), "d");
         }
     }
@@ -202,13 +202,13 @@
 fn repeats_are_a_fifth_and_a_little() {
     let mut played = Played::new();
     let mut repeats = 0;
-    for order in 0..200u64 {
-        let at = order * 100;
-        played.place(at, order, order);
-        played.take(at + 1, Event::Ended { order: OrderId(format!("o{order}")), outcome: Outcome::Refused });
-        if let Event::Prompt { order, service, hashes, .. } = prompt(order, order) {
+    for request in 0..200u64 {
+        let at = request * 100;
+        played.place(at, request, request);
+        played.take(at + 1, Event::Ended { request: RequestId(format!("o{request}")), outcome: Outcome::Refused });
+        if let Event::Prompt { request, service, hashes, .. } = prompt(request, request) {
             let again = Event::Prompt {
-                order: order.clone(),
+                request: request.clone(),
                 service,
                 hashes,
                 round: 1,
@@ -217,11 +217,11 @@
             };
             let decisions = played.take(at + 2, again);
             repeats += decisions.iter().filter(|d| matches!(d, Decision::Placed { .. })).count();
-            played.take(at + 3, Event::Ended { order, outcome: Outcome::Complete });
+            played.take(at + 3, Event::Ended { request, outcome: Outcome::Complete });
         }
     }
     // A fifth, and of the fleet's ten a minute this only member's third of a minute.
-    assert!((40..=44).contains(&repeats), "{repeats} repeats of 200 orders");
+    assert!((40..=44).contains(&repeats), "{repeats} repeats of 200 requests");
 }
 
 #[test]
@@ -235,8 +235,8 @@
     }
     played.take(10, Event::Rules { rules });
     let mut refused = 0;
-    for order in 0..60 {
-        for decision in played.take(100, prompt(order, order)) {
+    for request in 0..60 {
+        for decision in played.take(100, prompt(request, request)) {
             if let Decision::Refused { code, retry_after, .. } = decision {
                 assert_eq!(code, ResultCode::Crowded.number());
                 assert!(retry_after.0 >= 1000);
@@ -253,9 +253,9 @@
         let mut played = Played::new();
         played.burst();
         let mut all = vec![];
-        for order in 0..40u64 {
-            all.extend(played.take(200 + order * 50, prompt(100 + order, order % 3)));
-            all.extend(played.take(210 + order * 50, Event::Tick));
+        for request in 0..40u64 {
+            all.extend(played.take(200 + request * 50, prompt(100 + request, request % 3)));
+            all.extend(played.take(210 + request * 50, Event::Tick));
         }
         serde_json::to_string(&all).unwrap()
     };
--- a/crates/primer/src/scheduler/timing.rs
+++ b/crates/primer/src/scheduler/timing.rs
@@ -1,5 +1,5 @@
 //! Choosing a server where callers tell what they ask: by the expected time to the first piece, and by what
-//! the order costs those that wait beside it.
+//! the request costs those that wait beside it.
 
 use super::peer_totals::ToldHolding;
 use super::placing::{Ask, Choice, Refusal, SpanExt, WAIT_LEAST, late_words};
@@ -12,7 +12,7 @@
 /// What is still worth serving is expected within this part of the caller's deadline, in percent.
 const LATE_PERCENT: u64 = 60;
 
-/// A server that may take the order.
+/// A server that may take the request.
 struct Scored<'a> {
     name: &'a ServerName,
     slots: u32,
@@ -45,7 +45,7 @@
     }
 }
 
-/// What else was seen of the servers that may serve an order.
+/// What else was seen of the servers that may serve a request.
 #[derive(Default)]
 struct Survey {
     /// When the first of those that can't take it now can, about.
@@ -186,7 +186,7 @@
         waits.map(|due| ask.now.until(due)).filter(|wait| wait.0 > 0).min().unwrap_or(Span(1000))
     }
 
-    /// All servers that can take the order now, and what is with those that can't.
+    /// All servers that can take the request now, and what is with those that can't.
     fn score<'a>(&'a self, ask: &Ask, does_trust: bool) -> (Vec<Scored<'a>>, Survey) {
         let Ask { rules, hashes, tried, demand, now, .. } = *ask;
         let mut scored = Vec::with_capacity(self.servers.len());
@@ -196,7 +196,7 @@
         let prompt = self.prompt_tokens(hashes, demand);
         // Prompts that begin alike prefer the same servers; others are spread.
         let shared = hashes.len().saturating_sub(2);
-        let affinity_key = hashes.get(shared).map_or_else(|| key_of(ask.order.as_str()), |hash| hash.0);
+        let affinity_key = hashes.get(shared).map_or_else(|| key_of(ask.request.as_str()), |hash| hash.0);
         for (name, server) in &self.servers {
             if !self.may_serve(rules, name, server, now) {
                 continue;
@@ -246,7 +246,7 @@
 
     /// Shared parts that nobody is known to hold are looked for at the server that comes first in the prefix's
     /// own order: the other nodes send them there, too. If they aren't there, they have to be read wherever the
-    /// order goes, so that it costs nothing to have looked.
+    /// request goes, so that it costs nothing to have looked.
     fn look_at_first_choice(&self, scored: &mut [Scored], hashes: &[PrefixHash], demand: &Demand, shared: usize) {
         if hashes.len() < 2 || scored.iter().any(|s| s.matched as usize > shared) {
             return;
--- a/crates/primer/src/scheduler/warming.rs
+++ b/crates/primer/src/scheduler/warming.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Orders the copies that an active prefix lacks, if it's this node's duty: the one that comes
+    /// Requests the copies that an active prefix lacks, if it's this node's duty: the one that comes
     /// first in the prefix's own order of the members that are heard. Should two nodes for a moment
     /// both think so, the servers take the same copy once.
     fn order_copies(&mut self, now: Moment) {
@@ -145,7 +145,7 @@
         for server in self.servers.values_mut() {
             server.overdue = 0;
         }
-        for hand in self.orders.values().filter(|hand| hand.first.is_none() && hand.footprint.is_told) {
+        for hand in self.requests.values().filter(|hand| hand.first.is_none() && hand.footprint.is_told) {
             let overdue = now.since(hand.placed).0.saturating_sub(hand.expected.0);
             if let Some(server) = self.servers.get_mut(&hand.server) {
                 server.overdue = server.overdue.max(overdue);
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -4,7 +4,7 @@
 /// What others have in hand at a server.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Load {
-    /// Orders.
+    /// Requests.
     pub count: u32,
     /// Prompt tokens of them that it has still to read.
     pub unread: u64,
@@ -14,7 +14,7 @@
 
 /// One server, as this node sees it.
 ///
-/// Invariants: `own` counts this node's orders there that have not ended. Residency belongs to one
+/// Invariants: `own` counts this node's requests there that have not ended. Residency belongs to one
 /// incarnation; another one starts empty. A server that was suspected ramps up anew.
 #[derive(Debug, Clone)]
 pub struct ServerState {
@@ -38,9 +38,9 @@
     pub slots: Option<u32>,
     /// Its last report: running and waiting, and when it came.
     pub reported: Option<(u32, Moment)>,
-    /// This node's orders there.
+    /// This node's requests there.
     pub own: u32,
-    /// The orders of those peers there whose sketches count.
+    /// The requests of those peers there whose sketches count.
     pub theirs: Load,
     /// Failures one after another.
     pub faults: u32,
@@ -56,7 +56,7 @@
     pub residency: Residency,
     /// Prefill of a block in microseconds.
     pub block_micros: u64,
-    /// How long an order holds a slot.
+    /// How long a request holds a slot.
     pub hold: Span,
     /// A number for its name, the same everywhere.
     pub key: u64,
@@ -68,11 +68,11 @@
     pub cold_until: Option<Moment>,
     /// What this node sent it lately while it was cold.
     pub cold_sent: VecDeque<Moment>,
-    /// Prompt tokens of this node's orders that it has still to read.
+    /// Prompt tokens of this node's requests that it has still to read.
     pub unread: u64,
-    /// Tokens that this node's orders take of its memory.
+    /// Tokens that this node's requests take of its memory.
     pub tokens: u64,
-    /// Tokens that this node's orders made it read in this node's life.
+    /// Tokens that this node's requests made it read in this node's life.
     pub read: u64,
     /// What of them the last sketch told.
     pub read_told: u64,
@@ -170,7 +170,7 @@
     pub fn is_suspect(&self, now: Moment) -> bool {
         self.suspect_until.is_some_and(|due| now < due)
     }
-    /// An order failed there. Gives how long it is kept from work, if it is.
+    /// A request failed there. Gives how long it is kept from work, if it is.
     pub fn fault(&mut self, now: Moment, is_certain: bool) -> Option<Span> {
         self.faults += 1;
         let needed = if is_certain { 1 } else { 2 };
@@ -198,7 +198,7 @@
         self.late = if lag > self.lag_slack.0 + usual * 4 { self.late + 1 } else { 0 };
         self.late >= LATE_MOST
     }
-    /// An order went well there.
+    /// A request went well there.
     pub fn well(&mut self) {
         self.faults = 0;
     }
--- a/crates/primer/src/sketch.rs
+++ b/crates/primer/src/sketch.rs
@@ -45,12 +45,12 @@
         pub is_shown: bool,
     }
 
-    /// How many orders of one node a server has in hand.
+    /// How many requests of one node a server has in hand.
     #[derive(Eq, Serialize, Deserialize)]
     pub struct InFlight {
         /// The server.
         pub server: ServerName,
-        /// Orders of the sender alone.
+        /// Requests of the sender alone.
         pub count: u32,
         /// Prompt tokens of them that the server has still to read.
         #[serde(default)]
@@ -58,7 +58,7 @@
         /// Tokens that they take of its memory.
         #[serde(default)]
         pub tokens: u64,
-        /// Tokens that the sender's orders made it read in the sender's life.
+        /// Tokens that the sender's requests made it read in the sender's life.
         #[serde(default)]
         pub read: u64,
     }
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -55,10 +55,10 @@
     fn take(&mut self, at: u64, event: Event) -> Vec<Decision> {
         self.scheduler.take(Dated { at: Moment(START + at), event })
     }
-    /// A prompt of these parts and tokens; gives its order and the decision on it.
-    fn ask(&mut self, at: u64, parts: &[(u64, u32)], round: u32) -> (OrderId, Decision) {
+    /// A prompt of these parts and tokens; gives its request and the decision on it.
+    fn ask(&mut self, at: u64, parts: &[(u64, u32)], round: u32) -> (RequestId, Decision) {
         self.next += 1;
-        let order = OrderId(format!("o{}", self.next));
+        let request = RequestId(format!("o{}", self.next));
         let demand = Demand {
             hash_tokens: parts.iter().map(|(_, tokens)| *tokens).collect(),
             prompt_tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
@@ -67,7 +67,7 @@
             ..Demand::default()
         };
         let event = Event::Prompt {
-            order: order.clone(),
+            request: request.clone(),
             service: "drafts".into(),
             hashes: parts.iter().map(|(hash, _)| PrefixHash(*hash)).collect(),
             round,
@@ -76,14 +76,14 @@
         };
         let decisions = self.take(at, event);
         let is_answer = |d: &Decision| matches!(d, Decision::Placed { .. } | Decision::Refused { .. });
-        (order, decisions.into_iter().find(is_answer).expect("each order is placed or refused"))
+        (request, decisions.into_iter().find(is_answer).expect("each request is placed or refused"))
     }
-    fn draft(&mut self, at: u64, prefix: u64) -> (OrderId, Decision) {
+    fn draft(&mut self, at: u64, prefix: u64) -> (RequestId, Decision) {
         let own = 1_000_000 + self.next;
         self.ask(at, &[(1, 512), (prefix, 4870), (own, 6610)], 0)
     }
-    fn end(&mut self, at: u64, order: OrderId, outcome: Outcome) -> Vec<Decision> {
-        self.take(at, Event::Ended { order, outcome })
+    fn end(&mut self, at: u64, request: RequestId, outcome: Outcome) -> Vec<Decision> {
+        self.take(at, Event::Ended { request, outcome })
     }
 }
 
@@ -111,7 +111,7 @@
     let mut played = Played::new();
     let (first, decision) = played.draft(0, 7);
     let holder = server_of(&decision);
-    played.take(140, Event::FirstToken { order: first.clone() });
+    played.take(140, Event::FirstToken { request: first.clone() });
     played.end(1500, first, Outcome::Complete);
     let (second, decision) = played.draft(10_000, 7);
     assert_eq!(server_of(&decision), holder, "it holds 5382 tokens");
@@ -140,13 +140,13 @@
 #[test]
 fn an_active_prefix_is_warmed_by_its_own_requests_one_at_a_time() {
     let mut played = Played::new();
-    let mut orders = vec![];
+    let mut requests = vec![];
     let mut reasons = vec![];
     for n in 0..12 {
-        let (order, decision) = played.draft(n * 5, 7);
+        let (request, decision) = played.draft(n * 5, 7);
         let Decision::Placed { reason, server, .. } = decision else { panic!("placed") };
         reasons.push((reason, server));
-        orders.push(order);
+        requests.push(request);
     }
     // The third went where nothing of it was held, for it would have waited longer than its reading takes.
     let warming: Vec<&ServerName> =
@@ -155,9 +155,9 @@
     assert!(!warming.is_empty() && distinct.len() == warming.len(), "a target reads it once: {reasons:?}");
     let used: std::collections::BTreeSet<&ServerName> = reasons.iter().map(|(_, server)| server).collect();
     assert_eq!(used.len(), 3, "M = 3, the first holder among them: {reasons:?}");
-    for order in orders {
-        played.take(350, Event::FirstToken { order: order.clone() });
-        played.end(900, order, Outcome::Complete);
+    for request in requests {
+        played.take(350, Event::FirstToken { request: request.clone() });
+        played.end(900, request, Outcome::Complete);
     }
     let used: std::collections::BTreeSet<ServerName> = (0..30)
         .map(|n| {
@@ -226,11 +226,11 @@
     played.take(0, Event::Members { members, since: Epoch(1) });
     let mut sent = vec![];
     for at in (0..2900).step_by(10) {
-        let (order, decision) = played.ask(at, &[(at + 5, 10)], 0);
+        let (request, decision) = played.ask(at, &[(at + 5, 10)], 0);
         if server_of(&decision).as_str() == "new" {
             sent.push(at);
         }
-        played.end(at + 1, order, Outcome::Complete);
+        played.end(at + 1, request, Outcome::Complete);
     }
     assert!(sent.first().is_some_and(|at| *at >= 1000), "a life begins without any: {sent:?}");
     for end in 0..2900u64 {
@@ -253,7 +253,7 @@
     let mut suspected = std::collections::BTreeSet::new();
     for round in 0..10u64 {
         let at = round * 5000;
-        let orders: Vec<OrderId> = (0..40).map(|n| played.draft(at + n, 1000 * round + n).0).collect();
+        let requests: Vec<RequestId> = (0..40).map(|n| played.draft(at + n, 1000 * round + n).0).collect();
         for tick in 1..40 {
             for decision in played.take(at + tick * 100, Event::Tick) {
                 if let Decision::Suspected { server, .. } = decision {
@@ -264,8 +264,8 @@
         let now = Moment(START + at + 4000);
         let lost = played.scheduler.servers().values().filter(|server| server.is_suspect(now)).count();
         assert!(lost <= 2, "{lost} of 4 kept from work on mere doubt");
-        for order in orders {
-            played.end(at + 4500, order, Outcome::Cancelled);
+        for request in requests {
+            played.end(at + 4500, request, Outcome::Cancelled);
         }
     }
 }
@@ -273,8 +273,8 @@
 #[test]
 fn a_refused_connection_is_certain() {
     let mut played = Played::new();
-    let (order, decision) = played.draft(0, 7);
-    let decisions = played.end(5, order, Outcome::Unsent);
+    let (request, decision) = played.draft(0, 7);
+    let decisions = played.end(5, request, Outcome::Unsent);
     let is_it = |d: &Decision| matches!(d, Decision::Suspected { server, .. } if *server == server_of(&decision));
     assert!(decisions.iter().any(is_it));
 }
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/primer/tests/cold_shares.rs
@@ -135,23 +135,23 @@
             }
         }
     }
-    /// An order comes to a node; it ends at once.
+    /// A request comes to a node; it ends at once.
     fn ask(&mut self, place: usize) {
         if self.now <= self.nodes[place].up_from {
             return;
         }
         self.next += 1;
-        let order = OrderId(format!("o{}", self.next));
+        let request = RequestId(format!("o{}", self.next));
         let demand = Demand { prompt_tokens: 100, output_tokens: 10, deadline: Span(15_000), ..Demand::default() };
         let (service, hashes, tried) = ("drafts".into(), vec![], vec![]);
         let decisions =
-            self.tell(place, Event::Prompt { order: order.clone(), service, hashes, round: 0, tried, demand });
+            self.tell(place, Event::Prompt { request: request.clone(), service, hashes, round: 0, tried, demand });
         if decisions.iter().any(|decision| matches!(decision, Decision::Placed { .. })) {
             self.placed.push(self.now);
-            self.tell(place, Event::Ended { order, outcome: Outcome::Complete });
+            self.tell(place, Event::Ended { request, outcome: Outcome::Complete });
         }
     }
-    /// For so long, orders come to each node as fast as a cold server could be flooded by it alone.
+    /// For so long, requests come to each node as fast as a cold server could be flooded by it alone.
     fn press(&mut self, span: u64) {
         for _ in 0..span {
             self.step();
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -20,8 +20,8 @@
 }
 
 enum Due {
-    First(OrderId, usize),
-    End(OrderId, usize, Outcome),
+    First(RequestId, usize),
+    End(RequestId, usize, Outcome),
 }
 
 struct Fleet {
@@ -40,7 +40,7 @@
     repeated: Vec<u64>,
     refused: u32,
     firsts: Vec<u64>,
-    sent: BTreeMap<OrderId, (u64, u64)>,
+    sent: BTreeMap<RequestId, (u64, u64)>,
 }
 
 impl Fleet {
@@ -110,16 +110,16 @@
         self.now += 1;
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
             match entry.remove() {
-                Due::First(order, place) => {
-                    if let Some((at, _)) = self.sent.get(&order) {
+                Due::First(request, place) => {
+                    if let Some((at, _)) = self.sent.get(&request) {
                         self.firsts.push(self.now - at);
                     }
-                    self.tell(place, Event::FirstToken { order });
+                    self.tell(place, Event::FirstToken { request });
                 }
-                Due::End(order, place, outcome) => {
-                    self.tell(place, Event::Ended { order: order.clone(), outcome });
+                Due::End(request, place, outcome) => {
+                    self.tell(place, Event::Ended { request: request.clone(), outcome });
                     if outcome == Outcome::Refused {
-                        self.ask(place, self.sent[&order].1, 1);
+                        self.ask(place, self.sent[&request].1, 1);
                     }
                 }
             }
@@ -144,7 +144,7 @@
     /// A prompt of 5382 shared tokens and its own comes to a node.
     fn ask(&mut self, place: usize, prefix: u64, round: u32) {
         self.next += 1;
-        let order = OrderId(format!("o{}", self.next));
+        let request = RequestId(format!("o{}", self.next));
         let parts = [(PrefixHash(1), 512u32), (PrefixHash(prefix), 4870), (PrefixHash(mix(self.next)), 3000)];
         let demand = Demand {
             hash_tokens: parts.map(|(_, tokens)| tokens).to_vec(),
@@ -155,7 +155,7 @@
         };
         let hashes = parts.map(|(hash, _)| hash).to_vec();
         let event =
-            Event::Prompt { order: order.clone(), service: "drafts".into(), hashes, round, tried: vec![], demand };
+            Event::Prompt { request: request.clone(), service: "drafts".into(), hashes, round, tried: vec![], demand };
         if round == 0 {
             self.asked.push(self.now);
         }
@@ -166,20 +166,20 @@
                         self.repeated.push(self.now);
                     }
                     self.placed.push((self.now, server.clone(), reason, prefix));
-                    self.sent.insert(order.clone(), (self.now, prefix));
-                    self.run(&server, order.clone(), place, &parts);
+                    self.sent.insert(request.clone(), (self.now, prefix));
+                    self.run(&server, request.clone(), place, &parts);
                 }
                 Decision::Refused { .. } => self.refused += 1,
                 _ => {}
             }
         }
     }
-    fn run(&mut self, server: &ServerName, order: OrderId, place: usize, parts: &[(PrefixHash, u32)]) {
+    fn run(&mut self, server: &ServerName, request: RequestId, place: usize, parts: &[(PrefixHash, u32)]) {
         let (now, next) = (self.now, self.next);
         let engine = self.engines.iter_mut().find(|engine| engine.name == *server).expect("listed");
         engine.arrivals.push(now);
         if engine.does_refuse {
-            self.due.insert((now + 2, next * 2), Due::End(order, place, Outcome::Refused));
+            self.due.insert((now + 2, next * 2), Due::End(request, place, Outcome::Refused));
             return;
         }
         let mut uncached = 0;
@@ -191,8 +191,8 @@
         }
         engine.read_until = engine.read_until.max(now as f64) + f64::from(uncached) / READ_PER_MS * engine.speed;
         let first = engine.read_until as u64 + 35;
-        self.due.insert((first, next * 2), Due::First(order.clone(), place));
-        self.due.insert((first + 1200, next * 2 + 1), Due::End(order, place, Outcome::Complete));
+        self.due.insert((first, next * 2), Due::First(request.clone(), place));
+        self.due.insert((first + 1200, next * 2 + 1), Due::End(request, place, Outcome::Complete));
     }
     fn most_within(moments: &[u64], span: u64) -> usize {
         let within = |end: &u64| moments.iter().filter(|at| *at <= end && end - **at < span).count();
--- a/crates/registrar/src/admin.rs
+++ b/crates/registrar/src/admin.rs
@@ -55,7 +55,7 @@
 /// How operators' calls and their answers look.
 pub trait AdminDialect: Send + Sync {
     /// Reads a call; `None` if it is none of the dialect's, an answer at once if it can't be read.
-    fn read(&self, order: &Order) -> Result<Option<AdminCall>, Box<Reply>>;
+    fn read(&self, request: &Request) -> Result<Option<AdminCall>, Box<Reply>>;
     /// Writes its answer.
     fn write(&self, answer: AdminAnswer) -> Reply;
     /// How long whoever sent a call of so many bytes waits for its answer. Nothing is begun for it after that.
--- a/crates/registrar/src/core_line.rs
+++ b/crates/registrar/src/core_line.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-/// Bounds the operators' orders that wait in this process.
+/// Bounds the operators' requests that wait in this process.
 const OPERATORS: usize = 64;
 
 /// An operator of the product's own interface waits at least this long.
@@ -71,7 +71,7 @@
         {
             let mut waiting = self.replies.waiting();
             if waiting.len() >= OPERATORS {
-                let why = "too many operators' orders are waiting";
+                let why = "too many operators' requests are waiting";
                 return Err(Box::new(Reply::result(ResultCode::CoreNotReady, why)));
             }
             waiting.insert(number, reply);
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -64,7 +64,7 @@
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let stop = stop_flag()?;
     let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
-    let gate_thread = move || gate.serve(move |order| redirector.reply(&order));
+    let gate_thread = move || gate.serve(move |request| redirector.reply(&request));
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, has no disk and sends operators on.");
     while !stop.load(Ordering::Relaxed) {
@@ -123,9 +123,9 @@
         Door { core, dialects, zones, sender: believes_sender, is_ready: is_ready.clone(), tallies: tallies.clone() };
     let door = Arc::new(door);
     let gate_thread = move || {
-        gate.serve(move |order| {
-            door.tallies.orders.fetch_add(1, Ordering::Relaxed);
-            door.reply(&order)
+        gate.serve(move |request| {
+            door.tallies.requests.fetch_add(1, Ordering::Relaxed);
+            door.reply(&request)
         });
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
@@ -176,7 +176,7 @@
 
 #[derive(Default)]
 struct Tallies {
-    orders: AtomicU64,
+    requests: AtomicU64,
     writes: AtomicU64,
     faults: AtomicU64,
     polls: AtomicU64,
@@ -335,37 +335,37 @@
 }
 
 impl Door {
-    fn reply(&self, order: &Order) -> Reply {
-        let Some(admin) = &self.dialects.admin else { return self.own_reply(order) };
-        let attempt = Attempt::new(admin.patience(order.body.len()), Some(order.caller.clone()));
+    fn reply(&self, request: &Request) -> Reply {
+        let Some(admin) = &self.dialects.admin else { return self.own_reply(request) };
+        let attempt = Attempt::new(admin.patience(request.body.len()), Some(request.caller.clone()));
         let is_ready = self.is_ready.load(Ordering::Relaxed);
-        match admin.read(order) {
+        match admin.read(request) {
             Ok(Some(call)) => {
                 let plans = self.dialects.plans.as_ref();
                 admin.write(self.core.carry(call, plans, &self.zones, is_ready, &attempt))
             }
-            Ok(None) if order.method == "GET" => self.own_reply(order),
+            Ok(None) if request.method == "GET" => self.own_reply(request),
             Ok(None) => {
-                Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path))
+                Reply::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path))
             }
             Err(reply) => *reply,
         }
     }
 
     /// The product's own interface.
-    fn own_reply(&self, order: &Order) -> Reply {
-        own_reply(order, &self.core, &self.sender, &self.is_ready, &self.tallies)
+    fn own_reply(&self, request: &Request) -> Reply {
+        own_reply(request, &self.core, &self.sender, &self.is_ready, &self.tallies)
     }
 }
 
 fn own_reply(
-    order: &Order,
+    request: &Request,
     core: &CoreLine,
     sender: &flume::Sender<Event>,
     is_ready: &AtomicBool,
     tallies: &Tallies,
 ) -> Reply {
-    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(order.caller.clone()));
+    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.caller.clone()));
     let ask_core = |ask: OperatorAsk| core.ask(ask, &attempt);
     let told = |status: u16, body: Vec<u8>| {
         let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
@@ -384,7 +384,7 @@
     };
     // A document that has faults now may have been taken when it was first sent.
     let refuse = |faults: Vec<Fault>| {
-        let id = order.query_word("id").unwrap_or_default().to_owned();
+        let id = request.query_word("id").unwrap_or_default().to_owned();
         match ask_core(OperatorAsk::Read(Reading::Fate { id })) {
             Ok((status, _)) if status == ResultCode::UnknownChange.http_status() => faulty(faults),
             Ok((status, body)) => told(status, body),
@@ -392,7 +392,7 @@
         }
     };
     let change = |bytes: Vec<u8>| -> Result<Command, Box<Reply>> {
-        let at_least = Epoch(order.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
+        let at_least = Epoch(request.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
         let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
             Some((base, plan)) if status == 200 => {
@@ -403,12 +403,12 @@
         }
     };
     let propose = |command: Command, needs_base: bool| {
-        let id = order.query_word("id").unwrap_or_default().to_owned();
+        let id = request.query_word("id").unwrap_or_default().to_owned();
         if !ServiceName::from(id.as_str()).is_sound() {
             let why = "the query must have an id of 1 to 64 letters, digits or any of -_.:";
             return Reply::result(ResultCode::BadPlan, why);
         }
-        let builds_on = match order.query_word("builds_on").map(str::parse) {
+        let builds_on = match request.query_word("builds_on").map(str::parse) {
             Some(Ok(epoch)) => Some(Epoch(epoch)),
             Some(Err(_)) => return Reply::result(ResultCode::BadPlan, "builds_on is not a number"),
             None if needs_base => {
@@ -418,7 +418,7 @@
         };
         ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), command }))
     };
-    match (order.method.as_str(), order.parts().as_slice()) {
+    match (request.method.as_str(), request.parts().as_slice()) {
         ("GET", ["ready"]) => {
             if is_ready.load(Ordering::Relaxed) {
                 Reply::whole(200, "text/plain", "ready\n")
@@ -442,11 +442,11 @@
             _ => Reply::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
         },
         ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
-        ("PUT", ["v1", "plan"]) => match Command::plan(order.body.to_vec()) {
+        ("PUT", ["v1", "plan"]) => match Command::plan(request.body.to_vec()) {
             Ok(command) => propose(command, true),
             Err(faults) => refuse(faults),
         },
-        ("PATCH", ["v1", "plan"]) => match change(order.body.to_vec()) {
+        ("PATCH", ["v1", "plan"]) => match change(request.body.to_vec()) {
             Ok(command) => propose(command, true),
             Err(reply) => *reply,
         },
@@ -456,7 +456,7 @@
             struct Lost {
                 members: Vec<Address>,
             }
-            match serde_json::from_slice::<Lost>(&order.body) {
+            match serde_json::from_slice::<Lost>(&request.body) {
                 Ok(Lost { members }) if !members.is_empty() => propose(Command::Forget { members }, false),
                 Ok(_) => Reply::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
                 Err(fault) => {
@@ -466,13 +466,13 @@
         }
         ("POST", ["v1", "zones", zone, "withdraw"]) => propose(Command::Withdraw { zone: (*zone).into() }, false),
         ("POST", ["v1", "zones", zone, "restore"]) => propose(Command::Restore { zone: (*zone).into() }, false),
-        _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", order.method, order.path)),
+        _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path)),
     }
 }
 
 fn metrics(tallies: &Tallies) -> Reply {
     let rows = [
-        ("registrar_http_orders_total", "counter", &tallies.orders),
+        ("registrar_http_requests_total", "counter", &tallies.requests),
         ("registrar_disk_writes_total", "counter", &tallies.writes),
         ("registrar_disk_faults_total", "counter", &tallies.faults),
         ("registrar_polls_total", "counter", &tallies.polls),
--- a/crates/registrar/src/redirect.rs
+++ b/crates/registrar/src/redirect.rs
@@ -53,12 +53,12 @@
     }
 
     /// Sends an operator on.
-    pub(crate) fn reply(&self, order: &Order) -> Reply {
+    pub(crate) fn reply(&self, request: &Request) -> Reply {
         let Some(other) = self.pick(probe) else {
             return Reply::result(ResultCode::CoreNotReady, "this node has no disk, and no other answers it");
         };
-        let query = if order.query.is_empty() { String::new() } else { format!("?{}", order.query) };
-        let location = format!("http://{other}{}{query}", order.path);
+        let query = if request.query.is_empty() { String::new() } else { format!("?{}", request.query) };
+        let location = format!("http://{other}{}{query}", request.path);
         Reply::whole(307, "text/plain", "ask there\n").with_header("location", location)
     }
 }
--- a/crates/registrar/tests/concurrent_operators.rs
+++ b/crates/registrar/tests/concurrent_operators.rs
@@ -1,6 +1,6 @@
 //! Operators that send at once, on one number or one zone, whose acknowledgements are lost and who send again
 //! as they did before, to any control machine, while machines are held up, cut off, killed or wiped. Played
-//! from seeds over the very state machines; each event's order is drawn.
+//! from seeds over the very state machines; each event's request is drawn.
 
 mod control;
 
--- a/crates/rehearsal/src/answers/dialect.rs
+++ b/crates/rehearsal/src/answers/dialect.rs
@@ -24,10 +24,10 @@
 }
 
 impl CallDialect for Dialect {
-    fn read(&self, request: Order) -> Result<Call, Denial> {
-        let deny = || Denial { code: ResultCode::BadOrder, why: "no id".into(), retry_after: Span(0) };
+    fn read(&self, request: Request) -> Result<Call, Denial> {
+        let deny = || Denial { code: ResultCode::BadRequest, why: "no id".into(), retry_after: Span(0) };
         let number = |name: &str| request.header(name).and_then(|value| value.parse().ok());
-        let id = OrderId::from(request.header(ID).ok_or_else(deny)?);
+        let id = RequestId::from(request.header(ID).ok_or_else(deny)?);
         let host = request.header("host").unwrap_or_default().to_owned();
         let (left, after) = (Span(number(WAIT).unwrap_or(20_000)), number(AFTER));
         let (method, target, mut headers, body) = request.into_parts();
@@ -36,9 +36,9 @@
         }
         Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand: Default::default() })
     }
-    fn refuse(&self, id: Option<&OrderId>, denial: &Denial) -> Reply {
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply {
         let reply = Reply::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word());
-        reply.with_header(ID, id.map_or("", OrderId::as_str))
+        reply.with_header(ID, id.map_or("", RequestId::as_str))
     }
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes> {
         let mut request = http::Request::new(call.body.clone());
@@ -83,7 +83,7 @@
         }
         headers
     }
-    fn is_probe(&self, _: &Order) -> bool {
+    fn is_probe(&self, _: &Request) -> bool {
         false
     }
     fn list_request(&self, _: Option<&str>) -> http::Request<Bytes> {
--- a/crates/rehearsal/src/answers/lane.rs
+++ b/crates/rehearsal/src/answers/lane.rs
@@ -128,7 +128,7 @@
         let denial = Denial { code: ResultCode::NoServer, why: "all were tried".into(), retry_after: Span(50) };
         return Placed { outcome: Err(denial), in_force: *epoch };
     };
-    let kind = ledger.call(ask.order.as_str()).map(|record| record.kind);
+    let kind = ledger.call(ask.request.as_str()).map(|record| record.kind);
     let repeats_anything = rules.mutant == Some(AnswersMutant::RepeatAfterReset);
     let placed_under = if rules.mutant == Some(AnswersMutant::ForgetEpoch) { Epoch(u64::MAX) } else { *epoch };
     let placing = Placing {
@@ -144,7 +144,7 @@
     };
     if mix(drawn).is_multiple_of(OUTDATED) {
         *epoch = Epoch(epoch.0 + 1);
-        ledger.outdated = Some((ask.order.as_str().to_owned(), server.name.clone()));
+        ledger.outdated = Some((ask.request.as_str().to_owned(), server.name.clone()));
     }
     Placed { outcome: Ok(placing), in_force: *epoch }
 }
--- a/crates/rehearsal/src/compare.rs
+++ b/crates/rehearsal/src/compare.rs
@@ -92,8 +92,8 @@
     let mut found: [BTreeMap<String, Vec<f64>>; 2] = Default::default();
     for seed in rules.seed..rules.seed + rules.pairs {
         // Which side comes first changes from pair to pair, so that a drifting machine favours neither.
-        let order = if seed % 2 == 0 { [0, 1] } else { [1, 0] };
-        for side in order {
+        let request = if seed % 2 == 0 { [0, 1] } else { [1, 0] };
+        for side in request {
             let (word, is_btb_on, settings) = sides[side];
             let figures = play(rules, seed, is_btb_on, settings)?;
             eprintln!("seed {seed}, {word}: played");
--- a/crates/rehearsal/src/crew.rs
+++ b/crates/rehearsal/src/crew.rs
@@ -83,15 +83,15 @@
         let platform = Platform::start(Address::loopback(0), Span(700), server_list)?;
         Ok(Crew { platform, models, apps })
     }
-    /// For each service: how often servers were asked, whatever they made of it, and for how many orders.
+    /// For each service: how often servers were asked, whatever they made of it, and for how many requests.
     pub fn asks(&self) -> BTreeMap<String, (u64, u64)> {
-        let mut orders: BTreeMap<String, (u64, BTreeSet<u64>)> = BTreeMap::new();
+        let mut requests: BTreeMap<String, (u64, BTreeSet<u64>)> = BTreeMap::new();
         for (service, print) in self.models.iter().chain(&self.apps).flat_map(StandIn::asked) {
-            let (asks, prints) = orders.entry(service).or_default();
+            let (asks, prints) = requests.entry(service).or_default();
             *asks += 1;
             prints.insert(print);
         }
-        orders.into_iter().map(|(service, (asks, prints))| (service, (asks, prints.len() as u64))).collect()
+        requests.into_iter().map(|(service, (asks, prints))| (service, (asks, prints.len() as u64))).collect()
     }
     /// All that model servers took.
     pub fn logs(&self) -> Vec<RunLog> {
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -271,7 +271,7 @@
     pub fn await_core(&self, patience: Span) -> Result<Span, String> {
         Self::await_that(patience, "all registrars in the chain", || self.registrars.iter().all(Daemon::is_ready))
     }
-    /// Waits until all criers take orders.
+    /// Waits until all criers take requests.
     pub fn await_criers(&self, patience: Span) -> Result<Span, String> {
         Self::await_that(patience, "all criers ready", || self.criers.iter().all(Daemon::is_ready))
     }
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -171,7 +171,7 @@
     pub seconds: f64,
     /// Costs by role.
     pub roles: BTreeMap<Role, RoleCost>,
-    /// From the operator's order until each node had it, in ms.
+    /// From the operator's request until each node had it, in ms.
     pub change_at_node: Spread,
     /// Until the last had it.
     pub change_everywhere: Spread,
@@ -197,7 +197,7 @@
 /// What a host is told.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum HostOrder {
+pub enum HostCommand {
     /// Its nodes and rules; first of all.
     Begin {
         /// The rules.
@@ -233,14 +233,14 @@
     role: Role,
     nodes: Vec<Address>,
     child: Child,
-    orders: ChildStdin,
+    commands: ChildStdin,
 }
 
 impl Host {
-    fn tell(&mut self, order: &HostOrder) {
-        let line = serde_json::to_string(order).expect("an order is JSON");
-        let _ = writeln!(self.orders, "{line}");
-        let _ = self.orders.flush();
+    fn tell(&mut self, command: &HostCommand) {
+        let line = serde_json::to_string(command).expect("a request is JSON");
+        let _ = writeln!(self.commands, "{line}");
+        let _ = self.commands.flush();
     }
 }
 
@@ -346,11 +346,11 @@
     }
     let join_ms = Clock::now().since(began).0;
     say(format!("all {} are members; requests begin", rules.nodes));
-    hosts.iter_mut().for_each(|host| host.tell(&HostOrder::Load));
+    hosts.iter_mut().for_each(|host| host.tell(&HostCommand::Load));
     std::thread::sleep(Duration::from_secs(4));
 
     // Measured from here on.
-    hosts.iter_mut().for_each(|host| host.tell(&HostOrder::Tell));
+    hosts.iter_mut().for_each(|host| host.tell(&HostCommand::Tell));
     let tail = fleet.registrars.iter().position(|one| one.believes()["may_reply"] == true).unwrap_or(0);
     let pid = |place: usize| fleet.registrars[place].pid().unwrap_or(0);
     let processes: Vec<(Role, u32, u32)> = (0..fleet.registrars.len())
@@ -417,12 +417,12 @@
                 let host = &mut hosts[place];
                 let Some(victim) = host.nodes.iter().find(|node| !dead.contains(*node)).copied() else { continue };
                 let fresh = node_address(rules.zones + 1, n as u32);
-                host.tell(&HostOrder::Kill(victim));
-                host.tell(&HostOrder::Add(fresh, zone_of(n as u32 % rules.zones)));
+                host.tell(&HostCommand::Kill(victim));
+                host.tell(&HostCommand::Add(fresh, zone_of(n as u32 % rules.zones)));
                 dead.insert(victim);
                 say(format!("{victim} is killed, {fresh} comes"));
             }
-            _ => hosts.iter_mut().for_each(|host| host.tell(&HostOrder::ServerList(n as u32))),
+            _ => hosts.iter_mut().for_each(|host| host.tell(&HostCommand::ServerList(n as u32))),
         }
     }
     while Clock::now() < from + span {
@@ -430,7 +430,7 @@
     }
     let seconds = Clock::now().since(from).0 as f64 / 1000.0 + 0.5;
     let after: Vec<Option<(f64, u64, usize)>> = processes.iter().map(|(_, pid, _)| usage(*pid)).collect();
-    hosts.iter_mut().for_each(|host| host.tell(&HostOrder::Tell));
+    hosts.iter_mut().for_each(|host| host.tell(&HostCommand::Tell));
     std::thread::sleep(Duration::from_millis(1000));
     heard.drain().for_each(|word| note(word, &mut epochs, &mut sent, &mut placings));
     let last_epoch = latest(&fleet).map_or(0, |found| found.0);
@@ -510,7 +510,7 @@
         .stdout(Stdio::piped())
         .spawn()
         .map_err(|fault| fault.to_string())?;
-    let (Some(orders), Some(out)) = (child.stdin.take(), child.stdout.take()) else {
+    let (Some(commands), Some(out)) = (child.stdin.take(), child.stdout.take()) else {
         return Err("a host has no pipes".into());
     };
     let words = words.clone();
@@ -525,8 +525,8 @@
     };
     std::thread::Builder::new().name("host".into()).spawn(read).map_err(|fault| fault.to_string())?;
     let nodes = group.iter().map(|(address, _)| *address).collect();
-    let mut host = Host { role, nodes, child, orders };
-    host.tell(&HostOrder::Begin { rules: rules.clone(), nodes: group.to_vec(), seeds: seeds.to_vec() });
+    let mut host = Host { role, nodes, child, commands };
+    host.tell(&HostCommand::Begin { rules: rules.clone(), nodes: group.to_vec(), seeds: seeds.to_vec() });
     Ok(host)
 }
 
--- a/crates/rehearsal/src/hollow/host.rs
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -1,6 +1,6 @@
 //! A process with many hollow nodes: one thread owns them all.
 
-use super::{HollowRules, HostOrder, HostWord};
+use super::{HollowRules, HostCommand, HostWord};
 use crate::prelude::*;
 use circular::prelude::Letter;
 use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, ServiceKind, run_id};
@@ -12,14 +12,14 @@
 
 enum Input {
     Letter(usize, Address, Letter),
-    Order(HostOrder),
+    Command(HostCommand),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Arrival(usize),
-    First(usize, OrderId),
-    End(usize, OrderId, u64),
+    First(usize, RequestId),
+    End(usize, RequestId, u64),
 }
 
 struct HollowNode {
@@ -43,16 +43,16 @@
     refused: u64,
 }
 
-/// Takes orders from standard input until it ends.
+/// Takes requests from standard input until it ends.
 pub fn serve() -> Result<(), String> {
     let (inputs, events) = flume::bounded::<Input>(65_536);
-    let read_orders = inputs.clone();
+    let read_requests = inputs.clone();
     std::thread::Builder::new()
-        .name("orders".into())
+        .name("requests".into())
         .spawn(move || {
             for line in std::io::stdin().lock().lines().map_while(Result::ok) {
                 match serde_json::from_str(&line) {
-                    Ok(order) => drop(read_orders.send(Input::Order(order))),
+                    Ok(request) => drop(read_requests.send(Input::Command(request))),
                     Err(fault) => eprintln!("hollow-host: {fault}"),
                 }
             }
@@ -60,8 +60,8 @@
             std::process::exit(0);
         })
         .map_err(|fault| fault.to_string())?;
-    let Ok(Input::Order(HostOrder::Begin { rules, nodes, seeds })) = events.recv() else {
-        return Err("the first order must tell the nodes".into());
+    let Ok(Input::Command(HostCommand::Begin { rules, nodes, seeds })) = events.recv() else {
+        return Err("the first request must tell the nodes".into());
     };
     let random = mix(rules.seed ^ u64::from(std::process::id()));
     let mut host = Host {
@@ -158,8 +158,8 @@
     fn take(&mut self, input: Input) -> Result<(), String> {
         match input {
             Input::Letter(place, from, letter) => self.step(place, NodeInput::Letter { from, letter }),
-            Input::Order(HostOrder::Begin { .. }) => {}
-            Input::Order(HostOrder::Load) => {
+            Input::Command(HostCommand::Begin { .. }) => {}
+            Input::Command(HostCommand::Load) => {
                 self.is_loaded = true;
                 let now = Clock::now();
                 for place in 0..self.nodes.len() {
@@ -167,15 +167,15 @@
                     self.dues.push(Reverse((at, Due::Arrival(place))));
                 }
             }
-            Input::Order(HostOrder::Kill(address)) => {
+            Input::Command(HostCommand::Kill(address)) => {
                 self.nodes.iter_mut().filter(|one| one.address == address).for_each(|one| one.node = None);
             }
-            Input::Order(HostOrder::Add(address, zone)) => self.add(address, zone)?,
-            Input::Order(HostOrder::ServerList(replaced)) => {
+            Input::Command(HostCommand::Add(address, zone)) => self.add(address, zone)?,
+            Input::Command(HostCommand::ServerList(replaced)) => {
                 self.replaced = replaced;
                 (0..self.nodes.len()).for_each(|place| self.tell_server_list(place));
             }
-            Input::Order(HostOrder::Tell) => self.tell_sent(),
+            Input::Command(HostCommand::Tell) => self.tell_sent(),
         }
         Ok(())
     }
@@ -229,13 +229,13 @@
                     self.arrive(place, now);
                 }
             }
-            Due::First(place, order) => {
-                self.step(place, NodeInput::Event(Event::FirstToken { order }));
+            Due::First(place, request) => {
+                self.step(place, NodeInput::Event(Event::FirstToken { request }));
             }
-            Due::End(place, order, number) => {
-                let ended = Event::Ended { order: order.clone(), outcome: Outcome::Complete };
+            Due::End(place, request, number) => {
+                let ended = Event::Ended { request: request.clone(), outcome: Outcome::Complete };
                 self.step(place, NodeInput::Event(ended));
-                self.step(place, NodeInput::Close { order, number, may_have_run: true });
+                self.step(place, NodeInput::Close { request, number, may_have_run: true });
             }
         }
     }
@@ -248,12 +248,12 @@
         let hashes = (0..66).map(|n| PrefixHash(mix(prefix << 8 | n))).collect();
         self.number += 1;
         let number = self.number;
-        let order = OrderId(format!("{}-{number}", self.nodes[place].address));
+        let request = RequestId(format!("{}-{number}", self.nodes[place].address));
         let run = run_id([0; 16]);
         let service = ServiceName(format!("model-{}", draw % 13));
         let ask = NodeInput::Place(PlaceAsk {
             number,
-            order: order.clone(),
+            request: request.clone(),
             service,
             kind: ServiceKind::Stream,
             route: None,
@@ -270,16 +270,16 @@
             return;
         }
         self.placed += 1;
-        self.dues.push(Reverse((now + Span(200), Due::First(place, order.clone()))));
+        self.dues.push(Reverse((now + Span(200), Due::First(place, request.clone()))));
         let held = Span(2000 + self.draw() % 8000);
-        self.dues.push(Reverse((now + held, Due::End(place, order, number))));
+        self.dues.push(Reverse((now + held, Due::End(place, request, number))));
     }
 
     fn step(&mut self, place: usize, input: NodeInput) {
         self.step_for(place, input);
     }
 
-    /// Steps a node and does what it wants; whether an order was placed.
+    /// Steps a node and does what it wants; whether a request was placed.
     fn step_for(&mut self, place: usize, input: NodeInput) -> bool {
         let one = &mut self.nodes[place];
         let Some(node) = &mut one.node else { return false };
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -29,7 +29,7 @@
     pub use crate::stand_in::{RunLog, StandIn};
     pub use crate::world::{FaultKind, Mutant, Witness, World, WorldRules};
     pub use crier::prelude::{
-        LIFE_HEADER, RunOrder, RunPiece, ServerListReport, ServerReport, ServicePlan, parse_plan,
+        LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
     };
     pub use parlance::prelude::*;
     pub use petition::prelude::{
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -78,9 +78,9 @@
         /// How many seeds.
         #[arg(long, default_value_t = 24)]
         seeds: u64,
-        /// Orders a second.
-        #[arg(long, default_value_t = 80)]
-        orders: u64,
+        /// Requests a second.
+        #[arg(long, alias = "orders", default_value_t = 80)]
+        requests: u64,
         /// Prefill of a block at the servers, in microseconds.
         #[arg(long, default_value_t = 10_000)]
         block_micros: u64,
@@ -149,9 +149,9 @@
         /// Only these kinds.
         #[arg(long, value_delimiter = ',')]
         kinds: Vec<FaultKind>,
-        /// Orders a second.
-        #[arg(long, default_value_t = 25)]
-        orders: u64,
+        /// Requests a second.
+        #[arg(long, alias = "orders", default_value_t = 25)]
+        requests: u64,
         /// So many criers, in place of the deployment's.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=500))]
         criers: Option<u16>,
@@ -219,8 +219,8 @@
             let rules = CompareRules { deployment, question, seed, pairs, seconds, scale, hot_share, block_micros };
             compare(&rules).map(|()| true)
         }
-        Task::Measure { sweep, deployment, seeds, orders, block_micros, hot_share } => {
-            let rules = MeasureRules { sweep, deployment, seeds, orders, block_micros, hot_share };
+        Task::Measure { sweep, deployment, seeds, requests, block_micros, hot_share } => {
+            let rules = MeasureRules { sweep, deployment, seeds, requests, block_micros, hot_share };
             measure(&rules).map(|()| true)
         }
         Task::Hollow { rules, folder, json } => run_hollow(&rules, folder, json),
@@ -239,7 +239,7 @@
             seeds,
             faults,
             kinds,
-            orders,
+            requests,
             criers,
             suspect_ms,
             registrars,
@@ -259,7 +259,7 @@
                 copies: copies.map_or(swept.copies, usize::from),
                 operators_gap: Span(operators_ms),
                 quorum,
-                orders_a_second: orders,
+                requests_a_second: requests,
                 ..swept
             };
             // A size that is named holds for all seeds.
@@ -363,8 +363,8 @@
                     note("command accepted, after it was sent", &mut witness.accept_ms.iter().copied());
                     note("a change accepted again, after all was healed", &mut witness.back_ms.0.into_iter());
                     note("all registrars level again, after all was healed", &mut witness.level_ms.into_iter());
-                    note("an order complete again, after all was healed", &mut witness.back_ms.1.into_iter());
-                    let over = |(orders, repeats): &(u64, u64)| repeats.saturating_sub(orders / 5);
+                    note("a request complete again, after all was healed", &mut witness.back_ms.1.into_iter());
+                    let over = |(requests, repeats): &(u64, u64)| repeats.saturating_sub(requests / 5);
                     note("repeats of a service beyond a fifth (a count)", &mut witness.repeats.values().map(over));
                     for (service, what) in
                         [("drafts", "first piece of drafts"), ("questions", "first piece of questions")]
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -67,8 +67,8 @@
     pub deployment: Deployment,
     /// How many seeds.
     pub seeds: u64,
-    /// Orders a second.
-    pub orders: u64,
+    /// Requests a second.
+    pub requests: u64,
     /// Prefill of a block, in microseconds.
     pub block_micros: u64,
     /// Percent of drafts in the burst at hand.
@@ -118,7 +118,7 @@
                         span: Span::seconds(30),
                         calm: Span::seconds(12),
                         large_plans: 0,
-                        orders_a_second: rules.orders,
+                        requests_a_second: rules.requests,
                         hot_share: rules.hot_share,
                         btb,
                         scheduler,
@@ -144,8 +144,8 @@
         return Err(fault);
     }
     println!(
-        "{:?}, {:?}, {} seeds, {} orders/s, {} us a block, {} % of drafts in the burst; mean (least to most)",
-        rules.deployment, rules.sweep, rules.seeds, rules.orders, rules.block_micros, rules.hot_share
+        "{:?}, {:?}, {} seeds, {} requests/s, {} us a block, {} % of drafts in the burst; mean (least to most)",
+        rules.deployment, rules.sweep, rules.seeds, rules.requests, rules.block_micros, rules.hot_share
     );
     println!("| figure | {} |", sides.iter().map(|(word, ..)| word.clone()).collect::<Vec<_>>().join(" | "));
     println!("| --- |{}", " --- |".repeat(sides.len()));
--- a/crates/rehearsal/src/platform.rs
+++ b/crates/rehearsal/src/platform.rs
@@ -23,8 +23,8 @@
         let inside = Arc::new(Mutex::new(Inside { lag, lists: VecDeque::from([(Moment(0), servers)]) }));
         let (address, closer, shown) = (gate.address(), gate.closer(), inside.clone());
         std::thread::Builder::new().name("platform".into()).spawn(move || {
-            gate.serve(move |order| {
-                if order.path != "/servers" {
+            gate.serve(move |request| {
+                if request.path != "/servers" {
                     return Reply::json(404, &serde_json::json!({}));
                 }
                 let mut inside = shown.lock().expect("no thread panics with it");
--- a/crates/rehearsal/src/schedule.rs
+++ b/crates/rehearsal/src/schedule.rs
@@ -4,9 +4,9 @@
 /// How a stand-in server works.
 #[derive(Debug, Clone)]
 pub struct ScheduleRules {
-    /// Orders that run at once.
+    /// Requests that run at once.
     pub slots: usize,
-    /// Orders that may wait; more are refused unrun.
+    /// Requests that may wait; more are refused unrun.
     pub queue: usize,
     /// Prefill of an uncached block, in microseconds.
     pub block_micros: u64,
@@ -40,9 +40,9 @@
 /// What may be wrong with a server, on demand.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Strike {
-    /// It takes orders and never answers.
+    /// It takes requests and never answers.
     pub is_dark: bool,
-    /// It refuses all orders unrun.
+    /// It refuses all requests unrun.
     pub does_refuse: bool,
     /// It breaks streams after this many pieces.
     pub breaks_after: Option<u64>,
@@ -54,7 +54,7 @@
     pub loses_copies: bool,
 }
 
-/// A server's work, worked out when an order comes: when it gets a slot, how long its prefill takes,
+/// A server's work, worked out when a request comes: when it gets a slot, how long its prefill takes,
 /// when each piece is there. No thread stands behind it.
 ///
 /// Invariant: a run's id is taken once; what it was and gave never changes, except that a cancel ends
@@ -109,14 +109,14 @@
             strike: Strike::default(),
         }
     }
-    /// Takes an order; `false` if it's refused unrun.
-    pub fn take(&mut self, order: &RunOrder, now: Moment) -> bool {
+    /// Takes a request; `false` if it's refused unrun.
+    pub fn take(&mut self, request: &RunRequest, now: Moment) -> bool {
         let waiting = self.runs.values().filter(|run| run.start > now && !run.is_cancelled).count();
-        if waiting >= self.rules.queue || self.strike.does_refuse || self.runs.contains_key(&order.run) {
+        if waiting >= self.rules.queue || self.strike.does_refuse || self.runs.contains_key(&request.run) {
             return false;
         }
         self.make_imports(now);
-        let hashes = block_hashes(order.prompt.as_bytes(), self.rules.block_bytes, 4096);
+        let hashes = block_hashes(request.prompt.as_bytes(), self.rules.block_bytes, 4096);
         let matched = hashes.iter().rposition(|hash| self.cache.contains_key(hash)).map_or(0, |place| place + 1);
         for hash in &hashes {
             self.uses += 1;
@@ -129,12 +129,13 @@
         let start = self.slots[slot].max(now);
         let first = start + Span(self.rules.base.0 * slow) + prefill;
         let piece = Span(self.rules.piece.0 * slow);
-        let pieces = u64::from(order.max_pieces);
+        let pieces = u64::from(request.max_pieces);
         self.slots[slot] = first + Span(piece.0 * pieces.saturating_sub(1));
         let breaks_after = self.strike.breaks_after;
-        let print = print_of(&order.prompt);
-        let run = Run { print, slot, start, first, piece, pieces, is_cancelled: false, keep: order.keep, breaks_after };
-        self.runs.insert(order.run.clone(), run);
+        let print = print_of(&request.prompt);
+        let run =
+            Run { print, slot, start, first, piece, pieces, is_cancelled: false, keep: request.keep, breaks_after };
+        self.runs.insert(request.run.clone(), run);
         true
     }
     /// How far a run is; `None` if it isn't known.
@@ -195,7 +196,7 @@
     pub fn drop_prefix(&mut self, prefix: PrefixHash) {
         self.cache.remove(&prefix);
     }
-    /// Orders that run and that wait.
+    /// Requests that run and that wait.
     pub fn load(&self, now: Moment) -> (u32, u32) {
         let is_live = |run: &&Run| !run.is_cancelled;
         let end = |run: &Run| run.first + Span(run.piece.0 * run.pieces.saturating_sub(1));
@@ -232,8 +233,8 @@
 mod tests {
     use super::*;
 
-    fn order(run: &str, prompt: &str) -> RunOrder {
-        RunOrder {
+    fn request(run: &str, prompt: &str) -> RunRequest {
+        RunRequest {
             run: run.into(),
             service: "drafts".into(),
             prompt: prompt.into(),
@@ -249,11 +250,11 @@
         let mut schedule = Schedule::new(rules);
         let prompt = "x".repeat(640);
         let first_of = |schedule: &Schedule, run: &str| schedule.runs[&RunId::from(run)].first;
-        assert!(schedule.take(&order("a", &prompt), Moment(0)));
+        assert!(schedule.take(&request("a", &prompt), Moment(0)));
         assert_eq!(first_of(&schedule, "a"), Moment(100));
-        assert!(schedule.take(&order("b", &prompt), Moment(0)));
+        assert!(schedule.take(&request("b", &prompt), Moment(0)));
         assert_eq!(first_of(&schedule, "b"), Moment(116), "after the slot is free, without prefill");
-        assert!(!schedule.take(&order("a", &prompt), Moment(0)), "a run's id is taken once");
+        assert!(!schedule.take(&request("a", &prompt), Moment(0)), "a run's id is taken once");
         assert_eq!(schedule.progress(&"a".into(), Moment(108)), Some(Progress::Pieces(2, Moment(116))));
         assert_eq!(schedule.progress(&"a".into(), Moment(116)), Some(Progress::All(3)));
     }
--- a/crates/rehearsal/src/stand_in.rs
+++ b/crates/rehearsal/src/stand_in.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// What a server remembers of an order that it took.
+/// What a server remembers of a request that it took.
 #[derive(Debug, Clone)]
 pub struct RunLog {
     /// The prompt's print.
@@ -64,7 +64,7 @@
         let (address, closer, handler) = (gate.address(), gate.closer(), inside.clone());
         std::thread::Builder::new()
             .name("stand-in".into())
-            .spawn(move || gate.serve(move |order| handler.clone().reply(&order)))?;
+            .spawn(move || gate.serve(move |request| handler.clone().reply(&request)))?;
         Ok(StandIn { address, inside, closer })
     }
     /// Its name in the platform's list.
@@ -113,19 +113,19 @@
         self.schedule.lock().expect("no thread panics with it")
     }
 
-    fn note_ask(&self, order: &Order) {
-        let ask = match (order.method.as_str(), order.parts().as_slice()) {
-            ("POST", ["runs"]) => {
-                serde_json::from_slice::<RunOrder>(&order.body).ok().map(|run| (run.service.0, print_of(&run.prompt)))
-            }
-            ("GET", ["pages", ..]) => Some(("pages".to_owned(), print_of(&order.path))),
+    fn note_ask(&self, request: &Request) {
+        let ask = match (request.method.as_str(), request.parts().as_slice()) {
+            ("POST", ["runs"]) => serde_json::from_slice::<RunRequest>(&request.body)
+                .ok()
+                .map(|run| (run.service.0, print_of(&run.prompt))),
+            ("GET", ["pages", ..]) => Some(("pages".to_owned(), print_of(&request.path))),
             _ => None,
         };
         self.asked.lock().expect("no thread panics with it").extend(ask);
     }
 
-    fn reply(self: Arc<Self>, order: &Order) -> Reply {
-        self.note_ask(order);
+    fn reply(self: Arc<Self>, request: &Request) -> Reply {
+        self.note_ask(request);
         let strike = self.schedule().strike;
         if strike.is_dark {
             let patience = Clock::now() + Span::seconds(20);
@@ -134,10 +134,10 @@
             }
             return Reply::streamed("text/plain", Box::new(Nothing));
         }
-        match (order.method.as_str(), order.parts().as_slice()) {
-            ("POST", ["runs"]) => self.take(&order.body),
+        match (request.method.as_str(), request.parts().as_slice()) {
+            ("POST", ["runs"]) => self.take(&request.body),
             ("GET", ["runs", run]) => {
-                let from = order.query_word("from").and_then(|word| word.parse().ok()).unwrap_or(0);
+                let from = request.query_word("from").and_then(|word| word.parse().ok()).unwrap_or(0);
                 self.read(RunId::from(*run), from)
             }
             ("DELETE", ["runs", run]) => {
@@ -145,7 +145,7 @@
                 Reply::json(if is_known { 200 } else { 404 }, &serde_json::json!({}))
             }
             ("POST", ["kv", _]) if strike.lacks_kv => Reply::json(404, &serde_json::json!({})),
-            ("POST", ["kv", way]) => self.kv(way, &order.body),
+            ("POST", ["kv", way]) => self.kv(way, &request.body),
             ("DELETE", ["kv", prefix]) => {
                 let prefix = prefix.parse().map(PrefixHash);
                 prefix.into_iter().for_each(|prefix| self.schedule().drop_prefix(prefix));
@@ -153,7 +153,7 @@
             }
             ("GET", ["load"]) => self.report(),
             ("GET", ["pages", ..])
-                if order.header(LIFE_HEADER).is_some_and(|life| life != self.incarnation.to_string()) =>
+                if request.header(LIFE_HEADER).is_some_and(|life| life != self.incarnation.to_string()) =>
             {
                 self.other_life()
             }
@@ -172,23 +172,23 @@
     }
 
     fn take(self: Arc<Self>, body: &[u8]) -> Reply {
-        let Ok(order) = serde_json::from_slice::<RunOrder>(body) else {
+        let Ok(request) = serde_json::from_slice::<RunRequest>(body) else {
             return Reply::json(400, &serde_json::json!({"ran": false}));
         };
-        if order.life.is_some_and(|life| life != self.incarnation) {
+        if request.life.is_some_and(|life| life != self.incarnation) {
             return self.other_life();
         }
         let now = Clock::now();
         let mut schedule = self.schedule();
-        if !schedule.take(&order, now) {
+        if !schedule.take(&request, now) {
             return Reply::json(503, &serde_json::json!({"ran": false}));
         }
         let (running, waiting) = schedule.load(now);
         drop(schedule);
-        let (print, service) = (print_of(&order.prompt), order.service.0.clone());
+        let (print, service) = (print_of(&request.prompt), request.service.0.clone());
         let entry = RunLog { print, service, at: now, in_hand: running + waiting };
         self.log.lock().expect("no thread panics with it").push(entry);
-        self.read(order.run, 0)
+        self.read(request.run, 0)
     }
 
     fn read(self: Arc<Self>, run: RunId, from: u64) -> Reply {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -54,7 +54,7 @@
     /// Percent of letters that are lost.
     loss: u64,
     platform: std::collections::VecDeque<(u64, Vec<ServerEntry>)>,
-    orders: BTreeMap<OrderId, SimOrder>,
+    requests: BTreeMap<RequestId, SimRequest>,
     operators: operators::Operators,
     history: history::History,
     /// Patches that are at a registrar's door, by their calls.
@@ -143,7 +143,7 @@
     leaving_since: Option<u64>,
 }
 
-struct SimOrder {
+struct SimRequest {
     came: u64,
     number: u64,
     service: ServiceName,
@@ -185,7 +185,7 @@
             connections: connections::Connections::default(),
             loss: 0,
             platform: std::collections::VecDeque::new(),
-            orders: BTreeMap::new(),
+            requests: BTreeMap::new(),
             operators: operators::Operators::default(),
             history: history::History::default(),
             door: BTreeMap::new(),
--- a/crates/rehearsal/src/world/aimed/tests.rs
+++ b/crates/rehearsal/src/world/aimed/tests.rs
@@ -3,7 +3,8 @@
 
 /// Four faults of one kind, in a run that must show nothing.
 fn play(deployment: Deployment, kind: FaultKind, seed: u64) -> Witness {
-    let rules = WorldRules { faults: 4, kinds: vec![kind], orders_a_second: 5, ..WorldRules::swept(deployment, seed) };
+    let rules =
+        WorldRules { faults: 4, kinds: vec![kind], requests_a_second: 5, ..WorldRules::swept(deployment, seed) };
     let witness = World::new(rules).run();
     assert!(witness.violations.is_empty(), "seed {seed}: {:#?}\n{:#?}", witness.violations, witness.faults);
     witness
@@ -47,7 +48,7 @@
     let rules = |seed, mutant| WorldRules {
         faults: 3,
         kinds: vec![FaultKind::CutRegistrar],
-        orders_a_second: 5,
+        requests_a_second: 5,
         mutant,
         ..WorldRules::new(Deployment::Valodu, seed)
     };
@@ -68,7 +69,7 @@
     let rules = WorldRules {
         operators_gap: Span(50),
         faults: 3,
-        orders_a_second: 5,
+        requests_a_second: 5,
         large_plans: 0,
         ..WorldRules::swept(deployment, seed)
     };
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -9,11 +9,11 @@
 pub struct Witness {
     /// What must never be and was.
     pub violations: Vec<String>,
-    /// Orders that came.
+    /// Requests that came.
     pub arrivals: u64,
     /// What callers were told, with how often.
     pub words: BTreeMap<&'static str, u64>,
-    /// When orders completed.
+    /// When requests completed.
     pub completions: Vec<u64>,
     /// Times to the first piece, in ms, by service.
     pub first_ms: BTreeMap<ServiceName, Vec<u64>>,
@@ -23,9 +23,9 @@
     pub resumed: u64,
     /// For each accepted epoch under whose predecessor something was still placed: how long after, in ms.
     pub in_force_ms: BTreeMap<u64, u64>,
-    /// For each order that ran in a zone after its withdrawal was accepted: how long after, in ms.
+    /// For each request that ran in a zone after its withdrawal was accepted: how long after, in ms.
     pub withdrawn_ms: Vec<u64>,
-    /// For each order that ran at a server that was leaving: how long after it was marked, in ms.
+    /// For each request that ran at a server that was leaving: how long after it was marked, in ms.
     pub leaving_ms: Vec<u64>,
     /// Operators' commands accepted, refused, unknown.
     pub commands: [u64; 3],
@@ -33,7 +33,7 @@
     pub views: u64,
     /// How long each accepted command took, in ms.
     pub accept_ms: Vec<u64>,
-    /// After the last fault was healed: until a command was accepted, and until an order completed.
+    /// After the last fault was healed: until a command was accepted, and until a request completed.
     pub back_ms: (Option<u64>, Option<u64>),
     /// After the last fault was healed: until all registrars sat in the chain, level, in one view.
     pub level_ms: Option<u64>,
@@ -45,11 +45,11 @@
     pub calls: Vec<String>,
     pub(super) newest_told: u64,
     accepted: BTreeMap<u64, u64>,
-    told: BTreeMap<OrderId, &'static str>,
-    runs: BTreeMap<OrderId, Vec<(u64, ServerName)>>,
-    asked_orders: BTreeMap<ServiceName, BTreeSet<OrderId>>,
+    told: BTreeMap<RequestId, &'static str>,
+    runs: BTreeMap<RequestId, Vec<(u64, ServerName)>>,
+    asked_requests: BTreeMap<ServiceName, BTreeSet<RequestId>>,
     asks: BTreeMap<ServiceName, u64>,
-    /// Per service: orders that servers were asked to take, and asks beyond the first of each.
+    /// Per service: requests that servers were asked to take, and asks beyond the first of each.
     pub repeats: BTreeMap<ServiceName, (u64, u64)>,
     proposed: BTreeMap<String, (u64, Command)>,
     /// What each plan or change would put in force.
@@ -86,9 +86,9 @@
             self.violations.push(format!("at {now} ms: {what}"));
         }
     }
-    pub(super) fn told(&mut self, order: &OrderId, word: &'static str) {
+    pub(super) fn told(&mut self, request: &RequestId, word: &'static str) {
         *self.words.entry(word).or_default() += 1;
-        self.told.insert(order.clone(), word);
+        self.told.insert(request.clone(), word);
     }
     pub(super) fn placed(&mut self, now: u64, node: Address, epoch: Epoch) {
         let newest = self.node_epochs.entry(node).or_default();
@@ -99,7 +99,7 @@
             *newest = epoch;
         }
     }
-    /// An order leaves a node that placed it under this epoch. Gives whether it leaves a group without leases
+    /// A request leaves a node that placed it under this epoch. Gives whether it leaves a group without leases
     /// that goes on with what it knows, as it may where holders of leases are the quorum.
     ///
     /// Where most members are, each change that was told as accepted longer ago must be in that epoch. Where
@@ -205,17 +205,17 @@
         }
     }
 
-    /// A server was asked to take an order, whatever it made of it.
-    pub(super) fn asked(&mut self, order: &OrderId, service: &ServiceName) {
-        self.asked_orders.entry(service.clone()).or_default().insert(order.clone());
+    /// A server was asked to take a request, whatever it made of it.
+    pub(super) fn asked(&mut self, request: &RequestId, service: &ServiceName) {
+        self.asked_requests.entry(service.clone()).or_default().insert(request.clone());
         *self.asks.entry(service.clone()).or_default() += 1;
     }
 
-    /// A server took an order. Of a group apart, it's judged by what was accepted up to its epoch.
+    /// A server took a request. Of a group apart, it's judged by what was accepted up to its epoch.
     pub(super) fn run(
         &mut self,
         now: u64,
-        order: &OrderId,
+        request: &RequestId,
         service: &ServiceName,
         server: &ServerMachine,
         in_hand: u32,
@@ -228,14 +228,14 @@
             let is = |field: &str| plan[field] == serde_json::Value::Bool(true);
             is("idempotent") && (is("resumable") || plan["kind"] == "fetch")
         };
-        let runs = self.runs.entry(order.clone()).or_default();
+        let runs = self.runs.entry(request.clone()).or_default();
         runs.push((now, server.name.clone()));
         if runs.len() > 1 && !self.may_be_said(now, service, newest, may_repeat) {
-            let runs = self.runs[order].clone();
-            self.violate(now, format!("{order} ran {} times: {runs:?}", runs.len()));
+            let runs = self.runs[request].clone();
+            self.violate(now, format!("{request} ran {} times: {runs:?}", runs.len()));
         }
         if !self.may_be_said(now, service, newest, serde_json::Value::is_object) {
-            self.violate(now, format!("{order} ran though no plan that may be in force allows {service}"));
+            self.violate(now, format!("{request} ran though no plan that may be in force allows {service}"));
         }
         if let Some(since) = server.leaving_since {
             self.leaving_ms.push(now - since);
@@ -243,17 +243,17 @@
         let told = self.withdrawn_since(now, &server.zone, newest);
         self.withdrawn_ms.extend(told.map(|told| now - told));
         if told.is_some_and(|told| told + WITHDRAWN < now) {
-            self.violate(now, format!("{order} ran in withdrawn zone {}", server.zone));
+            self.violate(now, format!("{request} ran in withdrawn zone {}", server.zone));
         }
         if server.leaving_since.is_some_and(|since| now > since + LEAVING) {
-            self.violate(now, format!("{order} ran at leaving server {}", server.name));
+            self.violate(now, format!("{request} ran at leaving server {}", server.name));
         }
         let age = now - server.started;
         if server.started > 0 && server.pool == "model" && age < 8000 {
             // Criers may have first heard of it later than it started, never earlier.
             let cap = 2.max(16 * age / 8000) + 2;
             if u64::from(in_hand) > cap {
-                self.violate(now, format!("fresh server {} had {in_hand} orders at age {age} ms", server.name));
+                self.violate(now, format!("fresh server {} had {in_hand} requests at age {age} ms", server.name));
             }
         }
     }
@@ -318,18 +318,18 @@
     /// What is known only at the end.
     pub(super) fn conclude(&mut self, now: u64, ledger: Option<&Ledger>) {
         let runs = std::mem::take(&mut self.runs);
-        for (order, runs) in &runs {
-            let word = self.told.get(order).copied().unwrap_or("none");
+        for (request, runs) in &runs {
+            let word = self.told.get(request).copied().unwrap_or("none");
             if word == "refused" {
-                self.violate(now, format!("{order} was told refused and ran at {runs:?}"));
+                self.violate(now, format!("{request} was told refused and ran at {runs:?}"));
             }
         }
         for (service, count) in self.asks.clone() {
-            let orders = self.asked_orders.get(&service).map_or(0, BTreeSet::len) as u64;
-            let repeats = count - orders;
-            self.repeats.insert(service.clone(), (orders, repeats));
-            if repeats * 5 > orders + 5 * ALLOWANCE * now.div_ceil(60_000) {
-                self.violate(now, format!("{service}: {repeats} repeats of {orders} orders"));
+            let requests = self.asked_requests.get(&service).map_or(0, BTreeSet::len) as u64;
+            let repeats = count - requests;
+            self.repeats.insert(service.clone(), (requests, repeats));
+            if repeats * 5 > requests + 5 * ALLOWANCE * now.div_ceil(60_000) {
+                self.violate(now, format!("{service}: {repeats} repeats of {requests} requests"));
             }
         }
         let Some(ledger) = ledger else {
@@ -376,7 +376,7 @@
         let at = |part: usize| times.get((times.len() * part / 100).min(times.len().max(1) - 1)).copied().unwrap_or(0);
         write!(
             f,
-            "orders {} {:?}, commands {:?} (p50 {} p99 {} ms), views {}, copies {}, resumed {}, back after {:?} ms, trace {:016x}",
+            "requests {} {:?}, commands {:?} (p50 {} p99 {} ms), views {}, copies {}, resumed {}, back after {:?} ms, trace {:016x}",
             self.arrivals,
             self.words,
             self.commands,
--- a/crates/rehearsal/src/world/fault_kinds.rs
+++ b/crates/rehearsal/src/world/fault_kinds.rs
@@ -56,7 +56,7 @@
     CrashServer,
     /// A server restarts in place, too fast for anyone to find it gone. Struck only where it's named.
     RestartServer,
-    /// A server takes orders and says nothing.
+    /// A server takes requests and says nothing.
     DarkServer,
     /// A server answers, but slowly.
     SlowServer,
--- a/crates/rehearsal/src/world/linearizability.rs
+++ b/crates/rehearsal/src/world/linearizability.rs
@@ -1,4 +1,4 @@
-//! A linearizability check: whether the calls on one register, with the answers that they got, fit some order
+//! A linearizability check: whether the calls on one register, with the answers that they got, fit some request
 //! in which each takes effect at one point between its call and its answer.
 //!
 //! The search is that of Wing and Gong: any call that was sent before the first answer still to be explained
@@ -37,16 +37,16 @@
 /// Why a history isn't linearizable, or not known to be.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Mismatch {
-    /// No order explains all answers. The longest one found stops before this call.
+    /// No request explains all answers. The longest one found stops before this call.
     Unexplained(String),
     /// The search was given up.
     TooWide,
 }
 
-/// Orders that are looked at before a search is given up.
+/// Requests that are looked at before a search is given up.
 const MOST_STEPS: usize = 400_000;
 
-/// The calls that an order has explained so far, as bits.
+/// The calls that a request has explained so far, as bits.
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct CallSet(Vec<u64>);
 
@@ -64,7 +64,7 @@
     }
 }
 
-/// An order found so far.
+/// A request found so far.
 struct Step<R> {
     explained: CallSet,
     state: R,
--- a/crates/rehearsal/src/world/linearizability/tests.rs
+++ b/crates/rehearsal/src/world/linearizability/tests.rs
@@ -50,7 +50,7 @@
         vec![put(0, 1, 0, 1), taken(put(2, 1, 0, 1), 3), taken(put(4, 2, 1, 2), 5), taken(put(6, 1, 0, 1), 7), read_plan(8, 9, 2)]
     },
 )]
-fn histories_of_plans_that_some_order_explains(calls: Vec<PlanCall>) {
+fn histories_of_plans_that_some_request_explains(calls: Vec<PlanCall>) {
     assert_eq!(check_linearizable(&calls), Ok(()));
 }
 
@@ -70,7 +70,7 @@
         vec![taken(put(0, 1, 0, 1), 1), taken(put(2, 2, 1, 2), 3), taken(put(4, 1, 0, 1), 5), read_plan(6, 7, 1)]
     },
 )]
-fn histories_of_plans_that_no_order_explains(calls: Vec<PlanCall>) {
+fn histories_of_plans_that_no_request_explains(calls: Vec<PlanCall>) {
     assert!(matches!(check_linearizable(&calls), Err(Mismatch::Unexplained(_))));
 }
 
@@ -118,7 +118,7 @@
         let rules = WorldRules {
             faults,
             kinds: kinds.to_vec(),
-            orders_a_second: 5,
+            requests_a_second: 5,
             mutant: Some(mutant),
             ..WorldRules::new(Deployment::Pahana, *seed)
         };
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -119,8 +119,8 @@
         m.late.clear();
         m.frozen_until = 0;
         self.connections.close_from(m.address);
-        let orphans: Vec<OrderId> =
-            self.orders.iter().filter(|(_, order)| order.crier == machine).map(|(id, _)| id.clone()).collect();
+        let orphans: Vec<RequestId> =
+            self.requests.iter().filter(|(_, request)| request.crier == machine).map(|(id, _)| id.clone()).collect();
         for id in orphans {
             self.abandon(&id);
         }
--- a/crates/rehearsal/src/world/mutants.rs
+++ b/crates/rehearsal/src/world/mutants.rs
@@ -15,11 +15,11 @@
     IgnoreLease,
     /// A server that is leaving is not taken for it.
     IgnoreLeaving,
-    /// A lost order is given to another server though it may have run.
+    /// A lost request is given to another server though it may have run.
     RepeatAnything,
     /// Fresh servers have no ramp.
     SkipRamp,
-    /// Servers take orders that were meant for a former life of theirs.
+    /// Servers take requests that were meant for a former life of theirs.
     IgnoreLives,
     /// Pieces go to the caller whatever they are.
     LaxPieces,
@@ -27,7 +27,7 @@
     ResumeFromStart,
     /// Repeats cost nothing.
     FreeRepeats,
-    /// Whether an order may leave is not asked again once the connection is made.
+    /// Whether a request may leave is not asked again once the connection is made.
     AskOnce,
     /// Every third node renews its lease with each poll and takes news from one in fifty.
     StaleNews,
--- a/crates/rehearsal/src/world/rules.rs
+++ b/crates/rehearsal/src/world/rules.rs
@@ -19,8 +19,8 @@
     pub faults: u64,
     /// Of these kinds only; empty: all.
     pub kinds: Vec<FaultKind>,
-    /// Orders a second.
-    pub orders_a_second: u64,
+    /// Requests a second.
+    pub requests_a_second: u64,
     /// Operators do something each time after one to six times this.
     pub operators_gap: Span,
     /// Percent of answers to operators that are lost on their way.
@@ -67,7 +67,7 @@
             criers: None,
             faults: 8,
             kinds: vec![],
-            orders_a_second: 25,
+            requests_a_second: 25,
             operators_gap: Span(300),
             answer_loss: 3,
             large_plans: 3,
