--- a/crates/rehearsal/src/world/streams.rs
+++ b/crates/rehearsal/src/world/streams.rs
@@ -30,20 +30,20 @@
 
 impl World {
     /// Reads what the server has by now, as the stream would show it.
-    pub(super) fn on_watch(&mut self, id: OrderId) {
-        let Some(order) = self.orders.get(&id) else { return };
-        let crier = &self.criers[order.crier];
-        if crier.life != order.life {
+    pub(super) fn on_watch(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let crier = &self.criers[request.crier];
+        if crier.life != request.life {
             return;
         }
         if self.now < crier.frozen_until {
             let wake = crier.frozen_until - self.now;
-            return self.put(wake, Happening::Watch { order: id });
+            return self.put(wake, Happening::Watch { request: id });
         }
-        let (Some((server, run)), Some(stream)) = (order.run.clone(), &order.stream) else { return };
+        let (Some((server, run)), Some(stream)) = (request.run.clone(), &request.stream) else { return };
         let s = &self.servers[server];
         let progress = s.schedule.progress(&run, Moment(self.now));
-        let is_lost = !s.is_up || s.is_dark || s.incarnation != order.server_life;
+        let is_lost = !s.is_up || s.is_dark || s.incarnation != request.server_life;
         let (Some(Progress::Pieces(there, _) | Progress::All(there)), false) = (progress, is_lost) else {
             return self.cut(&id);
         };
@@ -63,7 +63,7 @@
         }
         if let Some(Progress::Pieces(_, next)) = progress {
             let wait = Moment(self.now).until(next).0.clamp(5, 200);
-            self.put(wait, Happening::Watch { order: id });
+            self.put(wait, Happening::Watch { request: id });
         }
     }
 
@@ -71,7 +71,7 @@
     /// comes early.
     fn garble(&mut self, lines: &mut Vec<RunPiece>, server: usize) {
         let place = self.below(lines.len() as u64) as usize;
-        let others = self.orders.values().filter_map(|order| order.run.as_ref());
+        let others = self.requests.values().filter_map(|request| request.run.as_ref());
         let other = others.filter(|(at, _)| *at == server).map(|(_, run)| run.clone()).next();
         match (self.below(12), other) {
             (0, _) => drop(lines.remove(place)),
@@ -92,12 +92,12 @@
     }
 
     /// Passes a line on to the caller; says whether the stream goes on.
-    fn give(&mut self, id: &OrderId, line: &RunPiece) -> bool {
+    fn give(&mut self, id: &RequestId, line: &RunPiece) -> bool {
         let is_lax = self.rules.mutant == Some(Mutant::LaxPieces);
         let now = self.now;
-        let Some(order) = self.orders.get_mut(id) else { return false };
-        let print = print_of(&order.prompt);
-        let Some(stream) = &mut order.stream else { return false };
+        let Some(request) = self.requests.get_mut(id) else { return false };
+        let print = print_of(&request.prompt);
+        let Some(stream) = &mut request.stream else { return false };
         let text = serde_json::to_string(line).expect("a piece is JSON") + "\n";
         stream.read += 1;
         let passed = match stream.reader.take(text.as_bytes()) {
@@ -116,7 +116,7 @@
         let is_end = matches!(passed, Passed::End(_));
         let fault = if is_end {
             // It's whole if the caller has as many as it asked for, whatever the record says.
-            (value["pieces"] != stream.next || stream.next != order.pieces).then_some("an end before the end")
+            (value["pieces"] != stream.next || stream.next != request.pieces).then_some("an end before the end")
         } else {
             let wanted = format!("{}|{}|{print:x}", stream.run, stream.next);
             let is_next = value["n"] == stream.next && value["text"] == wanted.as_str();
@@ -131,7 +131,7 @@
         if !is_end {
             return true;
         }
-        match self.orders.get(id).and_then(|order| order.stream.as_ref()?.resumed_as) {
+        match self.requests.get(id).and_then(|request| request.stream.as_ref()?.resumed_as) {
             Some(number) => {
                 self.leave(id, number);
                 self.close(id, "complete");
@@ -144,29 +144,29 @@
         false
     }
 
-    fn first_piece(&mut self, id: &OrderId) {
-        let Some(order) = self.orders.get_mut(id) else { return };
-        if !std::mem::replace(&mut order.had_first, true) {
+    fn first_piece(&mut self, id: &RequestId) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        if !std::mem::replace(&mut request.had_first, true) {
             self.first_token(id);
         }
-        let Some(order) = self.orders.get(id) else { return };
-        if order.stream.as_ref().is_some_and(|stream| stream.resumed_as.is_none()) {
+        let Some(request) = self.requests.get(id) else { return };
+        if request.stream.as_ref().is_some_and(|stream| stream.resumed_as.is_none()) {
             self.carried(id, ChartInput::Give);
         }
     }
 
     /// A crier has read a resumed stream to its end or its cut.
-    fn leave(&mut self, id: &OrderId, number: u64) {
-        let Some(order) = self.orders.get(id) else { return };
-        let (machine, life) = (order.crier, order.life);
+    fn leave(&mut self, id: &RequestId, number: u64) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (machine, life) = (request.crier, request.life);
         if self.criers[machine].life == life {
-            self.step_node(machine, NodeInput::Close { order: resume_id(number), number, may_have_run: false });
+            self.step_node(machine, NodeInput::Close { request: resume_id(number), number, may_have_run: false });
         }
     }
 
     /// A stream breaks off at its crier.
-    fn cut(&mut self, id: &OrderId) {
-        match self.orders.get(id).and_then(|order| order.stream.as_ref()?.resumed_as) {
+    fn cut(&mut self, id: &RequestId) {
+        match self.requests.get(id).and_then(|request| request.stream.as_ref()?.resumed_as) {
             Some(number) => {
                 self.leave(id, number);
                 self.read_on(id, "broken");
@@ -180,29 +180,31 @@
 
     /// The caller's stream was cut: it reads on elsewhere, if it can, or else has this for its last word.
     /// Says whether it reads on.
-    pub(super) fn read_on(&mut self, id: &OrderId, word: &'static str) -> bool {
+    pub(super) fn read_on(&mut self, id: &RequestId, word: &'static str) -> bool {
         let end = self.rules.span.0 + self.rules.calm.0;
         let may_go_on = self.now + 400 < end;
-        let Some(order) = self.orders.get_mut(id) else { return false };
-        let can = order.stream.as_mut().is_some_and(|stream| {
+        let Some(request) = self.requests.get_mut(id) else { return false };
+        let can = request.stream.as_mut().is_some_and(|stream| {
             stream.resumes += 1;
             stream.resumed_as = Some(0);
             may_go_on && stream.token.is_some() && stream.resumes <= RESUMES
         });
         if can {
-            order.run = None;
-            self.put(300, Happening::Resume { order: id.clone() });
+            request.run = None;
+            self.put(300, Happening::Resume { request: id.clone() });
             return true;
         }
-        self.orders.remove(id);
+        self.requests.remove(id);
         self.witness.told(id, word);
         false
     }
 
-    pub(super) fn on_resume(&mut self, id: OrderId) {
+    pub(super) fn on_resume(&mut self, id: RequestId) {
         let machine = self.below(self.criers.len() as u64) as usize;
         let number = 1_000_000_000 + self.draw() % 1_000_000_000;
-        let Some(token) = self.orders.get(&id).and_then(|order| order.stream.as_ref()?.token.clone()) else { return };
+        let Some(token) = self.requests.get(&id).and_then(|request| request.stream.as_ref()?.token.clone()) else {
+            return;
+        };
         let crier = &self.criers[machine];
         let life = crier.life;
         if crier.node.is_none() || self.now < crier.frozen_until || crier.is_cut_off {
@@ -219,8 +221,8 @@
             self.read_on(&id, "broken");
             return;
         };
-        let Some(order) = self.orders.get_mut(&id) else { return };
-        (order.crier, order.life) = (machine, life);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        (request.crier, request.life) = (machine, life);
         let server =
             self.servers.iter().position(|server| server.name == token.server && server.is_up && !server.is_dark);
         let has_run = |place: usize| self.servers[place].schedule.progress(&token.run, Moment(self.now)).is_some();
@@ -230,14 +232,14 @@
             self.read_on(&id, "broken");
             return;
         };
-        order.server_life = self.servers[server].incarnation;
-        order.run = Some((server, token.run.clone()));
-        if let Some(stream) = &mut order.stream {
+        request.server_life = self.servers[server].incarnation;
+        request.run = Some((server, token.run.clone()));
+        if let Some(stream) = &mut request.stream {
             let from = if is_again { 0 } else { stream.next };
             stream.reader = PieceReader::new(token.run, from);
             (stream.read, stream.resumed_as) = (from, Some(number));
         }
         self.witness.resumed += 1;
-        self.put(5, Happening::Watch { order: id });
+        self.put(5, Happening::Watch { request: id });
     }
 }
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -37,7 +37,7 @@
     play(WorldRules::new(deployment, seed));
 }
 
-/// Servers that restart in place, too fast for anyone to find them gone, while orders keep coming.
+/// Servers that restart in place, too fast for anyone to find them gone, while requests keep coming.
 #[parameterized(
     pahana_1 = { Deployment::Pahana, 1 },
     pahana_2 = { Deployment::Pahana, 2 },
@@ -46,7 +46,7 @@
 )]
 fn a_server_that_restarts_in_place_is_as_fresh_as_any(deployment: Deployment, seed: u64) {
     let kinds = vec![FaultKind::RestartServer];
-    play(WorldRules { faults: 30, kinds, orders_a_second: 150, ..WorldRules::new(deployment, seed) });
+    play(WorldRules { faults: 30, kinds, requests_a_second: 150, ..WorldRules::new(deployment, seed) });
 }
 
 /// A server restarted in place while nodes were without the core, and each took it for the life that it knew.
@@ -144,12 +144,18 @@
     ignore_lives = { Mutant::IgnoreLives, &[FaultKind::RestartServer], 8, 150, None },
     skip_ramp = { Mutant::SkipRamp, &[FaultKind::ReplaceServers, FaultKind::CrashServer], 8, 150, None },
 )]
-fn each_mutant_is_caught(mutant: Mutant, kinds: &[FaultKind], faults: u64, orders_a_second: u64, suspect: Option<u64>) {
+fn each_mutant_is_caught(
+    mutant: Mutant,
+    kinds: &[FaultKind],
+    faults: u64,
+    requests_a_second: u64,
+    suspect: Option<u64>,
+) {
     let quorum = if mutant == Mutant::ForgetHolders { Quorum::Holders } else { Quorum::Majority };
     let rules = |seed, mutant| WorldRules {
         faults,
         kinds: kinds.to_vec(),
-        orders_a_second,
+        requests_a_second,
         suspect: suspect.map(Span),
         mutant,
         quorum,
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -1,4 +1,4 @@
-//! Callers, their orders' way through a crier, and servers.
+//! Callers, their requests' way through a crier, and servers.
 
 use super::*;
 use crier::prelude::{
@@ -10,7 +10,7 @@
     pub(super) fn on_arrival(&mut self) {
         let end = self.rules.span.0 + self.rules.calm.0;
         if self.now + 1500 < end {
-            let rate = self.rules.orders_a_second.max(1) * if self.now < self.crowd_until { 5 } else { 1 };
+            let rate = self.rules.requests_a_second.max(1) * if self.now < self.crowd_until { 5 } else { 1 };
             let gap = 1 + self.below(2 * 1000 / rate);
             self.put(gap, Happening::Arrival);
         }
@@ -25,7 +25,7 @@
             80..90 => ("extra", 0, 200, 100),
             _ => ("pages", 0, 0, 0),
         };
-        let id = OrderId(format!("{service}-{number}"));
+        let id = RequestId(format!("{service}-{number}"));
         let words = |text: String, bytes: usize| {
             let mut all = text.repeat(bytes / text.len() + 1);
             all.truncate(bytes);
@@ -38,7 +38,7 @@
             return self.witness.told(&id, "unreached");
         }
         let (errand, first) = Errand::begin();
-        let order = SimOrder {
+        let request = SimRequest {
             came: self.now,
             number,
             service: service.into(),
@@ -57,31 +57,31 @@
             stream: None,
             keep: false,
         };
-        self.orders.insert(id.clone(), order);
+        self.requests.insert(id.clone(), request);
         self.on_errand(&id, first);
     }
 
-    /// Moves an order's errand on and does what it wants.
-    fn errand(&mut self, id: &OrderId, input: ErrandInput) {
-        let Some(order) = self.orders.get_mut(id) else { return };
-        let mut output = order.errand.step(input);
+    /// Moves a request's errand on and does what it wants.
+    fn errand(&mut self, id: &RequestId, input: ErrandInput) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let mut output = request.errand.step(input);
         if self.rules.mutant == Some(Mutant::RepeatAnything)
             && matches!(&output, ErrandOutput::Tell(denial) if denial.code == ResultCode::Unknown)
         {
-            (order.errand, output) = Errand::begin();
+            (request.errand, output) = Errand::begin();
         }
         self.on_errand(id, output);
     }
 
-    fn on_errand(&mut self, id: &OrderId, output: ErrandOutput) {
+    fn on_errand(&mut self, id: &RequestId, output: ErrandOutput) {
         match output {
             ErrandOutput::AskScheduler { round, tried, may_have_run } => {
                 self.ask_scheduler(id, round, tried, may_have_run)
             }
             ErrandOutput::AskServer(placing) => self.ask_server(id, placing),
             ErrandOutput::Carry(placing) => {
-                if let Some(order) = self.orders.get_mut(id).filter(|order| order.service.as_str() != "pages") {
-                    order.stream = Some(streams::SimStream::new(placing.token, placing.run));
+                if let Some(request) = self.requests.get_mut(id).filter(|request| request.service.as_str() != "pages") {
+                    request.stream = Some(streams::SimStream::new(placing.token, placing.run));
                 }
             }
             // No errand of the simulator's is told of a torn stream.
@@ -92,10 +92,10 @@
         }
     }
 
-    /// What the answer that a server gives does to the order's chart.
-    pub(super) fn carried(&mut self, id: &OrderId, input: ChartInput) {
-        let Some(order) = self.orders.get_mut(id) else { return };
-        match order.errand.carried(input) {
+    /// What the answer that a server gives does to the request's chart.
+    pub(super) fn carried(&mut self, id: &RequestId, input: ChartInput) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        match request.errand.carried(input) {
             ChartOutput::Tell(ResultCode::Complete) => self.close(id, "complete"),
             ChartOutput::Tell(_) => self.close(id, "unknown"),
             ChartOutput::Cut => self.close(id, "broken"),
@@ -103,19 +103,19 @@
         }
     }
 
-    pub(super) fn close(&mut self, id: &OrderId, word: &'static str) {
-        if let Some(order) = self.orders.get(id)
-            && self.criers[order.crier].life == order.life
+    pub(super) fn close(&mut self, id: &RequestId, word: &'static str) {
+        if let Some(request) = self.requests.get(id)
+            && self.criers[request.crier].life == request.life
         {
-            let may_have_run = order.errand.chart().may_have_run();
-            let close = NodeInput::Close { order: id.clone(), number: order.number, may_have_run };
-            self.step_node(order.crier, close);
+            let may_have_run = request.errand.chart().may_have_run();
+            let close = NodeInput::Close { request: id.clone(), number: request.number, may_have_run };
+            self.step_node(request.crier, close);
         }
         if word == "broken" {
             self.read_on(id, word);
             return;
         }
-        self.orders.remove(id);
+        self.requests.remove(id);
         self.witness.told(id, word);
         if word == "complete" {
             self.witness.completions.push(self.now);
@@ -123,13 +123,14 @@
     }
 
     /// The crier is gone: nobody tells the caller anything.
-    pub(super) fn abandon(&mut self, id: &OrderId) {
-        let run = self.orders.get(id).and_then(|order| order.run.clone());
-        let is_kept = self.orders.get(id).is_some_and(|order| order.stream.is_some()) && self.read_on(id, "unknown");
+    pub(super) fn abandon(&mut self, id: &RequestId) {
+        let run = self.requests.get(id).and_then(|request| request.run.clone());
+        let is_kept =
+            self.requests.get(id).is_some_and(|request| request.stream.is_some()) && self.read_on(id, "unknown");
         if is_kept {
             return;
         }
-        if self.orders.remove(id).is_some() {
+        if self.requests.remove(id).is_some() {
             self.witness.told(id, "unknown");
         }
         if let Some((server, run)) = run {
@@ -137,18 +138,18 @@
         }
     }
 
-    fn ask_scheduler(&mut self, id: &OrderId, round: u32, tried: Vec<ServerName>, may_have_run: bool) {
-        let Some(order) = self.orders.get(id) else { return };
-        let (machine, number) = (order.crier, order.number);
-        let (service, is_fetch) = (order.service.clone(), order.service.as_str() == "pages");
-        let hashes = if is_fetch { vec![] } else { block_hashes(order.prompt.as_bytes(), 64, 256) };
+    fn ask_scheduler(&mut self, id: &RequestId, round: u32, tried: Vec<ServerName>, may_have_run: bool) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (machine, number) = (request.crier, request.number);
+        let (service, is_fetch) = (request.service.clone(), request.service.as_str() == "pages");
+        let hashes = if is_fetch { vec![] } else { block_hashes(request.prompt.as_bytes(), 64, 256) };
         let kind = if is_fetch { ServiceKind::Fetch } else { ServiceKind::Stream };
         let run = run_id((u128::from(self.draw()) << 64 | u128::from(self.draw())).to_be_bytes());
-        let order = id.clone();
+        let request = id.clone();
         let (route, demand) = (None, Demand::default());
         let place = NodeInput::Place(PlaceAsk {
             number,
-            order,
+            request,
             service,
             kind,
             route,
@@ -168,31 +169,31 @@
         self.errand(id, ErrandInput::Scheduler(outcome.unwrap_or(Err(silence))));
     }
 
-    fn ask_server(&mut self, id: &OrderId, placing: Placing) {
-        let Some(order) = self.orders.get_mut(id) else { return };
+    fn ask_server(&mut self, id: &RequestId, placing: Placing) {
+        let Some(request) = self.requests.get_mut(id) else { return };
         let Some(server) = self.servers.iter().position(|server| server.name == placing.server) else { return };
-        order.keep = placing.token.is_some();
-        order.epoch = placing.epoch;
-        order.meant_for = placing.life;
-        order.asked = Some(placing.server);
-        let machine = order.crier;
+        request.keep = placing.token.is_some();
+        request.epoch = placing.epoch;
+        request.meant_for = placing.life;
+        request.asked = Some(placing.server);
+        let machine = request.crier;
         if !self.may_act(machine) {
             return self.withhold(id);
         }
         let late = self.servers[server].accepts_late;
         let connecting = 1 + self.below(4) + if late { self.below(400) } else { 0 };
-        self.put(connecting, Happening::Connected { order: id.clone(), server, run: placing.run });
+        self.put(connecting, Happening::Connected { request: id.clone(), server, run: placing.run });
     }
 
-    /// The connection is made: whether the order may still leave, as it was placed, is asked once more.
-    pub(super) fn on_connected(&mut self, id: OrderId, server: usize, run: RunId) {
-        let Some(order) = self.orders.get(&id) else { return };
-        let machine = order.crier;
+    /// The connection is made: whether the request may still leave, as it was placed, is asked once more.
+    pub(super) fn on_connected(&mut self, id: RequestId, server: usize, run: RunId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let machine = request.crier;
         if self.now < self.criers[machine].frozen_until {
             let wake = self.criers[machine].frozen_until - self.now;
-            return self.put(wake, Happening::Connected { order: id, server, run });
+            return self.put(wake, Happening::Connected { request: id, server, run });
         }
-        let epoch = order.epoch;
+        let epoch = request.epoch;
         if self.rules.mutant != Some(Mutant::AskOnce) {
             if !self.may_act(machine) {
                 return self.withhold(&id);
@@ -204,8 +205,8 @@
         }
         let m = &self.criers[machine];
         let is_apart = self.witness.sent(self.now, m.address, epoch, &m.touch, self.rules.quorum);
-        self.orders.entry(id.clone()).and_modify(|order| order.is_apart = is_apart);
-        self.put(1, Happening::RunReaches { order: id, server, run });
+        self.requests.entry(id.clone()).and_modify(|request| request.is_apart = is_apart);
+        self.put(1, Happening::RunReaches { request: id, server, run });
     }
 
     fn may_act(&self, machine: usize) -> bool {
@@ -215,65 +216,66 @@
         m.node.is_some() && now < m.may_act_until
     }
 
-    fn withhold(&mut self, id: &OrderId) {
+    fn withhold(&mut self, id: &RequestId) {
         self.ended(id, Outcome::Refused);
         self.errand(id, ErrandInput::LoseLease);
     }
 
-    pub(super) fn ended(&mut self, id: &OrderId, outcome: Outcome) {
-        let Some(order) = self.orders.get(id) else { return };
-        let (machine, life) = (order.crier, order.life);
+    pub(super) fn ended(&mut self, id: &RequestId, outcome: Outcome) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (machine, life) = (request.crier, request.life);
         if self.criers[machine].life == life {
-            self.step_node(machine, NodeInput::Event(SchedulerEvent::Ended { order: id.clone(), outcome }));
+            self.step_node(machine, NodeInput::Event(SchedulerEvent::Ended { request: id.clone(), outcome }));
         }
     }
 
-    pub(super) fn on_run_reaches(&mut self, id: OrderId, server: usize, run: RunId) {
-        let Some(order) = self.orders.get(&id) else { return };
-        let crier = &self.criers[order.crier];
-        let (prompt, service, is_cut_off) = (order.prompt.clone(), order.service.clone(), crier.is_cut_off);
-        let apart_from = order.is_apart.then_some(order.epoch);
+    pub(super) fn on_run_reaches(&mut self, id: RequestId, server: usize, run: RunId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let crier = &self.criers[request.crier];
+        let (prompt, service, is_cut_off) = (request.prompt.clone(), request.service.clone(), crier.is_cut_off);
+        let apart_from = request.is_apart.then_some(request.epoch);
         let s = &mut self.servers[server];
-        if !s.is_up || is_cut_off || order.asked.as_ref() != Some(&s.name) {
-            self.put(2, Happening::RunOutcome { order: id, failure: Some(Failure::Unsent) });
+        if !s.is_up || is_cut_off || request.asked.as_ref() != Some(&s.name) {
+            self.put(2, Happening::RunOutcome { request: id, failure: Some(Failure::Unsent) });
             return;
         }
         self.witness.asked(&id, &service);
         if s.is_dark {
-            // It takes the order, may or may not run it, and says nothing.
+            // It takes the request, may or may not run it, and says nothing.
             self.witness.run(self.now, &id, &service, s, 0, apart_from);
-            self.put(2000, Happening::RunOutcome { order: id, failure: Some(Failure::Unknown) });
+            self.put(2000, Happening::RunOutcome { request: id, failure: Some(Failure::Unknown) });
             return;
         }
-        let (keep, pieces) = (order.keep, order.pieces as u32);
-        let life = order.meant_for.filter(|_| self.rules.mutant != Some(Mutant::IgnoreLives));
+        let (keep, pieces) = (request.keep, request.pieces as u32);
+        let life = request.meant_for.filter(|_| self.rules.mutant != Some(Mutant::IgnoreLives));
         if life.is_some_and(|life| life != s.incarnation) {
             let server = s.name.clone();
-            return self.put(2, Happening::OtherLife { order: id, server });
+            return self.put(2, Happening::OtherLife { request: id, server });
         }
-        let run_order = RunOrder { run: run.clone(), service: service.clone(), prompt, max_pieces: pieces, keep, life };
-        let is_taken = service.as_str() == "pages" || s.schedule.take(&run_order, Moment(self.now));
+        let run_request =
+            RunRequest { run: run.clone(), service: service.clone(), prompt, max_pieces: pieces, keep, life };
+        let is_taken = service.as_str() == "pages" || s.schedule.take(&run_request, Moment(self.now));
         if !is_taken {
-            self.put(2, Happening::RunOutcome { order: id, failure: Some(Failure::Refused) });
+            self.put(2, Happening::RunOutcome { request: id, failure: Some(Failure::Refused) });
             return;
         }
         let (running, waiting) = s.schedule.load(Moment(self.now));
         let life = s.incarnation;
         self.witness.run(self.now, &id, &service, &self.servers[server], running + waiting, apart_from);
-        if let Some(order) = self.orders.get_mut(&id) {
-            order.run = Some((server, run));
-            order.server_life = life;
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.run = Some((server, run));
+            request.server_life = life;
         }
-        self.put(2, Happening::RunOutcome { order: id, failure: None });
+        self.put(2, Happening::RunOutcome { request: id, failure: None });
     }
 
-    /// The server says that it's not the life that the order was meant for.
-    pub(super) fn on_other_life(&mut self, id: OrderId, server: ServerName) {
-        let Some(order) = self.orders.get(&id) else { return };
-        let (machine, life) = (order.crier, order.life);
+    /// The server says that it's not the life that the request was meant for.
+    pub(super) fn on_other_life(&mut self, id: RequestId, server: ServerName) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (machine, life) = (request.crier, request.life);
         if self.now < self.criers[machine].frozen_until {
             let wake = self.criers[machine].frozen_until - self.now;
-            return self.put(wake, Happening::OtherLife { order: id, server });
+            return self.put(wake, Happening::OtherLife { request: id, server });
         }
         self.ended(&id, Outcome::Refused);
         if self.criers[machine].life == life {
@@ -282,22 +284,22 @@
         self.errand(&id, ErrandInput::Fail(Failure::Refused, "it has another life".into()));
     }
 
-    pub(super) fn on_run_outcome(&mut self, id: OrderId, failure: Option<Failure>) {
-        let Some(order) = self.orders.get(&id) else { return };
-        if self.now < self.criers[order.crier].frozen_until {
-            let wake = self.criers[order.crier].frozen_until - self.now;
-            self.put(wake, Happening::RunOutcome { order: id, failure });
+    pub(super) fn on_run_outcome(&mut self, id: RequestId, failure: Option<Failure>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if self.now < self.criers[request.crier].frozen_until {
+            let wake = self.criers[request.crier].frozen_until - self.now;
+            self.put(wake, Happening::RunOutcome { request: id, failure });
             return;
         }
         match failure {
             None => {
-                let is_fetch = order.service.as_str() == "pages";
+                let is_fetch = request.service.as_str() == "pages";
                 self.errand(&id, ErrandInput::Open);
                 if is_fetch {
                     self.ended(&id, Outcome::Complete);
                     self.carried(&id, ChartInput::Finish);
                 } else {
-                    self.put(10, Happening::Watch { order: id });
+                    self.put(10, Happening::Watch { request: id });
                 }
             }
             Some(failure) => {
@@ -307,12 +309,12 @@
         }
     }
 
-    pub(super) fn first_token(&mut self, id: &OrderId) {
-        let Some(order) = self.orders.get(id) else { return };
-        let (machine, life) = (order.crier, order.life);
-        self.witness.first_ms.entry(order.service.clone()).or_default().push(self.now - order.came);
+    pub(super) fn first_token(&mut self, id: &RequestId) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (machine, life) = (request.crier, request.life);
+        self.witness.first_ms.entry(request.service.clone()).or_default().push(self.now - request.came);
         if self.criers[machine].life == life {
-            self.step_node(machine, NodeInput::Event(SchedulerEvent::FirstToken { order: id.clone() }));
+            self.step_node(machine, NodeInput::Event(SchedulerEvent::FirstToken { request: id.clone() }));
         }
     }
 
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -43,15 +43,15 @@
     report
 }
 
-fn order(id: &str, service: &str, pieces: u32) -> Arc<Petition> {
+fn request(id: &str, service: &str, pieces: u32) -> Arc<Petition> {
     let service = if service == "drafts" { "drafts" } else { "questions" };
     Arc::new(Petition { id: id.into(), service, is_fetch: false, prompt: format!("a prompt of {id}"), pieces })
 }
 
-/// Whether some crier completes an order now.
+/// Whether some crier completes a request now.
 fn serves(fleet: &Fleet, number: &mut u32) -> bool {
     *number += 1;
-    let petition = order(&format!("probe-{number}"), "questions", 2);
+    let petition = request(&format!("probe-{number}"), "questions", 2);
     let asked = ask(&petition, &fleet.callers_addresses(), *number as usize);
     if asked.fate != Fate::Complete {
         eprintln!("{}: {:?} {}", petition.id, asked.fate, asked.why);
@@ -71,7 +71,7 @@
             if place == 0 {
                 // Not ready at once, but callers that are still sent here are served.
                 Fleet::await_that(PATIENCE, "a warned crier is not ready", || !crier.is_ready()).expect("it says so");
-                assert_eq!(ask(&order("late", "questions", 2), &[crier.listen], 0).fate, Fate::Complete);
+                assert_eq!(ask(&request("late", "questions", 2), &[crier.listen], 0).fate, Fate::Complete);
             }
             assert_eq!(crier.wait(PATIENCE), Some(0), "{} ends well", crier.name);
             crier.start().expect("it starts again");
@@ -111,7 +111,7 @@
             .is_some_and(|all| all.len() == 12 && all.values().filter(|s| s["incarnation"].is_u64()).count() == 12)
     };
     Fleet::await_that(PATIENCE, "the servers' reports", || knows_servers(&fleet)).expect("they report");
-    let petitions: Vec<Arc<Petition>> = (0..6).map(|n| order(&format!("long-{n}"), "drafts", 150)).collect();
+    let petitions: Vec<Arc<Petition>> = (0..6).map(|n| request(&format!("long-{n}"), "drafts", 150)).collect();
     let askers: Vec<_> = petitions
         .iter()
         .map(|petition| {
@@ -149,7 +149,7 @@
     fleet.criers.iter_mut().skip(1).for_each(|crier| crier.kill());
     let lone = fleet.callers_addresses()[..1].to_vec();
     Fleet::await_that(PATIENCE, "the lone crier is not ready", || !fleet.criers[0].is_ready()).expect("it stops");
-    let asked = ask(&order("lone", "questions", 2), &lone, 0);
+    let asked = ask(&request("lone", "questions", 2), &lone, 0);
     assert_eq!(asked.fate, Fate::Refused(u64::from(ResultCode::NotReady.number())), "{}", asked.why);
     // A restarted one knows nothing, core or not.
     fleet.criers[1].start().expect("it starts");
@@ -193,7 +193,7 @@
         };
         ask(&petition, &fleet.callers_addresses(), *number as usize).fate == Fate::Complete
     };
-    Fleet::await_that(PATIENCE, "orders are served again", || hints(&mut number)).expect("back");
+    Fleet::await_that(PATIENCE, "requests are served again", || hints(&mut number)).expect("back");
     let back = Clock::now().since(began);
     assert!(back.0 <= 12_000, "service was back after {} ms", back.0);
     fleet.await_core(PATIENCE).expect("the wiped one is admitted again");
@@ -340,8 +340,8 @@
     });
     let questions = &report.services["questions"];
     // As the servers count: every ask, those refused and never answered included.
-    for (service, (asks, orders)) in crew.asks() {
-        assert!((asks - orders) * 5 <= orders + 5 * 10, "{service}: {asks} asks for {orders} orders: {report}");
+    for (service, (asks, requests)) in crew.asks() {
+        assert!((asks - requests) * 5 <= requests + 5 * 10, "{service}: {asks} asks for {requests} requests: {report}");
     }
     assert!(questions.complete > 0, "{report}");
     let suspected = |place: usize| {
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -77,7 +77,7 @@
 
     // Callers.
     let crier = &fleet.criers[0];
-    let order = |body: &[u8]| json(crier.ask("POST", "/v1/orders", body.to_vec()));
+    let request = |body: &[u8]| json(crier.ask("POST", "/v1/requests", body.to_vec()));
     for (body, status, code) in [
         (&b"{"[..], 400, 100),
         (b"\xff\xfe", 400, 100),
@@ -86,11 +86,11 @@
         (br#"{"id":"a","service":"nobody","prompt":"x"}"#, 404, 101),
         (br#"{"id":"a","service":"pages","prompt":"x"}"#, 404, 101),
     ] {
-        let (got, value) = order(body);
+        let (got, value) = request(body);
         assert_eq!((got, &value["code"], &value["ran"]), (status, &code.into(), &Value::Bool(false)), "{value}");
     }
     let large = vec![b'x'; 5 << 20];
-    assert_eq!(crier.ask("POST", "/v1/orders", large).map(|(status, _)| status), Ok(413));
+    assert_eq!(crier.ask("POST", "/v1/requests", large).map(|(status, _)| status), Ok(413));
     for (token, code) in [("zz", 111), ("00", 111), ("", 111)] {
         let body = serde_json::json!({"token": token, "from": 0}).to_string().into_bytes();
         assert_eq!(json(crier.ask("POST", "/v1/resume", body)).1["code"], code);
@@ -119,7 +119,7 @@
         .collect();
     let again: Vec<Value> = replayed.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
     assert!(
-        live.iter().any(|d| d["decision"] == "placed" && d["order"] == "seen" && d["epoch"].is_u64()),
+        live.iter().any(|d| d["decision"] == "placed" && d["request"] == "seen" && d["epoch"].is_u64()),
         "{decisions}"
     );
     assert_eq!(again[..live.len()], live[..], "the same events gave other decisions");
@@ -145,8 +145,8 @@
     fleet.await_criers(PATIENCE).expect("criers are ready");
     let criers = fleet.callers_addresses();
     let draw = |id: &str| {
-        let order = serde_json::json!({"id": id, "service": "reviews", "prompt": id, "max_pieces": 6});
-        let (status, _, lines) = say(criers[0], "/v1/orders", &order);
+        let request = serde_json::json!({"id": id, "service": "reviews", "prompt": id, "max_pieces": 6});
+        let (status, _, lines) = say(criers[0], "/v1/requests", &request);
         assert_eq!(status, 200, "{lines:?}");
         lines
     };
@@ -170,7 +170,7 @@
     let trap = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     trap.set_nonblocking(true).expect("it can be asked");
     let forged = crier::prelude::Token {
-        order: "one".into(),
+        request: "one".into(),
         service: "reviews".into(),
         server: ServerName(trap.local_addr().expect("an address").to_string()),
         run: RunId(one[0]["run"].as_str().expect("a run").to_owned()),
@@ -184,20 +184,21 @@
     }
     assert!(trap.accept().is_err(), "a connection was made to what a forged token names");
     // Its id is not taken a second time here, and that is no refusal.
-    let order = serde_json::json!({"id": "one", "service": "reviews", "prompt": "one", "max_pieces": 6});
-    let (status, _, lines) = say(criers[0], "/v1/orders", &order);
+    let request = serde_json::json!({"id": "one", "service": "reviews", "prompt": "one", "max_pieces": 6});
+    let (status, _, lines) = say(criers[0], "/v1/requests", &request);
     assert_eq!((status, &lines[0]["code"], &lines[0]["ran"]), (409, &204.into(), &"unknown".into()));
     // Nor does it end one that runs: the scheduler goes on counting it.
-    let busy = || fleet.criers[0].believes()["open_orders"].as_u64();
+    let busy = || fleet.criers[0].believes()["open_requests"].as_u64();
     let counted = || {
         let servers = fleet.criers[0].believes()["servers"].clone();
-        servers.as_object().map(|all| all.values().filter_map(|server| server["own_orders"].as_u64()).sum::<u64>())
+        servers.as_object().map(|all| all.values().filter_map(|server| server["own_requests"].as_u64()).sum::<u64>())
     };
     let long = serde_json::json!({"id": "long", "service": "reviews", "prompt": "long", "max_pieces": 400});
-    let heard = ask_post(&format!("http://{}/v1/orders", criers[0]), long.to_string().into_bytes(), PATIENCE, PATIENCE);
+    let heard =
+        ask_post(&format!("http://{}/v1/requests", criers[0]), long.to_string().into_bytes(), PATIENCE, PATIENCE);
     let heard = heard.expect("a reply");
     assert_eq!((busy(), counted()), (Some(1), Some(1)));
-    assert_eq!(say(criers[0], "/v1/orders", &long).2[0]["code"], 204);
+    assert_eq!(say(criers[0], "/v1/requests", &long).2[0]["code"], 204);
     assert_eq!((busy(), counted()), (Some(1), Some(1)), "the one turned away ended the one in hand");
     assert!(read_all(heard, 1 << 20).is_ok());
     // A crier that has just been started again reads it on, too.
@@ -232,10 +233,10 @@
     let file = folder.path().join("settings.toml");
     for (name, text, words) in [
         ("crier", "listen = \"localhost:1\"", vec!["listen", "localhost:1", "IP number"]),
-        ("crier", "orders = 0", vec!["orders", "0", "1 to 1000000"]),
+        ("crier", "requests = 0", vec!["requests", "0", "1 to 1000000"]),
         ("crier", "zone = \"a b\"", vec!["zone", "a b", "letters"]),
         ("crier", "colour = \"red\"", vec!["colour"]),
-        ("crier", "orders = \"many\"", vec!["orders"]),
+        ("crier", "requests = \"many\"", vec!["requests"]),
         ("crier", "", vec!["seeds"]),
         ("registrar", "founders = [\"nowhere\"]", vec!["founders", "nowhere"]),
         ("registrar", "listen", vec!["settings"]),
--- a/crates/rehearsal/tests/lives.rs
+++ b/crates/rehearsal/tests/lives.rs
@@ -12,8 +12,8 @@
     let rules = ScheduleRules::default();
     let server = StandIn::start(Address::loopback(0), rules, 7, Span::seconds(60)).expect("it starts");
     let (run, service) = (RunId::from("r1"), ServiceName::from("drafts"));
-    let order = RunOrder { run: run.clone(), service, prompt: "a".into(), max_pieces: 1, keep: false, life };
-    let body = serde_json::to_vec(&order).expect("a run order is JSON");
+    let request = RunRequest { run: run.clone(), service, prompt: "a".into(), max_pieces: 1, keep: false, life };
+    let body = serde_json::to_vec(&request).expect("a run request is JSON");
     let told = Ask::post(body).send(&format!("http://{}/runs", server.address)).expect("an answer");
     assert_eq!(told.status(), expected);
     if expected == 409 {
--- a/crates/wicket/src/ask.rs
+++ b/crates/wicket/src/ask.rs
@@ -8,7 +8,7 @@
 /// Why an asked server gave no head.
 #[derive(Debug, thiserror::Error)]
 pub enum AskError {
-    /// The connection was never made, so no byte of the order left.
+    /// The connection was never made, so no byte of the request left.
     #[error("no connection: {0}")]
     Unsent(String),
     /// It may not leave any more; nothing that a server could run was sent.
@@ -111,7 +111,7 @@
     }
 }
 
-/// One order to a server: what, how long to wait, and whether it may still leave.
+/// One request to a server: what, how long to wait, and whether it may still leave.
 pub struct Ask {
     method: http::Method,
     json: Vec<u8>,
--- a/crates/wicket/src/gate.rs
+++ b/crates/wicket/src/gate.rs
@@ -18,8 +18,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-/// One order over HTTP, read whole.
-pub struct Order {
+/// One request over HTTP, read whole.
+pub struct Request {
     /// `GET`, `POST` and so on.
     pub method: String,
     /// The path without the query.
@@ -36,9 +36,9 @@
     headers: http::HeaderMap,
 }
 
-impl Order {
+impl Request {
     fn new(head: http::request::Parts, body: Bytes, caller: Caller) -> Self {
-        Order {
+        Request {
             method: head.method.as_str().to_owned(),
             path: head.uri.path().to_owned(),
             query: head.uri.query().unwrap_or_default().to_owned(),
@@ -153,10 +153,10 @@
     pub fn open_count(&self) -> Arc<AtomicUsize> {
         self.open_count.clone()
     }
-    /// Takes orders for ever, each connection on a thread of its own.
+    /// Takes requests for ever, each connection on a thread of its own.
     pub fn serve<H>(self, handler: H)
     where
-        H: Fn(Order) -> Reply + Send + Sync + Clone + 'static,
+        H: Fn(Request) -> Reply + Send + Sync + Clone + 'static,
     {
         loop {
             let stream = match self.listener.accept() {
--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/wicket/src/gate/connection.rs
@@ -2,7 +2,7 @@
 
 use super::intake::{Exchange, Intake};
 use super::state::{GateRules, GateState};
-use super::{GateBounds, Order};
+use super::{GateBounds, Request};
 use crate::framing::{RequestFault, RequestProgress};
 use crate::reply::{Reply, ReplyBody};
 use crate::wire::{Alarm, Caller, Duct, Peeked, Wire, Woken, await_wire};
@@ -51,7 +51,7 @@
 }
 
 /// Serves a connection until either side ends it.
-pub(super) fn serve_connection<H: Fn(Order) -> Reply + Clone>(
+pub(super) fn serve_connection<H: Fn(Request) -> Reply + Clone>(
     stream: TcpStream,
     bounds: GateBounds,
     state: &GateState,
@@ -97,7 +97,7 @@
         if exchange.is_replying.replace(false) {
             if exchange.progress() != RequestProgress::Whole {
                 // It was answered before it was read whole: what follows belongs to nothing.
-                return close_in_order(&wire);
+                return close_in_request(&wire);
             }
             exchange.next_request();
             wait = Wait { progress: exchange.progress(), since: Clock::now() };
@@ -116,7 +116,7 @@
                 return refuse(&wire, fault);
             }
             // hyper has had all of it and has handed nothing on: it reads another end.
-            RequestProgress::Whole => return close_in_order(&wire),
+            RequestProgress::Whole => return close_in_request(&wire),
             _ => {}
         }
         if progress != wait.progress {
@@ -152,7 +152,7 @@
 }
 
 /// Reads a request whole and has it answered.
-async fn answer<H: Fn(Order) -> Reply>(
+async fn answer<H: Fn(Request) -> Reply>(
     request: hyper::Request<Incoming>,
     handler: H,
     caller: Caller,
@@ -168,10 +168,10 @@
     let reply = match body {
         Ok(body) if is_whole => {
             exchange.is_replying.set(true);
-            handler(Order::new(head, body.to_bytes(), caller))
+            handler(Request::new(head, body.to_bytes(), caller))
         }
         // The library and the framer disagree on where the request ends.
-        Ok(_) => Reply::result(ResultCode::BadOrder, "its end is in doubt"),
+        Ok(_) => Reply::result(ResultCode::BadRequest, "its end is in doubt"),
         Err(_) => Reply::result(ResultCode::SlowBody, "the body was torn"),
     };
     exchange.is_replying.set(true);
@@ -211,7 +211,7 @@
     let Err(fault) = outcome else {
         // Bytes behind the last request are nothing's, but a close with them unread would reset the connection.
         if wire.peek() == Peeked::Bytes {
-            close_in_order(wire);
+            close_in_request(wire);
         }
         return;
     };
@@ -226,7 +226,7 @@
 /// not handed on, and the answer before it had ended.
 fn refuse(wire: &Wire, fault: RequestFault) {
     let reply = match fault {
-        RequestFault::Malformed(why) => Reply::result(ResultCode::BadOrder, why),
+        RequestFault::Malformed(why) => Reply::result(ResultCode::BadRequest, why),
         RequestFault::LargeHead => Reply::result(ResultCode::TooLarge, "the head is over the bound").with_status(431),
         RequestFault::LargeBody => Reply::result(ResultCode::TooLarge, "the body is over the bound"),
     };
@@ -242,12 +242,12 @@
 fn tell_and_close(wire: &Wire, reply: Reply) {
     let _ = wire.stream.set_write_timeout(Some(REFUSAL_WRITE));
     if (&wire.stream).write_all(&reply.into_last_bytes()).is_ok() {
-        close_in_order(wire);
+        close_in_request(wire);
     }
 }
 
 /// Ends the connection such that the client can read all that was written.
-fn close_in_order(wire: &Wire) {
+fn close_in_request(wire: &Wire) {
     let due = Clock::now() + REFUSAL_LINGER;
     if wire.stream.shutdown(Shutdown::Write).is_err() {
         return;
--- a/crates/wicket/src/gate/tests.rs
+++ b/crates/wicket/src/gate/tests.rs
@@ -30,7 +30,7 @@
 fn serve(
     bounds: GateBounds,
     mutant: Option<GateMutant>,
-    handler: impl Fn(Order) -> Reply + Send + Sync + Clone + 'static,
+    handler: impl Fn(Request) -> Reply + Send + Sync + Clone + 'static,
 ) -> (Address, GateLimiter) {
     let mut gate = Gate::open(Address::loopback(0).0, bounds).expect("a port");
     Arc::get_mut(&mut gate.state).expect("nobody else has it").mutant = mutant;
@@ -206,10 +206,10 @@
 fn play_mixes(cases: u32, mutant: Option<GateMutant>) -> Result<(), String> {
     let handed_on = HandedOn::default();
     let note = handed_on.clone();
-    let (address, _) = serve(bounds(), mutant, move |order| {
-        let body = String::from_utf8_lossy(&order.body).into_owned();
-        note.lock().unwrap_or_else(PoisonError::into_inner).push((order.path.clone(), body.clone()));
-        Reply::passed(200, HeaderMap::new(), format!("{} {body}", order.path))
+    let (address, _) = serve(bounds(), mutant, move |request| {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        note.lock().unwrap_or_else(PoisonError::into_inner).push((request.path.clone(), body.clone()));
+        Reply::passed(200, HeaderMap::new(), format!("{} {body}", request.path))
     });
     let config =
         ProptestConfig { cases, failure_persistence: None, max_shrink_iters: 200, ..ProptestConfig::default() };
@@ -219,7 +219,7 @@
 }
 
 #[test]
-fn of_any_mix_just_the_requests_that_were_sent_are_handed_on_and_answered_in_order() {
+fn of_any_mix_just_the_requests_that_were_sent_are_handed_on_and_answered_in_request() {
     play_mixes(1000, None).unwrap_or_else(|why| panic!("{why}"));
 }
 
--- a/crates/wicket/src/post.rs
+++ b/crates/wicket/src/post.rs
@@ -20,7 +20,7 @@
 }
 
 /// Carries letters between our processes: one connection out to each peer and class, letters in
-/// order on each, dropped when the peer can't be reached. Whoever needs an answer asks again.
+/// request on each, dropped when the peer can't be reached. Whoever needs an answer asks again.
 ///
 /// Invariant: a connection and its thread last only while there is something to say.
 pub struct Post {
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -16,15 +16,18 @@
 }
 
 /// A gate with this handler, and what closes it.
-fn gate(bounds: GateBounds, handler: impl Fn(Order) -> Reply + Send + Sync + Clone + 'static) -> (Address, GateCloser) {
+fn gate(
+    bounds: GateBounds,
+    handler: impl Fn(Request) -> Reply + Send + Sync + Clone + 'static,
+) -> (Address, GateCloser) {
     let gate = Gate::open(Address::loopback(0).0, bounds).unwrap();
     let (address, closer) = (gate.address(), gate.closer());
     std::thread::spawn(move || gate.serve(handler));
     (address, closer)
 }
 
-fn echo(order: Order) -> Reply {
-    Reply::passed(200, HeaderMap::new(), order.body)
+fn echo(request: Request) -> Reply {
+    Reply::passed(200, HeaderMap::new(), request.body)
 }
 
 /// The caller's side of one connection.
@@ -91,11 +94,11 @@
 }
 
 #[test]
-fn an_order_tells_its_target_headers_and_parts() {
-    let (address, _closer) = gate(bounds(), |order| {
-        assert!(!order.caller.is_gone());
-        assert_eq!(order.headers().get_all("x").iter().count(), 2);
-        let (method, target, headers, body) = order.into_parts();
+fn a_request_tells_its_target_headers_and_parts() {
+    let (address, _closer) = gate(bounds(), |request| {
+        assert!(!request.caller.is_gone());
+        assert_eq!(request.headers().get_all("x").iter().count(), 2);
+        let (method, target, headers, body) = request.into_parts();
         Reply::passed(200, HeaderMap::new(), format!("{method} {target} {} {}", headers.len(), body.len()))
     });
     let mut client = Client::connect(address);
@@ -164,7 +167,7 @@
     }
 }
 
-/// A gate that answers each order with a stream fed by the sender that it gives out.
+/// A gate that answers each request with a stream fed by the sender that it gives out.
 fn fed_gate(headers: HeaderMap) -> (Address, GateCloser, mpsc::Receiver<mpsc::Sender<Pull>>) {
     let (feeds, fed) = mpsc::channel();
     let (address, closer) = gate(bounds(), move |_| {
@@ -292,13 +295,13 @@
 #[test]
 fn an_answer_is_never_written_to_a_later_connection_of_the_same_number() {
     let (waiting, releases) = mpsc::channel();
-    let (address, _closer) = gate(bounds(), move |order| {
-        if order.path == "/wait" {
+    let (address, _closer) = gate(bounds(), move |request| {
+        if request.path == "/wait" {
             let (release, released) = mpsc::channel::<()>();
-            waiting.send((order.caller.clone(), release)).unwrap();
+            waiting.send((request.caller.clone(), release)).unwrap();
             let _ = released.recv_timeout(PATIENCE);
         }
-        Reply::passed(200, HeaderMap::new(), order.path)
+        Reply::passed(200, HeaderMap::new(), request.path)
     });
     for _ in 0..20 {
         let mut gone = Client::connect(address);
@@ -349,9 +352,9 @@
 fn a_caller_that_has_gone_is_seen_also_behind_pipelined_bytes() {
     for said in ["", "GET /next HTTP/1.1\r\n"] {
         let (callers, seen) = mpsc::channel();
-        let (address, _closer) = gate(bounds(), move |order| {
+        let (address, _closer) = gate(bounds(), move |request| {
             let (gone, is_gone) = mpsc::channel::<()>();
-            callers.send((order.caller.clone(), gone)).unwrap();
+            callers.send((request.caller.clone(), gone)).unwrap();
             let _ = is_gone.recv_timeout(PATIENCE);
             Reply::passed(200, HeaderMap::new(), "late")
         });
@@ -376,9 +379,9 @@
     let (address, closer, open_count) = (gate.address(), gate.closer(), gate.open_count());
     let (at_work, working) = mpsc::channel();
     std::thread::spawn(move || {
-        gate.serve(move |order| {
+        gate.serve(move |request| {
             let (release, released) = mpsc::channel::<()>();
-            if order.path == "/wait" {
+            if request.path == "/wait" {
                 at_work.send(release).unwrap();
                 let _ = released.recv_timeout(PATIENCE);
             }
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/wicket/tests/library_traps.rs
@@ -44,7 +44,7 @@
     let address = gate.address();
     std::thread::spawn(move || {
         gate.serve(move |_| {
-            let source = fed.lock().unwrap().take().expect("one order a gate");
+            let source = fed.lock().unwrap().take().expect("one request a gate");
             Reply::streamed("text/plain", Box::new(Watched(source, drop_sender.clone())))
         });
     });
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn only_an_order_that_never_left_is_unsent() {
+fn only_a_request_that_never_left_is_unsent() {
     let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let nobody = ask_post(&format!("http://{closed}/"), vec![1], PATIENCE, PATIENCE);
     assert!(matches!(nobody, Err(AskError::Unsent(_))), "{nobody:?}");
@@ -174,11 +174,11 @@
 }
 
 #[test]
-fn slow_torn_and_oversize_orders_free_their_thread() {
+fn slow_torn_and_oversize_requests_free_their_thread() {
     let bounds = GateBounds { connections: 8, body_bytes: 100, read_span: Span(300), ..GateBounds::default() };
     let gate = Gate::open(Address::loopback(0).0, bounds).unwrap();
     let (address, open_count) = (gate.address(), gate.open_count());
-    std::thread::spawn(move || gate.serve(|order| Reply::whole(200, "text/plain", order.body)));
+    std::thread::spawn(move || gate.serve(|request| Reply::whole(200, "text/plain", request.body)));
     let say = |text: &str| {
         let mut stream = TcpStream::connect(address.0).unwrap();
         stream.write_all(text.as_bytes()).unwrap();
@@ -196,7 +196,7 @@
     let torn_head = say("POST / HT");
     let torn_body = say("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 50\r\n\r\nhalf");
     let good = say("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\ngood");
-    assert!(answer(good).ends_with("good"), "others don't keep a good order from its answer");
+    assert!(answer(good).ends_with("good"), "others don't keep a good request from its answer");
     for slow in [endless, torn_head, torn_body] {
         let text = answer(slow);
         assert!(text.is_empty() || text.starts_with("HTTP/1.1 408"), "{text}");
@@ -209,7 +209,7 @@
 }
 
 #[test]
-fn an_order_that_may_not_leave_any_more_once_connected_runs_nowhere() {
+fn a_request_that_may_not_leave_any_more_once_connected_runs_nowhere() {
     let taken = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
     let gate = Gate::open(Address::loopback(0).0, GateBounds::default()).unwrap();
     let (address, counter) = (gate.address(), taken.clone());
@@ -237,12 +237,12 @@
         assert_eq!(asked.load(std::sync::atomic::Ordering::SeqCst), times + 1, "not asked again once connected");
     }
     assert_eq!(ask_once(2).unwrap().status(), 200);
-    // The good order came last on the same gate: had an earlier one been taken, it would be counted.
+    // The good request came last on the same gate: had an earlier one been taken, it would be counted.
     assert_eq!(taken.load(std::sync::atomic::Ordering::SeqCst), 1);
 }
 
 #[test]
-fn attohttpc_sends_the_head_of_an_order_whose_body_fails() {
+fn attohttpc_sends_the_head_of_a_request_whose_body_fails() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let url = format!("http://{}/", listener.local_addr().unwrap());
     let flips = std::sync::atomic::AtomicBool::new(true);
--- a/crates/wicket/tests/lines.rs
+++ b/crates/wicket/tests/lines.rs
@@ -405,9 +405,9 @@
     let address = gate.address();
     let (sender, callers) = mpsc::channel();
     std::thread::spawn(move || {
-        gate.serve(move |order| {
+        gate.serve(move |request| {
             let (end, ended) = mpsc::channel();
-            sender.send((order.caller, end)).unwrap();
+            sender.send((request.caller, end)).unwrap();
             let _ = ended.recv();
             Reply::whole(200, "text/plain", "")
         });
