--- a/crates/crier/src/call.rs
+++ b/crates/crier/src/call.rs
@@ -1,14 +1,14 @@
 use crate::prelude::*;
 use bytes::Bytes;
 
-/// A caller's request as the product knows it, whatever it was spoken in.
+/// A client's request as the product knows it, whatever it was spoken in.
 #[derive(Debug, Clone)]
 pub struct Call {
-    /// The caller's id for it; no other request has the same.
+    /// The client's id for it; no other request has the same.
     pub id: RequestId,
     /// How it's asked.
     pub method: http::Method,
-    /// The host, as the caller named it.
+    /// The host, as the client named it.
     pub host: String,
     /// Path and query, exactly as sent.
     pub target: String,
@@ -16,7 +16,7 @@
     pub headers: http::HeaderMap,
     /// The body, whole.
     pub body: Bytes,
-    /// How long the caller waits from now on.
+    /// How long the client waits from now on.
     pub left: Span,
     /// A stream is to go on behind this piece.
     pub after: Option<u64>,
@@ -38,7 +38,7 @@
 pub struct Sending<'a> {
     /// To this one; another one at its address must not run it.
     pub server: &'a ServerName,
-    /// What is left of the caller's patience.
+    /// What is left of the client's patience.
     pub left: Span,
     /// A stream is to go on behind this piece.
     pub after: Option<u64>,
@@ -57,12 +57,12 @@
     pub slots: u32,
 }
 
-/// How callers, servers and the list of servers are spoken to. It translates: it decides nothing and
+/// How clients, servers and the list of servers are spoken to. It translates: it decides nothing and
 /// keeps nothing.
 pub trait CallDialect: Send + Sync + 'static {
-    /// A caller's request.
+    /// A client's request.
     fn read(&self, request: Request) -> Result<Call, Denial>;
-    /// Tells a caller that its request goes nowhere.
+    /// Tells a client that its request goes nowhere.
     fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply;
     /// The request to a server.
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes>;
@@ -72,7 +72,7 @@
     fn claim(&self, head: &http::response::Parts) -> AnswerClaim;
     /// The load that a head tells, if it does.
     fn load(&self, head: &http::response::Parts) -> Option<ServerLoad>;
-    /// What of a server's head goes on to the caller.
+    /// What of a server's head goes on to the client.
     fn passed(&self, head: &http::response::Parts) -> http::HeaderMap;
     /// Whether it's the question whether this node is ready.
     fn is_probe(&self, request: &Request) -> bool;
--- a/crates/crier/src/call_limits.rs
+++ b/crates/crier/src/call_limits.rs
@@ -1,4 +1,4 @@
-//! The limits of the plan in force that bind connections: of callers to this node, and of this node to
+//! The limits of the plan in force that bind connections: of clients to this node, and of this node to
 //! servers.
 
 use crate::prelude::*;
@@ -57,7 +57,7 @@
 }
 
 impl CallLimits {
-    /// For a gate of callers and the connections to servers.
+    /// For a gate of clients and the connections to servers.
     pub fn new(limiter: GateLimiter, lines: Lines) -> Self {
         CallLimits {
             limiter,
@@ -140,7 +140,7 @@
     }
 }
 
-/// What a node without a gate of callers has.
+/// What a node without a gate of clients has.
 pub(crate) type SharedLimits = std::sync::OnceLock<Arc<CallLimits>>;
 
 #[cfg(test)]
--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -1,4 +1,4 @@
-//! Carries one request from its caller to a server and the answer back.
+//! Carries one request from its client to a server and the answer back.
 
 use crate::prelude::*;
 use crate::shared::{Place, Shared, silence};
@@ -71,7 +71,7 @@
 /// Takes a prompt request.
 pub(crate) fn take_request(shared: &Arc<Shared>, body: &[u8]) -> Reply {
     Tallies::more(&shared.tallies.received);
-    let request: CallerRequest = match serde_json::from_slice(body) {
+    let request: ClientRequest = match serde_json::from_slice(body) {
         Ok(request) => request,
         Err(fault) => return shared.refusal(ResultCode::BadRequest, fault.to_string(), Span(0)),
     };
@@ -116,7 +116,7 @@
     }
 }
 
-/// Reads a stream on from where the caller has it. It's read, never run again.
+/// Reads a stream on from where the client has it. It's read, never run again.
 pub(crate) fn resume(shared: &Arc<Shared>, body: &[u8]) -> Reply {
     let request: ResumeRequest = match serde_json::from_slice(body) {
         Ok(request) => request,
@@ -173,7 +173,7 @@
         let why = "id, service and path are made of letters, digits and -_.:, a path also of / and at most 1024 long";
         return shared.refusal(ResultCode::BadRequest, why.into(), Span(0));
     }
-    // No caller's id has a slash.
+    // No client's id has a slash.
     let request = request.unwrap_or_else(|| RequestId(format!("page/{number}")));
     let Some(place) = shared.take_place(request.clone(), number) else {
         return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
@@ -213,7 +213,7 @@
     Cut,
 }
 
-/// The caller's side of a stream.
+/// The client's side of a stream.
 struct Stream {
     inbox: flume::Receiver<Carried>,
     head: Option<String>,
@@ -257,7 +257,7 @@
         if self.is_over || self.is_cut {
             return;
         }
-        // The caller has gone. A run that may be read on goes on without it.
+        // The client has gone. A run that may be read on goes on without it.
         self.has_gone.store(true, Ordering::SeqCst);
         Tallies::more(&self.shared.tallies.gone);
         if self.does_cancel {
@@ -269,7 +269,7 @@
     }
 }
 
-/// Starts reading the server's stream and gives the caller's side of it.
+/// Starts reading the server's stream and gives the client's side of it.
 fn stream(shared: &Arc<Shared>, place: Place, reading: Reading, head: serde_json::Value, response: Heard) -> Reply {
     let (outbox, inbox) = flume::bounded(16);
     let request = reading.request.clone();
--- a/crates/crier/src/chart.rs
+++ b/crates/crier/src/chart.rs
@@ -11,13 +11,13 @@
     Placed,
     /// The server has taken it.
     Opened,
-    /// Pieces go to the caller.
+    /// Pieces go to the client.
     Streaming,
     /// The final record was given.
     Ended,
     /// It never ran and never will.
     Refused,
-    /// It may have run, and the caller has no whole answer.
+    /// It may have run, and the client has no whole answer.
     Broken,
 }
 
@@ -63,11 +63,11 @@
     Open,
     /// Asking it failed.
     Fail(Failure),
-    /// A piece or a page went to the caller.
+    /// A piece or a page went to the client.
     Give,
     /// The final record came.
     Finish,
-    /// The stream broke, or the caller went away.
+    /// The stream broke, or the client went away.
     Break,
     /// The stream broke, and what follows its last piece may be had elsewhere, if it may be run again.
     Tear,
@@ -82,7 +82,7 @@
     AskServer,
     /// Pass pieces on.
     Carry,
-    /// Tell the caller this, as the final answer.
+    /// Tell the client this, as the final answer.
     Tell(ResultCode),
     /// Cut the connection: no final record, no HTTP end.
     Cut,
@@ -217,7 +217,7 @@
         }
     }
 
-    /// The last word to the caller: the given refusal, or what a failure before it makes of it.
+    /// The last word to the client: the given refusal, or what a failure before it makes of it.
     fn finally(&mut self, code: ResultCode) -> ChartOutput {
         if self.may_have_run {
             self.state = RequestState::Broken;
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -29,7 +29,7 @@
 pub struct Dialects {
     /// How plans are written.
     pub plans: Arc<dyn PlanDialect>,
-    /// How callers, servers and the list of servers speak; `None`: in the product's own interface alone.
+    /// How clients, servers and the list of servers speak; `None`: in the product's own interface alone.
     pub calls: Option<Arc<dyn CallDialect>>,
     /// Reads the seeds anew when the process is told that its settings have changed.
     pub seeds: Option<ReadSeeds>,
@@ -45,7 +45,7 @@
     }
 }
 
-/// Told to stop, a node lingers at least this long, since callers are handed out by what was true before.
+/// Told to stop, a node lingers at least this long, since clients are handed out by what was true before.
 const QUIET_FROM: Span = Span(2500);
 
 /// Runs a crier until it's told to stop and has finished its streams; gives the exit code.
@@ -213,7 +213,7 @@
     plans: Arc<dyn PlanDialect>,
     waiting: HashMap<u64, flume::Sender<Result<Placing, Denial>>>,
     resuming: HashMap<u64, flume::Sender<Result<Token, Denial>>>,
-    /// Whether it was told to stop: callers are to be sent elsewhere.
+    /// Whether it was told to stop: clients are to be sent elsewhere.
     is_leaving: bool,
 }
 
--- a/crates/crier/src/errand.rs
+++ b/crates/crier/src/errand.rs
@@ -33,9 +33,9 @@
     AskServer(Placing),
     /// A server has it: carry its answer.
     Carry(Placing),
-    /// Tell the caller this, at once, as the final answer.
+    /// Tell the client this, at once, as the final answer.
     Tell(Denial),
-    /// Cut the caller's connection: it must not take the answer for whole.
+    /// Cut the client's connection: it must not take the answer for whole.
     Cut(String),
 }
 
--- a/crates/crier/src/event_splitter.rs
+++ b/crates/crier/src/event_splitter.rs
@@ -9,7 +9,7 @@
     pub bytes: Bytes,
 }
 
-/// Cuts a server's event stream into whole events, so that no caller ever has a part of one when a
+/// Cuts a server's event stream into whole events, so that no client ever has a part of one when a
 /// stream breaks.
 ///
 /// Invariant: bytes come out in the order they went in, none twice; what is `pending` holds no whole
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -70,11 +70,11 @@
 }
 
 impl Forwarder {
-    /// Answers a caller's request.
+    /// Answers a client's request.
     pub fn reply(self: &Arc<Self>, request: Request) -> Reply {
         let arrived = Clock::now();
         self.shared.arrived.store(arrived.0, std::sync::atomic::Ordering::Relaxed);
-        let caller = request.caller.clone();
+        let client = request.client.clone();
         Tallies::more(&self.shared.tallies.received);
         let call = match self.dialect.read(request) {
             Ok(call) => call,
@@ -114,7 +114,7 @@
             target: Span(route.target_ms),
             gap: Span(route.gap_target_ms),
             urgency,
-            caller,
+            client,
             due: arrived + left,
             last: call.after,
             call,
@@ -149,9 +149,9 @@
     target: Span,
     gap: Span,
     urgency: u8,
-    caller: Caller,
+    client: Client,
     due: Moment,
-    /// The last piece that the caller has.
+    /// The last piece that the client has.
     last: Option<u64>,
     /// A server's own answer that stands for a failure.
     answer: Option<Box<ServersAnswer>>,
@@ -205,14 +205,14 @@
     }
 
     fn go(&mut self, first: ErrandOutput) -> Gone<Opening> {
-        let Way { forwarder, call, trip, does_stream, target, urgency, caller, due, last, answer, .. } = self;
+        let Way { forwarder, call, trip, does_stream, target, urgency, client, due, last, answer, .. } = self;
         let asking = Asking {
             forwarder,
             call,
             does_stream: *does_stream,
             target: *target,
             urgency: *urgency,
-            caller,
+            client,
             due: *due,
             last: if forwarder.is_mutant(Mutant::ResumeFromStart) { call.after } else { *last },
         };
@@ -236,7 +236,7 @@
     does_stream: bool,
     target: Span,
     urgency: u8,
-    caller: &'a Caller,
+    client: &'a Client,
     due: Moment,
     last: Option<u64>,
 }
@@ -263,7 +263,7 @@
         let shared = &self.forwarder.shared;
         let forgets_epoch = self.forwarder.is_mutant(Mutant::ForgetEpoch);
         let may_leave = || if forgets_epoch { shared.may_act() } else { shared.may_leave(placing.epoch) };
-        let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, caller: Some(self.caller) };
+        let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, client: Some(self.client) };
         let mut line = self.forwarder.lines.ask(address, request, &waits).map_err(|fault| not_taken(fault, placing))?;
         self.note_load(placing, line.head());
         match self.judge(&line) {
@@ -290,7 +290,7 @@
         }
         if !self.does_stream {
             let body =
-                line.read_all(self.due, ANSWER_MOST, Some(self.caller)).map_err(|fault| not_taken(fault, placing))?;
+                line.read_all(self.due, ANSWER_MOST, Some(self.client)).map_err(|fault| not_taken(fault, placing))?;
             return Ok(Opening { line, splitter: EventSplitter::default(), first: None, body, has_ended: true });
         }
         let mut splitter = EventSplitter::default();
@@ -299,14 +299,14 @@
             if patience.0 == 0 {
                 return Err(fail(Failure::Unknown, "no piece came in time".into()));
             }
-            match line.pull(patience.duration(), Some(self.caller)) {
+            match line.pull(patience.duration(), Some(self.client)) {
                 LinePull::Data(bytes) => splitter.push(&bytes),
                 LinePull::Nothing => {}
                 LinePull::End => {
                     return Ok(Opening { line, splitter, first: None, body: Bytes::new(), has_ended: true });
                 }
                 LinePull::Torn(why) => return Err(fail(Failure::Unknown, why)),
-                LinePull::CallerGone => return Err(Err(NotTaken::CallerGone)),
+                LinePull::ClientGone => return Err(Err(NotTaken::ClientGone)),
             }
             if let Some(event) = splitter.next_event() {
                 return Ok(Opening { line, splitter, first: Some(event), body: Bytes::new(), has_ended: false });
@@ -326,7 +326,7 @@
     }
 
     fn drain(&self, line: &mut Line) -> Option<Bytes> {
-        line.read_all(self.due.min(Clock::now() + Span(500)), 64 << 10, Some(self.caller)).ok()
+        line.read_all(self.due.min(Clock::now() + Span(500)), 64 << 10, Some(self.client)).ok()
     }
 
     fn note_load(&self, placing: &Placing, head: &http::response::Parts) {
@@ -352,12 +352,12 @@
         LineError::Unsent(why) => fail(Failure::Unsent, why),
         LineError::Full => fail(Failure::Unsent, "all connections to it are taken".into()),
         LineError::Withheld => Err(NotTaken::Withheld),
-        LineError::CallerGone => Err(NotTaken::CallerGone),
+        LineError::ClientGone => Err(NotTaken::ClientGone),
         LineError::Late(why) | LineError::Unknown(why) => fail(Failure::Unknown, why),
     }
 }
 
-/// The caller's side of a stream that is carried.
+/// The client's side of a stream that is carried.
 ///
 /// Invariant: only whole events are given, each behind the last one; once it broke and no other server
 /// takes it up, it's cut.
@@ -372,7 +372,7 @@
 }
 
 impl CarriedStream {
-    /// Lines up an event for the caller, unless it has it already.
+    /// Lines up an event for the client, unless it has it already.
     fn take(&mut self, event: StreamEvent) {
         let is_old = event.id.is_some_and(|id| self.way.last.is_some_and(|last| id <= last));
         if is_old && !self.way.forwarder.is_mutant(Mutant::ResumeFromStart) {
@@ -418,7 +418,7 @@
 }
 
 impl PieceSource for CarriedStream {
-    /// The caller is watched together with the server.
+    /// The client is watched together with the server.
     fn patience(&self) -> Duration {
         Duration::from_secs(5)
     }
@@ -460,7 +460,7 @@
         let Some(opening) = &mut self.opening else { return Pull::Nothing };
         let due = if may_go_on { silent_from.min(self.way.due) } else { self.way.due };
         let patience = patience.min(now.until(due).duration());
-        match opening.line.pull(patience, Some(&self.way.caller)) {
+        match opening.line.pull(patience, Some(&self.way.client)) {
             LinePull::Data(bytes) => {
                 opening.splitter.push(&bytes);
                 self.last_bytes = Clock::now();
@@ -478,9 +478,9 @@
                 Pull::Nothing
             }
             LinePull::Torn(why) => self.tear(why),
-            LinePull::CallerGone => {
+            LinePull::ClientGone => {
                 self.way.ended(Outcome::Cancelled);
-                self.cut("the caller has gone")
+                self.cut("the client has gone")
             }
         }
     }
@@ -489,7 +489,7 @@
 impl Drop for CarriedStream {
     fn drop(&mut self) {
         if !self.is_over {
-            // The caller has gone; closing the line frees its server.
+            // The client has gone; closing the line frees its server.
             self.way.ended(Outcome::Cancelled);
             Tallies::more(&self.way.forwarder.shared.tallies.gone);
         }
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -1,4 +1,4 @@
-//! A forwarder between real callers and stand-in servers over TCP, with a scripted control thread.
+//! A forwarder between real clients and stand-in servers over TCP, with a scripted control thread.
 
 use super::*;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -277,7 +277,7 @@
     told
 }
 
-// ---- The node, and its callers.
+// ---- The node, and its clients.
 
 /// What the threads of a node that may act share, without a plan, and what they tell its control thread.
 pub(crate) fn shared() -> (Arc<Shared>, flume::Receiver<crate::daemon::Event>) {
@@ -322,13 +322,13 @@
         std::thread::spawn(move || gate.serve(move |request| forwarder.reply(request)));
         Stage { address, told }
     }
-    fn send(&self, headers: &str) -> Caller {
+    fn send(&self, headers: &str) -> Client {
         let mut stream = TcpStream::connect(self.address).expect("connected");
         stream.set_read_timeout(Some(GUARD)).expect("set");
         let request =
             format!("POST /p/x?q=a%20b HTTP/1.1\r\nhost: h\r\nx-call: c1\r\n{headers}content-length: 4\r\n\r\nbody");
         stream.write_all(request.as_bytes()).expect("written");
-        Caller { stream, raw: String::new() }
+        Client { stream, raw: String::new() }
     }
     fn ask(&self, headers: &str) -> Answer {
         self.send(headers).answer()
@@ -347,12 +347,12 @@
     }
 }
 
-struct Caller {
+struct Client {
     stream: TcpStream,
     raw: String,
 }
 
-impl Caller {
+impl Client {
     /// Reads on until this has come.
     fn await_text(&mut self, text: &str) {
         while !self.raw.contains(text) {
@@ -402,7 +402,7 @@
     fn has(&self, name: &str) -> bool {
         header(&self.head, name).is_some()
     }
-    /// One that a caller takes for the server's whole answer.
+    /// One that a client takes for the server's whole answer.
     fn is_success(&self) -> bool {
         (200..300).contains(&self.status) && self.has("x-mark") && self.is_whole
     }
@@ -651,14 +651,14 @@
 // ---- Deadlines, lease state, plans.
 
 #[parameterized(
-    the_callers = { 8000, 15_000, 8000 },
+    the_clients = { 8000, 15_000, 8000 },
     the_routes = { 15_000, 8000, 8000 },
 )]
-fn the_deadline_is_the_least_and_what_is_left_is_handed_on(caller: u64, deadline_ms: u64, least: u64) {
+fn the_deadline_is_the_least_and_what_is_left_is_handed_on(client: u64, deadline_ms: u64, least: u64) {
     let (full, well) = (Server::start("a", vec![vec![unrun()]]), Server::start("b", vec![vec![whole("well")]]));
     let route = Route { deadline_ms, ..MUTATING };
     let stage = Stage::set(&route, vec![goes_to(&full, false), goes_to(&well, false)]);
-    assert!(stage.ask(&format!("x-wait: {caller}\r\n")).is_success());
+    assert!(stage.ask(&format!("x-wait: {client}\r\n")).is_success());
     let left = |server: &Server| header(&server.request(), "x-left").expect("told").parse::<u64>().expect("ms");
     let (first, second) = (left(&full), left(&well));
     assert!(second <= first && first <= least && second > 0, "{first} {second}");
@@ -732,7 +732,7 @@
     let mut stream = TcpStream::connect(stage.address).expect("connected");
     let request = format!("POST {path} HTTP/1.1\r\nhost: {host}\r\nx-call: c1\r\n\r\n");
     stream.write_all(request.as_bytes()).expect("written");
-    let answer = Caller { stream, raw: String::new() }.answer();
+    let answer = Client { stream, raw: String::new() }.answer();
     assert_eq!((answer.status, header(&answer.head, "x-call")), (404, Some("c1")));
     assert!(stage.told.is_empty());
 }
@@ -757,14 +757,14 @@
     ];
     let server = Server::start("a", vec![script]);
     let stage = Stage::set(&STREAM, vec![goes_to(&server, true)]);
-    let mut caller = stage.send("");
-    // The server goes on only once the caller has what came before.
-    caller.await_text("piece 1\n\n");
-    assert!(!caller.raw.contains(begun), "a part of an event was passed: {}", caller.raw);
+    let mut client = stage.send("");
+    // The server goes on only once the client has what came before.
+    client.await_text("piece 1\n\n");
+    assert!(!client.raw.contains(begun), "a part of an event was passed: {}", client.raw);
     go.send_timeout((), GUARD).expect("the server waits");
-    caller.await_text("piece 2\n\n");
+    client.await_text("piece 2\n\n");
     go_on.send_timeout((), GUARD).expect("the server waits");
-    let answer = caller.answer();
+    let answer = client.answer();
     assert!(answer.is_success(), "{answer:?}");
     assert_eq!(answer.body, all_of(1..=4));
     let told = stage.told();
@@ -827,7 +827,7 @@
     let silent = Server::start("a", vec![vec![stream_head("m"), events(1..=2), AwaitEnd(ended)]]);
     let next = Server::start("b", vec![vec![stream_head("n"), events(3..=4), end()]]);
     let stage = Stage::set(&STREAM, vec![goes_to(&silent, true), goes_to(&next, true)]);
-    // Its caller doesn't wait for longer than it takes to notice, and for the other server.
+    // Its client doesn't wait for longer than it takes to notice, and for the other server.
     let answer = stage.ask("x-wait: 4500\r\n");
     assert!(answer.is_success() && answer.body == all_of(1..=4), "{answer:?}");
     is_ended.recv_timeout(GUARD).expect("the silent server is left");
@@ -847,25 +847,25 @@
 }
 
 #[test]
-fn the_callers_going_away_in_mid_stream_closes_the_servers_connection() {
+fn the_clients_going_away_in_mid_stream_closes_the_servers_connection() {
     let (ended, is_ended) = flume::unbounded();
     let server = Server::start("a", vec![vec![stream_head("m"), events(1..=1), AwaitEnd(ended)]]);
     let stage = Stage::set(&STREAM, vec![goes_to(&server, false)]);
-    let mut caller = stage.send("");
-    caller.await_text("piece 1");
-    drop(caller);
+    let mut client = stage.send("");
+    client.await_text("piece 1");
+    drop(client);
     is_ended.recv_timeout(GUARD).expect("the server's connection is closed");
     assert_eq!(stage.outcomes(), [Outcome::Cancelled]);
 }
 
 #[test]
-fn the_callers_going_away_before_the_head_closes_the_servers_connection() {
+fn the_clients_going_away_before_the_head_closes_the_servers_connection() {
     let (ended, is_ended) = flume::unbounded();
     let server = Server::start("a", vec![vec![AwaitEnd(ended)]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
-    let caller = stage.send("");
+    let client = stage.send("");
     server.request();
-    drop(caller);
+    drop(client);
     is_ended.recv_timeout(GUARD).expect("the server's connection is closed");
     assert_eq!(stage.outcomes(), [Outcome::Cancelled]);
 }
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -1,4 +1,4 @@
-//! The door for callers of another dialect than the product's own.
+//! The door for clients of another dialect than the product's own.
 
 use crate::call_limits::{CallLimits, MOST_TO_ONE_SERVER};
 use crate::forward::Forwarder;
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Open doors: one for callers, one for the question whether this node is ready.
+/// Open doors: one for clients, one for the question whether this node is ready.
 pub(crate) struct Ingress {
     closers: Vec<GateCloser>,
     open_count: Arc<AtomicUsize>,
-    /// Where callers reach it, and where its readiness is told.
+    /// Where clients reach it, and where its readiness is told.
     #[cfg(test)]
     pub addresses: (Address, Address),
 }
@@ -49,7 +49,7 @@
         });
         let limits = CallLimits::new(gate.limiter(), lines.clone());
         if shared.limits.set(Arc::new(limits)).is_err() {
-            return Err("a node has one gate of callers".into());
+            return Err("a node has one gate of clients".into());
         }
         let (shared_by_gate, patience) = (shared.clone(), Span(settings.start_wait_ms));
         let forwarder = Arc::new(Forwarder {
@@ -82,7 +82,7 @@
             addresses,
         })
     }
-    /// Callers are to go elsewhere: each answer says so.
+    /// Clients are to go elsewhere: each answer says so.
     pub fn leave(&self) {
         self.closers[0].leave();
     }
@@ -90,7 +90,7 @@
     pub fn close(&self) {
         self.closers.iter().for_each(GateCloser::close);
     }
-    /// How many connections of callers are open.
+    /// How many connections of clients are open.
     pub fn open_count(&self) -> usize {
         self.open_count.load(Ordering::SeqCst)
     }
--- a/crates/crier/src/ingress/tests.rs
+++ b/crates/crier/src/ingress/tests.rs
@@ -8,7 +8,7 @@
 /// Nothing is judged by it: it ends a test that would hang.
 const GUARD: Duration = Duration::from_secs(30);
 
-/// A node's doors. It may not act and is not ready, and holds its callers this long.
+/// A node's doors. It may not act and is not ready, and holds its clients this long.
 fn open(start_wait_ms: u64) -> (Ingress, Arc<Shared>) {
     let (shared, _) = shared();
     shared.is_ready.store(false, SeqCst);
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn callers_at_a_starting_node_wait_unread_until_it_is_ready() {
+fn clients_at_a_starting_node_wait_unread_until_it_is_ready() {
     let (ingress, shared) = open(60_000);
     let early = connect(ingress.addresses.0);
     send(&early, "/p/x");
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn callers_at_a_node_that_does_not_get_ready_are_refused_after_their_wait() {
+fn clients_at_a_node_that_does_not_get_ready_are_refused_after_their_wait() {
     let (ingress, _shared) = open(0);
     let early = connect(ingress.addresses.0);
     send(&early, "/p/x");
@@ -102,19 +102,19 @@
     send(&kept, "/p/x");
     let new = connect(ingress.addresses.0);
     send(&new, "/p/x");
-    for mut caller in [kept, new] {
-        let after = answer(&caller);
+    for mut client in [kept, new] {
+        let after = answer(&client);
         assert!(after.contains("connection: close"), "{after}");
-        assert_eq!(caller.read(&mut [0]).expect("closed in order"), 0);
+        assert_eq!(client.read(&mut [0]).expect("closed in order"), 0);
     }
 }
 
 #[test]
-fn a_node_is_quiet_only_once_no_caller_has_come_for_a_while() {
+fn a_node_is_quiet_only_once_no_client_has_come_for_a_while() {
     let (ingress, shared) = open(0);
-    let caller = connect(ingress.addresses.0);
-    send(&caller, "/p/x");
-    answer(&caller);
+    let client = connect(ingress.addresses.0);
+    send(&client, "/p/x");
+    answer(&client);
     let arrived = Moment(shared.arrived.load(SeqCst));
     assert!(arrived > Moment(0));
     assert!(!shared.is_quiet(arrived + Span(1000)) && shared.is_quiet(arrived + Span(1500)));
@@ -129,14 +129,14 @@
 }
 
 #[test]
-fn a_plans_limits_bind_callers_from_when_it_is_in_force_also_on_open_connections() {
+fn a_plans_limits_bind_clients_from_when_it_is_in_force_also_on_open_connections() {
     let (ingress, shared) = open(0);
     let take = |bounds: &str| {
         let plan = format!(r#"{{"services": {{}}, "bounds": {bounds}}}"#);
         shared.take_plan(Some(&Arc::new(parse_plan(plan.as_bytes()).expect("a plan"))));
     };
     let mut kept: Vec<TcpStream> = (0..4).map(|_| connect(ingress.addresses.0)).collect();
-    assert!(kept.iter().all(|caller| post(caller, 3000) == "503"), "nothing is in force");
+    assert!(kept.iter().all(|client| post(client, 3000) == "503"), "nothing is in force");
     take(r#"{"max_body_bytes": 2000, "max_header_bytes": 500, "idle_timeout_ms": 3600000}"#);
     assert_eq!(post(&kept[0], 2000), "503");
     assert_eq!(post(&kept[0], 2001), "413");
--- a/crates/crier/src/lib.rs
+++ b/crates/crier/src/lib.rs
@@ -1,4 +1,4 @@
-//! The data plane: a crier takes callers' requests, places them, and carries the streams.
+//! The data plane: a crier takes clients' requests, places them, and carries the streams.
 
 mod call;
 mod call_limits;
@@ -44,7 +44,7 @@
     pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
     pub use crate::wire::{
-        CallerRequest, LIFE_HEADER, ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport,
+        ClientRequest, LIFE_HEADER, ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport,
     };
     pub use circular::prelude::*;
     pub use college::prelude::{LeaseState, LeaseStatus};
--- a/crates/crier/src/list_reader.rs
+++ b/crates/crier/src/list_reader.rs
@@ -44,7 +44,7 @@
     while *calls < PAGES_MOST {
         *calls += 1;
         let due = Clock::now() + PATIENCE;
-        let waits = Waits { connect: Span(300), head_due: due, may_leave: &|| true, caller: None };
+        let waits = Waits { connect: Span(300), head_due: due, may_leave: &|| true, client: None };
         let mut line =
             lines.ask(list.0, dialect.list_request(page.as_deref()), &waits).map_err(|fault| fault.to_string())?;
         let status = line.head().status.as_u16();
--- a/crates/crier/src/main.rs
+++ b/crates/crier/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// The data plane of cobaltfall: takes callers' requests and carries their streams.
+/// The data plane of cobaltfall: takes clients' requests and carries their streams.
 #[derive(Debug, Parser)]
 #[command(version, about)]
 struct Line {
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -84,14 +84,14 @@
     Place(PlaceAsk),
     /// Whom to ask first, anew.
     Seeds(Vec<Address>),
-    /// A caller wants a stream read on; the answer comes as [`NodeOutput::Resume`] with this number.
+    /// A client wants a stream read on; the answer comes as [`NodeOutput::Resume`] with this number.
     Resume {
         /// The number, no other request's.
         number: u64,
-        /// What the caller holds.
+        /// What the client holds.
         token: String,
     },
-    /// The caller has its last word.
+    /// The client has its last word.
     Close {
         /// The request.
         request: RequestId,
@@ -404,7 +404,7 @@
             _ => Moment(0),
         }
     }
-    /// Whether callers should be sent here.
+    /// Whether clients should be sent here.
     pub fn is_ready(&self, now: Moment) -> bool {
         !self.is_draining && now < self.may_act_until(now)
     }
@@ -528,7 +528,7 @@
             None => of_service.may_repeat(),
             Some(name) => match plan.allowed_route(name, service.as_str()) {
                 Some(found) => found.may_repeat(),
-                // The plan has changed since it was read here: its caller may come back under the new one.
+                // The plan has changed since it was read here: its client may come back under the new one.
                 None => return deny(ResultCode::NotReady, "the plan in force has this route no more", 50),
             },
         };
@@ -983,7 +983,7 @@
 /// Ids of ended requests that are remembered.
 const ENDED_IDS: usize = 8192;
 
-/// What a stream that is read on is called among the requests in hand. No caller's id has a slash.
+/// What a stream that is read on is called among the requests in hand. No client's id has a slash.
 pub fn resume_id(number: u64) -> RequestId {
     RequestId(format!("resume/{number}"))
 }
--- a/crates/crier/src/piece_reader.rs
+++ b/crates/crier/src/piece_reader.rs
@@ -3,9 +3,9 @@
 /// What a line of a server's stream comes to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Passed {
-    /// A line for the caller.
+    /// A line for the client.
     Piece(String),
-    /// The caller's final record.
+    /// The client's final record.
     End(String),
     /// The stream is cut here: nothing of this line is given.
     Cut(ResultCode, String),
@@ -13,7 +13,7 @@
 
 /// Reads one run's stream, line by line.
 ///
-/// Invariant: what is given to the caller is pieces of this run alone, from the first that was asked for
+/// Invariant: what is given to the client is pieces of this run alone, from the first that was asked for
 /// on, each once and in order; the final record only after all that it counts.
 #[derive(Debug, Clone)]
 pub struct PieceReader {
--- a/crates/crier/src/settings.rs
+++ b/crates/crier/src/settings.rs
@@ -6,13 +6,13 @@
 /// A crier's settings file.
 #[derive(Debug, Clone, Config)]
 pub struct Settings {
-    /// Where its own interface is, for callers and probes, and for operators' looks: IP number and port.
+    /// Where its own interface is, for clients and probes, and for operators' looks: IP number and port.
     #[setting(default = "127.0.0.1:7100", validate = an_address)]
     pub listen: String,
     /// Where our own processes reach it: IP number and port.
     #[setting(default = "127.0.0.1:7101", validate = an_address)]
     pub inner: String,
-    /// Where callers of another dialect reach it; used only where there is one.
+    /// Where clients of another dialect reach it; used only where there is one.
     #[setting(default = "127.0.0.1:7102", validate = an_address)]
     pub ingress: String,
     /// Where it's asked in that dialect whether it's ready; may be the same.
@@ -45,12 +45,12 @@
     /// A stream without a piece for this long is broken, in ms.
     #[setting(default = 10_000, validate = within(1, 1_000_000))]
     pub stall_ms: u64,
-    /// Callers who come while it starts wait unread for this long at most, in ms: an unread request can go to
+    /// Clients who come while it starts wait unread for this long at most, in ms: an unread request can go to
     /// another node without any doubt, and most nodes are ready within a tenth of a second.
     #[setting(default = 700, validate = within(0, 60_000))]
     pub start_wait_ms: u64,
     /// Told to stop, it's not ready at once, but takes what is still sent to it for this long, in ms: whoever
-    /// hands callers out sees readiness late.
+    /// hands clients out sees readiness late.
     #[setting(default = 1500, validate = within(0, 60_000))]
     pub linger_ms: u64,
     /// Then streams may take this long to finish, in ms.
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -17,11 +17,11 @@
     pub stall: Span,
     /// The plan in force, and what finds its routes.
     pub plan: RwLock<Option<(Arc<Plan>, Arc<RouteTable>)>>,
-    /// Whether callers should be sent here.
+    /// Whether clients should be sent here.
     pub is_ready: AtomicBool,
     /// When the last request came, as a moment.
     pub arrived: AtomicU64,
-    /// What puts a plan's limits on connections into force; none without a gate of callers.
+    /// What puts a plan's limits on connections into force; none without a gate of clients.
     pub limits: SharedLimits,
 }
 
--- a/crates/crier/src/tallies.rs
+++ b/crates/crier/src/tallies.rs
@@ -51,7 +51,7 @@
     epoch: "gauge",
     /// Whether this node may act: 1 or 0.
     may_act: "gauge",
-    /// Callers that went away early.
+    /// Clients that went away early.
     gone: "counter",
 }
 
--- a/crates/crier/src/token.rs
+++ b/crates/crier/src/token.rs
@@ -1,6 +1,6 @@
 use crate::prelude::*;
 
-/// What a caller holds to read a stream on: which run, at which server. Opaque to callers.
+/// What a client holds to read a stream on: which run, at which server. Opaque to clients.
 ///
 /// Invariants: only who holds the fleet's key can make one, and it opens only whole and unaltered. Its
 /// run id can't be guessed: 128 bits of the system's randomness.
--- a/crates/crier/src/trip.rs
+++ b/crates/crier/src/trip.rs
@@ -10,8 +10,8 @@
     Failed(Failure, String),
     /// Another server has its address; nothing ran there.
     Elsewhere(String),
-    /// The caller has gone.
-    CallerGone,
+    /// The client has gone.
+    ClientGone,
 }
 
 /// What a request wants of the scheduler, whatever it's spoken in.
@@ -24,7 +24,7 @@
 }
 
 impl Wanted {
-    /// One whose caller names the service and tells nothing more.
+    /// One whose client names the service and tells nothing more.
     pub fn of_service(service: ServiceName, kind: ServiceKind, hashes: Vec<PrefixHash>) -> Self {
         Wanted { service, kind, route: None, hashes, demand: Demand::default() }
     }
@@ -36,7 +36,7 @@
     Opened(Placing, T),
     /// The final answer.
     Told(Denial),
-    /// The caller's connection is to be cut.
+    /// The client's connection is to be cut.
     Cut(String),
 }
 
@@ -106,10 +106,10 @@
                         self.shared.tell(NodeInput::Event(Event::Unreachable { server }));
                         self.errand.step(ErrandInput::Fail(Failure::Refused, why))
                     }
-                    Err(NotTaken::CallerGone) => {
+                    Err(NotTaken::ClientGone) => {
                         self.shared.tell_ended(&request, Outcome::Cancelled);
                         self.place.may_have_run = does_stream;
-                        return Gone::Cut("the caller has gone".into());
+                        return Gone::Cut("the client has gone".into());
                     }
                 },
                 ErrandOutput::Carry(placing) => match taken.take() {
--- a/crates/crier/src/wire.rs
+++ b/crates/crier/src/wire.rs
@@ -1,10 +1,10 @@
 use crate::prelude::*;
 
-/// What a caller posts to `/v1/requests`.
+/// What a client posts to `/v1/requests`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct CallerRequest {
-    /// The caller's own id for it.
+pub struct ClientRequest {
+    /// The client's own id for it.
     pub id: RequestId,
     /// The service.
     pub service: ServiceName,
@@ -19,7 +19,7 @@
     256
 }
 
-/// What a caller posts to `/v1/resume`.
+/// What a client posts to `/v1/resume`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ResumeRequest {
--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -152,7 +152,7 @@
     pub split: Vec<SharePlan>,
 }
 
-/// Bounds on what callers send.
+/// Bounds on what clients send.
 #[derive(Debug, Clone, Config)]
 pub struct BoundsPlan {
     /// Bytes of a head.
@@ -177,13 +177,13 @@
     /// By name.
     #[setting(nested, required, validate = service_names)]
     pub services: BTreeMap<String, ServicePlan>,
-    /// Requests by host and path; where callers name services themselves, none are needed.
+    /// Requests by host and path; where clients name services themselves, none are needed.
     #[setting(nested)]
     pub routes: Vec<RoutePlan>,
     /// The operators' own number of this plan; 0: they count by epochs alone.
     #[setting(default = 0)]
     pub revision: u64,
-    /// Bounds on what callers send.
+    /// Bounds on what clients send.
     #[setting(nested)]
     pub bounds: BoundsPlan,
     /// Anything for the operators themselves.
--- a/crates/parlance/src/names.rs
+++ b/crates/parlance/src/names.rs
@@ -39,7 +39,7 @@
 names! {
     /// A zone.
     ZoneName
-    /// What a caller calls its request.
+    /// What a client calls its request.
     RequestId
     /// What a server calls one run of a request.
     RunId
--- a/crates/petition/src/asker.rs
+++ b/crates/petition/src/asker.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::time::Instant;
 
-/// What became of a request, as its caller saw it.
+/// What became of a request, as its client saw it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fate {
     /// The whole answer came.
@@ -45,7 +45,7 @@
 const CONNECT: Span = Span(1000);
 const READ: Span = Span(15_000);
 
-/// Asks as a caller would, and reads the answer to its end, through other criers if it must.
+/// Asks as a client would, and reads the answer to its end, through other criers if it must.
 pub fn ask(petition: &Petition, criers: &[Address], first: usize) -> Asked {
     let mut asked = Asked {
         service: petition.service.to_owned(),
@@ -129,7 +129,7 @@
             asked.fate = Fate::Complete;
             let text = String::from_utf8_lossy(&body);
             if !text.contains(&petition.id) {
-                asked.violations.push(format!("{}: another caller's page: {text}", petition.id));
+                asked.violations.push(format!("{}: another client's page: {text}", petition.id));
             }
         }
         Err(fault) => (asked.fate, asked.why) = (Fate::Broken, fault.to_string()),
@@ -198,7 +198,7 @@
             if value["text"].as_str() != Some(wanted.as_str()) {
                 asked
                     .violations
-                    .push(format!("a piece of another run or caller: {} instead of {wanted}", value["text"]));
+                    .push(format!("a piece of another run or client: {} instead of {wanted}", value["text"]));
             }
         } else if value["end"] == Value::Bool(true) {
             if value["pieces"].as_u64() != Some(self.next) {
--- a/crates/petition/src/lib.rs
+++ b/crates/petition/src/lib.rs
@@ -1,4 +1,4 @@
-//! A load generator that plays the callers: open-loop arrivals, and every stream checked piece by
+//! A load generator that plays the clients: open-loop arrivals, and every stream checked piece by
 //! piece.
 
 mod asker;
--- a/crates/petition/src/main.rs
+++ b/crates/petition/src/main.rs
@@ -2,7 +2,7 @@
 use petition::prelude::*;
 use std::process::ExitCode;
 
-/// Plays the callers of a fleet for a while and checks every answer. Exit codes: 0 nothing that must
+/// Plays the clients of a fleet for a while and checks every answer. Exit codes: 0 nothing that must
 /// never be was seen, 1 something was, 2 the call can't be used.
 #[derive(Debug, Parser)]
 #[command(version, about)]
--- a/crates/petition/src/report.rs
+++ b/crates/petition/src/report.rs
@@ -13,7 +13,7 @@
     pub violations: Vec<String>,
     /// Reasons of refusals, with how often.
     pub reasons: BTreeMap<String, u64>,
-    /// Servers' word: requests that ran there after the caller was told "refused", repeats and so on.
+    /// Servers' word: requests that ran there after the client was told "refused", repeats and so on.
     /// Filled in by whoever can ask the servers.
     pub at_servers: BTreeMap<String, u64>,
 }
--- a/crates/primer/src/event.rs
+++ b/crates/primer/src/event.rs
@@ -25,7 +25,7 @@
     }
 }
 
-/// What a request asks of a server, as far as its caller tells. All zero: nothing is told.
+/// What a request asks of a server, as far as its client tells. All zero: nothing is told.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Tokens that each hash of the prompt adds to the one before; empty: `SchedulerRules::block_tokens` each.
@@ -43,13 +43,13 @@
     /// In place of the service's: the first piece is wanted within this. Zero: the service's.
     #[serde(default)]
     pub target: Span,
-    /// The caller waits this long in all. Zero: not told.
+    /// The client waits this long in all. Zero: not told.
     #[serde(default)]
     pub deadline: Span,
 }
 
 impl Demand {
-    /// Whether the caller told anything of its request; then it's placed by expected time.
+    /// Whether the client told anything of its request; then it's placed by expected time.
     pub fn is_told(&self) -> bool {
         self.deadline.0 > 0 || !self.hash_tokens.is_empty()
     }
@@ -69,7 +69,7 @@
 pub enum Outcome {
     /// The whole answer came.
     Complete,
-    /// The caller went away.
+    /// The client went away.
     Cancelled,
     /// The server refused it unrun.
     Refused,
@@ -142,7 +142,7 @@
         round: u32,
         /// Servers that are not to be asked again.
         tried: Vec<ServerName>,
-        /// What it asks of a server, where the caller tells.
+        /// What it asks of a server, where the client tells.
         #[serde(default)]
         demand: Demand,
     },
--- a/crates/primer/src/rules.rs
+++ b/crates/primer/src/rules.rs
@@ -93,7 +93,7 @@
     pub repeat_percent: u32,
     /// Repeats that a service may have besides, a minute, over the whole fleet.
     pub repeats_a_minute: u32,
-    /// Tokens of a block: what Y counts in, where callers tell tokens.
+    /// Tokens of a block: what Y counts in, where clients tell tokens.
     pub block_tokens: u32,
     /// Whether servers take orders to copy KV. If not, the next real requests of an active prefix are what
     /// warms further servers.
--- a/crates/primer/src/scheduler.rs
+++ b/crates/primer/src/scheduler.rs
@@ -97,14 +97,14 @@
     was_idle: bool,
     matched: u32,
     first: Option<Moment>,
-    /// What its caller told of it.
+    /// What its client told of it.
     footprint: Footprint,
 }
 
-/// What a request costs a server, in tokens. All zero: its caller told nothing.
+/// What a request costs a server, in tokens. All zero: its client told nothing.
 #[derive(Debug, Clone, Copy, Default)]
 struct Footprint {
-    /// Whether the caller told what it asks.
+    /// Whether the client told what it asks.
     is_told: bool,
     /// Of its prompt, those that the server reads.
     uncached: u64,
--- a/crates/primer/src/scheduler/placing.rs
+++ b/crates/primer/src/scheduler/placing.rs
@@ -161,7 +161,7 @@
         }
     }
 
-    /// The choice where callers tell nothing of their requests: by requests in hand, and by blocks held.
+    /// The choice where clients tell nothing of their requests: by requests in hand, and by blocks held.
     fn choose_by_load(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (weighed, full_until) = self.weigh(ask);
         let due = ask.rules.first_token;
@@ -198,7 +198,7 @@
     }
 
     /// Where in a prompt the prefix ends that is counted: at the first part by which Y blocks are full, if it's
-    /// that long and BTB is on. What a caller alone brings, the last part of a told prompt, is never counted.
+    /// that long and BTB is on. What a client alone brings, the last part of a told prompt, is never counted.
     pub(super) fn counted_place(&self, rules: &ServiceRules, hashes: &[PrefixHash], demand: &Demand) -> Option<usize> {
         if !rules.btb.is_on {
             return None;
--- a/crates/primer/src/scheduler/timing.rs
+++ b/crates/primer/src/scheduler/timing.rs
@@ -1,4 +1,4 @@
-//! Choosing a server where callers tell what they ask: by the expected time to the first piece, and by what
+//! Choosing a server where clients tell what they ask: by the expected time to the first piece, and by what
 //! the request costs those that wait beside it.
 
 use super::peer_totals::ToldHolding;
@@ -9,7 +9,7 @@
 const SHOWN: usize = 4;
 /// A server that is told of as little as this part of full, in percent, turns nobody away.
 const HALF_EMPTY: u32 = 50;
-/// What is still worth serving is expected within this part of the caller's deadline, in percent.
+/// What is still worth serving is expected within this part of the client's deadline, in percent.
 const LATE_PERCENT: u64 = 60;
 
 /// A server that may take the request.
--- a/crates/primer/tests/by_time.rs
+++ b/crates/primer/tests/by_time.rs
@@ -1,4 +1,4 @@
-//! Placement where callers tell what they ask: tokens, targets, deadlines.
+//! Placement where clients tell what they ask: tokens, targets, deadlines.
 
 use primer::prelude::*;
 use yare::parameterized;
--- a/crates/registrar/src/core_line.rs
+++ b/crates/registrar/src/core_line.rs
@@ -14,17 +14,17 @@
 /// One call of an operator: until when it is worth an answer, and to whom.
 pub struct Attempt {
     due: Moment,
-    caller: Option<Caller>,
+    client: Option<Client>,
 }
 
 impl Attempt {
     /// One that has just come in on this connection, if it's on one, and lasts so long.
-    pub fn new(patience: Span, caller: Option<Caller>) -> Self {
-        Attempt { due: Clock::now() + patience, caller }
+    pub fn new(patience: Span, client: Option<Client>) -> Self {
+        Attempt { due: Clock::now() + patience, client }
     }
     /// Whether nobody waits for its answer any more.
     fn is_over(&self) -> bool {
-        Clock::now() >= self.due || self.caller.as_ref().is_some_and(Caller::is_gone)
+        Clock::now() >= self.due || self.client.as_ref().is_some_and(Client::is_gone)
     }
 }
 
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -337,7 +337,7 @@
 impl Door {
     fn reply(&self, request: &Request) -> Reply {
         let Some(admin) = &self.dialects.admin else { return self.own_reply(request) };
-        let attempt = Attempt::new(admin.patience(request.body.len()), Some(request.caller.clone()));
+        let attempt = Attempt::new(admin.patience(request.body.len()), Some(request.client.clone()));
         let is_ready = self.is_ready.load(Ordering::Relaxed);
         match admin.read(request) {
             Ok(Some(call)) => {
@@ -365,7 +365,7 @@
     is_ready: &AtomicBool,
     tallies: &Tallies,
 ) -> Reply {
-    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.caller.clone()));
+    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.client.clone()));
     let ask_core = |ask: OperatorAsk| core.ask(ask, &attempt);
     let told = |status: u16, body: Vec<u8>| {
         let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
--- a/crates/rehearsal/src/compare.rs
+++ b/crates/rehearsal/src/compare.rs
@@ -61,7 +61,7 @@
     let mut mix = Mix::new(rules.deployment.mix(), seed);
     mix.hot_share = rules.hot_share;
     let span = Span::seconds(rules.seconds);
-    let campaign = CampaignRules { criers: fleet.callers_addresses(), span, scale: rules.scale, in_hand: 1500 };
+    let campaign = CampaignRules { criers: fleet.clients_addresses(), span, scale: rules.scale, in_hand: 1500 };
     let (asked, late) = Campaign::new(mix, campaign).run();
     let mut report = Report::of(&asked, late);
     join_logs(&mut report, &asked, &crew.logs(), &plan);
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -288,7 +288,7 @@
         Err(last)
     }
     /// The criers' listening addresses.
-    pub fn callers_addresses(&self) -> Vec<Address> {
+    pub fn clients_addresses(&self) -> Vec<Address> {
         self.criers.iter().map(|crier| crier.listen).collect()
     }
     /// Asks all to stop, criers first; gives the exit codes by name.
@@ -304,7 +304,7 @@
     }
 }
 
-/// Joins what callers were told with what servers took: what was refused must have run nowhere, and
+/// Joins what clients were told with what servers took: what was refused must have run nowhere, and
 /// what the plan that was in force does not let repeat must have run once.
 pub fn join_logs(report: &mut Report, asked: &[Asked], logs: &[RunLog], plan: &str) {
     let plan = parse_plan(plan.as_bytes()).expect("the fleet took it");
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -1,4 +1,4 @@
-//! Many nodes without callers: the criers' own control state and inner protocol, real registrars, loopback.
+//! Many nodes without clients: the criers' own control state and inner protocol, real registrars, loopback.
 
 use crate::prelude::*;
 use hdrhistogram::Histogram;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Plays the whole thing on one machine: stand-ins, a fleet, callers, failures.
+/// Plays the whole thing on one machine: stand-ins, a fleet, clients, failures.
 #[derive(Debug, Parser)]
 #[command(version, about)]
 struct Line {
@@ -131,7 +131,7 @@
         mutant: Option<AnswersMutant>,
     },
     /// Play fleets on virtual time, network and disks, with faults drawn from seeds, and judge what
-    /// callers, servers and operators see. Exit codes: 0 nothing that must never be was seen, 1
+    /// clients, servers and operators see. Exit codes: 0 nothing that must never be was seen, 1
     /// something was.
     Simulate {
         /// Whose.
@@ -425,7 +425,7 @@
         println!("criers:     {}", fleet.criers.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
         println!("settings, logs and data: {}", fleet.folder.display());
     }
-    let rules = CampaignRules { criers: fleet.callers_addresses(), span: Span::seconds(seconds), scale, in_hand: 1500 };
+    let rules = CampaignRules { criers: fleet.clients_addresses(), span: Span::seconds(seconds), scale, in_hand: 1500 };
     let (asked, late) = Campaign::new(Mix::new(deployment.mix(), seed), rules).run();
     let mut report = Report::of(&asked, late);
     join_logs(&mut report, &asked, &crew.logs(), &plan);
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -162,7 +162,7 @@
     meant_for: Option<u64>,
     /// Whether it left a group without leases that had met nobody who knows more than that epoch.
     is_apart: bool,
-    /// Pieces that its caller asked for.
+    /// Pieces that its client asked for.
     pieces: u64,
     /// Whether its run is to be kept when nobody reads it.
     keep: bool,
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -1,4 +1,4 @@
-//! What must never be, judged by what callers, servers and operators see.
+//! What must never be, judged by what clients, servers and operators see.
 
 use super::*;
 use college::prelude::View;
@@ -11,7 +11,7 @@
     pub violations: Vec<String>,
     /// Requests that came.
     pub arrivals: u64,
-    /// What callers were told, with how often.
+    /// What clients were told, with how often.
     pub words: BTreeMap<&'static str, u64>,
     /// When requests completed.
     pub completions: Vec<u64>,
--- a/crates/rehearsal/src/world/mutants.rs
+++ b/crates/rehearsal/src/world/mutants.rs
@@ -21,7 +21,7 @@
     SkipRamp,
     /// Servers take requests that were meant for a former life of theirs.
     IgnoreLives,
-    /// Pieces go to the caller whatever they are.
+    /// Pieces go to the client whatever they are.
     LaxPieces,
     /// A stream that is read on begins anew.
     ResumeFromStart,
--- a/crates/rehearsal/src/world/streams.rs
+++ b/crates/rehearsal/src/world/streams.rs
@@ -1,14 +1,14 @@
-//! Streams: what servers give, through the crier's own reader, to callers who judge every piece, and who
+//! Streams: what servers give, through the crier's own reader, to clients who judge every piece, and who
 //! read on elsewhere when a stream is cut.
 
 use super::*;
 use crier::prelude::{ChartInput, Passed, PieceReader, resume_id};
 
-/// A stream as it stands, on its caller's side and on its crier's.
+/// A stream as it stands, on its client's side and on its crier's.
 pub(super) struct SimStream {
     token: Option<String>,
     run: RunId,
-    /// The next piece that the caller wants.
+    /// The next piece that the client wants.
     next: u64,
     reader: PieceReader,
     /// Pieces that the crier has read from the server.
@@ -25,7 +25,7 @@
     }
 }
 
-/// How often a caller tries to read on.
+/// How often a client tries to read on.
 const RESUMES: u32 = 12;
 
 impl World {
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Passes a line on to the caller; says whether the stream goes on.
+    /// Passes a line on to the client; says whether the stream goes on.
     fn give(&mut self, id: &RequestId, line: &RunPiece) -> bool {
         let is_lax = self.rules.mutant == Some(Mutant::LaxPieces);
         let now = self.now;
@@ -115,12 +115,12 @@
         let value: serde_json::Value = serde_json::from_str(given).unwrap_or_default();
         let is_end = matches!(passed, Passed::End(_));
         let fault = if is_end {
-            // It's whole if the caller has as many as it asked for, whatever the record says.
+            // It's whole if the client has as many as it asked for, whatever the record says.
             (value["pieces"] != stream.next || stream.next != request.pieces).then_some("an end before the end")
         } else {
             let wanted = format!("{}|{}|{print:x}", stream.run, stream.next);
             let is_next = value["n"] == stream.next && value["text"] == wanted.as_str();
-            (!is_next).then_some("a piece skipped, repeated, spliced or of another caller")
+            (!is_next).then_some("a piece skipped, repeated, spliced or of another client")
         };
         let at = stream.next;
         stream.next += 1;
@@ -178,7 +178,7 @@
         }
     }
 
-    /// The caller's stream was cut: it reads on elsewhere, if it can, or else has this for its last word.
+    /// The client's stream was cut: it reads on elsewhere, if it can, or else has this for its last word.
     /// Says whether it reads on.
     pub(super) fn read_on(&mut self, id: &RequestId, word: &'static str) -> bool {
         let end = self.rules.span.0 + self.rules.calm.0;
@@ -227,7 +227,7 @@
             self.servers.iter().position(|server| server.name == token.server && server.is_up && !server.is_dark);
         let has_run = |place: usize| self.servers[place].schedule.progress(&token.run, Moment(self.now)).is_some();
         let Some(server) = server.filter(|place| has_run(*place)) else {
-            // Out of reach, or gone: the caller can't tell more than that it's not there now.
+            // Out of reach, or gone: the client can't tell more than that it's not there now.
             self.leave(&id, number);
             self.read_on(&id, "broken");
             return;
--- a/crates/rehearsal/src/world/traffic.rs
+++ b/crates/rehearsal/src/world/traffic.rs
@@ -1,4 +1,4 @@
-//! Callers, their requests' way through a crier, and servers.
+//! Clients, their requests' way through a crier, and servers.
 
 use super::*;
 use crier::prelude::{
@@ -122,7 +122,7 @@
         }
     }
 
-    /// The crier is gone: nobody tells the caller anything.
+    /// The crier is gone: nobody tells the client anything.
     pub(super) fn abandon(&mut self, id: &RequestId) {
         let run = self.requests.get(id).and_then(|request| request.run.clone());
         let is_kept =
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -30,7 +30,7 @@
     meanwhile: impl FnOnce(&mut Fleet),
 ) -> Report {
     let span = Span::seconds(seconds);
-    let rules = CampaignRules { criers: fleet.callers_addresses(), span, scale: 0.4, in_hand: 500 };
+    let rules = CampaignRules { criers: fleet.clients_addresses(), span, scale: 0.4, in_hand: 500 };
     let campaign = Campaign::new(Mix::new(deployment.mix(), seconds), rules);
     let stop = campaign.stop();
     let load = std::thread::spawn(move || campaign.run());
@@ -52,7 +52,7 @@
 fn serves(fleet: &Fleet, number: &mut u32) -> bool {
     *number += 1;
     let petition = request(&format!("probe-{number}"), "questions", 2);
-    let asked = ask(&petition, &fleet.callers_addresses(), *number as usize);
+    let asked = ask(&petition, &fleet.clients_addresses(), *number as usize);
     if asked.fate != Fate::Complete {
         eprintln!("{}: {:?} {}", petition.id, asked.fate, asked.why);
     }
@@ -69,7 +69,7 @@
             let crier = &mut fleet.criers[place];
             crier.ask_to_stop();
             if place == 0 {
-                // Not ready at once, but callers that are still sent here are served.
+                // Not ready at once, but clients that are still sent here are served.
                 Fleet::await_that(PATIENCE, "a warned crier is not ready", || !crier.is_ready()).expect("it says so");
                 assert_eq!(ask(&request("late", "questions", 2), &[crier.listen], 0).fate, Fate::Complete);
             }
@@ -95,7 +95,7 @@
     let sum = |pick: fn(&petition::prelude::ServiceReport) -> u64| report.services.values().map(pick).sum::<u64>();
     assert_eq!((sum(|s| s.broken), sum(|s| s.resumed)), (0, 0), "streams were dropped: {report}");
     assert!(sum(|s| s.complete) > 100, "{report}");
-    // A crier that has gone refuses connections: callers know that nothing ran.
+    // A crier that has gone refuses connections: clients know that nothing ran.
     assert_eq!(sum(|s| s.unknown), 0, "{report}");
 }
 
@@ -103,7 +103,7 @@
 fn streams_go_on_through_another_crier_where_they_stopped_when_one_is_killed() {
     let deployment = Deployment::Pahana;
     let (crew, mut fleet, _machine) = serving(deployment);
-    let criers = fleet.callers_addresses();
+    let criers = fleet.clients_addresses();
     let knows_servers = |fleet: &Fleet| {
         let servers = fleet.criers[0].believes()["servers"].clone();
         servers
@@ -119,7 +119,7 @@
             std::thread::spawn(move || ask(&petition, &criers, 0))
         })
         .collect();
-    // Each caller has its stream's head once its first piece was seen.
+    // Each client has its stream's head once its first piece was seen.
     let first_tokens = |fleet: &Fleet| {
         let events = fleet.criers[0].get("/v1/events?after=0").expect("events").1;
         String::from_utf8_lossy(&events).matches("\"event\":\"first_token\"").count()
@@ -147,7 +147,7 @@
     assert!(fleet.put_plan("late", 0, "{}").is_err(), "a plan is accepted by nobody");
     // All but one are gone: it's alone, whatever it believed before.
     fleet.criers.iter_mut().skip(1).for_each(|crier| crier.kill());
-    let lone = fleet.callers_addresses()[..1].to_vec();
+    let lone = fleet.clients_addresses()[..1].to_vec();
     Fleet::await_that(PATIENCE, "the lone crier is not ready", || !fleet.criers[0].is_ready()).expect("it stops");
     let asked = ask(&request("lone", "questions", 2), &lone, 0);
     assert_eq!(asked.fate, Fate::Refused(u64::from(ResultCode::NotReady.number())), "{}", asked.why);
@@ -191,7 +191,7 @@
             prompt: "short".into(),
             pieces: 2,
         };
-        ask(&petition, &fleet.callers_addresses(), *number as usize).fate == Fate::Complete
+        ask(&petition, &fleet.clients_addresses(), *number as usize).fate == Fate::Complete
     };
     Fleet::await_that(PATIENCE, "requests are served again", || hints(&mut number)).expect("back");
     let back = Clock::now().since(began);
--- a/crates/rehearsal/tests/fleet.rs
+++ b/crates/rehearsal/tests/fleet.rs
@@ -15,7 +15,7 @@
 
 fn load(fleet: &Fleet, deployment: Deployment, seconds: u64, seed: u64) -> (Vec<Asked>, u64) {
     let span = Span::seconds(seconds);
-    let rules = CampaignRules { criers: fleet.callers_addresses(), span, scale: 0.4, in_hand: 500 };
+    let rules = CampaignRules { criers: fleet.clients_addresses(), span, scale: 0.4, in_hand: 500 };
     Campaign::new(Mix::new(deployment.mix(), seed), rules).run()
 }
 
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -1,4 +1,4 @@
-//! What operators and callers are told, good input and bad, by real processes. Needs the workspace
+//! What operators and clients are told, good input and bad, by real processes. Needs the workspace
 //! to be built: `cargo build --workspace`.
 
 use rehearsal::prelude::*;
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn operators_and_callers_are_told_what_became_of_each_thing() {
+fn operators_and_clients_are_told_what_became_of_each_thing() {
     let deployment = Deployment::Pahana;
     let shape = deployment.shape();
     let crew = Crew::start(&shape, &ScheduleRules::default()).expect("stand-ins start");
@@ -75,7 +75,7 @@
     assert_eq!(admin(&["restore", "east", "--id", "w3"]).0, Some(0));
     assert_eq!(program("registrar").args(["admin", "--at", "127.0.0.1:1", "latest"]).status().unwrap().code(), Some(3));
 
-    // Callers.
+    // Clients.
     let crier = &fleet.criers[0];
     let request = |body: &[u8]| json(crier.ask("POST", "/v1/requests", body.to_vec()));
     for (body, status, code) in [
@@ -143,7 +143,7 @@
     fleet.await_core(PATIENCE).expect("the core forms");
     fleet.put_plan("first", 0, &plan_of(deployment, true)).expect("accepted");
     fleet.await_criers(PATIENCE).expect("criers are ready");
-    let criers = fleet.callers_addresses();
+    let criers = fleet.clients_addresses();
     let draw = |id: &str| {
         let request = serde_json::json!({"id": id, "service": "reviews", "prompt": id, "max_pieces": 6});
         let (status, _, lines) = say(criers[0], "/v1/requests", &request);
--- a/crates/wicket/src/gate.rs
+++ b/crates/wicket/src/gate.rs
@@ -10,7 +10,7 @@
 use self::state::GateState;
 use crate::framing::RequestLimits;
 use crate::reply::Reply;
-use crate::wire::Caller;
+use crate::wire::Client;
 use bytes::Bytes;
 use parlance::prelude::*;
 use std::io;
@@ -31,20 +31,20 @@
     /// The body, within the bound.
     pub body: Bytes,
     /// Who sent it.
-    pub caller: Caller,
+    pub client: Client,
     verb: http::Method,
     headers: http::HeaderMap,
 }
 
 impl Request {
-    fn new(head: http::request::Parts, body: Bytes, caller: Caller) -> Self {
+    fn new(head: http::request::Parts, body: Bytes, client: Client) -> Self {
         Request {
             method: head.method.as_str().to_owned(),
             path: head.uri.path().to_owned(),
             query: head.uri.query().unwrap_or_default().to_owned(),
             target: head.uri.path_and_query().map_or_else(|| head.uri.to_string(), |both| both.as_str().to_owned()),
             body,
-            caller,
+            client,
             verb: head.method,
             headers: head.headers,
         }
--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/wicket/src/gate/connection.rs
@@ -5,7 +5,7 @@
 use super::{GateBounds, Request};
 use crate::framing::{RequestFault, RequestProgress};
 use crate::reply::{Reply, ReplyBody};
-use crate::wire::{Alarm, Caller, Duct, Peeked, Wire, Woken, await_wire};
+use crate::wire::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
 use http::HeaderValue;
 use http::header::CONNECTION;
 use http_body_util::BodyExt;
@@ -60,7 +60,7 @@
     let wire = Arc::new(Wire::new(stream));
     let exchange = Rc::new(Exchange::new(state.rules().limits.request));
     let service = service_fn(|request: hyper::Request<Incoming>| {
-        answer(request, handler.clone(), Caller::new(&wire), exchange.clone(), state)
+        answer(request, handler.clone(), Client::new(&wire), exchange.clone(), state)
     });
     let duct = Duct { wire: wire.clone(), write_patience: Some(Duct::WRITE_PATIENCE) };
     let mut connection = pin!(
@@ -83,7 +83,7 @@
         match connection.as_mut().poll(&mut context) {
             Poll::Ready(outcome) => return end(&wire, &exchange, outcome),
             Poll::Pending if alarm.take() => {
-                // A round that sent nothing: the source has nothing yet, so its caller is looked after.
+                // A round that sent nothing: the source has nothing yet, so its client is looked after.
                 let sent = wire.sent_count.load(Ordering::Relaxed);
                 let is_still = std::mem::replace(&mut sent_before, sent) == sent;
                 if exchange.is_replying.get() && is_still && wire.is_gone() {
@@ -155,7 +155,7 @@
 async fn answer<H: Fn(Request) -> Reply>(
     request: hyper::Request<Incoming>,
     handler: H,
-    caller: Caller,
+    client: Client,
     exchange: Rc<Exchange>,
     state: &GateState,
 ) -> Result<hyper::Response<ReplyBody>, Infallible> {
@@ -168,7 +168,7 @@
     let reply = match body {
         Ok(body) if is_whole => {
             exchange.is_replying.set(true);
-            handler(Request::new(head, body.to_bytes(), caller))
+            handler(Request::new(head, body.to_bytes(), client))
         }
         // The library and the framer disagree on where the request ends.
         Ok(_) => Reply::result(ResultCode::BadRequest, "its end is in doubt"),
@@ -201,8 +201,8 @@
     let (due, is_idle) = wait_due(bounds, rules, wait);
     match await_wire(wire, None, Some(&rules.bell), due) {
         Woken::Ready | Woken::Bell => Waited::Go,
-        Woken::Late | Woken::CallerGone if is_idle => Waited::Idle,
-        Woken::Late | Woken::CallerGone => Waited::Late,
+        Woken::Late | Woken::ClientGone if is_idle => Waited::Idle,
+        Woken::Late | Woken::ClientGone => Waited::Late,
     }
 }
 
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -1,4 +1,4 @@
-//! The doors of a process: HTTP towards callers, servers and operators; snapshots between our own.
+//! The doors of a process: HTTP towards clients, servers and operators; snapshots between our own.
 //!
 //! `rouille` and `astra` hold small pieces back (tests/library_traps.rs shows it), so answers go
 //! through `hyper`, their kin, on one blocking thread a connection.
@@ -19,5 +19,5 @@
     pub use crate::lines::{CHECK_LIFE, Line, LineError, LinePull, Lines, LinesBounds, Waits};
     pub use crate::post::{Post, PostClass, PostTally};
     pub use crate::reply::{PieceSource, Pull, Reply};
-    pub use crate::wire::Caller;
+    pub use crate::wire::Client;
 }
--- a/crates/wicket/src/lines.rs
+++ b/crates/wicket/src/lines.rs
@@ -1,4 +1,4 @@
-use crate::wire::{Alarm, Caller, Duct, Peeked, Wire, Woken, await_wire};
+use crate::wire::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -94,7 +94,7 @@
     /// Asked before connecting, and again at most [`CHECK_LIFE`] before the first byte leaves.
     pub may_leave: &'a dyn Fn() -> bool,
     /// Watched while the head is awaited.
-    pub caller: Option<&'a Caller>,
+    pub client: Option<&'a Client>,
 }
 
 /// Why a request got no head, or its body didn't end whole.
@@ -112,9 +112,9 @@
     /// It was sent, and its due passed; it may have run.
     #[error("late: {0}")]
     Late(String),
-    /// The caller went away; it may have run.
-    #[error("the caller has gone")]
-    CallerGone,
+    /// The client went away; it may have run.
+    #[error("the client has gone")]
+    ClientGone,
     /// Some of it was sent; it may have run.
     #[error("unknown: {0}")]
     Unknown(String),
@@ -131,8 +131,8 @@
     End,
     /// It broke off.
     Torn(String),
-    /// The caller went away.
-    CallerGone,
+    /// The client went away.
+    ClientGone,
 }
 
 /// One answer on its connection: the head, and the body to be read on. Dropped, it closes the connection.
@@ -370,7 +370,7 @@
     fn wait<T>(
         &mut self,
         due: Moment,
-        caller: Option<&Caller>,
+        client: Option<&Client>,
         departure: Option<&Waits<'_>>,
         mut poll_it: impl FnMut(&mut Context<'_>) -> Poll<T>,
     ) -> Result<T, Woken> {
@@ -398,7 +398,7 @@
                 // hyper has dropped its end, so whatever hangs on it is ready; not expected.
                 return Err(Woken::Bell);
             }
-            match await_wire(&self.wire, caller, None, due) {
+            match await_wire(&self.wire, client, None, due) {
                 Woken::Ready => {}
                 ended => return Err(ended),
             }
@@ -413,7 +413,7 @@
         let sent_before = self.wire.sent_count.load(Ordering::Relaxed);
         let is_head = request.method() == http::Method::HEAD;
         let mut answer = pin!(self.sender.send_request(request.map(Full::new)));
-        let outcome = self.wait(waits.head_due, waits.caller, Some(waits), |context| answer.as_mut().poll(context));
+        let outcome = self.wait(waits.head_due, waits.client, Some(waits), |context| answer.as_mut().poll(context));
         let has_left = self.wire.sent_count.load(Ordering::Relaxed) > sent_before
             && !(is_reused && is_mutant(&self._seat.pool, Mutant::ForgetSent));
         let (what, why): (fn(String) -> LineError, String) = match outcome {
@@ -427,8 +427,8 @@
             Ok(Err(fault)) => (LineError::Unknown, detail(&fault)),
             Err(Woken::Late) => (LineError::Late, "no head by its due".into()),
             Err(_) if self.held_back == Some(Departure::Withheld) && !has_left => return Err(LineError::Withheld),
-            Err(Woken::CallerGone) if has_left => return Err(LineError::CallerGone),
-            Err(Woken::CallerGone) => (LineError::Unknown, "the caller has gone".into()),
+            Err(Woken::ClientGone) if has_left => return Err(LineError::ClientGone),
+            Err(Woken::ClientGone) => (LineError::Unknown, "the client has gone".into()),
             Err(_) => (LineError::Unknown, "the connection ended".into()),
         };
         Err(if has_left { what(why) } else { LineError::Unsent(why) })
@@ -457,12 +457,12 @@
     pub fn is_sole_answer(&self) -> bool {
         !self.is_reused && !self.is_early
     }
-    /// Waits for the next bytes of the body at most this long; also watches the caller.
-    pub fn pull(&mut self, patience: Duration, caller: Option<&Caller>) -> LinePull {
+    /// Waits for the next bytes of the body at most this long; also watches the client.
+    pub fn pull(&mut self, patience: Duration, client: Option<&Client>) -> LinePull {
         let span = Span(u64::try_from(patience.as_millis()).unwrap_or(u64::MAX / 2));
-        self.pull_until(Clock::now() + span, caller)
+        self.pull_until(Clock::now() + span, client)
     }
-    fn pull_until(&mut self, due: Moment, caller: Option<&Caller>) -> LinePull {
+    fn pull_until(&mut self, due: Moment, client: Option<&Client>) -> LinePull {
         if self.is_ended {
             return LinePull::End;
         }
@@ -471,7 +471,7 @@
         }
         let body = &mut self.body;
         loop {
-            let outcome = self.link.wait(due, caller, None, |context| Pin::new(&mut *body).poll_frame(context));
+            let outcome = self.link.wait(due, client, None, |context| Pin::new(&mut *body).poll_frame(context));
             match outcome {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
@@ -492,18 +492,18 @@
                     return LinePull::Torn(detail(&fault));
                 }
                 Err(Woken::Late) => return LinePull::Nothing,
-                Err(Woken::CallerGone) => return LinePull::CallerGone,
+                Err(Woken::ClientGone) => return LinePull::ClientGone,
                 Err(_) => return LinePull::Torn("the connection ended".into()),
             }
         }
     }
     /// Reads the rest of the body up to a bound. A body that breaks off is `Unknown`, as is one over the
     /// bound; one that has not ended by the due is `Late`.
-    pub fn read_all(&mut self, due: Moment, bound: usize, caller: Option<&Caller>) -> Result<Bytes, LineError> {
+    pub fn read_all(&mut self, due: Moment, bound: usize, client: Option<&Client>) -> Result<Bytes, LineError> {
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
         loop {
-            match self.pull_until(due, caller) {
+            match self.pull_until(due, client) {
                 LinePull::Data(data) if first.len() + rest.len() + data.len() > bound => {
                     return Err(LineError::Unknown(format!("the body is over {bound} bytes")));
                 }
@@ -518,7 +518,7 @@
                     return Ok(whole.freeze());
                 }
                 LinePull::Torn(why) => return Err(LineError::Unknown(why)),
-                LinePull::CallerGone => return Err(LineError::CallerGone),
+                LinePull::ClientGone => return Err(LineError::ClientGone),
             }
         }
     }
--- a/crates/wicket/src/lines/tests.rs
+++ b/crates/wicket/src/lines/tests.rs
@@ -34,7 +34,7 @@
 fn ask(lines: &Lines, to: SocketAddr, body: Bytes, may_leave: &dyn Fn() -> bool) -> Result<(Line, Bytes), LineError> {
     let request = http::Request::post("/").header("host", "a").body(body).unwrap();
     let head_due = Clock::now() + PATIENCE;
-    let mut line = lines.ask(to, request, &Waits { connect: PATIENCE, head_due, may_leave, caller: None })?;
+    let mut line = lines.ask(to, request, &Waits { connect: PATIENCE, head_due, may_leave, client: None })?;
     let body = line.read_all(head_due, 1 << 20, None)?;
     Ok((line, body))
 }
--- a/crates/wicket/src/reply.rs
+++ b/crates/wicket/src/reply.rs
@@ -14,7 +14,7 @@
 pub enum Pull {
     /// Bytes to send now.
     Piece(Bytes),
-    /// Nothing yet; the gate looks whether the caller is still there, then asks again.
+    /// Nothing yet; the gate looks whether the client is still there, then asks again.
     Nothing,
     /// All has been given.
     End,
@@ -22,11 +22,11 @@
     Cut,
 }
 
-/// Where a streamed answer comes from. Dropped early when the caller has gone.
+/// Where a streamed answer comes from. Dropped early when the client has gone.
 pub trait PieceSource: Send {
     /// Waits for the next piece at most this long.
     fn pull(&mut self, patience: Duration) -> Pull;
-    /// How long a pull may wait. One that watches the caller by itself may wait longer: else the gate
+    /// How long a pull may wait. One that watches the client by itself may wait longer: else the gate
     /// looks after it between two pulls.
     fn patience(&self) -> Duration {
         Duration::from_millis(100)
@@ -241,7 +241,7 @@
             assert_eq!(said, code.comes_back().map(|_| 3), "{code}, later");
             // Whoever is turned away for now, unrun, is told when to come back.
             let is_for_now = matches!(code.http_status(), 429 | 503 | 504);
-            assert!(!is_for_now || said.is_some(), "{code} leaves its caller to guess");
+            assert!(!is_for_now || said.is_some(), "{code} leaves its client to guess");
         }
     }
 }
--- a/crates/wicket/src/wire.rs
+++ b/crates/wicket/src/wire.rs
@@ -90,15 +90,15 @@
     }
 }
 
-/// The caller's connection, as one that serves it may look at it.
+/// The client's connection, as one that serves it may look at it.
 ///
-/// Invariant: it never keeps the connection open; once its gate has closed it, the caller is gone.
+/// Invariant: it never keeps the connection open; once its gate has closed it, the client is gone.
 #[derive(Clone)]
-pub struct Caller(Weak<Wire>);
+pub struct Client(Weak<Wire>);
 
-impl Caller {
+impl Client {
     pub(crate) fn new(wire: &Arc<Wire>) -> Self {
-        Caller(Arc::downgrade(wire))
+        Client(Arc::downgrade(wire))
     }
     pub(crate) fn wire(&self) -> Option<Arc<Wire>> {
         self.0.upgrade()
@@ -116,32 +116,32 @@
     Ready,
     /// Its time is over.
     Late,
-    /// The caller watched beside it has gone.
-    CallerGone,
+    /// The client watched beside it has gone.
+    ClientGone,
     /// The bell has rung.
     Bell,
 }
 
-/// Waits in one poll(2) until the wire has something (bytes, or the room that a write wants), the caller
+/// Waits in one poll(2) until the wire has something (bytes, or the room that a write wants), the client
 /// has gone, the bell's other end was closed, or the due has passed.
-pub(crate) fn await_wire(wire: &Wire, caller: Option<&Caller>, bell: Option<&File>, due: Moment) -> Woken {
-    let caller = match caller {
-        Some(caller) => match caller.wire() {
+pub(crate) fn await_wire(wire: &Wire, client: Option<&Client>, bell: Option<&File>, due: Moment) -> Woken {
+    let client = match client {
+        Some(client) => match client.wire() {
             Some(wire) => Some(wire),
-            None => return Woken::CallerGone,
+            None => return Woken::ClientGone,
         },
         None => None,
     };
-    let mut caller_flags = PollFlags::IN | PollFlags::RDHUP;
+    let mut client_flags = PollFlags::IN | PollFlags::RDHUP;
     loop {
         let mut wanted = PollFlags::IN;
         if wire.wants_room.load(Ordering::Relaxed) {
             wanted |= PollFlags::OUT;
         }
-        // The wire, then the caller, then the bell; a missing one is stood in for by the wire itself.
+        // The wire, then the client, then the bell; a missing one is stood in for by the wire itself.
         let (mut watched, mut count) = ([const { None }; 2], 1);
-        if let Some(caller) = &caller {
-            watched[0] = Some(PollFd::new(&caller.stream, caller_flags));
+        if let Some(client) = &client {
+            watched[0] = Some(PollFd::new(&client.stream, client_flags));
             count += 1;
         }
         if let Some(bell) = bell {
@@ -150,9 +150,9 @@
         }
         let own = || PollFd::new(&wire.stream, wanted);
         let [first, second] = watched;
-        let has_caller = first.is_some();
+        let has_client = first.is_some();
         let mut seen = match (first, second) {
-            (Some(caller), Some(bell)) => [own(), caller, bell],
+            (Some(client), Some(bell)) => [own(), client, bell],
             (Some(other), None) | (None, Some(other)) => [own(), other, own()],
             (None, None) => [own(), own(), own()],
         };
@@ -180,12 +180,12 @@
             }
             return Woken::Ready;
         }
-        if has_caller && !seen[1].revents().is_empty() {
-            if seen[1].revents() != PollFlags::IN || caller.as_ref().is_some_and(|wire| wire.is_gone()) {
-                return Woken::CallerGone;
+        if has_client && !seen[1].revents().is_empty() {
+            if seen[1].revents() != PollFlags::IN || client.as_ref().is_some_and(|wire| wire.is_gone()) {
+                return Woken::ClientGone;
             }
             // It has sent its next request already; only its end is watched from now on.
-            caller_flags = PollFlags::RDHUP;
+            client_flags = PollFlags::RDHUP;
             continue;
         }
         return Woken::Bell;
@@ -200,7 +200,7 @@
 }
 
 impl Duct {
-    /// A caller that stops reading is cut after this long.
+    /// A client that stops reading is cut after this long.
     pub const WRITE_PATIENCE: Duration = Duration::from_secs(10);
 }
 
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -30,7 +30,7 @@
     Reply::passed(200, HeaderMap::new(), request.body)
 }
 
-/// The caller's side of one connection.
+/// The client's side of one connection.
 struct Client(BufReader<TcpStream>);
 
 impl Client {
@@ -96,7 +96,7 @@
 #[test]
 fn a_request_tells_its_target_headers_and_parts() {
     let (address, _closer) = gate(bounds(), |request| {
-        assert!(!request.caller.is_gone());
+        assert!(!request.client.is_gone());
         assert_eq!(request.headers().get_all("x").iter().count(), 2);
         let (method, target, headers, body) = request.into_parts();
         Reply::passed(200, HeaderMap::new(), format!("{method} {target} {} {}", headers.len(), body.len()))
@@ -298,7 +298,7 @@
     let (address, _closer) = gate(bounds(), move |request| {
         if request.path == "/wait" {
             let (release, released) = mpsc::channel::<()>();
-            waiting.send((request.caller.clone(), release)).unwrap();
+            waiting.send((request.client.clone(), release)).unwrap();
             let _ = released.recv_timeout(PATIENCE);
         }
         Reply::passed(200, HeaderMap::new(), request.path)
@@ -306,14 +306,14 @@
     for _ in 0..20 {
         let mut gone = Client::connect(address);
         gone.say("GET /wait HTTP/1.1\r\nhost: a\r\n\r\n");
-        let (caller, release) = releases.recv_timeout(PATIENCE).unwrap();
+        let (client, release) = releases.recv_timeout(PATIENCE).unwrap();
         drop(gone);
         drop(release);
         let mut next = Client::connect(address);
         next.say("GET /next HTTP/1.1\r\nhost: a\r\n\r\n");
         assert_eq!(next.answer().1, "/next");
         // It is that connection which is watched, not whatever has its number now.
-        assert!(caller.is_gone());
+        assert!(client.is_gone());
         next.0.get_mut().shutdown(std::net::Shutdown::Write).unwrap();
         assert_eq!(next.rest(), "");
     }
@@ -349,23 +349,23 @@
 }
 
 #[test]
-fn a_caller_that_has_gone_is_seen_also_behind_pipelined_bytes() {
+fn a_client_that_has_gone_is_seen_also_behind_pipelined_bytes() {
     for said in ["", "GET /next HTTP/1.1\r\n"] {
-        let (callers, seen) = mpsc::channel();
+        let (clients, seen) = mpsc::channel();
         let (address, _closer) = gate(bounds(), move |request| {
             let (gone, is_gone) = mpsc::channel::<()>();
-            callers.send((request.caller.clone(), gone)).unwrap();
+            clients.send((request.client.clone(), gone)).unwrap();
             let _ = is_gone.recv_timeout(PATIENCE);
             Reply::passed(200, HeaderMap::new(), "late")
         });
         let mut client = Client::connect(address);
         client.say("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
-        let (caller, gone) = seen.recv_timeout(PATIENCE).unwrap();
+        let (peer, gone) = seen.recv_timeout(PATIENCE).unwrap();
         client.say(said);
-        assert!(!caller.is_gone());
+        assert!(!peer.is_gone());
         drop(client);
         let due = Clock::now() + Span::seconds(5);
-        while !caller.is_gone() {
+        while !peer.is_gone() {
             assert!(Clock::now() < due, "not seen behind {said:?}");
             std::thread::yield_now();
         }
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/wicket/tests/library_traps.rs
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn a_caller_that_goes_away_is_noticed_between_pieces() {
+fn a_client_that_goes_away_is_noticed_between_pieces() {
     let (address, feed, dropped) = fed_gate();
     feed.send(Some("one\n")).unwrap();
     let response = ask_get(&format!("http://{address}/"), PATIENCE, PATIENCE).unwrap();
--- a/crates/wicket/tests/lines.rs
+++ b/crates/wicket/tests/lines.rs
@@ -22,7 +22,7 @@
 }
 
 fn waits() -> Waits<'static> {
-    Waits { connect: PATIENCE, head_due: Clock::now() + PATIENCE, may_leave: &always, caller: None }
+    Waits { connect: PATIENCE, head_due: Clock::now() + PATIENCE, may_leave: &always, client: None }
 }
 
 fn ask(lines: &Lines, to: SocketAddr) -> Result<Line, LineError> {
@@ -399,32 +399,32 @@
     }
 }
 
-/// A caller of a gate, and the connection that it called on.
-fn caller() -> (Caller, TcpStream, mpsc::Sender<()>) {
+/// A client of a gate, and the connection that it called on.
+fn client() -> (Client, TcpStream, mpsc::Sender<()>) {
     let gate = Gate::open(Address::loopback(0).0, GateBounds { keep_alive: true, ..GateBounds::default() }).unwrap();
     let address = gate.address();
-    let (sender, callers) = mpsc::channel();
+    let (sender, clients) = mpsc::channel();
     std::thread::spawn(move || {
         gate.serve(move |request| {
             let (end, ended) = mpsc::channel();
-            sender.send((request.caller, end)).unwrap();
+            sender.send((request.client, end)).unwrap();
             let _ = ended.recv();
             Reply::whole(200, "text/plain", "")
         });
     });
     let mut stream = TcpStream::connect(address.0).unwrap();
     stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
-    let (caller, end) = callers.recv().unwrap();
-    (caller, stream, end)
+    let (client, end) = clients.recv().unwrap();
+    (client, stream, end)
 }
 
 #[test]
-fn a_caller_that_goes_ends_the_wait_for_head_and_body() {
+fn a_client_that_goes_ends_the_wait_for_head_and_body() {
     for pipelined in ["", "GET / HTTP/1.1\r\n"] {
         for said in ["", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf"] {
-            let (mut stream, end, caller) = {
-                let (caller, stream, end) = caller();
-                (stream, end, caller)
+            let (mut stream, end, client) = {
+                let (client, stream, end) = client();
+                (stream, end, client)
             };
             stream.write_all(pipelined.as_bytes()).unwrap();
             let (sender, heard) = mpsc::channel();
@@ -439,13 +439,13 @@
                 drop(stream);
             });
             let lines = Lines::new(BOUNDS);
-            let outcome = lines.ask(to, request(), &Waits { caller: Some(&caller), ..waits() });
+            let outcome = lines.ask(to, request(), &Waits { client: Some(&client), ..waits() });
             match outcome {
                 Ok(mut line) => {
-                    let outcome = line.read_all(Clock::now() + PATIENCE, 100, Some(&caller));
-                    assert_eq!(outcome, Err(LineError::CallerGone));
+                    let outcome = line.read_all(Clock::now() + PATIENCE, 100, Some(&client));
+                    assert_eq!(outcome, Err(LineError::ClientGone));
                 }
-                Err(fault) => assert_eq!(fault, LineError::CallerGone, "{pipelined:?} {said:?}"),
+                Err(fault) => assert_eq!(fault, LineError::ClientGone, "{pipelined:?} {said:?}"),
             }
             drop(end);
         }
