--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -102,7 +102,7 @@
     }
 
     /// What the core answers to a poll.
-    pub enum PollReply {
+    pub enum PollResponse {
         /// Ask that one; these are the core's machines.
         Elsewhere {
             /// The view that this is of: one that was away may know but an old one.
@@ -135,7 +135,7 @@
         Latest,
         /// The plan in force behind its epoch (eight bytes), for a change to be merged into.
         Base {
-            /// Known to whoever replies at least up to this epoch.
+            /// Known to whoever responds at least up to this epoch.
             at_least: Epoch,
         },
         /// What was accepted as this epoch.
@@ -172,11 +172,11 @@
             poll: Box<Poll>,
         },
         /// From the core to a member.
-        PollReply {
+        PollResponse {
             /// Of the poll.
             round: u64,
             /// It.
-            reply: Box<PollReply>,
+            response: Box<PollResponse>,
         },
         /// Asks for a plan, by pieces, from the core or from a peer.
         PlanAsk {
--- a/crates/circular/src/lib.rs
+++ b/crates/circular/src/lib.rs
@@ -6,7 +6,7 @@
 /// What each file imports.
 pub mod prelude {
     pub use crate::letter::{
-        DigestLeg, Letter, ListChange, ListPiece, ListState, ListVersion, Member, News, Poll, PollReply, Reading,
+        DigestLeg, Letter, ListChange, ListPiece, ListState, ListVersion, Member, News, Poll, PollResponse, Reading,
         SPLICE_MOST,
     };
     pub use crate::seal::{PROTOCOL, SealFault, open, seal};
--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -48,7 +48,7 @@
     replicas: Vec<Option<Replica<Register>>>,
     disks: Vec<Vec<Record>>,
     letters: VecDeque<(Address, Address, Note)>,
-    replies: Vec<String>,
+    responses: Vec<String>,
     proposals: u64,
 }
 
@@ -63,7 +63,7 @@
             replicas: vec![],
             disks: vec![vec![]; 3],
             letters: VecDeque::new(),
-            replies: vec![],
+            responses: vec![],
             proposals: 0,
         };
         zone.replicas = (0..3).map(|place| Some(zone.open(place))).collect();
@@ -92,13 +92,14 @@
                 self.disks[place].extend(records);
                 self.step(place, Input::Written { id });
             }
-            Output::Reply { is_replied, body, .. } => {
+            Output::Response { is_replied, body, .. } => {
                 let text = String::from_utf8_lossy(&body).into_owned();
-                self.replies.push(if is_replied { text } else { "the core could not take it".into() });
+                self.responses.push(if is_replied { text } else { "the core could not take it".into() });
             }
             Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                let reply = self.replicas[place].as_mut().and_then(|replica| replica.reply(self.now, ticket, body));
-                reply.into_iter().for_each(|output| self.act(place, output));
+                let response =
+                    self.replicas[place].as_mut().and_then(|replica| replica.respond(self.now, ticket, body));
+                response.into_iter().for_each(|output| self.act(place, output));
             }
             Output::ViewChanged(view) => {
                 let chain: Vec<String> = view.chain.iter().map(|seat| seat.voter.address.to_string()).collect();
@@ -119,15 +120,15 @@
             }
         }
     }
-    /// Proposes something at one machine and gives the reply.
+    /// Proposes something at one machine and gives the response.
     fn propose(&mut self, place: usize, what: &str) -> String {
-        self.replies.clear();
+        self.responses.clear();
         self.proposals += 1;
         self.step(place, Input::Propose { number: self.proposals, body: what.as_bytes().to_vec() });
         self.pass(Span(200));
-        let reply = self.replies.pop().unwrap_or_else(|| "no reply".into());
-        println!("{what:>12} -> {reply}");
-        reply
+        let response = self.responses.pop().unwrap_or_else(|| "no response".into());
+        println!("{what:>12} -> {response}");
+        response
     }
 }
 
@@ -138,7 +139,7 @@
     assert_eq!(zone.propose(1, "claim ada"), "word hello, duty held by ada");
     assert_eq!(zone.propose(2, "claim ben"), "word hello, duty held by ada", "it was won already");
     println!("the tail is lost");
-    let tail = (0..3).find(|place| zone.replicas[*place].as_ref().is_some_and(|f| f.may_reply(zone.now)));
+    let tail = (0..3).find(|place| zone.replicas[*place].as_ref().is_some_and(|f| f.may_respond(zone.now)));
     let tail = tail.expect("there is a tail");
     zone.replicas[tail] = None;
     zone.pass(Span(4_000));
--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -27,7 +27,7 @@
 //!         _ => {}
 //!     }
 //! }
-//! assert!(!replica.may_reply(Moment(100)), "nobody replies before the founding");
+//! assert!(!replica.may_respond(Moment(100)), "nobody responds before the founding");
 //! # Ok::<(), KeptFault>(())
 //! ```
 //!
--- a/crates/college/src/notes.rs
+++ b/crates/college/src/notes.rs
@@ -73,7 +73,7 @@
             /// The round.
             round: Round,
         },
-        /// Reply to `Prepare`: I'll take part in no lesser round.
+        /// Response to `Prepare`: I'll take part in no lesser round.
         Promise {
             /// For the view of this epoch.
             instance: ViewEpoch,
@@ -89,7 +89,7 @@
             /// The ballot.
             ballot: Ballot,
         },
-        /// Reply to `Accept`.
+        /// Response to `Accept`.
         Accepted {
             /// For the view of this epoch.
             instance: ViewEpoch,
@@ -98,7 +98,7 @@
             /// My disk.
             disk: DiskId,
         },
-        /// Reply to a lesser round.
+        /// Response to a lesser round.
         Outdone {
             /// For the view of this epoch.
             instance: ViewEpoch,
@@ -191,7 +191,7 @@
             body: Vec<u8>,
         },
         /// The answer to a proposal. `is_replied` is false if it was turned away unchanged.
-        Reply {
+        Response {
             /// Which proposal.
             number: u64,
             /// Whether it entered the chain and is on every member's disk.
--- a/crates/college/src/replica.rs
+++ b/crates/college/src/replica.rs
@@ -77,9 +77,9 @@
         /// The note.
         note: Note,
     },
-    /// Someone here proposes a body; the answer comes as [`Output::Reply`] with this number.
+    /// Someone here proposes a body; the answer comes as [`Output::Response`] with this number.
     Propose {
-        /// The number. No other proposal of this machine may have it, nor one of an earlier life: replies
+        /// The number. No other proposal of this machine may have it, nor one of an earlier life: responses
         /// may come late.
         number: u64,
         /// The body.
@@ -120,7 +120,7 @@
         is_whole: bool,
     },
     /// The answer to a proposal made here.
-    Reply {
+    Response {
         /// Its number.
         number: u64,
         /// Whether the core took it up.
@@ -129,7 +129,7 @@
         body: Vec<u8>,
     },
     /// At the tail: this change is on every member's disk. Whoever runs the tail gives the answer
-    /// with [`Replica::reply`], at once or when its own conditions hold.
+    /// with [`Replica::respond`], at once or when its own conditions hold.
     Settled {
         /// Who waits.
         ticket: Ticket,
@@ -178,7 +178,7 @@
     /// The last change known to be replied.
     pub replied: Seq,
     /// Whether it may answer now.
-    pub may_reply: bool,
+    pub may_respond: bool,
     /// Whether its disk takes writes.
     pub is_sound: bool,
     /// Who was heard lately, and how long ago.
@@ -474,7 +474,7 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// What is replicated. Only to be shown to others while [`Replica::may_reply`].
+    /// What is replicated. Only to be shown to others while [`Replica::may_respond`].
     pub fn state_machine(&self) -> &C {
         &self.state_machine
     }
@@ -487,7 +487,7 @@
         self.me
     }
     /// Whether it may answer for the core at this moment: to be asked right before each answer.
-    pub fn may_reply(&self, now: Moment) -> bool {
+    pub fn may_respond(&self, now: Moment) -> bool {
         self.is_sound && self.is_tail() && self.is_level && now < self.lease_due
     }
     /// Whether this replica heard a majority of the view's voters lately, itself included. One that did not is cut
@@ -510,14 +510,14 @@
         self.has_members = has_members;
     }
     /// Gives the answer to a settled change, if this replica may still answer.
-    pub fn reply(&mut self, now: Moment, ticket: Ticket, body: Vec<u8>) -> Option<Output> {
-        if !self.may_reply(now) {
+    pub fn respond(&mut self, now: Moment, ticket: Ticket, body: Vec<u8>) -> Option<Output> {
+        if !self.may_respond(now) {
             return None;
         }
         Some(if ticket.origin == self.me.address {
-            Output::Reply { number: ticket.number, is_replied: true, body }
+            Output::Response { number: ticket.number, is_replied: true, body }
         } else {
-            let note = Note::Reply { number: ticket.number, is_replied: true, body };
+            let note = Note::Response { number: ticket.number, is_replied: true, body };
             Output::Send { to: ticket.origin, note }
         })
     }
@@ -538,7 +538,7 @@
             view: self.view.clone(),
             last: self.synced.0,
             replied: self.replied,
-            may_reply: self.may_reply(self.now),
+            may_respond: self.may_respond(self.now),
             is_sound: self.is_sound,
             heard: self.heard.iter().map(|(address, h)| (*address, self.now.since(h.at))).collect(),
         }
@@ -689,8 +689,8 @@
             Note::Propose { ticket, body } => self.on_propose(ticket, body),
             Note::Judge { view, ticket, last, body } => self.on_judge(from, view, ticket, last, body),
             Note::Leaving { disk } => self.on_leaving(from, disk),
-            Note::Reply { number, is_replied, body } => {
-                self.outputs.push(Output::Reply { number, is_replied, body });
+            Note::Response { number, is_replied, body } => {
+                self.outputs.push(Output::Response { number, is_replied, body });
             }
         }
     }
--- a/crates/college/src/replica/chain.rs
+++ b/crates/college/src/replica/chain.rs
@@ -7,7 +7,7 @@
         let ticket = Ticket { origin: self.me.address, number };
         match self.view.head() {
             Some(head) if self.is_sound => self.send(head.address, Note::Propose { ticket, body }),
-            _ => self.outputs.push(Output::Reply { number, is_replied: false, body: vec![] }),
+            _ => self.outputs.push(Output::Response { number, is_replied: false, body: vec![] }),
         }
     }
 
@@ -64,7 +64,7 @@
     }
 
     fn turn_away(&mut self, ticket: Ticket, is_replied: bool, body: Vec<u8>) {
-        let note = Note::Reply { number: ticket.number, is_replied, body };
+        let note = Note::Response { number: ticket.number, is_replied, body };
         self.send(ticket.origin, note);
     }
 
--- a/crates/college/src/replica/tests.rs
+++ b/crates/college/src/replica/tests.rs
@@ -75,7 +75,7 @@
             tell(replica, at, n, Note::LeaseGrant { view, round, disk: DiskId(u128::from(n)) });
         }
     }
-    replica.may_reply(Moment(at))
+    replica.may_respond(Moment(at))
 }
 
 #[test]
@@ -85,7 +85,7 @@
     let mut tail = replica(3, records);
     // View 2 went on without 3; view 3 admits it again at the end.
     tell(&mut tail, 10_100, 2, Note::Decided { view: view(3, &[(1, true), (2, true), (3, false)]) });
-    assert!(!grant_all(&mut tail, 10_200), "it replies, and lacks what view 2 replied to");
+    assert!(!grant_all(&mut tail, 10_200), "it responds, and lacks what view 2 replied to");
     tell(&mut tail, 10_300, 2, Note::Level { view: ViewEpoch(3), last: Seq(2) });
     assert!(!grant_all(&mut tail, 10_500));
     tell(&mut tail, 10_600, 2, Note::Pass { view: ViewEpoch(3), change: change(2, 2) });
@@ -198,11 +198,11 @@
                 inputs.push((usize::from(to.0.port()) - 1, Input::Note { from, note }));
             }
         }
-        if replicas.iter().any(|replica| replica.may_reply(at)) && replicas[0].view().chain.len() == 4 {
+        if replicas.iter().any(|replica| replica.may_respond(at)) && replicas[0].view().chain.len() == 4 {
             return;
         }
     }
-    panic!("nobody may reply: {:?}", replicas.iter().map(Replica::state).collect::<Vec<_>>());
+    panic!("nobody may respond: {:?}", replicas.iter().map(Replica::state).collect::<Vec<_>>());
 }
 
 /// A tail counts its lease from when it asked: a grant to an earlier life of its own is older than that.
@@ -226,7 +226,7 @@
         for n in 1..=3 {
             tell(tail, 13_510, n, Note::LeaseGrant { view: ViewEpoch(1), round, disk: DiskId(u128::from(n)) });
         }
-        tail.may_reply(Moment(13_510))
+        tail.may_respond(Moment(13_510))
     };
     assert!(!grant_all(&mut tail, earlier));
     assert!(grant_all(&mut tail, round));
@@ -275,7 +275,7 @@
         self.disks[place] = DiskId(self.disks[place].0 + 100);
         self.records[place].clear();
     }
-    /// Plays for so long; gives the last reply to a proposal made here at the start, if any came.
+    /// Plays for so long; gives the last response to a proposal made here at the start, if any came.
     fn play(&mut self, span: u64, proposer: Option<(u16, u64)>) -> Option<bool> {
         let mut inputs: VecDeque<(usize, Input)> = VecDeque::new();
         if let Some((n, number)) = proposer {
@@ -308,9 +308,9 @@
                             inputs.push_back((place, Input::Written { id }));
                         }
                         Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
-                            outputs.extend(replica.reply(at, ticket, body))
+                            outputs.extend(replica.respond(at, ticket, body))
                         }
-                        Output::Reply { is_replied, .. } => told = Some(is_replied),
+                        Output::Response { is_replied, .. } => told = Some(is_replied),
                         Output::ViewChanged(_) => {}
                     }
                 }
@@ -318,10 +318,10 @@
         }
         told
     }
-    /// Where a replica may reply: who votes and who sits in the chain there, and how many changes it holds.
+    /// Where a replica may respond: who votes and who sits in the chain there, and how many changes it holds.
     fn core(&self) -> Option<(Vec<u16>, Vec<u16>, u64)> {
-        let may_reply = |replica: &&Replica<Tally>| replica.may_reply(Moment(self.at));
-        let tail = self.replicas.iter().flatten().find(may_reply)?;
+        let may_respond = |replica: &&Replica<Tally>| replica.may_respond(Moment(self.at));
+        let tail = self.replicas.iter().flatten().find(may_respond)?;
         let sorted = |voters: &mut dyn Iterator<Item = Address>| {
             let mut ports: Vec<u16> = voters.map(|address| address.0.port()).collect();
             ports.sort();
@@ -337,7 +337,7 @@
 fn three_founders_grow_to_as_many_voters_as_are_wanted_and_no_further() {
     let mut core = Core::new(3, 5, 6);
     core.play(4000, None);
-    let (voters, chain, _) = core.core().expect("it replies");
+    let (voters, chain, _) = core.core().expect("it responds");
     assert_eq!((voters.len(), &voters), (5, &chain), "{voters:?}");
     assert_eq!(voters[..3], [1, 2, 3]);
     assert_eq!(core.play(1000, Some((6, 1))), Some(true), "whoever is no voter proposes all the same");
@@ -359,7 +359,7 @@
         core.start(pair.0);
         core.start(pair.1);
         core.play(8000, None);
-        let (voters, chain, held) = core.core().expect("it replies");
+        let (voters, chain, held) = core.core().expect("it responds");
         assert_eq!((voters.len(), chain.len(), held), (5, 5, 1), "{pair:?}: {voters:?} {chain:?}");
         assert_eq!(core.play(1000, Some((2, 2))), Some(true), "{pair:?}");
     }
@@ -394,7 +394,7 @@
     core.play(600, None);
     (1..=6).for_each(|n| core.start(n));
     core.play(8000, None);
-    let (voters, chain, held) = core.core().expect("it replies");
+    let (voters, chain, held) = core.core().expect("it responds");
     assert_eq!((voters.len(), chain.len(), held), (5, 5, 1), "{voters:?} {chain:?}");
 }
 
--- a/crates/college/src/replica/tests/leaving.rs
+++ b/crates/college/src/replica/tests/leaving.rs
@@ -9,11 +9,11 @@
     assert!(grant_all(&mut tail, 11_000));
     let mut next = view(2, &[(2, true), (3, true)]);
     tell(&mut tail, 11_050, 2, Note::Decided { view: next.clone() });
-    assert!(tail.may_reply(Moment(11_060)), "the same voters");
+    assert!(tail.may_respond(Moment(11_060)), "the same voters");
     next.epoch = ViewEpoch(3);
     next.voters = vec![voter(4), voter(2), voter(3)];
     tell(&mut tail, 11_070, 2, Note::Decided { view: next });
-    assert!(!tail.may_reply(Moment(11_080)), "of the voters 2, 3 and 4, only 3 is known to keep its word");
+    assert!(!tail.may_respond(Moment(11_080)), "of the voters 2, 3 and 4, only 3 is known to keep its word");
     assert!(grant_all(&mut tail, 11_100));
 }
 
@@ -46,7 +46,7 @@
         core.play(500, None);
         assert!(core.has_handed_over(leaver), "{leaver}");
         core.stop(leaver);
-        let (voters, chain, held) = core.core().expect("it replies at once");
+        let (voters, chain, held) = core.core().expect("it responds at once");
         let rest: Vec<u16> = (1..=4).filter(|n| *n != leaver).collect();
         assert_eq!((&voters, &chain, held), (&rest, &rest, 1), "{leaver}");
         assert_eq!(core.play(200, Some((4, 2))), Some(true), "{leaver}");
@@ -61,7 +61,7 @@
         core.play(500, None);
         assert!(core.has_handed_over(leaver), "{leaver}");
         core.stop(leaver);
-        let (voters, chain, _) = core.core().expect("it replies at once");
+        let (voters, chain, _) = core.core().expect("it responds at once");
         let rest: Vec<u16> = (1..=3).filter(|n| *n != leaver).collect();
         assert_eq!((&voters, &chain), (&vec![1, 2, 3], &rest), "{leaver}");
         assert_eq!(core.play(200, Some((rest[0], 2))), Some(true), "{leaver}");
@@ -89,7 +89,7 @@
     core.stop(2);
     core.stop(3);
     core.play(3000, None);
-    let (_, chain, held) = core.core().expect("it replies");
+    let (_, chain, held) = core.core().expect("it responds");
     assert_eq!((chain, held), (vec![1, 4], 1));
 }
 
--- a/crates/crier/src/call.rs
+++ b/crates/crier/src/call.rs
@@ -63,7 +63,7 @@
     /// A client's request.
     fn read(&self, request: Request) -> Result<Call, Denial>;
     /// Tells a client that its request goes nowhere.
-    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply;
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response;
     /// The request to a server.
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes>;
     /// Whose answer a server's head says that it is.
--- a/crates/crier/src/call_limits/tests.rs
+++ b/crates/crier/src/call_limits/tests.rs
@@ -43,7 +43,7 @@
                 let (release, released) = flume::bounded::<()>(1);
                 let _ = work.send(release);
                 let _ = released.recv_timeout(GUARD.duration());
-                Reply::passed(200, http::HeaderMap::new(), "")
+                Response::passed(200, http::HeaderMap::new(), "")
             })
         });
         Server { address, at_work }
--- a/crates/crier/src/carrier.rs
+++ b/crates/crier/src/carrier.rs
@@ -16,7 +16,7 @@
 /// What asking servers came to.
 enum Asked<T> {
     Opened(Placing, T),
-    Told(Reply),
+    Told(Response),
 }
 
 /// What became of asking one server: what it gave, or how that failed and why.
@@ -69,7 +69,7 @@
 }
 
 /// Takes a prompt request.
-pub(crate) fn take_request(shared: &Arc<Shared>, body: &[u8]) -> Reply {
+pub(crate) fn take_request(shared: &Arc<Shared>, body: &[u8]) -> Response {
     Tallies::more(&shared.tallies.received);
     let request: ClientRequest = match serde_json::from_slice(body) {
         Ok(request) => request,
@@ -117,7 +117,7 @@
 }
 
 /// Reads a stream on from where the client has it. It's read, never run again.
-pub(crate) fn resume(shared: &Arc<Shared>, body: &[u8]) -> Reply {
+pub(crate) fn resume(shared: &Arc<Shared>, body: &[u8]) -> Response {
     let request: ResumeRequest = match serde_json::from_slice(body) {
         Ok(request) => request,
         Err(fault) => return shared.refusal(ResultCode::BadRequest, fault.to_string(), Span(0)),
@@ -162,7 +162,7 @@
 }
 
 /// Fetches a page; the whole answer is read before any of it is given.
-pub(crate) fn fetch(shared: &Arc<Shared>, service: &str, path: &str, id: Option<&str>) -> Reply {
+pub(crate) fn fetch(shared: &Arc<Shared>, service: &str, path: &str, id: Option<&str>) -> Response {
     Tallies::more(&shared.tallies.received);
     let number = shared.next_number();
     let request = id.map(RequestId::from);
@@ -192,7 +192,7 @@
         Asked::Opened(_, (content_type, body)) => {
             shared.tell_ended(&request, Outcome::Complete);
             Tallies::more(&shared.tallies.complete);
-            Reply::whole(200, &content_type, body)
+            Response::whole(200, &content_type, body)
         }
     }
 }
@@ -270,7 +270,7 @@
 }
 
 /// Starts reading the server's stream and gives the client's side of it.
-fn stream(shared: &Arc<Shared>, place: Place, reading: Reading, head: serde_json::Value, response: Heard) -> Reply {
+fn stream(shared: &Arc<Shared>, place: Place, reading: Reading, head: serde_json::Value, response: Heard) -> Response {
     let (outbox, inbox) = flume::bounded(16);
     let request = reading.request.clone();
     let has_gone = Arc::new(AtomicBool::new(false));
@@ -294,7 +294,7 @@
         tracing::warn!("carrier: no thread for a stream: {fault}.");
         shared.tell_ended(&request, Outcome::Failed);
     }
-    Reply::streamed("application/x-ndjson", Box::new(source))
+    Response::streamed("application/x-ndjson", Box::new(source))
 }
 
 /// Reads the server's stream, piece by piece in order, until its explicit end.
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -124,7 +124,7 @@
     });
     let (closer, open_count) = (gate.closer(), gate.open_count());
     let gate_door = door.clone();
-    let gate_thread = move || gate.serve(move |request| gate_door.clone().reply(&request));
+    let gate_thread = move || gate.serve(move |request| gate_door.clone().respond(&request));
     let gate_thread = std::thread::Builder::new().name("gate".into()).spawn(gate_thread);
     let gate_thread = gate_thread.map_err(|fault| fault.to_string())?;
 
@@ -170,7 +170,7 @@
                 drain_due = Some(now + Span(settings.drain_ms));
             }
             if control.node.is_drained() {
-                // Whoever has connected by now still gets a reply, and every reply its last byte.
+                // Whoever has connected by now still gets a response, and every response its last byte.
                 closer.close();
                 let _ = gate_thread.join();
                 ingress.iter().for_each(Ingress::close);
@@ -229,20 +229,20 @@
         let now = Clock::now();
         let input = match event {
             Event::Input(input) => input,
-            Event::Place(input, reply) => {
+            Event::Place(input, response) => {
                 if let NodeInput::Place(PlaceAsk { number, .. }) = &input {
-                    self.waiting.insert(*number, reply);
+                    self.waiting.insert(*number, response);
                 }
                 input
             }
-            Event::Resume(input, reply) => {
+            Event::Resume(input, response) => {
                 if let NodeInput::Resume { number, .. } = &input {
-                    self.resuming.insert(*number, reply);
+                    self.resuming.insert(*number, response);
                 }
                 input
             }
-            Event::Believes(reply) => {
-                let _ = reply.send(self.believes(now));
+            Event::Believes(response) => {
+                let _ = response.send(self.believes(now));
                 return;
             }
         };
@@ -272,13 +272,13 @@
                     self.post.send(to, class, letter);
                 }
                 NodeOutput::Place { number, outcome } => {
-                    if let Some(reply) = self.waiting.remove(&number) {
-                        let _ = reply.send(outcome);
+                    if let Some(response) = self.waiting.remove(&number) {
+                        let _ = response.send(outcome);
                     }
                 }
                 NodeOutput::Resume { number, outcome } => {
-                    if let Some(reply) = self.resuming.remove(&number) {
-                        let _ = reply.send(outcome);
+                    if let Some(response) = self.resuming.remove(&number) {
+                        let _ = response.send(outcome);
                     }
                 }
                 NodeOutput::Read { plan_epoch, bytes } => self.read_plan(plan_epoch, bytes),
@@ -429,7 +429,7 @@
 }
 
 impl Door {
-    fn reply(self: Arc<Self>, request: &Request) -> Reply {
+    fn respond(self: Arc<Self>, request: &Request) -> Response {
         match (request.method.as_str(), request.parts().as_slice()) {
             ("POST", ["v1", "requests"]) => take_request(&self.shared, &request.body),
             ("POST", ["v1", "resume"]) => resume(&self.shared, &request.body),
@@ -438,44 +438,46 @@
             }
             ("GET", ["ready"]) => {
                 if self.is_ready.load(Ordering::SeqCst) {
-                    Reply::whole(200, "text/plain", "ready\n")
+                    Response::whole(200, "text/plain", "ready\n")
                 } else {
-                    Reply::whole(503, "text/plain", "not ready\n")
+                    Response::whole(503, "text/plain", "not ready\n")
                 }
             }
-            ("GET", ["metrics"]) => Reply::whole(200, "text/plain; version=0.0.4", self.shared.tallies.text()),
+            ("GET", ["metrics"]) => Response::whole(200, "text/plain; version=0.0.4", self.shared.tallies.text()),
             ("GET", ["v1", "believes"]) => {
-                let (reply, inbox) = flume::bounded(1);
-                let _ = self.shared.control.send(Event::Believes(reply));
+                let (response, inbox) = flume::bounded(1);
+                let _ = self.shared.control.send(Event::Believes(response));
                 match inbox.recv_timeout(Duration::from_secs(5)) {
-                    Ok(value) => Reply::json(200, &value),
-                    Err(_) => Reply::result(ResultCode::NotReady, "the control thread gave no answer"),
+                    Ok(value) => Response::json(200, &value),
+                    Err(_) => Response::result(ResultCode::NotReady, "the control thread gave no answer"),
                 }
             }
             ("GET", ["v1", "decisions"]) => self.tail(request, JournalKind::Decisions),
             ("GET", ["v1", "events"]) => self.tail(request, JournalKind::Events),
             ("POST", ["v1", "events"]) => self.push(&request.body),
-            _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path)),
+            _ => {
+                Response::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path))
+            }
         }
     }
 
-    fn tail(self: Arc<Self>, request: &Request, kind: JournalKind) -> Reply {
+    fn tail(self: Arc<Self>, request: &Request, kind: JournalKind) -> Response {
         let cursor = match request.query_word("after").map(str::parse) {
             Some(Ok(cursor)) => cursor,
-            Some(Err(_)) => return Reply::result(ResultCode::BadRequest, "after is not a number"),
+            Some(Err(_)) => return Response::result(ResultCode::BadRequest, "after is not a number"),
             None => 0,
         };
         let does_follow = request.query_word("follow") == Some("true");
         let head = (cursor == 0 && kind == JournalKind::Events).then(|| format!("{}\n", self.head));
         let source = JournalSource { door: self, kind, cursor, does_follow, head };
-        Reply::streamed("application/x-ndjson", Box::new(source))
+        Response::streamed("application/x-ndjson", Box::new(source))
     }
 
     /// Takes events that operators push in. Those that would get round the accepted layout, the
     /// platform's list or the members are turned away; all lines are read before any is taken.
-    fn push(&self, body: &[u8]) -> Reply {
+    fn push(&self, body: &[u8]) -> Response {
         let Ok(text) = std::str::from_utf8(body) else {
-            return Reply::result(ResultCode::BadRequest, "the body is not UTF-8");
+            return Response::result(ResultCode::BadRequest, "the body is not UTF-8");
         };
         let mut events = vec![];
         for (place, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
@@ -486,17 +488,17 @@
                         "line {}: rules, members, the server list and peer sketches come from the fleet alone",
                         place + 1
                     );
-                    return Reply::result(ResultCode::BadRequest, why);
+                    return Response::result(ResultCode::BadRequest, why);
                 }
                 Ok(event) => events.push(event),
-                Err(fault) => return Reply::result(ResultCode::BadRequest, format!("line {}: {fault}", place + 1)),
+                Err(fault) => return Response::result(ResultCode::BadRequest, format!("line {}: {fault}", place + 1)),
             }
         }
         let count = events.len();
         for event in events {
             let _ = self.shared.control.send(Event::Input(NodeInput::Event(event)));
         }
-        Reply::json(200, &serde_json::json!({"taken": count}))
+        Response::json(200, &serde_json::json!({"taken": count}))
     }
 }
 
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -71,7 +71,7 @@
 
 impl Forwarder {
     /// Answers a client's request.
-    pub fn reply(self: &Arc<Self>, request: Request) -> Reply {
+    pub fn respond(self: &Arc<Self>, request: Request) -> Response {
         let arrived = Clock::now();
         self.shared.arrived.store(arrived.0, std::sync::atomic::Ordering::Relaxed);
         let client = request.client.clone();
@@ -121,7 +121,7 @@
             trip,
             answer: None,
         };
-        way.reply(first)
+        way.respond(first)
     }
 
     #[cfg(test)]
@@ -133,7 +133,7 @@
         false
     }
 
-    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply {
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response {
         let tallies = &self.shared.tallies;
         Tallies::more(if denial.code.is_refusal() { &tallies.refused } else { &tallies.unknown });
         self.dialect.refuse(id, denial)
@@ -158,7 +158,7 @@
 }
 
 impl Way {
-    fn reply(mut self, first: ErrandOutput) -> Reply {
+    fn respond(mut self, first: ErrandOutput) -> Response {
         let (placing, opening) = match self.go(first) {
             Gone::Opened(placing, opening) => (placing, opening),
             Gone::Told(denial) => {
@@ -167,7 +167,7 @@
                 return match self.answer.take().filter(|answer| !is_refusal && !PROMISES.contains(&answer.0)) {
                     Some(answer) => {
                         let (status, headers, body) = *answer;
-                        Reply::passed(status, headers, body)
+                        Response::passed(status, headers, body)
                     }
                     None => self.forwarder.refuse(Some(&self.call.id), &denial),
                 };
@@ -190,13 +190,13 @@
                 is_over: false,
                 last_bytes: Clock::now(),
             };
-            Reply::passed_stream(status, headers, Box::new(source))
+            Response::passed_stream(status, headers, Box::new(source))
         } else {
             let body = opening.body.clone();
             opening.line.keep();
             self.ended(Outcome::Complete);
             Tallies::more(&self.forwarder.shared.tallies.complete);
-            Reply::passed(status, headers, body)
+            Response::passed(status, headers, body)
         }
     }
 
--- a/crates/crier/src/forward/detached.rs
+++ b/crates/crier/src/forward/detached.rs
@@ -60,7 +60,7 @@
         Ok(DetachedForwarder { forwarder: Arc::new(forwarder) })
     }
     /// Answers a client's request.
-    pub fn reply(&self, request: Request) -> Reply {
-        self.forwarder.reply(request)
+    pub fn respond(&self, request: Request) -> Response {
+        self.forwarder.respond(request)
     }
 }
--- a/crates/crier/src/forward/tests.rs
+++ b/crates/crier/src/forward/tests.rs
@@ -27,10 +27,14 @@
         let demand = Demand::default();
         Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand })
     }
-    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply {
-        let reply = Reply::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word())
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response {
+        let response = Response::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word())
             .with_header("x-call", id.map_or("", RequestId::as_str));
-        if denial.code.comes_back().is_some() { reply.retry_after(denial.retry_after.max(Span(50))) } else { reply }
+        if denial.code.comes_back().is_some() {
+            response.retry_after(denial.retry_after.max(Span(50)))
+        } else {
+            response
+        }
     }
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes> {
         let mut request = http::Request::new(call.body.clone());
@@ -255,11 +259,11 @@
     std::thread::spawn(move || {
         for event in events {
             let one = match event {
-                crate::daemon::Event::Place(NodeInput::Place(ask), reply) => {
+                crate::daemon::Event::Place(NodeInput::Place(ask), response) => {
                     let PlaceAsk { round, tried, may_have_run, demand, .. } = ask;
                     let _ = tell.send(Told::Asked { round, tried, may_have_run, deadline: demand.deadline });
                     let word = words.next().unwrap_or_else(|| denied(ResultCode::NoServer, 700));
-                    let _ = reply.send(word(&shared));
+                    let _ = response.send(word(&shared));
                     continue;
                 }
                 crate::daemon::Event::Input(NodeInput::Event(Event::FirstToken { .. })) => Told::First,
@@ -319,7 +323,7 @@
         let forwarder = Arc::new(Forwarder { shared, dialect: Arc::new(Plain), lines, mutant });
         let gate = Gate::open("127.0.0.1:0".parse().expect("an address"), GateBounds::default()).expect("a gate");
         let address = gate.address().0;
-        std::thread::spawn(move || gate.serve(move |request| forwarder.reply(request)));
+        std::thread::spawn(move || gate.serve(move |request| forwarder.respond(request)));
         Stage { address, told }
     }
     fn send(&self, headers: &str) -> Client {
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -63,14 +63,14 @@
         let (closers, open_count) = (vec![gate.closer(), probe_gate.closer()], gate.open_count());
         let serve = move || {
             await_ready(&shared_by_gate, patience);
-            gate.serve(move |request| forwarder.reply(request));
+            gate.serve(move |request| forwarder.respond(request));
         };
         std::thread::Builder::new().name("ingress".into()).spawn(serve).map_err(|fault| fault.to_string())?;
         let tell_ready =
             move |request: Request| match (dialect.is_probe(&request), shared.is_ready.load(Ordering::SeqCst)) {
-                (true, true) => Reply::whole(200, "text/plain", "ready\n"),
-                (true, false) => Reply::whole(503, "text/plain", "not ready\n"),
-                (false, _) => Reply::result(ResultCode::NotFound, "only readiness is told here"),
+                (true, true) => Response::whole(200, "text/plain", "ready\n"),
+                (true, false) => Response::whole(503, "text/plain", "not ready\n"),
+                (false, _) => Response::result(ResultCode::NotFound, "only readiness is told here"),
             };
         let serve = move || probe_gate.serve(tell_ready);
         std::thread::Builder::new().name("readiness".into()).spawn(serve).map_err(|fault| fault.to_string())?;
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -701,7 +701,7 @@
     fn on_letter(&mut self, from: Address, letter: Letter) {
         self.heard.insert(from, self.now);
         match letter {
-            Letter::PollReply { round, reply } => self.on_poll_reply(from, round, *reply),
+            Letter::PollResponse { round, response } => self.on_poll_response(from, round, *response),
             Letter::PlanAsk { epoch, offset, .. } => {
                 let piece = Letter::plan_piece(epoch, &self.plan_bytes, offset).filter(|_| epoch == self.plan_epoch);
                 piece.into_iter().for_each(|letter| self.send(from, letter));
@@ -753,11 +753,11 @@
         }
     }
 
-    fn on_poll_reply(&mut self, from: Address, round: u64, reply: PollReply) {
+    fn on_poll_response(&mut self, from: Address, round: u64, response: PollResponse) {
         let Some(sent) = self.polled.filter(|_| round == self.poll_round) else { return };
         self.polled = None;
-        match reply {
-            PollReply::Elsewhere { view, tail, voters } => {
+        match response {
+            PollResponse::Elsewhere { view, tail, voters } => {
                 // One that was away may name machines that are all gone: what is known here is newer.
                 if view >= self.view && !voters.is_empty() {
                     (self.view, self.voters) = (view, voters);
@@ -766,7 +766,7 @@
                 self.target += 1;
                 self.next_poll = self.now + Span(60);
             }
-            PollReply::Lease { span, epoch, news, view, voters, key } => {
+            PollResponse::Lease { span, epoch, news, view, voters, key } => {
                 self.key = self.key.or(key);
                 self.tail = Some(from);
                 if !voters.is_empty() {
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -26,14 +26,14 @@
     fn tell(&mut self, from: u16, letter: Letter) -> Vec<NodeOutput> {
         self.step(NodeInput::Letter { from: Address::loopback(from), letter })
     }
-    /// The core replies to the poll that is under way, or to the next.
+    /// The core responds to the poll that is under way, or to the next.
     fn lease(&mut self, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
         self.at = self.at.max(self.node.next_poll.0);
         self.step(NodeInput::ClockEvent);
         self.lease_of(self.node.poll_round, epoch, plan_epoch)
     }
     fn lease_of(&mut self, round: u64, epoch: u64, plan_epoch: u64) -> Vec<NodeOutput> {
-        let reply = PollReply::Lease {
+        let response = PollResponse::Lease {
             span: Span(2000),
             epoch: Epoch(epoch),
             news: (epoch > self.node.epoch().0).then(|| news(epoch, plan_epoch, vec![])),
@@ -41,7 +41,7 @@
             voters: vec![Address::loopback(1)],
             key: Some(KEY),
         };
-        self.tell(1, Letter::PollReply { round, reply: Box::new(reply) })
+        self.tell(1, Letter::PollResponse { round, response: Box::new(response) })
     }
     fn plan(&mut self, epoch: u64) {
         let length = PLAN.len() as u64;
@@ -105,7 +105,7 @@
             NodeOutput::Place { outcome, .. } => Some(outcome),
             _ => None,
         });
-        outcome.expect("a reply").map_err(|denial| denial.code)
+        outcome.expect("a response").map_err(|denial| denial.code)
     }
     fn serving() -> Self {
         let mut played = Played::new();
@@ -224,7 +224,7 @@
     let mut played = Played::serving();
     let told =
         |epoch: u64, plan_epoch: u64| Letter::News { news: Box::new(news(epoch, plan_epoch, vec!["east".into()])) };
-    let reply = |epoch: u64, echo: u64| Letter::PeerCheckResponse { echo, epoch: Epoch(epoch) };
+    let response = |epoch: u64, echo: u64| Letter::PeerCheckResponse { echo, epoch: Epoch(epoch) };
     let asks_news = |outputs: Vec<NodeOutput>| {
         outputs.iter().any(|output| matches!(output, NodeOutput::Send { letter: Letter::NewsAsk, .. }))
     };
@@ -240,20 +240,20 @@
         played.at += 50;
         played.step(NodeInput::ClockEvent);
         let echo = played.node.peer_check_round;
-        assert!(!asks_news(played.tell(8, reply(3, echo))));
+        assert!(!asks_news(played.tell(8, response(3, echo))));
         played.server_list();
     }
     assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Together);
     assert!(played.place(5, "together", "drafts").is_ok());
     // The other knows of a withdrawal: it's asked for, and taken up at once, since the plan is the same.
     let echo = played.node.peer_check_round;
-    assert!(asks_news(played.tell(8, reply(4, echo))));
+    assert!(asks_news(played.tell(8, response(4, echo))));
     assert_eq!(played.place(6, "behind", "drafts").err(), Some(ResultCode::NotReady), "until the news is here");
     played.tell(8, told(4, 2));
     assert_eq!((played.node.epoch(), played.node.withdrawn()), (Epoch(4), &["east".into()][..]));
     assert_eq!(played.place(6, "withdrawn", "drafts").err(), Some(ResultCode::NoServer));
     // And then of a plan that has to be fetched: until it's here, nothing new is taken.
-    played.tell(8, reply(5, echo));
+    played.tell(8, response(5, echo));
     played.tell(8, told(5, 5));
     assert_eq!(played.place(7, "behind", "drafts").err(), Some(ResultCode::NotReady));
 }
@@ -322,7 +322,7 @@
     let mut played = Played::serving();
     let asked = sent_within(&mut played, 1500);
     let poll = asked.iter().find(|(_, _, letter)| matches!(letter, Letter::Poll { .. })).expect("a poll");
-    let reply = PollReply::Lease {
+    let response = PollResponse::Lease {
         span: Span(2000),
         epoch: Epoch(3),
         news: None,
@@ -330,7 +330,7 @@
         voters: vec![],
         key: None,
     };
-    for letter in [&poll.2, &Letter::PollReply { round: 1, reply: Box::new(reply) }] {
+    for letter in [&poll.2, &Letter::PollResponse { round: 1, response: Box::new(response) }] {
         let bytes = seal(Address::loopback(9), letter).expect("sealed").len();
         assert!(bytes < 220, "{bytes} bytes of {letter:?}");
     }
@@ -368,7 +368,7 @@
             NodeOutput::Resume { outcome, .. } => Some(outcome.map_err(|denial| denial.code)),
             _ => None,
         });
-        outcome.expect("a reply")
+        outcome.expect("a response")
     };
     let token = Token { request: "a".into(), service: "drafts".into(), server: "s1".into(), run: "r".into() };
     let sealed = token.seal(&KEY);
@@ -423,8 +423,8 @@
         played.at = played.at.max(played.node.next_poll.0);
         played.step(NodeInput::ClockEvent);
         let voters = voters.map(Address::loopback).to_vec();
-        let reply = PollReply::Elsewhere { view: ViewEpoch(view), tail: voters.first().copied(), voters };
-        played.tell(5, Letter::PollReply { round: played.node.poll_round, reply: Box::new(reply) });
+        let response = PollResponse::Elsewhere { view: ViewEpoch(view), tail: voters.first().copied(), voters };
+        played.tell(5, Letter::PollResponse { round: played.node.poll_round, response: Box::new(response) });
     };
     polled(&mut played, 4, [21, 22]);
     assert_eq!(ports(&played.node), [21, 22]);
--- a/crates/crier/src/shared.rs
+++ b/crates/crier/src/shared.rs
@@ -83,8 +83,8 @@
         input: NodeInput,
         wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Denial>>) -> crate::daemon::Event,
     ) -> Option<Result<T, Denial>> {
-        let (reply, inbox) = flume::bounded(1);
-        let _ = self.control.send(wrap(input, reply));
+        let (response, inbox) = flume::bounded(1);
+        let _ = self.control.send(wrap(input, response));
         inbox.recv_timeout(Duration::from_secs(2)).ok()
     }
     pub fn ask_scheduler(&self, place: &Place, input: NodeInput) -> Result<Placing, Denial> {
@@ -140,9 +140,9 @@
         }
         Some(Place { shared: self.clone(), request, number, may_have_run: false })
     }
-    pub fn refusal(&self, code: ResultCode, why: String, retry_after: Span) -> Reply {
+    pub fn refusal(&self, code: ResultCode, why: String, retry_after: Span) -> Response {
         Tallies::more(if code.is_refusal() { &self.tallies.refused } else { &self.tallies.unknown });
-        Reply::result_after(code, why, retry_after)
+        Response::result_after(code, why, retry_after)
     }
 }
 
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -129,7 +129,7 @@
         self.lines.iter_mut().skip(n * 6).take(6).for_each(|line| line.notes.clear());
     }
     fn tail(&self) -> Option<&Replica<Ledger>> {
-        self.replicas.iter().flatten().find(|replica| replica.may_reply(Moment(self.at)))
+        self.replicas.iter().flatten().find(|replica| replica.may_respond(Moment(self.at)))
     }
     fn epoch(&self, n: usize) -> Epoch {
         self.replicas[n].as_ref().map_or(Epoch(0), |replica| replica.state_machine().epoch)
@@ -234,11 +234,11 @@
                 Output::Write { id, records, is_whole } => self.write(n, id, records, is_whole),
                 Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
                     let Some(replica) = &mut self.replicas[n] else { return };
-                    outputs.extend(replica.reply(now, ticket, body));
+                    outputs.extend(replica.respond(now, ticket, body));
                     self.assert_newest(n);
                 }
-                Output::Reply { is_replied: true, body, .. } => self.on_told(&body),
-                Output::Reply { .. } | Output::ViewChanged(_) => {}
+                Output::Response { is_replied: true, body, .. } => self.on_told(&body),
+                Output::Response { .. } | Output::ViewChanged(_) => {}
             }
         }
     }
@@ -248,8 +248,8 @@
     /// Whoever answers for the core has all that was told; whoever is level in the newest view lacks no more
     /// than what may be under way.
     fn assert_newest(&self, n: usize) {
-        let may_reply = self.replicas[n].as_ref().is_some_and(|replica| replica.may_reply(Moment(self.at)));
-        assert!(!may_reply || self.epoch(n) >= self.told, "{n} replies with old state at {}", self.at);
+        let may_respond = self.replicas[n].as_ref().is_some_and(|replica| replica.may_respond(Moment(self.at)));
+        assert!(!may_respond || self.epoch(n) >= self.told, "{n} responses with old state at {}", self.at);
         let seat = self.replicas[n].as_ref().and_then(|replica| replica.view().seat(&voter(n)));
         let is_behind = self.epoch(n).0 + self.timing.ahead < self.told.0;
         let is_newest_view = self.replicas[n].as_ref().map(|replica| replica.view().epoch) == self.newest_view();
--- a/crates/registrar/src/admin.rs
+++ b/crates/registrar/src/admin.rs
@@ -55,9 +55,9 @@
 /// How operators' calls and their answers look.
 pub trait AdminDialect: Send + Sync {
     /// Reads a call; `None` if it is none of the dialect's, an answer at once if it can't be read.
-    fn read(&self, request: &Request) -> Result<Option<AdminCall>, Box<Reply>>;
+    fn read(&self, request: &Request) -> Result<Option<AdminCall>, Box<Response>>;
     /// Writes its answer.
-    fn write(&self, answer: AdminAnswer) -> Reply;
+    fn write(&self, answer: AdminAnswer) -> Response;
     /// How long whoever sent a call of so many bytes waits for its answer. Nothing is begun for it after that.
     fn patience(&self, _body_bytes: usize) -> Span {
         OPERATOR_PATIENCE
--- a/crates/registrar/src/admin/tests.rs
+++ b/crates/registrar/src/admin/tests.rs
@@ -3,10 +3,10 @@
 
 /// A core that answers each question from the words given, in turn.
 fn core(words: Vec<(u16, Vec<u8>)>) -> CoreLine {
-    let replies = crate::core_line::Replies::default();
+    let responses = crate::core_line::Responses::default();
     let words = Arc::new(std::sync::Mutex::new(std::collections::VecDeque::from(words)));
-    let giver = replies.clone();
-    CoreLine::new(replies, move |input| {
+    let giver = responses.clone();
+    CoreLine::new(responses, move |input| {
         let ControllerInput::Operator { number, .. } = input else { return };
         if let Some((status, body)) = words.lock().unwrap().pop_front() {
             giver.give(number, status, body);
@@ -64,7 +64,7 @@
 fn what_an_attempt_leaves_unfinished_is_given_up() {
     let heard = Arc::new(std::sync::Mutex::new(vec![]));
     let hears = heard.clone();
-    let silent = CoreLine::new(crate::core_line::Replies::default(), move |input| hears.lock().unwrap().push(input));
+    let silent = CoreLine::new(crate::core_line::Responses::default(), move |input| hears.lock().unwrap().push(input));
     let call = AdminCall::Withdraw { zone: "east".into() };
     let answer = silent.carry(call.clone(), &OwnPlans, &[], true, &Attempt::new(Span(0), None));
     assert!(matches!(answer, AdminAnswer::Refused { code: ResultCode::FateUnknown, .. }), "{answer:?}");
--- a/crates/registrar/src/controller.rs
+++ b/crates/registrar/src/controller.rs
@@ -120,8 +120,8 @@
         /// In place of all before.
         is_whole: bool,
     },
-    /// Reply an operator.
-    Reply {
+    /// Answer an operator.
+    Response {
         /// Its number.
         number: u64,
         /// HTTP status.
@@ -152,7 +152,7 @@
     /// When any member last said that it hears this one.
     told_of: BTreeMap<Address, Moment>,
     /// Since when it has replied for the core without a break.
-    replies_since: Option<Moment>,
+    responses_since: Option<Moment>,
     /// Members that polled lately: they are told news at once.
     subscribers: BTreeMap<Address, Subscriber>,
     /// Polls of those that are not members yet.
@@ -233,7 +233,7 @@
             leases_since: now,
             seen: BTreeMap::new(),
             told_of: BTreeMap::new(),
-            replies_since: None,
+            responses_since: None,
             subscribers: BTreeMap::new(),
             joining: BTreeMap::new(),
             join_due: now,
@@ -287,8 +287,8 @@
         std::mem::take(&mut self.outputs)
     }
 
-    fn may_reply(&self) -> bool {
-        self.replica.may_reply(self.now)
+    fn may_respond(&self) -> bool {
+        self.replica.may_respond(self.now)
     }
 
     /// Has the replica take an input, and does what it wants.
@@ -299,7 +299,7 @@
                 Output::Write { id, records, is_whole } => {
                     self.outputs.push(ControllerOutput::Write { id, records, is_whole });
                 }
-                Output::Reply { number, is_replied, body } => self.on_reply(number, is_replied, body),
+                Output::Response { number, is_replied, body } => self.on_response(number, is_replied, body),
                 Output::Judged { ticket, body } if self.is_firm(self.replica.state_machine().epoch) => {
                     self.answer(ticket, body);
                 }
@@ -339,13 +339,13 @@
             Letter::Poll { poll } => self.on_poll(from, *poll),
             Letter::PlanAsk { epoch, offset, have } => self.on_plan_ask(from, epoch, offset, have),
             Letter::Ask { number, reading } => {
-                if self.may_reply() {
+                if self.may_respond() {
                     let (status, body) = self.read(&reading);
                     self.send(from, Letter::Told { number, status, body });
                 }
             }
             Letter::Told { number, status, body } => self.on_told(from, number, status, body),
-            Letter::PollReply { .. }
+            Letter::PollResponse { .. }
             | Letter::PlanPiece { .. }
             | Letter::PlanSplice { .. }
             | Letter::News { .. }
@@ -363,11 +363,11 @@
 
     fn on_poll(&mut self, from: Address, poll: Poll) {
         self.poll_count += 1;
-        if !self.may_reply() {
+        if !self.may_respond() {
             let voters = self.voters();
             let tail = self.replica.view().tail().map(|tail| tail.address);
-            let reply = PollReply::Elsewhere { view: self.replica.view().epoch, tail, voters };
-            return self.send(from, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
+            let response = PollResponse::Elsewhere { view: self.replica.view().epoch, tail, voters };
+            return self.send(from, Letter::PollResponse { round: poll.round, response: Box::new(response) });
         }
         self.seen.insert(from, self.now);
         self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
@@ -387,7 +387,7 @@
         self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), due });
         let ledger = self.replica.state_machine();
         let view = self.replica.view().epoch;
-        let reply = PollReply::Lease {
+        let response = PollResponse::Lease {
             span: self.timing.lease,
             epoch: ledger.epoch,
             news: (poll.epoch < ledger.epoch).then(|| self.news(poll.epoch)),
@@ -395,7 +395,7 @@
             voters: if poll.view == view { vec![] } else { self.voters() },
             key: ledger.key.filter(|_| !poll.has_key),
         };
-        self.send(to, Letter::PollReply { round: poll.round, reply: Box::new(reply) });
+        self.send(to, Letter::PollResponse { round: poll.round, response: Box::new(response) });
     }
 
     /// For one that has this epoch.
@@ -420,7 +420,7 @@
     fn release(&mut self) {
         let (epoch, now) = (self.replica.state_machine().epoch, self.now);
         let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.due;
-        if self.subscribers.values().any(is_behind) && self.may_reply() {
+        if self.subscribers.values().any(is_behind) && self.may_respond() {
             let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
             let since = whole.members_since;
             let behind: Vec<(Address, bool)> = self
@@ -450,9 +450,9 @@
 
     /// Gives an answer for the core, if this is still the tail and may.
     fn answer(&mut self, ticket: Ticket, body: Vec<u8>) {
-        match self.replica.reply(self.now, ticket, body) {
+        match self.replica.respond(self.now, ticket, body) {
             Some(Output::Send { to, note }) => self.send_note(to, note),
-            Some(Output::Reply { number, is_replied, body }) => self.on_reply(number, is_replied, body),
+            Some(Output::Response { number, is_replied, body }) => self.on_response(number, is_replied, body),
             _ => {}
         }
     }
@@ -489,14 +489,14 @@
     fn has_quorum(&self) -> bool {
         let membership = &self.replica.state_machine().membership;
         let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(membership, self.now);
-        self.may_reply() && has_members
+        self.may_respond() && has_members
     }
 
     fn on_clock_event(&mut self) {
         let has_majority = self.has_quorum();
         self.replica.set_has_members(has_majority);
-        self.replies_since = if self.may_reply() { self.replies_since.or(Some(self.now)) } else { None };
-        if self.may_reply() {
+        self.responses_since = if self.may_respond() { self.responses_since.or(Some(self.now)) } else { None };
+        if self.may_respond() {
             if self.replica.state_machine().key.is_none() && self.now >= self.key_due {
                 self.key_due = self.now + Span(400);
                 self.propose_inner(Command::Key { key: self.key });
@@ -629,10 +629,10 @@
                     let state = self.replica.state();
                     state.is_sound && state.view.seats(&state.me)
                 };
-                if self.may_reply() || (is_base && is_known_here()) {
+                if self.may_respond() || (is_base && is_known_here()) {
                     self.waiting.remove(&number);
                     let (status, body) = self.read(&reading);
-                    self.outputs.push(ControllerOutput::Reply { number, status, body });
+                    self.outputs.push(ControllerOutput::Response { number, status, body });
                 } else {
                     self.ask_tail(number, reading);
                 }
@@ -642,7 +642,7 @@
                     && let Some(reading) = read_before(proposal) =>
             {
                 waiting.next_try = Some(retry_at);
-                if self.may_reply() {
+                if self.may_respond() {
                     let (status, body) = self.read(&reading);
                     self.clear(number, status, body);
                 } else {
@@ -677,7 +677,7 @@
             return self.clear(number, status, body);
         }
         self.waiting.remove(&number);
-        self.outputs.push(ControllerOutput::Reply { number, status, body });
+        self.outputs.push(ControllerOutput::Response { number, status, body });
     }
 
     /// The tail's word on what is to be known before it's proposed: which epoch is the newest, or whether those
@@ -705,7 +705,7 @@
             503 if self.now < waiting.patience_due => {}
             _ => {
                 self.waiting.remove(&number);
-                self.outputs.push(ControllerOutput::Reply { number, status, body });
+                self.outputs.push(ControllerOutput::Response { number, status, body });
             }
         }
     }
@@ -714,17 +714,17 @@
         self.waiting.remove(&number);
         let body = serde_json::json!({"code": code.number(), "result": code.word(), "why": code.meaning()});
         let body = serde_json::to_vec(&body).expect("a JSON value is JSON");
-        self.outputs.push(ControllerOutput::Reply { number, status: code.http_status(), body });
+        self.outputs.push(ControllerOutput::Response { number, status: code.http_status(), body });
     }
 
     /// The core's answer to a proposal made here, taken only for the newest try of an operator's.
-    fn on_reply(&mut self, asked: u64, is_replied: bool, body: Vec<u8>) {
+    fn on_response(&mut self, asked: u64, is_replied: bool, body: Vec<u8>) {
         let is_its = |waiting: &Waiting| waiting.asked == asked && waiting.asked_of.is_none();
         let Some((&number, waiting)) = self.waiting.iter_mut().find(|(_, waiting)| is_its(waiting)) else { return };
         if is_replied {
             self.waiting.remove(&number);
             let status = status_of(&body);
-            self.outputs.push(ControllerOutput::Reply { number, status, body });
+            self.outputs.push(ControllerOutput::Response { number, status, body });
         } else if self.now < waiting.patience_due {
             // The core did not take it, so asking again can't do it twice.
             waiting.next_try = Some(self.now + self.timing.replica.retry);
@@ -778,7 +778,7 @@
                 if !heard.is_empty() {
                     return missing(ResultCode::StillHeard, format!("still heard: {}", heard.join(", ")));
                 }
-                if self.replies_since.is_none_or(|since| self.now.since(since) < FORGET_AFTER) {
+                if self.responses_since.is_none_or(|since| self.now.since(since) < FORGET_AFTER) {
                     let why = "the core has not listened for long enough to tell who is lost";
                     return missing(ResultCode::CoreNotReady, why.to_owned());
                 }
--- a/crates/registrar/src/controller/tests.rs
+++ b/crates/registrar/src/controller/tests.rs
@@ -11,7 +11,7 @@
 enum Left {
     Ask(u16, u64),
     Propose(u16, u64),
-    Reply(u64, u16),
+    Response(u64, u16),
 }
 
 impl Played {
@@ -35,7 +35,7 @@
             ControllerOutput::Send { to, letter: Letter::Ask { number, .. }, .. } => {
                 Some(Left::Ask(to.0.port(), number))
             }
-            ControllerOutput::Reply { number, status, .. } => Some(Left::Reply(number, status)),
+            ControllerOutput::Response { number, status, .. } => Some(Left::Response(number, status)),
             _ => None,
         };
         self.controller.step(Moment(self.at), input).into_iter().filter_map(left).collect()
@@ -54,10 +54,10 @@
         let letter = Letter::Told { number, status: 200, body: br#"{"heard":[]}"#.to_vec() };
         self.step(5, ControllerInput::Letter { from: Address::loopback(from), letter })
     }
-    fn reply(&mut self, from: u16, number: u64, is_replied: bool) -> Vec<Left> {
+    fn respond(&mut self, from: u16, number: u64, is_replied: bool) -> Vec<Left> {
         let body = serde_json::json!({"code": ResultCode::Accepted.number(), "epoch": 1});
         let body = if is_replied { body.to_string().into_bytes() } else { vec![] };
-        let letter = Letter::Note { note: Box::new(Note::Reply { number, is_replied, body }) };
+        let letter = Letter::Note { note: Box::new(Note::Response { number, is_replied, body }) };
         self.step(5, ControllerInput::Letter { from: Address::loopback(from), letter })
     }
 }
@@ -86,9 +86,9 @@
     assert_eq!(played.told(3, 1001), [Left::Propose(1, 1002)]);
     assert_eq!(played.told(3, 1001), [], "to a question that is settled");
     assert_eq!(played.told(3, 1002), [], "a reading is no answer to a proposal");
-    assert_eq!(played.reply(3, 1001, true), [], "nor is a reply one to a question");
-    assert_eq!(played.reply(3, 1002, true), [Left::Reply(30, 200)]);
-    assert_eq!(played.reply(3, 1002, true), []);
+    assert_eq!(played.respond(3, 1001, true), [], "nor is a response one to a question");
+    assert_eq!(played.respond(3, 1002, true), [Left::Response(30, 200)]);
+    assert_eq!(played.respond(3, 1002, true), []);
 }
 
 /// Before a zone's change is proposed, the tail says how far it is; an answer that is late may be younger than
@@ -106,7 +106,7 @@
 
     let mut played = Played::new(1000);
     assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
-    assert_eq!(played.step(700, newest(1001)), [Left::Reply(30, 503)]);
+    assert_eq!(played.step(700, newest(1001)), [Left::Response(30, 503)]);
 
     let mut played = Played::new(1000);
     assert_eq!(played.propose(30, withdraw()), [Left::Ask(3, 1001)]);
@@ -127,11 +127,11 @@
     assert_eq!(played.propose(2, plan()), [Left::Propose(1, 5003)]);
     for late in [1, 2, 1001, 1003] {
         assert_eq!(played.told(3, late), []);
-        assert_eq!(played.reply(3, late, true), []);
-        assert_eq!(played.reply(1, late, false), []);
+        assert_eq!(played.respond(3, late, true), []);
+        assert_eq!(played.respond(1, late, false), []);
     }
-    assert_eq!(played.told(3, 5001), [Left::Reply(1, 200)]);
-    assert_eq!(played.reply(3, 5003, true), [Left::Reply(2, 200)]);
+    assert_eq!(played.told(3, 5001), [Left::Response(1, 200)]);
+    assert_eq!(played.respond(3, 5003, true), [Left::Response(2, 200)]);
 }
 
 /// A proposal that was turned away is sent again; what is said twice of the first try ends no later one.
@@ -139,11 +139,11 @@
 fn a_late_word_on_one_try_of_a_proposal_is_none_on_the_next() {
     let mut played = Played::new(0);
     assert_eq!(played.propose(7, plan()), [Left::Propose(1, 2)]);
-    assert_eq!(played.reply(1, 2, false), []);
+    assert_eq!(played.respond(1, 2, false), []);
     assert_eq!(played.tick(250), [Left::Propose(1, 3)]);
     played.tick(3800);
-    assert_eq!(played.reply(1, 2, false), [], "patience is over, but of the newest try nothing is known");
-    assert_eq!(played.reply(3, 3, true), [Left::Reply(7, 200)]);
+    assert_eq!(played.respond(1, 2, false), [], "patience is over, but of the newest try nothing is known");
+    assert_eq!(played.respond(3, 3, true), [Left::Response(7, 200)]);
 }
 
 /// The day `pahana-cut-off-then-read-back`: a registrar that had been cut off held readings for 4 s that their
@@ -153,9 +153,9 @@
     let mut played = Played::new(0);
     assert_eq!(played.read(1), [Left::Ask(3, 1)], "it has just begun and had no time to hear anyone");
     let left: Vec<Left> = (0..16).flat_map(|_| played.tick(50)).collect();
-    assert_eq!(left.last(), Some(&Left::Reply(1, 503)));
-    assert_eq!(played.read(2), [Left::Reply(2, 503)]);
-    assert_eq!(played.propose(3, withdraw()), [Left::Reply(3, 503)], "and nothing is proposed");
+    assert_eq!(left.last(), Some(&Left::Response(1, 503)));
+    assert_eq!(played.read(2), [Left::Response(2, 503)]);
+    assert_eq!(played.propose(3, withdraw()), [Left::Response(3, 503)], "and nothing is proposed");
     assert_eq!(played.tick(50), []);
 }
 
@@ -167,7 +167,7 @@
     for _ in 0..19 {
         left.extend(played.tick(50));
     }
-    assert_eq!(left, [Left::Ask(3, 1), Left::Ask(3, 1), Left::Reply(1, 503)], "within a second");
+    assert_eq!(left, [Left::Ask(3, 1), Left::Ask(3, 1), Left::Response(1, 503)], "within a second");
 }
 
 /// One registrar alone, its disk at once synced, that goes by this quorum.
@@ -194,7 +194,7 @@
             for output in self.controller.step(Moment(self.at), input) {
                 match output {
                     ControllerOutput::Write { id, .. } => inputs.push_back(ControllerInput::Written { id }),
-                    ControllerOutput::Reply { number, body, .. } => {
+                    ControllerOutput::Response { number, body, .. } => {
                         let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
                         told.push((number, body["code"].as_u64().unwrap()));
                     }
--- a/crates/registrar/src/core_line.rs
+++ b/crates/registrar/src/core_line.rs
@@ -35,13 +35,13 @@
 
 /// Who waits for the control thread's word on what, by number.
 #[derive(Clone, Default)]
-pub(crate) struct Replies(Arc<Mutex<Waiting>>);
+pub(crate) struct Responses(Arc<Mutex<Waiting>>);
 
-impl Replies {
+impl Responses {
     fn waiting(&self) -> std::sync::MutexGuard<'_, Waiting> {
         self.0.lock().expect("no thread panics with it")
     }
-    /// Hands a reply to whoever waits for it.
+    /// Hands a response to whoever waits for it.
     pub(crate) fn give(&self, number: u64, status: u16, body: Vec<u8>) {
         let waiting = self.waiting().remove(&number);
         if let Some(waiting) = waiting {
@@ -52,36 +52,36 @@
 
 /// From a connection's thread to the control thread and back.
 pub struct CoreLine {
-    replies: Replies,
+    responses: Responses,
     counter: AtomicU64,
     tell: Box<dyn Fn(ControllerInput) + Send + Sync>,
 }
 
 impl CoreLine {
-    pub(crate) fn new(replies: Replies, tell: impl Fn(ControllerInput) + Send + Sync + 'static) -> Self {
-        CoreLine { replies, counter: AtomicU64::new(1), tell: Box::new(tell) }
+    pub(crate) fn new(responses: Responses, tell: impl Fn(ControllerInput) + Send + Sync + 'static) -> Self {
+        CoreLine { responses, counter: AtomicU64::new(1), tell: Box::new(tell) }
     }
     /// Asks, and waits for status and body while the attempt lasts. What it leaves unfinished is given up.
-    pub fn ask(&self, ask: OperatorAsk, attempt: &Attempt) -> Result<Told, Box<Reply>> {
+    pub fn ask(&self, ask: OperatorAsk, attempt: &Attempt) -> Result<Told, Box<Response>> {
         if attempt.is_over() {
-            return Err(Box::new(Reply::result(ResultCode::CoreNotReady, "nobody waits for it any more")));
+            return Err(Box::new(Response::result(ResultCode::CoreNotReady, "nobody waits for it any more")));
         }
         let number = self.counter.fetch_add(1, Ordering::Relaxed);
-        let (reply, inbox) = flume::bounded(1);
+        let (response, inbox) = flume::bounded(1);
         {
-            let mut waiting = self.replies.waiting();
+            let mut waiting = self.responses.waiting();
             if waiting.len() >= OPERATORS {
                 let why = "too many operators' requests are waiting";
-                return Err(Box::new(Reply::result(ResultCode::CoreNotReady, why)));
+                return Err(Box::new(Response::result(ResultCode::CoreNotReady, why)));
             }
-            waiting.insert(number, reply);
+            waiting.insert(number, response);
         }
         (self.tell)(ControllerInput::Operator { number, ask });
         let told = Self::wait(&inbox, attempt);
-        self.replies.waiting().remove(&number);
+        self.responses.waiting().remove(&number);
         told.ok_or_else(|| {
             (self.tell)(ControllerInput::Abandoned { number });
-            Box::new(Reply::result(ResultCode::FateUnknown, "no answer in time"))
+            Box::new(Response::result(ResultCode::FateUnknown, "no answer in time"))
         })
     }
 
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -1,4 +1,4 @@
-use crate::core_line::{OPERATOR_PATIENCE, Replies};
+use crate::core_line::{OPERATOR_PATIENCE, Responses};
 use crate::prelude::*;
 use crate::redirect::{ReadAddresses, Redirector};
 use std::net::TcpListener;
@@ -64,7 +64,7 @@
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let stop = stop_flag()?;
     let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
-    let gate_thread = move || gate.serve(move |request| redirector.reply(&request));
+    let gate_thread = move || gate.serve(move |request| redirector.respond(&request));
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
     tracing::info!("registrar: listens at {listen}, has no disk and sends operators on.");
     while !stop.load(Ordering::Relaxed) {
@@ -109,7 +109,7 @@
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
 
     let stop = stop_flag()?;
-    let replies = Replies::default();
+    let responses = Responses::default();
     let is_ready = Arc::new(AtomicBool::new(false));
     let tallies = Arc::new(Tallies::default());
     let gate_sender = sender.clone();
@@ -117,7 +117,7 @@
     let tell = move |input| {
         let _ = gate_sender.send(Event::Input(input));
     };
-    let core = CoreLine::new(replies.clone(), tell);
+    let core = CoreLine::new(responses.clone(), tell);
     let believes_sender = sender.clone();
     let door =
         Door { core, dialects, zones, sender: believes_sender, is_ready: is_ready.clone(), tallies: tallies.clone() };
@@ -125,7 +125,7 @@
     let gate_thread = move || {
         gate.serve(move |request| {
             door.tallies.requests.fetch_add(1, Ordering::Relaxed);
-            door.reply(&request)
+            door.respond(&request)
         });
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
@@ -141,7 +141,7 @@
         timing,
         disk_thread,
         post,
-        replies,
+        responses,
         is_ready,
         tallies,
         controller: None,
@@ -193,7 +193,7 @@
     timing: ControllerTiming,
     disk_thread: DiskThread,
     post: Post,
-    replies: Replies,
+    responses: Responses,
     is_ready: Arc<AtomicBool>,
     tallies: Arc<Tallies>,
     controller: Option<Controller>,
@@ -228,8 +228,8 @@
                 }
             }
             Event::Disk(..) => {}
-            Event::Believes(reply) => {
-                let _ = reply.send(self.believes(now));
+            Event::Believes(response) => {
+                let _ = response.send(self.believes(now));
             }
         }
         if let Some(controller) = &self.controller {
@@ -273,8 +273,8 @@
                     self.tallies.writes.fetch_add(1, Ordering::Relaxed);
                     self.disk_thread.write(id, records, is_whole);
                 }
-                ControllerOutput::Reply { number, status, body } => {
-                    self.replies.give(number, status, body);
+                ControllerOutput::Response { number, status, body } => {
+                    self.responses.give(number, status, body);
                 }
                 ControllerOutput::ViewChanged(view) => {
                     let seat = |seat: &Seat| match seat.is_level {
@@ -312,7 +312,7 @@
             "voters": state.view.voters.iter().map(|v| v.address).collect::<Vec<_>>(),
             "last": state.last,
             "replied": state.replied,
-            "may_reply": state.may_reply,
+            "may_respond": state.may_respond,
             "is_sound": state.is_sound,
             "heard_ms_ago": state.heard.iter().map(|(a, s)| (a.to_string(), s.0)).collect::<std::collections::BTreeMap<_, _>>(),
             "epoch": ledger.epoch,
@@ -335,8 +335,8 @@
 }
 
 impl Door {
-    fn reply(&self, request: &Request) -> Reply {
-        let Some(admin) = &self.dialects.admin else { return self.own_reply(request) };
+    fn respond(&self, request: &Request) -> Response {
+        let Some(admin) = &self.dialects.admin else { return self.own_response(request) };
         let attempt = Attempt::new(admin.patience(request.body.len()), Some(request.client.clone()));
         let is_ready = self.is_ready.load(Ordering::Relaxed);
         match admin.read(request) {
@@ -344,43 +344,43 @@
                 let plans = self.dialects.plans.as_ref();
                 admin.write(self.core.carry(call, plans, &self.zones, is_ready, &attempt))
             }
-            Ok(None) if request.method == "GET" => self.own_reply(request),
+            Ok(None) if request.method == "GET" => self.own_response(request),
             Ok(None) => {
-                Reply::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path))
+                Response::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path))
             }
-            Err(reply) => *reply,
+            Err(response) => *response,
         }
     }
 
     /// The product's own interface.
-    fn own_reply(&self, request: &Request) -> Reply {
-        own_reply(request, &self.core, &self.sender, &self.is_ready, &self.tallies)
+    fn own_response(&self, request: &Request) -> Response {
+        own_response(request, &self.core, &self.sender, &self.is_ready, &self.tallies)
     }
 }
 
-fn own_reply(
+fn own_response(
     request: &Request,
     core: &CoreLine,
     sender: &flume::Sender<Event>,
     is_ready: &AtomicBool,
     tallies: &Tallies,
-) -> Reply {
+) -> Response {
     let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.client.clone()));
     let ask_core = |ask: OperatorAsk| core.ask(ask, &attempt);
     let told = |status: u16, body: Vec<u8>| {
         let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
-        let reply = Reply::whole(status, "application/json", body);
-        code.into_iter().fold(reply, |reply, code| reply.to_come_back(*code, Span(0)))
+        let response = Response::whole(status, "application/json", body);
+        code.into_iter().fold(response, |response, code| response.to_come_back(*code, Span(0)))
     };
     let ask = |what: OperatorAsk| match ask_core(what) {
         Ok((status, body)) => told(status, body),
-        Err(reply) => *reply,
+        Err(response) => *response,
     };
     // Plans are read here, on the connection's own thread, and never on the control thread.
     let faulty = |faults: Vec<Fault>| {
         let code = ResultCode::BadPlan;
         let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": "nothing changed", "faults": faults});
-        Reply::json(code.http_status(), &value)
+        Response::json(code.http_status(), &value)
     };
     // A document that has faults now may have been taken when it was first sent.
     let refuse = |faults: Vec<Fault>| {
@@ -388,10 +388,10 @@
         match ask_core(OperatorAsk::Read(Reading::Fate { id })) {
             Ok((status, _)) if status == ResultCode::UnknownChange.http_status() => faulty(faults),
             Ok((status, body)) => told(status, body),
-            Err(reply) => *reply,
+            Err(response) => *response,
         }
     };
-    let change = |bytes: Vec<u8>| -> Result<Command, Box<Reply>> {
+    let change = |bytes: Vec<u8>| -> Result<Command, Box<Response>> {
         let at_least = Epoch(request.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
         let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
         match body.split_at_checked(8) {
@@ -406,13 +406,13 @@
         let id = request.query_word("id").unwrap_or_default().to_owned();
         if !ServiceName::from(id.as_str()).is_sound() {
             let why = "the query must have an id of 1 to 64 letters, digits or any of -_.:";
-            return Reply::result(ResultCode::BadPlan, why);
+            return Response::result(ResultCode::BadPlan, why);
         }
         let builds_on = match request.query_word("builds_on").map(str::parse) {
             Some(Ok(epoch)) => Some(Epoch(epoch)),
-            Some(Err(_)) => return Reply::result(ResultCode::BadPlan, "builds_on is not a number"),
+            Some(Err(_)) => return Response::result(ResultCode::BadPlan, "builds_on is not a number"),
             None if needs_base => {
-                return Reply::result(ResultCode::BadPlan, "the query must have builds_on, an epoch");
+                return Response::result(ResultCode::BadPlan, "the query must have builds_on, an epoch");
             }
             None => None,
         };
@@ -421,25 +421,25 @@
     match (request.method.as_str(), request.parts().as_slice()) {
         ("GET", ["ready"]) => {
             if is_ready.load(Ordering::Relaxed) {
-                Reply::whole(200, "text/plain", "ready\n")
+                Response::whole(200, "text/plain", "ready\n")
             } else {
-                Reply::whole(503, "text/plain", "not in the chain\n")
+                Response::whole(503, "text/plain", "not in the chain\n")
             }
         }
         ("GET", ["metrics"]) => metrics(tallies),
         ("GET", ["v1", "believes"]) => {
-            let (reply, inbox) = flume::bounded(1);
-            let _ = sender.send(Event::Believes(reply));
+            let (response, inbox) = flume::bounded(1);
+            let _ = sender.send(Event::Believes(response));
             match inbox.recv_timeout(Duration::from_secs(5)) {
-                Ok(value) => Reply::json(200, &value),
-                Err(_) => Reply::result(ResultCode::CoreNotReady, "the control thread gave no answer"),
+                Ok(value) => Response::json(200, &value),
+                Err(_) => Response::result(ResultCode::CoreNotReady, "the control thread gave no answer"),
             }
         }
         ("GET", ["v1", "latest"]) => ask(OperatorAsk::Read(Reading::Latest)),
         ("GET", ["v1", "plan"]) => ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) })),
         ("GET", ["v1", "plans", epoch]) => match epoch.parse() {
             Ok(epoch) if epoch > 0 => ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(epoch) })),
-            _ => Reply::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
+            _ => Response::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
         },
         ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
         ("PUT", ["v1", "plan"]) => match Command::plan(request.body.to_vec()) {
@@ -448,7 +448,7 @@
         },
         ("PATCH", ["v1", "plan"]) => match change(request.body.to_vec()) {
             Ok(command) => propose(command, true),
-            Err(reply) => *reply,
+            Err(response) => *response,
         },
         ("POST", ["v1", "members", "forget"]) => {
             #[derive(serde::Deserialize)]
@@ -458,19 +458,19 @@
             }
             match serde_json::from_slice::<Lost>(&request.body) {
                 Ok(Lost { members }) if !members.is_empty() => propose(Command::Forget { members }, false),
-                Ok(_) => Reply::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
+                Ok(_) => Response::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
                 Err(fault) => {
-                    Reply::result(ResultCode::BadPlan, format!("{fault}; wanted is {{\"members\": [\"IP:PORT\"]}}"))
+                    Response::result(ResultCode::BadPlan, format!("{fault}; wanted is {{\"members\": [\"IP:PORT\"]}}"))
                 }
             }
         }
         ("POST", ["v1", "zones", zone, "withdraw"]) => propose(Command::Withdraw { zone: (*zone).into() }, false),
         ("POST", ["v1", "zones", zone, "restore"]) => propose(Command::Restore { zone: (*zone).into() }, false),
-        _ => Reply::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path)),
+        _ => Response::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path)),
     }
 }
 
-fn metrics(tallies: &Tallies) -> Reply {
+fn metrics(tallies: &Tallies) -> Response {
     let rows = [
         ("registrar_http_requests_total", "counter", &tallies.requests),
         ("registrar_disk_writes_total", "counter", &tallies.writes),
@@ -484,5 +484,5 @@
     let lines = rows
         .iter()
         .map(|(name, kind, value)| format!("# TYPE {name} {kind}\n{name} {}\n", value.load(Ordering::Relaxed)));
-    Reply::whole(200, "text/plain; version=0.0.4", lines.collect::<String>())
+    Response::whole(200, "text/plain; version=0.0.4", lines.collect::<String>())
 }
--- a/crates/registrar/src/redirect.rs
+++ b/crates/registrar/src/redirect.rs
@@ -53,13 +53,13 @@
     }
 
     /// Sends an operator on.
-    pub(crate) fn reply(&self, request: &Request) -> Reply {
+    pub(crate) fn respond(&self, request: &Request) -> Response {
         let Some(other) = self.pick(probe) else {
-            return Reply::result(ResultCode::CoreNotReady, "this node has no disk, and no other answers it");
+            return Response::result(ResultCode::CoreNotReady, "this node has no disk, and no other answers it");
         };
         let query = if request.query.is_empty() { String::new() } else { format!("?{}", request.query) };
         let location = format!("http://{other}{}{query}", request.path);
-        Reply::whole(307, "text/plain", "ask there\n").with_header("location", location)
+        Response::whole(307, "text/plain", "ask there\n").with_header("location", location)
     }
 }
 
--- a/crates/registrar/tests/control/mod.rs
+++ b/crates/registrar/tests/control/mod.rs
@@ -110,8 +110,8 @@
     }
     /// The machine that may answer for the core now.
     pub fn tail(&self) -> Option<usize> {
-        let may_reply = |controller: &Controller| controller.replica().may_reply(Moment(self.now));
-        (0..3).find(|n| self.machines[*n].controller.as_ref().is_some_and(may_reply))
+        let may_respond = |controller: &Controller| controller.replica().may_respond(Moment(self.now));
+        (0..3).find(|n| self.machines[*n].controller.as_ref().is_some_and(may_respond))
     }
     /// The first of the chain, as the tail knows it.
     pub fn head(&self) -> Option<usize> {
@@ -183,7 +183,7 @@
                 ControllerOutput::Write { id, records, is_whole } => {
                     self.machines[machine].unsynced.push_back((id, records, is_whole));
                 }
-                ControllerOutput::Reply { number, status, body } => {
+                ControllerOutput::Response { number, status, body } => {
                     self.answers.insert(number, (status, body));
                 }
                 ControllerOutput::ViewChanged(_) => {}
@@ -215,7 +215,7 @@
                 Note::Judge { ticket, body, .. } => {
                     let judged = self.ledger(from).map(|ledger| ledger.preview(&body));
                     let Some(Preview::TurnAway(body)) = judged else { unreachable!("the head would not take it") };
-                    let note = Note::Reply { number: ticket.number, is_replied: true, body };
+                    let note = Note::Response { number: ticket.number, is_replied: true, body };
                     (usize::from(ticket.origin.0.port()) - 1, Letter::Note { note: Box::new(note) })
                 }
                 note => (to, Letter::Note { note: Box::new(note) }),
--- a/crates/rehearsal/src/answers/dialect.rs
+++ b/crates/rehearsal/src/answers/dialect.rs
@@ -36,9 +36,9 @@
         }
         Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand: Default::default() })
     }
-    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Reply {
-        let reply = Reply::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word());
-        reply.with_header(ID, id.map_or("", RequestId::as_str))
+    fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response {
+        let response = Response::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word());
+        response.with_header(ID, id.map_or("", RequestId::as_str))
     }
     fn request(&self, call: &Call, sending: &Sending<'_>) -> http::Request<Bytes> {
         let mut request = http::Request::new(call.body.clone());
--- a/crates/rehearsal/src/answers/lane.rs
+++ b/crates/rehearsal/src/answers/lane.rs
@@ -66,7 +66,7 @@
     let replying = forwarder.clone();
     std::thread::Builder::new()
         .name("gate".into())
-        .spawn(move || gate.serve(move |request| replying.reply(request)))
+        .spawn(move || gate.serve(move |request| replying.respond(request)))
         .map_err(tell)?;
     let mut lane = Lane { number, rules, ledger: ledger.clone(), address, connection: None };
     let mut fates = BTreeMap::new();
--- a/crates/rehearsal/src/explorer/cluster.rs
+++ b/crates/rehearsal/src/explorer/cluster.rs
@@ -166,7 +166,7 @@
         self.history.violation.as_deref()
     }
     /// Whether a replica may answer.
-    pub fn may_reply(&self) -> bool {
+    pub fn may_respond(&self) -> bool {
         self.replying() > 0
     }
     fn add_machine(&mut self, address: Address) {
@@ -563,10 +563,10 @@
                     let life = machine.life;
                     self.steps.push_back(Step::Sync { machine: place, life, id });
                 }
-                Output::Reply { number, is_replied, body } => self.on_answer(number, is_replied, &body),
+                Output::Response { number, is_replied, body } => self.on_answer(number, is_replied, &body),
                 Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
                     let Some(replica) = &mut self.machines[place].replica else { return };
-                    outputs.extend(replica.reply(now, ticket, body));
+                    outputs.extend(replica.respond(now, ticket, body));
                 }
                 Output::ViewChanged(view) => {
                     let is_spoilt = self.rules.fault == Some(DeliberateFault::CountEmptyMember);
@@ -601,8 +601,8 @@
 
     fn replying(&self) -> usize {
         let now = Moment(self.now);
-        let may_reply = |m: &&Machine| m.replica.as_ref().is_some_and(|replica| replica.may_reply(now));
-        self.machines.iter().filter(may_reply).count()
+        let may_respond = |m: &&Machine| m.replica.as_ref().is_some_and(|replica| replica.may_respond(now));
+        self.machines.iter().filter(may_respond).count()
     }
 
     /// After each step.
@@ -613,7 +613,7 @@
         }
         let checks_refusals = self.rules.checks_refusals;
         for machine in &self.machines {
-            let Some(replica) = machine.replica.as_ref().filter(|replica| replica.may_reply(now)) else { continue };
+            let Some(replica) = machine.replica.as_ref().filter(|replica| replica.may_respond(now)) else { continue };
             self.history.on_readable(&replica.state_machine().taken, checks_refusals);
         }
     }
--- a/crates/rehearsal/src/explorer/search.rs
+++ b/crates/rehearsal/src/explorer/search.rs
@@ -122,7 +122,7 @@
             if self.is_over.load(Ordering::Relaxed) {
                 return;
             }
-            if node.cluster.may_reply() {
+            if node.cluster.may_respond() {
                 last_readable = Some(place);
             }
             let fingerprint = node.cluster.fingerprint(node.faults_left, node.proposals_left);
--- a/crates/rehearsal/src/explorer/walk.rs
+++ b/crates/rehearsal/src/explorer/walk.rs
@@ -67,7 +67,7 @@
         if let Some(violation) = cluster.violation() {
             return Some(format!("tick {tick}: {violation}"));
         }
-        is_readable |= tick + 20 > end && cluster.may_reply();
+        is_readable |= tick + 20 > end && cluster.may_respond();
     }
     (!is_readable).then(|| "nobody may answer though all machines are back".into())
 }
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -351,7 +351,7 @@
 
     // Measured from here on.
     hosts.iter_mut().for_each(|host| host.tell(&HostCommand::Tell));
-    let tail = fleet.registrars.iter().position(|one| one.believes()["may_reply"] == true).unwrap_or(0);
+    let tail = fleet.registrars.iter().position(|one| one.believes()["may_respond"] == true).unwrap_or(0);
     let pid = |place: usize| fleet.registrars[place].pid().unwrap_or(0);
     let processes: Vec<(Role, u32, u32)> = (0..fleet.registrars.len())
         .map(|place| (if place == tail { Role::Tail } else { Role::Registrar }, pid(place), 1))
--- a/crates/rehearsal/src/platform.rs
+++ b/crates/rehearsal/src/platform.rs
@@ -25,7 +25,7 @@
         std::thread::Builder::new().name("platform".into()).spawn(move || {
             gate.serve(move |request| {
                 if request.path != "/servers" {
-                    return Reply::json(404, &serde_json::json!({}));
+                    return Response::json(404, &serde_json::json!({}));
                 }
                 let mut inside = shown.lock().expect("no thread panics with it");
                 let seen = Clock::now() - inside.lag;
@@ -33,7 +33,7 @@
                     inside.lists.pop_front();
                 }
                 let servers = inside.lists.front().map(|(_, list)| list.clone()).unwrap_or_default();
-                Reply::json(200, &ServerListReport { servers })
+                Response::json(200, &ServerListReport { servers })
             });
         })?;
         Ok(Platform { address, inside, closer })
--- a/crates/rehearsal/src/stand_in.rs
+++ b/crates/rehearsal/src/stand_in.rs
@@ -64,7 +64,7 @@
         let (address, closer, handler) = (gate.address(), gate.closer(), inside.clone());
         std::thread::Builder::new()
             .name("stand-in".into())
-            .spawn(move || gate.serve(move |request| handler.clone().reply(&request)))?;
+            .spawn(move || gate.serve(move |request| handler.clone().respond(&request)))?;
         Ok(StandIn { address, inside, closer })
     }
     /// Its name in the platform's list.
@@ -124,7 +124,7 @@
         self.asked.lock().expect("no thread panics with it").extend(ask);
     }
 
-    fn reply(self: Arc<Self>, request: &Request) -> Reply {
+    fn respond(self: Arc<Self>, request: &Request) -> Response {
         self.note_ask(request);
         let strike = self.schedule().strike;
         if strike.is_dark {
@@ -132,7 +132,7 @@
             while !self.is_crashed.load(Ordering::SeqCst) && Clock::now() < patience && self.schedule().strike.is_dark {
                 std::thread::sleep(Duration::from_millis(50));
             }
-            return Reply::streamed("text/plain", Box::new(Nothing));
+            return Response::streamed("text/plain", Box::new(Nothing));
         }
         match (request.method.as_str(), request.parts().as_slice()) {
             ("POST", ["runs"]) => self.take(&request.body),
@@ -142,14 +142,14 @@
             }
             ("DELETE", ["runs", run]) => {
                 let is_known = self.schedule().cancel(&RunId::from(*run), Clock::now());
-                Reply::json(if is_known { 200 } else { 404 }, &serde_json::json!({}))
+                Response::json(if is_known { 200 } else { 404 }, &serde_json::json!({}))
             }
-            ("POST", ["kv", _]) if strike.lacks_kv => Reply::json(404, &serde_json::json!({})),
+            ("POST", ["kv", _]) if strike.lacks_kv => Response::json(404, &serde_json::json!({})),
             ("POST", ["kv", way]) => self.kv(way, &request.body),
             ("DELETE", ["kv", prefix]) => {
                 let prefix = prefix.parse().map(PrefixHash);
                 prefix.into_iter().for_each(|prefix| self.schedule().drop_prefix(prefix));
-                Reply::json(202, &serde_json::json!({}))
+                Response::json(202, &serde_json::json!({}))
             }
             ("GET", ["load"]) => self.report(),
             ("GET", ["pages", ..])
@@ -160,20 +160,20 @@
             ("GET", ["pages", rest @ ..]) => {
                 self.pages.lock().expect("no thread panics with it").push(Clock::now());
                 std::thread::sleep(Duration::from_millis(3));
-                Reply::whole(200, "text/plain", format!("page {}\n", rest.join("/")))
+                Response::whole(200, "text/plain", format!("page {}\n", rest.join("/")))
             }
-            _ => Reply::json(404, &serde_json::json!({})),
+            _ => Response::json(404, &serde_json::json!({})),
         }
     }
 
     /// It was meant for another life of this server.
-    fn other_life(&self) -> Reply {
-        Reply::json(409, &serde_json::json!({"ran": false, "incarnation": self.incarnation}))
+    fn other_life(&self) -> Response {
+        Response::json(409, &serde_json::json!({"ran": false, "incarnation": self.incarnation}))
     }
 
-    fn take(self: Arc<Self>, body: &[u8]) -> Reply {
+    fn take(self: Arc<Self>, body: &[u8]) -> Response {
         let Ok(request) = serde_json::from_slice::<RunRequest>(body) else {
-            return Reply::json(400, &serde_json::json!({"ran": false}));
+            return Response::json(400, &serde_json::json!({"ran": false}));
         };
         if request.life.is_some_and(|life| life != self.incarnation) {
             return self.other_life();
@@ -181,7 +181,7 @@
         let now = Clock::now();
         let mut schedule = self.schedule();
         if !schedule.take(&request, now) {
-            return Reply::json(503, &serde_json::json!({"ran": false}));
+            return Response::json(503, &serde_json::json!({"ran": false}));
         }
         let (running, waiting) = schedule.load(now);
         drop(schedule);
@@ -191,38 +191,41 @@
         self.read(request.run, 0)
     }
 
-    fn read(self: Arc<Self>, run: RunId, from: u64) -> Reply {
+    fn read(self: Arc<Self>, run: RunId, from: u64) -> Response {
         if self.schedule().strike.does_refuse {
-            return Reply::json(503, &serde_json::json!({"ran": false}));
+            return Response::json(503, &serde_json::json!({"ran": false}));
         }
         match self.schedule().progress(&run, Clock::now()) {
-            None | Some(Progress::Broke(_)) => return Reply::json(410, &serde_json::json!({"ran": false})),
+            None | Some(Progress::Broke(_)) => return Response::json(410, &serde_json::json!({"ran": false})),
             Some(Progress::All(pieces)) if from > pieces => {
-                return Reply::json(410, &serde_json::json!({"ran": false}));
+                return Response::json(410, &serde_json::json!({"ran": false}));
             }
             Some(_) => {}
         }
-        Reply::streamed("application/x-ndjson", Box::new(RunSource { inside: self, run, next: from, is_over: false }))
+        Response::streamed(
+            "application/x-ndjson",
+            Box::new(RunSource { inside: self, run, next: from, is_over: false }),
+        )
     }
 
-    fn kv(&self, way: &str, body: &[u8]) -> Reply {
+    fn kv(&self, way: &str, body: &[u8]) -> Response {
         let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
         let Some(prefix) = value["prefix"].as_u64().map(PrefixHash) else {
-            return Reply::json(400, &serde_json::json!({}));
+            return Response::json(400, &serde_json::json!({}));
         };
         let mut schedule = self.schedule();
         match way {
-            "export" if schedule.holds(prefix, Clock::now()) => Reply::json(202, &serde_json::json!({})),
+            "export" if schedule.holds(prefix, Clock::now()) => Response::json(202, &serde_json::json!({})),
             "import" => {
                 schedule.import(prefix, Clock::now());
-                Reply::json(202, &serde_json::json!({}))
+                Response::json(202, &serde_json::json!({}))
             }
-            _ => Reply::json(409, &serde_json::json!({})),
+            _ => Response::json(409, &serde_json::json!({})),
         }
     }
 
     /// Its load as it was up to half a second ago.
-    fn report(&self) -> Reply {
+    fn report(&self) -> Response {
         let now = Clock::now();
         let mut report = self.report.lock().expect("no thread panics with it");
         if now.since(report.0) >= Span(500) {
@@ -238,7 +241,7 @@
             };
             *report = (now, report_now);
         }
-        Reply::json(200, &report.1)
+        Response::json(200, &report.1)
     }
 }
 
--- a/crates/rehearsal/src/world/checks.rs
+++ b/crates/rehearsal/src/world/checks.rs
@@ -333,7 +333,7 @@
             }
         }
         let Some(ledger) = ledger else {
-            return self.violate(now, "at the end nobody may reply for the core".into());
+            return self.violate(now, "at the end nobody may respond for the core".into());
         };
         for (id, (_, code, epoch)) in self.fates.clone() {
             let entry = ledger.entry_by_id(&id);
@@ -403,11 +403,11 @@
             .registrars
             .iter()
             .filter(|m| self.now >= m.frozen_until)
-            .filter(|m| m.controller.as_ref().is_some_and(|o| o.replica().may_reply(Moment(self.now + m.offset))))
+            .filter(|m| m.controller.as_ref().is_some_and(|o| o.replica().may_respond(Moment(self.now + m.offset))))
             .map(|m| m.address)
             .collect();
         if tails.len() > 1 {
-            self.witness.violate(self.now, format!("two tails may reply at once: {tails:?}"));
+            self.witness.violate(self.now, format!("two tails may respond at once: {tails:?}"));
         }
     }
 
@@ -432,7 +432,7 @@
             self.witness.violate(now, format!("all registrars were level again after {level:?} ms"));
         }
         let tail = self.registrars.iter().position(|m| {
-            m.controller.as_ref().is_some_and(|controller| controller.replica().may_reply(Moment(now + m.offset)))
+            m.controller.as_ref().is_some_and(|controller| controller.replica().may_respond(Moment(now + m.offset)))
         });
         self.history.judge().into_iter().for_each(|what| self.witness.violate(now, what));
         self.witness.calls = self.history.lines();
--- a/crates/rehearsal/src/world/door.rs
+++ b/crates/rehearsal/src/world/door.rs
@@ -70,7 +70,7 @@
     fn read_here(&mut self, machine: usize, call: u64) {
         let controller = self.registrars[machine].controller.as_ref();
         let plan = controller.map(|controller| controller.replica().state_machine().plan.clone()).unwrap_or_default();
-        self.on_operator_reply(call, if plan.is_empty() { 404 } else { 200 }, &plan);
+        self.on_operator_response(call, if plan.is_empty() { 404 } else { 200 }, &plan);
     }
 
     fn propose(
@@ -99,9 +99,9 @@
     }
 
     /// A controller answers: the door goes on with a patch, or hands the answer to the operator.
-    pub(super) fn on_controller_reply(&mut self, machine: usize, number: u64, status: u16, body: &[u8]) {
+    pub(super) fn on_controller_response(&mut self, machine: usize, number: u64, status: u16, body: &[u8]) {
         match self.door.remove(&number) {
-            None => self.on_operator_reply(number, status, body),
+            None => self.on_operator_response(number, status, body),
             Some(PatchStep::ReadsBase(bytes, basis)) if status == 200 && body.len() >= 8 => {
                 let Some(asked) = self.operators.asked.remove(&number) else { return };
                 let (epoch, plan) = body.split_at(8);
@@ -129,7 +129,7 @@
         self.witness.not_proposed(&asked.id);
         asked.command = Some(Command::Settle { since: Epoch(0) });
         self.operators.asked.insert(number, asked);
-        self.on_operator_reply(number, 200, body);
+        self.on_operator_response(number, 200, body);
     }
 }
 
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -1,7 +1,7 @@
 //! Registrars and criers: started, fed, frozen, killed.
 
 use super::*;
-use circular::prelude::PollReply;
+use circular::prelude::PollResponse;
 use layout::prelude::{History, REMEMBERED_CHANGES};
 
 impl World {
@@ -175,22 +175,22 @@
     /// For the mutant: the lease that its tail counts as over at once runs as usual where it was given.
     fn restore_span(&self, letter: &mut Letter) {
         if self.rules.mutant == Some(Mutant::ForgetHolders)
-            && let Letter::PollReply { reply, .. } = letter
-            && let PollReply::Lease { span, .. } = reply.as_mut()
+            && let Letter::PollResponse { response, .. } = letter
+            && let PollResponse::Lease { span, .. } = response.as_mut()
         {
             *span = ControllerTiming::default().lease;
         }
     }
 
-    /// For the mutant: the lease of a poll's reply without its news.
+    /// For the mutant: the lease of a poll's response without its news.
     fn make_stale(&mut self, to: Address, letter: &mut Letter) {
         if self.rules.mutant != Some(Mutant::StaleNews) || !to.0.port().is_multiple_of(3) || self.chance(2) {
             return;
         }
         let Some(node) = self.criers.iter().find(|m| m.address == to).and_then(|m| m.node.as_ref()) else { return };
         match letter {
-            Letter::PollReply { reply, .. } => {
-                let PollReply::Lease { epoch, news, .. } = &mut **reply else { return };
+            Letter::PollResponse { response, .. } => {
+                let PollResponse::Lease { epoch, news, .. } = &mut **response else { return };
                 *epoch = node.epoch();
                 if let Some(news) = news {
                     (news.epoch, news.plan_epoch, news.withdrawn) =
@@ -214,7 +214,7 @@
         let Some((operator, is_answered)) = self.questions.get_mut(number) else { return };
         if std::mem::replace(is_answered, true) {
             let operator = *operator;
-            self.on_operator_reply(operator, 200, body);
+            self.on_operator_response(operator, 200, body);
         }
     }
 
@@ -271,8 +271,8 @@
             match output {
                 ControllerOutput::Send { to, is_bulk, letter } => self.post(address, to, is_bulk, letter),
                 ControllerOutput::Write { id, records, is_whole } => self.write(machine, life, id, records, is_whole),
-                ControllerOutput::Reply { number, status, body } => {
-                    self.on_controller_reply(machine, number, status, &body)
+                ControllerOutput::Response { number, status, body } => {
+                    self.on_controller_response(machine, number, status, &body)
                 }
                 ControllerOutput::ViewChanged(view) => self.witness.view(self.now, address, &view),
             }
--- a/crates/rehearsal/src/world/operators.rs
+++ b/crates/rehearsal/src/world/operators.rs
@@ -312,7 +312,7 @@
     }
 
     /// A registrar answers a call.
-    pub(super) fn on_operator_reply(&mut self, number: u64, status: u16, body: &[u8]) {
+    pub(super) fn on_operator_response(&mut self, number: u64, status: u16, body: &[u8]) {
         let Some(asked) = self.operators.asked.remove(&number) else { return };
         // Of calls that were given up, and answers that are lost, operators hear nothing.
         let call = self.operators.calls.get(&number);
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/rehearsal/src/world/tests.rs
@@ -57,7 +57,7 @@
 
 /// What only these seeds have shown, at the faults with which they did.
 #[parameterized(
-    a_heal_between_ask_and_reply = { 910_001_121 },
+    a_heal_between_ask_and_response = { 910_001_121 },
     another = { 910_002_984 },
     a_connection_made_under_a_newer_epoch = { 910_002_884 },
 )]
@@ -77,7 +77,7 @@
     let asked = operators::Asked { at: world.now, id: "op-1".into(), command, newest_told: 0, lost };
     world.operators.asked.insert(1, asked);
     let code = ResultCode::Accepted.number();
-    world.on_operator_reply(1, 200, serde_json::json!({"code": code, "epoch": 1}).to_string().as_bytes());
+    world.on_operator_response(1, 200, serde_json::json!({"code": code, "epoch": 1}).to_string().as_bytes());
     let seen = world.witness.violations.iter().filter(|what| what.contains("lives and was forgotten"));
     assert_eq!(seen.count(), expected, "{:?}", world.witness.violations);
 }
--- a/crates/rehearsal/src/world/touch.rs
+++ b/crates/rehearsal/src/world/touch.rs
@@ -1,7 +1,7 @@
 //! Whom a crier was in touch with, judged by the letters that reached it: its leases, and who knew more.
 
 use super::*;
-use circular::prelude::PollReply;
+use circular::prelude::PollResponse;
 
 /// Whoever told it of more, and is out of reach for this long, stops it no more.
 const TOLD_FOR: u64 = 3000;
@@ -33,8 +33,8 @@
         let epoch = match letter {
             Letter::News { news } => news.epoch,
             Letter::PeerCheckRequest { epoch, .. } | Letter::PeerCheckResponse { epoch, .. } => *epoch,
-            Letter::PollReply { round, reply } => match reply.as_ref() {
-                PollReply::Lease { span, epoch, .. } => {
+            Letter::PollResponse { round, response } => match response.as_ref() {
+                PollResponse::Lease { span, epoch, .. } => {
                     let asked = self.polls.get(round).copied();
                     if !self.is_leased(now) {
                         self.leased_since = now;
@@ -42,7 +42,7 @@
                     self.lease_due = self.lease_due.max(asked.map_or(0, |asked| asked + span.0));
                     *epoch
                 }
-                PollReply::Elsewhere { .. } => return,
+                PollResponse::Elsewhere { .. } => return,
             },
             _ => return,
         };
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -198,7 +198,7 @@
     assert!(back.0 <= 12_000, "service was back after {} ms", back.0);
     fleet.await_core(PATIENCE).expect("the wiped one is admitted again");
     for registrar in &fleet.registrars {
-        let (status, body) = registrar.get(&format!("/v1/plans/{outcome}")).expect("it replies");
+        let (status, body) = registrar.get(&format!("/v1/plans/{outcome}")).expect("it responds");
         assert_eq!((status, String::from_utf8_lossy(&body).as_ref()), (200, odd), "at {}", registrar.name);
     }
 }
@@ -211,7 +211,7 @@
     under_load(deployment, &mut fleet, &crew, 30, |fleet| {
         // A crier and the tail sleep while the crier's zone is withdrawn.
         fleet.criers[0].freeze();
-        let is_tail = |d: &&Daemon| d.believes()["may_reply"] == true;
+        let is_tail = |d: &&Daemon| d.believes()["may_respond"] == true;
         let tail = fleet.registrars.iter().position(|d| is_tail(&d)).expect("there is a tail");
         fleet.registrars[tail].freeze();
         let others: Vec<usize> = (0..fleet.registrars.len()).filter(|place| *place != tail).collect();
@@ -254,7 +254,8 @@
     let accepted = std::thread::scope(|scope| {
         let putting = scope.spawn(|| fleet.put_plan("large", epoch, &large));
         let began = Clock::now();
-        let (status, _) = fleet.registrars[1].ask("POST", "/v1/zones/river/withdraw?id=now", vec![]).expect("a reply");
+        let (status, _) =
+            fleet.registrars[1].ask("POST", "/v1/zones/river/withdraw?id=now", vec![]).expect("a response");
         assert_eq!(status, 200);
         assert!(Clock::now().since(began) < Span::seconds(5), "the withdrawal waited for the plan");
         putting.join().expect("it ends")
@@ -277,7 +278,7 @@
         })
     };
     Fleet::await_that(PATIENCE, "the newcomer sits in the chain, level", is_seated).expect("admitted");
-    let (status, body) = fleet.registrars[newcomer].get(&format!("/v1/plans/{accepted}")).expect("it replies");
+    let (status, body) = fleet.registrars[newcomer].get(&format!("/v1/plans/{accepted}")).expect("it responds");
     assert!(status == 200 && body == large.as_bytes(), "the plan reads back byte for byte at the newcomer");
     // The old one's vote is gone: with it back, nobody takes it in, and the rest goes on.
     fleet.registrars[1].start().expect("it starts");
@@ -299,7 +300,7 @@
     let forget = |fleet: &Fleet, id: &str, members: &[Address]| -> serde_json::Value {
         let body = serde_json::json!({"members": members}).to_string().into_bytes();
         let path = format!("/v1/members/forget?id={id}");
-        serde_json::from_slice(&fleet.registrars[1].ask("POST", &path, body).expect("a reply").1).expect("JSON")
+        serde_json::from_slice(&fleet.registrars[1].ask("POST", &path, body).expect("a response").1).expect("JSON")
     };
     fleet.criers.iter_mut().skip(4).for_each(|crier| crier.kill());
     let lost: Vec<Address> = fleet.criers[4..].iter().map(|crier| crier.inner).collect();
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -7,8 +7,8 @@
 
 const PATIENCE: Span = Span::seconds(30);
 
-fn json(reply: Result<(u16, Vec<u8>), String>) -> (u16, Value) {
-    let (status, body) = reply.expect("a reply");
+fn json(response: Result<(u16, Vec<u8>), String>) -> (u16, Value) {
+    let (status, body) = response.expect("a response");
     (status, serde_json::from_slice(&body).unwrap_or_default())
 }
 
@@ -128,7 +128,7 @@
 /// What a crier says to a body: status, when to come back, JSON lines.
 fn say(crier: Address, path: &str, body: &Value) -> (u16, Option<u64>, Vec<Value>) {
     let heard = ask_post(&format!("http://{crier}{path}"), body.to_string().into_bytes(), PATIENCE, PATIENCE);
-    let heard = heard.expect("a reply");
+    let heard = heard.expect("a response");
     let (status, back) = (heard.status(), heard.header("retry-after").and_then(|value| value.parse().ok()));
     let text = String::from_utf8(read_all(heard, 1 << 20).expect("a whole body")).expect("text");
     (status, back, text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect())
@@ -196,7 +196,7 @@
     let long = serde_json::json!({"id": "long", "service": "reviews", "prompt": "long", "max_pieces": 400});
     let heard =
         ask_post(&format!("http://{}/v1/requests", criers[0]), long.to_string().into_bytes(), PATIENCE, PATIENCE);
-    let heard = heard.expect("a reply");
+    let heard = heard.expect("a response");
     assert_eq!((busy(), counted()), (Some(1), Some(1)));
     assert_eq!(say(criers[0], "/v1/requests", &long).2[0]["code"], 204);
     assert_eq!((busy(), counted()), (Some(1), Some(1)), "the one turned away ended the one in hand");
--- a/crates/wicket/src/gate.rs
+++ b/crates/wicket/src/gate.rs
@@ -9,7 +9,7 @@
 use self::connection::serve_connection;
 use self::state::GateState;
 use crate::framing::RequestLimits;
-use crate::reply::Reply;
+use crate::response::Response;
 use crate::wire::Client;
 use bytes::Bytes;
 use parlance::prelude::*;
@@ -156,7 +156,7 @@
     /// Takes requests for ever, each connection on a thread of its own.
     pub fn serve<H>(self, handler: H)
     where
-        H: Fn(Request) -> Reply + Send + Sync + Clone + 'static,
+        H: Fn(Request) -> Response + Send + Sync + Clone + 'static,
     {
         loop {
             let stream = match self.listener.accept() {
--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/wicket/src/gate/connection.rs
@@ -4,7 +4,7 @@
 use super::state::{GateRules, GateState};
 use super::{GateBounds, Request};
 use crate::framing::{RequestFault, RequestProgress};
-use crate::reply::{Reply, ReplyBody};
+use crate::response::{Response, ResponseBody};
 use crate::wire::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
 use http::HeaderValue;
 use http::header::CONNECTION;
@@ -51,7 +51,7 @@
 }
 
 /// Serves a connection until either side ends it.
-pub(super) fn serve_connection<H: Fn(Request) -> Reply + Clone>(
+pub(super) fn serve_connection<H: Fn(Request) -> Response + Clone>(
     stream: TcpStream,
     bounds: GateBounds,
     state: &GateState,
@@ -86,15 +86,15 @@
                 // A round that sent nothing: the source has nothing yet, so its client is looked after.
                 let sent = wire.sent_count.load(Ordering::Relaxed);
                 let is_still = std::mem::replace(&mut sent_before, sent) == sent;
-                if exchange.is_replying.get() && is_still && wire.is_gone() {
+                if exchange.is_responding.get() && is_still && wire.is_gone() {
                     return;
                 }
                 continue;
             }
             Poll::Pending => {}
         }
-        // Handlers and sources wait by themselves, so nothing pending means that the reply has been given.
-        if exchange.is_replying.replace(false) {
+        // Handlers and sources wait by themselves, so nothing pending means that the response has been given.
+        if exchange.is_responding.replace(false) {
             if exchange.progress() != RequestProgress::Whole {
                 // It was answered before it was read whole: what follows belongs to nothing.
                 return close_in_request(&wire);
@@ -152,30 +152,30 @@
 }
 
 /// Reads a request whole and has it answered.
-async fn answer<H: Fn(Request) -> Reply>(
+async fn answer<H: Fn(Request) -> Response>(
     request: hyper::Request<Incoming>,
     handler: H,
     client: Client,
     exchange: Rc<Exchange>,
     state: &GateState,
-) -> Result<hyper::Response<ReplyBody>, Infallible> {
+) -> Result<hyper::Response<ResponseBody>, Infallible> {
     exchange.is_close_delimited.set(request.version() < hyper::Version::HTTP_11);
     let (head, body) = request.into_parts();
     let is_head = head.method == http::Method::HEAD;
     let is_second = exchange.is_taken.replace(true);
     let body = body.collect().await;
     let is_whole = exchange.progress() == RequestProgress::Whole && !is_second;
-    let reply = match body {
+    let response = match body {
         Ok(body) if is_whole => {
-            exchange.is_replying.set(true);
+            exchange.is_responding.set(true);
             handler(Request::new(head, body.to_bytes(), client))
         }
         // The library and the framer disagree on where the request ends.
-        Ok(_) => Reply::result(ResultCode::BadRequest, "its end is in doubt"),
-        Err(_) => Reply::result(ResultCode::SlowBody, "the body was torn"),
+        Ok(_) => Response::result(ResultCode::BadRequest, "its end is in doubt"),
+        Err(_) => Response::result(ResultCode::SlowBody, "the body was torn"),
     };
-    exchange.is_replying.set(true);
-    let mut response = reply.into_hyper(is_head);
+    exchange.is_responding.set(true);
+    let mut response = response.into_hyper(is_head);
     if state.is_leaving() || !is_whole {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -217,7 +217,7 @@
     };
     tracing::debug!("gate: a connection ended early: {fault}.");
     // Where only the close tells the end of a body, it must not look like one.
-    if exchange.is_replying.get() && exchange.is_close_delimited.get() {
+    if exchange.is_responding.get() && exchange.is_close_delimited.get() {
         let _ = rustix::net::sockopt::set_socket_linger(&wire.stream, Some(Duration::ZERO));
     }
 }
@@ -225,23 +225,25 @@
 /// Tells a client that its request can't be taken. Nothing of an answer is on the wire: the request was
 /// not handed on, and the answer before it had ended.
 fn refuse(wire: &Wire, fault: RequestFault) {
-    let reply = match fault {
-        RequestFault::Malformed(why) => Reply::result(ResultCode::BadRequest, why),
-        RequestFault::LargeHead => Reply::result(ResultCode::TooLarge, "the head is over the bound").with_status(431),
-        RequestFault::LargeBody => Reply::result(ResultCode::TooLarge, "the body is over the bound"),
+    let response = match fault {
+        RequestFault::Malformed(why) => Response::result(ResultCode::BadRequest, why),
+        RequestFault::LargeHead => {
+            Response::result(ResultCode::TooLarge, "the head is over the bound").with_status(431)
+        }
+        RequestFault::LargeBody => Response::result(ResultCode::TooLarge, "the body is over the bound"),
     };
-    tell_and_close(wire, reply);
+    tell_and_close(wire, response);
 }
 
 /// Tells a client that the rest of its request didn't come in time.
 fn refuse_late(wire: &Wire, progress: RequestProgress) {
     let what = if progress == RequestProgress::Head { "the head" } else { "the body" };
-    tell_and_close(wire, Reply::result(ResultCode::SlowBody, format!("{what} did not come in time")));
+    tell_and_close(wire, Response::result(ResultCode::SlowBody, format!("{what} did not come in time")));
 }
 
-fn tell_and_close(wire: &Wire, reply: Reply) {
+fn tell_and_close(wire: &Wire, response: Response) {
     let _ = wire.stream.set_write_timeout(Some(REFUSAL_WRITE));
-    if (&wire.stream).write_all(&reply.into_last_bytes()).is_ok() {
+    if (&wire.stream).write_all(&response.into_last_bytes()).is_ok() {
         close_in_request(wire);
     }
 }
--- a/crates/wicket/src/gate/intake.rs
+++ b/crates/wicket/src/gate/intake.rs
@@ -18,7 +18,7 @@
     /// Whether the current request was handed on.
     pub is_taken: Cell<bool>,
     /// Whether an answer to it has begun.
-    pub is_replying: Cell<bool>,
+    pub is_responding: Cell<bool>,
     /// Whether only the close tells the end of the answer's body.
     pub is_close_delimited: Cell<bool>,
 }
@@ -29,7 +29,7 @@
             framer: RefCell::new(RequestFramer::new()),
             limits: Cell::new(limits),
             is_taken: Cell::new(false),
-            is_replying: Cell::new(false),
+            is_responding: Cell::new(false),
             is_close_delimited: Cell::new(false),
         }
     }
--- a/crates/wicket/src/gate/tests.rs
+++ b/crates/wicket/src/gate/tests.rs
@@ -30,7 +30,7 @@
 fn serve(
     bounds: GateBounds,
     mutant: Option<GateMutant>,
-    handler: impl Fn(Request) -> Reply + Send + Sync + Clone + 'static,
+    handler: impl Fn(Request) -> Response + Send + Sync + Clone + 'static,
 ) -> (Address, GateLimiter) {
     let mut gate = Gate::open(Address::loopback(0).0, bounds).expect("a port");
     Arc::get_mut(&mut gate.state).expect("nobody else has it").mutant = mutant;
@@ -209,7 +209,7 @@
     let (address, _) = serve(bounds(), mutant, move |request| {
         let body = String::from_utf8_lossy(&request.body).into_owned();
         note.lock().unwrap_or_else(PoisonError::into_inner).push((request.path.clone(), body.clone()));
-        Reply::passed(200, HeaderMap::new(), format!("{} {body}", request.path))
+        Response::passed(200, HeaderMap::new(), format!("{} {body}", request.path))
     });
     let config =
         ProptestConfig { cases, failure_persistence: None, max_shrink_iters: 200, ..ProptestConfig::default() };
@@ -272,7 +272,7 @@
 
 /// What is seen of limits that are set while connections are open; the first thing that is wrong.
 fn try_limits(mutant: Option<GateMutant>) -> Result<(), &'static str> {
-    let (address, limiter) = serve(bounds(), mutant, |_| Reply::passed(200, HeaderMap::new(), ""));
+    let (address, limiter) = serve(bounds(), mutant, |_| Response::passed(200, HeaderMap::new(), ""));
     let open = || {
         let mut client = Client::connect(address, guard(mutant));
         client.post(1500, 3000);
@@ -314,7 +314,7 @@
 
 #[test]
 fn a_limit_that_is_taken_back_binds_no_more() {
-    let (address, limiter) = serve(bounds(), None, |_| Reply::passed(200, HeaderMap::new(), ""));
+    let (address, limiter) = serve(bounds(), None, |_| Response::passed(200, HeaderMap::new(), ""));
     let wide = limiter.limits();
     limiter.set(GateLimits { idle_span: Span::seconds(3600), head_span: Span::seconds(3600), ..NARROW });
     limiter.set(wide);
--- a/crates/wicket/src/lib.rs
+++ b/crates/wicket/src/lib.rs
@@ -8,7 +8,7 @@
 mod gate;
 mod lines;
 mod post;
-mod reply;
+mod response;
 mod wire;
 
 /// What each file imports.
@@ -18,6 +18,6 @@
     pub use crate::gate::{Gate, GateBounds, GateCloser, GateLimiter, GateLimits, Request};
     pub use crate::lines::{CHECK_LIFE, Line, LineError, LinePull, Lines, LinesBounds, Waits};
     pub use crate::post::{Post, PostClass, PostTally};
-    pub use crate::reply::{PieceSource, Pull, Reply};
+    pub use crate::response::{PieceSource, Pull, Response};
     pub use crate::wire::Client;
 }
--- a/crates/wicket/src/reply.rs
+++ b/crates/wicket/src/response.rs
@@ -34,14 +34,14 @@
 }
 
 /// An answer towards HTTP.
-pub struct Reply {
+pub struct Response {
     status: u16,
-    /// Boxed, so that a reply stays small where it is the fault of a result.
+    /// Boxed, so that a response stays small where it is the fault of a result.
     headers: Box<HeaderMap>,
-    body: ReplyBody,
+    body: ResponseBody,
 }
 
-pub(crate) enum ReplyBody {
+pub(crate) enum ResponseBody {
     Whole(Option<Bytes>),
     Streamed {
         source: Box<dyn PieceSource>,
@@ -51,21 +51,25 @@
     },
 }
 
-impl Reply {
+impl Response {
     /// A whole body of this type.
     pub fn whole(status: u16, content_type: &str, body: impl Into<Vec<u8>>) -> Self {
-        let reply = Self::passed(status, HeaderMap::new(), body.into());
-        reply.with_header(CONTENT_TYPE.as_str(), content_type)
+        let response = Self::passed(status, HeaderMap::new(), body.into());
+        response.with_header(CONTENT_TYPE.as_str(), content_type)
     }
     /// A server's answer, passed on whole with these headers. Those that concern a connection only are
     /// not taken out here; the length is the body's own.
     pub fn passed(status: u16, headers: HeaderMap, body: impl Into<Bytes>) -> Self {
-        Reply { status, headers: Box::new(headers), body: ReplyBody::Whole(Some(body.into())) }
+        Response { status, headers: Box::new(headers), body: ResponseBody::Whole(Some(body.into())) }
     }
     /// A server's answer, passed on as its pieces come. With a `content-length` among the headers that
     /// many bytes are to come, else it goes in chunks.
     pub fn passed_stream(status: u16, headers: HeaderMap, source: Box<dyn PieceSource>) -> Self {
-        Reply { status, headers: Box::new(headers), body: ReplyBody::Streamed { source, has_given: false, left: None } }
+        Response {
+            status,
+            headers: Box::new(headers),
+            body: ResponseBody::Streamed { source, has_given: false, left: None },
+        }
     }
     /// A JSON value.
     pub fn json(status: u16, value: &impl serde::Serialize) -> Self {
@@ -105,7 +109,7 @@
         let name = HeaderName::from_bytes(name.as_ref().as_bytes());
         match (name, HeaderValue::from_str(value.as_ref())) {
             (Ok(name), Ok(value)) => drop(self.headers.append(name, value)),
-            _ => tracing::warn!("reply: a header that HTTP doesn't allow was left out."),
+            _ => tracing::warn!("response: a header that HTTP doesn't allow was left out."),
         }
         self
     }
@@ -133,27 +137,27 @@
     }
     /// As hyper takes it. The length is hyper's to tell, but where there is no body that has one; whether
     /// the connection is kept, and how long, is the gate's.
-    pub(crate) fn into_hyper(mut self, is_head: bool) -> hyper::Response<ReplyBody> {
+    pub(crate) fn into_hyper(mut self, is_head: bool) -> hyper::Response<ResponseBody> {
         for name in [TRANSFER_ENCODING, CONNECTION, UPGRADE, HeaderName::from_static("keep-alive")] {
             self.headers.remove(name);
         }
         let told = self.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
         match &mut self.body {
-            ReplyBody::Whole(_) if !is_head => drop(self.headers.remove(CONTENT_LENGTH)),
-            ReplyBody::Whole(_) => {}
-            ReplyBody::Streamed { left, .. } => *left = told,
+            ResponseBody::Whole(_) if !is_head => drop(self.headers.remove(CONTENT_LENGTH)),
+            ResponseBody::Whole(_) => {}
+            ResponseBody::Streamed { left, .. } => *left = told,
         }
         let mut response = hyper::Response::new(self.body);
         *response.status_mut() = final_status(self.status);
         *response.headers_mut() = *self.headers;
         response
     }
-    /// The bytes of a whole reply that is the last one on its connection, for where hyper can't give it.
+    /// The bytes of a whole response that is the last one on its connection, for where hyper can't give it.
     pub(crate) fn into_last_bytes(self) -> Vec<u8> {
         let status = final_status(self.status);
         let body = match self.body {
-            ReplyBody::Whole(body) => body.unwrap_or_default(),
-            ReplyBody::Streamed { .. } => Bytes::new(),
+            ResponseBody::Whole(body) => body.unwrap_or_default(),
+            ResponseBody::Streamed { .. } => Bytes::new(),
         };
         let mut bytes = format!("HTTP/1.1 {status}\r\n").into_bytes();
         for (name, value) in self.headers.iter().filter(|(name, _)| **name != CONTENT_LENGTH) {
@@ -171,12 +175,12 @@
 fn final_status(status: u16) -> hyper::StatusCode {
     let known = hyper::StatusCode::from_u16(status).ok().filter(|known| !known.is_informational());
     known.unwrap_or_else(|| {
-        tracing::warn!("reply: {status} is no status of an answer.");
+        tracing::warn!("response: {status} is no status of an answer.");
         hyper::StatusCode::BAD_GATEWAY
     })
 }
 
-impl Body for ReplyBody {
+impl Body for ResponseBody {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -184,8 +188,8 @@
     /// before the next one is waited for.
     fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
-            ReplyBody::Whole(body) => Poll::Ready(body.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b)))),
-            ReplyBody::Streamed { source, has_given, left } => {
+            ResponseBody::Whole(body) => Poll::Ready(body.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b)))),
+            ResponseBody::Streamed { source, has_given, left } => {
                 if std::mem::take(has_given) {
                     context.waker().wake_by_ref();
                     return Poll::Pending;
@@ -214,14 +218,14 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ReplyBody::Whole(None))
+        matches!(self, ResponseBody::Whole(None))
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
         match self {
-            ReplyBody::Whole(Some(body)) => hyper::body::SizeHint::with_exact(body.len() as u64),
-            ReplyBody::Whole(None) => hyper::body::SizeHint::with_exact(0),
-            ReplyBody::Streamed { .. } => hyper::body::SizeHint::default(),
+            ResponseBody::Whole(Some(body)) => hyper::body::SizeHint::with_exact(body.len() as u64),
+            ResponseBody::Whole(None) => hyper::body::SizeHint::with_exact(0),
+            ResponseBody::Streamed { .. } => hyper::body::SizeHint::default(),
         }
     }
 }
@@ -233,10 +237,10 @@
     #[test]
     fn each_code_tells_when_to_come_back_exactly_where_that_helps() {
         for code in ResultCode::ALL {
-            let reply = Reply::result(*code, "why");
-            let said = reply.header("retry-after").map(|value| value.parse::<u64>().expect("seconds"));
+            let response = Response::result(*code, "why");
+            let said = response.header("retry-after").map(|value| value.parse::<u64>().expect("seconds"));
             assert_eq!(said, code.comes_back().map(|span| span.0 / 1000), "{code}");
-            let later = Reply::result_after(*code, "why", Span(2500));
+            let later = Response::result_after(*code, "why", Span(2500));
             let said = later.header("retry-after").map(|value| value.parse::<u64>().expect("seconds"));
             assert_eq!(said, code.comes_back().map(|_| 3), "{code}, later");
             // Whoever is turned away for now, unrun, is told when to come back.
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -18,7 +18,7 @@
 /// A gate with this handler, and what closes it.
 fn gate(
     bounds: GateBounds,
-    handler: impl Fn(Request) -> Reply + Send + Sync + Clone + 'static,
+    handler: impl Fn(Request) -> Response + Send + Sync + Clone + 'static,
 ) -> (Address, GateCloser) {
     let gate = Gate::open(Address::loopback(0).0, bounds).unwrap();
     let (address, closer) = (gate.address(), gate.closer());
@@ -26,8 +26,8 @@
     (address, closer)
 }
 
-fn echo(request: Request) -> Reply {
-    Reply::passed(200, HeaderMap::new(), request.body)
+fn echo(request: Request) -> Response {
+    Response::passed(200, HeaderMap::new(), request.body)
 }
 
 /// The client's side of one connection.
@@ -99,7 +99,7 @@
         assert!(!request.client.is_gone());
         assert_eq!(request.headers().get_all("x").iter().count(), 2);
         let (method, target, headers, body) = request.into_parts();
-        Reply::passed(200, HeaderMap::new(), format!("{method} {target} {} {}", headers.len(), body.len()))
+        Response::passed(200, HeaderMap::new(), format!("{method} {target} {} {}", headers.len(), body.len()))
     });
     let mut client = Client::connect(address);
     client.say("PUT /a%20b/?c=%2F&&d HTTP/1.1\r\nhost: a\r\nx: 1\r\nx: 2\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
@@ -173,7 +173,7 @@
     let (address, closer) = gate(bounds(), move |_| {
         let (feed, source) = mpsc::channel();
         feeds.send(feed).unwrap();
-        Reply::passed_stream(200, headers.clone(), Box::new(Fed(source)))
+        Response::passed_stream(200, headers.clone(), Box::new(Fed(source)))
     });
     (address, closer, fed)
 }
@@ -278,9 +278,9 @@
 #[test]
 fn what_a_server_says_of_its_own_connection_is_not_passed_on() {
     let (address, _closer) = gate(bounds(), |_| {
-        let reply = Reply::passed(103, HeaderMap::new(), "x");
+        let response = Response::passed(103, HeaderMap::new(), "x");
         let headers = [("keep-alive", "timeout=60"), ("connection", "close"), ("upgrade", "h2c"), ("x", "1")];
-        headers.into_iter().fold(reply, |reply, (name, value)| reply.with_header(name, value))
+        headers.into_iter().fold(response, |response, (name, value)| response.with_header(name, value))
     });
     let mut client = Client::connect(address);
     for _ in 0..2 {
@@ -301,7 +301,7 @@
             waiting.send((request.client.clone(), release)).unwrap();
             let _ = released.recv_timeout(PATIENCE);
         }
-        Reply::passed(200, HeaderMap::new(), request.path)
+        Response::passed(200, HeaderMap::new(), request.path)
     });
     for _ in 0..20 {
         let mut gone = Client::connect(address);
@@ -321,7 +321,7 @@
 
 #[test]
 fn a_last_answer_comes_whole_whatever_was_sent_behind_its_request() {
-    let (address, _closer) = gate(bounds(), |_| Reply::passed(200, HeaderMap::new(), "x".repeat(1 << 20)));
+    let (address, _closer) = gate(bounds(), |_| Response::passed(200, HeaderMap::new(), "x".repeat(1 << 20)));
     let mut client = Client::connect(address);
     let mut writer = client.0.get_ref().try_clone().unwrap();
     client.say("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
@@ -356,7 +356,7 @@
             let (gone, is_gone) = mpsc::channel::<()>();
             clients.send((request.client.clone(), gone)).unwrap();
             let _ = is_gone.recv_timeout(PATIENCE);
-            Reply::passed(200, HeaderMap::new(), "late")
+            Response::passed(200, HeaderMap::new(), "late")
         });
         let mut client = Client::connect(address);
         client.say("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
@@ -385,7 +385,7 @@
                 at_work.send(release).unwrap();
                 let _ = released.recv_timeout(PATIENCE);
             }
-            Reply::passed(200, HeaderMap::new(), "done")
+            Response::passed(200, HeaderMap::new(), "done")
         });
     });
     let (mut idle, mut busy, mut late) = (Client::connect(address), Client::connect(address), Client::connect(address));
@@ -412,8 +412,11 @@
 }
 
 #[test]
-fn a_reply_tells_fractions_of_a_second() {
+fn a_response_tells_fractions_of_a_second() {
     for (span, said) in [(250, "0.25"), (1000, "1"), (1500, "1.5"), (5, "0.005"), (10_000, "10"), (0, "0")] {
-        assert_eq!(Reply::passed(503, HeaderMap::new(), "").retry_after(Span(span)).header("retry-after"), Some(said));
+        assert_eq!(
+            Response::passed(503, HeaderMap::new(), "").retry_after(Span(span)).header("retry-after"),
+            Some(said)
+        );
     }
 }
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/wicket/tests/library_traps.rs
@@ -45,7 +45,7 @@
     std::thread::spawn(move || {
         gate.serve(move |_| {
             let source = fed.lock().unwrap().take().expect("one request a gate");
-            Reply::streamed("text/plain", Box::new(Watched(source, drop_sender.clone())))
+            Response::streamed("text/plain", Box::new(Watched(source, drop_sender.clone())))
         });
     });
     (address, feed, dropped)
@@ -178,7 +178,7 @@
     let bounds = GateBounds { connections: 8, body_bytes: 100, read_span: Span(300), ..GateBounds::default() };
     let gate = Gate::open(Address::loopback(0).0, bounds).unwrap();
     let (address, open_count) = (gate.address(), gate.open_count());
-    std::thread::spawn(move || gate.serve(|request| Reply::whole(200, "text/plain", request.body)));
+    std::thread::spawn(move || gate.serve(|request| Response::whole(200, "text/plain", request.body)));
     let say = |text: &str| {
         let mut stream = TcpStream::connect(address.0).unwrap();
         stream.write_all(text.as_bytes()).unwrap();
@@ -216,7 +216,7 @@
     std::thread::spawn(move || {
         gate.serve(move |_| {
             counter.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
-            Reply::whole(200, "text/plain", "ran")
+            Response::whole(200, "text/plain", "ran")
         });
     });
     // The lease runs out while the connection is made: a late accept, or a machine that slept.
--- a/crates/wicket/tests/lines.rs
+++ b/crates/wicket/tests/lines.rs
@@ -409,7 +409,7 @@
             let (end, ended) = mpsc::channel();
             sender.send((request.client, end)).unwrap();
             let _ = ended.recv();
-            Reply::whole(200, "text/plain", "")
+            Response::whole(200, "text/plain", "")
         });
     });
     let mut stream = TcpStream::connect(address.0).unwrap();
