--- a/crates/college/examples/register.rs
+++ b/crates/college/examples/register.rs
@@ -109,8 +109,8 @@
     }
     /// Lets time pass and carries all letters.
     fn pass(&mut self, span: Span) {
-        let due = self.now + span;
-        while self.now < due {
+        let deadline = self.now + span;
+        while self.now < deadline {
             self.now = self.now + Span(20);
             (0..3).for_each(|place| self.step(place, Input::ClockEvent));
             while let Some((from, to, note)) = self.letters.pop_front() {
--- a/crates/college/src/lease_state.rs
+++ b/crates/college/src/lease_state.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone)]
 pub struct LeaseState {
     own: Address,
-    lease_due: Option<Moment>,
+    lease_deadline: Option<Moment>,
     epoch: Epoch,
     members: Vec<Address>,
     peers: BTreeMap<Address, Peer>,
@@ -60,14 +60,14 @@
     /// At the start of a life. Peers count as checked for `peer_check_span` after they were heard.
     pub fn new(own: Address, peer_check_span: Span) -> Self {
         let (peers, told) = (BTreeMap::new(), (Epoch(0), Moment(0)));
-        LeaseState { own, lease_due: None, epoch: Epoch(0), members: vec![], peers, peer_check_span, told }
+        LeaseState { own, lease_deadline: None, epoch: Epoch(0), members: vec![], peers, peer_check_span, told }
     }
     /// The core gave a lease and this news. Older news than ours changes nothing.
-    pub fn lease(&mut self, due: Moment, epoch: Epoch, members: Vec<Address>) {
+    pub fn lease(&mut self, deadline: Moment, epoch: Epoch, members: Vec<Address>) {
         if epoch < self.epoch {
             return;
         }
-        self.lease_due = Some(self.lease_due.map_or(due, |old| old.max(due)));
+        self.lease_deadline = Some(self.lease_deadline.map_or(deadline, |old| old.max(deadline)));
         self.learn(epoch, members);
     }
     /// News came by way of a peer.
@@ -78,10 +78,10 @@
         }
     }
     /// The core told of this epoch. If it's newer, and until it is here, nothing is done without a lease; if
-    /// the core isn't heard again, this ends at `due`, so that a core that is gone stops nobody for good.
-    pub fn tell(&mut self, epoch: Epoch, due: Moment) {
+    /// the core isn't heard again, this ends at `deadline`, so that a core that is gone stops nobody for good.
+    pub fn tell(&mut self, epoch: Epoch, deadline: Moment) {
         if epoch > self.epoch {
-            self.told = (self.told.0.max(epoch), self.told.1.max(due));
+            self.told = (self.told.0.max(epoch), self.told.1.max(deadline));
         }
     }
     /// A peer said, unasked, that it knows this epoch: no answer to a check, but it may know more.
@@ -89,7 +89,7 @@
         let slot = self.peers.entry(peer).or_insert(Peer { heard: Moment(0), epoch });
         slot.epoch = slot.epoch.max(epoch);
     }
-    /// A peer that may act itself, or might with us, answered our check, knowing this epoch. The due is
+    /// A peer that may act itself, or might with us, answered our check, knowing this epoch. The deadline is
     /// reckoned from `heard`: when our own letter that it answers was sent.
     pub fn note_peer_check(&mut self, peer: Address, epoch: Epoch, heard: Moment) {
         let slot = self.peers.entry(peer).or_insert(Peer { heard, epoch });
@@ -105,16 +105,16 @@
         &self.members
     }
     /// Until when the lease runs, if there ever was one.
-    pub fn lease_due(&self) -> Option<Moment> {
-        self.lease_due
+    pub fn lease_deadline(&self) -> Option<Moment> {
+        self.lease_deadline
     }
     /// Whether a lease is live.
     pub fn is_leased(&self, now: Moment) -> bool {
-        self.lease_due.is_some_and(|due| now < due)
+        self.lease_deadline.is_some_and(|deadline| now < deadline)
     }
     /// Whether new work may be taken now. To be asked right before each act that can't be undone.
     pub fn reason(&self, now: Moment) -> LeaseStatus {
-        if self.lease_due.is_none() {
+        if self.lease_deadline.is_none() {
             return LeaseStatus::Unheard;
         }
         if self.is_leased(now) {
@@ -124,7 +124,7 @@
             return LeaseStatus::Behind;
         }
         match self.together_until() {
-            Some(due) if now < due => LeaseStatus::Together,
+            Some(deadline) if now < deadline => LeaseStatus::Together,
             _ => LeaseStatus::Alone,
         }
     }
@@ -133,8 +133,8 @@
     /// before a lease lapses count from then on at once.
     pub fn may_act_until(&self, now: Moment) -> Option<Moment> {
         match self.reason(now) {
-            LeaseStatus::Leased if self.is_behind(now) => self.lease_due,
-            LeaseStatus::Leased => self.lease_due.max(self.together_until()),
+            LeaseStatus::Leased if self.is_behind(now) => self.lease_deadline,
+            LeaseStatus::Leased => self.lease_deadline.max(self.together_until()),
             LeaseStatus::Together => self.together_until(),
             _ => None,
         }
@@ -142,8 +142,8 @@
 
     /// Whether someone is known to know more: a member, a node that became one since, or the core.
     fn is_behind(&self, now: Moment) -> bool {
-        let (told, due) = self.told;
-        self.peers.values().any(|peer| peer.epoch > self.epoch) || (told > self.epoch && now < due)
+        let (told, deadline) = self.told;
+        self.peers.values().any(|peer| peer.epoch > self.epoch) || (told > self.epoch && now < deadline)
     }
 
     /// Until when half of the members, itself among them, answer its checks and know the same.
@@ -151,14 +151,14 @@
         if !self.members.contains(&self.own) {
             return None;
         }
-        let due_of = |member: &Address| match self.peers.get(member) {
+        let deadline_of = |member: &Address| match self.peers.get(member) {
             _ if *member == self.own => Some(Moment(u64::MAX)),
             Some(peer) if peer.epoch == self.epoch => Some(peer.heard + self.peer_check_span),
             _ => None,
         };
-        let mut dues: Vec<Moment> = self.members.iter().filter_map(due_of).collect();
-        dues.sort_unstable_by(|a, b| b.cmp(a));
-        dues.get(self.members.len().div_ceil(2) - 1).copied()
+        let mut deadlines: Vec<Moment> = self.members.iter().filter_map(deadline_of).collect();
+        deadlines.sort_unstable_by(|a, b| b.cmp(a));
+        deadlines.get(self.members.len().div_ceil(2) - 1).copied()
     }
 }
 
--- a/crates/college/src/leases.rs
+++ b/crates/college/src/leases.rs
@@ -28,14 +28,14 @@
 
 #[derive(Debug, Clone)]
 struct Lease {
-    due: Moment,
+    deadline: Moment,
     known: Epoch,
 }
 
 impl LeaseTable {
-    /// A member asked, knowing this epoch; its lease runs until `due`.
-    pub fn renew(&mut self, member: Address, known: Epoch, due: Moment) {
-        self.leases.insert(member, Lease { due, known });
+    /// A member asked, knowing this epoch; its lease runs until `deadline`.
+    pub fn renew(&mut self, member: Address, known: Epoch, deadline: Moment) {
+        self.leases.insert(member, Lease { deadline, known });
     }
     /// Forgets all, when this replica stops being the tail.
     pub fn clear(&mut self) {
@@ -43,7 +43,7 @@
     }
     /// Whether more than half of the members, and of the previous members, hold leases.
     pub fn has_majority(&self, membership: &Membership, now: Moment) -> bool {
-        let is_live = |member: &Address| self.leases.get(member).is_some_and(|p| p.due > now);
+        let is_live = |member: &Address| self.leases.get(member).is_some_and(|p| p.deadline > now);
         is_most(&membership.members, is_live) && is_most(&membership.previous, is_live)
     }
     /// Whether more than half of the members, and of the previous members, are known to know `epoch`.
@@ -53,7 +53,7 @@
     }
     /// Whether each that holds a lease is known to know `epoch`; one that is no member any more still does.
     pub fn is_known_to_holders(&self, epoch: Epoch, now: Moment) -> bool {
-        self.leases.values().all(|lease| lease.due <= now || lease.known >= epoch)
+        self.leases.values().all(|lease| lease.deadline <= now || lease.known >= epoch)
     }
     /// Whether each of the members is known to know `epoch`.
     pub fn is_known_to_all(&self, membership: &Membership, epoch: Epoch) -> bool {
@@ -66,7 +66,7 @@
     }
     /// Who holds a lease now, and what they know.
     pub fn live(&self, now: Moment) -> Vec<(Address, Epoch)> {
-        let leases = self.leases.iter().filter(|(_, p)| p.due > now);
+        let leases = self.leases.iter().filter(|(_, p)| p.deadline > now);
         leases.map(|(member, p)| (*member, p.known)).collect()
     }
 }
--- a/crates/college/src/replica.rs
+++ b/crates/college/src/replica.rs
@@ -235,7 +235,7 @@
     ask_round: u64,
     asked_at: Moment,
     grants: BTreeSet<DiskId>,
-    lease_due: Moment,
+    lease_deadline: Moment,
     // Ballots.
     bid: Option<Bid>,
     top_count: u64,
@@ -288,7 +288,7 @@
     ballot: Option<Ballot>,
     accepts: BTreeSet<DiskId>,
     sent: Moment,
-    due: Moment,
+    deadline: Moment,
 }
 
 #[derive(Debug, Clone)]
@@ -297,7 +297,7 @@
     heard: Moment,
     /// The last change that was sent to it, and until when that is taken to be on its way.
     fed: Seq,
-    fed_due: Moment,
+    fed_deadline: Moment,
     patience: Span,
 }
 
@@ -371,7 +371,7 @@
             ask_round: now.0,
             asked_at: Moment(0),
             grants: BTreeSet::new(),
-            lease_due: Moment(0),
+            lease_deadline: Moment(0),
             bid: None,
             top_count: 0,
             wanted_since: None,
@@ -488,7 +488,7 @@
     }
     /// Whether it may answer for the core at this moment: to be asked right before each answer.
     pub fn may_respond(&self, now: Moment) -> bool {
-        self.is_sound && self.is_tail() && self.is_level && now < self.lease_due
+        self.is_sound && self.is_tail() && self.is_level && now < self.lease_deadline
     }
     /// Whether this replica heard a majority of the view's voters lately, itself included. One that did not is cut
     /// off or alone, and can neither read nor propose; one that has just started had no time to hear anybody.
@@ -592,7 +592,7 @@
 
     fn on_disk_fault(&mut self) {
         self.is_sound = false;
-        self.lease_due = Moment(0);
+        self.lease_deadline = Moment(0);
         self.deferred.clear();
         self.unsynced.clear();
         self.bid = None;
--- a/crates/college/src/replica/ballots.rs
+++ b/crates/college/src/replica/ballots.rs
@@ -45,7 +45,7 @@
             ballot: None,
             accepts: BTreeSet::new(),
             sent: Moment(0),
-            due: self.now + Span(self.timing.retry.0 * 8),
+            deadline: self.now + Span(self.timing.retry.0 * 8),
         });
     }
 
@@ -58,7 +58,7 @@
     fn close_founding(&mut self) {
         let majority = self.founders_majority();
         let Some(bid) = &mut self.bid else { return };
-        let is_over = self.now + Span(self.timing.retry.0 * 7) >= bid.due;
+        let is_over = self.now + Span(self.timing.retry.0 * 7) >= bid.deadline;
         let have = bid.founders.len();
         if bid.ballot.is_some() || have < majority || (have < self.founders.len() && !is_over) {
             return;
@@ -163,7 +163,7 @@
             ballot: None,
             accepts: BTreeSet::new(),
             sent: Moment(0),
-            due: self.now + self.timing.lease + self.timing.lease + Span(self.timing.retry.0 * 4),
+            deadline: self.now + self.timing.lease + self.timing.lease + Span(self.timing.retry.0 * 4),
         });
         self.push_bid();
     }
@@ -175,10 +175,10 @@
         request.iter().take_while(|v| **v != self.me).filter(|v| self.is_alive(v)).count() as u64
     }
 
-    /// Sends a ballot's notes, again if need be, and gives it up at its due.
+    /// Sends a ballot's notes, again if need be, and gives it up at its deadline.
     pub(super) fn push_bid(&mut self) {
         let Some(bid) = &mut self.bid else { return };
-        if self.now >= bid.due {
+        if self.now >= bid.deadline {
             self.bid = None;
             self.not_before = self.now + self.pause();
             return;
@@ -200,7 +200,7 @@
             // By proposing another tail this one gives its lease up, for good in this view: voters
             // take such a ballot from it whenever it reaches them. Its own promise, on its disk by
             // now, tells it so after a restart.
-            self.lease_due = Moment(0);
+            self.lease_deadline = Moment(0);
             self.has_released = true;
         }
         for address in electors {
@@ -356,7 +356,7 @@
         };
         if view.tail() != old_tail || !was_tail || !are_voters_kept {
             // The next view is up to these voters, and most of them may not have given their word.
-            self.lease_due = Moment(0);
+            self.lease_deadline = Moment(0);
             self.asked_at = Moment(0);
         }
         self.grants.clear();
@@ -418,7 +418,7 @@
         }
         self.grants.insert(disk);
         if self.grants.len() >= self.view.majority() {
-            self.lease_due = self.lease_due.max(self.asked_at + self.timing.lease_counted);
+            self.lease_deadline = self.lease_deadline.max(self.asked_at + self.timing.lease_counted);
         }
     }
 }
--- a/crates/college/src/replica/chain.rs
+++ b/crates/college/src/replica/chain.rs
@@ -85,8 +85,8 @@
         match self.view.successor(&self.me) {
             Some(successor) => {
                 let size = change.body.len();
-                let due = (self.now + self.way(size)).max(self.passed.1 + Span(size as u64 / 4000));
-                self.passed = (change.seq, due);
+                let deadline = (self.now + self.way(size)).max(self.passed.1 + Span(size as u64 / 4000));
+                self.passed = (change.seq, deadline);
                 let note = Note::Pass { view: self.view.epoch, change };
                 self.send(successor.address, note);
             }
--- a/crates/college/src/replica/fingerprint.rs
+++ b/crates/college/src/replica/fingerprint.rs
@@ -77,7 +77,7 @@
     }
 
     fn fingerprint_lease(&self, clock: &RelativeClock, hasher: &mut impl Hasher) {
-        let ends = [self.granted_until, self.silent_until, self.paused_until, self.lease_due];
+        let ends = [self.granted_until, self.silent_until, self.paused_until, self.lease_deadline];
         ends.map(|end| clock.ahead(end)).hash(hasher);
         (self.has_released, clock.signed(self.asked_at)).hash(hasher);
         self.grants.hash(hasher);
@@ -88,7 +88,7 @@
         self.wanted_since.map(|since| clock.signed(since)).hash(hasher);
         let Some(bid) = &self.bid else { return };
         (bid.round, &bid.wish, &bid.founders, &bid.promises, &bid.ballot, &bid.accepts).hash(hasher);
-        (clock.signed(bid.sent), clock.signed(bid.due)).hash(hasher);
+        (clock.signed(bid.sent), clock.signed(bid.deadline)).hash(hasher);
     }
 
     fn fingerprint_transfers(&self, clock: &RelativeClock, hasher: &mut impl Hasher) {
@@ -96,7 +96,7 @@
         (self.successor_moved.0, clock.signed(self.successor_moved.1)).hash(hasher);
         for (voter, follower) in &self.followers {
             (voter, follower.last, clock.signed(follower.heard)).hash(hasher);
-            (follower.fed, clock.ahead(follower.fed_due), follower.patience).hash(hasher);
+            (follower.fed, clock.ahead(follower.fed_deadline), follower.patience).hash(hasher);
         }
         if let Some(offered) = &self.snapshot {
             (offered.last, offered.stamp, &offered.bytes, clock.signed(offered.asked)).hash(hasher);
--- a/crates/college/src/replica/repair.rs
+++ b/crates/college/src/replica/repair.rs
@@ -71,10 +71,10 @@
     /// Sends a follower what comes after `last`, but nothing again that is still on its way.
     fn feed(&mut self, voter: Voter, last: Seq) {
         let before = self.followers.get(&voter).cloned();
-        let mut follower = Follower { last, heard: self.now, fed: last, fed_due: self.now, patience: Span(0) };
+        let mut follower = Follower { last, heard: self.now, fed: last, fed_deadline: self.now, patience: Span(0) };
         if let Some(before) = before.filter(|before| self.now.since(before.heard) < FORGET_FEED) {
             let is_waited_for = last < before.fed;
-            if is_waited_for && self.now < before.fed_due {
+            if is_waited_for && self.now < before.fed_deadline {
                 self.followers.insert(voter, Follower { last, heard: self.now, ..before });
                 return;
             }
@@ -86,7 +86,7 @@
             let bytes = changes.iter().map(|change| change.body.len()).sum();
             let most = Span(self.timing.suspect.0 * MOST_PATIENCE);
             follower.patience = follower.patience.max(self.way(bytes)).min(most);
-            (follower.fed, follower.fed_due) = (newest.seq, self.now + follower.patience);
+            (follower.fed, follower.fed_deadline) = (newest.seq, self.now + follower.patience);
             self.send(voter.address, Note::Feed { changes });
         }
         self.followers.insert(voter, follower);
--- a/crates/college/src/replica/tests.rs
+++ b/crates/college/src/replica/tests.rs
@@ -282,8 +282,8 @@
             inputs.push_back((usize::from(n) - 1, Input::Propose { number, body: vec![1] }));
         }
         let mut told = None;
-        let due = self.at + span;
-        while self.at < due {
+        let deadline = self.at + span;
+        while self.at < deadline {
             self.at += 25;
             let at = Moment(self.at);
             inputs.extend((0..self.replicas.len()).map(|place| (place, Input::ClockEvent)));
--- a/crates/crier/src/call_limits/tests.rs
+++ b/crates/crier/src/call_limits/tests.rs
@@ -52,7 +52,7 @@
 
 fn ask(lines: &Lines, address: SocketAddr) -> Result<Line, LineError> {
     let request = http::Request::builder().uri("/").header("host", "a").body(Bytes::new()).expect("a request");
-    let waits = Waits { connect: GUARD, head_due: Clock::now() + GUARD, may_leave: &|| true, client: None };
+    let waits = Waits { connect: GUARD, head_deadline: Clock::now() + GUARD, may_leave: &|| true, client: None };
     lines.ask(address, request, &waits)
 }
 
--- a/crates/crier/src/daemon.rs
+++ b/crates/crier/src/daemon.rs
@@ -147,7 +147,7 @@
         is_leaving: false,
     };
     let mut next_tick = Clock::now();
-    let (mut linger_due, mut quiet_from, mut drain_due) = (now, now, None);
+    let (mut linger_deadline, mut quiet_from, mut drain_deadline) = (now, now, None);
     loop {
         let now = Clock::now();
         if now >= next_tick {
@@ -156,7 +156,7 @@
                 tracing::info!("crier: not ready any more; takes what is still sent to it for a moment.");
                 control.is_leaving = true;
                 ingress.iter().for_each(Ingress::leave);
-                linger_due = now + Span(settings.linger_ms);
+                linger_deadline = now + Span(settings.linger_ms);
                 quiet_from = now + QUIET_FROM;
             }
             if has_changed.swap(false, Ordering::Relaxed) {
@@ -164,34 +164,34 @@
                 seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
             }
             let has_none_left = ingress.is_some() && now >= quiet_from && shared.is_quiet(now);
-            if control.is_leaving && (now >= linger_due || has_none_left) && drain_due.is_none() {
+            if control.is_leaving && (now >= linger_deadline || has_none_left) && drain_deadline.is_none() {
                 tracing::info!("crier: takes no new work; finishes what is in hand.");
                 control.take(Event::Input(NodeInput::Drain));
-                drain_due = Some(now + Span(settings.drain_ms));
+                drain_deadline = Some(now + Span(settings.drain_ms));
             }
             if control.node.is_drained() {
                 // Whoever has connected by now still gets a response, and every response its last byte.
                 closer.close();
                 let _ = gate_thread.join();
                 ingress.iter().for_each(Ingress::close);
-                let due = Clock::now() + Span::seconds(if has_calls { 1 } else { 2 });
+                let deadline = Clock::now() + Span::seconds(if has_calls { 1 } else { 2 });
                 let is_open = || {
                     open_count.load(Ordering::SeqCst) > 0
                         || ingress.as_ref().is_some_and(|ingress| ingress.open_count() > 0)
                 };
-                while is_open() && Clock::now() < due {
+                while is_open() && Clock::now() < deadline {
                     control.take_all(&events);
                 }
                 tracing::info!("crier: stopped.");
                 return Ok(0);
             }
-            if drain_due.is_some_and(|due| now >= due) {
+            if drain_deadline.is_some_and(|deadline| now >= deadline) {
                 tracing::warn!("crier: stopped with {} requests in hand.", control.node.open_count());
                 return Ok(1);
             }
         }
         // Asked again after each event, since it may have brought something that is due sooner.
-        next_tick = control.node.next_due().max(now + Span(1)).min(now + LONGEST_TICK);
+        next_tick = control.node.next_timer().max(now + Span(1)).min(now + LONGEST_TICK);
         if let Ok(event) = events.recv_timeout(now.until(next_tick).duration()) {
             control.take(event);
         }
@@ -369,7 +369,7 @@
             "epoch": self.node.epoch(),
             "plan_epoch": self.node.plan_epoch(),
             "lease_state": lease_state.reason(now).word(),
-            "lease_ms_left": lease_state.lease_due().map(|due| now.until(due)),
+            "lease_ms_left": lease_state.lease_deadline().map(|deadline| now.until(deadline)),
             "members": lease_state.members(),
             "withdrawn": self.node.withdrawn(),
             "open_requests": self.node.open_count(),
--- a/crates/crier/src/dissemination/tests.rs
+++ b/crates/crier/src/dissemination/tests.rs
@@ -70,10 +70,10 @@
         while self.now < until {
             self.now += 5;
             let now = self.now;
-            let (due, later) = std::mem::take(&mut self.under_way).into_iter().partition(|(at, ..)| *at <= now);
+            let (deadline, later) = std::mem::take(&mut self.under_way).into_iter().partition(|(at, ..)| *at <= now);
             self.under_way = later;
-            let due: Vec<(u64, Address, Address, Letter)> = due;
-            for (_, from, to, letter) in due {
+            let deadline: Vec<(u64, Address, Address, Letter)> = deadline;
+            for (_, from, to, letter) in deadline {
                 if self.dead.contains(&to) || self.dead.contains(&from) {
                     continue;
                 }
--- a/crates/crier/src/forward.rs
+++ b/crates/crier/src/forward.rs
@@ -115,7 +115,7 @@
             gap: Span(route.gap_target_ms),
             urgency,
             client,
-            due: arrived + left,
+            deadline: arrived + left,
             last: call.after,
             call,
             trip,
@@ -150,7 +150,7 @@
     gap: Span,
     urgency: u8,
     client: Client,
-    due: Moment,
+    deadline: Moment,
     /// The last piece that the client has.
     last: Option<u64>,
     /// A server's own answer that stands for a failure.
@@ -205,7 +205,7 @@
     }
 
     fn go(&mut self, first: ErrandOutput) -> Gone<Opening> {
-        let Way { forwarder, call, trip, does_stream, target, urgency, client, due, last, answer, .. } = self;
+        let Way { forwarder, call, trip, does_stream, target, urgency, client, deadline, last, answer, .. } = self;
         let asking = Asking {
             forwarder,
             call,
@@ -213,7 +213,7 @@
             target: *target,
             urgency: *urgency,
             client,
-            due: *due,
+            deadline: *deadline,
             last: if forwarder.is_mutant(Mutant::ResumeFromStart) { call.after } else { *last },
         };
         trip.go(first, |placing, chart| {
@@ -237,7 +237,7 @@
     target: Span,
     urgency: u8,
     client: &'a Client,
-    due: Moment,
+    deadline: Moment,
     last: Option<u64>,
 }
 
@@ -248,7 +248,7 @@
             Ok(Failed { failure, why: format!("server {}: {why}", placing.server), answer: None })
         };
         let now = Clock::now();
-        let left = now.until(self.due);
+        let left = now.until(self.deadline);
         if left.0 == 0 {
             return Err(fail(Failure::Unsent, "the deadline has passed".into()));
         }
@@ -259,11 +259,12 @@
         let request = self.forwarder.dialect.request(self.call, &sending);
         // Where another server may take it up, a silent one is not waited for until the deadline.
         let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
-        let opened_by = if chart.may_go_on() { self.due.min(now + patience) } else { self.due };
+        let opened_by = if chart.may_go_on() { self.deadline.min(now + patience) } else { self.deadline };
         let shared = &self.forwarder.shared;
         let forgets_epoch = self.forwarder.is_mutant(Mutant::ForgetEpoch);
         let may_leave = || if forgets_epoch { shared.may_act() } else { shared.may_leave(placing.epoch) };
-        let waits = Waits { connect: CONNECT, head_due: opened_by, may_leave: &may_leave, client: Some(self.client) };
+        let waits =
+            Waits { connect: CONNECT, head_deadline: opened_by, may_leave: &may_leave, client: Some(self.client) };
         let mut line = self.forwarder.lines.ask(address, request, &waits).map_err(|fault| not_taken(fault, placing))?;
         self.note_load(placing, line.head());
         match self.judge(&line) {
@@ -289,8 +290,9 @@
             Judgement::Foreign => return Err(fail(Failure::Unknown, "that was no answer to this".into())),
         }
         if !self.does_stream {
-            let body =
-                line.read_all(self.due, ANSWER_MOST, Some(self.client)).map_err(|fault| not_taken(fault, placing))?;
+            let body = line
+                .read_all(self.deadline, ANSWER_MOST, Some(self.client))
+                .map_err(|fault| not_taken(fault, placing))?;
             return Ok(Opening { line, splitter: EventSplitter::default(), first: None, body, has_ended: true });
         }
         let mut splitter = EventSplitter::default();
@@ -326,7 +328,7 @@
     }
 
     fn drain(&self, line: &mut Line) -> Option<Bytes> {
-        line.read_all(self.due.min(Clock::now() + Span(500)), 64 << 10, Some(self.client)).ok()
+        line.read_all(self.deadline.min(Clock::now() + Span(500)), 64 << 10, Some(self.client)).ok()
     }
 
     fn note_load(&self, placing: &Placing, head: &http::response::Parts) {
@@ -447,7 +449,7 @@
             return if rest.is_empty() { Pull::End } else { Pull::Piece(rest) };
         }
         let now = Clock::now();
-        if now >= self.way.due {
+        if now >= self.way.deadline {
             self.way.ended(Outcome::Cancelled);
             return self.cut("the deadline has passed");
         }
@@ -458,8 +460,8 @@
             return self.tear("it fell silent in mid-stream".into());
         }
         let Some(opening) = &mut self.opening else { return Pull::Nothing };
-        let due = if may_go_on { silent_from.min(self.way.due) } else { self.way.due };
-        let patience = patience.min(now.until(due).duration());
+        let deadline = if may_go_on { silent_from.min(self.way.deadline) } else { self.way.deadline };
+        let patience = patience.min(now.until(deadline).duration());
         match opening.line.pull(patience, Some(&self.way.client)) {
             LinePull::Data(bytes) => {
                 opening.splitter.push(&bytes);
--- a/crates/crier/src/ingress.rs
+++ b/crates/crier/src/ingress.rs
@@ -19,8 +19,8 @@
 const START_LOOK: Span = Span(5);
 
 fn await_ready(shared: &Shared, patience: Span) {
-    let due = Clock::now() + patience;
-    while !shared.is_ready.load(Ordering::SeqCst) && Clock::now() < due {
+    let deadline = Clock::now() + patience;
+    while !shared.is_ready.load(Ordering::SeqCst) && Clock::now() < deadline {
         std::thread::sleep(START_LOOK.duration());
     }
 }
--- a/crates/crier/src/journal.rs
+++ b/crates/crier/src/journal.rs
@@ -35,13 +35,13 @@
     }
     /// Lines after this number, after waiting at most `patience` for one, and the new cursor.
     pub fn after(&self, cursor: u64, most: usize, patience: Duration) -> (Vec<String>, u64) {
-        let due = Instant::now() + patience;
+        let deadline = Instant::now() + patience;
         let mut lines = self.lines.lock().expect("no thread panics with it");
         loop {
             let next = lines.first + lines.kept.len() as u64;
             // A cursor from before a restart may be ahead; what it saw is not what is here.
             let is_ahead = cursor >= next;
-            let left = due.saturating_duration_since(Instant::now());
+            let left = deadline.saturating_duration_since(Instant::now());
             if cursor + 1 < next || is_ahead || left.is_zero() {
                 break;
             }
--- a/crates/crier/src/list_reader.rs
+++ b/crates/crier/src/list_reader.rs
@@ -43,12 +43,12 @@
     let mut page = None;
     while *calls < PAGES_MOST {
         *calls += 1;
-        let due = Clock::now() + PATIENCE;
-        let waits = Waits { connect: Span(300), head_due: due, may_leave: &|| true, client: None };
+        let deadline = Clock::now() + PATIENCE;
+        let waits = Waits { connect: Span(300), head_deadline: deadline, may_leave: &|| true, client: None };
         let mut line =
             lines.ask(list.0, dialect.list_request(page.as_deref()), &waits).map_err(|fault| fault.to_string())?;
         let status = line.head().status.as_u16();
-        let body = line.read_all(due, PAGE_MOST, None).map_err(|fault| fault.to_string())?;
+        let body = line.read_all(deadline, PAGE_MOST, None).map_err(|fault| fault.to_string())?;
         line.keep();
         if status != 200 {
             return Err(format!("it answered {status}"));
--- a/crates/crier/src/node.rs
+++ b/crates/crier/src/node.rs
@@ -18,7 +18,7 @@
     /// Between the scheduler's ticks.
     pub tick: Span,
     /// A poll without an answer is given up after this.
-    pub poll_due: Span,
+    pub poll_deadline: Span,
     /// Without a clock event for this long, the machine slept.
     pub slept: Span,
     /// Of digests.
@@ -34,7 +34,7 @@
             peer_check_alone: Span(1600),
             peer_check_life: Span(1000),
             tick: Span(250),
-            poll_due: Span(400),
+            poll_deadline: Span(400),
             slept: Span(1000),
             digest: DigestTiming::default(),
         }
@@ -282,7 +282,7 @@
 #[derive(Clone)]
 struct Fetching {
     news: News,
-    lease_due: Option<Moment>,
+    lease_deadline: Option<Moment>,
     from: Address,
     bytes: Vec<u8>,
     asked: Moment,
@@ -397,10 +397,10 @@
         let is_whole = self.plan.is_some()
             && self.key.is_some()
             && self.has_server_list
-            && self.list_awaited_until.is_none_or(|due| now >= due);
+            && self.list_awaited_until.is_none_or(|deadline| now >= deadline);
         match self.lease_state.may_act_until(now) {
             // Never beyond what the control thread could take back if it's alive.
-            Some(due) if is_whole => due.min(now + self.timing.slept),
+            Some(deadline) if is_whole => deadline.min(now + self.timing.slept),
             _ => Moment(0),
         }
     }
@@ -632,13 +632,13 @@
     }
 
     /// When the next clock event is due at the latest.
-    pub fn next_due(&self) -> Moment {
-        let poll = self.polled.map_or(self.next_poll, |sent| sent + self.timing.poll_due);
-        let peer_check = match self.lease_state.lease_due() {
-            Some(due) => (due - self.timing.peer_check_from).max(self.next_peer_check),
+    pub fn next_timer(&self) -> Moment {
+        let poll = self.polled.map_or(self.next_poll, |sent| sent + self.timing.poll_deadline);
+        let peer_check = match self.lease_state.lease_deadline() {
+            Some(deadline) => (deadline - self.timing.peer_check_from).max(self.next_peer_check),
             None => self.next_tick,
         };
-        let list = self.server_list.as_ref().map_or(self.next_tick, ServerList::next_due);
+        let list = self.server_list.as_ref().map_or(self.next_tick, ServerList::next_timer);
         poll.min(peer_check).min(list).min(self.next_tick)
     }
 
@@ -664,7 +664,7 @@
 
     fn poll(&mut self) {
         if let Some(sent) = self.polled {
-            if self.now < sent + self.timing.poll_due {
+            if self.now < sent + self.timing.poll_deadline {
                 return;
             }
             self.polled = None;
@@ -673,7 +673,7 @@
             self.next_poll = self.now;
         }
         if let Some(fetching) = &self.fetching
-            && self.now >= fetching.asked + FETCH_DUE
+            && self.now >= fetching.asked + FETCH_DEADLINE
             && !fetching.is_whole
         {
             self.fetching = None;
@@ -711,7 +711,7 @@
             }
             Letter::PlanSplice { epoch, base, splice } => self.on_plan_splice(from, epoch, base, &splice),
             Letter::News { news } => {
-                if self.lease_state.lease_due().is_some() {
+                if self.lease_state.lease_deadline().is_some() {
                     self.on_news(from, *news, None);
                 }
             }
@@ -721,7 +721,8 @@
                 }
             }
             Letter::PeerCheckRequest { round, epoch } => {
-                let known = if self.lease_state.lease_due().is_some() { self.lease_state.epoch() } else { Epoch(0) };
+                let known =
+                    if self.lease_state.lease_deadline().is_some() { self.lease_state.epoch() } else { Epoch(0) };
                 self.send(from, Letter::PeerCheckResponse { echo: round, epoch: known });
                 self.lease_state.hear(from, epoch);
                 self.ask_news(from, epoch);
@@ -772,11 +773,11 @@
                 if !voters.is_empty() {
                     (self.view, self.voters) = (view, voters);
                 }
-                let lease_due = Some(sent + span);
+                let lease_deadline = Some(sent + span);
                 self.lease_span = self.lease_span.max(span);
                 self.lease_state.tell(epoch, self.now + TOLD_FOR);
                 match news {
-                    Some(news) => self.on_news(from, news, lease_due),
+                    Some(news) => self.on_news(from, news, lease_deadline),
                     // Nothing is newer there than what is here, whole.
                     None if epoch == self.lease_state.epoch() && epoch > Epoch(0) => {
                         self.lease_state.lease(sent + span, epoch, self.lease_state.members().to_vec());
@@ -790,7 +791,7 @@
 
     /// What is known here, whole.
     fn news(&self) -> Option<News> {
-        self.lease_state.lease_due()?;
+        self.lease_state.lease_deadline()?;
         let (epoch, plan_epoch) = (self.lease_state.epoch(), self.plan_epoch);
         let (withdrawn, members) = (self.withdrawn.clone(), Some(self.members.clone()));
         Some(News { epoch, plan_epoch, withdrawn, members, members_since: self.members_since })
@@ -798,14 +799,14 @@
 
     /// Asks a peer that knows more, once in a while.
     fn ask_news(&mut self, from: Address, epoch: Epoch) {
-        let is_newer = epoch > self.lease_state.epoch() && self.lease_state.lease_due().is_some();
+        let is_newer = epoch > self.lease_state.epoch() && self.lease_state.lease_deadline().is_some();
         if is_newer && self.now.since(self.news_asked) >= Span(100) {
             self.news_asked = self.now;
             self.send(from, Letter::NewsAsk);
         }
     }
 
-    fn on_news(&mut self, from: Address, mut news: News, lease_due: Option<Moment>) {
+    fn on_news(&mut self, from: Address, mut news: News, lease_deadline: Option<Moment>) {
         if news.epoch < self.lease_state.epoch() {
             return;
         }
@@ -823,7 +824,7 @@
             };
         }
         if news.plan_epoch == self.plan_epoch {
-            return self.take_up(news, lease_due);
+            return self.take_up(news, lease_deadline);
         }
         // Withdrawals don't wait for a large plan.
         if news.epoch > self.lease_state.epoch() {
@@ -834,7 +835,7 @@
         match &mut self.fetching {
             Some(fetching) if fetching.news.plan_epoch == news.plan_epoch => {
                 if news.epoch >= fetching.news.epoch {
-                    fetching.lease_due = lease_due.max(fetching.lease_due);
+                    fetching.lease_deadline = lease_deadline.max(fetching.lease_deadline);
                     fetching.news = news;
                 }
             }
@@ -842,7 +843,7 @@
             _ => {
                 let epoch = news.plan_epoch;
                 self.fetching =
-                    Some(Fetching { news, lease_due, from, bytes: vec![], asked: self.now, is_whole: false });
+                    Some(Fetching { news, lease_deadline, from, bytes: vec![], asked: self.now, is_whole: false });
                 self.send(from, Letter::PlanAsk { epoch, offset: 0, have: self.plan_epoch });
             }
         }
@@ -896,7 +897,7 @@
                 self.plan_bytes = bytes;
                 self.plan_epoch = plan_epoch;
                 self.next_poll = self.now;
-                self.take_up(fetching.news, fetching.lease_due);
+                self.take_up(fetching.news, fetching.lease_deadline);
             }
             Err(faults) => {
                 let code = ResultCode::BadLetter;
@@ -907,15 +908,15 @@
     }
 
     /// News is whole here: it's in force.
-    fn take_up(&mut self, news: News, lease_due: Option<Moment>) {
+    fn take_up(&mut self, news: News, lease_deadline: Option<Moment>) {
         let is_newer = news.epoch > self.lease_state.epoch();
         // Filled in when it came.
         let listed_members = news.members.unwrap_or_default();
         let since = news.members_since;
         let has_other_members = listed_members != self.members || since > self.members_since;
         let members: Vec<Address> = listed_members.iter().map(|member| member.address).collect();
-        match lease_due {
-            Some(due) => self.lease_state.lease(due, news.epoch, members.clone()),
+        match lease_deadline {
+            Some(deadline) => self.lease_state.lease(deadline, news.epoch, members.clone()),
             None => self.lease_state.learn(news.epoch, members.clone()),
         }
         if is_newer {
@@ -933,7 +934,7 @@
             self.members_since = since;
             self.tell_scheduler(Event::Members { members, since });
         }
-        if let Some(until) = lease_due {
+        if let Some(until) = lease_deadline {
             self.tell_scheduler(Event::Lease { until, span: self.lease_span });
         }
     }
@@ -947,8 +948,8 @@
 
     /// While its lease is about to lapse, or has, the node asks all members whether they are there.
     fn check_peers(&mut self) {
-        let Some(due) = self.lease_state.lease_due() else { return };
-        if self.now + self.timing.peer_check_from < due {
+        let Some(deadline) = self.lease_state.lease_deadline() else { return };
+        if self.now + self.timing.peer_check_from < deadline {
             self.peer_check_pause = self.timing.peer_check;
             return;
         }
@@ -973,7 +974,7 @@
 }
 
 /// A piece of a plan that has not come by then is given up.
-const FETCH_DUE: Span = Span(700);
+const FETCH_DEADLINE: Span = Span(700);
 /// News that was told of, and whose plan has not come, is waited for this long after it was last told of. A
 /// core in reach tells again within it: each poll asks another of its machines.
 const TOLD_FOR: Span = Span(3000);
--- a/crates/crier/src/node/tests.rs
+++ b/crates/crier/src/node/tests.rs
@@ -263,7 +263,7 @@
     let until = played.at + span;
     let mut sent = vec![];
     loop {
-        played.at = played.node.next_due().0.max(played.at + 1);
+        played.at = played.node.next_timer().0.max(played.at + 1);
         if played.at >= until {
             played.at = until;
             return sent;
@@ -288,7 +288,7 @@
     let began = played.at;
     let mut wakes = 0;
     while played.at < began + 300 {
-        played.at = played.node.next_due().0.max(played.at + 1);
+        played.at = played.node.next_timer().0.max(played.at + 1);
         played.step(NodeInput::ClockEvent);
         wakes += 1;
     }
@@ -299,14 +299,14 @@
 fn a_node_cut_off_asks_all_members_from_shortly_before_its_lease_lapses_and_ever_less_often() {
     let mut played = Played::serving();
     played.lease(3, 2);
-    let (began, due) = (played.at, played.node.lease_state().lease_due().expect("a lease").0);
+    let (began, deadline) = (played.at, played.node.lease_state().lease_deadline().expect("a lease").0);
     let sent = sent_within(&mut played, 20_000);
     let asks: Vec<u64> = sent
         .iter()
         .filter(|(_, to, letter)| matches!(letter, Letter::PeerCheckRequest { .. }) && *to == Address::loopback(8))
         .map(|(at, ..)| *at)
         .collect();
-    assert!(asks[0] + 600 >= due && asks[0] + 300 <= due, "first at {} ms", asks[0] - began);
+    assert!(asks[0] + 600 >= deadline && asks[0] + 300 <= deadline, "first at {} ms", asks[0] - began);
     assert!((8..=18).contains(&asks.len()), "{} asks in 20 s", asks.len());
     assert_eq!(played.node.lease_state().reason(Moment(played.at)), LeaseStatus::Alone);
     assert_eq!(played.place(1, "alone", "drafts").err(), Some(ResultCode::NotReady));
@@ -447,7 +447,7 @@
 fn the_scheduler_is_told_of_each_lease_and_of_each_membership_even_if_its_members_are_the_same() {
     let mut played = Played::serving();
     let renewed = events(played.lease(3, 2));
-    let until = played.node.lease_state().lease_due().expect("it holds one");
+    let until = played.node.lease_state().lease_deadline().expect("it holds one");
     assert_eq!(renewed, [Event::Lease { until, span: Span(2000) }]);
     let of_membership = |epoch: u64, since: u64| {
         let news = News { members_since: Epoch(since), ..news(epoch, 2, vec![]) };
--- a/crates/crier/src/server_list.rs
+++ b/crates/crier/src/server_list.rs
@@ -138,9 +138,9 @@
 }
 
 /// A piece that has not come by then is asked for anew.
-const FETCH_DUE: Span = Span(500);
+const FETCH_DEADLINE: Span = Span(500);
 /// A reading without an end by then has come to nothing.
-const READ_DUE: Span = Span(30_000);
+const READ_DEADLINE: Span = Span(30_000);
 /// Bytes of entries that one letter carries.
 const PIECE: usize = 200 << 10;
 
@@ -150,7 +150,7 @@
         Entry { entry, cold_until }
     }
     fn told(&self, now: Moment) -> ServerEntry {
-        ServerEntry { cold_left: self.cold_until.map(|due| now.until(due)), ..self.entry.clone() }
+        ServerEntry { cold_left: self.cold_until.map(|deadline| now.until(deadline)), ..self.entry.clone() }
     }
     /// Whether the other is the same, but that time has passed.
     fn is_like(&self, other: &Entry, now: Moment, tolerance: Span) -> bool {
@@ -236,9 +236,9 @@
         self.is_collecting
     }
     /// When the next clock event is due at the latest.
-    pub fn next_due(&self) -> Moment {
+    pub fn next_timer(&self) -> Moment {
         match self.reading {
-            Some(asked) => asked + READ_DUE,
+            Some(asked) => asked + READ_DEADLINE,
             None if self.reads_itself() => self.next_read,
             None => self.heard.map_or(self.now, |(_, at)| at) + self.timing.silence,
         }
@@ -254,7 +254,7 @@
             // Members that miss the same collector must not read together.
             self.next_read = self.now + self.part_of(self.fleet_period());
         }
-        if self.reading.is_some_and(|asked| self.now.since(asked) >= READ_DUE) {
+        if self.reading.is_some_and(|asked| self.now.since(asked) >= READ_DEADLINE) {
             self.reading = None;
         }
         if self.reading.is_none() && self.reads_itself() && self.now >= self.next_read {
@@ -373,7 +373,8 @@
     }
     /// How long all servers together are still cold.
     fn cold(&self) -> Span {
-        let left = self.entries.values().filter_map(|entry| entry.cold_until.map(|due| self.now.until(due).0));
+        let left =
+            self.entries.values().filter_map(|entry| entry.cold_until.map(|deadline| self.now.until(deadline).0));
         Span(left.sum())
     }
     fn servers(&self) -> Vec<ServerEntry> {
@@ -489,7 +490,7 @@
 
     /// Asks for the whole.
     fn ask(&mut self, from: Address, state: &ListState) {
-        if self.fetching.as_ref().is_some_and(|fetching| self.now.since(fetching.asked) < FETCH_DUE) {
+        if self.fetching.as_ref().is_some_and(|fetching| self.now.since(fetching.asked) < FETCH_DEADLINE) {
             return;
         }
         let (version, asked) = (state.version, self.now);
--- a/crates/crier/src/server_list/tests.rs
+++ b/crates/crier/src/server_list/tests.rs
@@ -127,7 +127,7 @@
             }
             for at in self.members.iter().copied().filter(|one| !self.dead.contains(one)).collect::<Vec<_>>() {
                 let is_due =
-                    self.nodes[&at].next_due().0 <= now || (now + u64::from(at.0.port()) * 35).is_multiple_of(250);
+                    self.nodes[&at].next_timer().0 <= now || (now + u64::from(at.0.port()) * 35).is_multiple_of(250);
                 if is_due {
                     let members = self.members.clone();
                     let peers = ListPeers { zone: Some(&members), collector: self.collector(), fleet: self.fleet };
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -167,9 +167,9 @@
     }
     /// So many changes, one after another as fast as they're taken.
     fn change(&mut self, count: u64) {
-        let (due, mut tries) = (self.accepted + count, 0);
-        while self.accepted < due {
-            if self.next_change < due.min(self.accepted + UNDER_WAY) {
+        let (deadline, mut tries) = (self.accepted + count, 0);
+        while self.accepted < deadline {
+            if self.next_change < deadline.min(self.accepted + UNDER_WAY) {
                 self.propose();
             }
             let before = self.accepted;
@@ -184,8 +184,8 @@
     }
 
     fn run(&mut self, span: u64) {
-        let due = self.at + span;
-        while self.at < due {
+        let deadline = self.at + span;
+        while self.at < deadline {
             self.at += STEP;
             for n in 0..3 {
                 self.sync(n);
--- a/crates/parlance/src/moment.rs
+++ b/crates/parlance/src/moment.rs
@@ -61,9 +61,9 @@
     pub fn since(self, earlier: Moment) -> Span {
         Span(self.0.saturating_sub(earlier.0))
     }
-    /// How long until `due`; zero if it has passed.
-    pub fn until(self, due: Moment) -> Span {
-        due.since(self)
+    /// How long until `deadline`; zero if it has passed.
+    pub fn until(self, deadline: Moment) -> Span {
+        deadline.since(self)
     }
 }
 
--- a/crates/petition/src/campaign.rs
+++ b/crates/petition/src/campaign.rs
@@ -45,8 +45,8 @@
             if at >= self.rules.span.0 as f64 {
                 break;
             }
-            let due = began + Duration::from_secs_f64(at / 1000.0);
-            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            let deadline = began + Duration::from_secs_f64(at / 1000.0);
+            std::thread::sleep(deadline.saturating_duration_since(Instant::now()));
             if in_hand.fetch_add(1, Ordering::Relaxed) >= self.rules.in_hand {
                 in_hand.fetch_sub(1, Ordering::Relaxed);
                 late += 1;
--- a/crates/primer/src/allowance.rs
+++ b/crates/primer/src/allowance.rs
@@ -26,11 +26,11 @@
     }
     /// Time goes by: `part` is this node's part of the fleet's allowance a minute.
     pub fn drip(&mut self, part: u32, now: Moment) {
-        let due = now.since(self.dripped).0 * u64::from(part) / EACH;
-        if part == 0 || due > 0 {
+        let deadline = now.since(self.dripped).0 * u64::from(part) / EACH;
+        if part == 0 || deadline > 0 {
             // What is less than a thousandth waits for the next time.
-            self.dripped = if part == 0 { now } else { self.dripped + Span(due * EACH / u64::from(part)) };
-            self.add(due, part);
+            self.dripped = if part == 0 { now } else { self.dripped + Span(deadline * EACH / u64::from(part)) };
+            self.add(deadline, part);
         }
     }
     /// Whether a repeat may be made.
--- a/crates/primer/src/scheduler.rs
+++ b/crates/primer/src/scheduler.rs
@@ -320,8 +320,8 @@
         let suspect_ramp = server.suspect_until;
         if server.incarnation != Some(incarnation) {
             server.ramp_from = now - up;
-            if let Some(due) = suspect_ramp {
-                server.ramp_from = server.ramp_from.max(due);
+            if let Some(deadline) = suspect_ramp {
+                server.ramp_from = server.ramp_from.max(deadline);
             }
         }
         server.incarnation = Some(incarnation);
@@ -540,7 +540,7 @@
 
     /// Sketches that have grown old count no more.
     fn expire_peers(&mut self, now: Moment) {
-        if self.told_until.is_none_or(|due| now < due) {
+        if self.told_until.is_none_or(|deadline| now < deadline) {
             return;
         }
         let life = self.scheduler_rules.sketch_life;
--- a/crates/primer/src/scheduler/placing.rs
+++ b/crates/primer/src/scheduler/placing.rs
@@ -43,8 +43,8 @@
 /// Nobody is told to come back sooner.
 pub(super) const WAIT_LEAST: Span = Span(50);
 
-pub(super) fn late_words(expected: Span, due: Span) -> String {
-    format!("the first piece is expected after {} ms, {} ms are allowed", expected.0, due.0)
+pub(super) fn late_words(expected: Span, deadline: Span) -> String {
+    format!("the first piece is expected after {} ms, {} ms are allowed", expected.0, deadline.0)
 }
 
 /// A candidate with what the choice needs besides.
@@ -164,8 +164,8 @@
     /// The choice where clients tell nothing of their requests: by requests in hand, and by blocks held.
     fn choose_by_load(&self, ask: &Ask) -> Result<Choice, Refusal> {
         let (weighed, full_until) = self.weigh(ask);
-        let due = ask.rules.first_token;
-        let Some((place, reason)) = choose(&weighed, ask.is_active, due, &self.scheduler_rules) else {
+        let deadline = ask.rules.first_token;
+        let Some((place, reason)) = choose(&weighed, ask.is_active, deadline, &self.scheduler_rules) else {
             let (code, why) = if full_until.0 > 0 {
                 (ResultCode::Crowded, "every server that may serve it is at its cap")
             } else {
@@ -174,9 +174,9 @@
             return Err(Refusal { code, why: why.to_owned(), wait: full_until.max_with(Span(1000)) });
         };
         let chosen = weighed[place].candidate.clone();
-        if self.scheduler_rules.does_admit && chosen.expected > due {
-            let why = late_words(chosen.expected, due);
-            let wait = Span(chosen.expected.0 - due.0).max_with(Span(1000));
+        if self.scheduler_rules.does_admit && chosen.expected > deadline {
+            let why = late_words(chosen.expected, deadline);
+            let wait = Span(chosen.expected.0 - deadline.0).max_with(Span(1000));
             return Err(Refusal { code: ResultCode::Crowded, why, wait });
         }
         let was_idle = chosen.load < weighed[place].slots;
@@ -287,7 +287,12 @@
 }
 
 /// Which of the weighed servers, and why.
-fn choose(weighed: &[Weighed], is_active: bool, due: Span, rules: &SchedulerRules) -> Option<(usize, PlaceReason)> {
+fn choose(
+    weighed: &[Weighed],
+    is_active: bool,
+    deadline: Span,
+    rules: &SchedulerRules,
+) -> Option<(usize, PlaceReason)> {
     let least = |may: &dyn Fn(&Weighed) -> bool| {
         let those = weighed.iter().enumerate().filter(|(_, w)| may(w));
         those.min_by_key(|(_, w)| (w.candidate.load, w.tie)).map(|(place, _)| place)
@@ -306,7 +311,7 @@
             None => (idlest, PlaceReason::LeastLoaded),
         }
     };
-    if rules.does_admit && weighed[first.0].candidate.expected > due {
+    if rules.does_admit && weighed[first.0].candidate.expected > deadline {
         let soonest = weighed.iter().enumerate().min_by_key(|(_, w)| (w.candidate.expected, w.tie));
         return soonest.map(|(place, _)| (place, PlaceReason::Soonest));
     }
--- a/crates/primer/src/scheduler/timing.rs
+++ b/crates/primer/src/scheduler/timing.rs
@@ -96,11 +96,11 @@
                 }
             });
         };
-        let due = if ask.demand.target.0 > 0 { ask.demand.target } else { ask.rules.first_token };
-        let (mut chosen, mut reason) = self.choose_among(ask, &scored, best, &survey, due);
+        let deadline = if ask.demand.target.0 > 0 { ask.demand.target } else { ask.rules.first_token };
+        let (mut chosen, mut reason) = self.choose_among(ask, &scored, best, &survey, deadline);
         // A late answer is worth something still; one after the deadline is worth nothing.
-        let latest = due.max_with(Span(ask.demand.deadline.0 * LATE_PERCENT / 100));
-        if chosen.expected > due.0 {
+        let latest = deadline.max_with(Span(ask.demand.deadline.0 * LATE_PERCENT / 100));
+        if chosen.expected > deadline.0 {
             let soonest = scored.iter().min_by_key(|r| (r.expected, r.cost, r.affinity));
             if let Some(soonest) = soonest.filter(|soonest| soonest.expected < chosen.expected) {
                 (chosen, reason) = (soonest, PlaceReason::Soonest);
@@ -133,7 +133,7 @@
         scored: &'b [Scored<'a>],
         best: &'b Scored<'a>,
         survey: &Survey,
-        due: Span,
+        deadline: Span,
     ) -> (&'b Scored<'a>, PlaceReason) {
         let by_cache = || {
             let reason = if best.matched > 0 { PlaceReason::CacheMatch } else { PlaceReason::LeastLoaded };
@@ -154,7 +154,7 @@
         if wanted
             && is_needed
             && let Some(target) = best_of(scored, self.scheduler_rules.hysteresis, |r| r.holding.is_none())
-            && (target.expected <= due.0 || warm.is_none_or(|warm| warm.expected > due.0))
+            && (target.expected <= deadline.0 || warm.is_none_or(|warm| warm.expected > deadline.0))
         {
             return (target, PlaceReason::Warming);
         }
@@ -183,7 +183,7 @@
     fn well_again(&self, ask: &Ask) -> Span {
         let is_kin = |server: &&ServerState| server.is_listed && !server.is_leaving && server.pool == ask.rules.pool;
         let waits = self.servers.values().filter(is_kin).filter_map(|server| server.suspect_until);
-        waits.map(|due| ask.now.until(due)).filter(|wait| wait.0 > 0).min().unwrap_or(Span(1000))
+        waits.map(|deadline| ask.now.until(deadline)).filter(|wait| wait.0 > 0).min().unwrap_or(Span(1000))
     }
 
     /// All servers that can take the request now, and what is with those that can't.
--- a/crates/primer/src/server_state.rs
+++ b/crates/primer/src/server_state.rs
@@ -131,7 +131,7 @@
     /// node first heard of it.
     pub fn is_cold(&self, span: Span, now: Moment) -> bool {
         match self.cold_until {
-            Some(due) => now < due,
+            Some(deadline) => now < deadline,
             None => now.since(self.listed_from) < span,
         }
     }
@@ -168,7 +168,7 @@
     }
     /// Whether it's kept from work after faults.
     pub fn is_suspect(&self, now: Moment) -> bool {
-        self.suspect_until.is_some_and(|due| now < due)
+        self.suspect_until.is_some_and(|deadline| now < deadline)
     }
     /// A request failed there. Gives how long it is kept from work, if it is.
     pub fn fault(&mut self, now: Moment, is_certain: bool) -> Option<Span> {
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/primer/tests/cold_shares.rs
@@ -113,7 +113,7 @@
                 continue;
             }
             while let Some((_, asked, since, membership)) =
-                self.nodes[place].answers.pop_front_if(|(due, ..)| *due <= self.now)
+                self.nodes[place].answers.pop_front_if(|(deadline, ..)| *deadline <= self.now)
             {
                 if since < self.nodes[place].knows {
                     continue;
@@ -128,8 +128,8 @@
                 self.nodes[place].next_poll = self.now + 1000;
                 let is_member = self.membership.contains(&own(place));
                 if is_member && self.now >= self.nodes[place].cut_until {
-                    let due = self.now + 1 + self.random(150);
-                    let answer = (due, self.now, self.since, self.membership.clone());
+                    let deadline = self.now + 1 + self.random(150);
+                    let answer = (deadline, self.now, self.since, self.membership.clone());
                     self.nodes[place].answers.push_back(answer);
                 }
             }
--- a/crates/primer/tests/fleet.rs
+++ b/crates/primer/tests/fleet.rs
@@ -19,7 +19,7 @@
     reads: BTreeMap<PrefixHash, u32>,
 }
 
-enum Due {
+enum Timer {
     First(RequestId, usize),
     End(RequestId, usize, Outcome),
 }
@@ -30,7 +30,7 @@
     schedulers: Vec<Scheduler>,
     lives: Vec<u64>,
     engines: Vec<Engine>,
-    due: BTreeMap<(u64, u64), Due>,
+    timers: BTreeMap<(u64, u64), Timer>,
     service: ServiceRules,
     scheduler_rules: SchedulerRules,
     next: u64,
@@ -61,7 +61,7 @@
             schedulers: vec![],
             lives: vec![0; schedulers],
             engines: (0..engines).map(engine).collect(),
-            due: BTreeMap::new(),
+            timers: BTreeMap::new(),
             service,
             scheduler_rules,
             next: 0,
@@ -108,15 +108,15 @@
     /// A millisecond goes by.
     fn step(&mut self) {
         self.now += 1;
-        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= self.now) {
             match entry.remove() {
-                Due::First(request, place) => {
+                Timer::First(request, place) => {
                     if let Some((at, _)) = self.sent.get(&request) {
                         self.firsts.push(self.now - at);
                     }
                     self.tell(place, Event::FirstToken { request });
                 }
-                Due::End(request, place, outcome) => {
+                Timer::End(request, place, outcome) => {
                     self.tell(place, Event::Ended { request: request.clone(), outcome });
                     if outcome == Outcome::Refused {
                         self.ask(place, self.sent[&request].1, 1);
@@ -179,7 +179,7 @@
         let engine = self.engines.iter_mut().find(|engine| engine.name == *server).expect("listed");
         engine.arrivals.push(now);
         if engine.does_refuse {
-            self.due.insert((now + 2, next * 2), Due::End(request, place, Outcome::Refused));
+            self.timers.insert((now + 2, next * 2), Timer::End(request, place, Outcome::Refused));
             return;
         }
         let mut uncached = 0;
@@ -191,8 +191,8 @@
         }
         engine.read_until = engine.read_until.max(now as f64) + f64::from(uncached) / READ_PER_MS * engine.speed;
         let first = engine.read_until as u64 + 35;
-        self.due.insert((first, next * 2), Due::First(request.clone(), place));
-        self.due.insert((first + 1200, next * 2 + 1), Due::End(request, place, Outcome::Complete));
+        self.timers.insert((first, next * 2), Timer::First(request.clone(), place));
+        self.timers.insert((first + 1200, next * 2 + 1), Timer::End(request, place, Outcome::Complete));
     }
     fn most_within(moments: &[u64], span: u64) -> usize {
         let within = |end: &u64| moments.iter().filter(|at| *at <= end && end - **at < span).count();
--- a/crates/registrar/src/controller.rs
+++ b/crates/registrar/src/controller.rs
@@ -17,7 +17,7 @@
     /// second of silence on the users' platform).
     pub read_patience: Span,
     /// Without an answer by then, a proposal's fate is unknown.
-    pub fate_due: Span,
+    pub fate_deadline: Span,
     /// A member without a lease for this long is a member no more.
     pub retire_after: Span,
     /// Who must know a change.
@@ -32,7 +32,7 @@
             join: Span(1000),
             patience: Span(4000),
             read_patience: Span(700),
-            fate_due: Span(8000),
+            fate_deadline: Span(8000),
             retire_after: Span::seconds(60),
             quorum: Quorum::Majority,
         }
@@ -143,7 +143,7 @@
     timing: ControllerTiming,
     /// Proposed as the fleet's, should there be none.
     key: TokenKey,
-    key_due: Moment,
+    key_deadline: Moment,
     now: Moment,
     leases: LeaseTable,
     /// Since when it keeps them: older ones are not in the table.
@@ -157,9 +157,9 @@
     subscribers: BTreeMap<Address, Subscriber>,
     /// Polls of those that are not members yet.
     joining: BTreeMap<Address, Poll>,
-    join_due: Moment,
-    settle_due: Moment,
-    retire_due: Moment,
+    join_deadline: Moment,
+    settle_deadline: Moment,
+    retire_deadline: Moment,
     settled: VecDeque<Settled>,
     waiting: BTreeMap<u64, Waiting>,
     /// The last number under which something went out for an operator.
@@ -172,23 +172,23 @@
 struct Subscriber {
     /// The newest epoch that it has or was told of.
     told: Epoch,
-    due: Moment,
+    deadline: Moment,
 }
 
 struct Settled {
     epoch: Epoch,
     ticket: Ticket,
     body: Vec<u8>,
-    due: Moment,
+    deadline: Moment,
 }
 
 struct Waiting {
     ask: OperatorAsk,
     next_try: Option<Moment>,
-    patience_due: Moment,
-    due: Moment,
+    patience_deadline: Moment,
+    deadline: Moment,
     /// By then the tail must have said what is to be known before it's proposed.
-    clear_due: Moment,
+    clear_deadline: Moment,
     /// Whether that is known: that nobody hears those whom it would forget, or what was the newest epoch when
     /// a zone's change came in.
     is_cleared: bool,
@@ -227,7 +227,7 @@
             replica,
             timing,
             key,
-            key_due: now,
+            key_deadline: now,
             now,
             leases: LeaseTable::default(),
             leases_since: now,
@@ -236,9 +236,9 @@
             responses_since: None,
             subscribers: BTreeMap::new(),
             joining: BTreeMap::new(),
-            join_due: now,
-            settle_due: now,
-            retire_due: now + timing.retire_after,
+            join_deadline: now,
+            settle_deadline: now,
+            retire_deadline: now + timing.retire_after,
             settled: VecDeque::new(),
             waiting: BTreeMap::new(),
             last_asked: first,
@@ -257,7 +257,7 @@
         self.leases.live(now)
     }
     /// When the next clock event is due at the latest.
-    pub fn next_due(&self) -> Moment {
+    pub fn next_timer(&self) -> Moment {
         let is_pending = !self.waiting.is_empty() || !self.settled.is_empty() || !self.joining.is_empty();
         if is_pending || self.replica.is_busy() { self.now + Span(25) } else { self.replica.next_beat() }
     }
@@ -305,13 +305,13 @@
                 }
                 Output::Settled { ticket, body } | Output::Judged { ticket, body } => {
                     let epoch = self.replica.state_machine().epoch;
-                    let due = self.now + self.timing.fate_due;
-                    self.settled.push_back(Settled { epoch, ticket, body, due });
+                    let deadline = self.now + self.timing.fate_deadline;
+                    self.settled.push_back(Settled { epoch, ticket, body, deadline });
                 }
                 Output::ViewChanged(view) => {
                     self.leases.clear();
                     self.leases_since = self.now;
-                    self.retire_due = self.now + self.timing.retire_after;
+                    self.retire_deadline = self.now + self.timing.retire_after;
                     self.outputs.push(ControllerOutput::ViewChanged(view));
                 }
             }
@@ -382,9 +382,9 @@
     /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
     fn give_lease(&mut self, to: Address, poll: &Poll) {
         let newest = self.replica.state_machine().epoch;
-        let due = self.now + self.timing.lease;
-        self.leases.renew(to, poll.epoch.min(newest), due);
-        self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), due });
+        let deadline = self.now + self.timing.lease;
+        self.leases.renew(to, poll.epoch.min(newest), deadline);
+        self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), deadline });
         let ledger = self.replica.state_machine();
         let view = self.replica.view().epoch;
         let response = PollResponse::Lease {
@@ -419,7 +419,7 @@
     /// Tells news to members that polled lately, and answers settled changes that most members know.
     fn release(&mut self) {
         let (epoch, now) = (self.replica.state_machine().epoch, self.now);
-        let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.due;
+        let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.deadline;
         if self.subscribers.values().any(is_behind) && self.may_respond() {
             let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
             let since = whole.members_since;
@@ -437,7 +437,7 @@
         }
         while let Some(settled) = self.settled.front() {
             let is_known = self.is_known(settled.epoch);
-            if !is_known && self.now < settled.due {
+            if !is_known && self.now < settled.deadline {
                 break;
             }
             let Some(settled) = self.settled.pop_front() else { break };
@@ -497,8 +497,8 @@
         self.replica.set_has_members(has_majority);
         self.responses_since = if self.may_respond() { self.responses_since.or(Some(self.now)) } else { None };
         if self.may_respond() {
-            if self.replica.state_machine().key.is_none() && self.now >= self.key_due {
-                self.key_due = self.now + Span(400);
+            if self.replica.state_machine().key.is_none() && self.now >= self.key_deadline {
+                self.key_deadline = self.now + Span(400);
                 self.propose_inner(Command::Key { key: self.key });
             }
             self.admit();
@@ -508,14 +508,14 @@
             }
         }
         let now = self.now;
-        self.subscribers.retain(|_, subscriber| now < subscriber.due);
-        let due: Vec<u64> = self
+        self.subscribers.retain(|_, subscriber| now < subscriber.deadline);
+        let deadline: Vec<u64> = self
             .waiting
             .iter()
-            .filter(|(_, waiting)| waiting.next_try.is_some_and(|at| now >= at) || now >= waiting.due)
+            .filter(|(_, waiting)| waiting.next_try.is_some_and(|at| now >= at) || now >= waiting.deadline)
             .map(|(number, _)| *number)
             .collect();
-        for number in due {
+        for number in deadline {
             self.try_again(number);
         }
     }
@@ -530,10 +530,10 @@
                 self.give_lease(address, &poll);
             }
         }
-        if self.joining.is_empty() || self.now < self.join_due || !self.is_membership_settled() {
+        if self.joining.is_empty() || self.now < self.join_deadline || !self.is_membership_settled() {
             return;
         }
-        self.join_due = self.now + self.timing.join;
+        self.join_deadline = self.now + self.timing.join;
         let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.zone.clone())).collect();
         self.propose_inner(Command::Join { members });
     }
@@ -541,20 +541,21 @@
     /// Once more than half of the previous members know the membership, they are needed for no majority any more.
     fn settle(&mut self) {
         let membership = &self.replica.state_machine().membership;
-        if membership.previous == membership.members || self.now < self.settle_due || !self.is_membership_settled() {
+        if membership.previous == membership.members || self.now < self.settle_deadline || !self.is_membership_settled()
+        {
             return;
         }
         let since = membership.since;
-        self.settle_due = self.now + Span(400);
+        self.settle_deadline = self.now + Span(400);
         self.propose_inner(Command::Settle { since });
     }
 
     /// Takes members out that have held no lease for long.
     fn retire(&mut self) {
-        if self.now < self.retire_due || !self.is_membership_settled() {
+        if self.now < self.retire_deadline || !self.is_membership_settled() {
             return;
         }
-        self.retire_due = self.now + Span::seconds(1);
+        self.retire_deadline = self.now + Span::seconds(1);
         let is_gone = |member: &&Address| {
             self.seen.get(*member).is_none_or(|seen| self.now.since(*seen) >= self.timing.retire_after)
         };
@@ -586,16 +587,17 @@
 
     fn on_operator(&mut self, number: u64, ask: OperatorAsk) {
         let is_read = matches!(ask, OperatorAsk::Read(_));
-        let due = self.now + if is_read { self.timing.read_patience } else { self.timing.fate_due };
-        let patience_due = self.now + self.timing.patience;
+        let deadline = self.now + if is_read { self.timing.read_patience } else { self.timing.fate_deadline };
+        let patience_deadline = self.now + self.timing.patience;
         self.last_asked += 1;
         let (next_try, asked) = (Some(self.now), self.last_asked);
-        let clear_due = match &ask {
+        let clear_deadline = match &ask {
             OperatorAsk::Propose(proposal) if proposal.command.is_of_a_zone() => self.now + SEEN_WITHIN,
-            _ => due,
+            _ => deadline,
         };
         let is_cleared = false;
-        let waiting = Waiting { ask, next_try, patience_due, due, clear_due, is_cleared, asked, asked_of: None };
+        let waiting =
+            Waiting { ask, next_try, patience_deadline, deadline, clear_deadline, is_cleared, asked, asked_of: None };
         self.waiting.insert(number, waiting);
         if !self.replica.hears_majority(self.now) {
             // Nothing was asked or proposed yet, so this is final, and its operator loses no time here.
@@ -607,14 +609,14 @@
     fn try_again(&mut self, number: u64) {
         let Some(waiting) = self.waiting.get_mut(&number) else { return };
         let retry_at = self.now + self.timing.replica.retry;
-        if self.now >= waiting.due {
+        if self.now >= waiting.deadline {
             let code = match waiting.ask {
                 OperatorAsk::Read(_) => ResultCode::CoreNotReady,
                 OperatorAsk::Propose(_) => ResultCode::FateUnknown,
             };
             return self.give_up(number, code);
         }
-        if !waiting.is_cleared && self.now >= waiting.clear_due {
+        if !waiting.is_cleared && self.now >= waiting.clear_deadline {
             // Nothing was proposed; and what the tail tells from now on is newer than the request.
             return self.give_up(number, ResultCode::CoreNotReady);
         }
@@ -688,7 +690,7 @@
         if waiting.is_cleared {
             return;
         }
-        if self.now >= waiting.clear_due {
+        if self.now >= waiting.clear_deadline {
             return self.give_up(number, ResultCode::CoreNotReady);
         }
         match status {
@@ -702,7 +704,7 @@
                 waiting.is_cleared = true;
                 self.try_again(number);
             }
-            503 if self.now < waiting.patience_due => {}
+            503 if self.now < waiting.patience_deadline => {}
             _ => {
                 self.waiting.remove(&number);
                 self.outputs.push(ControllerOutput::Response { number, status, body });
@@ -725,7 +727,7 @@
             self.waiting.remove(&number);
             let status = status_of(&body);
             self.outputs.push(ControllerOutput::Response { number, status, body });
-        } else if self.now < waiting.patience_due {
+        } else if self.now < waiting.patience_deadline {
             // The core did not take it, so asking again can't do it twice.
             waiting.next_try = Some(self.now + self.timing.replica.retry);
         } else {
--- a/crates/registrar/src/core_line.rs
+++ b/crates/registrar/src/core_line.rs
@@ -13,18 +13,18 @@
 
 /// One call of an operator: until when it is worth an answer, and to whom.
 pub struct Attempt {
-    due: Moment,
+    deadline: Moment,
     client: Option<Client>,
 }
 
 impl Attempt {
     /// One that has just come in on this connection, if it's on one, and lasts so long.
     pub fn new(patience: Span, client: Option<Client>) -> Self {
-        Attempt { due: Clock::now() + patience, client }
+        Attempt { deadline: Clock::now() + patience, client }
     }
     /// Whether nobody waits for its answer any more.
     fn is_over(&self) -> bool {
-        Clock::now() >= self.due || self.client.as_ref().is_some_and(Client::is_gone)
+        Clock::now() >= self.deadline || self.client.as_ref().is_some_and(Client::is_gone)
     }
 }
 
@@ -87,7 +87,7 @@
 
     fn wait(inbox: &flume::Receiver<Told>, attempt: &Attempt) -> Option<Told> {
         loop {
-            let span = Clock::now().until(attempt.due).min(LOOK_EVERY);
+            let span = Clock::now().until(attempt.deadline).min(LOOK_EVERY);
             match inbox.recv_timeout(span.duration()) {
                 Ok(told) => return Some(told),
                 Err(flume::RecvTimeoutError::Timeout) if !attempt.is_over() => {}
--- a/crates/registrar/src/daemon.rs
+++ b/crates/registrar/src/daemon.rs
@@ -157,7 +157,7 @@
         }
         if now >= next_tick {
             control.take(Event::Input(ControllerInput::ClockEvent));
-            next_tick = control.controller.as_ref().map_or(now, Controller::next_due).max(now + SHORTEST_TICK);
+            next_tick = control.controller.as_ref().map_or(now, Controller::next_timer).max(now + SHORTEST_TICK);
             next_tick = next_tick.min(now + LONGEST_TICK);
         }
         match events.recv_timeout(now.until(next_tick).duration()) {
@@ -167,7 +167,7 @@
         }
         // What came may have made something due sooner.
         if let Some(controller) = &control.controller {
-            next_tick = next_tick.min(controller.next_due().max(now + SHORTEST_TICK));
+            next_tick = next_tick.min(controller.next_timer().max(now + SHORTEST_TICK));
         }
     }
     tracing::info!("registrar: stopped.");
--- a/crates/registrar/src/disk_thread.rs
+++ b/crates/registrar/src/disk_thread.rs
@@ -69,7 +69,7 @@
             }
         };
         std::thread::Builder::new().name("disk".into()).spawn(work).map_err(StorageFault::Io)?;
-        match first.recv_timeout(FIRST_DUE) {
+        match first.recv_timeout(FIRST_DEADLINE) {
             Ok(Err(fault)) => Err(fault),
             // A slow disk holds nothing up: what comes of it is told when it's known.
             Ok(Ok(())) | Err(_) => Ok(DiskThread { writes, life: 1 }),
@@ -89,7 +89,7 @@
 /// Between tries to open a folder.
 const PAUSE: Duration = Duration::from_millis(500);
 /// Whether a folder can be used at all is waited for this long.
-const FIRST_DUE: Duration = Duration::from_secs(2);
+const FIRST_DEADLINE: Duration = Duration::from_secs(2);
 
 /// Whether it's the disk's trouble, which may pass, and not the folder's.
 fn may_pass(fault: &StorageFault) -> bool {
--- a/crates/rehearsal/src/explorer/cluster.rs
+++ b/crates/rehearsal/src/explorer/cluster.rs
@@ -284,7 +284,7 @@
     /// Lets one tick pass with these deviations; gives the steps that more could befall.
     pub fn tick(&mut self, plan: &TickPlan) -> Vec<OpenStep> {
         self.now += TICK;
-        self.take_due();
+        self.take_deadline();
         for deviation in plan {
             // One before it in this tick may have used the budget up.
             if self.allows(deviation) {
@@ -325,7 +325,7 @@
         }
     }
 
-    fn take_due(&mut self) {
+    fn take_deadline(&mut self) {
         let now = self.now;
         for place in 0..self.machines.len() {
             let machine = &mut self.machines[place];
@@ -343,10 +343,10 @@
             }
             self.take_leave(place);
         }
-        let (due, late) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+        let (deadline, late) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
         self.late = late;
-        let due: Vec<(u64, Packet)> = due;
-        self.steps.extend(due.into_iter().map(|(_, packet)| Step::Deliver(packet)));
+        let deadline: Vec<(u64, Packet)> = deadline;
+        self.steps.extend(deadline.into_iter().map(|(_, packet)| Step::Deliver(packet)));
         for operator in 0..self.operators.len() {
             if self.operators[operator].asks_at.is_some_and(|at| at <= now) {
                 self.ask(operator);
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -132,8 +132,8 @@
     }
     /// Waits for it to end; gives the exit code, or `None` when it had to be killed.
     pub fn wait(&mut self, patience: Span) -> Option<i32> {
-        let due = Clock::now() + patience;
-        while Clock::now() < due {
+        let deadline = Clock::now() + patience;
+        while Clock::now() < deadline {
             match self.child.as_mut()?.try_wait() {
                 Ok(Some(status)) => {
                     self.child = None;
@@ -255,7 +255,7 @@
         Ok(self.registrars.len() - 1)
     }
 
-    /// Waits until this holds, or the due passes.
+    /// Waits until this holds, or the deadline passes.
     pub fn await_that(patience: Span, what: &str, mut holds: impl FnMut() -> bool) -> Result<Span, String> {
         let began = Clock::now();
         while Clock::now().since(began) < patience {
--- a/crates/rehearsal/src/hollow.rs
+++ b/crates/rehearsal/src/hollow.rs
@@ -326,7 +326,7 @@
         let value: serde_json::Value = serde_json::from_slice(&found?.1).ok()?;
         Some((value["epoch"].as_u64()?, value["members"].as_array()?.len(), value["plan_epoch"].as_u64()?))
     };
-    let due = Clock::now() + Span::seconds(120);
+    let deadline = Clock::now() + Span::seconds(120);
     let mut next_say = Clock::now() + Span::seconds(2);
     loop {
         heard.drain().for_each(|word| note(word, &mut epochs));
@@ -335,7 +335,7 @@
         if members == rules.nodes as usize && have == members {
             break;
         }
-        if Clock::now() >= due {
+        if Clock::now() >= deadline {
             return Err(format!("after two minutes {members} of {} are members, {have} know", rules.nodes));
         }
         if Clock::now() >= next_say {
--- a/crates/rehearsal/src/hollow/host.rs
+++ b/crates/rehearsal/src/hollow/host.rs
@@ -16,7 +16,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+enum Timer {
     Arrival(usize),
     First(usize, RequestId),
     End(usize, RequestId, u64),
@@ -34,7 +34,7 @@
     seeds: Vec<Address>,
     nodes: Vec<HollowNode>,
     inputs: flume::Sender<Input>,
-    dues: BinaryHeap<Reverse<(Moment, Due)>>,
+    timers: BinaryHeap<Reverse<(Moment, Timer)>>,
     random: u64,
     number: u64,
     replaced: u32,
@@ -69,7 +69,7 @@
         seeds,
         nodes: vec![],
         inputs,
-        dues: BinaryHeap::new(),
+        timers: BinaryHeap::new(),
         random,
         number: 0,
         replaced: 0,
@@ -82,8 +82,8 @@
     }
     loop {
         let now = Clock::now();
-        let due = host.on_time(now);
-        if let Ok(input) = events.recv_timeout(Clock::now().until(due).duration()) {
+        let timer = host.on_time(now);
+        if let Ok(input) = events.recv_timeout(Clock::now().until(timer).duration()) {
             host.take(input)?;
         }
     }
@@ -120,7 +120,7 @@
         self.nodes.push(HollowNode { address, node: Some(node), post, epoch: Epoch(0) });
         self.tell_server_list(place);
         if self.is_loaded {
-            self.dues.push(Reverse((now, Due::Arrival(place))));
+            self.timers.push(Reverse((now, Timer::Arrival(place))));
         }
         Ok(())
     }
@@ -164,7 +164,7 @@
                 let now = Clock::now();
                 for place in 0..self.nodes.len() {
                     let at = now + Span(self.draw() % 1000);
-                    self.dues.push(Reverse((at, Due::Arrival(place))));
+                    self.timers.push(Reverse((at, Timer::Arrival(place))));
                 }
             }
             Input::Command(HostCommand::Kill(address)) => {
@@ -200,39 +200,39 @@
     /// Does all that is due; gives when something is again.
     fn on_time(&mut self, now: Moment) -> Moment {
         for place in 0..self.nodes.len() {
-            let is_due = |node: &Node| now >= node.next_due();
+            let is_due = |node: &Node| now >= node.next_timer();
             if self.nodes[place].node.as_ref().is_some_and(is_due) {
                 self.step(place, NodeInput::ClockEvent);
             }
         }
-        while self.dues.peek().is_some_and(|Reverse((at, _))| *at <= now) {
-            if let Some(Reverse((_, due))) = self.dues.pop() {
-                self.on_due(due, now);
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            if let Some(Reverse((_, timer))) = self.timers.pop() {
+                self.on_timer(timer, now);
             }
         }
-        let nodes = self.nodes.iter().filter_map(|one| one.node.as_ref()).map(Node::next_due);
-        let dues = self.dues.peek().map(|Reverse((at, _))| *at);
-        let due = nodes.chain(dues).min().unwrap_or(now + Span(250));
-        due.max(now + Span(1)).min(now + Span(250))
+        let nodes = self.nodes.iter().filter_map(|one| one.node.as_ref()).map(Node::next_timer);
+        let timers = self.timers.peek().map(|Reverse((at, _))| *at);
+        let timer = nodes.chain(timers).min().unwrap_or(now + Span(250));
+        timer.max(now + Span(1)).min(now + Span(250))
     }
 
-    fn on_due(&mut self, due: Due, now: Moment) {
-        match due {
-            Due::Arrival(place) => {
+    fn on_timer(&mut self, timer: Timer, now: Moment) {
+        match timer {
+            Timer::Arrival(place) => {
                 if self.nodes[place].node.is_none() {
                     return;
                 }
                 let pause = 1000.0 / self.rules.requests.max(0.001);
                 let next = now + Span((pause * 2.0 * (self.draw() % 1000) as f64 / 1000.0) as u64);
-                self.dues.push(Reverse((next, Due::Arrival(place))));
+                self.timers.push(Reverse((next, Timer::Arrival(place))));
                 if self.rules.requests > 0.0 {
                     self.arrive(place, now);
                 }
             }
-            Due::First(place, request) => {
+            Timer::First(place, request) => {
                 self.step(place, NodeInput::Event(Event::FirstToken { request }));
             }
-            Due::End(place, request, number) => {
+            Timer::End(place, request, number) => {
                 let ended = Event::Ended { request: request.clone(), outcome: Outcome::Complete };
                 self.step(place, NodeInput::Event(ended));
                 self.step(place, NodeInput::Close { request, number, may_have_run: true });
@@ -270,9 +270,9 @@
             return;
         }
         self.placed += 1;
-        self.dues.push(Reverse((now + Span(200), Due::First(place, request.clone()))));
+        self.timers.push(Reverse((now + Span(200), Timer::First(place, request.clone()))));
         let held = Span(2000 + self.draw() % 8000);
-        self.dues.push(Reverse((now + held, Due::End(place, request, number))));
+        self.timers.push(Reverse((now + held, Timer::End(place, request, number))));
     }
 
     fn step(&mut self, place: usize, input: NodeInput) {
--- a/crates/rehearsal/src/schedule.rs
+++ b/crates/rehearsal/src/schedule.rs
@@ -210,10 +210,10 @@
     }
 
     fn make_imports(&mut self, now: Moment) {
-        let (due, later) = std::mem::take(&mut self.imports).into_iter().partition(|(at, _)| *at <= now);
+        let (deadline, later) = std::mem::take(&mut self.imports).into_iter().partition(|(at, _)| *at <= now);
         self.imports = later;
-        let due: Vec<(Moment, PrefixHash)> = due;
-        for (_, prefix) in due {
+        let deadline: Vec<(Moment, PrefixHash)> = deadline;
+        for (_, prefix) in deadline {
             self.uses += 1;
             self.cache.insert(prefix, self.uses);
         }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -90,7 +90,7 @@
 struct SimDisk {
     id: DiskId,
     durable: Vec<Record>,
-    /// Under way: due, life, id, records, whether they replace all.
+    /// Under way: deadline, life, id, records, whether they replace all.
     pending: Vec<(u64, u64, u64, Vec<Record>, bool)>,
     delay: u64,
     stalled_until: u64,
--- a/crates/rehearsal/src/world/machines.rs
+++ b/crates/rehearsal/src/world/machines.rs
@@ -227,7 +227,7 @@
             let m = &self.registrars[machine];
             let local = Moment(self.now + m.offset);
             let pause =
-                m.controller.as_ref().map_or(25, |controller| local.until(controller.next_due()).0.clamp(1, 100));
+                m.controller.as_ref().map_or(25, |controller| local.until(controller.next_timer()).0.clamp(1, 100));
             self.put(pause, Happening::Tick { machine, life });
         }
     }
@@ -294,16 +294,16 @@
             return;
         }
         // What comes while the disk is at work goes to it together afterwards, with one sync.
-        let busy = m.disk.pending.first().map_or(0, |(due, ..)| due.saturating_sub(now));
+        let busy = m.disk.pending.first().map_or(0, |(deadline, ..)| deadline.saturating_sub(now));
         let stall = m.disk.stalled_until.saturating_sub(now);
-        let last = m.disk.pending.last().map_or(0, |(due, ..)| due.saturating_sub(now));
-        let due = (busy.max(stall) + m.disk.delay + jitter).max(last);
-        m.disk.pending.push((now + due, life, id, records, is_whole));
+        let last = m.disk.pending.last().map_or(0, |(deadline, ..)| deadline.saturating_sub(now));
+        let deadline = (busy.max(stall) + m.disk.delay + jitter).max(last);
+        m.disk.pending.push((now + deadline, life, id, records, is_whole));
         if self.rules.mutant == Some(Mutant::SkipSync) {
             // Called synced at once; what is pending is lost with the power all the same.
             self.step_controller(machine, ControllerInput::Written { id });
         }
-        self.put(due, Happening::Synced { machine, life, id });
+        self.put(deadline, Happening::Synced { machine, life, id });
         self.strike_in_write(machine);
     }
 
@@ -327,11 +327,11 @@
     fn set_tick(&mut self, machine: usize) {
         let m = &mut self.criers[machine];
         let Some(node) = &m.node else { return };
-        let due = self.now + Moment(self.now + m.offset).until(node.next_due()).0.clamp(1, 250);
-        if due < m.next_tick {
-            m.next_tick = due;
+        let deadline = self.now + Moment(self.now + m.offset).until(node.next_timer()).0.clamp(1, 250);
+        if deadline < m.next_tick {
+            m.next_tick = deadline;
             let life = m.life;
-            self.put(due - self.now, Happening::NodeTick { machine, life });
+            self.put(deadline - self.now, Happening::NodeTick { machine, life });
         }
     }
 
--- a/crates/rehearsal/src/world/streams.rs
+++ b/crates/rehearsal/src/world/streams.rs
@@ -125,7 +125,7 @@
         let at = stream.next;
         stream.next += 1;
         if let Some(fault) = fault {
-            self.witness.violate(now, format!("{id}: {fault} where piece {at} was due: {given}"));
+            self.witness.violate(now, format!("{id}: {fault} where piece {at} was deadline: {given}"));
         }
         self.first_piece(id);
         if !is_end {
--- a/crates/rehearsal/src/world/touch.rs
+++ b/crates/rehearsal/src/world/touch.rs
@@ -15,7 +15,7 @@
     polls: BTreeMap<u64, u64>,
     /// Since when it has held leases without a break.
     leased_since: u64,
-    lease_due: u64,
+    lease_deadline: u64,
     /// Epochs that someone told it of: since when and when last.
     met: BTreeMap<u64, (u64, u64)>,
 }
@@ -39,7 +39,7 @@
                     if !self.is_leased(now) {
                         self.leased_since = now;
                     }
-                    self.lease_due = self.lease_due.max(asked.map_or(0, |asked| asked + span.0));
+                    self.lease_deadline = self.lease_deadline.max(asked.map_or(0, |asked| asked + span.0));
                     *epoch
                 }
                 PollResponse::Elsewhere { .. } => return,
@@ -54,7 +54,7 @@
     }
     /// Whether a lease runs.
     pub fn is_leased(&self, now: u64) -> bool {
-        now < self.lease_due
+        now < self.lease_deadline
     }
     /// Since when leases have run without a break, if one runs.
     pub fn leased_since(&self, now: u64) -> Option<u64> {
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -162,7 +162,7 @@
 }
 
 #[test]
-fn everything_killed_comes_back_within_the_due_with_all_plans_byte_for_byte() {
+fn everything_killed_comes_back_within_the_deadline_with_all_plans_byte_for_byte() {
     let deployment = Deployment::Valodu;
     let (_crew, mut fleet, _machine) = serving(deployment);
     let odd = r#"{ "services" : {"hints":{"resumable":false, "slots": 16}} ,"note":"spaces   and ünïcode"}"#;
@@ -224,8 +224,8 @@
         fleet.registrars[tail].wake();
         fleet.await_core(PATIENCE).expect("the old tail is back in the chain");
         // Time for new work to show up where it must not.
-        let due = told + Span::seconds(7);
-        Fleet::await_that(Span::seconds(8), "seven seconds", || Clock::now() >= due).expect("time goes by");
+        let deadline = told + Span::seconds(7);
+        Fleet::await_that(Span::seconds(8), "seven seconds", || Clock::now() >= deadline).expect("time goes by");
         let late: Vec<Moment> = (0..crew.models.len())
             .filter(|place| deployment.shape().zones[place % 3] == zone)
             .flat_map(|place| crew.models[place].log())
--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/wicket/src/gate/connection.rs
@@ -183,7 +183,7 @@
 }
 
 /// Until when what is awaited may come, and whether that is a request's first byte.
-fn wait_due(bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> (Moment, bool) {
+fn wait_deadline(bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> (Moment, bool) {
     match wait.progress {
         RequestProgress::Nothing if bounds.keep_alive => {
             // A limit binds a connection that rested when it came into force from then on.
@@ -198,8 +198,8 @@
 
 /// Waits until there is something to do, as long as may be.
 fn wait_on(wire: &Wire, bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> Waited {
-    let (due, is_idle) = wait_due(bounds, rules, wait);
-    match await_wire(wire, None, Some(&rules.bell), due) {
+    let (deadline, is_idle) = wait_deadline(bounds, rules, wait);
+    match await_wire(wire, None, Some(&rules.bell), deadline) {
         Woken::Ready | Woken::Bell => Waited::Go,
         Woken::Late | Woken::ClientGone if is_idle => Waited::Idle,
         Woken::Late | Woken::ClientGone => Waited::Late,
@@ -250,13 +250,13 @@
 
 /// Ends the connection such that the client can read all that was written.
 fn close_in_request(wire: &Wire) {
-    let due = Clock::now() + REFUSAL_LINGER;
+    let deadline = Clock::now() + REFUSAL_LINGER;
     if wire.stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
     let (mut buffer, mut drained) = (vec![0; 4 << 10], 0);
     while drained < REFUSAL_DRAIN {
-        let left = Clock::now().until(due);
+        let left = Clock::now().until(deadline);
         if left.0 == 0 || wire.stream.set_read_timeout(Some(left.duration())).is_err() {
             return;
         }
--- a/crates/wicket/src/lines.rs
+++ b/crates/wicket/src/lines.rs
@@ -67,7 +67,7 @@
 
 struct Idle {
     link: Box<Link>,
-    due: Moment,
+    deadline: Moment,
 }
 
 /// What allows a request to leave is checked no longer than this before its first byte is written, by the
@@ -87,10 +87,10 @@
 
 /// What a request waits for.
 pub struct Waits<'a> {
-    /// For the connection, within the head's due.
+    /// For the connection, within the head's deadline.
     pub connect: Span,
     /// By when the head must have come.
-    pub head_due: Moment,
+    pub head_deadline: Moment,
     /// Asked before connecting, and again at most [`CHECK_LIFE`] before the first byte leaves.
     pub may_leave: &'a dyn Fn() -> bool,
     /// Watched while the head is awaited.
@@ -109,7 +109,7 @@
     /// As many connections to the address are open as may be.
     #[error("no connection is free")]
     Full,
-    /// It was sent, and its due passed; it may have run.
+    /// It was sent, and its deadline passed; it may have run.
     #[error("late: {0}")]
     Late(String),
     /// The client went away; it may have run.
@@ -238,7 +238,7 @@
         let mut stale = Vec::new();
         for held in lock(&self.pool).addresses.values_mut() {
             for one in std::mem::take(&mut held.idle) {
-                if one.due > now && one.link.wire.peek() == Peeked::Nothing {
+                if one.deadline > now && one.link.wire.peek() == Peeked::Nothing {
                     held.idle.push_back(one);
                 } else {
                     stale.push(one);
@@ -262,7 +262,7 @@
             let is_reused = idle.is_some();
             let idle = match idle {
                 Some(idle) => idle,
-                None => Idle { link: Box::new(self.connect(to, waits)?), due: Moment(0) },
+                None => Idle { link: Box::new(self.connect(to, waits)?), deadline: Moment(0) },
             };
             match idle.link.check_departure(waits) {
                 Departure::Clear => {}
@@ -277,7 +277,7 @@
             }
             match idle.link.send(request.clone(), waits, is_reused) {
                 // It was closed between the look at it and the first byte: another one is taken.
-                Err(LineError::Unsent(_)) if is_reused && Clock::now() < waits.head_due => {}
+                Err(LineError::Unsent(_)) if is_reused && Clock::now() < waits.head_deadline => {}
                 outcome => return outcome,
             }
         }
@@ -286,7 +286,7 @@
     fn take_idle(&self, to: SocketAddr) -> Option<Idle> {
         loop {
             let newest = lock(&self.pool).addresses.get_mut(&to)?.idle.pop_back()?;
-            if Clock::now() < newest.due {
+            if Clock::now() < newest.deadline {
                 return Some(newest);
             }
         }
@@ -318,7 +318,7 @@
             held.open_count += 1;
             Seat { pool: self.pool.clone(), address: to }
         };
-        let patience = waits.connect.min(Clock::now().until(waits.head_due));
+        let patience = waits.connect.min(Clock::now().until(waits.head_deadline));
         if patience.0 == 0 {
             return Err(LineError::Unsent("no time to connect".into()));
         }
@@ -369,7 +369,7 @@
     /// byte whose check has grown old is checked anew.
     fn wait<T>(
         &mut self,
-        due: Moment,
+        deadline: Moment,
         client: Option<&Client>,
         departure: Option<&Waits<'_>>,
         mut poll_it: impl FnMut(&mut Context<'_>) -> Poll<T>,
@@ -380,7 +380,7 @@
             self.drive();
             if let Some(waits) = departure.filter(|_| self.wire.is_check_old.swap(false, Ordering::Relaxed)) {
                 match self.check_departure(waits) {
-                    Departure::Clear if Clock::now() < due => continue,
+                    Departure::Clear if Clock::now() < deadline => continue,
                     Departure::Clear => return Err(Woken::Late),
                     refused => {
                         self.held_back = Some(refused);
@@ -398,7 +398,7 @@
                 // hyper has dropped its end, so whatever hangs on it is ready; not expected.
                 return Err(Woken::Bell);
             }
-            match await_wire(&self.wire, client, None, due) {
+            match await_wire(&self.wire, client, None, deadline) {
                 Woken::Ready => {}
                 ended => return Err(ended),
             }
@@ -413,7 +413,8 @@
         let sent_before = self.wire.sent_count.load(Ordering::Relaxed);
         let is_head = request.method() == http::Method::HEAD;
         let mut answer = pin!(self.sender.send_request(request.map(Full::new)));
-        let outcome = self.wait(waits.head_due, waits.client, Some(waits), |context| answer.as_mut().poll(context));
+        let outcome =
+            self.wait(waits.head_deadline, waits.client, Some(waits), |context| answer.as_mut().poll(context));
         let has_left = self.wire.sent_count.load(Ordering::Relaxed) > sent_before
             && !(is_reused && is_mutant(&self._seat.pool, Mutant::ForgetSent));
         let (what, why): (fn(String) -> LineError, String) = match outcome {
@@ -425,7 +426,7 @@
                 return Ok(Line { head, body, link: self, is_reused, is_early, is_delimited, is_ended, is_torn });
             }
             Ok(Err(fault)) => (LineError::Unknown, detail(&fault)),
-            Err(Woken::Late) => (LineError::Late, "no head by its due".into()),
+            Err(Woken::Late) => (LineError::Late, "no head by its deadline".into()),
             Err(_) if self.held_back == Some(Departure::Withheld) && !has_left => return Err(LineError::Withheld),
             Err(Woken::ClientGone) if has_left => return Err(LineError::ClientGone),
             Err(Woken::ClientGone) => (LineError::Unknown, "the client has gone".into()),
@@ -462,7 +463,7 @@
         let span = Span(u64::try_from(patience.as_millis()).unwrap_or(u64::MAX / 2));
         self.pull_until(Clock::now() + span, client)
     }
-    fn pull_until(&mut self, due: Moment, client: Option<&Client>) -> LinePull {
+    fn pull_until(&mut self, deadline: Moment, client: Option<&Client>) -> LinePull {
         if self.is_ended {
             return LinePull::End;
         }
@@ -471,7 +472,7 @@
         }
         let body = &mut self.body;
         loop {
-            let outcome = self.link.wait(due, client, None, |context| Pin::new(&mut *body).poll_frame(context));
+            let outcome = self.link.wait(deadline, client, None, |context| Pin::new(&mut *body).poll_frame(context));
             match outcome {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
@@ -498,18 +499,18 @@
         }
     }
     /// Reads the rest of the body up to a bound. A body that breaks off is `Unknown`, as is one over the
-    /// bound; one that has not ended by the due is `Late`.
-    pub fn read_all(&mut self, due: Moment, bound: usize, client: Option<&Client>) -> Result<Bytes, LineError> {
+    /// bound; one that has not ended by the deadline is `Late`.
+    pub fn read_all(&mut self, deadline: Moment, bound: usize, client: Option<&Client>) -> Result<Bytes, LineError> {
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
         loop {
-            match self.pull_until(due, client) {
+            match self.pull_until(deadline, client) {
                 LinePull::Data(data) if first.len() + rest.len() + data.len() > bound => {
                     return Err(LineError::Unknown(format!("the body is over {bound} bytes")));
                 }
                 LinePull::Data(data) if first.is_empty() => first = data,
                 LinePull::Data(data) => rest.extend_from_slice(&data),
-                LinePull::Nothing => return Err(LineError::Late("the body has not ended by its due".into())),
+                LinePull::Nothing => return Err(LineError::Late("the body has not ended by its deadline".into())),
                 LinePull::End if rest.is_empty() => return Ok(first),
                 LinePull::End => {
                     let mut whole = BytesMut::with_capacity(first.len() + rest.len());
@@ -549,7 +550,7 @@
         let span = kept_span(&head.headers).unwrap_or_else(|| lock(&lines.pool).bounds.idle_span);
         if span.0 > 0 {
             let address = link._seat.address;
-            lines.put_idle(address, Idle { link, due: Clock::now() + span });
+            lines.put_idle(address, Idle { link, deadline: Clock::now() + span });
         }
     }
 }
--- a/crates/wicket/src/lines/tests.rs
+++ b/crates/wicket/src/lines/tests.rs
@@ -33,9 +33,9 @@
 
 fn ask(lines: &Lines, to: SocketAddr, body: Bytes, may_leave: &dyn Fn() -> bool) -> Result<(Line, Bytes), LineError> {
     let request = http::Request::post("/").header("host", "a").body(body).unwrap();
-    let head_due = Clock::now() + PATIENCE;
-    let mut line = lines.ask(to, request, &Waits { connect: PATIENCE, head_due, may_leave, client: None })?;
-    let body = line.read_all(head_due, 1 << 20, None)?;
+    let head_deadline = Clock::now() + PATIENCE;
+    let mut line = lines.ask(to, request, &Waits { connect: PATIENCE, head_deadline, may_leave, client: None })?;
+    let body = line.read_all(head_deadline, 1 << 20, None)?;
     Ok((line, body))
 }
 
@@ -108,8 +108,8 @@
     let asked = Cell::new(0);
     let may_leave = || {
         asked.set(asked.get() + 1);
-        let due = Clock::now() + CHECK_LIFE;
-        while asked.get() == 2 && Clock::now() <= due {
+        let deadline = Clock::now() + CHECK_LIFE;
+        while asked.get() == 2 && Clock::now() <= deadline {
             std::thread::yield_now();
         }
         asked.get() < 3
--- a/crates/wicket/src/wire.rs
+++ b/crates/wicket/src/wire.rs
@@ -123,8 +123,8 @@
 }
 
 /// Waits in one poll(2) until the wire has something (bytes, or the room that a write wants), the client
-/// has gone, the bell's other end was closed, or the due has passed.
-pub(crate) fn await_wire(wire: &Wire, client: Option<&Client>, bell: Option<&File>, due: Moment) -> Woken {
+/// has gone, the bell's other end was closed, or the deadline has passed.
+pub(crate) fn await_wire(wire: &Wire, client: Option<&Client>, bell: Option<&File>, deadline: Moment) -> Woken {
     let client = match client {
         Some(client) => match client.wire() {
             Some(wire) => Some(wire),
@@ -156,10 +156,10 @@
             (Some(other), None) | (None, Some(other)) => [own(), other, own()],
             (None, None) => [own(), own(), own()],
         };
-        let left = Clock::now().until(due);
+        let left = Clock::now().until(deadline);
         let Ok(timeout) = Timespec::try_from(left.duration()) else { return Woken::Late };
         match poll(&mut seen[..count], Some(&timeout)) {
-            Ok(0) if Clock::now().until(due).0 == 0 => return Woken::Late,
+            Ok(0) if Clock::now().until(deadline).0 == 0 => return Woken::Late,
             Ok(0) | Err(Errno::INTR) => continue,
             Ok(_) => {}
             Err(fault) => {
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/wicket/tests/gate_keep_alive.rs
@@ -107,10 +107,10 @@
 }
 
 #[test]
-fn each_request_has_its_own_read_due_and_idle_time_is_not_part_of_it() {
+fn each_request_has_its_own_read_deadline_and_idle_time_is_not_part_of_it() {
     let (address, _closer) = gate(bounds(), echo);
     let mut client = Client::connect(address);
-    // The connection lives on past the read due of its first request: a helper takes that time to end.
+    // The connection lives on past the read deadline of its first request: a helper takes that time to end.
     for body in ["one", "two"] {
         client.post(body);
         assert_eq!(client.answer().1, body);
@@ -364,9 +364,9 @@
         client.say(said);
         assert!(!peer.is_gone());
         drop(client);
-        let due = Clock::now() + Span::seconds(5);
+        let deadline = Clock::now() + Span::seconds(5);
         while !peer.is_gone() {
-            assert!(Clock::now() < due, "not seen behind {said:?}");
+            assert!(Clock::now() < deadline, "not seen behind {said:?}");
             std::thread::yield_now();
         }
         drop(gone);
@@ -404,9 +404,9 @@
         assert_eq!((body.as_str(), client.rest().as_str()), ("done", ""));
     }
     assert_eq!(idle.rest(), "");
-    let due = Clock::now() + Span::seconds(5);
+    let deadline = Clock::now() + Span::seconds(5);
     while open_count.load(Ordering::Relaxed) > 0 {
-        assert!(Clock::now() < due, "a thread is stuck");
+        assert!(Clock::now() < deadline, "a thread is stuck");
         std::thread::yield_now();
     }
 }
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/wicket/tests/library_traps.rs
@@ -201,9 +201,9 @@
         let text = answer(slow);
         assert!(text.is_empty() || text.starts_with("HTTP/1.1 408"), "{text}");
     }
-    let due = Clock::now() + PATIENCE;
+    let deadline = Clock::now() + PATIENCE;
     while open_count.load(std::sync::atomic::Ordering::Relaxed) > 0 {
-        assert!(Clock::now() < due, "a thread is stuck");
+        assert!(Clock::now() < deadline, "a thread is stuck");
         std::thread::yield_now();
     }
 }
--- a/crates/wicket/tests/lines.rs
+++ b/crates/wicket/tests/lines.rs
@@ -22,7 +22,7 @@
 }
 
 fn waits() -> Waits<'static> {
-    Waits { connect: PATIENCE, head_due: Clock::now() + PATIENCE, may_leave: &always, client: None }
+    Waits { connect: PATIENCE, head_deadline: Clock::now() + PATIENCE, may_leave: &always, client: None }
 }
 
 fn ask(lines: &Lines, to: SocketAddr) -> Result<Line, LineError> {
@@ -190,7 +190,7 @@
 fn a_silent_server_is_late() {
     let to = server(|_, mut served| while served.hear().is_some() {});
     let lines = Lines::new(BOUNDS);
-    let outcome = lines.ask(to, request(), &Waits { head_due: Clock::now() + Span(50), ..waits() });
+    let outcome = lines.ask(to, request(), &Waits { head_deadline: Clock::now() + Span(50), ..waits() });
     assert!(matches!(outcome, Err(LineError::Late(_))), "{:?}", outcome.err());
 }
 
@@ -223,8 +223,8 @@
 
 /// Waits until the clock has gone on by this much.
 fn pass(span: Span) {
-    let due = Clock::now() + span;
-    while Clock::now() <= due {
+    let deadline = Clock::now() + span;
+    while Clock::now() <= deadline {
         std::thread::yield_now();
     }
 }
@@ -507,8 +507,8 @@
     ] {
         let (lines, to) = (Lines::new(bounds), answering(said));
         ask_and_keep(&lines, to);
-        let due = Clock::now() + span;
-        while Clock::now() <= due {
+        let deadline = Clock::now() + span;
+        while Clock::now() <= deadline {
             std::thread::yield_now();
         }
         lines.drop_stale();
--- a/crates/wicket/tests/upstream_fuzz.rs
+++ b/crates/wicket/tests/upstream_fuzz.rs
@@ -177,10 +177,10 @@
 
 fn ask(lines: &Lines, to: SocketAddr) -> Result<(Line, Bytes), LineError> {
     let request = http::Request::post("/").header("host", "a").body(Bytes::from_static(b"{}")).unwrap();
-    let due = Clock::now() + PATIENCE;
-    let waits = Waits { connect: PATIENCE, head_due: due, may_leave: &always, client: None };
+    let deadline = Clock::now() + PATIENCE;
+    let waits = Waits { connect: PATIENCE, head_deadline: deadline, may_leave: &always, client: None };
     let mut line = lines.ask(to, request, &waits)?;
-    let body = line.read_all(due, 1 << 20, None)?;
+    let body = line.read_all(deadline, 1 << 20, None)?;
     Ok((line, body))
 }
 
