--- a/crates/petition/src/asker.rs
+++ b/crates/loadgen/src/asker.rs
@@ -46,10 +46,10 @@
 const READ: Span = Span(15_000);
 
 /// Asks as a client would, and reads the answer to its end, through other criers if it must.
-pub fn ask(petition: &Petition, criers: &[Address], first: usize) -> Asked {
+pub fn ask(planned: &PlannedRequest, criers: &[Address], first: usize) -> Asked {
     let mut asked = Asked {
-        service: petition.service.to_owned(),
-        print: print_of(&petition.prompt),
+        service: planned.service.to_owned(),
+        print: print_of(&planned.prompt),
         fate: Fate::Unknown(0),
         first_ms: None,
         resumed: 0,
@@ -59,12 +59,12 @@
     };
     let began = Instant::now();
     let crier = criers[first % criers.len()];
-    if petition.is_fetch {
-        fetch(petition, crier, &mut asked, began);
+    if planned.is_fetch {
+        fetch(planned, crier, &mut asked, began);
         return asked;
     }
     let body = serde_json::json!({
-        "id": petition.id, "service": petition.service, "prompt": petition.prompt, "max_pieces": petition.pieces,
+        "id": planned.id, "service": planned.service, "prompt": planned.prompt, "max_pieces": planned.pieces,
     });
     let outcome = ask_post(&format!("http://{crier}/v1/requests"), body.to_string().into_bytes(), CONNECT, READ);
     let Some(response) = opened(outcome, &mut asked) else { return asked };
@@ -120,16 +120,16 @@
     }
 }
 
-fn fetch(petition: &Petition, crier: Address, asked: &mut Asked, began: Instant) {
-    let url = format!("http://{crier}/v1/pages/{}/board/{}", petition.service, petition.id);
+fn fetch(planned: &PlannedRequest, crier: Address, asked: &mut Asked, began: Instant) {
+    let url = format!("http://{crier}/v1/pages/{}/board/{}", planned.service, planned.id);
     let Some(response) = opened(ask_get(&url, CONNECT, READ), asked) else { return };
     match read_all(response, 1 << 20) {
         Ok(body) => {
             asked.first_ms = Some(began.elapsed().as_secs_f64() * 1000.0);
             asked.fate = Fate::Complete;
             let text = String::from_utf8_lossy(&body);
-            if !text.contains(&petition.id) {
-                asked.violations.push(format!("{}: another client's page: {text}", petition.id));
+            if !text.contains(&planned.id) {
+                asked.violations.push(format!("{}: another client's page: {text}", planned.id));
             }
         }
         Err(fault) => (asked.fate, asked.why) = (Fate::Broken, fault.to_string()),
--- a/crates/petition/src/campaign.rs
+++ b/crates/loadgen/src/campaign.rs
@@ -40,7 +40,7 @@
         let began = Instant::now();
         let (mut at, mut late, mut turn) = (0.0, 0, 0);
         while !self.stop.load(Ordering::Relaxed) {
-            let (gap, petition) = self.mix.next(at, self.rules.scale);
+            let (gap, planned) = self.mix.next(at, self.rules.scale);
             at += gap;
             if at >= self.rules.span.0 as f64 {
                 break;
@@ -55,7 +55,7 @@
             turn += 1;
             let (criers, count, done) = (criers.clone(), in_hand.clone(), done.clone());
             let spawned = std::thread::Builder::new().name("asker".into()).stack_size(256 << 10).spawn(move || {
-                let _ = done.send(ask(&petition, &criers, turn));
+                let _ = done.send(ask(&planned, &criers, turn));
                 count.fetch_sub(1, Ordering::Relaxed);
             });
             if spawned.is_err() {
--- a/crates/petition/src/lib.rs
+++ b/crates/loadgen/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod prelude {
     pub use crate::asker::{Asked, Fate, ask, print_of};
     pub use crate::campaign::{Campaign, CampaignRules};
-    pub use crate::mix::{Mix, MixKind, Petition, Shape};
+    pub use crate::mix::{Mix, MixKind, PlannedRequest, Shape};
     pub use crate::report::{Report, ServiceReport};
     pub use parlance::prelude::*;
     pub use primer::prelude::mix;
--- a/crates/petition/src/main.rs
+++ b/crates/loadgen/src/main.rs
@@ -1,5 +1,5 @@
 use clap::Parser;
-use petition::prelude::*;
+use loadgen::prelude::*;
 use std::process::ExitCode;
 
 /// Plays the clients of a fleet for a while and checks every answer. Exit codes: 0 nothing that must
@@ -30,7 +30,7 @@
 fn main() -> ExitCode {
     let line = Line::parse();
     if !(0.01..=20.0).contains(&line.scale) {
-        eprintln!("petition: scale: {} is not within 0.01 to 20", line.scale);
+        eprintln!("loadgen: scale: {} is not within 0.01 to 20", line.scale);
         return ExitCode::from(2);
     }
     let rules = CampaignRules { criers: line.at, span: Span::seconds(line.seconds), scale: line.scale, in_hand: 1500 };
--- a/crates/petition/src/mix.rs
+++ b/crates/loadgen/src/mix.rs
@@ -43,7 +43,7 @@
 
 /// One request to come.
 #[derive(Debug, Clone)]
-pub struct Petition {
+pub struct PlannedRequest {
     /// Its id.
     pub id: String,
     /// The service.
@@ -94,7 +94,7 @@
     }
 
     /// The next arrival: how long after the one before, and what.
-    pub fn next(&mut self, at_ms: f64, scale: f64) -> (f64, Petition) {
+    pub fn next(&mut self, at_ms: f64, scale: f64) -> (f64, PlannedRequest) {
         let total: f64 = self.shapes.iter().map(|shape| shape.rate).sum::<f64>() * scale;
         let gap = -(1.0 - self.part()).ln() / total * 1000.0;
         let mut pick = self.part() * total / scale;
@@ -111,7 +111,7 @@
         let mut prompt = words(mix(prefix ^ mix(shape.prefix_bytes as u64)), shape.prefix_bytes);
         prompt.push_str(&format!("\n{id}\n"));
         prompt.push_str(&words(self.draw(), shape.own_bytes));
-        (gap, Petition { id, service: shape.service, is_fetch: shape.is_fetch, prompt, pieces: shape.pieces })
+        (gap, PlannedRequest { id, service: shape.service, is_fetch: shape.is_fetch, prompt, pieces: shape.pieces })
     }
 }
 
@@ -136,10 +136,10 @@
         let play = |seed| {
             let (mut mix, mut at, mut drafts, mut ids) = (Mix::new(MixKind::Pahana, seed), 0.0, 0, vec![]);
             for _ in 0..12_500 {
-                let (gap, petition) = mix.next(at, 1.0);
+                let (gap, planned) = mix.next(at, 1.0);
                 at += gap;
-                drafts += u32::from(petition.service == "drafts");
-                ids.push(petition.id);
+                drafts += u32::from(planned.service == "drafts");
+                ids.push(planned.id);
             }
             (at, drafts, ids)
         };
--- a/crates/petition/src/report.rs
+++ b/crates/loadgen/src/report.rs
@@ -7,7 +7,7 @@
 pub struct Report {
     /// By service.
     pub services: BTreeMap<String, ServiceReport>,
-    /// Requests that petition itself could not send in time.
+    /// Requests that loadgen itself could not send in time.
     pub late: u64,
     /// What must never be and was seen.
     pub violations: Vec<String>,
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -31,10 +31,10 @@
     pub use crier::prelude::{
         LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
     };
-    pub use parlance::prelude::*;
-    pub use petition::prelude::{
-        Asked, Campaign, CampaignRules, Fate, Mix, MixKind, Petition, Report, ask, mix, print_of,
+    pub use loadgen::prelude::{
+        Asked, Campaign, CampaignRules, Fate, Mix, MixKind, PlannedRequest, Report, ask, mix, print_of,
     };
+    pub use parlance::prelude::*;
     pub use primer::prelude::{PrefixHash, ServerEntry, block_hashes};
     pub use serde::{Deserialize, Serialize};
     pub use wicket::prelude::*;
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/rehearsal/tests/failures.rs
@@ -43,18 +43,18 @@
     report
 }
 
-fn request(id: &str, service: &str, pieces: u32) -> Arc<Petition> {
+fn request(id: &str, service: &str, pieces: u32) -> Arc<PlannedRequest> {
     let service = if service == "drafts" { "drafts" } else { "questions" };
-    Arc::new(Petition { id: id.into(), service, is_fetch: false, prompt: format!("a prompt of {id}"), pieces })
+    Arc::new(PlannedRequest { id: id.into(), service, is_fetch: false, prompt: format!("a prompt of {id}"), pieces })
 }
 
 /// Whether some crier completes a request now.
 fn serves(fleet: &Fleet, number: &mut u32) -> bool {
     *number += 1;
-    let petition = request(&format!("probe-{number}"), "questions", 2);
-    let asked = ask(&petition, &fleet.clients_addresses(), *number as usize);
+    let planned = request(&format!("probe-{number}"), "questions", 2);
+    let asked = ask(&planned, &fleet.clients_addresses(), *number as usize);
     if asked.fate != Fate::Complete {
-        eprintln!("{}: {:?} {}", petition.id, asked.fate, asked.why);
+        eprintln!("{}: {:?} {}", planned.id, asked.fate, asked.why);
     }
     asked.fate == Fate::Complete
 }
@@ -92,7 +92,7 @@
             fleet.await_core(PATIENCE).expect("the chain is whole again");
         }
     });
-    let sum = |pick: fn(&petition::prelude::ServiceReport) -> u64| report.services.values().map(pick).sum::<u64>();
+    let sum = |pick: fn(&loadgen::prelude::ServiceReport) -> u64| report.services.values().map(pick).sum::<u64>();
     assert_eq!((sum(|s| s.broken), sum(|s| s.resumed)), (0, 0), "streams were dropped: {report}");
     assert!(sum(|s| s.complete) > 100, "{report}");
     // A crier that has gone refuses connections: clients know that nothing ran.
@@ -111,12 +111,13 @@
             .is_some_and(|all| all.len() == 12 && all.values().filter(|s| s["incarnation"].is_u64()).count() == 12)
     };
     Fleet::await_that(PATIENCE, "the servers' reports", || knows_servers(&fleet)).expect("they report");
-    let petitions: Vec<Arc<Petition>> = (0..6).map(|n| request(&format!("long-{n}"), "drafts", 150)).collect();
-    let askers: Vec<_> = petitions
+    let planned_requests: Vec<Arc<PlannedRequest>> =
+        (0..6).map(|n| request(&format!("long-{n}"), "drafts", 150)).collect();
+    let askers: Vec<_> = planned_requests
         .iter()
-        .map(|petition| {
-            let (petition, criers) = (petition.clone(), criers.clone());
-            std::thread::spawn(move || ask(&petition, &criers, 0))
+        .map(|planned| {
+            let (planned, criers) = (planned.clone(), criers.clone());
+            std::thread::spawn(move || ask(&planned, &criers, 0))
         })
         .collect();
     // Each client has its stream's head once its first piece was seen.
@@ -184,14 +185,14 @@
     let mut number = 0;
     let hints = |number: &mut u32| {
         *number += 1;
-        let petition = Petition {
+        let planned = PlannedRequest {
             id: format!("probe-{number}"),
             service: "hints",
             is_fetch: false,
             prompt: "short".into(),
             pieces: 2,
         };
-        ask(&petition, &fleet.clients_addresses(), *number as usize).fate == Fate::Complete
+        ask(&planned, &fleet.clients_addresses(), *number as usize).fate == Fate::Complete
     };
     Fleet::await_that(PATIENCE, "requests are served again", || hints(&mut number)).expect("back");
     let back = Clock::now().since(began);
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/rehearsal/tests/interfaces.rs
@@ -96,9 +96,9 @@
         assert_eq!(json(crier.ask("POST", "/v1/resume", body)).1["code"], code);
     }
     // Events in, decisions out, and the same decisions again from the recording.
-    let petition =
-        Petition { id: "seen".into(), service: "drafts", is_fetch: false, prompt: "x".repeat(5000), pieces: 3 };
-    assert_eq!(ask(&petition, &[crier.listen], 0).fate, Fate::Complete);
+    let planned =
+        PlannedRequest { id: "seen".into(), service: "drafts", is_fetch: false, prompt: "x".repeat(5000), pieces: 3 };
+    assert_eq!(ask(&planned, &[crier.listen], 0).fate, Fate::Complete);
     let pushed = br#"{"event":"unreachable","server":"127.0.0.1:9"}"#.to_vec();
     assert_eq!(json(crier.ask("POST", "/v1/events", pushed)), (200, serde_json::json!({"taken": 1})));
     let forbidden = br#"{"event":"members","members":[]}"#.to_vec();
