--- a/crates/rehearsal/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,8 +1,8 @@
 use clap::{Parser, Subcommand};
-use rehearsal::prelude::*;
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use testbed::prelude::*;
 
 /// Plays the whole thing on one machine: stand-ins, a fleet, clients, failures.
 #[derive(Debug, Parser)]
@@ -277,7 +277,7 @@
     match outcome {
         Ok(is_well) => ExitCode::from(u8::from(!is_well)),
         Err(why) => {
-            eprintln!("rehearsal: {why}");
+            eprintln!("testbed: {why}");
             ExitCode::from(1)
         }
     }
--- a/crates/rehearsal/src/world/tests.rs
+++ b/crates/testbed/src/world/tests.rs
@@ -4,7 +4,7 @@
 /// A short run of this seed; prints how to play it again where it fails.
 fn play(rules: WorldRules) -> Witness {
     let command = format!(
-        "target/debug/rehearsal simulate --deployment {} --seed {} --faults {}",
+        "target/debug/testbed simulate --deployment {} --seed {} --faults {}",
         if rules.deployment == Deployment::Pahana { "pahana" } else { "valodu" },
         rules.seed,
         rules.faults
--- a/crates/rehearsal/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -1,8 +1,8 @@
 //! Failures of real processes on loopback, as the BRIEF's rules see them. Needs the workspace to be
 //! built: `cargo build --workspace`.
 
-use rehearsal::prelude::*;
 use std::sync::{Arc, Mutex, MutexGuard};
+use testbed::prelude::*;
 
 const PATIENCE: Span = Span::seconds(30);
 
--- a/crates/rehearsal/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of real processes on loopback. Needs the workspace to be built: `cargo build --workspace`.
 
-use rehearsal::prelude::*;
+use testbed::prelude::*;
 
 /// A fleet that serves, with its crew.
 fn serving(deployment: Deployment, options: &FleetOptions) -> (Crew, Fleet) {
--- a/crates/rehearsal/tests/interfaces.rs
+++ b/crates/testbed/tests/interfaces.rs
@@ -1,9 +1,9 @@
 //! What operators and clients are told, good input and bad, by real processes. Needs the workspace
 //! to be built: `cargo build --workspace`.
 
-use rehearsal::prelude::*;
 use serde_json::Value;
 use std::process::Command;
+use testbed::prelude::*;
 
 const PATIENCE: Span = Span::seconds(30);
 
--- a/crates/rehearsal/tests/lives.rs
+++ b/crates/testbed/tests/lives.rs
@@ -1,6 +1,6 @@
 //! Servers that restart in place: what was meant for a former life of theirs is refused unrun.
 
-use rehearsal::prelude::*;
+use testbed::prelude::*;
 use yare::parameterized;
 
 #[parameterized(
