--- a/crates/loadgen/src/asker.rs
+++ b/crates/loadgen/src/asker.rs
@@ -45,8 +45,8 @@
 const CONNECT: Span = Span(1000);
 const READ: Span = Span(15_000);
 
-/// Asks as a client would, and reads the answer to its end, through other criers if it must.
-pub fn ask(planned: &PlannedRequest, criers: &[Address], first: usize) -> Asked {
+/// Asks as a client would, and reads the answer to its end, through other routers if it must.
+pub fn ask(planned: &PlannedRequest, routers: &[Address], first: usize) -> Asked {
     let mut asked = Asked {
         service: planned.service.to_owned(),
         print: print_of(&planned.prompt),
@@ -58,15 +58,15 @@
         retry_after: None,
     };
     let began = Instant::now();
-    let crier = criers[first % criers.len()];
+    let router = routers[first % routers.len()];
     if planned.is_fetch {
-        fetch(planned, crier, &mut asked, began);
+        fetch(planned, router, &mut asked, began);
         return asked;
     }
     let body = serde_json::json!({
         "id": planned.id, "service": planned.service, "prompt": planned.prompt, "max_pieces": planned.pieces,
     });
-    let outcome = ask_post(&format!("http://{crier}/v1/requests"), body.to_string().into_bytes(), CONNECT, READ);
+    let outcome = ask_post(&format!("http://{router}/v1/requests"), body.to_string().into_bytes(), CONNECT, READ);
     let Some(response) = opened(outcome, &mut asked) else { return asked };
     let mut reader = StreamReader { run: None, token: None, next: 0, print: asked.print };
     let mut is_whole = reader.read(response, &mut asked, began);
@@ -75,9 +75,9 @@
         let Some(token) = reader.token.clone() else { break };
         asked.resumed += 1;
         turn += 1;
-        let crier = criers[turn % criers.len()];
+        let router = routers[turn % routers.len()];
         let body = serde_json::json!({"token": token, "from": reader.next}).to_string().into_bytes();
-        match ask_post(&format!("http://{crier}/v1/resume"), body, CONNECT, READ) {
+        match ask_post(&format!("http://{router}/v1/resume"), body, CONNECT, READ) {
             Ok(response) if response.status() == 200 => is_whole = reader.read(response, &mut asked, began),
             Ok(response) if response.status() == 503 => {
                 std::thread::sleep(std::time::Duration::from_millis(300));
@@ -120,8 +120,8 @@
     }
 }
 
-fn fetch(planned: &PlannedRequest, crier: Address, asked: &mut Asked, began: Instant) {
-    let url = format!("http://{crier}/v1/pages/{}/board/{}", planned.service, planned.id);
+fn fetch(planned: &PlannedRequest, router: Address, asked: &mut Asked, began: Instant) {
+    let url = format!("http://{router}/v1/pages/{}/board/{}", planned.service, planned.id);
     let Some(response) = opened(ask_get(&url, CONNECT, READ), asked) else { return };
     match read_all(response, 1 << 20) {
         Ok(body) => {
--- a/crates/loadgen/src/campaign.rs
+++ b/crates/loadgen/src/campaign.rs
@@ -6,8 +6,8 @@
 /// How a campaign goes.
 #[derive(Debug, Clone)]
 pub struct CampaignRules {
-    /// Where the criers listen.
-    pub criers: Vec<Address>,
+    /// Where the routers listen.
+    pub routers: Vec<Address>,
     /// For this long.
     pub span: Span,
     /// Times today's rates.
@@ -34,7 +34,7 @@
     }
     /// Sends all, waits for the answers, gives the requests and how many could not be sent in time.
     pub fn run(mut self) -> (Vec<Asked>, u64) {
-        let criers = Arc::new(self.rules.criers.clone());
+        let routers = Arc::new(self.rules.routers.clone());
         let in_hand = Arc::new(AtomicUsize::new(0));
         let (done, results) = flume::unbounded();
         let began = Instant::now();
@@ -53,9 +53,9 @@
                 continue;
             }
             turn += 1;
-            let (criers, count, done) = (criers.clone(), in_hand.clone(), done.clone());
+            let (routers, count, done) = (routers.clone(), in_hand.clone(), done.clone());
             let spawned = std::thread::Builder::new().name("asker".into()).stack_size(256 << 10).spawn(move || {
-                let _ = done.send(ask(&planned, &criers, turn));
+                let _ = done.send(ask(&planned, &routers, turn));
                 count.fetch_sub(1, Ordering::Relaxed);
             });
             if spawned.is_err() {
--- a/crates/loadgen/src/main.rs
+++ b/crates/loadgen/src/main.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Parser)]
 #[command(version, about)]
 struct Line {
-    /// Listening addresses of criers.
+    /// Listening addresses of routers.
     #[arg(long, required = true, num_args = 1.., value_delimiter = ',')]
     at: Vec<Address>,
     /// Whose traffic.
@@ -33,7 +33,7 @@
         eprintln!("loadgen: scale: {} is not within 0.01 to 20", line.scale);
         return ExitCode::from(2);
     }
-    let rules = CampaignRules { criers: line.at, span: Span::seconds(line.seconds), scale: line.scale, in_hand: 1500 };
+    let rules = CampaignRules { routers: line.at, span: Span::seconds(line.seconds), scale: line.scale, in_hand: 1500 };
     let (asked, late) = Campaign::new(Mix::new(line.mix, line.seed), rules).run();
     let report = Report::of(&asked, late);
     if line.json {
--- a/crates/registrar/src/lib.rs
+++ b/crates/registrar/src/lib.rs
@@ -1,5 +1,5 @@
 //! The control plane: a registrar keeps the ledger on its disk, as one of a chain, and tells the
-//! criers what is in force.
+//! routers what is in force.
 
 mod admin;
 mod admin_command;
--- a/crates/registrar/src/main.rs
+++ b/crates/registrar/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// The control plane of cobaltfall: keeps what operators had accepted, and tells the criers.
+/// The control plane of cobaltfall: keeps what operators had accepted, and tells the routers.
 #[derive(Debug, Parser)]
 #[command(version, about)]
 struct Line {
--- a/crates/crier/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -25,7 +25,7 @@
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
-/// In what a crier is spoken to, besides its own interface.
+/// In what a router is spoken to, besides its own interface.
 pub struct Dialects {
     /// How plans are written.
     pub plans: Arc<dyn PlanDialect>,
@@ -48,12 +48,12 @@
 /// Told to stop, a node lingers at least this long, since clients are handed out by what was true before.
 const QUIET_FROM: Span = Span(2500);
 
-/// Runs a crier until it's told to stop and has finished its streams; gives the exit code.
+/// Runs a router until it's told to stop and has finished its streams; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
     match start(settings, dialects) {
         Ok(code) => code,
         Err(why) => {
-            eprintln!("crier: {} {why}", ResultCode::BadSettings);
+            eprintln!("router: {} {why}", ResultCode::BadSettings);
             2
         }
     }
@@ -134,7 +134,7 @@
     }
     let has_changed = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed.clone()).map_err(|fault| fault.to_string())?;
-    tracing::info!("crier: listens at {listen}, inner {inner}, zone {}.", settings.zone);
+    tracing::info!("router: listens at {listen}, inner {inner}, zone {}.", settings.zone);
     let mut control = Control {
         node,
         post,
@@ -153,7 +153,7 @@
         if now >= next_tick {
             control.take(Event::Input(NodeInput::ClockEvent));
             if stop.load(Ordering::Relaxed) && !control.is_leaving {
-                tracing::info!("crier: not ready any more; takes what is still sent to it for a moment.");
+                tracing::info!("router: not ready any more; takes what is still sent to it for a moment.");
                 control.is_leaving = true;
                 ingress.iter().for_each(Ingress::leave);
                 linger_deadline = now + Span(settings.linger_ms);
@@ -165,7 +165,7 @@
             }
             let has_none_left = ingress.is_some() && now >= quiet_from && shared.is_quiet(now);
             if control.is_leaving && (now >= linger_deadline || has_none_left) && drain_deadline.is_none() {
-                tracing::info!("crier: takes no new work; finishes what is in hand.");
+                tracing::info!("router: takes no new work; finishes what is in hand.");
                 control.take(Event::Input(NodeInput::Drain));
                 drain_deadline = Some(now + Span(settings.drain_ms));
             }
@@ -182,11 +182,11 @@
                 while is_open() && Clock::now() < deadline {
                     control.take_all(&events);
                 }
-                tracing::info!("crier: stopped.");
+                tracing::info!("router: stopped.");
                 return Ok(0);
             }
             if drain_deadline.is_some_and(|deadline| now >= deadline) {
-                tracing::warn!("crier: stopped with {} requests in hand.", control.node.open_count());
+                tracing::warn!("router: stopped with {} requests in hand.", control.node.open_count());
                 return Ok(1);
             }
         }
--- a/crates/crier/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,4 +1,4 @@
-//! The data plane: a crier takes clients' requests, places them, and carries the streams.
+//! The data plane: a router takes clients' requests, places them, and carries the streams.
 
 mod call;
 mod call_limits;
--- a/crates/crier/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,5 +1,5 @@
 use clap::{Parser, Subcommand};
-use crier::prelude::*;
+use router::prelude::*;
 use std::io::{Read, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -14,7 +14,7 @@
 
 #[derive(Debug, Subcommand)]
 enum Task {
-    /// Run a crier. Exit codes: 0 stopped as told, 1 stopped with requests in hand, 2 the settings
+    /// Run a router. Exit codes: 0 stopped as told, 1 stopped with requests in hand, 2 the settings
     /// can't be used.
     Serve {
         /// The settings file (TOML).
@@ -30,19 +30,19 @@
         #[arg(long)]
         zone: Option<String>,
     },
-    /// Read a crier's decisions as JSON lines.
+    /// Read a router's decisions as JSON lines.
     Decisions(Tail),
-    /// Read a crier's events as JSON lines, as `replay` takes them.
+    /// Read a router's events as JSON lines, as `replay` takes them.
     Events(Tail),
-    /// Push events, JSON lines on standard input, into a running crier.
+    /// Push events, JSON lines on standard input, into a running router.
     Push {
-        /// The crier's listening address.
+        /// The router's listening address.
         #[arg(long, default_value = "127.0.0.1:7100")]
         at: Address,
     },
-    /// Show what a crier believes.
+    /// Show what a router believes.
     Believes {
-        /// The crier's listening address.
+        /// The router's listening address.
         #[arg(long, default_value = "127.0.0.1:7100")]
         at: Address,
     },
@@ -52,7 +52,7 @@
 
 #[derive(Debug, clap::Args)]
 struct Tail {
-    /// The crier's listening address.
+    /// The router's listening address.
     #[arg(long, default_value = "127.0.0.1:7100")]
     at: Address,
     /// Begin after this cursor.
@@ -75,7 +75,7 @@
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
                 Err(fault) => {
-                    eprintln!("crier: {} {fault}", ResultCode::BadSettings);
+                    eprintln!("router: {} {fault}", ResultCode::BadSettings);
                     return ExitCode::from(2);
                 }
             };
@@ -93,7 +93,7 @@
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("crier: {why}");
+            eprintln!("router: {why}");
             ExitCode::from(1)
         }
     }
--- a/crates/crier/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,7 +3,7 @@
 use primer::prelude::SchedulerRules;
 use schematic::Config;
 
-/// A crier's settings file.
+/// A router's settings file.
 #[derive(Debug, Clone, Config)]
 pub struct Settings {
     /// Where its own interface is, for clients and probes, and for operators' looks: IP number and port.
@@ -59,7 +59,7 @@
     /// Decisions, and events, that are kept to be read back.
     #[setting(default = 8000, validate = within(1, 1_000_000))]
     pub journal_lines: u64,
-    /// Whether sketches of other criers count.
+    /// Whether sketches of other routers count.
     #[setting(default = true)]
     pub merge: bool,
     /// Whether requests are refused by their expected first-token time.
--- a/crates/crier/src/tallies.rs
+++ b/crates/router/src/tallies.rs
@@ -2,7 +2,7 @@
 
 macro_rules! tallies {
     ($($(#[$meta:meta])* $name:ident: $kind:literal,)*) => {
-        /// What a crier counts.
+        /// What a router counts.
         #[derive(Debug, Default)]
         pub struct Tallies {
             $($(#[$meta])* pub $name: AtomicU64,)*
@@ -14,7 +14,7 @@
                 let mut text = String::new();
                 $(
                     let (name, value) = (stringify!($name), self.$name.load(Ordering::Relaxed));
-                    text.push_str(&format!(concat!("# TYPE crier_{} ", $kind, "\ncrier_{} {}\n"), name, name, value));
+                    text.push_str(&format!(concat!("# TYPE router_{} ", $kind, "\nrouter_{} {}\n"), name, name, value));
                 )*
                 text
             }
--- a/crates/crier/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -32,7 +32,7 @@
 /// Names the life of the server that a page is fetched from: any other refuses it.
 pub const LIFE_HEADER: &str = "x-server-life";
 
-/// What a crier posts to a server's `/runs`.
+/// What a router posts to a server's `/runs`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunRequest {
     /// The run's id, new for each.
--- a/crates/crier/tests/answers_fuzz.rs
+++ b/crates/router/tests/answers_fuzz.rs
@@ -1,8 +1,8 @@
 //! The readers of servers' answers, from a fixed seed: events, pieces and tokens out of bent bytes.
 
-use crier::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use router::prelude::*;
 
 const CASES: u32 = 4000;
 
--- a/crates/testbed/src/answers/dialect.rs
+++ b/crates/testbed/src/answers/dialect.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use bytes::Bytes;
-use crier::prelude::{AnswerClaim, AnswerIdentity, Call, CallDialect, Denial, Sending, ServerLoad};
+use router::prelude::{AnswerClaim, AnswerIdentity, Call, CallDialect, Denial, Sending, ServerLoad};
 
 /// The header that names a call.
 pub const ID: &str = "x-call";
--- a/crates/testbed/src/answers/lane.rs
+++ b/crates/testbed/src/answers/lane.rs
@@ -8,7 +8,7 @@
 use super::server::{Server, play_of};
 use super::{AnswersMutant, AnswersRules, Fate};
 use crate::prelude::*;
-use crier::prelude::{Denial, DetachedForwarder, PlaceAsk, Placed, Placing, run_id};
+use router::prelude::{Denial, DetachedForwarder, PlaceAsk, Placed, Placing, run_id};
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -7,14 +7,14 @@
 pub enum Question {
     /// Plain cache awareness against BTB.
     Btb,
-    /// Criers that count for themselves against merged sketches.
+    /// Routers that count for themselves against merged sketches.
     Merge,
     /// Everything taken against admission by time to first token.
     Admit,
 }
 
 impl Question {
-    /// The two sides: a word, whether BTB is on, lines for the criers' settings.
+    /// The two sides: a word, whether BTB is on, lines for the routers' settings.
     fn sides(self) -> [(&'static str, bool, &'static str); 2] {
         match self {
             Question::Btb => [("plain", false, ""), ("btb", true, "")],
@@ -50,18 +50,18 @@
     let shape = rules.deployment.shape();
     let crew = Crew::start(&shape, &ScheduleRules { block_micros: rules.block_micros, ..ScheduleRules::default() })
         .map_err(|fault| fault.to_string())?;
-    let options = FleetOptions { crier_settings: settings.to_owned(), ..FleetOptions::default() };
+    let options = FleetOptions { router_settings: settings.to_owned(), ..FleetOptions::default() };
     let mut fleet =
         Fleet::start(&shape, crew.platform.address, None, &options).map_err(|fault| format!("no fleet: {fault}"))?;
     fleet.await_core(Span::seconds(20))?;
     let plan = plan_of(rules.deployment, is_btb_on);
     fleet.put_plan("first", 0, &plan)?;
-    fleet.await_criers(Span::seconds(20))?;
+    fleet.await_routers(Span::seconds(20))?;
     std::thread::sleep(Duration::from_millis(1200));
     let mut mix = Mix::new(rules.deployment.mix(), seed);
     mix.hot_share = rules.hot_share;
     let span = Span::seconds(rules.seconds);
-    let campaign = CampaignRules { criers: fleet.clients_addresses(), span, scale: rules.scale, in_hand: 1500 };
+    let campaign = CampaignRules { routers: fleet.clients_addresses(), span, scale: rules.scale, in_hand: 1500 };
     let (asked, late) = Campaign::new(mix, campaign).run();
     let mut report = Report::of(&asked, late);
     join_logs(&mut report, &asked, &crew.logs(), &plan);
@@ -78,8 +78,8 @@
         complete += service.complete;
     }
     figures.insert("complete, percent".into(), 100.0 * complete as f64 / sent.max(1) as f64);
-    for metric in ["crier_copies", "crier_placed_warm"] {
-        let sum: u64 = fleet.criers.iter().map(|crier| crier.metric(metric)).sum();
+    for metric in ["router_copies", "router_placed_warm"] {
+        let sum: u64 = fleet.routers.iter().map(|router| router.metric(metric)).sum();
         figures.insert(metric.into(), sum as f64);
     }
     fleet.stop();
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -8,7 +8,7 @@
 
 /// A process of the fleet.
 pub struct Daemon {
-    /// Its name, such as `crier-2`.
+    /// Its name, such as `router-2`.
     pub name: String,
     /// Where it's reached over HTTP.
     pub listen: Address,
@@ -25,8 +25,8 @@
 /// How a fleet is to be.
 #[derive(Debug, Clone)]
 pub struct FleetOptions {
-    /// Lines added to each crier's settings.
-    pub crier_settings: String,
+    /// Lines added to each router's settings.
+    pub router_settings: String,
     /// Where the daemons' programs are.
     pub programs: PathBuf,
 }
@@ -37,7 +37,7 @@
         // A test's program lies one folder further down than the daemons'.
         let folder = own.parent().map(Path::to_owned).unwrap_or_default();
         let programs = if folder.ends_with("deps") { folder.join("..") } else { folder };
-        FleetOptions { crier_settings: String::new(), programs }
+        FleetOptions { router_settings: String::new(), programs }
     }
 }
 
@@ -45,8 +45,8 @@
 pub struct Fleet {
     /// Registrars, with their folders under `folder`.
     pub registrars: Vec<Daemon>,
-    /// Criers.
-    pub criers: Vec<Daemon>,
+    /// Routers.
+    pub routers: Vec<Daemon>,
     /// Settings, logs and data.
     pub folder: PathBuf,
     _temporary: Option<tempfile::TempDir>,
@@ -200,16 +200,16 @@
                 (temporary.path().to_owned(), Some(temporary))
             }
         };
-        let ports = free_ports((shape.registrars + shape.criers) * 2)?;
+        let ports = free_ports((shape.registrars + shape.routers) * 2)?;
         let address = |place: usize| Address::loopback(ports[place]);
         let founders: Vec<String> = (0..shape.registrars).map(|n| address(n * 2 + 1).to_string()).collect();
         let quoted = |list: &[String]| list.iter().map(|a| format!("\"{a}\"")).collect::<Vec<_>>().join(", ");
         let seeds = quoted(&founders[..founders.len().min(3)]);
         let mut daemons = vec![];
-        for place in 0..shape.registrars + shape.criers {
+        for place in 0..shape.registrars + shape.routers {
             let is_registrar = place < shape.registrars;
             let number = if is_registrar { place } else { place - shape.registrars };
-            let kind = if is_registrar { "registrar" } else { "crier" };
+            let kind = if is_registrar { "registrar" } else { "router" };
             let name = format!("{kind}-{number}");
             let zone = shape.zones[number % shape.zones.len()].to_owned();
             let (listen, inner) = (address(place * 2), address(place * 2 + 1));
@@ -219,7 +219,7 @@
                 let data = folder.join(&name);
                 text += &format!("folder = \"{}\"\nfounders = [{}]\n", data.display(), quoted(&founders));
             } else {
-                text += &format!("platform = \"{platform}\"\n{}", options.crier_settings);
+                text += &format!("platform = \"{platform}\"\n{}", options.router_settings);
             }
             let settings = folder.join(format!("{name}.toml"));
             std::fs::write(&settings, text)?;
@@ -228,8 +228,8 @@
             daemons.push(Daemon { name, listen, inner, zone, program, settings, log, child: None });
         }
         daemons.iter_mut().try_for_each(Daemon::start)?;
-        let criers = daemons.split_off(shape.registrars);
-        Ok(Fleet { registrars: daemons, criers, folder, _temporary: temporary })
+        let routers = daemons.split_off(shape.registrars);
+        Ok(Fleet { registrars: daemons, routers, folder, _temporary: temporary })
     }
 
     /// Starts an empty registrar at new addresses that knows only the seeds; gives its place.
@@ -271,9 +271,9 @@
     pub fn await_core(&self, patience: Span) -> Result<Span, String> {
         Self::await_that(patience, "all registrars in the chain", || self.registrars.iter().all(Daemon::is_ready))
     }
-    /// Waits until all criers take requests.
-    pub fn await_criers(&self, patience: Span) -> Result<Span, String> {
-        Self::await_that(patience, "all criers ready", || self.criers.iter().all(Daemon::is_ready))
+    /// Waits until all routers take requests.
+    pub fn await_routers(&self, patience: Span) -> Result<Span, String> {
+        Self::await_that(patience, "all routers ready", || self.routers.iter().all(Daemon::is_ready))
     }
     /// Puts a plan in force, asking registrars in turn.
     pub fn put_plan(&self, id: &str, builds_on: u64, plan: &str) -> Result<serde_json::Value, String> {
@@ -287,14 +287,14 @@
         }
         Err(last)
     }
-    /// The criers' listening addresses.
+    /// The routers' listening addresses.
     pub fn clients_addresses(&self) -> Vec<Address> {
-        self.criers.iter().map(|crier| crier.listen).collect()
+        self.routers.iter().map(|router| router.listen).collect()
     }
-    /// Asks all to stop, criers first; gives the exit codes by name.
+    /// Asks all to stop, routers first; gives the exit codes by name.
     pub fn stop(&mut self) -> BTreeMap<String, Option<i32>> {
         let mut codes = BTreeMap::new();
-        for group in [&mut self.criers, &mut self.registrars] {
+        for group in [&mut self.routers, &mut self.registrars] {
             group.iter().for_each(Daemon::ask_to_stop);
             for daemon in group {
                 codes.insert(daemon.name.clone(), daemon.wait(Span::seconds(20)));
--- a/crates/testbed/src/hollow.rs
+++ b/crates/testbed/src/hollow.rs
@@ -1,4 +1,4 @@
-//! Many nodes without clients: the criers' own control state and inner protocol, real registrars, loopback.
+//! Many nodes without clients: the routers' own control state and inner protocol, real registrars, loopback.
 
 use crate::prelude::*;
 use hdrhistogram::Histogram;
@@ -285,7 +285,7 @@
     let began = Clock::now();
     let say = |what: String| eprintln!("{:>7} ms  {what}", Clock::now().since(began).0);
     let zones: Vec<&'static str> = vec!["core-a", "core-b", "core-c", "core-d"];
-    let shape = Shape { zones, registrars: rules.registrars as usize, criers: 0, models: 0, apps: 0 };
+    let shape = Shape { zones, registrars: rules.registrars as usize, routers: 0, models: 0, apps: 0 };
     let fleet = Fleet::start(&shape, Address::loopback(1), folder, &FleetOptions::default())
         .map_err(|fault| format!("the registrars can't be started (build the workspace first): {fault}"))?;
     let core = fleet.await_core(Span::seconds(30))?;
--- a/crates/testbed/src/hollow/host.rs
+++ b/crates/testbed/src/hollow/host.rs
@@ -3,8 +3,8 @@
 use super::{HollowRules, HostCommand, HostWord};
 use crate::prelude::*;
 use circular::prelude::Letter;
-use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, ServiceKind, run_id};
 use primer::prelude::{Demand, Event, Outcome, SchedulerRules, mix};
+use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, ServiceKind, run_id};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::{BufRead, Write};
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -28,14 +28,14 @@
     pub use crate::schedule::{Progress, Schedule, ScheduleRules, Strike};
     pub use crate::stand_in::{RunLog, StandIn};
     pub use crate::world::{FaultKind, Mutant, Witness, World, WorldRules};
-    pub use crier::prelude::{
-        LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
-    };
     pub use loadgen::prelude::{
         Asked, Campaign, CampaignRules, Fate, Mix, MixKind, PlannedRequest, Report, ask, mix, print_of,
     };
     pub use parlance::prelude::*;
     pub use primer::prelude::{PrefixHash, ServerEntry, block_hashes};
+    pub use router::prelude::{
+        LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
+    };
     pub use serde::{Deserialize, Serialize};
     pub use wicket::prelude::*;
 }
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -152,9 +152,9 @@
         /// Requests a second.
         #[arg(long, alias = "orders", default_value_t = 25)]
         requests: u64,
-        /// So many criers, in place of the deployment's.
+        /// So many routers, in place of the deployment's.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=500))]
-        criers: Option<u16>,
+        routers: Option<u16>,
         /// Registrars take each other for gone after this many ms.
         #[arg(long)]
         suspect_ms: Option<u64>,
@@ -240,7 +240,7 @@
             faults,
             kinds,
             requests,
-            criers,
+            routers,
             suspect_ms,
             registrars,
             copies,
@@ -253,7 +253,7 @@
                 faults,
                 kinds,
                 mutant,
-                criers: criers.map(usize::from),
+                routers: routers.map(usize::from),
                 suspect: suspect_ms.map(Span),
                 registrars: registrars.map(usize::from),
                 copies: copies.map_or(swept.copies, usize::from),
@@ -415,22 +415,24 @@
     let core = fleet.await_core(Span::seconds(20))?;
     let plan = plan_of(deployment, !plain);
     let outcome = fleet.put_plan("first", 0, &plan)?;
-    let ready = fleet.await_criers(Span::seconds(20))?;
+    let ready = fleet.await_routers(Span::seconds(20))?;
     if !json {
         println!(
-            "core formed after {} ms, plan accepted as epoch {}, criers ready {} ms later",
+            "core formed after {} ms, plan accepted as epoch {}, routers ready {} ms later",
             core.0, outcome["epoch"], ready.0
         );
         println!("registrars: {}", fleet.registrars.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
-        println!("criers:     {}", fleet.criers.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
+        println!("routers:     {}", fleet.routers.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
         println!("settings, logs and data: {}", fleet.folder.display());
     }
-    let rules = CampaignRules { criers: fleet.clients_addresses(), span: Span::seconds(seconds), scale, in_hand: 1500 };
+    let rules =
+        CampaignRules { routers: fleet.clients_addresses(), span: Span::seconds(seconds), scale, in_hand: 1500 };
     let (asked, late) = Campaign::new(Mix::new(deployment.mix(), seed), rules).run();
     let mut report = Report::of(&asked, late);
     join_logs(&mut report, &asked, &crew.logs(), &plan);
-    let sum = |name: &str| fleet.criers.iter().map(|crier| crier.metric(name)).sum::<u64>();
-    for name in ["crier_copies", "crier_placed_warm", "crier_placed_match", "crier_placed_other", "crier_repeats"] {
+    let sum = |name: &str| fleet.routers.iter().map(|router| router.metric(name)).sum::<u64>();
+    for name in ["router_copies", "router_placed_warm", "router_placed_match", "router_placed_other", "router_repeats"]
+    {
         report.at_servers.insert(name.into(), sum(name));
     }
     std::thread::sleep(std::time::Duration::from_secs(linger));
--- a/crates/testbed/src/stand_in.rs
+++ b/crates/testbed/src/stand_in.rs
@@ -16,7 +16,7 @@
     pub in_hand: u32,
 }
 
-/// A model or app server, as far as criers can tell.
+/// A model or app server, as far as routers can tell.
 pub struct StandIn {
     /// Where it listens.
     pub address: Address,
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,10 +1,10 @@
 use crate::prelude::*;
 use circular::prelude::Letter;
 use college::prelude::{Kept, Record, Replica, Voter};
-use crier::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use layout::prelude::{AsSent, Command, Ledger, Proposal};
 use primer::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
 use registrar::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
+use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -46,7 +46,7 @@
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     happenings: BTreeMap<u64, Happening>,
     registrars: Vec<RegistrarMachine>,
-    criers: Vec<CrierMachine>,
+    routers: Vec<RouterMachine>,
     servers: Vec<ServerMachine>,
     /// Pairs of addresses whose letters don't arrive, one way.
     cut: BTreeSet<(Address, Address)>,
@@ -110,7 +110,7 @@
     }
 }
 
-struct CrierMachine {
+struct RouterMachine {
     address: Address,
     /// When its next clock event comes.
     next_tick: u64,
@@ -147,9 +147,9 @@
     came: u64,
     number: u64,
     service: ServiceName,
-    crier: usize,
+    router: usize,
     life: u64,
-    errand: crier::prelude::Errand,
+    errand: router::prelude::Errand,
     prompt: String,
     /// The server that it was last sent to.
     asked: Option<ServerName>,
@@ -179,7 +179,7 @@
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
             registrars: vec![],
-            criers: vec![],
+            routers: vec![],
             servers: vec![],
             cut: BTreeSet::new(),
             connections: connections::Connections::default(),
@@ -253,9 +253,9 @@
             self.registrars.push(RegistrarMachine::new(address, zone(place), offset, SimDisk::new(id, delay)));
             self.put(place as u64 * 7, Happening::StartRegistrar { machine: place });
         }
-        for place in 0..self.rules.criers.unwrap_or(shape.criers) {
+        for place in 0..self.rules.routers.unwrap_or(shape.routers) {
             let offset = 1_000_000 + self.below(1_000_000_000);
-            self.criers.push(CrierMachine {
+            self.routers.push(RouterMachine {
                 address: Address::loopback(2001 + place as u16),
                 next_tick: 0,
                 zone: zone(place),
@@ -270,7 +270,7 @@
                 old: None,
                 touch: touch::Touch::default(),
             });
-            self.put(10 + place as u64 * 3, Happening::StartCrier { machine: place });
+            self.put(10 + place as u64 * 3, Happening::StartRouter { machine: place });
         }
         for (pool, count) in [("model", shape.models), ("app", shape.apps)] {
             for place in 0..count {
--- a/crates/testbed/src/world/aimed.rs
+++ b/crates/testbed/src/world/aimed.rs
@@ -41,7 +41,7 @@
     /// Cuts a registrar's machine off from all others. Half of the time operators go on reaching it, with a change.
     fn cut_off(&mut self, place: usize, machine: usize) {
         let others: Vec<Address> =
-            self.registrars.iter().map(|m| m.address).chain(self.criers.iter().map(|m| m.address)).collect();
+            self.registrars.iter().map(|m| m.address).chain(self.routers.iter().map(|m| m.address)).collect();
         self.cut_between(place, &[self.registrars[machine].address], &others, false);
         if self.faults[place].pick.is_multiple_of(2) {
             self.propose_at(machine);
--- a/crates/testbed/src/world/checks.rs
+++ b/crates/testbed/src/world/checks.rs
@@ -250,7 +250,7 @@
         }
         let age = now - server.started;
         if server.started > 0 && server.pool == "model" && age < 8000 {
-            // Criers may have first heard of it later than it started, never earlier.
+            // Routers may have first heard of it later than it started, never earlier.
             let cap = 2.max(16 * age / 8000) + 2;
             if u64::from(in_hand) > cap {
                 self.violate(now, format!("fresh server {} had {in_hand} requests at age {age} ms", server.name));
--- a/crates/testbed/src/world/connections.rs
+++ b/crates/testbed/src/world/connections.rs
@@ -54,7 +54,7 @@
     pub(super) fn post(&mut self, from: Address, to: Address, is_bulk: bool, letter: Letter) {
         self.note_question(&letter);
         let now = self.now;
-        self.criers.iter_mut().filter(|m| m.address == from).for_each(|m| m.touch.sent(now, &letter));
+        self.routers.iter_mut().filter(|m| m.address == from).for_each(|m| m.touch.sent(now, &letter));
         if letter.is_datagram() {
             if !self.cut.contains(&(from, to)) {
                 self.carry(from, to, letter);
@@ -148,8 +148,8 @@
 
     fn life_of(&self, address: Address) -> u64 {
         let registrar = self.registrars.iter().find(|m| m.address == address).map(|m| m.life);
-        let crier = || self.criers.iter().find(|m| m.address == address).map(|m| m.life);
-        registrar.or_else(crier).unwrap_or(0)
+        let router = || self.routers.iter().find(|m| m.address == address).map(|m| m.life);
+        registrar.or_else(router).unwrap_or(0)
     }
 
     /// Takes a letter to its receiver, unless it's lost on the way.
--- a/crates/testbed/src/world/fault_kinds.rs
+++ b/crates/testbed/src/world/fault_kinds.rs
@@ -7,24 +7,24 @@
     KillRegistrar,
     /// All registrars are.
     KillCore,
-    /// More than half of the criers are lost for good; their operator has them forgotten.
+    /// More than half of the routers are lost for good; their operator has them forgotten.
     LoseMembers,
-    /// Some criers are.
-    KillCriers,
+    /// Some routers are.
+    KillRouters,
     /// Everything of ours is.
     KillAll,
     /// A registrar freezes and wakes.
     FreezeRegistrar,
-    /// A crier freezes and wakes.
-    FreezeCrier,
+    /// A router freezes and wakes.
+    FreezeRouter,
     /// The core is split in two.
     SplitCore,
-    /// No letters between the core and the criers.
+    /// No letters between the core and the routers.
     CutCore,
     /// One way only.
     CutOneWay,
-    /// A crier's machine is cut off from everything.
-    CutCrier,
+    /// A router's machine is cut off from everything.
+    CutRouter,
     /// A zone is lost, servers and all, and comes back.
     LoseZone,
     /// Letters are lost, late, doubled, out of order.
@@ -108,14 +108,14 @@
     FaultKind::KillRegistrar,
     FaultKind::KillCore,
     FaultKind::LoseMembers,
-    FaultKind::KillCriers,
+    FaultKind::KillRouters,
     FaultKind::KillAll,
     FaultKind::FreezeRegistrar,
-    FaultKind::FreezeCrier,
+    FaultKind::FreezeRouter,
     FaultKind::SplitCore,
     FaultKind::CutCore,
     FaultKind::CutOneWay,
-    FaultKind::CutCrier,
+    FaultKind::CutRouter,
     FaultKind::LoseZone,
     FaultKind::BadNetwork,
     FaultKind::SlowDisk,
--- a/crates/testbed/src/world/faults.rs
+++ b/crates/testbed/src/world/faults.rs
@@ -65,10 +65,10 @@
     pub(super) fn strike(&mut self, place: usize) {
         let Fault { kind, span, pick, .. } = self.faults[place].clone();
         let registrar = (pick % self.registrars.len() as u64) as usize;
-        let crier = (pick / 7 % self.criers.len() as u64) as usize;
+        let router = (pick / 7 % self.routers.len() as u64) as usize;
         let model = (pick / 11 % self.rules.deployment.shape().models as u64) as usize;
         let core: Vec<Address> = self.registrars.iter().map(|m| m.address).collect();
-        let members: Vec<Address> = self.criers.iter().map(|m| m.address).collect();
+        let members: Vec<Address> = self.routers.iter().map(|m| m.address).collect();
         let back = 50 + pick % 2500;
         match kind {
             FaultKind::KillRegistrar => {
@@ -85,30 +85,30 @@
                     self.put(back + machine as u64 * 30, Happening::StartRegistrar { machine });
                 }
                 if kind == FaultKind::KillAll {
-                    for machine in 0..self.criers.len() {
-                        self.kill_crier(machine);
-                        self.put(back + machine as u64 * 20, Happening::StartCrier { machine });
+                    for machine in 0..self.routers.len() {
+                        self.kill_router(machine);
+                        self.put(back + machine as u64 * 20, Happening::StartRouter { machine });
                     }
                 }
             }
-            FaultKind::KillCriers => {
-                for machine in 0..self.criers.len() {
+            FaultKind::KillRouters => {
+                for machine in 0..self.routers.len() {
                     if mix(pick ^ machine as u64).is_multiple_of(2) {
-                        self.kill_crier(machine);
-                        self.put(back, Happening::StartCrier { machine });
+                        self.kill_router(machine);
+                        self.put(back, Happening::StartRouter { machine });
                     }
                 }
             }
             FaultKind::LoseMembers => {
-                let count = self.criers.len();
-                for machine in (0..count / 2 + 1).map(|step| (crier + step) % count) {
-                    self.kill_crier(machine);
-                    self.criers[machine].is_lost = true;
+                let count = self.routers.len();
+                for machine in (0..count / 2 + 1).map(|step| (router + step) % count) {
+                    self.kill_router(machine);
+                    self.routers[machine].is_lost = true;
                 }
                 (0..8).for_each(|step| self.put(3000 + step * 2500, Happening::Forget { place: step as usize }));
             }
             FaultKind::FreezeRegistrar => self.registrars[registrar].frozen_until = self.now + span,
-            FaultKind::FreezeCrier => self.criers[crier].frozen_until = self.now + span,
+            FaultKind::FreezeRouter => self.routers[router].frozen_until = self.now + span,
             FaultKind::SplitCore => {
                 let (ones, others) = core.split_at(1 + registrar % (core.len() - 1));
                 let (ones, others) = (ones.to_vec(), others.to_vec());
@@ -119,10 +119,10 @@
                 let all: Vec<Address> = core.iter().chain(&members).copied().collect();
                 self.cut_between(place, &[core[registrar]], &all, true);
             }
-            FaultKind::CutCrier => {
+            FaultKind::CutRouter => {
                 let all: Vec<Address> = core.iter().chain(&members).copied().collect();
-                self.cut_between(place, &[members[crier]], &all, false);
-                self.criers[crier].is_cut_off = pick.is_multiple_of(2);
+                self.cut_between(place, &[members[router]], &all, false);
+                self.routers[router].is_cut_off = pick.is_multiple_of(2);
             }
             FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 20 + (pick % 40) as u32,
             FaultKind::Crowd => self.crowd_until = self.now + span,
@@ -131,7 +131,7 @@
                 let zone = ZoneName::from(zones[(pick % zones.len() as u64) as usize]);
                 let until = self.now + span;
                 self.registrars.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
-                self.criers.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
+                self.routers.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
             }
             FaultKind::LoseZone => {
                 let zones = self.rules.deployment.shape().zones;
@@ -142,10 +142,10 @@
                         self.put(span, Happening::StartRegistrar { machine });
                     }
                 }
-                for machine in 0..self.criers.len() {
-                    if self.criers[machine].zone == zone {
-                        self.kill_crier(machine);
-                        self.put(span, Happening::StartCrier { machine });
+                for machine in 0..self.routers.len() {
+                    if self.routers[machine].zone == zone {
+                        self.kill_router(machine);
+                        self.put(span, Happening::StartRouter { machine });
                     }
                 }
                 for server in 0..self.servers.len() {
@@ -210,7 +210,7 @@
             return self.heal_all();
         }
         let Fault { kind, pick, .. } = self.faults[place].clone();
-        let crier = (pick / 7 % self.criers.len() as u64) as usize;
+        let router = (pick / 7 % self.routers.len() as u64) as usize;
         let model = (pick / 11 % self.rules.deployment.shape().models as u64) as usize;
         self.armed.retain(|armed| *armed != place);
         self.armed_for_send.retain(|armed| *armed != place);
@@ -220,7 +220,7 @@
         match kind {
             FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 0,
             FaultKind::FreezeRegistrar | FaultKind::FreezeLeader | FaultKind::FreezeZone => {
-                self.wake_criers();
+                self.wake_routers();
                 let all = 0..self.registrars.len();
                 all.for_each(|machine| {
                     if self.now >= self.registrars[machine].frozen_until {
@@ -228,8 +228,8 @@
                     }
                 });
             }
-            FaultKind::FreezeCrier => self.wake_criers(),
-            FaultKind::CutCrier => self.criers[crier].is_cut_off = false,
+            FaultKind::FreezeRouter => self.wake_routers(),
+            FaultKind::CutRouter => self.routers[router].is_cut_off = false,
             FaultKind::BadNetwork => self.loss = 0,
             FaultKind::SlowDisk => self.registrars.iter_mut().for_each(|m| m.disk.delay = 3),
             FaultKind::DarkServer => {
@@ -251,9 +251,9 @@
         }
     }
 
-    fn wake_criers(&mut self) {
-        for machine in 0..self.criers.len() {
-            if self.now >= self.criers[machine].frozen_until {
+    fn wake_routers(&mut self) {
+        for machine in 0..self.routers.len() {
+            if self.now >= self.routers[machine].frozen_until {
                 self.wake(false, machine);
             }
         }
@@ -274,13 +274,13 @@
             self.wake(true, machine);
             self.put(1500, Happening::StartRegistrar { machine });
         }
-        for machine in 0..self.criers.len() {
-            let m = &mut self.criers[machine];
+        for machine in 0..self.routers.len() {
+            let m = &mut self.routers[machine];
             m.is_cut_off = false;
             m.is_lost = false;
             m.frozen_until = m.frozen_until.min(now);
             self.wake(false, machine);
-            self.put(1500, Happening::StartCrier { machine });
+            self.put(1500, Happening::StartRouter { machine });
         }
         for server in 0..self.servers.len() {
             self.servers[server].is_dark = false;
--- a/crates/testbed/src/world/happening.rs
+++ b/crates/testbed/src/world/happening.rs
@@ -45,7 +45,7 @@
     },
     RunOutcome {
         request: RequestId,
-        failure: Option<crier::prelude::Failure>,
+        failure: Option<router::prelude::Failure>,
     },
     OtherLife {
         request: RequestId,
@@ -110,7 +110,7 @@
     StartRegistrar {
         machine: usize,
     },
-    StartCrier {
+    StartRouter {
         machine: usize,
     },
     StartServer {
@@ -155,7 +155,7 @@
             Happening::Strike { place } => self.strike(place),
             Happening::Heal { place } => self.heal(place),
             Happening::StartRegistrar { machine } => self.start_registrar(machine),
-            Happening::StartCrier { machine } => self.start_crier(machine),
+            Happening::StartRouter { machine } => self.start_router(machine),
             Happening::StartServer { server } => self.start_server(server),
             Happening::ReplaceServer { server } => self.replace_server(server),
             Happening::Check => self.on_check(),
--- a/crates/testbed/src/world/machines.rs
+++ b/crates/testbed/src/world/machines.rs
@@ -1,4 +1,4 @@
-//! Registrars and criers: started, fed, frozen, killed.
+//! Registrars and routers: started, fed, frozen, killed.
 
 use super::*;
 use circular::prelude::PollResponse;
@@ -84,7 +84,7 @@
         }
     }
 
-    pub(super) fn start_crier(&mut self, machine: usize) {
+    pub(super) fn start_router(&mut self, machine: usize) {
         let incarnation = self.draw() >> 12;
         let seeds: Vec<Address> = (0..3).map(|n| Address::loopback(1001 + n)).collect();
         let mut scheduler_rules = self.rules.scheduler.clone();
@@ -94,7 +94,7 @@
         if self.rules.mutant == Some(Mutant::FreeRepeats) {
             scheduler_rules.repeat_percent = 300;
         }
-        let m = &mut self.criers[machine];
+        let m = &mut self.routers[machine];
         if m.node.is_some() || m.is_lost {
             return;
         }
@@ -112,15 +112,15 @@
         self.put(5, Happening::Polls { machine, life });
     }
 
-    pub(super) fn kill_crier(&mut self, machine: usize) {
-        let m = &mut self.criers[machine];
+    pub(super) fn kill_router(&mut self, machine: usize) {
+        let m = &mut self.routers[machine];
         m.node = None;
         m.life += 1;
         m.late.clear();
         m.frozen_until = 0;
         self.connections.close_from(m.address);
         let orphans: Vec<RequestId> =
-            self.requests.iter().filter(|(_, request)| request.crier == machine).map(|(id, _)| id.clone()).collect();
+            self.requests.iter().filter(|(_, request)| request.router == machine).map(|(id, _)| id.clone()).collect();
         for id in orphans {
             self.abandon(&id);
         }
@@ -133,7 +133,7 @@
             let m = &mut self.registrars[machine];
             (m.frozen_until, &mut m.late)
         } else {
-            let m = &mut self.criers[machine];
+            let m = &mut self.routers[machine];
             (m.frozen_until, &mut m.late)
         };
         if now < frozen_until {
@@ -148,7 +148,7 @@
         let late = if is_registrar {
             std::mem::take(&mut self.registrars[machine].late)
         } else {
-            std::mem::take(&mut self.criers[machine].late)
+            std::mem::take(&mut self.routers[machine].late)
         };
         for happening in late {
             self.put(0, happening);
@@ -162,11 +162,11 @@
                 self.answer_twice(&letter);
                 self.step_controller(machine, ControllerInput::Letter { from, letter });
             }
-        } else if let Some(machine) = self.criers.iter().position(|m| m.address == to)
+        } else if let Some(machine) = self.routers.iter().position(|m| m.address == to)
             && self.is_awake(false, machine, &happening)
         {
             self.restore_span(&mut letter);
-            self.criers[machine].touch.got(self.now, &letter);
+            self.routers[machine].touch.got(self.now, &letter);
             self.make_stale(to, &mut letter);
             self.step_node(machine, NodeInput::Letter { from, letter });
         }
@@ -187,7 +187,7 @@
         if self.rules.mutant != Some(Mutant::StaleNews) || !to.0.port().is_multiple_of(3) || self.chance(2) {
             return;
         }
-        let Some(node) = self.criers.iter().find(|m| m.address == to).and_then(|m| m.node.as_ref()) else { return };
+        let Some(node) = self.routers.iter().find(|m| m.address == to).and_then(|m| m.node.as_ref()) else { return };
         match letter {
             Letter::PollResponse { response, .. } => {
                 let PollResponse::Lease { epoch, news, .. } = &mut **response else { return };
@@ -308,24 +308,24 @@
     }
 
     pub(super) fn on_node_tick(&mut self, machine: usize, life: u64) {
-        if self.criers[machine].life != life {
+        if self.routers[machine].life != life {
             return;
         }
-        if self.now >= self.criers[machine].next_tick
+        if self.now >= self.routers[machine].next_tick
             && self.is_awake(false, machine, &Happening::NodeTick { machine, life })
         {
-            self.criers[machine].next_tick = u64::MAX;
+            self.routers[machine].next_tick = u64::MAX;
             self.step_node(machine, NodeInput::ClockEvent);
-            let (now, m) = (self.now, &mut self.criers[machine]);
+            let (now, m) = (self.now, &mut self.routers[machine]);
             if self.rules.mutant == Some(Mutant::SlideEpoch) && m.old.as_ref().is_none_or(|(at, _)| now - at > 9000) {
                 m.old = m.node.clone().map(|node| (now, node));
             }
         }
     }
 
-    /// Clock events come when something is due, as in a crier's own loop.
+    /// Clock events come when something is due, as in a router's own loop.
     fn set_tick(&mut self, machine: usize) {
-        let m = &mut self.criers[machine];
+        let m = &mut self.routers[machine];
         let Some(node) = &m.node else { return };
         let deadline = self.now + Moment(self.now + m.offset).until(node.next_timer()).0.clamp(1, 250);
         if deadline < m.next_tick {
@@ -337,14 +337,14 @@
 
     /// A node reads the platform's list and the servers' reports.
     pub(super) fn on_polls(&mut self, machine: usize, life: u64) {
-        if self.criers[machine].life != life {
+        if self.routers[machine].life != life {
             return;
         }
         if !self.is_awake(false, machine, &Happening::Polls { machine, life }) {
             return;
         }
         self.put(400, Happening::Polls { machine, life });
-        if self.criers[machine].is_cut_off {
+        if self.routers[machine].is_cut_off {
             return;
         }
         let seen = self.now.saturating_sub(700);
@@ -382,7 +382,7 @@
     }
 
     pub(super) fn step_node(&mut self, machine: usize, input: NodeInput) -> Vec<NodeOutput> {
-        let m = &mut self.criers[machine];
+        let m = &mut self.routers[machine];
         let now = Moment(self.now + m.offset);
         let address = m.address;
         let Some(node) = &mut m.node else { return vec![] };
--- a/crates/testbed/src/world/operators.rs
+++ b/crates/testbed/src/world/operators.rs
@@ -31,7 +31,7 @@
     pub id: String,
     pub command: Option<Command>,
     pub newest_told: u64,
-    /// Criers that were lost when it was asked.
+    /// Routers that were lost when it was asked.
     pub lost: Vec<Address>,
 }
 
@@ -194,7 +194,7 @@
     }
 
     fn lost(&self) -> Vec<Address> {
-        self.criers.iter().filter(|m| m.is_lost).map(|m| m.address).collect()
+        self.routers.iter().filter(|m| m.is_lost).map(|m| m.address).collect()
     }
 
     /// Has the lost forgotten; the second time one that lives is named besides, and must not be.
@@ -204,9 +204,9 @@
             return;
         }
         let now = self.now;
-        let is_well = |m: &&CrierMachine| m.node.is_some() && now >= m.frozen_until && !m.is_cut_off;
+        let is_well = |m: &&RouterMachine| m.node.is_some() && now >= m.frozen_until && !m.is_cut_off;
         if step == 1 && self.cut.is_empty() && self.loss == 0 {
-            members.extend(self.criers.iter().find(is_well).map(|m| m.address));
+            members.extend(self.routers.iter().find(is_well).map(|m| m.address));
         }
         self.ask(Command::Forget { members });
     }
@@ -364,8 +364,8 @@
             Some(Command::Forget { members }) => {
                 // Who was lost when it was asked may have come back since.
                 let is_wrong =
-                    |m: &&CrierMachine| members.contains(&m.address) && !m.is_lost && !asked.lost.contains(&m.address);
-                if let Some(living) = self.criers.iter().find(is_wrong).map(|m| m.address)
+                    |m: &&RouterMachine| members.contains(&m.address) && !m.is_lost && !asked.lost.contains(&m.address);
+                if let Some(living) = self.routers.iter().find(is_wrong).map(|m| m.address)
                     && asked.at + 200 > self.now
                 {
                     self.witness.violate(self.now, format!("{living} lives and was forgotten"));
--- a/crates/testbed/src/world/rules.rs
+++ b/crates/testbed/src/world/rules.rs
@@ -13,8 +13,8 @@
     pub span: Span,
     /// After it all is healed, and the run goes on for this long.
     pub calm: Span,
-    /// How many criers, if not as the deployment has.
-    pub criers: Option<usize>,
+    /// How many routers, if not as the deployment has.
+    pub routers: Option<usize>,
     /// How many faults.
     pub faults: u64,
     /// Of these kinds only; empty: all.
@@ -29,7 +29,7 @@
     pub large_plans: u64,
     /// BTB in the operators' plans, as JSON.
     pub btb: serde_json::Value,
-    /// How the criers' schedulers work.
+    /// How the routers' schedulers work.
     pub scheduler: SchedulerRules,
     /// How the servers work.
     pub servers: ScheduleRules,
@@ -64,7 +64,7 @@
             seed,
             span: Span::seconds(30),
             calm: Span::seconds(25),
-            criers: None,
+            routers: None,
             faults: 8,
             kinds: vec![],
             requests_a_second: 25,
--- a/crates/testbed/src/world/streams.rs
+++ b/crates/testbed/src/world/streams.rs
@@ -1,17 +1,17 @@
-//! Streams: what servers give, through the crier's own reader, to clients who judge every piece, and who
+//! Streams: what servers give, through the router's own reader, to clients who judge every piece, and who
 //! read on elsewhere when a stream is cut.
 
 use super::*;
-use crier::prelude::{ChartInput, Passed, PieceReader, resume_id};
+use router::prelude::{ChartInput, Passed, PieceReader, resume_id};
 
-/// A stream as it stands, on its client's side and on its crier's.
+/// A stream as it stands, on its client's side and on its router's.
 pub(super) struct SimStream {
     token: Option<String>,
     run: RunId,
     /// The next piece that the client wants.
     next: u64,
     reader: PieceReader,
-    /// Pieces that the crier has read from the server.
+    /// Pieces that the router has read from the server.
     read: u64,
     resumes: u32,
     /// The number under which it's read on, if it is.
@@ -32,12 +32,12 @@
     /// Reads what the server has by now, as the stream would show it.
     pub(super) fn on_watch(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let crier = &self.criers[request.crier];
-        if crier.life != request.life {
+        let router = &self.routers[request.router];
+        if router.life != request.life {
             return;
         }
-        if self.now < crier.frozen_until {
-            let wake = crier.frozen_until - self.now;
+        if self.now < router.frozen_until {
+            let wake = router.frozen_until - self.now;
             return self.put(wake, Happening::Watch { request: id });
         }
         let (Some((server, run)), Some(stream)) = (request.run.clone(), &request.stream) else { return };
@@ -155,16 +155,16 @@
         }
     }
 
-    /// A crier has read a resumed stream to its end or its cut.
+    /// A router has read a resumed stream to its end or its cut.
     fn leave(&mut self, id: &RequestId, number: u64) {
         let Some(request) = self.requests.get(id) else { return };
-        let (machine, life) = (request.crier, request.life);
-        if self.criers[machine].life == life {
+        let (machine, life) = (request.router, request.life);
+        if self.routers[machine].life == life {
             self.step_node(machine, NodeInput::Close { request: resume_id(number), number, may_have_run: false });
         }
     }
 
-    /// A stream breaks off at its crier.
+    /// A stream breaks off at its router.
     fn cut(&mut self, id: &RequestId) {
         match self.requests.get(id).and_then(|request| request.stream.as_ref()?.resumed_as) {
             Some(number) => {
@@ -200,14 +200,14 @@
     }
 
     pub(super) fn on_resume(&mut self, id: RequestId) {
-        let machine = self.below(self.criers.len() as u64) as usize;
+        let machine = self.below(self.routers.len() as u64) as usize;
         let number = 1_000_000_000 + self.draw() % 1_000_000_000;
         let Some(token) = self.requests.get(&id).and_then(|request| request.stream.as_ref()?.token.clone()) else {
             return;
         };
-        let crier = &self.criers[machine];
-        let life = crier.life;
-        if crier.node.is_none() || self.now < crier.frozen_until || crier.is_cut_off {
+        let router = &self.routers[machine];
+        let life = router.life;
+        if router.node.is_none() || self.now < router.frozen_until || router.is_cut_off {
             self.read_on(&id, "broken");
             return;
         }
@@ -222,7 +222,7 @@
             return;
         };
         let Some(request) = self.requests.get_mut(&id) else { return };
-        (request.crier, request.life) = (machine, life);
+        (request.router, request.life) = (machine, life);
         let server =
             self.servers.iter().position(|server| server.name == token.server && server.is_up && !server.is_dark);
         let has_run = |place: usize| self.servers[place].schedule.progress(&token.run, Moment(self.now)).is_some();
--- a/crates/testbed/src/world/tests.rs
+++ b/crates/testbed/src/world/tests.rs
@@ -71,7 +71,7 @@
 )]
 fn forgetting_one_that_lived_when_it_was_asked_is_seen(was_lost: bool, expected: usize) {
     let mut world = World::new(WorldRules::new(Deployment::Pahana, 1));
-    let members = vec![world.criers[0].address];
+    let members = vec![world.routers[0].address];
     let lost = if was_lost { members.clone() } else { vec![] };
     let command = Some(Command::Forget { members });
     let asked = operators::Asked { at: world.now, id: "op-1".into(), command, newest_told: 0, lost };
@@ -128,17 +128,17 @@
     skip_sync = { Mutant::SkipSync, &[FaultKind::PowerLossAfterAck], 6, 25, None },
     skip_fencing = { Mutant::SkipFencing, &[FaultKind::SplitCore, FaultKind::CutOneWay], 14, 10, Some(250) },
     reuse_wiped_vote = { Mutant::ReuseWipedVote, &[FaultKind::WipeAfterAck, FaultKind::WipeDisk], 6, 10, None },
-    slide_epoch = { Mutant::SlideEpoch, &[FaultKind::KillAll, FaultKind::KillCriers, FaultKind::CutCore], 6, 25, None },
-    ignore_lease = { Mutant::IgnoreLease, &[FaultKind::CutCrier], 10, 25, None },
+    slide_epoch = { Mutant::SlideEpoch, &[FaultKind::KillAll, FaultKind::KillRouters, FaultKind::CutCore], 6, 25, None },
+    ignore_lease = { Mutant::IgnoreLease, &[FaultKind::CutRouter], 10, 25, None },
     ignore_leaving = { Mutant::IgnoreLeaving, &[FaultKind::LeaveServer], 6, 25, None },
     repeat_anything = { Mutant::RepeatAnything, &[FaultKind::DarkServer, FaultKind::CrashServer], 8, 25, None },
-    ask_once = { Mutant::AskOnce, &[FaultKind::FreezeCrier, FaultKind::LateAccept], 10, 60, None },
+    ask_once = { Mutant::AskOnce, &[FaultKind::FreezeRouter, FaultKind::LateAccept], 10, 60, None },
     stale_news = { Mutant::StaleNews, &[FaultKind::PlanStorm], 4, 25, None },
     answer_twice = { Mutant::AnswerTwice, &[FaultKind::LoseMembers], 4, 10, None },
     reuse_numbers = { Mutant::ReuseNumbers, &[FaultKind::KillRegistrar, FaultKind::KillCore, FaultKind::BadNetwork, FaultKind::PlanStorm], 40, 10, None },
     free_repeats = { Mutant::FreeRepeats, &[FaultKind::Brownout], 4, 80, None },
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
-    resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillCriers], 6, 25, None },
+    resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillRouters], 6, 25, None },
     forget_holders = { Mutant::ForgetHolders, &[FaultKind::BadNetwork, FaultKind::CutOneWay], 6, 25, None },
     forget_too_early = { Mutant::ForgetTooEarly, &[FaultKind::PlanStorm], 4, 25, None },
     ignore_lives = { Mutant::IgnoreLives, &[FaultKind::RestartServer], 8, 150, None },
--- a/crates/testbed/src/world/touch.rs
+++ b/crates/testbed/src/world/touch.rs
@@ -1,4 +1,4 @@
-//! Whom a crier was in touch with, judged by the letters that reached it: its leases, and who knew more.
+//! Whom a router was in touch with, judged by the letters that reached it: its leases, and who knew more.
 
 use super::*;
 use circular::prelude::PollResponse;
@@ -6,7 +6,7 @@
 /// Whoever told it of more, and is out of reach for this long, stops it no more.
 const TOLD_FOR: u64 = 3000;
 
-/// What one life of a crier had by letters.
+/// What one life of a router had by letters.
 ///
 /// Invariant: a lease runs from when its poll was sent, as the promise has it, whatever the node makes of it.
 #[derive(Debug, Default)]
@@ -21,14 +21,14 @@
 }
 
 impl Touch {
-    /// The crier sends a letter.
+    /// The router sends a letter.
     pub fn sent(&mut self, now: u64, letter: &Letter) {
         if let Letter::Poll { poll } = letter {
             self.polls.retain(|_, at| *at + 10_000 > now);
             self.polls.insert(poll.round, now);
         }
     }
-    /// A letter reaches the crier, awake.
+    /// A letter reaches the router, awake.
     pub fn got(&mut self, now: u64, letter: &Letter) {
         let epoch = match letter {
             Letter::News { news } => news.epoch,
--- a/crates/testbed/src/world/traffic.rs
+++ b/crates/testbed/src/world/traffic.rs
@@ -1,10 +1,10 @@
-//! Clients, their requests' way through a crier, and servers.
+//! Clients, their requests' way through a router, and servers.
 
 use super::*;
-use crier::prelude::{
+use primer::prelude::Demand;
+use router::prelude::{
     ChartInput, ChartOutput, Denial, Errand, ErrandInput, ErrandOutput, Failure, KvTask, PlaceAsk, Placing, run_id,
 };
-use primer::prelude::Demand;
 
 impl World {
     pub(super) fn on_arrival(&mut self) {
@@ -32,9 +32,9 @@
             all
         };
         let prompt = words(format!("{service} {prefix} "), shared) + &words(format!("{id} "), own);
-        let machine = self.below(self.criers.len() as u64) as usize;
-        let crier = &self.criers[machine];
-        if crier.node.is_none() || self.now < crier.frozen_until || crier.is_cut_off {
+        let machine = self.below(self.routers.len() as u64) as usize;
+        let router = &self.routers[machine];
+        if router.node.is_none() || self.now < router.frozen_until || router.is_cut_off {
             return self.witness.told(&id, "unreached");
         }
         let (errand, first) = Errand::begin();
@@ -42,8 +42,8 @@
             came: self.now,
             number,
             service: service.into(),
-            crier: machine,
-            life: crier.life,
+            router: machine,
+            life: router.life,
             errand,
             prompt,
             asked: None,
@@ -105,11 +105,11 @@
 
     pub(super) fn close(&mut self, id: &RequestId, word: &'static str) {
         if let Some(request) = self.requests.get(id)
-            && self.criers[request.crier].life == request.life
+            && self.routers[request.router].life == request.life
         {
             let may_have_run = request.errand.chart().may_have_run();
             let close = NodeInput::Close { request: id.clone(), number: request.number, may_have_run };
-            self.step_node(request.crier, close);
+            self.step_node(request.router, close);
         }
         if word == "broken" {
             self.read_on(id, word);
@@ -122,7 +122,7 @@
         }
     }
 
-    /// The crier is gone: nobody tells the client anything.
+    /// The router is gone: nobody tells the client anything.
     pub(super) fn abandon(&mut self, id: &RequestId) {
         let run = self.requests.get(id).and_then(|request| request.run.clone());
         let is_kept =
@@ -140,7 +140,7 @@
 
     fn ask_scheduler(&mut self, id: &RequestId, round: u32, tried: Vec<ServerName>, may_have_run: bool) {
         let Some(request) = self.requests.get(id) else { return };
-        let (machine, number) = (request.crier, request.number);
+        let (machine, number) = (request.router, request.number);
         let (service, is_fetch) = (request.service.clone(), request.service.as_str() == "pages");
         let hashes = if is_fetch { vec![] } else { block_hashes(request.prompt.as_bytes(), 64, 256) };
         let kind = if is_fetch { ServiceKind::Fetch } else { ServiceKind::Stream };
@@ -176,7 +176,7 @@
         request.epoch = placing.epoch;
         request.meant_for = placing.life;
         request.asked = Some(placing.server);
-        let machine = request.crier;
+        let machine = request.router;
         if !self.may_act(machine) {
             return self.withhold(id);
         }
@@ -188,9 +188,9 @@
     /// The connection is made: whether the request may still leave, as it was placed, is asked once more.
     pub(super) fn on_connected(&mut self, id: RequestId, server: usize, run: RunId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let machine = request.crier;
-        if self.now < self.criers[machine].frozen_until {
-            let wake = self.criers[machine].frozen_until - self.now;
+        let machine = request.router;
+        if self.now < self.routers[machine].frozen_until {
+            let wake = self.routers[machine].frozen_until - self.now;
             return self.put(wake, Happening::Connected { request: id, server, run });
         }
         let epoch = request.epoch;
@@ -198,19 +198,19 @@
             if !self.may_act(machine) {
                 return self.withhold(&id);
             }
-            if self.criers[machine].node.as_ref().is_some_and(|node| node.epoch() > epoch) {
+            if self.routers[machine].node.as_ref().is_some_and(|node| node.epoch() > epoch) {
                 self.ended(&id, Outcome::Refused);
                 return self.errand(&id, ErrandInput::Supersede);
             }
         }
-        let m = &self.criers[machine];
+        let m = &self.routers[machine];
         let is_apart = self.witness.sent(self.now, m.address, epoch, &m.touch, self.rules.quorum);
         self.requests.entry(id.clone()).and_modify(|request| request.is_apart = is_apart);
         self.put(1, Happening::RunReaches { request: id, server, run });
     }
 
     fn may_act(&self, machine: usize) -> bool {
-        let m = &self.criers[machine];
+        let m = &self.routers[machine];
         let now = Moment(self.now + m.offset);
         // What the control thread last said, as carriers see it: it says nothing while it's frozen.
         m.node.is_some() && now < m.may_act_until
@@ -223,16 +223,16 @@
 
     pub(super) fn ended(&mut self, id: &RequestId, outcome: Outcome) {
         let Some(request) = self.requests.get(id) else { return };
-        let (machine, life) = (request.crier, request.life);
-        if self.criers[machine].life == life {
+        let (machine, life) = (request.router, request.life);
+        if self.routers[machine].life == life {
             self.step_node(machine, NodeInput::Event(SchedulerEvent::Ended { request: id.clone(), outcome }));
         }
     }
 
     pub(super) fn on_run_reaches(&mut self, id: RequestId, server: usize, run: RunId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let crier = &self.criers[request.crier];
-        let (prompt, service, is_cut_off) = (request.prompt.clone(), request.service.clone(), crier.is_cut_off);
+        let router = &self.routers[request.router];
+        let (prompt, service, is_cut_off) = (request.prompt.clone(), request.service.clone(), router.is_cut_off);
         let apart_from = request.is_apart.then_some(request.epoch);
         let s = &mut self.servers[server];
         if !s.is_up || is_cut_off || request.asked.as_ref() != Some(&s.name) {
@@ -272,13 +272,13 @@
     /// The server says that it's not the life that the request was meant for.
     pub(super) fn on_other_life(&mut self, id: RequestId, server: ServerName) {
         let Some(request) = self.requests.get(&id) else { return };
-        let (machine, life) = (request.crier, request.life);
-        if self.now < self.criers[machine].frozen_until {
-            let wake = self.criers[machine].frozen_until - self.now;
+        let (machine, life) = (request.router, request.life);
+        if self.now < self.routers[machine].frozen_until {
+            let wake = self.routers[machine].frozen_until - self.now;
             return self.put(wake, Happening::OtherLife { request: id, server });
         }
         self.ended(&id, Outcome::Refused);
-        if self.criers[machine].life == life {
+        if self.routers[machine].life == life {
             self.step_node(machine, NodeInput::Event(SchedulerEvent::Unreachable { server }));
         }
         self.errand(&id, ErrandInput::Fail(Failure::Refused, "it has another life".into()));
@@ -286,8 +286,8 @@
 
     pub(super) fn on_run_outcome(&mut self, id: RequestId, failure: Option<Failure>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if self.now < self.criers[request.crier].frozen_until {
-            let wake = self.criers[request.crier].frozen_until - self.now;
+        if self.now < self.routers[request.router].frozen_until {
+            let wake = self.routers[request.router].frozen_until - self.now;
             self.put(wake, Happening::RunOutcome { request: id, failure });
             return;
         }
@@ -311,9 +311,9 @@
 
     pub(super) fn first_token(&mut self, id: &RequestId) {
         let Some(request) = self.requests.get(id) else { return };
-        let (machine, life) = (request.crier, request.life);
+        let (machine, life) = (request.router, request.life);
         self.witness.first_ms.entry(request.service.clone()).or_default().push(self.now - request.came);
-        if self.criers[machine].life == life {
+        if self.routers[machine].life == life {
             self.step_node(machine, NodeInput::Event(SchedulerEvent::FirstToken { request: id.clone() }));
         }
     }
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -17,7 +17,7 @@
     let fleet = Fleet::start(&shape, crew.platform.address, None, &FleetOptions::default()).expect("daemons start");
     fleet.await_core(PATIENCE).expect("the core forms");
     fleet.put_plan("first", 0, &plan_of(deployment, true)).expect("the plan is accepted");
-    fleet.await_criers(PATIENCE).expect("criers are ready");
+    fleet.await_routers(PATIENCE).expect("routers are ready");
     (crew, fleet, machine)
 }
 
@@ -30,7 +30,7 @@
     meanwhile: impl FnOnce(&mut Fleet),
 ) -> Report {
     let span = Span::seconds(seconds);
-    let rules = CampaignRules { criers: fleet.clients_addresses(), span, scale: 0.4, in_hand: 500 };
+    let rules = CampaignRules { routers: fleet.clients_addresses(), span, scale: 0.4, in_hand: 500 };
     let campaign = Campaign::new(Mix::new(deployment.mix(), seconds), rules);
     let stop = campaign.stop();
     let load = std::thread::spawn(move || campaign.run());
@@ -48,7 +48,7 @@
     Arc::new(PlannedRequest { id: id.into(), service, is_fetch: false, prompt: format!("a prompt of {id}"), pieces })
 }
 
-/// Whether some crier completes a request now.
+/// Whether some router completes a request now.
 fn serves(fleet: &Fleet, number: &mut u32) -> bool {
     *number += 1;
     let planned = request(&format!("probe-{number}"), "questions", 2);
@@ -65,18 +65,18 @@
     let (crew, mut fleet, _machine) = serving(deployment);
     let report = under_load(deployment, &mut fleet, &crew, 60, |fleet| {
         let mut epoch = 0;
-        for place in 0..fleet.criers.len() {
-            let crier = &mut fleet.criers[place];
-            crier.ask_to_stop();
+        for place in 0..fleet.routers.len() {
+            let router = &mut fleet.routers[place];
+            router.ask_to_stop();
             if place == 0 {
                 // Not ready at once, but clients that are still sent here are served.
-                Fleet::await_that(PATIENCE, "a warned crier is not ready", || !crier.is_ready()).expect("it says so");
-                assert_eq!(ask(&request("late", "questions", 2), &[crier.listen], 0).fate, Fate::Complete);
+                Fleet::await_that(PATIENCE, "a warned router is not ready", || !router.is_ready()).expect("it says so");
+                assert_eq!(ask(&request("late", "questions", 2), &[router.listen], 0).fate, Fate::Complete);
             }
-            assert_eq!(crier.wait(PATIENCE), Some(0), "{} ends well", crier.name);
-            crier.start().expect("it starts again");
-            let crier = &fleet.criers[place];
-            Fleet::await_that(PATIENCE, "a restarted crier is ready", || crier.is_ready()).expect("ready again");
+            assert_eq!(router.wait(PATIENCE), Some(0), "{} ends well", router.name);
+            router.start().expect("it starts again");
+            let router = &fleet.routers[place];
+            Fleet::await_that(PATIENCE, "a restarted router is ready", || router.is_ready()).expect("ready again");
             if place % 3 == 0 {
                 let latest = fleet.registrars[0].get("/v1/latest").expect("the core tells").1;
                 let latest: serde_json::Value = serde_json::from_slice(&latest).expect("JSON");
@@ -95,17 +95,17 @@
     let sum = |pick: fn(&loadgen::prelude::ServiceReport) -> u64| report.services.values().map(pick).sum::<u64>();
     assert_eq!((sum(|s| s.broken), sum(|s| s.resumed)), (0, 0), "streams were dropped: {report}");
     assert!(sum(|s| s.complete) > 100, "{report}");
-    // A crier that has gone refuses connections: clients know that nothing ran.
+    // A router that has gone refuses connections: clients know that nothing ran.
     assert_eq!(sum(|s| s.unknown), 0, "{report}");
 }
 
 #[test]
-fn streams_go_on_through_another_crier_where_they_stopped_when_one_is_killed() {
+fn streams_go_on_through_another_router_where_they_stopped_when_one_is_killed() {
     let deployment = Deployment::Pahana;
     let (crew, mut fleet, _machine) = serving(deployment);
-    let criers = fleet.clients_addresses();
+    let routers = fleet.clients_addresses();
     let knows_servers = |fleet: &Fleet| {
-        let servers = fleet.criers[0].believes()["servers"].clone();
+        let servers = fleet.routers[0].believes()["servers"].clone();
         servers
             .as_object()
             .is_some_and(|all| all.len() == 12 && all.values().filter(|s| s["incarnation"].is_u64()).count() == 12)
@@ -116,23 +116,23 @@
     let askers: Vec<_> = planned_requests
         .iter()
         .map(|planned| {
-            let (planned, criers) = (planned.clone(), criers.clone());
-            std::thread::spawn(move || ask(&planned, &criers, 0))
+            let (planned, routers) = (planned.clone(), routers.clone());
+            std::thread::spawn(move || ask(&planned, &routers, 0))
         })
         .collect();
     // Each client has its stream's head once its first piece was seen.
     let first_tokens = |fleet: &Fleet| {
-        let events = fleet.criers[0].get("/v1/events?after=0").expect("events").1;
+        let events = fleet.routers[0].get("/v1/events?after=0").expect("events").1;
         String::from_utf8_lossy(&events).matches("\"event\":\"first_token\"").count()
     };
     Fleet::await_that(PATIENCE, "the streams run", || first_tokens(&fleet) == 6).expect("they run");
-    fleet.criers[0].kill();
+    fleet.routers[0].kill();
     let asked: Vec<Asked> = askers.into_iter().map(|asker| asker.join().expect("it ends")).collect();
     for one in &asked {
         assert_eq!(one.violations, Vec::<String>::new());
         assert_eq!(one.fate, Fate::Complete);
     }
-    assert!(asked.iter().all(|one| one.resumed > 0), "the streams were over before the crier was killed");
+    assert!(asked.iter().all(|one| one.resumed > 0), "the streams were over before the router was killed");
     assert_eq!(crew.logs().len(), 6, "nothing ran twice");
 }
 
@@ -142,24 +142,24 @@
     let (_crew, mut fleet, _machine) = serving(deployment);
     let mut number = 0;
     fleet.registrars.iter_mut().for_each(|registrar| registrar.kill());
-    let is_together = |fleet: &Fleet| fleet.criers.iter().all(|c| c.believes()["lease_state"] == "together");
-    Fleet::await_that(PATIENCE, "leases run out", || is_together(&fleet)).expect("criers go on together");
+    let is_together = |fleet: &Fleet| fleet.routers.iter().all(|c| c.believes()["lease_state"] == "together");
+    Fleet::await_that(PATIENCE, "leases run out", || is_together(&fleet)).expect("routers go on together");
     assert!((0..9).all(|_| serves(&fleet, &mut number)), "the fleet serves without its core");
     assert!(fleet.put_plan("late", 0, "{}").is_err(), "a plan is accepted by nobody");
     // All but one are gone: it's alone, whatever it believed before.
-    fleet.criers.iter_mut().skip(1).for_each(|crier| crier.kill());
+    fleet.routers.iter_mut().skip(1).for_each(|router| router.kill());
     let lone = fleet.clients_addresses()[..1].to_vec();
-    Fleet::await_that(PATIENCE, "the lone crier is not ready", || !fleet.criers[0].is_ready()).expect("it stops");
+    Fleet::await_that(PATIENCE, "the lone router is not ready", || !fleet.routers[0].is_ready()).expect("it stops");
     let asked = ask(&request("lone", "questions", 2), &lone, 0);
     assert_eq!(asked.fate, Fate::Refused(u64::from(ResultCode::NotReady.number())), "{}", asked.why);
     // A restarted one knows nothing, core or not.
-    fleet.criers[1].start().expect("it starts");
-    Fleet::await_that(PATIENCE, "it listens", || fleet.criers[1].get("/ready").is_ok()).expect("it listens");
-    assert_eq!(fleet.criers[1].believes()["lease_state"], "unheard");
+    fleet.routers[1].start().expect("it starts");
+    Fleet::await_that(PATIENCE, "it listens", || fleet.routers[1].get("/ready").is_ok()).expect("it listens");
+    assert_eq!(fleet.routers[1].believes()["lease_state"], "unheard");
     // With the core back, all is well again.
     fleet.registrars.iter_mut().for_each(|registrar| registrar.start().expect("it starts"));
-    fleet.criers.iter_mut().skip(2).for_each(|crier| crier.start().expect("it starts"));
-    fleet.await_criers(PATIENCE).expect("all are ready again");
+    fleet.routers.iter_mut().skip(2).for_each(|router| router.start().expect("it starts"));
+    fleet.await_routers(PATIENCE).expect("all are ready again");
 }
 
 #[test]
@@ -173,13 +173,13 @@
         .or_else(|_| fleet.put_plan("odd", latest["epoch"].as_u64().unwrap_or(0), odd))
         .expect("accepted")["epoch"]
         .clone();
-    for daemon in fleet.registrars.iter_mut().chain(&mut fleet.criers) {
+    for daemon in fleet.registrars.iter_mut().chain(&mut fleet.routers) {
         daemon.kill();
     }
     // One disk is wiped besides.
     std::fs::remove_dir_all(fleet.folder.join("registrar-1")).expect("it was there");
     let began = Clock::now();
-    for daemon in fleet.registrars.iter_mut().chain(&mut fleet.criers) {
+    for daemon in fleet.registrars.iter_mut().chain(&mut fleet.routers) {
         daemon.start().expect("it starts");
     }
     let mut number = 0;
@@ -208,10 +208,10 @@
 fn frozen_machines_wake_into_a_fleet_that_went_on_and_do_no_harm() {
     let deployment = Deployment::Pahana;
     let (crew, mut fleet, _machine) = serving(deployment);
-    let zone = fleet.criers[2].zone.clone();
+    let zone = fleet.routers[2].zone.clone();
     under_load(deployment, &mut fleet, &crew, 30, |fleet| {
-        // A crier and the tail sleep while the crier's zone is withdrawn.
-        fleet.criers[0].freeze();
+        // A router and the tail sleep while the router's zone is withdrawn.
+        fleet.routers[0].freeze();
         let is_tail = |d: &&Daemon| d.believes()["may_respond"] == true;
         let tail = fleet.registrars.iter().position(|d| is_tail(&d)).expect("there is a tail");
         fleet.registrars[tail].freeze();
@@ -221,7 +221,7 @@
             || others.iter().any(|p| matches!(fleet.registrars[*p].ask("POST", &path, vec![]), Ok((200, _))));
         Fleet::await_that(PATIENCE, "the zone is withdrawn without the tail", withdrawn).expect("accepted");
         let told = Clock::now();
-        fleet.criers[0].wake();
+        fleet.routers[0].wake();
         fleet.registrars[tail].wake();
         fleet.await_core(PATIENCE).expect("the old tail is back in the chain");
         // Time for new work to show up where it must not.
@@ -262,12 +262,12 @@
         putting.join().expect("it ends")
     });
     let accepted = accepted.expect("the large plan is accepted")["epoch"].as_u64().expect("an epoch");
-    let has_all = |crier: &Daemon| {
-        let believed = crier.believes();
+    let has_all = |router: &Daemon| {
+        let believed = router.believes();
         believed["lease_state"] == "leased" && believed["plan_epoch"].as_u64() >= Some(accepted)
     };
-    let have_all = || fleet.criers.iter().all(has_all);
-    Fleet::await_that(PATIENCE, "all criers hold the large plan", have_all).expect("it reaches all");
+    let have_all = || fleet.routers.iter().all(has_all);
+    Fleet::await_that(PATIENCE, "all routers hold the large plan", have_all).expect("it reaches all");
     // One is lost with its disk; an empty one comes elsewhere and knows only three seeds.
     fleet.registrars[1].kill();
     let newcomer = fleet.add_registrar().expect("it starts");
@@ -303,14 +303,14 @@
         let path = format!("/v1/members/forget?id={id}");
         serde_json::from_slice(&fleet.registrars[1].ask("POST", &path, body).expect("a response").1).expect("JSON")
     };
-    fleet.criers.iter_mut().skip(4).for_each(|crier| crier.kill());
-    let lost: Vec<Address> = fleet.criers[4..].iter().map(|crier| crier.inner).collect();
+    fleet.routers.iter_mut().skip(4).for_each(|router| router.kill());
+    let lost: Vec<Address> = fleet.routers[4..].iter().map(|router| router.inner).collect();
     let epoch = latest(&fleet)["epoch"].as_u64().expect("an epoch");
     // Once the leases of the lost have run out, nothing is accepted, and so it stays.
     let is_refused = || fleet.put_plan("too-few", epoch, &plan).is_err_and(|why| why.contains("303"));
     Fleet::await_that(PATIENCE, "the core misses its members", is_refused).expect("no majority, no change");
     // One that lives is named, too: nothing changes, and the answer says who is heard.
-    let living = fleet.criers[0].inner;
+    let living = fleet.routers[0].inner;
     let outcome = forget(&fleet, "wrong", &[lost[0], living]);
     let why = outcome["why"].as_str().unwrap_or_default();
     assert!(outcome["code"] == 310 && why.contains(&living.to_string()), "{outcome}");
@@ -322,8 +322,8 @@
     assert_eq!(now["members"].as_array().map(Vec::len), Some(4), "{now}");
     fleet.put_plan("after", now["epoch"].as_u64().expect("an epoch"), &plan).expect("changes are taken again");
     // One of them after all: it joins again as any newcomer.
-    fleet.criers[8].start().expect("it starts");
-    Fleet::await_that(PATIENCE, "it's a member again", || fleet.criers[8].is_ready()).expect("it joins");
+    fleet.routers[8].start().expect("it starts");
+    Fleet::await_that(PATIENCE, "it's a member again", || fleet.routers[8].is_ready()).expect("it joins");
 }
 
 #[test]
@@ -348,7 +348,7 @@
     assert!(questions.complete > 0, "{report}");
     let suspected = |place: usize| {
         let name = crew.models[place].name().0;
-        fleet.criers.iter().filter(|c| c.believes()["servers"][&name]["faults"].as_u64() > Some(0)).count()
+        fleet.routers.iter().filter(|c| c.believes()["servers"][&name]["faults"].as_u64() > Some(0)).count()
     };
     assert!(suspected(0) + suspected(1) > 0, "nobody noticed that two servers are dark: {report}");
 }
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -9,13 +9,13 @@
     let fleet = Fleet::start(&shape, crew.platform.address, None, options).expect("daemons start");
     fleet.await_core(Span::seconds(30)).expect("the core forms");
     fleet.put_plan("first", 0, &plan_of(deployment, true)).expect("the plan is accepted");
-    fleet.await_criers(Span::seconds(30)).expect("criers are ready");
+    fleet.await_routers(Span::seconds(30)).expect("routers are ready");
     (crew, fleet)
 }
 
 fn load(fleet: &Fleet, deployment: Deployment, seconds: u64, seed: u64) -> (Vec<Asked>, u64) {
     let span = Span::seconds(seconds);
-    let rules = CampaignRules { criers: fleet.clients_addresses(), span, scale: 0.4, in_hand: 500 };
+    let rules = CampaignRules { routers: fleet.clients_addresses(), span, scale: 0.4, in_hand: 500 };
     Campaign::new(Mix::new(deployment.mix(), seed), rules).run()
 }
 
--- a/crates/testbed/tests/interfaces.rs
+++ b/crates/testbed/tests/interfaces.rs
@@ -33,7 +33,7 @@
     let (status, first) = put("p1", 0, &plan);
     assert_eq!((status, &first["code"]), (200, &300.into()), "{first}");
     let epoch = first["epoch"].as_u64().expect("an epoch");
-    fleet.await_criers(PATIENCE).expect("criers are ready");
+    fleet.await_routers(PATIENCE).expect("routers are ready");
     assert_eq!(put("p1", 0, &plan), (200, Value::clone(&put("p1", 0, &plan).1)));
     assert_eq!(put("p1", 0, &plan).1["epoch"], epoch, "a repeat is told the first one's epoch");
     assert_eq!(put("p1", epoch, "{\"services\":{}}").1["code"], 308);
@@ -76,8 +76,8 @@
     assert_eq!(program("registrar").args(["admin", "--at", "127.0.0.1:1", "latest"]).status().unwrap().code(), Some(3));
 
     // Clients.
-    let crier = &fleet.criers[0];
-    let request = |body: &[u8]| json(crier.ask("POST", "/v1/requests", body.to_vec()));
+    let router = &fleet.routers[0];
+    let request = |body: &[u8]| json(router.ask("POST", "/v1/requests", body.to_vec()));
     for (body, status, code) in [
         (&b"{"[..], 400, 100),
         (b"\xff\xfe", 400, 100),
@@ -90,23 +90,23 @@
         assert_eq!((got, &value["code"], &value["ran"]), (status, &code.into(), &Value::Bool(false)), "{value}");
     }
     let large = vec![b'x'; 5 << 20];
-    assert_eq!(crier.ask("POST", "/v1/requests", large).map(|(status, _)| status), Ok(413));
+    assert_eq!(router.ask("POST", "/v1/requests", large).map(|(status, _)| status), Ok(413));
     for (token, code) in [("zz", 111), ("00", 111), ("", 111)] {
         let body = serde_json::json!({"token": token, "from": 0}).to_string().into_bytes();
-        assert_eq!(json(crier.ask("POST", "/v1/resume", body)).1["code"], code);
+        assert_eq!(json(router.ask("POST", "/v1/resume", body)).1["code"], code);
     }
     // Events in, decisions out, and the same decisions again from the recording.
     let planned =
         PlannedRequest { id: "seen".into(), service: "drafts", is_fetch: false, prompt: "x".repeat(5000), pieces: 3 };
-    assert_eq!(ask(&planned, &[crier.listen], 0).fate, Fate::Complete);
+    assert_eq!(ask(&planned, &[router.listen], 0).fate, Fate::Complete);
     let pushed = br#"{"event":"unreachable","server":"127.0.0.1:9"}"#.to_vec();
-    assert_eq!(json(crier.ask("POST", "/v1/events", pushed)), (200, serde_json::json!({"taken": 1})));
+    assert_eq!(json(router.ask("POST", "/v1/events", pushed)), (200, serde_json::json!({"taken": 1})));
     let forbidden = br#"{"event":"members","members":[]}"#.to_vec();
-    assert_eq!(json(crier.ask("POST", "/v1/events", forbidden)).0, 400);
-    let recorded = crier.get("/v1/events?after=0").expect("events").1;
-    let decisions = String::from_utf8(crier.get("/v1/decisions?after=0").expect("decisions").1).expect("text");
+    assert_eq!(json(router.ask("POST", "/v1/events", forbidden)).0, 400);
+    let recorded = router.get("/v1/events?after=0").expect("events").1;
+    let decisions = String::from_utf8(router.get("/v1/decisions?after=0").expect("decisions").1).expect("text");
     let mut replayed = vec![];
-    crier::prelude::replay(&recorded[..], &mut replayed).expect("it can be played");
+    router::prelude::replay(&recorded[..], &mut replayed).expect("it can be played");
     let replayed = String::from_utf8(replayed).expect("text");
     let live: Vec<Value> = decisions
         .lines()
@@ -125,9 +125,9 @@
     assert_eq!(again[..live.len()], live[..], "the same events gave other decisions");
 }
 
-/// What a crier says to a body: status, when to come back, JSON lines.
-fn say(crier: Address, path: &str, body: &Value) -> (u16, Option<u64>, Vec<Value>) {
-    let heard = ask_post(&format!("http://{crier}{path}"), body.to_string().into_bytes(), PATIENCE, PATIENCE);
+/// What a router says to a body: status, when to come back, JSON lines.
+fn say(router: Address, path: &str, body: &Value) -> (u16, Option<u64>, Vec<Value>) {
+    let heard = ask_post(&format!("http://{router}{path}"), body.to_string().into_bytes(), PATIENCE, PATIENCE);
     let heard = heard.expect("a response");
     let (status, back) = (heard.status(), heard.header("retry-after").and_then(|value| value.parse().ok()));
     let text = String::from_utf8(read_all(heard, 1 << 20).expect("a whole body")).expect("text");
@@ -142,25 +142,25 @@
     let mut fleet = Fleet::start(&shape, crew.platform.address, None, &FleetOptions::default()).expect("daemons start");
     fleet.await_core(PATIENCE).expect("the core forms");
     fleet.put_plan("first", 0, &plan_of(deployment, true)).expect("accepted");
-    fleet.await_criers(PATIENCE).expect("criers are ready");
-    let criers = fleet.clients_addresses();
+    fleet.await_routers(PATIENCE).expect("routers are ready");
+    let routers = fleet.clients_addresses();
     let draw = |id: &str| {
         let request = serde_json::json!({"id": id, "service": "reviews", "prompt": id, "max_pieces": 6});
-        let (status, _, lines) = say(criers[0], "/v1/requests", &request);
+        let (status, _, lines) = say(routers[0], "/v1/requests", &request);
         assert_eq!(status, 200, "{lines:?}");
         lines
     };
     let (one, other) = (draw("one"), draw("other"));
     let token_of = |lines: &[Value]| lines[0]["token"].as_str().expect("a token").to_owned();
-    let resume = |crier: Address, token: &str, from: u64| {
-        say(crier, "/v1/resume", &serde_json::json!({"token": token, "from": from}))
+    let resume = |router: Address, token: &str, from: u64| {
+        say(router, "/v1/resume", &serde_json::json!({"token": token, "from": from}))
     };
     // Anywhere, from any piece, twice at once, each exactly what is missing.
     let token = &token_of(&one);
-    let (crier_2, crier_3) = (criers[2], criers[3]);
+    let (router_2, router_3) = (routers[2], routers[3]);
     let again: Vec<_> = std::thread::scope(|scope| {
-        let reads = [(crier_2, 0), (crier_3, 0), (crier_2, 3), (crier_3, 6)];
-        let readers = reads.map(|(crier, from)| (from, scope.spawn(move || resume(crier, token, from))));
+        let reads = [(router_2, 0), (router_3, 0), (router_2, 3), (router_3, 6)];
+        let readers = reads.map(|(router, from)| (from, scope.spawn(move || resume(router, token, from))));
         readers.into_iter().map(|(from, reader)| (from, reader.join().expect("it ends"))).collect()
     });
     for (from, (status, _, lines)) in again {
@@ -169,7 +169,7 @@
     // Forged, altered, and a neighbour's words behind one's own check: no byte leaves for what they name.
     let trap = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     trap.set_nonblocking(true).expect("it can be asked");
-    let forged = crier::prelude::Token {
+    let forged = router::prelude::Token {
         request: "one".into(),
         service: "reviews".into(),
         server: ServerName(trap.local_addr().expect("an address").to_string()),
@@ -179,50 +179,50 @@
     let mut altered = token.clone();
     altered.replace_range(100..101, if &altered[100..101] == "7" { "6" } else { "7" });
     for bad in [forged.seal(&TokenKey([0; 32])), spliced, altered, token[2..].to_owned(), String::new()] {
-        let (status, _, lines) = resume(crier_2, &bad, 0);
+        let (status, _, lines) = resume(router_2, &bad, 0);
         assert_eq!((status, &lines[0]["code"]), (400, &111.into()), "{bad}");
     }
     assert!(trap.accept().is_err(), "a connection was made to what a forged token names");
     // Its id is not taken a second time here, and that is no refusal.
     let request = serde_json::json!({"id": "one", "service": "reviews", "prompt": "one", "max_pieces": 6});
-    let (status, _, lines) = say(criers[0], "/v1/requests", &request);
+    let (status, _, lines) = say(routers[0], "/v1/requests", &request);
     assert_eq!((status, &lines[0]["code"], &lines[0]["ran"]), (409, &204.into(), &"unknown".into()));
     // Nor does it end one that runs: the scheduler goes on counting it.
-    let busy = || fleet.criers[0].believes()["open_requests"].as_u64();
+    let busy = || fleet.routers[0].believes()["open_requests"].as_u64();
     let counted = || {
-        let servers = fleet.criers[0].believes()["servers"].clone();
+        let servers = fleet.routers[0].believes()["servers"].clone();
         servers.as_object().map(|all| all.values().filter_map(|server| server["own_requests"].as_u64()).sum::<u64>())
     };
     let long = serde_json::json!({"id": "long", "service": "reviews", "prompt": "long", "max_pieces": 400});
     let heard =
-        ask_post(&format!("http://{}/v1/requests", criers[0]), long.to_string().into_bytes(), PATIENCE, PATIENCE);
+        ask_post(&format!("http://{}/v1/requests", routers[0]), long.to_string().into_bytes(), PATIENCE, PATIENCE);
     let heard = heard.expect("a response");
     assert_eq!((busy(), counted()), (Some(1), Some(1)));
-    assert_eq!(say(criers[0], "/v1/requests", &long).2[0]["code"], 204);
+    assert_eq!(say(routers[0], "/v1/requests", &long).2[0]["code"], 204);
     assert_eq!((busy(), counted()), (Some(1), Some(1)), "the one turned away ended the one in hand");
     assert!(read_all(heard, 1 << 20).is_ok());
-    // A crier that has just been started again reads it on, too.
-    fleet.criers[1].kill();
-    fleet.criers[1].start().expect("it starts");
+    // A router that has just been started again reads it on, too.
+    fleet.routers[1].kill();
+    fleet.routers[1].start().expect("it starts");
     let is_read = || {
-        let crier = &fleet.criers[1];
-        let Ok((200, _)) = crier.get("/metrics") else { return false };
-        let (status, back, lines) = resume(crier.listen, token, 4);
+        let router = &fleet.routers[1];
+        let Ok((200, _)) = router.get("/metrics") else { return false };
+        let (status, back, lines) = resume(router.listen, token, 4);
         // Until it knows the fleet's key and the servers it says so, and that coming back helps.
         let is_early = status == 503 && back == Some(1) && lines[0]["code"] == 105;
         assert!(status == 200 || is_early, "{status} {lines:?}");
         status == 200 && lines[1..] == one[5..]
     };
-    Fleet::await_that(PATIENCE, "a restarted crier reads on", is_read).expect("it does");
+    Fleet::await_that(PATIENCE, "a restarted router reads on", is_read).expect("it does");
     // Its server out of reach: come back. Its server there without the run: gone for good.
     let holder = crew.models.iter().find(|server| server.has_run(&forged.run)).expect("a server has the run");
     holder.strike(Strike { does_refuse: true, ..Strike::default() });
-    let (status, back, lines) = resume(crier_2, token, 0);
+    let (status, back, lines) = resume(router_2, token, 0);
     assert_eq!((status, back, &lines[0]["code"]), (503, Some(1), &205.into()));
     holder.strike(Strike::default());
-    assert_eq!(resume(crier_2, token, 0).0, 200, "nothing was lost");
+    assert_eq!(resume(router_2, token, 0).0, 200, "nothing was lost");
     holder.forget_runs();
-    let (status, back, lines) = resume(crier_2, token, 0);
+    let (status, back, lines) = resume(router_2, token, 0);
     assert_eq!((status, back, &lines[0]["code"]), (410, None, &202.into()));
     assert_eq!(crew.logs().len(), 3, "nothing ran twice");
 }
@@ -232,12 +232,12 @@
     let folder = tempfile::tempdir().expect("a folder");
     let file = folder.path().join("settings.toml");
     for (name, text, words) in [
-        ("crier", "listen = \"localhost:1\"", vec!["listen", "localhost:1", "IP number"]),
-        ("crier", "requests = 0", vec!["requests", "0", "1 to 1000000"]),
-        ("crier", "zone = \"a b\"", vec!["zone", "a b", "letters"]),
-        ("crier", "colour = \"red\"", vec!["colour"]),
-        ("crier", "requests = \"many\"", vec!["requests"]),
-        ("crier", "", vec!["seeds"]),
+        ("router", "listen = \"localhost:1\"", vec!["listen", "localhost:1", "IP number"]),
+        ("router", "requests = 0", vec!["requests", "0", "1 to 1000000"]),
+        ("router", "zone = \"a b\"", vec!["zone", "a b", "letters"]),
+        ("router", "colour = \"red\"", vec!["colour"]),
+        ("router", "requests = \"many\"", vec!["requests"]),
+        ("router", "", vec!["seeds"]),
         ("registrar", "founders = [\"nowhere\"]", vec!["founders", "nowhere"]),
         ("registrar", "listen", vec!["settings"]),
     ] {
