--- a/crates/circular/src/letter.rs
+++ b/crates/circular/src/letter.rs
@@ -270,7 +270,7 @@
             /// It; from the beginning if the version is another by now.
             piece: Box<ListPiece>,
         },
-        /// Between registrars: something to be read at the tail.
+        /// Between controllers: something to be read at the tail.
         Ask {
             /// The asker's number, which no other question or proposal of its has in all its lives.
             number: u64,
--- a/crates/registrar/src/admin.rs
+++ b/crates/controller/src/admin.rs
@@ -30,7 +30,7 @@
         /// The zone.
         zone: ZoneName,
     },
-    /// Whether this registrar serves the core.
+    /// Whether this controller serves the core.
     Readiness,
 }
 
@@ -79,7 +79,7 @@
     refused(code, value["why"].as_str().unwrap_or_default(), vec![])
 }
 
-/// The same call at any time and any registrar has the same id.
+/// The same call at any time and any controller has the same id.
 fn id_of(kind: &str, bytes: &[u8], base: u64) -> String {
     let mut hasher = blake3::Hasher::new();
     hasher.update(kind.as_bytes()).update(&base.to_be_bytes()).update(bytes);
--- a/crates/registrar/src/admin_command.rs
+++ b/crates/controller/src/admin_command.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 use wicket::prelude::*;
 
-/// The operators' command line: each task is one call to a registrar's HTTP interface.
+/// The operators' command line: each task is one call to a controller's HTTP interface.
 #[derive(Debug, clap::Args)]
 pub struct AdminCommand {
-    /// A registrar's listening address; any one will do.
+    /// A controller's listening address; any one will do.
     #[arg(long, global = true, default_value = "127.0.0.1:7000")]
     pub at: Address,
     /// What to do.
@@ -80,7 +80,7 @@
         #[arg(long)]
         id: String,
     },
-    /// Show what this registrar believes: view, chain, leases.
+    /// Show what this controller believes: view, chain, leases.
     Believes,
 }
 
@@ -113,7 +113,7 @@
         let body = match body.transpose() {
             Ok(body) => body.unwrap_or_default(),
             Err(why) => {
-                eprintln!("registrar: {why}");
+                eprintln!("controller: {why}");
                 return 2;
             }
         };
@@ -124,7 +124,7 @@
         }) {
             Ok(answer) => answer,
             Err(why) => {
-                eprintln!("registrar: {} gave no answer: {why}", self.at);
+                eprintln!("controller: {} gave no answer: {why}", self.at);
                 return 3;
             }
         };
--- a/crates/registrar/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -133,7 +133,7 @@
     ViewChanged(View),
 }
 
-/// A registrar's control state: the replica with the ledger, the members' leases, and who waits for
+/// A controller's control state: the replica with the ledger, the members' leases, and who waits for
 /// what.
 ///
 /// Invariants: news and answers leave only while the replica may answer. "Accepted" is said only once
@@ -205,7 +205,7 @@
 
 /// What the newest epoch was when a zone's change came in must be known within this, or it is not proposed: an
 /// answer from later may be younger than what its operator did since. Under the second after which an operator
-/// turns to another registrar.
+/// turns to another controller.
 const SEEN_WITHIN: Span = Span(700);
 
 /// Numbers from here on are the controller's own proposals.
--- a/crates/registrar/src/controller/tests.rs
+++ b/crates/controller/src/controller/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Registrar 2 in a chain of 1, 2, 3: it proposes to 1 and asks 3.
+/// Controller 2 in a chain of 1, 2, 3: it proposes to 1 and asks 3.
 struct Played {
     controller: Controller,
     at: u64,
@@ -146,7 +146,7 @@
     assert_eq!(played.respond(3, 3, true), [Left::Response(7, 200)]);
 }
 
-/// The day `pahana-cut-off-then-read-back`: a registrar that had been cut off held readings for 4 s that their
+/// The day `pahana-cut-off-then-read-back`: a controller that had been cut off held readings for 4 s that their
 /// operator gave up after one.
 #[test]
 fn one_that_is_cut_off_says_so_at_once() {
@@ -170,7 +170,7 @@
     assert_eq!(left, [Left::Ask(3, 1), Left::Ask(3, 1), Left::Response(1, 503)], "within a second");
 }
 
-/// One registrar alone, its disk at once synced, that goes by this quorum.
+/// One controller alone, its disk at once synced, that goes by this quorum.
 struct Alone {
     controller: Controller,
     at: u64,
--- a/crates/registrar/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -17,19 +17,19 @@
 /// Between clock events, at least and at most.
 const SHORTEST_TICK: Span = Span(20);
 const LONGEST_TICK: Span = Span(100);
-/// A registrar that is told to stop waits for so long at most until others have taken over what it holds.
+/// A controller that is told to stop waits for so long at most until others have taken over what it holds.
 const LONGEST_HAND_OVER: Span = Span(4000);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
-/// How operators speak to a registrar.
+/// How operators speak to a controller.
 #[derive(Clone)]
 pub struct Dialects {
     /// What plans look like.
     pub plans: Arc<dyn PlanDialect>,
     /// What operators' calls look like; `None`: as the product's own interface has them.
     pub admin: Option<Arc<dyn AdminDialect>>,
-    /// Where operators reach other registrars, read anew for each operator that is sent on; `None`: as the settings
+    /// Where operators reach other controllers, read anew for each operator that is sent on; `None`: as the settings
     /// had it at the start.
     pub others: Option<ReadAddresses>,
 }
@@ -40,14 +40,14 @@
     }
 }
 
-/// Runs a registrar until it's told to stop; gives the exit code.
+/// Runs a controller until it's told to stop; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
     let outcome =
         if settings.folder.is_empty() { send_on(settings, dialects.others) } else { start(settings, dialects) };
     match outcome {
         Ok(()) => 0,
         Err(why) => {
-            eprintln!("registrar: {} {why}", ResultCode::BadSettings);
+            eprintln!("controller: {} {why}", ResultCode::BadSettings);
             2
         }
     }
@@ -66,7 +66,7 @@
     let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
     let gate_thread = move || gate.serve(move |request| redirector.respond(&request));
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
-    tracing::info!("registrar: listens at {listen}, has no disk and sends operators on.");
+    tracing::info!("controller: listens at {listen}, has no disk and sends operators on.");
     while !stop.load(Ordering::Relaxed) {
         std::thread::sleep(Duration::from_millis(200));
     }
@@ -129,7 +129,7 @@
         });
     };
     std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
-    tracing::info!("registrar: listens at {listen}, inner {inner}, zone {}.", settings.zone);
+    tracing::info!("controller: listens at {listen}, inner {inner}, zone {}.", settings.zone);
     let mut timing = ControllerTiming::default();
     timing.replica.copies = settings.copies as usize;
     timing.replica.voters = settings.voters as usize;
@@ -170,7 +170,7 @@
             next_tick = next_tick.min(controller.next_timer().max(now + SHORTEST_TICK));
         }
     }
-    tracing::info!("registrar: stopped.");
+    tracing::info!("controller: stopped.");
     Ok(())
 }
 
@@ -219,7 +219,7 @@
             }
             Event::Disk(life, DiskEvent::Fault { why }) => {
                 if self.fault.as_ref() != Some(&why) {
-                    tracing::error!("disk: {} {why}; this registrar steps out.", ResultCode::DiskFault);
+                    tracing::error!("disk: {} {why}; this controller steps out.", ResultCode::DiskFault);
                     self.fault = Some(why);
                 }
                 self.tallies.faults.fetch_add(1, Ordering::Relaxed);
@@ -246,7 +246,7 @@
         let timing = self.timing;
         match Replica::new(me, known, timing.replica, kept, Ledger::default(), now) {
             Ok(replica) => {
-                tracing::info!("registrar: disk {disk} holds epoch {}.", replica.state_machine().epoch);
+                tracing::info!("controller: disk {disk} holds epoch {}.", replica.state_machine().epoch);
                 self.life = life;
                 self.disk_thread.begin(life);
                 self.fault = None;
@@ -254,7 +254,7 @@
                 self.controller = Some(Controller::new(replica, timing, key, incarnation, now));
             }
             Err(fault) => {
-                tracing::error!("registrar: {} {fault}; the folder must be emptied by hand.", ResultCode::DiskFault);
+                tracing::error!("controller: {} {fault}; the folder must be emptied by hand.", ResultCode::DiskFault);
                 self.fault = Some(fault.to_string());
                 self.controller = None;
             }
@@ -472,14 +472,14 @@
 
 fn metrics(tallies: &Tallies) -> Response {
     let rows = [
-        ("registrar_http_requests_total", "counter", &tallies.requests),
-        ("registrar_disk_writes_total", "counter", &tallies.writes),
-        ("registrar_disk_faults_total", "counter", &tallies.faults),
-        ("registrar_polls_total", "counter", &tallies.polls),
-        ("registrar_view_epoch", "gauge", &tallies.view),
-        ("registrar_layout_epoch", "gauge", &tallies.epoch),
-        ("registrar_chain_length", "gauge", &tallies.chain),
-        ("registrar_members", "gauge", &tallies.members),
+        ("controller_http_requests_total", "counter", &tallies.requests),
+        ("controller_disk_writes_total", "counter", &tallies.writes),
+        ("controller_disk_faults_total", "counter", &tallies.faults),
+        ("controller_polls_total", "counter", &tallies.polls),
+        ("controller_view_epoch", "gauge", &tallies.view),
+        ("controller_layout_epoch", "gauge", &tallies.epoch),
+        ("controller_chain_length", "gauge", &tallies.chain),
+        ("controller_members", "gauge", &tallies.members),
     ];
     let lines = rows
         .iter()
--- a/crates/registrar/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,4 +1,4 @@
-//! The control plane: a registrar keeps the ledger on its disk, as one of a chain, and tells the
+//! The control plane: a controller keeps the ledger on its disk, as one of a chain, and tells the
 //! routers what is in force.
 
 mod admin;
--- a/crates/registrar/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,5 +1,5 @@
 use clap::{Parser, Subcommand};
-use registrar::{AdminCommand, prelude::*};
+use controller::{AdminCommand, prelude::*};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -13,7 +13,7 @@
 
 #[derive(Debug, Subcommand)]
 enum Task {
-    /// Run a registrar. Exit codes: 0 stopped as told, 2 the settings can't be used.
+    /// Run a controller. Exit codes: 0 stopped as told, 2 the settings can't be used.
     Serve {
         /// The settings file (TOML).
         #[arg(long)]
@@ -49,7 +49,7 @@
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
                 Err(fault) => {
-                    eprintln!("registrar: {} {fault}", ResultCode::BadSettings);
+                    eprintln!("controller: {} {fault}", ResultCode::BadSettings);
                     return ExitCode::from(2);
                 }
             };
--- a/crates/registrar/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 use schematic::Config;
 
-/// A registrar's settings file.
+/// A controller's settings file.
 #[derive(Debug, Clone, Config)]
 pub struct Settings {
     /// Where operators and probes reach it: IP number and port.
@@ -15,16 +15,16 @@
     pub zone: String,
     /// The data folder, on the machine's disk. Empty: this machine has none; it keeps nothing, votes on
     /// nothing and sends operators on to `admin_addresses`.
-    #[setting(default = "registrar-data")]
+    #[setting(default = "controller-data")]
     pub folder: String,
-    /// Inner addresses of all registrars that found the core together, the same list at each. Left
+    /// Inner addresses of all controllers that found the core together, the same list at each. Left
     /// empty by a machine that is added later, and by one whose disk was emptied.
     #[setting(validate = addresses)]
     pub founders: Vec<String>,
     /// Inner addresses of up to three processes to ask first.
     #[setting(validate = addresses)]
     pub seeds: Vec<String>,
-    /// Where operators reach other registrars.
+    /// Where operators reach other controllers.
     #[setting(validate = addresses)]
     pub admin_addresses: Vec<String>,
     /// Zones that may be withdrawn besides those that members and plans name.
@@ -32,7 +32,7 @@
     /// Disks that a change is on before it counts as accepted: one more than may be lost at once.
     #[setting(default = 2, validate = within(1, 9))]
     pub copies: u64,
-    /// Voters wanted: registrars added to a core of fewer become voters until there are as many. Of 2N + 1,
+    /// Voters wanted: controllers added to a core of fewer become voters until there are as many. Of 2N + 1,
     /// N may be lost at once, with their disks.
     #[setting(default = 3, validate = within(1, 19))]
     pub voters: u64,
--- a/crates/registrar/tests/concurrent_operators.rs
+++ b/crates/controller/tests/concurrent_operators.rs
@@ -5,8 +5,7 @@
 mod control;
 
 use control::{Carriage, Core, Mutant};
-use parlance::prelude::*;
-use registrar::prelude::*;
+use controller::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An operator turns to another machine after this silence.
--- a/crates/registrar/tests/control/mod.rs
+++ b/crates/controller/tests/control/mod.rs
@@ -3,8 +3,7 @@
 
 #![allow(dead_code)] // Each test file uses its part.
 
-use parlance::prelude::*;
-use registrar::prelude::*;
+use controller::prelude::*;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Between two clock events.
--- a/crates/registrar/tests/delayed_and_refused.rs
+++ b/crates/controller/tests/delayed_and_refused.rs
@@ -3,8 +3,8 @@
 mod control;
 
 use control::{Carriage, Core};
+use controller::prelude::*;
 use layout::prelude::{Command, OwnPlans, Proposal};
-use registrar::prelude::*;
 
 const HEAD: usize = 0;
 const MIDDLE: usize = 1;
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -1,5 +1,5 @@
 //! The operators' configuration: how plans are read and checked, and the ledger of all that was
-//! accepted, which the chain of registrars replicates.
+//! accepted, which the chain of controllers replicates.
 
 mod dialect;
 mod history;
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/layout/tests/hundreds.rs
@@ -17,7 +17,7 @@
 /// A write on its way: its number, its records, whether they replace all before.
 type Write = (u64, Vec<Record>, bool);
 
-/// Takes what came while it was at work together, with one sync, as the registrar's disk thread does.
+/// Takes what came while it was at work together, with one sync, as the controller's disk thread does.
 #[derive(Default)]
 struct Disk {
     records: Vec<Record>,
@@ -147,7 +147,7 @@
         let command = if n == 0 || self.is_whole {
             Command::Plan { bytes: plan, zones: vec![], revisions }
         } else {
-            // As the front of a registrar makes it, which has the plan before.
+            // As the front of a controller makes it, which has the plan before.
             let splice = Splice::between(&(self.plan)(n - 1), &plan);
             let base = Epoch(n);
             let bytes = format!(r#"{{"revision":{},"services":{{"a":{{"slots":{}}}}}}}"#, n + 1, n % 50 + 1).into();
--- a/crates/parlance/src/result_code.rs
+++ b/crates/parlance/src/result_code.rs
@@ -80,7 +80,7 @@
     BadLetter = 400, 400, 0, "bad-letter", "An inner letter was torn, too long or failed its check.";
     WrongProtocol = 401, 400, 0, "wrong-protocol", "The peer speaks another version of the inner protocol.";
     BadSettings = 402, 500, 0, "bad-settings", "The settings can't be used; exit code 2.";
-    DiskFault = 403, 500, 1, "disk-fault", "The disk refused a write; this registrar steps out of the chain.";
+    DiskFault = 403, 500, 1, "disk-fault", "The disk refused a write; this controller steps out of the chain.";
 }
 
 impl ResultCode {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -64,7 +64,7 @@
     let inner: Address = settings.inner.parse()?;
     let seeds = parse_addresses(&settings.seeds);
     if seeds.is_empty() {
-        return Err("seeds is empty: the inner address of at least one registrar is needed".into());
+        return Err("seeds is empty: the inner address of at least one controller is needed".into());
     }
     let listener = TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let connections = settings.requests as usize + 112;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -21,7 +21,7 @@
     /// Its zone.
     #[setting(default = "here", validate = a_name)]
     pub zone: String,
-    /// Inner addresses of up to three registrars to ask first.
+    /// Inner addresses of up to three controllers to ask first.
     #[setting(validate = addresses)]
     pub seeds: Vec<String>,
     /// Where the platform's list of servers is: IP number and port.
--- a/crates/storage/tests/power_loss.rs
+++ b/crates/storage/tests/power_loss.rs
@@ -377,7 +377,7 @@
     }
 }
 
-/// A disk that is full for one sync: the folder is opened anew, as the registrar's disk thread does, holds
+/// A disk that is full for one sync: the folder is opened anew, as the controller's disk thread does, holds
 /// what was acknowledged or one step more, and takes further steps; then power is lost.
 #[test]
 fn a_sync_that_fails_at_any_moment_loses_nothing_that_was_acknowledged() {
--- a/crates/testbed/src/crew.rs
+++ b/crates/testbed/src/crew.rs
@@ -15,8 +15,8 @@
 pub struct Shape {
     /// The zones.
     pub zones: Vec<&'static str>,
-    /// Machines with disks, each with a registrar.
-    pub registrars: usize,
+    /// Machines with disks, each with a controller.
+    pub controllers: usize,
     /// The other machines, each with a router.
     pub routers: usize,
     /// Model servers.
@@ -30,10 +30,10 @@
     pub fn shape(self) -> Shape {
         match self {
             Deployment::Pahana => {
-                Shape { zones: vec!["east", "middle", "west"], registrars: 3, routers: 9, models: 9, apps: 3 }
+                Shape { zones: vec!["east", "middle", "west"], controllers: 3, routers: 9, models: 9, apps: 3 }
             }
             Deployment::Valodu => {
-                Shape { zones: vec!["hill", "river", "shore", "town"], registrars: 4, routers: 8, models: 9, apps: 4 }
+                Shape { zones: vec!["hill", "river", "shore", "town"], controllers: 4, routers: 8, models: 9, apps: 4 }
             }
         }
     }
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -43,8 +43,8 @@
 
 /// All daemons of a deployment, on loopback. Ended when dropped.
 pub struct Fleet {
-    /// Registrars, with their folders under `folder`.
-    pub registrars: Vec<Daemon>,
+    /// Controllers, with their folders under `folder`.
+    pub controllers: Vec<Daemon>,
     /// Routers.
     pub routers: Vec<Daemon>,
     /// Settings, logs and data.
@@ -200,22 +200,22 @@
                 (temporary.path().to_owned(), Some(temporary))
             }
         };
-        let ports = free_ports((shape.registrars + shape.routers) * 2)?;
+        let ports = free_ports((shape.controllers + shape.routers) * 2)?;
         let address = |place: usize| Address::loopback(ports[place]);
-        let founders: Vec<String> = (0..shape.registrars).map(|n| address(n * 2 + 1).to_string()).collect();
+        let founders: Vec<String> = (0..shape.controllers).map(|n| address(n * 2 + 1).to_string()).collect();
         let quoted = |list: &[String]| list.iter().map(|a| format!("\"{a}\"")).collect::<Vec<_>>().join(", ");
         let seeds = quoted(&founders[..founders.len().min(3)]);
         let mut daemons = vec![];
-        for place in 0..shape.registrars + shape.routers {
-            let is_registrar = place < shape.registrars;
-            let number = if is_registrar { place } else { place - shape.registrars };
-            let kind = if is_registrar { "registrar" } else { "router" };
+        for place in 0..shape.controllers + shape.routers {
+            let is_controller = place < shape.controllers;
+            let number = if is_controller { place } else { place - shape.controllers };
+            let kind = if is_controller { "controller" } else { "router" };
             let name = format!("{kind}-{number}");
             let zone = shape.zones[number % shape.zones.len()].to_owned();
             let (listen, inner) = (address(place * 2), address(place * 2 + 1));
             let mut text =
                 format!("listen = \"{listen}\"\ninner = \"{inner}\"\nzone = \"{zone}\"\nseeds = [{seeds}]\n");
-            if is_registrar {
+            if is_controller {
                 let data = folder.join(&name);
                 text += &format!("folder = \"{}\"\nfounders = [{}]\n", data.display(), quoted(&founders));
             } else {
@@ -228,17 +228,17 @@
             daemons.push(Daemon { name, listen, inner, zone, program, settings, log, child: None });
         }
         daemons.iter_mut().try_for_each(Daemon::start)?;
-        let routers = daemons.split_off(shape.registrars);
-        Ok(Fleet { registrars: daemons, routers, folder, _temporary: temporary })
+        let routers = daemons.split_off(shape.controllers);
+        Ok(Fleet { controllers: daemons, routers, folder, _temporary: temporary })
     }
 
-    /// Starts an empty registrar at new addresses that knows only the seeds; gives its place.
-    pub fn add_registrar(&mut self) -> std::io::Result<usize> {
+    /// Starts an empty controller at new addresses that knows only the seeds; gives its place.
+    pub fn add_controller(&mut self) -> std::io::Result<usize> {
         let ports = free_ports(2)?;
         let (listen, inner) = (Address::loopback(ports[0]), Address::loopback(ports[1]));
-        let name = format!("registrar-{}", self.registrars.len());
-        let seeds: Vec<String> = self.registrars.iter().take(3).map(|r| format!("\"{}\"", r.inner)).collect();
-        let zone = self.registrars[0].zone.clone();
+        let name = format!("controller-{}", self.controllers.len());
+        let seeds: Vec<String> = self.controllers.iter().take(3).map(|r| format!("\"{}\"", r.inner)).collect();
+        let zone = self.controllers[0].zone.clone();
         let data = self.folder.join(&name);
         let text = format!(
             "listen = \"{listen}\"\ninner = \"{inner}\"\nzone = \"{zone}\"\nseeds = [{}]\nfolder = \"{}\"\n",
@@ -248,11 +248,11 @@
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text)?;
         let log = self.folder.join(format!("{name}.log"));
-        let program = self.registrars[0].program.clone();
+        let program = self.controllers[0].program.clone();
         let mut daemon = Daemon { name, listen, inner, zone, program, settings, log, child: None };
         daemon.start()?;
-        self.registrars.push(daemon);
-        Ok(self.registrars.len() - 1)
+        self.controllers.push(daemon);
+        Ok(self.controllers.len() - 1)
     }
 
     /// Waits until this holds, or the deadline passes.
@@ -267,19 +267,19 @@
         Err(format!("not within {} ms: {what}", patience.0))
     }
 
-    /// Waits until the registrars form the chain.
+    /// Waits until the controllers form the chain.
     pub fn await_core(&self, patience: Span) -> Result<Span, String> {
-        Self::await_that(patience, "all registrars in the chain", || self.registrars.iter().all(Daemon::is_ready))
+        Self::await_that(patience, "all controllers in the chain", || self.controllers.iter().all(Daemon::is_ready))
     }
     /// Waits until all routers take requests.
     pub fn await_routers(&self, patience: Span) -> Result<Span, String> {
         Self::await_that(patience, "all routers ready", || self.routers.iter().all(Daemon::is_ready))
     }
-    /// Puts a plan in force, asking registrars in turn.
+    /// Puts a plan in force, asking controllers in turn.
     pub fn put_plan(&self, id: &str, builds_on: u64, plan: &str) -> Result<serde_json::Value, String> {
         let mut last = String::new();
-        for registrar in self.registrars.iter().cycle().take(self.registrars.len() * 3) {
-            match registrar.ask("PUT", &format!("/v1/plan?id={id}&builds_on={builds_on}"), plan.as_bytes().to_vec()) {
+        for controller in self.controllers.iter().cycle().take(self.controllers.len() * 3) {
+            match controller.ask("PUT", &format!("/v1/plan?id={id}&builds_on={builds_on}"), plan.as_bytes().to_vec()) {
                 Ok((200, body)) => return serde_json::from_slice(&body).map_err(|fault| fault.to_string()),
                 Ok((status, body)) => last = format!("{status} {}", String::from_utf8_lossy(&body)),
                 Err(fault) => last = fault,
@@ -294,7 +294,7 @@
     /// Asks all to stop, routers first; gives the exit codes by name.
     pub fn stop(&mut self) -> BTreeMap<String, Option<i32>> {
         let mut codes = BTreeMap::new();
-        for group in [&mut self.routers, &mut self.registrars] {
+        for group in [&mut self.routers, &mut self.controllers] {
             group.iter().for_each(Daemon::ask_to_stop);
             for daemon in group {
                 codes.insert(daemon.name.clone(), daemon.wait(Span::seconds(20)));
--- a/crates/testbed/src/hollow.rs
+++ b/crates/testbed/src/hollow.rs
@@ -1,4 +1,4 @@
-//! Many nodes without clients: the routers' own control state and inner protocol, real registrars, loopback.
+//! Many nodes without clients: the routers' own control state and inner protocol, real controllers, loopback.
 
 use crate::prelude::*;
 use hdrhistogram::Histogram;
@@ -29,9 +29,10 @@
     /// Zones, with as many nodes each.
     #[arg(long, default_value_t = 3)]
     pub zones: u32,
-    /// Machines with registrars.
-    #[arg(long, default_value_t = 4)]
-    pub registrars: u32,
+    /// Machines with controllers.
+    #[arg(long, alias = "registrars", default_value_t = 4)]
+    #[serde(alias = "registrars")]
+    pub controllers: u32,
     /// Requests a second at each node; the target has 17.
     #[arg(long, default_value_t = 2.0)]
     pub requests: f64,
@@ -72,16 +73,16 @@
         NODE_BYTES + u64::from(self.servers) * SERVER_BYTES
     }
     fn processes(&self) -> u32 {
-        self.nodes.saturating_sub(self.zones).div_ceil(self.per_process.max(1)) + self.zones + self.registrars
+        self.nodes.saturating_sub(self.zones).div_ceil(self.per_process.max(1)) + self.zones + self.controllers
     }
     /// Why it can't fit this machine, with what would; `None` if it can.
     pub fn misfit(&self, free_bytes: u64, free_threads: u64) -> Option<String> {
-        if self.nodes < self.zones || self.zones == 0 || self.zones > 200 || self.registrars < 2 {
-            return Some("wanted are at least one node a zone, 1 to 200 zones and two registrars".into());
+        if self.nodes < self.zones || self.zones == 0 || self.zones > 200 || self.controllers < 2 {
+            return Some("wanted are at least one node a zone, 1 to 200 zones and two controllers".into());
         }
         let may = MEMORY.min(free_bytes / 2);
         let bytes = u64::from(self.nodes) * self.node_bytes() + u64::from(self.processes()) * PROCESS_BYTES;
-        let fixed = u64::from(self.registrars + self.zones + 1) * PROCESS_BYTES;
+        let fixed = u64::from(self.controllers + self.zones + 1) * PROCESS_BYTES;
         let each = self.node_bytes() + PROCESS_BYTES / u64::from(self.per_process.max(1));
         let fit = may.saturating_sub(fixed) / each;
         if bytes > may {
@@ -89,7 +90,7 @@
             return Some(format!("about {bytes} MiB are needed and {may} MiB may be used: --nodes {fit} would fit"));
         }
         if self.processes() > PROCESSES {
-            let per = self.nodes.div_ceil(PROCESSES - self.zones - self.registrars - 1);
+            let per = self.nodes.div_ceil(PROCESSES - self.zones - self.controllers - 1);
             return Some(format!("{} processes: --per-process {per} would fit", self.processes()));
         }
         if u64::from(self.nodes) * NODE_THREADS > free_threads {
@@ -105,8 +106,9 @@
 pub enum Role {
     /// The core's tail.
     Tail,
-    /// Another registrar.
-    Registrar,
+    /// Another controller.
+    #[serde(alias = "registrar")]
+    Controller,
     /// A zone's first node.
     Collector,
     /// All other nodes.
@@ -120,7 +122,7 @@
 pub struct RoleCost {
     /// Processes.
     pub processes: u32,
-    /// Nodes in them; registrars count one each.
+    /// Nodes in them; controllers count one each.
     pub nodes: u32,
     /// Share of one core, a node.
     pub core: f64,
@@ -204,7 +206,7 @@
         rules: HollowRules,
         /// Addresses and zones of its nodes.
         nodes: Vec<(Address, ZoneName)>,
-        /// Registrars to ask first.
+        /// Controllers to ask first.
         seeds: Vec<Address>,
     },
     /// Requests come from now on.
@@ -285,13 +287,13 @@
     let began = Clock::now();
     let say = |what: String| eprintln!("{:>7} ms  {what}", Clock::now().since(began).0);
     let zones: Vec<&'static str> = vec!["core-a", "core-b", "core-c", "core-d"];
-    let shape = Shape { zones, registrars: rules.registrars as usize, routers: 0, models: 0, apps: 0 };
+    let shape = Shape { zones, controllers: rules.controllers as usize, routers: 0, models: 0, apps: 0 };
     let fleet = Fleet::start(&shape, Address::loopback(1), folder, &FleetOptions::default())
-        .map_err(|fault| format!("the registrars can't be started (build the workspace first): {fault}"))?;
+        .map_err(|fault| format!("the controllers can't be started (build the workspace first): {fault}"))?;
     let core = fleet.await_core(Span::seconds(30))?;
-    say(format!("core of {} formed after {} ms", rules.registrars, core.0));
+    say(format!("core of {} formed after {} ms", rules.controllers, core.0));
     fleet.put_plan("first", 0, &plan(0))?;
-    let seeds: Vec<Address> = fleet.registrars.iter().take(3).map(|registrar| registrar.inner).collect();
+    let seeds: Vec<Address> = fleet.controllers.iter().take(3).map(|controller| controller.inner).collect();
 
     let zone_of = |zone: u32| ZoneName(format!("zone-{zone}"));
     let mut collectors = vec![];
@@ -322,7 +324,8 @@
         }
     };
     let latest = |fleet: &Fleet| -> Option<(u64, usize, u64)> {
-        let found = fleet.registrars.iter().find_map(|one| one.get("/v1/latest").ok().filter(|(code, _)| *code == 200));
+        let found =
+            fleet.controllers.iter().find_map(|one| one.get("/v1/latest").ok().filter(|(code, _)| *code == 200));
         let value: serde_json::Value = serde_json::from_slice(&found?.1).ok()?;
         Some((value["epoch"].as_u64()?, value["members"].as_array()?.len(), value["plan_epoch"].as_u64()?))
     };
@@ -351,10 +354,10 @@
 
     // Measured from here on.
     hosts.iter_mut().for_each(|host| host.tell(&HostCommand::Tell));
-    let tail = fleet.registrars.iter().position(|one| one.believes()["may_respond"] == true).unwrap_or(0);
-    let pid = |place: usize| fleet.registrars[place].pid().unwrap_or(0);
-    let processes: Vec<(Role, u32, u32)> = (0..fleet.registrars.len())
-        .map(|place| (if place == tail { Role::Tail } else { Role::Registrar }, pid(place), 1))
+    let tail = fleet.controllers.iter().position(|one| one.believes()["may_respond"] == true).unwrap_or(0);
+    let pid = |place: usize| fleet.controllers[place].pid().unwrap_or(0);
+    let processes: Vec<(Role, u32, u32)> = (0..fleet.controllers.len())
+        .map(|place| (if place == tail { Role::Tail } else { Role::Controller }, pid(place), 1))
         .chain(hosts.iter().map(|host| (host.role, host.child.id(), host.nodes.len() as u32)))
         .chain([(Role::Tools, std::process::id(), 1)])
         .collect();
--- a/crates/testbed/src/hollow/host.rs
+++ b/crates/testbed/src/hollow/host.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// Which zone an address is in, see [`super::node_address`]; registrars are in none of the nodes'.
+/// Which zone an address is in, see [`super::node_address`]; controllers are in none of the nodes'.
 fn zone_octet(address: &Address) -> Option<u8> {
     match address.0.ip() {
         std::net::IpAddr::V4(ip) => Some(ip.octets()[1]),
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -88,7 +88,7 @@
         #[arg(long, default_value_t = 90)]
         hot_share: u64,
     },
-    /// Run the control plane alone: real registrars, and many nodes' control state and inner protocol
+    /// Run the control plane alone: real controllers, and many nodes' control state and inner protocol
     /// over loopback. A size that can't fit the machine is refused before anything starts.
     Hollow {
         #[command(flatten)]
@@ -155,12 +155,12 @@
         /// So many routers, in place of the deployment's.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=500))]
         routers: Option<u16>,
-        /// Registrars take each other for gone after this many ms.
+        /// Controllers take each other for gone after this many ms.
         #[arg(long)]
         suspect_ms: Option<u64>,
-        /// So many registrars, in place of the deployment's.
+        /// So many controllers, in place of the deployment's.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
-        registrars: Option<u16>,
+        controllers: Option<u16>,
         /// Disks that a change is on before it is told as accepted.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
         copies: Option<u16>,
@@ -169,7 +169,7 @@
         operators_ms: u64,
         /// Who must know a change before it is told as accepted.
         #[arg(long, default_value = "majority")]
-        quorum: registrar::prelude::Quorum,
+        quorum: controller::prelude::Quorum,
         /// With a deliberate fault in the system itself.
         #[arg(long)]
         mutant: Option<Mutant>,
@@ -242,7 +242,7 @@
             requests,
             routers,
             suspect_ms,
-            registrars,
+            controllers,
             copies,
             operators_ms,
             quorum,
@@ -255,7 +255,7 @@
                 mutant,
                 routers: routers.map(usize::from),
                 suspect: suspect_ms.map(Span),
-                registrars: registrars.map(usize::from),
+                controllers: controllers.map(usize::from),
                 copies: copies.map_or(swept.copies, usize::from),
                 operators_gap: Span(operators_ms),
                 quorum,
@@ -263,7 +263,7 @@
                 ..swept
             };
             // A size that is named holds for all seeds.
-            let is_swept = registrars.is_none() && copies.is_none();
+            let is_swept = controllers.is_none() && copies.is_none();
             Ok(simulate(&rules, seeds, is_swept))
         }
         Task::Explore { voters, copies, faults, proposals, threads, most_states, walks, seed, refusals, mutant } => {
@@ -347,9 +347,9 @@
                         return;
                     }
                     let swept = WorldRules::swept(rules.deployment, seed);
-                    let (registrars, copies) =
-                        if is_swept { (swept.registrars, swept.copies) } else { (rules.registrars, rules.copies) };
-                    let witness = World::new(WorldRules { seed, registrars, copies, ..rules.clone() }).run();
+                    let (controllers, copies) =
+                        if is_swept { (swept.controllers, swept.copies) } else { (rules.controllers, rules.copies) };
+                    let witness = World::new(WorldRules { seed, controllers, copies, ..rules.clone() }).run();
                     let _ = writeln!(std::io::stdout(), "seed {seed}: {witness}");
                     let mut all = lags.lock().expect("no thread panics with it");
                     let mut note =
@@ -362,7 +362,7 @@
                     note("run at a server, after it was marked as leaving", &mut witness.leaving_ms.iter().copied());
                     note("command accepted, after it was sent", &mut witness.accept_ms.iter().copied());
                     note("a change accepted again, after all was healed", &mut witness.back_ms.0.into_iter());
-                    note("all registrars level again, after all was healed", &mut witness.level_ms.into_iter());
+                    note("all controllers level again, after all was healed", &mut witness.level_ms.into_iter());
                     note("a request complete again, after all was healed", &mut witness.back_ms.1.into_iter());
                     let over = |(requests, repeats): &(u64, u64)| repeats.saturating_sub(requests / 5);
                     note("repeats of a service beyond a fifth (a count)", &mut witness.repeats.values().map(over));
@@ -421,7 +421,10 @@
             "core formed after {} ms, plan accepted as epoch {}, routers ready {} ms later",
             core.0, outcome["epoch"], ready.0
         );
-        println!("registrars: {}", fleet.registrars.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
+        println!(
+            "controllers: {}",
+            fleet.controllers.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" ")
+        );
         println!("routers:     {}", fleet.routers.iter().map(|d| d.listen.to_string()).collect::<Vec<_>>().join(" "));
         println!("settings, logs and data: {}", fleet.folder.display());
     }
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,9 +1,9 @@
 use crate::prelude::*;
 use circular::prelude::Letter;
 use college::prelude::{Kept, Record, Replica, Voter};
+use controller::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use layout::prelude::{AsSent, Command, Ledger, Proposal};
 use primer::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
-use registrar::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -45,7 +45,7 @@
     next_number: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     happenings: BTreeMap<u64, Happening>,
-    registrars: Vec<RegistrarMachine>,
+    controllers: Vec<ControllerMachine>,
     routers: Vec<RouterMachine>,
     servers: Vec<ServerMachine>,
     /// Pairs of addresses whose letters don't arrive, one way.
@@ -57,7 +57,7 @@
     requests: BTreeMap<RequestId, SimRequest>,
     operators: operators::Operators,
     history: history::History,
-    /// Patches that are at a registrar's door, by their calls.
+    /// Patches that are at a controller's door, by their calls.
     door: BTreeMap<u64, door::PatchStep>,
     witness: Witness,
     trace: u64,
@@ -66,16 +66,16 @@
     armed: Vec<usize>,
     /// Faults that wait for the next change that is sent,
     armed_for_send: Vec<usize>,
-    /// and for the next write of a registrar.
+    /// and for the next write of a controller.
     armed_for_write: Vec<usize>,
     replaced: u16,
     /// Five times the traffic until then.
     crowd_until: u64,
-    /// For the mutant: questions of registrars, the operator's number behind each, and whether it was answered.
+    /// For the mutant: questions of controllers, the operator's number behind each, and whether it was answered.
     questions: BTreeMap<u64, (u64, bool)>,
 }
 
-struct RegistrarMachine {
+struct ControllerMachine {
     address: Address,
     zone: ZoneName,
     offset: u64,
@@ -97,10 +97,10 @@
     full_until: u64,
 }
 
-impl RegistrarMachine {
+impl ControllerMachine {
     fn new(address: Address, zone: ZoneName, offset: u64, disk: SimDisk) -> Self {
         let (controller, life, frozen_until, late, is_gone) = (None, 0, 0, vec![], false);
-        RegistrarMachine { address, zone, offset, controller, life, frozen_until, late, disk, is_gone }
+        ControllerMachine { address, zone, offset, controller, life, frozen_until, late, disk, is_gone }
     }
 }
 
@@ -178,7 +178,7 @@
             next_number: 0,
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
-            registrars: vec![],
+            controllers: vec![],
             routers: vec![],
             servers: vec![],
             cut: BTreeSet::new(),
@@ -246,12 +246,12 @@
         let zone = |place: usize| ZoneName::from(shape.zones[place % shape.zones.len()]);
         // Where syncs are skipped, disks are slow, so that something is left to be lost.
         let delay = if self.rules.mutant == Some(Mutant::SkipSync) { 400 } else { 3 };
-        for place in 0..self.registrar_count() {
+        for place in 0..self.controller_count() {
             let id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
             let offset = 1_000_000 + self.below(1_000_000_000);
             let address = Address::loopback(1001 + place as u16);
-            self.registrars.push(RegistrarMachine::new(address, zone(place), offset, SimDisk::new(id, delay)));
-            self.put(place as u64 * 7, Happening::StartRegistrar { machine: place });
+            self.controllers.push(ControllerMachine::new(address, zone(place), offset, SimDisk::new(id, delay)));
+            self.put(place as u64 * 7, Happening::StartController { machine: place });
         }
         for place in 0..self.rules.routers.unwrap_or(shape.routers) {
             let offset = 1_000_000 + self.below(1_000_000_000);
@@ -298,8 +298,8 @@
         self.plan_faults();
     }
 
-    fn registrar_count(&self) -> usize {
-        self.rules.registrars.unwrap_or(self.rules.deployment.shape().registrars)
+    fn controller_count(&self) -> usize {
+        self.rules.controllers.unwrap_or(self.rules.deployment.shape().controllers)
     }
 
     /// The platform's list as it is now; nodes see it late.
--- a/crates/testbed/src/world/aimed.rs
+++ b/crates/testbed/src/world/aimed.rs
@@ -7,42 +7,42 @@
 const AFTER_SEND: std::ops::Range<u64> = 5..400;
 
 impl World {
-    pub(super) fn strike_aimed(&mut self, place: usize, registrar: usize) {
+    pub(super) fn strike_aimed(&mut self, place: usize, controller: usize) {
         let Fault { kind, span, pick, .. } = self.faults[place].clone();
-        let leader = self.operators.last_actor.unwrap_or(registrar);
+        let leader = self.operators.last_actor.unwrap_or(controller);
         let back = 50 + pick % 2500;
         match kind {
-            FaultKind::CutRegistrar => self.cut_off(place, registrar),
+            FaultKind::CutController => self.cut_off(place, controller),
             FaultKind::CutLeader => self.cut_off(place, leader),
-            FaultKind::ResetRegistrar => {
-                self.cut_off(place, registrar);
+            FaultKind::ResetController => {
+                self.cut_off(place, controller);
                 let pairs = self.faults[place].cut.clone();
                 self.reset_between(&pairs);
             }
             FaultKind::KillLeader => {
-                self.kill_registrar(leader, pick.is_multiple_of(2));
-                self.put(back, Happening::StartRegistrar { machine: leader });
+                self.kill_controller(leader, pick.is_multiple_of(2));
+                self.put(back, Happening::StartController { machine: leader });
             }
-            FaultKind::FreezeLeader => self.registrars[leader].frozen_until = self.now + span,
+            FaultKind::FreezeLeader => self.controllers[leader].frozen_until = self.now + span,
             FaultKind::KillAfterSend | FaultKind::PowerLossAfterSend => self.armed_for_send.push(place),
             FaultKind::KillInWrite => self.armed_for_write.push(place),
             FaultKind::MeetReturn => {
-                self.kill_registrar(registrar, false);
-                self.put(back, Happening::StartRegistrar { machine: registrar });
-                self.put(back + pick % 20, Happening::Meet { machine: registrar });
+                self.kill_controller(controller, false);
+                self.put(back, Happening::StartController { machine: controller });
+                self.put(back + pick % 20, Happening::Meet { machine: controller });
             }
-            FaultKind::EvacuateCut => self.evacuate_cut(place, registrar),
-            FaultKind::ReplacePlanned => self.replace_by_plan(registrar, pick),
-            FaultKind::ReplaceCutSeeds => self.replace_with_cut_seeds(place, registrar, back),
+            FaultKind::EvacuateCut => self.evacuate_cut(place, controller),
+            FaultKind::ReplacePlanned => self.replace_by_plan(controller, pick),
+            FaultKind::ReplaceCutSeeds => self.replace_with_cut_seeds(place, controller, back),
             _ => {}
         }
     }
 
-    /// Cuts a registrar's machine off from all others. Half of the time operators go on reaching it, with a change.
+    /// Cuts a controller's machine off from all others. Half of the time operators go on reaching it, with a change.
     fn cut_off(&mut self, place: usize, machine: usize) {
         let others: Vec<Address> =
-            self.registrars.iter().map(|m| m.address).chain(self.routers.iter().map(|m| m.address)).collect();
-        self.cut_between(place, &[self.registrars[machine].address], &others, false);
+            self.controllers.iter().map(|m| m.address).chain(self.routers.iter().map(|m| m.address)).collect();
+        self.cut_between(place, &[self.controllers[machine].address], &others, false);
         if self.faults[place].pick.is_multiple_of(2) {
             self.propose_at(machine);
         }
@@ -56,7 +56,7 @@
         }
     }
 
-    /// A registrar's disk has begun to write.
+    /// A controller's disk has begun to write.
     pub(super) fn strike_in_write(&mut self, machine: usize) {
         for place in std::mem::take(&mut self.armed_for_write) {
             let after = self.below(4);
@@ -68,10 +68,10 @@
         let Fault { kind, pick, .. } = self.faults[place];
         let back = 50 + pick % 2500;
         let is_power = kind == FaultKind::PowerLossAfterSend;
-        let all = if kind == FaultKind::KillAfterSend { machine..machine + 1 } else { 0..self.registrars.len() };
+        let all = if kind == FaultKind::KillAfterSend { machine..machine + 1 } else { 0..self.controllers.len() };
         for struck in all {
-            self.kill_registrar(struck, is_power);
-            self.put(back + mix(pick ^ struck as u64) % 300, Happening::StartRegistrar { machine: struck });
+            self.kill_controller(struck, is_power);
+            self.put(back + mix(pick ^ struck as u64) % 300, Happening::StartController { machine: struck });
         }
     }
 
@@ -88,7 +88,7 @@
         let zones = self.rules.deployment.shape().zones;
         let zone = ZoneName::from(zones[(self.faults[place].pick / 3 % zones.len() as u64) as usize]);
         self.begin(Wish::Command(Command::Withdraw { zone: zone.clone() }), Some(machine));
-        let other = (machine + 1) % self.registrars.len();
+        let other = (machine + 1) % self.controllers.len();
         self.put(1600, Happening::TakeBack { zone, machine: other });
     }
 
@@ -101,36 +101,36 @@
         if !self.is_core_whole() {
             return;
         }
-        let zone = self.registrars[machine].zone.clone();
-        let newcomer = self.add_registrar(zone);
-        self.put(1, Happening::StartRegistrar { machine: newcomer });
+        let zone = self.controllers[machine].zone.clone();
+        let newcomer = self.add_controller(zone);
+        self.put(1, Happening::StartController { machine: newcomer });
         self.put(2500 + pick % 2000, Happening::Retire { machine });
     }
 
     /// The old one ends, once the core is whole: its successor stands by and takes its seat.
     pub(super) fn on_retire(&mut self, machine: usize) {
-        if self.registrars[machine].is_gone || self.now >= self.rules.span.0 {
+        if self.controllers[machine].is_gone || self.now >= self.rules.span.0 {
             return;
         }
-        if !self.is_core_whole() || self.registrars[machine].controller.is_none() {
+        if !self.is_core_whole() || self.controllers[machine].controller.is_none() {
             return self.put(1000, Happening::Retire { machine });
         }
         // It ends by itself, once its disk is done.
-        let pending = std::mem::take(&mut self.registrars[machine].disk.pending);
+        let pending = std::mem::take(&mut self.controllers[machine].disk.pending);
         pending
             .into_iter()
-            .for_each(|(_, _, _, records, is_whole)| self.registrars[machine].disk.keep(records, is_whole));
-        self.kill_registrar(machine, false);
-        self.registrars[machine].is_gone = true;
+            .for_each(|(_, _, _, records, is_whole)| self.controllers[machine].disk.keep(records, is_whole));
+        self.kill_controller(machine, false);
+        self.controllers[machine].is_gone = true;
     }
 
     fn replace_with_cut_seeds(&mut self, place: usize, machine: usize, back: u64) {
-        let before = self.registrars.len();
+        let before = self.controllers.len();
         self.lose_disk(machine, FaultKind::ReplaceCore, back);
-        if self.registrars.len() == before {
+        if self.controllers.len() == before {
             return;
         }
-        let newcomer = self.registrars[before].address;
+        let newcomer = self.controllers[before].address;
         let mut seeds = self.seeds_of(before).unwrap_or_default();
         seeds.truncate(2);
         self.cut_between(place, &[newcomer], &seeds, false);
--- a/crates/testbed/src/world/aimed/tests.rs
+++ b/crates/testbed/src/world/aimed/tests.rs
@@ -11,8 +11,8 @@
 }
 
 #[parameterized(
-    cut_registrar = { FaultKind::CutRegistrar },
-    reset_registrar = { FaultKind::ResetRegistrar },
+    cut_controller = { FaultKind::CutController },
+    reset_controller = { FaultKind::ResetController },
     kill_leader = { FaultKind::KillLeader },
     freeze_leader = { FaultKind::FreezeLeader },
     cut_leader = { FaultKind::CutLeader },
@@ -41,13 +41,13 @@
     play(deployment, kind, seed);
 }
 
-/// The day `pahana-cut-off-then-read-back`: connections that wait for ever longer keep a registrar that was cut
+/// The day `pahana-cut-off-then-read-back`: connections that wait for ever longer keep a controller that was cut
 /// off from coming level again.
 #[test]
-fn connections_that_are_never_given_up_keep_a_registrar_from_being_level_again() {
+fn connections_that_are_never_given_up_keep_a_controller_from_being_level_again() {
     let rules = |seed, mutant| WorldRules {
         faults: 3,
-        kinds: vec![FaultKind::CutRegistrar],
+        kinds: vec![FaultKind::CutController],
         requests_a_second: 5,
         mutant,
         ..WorldRules::new(Deployment::Valodu, seed)
@@ -62,8 +62,8 @@
 #[parameterized(
     pahana = { Deployment::Pahana, 1 },
     valodu = { Deployment::Valodu, 2 },
-    five_registrars = { Deployment::Pahana, 5 },
-    six_registrars = { Deployment::Valodu, 6 },
+    five_controllers = { Deployment::Pahana, 5 },
+    six_controllers = { Deployment::Valodu, 6 },
 )]
 fn hundreds_of_changes_are_taken_in_one_run(deployment: Deployment, seed: u64) {
     let rules = WorldRules {
--- a/crates/testbed/src/world/checks.rs
+++ b/crates/testbed/src/world/checks.rs
@@ -35,7 +35,7 @@
     pub accept_ms: Vec<u64>,
     /// After the last fault was healed: until a command was accepted, and until a request completed.
     pub back_ms: (Option<u64>, Option<u64>),
-    /// After the last fault was healed: until all registrars sat in the chain, level, in one view.
+    /// After the last fault was healed: until all controllers sat in the chain, level, in one view.
     pub level_ms: Option<u64>,
     /// What all happenings mix to.
     pub trace: u64,
@@ -74,7 +74,7 @@
 /// takes this long to be connected and to leave.
 const HELD: u64 = 450;
 const WITHDRAWN: u64 = 5200;
-/// After all is healed, all registrars are level by then.
+/// After all is healed, all controllers are level by then.
 const LEVEL_AGAIN: u64 = 8000;
 const LEAVING: u64 = 3200;
 /// Repeats beyond a fifth, a minute, over the whole fleet.
@@ -400,7 +400,7 @@
             self.witness.level_ms = Some(calm_for);
         }
         let tails: Vec<Address> = self
-            .registrars
+            .controllers
             .iter()
             .filter(|m| self.now >= m.frozen_until)
             .filter(|m| m.controller.as_ref().is_some_and(|o| o.replica().may_respond(Moment(self.now + m.offset))))
@@ -411,36 +411,36 @@
         }
     }
 
-    /// Whether the chain has all its seats, each of them level and taken by a registrar that is up and knows of
+    /// Whether the chain has all its seats, each of them level and taken by a controller that is up and knows of
     /// them. One more that stands by, as during a planned replacement, has no seat.
     fn is_core_level(&self) -> bool {
         let Some(view) = self.witness.decided.values().next_back() else { return false };
         let is_up = |seat: &college::prelude::Seat| {
-            let mut machines = self.registrars.iter().filter(|m| m.address == seat.voter.address && !m.is_gone);
-            let knows = |m: &RegistrarMachine| {
+            let mut machines = self.controllers.iter().filter(|m| m.address == seat.voter.address && !m.is_gone);
+            let knows = |m: &ControllerMachine| {
                 m.controller.as_ref().is_some_and(|controller| controller.replica().view() == view)
             };
             machines.any(|m| m.disk.id == seat.voter.disk && knows(m))
         };
-        view.chain.len() >= self.registrar_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
+        view.chain.len() >= self.controller_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
     }
 
     pub(super) fn last_checks(&mut self) {
         let now = self.now;
         if self.witness.calm_from > 0 && self.witness.level_ms.is_none_or(|ms| ms > LEVEL_AGAIN) {
             let level = self.witness.level_ms;
-            self.witness.violate(now, format!("all registrars were level again after {level:?} ms"));
+            self.witness.violate(now, format!("all controllers were level again after {level:?} ms"));
         }
-        let tail = self.registrars.iter().position(|m| {
+        let tail = self.controllers.iter().position(|m| {
             m.controller.as_ref().is_some_and(|controller| controller.replica().may_respond(Moment(now + m.offset)))
         });
         self.history.judge().into_iter().for_each(|what| self.witness.violate(now, what));
         self.witness.calls = self.history.lines();
         let ledger =
-            tail.and_then(|place| self.registrars[place].controller.as_ref()).map(|o| o.replica().state_machine());
+            tail.and_then(|place| self.controllers[place].controller.as_ref()).map(|o| o.replica().state_machine());
         self.witness.conclude(now, ledger);
         if let Some(view) = self.witness.decided.values().next_back() {
-            let (seated, wanted) = (view.chain.len(), self.registrar_count());
+            let (seated, wanted) = (view.chain.len(), self.controller_count());
             if seated < wanted {
                 self.witness.violate(now, format!("the chain has {seated} of {wanted} members at the end"));
             }
--- a/crates/testbed/src/world/connections.rs
+++ b/crates/testbed/src/world/connections.rs
@@ -147,9 +147,9 @@
     }
 
     fn life_of(&self, address: Address) -> u64 {
-        let registrar = self.registrars.iter().find(|m| m.address == address).map(|m| m.life);
+        let controller = self.controllers.iter().find(|m| m.address == address).map(|m| m.life);
         let router = || self.routers.iter().find(|m| m.address == address).map(|m| m.life);
-        registrar.or_else(router).unwrap_or(0)
+        controller.or_else(router).unwrap_or(0)
     }
 
     /// Takes a letter to its receiver, unless it's lost on the way.
@@ -168,7 +168,7 @@
         self.put(delay, Happening::Letter { to, from, letter });
     }
 
-    /// For the mutant that answers twice: which operator is behind a registrar's question.
+    /// For the mutant that answers twice: which operator is behind a controller's question.
     fn note_question(&mut self, letter: &Letter) {
         if self.rules.mutant == Some(Mutant::AnswerTwice)
             && let Letter::Ask { number, reading } = letter
--- a/crates/testbed/src/world/connections/tests.rs
+++ b/crates/testbed/src/world/connections/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Two registrars of a world in which nothing else goes on.
+/// Two controllers of a world in which nothing else goes on.
 struct Pair {
     world: World,
     from: Address,
@@ -14,7 +14,7 @@
         let mut world = World::new(WorldRules { faults: 0, mutant, ..WorldRules::new(Deployment::Pahana, 1) });
         world.queue.clear();
         world.happenings.clear();
-        let (from, to) = (world.registrars[0].address, world.registrars[1].address);
+        let (from, to) = (world.controllers[0].address, world.controllers[1].address);
         Pair { world, from, to, arrived: vec![] }
     }
     fn send(&mut self, round: u64) {
@@ -105,7 +105,7 @@
 fn a_process_that_came_back_resets_what_its_predecessor_had() {
     let mut pair = Pair::new(None);
     pair.send(1);
-    pair.world.registrars[1].life += 1;
+    pair.world.controllers[1].life += 1;
     pair.send(2);
     pair.send(3);
     pair.run_until(50);
--- a/crates/testbed/src/world/disk_losses.rs
+++ b/crates/testbed/src/world/disk_losses.rs
@@ -3,23 +3,23 @@
 use super::*;
 
 impl World {
-    /// Whether the chain has all its seats, each of them level and taken by a registrar that is up: only then may
+    /// Whether the chain has all its seats, each of them level and taken by a controller that is up: only then may
     /// one be lost.
     pub(super) fn is_core_whole(&self) -> bool {
         let now = self.now;
-        let controllers = self.registrars.iter().filter_map(|m| m.controller.as_ref());
+        let controllers = self.controllers.iter().filter_map(|m| m.controller.as_ref());
         let Some(view) = controllers.map(|controller| controller.replica().view()).max_by_key(|view| view.epoch) else {
             return false;
         };
         let is_up = |seat: &college::prelude::Seat| {
-            let mut machines = self.registrars.iter().filter(|m| !m.is_gone && m.controller.is_some());
+            let mut machines = self.controllers.iter().filter(|m| !m.is_gone && m.controller.is_some());
             machines.any(|m| {
                 seat.voter == Voter { address: m.address, disk: m.disk.id }
                     && now >= m.frozen_until
                     && now >= m.disk.full_until
             })
         };
-        view.chain.len() == self.registrar_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
+        view.chain.len() == self.controller_count() && view.chain.iter().all(|seat| seat.is_level && is_up(seat))
     }
 
     /// One disk at a time may be lost: only while all others hold everything.
@@ -27,60 +27,61 @@
         if !self.is_core_whole() {
             return;
         }
-        self.kill_registrar(machine, true);
+        self.kill_controller(machine, true);
         let new_id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
         let does_keep_id = self.rules.mutant == Some(Mutant::ReuseWipedVote);
         if kind == FaultKind::ReplaceCore {
-            let zone = self.registrars[machine].zone.clone();
-            self.registrars[machine].is_gone = true;
-            let machine = self.add_registrar(zone);
-            self.put(back, Happening::StartRegistrar { machine });
+            let zone = self.controllers[machine].zone.clone();
+            self.controllers[machine].is_gone = true;
+            let machine = self.add_controller(zone);
+            self.put(back, Happening::StartController { machine });
             return;
         }
-        let disk = &mut self.registrars[machine].disk;
+        let disk = &mut self.controllers[machine].disk;
         disk.durable.clear();
         if !does_keep_id {
             disk.id = new_id;
         }
-        self.put(back, Happening::StartRegistrar { machine });
+        self.put(back, Happening::StartController { machine });
     }
 
-    /// A registrar's machine with an empty disk, at an address of its own.
-    pub(super) fn add_registrar(&mut self, zone: ZoneName) -> usize {
-        let number = self.registrars.len() as u16;
+    /// A controller's machine with an empty disk, at an address of its own.
+    pub(super) fn add_controller(&mut self, zone: ZoneName) -> usize {
+        let number = self.controllers.len() as u16;
         let id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
         let offset = 1_000_000 + self.below(1_000_000_000);
         let address = Address::loopback(1501 + number);
-        self.registrars.push(RegistrarMachine::new(address, zone, offset, SimDisk::new(id, 3)));
-        self.registrars.len() - 1
+        self.controllers.push(ControllerMachine::new(address, zone, offset, SimDisk::new(id, 3)));
+        self.controllers.len() - 1
     }
 
     /// Wipes as many disks as may be lost at once and cuts all power, while each machine votes with its disk:
     /// only then do most voters remain.
     pub(super) fn lose_budget(&mut self, pick: u64, back: u64) {
-        let controllers = self.registrars.iter().filter_map(|m| m.controller.as_ref());
+        let controllers = self.controllers.iter().filter_map(|m| m.controller.as_ref());
         let newest = controllers.map(|controller| controller.replica().view()).max_by_key(|view| view.epoch);
-        let is_voter =
-            |m: &&RegistrarMachine| newest.is_some_and(|v| v.has_voter(&Voter { address: m.address, disk: m.disk.id }));
-        let all: Vec<usize> = (0..self.registrars.len()).filter(|place| !self.registrars[*place].is_gone).collect();
-        if !all.iter().all(|place| is_voter(&&self.registrars[*place])) {
+        let is_voter = |m: &&ControllerMachine| {
+            newest.is_some_and(|v| v.has_voter(&Voter { address: m.address, disk: m.disk.id }))
+        };
+        let all: Vec<usize> = (0..self.controllers.len()).filter(|place| !self.controllers[*place].is_gone).collect();
+        if !all.iter().all(|place| is_voter(&&self.controllers[*place])) {
             return;
         }
         let zones = self.rules.deployment.shape().zones;
         let zone = ZoneName::from(zones[(pick / 2 % zones.len() as u64) as usize]);
-        let is_struck = |place: &usize| pick.is_multiple_of(2) || self.registrars[*place].zone == zone;
+        let is_struck = |place: &usize| pick.is_multiple_of(2) || self.controllers[*place].zone == zone;
         let from = (pick / 5) as usize % all.len();
         let in_turn = (0..all.len()).map(|step| all[(from + step) % all.len()]);
         let victims: Vec<usize> = in_turn.filter(is_struck).take(self.rules.copies - 1).collect();
         for machine in all {
-            self.kill_registrar(machine, true);
+            self.kill_controller(machine, true);
             if victims.contains(&machine) {
                 let new_id = DiskId(u128::from(self.draw()) << 64 | u128::from(self.draw()));
-                let disk = &mut self.registrars[machine].disk;
+                let disk = &mut self.controllers[machine].disk;
                 disk.durable.clear();
                 disk.id = new_id;
             }
-            self.put(back + machine as u64 * 30, Happening::StartRegistrar { machine });
+            self.put(back + machine as u64 * 30, Happening::StartController { machine });
         }
     }
 }
--- a/crates/testbed/src/world/door.rs
+++ b/crates/testbed/src/world/door.rs
@@ -1,4 +1,4 @@
-//! What a registrar's door makes of an operator's call, step by step, as the daemon's does.
+//! What a controller's door makes of an operator's call, step by step, as the daemon's does.
 
 use super::operators::{Asked, Basis, Wish};
 use super::*;
@@ -15,10 +15,10 @@
 }
 
 impl World {
-    /// A call reaches a registrar, if that is still the process that it was sent to.
+    /// A call reaches a controller, if that is still the process that it was sent to.
     pub(super) fn on_call_reaches(&mut self, machine: usize, life: u64, call: u64) {
         let happening = Happening::CallReaches { machine, life, call };
-        let m = &self.registrars[machine];
+        let m = &self.controllers[machine];
         if m.life != life || m.controller.is_none() {
             // Refused or reset: the operator knows at once.
             return self.on_silence(call);
@@ -46,9 +46,9 @@
         }
     }
 
-    /// A registrar sees that an operator's connection is closed.
+    /// A controller sees that an operator's connection is closed.
     pub(super) fn on_hang_up(&mut self, machine: usize, life: u64, call: u64) {
-        let is_same = self.registrars[machine].life == life && self.registrars[machine].controller.is_some();
+        let is_same = self.controllers[machine].life == life && self.controllers[machine].controller.is_some();
         if !is_same || !self.is_awake(true, machine, &Happening::HangUp { machine, life, call }) {
             return;
         }
@@ -66,9 +66,9 @@
         self.step_controller(machine, ControllerInput::Operator { number: call, ask: OperatorAsk::Read(reading) });
     }
 
-    /// For the mutant: the plan as this registrar has it.
+    /// For the mutant: the plan as this controller has it.
     fn read_here(&mut self, machine: usize, call: u64) {
-        let controller = self.registrars[machine].controller.as_ref();
+        let controller = self.controllers[machine].controller.as_ref();
         let plan = controller.map(|controller| controller.replica().state_machine().plan.clone()).unwrap_or_default();
         self.on_operator_response(call, if plan.is_empty() { 404 } else { 200 }, &plan);
     }
--- a/crates/testbed/src/world/fault_kinds.rs
+++ b/crates/testbed/src/world/fault_kinds.rs
@@ -3,9 +3,9 @@
 /// What can fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
 pub enum FaultKind {
-    /// A registrar's process is killed.
-    KillRegistrar,
-    /// All registrars are.
+    /// A controller's process is killed.
+    KillController,
+    /// All controllers are.
     KillCore,
     /// More than half of the routers are lost for good; their operator has them forgotten.
     LoseMembers,
@@ -13,8 +13,8 @@
     KillRouters,
     /// Everything of ours is.
     KillAll,
-    /// A registrar freezes and wakes.
-    FreezeRegistrar,
+    /// A controller freezes and wakes.
+    FreezeController,
     /// A router freezes and wakes.
     FreezeRouter,
     /// The core is split in two.
@@ -37,7 +37,7 @@
     FullDisk,
     /// A disk is wiped, its machine restarted.
     WipeDisk,
-    /// Power fails at a registrar: what was not synced is gone.
+    /// Power fails at a controller: what was not synced is gone.
     PowerLoss,
     /// Power fails everywhere.
     PowerLossAll,
@@ -46,11 +46,11 @@
     /// A disk is wiped right after a change was acknowledged.
     WipeAfterAck,
     /// As many disks as may be lost at once are, or a zone's, right after a change was acknowledged, while all
-    /// other registrars lose power. Struck only where it's named.
+    /// other controllers lose power. Struck only where it's named.
     LoseBudgetAfterAck,
     /// The same, at any time.
     LoseBudget,
-    /// A registrar's machine is lost for good; an empty one comes at a new address.
+    /// A controller's machine is lost for good; an empty one comes at a new address.
     ReplaceCore,
     /// A server crashes and comes back.
     CrashServer,
@@ -76,41 +76,41 @@
     PlanStorm,
     /// Most servers refuse or fail.
     Brownout,
-    /// A registrar's machine is cut off from all others in silence, for up to 17 s; operators reach it.
-    CutRegistrar,
+    /// A controller's machine is cut off from all others in silence, for up to 17 s; operators reach it.
+    CutController,
     /// The same for a few seconds, with all connections reset.
-    ResetRegistrar,
-    /// A zone is evacuated by way of a registrar that was just cut off, then by another, and then restored. Struck
+    ResetController,
+    /// A zone is evacuated by way of a controller that was just cut off, then by another, and then restored. Struck
     /// only where it's named.
     EvacuateCut,
-    /// The registrar that acknowledged the last change is killed.
+    /// The controller that acknowledged the last change is killed.
     KillLeader,
     /// It freezes and wakes.
     FreezeLeader,
     /// It is cut off.
     CutLeader,
-    /// A registrar is killed 5 to 400 ms after a change was sent to it.
+    /// A controller is killed 5 to 400 ms after a change was sent to it.
     KillAfterSend,
     /// Power fails everywhere 5 to 400 ms after a change was sent.
     PowerLossAfterSend,
-    /// All registrars are killed while some disk writes.
+    /// All controllers are killed while some disk writes.
     KillInWrite,
-    /// A registrar is killed; a plan, an evacuation and a reading reach it at the moment of its return.
+    /// A controller is killed; a plan, an evacuation and a reading reach it at the moment of its return.
     MeetReturn,
-    /// A registrar's machine is replaced by plan: the new one comes first, then the old one is told to end.
+    /// A controller's machine is replaced by plan: the new one comes first, then the old one is told to end.
     ReplacePlanned,
-    /// A registrar's machine is lost for good, and the new one can't reach two of those that its settings name.
+    /// A controller's machine is lost for good, and the new one can't reach two of those that its settings name.
     ReplaceCutSeeds,
 }
 
 /// All that strike where no kinds are named.
 pub(super) const KINDS: [FaultKind; 44] = [
-    FaultKind::KillRegistrar,
+    FaultKind::KillController,
     FaultKind::KillCore,
     FaultKind::LoseMembers,
     FaultKind::KillRouters,
     FaultKind::KillAll,
-    FaultKind::FreezeRegistrar,
+    FaultKind::FreezeController,
     FaultKind::FreezeRouter,
     FaultKind::SplitCore,
     FaultKind::CutCore,
@@ -138,8 +138,8 @@
     FaultKind::LeaveServer,
     FaultKind::PlanStorm,
     FaultKind::Brownout,
-    FaultKind::CutRegistrar,
-    FaultKind::ResetRegistrar,
+    FaultKind::CutController,
+    FaultKind::ResetController,
     FaultKind::KillLeader,
     FaultKind::FreezeLeader,
     FaultKind::CutLeader,
--- a/crates/testbed/src/world/faults.rs
+++ b/crates/testbed/src/world/faults.rs
@@ -24,7 +24,7 @@
         for place in 0..self.rules.faults as usize {
             let kind = kinds[self.below(kinds.len() as u64) as usize];
             let at = 4000 + self.below(self.rules.span.0.saturating_sub(8000));
-            let longest = if kind == FaultKind::CutRegistrar { 16_500 } else { 5500 };
+            let longest = if kind == FaultKind::CutController { 16_500 } else { 5500 };
             let span = (500 + self.below(longest)).min(self.rules.span.0 - at);
             let pick = self.draw();
             // Some days end with a closing fault, right before all is healed.
@@ -64,25 +64,25 @@
 
     pub(super) fn strike(&mut self, place: usize) {
         let Fault { kind, span, pick, .. } = self.faults[place].clone();
-        let registrar = (pick % self.registrars.len() as u64) as usize;
+        let controller = (pick % self.controllers.len() as u64) as usize;
         let router = (pick / 7 % self.routers.len() as u64) as usize;
         let model = (pick / 11 % self.rules.deployment.shape().models as u64) as usize;
-        let core: Vec<Address> = self.registrars.iter().map(|m| m.address).collect();
+        let core: Vec<Address> = self.controllers.iter().map(|m| m.address).collect();
         let members: Vec<Address> = self.routers.iter().map(|m| m.address).collect();
         let back = 50 + pick % 2500;
         match kind {
-            FaultKind::KillRegistrar => {
-                self.kill_registrar(registrar, false);
-                self.put(back, Happening::StartRegistrar { machine: registrar });
+            FaultKind::KillController => {
+                self.kill_controller(controller, false);
+                self.put(back, Happening::StartController { machine: controller });
             }
             FaultKind::PowerLoss => {
-                self.kill_registrar(registrar, true);
-                self.put(back, Happening::StartRegistrar { machine: registrar });
+                self.kill_controller(controller, true);
+                self.put(back, Happening::StartController { machine: controller });
             }
             FaultKind::KillCore | FaultKind::PowerLossAll | FaultKind::KillAll => {
-                for machine in 0..self.registrars.len() {
-                    self.kill_registrar(machine, kind == FaultKind::PowerLossAll);
-                    self.put(back + machine as u64 * 30, Happening::StartRegistrar { machine });
+                for machine in 0..self.controllers.len() {
+                    self.kill_controller(machine, kind == FaultKind::PowerLossAll);
+                    self.put(back + machine as u64 * 30, Happening::StartController { machine });
                 }
                 if kind == FaultKind::KillAll {
                     for machine in 0..self.routers.len() {
@@ -107,17 +107,17 @@
                 }
                 (0..8).for_each(|step| self.put(3000 + step * 2500, Happening::Forget { place: step as usize }));
             }
-            FaultKind::FreezeRegistrar => self.registrars[registrar].frozen_until = self.now + span,
+            FaultKind::FreezeController => self.controllers[controller].frozen_until = self.now + span,
             FaultKind::FreezeRouter => self.routers[router].frozen_until = self.now + span,
             FaultKind::SplitCore => {
-                let (ones, others) = core.split_at(1 + registrar % (core.len() - 1));
+                let (ones, others) = core.split_at(1 + controller % (core.len() - 1));
                 let (ones, others) = (ones.to_vec(), others.to_vec());
                 self.cut_between(place, &ones, &others, false);
             }
             FaultKind::CutCore => self.cut_between(place, &core, &members, false),
             FaultKind::CutOneWay => {
                 let all: Vec<Address> = core.iter().chain(&members).copied().collect();
-                self.cut_between(place, &[core[registrar]], &all, true);
+                self.cut_between(place, &[core[controller]], &all, true);
             }
             FaultKind::CutRouter => {
                 let all: Vec<Address> = core.iter().chain(&members).copied().collect();
@@ -130,16 +130,16 @@
                 let zones = self.rules.deployment.shape().zones;
                 let zone = ZoneName::from(zones[(pick % zones.len() as u64) as usize]);
                 let until = self.now + span;
-                self.registrars.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
+                self.controllers.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
                 self.routers.iter_mut().filter(|m| m.zone == zone).for_each(|m| m.frozen_until = until);
             }
             FaultKind::LoseZone => {
                 let zones = self.rules.deployment.shape().zones;
                 let zone = ZoneName::from(zones[(pick % zones.len() as u64) as usize]);
-                for machine in 0..self.registrars.len() {
-                    if self.registrars[machine].zone == zone {
-                        self.kill_registrar(machine, true);
-                        self.put(span, Happening::StartRegistrar { machine });
+                for machine in 0..self.controllers.len() {
+                    if self.controllers[machine].zone == zone {
+                        self.kill_controller(machine, true);
+                        self.put(span, Happening::StartController { machine });
                     }
                 }
                 for machine in 0..self.routers.len() {
@@ -155,8 +155,8 @@
                     }
                 }
             }
-            FaultKind::CutRegistrar
-            | FaultKind::ResetRegistrar
+            FaultKind::CutController
+            | FaultKind::ResetController
             | FaultKind::EvacuateCut
             | FaultKind::KillLeader
             | FaultKind::FreezeLeader
@@ -166,16 +166,16 @@
             | FaultKind::KillInWrite
             | FaultKind::MeetReturn
             | FaultKind::ReplacePlanned
-            | FaultKind::ReplaceCutSeeds => self.strike_aimed(place, registrar),
+            | FaultKind::ReplaceCutSeeds => self.strike_aimed(place, controller),
             FaultKind::PowerLossAfterAck | FaultKind::WipeAfterAck | FaultKind::LoseBudgetAfterAck => {
                 self.armed.push(place);
             }
             FaultKind::LoseBudget => self.lose_budget(pick, back),
             FaultKind::BadNetwork => self.loss = 10 + pick % 20,
-            FaultKind::SlowDisk => self.registrars[registrar].disk.delay = 150 + pick % 400,
-            FaultKind::StallDisk => self.registrars[registrar].disk.stalled_until = self.now + span,
-            FaultKind::FullDisk => self.registrars[registrar].disk.full_until = self.now + span,
-            FaultKind::WipeDisk | FaultKind::ReplaceCore => self.lose_disk(registrar, kind, back),
+            FaultKind::SlowDisk => self.controllers[controller].disk.delay = 150 + pick % 400,
+            FaultKind::StallDisk => self.controllers[controller].disk.stalled_until = self.now + span,
+            FaultKind::FullDisk => self.controllers[controller].disk.full_until = self.now + span,
+            FaultKind::WipeDisk | FaultKind::ReplaceCore => self.lose_disk(controller, kind, back),
             FaultKind::CrashServer => {
                 self.servers[model].is_up = false;
                 self.put(span, Happening::StartServer { server: model });
@@ -219,11 +219,11 @@
         self.cut = self.faults.iter().flat_map(|fault| fault.cut.iter().copied()).collect();
         match kind {
             FaultKind::SlowServer => self.servers[model].schedule.strike.slowness = 0,
-            FaultKind::FreezeRegistrar | FaultKind::FreezeLeader | FaultKind::FreezeZone => {
+            FaultKind::FreezeController | FaultKind::FreezeLeader | FaultKind::FreezeZone => {
                 self.wake_routers();
-                let all = 0..self.registrars.len();
+                let all = 0..self.controllers.len();
                 all.for_each(|machine| {
-                    if self.now >= self.registrars[machine].frozen_until {
+                    if self.now >= self.controllers[machine].frozen_until {
                         self.wake(true, machine);
                     }
                 });
@@ -231,7 +231,7 @@
             FaultKind::FreezeRouter => self.wake_routers(),
             FaultKind::CutRouter => self.routers[router].is_cut_off = false,
             FaultKind::BadNetwork => self.loss = 0,
-            FaultKind::SlowDisk => self.registrars.iter_mut().for_each(|m| m.disk.delay = 3),
+            FaultKind::SlowDisk => self.controllers.iter_mut().for_each(|m| m.disk.delay = 3),
             FaultKind::DarkServer => {
                 self.servers[model].is_dark = false;
             }
@@ -265,14 +265,14 @@
         self.cut.clear();
         self.loss = 0;
         let now = self.now;
-        for machine in 0..self.registrars.len() {
-            let m = &mut self.registrars[machine];
+        for machine in 0..self.controllers.len() {
+            let m = &mut self.controllers[machine];
             m.disk.delay = 3;
             m.disk.stalled_until = 0;
             m.disk.full_until = 0;
             m.frozen_until = m.frozen_until.min(now);
             self.wake(true, machine);
-            self.put(1500, Happening::StartRegistrar { machine });
+            self.put(1500, Happening::StartController { machine });
         }
         for machine in 0..self.routers.len() {
             let m = &mut self.routers[machine];
--- a/crates/testbed/src/world/happening.rs
+++ b/crates/testbed/src/world/happening.rs
@@ -63,7 +63,7 @@
         key: connections::LineKey,
         stall: u64,
     },
-    /// An operator's call reaches a registrar.
+    /// An operator's call reaches a controller.
     CallReaches {
         machine: usize,
         life: u64,
@@ -107,7 +107,7 @@
     Heal {
         place: usize,
     },
-    StartRegistrar {
+    StartController {
         machine: usize,
     },
     StartRouter {
@@ -154,7 +154,7 @@
             Happening::TakeBack { zone, machine } => self.on_take_back(zone, machine),
             Happening::Strike { place } => self.strike(place),
             Happening::Heal { place } => self.heal(place),
-            Happening::StartRegistrar { machine } => self.start_registrar(machine),
+            Happening::StartController { machine } => self.start_controller(machine),
             Happening::StartRouter { machine } => self.start_router(machine),
             Happening::StartServer { server } => self.start_server(server),
             Happening::ReplaceServer { server } => self.replace_server(server),
--- a/crates/testbed/src/world/linearizability/tests.rs
+++ b/crates/testbed/src/world/linearizability/tests.rs
@@ -111,7 +111,7 @@
     skip_sync = { Mutant::SkipSync, &[FaultKind::PowerLossAfterAck], 6 },
     reuse_wiped_vote = { Mutant::ReuseWipedVote, &[FaultKind::WipeAfterAck, FaultKind::WipeDisk], 6 },
     stale_reads = { Mutant::StaleReads, &[FaultKind::SplitCore, FaultKind::PlanStorm], 6 },
-    new_ids = { Mutant::NewIds, &[FaultKind::KillRegistrar, FaultKind::BadNetwork], 6 },
+    new_ids = { Mutant::NewIds, &[FaultKind::KillController, FaultKind::BadNetwork], 6 },
 )]
 fn mutants_of_the_control_side_are_not_linearizable(mutant: Mutant, kinds: &[FaultKind], faults: u64) {
     let is_caught = |seed: &u64| {
--- a/crates/testbed/src/world/machines.rs
+++ b/crates/testbed/src/world/machines.rs
@@ -1,12 +1,12 @@
-//! Registrars and routers: started, fed, frozen, killed.
+//! Controllers and routers: started, fed, frozen, killed.
 
 use super::*;
 use circular::prelude::PollResponse;
 use layout::prelude::{History, REMEMBERED_CHANGES};
 
 impl World {
-    pub(super) fn start_registrar(&mut self, machine: usize) {
-        let founders: Vec<Address> = (0..self.registrar_count()).map(|n| Address::loopback(1001 + n as u16)).collect();
+    pub(super) fn start_controller(&mut self, machine: usize) {
+        let founders: Vec<Address> = (0..self.controller_count()).map(|n| Address::loopback(1001 + n as u16)).collect();
         let mut timing = ControllerTiming::default();
         timing.replica.suspect = self.rules.suspect.unwrap_or(timing.replica.suspect);
         timing.quorum = self.rules.quorum;
@@ -22,11 +22,11 @@
         }
         let seeds = self.seeds_of(machine);
         let key = TokenKey([self.draw() as u8; 32]);
-        let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.registrars[machine].life);
+        let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.controllers[machine].life);
         let incarnation = if self.rules.mutant == Some(Mutant::ReuseNumbers) { 0 } else { life };
         let span = if self.rules.mutant == Some(Mutant::ForgetTooEarly) { 2 } else { REMEMBERED_CHANGES };
         let empty = Ledger { history: History::of_span(span), ..Ledger::default() };
-        let m = &mut self.registrars[machine];
+        let m = &mut self.controllers[machine];
         if m.controller.is_some() || m.is_gone {
             return;
         }
@@ -47,23 +47,23 @@
             Ok(replica) => m.controller = Some(Controller::new(replica, timing, key, incarnation, now)),
             Err(fault) => self.witness.violate(self.now, format!("a disk gave back what can't be used: {fault}")),
         }
-        let life = self.registrars[machine].life;
+        let life = self.controllers[machine].life;
         self.put(1, Happening::Tick { machine, life });
     }
 
     /// Whom the settings of a machine that came later name: three of those that were there.
     pub(super) fn seeds_of(&self, machine: usize) -> Option<Vec<Address>> {
-        let address = self.registrars[machine].address;
-        let is_founder = usize::from(address.0.port()) < 1001 + self.registrar_count();
-        let others = self.registrars.iter().filter(|m| !m.is_gone && m.address != address);
+        let address = self.controllers[machine].address;
+        let is_founder = usize::from(address.0.port()) < 1001 + self.controller_count();
+        let others = self.controllers.iter().filter(|m| !m.is_gone && m.address != address);
         (!is_founder).then(|| others.map(|m| m.address).take(3).collect())
     }
 
-    /// Ends a registrar's process. Of what was not synced, some may be on the disk all the same.
-    pub(super) fn kill_registrar(&mut self, machine: usize, is_power: bool) {
+    /// Ends a controller's process. Of what was not synced, some may be on the disk all the same.
+    pub(super) fn kill_controller(&mut self, machine: usize, is_power: bool) {
         let (keep, torn) = (self.below(3) as usize, self.draw() as usize);
         let keeps_unsynced = self.rules.mutant != Some(Mutant::SkipSync) && self.chance(50);
-        let m = &mut self.registrars[machine];
+        let m = &mut self.controllers[machine];
         m.controller = None;
         m.life += 1;
         m.late.clear();
@@ -127,10 +127,10 @@
     }
 
     /// Whether the machine can take it now; if it's frozen, it's kept for when it wakes.
-    pub(super) fn is_awake(&mut self, is_registrar: bool, machine: usize, happening: &Happening) -> bool {
+    pub(super) fn is_awake(&mut self, is_controller: bool, machine: usize, happening: &Happening) -> bool {
         let now = self.now;
-        let (frozen_until, late) = if is_registrar {
-            let m = &mut self.registrars[machine];
+        let (frozen_until, late) = if is_controller {
+            let m = &mut self.controllers[machine];
             (m.frozen_until, &mut m.late)
         } else {
             let m = &mut self.routers[machine];
@@ -144,9 +144,9 @@
     }
 
     /// What came while a machine was frozen comes now, all at once.
-    pub(super) fn wake(&mut self, is_registrar: bool, machine: usize) {
-        let late = if is_registrar {
-            std::mem::take(&mut self.registrars[machine].late)
+    pub(super) fn wake(&mut self, is_controller: bool, machine: usize) {
+        let late = if is_controller {
+            std::mem::take(&mut self.controllers[machine].late)
         } else {
             std::mem::take(&mut self.routers[machine].late)
         };
@@ -157,7 +157,7 @@
 
     pub(super) fn on_letter(&mut self, to: Address, from: Address, mut letter: Letter) {
         let happening = Happening::Letter { to, from, letter: letter.clone() };
-        if let Some(machine) = self.registrars.iter().position(|m| m.address == to) {
+        if let Some(machine) = self.controllers.iter().position(|m| m.address == to) {
             if self.is_awake(true, machine, &happening) {
                 self.answer_twice(&letter);
                 self.step_controller(machine, ControllerInput::Letter { from, letter });
@@ -219,12 +219,12 @@
     }
 
     pub(super) fn on_tick(&mut self, machine: usize, life: u64) {
-        if self.registrars[machine].life != life {
+        if self.controllers[machine].life != life {
             return;
         }
         if self.is_awake(true, machine, &Happening::Tick { machine, life }) {
             self.step_controller(machine, ControllerInput::ClockEvent);
-            let m = &self.registrars[machine];
+            let m = &self.controllers[machine];
             let local = Moment(self.now + m.offset);
             let pause =
                 m.controller.as_ref().map_or(25, |controller| local.until(controller.next_timer()).0.clamp(1, 100));
@@ -233,12 +233,12 @@
     }
 
     pub(super) fn on_synced(&mut self, machine: usize, life: u64, id: u64) {
-        if self.registrars[machine].life != life
+        if self.controllers[machine].life != life
             || !self.is_awake(true, machine, &Happening::Synced { machine, life, id })
         {
             return;
         }
-        let m = &mut self.registrars[machine];
+        let m = &mut self.controllers[machine];
         while m.disk.pending.first().is_some_and(|(_, _, pending, _, _)| *pending <= id) {
             let (_, _, _, records, is_whole) = m.disk.pending.remove(0);
             m.disk.keep(records, is_whole);
@@ -249,7 +249,7 @@
     /// A disk that was full takes writes again.
     pub(super) fn on_reopen(&mut self, machine: usize, life: u64) {
         let now = self.now;
-        let m = &mut self.registrars[machine];
+        let m = &mut self.controllers[machine];
         if m.life != life || m.controller.is_none() {
             return;
         }
@@ -258,11 +258,11 @@
             return;
         }
         m.controller = None;
-        self.start_registrar(machine);
+        self.start_controller(machine);
     }
 
     pub(super) fn step_controller(&mut self, machine: usize, input: ControllerInput) {
-        let m = &mut self.registrars[machine];
+        let m = &mut self.controllers[machine];
         let now = Moment(self.now + m.offset);
         let (address, life) = (m.address, m.life);
         let Some(controller) = &mut m.controller else { return };
@@ -282,7 +282,7 @@
     fn write(&mut self, machine: usize, life: u64, id: u64, records: Vec<Record>, is_whole: bool) {
         let jitter = self.below(4);
         let now = self.now;
-        let m = &mut self.registrars[machine];
+        let m = &mut self.controllers[machine];
         if now < m.disk.full_until {
             // Said by the disk's own thread a moment later; here at once.
             m.disk.pending.clear();
--- a/crates/testbed/src/world/mutants.rs
+++ b/crates/testbed/src/world/mutants.rs
@@ -31,12 +31,12 @@
     AskOnce,
     /// Every third node renews its lease with each poll and takes news from one in fifty.
     StaleNews,
-    /// Registrars' questions are answered twice, and the second answer is taken for the core's to the change
+    /// Controllers' questions are answered twice, and the second answer is taken for the core's to the change
     /// behind the question.
     AnswerTwice,
-    /// A registrar's questions and proposals are numbered alike in each life.
+    /// A controller's questions and proposals are numbered alike in each life.
     ReuseNumbers,
-    /// Registrars answer operators' reads from what they hold themselves.
+    /// Controllers answer operators' reads from what they hold themselves.
     StaleReads,
     /// The same change gets another id each time that it's sent.
     NewIds,
--- a/crates/testbed/src/world/operators.rs
+++ b/crates/testbed/src/world/operators.rs
@@ -6,7 +6,7 @@
 /// What operators want, asked and were told.
 #[derive(Default)]
 pub(super) struct Operators {
-    /// Calls that a registrar holds, by their numbers.
+    /// Calls that a controller holds, by their numbers.
     pub asked: BTreeMap<u64, Asked>,
     /// Calls that their operator waits for, by their numbers.
     pub calls: BTreeMap<u64, OperatorCall>,
@@ -19,13 +19,13 @@
     /// A zone that may be withdrawn; it stays here until its restoring was accepted.
     pub withdrawn: Option<ZoneName>,
     pub storm_until: u64,
-    /// The registrar that acknowledged the last change.
+    /// The controller that acknowledged the last change.
     pub last_actor: Option<usize>,
     /// Percent of answers that are lost on their way.
     pub answer_loss: u64,
 }
 
-/// A call as the registrar that holds it knows it.
+/// A call as the controller that holds it knows it.
 pub(super) struct Asked {
     pub at: u64,
     pub id: String,
@@ -61,7 +61,7 @@
 pub(super) enum Wish {
     /// A whole plan.
     Plan { bytes: Vec<u8>, basis: Basis },
-    /// A change of the plan, merged at the registrar's door.
+    /// A change of the plan, merged at the controller's door.
     Patch { bytes: Vec<u8>, basis: Basis },
     /// Anything else that changes something.
     Command(Command),
@@ -80,14 +80,14 @@
     Revision { base: u64, own: u64 },
 }
 
-/// Without an answer for this long, an operator sends the same to another registrar.
+/// Without an answer for this long, an operator sends the same to another controller.
 const SILENCE: u64 = 1000;
 /// Before the first time that something is sent again; each pause is twice the one before,
 const FIRST_PAUSE: u64 = 100;
 /// up to this.
 const LONGEST_PAUSE: u64 = 1600;
 const MOST_SENDS: u32 = 8;
-/// A registrar notices within this that an operator has closed its connection.
+/// A controller notices within this that an operator has closed its connection.
 const HANG_UP_NOTICED: u64 = 100;
 /// Tasks that operators have under way at once.
 const MOST_TASKS: usize = 8;
@@ -211,7 +211,7 @@
         self.ask(Command::Forget { members });
     }
 
-    /// Asks some registrar that is up to change something, once.
+    /// Asks some controller that is up to change something, once.
     pub(super) fn ask(&mut self, command: Command) {
         self.begin_task(Wish::Command(command), None, 1, true);
     }
@@ -233,7 +233,7 @@
 
     /// Sends what a task wants as one more call.
     pub(super) fn send_call(&mut self, task: u64) {
-        let Some(machine) = self.pick_registrar(task) else {
+        let Some(machine) = self.pick_controller(task) else {
             return self.try_later(task);
         };
         self.operators.next_call += 1;
@@ -250,7 +250,7 @@
             self.history.sent(self.now, call, action);
         }
         self.operators.calls.insert(call, OperatorCall { task, machine, is_answer_lost });
-        let life = self.registrars[machine].life;
+        let life = self.controllers[machine].life;
         self.put(1, Happening::CallReaches { machine, life, call });
         if is_change {
             self.strike_after_send(machine);
@@ -261,14 +261,14 @@
     }
 
     /// Where a task's next call goes: to the machine that is wanted, and then to others.
-    fn pick_registrar(&mut self, task: u64) -> Option<usize> {
+    fn pick_controller(&mut self, task: u64) -> Option<usize> {
         let found = self.operators.tasks.get_mut(&task)?;
         if let Some(machine) = found.machine.take() {
             return Some(machine);
         }
         let last = self.operators.calls.values().filter(|call| call.task == task).map(|call| call.machine).next_back();
-        let is_up = |place: &usize| self.registrars[*place].controller.is_some();
-        let up: Vec<usize> = (0..self.registrars.len()).filter(is_up).collect();
+        let is_up = |place: &usize| self.controllers[*place].controller.is_some();
+        let up: Vec<usize> = (0..self.controllers.len()).filter(is_up).collect();
         let others: Vec<usize> = up.iter().copied().filter(|place| Some(*place) != last).collect();
         let from = if others.is_empty() { up } else { others };
         if from.is_empty() {
@@ -294,13 +294,13 @@
     pub(super) fn on_silence(&mut self, call: u64) {
         let Some(given_up) = self.operators.calls.remove(&call) else { return };
         self.history.given_up(self.now, call);
-        let (machine, life) = (given_up.machine, self.registrars[given_up.machine].life);
+        let (machine, life) = (given_up.machine, self.controllers[given_up.machine].life);
         let notices = 1 + self.below(HANG_UP_NOTICED);
         self.put(notices, Happening::HangUp { machine, life, call });
         self.try_later(given_up.task);
     }
 
-    /// What a call is at the registrar that it reached.
+    /// What a call is at the controller that it reached.
     pub(super) fn asked_of(&self, call: u64) -> Option<(Wish, Asked)> {
         let task = self.operators.calls.get(&call)?.task;
         let found = self.operators.tasks.get(&task)?;
@@ -311,7 +311,7 @@
         Some((found.wish.clone(), Asked { at: self.now, id, command: None, newest_told, lost }))
     }
 
-    /// A registrar answers a call.
+    /// A controller answers a call.
     pub(super) fn on_operator_response(&mut self, number: u64, status: u16, body: &[u8]) {
         let Some(asked) = self.operators.asked.remove(&number) else { return };
         // Of calls that were given up, and answers that are lost, operators hear nothing.
--- a/crates/testbed/src/world/rules.rs
+++ b/crates/testbed/src/world/rules.rs
@@ -35,10 +35,10 @@
     pub servers: ScheduleRules,
     /// Percent of drafts that belong to the burst at hand.
     pub hot_share: u64,
-    /// How soon registrars take each other for gone, if not as usual.
+    /// How soon controllers take each other for gone, if not as usual.
     pub suspect: Option<Span>,
-    /// How many registrars, if not as the deployment has.
-    pub registrars: Option<usize>,
+    /// How many controllers, if not as the deployment has.
+    pub controllers: Option<usize>,
     /// Disks that a change is on before it is told as accepted: one more than may be lost at once.
     pub copies: usize,
     /// Who must know a change before it is told as accepted.
@@ -50,12 +50,12 @@
 impl WorldRules {
     /// One of a sweep: two seeds of eight have a grown core, of five or six with three copies.
     pub fn swept(deployment: Deployment, seed: u64) -> Self {
-        let (registrars, copies) = match seed % 8 {
+        let (controllers, copies) = match seed % 8 {
             5 => (Some(5), 3),
             6 => (Some(6), 3),
             _ => (None, 2),
         };
-        WorldRules { registrars, copies, ..WorldRules::new(deployment, seed) }
+        WorldRules { controllers, copies, ..WorldRules::new(deployment, seed) }
     }
     /// The usual run.
     pub fn new(deployment: Deployment, seed: u64) -> Self {
@@ -76,7 +76,7 @@
             servers: ScheduleRules::default(),
             hot_share: 50,
             suspect: None,
-            registrars: None,
+            controllers: None,
             copies: 2,
             quorum: Quorum::Majority,
             mutant: None,
--- a/crates/testbed/src/world/tests.rs
+++ b/crates/testbed/src/world/tests.rs
@@ -90,12 +90,12 @@
     six_1 = { 6, 3, 1 },
     six_2 = { 6, 3, 2 },
 )]
-fn what_was_accepted_outlives_the_disks_that_may_be_lost(registrars: usize, copies: usize, seed: u64) {
-    use FaultKind::{KillRegistrar, LoseBudgetAfterAck, StallDisk};
+fn what_was_accepted_outlives_the_disks_that_may_be_lost(controllers: usize, copies: usize, seed: u64) {
+    use FaultKind::{KillController, LoseBudgetAfterAck, StallDisk};
     play(WorldRules {
-        registrars: Some(registrars),
+        controllers: Some(controllers),
         copies,
-        kinds: vec![LoseBudgetAfterAck, LoseBudgetAfterAck, KillRegistrar, StallDisk],
+        kinds: vec![LoseBudgetAfterAck, LoseBudgetAfterAck, KillController, StallDisk],
         quorum: Quorum::Holders,
         ..WorldRules::new(Deployment::Valodu, seed)
     });
@@ -135,7 +135,7 @@
     ask_once = { Mutant::AskOnce, &[FaultKind::FreezeRouter, FaultKind::LateAccept], 10, 60, None },
     stale_news = { Mutant::StaleNews, &[FaultKind::PlanStorm], 4, 25, None },
     answer_twice = { Mutant::AnswerTwice, &[FaultKind::LoseMembers], 4, 10, None },
-    reuse_numbers = { Mutant::ReuseNumbers, &[FaultKind::KillRegistrar, FaultKind::KillCore, FaultKind::BadNetwork, FaultKind::PlanStorm], 40, 10, None },
+    reuse_numbers = { Mutant::ReuseNumbers, &[FaultKind::KillController, FaultKind::KillCore, FaultKind::BadNetwork, FaultKind::PlanStorm], 40, 10, None },
     free_repeats = { Mutant::FreeRepeats, &[FaultKind::Brownout], 4, 80, None },
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
     resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillRouters], 6, 25, None },
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -78,17 +78,17 @@
             let router = &fleet.routers[place];
             Fleet::await_that(PATIENCE, "a restarted router is ready", || router.is_ready()).expect("ready again");
             if place % 3 == 0 {
-                let latest = fleet.registrars[0].get("/v1/latest").expect("the core tells").1;
+                let latest = fleet.controllers[0].get("/v1/latest").expect("the core tells").1;
                 let latest: serde_json::Value = serde_json::from_slice(&latest).expect("JSON");
                 epoch = latest["epoch"].as_u64().unwrap_or(epoch);
                 fleet.put_plan(&format!("again-{place}"), epoch, &plan_of(deployment, true)).expect("accepted");
             }
         }
-        for place in 0..fleet.registrars.len() {
-            let registrar = &mut fleet.registrars[place];
-            registrar.ask_to_stop();
-            assert_eq!(registrar.wait(PATIENCE), Some(0), "{} ends well", registrar.name);
-            registrar.start().expect("it starts again");
+        for place in 0..fleet.controllers.len() {
+            let controller = &mut fleet.controllers[place];
+            controller.ask_to_stop();
+            assert_eq!(controller.wait(PATIENCE), Some(0), "{} ends well", controller.name);
+            controller.start().expect("it starts again");
             fleet.await_core(PATIENCE).expect("the chain is whole again");
         }
     });
@@ -141,7 +141,7 @@
     let deployment = Deployment::Pahana;
     let (_crew, mut fleet, _machine) = serving(deployment);
     let mut number = 0;
-    fleet.registrars.iter_mut().for_each(|registrar| registrar.kill());
+    fleet.controllers.iter_mut().for_each(|controller| controller.kill());
     let is_together = |fleet: &Fleet| fleet.routers.iter().all(|c| c.believes()["lease_state"] == "together");
     Fleet::await_that(PATIENCE, "leases run out", || is_together(&fleet)).expect("routers go on together");
     assert!((0..9).all(|_| serves(&fleet, &mut number)), "the fleet serves without its core");
@@ -157,7 +157,7 @@
     Fleet::await_that(PATIENCE, "it listens", || fleet.routers[1].get("/ready").is_ok()).expect("it listens");
     assert_eq!(fleet.routers[1].believes()["lease_state"], "unheard");
     // With the core back, all is well again.
-    fleet.registrars.iter_mut().for_each(|registrar| registrar.start().expect("it starts"));
+    fleet.controllers.iter_mut().for_each(|controller| controller.start().expect("it starts"));
     fleet.routers.iter_mut().skip(2).for_each(|router| router.start().expect("it starts"));
     fleet.await_routers(PATIENCE).expect("all are ready again");
 }
@@ -168,18 +168,18 @@
     let (_crew, mut fleet, _machine) = serving(deployment);
     let odd = r#"{ "services" : {"hints":{"resumable":false, "slots": 16}} ,"note":"spaces   and ünïcode"}"#;
     let outcome = fleet.put_plan("odd", 2, odd).or_else(|_| fleet.put_plan("odd", 9, odd));
-    let latest: serde_json::Value = serde_json::from_slice(&fleet.registrars[0].get("/v1/latest").unwrap().1).unwrap();
+    let latest: serde_json::Value = serde_json::from_slice(&fleet.controllers[0].get("/v1/latest").unwrap().1).unwrap();
     let outcome = outcome
         .or_else(|_| fleet.put_plan("odd", latest["epoch"].as_u64().unwrap_or(0), odd))
         .expect("accepted")["epoch"]
         .clone();
-    for daemon in fleet.registrars.iter_mut().chain(&mut fleet.routers) {
+    for daemon in fleet.controllers.iter_mut().chain(&mut fleet.routers) {
         daemon.kill();
     }
     // One disk is wiped besides.
-    std::fs::remove_dir_all(fleet.folder.join("registrar-1")).expect("it was there");
+    std::fs::remove_dir_all(fleet.folder.join("controller-1")).expect("it was there");
     let began = Clock::now();
-    for daemon in fleet.registrars.iter_mut().chain(&mut fleet.routers) {
+    for daemon in fleet.controllers.iter_mut().chain(&mut fleet.routers) {
         daemon.start().expect("it starts");
     }
     let mut number = 0;
@@ -198,9 +198,9 @@
     let back = Clock::now().since(began);
     assert!(back.0 <= 12_000, "service was back after {} ms", back.0);
     fleet.await_core(PATIENCE).expect("the wiped one is admitted again");
-    for registrar in &fleet.registrars {
-        let (status, body) = registrar.get(&format!("/v1/plans/{outcome}")).expect("it responds");
-        assert_eq!((status, String::from_utf8_lossy(&body).as_ref()), (200, odd), "at {}", registrar.name);
+    for controller in &fleet.controllers {
+        let (status, body) = controller.get(&format!("/v1/plans/{outcome}")).expect("it responds");
+        assert_eq!((status, String::from_utf8_lossy(&body).as_ref()), (200, odd), "at {}", controller.name);
     }
 }
 
@@ -213,16 +213,16 @@
         // A router and the tail sleep while the router's zone is withdrawn.
         fleet.routers[0].freeze();
         let is_tail = |d: &&Daemon| d.believes()["may_respond"] == true;
-        let tail = fleet.registrars.iter().position(|d| is_tail(&d)).expect("there is a tail");
-        fleet.registrars[tail].freeze();
-        let others: Vec<usize> = (0..fleet.registrars.len()).filter(|place| *place != tail).collect();
+        let tail = fleet.controllers.iter().position(|d| is_tail(&d)).expect("there is a tail");
+        fleet.controllers[tail].freeze();
+        let others: Vec<usize> = (0..fleet.controllers.len()).filter(|place| *place != tail).collect();
         let path = format!("/v1/zones/{zone}/withdraw?id=sleep");
         let withdrawn =
-            || others.iter().any(|p| matches!(fleet.registrars[*p].ask("POST", &path, vec![]), Ok((200, _))));
+            || others.iter().any(|p| matches!(fleet.controllers[*p].ask("POST", &path, vec![]), Ok((200, _))));
         Fleet::await_that(PATIENCE, "the zone is withdrawn without the tail", withdrawn).expect("accepted");
         let told = Clock::now();
         fleet.routers[0].wake();
-        fleet.registrars[tail].wake();
+        fleet.controllers[tail].wake();
         fleet.await_core(PATIENCE).expect("the old tail is back in the chain");
         // Time for new work to show up where it must not.
         let deadline = told + Span::seconds(7);
@@ -242,7 +242,8 @@
     let deployment = Deployment::Valodu;
     let (_crew, mut fleet, _machine) = serving(deployment);
     let latest = |fleet: &Fleet| -> serde_json::Value {
-        let asked = fleet.registrars.iter().find_map(|r| r.get("/v1/latest").ok().filter(|(status, _)| *status == 200));
+        let asked =
+            fleet.controllers.iter().find_map(|r| r.get("/v1/latest").ok().filter(|(status, _)| *status == 200));
         serde_json::from_slice(&asked.expect("the core tells").1).expect("JSON")
     };
     // Twenty megabytes, and meanwhile leases go on and a zone is withdrawn in time.
@@ -256,7 +257,7 @@
         let putting = scope.spawn(|| fleet.put_plan("large", epoch, &large));
         let began = Clock::now();
         let (status, _) =
-            fleet.registrars[1].ask("POST", "/v1/zones/river/withdraw?id=now", vec![]).expect("a response");
+            fleet.controllers[1].ask("POST", "/v1/zones/river/withdraw?id=now", vec![]).expect("a response");
         assert_eq!(status, 200);
         assert!(Clock::now().since(began) < Span::seconds(5), "the withdrawal waited for the plan");
         putting.join().expect("it ends")
@@ -269,22 +270,22 @@
     let have_all = || fleet.routers.iter().all(has_all);
     Fleet::await_that(PATIENCE, "all routers hold the large plan", have_all).expect("it reaches all");
     // One is lost with its disk; an empty one comes elsewhere and knows only three seeds.
-    fleet.registrars[1].kill();
-    let newcomer = fleet.add_registrar().expect("it starts");
+    fleet.controllers[1].kill();
+    let newcomer = fleet.add_controller().expect("it starts");
     let is_seated = || {
-        let believed = fleet.registrars[newcomer].believes();
+        let believed = fleet.controllers[newcomer].believes();
         let own = believed["inner"].clone();
         believed["chain"].as_array().is_some_and(|chain| {
             chain.len() == 4 && chain.iter().any(|seat| seat["address"] == own && seat["is_level"] == true)
         })
     };
     Fleet::await_that(PATIENCE, "the newcomer sits in the chain, level", is_seated).expect("admitted");
-    let (status, body) = fleet.registrars[newcomer].get(&format!("/v1/plans/{accepted}")).expect("it responds");
+    let (status, body) = fleet.controllers[newcomer].get(&format!("/v1/plans/{accepted}")).expect("it responds");
     assert!(status == 200 && body == large.as_bytes(), "the plan reads back byte for byte at the newcomer");
     // The old one's vote is gone: with it back, nobody takes it in, and the rest goes on.
-    fleet.registrars[1].start().expect("it starts");
-    let voters = fleet.registrars[newcomer].believes()["voters"].clone();
-    let old = serde_json::json!(fleet.registrars[1].inner);
+    fleet.controllers[1].start().expect("it starts");
+    let voters = fleet.controllers[newcomer].believes()["voters"].clone();
+    let old = serde_json::json!(fleet.controllers[1].inner);
     assert!(!voters.as_array().expect("voters").contains(&old), "{voters}");
     let epoch = latest(&fleet)["epoch"].as_u64().expect("an epoch");
     fleet.put_plan("after", epoch, &plan_of(deployment, true)).expect("accepted");
@@ -296,12 +297,12 @@
     let (_crew, mut fleet, _machine) = serving(deployment);
     let plan = plan_of(deployment, true);
     let latest = |fleet: &Fleet| -> serde_json::Value {
-        serde_json::from_slice(&fleet.registrars[0].get("/v1/latest").expect("the core tells").1).expect("JSON")
+        serde_json::from_slice(&fleet.controllers[0].get("/v1/latest").expect("the core tells").1).expect("JSON")
     };
     let forget = |fleet: &Fleet, id: &str, members: &[Address]| -> serde_json::Value {
         let body = serde_json::json!({"members": members}).to_string().into_bytes();
         let path = format!("/v1/members/forget?id={id}");
-        serde_json::from_slice(&fleet.registrars[1].ask("POST", &path, body).expect("a response").1).expect("JSON")
+        serde_json::from_slice(&fleet.controllers[1].ask("POST", &path, body).expect("a response").1).expect("JSON")
     };
     fleet.routers.iter_mut().skip(4).for_each(|router| router.kill());
     let lost: Vec<Address> = fleet.routers[4..].iter().map(|router| router.inner).collect();
--- a/crates/testbed/tests/interfaces.rs
+++ b/crates/testbed/tests/interfaces.rs
@@ -23,12 +23,12 @@
     let crew = Crew::start(&shape, &ScheduleRules::default()).expect("stand-ins start");
     let fleet = Fleet::start(&shape, crew.platform.address, None, &FleetOptions::default()).expect("daemons start");
     fleet.await_core(PATIENCE).expect("the core forms");
-    let (registrar, other) = (&fleet.registrars[0], &fleet.registrars[2]);
+    let (controller, other) = (&fleet.controllers[0], &fleet.controllers[2]);
 
     // Plans: whole, changed, repeated, racing, faulty.
     let plan = plan_of(deployment, true);
     let put = |id: &str, builds_on: u64, body: &str| {
-        json(registrar.ask("PUT", &format!("/v1/plan?id={id}&builds_on={builds_on}"), body.as_bytes().to_vec()))
+        json(controller.ask("PUT", &format!("/v1/plan?id={id}&builds_on={builds_on}"), body.as_bytes().to_vec()))
     };
     let (status, first) = put("p1", 0, &plan);
     assert_eq!((status, &first["code"]), (200, &300.into()), "{first}");
@@ -48,9 +48,9 @@
     let change = br#"{"note":"changed"}"#.to_vec();
     let changed = json(other.ask("PATCH", &format!("/v1/plan?id=c1&builds_on={epoch}"), change.clone())).1;
     let changed_epoch = changed["epoch"].as_u64().expect("accepted");
-    assert_eq!(registrar.get(&format!("/v1/plans/{epoch}")).unwrap().1, plan.as_bytes(), "reads back as sent");
-    assert_eq!(registrar.get(&format!("/v1/plans/{changed_epoch}")).unwrap().1, change);
-    let whole = json(registrar.get("/v1/plan")).1;
+    assert_eq!(controller.get(&format!("/v1/plans/{epoch}")).unwrap().1, plan.as_bytes(), "reads back as sent");
+    assert_eq!(controller.get(&format!("/v1/plans/{changed_epoch}")).unwrap().1, change);
+    let whole = json(controller.get("/v1/plan")).1;
     assert_eq!((&whole["note"], whole["services"].as_object().map(|s| s.len())), (&"changed".into(), Some(3)));
     for (method, path, code) in [
         ("GET", "/v1/plans/999", 305),
@@ -61,11 +61,11 @@
         ("PUT", "/v1/plan?id=p9&builds_on=x", 301),
         ("GET", "/v2", 113),
     ] {
-        assert_eq!(json(registrar.ask(method, path, plan.clone().into_bytes())).1["code"], code, "{method} {path}");
+        assert_eq!(json(controller.ask(method, path, plan.clone().into_bytes())).1["code"], code, "{method} {path}");
     }
     // The command line does the same.
     let admin = |words: &[&str]| {
-        let output = program("registrar").args(["admin", "--at", &registrar.listen.to_string()]).args(words).output();
+        let output = program("controller").args(["admin", "--at", &controller.listen.to_string()]).args(words).output();
         let output = output.expect("it runs");
         (output.status.code(), serde_json::from_slice::<Value>(&output.stdout).unwrap_or_default())
     };
@@ -73,7 +73,10 @@
     assert_eq!(admin(&["latest"]).1["withdrawn"], serde_json::json!(["east"]));
     assert_eq!(admin(&["withdraw", "nowhere", "--id", "w2"]).0, Some(1));
     assert_eq!(admin(&["restore", "east", "--id", "w3"]).0, Some(0));
-    assert_eq!(program("registrar").args(["admin", "--at", "127.0.0.1:1", "latest"]).status().unwrap().code(), Some(3));
+    assert_eq!(
+        program("controller").args(["admin", "--at", "127.0.0.1:1", "latest"]).status().unwrap().code(),
+        Some(3)
+    );
 
     // Clients.
     let router = &fleet.routers[0];
@@ -238,8 +241,8 @@
         ("router", "colour = \"red\"", vec!["colour"]),
         ("router", "requests = \"many\"", vec!["requests"]),
         ("router", "", vec!["seeds"]),
-        ("registrar", "founders = [\"nowhere\"]", vec!["founders", "nowhere"]),
-        ("registrar", "listen", vec!["settings"]),
+        ("controller", "founders = [\"nowhere\"]", vec!["founders", "nowhere"]),
+        ("controller", "listen", vec!["settings"]),
     ] {
         std::fs::write(&file, text).expect("written");
         let output = program(name).args(["serve", "--settings"]).arg(&file).output().expect("it runs");
