--- a/crates/controller/src/admin_command.rs
+++ b/crates/controller/src/admin_command.rs
@@ -2,7 +2,7 @@
 use parlance::prelude::*;
 use std::io::Write;
 use std::path::PathBuf;
-use wicket::prelude::*;
+use transport::prelude::*;
 
 /// The operators' command line: each task is one call to a controller's HTTP interface.
 #[derive(Debug, clap::Args)]
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -23,7 +23,7 @@
     pub use college::prelude::*;
     pub use layout::prelude::*;
     pub use storage::prelude::*;
-    pub use wicket::prelude::*;
+    pub use transport::prelude::*;
 }
 
 pub use admin_command::{AdminCommand, AdminTask};
--- a/crates/loadgen/src/lib.rs
+++ b/crates/loadgen/src/lib.rs
@@ -14,5 +14,5 @@
     pub use crate::report::{Report, ServiceReport};
     pub use parlance::prelude::*;
     pub use primer::prelude::mix;
-    pub use wicket::prelude::*;
+    pub use transport::prelude::*;
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -50,5 +50,5 @@
     pub use college::prelude::{LeaseState, LeaseStatus};
     pub use layout::prelude::*;
     pub use primer::prelude::*;
-    pub use wicket::prelude::*;
+    pub use transport::prelude::*;
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -37,5 +37,5 @@
         LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
     };
     pub use serde::{Deserialize, Serialize};
-    pub use wicket::prelude::*;
+    pub use transport::prelude::*;
 }
--- a/crates/wicket/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -10,7 +10,7 @@
 use self::state::GateState;
 use crate::framing::RequestLimits;
 use crate::response::Response;
-use crate::wire::Client;
+use crate::socket::Client;
 use bytes::Bytes;
 use parlance::prelude::*;
 use std::io;
--- a/crates/wicket/src/gate/connection.rs
+++ b/crates/transport/src/gate/connection.rs
@@ -5,7 +5,7 @@
 use super::{GateBounds, Request};
 use crate::framing::{RequestFault, RequestProgress};
 use crate::response::{Response, ResponseBody};
-use crate::wire::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
+use crate::socket::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
 use http::HeaderValue;
 use http::header::CONNECTION;
 use http_body_util::BodyExt;
@@ -57,12 +57,12 @@
     state: &GateState,
     handler: H,
 ) {
-    let wire = Arc::new(Wire::new(stream));
+    let socket = Arc::new(Wire::new(stream));
     let exchange = Rc::new(Exchange::new(state.rules().limits.request));
     let service = service_fn(|request: hyper::Request<Incoming>| {
-        answer(request, handler.clone(), Client::new(&wire), exchange.clone(), state)
+        answer(request, handler.clone(), Client::new(&socket), exchange.clone(), state)
     });
-    let duct = Duct { wire: wire.clone(), write_patience: Some(Duct::WRITE_PATIENCE) };
+    let duct = Duct { socket: socket.clone(), write_patience: Some(Duct::WRITE_PATIENCE) };
     let mut connection = pin!(
         hyper::server::conn::http1::Builder::new()
             .keep_alive(bounds.keep_alive)
@@ -81,12 +81,12 @@
             rules = heed(state, &exchange);
         }
         match connection.as_mut().poll(&mut context) {
-            Poll::Ready(outcome) => return end(&wire, &exchange, outcome),
+            Poll::Ready(outcome) => return end(&socket, &exchange, outcome),
             Poll::Pending if alarm.take() => {
                 // A round that sent nothing: the source has nothing yet, so its client is looked after.
-                let sent = wire.sent_count.load(Ordering::Relaxed);
+                let sent = socket.sent_count.load(Ordering::Relaxed);
                 let is_still = std::mem::replace(&mut sent_before, sent) == sent;
-                if exchange.is_responding.get() && is_still && wire.is_gone() {
+                if exchange.is_responding.get() && is_still && socket.is_gone() {
                     return;
                 }
                 continue;
@@ -97,7 +97,7 @@
         if exchange.is_responding.replace(false) {
             if exchange.progress() != RequestProgress::Whole {
                 // It was answered before it was read whole: what follows belongs to nothing.
-                return close_in_request(&wire);
+                return close_in_request(&socket);
             }
             exchange.next_request();
             wait = Wait { progress: exchange.progress(), since: Clock::now() };
@@ -113,19 +113,19 @@
                     exchange.framer.borrow_mut().forget_fault(&exchange.limits.get());
                     continue;
                 }
-                return refuse(&wire, fault);
+                return refuse(&socket, fault);
             }
             // hyper has had all of it and has handed nothing on: it reads another end.
-            RequestProgress::Whole => return close_in_request(&wire),
+            RequestProgress::Whole => return close_in_request(&socket),
             _ => {}
         }
         if progress != wait.progress {
             wait = Wait { progress, since: Clock::now() };
         }
-        match wait_on(&wire, &bounds, &rules, &wait) {
+        match wait_on(&socket, &bounds, &rules, &wait) {
             Waited::Go => {}
             Waited::Idle => return,
-            Waited::Late => return refuse_late(&wire, progress),
+            Waited::Late => return refuse_late(&socket, progress),
         }
     }
 }
@@ -197,9 +197,9 @@
 }
 
 /// Waits until there is something to do, as long as may be.
-fn wait_on(wire: &Wire, bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> Waited {
+fn wait_on(socket: &Wire, bounds: &GateBounds, rules: &GateRules, wait: &Wait) -> Waited {
     let (deadline, is_idle) = wait_deadline(bounds, rules, wait);
-    match await_wire(wire, None, Some(&rules.bell), deadline) {
+    match await_wire(socket, None, Some(&rules.bell), deadline) {
         Woken::Ready | Woken::Bell => Waited::Go,
         Woken::Late | Woken::ClientGone if is_idle => Waited::Idle,
         Woken::Late | Woken::ClientGone => Waited::Late,
@@ -207,24 +207,24 @@
 }
 
 /// hyper is done with the connection.
-fn end(wire: &Wire, exchange: &Exchange, outcome: Result<(), hyper::Error>) {
+fn end(socket: &Wire, exchange: &Exchange, outcome: Result<(), hyper::Error>) {
     let Err(fault) = outcome else {
         // Bytes behind the last request are nothing's, but a close with them unread would reset the connection.
-        if wire.peek() == Peeked::Bytes {
-            close_in_request(wire);
+        if socket.peek() == Peeked::Bytes {
+            close_in_request(socket);
         }
         return;
     };
     tracing::debug!("gate: a connection ended early: {fault}.");
     // Where only the close tells the end of a body, it must not look like one.
     if exchange.is_responding.get() && exchange.is_close_delimited.get() {
-        let _ = rustix::net::sockopt::set_socket_linger(&wire.stream, Some(Duration::ZERO));
+        let _ = rustix::net::sockopt::set_socket_linger(&socket.stream, Some(Duration::ZERO));
     }
 }
 
 /// Tells a client that its request can't be taken. Nothing of an answer is on the wire: the request was
 /// not handed on, and the answer before it had ended.
-fn refuse(wire: &Wire, fault: RequestFault) {
+fn refuse(socket: &Wire, fault: RequestFault) {
     let response = match fault {
         RequestFault::Malformed(why) => Response::result(ResultCode::BadRequest, why),
         RequestFault::LargeHead => {
@@ -232,35 +232,35 @@
         }
         RequestFault::LargeBody => Response::result(ResultCode::TooLarge, "the body is over the bound"),
     };
-    tell_and_close(wire, response);
+    tell_and_close(socket, response);
 }
 
 /// Tells a client that the rest of its request didn't come in time.
-fn refuse_late(wire: &Wire, progress: RequestProgress) {
+fn refuse_late(socket: &Wire, progress: RequestProgress) {
     let what = if progress == RequestProgress::Head { "the head" } else { "the body" };
-    tell_and_close(wire, Response::result(ResultCode::SlowBody, format!("{what} did not come in time")));
+    tell_and_close(socket, Response::result(ResultCode::SlowBody, format!("{what} did not come in time")));
 }
 
-fn tell_and_close(wire: &Wire, response: Response) {
-    let _ = wire.stream.set_write_timeout(Some(REFUSAL_WRITE));
-    if (&wire.stream).write_all(&response.into_last_bytes()).is_ok() {
-        close_in_request(wire);
+fn tell_and_close(socket: &Wire, response: Response) {
+    let _ = socket.stream.set_write_timeout(Some(REFUSAL_WRITE));
+    if (&socket.stream).write_all(&response.into_last_bytes()).is_ok() {
+        close_in_request(socket);
     }
 }
 
 /// Ends the connection such that the client can read all that was written.
-fn close_in_request(wire: &Wire) {
+fn close_in_request(socket: &Wire) {
     let deadline = Clock::now() + REFUSAL_LINGER;
-    if wire.stream.shutdown(Shutdown::Write).is_err() {
+    if socket.stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
     let (mut buffer, mut drained) = (vec![0; 4 << 10], 0);
     while drained < REFUSAL_DRAIN {
         let left = Clock::now().until(deadline);
-        if left.0 == 0 || wire.stream.set_read_timeout(Some(left.duration())).is_err() {
+        if left.0 == 0 || socket.stream.set_read_timeout(Some(left.duration())).is_err() {
             return;
         }
-        match (&wire.stream).read(&mut buffer) {
+        match (&socket.stream).read(&mut buffer) {
             Ok(0) | Err(_) => return,
             Ok(count) => drained += count,
         }
--- a/crates/wicket/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,7 +9,7 @@
 mod lines;
 mod post;
 mod response;
-mod wire;
+mod socket;
 
 /// What each file imports.
 pub mod prelude {
@@ -19,5 +19,5 @@
     pub use crate::lines::{CHECK_LIFE, Line, LineError, LinePull, Lines, LinesBounds, Waits};
     pub use crate::post::{Post, PostClass, PostTally};
     pub use crate::response::{PieceSource, Pull, Response};
-    pub use crate::wire::Client;
+    pub use crate::socket::Client;
 }
--- a/crates/wicket/src/lines.rs
+++ b/crates/transport/src/lines.rs
@@ -1,4 +1,4 @@
-use crate::wire::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
+use crate::socket::{Alarm, Client, Duct, Peeked, Wire, Woken, await_wire};
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -155,7 +155,7 @@
     connection: Connection<Duct, Full<Bytes>>,
     /// Whether hyper is done with the connection, and why if it failed.
     ended: Option<Result<(), String>>,
-    wire: Arc<Wire>,
+    socket: Arc<Wire>,
     alarm: Arc<Alarm>,
     waker: Waker,
     /// Why a request that was given to hyper doesn't leave.
@@ -238,7 +238,7 @@
         let mut stale = Vec::new();
         for held in lock(&self.pool).addresses.values_mut() {
             for one in std::mem::take(&mut held.idle) {
-                if one.deadline > now && one.link.wire.peek() == Peeked::Nothing {
+                if one.deadline > now && one.link.socket.peek() == Peeked::Nothing {
                     held.idle.push_back(one);
                 } else {
                     stale.push(one);
@@ -324,16 +324,16 @@
         }
         let unsent = |fault: &dyn std::fmt::Display| LineError::Unsent(fault.to_string());
         let stream = TcpStream::connect_timeout(&to, patience.duration()).map_err(|fault| unsent(&fault))?;
-        let wire = Arc::new(Wire::new(stream));
+        let socket = Arc::new(Wire::new(stream));
         // Nothing is to be read before something was sent.
-        wire.may_read.store(false, Ordering::Relaxed);
+        socket.may_read.store(false, Ordering::Relaxed);
         let alarm = Arc::new(Alarm::default());
         let waker = Waker::from(alarm.clone());
-        let duct = Duct { wire: wire.clone(), write_patience: None };
+        let duct = Duct { socket: socket.clone(), write_patience: None };
         let handshake = pin!(Builder::new().handshake(duct));
         match handshake.poll(&mut Context::from_waker(&waker)) {
             Poll::Ready(Ok((sender, connection))) => {
-                Ok(Link { sender, connection, ended: None, wire, alarm, waker, held_back: None, _seat: seat })
+                Ok(Link { sender, connection, ended: None, socket, alarm, waker, held_back: None, _seat: seat })
             }
             Poll::Ready(Err(fault)) => Err(unsent(&fault)),
             Poll::Pending => Err(LineError::Unsent("no handshake".into())),
@@ -348,12 +348,12 @@
         if !(waits.may_leave)() {
             return Departure::Withheld;
         }
-        if self.wire.peek() != Peeked::Nothing && !is_mutant(&self._seat.pool, Mutant::SkipLook) {
+        if self.socket.peek() != Peeked::Nothing && !is_mutant(&self._seat.pool, Mutant::SkipLook) {
             return Departure::Unclean;
         }
         let write_by = (checked + CHECK_LIFE).0;
         let write_by = if is_mutant(&self._seat.pool, Mutant::TrustOldCheck) { Wire::UNBOUND } else { write_by };
-        self.wire.write_by.store(write_by, Ordering::Relaxed);
+        self.socket.write_by.store(write_by, Ordering::Relaxed);
         Departure::Clear
     }
     /// Lets hyper do what it can without waiting.
@@ -378,7 +378,7 @@
         let mut context = Context::from_waker(&waker);
         loop {
             self.drive();
-            if let Some(waits) = departure.filter(|_| self.wire.is_check_old.swap(false, Ordering::Relaxed)) {
+            if let Some(waits) = departure.filter(|_| self.socket.is_check_old.swap(false, Ordering::Relaxed)) {
                 match self.check_departure(waits) {
                     Departure::Clear if Clock::now() < deadline => continue,
                     Departure::Clear => return Err(Woken::Late),
@@ -398,7 +398,7 @@
                 // hyper has dropped its end, so whatever hangs on it is ready; not expected.
                 return Err(Woken::Bell);
             }
-            match await_wire(&self.wire, client, None, deadline) {
+            match await_wire(&self.socket, client, None, deadline) {
                 Woken::Ready => {}
                 ended => return Err(ended),
             }
@@ -410,17 +410,17 @@
         waits: &Waits<'_>,
         is_reused: bool,
     ) -> Result<Line, LineError> {
-        let sent_before = self.wire.sent_count.load(Ordering::Relaxed);
+        let sent_before = self.socket.sent_count.load(Ordering::Relaxed);
         let is_head = request.method() == http::Method::HEAD;
         let mut answer = pin!(self.sender.send_request(request.map(Full::new)));
         let outcome =
             self.wait(waits.head_deadline, waits.client, Some(waits), |context| answer.as_mut().poll(context));
-        let has_left = self.wire.sent_count.load(Ordering::Relaxed) > sent_before
+        let has_left = self.socket.sent_count.load(Ordering::Relaxed) > sent_before
             && !(is_reused && is_mutant(&self._seat.pool, Mutant::ForgetSent));
         let (what, why): (fn(String) -> LineError, String) = match outcome {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                let is_early = self.wire.wants_room.load(Ordering::Relaxed);
+                let is_early = self.socket.wants_room.load(Ordering::Relaxed);
                 let is_delimited = is_head || tells_end(&head);
                 let (is_ended, is_torn) = (false, false);
                 return Ok(Line { head, body, link: self, is_reused, is_early, is_delimited, is_ended, is_torn });
@@ -542,7 +542,7 @@
         }
         // hyper counts a request as written once it holds all of it; some may still wait for room.
         let is_request_whole =
-            !link.wire.wants_room.load(Ordering::Relaxed) || is_mutant(&link._seat.pool, Mutant::KeepUnwritten);
+            !link.socket.wants_room.load(Ordering::Relaxed) || is_mutant(&link._seat.pool, Mutant::KeepUnwritten);
         if !is_whole || !is_request_whole || link.ended.is_some() || !link.sender.is_ready() {
             return;
         }
--- a/crates/wicket/src/wire.rs
+++ b/crates/transport/src/socket.rs
@@ -97,15 +97,15 @@
 pub struct Client(Weak<Wire>);
 
 impl Client {
-    pub(crate) fn new(wire: &Arc<Wire>) -> Self {
-        Client(Arc::downgrade(wire))
+    pub(crate) fn new(socket: &Arc<Wire>) -> Self {
+        Client(Arc::downgrade(socket))
     }
-    pub(crate) fn wire(&self) -> Option<Arc<Wire>> {
+    pub(crate) fn socket(&self) -> Option<Arc<Wire>> {
         self.0.upgrade()
     }
     /// Whether it has closed or reset the connection. Doesn't wait, and takes no bytes from it.
     pub fn is_gone(&self) -> bool {
-        self.0.upgrade().is_none_or(|wire| wire.is_gone())
+        self.0.upgrade().is_none_or(|socket| socket.is_gone())
     }
 }
 
@@ -124,10 +124,10 @@
 
 /// Waits in one poll(2) until the wire has something (bytes, or the room that a write wants), the client
 /// has gone, the bell's other end was closed, or the deadline has passed.
-pub(crate) fn await_wire(wire: &Wire, client: Option<&Client>, bell: Option<&File>, deadline: Moment) -> Woken {
+pub(crate) fn await_wire(socket: &Wire, client: Option<&Client>, bell: Option<&File>, deadline: Moment) -> Woken {
     let client = match client {
-        Some(client) => match client.wire() {
-            Some(wire) => Some(wire),
+        Some(client) => match client.socket() {
+            Some(socket) => Some(socket),
             None => return Woken::ClientGone,
         },
         None => None,
@@ -135,7 +135,7 @@
     let mut client_flags = PollFlags::IN | PollFlags::RDHUP;
     loop {
         let mut wanted = PollFlags::IN;
-        if wire.wants_room.load(Ordering::Relaxed) {
+        if socket.wants_room.load(Ordering::Relaxed) {
             wanted |= PollFlags::OUT;
         }
         // The wire, then the client, then the bell; a missing one is stood in for by the wire itself.
@@ -148,7 +148,7 @@
             watched[1] = Some(PollFd::new(bell, PollFlags::empty()));
             count += 1;
         }
-        let own = || PollFd::new(&wire.stream, wanted);
+        let own = || PollFd::new(&socket.stream, wanted);
         let [first, second] = watched;
         let has_client = first.is_some();
         let mut seen = match (first, second) {
@@ -165,7 +165,7 @@
             Err(fault) => {
                 // Not expected; the read or write that follows tells more.
                 tracing::debug!("wire: poll failed: {fault}.");
-                wire.may_read.store(true, Ordering::Relaxed);
+                socket.may_read.store(true, Ordering::Relaxed);
                 return Woken::Late;
             }
         }
@@ -173,15 +173,15 @@
         if !own_events.is_empty() {
             let has_room = own_events.intersects(PollFlags::OUT | PollFlags::ERR | PollFlags::HUP);
             if has_room {
-                wire.wants_room.store(false, Ordering::Relaxed);
+                socket.wants_room.store(false, Ordering::Relaxed);
             }
             if own_events != PollFlags::OUT {
-                wire.may_read.store(true, Ordering::Relaxed);
+                socket.may_read.store(true, Ordering::Relaxed);
             }
             return Woken::Ready;
         }
         if has_client && !seen[1].revents().is_empty() {
-            if seen[1].revents() != PollFlags::IN || client.as_ref().is_some_and(|wire| wire.is_gone()) {
+            if seen[1].revents() != PollFlags::IN || client.as_ref().is_some_and(|socket| socket.is_gone()) {
                 return Woken::ClientGone;
             }
             // It has sent its next request already; only its end is watched from now on.
@@ -194,7 +194,7 @@
 
 /// A wire as hyper wants it. Reads never wait: whoever drives it waits in between.
 pub(crate) struct Duct {
-    pub wire: Arc<Wire>,
+    pub socket: Arc<Wire>,
     /// How long a write waits for room by itself; without it, whoever drives it waits.
     pub write_patience: Option<Duration>,
 }
@@ -206,25 +206,25 @@
 
 impl hyper::rt::Read for Duct {
     fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, mut cursor: ReadBufCursor<'_>) -> Poll<io::Result<()>> {
-        let wire = &self.get_mut().wire;
-        if !wire.may_read.load(Ordering::Relaxed) {
+        let socket = &self.get_mut().socket;
+        if !socket.may_read.load(Ordering::Relaxed) {
             return Poll::Pending;
         }
         let mut buffer = [MaybeUninit::<u8>::uninit(); 16 * 1024];
         let room = cursor.remaining().min(buffer.len());
         loop {
-            match recv(&wire.stream, &mut buffer[..room], RecvFlags::DONTWAIT) {
+            match recv(&socket.stream, &mut buffer[..room], RecvFlags::DONTWAIT) {
                 Ok(((bytes, _), _)) => {
                     // An end stays readable; fewer bytes than there was room for were all.
                     if !bytes.is_empty() && bytes.len() < room {
-                        wire.may_read.store(false, Ordering::Relaxed);
+                        socket.may_read.store(false, Ordering::Relaxed);
                     }
                     cursor.put_slice(bytes);
                     return Poll::Ready(Ok(()));
                 }
                 Err(Errno::INTR) => {}
                 Err(Errno::AGAIN) => {
-                    wire.may_read.store(false, Ordering::Relaxed);
+                    socket.may_read.store(false, Ordering::Relaxed);
                     return Poll::Pending;
                 }
                 Err(fault) => return Poll::Ready(Err(fault.into())),
@@ -236,25 +236,25 @@
 impl hyper::rt::Write for Duct {
     fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let duct = self.get_mut();
-        let wire = &duct.wire;
-        if wire.wants_room.load(Ordering::Relaxed) || !wire.may_write() {
+        let socket = &duct.socket;
+        if socket.wants_room.load(Ordering::Relaxed) || !socket.may_write() {
             return Poll::Pending;
         }
         loop {
-            match send(&wire.stream, bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
+            match send(&socket.stream, bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
                 Ok(count) => {
-                    wire.sent_count.fetch_add(count as u64, Ordering::Relaxed);
-                    wire.write_by.store(Wire::UNBOUND, Ordering::Relaxed);
+                    socket.sent_count.fetch_add(count as u64, Ordering::Relaxed);
+                    socket.write_by.store(Wire::UNBOUND, Ordering::Relaxed);
                     return Poll::Ready(Ok(count));
                 }
                 Err(Errno::INTR) => {}
                 Err(Errno::AGAIN) => match duct.write_patience {
                     None => {
-                        wire.wants_room.store(true, Ordering::Relaxed);
+                        socket.wants_room.store(true, Ordering::Relaxed);
                         return Poll::Pending;
                     }
                     Some(patience) => {
-                        let mut room = [PollFd::new(&wire.stream, PollFlags::OUT)];
+                        let mut room = [PollFd::new(&socket.stream, PollFlags::OUT)];
                         let timeout = Timespec::try_from(patience).ok();
                         if poll(&mut room, timeout.as_ref()) == Ok(0) {
                             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
@@ -269,7 +269,7 @@
         Poll::Ready(Ok(()))
     }
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.get_mut().wire.stream.shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.get_mut().socket.stream.shutdown(std::net::Shutdown::Write))
     }
 }
 
--- a/crates/wicket/tests/gate_keep_alive.rs
+++ b/crates/transport/tests/gate_keep_alive.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::Duration;
-use wicket::prelude::*;
+use transport::prelude::*;
 
 const PATIENCE: Duration = Duration::from_secs(5);
 
--- a/crates/wicket/tests/library_traps.rs
+++ b/crates/transport/tests/library_traps.rs
@@ -5,7 +5,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::time::Duration;
-use wicket::prelude::*;
+use transport::prelude::*;
 
 const PATIENCE: Span = Span::seconds(5);
 
--- a/crates/wicket/tests/lines.rs
+++ b/crates/transport/tests/lines.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::time::Duration;
-use wicket::prelude::*;
+use transport::prelude::*;
 
 const PATIENCE: Span = Span::seconds(5);
 const BOUNDS: LinesBounds = LinesBounds { per_address: 0, idle_per_address: 4, idle_span: Span::seconds(30) };
--- a/crates/wicket/tests/upstream_fuzz.rs
+++ b/crates/transport/tests/upstream_fuzz.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::{Config, TestCaseError, TestRunner};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use wicket::prelude::*;
+use transport::prelude::*;
 
 const CASES: u32 = 1500;
 const PATIENCE: Span = Span::seconds(10);
