Rename: circular is now wire

The inner protocol's package. The router's module of that name, the messages of its own HTTP interface, is `interface`. No behaviour changes.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,11 +19,11 @@
     pub use crate::disk_thread::{DiskEvent, DiskThread};
     pub use crate::redirect::ReadAddresses;
     pub use crate::settings::Settings;
-    pub use circular::prelude::*;
     pub use college::prelude::*;
     pub use layout::prelude::*;
     pub use storage::prelude::*;
     pub use transport::prelude::*;
+    pub use wire::prelude::*;
 }
 
 pub use admin_command::{AdminCommand, AdminTask};
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod event_splitter;
 mod forward;
 mod ingress;
+mod interface;
 mod journal;
 mod judgement;
 mod list_reader;
@@ -23,7 +24,6 @@
 mod tallies;
 mod token;
 mod trip;
-mod wire;
 
 /// What each file imports.
 pub mod prelude {
@@ -34,6 +34,9 @@
     pub use crate::errand::{Errand, ErrandInput, ErrandOutput};
     pub use crate::event_splitter::{EventSplitter, StreamEvent};
     pub use crate::forward::detached::{DetachedForwarder, Placed, Placer};
+    pub use crate::interface::{
+        ClientRequest, LIFE_HEADER, ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport,
+    };
     pub use crate::journal::Journal;
     pub use crate::judgement::{AnswerClaim, AnswerIdentity, AnswerPlace, Judgement};
     pub use crate::node::{Denial, KvTask, Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, Placing, resume_id};
@@ -43,12 +46,9 @@
     pub use crate::settings::Settings;
     pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
-    pub use crate::wire::{
-        ClientRequest, LIFE_HEADER, ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport,
-    };
-    pub use circular::prelude::*;
     pub use college::prelude::{LeaseState, LeaseStatus};
     pub use layout::prelude::*;
     pub use primer::prelude::*;
     pub use transport::prelude::*;
+    pub use wire::prelude::*;
 }
--- a/crates/testbed/src/hollow/host.rs
+++ b/crates/testbed/src/hollow/host.rs
@@ -2,13 +2,13 @@
 
 use super::{HollowRules, HostCommand, HostWord};
 use crate::prelude::*;
-use circular::prelude::Letter;
 use primer::prelude::{Demand, Event, Outcome, SchedulerRules, mix};
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, ServiceKind, run_id};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io::{BufRead, Write};
 use std::net::TcpListener;
+use wire::prelude::Letter;
 
 enum Input {
     Letter(usize, Address, Letter),
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,5 +1,4 @@
 use crate::prelude::*;
-use circular::prelude::Letter;
 use college::prelude::{Kept, Record, Replica, Voter};
 use controller::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use layout::prelude::{AsSent, Command, Ledger, Proposal};
@@ -7,6 +6,7 @@
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use wire::prelude::Letter;
 
 mod aimed;
 mod checks;
--- a/crates/testbed/src/world/door.rs
+++ b/crates/testbed/src/world/door.rs
@@ -2,8 +2,8 @@
 
 use super::operators::{Asked, Basis, Wish};
 use super::*;
-use circular::prelude::Reading;
 use layout::prelude::{Fault as PlanFault, OwnPlans};
+use wire::prelude::Reading;
 
 /// Where a patch stands at the door.
 #[derive(Debug, Clone)]
--- a/crates/testbed/src/world/machines.rs
+++ b/crates/testbed/src/world/machines.rs
@@ -1,8 +1,8 @@
 //! Controllers and routers: started, fed, frozen, killed.
 
 use super::*;
-use circular::prelude::PollResponse;
 use layout::prelude::{History, REMEMBERED_CHANGES};
+use wire::prelude::PollResponse;
 
 impl World {
     pub(super) fn start_controller(&mut self, machine: usize) {
--- a/crates/transport/src/post.rs
+++ b/crates/transport/src/post.rs
@@ -1,4 +1,3 @@
-use circular::prelude::*;
 use parlance::prelude::*;
 use rustix::net::sockopt;
 use std::collections::HashMap;
@@ -7,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
+use wire::prelude::*;
 
 /// Which of a peer's two connections a letter takes: pieces of snapshots never delay the rest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
