--- a/crates/college/src/lib.rs
+++ b/crates/college/src/lib.rs
@@ -55,5 +55,5 @@
     pub use crate::replica::{Input, Kept, KeptFault, Output, Replica, ReplicaState, Timing};
     pub use crate::state_machine::{Preview, StateMachine};
     pub use crate::view::{Seat, View, Voter};
-    pub use parlance::prelude::*;
+    pub use types::prelude::*;
 }
--- a/crates/controller/src/admin_command.rs
+++ b/crates/controller/src/admin_command.rs
@@ -1,8 +1,8 @@
 use clap::Subcommand;
-use parlance::prelude::*;
 use std::io::Write;
 use std::path::PathBuf;
 use transport::prelude::*;
+use types::prelude::*;
 
 /// The operators' command line: each task is one call to a controller's HTTP interface.
 #[derive(Debug, clap::Args)]
--- a/crates/layout/src/lib.rs
+++ b/crates/layout/src/lib.rs
@@ -22,5 +22,5 @@
     };
     pub use crate::routing::RouteTable;
     pub use crate::settings::{SettingsFault, a_name, addresses, an_address, parse_addresses, read_settings, within};
-    pub use parlance::prelude::*;
+    pub use types::prelude::*;
 }
--- a/crates/primer/src/lib.rs
+++ b/crates/primer/src/lib.rs
@@ -36,6 +36,6 @@
     pub use crate::share::{key_of, mix, rank, share, share_at};
     pub use crate::sketch::{FLEET, Holding, Hot, InFlight, PrefixHash, Sketch};
     pub use crate::window::Window;
-    pub use parlance::prelude::*;
     pub use serde::{Deserialize, Serialize};
+    pub use types::prelude::*;
 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -8,5 +8,5 @@
 pub mod prelude {
     pub use crate::checked_file::{read_file, write_file};
     pub use crate::write_ahead_log::{Opened, Storage, StorageFault};
-    pub use parlance::prelude::*;
+    pub use types::prelude::*;
 }
--- a/crates/storage/src/write_ahead_log.rs
+++ b/crates/storage/src/write_ahead_log.rs
@@ -1,11 +1,11 @@
 use crate::checked_file::{read_file, write_file};
 use okaywal::{Configuration, Entry, EntryId, LogManager, SegmentReader, WriteAheadLog};
-use parlance::prelude::*;
 use std::fs;
 use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
+use types::prelude::*;
 
 /// Why a folder can't be used. Nothing in it is served.
 #[derive(Debug, thiserror::Error)]
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -31,11 +31,11 @@
     pub use loadgen::prelude::{
         Asked, Campaign, CampaignRules, Fate, Mix, MixKind, PlannedRequest, Report, ask, mix, print_of,
     };
-    pub use parlance::prelude::*;
     pub use primer::prelude::{PrefixHash, ServerEntry, block_hashes};
     pub use router::prelude::{
         LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
     };
     pub use serde::{Deserialize, Serialize};
     pub use transport::prelude::*;
+    pub use types::prelude::*;
 }
--- a/crates/transport/src/ask.rs
+++ b/crates/transport/src/ask.rs
@@ -1,9 +1,9 @@
 use attohttpc::body::{Body, BodyKind};
 use attohttpc::{ProxySettings, RequestBuilder, Response};
-use parlance::prelude::*;
 use std::io::{self, Read, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use types::prelude::*;
 
 /// Why an asked server gave no head.
 #[derive(Debug, thiserror::Error)]
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -12,11 +12,11 @@
 use crate::response::Response;
 use crate::socket::Client;
 use bytes::Bytes;
-use parlance::prelude::*;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use types::prelude::*;
 
 /// One request over HTTP, read whole.
 pub struct Request {
--- a/crates/transport/src/gate/connection.rs
+++ b/crates/transport/src/gate/connection.rs
@@ -11,7 +11,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use parlance::prelude::*;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::{Read, Write};
@@ -22,6 +21,7 @@
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use types::prelude::*;
 
 /// After leaving, requests that were on the wire have this long to come in.
 const LEAVE_LINGER: Span = Span(500);
--- a/crates/transport/src/gate/state.rs
+++ b/crates/transport/src/gate/state.rs
@@ -1,12 +1,12 @@
 //! What all connections of a gate heed: its limits in force, and whether it leaves.
 
 use crate::framing::RequestLimits;
-use parlance::prelude::*;
 use std::fs::File;
 use std::io;
 use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use types::prelude::*;
 
 /// Limits of a gate that may change while it serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/transport/src/lines.rs
+++ b/crates/transport/src/lines.rs
@@ -3,7 +3,6 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use parlance::prelude::*;
 use std::collections::{HashMap, VecDeque};
 use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
@@ -12,6 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use types::prelude::*;
 
 /// Kept-alive connections to servers, shared by all threads.
 ///
--- a/crates/transport/src/post.rs
+++ b/crates/transport/src/post.rs
@@ -1,4 +1,3 @@
-use parlance::prelude::*;
 use rustix::net::sockopt;
 use std::collections::HashMap;
 use std::io;
@@ -6,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
+use types::prelude::*;
 use wire::prelude::*;
 
 /// Which of a peer's two connections a letter takes: pieces of snapshots never delay the rest.
--- a/crates/transport/src/response.rs
+++ b/crates/transport/src/response.rs
@@ -4,11 +4,11 @@
     UPGRADE,
 };
 use hyper::body::{Body, Frame};
-use parlance::prelude::*;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use types::prelude::*;
 
 /// What a stream gives when asked for its next piece.
 pub enum Pull {
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -1,5 +1,4 @@
 use hyper::rt::ReadBufCursor;
-use parlance::prelude::*;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, SendFlags, recv, send, sockopt};
@@ -12,6 +11,7 @@
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, Wake};
 use std::time::Duration;
+use types::prelude::*;
 
 /// A TCP connection and what is known of it between two polls, so that no system call asks again.
 pub(crate) struct Wire {
--- a/crates/transport/tests/gate_keep_alive.rs
+++ b/crates/transport/tests/gate_keep_alive.rs
@@ -1,13 +1,13 @@
 //! A gate that keeps its connections: many requests on one, ends that never look complete, leaving.
 
 use http::{HeaderMap, HeaderValue};
-use parlance::prelude::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::Duration;
 use transport::prelude::*;
+use types::prelude::*;
 
 const PATIENCE: Duration = Duration::from_secs(5);
 
--- a/crates/transport/tests/library_traps.rs
+++ b/crates/transport/tests/library_traps.rs
@@ -1,11 +1,11 @@
 //! What the HTTP libraries must and must not do for us, each shown on a real connection.
 
-use parlance::prelude::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::time::Duration;
 use transport::prelude::*;
+use types::prelude::*;
 
 const PATIENCE: Span = Span::seconds(5);
 
--- a/crates/transport/tests/lines.rs
+++ b/crates/transport/tests/lines.rs
@@ -1,13 +1,13 @@
 //! Lines to stand-in servers that say exactly what a test wants.
 
 use bytes::Bytes;
-use parlance::prelude::*;
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::time::Duration;
 use transport::prelude::*;
+use types::prelude::*;
 
 const PATIENCE: Span = Span::seconds(5);
 const BOUNDS: LinesBounds = LinesBounds { per_address: 0, idle_per_address: 4, idle_span: Span::seconds(30) };
--- a/crates/transport/tests/upstream_fuzz.rs
+++ b/crates/transport/tests/upstream_fuzz.rs
@@ -2,12 +2,12 @@
 //! whole body is what a strict reader of the same bytes takes, and nothing behind it becomes the next answer.
 
 use bytes::Bytes;
-use parlance::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestCaseError, TestRunner};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use transport::prelude::*;
+use types::prelude::*;
 
 const CASES: u32 = 1500;
 const PATIENCE: Span = Span::seconds(10);
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -1,6 +1,6 @@
 use crate::letter::Letter;
-use parlance::prelude::*;
 use std::io::{self, Read};
+use types::prelude::*;
 
 /// The version of the inner protocol that this build speaks.
 pub const PROTOCOL: u16 = 4;
