--- a/crates/layout/src/plan.rs
+++ b/crates/layout/src/plan.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use primer::prelude::{BtbRules, Rules, ServiceRules};
+use placement::prelude::{BtbRules, Rules, ServiceRules};
 use schematic::{Config, ConfigEnum, ConfigError, ConfigLoader, ValidateError, ValidateResult};
 use serde::Serialize;
 use std::collections::BTreeMap;
--- a/crates/loadgen/src/lib.rs
+++ b/crates/loadgen/src/lib.rs
@@ -12,7 +12,7 @@
     pub use crate::campaign::{Campaign, CampaignRules};
     pub use crate::mix::{Mix, MixKind, PlannedRequest, Shape};
     pub use crate::report::{Report, ServiceReport};
-    pub use primer::prelude::mix;
+    pub use placement::prelude::mix;
     pub use transport::prelude::*;
     pub use types::prelude::*;
 }
--- a/crates/primer/examples/placing_speed.rs
+++ b/crates/placement/examples/placing_speed.rs
@@ -1,6 +1,6 @@
 //! How long one choice takes with 90 servers and 90 peers: `cargo run --release --example placing_speed`.
 
-use primer::prelude::*;
+use placement::prelude::*;
 
 fn main() {
     let rules = ServiceRules {
--- a/crates/primer/tests/by_time.rs
+++ b/crates/placement/tests/by_time.rs
@@ -1,6 +1,6 @@
 //! Placement where clients tell what they ask: tokens, targets, deadlines.
 
-use primer::prelude::*;
+use placement::prelude::*;
 use yare::parameterized;
 
 /// Long after the machine came up.
--- a/crates/primer/tests/cold_shares.rs
+++ b/crates/placement/tests/cold_shares.rs
@@ -1,7 +1,7 @@
 //! What a cold server gets from a whole fleet whose nodes know different memberships: some are cut off from the core,
 //! some have just started, some were retired and don't know. Pure, seeded, in steps of a millisecond.
 
-use primer::prelude::*;
+use placement::prelude::*;
 use std::collections::{BTreeSet, VecDeque};
 use yare::parameterized;
 
--- a/crates/primer/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A small fleet of schedulers that share engines: pure, seeded, in steps of a millisecond.
 
-use primer::prelude::*;
+use placement::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 const START: u64 = 1_000_000;
--- a/crates/primer/tests/repeat_window.rs
+++ b/crates/placement/tests/repeat_window.rs
@@ -1,6 +1,6 @@
 //! One node's repeats in each sliding window.
 
-use primer::prelude::*;
+use placement::prelude::*;
 
 #[test]
 fn no_window_has_more_than_its_bound_and_a_new_life_begins_without_the_extra() {
--- a/crates/primer/tests/residency.rs
+++ b/crates/placement/tests/residency.rs
@@ -1,6 +1,6 @@
 //! What a server is believed to hold, bounded by its memory.
 
-use primer::prelude::*;
+use placement::prelude::*;
 
 #[test]
 fn what_was_not_used_for_longest_makes_room_and_a_part_counts_only_after_all_before_it() {
--- a/crates/primer/tests/urgency.rs
+++ b/crates/placement/tests/urgency.rs
@@ -1,4 +1,4 @@
-use primer::prelude::*;
+use placement::prelude::*;
 use yare::parameterized;
 
 #[parameterized(
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -397,7 +397,7 @@
 
 /// Orders the holder to export and the target to import. Both say whether they take the order, not
 /// whether the copy was made.
-fn do_kv(task: KvTask) -> Option<primer::prelude::Event> {
+fn do_kv(task: KvTask) -> Option<placement::prelude::Event> {
     const PATIENCE: Span = Span(500);
     match task {
         KvTask::Copy { prefix, holder, target } => {
@@ -410,7 +410,7 @@
             let import = if export == 202 { ask(&target, "import", &holder) } else { 0 };
             let is_unknown = |status: u16| status == 404 || status == 405;
             let (is_taken, knows_kv) = (export == 202 && import == 202, !is_unknown(import));
-            Some(primer::prelude::Event::CopyFate { prefix, server: target, is_taken, knows_kv })
+            Some(placement::prelude::Event::CopyFate { prefix, server: target, is_taken, knows_kv })
         }
         KvTask::Drop { prefix, server } => {
             let _ = ask_delete(&format!("http://{server}/kv/{}", prefix.0), PATIENCE, PATIENCE);
@@ -481,7 +481,7 @@
         };
         let mut events = vec![];
         for (place, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
-            use primer::prelude::Event as E;
+            use placement::prelude::Event as E;
             match serde_json::from_str::<E>(line) {
                 Ok(E::Rules { .. } | E::Members { .. } | E::ServerList { .. } | E::PeerSketch { .. }) => {
                     let why = format!(
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -48,7 +48,7 @@
     pub use crate::token::{Token, run_id};
     pub use college::prelude::{LeaseState, LeaseStatus};
     pub use layout::prelude::*;
-    pub use primer::prelude::*;
+    pub use placement::prelude::*;
     pub use transport::prelude::*;
     pub use wire::prelude::*;
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,6 +1,6 @@
 use crate::prelude::{ListTiming, Span};
 use layout::prelude::*;
-use primer::prelude::SchedulerRules;
+use placement::prelude::SchedulerRules;
 use schematic::Config;
 
 /// A router's settings file.
--- a/crates/testbed/src/hollow/host.rs
+++ b/crates/testbed/src/hollow/host.rs
@@ -2,7 +2,7 @@
 
 use super::{HollowRules, HostCommand, HostWord};
 use crate::prelude::*;
-use primer::prelude::{Demand, Event, Outcome, SchedulerRules, mix};
+use placement::prelude::{Demand, Event, Outcome, SchedulerRules, mix};
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, PlaceAsk, ServiceKind, run_id};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -31,7 +31,7 @@
     pub use loadgen::prelude::{
         Asked, Campaign, CampaignRules, Fate, Mix, MixKind, PlannedRequest, Report, ask, mix, print_of,
     };
-    pub use primer::prelude::{PrefixHash, ServerEntry, block_hashes};
+    pub use placement::prelude::{PrefixHash, ServerEntry, block_hashes};
     pub use router::prelude::{
         LIFE_HEADER, RunPiece, RunRequest, ServerListReport, ServerReport, ServicePlan, parse_plan,
     };
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use primer::prelude::SchedulerRules;
+use placement::prelude::SchedulerRules;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -2,7 +2,7 @@
 use college::prelude::{Kept, Record, Replica, Voter};
 use controller::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use layout::prelude::{AsSent, Command, Ledger, Proposal};
-use primer::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
+use placement::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
--- a/crates/testbed/src/world/traffic.rs
+++ b/crates/testbed/src/world/traffic.rs
@@ -1,7 +1,7 @@
 //! Clients, their requests' way through a router, and servers.
 
 use super::*;
-use primer::prelude::Demand;
+use placement::prelude::Demand;
 use router::prelude::{
     ChartInput, ChartOutput, Denial, Errand, ErrandInput, ErrandOutput, Failure, KvTask, PlaceAsk, Placing, run_id,
 };
--- a/crates/wire/src/letter.rs
+++ b/crates/wire/src/letter.rs
@@ -1,5 +1,5 @@
 use college::prelude::*;
-use primer::prelude::{DigestChange, ServerEntry};
+use placement::prelude::{DigestChange, ServerEntry};
 
 messages! {
     /// A node of the data plane, as others see it.
