--- a/crates/layout/tests/fuzz.rs
+++ b/crates/config/tests/fuzz.rs
@@ -1,7 +1,7 @@
 //! Snapshots and proposals that were bent at random, by a fixed seed: none makes the ledger panic.
 
 use college::prelude::StateMachine;
-use layout::prelude::*;
+use config::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/crates/layout/tests/history.rs
+++ b/crates/config/tests/history.rs
@@ -1,7 +1,7 @@
 //! The bounded history: what is remembered, what is forgotten, and that nothing is applied twice.
 
 use college::prelude::{Preview, StateMachine};
-use layout::prelude::*;
+use config::prelude::*;
 use yare::parameterized;
 
 const ACCEPTED: u64 = 300;
--- a/crates/layout/tests/hundreds.rs
+++ b/crates/config/tests/hundreds.rs
@@ -2,7 +2,7 @@
 //! lines and disks of real sizes and the real state machines.
 
 use college::prelude::*;
-use layout::prelude::*;
+use config::prelude::*;
 use std::collections::VecDeque;
 use yare::parameterized;
 
--- a/crates/layout/tests/routing.rs
+++ b/crates/config/tests/routing.rs
@@ -1,4 +1,4 @@
-use layout::prelude::*;
+use config::prelude::*;
 use std::collections::HashMap;
 use yare::parameterized;
 
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -477,7 +477,7 @@
         ("controller_disk_faults_total", "counter", &tallies.faults),
         ("controller_polls_total", "counter", &tallies.polls),
         ("controller_view_epoch", "gauge", &tallies.view),
-        ("controller_layout_epoch", "gauge", &tallies.epoch),
+        ("controller_config_epoch", "gauge", &tallies.epoch),
         ("controller_chain_length", "gauge", &tallies.chain),
         ("controller_members", "gauge", &tallies.members),
     ];
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -20,7 +20,7 @@
     pub use crate::redirect::ReadAddresses;
     pub use crate::settings::Settings;
     pub use college::prelude::*;
-    pub use layout::prelude::*;
+    pub use config::prelude::*;
     pub use storage::prelude::*;
     pub use transport::prelude::*;
     pub use wire::prelude::*;
--- a/crates/controller/tests/delayed_and_refused.rs
+++ b/crates/controller/tests/delayed_and_refused.rs
@@ -2,9 +2,9 @@
 
 mod control;
 
+use config::prelude::{Command, OwnPlans, Proposal};
 use control::{Carriage, Core};
 use controller::prelude::*;
-use layout::prelude::{Command, OwnPlans, Proposal};
 
 const HEAD: usize = 0;
 const MIDDLE: usize = 1;
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -83,7 +83,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event {
-    /// A layout is in force.
+    /// A configuration is in force.
     Rules {
         /// It.
         rules: Rules,
--- a/crates/placement/src/rules.rs
+++ b/crates/placement/src/rules.rs
@@ -50,7 +50,7 @@
     pub memory_tokens: u64,
 }
 
-/// The layout in force, as far as placement goes.
+/// The configuration in force, as far as placement goes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rules {
     /// Its epoch.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -239,7 +239,7 @@
         sketch
     }
 
-    /// The layout that it goes by.
+    /// The configuration that it goes by.
     pub fn rules(&self) -> &Rules {
         &self.rules
     }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -473,7 +473,7 @@
         Response::streamed("application/x-ndjson", Box::new(source))
     }
 
-    /// Takes events that operators push in. Those that would get round the accepted layout, the
+    /// Takes events that operators push in. Those that would get round the accepted configuration, the
     /// platform's list or the members are turned away; all lines are read before any is taken.
     fn push(&self, body: &[u8]) -> Response {
         let Ok(text) = std::str::from_utf8(body) else {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -47,7 +47,7 @@
     pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
     pub use college::prelude::{LeaseState, LeaseStatus};
-    pub use layout::prelude::*;
+    pub use config::prelude::*;
     pub use placement::prelude::*;
     pub use transport::prelude::*;
     pub use wire::prelude::*;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -217,10 +217,10 @@
     Log(String),
 }
 
-/// A data-plane node's control state: its lease state among the members, the layout, the scheduler.
+/// A data-plane node's control state: its lease state among the members, the configuration, the scheduler.
 ///
-/// Invariants: the layout's epoch never falls, and it's only taken up whole. A request is placed only
-/// while the node may act, under a layout that it holds, and with a server list that was read in this life
+/// Invariants: the configuration's epoch never falls, and it's only taken up whole. A request is placed only
+/// while the node may act, under a configuration that it holds, and with a server list that was read in this life
 /// and since the machine last slept. An id in hand, or of `ended`, is taken by no second request.
 #[derive(Clone)]
 pub struct Node {
@@ -518,7 +518,7 @@
             return deny(ResultCode::NotReady, &why, 1000);
         }
         let (Some(plan), Some(key)) = (self.plan.clone(), self.key) else {
-            return deny(ResultCode::NotReady, "no layout yet", 1000);
+            return deny(ResultCode::NotReady, "no configuration yet", 1000);
         };
         let is_kind = |found: &&ServicePlan| route.is_some() || found.kind == kind;
         let Some(of_service) = plan.services.get(service.as_str()).filter(is_kind) else {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,5 +1,5 @@
 use crate::prelude::{ListTiming, Span};
-use layout::prelude::*;
+use config::prelude::*;
 use placement::prelude::SchedulerRules;
 use schematic::Config;
 
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,7 +1,7 @@
 use crate::prelude::*;
 use college::prelude::{Kept, Record, Replica, Voter};
+use config::prelude::{AsSent, Command, Ledger, Proposal};
 use controller::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
-use layout::prelude::{AsSent, Command, Ledger, Proposal};
 use placement::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use std::cmp::Reverse;
--- a/crates/testbed/src/world/checks.rs
+++ b/crates/testbed/src/world/checks.rs
@@ -142,7 +142,7 @@
     pub(super) fn proposed(&mut self, now: u64, id: &str, command: &Command, base: &[u8]) {
         let read = |bytes: &[u8]| serde_json::from_slice::<serde_json::Value>(bytes).ok();
         // A change that was merged into another plan than the one that it builds on never takes effect.
-        let is_of_its_base = |revisions: &layout::prelude::Revisions| {
+        let is_of_its_base = |revisions: &config::prelude::Revisions| {
             let found = read(base).and_then(|plan| plan["revision"].as_u64()).unwrap_or(0);
             revisions.own == 0 || found == revisions.base
         };
--- a/crates/testbed/src/world/door.rs
+++ b/crates/testbed/src/world/door.rs
@@ -2,7 +2,7 @@
 
 use super::operators::{Asked, Basis, Wish};
 use super::*;
-use layout::prelude::{Fault as PlanFault, OwnPlans};
+use config::prelude::{Fault as PlanFault, OwnPlans};
 use wire::prelude::Reading;
 
 /// Where a patch stands at the door.
--- a/crates/testbed/src/world/machines.rs
+++ b/crates/testbed/src/world/machines.rs
@@ -1,7 +1,7 @@
 //! Controllers and routers: started, fed, frozen, killed.
 
 use super::*;
-use layout::prelude::{History, REMEMBERED_CHANGES};
+use config::prelude::{History, REMEMBERED_CHANGES};
 use wire::prelude::PollResponse;
 
 impl World {
@@ -399,7 +399,7 @@
                     }
                 }
                 NodeOutput::Read { plan_epoch, bytes } => {
-                    let plan = layout::prelude::parse_plan(&bytes).map(std::sync::Arc::new);
+                    let plan = config::prelude::parse_plan(&bytes).map(std::sync::Arc::new);
                     self.step_node(machine, NodeInput::Plan { plan_epoch, plan, bytes });
                 }
                 NodeOutput::Kv(task) => self.on_kv(machine, task),
--- a/crates/types/src/epoch.rs
+++ b/crates/types/src/epoch.rs
@@ -26,7 +26,7 @@
 }
 
 counters! {
-    /// Numbers the layouts (what operators had accepted). Zero: none yet.
+    /// Numbers the configurations (what operators had accepted). Zero: none yet.
     ///
     /// Invariant: grows by one with each accepted change; a node never goes back.
     Epoch
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -14,7 +14,7 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
-            /// Whether it may stand in a path, a log line or a layout: 1 to 64 letters, digits,
+            /// Whether it may stand in a path, a log line or a configuration: 1 to 64 letters, digits,
             /// or `-_.:`.
             pub fn is_sound(&self) -> bool {
                 let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -49,7 +49,7 @@
     TooLarge = 102, 413, 0, "too-large", "The body, or with status 431 the head, is over the bound; nothing ran.";
     Crowded = 103, 429, 1, "crowded", "The first piece would come later than the plan allows; nothing ran. Come back after Retry-After.";
     NoServer = 104, 503, 1, "no-server", "No server that the plan allows can take it now; nothing ran.";
-    NotReady = 105, 503, 1, "not-ready", "This node has no live lease or layout; nothing ran.";
+    NotReady = 105, 503, 1, "not-ready", "This node has no live lease or configuration; nothing ran.";
     Draining = 106, 503, 1, "draining", "This node is stopping; nothing ran. Ask another.";
     Busy = 107, 503, 1, "busy", "This node is at its bound of requests; nothing ran.";
     ServerRefused = 108, 503, 1, "server-refused", "The servers asked refused it without running it.";
