--- a/crates/config/src/history.rs
+++ b/crates/config/src/history.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Operators' changes of which the id, and so the fate, is known: the newest so many. The users' days
-/// have some hundreds, their years about 1,200 a day. [`college::prelude::Timing::changes_per_second`]
+/// have some hundreds, their years about 1,200 a day. [`replication::prelude::Timing::changes_per_second`]
 /// bounds how fast they can be used up.
 pub const REMEMBERED_CHANGES: usize = 4096;
 
--- a/crates/config/src/ledger.rs
+++ b/crates/config/src/ledger.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use college::prelude::{Membership, Preview, StateMachine};
+use replication::prelude::{Membership, Preview, StateMachine};
 use std::collections::BTreeMap;
 
 messages! {
--- a/crates/config/tests/fuzz.rs
+++ b/crates/config/tests/fuzz.rs
@@ -1,9 +1,9 @@
 //! Snapshots and proposals that were bent at random, by a fixed seed: none makes the ledger panic.
 
-use college::prelude::StateMachine;
 use config::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use replication::prelude::StateMachine;
 
 fn runner() -> TestRunner {
     let config = Config { cases: 4000, failure_persistence: None, ..Config::default() };
--- a/crates/config/tests/history.rs
+++ b/crates/config/tests/history.rs
@@ -1,7 +1,7 @@
 //! The bounded history: what is remembered, what is forgotten, and that nothing is applied twice.
 
-use college::prelude::{Preview, StateMachine};
 use config::prelude::*;
+use replication::prelude::{Preview, StateMachine};
 use yare::parameterized;
 
 const ACCEPTED: u64 = 300;
--- a/crates/config/tests/hundreds.rs
+++ b/crates/config/tests/hundreds.rs
@@ -1,8 +1,8 @@
 //! Hundreds of changes: a member of the core is away, comes back and is level again, on virtual time, with
 //! lines and disks of real sizes and the real state machines.
 
-use college::prelude::*;
 use config::prelude::*;
+use replication::prelude::*;
 use std::collections::VecDeque;
 use yare::parameterized;
 
--- a/crates/config/tests/revisions.rs
+++ b/crates/config/tests/revisions.rs
@@ -1,5 +1,5 @@
-use college::prelude::{Preview, StateMachine};
 use config::prelude::*;
+use replication::prelude::{Preview, StateMachine};
 
 fn plan_bytes(revision: u64, slots: u64) -> Vec<u8> {
     format!(r#"{{ "revision":{revision}, "services":{{"a":{{"slots":{slots}}}}} }}"#).into_bytes()
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -282,7 +282,7 @@
                         false => format!("{} (not level yet)", seat.voter.address),
                     };
                     let chain: Vec<String> = view.chain.iter().map(seat).collect();
-                    tracing::info!("college: view {}, chain {}.", view.epoch, chain.join(" > "));
+                    tracing::info!("replication: view {}, chain {}.", view.epoch, chain.join(" > "));
                 }
             }
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,8 +19,8 @@
     pub use crate::disk_thread::{DiskEvent, DiskThread};
     pub use crate::redirect::ReadAddresses;
     pub use crate::settings::Settings;
-    pub use college::prelude::*;
     pub use config::prelude::*;
+    pub use replication::prelude::*;
     pub use storage::prelude::*;
     pub use transport::prelude::*;
     pub use wire::prelude::*;
--- a/crates/college/examples/register.rs
+++ b/crates/replication/examples/register.rs
@@ -1,10 +1,10 @@
 //! A replicated register with a duty that is won: three replicas in one process, letters carried by a
-//! queue, disks that are vectors. Run it with `cargo run -p college --example register`.
+//! queue, disks that are vectors. Run it with `cargo run -p replication --example register`.
 //!
 //! An embedder does the same with its own network, disks and clock: feed [`Replica::step`], do what it
 //! returns.
 
-use college::prelude::*;
+use replication::prelude::*;
 use std::collections::VecDeque;
 
 /// A word, and who holds the duty to keep it.
--- a/crates/college/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -6,7 +6,7 @@
 //! How it's used, whole, is in `examples/register.rs`. The heart of it:
 //!
 //! ```
-//! use college::prelude::*;
+//! use replication::prelude::*;
 //!
 //! struct Count(u64);
 //! impl StateMachine for Count {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,9 +46,9 @@
     pub use crate::settings::Settings;
     pub use crate::tallies::Tallies;
     pub use crate::token::{Token, run_id};
-    pub use college::prelude::{LeaseState, LeaseStatus};
     pub use config::prelude::*;
     pub use placement::prelude::*;
+    pub use replication::prelude::{LeaseState, LeaseStatus};
     pub use transport::prelude::*;
     pub use wire::prelude::*;
 }
--- a/crates/testbed/src/explorer/cluster.rs
+++ b/crates/testbed/src/explorer/cluster.rs
@@ -4,7 +4,7 @@
 use super::properties::History;
 use super::register::{Command, Register};
 use super::stored_disk::StoredDisk;
-use college::prelude::*;
+use replication::prelude::*;
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
--- a/crates/testbed/src/explorer/properties.rs
+++ b/crates/testbed/src/explorer/properties.rs
@@ -1,7 +1,7 @@
 //! What must never be seen, and the history by which it's judged.
 
 use super::register::{CONFIRMED, Command, REFUSED};
-use college::prelude::*;
+use replication::prelude::*;
 use std::collections::BTreeMap;
 
 /// What operators were told and which views were decided.
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,8 +1,8 @@
 use crate::prelude::*;
-use college::prelude::{Kept, Record, Replica, Voter};
 use config::prelude::{AsSent, Command, Ledger, Proposal};
 use controller::prelude::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
 use placement::prelude::{Decision, Event as SchedulerEvent, Outcome, SchedulerRules};
+use replication::prelude::{Kept, Record, Replica, Voter};
 use router::prelude::{Node, NodeInput, NodeOutput, NodeTiming, ServiceKind};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
--- a/crates/testbed/src/world/checks.rs
+++ b/crates/testbed/src/world/checks.rs
@@ -1,7 +1,7 @@
 //! What must never be, judged by what clients, servers and operators see.
 
 use super::*;
-use college::prelude::View;
+use replication::prelude::View;
 use std::fmt;
 
 /// What was seen in a run.
@@ -415,7 +415,7 @@
     /// them. One more that stands by, as during a planned replacement, has no seat.
     fn is_core_level(&self) -> bool {
         let Some(view) = self.witness.decided.values().next_back() else { return false };
-        let is_up = |seat: &college::prelude::Seat| {
+        let is_up = |seat: &replication::prelude::Seat| {
             let mut machines = self.controllers.iter().filter(|m| m.address == seat.voter.address && !m.is_gone);
             let knows = |m: &ControllerMachine| {
                 m.controller.as_ref().is_some_and(|controller| controller.replica().view() == view)
--- a/crates/testbed/src/world/disk_losses.rs
+++ b/crates/testbed/src/world/disk_losses.rs
@@ -11,7 +11,7 @@
         let Some(view) = controllers.map(|controller| controller.replica().view()).max_by_key(|view| view.epoch) else {
             return false;
         };
-        let is_up = |seat: &college::prelude::Seat| {
+        let is_up = |seat: &replication::prelude::Seat| {
             let mut machines = self.controllers.iter().filter(|m| !m.is_gone && m.controller.is_some());
             machines.any(|m| {
                 seat.voter == Voter { address: m.address, disk: m.disk.id }
--- a/crates/wire/src/letter.rs
+++ b/crates/wire/src/letter.rs
@@ -1,5 +1,5 @@
-use college::prelude::*;
 use placement::prelude::{DigestChange, ServerEntry};
+use replication::prelude::*;
 
 messages! {
     /// A node of the data plane, as others see it.
