--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -185,6 +185,9 @@
     pub heard: Vec<(Address, Span)>,
 }
 
+/// The stamp of a change that came before all that is kept.
+const UNKNOWN_STAMP: ViewEpoch = ViewEpoch(u64::MAX);
+
 /// One machine of the core.
 ///
 /// Invariants:
@@ -253,6 +256,8 @@
     followers: BTreeMap<Voter, Follower>,
     snapshot: Option<Offered>,
     fetching: Option<Fetching>,
+    /// The write of a fetched snapshot that isn't synced yet. Until it is, a restart gives back what was there before.
+    snapshot_write: Option<u64>,
     // Leaving. `leaving`: others that said so, and when.
     leaving_since: Option<Moment>,
     leaving: BTreeMap<Voter, Moment>,
@@ -273,6 +278,8 @@
     disk: DiskId,
     view: ViewEpoch,
     last: Seq,
+    /// The view in which that change was let in: with its number, it names one change.
+    stamp: ViewEpoch,
     is_level: bool,
     is_sound: bool,
     has_members: bool,
@@ -384,6 +391,7 @@
             followers: BTreeMap::new(),
             snapshot: None,
             fetching: None,
+            snapshot_write: None,
             leaving_since: None,
             leaving: BTreeMap::new(),
             outputs: vec![],
@@ -429,7 +437,7 @@
                 }
                 if newest.is_none() && change.seq <= self.base.0 {
                     // The log reaches back behind the snapshot; what came before it has no stamp here.
-                    self.base = (Seq(change.seq.0 - 1), ViewEpoch(u64::MAX));
+                    self.base = (Seq(change.seq.0 - 1), UNKNOWN_STAMP);
                 }
                 if change.seq > self.last.0 {
                     self.state_machine.apply(&change.body);
@@ -581,6 +589,7 @@
         while self.unsynced.front().is_some_and(|(waiting, _)| *waiting <= id) {
             self.unsynced.pop_front();
         }
+        self.snapshot_write = self.snapshot_write.filter(|waiting| *waiting > id);
         while self.deferred.front().is_some_and(|(waiting, _)| *waiting <= id) {
             match self.deferred.pop_front() {
                 Some((_, Deferred::Send(to, note))) => self.send(to, note),
@@ -660,8 +669,8 @@
             return;
         }
         match note {
-            Note::Beat { disk, view, last, replied, is_level, is_sound, has_members, .. } => {
-                let heard = Heard { at: self.now, disk, view, last, is_level, is_sound, has_members };
+            Note::Beat { disk, view, last, stamp, replied, is_level, is_sound, has_members } => {
+                let heard = Heard { at: self.now, disk, view, last, stamp, is_level, is_sound, has_members };
                 self.heard.insert(from, heard);
                 if view < self.view.epoch {
                     let note = Note::Decided { view: self.view.clone() };
--- a/crates/replication/src/replica/chain.rs
+++ b/crates/replication/src/replica/chain.rs
@@ -134,7 +134,7 @@
             if last > self.successor_moved.0 || last >= self.synced.0 {
                 self.successor_moved = (last, self.now);
             }
-            if !is_level && self.is_level {
+            if !is_level && self.is_level && self.is_on_own_history(&voter) {
                 let note = Note::Level { view, last: self.last.0 };
                 self.send(from, note);
             }
@@ -143,7 +143,8 @@
 
     pub(super) fn on_level(&mut self, from: Address, view: ViewEpoch, last: Seq) {
         let is_from_predecessor = self.view.predecessor(&self.me).is_some_and(|p| p.address == from);
-        if view == self.view.epoch && is_from_predecessor && self.synced.0 >= last && !self.is_level {
+        let has_all = self.synced.0 >= last && self.snapshot_write.is_none();
+        if view == self.view.epoch && is_from_predecessor && has_all && !self.is_level {
             self.is_level = true;
             self.next_beat = self.now;
             if self.is_tail() {
@@ -163,7 +164,7 @@
         let Some(heard) = self.heard.get(&successor.address) else { return };
         let has_all = heard.view != self.view.epoch || heard.disk != successor.disk || heard.last >= self.synced.0;
         let is_under_way = self.now < self.passed.1;
-        if has_all || is_under_way {
+        if has_all || is_under_way || !self.is_on_own_history(&successor) {
             return;
         }
         let (from, view) = (heard.last, self.view.epoch);
@@ -193,10 +194,31 @@
     /// Whether this is the successor, and takes nothing although it beats: a line that is cut one
     /// way, or a disk that hangs.
     pub(super) fn is_stuck(&self, voter: &Voter) -> bool {
+        if self.has_diverged(voter) {
+            return true;
+        }
+
         let is_behind = self.heard.get(&voter.address).is_some_and(|h| h.last < self.synced.0);
         self.view.successor(&self.me) == Some(*voter)
             && is_behind
             && self.now.since(self.successor_moved.1) > Span(self.timing.suspect.0 * 4)
             && self.now >= self.passed.1
     }
+
+    /// Whether the last change that the successor says it holds is one of this log. One that was restarted before its
+    /// snapshot was on its disk holds what it had before, which may be a change that was never accepted.
+    fn is_on_own_history(&self, successor: &Voter) -> bool {
+        let Some(heard) = self.heard.get(&successor.address).filter(|heard| heard.disk == successor.disk) else {
+            return false;
+        };
+        self.stamp_at(heard.last) == Some(heard.stamp)
+    }
+
+    /// Whether the successor's last change is known to be another one than that of the same number here. It gets a
+    /// snapshot once it has no seat any more.
+    pub(super) fn has_diverged(&self, voter: &Voter) -> bool {
+        let Some(heard) = self.heard.get(&voter.address).filter(|heard| heard.disk == voter.disk) else { return false };
+        let is_successor = self.view.successor(&self.me) == Some(*voter) && heard.view == self.view.epoch;
+        is_successor && self.stamp_at(heard.last).is_some_and(|stamp| stamp != heard.stamp)
+    }
 }
--- a/crates/replication/src/replica/fingerprint.rs
+++ b/crates/replication/src/replica/fingerprint.rs
@@ -70,7 +70,7 @@
 
     fn fingerprint_peers(&self, clock: &RelativeClock, hasher: &mut impl Hasher) {
         for (address, heard) in &self.heard {
-            (address, clock.signed(heard.at), heard.disk, heard.view, heard.last).hash(hasher);
+            (address, clock.signed(heard.at), heard.disk, heard.view, heard.last, heard.stamp).hash(hasher);
             (heard.is_level, heard.is_sound, heard.has_members).hash(hasher);
         }
         (clock.signed(self.last_event), clock.signed(self.next_beat), clock.signed(self.listens_since)).hash(hasher);
@@ -101,6 +101,7 @@
         if let Some(offered) = &self.snapshot {
             (offered.last, offered.stamp, &offered.bytes, clock.signed(offered.asked)).hash(hasher);
         }
+        self.snapshot_write.map(|id| self.next_write - id).hash(hasher);
         self.leaving_since.map(|since| clock.signed(since)).hash(hasher);
         for (voter, at) in &self.leaving {
             (voter, clock.signed(*at)).hash(hasher);
--- a/crates/replication/src/replica/repair.rs
+++ b/crates/replication/src/replica/repair.rs
@@ -20,7 +20,7 @@
     /// One without a seat asks the tail for what it lacks.
     pub(super) fn follow(&mut self) {
         let Some(tail) = self.view.tail() else { return };
-        if self.view.seats(&self.me) || self.leaving_since.is_some() {
+        if self.view.seats(&self.me) || self.leaving_since.is_some() || self.snapshot_write.is_some() {
             return;
         }
         if let Some(fetching) = &mut self.fetching {
@@ -39,8 +39,8 @@
     }
 
     /// The stamp of the change at this place, if it's still known.
-    fn stamp_at(&self, seq: Seq) -> Option<ViewEpoch> {
-        if seq == self.base.0 {
+    pub(super) fn stamp_at(&self, seq: Seq) -> Option<ViewEpoch> {
+        if seq == self.base.0 && self.base.1 != UNKNOWN_STAMP {
             return Some(self.base.1);
         }
         self.log.iter().find(|change| change.seq == seq).map(|change| change.stamp)
@@ -187,6 +187,7 @@
             self.replied = Seq(0);
             self.log.clear();
             self.write_whole(fetching.bytes);
+            self.snapshot_write = Some(self.next_write);
             self.next_beat = self.now;
         }
     }
--- a/crates/replication/src/replica/tests/restart.rs
+++ b/crates/replication/src/replica/tests/restart.rs
@@ -43,3 +43,49 @@
     assert_eq!((replica.state_machine(), replica.state().last), (&Tally(40), Seq(40)));
     assert!(replica.log.back().is_none_or(|newest| newest.seq == Seq(40)), "its log ends at {:?}", replica.log.back());
 }
+
+/// Seed 76001237 of `pahana`: a replica was restarted before a fetched snapshot had reached its disk, had a seat by what it
+/// had held in memory, and went on from a change that was never accepted. An acknowledged change was lost.
+#[test]
+fn one_that_fetched_a_snapshot_asks_for_a_seat_only_once_it_is_on_disk() {
+    let chain = [(1, true), (2, true)];
+    let mut behind = replica(3, vec![Record::View { view: view(1, &chain) }]);
+    let from_tail = |behind: &mut Replica<Tally>, note: Note| {
+        behind.step(Moment(10_000), Input::Note { from: Address::loopback(2), note })
+    };
+    let (last, stamp) = (Seq(40), ViewEpoch(1));
+    from_tail(&mut behind, Note::SnapshotOffer { last, stamp, length: 8 });
+    let bytes = 40u64.to_be_bytes().to_vec();
+    let outputs = from_tail(&mut behind, Note::SnapshotPiece { last, stamp, offset: 0, length: 8, bytes });
+    let written = outputs.iter().find_map(|output| match output {
+        Output::Write { id, is_whole: true, .. } => Some(*id),
+        _ => None,
+    });
+    let asks = |outputs: Vec<Output>| {
+        outputs.iter().any(|output| matches!(output, Output::Send { note: Note::Follow { .. }, .. }))
+    };
+    assert!(!asks(behind.step(Moment(10_100), Input::ClockEvent)), "the snapshot isn't synced");
+    behind.step(Moment(10_150), Input::Written { id: written.expect("it writes the snapshot") });
+    assert!(asks(behind.step(Moment(10_300), Input::ClockEvent)));
+}
+
+/// The same: its predecessor took the number of its last change for the change.
+#[parameterized(same_change = { 2, true }, another_change_of_that_number = { 1, false })]
+fn a_successor_is_level_only_on_the_same_history(stamp: u64, is_level: bool) {
+    let mut records = vec![Record::View { view: view(2, &[(1, true), (2, false)]) }];
+    records.extend((1..=3).map(|seq| Record::Change { change: change(seq, 2) }));
+    let mut head = replica(1, records);
+    let beat = Note::Beat {
+        disk: voter(2).disk,
+        view: ViewEpoch(2),
+        last: Seq(3),
+        stamp: ViewEpoch(stamp),
+        replied: Seq(0),
+        is_level: false,
+        is_sound: true,
+        has_members: true,
+    };
+    let sent = tell(&mut head, 10_050, 2, beat);
+    assert_eq!(sent.iter().any(|(_, note)| matches!(note, Note::Level { .. })), is_level);
+    assert_eq!(head.has_diverged(&voter(2)), !is_level);
+}
