Gate: drain after every close of its own, so late bytes take no answer's end away

Cause: the gate looked for bytes behind a last request once, after the answer was written, and closed at once where there were none. Bytes that came a moment later met a closed socket; the reset threw away what of the answer had not reached the client. An idle close did the same to the tail of the answer before it.

Ruled out: the answer being cut by the write itself (the framing and the count of bytes written were whole), and the client's own close.

Mend: every end of a connection by the gate shuts its own side down and then reads and drops for at most a second or 16 MiB, unless the client has ended its side already.

--- a/crates/transport/src/gate/connection.rs
+++ b/crates/transport/src/gate/connection.rs
@@ -29,10 +29,9 @@
 const HEAD_MOST: usize = 384 << 10;
 /// A refusal is written within this.
 const REFUSAL_WRITE: Duration = Duration::from_secs(1);
-/// So long, and so many bytes, what a refused client still sends is read and dropped: a close with unread
-/// bytes resets the connection, and takes the refusal away from whoever hasn't read it yet.
-const REFUSAL_LINGER: Span = Span::seconds(1);
-const REFUSAL_DRAIN: usize = 16 << 20;
+/// For so long, and so many bytes, what a client still sends is read and dropped once this side has ended.
+const CLOSE_LINGER: Span = Span::seconds(1);
+const CLOSE_DRAIN: usize = 16 << 20;
 
 /// Since when the connection has been waiting for what it waits for now.
 struct Wait {
@@ -97,7 +96,7 @@
         if exchange.is_responding.replace(false) {
             if exchange.progress() != RequestProgress::Whole {
                 // It was answered before it was read whole: what follows belongs to nothing.
-                return close_in_request(&socket);
+                return close_in_order(&socket);
             }
             exchange.next_request();
             wait = Wait { progress: exchange.progress(), since: Clock::now() };
@@ -116,7 +115,7 @@
                 return refuse(&socket, fault);
             }
             // hyper has had all of it and has handed nothing on: it reads another end.
-            RequestProgress::Whole => return close_in_request(&socket),
+            RequestProgress::Whole => return close_in_order(&socket),
             _ => {}
         }
         if progress != wait.progress {
@@ -124,7 +123,7 @@
         }
         match wait_on(&socket, &bounds, &rules, &wait) {
             Waited::Go => {}
-            Waited::Idle => return,
+            Waited::Idle => return close_in_order(&socket),
             Waited::Late => return refuse_late(&socket, progress),
         }
     }
@@ -209,9 +208,9 @@
 /// hyper is done with the connection.
 fn end(socket: &Wire, exchange: &Exchange, outcome: Result<(), hyper::Error>) {
     let Err(fault) = outcome else {
-        // Bytes behind the last request are nothing's, but a close with them unread would reset the connection.
-        if socket.peek() == Peeked::Bytes {
-            close_in_request(socket);
+        // A client that has ended its side sends nothing more: the connection can close at once.
+        if socket.peek() != Peeked::Gone {
+            close_in_order(socket);
         }
         return;
     };
@@ -244,18 +243,19 @@
 fn tell_and_close(socket: &Wire, response: Response) {
     let _ = socket.stream.set_write_timeout(Some(REFUSAL_WRITE));
     if (&socket.stream).write_all(&response.into_last_bytes()).is_ok() {
-        close_in_request(socket);
+        close_in_order(socket);
     }
 }
 
-/// Ends the connection such that the client can read all that was written.
-fn close_in_request(socket: &Wire) {
-    let deadline = Clock::now() + REFUSAL_LINGER;
+/// Ends the connection such that the client can read all that was written, whatever it still sends meanwhile: a
+/// close with unread bytes, or bytes that come after a close, reset the connection.
+fn close_in_order(socket: &Wire) {
+    let deadline = Clock::now() + CLOSE_LINGER;
     if socket.stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
     let (mut buffer, mut drained) = (vec![0; 4 << 10], 0);
-    while drained < REFUSAL_DRAIN {
+    while drained < CLOSE_DRAIN {
         let left = Clock::now().until(deadline);
         if left.0 == 0 || socket.stream.set_read_timeout(Some(left.duration())).is_err() {
             return;
--- a/crates/transport/tests/gate_keep_alive.rs
+++ b/crates/transport/tests/gate_keep_alive.rs
@@ -335,6 +335,54 @@
     behind.join().unwrap();
 }
 
+#[test]
+fn a_last_answer_comes_whole_however_late_bytes_come_behind_its_request() {
+    const LENGTH: usize = 256 << 10;
+    for spins in (0..60).map(|round| round * 400) {
+        let (address, _closer, fed) = fed_gate(HeaderMap::new());
+        let mut client = Client::connect(address);
+        client.say("GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+        let feed = fed.recv_timeout(PATIENCE).unwrap();
+        feed.send(Pull::Piece("x".repeat(LENGTH).into())).unwrap();
+        feed.send(Pull::End).unwrap();
+        // The gate is done with the answer: most of it still waits for its client to read it.
+        let deadline = Clock::now() + Span::seconds(5);
+        while feed.send(Pull::Nothing).is_ok() {
+            assert!(Clock::now() < deadline, "the answer was never ended");
+            std::thread::yield_now();
+        }
+        (0..spins).for_each(|_| std::hint::spin_loop());
+        for _ in 0..3 {
+            let _ = client.0.get_mut().write_all(b"GET /behind HTTP/1.1\r\n\r\n");
+        }
+        let mut said = String::new();
+        client.0.read_to_string(&mut said).expect("it ends in order");
+        assert_eq!(said.matches('x').count(), LENGTH, "after {spins} spins");
+        assert!(said.ends_with("\r\n0\r\n\r\n"), "after {spins} spins");
+    }
+}
+
+#[test]
+fn bytes_that_cross_an_idle_close_take_nothing_from_the_answer_before() {
+    for spins in (0..20).map(|round| round * 400) {
+        let (address, _closer) = gate(GateBounds { idle_span: Span(20), ..bounds() }, |request| {
+            Response::passed(200, HeaderMap::new(), "y".repeat(if request.path == "/long" { 256 << 10 } else { 0 }))
+        });
+        let mut client = Client::connect(address);
+        client.say("GET /long HTTP/1.1\r\nhost: a\r\n\r\n");
+        // A second connection of the same idle time, begun later, is closed: so was the first.
+        assert_eq!(Client::connect(address).rest(), "");
+        assert_eq!(Client::connect(address).rest(), "");
+        (0..spins).for_each(|_| std::hint::spin_loop());
+        for _ in 0..3 {
+            let _ = client.0.get_mut().write_all(b"GET /behind HTTP/1.1\r\n\r\n");
+        }
+        let mut said = String::new();
+        client.0.read_to_string(&mut said).expect("it ends in order");
+        assert_eq!(said.matches('y').count(), 256 << 10, "after {spins} spins");
+    }
+}
+
 #[test]
 fn a_client_that_asks_first_whether_to_go_on_is_told_to() {
     let (address, _closer) = gate(bounds(), echo);
