Controllers exchange with their seeds where the core is, so that any seed leads to it

Cause: a process is told of nobody but its seeds, and found the core by asking them. A seed without a disk knew no more than its own settings and listened to nobody. Once the settings named such seeds alone, whoever restarted polled closed ports for ever; after a kill of all processes service never returned (docs/incidents/new-seeds-then-all-killed.md).

Ruled out: a core that does not return, ballots, leases, the list of servers, load, settings not read.

Change: contacts.rs and relay.rs in controller; the letter CoreLocation; seeds are read anew while a process runs; Replica::meet for a machine that was away or is new. The simulator has controllers without a disk, settings that change, and the mutant lonely-seeds. PostClass::of replaces two copies of the choice of a line.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -85,6 +85,8 @@
         /// The number.
         number: u64,
     },
+    /// The settings name these seeds now.
+    Seeds(Vec<Address>),
     /// Time has passed.
     ClockEvent,
     /// Writes are synced.
@@ -140,6 +142,8 @@
 /// as many members as the quorum asks for are known to have the news.
 pub struct Controller {
     replica: Replica<Ledger>,
+    /// Where the core is, for those who ask here and for this one, should it have been away.
+    contacts: Contacts,
     timing: ControllerTiming,
     /// Proposed as the fleet's, should there be none.
     key: TokenKey,
@@ -212,11 +216,13 @@
 const INNER: u64 = 1 << 62;
 
 impl Controller {
-    /// A controller around a replica at the start of its life. `key` is drawn at random; a fleet that has
+    /// A controller around a replica at the start of its life. `contacts` knows where it is reached and its seeds.
+    /// `key` is drawn at random; a fleet that has
     /// none takes the first that is proposed. `incarnation` is drawn at random too: what this life asks
     /// is numbered from there on, so that no late answer to an earlier life is taken for one to this.
     pub fn new(
         replica: Replica<Ledger>,
+        contacts: Contacts,
         timing: ControllerTiming,
         key: TokenKey,
         incarnation: u64,
@@ -225,6 +231,7 @@
         let first = incarnation % (INNER / 2);
         Controller {
             replica,
+            contacts,
             timing,
             key,
             key_deadline: now,
@@ -278,7 +285,9 @@
             ControllerInput::ClockEvent => {
                 self.drive(Input::ClockEvent);
                 self.on_clock_event();
+                self.exchange_contacts();
             }
+            ControllerInput::Seeds(seeds) => self.contacts.set_seeds(self.now, seeds),
             ControllerInput::Written { id } => self.drive(Input::Written { id }),
             ControllerInput::DiskFault => self.drive(Input::DiskFault),
             ControllerInput::Leave => self.drive(Input::Leave),
@@ -345,6 +354,7 @@
                 }
             }
             Letter::Told { number, status, body } => self.on_told(from, number, status, body),
+            Letter::CoreLocation { location, is_answer } => self.on_location(from, &location, is_answer),
             Letter::PollResponse { .. }
             | Letter::PlanPiece { .. }
             | Letter::PlanSplice { .. }
@@ -361,6 +371,25 @@
         }
     }
 
+    /// Another controller tells where the core is.
+    fn on_location(&mut self, from: Address, location: &CoreLocation, is_answer: bool) {
+        self.contacts.learn(self.replica.view().epoch, self.voters());
+        let answer = self.contacts.on_location(self.now, location, is_answer);
+        let (view, voters) = self.contacts.core();
+        self.replica.meet(view, voters);
+        answer.into_iter().for_each(|letter| self.send(from, letter));
+    }
+
+    /// Tells the seeds where the core is, once in a while.
+    fn exchange_contacts(&mut self) {
+        if self.now < self.contacts.next_timer() {
+            return;
+        }
+        self.contacts.learn(self.replica.view().epoch, self.voters());
+        let letters = self.contacts.on_clock(self.now);
+        letters.into_iter().for_each(|(seed, letter)| self.send(seed, letter));
+    }
+
     fn on_poll(&mut self, from: Address, poll: Poll) {
         self.poll_count += 1;
         if !self.may_respond() {
--- a/crates/controller/src/controller/tests.rs
+++ b/crates/controller/src/controller/tests.rs
@@ -23,7 +23,11 @@
         let founders = (1..=3).map(Address::loopback).collect();
         let (timing, at) = (ControllerTiming::default(), 10_000);
         let replica = Replica::new(voter(2), founders, timing.replica, kept, Ledger::default(), Moment(at)).unwrap();
-        Played { controller: Controller::new(replica, timing, TokenKey([3; 32]), incarnation, Moment(at)), at }
+        let contacts = Contacts::new(Address::loopback(2), None, vec![], Moment(at));
+        Played {
+            controller: Controller::new(replica, contacts, timing, TokenKey([3; 32]), incarnation, Moment(at)),
+            at,
+        }
     }
     fn step(&mut self, after: u64, input: ControllerInput) -> Vec<Left> {
         self.at += after;
@@ -184,7 +188,9 @@
         timing.replica.copies = 1;
         let kept = Kept { records: vec![Record::View { view }] };
         let replica = Replica::new(voter, vec![], timing.replica, kept, Ledger::default(), Moment(10_000)).unwrap();
-        Alone { controller: Controller::new(replica, timing, TokenKey([3; 32]), 0, Moment(10_000)), at: 10_000 }
+        let contacts = Contacts::new(Address::loopback(2), None, vec![], Moment(10_000));
+        let controller = Controller::new(replica, contacts, timing, TokenKey([3; 32]), 0, Moment(10_000));
+        Alone { controller, at: 10_000 }
     }
     /// Takes an input, syncs what it writes; gives the codes that operators are told.
     fn step(&mut self, after: u64, input: ControllerInput) -> Vec<(u64, u64)> {
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -1,6 +1,7 @@
 use crate::core_line::{OPERATOR_PATIENCE, Responses};
 use crate::prelude::*;
-use crate::redirect::{ReadAddresses, Redirector};
+use crate::redirect::ReadAddresses;
+use crate::relay_daemon::run_relay;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
 const LONGEST_TICK: Span = Span(100);
 /// A controller that is told to stop waits for so long at most until others have taken over what it holds.
 const LONGEST_HAND_OVER: Span = Span(4000);
+/// Between readings of the settings' seeds.
+pub(crate) const SETTINGS_PERIOD: Span = Span(1000);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
@@ -32,18 +35,22 @@
     /// Where operators reach other controllers, read anew for each operator that is sent on; `None`: as the settings
     /// had it at the start.
     pub others: Option<ReadAddresses>,
+    /// Reads the seeds anew: settings may change without a word. `None`: they stay as they were at the start.
+    pub seeds: Option<ReadSeeds>,
 }
 
+/// Gives the inner addresses of the seeds as the settings have them now, if they can be read.
+pub type ReadSeeds = Arc<dyn Fn() -> Option<Vec<Address>> + Send + Sync>;
+
 impl Default for Dialects {
     fn default() -> Self {
-        Dialects { plans: Arc::new(OwnPlans), admin: None, others: None }
+        Dialects { plans: Arc::new(OwnPlans), admin: None, others: None, seeds: None }
     }
 }
 
 /// Runs a controller until it's told to stop; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
-    let outcome =
-        if settings.folder.is_empty() { send_on(settings, dialects.others) } else { start(settings, dialects) };
+    let outcome = if settings.folder.is_empty() { run_relay(settings, &dialects) } else { start(settings, dialects) };
     match outcome {
         Ok(()) => 0,
         Err(why) => {
@@ -53,34 +60,14 @@
     }
 }
 
-/// Without a disk: operators are sent on to those that have one.
-fn send_on(settings: &Settings, others: Option<ReadAddresses>) -> Result<(), String> {
-    let listen: Address = settings.listen.parse()?;
-    let named = parse_addresses(&settings.admin_addresses);
-    let read = others.unwrap_or_else(|| Arc::new(move || named.clone()));
-    let read_others = move || read().into_iter().filter(|other| *other != listen).collect();
-    let bounds =
-        GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
-    let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
-    let stop = stop_flag()?;
-    let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
-    let gate_thread = move || gate.serve(move |request| redirector.respond(&request));
-    std::thread::Builder::new().name("gate".into()).spawn(gate_thread).map_err(|fault| fault.to_string())?;
-    tracing::info!("controller: listens at {listen}, has no disk and sends operators on.");
-    while !stop.load(Ordering::Relaxed) {
-        std::thread::sleep(Duration::from_millis(200));
-    }
-    Ok(())
-}
-
 /// What a signal to stop sets.
-fn stop_flag() -> Result<Arc<AtomicBool>, String> {
+pub(crate) fn stop_flag() -> Result<Arc<AtomicBool>, String> {
     let stop = Arc::new(AtomicBool::new(false));
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
     }
-    // That settings have changed must not end the process. Whom it asks first it has found by then, and
-    // the rest of its settings is fixed for its life.
+    // That settings have changed must not end the process. Its seeds are read anew all the time, and the rest of its
+    // settings is fixed for its life.
     let has_changed = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed).map_err(|fault| fault.to_string())?;
     Ok(stop)
@@ -117,6 +104,7 @@
     let tell = move |input| {
         let _ = gate_sender.send(Event::Input(input));
     };
+    let read_seeds = dialects.seeds.clone();
     let core = CoreLine::new(responses.clone(), tell);
     let believes_sender = sender.clone();
     let door =
@@ -136,6 +124,7 @@
     timing.quorum = settings.quorum;
     let mut control = Control {
         inner,
+        listen,
         founders,
         seeds,
         timing,
@@ -149,12 +138,18 @@
         fault: None,
     };
     let mut next_tick = Clock::now();
+    let mut next_reading = next_tick;
     let mut leaving_since = None;
     loop {
         let now = Clock::now();
         if stop.load(Ordering::Relaxed) && control.may_stop(now, *leaving_since.get_or_insert(now)) {
             break;
         }
+        if now >= next_reading {
+            next_reading = now + SETTINGS_PERIOD;
+            let seeds = read_seeds.as_ref().and_then(|read| read());
+            seeds.into_iter().for_each(|seeds| control.take_seeds(seeds));
+        }
         if now >= next_tick {
             control.take(Event::Input(ControllerInput::ClockEvent));
             next_tick = control.controller.as_ref().map_or(now, Controller::next_timer).max(now + SHORTEST_TICK);
@@ -188,6 +183,7 @@
 
 struct Control {
     inner: Address,
+    listen: Address,
     founders: Vec<Address>,
     seeds: Vec<Address>,
     timing: ControllerTiming,
@@ -238,6 +234,12 @@
         }
     }
 
+    /// The settings name these seeds now; this machine's own may be one of them.
+    fn take_seeds(&mut self, seeds: Vec<Address>) {
+        self.seeds.clone_from(&seeds);
+        self.take(Event::Input(ControllerInput::Seeds(seeds)));
+    }
+
     fn begin(&mut self, life: u64, disk: DiskId, kept: Kept) {
         let now = Clock::now();
         let me = Voter { address: self.inner, disk };
@@ -251,7 +253,8 @@
                 self.disk_thread.begin(life);
                 self.fault = None;
                 let (key, incarnation) = (TokenKey(random_bytes()), u64::from_ne_bytes(random_bytes()));
-                self.controller = Some(Controller::new(replica, timing, key, incarnation, now));
+                let contacts = Contacts::new(self.inner, Some(self.listen), self.seeds.clone(), now);
+                self.controller = Some(Controller::new(replica, contacts, timing, key, incarnation, now));
             }
             Err(fault) => {
                 tracing::error!("controller: {} {fault}; the folder must be emptied by hand.", ResultCode::DiskFault);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,21 +3,26 @@
 
 mod admin;
 mod admin_command;
+mod contacts;
 mod controller;
 mod core_line;
 mod daemon;
 mod disk_thread;
 mod redirect;
+mod relay;
+mod relay_daemon;
 mod settings;
 
 /// What each file imports.
 pub mod prelude {
     pub use crate::admin::{AdminAnswer, AdminCall, AdminDialect, AdminTask, SchedulerStep};
+    pub use crate::contacts::{ContactTiming, Contacts};
     pub use crate::controller::{Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorAsk, Quorum};
     pub use crate::core_line::{Attempt, CoreLine, Told};
-    pub use crate::daemon::{Dialects, run};
+    pub use crate::daemon::{Dialects, ReadSeeds, run};
     pub use crate::disk_thread::{DiskEvent, DiskThread};
     pub use crate::redirect::ReadAddresses;
+    pub use crate::relay::{Relay, RelayInput};
     pub use crate::settings::Settings;
     pub use config::prelude::*;
     pub use replication::prelude::*;
--- a/crates/controller/tests/control/mod.rs
+++ b/crates/controller/tests/control/mod.rs
@@ -140,7 +140,9 @@
         let me = Voter { address: address(machine), disk: m.disk };
         let kept = Kept { records: m.durable.clone() };
         let replica = Replica::new(me, founders, timing.replica, kept, Ledger::default(), now).expect("a sound disk");
-        m.controller = Some(Controller::new(replica, timing, TokenKey([machine as u8; 32]), incarnation, now));
+        let contacts = Contacts::new(me.address, None, vec![], now);
+        m.controller =
+            Some(Controller::new(replica, contacts, timing, TokenKey([machine as u8; 32]), incarnation, now));
     }
     /// Ends it; what was not synced is lost, and so is what is on its way to it.
     pub fn kill(&mut self, machine: usize) {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -201,6 +201,8 @@
 pub struct Replica<C> {
     me: Voter,
     founders: Vec<Address>,
+    /// Others that it was told of by whoever knows a newer view. They take part in nothing by that.
+    contacts: Vec<Address>,
     timing: Timing,
     now: Moment,
     // On disk.
@@ -347,6 +349,7 @@
         let mut replica = Replica {
             me,
             founders,
+            contacts: vec![],
             timing,
             now,
             view: View::none(),
@@ -513,6 +516,11 @@
     pub fn is_serving(&self, now: Moment) -> bool {
         self.is_sound && self.view.seats(&self.me) && self.hears_majority(now)
     }
+    /// Tells it of others that know a newer view: it beats to them until it knows as much, since its own view and
+    /// its settings may name nobody who is in the core by now.
+    pub fn meet(&mut self, view: ViewEpoch, voters: &[Address]) {
+        self.contacts = if view > self.view.epoch { voters.to_vec() } else { vec![] };
+    }
     /// The tail's word on whether more than half of the members hold leases.
     pub fn set_has_members(&mut self, has_members: bool) {
         self.has_members = has_members;
@@ -655,7 +663,7 @@
 
     /// Everyone that a replica knows of, without itself.
     fn others(&self) -> BTreeSet<Address> {
-        let mut all: BTreeSet<Address> = self.founders.iter().copied().collect();
+        let mut all: BTreeSet<Address> = self.founders.iter().chain(&self.contacts).copied().collect();
         all.extend(self.view.voters.iter().map(|v| v.address));
         all.extend(self.view.chain.iter().map(|s| s.voter.address));
         let lately = |h: &Heard| self.now.since(h.at) < Span(self.timing.suspect.0 * 4);
--- a/crates/replication/src/replica/fingerprint.rs
+++ b/crates/replication/src/replica/fingerprint.rs
@@ -40,6 +40,7 @@
     fn fingerprint_disk(&self, hasher: &mut impl Hasher) {
         self.me.hash(hasher);
         self.founders.hash(hasher);
+        self.contacts.hash(hasher);
         self.view.hash(hasher);
         self.promised.hash(hasher);
         self.accepted.hash(hasher);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -22,6 +22,8 @@
 
 /// Between clock events, at most.
 const LONGEST_TICK: Span = Span(250);
+/// Between readings of the settings' seeds, while there is no lease.
+const SETTINGS_PERIOD: Span = Span(1000);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
@@ -31,7 +33,8 @@
     pub plans: Arc<dyn PlanDialect>,
     /// How clients, servers and the list of servers speak; `None`: in the product's own interface alone.
     pub calls: Option<Arc<dyn CallDialect>>,
-    /// Reads the seeds anew when the process is told that its settings have changed.
+    /// Reads the seeds anew: when the process is told that its settings have changed, and, since they may change
+    /// without a word, while it has no lease.
     pub seeds: Option<ReadSeeds>,
 }
 
@@ -147,6 +150,7 @@
         is_leaving: false,
     };
     let mut next_tick = Clock::now();
+    let mut next_reading = now + SETTINGS_PERIOD;
     let (mut linger_deadline, mut quiet_from, mut drain_deadline) = (now, now, None);
     loop {
         let now = Clock::now();
@@ -159,7 +163,9 @@
                 linger_deadline = now + Span(settings.linger_ms);
                 quiet_from = now + QUIET_FROM;
             }
-            if has_changed.swap(false, Ordering::Relaxed) {
+            let is_reading_due = now >= next_reading && control.node.lease_state().reason(now) != LeaseStatus::Leased;
+            if has_changed.swap(false, Ordering::Relaxed) || is_reading_due {
+                next_reading = now + SETTINGS_PERIOD;
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
                 seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
             }
@@ -264,11 +270,7 @@
         for output in outputs {
             match output {
                 NodeOutput::Send { to, is_bulk, letter } => {
-                    let class = match (is_bulk, letter.is_datagram()) {
-                        (true, _) => PostClass::Bulk,
-                        (_, true) => PostClass::Datagram,
-                        _ => PostClass::Swift,
-                    };
+                    let class = PostClass::of(&letter, is_bulk);
                     self.post.send(to, class, letter);
                 }
                 NodeOutput::Place { number, outcome } => {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -750,7 +750,11 @@
             | Letter::ListChange { .. }
             | Letter::ListAsk { .. }
             | Letter::ListPiece { .. } => self.step_list(|list, now, _| list.on_letter(now, from, &letter)),
-            Letter::Note { .. } | Letter::Poll { .. } | Letter::Ask { .. } | Letter::Told { .. } => {}
+            Letter::Note { .. }
+            | Letter::Poll { .. }
+            | Letter::Ask { .. }
+            | Letter::Told { .. }
+            | Letter::CoreLocation { .. } => {}
         }
     }
 
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -45,6 +45,8 @@
 pub struct Fleet {
     /// Controllers, with their folders under `folder`.
     pub controllers: Vec<Daemon>,
+    /// Controllers without a disk, if any were added.
+    pub relays: Vec<Daemon>,
     /// Routers.
     pub routers: Vec<Daemon>,
     /// Settings, logs and data.
@@ -229,21 +231,33 @@
         }
         daemons.iter_mut().try_for_each(Daemon::start)?;
         let routers = daemons.split_off(shape.controllers);
-        Ok(Fleet { controllers: daemons, routers, folder, _temporary: temporary })
+        Ok(Fleet { controllers: daemons, relays: vec![], routers, folder, _temporary: temporary })
     }
 
     /// Starts an empty controller at new addresses that knows only the seeds; gives its place.
     pub fn add_controller(&mut self) -> std::io::Result<usize> {
+        let name = format!("controller-{}", self.controllers.len());
+        let data = self.folder.join(&name).display().to_string();
+        let daemon = self.start_controller(name, &data)?;
+        self.controllers.push(daemon);
+        Ok(self.controllers.len() - 1)
+    }
+
+    /// Starts a controller without a disk at new addresses that knows only the seeds.
+    pub fn add_relay(&mut self) -> std::io::Result<()> {
+        let daemon = self.start_controller(format!("relay-{}", self.relays.len()), "")?;
+        self.relays.push(daemon);
+        Ok(())
+    }
+
+    fn start_controller(&self, name: String, data: &str) -> std::io::Result<Daemon> {
         let ports = free_ports(2)?;
         let (listen, inner) = (Address::loopback(ports[0]), Address::loopback(ports[1]));
-        let name = format!("controller-{}", self.controllers.len());
-        let seeds: Vec<String> = self.controllers.iter().take(3).map(|r| format!("\"{}\"", r.inner)).collect();
+        let seeds: Vec<Address> = self.controllers.iter().take(3).map(|controller| controller.inner).collect();
         let zone = self.controllers[0].zone.clone();
-        let data = self.folder.join(&name);
         let text = format!(
-            "listen = \"{listen}\"\ninner = \"{inner}\"\nzone = \"{zone}\"\nseeds = [{}]\nfolder = \"{}\"\n",
-            seeds.join(", "),
-            data.display()
+            "listen = \"{listen}\"\ninner = \"{inner}\"\nzone = \"{zone}\"\n{}\nfolder = \"{data}\"\n",
+            seeds_line(&seeds)
         );
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text)?;
@@ -251,8 +265,28 @@
         let program = self.controllers[0].program.clone();
         let mut daemon = Daemon { name, listen, inner, zone, program, settings, log, child: None };
         daemon.start()?;
-        self.controllers.push(daemon);
-        Ok(self.controllers.len() - 1)
+        Ok(daemon)
+    }
+
+    /// Has the settings of all daemons name these seeds, from their next start on.
+    pub fn name_seeds(&self, seeds: &[Address]) -> std::io::Result<()> {
+        for daemon in self.controllers.iter().chain(&self.relays).chain(&self.routers) {
+            let text = std::fs::read_to_string(&daemon.settings)?;
+            let line = |line: &str| if line.starts_with("seeds = ") { seeds_line(seeds) } else { line.to_owned() };
+            let lines: Vec<String> = text.lines().map(line).collect();
+            std::fs::write(&daemon.settings, lines.join("\n") + "\n")?;
+        }
+        Ok(())
+    }
+
+    /// Kills all daemons, and starts them again.
+    pub fn restart_all(&mut self) -> std::io::Result<()> {
+        let mut all: Vec<&mut Daemon> = vec![];
+        all.extend(&mut self.routers);
+        all.extend(&mut self.relays);
+        all.extend(&mut self.controllers);
+        all.iter_mut().for_each(|daemon| daemon.kill());
+        all.iter_mut().try_for_each(|daemon| daemon.start())
     }
 
     /// Waits until this holds, or the deadline passes.
@@ -304,6 +338,12 @@
     }
 }
 
+/// The line of a settings file that names the seeds.
+fn seeds_line(seeds: &[Address]) -> String {
+    let quoted: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!("seeds = [{}]", quoted.join(", "))
+}
+
 /// Joins what clients were told with what servers took: what was refused must have run nowhere, and
 /// what the plan that was in force does not let repeat must have run once.
 pub fn join_logs(report: &mut Report, asked: &[Asked], logs: &[RunLog], plan: &str) {
--- a/crates/testbed/src/hollow/host.rs
+++ b/crates/testbed/src/hollow/host.rs
@@ -289,11 +289,7 @@
             for output in node.step(Clock::now(), input) {
                 match output {
                     NodeOutput::Send { to, is_bulk, letter } => {
-                        let class = match (is_bulk, letter.is_datagram()) {
-                            (true, _) => PostClass::Bulk,
-                            (_, true) => PostClass::Datagram,
-                            _ => PostClass::Swift,
-                        };
+                        let class = PostClass::of(&letter, is_bulk);
                         one.post.send(to, class, letter);
                     }
                     NodeOutput::Place { outcome, .. } => is_placed = outcome.is_ok(),
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -161,6 +161,9 @@
         /// So many controllers, in place of the deployment's.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
         controllers: Option<u16>,
+        /// So many controllers without a disk, which settings may come to name as seeds.
+        #[arg(long, value_parser = clap::value_parser!(u16).range(0..=9))]
+        relays: Option<u16>,
         /// Disks that a change is on before it is told as accepted.
         #[arg(long, value_parser = clap::value_parser!(u16).range(1..=9))]
         copies: Option<u16>,
@@ -243,6 +246,7 @@
             routers,
             suspect_ms,
             controllers,
+            relays,
             copies,
             operators_ms,
             quorum,
@@ -256,6 +260,7 @@
                 routers: routers.map(usize::from),
                 suspect: suspect_ms.map(Span),
                 controllers: controllers.map(usize::from),
+                relays: relays.map_or(swept.relays, usize::from),
                 copies: copies.map_or(swept.copies, usize::from),
                 operators_gap: Span(operators_ms),
                 quorum,
@@ -263,7 +268,7 @@
                 ..swept
             };
             // A size that is named holds for all seeds.
-            let is_swept = controllers.is_none() && copies.is_none();
+            let is_swept = controllers.is_none() && relays.is_none() && copies.is_none();
             Ok(simulate(&rules, seeds, is_swept))
         }
         Task::Explore { voters, copies, faults, proposals, threads, most_states, walks, seed, refusals, mutant } => {
@@ -346,10 +351,8 @@
                     if seed >= rules.seed + seeds {
                         return;
                     }
-                    let swept = WorldRules::swept(rules.deployment, seed);
-                    let (controllers, copies) =
-                        if is_swept { (swept.controllers, swept.copies) } else { (rules.controllers, rules.copies) };
-                    let witness = World::new(WorldRules { seed, controllers, copies, ..rules.clone() }).run();
+                    let rules = WorldRules { seed, ..rules.clone() };
+                    let witness = World::new(if is_swept { rules.with_swept_size() } else { rules }).run();
                     let _ = writeln!(std::io::stdout(), "seed {seed}: {witness}");
                     let mut all = lags.lock().expect("no thread panics with it");
                     let mut note =
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -21,6 +21,7 @@
 mod machines;
 mod mutants;
 mod operators;
+mod relays;
 mod rules;
 mod streams;
 mod touch;
@@ -47,6 +48,9 @@
     happenings: BTreeMap<u64, Happening>,
     controllers: Vec<ControllerMachine>,
     routers: Vec<RouterMachine>,
+    relays: Vec<relays::RelayMachine>,
+    /// Whom the settings of all machines name now.
+    settings_seeds: Vec<Address>,
     servers: Vec<ServerMachine>,
     /// Pairs of addresses whose letters don't arrive, one way.
     cut: BTreeSet<(Address, Address)>,
@@ -180,6 +184,8 @@
             happenings: BTreeMap::new(),
             controllers: vec![],
             routers: vec![],
+            relays: vec![],
+            settings_seeds: World::first_seeds(),
             servers: vec![],
             cut: BTreeSet::new(),
             connections: connections::Connections::default(),
@@ -291,6 +297,7 @@
                 });
             }
         }
+        self.place_relays();
         self.publish();
         self.put(1500, Happening::Operate);
         self.put(3000, Happening::Arrival);
--- a/crates/testbed/src/world/connections.rs
+++ b/crates/testbed/src/world/connections.rs
@@ -149,7 +149,8 @@
     fn life_of(&self, address: Address) -> u64 {
         let controller = self.controllers.iter().find(|m| m.address == address).map(|m| m.life);
         let router = || self.routers.iter().find(|m| m.address == address).map(|m| m.life);
-        controller.or_else(router).unwrap_or(0)
+        let relay = || self.relays.iter().find(|m| m.address == address).map(|m| m.life);
+        controller.or_else(router).or_else(relay).unwrap_or(0)
     }
 
     /// Takes a letter to its receiver, unless it's lost on the way.
--- a/crates/testbed/src/world/fault_kinds.rs
+++ b/crates/testbed/src/world/fault_kinds.rs
@@ -101,6 +101,9 @@
     ReplacePlanned,
     /// A controller's machine is lost for good, and the new one can't reach two of those that its settings name.
     ReplaceCutSeeds,
+    /// The settings of all machines name other seeds, mostly controllers without a disk. Struck where there are such,
+    /// or it's named.
+    ExchangeSeeds,
 }
 
 /// All that strike where no kinds are named.
--- a/crates/testbed/src/world/faults.rs
+++ b/crates/testbed/src/world/faults.rs
@@ -20,7 +20,11 @@
 
 impl World {
     pub(super) fn plan_faults(&mut self) {
-        let kinds = if self.rules.kinds.is_empty() { KINDS.to_vec() } else { self.rules.kinds.clone() };
+        let mut kinds = if self.rules.kinds.is_empty() { KINDS.to_vec() } else { self.rules.kinds.clone() };
+        if self.rules.kinds.is_empty() && self.rules.relays > 0 {
+            // As often as several of the others: most of what it may bring about needs one more fault behind it.
+            kinds.extend([FaultKind::ExchangeSeeds; 6]);
+        }
         for place in 0..self.rules.faults as usize {
             let kind = kinds[self.below(kinds.len() as u64) as usize];
             let at = 4000 + self.below(self.rules.span.0.saturating_sub(8000));
@@ -85,6 +89,7 @@
                     self.put(back + machine as u64 * 30, Happening::StartController { machine });
                 }
                 if kind == FaultKind::KillAll {
+                    self.strike_relays(None, back);
                     for machine in 0..self.routers.len() {
                         self.kill_router(machine);
                         self.put(back + machine as u64 * 20, Happening::StartRouter { machine });
@@ -136,6 +141,7 @@
             FaultKind::LoseZone => {
                 let zones = self.rules.deployment.shape().zones;
                 let zone = ZoneName::from(zones[(pick % zones.len() as u64) as usize]);
+                self.strike_relays(Some(&zone), span);
                 for machine in 0..self.controllers.len() {
                     if self.controllers[machine].zone == zone {
                         self.kill_controller(machine, true);
@@ -171,6 +177,7 @@
                 self.armed.push(place);
             }
             FaultKind::LoseBudget => self.lose_budget(pick, back),
+            FaultKind::ExchangeSeeds => self.exchange_seeds(pick),
             FaultKind::BadNetwork => self.loss = 10 + pick % 20,
             FaultKind::SlowDisk => self.controllers[controller].disk.delay = 150 + pick % 400,
             FaultKind::StallDisk => self.controllers[controller].disk.stalled_until = self.now + span,
@@ -282,6 +289,9 @@
             self.wake(false, machine);
             self.put(1500, Happening::StartRouter { machine });
         }
+        for machine in 0..self.relays.len() {
+            self.put(1500, Happening::StartRelay { machine });
+        }
         for server in 0..self.servers.len() {
             self.servers[server].is_dark = false;
             self.servers[server].accepts_late = false;
--- a/crates/testbed/src/world/happening.rs
+++ b/crates/testbed/src/world/happening.rs
@@ -113,6 +113,15 @@
     StartRouter {
         machine: usize,
     },
+    StartRelay {
+        machine: usize,
+    },
+    RelayTick {
+        machine: usize,
+        life: u64,
+    },
+    /// Running processes read their settings' seeds.
+    ReadSettings,
     StartServer {
         server: usize,
     },
@@ -130,6 +139,9 @@
     pub(super) fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Letter { to, from, letter } => self.on_letter(to, from, letter),
+            Happening::StartRelay { machine } => self.start_relay(machine),
+            Happening::RelayTick { machine, life } => self.on_relay_tick(machine, life),
+            Happening::ReadSettings => self.on_read_settings(),
             Happening::Tick { machine, life } => self.on_tick(machine, life),
             Happening::Synced { machine, life, id } => self.on_synced(machine, life, id),
             Happening::Reopen { machine, life } => self.on_reopen(machine, life),
--- a/crates/testbed/src/world/machines.rs
+++ b/crates/testbed/src/world/machines.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use config::prelude::{History, REMEMBERED_CHANGES};
+use controller::prelude::RelayInput;
 use wire::prelude::PollResponse;
 
 impl World {
@@ -21,6 +22,10 @@
             timing.lease = Span(0);
         }
         let seeds = self.seeds_of(machine);
+        let contacts = {
+            let m = &self.controllers[machine];
+            self.contacts_of(m.address, Moment(self.now + m.offset))
+        };
         let key = TokenKey([self.draw() as u8; 32]);
         let life = mix(mix(self.rules.seed ^ machine as u64) ^ self.controllers[machine].life);
         let incarnation = if self.rules.mutant == Some(Mutant::ReuseNumbers) { 0 } else { life };
@@ -44,7 +49,7 @@
         };
         let kept = Kept { records: m.disk.durable.clone() };
         match Replica::new(me, known, timing.replica, kept, empty, now) {
-            Ok(replica) => m.controller = Some(Controller::new(replica, timing, key, incarnation, now)),
+            Ok(replica) => m.controller = Some(Controller::new(replica, contacts, timing, key, incarnation, now)),
             Err(fault) => self.witness.violate(self.now, format!("a disk gave back what can't be used: {fault}")),
         }
         let life = self.controllers[machine].life;
@@ -55,6 +60,9 @@
     pub(super) fn seeds_of(&self, machine: usize) -> Option<Vec<Address>> {
         let address = self.controllers[machine].address;
         let is_founder = usize::from(address.0.port()) < 1001 + self.controller_count();
+        if !is_founder && self.rules.relays > 0 {
+            return Some(self.settings_seeds.clone());
+        }
         let others = self.controllers.iter().filter(|m| !m.is_gone && m.address != address);
         (!is_founder).then(|| others.map(|m| m.address).take(3).collect())
     }
@@ -86,7 +94,7 @@
 
     pub(super) fn start_router(&mut self, machine: usize) {
         let incarnation = self.draw() >> 12;
-        let seeds: Vec<Address> = (0..3).map(|n| Address::loopback(1001 + n)).collect();
+        let seeds = self.settings_seeds.clone();
         let mut scheduler_rules = self.rules.scheduler.clone();
         if self.rules.mutant == Some(Mutant::SkipRamp) {
             scheduler_rules.ramp = Span(0);
@@ -169,6 +177,8 @@
             self.routers[machine].touch.got(self.now, &letter);
             self.make_stale(to, &mut letter);
             self.step_node(machine, NodeInput::Letter { from, letter });
+        } else if let Some(machine) = self.relays.iter().position(|m| m.address == to) {
+            self.step_relay(machine, RelayInput::Letter { from, letter });
         }
     }
 
--- /dev/null
+++ b/crates/testbed/src/world/relays.rs
@@ -0,0 +1,138 @@
+//! Controllers without a disk, and settings that come to name other seeds.
+
+use super::*;
+use controller::prelude::{Contacts, Relay, RelayInput};
+use replication::prelude::LeaseStatus;
+
+/// Running processes read their settings this often.
+const SETTINGS_PERIOD: u64 = 1000;
+/// Processes that settings name.
+const SEED_COUNT: usize = 3;
+
+/// A machine with a controller without a disk.
+pub(super) struct RelayMachine {
+    pub address: Address,
+    zone: ZoneName,
+    offset: u64,
+    relay: Option<Relay>,
+    pub life: u64,
+}
+
+impl World {
+    /// Machines whose controllers have no disk; and settings that are read anew now and then, where there are any.
+    pub(super) fn place_relays(&mut self) {
+        let zones = self.rules.deployment.shape().zones;
+        for place in 0..self.rules.relays {
+            let address = Address::loopback(1401 + place as u16);
+            let zone = ZoneName::from(zones[place % zones.len()]);
+            let offset = 1_000_000 + self.below(1_000_000_000);
+            self.relays.push(RelayMachine { address, zone, offset, relay: None, life: 0 });
+            self.put(place as u64 * 5, Happening::StartRelay { machine: place });
+        }
+        if self.rules.relays > 0 {
+            self.put(SETTINGS_PERIOD, Happening::ReadSettings);
+        }
+    }
+
+    /// Whom the settings of all machines name at the start.
+    pub(super) fn first_seeds() -> Vec<Address> {
+        (0..SEED_COUNT as u16).map(|n| Address::loopback(1001 + n)).collect()
+    }
+
+    /// What a controller that starts now knows of where the core is.
+    pub(super) fn contacts_of(&self, address: Address, now: Moment) -> Contacts {
+        let seeds = if self.is_exchanging() { self.settings_seeds.clone() } else { vec![] };
+        Contacts::new(address, Some(address), seeds, now)
+    }
+
+    fn is_exchanging(&self) -> bool {
+        self.rules.relays > 0 && self.rules.mutant != Some(Mutant::LonelySeeds)
+    }
+
+    /// The settings name other seeds: more often than not only controllers without a disk.
+    pub(super) fn exchange_seeds(&mut self, pick: u64) {
+        let relays: Vec<Address> = self.relays.iter().map(|m| m.address).collect();
+        let controllers: Vec<Address> = self.controllers.iter().filter(|m| !m.is_gone).map(|m| m.address).collect();
+        let all: Vec<Address> = if pick.is_multiple_of(3) { [controllers, relays].concat() } else { relays };
+        if all.is_empty() {
+            return;
+        }
+        let from = (pick / 3) as usize;
+        self.settings_seeds = (0..SEED_COUNT.min(all.len())).map(|step| all[(from + step) % all.len()]).collect();
+    }
+
+    pub(super) fn start_relay(&mut self, machine: usize) {
+        let seeds = if self.is_exchanging() { self.settings_seeds.clone() } else { vec![] };
+        let m = &mut self.relays[machine];
+        if m.relay.is_some() {
+            return;
+        }
+        m.life += 1;
+        m.relay = Some(Relay::new(m.address, seeds, Moment(self.now + m.offset)));
+        let life = m.life;
+        self.put(1, Happening::RelayTick { machine, life });
+    }
+
+    pub(super) fn kill_relay(&mut self, machine: usize) {
+        let m = &mut self.relays[machine];
+        m.relay = None;
+        m.life += 1;
+        let address = m.address;
+        self.connections.close_from(address);
+    }
+
+    /// Kills those in this zone, or all, and starts them again after a while.
+    pub(super) fn strike_relays(&mut self, zone: Option<&ZoneName>, back: u64) {
+        for machine in 0..self.relays.len() {
+            if zone.is_none_or(|zone| self.relays[machine].zone == *zone) {
+                self.kill_relay(machine);
+                self.put(back, Happening::StartRelay { machine });
+            }
+        }
+    }
+
+    pub(super) fn step_relay(&mut self, machine: usize, input: RelayInput) {
+        let m = &mut self.relays[machine];
+        let now = Moment(self.now + m.offset);
+        let address = m.address;
+        let Some(relay) = &mut m.relay else { return };
+        // For the mutant, it does not know more than its settings.
+        let letters = if self.rules.mutant == Some(Mutant::LonelySeeds) { vec![] } else { relay.step(now, input) };
+        letters.into_iter().for_each(|(to, letter)| self.post(address, to, false, letter));
+    }
+
+    pub(super) fn on_relay_tick(&mut self, machine: usize, life: u64) {
+        if self.relays[machine].life != life {
+            return;
+        }
+        self.step_relay(machine, RelayInput::ClockEvent);
+        let m = &self.relays[machine];
+        let local = Moment(self.now + m.offset);
+        let pause = m.relay.as_ref().map_or(250, |relay| local.until(relay.next_timer()).0.clamp(1, 250));
+        self.put(pause, Happening::RelayTick { machine, life });
+    }
+
+    /// Running processes read whom their settings name: routers only while they have no lease.
+    pub(super) fn on_read_settings(&mut self) {
+        self.put(SETTINGS_PERIOD, Happening::ReadSettings);
+        let seeds = self.settings_seeds.clone();
+        if self.is_exchanging() {
+            for machine in 0..self.controllers.len() {
+                if self.now >= self.controllers[machine].frozen_until {
+                    self.step_controller(machine, ControllerInput::Seeds(seeds.clone()));
+                }
+            }
+            for machine in 0..self.relays.len() {
+                self.step_relay(machine, RelayInput::Seeds(seeds.clone()));
+            }
+        }
+        for machine in 0..self.routers.len() {
+            let m = &self.routers[machine];
+            let now = Moment(self.now + m.offset);
+            let has_lease = |node: &Node| node.lease_state().reason(now) == LeaseStatus::Leased;
+            if self.now >= m.frozen_until && m.node.as_ref().is_some_and(|node| !has_lease(node)) {
+                self.step_node(machine, NodeInput::Seeds(seeds.clone()));
+            }
+        }
+    }
+}
--- a/crates/testbed/src/world/rules.rs
+++ b/crates/testbed/src/world/rules.rs
@@ -39,6 +39,8 @@
     pub suspect: Option<Span>,
     /// How many controllers, if not as the deployment has.
     pub controllers: Option<usize>,
+    /// Controllers without a disk, which settings may come to name as seeds.
+    pub relays: usize,
     /// Disks that a change is on before it is told as accepted: one more than may be lost at once.
     pub copies: usize,
     /// Who must know a change before it is told as accepted.
@@ -48,14 +50,20 @@
 }
 
 impl WorldRules {
-    /// One of a sweep: two seeds of eight have a grown core, of five or six with three copies.
+    /// One of a sweep.
     pub fn swept(deployment: Deployment, seed: u64) -> Self {
-        let (controllers, copies) = match seed % 8 {
+        WorldRules::new(deployment, seed).with_swept_size()
+    }
+    /// Of the size that a sweep draws from the seed: two of eight have a grown core, of five or six with three copies;
+    /// two others have controllers without a disk, and settings that come to name other seeds.
+    pub fn with_swept_size(self) -> Self {
+        let (controllers, copies) = match self.seed % 8 {
             5 => (Some(5), 3),
             6 => (Some(6), 3),
             _ => (None, 2),
         };
-        WorldRules { controllers, copies, ..WorldRules::new(deployment, seed) }
+        let relays = if matches!(self.seed % 8, 3 | 7) { 3 } else { 0 };
+        WorldRules { controllers, copies, relays, ..self }
     }
     /// The usual run.
     pub fn new(deployment: Deployment, seed: u64) -> Self {
@@ -77,6 +85,7 @@
             hot_share: 50,
             suspect: None,
             controllers: None,
+            relays: 0,
             copies: 2,
             quorum: Quorum::Majority,
             mutant: None,
--- a/crates/testbed/src/world/tests.rs
+++ b/crates/testbed/src/world/tests.rs
@@ -112,6 +112,39 @@
     play(WorldRules { faults: 10, quorum: Quorum::Holders, ..WorldRules::new(deployment, seed) });
 }
 
+/// The settings come to name controllers without a disk, and whoever restarts knows nobody else (`docs/incidents/`,
+/// new-seeds-then-all-killed). Machines that are replaced meanwhile are told of nobody else either.
+#[parameterized(
+    all_are_killed = { &[FaultKind::ExchangeSeeds, FaultKind::ExchangeSeeds, FaultKind::KillAll, FaultKind::KillRouters] },
+    the_core_loses_power = { &[FaultKind::ExchangeSeeds, FaultKind::PowerLossAll, FaultKind::KillAll, FaultKind::CutController] },
+    the_core_is_replaced = { &[FaultKind::ExchangeSeeds, FaultKind::ReplaceCore, FaultKind::ReplacePlanned, FaultKind::KillAll] },
+    disks_are_wiped = { &[FaultKind::ExchangeSeeds, FaultKind::WipeDisk, FaultKind::LoseZone, FaultKind::KillAll] },
+)]
+fn service_returns_whatever_seeds_the_settings_name(kinds: &[FaultKind]) {
+    for seed in 91_000_000..91_000_012 {
+        play(relay_rules(kinds, seed, None));
+    }
+}
+
+#[test]
+fn seeds_that_know_nobody_are_seen_by_what_does_not_return() {
+    let kinds = [FaultKind::ExchangeSeeds, FaultKind::KillAll];
+    let runs = (91_000_000..91_000_012).map(|seed| World::new(relay_rules(&kinds, seed, Some(Mutant::LonelySeeds))));
+    let seen: Vec<String> = runs.flat_map(|world| world.run().violations).collect();
+    assert!(seen.iter().any(|what| what.contains("service was back after None")), "{seen:?}");
+}
+
+fn relay_rules(kinds: &[FaultKind], seed: u64, mutant: Option<Mutant>) -> WorldRules {
+    WorldRules {
+        relays: 3,
+        faults: 6,
+        kinds: kinds.to_vec(),
+        quorum: Quorum::Holders,
+        mutant,
+        ..WorldRules::new(Deployment::Pahana, seed)
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_run() {
     let run = || {
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -353,3 +353,28 @@
     };
     assert!(suspected(0) + suspected(1) > 0, "nobody noticed that two servers are dark: {report}");
 }
+
+/// `docs/incidents/new-seeds-then-all-killed.md`: those that restart know but controllers without a disk.
+#[test]
+fn service_returns_after_a_kill_of_all_though_no_seed_has_a_disk() {
+    let (_crew, mut fleet, _machine) = serving(Deployment::Pahana);
+    (0..3).for_each(|_| fleet.add_relay().expect("a controller without a disk starts"));
+    let seeds: Vec<Address> = fleet.relays.iter().map(|relay| relay.inner).collect();
+    fleet.name_seeds(&seeds).expect("settings are written");
+    fleet.restart_all().expect("all start again");
+    fleet.await_core(PATIENCE).expect("the chain is whole again");
+    fleet.await_routers(PATIENCE).expect("routers find the core");
+    let mut number = 0;
+    Fleet::await_that(PATIENCE, "a request is served", || serves(&fleet, &mut number)).expect("it is");
+    // A machine that is added later finds the core by them, too, and operators are sent to those that serve.
+    let added = fleet.add_controller().expect("it starts");
+    fleet.name_seeds(&seeds).expect("settings are written");
+    fleet.controllers[added].kill();
+    fleet.controllers[added].start().expect("it starts with the new seeds");
+    let knows_core = |fleet: &Fleet| fleet.controllers[added].believes()["view"].as_u64() > Some(0);
+    Fleet::await_that(PATIENCE, "the newcomer knows the view", || knows_core(&fleet)).expect("it does");
+    for relay in &fleet.relays {
+        let served = || relay.get("/v1/latest").is_ok_and(|(status, _)| status == 200 || status == 307);
+        Fleet::await_that(PATIENCE, "operators are sent on", served).expect("they are");
+    }
+}
--- a/crates/transport/src/post.rs
+++ b/crates/transport/src/post.rs
@@ -19,6 +19,17 @@
     Datagram,
 }
 
+impl PostClass {
+    /// That of a letter, which its sender may want on the bulk line.
+    pub fn of(letter: &Letter, is_bulk: bool) -> Self {
+        match (is_bulk, letter.is_datagram()) {
+            (true, _) => PostClass::Bulk,
+            (false, true) => PostClass::Datagram,
+            (false, false) => PostClass::Swift,
+        }
+    }
+}
+
 /// Carries letters between our processes: one connection out to each peer and class, letters in
 /// request on each, dropped when the peer can't be reached. Whoever needs an answer asks again.
 ///
--- a/crates/wire/src/letter.rs
+++ b/crates/wire/src/letter.rs
@@ -159,6 +159,29 @@
         Newest,
     }
 
+    /// Where one controller with a disk is reached.
+    #[derive(Copy, Eq)]
+    pub struct ControllerContact {
+        /// By our own processes.
+        pub inner: Address,
+        /// By operators.
+        pub admin: Address,
+        /// How long ago it was last heard, by whoever heard it.
+        pub age: Span,
+    }
+
+    /// Where the core is, as far as a controller knows. Whoever has just started knows but its seeds, and these may
+    /// be controllers without a disk: so all controllers tell their seeds, and are told by them.
+    #[derive(Eq)]
+    pub struct CoreLocation {
+        /// The newest view known; zero: none.
+        pub view: ViewEpoch,
+        /// Its voters.
+        pub voters: Vec<Address>,
+        /// Controllers with a disk that were heard lately.
+        pub controllers: Vec<ControllerContact>,
+    }
+
     /// All letters.
     pub enum Letter {
         /// Between replicas of the core.
@@ -286,6 +309,13 @@
             /// The body.
             body: Vec<u8>,
         },
+        /// Between controllers: where the core is.
+        CoreLocation {
+            /// As far as the sender knows.
+            location: Box<CoreLocation>,
+            /// Whether it answers another's, and so wants no answer.
+            is_answer: bool,
+        },
     }
 }
 
@@ -297,7 +327,13 @@
 impl Letter {
     /// Whether it's small, goes to many at once, and is asked for again when lost.
     pub fn is_datagram(&self) -> bool {
-        matches!(self, Letter::PeerCheckRequest { .. } | Letter::PeerCheckResponse { .. } | Letter::ListFresh { .. })
+        matches!(
+            self,
+            Letter::PeerCheckRequest { .. }
+                | Letter::PeerCheckResponse { .. }
+                | Letter::ListFresh { .. }
+                | Letter::CoreLocation { .. }
+        )
     }
     /// The piece of a plan from this byte on; `None` beyond its end.
     pub fn plan_piece(epoch: Epoch, plan: &[u8], offset: u64) -> Option<Letter> {
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -3,7 +3,7 @@
 use types::prelude::*;
 
 /// The version of the inner protocol that this build speaks.
-pub const PROTOCOL: u16 = 5;
+pub const PROTOCOL: u16 = 6;
 
 const MAGIC: [u8; 4] = *b"cbfl";
 const HEAD: usize = 28;
