A node that stops takes late only what must have ended before it does

Cause: told to stop, a node took any request for 5 s and cut what was left after 7 s.

Ruled out: the server, a change of the plan, the client, a crash.

Change: any request for 2.7 s; then, until 4.85 s, those whose deadline lies before the end of the process; 7 s in all as before.

The new test failed without the check.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -5,7 +5,7 @@
 use crate::poller;
 use crate::prelude::*;
 use crate::replay::ReplayHead;
-use crate::shared::Shared;
+use crate::shared::{NEVER, Shared};
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -96,6 +96,7 @@
         stall: Span(settings.stall_ms),
         plan: RwLock::default(),
         is_ready: AtomicBool::new(false),
+        ends_at: AtomicU64::new(NEVER),
         arrived: AtomicU64::new(0),
         limits: SharedLimits::new(),
     });
@@ -151,7 +152,7 @@
     };
     let mut next_tick = Clock::now();
     let mut next_reading = now + SETTINGS_PERIOD;
-    let (mut linger_deadline, mut quiet_from, mut drain_deadline) = (now, now, None);
+    let (mut leaving, mut is_draining) = (None, false);
     loop {
         let now = Clock::now();
         if now >= next_tick {
@@ -160,8 +161,7 @@
                 tracing::info!("router: not ready any more; takes what is still sent to it for a moment.");
                 control.is_leaving = true;
                 ingress.iter().for_each(Ingress::leave);
-                linger_deadline = now + Span(settings.linger_ms);
-                quiet_from = now + QUIET_FROM;
+                leaving = Some(LeavingSchedule::new(now, settings, has_calls));
             }
             let is_reading_due = now >= next_reading && control.node.lease_state().reason(now) != LeaseStatus::Leased;
             if has_changed.swap(false, Ordering::Relaxed) || is_reading_due {
@@ -169,11 +169,16 @@
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
                 seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
             }
-            let has_none_left = ingress.is_some() && now >= quiet_from && shared.is_quiet(now);
-            if control.is_leaving && (now >= linger_deadline || has_none_left) && drain_deadline.is_none() {
-                tracing::info!("router: takes no new work; finishes what is in hand.");
-                control.take(Event::Input(NodeInput::Drain));
-                drain_deadline = Some(now + Span(settings.drain_ms));
+            if let Some(schedule) = &leaving {
+                if now >= schedule.short_from {
+                    shared.ends_at.store(schedule.end.0, Ordering::SeqCst);
+                }
+                let has_none_left = ingress.is_some() && now >= schedule.quiet_from && shared.is_quiet(now);
+                if (now >= schedule.none_from || has_none_left) && !is_draining {
+                    tracing::info!("router: takes no new work; finishes what is in hand.");
+                    control.take(Event::Input(NodeInput::Drain));
+                    is_draining = true;
+                }
             }
             if control.node.is_drained() {
                 // Whoever has connected by now still gets a response, and every response its last byte.
@@ -191,7 +196,7 @@
                 tracing::info!("router: stopped.");
                 return Ok(0);
             }
-            if drain_deadline.is_some_and(|deadline| now >= deadline) {
+            if leaving.as_ref().is_some_and(|schedule| now >= schedule.end) {
                 tracing::warn!("router: stopped with {} requests in hand.", control.node.open_count());
                 return Ok(1);
             }
@@ -204,6 +209,33 @@
     }
 }
 
+/// What a process that was told to stop takes when.
+struct LeavingSchedule {
+    /// From then on only what will have ended before `end`.
+    short_from: Moment,
+    /// From then on nothing, if no request came for a while.
+    quiet_from: Moment,
+    /// From then on nothing.
+    none_from: Moment,
+    /// The process ends, whatever is in hand.
+    end: Moment,
+}
+
+impl LeavingSchedule {
+    /// For a process that was told to stop now. How long a request may last is known of calls alone: where there are
+    /// others, nothing is taken that might not end in time.
+    fn new(now: Moment, settings: &Settings, has_calls: bool) -> Self {
+        let short_from = now + Span(settings.linger_ms);
+        let short_for = if has_calls { Span(settings.drain_ms / 2) } else { Span(0) };
+        LeavingSchedule {
+            short_from,
+            quiet_from: now + QUIET_FROM,
+            none_from: short_from + short_for,
+            end: short_from + Span(settings.drain_ms),
+        }
+    }
+}
+
 /// A number for this life of the process, never that of an earlier one.
 fn new_life() -> u64 {
     u64::from_be_bytes(random_bytes()) >> 12
@@ -536,3 +568,6 @@
         if self.does_follow { Pull::Nothing } else { Pull::End }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/daemon/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+fn schedule(linger_ms: u64, drain_ms: u64, has_calls: bool) -> LeavingSchedule {
+    let defaults = read_settings::<Settings>(None).expect("defaults");
+    LeavingSchedule::new(Moment(100_000), &Settings { linger_ms, drain_ms, ..defaults }, has_calls)
+}
+
+#[test]
+fn a_process_told_to_stop_takes_less_and_less() {
+    let found = schedule(2700, 4300, true);
+    assert_eq!((found.short_from, found.none_from, found.end), (Moment(102_700), Moment(104_850), Moment(107_000)));
+    assert!(found.quiet_from <= found.short_from);
+}
+
+/// Nobody knows how long a request of the product's own interface lasts.
+#[test]
+fn without_deadlines_nothing_is_taken_after_the_lingering() {
+    let found = schedule(1500, 60_000, false);
+    assert_eq!((found.short_from, found.none_from, found.end), (Moment(101_500), Moment(101_500), Moment(161_500)));
+}
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -96,10 +96,13 @@
         let Some(service) = route.service_for(key).map(ServiceName::from) else {
             return deny(ResultCode::UnknownService, "the route leads nowhere", 0);
         };
+        let left = Span(call.left.0.min(route.deadline_ms));
+        if !self.shared.ends_in_time(arrived + left) {
+            return deny(ResultCode::Draining, "this node stops before that must have ended; another takes it", 0);
+        }
         let Some(place) = self.shared.take_place(call.id.clone(), self.shared.next_number()) else {
             return deny(ResultCode::Busy, "this node is at its bound of requests", 200);
         };
-        let left = Span(call.left.0.min(route.deadline_ms));
         let demand =
             Demand { rank: route.priority as u8, target: Span(route.target_ms), deadline: left, ..call.demand.clone() };
         let urgency = demand.urgency();
--- a/crates/router/src/forward/tests.rs
+++ b/crates/router/src/forward/tests.rs
@@ -294,6 +294,7 @@
 struct Stage {
     address: SocketAddr,
     told: flume::Receiver<Told>,
+    shared: Arc<Shared>,
 }
 
 struct Route {
@@ -320,11 +321,11 @@
         shared.take_plan(Some(&Arc::new(plan)));
         let told = control(&shared, inbox, words);
         let lines = Lines::new(LinesBounds { per_address: 8, idle_per_address: 4, idle_span: Span::seconds(20) });
-        let forwarder = Arc::new(Forwarder { shared, dialect: Arc::new(Plain), lines, mutant });
+        let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: Arc::new(Plain), lines, mutant });
         let gate = Gate::open("127.0.0.1:0".parse().expect("an address"), GateBounds::default()).expect("a gate");
         let address = gate.address().0;
         std::thread::spawn(move || gate.serve(move |request| forwarder.respond(request)));
-        Stage { address, told }
+        Stage { address, told, shared }
     }
     fn send(&self, headers: &str) -> Client {
         let mut stream = TcpStream::connect(self.address).expect("connected");
@@ -891,3 +892,19 @@
     assert!(holds(None), "without the mutant");
     assert!(!holds(Some(mutant)), "{mutant:?} was not caught");
 }
+
+/// A node that stops cuts what has not ended by then: it takes only what must have ended before, by its client's
+/// patience and its route's deadline.
+#[parameterized(
+    of_a_patient_client_on_a_long_route = { "x-wait: 20000\r\n", 20_000, false },
+    of_an_impatient_client = { "x-wait: 3000\r\n", 20_000, true },
+    on_a_short_route = { "x-wait: 20000\r\n", 3000, true },
+)]
+fn a_call_that_may_outlast_its_node_is_refused_at_once(headers: &str, deadline_ms: u64, is_taken: bool) {
+    let server = Server::start("one", vec![vec![whole("here")]]);
+    let stage = Stage::set(&Route { deadline_ms, ..IDEMPOTENT }, vec![goes_to(&server, true)]);
+    stage.shared.ends_at.store((Clock::now() + Span(10_000)).0, Ordering::SeqCst);
+    let answer = stage.ask(headers);
+    assert_eq!(answer.status, if is_taken { 200 } else { 503 });
+    assert_eq!(server.count(), usize::from(is_taken), "what is refused reaches no server");
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -49,11 +49,12 @@
     /// another node without any doubt, and most nodes are ready within a tenth of a second.
     #[setting(default = 700, validate = within(0, 60_000))]
     pub start_wait_ms: u64,
-    /// Told to stop, it's not ready at once, but takes what is still sent to it for this long, in ms: whoever
-    /// hands clients out sees readiness late.
+    /// Told to stop, it's not ready at once, but takes whatever is still sent to it for this long, in ms: whoever
+    /// hands clients out sees readiness late. In the first half of `drain_ms` behind that, it takes calls that must end
+    /// before it does.
     #[setting(default = 1500, validate = within(0, 60_000))]
     pub linger_ms: u64,
-    /// Then streams may take this long to finish, in ms.
+    /// Then what is in hand may take this long to finish, in ms.
     #[setting(default = 60_000, validate = within(1, 3_600_000))]
     pub drain_ms: u64,
     /// Decisions, and events, that are kept to be read back.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -19,12 +19,17 @@
     pub plan: RwLock<Option<(Arc<Plan>, Arc<RouteTable>)>>,
     /// Whether clients should be sent here.
     pub is_ready: AtomicBool,
+    /// When this process ends, as a moment, once it takes only what will have ended before; [`NEVER`] until then.
+    pub ends_at: AtomicU64,
     /// When the last request came, as a moment.
     pub arrived: AtomicU64,
     /// What puts a plan's limits on connections into force; none without a gate of clients.
     pub limits: SharedLimits,
 }
 
+/// The moment at which a process ends that was not told to stop.
+pub(crate) const NEVER: u64 = u64::MAX;
+
 /// A place among the requests in hand; given back when dropped, together with the request's id.
 pub(crate) struct Place {
     pub shared: Arc<Shared>,
@@ -56,6 +61,7 @@
             stall: Span(10_000),
             plan: RwLock::default(),
             is_ready: AtomicBool::new(true),
+            ends_at: AtomicU64::new(NEVER),
             arrived: AtomicU64::new(0),
             limits: SharedLimits::new(),
         }
@@ -69,6 +75,10 @@
     pub fn may_act(&self) -> bool {
         Clock::now() < Moment(self.may_act_until.load(Ordering::SeqCst))
     }
+    /// Whether a request that may last until then will have ended before this process does.
+    pub fn ends_in_time(&self, deadline: Moment) -> bool {
+        deadline.0 <= self.ends_at.load(Ordering::SeqCst)
+    }
     /// Whether what was placed under this epoch may leave now: a newer one may allow it no more.
     pub fn may_leave(&self, epoch: Epoch) -> bool {
         self.may_act() && !self.is_superseded(epoch)
