A ballot proposes what the view should be once most have promised, not when it began

Cause: a replica that had heard nobody for a moment after a kill of all wished for a chain of itself alone; promises of the others came, and the old wish was proposed and accepted.

Ruled out: broken promises, a founding, disks that lose what was synced.

Change: propose_view chooses the view when a majority has promised, waits for the beat of a seated promiser, and proposes nothing where nothing is to be changed. Bid has no wish any more.

--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -290,7 +290,6 @@
 #[derive(Debug, Clone)]
 struct Bid {
     round: Round,
-    wish: View,
     /// At the founding: which disk each founder promised with.
     founders: BTreeMap<Address, DiskId>,
     promises: BTreeMap<DiskId, Option<Ballot>>,
@@ -638,6 +637,7 @@
         }
         if self.is_sound {
             self.found();
+            self.propose_view();
             self.push_bid();
             self.consider();
             self.fold();
--- a/crates/replication/src/replica/ballots.rs
+++ b/crates/replication/src/replica/ballots.rs
@@ -39,7 +39,6 @@
         self.top_count += 1;
         self.bid = Some(Bid {
             round: Round { count: self.top_count, proposer: self.me.disk.0 },
-            wish: View::none(),
             founders: BTreeMap::new(),
             promises: BTreeMap::new(),
             ballot: None,
@@ -132,21 +131,26 @@
         same.or_else(leaving).or_else(|| voters.iter().position(|v| v.address != follower.address && is_gone(v)))
     }
 
-    /// Starts a ballot where the view should change and it's this replica's turn.
-    pub(super) fn consider(&mut self) {
-        if self.bid.is_some() || self.is_stalled() || !self.view.has_voter(&self.me) || self.now < self.not_before {
-            return;
-        }
+    /// What the view should be, if there is reason for a ballot.
+    fn wanted_view(&self) -> Option<View> {
         let wish = self.wish();
         // A ballot that was accepted here and came to no end keeps the tail from its lease: a new one
         // finishes it or outdoes it.
         let has_open_ballot = self.accepted.as_ref().is_some_and(|ballot| ballot.view.epoch == self.view.epoch.next());
         let is_change =
             self.has_released || has_open_ballot || wish.chain != self.view.chain || wish.voters != self.view.voters;
-        if !is_change || !self.view.may_be_followed_by(&wish) || !self.is_lasting(&wish) {
-            self.wanted_since = None;
+        (is_change && self.view.may_be_followed_by(&wish) && self.is_lasting(&wish)).then_some(wish)
+    }
+
+    /// Starts a ballot where the view should change and it's this replica's turn.
+    pub(super) fn consider(&mut self) {
+        if self.bid.is_some() || self.is_stalled() || !self.view.has_voter(&self.me) || self.now < self.not_before {
             return;
         }
+        let Some(wish) = self.wanted_view() else {
+            self.wanted_since = None;
+            return;
+        };
         let since = *self.wanted_since.get_or_insert(self.now);
         let does_admit = wish.chain.iter().any(|seat| !self.view.seats(&seat.voter));
         let turn = self.turn();
@@ -157,7 +161,6 @@
         let round = Round { count: self.top_count, proposer: self.me.disk.0 };
         self.bid = Some(Bid {
             round,
-            wish,
             founders: BTreeMap::new(),
             promises: BTreeMap::new(),
             ballot: None,
@@ -240,7 +243,6 @@
         let is_founding = self.view.epoch == ViewEpoch(0);
         let is_elector =
             if is_founding { self.founders.contains(&from) } else { self.view.voters.iter().any(|v| v.disk == disk) };
-        let majority = self.view.majority();
         let Some(bid) = &mut self.bid else { return };
         if instance != self.view.epoch.next() || bid.round != round || bid.ballot.is_some() || !is_elector {
             return;
@@ -250,13 +252,49 @@
             bid.founders.insert(from, disk);
             return self.close_founding();
         }
-        if bid.promises.len() >= majority && bid.promises.contains_key(&self.me.disk) {
-            let newest = bid.promises.values().flatten().max_by_key(|ballot| ballot.round);
-            let view = newest.map_or_else(|| bid.wish.clone(), |ballot| ballot.view.clone());
-            bid.ballot = Some(Ballot { round, view });
-            bid.sent = Moment(0);
-            self.push_bid();
+        self.propose_view();
+    }
+
+    /// Once most voters have promised, proposes what the newest ballot accepted among them proposes, or else what the
+    /// view should be by now. That is not what it should have been when the ballot began: whoever was not there then,
+    /// and has promised since, is. A view without those would rest on fewer disks than are there.
+    pub(super) fn propose_view(&mut self) {
+        let is_founding = self.view.epoch == ViewEpoch(0);
+        let Some(bid) = self.bid.as_ref().filter(|bid| bid.ballot.is_none() && !is_founding) else { return };
+        if bid.promises.len() < self.view.majority() || !bid.promises.contains_key(&self.me.disk) {
+            return;
         }
+        let newest = bid.promises.values().flatten().max_by_key(|ballot| ballot.round);
+        let view = match newest {
+            Some(ballot) => Some(ballot.view.clone()),
+            // Its beat is under way, and tells how far it is.
+            None if self.awaits_promiser(bid) => return,
+            None => self.wanted_view(),
+        };
+        let round = bid.round;
+        match (view, &mut self.bid) {
+            (Some(view), Some(bid)) => {
+                bid.ballot = Some(Ballot { round, view });
+                bid.sent = Moment(0);
+                self.push_bid();
+            }
+            _ => {
+                // Nothing is to be changed any more.
+                self.bid = None;
+                self.wanted_since = None;
+            }
+        }
+    }
+
+    /// Whether one that has a seat and has promised was not heard yet.
+    fn awaits_promiser(&self, bid: &Bid) -> bool {
+        let seated = self.view.chain.iter().map(|seat| seat.voter);
+        let promisers = seated.filter(|voter| *voter != self.me && bid.promises.contains_key(&voter.disk));
+        let is_unheard = |voter: Voter| {
+            let lately = |heard: &Heard| heard.disk == voter.disk && self.now.since(heard.at) < self.timing.suspect;
+            !self.heard.get(&voter.address).is_some_and(lately)
+        };
+        promisers.into_iter().any(is_unheard)
     }
 
     pub(super) fn on_accept(&mut self, from: Address, ballot: Ballot) {
--- a/crates/replication/src/replica/fingerprint.rs
+++ b/crates/replication/src/replica/fingerprint.rs
@@ -88,7 +88,7 @@
         (self.top_count, clock.signed(self.not_before)).hash(hasher);
         self.wanted_since.map(|since| clock.signed(since)).hash(hasher);
         let Some(bid) = &self.bid else { return };
-        (bid.round, &bid.wish, &bid.founders, &bid.promises, &bid.ballot, &bid.accepts).hash(hasher);
+        (bid.round, &bid.founders, &bid.promises, &bid.ballot, &bid.accepts).hash(hasher);
         (clock.signed(bid.sent), clock.signed(bid.deadline)).hash(hasher);
     }
 
--- a/crates/replication/src/replica/tests.rs
+++ b/crates/replication/src/replica/tests.rs
@@ -42,9 +42,28 @@
     Replica::new(voter(n), founders, Timing::default(), Kept { records }, Tally(0), Moment(10_000)).unwrap()
 }
 
+/// The beat of a level member of view 1 that holds no change.
+fn beat(n: u16) -> Note {
+    Note::Beat {
+        disk: voter(n).disk,
+        view: ViewEpoch(1),
+        last: Seq(0),
+        stamp: ViewEpoch(0),
+        replied: Seq(0),
+        is_level: true,
+        is_sound: true,
+        has_members: true,
+    }
+}
+
 /// Has the replica take a note and all its writes synced; gives what it sends.
 fn tell(replica: &mut Replica<Tally>, at: u64, from: u16, note: Note) -> Vec<(u16, Note)> {
-    let mut outputs = replica.step(Moment(at), Input::Note { from: Address::loopback(from), note });
+    settle(replica, at, Input::Note { from: Address::loopback(from), note })
+}
+
+/// Has the replica take an input and all its writes synced; gives what it sends.
+fn settle(replica: &mut Replica<Tally>, at: u64, input: Input) -> Vec<(u16, Note)> {
+    let mut outputs = replica.step(Moment(at), input);
     let mut sent = vec![];
     while !outputs.is_empty() {
         let mut more = vec![];
@@ -401,6 +420,7 @@
 mod founding;
 mod leaving;
 mod pacing;
+mod proposals;
 mod restart;
 
 /// Who hears only itself can neither read nor propose, and says so to whoever asks it.
@@ -410,16 +430,6 @@
     let mut alone = replica(1, records);
     assert!(alone.is_serving(Moment(10_700)), "it has just begun");
     assert!(!alone.is_serving(Moment(10_800)));
-    let beat = |n: u16| Note::Beat {
-        disk: voter(n).disk,
-        view: ViewEpoch(1),
-        last: Seq(0),
-        stamp: ViewEpoch(0),
-        replied: Seq(0),
-        is_level: true,
-        is_sound: true,
-        has_members: true,
-    };
     tell(&mut alone, 11_000, 3, beat(3));
     assert!(alone.is_serving(Moment(11_700)), "it and another are two of three");
     assert!(!alone.is_serving(Moment(11_800)));
