Split the node's control state and the controller's own interface into modules of one job

The interface of the controller's daemon is a module with one method a request in place of one function with nine closures. Nothing is done otherwise; tests as before.

--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -1,4 +1,5 @@
-use crate::core_line::{OPERATOR_PATIENCE, Responses};
+use crate::core_line::Responses;
+use crate::own_interface::OwnInterface;
 use crate::prelude::*;
 use crate::redirect::ReadAddresses;
 use crate::relay_daemon::run_relay;
@@ -6,10 +7,9 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
 
 /// What reaches the control thread.
-enum Event {
+pub(crate) enum Event {
     Input(ControllerInput),
     Disk(u64, DiskEvent),
     Believes(flume::Sender<serde_json::Value>),
@@ -169,16 +169,17 @@
     Ok(())
 }
 
+/// What is counted for the metrics.
 #[derive(Default)]
-struct Tallies {
-    requests: AtomicU64,
-    writes: AtomicU64,
-    faults: AtomicU64,
-    polls: AtomicU64,
-    view: AtomicU64,
-    epoch: AtomicU64,
-    chain: AtomicU64,
-    members: AtomicU64,
+pub(crate) struct Tallies {
+    pub requests: AtomicU64,
+    pub writes: AtomicU64,
+    pub faults: AtomicU64,
+    pub polls: AtomicU64,
+    pub view: AtomicU64,
+    pub epoch: AtomicU64,
+    pub chain: AtomicU64,
+    pub members: AtomicU64,
 }
 
 struct Control {
@@ -357,135 +358,6 @@
 
     /// The product's own interface.
     fn own_response(&self, request: &Request) -> Response {
-        own_response(request, &self.core, &self.sender, &self.is_ready, &self.tallies)
+        OwnInterface::new(request, &self.core, &self.sender, &self.is_ready, &self.tallies).respond()
     }
 }
-
-fn own_response(
-    request: &Request,
-    core: &CoreLine,
-    sender: &flume::Sender<Event>,
-    is_ready: &AtomicBool,
-    tallies: &Tallies,
-) -> Response {
-    let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.client.clone()));
-    let ask_core = |ask: OperatorAsk| core.ask(ask, &attempt);
-    let told = |status: u16, body: Vec<u8>| {
-        let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
-        let response = Response::whole(status, "application/json", body);
-        code.into_iter().fold(response, |response, code| response.to_come_back(*code, Span(0)))
-    };
-    let ask = |what: OperatorAsk| match ask_core(what) {
-        Ok((status, body)) => told(status, body),
-        Err(response) => *response,
-    };
-    // Plans are read here, on the connection's own thread, and never on the control thread.
-    let faulty = |faults: Vec<Fault>| {
-        let code = ResultCode::BadPlan;
-        let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": "nothing changed", "faults": faults});
-        Response::json(code.http_status(), &value)
-    };
-    // A document that has faults now may have been taken when it was first sent.
-    let refuse = |faults: Vec<Fault>| {
-        let id = request.query_word("id").unwrap_or_default().to_owned();
-        match ask_core(OperatorAsk::Read(Reading::Fate { id })) {
-            Ok((status, _)) if status == ResultCode::UnknownChange.http_status() => faulty(faults),
-            Ok((status, body)) => told(status, body),
-            Err(response) => *response,
-        }
-    };
-    let change = |bytes: Vec<u8>| -> Result<Command, Box<Response>> {
-        let at_least = Epoch(request.query_word("builds_on").and_then(|epoch| epoch.parse().ok()).unwrap_or(0));
-        let (status, body) = ask_core(OperatorAsk::Read(Reading::Base { at_least }))?;
-        match body.split_at_checked(8) {
-            Some((base, plan)) if status == 200 => {
-                let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
-                Command::change(bytes, base, plan).map_err(|faults| Box::new(refuse(faults)))
-            }
-            _ => Err(Box::new(told(status, body))),
-        }
-    };
-    let propose = |command: Command, needs_base: bool| {
-        let id = request.query_word("id").unwrap_or_default().to_owned();
-        if !ServiceName::from(id.as_str()).is_sound() {
-            let why = "the query must have an id of 1 to 64 letters, digits or any of -_.:";
-            return Response::result(ResultCode::BadPlan, why);
-        }
-        let builds_on = match request.query_word("builds_on").map(str::parse) {
-            Some(Ok(epoch)) => Some(Epoch(epoch)),
-            Some(Err(_)) => return Response::result(ResultCode::BadPlan, "builds_on is not a number"),
-            None if needs_base => {
-                return Response::result(ResultCode::BadPlan, "the query must have builds_on, an epoch");
-            }
-            None => None,
-        };
-        ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), command }))
-    };
-    match (request.method.as_str(), request.parts().as_slice()) {
-        ("GET", ["ready"]) => {
-            if is_ready.load(Ordering::Relaxed) {
-                Response::whole(200, "text/plain", "ready\n")
-            } else {
-                Response::whole(503, "text/plain", "not in the chain\n")
-            }
-        }
-        ("GET", ["metrics"]) => metrics(tallies),
-        ("GET", ["v1", "believes"]) => {
-            let (response, inbox) = flume::bounded(1);
-            let _ = sender.send(Event::Believes(response));
-            match inbox.recv_timeout(Duration::from_secs(5)) {
-                Ok(value) => Response::json(200, &value),
-                Err(_) => Response::result(ResultCode::CoreNotReady, "the control thread gave no answer"),
-            }
-        }
-        ("GET", ["v1", "latest"]) => ask(OperatorAsk::Read(Reading::Latest)),
-        ("GET", ["v1", "plan"]) => ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(0) })),
-        ("GET", ["v1", "plans", epoch]) => match epoch.parse() {
-            Ok(epoch) if epoch > 0 => ask(OperatorAsk::Read(Reading::Epoch { epoch: Epoch(epoch) })),
-            _ => Response::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
-        },
-        ("GET", ["v1", "fates", id]) => ask(OperatorAsk::Read(Reading::Fate { id: (*id).to_owned() })),
-        ("PUT", ["v1", "plan"]) => match Command::plan(request.body.to_vec()) {
-            Ok(command) => propose(command, true),
-            Err(faults) => refuse(faults),
-        },
-        ("PATCH", ["v1", "plan"]) => match change(request.body.to_vec()) {
-            Ok(command) => propose(command, true),
-            Err(response) => *response,
-        },
-        ("POST", ["v1", "members", "forget"]) => {
-            #[derive(serde::Deserialize)]
-            #[serde(deny_unknown_fields)]
-            struct Lost {
-                members: Vec<Address>,
-            }
-            match serde_json::from_slice::<Lost>(&request.body) {
-                Ok(Lost { members }) if !members.is_empty() => propose(Command::Forget { members }, false),
-                Ok(_) => Response::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
-                Err(fault) => {
-                    Response::result(ResultCode::BadPlan, format!("{fault}; wanted is {{\"members\": [\"IP:PORT\"]}}"))
-                }
-            }
-        }
-        ("POST", ["v1", "zones", zone, "withdraw"]) => propose(Command::Withdraw { zone: (*zone).into() }, false),
-        ("POST", ["v1", "zones", zone, "restore"]) => propose(Command::Restore { zone: (*zone).into() }, false),
-        _ => Response::result(ResultCode::NotFound, format!("{} {} is not known here", request.method, request.path)),
-    }
-}
-
-fn metrics(tallies: &Tallies) -> Response {
-    let rows = [
-        ("controller_http_requests_total", "counter", &tallies.requests),
-        ("controller_disk_writes_total", "counter", &tallies.writes),
-        ("controller_disk_faults_total", "counter", &tallies.faults),
-        ("controller_polls_total", "counter", &tallies.polls),
-        ("controller_view_epoch", "gauge", &tallies.view),
-        ("controller_config_epoch", "gauge", &tallies.epoch),
-        ("controller_chain_length", "gauge", &tallies.chain),
-        ("controller_members", "gauge", &tallies.members),
-    ];
-    let lines = rows
-        .iter()
-        .map(|(name, kind, value)| format!("# TYPE {name} {kind}\n{name} {}\n", value.load(Ordering::Relaxed)));
-    Response::whole(200, "text/plain; version=0.0.4", lines.collect::<String>())
-}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,6 +8,7 @@
 mod core_line;
 mod daemon;
 mod disk_thread;
+mod own_interface;
 mod redirect;
 mod relay;
 mod relay_daemon;
--- /dev/null
+++ b/crates/controller/src/own_interface.rs
@@ -0,0 +1,191 @@
+//! The product's own interface for operators, over HTTP.
+
+use crate::core_line::OPERATOR_PATIENCE;
+use crate::daemon::{Event, Tallies};
+use crate::prelude::*;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+/// The control thread tells what it believes within this.
+const BELIEVES_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Members that an operator says are lost for good.
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Lost {
+    members: Vec<Address>,
+}
+
+/// Answers one request. Plans are read here, on the connection's own thread, and never on the control thread.
+pub(crate) struct OwnInterface<'a> {
+    request: &'a Request,
+    core: &'a CoreLine,
+    sender: &'a flume::Sender<Event>,
+    is_ready: &'a AtomicBool,
+    tallies: &'a Tallies,
+    attempt: Attempt,
+}
+
+impl<'a> OwnInterface<'a> {
+    /// For this request.
+    pub(crate) fn new(
+        request: &'a Request,
+        core: &'a CoreLine,
+        sender: &'a flume::Sender<Event>,
+        is_ready: &'a AtomicBool,
+        tallies: &'a Tallies,
+    ) -> Self {
+        let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.client.clone()));
+        OwnInterface { request, core, sender, is_ready, tallies, attempt }
+    }
+
+    /// The answer.
+    pub(crate) fn respond(&self) -> Response {
+        let body = || self.request.body.to_vec();
+        match (self.request.method.as_str(), self.request.parts().as_slice()) {
+            ("GET", ["ready"]) => self.readiness(),
+            ("GET", ["metrics"]) => metrics(self.tallies),
+            ("GET", ["v1", "believes"]) => self.believes(),
+            ("GET", ["v1", "latest"]) => self.read(Reading::Latest),
+            ("GET", ["v1", "plan"]) => self.read(Reading::Epoch { epoch: Epoch(0) }),
+            ("GET", ["v1", "plans", epoch]) => match epoch.parse() {
+                Ok(epoch) if epoch > 0 => self.read(Reading::Epoch { epoch: Epoch(epoch) }),
+                _ => Response::result(ResultCode::UnknownEpoch, format!("`{epoch}` is not an epoch")),
+            },
+            ("GET", ["v1", "fates", id]) => self.read(Reading::Fate { id: (*id).to_owned() }),
+            ("PUT", ["v1", "plan"]) => match Command::plan(body()) {
+                Ok(command) => self.propose(command, true),
+                Err(faults) => self.refuse(faults),
+            },
+            ("PATCH", ["v1", "plan"]) => match self.change(body()) {
+                Ok(command) => self.propose(command, true),
+                Err(response) => *response,
+            },
+            ("POST", ["v1", "members", "forget"]) => self.forget(),
+            ("POST", ["v1", "zones", zone, "withdraw"]) => {
+                self.propose(Command::Withdraw { zone: (*zone).into() }, false)
+            }
+            ("POST", ["v1", "zones", zone, "restore"]) => {
+                self.propose(Command::Restore { zone: (*zone).into() }, false)
+            }
+            _ => {
+                let why = format!("{} {} is not known here", self.request.method, self.request.path);
+                Response::result(ResultCode::NotFound, why)
+            }
+        }
+    }
+
+    fn readiness(&self) -> Response {
+        match self.is_ready.load(Ordering::Relaxed) {
+            true => Response::whole(200, "text/plain", "ready\n"),
+            false => Response::whole(503, "text/plain", "not in the chain\n"),
+        }
+    }
+
+    fn believes(&self) -> Response {
+        let (response, inbox) = flume::bounded(1);
+        let _ = self.sender.send(Event::Believes(response));
+        match inbox.recv_timeout(BELIEVES_PATIENCE) {
+            Ok(value) => Response::json(200, &value),
+            Err(_) => Response::result(ResultCode::CoreNotReady, "the control thread gave no answer"),
+        }
+    }
+
+    fn read(&self, reading: Reading) -> Response {
+        self.ask(OperatorAsk::Read(reading))
+    }
+
+    fn ask(&self, what: OperatorAsk) -> Response {
+        match self.core.ask(what, &self.attempt) {
+            Ok((status, body)) => told(status, body),
+            Err(response) => *response,
+        }
+    }
+
+    /// The id that an operator gives to a change.
+    fn change_id(&self) -> String {
+        self.request.query_word("id").unwrap_or_default().to_owned()
+    }
+
+    /// A document that has faults now may have been taken when it was first sent.
+    fn refuse(&self, faults: Vec<Fault>) -> Response {
+        let reading = Reading::Fate { id: self.change_id() };
+        match self.core.ask(OperatorAsk::Read(reading), &self.attempt) {
+            Ok((status, _)) if status == ResultCode::UnknownChange.http_status() => faulty(&faults),
+            Ok((status, body)) => told(status, body),
+            Err(response) => *response,
+        }
+    }
+
+    /// What these bytes change of the plan that they build on.
+    fn change(&self, bytes: Vec<u8>) -> Result<Command, Box<Response>> {
+        let builds_on = self.request.query_word("builds_on").and_then(|epoch| epoch.parse().ok());
+        let reading = Reading::Base { at_least: Epoch(builds_on.unwrap_or(0)) };
+        let (status, body) = self.core.ask(OperatorAsk::Read(reading), &self.attempt)?;
+        match body.split_at_checked(8) {
+            Some((base, plan)) if status == 200 => {
+                let base = Epoch(u64::from_be_bytes(base.try_into().unwrap_or_default()));
+                Command::change(bytes, base, plan).map_err(|faults| Box::new(self.refuse(faults)))
+            }
+            _ => Err(Box::new(told(status, body))),
+        }
+    }
+
+    fn propose(&self, command: Command, needs_base: bool) -> Response {
+        let id = self.change_id();
+        if !ServiceName::from(id.as_str()).is_sound() {
+            let why = "the query must have an id of 1 to 64 letters, digits or any of -_.:";
+            return Response::result(ResultCode::BadPlan, why);
+        }
+        let builds_on = match self.request.query_word("builds_on").map(str::parse) {
+            Some(Ok(epoch)) => Some(Epoch(epoch)),
+            Some(Err(_)) => return Response::result(ResultCode::BadPlan, "builds_on is not a number"),
+            None if needs_base => {
+                return Response::result(ResultCode::BadPlan, "the query must have builds_on, an epoch");
+            }
+            None => None,
+        };
+        self.ask(OperatorAsk::Propose(Proposal { id, builds_on, seen: Epoch(0), command }))
+    }
+
+    fn forget(&self) -> Response {
+        match serde_json::from_slice::<Lost>(&self.request.body) {
+            Ok(Lost { members }) if !members.is_empty() => self.propose(Command::Forget { members }, false),
+            Ok(_) => Response::result(ResultCode::BadPlan, "members is empty: name each that is lost"),
+            Err(fault) => {
+                Response::result(ResultCode::BadPlan, format!("{fault}; wanted is {{\"members\": [\"IP:PORT\"]}}"))
+            }
+        }
+    }
+}
+
+/// What the core told, with a time to come back where its code has one.
+fn told(status: u16, body: Vec<u8>) -> Response {
+    let code = ResultCode::ALL.iter().find(|code| code.http_status() == status && code.comes_back().is_some());
+    let response = Response::whole(status, "application/json", body);
+    code.into_iter().fold(response, |response, code| response.to_come_back(*code, Span(0)))
+}
+
+fn faulty(faults: &[Fault]) -> Response {
+    let code = ResultCode::BadPlan;
+    let value =
+        serde_json::json!({"code": code.number(), "result": code.word(), "why": "nothing changed", "faults": faults});
+    Response::json(code.http_status(), &value)
+}
+
+fn metrics(tallies: &Tallies) -> Response {
+    let rows: [(&str, &str, &AtomicU64); 8] = [
+        ("controller_http_requests_total", "counter", &tallies.requests),
+        ("controller_disk_writes_total", "counter", &tallies.writes),
+        ("controller_disk_faults_total", "counter", &tallies.faults),
+        ("controller_polls_total", "counter", &tallies.polls),
+        ("controller_view_epoch", "gauge", &tallies.view),
+        ("controller_config_epoch", "gauge", &tallies.epoch),
+        ("controller_chain_length", "gauge", &tallies.chain),
+        ("controller_members", "gauge", &tallies.members),
+    ];
+    let lines = rows
+        .iter()
+        .map(|(name, kind, value)| format!("# TYPE {name} {kind}\n{name} {}\n", value.load(Ordering::Relaxed)));
+    Response::whole(200, "text/plain; version=0.0.4", lines.collect::<String>())
+}
--- /dev/null
+++ b/crates/router/src/node/news.rs
@@ -0,0 +1,162 @@
+//! What is in force: news, the plan that goes with it, and taking both up.
+
+use super::*;
+
+impl Node {
+    /// What is known here, whole.
+    pub(super) fn news(&self) -> Option<News> {
+        self.lease_state.lease_deadline()?;
+        let (epoch, plan_epoch) = (self.lease_state.epoch(), self.plan_epoch);
+        let (withdrawn, members) = (self.withdrawn.clone(), Some(self.members.clone()));
+        Some(News { epoch, plan_epoch, withdrawn, members, members_since: self.members_since })
+    }
+
+    /// Asks a peer that knows more, once in a while.
+    pub(super) fn ask_news(&mut self, from: Address, epoch: Epoch) {
+        let is_newer = epoch > self.lease_state.epoch() && self.lease_state.lease_deadline().is_some();
+        if is_newer && self.now.since(self.news_asked) >= Span(100) {
+            self.news_asked = self.now;
+            self.send(from, Letter::NewsAsk);
+        }
+    }
+
+    pub(super) fn on_news(&mut self, from: Address, mut news: News, lease_deadline: Option<Moment>) {
+        if news.epoch < self.lease_state.epoch() {
+            return;
+        }
+        self.lease_state.tell(news.epoch, self.now + TOLD_FOR);
+        if news.members.is_none() {
+            let under_way = self.fetching.as_ref().filter(|fetching| fetching.news.epoch >= news.members_since);
+            news.members = match under_way {
+                Some(fetching) => fetching.news.members.clone(),
+                None if self.lease_state.epoch() >= news.members_since => Some(self.members.clone()),
+                // Earlier news was lost on the way.
+                None => {
+                    self.next_poll = self.now;
+                    return self.poll();
+                }
+            };
+        }
+        if news.plan_epoch == self.plan_epoch {
+            return self.take_up(news, lease_deadline);
+        }
+        // Withdrawals don't wait for a large plan.
+        if news.epoch > self.lease_state.epoch() {
+            self.withdrawn = news.withdrawn.clone();
+            self.push_rules();
+        }
+        self.next_poll = self.now + Span(400);
+        match &mut self.fetching {
+            Some(fetching) if fetching.news.plan_epoch == news.plan_epoch => {
+                if news.epoch >= fetching.news.epoch {
+                    fetching.lease_deadline = lease_deadline.max(fetching.lease_deadline);
+                    fetching.news = news;
+                }
+            }
+            Some(fetching) if fetching.news.plan_epoch > news.plan_epoch => {}
+            _ => {
+                let epoch = news.plan_epoch;
+                self.fetching =
+                    Some(Fetching { news, lease_deadline, from, bytes: vec![], asked: self.now, is_whole: false });
+                self.send(from, Letter::PlanAsk { epoch, offset: 0, have: self.plan_epoch });
+            }
+        }
+    }
+
+    pub(super) fn on_plan_piece(&mut self, from: Address, epoch: Epoch, offset: u64, length: u64, bytes: &[u8]) {
+        let Some(fetching) = &mut self.fetching else { return };
+        let is_next = !fetching.is_whole
+            && fetching.from == from
+            && fetching.news.plan_epoch == epoch
+            && offset == fetching.bytes.len() as u64
+            && offset + bytes.len() as u64 <= length;
+        if !is_next {
+            return;
+        }
+        fetching.bytes.extend_from_slice(bytes);
+        fetching.asked = self.now;
+        let have = fetching.bytes.len() as u64;
+        if have < length {
+            return self.send(from, Letter::PlanAsk { epoch, offset: have, have: self.plan_epoch });
+        }
+        self.on_whole_plan();
+    }
+
+    /// A plan came as what differs from the one held.
+    pub(super) fn on_plan_splice(&mut self, from: Address, epoch: Epoch, base: Epoch, splice: &Splice) {
+        let Some(fetching) = &mut self.fetching else { return };
+        let is_awaited = !fetching.is_whole && fetching.from == from && fetching.news.plan_epoch == epoch;
+        if !is_awaited || !fetching.bytes.is_empty() || base != self.plan_epoch {
+            return;
+        }
+        if let Some(bytes) = splice.apply(&self.plan_bytes) {
+            fetching.bytes = bytes;
+            self.on_whole_plan();
+        }
+    }
+
+    /// All of a plan is here; another thread reads it.
+    pub(super) fn on_whole_plan(&mut self) {
+        let Some(fetching) = &mut self.fetching else { return };
+        let (plan_epoch, bytes) = (fetching.news.plan_epoch, Arc::new(std::mem::take(&mut fetching.bytes)));
+        fetching.is_whole = true;
+        self.outputs.push(NodeOutput::Read { plan_epoch, bytes });
+    }
+
+    pub(super) fn on_plan(&mut self, plan_epoch: Epoch, plan: Result<Arc<Plan>, Vec<Fault>>, bytes: Arc<Vec<u8>>) {
+        let Some(fetching) = self.fetching.take_if(|f| f.is_whole && f.news.plan_epoch == plan_epoch) else { return };
+        match plan {
+            Ok(plan) => {
+                self.plan = Some(plan);
+                self.plan_bytes = bytes;
+                self.plan_epoch = plan_epoch;
+                self.next_poll = self.now;
+                self.take_up(fetching.news, fetching.lease_deadline);
+            }
+            Err(faults) => {
+                let code = ResultCode::BadLetter;
+                let line = format!("node: {code} the plan of epoch {plan_epoch} can't be read: {faults:?}");
+                self.outputs.push(NodeOutput::Log(line));
+            }
+        }
+    }
+
+    /// News is whole here: it's in force.
+    pub(super) fn take_up(&mut self, news: News, lease_deadline: Option<Moment>) {
+        let is_newer = news.epoch > self.lease_state.epoch();
+        // Filled in when it came.
+        let listed_members = news.members.unwrap_or_default();
+        let since = news.members_since;
+        let has_other_members = listed_members != self.members || since > self.members_since;
+        let members: Vec<Address> = listed_members.iter().map(|member| member.address).collect();
+        match lease_deadline {
+            Some(deadline) => self.lease_state.lease(deadline, news.epoch, members.clone()),
+            None => self.lease_state.learn(news.epoch, members.clone()),
+        }
+        if is_newer {
+            self.withdrawn = news.withdrawn;
+            self.push_rules();
+            let line = format!("node: epoch {} is in force, plan {}", news.epoch, self.plan_epoch);
+            self.outputs.push(NodeOutput::Log(line));
+            // The core is to know that it's in force here.
+            self.next_poll = self.now;
+            self.poll();
+        }
+        if has_other_members {
+            self.dissemination.set_members(&listed_members);
+            self.members = listed_members;
+            self.members_since = since;
+            self.tell_scheduler(Event::Members { members, since });
+        }
+        if let Some(until) = lease_deadline {
+            self.tell_scheduler(Event::Lease { until, span: self.lease_span });
+        }
+    }
+
+    pub(super) fn push_rules(&mut self) {
+        if let Some(plan) = self.plan.clone() {
+            let rules = plan.rules(self.lease_state.epoch(), self.withdrawn.clone());
+            self.tell_scheduler(Event::Rules { rules });
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/node/polling.rs
@@ -0,0 +1,112 @@
+//! Asking the core for a lease, and the members whether they are there.
+
+use super::*;
+
+/// A piece of a plan that has not come by then is given up.
+const FETCH_DEADLINE: Span = Span(700);
+
+impl Node {
+    /// Those whom news may be asked of: the tail first, then voters, then seeds.
+    pub(super) fn sources(&self) -> Vec<Address> {
+        let mut sources = self.voters.clone();
+        sources.extend(self.seeds.iter().filter(|seed| !self.voters.contains(seed)));
+        sources
+    }
+
+    pub(super) fn poll(&mut self) {
+        if let Some(sent) = self.polled {
+            if self.now < sent + self.timing.poll_deadline {
+                return;
+            }
+            self.polled = None;
+            self.tail = None;
+            self.target += 1;
+            self.next_poll = self.now;
+        }
+        if let Some(fetching) = &self.fetching
+            && self.now >= fetching.asked + FETCH_DEADLINE
+            && !fetching.is_whole
+        {
+            self.fetching = None;
+        }
+        if self.now < self.next_poll {
+            return;
+        }
+        let sources = self.sources();
+        if sources.is_empty() {
+            return;
+        }
+        let to = self.tail.unwrap_or(sources[self.target % sources.len()]);
+        self.next_poll = self.now + self.timing.poll;
+        self.poll_round += 1;
+        self.polled = Some(self.now);
+        let (now, member) = (self.now, Member { address: self.own, zone: self.zone.clone() });
+        self.heard.retain(|_, at| now.since(*at) < HEARD_FOR);
+        let has_key = self.key.is_some();
+        let hears = self.heard.keys().copied().filter(|one| self.lease_state.members().contains(one)).collect();
+        let poll =
+            Poll { member, round: self.poll_round, epoch: self.lease_state.epoch(), view: self.view, has_key, hears };
+        self.send(to, Letter::Poll { poll: Box::new(poll) });
+    }
+
+    pub(super) fn on_poll_response(&mut self, from: Address, round: u64, response: PollResponse) {
+        let Some(sent) = self.polled.filter(|_| round == self.poll_round) else { return };
+        self.polled = None;
+        match response {
+            PollResponse::Elsewhere { view, tail, voters } => {
+                // One that was away may name machines that are all gone: what is known here is newer.
+                if view >= self.view && !voters.is_empty() {
+                    (self.view, self.voters) = (view, voters);
+                    self.tail = tail.filter(|tail| *tail != from);
+                }
+                self.target += 1;
+                self.next_poll = self.now + Span(60);
+            }
+            PollResponse::Lease { span, epoch, news, view, voters, key } => {
+                self.key = self.key.or(key);
+                self.tail = Some(from);
+                if !voters.is_empty() {
+                    (self.view, self.voters) = (view, voters);
+                }
+                let lease_deadline = Some(sent + span);
+                self.lease_span = self.lease_span.max(span);
+                self.lease_state.tell(epoch, self.now + TOLD_FOR);
+                match news {
+                    Some(news) => self.on_news(from, news, lease_deadline),
+                    // Nothing is newer there than what is here, whole.
+                    None if epoch == self.lease_state.epoch() && epoch > Epoch(0) => {
+                        self.lease_state.lease(sent + span, epoch, self.lease_state.members().to_vec());
+                        self.tell_scheduler(Event::Lease { until: sent + span, span: self.lease_span });
+                    }
+                    None => {}
+                }
+            }
+        }
+    }
+
+    /// While its lease is about to lapse, or has, the node asks all members whether they are there.
+    pub(super) fn check_peers(&mut self) {
+        let Some(deadline) = self.lease_state.lease_deadline() else { return };
+        if self.now + self.timing.peer_check_from < deadline {
+            self.peer_check_pause = self.timing.peer_check;
+            return;
+        }
+        if self.now < self.next_peer_check {
+            return;
+        }
+        let is_alone = self.lease_state.reason(self.now) == LeaseStatus::Alone;
+        self.peer_check_pause = match is_alone {
+            true => Span((self.peer_check_pause.0 * 2).min(self.timing.peer_check_alone.0)),
+            false => self.timing.peer_check,
+        };
+        self.next_peer_check = self.now + self.peer_check_pause;
+        self.peer_check_round += 1;
+        self.peer_checks.push_back((self.peer_check_round, self.now));
+        if self.peer_checks.len() > 16 {
+            self.peer_checks.pop_front();
+        }
+        let peers: Vec<Address> = self.lease_state.members().iter().copied().filter(|m| *m != self.own).collect();
+        let (round, epoch) = (self.peer_check_round, self.lease_state.epoch());
+        peers.into_iter().for_each(|peer| self.send(peer, Letter::PeerCheckRequest { round, epoch }));
+    }
+}
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -1,3 +1,4 @@
+use super::placing::ENDED_IDS;
 use super::*;
 
 const PLAN: &[u8] = br#"{"services":{"drafts":{"slots":8}}}"#;
