--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -2,6 +2,10 @@
 use schematic::ConfigEnum;
 use std::collections::{BTreeMap, VecDeque};
 
+mod members;
+mod operators;
+mod reading;
+
 /// The spans that a controller goes by besides the replica's own.
 #[derive(Debug, Clone, Copy)]
 pub struct ControllerTiming {
@@ -203,15 +207,6 @@
     asked_of: Option<Address>,
 }
 
-/// Who was not heard for this long, by the core or by any member that polls, may be lost. Longer than a
-/// lease, than a peer check counts, and than a view takes to change.
-const FORGET_AFTER: Span = Span(5000);
-
-/// What the newest epoch was when a zone's change came in must be known within this, or it is not proposed: an
-/// answer from later may be younger than what its operator did since. Under the second after which an operator
-/// turns to another controller.
-const SEEN_WITHIN: Span = Span(700);
-
 /// Numbers from here on are the controller's own proposals.
 const INNER: u64 = 1 << 62;
 
@@ -390,93 +385,10 @@
         letters.into_iter().for_each(|(seed, letter)| self.send(seed, letter));
     }
 
-    fn on_poll(&mut self, from: Address, poll: Poll) {
-        self.poll_count += 1;
-        if !self.may_respond() {
-            let voters = self.voters();
-            let tail = self.replica.view().tail().map(|tail| tail.address);
-            let response = PollResponse::Elsewhere { view: self.replica.view().epoch, tail, voters };
-            return self.send(from, Letter::PollResponse { round: poll.round, response: Box::new(response) });
-        }
-        self.seen.insert(from, self.now);
-        self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
-        let is_member = self.replica.state_machine().membership.members.contains(&from);
-        if is_member {
-            self.give_lease(from, &poll);
-        } else {
-            self.joining.insert(from, poll);
-        }
-    }
-
-    /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
-    fn give_lease(&mut self, to: Address, poll: &Poll) {
-        let newest = self.replica.state_machine().epoch;
-        let deadline = self.now + self.timing.lease;
-        self.leases.renew(to, poll.epoch.min(newest), deadline);
-        self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), deadline });
-        let ledger = self.replica.state_machine();
-        let view = self.replica.view().epoch;
-        let response = PollResponse::Lease {
-            span: self.timing.lease,
-            epoch: ledger.epoch,
-            news: (poll.epoch < ledger.epoch).then(|| self.news(poll.epoch)),
-            view,
-            voters: if poll.view == view { vec![] } else { self.voters() },
-            key: ledger.key.filter(|_| !poll.has_key),
-        };
-        self.send(to, Letter::PollResponse { round: poll.round, response: Box::new(response) });
-    }
-
-    /// For one that has this epoch.
-    fn news(&self, has: Epoch) -> News {
-        let ledger = self.replica.state_machine();
-        let members_since = ledger.membership.since;
-        let member = |(address, zone): &(Address, ZoneName)| Member { address: *address, zone: zone.clone() };
-        News {
-            epoch: ledger.epoch,
-            plan_epoch: ledger.plan_epoch,
-            withdrawn: ledger.withdrawn.clone(),
-            members: (has < members_since).then(|| ledger.member_zones.iter().map(member).collect()),
-            members_since,
-        }
-    }
-
     fn voters(&self) -> Vec<Address> {
         self.replica.view().voters.iter().map(|voter| voter.address).collect()
     }
 
-    /// Tells news to members that polled lately, and answers settled changes that most members know.
-    fn release(&mut self) {
-        let (epoch, now) = (self.replica.state_machine().epoch, self.now);
-        let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.deadline;
-        if self.subscribers.values().any(is_behind) && self.may_respond() {
-            let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
-            let since = whole.members_since;
-            let behind: Vec<(Address, bool)> = self
-                .subscribers
-                .iter()
-                .filter(|(_, subscriber)| is_behind(subscriber))
-                .map(|(member, subscriber)| (*member, subscriber.told < since))
-                .collect();
-            for (member, wants_membership) in behind {
-                let news = if wants_membership { &whole } else { &brief };
-                self.subscribers.entry(member).and_modify(|subscriber| subscriber.told = epoch);
-                self.send(member, Letter::News { news: Box::new(news.clone()) });
-            }
-        }
-        while let Some(settled) = self.settled.front() {
-            let is_known = self.is_known(settled.epoch);
-            if !is_known && self.now < settled.deadline {
-                break;
-            }
-            let Some(settled) = self.settled.pop_front() else { break };
-            if !is_known && settled.ticket.number < INNER {
-                continue;
-            }
-            self.answer(settled.ticket, settled.body);
-        }
-    }
-
     /// Gives an answer for the core, if this is still the tail and may.
     fn answer(&mut self, ticket: Ticket, body: Vec<u8>) {
         match self.replica.respond(self.now, ticket, body) {
@@ -506,15 +418,6 @@
         self.replica.has_copies() && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
     }
 
-    /// Whether enough of those before the last change of the membership know the membership now.
-    fn is_membership_settled(&self) -> bool {
-        let membership = &self.replica.state_machine().membership;
-        match self.timing.quorum {
-            Quorum::Majority => self.leases.is_membership_settled(membership),
-            Quorum::Holders => self.is_known(membership.since),
-        }
-    }
-
     fn has_quorum(&self) -> bool {
         let membership = &self.replica.state_machine().membership;
         let has_members = self.timing.quorum == Quorum::Holders || self.leases.has_majority(membership, self.now);
@@ -549,52 +452,6 @@
         }
     }
 
-    /// Lets those in that asked, a change of the membership at a time.
-    fn admit(&mut self) {
-        let membership = &self.replica.state_machine().membership;
-        let members = &membership.members;
-        let joined: Vec<Address> = self.joining.keys().filter(|one| members.contains(one)).copied().collect();
-        for address in joined {
-            if let Some(poll) = self.joining.remove(&address) {
-                self.give_lease(address, &poll);
-            }
-        }
-        if self.joining.is_empty() || self.now < self.join_deadline || !self.is_membership_settled() {
-            return;
-        }
-        self.join_deadline = self.now + self.timing.join;
-        let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.zone.clone())).collect();
-        self.propose_inner(Command::Join { members });
-    }
-
-    /// Once more than half of the previous members know the membership, they are needed for no majority any more.
-    fn settle(&mut self) {
-        let membership = &self.replica.state_machine().membership;
-        if membership.previous == membership.members || self.now < self.settle_deadline || !self.is_membership_settled()
-        {
-            return;
-        }
-        let since = membership.since;
-        self.settle_deadline = self.now + Span(400);
-        self.propose_inner(Command::Settle { since });
-    }
-
-    /// Takes members out that have held no lease for long.
-    fn retire(&mut self) {
-        if self.now < self.retire_deadline || !self.is_membership_settled() {
-            return;
-        }
-        self.retire_deadline = self.now + Span::seconds(1);
-        let is_gone = |member: &&Address| {
-            self.seen.get(*member).is_none_or(|seen| self.now.since(*seen) >= self.timing.retire_after)
-        };
-        let gone: Vec<Address> =
-            self.replica.state_machine().membership.members.iter().filter(is_gone).copied().collect();
-        if !gone.is_empty() {
-            self.propose_inner(Command::Retire { members: gone });
-        }
-    }
-
     fn propose_inner(&mut self, command: Command) {
         self.next_inner += 1;
         let proposal = Proposal { id: String::new(), builds_on: None, seen: Epoch(0), command };
@@ -613,244 +470,6 @@
         let piece = Letter::plan_piece(epoch, &ledger.plan, offset).filter(|_| ledger.plan_epoch == epoch);
         piece.into_iter().for_each(|letter| self.send(from, letter));
     }
-
-    fn on_operator(&mut self, number: u64, ask: OperatorAsk) {
-        let is_read = matches!(ask, OperatorAsk::Read(_));
-        let deadline = self.now + if is_read { self.timing.read_patience } else { self.timing.fate_deadline };
-        let patience_deadline = self.now + self.timing.patience;
-        self.last_asked += 1;
-        let (next_try, asked) = (Some(self.now), self.last_asked);
-        let clear_deadline = match &ask {
-            OperatorAsk::Propose(proposal) if proposal.command.is_of_a_zone() => self.now + SEEN_WITHIN,
-            _ => deadline,
-        };
-        let is_cleared = false;
-        let waiting =
-            Waiting { ask, next_try, patience_deadline, deadline, clear_deadline, is_cleared, asked, asked_of: None };
-        self.waiting.insert(number, waiting);
-        if !self.replica.hears_majority(self.now) {
-            // Nothing was asked or proposed yet, so this is final, and its operator loses no time here.
-            return self.give_up(number, ResultCode::CoreNotReady);
-        }
-        self.try_again(number);
-    }
-
-    fn try_again(&mut self, number: u64) {
-        let Some(waiting) = self.waiting.get_mut(&number) else { return };
-        let retry_at = self.now + self.timing.replica.retry;
-        if self.now >= waiting.deadline {
-            let code = match waiting.ask {
-                OperatorAsk::Read(_) => ResultCode::CoreNotReady,
-                OperatorAsk::Propose(_) => ResultCode::FateUnknown,
-            };
-            return self.give_up(number, code);
-        }
-        if !waiting.is_cleared && self.now >= waiting.clear_deadline {
-            // Nothing was proposed; and what the tail tells from now on is newer than the request.
-            return self.give_up(number, ResultCode::CoreNotReady);
-        }
-        match &waiting.ask {
-            OperatorAsk::Read(reading) => {
-                waiting.next_try = Some(retry_at);
-                let reading = reading.clone();
-                // A change's base may be read here: the head judges whether it's the newest.
-                let is_base =
-                    matches!(reading, Reading::Base { at_least } if self.replica.state_machine().epoch >= at_least);
-                let is_known_here = || {
-                    let state = self.replica.state();
-                    state.is_sound && state.view.seats(&state.me)
-                };
-                if self.may_respond() || (is_base && is_known_here()) {
-                    self.waiting.remove(&number);
-                    let (status, body) = self.read(&reading);
-                    self.outputs.push(ControllerOutput::Response { number, status, body });
-                } else {
-                    self.ask_tail(number, reading);
-                }
-            }
-            OperatorAsk::Propose(proposal)
-                if !waiting.is_cleared
-                    && let Some(reading) = read_before(proposal) =>
-            {
-                waiting.next_try = Some(retry_at);
-                if self.may_respond() {
-                    let (status, body) = self.read(&reading);
-                    self.clear(number, status, body);
-                } else {
-                    self.ask_tail(number, reading);
-                }
-            }
-            OperatorAsk::Propose(proposal) => {
-                // Each try has a number of its own: a late word on one says nothing of the next.
-                self.last_asked += 1;
-                (waiting.asked, waiting.asked_of) = (self.last_asked, None);
-                waiting.next_try = None;
-                let (number, body) = (waiting.asked, proposal.to_bytes());
-                self.drive(Input::Propose { number, body });
-            }
-        }
-    }
-
-    fn ask_tail(&mut self, number: u64, reading: Reading) {
-        let Some(tail) = self.replica.view().tail() else { return };
-        let Some(waiting) = self.waiting.get_mut(&number) else { return };
-        waiting.asked_of = Some(tail.address);
-        let number = waiting.asked;
-        self.send(tail.address, Letter::Ask { number, reading: Box::new(reading) });
-    }
-
-    /// The tail's answer. It's taken only for the question that waits under this number, and only from
-    /// the one that was asked last.
-    fn on_told(&mut self, from: Address, asked: u64, status: u16, body: Vec<u8>) {
-        let is_its = |waiting: &Waiting| waiting.asked == asked && waiting.asked_of == Some(from);
-        let Some((&number, waiting)) = self.waiting.iter().find(|(_, waiting)| is_its(waiting)) else { return };
-        if matches!(waiting.ask, OperatorAsk::Propose(_)) {
-            return self.clear(number, status, body);
-        }
-        self.waiting.remove(&number);
-        self.outputs.push(ControllerOutput::Response { number, status, body });
-    }
-
-    /// The tail's word on what is to be known before it's proposed: which epoch is the newest, or whether those
-    /// to be forgotten are heard. If nobody hears them, it's proposed; a tail that does not know yet is asked
-    /// again; any other word is the operator's answer.
-    fn clear(&mut self, number: u64, status: u16, body: Vec<u8>) {
-        let Some(waiting) = self.waiting.get_mut(&number) else { return };
-        if waiting.is_cleared {
-            return;
-        }
-        if self.now >= waiting.clear_deadline {
-            return self.give_up(number, ResultCode::CoreNotReady);
-        }
-        match status {
-            200 => {
-                if let OperatorAsk::Propose(proposal) = &mut waiting.ask
-                    && proposal.command.is_of_a_zone()
-                {
-                    let Ok(newest) = body.try_into() else { return };
-                    proposal.seen = Epoch(u64::from_be_bytes(newest));
-                }
-                waiting.is_cleared = true;
-                self.try_again(number);
-            }
-            503 if self.now < waiting.patience_deadline => {}
-            _ => {
-                self.waiting.remove(&number);
-                self.outputs.push(ControllerOutput::Response { number, status, body });
-            }
-        }
-    }
-
-    fn give_up(&mut self, number: u64, code: ResultCode) {
-        self.waiting.remove(&number);
-        let body = serde_json::json!({"code": code.number(), "result": code.word(), "why": code.meaning()});
-        let body = serde_json::to_vec(&body).expect("a JSON value is JSON");
-        self.outputs.push(ControllerOutput::Response { number, status: code.http_status(), body });
-    }
-
-    /// The core's answer to a proposal made here, taken only for the newest try of an operator's.
-    fn on_response(&mut self, asked: u64, is_replied: bool, body: Vec<u8>) {
-        let is_its = |waiting: &Waiting| waiting.asked == asked && waiting.asked_of.is_none();
-        let Some((&number, waiting)) = self.waiting.iter_mut().find(|(_, waiting)| is_its(waiting)) else { return };
-        if is_replied {
-            self.waiting.remove(&number);
-            let status = status_of(&body);
-            self.outputs.push(ControllerOutput::Response { number, status, body });
-        } else if self.now < waiting.patience_deadline {
-            // The core did not take it, so asking again can't do it twice.
-            waiting.next_try = Some(self.now + self.timing.replica.retry);
-        } else {
-            self.give_up(number, ResultCode::CoreNotReady);
-        }
-    }
-
-    /// What the ledger says, as status and body.
-    fn read(&self, reading: &Reading) -> (u16, Vec<u8>) {
-        let ledger = self.replica.state_machine();
-        let missing = |code: ResultCode, why: String| {
-            let value = serde_json::json!({"code": code.number(), "result": code.word(), "why": why});
-            (code.http_status(), serde_json::to_vec(&value).expect("a JSON value is JSON"))
-        };
-        let good = |value: serde_json::Value| (200, serde_json::to_vec(&value).expect("a JSON value is JSON"));
-        match reading {
-            Reading::Latest => good(serde_json::json!({
-                "epoch": ledger.epoch,
-                "plan_epoch": ledger.plan_epoch,
-                "withdrawn": ledger.withdrawn,
-                "zones": ledger.zones(),
-                "members": ledger.member_zones.iter()
-                    .map(|(address, zone)| serde_json::json!({"address": address, "zone": zone})).collect::<Vec<_>>(),
-            })),
-            Reading::Newest => (200, ledger.epoch.0.to_be_bytes().to_vec()),
-            Reading::Epoch { epoch: Epoch(0) } if ledger.plan_epoch > Epoch(0) => (200, ledger.plan.clone()),
-            Reading::Base { .. } => {
-                let mut body = ledger.plan_epoch.0.to_be_bytes().to_vec();
-                body.extend_from_slice(&ledger.plan);
-                (200, body)
-            }
-            Reading::Epoch { epoch } => match ledger.as_sent(*epoch) {
-                Ok(AsSent::Body(bytes)) => (200, bytes),
-                Ok(AsSent::Withdraw(zone)) => good(serde_json::json!({"withdraw": zone})),
-                Ok(AsSent::Forget(members)) => good(serde_json::json!({"forget": members})),
-                Ok(AsSent::Restore(zone)) => good(serde_json::json!({"restore": zone})),
-                Err(NotKept::Never) => {
-                    missing(ResultCode::UnknownEpoch, format!("no operator's command was accepted as epoch {epoch}"))
-                }
-                Err(NotKept::NoLonger) => {
-                    missing(ResultCode::NoLongerKept, format!("what was sent as epoch {epoch} is no longer kept"))
-                }
-            },
-            Reading::Heard { id, .. } if ledger.entry_by_id(id).is_some() => good(serde_json::json!({"heard": []})),
-            Reading::Heard { members, .. } => {
-                let is_recent = |at: Option<&Moment>| at.is_some_and(|at| self.now.since(*at) < FORGET_AFTER);
-                let is_heard =
-                    |member: &&Address| is_recent(self.seen.get(*member)) || is_recent(self.told_of.get(*member));
-                let heard: Vec<String> = members.iter().filter(is_heard).map(Address::to_string).collect();
-                if !heard.is_empty() {
-                    return missing(ResultCode::StillHeard, format!("still heard: {}", heard.join(", ")));
-                }
-                if self.responses_since.is_none_or(|since| self.now.since(since) < FORGET_AFTER) {
-                    let why = "the core has not listened for long enough to tell who is lost";
-                    return missing(ResultCode::CoreNotReady, why.to_owned());
-                }
-                good(serde_json::json!({"heard": heard}))
-            }
-            Reading::Fate { id } if ledger.entry_by_id(id).is_some_and(|entry| !self.is_firm(entry.epoch)) => {
-                let why = "it is in the chain, and not yet accepted: too few disks hold it, or nodes know it";
-                missing(ResultCode::CoreNotReady, why.to_owned())
-            }
-            Reading::Fate { id } => match ledger.history.fate(id) {
-                Fate::Accepted(epoch) => good(serde_json::json!({
-                    "code": ResultCode::Accepted.number(), "result": ResultCode::Accepted.word(),
-                    "id": id, "epoch": epoch,
-                })),
-                Fate::NotAccepted => {
-                    missing(ResultCode::UnknownChange, format!("no change with id `{id}` is accepted so far"))
-                }
-                Fate::TooOldToKnow => {
-                    let oldest = ledger.history.forgotten.epoch.next();
-                    let why =
-                        format!("no change from epoch {oldest} on has the id `{id}`; older ones are not remembered");
-                    missing(ResultCode::TooOldToKnow, why)
-                }
-            },
-        }
-    }
-}
-
-/// What the tail must be asked before this is proposed.
-fn read_before(proposal: &Proposal) -> Option<Reading> {
-    match &proposal.command {
-        Command::Forget { members } => Some(Reading::Heard { id: proposal.id.clone(), members: members.clone() }),
-        command => command.is_of_a_zone().then_some(Reading::Newest),
-    }
-}
-
-/// The HTTP status that goes with an outcome's code.
-fn status_of(body: &[u8]) -> u16 {
-    let code = serde_json::from_slice::<serde_json::Value>(body).ok().and_then(|value| value["code"].as_u64());
-    let found = ResultCode::ALL.iter().find(|known| Some(u64::from(known.number())) == code);
-    found.map_or(500, |code| code.http_status())
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/controller/src/controller/members.rs
@@ -0,0 +1,143 @@
+//! The members: their leases, the news that they are told, who joins and who is let go.
+
+use super::*;
+
+impl Controller {
+    pub(super) fn on_poll(&mut self, from: Address, poll: Poll) {
+        self.poll_count += 1;
+        if !self.may_respond() {
+            let voters = self.voters();
+            let tail = self.replica.view().tail().map(|tail| tail.address);
+            let response = PollResponse::Elsewhere { view: self.replica.view().epoch, tail, voters };
+            return self.send(from, Letter::PollResponse { round: poll.round, response: Box::new(response) });
+        }
+        self.seen.insert(from, self.now);
+        self.told_of.extend(poll.hears.iter().map(|heard| (*heard, self.now)));
+        let is_member = self.replica.state_machine().membership.members.contains(&from);
+        if is_member {
+            self.give_lease(from, &poll);
+        } else {
+            self.joining.insert(from, poll);
+        }
+    }
+
+    /// Answers a member's poll with a lease, which it keeps, and with what it lacks.
+    pub(super) fn give_lease(&mut self, to: Address, poll: &Poll) {
+        let newest = self.replica.state_machine().epoch;
+        let deadline = self.now + self.timing.lease;
+        self.leases.renew(to, poll.epoch.min(newest), deadline);
+        self.subscribers.insert(to, Subscriber { told: poll.epoch.max(newest), deadline });
+        let ledger = self.replica.state_machine();
+        let view = self.replica.view().epoch;
+        let response = PollResponse::Lease {
+            span: self.timing.lease,
+            epoch: ledger.epoch,
+            news: (poll.epoch < ledger.epoch).then(|| self.news(poll.epoch)),
+            view,
+            voters: if poll.view == view { vec![] } else { self.voters() },
+            key: ledger.key.filter(|_| !poll.has_key),
+        };
+        self.send(to, Letter::PollResponse { round: poll.round, response: Box::new(response) });
+    }
+
+    /// For one that has this epoch.
+    pub(super) fn news(&self, has: Epoch) -> News {
+        let ledger = self.replica.state_machine();
+        let members_since = ledger.membership.since;
+        let member = |(address, zone): &(Address, ZoneName)| Member { address: *address, zone: zone.clone() };
+        News {
+            epoch: ledger.epoch,
+            plan_epoch: ledger.plan_epoch,
+            withdrawn: ledger.withdrawn.clone(),
+            members: (has < members_since).then(|| ledger.member_zones.iter().map(member).collect()),
+            members_since,
+        }
+    }
+
+    /// Tells news to members that polled lately, and answers settled changes that most members know.
+    pub(super) fn release(&mut self) {
+        let (epoch, now) = (self.replica.state_machine().epoch, self.now);
+        let is_behind = |subscriber: &Subscriber| subscriber.told < epoch && now < subscriber.deadline;
+        if self.subscribers.values().any(is_behind) && self.may_respond() {
+            let (whole, brief) = (self.news(Epoch(0)), self.news(epoch));
+            let since = whole.members_since;
+            let behind: Vec<(Address, bool)> = self
+                .subscribers
+                .iter()
+                .filter(|(_, subscriber)| is_behind(subscriber))
+                .map(|(member, subscriber)| (*member, subscriber.told < since))
+                .collect();
+            for (member, wants_membership) in behind {
+                let news = if wants_membership { &whole } else { &brief };
+                self.subscribers.entry(member).and_modify(|subscriber| subscriber.told = epoch);
+                self.send(member, Letter::News { news: Box::new(news.clone()) });
+            }
+        }
+        while let Some(settled) = self.settled.front() {
+            let is_known = self.is_known(settled.epoch);
+            if !is_known && self.now < settled.deadline {
+                break;
+            }
+            let Some(settled) = self.settled.pop_front() else { break };
+            if !is_known && settled.ticket.number < INNER {
+                continue;
+            }
+            self.answer(settled.ticket, settled.body);
+        }
+    }
+
+    /// Whether enough of those before the last change of the membership know the membership now.
+    pub(super) fn is_membership_settled(&self) -> bool {
+        let membership = &self.replica.state_machine().membership;
+        match self.timing.quorum {
+            Quorum::Majority => self.leases.is_membership_settled(membership),
+            Quorum::Holders => self.is_known(membership.since),
+        }
+    }
+
+    /// Lets those in that asked, a change of the membership at a time.
+    pub(super) fn admit(&mut self) {
+        let membership = &self.replica.state_machine().membership;
+        let members = &membership.members;
+        let joined: Vec<Address> = self.joining.keys().filter(|one| members.contains(one)).copied().collect();
+        for address in joined {
+            if let Some(poll) = self.joining.remove(&address) {
+                self.give_lease(address, &poll);
+            }
+        }
+        if self.joining.is_empty() || self.now < self.join_deadline || !self.is_membership_settled() {
+            return;
+        }
+        self.join_deadline = self.now + self.timing.join;
+        let members = self.joining.iter().map(|(address, poll)| (*address, poll.member.zone.clone())).collect();
+        self.propose_inner(Command::Join { members });
+    }
+
+    /// Once more than half of the previous members know the membership, they are needed for no majority any more.
+    pub(super) fn settle(&mut self) {
+        let membership = &self.replica.state_machine().membership;
+        if membership.previous == membership.members || self.now < self.settle_deadline || !self.is_membership_settled()
+        {
+            return;
+        }
+        let since = membership.since;
+        self.settle_deadline = self.now + Span(400);
+        self.propose_inner(Command::Settle { since });
+    }
+
+    /// Takes members out that have held no lease for long.
+    pub(super) fn retire(&mut self) {
+        if self.now < self.retire_deadline || !self.is_membership_settled() {
+            return;
+        }
+        self.retire_deadline = self.now + Span::seconds(1);
+        let is_gone = |member: &&Address| {
+            self.seen.get(*member).is_none_or(|seen| self.now.since(*seen) >= self.timing.retire_after)
+        };
+        let gone: Vec<Address> =
+            self.replica.state_machine().membership.members.iter().filter(is_gone).copied().collect();
+        if !gone.is_empty() {
+            self.propose_inner(Command::Retire { members: gone });
+        }
+    }
+}
