--- a/crates/controller/src/contacts.rs
+++ b/crates/controller/src/contacts.rs
@@ -9,8 +9,10 @@
 /// The spans and bounds that the exchange goes by.
 #[derive(Debug, Clone, Copy)]
 pub struct ContactTiming {
-    /// Between exchanges with the seeds.
+    /// Between exchanges of a controller with a disk with the seeds.
     pub exchange: Span,
+    /// The same of one without, which has nothing of its own to tell.
+    pub relay_exchange: Span,
     /// The same until a seed has answered since the start or since the seeds changed.
     pub first_exchange: Span,
     /// Operators are sent to controllers that were heard within this time, where there are any.
@@ -22,9 +24,10 @@
 impl Default for ContactTiming {
     fn default() -> Self {
         ContactTiming {
-            exchange: Span(1000),
+            exchange: Span(2000),
+            relay_exchange: Span(4000),
             first_exchange: Span(250),
-            recent: Span::seconds(5),
+            recent: Span::seconds(7),
             life: Span::seconds(30),
         }
     }
@@ -101,12 +104,17 @@
         if now < self.next_exchange {
             return vec![];
         }
-        let pause = if self.has_answer { self.timing.exchange } else { self.timing.first_exchange };
+        let pause = match (self.has_answer, self.own_admin) {
+            (false, _) => self.timing.first_exchange,
+            (true, Some(_)) => self.timing.exchange,
+            (true, None) => self.timing.relay_exchange,
+        };
         self.next_exchange = now + pause;
         let life = self.timing.life;
         self.controllers.retain(|_, contact| now.since(contact.heard) < life);
         let others = self.seeds.iter().filter(|seed| **seed != self.own);
-        others.map(|seed| (*seed, self.letter(now, false))).collect()
+        let letter = Letter::CoreLocation { location: Box::new(self.question(now)), is_answer: false };
+        others.map(|seed| (*seed, letter.clone())).collect()
     }
 
     /// When something is due next.
@@ -115,13 +123,20 @@
     }
 
     /// Takes a letter from another controller; gives the answer, if it wants one.
-    pub fn on_location(&mut self, now: Moment, location: &CoreLocation, is_answer: bool) -> Option<Letter> {
+    pub fn on_location(
+        &mut self,
+        now: Moment,
+        from: Address,
+        location: &CoreLocation,
+        is_answer: bool,
+    ) -> Option<Letter> {
         self.has_answer |= is_answer;
         self.learn(location.view, location.voters.iter().copied());
         let own = self.own;
         let others = location.controllers.iter().filter(|contact| contact.inner != own);
         others.for_each(|contact| self.take_contact(now, contact));
-        (!is_answer).then(|| self.letter(now, true))
+        let answer = || Letter::CoreLocation { location: Box::new(self.answer(now, from, location)), is_answer: true };
+        (!is_answer).then(answer)
     }
 
     fn take_contact(&mut self, now: Moment, contact: &ControllerContact) {
@@ -146,11 +161,26 @@
         known[..count].iter().map(|contact| contact.admin).collect()
     }
 
-    fn letter(&self, now: Moment, is_answer: bool) -> Letter {
-        let own = self.own_admin.map(|admin| ControllerContact { inner: self.own, admin, age: Span(0) });
-        let controllers = own.into_iter().chain(self.latest(now)).take(MOST_TOLD).collect();
-        let location = CoreLocation { view: self.view, voters: self.voters.clone(), controllers };
-        Letter::CoreLocation { location: Box::new(location), is_answer }
+    /// What it tells its seeds. One with a disk tells of itself alone, as each other such one does.
+    fn question(&self, now: Moment) -> CoreLocation {
+        let controllers = self.own_contact().map_or_else(|| self.told(now), |own| vec![own]);
+        CoreLocation { view: self.view, voters: self.voters.clone(), controllers }
+    }
+
+    /// What the asker lacks: the voters if its view is older, and whom operators may be sent to if it has no disk.
+    fn answer(&self, now: Moment, asker: Address, asked: &CoreLocation) -> CoreLocation {
+        let has_disk = asked.controllers.iter().any(|contact| contact.inner == asker);
+        let voters = if asked.view < self.view { self.voters.clone() } else { vec![] };
+        let controllers = if has_disk { vec![] } else { self.told(now) };
+        CoreLocation { view: self.view, voters, controllers }
+    }
+
+    fn own_contact(&self) -> Option<ControllerContact> {
+        self.own_admin.map(|admin| ControllerContact { inner: self.own, admin, age: Span(0) })
+    }
+
+    fn told(&self, now: Moment) -> Vec<ControllerContact> {
+        self.own_contact().into_iter().chain(self.latest(now)).take(MOST_TOLD).collect()
     }
 
     fn latest(&self, now: Moment) -> Vec<ControllerContact> {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -369,7 +369,7 @@
     /// Another controller tells where the core is.
     fn on_location(&mut self, from: Address, location: &CoreLocation, is_answer: bool) {
         self.contacts.learn(self.replica.view().epoch, self.voters());
-        let answer = self.contacts.on_location(self.now, location, is_answer);
+        let answer = self.contacts.on_location(self.now, from, location, is_answer);
         let (view, voters) = self.contacts.core();
         self.replica.meet(view, voters);
         answer.into_iter().for_each(|letter| self.send(from, letter));
--- a/crates/controller/src/relay.rs
+++ b/crates/controller/src/relay.rs
@@ -45,7 +45,7 @@
 
     fn on_letter(&mut self, now: Moment, from: Address, letter: Letter) -> Option<(Address, Letter)> {
         let answer = match letter {
-            Letter::CoreLocation { location, is_answer } => self.contacts.on_location(now, &location, is_answer),
+            Letter::CoreLocation { location, is_answer } => self.contacts.on_location(now, from, &location, is_answer),
             Letter::Poll { poll } => {
                 let response = self.contacts.elsewhere();
                 response.map(|it| Letter::PollResponse { round: poll.round, response: Box::new(it) })
