The tail calls members without a lease: one whose seeds are all gone can't ask

Ruled out: the core, which accepts changes again within 4 s; the exchange at the seeds, since none is there.

Change: call_members, 16 a second at most, and on_core_location. The simulator's settings name nobody who is gone where they are read anew.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -168,6 +168,9 @@
     join_deadline: Moment,
     settle_deadline: Moment,
     retire_deadline: Moment,
+    /// When members without a lease are called next, and who was called last.
+    next_call: Moment,
+    last_called: Option<Address>,
     settled: VecDeque<Settled>,
     waiting: BTreeMap<u64, Waiting>,
     /// The last number under which something went out for an operator.
@@ -241,6 +244,8 @@
             join_deadline: now,
             settle_deadline: now,
             retire_deadline: now + timing.retire_after,
+            next_call: now,
+            last_called: None,
             settled: VecDeque::new(),
             waiting: BTreeMap::new(),
             last_asked: first,
@@ -434,6 +439,7 @@
                 self.propose_inner(Command::Key { key: self.key });
             }
             self.admit();
+            self.call_members();
             if has_majority {
                 self.settle();
                 self.retire();
--- a/crates/controller/src/controller/members.rs
+++ b/crates/controller/src/controller/members.rs
@@ -1,6 +1,12 @@
 //! The members: their leases, the news that they are told, who joins and who is let go.
 
 use super::*;
+use std::collections::BTreeSet;
+
+/// Between calls of members without a lease,
+const CALL_PERIOD: Span = Span(1000);
+/// and how many are called at once: 5 KB a second at most.
+const CALLED_AT_ONCE: usize = 16;
 
 impl Controller {
     pub(super) fn on_poll(&mut self, from: Address, poll: Poll) {
@@ -95,6 +101,29 @@
         }
     }
 
+    /// Tells members without a lease where the core is: those whose seeds are all gone can't ask. Some at a time, by
+    /// turns, and only once all that know it had time to ask.
+    pub(super) fn call_members(&mut self) {
+        let has_listened = self.responses_since.is_some_and(|since| self.now.since(since) >= self.timing.lease);
+        if !has_listened || self.now < self.next_call {
+            return;
+        }
+        self.next_call = self.now + CALL_PERIOD;
+        let leased: BTreeSet<Address> = self.leases.live(self.now).into_iter().map(|(member, _)| member).collect();
+        let members = &self.replica.state_machine().membership.members;
+        let mut unleased: Vec<Address> = members.iter().filter(|member| !leased.contains(member)).copied().collect();
+        unleased.sort();
+        let behind_last = unleased.iter().take_while(|member| Some(**member) <= self.last_called).count();
+        unleased.rotate_left(behind_last);
+        unleased.truncate(CALLED_AT_ONCE);
+        let location = CoreLocation { view: self.replica.view().epoch, voters: self.voters(), controllers: vec![] };
+        for member in unleased {
+            self.last_called = Some(member);
+            let location = Box::new(location.clone());
+            self.send(member, Letter::CoreLocation { location, is_answer: true });
+        }
+    }
+
     /// Lets those in that asked, a change of the membership at a time.
     pub(super) fn admit(&mut self) {
         let membership = &self.replica.state_machine().membership;
--- a/crates/controller/src/controller/tests.rs
+++ b/crates/controller/src/controller/tests.rs
@@ -178,6 +178,8 @@
 struct Alone {
     controller: Controller,
     at: u64,
+    /// Whom it has told where the core is, with the view, and when.
+    called: Vec<(u64, u16, u64)>,
 }
 
 impl Alone {
@@ -190,7 +192,7 @@
         let replica = Replica::new(voter, vec![], timing.replica, kept, Ledger::default(), Moment(10_000)).unwrap();
         let contacts = Contacts::new(Address::loopback(2), None, vec![], Moment(10_000));
         let controller = Controller::new(replica, contacts, timing, TokenKey([3; 32]), 0, Moment(10_000));
-        Alone { controller, at: 10_000 }
+        Alone { controller, at: 10_000, called: vec![] }
     }
     /// Takes an input, syncs what it writes; gives the codes that operators are told.
     fn step(&mut self, after: u64, input: ControllerInput) -> Vec<(u64, u64)> {
@@ -204,6 +206,10 @@
                         let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
                         told.push((number, body["code"].as_u64().unwrap()));
                     }
+                    ControllerOutput::Send { to, letter: Letter::CoreLocation { location, .. }, .. } => {
+                        assert_eq!(location.voters, [Address::loopback(1)]);
+                        self.called.push((self.at, to.0.port(), location.view.0));
+                    }
                     _ => {}
                 }
             }
@@ -245,3 +251,26 @@
     assert_eq!(played.ticks(1500), []);
     assert_eq!(played.ticks(700), [(2, 300)], "its lease has run out");
 }
+
+/// A member that restarted and whose seeds are all gone can't ask: the tail calls it, a few at a time.
+#[test]
+fn members_without_a_lease_are_told_where_the_core_is() {
+    let mut played = Alone::new(Quorum::Holders);
+    played.ticks(3000);
+    (100..140).for_each(|member| drop(played.poll(member, 0)));
+    played.ticks(1500);
+    (100..140).for_each(|member| drop(played.poll(member, played.epoch())));
+    assert_eq!(played.called, [], "all hold leases");
+    let silent_from = played.at;
+    for _ in 0..12 {
+        played.ticks(500);
+        played.poll(105, played.epoch());
+    }
+    let called: std::collections::BTreeSet<u16> = played.called.iter().map(|(_, member, _)| *member).collect();
+    assert_eq!(called, (100..140).filter(|member| *member != 105).collect());
+    assert!(played.called.iter().all(|(at, _, view)| *at >= silent_from + 1900 && *view == 1));
+    for (at, ..) in &played.called {
+        let in_a_second = played.called.iter().filter(|(other, ..)| (*at..*at + 1000).contains(other)).count();
+        assert!(in_a_second <= 16, "{in_a_second} in a second");
+    }
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -437,11 +437,8 @@
             | Letter::ListChange { .. }
             | Letter::ListAsk { .. }
             | Letter::ListPiece { .. } => self.step_list(|list, now, _| list.on_letter(now, from, &letter)),
-            Letter::Note { .. }
-            | Letter::Poll { .. }
-            | Letter::Ask { .. }
-            | Letter::Told { .. }
-            | Letter::CoreLocation { .. } => {}
+            Letter::CoreLocation { location, .. } => self.on_core_location(from, *location),
+            Letter::Note { .. } | Letter::Poll { .. } | Letter::Ask { .. } | Letter::Told { .. } => {}
         }
     }
 }
--- a/crates/router/src/node/polling.rs
+++ b/crates/router/src/node/polling.rs
@@ -49,6 +49,17 @@
         self.send(to, Letter::Poll { poll: Box::new(poll) });
     }
 
+    /// The core's tail calls: it knows this node as a member without a lease.
+    pub(super) fn on_core_location(&mut self, from: Address, location: CoreLocation) {
+        let is_leased = self.lease_state.reason(self.now) == LeaseStatus::Leased;
+        if is_leased || location.view < self.view || location.voters.is_empty() {
+            return;
+        }
+        (self.view, self.voters) = (location.view, location.voters);
+        (self.tail, self.polled, self.next_poll) = (Some(from), None, self.now);
+        self.poll();
+    }
+
     pub(super) fn on_poll_response(&mut self, from: Address, round: u64, response: PollResponse) {
         let Some(sent) = self.polled.filter(|_| round == self.poll_round) else { return };
         self.polled = None;
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -486,3 +486,34 @@
     let now = Moment(played.at);
     assert!(played.node.scheduler().servers()[&server].is_fresh(now, &SchedulerRules::default()));
 }
+
+/// Whom these outputs poll.
+fn polled(outputs: Vec<NodeOutput>) -> Vec<u16> {
+    let to = |output| match output {
+        NodeOutput::Send { to, letter: Letter::Poll { .. }, .. } => Some(to.0.port()),
+        _ => None,
+    };
+    outputs.into_iter().filter_map(to).collect()
+}
+
+/// After a restart whose seeds are all gone, the core's tail calls.
+#[test]
+fn a_node_without_a_lease_that_the_core_calls_polls_it_at_once() {
+    let call = |view: u64, voters: &[u16]| {
+        let voters = voters.iter().copied().map(Address::loopback).collect();
+        let location = Box::new(CoreLocation { view: ViewEpoch(view), voters, controllers: vec![] });
+        Letter::CoreLocation { location, is_answer: true }
+    };
+    let mut played = Played::new();
+    assert_eq!(polled(played.step(NodeInput::ClockEvent)), [1], "its seed");
+    assert_eq!(polled(played.tell(5, call(3, &[4, 5]))), [5]);
+    assert_eq!(polled(played.tell(6, call(2, &[6]))), Vec::<u16>::new(), "an older view");
+    assert_eq!(polled(played.tell(6, call(4, &[]))), Vec::<u16>::new(), "nobody is named");
+    // It goes on asking those that it was told of.
+    played.at += 400;
+    let next = polled(played.step(NodeInput::ClockEvent));
+    assert!(next == [4] || next == [5] || next == [1], "{next:?}");
+
+    let mut leased = Played::serving();
+    assert_eq!(polled(leased.tell(5, call(9, &[5]))), Vec::<u16>::new(), "one with a lease needs no call");
+}
--- a/crates/testbed/src/world/relays.rs
+++ b/crates/testbed/src/world/relays.rs
@@ -112,9 +112,21 @@
         self.put(pause, Happening::RelayTick { machine, life });
     }
 
+    /// The settings name nobody who is gone for good.
+    fn renew_settings(&mut self) {
+        let is_gone = |m: &&ControllerMachine| m.is_gone;
+        let gone: Vec<Address> = self.controllers.iter().filter(is_gone).map(|m| m.address).collect();
+        let mut there: Vec<Address> = self.controllers.iter().filter(|m| !m.is_gone).map(|m| m.address).collect();
+        there.retain(|address| !self.settings_seeds.contains(address));
+        for seed in self.settings_seeds.iter_mut().filter(|seed| gone.contains(seed)) {
+            *seed = there.pop().unwrap_or(*seed);
+        }
+    }
+
     /// Running processes read whom their settings name: routers only while they have no lease.
     pub(super) fn on_read_settings(&mut self) {
         self.put(SETTINGS_PERIOD, Happening::ReadSettings);
+        self.renew_settings();
         let seeds = self.settings_seeds.clone();
         if self.is_exchanging() {
             for machine in 0..self.controllers.len() {
--- a/crates/testbed/src/world/tests.rs
+++ b/crates/testbed/src/world/tests.rs
@@ -126,6 +126,13 @@
     }
 }
 
+/// All whom the settings name are replaced, and nobody tells the routers that restart: the core calls its members.
+#[parameterized(a = { 91_000_076 }, b = { 91_000_082 }, c = { 91_000_092 }, d = { 91_000_113 })]
+fn service_returns_though_all_seeds_are_gone_for_good(seed: u64) {
+    let kinds = [FaultKind::ReplaceCore, FaultKind::ReplacePlanned, FaultKind::KillAll];
+    play(WorldRules { relays: 0, ..relay_rules(&kinds, seed, None) });
+}
+
 #[test]
 fn seeds_that_know_nobody_are_seen_by_what_does_not_return() {
     let kinds = [FaultKind::ExchangeSeeds, FaultKind::KillAll];
