A controller's small letters go as datagrams, as a router's do

Cause: the choice of a letter's line stood a third time in the controller's daemon, without datagrams: its exchange of contacts and its calls of members would have made a connection and a thread for each. Found by reading the change again.

Change: PostClass::of there too.

--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -270,7 +270,7 @@
         for output in controller.step(now, input) {
             match output {
                 ControllerOutput::Send { to, is_bulk, letter } => {
-                    let class = if is_bulk { PostClass::Bulk } else { PostClass::Swift };
+                    let class = PostClass::of(&letter, is_bulk);
                     self.post.send(to, class, letter);
                 }
                 ControllerOutput::Write { id, records, is_whole } => {
