--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -226,7 +226,7 @@
     /// others, nothing is taken that might not end in time.
     fn new(now: Moment, settings: &Settings, has_calls: bool) -> Self {
         let short_from = now + Span(settings.linger_ms);
-        let short_for = if has_calls { Span(settings.drain_ms / 2) } else { Span(0) };
+        let short_for = if has_calls { Span(settings.drain_ms * 2 / 3) } else { Span(0) };
         LeavingSchedule {
             short_from,
             quiet_from: now + QUIET_FROM,
--- a/crates/router/src/daemon/tests.rs
+++ b/crates/router/src/daemon/tests.rs
@@ -7,9 +7,9 @@
 
 #[test]
 fn a_process_told_to_stop_takes_less_and_less() {
-    let found = schedule(2700, 4300, true);
-    assert_eq!((found.short_from, found.none_from, found.end), (Moment(102_700), Moment(104_850), Moment(107_000)));
-    assert!(found.quiet_from <= found.short_from);
+    let found = schedule(1000, 6000, true);
+    assert_eq!((found.short_from, found.none_from, found.end), (Moment(101_000), Moment(105_000), Moment(107_000)));
+    assert_eq!(found.quiet_from, Moment(102_500));
 }
 
 /// Nobody knows how long a request of the product's own interface lasts.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -50,7 +50,7 @@
     #[setting(default = 700, validate = within(0, 60_000))]
     pub start_wait_ms: u64,
     /// Told to stop, it's not ready at once, but takes whatever is still sent to it for this long, in ms: whoever
-    /// hands clients out sees readiness late. In the first half of `drain_ms` behind that, it takes calls that must end
+    /// hands clients out sees readiness late. In the first two thirds of `drain_ms` behind that, it takes calls that must end
     /// before it does.
     #[setting(default = 1500, validate = within(0, 60_000))]
     pub linger_ms: u64,
