--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -163,8 +163,9 @@
                 ingress.iter().for_each(Ingress::leave);
                 leaving = Some(LeavingSchedule::new(now, settings, has_calls));
             }
-            let is_reading_due = now >= next_reading && control.node.lease_state().reason(now) != LeaseStatus::Leased;
-            if has_changed.swap(false, Ordering::Relaxed) || is_reading_due {
+            let reads_seeds_again =
+                now >= next_reading && control.node.lease_state().reason(now) != LeaseStatus::Leased;
+            if has_changed.swap(false, Ordering::Relaxed) || reads_seeds_again {
                 next_reading = now + SETTINGS_PERIOD;
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
                 seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
--- a/crates/router/src/server_list/tests/restart.rs
+++ b/crates/router/src/server_list/tests/restart.rs
@@ -133,10 +133,10 @@
     fn step(&mut self) {
         self.now += 5;
         let now = self.now;
-        let (due, later) = std::mem::take(&mut self.letters).into_iter().partition(|(at, ..)| *at <= now);
+        let (arrived, later) = std::mem::take(&mut self.letters).into_iter().partition(|(at, ..)| *at <= now);
         self.letters = later;
-        let due: Vec<(u64, Address, Address, Letter)> = due;
-        for (_, from, to, letter) in due {
+        let arrived: Vec<(u64, Address, Address, Letter)> = arrived;
+        for (_, from, to, letter) in arrived {
             let place = usize::from(to.0.port()) - 1;
             if now < self.starts[place] || self.is_dead(place) {
                 continue;
@@ -149,8 +149,8 @@
                 continue;
             }
             self.read_page(place);
-            let is_due = self.nodes[place].next_timer().0 <= now || (now + place as u64 * 35).is_multiple_of(250);
-            if is_due {
+            let is_awaited = self.nodes[place].next_timer().0 <= now || (now + place as u64 * 35).is_multiple_of(250);
+            if is_awaited {
                 let first = place / ZONE_SIZE * ZONE_SIZE;
                 let zone: BTreeSet<Address> = (first..first + ZONE_SIZE).map(|n| node(1 + n as u16)).collect();
                 let is_leased = now >= self.starts[place] + LEASE;
--- a/crates/transport/src/gate/connection.rs
+++ b/crates/transport/src/gate/connection.rs
@@ -96,7 +96,7 @@
         if exchange.is_responding.replace(false) {
             if exchange.progress() != RequestProgress::Whole {
                 // It was answered before it was read whole: what follows belongs to nothing.
-                return close_in_order(&socket);
+                return close_gracefully(&socket);
             }
             exchange.next_request();
             wait = Wait { progress: exchange.progress(), since: Clock::now() };
@@ -115,7 +115,7 @@
                 return refuse(&socket, fault);
             }
             // hyper has had all of it and has handed nothing on: it reads another end.
-            RequestProgress::Whole => return close_in_order(&socket),
+            RequestProgress::Whole => return close_gracefully(&socket),
             _ => {}
         }
         if progress != wait.progress {
@@ -123,7 +123,7 @@
         }
         match wait_on(&socket, &bounds, &rules, &wait) {
             Waited::Go => {}
-            Waited::Idle => return close_in_order(&socket),
+            Waited::Idle => return close_gracefully(&socket),
             Waited::Late => return refuse_late(&socket, progress),
         }
     }
@@ -210,7 +210,7 @@
     let Err(fault) = outcome else {
         // A client that has ended its side sends nothing more: the connection can close at once.
         if socket.peek() != Peeked::Gone {
-            close_in_order(socket);
+            close_gracefully(socket);
         }
         return;
     };
@@ -243,13 +243,13 @@
 fn tell_and_close(socket: &Wire, response: Response) {
     let _ = socket.stream.set_write_timeout(Some(REFUSAL_WRITE));
     if (&socket.stream).write_all(&response.into_last_bytes()).is_ok() {
-        close_in_order(socket);
+        close_gracefully(socket);
     }
 }
 
 /// Ends the connection such that the client can read all that was written, whatever it still sends meanwhile: a
 /// close with unread bytes, or bytes that come after a close, reset the connection.
-fn close_in_order(socket: &Wire) {
+fn close_gracefully(socket: &Wire) {
     let deadline = Clock::now() + CLOSE_LINGER;
     if socket.stream.shutdown(Shutdown::Write).is_err() {
         return;
