Router: messages to the control thread stand in a module below the daemon

The modules carrier, daemon, forward, ingress, shared and trip imported each other in a loop, tied by the daemon's Event. It is ControlEvent now, in control_event.rs; shared types stand below, threads above, the daemon on top. Behaviour is unchanged; the router's tests compile against the new name alone.

--- a/crates/router/src/carrier.rs
+++ b/crates/router/src/carrier.rs
@@ -1,5 +1,6 @@
 //! Carries one request from its client to a server and the answer back.
 
+use crate::control_event::ControlEvent;
 use crate::prelude::*;
 use crate::shared::{Place, Shared, silence};
 use crate::trip::{Gone, NotTaken, Trip, Wanted};
@@ -127,7 +128,7 @@
         return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
     };
     let input = NodeInput::Resume { number, token: request.token.clone() };
-    let token = match shared.ask_control(input, crate::daemon::Event::Resume).unwrap_or_else(|| Err(silence())) {
+    let token = match shared.ask_control(input, ControlEvent::Resume).unwrap_or_else(|| Err(silence())) {
         Ok(token) => token,
         Err(denial) => return shared.refusal(denial.code, denial.why, denial.retry_after),
     };
--- /dev/null
+++ b/crates/router/src/control_event.rs
@@ -0,0 +1,15 @@
+//! What reaches the control thread from all others.
+
+use crate::prelude::*;
+
+/// One message to the control thread.
+pub(crate) enum ControlEvent {
+    /// An input of the node's state machine that nobody waits for.
+    Input(NodeInput),
+    /// A request that wants a server, and who waits to hear which.
+    Place(NodeInput, flume::Sender<Result<Placing, Denial>>),
+    /// A stream that is to be read on, and who waits to hear where.
+    Resume(NodeInput, flume::Sender<Result<Token, Denial>>),
+    /// Somebody asks what this node believes.
+    Believes(flume::Sender<serde_json::Value>),
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -1,5 +1,6 @@
 use crate::call_limits::SharedLimits;
 use crate::carrier::{fetch, resume, take_request};
+use crate::control_event::ControlEvent;
 use crate::ingress::Ingress;
 use crate::list_reader;
 use crate::poller;
@@ -12,14 +13,6 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 
-/// What reaches the control thread.
-pub(crate) enum Event {
-    Input(NodeInput),
-    Place(NodeInput, flume::Sender<Result<Placing, Denial>>),
-    Resume(NodeInput, flume::Sender<Result<Token, Denial>>),
-    Believes(flume::Sender<serde_json::Value>),
-}
-
 /// Between clock events, at most.
 const LONGEST_TICK: Span = Span(250);
 /// Between readings of the settings' seeds, while there is no lease.
@@ -73,10 +66,10 @@
     let connections = settings.requests as usize + 112;
     let bounds = GateBounds { connections, body_bytes: 4 << 20, read_span: Span::seconds(10), ..GateBounds::default() };
     let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
-    let (sender, events) = flume::bounded::<Event>(QUEUE);
+    let (sender, events) = flume::bounded::<ControlEvent>(QUEUE);
     let take_letter = sender.clone();
     let post = Post::open(listener, move |from, letter| {
-        let _ = take_letter.send(Event::Input(NodeInput::Letter { from, letter }));
+        let _ = take_letter.send(ControlEvent::Input(NodeInput::Letter { from, letter }));
     })
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let incarnation = new_life();
@@ -106,13 +99,13 @@
             let ingress = Ingress::open(settings, shared.clone(), dialect.clone())?;
             node = node.reading_list(settings.list_timing());
             let (platform, control) = (settings.platform.parse()?, sender.clone());
-            let tell = move |reading| drop(control.send(Event::Input(NodeInput::List(reading))));
+            let tell = move |reading| drop(control.send(ControlEvent::Input(NodeInput::List(reading))));
             let list = list_reader::start(platform, dialect, tell).map_err(|fault| fault.to_string())?;
             (Some(ingress), Some(list))
         }
         None => {
             let control = sender.clone();
-            let tell_scheduler = move |event| drop(control.send(Event::Input(NodeInput::Event(event))));
+            let tell_scheduler = move |event| drop(control.send(ControlEvent::Input(NodeInput::Event(event))));
             poller::start(settings.platform.clone(), tell_scheduler).map_err(|fault| fault.to_string())?;
             (None, None)
         }
@@ -156,7 +149,7 @@
     loop {
         let now = Clock::now();
         if now >= next_tick {
-            control.take(Event::Input(NodeInput::ClockEvent));
+            control.take(ControlEvent::Input(NodeInput::ClockEvent));
             if stop.load(Ordering::Relaxed) && !control.is_leaving {
                 tracing::info!("router: not ready any more; takes what is still sent to it for a moment.");
                 control.is_leaving = true;
@@ -168,7 +161,7 @@
             if has_changed.swap(false, Ordering::Relaxed) || reads_seeds_again {
                 next_reading = now + SETTINGS_PERIOD;
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
-                seeds.into_iter().for_each(|seeds| control.take(Event::Input(NodeInput::Seeds(seeds))));
+                seeds.into_iter().for_each(|seeds| control.take(ControlEvent::Input(NodeInput::Seeds(seeds))));
             }
             if let Some(schedule) = &leaving {
                 if now >= schedule.short_from {
@@ -177,7 +170,7 @@
                 let has_none_left = ingress.is_some() && now >= schedule.quiet_from && shared.is_quiet(now);
                 if (now >= schedule.none_from || has_none_left) && !is_draining {
                     tracing::info!("router: takes no new work; finishes what is in hand.");
-                    control.take(Event::Input(NodeInput::Drain));
+                    control.take(ControlEvent::Input(NodeInput::Drain));
                     is_draining = true;
                 }
             }
@@ -258,29 +251,29 @@
 
 impl Control {
     /// Takes what has come, after waiting a little for something.
-    fn take_all(&mut self, events: &flume::Receiver<Event>) {
+    fn take_all(&mut self, events: &flume::Receiver<ControlEvent>) {
         if let Ok(event) = events.recv_timeout(Duration::from_millis(5)) {
             self.take(event);
         }
     }
 
-    fn take(&mut self, event: Event) {
+    fn take(&mut self, event: ControlEvent) {
         let now = Clock::now();
         let input = match event {
-            Event::Input(input) => input,
-            Event::Place(input, response) => {
+            ControlEvent::Input(input) => input,
+            ControlEvent::Place(input, response) => {
                 if let NodeInput::Place(PlaceAsk { number, .. }) = &input {
                     self.waiting.insert(*number, response);
                 }
                 input
             }
-            Event::Resume(input, response) => {
+            ControlEvent::Resume(input, response) => {
                 if let NodeInput::Resume { number, .. } = &input {
                     self.resuming.insert(*number, response);
                 }
                 input
             }
-            Event::Believes(response) => {
+            ControlEvent::Believes(response) => {
                 let _ = response.send(self.believes(now));
                 return;
             }
@@ -343,7 +336,7 @@
         let (control, plans) = (self.door.shared.control.clone(), self.plans.clone());
         let read = move || {
             let input = NodeInput::Plan { plan_epoch, plan: plans.parse(&bytes).map(Arc::new), bytes };
-            let _ = control.send(Event::Input(input));
+            let _ = control.send(ControlEvent::Input(input));
         };
         if let Err(fault) = std::thread::Builder::new().name("plan".into()).spawn(read) {
             tracing::warn!("node: no thread to read a plan: {fault}.");
@@ -415,14 +408,14 @@
 }
 
 /// Threads that give KV orders to servers.
-fn start_kv(control: &flume::Sender<Event>) -> std::io::Result<flume::Sender<KvTask>> {
+fn start_kv(control: &flume::Sender<ControlEvent>) -> std::io::Result<flume::Sender<KvTask>> {
     let (tasks, jobs) = flume::bounded::<KvTask>(128);
     for _ in 0..2 {
         let (jobs, control) = (jobs.clone(), control.clone());
         std::thread::Builder::new().name("kv".into()).spawn(move || {
             while let Ok(task) = jobs.recv() {
                 if let Some(event) = do_kv(task) {
-                    let _ = control.send(Event::Input(NodeInput::Event(event)));
+                    let _ = control.send(ControlEvent::Input(NodeInput::Event(event)));
                 }
             }
         })?;
@@ -481,7 +474,7 @@
             ("GET", ["metrics"]) => Response::whole(200, "text/plain; version=0.0.4", self.shared.tallies.text()),
             ("GET", ["v1", "believes"]) => {
                 let (response, inbox) = flume::bounded(1);
-                let _ = self.shared.control.send(Event::Believes(response));
+                let _ = self.shared.control.send(ControlEvent::Believes(response));
                 match inbox.recv_timeout(Duration::from_secs(5)) {
                     Ok(value) => Response::json(200, &value),
                     Err(_) => Response::result(ResultCode::NotReady, "the control thread gave no answer"),
@@ -531,7 +524,7 @@
         }
         let count = events.len();
         for event in events {
-            let _ = self.shared.control.send(Event::Input(NodeInput::Event(event)));
+            let _ = self.shared.control.send(ControlEvent::Input(NodeInput::Event(event)));
         }
         Response::json(200, &serde_json::json!({"taken": count}))
     }
--- a/crates/router/src/forward/detached.rs
+++ b/crates/router/src/forward/detached.rs
@@ -2,7 +2,7 @@
 //! state charts are those of the daemon.
 
 use super::Forwarder;
-use crate::daemon::Event as ControlEvent;
+use crate::control_event::ControlEvent;
 use crate::prelude::*;
 use crate::shared::Shared;
 use std::sync::Arc;
--- a/crates/router/src/forward/tests.rs
+++ b/crates/router/src/forward/tests.rs
@@ -1,6 +1,7 @@
 //! A forwarder between real clients and stand-in servers over TCP, with a scripted control thread.
 
 use super::*;
+use crate::control_event::ControlEvent;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -255,30 +256,24 @@
     Box::new(move |_| Err(Denial { code, why: "scripted".into(), retry_after: Span(retry_after) }))
 }
 
-fn control(
-    shared: &Arc<Shared>,
-    events: flume::Receiver<crate::daemon::Event>,
-    words: Vec<Word>,
-) -> flume::Receiver<Told> {
+fn control(shared: &Arc<Shared>, events: flume::Receiver<ControlEvent>, words: Vec<Word>) -> flume::Receiver<Told> {
     let (tell, told) = flume::unbounded();
     let (shared, mut words) = (shared.clone(), words.into_iter());
     std::thread::spawn(move || {
         for event in events {
             let one = match event {
-                crate::daemon::Event::Place(NodeInput::Place(ask), response) => {
+                ControlEvent::Place(NodeInput::Place(ask), response) => {
                     let PlaceAsk { round, tried, may_have_run, demand, .. } = ask;
                     let _ = tell.send(Told::Asked { round, tried, may_have_run, deadline: demand.deadline });
                     let word = words.next().unwrap_or_else(|| denied(ResultCode::NoServer, 700));
                     let _ = response.send(word(&shared));
                     continue;
                 }
-                crate::daemon::Event::Input(NodeInput::Event(Event::FirstToken { .. })) => Told::First,
-                crate::daemon::Event::Input(NodeInput::Event(Event::Ended { outcome, .. })) => Told::Ended(outcome),
-                crate::daemon::Event::Input(NodeInput::Event(Event::Load { running, .. })) => Told::Load(running),
-                crate::daemon::Event::Input(NodeInput::Event(Event::Unreachable { server })) => {
-                    Told::Unreachable(server)
-                }
-                crate::daemon::Event::Input(NodeInput::Close { may_have_run, .. }) => Told::Closed { may_have_run },
+                ControlEvent::Input(NodeInput::Event(Event::FirstToken { .. })) => Told::First,
+                ControlEvent::Input(NodeInput::Event(Event::Ended { outcome, .. })) => Told::Ended(outcome),
+                ControlEvent::Input(NodeInput::Event(Event::Load { running, .. })) => Told::Load(running),
+                ControlEvent::Input(NodeInput::Event(Event::Unreachable { server })) => Told::Unreachable(server),
+                ControlEvent::Input(NodeInput::Close { may_have_run, .. }) => Told::Closed { may_have_run },
                 _ => continue,
             };
             let _ = tell.send(one);
@@ -290,7 +285,7 @@
 // ---- The node, and its clients.
 
 /// What the threads of a node that may act share, without a plan, and what they tell its control thread.
-pub(crate) fn shared() -> (Arc<Shared>, flume::Receiver<crate::daemon::Event>) {
+pub(crate) fn shared() -> (Arc<Shared>, flume::Receiver<ControlEvent>) {
     let (sender, inbox) = flume::unbounded();
     let shared = Shared::detached(sender, 10);
     (Arc::new(shared), inbox)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_limits;
 mod carrier;
 mod chart;
+mod control_event;
 mod daemon;
 mod dissemination;
 mod errand;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,4 +1,5 @@
 use crate::call_limits::SharedLimits;
+use crate::control_event::ControlEvent;
 use crate::prelude::*;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
@@ -6,7 +7,7 @@
 
 /// What carriers share.
 pub(crate) struct Shared {
-    pub control: flume::Sender<crate::daemon::Event>,
+    pub control: flume::Sender<ControlEvent>,
     pub may_act_until: AtomicU64,
     /// The newest epoch that this node holds.
     pub epoch: AtomicU64,
@@ -49,7 +50,7 @@
 
 impl Shared {
     /// Of a node that may act without end, and takes this many requests at once.
-    pub fn detached(control: flume::Sender<crate::daemon::Event>, bound: u64) -> Self {
+    pub fn detached(control: flume::Sender<ControlEvent>, bound: u64) -> Self {
         Shared {
             control,
             may_act_until: AtomicU64::new(u64::MAX),
@@ -67,7 +68,7 @@
         }
     }
     pub fn tell(&self, input: NodeInput) {
-        let _ = self.control.send(crate::daemon::Event::Input(input));
+        let _ = self.control.send(ControlEvent::Input(input));
     }
     pub fn tell_ended(&self, request: &RequestId, outcome: Outcome) {
         self.tell(NodeInput::Event(Event::Ended { request: request.clone(), outcome }));
@@ -91,7 +92,7 @@
     pub fn ask_control<T>(
         &self,
         input: NodeInput,
-        wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Denial>>) -> crate::daemon::Event,
+        wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Denial>>) -> ControlEvent,
     ) -> Option<Result<T, Denial>> {
         let (response, inbox) = flume::bounded(1);
         let _ = self.control.send(wrap(input, response));
@@ -102,7 +103,7 @@
             NodeInput::Place(ask) => Some(ask.service.clone()),
             _ => None,
         };
-        let outcome = self.ask_control(input, crate::daemon::Event::Place).unwrap_or_else(|| {
+        let outcome = self.ask_control(input, ControlEvent::Place).unwrap_or_else(|| {
             // Should it be placed after all, it has ended by then: it is never sent. A denial ends nothing:
             // another request of this id may be in hand.
             self.tell_ended(&place.request, Outcome::Refused);
