--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 mod plan;
 mod routing;
 mod settings;
+mod tenants;
 
 /// What each file imports.
 pub mod prelude {
@@ -22,5 +23,6 @@
     };
     pub use crate::routing::RouteTable;
     pub use crate::settings::{SettingsFault, a_name, addresses, an_address, parse_addresses, read_settings, within};
+    pub use crate::tenants::{KeyDigest, KeyHasher, QuotaUnit, TenantPlan, TenantTable};
     pub use types::prelude::*;
 }
--- a/crates/config/src/plan.rs
+++ b/crates/config/src/plan.rs
@@ -147,6 +147,8 @@
     /// 0 goes first.
     #[setting(default = 5, validate = within(0, 9))]
     pub priority: u64,
+    /// Whether its requests need no API key although the plan has tenants.
+    pub public: bool,
     /// Where to; weights of 0 get nothing.
     #[setting(nested)]
     pub split: Vec<SharePlan>,
@@ -183,6 +185,9 @@
     /// The operators' own number of this plan; 0: they count by epochs alone.
     #[setting(default = 0)]
     pub revision: u64,
+    /// Who may send requests, and how many. None: anybody may.
+    #[setting(nested)]
+    pub tenants: Vec<TenantPlan>,
     /// Bounds on what clients send.
     #[setting(nested)]
     pub bounds: BoundsPlan,
--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -1,4 +1,5 @@
 use crate::prelude::*;
+use crate::tenants::tenant_faults;
 use std::collections::HashMap;
 
 /// A plan's routes, by host and prefix, for finding each request's in no more steps than its path has
@@ -128,6 +129,7 @@
                 say("", format!("`{}` has the same host and prefix as `{other}`", route.name));
             }
         }
+        faults.extend(tenant_faults(&self.tenants));
         faults
     }
 }
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -47,6 +47,8 @@
     ServerName
     /// A service that a plan may allow.
     ServiceName
+    /// A tenant: whoever holds one of its API keys.
+    TenantName
 }
 
 #[cfg(test)]
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -57,6 +57,9 @@
     SlowBody = 110, 408, 1, "slow-body", "The request did not arrive whole in time; nothing ran.";
     BadToken = 111, 400, 0, "bad-token", "The resume token can't be read; nothing ran.";
     NotFound = 113, 404, 0, "not-found", "There is nothing at this path.";
+    Unauthorized = 114, 401, 0, "unauthorized", "It bears no API key that the plan in force knows; nothing ran.";
+    OverQuota = 115, 429, 1, "over-quota", "Its tenant is beyond its quota; nothing ran. Come back after Retry-After.";
+    QuotaUnknown = 116, 503, 1, "quota-unknown", "The core did not tell in time whether the tenant's quota has room; nothing ran.";
     Unknown = 200, 502, 0, "unknown", "It may have run: the server was asked and gave no answer.";
     Broken = 201, 502, 0, "broken", "The stream ended before its final record.";
     ResumeFailed = 202, 410, 0, "resume-failed", "That run can't be read on from there; it is not run again.";
