--- a/crates/controller/src/admin_command.rs
+++ b/crates/controller/src/admin_command.rs
@@ -48,6 +48,9 @@
     },
     /// Show the newest epoch, the withdrawn zones and the members.
     Latest,
+    /// Show the tenants with a quota: limits, what was spent in the last window, what is out, refusals. In
+    /// thousandths of requests or tokens.
+    Tenants,
     /// Tell what became of a change.
     Fate {
         /// Your id for it.
@@ -98,6 +101,7 @@
             }
             AdminTask::Show { epoch: None } => ("GET", "/v1/plan".into(), None),
             AdminTask::Show { epoch: Some(epoch) } => ("GET", format!("/v1/plans/{epoch}"), None),
+            AdminTask::Tenants => ("GET", "/v1/tenants".into(), None),
             AdminTask::Latest => ("GET", "/v1/latest".into(), None),
             AdminTask::Fate { id } => ("GET", format!("/v1/fates/{id}"), None),
             AdminTask::Withdraw { zone, id } => {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -4,6 +4,7 @@
 
 mod members;
 mod operators;
+mod quotas;
 mod reading;
 
 /// The spans that a controller goes by besides the replica's own.
@@ -26,6 +27,8 @@
     pub retire_after: Span,
     /// Who must know a change.
     pub quorum: Quorum,
+    /// By how much tenants' quotas may be exceeded.
+    pub quota: QuotaBounds,
 }
 
 impl Default for ControllerTiming {
@@ -39,6 +42,7 @@
             fate_deadline: Span(8000),
             retire_after: Span::seconds(60),
             quorum: Quorum::Majority,
+            quota: QuotaBounds::default(),
         }
     }
 }
@@ -165,6 +169,8 @@
     subscribers: BTreeMap<Address, Subscriber>,
     /// Polls of those that are not members yet.
     joining: BTreeMap<Address, Poll>,
+    /// Grants credit of tenants' quotas while this is the tail; with the view in which it has been so.
+    quotas: Option<(ViewEpoch, Authority)>,
     join_deadline: Moment,
     settle_deadline: Moment,
     retire_deadline: Moment,
@@ -241,6 +247,7 @@
             responses_since: None,
             subscribers: BTreeMap::new(),
             joining: BTreeMap::new(),
+            quotas: None,
             join_deadline: now,
             settle_deadline: now,
             retire_deadline: now + timing.retire_after,
@@ -318,6 +325,7 @@
                     self.settled.push_back(Settled { epoch, ticket, body, deadline });
                 }
                 Output::ViewChanged(view) => {
+                    self.keep_quotas(&view);
                     self.leases.clear();
                     self.leases_since = self.now;
                     self.retire_deadline = self.now + self.timing.retire_after;
@@ -355,7 +363,9 @@
             }
             Letter::Told { number, status, body } => self.on_told(from, number, status, body),
             Letter::CoreLocation { location, is_answer } => self.on_location(from, &location, is_answer),
-            Letter::PollResponse { .. }
+            Letter::CreditAsk { ask } => self.on_credit_ask(from, &ask),
+            Letter::CreditGrant { .. }
+            | Letter::PollResponse { .. }
             | Letter::PlanPiece { .. }
             | Letter::PlanSplice { .. }
             | Letter::News { .. }
@@ -434,6 +444,7 @@
         self.replica.set_has_members(has_majority);
         self.responses_since = if self.may_respond() { self.responses_since.or(Some(self.now)) } else { None };
         if self.may_respond() {
+            self.begin_quotas();
             if self.replica.state_machine().key.is_none() && self.now >= self.key_deadline {
                 self.key_deadline = self.now + Span(400);
                 self.propose_inner(Command::Key { key: self.key });
--- a/crates/controller/src/controller/reading.rs
+++ b/crates/controller/src/controller/reading.rs
@@ -24,6 +24,7 @@
                 "members": ledger.member_zones.iter()
                     .map(|(address, zone)| serde_json::json!({"address": address, "zone": zone})).collect::<Vec<_>>(),
             })),
+            Reading::Tenants => good(self.tenants()),
             Reading::Newest => (200, ledger.epoch.0.to_be_bytes().to_vec()),
             Reading::Epoch { epoch: Epoch(0) } if ledger.plan_epoch > Epoch(0) => (200, ledger.plan.clone()),
             Reading::Base { .. } => {
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -122,6 +122,7 @@
     timing.replica.copies = settings.copies as usize;
     timing.replica.voters = settings.voters as usize;
     timing.quorum = settings.quorum;
+    timing.quota = settings.quota_bounds();
     let mut control = Control {
         inner,
         listen,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -26,6 +26,7 @@
     pub use crate::relay::{Relay, RelayInput};
     pub use crate::settings::Settings;
     pub use config::prelude::*;
+    pub use quota::prelude::{Authority, QuotaBounds};
     pub use replication::prelude::*;
     pub use storage::prelude::*;
     pub use transport::prelude::*;
--- a/crates/controller/src/own_interface.rs
+++ b/crates/controller/src/own_interface.rs
@@ -47,6 +47,7 @@
             ("GET", ["metrics"]) => metrics(self.tallies),
             ("GET", ["v1", "believes"]) => self.believes(),
             ("GET", ["v1", "latest"]) => self.read(Reading::Latest),
+            ("GET", ["v1", "tenants"]) => self.read(Reading::Tenants),
             ("GET", ["v1", "plan"]) => self.read(Reading::Epoch { epoch: Epoch(0) }),
             ("GET", ["v1", "plans", epoch]) => match epoch.parse() {
                 Ok(epoch) if epoch > 0 => self.read(Reading::Epoch { epoch: Epoch(epoch) }),
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -39,4 +39,24 @@
     /// Who must know a change before it is told as accepted: `majority` of the members, or `holders` of
     /// leases.
     pub quorum: Quorum,
+    /// Tenants' quotas bind any window of this length, in ms.
+    #[setting(default = 8000, validate = within(1000, 600_000))]
+    pub quota_window_ms: u64,
+    /// By how much a window may exceed a quota, in percent of it,
+    #[setting(default = 10, validate = within(0, 1000))]
+    pub quota_excess_percent: u64,
+    /// and in requests or tokens beyond that.
+    #[setting(default = 1, validate = within(0, 1_000_000_000))]
+    pub quota_tolerance: u64,
+}
+
+impl Settings {
+    /// By how much quotas may be exceeded.
+    pub fn quota_bounds(&self) -> QuotaBounds {
+        QuotaBounds {
+            window: Span(self.quota_window_ms),
+            excess_percent: self.quota_excess_percent,
+            tolerance: self.quota_tolerance,
+        }
+    }
 }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -12,6 +12,8 @@
     pub host: String,
     /// Path and query, exactly as sent.
     pub target: String,
+    /// The key that the client bears, if it bears one.
+    pub api_key: Option<ApiKey>,
     /// What is passed on with it.
     pub headers: http::HeaderMap,
     /// The body, whole.
@@ -44,6 +46,19 @@
     pub after: Option<u64>,
     /// Its class among those that wait there: 0 goes first, 9 last.
     pub urgency: u8,
+    /// By whose right it's sent. A key is never sent on where the plan has tenants.
+    pub access: &'a Access,
+}
+
+/// By whose right a request goes to a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Access {
+    /// The plan has no tenants: nobody asks.
+    Unrestricted,
+    /// The plan has tenants, and the route is for everybody.
+    Public,
+    /// This tenant's.
+    Tenant(TenantName),
 }
 
 /// Requests that a server has, as it says itself.
--- a/crates/router/src/carrier.rs
+++ b/crates/router/src/carrier.rs
@@ -70,7 +70,7 @@
 }
 
 /// Takes a prompt request.
-pub(crate) fn take_request(shared: &Arc<Shared>, body: &[u8]) -> Response {
+pub(crate) fn take_request(shared: &Arc<Shared>, body: &[u8], api_key: Option<&ApiKey>) -> Response {
     Tallies::more(&shared.tallies.received);
     let request: ClientRequest = match serde_json::from_slice(body) {
         Ok(request) => request,
@@ -80,11 +80,15 @@
         let why = "id and service are 1 to 64 letters, digits or any of -_.:, max_pieces is at least 1";
         return shared.refusal(ResultCode::BadRequest, why.into(), Span(0));
     }
+    let key = match shared.authorize(api_key) {
+        Ok(key) => key,
+        Err(denial) => return shared.refusal(denial.code, denial.why, denial.retry_after),
+    };
     let Some(place) = shared.take_place(request.id.clone(), shared.next_number()) else {
         return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
     };
     let hashes = block_hashes(request.prompt.as_bytes(), shared.block_bytes, 256);
-    let wanted = Wanted::of_service(request.service.clone(), ServiceKind::Stream, hashes);
+    let wanted = Wanted::of_service(request.service.clone(), ServiceKind::Stream, key, hashes);
     let (mut trip, first) = Trip::new(place, wanted, None);
     let (stall, prompt) = (shared.stall, request.prompt);
     let ask = |placing: &Placing| {
@@ -118,11 +122,14 @@
 }
 
 /// Reads a stream on from where the client has it. It's read, never run again.
-pub(crate) fn resume(shared: &Arc<Shared>, body: &[u8]) -> Response {
+pub(crate) fn resume(shared: &Arc<Shared>, body: &[u8], api_key: Option<&ApiKey>) -> Response {
     let request: ResumeRequest = match serde_json::from_slice(body) {
         Ok(request) => request,
         Err(fault) => return shared.refusal(ResultCode::BadRequest, fault.to_string(), Span(0)),
     };
+    if let Err(denial) = shared.authorize(api_key) {
+        return shared.refusal(denial.code, denial.why, denial.retry_after);
+    }
     let number = shared.next_number();
     let Some(place) = shared.take_place(resume_id(number), number) else {
         return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
@@ -163,7 +170,13 @@
 }
 
 /// Fetches a page; the whole answer is read before any of it is given.
-pub(crate) fn fetch(shared: &Arc<Shared>, service: &str, path: &str, id: Option<&str>) -> Response {
+pub(crate) fn fetch(
+    shared: &Arc<Shared>,
+    service: &str,
+    path: &str,
+    id: Option<&str>,
+    api_key: Option<&ApiKey>,
+) -> Response {
     Tallies::more(&shared.tallies.received);
     let number = shared.next_number();
     let request = id.map(RequestId::from);
@@ -174,12 +187,16 @@
         let why = "id, service and path are made of letters, digits and -_.:, a path also of / and at most 1024 long";
         return shared.refusal(ResultCode::BadRequest, why.into(), Span(0));
     }
+    let key = match shared.authorize(api_key) {
+        Ok(key) => key,
+        Err(denial) => return shared.refusal(denial.code, denial.why, denial.retry_after),
+    };
     // No client's id has a slash.
     let request = request.unwrap_or_else(|| RequestId(format!("page/{number}")));
     let Some(place) = shared.take_place(request.clone(), number) else {
         return shared.refusal(ResultCode::Busy, "this node is at its bound of requests".into(), Span(1000));
     };
-    let (mut trip, first) = Trip::new(place, Wanted::of_service(service, ServiceKind::Fetch, vec![]), None);
+    let (mut trip, first) = Trip::new(place, Wanted::of_service(service, ServiceKind::Fetch, key, vec![]), None);
     let ask = |placing: &Placing| {
         let patience = Span(shared.stall.0.min(placing.first_token.0 * 2 + 1000));
         let (sharing, epoch) = (shared.clone(), placing.epoch);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -290,7 +290,7 @@
         self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
         // First the members: a plan is put into force for as many as there are.
         self.door.shared.take_members(self.node.member_count());
-        self.door.shared.take_plan(self.node.plan());
+        self.door.shared.take_plan(self.node.plan(), self.node.tenants());
         tallies.epoch.store(self.node.epoch().0, Ordering::Relaxed);
         tallies.may_act.store(u64::from(now < until), Ordering::Relaxed);
         for output in outputs {
@@ -401,6 +401,7 @@
             "members": lease_state.members(),
             "withdrawn": self.node.withdrawn(),
             "open_requests": self.node.open_count(),
+            "tenants": self.node.held_credit(),
             "servers": servers,
             "active": active,
         })
@@ -458,11 +459,13 @@
 
 impl Door {
     fn respond(self: Arc<Self>, request: &Request) -> Response {
+        let api_key = request.header("authorization").and_then(ApiKey::from_bearer);
+        let api_key = api_key.as_ref();
         match (request.method.as_str(), request.parts().as_slice()) {
-            ("POST", ["v1", "requests"]) => take_request(&self.shared, &request.body),
-            ("POST", ["v1", "resume"]) => resume(&self.shared, &request.body),
+            ("POST", ["v1", "requests"]) => take_request(&self.shared, &request.body, api_key),
+            ("POST", ["v1", "resume"]) => resume(&self.shared, &request.body, api_key),
             ("GET", ["v1", "pages", service, rest @ ..]) => {
-                fetch(&self.shared, service, &rest.join("/"), request.header("x-request-id"))
+                fetch(&self.shared, service, &rest.join("/"), request.header("x-request-id"), api_key)
             }
             ("GET", ["ready"]) => {
                 if self.is_ready.load(Ordering::SeqCst) {
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod detached;
 
+use crate::authorization::authorize;
 use crate::prelude::*;
 use crate::shared::Shared;
 use crate::trip::{Gone, NotTaken, Trip, Wanted};
@@ -84,12 +85,16 @@
             let denial = Denial { code, why: why.to_owned(), retry_after: Span(after) };
             self.refuse(Some(&call.id), &denial)
         };
-        let Some(routes) = self.shared.routes().filter(|_| self.shared.may_act()) else {
+        let Some(plan) = self.shared.plan_in_force().filter(|_| self.shared.may_act()) else {
             return deny(ResultCode::NotReady, "this node may not act", 300);
         };
-        let Some(route) = routes.route(&call.host, call.path()) else {
+        let Some(route) = plan.routes.route(&call.host, call.path()) else {
             return deny(ResultCode::UnknownService, "no accepted plan has a route for this", 0);
         };
+        let credentials = match authorize(&plan.tenants, route.public, call.api_key.as_ref()) {
+            Ok(credentials) => credentials,
+            Err(denial) => return self.refuse(Some(&call.id), &denial),
+        };
         let key = u64::from_be_bytes(
             blake3::hash(call.id.as_str().as_bytes()).as_bytes()[..8].try_into().unwrap_or_default(),
         );
@@ -103,13 +108,15 @@
         let Some(place) = self.shared.take_place(call.id.clone(), self.shared.next_number()) else {
             return deny(ResultCode::Busy, "this node is at its bound of requests", 200);
         };
+        let priority = credentials.and_then(|tenant| tenant.priority).unwrap_or(route.priority);
         let demand =
-            Demand { rank: route.priority as u8, target: Span(route.target_ms), deadline: left, ..call.demand.clone() };
+            Demand { rank: priority as u8, target: Span(route.target_ms), deadline: left, ..call.demand.clone() };
         let urgency = demand.urgency();
         let does_stream = route.kind == RouteKind::Stream;
         let kind = if does_stream { ServiceKind::Stream } else { ServiceKind::Fetch };
         let hashes = call.hashes.clone();
-        let wanted = Wanted { service, kind, route: Some(route.name.clone()), hashes, demand };
+        let key = credentials.map(|tenant| tenant.key);
+        let wanted = Wanted { service, kind, route: Some(route.name.clone()), key, hashes, demand };
         let (trip, first) = Trip::new(place, wanted, Some(route.max_tries as u32));
         let way = Way {
             forwarder: self.clone(),
@@ -258,7 +265,8 @@
         let Ok(address) = placing.address.parse::<SocketAddr>() else {
             return Err(fail(Failure::Unsent, format!("`{}` is no address", placing.address)));
         };
-        let sending = Sending { server: &placing.server, left, after: self.last, urgency: self.urgency };
+        let (server, access) = (&placing.server, &placing.access);
+        let sending = Sending { server, left, after: self.last, urgency: self.urgency, access };
         let request = self.forwarder.dialect.request(self.call, &sending);
         // Where another server may take it up, a silent one is not waited for until the deadline.
         let patience = Span(placing.expected.0 * 2 + self.target.0).max(OVERDUE);
--- a/crates/router/src/forward/detached.rs
+++ b/crates/router/src/forward/detached.rs
@@ -38,7 +38,7 @@
     ) -> std::io::Result<Self> {
         let (control, inbox) = flume::unbounded();
         let shared = Arc::new(Shared::detached(control, BOUND));
-        shared.take_plan(Some(plan));
+        shared.take_detached_plan(plan);
         let placing_shared = Arc::downgrade(&shared);
         std::thread::Builder::new().name("placing".into()).spawn(move || {
             for event in inbox {
--- a/crates/router/src/forward/tests.rs
+++ b/crates/router/src/forward/tests.rs
@@ -20,13 +20,15 @@
         let number = |name: &str| request.header(name).and_then(|value| value.parse().ok());
         let id = RequestId::from(request.header("x-call").ok_or_else(|| deny("no id"))?);
         let host = request.header("host").unwrap_or_default().to_owned();
+        let request_key = request.header("authorization").and_then(ApiKey::from_bearer);
         let (left, after) = (Span(number("x-wait").unwrap_or(20_000)), number("x-after"));
         let (method, target, mut headers, body) = request.into_parts();
         for name in ["x-wait", "x-after", "connection", "content-length"] {
             headers.remove(name);
         }
         let demand = Demand::default();
-        Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand })
+        let api_key = request_key;
+        Ok(Call { id, method, host, target, api_key, headers, body, left, after, hashes: vec![], demand })
     }
     fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response {
         let response = Response::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word())
@@ -149,6 +151,7 @@
             first_token: Span(2000),
             epoch: Epoch(1),
             life: None,
+            access: Access::Unrestricted,
         }
     }
     fn count(&self) -> usize {
@@ -319,7 +322,7 @@
             "deadline_ms": route.deadline_ms, "split": [{"service": "s", "weight": 1}],
         }]});
         let plan = parse_plan(plan.to_string().as_bytes()).expect("a good plan");
-        shared.take_plan(Some(&Arc::new(plan)));
+        shared.take_detached_plan(&Arc::new(plan));
         let told = control(&shared, inbox, words);
         let lines = Lines::new(LinesBounds { per_address: 8, idle_per_address: 4, idle_span: Span::seconds(20) });
         let forwarder = Arc::new(Forwarder { shared: shared.clone(), dialect: Arc::new(Plain), lines, mutant });
--- a/crates/router/src/ingress/tests.rs
+++ b/crates/router/src/ingress/tests.rs
@@ -63,7 +63,7 @@
     assert!(probe(&ingress, "/probe").starts_with("HTTP/1.1 503"));
     assert_eq!(shared.tallies.received.load(SeqCst), 0);
     let plan = parse_plan(br#"{"services": {}}"#).expect("a plan");
-    shared.take_plan(Some(&Arc::new(plan)));
+    shared.take_detached_plan(&Arc::new(plan));
     shared.may_act_until.store(u64::MAX, SeqCst);
     shared.is_ready.store(true, SeqCst);
     let told = answer(&early);
@@ -133,7 +133,7 @@
     let (ingress, shared) = open(0);
     let take = |bounds: &str| {
         let plan = format!(r#"{{"services": {{}}, "bounds": {bounds}}}"#);
-        shared.take_plan(Some(&Arc::new(parse_plan(plan.as_bytes()).expect("a plan"))));
+        shared.take_detached_plan(&Arc::new(parse_plan(plan.as_bytes()).expect("a plan")));
     };
     let mut kept: Vec<TcpStream> = (0..4).map(|_| connect(ingress.addresses.0)).collect();
     assert!(kept.iter().all(|client| post(client, 3000) == "503"), "nothing is in force");
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! The data plane: a router takes clients' requests, places them, and carries the streams.
 
+mod authorization;
 mod call;
 mod call_limits;
 mod carrier;
@@ -28,7 +29,7 @@
 
 /// What each file imports.
 pub mod prelude {
-    pub use crate::call::{Call, CallDialect, Sending, ServerLoad};
+    pub use crate::call::{Access, Call, CallDialect, Sending, ServerLoad};
     pub use crate::chart::{Chart, ChartInput, ChartOutput, Failure, RequestState};
     pub use crate::daemon::{Dialects, ReadSeeds, run};
     pub use crate::dissemination::{DigestTiming, Dissemination};
@@ -49,6 +50,7 @@
     pub use crate::token::{Token, run_id};
     pub use config::prelude::*;
     pub use placement::prelude::*;
+    pub use quota::prelude::{Amount, CreditHolder, HeldCredit, QuotaLimit};
     pub use replication::prelude::{LeaseState, LeaseStatus};
     pub use transport::prelude::*;
     pub use wire::prelude::*;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -2,6 +2,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+mod credit;
 mod messages;
 mod news;
 mod placing;
@@ -66,6 +67,14 @@
     plan: Option<Arc<Plan>>,
     plan_bytes: Arc<Vec<u8>>,
     plan_epoch: Epoch,
+    /// Stands for keys in this life.
+    key_hasher: KeyHasher,
+    /// Of the plan held.
+    tenants: Arc<TenantTable>,
+    /// What may be let in of each tenant.
+    credit: CreditHolder,
+    /// Requests that wait for credit, by their numbers.
+    waiting_for_credit: BTreeMap<u64, PlaceAsk>,
     withdrawn: Vec<ZoneName>,
     members: Vec<Member>,
     /// The epoch at which they became these.
@@ -135,6 +144,7 @@
     ) -> Self {
         let mut scheduler = Scheduler::new(own, incarnation, scheduler_rules);
         scheduler.set_zone(zone.clone());
+        let key_hasher = KeyHasher::draw();
         Node {
             own,
             zone: zone.clone(),
@@ -146,6 +156,10 @@
             plan: None,
             plan_bytes: Arc::default(),
             plan_epoch: Epoch(0),
+            tenants: Arc::new(TenantTable::new(&[], key_hasher.clone())),
+            key_hasher,
+            credit: CreditHolder::new(incarnation, now),
+            waiting_for_credit: BTreeMap::new(),
             withdrawn: vec![],
             members: vec![],
             members_since: Epoch(0),
@@ -200,16 +214,13 @@
             NodeInput::Event(event) => self.tell_scheduler(event),
             NodeInput::List(reading) => self.step_list(|list, now, _| list.on_reading(now, reading)),
             NodeInput::Seeds(seeds) => self.seeds = seeds,
-            NodeInput::Place(ask) => {
-                let number = ask.number;
-                let outcome = self.place(ask);
-                self.outputs.push(NodeOutput::Place { number, outcome });
-            }
+            NodeInput::Place(ask) => self.on_place(ask),
             NodeInput::Resume { number, token } => {
                 let outcome = self.resume(number, &token);
                 self.outputs.push(NodeOutput::Resume { number, outcome });
             }
             NodeInput::Close { request, number, may_have_run } => {
+                self.abandon_credit(number);
                 if self.open.get(&request) == Some(&number) {
                     self.open.remove(&request);
                     if may_have_run {
@@ -221,6 +232,7 @@
             NodeInput::ClockEvent => self.on_clock_event(),
             NodeInput::Drain => self.is_draining = true,
         }
+        self.ask_for_credit();
         std::mem::take(&mut self.outputs)
     }
 
@@ -260,6 +272,14 @@
     pub fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
     }
+    /// The tenants of the plan held.
+    pub fn tenants(&self) -> &Arc<TenantTable> {
+        &self.tenants
+    }
+    /// Tenants with a quota, and what this node has let in of them.
+    pub fn held_credit(&self) -> Vec<HeldCredit> {
+        self.credit.tenants()
+    }
     /// How many nodes share the servers, as far as known here.
     pub fn member_count(&self) -> usize {
         self.members.len()
@@ -343,6 +363,7 @@
             self.outputs.push(NodeOutput::Log("node: the machine slept; the server list is read anew".into()));
         }
         self.last_event = self.now;
+        self.settle_credit();
         self.step_list(ServerList::on_clock);
         self.poll();
         self.check_peers();
@@ -369,7 +390,8 @@
             None => self.next_tick,
         };
         let list = self.server_list.as_ref().map_or(self.next_tick, ServerList::next_timer);
-        poll.min(peer_check).min(list).min(self.next_tick)
+        let credit = self.credit.next_timer().unwrap_or(self.next_tick);
+        poll.min(peer_check).min(list).min(credit).min(self.next_tick)
     }
 
     fn send_digests(&mut self, letters: Vec<(Address, Letter)>) {
@@ -438,7 +460,12 @@
             | Letter::ListAsk { .. }
             | Letter::ListPiece { .. } => self.step_list(|list, now, _| list.on_letter(now, from, &letter)),
             Letter::CoreLocation { location, .. } => self.on_core_location(from, *location),
-            Letter::Note { .. } | Letter::Poll { .. } | Letter::Ask { .. } | Letter::Told { .. } => {}
+            Letter::CreditGrant { grant } => self.on_credit_grant(from, &grant),
+            Letter::CreditAsk { .. }
+            | Letter::Note { .. }
+            | Letter::Poll { .. }
+            | Letter::Ask { .. }
+            | Letter::Told { .. } => {}
         }
     }
 }
--- /dev/null
+++ b/crates/router/src/node/credit.rs
@@ -0,0 +1,123 @@
+//! Tenants' quotas: requests are let in by credit that the core's tail grants.
+
+use super::*;
+use crate::authorization::{quota_amount, quota_limit, unauthorized};
+use quota::prelude::{Admission, CreditGrant, QuotaDenial, Settlement};
+
+impl Node {
+    /// The plan was replaced: its tenants and their limits are taken up.
+    pub(super) fn take_tenants(&mut self) {
+        let Some(plan) = self.plan.clone() else { return };
+        self.tenants = Arc::new(TenantTable::new(&plan.tenants, self.key_hasher.clone()));
+        let limited = |tenant: &TenantPlan| Some((TenantName::from(tenant.name.as_str()), quota_limit(tenant)?));
+        let limits: Vec<(TenantName, QuotaLimit)> = plan.tenants.iter().filter_map(limited).collect();
+        let released = self.credit.set_limits(self.plan_epoch, &limits);
+        self.settle(released);
+    }
+
+    /// By whose right a request goes, under the plan held.
+    pub(super) fn access(&self, plan: &Plan, route: Option<&str>, key: Option<&KeyDigest>) -> Result<Access, Denial> {
+        if self.tenants.is_empty() {
+            return Ok(Access::Unrestricted);
+        }
+        let is_of = |name: &str| plan.routes.iter().find(|known| known.name == name);
+        if route.and_then(is_of).is_some_and(|found| found.public) {
+            return Ok(Access::Public);
+        }
+        let Some(key) = key else {
+            // The plan had no tenants, or the route was public, when the request came.
+            let why = "the plan in force wants an API key for this".to_owned();
+            return Err(Denial { code: ResultCode::NotReady, why, retry_after: Span(50) });
+        };
+        let tenant = self.tenants.tenant(key).ok_or_else(unauthorized)?;
+        Ok(Access::Tenant(tenant.name.as_str().into()))
+    }
+
+    /// A request wants a server: it gets one once its tenant's quota has room for it.
+    pub(super) fn on_place(&mut self, ask: PlaceAsk) {
+        let number = ask.number;
+        match self.admit(&ask) {
+            Admission::Admitted => self.place_admitted(ask),
+            Admission::Waits => drop(self.waiting_for_credit.insert(number, ask)),
+            Admission::Denied(denial) => {
+                let outcome = Err(refusal(denial));
+                self.outputs.push(NodeOutput::Place { number, outcome });
+            }
+        }
+    }
+
+    fn admit(&mut self, ask: &PlaceAsk) -> Admission {
+        let Some((tenant, amount)) = self.quota_of(ask) else { return Admission::Admitted };
+        if ask.round == 0 {
+            return self.credit.admit(self.now, ask.number, &tenant, amount);
+        }
+        // It has been let in. If the server before may have run it, it counts once more.
+        if ask.may_have_run {
+            self.credit.spend_again(self.now, &tenant, amount);
+        }
+        Admission::Admitted
+    }
+
+    /// Whose quota a request takes from, and how much of it.
+    fn quota_of(&self, ask: &PlaceAsk) -> Option<(TenantName, Amount)> {
+        let tenant = self.tenants.tenant(ask.key.as_ref()?).filter(|tenant| tenant.is_limited())?;
+        Some((tenant.name.as_str().into(), quota_amount(tenant, &ask.demand)))
+    }
+
+    fn place_admitted(&mut self, ask: PlaceAsk) {
+        let (number, round, taken) = (ask.number, ask.round, self.quota_of(&ask));
+        let outcome = self.place(ask);
+        if let (Err(_), 0, Some((tenant, amount))) = (&outcome, round, taken) {
+            self.credit.give_back(self.now, &tenant, amount);
+        }
+        self.outputs.push(NodeOutput::Place { number, outcome });
+    }
+
+    /// What waited is placed or turned away.
+    fn settle(&mut self, settlements: Vec<Settlement>) {
+        for settlement in settlements {
+            let number = settlement.number;
+            let Some(ask) = self.waiting_for_credit.remove(&number) else { continue };
+            match settlement.outcome {
+                Ok(()) => self.place_admitted(ask),
+                Err(denial) => self.outputs.push(NodeOutput::Place { number, outcome: Err(refusal(denial)) }),
+            }
+        }
+    }
+
+    pub(super) fn settle_credit(&mut self) {
+        let settled = self.credit.on_clock(self.now);
+        self.settle(settled);
+    }
+
+    pub(super) fn on_credit_grant(&mut self, from: Address, grant: &CreditGrant) {
+        let settled = self.credit.on_grant(self.now, from, grant);
+        self.settle(settled);
+    }
+
+    /// Nobody waits for this request any more.
+    pub(super) fn abandon_credit(&mut self, number: u64) {
+        if self.waiting_for_credit.remove(&number).is_some() {
+            self.credit.abandon(number);
+        }
+    }
+
+    /// Asks the tail for credit, where some is wanted.
+    pub(super) fn ask_for_credit(&mut self) {
+        if let Some((tail, ask)) = self.credit.ask(self.now, self.tail) {
+            self.send(tail, Letter::CreditAsk { ask: Box::new(ask) });
+        }
+    }
+}
+
+fn refusal(denial: QuotaDenial) -> Denial {
+    match denial {
+        QuotaDenial::OverQuota { retry_after } => {
+            Denial { code: ResultCode::OverQuota, why: "the tenant is beyond its quota".into(), retry_after }
+        }
+        QuotaDenial::Unknown { retry_after } => {
+            let why = "the core did not tell in time whether the tenant's quota has room".into();
+            Denial { code: ResultCode::QuotaUnknown, why, retry_after }
+        }
+    }
+}
--- a/crates/router/src/node/messages.rs
+++ b/crates/router/src/node/messages.rs
@@ -15,6 +15,8 @@
     pub kind: ServiceKind,
     /// The route that it came by, if it came by one.
     pub route: Option<String>,
+    /// What stands for its client's API key, if it bears one that was known.
+    pub key: Option<KeyDigest>,
     /// The prompt's hashes.
     pub hashes: Vec<PrefixHash>,
     /// What it asks of a server.
@@ -99,6 +101,8 @@
     pub epoch: Epoch,
     /// The server's life by which it was judged, if it told one: another one is to refuse the request.
     pub life: Option<u64>,
+    /// By whose right, under that epoch.
+    pub access: Access,
 }
 
 /// Why a request goes nowhere.
--- a/crates/router/src/node/news.rs
+++ b/crates/router/src/node/news.rs
@@ -110,6 +110,7 @@
                 self.plan = Some(plan);
                 self.plan_bytes = bytes;
                 self.plan_epoch = plan_epoch;
+                self.take_tenants();
                 self.next_poll = self.now;
                 self.take_up(fetching.news, fetching.lease_deadline);
             }
--- a/crates/router/src/node/placing.rs
+++ b/crates/router/src/node/placing.rs
@@ -7,7 +7,8 @@
 
 impl Node {
     pub(super) fn place(&mut self, ask: PlaceAsk) -> Result<Placing, Denial> {
-        let PlaceAsk { number, request, service, kind, route, hashes, demand, round, tried, may_have_run, run } = ask;
+        let PlaceAsk { number, request, service, kind, route, key, hashes, demand, round, tried, may_have_run, run } =
+            ask;
         let deny = |code: ResultCode, why: &str, retry_after: u64| {
             Err(Denial { code, why: why.to_owned(), retry_after: Span(retry_after) })
         };
@@ -19,7 +20,7 @@
             let why = format!("this node's lease state is `{}`", reason.word());
             return deny(ResultCode::NotReady, &why, 1000);
         }
-        let (Some(plan), Some(key)) = (self.plan.clone(), self.key) else {
+        let (Some(plan), Some(token_key)) = (self.plan.clone(), self.key) else {
             return deny(ResultCode::NotReady, "no configuration yet", 1000);
         };
         let is_kind = |found: &&ServicePlan| route.is_some() || found.kind == kind;
@@ -34,6 +35,7 @@
                 None => return deny(ResultCode::NotReady, "the plan in force has this route no more", 50),
             },
         };
+        let access = self.access(&plan, route.as_deref(), key.as_ref())?;
         if may_have_run && !may_repeat {
             return deny(ResultCode::NoServer, "the plan in force lets no request that may have run repeat", 0);
         }
@@ -68,11 +70,11 @@
         let address = self.addresses.get(&server).cloned().unwrap_or_else(|| server.0.clone());
         let token = of_service.resumable.then(|| {
             let (server, run) = (server.clone(), run.clone());
-            Token { request, service: token_service, server, run }.seal(&key)
+            Token { request, service: token_service, server, run }.seal(&token_key)
         });
         let (epoch, first_token) = (self.lease_state.epoch(), Span(of_service.first_token_ms));
         let life = self.scheduler.servers().get(&server).and_then(|state| state.incarnation);
-        Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch, life })
+        Ok(Placing { server, address, run, token, may_repeat, expected, first_token, epoch, life, access })
     }
 
     /// Which run a token is good for, if it is one of this fleet's and names a server that is known
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -95,6 +95,7 @@
             service: service.into(),
             kind: ServiceKind::Stream,
             route: None,
+            key: None,
             hashes: vec![],
             demand: Demand::default(),
             round,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,3 +1,4 @@
+use crate::authorization::authorize;
 use crate::call_limits::SharedLimits;
 use crate::control_event::ControlEvent;
 use crate::prelude::*;
@@ -16,8 +17,8 @@
     pub bound: u64,
     pub block_bytes: usize,
     pub stall: Span,
-    /// The plan in force, and what finds its routes.
-    pub plan: RwLock<Option<(Arc<Plan>, Arc<RouteTable>)>>,
+    /// The plan in force, and what finds its routes and tenants.
+    pub plan: RwLock<Option<PlanInForce>>,
     /// Whether clients should be sent here.
     pub is_ready: AtomicBool,
     /// When this process ends, as a moment, once it takes only what will have ended before; [`NEVER`] until then.
@@ -31,6 +32,14 @@
 /// The moment at which a process ends that was not told to stop.
 pub(crate) const NEVER: u64 = u64::MAX;
 
+/// A plan, and what finds things in it.
+#[derive(Clone)]
+pub(crate) struct PlanInForce {
+    plan: Arc<Plan>,
+    pub routes: Arc<RouteTable>,
+    pub tenants: Arc<TenantTable>,
+}
+
 /// A place among the requests in hand; given back when dropped, together with the request's id.
 pub(crate) struct Place {
     pub shared: Arc<Shared>,
@@ -118,15 +127,21 @@
         outcome
     }
     /// Takes up the plan that the control thread holds now.
-    pub fn take_plan(&self, plan: Option<&Arc<Plan>>) {
+    pub fn take_plan(&self, plan: Option<&Arc<Plan>>, tenants: &Arc<TenantTable>) {
         let Some(plan) = plan else { return };
-        let is_same = |held: &(Arc<Plan>, Arc<RouteTable>)| Arc::ptr_eq(&held.0, plan);
+        let is_same = |held: &PlanInForce| Arc::ptr_eq(&held.plan, plan);
         if !self.plan.read().expect("no thread panics with it").as_ref().is_some_and(is_same) {
-            let held = (plan.clone(), Arc::new(plan.route_table()));
+            let (plan, routes, tenants) = (plan.clone(), Arc::new(plan.route_table()), tenants.clone());
+            let held = PlanInForce { plan: plan.clone(), routes, tenants };
             *self.plan.write().expect("no thread panics with it") = Some(held);
-            self.limits.get().into_iter().for_each(|limits| limits.take_plan(plan));
+            self.limits.get().into_iter().for_each(|limits| limits.take_plan(&plan));
         }
     }
+    /// Takes up a plan where no control thread holds one.
+    pub fn take_detached_plan(&self, plan: &Arc<Plan>) {
+        let tenants = TenantTable::new(&plan.tenants, KeyHasher::draw());
+        self.take_plan(Some(plan), &Arc::new(tenants));
+    }
     /// So many nodes share the servers.
     pub fn take_members(&self, count: usize) {
         self.limits.get().into_iter().for_each(|limits| limits.take_members(count));
@@ -135,9 +150,15 @@
     pub fn is_quiet(&self, now: Moment) -> bool {
         now.since(Moment(self.arrived.load(Ordering::Relaxed))) >= Span(1200)
     }
-    /// The routes in force here.
-    pub fn routes(&self) -> Option<Arc<RouteTable>> {
-        self.plan.read().expect("no thread panics with it").as_ref().map(|held| held.1.clone())
+    /// The plan in force here.
+    pub fn plan_in_force(&self) -> Option<PlanInForce> {
+        self.plan.read().expect("no thread panics with it").clone()
+    }
+    /// What stands for the key of a request of the own interface, none of which is public; `None`: the plan has no
+    /// tenants, or there is no plan yet, which the control thread tells.
+    pub fn authorize(&self, api_key: Option<&ApiKey>) -> Result<Option<KeyDigest>, Denial> {
+        let Some(plan) = self.plan_in_force() else { return Ok(None) };
+        authorize(&plan.tenants, false, api_key).map(|credentials| credentials.map(|tenant| tenant.key))
     }
     /// A number for a request, that no other has in this life.
     pub fn next_number(&self) -> u64 {
--- a/crates/router/src/trip.rs
+++ b/crates/router/src/trip.rs
@@ -19,14 +19,20 @@
     pub service: ServiceName,
     pub kind: ServiceKind,
     pub route: Option<String>,
+    pub key: Option<KeyDigest>,
     pub hashes: Vec<PrefixHash>,
     pub demand: Demand,
 }
 
 impl Wanted {
     /// One whose client names the service and tells nothing more.
-    pub fn of_service(service: ServiceName, kind: ServiceKind, hashes: Vec<PrefixHash>) -> Self {
-        Wanted { service, kind, route: None, hashes, demand: Demand::default() }
+    pub fn of_service(
+        service: ServiceName,
+        kind: ServiceKind,
+        key: Option<KeyDigest>,
+        hashes: Vec<PrefixHash>,
+    ) -> Self {
+        Wanted { service, kind, route: None, key, hashes, demand: Demand::default() }
     }
 }
 
@@ -73,6 +79,7 @@
                         service: self.wanted.service.clone(),
                         kind: self.wanted.kind,
                         route: self.wanted.route.clone(),
+                        key: self.wanted.key,
                         hashes: self.wanted.hashes.clone(),
                         demand: self.wanted.demand.clone(),
                         round,
--- a/crates/testbed/src/answers/dialect.rs
+++ b/crates/testbed/src/answers/dialect.rs
@@ -34,7 +34,19 @@
         for name in [WAIT, AFTER, "connection", "content-length"] {
             headers.remove(name);
         }
-        Ok(Call { id, method, host, target, headers, body, left, after, hashes: vec![], demand: Default::default() })
+        Ok(Call {
+            id,
+            method,
+            host,
+            target,
+            api_key: None,
+            headers,
+            body,
+            left,
+            after,
+            hashes: vec![],
+            demand: Default::default(),
+        })
     }
     fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response {
         let response = Response::passed(denial.code.http_status(), http::HeaderMap::new(), denial.code.word());
--- a/crates/testbed/src/answers/lane.rs
+++ b/crates/testbed/src/answers/lane.rs
@@ -8,7 +8,7 @@
 use super::server::{Server, play_of};
 use super::{AnswersMutant, AnswersRules, Fate};
 use crate::prelude::*;
-use router::prelude::{Denial, DetachedForwarder, PlaceAsk, Placed, Placing, run_id};
+use router::prelude::{Access, Denial, DetachedForwarder, PlaceAsk, Placed, Placing, run_id};
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -141,6 +141,7 @@
         first_token: Span(2000),
         epoch: placed_under,
         life: None,
+        access: Access::Unrestricted,
     };
     if mix(drawn).is_multiple_of(OUTDATED) {
         *epoch = Epoch(epoch.0 + 1);
--- a/crates/testbed/src/hollow/host.rs
+++ b/crates/testbed/src/hollow/host.rs
@@ -257,6 +257,7 @@
             service,
             kind: ServiceKind::Stream,
             route: None,
+            key: None,
             hashes,
             demand: Demand::default(),
             round: 0,
--- a/crates/testbed/src/world/traffic.rs
+++ b/crates/testbed/src/world/traffic.rs
@@ -153,6 +153,7 @@
             service,
             kind,
             route,
+            key: None,
             hashes,
             demand,
             round,
--- a/crates/types/src/api_key.rs
+++ b/crates/types/src/api_key.rs
@@ -12,6 +12,12 @@
 pub struct ApiKey(String);
 
 impl ApiKey {
+    /// The key in an `Authorization` header of the scheme `Bearer`; `None`: it has none.
+    pub fn from_bearer(header: &str) -> Option<ApiKey> {
+        let (scheme, key) = header.trim().split_once(' ')?;
+        let key = key.trim();
+        (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then(|| ApiKey::from(key))
+    }
     /// Its bytes, to be hashed.
     pub fn as_bytes(&self) -> &[u8] {
         self.0.as_bytes()
--- a/crates/wire/src/letter.rs
+++ b/crates/wire/src/letter.rs
@@ -1,4 +1,5 @@
 use placement::prelude::{DigestChange, ServerEntry};
+use quota::prelude::{CreditAsk, CreditGrant};
 use replication::prelude::*;
 
 messages! {
@@ -157,6 +158,8 @@
         },
         /// The newest accepted epoch (eight bytes).
         Newest,
+        /// Tenants with a quota: what they may send and have sent.
+        Tenants,
     }
 
     /// Where one controller with a disk is reached.
@@ -309,6 +312,16 @@
             /// The body.
             body: Vec<u8>,
         },
+        /// From a node to the core's tail: what it holds and wants of tenants' quotas.
+        CreditAsk {
+            /// It.
+            ask: Box<CreditAsk>,
+        },
+        /// The tail's answer.
+        CreditGrant {
+            /// It.
+            grant: Box<CreditGrant>,
+        },
         /// Between controllers: where the core is.
         CoreLocation {
             /// As far as the sender knows.
