--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -144,8 +144,7 @@
     }
 
     fn refuse(&self, id: Option<&RequestId>, denial: &Denial) -> Response {
-        let tallies = &self.shared.tallies;
-        Tallies::more(if denial.code.is_refusal() { &tallies.refused } else { &tallies.unknown });
+        self.shared.tallies.refuse(denial.code);
         self.dialect.refuse(id, denial)
     }
 }
--- a/crates/router/src/forward/tests.rs
+++ b/crates/router/src/forward/tests.rs
@@ -912,3 +912,43 @@
     assert_eq!(answer.status, if is_taken { 200 } else { 503 });
     assert_eq!(server.count(), usize::from(is_taken), "what is refused reaches no server");
 }
+
+// ---- Keys.
+
+fn with_tenants(stage: &Stage, is_public: bool) {
+    let plan = serde_json::json!({
+        "services": {"s": {"kind": "stream"}},
+        "tenants": [{"name": "one", "api_keys": ["s3cret"]}],
+        "routes": [{"name": "r", "host": "h", "path_prefix": "/p/", "kind": "idempotent", "public": is_public,
+            "split": [{"service": "s", "weight": 1}]}],
+    });
+    let plan = parse_plan(plan.to_string().as_bytes()).expect("a good plan");
+    stage.shared.take_detached_plan(&Arc::new(plan));
+}
+
+#[parameterized(
+    none = { "" },
+    unknown = { "authorization: Bearer other\r\n" },
+    of_another_scheme = { "authorization: Basic s3cret\r\n" },
+    empty = { "authorization: Bearer \r\n" },
+)]
+fn without_a_key_that_is_known_a_request_ends_at_once_and_goes_nowhere(headers: &str) {
+    let server = Server::start("a", vec![]);
+    let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
+    with_tenants(&stage, false);
+    let answer = stage.ask(headers);
+    assert_eq!((answer.status, answer.body.as_str(), server.count()), (401, "unauthorized", 0));
+    assert!(!answer.has("retry-after"));
+    assert_eq!(stage.shared.tallies.unauthorized.load(Ordering::Relaxed), 1);
+    assert!(!stage.shared.tallies.text().contains("s3cret"));
+}
+
+#[test]
+fn a_known_key_or_a_public_route_lets_a_request_in() {
+    for (is_public, headers) in [(false, "authorization: Bearer s3cret\r\n"), (true, "")] {
+        let server = Server::start("a", vec![vec![Say(answer(200, OURS, "bytes"))]]);
+        let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
+        with_tenants(&stage, is_public);
+        assert_eq!(stage.ask(headers).status, 200);
+    }
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -173,7 +173,7 @@
         Some(Place { shared: self.clone(), request, number, may_have_run: false })
     }
     pub fn refusal(&self, code: ResultCode, why: String, retry_after: Span) -> Response {
-        Tallies::more(if code.is_refusal() { &self.tallies.refused } else { &self.tallies.unknown });
+        self.tallies.refuse(code);
         Response::result_after(code, why, retry_after)
     }
 }
--- a/crates/router/src/tallies.rs
+++ b/crates/router/src/tallies.rs
@@ -1,3 +1,4 @@
+use crate::prelude::ResultCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 macro_rules! tallies {
@@ -29,6 +30,12 @@
     complete: "counter",
     /// Refusals.
     refused: "counter",
+    /// Refusals of requests without a key that is known.
+    unauthorized: "counter",
+    /// Refusals of requests beyond their tenant's quota.
+    over_quota: "counter",
+    /// Refusals of requests since the core did not tell whether a quota has room.
+    quota_unknown: "counter",
     /// Streams that broke.
     broken: "counter",
     /// Requests whose fate is unknown.
@@ -56,6 +63,16 @@
 }
 
 impl Tallies {
+    /// A request is turned away, or its fate is unknown.
+    pub fn refuse(&self, code: ResultCode) {
+        Tallies::more(if code.is_refusal() { &self.refused } else { &self.unknown });
+        match code {
+            ResultCode::Unauthorized => Tallies::more(&self.unauthorized),
+            ResultCode::OverQuota => Tallies::more(&self.over_quota),
+            ResultCode::QuotaUnknown => Tallies::more(&self.quota_unknown),
+            _ => {}
+        }
+    }
     /// One more.
     pub fn more(counter: &AtomicU64) {
         counter.fetch_add(1, Ordering::Relaxed);
