--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -1,53 +1,23 @@
+use crate::control_event::ControlEvent;
 use crate::core_line::Responses;
 use crate::own_interface::OwnInterface;
 use crate::prelude::*;
-use crate::redirect::ReadAddresses;
+use crate::process::{SETTINGS_PERIOD, operators_gate, stop_flag};
 use crate::relay_daemon::run_relay;
+use crate::tallies::Tallies;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-
-/// What reaches the control thread.
-pub(crate) enum Event {
-    Input(ControllerInput),
-    Disk(u64, DiskEvent),
-    Believes(flume::Sender<serde_json::Value>),
-}
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Between clock events, at least and at most.
 const SHORTEST_TICK: Span = Span(20);
 const LONGEST_TICK: Span = Span(100);
 /// A controller that is told to stop waits for so long at most until others have taken over what it holds.
 const LONGEST_HAND_OVER: Span = Span(4000);
-/// Between readings of the settings' seeds.
-pub(crate) const SETTINGS_PERIOD: Span = Span(1000);
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
-/// How operators speak to a controller.
-#[derive(Clone)]
-pub struct Dialects {
-    /// What plans look like.
-    pub plans: Arc<dyn PlanDialect>,
-    /// What operators' calls look like; `None`: as the product's own interface has them.
-    pub admin: Option<Arc<dyn AdminDialect>>,
-    /// Where operators reach other controllers, read anew for each operator that is sent on; `None`: as the settings
-    /// had it at the start.
-    pub others: Option<ReadAddresses>,
-    /// Reads the seeds anew: settings may change without a word. `None`: they stay as they were at the start.
-    pub seeds: Option<ReadSeeds>,
-}
-
-/// Gives the inner addresses of the seeds as the settings have them now, if they can be read.
-pub type ReadSeeds = Arc<dyn Fn() -> Option<Vec<Address>> + Send + Sync>;
-
-impl Default for Dialects {
-    fn default() -> Self {
-        Dialects { plans: Arc::new(OwnPlans), admin: None, others: None, seeds: None }
-    }
-}
-
 /// Runs a controller until it's told to stop; gives the exit code.
 pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
     let outcome = if settings.folder.is_empty() { run_relay(settings, &dialects) } else { start(settings, dialects) };
@@ -60,38 +30,23 @@
     }
 }
 
-/// What a signal to stop sets.
-pub(crate) fn stop_flag() -> Result<Arc<AtomicBool>, String> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
-    }
-    // That settings have changed must not end the process. Its seeds are read anew all the time, and the rest of its
-    // settings is fixed for its life.
-    let has_changed = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed).map_err(|fault| fault.to_string())?;
-    Ok(stop)
-}
-
 fn start(settings: &Settings, dialects: Dialects) -> Result<(), String> {
     let listen: Address = settings.listen.parse()?;
     let inner: Address = settings.inner.parse()?;
     let founders = parse_addresses(&settings.founders);
     let seeds = parse_addresses(&settings.seeds);
     let listener = TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
-    let bounds =
-        GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
-    let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
-    let (sender, events) = flume::bounded::<Event>(QUEUE);
+    let gate = operators_gate(listen)?;
+    let (sender, events) = flume::bounded::<ControlEvent>(QUEUE);
 
     let tell_control = sender.clone();
     let disk_thread = DiskThread::open(Path::new(&settings.folder), move |life, event| {
-        let _ = tell_control.send(Event::Disk(life, event));
+        let _ = tell_control.send(ControlEvent::Disk(life, event));
     })
     .map_err(|fault| format!("folder = {}: {fault}", settings.folder))?;
     let take_letter = sender.clone();
     let post = Post::open(listener, move |from, letter| {
-        let _ = take_letter.send(Event::Input(ControllerInput::Letter { from, letter }));
+        let _ = take_letter.send(ControlEvent::Input(ControllerInput::Letter { from, letter }));
     })
     .map_err(|fault| format!("inner = {inner}: {fault}"))?;
 
@@ -102,7 +57,7 @@
     let gate_sender = sender.clone();
     let zones = settings.zones.iter().map(|name| name.as_str().into()).collect();
     let tell = move |input| {
-        let _ = gate_sender.send(Event::Input(input));
+        let _ = gate_sender.send(ControlEvent::Input(input));
     };
     let read_seeds = dialects.seeds.clone();
     let core = CoreLine::new(responses.clone(), tell);
@@ -152,7 +107,7 @@
             seeds.into_iter().for_each(|seeds| control.take_seeds(seeds));
         }
         if now >= next_tick {
-            control.take(Event::Input(ControllerInput::ClockEvent));
+            control.take(ControlEvent::Input(ControllerInput::ClockEvent));
             next_tick = control.controller.as_ref().map_or(now, Controller::next_timer).max(now + SHORTEST_TICK);
             next_tick = next_tick.min(now + LONGEST_TICK);
         }
@@ -170,19 +125,6 @@
     Ok(())
 }
 
-/// What is counted for the metrics.
-#[derive(Default)]
-pub(crate) struct Tallies {
-    pub requests: AtomicU64,
-    pub writes: AtomicU64,
-    pub faults: AtomicU64,
-    pub polls: AtomicU64,
-    pub view: AtomicU64,
-    pub epoch: AtomicU64,
-    pub chain: AtomicU64,
-    pub members: AtomicU64,
-}
-
 struct Control {
     inner: Address,
     listen: Address,
@@ -207,15 +149,15 @@
         has_handed_over || now.since(since) >= LONGEST_HAND_OVER
     }
 
-    fn take(&mut self, event: Event) {
+    fn take(&mut self, event: ControlEvent) {
         let now = Clock::now();
         match event {
-            Event::Input(input) => self.step(now, input),
-            Event::Disk(life, DiskEvent::Ready { disk, kept }) => self.begin(life, disk, kept),
-            Event::Disk(life, DiskEvent::Written { id }) if life == self.life => {
+            ControlEvent::Input(input) => self.step(now, input),
+            ControlEvent::Disk(life, DiskEvent::Ready { disk, kept }) => self.begin(life, disk, kept),
+            ControlEvent::Disk(life, DiskEvent::Written { id }) if life == self.life => {
                 self.step(now, ControllerInput::Written { id });
             }
-            Event::Disk(life, DiskEvent::Fault { why }) => {
+            ControlEvent::Disk(life, DiskEvent::Fault { why }) => {
                 if self.fault.as_ref() != Some(&why) {
                     tracing::error!("disk: {} {why}; this controller steps out.", ResultCode::DiskFault);
                     self.fault = Some(why);
@@ -225,8 +167,8 @@
                     self.step(now, ControllerInput::DiskFault);
                 }
             }
-            Event::Disk(..) => {}
-            Event::Believes(response) => {
+            ControlEvent::Disk(..) => {}
+            ControlEvent::Believes(response) => {
                 let _ = response.send(self.believes(now));
             }
         }
@@ -239,7 +181,7 @@
     /// The settings name these seeds now; this machine's own may be one of them.
     fn take_seeds(&mut self, seeds: Vec<Address>) {
         self.seeds.clone_from(&seeds);
-        self.take(Event::Input(ControllerInput::Seeds(seeds)));
+        self.take(ControlEvent::Input(ControllerInput::Seeds(seeds)));
     }
 
     fn begin(&mut self, life: u64, disk: DiskId, kept: Kept) {
@@ -334,7 +276,7 @@
     core: CoreLine,
     dialects: Dialects,
     zones: Vec<ZoneName>,
-    sender: flume::Sender<Event>,
+    sender: flume::Sender<ControlEvent>,
     is_ready: Arc<AtomicBool>,
     tallies: Arc<Tallies>,
 }
--- a/crates/controller/src/own_interface.rs
+++ b/crates/controller/src/own_interface.rs
@@ -1,8 +1,9 @@
 //! The product's own interface for operators, over HTTP.
 
+use crate::control_event::ControlEvent;
 use crate::core_line::OPERATOR_PATIENCE;
-use crate::daemon::{Event, Tallies};
 use crate::prelude::*;
+use crate::tallies::Tallies;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 pub(crate) struct OwnInterface<'a> {
     request: &'a Request,
     core: &'a CoreLine,
-    sender: &'a flume::Sender<Event>,
+    sender: &'a flume::Sender<ControlEvent>,
     is_ready: &'a AtomicBool,
     tallies: &'a Tallies,
     attempt: Attempt,
@@ -31,7 +32,7 @@
     pub(crate) fn new(
         request: &'a Request,
         core: &'a CoreLine,
-        sender: &'a flume::Sender<Event>,
+        sender: &'a flume::Sender<ControlEvent>,
         is_ready: &'a AtomicBool,
         tallies: &'a Tallies,
     ) -> Self {
@@ -85,7 +86,7 @@
 
     fn believes(&self) -> Response {
         let (response, inbox) = flume::bounded(1);
-        let _ = self.sender.send(Event::Believes(response));
+        let _ = self.sender.send(ControlEvent::Believes(response));
         match inbox.recv_timeout(BELIEVES_PATIENCE) {
             Ok(value) => Response::json(200, &value),
             Err(_) => Response::result(ResultCode::CoreNotReady, "the control thread gave no answer"),
--- a/crates/controller/src/relay_daemon.rs
+++ b/crates/controller/src/relay_daemon.rs
@@ -1,7 +1,7 @@
 //! Runs a controller without a disk.
 
-use crate::daemon::{Dialects, SETTINGS_PERIOD, stop_flag};
 use crate::prelude::*;
+use crate::process::{SETTINGS_PERIOD, operators_gate, stop_flag};
 use crate::redirect::Redirector;
 use std::net::TcpListener;
 use std::sync::atomic::Ordering;
@@ -59,9 +59,7 @@
         let others = if known.is_empty() { read_named() } else { known };
         others.into_iter().filter(|other| *other != listen).collect()
     };
-    let bounds =
-        GateBounds { connections: 128, body_bytes: 48 << 20, read_span: Span::seconds(20), ..GateBounds::default() };
-    let gate = Gate::open(listen.0, bounds).map_err(|fault| format!("listen = {listen}: {fault}"))?;
+    let gate = operators_gate(listen)?;
     let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
     let gate_thread = move || gate.serve(move |request| redirector.respond(&request));
     let spawned = std::thread::Builder::new().name("gate".into()).spawn(gate_thread);
