Quota: a new authority knows when restarted nodes began, and may grant from then on

Now nodes that were never granted anything say when their life began; slots are half as long; headroom may run into debt by a fifth.

--- a/crates/controller/src/controller/tests.rs
+++ b/crates/controller/src/controller/tests.rs
@@ -280,7 +280,8 @@
     let limit = QuotaLimit { rate: Amount::units(10), burst: Amount::units(10) };
     let (held, need) = (Amount::NONE, Amount::units(2));
     let entry = CreditRequest { tenant: "one".into(), limit, held, need, want: need };
-    let ask = CreditAsk { life: 7, number, plan_epoch: Epoch(1), is_whole: true, entries: vec![entry] };
+    let ask =
+        CreditAsk { life: 7, number, plan_epoch: Epoch(1), fresh_for: None, is_whole: true, entries: vec![entry] };
     Letter::CreditAsk { ask: Box::new(ask) }
 }
 
--- a/crates/quota/src/authority.rs
+++ b/crates/quota/src/authority.rs
@@ -1,5 +1,5 @@
 use crate::prelude::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Grants credit of tenants' quotas. There is one authority at a time: the core's tail.
 ///
@@ -13,10 +13,11 @@
     bounds: QuotaBounds,
     /// When it became the authority.
     since: Moment,
-    /// Nodes that have told all that they hold since then.
-    heard: BTreeSet<Address>,
-    /// Since when it knows what is out.
-    settled: Option<Moment>,
+    /// Nodes that have told all that they hold since then, with when the last that isn't known of it may have been
+    /// spent.
+    heard: BTreeMap<Address, Moment>,
+    /// Since when it makes grants.
+    settled: Option<Settled>,
     /// The newest ask of each node: its life, and its number.
     newest: BTreeMap<Address, (u64, u64)>,
     accounts: BTreeMap<TenantName, Account>,
@@ -24,6 +25,13 @@
     pub(crate) mutant: Option<crate::Mutant>,
 }
 
+/// An authority that knows what is out.
+#[derive(Debug, Clone, Copy)]
+struct Settled {
+    /// What was granted by others was spent by then, or is known to be out.
+    last_spent: Moment,
+}
+
 #[derive(Debug, Clone)]
 struct Account {
     limit: QuotaLimit,
@@ -75,7 +83,7 @@
         Authority {
             bounds,
             since: now,
-            heard: BTreeSet::new(),
+            heard: BTreeMap::new(),
             settled: None,
             newest: BTreeMap::new(),
             accounts: BTreeMap::new(),
@@ -98,12 +106,12 @@
         }
         self.newest.insert(from, (ask.life, ask.number));
         if ask.is_whole {
-            self.heard.insert(from);
+            self.heard.insert(from, now - ask.fresh_for.unwrap_or(Span(0)));
         }
         self.settle(now, members);
         let entries = ask.entries.iter().map(|entry| self.grant(now, (from, ask.life), ask.plan_epoch, entry));
         let entries = entries.collect();
-        let wants_whole = self.settled.is_none() && !self.heard.contains(&from);
+        let wants_whole = self.settled.is_none() && !self.heard.contains_key(&from);
         Some(CreditGrant { number: ask.number, life: self.bounds.credit_life(), wants_whole, entries })
     }
 
@@ -115,14 +123,16 @@
         let is_over = now.since(self.since) >= self.bounds.credit_life();
         #[cfg(test)]
         let is_over = is_over || self.is_mutant(crate::Mutant::ForgetOutstanding);
-        if is_over || members.iter().all(|member| self.heard.contains(member)) {
-            self.settled = Some(now);
+        let are_all_heard = members.iter().all(|member| self.heard.contains_key(member));
+        if is_over || are_all_heard {
+            let last_spent = self.heard.values().max().copied().filter(|_| are_all_heard).unwrap_or(now);
+            self.settled = Some(Settled { last_spent });
             #[cfg(test)]
             if self.is_mutant(crate::Mutant::ForgetOutstanding) {
                 return;
             }
             let bounds = self.bounds;
-            self.accounts.values_mut().for_each(|account| account.assume_spent(now, &bounds));
+            self.accounts.values_mut().for_each(|account| account.assume_spent(last_spent, &bounds));
         }
     }
 
@@ -137,7 +147,8 @@
         let fresh = || {
             let mut account = Account::new(entry.limit, epoch, &bounds);
             // What was spent of it under the former authority isn't known.
-            settled.filter(|_| !forgets).into_iter().for_each(|since| account.assume_spent(since, &bounds));
+            let since = settled.filter(|_| !forgets).map(|settled| settled.last_spent);
+            since.into_iter().for_each(|since| account.assume_spent(since, &bounds));
             account
         };
         let account = self.accounts.entry(entry.tenant.clone()).or_insert_with(fresh);
@@ -183,7 +194,7 @@
 }
 
 /// A window has so many slots.
-const SLOTS: u64 = 64;
+const SLOTS: u64 = 128;
 
 impl SpentWindow {
     fn new(window: Span) -> Self {
@@ -219,13 +230,12 @@
 
     /// By how much less was spent than `at_once` and `rate` allow, in the span back from now where that is least.
     fn headroom(&self, now: Moment, at_once: Amount, rate: Amount) -> i128 {
-        let newest = self.number(now);
         let mut spent = Amount::NONE;
         let mut least = i128::from(at_once.thousandths);
         for (number, amount) in self.slots.iter().rev() {
             spent = spent.plus(*amount);
-            // Of the slot's own length, and of the newest's, nothing is counted: what was spent may stand at their ends.
-            let span = Span(newest.saturating_sub(*number).saturating_sub(1) * self.slot.0);
+            // What was spent in a slot may have been at its end.
+            let span = now.since(Moment((number + 1) * self.slot.0));
             let allowed = at_once.plus(rate.over(span));
             least = least.min(i128::from(allowed.thousandths) - i128::from(spent.thousandths));
         }
@@ -252,7 +262,7 @@
 
     /// What the headroom may run into, so that large requests get as much as small ones.
     fn debt(&self, bounds: &QuotaBounds) -> Amount {
-        self.at_once(bounds).part(1, 8)
+        self.at_once(bounds).part(1, 5)
     }
 
     /// What is known to be out is known, and all else that may be spent at once was spent by then.
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -9,6 +9,9 @@
 #[derive(Debug, Clone)]
 pub struct CreditHolder {
     life: u64,
+    began: Moment,
+    /// Whether anything was granted to this life.
+    was_granted: bool,
     number: u64,
     plan_epoch: Epoch,
     tenants: BTreeMap<TenantName, TenantCredit>,
@@ -138,6 +141,8 @@
     pub fn new(life: u64, now: Moment) -> Self {
         CreditHolder {
             life,
+            began: now,
+            was_granted: false,
             number: 0,
             plan_epoch: Epoch(0),
             tenants: BTreeMap::new(),
@@ -269,7 +274,8 @@
         self.number += 1;
         self.under_way = Some(UnderWay { to, sent: now });
         let (life, number, plan_epoch) = (self.life, self.number, self.plan_epoch);
-        Some((to, CreditAsk { life, number, plan_epoch, is_whole, entries }))
+        let fresh_for = (!self.was_granted).then(|| now.since(self.began));
+        Some((to, CreditAsk { life, number, plan_epoch, fresh_for, is_whole, entries }))
     }
 
     /// The authority answers.
@@ -289,6 +295,7 @@
         self.under_way = None;
         self.is_whole_wanted = grant.wants_whole;
         self.told = Some(from);
+        self.was_granted |= grant.entries.iter().any(|entry| !entry.granted.is_none());
         let mut settled = vec![];
         for entry in &grant.entries {
             if let Some(credit) = self.tenants.get_mut(&entry.tenant) {
--- a/crates/quota/src/messages.rs
+++ b/crates/quota/src/messages.rs
@@ -25,6 +25,9 @@
         pub number: u64,
         /// The epoch of the plan that the limits are from.
         pub plan_epoch: Epoch,
+        /// How long ago the node's life began, if it was never granted anything: what its former lives may have spent
+        /// was spent by then.
+        pub fresh_for: Option<Span>,
         /// Whether it lists all tenants of whom the node holds credit.
         pub is_whole: bool,
         /// By tenant.
--- a/crates/quota/src/tests.rs
+++ b/crates/quota/src/tests.rs
@@ -382,7 +382,8 @@
             need: Amount::units(1),
             want: Amount::units(1),
         };
-        let ask = CreditAsk { life: 1, number, plan_epoch: Epoch(1), is_whole: true, entries: vec![entry] };
+        let ask =
+            CreditAsk { life: 1, number, plan_epoch: Epoch(1), fresh_for: None, is_whole: true, entries: vec![entry] };
         let grant = authority.on_ask(Moment(START + number * 100), address(0), &ask, &[]);
         granted += grant.expect("an answer").entries[0].granted.thousandths / 1000;
     }
@@ -402,7 +403,8 @@
         want: Amount::units(need),
     };
     let mut ask = |node: usize, number: u64, at: u64, is_whole: bool| {
-        let ask = CreditAsk { life: 7, number, plan_epoch: Epoch(1), is_whole, entries: vec![entry(10)] };
+        let ask =
+            CreditAsk { life: 7, number, plan_epoch: Epoch(1), fresh_for: None, is_whole, entries: vec![entry(10)] };
         authority.on_ask(Moment(START + at), address(node), &ask, &members).expect("an answer")
     };
     let first = ask(0, 1, 100, false);
