--- a/review/standin/src/bin/explore-load.rs
+++ b/review/standin/src/bin/explore-load.rs
@@ -69,6 +69,10 @@
             ));
         }
     }
+    let events = if kind.contains("roll") { 64 } else { 4 };
+    for server in platform.servers.lock().unwrap().iter() {
+        server.manner.lock().unwrap().events = events;
+    }
     let fleet = Arc::new(Fleet::new(3, 3, 3, platform.address));
     fleet.start_all(true);
     let first = fleet.order(
@@ -229,6 +233,66 @@
                 fleet.start(n, Role::Router, false);
                 std::thread::sleep(Duration::from_millis(1000 + rng.next(1000)));
             }
+            "roll" => {
+                // Both processes of each machine are stopped and started in turn, the next after 1.3 s.
+                let mut down: Vec<(usize, Role)> = vec![];
+                for machine in 0..6 {
+                    record.note(format!("roll {machine}"));
+                    for role in [Role::Router, Role::Controller] {
+                        fleet.signal(machine, role, SIGTERM);
+                        down.push((machine, role));
+                    }
+                    let next = Instant::now() + Duration::from_millis(1300);
+                    while Instant::now() < next || (machine == 5 && !down.is_empty()) {
+                        down.retain(|(machine, role)| {
+                            let (code, has_ended) =
+                                fleet.wait_end(*machine, *role, Duration::from_millis(10));
+                            if has_ended {
+                                record.note(format!("{role:?} {machine} ended {code:?}"));
+                                std::thread::sleep(Duration::from_millis(50));
+                                fleet.start(*machine, *role, false);
+                            }
+                            !has_ended
+                        });
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(5000));
+            }
+            "shed" => {
+                // All servers turn requests away for some seconds.
+                let servers = platform.servers.lock().unwrap().clone();
+                for server in &servers {
+                    server.sheds.store(true, SeqCst);
+                }
+                std::thread::sleep(Duration::from_millis(6000));
+                for server in &servers {
+                    server.sheds.store(false, SeqCst);
+                }
+                std::thread::sleep(Duration::from_millis(4000));
+            }
+            "coredown" => {
+                record.note("all controllers are killed");
+                for machine in 0..6 {
+                    fleet.kill(machine, Role::Controller);
+                }
+                std::thread::sleep(Duration::from_millis(2000 + rng.next(9000)));
+                for machine in 0..6 {
+                    fleet.start(machine, Role::Controller, false);
+                }
+                record.note("all controllers are started");
+                std::thread::sleep(Duration::from_millis(4000 + rng.next(2000)));
+            }
+            "corestop" => {
+                record.note("two controllers stand still");
+                for machine in 0..2 {
+                    fleet.signal(machine, Role::Controller, SIGSTOP);
+                }
+                std::thread::sleep(Duration::from_millis(1000 + rng.next(7000)));
+                for machine in 0..2 {
+                    fleet.signal(machine, Role::Controller, SIGCONT);
+                }
+                std::thread::sleep(Duration::from_millis(2000 + rng.next(2000)));
+            }
             "kill" => {
                 record.note(format!("kill {n}"));
                 fleet.kill(n, Role::Router);
@@ -503,6 +567,47 @@
             }
         }
     }
+    // Arrivals beyond the first of each request, by service and sliding window.
+    for service in ["kolam-llm", "board-api"] {
+        let mut seen = std::collections::HashSet::new();
+        let mut all: Vec<(Instant, bool)> = arrivals
+            .iter()
+            .filter(|a| a.service == service)
+            .map(|a| (a.at, !seen.insert(a.id.as_str())))
+            .collect();
+        all.sort();
+        let requests: Vec<Instant> = sent
+            .iter()
+            .filter(|s| (s.kind == "draft" || s.kind == "query") == (service == "kolam-llm"))
+            .map(|s| s.at)
+            .collect();
+        let window = Duration::from_secs(10);
+        let mut most = (0, 0);
+        for (from, _) in &all {
+            let further = all
+                .iter()
+                .filter(|(at, again)| *again && at >= from && at.duration_since(*from) < window)
+                .count();
+            let asked = requests
+                .iter()
+                .filter(|at| *at >= from && at.duration_since(*from) < window)
+                .count();
+            if further > most.0 {
+                most = (further, asked);
+            }
+        }
+        record.note(format!(
+            "{service}: at most {} further arrivals in a window of {} requests",
+            most.0, most.1
+        ));
+        println!(
+            "{service}: at most {} further arrivals in a window of {} requests",
+            most.0, most.1
+        );
+        if most.0 as f64 > 0.2 * most.1 as f64 + 62.0 {
+            record.fault(format!("BUDGET {service}: {most:?}"));
+        }
+    }
     let mut counts: HashMap<(&str, String), usize> = HashMap::new();
     for s in &sent {
         let runs: Vec<&&Arrival> = by_id
@@ -557,7 +662,7 @@
             }
             let text = String::from_utf8_lossy(&s.body);
             if s.whole && (s.kind == "draft" || s.kind == "query") {
-                let expected: String = (1..=4)
+                let expected: String = (1..=events)
                     .map(|n| format!("id: {n}\ndata: {} {n}\n\n", s.id))
                     .collect();
                 if text != expected {
--- a/review/standin/src/servers.rs
+++ b/review/standin/src/servers.rs
@@ -68,6 +68,8 @@
     pub active: AtomicUsize,
     /// Streams that were sent to their end, and when.
     pub ended: Mutex<Vec<(String, Instant)>>,
+    /// Whether it turns all requests away.
+    pub sheds: AtomicBool,
     /// Whether reading a prompt takes time.
     pub reads: AtomicBool,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
@@ -106,6 +108,7 @@
             reading: Mutex::default(),
             active: AtomicUsize::new(0),
             ended: Mutex::default(),
+            sheds: AtomicBool::new(false),
             reads: AtomicBool::new(false),
             arrivals: arrivals.clone(),
         });
@@ -159,6 +162,8 @@
             421
         } else if attempt.is_empty() {
             400
+        } else if self.sheds.load(Ordering::SeqCst) {
+            503
         } else {
             0
         };
