--- a/review/standin/src/bin/sighup-at-start.rs
+++ b/review/standin/src/bin/sighup-at-start.rs
@@ -10,7 +10,7 @@
 /// The core's machines are stopped and started in turn, so often.
 const ROUNDS: usize = 3;
 /// How long after its start a process is told that its settings file has changed.
-const AFTER: Duration = Duration::from_millis(5);
+const AFTER: Duration = Duration::from_millis(2);
 /// Configurations before that, each with as many routes as `big_config` adds: the log of a day.
 const CHANGES: u64 = 100;
 
