controller: a zone's change is logged with the epoch that it saw and its age

The logs could not tell three hypotheses apart: the order was proposed before the stop and delayed; a repeat that should have been known was not; or it was read after the stop and its check came too late.

Change: `admin: zone change proposed` (id, change, the epoch the tail called newest, the epoch applied here, how long it was pending) and `admin: change answered` (method, path, outcome, time taken).

--- a/crates/controller/src/admin/handler.rs
+++ b/crates/controller/src/admin/handler.rs
@@ -2,13 +2,14 @@
 
 use crate::admin::control_client::{Attempt, ControlClient};
 use crate::admin::http::HttpInterface;
+use crate::admin::task::AdminAnswer;
 use crate::event_loop::ControlEvent;
 use crate::metrics::Metrics;
 use crate::process::Dialects;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use transport::{Request, Response};
-use types::{ResultCode, ZoneName};
+use types::{Clock, MonotonicInstant, ResultCode, ZoneName};
 
 /// What the connection threads share.
 pub(crate) struct RequestHandler {
@@ -38,9 +39,11 @@
             Ok(Some(call)) => {
                 let plans = self.dialects.plans.as_ref();
                 let is_ready = self.is_ready.load(Ordering::Relaxed);
+                let received_at = Clock::now();
                 let answer = self
                     .control
                     .execute(call, plans, &self.zones, is_ready, &attempt);
+                log_answer(request, &answer, received_at);
                 admin.write(answer)
             }
             Ok(None) if request.method == "GET" => self.respond_own(request),
@@ -61,6 +64,20 @@
     }
 }
 
+/// Logs the outcome of a request that changes something.
+fn log_answer(request: &Request, answer: &AdminAnswer, received_at: MonotonicInstant) {
+    if request.method == "GET" {
+        return;
+    }
+    let outcome = match answer {
+        AdminAnswer::Done | AdminAnswer::Plan(_) => ResultCode::Accepted,
+        AdminAnswer::Refused { code, .. } => *code,
+    };
+    let took_ms = Clock::now().since(received_at).0;
+    let (method, path) = (request.method.as_str(), request.path.as_str());
+    tracing::info!(method, path, %outcome, took_ms, "admin: change answered");
+}
+
 /// The response to a method and path that nothing is served at.
 pub(crate) fn not_found(request: &Request) -> Response {
     let reason = format!("{} {} is not known here", request.method, request.path);
--- a/crates/controller/src/admin/pending_requests.rs
+++ b/crates/controller/src/admin/pending_requests.rs
@@ -15,6 +15,8 @@
 pub(crate) struct PendingRequest {
     /// What is requested.
     pub(crate) request: OperatorRequest,
+    /// When it was taken in.
+    pub(crate) received_at: MonotonicInstant,
     /// When it is attempted again; `None` while a response to its proposal is outstanding.
     pub(crate) retry_at: Option<MonotonicInstant>,
     /// A proposal that the core rejected for now is attempted again until then.
@@ -54,6 +56,7 @@
         let is_prechecked = false;
         let pending = PendingRequest {
             request,
+            received_at: self.now,
             retry_at,
             patience_deadline,
             deadline,
@@ -149,10 +152,28 @@
         pending.attempt = self.last_attempt;
         pending.queried = None;
         pending.retry_at = None;
+        let received_at = pending.received_at;
+        self.report_zone_change(proposal, received_at);
         let (number, body) = (self.last_attempt, proposal.to_bytes());
         self.drive(Input::Propose { number, body });
     }
 
+    /// Reports that a zone's change is proposed, and on which grounds.
+    fn report_zone_change(&mut self, proposal: &Proposal, received_at: MonotonicInstant) {
+        let change = match &proposal.command {
+            Command::Withdraw { .. } => "withdraw",
+            Command::Restore { .. } => "restore",
+            _ => return,
+        };
+        self.outputs.push(ControllerOutput::ZoneChangeProposed {
+            id: proposal.id.clone(),
+            change,
+            seen: proposal.seen,
+            applied: self.replica.state_machine().epoch,
+            pending_for: self.now.since(received_at),
+        });
+    }
+
     fn respond(&mut self, number: u64, status: u16, body: Vec<u8>) {
         self.outputs.push(ControllerOutput::Response {
             number,
--- a/crates/controller/src/controller/events.rs
+++ b/crates/controller/src/controller/events.rs
@@ -2,7 +2,7 @@
 
 use config::Proposal;
 use replication::{Record, View};
-use types::Address;
+use types::{Address, ConfigEpoch, Milliseconds};
 use wire::{Message, Query};
 
 /// A request of an operator.
@@ -84,4 +84,17 @@
     },
     /// The replica has entered another view.
     ViewChanged(View),
+    /// An operator's change of a zone was proposed; to be logged.
+    ZoneChangeProposed {
+        /// The id of the proposal.
+        id: String,
+        /// The change, in a word.
+        change: &'static str,
+        /// The epoch that the tail called the newest on behalf of the request.
+        seen: ConfigEpoch,
+        /// The newest epoch that this replica has applied.
+        applied: ConfigEpoch,
+        /// The time since the request was taken in.
+        pending_for: Milliseconds,
+    },
 }
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -222,6 +222,16 @@
                 body,
             } => self.shared.responses.complete(number, status, body),
             ControllerOutput::ViewChanged(view) => log_view(&view),
+            ControllerOutput::ZoneChangeProposed {
+                id,
+                change,
+                seen,
+                applied,
+                pending_for,
+            } => {
+                let pending_ms = pending_for.0;
+                tracing::info!(%id, change, %seen, %applied, pending_ms, "admin: zone change proposed");
+            }
         }
     }
 
--- a/crates/controller/tests/control/mod.rs
+++ b/crates/controller/tests/control/mod.rs
@@ -261,7 +261,7 @@
                 } => {
                     self.answers.insert(number, (status, body));
                 }
-                ControllerOutput::ViewChanged(_) => {}
+                ControllerOutput::ViewChanged(_) | ControllerOutput::ZoneChangeProposed { .. } => {}
             }
         }
     }
--- a/crates/controller/tests/golden.rs
+++ b/crates/controller/tests/golden.rs
@@ -373,7 +373,9 @@
                     ControllerOutput::Send { to, message, .. } if to == me().address => {
                         inputs.push(ControllerInput::Message { from: to, message });
                     }
-                    ControllerOutput::Send { .. } | ControllerOutput::ViewChanged(_) => {}
+                    ControllerOutput::Send { .. }
+                    | ControllerOutput::ViewChanged(_)
+                    | ControllerOutput::ZoneChangeProposed { .. } => {}
                 }
             }
         }
--- a/crates/simulator/src/world/machines.rs
+++ b/crates/simulator/src/world/machines.rs
@@ -456,6 +456,7 @@
                     body,
                 } => self.on_controller_response(machine, number, status, &body),
                 ControllerOutput::ViewChanged(view) => self.witness.view(self.now, address, &view),
+                ControllerOutput::ZoneChangeProposed { .. } => {}
             }
         }
     }
