transport: a server tells when a request can have arrived at the earliest

Cause: whoever serves a request takes it for new when it is read. In a process that was stopped (SIGSTOP, a frozen machine, no processor) it may have lain in the accept queue or the socket for as long as that, and no clock tells for how long.

Change: with `arrival_check_period` the listener and each waiting connection are polled in steps; a step that times out shows that nothing was there, and `Request::arrived_after` is the last such instant before the request's last bytes. It is a bound by poll(2)'s own meaning, not by a guess at how fast threads run: a step's end counts only if the poll ended at it or later with nothing. Without a period (clients' servers) nothing changes and no system call is added; the bound is then when the server was opened.

--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -3,6 +3,7 @@
 //! `framing` decides where each request on a connection begins and ends, `connection` drives one connection
 //! from its first byte to its end, and `state` holds the limits in force, which may change meanwhile.
 
+mod arrival;
 mod closing;
 mod connection;
 mod framing;
@@ -18,23 +19,29 @@
 pub use self::request::Request;
 pub use self::response::{BodyChunk, BodySource, Response};
 
+use self::arrival::ArrivalTracker;
 use self::connection::serve_connection;
 use self::state::ServerState;
+use crate::socket::wait_for_connection;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
-use types::Address;
+use types::{Address, Clock, MonotonicInstant};
 
 /// The pause after a failed accept, as when the process has no descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// A deadline that never comes.
+const NEVER: MonotonicInstant = MonotonicInstant(u64::MAX);
 /// How long [`HttpServerCloser::close`] waits for its connection that wakes the listener.
 const CLOSE_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A listening HTTP server.
 pub struct HttpServer {
     listener: TcpListener,
+    /// Before this, no connection can have come.
+    opened_at: MonotonicInstant,
     bounds: HttpServerBounds,
     is_closed: Arc<AtomicBool>,
     state: Arc<ServerState>,
@@ -49,6 +56,7 @@
     /// If the address can't be bound, or no descriptors are left for the notification of changed limits.
     pub fn open(address: SocketAddr, bounds: HttpServerBounds) -> io::Result<Self> {
         Ok(HttpServer {
+            opened_at: Clock::now(),
             listener: TcpListener::bind(address)?,
             state: Arc::new(ServerState::new(bounds.limits())?),
             bounds,
@@ -90,7 +98,14 @@
     where
         H: Fn(Request) -> Response + Send + Sync + Clone + 'static,
     {
+        let mut arrivals = ArrivalTracker::new(self.bounds.arrival_check_period, self.opened_at);
         loop {
+            let is_tracked = self.bounds.arrival_check_period.is_some();
+            if is_tracked && !self.is_closed.load(Ordering::SeqCst) {
+                arrivals.wait(NEVER, |deadline| {
+                    wait_for_connection(&self.listener, deadline)
+                });
+            }
             let stream = match self.listener.accept() {
                 Ok((stream, _)) => stream,
                 // Closing: all connections that had come were accepted.
@@ -105,11 +120,11 @@
             {
                 return;
             }
-            self.spawn_connection(stream, handler.clone());
+            self.spawn_connection(stream, arrivals, handler.clone());
         }
     }
 
-    fn spawn_connection<H>(&self, stream: TcpStream, handler: H)
+    fn spawn_connection<H>(&self, stream: TcpStream, arrivals: ArrivalTracker, handler: H)
     where
         H: Fn(Request) -> Response + Send + Clone + 'static,
     {
@@ -123,7 +138,7 @@
             .stack_size(bounds.stack_bytes);
         let spawned = builder.spawn(move || {
             let _permit = permit;
-            serve_connection(stream, bounds, &state, handler);
+            serve_connection(stream, arrivals, bounds, &state, handler);
         });
         if let Err(error) = spawned {
             tracing::warn!(%error, "no thread for a connection");
--- a/crates/transport/src/http_server/connection.rs
+++ b/crates/transport/src/http_server/connection.rs
@@ -3,6 +3,7 @@
 //! The event loop polls the HTTP library, lets [`ConnectionDriver`] decide on the next [`Step`], and waits
 //! for the socket in between.
 
+use super::arrival::ArrivalTracker;
 use super::closing::Ending;
 use super::framing::RequestProgress;
 use super::request_reader::{Exchange, RequestReader};
@@ -75,19 +76,24 @@
     state: &'a ServerState,
     settings: ServerSettings,
     awaited: Awaited,
+    arrivals: ArrivalTracker,
     /// Bytes written when the library was last polled.
     sent_before: u64,
 }
 
-/// Serves a connection until either side ends it.
+/// Serves a connection until either side ends it. `arrivals` knows when the connection can't have come yet.
 pub(super) fn serve_connection<H: Fn(Request) -> Response + Clone>(
     stream: TcpStream,
+    arrivals: ArrivalTracker,
     bounds: HttpServerBounds,
     state: &ServerState,
     handler: H,
 ) {
     let socket = Arc::new(Socket::new(stream));
-    let exchange = Rc::new(Exchange::new(state.settings().limits.request));
+    let exchange = Rc::new(Exchange::new(
+        state.settings().limits.request,
+        arrivals.last_empty(),
+    ));
     let service = service_fn(|request: hyper::Request<Incoming>| {
         let client = ClientConnection::new(&socket);
         respond(request, handler.clone(), client, exchange.clone(), state)
@@ -106,7 +112,7 @@
             .max_header_size(MAX_HEADER_BYTES)
             .serve_connection(reader, service)
     );
-    let driver = ConnectionDriver::new(&socket, &exchange, &bounds, state);
+    let driver = ConnectionDriver::new(&socket, &exchange, arrivals, &bounds, state);
     let ending = driver.run(library.as_mut());
     ending.close(&socket, &exchange);
 }
@@ -115,6 +121,7 @@
     fn new(
         socket: &'a Socket,
         exchange: &'a Exchange,
+        arrivals: ArrivalTracker,
         bounds: &'a HttpServerBounds,
         state: &'a ServerState,
     ) -> Self {
@@ -126,6 +133,7 @@
             state,
             settings: adopt_settings(state, exchange),
             awaited,
+            arrivals,
             sent_before: 0,
         }
     }
@@ -210,10 +218,14 @@
     }
 
     /// Waits until there is something to do or the time for what is awaited is over.
-    fn wait(&self) -> Step {
+    fn wait(&mut self) -> Step {
         let deadline = wait_deadline(self.bounds, &self.settings, self.awaited);
         let notifier = Some(&*self.settings.change_notifier);
-        match wait_for_readiness(self.socket, None, notifier, deadline.at) {
+        let readiness = self.arrivals.wait(deadline.at, |step_end| {
+            wait_for_readiness(self.socket, None, notifier, step_end)
+        });
+        self.exchange.arrived_after.set(self.arrivals.last_empty());
+        match readiness {
             Readiness::Ready | Readiness::Notified => Step::Poll,
             Readiness::TimedOut | Readiness::ClientDisconnected if deadline.is_idle => {
                 Step::Close(Ending::Graceful)
@@ -289,7 +301,8 @@
     let response = match body {
         Ok(body) if is_complete => {
             exchange.is_responding.set(true);
-            handler(Request::new(head, body.to_bytes(), client))
+            let arrived_after = exchange.arrived_after.get();
+            handler(Request::new(head, body.to_bytes(), client, arrived_after))
         }
         // The library and the framer disagree on where the request ends.
         Ok(_) => Response::result(ResultCode::BadRequest, "its end is in doubt"),
--- a/crates/transport/src/http_server/limits.rs
+++ b/crates/transport/src/http_server/limits.rs
@@ -22,6 +22,10 @@
     pub header_bytes: usize,
     /// Bytes of the stack of each connection's thread, which also runs the handler. Default 512 KiB.
     pub stack_bytes: usize,
+    /// How often the listener and each connection that waits for a request are checked for being empty. It bounds
+    /// how far [`Request::arrived_after`](super::Request::arrived_after) lies before the arrival in a process that
+    /// runs. `None`, the default, doesn't check.
+    pub arrival_check_period: Option<Milliseconds>,
 }
 
 impl Default for HttpServerBounds {
@@ -34,6 +38,7 @@
             idle_timeout: Milliseconds::seconds(15),
             header_bytes: 64 << 10,
             stack_bytes: 512 << 10,
+            arrival_check_period: None,
         }
     }
 }
--- a/crates/transport/src/http_server/request.rs
+++ b/crates/transport/src/http_server/request.rs
@@ -2,6 +2,7 @@
 
 use crate::socket::ClientConnection;
 use bytes::Bytes;
+use types::MonotonicInstant;
 
 /// One HTTP request with its complete body.
 pub struct Request {
@@ -17,12 +18,22 @@
     pub body: Bytes,
     /// The connection that the request came on.
     pub client: ClientConnection,
+    /// The last bytes of the request arrived after this instant: at it the socket, or before the connection's first
+    /// bytes the listener, was empty. A process that was stopped meanwhile may read the request much later. Without
+    /// [`HttpServerBounds::arrival_check_period`](super::HttpServerBounds::arrival_check_period) it's when the server
+    /// was opened.
+    pub arrived_after: MonotonicInstant,
     parsed_method: http::Method,
     headers: http::HeaderMap,
 }
 
 impl Request {
-    pub(super) fn new(head: http::request::Parts, body: Bytes, client: ClientConnection) -> Self {
+    pub(super) fn new(
+        head: http::request::Parts,
+        body: Bytes,
+        client: ClientConnection,
+        arrived_after: MonotonicInstant,
+    ) -> Self {
         Request {
             method: head.method.as_str().to_owned(),
             path: head.uri.path().to_owned(),
@@ -33,6 +44,7 @@
                 .map_or_else(|| head.uri.to_string(), |target| target.as_str().to_owned()),
             body,
             client,
+            arrived_after,
             parsed_method: head.method,
             headers: head.headers,
         }
--- a/crates/transport/src/http_server/request_reader.rs
+++ b/crates/transport/src/http_server/request_reader.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use types::MonotonicInstant;
 
 /// What a connection's reader, its service and its event loop share about the current request.
 pub(super) struct Exchange {
@@ -21,16 +22,19 @@
     pub is_responding: Cell<bool>,
     /// Whether only the close marks the end of the response's body.
     pub is_close_delimited: Cell<bool>,
+    /// The bytes read last arrived after this instant.
+    pub arrived_after: Cell<MonotonicInstant>,
 }
 
 impl Exchange {
-    pub(super) fn new(limits: RequestLimits) -> Self {
+    pub(super) fn new(limits: RequestLimits, arrived_after: MonotonicInstant) -> Self {
         Exchange {
             framer: RefCell::new(RequestFramer::new()),
             limits: Cell::new(limits),
             is_dispatched: Cell::new(false),
             is_responding: Cell::new(false),
             is_close_delimited: Cell::new(false),
+            arrived_after: Cell::new(arrived_after),
         }
     }
 
--- a/crates/transport/src/http_server/tests.rs
+++ b/crates/transport/src/http_server/tests.rs
@@ -21,7 +21,7 @@
 /// The seed of the mixes.
 const SEED: [u8; 32] = [18; 32];
 
-fn bounds() -> HttpServerBounds {
+pub(super) fn bounds() -> HttpServerBounds {
     HttpServerBounds {
         keep_alive: true,
         ..HttpServerBounds::default()
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -4,7 +4,7 @@
 mod readiness;
 mod stream;
 
-pub(crate) use self::readiness::{Readiness, wait_for_readiness};
+pub(crate) use self::readiness::{Readiness, wait_for_connection, wait_for_readiness};
 pub(crate) use self::stream::{SocketStream, WakeFlag};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
--- a/crates/transport/src/socket/readiness.rs
+++ b/crates/transport/src/socket/readiness.rs
@@ -4,6 +4,7 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use std::fs::File;
+use std::net::TcpListener;
 use std::sync::atomic::Ordering;
 use types::{Clock, MonotonicInstant};
 
@@ -60,6 +61,21 @@
     }
 }
 
+/// Waits until a connection can be accepted or the deadline has passed. An error of the wait counts as a connection:
+/// the accept that follows returns the cause.
+pub(crate) fn wait_for_connection(listener: &TcpListener, deadline: MonotonicInstant) -> Readiness {
+    loop {
+        let left = Clock::now().until(deadline);
+        let timeout = Timespec::try_from(left.duration()).ok();
+        let mut polled = [PollFd::new(listener, PollFlags::IN)];
+        match poll(&mut polled, timeout.as_ref()) {
+            Ok(0) if Clock::now().until(deadline).0 == 0 => return Readiness::TimedOut,
+            Ok(0) | Err(Errno::INTR) => {}
+            Ok(_) | Err(_) => return Readiness::Ready,
+        }
+    }
+}
+
 impl Watched<'_> {
     /// Polls once; `None` if nothing has happened that ends the wait.
     fn poll_once(&mut self, deadline: MonotonicInstant) -> Option<Readiness> {
