controller: an operator's request counts from when it can have arrived, not from its reading

When the first controller went on it read the order in its socket and carried it out: a zone that was evacuated by the operator's last order got requests for good.

Cause: all that keeps a late order from undoing a newer one counts from the moment at which the request is read: the operator's time-out (950 ms), and the 700 ms within which the tail must say which epoch was the newest when the request came (`Proposal::seen`). Of a process that stood still that moment is seconds after the arrival, so the tail's answer held the very orders that the check is to protect. The control thread counted anew, too, from when it took the request off its queue.

Change: `Attempt` and `ControllerInput::Operator` carry `RequestAge` (arrived after; its operator waits until), from `Request::arrived_after`. A request whose operator may have given up is answered 503 before anything is started, on the connection's thread and again on the control thread; the tail's answer counts within 700 ms of the arrival. Operators' listeners observe arrivals every 100 ms. 503 loses nothing: an operator that still waits sends it again.

Why it works: the bound is at or before the arrival, so what a zone's change has seen is older than anything that its operator can have sent in its place, however long the request lay in the accept queue, the socket or this process; then the state machine's check rejects it, as it does for orders that are delayed between controllers.

Red before, green after: - testbed, `a_request_that_a_suspended_controller_reads_late_does_not_undo_those_after_it` (real processes, SIGSTOP, each controller in turn).

--- a/crates/controller/src/admin/control_client.rs
+++ b/crates/controller/src/admin/control_client.rs
@@ -1,10 +1,10 @@
 //! The way of an operator's request from its connection thread to the control thread and back.
 
-use crate::controller::{ControllerInput, OperatorRequest};
+use crate::controller::{ControllerInput, OperatorRequest, RequestAge};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use transport::{ClientConnection, Response};
+use transport::{ClientConnection, Request, Response};
 use types::{Clock, Milliseconds, MonotonicInstant, ResultCode};
 
 /// Operators' requests that may be in flight in this process; further ones are rejected at once.
@@ -15,29 +15,46 @@
 /// The time between two checks whether an operator's connection is still open.
 const CONNECTION_CHECK_PERIOD: Milliseconds = Milliseconds(100);
 
-/// One call of an operator: its deadline, and the connection that its answer goes to.
+/// One call of an operator: when it arrived, when its operator gives up, and the connection that its answer goes to.
 pub struct Attempt {
-    deadline: MonotonicInstant,
+    age: RequestAge,
     client: Option<ClientConnection>,
 }
 
 impl Attempt {
-    /// An attempt that starts now and times out after `timeout`, or when the connection `client` closes.
-    pub fn new(timeout: Milliseconds, client: Option<ClientConnection>) -> Self {
+    /// An attempt that arrived after `arrived_after` and times out `timeout` later, or when the connection `client`
+    /// closes.
+    pub fn new(
+        arrived_after: MonotonicInstant,
+        timeout: Milliseconds,
+        client: Option<ClientConnection>,
+    ) -> Self {
         Attempt {
-            deadline: Clock::now() + timeout,
+            age: RequestAge::new(arrived_after, timeout),
             client,
         }
     }
 
-    /// Whether the deadline has passed or the connection is closed.
-    fn is_over(&self) -> bool {
-        Clock::now() >= self.deadline
+    /// An attempt at a request that was read from a connection. It may have waited there for long, so its time runs
+    /// from the earliest moment at which it can have arrived.
+    pub(crate) fn of_request(request: &Request, timeout: Milliseconds) -> Self {
+        let client = request.client.clone();
+        Attempt::new(request.arrived_after, timeout, Some(client))
+    }
+
+    /// Whether the operator may have given up: the deadline has passed or the connection is closed.
+    pub(crate) fn is_over(&self) -> bool {
+        self.is_expired()
             || self
                 .client
                 .as_ref()
                 .is_some_and(ClientConnection::is_disconnected)
     }
+
+    /// Whether the deadline has passed.
+    pub(crate) fn is_expired(&self) -> bool {
+        Clock::now() >= self.age.deadline
+    }
 }
 
 /// HTTP status and body of the control thread's response.
@@ -117,7 +134,11 @@
         let Some(receiver) = self.pending.register(number) else {
             return Err(not_sent("too many operators' requests are waiting"));
         };
-        (self.send_input)(ControllerInput::Operator { number, request });
+        (self.send_input)(ControllerInput::Operator {
+            number,
+            request,
+            age: attempt.age,
+        });
         let response = Self::wait(&receiver, attempt);
         self.pending.remove(number);
         response.ok_or_else(|| {
@@ -132,7 +153,7 @@
         attempt: &Attempt,
     ) -> Option<ControlResponse> {
         loop {
-            let remaining = Clock::now().until(attempt.deadline);
+            let remaining = Clock::now().until(attempt.age.deadline);
             let timeout = remaining.min(CONNECTION_CHECK_PERIOD);
             match receiver.recv_timeout(timeout.duration()) {
                 Ok(response) => return Some(response),
--- a/crates/controller/src/admin/handler.rs
+++ b/crates/controller/src/admin/handler.rs
@@ -1,6 +1,6 @@
 //! Dispatch of an operator's HTTP request to the platform's dialect or to the product's own interface.
 
-use crate::admin::control_client::{Attempt, ControlClient};
+use crate::admin::control_client::ControlClient;
 use crate::admin::http::HttpInterface;
 use crate::admin::task::AdminAnswer;
 use crate::event_loop::ControlEvent;
@@ -33,8 +33,7 @@
         let Some(admin) = &self.dialects.admin else {
             return self.respond_own(request);
         };
-        let timeout = admin.patience(request.body.len());
-        let attempt = Attempt::new(timeout, Some(request.client.clone()));
+        let attempt = self.dialects.attempt(request);
         match admin.read(request) {
             Ok(Some(call)) => {
                 let plans = self.dialects.plans.as_ref();
--- a/crates/controller/src/admin/http.rs
+++ b/crates/controller/src/admin/http.rs
@@ -42,7 +42,7 @@
         is_ready: &'a AtomicBool,
         metrics: &'a Metrics,
     ) -> Self {
-        let attempt = Attempt::new(OPERATOR_PATIENCE, Some(request.client.clone()));
+        let attempt = Attempt::of_request(request, OPERATOR_PATIENCE);
         HttpInterface {
             request,
             control,
--- a/crates/controller/src/admin/pending_requests.rs
+++ b/crates/controller/src/admin/pending_requests.rs
@@ -1,22 +1,22 @@
 //! Operators' requests in flight: queries of the tail and proposals to the head, retried until their deadlines.
 
-use crate::controller::{Controller, ControllerOutput, OperatorRequest};
+use crate::controller::{Controller, ControllerOutput, OperatorRequest, RequestAge};
 use config::{Command, Proposal};
 use replication::Input;
 use types::{Address, ConfigEpoch, Milliseconds, MonotonicInstant, ResultCode};
 use wire::{Message, Query};
 
-/// What the newest epoch was when a zone's change came in must be known within this, or it is not proposed: an
-/// answer from later may be younger than what its operator did since. Under the second after which an operator
-/// turns to another controller.
+/// What the newest epoch was when a zone's change came in must be known within this of its arrival, or it is not
+/// proposed: an answer from later may be younger than what its operator did since. Under the second after which an
+/// operator turns to another controller.
 const SEEN_WITHIN: Milliseconds = Milliseconds(700);
 
 /// An operator's request in flight.
 pub(crate) struct PendingRequest {
     /// What is requested.
     pub(crate) request: OperatorRequest,
-    /// When it was taken in.
-    pub(crate) received_at: MonotonicInstant,
+    /// How old it may be.
+    pub(crate) age: RequestAge,
     /// When it is attempted again; `None` while a response to its proposal is outstanding.
     pub(crate) retry_at: Option<MonotonicInstant>,
     /// A proposal that the core rejected for now is attempted again until then.
@@ -36,27 +36,31 @@
 }
 
 impl Controller {
-    pub(crate) fn on_operator(&mut self, number: u64, request: OperatorRequest) {
+    pub(crate) fn on_operator(&mut self, number: u64, request: OperatorRequest, age: RequestAge) {
+        if self.now >= age.deadline {
+            // It has waited in this process or before it; nothing was started for it.
+            return self.give_up(number, ResultCode::CoreNotReady);
+        }
         let is_read = matches!(request, OperatorRequest::Read(_));
-        let deadline = self.now
-            + if is_read {
-                self.timing.read_patience
-            } else {
-                self.timing.fate_deadline
-            };
+        let patience = if is_read {
+            self.timing.read_patience
+        } else {
+            self.timing.fate_deadline
+        };
+        let deadline = age.deadline.min(self.now + patience);
         let patience_deadline = self.now + self.timing.patience;
         self.last_attempt += 1;
         let (retry_at, attempt) = (Some(self.now), self.last_attempt);
         let precheck_deadline = match &request {
             OperatorRequest::Propose(proposal) if proposal.command.is_of_a_zone() => {
-                self.now + SEEN_WITHIN
+                age.arrived_after + SEEN_WITHIN
             }
             _ => deadline,
         };
         let is_prechecked = false;
         let pending = PendingRequest {
             request,
-            received_at: self.now,
+            age,
             retry_at,
             patience_deadline,
             deadline,
@@ -152,14 +156,14 @@
         pending.attempt = self.last_attempt;
         pending.queried = None;
         pending.retry_at = None;
-        let received_at = pending.received_at;
-        self.report_zone_change(proposal, received_at);
+        let arrived_after = pending.age.arrived_after;
+        self.report_zone_change(proposal, arrived_after);
         let (number, body) = (self.last_attempt, proposal.to_bytes());
         self.drive(Input::Propose { number, body });
     }
 
     /// Reports that a zone's change is proposed, and on which grounds.
-    fn report_zone_change(&mut self, proposal: &Proposal, received_at: MonotonicInstant) {
+    fn report_zone_change(&mut self, proposal: &Proposal, arrived_after: MonotonicInstant) {
         let change = match &proposal.command {
             Command::Withdraw { .. } => "withdraw",
             Command::Restore { .. } => "restore",
@@ -170,7 +174,7 @@
             change,
             seen: proposal.seen,
             applied: self.replica.state_machine().epoch,
-            pending_for: self.now.since(received_at),
+            pending_for: self.now.since(arrived_after),
         });
     }
 
--- a/crates/controller/src/admin/task/tests.rs
+++ b/crates/controller/src/admin/task/tests.rs
@@ -4,7 +4,7 @@
 use crate::controller::ControllerInput;
 use config::OwnPlans;
 use std::sync::Arc;
-use types::{Milliseconds, ResultCode};
+use types::{Clock, Milliseconds, ResultCode};
 
 /// A core that answers each question from the words given, in turn.
 fn core(words: Vec<(u16, Vec<u8>)>) -> ControlClient {
@@ -49,7 +49,7 @@
         &OwnPlans,
         &[],
         true,
-        &Attempt::new(OPERATOR_PATIENCE, None),
+        &Attempt::new(Clock::now(), OPERATOR_PATIENCE, None),
     ) {
         AdminAnswer::Refused { code, .. } => code,
         AdminAnswer::Done | AdminAnswer::Plan(_) => ResultCode::Accepted,
@@ -112,7 +112,7 @@
         &OwnPlans,
         &[],
         true,
-        &Attempt::new(Milliseconds(0), None),
+        &Attempt::new(Clock::now(), Milliseconds(0), None),
     );
     assert!(
         matches!(
@@ -128,12 +128,24 @@
         inputs.lock().unwrap().is_empty(),
         "nobody waits for it, so nothing was begun"
     );
+    let late = Clock::now() - OPERATOR_PATIENCE;
+    unresponsive.execute(
+        call.clone(),
+        &OwnPlans,
+        &[],
+        true,
+        &Attempt::new(late, OPERATOR_PATIENCE, None),
+    );
+    assert!(
+        inputs.lock().unwrap().is_empty(),
+        "it was read when its operator had given up"
+    );
     unresponsive.execute(
         call,
         &OwnPlans,
         &[],
         true,
-        &Attempt::new(Milliseconds(20), None),
+        &Attempt::new(Clock::now(), Milliseconds(20), None),
     );
     let inputs = inputs.lock().unwrap();
     let [
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -13,7 +13,7 @@
 mod events;
 mod timing;
 
-pub use events::{ControllerInput, ControllerOutput, OperatorRequest};
+pub use events::{ControllerInput, ControllerOutput, OperatorRequest, RequestAge};
 pub use timing::{ControllerTiming, Quorum};
 
 /// A controller's state: the replica with the configuration, the members' leases, and the requests in flight.
@@ -146,7 +146,11 @@
         self.now = self.now.max(now);
         match input {
             ControllerInput::Message { from, message } => self.on_message(from, message),
-            ControllerInput::Operator { number, request } => self.on_operator(number, request),
+            ControllerInput::Operator {
+                number,
+                request,
+                age,
+            } => self.on_operator(number, request, age),
             ControllerInput::Abandoned { number } => {
                 self.pending.remove(&number);
             }
--- a/crates/controller/src/controller/events.rs
+++ b/crates/controller/src/controller/events.rs
@@ -2,7 +2,7 @@
 
 use config::Proposal;
 use replication::{Record, View};
-use types::{Address, ConfigEpoch, Milliseconds};
+use types::{Address, ConfigEpoch, Milliseconds, MonotonicInstant};
 use wire::{Message, Query};
 
 /// A request of an operator.
@@ -14,6 +14,26 @@
     Propose(Proposal),
 }
 
+/// How old an operator's request may be. It was sent before it arrived, so its operator may give up before `deadline`
+/// is reached, but has sent nothing in its place before `arrived_after`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestAge {
+    /// The request arrived after this instant.
+    pub arrived_after: MonotonicInstant,
+    /// From then on its operator may have given up: nothing is started for it any more.
+    pub deadline: MonotonicInstant,
+}
+
+impl RequestAge {
+    /// Of a request that arrived after `arrived_after`, and whose operator waits for this long.
+    pub fn new(arrived_after: MonotonicInstant, timeout: Milliseconds) -> Self {
+        RequestAge {
+            arrived_after,
+            deadline: arrived_after + timeout,
+        }
+    }
+}
+
 /// An input of a controller's state machine.
 #[derive(Debug, Clone)]
 pub enum ControllerInput {
@@ -30,6 +50,8 @@
         number: u64,
         /// The query or the change that is requested.
         request: OperatorRequest,
+        /// How old it may be. It may have waited in a socket and in this process's queues.
+        age: RequestAge,
     },
     /// A request's operator has disconnected or timed out: nothing more is done for the request.
     Abandoned {
@@ -94,7 +116,7 @@
         seen: ConfigEpoch,
         /// The newest epoch that this replica has applied.
         applied: ConfigEpoch,
-        /// The time since the request was taken in.
+        /// How old the request may be.
         pending_for: Milliseconds,
     },
 }
--- a/crates/controller/src/controller/tests.rs
+++ b/crates/controller/src/controller/tests.rs
@@ -1,13 +1,17 @@
 use super::*;
+use crate::admin::control_client::OPERATOR_PATIENCE;
 use crate::controller::{
     Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorRequest, Quorum,
+    RequestAge,
 };
 use crate::discovery::peer_discovery::PeerDiscovery;
 use config::{Command, ConfigStateMachine, Proposal};
 use replication::{
     ChainPosition, Record, RecoveredRecords, Replica, ReplicationMessage, View, Voter,
 };
-use types::{Address, ConfigEpoch, DiskId, MonotonicInstant, ResultCode, TokenKey, ViewNumber};
+use types::{
+    Address, ConfigEpoch, DiskId, Milliseconds, MonotonicInstant, ResultCode, TokenKey, ViewNumber,
+};
 use wire::{LeaseRequest, Member, Message, Query};
 
 mod unsettled_membership;
@@ -99,32 +103,33 @@
             .filter_map(left)
             .collect()
     }
+    /// Of a request that arrives now.
+    fn age(&self) -> RequestAge {
+        RequestAge::new(MonotonicInstant(self.at), OPERATOR_PATIENCE)
+    }
     fn tick(&mut self, after: u64) -> Vec<Left> {
         self.step(after, ControllerInput::ClockEvent)
     }
     fn read(&mut self, number: u64) -> Vec<Left> {
-        self.step(
-            0,
-            ControllerInput::Operator {
-                number,
-                request: OperatorRequest::Read(Query::Latest),
-            },
-        )
+        let age = self.age();
+        self.receive_request(number, OperatorRequest::Read(Query::Latest), age)
     }
     fn propose(&mut self, number: u64, command: Command) -> Vec<Left> {
-        let proposal = Proposal {
-            id: format!("op-{number}"),
-            builds_on: None,
-            seen: ConfigEpoch(0),
-            command,
+        let age = self.age();
+        self.receive_request(number, propose(command), age)
+    }
+    fn receive_request(
+        &mut self,
+        number: u64,
+        request: OperatorRequest,
+        age: RequestAge,
+    ) -> Vec<Left> {
+        let input = ControllerInput::Operator {
+            number,
+            request,
+            age,
         };
-        self.step(
-            0,
-            ControllerInput::Operator {
-                number,
-                request: OperatorRequest::Propose(proposal),
-            },
-        )
+        self.step(0, input)
     }
     fn receive_response(&mut self, from: u16, number: u64) -> Vec<Left> {
         let message = Message::QueryResponse {
@@ -164,6 +169,15 @@
     }
 }
 
+fn propose(command: Command) -> OperatorRequest {
+    OperatorRequest::Propose(Proposal {
+        id: "op".into(),
+        builds_on: None,
+        seen: ConfigEpoch(0),
+        command,
+    })
+}
+
 fn forget() -> Command {
     Command::ForceRemove {
         members: vec![Address::loopback(9)],
@@ -251,6 +265,50 @@
     assert_eq!(played.tick(250), []);
 }
 
+/// Guards against starting an order that lay in a suspended process's socket until its operator had given up
+/// (docs/incidents/request-read-late.md).
+#[test]
+fn a_request_whose_operator_may_have_given_up_is_not_started() {
+    let operator_timeout = Milliseconds(950);
+    let requests = [
+        OperatorRequest::Read(Query::Latest),
+        propose(plan()),
+        propose(withdraw()),
+    ];
+    for request in requests {
+        let mut played = Played::new(1000);
+        let arrived_after = MonotonicInstant(played.at) - operator_timeout;
+        let age = RequestAge::new(arrived_after, operator_timeout);
+        assert_eq!(
+            played.receive_request(30, request, age),
+            [Left::Response(30, 503)]
+        );
+        assert_eq!(played.tick(250), []);
+    }
+}
+
+/// Guards against the same where the operator still waits: what the tail says counts from the order's arrival, however
+/// much later the order is read.
+#[test]
+fn a_zone_s_change_that_was_read_late_goes_out_only_with_what_the_tail_said_soon_after_its_arrival()
+{
+    let mut played = Played::new(1000);
+    let arrived_after = MonotonicInstant(played.at) - Milliseconds(600);
+    let age = RequestAge::new(arrived_after, OPERATOR_PATIENCE);
+    let query = played.receive_request(30, propose(withdraw()), age);
+    assert_eq!(query, [Left::Query(3, 1001)]);
+    let newest = Message::QueryResponse {
+        number: 1001,
+        status: 200,
+        body: 9u64.to_be_bytes().to_vec(),
+    };
+    let from_tail = ControllerInput::Message {
+        from: Address::loopback(3),
+        message: newest,
+    };
+    assert_eq!(played.step(150, from_tail), [Left::Response(30, 503)]);
+}
+
 /// Operators' numbers begin anew with each process; what comes late for an earlier one is not for this.
 #[test]
 fn an_answer_to_an_earlier_life_is_not_taken() {
@@ -446,9 +504,14 @@
             ControllerInput::Operator {
                 number,
                 request: OperatorRequest::Propose(proposal),
+                age: self.age(),
             },
         )
     }
+    /// Of a request that arrives now.
+    fn age(&self) -> RequestAge {
+        RequestAge::new(MonotonicInstant(self.at), OPERATOR_PATIENCE)
+    }
     fn epoch(&self) -> u64 {
         self.controller.replica().state_machine().epoch.0
     }
--- a/crates/controller/src/controller/tests/unsettled_membership.rs
+++ b/crates/controller/src/controller/tests/unsettled_membership.rs
@@ -61,7 +61,15 @@
         },
     };
     let request = OperatorRequest::Propose(proposal);
-    core.step(5, ControllerInput::Operator { number, request })
+    let age = core.age();
+    core.step(
+        5,
+        ControllerInput::Operator {
+            number,
+            request,
+            age,
+        },
+    )
 }
 
 /// Three of four members hold leases, and still no withdrawal is accepted.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -27,6 +27,7 @@
 pub use consensus::disk_thread::{DiskEvent, DiskThread};
 pub use controller::{
     Controller, ControllerInput, ControllerOutput, ControllerTiming, OperatorRequest, Quorum,
+    RequestAge,
 };
 pub use discovery::diskless_controller::{DisklessController, DisklessControllerInput};
 pub use discovery::peer_discovery::{DiscoveryTiming, PeerDiscovery};
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -1,6 +1,7 @@
 //! What both kinds of controller processes share, with a disk and without: the platform's hooks, the signals and the
 //! addresses that they listen at.
 
+use crate::admin::control_client::{Attempt, OPERATOR_PATIENCE};
 use crate::admin::task::AdminDialect;
 use crate::discovery::redirect::ReadAddresses;
 use crate::error::StartupError;
@@ -19,6 +20,8 @@
 const MAX_BODY_BYTES: usize = 48 << 20;
 /// The longest that an operator's request may take to arrive.
 const READ_TIMEOUT: Milliseconds = Milliseconds::seconds(20);
+/// How far an operator's request may count as older than it is, in a process that runs.
+const ARRIVAL_CHECK_PERIOD: Milliseconds = Milliseconds(100);
 
 /// How operators and the platform speak to a controller. The default is the product's own interface.
 #[derive(Clone)]
@@ -37,6 +40,18 @@
 /// Returns the inner addresses of the seeds as the settings have them now, or `None` if they can't be read.
 pub type ReadSeeds = Arc<dyn Fn() -> Option<Vec<Address>> + Send + Sync>;
 
+impl Dialects {
+    /// The attempt that a request on the operators' interface is, with the time-out of whoever sends such a request.
+    pub(crate) fn attempt(&self, request: &Request) -> Attempt {
+        let body_bytes = request.body.len();
+        let timeout = self
+            .admin
+            .as_ref()
+            .map_or(OPERATOR_PATIENCE, |admin| admin.patience(body_bytes));
+        Attempt::of_request(request, timeout)
+    }
+}
+
 impl Default for Dialects {
     fn default() -> Self {
         Dialects {
@@ -89,6 +104,7 @@
         connections: MAX_CONNECTIONS,
         body_bytes: MAX_BODY_BYTES,
         read_timeout: READ_TIMEOUT,
+        arrival_check_period: Some(ARRIVAL_CHECK_PERIOD),
         ..HttpServerBounds::default()
     };
     HttpServer::open(address.0, bounds).map_err(|source| StartupError::Bind {
--- a/crates/controller/tests/concurrent_operators.rs
+++ b/crates/controller/tests/concurrent_operators.rs
@@ -6,9 +6,11 @@
 
 use config::{OwnPlans, Plan, PlanDialect, PlanError};
 use control::{Carriage, Core, Mutant};
-use controller::{AdminAnswer, AdminCall, AdminStep, AdminTask, ControllerInput, OperatorRequest};
+use controller::{
+    AdminAnswer, AdminCall, AdminStep, AdminTask, ControllerInput, OperatorRequest, RequestAge,
+};
 use std::collections::{BTreeMap, BTreeSet};
-use types::{ResultCode, ZoneName};
+use types::{MonotonicInstant, ResultCode, ZoneName};
 use wire::Query;
 
 /// An operator turns to another machine after this silence.
@@ -67,10 +69,20 @@
     task: AdminTask<'static>,
     machine: usize,
     operator: Option<usize>,
+    arrived_at: u64,
     until: u64,
     is_about_fate: bool,
 }
 
+impl PendingRequest {
+    fn age(&self) -> RequestAge {
+        RequestAge {
+            arrived_after: MonotonicInstant(self.arrived_at),
+            deadline: MonotonicInstant(self.until),
+        }
+    }
+}
+
 /// What became of a call, as its operator sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
@@ -181,6 +193,7 @@
                 task,
                 machine,
                 operator,
+                arrived_at: self.core.now,
                 until,
                 is_about_fate: false,
             },
@@ -198,11 +211,13 @@
                 request.is_about_fate =
                     matches!(query, OperatorRequest::Read(Query::CommandStatus { .. }));
                 let machine = request.machine;
+                let age = request.age();
                 self.core.step(
                     machine,
                     ControllerInput::Operator {
                         number,
                         request: query,
+                        age,
                     },
                 );
             }
--- a/crates/controller/tests/delayed_and_refused.rs
+++ b/crates/controller/tests/delayed_and_refused.rs
@@ -4,8 +4,11 @@
 
 use config::{Command, OwnPlans, Proposal};
 use control::{Carriage, Core};
-use controller::{ControllerInput, OperatorRequest};
-use types::ConfigEpoch;
+use controller::{ControllerInput, OperatorRequest, RequestAge};
+use types::{ConfigEpoch, Milliseconds, MonotonicInstant};
+
+/// No operator of these tests gives up.
+const OPERATOR_TIMEOUT: Milliseconds = Milliseconds::seconds(60);
 
 const HEAD: usize = 0;
 const MIDDLE: usize = 1;
@@ -46,7 +49,15 @@
 }
 
 fn send(core: &mut Core, machine: usize, number: u64, request: OperatorRequest) {
-    core.step(machine, ControllerInput::Operator { number, request });
+    let age = RequestAge::new(MonotonicInstant(core.now), OPERATOR_TIMEOUT);
+    core.step(
+        machine,
+        ControllerInput::Operator {
+            number,
+            request,
+            age,
+        },
+    );
 }
 
 fn status(core: &mut Core, machine: usize, number: u64, what: OperatorRequest) -> Option<u16> {
--- a/crates/controller/tests/golden.rs
+++ b/crates/controller/tests/golden.rs
@@ -12,7 +12,7 @@
 use config::{Command, ConfigStateMachine, OriginalCommand, Proposal, TenantTable, parse_plan};
 use controller::{
     Controller, ControllerInput, ControllerOutput, ControllerTiming, DiscoveryTiming, DiskEvent,
-    DiskThread, OperatorRequest, PeerDiscovery, Quorum, Settings,
+    DiskThread, OperatorRequest, PeerDiscovery, Quorum, RequestAge, Settings,
 };
 use quota::{Amount, QuotaUsage};
 use replication::{
@@ -27,7 +27,8 @@
 use storage::Storage;
 use types::ConfigEpoch;
 use types::{
-    Address, DiskId, MonotonicInstant, SequenceNumber, TenantName, TokenKey, ViewNumber, ZoneName,
+    Address, DiskId, Milliseconds, MonotonicInstant, SequenceNumber, TenantName, TokenKey,
+    ViewNumber, ZoneName,
 };
 use wire::Query;
 
@@ -385,7 +386,12 @@
     fn request(&mut self, request: OperatorRequest) -> String {
         self.last_number += 1;
         let number = self.last_number;
-        let mut response = self.step(ControllerInput::Operator { number, request });
+        let age = RequestAge::new(MonotonicInstant(self.now), Milliseconds::seconds(12));
+        let mut response = self.step(ControllerInput::Operator {
+            number,
+            request,
+            age,
+        });
         for _ in 0..1000 {
             response = response.or_else(|| self.tick());
         }
--- a/crates/simulator/src/world/admin_api.rs
+++ b/crates/simulator/src/world/admin_api.rs
@@ -5,10 +5,15 @@
 use crate::world::{Mutant, World};
 use config::{Command, Proposal};
 use config::{OwnPlans, PlanError};
-use controller::{ControllerInput, OperatorRequest};
-use types::{ConfigEpoch, ResultCode};
+use controller::{ControllerInput, OperatorRequest, RequestAge};
+use types::{ConfigEpoch, Milliseconds, MonotonicInstant, ResultCode};
 use wire::Query;
 
+/// How long the admin API takes an operator to wait that sends a call again after a second.
+const OPERATOR_TIMEOUT: Milliseconds = Milliseconds(950);
+/// The same for an operator that waits, as on the product's own interface.
+const PATIENT_OPERATOR_TIMEOUT: Milliseconds = Milliseconds::seconds(12);
+
 /// How far the admin API has come with a patch.
 #[derive(Debug, Clone)]
 pub(super) enum PatchStep {
@@ -20,11 +25,18 @@
 
 impl World {
     /// A call reaches a controller, if that is still the process that it was sent to.
-    pub(super) fn on_call_reaches(&mut self, machine: usize, incarnation: u64, call: u64) {
+    pub(super) fn on_call_reaches(
+        &mut self,
+        machine: usize,
+        incarnation: u64,
+        call: u64,
+        arrived_at: u64,
+    ) {
         let event = Event::CallReaches {
             machine,
             incarnation,
             call,
+            arrived_at,
         };
         let m = &self.controllers[machine];
         if m.incarnation != incarnation || m.controller.is_none() {
@@ -34,7 +46,8 @@
         if !self.is_awake(true, machine, &event) {
             return;
         }
-        let Some((intent, pending)) = self.pending_call_of(call) else {
+        let age = self.age_of_call(machine, arrived_at);
+        let Some((intent, pending)) = self.pending_call_of(call, age) else {
             return;
         };
         match intent {
@@ -66,6 +79,17 @@
         }
     }
 
+    /// How old a call may be that came to a controller's machine at `arrived_at`, by that machine's clock.
+    fn age_of_call(&self, machine: usize, arrived_at: u64) -> RequestAge {
+        let arrived_after = MonotonicInstant(arrived_at + self.controllers[machine].offset);
+        let timeout = if self.counts_by_epochs() {
+            PATIENT_OPERATOR_TIMEOUT
+        } else {
+            OPERATOR_TIMEOUT
+        };
+        RequestAge::new(arrived_after, timeout)
+    }
+
     /// A controller sees that an operator's connection is closed.
     pub(super) fn on_connection_closed(&mut self, machine: usize, incarnation: u64, call: u64) {
         let is_same = self.controllers[machine].incarnation == incarnation
@@ -90,6 +114,7 @@
     }
 
     fn read(&mut self, machine: usize, call: u64, pending: PendingCall, query: Query) {
+        let age = pending.age;
         self.operators.pending.insert(call, pending);
         if self.rules.mutant == Some(Mutant::StaleReads)
             && matches!(query, Query::AcceptedCommand { .. })
@@ -101,6 +126,7 @@
             ControllerInput::Operator {
                 number: call,
                 request: OperatorRequest::Read(query),
+                age,
             },
         );
     }
@@ -140,12 +166,14 @@
             command: command.clone(),
         };
         pending.command = Some(command);
+        let age = pending.age;
         self.operators.pending.insert(call, pending);
         self.step_controller(
             machine,
             ControllerInput::Operator {
                 number: call,
                 request: OperatorRequest::Propose(proposal),
+                age,
             },
         );
     }
--- a/crates/simulator/src/world/event.rs
+++ b/crates/simulator/src/world/event.rs
@@ -73,11 +73,12 @@
         key: connections::LineKey,
         stall: u64,
     },
-    /// An operator's call reaches a controller.
+    /// An operator's call reaches a controller, which may read it later.
     CallReaches {
         machine: usize,
         incarnation: u64,
         call: u64,
+        arrived_at: u64,
     },
     /// An operator's connection is closed.
     ConnectionClosed {
@@ -205,7 +206,8 @@
                 machine,
                 incarnation,
                 call,
-            } => self.on_call_reaches(machine, incarnation, call),
+                arrived_at,
+            } => self.on_call_reaches(machine, incarnation, call, arrived_at),
             Event::ConnectionClosed {
                 machine,
                 incarnation,
--- a/crates/simulator/src/world/faults/closing.rs
+++ b/crates/simulator/src/world/faults/closing.rs
@@ -73,7 +73,7 @@
     pub(in crate::world) fn on_probe(&mut self) {
         let zone = ZoneName::from(self.rules.deployment.shape().zones[0]);
         if !self.witness.is_core_back() {
-            self.ask(Command::Restore { zone });
+            self.send_once(Command::Restore { zone });
         }
     }
 }
--- a/crates/simulator/src/world/operators.rs
+++ b/crates/simulator/src/world/operators.rs
@@ -5,6 +5,7 @@
 use crate::world::event::Event;
 use crate::world::{Mutant, World};
 use config::Command;
+use controller::RequestAge;
 use std::collections::BTreeMap;
 use types::{Address, ResultCode, ZoneName};
 
@@ -33,6 +34,8 @@
 /// A call as the controller knows it at which it is pending.
 pub(super) struct PendingCall {
     pub at: u64,
+    /// How old it may be, by its controller's clock.
+    pub age: RequestAge,
     pub id: String,
     pub command: Option<Command>,
     pub newest_acknowledged: u64,
@@ -252,11 +255,11 @@
         if step == 1 && self.cut.is_empty() && self.loss == 0 {
             members.extend(self.routers.iter().find(is_well).map(|m| m.address));
         }
-        self.ask(Command::ForceRemove { members });
+        self.send_once(Command::ForceRemove { members });
     }
 
     /// Asks some controller that is up to change something, once.
-    pub(super) fn ask(&mut self, command: Command) {
+    pub(super) fn send_once(&mut self, command: Command) {
         self.begin_task(Intent::Command(command), None, 1, true);
     }
 
@@ -331,6 +334,7 @@
                 machine,
                 incarnation,
                 call,
+                arrived_at: self.now + 1,
             },
         );
         if is_change {
@@ -406,7 +410,11 @@
     }
 
     /// What a call is at the controller that it reached.
-    pub(super) fn pending_call_of(&self, call: u64) -> Option<(Intent, PendingCall)> {
+    pub(super) fn pending_call_of(
+        &self,
+        call: u64,
+        age: RequestAge,
+    ) -> Option<(Intent, PendingCall)> {
         let task = self.operators.calls.get(&call)?.task;
         let found = self.operators.tasks.get(&task)?;
         // Withdrawals and their like get an id of their own with each call, as at the daemon's admin API.
@@ -422,6 +430,7 @@
             found.intent.clone(),
             PendingCall {
                 at: self.now,
+                age,
                 id,
                 command: None,
                 newest_acknowledged,
--- a/crates/simulator/src/world/tests.rs
+++ b/crates/simulator/src/world/tests.rs
@@ -2,8 +2,8 @@
 use crate::deployment::Deployment;
 use crate::world::{FaultKind, Mutant, Witness, World, WorldRules};
 use config::Command;
-use controller::Quorum;
-use types::{Milliseconds, ResultCode};
+use controller::{Quorum, RequestAge};
+use types::{Milliseconds, MonotonicInstant, ResultCode};
 use yare::parameterized;
 
 /// A short run of this seed; prints how to play it again where it fails.
@@ -110,6 +110,7 @@
     let command = Some(Command::ForceRemove { members });
     let pending = operators::PendingCall {
         at: world.now,
+        age: RequestAge::new(MonotonicInstant(world.now), Milliseconds::seconds(12)),
         id: "op-1".into(),
         command,
         newest_acknowledged: 0,
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -60,6 +60,9 @@
 /// How long a controller is waited for when its beliefs are kept with the logs of a failed test.
 const BELIEFS_PATIENCE: Milliseconds = Milliseconds(1000);
 
+/// How long a frozen process may take until all of its threads stand still.
+const STOP_PATIENCE: Milliseconds = Milliseconds(2000);
+
 /// All daemons of a deployment, on loopback. Ended when dropped.
 pub struct Fleet {
     /// Controllers, with their folders under `folder`.
@@ -144,9 +147,30 @@
             let _ = rustix::process::kill_process(pid, signal);
         }
     }
-    /// Freezes it.
+    /// Freezes it, and returns once all of its threads stand still.
     pub fn freeze(&self) {
         self.signal(rustix::process::Signal::STOP);
+        let deadline = Clock::now() + STOP_PATIENCE;
+        while self.is_running_somewhere() && Clock::now() < deadline {
+            std::thread::yield_now();
+        }
+    }
+    /// Whether any thread of the process isn't stopped, by the state in its `stat` file.
+    fn is_running_somewhere(&self) -> bool {
+        let Some(pid) = self.pid() else {
+            return false;
+        };
+        let threads = std::fs::read_dir(format!("/proc/{pid}/task"))
+            .into_iter()
+            .flatten()
+            .flatten();
+        let is_stopped = |stat: String| {
+            let state = stat.rsplit(')').next().unwrap_or_default().trim_start();
+            state.starts_with('T')
+        };
+        threads
+            .filter_map(|thread| std::fs::read_to_string(thread.path().join("stat")).ok())
+            .any(|stat| !is_stopped(stat))
     }
     /// Wakes it.
     pub fn wake(&self) {
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -6,6 +6,8 @@
     send_planned,
 };
 use simulator::{Deployment, ScheduleRules, ServerFault};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex, MutexGuard};
 use testbed::{Daemon, Fleet, FleetOptions, ProcessGroup, join_logs, plan_of};
 use types::{Address, Clock, Milliseconds, MonotonicInstant, ResultCode};
@@ -386,6 +388,81 @@
     });
 }
 
+/// Sends an operator's request on a connection of its own, and leaves that open without reading.
+fn send_unread(daemon: &Daemon, path: &str) -> TcpStream {
+    let mut connection = TcpStream::connect(daemon.listen.0).expect("the kernel accepts it");
+    let head = format!("POST {path} HTTP/1.1\r\nHost: controller\r\nContent-Length: 0\r\n\r\n");
+    connection.write_all(head.as_bytes()).expect("it is sent");
+    connection
+}
+
+/// The HTTP status of the response on a connection.
+fn read_status(mut connection: TcpStream) -> Option<u16> {
+    connection
+        .set_read_timeout(Some(PATIENCE.duration()))
+        .expect("a time-out");
+    let mut response = vec![0; 64];
+    let length = connection.read(&mut response).expect("a response");
+    let text = String::from_utf8_lossy(&response[..length]).into_owned();
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+/// The zones that are withdrawn, by the core's answer.
+fn withdrawn_zones(fleet: &Fleet) -> serde_json::Value {
+    let read = || {
+        let answers = fleet.controllers.iter().map(|d| d.get("/v1/latest"));
+        answers.flatten().find(|(status, _)| *status == 200)
+    };
+    Fleet::await_that(PATIENCE, "the core answers", || read().is_some()).expect("it does");
+    let latest: serde_json::Value =
+        serde_json::from_slice(&read().expect("it answers again").1).expect("JSON");
+    latest["withdrawn"].clone()
+}
+
+/// Guards against a restore that a suspended controller reads after others have acknowledged it and the next
+/// withdrawal: it was taken for a new order and opened the withdrawn zone (docs/incidents/request-read-late.md).
+#[test]
+fn a_request_that_a_suspended_controller_reads_late_does_not_undo_those_after_it() {
+    let deployment = Deployment::Pahana;
+    let (_process_group, fleet, _machine) = serving(deployment);
+    let zone = fleet.routers[2].zone.clone();
+    let path_of = |what: &str, id: &str| format!("/v1/zones/{zone}/{what}?id={id}");
+    let acknowledge = |places: &[usize], path: &str| {
+        let is_acknowledged = || {
+            let post = |place: &usize| fleet.controllers[*place].ask("POST", path, vec![]);
+            places
+                .iter()
+                .any(|place| matches!(post(place), Ok((200, _))))
+        };
+        Fleet::await_that(PATIENCE, path, is_acknowledged).expect("acknowledged");
+    };
+    let all: Vec<usize> = (0..fleet.controllers.len()).collect();
+    for suspended in all.clone() {
+        let others: Vec<usize> = all.iter().copied().filter(|n| *n != suspended).collect();
+        acknowledge(&all, &path_of("withdraw", &format!("first-{suspended}")));
+        fleet.controllers[suspended].freeze();
+        let unread = path_of("restore", &format!("unread-{suspended}"));
+        let connection = send_unread(&fleet.controllers[suspended], &unread);
+        acknowledge(&others, &path_of("restore", &format!("again-{suspended}")));
+        acknowledge(&others, &path_of("withdraw", &format!("back-{suspended}")));
+        fleet.controllers[suspended].wake();
+        assert_eq!(
+            read_status(connection),
+            Some(ResultCode::CoreNotReady.http_status()),
+            "controller {suspended} carries out what its operator has replaced"
+        );
+        fleet
+            .await_core(PATIENCE)
+            .expect("the core is complete again");
+        assert_eq!(
+            withdrawn_zones(&fleet),
+            serde_json::json!([zone]),
+            "the last order withdrew the zone"
+        );
+        acknowledge(&all, &path_of("restore", &format!("end-{suspended}")));
+    }
+}
+
 #[test]
 fn an_empty_machine_at_a_new_address_takes_a_lost_ones_place_and_large_plans_hold_nothing_up() {
     let deployment = Deployment::Valodu;
