controller: a diskless controller redirects no request whose operator may have given up

A controller without a disk that stood still answered a late request with 307 all the same; whoever follows that (a client library whose caller has long gone on) sends the order as a new one to a controller that has not stood still, where no check can tell that it is late.

Change: the redirector asks the request's `Attempt`, after its probes, which take time themselves; if the operator may have given up it answers 503.

--- a/crates/controller/src/discovery/diskless_daemon.rs
+++ b/crates/controller/src/discovery/diskless_daemon.rs
@@ -90,7 +90,10 @@
     };
     let server = bind_operators(listen)?;
     let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
-    spawn_http_server(server, move |request| redirector.respond(&request))
+    let dialects = dialects.clone();
+    spawn_http_server(server, move |request| {
+        redirector.respond(&request, &dialects.attempt(&request))
+    })
 }
 
 /// The control thread's state.
--- a/crates/controller/src/discovery/redirect.rs
+++ b/crates/controller/src/discovery/redirect.rs
@@ -1,5 +1,6 @@
 //! Redirects of operators from a controller without a disk to one that serves the core.
 
+use crate::admin::control_client::Attempt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use transport::{Request, Response, http_get};
@@ -57,13 +58,26 @@
         waiting
     }
 
-    /// Answers an operator's request with a redirect, or with an error if no other controller responds.
-    pub(crate) fn respond(&self, request: &Request) -> Response {
-        let Some(other) = self.pick(probe) else {
-            return Response::result(
-                ResultCode::CoreNotReady,
-                "this node has no disk, and no other answers it",
-            );
+    /// Picks where an operator's request is to be sent anew, or says why nowhere. Whoever follows a redirect sends the
+    /// request as a new one, so that a late one would be carried out though its operator has replaced it.
+    fn target(
+        &self,
+        attempt: &Attempt,
+        probe: impl Fn(Address) -> Readiness,
+    ) -> Result<Address, &'static str> {
+        let other = self.pick(probe);
+        if attempt.is_over() {
+            return Err("nobody waits for it any more");
+        }
+        other.ok_or("this node has no disk, and no other answers it")
+    }
+
+    /// Answers an operator's request with a redirect, or with an error if no other controller responds or the operator
+    /// may have given up.
+    pub(crate) fn respond(&self, request: &Request, attempt: &Attempt) -> Response {
+        let other = match self.target(attempt, probe) {
+            Ok(other) => other,
+            Err(reason) => return Response::result(ResultCode::CoreNotReady, reason),
         };
         let query = if request.query.is_empty() {
             String::new()
--- a/crates/controller/src/discovery/redirect/tests.rs
+++ b/crates/controller/src/discovery/redirect/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use std::sync::atomic::AtomicBool;
-use types::Address;
+use types::{Address, Clock, Milliseconds};
 use yare::parameterized;
 
 fn nodes(ports: &[u16]) -> Vec<Address> {
@@ -32,6 +32,23 @@
     );
 }
 
+/// Guards against sending an order on that lay in a suspended process's socket until its operator had given up: whoever
+/// follows the redirect sends it as a new one (docs/incidents/request-read-late.md).
+#[test]
+fn a_request_whose_operator_may_have_given_up_is_not_redirected() {
+    let redirector = Redirector::new(Arc::new(|| nodes(&[1, 2, 3])));
+    let timeout = Milliseconds(950);
+    let target = |arrived_after| {
+        let attempt = Attempt::new(arrived_after, timeout, None);
+        redirector.target(&attempt, |_| Readiness::Serves)
+    };
+    assert_eq!(
+        target(Clock::now() - timeout),
+        Err("nobody waits for it any more")
+    );
+    assert!(target(Clock::now() + timeout).is_ok());
+}
+
 /// All three that the settings named at the start may have been replaced by machines at other addresses.
 #[test]
 fn settings_that_change_are_heeded_at_once() {
