simulator: an evacuation that waits in a frozen controller's socket, and a mutant that counts from its reading

Fault `evacuate-frozen`: a controller freezes; a zone is evacuated by way of it, then of another, and restored; nobody closes the first connection, so that the controller reads the first call when it wakes.

Mutant `count-from-read`: controllers count a call as new when they read it.

--- a/crates/simulator/src/world/admin_api.rs
+++ b/crates/simulator/src/world/admin_api.rs
@@ -81,6 +81,10 @@
 
     /// How old a call may be that came to a controller's machine at `arrived_at`, by that machine's clock.
     fn age_of_call(&self, machine: usize, arrived_at: u64) -> RequestAge {
+        let arrived_at = match self.rules.mutant {
+            Some(Mutant::CountFromRead) => self.now,
+            _ => arrived_at,
+        };
         let arrived_after = MonotonicInstant(arrived_at + self.controllers[machine].offset);
         let timeout = if self.counts_by_epochs() {
             PATIENT_OPERATOR_TIMEOUT
--- a/crates/simulator/src/world/fault_kinds.rs
+++ b/crates/simulator/src/world/fault_kinds.rs
@@ -83,6 +83,9 @@
     /// A zone is evacuated by way of a controller that was just cut off, then by another, and then restored. Struck
     /// only where it's named.
     EvacuateCut,
+    /// A controller freezes; a zone is evacuated by way of it, then of another, and then restored, and the first
+    /// connection stays open all the while. Struck only where it's named.
+    EvacuateFrozen,
     /// The controller that acknowledged the last change is killed.
     KillLeader,
     /// It freezes and wakes.
--- a/crates/simulator/src/world/faults/aimed.rs
+++ b/crates/simulator/src/world/faults/aimed.rs
@@ -28,6 +28,11 @@
     FaultEntry::lasting(FaultKind::KillInWrite, World::wait_for_write),
     FaultEntry::lasting(FaultKind::MeetReturn, World::meet_return),
     FaultEntry::lasting(FaultKind::EvacuateCut, World::evacuate_cut),
+    FaultEntry::healed_by(
+        FaultKind::EvacuateFrozen,
+        World::evacuate_frozen,
+        World::wake_all,
+    ),
     FaultEntry::lasting(FaultKind::ReplacePlanned, World::replace_by_plan),
     FaultEntry::lasting(FaultKind::ReplaceCutSeeds, World::replace_with_cut_seeds),
 ];
@@ -128,17 +133,36 @@
 
     /// A zone is evacuated at a machine that is cut off, and again at another; later it's restored there.
     fn evacuate_cut(&mut self, target: &FaultTarget) {
-        let (place, machine) = (target.place, target.controller);
-        self.cut_off(place, machine);
+        self.cut_off(target.place, target.controller);
+        let zone = self.zone_to_evacuate(target);
+        let withdrawal = Intent::Command(Command::Withdraw { zone: zone.clone() });
+        self.begin(withdrawal, Some(target.controller));
+        self.restore_elsewhere(zone, target.controller, RESTORE_AFTER);
+    }
+
+    /// A zone is evacuated at a machine that freezes, and again at another; later it's restored there. The frozen
+    /// machine finds the first call in its socket when it wakes, on a connection that nobody closed.
+    fn evacuate_frozen(&mut self, target: &FaultTarget) {
+        let machine = target.controller;
+        self.controllers[machine].frozen_until = self.now + target.span;
+        let zone = self.zone_to_evacuate(target);
+        let withdrawal = Command::Withdraw { zone: zone.clone() };
+        self.begin_leaving_connections_open(withdrawal.clone(), machine);
+        // The core takes some time to go on without the machine.
+        let again = RESTORE_AFTER + target.pick / 5 % RESTORE_AFTER;
+        self.restore_elsewhere(zone, machine, again);
+    }
+
+    fn zone_to_evacuate(&self, target: &FaultTarget) -> ZoneName {
         let zones = self.rules.deployment.shape().zones;
-        let zone = ZoneName::from(zones[(target.pick / 3 % zones.len() as u64) as usize]);
-        self.begin(
-            Intent::Command(Command::Withdraw { zone: zone.clone() }),
-            Some(machine),
-        );
+        ZoneName::from(zones[(target.pick / 3 % zones.len() as u64) as usize])
+    }
+
+    /// Restores a zone after a while, by way of another machine.
+    fn restore_elsewhere(&mut self, zone: ZoneName, machine: usize, after: u64) {
         let other = (machine + 1) % self.controllers.len();
         self.put(
-            RESTORE_AFTER,
+            after,
             Event::RestoreZone {
                 zone,
                 machine: other,
--- a/crates/simulator/src/world/faults/aimed/tests.rs
+++ b/crates/simulator/src/world/faults/aimed/tests.rs
@@ -26,6 +26,7 @@
     reset_controller = { FaultKind::ResetController },
     kill_leader = { FaultKind::KillLeader },
     freeze_leader = { FaultKind::FreezeLeader },
+    evacuate_frozen = { FaultKind::EvacuateFrozen },
     cut_leader = { FaultKind::CutLeader },
     kill_after_send = { FaultKind::KillAfterSend },
     power_loss_after_send = { FaultKind::PowerLossAfterSend },
@@ -78,6 +79,33 @@
     );
 }
 
+/// An evacuation that waited in a frozen controller's socket while its operator had it acknowledged elsewhere, and taken
+/// back, took effect when the controller woke (docs/incidents/request-read-late.md).
+#[test]
+fn calls_that_count_as_new_when_a_frozen_controller_reads_them_are_caught() {
+    let rules = |seed, mutant| WorldRules {
+        faults: 4,
+        kinds: vec![FaultKind::EvacuateFrozen],
+        requests_a_second: 5,
+        mutant,
+        ..WorldRules::new(Deployment::Pahana, seed)
+    };
+    let is_undone = |witness: &Witness| {
+        let is_of_a_zone = |what: &String| what.contains("zone") && what.contains("linearizable");
+        witness.violations.iter().any(is_of_a_zone)
+    };
+    let mut seeds = 1..20;
+    let caught =
+        seeds.find(|seed| is_undone(&World::new(rules(*seed, Some(Mutant::CountFromRead))).run()));
+    let seed = caught.expect("it is seen");
+    let witness = World::new(rules(seed, None)).run();
+    assert!(
+        witness.violations.is_empty(),
+        "without the mutant, seed {seed}: {:#?}",
+        witness.violations
+    );
+}
+
 /// Days of hundreds of changes, on the small cores and the grown ones.
 #[parameterized(
     pahana = { Deployment::Pahana, 1 },
--- a/crates/simulator/src/world/mutants.rs
+++ b/crates/simulator/src/world/mutants.rs
@@ -96,6 +96,10 @@
     ///
     /// Seen by: service does not recover after all was healed (`Witness::judge_recovery`).
     LonelySeeds,
+    /// Controllers count an operator's call as new when they read it, however long it has waited in a socket.
+    ///
+    /// Seen by: the calls about a zone are not linearizable (`History::judge`).
+    CountFromRead,
     /// Nodes take twice what they are granted of quotas.
     ///
     /// Seen by: a tenant runs more requests than its quota allows (`Witness::judge_quotas`).
--- a/crates/simulator/src/world/operators.rs
+++ b/crates/simulator/src/world/operators.rs
@@ -16,6 +16,8 @@
     pub pending: BTreeMap<u64, PendingCall>,
     /// Calls that their operator waits for, by their numbers.
     pub calls: BTreeMap<u64, OperatorCall>,
+    /// What calls asked for that were given up on connections which stay open, by their numbers.
+    left_open: BTreeMap<u64, Command>,
     tasks: BTreeMap<u64, Task>,
     next_call: u64,
     next_task: u64,
@@ -62,6 +64,8 @@
     most_sends: u32,
     /// Its operator waits for the answer for as long as it takes.
     is_patient: bool,
+    /// Its operator leaves a connection open on which no answer came.
+    leaves_connections_open: bool,
 }
 
 /// What an operator wants.
@@ -281,6 +285,17 @@
         most_sends: u32,
         is_patient: bool,
     ) {
+        let task = self.add_task(intent, machine, most_sends, is_patient);
+        self.send_call(task);
+    }
+
+    fn add_task(
+        &mut self,
+        intent: Intent,
+        machine: Option<usize>,
+        most_sends: u32,
+        is_patient: bool,
+    ) -> u64 {
         self.operators.next_task += 1;
         let task = self.operators.next_task;
         let id = format!("op-t{task}");
@@ -293,8 +308,19 @@
                 sends: 0,
                 most_sends,
                 is_patient,
+                leaves_connections_open: false,
             },
         );
+        task
+    }
+
+    /// An operator orders something by way of this machine, then of others, and closes none of the connections.
+    pub(super) fn begin_leaving_connections_open(&mut self, command: Command, machine: usize) {
+        let intent = Intent::Command(command);
+        let task = self.add_task(intent, Some(machine), MOST_SENDS, false);
+        if let Some(task) = self.operators.tasks.get_mut(&task) {
+            task.leaves_connections_open = true;
+        }
         self.send_call(task);
     }
 
@@ -393,6 +419,9 @@
             return;
         };
         self.history.given_up(self.now, call);
+        if self.leave_open(call, given_up.task) {
+            return self.try_later(given_up.task);
+        }
         let (machine, incarnation) = (
             given_up.machine,
             self.controllers[given_up.machine].incarnation,
@@ -409,25 +438,49 @@
         self.try_later(given_up.task);
     }
 
+    /// Leaves the connection of a call open, if its operator does so; returns whether it does.
+    fn leave_open(&mut self, call: u64, task: u64) -> bool {
+        let Some(task) = self.operators.tasks.get(&task) else {
+            return false;
+        };
+        match &task.intent {
+            Intent::Command(command) if task.leaves_connections_open => {
+                self.operators.left_open.insert(call, command.clone());
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// What a call wants at the controller that it reached, and the id of what a document changes; `None` once its
+    /// connection is closed.
+    fn intent_of_call(&self, call: u64) -> Option<(Intent, String)> {
+        if let Some(command) = self.operators.left_open.get(&call) {
+            return Some((Intent::Command(command.clone()), String::new()));
+        }
+        let task = self.operators.calls.get(&call)?.task;
+        let found = self.operators.tasks.get(&task)?;
+        Some((found.intent.clone(), found.id.clone()))
+    }
+
     /// What a call is at the controller that it reached.
     pub(super) fn pending_call_of(
         &self,
         call: u64,
         age: RequestAge,
     ) -> Option<(Intent, PendingCall)> {
-        let task = self.operators.calls.get(&call)?.task;
-        let found = self.operators.tasks.get(&task)?;
+        let (intent, document_id) = self.intent_of_call(call)?;
         // Withdrawals and their like get an id of their own with each call, as at the daemon's admin API.
         let is_new =
-            matches!(found.intent, Intent::Command(_)) || self.rules.mutant == Some(Mutant::NewIds);
+            matches!(intent, Intent::Command(_)) || self.rules.mutant == Some(Mutant::NewIds);
         let id = if is_new {
             format!("op-{call}")
         } else {
-            found.id.clone()
+            document_id
         };
         let (newest_acknowledged, lost) = (self.witness.newest_acknowledged, self.lost());
         Some((
-            found.intent.clone(),
+            intent,
             PendingCall {
                 at: self.now,
                 age,
