router: a request that was read after a suspension has only what is left of its time

A router that stood still read a client's request when it went on, counted the client's whole time from then, and sent the request to a server although the client may have given up; a request that must run once ran for nobody, and the server was given time that was over.

Change: `SuspensionMonitor`. The control thread's events, at most 250 ms apart, show that the process runs; a gap of 1 s or more is a suspension. A request read before the control thread has found out, or within 0.5 s after it, may have come at the gap's beginning, and its time counts from there. With none left it is refused (503, unsent: nothing ran) before a server is chosen, and counted (`router_expired`); otherwise its server gets what is left. Clients' listeners aren't polled in steps as operators' are: a node has thousands of connections, and a late request here harms one client, not an acknowledged state. What came within 0.5 s after a suspension is taken for as old as that, at worst refused once more than needed.

Tests: `a_request_whose_client_may_have_given_up_before_it_was_read_is_sent_nowhere`, `a_request_that_was_read_late_is_sent_with_what_is_left_of_its_time`; with the arrival taken as the reading, as before, both FAILED (200 "late"; more than 10,000 ms left). Three of the monitor itself. router: 220 tests passed.

--- a/crates/router/src/admin/metrics.rs
+++ b/crates/router/src/admin/metrics.rs
@@ -60,6 +60,8 @@
     may_act: "gauge",
     /// Clients that went away early.
     gone: "counter",
+    /// Requests that were read only after their deadline.
+    expired: "counter",
 }
 
 impl Metrics {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod shared;
 mod startup;
+mod suspension;
 mod upstream;
 
 pub use admin::decision_log::DecisionLog;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::control::node::{NodeInput, Placement, PlacementRequest, Rejection};
 use crate::downstream::authentication::authenticate;
 use crate::downstream::limits::SharedLimits;
+use crate::suspension::SuspensionMonitor;
 use config::{KeyDigest, KeyHasher, Plan, RouteTable, TenantTable};
 use placement::{Event, Outcome};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -32,6 +33,8 @@
     pub exits_at: AtomicU64,
     /// When the last request came, as a moment.
     pub last_arrival: AtomicU64,
+    /// How long a request may have waited unread.
+    pub suspension: SuspensionMonitor,
     /// What puts a plan's limits on connections into force; none without an ingress.
     pub limits: SharedLimits,
 }
@@ -63,6 +66,7 @@
             is_ready: AtomicBool::new(true),
             exits_at: AtomicU64::new(NEVER),
             last_arrival: AtomicU64::new(0),
+            suspension: SuspensionMonitor::without_control_thread(),
             limits: SharedLimits::new(),
         }
     }
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -15,6 +15,7 @@
 use crate::request::resume_token::Token;
 use crate::settings::Settings;
 use crate::shared::{NEVER, Shared};
+use crate::suspension::SuspensionMonitor;
 use config::{OwnPlans, PlanDialect, parse_addresses};
 use placement::{Decision, PlacementReason};
 use replication::LeaseStatus;
@@ -135,6 +136,7 @@
         is_ready: AtomicBool::new(false),
         exits_at: AtomicU64::new(NEVER),
         last_arrival: AtomicU64::new(0),
+        suspension: SuspensionMonitor::new(),
         limits: SharedLimits::new(),
     });
     let has_calls = dialects.calls.is_some();
@@ -203,6 +205,7 @@
     let (mut leaving, mut is_draining) = (None, false);
     loop {
         let now = Clock::now();
+        shared.suspension.record_running(now);
         if now >= next_tick {
             control.take(ControlEvent::Input(NodeInput::ClockEvent));
             if stop.load(Ordering::Relaxed) && !control.is_draining {
--- a/crates/router/src/upstream/forwarding.rs
+++ b/crates/router/src/upstream/forwarding.rs
@@ -56,39 +56,45 @@
 impl Forwarder {
     /// Serves a client's request through all of its phases.
     pub(crate) fn respond(self: &Arc<Self>, request: Request) -> Response {
-        let arrival = Clock::now();
+        let read_at = Clock::now();
+        let earliest_arrival = self.shared.suspension.earliest_arrival(read_at);
+        let waited = read_at.since(earliest_arrival);
         let client = request.client.clone();
-        let call = match self.accept(request, arrival) {
+        let call = match self.accept(request, read_at) {
             Ok(call) => call,
             Err(rejection) => return self.reject(None, &rejection),
         };
         let id = call.id.clone();
-        match self.prepare(call, client, arrival) {
+        match self.prepare(call, client, read_at, waited) {
             Ok((request, first)) => request.respond(first),
             Err(rejection) => self.reject(Some(&id), &rejection),
         }
     }
 
     /// Phase "accept": counts and reads the request.
-    fn accept(&self, request: Request, arrival: MonotonicInstant) -> Result<Call, Rejection> {
-        self.shared.last_arrival.store(arrival.0, Ordering::Relaxed);
+    fn accept(&self, request: Request, read_at: MonotonicInstant) -> Result<Call, Rejection> {
+        self.shared.last_arrival.store(read_at.0, Ordering::Relaxed);
         Metrics::more(&self.shared.metrics.received);
         self.dialect.read(request)
     }
 
-    /// The phases between reading a call and its first attempt: route, authenticate, admit.
+    /// The phases between reading a call and its first attempt: route, authenticate, admit. The call was read at `read_at`
+    /// and may have waited that long before.
     fn prepare(
         self: &Arc<Self>,
         call: Call,
         client: ClientConnection,
-        arrival: MonotonicInstant,
+        read_at: MonotonicInstant,
+        waited: Milliseconds,
     ) -> Result<(ForwardedRequest, AttemptOutput), Rejection> {
         let plan = self.plan()?;
         let route = Self::route(&plan, &call)?;
         let credentials = authenticate(&plan.tenants, route.public, call.api_key.as_ref())?;
         let service = choose_service(route, &call.id)?;
-        let time_left = Milliseconds(call.left.0.min(route.deadline_ms));
-        let guard = self.admit(&call, arrival + time_left)?;
+        let patience = call.left.0.min(route.deadline_ms);
+        let time_left = Milliseconds(patience.saturating_sub(waited.0));
+        let deadline = read_at + time_left;
+        let guard = self.admit(&call, time_left, deadline)?;
         let priority = credentials
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority);
@@ -116,7 +122,7 @@
             gap_target: Milliseconds(route.gap_target_ms),
             urgency,
             client,
-            deadline: arrival + time_left,
+            deadline,
             last_event: call.after,
             call,
             dispatcher,
@@ -142,9 +148,23 @@
             .ok_or_else(|| unknown_service("no accepted plan has a route for this"))
     }
 
-    /// Phase "admit": a call that must end before `deadline` is admitted if this process lives as long and the node
-    /// is below its bound of requests in flight.
-    fn admit(&self, call: &Call, deadline: MonotonicInstant) -> Result<InFlightGuard, Rejection> {
+    /// Phase "admit": a call that must end before `deadline` is admitted if its client can still be waiting, this process
+    /// lives as long, and the node is below its bound of requests in flight.
+    fn admit(
+        &self,
+        call: &Call,
+        time_left: Milliseconds,
+        deadline: MonotonicInstant,
+    ) -> Result<InFlightGuard, Rejection> {
+        if time_left.0 == 0 {
+            Metrics::more(&self.shared.metrics.expired);
+            let why = "its client may have given up before it was read";
+            return Err(Rejection::with_reason(
+                ResultCode::Unsent,
+                why,
+                Milliseconds(0),
+            ));
+        }
         if !self.shared.ends_in_time(deadline) {
             let why = "this node stops before that must have ended; another takes it";
             return Err(Rejection::with_reason(
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -1014,6 +1014,43 @@
     assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
 }
 
+/// Guards against sending a request that lay in a suspended process's socket until its client had given up
+/// (docs/incidents/request-read-late.md).
+#[test]
+fn a_request_whose_client_may_have_given_up_before_it_was_read_is_sent_nowhere() {
+    let server = Server::start("a", vec![vec![whole("late")]]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
+    let resumed_at = Clock::now();
+    let suspended_at = resumed_at - Milliseconds(5000);
+    stage
+        .shared
+        .suspension
+        .record_suspension(suspended_at, resumed_at);
+    let answer = stage.ask("x-wait: 5000\r\n");
+    assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
+    assert_eq!(stage.shared.metrics.expired.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against giving a server the time that a request has spent in a suspended process's socket.
+#[test]
+fn a_request_that_was_read_late_is_sent_with_what_is_left_of_its_time() {
+    let server = Server::start("a", vec![vec![whole("in time")]]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
+    let resumed_at = Clock::now();
+    let suspended_at = resumed_at - Milliseconds(5000);
+    stage
+        .shared
+        .suspension
+        .record_suspension(suspended_at, resumed_at);
+    assert!(stage.ask("x-wait: 15000\r\n").is_success());
+    let request = server.request();
+    let left: u64 = header(&request, "x-left")
+        .expect("told")
+        .parse()
+        .expect("ms");
+    assert!(left <= 10_000, "{left}");
+}
+
 #[test]
 fn a_node_that_loses_its_lease_right_before_the_send_sends_nothing_and_refuses() {
     let server = Server::start("a", vec![vec![whole("late")]]);
