--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -1,10 +1,10 @@
+use crate::ports::free_ports;
 use crate::stand_in::RunLog;
 use config::{ServicePlan, parse_plan};
 use loadgen::{Outcome, Report, RequestRecord};
 use simulator::{Deployment, Shape};
 use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
-use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -76,17 +76,6 @@
     _temporary: Option<tempfile::TempDir>,
 }
 
-/// Ports that are free now.
-pub fn free_ports(count: usize) -> std::io::Result<Vec<u16>> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind(("127.0.0.1", 0)))
-        .collect::<std::io::Result<_>>()?;
-    listeners
-        .iter()
-        .map(|listener| Ok(listener.local_addr()?.port()))
-        .collect()
-}
-
 /// The plan that a deployment starts with.
 pub fn plan_of(deployment: Deployment, is_btb_on: bool) -> String {
     let btb = serde_json::json!({"on": is_btb_on});
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -7,14 +7,16 @@
 mod hollow;
 mod measure;
 mod platform;
+mod ports;
 mod process_group;
 mod stand_in;
 
 pub use answers::{AnswersMutant, AnswersReport, AnswersRules, Fate as AnswersFate, play_answers};
 pub use compare::{CompareRules, Question, compare};
-pub use fleet::{Daemon, Fleet, FleetOptions, free_ports, join_logs, plan_of};
+pub use fleet::{Daemon, Fleet, FleetOptions, join_logs, plan_of};
 pub use hollow::{HollowReport, HollowRules, hollow, host::serve as serve_hollow, plot};
 pub use measure::{MeasureRules, Sweep, measure};
 pub use platform::Platform;
+pub use ports::free_ports;
 pub use process_group::ProcessGroup;
 pub use stand_in::{RunLog, StandIn};
