--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -1018,7 +1018,7 @@
 /// (docs/incidents/request-read-late.md).
 #[test]
 fn a_request_whose_client_may_have_given_up_before_it_was_read_is_sent_nowhere() {
-    let server = Server::start("a", vec![vec![whole("late")]]);
+    let server = Server::start("a", vec![vec![Say(answer(200, OURS, "late"))]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
     let resumed_at = Clock::now();
     let suspended_at = resumed_at - Milliseconds(5000);
@@ -1034,7 +1034,7 @@
 /// Guards against giving a server the time that a request has spent in a suspended process's socket.
 #[test]
 fn a_request_that_was_read_late_is_sent_with_what_is_left_of_its_time() {
-    let server = Server::start("a", vec![vec![whole("in time")]]);
+    let server = Server::start("a", vec![vec![Say(answer(200, OURS, "in time"))]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
     let resumed_at = Clock::now();
     let suspended_at = resumed_at - Milliseconds(5000);
--- a/crates/simulator/src/world/faults/aimed.rs
+++ b/crates/simulator/src/world/faults/aimed.rs
@@ -147,7 +147,7 @@
         self.controllers[machine].frozen_until = self.now + target.span;
         let zone = self.zone_to_evacuate(target);
         let withdrawal = Command::Withdraw { zone: zone.clone() };
-        self.begin_leaving_connections_open(withdrawal.clone(), machine);
+        self.begin_on_open_connections(withdrawal.clone(), machine);
         // The core takes some time to go on without the machine.
         let again = RESTORE_AFTER + target.pick / 5 % RESTORE_AFTER;
         self.restore_elsewhere(zone, machine, again);
--- a/crates/simulator/src/world/operators.rs
+++ b/crates/simulator/src/world/operators.rs
@@ -65,7 +65,7 @@
     /// Its operator waits for the answer for as long as it takes.
     is_patient: bool,
     /// Its operator leaves a connection open on which no answer came.
-    leaves_connections_open: bool,
+    never_closes_connections: bool,
 }
 
 /// What an operator wants.
@@ -308,18 +308,18 @@
                 sends: 0,
                 most_sends,
                 is_patient,
-                leaves_connections_open: false,
+                never_closes_connections: false,
             },
         );
         task
     }
 
     /// An operator orders something by way of this machine, then of others, and closes none of the connections.
-    pub(super) fn begin_leaving_connections_open(&mut self, command: Command, machine: usize) {
+    pub(super) fn begin_on_open_connections(&mut self, command: Command, machine: usize) {
         let intent = Intent::Command(command);
         let task = self.add_task(intent, Some(machine), MOST_SENDS, false);
         if let Some(task) = self.operators.tasks.get_mut(&task) {
-            task.leaves_connections_open = true;
+            task.never_closes_connections = true;
         }
         self.send_call(task);
     }
@@ -419,7 +419,7 @@
             return;
         };
         self.history.given_up(self.now, call);
-        if self.leave_open(call, given_up.task) {
+        if self.abandon_on_open_connection(call, given_up.task) {
             return self.try_later(given_up.task);
         }
         let (machine, incarnation) = (
@@ -439,12 +439,12 @@
     }
 
     /// Leaves the connection of a call open, if its operator does so; returns whether it does.
-    fn leave_open(&mut self, call: u64, task: u64) -> bool {
+    fn abandon_on_open_connection(&mut self, call: u64, task: u64) -> bool {
         let Some(task) = self.operators.tasks.get(&task) else {
             return false;
         };
         match &task.intent {
-            Intent::Command(command) if task.leaves_connections_open => {
+            Intent::Command(command) if task.never_closes_connections => {
                 self.operators.left_open.insert(call, command.clone());
                 true
             }
