--- a/crates/controller/src/admin/control_client.rs
+++ b/crates/controller/src/admin/control_client.rs
@@ -44,17 +44,12 @@
 
     /// Whether the operator may have given up: the deadline has passed or the connection is closed.
     pub(crate) fn is_over(&self) -> bool {
-        self.is_expired()
+        Clock::now() >= self.age.deadline
             || self
                 .client
                 .as_ref()
                 .is_some_and(ClientConnection::is_disconnected)
     }
-
-    /// Whether the deadline has passed.
-    pub(crate) fn is_expired(&self) -> bool {
-        Clock::now() >= self.age.deadline
-    }
 }
 
 /// HTTP status and body of the control thread's response.
--- a/crates/controller/src/controller/events.rs
+++ b/crates/controller/src/controller/events.rs
@@ -14,8 +14,7 @@
     Propose(Proposal),
 }
 
-/// How old an operator's request may be. It was sent before it arrived, so its operator may give up before `deadline`
-/// is reached, but has sent nothing in its place before `arrived_after`.
+/// How old an operator's request may be, however late it was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestAge {
     /// The request arrived after this instant.
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -1014,18 +1014,20 @@
     assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
 }
 
+/// As if the process had been suspended for this long until now.
+fn suspend(stage: &Stage, span: Milliseconds) {
+    let resumed_at = Clock::now();
+    let suspension = &stage.shared.suspension;
+    suspension.record_suspension(resumed_at - span, resumed_at);
+}
+
 /// Guards against sending a request that lay in a suspended process's socket until its client had given up
 /// (docs/incidents/request-read-late.md).
 #[test]
 fn a_request_whose_client_may_have_given_up_before_it_was_read_is_sent_nowhere() {
     let server = Server::start("a", vec![vec![Say(answer(200, OURS, "late"))]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
-    let resumed_at = Clock::now();
-    let suspended_at = resumed_at - Milliseconds(5000);
-    stage
-        .shared
-        .suspension
-        .record_suspension(suspended_at, resumed_at);
+    suspend(&stage, Milliseconds(5000));
     let answer = stage.ask("x-wait: 5000\r\n");
     assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
     assert_eq!(stage.shared.metrics.expired.load(Ordering::Relaxed), 1);
@@ -1036,12 +1038,7 @@
 fn a_request_that_was_read_late_is_sent_with_what_is_left_of_its_time() {
     let server = Server::start("a", vec![vec![Say(answer(200, OURS, "in time"))]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
-    let resumed_at = Clock::now();
-    let suspended_at = resumed_at - Milliseconds(5000);
-    stage
-        .shared
-        .suspension
-        .record_suspension(suspended_at, resumed_at);
+    suspend(&stage, Milliseconds(5000));
     assert!(stage.ask("x-wait: 15000\r\n").is_success());
     let request = server.request();
     let left: u64 = header(&request, "x-left")
