testbed, simulator: one answer is read once; a freeze by the function that freezes

Found by reading the whole change again. The regression test asked the core a second time after it had waited for an answer, and would have failed had the core just then not answered: it now judges the answer that it waited for. The fault evacuate-frozen froze its controller by a line that freeze_controller has; two clones that nobody needed are gone.

--- a/crates/simulator/src/world/faults/aimed.rs
+++ b/crates/simulator/src/world/faults/aimed.rs
@@ -144,10 +144,10 @@
     /// machine finds the first call in its socket when it wakes, on a connection that nobody closed.
     fn evacuate_frozen(&mut self, target: &FaultTarget) {
         let machine = target.controller;
-        self.controllers[machine].frozen_until = self.now + target.span;
+        self.freeze_controller(target);
         let zone = self.zone_to_evacuate(target);
         let withdrawal = Command::Withdraw { zone: zone.clone() };
-        self.begin_on_open_connections(withdrawal.clone(), machine);
+        self.begin_on_open_connections(withdrawal, machine);
         // The core takes some time to go on without the machine.
         let again = RESTORE_AFTER + target.pick / 5 % RESTORE_AFTER;
         self.restore_elsewhere(zone, machine, again);
--- a/crates/simulator/src/world/faults/process.rs
+++ b/crates/simulator/src/world/faults/process.rs
@@ -117,7 +117,7 @@
         }
     }
 
-    fn freeze_controller(&mut self, target: &FaultTarget) {
+    pub(super) fn freeze_controller(&mut self, target: &FaultTarget) {
         self.controllers[target.controller].frozen_until = self.now + target.span;
     }
 
--- a/crates/testbed/src/ports/tests.rs
+++ b/crates/testbed/src/ports/tests.rs
@@ -25,7 +25,7 @@
     let (in_use, free) = (ports[1], [ports[0], ports[2]]);
     let range = ports[0]..ports[2] + 1;
     let _listener = TcpListener::bind((Ipv4Addr::LOCALHOST, in_use)).expect("it's free");
-    let mut allocator = PortAllocator::new(range.clone(), 1);
+    let mut allocator = PortAllocator::new(range, 1);
     let mut given = vec![];
     while let Ok(port) = allocator.allocate() {
         given.push(port);
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -6,6 +6,7 @@
     send_planned,
 };
 use simulator::{Deployment, ScheduleRules, ServerFault};
+use std::cell::OnceCell;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -409,13 +410,15 @@
 
 /// The zones that are withdrawn, by the core's answer.
 fn withdrawn_zones(fleet: &Fleet) -> serde_json::Value {
+    let answer = OnceCell::new();
     let read = || {
         let answers = fleet.controllers.iter().map(|d| d.get("/v1/latest"));
-        answers.flatten().find(|(status, _)| *status == 200)
+        let complete = answers.flatten().find(|(status, _)| *status == 200);
+        complete.is_some_and(|(_, body)| answer.set(body).is_ok())
     };
-    Fleet::await_that(PATIENCE, "the core answers", || read().is_some()).expect("it does");
-    let latest: serde_json::Value =
-        serde_json::from_slice(&read().expect("it answers again").1).expect("JSON");
+    Fleet::await_that(PATIENCE, "the core answers", read).expect("it does");
+    let body = answer.get().expect("it has answered");
+    let latest: serde_json::Value = serde_json::from_slice(body).expect("JSON");
     latest["withdrawn"].clone()
 }
 
