router: a stream in which a server sent what is no event is logged and counted

Now each block without a number and each rest behind the last event that goes on to a client writes one line: request, server, the body's framing, the place in the stream, the last number, the length and the first bytes; router_malformed_streams counts them. What is relayed is unchanged.

transport: BodyFraming names what tells the end of a body, in place of a flag.

--- a/crates/router/src/admin/metrics.rs
+++ b/crates/router/src/admin/metrics.rs
@@ -62,6 +62,8 @@
     gone: "counter",
     /// Requests that were read only after their deadline.
     expired: "counter",
+    /// Streams in which a server sent what is no event of them.
+    malformed_streams: "counter",
 }
 
 impl Metrics {
--- a/crates/router/src/upstream/forwarding.rs
+++ b/crates/router/src/upstream/forwarding.rs
@@ -4,6 +4,7 @@
 mod attempt;
 pub(crate) mod detached;
 mod forwarded_request;
+mod malformed_event;
 mod relay;
 
 use crate::admin::metrics::Metrics;
--- a/crates/router/src/upstream/forwarding/attempt.rs
+++ b/crates/router/src/upstream/forwarding/attempt.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use transport::{BodyRead, ClientConnection, ConnectionError, PooledResponse, SendOptions};
-use types::{Clock, Milliseconds, MonotonicInstant};
+use types::{Clock, Milliseconds, MonotonicInstant, ServerName};
 
 /// A connection to a server is established within this, or another server is tried.
 const CONNECT_TIMEOUT: Milliseconds = Milliseconds(250);
@@ -46,6 +46,8 @@
 
 /// The beginning of a server's response.
 pub(super) struct ResponseStart {
+    /// Who sent it.
+    pub server: ServerName,
     pub response: PooledResponse,
     /// Splits what has come of the stream into events.
     pub splitter: EventSplitter,
@@ -228,6 +230,7 @@
             .read_all(self.deadline, MAX_RESPONSE_BYTES, Some(self.client))
             .map_err(|error| connection_failure(error, placement))?;
         Ok(ResponseStart {
+            server: placement.server.clone(),
             response,
             splitter: EventSplitter::default(),
             first_event: None,
@@ -262,6 +265,7 @@
             }
         };
         Ok(ResponseStart {
+            server: placement.server.clone(),
             response,
             splitter,
             first_event,
--- a/crates/router/src/upstream/forwarding/relay.rs
+++ b/crates/router/src/upstream/forwarding/relay.rs
@@ -3,6 +3,7 @@
 use super::Mutant;
 use super::attempt::ResponseStart;
 use super::forwarded_request::ForwardedRequest;
+use super::malformed_event::{MalformedEvent, StreamPlace};
 use crate::admin::metrics::Metrics;
 use crate::control::node::NodeInput;
 use crate::request::attempts::{AttemptInput, AttemptOutput};
@@ -35,6 +36,7 @@
     has_first: bool,
     is_over: bool,
     last_read: MonotonicInstant,
+    has_been_taken_over: bool,
 }
 
 impl RelayedStream {
@@ -46,11 +48,34 @@
             has_first: false,
             is_over: false,
             last_read: Clock::now(),
+            has_been_taken_over: false,
         }
     }
 
+    /// Logs and counts bytes of the current server's stream that are no event.
+    fn report_malformed(&self, start: &ResponseStart, is_end: bool, bytes: &Bytes) {
+        let place = match (is_end, self.has_first, self.has_been_taken_over) {
+            (true, _, _) => StreamPlace::End,
+            (false, true, _) => StreamPlace::Middle,
+            (false, false, true) => StreamPlace::AfterTakeover,
+            (false, false, false) => StreamPlace::First,
+        };
+        let malformed = MalformedEvent {
+            request: &self.request.call.id,
+            server: &start.server,
+            framing: start.response.framing(),
+            place,
+            last_event: self.request.last_event,
+            bytes,
+        };
+        malformed.report(&self.request.forwarder.shared.metrics);
+    }
+
     /// Queues an event for the client, unless it has it already.
     fn queue(&mut self, event: StreamEvent) {
+        if let (None, Some(start)) = (event.id, &self.start) {
+            self.report_malformed(start, false, &event.bytes);
+        }
         let request = &mut self.request;
         let is_old = event
             .id
@@ -84,6 +109,9 @@
             return BodyChunk::End;
         };
         let rest = start.splitter.rest();
+        if !rest.is_empty() {
+            self.report_malformed(&start, true, &rest);
+        }
         start.response.release();
         self.is_over = true;
         self.request.dispatcher.attempts.relay(RequestInput::Finish);
@@ -110,6 +138,7 @@
                 Metrics::more(&self.request.forwarder.shared.metrics.resumed);
                 self.start = Some(start);
                 self.has_first = false;
+                self.has_been_taken_over = true;
                 self.last_read = Clock::now();
                 BodyChunk::Pending
             }
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -11,7 +11,7 @@
 
 pub use self::bounds::{ConnectionPoolBounds, SEND_CHECK_VALIDITY, SendOptions};
 pub use self::error::ConnectionError;
-pub use self::response::{BodyRead, PooledResponse};
+pub use self::response::{BodyFraming, BodyRead, PooledResponse};
 
 use self::connection::{PooledConnection, SendCheck};
 use self::safety::{ReuseSafety, SafeReuse};
--- a/crates/transport/src/connection_pool/response.rs
+++ b/crates/transport/src/connection_pool/response.rs
@@ -27,6 +27,50 @@
     ClientDisconnected,
 }
 
+/// By what the end of a body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The kind of response has no body.
+    NoBody,
+    /// A length.
+    Length,
+    /// Chunks.
+    Chunks,
+    /// The close of the connection.
+    Close,
+    /// Two ways at once, or a further transfer coding.
+    Ambiguous,
+}
+
+impl BodyFraming {
+    /// The framing that a response head announces.
+    fn of(head: &http::response::Parts, is_head_request: bool) -> BodyFraming {
+        if is_head_request || matches!(head.status.as_u16(), 204 | 304) {
+            return BodyFraming::NoBody;
+        }
+        let has_length = head.headers.contains_key(http::header::CONTENT_LENGTH);
+        let mut codings = head.headers.get_all(http::header::TRANSFER_ENCODING).iter();
+        match (codings.next(), codings.next()) {
+            (None, _) if has_length => BodyFraming::Length,
+            (None, _) => BodyFraming::Close,
+            (Some(coding), None)
+                if coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !has_length =>
+            {
+                BodyFraming::Chunks
+            }
+            (Some(_), _) => BodyFraming::Ambiguous,
+        }
+    }
+
+    /// Whether the head says, in one way alone, where the body ends.
+    fn is_delimited(self) -> bool {
+        match self {
+            BodyFraming::NoBody | BodyFraming::Length | BodyFraming::Chunks => true,
+            BodyFraming::Close | BodyFraming::Ambiguous => false,
+        }
+    }
+}
+
 /// How far a body has been read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BodyState {
@@ -45,8 +89,7 @@
     is_reused: bool,
     /// Whether the head came while a part of the request waited to be written.
     is_early: bool,
-    /// Whether the head says, in one way alone, where the body ends.
-    is_delimited: bool,
+    framing: BodyFraming,
     state: BodyState,
 }
 
@@ -60,7 +103,7 @@
         let (head, body) = response.into_parts();
         PooledResponse {
             is_early: connection.socket.wants_write.load(Ordering::Relaxed),
-            is_delimited: is_head_request || is_body_delimited(&head),
+            framing: BodyFraming::of(&head, is_head_request),
             head,
             body,
             connection,
@@ -79,6 +122,11 @@
         self.is_reused
     }
 
+    /// Returns by what the end of the body is told.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Returns whether no other request was ever written on the connection, and this one completely before
     /// the head came: then the response can't belong to another request.
     pub fn is_sole_response(&self) -> bool {
@@ -127,7 +175,8 @@
 
     /// The library has come to the end of the body.
     fn finish(&mut self) -> BodyRead {
-        if !self.connection.safety().is_complete_end(self.is_delimited) {
+        let is_delimited = self.framing.is_delimited();
+        if !self.connection.safety().is_complete_end(is_delimited) {
             return self.truncate("an end that only a close tells is no sure end".into());
         }
         self.state = BodyState::Complete;
@@ -179,7 +228,8 @@
     /// Returns the connection to the pool. It's closed instead unless request and body are complete, both
     /// sides keep the connection open and no further byte has come on it.
     pub fn release(mut self) {
-        if self.state == BodyState::Truncated || !self.is_delimited || !self.is_reusable() {
+        if self.state == BodyState::Truncated || !self.framing.is_delimited() || !self.is_reusable()
+        {
             return;
         }
         let pool = ConnectionPool {
@@ -231,21 +281,6 @@
     body.freeze()
 }
 
-/// Whether a head says where its body ends: by a length or by chunks, but not by both, by a further
-/// transfer coding or by a close.
-fn is_body_delimited(head: &http::response::Parts) -> bool {
-    if matches!(head.status.as_u16(), 204 | 304) {
-        return true;
-    }
-    let has_length = head.headers.contains_key(http::header::CONTENT_LENGTH);
-    let mut codings = head.headers.get_all(http::header::TRANSFER_ENCODING).iter();
-    match (codings.next(), codings.next()) {
-        (None, _) => has_length,
-        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked") && !has_length,
-        (Some(_), Some(_)) => false,
-    }
-}
-
 /// How long a server keeps the connection by its `Keep-Alive: timeout=N`, in seconds, less a margin for the
 /// time on the network.
 fn keep_alive_timeout(headers: &http::HeaderMap) -> Option<Milliseconds> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,7 +11,7 @@
 mod socket;
 
 pub use connection_pool::{
-    BodyRead, ConnectionError, ConnectionPool, ConnectionPoolBounds, PooledResponse,
+    BodyFraming, BodyRead, ConnectionError, ConnectionPool, ConnectionPoolBounds, PooledResponse,
     SEND_CHECK_VALIDITY, SendOptions,
 };
 pub use http_client::{
