router: only events of its run pass in a stream; anything else ends its server's part

Nothing checked that a block is an event at all, though the protocol says what one is: fields in UTF-8, one id, a number above the last, data. A server in trouble can put anything there: text, a second answer, a refusal, in a body of any framing.

Change: EventReader takes only such events; comments and blank lines go on with the event behind them. At anything else the server's part of the stream is over, since nothing behind it can be told from it: a resumable stream goes on at another server behind its last event, another one is broken off visibly, and where nothing has been passed on yet the attempt has failed. ServerStream is the one place that reads a server's stream, for the first event and for those behind it; the loop stood twice. A block that is too long is no longer passed on in parts.

Mutant pass-malformed is caught twice. Fuzzed: 4,000 streams of proper and other lines.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -38,7 +38,8 @@
 pub use settings::Settings;
 pub use startup::{Dialects, ReadSeeds, run};
 pub use upstream::chunk_reader::{ChunkReader, RelayedLine};
-pub use upstream::event_splitter::{EventSplitter, StreamEvent};
+pub use upstream::event_reader::{EventError, EventReader, MalformedEvent, StreamEvent};
+pub use upstream::event_splitter::{BlockTooLong, EventSplitter, MAX_BLOCK_BYTES};
 pub use upstream::forwarding::detached::{DetachedForwarder, PlacementResponse, PlacementSource};
 pub use upstream::response_validation::{
     AnswerIdentity, AnswerPlace, ClaimedIdentity, ResponseValidation,
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod chunk_reader;
 pub(crate) mod dispatch;
+pub(crate) mod event_reader;
 pub(crate) mod event_splitter;
 pub(crate) mod forwarding;
 pub(crate) mod response_validation;
--- a/crates/router/src/upstream/event_splitter.rs
+++ b/crates/router/src/upstream/event_splitter.rs
@@ -1,62 +1,61 @@
+//! Divides a server's event stream into the blocks that blank lines separate.
+
 use bytes::{Bytes, BytesMut};
 
-/// One event of a stream, with its end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StreamEvent {
-    /// Its number, if it has one.
-    pub id: Option<u64>,
-    /// As the server sent it.
-    pub bytes: Bytes,
-}
+/// A block has at most so many bytes.
+pub const MAX_BLOCK_BYTES: usize = 1 << 20;
+
+/// A block without an end that exceeds [`MAX_BLOCK_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a block of over {MAX_BLOCK_BYTES} bytes has no end")]
+pub struct BlockTooLong;
 
-/// Cuts a server's event stream into whole events, so that no client ever has a part of one when a
-/// stream breaks.
+/// Divides a server's event stream into blocks, each with the blank line that ends it.
 ///
-/// Invariant: bytes come out in the order they went in, none twice; what is `pending` holds no whole
-/// event.
+/// Invariant: bytes come out in the order they went in, none twice, in the same blocks however they arrive.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
-    /// Up to here no end of an event was found.
-    seen: usize,
+    /// Up to here no end of a block was found.
+    scanned: usize,
 }
 
-/// An event that is longer is passed on in parts.
-const EVENT_MOST: usize = 1 << 20;
-
 impl EventSplitter {
     /// Takes bytes in.
     pub fn push(&mut self, bytes: &[u8]) {
         self.pending.extend_from_slice(bytes);
     }
-    /// The next whole event.
-    pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let from = self.seen.saturating_sub(3);
-        let found = end_of_event(&self.pending[from..]).map(|end| from + end);
-        let end = match found {
-            Some(end) => end,
-            None if self.pending.len() > EVENT_MOST => self.pending.len(),
+
+    /// Returns the next block, if its end has come.
+    ///
+    /// # Errors
+    ///
+    /// The block is too long.
+    pub fn next_block(&mut self) -> Result<Option<Bytes>, BlockTooLong> {
+        let from = self.scanned.saturating_sub(3);
+        match end_of_block(&self.pending[from..]) {
+            Some(end) => Ok(Some(self.take(from + end))),
+            None if self.pending.len() > MAX_BLOCK_BYTES => Err(BlockTooLong),
             None => {
-                self.seen = self.pending.len();
-                return None;
+                self.scanned = self.pending.len();
+                Ok(None)
             }
-        };
-        self.seen = 0;
-        let bytes = self.pending.split_to(end).freeze();
-        Some(StreamEvent {
-            id: event_id(&bytes),
-            bytes,
-        })
+        }
     }
-    /// What is left once the stream has ended.
-    pub fn rest(&mut self) -> Bytes {
-        self.seen = 0;
-        self.pending.split().freeze()
+
+    /// Takes out what is left once the stream has ended.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.take(self.pending.len())
+    }
+
+    fn take(&mut self, end: usize) -> Bytes {
+        self.scanned = 0;
+        self.pending.split_to(end).freeze()
     }
 }
 
-/// Where the first event ends: behind an empty line.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
+/// Where the first block ends: behind an empty line.
+fn end_of_block(bytes: &[u8]) -> Option<usize> {
     let mut place = 0;
     while let Some(found) = bytes[place..].iter().position(|byte| *byte == b'\n') {
         let next = place + found + 1;
@@ -69,12 +68,5 @@
     None
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|byte| *byte == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let last = ids.next_back()?;
-    std::str::from_utf8(last).ok()?.trim().parse().ok()
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/upstream/event_splitter/tests.rs
+++ b/crates/router/src/upstream/event_splitter/tests.rs
@@ -3,6 +3,24 @@
 
 const STREAM: &[u8] =
     b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid:3\ndata: c\ndata: d\n\n";
+const BLOCKS: [&[u8]; 3] = [
+    b"id: 1\ndata: a\n\n",
+    b"id: 2\r\ndata: b\r\n\r\n",
+    b"weight-versions: 3\nid:3\ndata: c\ndata: d\n\n",
+];
+
+/// The blocks of a stream that comes in parts of this size.
+fn blocks_of(stream: &[u8], size: usize) -> (Vec<Bytes>, Bytes) {
+    let mut splitter = EventSplitter::default();
+    let mut blocks = vec![];
+    for part in stream.chunks(size) {
+        splitter.push(part);
+        blocks.extend(std::iter::from_fn(|| {
+            splitter.next_block().expect("short blocks")
+        }));
+    }
+    (blocks, splitter.take_rest())
+}
 
 #[parameterized(
     at_once = { 1000 },
@@ -10,30 +28,47 @@
     in_fives = { 5 },
     in_sevens = { 7 },
 )]
-fn events_come_out_whole_however_they_arrive(size: usize) {
+fn blocks_come_out_complete_however_they_arrive(size: usize) {
+    let (blocks, rest) = blocks_of(STREAM, size);
+    assert_eq!(blocks, BLOCKS);
+    assert!(rest.is_empty());
+}
+
+#[test]
+fn a_part_of_a_block_stays_behind() {
     let mut splitter = EventSplitter::default();
-    let mut events = vec![];
-    for piece in STREAM.chunks(size) {
-        splitter.push(piece);
-        events.extend(std::iter::from_fn(|| splitter.next_event()));
-    }
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    let first = splitter.next_block().expect("short");
+    assert_eq!(first.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(splitter.next_block(), Ok(None));
+    assert_eq!(&splitter.take_rest()[..], b"id: 2\ndata: b\n");
+}
+
+#[parameterized(
+    line_feeds = { b"a\n\n", 3 },
+    both = { b"a\r\n\r\n", 5 },
+    line_feed_then_both = { b"a\n\r\n", 4 },
+)]
+fn a_block_comes_out_with_the_last_byte_of_its_end_and_not_before(block: &[u8], length: usize) {
+    let mut splitter = EventSplitter::default();
+    let (before, last) = block.split_at(length - 1);
+    splitter.push(before);
+    assert_eq!(splitter.next_block(), Ok(None));
+    splitter.push(last);
     assert_eq!(
-        events.iter().map(|event| event.id).collect::<Vec<_>>(),
-        [Some(1), Some(2), Some(3)]
+        splitter.next_block().expect("short").as_deref(),
+        Some(block)
     );
-    let bytes: Vec<u8> = events
-        .iter()
-        .flat_map(|event| event.bytes.to_vec())
-        .collect();
-    assert_eq!(bytes, STREAM);
-    assert!(splitter.rest().is_empty());
 }
 
 #[test]
-fn a_part_of_an_event_is_kept_back() {
+fn a_long_block_comes_out_complete_and_one_that_is_too_long_is_an_error() {
     let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n");
-    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(1));
-    assert_eq!(splitter.next_event(), None);
-    assert_eq!(&splitter.rest()[..], b"id: 2\ndata: b\n");
+    splitter.push(&vec![b'x'; MAX_BLOCK_BYTES]);
+    assert_eq!(splitter.next_block(), Ok(None));
+    splitter.push(b"\n\n");
+    let block = splitter.next_block().expect("its end is there");
+    assert_eq!(block.map(|block| block.len()), Some(MAX_BLOCK_BYTES + 2));
+    splitter.push(&vec![b'x'; MAX_BLOCK_BYTES + 1]);
+    assert_eq!(splitter.next_block(), Err(BlockTooLong));
 }
--- a/crates/router/src/upstream/forwarding.rs
+++ b/crates/router/src/upstream/forwarding.rs
@@ -4,8 +4,9 @@
 mod attempt;
 pub(crate) mod detached;
 mod forwarded_request;
-mod malformed_event;
+mod malformed_stream;
 mod relay;
+mod server_stream;
 
 use crate::admin::metrics::Metrics;
 use crate::control::node::{PlacementRequest, Rejection};
@@ -52,6 +53,8 @@
     EndTorn,
     /// A torn stream is taken up at its first event.
     ResumeFromStart,
+    /// What is no event of a stream is passed on as one.
+    PassMalformed,
 }
 
 impl Forwarder {
--- a/crates/router/src/upstream/forwarding/attempt.rs
+++ b/crates/router/src/upstream/forwarding/attempt.rs
@@ -1,18 +1,20 @@
 //! Phase "send" of a forwarded call: one attempt at one server, up to the first event of its response.
 
+use super::malformed_stream::{MalformedStream, StreamPlace};
+use super::server_stream::{ServerStream, StreamRead};
 use super::{Forwarder, Mutant};
 use crate::control::node::{NodeInput, Placement};
 use crate::dialect::{Call, Sending};
 use crate::request::state_machine::{Failure, RequestStateMachine};
 use crate::upstream::dispatch::AttemptError;
-use crate::upstream::event_splitter::{EventSplitter, StreamEvent};
+use crate::upstream::event_reader::{MalformedEvent, StreamEvent};
 use crate::upstream::response_validation::{AnswerIdentity, AnswerPlace, ResponseValidation};
 use bytes::Bytes;
 use placement::Event;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use transport::{BodyRead, ClientConnection, ConnectionError, PooledResponse, SendOptions};
-use types::{Clock, Milliseconds, MonotonicInstant, ServerName};
+use transport::{ClientConnection, ConnectionError, PooledResponse, SendOptions};
+use types::{Clock, Milliseconds, MonotonicInstant};
 
 /// A connection to a server is established within this, or another server is tried.
 const CONNECT_TIMEOUT: Milliseconds = Milliseconds(250);
@@ -44,17 +46,12 @@
     }
 }
 
-/// The beginning of a server's response.
-pub(super) struct ResponseStart {
-    /// Who sent it.
-    pub server: ServerName,
-    pub response: PooledResponse,
-    /// Splits what has come of the stream into events.
-    pub splitter: EventSplitter,
-    pub first_event: Option<StreamEvent>,
-    /// The body of a response that is no stream.
-    pub body: Bytes,
-    pub has_ended: bool,
+/// A server's response, as far as it is read before the client's response begins.
+pub(super) enum ResponseStart {
+    /// A complete one.
+    Complete(PooledResponse, Bytes),
+    /// A stream, and its first event if it has one.
+    Stream(ServerStream, Option<StreamEvent>),
 }
 
 /// What the attempts of a call have in common.
@@ -229,49 +226,62 @@
         let body = response
             .read_all(self.deadline, MAX_RESPONSE_BYTES, Some(self.client))
             .map_err(|error| connection_failure(error, placement))?;
-        Ok(ResponseStart {
-            server: placement.server.clone(),
-            response,
-            splitter: EventSplitter::default(),
-            first_event: None,
-            body,
-            has_ended: true,
-        })
+        Ok(ResponseStart::Complete(response, body))
     }
 
     fn read_first_event(
         &self,
-        mut response: PooledResponse,
+        response: PooledResponse,
         placement: &Placement,
         deadline: MonotonicInstant,
     ) -> Result<ResponseStart, SendFailure> {
-        let mut splitter = EventSplitter::default();
-        let (first_event, has_ended) = loop {
+        let accepts_anything = self.forwarder.is_mutant(Mutant::PassMalformed);
+        let mut stream = ServerStream::new(
+            placement.server.clone(),
+            response,
+            self.last_event,
+            accepts_anything,
+        );
+        loop {
             let timeout = Clock::now().until(deadline);
             if timeout.0 == 0 {
                 return Err(failed(placement, Failure::Unknown, "no piece came in time").into());
             }
-            match response.read_chunk(timeout.duration(), Some(self.client)) {
-                BodyRead::Data(bytes) => splitter.push(&bytes),
-                BodyRead::TimedOut => {}
-                BodyRead::End => break (None, true),
-                BodyRead::Truncated(why) => {
+            match stream.read(timeout.duration(), self.client) {
+                StreamRead::Event(event) => return Ok(ResponseStart::Stream(stream, Some(event))),
+                StreamRead::End => return Ok(ResponseStart::Stream(stream, None)),
+                StreamRead::Pending | StreamRead::TimedOut => {}
+                StreamRead::Truncated(why) => {
                     return Err(failed(placement, Failure::Unknown, &why).into());
                 }
-                BodyRead::ClientDisconnected => return Err(AttemptError::ClientDisconnected.into()),
-            }
-            if let Some(event) = splitter.next_event() {
-                break (Some(event), false);
+                StreamRead::Malformed(malformed) => {
+                    self.report_malformed(&malformed, &stream);
+                    let why = malformed.to_string();
+                    return Err(failed(placement, Failure::Unknown, &why).into());
+                }
+                StreamRead::ClientDisconnected => {
+                    return Err(AttemptError::ClientDisconnected.into());
+                }
             }
+        }
+    }
+
+    /// Logs and counts that the stream begins with what is no event.
+    fn report_malformed(&self, malformed: &MalformedEvent, stream: &ServerStream) {
+        let place = if self.last_event == self.call.after {
+            StreamPlace::First
+        } else {
+            StreamPlace::AfterTakeover
         };
-        Ok(ResponseStart {
-            server: placement.server.clone(),
-            response,
-            splitter,
-            first_event,
-            body: Bytes::new(),
-            has_ended,
-        })
+        let malformed_stream = MalformedStream {
+            request: &self.call.id,
+            server: &stream.server,
+            framing: stream.framing(),
+            place,
+            last_event: self.last_event,
+            malformed,
+        };
+        malformed_stream.report(&self.forwarder.shared.metrics);
     }
 
     /// Reports the load that a response head tells to the scheduler.
--- a/crates/router/src/upstream/forwarding/forwarded_request.rs
+++ b/crates/router/src/upstream/forwarding/forwarded_request.rs
@@ -51,18 +51,24 @@
 
     /// Phase "relay": a stream is relayed event by event, any other response as a whole.
     fn relay(self, start: ResponseStart) -> Response {
-        let head = start.response.head();
+        let head = match &start {
+            ResponseStart::Complete(response, _) => response.head(),
+            ResponseStart::Stream(stream, _) => stream.head(),
+        };
         let status = head.status.as_u16();
         let headers = self.forwarder.dialect.passed(head);
-        if self.is_stream {
-            let source = RelayedStream::new(self, start);
-            return Response::forwarded_stream(status, headers, Box::new(source));
+        match start {
+            ResponseStart::Complete(response, body) => {
+                response.release();
+                self.report_outcome(Outcome::Complete);
+                Metrics::more(&self.forwarder.shared.metrics.complete);
+                Response::forwarded(status, headers, body)
+            }
+            ResponseStart::Stream(stream, first_event) => {
+                let source = RelayedStream::new(self, stream, first_event);
+                Response::forwarded_stream(status, headers, Box::new(source))
+            }
         }
-        let body = start.body.clone();
-        start.response.release();
-        self.report_outcome(Outcome::Complete);
-        Metrics::more(&self.forwarder.shared.metrics.complete);
-        Response::forwarded(status, headers, body)
     }
 
     /// Phase "finish" after a rejection. A failure that a server owned up to is returned in the server's own words.
--- a/crates/router/src/upstream/forwarding/malformed_event.rs
+++ b/crates/router/src/upstream/forwarding/malformed_stream.rs
@@ -1,12 +1,12 @@
 //! What is logged and counted of a stream in which a server sent what is no event of it.
 
 use crate::admin::metrics::Metrics;
-use bytes::Bytes;
+use crate::upstream::event_reader::MalformedEvent;
 use transport::BodyFraming;
 use types::{RequestId, ServerName};
 
-/// So many of the bytes are logged.
-const LOGGED_BYTES: usize = 48;
+/// So many of the bytes are logged at most.
+const MAX_LOGGED_BYTES: usize = 48;
 
 /// Where in a server's stream the bytes stood.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,29 +21,33 @@
     End,
 }
 
-/// Bytes of a server's stream that are no event.
-pub(super) struct MalformedEvent<'a> {
+/// A stream that a server has spoiled.
+pub(super) struct MalformedStream<'a> {
     pub request: &'a RequestId,
     pub server: &'a ServerName,
     pub framing: BodyFraming,
     pub place: StreamPlace,
     /// The number of the last event that the client has.
     pub last_event: Option<u64>,
-    pub bytes: &'a Bytes,
+    pub malformed: &'a MalformedEvent,
 }
 
-impl MalformedEvent<'_> {
+impl MalformedStream<'_> {
     /// Logs and counts it.
     pub(super) fn report(&self, metrics: &Metrics) {
         Metrics::more(&metrics.malformed_streams);
-        let begins = self.bytes[..self.bytes.len().min(LOGGED_BYTES)].escape_ascii();
+        let bytes = &self.malformed.bytes;
+        // What a field holds may be a part of an answer, which is no matter of the log.
+        let names = bytes.split(|byte| *byte == b':').next().unwrap_or_default();
+        let begins = names[..names.len().min(MAX_LOGGED_BYTES)].escape_ascii();
         tracing::warn!(
             request = %self.request,
             server = %self.server,
             framing = ?self.framing,
             place = ?self.place,
             last_event = self.last_event,
-            length = self.bytes.len(),
+            reason = %self.malformed.error,
+            length = bytes.len(),
             %begins,
             "stream: a server sent what is no event"
         );
--- a/crates/router/src/upstream/forwarding/relay.rs
+++ b/crates/router/src/upstream/forwarding/relay.rs
@@ -3,18 +3,17 @@
 use super::Mutant;
 use super::attempt::ResponseStart;
 use super::forwarded_request::ForwardedRequest;
-use super::malformed_event::{MalformedEvent, StreamPlace};
+use super::malformed_stream::{MalformedStream, StreamPlace};
+use super::server_stream::{ServerStream, StreamRead};
 use crate::admin::metrics::Metrics;
 use crate::control::node::NodeInput;
 use crate::request::attempts::{AttemptInput, AttemptOutput};
 use crate::request::state_machine::RequestInput;
 use crate::upstream::dispatch::DispatchOutcome;
-use crate::upstream::event_splitter::StreamEvent;
-use bytes::Bytes;
+use crate::upstream::event_reader::{MalformedEvent, StreamEvent};
 use placement::{Event, Outcome};
-use std::collections::VecDeque;
 use std::time::Duration;
-use transport::{BodyChunk, BodyRead, BodySource};
+use transport::{BodyChunk, BodySource};
 use types::{Clock, Milliseconds, MonotonicInstant, ResultCode};
 
 /// How long one read may wait, since the client is watched together with the server.
@@ -30,60 +29,35 @@
 /// takes it over, it is aborted.
 pub(super) struct RelayedStream {
     request: ForwardedRequest,
-    start: Option<ResponseStart>,
-    ready: VecDeque<Bytes>,
+    stream: Option<ServerStream>,
+    /// The first event of the current server, until it is relayed.
+    first_event: Option<StreamEvent>,
     /// Whether the current server has given an event that is new to the client.
     has_first: bool,
     is_over: bool,
     last_read: MonotonicInstant,
-    has_been_taken_over: bool,
 }
 
 impl RelayedStream {
-    pub(super) fn new(request: ForwardedRequest, start: ResponseStart) -> RelayedStream {
+    pub(super) fn new(
+        request: ForwardedRequest,
+        stream: ServerStream,
+        first_event: Option<StreamEvent>,
+    ) -> RelayedStream {
         RelayedStream {
             request,
-            start: Some(start),
-            ready: VecDeque::new(),
+            stream: Some(stream),
+            first_event,
             has_first: false,
             is_over: false,
             last_read: Clock::now(),
-            has_been_taken_over: false,
         }
     }
 
-    /// Logs and counts bytes of the current server's stream that are no event.
-    fn report_malformed(&self, start: &ResponseStart, is_end: bool, bytes: &Bytes) {
-        let place = match (is_end, self.has_first, self.has_been_taken_over) {
-            (true, _, _) => StreamPlace::End,
-            (false, true, _) => StreamPlace::Middle,
-            (false, false, true) => StreamPlace::AfterTakeover,
-            (false, false, false) => StreamPlace::First,
-        };
-        let malformed = MalformedEvent {
-            request: &self.request.call.id,
-            server: &start.server,
-            framing: start.response.framing(),
-            place,
-            last_event: self.request.last_event,
-            bytes,
-        };
-        malformed.report(&self.request.forwarder.shared.metrics);
-    }
-
-    /// Queues an event for the client, unless it has it already.
-    fn queue(&mut self, event: StreamEvent) {
-        if let (None, Some(start)) = (event.id, &self.start) {
-            self.report_malformed(start, false, &event.bytes);
-        }
+    /// Passes an event on to the client.
+    fn pass(&mut self, event: StreamEvent) -> BodyChunk {
         let request = &mut self.request;
-        let is_old = event
-            .id
-            .is_some_and(|id| request.last_event.is_some_and(|last| id <= last));
-        if is_old && !request.forwarder.is_mutant(Mutant::ResumeFromStart) {
-            return;
-        }
-        request.last_event = event.id.or(request.last_event);
+        request.last_event = Some(event.id);
         if !std::mem::replace(&mut self.has_first, true) {
             let first_token = Event::FirstToken {
                 request: request.call.id.clone(),
@@ -94,39 +68,50 @@
                 .notify_control(NodeInput::Event(first_token));
         }
         request.dispatcher.attempts.relay(RequestInput::Relay);
-        self.ready.push_back(event.bytes);
-    }
-
-    fn next_ready(&mut self) -> BodyChunk {
-        self.ready
-            .pop_front()
-            .map_or(BodyChunk::Pending, BodyChunk::Data)
+        BodyChunk::Data(event.bytes)
     }
 
     /// The server's stream has ended completely.
     fn finish(&mut self) -> BodyChunk {
-        let Some(mut start) = self.start.take() else {
+        let Some(stream) = self.stream.take() else {
             return BodyChunk::End;
         };
-        let rest = start.splitter.rest();
-        if !rest.is_empty() {
-            self.report_malformed(&start, true, &rest);
-        }
-        start.response.release();
+        let trailer = stream.release();
         self.is_over = true;
         self.request.dispatcher.attempts.relay(RequestInput::Finish);
         self.request.report_outcome(Outcome::Complete);
         Metrics::more(&self.request.forwarder.shared.metrics.complete);
-        if rest.is_empty() {
+        if trailer.is_empty() {
             BodyChunk::End
         } else {
-            BodyChunk::Data(rest)
+            BodyChunk::Data(trailer)
+        }
+    }
+
+    /// The server sent what is no event. What follows is not read.
+    fn retry_malformed(&mut self, malformed: &MalformedEvent) -> BodyChunk {
+        if let Some(stream) = &self.stream {
+            let place = if stream.has_ended() {
+                StreamPlace::End
+            } else {
+                StreamPlace::Middle
+            };
+            let malformed_stream = MalformedStream {
+                request: &self.request.call.id,
+                server: &stream.server,
+                framing: stream.framing(),
+                place,
+                last_event: self.request.last_event,
+                malformed,
+            };
+            malformed_stream.report(&self.request.forwarder.shared.metrics);
         }
+        self.retry(malformed.to_string())
     }
 
-    /// The server broke off or stalled: what follows is retried at another server, if it may be.
+    /// The server broke off, stalled or sent what is no event: what follows is retried at another server, if it may be.
     fn retry(&mut self, why: String) -> BodyChunk {
-        self.start = None;
+        self.stream = None;
         self.request.report_outcome(Outcome::Failed);
         let input = AttemptInput::Interrupt(why);
         let outcome = match self.request.dispatcher.attempts.step(input) {
@@ -134,14 +119,17 @@
             other => self.request.dispatch(other),
         };
         match outcome {
-            DispatchOutcome::Accepted(_, start) => {
+            DispatchOutcome::Accepted(_, ResponseStart::Stream(stream, first_event)) => {
                 Metrics::more(&self.request.forwarder.shared.metrics.resumed);
-                self.start = Some(start);
+                self.stream = Some(stream);
+                self.first_event = first_event;
                 self.has_first = false;
-                self.has_been_taken_over = true;
                 self.last_read = Clock::now();
                 BodyChunk::Pending
             }
+            DispatchOutcome::Accepted(_, ResponseStart::Complete(..)) => {
+                self.abort("a stream was taken over by what is no stream")
+            }
             DispatchOutcome::Rejected(rejection) => self.abort(&rejection.why),
             DispatchOutcome::Aborted(why) => self.abort(&why),
         }
@@ -183,32 +171,25 @@
         } else {
             deadline
         };
-        self.read_chunk(timeout.min(now.until(deadline).duration()))
-    }
-
-    fn read_chunk(&mut self, timeout: Duration) -> BodyChunk {
-        let Some(start) = &mut self.start else {
+        let timeout = timeout.min(now.until(deadline).duration());
+        let Some(stream) = &mut self.stream else {
             return BodyChunk::Pending;
         };
-        match start
-            .response
-            .read_chunk(timeout, Some(&self.request.client))
-        {
-            BodyRead::Data(bytes) => {
-                start.splitter.push(&bytes);
-                self.last_read = Clock::now();
-                if let Some(event) = start.splitter.next_event() {
-                    self.queue(event);
-                }
-                self.next_ready()
-            }
-            BodyRead::TimedOut => BodyChunk::Pending,
-            BodyRead::End => {
-                start.has_ended = true;
-                BodyChunk::Pending
-            }
-            BodyRead::Truncated(why) => self.retry(why),
-            BodyRead::ClientDisconnected => self.cancel("the client has gone"),
+        let read = stream.read(timeout, &self.request.client);
+        if !matches!(read, StreamRead::TimedOut) {
+            self.last_read = Clock::now();
+        }
+        self.apply(read)
+    }
+
+    fn apply(&mut self, read: StreamRead) -> BodyChunk {
+        match read {
+            StreamRead::Event(event) => self.pass(event),
+            StreamRead::Pending | StreamRead::TimedOut => BodyChunk::Pending,
+            StreamRead::End => self.finish(),
+            StreamRead::Truncated(why) => self.retry(why),
+            StreamRead::Malformed(malformed) => self.retry_malformed(&malformed),
+            StreamRead::ClientDisconnected => self.cancel("the client has gone"),
         }
     }
 }
@@ -219,27 +200,19 @@
     }
 
     fn next_chunk(&mut self, timeout: Duration) -> BodyChunk {
-        if let Some(bytes) = self.ready.pop_front() {
-            return BodyChunk::Data(bytes);
-        }
         if self.is_over {
             return BodyChunk::End;
         }
-        let Some(start) = &mut self.start else {
+        if let Some(event) = self.first_event.take() {
+            return self.pass(event);
+        }
+        let Some(stream) = &mut self.stream else {
             return self.abort("nothing to read on");
         };
-        let event = start
-            .first_event
-            .take()
-            .or_else(|| start.splitter.next_event());
-        if let Some(event) = event {
-            self.queue(event);
-            return self.next_ready();
-        }
-        if start.has_ended {
-            return self.finish();
+        match stream.next_event() {
+            StreamRead::Pending => self.read_on(timeout),
+            read => self.apply(read),
         }
-        self.read_on(timeout)
     }
 }
 
--- /dev/null
+++ b/crates/router/src/upstream/forwarding/server_stream.rs
@@ -0,0 +1,105 @@
+//! One server's stream of events, read from its response.
+
+use crate::upstream::event_reader::{EventReader, MalformedEvent, StreamEvent};
+use bytes::Bytes;
+use std::time::Duration;
+use transport::{BodyFraming, BodyRead, ClientConnection, PooledResponse};
+use types::ServerName;
+
+/// What a wait for the next event came to.
+pub(super) enum StreamRead {
+    /// The next event that is new to the client.
+    Event(StreamEvent),
+    /// Bytes have come, and no complete event; the stream goes on.
+    Pending,
+    /// No bytes came in time; the stream may go on.
+    TimedOut,
+    /// The stream has ended in order.
+    End,
+    /// The server broke off, for this reason.
+    Truncated(String),
+    /// The server sent what is no event. Nothing of it may be read on.
+    Malformed(MalformedEvent),
+    /// The client disconnected.
+    ClientDisconnected,
+}
+
+/// A server's stream. Dropping it closes its connection, unless it was released.
+pub(super) struct ServerStream {
+    /// Who sends it.
+    pub server: ServerName,
+    response: PooledResponse,
+    reader: EventReader,
+    has_ended: bool,
+    /// A deliberate fault of the tests: what is no event counts as one.
+    accepts_anything: bool,
+}
+
+impl ServerStream {
+    /// The stream of a response, for a client that has the events up to `received`.
+    pub(super) fn new(
+        server: ServerName,
+        response: PooledResponse,
+        received: Option<u64>,
+        accepts_anything: bool,
+    ) -> Self {
+        ServerStream {
+            server,
+            response,
+            reader: EventReader::new(received),
+            has_ended: false,
+            accepts_anything,
+        }
+    }
+
+    /// Returns status and headers.
+    pub(super) fn head(&self) -> &http::response::Parts {
+        self.response.head()
+    }
+
+    /// Returns by what the end of the stream is told.
+    pub(super) fn framing(&self) -> BodyFraming {
+        self.response.framing()
+    }
+
+    /// Returns whether the body has ended in order.
+    pub(super) fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
+    /// Returns the next event of the bytes that were read.
+    pub(super) fn next_event(&mut self) -> StreamRead {
+        let event = match self.reader.next_event() {
+            Ok(None) if self.has_ended => self.reader.finish(),
+            event => event,
+        };
+        match event {
+            Ok(Some(event)) => StreamRead::Event(event),
+            Ok(None) if self.has_ended => StreamRead::End,
+            Ok(None) => StreamRead::Pending,
+            Err(malformed) if self.accepts_anything => StreamRead::Event(StreamEvent {
+                id: self.reader.last_id(),
+                bytes: malformed.bytes,
+            }),
+            Err(malformed) => StreamRead::Malformed(malformed),
+        }
+    }
+
+    /// Waits for more bytes for at most `timeout`, and returns the next event of what has come.
+    pub(super) fn read(&mut self, timeout: Duration, client: &ClientConnection) -> StreamRead {
+        match self.response.read_chunk(timeout, Some(client)) {
+            BodyRead::Data(bytes) => self.reader.push(&bytes),
+            BodyRead::TimedOut => return StreamRead::TimedOut,
+            BodyRead::End => self.has_ended = true,
+            BodyRead::Truncated(why) => return StreamRead::Truncated(why),
+            BodyRead::ClientDisconnected => return StreamRead::ClientDisconnected,
+        }
+        self.next_event()
+    }
+
+    /// Returns the connection to the pool, and the comments and blank lines behind the last event.
+    pub(super) fn release(mut self) -> Bytes {
+        self.response.release();
+        self.reader.take_trailer()
+    }
+}
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -493,7 +493,7 @@
             raw: String::new(),
         }
     }
-    fn ask(&self, headers: &str) -> Answer {
+    fn exchange(&self, headers: &str) -> Answer {
         self.send(headers).answer()
     }
     /// All that the control thread was told, up to the end of the request.
@@ -602,7 +602,7 @@
     );
     let server = Server::start("a", vec![vec![Say(answer(203, &said, "the\r\n\r\nbytes"))]]);
     let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
-    let answer = stage.ask("x-mine: 5\r\nx-wait: 9000\r\n");
+    let answer = stage.exchange("x-mine: 5\r\nx-wait: 9000\r\n");
     assert_eq!(
         (answer.status, answer.body.as_str(), answer.is_whole),
         (203, "the\r\n\r\nbytes", true)
@@ -633,7 +633,7 @@
 fn is_no_answer(said: String, mutant: Option<Mutant>) -> bool {
     let server = Server::start("a", vec![vec![Say(said), Close]]);
     let stage = Stage::set_mutant(&MUTATING, vec![goes_to(&server, false)], mutant);
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     let outcomes = stage.outcomes();
     answer.status == 502 && outcomes == [Outcome::Failed]
 }
@@ -670,10 +670,10 @@
         &IDEMPOTENT,
         vec![goes_to(&server, true), goes_to(&server, true)],
     );
-    let first = stage.ask("");
+    let first = stage.exchange("");
     assert_eq!((first.body.as_str(), first.is_whole), ("mine", true));
     stage.told();
-    let second = stage.ask("");
+    let second = stage.exchange("");
     assert_eq!(
         (second.body.as_str(), header(&second.head, "x-mark")),
         ("second", Some("m"))
@@ -708,7 +708,7 @@
             .map(|server| goes_to(server, false))
             .collect(),
     );
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert_eq!(
         (answer.status, answer.body.as_str()),
         (503, "server-refused")
@@ -750,7 +750,7 @@
         &MUTATING,
         vec![goes_to(&full, false), goes_to(&well, false)],
     );
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert!(answer.is_success() && answer.body == "well", "{answer:?}");
     assert_eq!(stage.outcomes(), [Outcome::Refused, Outcome::Complete]);
 }
@@ -762,7 +762,7 @@
         &MUTATING,
         vec![goes_to(&full, false), denied(ResultCode::NoServer, 1250)],
     );
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert_eq!(
         (answer.status, header(&answer.head, "retry-after")),
         (503, Some("1.25"))
@@ -780,7 +780,7 @@
         ..MUTATING
     };
     let stage = Stage::set(&route, vec![goes_to(&absent, false), goes_to(&well, false)]);
-    assert!(stage.ask("").is_success());
+    assert!(stage.exchange("").is_success());
     assert_eq!(stage.outcomes(), [Outcome::Unsent, Outcome::Complete]);
 }
 
@@ -800,9 +800,9 @@
         goes_to(&other, false),
     ];
     let stage = Stage::set_mutant(&MUTATING, words, mutant);
-    assert!(stage.ask("").is_success());
+    assert!(stage.exchange("").is_success());
     stage.told();
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     answer.status == 502
         && other.count() == 0
         && first.count() == 2
@@ -824,7 +824,7 @@
         &MUTATING,
         vec![goes_to(&full, false), goes_to(&well, false)],
     );
-    assert!(stage.ask("").is_success());
+    assert!(stage.exchange("").is_success());
     assert_eq!(stage.outcomes(), [Outcome::Refused, Outcome::Complete]);
 }
 
@@ -838,9 +838,9 @@
         goes_to(&full, true),
     ];
     let stage = Stage::set(&IDEMPOTENT, words);
-    assert!(stage.ask("").is_success());
+    assert!(stage.exchange("").is_success());
     stage.told();
-    assert_eq!((stage.ask("").status, full.count()), (502, 1));
+    assert_eq!((stage.exchange("").status, full.count()), (502, 1));
 }
 
 /// Whether a call that may have run, and may not repeat, went to one server alone and was not told as refused.
@@ -854,7 +854,7 @@
         vec![goes_to(&ill, false), goes_to(&well, false)],
         mutant,
     );
-    let answer = stage.ask("x-wait: 1000\r\n");
+    let answer = stage.exchange("x-wait: 1000\r\n");
     let closed = stage.told().pop();
     well.count() == 0
         && !answer.is_promise()
@@ -884,7 +884,7 @@
 fn a_failure_that_promises_nothing_is_the_servers_to_tell(status: u16) {
     let ill = Server::start("a", vec![failed(status)]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&ill, false)]);
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert_eq!((answer.status, answer.body.as_str()), (status, "hm"));
 }
 
@@ -895,7 +895,7 @@
         Server::start("b", vec![vec![unrun()]]),
     );
     let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&ill, true), goes_to(&full, true)]);
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert_eq!((answer.status, ill.count(), full.count()), (502, 1, 1));
     let told = stage.told();
     let second = Told::Asked {
@@ -918,7 +918,7 @@
         &MUTATING,
         vec![goes_to(&gone, false), goes_to(&well, false)],
     );
-    assert!(stage.ask("").is_success());
+    assert!(stage.exchange("").is_success());
     let told = stage.told();
     assert!(
         told.contains(&Told::Unreachable("a".into()))
@@ -943,9 +943,9 @@
         goes_to(&well, false),
     ];
     let stage = Stage::set(&MUTATING, words);
-    assert_eq!(stage.ask("").body, "first");
+    assert_eq!(stage.exchange("").body, "first");
     stage.told();
-    assert_eq!(stage.ask("").body, "well");
+    assert_eq!(stage.exchange("").body, "well");
     let asked = [old.request(), old.request()]
         .map(|request| header(&request, "x-server").map(str::to_owned));
     assert_eq!(
@@ -967,7 +967,7 @@
         ..IDEMPOTENT
     };
     let stage = Stage::set(&route, vec![goes_to(&ill, true), goes_to(&well, true)]);
-    assert_eq!((stage.ask("").status, well.count()), (502, 0));
+    assert_eq!((stage.exchange("").status, well.count()), (502, 0));
 }
 
 // ---- Deadlines, lease state, plans.
@@ -990,7 +990,11 @@
         ..MUTATING
     };
     let stage = Stage::set(&route, vec![goes_to(&full, false), goes_to(&well, false)]);
-    assert!(stage.ask(&format!("x-wait: {client}\r\n")).is_success());
+    assert!(
+        stage
+            .exchange(&format!("x-wait: {client}\r\n"))
+            .is_success()
+    );
     let left = |server: &Server| {
         header(&server.request(), "x-left")
             .expect("told")
@@ -1010,7 +1014,7 @@
 fn a_call_without_time_is_sent_nowhere() {
     let server = Server::start("a", vec![vec![whole("late")]]);
     let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
-    let answer = stage.ask("x-wait: 0\r\n");
+    let answer = stage.exchange("x-wait: 0\r\n");
     assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
 }
 
@@ -1028,7 +1032,7 @@
     let server = Server::start("a", vec![vec![Say(answer(200, OURS, "late"))]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
     suspend(&stage, Milliseconds(5000));
-    let answer = stage.ask("x-wait: 5000\r\n");
+    let answer = stage.exchange("x-wait: 5000\r\n");
     assert!(answer.is_promise() && server.count() == 0, "{answer:?}");
     assert_eq!(stage.shared.metrics.expired.load(Ordering::Relaxed), 1);
 }
@@ -1039,7 +1043,7 @@
     let server = Server::start("a", vec![vec![Say(answer(200, OURS, "in time"))]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
     suspend(&stage, Milliseconds(5000));
-    assert!(stage.ask("x-wait: 15000\r\n").is_success());
+    assert!(stage.exchange("x-wait: 15000\r\n").is_success());
     let request = server.request();
     let left: u64 = header(&request, "x-left")
         .expect("told")
@@ -1057,7 +1061,7 @@
         Ok(placing)
     });
     let stage = Stage::set(&IDEMPOTENT, vec![lose]);
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert_eq!(
         (answer.status, answer.body.as_str(), server.count()),
         (503, "not-ready", 0)
@@ -1069,7 +1073,7 @@
         })
     );
     assert_eq!(
-        (stage.ask("").status, server.count()),
+        (stage.exchange("").status, server.count()),
         (503, 0),
         "nor does it act later"
     );
@@ -1099,7 +1103,7 @@
         vec![outdate, Box::new(move |_| Ok(placing))],
         mutant,
     );
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     let told = stage.told();
     let anew = Told::Asked {
         round: 0,
@@ -1129,7 +1133,7 @@
         goes_to(&well, false),
     ];
     let stage = Stage::set(&MUTATING, words);
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert!(
         answer.is_promise() && answer.has("retry-after") && well.count() == 0,
         "{answer:?}"
@@ -1218,7 +1222,7 @@
         vec![goes_to(&torn, true), goes_to(&next, true)],
         mutant,
     );
-    let answer = stage.ask("x-after: 4\r\n");
+    let answer = stage.exchange("x-after: 4\r\n");
     let asked = [torn.request(), next.request()]
         .map(|request| header(&request, "x-after").map(str::to_owned));
     answer.is_success()
@@ -1233,8 +1237,48 @@
     assert!(resumes_exactly(None));
 }
 
+/// A stream that goes on behind what is no event.
+fn malformed(text: &str) -> Vec<Do> {
+    let head = stream_head("m");
+    vec![head, events(5..=6), chunk(text), events(7..=8), end()]
+}
+
+/// Whether a stream in which a server sends what is no event goes on at another server, behind its last event.
+fn is_taken_over_exactly(mutant: Option<Mutant>) -> bool {
+    let spoiled = Server::start("a", vec![malformed("data: nobody's\n\n")]);
+    let next = Server::start("b", vec![vec![stream_head("second"), events(7..=9), end()]]);
+    let stage = Stage::set_mutant(
+        &STREAM,
+        vec![goes_to(&spoiled, true), goes_to(&next, true)],
+        mutant,
+    );
+    let answer = stage.exchange("x-after: 4\r\n");
+    answer.is_success()
+        && answer.body == all_of(5..=9)
+        && next.count() == 1
+        && header(&next.request(), "x-after") == Some("6")
+        && stage.outcomes() == [Outcome::Failed, Outcome::Complete]
+}
+
+#[test]
+fn a_stream_with_what_is_no_event_goes_on_at_another_server_behind_its_last_event() {
+    assert!(is_taken_over_exactly(None));
+}
+
+#[test]
+fn a_stream_that_begins_with_what_is_no_event_is_no_answer() {
+    let spoiled = Server::start(
+        "a",
+        vec![vec![stream_head("m"), chunk("data: nobody's\n\n"), end()]],
+    );
+    let stage = Stage::set(&STREAM, vec![goes_to(&spoiled, false)]);
+    let answer = stage.exchange("");
+    assert!(!answer.is_success() && !answer.is_promise(), "{answer:?}");
+    assert_eq!(stage.outcomes(), [Outcome::Failed]);
+}
+
 /// Whether a torn stream that no server takes up never looks complete, and goes nowhere else.
-fn is_cut_visibly(torn: Vec<Do>, mutant: Option<Mutant>) -> bool {
+fn is_aborted_visibly(torn: Vec<Do>, mutant: Option<Mutant>) -> bool {
     let (torn, next) = (
         Server::start("a", vec![torn]),
         Server::start("b", vec![vec![whole("again")]]),
@@ -1244,17 +1288,24 @@
         vec![goes_to(&torn, false), goes_to(&next, false)],
         mutant,
     );
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     !answer.is_whole && answer.body == all_of(5..=6) && next.count() == 0
 }
 
 #[parameterized(
     in_an_event = { tear() },
     between_events = { vec![stream_head("m"), events(5..=6), Close] },
+    by_an_event_without_an_id = { malformed("data: nobody's\n\n") },
+    by_text = { malformed("certainly not\r\n\r\n") },
+    by_a_number_that_went_back = { malformed("id: 3\ndata: back\n\n") },
+    by_text_at_the_end = { vec![stream_head("m"), events(5..=6), chunk("and more"), end()] },
+    by_an_answer_behind_a_body_without_a_length = { vec![
+        Say(format!("HTTP/1.1 200 OK\r\n{OURS}\r\n{}{}", all_of(5..=6), answer(200, OURS, "other"))), Close,
+    ] },
     no_http = { vec![stream_head("m"), events(5..=6), Say("garbage\r\n".into()), Close] },
 )]
 fn a_torn_stream_that_may_not_be_resumed_never_looks_complete(torn: Vec<Do>) {
-    assert!(is_cut_visibly(torn, None));
+    assert!(is_aborted_visibly(torn, None));
 }
 
 #[test]
@@ -1264,7 +1315,7 @@
         &STREAM,
         vec![goes_to(&torn, true), denied(ResultCode::NoServer, 500)],
     );
-    let answer = stage.ask("");
+    let answer = stage.exchange("");
     assert!(
         !answer.is_whole && answer.body == all_of(5..=6),
         "{answer:?}"
@@ -1281,7 +1332,7 @@
     let next = Server::start("b", vec![vec![stream_head("n"), events(3..=4), end()]]);
     let stage = Stage::set(&STREAM, vec![goes_to(&silent, true), goes_to(&next, true)]);
     // Its client doesn't wait for longer than it takes to notice, and for the other server.
-    let answer = stage.ask("x-wait: 4500\r\n");
+    let answer = stage.exchange("x-wait: 4500\r\n");
     assert!(
         answer.is_success() && answer.body == all_of(1..=4),
         "{answer:?}"
@@ -1304,7 +1355,7 @@
         vec![goes_to(&silent, false), goes_to(&next, false)],
     );
     // Longer than a silence that is given up where another may go on.
-    let answer = stage.ask("x-wait: 2500\r\n");
+    let answer = stage.exchange("x-wait: 2500\r\n");
     assert!(
         !answer.is_whole && answer.body == all_of(1..=2) && next.count() == 0,
         "{answer:?}"
@@ -1350,12 +1401,14 @@
     repeat_anything = { Mutant::RepeatAnything, |mutant| runs_once(vec![Close], mutant) },
     pass_foreign = { Mutant::PassForeign, |mutant| is_no_answer(answer(200, "x-call: c2\r\nx-mark: m\r\n", "other"), mutant) },
     pass_unmarked = { Mutant::PassForeign, |mutant| is_no_answer(answer(200, "x-call: c1\r\n", "no mark"), mutant) },
-    end_torn = { Mutant::EndTorn, |mutant| is_cut_visibly(tear(), mutant) },
+    end_torn = { Mutant::EndTorn, |mutant| is_aborted_visibly(tear(), mutant) },
     believe_unnamed_not_run = { Mutant::BelieveUnnamed, |mutant| doubts_unnamed(503, mutant) },
     believe_unnamed_elsewhere = { Mutant::BelieveUnnamed, |mutant| doubts_unnamed(421, mutant) },
     forget_epoch = { Mutant::ForgetEpoch, places_anew },
     repeat_after_a_silent_close = { Mutant::RepeatAnything, |mutant| runs_once(vec![Say("HTTP/1.1 2".into()), Close], mutant) },
     resume_from_start = { Mutant::ResumeFromStart, resumes_exactly },
+    pass_malformed = { Mutant::PassMalformed, |mutant| is_aborted_visibly(malformed("data: nobody's\n\n"), mutant) },
+    pass_malformed_where_another_takes_over = { Mutant::PassMalformed, is_taken_over_exactly },
 )]
 fn each_mutant_is_caught(mutant: Mutant, holds: fn(Option<Mutant>) -> bool) {
     assert!(holds(None), "without the mutant");
@@ -1386,7 +1439,7 @@
         .shared
         .exits_at
         .store((Clock::now() + Milliseconds(10_000)).0, Ordering::SeqCst);
-    let answer = stage.ask(headers);
+    let answer = stage.exchange(headers);
     assert_eq!(answer.status, if is_taken { 200 } else { 503 });
     assert_eq!(
         server.count(),
@@ -1418,7 +1471,7 @@
     let server = Server::start("a", vec![]);
     let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
     with_tenants(&stage, false);
-    let answer = stage.ask(headers);
+    let answer = stage.exchange(headers);
     assert_eq!(
         (answer.status, answer.body.as_str(), server.count()),
         (401, "unauthorized", 0)
@@ -1434,6 +1487,6 @@
         let server = Server::start("a", vec![vec![Say(answer(200, OURS, "bytes"))]]);
         let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&server, true)]);
         with_tenants(&stage, is_public);
-        assert_eq!(stage.ask(headers).status, 200);
+        assert_eq!(stage.exchange(headers).status, 200);
     }
 }
--- a/crates/router/tests/answers_fuzz.rs
+++ b/crates/router/tests/answers_fuzz.rs
@@ -1,8 +1,9 @@
 //! The readers of servers' answers, from a fixed seed: events, pieces and tokens out of bent bytes.
 
+use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use router::{ChunkReader, EventSplitter, RelayedLine, StreamEvent, Token};
+use router::{ChunkReader, EventReader, EventSplitter, RelayedLine, Token};
 use types::TokenKey;
 
 const CASES: u32 = 4000;
@@ -16,54 +17,111 @@
     TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
 }
 
-fn part(choices: &[&'static str]) -> impl Strategy<Value = &'static str> + use<> {
-    proptest::sample::select(choices.to_vec())
-}
-
-/// What comes out of a splitter that gets these bytes in parts of this size: events, and the rest.
-fn split(bytes: &[u8], size: usize) -> (Vec<StreamEvent>, Vec<u8>) {
+/// What comes out of a splitter that gets these bytes in parts of this size: blocks, and the rest.
+fn split(bytes: &[u8], size: usize) -> (Vec<Bytes>, Vec<u8>) {
     let mut splitter = EventSplitter::default();
-    let mut events = vec![];
+    let mut blocks = vec![];
     for part in bytes.chunks(size) {
         splitter.push(part);
-        events.extend(std::iter::from_fn(|| splitter.next_event()));
+        blocks.extend(std::iter::from_fn(|| {
+            splitter.next_block().expect("short blocks")
+        }));
     }
-    (events, splitter.rest().to_vec())
+    (blocks, splitter.take_rest().to_vec())
+}
+
+/// Lines and parts of lines of streams, proper ones and others.
+fn stream_parts() -> impl Strategy<Value = &'static [u8]> {
+    proptest::sample::select(vec![
+        &b"id: 1\n"[..],
+        b"id:2\r\n",
+        b"id: 3\r",
+        b"id: 40\n",
+        b"id: x\n",
+        b"id:\n",
+        b"data: a\n",
+        b"data: b\r\n",
+        b"data: c\r",
+        b"event: token\n",
+        b"retry: 3\n",
+        b"weight-versions: 3\n",
+        b": note\n",
+        b"\n",
+        b"\n",
+        b"\r\n",
+        b"\r",
+        b"HTTP/1.1 200 OK\r\n",
+        b"Content-Length: 3\r\n",
+        b"certainly not\n",
+        b"\xc3\xa9",
+        b"\xff",
+        b"\x00",
+    ])
 }
 
 #[test]
-fn events_are_the_same_however_the_bytes_arrive_and_none_is_lost_or_doubled() {
-    let parts = part(&[
-        "id: 1\n",
-        "id:2\r\n",
-        "id: x\n",
-        "data: a\n",
-        "data: b\r\n",
-        "\n",
-        "\r\n",
-        "\r",
-        ": note\n",
-        "é",
-    ]);
-    let streams = (proptest::collection::vec(parts, 0..40), 1usize..9);
+fn blocks_are_the_same_however_the_bytes_arrive_and_none_is_lost_or_doubled() {
+    let streams = (proptest::collection::vec(stream_parts(), 0..40), 1usize..9);
     let outcome = runner().run(&streams, |(parts, size)| {
-        let bytes = parts.concat().into_bytes();
-        let (events, rest) = split(&bytes, size);
+        let bytes = parts.concat();
+        let (blocks, rest) = split(&bytes, size);
         let (at_once, rest_at_once) = split(&bytes, bytes.len().max(1));
-        prop_assert_eq!(&events, &at_once);
+        prop_assert_eq!(&blocks, &at_once);
         prop_assert_eq!(&rest, &rest_at_once);
-        let joined: Vec<u8> = events
+        let joined: Vec<u8> = blocks
             .iter()
-            .flat_map(|event| event.bytes.to_vec())
+            .flat_map(|block| block.to_vec())
             .chain(rest.clone())
             .collect();
         prop_assert_eq!(joined, bytes);
-        for event in &events {
-            prop_assert!(
-                event.bytes.ends_with(b"\n\n") || event.bytes.ends_with(b"\n\r\n"),
-                "{:?}",
-                event
-            );
+        for block in &blocks {
+            let ends: [&[u8]; 4] = [b"\n\n", b"\n\r\n", b"\r\r", b"\n\r"];
+            prop_assert!(ends.iter().any(|end| block.ends_with(end)), "{:?}", block);
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// The ids and the number of data lines of an event, by a reading of its own.
+fn fields_of(event: &[u8]) -> (Vec<String>, usize) {
+    let text = std::str::from_utf8(event).expect("an event is text");
+    let text = text.replace("\r\n", "\n").replace('\r', "\n");
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
+    let data = text.lines().filter(|line| line.starts_with("data"));
+    (ids.map(|id| id.trim().to_owned()).collect(), data.count())
+}
+
+#[test]
+fn whatever_bytes_come_only_events_with_rising_numbers_are_read_and_they_are_as_sent() {
+    let streams = (
+        proptest::collection::vec(stream_parts(), 0..60),
+        1usize..9,
+        proptest::option::of(0u64..4),
+    );
+    let outcome = runner().run(&streams, |(parts, size, received)| {
+        let bytes = parts.concat();
+        let mut reader = EventReader::new(received);
+        let mut last = received;
+        let mut position = 0;
+        'stream: for part in bytes.chunks(size) {
+            reader.push(part);
+            loop {
+                let event = match reader.next_event() {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(_) => break 'stream,
+                };
+                let (ids, data_count) = fields_of(&event.bytes);
+                prop_assert_eq!(ids, [event.id.to_string()]);
+                prop_assert!(data_count > 0);
+                prop_assert!(last.is_none_or(|last| event.id > last));
+                last = Some(event.id);
+                let found = bytes[position..]
+                    .windows(event.bytes.len())
+                    .position(|window| window == &event.bytes[..]);
+                position += found.expect("it was sent") + event.bytes.len();
+            }
         }
         Ok(())
     });
