--- a/crates/router/src/upstream/event_reader/tests.rs
+++ b/crates/router/src/upstream/event_reader/tests.rs
@@ -20,6 +20,7 @@
     data_first = { b"data: a\nid: 7\n\n" },
     several_lines_of_data = { b"id: 7\ndata: a\ndata: b\ndata\n\n" },
     with_carriage_returns = { b"id: 7\r\ndata: a\r\n\r\n" },
+    carriage_returns_alone = { b"id: 7\rdata: a\r\r" },
     an_extension_first = { b"weight-versions: 3\nid: 7\ndata: a\n\n" },
     all_fields = { b": note\nevent: token\nretry: 300\nid: 7\ndata: a\n\n" },
     data_that_look_like_fields = { b"id: 7\ndata: id: 3\n\n" },
--- a/crates/router/src/upstream/event_splitter/tests.rs
+++ b/crates/router/src/upstream/event_splitter/tests.rs
@@ -2,11 +2,12 @@
 use yare::parameterized;
 
 const STREAM: &[u8] =
-    b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid:3\ndata: c\ndata: d\n\n";
-const BLOCKS: [&[u8]; 3] = [
+    b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid:3\ndata: c\ndata: d\n\nid: 4\rdata: e\r\r";
+const BLOCKS: [&[u8]; 4] = [
     b"id: 1\ndata: a\n\n",
     b"id: 2\r\ndata: b\r\n\r\n",
     b"weight-versions: 3\nid:3\ndata: c\ndata: d\n\n",
+    b"id: 4\rdata: e\r\r",
 ];
 
 /// The blocks of a stream that comes in parts of this size.
@@ -47,7 +48,9 @@
 #[parameterized(
     line_feeds = { b"a\n\n", 3 },
     both = { b"a\r\n\r\n", 5 },
+    carriage_returns = { b"a\r\r", 3 },
     line_feed_then_both = { b"a\n\r\n", 4 },
+    behind_blank_lines = { b"\n\r\n\ra\n\n", 7 },
 )]
 fn a_block_comes_out_with_the_last_byte_of_its_end_and_not_before(block: &[u8], length: usize) {
     let mut splitter = EventSplitter::default();
