placement: a server's numbers are bounded before anything is computed with them

Callers would see: a server that sends "Server-Load: 4294967295,4294967295,8", or a list that gives a server 4,294,967,295 slots, makes sums of a load or of a room overflow. A release build then takes the server for idle, or for one without room; a build with overflow checks ends the node's control thread, and with it the node's service.

Change: reported loads and slots are at most 2^20, slots at least 1.

--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -14,7 +14,7 @@
 use crate::scheduler::placing::Prompt;
 use crate::scheduler::requests::InFlightRequest;
 use crate::scheduler::warming::Active;
-use crate::server_state::ServerState;
+use crate::server_state::{MAX_SERVER_REQUESTS, ServerState, believable_slots};
 use crate::sketch::PrefixHash;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -135,8 +135,8 @@
                 let report = LoadReport {
                     incarnation,
                     up,
-                    load: running + waiting,
-                    slots,
+                    load: running.saturating_add(waiting).min(MAX_SERVER_REQUESTS),
+                    slots: believable_slots(slots),
                     weights,
                 };
                 self.on_load(&server, report, now);
--- a/crates/placement/src/scheduler/endpoint_table.rs
+++ b/crates/placement/src/scheduler/endpoint_table.rs
@@ -95,7 +95,7 @@
         }
         server.incarnation = Some(report.incarnation);
         server.weights = Some(report.weights);
-        server.slots = Some(report.slots.max(1));
+        server.slots = Some(report.slots);
         server.reported = Some((report.load, now));
     }
 
--- a/crates/placement/src/server_state.rs
+++ b/crates/placement/src/server_state.rs
@@ -98,7 +98,7 @@
             weights: None,
             knows_kv: true,
             slow_start_from: now,
-            slots: entry.slots,
+            slots: entry.slots.map(believable_slots),
             reported: None,
             own: 0,
             peer_load: Load::default(),
@@ -128,7 +128,7 @@
         self.is_draining = entry.is_draining;
         self.zone = entry.zone;
         self.pool = entry.pool;
-        self.slots = entry.slots.or(self.slots);
+        self.slots = entry.slots.map(believable_slots).or(self.slots);
         if let Some(left) = entry.warm_up_left {
             self.warming_up_until = Some(now + left);
         }
@@ -232,6 +232,14 @@
     }
 }
 
+/// No server has more requests or slots, whatever it or the list says.
+pub(crate) const MAX_SERVER_REQUESTS: u32 = 1 << 20;
+
+/// The nearest number of slots that a server may have.
+pub(crate) fn believable_slots(slots: u32) -> u32 {
+    slots.clamp(1, MAX_SERVER_REQUESTS)
+}
+
 /// From a prompt with less to read, the reading speed can't be told.
 const MIN_LEARNING_TOKENS: u64 = 2048;
 /// What a cold server bears is told by the second.
--- a/crates/placement/tests/by_time.rs
+++ b/crates/placement/tests/by_time.rs
@@ -527,3 +527,57 @@
         Decision::Placed { .. }
     ));
 }
+
+#[parameterized(
+    its_report = { Some((u32::MAX, u32::MAX, u32::MAX)), Some(128), 20 },
+    its_load = { Some((u32::MAX, 0, 128)), Some(128), 20 },
+    its_queue = { Some((0, u32::MAX, 128)), Some(128), 20 },
+    no_slots = { Some((0, 0, 0)), Some(128), 20 },
+    // It has room for all.
+    its_capacity_in_the_list = { None, Some(u32::MAX), 0 },
+    no_capacity_in_the_list = { None, Some(0), 20 },
+)]
+fn a_server_with_numbers_beyond_reason_stops_no_placement(
+    report: Option<(u32, u32, u32)>,
+    capacity: Option<u32>,
+    least_for_the_other: usize,
+) {
+    let strange = ServerEntry {
+        slots: capacity,
+        ..entry("a", "north")
+    };
+    let mut played = Played::with(
+        service(),
+        scheduler_rules(),
+        vec![strange, entry("b", "north")],
+    );
+    if let Some((running, waiting, slots)) = report {
+        let server = "a".into();
+        let weights = String::new();
+        played.take(
+            1,
+            Event::Load {
+                server,
+                incarnation: 0,
+                up: Milliseconds(0),
+                running,
+                waiting,
+                slots,
+                weights,
+            },
+        );
+    }
+    let placed: Vec<String> = (0..40)
+        .map(
+            |number| match played.submit(2 + number, &[(number, 500)], 0).1 {
+                Decision::Placed { server, .. } => server.as_str().to_owned(),
+                other => panic!("{other:?}"),
+            },
+        )
+        .collect();
+    let for_the_other = placed.iter().filter(|server| *server == "b").count();
+    assert!(
+        for_the_other >= least_for_the_other,
+        "{for_the_other} of 40"
+    );
+}
