router: a load is believed only of a response that is its server's own

Callers would see: a server whose connection carries another one's answer, or a server that took over the address (421), has its load taken for that of the server that was meant, and requests are placed by it.

Change: the load is reported once the response has proved whose it is: a success, a failure or a refusal of this call by this server.

--- a/crates/router/src/upstream/forwarding/attempt.rs
+++ b/crates/router/src/upstream/forwarding/attempt.rs
@@ -92,7 +92,6 @@
         let request = self.forwarder.dialect.request(self.call, &sending);
         let start_deadline = self.start_deadline(now, placement, request_state);
         let response = self.send_fenced(address, request, placement, start_deadline)?;
-        self.report_load(placement, response.head());
         let response = self.validate(response, address, placement)?;
         if self.is_stream {
             self.read_first_event(response, placement, start_deadline)
@@ -153,7 +152,11 @@
         address: SocketAddr,
         placement: &Placement,
     ) -> Result<PooledResponse, SendFailure> {
-        match self.validation(&response) {
+        let validation = self.validation(&response);
+        if validation.is_of_the_server() {
+            self.report_load(placement, response.head());
+        }
+        match validation {
             ResponseValidation::Taken => Ok(response),
             ResponseValidation::NotRun => {
                 if self.read_failure_body(&mut response).is_some() {
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -656,6 +656,19 @@
     assert!(is_no_answer(said, None));
 }
 
+#[parameterized(
+    of_another_call = { "HTTP/1.1 200 OK\r\nx-call: c2\r\nx-mark: m\r\nx-load: 7\r\ncontent-length: 0\r\n\r\n" },
+    without_an_id = { "HTTP/1.1 200 OK\r\nx-mark: m\r\nx-load: 7\r\ncontent-length: 0\r\n\r\n" },
+    of_another_server = { "HTTP/1.1 421 No\r\nx-call: c1\r\nx-load: 7\r\ncontent-length: 0\r\n\r\n" },
+)]
+fn no_load_is_believed_of_a_response_that_is_not_of_this_call_and_server(said: &str) {
+    let server = Server::start("a", vec![vec![Say(said.into())]]);
+    let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
+    stage.exchange("");
+    let told = stage.told();
+    assert!(!told.contains(&Told::Load(7)), "{told:?}");
+}
+
 #[test]
 fn bytes_after_a_whole_answer_belong_to_nothing() {
     let surplus = answer(200, "x-call: c1\r\nx-mark: late\r\n", "surplus");
--- a/crates/router/src/upstream/response_validation.rs
+++ b/crates/router/src/upstream/response_validation.rs
@@ -53,6 +53,16 @@
 }
 
 impl ResponseValidation {
+    /// Whether the server that was meant sent it, so that what it says of itself can be believed.
+    pub fn is_of_the_server(self) -> bool {
+        match self {
+            ResponseValidation::Taken | ResponseValidation::Failed | ResponseValidation::NotRun => {
+                true
+            }
+            ResponseValidation::Elsewhere | ResponseValidation::Foreign => false,
+        }
+    }
+
     /// Judges an answer.
     ///
     /// Invariant: that a call did not run is believed only of an answer that names the call, or of one
