router: entries of the server list that no request could be sent to are left out

Callers would see: a server whose entry has no usable address is chosen again and again, and each time a try is lost; one whose id no header can bear is sent requests that name no instance, so whoever has its address runs them.

Change: an entry needs an id of visible ASCII and an address with a port; others are counted in a warning.

--- a/crates/router/src/discovery/list_reader.rs
+++ b/crates/router/src/discovery/list_reader.rs
@@ -4,6 +4,7 @@
 use crate::discovery::endpoint_list::{EndpointListReading, ReadRetryPolicy};
 use bytes::Bytes;
 use placement::ServerEntry;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use transport::{ConnectionPool, ConnectionPoolBounds, SendOptions};
@@ -34,6 +35,7 @@
     let (sender, asks) = flume::bounded(1);
     let read = move || {
         let mut was_well = true;
+        let mut unusable_count = 0;
         while let Ok(effort) = asks.recv() {
             let requested_at = Clock::now();
             let give_up_at = match effort {
@@ -46,7 +48,18 @@
                 dialect: dialect.as_ref(),
                 give_up_at,
             };
-            let outcome = reader.read_all();
+            let outcome = reader.read_all().map(|(calls, entries)| {
+                let count = entries.len();
+                let servers = usable_entries(entries);
+                let unusable = count - servers.len();
+                if std::mem::replace(&mut unusable_count, unusable) != unusable && unusable > 0 {
+                    tracing::warn!(
+                        unusable,
+                        "servers: the list has servers without a name or an address"
+                    );
+                }
+                (calls, servers)
+            });
             if let (Err(why), true) = (&outcome, was_well) {
                 tracing::warn!("servers: the platform's list can't be read: {why}.");
             }
@@ -122,5 +135,21 @@
     }
 }
 
+/// The entries to which requests can be sent.
+fn usable_entries(entries: Vec<ServerEntry>) -> Vec<ServerEntry> {
+    entries.into_iter().filter(is_usable).collect()
+}
+
+/// Whether a request can be sent to a server and name it: one that can't be named would be run by whoever has the address.
+fn is_usable(entry: &ServerEntry) -> bool {
+    let name = entry.server.as_str();
+    let has_name = !name.is_empty() && name.bytes().all(|byte| byte.is_ascii_graphic());
+    let address = entry.address.as_deref().unwrap_or(name);
+    let has_address = address
+        .parse::<SocketAddr>()
+        .is_ok_and(|address| address.port() != 0);
+    has_name && has_address
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/discovery/list_reader/tests.rs
+++ b/crates/router/src/discovery/list_reader/tests.rs
@@ -16,9 +16,9 @@
     let answer = move |request: Request| {
         let count = counted.fetch_add(1, Ordering::SeqCst);
         match request.path.as_str() {
-            "/list/first" => Response::complete(200, "text/plain", "one more"),
+            "/list/first" => Response::complete(200, "text/plain", "10.0.0.1:80 more"),
             _ if count <= refusals => Response::complete(TOO_MANY, "text/plain", "later"),
-            _ => Response::complete(200, "text/plain", "two"),
+            _ => Response::complete(200, "text/plain", "10.0.0.2:80"),
         }
     };
     std::thread::spawn(move || http_server.serve(answer));
@@ -58,7 +58,7 @@
     });
     assert_eq!(
         names,
-        is_read.then(|| vec!["one".to_owned(), "two".to_owned()])
+        is_read.then(|| vec!["10.0.0.1:80".to_owned(), "10.0.0.2:80".to_owned()])
     );
     assert_eq!(counted.load(Ordering::SeqCst), calls);
     assert!(
@@ -67,3 +67,26 @@
         reading.calls
     );
 }
+
+#[parameterized(
+    without_a_name = { entry("", Some("10.0.0.1:80")) },
+    whose_name_no_header_can_bear = { entry("a\r\nb", Some("10.0.0.1:80")) },
+    without_an_address = { entry("a", None) },
+    whose_address_is_none = { entry("a", Some("somewhere")) },
+    without_a_port = { entry("a", Some("10.0.0.1")) },
+    at_port_zero = { entry("a", Some("10.0.0.1:0")) },
+)]
+fn a_server_of_the_list_that_no_request_could_be_sent_to_is_left_out(unusable: ServerEntry) {
+    let usable = entry("b", Some("10.0.0.2:80"));
+    let named_by_its_address = entry("10.0.0.3:80", None);
+    let all = vec![unusable, usable.clone(), named_by_its_address.clone()];
+    assert_eq!(usable_entries(all), [usable, named_by_its_address]);
+}
+
+fn entry(name: &str, address: Option<&str>) -> ServerEntry {
+    ServerEntry {
+        server: name.into(),
+        address: address.map(str::to_owned),
+        ..ServerEntry::default()
+    }
+}
