--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -320,9 +320,9 @@
 
 // ---- The scripted control thread.
 
-/// What the control thread was told.
+/// What the control thread was recorded.
 #[derive(Debug, Clone, PartialEq)]
-enum Told {
+enum Recorded {
     Asked {
         round: u32,
         tried: Vec<ServerName>,
@@ -359,8 +359,8 @@
     shared: &Arc<Shared>,
     events: flume::Receiver<ControlEvent>,
     words: Vec<Word>,
-) -> flume::Receiver<Told> {
-    let (tell, told) = flume::unbounded();
+) -> flume::Receiver<Recorded> {
+    let (tell, recorded) = flume::unbounded();
     let (shared, mut words) = (shared.clone(), words.into_iter());
     std::thread::spawn(move || {
         for event in events {
@@ -373,7 +373,7 @@
                         request_cost,
                         ..
                     } = ask;
-                    let _ = tell.send(Told::Asked {
+                    let _ = tell.send(Recorded::Asked {
                         round,
                         tried,
                         may_have_run,
@@ -385,25 +385,25 @@
                     let _ = response.send(word(&shared));
                     continue;
                 }
-                ControlEvent::Input(NodeInput::Event(Event::FirstToken { .. })) => Told::First,
+                ControlEvent::Input(NodeInput::Event(Event::FirstToken { .. })) => Recorded::First,
                 ControlEvent::Input(NodeInput::Event(Event::Ended { outcome, .. })) => {
-                    Told::Ended(outcome)
+                    Recorded::Ended(outcome)
                 }
                 ControlEvent::Input(NodeInput::Event(Event::Load { running, .. })) => {
-                    Told::Load(running)
+                    Recorded::Load(running)
                 }
                 ControlEvent::Input(NodeInput::Event(Event::Unreachable { server })) => {
-                    Told::Unreachable(server)
+                    Recorded::Unreachable(server)
                 }
                 ControlEvent::Input(NodeInput::Close { may_have_run, .. }) => {
-                    Told::Closed { may_have_run }
+                    Recorded::Closed { may_have_run }
                 }
                 _ => continue,
             };
             let _ = tell.send(one);
         }
     });
-    told
+    recorded
 }
 
 // ---- The node, and its clients.
@@ -418,7 +418,7 @@
 /// What stands in for a node, with one route `/p/` of this kind at host `h`.
 struct Stage {
     address: SocketAddr,
-    told: flume::Receiver<Told>,
+    recorded: flume::Receiver<Recorded>,
     shared: Arc<Shared>,
 }
 
@@ -456,7 +456,7 @@
         }]});
         let plan = parse_plan(plan.to_string().as_bytes()).expect("a good plan");
         shared.install_detached_plan(&Arc::new(plan));
-        let told = control(&shared, inbox, words);
+        let recorded = control(&shared, inbox, words);
         let pool = ConnectionPool::new(ConnectionPoolBounds {
             max_per_address: 8,
             max_idle_per_address: 4,
@@ -477,7 +477,7 @@
         std::thread::spawn(move || http_server.serve(move |request| forwarder.respond(request)));
         Stage {
             address,
-            told,
+            recorded,
             shared,
         }
     }
@@ -496,23 +496,23 @@
     fn exchange(&self, headers: &str) -> Answer {
         self.send(headers).answer()
     }
-    /// All that the control thread was told, up to the end of the request.
-    fn told(&self) -> Vec<Told> {
+    /// All that the control thread was recorded, up to the end of the request.
+    fn recorded(&self) -> Vec<Recorded> {
         let mut all = vec![];
-        while !matches!(all.last(), Some(Told::Closed { .. })) {
-            all.push(self.told.recv_timeout(GUARD).expect("the request ends"));
+        while !matches!(all.last(), Some(Recorded::Closed { .. })) {
+            all.push(self.recorded.recv_timeout(GUARD).expect("the request ends"));
         }
         all
     }
     fn outcomes(&self) -> Vec<Outcome> {
-        let ended = |told: Told| {
-            if let Told::Ended(outcome) = told {
+        let ended = |recorded: Recorded| {
+            if let Recorded::Ended(outcome) = recorded {
                 Some(outcome)
             } else {
                 None
             }
         };
-        self.told().into_iter().filter_map(ended).collect()
+        self.recorded().into_iter().filter_map(ended).collect()
     }
 }
 
@@ -622,10 +622,11 @@
         [header(&request, "x-mine"), header(&request, "x-server")],
         [Some("5"), Some("a")]
     );
-    let told = stage.told();
+    let recorded = stage.recorded();
     assert!(
-        told.contains(&Told::Load(3)) && told.contains(&Told::Ended(Outcome::Complete)),
-        "{told:?}"
+        recorded.contains(&Recorded::Load(3))
+            && recorded.contains(&Recorded::Ended(Outcome::Complete)),
+        "{recorded:?}"
     );
 }
 
@@ -665,8 +666,8 @@
     let server = Server::start("a", vec![vec![Say(said.into())]]);
     let stage = Stage::set(&MUTATING, vec![goes_to(&server, false)]);
     stage.exchange("");
-    let told = stage.told();
-    assert!(!told.contains(&Told::Load(7)), "{told:?}");
+    let recorded = stage.recorded();
+    assert!(!recorded.contains(&Recorded::Load(7)), "{recorded:?}");
 }
 
 #[test]
@@ -685,7 +686,7 @@
     );
     let first = stage.exchange("");
     assert_eq!((first.body.as_str(), first.is_whole), ("mine", true));
-    stage.told();
+    stage.recorded();
     let second = stage.exchange("");
     assert_eq!(
         (second.body.as_str(), header(&second.head, "x-mark")),
@@ -729,7 +730,7 @@
     assert!(answer.has("retry-after"), "{}", answer.head);
     let asked: usize = servers.iter().map(Server::count).sum();
     assert_eq!(asked as u64, max_tries);
-    let told = stage.told();
+    let recorded = stage.recorded();
     let tried = |round: u32| {
         servers[..round as usize]
             .iter()
@@ -737,17 +738,17 @@
             .collect()
     };
     for round in 0..max_tries as u32 {
-        let asked = Told::Asked {
+        let asked = Recorded::Asked {
             round,
             tried: tried(round),
             may_have_run: false,
             deadline: Milliseconds(20_000),
         };
-        assert!(told.contains(&asked), "{told:?} lacks {asked:?}");
+        assert!(recorded.contains(&asked), "{recorded:?} lacks {asked:?}");
     }
     assert_eq!(
-        told.last(),
-        Some(&Told::Closed {
+        recorded.last(),
+        Some(&Recorded::Closed {
             may_have_run: false
         })
     );
@@ -803,7 +804,7 @@
 }
 
 /// Whether a call that the server ran, but in whose place a refusal without an id stood on a connection
-/// that had served another one, stays with that server and is not told as refused.
+/// that had served another one, stays with that server and is not recorded as refused.
 fn doubts_unnamed(status: u16, mutant: Option<Mutant>) -> bool {
     let first = Server::start("a", vec![vec![whole("first")], vec![unnamed(status)]]);
     let other = Server::start("b", vec![vec![whole("again")]]);
@@ -814,7 +815,7 @@
     ];
     let stage = Stage::set_mutant(&MUTATING, words, mutant);
     assert!(stage.exchange("").is_success());
-    stage.told();
+    stage.recorded();
     let answer = stage.exchange("");
     answer.status == 502
         && other.count() == 0
@@ -852,11 +853,11 @@
     ];
     let stage = Stage::set(&IDEMPOTENT, words);
     assert!(stage.exchange("").is_success());
-    stage.told();
+    stage.recorded();
     assert_eq!((stage.exchange("").status, full.count()), (502, 1));
 }
 
-/// Whether a call that may have run, and may not repeat, went to one server alone and was not told as refused.
+/// Whether a call that may have run, and may not repeat, went to one server alone and was not recorded as refused.
 fn runs_once(first: Vec<Do>, mutant: Option<Mutant>) -> bool {
     let (ill, well) = (
         Server::start("a", vec![first]),
@@ -868,11 +869,11 @@
         mutant,
     );
     let answer = stage.exchange("x-wait: 1000\r\n");
-    let closed = stage.told().pop();
+    let closed = stage.recorded().pop();
     well.count() == 0
         && !answer.is_promise()
         && answer.status >= 500
-        && matches!(closed, Some(Told::Closed { .. }))
+        && matches!(closed, Some(Recorded::Closed { .. }))
 }
 
 fn failed(status: u16) -> Vec<Do> {
@@ -910,14 +911,14 @@
     let stage = Stage::set(&IDEMPOTENT, vec![goes_to(&ill, true), goes_to(&full, true)]);
     let answer = stage.exchange("");
     assert_eq!((answer.status, ill.count(), full.count()), (502, 1, 1));
-    let told = stage.told();
-    let second = Told::Asked {
+    let recorded = stage.recorded();
+    let second = Recorded::Asked {
         round: 1,
         tried: vec!["a".into()],
         may_have_run: true,
         deadline: Milliseconds(20_000),
     };
-    assert!(told.contains(&second), "{told:?}");
+    assert!(recorded.contains(&second), "{recorded:?}");
 }
 
 #[test]
@@ -932,11 +933,11 @@
         vec![goes_to(&gone, false), goes_to(&well, false)],
     );
     assert!(stage.exchange("").is_success());
-    let told = stage.told();
+    let recorded = stage.recorded();
     assert!(
-        told.contains(&Told::Unreachable("a".into()))
-            && told.contains(&Told::Ended(Outcome::Refused)),
-        "{told:?}"
+        recorded.contains(&Recorded::Unreachable("a".into()))
+            && recorded.contains(&Recorded::Ended(Outcome::Refused)),
+        "{recorded:?}"
     );
 }
 
@@ -957,7 +958,7 @@
     ];
     let stage = Stage::set(&MUTATING, words);
     assert_eq!(stage.exchange("").body, "first");
-    stage.told();
+    stage.recorded();
     assert_eq!(stage.exchange("").body, "well");
     let asked = [old.request(), old.request()]
         .map(|request| header(&request, "x-server").map(str::to_owned));
@@ -966,7 +967,11 @@
         [Some("a".to_owned()), Some("c".to_owned())],
         "each request names the server that is meant"
     );
-    assert!(stage.told().contains(&Told::Unreachable("c".into())));
+    assert!(
+        stage
+            .recorded()
+            .contains(&Recorded::Unreachable("c".into()))
+    );
 }
 
 #[test]
@@ -1010,7 +1015,7 @@
     );
     let left = |server: &Server| {
         header(&server.request(), "x-left")
-            .expect("told")
+            .expect("recorded")
             .parse::<u64>()
             .expect("ms")
     };
@@ -1019,8 +1024,15 @@
         second <= first && first <= least && second > 0,
         "{first} {second}"
     );
-    let is_told = |told: &Told| matches!(told, Told::Asked { deadline, .. } if *deadline == Milliseconds(least));
-    assert_eq!(stage.told().iter().filter(|told| is_told(told)).count(), 2);
+    let is_told = |recorded: &Recorded| matches!(recorded, Recorded::Asked { deadline, .. } if *deadline == Milliseconds(least));
+    assert_eq!(
+        stage
+            .recorded()
+            .iter()
+            .filter(|recorded| is_told(recorded))
+            .count(),
+        2
+    );
 }
 
 #[test]
@@ -1059,7 +1071,7 @@
     assert!(stage.exchange("x-wait: 15000\r\n").is_success());
     let request = server.request();
     let left: u64 = header(&request, "x-left")
-        .expect("told")
+        .expect("recorded")
         .parse()
         .expect("ms");
     assert!(left <= 10_000, "{left}");
@@ -1080,8 +1092,8 @@
         (503, "not-ready", 0)
     );
     assert_eq!(
-        stage.told().last(),
-        Some(&Told::Closed {
+        stage.recorded().last(),
+        Some(&Recorded::Closed {
             may_have_run: false
         })
     );
@@ -1117,14 +1129,18 @@
         mutant,
     );
     let answer = stage.exchange("");
-    let told = stage.told();
-    let anew = Told::Asked {
+    let recorded = stage.recorded();
+    let anew = Recorded::Asked {
         round: 0,
         tried: vec![],
         may_have_run: false,
         deadline: Milliseconds(20_000),
     };
-    let is_no_failure = told.iter().filter(|told| **told == anew).count() == 2;
+    let is_no_failure = recorded
+        .iter()
+        .filter(|recorded| **recorded == anew)
+        .count()
+        == 2;
     answer.body == "new" && old.count() == 0 && is_no_failure
 }
 
@@ -1172,7 +1188,7 @@
         (answer.status, header(&answer.head, "x-call")),
         (404, Some("c1"))
     );
-    assert!(stage.told.is_empty());
+    assert!(stage.recorded.is_empty());
 }
 
 // ---- Streams.
@@ -1209,9 +1225,18 @@
     let answer = client.answer();
     assert!(answer.is_success(), "{answer:?}");
     assert_eq!(answer.body, all_of(1..=4));
-    let told = stage.told();
-    assert_eq!(told.iter().filter(|told| **told == Told::First).count(), 1);
-    assert!(told.contains(&Told::Ended(Outcome::Complete)), "{told:?}");
+    let recorded = stage.recorded();
+    assert_eq!(
+        recorded
+            .iter()
+            .filter(|recorded| **recorded == Recorded::First)
+            .count(),
+        1
+    );
+    assert!(
+        recorded.contains(&Recorded::Ended(Outcome::Complete)),
+        "{recorded:?}"
+    );
 }
 
 fn tear() -> Vec<Do> {
@@ -1225,7 +1250,7 @@
 
 /// Whether a torn stream that may be resumed goes on exactly, under its first head.
 fn resumes_exactly(mutant: Option<Mutant>) -> bool {
-    // As a server that starts anew at what it's told.
+    // As a server that starts anew at what it's recorded.
     let (torn, next) = (
         Server::start("a", vec![tear()]),
         Server::start("b", vec![vec![stream_head("second"), events(5..=8), end()]]),
