simulator: every other stream is an event stream, whose servers may send what is no event

Now every other run is sent as events and read by the router's EventReader, and under garble-servers one event is doubled, or text, a head, or an event without an id, with two, or without data stands before, in place of or behind one.

RunPiece is RunRecord, with chunks and an end; what is on the wire is unchanged (golden).

--- a/crates/router/src/interface.rs
+++ b/crates/router/src/interface.rs
@@ -55,7 +55,7 @@
 /// One line of a server's stream.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
-pub enum RunPiece {
+pub enum RunRecord {
     /// The explicit end.
     End {
         /// The run.
@@ -65,8 +65,8 @@
         /// How many pieces there were.
         pieces: u64,
     },
-    /// A piece.
-    Piece {
+    /// A chunk of text.
+    Chunk {
         /// The run.
         run: RunId,
         /// Its number, from 0.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,7 +28,8 @@
 };
 pub use dissemination::{DigestTiming, Dissemination};
 pub use interface::{
-    ClientRequest, LIFE_HEADER, ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport,
+    ClientRequest, LIFE_HEADER, ResumeRequest, RunRecord, RunRequest, ServerListReport,
+    ServerReport,
 };
 pub use request::attempts::{AttemptInput, AttemptOutput, AttemptSequence};
 pub use request::resume_token::{Token, run_id};
--- a/crates/router/src/upstream/chunk_reader.rs
+++ b/crates/router/src/upstream/chunk_reader.rs
@@ -1,6 +1,6 @@
 //! Reads the chunks of one run from a server, in order, and makes the client's lines of them.
 
-use crate::interface::RunPiece;
+use crate::interface::RunRecord;
 use types::{ResultCode, RunId};
 
 /// What one line of a server's stream becomes on the client's side.
@@ -37,12 +37,12 @@
                 "the stream ended without its final record".into(),
             );
         }
-        match serde_json::from_slice::<RunPiece>(line) {
-            Ok(RunPiece::Piece { run, n, text }) if run == self.run && n == self.next => {
+        match serde_json::from_slice::<RunRecord>(line) {
+            Ok(RunRecord::Chunk { run, n, text }) if run == self.run && n == self.next => {
                 self.next += 1;
                 RelayedLine::Chunk(format!("{}\n", serde_json::json!({"n": n, "text": text})))
             }
-            Ok(RunPiece::End {
+            Ok(RunRecord::End {
                 run,
                 end: true,
                 pieces,
--- a/crates/router/src/upstream/chunk_reader/tests.rs
+++ b/crates/router/src/upstream/chunk_reader/tests.rs
@@ -1,4 +1,4 @@
-use crate::interface::RunPiece;
+use crate::interface::RunRecord;
 use crate::upstream::chunk_reader::{ChunkReader, RelayedLine};
 use yare::parameterized;
 
@@ -19,18 +19,18 @@
     let mut found = String::new();
     for line in lines {
         let n: u64 = line[1..].parse().unwrap_or(0);
-        let piece = |run: &str| RunPiece::Piece {
+        let piece = |run: &str| RunRecord::Chunk {
             run: run.into(),
             n,
             text: "t".into(),
         };
-        let json = |piece: RunPiece| serde_json::to_string(&piece).expect("JSON");
+        let json = |piece: RunRecord| serde_json::to_string(&piece).expect("JSON");
         let text = match &line[..1] {
             "p" => json(piece("r")) + "\n",
             "o" => json(piece("other")) + "\n",
             "t" => json(piece("r")),
             "e" => {
-                json(RunPiece::End {
+                json(RunRecord::End {
                     run: "r".into(),
                     end: true,
                     pieces: n,
--- a/crates/router/tests/golden.rs
+++ b/crates/router/tests/golden.rs
@@ -9,7 +9,7 @@
 use quota::{Amount, QuotaClientStatus};
 use router::{
     ChunkReader, ClientRequest, EndpointListTiming, LIFE_HEADER, Metrics, NodeTiming, RelayedLine,
-    ResumeRequest, RunPiece, RunRequest, ServerListReport, ServerReport, Settings, Token, run_id,
+    ResumeRequest, RunRecord, RunRequest, ServerListReport, ServerReport, Settings, Token, run_id,
 };
 use schematic::Config;
 use std::sync::atomic::Ordering;
@@ -33,14 +33,14 @@
     }
 }
 
-fn run_pieces() -> [RunPiece; 2] {
+fn run_pieces() -> [RunRecord; 2] {
     [
-        RunPiece::Piece {
+        RunRecord::Chunk {
             run: RunId::from("run-1"),
             n: 0,
             text: "there".into(),
         },
-        RunPiece::End {
+        RunRecord::End {
             run: RunId::from("run-1"),
             end: true,
             pieces: 1,
@@ -111,8 +111,8 @@
     assert_eq!(read::<ResumeRequest>(&golden[1]), resume_request());
     assert_eq!(read::<RunRequest>(&golden[2]), run_request(Some(7)));
     assert_eq!(read::<RunRequest>(&golden[3]), run_request(None));
-    assert_eq!(read::<RunPiece>(&golden[4]), piece);
-    assert_eq!(read::<RunPiece>(&golden[5]), end);
+    assert_eq!(read::<RunRecord>(&golden[4]), piece);
+    assert_eq!(read::<RunRecord>(&golden[5]), end);
     assert_eq!(read::<ServerReport>(&golden[6]), server_report());
     assert_eq!(read::<ServerListReport>(&golden[7]), server_list());
     let without = r#"{"id":"r-1","service":"drafts","prompt":"p"}"#;
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -24,6 +24,7 @@
 mod relays;
 mod router_contact;
 mod rules;
+mod stream_reader;
 mod streams;
 mod tenants;
 mod traffic;
--- a/crates/simulator/src/world/mutants.rs
+++ b/crates/simulator/src/world/mutants.rs
@@ -47,6 +47,10 @@
     ///
     /// Seen by: a client gets pieces that do not fit its stream (the stream checks of `World::give`).
     LaxPieces,
+    /// Events reach the client whatever they are.
+    ///
+    /// Seen by: a client gets pieces that do not fit its stream (the stream checks of `World::give`).
+    PassMalformed,
     /// A stream that is resumed begins anew.
     ///
     /// Seen by: a client gets pieces again (the stream checks of `World::give`).
--- a/crates/simulator/src/world/streams.rs
+++ b/crates/simulator/src/world/streams.rs
@@ -3,12 +3,15 @@
 
 use crate::schedule::Progress;
 use crate::world::event::Event;
+use crate::world::stream_reader::{
+    MALFORMED, ServerLine, StreamReader, chunk_line, is_event_stream,
+};
 use crate::world::{Mutant, World};
 use loadgen::prompt_fingerprint;
 use placement::Outcome;
-use router::RunPiece;
-use router::{ChunkReader, RelayedLine, RequestInput, resume_id};
+use router::RunRecord;
 use router::{NodeInput, NodeOutput};
+use router::{RelayedLine, RequestInput, resume_id};
 use types::{MonotonicInstant, RequestId, RunId};
 
 /// A stream as it stands, on its client's side and on its router's.
@@ -17,7 +20,7 @@
     run: RunId,
     /// The next piece that the client wants.
     next: u64,
-    reader: ChunkReader,
+    reader: StreamReader,
     /// Pieces that the router has read from the server.
     read: u64,
     resumes: u32,
@@ -27,7 +30,7 @@
 
 impl SimStream {
     pub(super) fn new(token: Option<String>, run: RunId) -> Self {
-        let reader = ChunkReader::new(run.clone(), 0);
+        let reader = StreamReader::new(&run, 0);
         SimStream {
             token,
             run,
@@ -39,14 +42,17 @@
         }
     }
 
-    /// Puts a server's line through the router's reader. The mutant passes on whatever comes.
-    fn relay_line(&mut self, line: &RunPiece, is_lax: bool) -> RelayedLine {
-        let text = serde_json::to_string(line).expect("a piece is JSON") + "\n";
+    /// Puts a server's line through the router's reader. The mutants pass on whatever comes.
+    fn relay_line(&mut self, line: &ServerLine, mutant: Option<Mutant>) -> RelayedLine {
         self.read += 1;
-        match self.reader.take(text.as_bytes()) {
+        let is_lax = match self.reader {
+            StreamReader::Chunks(_) => mutant == Some(Mutant::LaxPieces),
+            StreamReader::Events(_) => mutant == Some(Mutant::PassMalformed),
+        };
+        match self.reader.take(line) {
             RelayedLine::Abort(..) if is_lax => match line {
-                RunPiece::End { .. } => RelayedLine::End(text),
-                RunPiece::Piece { .. } => RelayedLine::Chunk(text),
+                ServerLine::Record(RunRecord::End { .. }) => RelayedLine::End(chunk_line(line)),
+                _ => RelayedLine::Chunk(chunk_line(line)),
             },
             passed => passed,
         }
@@ -93,22 +99,28 @@
         else {
             return self.cut(&id);
         };
-        let mut lines: Vec<RunPiece> = (stream.read..there)
-            .map(|n| RunPiece::Piece {
-                run: run.clone(),
-                n,
-                text: s.schedule.text(&run, n),
+        let mut lines: Vec<ServerLine> = (stream.read..there)
+            .map(|n| {
+                ServerLine::Record(RunRecord::Chunk {
+                    run: run.clone(),
+                    n,
+                    text: s.schedule.text(&run, n),
+                })
             })
             .collect();
         if progress == Some(Progress::All(there)) {
-            lines.push(RunPiece::End {
+            lines.push(ServerLine::Record(RunRecord::End {
                 run: run.clone(),
                 end: true,
                 pieces: there,
-            });
+            }));
         }
         if s.is_garbled && !lines.is_empty() {
-            self.garble(&mut lines, server);
+            if is_event_stream(&run) {
+                self.garble_events(&mut lines, server);
+            } else {
+                self.garble(&mut lines, server);
+            }
         }
         for line in lines {
             if !self.give(&id, &line) {
@@ -123,7 +135,7 @@
 
     /// What a server gone wrong makes of its lines: one is left out, doubled, of another run, or the end
     /// comes early.
-    fn garble(&mut self, lines: &mut Vec<RunPiece>, server: usize) {
+    fn garble(&mut self, lines: &mut Vec<ServerLine>, server: usize) {
         let place = self.below(lines.len() as u64) as usize;
         let others = self
             .requests
@@ -137,27 +149,41 @@
             (0, _) => drop(lines.remove(place)),
             (1, _) => lines.insert(place, lines[place].clone()),
             (2, Some(other)) => {
-                if let RunPiece::Piece { run, n, text } = &mut lines[place] {
+                if let ServerLine::Record(RunRecord::Chunk { run, n, text }) = &mut lines[place] {
                     *text = self.servers[server].schedule.text(&other, *n);
                     *run = other;
                 }
             }
             (3, _) => {
-                if let RunPiece::Piece { run, n, .. } = &lines[place] {
-                    lines[place] = RunPiece::End {
+                if let ServerLine::Record(RunRecord::Chunk { run, n, .. }) = &lines[place] {
+                    lines[place] = ServerLine::Record(RunRecord::End {
                         run: run.clone(),
                         end: true,
                         pieces: *n + 1,
-                    };
+                    });
                 }
             }
             _ => {}
         }
     }
 
+    /// What a server gone wrong makes of its events: one is doubled, or something else stands before it, in its place or
+    /// behind it. Events name no run and may leave numbers out, so what their reader can't know is not played.
+    fn garble_events(&mut self, lines: &mut Vec<ServerLine>, server: usize) {
+        let place = self.below(lines.len() as u64) as usize;
+        let malformed = ServerLine::Malformed(MALFORMED[(place + server) % MALFORMED.len()]);
+        match self.below(12) {
+            0 => lines.insert(place, malformed),
+            1 => lines.insert(place, lines[place].clone()),
+            2 => lines[place] = malformed,
+            3 => lines.insert(place + 1, malformed),
+            _ => {}
+        }
+    }
+
     /// Passes a line on to the client; says whether the stream goes on.
-    fn give(&mut self, id: &RequestId, line: &RunPiece) -> bool {
-        let is_lax = self.rules.mutant == Some(Mutant::LaxPieces);
+    fn give(&mut self, id: &RequestId, line: &ServerLine) -> bool {
+        let mutant = self.rules.mutant;
         let now = self.now;
         let Some(request) = self.requests.get_mut(id) else {
             return false;
@@ -166,7 +192,7 @@
         let Some(stream) = &mut request.stream else {
             return false;
         };
-        let passed = stream.relay_line(line, is_lax);
+        let passed = stream.relay_line(line, mutant);
         let (RelayedLine::Chunk(given) | RelayedLine::End(given)) = &passed else {
             self.cut(id);
             return false;
@@ -341,7 +367,7 @@
         request.run = Some((server, token.run.clone()));
         if let Some(stream) = &mut request.stream {
             let from = if is_again { 0 } else { stream.next };
-            stream.reader = ChunkReader::new(token.run, from);
+            stream.reader = StreamReader::new(&token.run, from);
             (stream.read, stream.resumed_as) = (from, Some(number));
         }
         self.witness.resumed += 1;
--- a/crates/testbed/src/stand_in.rs
+++ b/crates/testbed/src/stand_in.rs
@@ -1,6 +1,6 @@
 use loadgen::prompt_fingerprint;
 use placement::PrefixHash;
-use router::{LIFE_HEADER, RunPiece, RunRequest, ServerReport};
+use router::{LIFE_HEADER, RunRecord, RunRequest, ServerReport};
 use simulator::{Progress, Schedule, ScheduleRules, ServerFault};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -360,7 +360,7 @@
                     self.next,
                     schedule.text(&self.run, self.next),
                 );
-                lines += &serde_json::to_string(&RunPiece::Piece { run, n, text })
+                lines += &serde_json::to_string(&RunRecord::Chunk { run, n, text })
                     .expect("a piece is JSON");
                 lines.push('\n');
                 self.next += 1;
@@ -371,7 +371,7 @@
         match progress {
             Progress::All(pieces) => {
                 self.is_over = true;
-                let end = RunPiece::End {
+                let end = RunRecord::End {
                     run: self.run.clone(),
                     end: true,
                     pieces,
