--- a/crates/testbed/src/answers/lane.rs
+++ b/crates/testbed/src/answers/lane.rs
@@ -290,7 +290,7 @@
     let is_reached = record
         .runs
         .first()
-        .is_some_and(|run| run.play.answers_whole() && !run.is_displaced);
+        .is_some_and(|run| run.play.answers_whole(record.kind.is_stream()) && !run.is_displaced);
     let Some(answer) = answer else {
         return Err("no answer came".into());
     };
@@ -330,17 +330,18 @@
         return Err(format!("a success of no run: {answer:?}"));
     };
     let is_cut_stream = record.kind.is_stream()
-        && matches!(
-            run.play,
-            Play::TornBody
-                | Play::TornChunks
-                | Play::BadChunk
-                | Play::TornStream
-                | Play::EndByClose
-                | Play::OldHttp
-        );
+        && (run.play.is_malformed_stream()
+            || matches!(
+                run.play,
+                Play::TornBody
+                    | Play::TornChunks
+                    | Play::BadChunk
+                    | Play::TornStream
+                    | Play::EndByClose
+                    | Play::OldHttp
+            ));
     let is_both_framed = record.kind.is_stream() && run.play == Play::LengthAndChunks;
-    if !run.play.answers_whole() && !is_cut_stream && !is_both_framed {
+    if !run.play.answers_whole(record.kind.is_stream()) && !is_cut_stream && !is_both_framed {
         return Err(format!("a success of a run that gave none: {answer:?}"));
     }
     let expected = body_of(record.kind, id, 0);
--- a/crates/testbed/src/answers/play.rs
+++ b/crates/testbed/src/answers/play.rs
@@ -82,6 +82,14 @@
     RefusedEarly,
     /// Runs a stream up to its middle, and closes.
     TornStream,
+    /// Begins a stream with what is no event.
+    MalformedFirst,
+    /// Sends what is no event in the middle of a stream.
+    MalformedMiddle,
+    /// Sends what is no event behind the last event of a stream, within the body.
+    MalformedEnd,
+    /// Runs a stream whose body has no length, and sends another answer behind it.
+    AnswerInBody,
 }
 
 impl Play {
@@ -95,12 +103,23 @@
             Elsewhere | ElsewhereUnnamed | Refused | RefusedEarly | RefusedUnnamed | ResetUnread
         )
     }
+    /// Whether only the reader of a stream can tell that the answer is none. What isn't a stream is answered properly.
+    pub fn is_malformed_stream(self) -> bool {
+        use Play::{AnswerInBody, MalformedEnd, MalformedFirst, MalformedMiddle};
+        matches!(
+            self,
+            AnswerInBody | MalformedEnd | MalformedFirst | MalformedMiddle
+        )
+    }
     /// Whether the client is to get the server's whole answer, if nothing stood in its place.
-    pub fn answers_whole(self) -> bool {
+    pub fn answers_whole(self, is_stream: bool) -> bool {
         use Play::{
             CloseSaid, CloseUnsaid, Interim, LateElsewhere, LateOwn, LateRefusal, SurplusForeign,
             SurplusGarbage, SurplusOwn, SurplusRefusal, Whole, WholeInChunks,
         };
+        if self.is_malformed_stream() {
+            return !is_stream;
+        }
         matches!(
             self,
             Whole
--- a/crates/testbed/src/answers/server.rs
+++ b/crates/testbed/src/answers/server.rs
@@ -160,6 +160,7 @@
                 id: &id,
                 body: &body,
                 mark: &mark,
+                is_stream: kind.is_stream(),
             },
         )
     }
@@ -243,6 +244,7 @@
         | Play::OldHttp
         | Play::Garbage
         | Play::SwitchProtocol => After::Close,
+        Play::AnswerInBody if response.is_stream => After::Close,
         _ => After::Stay,
     }
 }
--- a/crates/testbed/src/answers/server/response.rs
+++ b/crates/testbed/src/answers/server/response.rs
@@ -11,6 +11,8 @@
     pub body: &'a str,
     /// The mark that shows which run it comes from.
     pub mark: &'a str,
+    /// Whether the body is a stream of events.
+    pub is_stream: bool,
 }
 
 /// Headers of a response that belongs to another request.
@@ -55,6 +57,14 @@
             Play::RefusedUnnamed => refusal(503, None),
             Play::Elsewhere => refusal(421, Some(id)),
             Play::ElsewhereUnnamed => refusal(421, None),
+            _ if !self.is_stream => self.complete(),
+            Play::MalformedFirst => self.malformed_behind(0),
+            Play::MalformedMiddle => self.malformed_behind(self.middle()),
+            Play::MalformedEnd => self.malformed_behind(self.body.len()),
+            Play::AnswerInBody => {
+                let (body, other) = (self.body, self.with_headers(&foreign_headers()));
+                format!("HTTP/1.1 200 OK\r\n{marked}\r\n{body}{other}")
+            }
         }
     }
 
@@ -95,11 +105,38 @@
         format!("HTTP/1.1 101 Other\r\n{headers}connection: upgrade\r\nupgrade: other\r\n\r\n")
     }
 
+    /// The stream in chunks, with what is no event behind so many bytes of it.
+    fn malformed_behind(&self, length: usize) -> String {
+        let (before, behind) = self.body.split_at(length);
+        let drawn = self.mark.len() + self.id.bytes().map(usize::from).sum::<usize>();
+        let malformed = MALFORMED[drawn % MALFORMED.len()];
+        let parts = [before, malformed, behind].into_iter();
+        let chunks: String = parts.filter(|part| !part.is_empty()).map(chunk).collect();
+        self.chunked_head() + &chunks + "0\r\n\r\n"
+    }
+
+    /// Behind the first of its events.
+    fn middle(&self) -> usize {
+        self.body.find("\n\n").map_or(0, |end| end + 2)
+    }
+
     fn half(&self) -> &str {
         &self.body[..self.body.len() / 2]
     }
 }
 
+/// What is no event of a stream.
+const MALFORMED: [&str; 8] = [
+    "certainly not\r\n\r\n",
+    "certainly not",
+    "data: nobody's\n\n",
+    "id:\ndata: nobody's\n\n",
+    "id: 9x\ndata: nobody's\n\n",
+    "id: 900\nid: 901\ndata: nobody's\n\n",
+    "id: 900\n\n",
+    "HTTP/1.1 200 OK\r\nx-call: other\r\ncontent-length: 0\r\n\r\n",
+];
+
 /// Interim responses, sent ahead of the proper one.
 const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: a\r\n\r\n";
 
