router: a stalled stream leaves its server only once another has a place for it

Cause: the connection to the silent server was dropped first, and only then a place elsewhere was asked for; a draining node, a moved route, an empty retry budget, the first window of a node's life or full servers refuse it, and the stream was aborted.

Change: a takeover is two steps. The place is asked for while the server still has the request; where it's granted, the scheduler moves the request and the first connection is closed, where not, the stream is read on and a place is asked for again every 0.4 s. A stream whose server broke off or sent what is no event goes the old way: there is nothing to go on with.

--- a/crates/placement/src/scheduler/placing.rs
+++ b/crates/placement/src/scheduler/placing.rs
@@ -3,7 +3,7 @@
 //! Source: "Later requests with the same prefix can then route to the least-loaded warm replica"
 //! (BTB, docs/provenance.md).
 
-use crate::event::{Candidate, Decision, PlacementReason, RequestCost};
+use crate::event::{Candidate, Decision, Outcome, PlacementReason, RequestCost};
 use crate::rendezvous::key_of;
 use crate::rules::ServiceRules;
 use crate::scheduler::Scheduler;
@@ -153,6 +153,8 @@
             Ok(placed_at) => placed_at,
             Err(rejection) => return self.reject(prompt, rejection),
         };
+        // A request that another server takes over from one that has stalled; where it's refused, it goes on there.
+        self.on_ended(&prompt.request, Outcome::Failed, now);
         // Only what goes to a server counts, as a retry or as traffic.
         self.record_placed(service, *round, now);
         let Placed {
--- a/crates/placement/tests/by_time.rs
+++ b/crates/placement/tests/by_time.rs
@@ -581,3 +581,50 @@
         "{for_the_other} of 40"
     );
 }
+
+#[parameterized(
+    granted = { vec![], true },
+    refused_for_lack_of_another_server = { vec!["b"], false },
+)]
+fn a_takeover_moves_a_request_to_its_new_server_unless_it_is_refused(
+    other_servers_tried: Vec<&str>,
+    is_granted: bool,
+) {
+    let rules = SchedulerRules {
+        retry_window: Milliseconds::seconds(10),
+        retry_percent: 1000,
+        ..scheduler_rules()
+    };
+    let servers = vec![entry("a", "north"), entry("b", "north")];
+    let mut played = Played::with(service(), rules, servers);
+    let (request, first) = played.submit(1, &[(7, 500)], 0);
+    let Decision::Placed { server, .. } = first else {
+        panic!("{first:?}");
+    };
+    let (own, other) = if server.as_str() == "a" {
+        ("a", "b")
+    } else {
+        ("b", "a")
+    };
+    let mut tried: Vec<ServerName> = vec![own.into()];
+    if !other_servers_tried.is_empty() {
+        tried.push(other.into());
+    }
+    let event = Event::Prompt {
+        request,
+        service: "drafts".into(),
+        hashes: vec![PrefixHash(7)],
+        round: 1,
+        tried,
+        request_cost: RequestCost {
+            hash_tokens: vec![500],
+            prompt_tokens: 500,
+            deadline: Milliseconds(15_000),
+            ..RequestCost::default()
+        },
+    };
+    played.take(100, event);
+    let in_flight = |name: &str| played.scheduler.servers()[&ServerName::from(name)].own;
+    let expected = if is_granted { (0, 1) } else { (1, 0) };
+    assert_eq!((in_flight(own), in_flight(other)), expected);
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -31,7 +31,7 @@
     ClientRequest, LIFE_HEADER, ResumeRequest, RunRecord, RunRequest, ServerListReport,
     ServerReport,
 };
-pub use request::attempts::{AttemptInput, AttemptOutput, AttemptSequence};
+pub use request::attempts::{AttemptInput, AttemptOutput, AttemptSequence, PlacementRound};
 pub use request::resume_token::{Token, run_id};
 pub use request::state_machine::{
     Failure, RequestInput, RequestOutput, RequestState, RequestStateMachine,
--- a/crates/router/src/request/attempts.rs
+++ b/crates/router/src/request/attempts.rs
@@ -21,18 +21,22 @@
     Interrupt(String),
 }
 
+/// One round of placing a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacementRound {
+    /// Zero the first time.
+    pub round: u32,
+    /// Servers that do not get it again.
+    pub tried: Vec<ServerName>,
+    /// Whether one of them may have run it.
+    pub may_have_run: bool,
+}
+
 /// What is to be done next.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AttemptOutput {
     /// Have the scheduler place the request.
-    Place {
-        /// Zero the first time.
-        round: u32,
-        /// Servers not to be asked again.
-        tried: Vec<ServerName>,
-        /// Whether one of them may have run it.
-        may_have_run: bool,
-    },
+    Place(PlacementRound),
     /// Send it to this server.
     Send(Placement),
     /// The server accepted it: relay its response.
@@ -139,19 +143,25 @@
         }
     }
 
-    fn place(&self) -> AttemptOutput {
-        let (round, tried, may_have_run) = (
-            self.request_state.attempt_count(),
-            self.tried.clone(),
-            self.request_state.may_have_run(),
-        );
-        AttemptOutput::Place {
-            round,
-            tried,
-            may_have_run,
+    /// What is to be placed for another server to take the request over while the current one still has it. Once
+    /// that is granted, [`AttemptInput::Interrupt`] and the placement follow.
+    pub fn takeover(&self) -> PlacementRound {
+        let server = self.placement.iter().map(|placement| &placement.server);
+        PlacementRound {
+            round: self.request_state.attempt_count() + 1,
+            tried: self.tried.iter().chain(server).cloned().collect(),
+            may_have_run: true,
         }
     }
 
+    fn place(&self) -> AttemptOutput {
+        AttemptOutput::Place(PlacementRound {
+            round: self.request_state.attempt_count(),
+            tried: self.tried.clone(),
+            may_have_run: self.request_state.may_have_run(),
+        })
+    }
+
     fn finish(&self, code: ResultCode) -> AttemptOutput {
         AttemptOutput::Finish(Rejection {
             code,
--- a/crates/router/src/upstream/dispatch.rs
+++ b/crates/router/src/upstream/dispatch.rs
@@ -2,7 +2,7 @@
 
 use crate::admin::metrics::Metrics;
 use crate::control::node::{NodeInput, Placement, PlacementRequest, Rejection};
-use crate::request::attempts::{AttemptInput, AttemptOutput, AttemptSequence};
+use crate::request::attempts::{AttemptInput, AttemptOutput, AttemptSequence, PlacementRound};
 use crate::request::in_flight::InFlightGuard;
 use crate::request::resume_token::run_id;
 use crate::request::state_machine::{Failure, RequestStateMachine};
@@ -10,7 +10,7 @@
 use config::ServiceKind;
 use placement::{Event, Outcome, RequestCost};
 use std::sync::Arc;
-use types::{Milliseconds, ResultCode, RunId, ServerName, ServiceName, random_bytes};
+use types::{Milliseconds, ResultCode, RunId, ServiceName, random_bytes};
 
 /// Why a server has not accepted a request.
 pub(crate) enum AttemptError {
@@ -113,11 +113,10 @@
         let (mut output, mut response) = (first, None);
         loop {
             output = match output {
-                AttemptOutput::Place {
-                    round,
-                    tried,
-                    may_have_run,
-                } => self.place(round, tried, may_have_run),
+                AttemptOutput::Place(round) => {
+                    let outcome = self.place(round);
+                    self.attempts.step(AttemptInput::Scheduler(outcome))
+                }
                 AttemptOutput::Send(placement) => {
                     match send(&placement, self.attempts.request_state()) {
                         Ok(started) => {
@@ -149,18 +148,31 @@
     }
 
     /// Phase "place": asks the scheduler for a server, for a run of a new id.
-    fn place(&mut self, round: u32, tried: Vec<ServerName>, may_have_run: bool) -> AttemptOutput {
-        let outcome = self.shared.place(PlacementRequest {
-            round,
-            tried,
-            may_have_run,
+    fn place(&self, round: PlacementRound) -> Result<Placement, Rejection> {
+        let is_retry = round.round > 0;
+        let placement = self.shared.place(PlacementRequest {
+            round: round.round,
+            tried: round.tried,
+            may_have_run: round.may_have_run,
             run: run_id(random_bytes()),
             ..self.placement_request.clone()
-        });
-        if round > 0 && outcome.is_ok() {
+        })?;
+        if is_retry {
             Metrics::more(&self.shared.metrics.repeats);
         }
-        self.attempts.step(AttemptInput::Scheduler(outcome))
+        Ok(placement)
+    }
+
+    /// Asks for a place at another server for a request whose server has stalled; `why` tells how. What is to be done
+    /// once it is granted. Until then nothing changes: the server may go on.
+    ///
+    /// # Errors
+    ///
+    /// No other server gets it now.
+    pub(crate) fn place_takeover(&mut self, why: &str) -> Result<AttemptOutput, Rejection> {
+        let placement = self.place(self.attempts.takeover())?;
+        self.attempts.step(AttemptInput::Interrupt(why.to_owned()));
+        Ok(self.attempts.step(AttemptInput::Scheduler(Ok(placement))))
     }
 
     /// Phase "retry": reports a failed attempt and decides what follows from it.
--- a/crates/router/src/upstream/forwarding/relay.rs
+++ b/crates/router/src/upstream/forwarding/relay.rs
@@ -20,6 +20,8 @@
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(5);
 /// A gap between chunks is measured against at least this latency target.
 const MIN_GAP_TARGET: u64 = 400;
+/// Where no place is granted to take a stalled stream over, one is asked for again after this.
+const TAKEOVER_PERIOD: Milliseconds = Milliseconds(400);
 /// A server whose gap is so many times its latency target has stalled.
 const STALL_FACTOR: u64 = 4;
 
@@ -36,6 +38,8 @@
     has_first: bool,
     is_over: bool,
     last_read: MonotonicInstant,
+    /// Before this no place is asked for again to take the stream over.
+    next_takeover_at: MonotonicInstant,
 }
 
 impl RelayedStream {
@@ -51,6 +55,7 @@
             has_first: false,
             is_over: false,
             last_read: Clock::now(),
+            next_takeover_at: MonotonicInstant(0),
         }
     }
 
@@ -109,12 +114,33 @@
         self.retry(malformed.to_string())
     }
 
-    /// The server broke off, stalled or sent what is no event: what follows is retried at another server, if it may be.
+    /// The server broke off or sent what is no event: what follows is retried at another server, if it may be.
     fn retry(&mut self, why: String) -> BodyChunk {
-        self.stream = None;
         self.request.report_outcome(Outcome::Failed);
         let input = AttemptInput::Interrupt(why);
-        let outcome = match self.request.dispatcher.attempts.step(input) {
+        let output = self.request.dispatcher.attempts.step(input);
+        self.go_on_elsewhere(output)
+    }
+
+    /// The server has stalled: another one takes the stream over, if a place there is granted. Else the stream is
+    /// read on, since its server may still end it.
+    fn seek_takeover(&mut self, now: MonotonicInstant) -> Option<BodyChunk> {
+        let why = "it fell silent in mid-stream";
+        match self.request.dispatcher.place_takeover(why) {
+            Ok(output) => Some(self.go_on_elsewhere(output)),
+            Err(rejection) => {
+                let request = &self.request.call.id;
+                tracing::debug!(%request, code = %rejection.code, reason = rejection.why, "no takeover of a stalled stream");
+                self.next_takeover_at = now + TAKEOVER_PERIOD;
+                None
+            }
+        }
+    }
+
+    /// Leaves the current server, and does what its failure has led to.
+    fn go_on_elsewhere(&mut self, output: AttemptOutput) -> BodyChunk {
+        self.stream = None;
+        let outcome = match output {
             AttemptOutput::Abort(why) => DispatchOutcome::Aborted(why),
             other => self.request.dispatch(other),
         };
@@ -152,8 +178,8 @@
         self.abort(reason)
     }
 
-    /// Reads on from the server until the deadline of the call. A server that stalls is left before that, where
-    /// another may take the stream over.
+    /// Reads on from the server until the deadline of the call. A server that stalls is left before that, once
+    /// another has a place to take the stream over.
     fn read_on(&mut self, timeout: Duration) -> BodyChunk {
         let now = Clock::now();
         let deadline = self.request.deadline;
@@ -163,11 +189,14 @@
         let gap = self.request.gap_target.0.max(MIN_GAP_TARGET);
         let stalled_at = self.last_read + Milliseconds(gap * STALL_FACTOR);
         let may_retry = self.request.dispatcher.attempts.request_state().may_retry();
-        if now >= stalled_at && may_retry {
-            return self.retry("it fell silent in mid-stream".into());
+        if may_retry
+            && now >= stalled_at.max(self.next_takeover_at)
+            && let Some(chunk) = self.seek_takeover(now)
+        {
+            return chunk;
         }
         let deadline = if may_retry {
-            stalled_at.min(deadline)
+            stalled_at.max(self.next_takeover_at).min(deadline)
         } else {
             deadline
         };
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -323,7 +323,7 @@
 /// What the control thread was recorded.
 #[derive(Debug, Clone, PartialEq)]
 enum Recorded {
-    Asked {
+    PlacementRequested {
         round: u32,
         tried: Vec<ServerName>,
         may_have_run: bool,
@@ -373,7 +373,7 @@
                         request_cost,
                         ..
                     } = ask;
-                    let _ = tell.send(Recorded::Asked {
+                    let _ = tell.send(Recorded::PlacementRequested {
                         round,
                         tried,
                         may_have_run,
@@ -738,7 +738,7 @@
             .collect()
     };
     for round in 0..max_tries as u32 {
-        let asked = Recorded::Asked {
+        let asked = Recorded::PlacementRequested {
             round,
             tried: tried(round),
             may_have_run: false,
@@ -912,7 +912,7 @@
     let answer = stage.exchange("");
     assert_eq!((answer.status, ill.count(), full.count()), (502, 1, 1));
     let recorded = stage.recorded();
-    let second = Recorded::Asked {
+    let second = Recorded::PlacementRequested {
         round: 1,
         tried: vec!["a".into()],
         may_have_run: true,
@@ -1024,7 +1024,7 @@
         second <= first && first <= least && second > 0,
         "{first} {second}"
     );
-    let is_told = |recorded: &Recorded| matches!(recorded, Recorded::Asked { deadline, .. } if *deadline == Milliseconds(least));
+    let is_told = |recorded: &Recorded| matches!(recorded, Recorded::PlacementRequested { deadline, .. } if *deadline == Milliseconds(least));
     assert_eq!(
         stage
             .recorded()
@@ -1130,7 +1130,7 @@
     );
     let answer = stage.exchange("");
     let recorded = stage.recorded();
-    let anew = Recorded::Asked {
+    let anew = Recorded::PlacementRequested {
         round: 0,
         tried: vec![],
         may_have_run: false,
@@ -1380,6 +1380,45 @@
         .expect("the silent server is left");
 }
 
+#[parameterized(
+    by_a_node_that_stops = { ResultCode::Draining },
+    by_a_node_without_a_lease_or_a_plan_without_the_route = { ResultCode::NotReady },
+    by_a_plan_without_the_service = { ResultCode::UnknownService },
+    for_lack_of_servers_or_of_retries = { ResultCode::NoServer },
+    for_lack_of_room = { ResultCode::Crowded },
+)]
+fn a_stalled_stream_whose_takeover_is_refused_goes_on_where_it_is(code: ResultCode) {
+    let (go, wait) = flume::bounded(0);
+    let script = vec![
+        stream_head("m"),
+        events(1..=2),
+        Await(wait),
+        events(3..=4),
+        end(),
+    ];
+    let server = Server::start("a", vec![script]);
+    let stage = Stage::set(
+        &STREAM,
+        vec![goes_to(&server, true), denied(code, 50), denied(code, 50)],
+    );
+    let client = stage.send("");
+    let mut refused = 0;
+    while refused < 2 {
+        let input = stage
+            .recorded
+            .recv_timeout(GUARD)
+            .expect("it looks for another server");
+        let is_takeover = matches!(&input, Recorded::PlacementRequested { round: 1, tried, may_have_run: true, .. } if tried[..] == ["a".into()]);
+        refused += usize::from(is_takeover);
+        assert!(!matches!(input, Recorded::Ended(_)), "{input:?}");
+    }
+    go.send_timeout((), GUARD).expect("the server waits");
+    let answer = client.answer();
+    assert!(answer.is_success(), "{answer:?}");
+    assert_eq!(answer.body, all_of(1..=4));
+    assert_eq!(stage.outcomes(), [Outcome::Complete]);
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_is_awaited_until_its_deadline() {
     let (ended, _is_ended) = flume::unbounded();
--- a/crates/simulator/src/world/traffic.rs
+++ b/crates/simulator/src/world/traffic.rs
@@ -11,7 +11,7 @@
 use router::RunRequest;
 use router::{
     Access, AttemptInput, AttemptOutput, AttemptSequence, Failure, KvTask, Placement,
-    PlacementRequest, Rejection, RequestInput, RequestOutput, run_id,
+    PlacementRequest, PlacementRound, Rejection, RequestInput, RequestOutput, run_id,
 };
 use router::{NodeInput, NodeOutput};
 use types::{
@@ -115,11 +115,11 @@
 
     fn on_attempt_output(&mut self, id: &RequestId, output: AttemptOutput) {
         match output {
-            AttemptOutput::Place {
+            AttemptOutput::Place(PlacementRound {
                 round,
                 tried,
                 may_have_run,
-            } => self.ask_scheduler(id, round, tried, may_have_run),
+            }) => self.ask_scheduler(id, round, tried, may_have_run),
             AttemptOutput::Send(placing) => self.ask_server(id, placing),
             AttemptOutput::Relay(placing) => {
                 if let Some(request) = self
