transport: an HTTP server holds what comes in within the budget of its process

Clients saw: a process that ran out of memory under bodies that stop short of their end, and worst under very small chunks: each chunk became an entry of 32 bytes that kept the library's read buffer alive (40 bodies of 1 MiB in chunks of a byte: 1,028 MB). Cause: bounds on one connection, none on all of them.

A connection has a place in the budget from its accept on; a request's head and body are entered before they are read. A body is collected in one piece, a large one in a mapping of its own that goes back to the system with it. Who finds no room gets 503 (nothing ran) or is closed unread; who gives way is interrupted. The kernel keeps 64 KiB unread at most. What the library writes is given to it in slices of 64 KiB, so that it copies no whole body.

A server without a budget behaves as before, but at its bound of connections closes the one that is idle for longest in place of the newcomer.

--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -4,6 +4,7 @@
 //! from its first byte to its end, and `state` holds the limits in force, which may change meanwhile.
 
 mod arrival;
+mod body_buffer;
 mod closing;
 mod connection;
 mod framing;
@@ -22,7 +23,9 @@
 use self::arrival::ArrivalTracker;
 use self::connection::serve_connection;
 use self::state::ServerState;
+use crate::resource_budget::BudgetDoor;
 use crate::socket::wait_for_connection;
+use rustix::net::sockopt;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -34,6 +37,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// A deadline that never comes.
 const NEVER: MonotonicInstant = MonotonicInstant(u64::MAX);
+/// Bytes that the kernel may hold for a connection until they are read.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// How long [`HttpServerCloser::close`] waits for its connection that wakes the listener.
 const CLOSE_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -46,19 +51,38 @@
     is_closed: Arc<AtomicBool>,
     state: Arc<ServerState>,
     open_count: Arc<AtomicUsize>,
+    door: BudgetDoor,
 }
 
 impl HttpServer {
-    /// Binds to an address; port 0 for a free one.
+    /// Binds to an address; port 0 for a free one. The server has a budget of its own, bounded by
+    /// [`HttpServerBounds::connections`] alone.
     ///
     /// # Errors
     ///
     /// If the address can't be bound, or no descriptors are left for the notification of changed limits.
     pub fn open(address: SocketAddr, bounds: HttpServerBounds) -> io::Result<Self> {
+        Self::open_within(address, bounds, BudgetDoor::unlimited(bounds.connections))
+    }
+
+    /// The same for a server whose connections, and what is held for them, are part of the process's budget.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpServer::open`].
+    pub fn open_within(
+        address: SocketAddr,
+        bounds: HttpServerBounds,
+        door: BudgetDoor,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        // Connections inherit it. Without it the server works too, and the kernel holds more.
+        let _ = sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER_BYTES);
         Ok(HttpServer {
             opened_at: Clock::now(),
-            listener: TcpListener::bind(address)?,
+            listener,
             state: Arc::new(ServerState::new(bounds.limits())?),
+            door,
             bounds,
             is_closed: Arc::default(),
             open_count: Arc::default(),
@@ -93,7 +117,7 @@
     /// Serves requests, each connection on a thread of its own, until [`HttpServerCloser::close`].
     ///
     /// `handler` is called on the connection's thread and may block; one that panics ends its connection.
-    /// Connections beyond [`HttpServerBounds::connections`] are closed unread.
+    /// A connection for which there is no place in the budget, and for which no other one can give way, is closed unread.
     pub fn serve<H>(self, handler: H)
     where
         H: Fn(Request) -> Response + Send + Sync + Clone + 'static,
@@ -128,17 +152,17 @@
     where
         H: Fn(Request) -> Response + Send + Clone + 'static,
     {
-        let Some(permit) = ConnectionPermit::acquire(&self.open_count, self.bounds.connections)
-        else {
+        let Some(slot) = self.door.admit() else {
             return;
         };
+        let counted = CountedConnection::new(&self.open_count);
         let (bounds, state) = (self.bounds, self.state.clone());
         let builder = std::thread::Builder::new()
             .name("http-connection".into())
             .stack_size(bounds.stack_bytes);
         let spawned = builder.spawn(move || {
-            let _permit = permit;
-            serve_connection(stream, arrivals, bounds, &state, handler);
+            let _counted = counted;
+            serve_connection(stream, slot, arrivals, bounds, &state, handler);
         });
         if let Err(error) = spawned {
             tracing::warn!(%error, "no thread for a connection");
@@ -187,19 +211,17 @@
     }
 }
 
-/// The right to keep one connection open. Dropping it gives the right back, so that a connection no longer
-/// counts however its thread ends, be it by a panic of the handler.
-struct ConnectionPermit(Arc<AtomicUsize>);
+/// Counts one open connection until it's dropped, however its thread ends, be it by a panic of the handler.
+struct CountedConnection(Arc<AtomicUsize>);
 
-impl ConnectionPermit {
-    fn acquire(open_count: &Arc<AtomicUsize>, max_open: usize) -> Option<Self> {
-        let open_before = open_count.fetch_add(1, Ordering::Relaxed);
-        let permit = ConnectionPermit(open_count.clone());
-        (open_before < max_open).then_some(permit)
+impl CountedConnection {
+    fn new(open_count: &Arc<AtomicUsize>) -> Self {
+        open_count.fetch_add(1, Ordering::Relaxed);
+        CountedConnection(open_count.clone())
     }
 }
 
-impl Drop for ConnectionPermit {
+impl Drop for CountedConnection {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
--- a/crates/transport/src/http_server/connection.rs
+++ b/crates/transport/src/http_server/connection.rs
@@ -4,15 +4,19 @@
 //! for the socket in between.
 
 use super::arrival::ArrivalTracker;
-use super::closing::Ending;
-use super::framing::RequestProgress;
-use super::request_reader::{Exchange, RequestReader};
+use super::body_buffer::BodyBuffer;
+use super::closing::{Ending, refusal};
+use super::framing::{RequestError, RequestProgress};
+use super::request_reader::{Exchange, RequestReader, begin_request};
 use super::response::{Response, ResponseBody};
 use super::state::{ServerSettings, ServerState};
 use super::{HttpServerBounds, Request};
+use crate::resource_budget::{ConnectionSlot, NoRoom};
 use crate::socket::{
     ClientConnection, Readiness, Socket, SocketStream, WakeFlag, wait_for_readiness,
 };
+use ::resource_budget::Phase;
+use bytes::Bytes;
 use http::HeaderValue;
 use http::header::CONNECTION;
 use http_body_util::BodyExt;
@@ -84,19 +88,19 @@
 /// Serves a connection until either side ends it. `arrivals` knows when the connection can't have come yet.
 pub(super) fn serve_connection<H: Fn(Request) -> Response + Clone>(
     stream: TcpStream,
+    slot: ConnectionSlot,
     arrivals: ArrivalTracker,
     bounds: HttpServerBounds,
     state: &ServerState,
     handler: H,
 ) {
-    let socket = Arc::new(Socket::new(stream));
+    let socket = Socket::accepted(stream, slot);
     let exchange = Rc::new(Exchange::new(
         state.settings().limits.request,
         arrivals.last_empty(),
     ));
     let service = service_fn(|request: hyper::Request<Incoming>| {
-        let client = ClientConnection::new(&socket);
-        respond(request, handler.clone(), client, exchange.clone(), state)
+        respond(request, handler.clone(), &socket, exchange.clone(), state)
     });
     let reader = RequestReader {
         stream: SocketStream {
@@ -105,15 +109,17 @@
         },
         exchange: exchange.clone(),
     };
-    let mut library = pin!(
-        http1::Builder::new()
-            .keep_alive(bounds.keep_alive)
-            .auto_date_header(false)
-            .max_header_size(MAX_HEADER_BYTES)
-            .serve_connection(reader, service)
-    );
-    let driver = ConnectionDriver::new(&socket, &exchange, arrivals, &bounds, state);
-    let ending = driver.run(library.as_mut());
+    let ending = {
+        // All that the library holds is let go before the connection's end is awaited.
+        let library = pin!(
+            http1::Builder::new()
+                .keep_alive(bounds.keep_alive)
+                .auto_date_header(false)
+                .max_header_size(MAX_HEADER_BYTES)
+                .serve_connection(reader, service)
+        );
+        ConnectionDriver::new(&socket, &exchange, arrivals, &bounds, state).run(library)
+    };
     ending.close(&socket, &exchange);
 }
 
@@ -150,7 +156,11 @@
             if self.state.has_changed(&self.settings) {
                 self.settings = adopt_settings(self.state, self.exchange);
             }
-            let step = match library.as_mut().poll(&mut context) {
+            let polled = library.as_mut().poll(&mut context);
+            if self.socket.is_evicted() && !self.exchange.is_responding.get() {
+                return Ending::Evicted(self.exchange.progress());
+            }
+            let step = match polled {
                 Poll::Ready(outcome) => Step::Close(Ending::Finished(outcome)),
                 Poll::Pending if wake_flag.take() => self.on_wake(),
                 Poll::Pending => self.on_pending(),
@@ -188,6 +198,9 @@
                 return Step::Close(Ending::Graceful);
             }
             self.exchange.next_request();
+            if let Err(no_room) = self.enter_next_request() {
+                return Step::Close(Ending::Rejected(RequestError::NoRoom(no_room)));
+            }
             self.awaited = Awaited::from_now(self.exchange.progress());
             if self.exchange.framer.borrow().has_releasable() {
                 return Step::Poll;
@@ -217,6 +230,16 @@
         Step::Wait
     }
 
+    /// Lets go of what was held for the request before, and holds what the next one takes if some of it is there.
+    fn enter_next_request(&self) -> Result<(), NoRoom> {
+        self.socket.release_content();
+        self.socket.enter(Phase::Idle);
+        if self.exchange.progress() == RequestProgress::Idle {
+            return Ok(());
+        }
+        begin_request(self.socket)
+    }
+
     /// Waits until there is something to do or the time for what is awaited is over.
     fn wait(&mut self) -> Step {
         let deadline = wait_deadline(self.bounds, &self.settings, self.awaited);
@@ -286,7 +309,7 @@
 async fn respond<H: Fn(Request) -> Response>(
     request: hyper::Request<Incoming>,
     handler: H,
-    client: ClientConnection,
+    socket: &Arc<Socket>,
     exchange: Rc<Exchange>,
     state: &ServerState,
 ) -> Result<hyper::Response<ResponseBody>, Infallible> {
@@ -296,17 +319,23 @@
     let (head, body) = request.into_parts();
     let is_head_request = head.method == http::Method::HEAD;
     let is_second = exchange.is_dispatched.replace(true);
-    let body = body.collect().await;
+    let max_bytes = exchange.limits.get().body_bytes;
+    let body = collect_body(body, max_bytes, socket).await;
     let is_complete = exchange.progress() == RequestProgress::Complete && !is_second;
     let response = match body {
         Ok(body) if is_complete => {
             exchange.is_responding.set(true);
+            socket.enter(Phase::Serving);
             let arrived_after = exchange.arrived_after.get();
-            handler(Request::new(head, body.to_bytes(), client, arrived_after))
+            let client = ClientConnection::new(socket);
+            handler(Request::new(head, body, client, arrived_after))
         }
         // The library and the framer disagree on where the request ends.
         Ok(_) => Response::result(ResultCode::BadRequest, "its end is in doubt"),
-        Err(_) => Response::result(ResultCode::SlowBody, "the body was torn"),
+        // Whoever gives way finds the end of what is read.
+        Err(BodyError::Torn) if socket.is_evicted() => refusal(NoRoom::Evicted),
+        Err(BodyError::Torn) => Response::result(ResultCode::SlowBody, "the body was torn"),
+        Err(BodyError::NoRoom(no_room)) => refusal(no_room),
     };
     exchange.is_responding.set(true);
     let mut response = response.into_hyper(is_head_request);
@@ -317,5 +346,28 @@
     Ok(response)
 }
 
+/// Why a body did not come in.
+enum BodyError {
+    Torn,
+    NoRoom(NoRoom),
+}
+
+/// Collects a body in one piece, each chunk of it once there is room for it.
+async fn collect_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    socket: &Socket,
+) -> Result<Bytes, BodyError> {
+    let mut buffer = BodyBuffer::new(max_bytes);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Torn)?;
+        // Trailers are dropped: nothing of ours uses them.
+        if let Ok(data) = frame.into_data() {
+            buffer.push(&data, socket).map_err(BodyError::NoRoom)?;
+        }
+    }
+    Ok(buffer.into_bytes())
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/transport/src/http_server/framing.rs
+++ b/crates/transport/src/http_server/framing.rs
@@ -66,6 +66,8 @@
 const MAX_CHUNK_SIZE_DIGITS: usize = 15;
 /// Once this many bytes at the buffer's front were released, they are dropped from it.
 const MAX_RELEASED_BUFFERED_BYTES: usize = 64 << 10;
+/// Room that the buffer keeps between requests.
+const MAX_IDLE_BUFFER_BYTES: usize = 16 << 10;
 const LINE_END: &[u8] = b"\r\n";
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -123,12 +125,33 @@
         self.advance(limits);
     }
 
+    /// Bytes that are kept here, with the room for more of them.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Rejects the current request, unless all of it has come.
+    pub(super) fn reject(&mut self, error: RequestError) {
+        if self.state != FramingState::Complete {
+            self.state = FramingState::Rejected(error);
+        }
+    }
+
+    /// Lets go of all bytes, once nothing of them is to be served.
+    pub(super) fn clear(&mut self) {
+        *self = RequestFramer {
+            state: self.state,
+            ..RequestFramer::new()
+        };
+    }
+
     /// Begins the request behind the one that is complete.
     pub(super) fn next_request(&mut self, limits: &RequestLimits) {
         if self.state != FramingState::Complete {
             return;
         }
         self.buffer.drain(..self.checked);
+        self.buffer.shrink_to(MAX_IDLE_BUFFER_BYTES);
         self.released = 0;
         self.checked = 0;
         self.scanned = 0;
--- a/crates/transport/src/http_server/framing/error.rs
+++ b/crates/transport/src/http_server/framing/error.rs
@@ -1,5 +1,7 @@
 //! Why a request is rejected before it's served.
 
+use crate::resource_budget::NoRoom;
+
 /// Why a request is not read on. Nothing that follows it on its connection is read as a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::http_server) enum RequestError {
@@ -9,6 +11,8 @@
     HeadTooLarge,
     /// Its body is over the bound, or its announced length is.
     BodyTooLarge,
+    /// The process has no room for it.
+    NoRoom(NoRoom),
 }
 
 /// What is malformed in a request. The texts are sent to the client.
--- a/crates/transport/src/http_server/request_reader.rs
+++ b/crates/transport/src/http_server/request_reader.rs
@@ -1,7 +1,9 @@
 //! A connection as the HTTP library reads it: one request at a time, each checked to its end first.
 
-use super::framing::{RequestFramer, RequestLimits, RequestProgress};
-use crate::socket::SocketStream;
+use super::framing::{RequestError, RequestFramer, RequestLimits, RequestProgress};
+use crate::resource_budget::NoRoom;
+use crate::socket::{Socket, SocketStream};
+use ::resource_budget::Phase;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -55,6 +57,12 @@
     pub exchange: Rc<Exchange>,
 }
 
+/// Bytes that are held for each request: its head, a small body, and what may wait unread behind it.
+const REQUEST_BYTES: u64 = 96 << 10;
+/// Bytes of a head for which nothing more is held.
+const INCLUDED_HEAD_BYTES: usize = 16 << 10;
+/// A head is held as it came, as the library reads it, and as the headers of the request.
+const HEAD_COPIES: usize = 3;
 /// Bytes read from the socket at once.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
@@ -78,17 +86,40 @@
             ) {
                 return Poll::Pending;
             }
+            if let Err(no_room) = hold_head(&framer, &stream.socket) {
+                framer.reject(RequestError::NoRoom(no_room));
+                return Poll::Pending;
+            }
             let mut bytes = [MaybeUninit::<u8>::uninit(); READ_BUFFER_BYTES];
             let mut buffer = ReadBuf::uninit(&mut bytes);
             ready!(Pin::new(&mut *stream).poll_read(context, buffer.unfilled()))?;
             if buffer.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            let is_first = framer.progress() == RequestProgress::Idle;
             framer.push(buffer.filled(), &exchange.limits.get());
+            if is_first && let Err(no_room) = begin_request(&stream.socket) {
+                framer.reject(RequestError::NoRoom(no_room));
+                return Poll::Pending;
+            }
         }
     }
 }
 
+/// The first bytes of a request have come: what each request costs is held for it.
+pub(super) fn begin_request(socket: &Socket) -> Result<(), NoRoom> {
+    socket.enter(Phase::Reading);
+    socket.reserve(REQUEST_BYTES)
+}
+
+/// Holds what a head takes beyond what each request holds, before more of it is read.
+fn hold_head(framer: &RequestFramer, socket: &Socket) -> Result<(), NoRoom> {
+    if framer.progress() != RequestProgress::Head || framer.buffered_bytes() < INCLUDED_HEAD_BYTES {
+        return Ok(());
+    }
+    socket.reserve((READ_BUFFER_BYTES * HEAD_COPIES) as u64)
+}
+
 impl Write for RequestReader {
     fn poll_write(
         self: Pin<&mut Self>,
--- a/crates/transport/src/http_server/response.rs
+++ b/crates/transport/src/http_server/response.rs
@@ -135,6 +135,14 @@
         self.status
     }
 
+    /// Returns the bytes of a complete body; 0 for one that is streamed.
+    pub fn complete_length(&self) -> usize {
+        match &self.body {
+            ResponseBody::Complete(body) => body.length(),
+            ResponseBody::Stream(_) => 0,
+        }
+    }
+
     /// Returns a header's first value; `None` if there is none or it's not visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/crates/transport/src/http_server/response/body.rs
+++ b/crates/transport/src/http_server/response/body.rs
@@ -1,5 +1,6 @@
 //! The body of a response, as its source gives it and as the HTTP library polls it.
 
+use crate::sliced_body::SlicedBody;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
@@ -33,14 +34,16 @@
 
 /// A response's body for the HTTP library.
 pub(in crate::http_server) enum ResponseBody {
-    /// All bytes; `None` once they were given.
-    Complete(Option<Bytes>),
+    /// All bytes that are still to be given.
+    Complete(SlicedBody),
     Stream(StreamedBody),
 }
 
 pub(in crate::http_server) struct StreamedBody {
     source: Box<dyn BodySource>,
-    /// Whether a chunk was given that the library has yet to write.
+    /// What is left of the chunk that the source gave last.
+    current: SlicedBody,
+    /// Whether a slice was given that the library has yet to write.
     has_unflushed: bool,
     /// Bytes still to come of an announced length.
     remaining: Option<u64>,
@@ -48,12 +51,13 @@
 
 impl ResponseBody {
     pub(crate) fn complete(bytes: Bytes) -> Self {
-        ResponseBody::Complete(Some(bytes))
+        ResponseBody::Complete(SlicedBody::new(bytes))
     }
 
     pub(crate) fn stream(source: Box<dyn BodySource>) -> Self {
         ResponseBody::Stream(StreamedBody {
             source,
+            current: SlicedBody::default(),
             has_unflushed: false,
             remaining: None,
         })
@@ -62,7 +66,7 @@
     /// The bytes of a complete body; none of a stream.
     pub(crate) fn into_complete(self) -> Bytes {
         match self {
-            ResponseBody::Complete(bytes) => bytes.unwrap_or_default(),
+            ResponseBody::Complete(body) => body.into_rest(),
             ResponseBody::Stream(_) => Bytes::new(),
         }
     }
@@ -73,13 +77,17 @@
         self.remaining = length;
     }
 
-    /// Gives a chunk, then is pending once, so that the library writes it and checks the connection before
+    /// Gives a slice of a chunk, then is pending once, so that the library writes it and checks the connection before
     /// the next one is waited for.
     fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         if std::mem::take(&mut self.has_unflushed) {
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if let Some(slice) = self.current.next_slice() {
+            self.has_unflushed = true;
+            return Poll::Ready(Some(Ok(Frame::data(slice))));
+        }
         match self.source.next_chunk(self.source.chunk_timeout()) {
             BodyChunk::Data(bytes) => Poll::Ready(Some(self.take_chunk(bytes))),
             BodyChunk::Pending => {
@@ -99,7 +107,8 @@
                 .ok_or_else(|| io::Error::other("more bytes than were told"))?;
         }
         self.has_unflushed = true;
-        Ok(Frame::data(bytes))
+        self.current = SlicedBody::new(bytes);
+        Ok(Frame::data(self.current.next_slice().unwrap_or_default()))
     }
 }
 
@@ -112,23 +121,20 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
-            ResponseBody::Complete(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            ResponseBody::Complete(body) => {
+                Poll::Ready(body.next_slice().map(|slice| Ok(Frame::data(slice))))
             }
             ResponseBody::Stream(stream) => stream.poll_chunk(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, ResponseBody::Complete(None))
+        matches!(self, ResponseBody::Complete(body) if body.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            ResponseBody::Complete(body) => body.size_hint(),
             ResponseBody::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,6 +8,8 @@
 mod http_client;
 mod http_server;
 mod message_transport;
+mod resource_budget;
+mod sliced_body;
 mod socket;
 
 pub use connection_pool::{
@@ -23,4 +25,5 @@
     HttpServerLimits, Request, RequestLimits, Response,
 };
 pub use message_transport::{MessageClass, MessageTransport, PeerTraffic};
+pub use resource_budget::{BudgetDoor, BudgetUsage, NoRoom, ResourceBudget};
 pub use socket::ClientConnection;
--- /dev/null
+++ b/crates/transport/src/resource_budget.rs
@@ -0,0 +1,284 @@
+//! The budget of a process as its threads share it: who may open a connection, and how much may be held for it.
+//!
+//! The decisions are made by [`Ledger`]. Here is what they need of the process: one lock, the clock, a
+//! way to interrupt whoever must give way, and a wait for what others release.
+
+mod refusals;
+
+pub use self::refusals::BudgetUsage;
+
+use self::refusals::{Refusal, RefusalLog};
+use ::resource_budget::{
+    Admission, BudgetLimits, DoorId, DoorPolicy, Growth, Ledger, Phase, SlotId,
+};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
+use types::{Clock, Milliseconds};
+
+/// How long a request waits for memory that others hold, before it's refused.
+const GRANT_TIMEOUT: Milliseconds = Milliseconds::seconds(2);
+/// How often a waiting request asks again, since others become old enough to give way.
+const GRANT_RETRY_PERIOD: Duration = Duration::from_millis(50);
+
+/// The process has no room for what was asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum NoRoom {
+    /// Others hold it and do not give way.
+    #[error("no memory is free for it now")]
+    Busy,
+    /// It is more than this process ever has for one connection.
+    #[error("it is more than this process has memory for")]
+    TooLarge,
+    /// The connection must give way to others.
+    #[error("it held its place too long while others waited")]
+    Evicted,
+}
+
+/// Something blocked that must notice that its connection gives way.
+pub(crate) trait Interrupt: Send + Sync {
+    /// Wakes whoever waits on the connection. `phase` is what the connection was doing.
+    fn interrupt(&self, phase: Phase);
+}
+
+/// The budget of a process. A clone is another handle on the same budget.
+#[derive(Clone)]
+pub struct ResourceBudget(Arc<SharedBudget>);
+
+struct SharedBudget {
+    state: Mutex<BudgetState>,
+    /// Signalled when memory or a connection is released.
+    released: Condvar,
+}
+
+struct BudgetState {
+    ledger: Ledger,
+    holders: HashMap<SlotId, Holder>,
+    refusals: RefusalLog,
+    doors: Vec<DoorPolicy>,
+}
+
+/// How to reach the thread of a connection.
+struct Holder {
+    is_evicted: Arc<AtomicBool>,
+    connection: Option<Weak<dyn Interrupt>>,
+}
+
+/// Who is to be interrupted once the lock is free.
+type Interrupted = Vec<(Phase, Weak<dyn Interrupt>)>;
+
+impl ResourceBudget {
+    /// A budget for these doors; a [`DoorId`] is a place among them.
+    pub fn new(limits: BudgetLimits, doors: Vec<DoorPolicy>) -> ResourceBudget {
+        ResourceBudget(Arc::new(SharedBudget {
+            state: Mutex::new(BudgetState {
+                ledger: Ledger::new(limits, doors.clone()),
+                holders: HashMap::new(),
+                refusals: RefusalLog::default(),
+                doors,
+            }),
+            released: Condvar::new(),
+        }))
+    }
+
+    /// Returns the part of the budget that belongs to a door.
+    pub fn door(&self, door: DoorId) -> BudgetDoor {
+        BudgetDoor {
+            shared: self.0.clone(),
+            door,
+        }
+    }
+
+    /// Returns what is held now and what was refused so far.
+    pub fn usage(&self) -> BudgetUsage {
+        let state = self.0.state();
+        state.refusals.usage(&state.ledger)
+    }
+}
+
+impl SharedBudget {
+    /// The state, also after a thread has panicked with the lock: each change of it is complete.
+    fn state(&self) -> MutexGuard<'_, BudgetState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn release(&self, slot: SlotId) {
+        let mut state = self.state();
+        state.ledger.release(slot);
+        state.holders.remove(&slot);
+        drop(state);
+        self.released.notify_all();
+    }
+}
+
+impl BudgetState {
+    /// Marks who gives way. Whoever is to be woken is returned, for when the lock is free.
+    fn evict(&mut self, evicted: &[SlotId]) -> Interrupted {
+        let mut interrupted = vec![];
+        for slot in evicted {
+            let phase = self.ledger.phase(*slot).unwrap_or(Phase::Closing);
+            if let Some(holder) = self.holders.get(slot) {
+                holder.is_evicted.store(true, Ordering::SeqCst);
+                let connection = holder.connection.clone();
+                interrupted.extend(connection.map(|connection| (phase, connection)));
+            }
+        }
+        interrupted
+    }
+}
+
+fn interrupt(interrupted: Interrupted) {
+    for (phase, connection) in interrupted {
+        if let Some(connection) = connection.upgrade() {
+            connection.interrupt(phase);
+        }
+    }
+}
+
+/// The part of a budget that belongs to one door.
+#[derive(Clone)]
+pub struct BudgetDoor {
+    shared: Arc<SharedBudget>,
+    door: DoorId,
+}
+
+impl BudgetDoor {
+    /// A door of its own budget, bounded by its number of connections alone.
+    pub(crate) fn unlimited(max_connections: usize) -> BudgetDoor {
+        let door = DoorPolicy {
+            name: "http",
+            max_connections,
+            reserved_connections: 0,
+            reserved_bytes: 0,
+        };
+        ResourceBudget::new(BudgetLimits::UNLIMITED, vec![door]).door(DoorId(0))
+    }
+
+    /// Returns a place for one more connection; `None` if there is none and nobody can give way.
+    pub(crate) fn admit(&self) -> Option<ConnectionSlot> {
+        let now = Clock::now();
+        let mut state = self.shared.state();
+        let name = state.doors[self.door.0].name;
+        match state.ledger.admit(self.door, now) {
+            Admission::Granted { slot, evicted } => {
+                let is_evicted = Arc::<AtomicBool>::default();
+                let holder = Holder {
+                    is_evicted: is_evicted.clone(),
+                    connection: None,
+                };
+                state.holders.insert(slot, holder);
+                let interrupted = state.evict(&evicted);
+                if !evicted.is_empty() {
+                    state
+                        .refusals
+                        .record(Refusal::Evicted, name, evicted.len(), now);
+                }
+                drop(state);
+                interrupt(interrupted);
+                Some(ConnectionSlot {
+                    shared: self.shared.clone(),
+                    door: self.door,
+                    slot,
+                    is_evicted,
+                })
+            }
+            Admission::Refused => {
+                state.refusals.record(Refusal::Connection, name, 1, now);
+                None
+            }
+        }
+    }
+
+    /// Returns the most bytes that one connection of the door can ever hold.
+    pub fn largest_holding(&self) -> u64 {
+        self.shared.state().ledger.largest_holding(self.door)
+    }
+}
+
+/// The place of one connection in a budget. Dropping it gives back all that was held.
+pub(crate) struct ConnectionSlot {
+    shared: Arc<SharedBudget>,
+    door: DoorId,
+    slot: SlotId,
+    is_evicted: Arc<AtomicBool>,
+}
+
+impl ConnectionSlot {
+    /// Lets the connection be interrupted when it must give way.
+    pub(crate) fn attach(&self, connection: Weak<dyn Interrupt>) {
+        let mut state = self.shared.state();
+        if let Some(holder) = state.holders.get_mut(&self.slot) {
+            holder.connection = Some(connection);
+        }
+    }
+
+    /// Whether the connection must give way: its request is to be refused and its end awaited no longer.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.is_evicted.load(Ordering::SeqCst)
+    }
+
+    /// The connection goes on to another phase.
+    pub(crate) fn enter(&self, phase: Phase) {
+        let now = Clock::now();
+        self.shared.state().ledger.enter(self.slot, phase, now);
+    }
+
+    /// Holds more bytes for the connection. Waits for others to give way.
+    ///
+    /// # Errors
+    ///
+    /// See [`NoRoom`]; then nothing more is held than before.
+    pub(crate) fn reserve(&self, bytes: u64) -> Result<(), NoRoom> {
+        let deadline = Clock::now() + GRANT_TIMEOUT;
+        let mut state = self.shared.state();
+        loop {
+            let now = Clock::now();
+            let error = match state.ledger.grow(self.slot, bytes, now) {
+                Growth::Granted => return Ok(()),
+                Growth::Deferred { evicted } if now < deadline => {
+                    let name = state.doors[self.door.0].name;
+                    let interrupted = state.evict(&evicted);
+                    if !evicted.is_empty() {
+                        state
+                            .refusals
+                            .record(Refusal::Evicted, name, evicted.len(), now);
+                    }
+                    drop(state);
+                    interrupt(interrupted);
+                    state = self.wait_for_release(self.shared.state());
+                    continue;
+                }
+                Growth::Deferred { .. } => NoRoom::Busy,
+                Growth::TooLarge => NoRoom::TooLarge,
+                Growth::Evicted => return Err(NoRoom::Evicted),
+            };
+            let name = state.doors[self.door.0].name;
+            state.refusals.record(Refusal::Memory, name, 1, now);
+            return Err(error);
+        }
+    }
+
+    fn wait_for_release<'a>(
+        &self,
+        state: MutexGuard<'a, BudgetState>,
+    ) -> MutexGuard<'a, BudgetState> {
+        let waited = self.shared.released.wait_timeout(state, GRANT_RETRY_PERIOD);
+        waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    /// Lets go of all bytes beyond these.
+    pub(crate) fn shrink_to(&self, bytes: u64) {
+        self.shared.state().ledger.shrink_to(self.slot, bytes);
+        self.shared.released.notify_all();
+    }
+}
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        self.shared.release(self.slot);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/transport/src/resource_budget/tests.rs
@@ -0,0 +1,125 @@
+//! The shared budget: waits, interruptions and counts.
+
+use super::refusals::{Refusal, RefusalLog};
+use super::*;
+use std::sync::mpsc;
+use types::MonotonicInstant;
+
+fn budget() -> ResourceBudget {
+    let limits = BudgetLimits {
+        max_connections: 4,
+        content_bytes: 1 << 20,
+        large_content_bytes: 1 << 20,
+    };
+    let door = DoorPolicy {
+        name: "door",
+        max_connections: 4,
+        reserved_connections: 0,
+        reserved_bytes: 0,
+    };
+    ResourceBudget::new(limits, vec![door])
+}
+
+/// Tells the test when it's interrupted.
+struct Interrupted(mpsc::Sender<Phase>);
+
+impl Interrupt for Interrupted {
+    fn interrupt(&self, phase: Phase) {
+        let _ = self.0.send(phase);
+    }
+}
+
+#[test]
+fn who_waits_for_memory_gets_it_once_another_lets_go() {
+    let door = budget().door(DoorId(0));
+    let (holder, waiter) = (
+        door.admit().expect("a place"),
+        door.admit().expect("a place"),
+    );
+    holder.enter(Phase::Serving);
+    holder.reserve(1 << 20).expect("room");
+    let waiting = std::thread::spawn(move || waiter.reserve(1 << 19));
+    holder.shrink_to(0);
+    assert_eq!(waiting.join().expect("no panic"), Ok(()));
+}
+
+#[test]
+fn an_old_request_is_interrupted_for_another_and_holds_nothing_more() {
+    let budget = budget();
+    let door = budget.door(DoorId(0));
+    let (holder, waiter) = (
+        door.admit().expect("a place"),
+        door.admit().expect("a place"),
+    );
+    let (sender, receiver) = mpsc::channel();
+    let interrupted: Arc<dyn Interrupt> = Arc::new(Interrupted(sender));
+    holder.attach(Arc::downgrade(&interrupted));
+    holder.enter(Phase::Reading);
+    holder.reserve(1 << 20).expect("room");
+    waiter.enter(Phase::Reading);
+    let waiting = std::thread::spawn(move || waiter.reserve(1 << 19));
+    assert_eq!(receiver.recv(), Ok(Phase::Reading));
+    assert!(holder.is_evicted());
+    assert_eq!(holder.reserve(1), Err(NoRoom::Evicted));
+    drop(holder);
+    assert_eq!(waiting.join().expect("no panic"), Ok(()));
+    let usage = budget.usage();
+    assert_eq!((usage.evicted_connections, usage.content_bytes), (1, 0));
+}
+
+#[test]
+fn what_can_never_be_held_is_refused_at_once_and_counted() {
+    let budget = budget();
+    let slot = budget.door(DoorId(0)).admit().expect("a place");
+    assert_eq!(slot.reserve(2 << 20), Err(NoRoom::TooLarge));
+    assert_eq!(budget.usage().refused_memory, 1);
+}
+
+#[test]
+fn what_is_served_keeps_its_memory_and_the_other_one_is_refused() {
+    let budget = budget();
+    let door = budget.door(DoorId(0));
+    let (holder, waiter) = (
+        door.admit().expect("a place"),
+        door.admit().expect("a place"),
+    );
+    holder.enter(Phase::Serving);
+    holder.reserve(1 << 20).expect("room");
+    assert_eq!(waiter.reserve(1), Err(NoRoom::Busy));
+    assert!(!holder.is_evicted());
+    let usage = budget.usage();
+    assert_eq!((usage.refused_memory, usage.content_bytes), (1, 1 << 20));
+}
+
+#[test]
+fn the_place_of_a_dropped_connection_is_free() {
+    let budget = budget();
+    let door = budget.door(DoorId(0));
+    for _ in 0..100 {
+        let slot = door.admit().expect("a place");
+        slot.reserve(1 << 20).expect("room");
+    }
+    let usage = budget.usage();
+    assert_eq!((usage.connections, usage.content_bytes), (0, 0));
+    assert_eq!(usage.refused_connections, 0);
+}
+
+#[test]
+fn a_full_door_refuses_and_counts() {
+    let budget = budget();
+    let door = budget.door(DoorId(0));
+    let served: Vec<ConnectionSlot> = (0..3).filter_map(|_| door.admit()).collect();
+    served.iter().for_each(|slot| slot.enter(Phase::Serving));
+    assert!(door.admit().is_none());
+    assert_eq!(budget.usage().refused_connections, 1);
+}
+
+#[test]
+fn refusals_are_all_counted_however_few_are_logged() {
+    let mut log = RefusalLog::default();
+    for now in 0..3000 {
+        log.record(Refusal::Memory, "door", 2, MonotonicInstant(now));
+    }
+    let ledger = Ledger::new(BudgetLimits::UNLIMITED, vec![]);
+    assert_eq!(log.usage(&ledger).refused_memory, 6000);
+}
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -7,10 +7,12 @@
 pub(crate) use self::readiness::{Readiness, wait_for_connection, wait_for_readiness};
 pub(crate) use self::stream::{SocketStream, WakeFlag};
 
+use crate::resource_budget::{ConnectionSlot, Interrupt, NoRoom};
+use ::resource_budget::Phase;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv, sockopt};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use types::{Clock, MonotonicInstant};
@@ -29,6 +31,8 @@
     write_deadline: AtomicU64,
     /// Whether a write was refused since the deadline has passed.
     is_check_expired: AtomicBool,
+    /// The connection's place in the process's budget; none for connections that the process opens itself.
+    slot: Option<ConnectionSlot>,
 }
 
 /// What a peek at a connection found.
@@ -61,6 +65,50 @@
             sent_count: AtomicU64::new(0),
             write_deadline: AtomicU64::new(Self::NO_DEADLINE),
             is_check_expired: AtomicBool::new(false),
+            slot: None,
+        }
+    }
+
+    /// A connection that a peer has opened, with its place in the budget.
+    pub(crate) fn accepted(stream: TcpStream, slot: ConnectionSlot) -> Arc<Self> {
+        let socket = Arc::new(Socket {
+            slot: Some(slot),
+            ..Socket::new(stream)
+        });
+        if let Some(slot) = &socket.slot {
+            let connection = Arc::downgrade(&socket);
+            slot.attach(connection);
+        }
+        socket
+    }
+
+    /// Whether the connection must give way to others.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.slot.as_ref().is_some_and(ConnectionSlot::is_evicted)
+    }
+
+    /// The connection goes on to another phase.
+    pub(crate) fn enter(&self, phase: Phase) {
+        if let Some(slot) = &self.slot {
+            slot.enter(phase);
+        }
+    }
+
+    /// Holds more bytes for the connection.
+    ///
+    /// # Errors
+    ///
+    /// See [`NoRoom`].
+    pub(crate) fn reserve(&self, bytes: u64) -> Result<(), NoRoom> {
+        self.slot
+            .as_ref()
+            .map_or(Ok(()), |slot| slot.reserve(bytes))
+    }
+
+    /// Lets go of all bytes that are held for the connection.
+    pub(crate) fn release_content(&self) {
+        if let Some(slot) = &self.slot {
+            slot.shrink_to(0);
         }
     }
 
@@ -112,6 +160,18 @@
     }
 }
 
+impl Interrupt for Socket {
+    fn interrupt(&self, phase: Phase) {
+        // A reader finds the end at once; a stalled answer can't be written on. What is still sent to a reader is drained
+        // before the close.
+        let direction = match phase {
+            Phase::Stalled => Shutdown::Both,
+            Phase::Idle | Phase::Reading | Phase::Serving | Phase::Closing => Shutdown::Read,
+        };
+        let _ = self.stream.shutdown(direction);
+    }
+}
+
 /// The client's connection, for whoever serves its request to watch.
 ///
 /// Invariant: it never keeps the connection open; once the server has closed it, the client counts as
@@ -128,6 +188,16 @@
         self.0.upgrade()
     }
 
+    /// Holds so many more bytes on behalf of the client, until its answer is complete.
+    ///
+    /// # Errors
+    ///
+    /// See [`NoRoom`].
+    pub fn reserve(&self, bytes: u64) -> Result<(), NoRoom> {
+        let socket = self.0.upgrade();
+        socket.map_or(Err(NoRoom::Evicted), |socket| socket.reserve(bytes))
+    }
+
     /// Returns whether the client has closed or reset the connection. Neither waits nor takes bytes.
     pub fn is_disconnected(&self) -> bool {
         self.0
--- a/crates/transport/src/socket/stream.rs
+++ b/crates/transport/src/socket/stream.rs
@@ -1,6 +1,7 @@
 //! A socket as the HTTP library's byte stream, and the library's waker.
 
 use super::Socket;
+use ::resource_budget::Phase;
 use hyper::rt::ReadBufCursor;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
@@ -37,7 +38,10 @@
         };
         let mut polled = [PollFd::new(&self.socket.stream, PollFlags::OUT)];
         let timeout = Timespec::try_from(write_timeout).ok();
-        if poll(&mut polled, timeout.as_ref()) == Ok(0) {
+        self.socket.enter(Phase::Stalled);
+        let polled_count = poll(&mut polled, timeout.as_ref());
+        self.socket.enter(Phase::Serving);
+        if polled_count == Ok(0) || self.socket.is_evicted() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         Poll::Ready(Ok(()))
