transport: connections to servers have a bound in all, and bodies are not copied whole

Callers saw descriptors beyond the process's own: the pool bounded connections by address alone. set_max_total closes an idle connection elsewhere for a new one, and refuses where all are in use (unsent: nothing ran). A body goes to the library in slices, and the rest of a response is held in the budget of its client's connection before it's read.

The mutant KeepUnwritten is now looked for with 128 sizes of a body beside the one of 64 MiB: of a long rest the library itself now knows that it is not written; of a short one that it holds whole only our check does. The property is the same (a connection whose request was not written whole is not kept), and the mutant is detected.

--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use types::{Clock, MonotonicInstant};
 
@@ -37,6 +38,10 @@
 struct SharedPool {
     bounds: ConnectionPoolBounds,
     addresses: Mutex<HashMap<SocketAddr, AddressConnections>>,
+    /// Connections that may be open to all addresses together; 0 for no bound.
+    max_total: AtomicUsize,
+    /// Connections that are open to all addresses together. Changed under the lock of the addresses alone.
+    total_open: AtomicUsize,
     safety: Arc<dyn ReuseSafety>,
 }
 
@@ -77,6 +82,7 @@
         let mut addresses = self.pool.addresses();
         if let Some(connections) = addresses.get_mut(&self.address) {
             connections.open_count -= 1;
+            self.pool.total_open.fetch_sub(1, Ordering::Relaxed);
             if connections.open_count == 0 && connections.max_open.is_none() {
                 addresses.remove(&self.address);
             }
@@ -96,6 +102,8 @@
             shared: Arc::new(SharedPool {
                 bounds,
                 addresses: Mutex::default(),
+                max_total: AtomicUsize::new(0),
+                total_open: AtomicUsize::new(0),
                 safety,
             }),
         }
@@ -108,6 +116,12 @@
         self.shared.addresses().entry(address).or_default().max_open = Some(max_open);
     }
 
+    /// Sets how many connections to all addresses may be open at once, in use or idle; 0 for no bound. Where it's
+    /// reached, an idle connection to another address is closed for a new one.
+    pub fn set_max_total(&self, max_total: usize) {
+        self.shared.max_total.store(max_total, Ordering::Relaxed);
+    }
+
     /// Returns how many connections to an address wait for reuse.
     pub fn idle_count(&self, address: SocketAddr) -> usize {
         self.shared
@@ -269,6 +283,7 @@
     }
 
     fn acquire_permit(&self, address: SocketAddr) -> Result<OpenPermit, ConnectionError> {
+        self.make_room_in_total()?;
         let mut addresses = self.shared.addresses();
         let connections = addresses.entry(address).or_default();
         let max_open = connections
@@ -278,6 +293,7 @@
             return Err(ConnectionError::PoolExhausted);
         }
         connections.open_count += 1;
+        self.shared.total_open.fetch_add(1, Ordering::Relaxed);
         Ok(OpenPermit {
             pool: self.shared.clone(),
             address,
@@ -285,5 +301,33 @@
     }
 }
 
+impl ConnectionPool {
+    /// Closes idle connections until one more may be opened, those first that would be closed first anyway.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectionError::PoolExhausted`] if all open connections are in use.
+    fn make_room_in_total(&self) -> Result<(), ConnectionError> {
+        let max_total = self.shared.max_total.load(Ordering::Relaxed);
+        while max_total > 0 && self.shared.total_open.load(Ordering::Relaxed) >= max_total {
+            // Dropped once the lock is free.
+            let oldest = self.take_oldest_idle();
+            if oldest.is_none() {
+                return Err(ConnectionError::PoolExhausted);
+            }
+        }
+        Ok(())
+    }
+
+    fn take_oldest_idle(&self) -> Option<IdleConnection> {
+        let mut addresses = self.shared.addresses();
+        let oldest = addresses
+            .values_mut()
+            .filter(|connections| !connections.idle.is_empty())
+            .min_by_key(|connections| connections.idle.front().map(|idle| idle.deadline))?;
+        oldest.idle.pop_front()
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/transport/src/connection_pool/connection.rs
+++ b/crates/transport/src/connection_pool/connection.rs
@@ -4,11 +4,11 @@
 use super::response::PooledResponse;
 use super::safety::ReuseSafety;
 use super::{ConnectionError, OpenPermit, SendOptions};
+use crate::sliced_body::SlicedBody;
 use crate::socket::{
     ClientConnection, Readiness, Socket, SocketStream, WakeFlag, wait_for_readiness,
 };
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use std::future::Future;
@@ -41,8 +41,8 @@
 /// An open connection as the HTTP library's client holds it. Dropping it closes it and gives its permit
 /// back to the pool.
 pub(super) struct PooledConnection {
-    pub sender: SendRequest<Full<Bytes>>,
-    driver: Connection<SocketStream, Full<Bytes>>,
+    pub sender: SendRequest<SlicedBody>,
+    driver: Connection<SocketStream, SlicedBody>,
     /// Whether the library is done with the connection, in order or by an error.
     pub is_finished: bool,
     pub socket: Arc<Socket>,
@@ -193,7 +193,7 @@
     ) -> Result<PooledResponse, ConnectionError> {
         let sent_before = self.socket.sent_count.load(Ordering::Relaxed);
         let is_head_request = request.method() == http::Method::HEAD;
-        let mut response = pin!(self.sender.send_request(request.map(Full::new)));
+        let mut response = pin!(self.sender.send_request(request.map(SlicedBody::new)));
         let outcome = self.wait(
             options.head_deadline,
             options.client,
--- a/crates/transport/src/connection_pool/response.rs
+++ b/crates/transport/src/connection_pool/response.rs
@@ -71,6 +71,11 @@
     }
 }
 
+/// Bytes of a body that each request holds anyway.
+const FREE_BODY_BYTES: usize = 32 << 10;
+/// Memory for a longer body is held in steps of so many bytes.
+const BODY_STEP_BYTES: usize = 64 << 10;
+
 /// How far a body has been read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BodyState {
@@ -188,11 +193,12 @@
         BodyRead::Truncated(reason)
     }
 
-    /// Reads the rest of the body, at most `max_bytes`.
+    /// Reads the rest of the body, at most `max_bytes`. What is more than [`FREE_BODY_BYTES`] of it is held in the budget of
+    /// the client's connection.
     ///
     /// # Errors
     ///
-    /// [`ConnectionError::OutcomeUnknown`] if the body breaks off or is longer than `max_bytes`,
+    /// [`ConnectionError::OutcomeUnknown`] if the body breaks off, is longer than `max_bytes` or there is no room for it,
     /// [`ConnectionError::TimedOut`] if it has not ended by the deadline, and
     /// [`ConnectionError::ClientDisconnected`] if `client` disconnects.
     pub fn read_all(
@@ -204,14 +210,21 @@
         // Most bodies come in one piece, which is passed on without a copy.
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
+        let mut reserved = FREE_BODY_BYTES;
         loop {
             match self.read_chunk_until(deadline, client) {
                 BodyRead::Data(data) if first.len() + rest.len() + data.len() > max_bytes => {
                     let reason = format!("the body is over {max_bytes} bytes");
                     return Err(ConnectionError::OutcomeUnknown(reason));
                 }
-                BodyRead::Data(data) if first.is_empty() => first = data,
-                BodyRead::Data(data) => rest.extend_from_slice(&data),
+                BodyRead::Data(data) => {
+                    reserve_body(&mut reserved, first.len() + rest.len() + data.len(), client)?;
+                    if first.is_empty() {
+                        first = data;
+                    } else {
+                        rest.extend_from_slice(&data);
+                    }
+                }
                 BodyRead::End => return Ok(concatenate(first, &rest)),
                 BodyRead::TimedOut => {
                     let reason = "the body has not ended by its deadline".into();
@@ -271,6 +284,24 @@
     }
 }
 
+/// Holds what a body that is collected takes, twice: the buffer grows by doubling.
+fn reserve_body(
+    reserved: &mut usize,
+    length: usize,
+    client: Option<&ClientConnection>,
+) -> Result<(), ConnectionError> {
+    let Some(client) = client else {
+        return Ok(());
+    };
+    while *reserved < 2 * length {
+        client
+            .reserve(BODY_STEP_BYTES as u64)
+            .map_err(|no_room| ConnectionError::OutcomeUnknown(no_room.to_string()))?;
+        *reserved += BODY_STEP_BYTES;
+    }
+    Ok(())
+}
+
 fn concatenate(first: Bytes, rest: &[u8]) -> Bytes {
     if rest.is_empty() {
         return first;
--- a/crates/transport/src/connection_pool/tests.rs
+++ b/crates/transport/src/connection_pool/tests.rs
@@ -119,18 +119,29 @@
     true
 }
 
-/// A connection whose request was not written whole is not given back.
+/// A connection whose request was not written whole is not given back, however much of it the library holds: of a short
+/// rest all, of a long one none yet.
 fn keeps_only_what_was_written(mutant: Option<Mutant>) -> bool {
+    let sizes = (1..=128).map(|count| count * (128 << 10));
+    sizes
+        .chain([64 << 20])
+        .all(|size| keeps_only_if_written(mutant, size))
+}
+
+fn keeps_only_if_written(mutant: Option<Mutant>, size: usize) -> bool {
     let (pool, (end, wait)) = (open_pool(mutant), mpsc::channel::<()>());
     let to = server(move |_, mut stream| {
         let _ = stream.read(&mut [0; 16]);
         let _ = stream.write_all(OK);
         let _ = wait.recv();
     });
-    let (response, _) = send(&pool, to, Bytes::from(vec![b'x'; 64 << 20]), &always).unwrap();
+    let (response, _) = send(&pool, to, Bytes::from(vec![b'x'; size]), &always).unwrap();
+    // On a new connection: the head came while a part of the request waited to be written.
+    let is_written = response.is_sole_response();
+    assert!(!is_written || size < 64 << 20, "nothing takes as much");
     response.release();
     drop(end);
-    pool.idle_count(to) == 0
+    is_written || pool.idle_count(to) == 0
 }
 
 /// A body whose end only a close tells is not whole.
--- a/crates/transport/tests/connection_pool.rs
+++ b/crates/transport/tests/connection_pool.rs
@@ -723,6 +723,27 @@
     assert!(send_and_release(&lines, to));
 }
 
+#[test]
+fn a_bound_on_all_addresses_closes_idle_connections_and_refuses_beyond_those_in_use() {
+    let lines = ConnectionPool::new(BOUNDS);
+    lines.set_max_total(2);
+    let (one, another, third) = (answering(OK), answering(OK), answering(OK));
+    send_and_release(&lines, one);
+    send_and_release(&lines, another);
+    assert_eq!((lines.idle_count(one), lines.idle_count(another)), (1, 1));
+    // The one that has been idle for longest gives way.
+    let in_use = send_to(&lines, third).unwrap();
+    assert_eq!((lines.open_count(one), lines.open_count(another)), (0, 1));
+    let also_in_use = send_to(&lines, one).unwrap();
+    assert_eq!(lines.open_count(another), 0);
+    assert!(matches!(
+        send_to(&lines, another),
+        Err(ConnectionError::PoolExhausted)
+    ));
+    drop((in_use, also_in_use));
+    assert!(!send_and_release(&lines, another));
+}
+
 #[test]
 fn the_newest_is_taken_and_the_oldest_given_up() {
     let (lines, to) = (
