transport: messages between processes come in within the budget of their process

Whoever can reach an inner port could have a process hold 512 messages of 80 MiB without their last byte (6 of 40 MiB: 265 MB where 78 MB are allowed). wire::open_within asks before so many more bytes are held; a message is entered three times its size, for the buffer that grows by doubling and what is made of it; where there is no room its connection is closed, as after any other broken message, and the peer sends again.

--- a/crates/transport/src/message_transport.rs
+++ b/crates/transport/src/message_transport.rs
@@ -6,7 +6,9 @@
 mod inbound;
 mod outbound;
 
+use self::inbound::MAX_INBOUND_CONNECTIONS;
 use self::outbound::Outbox;
+use crate::resource_budget::BudgetDoor;
 use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, UdpSocket};
@@ -71,7 +73,8 @@
 
 impl MessageTransport {
     /// Accepts messages on the listener and on the same port's datagrams, and calls `inbox` with the
-    /// sender's address and each message, on the receiving threads.
+    /// sender's address and each message, on the receiving threads. Connections have a budget of their own, bounded by
+    /// their number alone.
     ///
     /// # Errors
     ///
@@ -79,6 +82,23 @@
     pub fn open(
         listener: TcpListener,
         inbox: impl Fn(Address, Message) + Send + Sync + Clone + 'static,
+    ) -> io::Result<MessageTransport> {
+        Self::open_within(
+            listener,
+            BudgetDoor::unlimited(MAX_INBOUND_CONNECTIONS),
+            inbox,
+        )
+    }
+
+    /// The same for a process whose connections, and the messages that come in on them, are part of its budget.
+    ///
+    /// # Errors
+    ///
+    /// See [`MessageTransport::open`].
+    pub fn open_within(
+        listener: TcpListener,
+        door: BudgetDoor,
+        inbox: impl Fn(Address, Message) + Send + Sync + Clone + 'static,
     ) -> io::Result<MessageTransport> {
         let local_address = Address(listener.local_addr()?);
         // Datagrams come to the same port and are sent from it.
@@ -86,7 +106,7 @@
         let datagrams = inbound_datagrams.try_clone()?;
         datagrams.set_write_timeout(Some(DATAGRAM_WRITE_TIMEOUT))?;
         inbound::spawn_datagram_receiver(inbound_datagrams, inbox.clone())?;
-        inbound::spawn_listener(listener, inbox)?;
+        inbound::spawn_listener(listener, door, inbox)?;
         Ok(MessageTransport {
             local_address,
             datagrams,
--- a/crates/transport/src/message_transport/inbound.rs
+++ b/crates/transport/src/message_transport/inbound.rs
@@ -1,38 +1,69 @@
 //! Receiving messages: datagrams, and a thread for each connection that peers open.
 
 use super::CONNECTION_STACK_BYTES;
+use crate::resource_budget::{BudgetDoor, ConnectionSlot, Interrupt, NoRoom};
+use ::resource_budget::Phase;
+use rustix::net::sockopt;
 use std::io;
-use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use types::Address;
-use wire::{Message, SealError, open};
+use wire::{Message, SealError, open, open_within};
 
 /// Connections from peers that are open at once; further ones are closed unread.
-const MAX_INBOUND_CONNECTIONS: usize = 512;
+pub(super) const MAX_INBOUND_CONNECTIONS: usize = 512;
 /// A connection without a message for this long is closed; its opener closes it sooner unless it's gone.
 const IDLE_READ_TIMEOUT: Duration = Duration::from_secs(20);
 /// Bytes of a datagram at most; longer ones are cut by the system and then fail to open.
 const MAX_DATAGRAM_BYTES: usize = 1200;
+/// Bytes that the kernel may hold for a connection until they are read.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes of a message that each connection holds anyway.
+const FREE_MESSAGE_BYTES: usize = 16 << 10;
+/// A message is held as it came, in a buffer that grows by doubling, and as what is made of it.
+const MESSAGE_COPIES: usize = 3;
 /// The pause after a failed accept, as when the process has no descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The right to keep one inbound connection open. Dropping it gives the right back, so that a connection no
-/// longer counts however its thread ends.
-struct InboundPermit(Arc<AtomicUsize>);
+/// A connection that a peer has opened, and its place in the process's budget.
+struct InboundConnection {
+    stream: TcpStream,
+    slot: ConnectionSlot,
+}
+
+impl InboundConnection {
+    fn accept(stream: TcpStream, slot: ConnectionSlot) -> Arc<Self> {
+        let connection = Arc::new(InboundConnection { stream, slot });
+        let weak = Arc::downgrade(&connection);
+        connection.slot.attach(weak);
+        connection
+    }
+
+    /// Holds further bytes of a message, of which `held` are held, and what is made of them.
+    fn hold(&self, held: &mut usize, bytes: usize) -> io::Result<()> {
+        if *held == 0 {
+            self.slot.enter(Phase::Reading);
+        }
+        *held += bytes;
+        if *held <= FREE_MESSAGE_BYTES {
+            return Ok(());
+        }
+        let no_room = |error: NoRoom| io::Error::new(io::ErrorKind::OutOfMemory, error);
+        let copies = (bytes * MESSAGE_COPIES) as u64;
+        self.slot.reserve(copies).map_err(no_room)
+    }
 
-impl InboundPermit {
-    fn acquire(open_count: &Arc<AtomicUsize>) -> Option<Self> {
-        let open_before = open_count.fetch_add(1, Ordering::Relaxed);
-        let permit = InboundPermit(open_count.clone());
-        (open_before < MAX_INBOUND_CONNECTIONS).then_some(permit)
+    /// The message was handed on.
+    fn let_go(&self) {
+        self.slot.shrink_to(0);
+        self.slot.enter(Phase::Idle);
     }
 }
 
-impl Drop for InboundPermit {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+impl Interrupt for InboundConnection {
+    fn interrupt(&self, _: Phase) {
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
 
@@ -59,9 +90,11 @@
 
 pub(super) fn spawn_listener(
     listener: TcpListener,
+    door: BudgetDoor,
     inbox: impl Fn(Address, Message) + Send + Clone + 'static,
 ) -> io::Result<()> {
-    let open_count = Arc::new(AtomicUsize::new(0));
+    // Connections inherit it. Without it they work too, and the kernel holds more.
+    let _ = sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER_BYTES);
     std::thread::Builder::new()
         .name("post".into())
         .spawn(move || {
@@ -70,8 +103,8 @@
                     std::thread::sleep(ACCEPT_RETRY_DELAY);
                     continue;
                 };
-                if let Some(permit) = InboundPermit::acquire(&open_count) {
-                    spawn_receiver(stream, permit, inbox.clone());
+                if let Some(slot) = door.admit() {
+                    spawn_receiver(InboundConnection::accept(stream, slot), inbox.clone());
                 }
             }
         })?;
@@ -79,29 +112,29 @@
 }
 
 fn spawn_receiver(
-    stream: TcpStream,
-    permit: InboundPermit,
+    connection: Arc<InboundConnection>,
     inbox: impl Fn(Address, Message) + Send + 'static,
 ) {
     let builder = std::thread::Builder::new()
         .name("post-in".into())
         .stack_size(CONNECTION_STACK_BYTES);
-    let spawned = builder.spawn(move || {
-        let _permit = permit;
-        receive(stream, inbox);
-    });
+    let spawned = builder.spawn(move || receive(&connection, inbox));
     if let Err(error) = spawned {
         tracing::debug!(%error, "no thread for an inbound connection");
     }
 }
 
 /// Receives messages until the connection ends, idles or carries something that is no message.
-fn receive(stream: TcpStream, inbox: impl Fn(Address, Message)) {
-    let _ = stream.set_read_timeout(Some(IDLE_READ_TIMEOUT));
-    let mut reader = io::BufReader::new(stream);
+fn receive(connection: &InboundConnection, inbox: impl Fn(Address, Message)) {
+    let _ = connection.stream.set_read_timeout(Some(IDLE_READ_TIMEOUT));
+    let mut reader = io::BufReader::new(&connection.stream);
     loop {
-        match open(&mut reader) {
-            Ok((sender, message)) => inbox(sender, message),
+        let mut held = 0;
+        match open_within(&mut reader, &mut |bytes| connection.hold(&mut held, bytes)) {
+            Ok((sender, message)) => {
+                inbox(sender, message);
+                connection.let_go();
+            }
             Err(SealError::Io(_)) => return,
             Err(error) => {
                 tracing::warn!(code = %error.code(), %error, "invalid message received");
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,5 +19,5 @@
 pub use lease::{LeaseRequest, LeaseResponse, Member};
 pub use message::Message;
 pub use query::Query;
-pub use sealing::{PROTOCOL, SealError, open, seal};
+pub use sealing::{PROTOCOL, SealError, open, open_within, seal};
 pub use server_list::{ServerListChange, ServerListChunk, ServerListState, ServerListVersion};
--- a/crates/wire/src/sealing.rs
+++ b/crates/wire/src/sealing.rs
@@ -102,10 +102,22 @@
 /// The reader failed, the frame is damaged or exceeds the size limit, or the peer speaks another version of the
 /// protocol. Memory grows only with bytes that were read, whatever length the head claims.
 pub fn open(reader: &mut impl Read) -> Result<(Address, Message), SealError> {
+    open_within(reader, &mut |_| Ok(()))
+}
+
+/// The same; `may_hold` is asked before so many more bytes of the message are held, from its head on.
+///
+/// # Errors
+///
+/// Those of [`open`], and the one that `may_hold` returns.
+pub fn open_within(
+    reader: &mut impl Read,
+    may_hold: &mut dyn FnMut(usize) -> io::Result<()>,
+) -> Result<(Address, Message), SealError> {
     let mut bytes = [0; HEAD_BYTES];
     reader.read_exact(&mut bytes)?;
     let head = Head::decode(&bytes)?;
-    let body = read_body(reader, head.body_length)?;
+    let body = read_body(reader, head.body_length, may_hold)?;
     if crc32fast::hash(&body) != head.body_checksum {
         return Err(SealError::BodyChecksum);
     }
@@ -114,10 +126,15 @@
     Ok((head.sender, message))
 }
 
-fn read_body(reader: &mut impl Read, length: usize) -> Result<AlignedVec<16>, SealError> {
+fn read_body(
+    reader: &mut impl Read,
+    length: usize,
+    may_hold: &mut dyn FnMut(usize) -> io::Result<()>,
+) -> Result<AlignedVec<16>, SealError> {
     let mut body = AlignedVec::<16>::new();
     while body.len() < length {
         let start = body.len();
+        may_hold(READ_CHUNK_BYTES.min(length - start))?;
         body.resize(start + READ_CHUNK_BYTES.min(length - start), 0);
         reader.read_exact(&mut body[start..])?;
     }
--- a/crates/wire/src/sealing/tests.rs
+++ b/crates/wire/src/sealing/tests.rs
@@ -40,3 +40,34 @@
     sealed[place + 1] = second;
     assert_eq!(open(&mut &sealed[..]).unwrap_err().code(), code);
 }
+
+#[test]
+fn a_body_is_held_only_as_far_as_it_may_be() {
+    let long = Message::PlanChunk {
+        epoch: ConfigEpoch(3),
+        offset: 0,
+        length: 1 << 20,
+        bytes: vec![7; 1 << 20],
+    };
+    let sealed = seal(Address::loopback(7), &long).unwrap();
+    let mut held = 0;
+    let mut may_hold = |bytes: usize| {
+        held += bytes;
+        if held > 200 << 10 {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        Ok(())
+    };
+    let refused = open_within(&mut &sealed[..], &mut may_hold);
+    assert!(matches!(refused, Err(SealError::Io(_))));
+    assert!(held <= (200 << 10) + READ_CHUNK_BYTES, "{held}");
+    // A message that may be held as a whole is asked for to its last byte.
+    held = 0;
+    let mut may_hold = |bytes: usize| {
+        held += bytes;
+        Ok(())
+    };
+    let opened = open_within(&mut &sealed[..], &mut may_hold).unwrap();
+    assert_eq!(opened, (Address::loopback(7), long));
+    assert!(held >= 1 << 20, "{held}");
+}
