router: one budget for clients, probes, operators and peers, from its settings

Callers saw: crowds at any door of a router made it hold up to six times the memory of its machine (1,230 MB of 220 MB) or more descriptors than it has (653 of 400), and silent connections kept the platform's probe out. Cause: the memory and the descriptors that its settings tell were read and used for nothing.

Metrics and log lines for each kind of refusal. Old settings files read as before: both keys have defaults.

--- a/crates/router/src/admin/metrics.rs
+++ b/crates/router/src/admin/metrics.rs
@@ -1,4 +1,5 @@
 use std::sync::atomic::{AtomicU64, Ordering};
+use transport::BudgetUsage;
 use types::ResultCode;
 
 macro_rules! metrics {
@@ -64,9 +65,31 @@
     expired: "counter",
     /// Streams in which a server sent what is no event of them.
     malformed_streams: "counter",
+    /// Open connections at all doors.
+    connections: "gauge",
+    /// Bytes held for requests and answers.
+    content_bytes: "gauge",
+    /// Connections closed unread, since there was no place for them.
+    refused_connections: "counter",
+    /// Connections closed to make room for others.
+    evicted_connections: "counter",
+    /// Requests, answers and messages for which there was no memory.
+    refused_memory: "counter",
 }
 
 impl Metrics {
+    /// Takes over what the budget of the process counts.
+    pub fn set_budget(&self, usage: &BudgetUsage) {
+        for (metric, value) in [
+            (&self.connections, usage.connections),
+            (&self.content_bytes, usage.content_bytes),
+            (&self.refused_connections, usage.refused_connections),
+            (&self.evicted_connections, usage.evicted_connections),
+            (&self.refused_memory, usage.refused_memory),
+        ] {
+            metric.store(value, Ordering::Relaxed);
+        }
+    }
     /// A request is turned away, or its fate is unknown.
     pub fn refuse(&self, code: ResultCode) {
         Metrics::more(if code.is_refusal() {
--- a/crates/router/src/downstream/ingress.rs
+++ b/crates/router/src/downstream/ingress.rs
@@ -1,6 +1,7 @@
 //! The door for clients of another dialect than the product's own.
 
 use crate::dialect::CallDialect;
+use crate::downstream::budget::RouterDoors;
 use crate::downstream::limits::{ConnectionLimits, MOST_TO_ONE_SERVER};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -37,6 +38,7 @@
         settings: &Settings,
         shared: Arc<Shared>,
         dialect: Arc<dyn CallDialect>,
+        doors: &RouterDoors,
     ) -> Result<Ingress, String> {
         let listen: Address = settings.ingress.parse()?;
         let probed: Address = settings.readiness.parse()?;
@@ -49,20 +51,22 @@
             header_bytes: 64 << 10,
             ..HttpServerBounds::default()
         };
-        let http_server = HttpServer::open(listen.0, bounds)
+        let http_server = HttpServer::open_within(listen.0, bounds, doors.ingress.clone())
             .map_err(|fault| format!("ingress = {listen}: {fault}"))?;
         let bounds = HttpServerBounds {
             connections: 32,
             body_bytes: 1 << 10,
             ..bounds
         };
-        let probe_gate = HttpServer::open(probed.0, bounds)
+        let probe_gate = HttpServer::open_within(probed.0, bounds, doors.readiness.clone())
             .map_err(|fault| format!("readiness = {probed}: {fault}"))?;
         let lines = ConnectionPool::new(ConnectionPoolBounds {
             max_per_address: MOST_TO_ONE_SERVER,
             max_idle_per_address: MOST_TO_ONE_SERVER / 2,
             idle_timeout: Milliseconds::seconds(20),
         });
+        // A request in hand needs one connection to a server at most.
+        lines.set_max_total(doors.limits.max_connections);
         let limits = ConnectionLimits::new(http_server.limiter(), lines.clone());
         if shared.limits.set(Arc::new(limits)).is_err() {
             return Err("a node has one gate of clients".into());
--- a/crates/router/src/downstream/ingress/tests.rs
+++ b/crates/router/src/downstream/ingress/tests.rs
@@ -25,7 +25,13 @@
         start_wait_ms,
         ..settings
     };
-    let ingress = Ingress::open(&settings, shared.clone(), Arc::new(Plain)).expect("open");
+    let ingress = Ingress::open(
+        &settings,
+        shared.clone(),
+        Arc::new(Plain),
+        &RouterDoors::new(&settings, true),
+    )
+    .expect("open");
     (ingress, shared)
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -37,6 +37,13 @@
     /// A node that has not heard for this long what its zone's collector reads there reads it itself, in ms.
     #[setting(default = 2000, validate = validate_range(100, 60_000))]
     pub list_silence_ms: u64,
+    /// Memory that the process may use, in bytes. What clients, probes, operators and peers can make it hold is bounded by
+    /// it.
+    #[setting(default = 1_000_000_000, validate = validate_range(48_000_000, 1_000_000_000_000))]
+    pub memory_bytes: u64,
+    /// Descriptors that the process may have open, which bound its connections.
+    #[setting(default = 3_900, validate = validate_range(128, 1_000_000))]
+    pub descriptors: u64,
     /// Requests in hand at most; more are refused at once.
     #[setting(default = 400, validate = validate_range(1, 1_000_000))]
     pub requests: u64,
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -9,6 +9,7 @@
 use crate::discovery::endpoint_list::ReadRetryPolicy;
 use crate::discovery::list_reader;
 use crate::discovery::report_poller;
+use crate::downstream::budget::RouterDoors;
 use crate::downstream::client_api::{fetch, resume, run_request};
 use crate::downstream::ingress::Ingress;
 use crate::downstream::limits::SharedLimits;
@@ -26,7 +27,7 @@
 use std::time::Duration;
 use transport::{
     BodyChunk, BodySource, HttpServer, HttpServerBounds, MessageClass, MessageTransport, Request,
-    Response, http_delete, http_post,
+    ResourceBudget, Response, http_delete, http_post,
 };
 use types::{
     Address, ApiKey, Clock, ConfigEpoch, Milliseconds, MonotonicInstant, ResultCode, ServerName,
@@ -37,6 +38,10 @@
 const LONGEST_TICK: Milliseconds = Milliseconds(250);
 /// Between readings of the settings' seeds, while there is no lease.
 const SETTINGS_PERIOD: Milliseconds = Milliseconds(1000);
+/// What is made of a body takes so many times its bytes while it's read.
+const PARSED_COPIES: usize = 3;
+/// Bytes of it that each request holds anyway.
+const FREE_PARSED_BYTES: usize = 16 << 10;
 /// What may wait for the control thread; whoever brings more waits.
 const QUEUE: usize = 8192;
 
@@ -88,6 +93,7 @@
             "seeds is empty: the inner address of at least one controller is needed".into(),
         );
     }
+    let doors = RouterDoors::new(settings, dialects.calls.is_some());
     let listener =
         TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let connections = settings.requests as usize + 112;
@@ -97,14 +103,15 @@
         read_timeout: Milliseconds::seconds(10),
         ..HttpServerBounds::default()
     };
-    let http_server = HttpServer::open(listen.0, bounds)
+    let http_server = HttpServer::open_within(listen.0, bounds, doors.own.clone())
         .map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let (sender, events) = flume::bounded::<ControlEvent>(QUEUE);
     let take_message = sender.clone();
-    let post = MessageTransport::open(listener, move |from, message| {
+    let receive = move |from, message| {
         let _ = take_message.send(ControlEvent::Input(NodeInput::Message { from, message }));
-    })
-    .map_err(|fault| format!("inner = {inner}: {fault}"))?;
+    };
+    let post = MessageTransport::open_within(listener, doors.peers.clone(), receive)
+        .map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let incarnation = new_life();
     let scheduler_rules = settings.scheduler_rules();
     let head = ReplayHead {
@@ -142,7 +149,7 @@
     let has_calls = dialects.calls.is_some();
     let (ingress, list) = match dialects.calls {
         Some(dialect) => {
-            let ingress = Ingress::open(settings, shared.clone(), dialect.clone())?;
+            let ingress = Ingress::open(settings, shared.clone(), dialect.clone(), &doors)?;
             node = node.with_endpoint_list(settings.endpoint_list_timing());
             let (platform, control) = (settings.platform.parse()?, sender.clone());
             let tell =
@@ -168,6 +175,7 @@
         decisions: DecisionLog::new(settings.journal_lines as usize),
         events: DecisionLog::new(settings.journal_lines as usize),
         head: serde_json::to_string(&head).expect("a head is JSON"),
+        budget: doors.budget.clone(),
     });
     let (closer, open_count) = (http_server.closer(), http_server.open_count());
     let gate_door = door.clone();
@@ -577,10 +585,17 @@
     decisions: DecisionLog,
     events: DecisionLog,
     head: String,
+    budget: ResourceBudget,
 }
 
 impl Door {
     fn respond(self: Arc<Self>, request: &Request) -> Response {
+        let parsed_bytes = request.body.len() * PARSED_COPIES;
+        if parsed_bytes > FREE_PARSED_BYTES
+            && let Err(no_room) = request.client.reserve(parsed_bytes as u64)
+        {
+            return Response::result(ResultCode::Busy, no_room.to_string());
+        }
         let api_key = request
             .header("authorization")
             .and_then(ApiKey::from_bearer);
@@ -603,6 +618,7 @@
                 }
             }
             ("GET", ["metrics"]) => {
+                self.shared.metrics.set_budget(&self.budget.usage());
                 Response::complete(200, "text/plain; version=0.0.4", self.shared.metrics.text())
             }
             ("GET", ["v1", "believes"]) => {
--- a/crates/router/src/upstream/event_reader.rs
+++ b/crates/router/src/upstream/event_reader.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns how many bytes wait for the end of their event.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        self.splitter.pending_bytes() + self.preamble.len()
+    }
+
     /// Takes bytes in.
     pub fn push(&mut self, bytes: &[u8]) {
         self.splitter.push(bytes);
--- a/crates/router/src/upstream/event_splitter.rs
+++ b/crates/router/src/upstream/event_splitter.rs
@@ -85,6 +85,11 @@
 }
 
 impl EventSplitter {
+    /// Returns how many bytes were taken in and not given out.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Takes bytes in.
     pub fn push(&mut self, bytes: &[u8]) {
         self.pending.extend_from_slice(bytes);
--- a/crates/router/src/upstream/forwarding.rs
+++ b/crates/router/src/upstream/forwarding.rs
@@ -29,6 +29,11 @@
 /// When a client may come back that met a node at its bound of requests.
 const BUSY_RETRY_AFTER: Milliseconds = Milliseconds(200);
 
+/// Bytes of a body that the HTTP library copies at most before they are written.
+const MAX_SEND_BUFFER_BYTES: usize = 448 << 10;
+/// A copy of a body up to this size is part of what each request holds.
+const FREE_COPY_BYTES: usize = 16 << 10;
+
 /// What the threads that forward calls share.
 pub(crate) struct Forwarder {
     pub shared: Arc<Shared>,
@@ -98,6 +103,7 @@
         let patience = call.left.0.min(route.deadline_ms);
         let time_left = Milliseconds(patience.saturating_sub(waited.0));
         let deadline = read_at + time_left;
+        reserve_copy(&call, &client)?;
         let guard = self.admit(&call, time_left, deadline)?;
         let priority = credentials
             .and_then(|tenant| tenant.priority)
@@ -196,6 +202,17 @@
     }
 }
 
+/// Holds what the HTTP library copies of a call's body while it is sent to a server.
+fn reserve_copy(call: &Call, client: &ClientConnection) -> Result<(), Rejection> {
+    let copied = call.body.len().min(MAX_SEND_BUFFER_BYTES);
+    if copied <= FREE_COPY_BYTES {
+        return Ok(());
+    }
+    client.reserve(copied as u64).map_err(|no_room| {
+        Rejection::with_reason(ResultCode::Busy, no_room.to_string(), BUSY_RETRY_AFTER)
+    })
+}
+
 /// The service that a call goes to, by the weights of its route; the same for all requests of one id.
 fn choose_service(route: &RoutePlan, id: &RequestId) -> Result<ServiceName, Rejection> {
     let key = u64::from_be_bytes(
--- a/crates/router/src/upstream/forwarding/attempt.rs
+++ b/crates/router/src/upstream/forwarding/attempt.rs
@@ -262,6 +262,10 @@
                     let why = malformed.to_string();
                     return Err(failed(placement, Failure::Unknown, &why).into());
                 }
+                StreamRead::NoRoom(no_room) => {
+                    let why = no_room.to_string();
+                    return Err(failed(placement, Failure::Unknown, &why).into());
+                }
                 StreamRead::ClientDisconnected => {
                     return Err(AttemptError::ClientDisconnected.into());
                 }
--- a/crates/router/src/upstream/forwarding/relay.rs
+++ b/crates/router/src/upstream/forwarding/relay.rs
@@ -218,6 +218,7 @@
             StreamRead::End => self.finish(),
             StreamRead::Truncated(why) => self.retry(why),
             StreamRead::Malformed(malformed) => self.retry_malformed(&malformed),
+            StreamRead::NoRoom(no_room) => self.cancel(&no_room.to_string()),
             StreamRead::ClientDisconnected => self.cancel("the client has gone"),
         }
     }
--- a/crates/router/src/upstream/forwarding/server_stream.rs
+++ b/crates/router/src/upstream/forwarding/server_stream.rs
@@ -3,7 +3,7 @@
 use crate::upstream::event_reader::{EventReader, MalformedEvent, StreamEvent};
 use bytes::Bytes;
 use std::time::Duration;
-use transport::{BodyFraming, BodyRead, ClientConnection, PooledResponse};
+use transport::{BodyFraming, BodyRead, ClientConnection, NoRoom, PooledResponse};
 use types::ServerName;
 
 /// What a wait for the next event came to.
@@ -20,10 +20,17 @@
     Truncated(String),
     /// The server sent what is no event. Nothing of it may be read on.
     Malformed(MalformedEvent),
+    /// There is no memory for an event as long as the one that comes.
+    NoRoom(NoRoom),
     /// The client disconnected.
     ClientDisconnected,
 }
 
+/// Bytes of an event that each request holds anyway.
+const FREE_EVENT_BYTES: usize = 32 << 10;
+/// Memory for a longer event is held in steps of so many bytes.
+const EVENT_STEP_BYTES: usize = 64 << 10;
+
 /// A server's stream. Dropping it closes its connection, unless it was released.
 pub(super) struct ServerStream {
     /// Who sends it.
@@ -31,6 +38,8 @@
     response: PooledResponse,
     reader: EventReader,
     has_ended: bool,
+    /// Bytes that the client's connection holds for events.
+    reserved: usize,
     /// A deliberate fault of the tests: what is no event counts as one.
     accepts_anything: bool,
 }
@@ -48,6 +57,7 @@
             response,
             reader: EventReader::new(received),
             has_ended: false,
+            reserved: FREE_EVENT_BYTES,
             accepts_anything,
         }
     }
@@ -88,7 +98,12 @@
     /// Waits for more bytes for at most `timeout`, and returns the next event of what has come.
     pub(super) fn read(&mut self, timeout: Duration, client: &ClientConnection) -> StreamRead {
         match self.response.read_chunk(timeout, Some(client)) {
-            BodyRead::Data(bytes) => self.reader.push(&bytes),
+            BodyRead::Data(bytes) => {
+                if let Err(no_room) = self.reserve(bytes.len(), client) {
+                    return StreamRead::NoRoom(no_room);
+                }
+                self.reader.push(&bytes);
+            }
             BodyRead::TimedOut => return StreamRead::TimedOut,
             BodyRead::End => self.has_ended = true,
             BodyRead::Truncated(why) => return StreamRead::Truncated(why),
@@ -97,6 +112,15 @@
         self.next_event()
     }
 
+    /// Holds what the current event takes with these further bytes, twice: the buffer grows by doubling.
+    fn reserve(&mut self, bytes: usize, client: &ClientConnection) -> Result<(), NoRoom> {
+        while self.reserved < 2 * (self.reader.pending_bytes() + bytes) {
+            client.reserve(EVENT_STEP_BYTES as u64)?;
+            self.reserved += EVENT_STEP_BYTES;
+        }
+        Ok(())
+    }
+
     /// Returns the connection to the pool, and the comments and blank lines behind the last event.
     pub(super) fn release(mut self) -> Bytes {
         self.response.release();
