controller: one budget for operators and peers, from its settings

Operators' door took 128 documents of 48 MiB and peers' 512 messages of 80 MiB, whatever memory the machine has: 6 documents of 40 MiB without their last byte took 393 MB where 78 MB are allowed. Both doors are now part of one budget; peers keep half of the connections and a quarter of the content. A document is entered six times its size before it's checked, a question the longest answer so far: where there is no room it gets 503 and nothing changed, and one that never fits 413.

--- a/crates/controller/src/admin/handler.rs
+++ b/crates/controller/src/admin/handler.rs
@@ -7,8 +7,8 @@
 use crate::metrics::Metrics;
 use crate::process::Dialects;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use transport::{Request, Response};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use transport::{NoRoom, Request, ResourceBudget, Response};
 use types::{Clock, MonotonicInstant, ResultCode, ZoneName};
 
 /// What the connection threads share.
@@ -25,11 +25,37 @@
     pub is_ready: Arc<AtomicBool>,
     /// Counters and gauges.
     pub metrics: Arc<Metrics>,
+    /// What operators and peers make the process hold.
+    pub budget: ResourceBudget,
+    /// Bytes of the longest answer so far: an answer's length is known only once it's there.
+    pub longest_answer: AtomicUsize,
 }
 
+/// What is made of a document takes so many times its bytes while it's checked and merged.
+const PARSED_COPIES: usize = 6;
+/// Bytes of it, and of an answer, that each request holds anyway.
+const FREE_BYTES: usize = 16 << 10;
+
 impl RequestHandler {
     /// Serves one request. A dialect comes before the product's own interface, of which it leaves GET requests alone.
     pub(crate) fn respond(&self, request: &Request) -> Response {
+        let expected_answer = match request.method.as_str() {
+            "GET" => self.longest_answer.load(Ordering::Relaxed),
+            _ => 0,
+        };
+        let expected_bytes = request.body.len() * PARSED_COPIES + expected_answer;
+        if let Err(response) = reserve(request, expected_bytes) {
+            return response;
+        }
+        self.metrics.set_budget(&self.budget.usage());
+        let response = self.respond_within(request);
+        let length = response.complete_length();
+        self.longest_answer.fetch_max(length, Ordering::Relaxed);
+        response
+    }
+
+    /// Serves a request for which all is held that it takes.
+    fn respond_within(&self, request: &Request) -> Response {
         let Some(admin) = &self.dialects.admin else {
             return self.respond_own(request);
         };
@@ -63,6 +89,20 @@
     }
 }
 
+/// Holds what serving a request takes. Where there is no room, nothing was changed.
+fn reserve(request: &Request, bytes: usize) -> Result<(), Response> {
+    if bytes <= FREE_BYTES {
+        return Ok(());
+    }
+    let refused = |no_room: NoRoom| match no_room {
+        NoRoom::TooLarge => Response::result(ResultCode::TooLarge, no_room.to_string()),
+        NoRoom::Busy | NoRoom::Evicted => {
+            Response::result(ResultCode::CoreNotReady, no_room.to_string())
+        }
+    };
+    request.client.reserve(bytes as u64).map_err(refused)
+}
+
 /// Logs the outcome of a request that changes something.
 fn log_answer(request: &Request, answer: &AdminAnswer, received_at: MonotonicInstant) {
     if request.method == "GET" {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`DisklessController`] is run on machines without a disk: it replicates nothing and redirects operators.
 
 mod admin;
+mod budget;
 mod consensus;
 mod controller;
 mod discovery;
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -4,6 +4,7 @@
 //! end-of-file lines, which operators' scrapers of this interface have never been sent.
 
 use std::sync::atomic::{AtomicU64, Ordering};
+use transport::BudgetUsage;
 
 /// The content type of [`Metrics::render`].
 pub(crate) const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
@@ -27,6 +28,16 @@
     pub chain_length: AtomicU64,
     /// Routers that are members.
     pub members: AtomicU64,
+    /// Open connections at all doors.
+    pub connections: AtomicU64,
+    /// Bytes held for requests, answers and messages.
+    pub content_bytes: AtomicU64,
+    /// Connections closed unread since the process started, as there was no place for them.
+    pub refused_connections: AtomicU64,
+    /// Connections closed since the process started to make room for others.
+    pub evicted_connections: AtomicU64,
+    /// Requests and messages since the process started for which there was no memory.
+    pub refused_memory: AtomicU64,
 }
 
 impl Metrics {
@@ -40,6 +51,15 @@
         gauge.store(value, Ordering::Relaxed);
     }
 
+    /// Takes over what the budget of the process counts.
+    pub(crate) fn set_budget(&self, usage: &BudgetUsage) {
+        Self::set(&self.connections, usage.connections);
+        Self::set(&self.content_bytes, usage.content_bytes);
+        Self::set(&self.refused_connections, usage.refused_connections);
+        Self::set(&self.evicted_connections, usage.evicted_connections);
+        Self::set(&self.refused_memory, usage.refused_memory);
+    }
+
     /// The metrics in the exposition format, in a fixed order.
     pub(crate) fn render(&self) -> String {
         let rows = [
@@ -55,6 +75,23 @@
             ("controller_config_epoch", "gauge", &self.config_epoch),
             ("controller_chain_length", "gauge", &self.chain_length),
             ("controller_members", "gauge", &self.members),
+            ("controller_connections", "gauge", &self.connections),
+            ("controller_content_bytes", "gauge", &self.content_bytes),
+            (
+                "controller_refused_connections_total",
+                "counter",
+                &self.refused_connections,
+            ),
+            (
+                "controller_evicted_connections_total",
+                "counter",
+                &self.evicted_connections,
+            ),
+            (
+                "controller_refused_memory_total",
+                "counter",
+                &self.refused_memory,
+            ),
         ];
         let render_row = |(name, kind, value): (&str, &str, &AtomicU64)| {
             let value = value.load(Ordering::Relaxed);
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -9,13 +9,11 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use transport::{HttpServer, HttpServerBounds, Request, Response};
+use transport::{BudgetDoor, HttpServer, HttpServerBounds, Request, Response};
 use types::{Address, Milliseconds};
 
 /// The time between two readings of the settings' seeds.
 pub(crate) const SETTINGS_PERIOD: Milliseconds = Milliseconds(1000);
-/// Operators' connections that are served at once.
-const MAX_CONNECTIONS: usize = 128;
 /// The largest body of an operator's request: a complete plan.
 const MAX_BODY_BYTES: usize = 48 << 20;
 /// The longest that an operator's request may take to arrive.
@@ -99,15 +97,17 @@
 }
 
 /// Binds the address at which operators are served.
-pub(crate) fn bind_operators(address: Address) -> Result<HttpServer, StartupError> {
+pub(crate) fn bind_operators(
+    address: Address,
+    door: BudgetDoor,
+) -> Result<HttpServer, StartupError> {
     let bounds = HttpServerBounds {
-        connections: MAX_CONNECTIONS,
         body_bytes: MAX_BODY_BYTES,
         read_timeout: READ_TIMEOUT,
         arrival_check_period: Some(ARRIVAL_CHECK_PERIOD),
         ..HttpServerBounds::default()
     };
-    HttpServer::open(address.0, bounds).map_err(|source| StartupError::Bind {
+    HttpServer::open_within(address.0, bounds, door).map_err(|source| StartupError::Bind {
         setting: "listen",
         address,
         source,
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -44,6 +44,12 @@
     /// Which members must acknowledge a change before its operator is informed that it is accepted: the `majority` of
     /// the members, or all `holders` of leases.
     pub quorum: Quorum,
+    /// Memory that the process may use, in bytes. What operators and peers can make it hold is bounded by it.
+    #[setting(default = 1_000_000_000, validate = validate_range(48_000_000, 1_000_000_000_000))]
+    pub memory_bytes: u64,
+    /// Descriptors that the process may have open, which bound its connections.
+    #[setting(default = 3_900, validate = validate_range(128, 1_000_000))]
+    pub descriptors: u64,
     /// The length of the windows in which tenants' quotas are enforced, in milliseconds.
     #[setting(default = 8000, validate = validate_range(1000, 600_000))]
     pub quota_window_ms: u64,
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::control_client::{ControlClient, PendingResponses};
 use crate::admin::handler::RequestHandler;
+use crate::budget::ControllerDoors;
 use crate::consensus::disk_thread::DiskThread;
 use crate::controller::{ControllerInput, ControllerTiming};
 use crate::discovery::diskless_daemon::run_diskless;
@@ -17,8 +18,8 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use transport::{HttpServer, MessageTransport};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use transport::{BudgetDoor, HttpServer, MessageTransport, ResourceBudget};
 use types::ResultCode;
 
 /// The exit code of a controller that was stopped by a signal.
@@ -51,10 +52,11 @@
 
 fn run_with_disk(settings: &Settings, dialects: Dialects) -> Result<(), StartupError> {
     let endpoints = read_endpoints(settings)?;
-    let listeners = bind(&endpoints)?;
+    let doors = ControllerDoors::new(settings);
+    let listeners = bind(&endpoints, &doors)?;
     let (sender, events) = flume::bounded::<ControlEvent>(QUEUE_CAPACITY);
     let disk_thread = open_disk(settings, &sender)?;
-    let post = open_transport(&endpoints, listeners.inner, &sender)?;
+    let post = open_transport(&endpoints, listeners.inner, doors.peers, &sender)?;
     let stop_signal = stop_flag()?;
     let shared = SharedState {
         responses: PendingResponses::default(),
@@ -62,7 +64,7 @@
         metrics: Arc::new(Metrics::default()),
     };
     let read_seeds = dialects.seeds.clone();
-    let handler = request_handler(settings, dialects, &shared, &sender);
+    let handler = request_handler(settings, dialects, &shared, &sender, doors.budget);
     spawn_handler(listeners.operators, handler)?;
     let (listen, inner) = (endpoints.listen, endpoints.inner);
     tracing::info!(%listen, %inner, zone = settings.zone, "controller: started");
@@ -82,10 +84,10 @@
     })
 }
 
-fn bind(endpoints: &Endpoints) -> Result<Listeners, StartupError> {
+fn bind(endpoints: &Endpoints, doors: &ControllerDoors) -> Result<Listeners, StartupError> {
     Ok(Listeners {
         inner: bind_inner(endpoints.inner)?,
-        operators: bind_operators(endpoints.listen)?,
+        operators: bind_operators(endpoints.listen, doors.operators.clone())?,
     })
 }
 
@@ -110,6 +112,7 @@
 fn open_transport(
     endpoints: &Endpoints,
     listener: TcpListener,
+    door: BudgetDoor,
     sender: &flume::Sender<ControlEvent>,
 ) -> Result<MessageTransport, StartupError> {
     let sender = sender.clone();
@@ -117,7 +120,7 @@
         let input = ControllerInput::Message { from, message };
         let _ = sender.send(ControlEvent::Input(input));
     };
-    MessageTransport::open(listener, receive).map_err(|source| StartupError::Bind {
+    MessageTransport::open_within(listener, door, receive).map_err(|source| StartupError::Bind {
         setting: "inner",
         address: endpoints.inner,
         source,
@@ -129,6 +132,7 @@
     dialects: Dialects,
     shared: &SharedState,
     sender: &flume::Sender<ControlEvent>,
+    budget: ResourceBudget,
 ) -> RequestHandler {
     let input_sender = sender.clone();
     let send_input = move |input| {
@@ -145,6 +149,8 @@
         sender: sender.clone(),
         is_ready: shared.is_ready.clone(),
         metrics: shared.metrics.clone(),
+        budget,
+        longest_answer: AtomicUsize::new(0),
     }
 }
 
