--- a/crates/controller/src/budget.rs
+++ b/crates/controller/src/budget.rs
@@ -1,8 +1,8 @@
-//! The controller's budget: what its doors may use, and what is kept for each.
+//! The controller's budget: what its listeners may use, and what is kept for each.
 
 use crate::settings::Settings;
-use resource_budget::{BudgetLimits, DoorId, DoorPolicy};
-use transport::{BudgetDoor, ResourceBudget};
+use resource_budget::{BudgetLimits, ListenerId, ListenerPolicy};
+use transport::{ListenerBudget, ResourceBudget};
 
 /// Operators' connections that are served at once.
 const MAX_OPERATORS: usize = 128;
@@ -15,39 +15,39 @@
 /// One part in so many of the memory is kept for messages of peers.
 const PEERS_MEMORY_PART: u64 = 4;
 
-/// The doors of a controller.
-pub(crate) struct ControllerDoors {
-    pub budget: ResourceBudget,
+/// The listeners of a controller.
+pub(crate) struct ControllerBudget {
+    pub total: ResourceBudget,
     /// For operators and probes.
-    pub operators: BudgetDoor,
+    pub operators: ListenerBudget,
     /// For other processes of the fleet.
-    pub peers: BudgetDoor,
+    pub peers: ListenerBudget,
 }
 
-impl ControllerDoors {
-    /// The doors of a controller with the memory and the descriptors of its settings.
-    pub(crate) fn new(settings: &Settings) -> ControllerDoors {
+impl ControllerBudget {
+    /// The listeners of a controller with the memory and the descriptors of its settings.
+    pub(crate) fn new(settings: &Settings) -> ControllerBudget {
         let limits =
             BudgetLimits::for_process(settings.memory_bytes, settings.descriptors as usize);
-        let doors = vec![
-            DoorPolicy {
+        let listeners = vec![
+            ListenerPolicy {
                 name: "operators",
                 max_connections: MAX_OPERATORS,
                 reserved_connections: limits.max_connections / OPERATORS_PART,
                 reserved_bytes: 0,
             },
-            DoorPolicy {
+            ListenerPolicy {
                 name: "peers",
                 max_connections: MAX_PEERS,
                 reserved_connections: limits.max_connections / PEERS_PART,
                 reserved_bytes: limits.content_bytes / PEERS_MEMORY_PART,
             },
         ];
-        let budget = ResourceBudget::new(limits, doors);
-        ControllerDoors {
-            operators: budget.door(DoorId(0)),
-            peers: budget.door(DoorId(1)),
-            budget,
+        let budget = ResourceBudget::new(limits, listeners);
+        ControllerBudget {
+            operators: budget.listener(ListenerId(0)),
+            peers: budget.listener(ListenerId(1)),
+            total: budget,
         }
     }
 }
--- a/crates/controller/src/discovery/diskless_daemon.rs
+++ b/crates/controller/src/discovery/diskless_daemon.rs
@@ -1,6 +1,6 @@
 //! The process of a controller without a disk: startup, event loop and redirects of operators.
 
-use crate::budget::ControllerDoors;
+use crate::budget::ControllerBudget;
 use crate::discovery::diskless_controller::{DisklessController, DisklessControllerInput};
 use crate::discovery::redirect::Redirector;
 use crate::error::StartupError;
@@ -13,7 +13,7 @@
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
-use transport::{BudgetDoor, MessageClass, MessageTransport};
+use transport::{ListenerBudget, MessageClass, MessageTransport};
 use types::{Address, Clock, Milliseconds, MonotonicInstant};
 
 /// Messages that may be queued for the control thread; further ones are dropped, and their senders repeat them.
@@ -30,13 +30,13 @@
     let inner = parse_address(&settings.inner)?;
     let listener = bind_inner(inner)?;
     let (sender, messages) = flume::bounded(QUEUE_CAPACITY);
-    let doors = ControllerDoors::new(settings);
-    let post = open_transport(inner, listener, doors.peers, sender)?;
+    let budget = ControllerBudget::new(settings);
+    let post = open_transport(inner, listener, budget.peers, sender)?;
     let stop_signal = stop_flag()?;
     let known_addresses = KnownAddresses::default();
     serve_operators(
         listen,
-        doors.operators,
+        budget.operators,
         settings,
         dialects,
         known_addresses.clone(),
@@ -58,16 +58,18 @@
 fn open_transport(
     inner: Address,
     listener: TcpListener,
-    door: BudgetDoor,
+    listener_budget: ListenerBudget,
     sender: flume::Sender<DisklessControllerInput>,
 ) -> Result<MessageTransport, StartupError> {
     let receive = move |from, message| {
         drop(sender.try_send(DisklessControllerInput::Message { from, message }));
     };
-    MessageTransport::open_within(listener, door, receive).map_err(|source| StartupError::Bind {
-        setting: "inner",
-        address: inner,
-        source,
+    MessageTransport::open_within(listener, listener_budget, receive).map_err(|source| {
+        StartupError::Bind {
+            setting: "inner",
+            address: inner,
+            source,
+        }
     })
 }
 
@@ -75,7 +77,7 @@
 /// settings.
 fn serve_operators(
     listen: Address,
-    door: BudgetDoor,
+    listener_budget: ListenerBudget,
     settings: &Settings,
     dialects: &Dialects,
     known_addresses: KnownAddresses,
@@ -98,7 +100,7 @@
         others.retain(|other| *other != listen);
         others
     };
-    let server = bind_operators(listen, door)?;
+    let server = bind_operators(listen, listener_budget)?;
     let redirector = Arc::new(Redirector::new(Arc::new(read_others)));
     let dialects = dialects.clone();
     spawn_http_server(server, move |request| {
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -9,7 +9,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use transport::{BudgetDoor, HttpServer, HttpServerBounds, Request, Response};
+use transport::{HttpServer, HttpServerBounds, ListenerBudget, Request, Response};
 use types::{Address, Milliseconds};
 
 /// The time between two readings of the settings' seeds.
@@ -99,7 +99,7 @@
 /// Binds the address at which operators are served.
 pub(crate) fn bind_operators(
     address: Address,
-    door: BudgetDoor,
+    listener_budget: ListenerBudget,
 ) -> Result<HttpServer, StartupError> {
     let bounds = HttpServerBounds {
         body_bytes: MAX_BODY_BYTES,
@@ -107,10 +107,12 @@
         arrival_check_period: Some(ARRIVAL_CHECK_PERIOD),
         ..HttpServerBounds::default()
     };
-    HttpServer::open_within(address.0, bounds, door).map_err(|source| StartupError::Bind {
-        setting: "listen",
-        address,
-        source,
+    HttpServer::open_within(address.0, bounds, listener_budget).map_err(|source| {
+        StartupError::Bind {
+            setting: "listen",
+            address,
+            source,
+        }
     })
 }
 
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -2,7 +2,7 @@
 
 use crate::admin::control_client::{ControlClient, PendingResponses};
 use crate::admin::handler::RequestHandler;
-use crate::budget::ControllerDoors;
+use crate::budget::ControllerBudget;
 use crate::consensus::disk_thread::DiskThread;
 use crate::controller::{ControllerInput, ControllerTiming};
 use crate::discovery::diskless_daemon::run_diskless;
@@ -19,7 +19,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use transport::{BudgetDoor, HttpServer, MessageTransport, ResourceBudget};
+use transport::{HttpServer, ListenerBudget, MessageTransport, ResourceBudget};
 use types::ResultCode;
 
 /// The exit code of a controller that was stopped by a signal.
@@ -52,11 +52,11 @@
 
 fn run_with_disk(settings: &Settings, dialects: Dialects) -> Result<(), StartupError> {
     let endpoints = read_endpoints(settings)?;
-    let doors = ControllerDoors::new(settings);
-    let listeners = bind(&endpoints, &doors)?;
+    let budget = ControllerBudget::new(settings);
+    let listeners = bind(&endpoints, &budget)?;
     let (sender, events) = flume::bounded::<ControlEvent>(QUEUE_CAPACITY);
     let disk_thread = open_disk(settings, &sender)?;
-    let post = open_transport(&endpoints, listeners.inner, doors.peers, &sender)?;
+    let post = open_transport(&endpoints, listeners.inner, budget.peers, &sender)?;
     let stop_signal = stop_flag()?;
     let shared = SharedState {
         responses: PendingResponses::default(),
@@ -64,7 +64,7 @@
         metrics: Arc::new(Metrics::default()),
     };
     let read_seeds = dialects.seeds.clone();
-    let handler = request_handler(settings, dialects, &shared, &sender, doors.budget);
+    let handler = request_handler(settings, dialects, &shared, &sender, budget.total);
     spawn_handler(listeners.operators, handler)?;
     let (listen, inner) = (endpoints.listen, endpoints.inner);
     tracing::info!(%listen, %inner, zone = settings.zone, "controller: started");
@@ -84,10 +84,10 @@
     })
 }
 
-fn bind(endpoints: &Endpoints, doors: &ControllerDoors) -> Result<Listeners, StartupError> {
+fn bind(endpoints: &Endpoints, budget: &ControllerBudget) -> Result<Listeners, StartupError> {
     Ok(Listeners {
         inner: bind_inner(endpoints.inner)?,
-        operators: bind_operators(endpoints.listen, doors.operators.clone())?,
+        operators: bind_operators(endpoints.listen, budget.operators.clone())?,
     })
 }
 
@@ -112,7 +112,7 @@
 fn open_transport(
     endpoints: &Endpoints,
     listener: TcpListener,
-    door: BudgetDoor,
+    listener_budget: ListenerBudget,
     sender: &flume::Sender<ControlEvent>,
 ) -> Result<MessageTransport, StartupError> {
     let sender = sender.clone();
@@ -120,10 +120,12 @@
         let input = ControllerInput::Message { from, message };
         let _ = sender.send(ControlEvent::Input(input));
     };
-    MessageTransport::open_within(listener, door, receive).map_err(|source| StartupError::Bind {
-        setting: "inner",
-        address: endpoints.inner,
-        source,
+    MessageTransport::open_within(listener, listener_budget, receive).map_err(|source| {
+        StartupError::Bind {
+            setting: "inner",
+            address: endpoints.inner,
+            source,
+        }
     })
 }
 
--- a/crates/resource_budget/src/ledger.rs
+++ b/crates/resource_budget/src/accounting.rs
@@ -1,6 +1,6 @@
 //! The books of a budget: who holds what, and who gives way to whom.
 
-use crate::policy::{BudgetLimits, DoorId, DoorPolicy, HOLD_GRACE, SMALL_REQUEST_BYTES};
+use crate::policy::{BudgetLimits, HOLD_GRACE, ListenerId, ListenerPolicy, SMALL_REQUEST_BYTES};
 use std::collections::BTreeMap;
 use types::MonotonicInstant;
 
@@ -55,7 +55,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Slot {
-    door: DoorId,
+    listener: ListenerId,
     phase: Phase,
     since: MonotonicInstant,
     bytes: u64,
@@ -130,7 +130,7 @@
 /// What a growth would make of the sums.
 #[derive(Debug, Clone, Copy)]
 struct Demand {
-    door: DoorId,
+    listener: ListenerId,
     bytes: u64,
     /// By how much the bytes of large requests grow.
     large_bytes: u64,
@@ -139,25 +139,25 @@
 /// The books of one process.
 ///
 /// Invariants: open connections, departing ones included, never exceed `max_connections`, nor bytes
-/// `content_bytes`, nor bytes of large requests `large_content_bytes`. What is reserved for a door is used by no other.
+/// `content_bytes`, nor bytes of large requests `large_content_bytes`. What is reserved for a listener is used by no other.
 /// Nobody who is being served is evicted, and no request that is younger than [`HOLD_GRACE`].
 #[derive(Debug)]
-pub struct Ledger {
+pub struct Accounting {
     limits: BudgetLimits,
-    doors: Vec<DoorPolicy>,
+    listeners: Vec<ListenerPolicy>,
     slots: BTreeMap<SlotId, Slot>,
-    by_door: Vec<Totals>,
+    by_listener: Vec<Totals>,
     all: Totals,
     next_id: u64,
 }
 
-impl Ledger {
-    /// Empty books. A [`DoorId`] is a place in `doors`.
-    pub fn new(limits: BudgetLimits, doors: Vec<DoorPolicy>) -> Ledger {
-        Ledger {
-            by_door: vec![Totals::default(); doors.len()],
+impl Accounting {
+    /// Empty books. A [`ListenerId`] is a place in `listeners`.
+    pub fn new(limits: BudgetLimits, listeners: Vec<ListenerPolicy>) -> Accounting {
+        Accounting {
+            by_listener: vec![Totals::default(); listeners.len()],
             limits,
-            doors,
+            listeners,
             slots: BTreeMap::new(),
             all: Totals::default(),
             next_id: 0,
@@ -174,19 +174,19 @@
         self.all.bytes
     }
 
-    /// The most bytes that one connection of a door can ever hold.
-    pub fn largest_holding(&self, door: DoorId) -> u64 {
-        let others = self.sum_of_others(door, |policy, _| policy.reserved_bytes);
+    /// The most bytes that one connection of a listener can ever hold.
+    pub fn largest_holding(&self, listener: ListenerId) -> u64 {
+        let others = self.sum_of_others(listener, |policy, _| policy.reserved_bytes);
         self.limits
             .large_content_bytes
             .min(self.limits.content_bytes.saturating_sub(others))
     }
 
     /// Enters a connection.
-    pub fn admit(&mut self, door: DoorId, now: MonotonicInstant) -> Admission {
+    pub fn admit(&mut self, listener: ListenerId, now: MonotonicInstant) -> Admission {
         let mut evicted = vec![];
-        if let Some(crowded) = self.crowded_doors(door) {
-            let is_candidate = |slot: &Slot| crowded.contains(&slot.door);
+        if let Some(full) = self.full_listeners(listener) {
+            let is_candidate = |slot: &Slot| full.contains(&slot.listener);
             let has_place = self.all.departing < self.limits.max_departing();
             let victim = self.victim(now, is_candidate).filter(|_| has_place);
             let Some(victim) = victim else {
@@ -200,7 +200,7 @@
         self.insert(
             slot,
             Slot {
-                door,
+                listener,
                 phase: Phase::Idle,
                 since: now,
                 bytes: 0,
@@ -222,11 +222,11 @@
             bytes: slot.bytes.saturating_add(bytes),
             ..slot
         };
-        if grown.bytes > self.largest_holding(slot.door) {
+        if grown.bytes > self.largest_holding(slot.listener) {
             return Growth::TooLarge;
         }
         let demand = Demand {
-            door: slot.door,
+            listener: slot.listener,
             bytes,
             large_bytes: grown.large_bytes() - slot.large_bytes(),
         };
@@ -265,44 +265,44 @@
     /// A connection was closed, and all that was held for it let go.
     pub fn release(&mut self, id: SlotId) {
         if let Some(slot) = self.slots.remove(&id) {
-            self.by_door[slot.door.0].remove(&slot);
+            self.by_listener[slot.listener.0].remove(&slot);
             self.all.remove(&slot);
         }
     }
 
-    /// The doors of which a connection must give way before one more comes at `door`; `None` if there is room.
-    fn crowded_doors(&self, door: DoorId) -> Option<Vec<DoorId>> {
-        if self.by_door[door.0].live >= self.doors[door.0].max_connections {
-            return Some(vec![door]);
+    /// The listeners of which a connection must give way before one more comes at `listener`; `None` if there is room.
+    fn full_listeners(&self, listener: ListenerId) -> Option<Vec<ListenerId>> {
+        if self.by_listener[listener.0].live >= self.listeners[listener.0].max_connections {
+            return Some(vec![listener]);
         }
-        let kept = self.sum_of_others(door, |policy, totals| {
+        let reserved = self.sum_of_others(listener, |policy, totals| {
             policy.reserved_connections.saturating_sub(totals.live) as u64
         });
-        let taken = (self.all.live as u64).saturating_add(kept);
+        let taken = (self.all.live as u64).saturating_add(reserved);
         if taken < self.limits.max_live() as u64 {
             return None;
         }
-        let is_above_reserve = |other: &DoorId| {
-            let reserved = self.doors[other.0].reserved_connections;
-            *other == door || self.by_door[other.0].live > reserved
+        let is_above_reserve = |other: &ListenerId| {
+            let reserved = self.listeners[other.0].reserved_connections;
+            *other == listener || self.by_listener[other.0].live > reserved
         };
         Some(
-            (0..self.doors.len())
-                .map(DoorId)
+            (0..self.listeners.len())
+                .map(ListenerId)
                 .filter(is_above_reserve)
                 .collect(),
         )
     }
 
-    /// Whether a demand can be met once `leaving` is gone.
-    fn fits(&self, demand: &Demand, leaving: &Totals) -> bool {
-        let kept = self.sum_of_others(demand.door, |policy, totals| {
+    /// Whether a demand can be met once `departing` are closed.
+    fn fits(&self, demand: &Demand, departing: &Totals) -> bool {
+        let reserved = self.sum_of_others(demand.listener, |policy, totals| {
             policy.reserved_bytes.saturating_sub(totals.bytes)
         });
-        let bytes = (self.all.bytes - leaving.departing_bytes)
+        let bytes = (self.all.bytes - departing.departing_bytes)
             .saturating_add(demand.bytes)
-            .saturating_add(kept);
-        let large = (self.all.large_bytes - leaving.departing_large_bytes)
+            .saturating_add(reserved);
+        let large = (self.all.large_bytes - departing.departing_large_bytes)
             .saturating_add(demand.large_bytes);
         bytes <= self.limits.content_bytes
             && (demand.large_bytes == 0 || large <= self.limits.large_content_bytes)
@@ -321,9 +321,9 @@
             );
             let own = self.slots.get(&id).map(|slot| slot.since);
             let is_candidate = |slot: &Slot| {
-                let reserved = self.doors[slot.door.0].reserved_bytes;
-                let is_above_reserve =
-                    slot.door == demand.door || self.by_door[slot.door.0].bytes > reserved;
+                let listener_reserve = self.listeners[slot.listener.0].reserved_bytes;
+                let is_above_reserve = slot.listener == demand.listener
+                    || self.by_listener[slot.listener.0].bytes > listener_reserve;
                 let is_helpful = slot.bytes > 0 && (!is_for_large_alone || slot.large_bytes() > 0);
                 is_above_reserve && is_helpful && Some(slot.since) <= own
             };
@@ -357,7 +357,7 @@
     }
 
     fn insert(&mut self, id: SlotId, slot: Slot) {
-        self.by_door[slot.door.0].add(&slot);
+        self.by_listener[slot.listener.0].add(&slot);
         self.all.add(&slot);
         self.slots.insert(id, slot);
     }
@@ -367,18 +367,22 @@
         let Some(slot) = self.slots.get_mut(&id) else {
             return;
         };
-        let by_door = &mut self.by_door[slot.door.0];
-        by_door.remove(slot);
+        let by_listener = &mut self.by_listener[slot.listener.0];
+        by_listener.remove(slot);
         self.all.remove(slot);
         change(slot);
-        by_door.add(slot);
+        by_listener.add(slot);
         self.all.add(slot);
     }
 
-    fn sum_of_others(&self, door: DoorId, of: impl Fn(&DoorPolicy, &Totals) -> u64) -> u64 {
-        let doors = self.doors.iter().zip(&self.by_door).enumerate();
-        doors
-            .filter(|(at, _)| *at != door.0)
+    fn sum_of_others(
+        &self,
+        listener: ListenerId,
+        of: impl Fn(&ListenerPolicy, &Totals) -> u64,
+    ) -> u64 {
+        let listeners = self.listeners.iter().zip(&self.by_listener).enumerate();
+        listeners
+            .filter(|(at, _)| *at != listener.0)
             .map(|(_, (policy, totals))| of(policy, totals))
             .fold(0, u64::saturating_add)
     }
--- a/crates/resource_budget/src/ledger/tests.rs
+++ b/crates/resource_budget/src/accounting/tests.rs
@@ -5,26 +5,27 @@
 use types::Milliseconds;
 use yare::parameterized;
 
-const INGRESS: DoorId = DoorId(0);
-const PROBES: DoorId = DoorId(1);
+const INGRESS: ListenerId = ListenerId(0);
+const PROBES: ListenerId = ListenerId(1);
 
 fn limits() -> BudgetLimits {
     BudgetLimits {
         max_connections: 16,
+        max_server_connections: usize::MAX,
         content_bytes: 4 << 20,
         large_content_bytes: 3 << 20,
     }
 }
 
-fn doors() -> Vec<DoorPolicy> {
+fn listeners() -> Vec<ListenerPolicy> {
     vec![
-        DoorPolicy {
+        ListenerPolicy {
             name: "ingress",
             max_connections: 16,
             reserved_connections: 0,
             reserved_bytes: 0,
         },
-        DoorPolicy {
+        ListenerPolicy {
             name: "probes",
             max_connections: 4,
             reserved_connections: 2,
@@ -37,17 +38,17 @@
     MonotonicInstant(ms)
 }
 
-fn admitted(ledger: &mut Ledger, door: DoorId, now: u64) -> SlotId {
-    match ledger.admit(door, at(now)) {
+fn admitted(accounting: &mut Accounting, listener: ListenerId, now: u64) -> SlotId {
+    match accounting.admit(listener, at(now)) {
         Admission::Granted { slot, .. } => slot,
         Admission::Refused => panic!("refused at {now}"),
     }
 }
 
-fn reading(ledger: &mut Ledger, bytes: u64, now: u64) -> SlotId {
-    let slot = admitted(ledger, INGRESS, now);
-    ledger.enter(slot, Phase::Reading, at(now));
-    assert_eq!(ledger.grow(slot, bytes, at(now)), Growth::Granted);
+fn reading(accounting: &mut Accounting, bytes: u64, now: u64) -> SlotId {
+    let slot = admitted(accounting, INGRESS, now);
+    accounting.enter(slot, Phase::Reading, at(now));
+    assert_eq!(accounting.grow(slot, bytes, at(now)), Growth::Granted);
     slot
 }
 
@@ -81,7 +82,7 @@
     ]
 }
 
-/// What is open, as a list: `(slot, door, phase, since, bytes, evicted)`.
+/// What is open, as a list: `(slot, listener, phase, since, bytes, evicted)`.
 #[derive(Debug, Default)]
 struct Model {
     open: Vec<Modelled>,
@@ -91,7 +92,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Modelled {
     id: SlotId,
-    door: DoorId,
+    listener: ListenerId,
     phase: Phase,
     since: u64,
     bytes: u64,
@@ -123,17 +124,17 @@
         }
     }
 
-    fn live(&self, door: DoorId) -> usize {
-        let is_live = |slot: &&Modelled| slot.door == door && !slot.is_evicted;
+    fn live(&self, listener: ListenerId) -> usize {
+        let is_live = |slot: &&Modelled| slot.listener == listener && !slot.is_evicted;
         self.open.iter().filter(is_live).count()
     }
 
-    fn bytes(&self, door: DoorId) -> u64 {
-        let at_door = self.open.iter().filter(|slot| slot.door == door);
-        at_door.map(|slot| slot.bytes).sum()
+    fn bytes(&self, listener: ListenerId) -> u64 {
+        let at_listener = self.open.iter().filter(|slot| slot.listener == listener);
+        at_listener.map(|slot| slot.bytes).sum()
     }
 
-    fn check(&self, ledger: &Ledger) {
+    fn check(&self, accounting: &Accounting) {
         let limits = limits();
         assert!(self.open.len() <= limits.max_connections, "connections");
         let bytes: u64 = self.open.iter().map(|slot| slot.bytes).sum();
@@ -149,31 +150,34 @@
             large <= limits.large_content_bytes,
             "{large} bytes of large ones"
         );
-        for (at, policy) in doors().iter().enumerate() {
+        for (at, policy) in listeners().iter().enumerate() {
             assert!(
-                self.live(DoorId(at)) <= policy.max_connections,
+                self.live(ListenerId(at)) <= policy.max_connections,
                 "{}",
                 policy.name
             );
         }
         // What is reserved for the probes is there for them.
-        let kept = 2usize.saturating_sub(self.live(PROBES));
-        assert!(self.live(INGRESS) + self.live(PROBES) + kept <= limits.max_live());
-        let kept_bytes = (64u64 << 10).saturating_sub(self.bytes(PROBES));
-        assert!(bytes + kept_bytes <= limits.content_bytes, "reserved bytes");
-        assert_eq!(ledger.connections(), self.open.len());
-        assert_eq!(ledger.bytes(), bytes);
+        let reserved = 2usize.saturating_sub(self.live(PROBES));
+        assert!(self.live(INGRESS) + self.live(PROBES) + reserved <= limits.max_live());
+        let reserved_bytes = (64u64 << 10).saturating_sub(self.bytes(PROBES));
+        assert!(
+            bytes + reserved_bytes <= limits.content_bytes,
+            "reserved bytes"
+        );
+        assert_eq!(accounting.connections(), self.open.len());
+        assert_eq!(accounting.bytes(), bytes);
     }
 
-    fn play(&mut self, ledger: &mut Ledger, step: &Step) {
+    fn play(&mut self, accounting: &mut Accounting, step: &Step) {
         let now = at(self.now);
         match *step {
-            Step::Admit(door) => self.admit(ledger, DoorId(door)),
+            Step::Admit(listener) => self.admit(accounting, ListenerId(listener)),
             Step::Grow(slot, bytes) => {
                 let Some(slot) = self.pick(slot).copied() else {
                     return;
                 };
-                let growth = ledger.grow(slot.id, bytes, now);
+                let growth = accounting.grow(slot.id, bytes, now);
                 if slot.is_evicted {
                     assert_eq!(growth, Growth::Evicted);
                 }
@@ -187,7 +191,7 @@
                         self.evict(&evicted);
                     }
                     Growth::TooLarge => {
-                        assert!(slot.bytes + bytes > ledger.largest_holding(slot.door));
+                        assert!(slot.bytes + bytes > accounting.largest_holding(slot.listener));
                     }
                     Growth::Evicted => assert!(slot.is_evicted),
                 }
@@ -195,34 +199,34 @@
             Step::ShrinkTo(slot, bytes) => {
                 if let Some(slot) = self.pick(slot) {
                     slot.bytes = slot.bytes.min(bytes);
-                    ledger.shrink_to(slot.id, bytes);
+                    accounting.shrink_to(slot.id, bytes);
                 }
             }
             Step::Enter(slot, phase) => {
                 let now = self.now;
                 if let Some(slot) = self.pick(slot) {
                     (slot.phase, slot.since) = (phase, now);
-                    ledger.enter(slot.id, phase, at(now));
+                    accounting.enter(slot.id, phase, at(now));
                 }
             }
             Step::Release(slot) => {
                 if let Some(id) = self.pick(slot).map(|slot| slot.id) {
                     self.open.retain(|slot| slot.id != id);
-                    ledger.release(id);
+                    accounting.release(id);
                 }
             }
             Step::Pass(ms) => self.now += ms,
         }
     }
 
-    fn admit(&mut self, ledger: &mut Ledger, door: DoorId) {
+    fn admit(&mut self, accounting: &mut Accounting, listener: ListenerId) {
         let departing = self.open.iter().filter(|slot| slot.is_evicted).count();
-        match ledger.admit(door, at(self.now)) {
+        match accounting.admit(listener, at(self.now)) {
             Admission::Granted { slot, evicted } => {
                 self.evict(&evicted);
                 self.open.push(Modelled {
                     id: slot,
-                    door,
+                    listener,
                     phase: Phase::Idle,
                     since: self.now,
                     bytes: 0,
@@ -231,7 +235,7 @@
             }
             Admission::Refused => {
                 let has_idle = |slot: &Modelled| {
-                    slot.door == door
+                    slot.listener == listener
                         && !slot.is_evicted
                         && matches!(slot.phase, Phase::Idle | Phase::Closing)
                 };
@@ -240,8 +244,11 @@
                     !(can_depart && self.open.iter().any(has_idle)),
                     "refused beside an idle one"
                 );
-                let reserved = doors()[door.0].reserved_connections;
-                assert!(self.live(door) >= reserved, "refused within its reserve");
+                let reserved = listeners()[listener.0].reserved_connections;
+                assert!(
+                    self.live(listener) >= reserved,
+                    "refused within its reserve"
+                );
             }
         }
     }
@@ -251,42 +258,42 @@
     #![proptest_config(ProptestConfig { cases: 2000, ..ProptestConfig::default() })]
 
     #[test]
-    fn whatever_comes_the_bounds_hold_and_the_books_agree_with_a_list(
+    fn whatever_comes_the_bounds_hold_and_the_sums_agree_with_a_list(
         steps in proptest::collection::vec(some_step(), 1..120)
     ) {
-        let mut ledger = Ledger::new(limits(), doors());
+        let mut accounting = Accounting::new(limits(), listeners());
         let mut model = Model::default();
         for step in &steps {
-            model.play(&mut ledger, step);
-            model.check(&ledger);
+            model.play(&mut accounting, step);
+            model.check(&accounting);
         }
     }
 
     /// Whoever is not being served is gone in the end, so that an ordinary request always finds room again.
     #[test]
-    fn behind_any_crowd_that_is_not_being_served_a_small_request_finds_room(
+    fn behind_any_flood_that_is_not_being_served_a_small_request_finds_room(
         steps in proptest::collection::vec(some_step(), 1..120)
     ) {
-        let mut ledger = Ledger::new(limits(), doors());
+        let mut accounting = Accounting::new(limits(), listeners());
         let mut model = Model::default();
         let served = |step: &Step| matches!(step, Step::Enter(_, Phase::Serving));
         for step in steps.iter().filter(|step| !served(step)) {
-            model.play(&mut ledger, step);
+            model.play(&mut accounting, step);
         }
         let mut now = model.now + HOLD_GRACE.0;
-        let release = |ledger: &mut Ledger| {
+        let release = |accounting: &mut Accounting| {
             for slot in model.open.iter().map(|slot| slot.id).collect::<Vec<_>>() {
-                if ledger.is_evicted(slot) {
-                    ledger.release(slot);
+                if accounting.is_evicted(slot) {
+                    accounting.release(slot);
                 }
             }
         };
-        release(&mut ledger);
-        let slot = admitted(&mut ledger, INGRESS, now);
-        ledger.enter(slot, Phase::Reading, at(now));
+        release(&mut accounting);
+        let slot = admitted(&mut accounting, INGRESS, now);
+        accounting.enter(slot, Phase::Reading, at(now));
         let mut rounds = 0;
-        while ledger.grow(slot, 32 << 10, at(now)) != Growth::Granted {
-            release(&mut ledger);
+        while accounting.grow(slot, 32 << 10, at(now)) != Growth::Granted {
+            release(&mut accounting);
             now += 1;
             rounds += 1;
             prop_assert!(rounds < 200, "no room for a small request");
@@ -296,43 +303,45 @@
 
 #[test]
 fn one_request_of_the_largest_size_finds_room_in_calm() {
-    let mut ledger = Ledger::new(limits(), doors());
-    let largest = ledger.largest_holding(INGRESS);
+    let mut accounting = Accounting::new(limits(), listeners());
+    let largest = accounting.largest_holding(INGRESS);
     assert_eq!(largest, 3 << 20);
-    let slot = reading(&mut ledger, largest, 0);
-    assert_eq!(ledger.grow(slot, 1, at(0)), Growth::TooLarge);
+    let slot = reading(&mut accounting, largest, 0);
+    assert_eq!(accounting.grow(slot, 1, at(0)), Growth::TooLarge);
 }
 
 #[test]
-fn a_crowd_of_large_requests_leaves_room_for_small_ones() {
-    let mut ledger = Ledger::new(limits(), doors());
+fn a_flood_of_large_requests_takes_no_room_from_small_ones() {
+    let mut accounting = Accounting::new(limits(), listeners());
     for _ in 0..3 {
-        let slot = reading(&mut ledger, 1 << 20, 0);
-        ledger.enter(slot, Phase::Serving, at(0));
+        let slot = reading(&mut accounting, 1 << 20, 0);
+        accounting.enter(slot, Phase::Serving, at(0));
     }
-    let late = admitted(&mut ledger, INGRESS, 1);
+    let late = admitted(&mut accounting, INGRESS, 1);
     let none = Growth::Deferred { evicted: vec![] };
-    assert_eq!(ledger.grow(late, 200 << 10, at(5000)), none);
-    assert_eq!(ledger.grow(late, 100 << 10, at(5000)), Growth::Granted);
+    assert_eq!(accounting.grow(late, 200 << 10, at(5000)), none);
+    assert_eq!(accounting.grow(late, 100 << 10, at(5000)), Growth::Granted);
 }
 
 #[test]
 fn who_holds_a_place_too_long_gives_way_the_oldest_first() {
-    let mut ledger = Ledger::new(limits(), doors());
-    let holders: Vec<SlotId> = (0..3).map(|at| reading(&mut ledger, 1 << 20, at)).collect();
-    let late = admitted(&mut ledger, INGRESS, 900);
-    ledger.enter(late, Phase::Reading, at(900));
+    let mut accounting = Accounting::new(limits(), listeners());
+    let holders: Vec<SlotId> = (0..3)
+        .map(|at| reading(&mut accounting, 1 << 20, at))
+        .collect();
+    let late = admitted(&mut accounting, INGRESS, 900);
+    accounting.enter(late, Phase::Reading, at(900));
     let nobody = Growth::Deferred { evicted: vec![] };
-    assert_eq!(ledger.grow(late, 1 << 20, at(999)), nobody);
+    assert_eq!(accounting.grow(late, 1 << 20, at(999)), nobody);
     let oldest = Growth::Deferred {
         evicted: vec![holders[0]],
     };
-    assert_eq!(ledger.grow(late, 1 << 20, at(1500)), oldest);
+    assert_eq!(accounting.grow(late, 1 << 20, at(1500)), oldest);
     // The place is free once the other one has let go of it.
-    assert_eq!(ledger.grow(late, 1 << 20, at(1500)), nobody);
-    ledger.release(holders[0]);
-    assert_eq!(ledger.grow(late, 1 << 20, at(1500)), Growth::Granted);
-    assert!(!ledger.is_evicted(holders[1]));
+    assert_eq!(accounting.grow(late, 1 << 20, at(1500)), nobody);
+    accounting.release(holders[0]);
+    assert_eq!(accounting.grow(late, 1 << 20, at(1500)), Growth::Granted);
+    assert!(!accounting.is_evicted(holders[1]));
 }
 
 #[parameterized(
@@ -349,30 +358,30 @@
     age: u64,
     is_admitted: bool,
 ) {
-    let mut ledger = Ledger::new(limits(), doors());
+    let mut accounting = Accounting::new(limits(), listeners());
     for _ in 0..limits().max_live() - 2 {
-        let slot = admitted(&mut ledger, INGRESS, 0);
-        ledger.enter(slot, phase, at(0));
+        let slot = admitted(&mut accounting, INGRESS, 0);
+        accounting.enter(slot, phase, at(0));
     }
-    let admission = ledger.admit(INGRESS, at(age));
+    let admission = accounting.admit(INGRESS, at(age));
     assert_eq!(admission != Admission::Refused, is_admitted);
-    // The other door still has what is kept for it.
-    admitted(&mut ledger, PROBES, age);
-    admitted(&mut ledger, PROBES, age);
+    // The other listener still has what is reserved for it.
+    admitted(&mut accounting, PROBES, age);
+    admitted(&mut accounting, PROBES, age);
 }
 
 #[test]
-fn at_its_own_bound_a_door_evicts_its_own() {
-    let mut ledger = Ledger::new(limits(), doors());
-    let other = admitted(&mut ledger, INGRESS, 0);
+fn at_its_own_bound_a_listener_evicts_its_own() {
+    let mut accounting = Accounting::new(limits(), listeners());
+    let other = admitted(&mut accounting, INGRESS, 0);
     let probes: Vec<SlotId> = (1..5)
-        .map(|now| admitted(&mut ledger, PROBES, now))
+        .map(|now| admitted(&mut accounting, PROBES, now))
         .collect();
-    let Admission::Granted { evicted, .. } = ledger.admit(PROBES, at(5)) else {
+    let Admission::Granted { evicted, .. } = accounting.admit(PROBES, at(5)) else {
         panic!("refused");
     };
     assert_eq!(evicted, vec![probes[0]]);
-    assert!(!ledger.is_evicted(other));
+    assert!(!accounting.is_evicted(other));
 }
 
 #[parameterized(
@@ -384,19 +393,19 @@
 fn limits_follow_from_memory_and_descriptors(memory: u64, descriptors: usize, connections: usize) {
     let limits = BudgetLimits::for_process(memory, descriptors);
     assert_eq!(limits.max_connections, connections);
-    assert!(limits.max_connections * 2 <= descriptors);
+    assert!(limits.max_connections + limits.max_server_connections <= descriptors);
     assert!(limits.content_bytes <= memory);
 }
 
 #[test]
 fn a_request_whose_holder_has_departed_is_no_longer_counted() {
-    let mut ledger = Ledger::new(limits(), doors());
-    let slot = reading(&mut ledger, 1 << 20, 0);
-    ledger.shrink_to(slot, 5);
-    assert_eq!(ledger.bytes(), 5);
-    ledger.release(slot);
-    ledger.release(slot);
-    assert_eq!((ledger.bytes(), ledger.connections()), (0, 0));
-    assert_eq!(ledger.grow(slot, 1, at(0)), Growth::Evicted);
+    let mut accounting = Accounting::new(limits(), listeners());
+    let slot = reading(&mut accounting, 1 << 20, 0);
+    accounting.shrink_to(slot, 5);
+    assert_eq!(accounting.bytes(), 5);
+    accounting.release(slot);
+    accounting.release(slot);
+    assert_eq!((accounting.bytes(), accounting.connections()), (0, 0));
+    assert_eq!(accounting.grow(slot, 1, at(0)), Growth::Evicted);
     assert_eq!(HOLD_GRACE, Milliseconds(1000));
 }
--- a/crates/resource_budget/src/lib.rs
+++ b/crates/resource_budget/src/lib.rs
@@ -1,10 +1,10 @@
 //! One budget of connections and memory for all that peers of a process can make it hold.
 //!
-//! [`Ledger`] is a pure state machine: connections and the bytes held for them go in with the time, and who is
+//! [`Accounting`] is a pure state machine: connections and the bytes held for them go in with the time, and who is
 //! admitted, who is refused and who must give way comes out. It does no I/O and reads no clock.
 
-mod ledger;
+mod accounting;
 mod policy;
 
-pub use ledger::{Admission, Growth, Ledger, Phase, SlotId};
-pub use policy::{BudgetLimits, DoorId, DoorPolicy, HOLD_GRACE, SMALL_REQUEST_BYTES};
+pub use accounting::{Accounting, Admission, Growth, Phase, SlotId};
+pub use policy::{BudgetLimits, HOLD_GRACE, ListenerId, ListenerPolicy, SMALL_REQUEST_BYTES};
--- a/crates/resource_budget/src/policy.rs
+++ b/crates/resource_budget/src/policy.rs
@@ -1,4 +1,4 @@
-//! What a process may hold at most, and what of it is kept for each of its doors.
+//! What a process may hold at most, and what of it is kept for each of its listeners.
 
 use types::Milliseconds;
 
@@ -9,6 +9,8 @@
 
 /// Bytes that a connection costs without a request: its thread's stack and the buffers of both sides.
 const CONNECTION_BYTES: u64 = 48 << 10;
+/// Connections to servers for each connection of a client: idle ones are kept for later requests.
+const SERVER_CONNECTIONS_A_CONNECTION: usize = 2;
 /// Memory that is kept for the process's own state.
 const OWN_BYTES: u64 = 32 << 20;
 /// Descriptors that are kept for listeners, files, pipes and connections to the fleet's own processes, at least.
@@ -16,28 +18,30 @@
 /// One in so many connections may still be closing while others have taken their places.
 const DEPARTING_PART: usize = 8;
 
-/// One of the addresses at which a process takes connections: its place in the list of [`DoorPolicy`].
+/// One of the addresses at which a process takes connections: its place in the list of [`ListenerPolicy`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct DoorId(pub usize);
+pub struct ListenerId(pub usize);
 
-/// What one door may use, and what is kept for it.
+/// What one listener may use, and what is kept for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DoorPolicy {
+pub struct ListenerPolicy {
     /// The name in logs.
     pub name: &'static str,
     /// Connections at most.
     pub max_connections: usize,
-    /// Connections that no other door may use.
+    /// Connections that no other listener may use.
     pub reserved_connections: usize,
-    /// Bytes of requests that no other door may use.
+    /// Bytes of requests that no other listener may use.
     pub reserved_bytes: u64,
 }
 
-/// What all doors of a process may use together.
+/// What all listeners of a process may use together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BudgetLimits {
     /// Open connections, those that are closing included.
     pub max_connections: usize,
+    /// Connections that the process opens to servers on behalf of its clients, idle ones included.
+    pub max_server_connections: usize,
     /// Bytes held for requests and their answers.
     pub content_bytes: u64,
     /// Of these, bytes held for requests that are not small.
@@ -48,6 +52,7 @@
     /// No limits.
     pub const UNLIMITED: BudgetLimits = BudgetLimits {
         max_connections: usize::MAX,
+        max_server_connections: usize::MAX,
         content_bytes: u64::MAX,
         large_content_bytes: u64::MAX,
     };
@@ -66,6 +71,7 @@
         let by_memory = usize::try_from(connection_bytes / CONNECTION_BYTES).unwrap_or(usize::MAX);
         BudgetLimits {
             max_connections: by_descriptors.min(by_memory),
+            max_server_connections: by_descriptors.min(by_memory * SERVER_CONNECTIONS_A_CONNECTION),
             content_bytes,
             large_content_bytes: content_bytes / 4 * 3,
         }
--- a/crates/router/src/downstream/budget.rs
+++ b/crates/router/src/downstream/budget.rs
@@ -1,8 +1,8 @@
-//! The router's budget: what its doors may use, and what is kept for each.
+//! The router's budget: what its listeners may use, and what is kept for each.
 
 use crate::settings::Settings;
-use resource_budget::{BudgetLimits, DoorId, DoorPolicy};
-use transport::{BudgetDoor, ResourceBudget};
+use resource_budget::{BudgetLimits, ListenerId, ListenerPolicy};
+use transport::{ListenerBudget, ResourceBudget};
 
 /// Connections of the platform's probes.
 const MAX_PROBES: usize = 32;
@@ -17,26 +17,26 @@
 const MAX_OWN_PART: usize = 4;
 /// One part in so many of them is kept for probes.
 const PROBES_PART: usize = 64;
-/// Bytes of large requests that a door's reserve of connections comes with.
+/// Bytes of large requests that a listener's reserve of connections comes with.
 const RESERVED_BYTES_A_CONNECTION: u64 = 96 << 10;
 
-/// The doors of a router.
-pub(crate) struct RouterDoors {
-    pub budget: ResourceBudget,
+/// The listeners of a router.
+pub(crate) struct RouterBudget {
+    pub total: ResourceBudget,
     pub limits: BudgetLimits,
     /// For clients on the platform.
-    pub ingress: BudgetDoor,
+    pub ingress: ListenerBudget,
     /// For the platform's probes.
-    pub readiness: BudgetDoor,
+    pub readiness: ListenerBudget,
     /// For clients of the product's own interface, and for operators.
-    pub own: BudgetDoor,
+    pub own: ListenerBudget,
     /// For other processes of the fleet.
-    pub peers: BudgetDoor,
+    pub peers: ListenerBudget,
 }
 
-impl RouterDoors {
-    /// The doors of a router with the memory and the descriptors of its settings, with an ingress or without.
-    pub(crate) fn new(settings: &Settings, has_ingress: bool) -> RouterDoors {
+impl RouterBudget {
+    /// The listeners of a router with the memory and the descriptors of its settings, with an ingress or without.
+    pub(crate) fn new(settings: &Settings, has_ingress: bool) -> RouterBudget {
         let limits =
             BudgetLimits::for_process(settings.memory_bytes, settings.descriptors as usize);
         let requests = settings.requests as usize;
@@ -45,34 +45,34 @@
         } else {
             requests + 112
         };
-        let doors = vec![
-            door("ingress", requests * 2 + 64, &limits, None),
-            door("readiness", MAX_PROBES, &limits, Some(PROBES_PART)),
-            door("own", max_own, &limits, Some(OWN_PART)),
-            door("peers", MAX_PEERS, &limits, Some(PEERS_PART)),
+        let listeners = vec![
+            listener("ingress", requests * 2 + 64, &limits, None),
+            listener("readiness", MAX_PROBES, &limits, Some(PROBES_PART)),
+            listener("own", max_own, &limits, Some(OWN_PART)),
+            listener("peers", MAX_PEERS, &limits, Some(PEERS_PART)),
         ];
-        let budget = ResourceBudget::new(limits, doors);
-        let door = |at| budget.door(DoorId(at));
-        RouterDoors {
-            ingress: door(0),
-            readiness: door(1),
-            own: door(2),
-            peers: door(3),
+        let budget = ResourceBudget::new(limits, listeners);
+        let listener = |at| budget.listener(ListenerId(at));
+        RouterBudget {
+            ingress: listener(0),
+            readiness: listener(1),
+            own: listener(2),
+            peers: listener(3),
             limits,
-            budget: budget.clone(),
+            total: budget.clone(),
         }
     }
 }
 
-/// A door for which one part in `reserved_part` of the connections is kept.
-fn door(
+/// A listener for which one part in `reserved_part` of the connections is kept.
+fn listener(
     name: &'static str,
     max_connections: usize,
     limits: &BudgetLimits,
     reserved_part: Option<usize>,
-) -> DoorPolicy {
+) -> ListenerPolicy {
     let reserved_connections = reserved_part.map_or(0, |part| limits.max_connections / part);
-    DoorPolicy {
+    ListenerPolicy {
         name,
         max_connections,
         reserved_connections,
--- a/crates/router/src/downstream/ingress.rs
+++ b/crates/router/src/downstream/ingress.rs
@@ -1,7 +1,7 @@
 //! The door for clients of another dialect than the product's own.
 
 use crate::dialect::CallDialect;
-use crate::downstream::budget::RouterDoors;
+use crate::downstream::budget::RouterBudget;
 use crate::downstream::limits::{ConnectionLimits, MOST_TO_ONE_SERVER};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -14,7 +14,7 @@
 };
 use types::{Address, Clock, Milliseconds, ResultCode};
 
-/// Open doors: one for clients, one for the question whether this node is ready.
+/// Open budget: one for clients, one for the question whether this node is ready.
 pub(crate) struct Ingress {
     closers: Vec<HttpServerCloser>,
     open_count: Arc<AtomicUsize>,
@@ -33,12 +33,12 @@
 }
 
 impl Ingress {
-    /// Opens the doors.
+    /// Opens the budget.
     pub(crate) fn open(
         settings: &Settings,
         shared: Arc<Shared>,
         dialect: Arc<dyn CallDialect>,
-        doors: &RouterDoors,
+        budget: &RouterBudget,
     ) -> Result<Ingress, String> {
         let listen: Address = settings.ingress.parse()?;
         let probed: Address = settings.readiness.parse()?;
@@ -51,22 +51,21 @@
             header_bytes: 64 << 10,
             ..HttpServerBounds::default()
         };
-        let http_server = HttpServer::open_within(listen.0, bounds, doors.ingress.clone())
+        let http_server = HttpServer::open_within(listen.0, bounds, budget.ingress.clone())
             .map_err(|fault| format!("ingress = {listen}: {fault}"))?;
         let bounds = HttpServerBounds {
             connections: 32,
             body_bytes: 1 << 10,
             ..bounds
         };
-        let probe_gate = HttpServer::open_within(probed.0, bounds, doors.readiness.clone())
+        let probe_gate = HttpServer::open_within(probed.0, bounds, budget.readiness.clone())
             .map_err(|fault| format!("readiness = {probed}: {fault}"))?;
         let lines = ConnectionPool::new(ConnectionPoolBounds {
             max_per_address: MOST_TO_ONE_SERVER,
             max_idle_per_address: MOST_TO_ONE_SERVER / 2,
             idle_timeout: Milliseconds::seconds(20),
         });
-        // A request in hand needs one connection to a server at most.
-        lines.set_max_total(doors.limits.max_connections);
+        lines.set_max_total(budget.limits.max_server_connections);
         let limits = ConnectionLimits::new(http_server.limiter(), lines.clone());
         if shared.limits.set(Arc::new(limits)).is_err() {
             return Err("a node has one gate of clients".into());
--- a/crates/router/src/downstream/ingress/tests.rs
+++ b/crates/router/src/downstream/ingress/tests.rs
@@ -29,7 +29,7 @@
         &settings,
         shared.clone(),
         Arc::new(Plain),
-        &RouterDoors::new(&settings, true),
+        &RouterBudget::new(&settings, true),
     )
     .expect("open");
     (ingress, shared)
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -9,7 +9,7 @@
 use crate::discovery::endpoint_list::ReadRetryPolicy;
 use crate::discovery::list_reader;
 use crate::discovery::report_poller;
-use crate::downstream::budget::RouterDoors;
+use crate::downstream::budget::RouterBudget;
 use crate::downstream::client_api::{fetch, resume, run_request};
 use crate::downstream::ingress::Ingress;
 use crate::downstream::limits::SharedLimits;
@@ -93,7 +93,7 @@
             "seeds is empty: the inner address of at least one controller is needed".into(),
         );
     }
-    let doors = RouterDoors::new(settings, dialects.calls.is_some());
+    let budget = RouterBudget::new(settings, dialects.calls.is_some());
     let listener =
         TcpListener::bind(inner.0).map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let connections = settings.requests as usize + 112;
@@ -103,14 +103,14 @@
         read_timeout: Milliseconds::seconds(10),
         ..HttpServerBounds::default()
     };
-    let http_server = HttpServer::open_within(listen.0, bounds, doors.own.clone())
+    let http_server = HttpServer::open_within(listen.0, bounds, budget.own.clone())
         .map_err(|fault| format!("listen = {listen}: {fault}"))?;
     let (sender, events) = flume::bounded::<ControlEvent>(QUEUE);
     let take_message = sender.clone();
     let receive = move |from, message| {
         let _ = take_message.send(ControlEvent::Input(NodeInput::Message { from, message }));
     };
-    let post = MessageTransport::open_within(listener, doors.peers.clone(), receive)
+    let post = MessageTransport::open_within(listener, budget.peers.clone(), receive)
         .map_err(|fault| format!("inner = {inner}: {fault}"))?;
     let incarnation = new_life();
     let scheduler_rules = settings.scheduler_rules();
@@ -149,7 +149,7 @@
     let has_calls = dialects.calls.is_some();
     let (ingress, list) = match dialects.calls {
         Some(dialect) => {
-            let ingress = Ingress::open(settings, shared.clone(), dialect.clone(), &doors)?;
+            let ingress = Ingress::open(settings, shared.clone(), dialect.clone(), &budget)?;
             node = node.with_endpoint_list(settings.endpoint_list_timing());
             let (platform, control) = (settings.platform.parse()?, sender.clone());
             let tell =
@@ -175,7 +175,7 @@
         decisions: DecisionLog::new(settings.journal_lines as usize),
         events: DecisionLog::new(settings.journal_lines as usize),
         head: serde_json::to_string(&head).expect("a head is JSON"),
-        budget: doors.budget.clone(),
+        budget: budget.total.clone(),
     });
     let (closer, open_count) = (http_server.closer(), http_server.open_count());
     let gate_door = door.clone();
--- a/crates/transport/src/connection_pool/tests.rs
+++ b/crates/transport/src/connection_pool/tests.rs
@@ -125,10 +125,10 @@
     let sizes = (1..=128).map(|count| count * (128 << 10));
     sizes
         .chain([64 << 20])
-        .all(|size| keeps_only_if_written(mutant, size))
+        .all(|size| is_only_reused_if_written(mutant, size))
 }
 
-fn keeps_only_if_written(mutant: Option<Mutant>, size: usize) -> bool {
+fn is_only_reused_if_written(mutant: Option<Mutant>, size: usize) -> bool {
     let (pool, (end, wait)) = (open_pool(mutant), mpsc::channel::<()>());
     let to = server(move |_, mut stream| {
         let _ = stream.read(&mut [0; 16]);
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -23,7 +23,7 @@
 use self::arrival::ArrivalTracker;
 use self::connection::serve_connection;
 use self::state::ServerState;
-use crate::resource_budget::BudgetDoor;
+use crate::resource_budget::ListenerBudget;
 use crate::socket::wait_for_connection;
 use rustix::net::sockopt;
 use std::io;
@@ -51,7 +51,7 @@
     is_closed: Arc<AtomicBool>,
     state: Arc<ServerState>,
     open_count: Arc<AtomicUsize>,
-    door: BudgetDoor,
+    listener_budget: ListenerBudget,
 }
 
 impl HttpServer {
@@ -62,7 +62,11 @@
     ///
     /// If the address can't be bound, or no descriptors are left for the notification of changed limits.
     pub fn open(address: SocketAddr, bounds: HttpServerBounds) -> io::Result<Self> {
-        Self::open_within(address, bounds, BudgetDoor::unlimited(bounds.connections))
+        Self::open_within(
+            address,
+            bounds,
+            ListenerBudget::unlimited(bounds.connections),
+        )
     }
 
     /// The same for a server whose connections, and what is held for them, are part of the process's budget.
@@ -73,7 +77,7 @@
     pub fn open_within(
         address: SocketAddr,
         bounds: HttpServerBounds,
-        door: BudgetDoor,
+        listener_budget: ListenerBudget,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         // Connections inherit it. Without it the server works too, and the kernel holds more.
@@ -82,7 +86,7 @@
             opened_at: Clock::now(),
             listener,
             state: Arc::new(ServerState::new(bounds.limits())?),
-            door,
+            listener_budget,
             bounds,
             is_closed: Arc::default(),
             open_count: Arc::default(),
@@ -152,7 +156,7 @@
     where
         H: Fn(Request) -> Response + Send + Clone + 'static,
     {
-        let Some(slot) = self.door.admit() else {
+        let Some(slot) = self.listener_budget.admit() else {
             return;
         };
         let counted = CountedConnection::new(&self.open_count);
--- a/crates/transport/src/http_server/body_buffer.rs
+++ b/crates/transport/src/http_server/body_buffer.rs
@@ -53,7 +53,7 @@
             self.reserved += STEP_BYTES;
         }
         if self.mapping.is_none() && length > MAX_HEAP_BYTES {
-            self.move_to_mapping()?;
+            self.move_to_mapping(socket)?;
         }
         match &mut self.mapping {
             Some(mapping) => mapping[self.length..length].copy_from_slice(bytes),
@@ -63,8 +63,10 @@
         Ok(())
     }
 
-    fn move_to_mapping(&mut self) -> Result<(), NoRoom> {
-        let mut mapping = MmapMut::map_anon(self.max_bytes).map_err(|_| NoRoom::Busy)?;
+    fn move_to_mapping(&mut self, socket: &Socket) -> Result<(), NoRoom> {
+        // More than this is never reserved, so never stored.
+        let size = self.max_bytes.min(socket.largest_holding());
+        let mut mapping = MmapMut::map_anon(size).map_err(|_| NoRoom::Busy)?;
         mapping[..self.length].copy_from_slice(&self.heap);
         self.heap = Vec::new();
         self.mapping = Some(mapping);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,5 +25,5 @@
     HttpServerLimits, Request, RequestLimits, Response,
 };
 pub use message_transport::{MessageClass, MessageTransport, PeerTraffic};
-pub use resource_budget::{BudgetDoor, BudgetUsage, NoRoom, ResourceBudget};
+pub use resource_budget::{BudgetUsage, ListenerBudget, NoRoom, ResourceBudget};
 pub use socket::ClientConnection;
--- a/crates/transport/src/message_transport.rs
+++ b/crates/transport/src/message_transport.rs
@@ -8,7 +8,7 @@
 
 use self::inbound::MAX_INBOUND_CONNECTIONS;
 use self::outbound::Outbox;
-use crate::resource_budget::BudgetDoor;
+use crate::resource_budget::ListenerBudget;
 use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, UdpSocket};
@@ -85,7 +85,7 @@
     ) -> io::Result<MessageTransport> {
         Self::open_within(
             listener,
-            BudgetDoor::unlimited(MAX_INBOUND_CONNECTIONS),
+            ListenerBudget::unlimited(MAX_INBOUND_CONNECTIONS),
             inbox,
         )
     }
@@ -97,7 +97,7 @@
     /// See [`MessageTransport::open`].
     pub fn open_within(
         listener: TcpListener,
-        door: BudgetDoor,
+        listener_budget: ListenerBudget,
         inbox: impl Fn(Address, Message) + Send + Sync + Clone + 'static,
     ) -> io::Result<MessageTransport> {
         let local_address = Address(listener.local_addr()?);
@@ -106,7 +106,7 @@
         let datagrams = inbound_datagrams.try_clone()?;
         datagrams.set_write_timeout(Some(DATAGRAM_WRITE_TIMEOUT))?;
         inbound::spawn_datagram_receiver(inbound_datagrams, inbox.clone())?;
-        inbound::spawn_listener(listener, door, inbox)?;
+        inbound::spawn_listener(listener, listener_budget, inbox)?;
         Ok(MessageTransport {
             local_address,
             datagrams,
--- a/crates/transport/src/message_transport/inbound.rs
+++ b/crates/transport/src/message_transport/inbound.rs
@@ -1,7 +1,7 @@
 //! Receiving messages: datagrams, and a thread for each connection that peers open.
 
 use super::CONNECTION_STACK_BYTES;
-use crate::resource_budget::{BudgetDoor, ConnectionSlot, Interrupt, NoRoom};
+use crate::resource_budget::{ConnectionSlot, Interrupt, ListenerBudget, NoRoom};
 use ::resource_budget::Phase;
 use rustix::net::sockopt;
 use std::io;
@@ -41,12 +41,12 @@
     }
 
     /// Holds further bytes of a message, of which `held` are held, and what is made of them.
-    fn hold(&self, held: &mut usize, bytes: usize) -> io::Result<()> {
-        if *held == 0 {
+    fn reserve(&self, received: &mut usize, bytes: usize) -> io::Result<()> {
+        if *received == 0 {
             self.slot.enter(Phase::Reading);
         }
-        *held += bytes;
-        if *held <= FREE_MESSAGE_BYTES {
+        *received += bytes;
+        if *received <= FREE_MESSAGE_BYTES {
             return Ok(());
         }
         let no_room = |error: NoRoom| io::Error::new(io::ErrorKind::OutOfMemory, error);
@@ -55,7 +55,7 @@
     }
 
     /// The message was handed on.
-    fn let_go(&self) {
+    fn release_message(&self) {
         self.slot.shrink_to(0);
         self.slot.enter(Phase::Idle);
     }
@@ -90,7 +90,7 @@
 
 pub(super) fn spawn_listener(
     listener: TcpListener,
-    door: BudgetDoor,
+    listener_budget: ListenerBudget,
     inbox: impl Fn(Address, Message) + Send + Clone + 'static,
 ) -> io::Result<()> {
     // Connections inherit it. Without it they work too, and the kernel holds more.
@@ -103,7 +103,7 @@
                     std::thread::sleep(ACCEPT_RETRY_DELAY);
                     continue;
                 };
-                if let Some(slot) = door.admit() {
+                if let Some(slot) = listener_budget.admit() {
                     spawn_receiver(InboundConnection::accept(stream, slot), inbox.clone());
                 }
             }
@@ -129,11 +129,13 @@
     let _ = connection.stream.set_read_timeout(Some(IDLE_READ_TIMEOUT));
     let mut reader = io::BufReader::new(&connection.stream);
     loop {
-        let mut held = 0;
-        match open_within(&mut reader, &mut |bytes| connection.hold(&mut held, bytes)) {
+        let mut received = 0;
+        match open_within(&mut reader, &mut |bytes| {
+            connection.reserve(&mut received, bytes)
+        }) {
             Ok((sender, message)) => {
                 inbox(sender, message);
-                connection.let_go();
+                connection.release_message();
             }
             Err(SealError::Io(_)) => return,
             Err(error) => {
--- a/crates/transport/src/resource_budget.rs
+++ b/crates/transport/src/resource_budget.rs
@@ -1,6 +1,6 @@
 //! The budget of a process as its threads share it: who may open a connection, and how much may be held for it.
 //!
-//! The decisions are made by [`Ledger`]. Here is what they need of the process: one lock, the clock, a
+//! The decisions are made by [`Accounting`]. Here is what they need of the process: one lock, the clock, a
 //! way to interrupt whoever must give way, and a wait for what others release.
 
 mod refusals;
@@ -9,7 +9,7 @@
 
 use self::refusals::{Refusal, RefusalLog};
 use ::resource_budget::{
-    Admission, BudgetLimits, DoorId, DoorPolicy, Growth, Ledger, Phase, SlotId,
+    Accounting, Admission, BudgetLimits, Growth, ListenerId, ListenerPolicy, Phase, SlotId,
 };
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -53,10 +53,12 @@
 }
 
 struct BudgetState {
-    ledger: Ledger,
+    accounting: Accounting,
     holders: HashMap<SlotId, Holder>,
     refusals: RefusalLog,
-    doors: Vec<DoorPolicy>,
+    /// Threads that wait for what others release.
+    waiting: usize,
+    listeners: Vec<ListenerPolicy>,
 }
 
 /// How to reach the thread of a connection.
@@ -69,31 +71,32 @@
 type Interrupted = Vec<(Phase, Weak<dyn Interrupt>)>;
 
 impl ResourceBudget {
-    /// A budget for these doors; a [`DoorId`] is a place among them.
-    pub fn new(limits: BudgetLimits, doors: Vec<DoorPolicy>) -> ResourceBudget {
+    /// A budget for these listeners; a [`ListenerId`] is a place among them.
+    pub fn new(limits: BudgetLimits, listeners: Vec<ListenerPolicy>) -> ResourceBudget {
         ResourceBudget(Arc::new(SharedBudget {
             state: Mutex::new(BudgetState {
-                ledger: Ledger::new(limits, doors.clone()),
+                accounting: Accounting::new(limits, listeners.clone()),
                 holders: HashMap::new(),
                 refusals: RefusalLog::default(),
-                doors,
+                waiting: 0,
+                listeners,
             }),
             released: Condvar::new(),
         }))
     }
 
-    /// Returns the part of the budget that belongs to a door.
-    pub fn door(&self, door: DoorId) -> BudgetDoor {
-        BudgetDoor {
+    /// Returns the part of the budget that belongs to a listener.
+    pub fn listener(&self, listener: ListenerId) -> ListenerBudget {
+        ListenerBudget {
             shared: self.0.clone(),
-            door,
+            listener,
         }
     }
 
     /// Returns what is held now and what was refused so far.
     pub fn usage(&self) -> BudgetUsage {
         let state = self.0.state();
-        state.refusals.usage(&state.ledger)
+        state.refusals.usage(&state.accounting)
     }
 }
 
@@ -105,10 +108,18 @@
 
     fn release(&self, slot: SlotId) {
         let mut state = self.state();
-        state.ledger.release(slot);
+        state.accounting.release(slot);
         state.holders.remove(&slot);
+        self.notify_waiting(state);
+    }
+
+    /// Wakes those that wait for what was released, if there are any.
+    fn notify_waiting(&self, state: MutexGuard<'_, BudgetState>) {
+        let is_awaited = state.waiting > 0;
         drop(state);
-        self.released.notify_all();
+        if is_awaited {
+            self.released.notify_all();
+        }
     }
 }
 
@@ -117,7 +128,7 @@
     fn evict(&mut self, evicted: &[SlotId]) -> Interrupted {
         let mut interrupted = vec![];
         for slot in evicted {
-            let phase = self.ledger.phase(*slot).unwrap_or(Phase::Closing);
+            let phase = self.accounting.phase(*slot).unwrap_or(Phase::Closing);
             if let Some(holder) = self.holders.get(slot) {
                 holder.is_evicted.store(true, Ordering::SeqCst);
                 let connection = holder.connection.clone();
@@ -136,31 +147,31 @@
     }
 }
 
-/// The part of a budget that belongs to one door.
+/// The part of a budget that belongs to one listener.
 #[derive(Clone)]
-pub struct BudgetDoor {
+pub struct ListenerBudget {
     shared: Arc<SharedBudget>,
-    door: DoorId,
+    listener: ListenerId,
 }
 
-impl BudgetDoor {
-    /// A door of its own budget, bounded by its number of connections alone.
-    pub(crate) fn unlimited(max_connections: usize) -> BudgetDoor {
-        let door = DoorPolicy {
+impl ListenerBudget {
+    /// A listener of its own budget, bounded by its number of connections alone.
+    pub(crate) fn unlimited(max_connections: usize) -> ListenerBudget {
+        let listener = ListenerPolicy {
             name: "http",
             max_connections,
             reserved_connections: 0,
             reserved_bytes: 0,
         };
-        ResourceBudget::new(BudgetLimits::UNLIMITED, vec![door]).door(DoorId(0))
+        ResourceBudget::new(BudgetLimits::UNLIMITED, vec![listener]).listener(ListenerId(0))
     }
 
     /// Returns a place for one more connection; `None` if there is none and nobody can give way.
     pub(crate) fn admit(&self) -> Option<ConnectionSlot> {
         let now = Clock::now();
         let mut state = self.shared.state();
-        let name = state.doors[self.door.0].name;
-        match state.ledger.admit(self.door, now) {
+        let name = state.listeners[self.listener.0].name;
+        match state.accounting.admit(self.listener, now) {
             Admission::Granted { slot, evicted } => {
                 let is_evicted = Arc::<AtomicBool>::default();
                 let holder = Holder {
@@ -178,7 +189,7 @@
                 interrupt(interrupted);
                 Some(ConnectionSlot {
                     shared: self.shared.clone(),
-                    door: self.door,
+                    listener: self.listener,
                     slot,
                     is_evicted,
                 })
@@ -189,17 +200,12 @@
             }
         }
     }
-
-    /// Returns the most bytes that one connection of the door can ever hold.
-    pub fn largest_holding(&self) -> u64 {
-        self.shared.state().ledger.largest_holding(self.door)
-    }
 }
 
 /// The place of one connection in a budget. Dropping it gives back all that was held.
 pub(crate) struct ConnectionSlot {
     shared: Arc<SharedBudget>,
-    door: DoorId,
+    listener: ListenerId,
     slot: SlotId,
     is_evicted: Arc<AtomicBool>,
 }
@@ -221,7 +227,7 @@
     /// The connection goes on to another phase.
     pub(crate) fn enter(&self, phase: Phase) {
         let now = Clock::now();
-        self.shared.state().ledger.enter(self.slot, phase, now);
+        self.shared.state().accounting.enter(self.slot, phase, now);
     }
 
     /// Holds more bytes for the connection. Waits for others to give way.
@@ -234,10 +240,10 @@
         let mut state = self.shared.state();
         loop {
             let now = Clock::now();
-            let error = match state.ledger.grow(self.slot, bytes, now) {
+            let error = match state.accounting.grow(self.slot, bytes, now) {
                 Growth::Granted => return Ok(()),
                 Growth::Deferred { evicted } if now < deadline => {
-                    let name = state.doors[self.door.0].name;
+                    let name = state.listeners[self.listener.0].name;
                     let interrupted = state.evict(&evicted);
                     if !evicted.is_empty() {
                         state
@@ -253,7 +259,7 @@
                 Growth::TooLarge => NoRoom::TooLarge,
                 Growth::Evicted => return Err(NoRoom::Evicted),
             };
-            let name = state.doors[self.door.0].name;
+            let name = state.listeners[self.listener.0].name;
             state.refusals.record(Refusal::Memory, name, 1, now);
             return Err(error);
         }
@@ -261,16 +267,26 @@
 
     fn wait_for_release<'a>(
         &self,
-        state: MutexGuard<'a, BudgetState>,
+        mut state: MutexGuard<'a, BudgetState>,
     ) -> MutexGuard<'a, BudgetState> {
+        state.waiting += 1;
         let waited = self.shared.released.wait_timeout(state, GRANT_RETRY_PERIOD);
-        waited.unwrap_or_else(PoisonError::into_inner).0
+        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        state.waiting -= 1;
+        state
     }
 
     /// Lets go of all bytes beyond these.
     pub(crate) fn shrink_to(&self, bytes: u64) {
-        self.shared.state().ledger.shrink_to(self.slot, bytes);
-        self.shared.released.notify_all();
+        let mut state = self.shared.state();
+        state.accounting.shrink_to(self.slot, bytes);
+        self.shared.notify_waiting(state);
+    }
+
+    /// Returns the most bytes that the connection can ever hold.
+    pub(crate) fn largest_holding(&self) -> u64 {
+        let state = self.shared.state();
+        state.accounting.largest_holding(self.listener)
     }
 }
 
--- a/crates/transport/src/resource_budget/refusals.rs
+++ b/crates/transport/src/resource_budget/refusals.rs
@@ -1,15 +1,15 @@
 //! What a budget has refused: counted each time, and logged at most once a second.
 
-use ::resource_budget::Ledger;
+use ::resource_budget::Accounting;
 use types::{Milliseconds, MonotonicInstant};
 
-/// Between two log lines about the same kind of refusal, at least. A crowd must not make the process write without end.
+/// Between two log lines about the same kind of refusal, at least. A flood must not make the process write without end.
 const LOG_PERIOD: Milliseconds = Milliseconds::seconds(1);
 
 /// What a budget holds and has refused since the process started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct BudgetUsage {
-    /// Open connections at all doors.
+    /// Open connections at all listeners.
     pub connections: u64,
     /// Bytes held for requests and answers.
     pub content_bytes: u64,
@@ -45,10 +45,10 @@
     fn record(&mut self, count: u64, now: MonotonicInstant) -> Option<u64> {
         self.total += count;
         self.unlogged += count;
-        let is_due = self
+        let may_log = self
             .logged_at
             .is_none_or(|logged_at| now.since(logged_at) >= LOG_PERIOD);
-        if !is_due {
+        if !may_log {
             return None;
         }
         self.logged_at = Some(now);
@@ -65,11 +65,11 @@
 }
 
 impl RefusalLog {
-    /// Counts refusals at a door, and logs them where it's time to.
+    /// Counts refusals at a listener, and logs them where it's time to.
     pub(super) fn record(
         &mut self,
         refusal: Refusal,
-        door: &'static str,
+        listener: &'static str,
         count: usize,
         now: MonotonicInstant,
     ) {
@@ -83,21 +83,25 @@
         };
         match refusal {
             Refusal::Connection => {
-                tracing::warn!(door, count, "budget: connections refused, no place is free");
+                tracing::warn!(
+                    listener,
+                    count,
+                    "budget: connections refused, no place is free"
+                );
             }
             Refusal::Evicted => {
-                tracing::warn!(door, count, "budget: connections closed to make room");
+                tracing::warn!(listener, count, "budget: connections closed to make room");
             }
             Refusal::Memory => {
-                tracing::warn!(door, count, "budget: refused, no memory is free");
+                tracing::warn!(listener, count, "budget: refused, no memory is free");
             }
         }
     }
 
-    pub(super) fn usage(&self, ledger: &Ledger) -> BudgetUsage {
+    pub(super) fn usage(&self, accounting: &Accounting) -> BudgetUsage {
         BudgetUsage {
-            connections: ledger.connections() as u64,
-            content_bytes: ledger.bytes(),
+            connections: accounting.connections() as u64,
+            content_bytes: accounting.bytes(),
             refused_connections: self.connections.total,
             evicted_connections: self.evicted.total,
             refused_memory: self.memory.total,
--- a/crates/transport/src/resource_budget/tests.rs
+++ b/crates/transport/src/resource_budget/tests.rs
@@ -8,16 +8,17 @@
 fn budget() -> ResourceBudget {
     let limits = BudgetLimits {
         max_connections: 4,
+        max_server_connections: usize::MAX,
         content_bytes: 1 << 20,
         large_content_bytes: 1 << 20,
     };
-    let door = DoorPolicy {
-        name: "door",
+    let listener = ListenerPolicy {
+        name: "listener",
         max_connections: 4,
         reserved_connections: 0,
         reserved_bytes: 0,
     };
-    ResourceBudget::new(limits, vec![door])
+    ResourceBudget::new(limits, vec![listener])
 }
 
 /// Tells the test when it's interrupted.
@@ -31,10 +32,10 @@
 
 #[test]
 fn who_waits_for_memory_gets_it_once_another_lets_go() {
-    let door = budget().door(DoorId(0));
+    let listener = budget().listener(ListenerId(0));
     let (holder, waiter) = (
-        door.admit().expect("a place"),
-        door.admit().expect("a place"),
+        listener.admit().expect("a place"),
+        listener.admit().expect("a place"),
     );
     holder.enter(Phase::Serving);
     holder.reserve(1 << 20).expect("room");
@@ -46,10 +47,10 @@
 #[test]
 fn an_old_request_is_interrupted_for_another_and_holds_nothing_more() {
     let budget = budget();
-    let door = budget.door(DoorId(0));
+    let listener = budget.listener(ListenerId(0));
     let (holder, waiter) = (
-        door.admit().expect("a place"),
-        door.admit().expect("a place"),
+        listener.admit().expect("a place"),
+        listener.admit().expect("a place"),
     );
     let (sender, receiver) = mpsc::channel();
     let interrupted: Arc<dyn Interrupt> = Arc::new(Interrupted(sender));
@@ -68,20 +69,20 @@
 }
 
 #[test]
-fn what_can_never_be_held_is_refused_at_once_and_counted() {
+fn what_can_never_fit_is_refused_at_once_and_counted() {
     let budget = budget();
-    let slot = budget.door(DoorId(0)).admit().expect("a place");
+    let slot = budget.listener(ListenerId(0)).admit().expect("a place");
     assert_eq!(slot.reserve(2 << 20), Err(NoRoom::TooLarge));
     assert_eq!(budget.usage().refused_memory, 1);
 }
 
 #[test]
-fn what_is_served_keeps_its_memory_and_the_other_one_is_refused() {
+fn what_is_served_retains_its_memory_and_the_other_one_is_refused() {
     let budget = budget();
-    let door = budget.door(DoorId(0));
+    let listener = budget.listener(ListenerId(0));
     let (holder, waiter) = (
-        door.admit().expect("a place"),
-        door.admit().expect("a place"),
+        listener.admit().expect("a place"),
+        listener.admit().expect("a place"),
     );
     holder.enter(Phase::Serving);
     holder.reserve(1 << 20).expect("room");
@@ -94,9 +95,9 @@
 #[test]
 fn the_place_of_a_dropped_connection_is_free() {
     let budget = budget();
-    let door = budget.door(DoorId(0));
+    let listener = budget.listener(ListenerId(0));
     for _ in 0..100 {
-        let slot = door.admit().expect("a place");
+        let slot = listener.admit().expect("a place");
         slot.reserve(1 << 20).expect("room");
     }
     let usage = budget.usage();
@@ -105,12 +106,12 @@
 }
 
 #[test]
-fn a_full_door_refuses_and_counts() {
+fn a_full_listener_refuses_and_counts() {
     let budget = budget();
-    let door = budget.door(DoorId(0));
-    let served: Vec<ConnectionSlot> = (0..3).filter_map(|_| door.admit()).collect();
+    let listener = budget.listener(ListenerId(0));
+    let served: Vec<ConnectionSlot> = (0..3).filter_map(|_| listener.admit()).collect();
     served.iter().for_each(|slot| slot.enter(Phase::Serving));
-    assert!(door.admit().is_none());
+    assert!(listener.admit().is_none());
     assert_eq!(budget.usage().refused_connections, 1);
 }
 
@@ -118,8 +119,8 @@
 fn refusals_are_all_counted_however_few_are_logged() {
     let mut log = RefusalLog::default();
     for now in 0..3000 {
-        log.record(Refusal::Memory, "door", 2, MonotonicInstant(now));
+        log.record(Refusal::Memory, "listener", 2, MonotonicInstant(now));
     }
-    let ledger = Ledger::new(BudgetLimits::UNLIMITED, vec![]);
-    assert_eq!(log.usage(&ledger).refused_memory, 6000);
+    let accounting = Accounting::new(BudgetLimits::UNLIMITED, vec![]);
+    assert_eq!(log.usage(&accounting).refused_memory, 6000);
 }
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -105,6 +105,15 @@
             .map_or(Ok(()), |slot| slot.reserve(bytes))
     }
 
+    /// Returns the most bytes that can ever be held for the connection.
+    pub(crate) fn largest_holding(&self) -> usize {
+        let largest = self
+            .slot
+            .as_ref()
+            .map_or(u64::MAX, ConnectionSlot::largest_holding);
+        usize::try_from(largest).unwrap_or(usize::MAX)
+    }
+
     /// Lets go of all bytes that are held for the connection.
     pub(crate) fn release_content(&self) {
         if let Some(slot) = &self.slot {
--- a/crates/transport/tests/http_server_budget.rs
+++ b/crates/transport/tests/http_server_budget.rs
@@ -1,6 +1,6 @@
 //! Servers whose connections are part of a process's budget: who is refused, and by which response.
 
-use resource_budget::{BudgetLimits, DoorId, DoorPolicy};
+use resource_budget::{BudgetLimits, ListenerId, ListenerPolicy};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::mpsc;
@@ -15,28 +15,30 @@
 fn budget(max_connections: usize, content_bytes: u64) -> ResourceBudget {
     let limits = BudgetLimits {
         max_connections,
+        max_server_connections: usize::MAX,
         content_bytes,
         large_content_bytes: content_bytes / 4 * 3,
     };
-    let door = DoorPolicy {
+    let listener = ListenerPolicy {
         name: "clients",
         max_connections,
         reserved_connections: 0,
         reserved_bytes: 0,
     };
-    ResourceBudget::new(limits, vec![door])
+    ResourceBudget::new(limits, vec![listener])
 }
 
 fn serve(
     budget: &ResourceBudget,
     handler: impl Fn(Request) -> Response + Send + Sync + Clone + 'static,
 ) -> Address {
-    let bounds = HttpServerBounds {
-        keep_alive: true,
-        ..HttpServerBounds::default()
-    };
-    let server = HttpServer::open_within(Address::loopback(0).0, bounds, budget.door(DoorId(0)))
-        .expect("a port");
+    let bounds = HttpServerBounds::default();
+    let server = HttpServer::open_within(
+        Address::loopback(0).0,
+        bounds,
+        budget.listener(ListenerId(0)),
+    )
+    .expect("a port");
     let address = server.address();
     std::thread::spawn(move || server.serve(handler));
     address
@@ -75,7 +77,7 @@
 }
 
 #[test]
-fn a_body_that_can_never_be_held_is_too_large() {
+fn a_body_that_can_never_fit_is_too_large() {
     let budget = budget(8, 1024 * KIB);
     let address = serve(&budget, length);
     let answer = exchange(address, &post(2 << 20, 2 << 20));
@@ -111,7 +113,7 @@
 }
 
 #[test]
-fn a_request_that_finds_no_memory_is_refused_and_told_when_to_come_back() {
+fn a_request_that_finds_no_memory_is_refused_with_a_time_to_come_back() {
     let budget = budget(8, 1024 * KIB);
     let (release, signal) = mpsc::channel::<()>();
     let signal = std::sync::Arc::new(std::sync::Mutex::new(signal));
@@ -152,10 +154,10 @@
 }
 
 #[test]
-fn beside_connections_that_say_nothing_a_caller_is_served() {
+fn beside_idle_connections_a_client_is_served() {
     let budget = budget(8, 1024 * KIB);
     let address = serve(&budget, length);
-    let silent: Vec<TcpStream> = (0..64).map(|_| connect(address)).collect();
+    let idle: Vec<TcpStream> = (0..64).map(|_| connect(address)).collect();
     // While those that give way are still closing, it may be closed unread itself, and comes again.
     let answers = std::iter::repeat_with(|| exchange(address, &post(3, 3)));
     let answer = answers.into_iter().find(|answer| !answer.is_empty());
@@ -163,7 +165,7 @@
     assert!(budget.usage().connections <= 8);
     assert!(budget.usage().evicted_connections > 0);
     // Those that gave way got no byte: nothing of theirs was read.
-    assert_eq!(rest(&silent[0]), "");
+    assert_eq!(rest(&idle[0]), "");
 }
 
 #[test]
--- a/crates/wire/src/sealing.rs
+++ b/crates/wire/src/sealing.rs
@@ -105,19 +105,19 @@
     open_within(reader, &mut |_| Ok(()))
 }
 
-/// The same; `may_hold` is asked before so many more bytes of the message are held, from its head on.
+/// The same; `reserve` is asked before so many more bytes of the message are held, from its head on.
 ///
 /// # Errors
 ///
-/// Those of [`open`], and the one that `may_hold` returns.
+/// Those of [`open`], and the one that `reserve` returns.
 pub fn open_within(
     reader: &mut impl Read,
-    may_hold: &mut dyn FnMut(usize) -> io::Result<()>,
+    reserve: &mut dyn FnMut(usize) -> io::Result<()>,
 ) -> Result<(Address, Message), SealError> {
     let mut bytes = [0; HEAD_BYTES];
     reader.read_exact(&mut bytes)?;
     let head = Head::decode(&bytes)?;
-    let body = read_body(reader, head.body_length, may_hold)?;
+    let body = read_body(reader, head.body_length, reserve)?;
     if crc32fast::hash(&body) != head.body_checksum {
         return Err(SealError::BodyChecksum);
     }
@@ -129,12 +129,12 @@
 fn read_body(
     reader: &mut impl Read,
     length: usize,
-    may_hold: &mut dyn FnMut(usize) -> io::Result<()>,
+    reserve: &mut dyn FnMut(usize) -> io::Result<()>,
 ) -> Result<AlignedVec<16>, SealError> {
     let mut body = AlignedVec::<16>::new();
     while body.len() < length {
         let start = body.len();
-        may_hold(READ_CHUNK_BYTES.min(length - start))?;
+        reserve(READ_CHUNK_BYTES.min(length - start))?;
         body.resize(start + READ_CHUNK_BYTES.min(length - start), 0);
         reader.read_exact(&mut body[start..])?;
     }
--- a/crates/wire/src/sealing/tests.rs
+++ b/crates/wire/src/sealing/tests.rs
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn a_body_is_held_only_as_far_as_it_may_be() {
+fn a_body_is_read_only_as_far_as_it_may_be() {
     let long = Message::PlanChunk {
         epoch: ConfigEpoch(3),
         offset: 0,
@@ -50,24 +50,24 @@
         bytes: vec![7; 1 << 20],
     };
     let sealed = seal(Address::loopback(7), &long).unwrap();
-    let mut held = 0;
-    let mut may_hold = |bytes: usize| {
-        held += bytes;
-        if held > 200 << 10 {
+    let mut reserved = 0;
+    let mut reserve = |bytes: usize| {
+        reserved += bytes;
+        if reserved > 200 << 10 {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         Ok(())
     };
-    let refused = open_within(&mut &sealed[..], &mut may_hold);
+    let refused = open_within(&mut &sealed[..], &mut reserve);
     assert!(matches!(refused, Err(SealError::Io(_))));
-    assert!(held <= (200 << 10) + READ_CHUNK_BYTES, "{held}");
-    // A message that may be held as a whole is asked for to its last byte.
-    held = 0;
-    let mut may_hold = |bytes: usize| {
-        held += bytes;
+    assert!(reserved <= (200 << 10) + READ_CHUNK_BYTES, "{reserved}");
+    // A message that may be reserved as a whole is asked for to its last byte.
+    reserved = 0;
+    let mut reserve = |bytes: usize| {
+        reserved += bytes;
         Ok(())
     };
-    let opened = open_within(&mut &sealed[..], &mut may_hold).unwrap();
+    let opened = open_within(&mut &sealed[..], &mut reserve).unwrap();
     assert_eq!(opened, (Address::loopback(7), long));
-    assert!(held >= 1 << 20, "{held}");
+    assert!(reserved >= 1 << 20, "{reserved}");
 }
