resource_budget: the decisions of the accounting stand in one place, with six mutants

Who may be evicted, what is reserved, how many may still be closing and what counts as large are a trait's methods, so that tests can replace each by a fault. Six mutants (evict who is served, who is young; retain who is idle; ignore a reserve; forget who departs; forget what is large), each detected by the random plays. An eviction is counted and logged in one place.

--- a/crates/resource_budget/src/accounting.rs
+++ b/crates/resource_budget/src/accounting.rs
@@ -1,6 +1,7 @@
 //! The books of a budget: who holds what, and who gives way to whom.
 
 use crate::policy::{BudgetLimits, HOLD_GRACE, ListenerId, ListenerPolicy, SMALL_REQUEST_BYTES};
+use crate::safety::{AccountingSafety, SafeAccounting};
 use std::collections::BTreeMap;
 use types::MonotonicInstant;
 
@@ -71,17 +72,6 @@
         }
     }
 
-    /// Whether it gives way to others now.
-    fn is_evictable(&self, now: MonotonicInstant) -> bool {
-        let is_old = now.since(self.since) >= HOLD_GRACE;
-        !self.is_evicted
-            && match self.phase {
-                Phase::Idle | Phase::Closing => true,
-                Phase::Reading | Phase::Stalled => is_old,
-                Phase::Serving => false,
-            }
-    }
-
     /// Who gives way first has the lowest rank; of equals the one that holds its place longest.
     fn eviction_rank(&self) -> u8 {
         match self.phase {
@@ -143,6 +133,7 @@
 /// Nobody who is being served is evicted, and no request that is younger than [`HOLD_GRACE`].
 #[derive(Debug)]
 pub struct Accounting {
+    safety: Box<dyn AccountingSafety>,
     limits: BudgetLimits,
     listeners: Vec<ListenerPolicy>,
     slots: BTreeMap<SlotId, Slot>,
@@ -154,7 +145,17 @@
 impl Accounting {
     /// Empty books. A [`ListenerId`] is a place in `listeners`.
     pub fn new(limits: BudgetLimits, listeners: Vec<ListenerPolicy>) -> Accounting {
+        Self::with_safety(limits, listeners, Box::new(SafeAccounting))
+    }
+
+    /// The same with these decisions, which tests replace by faulty ones.
+    fn with_safety(
+        limits: BudgetLimits,
+        listeners: Vec<ListenerPolicy>,
+        safety: Box<dyn AccountingSafety>,
+    ) -> Accounting {
         Accounting {
+            safety,
             by_listener: vec![Totals::default(); listeners.len()],
             limits,
             listeners,
@@ -176,7 +177,7 @@
 
     /// The most bytes that one connection of a listener can ever hold.
     pub fn largest_holding(&self, listener: ListenerId) -> u64 {
-        let others = self.sum_of_others(listener, |policy, _| policy.reserved_bytes);
+        let others = self.reserved_for_others(listener, |policy, _| policy.reserved_bytes);
         self.limits
             .large_content_bytes
             .min(self.limits.content_bytes.saturating_sub(others))
@@ -187,7 +188,7 @@
         let mut evicted = vec![];
         if let Some(full) = self.full_listeners(listener) {
             let is_candidate = |slot: &Slot| full.contains(&slot.listener);
-            let has_place = self.all.departing < self.limits.max_departing();
+            let has_place = self.all.departing < self.safety.max_departing(&self.limits);
             let victim = self.victim(now, is_candidate).filter(|_| has_place);
             let Some(victim) = victim else {
                 return Admission::Refused;
@@ -228,7 +229,9 @@
         let demand = Demand {
             listener: slot.listener,
             bytes,
-            large_bytes: grown.large_bytes() - slot.large_bytes(),
+            large_bytes: self
+                .safety
+                .large_growth(slot.large_bytes(), grown.large_bytes()),
         };
         if self.fits(&demand, &Totals::default()) {
             self.change(id, |slot| slot.bytes = grown.bytes);
@@ -275,7 +278,7 @@
         if self.by_listener[listener.0].live >= self.listeners[listener.0].max_connections {
             return Some(vec![listener]);
         }
-        let reserved = self.sum_of_others(listener, |policy, totals| {
+        let reserved = self.reserved_for_others(listener, |policy, totals| {
             policy.reserved_connections.saturating_sub(totals.live) as u64
         });
         let taken = (self.all.live as u64).saturating_add(reserved);
@@ -296,7 +299,7 @@
 
     /// Whether a demand can be met once `departing` are closed.
     fn fits(&self, demand: &Demand, departing: &Totals) -> bool {
-        let reserved = self.sum_of_others(demand.listener, |policy, totals| {
+        let reserved = self.reserved_for_others(demand.listener, |policy, totals| {
             policy.reserved_bytes.saturating_sub(totals.bytes)
         });
         let bytes = (self.all.bytes - departing.departing_bytes)
@@ -311,7 +314,9 @@
     /// Evicts until the demand can be met once all that depart have gone, or nobody else can give way.
     fn make_room(&mut self, id: SlotId, demand: &Demand, now: MonotonicInstant) -> Vec<SlotId> {
         let mut evicted = vec![];
-        while !self.fits(demand, &self.all) && self.all.departing < self.limits.max_departing() {
+        while !self.fits(demand, &self.all)
+            && self.all.departing < self.safety.max_departing(&self.limits)
+        {
             let is_for_large_alone = self.fits(
                 &Demand {
                     large_bytes: 0,
@@ -347,11 +352,17 @@
     ) -> Option<SlotId> {
         self.slots
             .iter()
-            .filter(|(_, slot)| slot.is_evictable(now) && is_candidate(slot))
+            .filter(|(_, slot)| self.is_evictable(slot, now) && is_candidate(slot))
             .min_by_key(|(id, slot)| (slot.eviction_rank(), slot.since, **id))
             .map(|(id, _)| *id)
     }
 
+    /// Whether a connection gives way to others now.
+    fn is_evictable(&self, slot: &Slot, now: MonotonicInstant) -> bool {
+        let is_old = now.since(slot.since) >= HOLD_GRACE;
+        !slot.is_evicted && self.safety.may_evict(slot.phase, is_old)
+    }
+
     fn evict(&mut self, id: SlotId) {
         self.change(id, |slot| slot.is_evicted = true);
     }
@@ -375,16 +386,17 @@
         self.all.add(slot);
     }
 
-    fn sum_of_others(
+    fn reserved_for_others(
         &self,
         listener: ListenerId,
         of: impl Fn(&ListenerPolicy, &Totals) -> u64,
     ) -> u64 {
         let listeners = self.listeners.iter().zip(&self.by_listener).enumerate();
-        listeners
+        let reserved = listeners
             .filter(|(at, _)| *at != listener.0)
             .map(|(_, (policy, totals))| of(policy, totals))
-            .fold(0, u64::saturating_add)
+            .fold(0, u64::saturating_add);
+        self.safety.reserved_for_others(reserved)
     }
 }
 
--- a/crates/resource_budget/src/accounting/tests.rs
+++ b/crates/resource_budget/src/accounting/tests.rs
@@ -2,9 +2,12 @@
 
 use super::*;
 use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use types::Milliseconds;
 use yare::parameterized;
 
+/// The seed of the plays in which mutants are looked for.
+const SEED: [u8; 32] = [43; 32];
 const INGRESS: ListenerId = ListenerId(0);
 const PROBES: ListenerId = ListenerId(1);
 
@@ -254,6 +257,89 @@
     }
 }
 
+/// A deliberate fault, by which the play shows that it detects it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mutant {
+    /// Who is being served gives way too.
+    EvictServed,
+    /// A request gives way however young it is.
+    EvictYoung,
+    /// A connection that says nothing stays.
+    RetainIdle,
+    /// What is reserved for other listeners is used.
+    IgnoreReserve,
+    /// Any number of connections may be evicted and still open.
+    ForgetDeparting,
+    /// Large requests may use what is reserved for small ones.
+    ForgetLarge,
+}
+
+impl AccountingSafety for Mutant {
+    fn may_evict(&self, phase: Phase, is_old: bool) -> bool {
+        match self {
+            Mutant::EvictServed if phase == Phase::Serving => true,
+            Mutant::EvictYoung => phase != Phase::Serving,
+            Mutant::RetainIdle if phase == Phase::Idle => false,
+            _ => SafeAccounting.may_evict(phase, is_old),
+        }
+    }
+
+    fn reserved_for_others(&self, reserved: u64) -> u64 {
+        match self {
+            Mutant::IgnoreReserve => 0,
+            _ => reserved,
+        }
+    }
+
+    fn max_departing(&self, limits: &BudgetLimits) -> usize {
+        match self {
+            Mutant::ForgetDeparting => usize::MAX,
+            _ => limits.max_departing(),
+        }
+    }
+
+    fn large_growth(&self, before: u64, after: u64) -> u64 {
+        match self {
+            Mutant::ForgetLarge => 0,
+            _ => SafeAccounting.large_growth(before, after),
+        }
+    }
+}
+
+/// Plays steps with these decisions; panics where the accounting breaks what it promises.
+fn play(steps: &[Step], safety: Box<dyn AccountingSafety>) {
+    let mut accounting = Accounting::with_safety(limits(), listeners(), safety);
+    let mut model = Model::default();
+    for step in steps {
+        model.play(&mut accounting, step);
+        model.check(&accounting);
+    }
+}
+
+#[parameterized(
+    evict_served = { Mutant::EvictServed },
+    evict_young = { Mutant::EvictYoung },
+    retain_idle = { Mutant::RetainIdle },
+    ignore_reserve = { Mutant::IgnoreReserve },
+    forget_departing = { Mutant::ForgetDeparting },
+    forget_large = { Mutant::ForgetLarge },
+)]
+fn each_mutant_is_detected(mutant: Mutant) {
+    let config = ProptestConfig {
+        cases: 2000,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let mut runner =
+        TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
+    let plays = proptest::collection::vec(some_step(), 1..120);
+    let outcome = runner.run(&plays, |steps| {
+        play(&steps, Box::new(mutant));
+        Ok(())
+    });
+    assert!(outcome.is_err(), "{mutant:?} was not detected");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, ..ProptestConfig::default() })]
 
@@ -261,12 +347,7 @@
     fn whatever_comes_the_bounds_hold_and_the_sums_agree_with_a_list(
         steps in proptest::collection::vec(some_step(), 1..120)
     ) {
-        let mut accounting = Accounting::new(limits(), listeners());
-        let mut model = Model::default();
-        for step in &steps {
-            model.play(&mut accounting, step);
-            model.check(&accounting);
-        }
+        play(&steps, Box::new(SafeAccounting));
     }
 
     /// Whoever is not being served is gone in the end, so that an ordinary request always finds room again.
--- a/crates/resource_budget/src/lib.rs
+++ b/crates/resource_budget/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod accounting;
 mod policy;
+mod safety;
 
 pub use accounting::{Accounting, Admission, Growth, Phase, SlotId};
 pub use policy::{BudgetLimits, HOLD_GRACE, ListenerId, ListenerPolicy, SMALL_REQUEST_BYTES};
--- a/crates/transport/src/resource_budget.rs
+++ b/crates/transport/src/resource_budget.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
-use types::{Clock, Milliseconds};
+use types::{Clock, Milliseconds, MonotonicInstant};
 
 /// How long a request waits for memory that others hold, before it's refused.
 const GRANT_TIMEOUT: Milliseconds = Milliseconds::seconds(2);
@@ -124,8 +124,28 @@
 }
 
 impl BudgetState {
-    /// Marks who gives way. Whoever is to be woken is returned, for when the lock is free.
-    fn evict(&mut self, evicted: &[SlotId]) -> Interrupted {
+    /// Counts and logs refusals at a listener.
+    fn refuse(
+        &mut self,
+        refusal: Refusal,
+        listener: ListenerId,
+        count: usize,
+        now: MonotonicInstant,
+    ) {
+        let name = self.listeners[listener.0].name;
+        self.refusals.record(refusal, name, count, now);
+    }
+
+    /// Marks who gives way to a connection at this listener. Whoever is to be woken is returned, for when the lock is free.
+    fn evict(
+        &mut self,
+        evicted: &[SlotId],
+        listener: ListenerId,
+        now: MonotonicInstant,
+    ) -> Interrupted {
+        if !evicted.is_empty() {
+            self.refuse(Refusal::Evicted, listener, evicted.len(), now);
+        }
         let mut interrupted = vec![];
         for slot in evicted {
             let phase = self.accounting.phase(*slot).unwrap_or(Phase::Closing);
@@ -170,7 +190,6 @@
     pub(crate) fn admit(&self) -> Option<ConnectionSlot> {
         let now = Clock::now();
         let mut state = self.shared.state();
-        let name = state.listeners[self.listener.0].name;
         match state.accounting.admit(self.listener, now) {
             Admission::Granted { slot, evicted } => {
                 let is_evicted = Arc::<AtomicBool>::default();
@@ -179,12 +198,7 @@
                     connection: None,
                 };
                 state.holders.insert(slot, holder);
-                let interrupted = state.evict(&evicted);
-                if !evicted.is_empty() {
-                    state
-                        .refusals
-                        .record(Refusal::Evicted, name, evicted.len(), now);
-                }
+                let interrupted = state.evict(&evicted, self.listener, now);
                 drop(state);
                 interrupt(interrupted);
                 Some(ConnectionSlot {
@@ -195,7 +209,7 @@
                 })
             }
             Admission::Refused => {
-                state.refusals.record(Refusal::Connection, name, 1, now);
+                state.refuse(Refusal::Connection, self.listener, 1, now);
                 None
             }
         }
@@ -243,13 +257,7 @@
             let error = match state.accounting.grow(self.slot, bytes, now) {
                 Growth::Granted => return Ok(()),
                 Growth::Deferred { evicted } if now < deadline => {
-                    let name = state.listeners[self.listener.0].name;
-                    let interrupted = state.evict(&evicted);
-                    if !evicted.is_empty() {
-                        state
-                            .refusals
-                            .record(Refusal::Evicted, name, evicted.len(), now);
-                    }
+                    let interrupted = state.evict(&evicted, self.listener, now);
                     drop(state);
                     interrupt(interrupted);
                     state = self.wait_for_release(self.shared.state());
@@ -259,8 +267,7 @@
                 Growth::TooLarge => NoRoom::TooLarge,
                 Growth::Evicted => return Err(NoRoom::Evicted),
             };
-            let name = state.listeners[self.listener.0].name;
-            state.refusals.record(Refusal::Memory, name, 1, now);
+            state.refuse(Refusal::Memory, self.listener, 1, now);
             return Err(error);
         }
     }
