transport: a connection that gives way hands nothing on

Between the decision that a connection gives way and the interruption of its thread, its request could become complete and be handed on; the interruption then looked like a client that has gone, and the client got a cut in place of the promise. Whether it gives way is now asked in the same step in which it begins to be served: who is served gives way no more, who gives way is refused. Found by reading; what_gives_way_is_not_served_and_what_is_served_does_not_give_way shows both sides.

--- a/crates/transport/src/http_server/connection.rs
+++ b/crates/transport/src/http_server/connection.rs
@@ -323,13 +323,15 @@
     let body = collect_body(body, max_bytes, socket).await;
     let is_complete = exchange.progress() == RequestProgress::Complete && !is_second;
     let response = match body {
-        Ok(body) if is_complete => {
-            exchange.is_responding.set(true);
-            socket.enter(Phase::Serving);
-            let arrived_after = exchange.arrived_after.get();
-            let client = ClientConnection::new(socket);
-            handler(Request::new(head, body, client, arrived_after))
-        }
+        Ok(body) if is_complete => match socket.begin_serving() {
+            Ok(()) => {
+                exchange.is_responding.set(true);
+                let arrived_after = exchange.arrived_after.get();
+                let client = ClientConnection::new(socket);
+                handler(Request::new(head, body, client, arrived_after))
+            }
+            Err(no_room) => refusal(no_room),
+        },
         // The library and the framer disagree on where the request ends.
         Ok(_) => Response::result(ResultCode::BadRequest, "its end is in doubt"),
         // Whoever gives way finds the end of what is read.
--- a/crates/transport/src/http_server/limits.rs
+++ b/crates/transport/src/http_server/limits.rs
@@ -6,7 +6,8 @@
 /// What a server accepts at most. The part that [`HttpServerLimits`] repeats may be changed while it serves.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpServerBounds {
-    /// Connections open at once, each with a thread; further ones are closed unread. Default 512.
+    /// Connections open at once, each with a thread, of a server without a budget: for one more, the one that is idle
+    /// for longest is closed, or, if none is, the new one unread. Default 512.
     pub connections: usize,
     /// Bytes of a request's body; a longer one gets status 413. Default 4 MiB.
     pub body_bytes: usize,
--- a/crates/transport/src/resource_budget.rs
+++ b/crates/transport/src/resource_budget.rs
@@ -244,6 +244,22 @@
         self.shared.state().accounting.enter(self.slot, phase, now);
     }
 
+    /// The request of the connection is complete and is handed on; from now on it's given up for nobody.
+    ///
+    /// # Errors
+    ///
+    /// [`NoRoom::Evicted`] if the connection must give way already: then nothing is to be handed on.
+    pub(crate) fn begin_serving(&self) -> Result<(), NoRoom> {
+        let mut state = self.shared.state();
+        if state.accounting.is_evicted(self.slot) {
+            return Err(NoRoom::Evicted);
+        }
+        state
+            .accounting
+            .enter(self.slot, Phase::Serving, Clock::now());
+        Ok(())
+    }
+
     /// Holds more bytes for the connection. Waits for others to give way.
     ///
     /// # Errors
--- a/crates/transport/src/resource_budget/tests.rs
+++ b/crates/transport/src/resource_budget/tests.rs
@@ -124,3 +124,19 @@
     let accounting = Accounting::new(BudgetLimits::UNLIMITED, vec![]);
     assert_eq!(log.usage(&accounting).refused_memory, 6000);
 }
+
+#[test]
+fn what_gives_way_is_not_served_and_what_is_served_does_not_give_way() {
+    let listener = budget().listener(ListenerId(0));
+    let slots: Vec<ConnectionSlot> = (0..3).filter_map(|_| listener.admit()).collect();
+    let later = listener.admit().expect("the oldest gives way");
+    assert!(slots[0].is_evicted());
+    assert_eq!(slots[0].begin_serving(), Err(NoRoom::Evicted));
+    for slot in &slots[1..] {
+        assert_eq!(slot.begin_serving(), Ok(()));
+    }
+    assert_eq!(later.begin_serving(), Ok(()));
+    drop(slots);
+    assert!(listener.admit().is_some());
+    assert!(!later.is_evicted());
+}
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -94,6 +94,17 @@
         }
     }
 
+    /// The request of the connection is complete and is handed on.
+    ///
+    /// # Errors
+    ///
+    /// [`NoRoom::Evicted`] if the connection must give way already.
+    pub(crate) fn begin_serving(&self) -> Result<(), NoRoom> {
+        self.slot
+            .as_ref()
+            .map_or(Ok(()), ConnectionSlot::begin_serving)
+    }
+
     /// Holds more bytes for the connection.
     ///
     /// # Errors
