--- a/crates/transport/src/connection_pool/response.rs
+++ b/crates/transport/src/connection_pool/response.rs
@@ -193,7 +193,7 @@
         BodyRead::Truncated(reason)
     }
 
-    /// Reads the rest of the body, at most `max_bytes`. What is more than [`FREE_BODY_BYTES`] of it is held in the budget of
+    /// Reads the rest of the body, at most `max_bytes`. What is more than 32 KiB of it is held in the budget of
     /// the client's connection.
     ///
     /// # Errors
