--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -28,7 +28,7 @@
     pub chain_length: AtomicU64,
     /// Routers that are members.
     pub members: AtomicU64,
-    /// Open connections at all doors.
+    /// Open connections at all listeners.
     pub connections: AtomicU64,
     /// Bytes held for requests, answers and messages.
     pub content_bytes: AtomicU64,
--- a/crates/router/src/admin/metrics.rs
+++ b/crates/router/src/admin/metrics.rs
@@ -65,7 +65,7 @@
     expired: "counter",
     /// Streams in which a server sent what is no event of them.
     malformed_streams: "counter",
-    /// Open connections at all doors.
+    /// Open connections at all listeners.
     connections: "gauge",
     /// Bytes held for requests and answers.
     content_bytes: "gauge",
--- a/crates/router/src/downstream/ingress.rs
+++ b/crates/router/src/downstream/ingress.rs
@@ -14,7 +14,7 @@
 };
 use types::{Address, Clock, Milliseconds, ResultCode};
 
-/// Open budget: one for clients, one for the question whether this node is ready.
+/// Open listeners: one for clients, one for the question whether this node is ready.
 pub(crate) struct Ingress {
     closers: Vec<HttpServerCloser>,
     open_count: Arc<AtomicUsize>,
@@ -33,7 +33,7 @@
 }
 
 impl Ingress {
-    /// Opens the budget.
+    /// Opens the listeners.
     pub(crate) fn open(
         settings: &Settings,
         shared: Arc<Shared>,
