Review case 7: half an event passes as a piece, and its stream ends as complete

Cause: once a server's body has ended in order, what is left behind the last blank line is taken for an event.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 export ROOT
 STANDIN="$ROOT/review/standin-2/target/release/standin-2"
 [ -x "$STANDIN" ] || { echo "review/build-2.sh has not built $STANDIN"; exit 2; }
-exec "$STANDIN" early-hup "$HERE/record.txt"
+exec "$STANDIN" torn-event "$HERE/record.txt"
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -1,7 +1,7 @@
 //! A client: it keeps its connection for further requests, and reads an answer to its end.
 
 use crate::http::{field, read_head};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -25,13 +25,17 @@
 
 impl Client {
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, stream: None }
+        Client {
+            address,
+            stream: None,
+        }
     }
 
     /// Sends a request with these headers beside the usual ones, and reads the answer.
     pub fn send(&mut self, path: &str, id: &str, left: u64, more: &str, body: &[u8]) -> Got {
         if self.stream.is_none() {
-            let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_secs(1)) else {
+            let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))
+            else {
                 return Got::NoConnection;
             };
             let _ = stream.set_nodelay(true);
@@ -53,7 +57,11 @@
         let Ok((first, fields)) = read_head(&mut reader) else {
             return Got::Nothing;
         };
-        let status = first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
+        let status = first
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0);
         let mut body = vec![];
         if !read_whole(&mut reader, &fields, &mut body) {
             return Got::Torn(status, body);
@@ -61,7 +69,11 @@
         if !field(&fields, "connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
             self.stream = Some(reader);
         }
-        Got::Whole(status, field(&fields, "server-seal").map(str::to_owned), body)
+        Got::Whole(
+            status,
+            field(&fields, "server-seal").map(str::to_owned),
+            body,
+        )
     }
 }
 
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -115,7 +115,6 @@
     }
 
     /// Where clients reach a router.
-    #[allow(dead_code)]
     pub fn ingress(&self, node: &Node) -> SocketAddr {
         self.at(node.ip, self.ports.ingress)
     }
@@ -240,35 +239,6 @@
         }
     }
 
-    /// Sends a signal, named as the shell names it.
-    pub fn signal(&self, node: &Node, signal: &str, record: &Record) {
-        if let Some(child) = &node.child {
-            let command = format!("kill -{signal} {}", child.id());
-            let _ = Command::new("/bin/sh").args(["-c", &command]).status();
-            record.line(&format!("{} gets SIG{signal}", node.name));
-        }
-    }
-
-    /// Waits until a process has ended; how it did, if it has.
-    pub fn wait_for_end(
-        &self,
-        node: &mut Node,
-        patience: Duration,
-        record: &Record,
-    ) -> Option<String> {
-        let begun = Instant::now();
-        while begun.elapsed() < patience {
-            let ended = node.child.as_mut()?.try_wait().ok().flatten();
-            if let Some(status) = ended {
-                node.child = None;
-                record.line(&format!("{} has ended: {status}", node.name));
-                return Some(status.to_string());
-            }
-            std::thread::sleep(Duration::from_millis(2));
-        }
-        None
-    }
-
     /// The machine's disk is lost.
     pub fn lose_disk(&self, node: &Node, record: &Record) {
         let _ = fs::remove_dir_all(self.disk(node));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,12 +2,14 @@
 //! the project's own program. `standin-2 CASE RECORD` plays one; exit codes: 0 the rule held, 1 it was broken, 2 the case
 //! couldn't run.
 
-mod early_hup;
+mod client;
 mod fleet;
 mod http;
 mod lone_disk;
 mod platform;
 mod record;
+mod server;
+mod torn_event;
 
 use std::process::ExitCode;
 
@@ -34,7 +36,7 @@
     };
     record.line(&format!("case {case}, with the disruption: {has_trouble}"));
     let outcome = match case.as_str() {
-        "early-hup" => early_hup::play(&record, has_trouble),
+        "torn-event" => torn_event::play(&record, has_trouble),
         "lone-disk" => lone_disk::play(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -12,7 +12,6 @@
     pub at: Instant,
     pub server: String,
     pub id: String,
-    pub line: String,
 }
 
 /// All runs of all servers.
@@ -21,7 +20,6 @@
 /// A request as a server got it.
 pub struct Call {
     pub id: String,
-    pub line: String,
     pub fields: Vec<(String, String)>,
 }
 
@@ -59,16 +57,6 @@
             .as_bytes(),
         )
     }
-
-    /// A whole answer with a length.
-    pub fn whole(&mut self, id: &str, status: &str, body: &[u8]) -> bool {
-        let seal = self.server;
-        let head = format!(
-            "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nServer-Seal: {seal}.{id}\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        self.send(head.as_bytes()) && self.send(body)
-    }
 }
 
 /// Starts a server with this name.
@@ -91,7 +79,10 @@
         if read_body(&mut reader, &fields).is_err() {
             break;
         }
-        let mut wire = Wire { server: name, stream };
+        let mut wire = Wire {
+            server: name,
+            stream,
+        };
         let id = field(&fields, "attempt-id").unwrap_or_default().to_owned();
         if line.starts_with("GET /-/report") || line.starts_with("GET /healthz") {
             if !wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}") {
@@ -100,17 +91,22 @@
             continue;
         }
         if field(&fields, "target-instance").is_some_and(|target| target != name) {
-            let turned_away =
-                format!("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let turned_away = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
             if !wire.send(turned_away.as_bytes()) {
                 break;
             }
             continue;
         }
         if let Ok(mut runs) = runs.lock() {
-            runs.push(Run { at: Instant::now(), server: name.to_owned(), id: id.clone(), line: line.clone() });
+            runs.push(Run {
+                at: Instant::now(),
+                server: name.to_owned(),
+                id: id.clone(),
+            });
         }
-        if !answer(&Call { id, line, fields }, &mut wire) {
+        if !answer(&Call { id, fields }, &mut wire) {
             break;
         }
     }
