model_checker: disks may be lost while other machines come back

`--disk-losses overlapping` has disks lost at any time, no more in a run than the budget, while others are away with theirs: as long as the core makes up for an outage, the next one comes soon and half of them take a disk. Judged, for both kinds: within 12 s (`recovery_s`) of all machines being back, a replica may answer and changes can be confirmed; and what can be read never loses what could be read before.

The walks within the budget play the same runs as before.

--- a/crates/model_checker/src/cluster.rs
+++ b/crates/model_checker/src/cluster.rs
@@ -18,6 +18,8 @@
 /// After more were lost at once than the budget, of which the pages bound nothing, all is made up for within
 /// this, in ms: a tail that was itself restarted takes its time to tell who is gone.
 const EXCESS_SETTLE: u64 = 6000;
+/// Once all machines are back, the core serves within this, in ms: `recovery_s` of the users' small sites.
+const RECOVERY: u64 = 12_000;
 /// A machine that is asked to leave ends by itself after this, in ms.
 const HAND_OVER: u64 = 4000;
 /// An operator without an answer asks the next machine after this, in ms.
@@ -46,6 +48,17 @@
     CountEmptyMember,
 }
 
+/// When disks may be lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, clap::ValueEnum)]
+pub enum DiskLosses {
+    /// While no more machines are lost at once than the budget, the one with the disk included.
+    #[default]
+    WithinBudget,
+    /// At any time, however many other machines are away with their disks; but no more disks in the
+    /// whole run than the budget, those of machines that are replaced by plan included.
+    Overlapping,
+}
+
 /// The size of a core and what is checked.
 #[derive(Debug, Clone)]
 pub struct ClusterRules {
@@ -55,6 +68,8 @@
     pub copies: usize,
     /// Whether a refusal must be final.
     pub checks_refusals: bool,
+    /// When disks may be lost.
+    pub disk_losses: DiskLosses,
     /// With a deliberate fault.
     pub fault: Option<DeliberateFault>,
 }
@@ -136,6 +151,10 @@
     /// Until then more machines are lost than the budget, or were a while ago: nothing says how soon what was
     /// lost is made up for.
     unbound_until: u64,
+    /// Disks lost in the whole run.
+    lost_disks: usize,
+    /// Since when all machines are back and the core doesn't serve.
+    out_of_service_since: Option<u64>,
     steps: VecDeque<Step>,
 }
 
@@ -159,6 +178,8 @@
             operators: vec![operator(1), operator(2), operator(3)],
             history: History::default(),
             unbound_until: 0,
+            lost_disks: 0,
+            out_of_service_since: None,
             steps: VecDeque::new(),
         };
         for place in 0..rules.voters {
@@ -283,21 +304,18 @@
 
     /// Whether the rules allow this now: no more disks are lost at once than the budget.
     pub(crate) fn allows(&self, deviation: &Deviation) -> bool {
-        let budget = self.rules.copies - 1;
         let lost = self.lost();
         match *deviation {
             Deviation::Wipe(place, _) | Deviation::Replace(place, _) => {
-                let is_lost = self
-                    .machines
-                    .get(place)
-                    .is_some_and(|m| m.lost_until > self.now);
-                self.is_running(place)
-                    && lost + usize::from(!is_lost) <= budget
-                    && self.now >= self.unbound_until
+                self.is_running(place) && self.may_lose_disk_of(place)
             }
             Deviation::PlannedReplace(place) | Deviation::PlannedRestart(place) => {
                 let is_planned = |m: &Machine| m.stops_at.is_some() || m.is_asked_to_leave;
-                self.is_running(place) && lost == 0 && !self.machines.iter().any(is_planned)
+                let keeps_disk = matches!(deviation, Deviation::PlannedRestart(_));
+                self.is_running(place)
+                    && lost == 0
+                    && !self.machines.iter().any(is_planned)
+                    && (keeps_disk || self.may_lose_disk_of(place))
             }
             Deviation::Crash(place, _) | Deviation::Pause(place, _) => self.is_running(place),
             Deviation::Cut(place, ..) => {
@@ -314,6 +332,17 @@
         }
     }
 
+    fn may_lose_disk_of(&self, place: usize) -> bool {
+        let budget = self.rules.copies - 1;
+        match self.rules.disk_losses {
+            DiskLosses::WithinBudget => {
+                let is_lost = self.machines[place].lost_until > self.now;
+                self.lost() + usize::from(!is_lost) <= budget && self.now >= self.unbound_until
+            }
+            DiskLosses::Overlapping => self.lost_disks < budget,
+        }
+    }
+
     /// Machines that count as lost.
     fn lost(&self) -> usize {
         self.machines
@@ -361,6 +390,7 @@
             self.take_step(step, fault.filter(|_| is_open));
             self.check_readable();
         }
+        self.check_recovery();
         self.check_quiet();
         open
     }
@@ -467,6 +497,7 @@
             Deviation::Wipe(place, outage) => self.wipe(place, outage),
             Deviation::Replace(place, outage) => self.replace(place, outage),
             Deviation::PlannedReplace(place) => {
+                self.lost_disks += 1;
                 let newcomer = self.newcomer();
                 self.start(newcomer);
                 self.lose_for(newcomer, 0);
@@ -495,6 +526,7 @@
     }
 
     fn wipe(&mut self, place: usize, outage: Outage) {
+        self.lost_disks += 1;
         self.crash(place, outage, false);
         let machine = &mut self.machines[place];
         machine.stored = StoredDisk::default();
@@ -505,6 +537,7 @@
     }
 
     fn replace(&mut self, place: usize, outage: Outage) {
+        self.lost_disks += 1;
         self.stop(place, false);
         self.machines[place].is_removed = true;
         self.machines[place].lost_until = 0;
@@ -813,6 +846,10 @@
         if lost >= self.rules.copies {
             self.unbound_until = self.now + EXCESS_SETTLE;
         }
+        let do_losses_overlap = self.rules.disk_losses == DiskLosses::Overlapping;
+        if do_losses_overlap && self.lost_disks > 0 && !self.are_all_back() {
+            self.unbound_until = self.now + RECOVERY + TICK;
+        }
         if self.now < self.unbound_until {
             return;
         }
@@ -845,6 +882,39 @@
         }
     }
 
+    /// Between ticks: a core whose machines are all back serves within the bound.
+    fn check_recovery(&mut self) {
+        if !self.are_all_back() || self.is_serving() {
+            self.out_of_service_since = None;
+            return;
+        }
+        let since = *self.out_of_service_since.get_or_insert(self.now);
+        if self.now - since >= RECOVERY {
+            self.history.violate(format!(
+                "all machines have been back for {} ms and the core does not serve",
+                self.now - since
+            ));
+        }
+    }
+
+    /// Whether each machine that is to be there runs, and is neither cut off nor paused.
+    fn are_all_back(&self) -> bool {
+        let is_back =
+            |m: &Machine| m.replica.is_some() && m.cut.is_none() && m.paused_until <= self.now;
+        self.machines.iter().all(|m| m.is_removed || is_back(m))
+    }
+
+    /// Whether a replica may answer, and changes can be confirmed.
+    pub(crate) fn is_serving(&self) -> bool {
+        let now = MonotonicInstant(self.now);
+        let serves = |replica: &Replica<Register>| {
+            replica.may_respond(now) && replica.has_min_chain_length()
+        };
+        self.machines
+            .iter()
+            .any(|m| m.replica.as_ref().is_some_and(serves))
+    }
+
     /// Whether this machine has this voter's disk, and isn't lost.
     fn is_to_be_had(&self, machine: &Machine, voter: &Voter) -> bool {
         let is_here = !machine.is_removed && machine.lost_until <= self.now;
@@ -883,6 +953,12 @@
         self.unbound_until
             .saturating_sub(self.now)
             .hash(&mut hasher);
+        self.out_of_service_since
+            .map(|since| self.now - since)
+            .hash(&mut hasher);
+        if self.rules.disk_losses == DiskLosses::Overlapping {
+            self.lost_disks.hash(&mut hasher);
+        }
         hasher.finish()
     }
 
--- a/crates/model_checker/src/lib.rs
+++ b/crates/model_checker/src/lib.rs
@@ -14,7 +14,7 @@
 mod stored_disk;
 mod walk;
 
-pub use cluster::{ClusterRules, DeliberateFault};
+pub use cluster::{ClusterRules, DeliberateFault, DiskLosses};
 pub use search::{Counterexample, Exploration, Limits, explore};
 pub use walk::{Walk, replay, walk};
 
--- a/crates/model_checker/src/properties.rs
+++ b/crates/model_checker/src/properties.rs
@@ -14,6 +14,8 @@
     pub confirmed: Vec<Command>,
     /// Commands refused for good.
     pub refused: Vec<Command>,
+    /// The longest list of commands that a replica was able to show.
+    pub shown: Vec<u8>,
     /// The first thing seen that must never be.
     pub violation: Option<String>,
 }
@@ -78,6 +80,12 @@
             let what = format!("{lost:?} was confirmed and is not read back: {taken:?}");
             self.violate(what);
         }
+        if taken.starts_with(&self.shown) {
+            self.shown = taken.to_vec();
+        } else {
+            let what = format!("{taken:?} can be read after {:?}", self.shown);
+            self.violate(what);
+        }
         let is_taken = |command: &&Command| taken.contains(&command.id);
         if let Some(refused) = self
             .refused
--- a/crates/model_checker/src/tests.rs
+++ b/crates/model_checker/src/tests.rs
@@ -10,6 +10,7 @@
         voters,
         copies,
         checks_refusals: true,
+        disk_losses: DiskLosses::WithinBudget,
         fault,
     }
 }
--- a/crates/model_checker/src/walk.rs
+++ b/crates/model_checker/src/walk.rs
@@ -1,6 +1,6 @@
 //! Random walks: many deviations, deeper than the search goes; and the shortening of what they find.
 
-use super::cluster::{Cluster, ClusterRules, OpenStep};
+use super::cluster::{Cluster, ClusterRules, DiskLosses, OpenStep};
 use super::deviation::{Deviation, TickPlan};
 use super::search::{Counterexample, later_deviations};
 
@@ -27,13 +27,13 @@
     let mut trace = vec![];
     for tick in 1..=WALK_TICKS {
         let last = trace.last().map(|(tick, _): &(usize, TickPlan)| *tick);
-        let is_burst = last.is_some_and(|last| tick - last < BURST_TICKS);
         let left = walk.deviations - trace.len().min(walk.deviations);
-        let is_quiet = left == 0 || draws.below(if is_burst { 3 } else { 24 }) > 0;
+        let ticks_apart = mean_ticks_apart(rules, &cluster, last.map(|last| tick - last));
+        let is_quiet = left == 0 || draws.below(ticks_apart) > 0;
         let plan = if is_quiet {
             vec![]
         } else {
-            draw_plan(&cluster, &mut draws)
+            draw_plan(rules, &cluster, &mut draws)
         };
         cluster.tick(&plan);
         if !plan.is_empty() {
@@ -47,15 +47,27 @@
     Some(shorten(rules, Counterexample { violation, trace }))
 }
 
-fn draw_plan(cluster: &Cluster, draws: &mut Draws) -> TickPlan {
+/// How many ticks pass on average before the next deviation, when the last one was this long ago.
+fn mean_ticks_apart(rules: &ClusterRules, cluster: &Cluster, since_last: Option<usize>) -> u64 {
+    let is_burst = since_last.is_some_and(|since| since < BURST_TICKS);
+    match rules.disk_losses {
+        // The next machine is to go while the core hasn't made up for the last one.
+        DiskLosses::Overlapping if !cluster.is_serving() => 4,
+        DiskLosses::Overlapping => 16,
+        DiskLosses::WithinBudget if is_burst => 3,
+        DiskLosses::WithinBudget => 24,
+    }
+}
+
+fn draw_plan(rules: &ClusterRules, cluster: &Cluster, draws: &mut Draws) -> TickPlan {
     let open: Vec<OpenStep> = cluster.clone().tick(&vec![]);
     let choices = later_deviations(cluster, &vec![], &open);
     let is_step = |deviation: &&Deviation| matches!(deviation, Deviation::AtStep { .. });
     let (steps, starts): (Vec<&Deviation>, Vec<&Deviation>) = choices.iter().partition(is_step);
-    let pool = if draws.below(2) == 0 || steps.is_empty() {
-        starts
-    } else {
-        steps
+    let pool = match rules.disk_losses {
+        DiskLosses::Overlapping => outages(cluster, &choices, draws),
+        DiskLosses::WithinBudget if draws.below(2) == 0 || steps.is_empty() => starts,
+        DiskLosses::WithinBudget => steps,
     };
     match pool.get(draws.below(pool.len().max(1) as u64) as usize) {
         Some(deviation) => vec![**deviation],
@@ -63,6 +75,22 @@
     }
 }
 
+/// The outages to choose from: disks are lost while the core makes up for earlier outages, since losses
+/// out of good health are what [`DiskLosses::WithinBudget`] walks through.
+fn outages<'a>(
+    cluster: &Cluster,
+    choices: &'a [Deviation],
+    draws: &mut Draws,
+) -> Vec<&'a Deviation> {
+    let does_lose_disk = !cluster.is_serving() && draws.below(2) == 0;
+    let is_crash = |deviation: &&Deviation| matches!(deviation, Deviation::Crash(..));
+    let is_wanted = |deviation: &&Deviation| match does_lose_disk {
+        true => deviation.loses_disk(),
+        false => is_crash(deviation) || (deviation.is_proposal() && cluster.is_serving()),
+    };
+    choices.iter().filter(is_wanted).collect()
+}
+
 /// Plays a trace from the founded core on, and then rests; gives what must never be, if it shows any.
 pub fn replay(rules: &ClusterRules, trace: &[(usize, TickPlan)]) -> Option<String> {
     let mut cluster = Cluster::founded(rules);
--- a/crates/testbed/src/commands/explore.rs
+++ b/crates/testbed/src/commands/explore.rs
@@ -1,6 +1,8 @@
 //! `testbed explore`: the states of a small core, all of them or by random walks.
 
-use model_checker::{ClusterRules, Counterexample, DeliberateFault, Limits, Walk, explore, walk};
+use model_checker::{
+    ClusterRules, Counterexample, DeliberateFault, DiskLosses, Limits, Walk, explore, walk,
+};
 
 /// Visit every state of a small core that so many faults and commands lead to, or walk at random.
 /// Exit codes: 0 nothing that must never be was seen, 1 something was.
@@ -33,6 +35,9 @@
     /// Also check that nothing is taken that was refused for good.
     #[arg(long)]
     refusals: bool,
+    /// When disks may be lost.
+    #[arg(long, default_value = "within-budget")]
+    disk_losses: DiskLosses,
     /// With a deliberate fault in the system itself.
     #[arg(long)]
     mutant: Option<DeliberateFault>,
@@ -45,6 +50,7 @@
             voters: self.voters,
             copies: self.copies,
             checks_refusals: self.refusals,
+            disk_losses: self.disk_losses,
             fault: self.mutant,
         };
         match self.walks {
