--- a/crates/controller/src/controller/tests.rs
+++ b/crates/controller/src/controller/tests.rs
@@ -46,6 +46,7 @@
             epoch: ViewNumber(1),
             chain,
             voters: (1..=3).map(voter).collect(),
+            reserve: vec![],
         };
         let recovered = RecoveredRecords {
             records: vec![Record::View { view }],
@@ -401,6 +402,7 @@
                 is_caught_up: true,
             }],
             voters: vec![voter],
+            reserve: vec![],
         };
         let mut timing = ControllerTiming {
             quorum,
@@ -671,6 +673,7 @@
             is_caught_up: true,
         }],
         voters: vec![tail],
+        reserve: vec![],
     };
     assert!(played.controller.quotas.is_some());
     played.controller.keep_quotas(&view(2, me));
--- a/crates/controller/src/membership/acknowledgements.rs
+++ b/crates/controller/src/membership/acknowledgements.rs
@@ -21,7 +21,7 @@
     /// Whether the change of this epoch may be reported as accepted in response to any query. With [`Quorum::Majority`]
     /// only the response to the change itself waits for the members, since they may be gone by the time of a query.
     pub(crate) fn is_firm(&self, epoch: ConfigEpoch) -> bool {
-        self.replica.has_min_chain_length()
+        self.replica.may_commit()
             && (self.timing.quorum == Quorum::Majority || self.is_known(epoch))
     }
 
--- a/crates/controller/tests/control/mod.rs
+++ b/crates/controller/tests/control/mod.rs
@@ -89,6 +89,7 @@
             epoch: ViewNumber(1),
             chain,
             voters: (0..3).map(voter).collect(),
+            reserve: vec![],
         };
         let machine = |n: usize| Machine {
             disk: voter(n).disk,
--- a/crates/controller/tests/golden.rs
+++ b/crates/controller/tests/golden.rs
@@ -56,6 +56,7 @@
         epoch: ViewNumber(1),
         chain: vec![position],
         voters: vec![me()],
+        reserve: vec![],
     }
 }
 
--- a/crates/model_checker/src/cluster.rs
+++ b/crates/model_checker/src/cluster.rs
@@ -46,6 +46,8 @@
     AcceptWithLiveLease,
     /// A decided view counts its newcomers as level at once.
     CountEmptyMember,
+    /// Whoever is told of a view isn't told of its reserve.
+    ForgetReserve,
 }
 
 /// When disks may be lost.
@@ -102,6 +104,12 @@
     is_removed: bool,
 }
 
+impl Machine {
+    fn is_partitioned(&self) -> bool {
+        self.cut.is_some()
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Packet {
     from: Address,
@@ -111,7 +119,7 @@
 
 #[derive(Clone)]
 enum Step {
-    Deliver(Packet),
+    Deliver(Box<Packet>),
     Sync {
         machine: usize,
         incarnation: u64,
@@ -319,7 +327,7 @@
             }
             Deviation::Crash(place, _) | Deviation::Pause(place, _) => self.is_running(place),
             Deviation::Cut(place, ..) => {
-                self.is_running(place) && self.machines[place].cut.is_none()
+                self.is_running(place) && !self.machines[place].is_partitioned()
             }
             Deviation::Propose { operator, via } => {
                 let is_idle = self
@@ -374,7 +382,8 @@
         for place in 0..self.machines.len() {
             if self.is_running(place) {
                 let held = std::mem::take(&mut self.machines[place].held);
-                self.steps.extend(held.into_iter().map(Step::Deliver));
+                self.steps
+                    .extend(held.into_iter().map(Box::new).map(Step::Deliver));
                 self.drive(place, Input::Tick);
             }
         }
@@ -442,7 +451,7 @@
         self.steps.extend(
             deadline
                 .into_iter()
-                .map(|(_, packet)| Step::Deliver(packet)),
+                .map(|(_, packet)| Step::Deliver(Box::new(packet))),
         );
         for operator in 0..self.operators.len() {
             if self.operators[operator].asks_at.is_some_and(|at| at <= now) {
@@ -610,13 +619,14 @@
         match (step, fault) {
             (Step::Deliver(_), Some(StepFault::Lose)) => {}
             (Step::Deliver(packet), Some(StepFault::Delay(lateness))) => {
-                self.late.push((self.now + lateness.span(), packet));
+                self.late.push((self.now + lateness.span(), *packet));
             }
             (Step::Deliver(packet), Some(StepFault::Repeat(lateness))) => {
-                self.late.push((self.now + lateness.span(), packet.clone()));
-                self.deliver(packet);
+                self.late
+                    .push((self.now + lateness.span(), (*packet).clone()));
+                self.deliver(*packet);
             }
-            (Step::Deliver(packet), _) => self.deliver(packet),
+            (Step::Deliver(packet), _) => self.deliver(*packet),
             (
                 Step::Sync {
                     machine,
@@ -710,6 +720,12 @@
                     .iter_mut()
                     .for_each(|position| position.is_caught_up = true);
             }
+            (ReplicationMessage::Decided { view }, Some(DeliberateFault::ForgetReserve)) => {
+                view.reserve.clear();
+            }
+            (ReplicationMessage::Accept { proposal }, Some(DeliberateFault::ForgetReserve)) => {
+                proposal.view.reserve.clear()
+            }
             (ReplicationMessage::Accept { .. }, Some(DeliberateFault::AcceptWithLiveLease)) => {
                 if let Some(tail) = replica.view().tail().filter(|tail| *tail != replica.me()) {
                     packet.from = tail.address;
@@ -760,7 +776,10 @@
                     outputs.extend(replica.respond(now, request_id, body));
                 }
                 Output::ViewChanged(view) => {
-                    let is_spoilt = self.rules.fault == Some(DeliberateFault::CountEmptyMember);
+                    let is_spoilt = matches!(
+                        self.rules.fault,
+                        Some(DeliberateFault::CountEmptyMember | DeliberateFault::ForgetReserve)
+                    );
                     if !is_spoilt || !self.history.views.contains_key(&view.epoch) {
                         self.history.on_view(view);
                     }
@@ -784,7 +803,7 @@
             cut_at(to).is_some_and(|(direction, _)| direction != CutDirection::Outward);
         if !is_kept_in && !is_kept_out {
             self.steps
-                .push_back(Step::Deliver(Packet { from, to, message }));
+                .push_back(Step::Deliver(Box::new(Packet { from, to, message })));
         }
     }
 
@@ -900,16 +919,14 @@
     /// Whether each machine that is to be there runs, and is neither cut off nor paused.
     fn are_all_back(&self) -> bool {
         let is_back =
-            |m: &Machine| m.replica.is_some() && m.cut.is_none() && m.paused_until <= self.now;
+            |m: &Machine| m.replica.is_some() && !m.is_partitioned() && m.paused_until <= self.now;
         self.machines.iter().all(|m| m.is_removed || is_back(m))
     }
 
     /// Whether a replica may answer, and changes can be confirmed.
     pub(crate) fn is_serving(&self) -> bool {
         let now = MonotonicInstant(self.now);
-        let serves = |replica: &Replica<Register>| {
-            replica.may_respond(now) && replica.has_min_chain_length()
-        };
+        let serves = |replica: &Replica<Register>| replica.may_respond(now) && replica.may_commit();
         self.machines
             .iter()
             .any(|m| m.replica.as_ref().is_some_and(serves))
--- a/crates/model_checker/src/tests.rs
+++ b/crates/model_checker/src/tests.rs
@@ -61,6 +61,84 @@
     }
 }
 
+fn overlapping(voters: usize, copies: usize) -> ClusterRules {
+    ClusterRules {
+        disk_losses: DiskLosses::Overlapping,
+        ..rules(voters, copies, None)
+    }
+}
+
+/// The core never serves again: the last caught-up member of the chain loses its disk while others,
+/// whose disks hold everything, come back. Found by walks (seeds 1133, 3961, 92 and 536).
+#[parameterized(
+    one_of_three = { 3, 2, &[
+        (30, Deviation::Crash(0, Outage::Long)),
+        (74, Deviation::Crash(1, Outage::Long)),
+        (82, Deviation::Wipe(2, Outage::Short)),
+    ] },
+    one_of_three_is_replaced = { 3, 2, &[
+        (90, Deviation::Crash(0, Outage::Long)),
+        (119, Deviation::Crash(1, Outage::Long)),
+        (144, Deviation::Replace(2, Outage::Long)),
+    ] },
+    two_of_five = { 5, 3, &[
+        (155, Deviation::Crash(0, Outage::Long)),
+        (171, Deviation::Crash(1, Outage::Long)),
+        (204, Deviation::Crash(4, Outage::Long)),
+        (212, Deviation::Wipe(3, Outage::Long)),
+        (220, Deviation::Wipe(2, Outage::Long)),
+    ] },
+    two_of_five_of_which_one_is_replaced = { 5, 3, &[
+        (73, Deviation::Crash(4, Outage::Long)),
+        (103, Deviation::Crash(0, Outage::Long)),
+        (108, Deviation::Crash(1, Outage::Long)),
+        (115, Deviation::Crash(2, Outage::Short)),
+        (124, Deviation::Replace(2, Outage::Long)),
+        (126, Deviation::Wipe(3, Outage::Long)),
+    ] },
+)]
+fn a_core_serves_again_whose_last_caught_up_disk_is_lost(
+    voters: usize,
+    copies: usize,
+    outages: &[(usize, Deviation)],
+) {
+    let trace: Vec<_> = outages
+        .iter()
+        .map(|(at, what)| (*at, vec![*what]))
+        .collect();
+    assert_eq!(replay(&overlapping(voters, copies), &trace), None);
+}
+
+#[test]
+fn a_core_without_a_reserve_is_lost_with_its_last_caught_up_disk() {
+    let crash = |place| vec![Deviation::Crash(place, Outage::Long)];
+    let wipe = vec![Deviation::Wipe(2, Outage::Short)];
+    let trace = [(30, crash(0)), (74, crash(1)), (82, wipe)];
+    let without_reserve = ClusterRules {
+        fault: Some(DeliberateFault::ForgetReserve),
+        ..overlapping(3, 2)
+    };
+    assert!(replay(&without_reserve, &trace).is_some());
+}
+
+#[parameterized(
+    of_three = { 3, 2 },
+    of_five = { 5, 3 },
+)]
+fn walks_with_overlapping_losses_show_nothing_that_must_never_be(voters: usize, copies: usize) {
+    for seed in 1..=60 {
+        let walk_rules = Walk {
+            seed,
+            deviations: 10,
+        };
+        assert_eq!(
+            walk(&overlapping(voters, copies), walk_rules),
+            None,
+            "seed {seed}"
+        );
+    }
+}
+
 #[parameterized(
     skip_sync = { DeliberateFault::SkipSync },
     reuse_wiped_vote = { DeliberateFault::ReuseWipedVote },
--- a/crates/model_checker/src/walk.rs
+++ b/crates/model_checker/src/walk.rs
@@ -84,11 +84,11 @@
 ) -> Vec<&'a Deviation> {
     let does_lose_disk = !cluster.is_serving() && draws.below(2) == 0;
     let is_crash = |deviation: &&Deviation| matches!(deviation, Deviation::Crash(..));
-    let is_wanted = |deviation: &&Deviation| match does_lose_disk {
+    let is_choice = |deviation: &&Deviation| match does_lose_disk {
         true => deviation.loses_disk(),
         false => is_crash(deviation) || (deviation.is_proposal() && cluster.is_serving()),
     };
-    choices.iter().filter(is_wanted).collect()
+    choices.iter().filter(is_choice).collect()
 }
 
 /// Plays a trace from the founded core on, and then rests; gives what must never be, if it shows any.
--- a/crates/replication/src/replica/chain.rs
+++ b/crates/replication/src/replica/chain.rs
@@ -14,9 +14,10 @@
 //!
 //! Departures from the published form:
 //!
-//! - A change counts as committed only while the chain has
-//!   [`Timing::min_chain_length`](crate::Timing) members. Published chain replication goes on with
-//!   one; here a lone disk that is lost would take acknowledged changes with it.
+//! - A change is committed only in a view with [`Timing::min_chain_length`](crate::Timing) caught-up
+//!   members. Published chain replication goes on with one; here a lone disk that is lost would take
+//!   acknowledged changes with it. That the view says who is caught up, and not a member by itself,
+//!   lets a later view tell from the views alone who holds everything.
 //! - The head bounds the changes in flight and their rate, and rejects what exceeds that.
 //! - A rejection by the state machine is confirmed by the tail ([`Replica::on_confirm_rejection`]):
 //!   the head's state isn't committed yet, and what it says may never have been true.
@@ -87,10 +88,8 @@
     pub(super) fn on_propose(&mut self, request_id: ChangeRequestId, body: Vec<u8>) {
         let is_below_in_flight_limit =
             self.last.0.0 < self.commit_index.0 + self.timing.max_in_flight_changes;
-        let may_enter = self.is_head()
-            && self.is_caught_up
-            && self.has_min_chain_length()
-            && is_below_in_flight_limit;
+        let may_enter =
+            self.is_head() && self.is_caught_up && self.may_commit() && is_below_in_flight_limit;
         let lacks_members = || {
             self.state_machine.requires_member_majority(&body) && !self.tail_has_member_majority()
         };
@@ -163,7 +162,7 @@
         let may_confirm = is_from_head
             && self.is_tail()
             && self.is_caught_up
-            && self.has_min_chain_length()
+            && self.may_commit()
             && self.synced.0 >= last;
         if !may_confirm {
             return self.reject_unchanged(request_id);
@@ -177,10 +176,18 @@
         }
     }
 
-    /// Whether the chain has [`Timing::min_chain_length`](crate::Timing) members, so that what
-    /// passed down it is on as many disks.
-    pub fn has_min_chain_length(&self) -> bool {
-        self.view.chain.len() >= self.timing.min_chain_length
+    /// Whether the view has [`Timing::min_chain_length`](crate::Timing) caught-up members, so that
+    /// what passed down the chain is on as many disks and may count as committed.
+    pub fn may_commit(&self) -> bool {
+        self.view.may_commit(self.timing.min_chain_length)
+    }
+
+    /// At a caught-up tail: all that it holds is on each disk of the chain, and so committed if the
+    /// view may commit.
+    pub(super) fn commit_if_tail(&mut self) {
+        if self.is_tail() && self.is_caught_up && self.may_commit() {
+            self.commit_index = self.synced.0;
+        }
     }
 
     /// Rejects a proposal without any change of the state; it may be proposed again.
@@ -222,15 +229,13 @@
                 };
                 self.send(successor.address, message);
             }
-            None if self.is_tail() && self.is_caught_up => {
+            // A chain that has shrunk since it took the change has it on too few disks to say so.
+            None if self.is_tail() && self.is_caught_up && self.may_commit() => {
                 self.commit_index = self.synced.0;
-                // A chain that has shrunk since it took the change has it on too few disks to say so.
-                if self.has_min_chain_length() {
-                    self.outputs.push(Output::Committed {
-                        request_id,
-                        body: answer,
-                    });
-                }
+                self.outputs.push(Output::Committed {
+                    request_id,
+                    body: answer,
+                });
                 self.next_heartbeat = self.now;
             }
             None => {}
@@ -307,9 +312,7 @@
         if view == self.view.epoch && is_from_predecessor && has_all && !self.is_caught_up {
             self.is_caught_up = true;
             self.next_heartbeat = self.now;
-            if self.is_tail() {
-                self.commit_index = self.synced.0;
-            }
+            self.commit_if_tail();
         }
     }
 
--- a/crates/replication/src/replica/founding.rs
+++ b/crates/replication/src/replica/founding.rs
@@ -149,5 +149,6 @@
         epoch: ViewNumber(1),
         chain,
         voters,
+        reserve: vec![],
     }
 }
--- a/crates/replication/src/replica/lease.rs
+++ b/crates/replication/src/replica/lease.rs
@@ -69,11 +69,17 @@
 }
 
 impl<C: StateMachine> Replica<C> {
-    /// Whether this replica may answer for the chain at `now`: it's the tail, has caught up, and
-    /// holds the lease. To be asked right before each answer. Without this check, a tail that was
-    /// replaced could answer with an old state.
+    /// Whether this replica may answer for the chain at `now`: it's the tail, has caught up, holds
+    /// nothing that isn't committed, and holds the lease. To be asked right before each answer.
+    /// Without this check, a tail that was replaced could answer with an old state, and one whose
+    /// view may not commit with a change that a later view doesn't have.
     pub fn may_respond(&self, now: MonotonicInstant) -> bool {
-        self.is_healthy && self.is_tail() && self.is_caught_up && now < self.lease.lease_deadline
+        let is_state_committed = self.commit_index >= self.synced.0;
+        self.is_healthy
+            && self.is_tail()
+            && self.is_caught_up
+            && is_state_committed
+            && now < self.lease.lease_deadline
     }
 
     /// Asks the voters for a lease, a quarter of its duration after the last request, well before
--- a/crates/replication/src/replica/recovery.rs
+++ b/crates/replication/src/replica/recovery.rs
@@ -68,9 +68,7 @@
             && replica.promised.1.proposer == me.disk.0;
         replica.synced = replica.last;
         replica.is_caught_up = replica.view.position(&me).is_some_and(|p| p.is_caught_up);
-        if replica.is_tail() && replica.is_caught_up {
-            replica.commit_index = replica.synced.0;
-        }
+        replica.commit_if_tail();
         Ok(replica)
     }
 
--- a/crates/replication/src/replica/tests.rs
+++ b/crates/replication/src/replica/tests.rs
@@ -48,6 +48,7 @@
             })
             .collect(),
         voters: (1..=3).map(voter).collect(),
+        reserve: vec![],
     }
 }
 
@@ -774,6 +775,7 @@
 mod draining;
 mod founding;
 mod member_majority;
+mod overlapping_losses;
 mod proposals;
 mod rate_limit;
 mod recovery;
--- a/crates/replication/src/replica/timing.rs
+++ b/crates/replication/src/replica/timing.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
     /// Disks that a change must be on before it is committed: changes are taken only while the
-    /// chain has as many members.
+    /// view has as many caught-up members.
     pub min_chain_length: usize,
     /// Voters wanted: followers get a vote while there are fewer. Votes are
     /// moved, but their number never falls.
--- a/crates/replication/src/replica/view_change.rs
+++ b/crates/replication/src/replica/view_change.rs
@@ -315,11 +315,12 @@
         }
     }
 
-    /// Whether a chain member has promised whose heartbeat hasn't come yet.
+    /// Whether a member of the chain or the reserve has promised whose heartbeat hasn't come yet.
     pub(super) fn awaits_heartbeat_of_promiser(&self, attempt: &ProposalAttempt) -> bool {
-        let seated = self.view.chain.iter().map(|position| position.voter);
+        let members = self.view.chain.iter().map(|position| position.voter);
+        let holders = members.chain(self.view.reserve.iter().copied());
         let promisers =
-            seated.filter(|voter| *voter != self.me && attempt.promises.contains_key(&voter.disk));
+            holders.filter(|voter| *voter != self.me && attempt.promises.contains_key(&voter.disk));
         let is_unheard = |voter: Voter| {
             let lately = |peer: &PeerState| {
                 peer.disk == voter.disk
@@ -346,7 +347,7 @@
         }
         let may_accept = match instance {
             ViewNumber(1) => self.may_accept_first_view(&proposal.view),
-            _ => self.view.has_voter(&self.me) && self.view.may_be_followed_by(&proposal.view),
+            _ => self.view.has_voter(&self.me) && self.may_follow(&proposal.view),
         };
         if !may_accept || (instance != ViewNumber(1) && self.is_fenced(from, &proposal.view)) {
             return;
@@ -364,6 +365,11 @@
         );
     }
 
+    fn may_follow(&self, next: &View) -> bool {
+        let min_chain_length = self.timing.min_chain_length;
+        self.view.may_be_followed_by(next, min_chain_length)
+    }
+
     /// Tells a proposer which higher number this voter has promised.
     fn reject_proposal(&mut self, from: Address, instance: ViewNumber) {
         let message = ReplicationMessage::ProposalRejected {
@@ -460,9 +466,7 @@
         if position.is_some() {
             self.catch_up.download = None;
         }
-        if self.is_tail() && self.is_caught_up {
-            self.commit_index = self.synced.0;
-        }
+        self.commit_if_tail();
         if !self.is_tail() {
             self.catch_up.offered_snapshot = None;
         }
--- a/crates/replication/src/replica/view_planning.rs
+++ b/crates/replication/src/replica/view_planning.rs
@@ -4,11 +4,13 @@
 //! Nothing here decides: a planned view becomes real by Paxos, see [`super::view_change`], and each
 //! voter checks [`View::may_be_followed_by`] for itself before it accepts. What must hold for
 //! safety is there; the rules here are for availability: a failed replica must not block the chain,
-//! and one that is draining must not be its last caught-up member.
+//! one that is draining must not be its last caught-up member, and one that holds everything takes
+//! the place of a chain whose caught-up members are gone.
 
 use super::Replica;
 use crate::state_machine::StateMachine;
 use crate::view::{ChainPosition, View, Voter};
+use types::{SequenceNumber, ViewNumber};
 
 /// A follower at most this many changes behind the tail is admitted to the chain.
 const ADMISSION_LAG: u64 = 16;
@@ -18,15 +20,70 @@
     fn planned_view(&self) -> View {
         let mut chain = self.healthy_chain();
         let mut voters = self.view.voters.clone();
-        if self.is_tail() && self.is_caught_up {
-            self.admit_followers(&mut chain, &mut voters);
+        if self.keeps_caught_up_member(&chain) {
+            if self.is_tail() && self.is_caught_up {
+                self.admit_followers(&mut chain, &mut voters);
+            }
+            self.leave_chain(&mut chain);
+        } else if let Some(substitute) = self.substitute_from_reserve(&mut voters) {
+            chain = vec![substitute];
         }
-        self.leave_chain(&mut chain);
-        View {
+        let mut next = View {
             epoch: self.view.epoch.next(),
             chain,
             voters,
+            reserve: vec![],
+        };
+        next.reserve = self.planned_reserve(&next);
+        next
+    }
+
+    /// Whether a member is left that the present view calls caught up.
+    fn keeps_caught_up_member(&self, chain: &[ChainPosition]) -> bool {
+        let was_caught_up = |voter: &Voter| {
+            let position = self.view.position(voter);
+            position.is_some_and(|position| position.is_caught_up)
+        };
+        chain.iter().any(|position| was_caught_up(&position.voter))
+    }
+
+    /// The position of the reachable member of the reserve whose log is the newest, which is to
+    /// take the place of a chain whose caught-up members are gone.
+    fn substitute_from_reserve(&self, voters: &mut Vec<Voter>) -> Option<ChainPosition> {
+        let reachable = self.view.reserve.iter().filter(|v| self.is_reachable(v));
+        let voter = *reachable.max_by_key(|voter| self.last_change_of(voter))?;
+        self.give_vote(&voter, voters, &[])
+            .then_some(ChainPosition {
+                voter,
+                is_caught_up: true,
+            })
+    }
+
+    /// The view and the number of the last change on the disk of this replica or of a peer.
+    fn last_change_of(&self, voter: &Voter) -> Option<(ViewNumber, SequenceNumber)> {
+        if *voter == self.me {
+            return Some((self.synced.1, self.synced.0));
         }
+        let peer = self.peers.get(&voter.address)?;
+        Some((peer.origin_view, peer.last))
+    }
+
+    /// Who goes on holding every committed change outside the caught-up part of the next chain. A
+    /// disk whose address votes with another one by then is gone.
+    fn planned_reserve(&self, next: &View) -> Vec<Voter> {
+        if next.may_commit(self.timing.min_chain_length) {
+            return vec![];
+        }
+        let caught_up = self.view.chain.iter().filter(|p| p.is_caught_up);
+        let holders = caught_up.map(|p| p.voter).chain(self.view.reserve.clone());
+        let is_outside = |voter: &Voter| !next.position(voter).is_some_and(|p| p.is_caught_up);
+        let has_its_disk = |voter: &Voter| {
+            let mut votes = next.voters.iter();
+            !votes.any(|v| v.address == voter.address && v.disk != voter.disk)
+        };
+        holders
+            .filter(|voter| is_outside(voter) && has_its_disk(voter))
+            .collect()
     }
 
     /// The present chain without the members that failed or don't make progress.
@@ -60,12 +117,8 @@
             if !is_near || !is_reachable || !is_staying || self.view.contains(voter) {
                 continue;
             }
-            if !voters.contains(voter) {
-                match self.replaceable_vote(voters, chain, voter) {
-                    Some(index) => voters[index] = *voter,
-                    None if voters.len() < self.timing.target_voters => voters.push(*voter),
-                    None => continue,
-                }
+            if !self.give_vote(voter, voters, chain) {
+                continue;
             }
             chain.push(ChainPosition {
                 voter: *voter,
@@ -75,6 +128,19 @@
         chain.retain(|position| voters.contains(&position.voter));
     }
 
+    /// Has this replica vote, by a vote of its own or one that it takes over; whether it does now.
+    fn give_vote(&self, voter: &Voter, voters: &mut Vec<Voter>, chain: &[ChainPosition]) -> bool {
+        if voters.contains(voter) {
+            return true;
+        }
+        match self.replaceable_vote(voters, chain, voter) {
+            Some(index) => voters[index] = *voter,
+            None if voters.len() < self.timing.target_voters => voters.push(*voter),
+            None => return false,
+        }
+        true
+    }
+
     /// The index of the vote that a follower with another disk may take over: that of its own
     /// address, of a voter that is draining, or of one unreachable for
     /// [`Timing::voter_replacement_timeout`](crate::Timing).
@@ -121,7 +187,9 @@
             || planned_view.chain != self.view.chain
             || planned_view.voters != self.view.voters;
         (is_change
-            && self.view.may_be_followed_by(&planned_view)
+            && self
+                .view
+                .may_be_followed_by(&planned_view, self.timing.min_chain_length)
             && self.keeps_lasting_member(&planned_view))
         .then_some(planned_view)
     }
--- a/crates/replication/tests/golden.rs
+++ b/crates/replication/tests/golden.rs
@@ -35,9 +35,18 @@
             position(7103, false),
         ],
         voters: vec![voter(7101), voter(7102), voter(7103)],
+        reserve: vec![],
     }
 }
 
+/// A view in which nothing may be committed: the members of its reserve stand behind the chain.
+fn view_with_reserve() -> View {
+    let mut view = view();
+    let dropped = view.chain.remove(1);
+    view.reserve = vec![dropped.voter];
+    view
+}
+
 fn records() -> Vec<Record> {
     let proposal_number = ProposalNumber {
         count: 3,
@@ -71,6 +80,9 @@
             origin_view: ViewNumber(6),
             body: b"the state machine's own snapshot".to_vec(),
         },
+        Record::View {
+            view: view_with_reserve(),
+        },
     ]
 }
 
--- a/crates/wire/tests/golden.rs
+++ b/crates/wire/tests/golden.rs
@@ -110,6 +110,7 @@
             position(7103, false),
         ],
         voters: vec![voter(7101), voter(7102), voter(7103)],
+        reserve: vec![],
     }
 }
 
