--- a/crates/router/src/upstream/event_reader.rs
+++ b/crates/router/src/upstream/event_reader.rs
@@ -1,7 +1,8 @@
 //! Reads the events of one server's stream, and finds what is no event of it.
 //!
 //! An event is what the protocol of streams allows: lines of fields in UTF-8 with one id, a number above those before
-//! it, and with data. A server in trouble may send anything else, and once it has, nothing behind it can be told from it.
+//! it, and with data, up to the blank line that ends them. A server in trouble may send anything else, and once it has,
+//! nothing behind it can be told from it; it may also break off in the middle of an event.
 
 use crate::upstream::event_splitter::{BlockTooLong, EventSplitter, MAX_BLOCK_BYTES};
 use bytes::{Bytes, BytesMut};
@@ -44,6 +45,9 @@
     /// It has no data.
     #[error("it has no data")]
     NoData,
+    /// The body has ended before a blank line ended it.
+    #[error("the body ended in its middle")]
+    Unterminated,
 }
 
 /// Bytes of a stream that are no event of it.
@@ -108,14 +112,35 @@
         }
     }
 
-    /// Returns the last event, if it ends with the body in place of a blank line; called once the body has ended in order.
+    /// Returns the last event, if the end of the body shows that a carriage return ended it; called once the body has ended in
+    /// order. Comments and blank lines may be left then.
     ///
     /// # Errors
     ///
-    /// What is left is no event of the stream.
+    /// What is left is a part of an event, or no event of the stream.
     pub fn finish(&mut self) -> Result<Option<StreamEvent>, MalformedEvent> {
+        self.splitter.end();
+        if let Some(event) = self.next_event()? {
+            return Ok(Some(event));
+        }
         let rest = self.splitter.take_rest();
-        self.read_block(rest)
+        match self.unterminated(&rest) {
+            Some(error) => Err(MalformedEvent { error, bytes: rest }),
+            None => {
+                self.preamble.extend_from_slice(&rest);
+                Ok(None)
+            }
+        }
+    }
+
+    /// What is wrong with the bytes behind the last blank line, unless they are comments and blank lines.
+    fn unterminated(&self, rest: &[u8]) -> Option<EventError> {
+        let Ok(text) = std::str::from_utf8(self.without_bom(rest)) else {
+            return Some(EventError::NotText);
+        };
+        let mut lines = text.split(['\n', '\r']);
+        let are_comments = lines.all(|line| line.is_empty() || line.starts_with(':'));
+        (!are_comments).then_some(EventError::Unterminated)
     }
 
     /// Returns the comments and blank lines behind the last event.
@@ -154,12 +179,7 @@
 
     /// The number of the event that a block is; `None` where it is of comments and blank lines.
     fn number_of(&self, block: &[u8]) -> Result<Option<u64>, EventError> {
-        // The mark may stand at the start of a stream.
-        let block = match self.last {
-            None => block.strip_prefix(UTF8_BOM).unwrap_or(block),
-            Some(_) => block,
-        };
-        let Some(id) = event_number(block)? else {
+        let Some(id) = event_number(self.without_bom(block))? else {
             return Ok(None);
         };
         match self.last {
@@ -168,6 +188,14 @@
         }
     }
 
+    /// The block without the mark that may stand at the start of a stream.
+    fn without_bom<'a>(&self, block: &'a [u8]) -> &'a [u8] {
+        match self.last {
+            None => block.strip_prefix(UTF8_BOM).unwrap_or(block),
+            Some(_) => block,
+        }
+    }
+
     fn with_preamble(&mut self, block: Bytes) -> Bytes {
         if self.preamble.is_empty() {
             return block;
--- a/crates/router/src/upstream/event_reader/tests.rs
+++ b/crates/router/src/upstream/event_reader/tests.rs
@@ -95,13 +95,23 @@
     nothing = { b"", Ok(None) },
     a_blank_line = { b"\n", Ok(None) },
     a_comment = { b": note\n", Ok(None) },
-    an_event_without_its_blank_line = { b"id: 8\ndata: a\n", Ok(Some(8)) },
-    an_event_without_the_end_of_its_line = { b"id: 8\ndata: a", Ok(Some(8)) },
-    text = { b"and more", Err(EventError::NoField) },
-    no_data = { b"id: 8\n", Err(EventError::NoData) },
-    an_earlier_number = { b"id: 2\ndata: a\n", Err(EventError::NotRising { id: 2, last: 7 }) },
+    a_comment_without_the_end_of_its_line = { b": no", Ok(None) },
+    comments_and_blank_lines = { b"\r\n: a\r\r\n:b\n", Ok(None) },
+    an_event_whose_line_feed_is_left_out = { b"id: 8\r\ndata: a\r\n\r", Ok(Some(8)) },
+    an_event_without_its_blank_line = { b"id: 8\ndata: a\n", Err(EventError::Unterminated) },
+    the_same_with_carriage_returns = { b"id: 8\rdata: a\r", Err(EventError::Unterminated) },
+    the_same_with_both = { b"id: 8\r\ndata: a\r\n", Err(EventError::Unterminated) },
+    an_event_without_the_end_of_its_line = { b"id: 8\ndata: a", Err(EventError::Unterminated) },
+    the_first_byte_of_an_event = { b"i", Err(EventError::Unterminated) },
+    a_field_that_says_nothing = { b"event: token\n", Err(EventError::Unterminated) },
+    a_comment_and_a_part_of_an_event = { b": a\nid: 8\n", Err(EventError::Unterminated) },
+    a_part_of_a_character = { b": \xe0\xae", Err(EventError::NotText) },
+    text = { b"and more", Err(EventError::Unterminated) },
+    no_data = { b"id: 8\n", Err(EventError::Unterminated) },
+    an_earlier_number = { b"id: 2\ndata: a\n", Err(EventError::Unterminated) },
+    an_earlier_number_whose_line_feed_is_left_out = { b"id: 2\r\ndata: a\r\n\r", Err(EventError::NotRising { id: 2, last: 7 }) },
 )]
-fn what_is_left_at_the_end_is_an_event_or_an_error(
+fn what_is_left_at_the_end_is_an_error_unless_a_blank_line_ends_it_or_it_is_a_comment(
     rest: &[u8],
     expected: Result<Option<u64>, EventError>,
 ) {
@@ -116,3 +126,42 @@
     let found = found.map(|event| event.map(|it| it.id));
     assert_eq!(found.map_err(|malformed| malformed.error), expected);
 }
+
+/// A server breaks off in the last event, whatever ends its lines: with the blank line left out no event comes of it.
+#[parameterized(
+    line_feeds = { b"id: 8\ndata: abc\n\n", 1 },
+    carriage_returns = { b"id: 8\rdata: abc\r\r", 1 },
+    both = { b"id: 8\r\ndata: abc\r\n\r\n", 2 },
+    behind_a_comment = { b": note\nid: 8\ndata: abc\n\n", 1 },
+    first_a_load = { b"weight-versions: 3\nid: 8\ndata: abc\n\n", 1 },
+)]
+fn no_event_comes_of_one_that_ends_at_any_byte_before_its_blank_line(event: &[u8], blank: usize) {
+    for length in 1..=event.len() - blank {
+        let mut reader = EventReader::new(None);
+        reader.push(b"id: 7\ndata: a\n\n");
+        reader.push(&event[..length]);
+        assert_eq!(
+            reader.next_event().map(|event| event.map(|it| it.id)),
+            Ok(Some(7))
+        );
+        assert_eq!(reader.next_event(), Ok(None));
+        let is_comment = event[..length].starts_with(b":") && !event[..length].contains(&b'i');
+        let found = reader.finish().map_err(|malformed| malformed.error);
+        let expected = if is_comment {
+            Ok(None)
+        } else {
+            Err(EventError::Unterminated)
+        };
+        assert_eq!(found, expected, "{length} bytes");
+    }
+}
+
+#[test]
+fn what_is_left_of_comments_passes_behind_the_last_event() {
+    let mut reader = EventReader::new(None);
+    reader.push(b"id: 7\ndata: a\n\n: a\n\n: b");
+    assert!(matches!(reader.next_event(), Ok(Some(_))));
+    assert_eq!(reader.next_event(), Ok(None));
+    assert_eq!(reader.finish(), Ok(None));
+    assert_eq!(&reader.take_trailer()[..], b": a\n\n: b");
+}
--- a/crates/router/src/upstream/event_splitter.rs
+++ b/crates/router/src/upstream/event_splitter.rs
@@ -21,6 +21,7 @@
     /// Up to here `pending` was scanned.
     scanned: usize,
     scan: LineScan,
+    has_ended: bool,
 }
 
 /// What ended the line before the current one.
@@ -95,6 +96,11 @@
         self.pending.extend_from_slice(bytes);
     }
 
+    /// The stream has ended: a carriage return that ends a block is not awaited to go on with a line feed.
+    pub fn end(&mut self) {
+        self.has_ended = true;
+    }
+
     /// Returns the next block, if its end has come. Blank lines before a block are part of it.
     ///
     /// # Errors
@@ -111,7 +117,7 @@
         Ok(Some(self.take(end)))
     }
 
-    /// Takes out what is left once the stream has ended.
+    /// Takes out what is left once the stream has ended: what no blank line has ended.
     pub fn take_rest(&mut self) -> Bytes {
         self.take(self.pending.len())
     }
@@ -129,8 +135,11 @@
                 Scanned::Within => self.scanned += 1,
                 Scanned::EndsHere => return Some(self.scanned + 1),
                 Scanned::EndsWithLineFeed => {
-                    let next = self.pending.get(self.scanned + 1)?;
-                    return Some(self.scanned + 1 + usize::from(*next == b'\n'));
+                    let next = self.pending.get(self.scanned + 1);
+                    return match next {
+                        Some(next) => Some(self.scanned + 1 + usize::from(*next == b'\n')),
+                        None => self.has_ended.then_some(self.scanned + 1),
+                    };
                 }
             }
         }
--- a/crates/router/src/upstream/event_splitter/tests.rs
+++ b/crates/router/src/upstream/event_splitter/tests.rs
@@ -64,6 +64,23 @@
     );
 }
 
+#[parameterized(
+    both = { b"a\r\n\r", true },
+    line_feed_then_both = { b"a\n\r", true },
+    without_the_blank_line = { b"a\r\n", false },
+)]
+fn a_carriage_return_ends_the_last_block_once_no_line_feed_can_follow(
+    bytes: &[u8],
+    is_block: bool,
+) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(bytes);
+    assert_eq!(splitter.next_block(), Ok(None));
+    splitter.end();
+    let block = splitter.next_block().expect("short");
+    assert_eq!(block.as_deref(), is_block.then_some(bytes));
+}
+
 #[test]
 fn a_long_block_comes_out_complete_and_one_that_is_too_long_is_an_error() {
     let mut splitter = EventSplitter::default();
--- a/crates/router/src/upstream/forwarding.rs
+++ b/crates/router/src/upstream/forwarding.rs
@@ -60,6 +60,8 @@
     ResumeFromStart,
     /// What is no event of a stream is passed on as one.
     PassMalformed,
+    /// What a server broke off in is passed on as an event.
+    PassUnterminated,
 }
 
 impl Forwarder {
--- a/crates/router/src/upstream/forwarding/attempt.rs
+++ b/crates/router/src/upstream/forwarding/attempt.rs
@@ -1,7 +1,7 @@
 //! Phase "send" of a forwarded call: one attempt at one server, up to the first event of its response.
 
 use super::malformed_stream::{MalformedStream, StreamPlace};
-use super::server_stream::{ServerStream, StreamRead};
+use super::server_stream::{Leniency, ServerStream, StreamRead};
 use super::{Forwarder, Mutant};
 use crate::control::node::{NodeInput, Placement};
 use crate::dialect::{Call, Sending};
@@ -238,12 +238,11 @@
         placement: &Placement,
         deadline: MonotonicInstant,
     ) -> Result<ResponseStart, SendFailure> {
-        let accepts_anything = self.forwarder.is_mutant(Mutant::PassMalformed);
         let mut stream = ServerStream::new(
             placement.server.clone(),
             response,
             self.last_event,
-            accepts_anything,
+            self.leniency(),
         );
         loop {
             let timeout = Clock::now().until(deadline);
@@ -273,6 +272,16 @@
         }
     }
 
+    fn leniency(&self) -> Leniency {
+        if self.forwarder.is_mutant(Mutant::PassMalformed) {
+            Leniency::Malformed
+        } else if self.forwarder.is_mutant(Mutant::PassUnterminated) {
+            Leniency::Unterminated
+        } else {
+            Leniency::None
+        }
+    }
+
     /// Logs and counts that the stream begins with what is no event.
     fn report_malformed(&self, malformed: &MalformedEvent, stream: &ServerStream) {
         let place = if self.last_event == self.call.after {
--- a/crates/router/src/upstream/forwarding/server_stream.rs
+++ b/crates/router/src/upstream/forwarding/server_stream.rs
@@ -1,6 +1,6 @@
 //! One server's stream of events, read from its response.
 
-use crate::upstream::event_reader::{EventReader, MalformedEvent, StreamEvent};
+use crate::upstream::event_reader::{EventError, EventReader, MalformedEvent, StreamEvent};
 use bytes::Bytes;
 use std::time::Duration;
 use transport::{BodyFraming, BodyRead, ClientConnection, NoRoom, PooledResponse};
@@ -31,6 +31,27 @@
 /// Memory for a longer event is held in steps of so many bytes.
 const EVENT_STEP_BYTES: usize = 64 << 10;
 
+/// What counts as an event although it is none: a deliberate fault of the tests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Leniency {
+    /// Nothing.
+    None,
+    /// What stands behind the last blank line of a body.
+    Unterminated,
+    /// Anything.
+    Malformed,
+}
+
+impl Leniency {
+    fn accepts(self, error: EventError) -> bool {
+        match self {
+            Leniency::None => false,
+            Leniency::Unterminated => error == EventError::Unterminated,
+            Leniency::Malformed => true,
+        }
+    }
+}
+
 /// A server's stream. Dropping it closes its connection, unless it was released.
 pub(super) struct ServerStream {
     /// Who sends it.
@@ -40,8 +61,8 @@
     has_ended: bool,
     /// Bytes that the client's connection holds for events.
     reserved: usize,
-    /// A deliberate fault of the tests: what is no event counts as one.
-    accepts_anything: bool,
+    /// A deliberate fault of the tests.
+    leniency: Leniency,
 }
 
 impl ServerStream {
@@ -50,7 +71,7 @@
         server: ServerName,
         response: PooledResponse,
         received: Option<u64>,
-        accepts_anything: bool,
+        leniency: Leniency,
     ) -> Self {
         ServerStream {
             server,
@@ -58,7 +79,7 @@
             reader: EventReader::new(received),
             has_ended: false,
             reserved: FREE_EVENT_BYTES,
-            accepts_anything,
+            leniency,
         }
     }
 
@@ -87,10 +108,12 @@
             Ok(Some(event)) => StreamRead::Event(event),
             Ok(None) if self.has_ended => StreamRead::End,
             Ok(None) => StreamRead::Pending,
-            Err(malformed) if self.accepts_anything => StreamRead::Event(StreamEvent {
-                id: self.reader.last_id(),
-                bytes: malformed.bytes,
-            }),
+            Err(malformed) if self.leniency.accepts(malformed.error) => {
+                StreamRead::Event(StreamEvent {
+                    id: self.reader.last_id(),
+                    bytes: malformed.bytes,
+                })
+            }
             Err(malformed) => StreamRead::Malformed(malformed),
         }
     }
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -1281,9 +1281,18 @@
     vec![head, events(5..=6), chunk(text), events(7..=8), end()]
 }
 
+/// A stream whose body ends in order, behind a part of an event.
+fn broken_off_in(event: &str) -> Vec<Do> {
+    vec![stream_head("m"), events(5..=6), chunk(event), end()]
+}
+
 /// Whether a stream in which a server sends what is no event goes on at another server, behind its last event.
 fn is_taken_over_exactly(mutant: Option<Mutant>) -> bool {
-    let spoiled = Server::start("a", vec![malformed("data: nobody's\n\n")]);
+    goes_on_behind_event_6(malformed("data: nobody's\n\n"), mutant)
+}
+
+fn goes_on_behind_event_6(spoiled: Vec<Do>, mutant: Option<Mutant>) -> bool {
+    let spoiled = Server::start("a", vec![spoiled]);
     let next = Server::start("b", vec![vec![stream_head("second"), events(7..=9), end()]]);
     let stage = Stage::set_mutant(
         &STREAM,
@@ -1303,12 +1312,41 @@
     assert!(is_taken_over_exactly(None));
 }
 
-#[test]
-fn a_stream_that_begins_with_what_is_no_event_is_no_answer() {
-    let spoiled = Server::start(
-        "a",
-        vec![vec![stream_head("m"), chunk("data: nobody's\n\n"), end()]],
-    );
+/// The half passes as a piece, and the answer ends as complete: a server broke off in the middle of an event and ended its body.
+#[parameterized(
+    without_its_blank_line = { "id: 7\ndata: seven\n" },
+    without_the_end_of_its_line = { "id: 7\ndata: sev" },
+    in_its_id = { "id: " },
+    behind_its_first_byte = { "i" },
+    behind_a_field_that_says_nothing = { "event: token\n" },
+    with_carriage_returns = { "id: 7\rdata: seven\r" },
+    with_both = { "id: 7\r\ndata: seven\r\n" },
+)]
+fn a_stream_that_ends_in_the_middle_of_an_event_goes_on_behind_the_one_before(event: &str) {
+    assert!(goes_on_behind_event_6(broken_off_in(event), None));
+}
+
+/// Nothing of the run is left out: such a server has sent all of its events.
+#[parameterized(
+    a_comment = { ": note\n" },
+    a_part_of_a_comment = { ": no" },
+    blank_lines = { "\n\r\n" },
+)]
+fn comments_behind_the_last_event_pass_and_the_answer_is_complete(trailer: &str) {
+    let server = Server::start("a", vec![broken_off_in(trailer)]);
+    let stage = Stage::set(&STREAM, vec![goes_to(&server, true)]);
+    let answer = stage.exchange("");
+    assert!(answer.is_success(), "{answer:?}");
+    assert_eq!(answer.body, all_of(5..=6) + trailer);
+    assert_eq!(stage.outcomes(), [Outcome::Complete]);
+}
+
+#[parameterized(
+    which_is_of_nobody = { "data: nobody's\n\n" },
+    which_the_body_ends_in = { "id: 5\ndata: fi" },
+)]
+fn a_stream_that_begins_with_what_is_no_event_is_no_answer(event: &str) {
+    let spoiled = Server::start("a", vec![vec![stream_head("m"), chunk(event), end()]]);
     let stage = Stage::set(&STREAM, vec![goes_to(&spoiled, false)]);
     let answer = stage.exchange("");
     assert!(!answer.is_success() && !answer.is_promise(), "{answer:?}");
@@ -1336,6 +1374,8 @@
     by_an_event_without_an_id = { malformed("data: nobody's\n\n") },
     by_text = { malformed("certainly not\r\n\r\n") },
     by_a_number_that_went_back = { malformed("id: 3\ndata: back\n\n") },
+    by_the_end_of_its_body_in_an_event = { broken_off_in("id: 7\ndata: sev") },
+    by_the_end_of_its_body_before_a_blank_line = { broken_off_in("id: 7\ndata: seven\n") },
     by_text_at_the_end = { vec![stream_head("m"), events(5..=6), chunk("and more"), end()] },
     by_an_answer_behind_a_body_without_a_length = { vec![
         Say(format!("HTTP/1.1 200 OK\r\n{OURS}\r\n{}{}", all_of(5..=6), answer(200, OURS, "other"))), Close,
@@ -1485,6 +1525,8 @@
     repeat_after_a_silent_close = { Mutant::RepeatAnything, |mutant| runs_once(vec![Say("HTTP/1.1 2".into()), Close], mutant) },
     resume_from_start = { Mutant::ResumeFromStart, resumes_exactly },
     pass_malformed = { Mutant::PassMalformed, |mutant| is_aborted_visibly(malformed("data: nobody's\n\n"), mutant) },
+    pass_unterminated = { Mutant::PassUnterminated, |mutant| is_aborted_visibly(broken_off_in("id: 7\ndata: sev"), mutant) },
+    pass_unterminated_where_another_takes_over = { Mutant::PassUnterminated, |mutant| goes_on_behind_event_6(broken_off_in("id: 7\ndata: seven\n"), mutant) },
     pass_malformed_where_another_takes_over = { Mutant::PassMalformed, is_taken_over_exactly },
 )]
 fn each_mutant_is_caught(mutant: Mutant, holds: fn(Option<Mutant>) -> bool) {
--- a/crates/router/tests/answers_fuzz.rs
+++ b/crates/router/tests/answers_fuzz.rs
@@ -30,6 +30,11 @@
     (blocks, splitter.take_rest().to_vec())
 }
 
+fn ends_with_blank_line(block: &[u8]) -> bool {
+    let ends: [&[u8]; 4] = [b"\n\n", b"\n\r\n", b"\r\r", b"\n\r"];
+    ends.iter().any(|end| block.ends_with(end))
+}
+
 /// Lines and parts of lines of streams, proper ones and others.
 fn stream_parts() -> impl Strategy<Value = &'static [u8]> {
     proptest::sample::select(vec![
@@ -75,8 +80,7 @@
             .collect();
         prop_assert_eq!(joined, bytes);
         for block in &blocks {
-            let ends: [&[u8]; 4] = [b"\n\n", b"\n\r\n", b"\r\r", b"\n\r"];
-            prop_assert!(ends.iter().any(|end| block.ends_with(end)), "{:?}", block);
+            prop_assert!(ends_with_blank_line(block), "{:?}", block);
         }
         Ok(())
     });
@@ -123,6 +127,11 @@
                 position += found.expect("it was sent") + event.bytes.len();
             }
         }
+        if let Ok(Some(event)) = reader.finish() {
+            prop_assert!(ends_with_blank_line(&event.bytes), "{:?}", event.bytes);
+            prop_assert!(bytes.ends_with(&event.bytes));
+            prop_assert!(last.is_none_or(|last| event.id > last));
+        }
         Ok(())
     });
     outcome.unwrap();
--- a/crates/simulator/src/world/mutants.rs
+++ b/crates/simulator/src/world/mutants.rs
@@ -51,6 +51,10 @@
     ///
     /// Seen by: a client gets pieces that do not fit its stream (the stream checks of `World::give`).
     PassMalformed,
+    /// What a server broke off in reaches the client as an event.
+    ///
+    /// Seen by: a client gets pieces that do not fit its stream (the stream checks of `World::give`).
+    PassUnterminated,
     /// A stream that is resumed begins anew.
     ///
     /// Seen by: a client gets pieces again (the stream checks of `World::give`).
--- a/crates/simulator/src/world/stream_reader.rs
+++ b/crates/simulator/src/world/stream_reader.rs
@@ -11,6 +11,8 @@
     Record(RunRecord),
     /// What is neither.
     Malformed(&'static str),
+    /// A part of an event, with the end of the body right behind it.
+    Unterminated(String),
 }
 
 /// What a server gone wrong may send in place of an event.
@@ -46,6 +48,13 @@
             (StreamReader::Events(reader), ServerLine::Record(RunRecord::End { pieces, .. })) => {
                 finish(reader, *pieces)
             }
+            (StreamReader::Events(reader), ServerLine::Unterminated(text)) => {
+                reader.push(text.as_bytes());
+                match reader.next_event() {
+                    Ok(None) => finish(reader, 0),
+                    _ => abort("an event without its blank line"),
+                }
+            }
             (StreamReader::Events(reader), line) => {
                 reader.push(event_text(line).as_bytes());
                 match reader.next_event() {
@@ -69,9 +78,17 @@
             serde_json::to_string(record).expect("a record is JSON") + "\n"
         }
         ServerLine::Malformed(text) => (*text).to_owned(),
+        ServerLine::Unterminated(text) => text.clone(),
     }
 }
 
+/// The event that a line is, without its last bytes: at least its blank line is missing, at most all but one byte.
+pub(super) fn unterminated(line: &ServerLine, drawn: usize) -> ServerLine {
+    let text = event_text(line);
+    let length = text.len().saturating_sub(1).max(1);
+    ServerLine::Unterminated(text[..1 + drawn % (length - 1).max(1)].to_owned())
+}
+
 fn event_text(line: &ServerLine) -> String {
     match line {
         ServerLine::Record(RunRecord::Chunk { n, text, .. }) => {
@@ -80,6 +97,7 @@
         }
         ServerLine::Record(RunRecord::End { .. }) => String::new(),
         ServerLine::Malformed(text) => (*text).to_owned(),
+        ServerLine::Unterminated(text) => text.clone(),
     }
 }
 
--- a/crates/simulator/src/world/streams.rs
+++ b/crates/simulator/src/world/streams.rs
@@ -4,7 +4,7 @@
 use crate::schedule::Progress;
 use crate::world::event::Event;
 use crate::world::stream_reader::{
-    MALFORMED, ServerLine, StreamReader, chunk_line, is_event_stream,
+    MALFORMED, ServerLine, StreamReader, chunk_line, is_event_stream, unterminated,
 };
 use crate::world::{Mutant, World};
 use loadgen::prompt_fingerprint;
@@ -47,6 +47,9 @@
         self.read += 1;
         let is_lax = match self.reader {
             StreamReader::Chunks(_) => mutant == Some(Mutant::LaxPieces),
+            StreamReader::Events(_) if matches!(line, ServerLine::Unterminated(_)) => {
+                mutant == Some(Mutant::PassUnterminated)
+            }
             StreamReader::Events(_) => mutant == Some(Mutant::PassMalformed),
         };
         match self.reader.take(line) {
@@ -167,8 +170,8 @@
         }
     }
 
-    /// What a server gone wrong makes of its events: one is doubled, or something else stands before it, in its place or
-    /// behind it. Events name no run and may leave numbers out, so what their reader can't know is not played.
+    /// What a server gone wrong makes of its events: one is doubled, something else stands before it, in its place or
+    /// behind it, or the body ends in its middle. Events name no run and may leave numbers out, so what their reader can't know is not played.
     fn garble_events(&mut self, lines: &mut Vec<ServerLine>, server: usize) {
         let place = self.below(lines.len() as u64) as usize;
         let malformed = ServerLine::Malformed(MALFORMED[(place + server) % MALFORMED.len()]);
@@ -177,6 +180,11 @@
             1 => lines.insert(place, lines[place].clone()),
             2 => lines[place] = malformed,
             3 => lines.insert(place + 1, malformed),
+            // Nothing comes behind the end of a body.
+            4 if matches!(lines[place], ServerLine::Record(RunRecord::Chunk { .. })) => {
+                lines[place] = unterminated(&lines[place], place + server);
+                lines.truncate(place + 1);
+            }
             _ => {}
         }
     }
--- a/crates/simulator/src/world/tests.rs
+++ b/crates/simulator/src/world/tests.rs
@@ -258,6 +258,7 @@
     free_repeats = { Mutant::FreeRepeats, &[FaultKind::Brownout], 4, 80, None },
     lax_pieces = { Mutant::LaxPieces, &[FaultKind::GarbleServers], 4, 25, None },
     pass_malformed = { Mutant::PassMalformed, &[FaultKind::GarbleServers], 4, 25, None },
+    pass_unterminated = { Mutant::PassUnterminated, &[FaultKind::GarbleServers], 4, 25, None },
     resume_from_start = { Mutant::ResumeFromStart, &[FaultKind::KillRouters], 6, 25, None },
     forget_holders = { Mutant::ForgetHolders, &[FaultKind::BadNetwork, FaultKind::CutOneWay], 6, 25, None },
     forget_too_early = { Mutant::ForgetTooEarly, &[FaultKind::PlanStorm], 4, 25, None },
--- a/crates/testbed/src/answers/play.rs
+++ b/crates/testbed/src/answers/play.rs
@@ -88,6 +88,8 @@
     MalformedMiddle,
     /// Sends what is no event behind the last event of a stream, within the body.
     MalformedEnd,
+    /// Runs a stream up to the middle of an event, and ends the body in order.
+    EndInEvent,
     /// Runs a stream whose body has no length, and sends another answer behind it.
     AnswerInBody,
 }
@@ -105,10 +107,10 @@
     }
     /// Whether only the reader of a stream can tell that the answer is none. What isn't a stream is answered properly.
     pub fn is_malformed_stream(self) -> bool {
-        use Play::{AnswerInBody, MalformedEnd, MalformedFirst, MalformedMiddle};
+        use Play::{AnswerInBody, EndInEvent, MalformedEnd, MalformedFirst, MalformedMiddle};
         matches!(
             self,
-            AnswerInBody | MalformedEnd | MalformedFirst | MalformedMiddle
+            AnswerInBody | EndInEvent | MalformedEnd | MalformedFirst | MalformedMiddle
         )
     }
     /// Whether the client is to get the server's whole answer, if nothing stood in its place.
--- a/crates/testbed/src/answers/server/response.rs
+++ b/crates/testbed/src/answers/server/response.rs
@@ -61,6 +61,7 @@
             Play::MalformedFirst => self.malformed_behind(0),
             Play::MalformedMiddle => self.malformed_behind(self.middle()),
             Play::MalformedEnd => self.malformed_behind(self.body.len()),
+            Play::EndInEvent => self.end_in_event(),
             Play::AnswerInBody => {
                 let (body, other) = (self.body, self.with_headers(&foreign_headers()));
                 format!("HTTP/1.1 200 OK\r\n{marked}\r\n{body}{other}")
@@ -108,13 +109,32 @@
     /// The stream in chunks, with what is no event behind so many bytes of it.
     fn malformed_behind(&self, length: usize) -> String {
         let (before, behind) = self.body.split_at(length);
-        let drawn = self.mark.len() + self.id.bytes().map(usize::from).sum::<usize>();
-        let malformed = MALFORMED[drawn % MALFORMED.len()];
+        let malformed = MALFORMED[self.draw() % MALFORMED.len()];
         let parts = [before, malformed, behind].into_iter();
         let chunks: String = parts.filter(|part| !part.is_empty()).map(chunk).collect();
         self.chunked_head() + &chunks + "0\r\n\r\n"
     }
 
+    /// The stream up to any byte of any of its events, with an end of the body by a length or by chunks.
+    fn end_in_event(&self) -> String {
+        let drawn = self.draw();
+        let mut length = 1 + drawn % self.body.len().saturating_sub(2).max(1);
+        if self.body[..length].ends_with("\n\n") {
+            length -= 1;
+        }
+        let torn = &self.body[..length];
+        if drawn.is_multiple_of(2) {
+            return self.chunked_head() + &chunk(torn) + "0\r\n\r\n";
+        }
+        let headers = self.marked_headers();
+        format!("HTTP/1.1 200 OK\r\n{headers}content-length: {length}\r\n\r\n{torn}")
+    }
+
+    /// A number that differs from run to run.
+    fn draw(&self) -> usize {
+        self.mark.len() + self.id.bytes().map(usize::from).sum::<usize>()
+    }
+
     /// Behind the first of its events.
     fn middle(&self) -> usize {
         self.body.find("\n\n").map_or(0, |end| end + 2)
