--- a/crates/replication/src/view.rs
+++ b/crates/replication/src/view.rs
@@ -119,7 +119,7 @@
     ///
     /// - The number is the next one, and somebody votes: otherwise no instance of Paxos could
     ///   decide it, or the one after.
-    /// - It continues this view's chain ([`View::is_continued_by`]) or starts from one replica of
+    /// - It continues this view's chain (`is_continued_by`) or starts from one replica of
     ///   the reserve: otherwise committed changes are lost.
     /// - Only who holds every committed change is in its reserve, and nobody if it may commit more:
     ///   otherwise a later view could start from a replica that lacks something.
