transport: a connection waits for the place of one that gives way already

Cause: one connection in eight may have been told to give way and not be closed yet. While as many were, a newcomer was refused, as if nobody could give way, although a place came free within moments.

Change: the accounting tells *deferred* (somebody could give way, too many depart already) from *refused* (nobody can), and the thread that accepts waits up to 2 s for a release, as a request does for memory. The random play is stricter: a newcomer is never refused beside an idle connection.

--- a/crates/resource_budget/src/accounting.rs
+++ b/crates/resource_budget/src/accounting.rs
@@ -34,6 +34,8 @@
         /// Who must close.
         evicted: Vec<SlotId>,
     },
+    /// Not yet: somebody could give way, but too many are departing already. It may ask again once one of them was released.
+    Deferred,
     /// It is not: nobody can give way.
     Refused,
 }
@@ -188,11 +190,12 @@
         let mut evicted = vec![];
         if let Some(full) = self.full_listeners(listener) {
             let is_candidate = |slot: &Slot| full.contains(&slot.listener);
-            let has_place = self.all.departing < self.safety.max_departing(&self.limits);
-            let victim = self.victim(now, is_candidate).filter(|_| has_place);
-            let Some(victim) = victim else {
+            let Some(victim) = self.victim(now, is_candidate) else {
                 return Admission::Refused;
             };
+            if self.all.departing >= self.safety.max_departing(&self.limits) {
+                return Admission::Deferred;
+            }
             self.evict(victim);
             evicted.push(victim);
         }
--- a/crates/resource_budget/src/accounting/tests.rs
+++ b/crates/resource_budget/src/accounting/tests.rs
@@ -44,7 +44,7 @@
 fn admitted(accounting: &mut Accounting, listener: ListenerId, now: u64) -> SlotId {
     match accounting.admit(listener, at(now)) {
         Admission::Granted { slot, .. } => slot,
-        Admission::Refused => panic!("refused at {now}"),
+        refused => panic!("{refused:?} at {now}"),
     }
 }
 
@@ -236,15 +236,20 @@
                     is_evicted: false,
                 });
             }
+            Admission::Deferred => {
+                assert!(
+                    departing > 0 && departing >= limits().max_departing(),
+                    "deferred though one more may depart"
+                );
+            }
             Admission::Refused => {
                 let has_idle = |slot: &Modelled| {
                     slot.listener == listener
                         && !slot.is_evicted
                         && matches!(slot.phase, Phase::Idle | Phase::Closing)
                 };
-                let can_depart = departing < limits().max_departing();
                 assert!(
-                    !(can_depart && self.open.iter().any(has_idle)),
+                    !self.open.iter().any(has_idle),
                     "refused beside an idle one"
                 );
                 let reserved = listeners()[listener.0].reserved_connections;
@@ -451,6 +456,27 @@
     admitted(&mut accounting, PROBES, age);
 }
 
+// A newcomer was refused in the moment in which others were told to give way and had not been closed yet.
+#[test]
+fn a_newcomer_is_deferred_while_too_many_depart_and_refused_where_nobody_can() {
+    let mut accounting = Accounting::new(limits(), listeners());
+    let idle: Vec<SlotId> = (0..limits().max_live() - 2)
+        .map(|_| admitted(&mut accounting, INGRESS, 0))
+        .collect();
+    for _ in 0..limits().max_departing() {
+        admitted(&mut accounting, INGRESS, 1);
+    }
+    assert_eq!(accounting.admit(INGRESS, at(1)), Admission::Deferred);
+    accounting.release(idle[0]);
+    admitted(&mut accounting, INGRESS, 1);
+    assert_eq!(accounting.admit(INGRESS, at(1)), Admission::Deferred);
+    let open = accounting.slots.keys().copied().collect::<Vec<SlotId>>();
+    for slot in open {
+        accounting.enter(slot, Phase::Serving, at(1));
+    }
+    assert_eq!(accounting.admit(INGRESS, at(1)), Admission::Refused);
+}
+
 #[test]
 fn at_its_own_bound_a_listener_evicts_its_own() {
     let mut accounting = Accounting::new(limits(), listeners());
--- a/crates/transport/src/resource_budget.rs
+++ b/crates/transport/src/resource_budget.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use types::{Clock, Milliseconds, MonotonicInstant};
 
-/// How long a request waits for memory that others hold, before it's refused.
+/// How long a request waits for memory that others hold, or a connection for a place, before it's refused.
 const GRANT_TIMEOUT: Milliseconds = Milliseconds::seconds(2);
 /// How often a waiting request asks again, since others become old enough to give way.
 const GRANT_RETRY_PERIOD: Duration = Duration::from_millis(50);
@@ -113,6 +113,18 @@
         self.notify_waiting(state);
     }
 
+    /// Waits until something is released, or until it's time to ask again.
+    fn wait_for_release<'a>(
+        &self,
+        mut state: MutexGuard<'a, BudgetState>,
+    ) -> MutexGuard<'a, BudgetState> {
+        state.waiting += 1;
+        let waited = self.released.wait_timeout(state, GRANT_RETRY_PERIOD);
+        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        state.waiting -= 1;
+        state
+    }
+
     /// Wakes those that wait for what was released, if there are any.
     fn notify_waiting(&self, state: MutexGuard<'_, BudgetState>) {
         let is_awaited = state.waiting > 0;
@@ -186,34 +198,52 @@
         ResourceBudget::new(BudgetLimits::UNLIMITED, vec![listener]).listener(ListenerId(0))
     }
 
-    /// Returns a place for one more connection; `None` if there is none and nobody can give way.
+    /// Returns a place for one more connection; `None` if there is none and nobody can give way. Waits for
+    /// those that give way already.
     pub(crate) fn admit(&self) -> Option<ConnectionSlot> {
-        let now = Clock::now();
+        let deadline = Clock::now() + GRANT_TIMEOUT;
         let mut state = self.shared.state();
-        match state.accounting.admit(self.listener, now) {
-            Admission::Granted { slot, evicted } => {
-                let is_evicted = Arc::<AtomicBool>::default();
-                let holder = Holder {
-                    is_evicted: is_evicted.clone(),
-                    connection: None,
-                };
-                state.holders.insert(slot, holder);
-                let interrupted = state.evict(&evicted, self.listener, now);
-                drop(state);
-                interrupt(interrupted);
-                Some(ConnectionSlot {
-                    shared: self.shared.clone(),
-                    listener: self.listener,
-                    slot,
-                    is_evicted,
-                })
-            }
-            Admission::Refused => {
-                state.refuse(Refusal::Connection, self.listener, 1, now);
-                None
+        loop {
+            let now = Clock::now();
+            match state.accounting.admit(self.listener, now) {
+                Admission::Granted { slot, evicted } => {
+                    return Some(self.open(state, slot, &evicted, now));
+                }
+                Admission::Deferred if now < deadline => {
+                    state = self.shared.wait_for_release(state);
+                }
+                Admission::Deferred | Admission::Refused => {
+                    state.refuse(Refusal::Connection, self.listener, 1, now);
+                    return None;
+                }
             }
         }
     }
+
+    /// Hands out an admitted connection, and tells those that give way to it.
+    fn open(
+        &self,
+        mut state: MutexGuard<'_, BudgetState>,
+        slot: SlotId,
+        evicted: &[SlotId],
+        now: MonotonicInstant,
+    ) -> ConnectionSlot {
+        let is_evicted = Arc::<AtomicBool>::default();
+        let holder = Holder {
+            is_evicted: is_evicted.clone(),
+            connection: None,
+        };
+        state.holders.insert(slot, holder);
+        let interrupted = state.evict(evicted, self.listener, now);
+        drop(state);
+        interrupt(interrupted);
+        ConnectionSlot {
+            shared: self.shared.clone(),
+            listener: self.listener,
+            slot,
+            is_evicted,
+        }
+    }
 }
 
 /// The place of one connection in a budget. Dropping it gives back all that was held.
@@ -276,7 +306,7 @@
                     let interrupted = state.evict(&evicted, self.listener, now);
                     drop(state);
                     interrupt(interrupted);
-                    state = self.wait_for_release(self.shared.state());
+                    state = self.shared.wait_for_release(self.shared.state());
                     continue;
                 }
                 Growth::Deferred { .. } => NoRoom::Busy,
@@ -288,17 +318,6 @@
         }
     }
 
-    fn wait_for_release<'a>(
-        &self,
-        mut state: MutexGuard<'a, BudgetState>,
-    ) -> MutexGuard<'a, BudgetState> {
-        state.waiting += 1;
-        let waited = self.shared.released.wait_timeout(state, GRANT_RETRY_PERIOD);
-        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
-        state.waiting -= 1;
-        state
-    }
-
     /// Lets go of all bytes beyond these.
     pub(crate) fn shrink_to(&self, bytes: u64) {
         let mut state = self.shared.state();
--- a/crates/transport/src/resource_budget/tests.rs
+++ b/crates/transport/src/resource_budget/tests.rs
@@ -115,6 +115,26 @@
     assert_eq!(budget.usage().refused_connections, 1);
 }
 
+// The probe at a full readiness listener was closed unread: those that gave way had not been closed yet.
+#[test]
+fn a_newcomer_waits_for_the_place_of_one_that_gives_way() {
+    let budget = budget();
+    let listener = budget.listener(ListenerId(0));
+    let mut idle: Vec<ConnectionSlot> = (0..3).filter_map(|_| listener.admit()).collect();
+    let first = listener.admit().expect("the oldest gives way");
+    let (started, start) = mpsc::channel();
+    let waiting = std::thread::spawn(move || {
+        started.send(()).expect("the test waits");
+        listener.admit()
+    });
+    start.recv().expect("a thread that asks for a place");
+    drop(idle.remove(0));
+    let second = waiting.join().expect("no panic");
+    assert!(second.is_some(), "refused in the moment of an eviction");
+    assert!(!first.is_evicted());
+    assert_eq!(budget.usage().refused_connections, 0);
+}
+
 #[test]
 fn refusals_are_all_counted_however_few_are_logged() {
     let mut log = RefusalLog::default();
