transport: a connection that gave way before it could be reached hears of it at once

Between its place in the budget and the attaching of its socket a connection could be told to give way, and the flag alone was set: nobody interrupted its reader, which found out when it idled out (20 s). For so long it kept one of the departing places that newcomers wait for.

Change: `ConnectionSlot::attach` interrupts at once where the connection must give way already. Found by reading while the wait of newcomers was written. `who_gave_way_before_it_could_be_reached_...` failed before; all tests of transport pass.

--- a/crates/transport/src/resource_budget.rs
+++ b/crates/transport/src/resource_budget.rs
@@ -255,11 +255,16 @@
 }
 
 impl ConnectionSlot {
-    /// Lets the connection be interrupted when it must give way.
+    /// Lets the connection be interrupted when it must give way: at once, if it must already.
     pub(crate) fn attach(&self, connection: Weak<dyn Interrupt>) {
         let mut state = self.shared.state();
         if let Some(holder) = state.holders.get_mut(&self.slot) {
-            holder.connection = Some(connection);
+            holder.connection = Some(connection.clone());
+        }
+        if state.accounting.is_evicted(self.slot) {
+            let phase = state.accounting.phase(self.slot).unwrap_or(Phase::Closing);
+            drop(state);
+            interrupt(vec![(phase, connection)]);
         }
     }
 
--- a/crates/transport/src/resource_budget/tests.rs
+++ b/crates/transport/src/resource_budget/tests.rs
@@ -135,6 +135,20 @@
     assert_eq!(budget.usage().refused_connections, 0);
 }
 
+// Between its place and its thread a connection could be told to give way and not hear of it: it kept the
+// place of a newcomer until it idled out.
+#[test]
+fn who_gave_way_before_it_could_be_reached_is_interrupted_once_it_can() {
+    let listener = budget().listener(ListenerId(0));
+    let early = listener.admit().expect("a place");
+    let _others: Vec<ConnectionSlot> = (0..3).filter_map(|_| listener.admit()).collect();
+    assert!(early.is_evicted());
+    let (sender, receiver) = mpsc::channel();
+    let interrupted: Arc<dyn Interrupt> = Arc::new(Interrupted(sender));
+    early.attach(Arc::downgrade(&interrupted));
+    assert_eq!(receiver.try_recv(), Ok(Phase::Idle));
+}
+
 #[test]
 fn refusals_are_all_counted_however_few_are_logged() {
     let mut log = RefusalLog::default();
