router: a takeover that nobody answers in time leaves the request counted where it runs

Callers saw nothing wrong with a single request. The scheduler saw a free place that was none: a running stream was counted at no server, and its tenant's quota was debited for a run that never began.

Cause: a thread that waited 2 s for the control thread reported the outcome `refused` for the request's id, so that a later placement would be let go. A takeover's request runs under the same id; the control thread granted the takeover (the load moved to the second server) and then took the request off.

Evidence: an_unanswered_takeover_counts_the_request_at_its_server failed before with Ended(Refused) of a running request.

Change: both sides agree whether a response is received (control/response_channel.rs). The control thread claims a question before it places anything, and drops one that nobody waits for; while a question is claimed its thread waits. What is placed after a wait for credit, too late, is taken back by the control thread itself. So nothing is reported for a question without an answer. Control::take is split into steps.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod event;
 pub(crate) mod node;
+pub(crate) mod response_channel;
--- a/crates/router/src/downstream/client_api.rs
+++ b/crates/router/src/downstream/client_api.rs
@@ -6,7 +6,7 @@
 use crate::interface::{ClientRequest, ResumeRequest};
 use crate::request::in_flight::InFlightGuard;
 use crate::request::resume_token::Token;
-use crate::shared::{Shared, control_timeout};
+use crate::shared::Shared;
 use crate::upstream::dispatch::Dispatcher;
 use crate::upstream::server_client::{fetch_page, read_run, send_run};
 use crate::upstream::stream_proxy::{RunStream, relay};
@@ -116,9 +116,7 @@
         number,
         token: request.token.clone(),
     };
-    let token = shared
-        .call_control(input, ControlEvent::Resume)
-        .unwrap_or_else(|| Err(control_timeout()))?;
+    let token = shared.call_control(input, ControlEvent::Resume)?;
     let response = read_run(&token, request.from, shared.stall)?;
     Metrics::more(&shared.metrics.resumed);
     let head = serde_json::json!({"request": token.request, "run": token.run, "from": request.from, "token": request.token});
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::admin::metrics::Metrics;
 use crate::control::event::ControlEvent;
 use crate::control::node::{NodeInput, Placement, PlacementRequest, Rejection};
+use crate::control::response_channel::{ResponseSender, response_channel};
 use crate::downstream::authentication::authenticate;
 use crate::downstream::limits::SharedLimits;
 use crate::suspension::SuspensionMonitor;
@@ -10,7 +11,6 @@
 use placement::{Event, Outcome};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
-use std::time::Duration;
 use transport::Response;
 use types::{ApiKey, Clock, ConfigEpoch, Milliseconds, MonotonicInstant, RequestId, ResultCode};
 
@@ -39,6 +39,9 @@
     pub limits: SharedLimits,
 }
 
+/// How long a thread that serves a request waits for the control thread.
+const CONTROL_TIMEOUT: Milliseconds = Milliseconds::seconds(2);
+
 /// The moment at which a process ends that was not told to stop.
 pub(crate) const NEVER: u64 = u64::MAX;
 
@@ -97,29 +100,29 @@
     pub(crate) fn is_superseded(&self, epoch: ConfigEpoch) -> bool {
         ConfigEpoch(self.epoch.load(Ordering::SeqCst)) > epoch
     }
-    /// Sends an input to the control thread and waits for its answer; `None` when none comes within 2 s.
+    /// Sends an input to the control thread and waits for its answer. If none comes within [`CONTROL_TIMEOUT`],
+    /// the input is never applied, or what it led to is undone.
+    ///
+    /// # Errors
+    ///
+    /// The answer's, or [`ResultCode::Busy`] if there was none.
     pub(crate) fn call_control<T>(
         &self,
         input: NodeInput,
-        wrap: impl FnOnce(NodeInput, flume::Sender<Result<T, Rejection>>) -> ControlEvent,
-    ) -> Option<Result<T, Rejection>> {
-        let (response, inbox) = flume::bounded(1);
-        let _ = self.control.send(wrap(input, response));
-        inbox.recv_timeout(Duration::from_secs(2)).ok()
+        wrap: impl FnOnce(NodeInput, ResponseSender<Result<T, Rejection>>) -> ControlEvent,
+    ) -> Result<T, Rejection> {
+        let (sender, receiver) = response_channel();
+        let _ = self.control.send(wrap(input, sender));
+        receiver
+            .wait(CONTROL_TIMEOUT)
+            .unwrap_or_else(|| Err(control_timeout()))
     }
     /// Has the scheduler place a request.
     ///
     /// Errors: the scheduler's rejection, or [`ResultCode::Busy`] when the control thread gives no answer in time.
     pub(crate) fn place(&self, request: PlacementRequest) -> Result<Placement, Rejection> {
-        let (id, service) = (request.request.clone(), request.service.clone());
-        let outcome = self
-            .call_control(NodeInput::Place(request), ControlEvent::Place)
-            .unwrap_or_else(|| {
-                // Should it be placed after all, it has ended by then: it is never sent. A rejection ends nothing:
-                // another request of this id may be in flight.
-                self.report_outcome(&id, Outcome::Refused);
-                Err(control_timeout())
-            });
+        let service = request.service.clone();
+        let outcome = self.call_control(NodeInput::Place(request), ControlEvent::Place);
         // Before a connection to that server is opened.
         if let (Some(limits), Ok(placement)) = (self.limits.get(), &outcome)
             && let Ok(address) = placement.address.parse()
@@ -197,7 +200,7 @@
 }
 
 /// The control thread gave no answer in time.
-pub(crate) fn control_timeout() -> Rejection {
+fn control_timeout() -> Rejection {
     let why = "the control thread gave no answer".into();
     Rejection {
         code: ResultCode::Busy,
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -5,6 +5,7 @@
 use crate::control::node::{
     KvTask, Node, NodeInput, NodeOutput, NodeTiming, Placement, PlacementRequest, Rejection,
 };
+use crate::control::response_channel::ResponseSender;
 use crate::dialect::CallDialect;
 use crate::discovery::endpoint_list::ReadRetryPolicy;
 use crate::discovery::list_reader;
@@ -18,7 +19,7 @@
 use crate::shared::{NEVER, Shared};
 use crate::suspension::SuspensionMonitor;
 use config::{OwnPlans, PlanDialect, parse_addresses};
-use placement::{Decision, PlacementReason};
+use placement::{Decision, Outcome, PlacementReason};
 use replication::LeaseStatus;
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -30,8 +31,8 @@
     ResourceBudget, Response, http_delete, http_post,
 };
 use types::{
-    Address, ApiKey, Clock, ConfigEpoch, Milliseconds, MonotonicInstant, ResultCode, ServerName,
-    ZoneName, random_bytes,
+    Address, ApiKey, Clock, ConfigEpoch, Milliseconds, MonotonicInstant, RequestId, ResultCode,
+    ServerName, ZoneName, random_bytes,
 };
 
 /// Between clock events, at most.
@@ -204,7 +205,7 @@
         kv,
         list,
         plans: dialects.plans,
-        waiting: HashMap::new(),
+        placing: HashMap::new(),
         resuming: HashMap::new(),
         is_draining: false,
     };
@@ -319,6 +320,12 @@
     u64::from_be_bytes(random_bytes()) >> 12
 }
 
+/// A request that wants a server, and who waits to hear which.
+struct PendingPlacement {
+    request: RequestId,
+    response: ResponseSender<Result<Placement, Rejection>>,
+}
+
 struct Control {
     node: Node,
     post: MessageTransport,
@@ -327,8 +334,10 @@
     /// Has the platform's list read.
     list: Option<flume::Sender<ReadRetryPolicy>>,
     plans: Arc<dyn PlanDialect>,
-    waiting: HashMap<u64, flume::Sender<Result<Placement, Rejection>>>,
-    resuming: HashMap<u64, flume::Sender<Result<Token, Rejection>>>,
+    /// Requests that wait for a server, by their numbers.
+    placing: HashMap<u64, PendingPlacement>,
+    /// Streams that are to be read on, by their numbers.
+    resuming: HashMap<u64, ResponseSender<Result<Token, Rejection>>>,
     /// Whether it was told to stop: clients are to be sent elsewhere.
     is_draining: bool,
 }
@@ -346,12 +355,23 @@
         let input = match event {
             ControlEvent::Input(input) => input,
             ControlEvent::Place(input, response) => {
-                if let NodeInput::Place(PlacementRequest { number, .. }) = &input {
-                    self.waiting.insert(*number, response);
+                if !response.claim() {
+                    return;
+                }
+                if let NodeInput::Place(PlacementRequest {
+                    number, request, ..
+                }) = &input
+                {
+                    let request = request.clone();
+                    let pending = PendingPlacement { request, response };
+                    self.placing.insert(*number, pending);
                 }
                 input
             }
             ControlEvent::Resume(input, response) => {
+                if !response.claim() {
+                    return;
+                }
                 if let NodeInput::Resume { number, .. } = &input {
                     self.resuming.insert(*number, response);
                 }
@@ -362,7 +382,25 @@
                 return;
             }
         };
+        let placed_number = match &input {
+            NodeInput::Place(request) => Some(request.number),
+            _ => None,
+        };
+        if let NodeInput::Close { number, .. } = &input {
+            self.placing.remove(number);
+        }
         let outputs = self.node.step(now, input);
+        self.publish_state(now);
+        for output in outputs {
+            self.perform(output);
+        }
+        if let Some(pending) = placed_number.and_then(|number| self.placing.get(&number)) {
+            pending.response.defer();
+        }
+    }
+
+    /// Lets the threads that serve requests see the state that the last step has led to.
+    fn publish_state(&self, now: MonotonicInstant) {
         // Before anyone is told that a request is placed: they ask whether it may leave.
         let metrics = &self.door.shared.metrics;
         let until = self.node.may_act_until(now);
@@ -387,47 +425,59 @@
         metrics
             .may_act
             .store(u64::from(now < until), Ordering::Relaxed);
-        for output in outputs {
-            match output {
-                NodeOutput::Send {
-                    to,
-                    is_bulk,
-                    message,
-                } => {
-                    let class = MessageClass::of(&message, is_bulk);
-                    self.post.send(to, class, message);
-                }
-                NodeOutput::Place { number, outcome } => {
-                    if let Some(response) = self.waiting.remove(&number) {
-                        let _ = response.send(outcome);
-                    }
-                }
-                NodeOutput::Resume { number, outcome } => {
-                    if let Some(response) = self.resuming.remove(&number) {
-                        let _ = response.send(outcome);
-                    }
-                }
-                NodeOutput::Read { plan_epoch, bytes } => self.read_plan(plan_epoch, bytes),
-                NodeOutput::Kv(task) => {
-                    Metrics::more(&self.door.shared.metrics.copies);
-                    if self.kv.try_send(task).is_err() {
-                        tracing::warn!("kv: too many requests wait; one is dropped.");
-                    }
+    }
+
+    fn perform(&mut self, output: NodeOutput) {
+        match output {
+            NodeOutput::Send {
+                to,
+                is_bulk,
+                message,
+            } => {
+                let class = MessageClass::of(&message, is_bulk);
+                self.post.send(to, class, message);
+            }
+            NodeOutput::Place { number, outcome } => self.answer_placement(number, outcome),
+            NodeOutput::Resume { number, outcome } => {
+                if let Some(response) = self.resuming.remove(&number) {
+                    response.send(outcome);
                 }
-                NodeOutput::ReadList(effort) => {
-                    // Full: it is being read.
-                    if let Some(list) = &self.list {
-                        let _ = list.try_send(effort);
-                    }
+            }
+            NodeOutput::Read { plan_epoch, bytes } => self.read_plan(plan_epoch, bytes),
+            NodeOutput::Kv(task) => {
+                Metrics::more(&self.door.shared.metrics.copies);
+                if self.kv.try_send(task).is_err() {
+                    tracing::warn!("kv: too many requests wait; one is dropped.");
                 }
-                NodeOutput::Event(dated) => {
-                    self.door
-                        .events
-                        .add(|_| serde_json::to_string(&dated).expect("an event is JSON"));
+            }
+            NodeOutput::ReadList(effort) => {
+                // Full: it is being read.
+                if let Some(list) = &self.list {
+                    let _ = list.try_send(effort);
                 }
-                NodeOutput::Decision(at, decision) => self.note(at, &decision),
-                NodeOutput::Log(line) => tracing::info!("{line}."),
             }
+            NodeOutput::Event(dated) => {
+                self.door
+                    .events
+                    .add(|_| serde_json::to_string(&dated).expect("an event is JSON"));
+            }
+            NodeOutput::Decision(at, decision) => self.note(at, &decision),
+            NodeOutput::Log(line) => tracing::info!("{line}."),
+        }
+    }
+
+    /// Tells a request where it goes. If it no longer waits, it goes nowhere, and its place is let go.
+    fn answer_placement(&mut self, number: u64, outcome: Result<Placement, Rejection>) {
+        let Some(pending) = self.placing.remove(&number) else {
+            return;
+        };
+        let is_placed = outcome.is_ok();
+        if !pending.response.send(outcome) && is_placed {
+            let ended = placement::Event::Ended {
+                request: pending.request,
+                outcome: Outcome::Refused,
+            };
+            self.take(ControlEvent::Input(NodeInput::Event(ended)));
         }
     }
 
--- a/crates/router/src/upstream/forwarding/tests.rs
+++ b/crates/router/src/upstream/forwarding/tests.rs
@@ -330,6 +330,8 @@
         deadline: Milliseconds,
     },
     First,
+    /// Nobody waited for the answer any longer.
+    Unreceived,
     Ended(Outcome),
     Load(u32),
     Unreachable(ServerName),
@@ -339,13 +341,13 @@
 }
 
 /// One answer of the scheduler; it may change what is shared before.
-type Word = Box<dyn FnOnce(&Shared) -> Result<Placement, Rejection> + Send>;
+type ScriptedOutcome = Box<dyn FnOnce(&Shared) -> Result<Placement, Rejection> + Send>;
 
-fn goes_to(server: &Server, may_repeat: bool) -> Word {
+fn goes_to(server: &Server, may_repeat: bool) -> ScriptedOutcome {
     let placing = server.placing(may_repeat);
     Box::new(move |_| Ok(placing))
 }
-fn denied(code: ResultCode, retry_after: u64) -> Word {
+fn denied(code: ResultCode, retry_after: u64) -> ScriptedOutcome {
     Box::new(move |_| {
         Err(Rejection {
             code,
@@ -355,13 +357,24 @@
     })
 }
 
+/// A control thread that is busy until the waiting thread has given up and sent something else.
+fn goes_to_too_late(server: &Server) -> ScriptedOutcome {
+    let placing = server.placing(true);
+    Box::new(move |shared| {
+        while shared.control.is_empty() {
+            std::thread::yield_now();
+        }
+        Ok(placing)
+    })
+}
+
 fn control(
     shared: &Arc<Shared>,
     events: flume::Receiver<ControlEvent>,
-    words: Vec<Word>,
+    outcomes: Vec<ScriptedOutcome>,
 ) -> flume::Receiver<Recorded> {
-    let (tell, recorded) = flume::unbounded();
-    let (shared, mut words) = (shared.clone(), words.into_iter());
+    let (recorder, recorded) = flume::unbounded();
+    let (shared, mut outcomes) = (shared.clone(), outcomes.into_iter());
     std::thread::spawn(move || {
         for event in events {
             let one = match event {
@@ -373,16 +386,18 @@
                         request_cost,
                         ..
                     } = ask;
-                    let _ = tell.send(Recorded::PlacementRequested {
+                    let _ = recorder.send(Recorded::PlacementRequested {
                         round,
                         tried,
                         may_have_run,
                         deadline: request_cost.deadline,
                     });
-                    let word = words
+                    let outcome = outcomes
                         .next()
                         .unwrap_or_else(|| denied(ResultCode::NoServer, 700));
-                    let _ = response.send(word(&shared));
+                    if !response.send(outcome(&shared)) {
+                        let _ = recorder.send(Recorded::Unreceived);
+                    }
                     continue;
                 }
                 ControlEvent::Input(NodeInput::Event(Event::FirstToken { .. })) => Recorded::First,
@@ -400,7 +415,7 @@
                 }
                 _ => continue,
             };
-            let _ = tell.send(one);
+            let _ = recorder.send(one);
         }
     });
     recorded
@@ -445,10 +460,10 @@
 };
 
 impl Stage {
-    fn set(route: &Route, words: Vec<Word>) -> Stage {
-        Self::set_mutant(route, words, None)
+    fn set(route: &Route, outcomes: Vec<ScriptedOutcome>) -> Stage {
+        Self::set_mutant(route, outcomes, None)
     }
-    fn set_mutant(route: &Route, words: Vec<Word>, mutant: Option<Mutant>) -> Stage {
+    fn set_mutant(route: &Route, outcomes: Vec<ScriptedOutcome>, mutant: Option<Mutant>) -> Stage {
         let (shared, inbox) = shared();
         let plan = serde_json::json!({"services": {"s": {"kind": "stream"}}, "routes": [{
             "name": "r", "host": "h", "path_prefix": "/p/", "kind": route.kind, "max_tries": route.max_tries,
@@ -456,7 +471,7 @@
         }]});
         let plan = parse_plan(plan.to_string().as_bytes()).expect("a good plan");
         shared.install_detached_plan(&Arc::new(plan));
-        let recorded = control(&shared, inbox, words);
+        let recorded = control(&shared, inbox, outcomes);
         let pool = ConnectionPool::new(ConnectionPoolBounds {
             max_per_address: 8,
             max_idle_per_address: 4,
@@ -808,12 +823,12 @@
 fn doubts_unnamed(status: u16, mutant: Option<Mutant>) -> bool {
     let first = Server::start("a", vec![vec![whole("first")], vec![unnamed(status)]]);
     let other = Server::start("b", vec![vec![whole("again")]]);
-    let words = vec![
+    let outcomes = vec![
         goes_to(&first, false),
         goes_to(&first, false),
         goes_to(&other, false),
     ];
-    let stage = Stage::set_mutant(&MUTATING, words, mutant);
+    let stage = Stage::set_mutant(&MUTATING, outcomes, mutant);
     assert!(stage.exchange("").is_success());
     stage.recorded();
     let answer = stage.exchange("");
@@ -846,12 +861,12 @@
 fn what_may_repeat_is_tried_again_after_a_refusal_without_an_id_but_never_told_as_refused() {
     let first = Server::start("a", vec![vec![whole("first")], vec![unnamed(503)]]);
     let full = Server::start("b", vec![vec![unrun()]]);
-    let words = vec![
+    let outcomes = vec![
         goes_to(&first, true),
         goes_to(&first, true),
         goes_to(&full, true),
     ];
-    let stage = Stage::set(&IDEMPOTENT, words);
+    let stage = Stage::set(&IDEMPOTENT, outcomes);
     assert!(stage.exchange("").is_success());
     stage.recorded();
     assert_eq!((stage.exchange("").status, full.count()), (502, 1));
@@ -951,12 +966,12 @@
         server: "c".into(),
         ..old.placing(false)
     };
-    let words = vec![
+    let outcomes = vec![
         goes_to(&old, false),
-        Box::new(move |_: &Shared| Ok(placing)) as Word,
+        Box::new(move |_: &Shared| Ok(placing)) as ScriptedOutcome,
         goes_to(&well, false),
     ];
-    let stage = Stage::set(&MUTATING, words);
+    let stage = Stage::set(&MUTATING, outcomes);
     assert_eq!(stage.exchange("").body, "first");
     stage.recorded();
     assert_eq!(stage.exchange("").body, "well");
@@ -1081,7 +1096,7 @@
 fn a_node_that_loses_its_lease_right_before_the_send_sends_nothing_and_refuses() {
     let server = Server::start("a", vec![vec![whole("late")]]);
     let placing = server.placing(true);
-    let lose: Word = Box::new(move |shared| {
+    let lose: ScriptedOutcome = Box::new(move |shared| {
         shared.may_act_until.store(0, Ordering::SeqCst);
         Ok(placing)
     });
@@ -1111,7 +1126,7 @@
         Server::start("b", vec![vec![whole("new")]]),
     );
     let placing = old.placing(false);
-    let outdate: Word = Box::new(move |shared| {
+    let outdate: ScriptedOutcome = Box::new(move |shared| {
         shared.epoch.store(2, Ordering::SeqCst);
         Ok(placing)
     });
@@ -1156,12 +1171,12 @@
         Server::start("b", vec![vec![whole("well")]]),
     );
     // The node's own answer where the plan has the route no more.
-    let words = vec![
+    let outcomes = vec![
         goes_to(&full, false),
         denied(ResultCode::NotReady, 50),
         goes_to(&well, false),
     ];
-    let stage = Stage::set(&MUTATING, words);
+    let stage = Stage::set(&MUTATING, outcomes);
     let answer = stage.exchange("");
     assert!(
         answer.is_promise() && answer.has("retry-after") && well.count() == 0,
@@ -1459,6 +1474,45 @@
     assert_eq!(stage.outcomes(), [Outcome::Complete]);
 }
 
+// A takeover that the control thread answered too late was taken for refused, and the request that went on
+// was no longer counted at its server, or at the one that was granted in the end.
+#[test]
+fn an_unanswered_takeover_counts_the_request_at_its_server() {
+    let (go, wait) = flume::bounded(0);
+    let script = vec![
+        stream_head("m"),
+        events(1..=2),
+        Await(wait),
+        events(3..=4),
+        end(),
+    ];
+    let server = Server::start("a", vec![script]);
+    let next = Server::start("b", vec![vec![stream_head("n"), events(3..=4), end()]]);
+    let outcomes = vec![goes_to(&server, true), goes_to_too_late(&next)];
+    let stage = Stage::set(&STREAM, outcomes);
+    let client = stage.send("");
+    let recorded = || stage.recorded.recv_timeout(GUARD).expect("it goes on");
+    loop {
+        let input = recorded();
+        assert!(!matches!(input, Recorded::Ended(_)), "{input:?}");
+        if matches!(input, Recorded::Unreceived) {
+            break;
+        }
+    }
+    // It tries again, and is refused.
+    let input = recorded();
+    assert!(
+        matches!(input, Recorded::PlacementRequested { round: 1, .. }),
+        "{input:?}"
+    );
+    go.send_timeout((), GUARD).expect("the server waits");
+    let answer = client.answer();
+    assert!(answer.is_success(), "{answer:?}");
+    assert_eq!(answer.body, all_of(1..=4));
+    assert_eq!(stage.outcomes(), [Outcome::Complete]);
+    assert_eq!(next.count(), 0);
+}
+
 #[test]
 fn a_stream_that_may_not_be_resumed_is_awaited_until_its_deadline() {
     let (ended, _is_ended) = flume::unbounded();
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -179,7 +179,7 @@
     let planned_requests: Vec<Arc<PlannedRequest>> = (0..6)
         .map(|n| request(&format!("long-{n}"), "drafts", 150))
         .collect();
-    let askers: Vec<_> = planned_requests
+    let requesters: Vec<_> = planned_requests
         .iter()
         .map(|planned| {
             let (planned, routers) = (planned.clone(), routers.clone());
@@ -198,9 +198,9 @@
     };
     Fleet::await_that(PATIENCE, "the streams run", || first_tokens(&fleet) == 6).expect("they run");
     fleet.routers[0].kill();
-    let asked: Vec<RequestRecord> = askers
+    let asked: Vec<RequestRecord> = requesters
         .into_iter()
-        .map(|asker| asker.join().expect("it ends"))
+        .map(|requester| requester.join().expect("it ends"))
         .collect();
     for one in &asked {
         assert_eq!(one.violations, Vec::<String>::new());
