router: one place tells of a malformed stream, and a gap target has its unit

MalformedStream was put together twice, in the attempt (first event) and in the relay (later ones). The stream itself knows server, framing, place and last event, and now reports what is no event; for its reader a malformed stream is a failed one like a server's breaking off. MIN_GAP_TARGET is in milliseconds.

--- a/crates/router/src/upstream/event_reader.rs
+++ b/crates/router/src/upstream/event_reader.rs
@@ -153,6 +153,11 @@
         self.last.or(self.received).unwrap_or(0)
     }
 
+    /// Returns the number of the last event that the client has, or gets next.
+    pub(crate) fn last_event(&self) -> Option<u64> {
+        self.last.max(self.received)
+    }
+
     fn read_block(&mut self, block: Bytes) -> Result<Option<StreamEvent>, MalformedEvent> {
         let id = match self.number_of(&block) {
             Ok(id) => id,
--- a/crates/router/src/upstream/forwarding/attempt.rs
+++ b/crates/router/src/upstream/forwarding/attempt.rs
@@ -1,13 +1,12 @@
 //! Phase "send" of a forwarded call: one attempt at one server, up to the first event of its response.
 
-use super::malformed_stream::{MalformedStream, StreamPlace};
-use super::server_stream::{Leniency, ServerStream, StreamRead};
+use super::server_stream::{Leniency, ServerStream, StreamOrigin, StreamRead};
 use super::{Forwarder, Mutant};
 use crate::control::node::{NodeInput, Placement};
 use crate::dialect::{Call, Sending};
 use crate::request::state_machine::{Failure, RequestStateMachine};
 use crate::upstream::dispatch::AttemptError;
-use crate::upstream::event_reader::{MalformedEvent, StreamEvent};
+use crate::upstream::event_reader::StreamEvent;
 use crate::upstream::response_validation::{AnswerIdentity, AnswerPlace, ResponseValidation};
 use bytes::Bytes;
 use placement::Event;
@@ -238,8 +237,14 @@
         placement: &Placement,
         deadline: MonotonicInstant,
     ) -> Result<ResponseStart, SendFailure> {
+        let origin = StreamOrigin {
+            request: self.call.id.clone(),
+            server: placement.server.clone(),
+            is_takeover: self.last_event != self.call.after,
+        };
         let mut stream = ServerStream::new(
-            placement.server.clone(),
+            self.forwarder.shared.clone(),
+            origin,
             response,
             self.last_event,
             self.leniency(),
@@ -253,12 +258,7 @@
                 StreamRead::Event(event) => return Ok(ResponseStart::Stream(stream, Some(event))),
                 StreamRead::End => return Ok(ResponseStart::Stream(stream, None)),
                 StreamRead::Pending | StreamRead::TimedOut => {}
-                StreamRead::Truncated(why) => {
-                    return Err(failed(placement, Failure::Unknown, &why).into());
-                }
-                StreamRead::Malformed(malformed) => {
-                    self.report_malformed(&malformed, &stream);
-                    let why = malformed.to_string();
+                StreamRead::Failed(why) => {
                     return Err(failed(placement, Failure::Unknown, &why).into());
                 }
                 StreamRead::NoRoom(no_room) => {
@@ -282,24 +282,6 @@
         }
     }
 
-    /// Logs and counts that the stream begins with what is no event.
-    fn report_malformed(&self, malformed: &MalformedEvent, stream: &ServerStream) {
-        let place = if self.last_event == self.call.after {
-            StreamPlace::First
-        } else {
-            StreamPlace::AfterTakeover
-        };
-        let malformed_stream = MalformedStream {
-            request: &self.call.id,
-            server: &stream.server,
-            framing: stream.framing(),
-            place,
-            last_event: self.last_event,
-            malformed,
-        };
-        malformed_stream.report(&self.forwarder.shared.metrics);
-    }
-
     /// Reports the load that a response head tells to the scheduler.
     fn report_load(&self, placement: &Placement, head: &http::response::Parts) {
         if let Some(load) = self.forwarder.dialect.load(head) {
--- a/crates/router/src/upstream/forwarding/relay.rs
+++ b/crates/router/src/upstream/forwarding/relay.rs
@@ -3,14 +3,13 @@
 use super::Mutant;
 use super::attempt::ResponseStart;
 use super::forwarded_request::ForwardedRequest;
-use super::malformed_stream::{MalformedStream, StreamPlace};
 use super::server_stream::{ServerStream, StreamRead};
 use crate::admin::metrics::Metrics;
 use crate::control::node::NodeInput;
 use crate::request::attempts::{AttemptInput, AttemptOutput};
 use crate::request::state_machine::RequestInput;
 use crate::upstream::dispatch::DispatchOutcome;
-use crate::upstream::event_reader::{MalformedEvent, StreamEvent};
+use crate::upstream::event_reader::StreamEvent;
 use placement::{Event, Outcome};
 use std::time::Duration;
 use transport::{BodyChunk, BodySource};
@@ -19,7 +18,7 @@
 /// How long one read may wait, since the client is watched together with the server.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(5);
 /// A gap between chunks is measured against at least this latency target.
-const MIN_GAP_TARGET: u64 = 400;
+const MIN_GAP_TARGET: Milliseconds = Milliseconds(400);
 /// Where no place is granted to take a stalled stream over, one is asked for again after this.
 const TAKEOVER_PERIOD: Milliseconds = Milliseconds(400);
 /// A server whose gap is so many times its latency target has stalled.
@@ -93,27 +92,6 @@
         }
     }
 
-    /// The server sent what is no event. What follows is not read.
-    fn retry_malformed(&mut self, malformed: &MalformedEvent) -> BodyChunk {
-        if let Some(stream) = &self.stream {
-            let place = if stream.has_ended() {
-                StreamPlace::End
-            } else {
-                StreamPlace::Middle
-            };
-            let malformed_stream = MalformedStream {
-                request: &self.request.call.id,
-                server: &stream.server,
-                framing: stream.framing(),
-                place,
-                last_event: self.request.last_event,
-                malformed,
-            };
-            malformed_stream.report(&self.request.forwarder.shared.metrics);
-        }
-        self.retry(malformed.to_string())
-    }
-
     /// The server broke off or sent what is no event: what follows is retried at another server, if it may be.
     fn retry(&mut self, why: String) -> BodyChunk {
         self.request.report_outcome(Outcome::Failed);
@@ -186,8 +164,8 @@
         if now >= deadline {
             return self.cancel("the deadline has passed");
         }
-        let gap = self.request.gap_target.0.max(MIN_GAP_TARGET);
-        let stalled_at = self.last_read + Milliseconds(gap * STALL_FACTOR);
+        let gap = self.request.gap_target.max(MIN_GAP_TARGET);
+        let stalled_at = self.last_read + Milliseconds(gap.0 * STALL_FACTOR);
         let may_retry = self.request.dispatcher.attempts.request_state().may_retry();
         if may_retry
             && now >= stalled_at.max(self.next_takeover_at)
@@ -216,8 +194,7 @@
             StreamRead::Event(event) => self.pass(event),
             StreamRead::Pending | StreamRead::TimedOut => BodyChunk::Pending,
             StreamRead::End => self.finish(),
-            StreamRead::Truncated(why) => self.retry(why),
-            StreamRead::Malformed(malformed) => self.retry_malformed(&malformed),
+            StreamRead::Failed(why) => self.retry(why),
             StreamRead::NoRoom(no_room) => self.cancel(&no_room.to_string()),
             StreamRead::ClientDisconnected => self.cancel("the client has gone"),
         }
--- a/crates/router/src/upstream/forwarding/server_stream.rs
+++ b/crates/router/src/upstream/forwarding/server_stream.rs
@@ -1,10 +1,13 @@
 //! One server's stream of events, read from its response.
 
+use super::malformed_stream::{MalformedStream, StreamPlace};
+use crate::shared::Shared;
 use crate::upstream::event_reader::{EventError, EventReader, MalformedEvent, StreamEvent};
 use bytes::Bytes;
+use std::sync::Arc;
 use std::time::Duration;
-use transport::{BodyFraming, BodyRead, ClientConnection, NoRoom, PooledResponse};
-use types::ServerName;
+use transport::{BodyRead, ClientConnection, NoRoom, PooledResponse};
+use types::{RequestId, ServerName};
 
 /// What a wait for the next event came to.
 pub(super) enum StreamRead {
@@ -16,10 +19,8 @@
     TimedOut,
     /// The stream has ended in order.
     End,
-    /// The server broke off, for this reason.
-    Truncated(String),
-    /// The server sent what is no event. Nothing of it may be read on.
-    Malformed(MalformedEvent),
+    /// The server broke off or sent what is no event, for this reason. Nothing more may be read.
+    Failed(String),
     /// There is no memory for an event as long as the one that comes.
     NoRoom(NoRoom),
     /// The client disconnected.
@@ -52,12 +53,22 @@
     }
 }
 
+/// Whose stream it is.
+pub(super) struct StreamOrigin {
+    pub request: RequestId,
+    pub server: ServerName,
+    /// Whether another server has sent events of it before.
+    pub is_takeover: bool,
+}
+
 /// A server's stream. Dropping it closes its connection, unless it was released.
 pub(super) struct ServerStream {
-    /// Who sends it.
-    pub server: ServerName,
+    shared: Arc<Shared>,
+    origin: StreamOrigin,
     response: PooledResponse,
     reader: EventReader,
+    /// Whether it has had an event that is new to the client.
+    has_event: bool,
     has_ended: bool,
     /// Bytes that the client's connection holds for events.
     reserved: usize,
@@ -68,15 +79,18 @@
 impl ServerStream {
     /// The stream of a response, for a client that has the events up to `received`.
     pub(super) fn new(
-        server: ServerName,
+        shared: Arc<Shared>,
+        origin: StreamOrigin,
         response: PooledResponse,
         received: Option<u64>,
         leniency: Leniency,
     ) -> Self {
         ServerStream {
-            server,
+            shared,
+            origin,
             response,
             reader: EventReader::new(received),
+            has_event: false,
             has_ended: false,
             reserved: FREE_EVENT_BYTES,
             leniency,
@@ -88,16 +102,6 @@
         self.response.head()
     }
 
-    /// Returns by what the end of the stream is told.
-    pub(super) fn framing(&self) -> BodyFraming {
-        self.response.framing()
-    }
-
-    /// Returns whether the body has ended in order.
-    pub(super) fn has_ended(&self) -> bool {
-        self.has_ended
-    }
-
     /// Returns the next event of the bytes that were read.
     pub(super) fn next_event(&mut self) -> StreamRead {
         let event = match self.reader.next_event() {
@@ -105,7 +109,10 @@
             event => event,
         };
         match event {
-            Ok(Some(event)) => StreamRead::Event(event),
+            Ok(Some(event)) => {
+                self.has_event = true;
+                StreamRead::Event(event)
+            }
             Ok(None) if self.has_ended => StreamRead::End,
             Ok(None) => StreamRead::Pending,
             Err(malformed) if self.leniency.accepts(malformed.error) => {
@@ -114,7 +121,33 @@
                     bytes: malformed.bytes,
                 })
             }
-            Err(malformed) => StreamRead::Malformed(malformed),
+            Err(malformed) => {
+                self.report(&malformed);
+                StreamRead::Failed(malformed.to_string())
+            }
+        }
+    }
+
+    /// Logs and counts what is no event.
+    fn report(&self, malformed: &MalformedEvent) {
+        let malformed_stream = MalformedStream {
+            request: &self.origin.request,
+            server: &self.origin.server,
+            framing: self.response.framing(),
+            place: self.place(),
+            last_event: self.reader.last_event(),
+            malformed,
+        };
+        malformed_stream.report(&self.shared.metrics);
+    }
+
+    /// Where the stream is.
+    fn place(&self) -> StreamPlace {
+        match (self.has_event, self.origin.is_takeover) {
+            (true, _) if self.has_ended => StreamPlace::End,
+            (true, _) => StreamPlace::Middle,
+            (false, true) => StreamPlace::AfterTakeover,
+            (false, false) => StreamPlace::First,
         }
     }
 
@@ -129,7 +162,7 @@
             }
             BodyRead::TimedOut => return StreamRead::TimedOut,
             BodyRead::End => self.has_ended = true,
-            BodyRead::Truncated(why) => return StreamRead::Truncated(why),
+            BodyRead::Truncated(why) => return StreamRead::Failed(why),
             BodyRead::ClientDisconnected => return StreamRead::ClientDisconnected,
         }
         self.next_event()
