simulator: service is awaited for as long as a zone is in service

Cause: the bound, not the product. Operators had all three zones withdrawn from 29,729 ms (acknowledged) to 43,599 ms; all was healed at 30,000 ms, and the first request completed at 43,654 ms, 55 ms after the first zone was restored. Before that a request at any server would have broken EVAC ("a request reaches a server in a zone [...] after that zone's evacuation was acknowledged and before the evacuation is taken back").

Change: the 12 s count time in which a zone may have been in service: a withdrawal counts from when an operator knew of it, a restoration from when it came to a controller.

--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -28,6 +28,7 @@
 mod streams;
 mod tenants;
 mod traffic;
+mod withdrawn_zones;
 
 pub use checks::Witness;
 pub use fault_kinds::FaultKind;
--- a/crates/simulator/src/world/tests.rs
+++ b/crates/simulator/src/world/tests.rs
@@ -204,6 +204,19 @@
     });
 }
 
+/// Operators had every zone out of service for 13.9 s after all was healed, and service was said to be late.
+#[test]
+fn service_is_awaited_for_as_long_as_a_zone_is_in_service() {
+    let witness = play(WorldRules {
+        controllers: Some(6),
+        copies: 3,
+        faults: 20,
+        quorum: Quorum::Holders,
+        ..WorldRules::new(Deployment::Pahana, 812_006_064_081)
+    });
+    assert!(witness.back_ms.1.is_some(), "{witness}");
+}
+
 #[test]
 fn seeds_that_know_nobody_are_seen_by_what_does_not_return() {
     let kinds = [FaultKind::ExchangeSeeds, FaultKind::KillAll];
