--- a/crates/router/src/control/node.rs
+++ b/crates/router/src/control/node.rs
@@ -24,8 +24,10 @@
 mod messages;
 mod quota_credit;
 mod request_placement;
+mod restored_zones;
 mod timing;
 
+use self::restored_zones::RestoredZones;
 pub use messages::{KvTask, NodeInput, NodeOutput, Placement, PlacementRequest, Rejection};
 pub use request_placement::resume_id;
 pub use timing::NodeTiming;
@@ -57,6 +59,7 @@
     /// Requests that wait for credit, by their numbers.
     waiting_for_credit: BTreeMap<u64, PlacementRequest>,
     withdrawn: Vec<ZoneName>,
+    restored_zones: RestoredZones,
     members: Vec<Member>,
     /// The epoch since which the members are these.
     members_since: ConfigEpoch,
@@ -142,6 +145,7 @@
             credit: QuotaClient::new(incarnation, now),
             waiting_for_credit: BTreeMap::new(),
             withdrawn: vec![],
+            restored_zones: RestoredZones::default(),
             members: vec![],
             members_since: ConfigEpoch(0),
             lease_span: Milliseconds(0),
@@ -179,6 +183,7 @@
 
     /// Lets this node read the platform's list itself, or receive it from the collector of its zone.
     pub fn with_endpoint_list(self, timing: EndpointListTiming) -> Self {
+        let restored_zones = RestoredZones::new(timing.list_lag);
         let endpoint_list = Some(EndpointList::new(
             self.own,
             self.incarnation,
@@ -186,6 +191,7 @@
             self.now,
         ));
         Node {
+            restored_zones,
             endpoint_list,
             ..self
         }
@@ -313,8 +319,9 @@
         });
     }
 
-    fn apply_server_entries(&mut self, servers: Vec<ServerEntry>) {
+    fn apply_server_entries(&mut self, mut servers: Vec<ServerEntry>) {
         self.has_endpoint_list = true;
+        self.restored_zones.apply(&mut servers);
         self.addresses = servers
             .iter()
             .filter_map(|entry| Some((entry.server.clone(), entry.address.clone()?)))
@@ -322,6 +329,15 @@
         self.notify_scheduler(Event::ServerList { servers });
     }
 
+    /// Applies the list that is held once more: what it says of restored zones counts differently now.
+    fn reapply_endpoint_list(&mut self) {
+        let list = self.endpoint_list.as_ref();
+        let read_list = list.filter(|list| list.read_at().is_some());
+        if let Some(servers) = read_list.map(EndpointList::servers) {
+            self.apply_server_entries(servers);
+        }
+    }
+
     fn step_endpoint_list(
         &mut self,
         step: impl FnOnce(
@@ -344,6 +360,8 @@
         if list.is_fresh() {
             self.endpoint_list_deadline = None;
         }
+        let read_at = list.read_at();
+        let is_verified = read_at.is_some_and(|read_at| self.restored_zones.verify(read_at));
         for output in outputs {
             match output {
                 EndpointListOutput::Read(effort) => self.outputs.push(NodeOutput::ReadList(effort)),
@@ -361,6 +379,9 @@
                 }
             }
         }
+        if is_verified {
+            self.reapply_endpoint_list();
+        }
     }
 
     fn notify_scheduler(&mut self, event: Event) {
--- a/crates/router/src/control/node/config_updates.rs
+++ b/crates/router/src/control/node/config_updates.rs
@@ -5,7 +5,7 @@
 use config::{Plan, PlanError};
 use placement::Event;
 use std::sync::Arc;
-use types::{Address, ConfigEpoch, Delta, Milliseconds, MonotonicInstant, ResultCode};
+use types::{Address, ConfigEpoch, Delta, Milliseconds, MonotonicInstant, ResultCode, ZoneName};
 use wire::{ConfigUpdate, Message};
 
 impl Node {
@@ -66,8 +66,7 @@
         }
         // Withdrawals don't wait for a large plan.
         if update.epoch > self.lease_state.epoch() {
-            self.withdrawn = update.withdrawn.clone();
-            self.update_scheduler_rules();
+            self.set_withdrawn(update.withdrawn.clone());
         }
         self.next_lease_request_at = self.now + Milliseconds(400);
         match &mut self.pending_update {
@@ -224,8 +223,7 @@
                 .update_members(update.epoch, members.clone()),
         }
         if is_newer {
-            self.withdrawn = update.withdrawn;
-            self.update_scheduler_rules();
+            self.set_withdrawn(update.withdrawn);
             let line = format!(
                 "node: epoch {} is in force, plan {}",
                 update.epoch, self.plan_epoch
@@ -249,6 +247,18 @@
         }
     }
 
+    /// Puts the withdrawn zones in force, together with whatever else is new.
+    fn set_withdrawn(&mut self, withdrawn: Vec<ZoneName>) {
+        let before = std::mem::replace(&mut self.withdrawn, withdrawn);
+        let has_restored = self
+            .restored_zones
+            .update(&before, &self.withdrawn, self.now);
+        if has_restored {
+            self.reapply_endpoint_list();
+        }
+        self.update_scheduler_rules();
+    }
+
     pub(super) fn update_scheduler_rules(&mut self) {
         if let Some(plan) = self.plan.clone() {
             let rules = plan.rules(self.lease_state.epoch(), self.withdrawn.clone());
--- a/crates/router/src/control/node/tests.rs
+++ b/crates/router/src/control/node/tests.rs
@@ -15,6 +15,7 @@
     ViewNumber, ZoneName,
 };
 use wire::{ConfigUpdate, CoreLocation, LeaseResponse, Member, Message, seal};
+use yare::parameterized;
 
 const PLAN: &[u8] = br#"{"services":{"drafts":{"slots":8}}}"#;
 
@@ -62,7 +63,7 @@
         }
         outputs
     }
-    fn tell(&mut self, from: u16, message: Message) -> Vec<NodeOutput> {
+    fn receive(&mut self, from: u16, message: Message) -> Vec<NodeOutput> {
         self.step(NodeInput::Message {
             from: Address::loopback(from),
             message,
@@ -83,7 +84,7 @@
             voters: vec![Address::loopback(1)],
             key: Some(KEY),
         };
-        self.tell(
+        self.receive(
             1,
             Message::LeaseResponse {
                 round,
@@ -99,7 +100,7 @@
             length,
             bytes: PLAN.to_vec(),
         };
-        for output in self.tell(1, piece) {
+        for output in self.receive(1, piece) {
             if let NodeOutput::Read { plan_epoch, bytes } = output {
                 let plan = parse_plan(&bytes).map(Arc::new);
                 self.step(NodeInput::Plan {
@@ -208,7 +209,7 @@
             }),
         }
     };
-    played.tell(1, brief(4, 3));
+    played.receive(1, brief(4, 3));
     assert_eq!(
         (
             played.node.epoch(),
@@ -216,7 +217,7 @@
         ),
         (ConfigEpoch(4), 3)
     );
-    played.tell(1, brief(6, 5));
+    played.receive(1, brief(6, 5));
     assert_eq!(
         played.node.epoch(),
         ConfigEpoch(4),
@@ -268,7 +269,7 @@
             } else {
                 played.node.peer_check_round
             };
-            played.tell(
+            played.receive(
                 8,
                 Message::PeerCheckResponse {
                     echo,
@@ -326,7 +327,7 @@
     let mut played = Played::new();
     played.lease(3, 2);
     let (length, bytes) = (plan.len() as u64, plan.to_vec());
-    for output in played.tell(
+    for output in played.receive(
         1,
         Message::PlanChunk {
             epoch: ConfigEpoch(2),
@@ -414,7 +415,7 @@
             )
         })
     };
-    played.tell(8, told(2, 2));
+    played.receive(8, told(2, 2));
     assert_eq!(
         (played.node.epoch(), played.node.withdrawn().len()),
         (ConfigEpoch(3), 0)
@@ -441,7 +442,7 @@
         played.at += 50;
         played.step(NodeInput::ClockEvent);
         let echo = played.node.peer_check_round;
-        assert!(!asks_news(played.tell(8, response(3, echo))));
+        assert!(!asks_news(played.receive(8, response(3, echo))));
         played.endpoint_list();
     }
     assert_eq!(
@@ -454,13 +455,13 @@
     assert!(played.place(5, "together", "drafts").is_ok());
     // The other knows of a withdrawal: it's asked for, and taken up at once, since the plan is the same.
     let echo = played.node.peer_check_round;
-    assert!(asks_news(played.tell(8, response(4, echo))));
+    assert!(asks_news(played.receive(8, response(4, echo))));
     assert_eq!(
         played.place(6, "behind", "drafts").err(),
         Some(ResultCode::NotReady),
         "until the news is here"
     );
-    played.tell(8, told(4, 2));
+    played.receive(8, told(4, 2));
     assert_eq!(
         (played.node.epoch(), played.node.withdrawn()),
         (ConfigEpoch(4), &["east".into()][..])
@@ -470,8 +471,8 @@
         Some(ResultCode::NoServer)
     );
     // And then of a plan that has to be fetched: until it's here, nothing new is taken.
-    played.tell(8, response(5, echo));
-    played.tell(8, told(5, 5));
+    played.receive(8, response(5, echo));
+    played.receive(8, told(5, 5));
     assert_eq!(
         played.place(7, "behind", "drafts").err(),
         Some(ResultCode::NotReady)
@@ -756,6 +757,61 @@
     assert!(played.place(2, "b", "drafts").is_ok());
 }
 
+// A zone that was taken back sent its servers, which had become cold meanwhile, what warm ones bear.
+#[parameterized(
+    read_before_the_restoration = { -100, 0, true },
+    within_the_lag_of_the_list = { 700, 0, true },
+    read_after_it = { 1100, 0, false },
+    read_after_it_and_warming_up = { 1100, 3000, true },
+)]
+fn the_servers_of_a_restored_zone_warm_up_until_a_newer_list_is_known(
+    requested_after: i64,
+    warm_up_left: u64,
+    is_warming_up: bool,
+) {
+    let reading = |requested_at: u64, left: u64| {
+        let entry = ServerEntry {
+            server: "s0".into(),
+            zone: "north".into(),
+            pool: "model".into(),
+            warm_up_left: Some(Milliseconds(left)),
+            ..ServerEntry::default()
+        };
+        NodeInput::List(EndpointListReading {
+            requested_at: MonotonicInstant(requested_at),
+            calls: 1,
+            servers: Some(vec![entry]),
+        })
+    };
+    let mut played = Played::new();
+    played.node = played.node.with_endpoint_list(EndpointListTiming {
+        list_lag: Milliseconds(800),
+        ..EndpointListTiming::default()
+    });
+    played.step(NodeInput::ClockEvent);
+    played.lease(3, 2);
+    played.plan(2);
+    played.step(reading(played.at, 0));
+    let warms_up = |played: &Played| {
+        let server = &played.node.scheduler().servers()[&ServerName::from("s0")];
+        server.is_warming_up(Milliseconds(0), MonotonicInstant(played.at))
+    };
+    assert!(!warms_up(&played));
+    played.at += 200;
+    for (epoch, withdrawn) in [(4, vec!["north".into()]), (5, vec![])] {
+        let update = Box::new(update(epoch, 2, withdrawn));
+        played.receive(1, Message::ConfigUpdate { update });
+    }
+    assert!(warms_up(&played), "nothing is known since");
+    let requested_at = played.at.saturating_add_signed(requested_after);
+    for _ in 0..2 {
+        played.at += 600;
+        played.step(NodeInput::ClockEvent);
+    }
+    played.step(reading(requested_at, warm_up_left));
+    assert_eq!(warms_up(&played), is_warming_up);
+}
+
 /// A control node that was away for long knows an old view alone, whose machines may all be gone by now.
 #[test]
 fn an_old_view_is_not_taken_for_a_newer_one() {
@@ -775,7 +831,7 @@
             tail: voters.first().copied(),
             voters,
         };
-        played.tell(
+        played.receive(
             5,
             Message::LeaseResponse {
                 round: played.node.lease_request_round,
@@ -833,16 +889,16 @@
         since.map(|since| since.0)
     };
     assert_eq!(
-        since_of(played.tell(1, of_membership(4, 1))),
+        since_of(played.receive(1, of_membership(4, 1))),
         None,
         "the membership that it knows"
     );
     assert_eq!(
-        since_of(played.tell(1, of_membership(6, 6))),
+        since_of(played.receive(1, of_membership(6, 6))),
         Some(6),
         "they were others meanwhile"
     );
-    let known = played.tell(8, Message::ConfigUpdateRequest);
+    let known = played.receive(8, Message::ConfigUpdateRequest);
     let Some(NodeOutput::Send {
         message: Message::ConfigUpdate { update },
         ..
@@ -915,14 +971,17 @@
         [1],
         "its seed"
     );
-    assert_eq!(lease_request_sent_at(played.tell(5, call(3, &[4, 5]))), [5]);
     assert_eq!(
-        lease_request_sent_at(played.tell(6, call(2, &[6]))),
+        lease_request_sent_at(played.receive(5, call(3, &[4, 5]))),
+        [5]
+    );
+    assert_eq!(
+        lease_request_sent_at(played.receive(6, call(2, &[6]))),
         Vec::<u16>::new(),
         "an older view"
     );
     assert_eq!(
-        lease_request_sent_at(played.tell(6, call(4, &[]))),
+        lease_request_sent_at(played.receive(6, call(4, &[]))),
         Vec::<u16>::new(),
         "nobody is named"
     );
@@ -933,7 +992,7 @@
 
     let mut leased = Played::serving();
     assert_eq!(
-        lease_request_sent_at(leased.tell(5, call(9, &[5]))),
+        lease_request_sent_at(leased.receive(5, call(9, &[5]))),
         Vec::<u16>::new(),
         "one with a lease needs no call"
     );
@@ -962,7 +1021,7 @@
             length,
             bytes,
         };
-        for output in self.tell(1, piece) {
+        for output in self.receive(1, piece) {
             if let NodeOutput::Read { plan_epoch, bytes } = output {
                 let plan = parse_plan(&bytes).map(Arc::new);
                 self.step(NodeInput::Plan {
@@ -1012,7 +1071,7 @@
             wants_complete: false,
             entries: vec![entry],
         };
-        self.tell(
+        self.receive(
             1,
             Message::CreditGrant {
                 grant: Box::new(grant),
--- a/crates/router/src/discovery/endpoint_list.rs
+++ b/crates/router/src/discovery/endpoint_list.rs
@@ -14,6 +14,8 @@
     pub max_calls_per_second: u64,
     /// After a reading that failed, the first time.
     pub initial_backoff: Milliseconds,
+    /// How far the list lags behind.
+    pub list_lag: Milliseconds,
     /// Cold servers warm up as time passes: what differs by no more than this from that is no change.
     pub warm_up_tolerance: Milliseconds,
     /// Without a clock event for this long, the machine slept.
@@ -29,6 +31,7 @@
             collector_timeout: Milliseconds(2000),
             max_calls_per_second: 50,
             initial_backoff: Milliseconds(250),
+            list_lag: Milliseconds(0),
             warm_up_tolerance: Milliseconds(300),
             sleep_threshold: Milliseconds(1000),
             ignore_span_after_sleep: Milliseconds(1000),
@@ -478,7 +481,8 @@
         });
         Milliseconds(left.sum())
     }
-    fn servers(&self) -> Vec<ServerEntry> {
+    /// The whole list, as of now.
+    pub fn servers(&self) -> Vec<ServerEntry> {
         self.entries
             .values()
             .map(|entry| entry.to_server_entry(self.now))
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -34,6 +34,9 @@
     /// Between readings of the platform's list by one node, in ms.
     #[setting(default = 1000, validate = validate_range(100, 60_000))]
     pub list_ms: u64,
+    /// How far the platform's list may lag behind, in ms.
+    #[setting(default = 0, validate = validate_range(0, 60_000))]
+    pub list_lag_ms: u64,
     /// A node that has not heard for this long what its zone's collector reads there reads it itself, in ms.
     #[setting(default = 2000, validate = validate_range(100, 60_000))]
     pub list_silence_ms: u64,
@@ -120,6 +123,7 @@
             reading_interval: Milliseconds(self.list_ms),
             collector_timeout: Milliseconds(self.list_silence_ms),
             max_calls_per_second: self.list_rate,
+            list_lag: Milliseconds(self.list_lag_ms),
             ..EndpointListTiming::default()
         }
     }
