--- a/crates/controller/src/discovery/diskless_daemon.rs
+++ b/crates/controller/src/discovery/diskless_daemon.rs
@@ -6,14 +6,13 @@
 use crate::error::StartupError;
 use crate::process::{
     Dialects, ReadSeeds, SETTINGS_PERIOD, bind_inner, bind_operators, parse_address,
-    spawn_http_server, stop_flag,
+    spawn_http_server,
 };
 use crate::settings::Settings;
 use config::parse_addresses;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
-use transport::{ListenerBudget, MessageClass, MessageTransport};
+use transport::{ListenerBudget, MessageClass, MessageTransport, ProcessSignals};
 use types::{Address, Clock, Milliseconds, MonotonicInstant};
 
 /// Messages that may be queued for the control thread; further ones are dropped, and their senders repeat them.
@@ -25,14 +24,17 @@
 type KnownAddresses = Arc<RwLock<Vec<Address>>>;
 
 /// Runs a controller without a disk until a signal stops it.
-pub(crate) fn run_diskless(settings: &Settings, dialects: &Dialects) -> Result<(), StartupError> {
+pub(crate) fn run_diskless(
+    settings: &Settings,
+    dialects: &Dialects,
+    signals: ProcessSignals,
+) -> Result<(), StartupError> {
     let listen = parse_address(&settings.listen)?;
     let inner = parse_address(&settings.inner)?;
     let listener = bind_inner(inner)?;
     let (sender, messages) = flume::bounded(QUEUE_CAPACITY);
     let budget = ControllerBudget::new(settings);
     let post = open_transport(inner, listener, budget.peers, sender)?;
-    let stop_signal = stop_flag()?;
     let known_addresses = KnownAddresses::default();
     serve_operators(
         listen,
@@ -49,8 +51,9 @@
         known_addresses,
         read_seeds: dialects.seeds.clone(),
         next_settings_read: now,
+        signals,
     };
-    daemon.run(&messages, &stop_signal);
+    daemon.run(&messages);
     tracing::info!("controller: stopped");
     Ok(())
 }
@@ -115,15 +118,12 @@
     known_addresses: KnownAddresses,
     read_seeds: Option<ReadSeeds>,
     next_settings_read: MonotonicInstant,
+    signals: ProcessSignals,
 }
 
 impl DisklessDaemon {
-    fn run(
-        mut self,
-        messages: &flume::Receiver<DisklessControllerInput>,
-        stop_signal: &AtomicBool,
-    ) {
-        while !stop_signal.load(Ordering::Relaxed) {
+    fn run(mut self, messages: &flume::Receiver<DisklessControllerInput>) {
+        while !self.signals.is_stop_requested() {
             let now = Clock::now();
             self.reload_seeds(now);
             if now >= self.controller.next_timer() {
@@ -138,7 +138,7 @@
     }
 
     fn reload_seeds(&mut self, now: MonotonicInstant) {
-        if now < self.next_settings_read {
+        if now < self.next_settings_read && !self.signals.take_settings_change() {
             return;
         }
         self.next_settings_read = now + SETTINGS_PERIOD;
--- a/crates/controller/src/event_loop.rs
+++ b/crates/controller/src/event_loop.rs
@@ -8,8 +8,7 @@
 use crate::node::ControllerNode;
 use crate::process::{ReadSeeds, SETTINGS_PERIOD};
 use crate::shutdown::Shutdown;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use transport::ProcessSignals;
 use types::{Clock, Milliseconds, MonotonicInstant};
 
 /// The shortest time between two clock events.
@@ -33,7 +32,7 @@
 pub(crate) struct EventLoop {
     node: ControllerNode,
     events: flume::Receiver<ControlEvent>,
-    stop_signal: Arc<AtomicBool>,
+    signals: ProcessSignals,
     shutdown: Shutdown,
     read_seeds: Option<ReadSeeds>,
     next_tick: MonotonicInstant,
@@ -41,18 +40,18 @@
 }
 
 impl EventLoop {
-    /// A loop over these events, whose timers are due at once. `stop_signal` starts the shutdown.
+    /// A loop over these events, whose timers are due at once. A signal to stop starts the shutdown.
     pub(crate) fn new(
         node: ControllerNode,
         events: flume::Receiver<ControlEvent>,
-        stop_signal: Arc<AtomicBool>,
+        signals: ProcessSignals,
         read_seeds: Option<ReadSeeds>,
     ) -> Self {
         let now = Clock::now();
         EventLoop {
             node,
             events,
-            stop_signal,
+            signals,
             shutdown: Shutdown::Running,
             read_seeds,
             next_tick: now,
@@ -84,7 +83,7 @@
 
     /// Hands the replica's position over, once a signal to stop was received.
     fn advance_shutdown(&mut self, now: MonotonicInstant) {
-        if !self.stop_signal.load(Ordering::Relaxed) {
+        if !self.signals.is_stop_requested() {
             return;
         }
         self.shutdown.request(now);
@@ -92,9 +91,9 @@
         self.shutdown.on_progress(now, has_handed_over);
     }
 
-    /// Reads the seeds of the settings again when that is due.
+    /// Reads the seeds of the settings again when that is due, or when the settings are said to have changed.
     fn reload_seeds(&mut self, now: MonotonicInstant) {
-        if now < self.next_settings_read {
+        if now < self.next_settings_read && !self.signals.take_settings_change() {
             return;
         }
         self.next_settings_read = now + SETTINGS_PERIOD;
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -5,6 +5,7 @@
 use controller::{AdminCommand, Dialects, Settings, run};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use transport::ProcessSignals;
 use types::{Address, ResultCode};
 
 /// The control plane of cobaltfall: keeps what operators had accepted, and tells the routers.
@@ -58,6 +59,13 @@
             zone,
             folder,
         } => {
+            let signals = match ProcessSignals::register() {
+                Ok(signals) => signals,
+                Err(error) => {
+                    eprintln!("controller: {} {error}", ResultCode::BadSettings);
+                    return ExitCode::from(2);
+                }
+            };
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
                 Err(fault) => {
@@ -73,7 +81,7 @@
                 .for_each(|address| read.inner = address.to_string());
             zone.into_iter().for_each(|name| read.zone = name);
             folder.into_iter().for_each(|path| read.folder = path);
-            ExitCode::from(run(&read, Dialects::default()))
+            ExitCode::from(run(&read, Dialects::default(), signals))
         }
     }
 }
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -1,5 +1,5 @@
-//! What both kinds of controller processes share, with a disk and without: the platform's hooks, the signals and the
-//! addresses that they listen at.
+//! What both kinds of controller processes share, with a disk and without: the platform's hooks and the addresses
+//! that they listen at.
 
 use crate::admin::control_client::{Attempt, OPERATOR_PATIENCE};
 use crate::admin::task::AdminDialect;
@@ -8,7 +8,6 @@
 use config::{OwnPlans, PlanDialect};
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use transport::{HttpServer, HttpServerBounds, ListenerBudget, Request, Response};
 use types::{Address, Milliseconds};
 
@@ -61,26 +60,6 @@
     }
 }
 
-/// A flag that SIGTERM and SIGINT set.
-pub(crate) fn stop_flag() -> Result<Arc<AtomicBool>, StartupError> {
-    let register = |signal, flag| {
-        signal_hook::flag::register(signal, flag)
-            .map(drop)
-            .map_err(StartupError::Process)
-    };
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        register(signal, stop.clone())?;
-    }
-    // SIGHUP announces changed settings and must not end the process. The seeds are read again periodically, and all
-    // other settings are fixed while the process runs.
-    register(
-        signal_hook::consts::SIGHUP,
-        Arc::new(AtomicBool::new(false)),
-    )?;
-    Ok(stop)
-}
-
 /// Reads an address of the settings.
 pub(crate) fn parse_address(text: &str) -> Result<Address, StartupError> {
     text.parse()
--- a/crates/controller/src/startup.rs
+++ b/crates/controller/src/startup.rs
@@ -10,16 +10,14 @@
 use crate::event_loop::{ControlEvent, EventLoop, QUEUE_CAPACITY};
 use crate::metrics::Metrics;
 use crate::node::{ControllerNode, Endpoints, SharedState};
-use crate::process::{
-    Dialects, bind_inner, bind_operators, parse_address, spawn_http_server, stop_flag,
-};
+use crate::process::{Dialects, bind_inner, bind_operators, parse_address, spawn_http_server};
 use crate::settings::Settings;
 use config::parse_addresses;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use transport::{HttpServer, ListenerBudget, MessageTransport, ResourceBudget};
+use transport::{HttpServer, ListenerBudget, MessageTransport, ProcessSignals, ResourceBudget};
 use types::ResultCode;
 
 /// The exit code of a controller that was stopped by a signal.
@@ -29,11 +27,11 @@
 
 /// Runs a controller until a signal stops it, and returns the process's exit code: 0 after a signal, 2 if it can't
 /// start. A controller whose `folder` is empty runs without a disk.
-pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
+pub fn run(settings: &Settings, dialects: Dialects, signals: ProcessSignals) -> u8 {
     let outcome = if settings.folder.is_empty() {
-        run_diskless(settings, &dialects)
+        run_diskless(settings, &dialects, signals)
     } else {
-        run_with_disk(settings, dialects)
+        run_with_disk(settings, dialects, signals)
     };
     match outcome {
         Ok(()) => EXIT_STOPPED,
@@ -50,14 +48,17 @@
     operators: HttpServer,
 }
 
-fn run_with_disk(settings: &Settings, dialects: Dialects) -> Result<(), StartupError> {
+fn run_with_disk(
+    settings: &Settings,
+    dialects: Dialects,
+    signals: ProcessSignals,
+) -> Result<(), StartupError> {
     let endpoints = read_endpoints(settings)?;
     let budget = ControllerBudget::new(settings);
     let listeners = bind(&endpoints, &budget)?;
     let (sender, events) = flume::bounded::<ControlEvent>(QUEUE_CAPACITY);
     let disk_thread = open_disk(settings, &sender)?;
     let post = open_transport(&endpoints, listeners.inner, budget.peers, &sender)?;
-    let stop_signal = stop_flag()?;
     let shared = SharedState {
         responses: PendingResponses::default(),
         is_ready: Arc::new(AtomicBool::new(false)),
@@ -70,7 +71,7 @@
     tracing::info!(%listen, %inner, zone = settings.zone, "controller: started");
     let timing = timing_of(settings);
     let node = ControllerNode::new(endpoints, timing, disk_thread, post, shared);
-    EventLoop::new(node, events, stop_signal, read_seeds).run();
+    EventLoop::new(node, events, signals, read_seeds).run();
     tracing::info!("controller: stopped");
     Ok(())
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use transport::{HttpClientError, HttpResponse, http_get, http_post, read_all};
+use transport::{HttpClientError, HttpResponse, ProcessSignals, http_get, http_post, read_all};
 use types::{Address, Milliseconds, ResultCode};
 
 /// The data plane of cobaltfall: takes clients' requests and carries their streams.
@@ -84,6 +84,13 @@
             inner,
             zone,
         } => {
+            let signals = match ProcessSignals::register() {
+                Ok(signals) => signals,
+                Err(error) => {
+                    eprintln!("router: {} {error}", ResultCode::BadSettings);
+                    return ExitCode::from(2);
+                }
+            };
             let mut read = match read_settings::<Settings>(settings.as_deref()) {
                 Ok(read) => read,
                 Err(fault) => {
@@ -98,7 +105,7 @@
                 .into_iter()
                 .for_each(|address| read.inner = address.to_string());
             zone.into_iter().for_each(|name| read.zone = name);
-            return ExitCode::from(run(&read, Dialects::default()));
+            return ExitCode::from(run(&read, Dialects::default(), signals));
         }
         Task::Decisions(tail) => copy_out(&tail, "decisions"),
         Task::Events(tail) => copy_out(&tail, "events"),
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -27,8 +27,8 @@
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 use transport::{
-    BodyChunk, BodySource, HttpServer, HttpServerBounds, MessageClass, MessageTransport, Request,
-    ResourceBudget, Response, http_delete, http_post,
+    BodyChunk, BodySource, HttpServer, HttpServerBounds, MessageClass, MessageTransport,
+    ProcessSignals, Request, ResourceBudget, Response, http_delete, http_post,
 };
 use types::{
     Address, ApiKey, Clock, ConfigEpoch, Milliseconds, MonotonicInstant, RequestId, ResultCode,
@@ -75,8 +75,8 @@
 const QUIET_FROM: Milliseconds = Milliseconds(2500);
 
 /// Runs a router until it's told to stop and has finished its streams; gives the exit code.
-pub fn run(settings: &Settings, dialects: Dialects) -> u8 {
-    match start(settings, dialects) {
+pub fn run(settings: &Settings, dialects: Dialects, signals: ProcessSignals) -> u8 {
+    match start(settings, dialects, &signals) {
         Ok(code) => code,
         Err(why) => {
             eprintln!("router: {} {why}", ResultCode::BadSettings);
@@ -85,7 +85,7 @@
     }
 }
 
-fn start(settings: &Settings, dialects: Dialects) -> Result<u8, String> {
+fn start(settings: &Settings, dialects: Dialects, signals: &ProcessSignals) -> Result<u8, String> {
     let listen: Address = settings.listen.parse()?;
     let inner: Address = settings.inner.parse()?;
     let seeds = parse_addresses(&settings.seeds);
@@ -187,13 +187,6 @@
         .spawn(http_server_thread);
     let http_server_thread = http_server_thread.map_err(|fault| fault.to_string())?;
 
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(|fault| fault.to_string())?;
-    }
-    let has_changed = Arc::new(AtomicBool::new(false));
-    signal_hook::flag::register(signal_hook::consts::SIGHUP, has_changed.clone())
-        .map_err(|fault| fault.to_string())?;
     tracing::info!(
         "router: listens at {listen}, inner {inner}, zone {}.",
         settings.zone
@@ -217,7 +210,7 @@
         shared.suspension.record_running(now);
         if now >= next_tick {
             control.take(ControlEvent::Input(NodeInput::ClockEvent));
-            if stop.load(Ordering::Relaxed) && !control.is_draining {
+            if signals.is_stop_requested() && !control.is_draining {
                 tracing::info!(
                     "router: not ready any more; takes what is still sent to it for a moment."
                 );
@@ -227,7 +220,7 @@
             }
             let reads_seeds_again = now >= next_reading
                 && control.node.lease_state().status(now) != LeaseStatus::Leased;
-            if has_changed.swap(false, Ordering::Relaxed) || reads_seeds_again {
+            if signals.take_settings_change() || reads_seeds_again {
                 next_reading = now + SETTINGS_PERIOD;
                 let seeds = dialects.seeds.as_ref().and_then(|read| read());
                 seeds
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_client;
 mod http_server;
 mod message_transport;
+mod process_signals;
 mod resource_budget;
 mod sliced_body;
 mod socket;
@@ -25,5 +26,6 @@
     HttpServerLimits, Request, RequestLimits, Response,
 };
 pub use message_transport::{MessageClass, MessageTransport, PeerTraffic};
+pub use process_signals::ProcessSignals;
 pub use resource_budget::{BudgetUsage, ListenerBudget, NoRoom, ResourceBudget};
 pub use socket::ClientConnection;
