router: without a seed in its settings it stays up until they name one

Change: it starts, logs one line, tells "not ready: the settings name no seed" to probes, reads the settings each second as any router without a lease does, and goes on once they name a controller. The product's own program reads its settings file again too. Without any settings file it ends as before, since nothing could come to name one.

--- a/crates/router/src/downstream/ingress.rs
+++ b/crates/router/src/downstream/ingress.rs
@@ -91,15 +91,14 @@
             .name("ingress".into())
             .spawn(serve)
             .map_err(|fault| fault.to_string())?;
-        let tell_ready = move |request: Request| match (
-            dialect.is_probe(&request),
-            shared.is_ready.load(Ordering::SeqCst),
-        ) {
-            (true, true) => Response::complete(200, "text/plain", "ready\n"),
-            (true, false) => Response::complete(503, "text/plain", "not ready\n"),
-            (false, _) => Response::result(ResultCode::NotFound, "only readiness is told here"),
+        let answer_probe = move |request: Request| {
+            if dialect.is_probe(&request) {
+                shared.readiness()
+            } else {
+                Response::result(ResultCode::NotFound, "only readiness is told here")
+            }
         };
-        let serve = move || probe_gate.serve(tell_ready);
+        let serve = move || probe_gate.serve(answer_probe);
         std::thread::Builder::new()
             .name("readiness".into())
             .spawn(serve)
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,8 +1,8 @@
 //! The command line of the data plane: `router serve`, and tools that read a running router.
 
 use clap::{Parser, Subcommand};
-use config::read_settings;
-use router::{Dialects, Settings, replay, run};
+use config::{parse_addresses, read_settings};
+use router::{Dialects, ReadSeeds, Settings, replay, run};
 use std::io::{Read, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -105,7 +105,11 @@
                 .into_iter()
                 .for_each(|address| read.inner = address.to_string());
             zone.into_iter().for_each(|name| read.zone = name);
-            return ExitCode::from(run(&read, Dialects::default(), signals));
+            let dialects = Dialects {
+                seeds: settings.map(seeds_of),
+                ..Dialects::default()
+            };
+            return ExitCode::from(run(&read, dialects, signals));
         }
         Task::Decisions(tail) => copy_out(&tail, "decisions"),
         Task::Events(tail) => copy_out(&tail, "events"),
@@ -126,6 +130,14 @@
     }
 }
 
+/// Reads the seeds of a settings file as it is then.
+fn seeds_of(settings_file: PathBuf) -> ReadSeeds {
+    Box::new(move || {
+        let settings = read_settings::<Settings>(Some(&settings_file)).ok()?;
+        Some(parse_addresses(&settings.seeds))
+    })
+}
+
 fn copy_out(tail: &Tail, what: &str) -> Result<(), String> {
     let Tail { at, after, follow } = tail;
     let url = format!("http://{at}/v1/{what}?after={after}&follow={follow}");
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -29,6 +29,8 @@
     pub plan: RwLock<Option<PlanInForce>>,
     /// Whether clients should be sent here.
     pub is_ready: AtomicBool,
+    /// Whether the settings name a controller.
+    pub has_seeds: AtomicBool,
     /// When this process ends, as a moment, once it takes only what will have ended before; [`NEVER`] until then.
     pub exits_at: AtomicU64,
     /// When the last request came, as a moment.
@@ -67,6 +69,7 @@
             stall: Milliseconds(10_000),
             plan: RwLock::default(),
             is_ready: AtomicBool::new(true),
+            has_seeds: AtomicBool::new(true),
             exits_at: AtomicU64::new(NEVER),
             last_arrival: AtomicU64::new(0),
             suspension: SuspensionMonitor::without_control_thread(),
@@ -188,6 +191,17 @@
         authenticate(&plan.tenants, false, api_key)
             .map(|credentials| credentials.map(|tenant| tenant.key))
     }
+    /// What probes are told.
+    pub(crate) fn readiness(&self) -> Response {
+        let (status, text) = if self.is_ready.load(Ordering::SeqCst) {
+            (200, "ready\n")
+        } else if self.has_seeds.load(Ordering::SeqCst) {
+            (503, "not ready\n")
+        } else {
+            (503, "not ready: the settings name no seed\n")
+        };
+        Response::complete(status, "text/plain", text)
+    }
     /// A number for a request, that no other has in this incarnation.
     pub(crate) fn next_number(&self) -> u64 {
         self.number.fetch_add(1, Ordering::Relaxed)
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -89,9 +89,17 @@
     let listen: Address = settings.listen.parse()?;
     let inner: Address = settings.inner.parse()?;
     let seeds = parse_addresses(&settings.seeds);
-    if seeds.is_empty() {
+    if seeds.is_empty() && dialects.seeds.is_none() {
         return Err(
-            "seeds is empty: the inner address of at least one controller is needed".into(),
+            "seeds is empty, and there is no settings file that could come to name one: the inner address of at \
+             least one controller is needed"
+                .into(),
+        );
+    }
+    let has_seeds = !seeds.is_empty();
+    if !has_seeds {
+        tracing::warn!(
+            "router: the settings name no seed; waits until they name the inner address of a controller."
         );
     }
     let budget = RouterBudget::new(settings, dialects.calls.is_some());
@@ -142,6 +150,7 @@
         stall: Milliseconds(settings.stall_ms),
         plan: RwLock::default(),
         is_ready: AtomicBool::new(false),
+        has_seeds: AtomicBool::new(has_seeds),
         exits_at: AtomicU64::new(NEVER),
         last_arrival: AtomicU64::new(0),
         suspension: SuspensionMonitor::new(),
@@ -172,7 +181,6 @@
 
     let door = Arc::new(Door {
         shared: shared.clone(),
-        is_ready: AtomicBool::new(false),
         decisions: DecisionLog::new(settings.journal_lines as usize),
         events: DecisionLog::new(settings.journal_lines as usize),
         head: serde_json::to_string(&head).expect("a head is JSON"),
@@ -222,10 +230,9 @@
                 && control.node.lease_state().status(now) != LeaseStatus::Leased;
             if signals.take_settings_change() || reads_seeds_again {
                 next_reading = now + SETTINGS_PERIOD;
-                let seeds = dialects.seeds.as_ref().and_then(|read| read());
-                seeds
-                    .into_iter()
-                    .for_each(|seeds| control.take(ControlEvent::Input(NodeInput::Seeds(seeds))));
+                if let Some(seeds) = dialects.seeds.as_ref().and_then(|read| read()) {
+                    control.set_seeds(seeds);
+                }
             }
             if let Some(schedule) = &leaving {
                 if now >= schedule.short_from {
@@ -336,6 +343,18 @@
 }
 
 impl Control {
+    /// Applies the seeds that the settings name now.
+    fn set_seeds(&mut self, seeds: Vec<Address>) {
+        let has_seeds = !seeds.is_empty();
+        let had_seeds = self.door.shared.has_seeds.swap(has_seeds, Ordering::SeqCst);
+        match (had_seeds, has_seeds) {
+            (true, false) => tracing::warn!("router: the settings name no seed any more."),
+            (false, true) => tracing::info!("router: the settings name a seed now."),
+            _ => {}
+        }
+        self.take(ControlEvent::Input(NodeInput::Seeds(seeds)));
+    }
+
     /// Takes what has come, after waiting a little for something.
     fn take_all(&mut self, events: &flume::Receiver<ControlEvent>) {
         if let Ok(event) = events.recv_timeout(Duration::from_millis(5)) {
@@ -407,7 +426,6 @@
             .may_act_until
             .store(until.0, Ordering::SeqCst);
         let is_ready = self.node.is_ready(now) && !self.is_draining;
-        self.door.is_ready.store(is_ready, Ordering::SeqCst);
         self.door.shared.is_ready.store(is_ready, Ordering::SeqCst);
         // First the members: a plan is put into force for as many as there are.
         self.door.shared.set_member_count(self.node.member_count());
@@ -624,7 +642,6 @@
 /// What the gate's threads share.
 struct Door {
     shared: Arc<Shared>,
-    is_ready: AtomicBool,
     decisions: DecisionLog,
     events: DecisionLog,
     head: String,
@@ -653,13 +670,7 @@
                 request.header("x-request-id"),
                 api_key,
             ),
-            ("GET", ["ready"]) => {
-                if self.is_ready.load(Ordering::SeqCst) {
-                    Response::complete(200, "text/plain", "ready\n")
-                } else {
-                    Response::complete(503, "text/plain", "not ready\n")
-                }
-            }
+            ("GET", ["ready"]) => self.shared.readiness(),
             ("GET", ["metrics"]) => {
                 self.shared.metrics.set_budget(&self.budget.usage());
                 Response::complete(200, "text/plain; version=0.0.4", self.shared.metrics.text())
