--- a/crates/config/src/dialect.rs
+++ b/crates/config/src/dialect.rs
@@ -12,6 +12,15 @@
     /// All errors that were found, each with the path of its field.
     fn parse(&self, bytes: &[u8]) -> Result<Plan, Vec<PlanError>>;
 
+    /// Parses a document that was accepted, perhaps by an earlier version that checked less.
+    ///
+    /// # Errors
+    ///
+    /// The document can't be understood by this version.
+    fn parse_accepted(&self, bytes: &[u8]) -> Result<Plan, Vec<PlanError>> {
+        self.parse(bytes)
+    }
+
     /// Applies a change to a plan and returns the changed document.
     ///
     /// # Errors
--- a/crates/controller/src/admin/task.rs
+++ b/crates/controller/src/admin/task.rs
@@ -246,7 +246,10 @@
             plan,
             Some(base),
         );
-        let newest = self.plans.parse(plan).map_or(0, |plan| plan.revision);
+        let newest = self
+            .plans
+            .parse_accepted(plan)
+            .map_or(0, |plan| plan.revision);
         if command.is_err() && base > newest {
             // It may be free of errors when merged into the plan that it was made for.
             let why = format!("it builds on revision {base}, which is not accepted so far");
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -498,7 +498,7 @@
         let read = move || {
             let input = NodeInput::Plan {
                 plan_epoch,
-                plan: plans.parse(&bytes).map(Arc::new),
+                plan: plans.parse_accepted(&bytes).map(Arc::new),
                 bytes,
             };
             let _ = control.send(ControlEvent::Input(input));
