testbed: a soak of real processes in troubles drawn from a seed

`testbed soak` starts a fleet of the product's own programs, with clients (some go on using their connection), operators and stand-ins, and lets a schedule befall it that the seed draws and that can be written, played again and shortened: SIGKILL, SIGTERM, SIGHUP, SIGSTOP and SIGCONT, settings that change, servers that fall silent; of one, several, a zone, the core, all; in series and overlapping.

--- a/crates/loadgen/src/client.rs
+++ b/crates/loadgen/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::workload::PlannedRequest;
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::time::{Duration, Instant};
 use transport::{HttpClientError, HttpResponse, http_get, http_post, read_all};
 use types::{Address, Milliseconds};
@@ -41,6 +41,22 @@
     pub retry_after: Option<u64>,
 }
 
+impl RequestRecord {
+    /// A request that was not sent yet.
+    pub(crate) fn new(planned: &PlannedRequest) -> Self {
+        RequestRecord {
+            service: planned.service.to_owned(),
+            print: prompt_fingerprint(&planned.prompt),
+            outcome: Outcome::Unknown(0),
+            first_ms: None,
+            resumed: 0,
+            violations: vec![],
+            why: String::new(),
+            retry_after: None,
+        }
+    }
+}
+
 /// Returns the fingerprint of a prompt: FNV-1a's step over its bytes, begun with 3.
 pub fn prompt_fingerprint(prompt: &str) -> u64 {
     prompt.bytes().fold(3, |sum, byte| {
@@ -48,8 +64,8 @@
     })
 }
 
-const CONNECT_TIMEOUT: Milliseconds = Milliseconds(1000);
-const READ_TIMEOUT: Milliseconds = Milliseconds(15_000);
+pub(crate) const CONNECT_TIMEOUT: Milliseconds = Milliseconds(1000);
+pub(crate) const READ_TIMEOUT: Milliseconds = Milliseconds(15_000);
 /// How often a broken stream is resumed at most.
 const MAX_RESUMES: u32 = 5;
 /// The pause before a stream is resumed again after a router was unavailable.
@@ -60,28 +76,16 @@
 /// Sends a request as a client would and reads the response to its end, resuming it through other routers if
 /// it must. `first` is the index of the first router, modulo their number.
 pub fn send_planned(planned: &PlannedRequest, routers: &[Address], first: usize) -> RequestRecord {
-    let mut record = RequestRecord {
-        service: planned.service.to_owned(),
-        print: prompt_fingerprint(&planned.prompt),
-        outcome: Outcome::Unknown(0),
-        first_ms: None,
-        resumed: 0,
-        violations: vec![],
-        why: String::new(),
-        retry_after: None,
-    };
+    let mut record = RequestRecord::new(planned);
     let began = Instant::now();
     let router = routers[first % routers.len()];
     if planned.is_fetch {
         fetch(planned, router, &mut record, began);
         return record;
     }
-    let body = json!({
-        "id": planned.id, "service": planned.service, "prompt": planned.prompt, "max_pieces": planned.pieces,
-    });
     let outcome = http_post(
         &format!("http://{router}/v1/requests"),
-        body.to_string().into_bytes(),
+        request_body(planned),
         CONNECT_TIMEOUT,
         READ_TIMEOUT,
     );
@@ -104,12 +108,7 @@
     routers: &[Address],
     first: usize,
 ) -> bool {
-    let mut reader = StreamReader {
-        run: None,
-        token: None,
-        next: 0,
-        print: record.print,
-    };
+    let mut reader = StreamReader::new(record.print);
     let mut is_complete = reader.read(response, record, began);
     let mut router_index = first;
     while !is_complete && record.resumed < MAX_RESUMES && record.violations.is_empty() {
@@ -158,10 +157,13 @@
     record.retry_after = response
         .header("retry-after")
         .and_then(|value| value.parse().ok());
-    let value: Value = read_all(response, MAX_BODY_BYTES)
-        .ok()
-        .and_then(|body| serde_json::from_slice(&body).ok())
-        .unwrap_or_default();
+    let body = read_all(response, MAX_BODY_BYTES).unwrap_or_default();
+    record_rejection_body(&body, record);
+}
+
+/// Records what the body of a rejection says.
+pub(crate) fn record_rejection_body(body: &[u8], record: &mut RequestRecord) {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
     let code = value["code"].as_u64().unwrap_or(0);
     let result = value["result"].as_str().unwrap_or("?");
     let why = value["why"].as_str().unwrap_or("?");
@@ -182,15 +184,7 @@
         return;
     };
     match read_all(response, MAX_BODY_BYTES) {
-        Ok(body) => {
-            record.first_ms = Some(began.elapsed().as_secs_f64() * 1000.0);
-            record.outcome = Outcome::Complete;
-            let text = String::from_utf8_lossy(&body);
-            if !text.contains(&planned.id) {
-                let violation = format!("{}: another client's page: {text}", planned.id);
-                record.violations.push(violation);
-            }
-        }
+        Ok(body) => record_page(planned, &body, record, began),
         Err(error) => {
             record.outcome = Outcome::Broken;
             record.why = error.to_string();
@@ -198,8 +192,32 @@
     }
 }
 
+/// Records a complete page, and checks that it's the one that was asked for.
+pub(crate) fn record_page(
+    planned: &PlannedRequest,
+    body: &[u8],
+    record: &mut RequestRecord,
+    began: Instant,
+) {
+    record.first_ms = Some(began.elapsed().as_secs_f64() * 1000.0);
+    record.outcome = Outcome::Complete;
+    let text = String::from_utf8_lossy(body);
+    if !text.contains(&planned.id) {
+        let violation = format!("{}: another client's page: {text}", planned.id);
+        record.violations.push(violation);
+    }
+}
+
+/// The body of a request for a stream.
+pub(crate) fn request_body(planned: &PlannedRequest) -> Vec<u8> {
+    let body = json!({
+        "id": planned.id, "service": planned.service, "prompt": planned.prompt, "max_pieces": planned.pieces,
+    });
+    body.to_string().into_bytes()
+}
+
 /// Reads the streams of one request, and checks that they are parts of one stream.
-struct StreamReader {
+pub(crate) struct StreamReader {
     run: Option<String>,
     token: Option<String>,
     /// The number of the token that is due.
@@ -208,8 +226,23 @@
 }
 
 impl StreamReader {
+    /// A reader of the streams of the request with this fingerprint.
+    pub(crate) fn new(print: u64) -> Self {
+        StreamReader {
+            run: None,
+            token: None,
+            next: 0,
+            print,
+        }
+    }
+
     /// Reads a response; returns whether the final record and the HTTP end came.
-    fn read(&mut self, response: HttpResponse, record: &mut RequestRecord, began: Instant) -> bool {
+    pub(crate) fn read(
+        &mut self,
+        response: impl Read,
+        record: &mut RequestRecord,
+        began: Instant,
+    ) -> bool {
         let mut is_ended = false;
         let mut lines = BufReader::new(response);
         loop {
--- a/crates/testbed/src/commands.rs
+++ b/crates/testbed/src/commands.rs
@@ -7,6 +7,7 @@
 mod hollow;
 mod measure;
 mod simulate;
+mod soak;
 
 pub(crate) use answers::AnswersCommand;
 pub(crate) use compare::CompareCommand;
@@ -15,3 +16,4 @@
 pub(crate) use hollow::{HollowCommand, HollowPlotCommand, run_host};
 pub(crate) use measure::MeasureCommand;
 pub(crate) use simulate::SimulateCommand;
+pub(crate) use soak::SoakCommand;
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 use transport::{HttpClientError, http_get, http_request, read_all};
 use types::{Address, Clock, Milliseconds, MonotonicInstant};
@@ -118,6 +118,12 @@
             .as_mut()
             .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
+    /// How it has ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
     /// Its process.
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
@@ -165,8 +171,12 @@
     pub fn wake(&self) {
         self.signal(rustix::process::Signal::CONT);
     }
+    /// Tells it that its settings have changed.
+    pub fn announce_settings(&self) {
+        self.signal(rustix::process::Signal::HUP);
+    }
     /// Asks it to stop.
-    pub fn ask_to_stop(&self) {
+    pub fn request_stop(&self) {
         self.signal(rustix::process::Signal::TERM);
     }
     /// Waits for it to end; gives the exit code, or `None` when it had to be killed.
@@ -556,7 +566,7 @@
     pub fn stop(&mut self) -> BTreeMap<String, Option<i32>> {
         let mut codes = BTreeMap::new();
         for group in [&mut self.routers, &mut self.controllers] {
-            group.iter().for_each(Daemon::ask_to_stop);
+            group.iter().for_each(Daemon::request_stop);
             for daemon in group {
                 codes.insert(daemon.name.clone(), daemon.wait(Milliseconds::seconds(20)));
             }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod ports;
 mod process_group;
+mod soak;
 mod stand_in;
 
 pub use answers::{AnswersMutant, AnswersReport, AnswersRules, Fate as AnswersFate, play_answers};
@@ -19,4 +20,8 @@
 pub use platform::Platform;
 pub use ports::free_ports;
 pub use process_group::ProcessGroup;
+pub use soak::{
+    CheckReport, DEFAULT_PROCESSES, Schedule, SoakReport, SoakRules, Trouble, TroubleKind,
+    max_processes, soak,
+};
 pub use stand_in::{RunLog, StandIn};
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use commands::{
     AnswersCommand, CompareCommand, ExploreCommand, FleetCommand, HollowCommand, HollowPlotCommand,
-    MeasureCommand, SimulateCommand, run_host,
+    MeasureCommand, SimulateCommand, SoakCommand, run_host,
 };
 use std::process::ExitCode;
 
@@ -31,9 +31,18 @@
     Answers(AnswersCommand),
     Simulate(SimulateCommand),
     Explore(ExploreCommand),
+    Soak(SoakCommand),
 }
 
 impl Command {
+    /// The exit code if the command could not do its work.
+    fn code_of_failure(&self) -> u8 {
+        match self {
+            Command::Soak(_) => 2,
+            _ => 1,
+        }
+    }
+
     /// Runs the command; whether all went well.
     fn run(self) -> Result<bool, String> {
         match self {
@@ -46,16 +55,19 @@
             Command::Answers(command) => command.run(),
             Command::Simulate(command) => Ok(command.run()),
             Command::Explore(command) => Ok(command.run()),
+            Command::Soak(command) => command.run(),
         }
     }
 }
 
 fn main() -> ExitCode {
-    match CommandLine::parse().command.run() {
+    let command = CommandLine::parse().command;
+    let code_of_failure = command.code_of_failure();
+    match command.run() {
         Ok(is_well) => ExitCode::from(u8::from(!is_well)),
         Err(why) => {
             eprintln!("testbed: {why}");
-            ExitCode::from(1)
+            ExitCode::from(code_of_failure)
         }
     }
 }
--- a/crates/testbed/tests/failures.rs
+++ b/crates/testbed/tests/failures.rs
@@ -105,7 +105,7 @@
         let mut epoch = 0;
         for place in 0..fleet.routers.len() {
             let router = &mut fleet.routers[place];
-            router.ask_to_stop();
+            router.request_stop();
             if place == 0 {
                 // Not ready at once, but clients that are still sent here are served.
                 Fleet::await_that(PATIENCE, "a warned router is not ready", || {
@@ -138,7 +138,7 @@
         }
         for place in 0..fleet.controllers.len() {
             let controller = &mut fleet.controllers[place];
-            controller.ask_to_stop();
+            controller.request_stop();
             assert_eq!(
                 controller.wait(PATIENCE),
                 Some(0),
