--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -21,12 +21,35 @@
     pub inner: Address,
     /// Its zone.
     pub zone: String,
-    program: PathBuf,
+    command: DaemonCommand,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
 
+/// How a process is started.
+#[derive(Debug, Clone)]
+pub struct DaemonCommand {
+    /// The program.
+    pub program: PathBuf,
+    /// Its arguments.
+    pub arguments: Vec<String>,
+    /// Variables that are added to its environment.
+    pub environment: Vec<(String, String)>,
+}
+
+impl DaemonCommand {
+    /// The product's own program of this kind, with these settings.
+    fn of_program(program: PathBuf, settings: &Path) -> DaemonCommand {
+        let settings = settings.to_string_lossy().into_owned();
+        DaemonCommand {
+            program,
+            arguments: vec!["serve".into(), "--settings".into(), settings],
+            environment: vec![],
+        }
+    }
+}
+
 /// How a fleet is to be.
 #[derive(Debug, Clone)]
 pub struct FleetOptions {
@@ -98,13 +121,32 @@
 }
 
 impl Daemon {
+    /// A process that is not started yet, and that logs to `log`.
+    pub fn new(
+        name: &str,
+        zone: &str,
+        listen: Address,
+        inner: Address,
+        command: DaemonCommand,
+        log: PathBuf,
+    ) -> Daemon {
+        Daemon {
+            name: name.to_owned(),
+            listen,
+            inner,
+            zone: zone.to_owned(),
+            command,
+            settings: PathBuf::new(),
+            log,
+            child: None,
+        }
+    }
     /// Starts the process; its log goes on in the same file.
     pub fn start(&mut self) -> std::io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
-            .arg("serve")
-            .arg("--settings")
-            .arg(&self.settings)
+        let child = Command::new(&self.command.program)
+            .args(&self.command.arguments)
+            .envs(self.command.environment.iter().cloned())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -311,7 +353,7 @@
         std::fs::write(&settings, text)?;
         Ok(Daemon {
             log: self.folder.join(format!("{name}.log")),
-            program: self.options.programs.join(kind),
+            command: DaemonCommand::of_program(self.options.programs.join(kind), &settings),
             name,
             listen,
             inner,
@@ -436,13 +478,13 @@
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, text)?;
         let log = self.folder.join(format!("{name}.log"));
-        let program = self.controllers[0].program.clone();
+        let program = self.controllers[0].command.program.clone();
         let mut daemon = Daemon {
             name,
             listen,
             inner,
             zone,
-            program,
+            command: DaemonCommand::of_program(program, &settings),
             settings,
             log,
             child: None,
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -14,19 +14,19 @@
 
 pub use report::{CheckReport, SoakReport};
 pub use schedule::{Schedule, Trouble, TroubleKind};
+pub use supervisor::{ProcessFates, SoakTarget, Supervisor};
 
-use crate::fleet::{Fleet, FleetOptions, plan_of};
+use crate::fleet::{Daemon, Fleet, FleetOptions, plan_of};
 use crate::process_group::ProcessGroup;
 use crate::soak::checks::Findings;
 use crate::soak::clients::{ClientRules, Clients};
 use crate::soak::operators::Operators;
 use crate::soak::samples::ResourceSamples;
-use crate::soak::supervisor::Supervisor;
-use simulator::{Deployment, ScheduleRules, Shape};
+use simulator::{Deployment, ScheduleRules, ServerFault, Shape};
 use std::path::PathBuf;
 use std::time::Duration;
 use transport::ProcessSignals;
-use types::{Clock, Milliseconds, MonotonicInstant};
+use types::{Address, Clock, Milliseconds, MonotonicInstant};
 
 /// The core forms, and then the routers are ready, within this.
 const START_TIMEOUT: Milliseconds = Milliseconds::seconds(30);
@@ -38,6 +38,8 @@
 const DESCRIPTORS: u64 = 1000;
 /// Told to stop, a router finishes what is in hand within this.
 const DRAIN: Milliseconds = Milliseconds::seconds(6);
+/// Seeds that the settings name at most.
+const SEEDS: usize = 3;
 /// Processes of a small fleet: controllers and routers.
 pub const DEFAULT_PROCESSES: usize = 9;
 /// Processes of the largest fleet.
@@ -112,9 +114,8 @@
     let run = Run {
         clients: Clients::start(&ClientRules::new(rules.seed, fleet.clients_addresses())),
         operators: Operators::start(rules.seed, &fleet, first["epoch"].as_u64().unwrap_or(0)),
-        supervisor: Supervisor::new(fleet, schedule.clone()),
+        supervisor: Supervisor::new(OwnPrograms::new(fleet, servers), schedule.clone()),
         samples: ResourceSamples::default(),
-        servers,
         plan,
     };
     run.play(rules, schedule, signals)
@@ -130,13 +131,59 @@
     }
 }
 
+/// The product's own programs before stand-ins.
+struct OwnPrograms {
+    fleet: Fleet,
+    servers: ProcessGroup,
+    /// What the settings name as seeds.
+    seeds: Vec<Address>,
+}
+
+impl OwnPrograms {
+    fn new(fleet: Fleet, servers: ProcessGroup) -> Self {
+        let controllers = fleet.controllers.iter().take(SEEDS);
+        OwnPrograms {
+            seeds: controllers.map(|controller| controller.inner).collect(),
+            fleet,
+            servers,
+        }
+    }
+}
+
+impl SoakTarget for OwnPrograms {
+    fn daemons(&mut self) -> Vec<&mut Daemon> {
+        let controllers = self.fleet.controllers.iter_mut();
+        controllers.chain(&mut self.fleet.routers).collect()
+    }
+
+    /// The seeds are named in another order.
+    fn change_settings(&mut self) {
+        self.seeds.rotate_left(1);
+        let written = self.fleet.name_seeds(&self.seeds);
+        written.expect("the settings can be written");
+    }
+
+    fn suspend_server(&mut self, server: &str, is_suspended: bool) {
+        let fault = ServerFault {
+            is_dark: is_suspended,
+            ..ServerFault::default()
+        };
+        let number = server
+            .strip_prefix("model-")
+            .and_then(|number| number.parse::<usize>().ok());
+        let model = number.and_then(|number| self.servers.models.get(number));
+        if let Some(model) = model {
+            model.inject_fault(fault);
+        }
+    }
+}
+
 /// A soak under way.
 struct Run {
     clients: Clients,
     operators: Operators,
-    supervisor: Supervisor,
+    supervisor: Supervisor<OwnPrograms>,
     samples: ResourceSamples,
-    servers: ProcessGroup,
     plan: String,
 }
 
@@ -157,10 +204,10 @@
             if now.since(begun) >= rules.span {
                 break;
             }
-            self.supervisor.step(now.since(begun), &self.servers);
+            self.supervisor.step(now.since(begun));
             if now >= next_line {
                 next_line = next_line + Milliseconds::seconds(1);
-                self.samples.take(self.supervisor.fleet());
+                self.samples.take(&self.supervisor.target().fleet);
                 self.print_line(begun, now);
             }
             std::thread::sleep(TICK);
@@ -180,15 +227,16 @@
 
     /// Ends all troubles, and judges what was seen.
     fn conclude(mut self, rules: &SoakRules, schedule: Schedule) -> Result<SoakReport, String> {
-        self.supervisor.heal(&self.servers);
+        self.supervisor.heal();
         let operators = self.operators.stop();
-        let recovery = recovery::measure(self.supervisor.fleet(), &operators);
-        self.samples.take(self.supervisor.fleet());
+        let recovery = recovery::measure(&self.supervisor.target().fleet, &operators);
+        self.samples.take(&self.supervisor.target().fleet);
         let records = self.clients.stop();
+        let logs = self.supervisor.target().servers.logs();
         let stopped = self.supervisor.stop();
         let findings = Findings {
             records: &records.all,
-            logs: &self.servers.logs(),
+            logs: &logs,
             plan: &self.plan,
             recovery: &recovery,
             processes: &stopped,
--- a/crates/testbed/src/soak/supervisor.rs
+++ b/crates/testbed/src/soak/supervisor.rs
@@ -1,17 +1,27 @@
 //! Strikes the troubles of a schedule, starts what has ended again, and notices what ends by itself.
 
-use crate::fleet::{Daemon, Fleet};
-use crate::process_group::ProcessGroup;
+use crate::fleet::Daemon;
 use crate::soak::DRAIN;
 use crate::soak::schedule::{Schedule, Trouble, TroubleKind};
-use simulator::ServerFault;
-use types::{Address, Milliseconds};
+use types::Milliseconds;
 
 /// A process that was told to stop has ended within this, besides the time that it was frozen.
 const STOP_TIMEOUT: Milliseconds = Milliseconds(DRAIN.0 + 9000);
 /// What a router that was told to stop ends with while requests are in hand.
 const EXIT_IN_HAND: i32 = 1;
 
+/// What troubles befall.
+pub trait SoakTarget {
+    /// All processes: controllers, named `controller-0` and on, before routers, named `router-0` and on.
+    fn daemons(&mut self) -> Vec<&mut Daemon>;
+
+    /// Changes the settings of all processes, for them to be read again, in something that does no harm.
+    fn change_settings(&mut self);
+
+    /// Lets a server say nothing from now on, or answer again.
+    fn suspend_server(&mut self, server: &str, is_suspended: bool);
+}
+
 /// What a process is to be doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Expected {
@@ -38,7 +48,7 @@
 
 /// What became of the processes.
 #[derive(Debug, Default)]
-pub(super) struct ProcessFates {
+pub struct ProcessFates {
     /// How often a process was looked at that was to run.
     pub checks: u64,
     /// How often a process was told to stop and ended.
@@ -49,21 +59,23 @@
     pub ended_badly: Vec<String>,
 }
 
-/// The processes of a fleet under the troubles of a schedule.
-pub(super) struct Supervisor {
-    fleet: Fleet,
+/// The processes of a target under the troubles of a schedule.
+pub struct Supervisor<T: SoakTarget> {
+    target: T,
     processes: Vec<Supervised>,
     schedule: Schedule,
     next: usize,
-    unresponsive: Vec<(usize, Milliseconds)>,
-    seeds: Vec<Address>,
+    /// Servers that say nothing, and until when.
+    unresponsive: Vec<(String, Milliseconds)>,
     fates: ProcessFates,
 }
 
-impl Supervisor {
-    pub(super) fn new(fleet: Fleet, schedule: Schedule) -> Self {
-        let daemons = fleet.controllers.iter().chain(&fleet.routers);
+impl<T: SoakTarget> Supervisor<T> {
+    /// Of a target all of whose processes run.
+    pub fn new(mut target: T, schedule: Schedule) -> Self {
+        let daemons = target.daemons();
         let processes = daemons
+            .iter()
             .map(|daemon| Supervised {
                 name: daemon.name.clone(),
                 expected: Expected::Runs,
@@ -71,29 +83,23 @@
                 down: Milliseconds(0),
             })
             .collect();
-        let seeds = fleet
-            .controllers
-            .iter()
-            .map(|controller| controller.inner)
-            .take(3)
-            .collect();
         Supervisor {
-            fleet,
+            target,
             processes,
             schedule,
             next: 0,
             unresponsive: vec![],
-            seeds,
             fates: ProcessFates::default(),
         }
     }
 
-    pub(super) fn fleet(&self) -> &Fleet {
-        &self.fleet
+    /// What the troubles befall.
+    pub fn target(&self) -> &T {
+        &self.target
     }
 
     /// One line about what is open.
-    pub(super) fn progress(&self) -> String {
+    pub fn progress(&self) -> String {
         let count = |is: fn(&Supervised) -> bool| self.processes.iter().filter(|p| is(p)).count();
         format!(
             "{} of {} troubles, {} down, {} stopping, {} frozen",
@@ -106,28 +112,26 @@
     }
 
     /// Does what is due `now`, counted from the start.
-    pub(super) fn step(&mut self, now: Milliseconds, servers: &ProcessGroup) {
+    pub fn step(&mut self, now: Milliseconds) {
         while let Some(trouble) = self.schedule.troubles.get(self.next).cloned() {
             if trouble.at_ms > now.0 {
                 break;
             }
             self.next += 1;
-            self.apply(&trouble, now, servers);
+            self.apply(&trouble, now);
         }
-        self.wake_servers(now, servers);
+        self.wake_servers(now);
         for place in 0..self.processes.len() {
             self.look_after(place, now);
         }
     }
 
-    fn apply(&mut self, trouble: &Trouble, now: Milliseconds, servers: &ProcessGroup) {
+    fn apply(&mut self, trouble: &Trouble, now: Milliseconds) {
         let until = Milliseconds(now.0 + trouble.for_ms);
         match trouble.kind {
-            TroubleKind::UnresponsiveServer => self.suspend_servers(trouble, until, servers),
+            TroubleKind::UnresponsiveServer => self.suspend_servers(trouble, until),
             TroubleKind::SettingsChange | TroubleKind::AnnouncedSettingsChange => {
-                self.seeds.rotate_left(1);
-                let written = self.fleet.name_seeds(&self.seeds);
-                written.expect("the settings can be written");
+                self.target.change_settings();
             }
             _ => {}
         }
@@ -146,7 +150,7 @@
         until: Milliseconds,
     ) {
         let process = &mut self.processes[place];
-        let daemon = daemon(&mut self.fleet, place);
+        let daemon = self.target.daemons().swap_remove(place);
         if matches!(process.expected, Expected::IsDown { .. }) {
             return;
         }
@@ -179,7 +183,7 @@
     /// Does for a process what is due, and notices what it did by itself.
     fn look_after(&mut self, place: usize, now: Milliseconds) {
         let process = &mut self.processes[place];
-        let daemon = daemon(&mut self.fleet, place);
+        let daemon = self.target.daemons().swap_remove(place);
         if process.frozen_until.is_some_and(|until| now >= until) {
             daemon.wake();
             process.frozen_until = None;
@@ -207,10 +211,7 @@
             Expected::Stops { since } => match daemon.ended() {
                 Some(status) => {
                     self.fates.stops += 1;
-                    let is_router = process.name.starts_with("router");
-                    let has_expected_code = status.code() == Some(0)
-                        || (is_router && status.code() == Some(EXIT_IN_HAND));
-                    if !has_expected_code {
+                    if !is_expected(&process.name, status.code()) {
                         let fate = format!("{} at {} ms: {status}", process.name, now.0);
                         self.fates.ended_badly.push(fate);
                     }
@@ -234,40 +235,31 @@
         }
     }
 
-    fn suspend_servers(&mut self, trouble: &Trouble, until: Milliseconds, servers: &ProcessGroup) {
-        for (place, server) in servers.models.iter().enumerate() {
-            if trouble.targets.contains(&format!("model-{place}")) {
-                server.inject_fault(ServerFault {
-                    is_dark: true,
-                    ..ServerFault::default()
-                });
-                self.unresponsive.push((place, until));
-            }
+    fn suspend_servers(&mut self, trouble: &Trouble, until: Milliseconds) {
+        for server in &trouble.targets {
+            self.target.suspend_server(server, true);
+            self.unresponsive.push((server.clone(), until));
         }
     }
 
-    fn wake_servers(&mut self, now: Milliseconds, servers: &ProcessGroup) {
-        let (expired, unresponsive): (Vec<_>, Vec<_>) = self
-            .unresponsive
-            .iter()
-            .partition(|(_, until)| now >= *until);
+    fn wake_servers(&mut self, now: Milliseconds) {
+        let servers = std::mem::take(&mut self.unresponsive);
+        let (expired, unresponsive): (Vec<_>, Vec<_>) =
+            servers.into_iter().partition(|(_, until)| now >= *until);
         self.unresponsive = unresponsive;
-        for (place, _) in expired {
-            if self.unresponsive.iter().all(|(other, _)| *other != place) {
-                servers.models[place].inject_fault(ServerFault::default());
+        for (server, _) in expired {
+            if self.unresponsive.iter().all(|(other, _)| *other != server) {
+                self.target.suspend_server(&server, false);
             }
         }
     }
 
     /// Ends all troubles: whoever was told to stop ends first, and all are started.
-    pub(super) fn heal(&mut self, servers: &ProcessGroup) {
-        for server in &servers.models {
-            server.inject_fault(ServerFault::default());
-        }
-        self.unresponsive.clear();
+    pub fn heal(&mut self) {
+        self.wake_servers(Milliseconds(u64::MAX));
         for place in 0..self.processes.len() {
             let process = &mut self.processes[place];
-            let daemon = daemon(&mut self.fleet, place);
+            let daemon = self.target.daemons().swap_remove(place);
             if process.frozen_until.take().is_some() {
                 daemon.wake();
             }
@@ -291,36 +283,38 @@
         }
     }
 
-    /// Tells all processes to stop, and gives what became of them.
-    pub(super) fn stop(mut self) -> ProcessFates {
-        for place in 0..self.processes.len() {
-            let name = self.processes[place].name.clone();
-            if let Some(status) = daemon(&mut self.fleet, place).ended() {
-                self.fates
-                    .ended_alone
-                    .push(format!("{name} at the end: {status}"));
+    /// Tells all processes to stop, routers first, and gives what became of them.
+    pub fn stop(mut self) -> ProcessFates {
+        let daemons = self.target.daemons();
+        let (mut routers, mut controllers): (Vec<_>, Vec<_>) = daemons
+            .into_iter()
+            .partition(|daemon| is_router(&daemon.name));
+        for group in [&mut routers, &mut controllers] {
+            for daemon in group.iter_mut() {
+                if let Some(status) = daemon.ended() {
+                    let fate = format!("{} at the end: {status}", daemon.name);
+                    self.fates.ended_alone.push(fate);
+                }
+                daemon.request_stop();
             }
-        }
-        for (name, code) in self.fleet.stop() {
-            self.fates.stops += 1;
-            let has_expected_code =
-                code == Some(0) || (name.starts_with("router") && code == Some(EXIT_IN_HAND));
-            if !has_expected_code {
-                self.fates
-                    .ended_badly
-                    .push(format!("{name} at the end: {code:?}"));
+            for daemon in group {
+                self.fates.stops += 1;
+                let code = daemon.wait(STOP_TIMEOUT);
+                if !is_expected(&daemon.name, code) {
+                    let fate = format!("{} at the end: {code:?}", daemon.name);
+                    self.fates.ended_badly.push(fate);
+                }
             }
         }
         self.fates
     }
 }
 
-/// The process at a place: controllers come before routers.
-fn daemon(fleet: &mut Fleet, place: usize) -> &mut Daemon {
-    let controllers = fleet.controllers.len();
-    if place < controllers {
-        &mut fleet.controllers[place]
-    } else {
-        &mut fleet.routers[place - controllers]
-    }
+fn is_router(name: &str) -> bool {
+    name.starts_with("router")
+}
+
+/// Whether a process that was told to stop may end with this code.
+fn is_expected(name: &str, code: Option<i32>) -> bool {
+    code == Some(0) || (is_router(name) && code == Some(EXIT_IN_HAND))
 }
