--- a/crates/router/src/control/node/lease.rs
+++ b/crates/router/src/control/node/lease.rs
@@ -99,6 +99,11 @@
             .lease_request_sent_at
             .filter(|_| round == self.lease_request_round)
         else {
+            // It grants nothing, since it may be old, but there is a configuration of its epoch.
+            if let LeaseResponse::Lease { epoch, .. } = response {
+                self.lease_state
+                    .announce_epoch(epoch, self.now + ANNOUNCEMENT_VALIDITY);
+            }
             return;
         };
         self.lease_request_sent_at = None;
--- a/crates/router/src/control/node/tests.rs
+++ b/crates/router/src/control/node/tests.rs
@@ -287,6 +287,39 @@
     }
 }
 
+// A response to an old request was dropped with the newer epoch that it named, and a router that its peers alone
+// let act went on under the old one.
+#[parameterized(
+    newer = { 4, LeaseStatus::Outdated },
+    same = { 3, LeaseStatus::PeerQuorum },
+    older = { 2, LeaseStatus::PeerQuorum },
+)]
+fn a_response_to_an_old_request_grants_nothing_and_its_epoch_counts(
+    epoch: u64,
+    expected: LeaseStatus,
+) {
+    let mut played = Played::new();
+    played.lease(3, 2);
+    played.plan(2);
+    let old_round = played.node.lease_request_round;
+    for _ in 0..60 {
+        played.at += 50;
+        played.step(NodeInput::ClockEvent);
+        let response = Message::PeerCheckResponse {
+            echo: played.node.peer_check_round,
+            epoch: ConfigEpoch(3),
+        };
+        played.receive(8, response);
+    }
+    let status = |played: &Played| {
+        let now = MonotonicInstant(played.at);
+        played.node.lease_state().status(now)
+    };
+    assert_eq!(status(&played), LeaseStatus::PeerQuorum);
+    played.lease_of(old_round, epoch, 2);
+    assert_eq!(status(&played), expected);
+}
+
 #[test]
 fn a_request_is_placed_only_with_a_lease_a_plan_that_allows_it_and_a_server_list() {
     let mut played = Played::new();
--- a/crates/simulator/src/world/tests.rs
+++ b/crates/simulator/src/world/tests.rs
@@ -204,6 +204,25 @@
     });
 }
 
+/// A response of the core that came late, behind a cut, was dropped with the newer epoch that it named; routers that
+/// their peers alone let act went on under the old one.
+#[parameterized(
+    behind_a_partition = { Deployment::Pahana, 51_000_025, 20 },
+    for_longer = { Deployment::Valodu, 77_001_124, 24 },
+)]
+fn a_late_response_names_the_newer_epoch(
+    deployment: Deployment,
+    seed: u64,
+    faults: u64,
+) {
+    play(WorldRules {
+        faults,
+        copies: 2,
+        quorum: Quorum::Holders,
+        ..WorldRules::new(deployment, seed)
+    });
+}
+
 /// Operators had every zone out of service for 13.9 s after all was healed, and service was said to be late.
 #[test]
 fn service_is_awaited_for_as_long_as_a_zone_is_in_service() {
