--- a/crates/simulator/src/world/tests.rs
+++ b/crates/simulator/src/world/tests.rs
@@ -210,11 +210,7 @@
     behind_a_partition = { Deployment::Pahana, 51_000_025, 20 },
     for_longer = { Deployment::Valodu, 77_001_124, 24 },
 )]
-fn a_late_response_names_the_newer_epoch(
-    deployment: Deployment,
-    seed: u64,
-    faults: u64,
-) {
+fn a_late_response_names_the_newer_epoch(deployment: Deployment, seed: u64, faults: u64) {
     play(WorldRules {
         faults,
         copies: 2,
